Declare the seams: schemas, result codes, platform and keeper types

Purpose: parts can be built side by side only once the shapes between them stand. Declares the operators' schema, the schema between processes, the numbered results, the outside systems' interfaces and the keeper's events and effects. Weighed: one keeper per engine against one per pool of engines of a model; a pool can bind a call to an engine as late as the slot frees, so the types name a pool.

--- /dev/null
+++ b/internal/keeper/effect.go
@@ -0,0 +1,63 @@
+package keeper
+
+import (
+	"time"
+
+	"github.com/magpielug/magpielug/internal/resultcode"
+)
+
+// Effect is one output of a keeper's step, carried out by its caller.
+type Effect interface{ effect() }
+
+// Grant gives a call a slot on an engine.
+type Grant struct {
+	Request Request
+	Engine  string
+	// Priority is the engine's own priority field for the call.
+	Priority int
+	// ExpectedCached is the prefix the keeper believes to be cached, tokens.
+	ExpectedCached int
+	// Why explains the choice in one short line.
+	Why string
+}
+
+// Refuse gives a call its final answer: not run, and when to come back.
+type Refuse struct {
+	Request    Request
+	Code       resultcode.Code
+	RetryAfter time.Duration
+	Why        string
+}
+
+// Preempt orders the leader to cancel a running call and to offer it again.
+type Preempt struct {
+	Request Request
+	Engine  string
+	Why     string
+}
+
+// ReleaseCache orders an engine to free a program's blocks.
+type ReleaseCache struct {
+	Engine  string
+	Program string
+	Why     string
+}
+
+// ExportCache orders an engine to export a program's blocks, then free them.
+type ExportCache struct {
+	Engine  string
+	Program string
+}
+
+// ImportCache orders an engine to take exported blocks in.
+type ImportCache struct {
+	Engine  string
+	Program string
+}
+
+func (Grant) effect()        {}
+func (Refuse) effect()       {}
+func (Preempt) effect()      {}
+func (ReleaseCache) effect() {}
+func (ExportCache) effect()  {}
+func (ImportCache) effect()  {}
