--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -93,6 +93,10 @@
 	Fence    Fence
 	// ResumeAfter skips chunks up to this sequence number.
 	ResumeAfter uint64
+	// AttachOnly joins a generation that the engine knows and never starts one:
+	// an unknown RequestID is refused with ErrNotRun and is remembered, so that
+	// a late start of the same RequestID is refused too.
+	AttachOnly bool
 }
 
 // EngineChunk is one item of an engine's stream.
