--- a/internal/resultcode/resultcode.go
+++ b/internal/resultcode/resultcode.go
@@ -59,7 +59,8 @@
 	InvalidSettings Code = 6001
 	AddressInUse    Code = 6002
 
-	Internal Code = 9001
+	Internal        Code = 9001
+	UnexpectedEvent Code = 9002
 )
 
 // Entry describes one code: its name, the HTTP status it maps to, whether the
@@ -112,6 +113,7 @@
 	{InvalidSettings, "INVALID_SETTINGS", 0, false, "A settings key is unknown, missing or out of bounds; the process exits with 2."},
 	{AddressInUse, "ADDRESS_IN_USE", 0, false, "The listen address is taken; the process exits with 2."},
 	{Internal, "INTERNAL", http.StatusInternalServerError, true, "A fault of magpielug itself; see its log."},
+	{UnexpectedEvent, "UNEXPECTED_EVENT", http.StatusInternalServerError, false, "Between processes: an event arrived in a state that does not take it; nothing changed."},
 }
 
 // Lookup returns the table's entry for code, or Internal's entry.
