--- /dev/null
+++ b/internal/shard/snapshot.go
@@ -0,0 +1,112 @@
+package shard
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	shardv1 "github.com/magpielug/magpielug/api/shard/v1"
+	"github.com/magpielug/magpielug/charts"
+)
+
+// Snapshot encodes the whole state. The programs stand in the order of their
+// ids, so that equal states give equal bytes.
+func (state *State) Snapshot() ([]byte, error) {
+	snapshot := &shardv1.Snapshot{}
+	for _, program := range state.programs {
+		snapshot.Programs = append(snapshot.Programs, program.export())
+	}
+	slices.SortFunc(snapshot.Programs, func(left, right *shardv1.ProgramRecord) int {
+		return strings.Compare(left.Created.ProgramId, right.Created.ProgramId)
+	})
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(snapshot)
+	return data, eris.Wrap(err, "encode snapshot")
+}
+
+func (program *Program) export() *shardv1.ProgramRecord {
+	record := program.record
+	record.State = program.state.String()
+	record.Calls = nil
+	for _, call := range program.calls {
+		call.record.State = call.state.String()
+		record.Calls = append(record.Calls, call.record)
+	}
+	slices.SortFunc(record.Calls, func(left, right *shardv1.CallRecord) int {
+		return int(left.Turn) - int(right.Turn)
+	})
+	return record
+}
+
+// Restore replaces the state by an encoded snapshot. A snapshot that can't be
+// read changes nothing.
+func (state *State) Restore(data []byte) error {
+	snapshot := &shardv1.Snapshot{}
+	if err := proto.Unmarshal(data, snapshot); err != nil {
+		return eris.Wrap(err, "decode snapshot")
+	}
+	programs := make(map[string]*Program, len(snapshot.Programs))
+	for _, record := range snapshot.Programs {
+		program, err := importProgram(record)
+		if err != nil {
+			return err
+		}
+		programs[program.ID()] = program
+	}
+	if err := linkFamilies(programs); err != nil {
+		return err
+	}
+	state.programs = programs
+	return nil
+}
+
+func importProgram(record *shardv1.ProgramRecord) (*Program, error) {
+	programState, known := charts.Program.ParseState(record.State)
+	if !known {
+		return nil, eris.Errorf("snapshot: program state %q", record.State)
+	}
+	program := &Program{
+		record: record,
+		state:  programState,
+		calls:  make(map[string]*Call, len(record.Calls)),
+	}
+	for _, callRecord := range record.Calls {
+		callState, known := charts.Call.ParseState(callRecord.State)
+		if !known {
+			return nil, eris.Errorf("snapshot: call state %q", callRecord.State)
+		}
+		call := &Call{program: program, record: callRecord, state: callState}
+		program.calls[call.RequestID()] = call
+	}
+	record.Calls = nil
+	return program, nil
+}
+
+// linkFamilies sets each program's root and counts its live sub-agents.
+func linkFamilies(programs map[string]*Program) error {
+	for _, program := range programs {
+		root, err := findRoot(programs, program)
+		if err != nil {
+			return err
+		}
+		program.root = root
+		parent := programs[program.Created().ParentId]
+		if parent != nil && !program.Over() {
+			parent.liveChildren++
+		}
+	}
+	return nil
+}
+
+func findRoot(programs map[string]*Program, program *Program) (*Program, error) {
+	root := program
+	for depth := 0; root.Created().ParentId != ""; depth++ {
+		parent := programs[root.Created().ParentId]
+		if parent == nil || depth > len(programs) {
+			return nil, eris.Errorf("snapshot: program %s has no root", program.ID())
+		}
+		root = parent
+	}
+	return root, nil
+}
--- /dev/null
+++ b/internal/shard/state.go
@@ -0,0 +1,97 @@
+// Package shard holds the replicated state of one shard: its programs, their
+// calls and histories. A State changes only by Apply, with committed entries in
+// their order, and decides every entry's validity then, so that all replicas of
+// a group hold the same state. It has no clock, lock or random source.
+package shard
+
+import (
+	shardv1 "github.com/magpielug/magpielug/api/shard/v1"
+	"github.com/magpielug/magpielug/charts"
+)
+
+// State is the replicated state of one shard.
+type State struct {
+	programs map[string]*Program
+	ledger   *ledgerState
+}
+
+// New returns the empty state.
+func New() *State {
+	return &State{
+		programs: make(map[string]*Program),
+		ledger:   newLedgerState(),
+	}
+}
+
+// Program returns the program with the id, nil where there is none.
+func (state *State) Program(programID string) *Program {
+	return state.programs[programID]
+}
+
+// Programs calls visit for each program, in no order, until it returns false.
+func (state *State) Programs(visit func(*Program) bool) {
+	for _, program := range state.programs {
+		if !visit(program) {
+			return
+		}
+	}
+}
+
+// Len returns how many programs the shard remembers.
+func (state *State) Len() int { return len(state.programs) }
+
+// Program is one program's replicated record.
+type Program struct {
+	record *shardv1.ProgramRecord
+	state  charts.ProgramState
+	calls  map[string]*Call
+	root   *Program
+	// liveChildren counts the sub-agents that are not over.
+	liveChildren int
+}
+
+// ID returns the program's id.
+func (program *Program) ID() string { return program.record.Created.ProgramId }
+
+// Created returns the entry the program was created by. Callers must not
+// change it.
+func (program *Program) Created() *shardv1.ProgramCreated { return program.record.Created }
+
+// State returns the program's state in the program chart.
+func (program *Program) State() charts.ProgramState { return program.state }
+
+// Over tells whether the program has ended or was stopped.
+func (program *Program) Over() bool {
+	return charts.Program.Final(program.state)
+}
+
+// Spent returns what the calls of the program and its sub-agents have cost, micro units.
+func (program *Program) Spent() uint64 { return program.record.SpentMicros }
+
+// Reserved returns what the open calls of the program and its sub-agents hold, micro units.
+func (program *Program) Reserved() uint64 { return program.record.ReservedMicros }
+
+// AttainedService returns the service tokens the program's whole family has
+// used: root and sub-agents together.
+func (program *Program) AttainedService() float64 { return program.root.record.AttainedService }
+
+// Root returns the program at the top of the family, itself for a root.
+func (program *Program) Root() *Program { return program.root }
+
+// Turns returns the finished calls in the program's order. Callers must not
+// change them.
+func (program *Program) Turns() []*Turn { return program.record.History }
+
+// Call returns the call with the request id, nil where there is none.
+func (program *Program) Call(requestID string) *Call { return program.calls[requestID] }
+
+// Head returns the call that is next or under way, nil where none is open.
+func (program *Program) Head() *Call {
+	if len(program.record.Pending) == 0 {
+		return nil
+	}
+	return program.calls[program.record.Pending[0]]
+}
+
+// OpenCalls returns how many accepted calls have not ended.
+func (program *Program) OpenCalls() int { return len(program.record.Pending) }
