--- /dev/null
+++ b/internal/httpserver/bounded_conn.go
@@ -0,0 +1,102 @@
+package httpserver
+
+import (
+	"net"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// writePiece is the most handed to nbio at once, bytes.
+const writePiece = 16 << 10
+
+// ErrSlowReader is returned to a handler whose client took nothing for the
+// write timeout; the connection is closed.
+var ErrSlowReader = eris.New("the client reads too slowly")
+
+// boundedConn is the socket that nbhttp writes answers to. It waits while the
+// connection holds too many bytes that the client has not taken; nbio itself
+// would close the connection of a client that is only a little slow, or keep
+// all without a bound.
+type boundedConn struct {
+	net.Conn
+	connection *connection
+}
+
+// Write sends data piece by piece within the write buffer's bound.
+func (conn *boundedConn) Write(data []byte) (int, error) {
+	sent := 0
+	for sent < len(data) {
+		piece := data[sent:min(sent+writePiece, len(data))]
+		err := conn.connection.awaitRoom(len(piece))
+		if err != nil {
+			_ = conn.connection.socket.Close()
+			return sent, err
+		}
+		conn.connection.submitted.Add(int64(len(piece)))
+		_, err = conn.Conn.Write(piece)
+		if err != nil {
+			return sent, eris.Wrap(err, "write to client")
+		}
+		sent += len(piece)
+	}
+	return sent, nil
+}
+
+// Close closes the socket once the client has taken what was written.
+func (conn *boundedConn) Close() error {
+	conn.connection.closeWhenDrained()
+	return nil
+}
+
+// pending is the number of bytes that the connection holds for its client.
+func (connection *connection) pending() int {
+	return int(connection.submitted.Load() - connection.written.Load())
+}
+
+// wrote notes that the system took count bytes. nbio calls it under the
+// socket's lock, so it must not touch the socket.
+func (connection *connection) wrote(count int) {
+	connection.written.Add(int64(count))
+	select {
+	case connection.progress <- struct{}{}:
+	default:
+	}
+}
+
+// awaitRoom waits until size more bytes fit into the write buffer.
+func (connection *connection) awaitRoom(size int) error {
+	limit := connection.server.limits.WriteBufferBytes
+	return connection.awaitPending(limit - size)
+}
+
+// awaitPending waits until at most limit bytes are pending. It fails when the
+// client takes nothing for the write timeout or is gone.
+func (connection *connection) awaitPending(limit int) error {
+	for connection.pending() > limit {
+		timer := time.NewTimer(connection.server.limits.WriteTimeout)
+		select {
+		case <-connection.progress:
+			timer.Stop()
+		case <-connection.gone:
+			timer.Stop()
+			return net.ErrClosed
+		case <-timer.C:
+			return ErrSlowReader
+		}
+	}
+	return nil
+}
+
+// closeWhenDrained closes the socket when nothing is pending, or after the
+// write timeout without progress.
+func (connection *connection) closeWhenDrained() {
+	if connection.pending() <= 0 {
+		_ = connection.socket.Close()
+		return
+	}
+	go func() {
+		_ = connection.awaitPending(0)
+		_ = connection.socket.Close()
+	}()
+}
--- /dev/null
+++ b/internal/httpserver/connection.go
@@ -0,0 +1,227 @@
+package httpserver
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/nbhttp"
+)
+
+// maxPipelined bounds the complete requests that one connection may have
+// waiting behind the one that runs.
+const maxPipelined = 16
+
+// lingerTimeout is how long a refused connection stays open for its client to
+// read the refusal. Closing at once would reset it while the client still
+// sends, and the refusal would be lost.
+const lingerTimeout = 2 * time.Second
+
+// connection is the server's state of one client connection.
+type connection struct {
+	server *Server
+	socket *nbio.Conn
+	// gone is closed when the connection is closed by either side.
+	gone chan struct{}
+	// excess is true for a connection over the limit.
+	excess bool
+
+	// Owned by the poller goroutine that reads the connection.
+	attached   bool
+	received   int
+	headerDone bool
+
+	// receiving is true from a request's first byte to its last.
+	receiving atomic.Bool
+
+	// discarding drops all further input: the connection has been refused.
+	discarding atomic.Bool
+	// calls counts complete requests whose answer is not finished.
+	calls atomic.Int32
+
+	submitted atomic.Int64
+	written   atomic.Int64
+	// progress tells a writer that the client took bytes.
+	progress chan struct{}
+
+	jobsMutex sync.Mutex
+	jobs      []func()
+	running   bool
+
+	cancelMutex sync.Mutex
+	cancel      context.CancelFunc
+}
+
+func newConnection(server *Server, socket *nbio.Conn) *connection {
+	return &connection{
+		server:   server,
+		socket:   socket,
+		gone:     make(chan struct{}),
+		progress: make(chan struct{}, 1),
+	}
+}
+
+// receive handles bytes from the client, on the poller goroutine.
+func (connection *connection) receive(data []byte) {
+	if connection.discarding.Load() {
+		return
+	}
+	connection.attach()
+	connection.startRequest()
+	connection.received += len(data)
+	connection.socket.DataHandler()(connection.socket, data)
+	connection.checkReceived()
+}
+
+// attach puts the server's own executor, processor and socket into the parser
+// that nbhttp made for the connection.
+func (connection *connection) attach() {
+	if connection.attached {
+		return
+	}
+	connection.attached = true
+	parser := connection.socket.Session().(*nbhttp.Parser)
+	parser.Execute = connection.execute
+	parser.Processor = &limitingProcessor{
+		Processor:  parser.Processor,
+		connection: connection,
+	}
+	parser.Conn = &boundedConn{Conn: parser.Conn, connection: connection}
+}
+
+// startRequest arms the timeout of a half-sent request at its first byte.
+func (connection *connection) startRequest() {
+	if connection.receiving.Swap(true) {
+		return
+	}
+	connection.received = 0
+	connection.headerDone = false
+	if connection.calls.Load() == 0 {
+		connection.setReadTimeout(connection.server.limits.RequestTimeout)
+	}
+}
+
+// completeRequest notes that a whole request has arrived. The read deadline
+// stops: it would cut an answer that takes longer.
+func (connection *connection) completeRequest() {
+	connection.calls.Add(1)
+	connection.receiving.Store(false)
+	connection.received = 0
+	connection.headerDone = false
+	connection.clearReadTimeout()
+}
+
+// checkReceived refuses a request that is over the limits before it is whole.
+func (connection *connection) checkReceived() {
+	limits := connection.server.limits
+	if !connection.receiving.Load() || connection.discarding.Load() {
+		return
+	}
+	if !connection.headerDone && connection.received > limits.MaxHeaderBytes {
+		connection.refuse(headerTooLarge(limits))
+		return
+	}
+	if connection.received > limits.MaxHeaderBytes+limits.MaxBodyBytes+bodyEncodingSlack {
+		connection.refuse(bodyTooLarge(limits))
+	}
+}
+
+// execute runs the connection's requests in the order received, apart from
+// nbio's own job list, so that a close is seen while a request runs.
+func (connection *connection) execute(job func()) bool {
+	connection.jobsMutex.Lock()
+	defer connection.jobsMutex.Unlock()
+	if len(connection.jobs) >= maxPipelined {
+		_ = connection.socket.Close()
+		return false
+	}
+	connection.jobs = append(connection.jobs, job)
+	if !connection.running {
+		connection.running = true
+		go connection.runJobs()
+	}
+	return true
+}
+
+func (connection *connection) runJobs() {
+	for {
+		connection.jobsMutex.Lock()
+		if len(connection.jobs) == 0 {
+			connection.running = false
+			connection.jobsMutex.Unlock()
+			return
+		}
+		job := connection.jobs[0]
+		connection.jobs = connection.jobs[1:]
+		connection.jobsMutex.Unlock()
+		connection.runJob(job)
+	}
+}
+
+// runJob runs one request to the end of its answer.
+func (connection *connection) runJob(job func()) {
+	defer connection.finishCall()
+	defer func() {
+		fault := recover()
+		if fault != nil {
+			reportPanic(fault)
+			_ = connection.socket.Close()
+		}
+	}()
+	job()
+}
+
+// finishCall notes that an answer has been handed to the socket.
+func (connection *connection) finishCall() {
+	connection.calls.Add(-1)
+	if connection.server.draining.Load() {
+		connection.closeWhenIdle()
+	}
+}
+
+// closeWhenIdle closes a connection that has no request under way and none
+// half received.
+func (connection *connection) closeWhenIdle() {
+	if !connection.receiving.Load() && connection.calls.Load() == 0 {
+		connection.closeWhenDrained()
+	}
+}
+
+// closed is called once nbio has closed the socket.
+func (connection *connection) closed() {
+	close(connection.gone)
+	connection.cancelMutex.Lock()
+	defer connection.cancelMutex.Unlock()
+	if connection.cancel != nil {
+		connection.cancel()
+	}
+}
+
+// setCancel names what to call when the connection closes under a request.
+func (connection *connection) setCancel(cancel context.CancelFunc) {
+	connection.cancelMutex.Lock()
+	connection.cancel = cancel
+	connection.cancelMutex.Unlock()
+	if connection.isGone() {
+		cancel()
+	}
+}
+
+func (connection *connection) isGone() bool {
+	select {
+	case <-connection.gone:
+		return true
+	default:
+		return false
+	}
+}
+
+func (connection *connection) setReadTimeout(timeout time.Duration) {
+	_ = connection.socket.SetReadDeadline(time.Now().Add(timeout))
+}
+
+func (connection *connection) clearReadTimeout() {
+	_ = connection.socket.SetReadDeadline(time.Time{})
+}
--- /dev/null
+++ b/internal/httpserver/handler.go
@@ -0,0 +1,87 @@
+package httpserver
+
+import (
+	"context"
+	"net/http"
+	"runtime/debug"
+
+	"github.com/lesismal/nbio/nbhttp"
+	"github.com/magpielug/magpielug/internal/resultcode"
+)
+
+type callerKey struct{}
+
+// CallerGone returns a channel that is closed when the request's connection
+// closes. The request's context ends then too, and when its handler returns.
+// The channel is nil, and so never ready, for a request of another server.
+func CallerGone(request *http.Request) <-chan struct{} {
+	caller, known := request.Context().Value(callerKey{}).(*connection)
+	if !known {
+		return nil
+	}
+	return caller.gone
+}
+
+// serve runs one request on the connection's own goroutine. Nothing waits
+// here unseen: a request over the limit is refused at once.
+func (server *Server) serve(writer http.ResponseWriter, request *http.Request) {
+	response := writer.(*nbhttp.Response)
+	caller := response.Parser.Conn.(*boundedConn).connection
+	// The deadline may have been armed by the end of the request before.
+	caller.clearReadTimeout()
+	if server.draining.Load() {
+		request.Close = true
+	}
+	if request.Close {
+		response.Header().Set("Connection", "close")
+	}
+	ctx, cancel := context.WithCancel(server.context)
+	defer cancel()
+	caller.setCancel(cancel)
+	if caller.excess {
+		request.Close = true
+		response.Header().Set("Connection", "close")
+		WriteError(response, tooManyConnections(server.limits))
+		return
+	}
+	ctx = context.WithValue(ctx, callerKey{}, caller)
+	server.admit(newResponseWriter(response, caller), request.WithContext(ctx))
+}
+
+// admit counts the request and hands it to the handler, or refuses it.
+func (server *Server) admit(writer *responseWriter, request *http.Request) {
+	exempt := server.limits.Exempt != nil && server.limits.Exempt(request)
+	if !exempt {
+		defer server.inFlight.Add(-1)
+		if server.inFlight.Add(1) > int64(server.limits.MaxInFlight) {
+			WriteError(writer, tooManyCalls(server.limits))
+			return
+		}
+	}
+	defer recoverHandler(writer)
+	server.handler.ServeHTTP(writer, request)
+}
+
+// recoverHandler answers Internal for a handler that panicked, or closes the
+// connection where an answer has begun.
+func recoverHandler(writer *responseWriter) {
+	fault := recover()
+	if fault == nil {
+		return
+	}
+	reportPanic(fault)
+	if writer.started {
+		_ = writer.connection.socket.Close()
+		return
+	}
+	WriteError(writer, resultcode.New(resultcode.Internal, "internal fault"))
+}
+
+// ReportPanic is told of every panic of a handler. Set it before Start.
+var ReportPanic func(fault any, stack []byte)
+
+func reportPanic(fault any) {
+	if fault != http.ErrAbortHandler && ReportPanic != nil {
+		ReportPanic(fault, debug.Stack())
+	}
+}
--- /dev/null
+++ b/internal/httpserver/limits.go
@@ -0,0 +1,76 @@
+package httpserver
+
+import (
+	"net/http"
+	"time"
+)
+
+// Default limits, used for every field of Limits that is zero.
+const (
+	DefaultMaxConnections = 4096
+	DefaultMaxInFlight    = 3072
+	DefaultMaxBodyBytes   = 8 << 20
+	DefaultMaxHeaderBytes = 32 << 10
+	DefaultWriteBuffer    = 256 << 10
+	DefaultIdleTimeout    = 120 * time.Second
+	DefaultRequestTimeout = 20 * time.Second
+	DefaultWriteTimeout   = 10 * time.Second
+	DefaultRetryAfter     = time.Second
+)
+
+// MinWriteBuffer is the smallest WriteBufferBytes that is honoured.
+const MinWriteBuffer = 4 * writePiece
+
+// Limits bounds what callers can make a server hold. A zero field takes its
+// default.
+type Limits struct {
+	// MaxConnections is the number of open connections; one more is refused
+	// with code TooManyConnections on its first request.
+	MaxConnections int
+	// MaxInFlight is the number of requests that run at once; one more is
+	// refused with code TooManyConnections without waiting.
+	MaxInFlight int
+	// MaxBodyBytes bounds a request's body; a longer one is refused with code
+	// BodyTooLarge and is never kept.
+	MaxBodyBytes int
+	// MaxHeaderBytes bounds a request's target and headers together.
+	MaxHeaderBytes int
+	// WriteBufferBytes bounds what one connection holds of answers that the
+	// client has not taken.
+	WriteBufferBytes int
+	// IdleTimeout closes a connection without a request.
+	IdleTimeout time.Duration
+	// RequestTimeout closes a connection whose request is not complete this
+	// long after its first byte.
+	RequestTimeout time.Duration
+	// WriteTimeout closes a connection whose client takes nothing for this
+	// long while the write buffer is full.
+	WriteTimeout time.Duration
+	// RetryAfter is told to callers refused by a limit.
+	RetryAfter time.Duration
+	// Exempt tells which requests MaxInFlight does not count, such as
+	// heartbeats between processes; nil counts all.
+	Exempt func(request *http.Request) bool
+}
+
+// withDefaults returns limits with every zero field replaced.
+func (limits Limits) withDefaults() Limits {
+	limits.MaxConnections = positive(limits.MaxConnections, DefaultMaxConnections)
+	limits.MaxInFlight = positive(limits.MaxInFlight, DefaultMaxInFlight)
+	limits.MaxBodyBytes = positive(limits.MaxBodyBytes, DefaultMaxBodyBytes)
+	limits.MaxHeaderBytes = positive(limits.MaxHeaderBytes, DefaultMaxHeaderBytes)
+	limits.WriteBufferBytes = max(positive(limits.WriteBufferBytes, DefaultWriteBuffer), MinWriteBuffer)
+	limits.IdleTimeout = positive(limits.IdleTimeout, DefaultIdleTimeout)
+	limits.RequestTimeout = positive(limits.RequestTimeout, DefaultRequestTimeout)
+	limits.WriteTimeout = positive(limits.WriteTimeout, DefaultWriteTimeout)
+	limits.RetryAfter = positive(limits.RetryAfter, DefaultRetryAfter)
+	return limits
+}
+
+// positive returns value, or fallback where value is not above zero.
+func positive[Number int | time.Duration](value, fallback Number) Number {
+	if value > 0 {
+		return value
+	}
+	return fallback
+}
--- /dev/null
+++ b/internal/httpserver/server_test.go
@@ -0,0 +1,316 @@
+package httpserver
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"time"
+
+	"github.com/magpielug/magpielug/internal/httpclient"
+	"github.com/magpielug/magpielug/internal/resultcode"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+const patience = 20 * time.Second
+
+func start(handler http.HandlerFunc, limits Limits) *Server {
+	server, err := Start("127.0.0.1:0", handler, limits)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		_ = server.Shutdown(ctx)
+	})
+	return server
+}
+
+func newClient() *http.Client {
+	client, err := httpclient.New(httpclient.Options{SourceAddress: "127.0.0.1", Timeout: patience})
+	Expect(err).NotTo(HaveOccurred())
+	return client
+}
+
+func dial(server *Server) net.Conn {
+	connection, err := net.Dial("tcp", server.Address())
+	Expect(err).NotTo(HaveOccurred())
+	Expect(connection.SetDeadline(time.Now().Add(patience))).To(Succeed())
+	DeferCleanup(func() { _ = connection.Close() })
+	return connection
+}
+
+func errorOf(body io.Reader) ErrorDetail {
+	var parsed ErrorBody
+	Expect(json.NewDecoder(body).Decode(&parsed)).To(Succeed())
+	return parsed.Error
+}
+
+func echo(writer http.ResponseWriter, request *http.Request) {
+	_, _ = io.Copy(writer, request.Body)
+}
+
+// content returns size bytes that differ by seed.
+func content(seed, size int) []byte {
+	line := fmt.Appendf(nil, "answer %d ", seed)
+	return bytes.Repeat(line, size/len(line)+1)[:size]
+}
+
+var _ = Describe("Server", func() {
+	It("says in one line that a port is taken", func() {
+		server := start(echo, Limits{})
+		_, err := Start(server.Address(), http.HandlerFunc(echo), Limits{})
+		Expect(resultcode.CodeOf(err)).To(Equal(resultcode.AddressInUse))
+		Expect(err.Error()).To(ContainSubstring(server.Address()))
+		Expect(err.Error()).NotTo(ContainSubstring("\n"))
+	})
+
+	It("does not cut an answer that takes longer than the idle and request timeouts", func() {
+		const events = 8
+		stream := func(writer http.ResponseWriter, request *http.Request) {
+			for number := range events {
+				fmt.Fprintf(writer, "event %d\n", number)
+				writer.(http.Flusher).Flush()
+				time.Sleep(100 * time.Millisecond)
+			}
+		}
+		server := start(stream, Limits{IdleTimeout: 250 * time.Millisecond, RequestTimeout: 250 * time.Millisecond})
+		client := newClient()
+		for range 2 {
+			answer, err := client.Get("http://" + server.Address())
+			Expect(err).NotTo(HaveOccurred())
+			body, err := io.ReadAll(answer.Body)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(strings.Count(string(body), "\n")).To(Equal(events))
+		}
+	})
+
+	It("closes idle connections and half-sent requests", func() {
+		server := start(echo, Limits{IdleTimeout: 50 * time.Millisecond, RequestTimeout: 50 * time.Millisecond})
+		idle := dial(server)
+		half := dial(server)
+		fmt.Fprint(half, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nabc")
+		for _, connection := range []net.Conn{idle, half} {
+			_, err := connection.Read(make([]byte, 1))
+			Expect(err).To(MatchError(io.EOF))
+		}
+		Eventually(server.Connections, patience).Should(BeZero())
+	})
+
+	It("refuses a call over MaxInFlight at once, with when to come back", func() {
+		release := make(chan struct{})
+		started := make(chan struct{}, 1)
+		server := start(func(writer http.ResponseWriter, request *http.Request) {
+			if request.URL.Path == "/health" {
+				return
+			}
+			started <- struct{}{}
+			<-release
+		}, Limits{MaxInFlight: 1, RetryAfter: 1500 * time.Millisecond, Exempt: func(request *http.Request) bool {
+			return request.URL.Path == "/health"
+		}})
+		client := newClient()
+		done := make(chan error, 1)
+		go func() {
+			_, err := client.Get("http://" + server.Address())
+			done <- err
+		}()
+		Eventually(started, patience).Should(Receive())
+		answer, err := client.Get("http://" + server.Address())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(answer.Header.Get("Retry-After")).To(Equal("2"))
+		Expect(errorOf(answer.Body).Code).To(Equal(resultcode.TooManyConnections))
+		answer, err = client.Get("http://" + server.Address() + "/health")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.StatusCode).To(Equal(http.StatusOK))
+		close(release)
+		Eventually(done, patience).Should(Receive(BeNil()))
+	})
+
+	It("tells a connection over MaxConnections", func() {
+		server := start(echo, Limits{MaxConnections: 1})
+		dial(server)
+		Eventually(server.Connections, patience).Should(Equal(1))
+		answer, err := newClient().Get("http://" + server.Address())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(errorOf(answer.Body).Code).To(Equal(resultcode.TooManyConnections))
+	})
+
+	DescribeTable("refuses a body over the limit without keeping it",
+		func(newBody func() io.Reader, length int64) {
+			server := start(echo, Limits{MaxBodyBytes: 1000})
+			request, err := http.NewRequest(http.MethodPost, "http://"+server.Address(), newBody())
+			Expect(err).NotTo(HaveOccurred())
+			request.ContentLength = length
+			answer, err := newClient().Do(request)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(answer.StatusCode).To(Equal(http.StatusRequestEntityTooLarge))
+			Expect(errorOf(answer.Body).Code).To(Equal(resultcode.BodyTooLarge))
+		},
+		Entry("announced", func() io.Reader { return bytes.NewReader(content(1, 300_000)) }, int64(300_000)),
+		Entry("chunked", func() io.Reader { return bytes.NewReader(content(1, 300_000)) }, int64(-1)),
+		Entry("one byte over", func() io.Reader { return bytes.NewReader(content(1, 1001)) }, int64(1001)),
+	)
+
+	It("takes a body of exactly the limit and refuses headers over theirs", func() {
+		server := start(echo, Limits{MaxBodyBytes: 100_000, MaxHeaderBytes: 2000})
+		sent := content(1, 100_000)
+		answer, err := newClient().Post("http://"+server.Address(), "text/plain", bytes.NewReader(sent))
+		Expect(err).NotTo(HaveOccurred())
+		body, err := io.ReadAll(answer.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(bytes.Equal(body, sent)).To(BeTrue())
+
+		request, _ := http.NewRequest(http.MethodGet, "http://"+server.Address(), nil)
+		request.Header.Set("X-Long", strings.Repeat("a", 3000))
+		answer, err = newClient().Do(request)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(errorOf(answer.Body).Code).To(Equal(resultcode.BadRequest))
+	})
+
+	It("tells a handler that its caller is gone, by channel and context", func() {
+		gone := make(chan struct{})
+		entered := make(chan struct{})
+		server := start(func(writer http.ResponseWriter, request *http.Request) {
+			close(entered)
+			<-CallerGone(request)
+			<-request.Context().Done()
+			close(gone)
+		}, Limits{})
+		connection := dial(server)
+		fmt.Fprint(connection, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+		Eventually(entered, patience).Should(BeClosed())
+		Expect(connection.Close()).To(Succeed())
+		Eventually(gone, patience).Should(BeClosed())
+	})
+
+	It("ends the stream of a client that stops reading and keeps the heap small", func() {
+		const bound = 128 << 10
+		failed := make(chan int, 1)
+		server := start(func(writer http.ResponseWriter, request *http.Request) {
+			sent := 0
+			piece := content(1, 32<<10)
+			for {
+				count, err := writer.Write(piece)
+				sent += count
+				if err != nil {
+					failed <- sent
+					return
+				}
+			}
+		}, Limits{WriteBufferBytes: bound, WriteTimeout: 200 * time.Millisecond})
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		fmt.Fprint(dial(server), "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+		var sent int
+		Eventually(failed, patience).Should(Receive(&sent))
+		runtime.ReadMemStats(&after)
+		Expect(int64(after.HeapAlloc) - int64(before.HeapAlloc)).To(BeNumerically("<", 8<<20))
+		Expect(sent).To(BeNumerically("<", 32<<20))
+	})
+
+	It("delivers large answers whole to slow and to many readers, none mixed", func() {
+		const size = 2 << 20
+		server := start(func(writer http.ResponseWriter, request *http.Request) {
+			var seed int
+			fmt.Sscanf(request.URL.Path, "/%d", &seed)
+			if seed%2 == 0 {
+				writer.Header().Set("Content-Length", fmt.Sprint(size))
+			}
+			_, _ = writer.Write(content(seed, size))
+		}, Limits{WriteBufferBytes: 128 << 10})
+		client := newClient()
+		results := make(chan error, 16)
+		for seed := range cap(results) {
+			go func() { results <- fetchSlowly(client, server, seed, size) }()
+		}
+		for range cap(results) {
+			Eventually(results, patience).Should(Receive(BeNil()))
+		}
+	})
+
+	It("sends the whole of an answer before it closes on Connection: close", func() {
+		const size = 1 << 20
+		server := start(func(writer http.ResponseWriter, request *http.Request) {
+			_, _ = writer.Write(content(7, size))
+		}, Limits{})
+		connection := dial(server)
+		fmt.Fprint(connection, "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+		answer, err := http.ReadResponse(bufio.NewReader(connection), nil)
+		Expect(err).NotTo(HaveOccurred())
+		time.Sleep(50 * time.Millisecond)
+		body, err := io.ReadAll(answer.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(bytes.Equal(body, content(7, size))).To(BeTrue())
+	})
+
+	It("answers Internal when a handler panics and goes on", func() {
+		server := start(func(writer http.ResponseWriter, request *http.Request) { panic("fault") }, Limits{})
+		for range 2 {
+			answer, err := newClient().Get("http://" + server.Address())
+			Expect(err).NotTo(HaveOccurred())
+			Expect(errorOf(answer.Body).Code).To(Equal(resultcode.Internal))
+		}
+	})
+
+	It("finishes requests under way when it is shut down, and accepts no more", func() {
+		entered := make(chan struct{})
+		server := start(func(writer http.ResponseWriter, request *http.Request) {
+			close(entered)
+			time.Sleep(300 * time.Millisecond)
+			fmt.Fprint(writer, "whole")
+		}, Limits{})
+		bodies := make(chan string, 1)
+		go func() {
+			defer GinkgoRecover()
+			answer, err := newClient().Get("http://" + server.Address())
+			Expect(err).NotTo(HaveOccurred())
+			body, _ := io.ReadAll(answer.Body)
+			bodies <- string(body)
+		}()
+		Eventually(entered, patience).Should(BeClosed())
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		Expect(server.Shutdown(ctx)).To(Succeed())
+		Eventually(bodies, patience).Should(Receive(Equal("whole")))
+		_, err := net.Dial("tcp", server.Address())
+		Expect(err).To(HaveOccurred())
+	})
+
+	It("ends with its context's error when a request outlasts the shutdown", func() {
+		entered := make(chan struct{})
+		server := start(func(writer http.ResponseWriter, request *http.Request) {
+			close(entered)
+			<-request.Context().Done()
+		}, Limits{})
+		go func() { _, _ = newClient().Get("http://" + server.Address()) }()
+		Eventually(entered, patience).Should(BeClosed())
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		Expect(server.Shutdown(ctx)).To(MatchError(context.DeadlineExceeded))
+	})
+})
+
+func fetchSlowly(client *http.Client, server *Server, seed, size int) error {
+	answer, err := client.Get(fmt.Sprintf("http://%s/%d", server.Address(), seed))
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	time.Sleep(50 * time.Millisecond)
+	body, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return err
+	}
+	if !bytes.Equal(body, content(seed, size)) {
+		return fmt.Errorf("answer %d differs after %d bytes", seed, len(body))
+	}
+	return nil
+}
