--- /dev/null
+++ b/internal/replication/members.go
@@ -0,0 +1,168 @@
+package replication
+
+import (
+	"time"
+
+	replicationv1 "github.com/magpielug/magpielug/api/replication/v1"
+)
+
+// silentLearnerTimeouts is after how many longest election timeouts a leader
+// forgets a learner that doesn't answer.
+const silentLearnerTimeouts = 4
+
+// Admit makes the leader take a member in: first as a learner, and once it has
+// caught up, by a committed change of the group. An older incarnation of the
+// same process is removed before that, by a change of its own.
+func (r *Replica) Admit(now time.Duration, member Member) error {
+	if r.role != RoleLeader {
+		return ErrNotLeader
+	}
+	if !r.canAdmit(member) {
+		return ErrUnknownMember
+	}
+	r.addLearner(now, member)
+	r.lead.find(member.Incarnation).byHost = true
+	return nil
+}
+
+// Remove proposes the group without a member. A leader can't remove itself; it
+// transfers the leadership first.
+func (r *Replica) Remove(now time.Duration, incarnation Incarnation) error {
+	if r.role != RoleLeader {
+		return ErrNotLeader
+	}
+	if incarnation == r.self.Incarnation || findMember(r.members, incarnation) < 0 {
+		return ErrUnknownMember
+	}
+	if !r.mayChangeMembers() {
+		return ErrChangePending
+	}
+	r.changeMembers(now, withoutMember(r.members, incarnation))
+	return nil
+}
+
+func (r *Replica) canAdmit(member Member) bool {
+	process := member.Incarnation.Process()
+	return process != "" &&
+		process != r.self.Incarnation.Process() &&
+		findMember(r.members, member.Incarnation) < 0
+}
+
+func (r *Replica) addLearner(now time.Duration, member Member) {
+	process := member.Incarnation.Process()
+	for _, peer := range r.lead.peers {
+		if peer.learner && peer.member.Incarnation.Process() == process {
+			r.lead.remove(peer.member.Incarnation)
+		}
+	}
+	peer := newProgress(now, member, r.log.lastIndex()+1)
+	peer.learner = true
+	r.lead.peers = append(r.lead.peers, peer)
+}
+
+// receiveJoinRequest takes in a process that lost its replica, or that fills a
+// group up. Others need an Admit by the host.
+func (r *Replica) receiveJoinRequest(now time.Duration, request *replicationv1.JoinRequest) {
+	if r.role != RoleLeader {
+		return
+	}
+	member := Member{
+		Incarnation: Incarnation(request.GetMember().GetIncarnation()),
+		Zone:        request.GetMember().GetZone(),
+	}
+	if !r.canAdmit(member) || r.lead.find(member.Incarnation) != nil {
+		return
+	}
+	replaces := findProcess(r.members, member.Incarnation.Process()) >= 0
+	if replaces || len(r.members) < r.config.GroupSize {
+		r.addLearner(now, member)
+	}
+}
+
+// tickLearner asks every process last known in the group to be taken in.
+func (r *Replica) tickLearner(now time.Duration) {
+	if now < r.joinDeadline {
+		return
+	}
+	r.joinDeadline = now + r.config.ElectionTimeoutMin
+	member := EncodeMembers([]Member{r.self})[0]
+	for _, known := range r.members {
+		process := known.Incarnation.Process()
+		if process == r.self.Incarnation.Process() {
+			continue
+		}
+		r.sendToProcess(process, "", &replicationv1.Message{
+			Body: &replicationv1.Message_JoinRequest{
+				JoinRequest: &replicationv1.JoinRequest{Member: member},
+			},
+		})
+	}
+}
+
+// mayChangeMembers keeps two rules that single-member changes rest on: one
+// change at a time, and none before an entry of the leader's own epoch is
+// committed.
+func (r *Replica) mayChangeMembers() bool {
+	return r.membersIndex <= r.commit &&
+		r.commit >= r.lead.startIndex &&
+		r.lead.transferTo == ""
+}
+
+// changeMembers puts a group into force that differs from the last by one member.
+func (r *Replica) changeMembers(now time.Duration, members []Member) {
+	r.appendOwn(&replicationv1.Entry{
+		Kind:    KindMembers,
+		Members: EncodeMembers(members),
+	})
+	r.refreshMembers()
+	r.syncPeers(now)
+}
+
+// advanceMembers takes the next step of an admission.
+func (r *Replica) advanceMembers(now time.Duration) {
+	if !r.mayChangeMembers() {
+		return
+	}
+	for _, peer := range r.lead.peers {
+		if !peer.learner || !r.hasCaughtUp(now, peer) {
+			continue
+		}
+		superseded := findProcess(r.members, peer.member.Incarnation.Process())
+		switch {
+		case superseded >= 0:
+			r.changeMembers(now, withoutMember(r.members, r.members[superseded].Incarnation))
+			return
+		case peer.byHost || len(r.members) < r.config.GroupSize:
+			r.changeMembers(now, withMember(r.members, peer.member))
+			return
+		}
+	}
+}
+
+// hasCaughtUp tells whether a learner holds all that is committed, and answers.
+func (r *Replica) hasCaughtUp(now time.Duration, peer *progress) bool {
+	return peer.match >= r.commit &&
+		peer.heard &&
+		now-peer.acknowledged < r.config.ElectionTimeoutMin
+}
+
+func (r *Replica) dropSilentLearners(now time.Duration) {
+	limit := silentLearnerTimeouts * r.config.ElectionTimeoutMax
+	for _, peer := range r.lead.peers {
+		lastSign := max(peer.acknowledged, peer.admittedAt)
+		if peer.learner && now-lastSign > limit {
+			r.lead.remove(peer.member.Incarnation)
+		}
+	}
+}
+
+// retireIfRemoved ends a replica that a committed change has removed.
+func (r *Replica) retireIfRemoved() {
+	isVoter := r.role == RoleFollower || r.role == RoleCandidate
+	if !isVoter || r.membersIndex > r.commit {
+		return
+	}
+	if findMember(r.members, r.self.Incarnation) < 0 {
+		r.Retire()
+	}
+}
