Grant slots on a pool of engines by replaceable policies

Keeper.Step takes the time and one event and returns effects. Calls wait in bands by tier weight with a reserved share each; a placement by filter, score and pick binds a call when a slot frees, or on arrival for the baselines. The keeper tracks cached prefixes from its own dispatches and corrects them by reports; it releases cache of programs that are gone, moved or long paused. New events: EngineResumed, ProgramsLive, GrantsHeld; new request fields: Kind, Parent, Repeatable; EngineReported has Adapters.

--- /dev/null
+++ b/internal/cache/fixed.go
@@ -0,0 +1,7 @@
+package cache
+
+// FixedPolicy takes the same action at every pause.
+type FixedPolicy struct{ Action Action }
+
+// AtPause returns the fixed action.
+func (policy FixedPolicy) AtPause(Pause) Decision { return Decision{Action: policy.Action} }
--- /dev/null
+++ b/internal/keeper/dispatch.go
@@ -0,0 +1,196 @@
+package keeper
+
+import (
+	"time"
+
+	"github.com/magpielug/magpielug/internal/placement"
+	"github.com/magpielug/magpielug/internal/queue"
+)
+
+// dispatch grants free slots to waiting calls until no more can be granted.
+func (keeper *Keeper) dispatch() {
+	if len(keeper.waiting) == 0 {
+		return
+	}
+	if keeper.policies.Placement.BindsOnArrival {
+		keeper.bindArrivals()
+		keeper.dispatchBound()
+		return
+	}
+	for keeper.pool.Len() > 0 && keeper.anyFreeSlot() {
+		if !keeper.dispatchOne() {
+			return
+		}
+	}
+}
+
+func (keeper *Keeper) anyFreeSlot() bool {
+	for _, engine := range keeper.engines {
+		if keeper.freeSlots(engine) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// dispatchBound grants each engine's free slots to the calls bound to it. A
+// call that does not fit in memory yet holds up those behind it.
+func (keeper *Keeper) dispatchBound() {
+	for _, engine := range keeper.engines {
+		for engine.bound.Len() > 0 && keeper.freeSlots(engine) > 0 {
+			item := engine.bound.Take()
+			engine.bound.Restore(item)
+			if !engine.fits(item.Value.need) {
+				break
+			}
+			keeper.grantFrom(engine.bound, item, engine)
+		}
+	}
+}
+
+// dispatchOne tries waiting calls in turn and grants the first that has an
+// engine now. Those before it are passed over: they wait for the engine that
+// has their prefix, or for memory.
+func (keeper *Keeper) dispatchOne() bool {
+	keeper.fillCandidates()
+	keeper.aside = keeper.aside[:0]
+	var chosen *queue.Item[*waitingCall]
+	var target *engineState
+	for range keeper.config.LookAhead {
+		item := keeper.pool.Take()
+		if item == nil {
+			break
+		}
+		keeper.aside = append(keeper.aside, item)
+		if target = keeper.engineFor(item.Value); target != nil {
+			chosen = item
+			break
+		}
+	}
+	for _, item := range keeper.aside {
+		keeper.pool.Restore(item)
+		if chosen != nil && item != chosen {
+			item.Value.skips++
+		}
+	}
+	clear(keeper.aside)
+	if chosen == nil {
+		return false
+	}
+	keeper.grantFrom(keeper.pool, chosen, target)
+	return true
+}
+
+// engineFor returns the engine to grant the call on now, nil if it should wait.
+func (keeper *Keeper) engineFor(call *waitingCall) *engineState {
+	keeper.fitCandidates(call)
+	patient := call.skips < keeper.config.MaxSkips && keeper.now-call.queuedAt < keeper.config.MaxHold
+	if !patient {
+		keeper.onlyFreeCandidates()
+	}
+	placed := call.placed()
+	index := keeper.policies.Placement.Place(&placed, keeper.candidates)
+	if index == placement.None {
+		if call.skips >= keeper.config.MaxSkips {
+			keeper.reserveFor(call)
+		}
+		return nil
+	}
+	if keeper.candidates[index].FreeSlots == 0 {
+		keeper.slots[index].claimed++
+		return nil
+	}
+	return keeper.engines[index]
+}
+
+// slotState is what one dispatch knows of an engine beside its candidate.
+type slotState struct {
+	ready bool
+	free  int
+	// claimed counts calls passed over in this dispatch that wait for the engine.
+	claimed int
+}
+
+// fillCandidates describes the engines for one dispatch.
+func (keeper *Keeper) fillCandidates() {
+	keeper.candidates = keeper.candidates[:0]
+	keeper.slots = keeper.slots[:0]
+	prefill := keeper.estimates.prefillPerToken()
+	for _, engine := range keeper.engines {
+		keeper.slots = append(keeper.slots, slotState{ready: keeper.ready(engine), free: keeper.freeSlots(engine)})
+		keeper.candidates = append(keeper.candidates, placement.Candidate{
+			Engine:          engine.name,
+			Model:           engine.model,
+			Zone:            engine.zone,
+			Adapters:        engine.adapters,
+			Running:         len(engine.running),
+			Waiting:         engine.bound.Len(),
+			Limit:           keeper.limit(engine),
+			FreeTokens:      engine.memoryTokens - engine.usedTokens - engine.prefixes.idleTokens,
+			PrefillPerToken: prefill,
+		})
+	}
+}
+
+// fitCandidates fills in what depends on the call.
+func (keeper *Keeper) fitCandidates(call *waitingCall) {
+	for index, engine := range keeper.engines {
+		candidate := &keeper.candidates[index]
+		slot := &keeper.slots[index]
+		candidate.Ready = slot.ready
+		candidate.CachedTokens = keeper.expectedCached(call, engine)
+		candidate.FreeSlots = slot.free
+		if !engine.fits(call.need) {
+			candidate.FreeSlots = 0
+		}
+		candidate.Wait = 0
+		if candidate.FreeSlots == 0 {
+			candidate.Wait = keeper.slotWait(engine, slot.claimed)
+		}
+	}
+}
+
+// slotWait predicts when a slot of a full engine frees for one more call behind
+// those that claimed it.
+func (keeper *Keeper) slotWait(engine *engineState, claimed int) time.Duration {
+	running := max(len(engine.running), 1)
+	return seconds(keeper.estimates.hold() * float64(1+claimed) / float64(running))
+}
+
+// onlyFreeCandidates leaves the engines that can take the call now.
+func (keeper *Keeper) onlyFreeCandidates() {
+	for index := range keeper.candidates {
+		candidate := &keeper.candidates[index]
+		candidate.Ready = candidate.Ready && candidate.FreeSlots > 0
+	}
+}
+
+// reserveFor keeps the engine that will fit the call soonest from calls ranked
+// after it, so that small calls can't starve a large one.
+func (keeper *Keeper) reserveFor(call *waitingCall) {
+	chosen := placement.None
+	for index, engine := range keeper.engines {
+		if !keeper.slots[index].ready {
+			continue
+		}
+		if chosen == placement.None || engine.usedTokens < keeper.engines[chosen].usedTokens {
+			chosen = index
+		}
+	}
+	if chosen != placement.None {
+		keeper.slots[chosen].ready = false
+	}
+}
+
+// sharedPart is the part of a parent's prefix that a sub-agent is taken to
+// share, as a divisor.
+const sharedPart = 2
+
+// expectedCached is how much of the call's prompt is thought to be cached.
+func (keeper *Keeper) expectedCached(call *waitingCall, engine *engineState) int {
+	cached := call.program.cachedOn(engine)
+	if cached == 0 && call.parent != nil {
+		cached = call.parent.cachedOn(engine) / sharedPart
+	}
+	return min(cached, call.request.PromptTokens)
+}
--- a/internal/keeper/event.go
+++ b/internal/keeper/event.go
@@ -17,6 +17,14 @@
 	Shard  uint32
 	Tenant string
 	Tier   string
+	// Kind is the program kind; pauses are predicted by tenant and kind.
+	Kind string
+	// Parent is the program that spawned this one as a sub-agent; empty for a
+	// root. Its cached prefix is taken to be shared in part.
+	Parent string
+	// Repeatable is true when the call may run again; only such calls are
+	// preempted.
+	Repeatable bool
 	// Weight is the tier's share under contention.
 	Weight  uint32
 	Model   string
@@ -29,7 +37,7 @@
 	// far, in service tokens: uncached prompt tokens times a small factor plus
 	// generated tokens.
 	AttainedService float64
-	// ProgramStarted is how long ago the program began, as of the request.
+	// ProgramAge is how long ago the program began, as of the request.
 	ProgramAge time.Duration
 	// WaitBound is the longest predicted wait the tier accepts.
 	WaitBound time.Duration
@@ -42,7 +50,8 @@
 // Event is one input to a keeper's step.
 type Event interface{ event() }
 
-// CallQueued offers a call for a slot.
+// CallQueued offers a call for a slot. The same call offered again changes
+// nothing while it waits, and repeats its Grant while it runs.
 type CallQueued struct{ Request Request }
 
 // CallCancelled withdraws a call that waits, or tells that a granted one is
@@ -74,17 +83,20 @@
 
 // EngineReported brings an engine's lagging load report.
 type EngineReported struct {
-	Engine        string
-	Model         string
-	Zone          string
-	Leaving       bool
-	Running       int
-	Waiting       int
-	RunningLimit  int
-	BlocksTotal   int
-	BlocksUsed    int
-	BlockTokens   int
-	StepDuration  time.Duration
+	Engine       string
+	Model        string
+	Zone         string
+	Adapters     []string
+	Leaving      bool
+	Running      int
+	Waiting      int
+	RunningLimit int
+	BlocksTotal  int
+	BlocksUsed   int
+	BlockTokens  int
+	StepDuration time.Duration
+	// ProgramBlocks has the blocks held for each program. It is taken as whole
+	// when it has entries or BlocksUsed is 0.
 	ProgramBlocks map[string]int
 }
 
@@ -99,15 +111,42 @@
 // EngineLost removes an engine; its grants are returned as failed by leaders.
 type EngineLost struct{ Engine string }
 
-// EngineDraining stops new grants on an engine.
+// EngineDraining stops new grants on an engine, known or not yet known, until
+// EngineResumed.
 type EngineDraining struct{ Engine string }
 
+// EngineResumed ends an EngineDraining.
+type EngineResumed struct{ Engine string }
+
 // LeaderLost drops the waiting calls and ends the grants of a leader.
 type LeaderLost struct {
 	Leader string
 	Shard  uint32
 }
 
+// ProgramsLive is a leader's whole list of live programs of one shard whose
+// model this pool serves. Cache of programs that a shard's list leaves out is
+// released. Leaders send it to a new keeper and then at intervals.
+type ProgramsLive struct {
+	Leader   string
+	Shard    uint32
+	Programs []string
+}
+
+// HeldGrant is one grant that a leader holds.
+type HeldGrant struct {
+	Request Request
+	Engine  string
+}
+
+// GrantsHeld is a leader's whole list of the grants it holds in this pool. A
+// new keeper takes over grants it does not know; a grant that is left out and
+// is older than Config.GrantConfirm has ended, its message was lost.
+type GrantsHeld struct {
+	Leader string
+	Grants []HeldGrant
+}
+
 // Tick lets time pass: waiting bounds, deadlines, ageing, sweeps.
 type Tick struct{}
 
@@ -121,5 +160,8 @@
 func (EngineCacheChanged) event() {}
 func (EngineLost) event()         {}
 func (EngineDraining) event()     {}
+func (EngineResumed) event()      {}
 func (LeaderLost) event()         {}
+func (ProgramsLive) event()       {}
+func (GrantsHeld) event()         {}
 func (Tick) event()               {}
--- /dev/null
+++ b/internal/keeper/keeper_test.go
@@ -0,0 +1,111 @@
+package keeper_test
+
+import (
+	"strconv"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/magpielug/magpielug/internal/keeper"
+	"github.com/magpielug/magpielug/internal/resultcode"
+)
+
+// bench drives one keeper and keeps its virtual time.
+type bench struct {
+	keeper *keeper.Keeper
+	now    time.Duration
+}
+
+func newBench(config keeper.Config, order, placed, cached string) *bench {
+	policies, err := keeper.PoliciesByName(order, placed, cached, 0)
+	Expect(err).NotTo(HaveOccurred())
+	return &bench{keeper: keeper.New(config, policies), now: time.Hour}
+}
+
+// step advances time by a millisecond and returns a copy of the effects.
+func (b *bench) step(event keeper.Event) []keeper.Effect {
+	b.now += time.Millisecond
+	return append([]keeper.Effect(nil), b.keeper.Step(b.now, event)...)
+}
+
+// after lets time pass, with a tick at its end.
+func (b *bench) after(wait time.Duration) []keeper.Effect {
+	b.now += wait
+	return b.step(keeper.Tick{})
+}
+
+const blockTokens = 16
+
+func report(engine string, limit int) keeper.EngineReported {
+	return keeper.EngineReported{
+		Engine: engine, Model: "m", Zone: "z1", RunningLimit: limit,
+		BlocksTotal: 4096, BlockTokens: blockTokens, BlocksUsed: 1,
+	}
+}
+
+func key(program string, number int) keeper.CallKey {
+	return keeper.CallKey{Program: program, RequestID: strconv.Itoa(number)}
+}
+
+func request(program string, number int, weight uint32) keeper.Request {
+	return keeper.Request{
+		Call: key(program, number), Leader: "s1", Shard: 1, Tenant: "t",
+		Tier: strconv.Itoa(int(weight)), Weight: weight, Model: "m", Zone: "z1",
+		PromptTokens: 100, MaxTokens: 50,
+	}
+}
+
+func finished(program string, number int) keeper.CallFinished {
+	return keeper.CallFinished{Call: key(program, number), PromptTokens: 100, OutputTokens: 20}
+}
+
+// granted lists the programs granted, in order.
+func granted(effects []keeper.Effect) []string {
+	var programs []string
+	for _, effect := range effects {
+		if grant, ok := effect.(keeper.Grant); ok {
+			programs = append(programs, grant.Request.Call.Program)
+		}
+	}
+	return programs
+}
+
+// released lists program@engine of the release orders, in order.
+func released(effects []keeper.Effect) []string {
+	var orders []string
+	for _, effect := range effects {
+		if release, ok := effect.(keeper.ReleaseCache); ok {
+			orders = append(orders, release.Program+"@"+release.Engine)
+		}
+	}
+	return orders
+}
+
+func refusals(effects []keeper.Effect) []keeper.Refuse {
+	var refused []keeper.Refuse
+	for _, effect := range effects {
+		if refuse, ok := effect.(keeper.Refuse); ok {
+			refused = append(refused, refuse)
+		}
+	}
+	return refused
+}
+
+var _ = Describe("granting", func() {
+	It("grants a free slot at once and the next one when a call finishes", func() {
+		b := newBench(keeper.Config{}, "", "", "")
+		b.step(report("e1", 1))
+		Expect(granted(b.step(keeper.CallQueued{Request: request("a", 1, 1)}))).To(Equal([]string{"a"}))
+		Expect(b.step(keeper.CallQueued{Request: request("b", 1, 1)})).To(BeEmpty())
+		Expect(granted(b.step(finished("a", 1)))).To(Equal([]string{"b"}))
+	})
+
+	It("holds calls that come before the first engine, and refuses them after the grace", func() {
+		b := newBench(keeper.Config{}, "", "", "")
+		Expect(b.step(keeper.CallQueued{Request: request("a", 1, 1)})).To(BeEmpty())
+		refused := refusals(b.after(keeper.DefaultConfig().NoEngineGrace))
+		Expect(refused).To(HaveLen(1))
+		Expect(refused[0].Code).To(Equal(resultcode.NoBackEnd))
+	})
+})
--- /dev/null
+++ b/internal/keeper/pause.go
@@ -0,0 +1,142 @@
+package keeper
+
+import (
+	"time"
+
+	"github.com/magpielug/magpielug/internal/cache"
+)
+
+const (
+	// maxPauseKinds bounds the kinds with statistics of their own; later ones
+	// share one record.
+	maxPauseKinds = 1024
+	// firstPauseSeconds and firstReuse are taken before anything was measured.
+	firstPauseSeconds = 2.0
+	firstReuse        = 0.9
+)
+
+// pauseKey names a program kind of one tenant.
+type pauseKey struct{ tenant, kind string }
+
+// pauseRecord is what past pauses of one kind have shown.
+type pauseRecord struct {
+	// pauseSeconds is the mean length of pauses that ended in another call.
+	pauseSeconds ratio
+	// reuse is the part of pauses that ended in another call.
+	reuse ratio
+}
+
+// pauseStatistics holds the records by kind.
+type pauseStatistics struct {
+	byKind map[pauseKey]*pauseRecord
+	others pauseRecord
+}
+
+func newPauseStatistics() pauseStatistics {
+	return pauseStatistics{byKind: make(map[pauseKey]*pauseRecord)}
+}
+
+// of returns the record of a kind.
+func (statistics *pauseStatistics) of(tenant, kind string) *pauseRecord {
+	key := pauseKey{tenant, kind}
+	record := statistics.byKind[key]
+	if record != nil {
+		return record
+	}
+	if len(statistics.byKind) >= maxPauseKinds {
+		return &statistics.others
+	}
+	record = &pauseRecord{}
+	statistics.byKind[key] = record
+	return record
+}
+
+// pauseProgram decides what becomes of a waiting program's prefixes.
+func (keeper *Keeper) pauseProgram(event ProgramPaused) {
+	program := keeper.programs.byName[event.Program]
+	if program == nil || program.ended || program.paused {
+		return
+	}
+	program.paused = true
+	program.pausedAt = keeper.now
+	if !keeper.policies.ManagesCache {
+		return
+	}
+	keepFor := time.Duration(0)
+	for _, held := range program.prefixes {
+		if held.pins > 0 || held.tokens == 0 {
+			continue
+		}
+		decision := keeper.policies.Cache.AtPause(keeper.describePause(held, event.ExpectedPause))
+		keeper.applyPauseDecision(held, decision)
+		keepFor = max(keepFor, decision.KeepFor)
+	}
+	if keepFor > 0 {
+		keeper.setKeepTimer(program, keepFor)
+	}
+}
+
+// describePause is what a cache policy may know.
+func (keeper *Keeper) describePause(held *prefix, expected time.Duration) cache.Pause {
+	record := held.program.pauseRecord()
+	if expected == 0 {
+		expected = seconds(record.pauseSeconds.value(firstPauseSeconds))
+	}
+	return cache.Pause{
+		Tokens:           held.tokens,
+		ExpectedPause:    expected,
+		ReuseProbability: record.reuse.value(firstReuse),
+		Pressure:         held.engine.pressure(),
+		RecomputeCost:    time.Duration(held.tokens) * keeper.estimates.prefillPerToken(),
+		ExportCost:       time.Duration(held.tokens) * keeper.config.ExportPerToken,
+	}
+}
+
+// applyPauseDecision gives the order for one prefix, if any.
+func (keeper *Keeper) applyPauseDecision(held *prefix, decision cache.Decision) {
+	switch decision.Action {
+	case cache.ActionRelease:
+		keeper.release(held, "pause expected to outweigh reuse")
+	case cache.ActionExport:
+		held.program.exportedTokens = max(held.program.exportedTokens, held.tokens)
+		keeper.markReleased(held)
+		keeper.emit(ExportCache{Engine: held.engine.name, Program: held.program.name})
+	case cache.ActionKeep, cache.ActionNone:
+	}
+}
+
+func (keeper *Keeper) setKeepTimer(program *programState, keepFor time.Duration) {
+	if program.keepTimer == nil {
+		program.keepTimer = &timer{program: program, position: notSet}
+	}
+	keeper.timers.stop(program.keepTimer)
+	keeper.timers.set(program.keepTimer, keeper.now+keepFor)
+}
+
+// resumeProgram notes that a program makes another call.
+func (keeper *Keeper) resumeProgram(program *programState) {
+	if !program.paused {
+		return
+	}
+	record := program.pauseRecord()
+	record.reuse.add(1, 1)
+	record.pauseSeconds.add((keeper.now - program.pausedAt).Seconds(), 1)
+	program.paused = false
+	keeper.timers.stop(program.keepTimer)
+}
+
+// releaseOverdue frees the prefixes of a program whose pause has outlasted the
+// time they were kept for.
+func (keeper *Keeper) releaseOverdue(program *programState) {
+	if program.paused && !program.ended {
+		keeper.releaseAll(program, "pause outlasted its prediction")
+	}
+}
+
+// pauseRecord returns the statistics of the program's kind.
+func (program *programState) pauseRecord() *pauseRecord {
+	if program.statistics == nil {
+		program.statistics = &pauseRecord{}
+	}
+	return program.statistics
+}
--- /dev/null
+++ b/internal/keeper/prefix.go
@@ -0,0 +1,147 @@
+package keeper
+
+import "time"
+
+// prefix is the estimate of what one engine has cached for one program. It is
+// linked in its engine's list, by last use, and listed in its program.
+type prefix struct {
+	engine  *engineState
+	program *programState
+	tokens  int
+	// pins counts the program's running calls on the engine: their memory is
+	// counted with the calls, and the prefix can't be evicted.
+	pins int
+	// touchedAt is the keeper's own last use or order, and rules over late events.
+	touchedAt time.Duration
+	// released is true from a release order until the program runs here again.
+	released bool
+
+	older, newer *prefix
+}
+
+// prefixList is an engine's prefixes from the least to the most recently used.
+type prefixList struct {
+	oldest, newest *prefix
+	// idleTokens sums the prefixes without pins.
+	idleTokens int
+	count      int
+}
+
+// prefixOn returns the program's prefix on an engine, nil if there is none.
+func (program *programState) prefixOn(engine *engineState) *prefix {
+	for _, candidate := range program.prefixes {
+		if candidate.engine == engine {
+			return candidate
+		}
+	}
+	return nil
+}
+
+// cachedOn returns the tokens thought to be cached for the program.
+func (program *programState) cachedOn(engine *engineState) int {
+	if found := program.prefixOn(engine); found != nil {
+		return found.tokens
+	}
+	return 0
+}
+
+// ensurePrefix returns the program's prefix on an engine, made empty if needed,
+// as the most recently used one.
+func (keeper *Keeper) ensurePrefix(program *programState, engine *engineState) *prefix {
+	found := program.prefixOn(engine)
+	if found == nil {
+		found = &prefix{engine: engine, program: program}
+		program.prefixes = append(program.prefixes, found)
+		engine.prefixes.count++
+	} else {
+		engine.prefixes.unlink(found)
+	}
+	engine.prefixes.linkNewest(found)
+	found.released = false
+	found.touchedAt = keeper.now
+	return found
+}
+
+// resize sets the estimate.
+func (p *prefix) resize(tokens int) {
+	if p.pins == 0 {
+		p.engine.prefixes.idleTokens += tokens - p.tokens
+	}
+	p.tokens = tokens
+}
+
+// pin marks one more running call of the program on the engine.
+func (p *prefix) pin() {
+	if p.pins == 0 {
+		p.engine.prefixes.idleTokens -= p.tokens
+	}
+	p.pins++
+}
+
+// unpin takes one running call back.
+func (p *prefix) unpin() {
+	p.pins--
+	if p.pins == 0 {
+		p.engine.prefixes.idleTokens += p.tokens
+	}
+}
+
+// drop forgets the prefix, on the engine's side and on the program's.
+func (p *prefix) drop() {
+	if p.pins == 0 {
+		p.engine.prefixes.idleTokens -= p.tokens
+	}
+	p.engine.prefixes.unlink(p)
+	p.engine.prefixes.count--
+	for index, candidate := range p.program.prefixes {
+		if candidate == p {
+			last := len(p.program.prefixes) - 1
+			copy(p.program.prefixes[index:], p.program.prefixes[index+1:])
+			p.program.prefixes[last] = nil
+			p.program.prefixes = p.program.prefixes[:last]
+			return
+		}
+	}
+}
+
+func (list *prefixList) linkNewest(p *prefix) {
+	p.older = list.newest
+	p.newer = nil
+	if list.newest != nil {
+		list.newest.newer = p
+	} else {
+		list.oldest = p
+	}
+	list.newest = p
+}
+
+func (list *prefixList) unlink(p *prefix) {
+	if p.older != nil {
+		p.older.newer = p.newer
+	} else {
+		list.oldest = p.newer
+	}
+	if p.newer != nil {
+		p.newer.older = p.older
+	} else {
+		list.newest = p.older
+	}
+	p.older, p.newer = nil, nil
+}
+
+// oldestIdle returns the least recently used prefix without pins.
+func (list *prefixList) oldestIdle() *prefix {
+	for candidate := list.oldest; candidate != nil; candidate = candidate.newer {
+		if candidate.pins == 0 {
+			return candidate
+		}
+	}
+	return nil
+}
+
+// dropAll forgets every prefix of the engine.
+func (list *prefixList) dropAll() {
+	for list.oldest != nil {
+		list.oldest.drop()
+	}
+}
--- /dev/null
+++ b/internal/placement/score.go
@@ -0,0 +1,92 @@
+package placement
+
+import "slices"
+
+const (
+	// crossZoneCost is the cost of one call that crosses zones, seconds: a few
+	// messages of about 1.5 ms each.
+	crossZoneCost = 0.005
+	// fullBatchCost is the cost of joining a full batch against an empty one,
+	// seconds: each step gets longer with the batch.
+	fullBatchCost = 0.1
+	// adapterLoadCost is the cost of loading an adapter first, seconds.
+	adapterLoadCost = 1.0
+	// evictionWeight is the chance that a prefix evicted for the call would
+	// have been used again.
+	evictionWeight = 0.5
+)
+
+// PrefillScorer costs the time to compute the part of the prompt that is not
+// cached.
+type PrefillScorer struct{}
+
+// Cost returns seconds of prompt computation.
+func (PrefillScorer) Cost(call *Call, candidate *Candidate) float64 {
+	uncached := max(call.PromptTokens-candidate.CachedTokens, 0)
+	return float64(uncached) * candidate.PrefillPerToken.Seconds()
+}
+
+// UncachedScorer costs one for each prompt token that is not cached, whatever
+// the engine's load; a program without a prefix goes where least memory is used.
+type UncachedScorer struct{}
+
+// Cost returns uncached tokens, with a tie-break under one by memory in use.
+func (UncachedScorer) Cost(call *Call, candidate *Candidate) float64 {
+	uncached := max(call.PromptTokens-candidate.CachedTokens, 0)
+	return float64(uncached) + 1/float64(1+max(candidate.FreeTokens, 0))
+}
+
+// WaitScorer costs the predicted wait for a slot.
+type WaitScorer struct{}
+
+// Cost returns seconds of waiting.
+func (WaitScorer) Cost(_ *Call, candidate *Candidate) float64 { return candidate.Wait.Seconds() }
+
+// LoadScorer costs one for each call that runs on the engine or waits for it.
+type LoadScorer struct{}
+
+// Cost returns a count of calls.
+func (LoadScorer) Cost(_ *Call, candidate *Candidate) float64 {
+	return float64(candidate.Running + candidate.Waiting)
+}
+
+// EvictionScorer costs the time to compute again what the call would push out
+// of the engine's cache.
+type EvictionScorer struct{}
+
+// Cost returns seconds of prompt computation.
+func (EvictionScorer) Cost(call *Call, candidate *Candidate) float64 {
+	added := call.NeedTokens - min(candidate.CachedTokens, call.PromptTokens)
+	evicted := max(added-max(candidate.FreeTokens, 0), 0)
+	return float64(evicted) * candidate.PrefillPerToken.Seconds()
+}
+
+// BatchScorer costs the slower steps of a fuller batch.
+type BatchScorer struct{}
+
+// Cost returns seconds, in proportion to how full the batch is.
+func (BatchScorer) Cost(_ *Call, candidate *Candidate) float64 {
+	return fullBatchCost * float64(candidate.Running) / float64(max(candidate.Limit, 1))
+}
+
+// ZoneScorer costs a call that leaves its zone.
+type ZoneScorer struct{}
+
+// Cost returns seconds of link delay.
+func (ZoneScorer) Cost(call *Call, candidate *Candidate) float64 {
+	if call.Zone == candidate.Zone {
+		return 0
+	}
+	return crossZoneCost
+}
+
+// AdapterScorer costs the load of an adapter that the engine does not have.
+type AdapterScorer struct{}
+
+// Cost returns seconds of loading.
+func (AdapterScorer) Cost(call *Call, candidate *Candidate) float64 {
+	if call.Adapter == "" || slices.Contains(candidate.Adapters, call.Adapter) {
+		return 0
+	}
+	return adapterLoadCost
+}
