Add thin stand-ins: engine, log, machine list, weight store, tool

Purpose: the whole path can be joined against HTTP back ends. Ruled out: a copy of each generated text in the engine; the text is a function of the request, so a stream resumes from a count alone. Change: rehearsal/standin/..., wire shapes in internal/platform/wire, fault injection on each through POST /debug/fault.

--- a/rehearsal/enginemodel/engine.go
+++ b/rehearsal/enginemodel/engine.go
@@ -31,6 +31,8 @@
 	order    uint64
 	planned  bool
 	stepEnds time.Duration
+	// stepTook is the duration of the step planned last.
+	stepTook time.Duration
 	outputs  []Output
 	totals   totals
 }
@@ -98,6 +100,17 @@
 	return engine.cache.release(now, program)
 }
 
+// ReleaseAll frees every block that no running request uses, as a change of the
+// model's weights must, and returns their number.
+func (engine *Engine) ReleaseAll(now time.Duration) int {
+	freed := 0
+	for engine.cache.idleFirst != none {
+		engine.cache.drop(now, engine.cache.idleFirst)
+		freed++
+	}
+	return freed
+}
+
 // NextStep tells when the step under way ends; busy is false when there is
 // nothing to do. An idle engine starts a step at now, with all requests
 // submitted so far.
--- a/rehearsal/enginemodel/plan.go
+++ b/rehearsal/enginemodel/plan.go
@@ -14,7 +14,8 @@
 		return
 	}
 	engine.planned = true
-	engine.stepEnds = now + engine.assign()
+	engine.stepTook = engine.assign()
+	engine.stepEnds = now + engine.stepTook
 }
 
 // growRunning gives each running sequence the block that its next token needs.
--- a/rehearsal/enginemodel/stats.go
+++ b/rehearsal/enginemodel/stats.go
@@ -16,9 +16,11 @@
 	BlocksIdle  int
 	// ProgramBlocks counts the used blocks by the program that used them last.
 	ProgramBlocks map[string]int
-	Steps         uint64
-	Evictions     uint64
-	Preemptions   uint64
+	// StepDuration is the duration of the latest step, 0 before the first.
+	StepDuration time.Duration
+	Steps        uint64
+	Evictions    uint64
+	Preemptions  uint64
 	// PromptTokens and CachedTokens sum over admitted requests, each once.
 	PromptTokens uint64
 	CachedTokens uint64
@@ -51,6 +53,7 @@
 		BlocksUsed:         len(cache.blocks) - cache.free,
 		BlocksIdle:         cache.idle,
 		ProgramBlocks:      maps.Clone(cache.owned),
+		StepDuration:       engine.stepTook,
 		Steps:              engine.totals.steps,
 		Evictions:          cache.evictions,
 		Preemptions:        engine.totals.preemptions,
--- /dev/null
+++ b/rehearsal/standin/engine/config.go
@@ -0,0 +1,79 @@
+// Package engine is a stand-in for a model engine: the engine model on the wall
+// clock behind HTTP. It runs each request id once, keeps generating when the
+// caller's connection is lost, streams resume from a sequence number, orders
+// are fenced, load reports lag, and cache events come late and with gaps. Its
+// wire shapes stand in docs/INTERFACES.md.
+package engine
+
+import (
+	"time"
+
+	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/rehearsal/enginemodel"
+)
+
+// Defaults of Config.
+const (
+	defaultWaitingLimit    = 4096
+	defaultReportInterval  = 50 * time.Millisecond
+	defaultReportLag       = 100 * time.Millisecond
+	defaultEventDelay      = 200 * time.Millisecond
+	defaultRetention       = 2 * time.Minute
+	defaultRetainedOutputs = 100_000
+	defaultLeaveGrace      = 5 * time.Second
+	defaultLoadDuration    = 500 * time.Millisecond
+)
+
+// Config is one stand-in engine. Zero durations and counts take defaults.
+type Config struct {
+	// Name is the engine's id in reports.
+	Name     string
+	Model    string
+	Version  string
+	Adapters []string
+	Role     string
+	Batching enginemodel.Config
+	// WaitingLimit bounds the engine's queue; more is refused as not run.
+	WaitingLimit int
+	// ReportInterval is how often load and cache changes are sampled, and
+	// ReportLag how old a served report is.
+	ReportInterval time.Duration
+	ReportLag      time.Duration
+	// EventDelay is how late a cache event shows, EventLoss the share of
+	// events that never do, drawn with EventSeed.
+	EventDelay time.Duration
+	EventLoss  float64
+	EventSeed  uint64
+	// Retention and RetainedOutputs bound how long finished outputs can be
+	// read again.
+	Retention       time.Duration
+	RetainedOutputs int
+	// LeaveGrace is how long a leaving engine still takes new requests.
+	LeaveGrace time.Duration
+	// LoadDuration is how long weights take to move once Weights grants it;
+	// nil Weights always grants.
+	LoadDuration time.Duration
+	Weights      platform.Weights
+}
+
+func (config Config) withDefaults() Config {
+	if config.Batching == (enginemodel.Config{}) {
+		config.Batching = enginemodel.DefaultConfig()
+	}
+	config.WaitingLimit = positive(config.WaitingLimit, defaultWaitingLimit)
+	config.ReportInterval = positive(config.ReportInterval, defaultReportInterval)
+	config.ReportLag = positive(config.ReportLag, defaultReportLag)
+	config.EventDelay = positive(config.EventDelay, defaultEventDelay)
+	config.Retention = positive(config.Retention, defaultRetention)
+	config.RetainedOutputs = positive(config.RetainedOutputs, defaultRetainedOutputs)
+	config.LeaveGrace = positive(config.LeaveGrace, defaultLeaveGrace)
+	config.LoadDuration = positive(config.LoadDuration, defaultLoadDuration)
+	return config
+}
+
+func positive[Number int | time.Duration](value, fallback Number) Number {
+	if value > 0 {
+		return value
+	}
+	return fallback
+}
--- /dev/null
+++ b/rehearsal/standin/logservice/log.go
@@ -0,0 +1,115 @@
+// Package logservice is a stand-in for the platform's append-only log service:
+// streams of records with offsets from 0, kept in memory. Its wire shapes stand
+// in docs/INTERFACES.md.
+package logservice
+
+import (
+	"cmp"
+	"net/http"
+	"slices"
+	"sync"
+
+	"github.com/magpielug/magpielug/internal/platform/wire"
+	"github.com/magpielug/magpielug/rehearsal/standin/fault"
+	"github.com/magpielug/magpielug/rehearsal/standin/reply"
+)
+
+const (
+	defaultReadLimit = 256
+	maxReadLimit     = 4096
+	// maxReadBytes ends an answer early; it holds at least one record.
+	maxReadBytes = 4 << 20
+	// DefaultMaxBytes bounds all records together.
+	DefaultMaxBytes = 1 << 30
+)
+
+// Config is one stand-in log.
+type Config struct {
+	// MaxBytes bounds all records together; an append past it is refused. 0
+	// takes DefaultMaxBytes.
+	MaxBytes int
+}
+
+// Log is one stand-in log. It is safe for concurrent use.
+type Log struct {
+	config  Config
+	faults  *fault.Injector
+	lock    sync.Mutex
+	streams map[string][][]byte
+	bytes   int
+}
+
+// New makes an empty log.
+func New(config Config) *Log {
+	if config.MaxBytes <= 0 {
+		config.MaxBytes = DefaultMaxBytes
+	}
+	return &Log{config: config, faults: fault.NewInjector(), streams: make(map[string][][]byte)}
+}
+
+// Faults returns the log's fault injector.
+func (log *Log) Faults() *fault.Injector { return log.faults }
+
+// Handler serves the log's HTTP interface.
+func (log *Log) Handler() http.Handler {
+	mux := http.NewServeMux()
+	reply.Route(mux, wire.PathLogAppend, log.append)
+	reply.Query(mux, wire.PathLogRead, log.read)
+	reply.Query(mux, wire.PathLogStreams, log.list)
+	return log.faults.Handler(mux)
+}
+
+func (log *Log) append(request wire.AppendRequest) (wire.AppendAnswer, error) {
+	if request.Stream == "" {
+		return wire.AppendAnswer{}, reply.BadRequest("stream is empty")
+	}
+	log.lock.Lock()
+	defer log.lock.Unlock()
+	if log.bytes+len(request.Data) > log.config.MaxBytes {
+		return wire.AppendAnswer{}, reply.NotRun(http.StatusInsufficientStorage, wire.CodeUnavailable, "the log is full")
+	}
+	log.bytes += len(request.Data)
+	records := log.streams[request.Stream]
+	log.streams[request.Stream] = append(records, request.Data)
+	return wire.AppendAnswer{Offset: uint64(len(records))}, nil
+}
+
+func (log *Log) read(request *http.Request) (wire.ReadAnswer, error) {
+	offset, err := reply.Number(request, wire.ParameterOffset, 0)
+	if err != nil {
+		return wire.ReadAnswer{}, err
+	}
+	limit, err := reply.Number(request, wire.ParameterLimit, defaultReadLimit)
+	if err != nil {
+		return wire.ReadAnswer{}, err
+	}
+	log.lock.Lock()
+	records := log.streams[request.URL.Query().Get(wire.ParameterStream)]
+	log.lock.Unlock()
+	// Records are never changed, so the slice can be read without the lock.
+	answer := wire.ReadAnswer{Records: []wire.Record{}}
+	bytes := 0
+	for offset < uint64(len(records)) && uint64(len(answer.Records)) < min(limit, maxReadLimit) {
+		data := records[offset]
+		if bytes > 0 && bytes+len(data) > maxReadBytes {
+			break
+		}
+		bytes += len(data)
+		answer.Records = append(answer.Records, wire.Record{Offset: offset, Data: data})
+		offset++
+	}
+	return answer, nil
+}
+
+func (log *Log) list(*http.Request) (wire.StreamsAnswer, error) {
+	log.lock.Lock()
+	defer log.lock.Unlock()
+	answer := wire.StreamsAnswer{Streams: []wire.StreamState{}}
+	for stream, records := range log.streams {
+		answer.Streams = append(answer.Streams, wire.StreamState{Stream: stream, Next: uint64(len(records))})
+	}
+	slices.SortFunc(answer.Streams, func(left, right wire.StreamState) int {
+		return cmp.Compare(left.Stream, right.Stream)
+	})
+	return answer, nil
+}
