Test large answers over the system's socket buffers

Cause: two of the server's tests passed with the write bound removed, since loopback took the whole answer at once.

--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -21,6 +21,9 @@
 
 const patience = 20 * time.Second
 
+// largeAnswer is more than the system's socket buffers hold.
+const largeAnswer = 12 << 20
+
 func start(handler http.HandlerFunc, limits Limits) *Server {
 	server, err := Start("127.0.0.1:0", handler, limits)
 	Expect(err).NotTo(HaveOccurred())
@@ -217,7 +220,7 @@
 	})
 
 	It("delivers large answers whole to slow and to many readers, none mixed", func() {
-		const size = 2 << 20
+		const size = largeAnswer
 		server := start(func(writer http.ResponseWriter, request *http.Request) {
 			var seed int
 			fmt.Sscanf(request.URL.Path, "/%d", &seed)
@@ -227,7 +230,7 @@
 			_, _ = writer.Write(content(seed, size))
 		}, Limits{WriteBufferBytes: 128 << 10})
 		client := newClient()
-		results := make(chan error, 16)
+		results := make(chan error, 6)
 		for seed := range cap(results) {
 			go func() { results <- fetchSlowly(client, server, seed, size) }()
 		}
@@ -237,7 +240,7 @@
 	})
 
 	It("sends the whole of an answer before it closes on Connection: close", func() {
-		const size = 1 << 20
+		const size = largeAnswer
 		server := start(func(writer http.ResponseWriter, request *http.Request) {
 			_, _ = writer.Write(content(7, size))
 		}, Limits{})
