Add the callers' gateway: routing, relay and the OpenAI shape

Purpose: one request has to go caller, gateway, scheduler and back, streamed. The gateway keeps no state that matters: a call is found again by its program and request id through any gateway. Change: OpenAI completions, the program interface, search for the shard's leader with one retry layer and a retry budget, relay with sequence checks; tests of lost, frozen and moved leaders, and a property test of the relay.

--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,55 @@
+package gateway
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// metrics are the gateway's Prometheus metrics.
+type metrics struct {
+	requests      *prometheus.CounterVec
+	firstToken    prometheus.Histogram
+	betweenTokens prometheus.Histogram
+	inFlight      prometheus.Gauge
+	retries       prometheus.Counter
+	reattaches    prometheus.Counter
+}
+
+// Buckets run from half a millisecond by factors of two.
+const (
+	firstBucketSeconds = 0.0005
+	bucketFactor       = 2
+	bucketCount        = 18
+)
+
+func newMetrics(registerer prometheus.Registerer) *metrics {
+	buckets := prometheus.ExponentialBuckets(firstBucketSeconds, bucketFactor, bucketCount)
+	created := &metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "magpielug_gateway_requests_total",
+			Help: "Callers' requests by route and result code name.",
+		}, []string{"route", "code"}),
+		firstToken: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name:    "magpielug_gateway_first_token_seconds",
+			Help:    "From a call's arrival to its first chunk.",
+			Buckets: buckets,
+		}),
+		betweenTokens: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name:    "magpielug_gateway_between_tokens_seconds",
+			Help:    "Between two chunks of one call.",
+			Buckets: buckets,
+		}),
+		inFlight: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "magpielug_gateway_in_flight",
+			Help: "Requests being served.",
+		}),
+		retries: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "magpielug_gateway_retries_total",
+			Help: "Waits before a shard's candidates were asked once more.",
+		}),
+		reattaches: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "magpielug_gateway_reattaches_total",
+			Help: "Calls attached to again after their stream ended early.",
+		}),
+	}
+	registerer.MustRegister(created.requests, created.firstToken, created.betweenTokens,
+		created.inFlight, created.retries, created.reattaches)
+	return created
+}
