Add the HTTP adapters of the platform and the stand-ins' commands

Purpose: processes meet engines, log, machine list, weight store and tools through internal/platform's interfaces alone. Ruled out: guessing from an error's text whether a request was sent; the connection trace tells it, so 'not run' is answered only where no connection was at hand or the back end said so. Change: internal/platform/httpadapter, rehearsal/command/standin.go with registration at the machine list; LoadReport gains Version and Loading, and platform gains ErrMalformedAnswer (both additive). Conclusion: a test runs all five stand-ins on nbhttp and one generation, load and append through the adapters.

--- /dev/null
+++ b/internal/platform/httpadapter/engine.go
@@ -0,0 +1,112 @@
+package httpadapter
+
+import (
+	"context"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/platform/wire"
+)
+
+// Engine is the adapter of model engines.
+type Engine struct{ pool *Client }
+
+var _ platform.Engine = (*Engine)(nil)
+
+// NewEngine makes the adapter on a connection pool.
+func NewEngine(pool *Client) *Engine { return &Engine{pool: pool} }
+
+func wireFence(fence platform.Fence) wire.Fence {
+	return wire.Fence{Holder: fence.Holder, Epoch: fence.Epoch}
+}
+
+// order posts an order to an engine.
+func order[Answer any](ctx context.Context, engine *Engine, address, path string, body any) (Answer, error) {
+	return post[Answer](ctx, engine.pool, address, path, engine.pool.config.OrderTimeout, body)
+}
+
+// Cancel implements platform.Engine.
+func (client *Engine) Cancel(ctx context.Context, address, requestID string, fence platform.Fence) error {
+	_, err := order[wire.Empty](ctx, client, address, wire.PathCancel,
+		wire.CancelRequest{RequestID: requestID, Fence: wireFence(fence)})
+	return err
+}
+
+// Release implements platform.Engine.
+func (client *Engine) Release(ctx context.Context, address, program string, fence platform.Fence) error {
+	_, err := order[wire.BlocksAnswer](ctx, client, address, wire.PathRelease,
+		wire.ProgramRequest{Program: program, Fence: wireFence(fence)})
+	return err
+}
+
+// Export implements platform.Engine.
+func (client *Engine) Export(ctx context.Context, address, program string, fence platform.Fence) ([]byte, error) {
+	answer, err := order[wire.ExportAnswer](ctx, client, address, wire.PathExport,
+		wire.ProgramRequest{Program: program, Fence: wireFence(fence)})
+	return answer.Content, err
+}
+
+// Import implements platform.Engine.
+func (client *Engine) Import(ctx context.Context, address, program string, content []byte, fence platform.Fence) error {
+	_, err := order[wire.BlocksAnswer](ctx, client, address, wire.PathImport,
+		wire.ImportRequest{Program: program, Content: content, Fence: wireFence(fence)})
+	return err
+}
+
+// Load implements platform.Engine.
+func (client *Engine) Load(ctx context.Context, address, model, adapter, version string, fence platform.Fence) error {
+	_, err := order[wire.Empty](ctx, client, address, wire.PathLoad,
+		wire.LoadRequest{Model: model, Adapter: adapter, Version: version, Fence: wireFence(fence)})
+	return err
+}
+
+// SetRole implements platform.Engine.
+func (client *Engine) SetRole(ctx context.Context, address, role string, fence platform.Fence) error {
+	_, err := order[wire.Empty](ctx, client, address, wire.PathRole,
+		wire.RoleRequest{Role: role, Fence: wireFence(fence)})
+	return err
+}
+
+// Events implements platform.Engine.
+func (client *Engine) Events(ctx context.Context, address string, after uint64, limit int) ([]platform.CacheEvent, error) {
+	answer, err := get[wire.EventsAnswer](ctx, client.pool, address, wire.PathEvents, url.Values{
+		wire.ParameterAfter: {strconv.FormatUint(after, 10)},
+		wire.ParameterLimit: {strconv.Itoa(limit)},
+	})
+	if err != nil {
+		return nil, err
+	}
+	events := make([]platform.CacheEvent, len(answer.Events))
+	for place, event := range answer.Events {
+		events[place] = platform.CacheEvent(event)
+	}
+	return events, nil
+}
+
+// Report implements platform.Engine.
+func (client *Engine) Report(ctx context.Context, address string) (platform.LoadReport, error) {
+	answer, err := get[wire.LoadReport](ctx, client.pool, address, wire.PathReport, nil)
+	if err != nil {
+		return platform.LoadReport{}, err
+	}
+	return platform.LoadReport{
+		Engine:        answer.Engine,
+		Model:         answer.Model,
+		Version:       answer.Version,
+		Loading:       answer.Loading,
+		Adapters:      answer.Adapters,
+		Role:          answer.Role,
+		Leaving:       answer.Leaving,
+		Running:       answer.Running,
+		Waiting:       answer.Waiting,
+		RunningLimit:  answer.RunningLimit,
+		BlocksTotal:   answer.BlocksTotal,
+		BlocksUsed:    answer.BlocksUsed,
+		BlockTokens:   answer.BlockTokens,
+		StepDuration:  time.Duration(answer.StepMicros) * time.Microsecond,
+		FenceEpoch:    answer.FenceEpoch,
+		ProgramBlocks: answer.ProgramBlocks,
+	}, nil
+}
--- /dev/null
+++ b/internal/platform/httpadapter/generate.go
@@ -0,0 +1,148 @@
+package httpadapter
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/platform/wire"
+)
+
+// errAcceptTimeout and errStreamIdle tell which wait for an engine ended.
+var (
+	errAcceptTimeout = errors.New("the engine did not accept the request in time")
+	errStreamIdle    = errors.New("the engine's stream was idle too long")
+)
+
+// Generate implements platform.Engine.
+func (client *Engine) Generate(ctx context.Context, address string, request platform.GenerateRequest, receive func(platform.EngineChunk) error) error {
+	place := target{operation: wire.PathGenerate, address: address}
+	encoded, err := json.Marshal(wire.GenerateRequest{
+		RequestID:   request.RequestID,
+		Program:     request.Program,
+		Model:       request.Model,
+		Adapter:     request.Adapter,
+		Prompt:      request.Prompt,
+		MaxTokens:   request.MaxTokens,
+		Priority:    request.Priority,
+		Fence:       wireFence(request.Fence),
+		ResumeAfter: request.ResumeAfter,
+	})
+	if err != nil {
+		return place.notRun(err)
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	accept := time.AfterFunc(client.pool.config.OrderTimeout, func() { cancel(errAcceptTimeout) })
+	response, err := client.pool.send(ctx, place, http.MethodPost, "", encoded)
+	accept.Stop()
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	stream := generationStream{
+		place:   place,
+		events:  newEventReader(response.Body, client.pool.config.MaxLineBytes),
+		next:    request.ResumeAfter + 1,
+		receive: receive,
+	}
+	return stream.read(ctx, cancel, client.pool.config.StreamIdleTimeout)
+}
+
+// generationStream checks and hands on the items of one generation.
+type generationStream struct {
+	place  target
+	events *eventReader
+	// next is the sequence number that the next item must have.
+	next    uint64
+	receive func(platform.EngineChunk) error
+}
+
+// read hands on items until the finish. The idle timer ends the connection, and
+// with it a blocked read.
+func (stream *generationStream) read(ctx context.Context, cancel context.CancelCauseFunc, idle time.Duration) error {
+	timer := time.AfterFunc(idle, func() { cancel(errStreamIdle) })
+	defer timer.Stop()
+	for {
+		event, err := stream.events.next()
+		if err != nil {
+			return stream.broken(ctx, err)
+		}
+		// The time that receive takes is not the engine's.
+		timer.Stop()
+		finished, err := stream.handle(event)
+		if finished || err != nil {
+			return err
+		}
+		timer.Reset(idle)
+	}
+}
+
+// broken is the failure of a stream that ended before its finish.
+func (stream *generationStream) broken(ctx context.Context, err error) *Failure {
+	if errors.Is(err, errLineTooLong) || errors.Is(err, errEventTooLong) {
+		return stream.place.malformed(err)
+	}
+	if cause := context.Cause(ctx); cause != nil {
+		return stream.place.unknown(cause)
+	}
+	if err == io.EOF {
+		err = io.ErrUnexpectedEOF
+	}
+	return stream.place.unknown(err)
+}
+
+// handle decodes one event and hands it on; finished is true after the last.
+func (stream *generationStream) handle(event serverEvent) (finished bool, err error) {
+	switch event.name {
+	case wire.EventChunk:
+		return stream.handleChunk(event.data)
+	case wire.EventError:
+		var told wire.Error
+		if err := json.Unmarshal(event.data, &told); err != nil {
+			return false, stream.place.malformed(err)
+		}
+		return false, stream.place.refused(http.StatusOK, told)
+	default:
+		return false, stream.place.malformed(fmt.Errorf("unknown event %q", event.name))
+	}
+}
+
+func (stream *generationStream) handleChunk(data []byte) (finished bool, err error) {
+	var chunk wire.Chunk
+	if err := json.Unmarshal(data, &chunk); err != nil {
+		return false, stream.place.malformed(err)
+	}
+	if err := stream.check(chunk); err != nil {
+		return false, stream.place.malformed(err)
+	}
+	stream.next = chunk.Sequence + 1
+	err = stream.receive(platform.EngineChunk{
+		Sequence:     chunk.Sequence,
+		Text:         chunk.Text,
+		Tokens:       chunk.Tokens,
+		Finish:       chunk.Finish,
+		PromptTokens: chunk.PromptTokens,
+		CachedTokens: chunk.CachedTokens,
+		OutputTokens: chunk.OutputTokens,
+	})
+	return chunk.Finish != "", err
+}
+
+// check refuses gaps and repeats. Only the finish may come again: an engine
+// repeats it to a stream that resumes after it.
+func (stream *generationStream) check(chunk wire.Chunk) error {
+	if chunk.Tokens < 0 || chunk.PromptTokens < 0 || chunk.CachedTokens < 0 || chunk.OutputTokens < 0 {
+		return errors.New("negative number of tokens")
+	}
+	repeated := chunk.Finish != "" && chunk.Sequence > 0 && chunk.Sequence < stream.next
+	if chunk.Sequence != stream.next && !repeated {
+		return fmt.Errorf("item %d came where %d was due", chunk.Sequence, stream.next)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/platform/httpadapter/services.go
@@ -0,0 +1,142 @@
+package httpadapter
+
+import (
+	"context"
+	"fmt"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/platform/wire"
+)
+
+// Log is the adapter of the append-only log service.
+type Log struct {
+	pool    *Client
+	address string
+}
+
+// Machines is the adapter of the machine list.
+type Machines struct {
+	pool    *Client
+	address string
+}
+
+// Weights is the adapter of the weight store.
+type Weights struct {
+	pool    *Client
+	address string
+}
+
+// Tool is the adapter of application and tool services.
+type Tool struct{ pool *Client }
+
+var (
+	_ platform.Log      = (*Log)(nil)
+	_ platform.Machines = (*Machines)(nil)
+	_ platform.Weights  = (*Weights)(nil)
+	_ platform.Tool     = (*Tool)(nil)
+)
+
+// NewLog makes the adapter of the log service at address (host:port).
+func NewLog(pool *Client, address string) *Log { return &Log{pool: pool, address: address} }
+
+// NewMachines makes the adapter of the machine list at address.
+func NewMachines(pool *Client, address string) *Machines {
+	return &Machines{pool: pool, address: address}
+}
+
+// NewWeights makes the adapter of the weight store at address.
+func NewWeights(pool *Client, address string) *Weights {
+	return &Weights{pool: pool, address: address}
+}
+
+// NewTool makes the adapter of tool services.
+func NewTool(pool *Client) *Tool { return &Tool{pool: pool} }
+
+// Append implements platform.Log.
+func (client *Log) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
+	answer, err := post[wire.AppendAnswer](ctx, client.pool, client.address, wire.PathLogAppend,
+		client.pool.config.OrderTimeout, wire.AppendRequest{Stream: stream, Data: data})
+	if err != nil {
+		return 0, err
+	}
+	if answer.Offset == nil {
+		return 0, target{operation: wire.PathLogAppend, address: client.address}.malformed(errFieldMissing)
+	}
+	return *answer.Offset, nil
+}
+
+// Read implements platform.Log. An answer whose offsets are not those asked
+// for, in order, is malformed.
+func (client *Log) Read(ctx context.Context, stream string, offset uint64, limit int) ([]platform.Record, error) {
+	answer, err := get[wire.ReadAnswer](ctx, client.pool, client.address, wire.PathLogRead, url.Values{
+		wire.ParameterStream: {stream},
+		wire.ParameterOffset: {strconv.FormatUint(offset, 10)},
+		wire.ParameterLimit:  {strconv.Itoa(limit)},
+	})
+	if err != nil {
+		return nil, err
+	}
+	at := target{operation: wire.PathLogRead, address: client.address}
+	if answer.Records == nil {
+		return nil, at.malformed(errFieldMissing)
+	}
+	records := make([]platform.Record, len(answer.Records))
+	for place, record := range answer.Records {
+		due := offset + uint64(place)
+		if record.Offset != due {
+			return nil, at.malformed(fmt.Errorf("record %d came where %d was due", record.Offset, due))
+		}
+		records[place] = platform.Record{Offset: record.Offset, Data: record.Data}
+	}
+	return records, nil
+}
+
+// List implements platform.Machines.
+func (client *Machines) List(ctx context.Context) ([]platform.Machine, error) {
+	answer, err := get[wire.MachinesAnswer](ctx, client.pool, client.address, wire.PathMachines, nil)
+	if err != nil {
+		return nil, err
+	}
+	if answer.Machines == nil {
+		return nil, target{operation: wire.PathMachines, address: client.address}.malformed(errFieldMissing)
+	}
+	machines := make([]platform.Machine, len(answer.Machines))
+	for place, machine := range answer.Machines {
+		machines[place] = platform.Machine{
+			ID:      machine.ID,
+			Role:    platform.MachineRole(machine.Role),
+			Region:  machine.Region,
+			Zone:    machine.Zone,
+			Address: machine.Address,
+			State:   platform.MachineState(machine.State),
+			Service: machine.Service,
+		}
+	}
+	return machines, nil
+}
+
+// Reserve implements platform.Weights.
+func (client *Weights) Reserve(ctx context.Context, model, version string) (granted bool, wait time.Duration, err error) {
+	answer, err := post[wire.ReserveAnswer](ctx, client.pool, client.address, wire.PathWeightsReserve,
+		client.pool.config.OrderTimeout, wire.ReserveRequest{Model: model, Version: version})
+	if err != nil {
+		return false, 0, err
+	}
+	return answer.Granted, time.Duration(answer.WaitMillis) * time.Millisecond, nil
+}
+
+// Call implements platform.Tool.
+func (client *Tool) Call(ctx context.Context, address string, request platform.ToolRequest) (string, error) {
+	answer, err := post[wire.ToolAnswer](ctx, client.pool, address, wire.PathToolCall,
+		client.pool.config.ToolTimeout, wire.ToolRequest(request))
+	if err != nil {
+		return "", err
+	}
+	if answer.Output == nil {
+		return "", target{operation: wire.PathToolCall, address: address}.malformed(errFieldMissing)
+	}
+	return *answer.Output, nil
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -15,9 +15,14 @@
 // ErrStaleFence says that a back end has seen a higher fence than the order's.
 var ErrStaleFence = errors.New("stale fence")
 
-// ErrNotRun says that a back end refused a request before any effect.
+// ErrNotRun says that a back end refused a request before any effect, or that
+// the request never reached it. Errors that wrap ErrStaleFence wrap it too.
 var ErrNotRun = errors.New("not run")
 
+// ErrMalformedAnswer says that an answer can't be understood. Errors that wrap
+// it wrap ErrOutcomeUnknown too.
+var ErrMalformedAnswer = errors.New("malformed answer")
+
 // Record is one record of a log stream.
 type Record struct {
 	Offset uint64
@@ -85,7 +90,9 @@
 	Program   string
 	Model     string
 	Adapter   string
-	// Prompt is the whole prompt, history first, one part a message.
+	// Prompt is the whole prompt, history first, one part a message. An earlier
+	// output stands as a part of its own with its text unchanged: engines find
+	// its cached blocks by their content.
 	Prompt    []string
 	MaxTokens int
 	// Priority orders the engine's own queue; higher runs first.
@@ -114,8 +121,11 @@
 
 // LoadReport is an engine's own view of its load, a lag behind.
 type LoadReport struct {
-	Engine        string
-	Model         string
+	Engine  string
+	Model   string
+	Version string
+	// Loading is true while an order to load is under way.
+	Loading       bool
 	Adapters      []string
 	Role          string
 	Leaving       bool
@@ -130,19 +140,29 @@
 	ProgramBlocks map[string]int
 }
 
-// CacheEvent tells that prefix blocks were stored or evicted. Sequence numbers
-// with gaps show lost events.
+// Kinds of cache events.
+const (
+	CacheStored  = "stored"
+	CacheEvicted = "evicted"
+)
+
+// CacheEvent tells that prefix blocks of a program were stored or evicted.
+// Sequence numbers with gaps show lost events.
 type CacheEvent struct {
 	Sequence uint64
 	Kind     string
 	Program  string
-	Blocks   int
+	// Blocks is the program's number of cached blocks after the change.
+	Blocks int
 }
 
 // Engine is one model engine.
 type Engine interface {
-	// Generate streams a completion to receive until its finish or an error.
+	// Generate streams a completion to receive until its finish or an error. It
+	// returns an error of receive as it is. Any other error after the first
+	// item wraps ErrOutcomeUnknown, and ResumeAfter picks the stream up again.
 	Generate(ctx context.Context, address string, request GenerateRequest, receive func(EngineChunk) error) error
+	// Cancel ends a generation; an id that has not come yet will not run.
 	Cancel(ctx context.Context, address, requestID string, fence Fence) error
 	// Release frees the cache blocks held for a program.
 	Release(ctx context.Context, address, program string, fence Fence) error
--- a/internal/platform/wire/wire.go
+++ b/internal/platform/wire/wire.go
@@ -192,9 +192,10 @@
 	Data   []byte `json:"data"`
 }
 
-// AppendAnswer tells the record's offset.
+// AppendAnswer tells the record's offset. A pointer tells 0 from a missing
+// field.
 type AppendAnswer struct {
-	Offset uint64 `json:"offset"`
+	Offset *uint64 `json:"offset"`
 }
 
 // Record is one record of a log stream.
@@ -257,7 +258,8 @@
 	Repeatable bool   `json:"repeatable"`
 }
 
-// ToolAnswer is a tool's output.
+// ToolAnswer is a tool's output. A pointer tells an empty output from a missing
+// field.
 type ToolAnswer struct {
-	Output string `json:"output"`
+	Output *string `json:"output"`
 }
--- /dev/null
+++ b/rehearsal/command/registration.go
@@ -0,0 +1,102 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/magpielug/magpielug/internal/httpclient"
+	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/platform/wire"
+	"github.com/magpielug/magpielug/rehearsal/standin/machines"
+)
+
+const (
+	// registerRetry is the wait before a failed registration is tried again.
+	registerRetry = 200 * time.Millisecond
+	// registerTimeout bounds one exchange with the machine list.
+	registerTimeout = 2 * time.Second
+)
+
+// Registration puts a stand-in back end on the stand-in machine list.
+type Registration struct {
+	ID        string `arg:"--id" help:"machine id"`
+	Region    string `arg:"--region" default:"region-1" help:"region of the machine"`
+	Zone      string `arg:"--zone" default:"zone-1" help:"zone of the machine"`
+	Machines  string `arg:"--machines" placeholder:"HOST:PORT" help:"machine list to register at; none registers nowhere"`
+	Advertise string `arg:"--advertise" placeholder:"HOST:PORT" help:"address to register; default is the listen address"`
+
+	role    platform.MachineRole
+	service string
+}
+
+// machine is the entry for a stand-in that listens on address. It sets the id
+// where none was given.
+func (entry *Registration) machine(address string) wire.Machine {
+	if entry.Advertise != "" {
+		address = entry.Advertise
+	}
+	if entry.ID == "" {
+		entry.ID = string(entry.role) + "-" + address
+	}
+	return wire.Machine{
+		ID:      entry.ID,
+		Role:    string(entry.role),
+		Region:  entry.Region,
+		Zone:    entry.Zone,
+		Address: address,
+		Service: entry.service,
+	}
+}
+
+// register puts the machine on the list, trying until it stands or ctx ends.
+func (entry *Registration) register(ctx context.Context, machine wire.Machine) {
+	for entry.Machines != "" {
+		err := postAdmin(ctx, entry.Machines, machines.PathRegister, machine)
+		if err == nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(registerRetry):
+		}
+	}
+}
+
+// remove takes the machine off the list; the list may be gone already.
+func (entry *Registration) remove(ctx context.Context) {
+	if entry.Machines == "" {
+		return
+	}
+	_ = postAdmin(ctx, entry.Machines, machines.PathRemove, machines.MachineID{ID: entry.ID})
+}
+
+// postAdmin posts an order to the machine list's admin endpoints.
+func postAdmin(ctx context.Context, address, path string, body any) error {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	client, err := httpclient.New(httpclient.Options{Timeout: registerTimeout})
+	if err != nil {
+		return err
+	}
+	defer client.CloseIdleConnections()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(encoded))
+	if err != nil {
+		return err
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("machine list answered %s", response.Status)
+	}
+	return nil
+}
--- a/rehearsal/standin/engine/observe.go
+++ b/rehearsal/standin/engine/observe.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/magpielug/magpielug/internal/platform"
 	"github.com/magpielug/magpielug/internal/platform/wire"
 	"github.com/magpielug/magpielug/rehearsal/enginemodel"
 	"github.com/magpielug/magpielug/rehearsal/standin/reply"
@@ -25,12 +26,6 @@
 	defaultEventLimit = 1000
 )
 
-// Kinds of cache events.
-const (
-	eventStored  = "stored"
-	eventEvicted = "evicted"
-)
-
 // RunsAnswer is the answer of GET PathRuns.
 type RunsAnswer struct {
 	// Runs counts how often each request id began to run.
@@ -92,12 +87,12 @@
 	var changed []wire.CacheEvent
 	for program, count := range blocks {
 		if count > seen.blocks[program] {
-			changed = append(changed, wire.CacheEvent{Kind: eventStored, Program: program, Blocks: count})
+			changed = append(changed, wire.CacheEvent{Kind: platform.CacheStored, Program: program, Blocks: count})
 		}
 	}
 	for program, count := range seen.blocks {
 		if blocks[program] < count {
-			changed = append(changed, wire.CacheEvent{Kind: eventEvicted, Program: program, Blocks: blocks[program]})
+			changed = append(changed, wire.CacheEvent{Kind: platform.CacheEvicted, Program: program, Blocks: blocks[program]})
 		}
 	}
 	seen.blocks = blocks
--- a/rehearsal/standin/engine/orders.go
+++ b/rehearsal/standin/engine/orders.go
@@ -16,7 +16,13 @@
 const PathLeave = "/debug/leave"
 
 // Roles that an engine can be given.
-var roles = []string{"mixed", "prefill", "decode"}
+const (
+	RoleMixed   = "mixed"
+	RolePrefill = "prefill"
+	RoleDecode  = "decode"
+)
+
+var roles = []string{RoleMixed, RolePrefill, RoleDecode}
 
 // exportFormat versions the content of an export.
 const exportFormat = 1
--- a/rehearsal/standin/logservice/log.go
+++ b/rehearsal/standin/logservice/log.go
@@ -71,7 +71,8 @@
 	log.bytes += len(request.Data)
 	records := log.streams[request.Stream]
 	log.streams[request.Stream] = append(records, request.Data)
-	return wire.AppendAnswer{Offset: uint64(len(records))}, nil
+	offset := uint64(len(records))
+	return wire.AppendAnswer{Offset: &offset}, nil
 }
 
 func (log *Log) read(request *http.Request) (wire.ReadAnswer, error) {
--- a/rehearsal/standin/tool/tool.go
+++ b/rehearsal/standin/tool/tool.go
@@ -120,7 +120,7 @@
 		return
 	}
 	output := ExpectedOutput(body.Program, body.RequestID, body.Service, body.Input)
-	reply.Write(writer, http.StatusOK, wire.ToolAnswer{Output: output})
+	reply.Write(writer, http.StatusOK, wire.ToolAnswer{Output: &output})
 }
 
 func (tool *Tool) check(body wire.ToolRequest) error {
