Tell a handler that its client reads too slowly

Cause: nbhttp's Flush drops the write's error, so a handler could not tell a slow client from one that left, and the gateway's log had no SLOW_READER. Ruled out: a second buffer and timeout in the gateway. Change: the response writer has FlushError (http.ResponseController), and Write returns ErrSlowReader once the connection was closed for that.

--- a/internal/httpserver/bounded_conn.go
+++ b/internal/httpserver/bounded_conn.go
@@ -1,6 +1,7 @@
 package httpserver
 
 import (
+	"errors"
 	"net"
 	"time"
 
@@ -30,6 +31,7 @@
 		piece := data[sent:min(sent+writePiece, len(data))]
 		err := conn.connection.awaitRoom(len(piece))
 		if err != nil {
+			conn.connection.slow.Store(errors.Is(err, ErrSlowReader))
 			_ = conn.connection.socket.Close()
 			return sent, err
 		}
--- a/internal/httpserver/connection.go
+++ b/internal/httpserver/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,6 +44,8 @@
 
 	submitted atomic.Int64
 	written   atomic.Int64
+	// slow is true once the connection was closed for its slow client.
+	slow atomic.Bool
 	// progress tells a writer that the client took bytes.
 	progress chan struct{}
 
@@ -218,6 +221,18 @@
 	}
 }
 
+// failure returns why the client gets nothing more, nil while it may.
+func (connection *connection) failure() error {
+	switch {
+	case connection.slow.Load():
+		return ErrSlowReader
+	case connection.isGone():
+		return net.ErrClosed
+	default:
+		return nil
+	}
+}
+
 func (connection *connection) setReadTimeout(timeout time.Duration) {
 	_ = connection.socket.SetReadDeadline(time.Now().Add(timeout))
 }
--- a/internal/httpserver/writer.go
+++ b/internal/httpserver/writer.go
@@ -1,7 +1,6 @@
 package httpserver
 
 import (
-	"net"
 	"net/http"
 
 	"github.com/lesismal/nbio/nbhttp"
@@ -41,8 +40,8 @@
 	writer.started = true
 	sent := 0
 	for sent < len(data) {
-		if writer.connection.isGone() {
-			return sent, net.ErrClosed
+		if err := writer.connection.failure(); err != nil {
+			return sent, err
 		}
 		piece := data[sent:min(sent+writePiece, len(data))]
 		_, err := writer.response.Write(piece)
@@ -58,6 +57,14 @@
 	return sent, nil
 }
 
+// FlushError sends what is buffered and returns ErrSlowReader or
+// net.ErrClosed where the client gets nothing more; see
+// http.ResponseController.
+func (writer *responseWriter) FlushError() error {
+	writer.Flush()
+	return writer.connection.failure()
+}
+
 // Flush sends what is buffered.
 func (writer *responseWriter) Flush() {
 	writer.started = true
