--- a/internal/replication/incarnation.go
+++ b/internal/replication/incarnation.go
@@ -15,6 +15,10 @@
 // the votes of the first; the process has to join as a new incarnation.
 var ErrAlreadyFounded = errors.New("replica already founded in this generation")
 
+// ErrAbstained says that this boot of the process has promised a claimant to
+// take no part in the generation.
+var ErrAbstained = errors.New("process abstains from this generation")
+
 // Incarnation names one life of one replica, as "process#random". It dies with
 // the replica's memory and is never used again.
 type Incarnation string
@@ -31,8 +35,8 @@
 	return process
 }
 
-// foundation is one founding of a group.
-type foundation struct {
+// participation names a generation of a shard's group.
+type participation struct {
 	shard      uint32
 	generation uint32
 }
@@ -43,7 +47,8 @@
 type Registry struct {
 	boot    Incarnation
 	random  *rand.Rand
-	founded map[foundation]bool
+	founded map[participation]bool
+	abstain map[participation]bool
 }
 
 // NewRegistry returns the registry of one boot of a process.
@@ -51,7 +56,8 @@
 	return &Registry{
 		boot:    NewIncarnation(process, random),
 		random:  random,
-		founded: map[foundation]bool{},
+		founded: map[participation]bool{},
+		abstain: map[participation]bool{},
 	}
 }
 
@@ -64,7 +70,10 @@
 // Founder returns the incarnation for a replica named in a group's claim. It
 // may be taken once a shard and generation.
 func (r *Registry) Founder(shard, generation uint32) (Incarnation, error) {
-	key := foundation{shard: shard, generation: generation}
+	key := participation{shard: shard, generation: generation}
+	if r.abstain[key] {
+		return "", ErrAbstained
+	}
 	if r.founded[key] {
 		return "", ErrAlreadyFounded
 	}
@@ -73,6 +82,16 @@
 }
 
 // Joiner returns a fresh incarnation for a replica that joins a group.
-func (r *Registry) Joiner() Incarnation {
-	return NewIncarnation(r.boot.Process(), r.random)
+func (r *Registry) Joiner(shard, generation uint32) (Incarnation, error) {
+	if r.abstain[participation{shard: shard, generation: generation}] {
+		return "", ErrAbstained
+	}
+	return NewIncarnation(r.boot.Process(), r.random), nil
+}
+
+// Abstain promises a claimant that this boot takes no part in a generation any
+// more. Before it answers the claimant, the host retires a learner that it has
+// there; with a voting replica it must not abstain at all.
+func (r *Registry) Abstain(shard, generation uint32) {
+	r.abstain[participation{shard: shard, generation: generation}] = true
 }
--- a/internal/replication/members.go
+++ b/internal/replication/members.go
@@ -34,10 +34,11 @@
 	if incarnation == r.self.Incarnation || findMember(r.members, incarnation) < 0 {
 		return ErrUnknownMember
 	}
-	if !r.mayChangeMembers() {
+	members := withoutMember(r.members, incarnation)
+	if !r.mayChangeMembers() || !r.archivedAllows(members) {
 		return ErrChangePending
 	}
-	r.changeMembers(now, withoutMember(r.members, incarnation))
+	r.changeMembers(now, members)
 	return nil
 }
 
@@ -61,15 +62,19 @@
 }
 
 // receiveJoinRequest takes in a process that lost its replica, or that fills a
-// group up. Others need an Admit by the host.
-func (r *Replica) receiveJoinRequest(now time.Duration, request *replicationv1.JoinRequest) {
-	if r.role != RoleLeader {
-		return
-	}
+// group up. Others need an Admit by the host. A follower passes the request on,
+// once, since the joining process may not know the leader's.
+func (r *Replica) receiveJoinRequest(now time.Duration, from Incarnation, request *replicationv1.JoinRequest) {
 	member := Member{
 		Incarnation: Incarnation(request.GetMember().GetIncarnation()),
 		Zone:        request.GetMember().GetZone(),
 	}
+	if r.role != RoleLeader {
+		if r.leader != "" && from == member.Incarnation {
+			r.send(r.leader, joinRequest(member))
+		}
+		return
+	}
 	if !r.canAdmit(member) || r.lead.find(member.Incarnation) != nil {
 		return
 	}
@@ -79,26 +84,48 @@
 	}
 }
 
+func joinRequest(member Member) *replicationv1.Message {
+	request := &replicationv1.JoinRequest{Member: EncodeMembers([]Member{member})[0]}
+	return &replicationv1.Message{
+		Body: &replicationv1.Message_JoinRequest{JoinRequest: request},
+	}
+}
+
 // tickLearner asks every process last known in the group to be taken in.
 func (r *Replica) tickLearner(now time.Duration) {
 	if now < r.joinDeadline {
 		return
 	}
 	r.joinDeadline = now + r.config.ElectionTimeoutMin
-	member := EncodeMembers([]Member{r.self})[0]
 	for _, known := range r.members {
 		process := known.Incarnation.Process()
 		if process == r.self.Incarnation.Process() {
 			continue
 		}
-		r.sendToProcess(process, "", &replicationv1.Message{
-			Body: &replicationv1.Message_JoinRequest{
-				JoinRequest: &replicationv1.JoinRequest{Member: member},
-			},
-		})
+		r.sendToProcess(process, "", joinRequest(r.self))
 	}
 }
 
+// archivedAllows keeps the group's processes within one of those that the
+// platform's log knows. A claimant that reads the log then sees from it whether
+// a majority can be alive, whatever the group has changed since. A process
+// replaced by its next incarnation counts as the same.
+func (r *Replica) archivedAllows(members []Member) bool {
+	archived, _ := r.log.membersAt(r.log.archived)
+	differences := 0
+	for _, member := range archived {
+		if findProcess(members, member.Incarnation.Process()) < 0 {
+			differences++
+		}
+	}
+	for _, member := range members {
+		if findProcess(archived, member.Incarnation.Process()) < 0 {
+			differences++
+		}
+	}
+	return differences <= 1
+}
+
 // mayChangeMembers keeps two rules that single-member changes rest on: one
 // change at a time, and none before an entry of the leader's own epoch is
 // committed.
@@ -127,18 +154,28 @@
 		if !peer.learner || !r.hasCaughtUp(now, peer) {
 			continue
 		}
-		superseded := findProcess(r.members, peer.member.Incarnation.Process())
-		switch {
-		case superseded >= 0:
-			r.changeMembers(now, withoutMember(r.members, r.members[superseded].Incarnation))
-			return
-		case peer.byHost || len(r.members) < r.config.GroupSize:
-			r.changeMembers(now, withMember(r.members, peer.member))
+		members := r.membersAfterAdmission(peer)
+		if members != nil && r.archivedAllows(members) {
+			r.changeMembers(now, members)
 			return
 		}
 	}
 }
 
+// membersAfterAdmission returns the group after the next change that a
+// learner's admission needs, or nil if it may not join.
+func (r *Replica) membersAfterAdmission(learner *progress) []Member {
+	superseded := findProcess(r.members, learner.member.Incarnation.Process())
+	switch {
+	case superseded >= 0:
+		return withoutMember(r.members, r.members[superseded].Incarnation)
+	case learner.byHost || len(r.members) < r.config.GroupSize:
+		return withMember(r.members, learner.member)
+	default:
+		return nil
+	}
+}
+
 // hasCaughtUp tells whether a learner holds all that is committed, and answers.
 func (r *Replica) hasCaughtUp(now time.Duration, peer *progress) bool {
 	return peer.match >= r.commit &&
--- a/internal/replication/replica.go
+++ b/internal/replication/replica.go
@@ -193,7 +193,7 @@
 	}
 	switch body := message.GetBody().(type) {
 	case *replicationv1.Message_JoinRequest:
-		r.receiveJoinRequest(now, body.JoinRequest)
+		r.receiveJoinRequest(now, Incarnation(message.GetFrom()), body.JoinRequest)
 	case *replicationv1.Message_VoteRequest:
 		r.receiveVoteRequest(now, message, body.VoteRequest)
 	case *replicationv1.Message_VoteResponse:
--- a/internal/replication/snapshot.go
+++ b/internal/replication/snapshot.go
@@ -81,20 +81,19 @@
 	})
 }
 
-// receiveSnapshotAck sends the next chunk. Repeated answers are ignored, but
-// for one that tells that the receiver has to start again.
+// receiveSnapshotAck sends the chunk that the member lacks next, which may be an
+// earlier one if it has lost what it had. Only the answer to the last chunk
+// sent tells what it has now.
 func (r *Replica) receiveSnapshotAck(now time.Duration, peer *progress, ack *replicationv1.SnapshotAck) {
 	transfer := peer.snapshot
-	if transfer == nil || transfer.index != ack.GetIndex() {
+	isCurrent := transfer != nil &&
+		transfer.index == ack.GetIndex() &&
+		ack.GetReceived() < uint64(len(transfer.payload)) &&
+		time.Duration(ack.GetSentAt()) == peer.lastSend
+	if !isCurrent {
 		return
 	}
-	received := ack.GetReceived()
-	isReset := received == 0 && transfer.offset > 0
-	isNext := received > transfer.offset && received < uint64(len(transfer.payload))
-	if !isReset && !isNext {
-		return
-	}
-	transfer.offset = received
+	transfer.offset = ack.GetReceived()
 	r.sendChunk(now, peer)
 }
 
@@ -105,6 +104,9 @@
 		r.send(from, appendResponse(true, r.commit, chunk.GetSentAt()))
 		return
 	}
+	if r.incoming != nil && r.incoming.epoch == r.epoch && r.incoming.index > chunk.GetIndex() {
+		return
+	}
 	r.collect(chunk)
 	if uint64(len(r.incoming.data)) < r.incoming.total {
 		r.acknowledgeChunk(from, chunk)
