Add checked settings and the result code table

Purpose: a settings file (koanf, YAML) with flags over it; the first unknown key, wrong unit or value out of bounds is named in one line (code 6001). Ruled out: bare numbers for durations and sizes, since their unit would be a guess; loose typing, which takes 250 for 250 ns. Change: internal/settings with bounds in struct tags, the key table of docs/OPERATING.md and the code table of docs/RESULT_CODES.md each compared with the code by a test.

--- /dev/null
+++ b/internal/settings/defaults.go
@@ -0,0 +1,89 @@
+package settings
+
+import "time"
+
+// Defaults returns the settings used where neither file nor flags name a key.
+func Defaults() Settings {
+	return Settings{
+		Platform:      defaultPlatform(),
+		Limits:        defaultLimits(),
+		Scheduler:     defaultScheduler(),
+		Gateway:       defaultGateway(),
+		Configuration: defaultConfiguration(),
+		Log:           Log{Level: "info"},
+	}
+}
+
+func defaultPlatform() Platform {
+	return Platform{
+		AppendTimeout:   2 * time.Second,
+		ReadTimeout:     2 * time.Second,
+		MachinesPoll:    500 * time.Millisecond,
+		EngineReports:   100 * time.Millisecond,
+		EngineTimeout:   2 * time.Second,
+		EngineSilence:   5 * time.Second,
+		IdleConnections: 64,
+	}
+}
+
+func defaultLimits() Limits {
+	return Limits{
+		Connections:     4096,
+		Calls:           3072,
+		Body:            8 * MiB,
+		Header:          32 * KiB,
+		WriteBuffer:     256 * KiB,
+		IdleTimeout:     120 * time.Second,
+		RequestTimeout:  20 * time.Second,
+		WriteTimeout:    10 * time.Second,
+		RetryAfter:      time.Second,
+		ShutdownTimeout: 60 * time.Second,
+	}
+}
+
+func defaultScheduler() Scheduler {
+	return Scheduler{
+		Shards:              32,
+		Replicas:            3,
+		Heartbeat:           250 * time.Millisecond,
+		Lease:               900 * time.Millisecond,
+		ElectionMin:         1000 * time.Millisecond,
+		ElectionMax:         2000 * time.Millisecond,
+		ArchiveBacklog:      16 * MiB,
+		KeepEntries:         256,
+		PoolSize:            64,
+		OfferRetry:          time.Second,
+		HeldInterval:        time.Second,
+		LiveInterval:        2 * time.Second,
+		FoundingWait:        5 * time.Second,
+		EndedMemory:         10 * time.Minute,
+		MaximumAttempts:     3,
+		DefaultCallDeadline: 30 * time.Second,
+		DefaultWaitBound:    30 * time.Second,
+	}
+}
+
+func defaultGateway() Gateway {
+	return Gateway{
+		MaxMessages:         4096,
+		MaxOutputTokens:     32768,
+		DefaultOutputTokens: 1024,
+		MaxHistoryLimit:     1000,
+		MaxWait:             30 * time.Minute,
+		RouteBound:          3 * time.Second,
+		ReattachBound:       20 * time.Second,
+		FirstEventBound:     2 * time.Second,
+		IdleBound:           3 * time.Second,
+		UnaryBound:          2 * time.Second,
+		RetryRatio:          0.1,
+		RetryBurst:          64,
+	}
+}
+
+func defaultConfiguration() Configuration {
+	return Configuration{
+		FreshBound:     5 * time.Second,
+		Poll:           500 * time.Millisecond,
+		PublishTimeout: 10 * time.Second,
+	}
+}
--- /dev/null
+++ b/internal/settings/table.go
@@ -0,0 +1,92 @@
+package settings
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+)
+
+// Row describes one settings key for people.
+type Row struct {
+	Key     string
+	Default string
+	Bounds  string
+	About   string
+}
+
+// Table lists every key in the order of the settings' fields.
+func Table() []Row {
+	return appendRows(nil, "", reflect.ValueOf(Defaults()))
+}
+
+func appendRows(rows []Row, prefix string, value reflect.Value) []Row {
+	for index := range value.NumField() {
+		field := value.Type().Field(index)
+		key := prefix + field.Tag.Get(keyTag)
+		if field.Type.Kind() == reflect.Struct {
+			rows = appendRows(rows, key+keyDelimiter, value.Field(index))
+			continue
+		}
+		rows = append(rows, Row{
+			Key:     key,
+			Default: defaultText(value.Field(index)),
+			Bounds:  boundsText(field),
+			About:   field.Tag.Get("about"),
+		})
+	}
+	return rows
+}
+
+func defaultText(value reflect.Value) string {
+	text := fmt.Sprint(value.Interface())
+	if text == "" {
+		return "none"
+	}
+	return text
+}
+
+// boundsText writes a field's validation rules for people.
+func boundsText(field reflect.StructField) string {
+	if field.Type.Kind() == reflect.Bool {
+		return "true, false"
+	}
+	var parts []string
+	for _, rule := range strings.Split(field.Tag.Get("validate"), ",") {
+		name, bound, _ := strings.Cut(rule, "=")
+		switch name {
+		case "required":
+			parts = append(parts, "required")
+		case "gte":
+			parts = append(parts, "from "+bound)
+		case "lte":
+			parts = append(parts, "to "+bound)
+		case "max":
+			parts = append(parts, "at most "+bound+" characters")
+		case "len":
+			parts = append(parts, bound+" characters")
+		case "oneof":
+			parts = append(parts, strings.ReplaceAll(bound, " ", ", "))
+		case "address":
+			parts = append(parts, "IP:port")
+		case "base_url":
+			parts = append(parts, "http(s)://IP:port")
+		case "ip":
+			parts = append(parts, "IP address")
+		case "name":
+			parts = append(parts, "letters, digits, . _ -")
+		case "hexadecimal":
+			parts = append(parts, "hexadecimal")
+		}
+	}
+	return strings.Join(parts, "; ")
+}
+
+// Markdown returns the table as docs/OPERATING.md holds it.
+func Markdown() string {
+	var text strings.Builder
+	text.WriteString("| key | default | unit and bounds | meaning |\n|---|---|---|---|\n")
+	for _, row := range Table() {
+		fmt.Fprintf(&text, "| `%s` | %s | %s | %s |\n", row.Key, row.Default, row.Bounds, row.About)
+	}
+	return text.String()
+}
