--- a/internal/gateway/call_answer.go
+++ b/internal/gateway/call_answer.go
@@ -52,7 +52,7 @@
 	body := finishedOf(whole.exchange, turn, finished)
 	output := whole.text.String()
 	body.Output = &output
-	return writeJSON(whole.exchange.writer, http.StatusOK, body)
+	return whole.exchange.answerJSON(http.StatusOK, body)
 }
 
 // callEvents answers a program call with a stream of named events.
--- a/internal/gateway/completion_answer.go
+++ b/internal/gateway/completion_answer.go
@@ -84,7 +84,7 @@
 }
 
 func (whole *completionWhole) finish(_ uint32, finished *schedulerv1.Finished) error {
-	return writeJSON(whole.exchange.writer, http.StatusOK, completionBody{
+	return whole.exchange.answerJSON(http.StatusOK, completionBody{
 		completionHead: headOf(whole.exchange, objectCompletion, whole.model),
 		Choices: []completionChoice{{
 			Message:      completionMessage{Role: roleAssistant, Content: whole.text.String()},
--- a/internal/gateway/event_stream.go
+++ b/internal/gateway/event_stream.go
@@ -2,8 +2,12 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/http"
 	"strconv"
+
+	"github.com/magpielug/magpielug/internal/httpserver"
+	"github.com/magpielug/magpielug/internal/resultcode"
 )
 
 // eventStream writes server-sent events to one caller. The answer's status is
@@ -11,13 +15,12 @@
 // its own status.
 type eventStream struct {
 	exchange *exchange
-	flusher  http.Flusher
+	control  *http.ResponseController
 	buffer   []byte
 }
 
 func newEventStream(exchange *exchange) *eventStream {
-	flusher, _ := exchange.writer.(http.Flusher)
-	return &eventStream{exchange: exchange, flusher: flusher}
+	return &eventStream{exchange: exchange, control: http.NewResponseController(exchange.writer)}
 }
 
 // send writes one event and flushes it. id is left out where 0, name where
@@ -42,17 +45,27 @@
 	return stream.write(buffer)
 }
 
-// write hands the event to the server. nbhttp returns zero bytes and no error
-// for a connection that has closed.
+// write hands the event to the server, which holds it within the connection's
+// write buffer and waits, within its write timeout, while that is full.
 func (stream *eventStream) write(content []byte) error {
-	written, err := stream.exchange.writer.Write(content)
-	if err != nil || written < len(content) {
-		return errCallerGone
+	_, err := stream.exchange.writer.Write(content)
+	if err == nil {
+		err = stream.control.Flush()
 	}
-	if stream.flusher != nil {
-		stream.flusher.Flush()
+	return writeError(err)
+}
+
+// writeError turns a failed write to the caller into the exchange's outcome.
+// A slow reader's connection is closed: it can't be told, but it can resume.
+func writeError(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, httpserver.ErrSlowReader):
+		return resultcode.New(resultcode.SlowReader, "the caller read too slowly; its call goes on and can be resumed")
+	default:
+		return errCallerGone
 	}
-	return nil
 }
 
 func (stream *eventStream) begin() {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"net/http"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -71,7 +73,7 @@
 // conclude answers a failure that the caller has not been told yet, then
 // writes the request's log line and metrics.
 func (exchange *exchange) conclude(err error) {
-	if err != nil && !exchange.committed && !exchange.callerGone() {
+	if err != nil && !exchange.committed && !exchange.callerGone() && !errors.Is(err, errCallerGone) {
 		httpserver.WriteError(exchange.writer, err)
 	}
 	code := resultcode.CodeOf(err)
@@ -119,3 +121,18 @@
 		zap.String("error", err.Error()),
 	}
 }
+
+// answerJSON answers with a whole JSON value.
+func (exchange *exchange) answerJSON(status int, value any) error {
+	content, err := json.Marshal(value)
+	if err != nil {
+		return err
+	}
+	exchange.committed = true
+	header := exchange.writer.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set("Content-Length", strconv.Itoa(len(content)))
+	exchange.writer.WriteHeader(status)
+	_, err = exchange.writer.Write(content)
+	return writeError(err)
+}
--- a/internal/gateway/failure.go
+++ b/internal/gateway/failure.go
@@ -2,8 +2,6 @@
 
 import (
 	"encoding/json"
-	"net/http"
-	"strconv"
 	"time"
 
 	schedulerv1 "github.com/magpielug/magpielug/api/scheduler/v1"
@@ -31,19 +29,3 @@
 func encodeFailure(failure error) ([]byte, error) {
 	return json.Marshal(httpserver.ErrorBody{Error: httpserver.NewErrorDetail(failure)})
 }
-
-// writeJSON answers with a whole JSON value.
-func writeJSON(writer http.ResponseWriter, status int, value any) error {
-	content, err := json.Marshal(value)
-	if err != nil {
-		return err
-	}
-	header := writer.Header()
-	header.Set("Content-Type", "application/json")
-	header.Set("Content-Length", strconv.Itoa(len(content)))
-	writer.WriteHeader(status)
-	if _, err := writer.Write(content); err != nil {
-		return errCallerGone
-	}
-	return nil
-}
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -204,8 +204,8 @@
 		ReattachBound:   2 * time.Second,
 		FirstEventBound: 200 * time.Millisecond,
 		IdleBound:       200 * time.Millisecond,
-		BackoffBase:     5 * time.Millisecond,
-		BackoffLimit:    50 * time.Millisecond,
+		BackoffBase:     time.Millisecond,
+		BackoffLimit:    10 * time.Millisecond,
 	}
 }
 
--- a/internal/gateway/history.go
+++ b/internal/gateway/history.go
@@ -97,7 +97,7 @@
 	if err != nil {
 		return err
 	}
-	return writeJSON(exchange.writer, http.StatusOK, historyOf(part, limit))
+	return exchange.answerJSON(http.StatusOK, historyOf(part, limit))
 }
 
 func historyOf(part *schedulerv1.ReadHistoryReply, limit uint32) historyBody {
--- a/internal/gateway/models.go
+++ b/internal/gateway/models.go
@@ -36,5 +36,5 @@
 			add(service.Name + adapterSeparator + adapter)
 		}
 	}
-	return writeJSON(exchange.writer, http.StatusOK, list)
+	return exchange.answerJSON(http.StatusOK, list)
 }
--- a/internal/gateway/program.go
+++ b/internal/gateway/program.go
@@ -79,7 +79,7 @@
 	if err != nil {
 		return err
 	}
-	return writeJSON(exchange.writer, http.StatusCreated, programOf(created.GetProgram()))
+	return exchange.answerJSON(http.StatusCreated, programOf(created.GetProgram()))
 }
 
 func (exchange *exchange) nameNewProgram() error {
@@ -120,7 +120,7 @@
 	if err != nil {
 		return err
 	}
-	return writeJSON(exchange.writer, http.StatusOK, programOf(found.GetProgram()))
+	return exchange.answerJSON(http.StatusOK, programOf(found.GetProgram()))
 }
 
 // endProgram serves POST /v1/programs/{id}/end: no further calls.
@@ -147,7 +147,7 @@
 	if err != nil {
 		return err
 	}
-	return writeJSON(exchange.writer, http.StatusOK, programOf(ended.GetProgram()))
+	return exchange.answerJSON(http.StatusOK, programOf(ended.GetProgram()))
 }
 
 func (gateway *Gateway) orderEnd(ctx context.Context, order *schedulerv1.EndProgramRequest) (*schedulerv1.ProgramReply, error) {
--- /dev/null
+++ b/internal/gateway/router_test.go
@@ -0,0 +1,73 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/magpielug/magpielug/internal/platform"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// changingList is a machine list that a test changes and breaks.
+type changingList struct {
+	machines []platform.Machine
+	err      error
+}
+
+func (list *changingList) List(context.Context) ([]platform.Machine, error) {
+	return list.machines, list.err
+}
+
+func schedulers(count int) []platform.Machine {
+	var machines []platform.Machine
+	for index := range count {
+		id := fmt.Sprint("s", index)
+		machines = append(machines, platform.Machine{ID: id, Address: id, Role: platform.RoleScheduler})
+	}
+	return machines
+}
+
+var _ = Describe("Router", func() {
+	It("keeps the last machine list through a failed or empty read", func() {
+		list := &changingList{machines: append(schedulers(3), platform.Machine{ID: "g", Address: "g", Role: platform.RoleGateway})}
+		router := NewShardRouter(list, HashPlacement{Shards: 8}, nil)
+		Expect(router.Candidates("p")).To(BeEmpty())
+		Expect(router.Refresh(context.Background())).To(Succeed())
+		Expect(router.Candidates("p")).To(ConsistOf("s0", "s1", "s2"))
+		list.machines = nil
+		Expect(router.Refresh(context.Background())).To(Succeed())
+		list.err = errors.New("away")
+		Expect(router.Refresh(context.Background())).NotTo(Succeed())
+		Expect(router.Candidates("p")).To(HaveLen(3))
+	})
+
+	It("asks the learned leader first, until it is forgotten", func() {
+		router := NewShardRouter(&changingList{machines: schedulers(9)}, HashPlacement{Shards: 1}, nil)
+		Expect(router.Refresh(context.Background())).To(Succeed())
+		order := router.Candidates("p")
+		Expect(order).To(HaveLen(maxCandidates))
+		router.Learn("p", order[2])
+		Expect(router.Candidates("another of the shard")[0]).To(Equal(order[2]))
+		Expect(router.Candidates("p")).To(ConsistOf(order))
+		router.Forget("p", order[1])
+		Expect(router.Candidates("p")[0]).To(Equal(order[2]))
+		router.Forget("p", order[2])
+		Expect(router.Candidates("p")).To(Equal(order))
+	})
+
+	It("moves only the shards of a machine that is gone, and asks leaving ones last", func() {
+		placement := HashPlacement{Shards: 64}
+		all := schedulers(9)
+		for shard := range placement.Shards {
+			before := placement.Order(shard, all)
+			if before[0] != "s8" {
+				Expect(placement.Order(shard, all[:8])[0]).To(Equal(before[0]))
+			}
+			leaving := schedulers(9)
+			leaving[8].State = platform.MachineLeaving
+			Expect(placement.Order(shard, leaving)[8]).To(Equal("s8"))
+		}
+	})
+})
