--- /dev/null
+++ b/internal/membership/shard.go
@@ -0,0 +1,19 @@
+package membership
+
+import (
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// FamilySeparator stands between a root program's id and what its sub-agents'
+// ids add to it.
+const FamilySeparator = "."
+
+// ShardOf returns the shard, from 0 to shards-1, of a program. A program and
+// its sub-agents share the shard of their root, the part of the id before the
+// first separator.
+func ShardOf(programID string, shards uint32) uint32 {
+	root, _, _ := strings.Cut(programID, FamilySeparator)
+	return uint32(xxhash.Sum64String(root) % uint64(shards))
+}
--- /dev/null
+++ b/internal/scheduler/archive.go
@@ -0,0 +1,61 @@
+package scheduler
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	shardv1 "github.com/magpielug/magpielug/api/shard/v1"
+	"github.com/magpielug/magpielug/internal/replication"
+	"github.com/magpielug/magpielug/internal/shard"
+)
+
+// maximumArchiveBytes bounds the entries of one archive record.
+const maximumArchiveBytes = 1 << 20
+
+// archiveEntries appends what is committed and not yet archived to the shard's
+// stream, one append at a time. A record that was lost, or whose answer was
+// lost, is appended again: readers pass over what they have.
+func (core *Core) archiveEntries(host *host, home *home) {
+	if home.appending {
+		return
+	}
+	entries := host.replica.CommittedEntries(host.replica.ArchivedIndex(), maximumArchiveBytes)
+	if len(entries) == 0 {
+		return
+	}
+	data, err := replication.EncodeEntries(host.number, host.epoch.Generation(), entries)
+	if err != nil {
+		core.log("archive_unencodable", host.number, "", "", err.Error())
+		return
+	}
+	home.appending = true
+	core.emit(AppendStream{Shard: host.number, Data: data, UpTo: entries[len(entries)-1].Index})
+}
+
+func (core *Core) streamAppended(event StreamAppended) {
+	home := core.homes[event.Shard]
+	if home == nil {
+		return
+	}
+	home.appending = false
+	if event.UpTo == 0 {
+		// A claim: what stands in the stream decides, whosever it is.
+		home.atEnd = false
+		return
+	}
+	host := core.hosts[event.Shard]
+	if host != nil && event.Stands && host.leads() {
+		host.replica.SetArchived(event.UpTo)
+	}
+}
+
+// applyArchived takes an entry of the stream into a state that no replica
+// drives yet.
+func applyArchived(state *shard.State, entry replication.Entry) {
+	if entry.Kind != replication.KindCommand {
+		return
+	}
+	change := &shardv1.Entry{}
+	if proto.Unmarshal(entry.Data, change) == nil {
+		state.Apply(change)
+	}
+}
--- /dev/null
+++ b/internal/scheduler/call_ask.go
@@ -0,0 +1,213 @@
+package scheduler
+
+import (
+	"time"
+
+	operatorv1 "github.com/magpielug/magpielug/api/operator/v1"
+	schedulerv1 "github.com/magpielug/magpielug/api/scheduler/v1"
+	shardv1 "github.com/magpielug/magpielug/api/shard/v1"
+	"github.com/magpielug/magpielug/internal/resultcode"
+	"github.com/magpielug/magpielug/internal/shard"
+)
+
+const (
+	staleRetryAfter    = time.Second
+	stoppingRetryAfter = time.Second
+)
+
+// callAsked joins a known call, or checks a new one and offers it to the group.
+// Every answer given here says that nothing was run or changed.
+func (core *Core) callAsked(event CallAsked) {
+	request := event.Request
+	host := core.leadingHost(request.ProgramId)
+	if host == nil {
+		core.declineNotLeader(event.Ask, request.ProgramId)
+		return
+	}
+	program := host.state.Program(request.ProgramId)
+	if program != nil {
+		if program.Created().Tenant != request.Caller.GetTenant() {
+			core.decline(event.Ask, unknownProgram(request.ProgramId))
+			return
+		}
+		if call := program.Call(request.RequestId); call != nil {
+			core.joinCall(event.Ask, host, call, request)
+			return
+		}
+	}
+	if failure := core.checkNewCall(program, request); failure != nil {
+		core.decline(event.Ask, failure)
+		return
+	}
+	host.acceptCall(event.Ask, request)
+}
+
+// joinCall lets a repeated request follow the call it repeats.
+func (core *Core) joinCall(ask AskID, host *host, call *shard.Call, request *schedulerv1.CallRequest) {
+	if !request.AttachOnly && !call.SameBody(request.Digest) {
+		core.decline(ask, resultcode.New(resultcode.RequestIDReused,
+			"request id %s was used with another body", request.RequestId))
+		return
+	}
+	core.emit(Follow{Ask: ask, Turn: call.Turn(), Buffer: host.bufferOf(call)})
+}
+
+func unknownProgram(programID string) *resultcode.Error {
+	return resultcode.New(resultcode.UnknownProgram, "no program %s", programID)
+}
+
+// checkNewCall refuses what can be refused before anything is proposed.
+func (core *Core) checkNewCall(program *shard.Program, request *schedulerv1.CallRequest) *resultcode.Error {
+	if request.AttachOnly {
+		return resultcode.New(resultcode.UnknownRequest, "no call %s", request.RequestId)
+	}
+	if program == nil && !request.SingleCall {
+		return unknownProgram(request.ProgramId)
+	}
+	if core.stopping {
+		return resultcode.New(resultcode.Stopping, "the process is stopping").After(stoppingRetryAfter)
+	}
+	if core.configuration == nil || !core.fresh {
+		return resultcode.New(resultcode.ConfigurationStale,
+			"the configuration may not be current").After(staleRetryAfter)
+	}
+	if _, found := core.configuration.Tier(request.Caller.GetTenant(), request.Caller.GetTier()); !found {
+		return resultcode.New(resultcode.BadKey, "no tier %s", request.Caller.GetTier())
+	}
+	service, found := core.configuration.Service(request.Target)
+	if !found || service.Kind != serviceKind(request.Kind) {
+		return resultcode.New(resultcode.UnknownTarget, "no service %s of this kind", request.Target)
+	}
+	return core.checkKind(program, request.Target)
+}
+
+func serviceKind(kind schedulerv1.CallKind) operatorv1.ServiceKind {
+	if kind == schedulerv1.CallKind_CALL_KIND_TOOL {
+		return operatorv1.ServiceKind_SERVICE_KIND_TOOL
+	}
+	return operatorv1.ServiceKind_SERVICE_KIND_MODEL
+}
+
+// checkKind holds a program to the services that its kind may call.
+func (core *Core) checkKind(program *shard.Program, target string) *resultcode.Error {
+	if program == nil || program.Created().Kind == "" {
+		return nil
+	}
+	kind, found := core.configuration.Kind(program.Created().Kind)
+	if !found {
+		return resultcode.New(resultcode.KindNotAllowed, "no program kind %s", program.Created().Kind)
+	}
+	for _, service := range kind.Services {
+		if service == target {
+			return nil
+		}
+	}
+	return resultcode.New(resultcode.KindNotAllowed, "kind %s may not call %s", kind.Name, target)
+}
+
+// acceptCall proposes the call, and before it the program where the call makes
+// one of its own.
+func (host *host) acceptCall(ask AskID, request *schedulerv1.CallRequest) {
+	tier, _ := host.core.configuration.Tier(request.Caller.Tenant, request.Caller.Tier)
+	if request.SingleCall && host.state.Program(request.ProgramId) == nil {
+		created := &shardv1.ProgramCreated{
+			ProgramId:  request.ProgramId,
+			Tenant:     request.Caller.Tenant,
+			Tier:       request.Caller.Tier,
+			CapMicros:  tier.ProgramCapMicros,
+			SingleCall: true,
+		}
+		entry := &shardv1.Entry{Change: &shardv1.Entry_ProgramCreated{ProgramCreated: created}}
+		if failure := host.propose(entry, ignoredWaiter{}); failure != nil {
+			host.core.declineProposal(ask, host.number, failure)
+			return
+		}
+	}
+	accepted := &shardv1.CallAccepted{
+		ProgramId:         request.ProgramId,
+		RequestId:         request.RequestId,
+		Digest:            request.Digest,
+		Kind:              request.Kind,
+		Target:            request.Target,
+		Adapter:           request.Adapter,
+		Messages:          request.Messages,
+		MaxTokens:         request.MaxTokens,
+		Repeatable:        request.Repeatable,
+		PromptPriceMicros: tier.PromptPriceMicros,
+		OutputPriceMicros: tier.OutputPriceMicros,
+	}
+	entry := &shardv1.Entry{Change: &shardv1.Entry_CallAccepted{CallAccepted: accepted}}
+	waiting := acceptWaiter{ask: ask, deadline: time.Duration(request.DeadlineMs) * time.Millisecond}
+	if failure := host.propose(entry, waiting); failure != nil {
+		host.core.declineProposal(ask, host.number, failure)
+	}
+}
+
+// acceptWaiter answers the caller once the call has its place in the order.
+type acceptWaiter struct {
+	ask AskID
+	// deadline counts from the acceptance; 0 is none.
+	deadline time.Duration
+}
+
+func (waiting acceptWaiter) applied(host *host, outcome shard.Outcome) {
+	if outcome.Err != nil {
+		host.core.decline(waiting.ask, outcome.Err)
+		return
+	}
+	call := outcome.Call
+	if outcome.Duplicate {
+		host.core.emit(Follow{Ask: waiting.ask, Turn: call.Turn(), Buffer: host.bufferOf(call)})
+		return
+	}
+	live := host.track(call)
+	if waiting.deadline > 0 {
+		live.deadline = host.core.now + waiting.deadline
+	}
+	delete(host.quietSince, call.Program().ID())
+	live.decide("accepted", "turn of the program")
+	host.core.emit(Follow{Ask: waiting.ask, Turn: call.Turn(), Buffer: live.buffer})
+	host.advance(call.Program())
+}
+
+// abandoned lets the caller ask the next leader: the acceptance may stand.
+func (waiting acceptWaiter) abandoned(host *host) {
+	host.core.emit(Follow{Ask: waiting.ask, Buffer: droppedBuffer()})
+}
+
+// ignoredWaiter is for entries whose outcome nobody waits for.
+type ignoredWaiter struct{}
+
+func (ignoredWaiter) applied(*host, shard.Outcome) {}
+func (ignoredWaiter) abandoned(*host)              {}
+
+func (core *Core) decline(ask AskID, failure *resultcode.Error) {
+	core.emit(Decline{Ask: ask, Error: wireError(failure)})
+}
+
+// declineNotLeader sends the asker on to the leader, where that is known.
+func (core *Core) declineNotLeader(ask AskID, programID string) {
+	core.emit(Decline{Ask: ask, Error: core.notLeader(core.shardOf(programID))})
+}
+
+func (core *Core) declineProposal(ask AskID, shardNumber uint32, failure *resultcode.Error) {
+	if failure.Code == resultcode.NotLeader {
+		core.emit(Decline{Ask: ask, Error: core.notLeader(shardNumber)})
+		return
+	}
+	core.decline(ask, failure)
+}
+
+// notLeader is the answer of a process that does not lead the shard now.
+func (core *Core) notLeader(shardNumber uint32) *schedulerv1.Error {
+	leader := core.directory.leaders[shardNumber]
+	answer := &schedulerv1.Error{
+		Code:         uint32(resultcode.NotLeader),
+		Message:      "this process does not lead the shard",
+		RetryAfterMs: millisecondsOf(leaderRetryAfter),
+	}
+	if leader != core.config.Process {
+		answer.LeaderAddress = core.directory.address(leader)
+	}
+	return answer
+}
--- /dev/null
+++ b/internal/scheduler/core.go
@@ -0,0 +1,214 @@
+// Package scheduler is the scheduler process: it hosts replicas of shards,
+// leads some of them, and keeps the engine pools whose shards it leads.
+//
+// All control state is one Core, owned by one goroutine and advanced only by
+// Step. Traffic goroutines turn the network and timers into events, and carry
+// out the effects.
+package scheduler
+
+import (
+	"math/rand"
+	"time"
+
+	schedulerv1 "github.com/magpielug/magpielug/api/scheduler/v1"
+	"github.com/magpielug/magpielug/internal/replication"
+	"github.com/magpielug/magpielug/internal/resultcode"
+)
+
+// Config is what a core has to know of its process.
+type Config struct {
+	// Process names the machine; an incarnation of it is drawn at each start.
+	Process string
+	Region  string
+	Zone    string
+	// Shards is the fixed number of shards, alike in every process.
+	Shards uint32
+	// Replicas is the number of members of a group.
+	Replicas    int
+	Replication replication.Config
+	// OfferRetry is how long an offer to a keeper waits for its answer.
+	OfferRetry time.Duration
+	// HeldInterval is how often a leader tells keepers which grants it holds.
+	HeldInterval time.Duration
+	// LiveInterval is how often a leader tells keepers its live programs.
+	LiveInterval time.Duration
+	// FoundingWait is how long a founder waits for members in further zones.
+	FoundingWait time.Duration
+	// EndedMemory is how long the record of a program that is over is kept.
+	EndedMemory time.Duration
+	// MaximumAttempts bounds the runs of a repeatable call.
+	MaximumAttempts uint32
+	// DefaultCallDeadline bounds a tool call whose service names none.
+	DefaultCallDeadline time.Duration
+	// DefaultWaitBound is the predicted wait above which a tier that names none
+	// is refused.
+	DefaultWaitBound time.Duration
+}
+
+// Core is the control state of one scheduler process.
+//
+// Invariants: it changes only within Step; it reads no clock, socket or random
+// source but what it is given; effects are carried out in their order.
+type Core struct {
+	config        Config
+	random        *rand.Rand
+	registry      *replication.Registry
+	batcher       *replication.Batcher
+	configuration ConfigurationView
+	fresh         bool
+	directory     *directory
+	homes         map[uint32]*home
+	hosts         map[uint32]*host
+	pools         map[string]*pool
+	polled        []EngineAddress
+	stopping      bool
+	lastHeld      time.Duration
+	// heldBefore names the pools that the last report of held grants covered.
+	heldBefore map[string]bool
+	outbox     map[string]*schedulerv1.PeerBatch
+	// answering is the peer whose batch is being taken in, and answerTo its ask:
+	// what is queued for it by the step's end goes back as the answer.
+	answering string
+	answerTo  AskID
+	effects   []Effect
+	now       time.Duration
+}
+
+// NewCore returns a core that knows nothing yet. The random source must be
+// seeded differently at every start of the process.
+func NewCore(config Config, random *rand.Rand) *Core {
+	registry := replication.NewRegistry(config.Process, random)
+	return &Core{
+		config:     config,
+		random:     random,
+		registry:   registry,
+		batcher:    replication.NewBatcher(registry.Boot()),
+		directory:  newDirectory(config.Process),
+		homes:      make(map[uint32]*home),
+		hosts:      make(map[uint32]*host),
+		pools:      make(map[string]*pool),
+		heldBefore: make(map[string]bool),
+		outbox:     make(map[string]*schedulerv1.PeerBatch),
+	}
+}
+
+// Incarnation names this start of the process.
+func (core *Core) Incarnation() string { return string(core.registry.Boot()) }
+
+// Step takes one event in and returns what is to be done. The slice is valid
+// until the next step. now is a monotonic clock's reading, taken just before.
+func (core *Core) Step(now time.Duration, event Event) []Effect {
+	core.now = now
+	core.effects = core.effects[:0]
+	core.take(event)
+	core.settleReplicas()
+	core.flushOutbox()
+	return core.effects
+}
+
+func (core *Core) take(event Event) {
+	switch event := event.(type) {
+	case CallAsked:
+		core.callAsked(event)
+	case FirstChunkArrived:
+		core.firstChunkArrived(event.Run)
+	case RunEnded:
+		core.runEnded(event)
+	case PeerBatchReceived:
+		core.peerBatchReceived(event)
+	case EngineReported:
+		core.engineReported(event)
+	case EngineSilent:
+		core.engineSilent(event.Engine)
+	case Tick:
+		core.tick()
+	default:
+		core.takeRare(event)
+	}
+}
+
+func (core *Core) takeRare(event Event) {
+	switch event := event.(type) {
+	case CreateAsked:
+		core.createAsked(event)
+	case EndAsked:
+		core.endAsked(event)
+	case GetAsked:
+		core.getAsked(event)
+	case HistoryAsked:
+		core.historyAsked(event)
+	case ListAsked:
+		core.listAsked(event)
+	case ExplainAsked:
+		core.explainAsked(event)
+	case StatusAsked:
+		core.statusAsked(event)
+	case ConfigurationChanged:
+		core.configurationChanged(event.View)
+	case FreshnessChanged:
+		core.fresh = event.Fresh
+	case MachinesListed:
+		core.machinesListed(event.Machines)
+	case StreamRead:
+		core.streamRead(event)
+	case StreamAppended:
+		core.streamAppended(event)
+	case StopOrdered:
+		core.stopOrdered()
+	}
+}
+
+func (core *Core) emit(effect Effect) {
+	core.effects = append(core.effects, effect)
+}
+
+func (core *Core) log(event string, shard uint32, program, request, detail string) {
+	core.emit(Logged{Event: event, Shard: shard, Program: program, Request: request, Detail: detail})
+}
+
+// tick drives every timer of the core.
+func (core *Core) tick() {
+	for _, number := range core.hostNumbers() {
+		core.hosts[number].tick(core.now)
+	}
+	core.tickHomes()
+	for _, name := range core.poolNames() {
+		core.pools[name].tick()
+	}
+	if core.now-core.lastHeld >= core.config.HeldInterval {
+		core.lastHeld = core.now
+		core.reportHeldGrants()
+	}
+}
+
+func (core *Core) configurationChanged(view ConfigurationView) {
+	if core.configuration != nil && view.Version() <= core.configuration.Version() {
+		return
+	}
+	core.configuration = view
+	for _, name := range core.poolNames() {
+		core.pools[name].configurationChanged()
+	}
+	core.arrangePools()
+}
+
+// stopOrdered begins a planned stop: leadership goes to other members, and
+// nothing new is taken.
+func (core *Core) stopOrdered() {
+	core.stopping = true
+	for _, number := range core.hostNumbers() {
+		core.hosts[number].handOver()
+	}
+}
+
+// wireError converts a failure for the wire.
+func wireError(failure *resultcode.Error) *schedulerv1.Error {
+	if failure == nil {
+		return nil
+	}
+	return &schedulerv1.Error{
+		Code:         uint32(failure.Code),
+		Message:      failure.Message,
+		RetryAfterMs: millisecondsOf(failure.RetryAfter),
+	}
+}
--- /dev/null
+++ b/internal/scheduler/directory.go
@@ -0,0 +1,102 @@
+package scheduler
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/magpielug/magpielug/internal/platform"
+)
+
+// directory is what the process believes of the other machines: the platform's
+// list says who exists, answers say who lives, hints say who leads.
+type directory struct {
+	self       string
+	schedulers map[string]platform.Machine
+	engines    map[string]platform.Machine
+	tools      map[string]platform.Machine
+	peers      map[string]peer
+	// leaders holds, by shard, the process last heard to lead it.
+	leaders map[uint32]string
+}
+
+// peer is a scheduler process that has been heard.
+type peer struct {
+	incarnation string
+	lastHeard   time.Duration
+}
+
+func newDirectory(self string) *directory {
+	return &directory{
+		self:       self,
+		schedulers: make(map[string]platform.Machine),
+		engines:    make(map[string]platform.Machine),
+		tools:      make(map[string]platform.Machine),
+		peers:      make(map[string]peer),
+		leaders:    make(map[uint32]string),
+	}
+}
+
+// update replaces the machines by a newer list.
+func (directory *directory) update(machines []platform.Machine) {
+	directory.schedulers = byRole(machines, platform.RoleScheduler)
+	directory.engines = byRole(machines, platform.RoleEngine)
+	directory.tools = byRole(machines, platform.RoleTool)
+}
+
+func byRole(machines []platform.Machine, role platform.MachineRole) map[string]platform.Machine {
+	found := make(map[string]platform.Machine)
+	for _, machine := range machines {
+		if machine.Role == role {
+			found[machine.ID] = machine
+		}
+	}
+	return found
+}
+
+// heard notes an answer or a message of a peer.
+func (directory *directory) heard(process, incarnation string, now time.Duration) {
+	directory.peers[process] = peer{incarnation: incarnation, lastHeard: now}
+}
+
+// alive tells whether the process was heard within the bound.
+func (directory *directory) alive(process string, now, bound time.Duration) bool {
+	if process == directory.self {
+		return true
+	}
+	known, found := directory.peers[process]
+	return found && now-known.lastHeard <= bound
+}
+
+// address returns where a scheduler answers, empty where it is unknown.
+func (directory *directory) address(process string) string {
+	return directory.schedulers[process].Address
+}
+
+// toolsOf lists the live back ends of a tool service in the order of their ids.
+func (directory *directory) toolsOf(service string) []platform.Machine {
+	var found []platform.Machine
+	for _, machine := range directory.tools {
+		if machine.Service == service && machine.State == platform.MachineLive {
+			found = append(found, machine)
+		}
+	}
+	sortMachines(found)
+	return found
+}
+
+// sorted lists machines in the order of their ids.
+func sorted(machines map[string]platform.Machine) []platform.Machine {
+	list := make([]platform.Machine, 0, len(machines))
+	for _, machine := range machines {
+		list = append(list, machine)
+	}
+	sortMachines(list)
+	return list
+}
+
+func sortMachines(machines []platform.Machine) {
+	slices.SortFunc(machines, func(left, right platform.Machine) int {
+		return strings.Compare(left.ID, right.ID)
+	})
+}
--- /dev/null
+++ b/internal/scheduler/home.go
@@ -0,0 +1,313 @@
+package scheduler
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/magpielug/magpielug/internal/membership"
+	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/replication"
+	"github.com/magpielug/magpielug/internal/shard"
+)
+
+const (
+	streamReadInterval = 300 * time.Millisecond
+	peerSilenceBound   = 3 * time.Second
+	repairInterval     = time.Second
+)
+
+// home is a shard in whose group this process belongs by the machine list. It
+// reads the shard's stream until it can host a replica: as a founder where a
+// claim names this start of the process, else as a learner.
+type home struct {
+	number  uint32
+	archive *replication.Archive
+	// state holds the stream's entries up to the claim in force, and tail those
+	// after it, which a group's own log brings to a founder's replica.
+	state   *shard.State
+	tail    []replication.Entry
+	offset  uint64
+	reading bool
+	atEnd   bool
+	lastAsk time.Duration
+	since   time.Duration
+	// appending is true while an append to the stream is under way.
+	appending  bool
+	lastRepair time.Duration
+}
+
+func (core *Core) newHome(number uint32) *home {
+	return &home{
+		number:  number,
+		archive: replication.NewArchive(number),
+		state:   shard.New(),
+		lastAsk: -streamReadInterval,
+		since:   core.now,
+	}
+}
+
+// machinesListed takes the platform's list in and arranges what follows from
+// it: the shards this process belongs to, and the pools' engines.
+func (core *Core) machinesListed(machines []platform.Machine) {
+	core.directory.update(machines)
+	core.arrangeHomes()
+	core.arrangePools()
+}
+
+// arrangeHomes keeps a home for each shard whose group this process belongs in.
+func (core *Core) arrangeHomes() {
+	for number := uint32(0); number < core.config.Shards; number++ {
+		belongs := slices.Contains(core.homeMembers(number), core.config.Process)
+		known := core.homes[number] != nil
+		if belongs && !known {
+			core.homes[number] = core.newHome(number)
+		}
+		if !belongs && known && core.hosts[number] == nil {
+			delete(core.homes, number)
+		}
+	}
+}
+
+// homeMembers lists the processes that should hold the shard, best first.
+func (core *Core) homeMembers(number uint32) []string {
+	var processes []membership.Process
+	for _, machine := range sorted(core.directory.schedulers) {
+		if machine.State != platform.MachineLive {
+			continue
+		}
+		processes = append(processes, membership.Process{ID: machine.ID, Region: machine.Region, Zone: machine.Zone})
+	}
+	var members []string
+	for _, process := range membership.HomeOf(number, processes) {
+		members = append(members, process.ID)
+	}
+	return members
+}
+
+// otherHomeMember names a process, not this one, that should know the shard's
+// leader.
+func (core *Core) otherHomeMember(number uint32) string {
+	others := slices.DeleteFunc(core.homeMembers(number), func(process string) bool {
+		return process == core.config.Process
+	})
+	if len(others) == 0 {
+		return ""
+	}
+	return others[core.random.Intn(len(others))]
+}
+
+// tickHomes brings every home closer to a healthy replica.
+func (core *Core) tickHomes() {
+	for _, number := range sortedKeys(core.homes) {
+		home := core.homes[number]
+		host := core.hosts[number]
+		if host == nil {
+			core.tickUnhosted(home)
+			continue
+		}
+		if host.leads() {
+			core.archiveEntries(host, home)
+			core.repairGroup(host, home)
+		}
+	}
+}
+
+// tickUnhosted reads the stream to its end, then founds or joins the group.
+func (core *Core) tickUnhosted(home *home) {
+	if home.reading {
+		return
+	}
+	if !home.atEnd || home.archive.Claim().Generation == 0 {
+		if core.now-home.lastAsk >= streamReadInterval || !home.atEnd {
+			home.lastAsk = core.now
+			home.reading = true
+			core.emit(ReadStream{Shard: home.number, From: home.offset})
+		}
+		if !home.atEnd {
+			return
+		}
+	}
+	if home.archive.Claim().Generation == 0 {
+		core.claimGroup(home)
+		return
+	}
+	core.hostReplica(home)
+}
+
+func (core *Core) streamRead(event StreamRead) {
+	home := core.homes[event.Shard]
+	if home == nil {
+		return
+	}
+	home.reading = false
+	if event.Failed {
+		return
+	}
+	for _, record := range event.Records {
+		home.offset = record.Offset + 1
+		core.readRecord(home, record.Data)
+	}
+	home.atEnd = event.AtEnd
+}
+
+// readRecord takes one record of the stream. A new claim's group starts from
+// everything before the claim.
+func (core *Core) readRecord(home *home, record []byte) {
+	before := home.archive.Claim().Generation
+	entries, err := home.archive.Read(record)
+	if err != nil {
+		core.log("stream_record_unreadable", home.number, "", "", err.Error())
+		return
+	}
+	if home.archive.Claim().Generation != before {
+		for _, entry := range home.tail {
+			applyArchived(home.state, entry)
+		}
+		home.tail = nil
+	}
+	home.tail = append(home.tail, entries...)
+}
+
+// claimGroup founds the shard's first group, if this process is the one to do
+// so. It waits for founders in further zones, up to a bound.
+func (core *Core) claimGroup(home *home) {
+	members := core.homeMembers(home.number)
+	if home.appending || len(members) == 0 || members[0] != core.config.Process {
+		return
+	}
+	founders := core.founders(members)
+	if len(founders) < core.config.Replicas && core.now-home.since < core.config.FoundingWait {
+		core.greet(members)
+		return
+	}
+	claimID := fmt.Sprintf("%s/%d", core.Incarnation(), home.number)
+	claim, err := home.archive.NextClaim(claimID, founders, func(string) bool { return false })
+	if err != nil {
+		core.log("claim_refused", home.number, "", "", err.Error())
+		return
+	}
+	data, err := replication.EncodeClaim(claim)
+	if err != nil {
+		core.log("claim_unencodable", home.number, "", "", err.Error())
+		return
+	}
+	home.appending = true
+	core.emit(AppendStream{Shard: home.number, Data: data})
+}
+
+// greet sends an empty batch to peers whose incarnation is not yet known.
+func (core *Core) greet(members []string) {
+	for _, process := range members {
+		if process != core.config.Process && !core.directory.alive(process, core.now, peerSilenceBound) {
+			core.batchTo(process)
+		}
+	}
+}
+
+// founders lists the members that answer now, this process first.
+func (core *Core) founders(members []string) []replication.Member {
+	var founders []replication.Member
+	for _, process := range members {
+		if member, alive := core.member(process); alive {
+			founders = append(founders, member)
+		}
+	}
+	return founders
+}
+
+func (core *Core) member(process string) (replication.Member, bool) {
+	if process == core.config.Process {
+		return replication.Member{Incarnation: core.registry.Boot(), Zone: core.config.Zone}, true
+	}
+	if !core.directory.alive(process, core.now, peerSilenceBound) {
+		return replication.Member{}, false
+	}
+	return replication.Member{
+		Incarnation: replication.Incarnation(core.directory.peers[process].incarnation),
+		Zone:        core.directory.schedulers[process].Zone,
+	}, true
+}
+
+// hostReplica starts this process's replica of the shard.
+func (core *Core) hostReplica(home *home) {
+	claim := home.archive.Claim()
+	self := replication.Member{Zone: core.config.Zone}
+	group := replication.Group{Shard: home.number, Generation: claim.Generation, Members: claim.Members}
+	base := home.archive.Base()
+	restored := home.state
+	incarnation, err := core.ownIncarnation(claim)
+	if err != nil {
+		return
+	}
+	self.Incarnation = incarnation
+	if incarnation != core.registry.Boot() {
+		group.Members = home.archive.Members()
+		base = replication.Base{}
+		restored = shard.New()
+	}
+	replica, err := replication.New(core.config.Replication, core.now, self, group, base, core.random)
+	if err != nil {
+		core.log("replica_refused", home.number, "", "", err.Error())
+		return
+	}
+	made := newHost(core, home.number, replica)
+	made.state = restored
+	core.hosts[home.number] = made
+	// From here on the group's log brings every entry.
+	home.state = shard.New()
+	home.tail = nil
+	core.log("replica_hosted", home.number, "", "", string(replica.Role())+" as "+string(incarnation))
+}
+
+// ownIncarnation founds where the claim names this start of the process, and
+// joins as a new incarnation otherwise.
+func (core *Core) ownIncarnation(claim replication.Claim) (replication.Incarnation, error) {
+	boot := core.registry.Boot()
+	named := slices.ContainsFunc(claim.Members, func(member replication.Member) bool {
+		return member.Incarnation == boot
+	})
+	if named {
+		if incarnation, err := core.registry.Founder(claim.Shard, claim.Generation); err == nil {
+			return incarnation, nil
+		}
+	}
+	return core.registry.Joiner(claim.Shard, claim.Generation)
+}
+
+// repairGroup removes a member that is silent or does not belong here, once
+// another process is there to take its place.
+func (core *Core) repairGroup(host *host, home *home) {
+	if core.now-home.lastRepair < repairInterval {
+		return
+	}
+	home.lastRepair = core.now
+	wanted := core.homeMembers(home.number)
+	members := host.replica.Members()
+	if !core.replacementReady(wanted, members) {
+		return
+	}
+	for _, member := range members {
+		process := member.Incarnation.Process()
+		silent := !core.directory.alive(process, core.now, peerSilenceBound)
+		if process == core.config.Process || !silent && slices.Contains(wanted, process) {
+			continue
+		}
+		err := host.replica.Remove(core.now, member.Incarnation)
+		core.log("member_removed", home.number, "", "", fmt.Sprintf("%s: %v", member.Incarnation, err))
+		return
+	}
+}
+
+// replacementReady tells whether a wanted process outside the group is alive.
+func (core *Core) replacementReady(wanted []string, members []replication.Member) bool {
+	for _, process := range wanted {
+		inside := slices.ContainsFunc(members, func(member replication.Member) bool {
+			return member.Incarnation.Process() == process
+		})
+		if !inside && core.directory.alive(process, core.now, peerSilenceBound) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/scheduler/keeper_client.go
@@ -0,0 +1,300 @@
+package scheduler
+
+import (
+	"strconv"
+	"time"
+
+	schedulerv1 "github.com/magpielug/magpielug/api/scheduler/v1"
+	shardv1 "github.com/magpielug/magpielug/api/shard/v1"
+	"github.com/magpielug/magpielug/internal/resultcode"
+	"github.com/magpielug/magpielug/internal/shard"
+)
+
+// The leader's side of the talk between a shard's leader and a pool's keeper.
+// Offers are repeated until they are answered, and the grants held are told at
+// intervals, so that every other message may be lost.
+
+// offer asks the keeper of the model's pool for a slot.
+func (host *host) offer(live *liveCall) {
+	live.pool = host.core.poolOf(live.call.Accepted().Target)
+	if live.pool == "" {
+		host.refuse(live, resultcode.New(resultcode.NoBackEnd,
+			"no engine serves %s", live.call.Accepted().Target).After(noBackEndRetryAfter))
+		return
+	}
+	if live.deadline > 0 && host.core.now >= live.deadline {
+		host.refuse(live, resultcode.New(resultcode.DeadlineNotRun, "the deadline passed in the queue"))
+		return
+	}
+	live.phase = phaseOffered
+	live.offeredAt = host.core.now
+	host.core.requestKeeper(live.pool, host.number, &schedulerv1.KeeperRequest{
+		Request: &schedulerv1.KeeperRequest_Offer{Offer: host.offerOf(live)},
+	})
+}
+
+func (host *host) offerOf(live *liveCall) *schedulerv1.CallOffer {
+	core := host.core
+	accepted := live.call.Accepted()
+	program := live.call.Program()
+	created := program.Created()
+	offer := &schedulerv1.CallOffer{
+		Call:            live.wireKey(),
+		Tenant:          created.Tenant,
+		Tier:            created.Tier,
+		Kind:            created.Kind,
+		ParentId:        created.ParentId,
+		Weight:          1,
+		Model:           accepted.Target,
+		Adapter:         accepted.Adapter,
+		Zone:            core.config.Zone,
+		PromptTokens:    live.call.PromptTokens(),
+		MaxTokens:       accepted.MaxTokens,
+		AttainedService: program.AttainedService(),
+		WaitBoundMs:     millisecondsOf(core.config.DefaultWaitBound),
+		Repeatable:      accepted.Repeatable,
+	}
+	if live.deadline > 0 {
+		offer.DeadlineMs = max(1, millisecondsOf(live.deadline-core.now))
+	}
+	if core.configuration == nil {
+		return offer
+	}
+	tier, found := core.configuration.Tier(created.Tenant, created.Tier)
+	if !found {
+		return offer
+	}
+	offer.Weight = tier.Weight
+	if tier.QueueWaitBoundMs > 0 {
+		offer.WaitBoundMs = tier.QueueWaitBoundMs
+	}
+	return offer
+}
+
+// retryOffers repeats offers without an answer: the message, the answer or the
+// keeper may be lost.
+func (host *host) retryOffers() {
+	for _, live := range host.sortedCalls() {
+		if live.phase == phaseOffered && host.core.now-live.offeredAt >= host.core.config.OfferRetry {
+			host.offer(live)
+		}
+	}
+	host.retryEntries()
+}
+
+// requestKeeper brings a request to the process that leads the pool's shard.
+func (core *Core) requestKeeper(poolName string, shardNumber uint32, request *schedulerv1.KeeperRequest) {
+	request.Pool = poolName
+	request.Leader = core.config.Process
+	request.Shard = shardNumber
+	keeperShard := core.shardOfPool(poolName)
+	if host := core.hosts[keeperShard]; host != nil && host.leads() {
+		core.keeperRequested(request)
+		return
+	}
+	process := core.directory.leaders[keeperShard]
+	if process == "" || process == core.config.Process {
+		process = core.otherHomeMember(keeperShard)
+	}
+	if process == "" {
+		return
+	}
+	batch := core.batchTo(process)
+	batch.KeeperRequests = append(batch.KeeperRequests, request)
+}
+
+// keeperReplied takes a keeper's answer in.
+func (core *Core) keeperReplied(reply *schedulerv1.KeeperReply) {
+	switch answer := reply.Reply.(type) {
+	case *schedulerv1.KeeperReply_Grant:
+		core.granted(reply, answer.Grant)
+	case *schedulerv1.KeeperReply_Refusal:
+		core.offerRefused(reply, answer.Refusal)
+	case *schedulerv1.KeeperReply_Preemption:
+		core.preempted(reply, answer.Preemption)
+	case *schedulerv1.KeeperReply_NotKeeper:
+		core.directory.leaders[core.shardOfPool(reply.Pool)] = answer.NotKeeper.Leader
+	}
+}
+
+// offeredCall finds the call that a keeper's answer is about, as long as it
+// still waits for one.
+func (core *Core) offeredCall(shardNumber uint32, key *schedulerv1.CallKey, phase callPhase) *liveCall {
+	host := core.hosts[shardNumber]
+	if host == nil || !host.serving {
+		return nil
+	}
+	live := host.calls[callID{program: key.ProgramId, requestID: key.RequestId}]
+	if live == nil || live.call.Attempt() != key.Attempt || live.phase != phase {
+		return nil
+	}
+	return live
+}
+
+// granted commits the intent for a granted call. A grant that nobody waits for
+// goes back.
+func (core *Core) granted(reply *schedulerv1.KeeperReply, grant *schedulerv1.CallGrant) {
+	live := core.offeredCall(reply.Shard, grant.Call, phaseOffered)
+	if live == nil {
+		core.returnStrayGrant(reply, grant)
+		return
+	}
+	live.grant = grant
+	live.decide("granted", "engine "+grant.Engine+": "+grant.Why)
+	live.host.intend(live, &shardv1.CallIntended{
+		BackEnd:     grant.Engine,
+		Address:     grant.Address,
+		FenceHolder: grant.FenceHolder,
+		FenceEpoch:  grant.FenceEpoch,
+	})
+}
+
+// returnStrayGrant gives back a slot for a call that is over or has moved on. A
+// repeated grant of a call under way is no stray.
+func (core *Core) returnStrayGrant(reply *schedulerv1.KeeperReply, grant *schedulerv1.CallGrant) {
+	host := core.hosts[reply.Shard]
+	if host == nil || !host.serving {
+		return
+	}
+	live := host.calls[callID{program: grant.Call.ProgramId, requestID: grant.Call.RequestId}]
+	if live != nil && live.call.Attempt() == grant.Call.Attempt {
+		return
+	}
+	core.requestKeeper(reply.Pool, reply.Shard, &schedulerv1.KeeperRequest{
+		Request: &schedulerv1.KeeperRequest_Return{Return: &schedulerv1.CallReturn{Call: grant.Call}},
+	})
+}
+
+func (core *Core) offerRefused(reply *schedulerv1.KeeperReply, refusal *schedulerv1.CallRefusal) {
+	live := core.offeredCall(reply.Shard, refusal.Call, phaseOffered)
+	if live == nil {
+		return
+	}
+	failure := resultcode.New(resultcode.Code(refusal.Code), "%s", refusal.Why)
+	live.host.refuse(live, failure.After(time.Duration(refusal.RetryAfterMs)*time.Millisecond))
+}
+
+// preempted cancels a running repeatable call, to be offered again.
+func (core *Core) preempted(reply *schedulerv1.KeeperReply, preemption *schedulerv1.CallPreemption) {
+	live := core.offeredCall(reply.Shard, preemption.Call, phaseRunning)
+	if live == nil || !live.call.Accepted().Repeatable {
+		return
+	}
+	host := live.host
+	core.emit(StopRun{Run: live.run(), AtBackEnd: true, Address: live.call.Intent().Address, Fence: live.fence()})
+	host.runEnded(live, RunEnded{Run: live.run(), End: RunLost, Detail: "preempted: " + preemption.Why})
+}
+
+// returnSlot gives the slot of a run back to the keeper.
+func (host *host) returnSlot(live *liveCall, event RunEnded) {
+	if live.pool == "" {
+		return
+	}
+	live.grant = nil
+	host.core.requestKeeper(live.pool, host.number, &schedulerv1.KeeperRequest{
+		Request: &schedulerv1.KeeperRequest_Return{Return: &schedulerv1.CallReturn{
+			Call:         live.wireKey(),
+			PromptTokens: event.PromptTokens,
+			CachedTokens: event.CachedTokens,
+			OutputTokens: event.OutputTokens,
+			Failed:       event.End != RunCompleted,
+		}},
+	})
+}
+
+// cancelOffer withdraws a call that waits at the keeper.
+func (host *host) cancelOffer(live *liveCall) {
+	if live.pool == "" {
+		return
+	}
+	host.core.requestKeeper(live.pool, host.number, &schedulerv1.KeeperRequest{
+		Request: &schedulerv1.KeeperRequest_Cancel{Cancel: live.wireKey()},
+	})
+}
+
+// pauseProgram tells the keeper that the program waits for its caller.
+func (host *host) pauseProgram(program *shard.Program, poolName string) {
+	if poolName == "" {
+		return
+	}
+	host.core.requestKeeper(poolName, host.number, &schedulerv1.KeeperRequest{
+		Request: &schedulerv1.KeeperRequest_Pause{Pause: &schedulerv1.ProgramPause{ProgramId: program.ID()}},
+	})
+}
+
+// programGone has the program's cache released in every pool it may have used.
+func (host *host) programGone(program *shard.Program) {
+	for _, poolName := range host.core.poolsUsed(program) {
+		host.core.requestKeeper(poolName, host.number, &schedulerv1.KeeperRequest{
+			Request: &schedulerv1.KeeperRequest_Gone{Gone: &schedulerv1.ProgramGone{ProgramId: program.ID()}},
+		})
+	}
+}
+
+// reportHeldGrants tells each keeper which of its grants this process holds,
+// over all shards. A pool that had grants in the last report is told once more
+// when it has none.
+func (core *Core) reportHeldGrants() {
+	reports := make(map[string]*schedulerv1.GrantsHeld)
+	for poolName := range core.heldBefore {
+		reports[poolName] = &schedulerv1.GrantsHeld{}
+	}
+	clear(core.heldBefore)
+	for _, number := range core.hostNumbers() {
+		host := core.hosts[number]
+		if host.leads() {
+			host.collectHeldGrants(reports)
+		}
+	}
+	for _, poolName := range sortedKeys(reports) {
+		core.requestKeeper(poolName, core.shardOfPool(poolName), &schedulerv1.KeeperRequest{
+			Request: &schedulerv1.KeeperRequest_Held{Held: reports[poolName]},
+		})
+	}
+}
+
+func (host *host) collectHeldGrants(reports map[string]*schedulerv1.GrantsHeld) {
+	for _, live := range host.sortedCalls() {
+		intent := live.call.Intent()
+		if live.pool == "" || intent == nil || live.phase == phaseClosing {
+			continue
+		}
+		if reports[live.pool] == nil {
+			reports[live.pool] = &schedulerv1.GrantsHeld{}
+		}
+		host.core.heldBefore[live.pool] = true
+		reports[live.pool].Grants = append(reports[live.pool].Grants, &schedulerv1.HeldGrant{
+			Offer:  host.offerOf(live),
+			Engine: intent.BackEnd,
+			Shard:  host.number,
+		})
+	}
+}
+
+// reportLivePrograms tells each keeper the shard's programs that may have cache
+// in its pool, so that cache of all others can be released.
+func (host *host) reportLivePrograms() {
+	byPool := make(map[string]*schedulerv1.ProgramsLive)
+	for _, poolName := range sortedKeys(host.core.enginePools()) {
+		byPool[poolName] = &schedulerv1.ProgramsLive{}
+	}
+	for _, program := range host.sortedPrograms() {
+		if program.Over() {
+			continue
+		}
+		for _, poolName := range host.core.poolsUsed(program) {
+			if live := byPool[poolName]; live != nil {
+				live.Programs = append(live.Programs, program.ID())
+			}
+		}
+	}
+	for _, poolName := range sortedKeys(byPool) {
+		host.core.requestKeeper(poolName, host.number, &schedulerv1.KeeperRequest{
+			Request: &schedulerv1.KeeperRequest_Live{Live: byPool[poolName]},
+		})
+	}
+}
+
+func attemptSuffix(attempt uint32) string {
+	return "#" + strconv.FormatUint(uint64(attempt), 10)
+}
--- /dev/null
+++ b/internal/scheduler/run_model.go
@@ -0,0 +1,106 @@
+package scheduler
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/magpielug/magpielug/internal/platform"
+)
+
+const (
+	// resumeAttempts bounds how often a broken engine stream is picked up.
+	resumeAttempts = 4
+	resumeDelay    = 50 * time.Millisecond
+)
+
+var errChunkGap = errors.New("the engine's stream has a gap")
+
+// modelRun follows one generation through broken connections.
+type modelRun struct {
+	traffic *traffic
+	effect  RunModelCall
+	last    platform.EngineChunk
+	started bool
+}
+
+// runModelCall sends a call to its engine and follows the stream to its end. A
+// broken stream is picked up at the same engine, which runs a request id once.
+func (traffic *traffic) runModelCall(ctx context.Context, effect RunModelCall) {
+	run := &modelRun{traffic: traffic, effect: effect}
+	ended := run.follow(ctx)
+	ended.Run = effect.Run
+	if ctx.Err() == nil {
+		traffic.post(ended)
+	}
+	traffic.forgetRun(effect.Run)
+}
+
+func (run *modelRun) follow(ctx context.Context) RunEnded {
+	request := run.effect.Request
+	for attempt := 0; ; attempt++ {
+		err := run.traffic.engines.Generate(ctx, run.effect.Address, request, run.receive)
+		if err == nil && run.last.Finish != "" {
+			return run.completed()
+		}
+		if ctx.Err() != nil {
+			return RunEnded{End: RunAbandoned}
+		}
+		if ended, final := run.classify(err, request.AttachOnly); final || attempt == resumeAttempts {
+			return ended
+		}
+		time.Sleep(resumeDelay << attempt)
+		request.AttachOnly = true
+		request.ResumeAfter = run.effect.Buffer.LastSequence() - run.effect.Offset
+	}
+}
+
+// receive takes one item of the stream.
+func (run *modelRun) receive(chunk platform.EngineChunk) error {
+	if chunk.Finish != "" {
+		run.last = chunk
+	}
+	if chunk.Text == "" && chunk.Tokens == 0 {
+		return nil
+	}
+	if !run.effect.Buffer.Append(chunk.Sequence+run.effect.Offset, chunk.Text, uint32(chunk.Tokens)) {
+		return errChunkGap
+	}
+	if !run.started {
+		run.started = true
+		run.traffic.post(FirstChunkArrived{Run: run.effect.Run})
+	}
+	return nil
+}
+
+func (run *modelRun) completed() RunEnded {
+	if run.last.Finish == finishCancelled {
+		return RunEnded{End: RunLost, Detail: "cancelled at the engine"}
+	}
+	return RunEnded{
+		End:          RunCompleted,
+		FinishReason: run.last.Finish,
+		PromptTokens: uint32(run.last.PromptTokens),
+		CachedTokens: uint32(run.last.CachedTokens),
+		OutputTokens: uint32(run.last.OutputTokens),
+	}
+}
+
+const finishCancelled = "cancelled"
+
+// classify says what a failed attempt means, and whether it is the last.
+func (run *modelRun) classify(err error, attached bool) (RunEnded, bool) {
+	if err == nil {
+		err = errors.New("the engine's stream ended early")
+	}
+	lost := RunEnded{End: RunLost, Detail: err.Error()}
+	refused := errors.Is(err, platform.ErrNotRun) || errors.Is(err, platform.ErrStaleFence)
+	if refused && attached {
+		// The engine does not know the call: it may have restarted since.
+		return lost, true
+	}
+	if refused {
+		return RunEnded{End: RunNotRun, Detail: err.Error()}, true
+	}
+	return lost, false
+}
--- /dev/null
+++ b/internal/scheduler/run_tool.go
@@ -0,0 +1,43 @@
+package scheduler
+
+import (
+	"context"
+	"errors"
+
+	"github.com/magpielug/magpielug/internal/platform"
+)
+
+// runToolCall sends a call to a tool service and waits for its answer, no
+// longer than the deadline.
+func (traffic *traffic) runToolCall(ctx context.Context, effect RunToolCall) {
+	bounded, cancel := context.WithTimeout(ctx, effect.Deadline)
+	output, err := traffic.tools.Call(bounded, effect.Address, effect.Request)
+	timedOut := bounded.Err() != nil
+	cancel()
+	if ctx.Err() == nil {
+		traffic.post(toolEnded(effect, output, err, timedOut))
+	}
+	traffic.forgetRun(effect.Run)
+}
+
+func toolEnded(effect RunToolCall, output string, err error, timedOut bool) RunEnded {
+	ended := RunEnded{Run: effect.Run}
+	switch {
+	case err == nil:
+		effect.Buffer.Append(1, output, 0)
+		ended.End = RunCompleted
+		ended.FinishReason = finishStop
+	case errors.Is(err, platform.ErrNotRun):
+		ended.End = RunNotRun
+		ended.Detail = err.Error()
+	case timedOut:
+		ended.End = RunTimedOut
+		ended.Detail = err.Error()
+	default:
+		ended.End = RunLost
+		ended.Detail = err.Error()
+	}
+	return ended
+}
+
+const finishStop = "stop"
--- /dev/null
+++ b/internal/scheduler/server.go
@@ -0,0 +1,112 @@
+package scheduler
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	mathrand "math/rand"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	schedulerv1 "github.com/magpielug/magpielug/api/scheduler/v1"
+	"github.com/magpielug/magpielug/internal/platform"
+)
+
+// Dependencies are the parts that a scheduler works with.
+type Dependencies struct {
+	Log      platform.Log
+	Machines platform.Machines
+	Engines  platform.Engine
+	Tools    platform.Tool
+	// Client speaks to the other schedulers.
+	Client *http.Client
+	Logger *zap.Logger
+	// PollInterval is how often a kept engine is asked for its load report.
+	PollInterval time.Duration
+	// ListInterval is how often the machine list is read.
+	ListInterval time.Duration
+}
+
+// Scheduler is one scheduler process.
+type Scheduler struct {
+	loop         *Loop
+	dependencies Dependencies
+	incarnation  string
+}
+
+// New makes a scheduler that does nothing until Run.
+func New(config Config, dependencies Dependencies) (*Scheduler, error) {
+	random, err := seededRandom()
+	if err != nil {
+		return nil, err
+	}
+	core := NewCore(config, random)
+	return &Scheduler{
+		loop:         newLoop(core, dependencies.Logger),
+		dependencies: dependencies,
+		incarnation:  core.Incarnation(),
+	}, nil
+}
+
+// seededRandom draws a seed from the system: two starts of a process must not
+// draw the same incarnation.
+func seededRandom() (*mathrand.Rand, error) {
+	var seed [8]byte
+	if _, err := rand.Read(seed[:]); err != nil {
+		return nil, eris.Wrap(err, "draw a seed")
+	}
+	return mathrand.New(mathrand.NewSource(int64(binary.LittleEndian.Uint64(seed[:])))), nil
+}
+
+// Run drives the scheduler until the context ends.
+func (scheduler *Scheduler) Run(ctx context.Context) {
+	scheduler.loop.traffic = newTraffic(ctx, scheduler.loop, scheduler.dependencies)
+	go scheduler.readMachines(ctx)
+	scheduler.loop.Run(ctx)
+}
+
+// readMachines brings the machine list at intervals.
+func (scheduler *Scheduler) readMachines(ctx context.Context) {
+	ticker := time.NewTicker(scheduler.dependencies.ListInterval)
+	defer ticker.Stop()
+	for {
+		machines, err := scheduler.dependencies.Machines.List(ctx)
+		if err == nil {
+			scheduler.loop.Post(ctx, MachinesListed{Machines: machines})
+		} else if ctx.Err() == nil {
+			scheduler.dependencies.Logger.Warn("machine_list_unreadable", zap.String("error", err.Error()))
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// SetConfiguration brings a newer configuration.
+func (scheduler *Scheduler) SetConfiguration(ctx context.Context, view ConfigurationView) {
+	scheduler.loop.Post(ctx, ConfigurationChanged{View: view})
+}
+
+// SetFresh tells whether the configuration is known to be current.
+func (scheduler *Scheduler) SetFresh(ctx context.Context, fresh bool) {
+	scheduler.loop.Post(ctx, FreshnessChanged{Fresh: fresh})
+}
+
+// Stop begins a planned stop: leadership is handed over.
+func (scheduler *Scheduler) Stop(ctx context.Context) {
+	scheduler.loop.Post(ctx, StopOrdered{})
+}
+
+// Status returns the process's own view of itself.
+func (scheduler *Scheduler) Status(ctx context.Context, _ *schedulerv1.StatusRequest) (*schedulerv1.StatusReply, error) {
+	answer, err := scheduler.loop.Ask(ctx, func(ask AskID) Event { return StatusAsked{Ask: ask} })
+	if err != nil {
+		return nil, err
+	}
+	return answer.message.(*schedulerv1.StatusReply), nil
+}
--- a/internal/shard/apply.go
+++ b/internal/shard/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	shardv1 "github.com/magpielug/magpielug/api/shard/v1"
 	"github.com/magpielug/magpielug/charts"
@@ -21,6 +22,9 @@
 	// Cancelled are the calls that a program's end has closed and that may be
 	// running on a back end.
 	Cancelled []*Call
+	// Ended are the programs that the entry has ended: the one it names first,
+	// then its sub-agents.
+	Ended []*Program
 	// Err is why the entry changed nothing, nil where it took effect.
 	Err *resultcode.Error
 }
@@ -193,6 +197,7 @@
 	}
 	call.record.Attempt++
 	call.record.Intent = nil
+	call.record.Partial = requeued.Partial
 	return outcome
 }
 
@@ -276,6 +281,7 @@
 		outcome.Duplicate = true
 		return outcome
 	}
+	outcome.Ended = []*Program{program}
 	outcome.Cancelled = state.cancelOpenCalls(program, ended.Reason)
 	event := charts.ProgramEventEnd
 	if ended.Stopped {
@@ -283,17 +289,33 @@
 	}
 	program.move(event)
 	state.childOver(program)
-	state.Programs(func(child *Program) bool {
-		if child.Created().ParentId == program.ID() && !child.Over() {
-			childEnd := &shardv1.ProgramEnded{ProgramId: child.ID(), Stopped: ended.Stopped, Reason: ended.Reason}
-			outcome.Cancelled = append(outcome.Cancelled, state.endProgram(childEnd).Cancelled...)
+	for _, child := range state.childrenOf(program) {
+		if child.Over() {
+			continue
 		}
-		return true
-	})
+		childEnd := &shardv1.ProgramEnded{ProgramId: child.ID(), Stopped: ended.Stopped, Reason: ended.Reason}
+		childOutcome := state.endProgram(childEnd)
+		outcome.Cancelled = append(outcome.Cancelled, childOutcome.Cancelled...)
+		outcome.Ended = append(outcome.Ended, childOutcome.Ended...)
+	}
 	slices.SortFunc(outcome.Cancelled, compareCalls)
 	return outcome
 }
 
+// childrenOf lists the program's own sub-agents in the order of their ids.
+func (state *State) childrenOf(program *Program) []*Program {
+	var children []*Program
+	for _, candidate := range state.programs {
+		if candidate.Created().ParentId == program.ID() {
+			children = append(children, candidate)
+		}
+	}
+	slices.SortFunc(children, func(left, right *Program) int {
+		return strings.Compare(left.ID(), right.ID())
+	})
+	return children
+}
+
 // childOver tells the parent that one of its sub-agents is over.
 func (state *State) childOver(program *Program) {
 	parent := state.parent(program)
@@ -307,11 +329,9 @@
 }
 
 func compareCalls(left, right *Call) int {
-	if left.program.ID() != right.program.ID() {
-		if left.program.ID() < right.program.ID() {
-			return -1
-		}
-		return 1
+	byProgram := strings.Compare(left.program.ID(), right.program.ID())
+	if byProgram != 0 {
+		return byProgram
 	}
 	return int(left.record.Turn) - int(right.record.Turn)
 }
--- a/internal/shard/call.go
+++ b/internal/shard/call.go
@@ -53,6 +53,15 @@
 // Finished returns the recorded result, nil where the call has none.
 func (call *Call) Finished() *shardv1.CallFinished { return call.record.Finished }
 
+// Partial returns the beginning of the answer that earlier attempts have given;
+// it is empty for a first attempt.
+func (call *Call) Partial() *shardv1.Partial {
+	if call.record.Partial == nil {
+		return &shardv1.Partial{}
+	}
+	return call.record.Partial
+}
+
 // Usage returns what a finished call used.
 func (call *Call) Usage() *schedulerv1.Usage {
 	finished := call.record.Finished
@@ -75,18 +84,23 @@
 }
 
 // Prompt returns the whole prompt of the call, one part a message: the
-// program's history first, then the call's own messages.
+// program's history first, then the call's own messages. An earlier output is a
+// part with its text unchanged, so that an engine finds its cached blocks.
 func (call *Call) Prompt() []string {
 	var parts []string
 	for _, turn := range call.program.record.History {
 		parts = appendMessages(parts, turn.Messages)
-		parts = append(parts, renderMessage(assistantRole, turn.Output))
+		if turn.Output != "" {
+			parts = append(parts, turn.Output)
+		}
 	}
-	return appendMessages(parts, call.record.Accepted.Messages)
+	parts = appendMessages(parts, call.record.Accepted.Messages)
+	if partial := call.Partial().Output; partial != "" {
+		parts = append(parts, partial)
+	}
+	return parts
 }
 
-const assistantRole = "assistant"
-
 func appendMessages(parts []string, messages []*schedulerv1.Message) []string {
 	for _, message := range messages {
 		parts = append(parts, renderMessage(message.Role, message.Content))
@@ -95,5 +109,5 @@
 }
 
 func renderMessage(role, content string) string {
-	return role + ": " + content + "\n"
+	return "\n" + role + ": " + content
 }
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -5,6 +5,10 @@
 package shard
 
 import (
+	"maps"
+	"slices"
+
+	schedulerv1 "github.com/magpielug/magpielug/api/scheduler/v1"
 	shardv1 "github.com/magpielug/magpielug/api/shard/v1"
 	"github.com/magpielug/magpielug/charts"
 )
@@ -95,3 +99,31 @@
 
 // OpenCalls returns how many accepted calls have not ended.
 func (program *Program) OpenCalls() int { return len(program.record.Pending) }
+
+// Open lists the accepted calls that have not ended, in their order.
+func (program *Program) Open() []*Call {
+	calls := make([]*Call, 0, len(program.record.Pending))
+	for _, requestID := range program.record.Pending {
+		calls = append(calls, program.calls[requestID])
+	}
+	return calls
+}
+
+// LiveSubAgents returns how many of the program's own sub-agents are not over.
+func (program *Program) LiveSubAgents() int { return program.liveChildren }
+
+// Models names the models that the program has called or is to call.
+func (program *Program) Models() []string {
+	named := make(map[string]bool)
+	for _, turn := range program.record.History {
+		if turn.Kind == schedulerv1.CallKind_CALL_KIND_MODEL {
+			named[turn.Target] = true
+		}
+	}
+	for _, call := range program.calls {
+		if call.record.Accepted.Kind == schedulerv1.CallKind_CALL_KIND_MODEL {
+			named[call.record.Accepted.Target] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(named))
+}
--- a/internal/stream/buffer.go
+++ b/internal/stream/buffer.go
@@ -33,6 +33,14 @@
 // Recorded returns a buffer that holds a whole recorded answer, cut where its
 // chunks ended.
 func Recorded(output string, chunkBytes []uint32, usage *schedulerv1.Usage, finishReason string) *Buffer {
+	buffer := Begun(output, chunkBytes, usage.GetOutputTokens())
+	buffer.Finish(finishReason, usage)
+	return buffer
+}
+
+// Begun returns a buffer that holds the beginning of an answer. Its tokens are
+// known as a sum only, which the last chunk carries.
+func Begun(output string, chunkBytes []uint32, tokens uint32) *Buffer {
 	buffer := New()
 	rest := output
 	for _, size := range chunkBytes {
@@ -43,7 +51,9 @@
 		})
 		rest = rest[size:]
 	}
-	buffer.Finish(finishReason, usage)
+	if len(buffer.chunks) > 0 {
+		buffer.chunks[len(buffer.chunks)-1].Tokens = tokens
+	}
 	return buffer
 }
 
@@ -130,6 +140,17 @@
 	return text.String(), sizes
 }
 
+// Tokens returns how many tokens the chunks hold.
+func (buffer *Buffer) Tokens() uint32 {
+	buffer.mutex.Lock()
+	defer buffer.mutex.Unlock()
+	total := uint32(0)
+	for _, chunk := range buffer.chunks {
+		total += chunk.Tokens
+	}
+	return total
+}
+
 func (buffer *Buffer) over() bool {
 	return buffer.finished != nil || buffer.failure != nil || buffer.dropped
 }
