--- /dev/null
+++ b/internal/scheduler/cluster_test.go
@@ -0,0 +1,462 @@
+package scheduler
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	operatorv1 "github.com/magpielug/magpielug/api/operator/v1"
+	schedulerv1 "github.com/magpielug/magpielug/api/scheduler/v1"
+	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/replication"
+	"github.com/magpielug/magpielug/internal/stream"
+)
+
+const (
+	testModel   = "small"
+	testTool    = "ledger"
+	testTenant  = "metering"
+	testTier    = "kiosk"
+	testLatency = time.Millisecond
+)
+
+// testCluster runs several cores on a virtual clock and network, with an engine
+// and a log of its own. The same seed gives the same run.
+type testCluster struct {
+	now      time.Duration
+	order    uint64
+	random   *rand.Rand
+	queue    testQueue
+	nodes    map[string]*testNode
+	streams  map[uint32][][]byte
+	machines []platform.Machine
+	// runs counts starts at back ends by request id.
+	runs map[string]int
+	// running holds the generations an engine knows.
+	running map[string]*testGeneration
+	sealed  map[string]bool
+	// released holds the programs whose cache was released.
+	released map[string]bool
+	// cut tells whether a message from one process to another is lost.
+	cut       func(from, to string) bool
+	logDown   bool
+	callSteps int
+	answers   map[AskID]callAnswer
+	nextAsk   AskID
+}
+
+type testNode struct {
+	cluster *testCluster
+	core    *Core
+	name    string
+	dead    bool
+	paused  bool
+	held    []func()
+	// peerOf tells whose batch an ask answers.
+	peerOf map[AskID]string
+	polled []EngineAddress
+	stops  map[RunKey]bool
+	epoch  int
+}
+
+type testGeneration struct {
+	request string
+	chunks  int
+	done    bool
+}
+
+type testTimer struct {
+	at    time.Duration
+	order uint64
+	run   func()
+}
+
+type testQueue []testTimer
+
+func (queue testQueue) Len() int { return len(queue) }
+func (queue testQueue) Less(left, right int) bool {
+	if queue[left].at != queue[right].at {
+		return queue[left].at < queue[right].at
+	}
+	return queue[left].order < queue[right].order
+}
+func (queue testQueue) Swap(left, right int) { queue[left], queue[right] = queue[right], queue[left] }
+func (queue *testQueue) Push(item any)       { *queue = append(*queue, item.(testTimer)) }
+func (queue *testQueue) Pop() any {
+	last := (*queue)[len(*queue)-1]
+	*queue = (*queue)[:len(*queue)-1]
+	return last
+}
+
+func newTestCluster(seed int64, schedulers int) *testCluster {
+	cluster := &testCluster{
+		random:    rand.New(rand.NewSource(seed)),
+		nodes:     make(map[string]*testNode),
+		streams:   make(map[uint32][][]byte),
+		runs:      make(map[string]int),
+		running:   make(map[string]*testGeneration),
+		sealed:    make(map[string]bool),
+		released:  make(map[string]bool),
+		answers:   make(map[AskID]callAnswer),
+		cut:       func(string, string) bool { return false },
+		callSteps: 5,
+	}
+	for number := range schedulers {
+		name := fmt.Sprintf("s%d", number)
+		cluster.machines = append(cluster.machines, platform.Machine{
+			ID: name, Role: platform.RoleScheduler, Region: "r", Zone: fmt.Sprintf("z%d", number%3),
+			Address: name, State: platform.MachineLive,
+		})
+	}
+	for number := range 2 {
+		name := fmt.Sprintf("e%d", number)
+		cluster.machines = append(cluster.machines, platform.Machine{
+			ID: name, Role: platform.RoleEngine, Region: "r", Zone: "z0", Address: name,
+			State: platform.MachineLive, Service: testModel,
+		})
+	}
+	cluster.machines = append(cluster.machines, platform.Machine{
+		ID: "t0", Role: platform.RoleTool, Region: "r", Zone: "z0", Address: "t0",
+		State: platform.MachineLive, Service: testTool,
+	})
+	for number := range schedulers {
+		cluster.start(fmt.Sprintf("s%d", number))
+	}
+	return cluster
+}
+
+func testConfig(name string) Config {
+	return Config{
+		Process: name, Region: "r", Zone: "z" + string(name[1]), Shards: 4, Replicas: 3,
+		Replication: replication.DefaultConfig(),
+		OfferRetry:  500 * time.Millisecond, HeldInterval: time.Second, LiveInterval: 5 * time.Second,
+		FoundingWait: 2 * time.Second, EndedMemory: time.Minute, MaximumAttempts: 3,
+		DefaultCallDeadline: 2 * time.Second, DefaultWaitBound: 30 * time.Second,
+	}
+}
+
+// start starts a process, or starts it anew with nothing remembered.
+func (cluster *testCluster) start(name string) *testNode {
+	epoch := 0
+	if before := cluster.nodes[name]; before != nil {
+		before.dead = true
+		epoch = before.epoch + 1
+	}
+	node := &testNode{
+		cluster: cluster, name: name, epoch: epoch,
+		core:   NewCore(testConfig(name), rand.New(rand.NewSource(cluster.random.Int63()))),
+		peerOf: make(map[AskID]string),
+		stops:  make(map[RunKey]bool),
+	}
+	cluster.nodes[name] = node
+	node.step(MachinesListed{Machines: cluster.machines})
+	node.step(ConfigurationChanged{View: testConfiguration{}})
+	node.step(FreshnessChanged{Fresh: true})
+	node.tick()
+	return node
+}
+
+func (node *testNode) tick() {
+	if node.dead {
+		return
+	}
+	node.step(Tick{})
+	node.cluster.after(10*time.Millisecond, node.tick)
+}
+
+// step runs now, or once the process is woken.
+func (node *testNode) step(event Event) {
+	if node.dead {
+		return
+	}
+	if node.paused {
+		node.held = append(node.held, func() { node.step(event) })
+		return
+	}
+	effects := append([]Effect(nil), node.core.Step(node.cluster.now, event)...)
+	for _, effect := range effects {
+		node.carryOut(effect)
+	}
+}
+
+func (node *testNode) wake() {
+	node.paused = false
+	held := node.held
+	node.held = nil
+	for _, run := range held {
+		run()
+	}
+}
+
+func (cluster *testCluster) after(wait time.Duration, run func()) {
+	cluster.order++
+	heap.Push(&cluster.queue, testTimer{at: cluster.now + wait, order: cluster.order, run: run})
+}
+
+// runFor lets virtual time pass.
+func (cluster *testCluster) runFor(duration time.Duration) {
+	cluster.runUntil(duration, func() bool { return false })
+}
+
+// runUntil lets time pass until done says so, and tells whether it did.
+func (cluster *testCluster) runUntil(bound time.Duration, done func() bool) bool {
+	end := cluster.now + bound
+	for !done() {
+		if len(cluster.queue) == 0 || cluster.queue[0].at > end {
+			cluster.now = end
+			return false
+		}
+		next := heap.Pop(&cluster.queue).(testTimer)
+		cluster.now = next.at
+		next.run()
+	}
+	return true
+}
+
+func (node *testNode) carryOut(effect Effect) {
+	cluster := node.cluster
+	switch effect := effect.(type) {
+	case SendPeer:
+		node.deliver(effect.Process, proto.Clone(effect.Batch).(*schedulerv1.PeerBatch), true)
+	case Answer:
+		if batch, isBatch := effect.Message.(*schedulerv1.PeerBatch); isBatch {
+			node.deliver(node.peerOf[effect.Ask], proto.Clone(batch).(*schedulerv1.PeerBatch), false)
+			return
+		}
+		cluster.answers[effect.Ask] = callAnswer{message: effect.Message}
+	case Follow:
+		cluster.answers[effect.Ask] = callAnswer{turn: effect.Turn, buffer: effect.Buffer}
+	case Decline:
+		cluster.answers[effect.Ask] = callAnswer{failure: effect.Error}
+	case ReadStream:
+		cluster.after(testLatency, func() { node.readStream(effect) })
+	case AppendStream:
+		cluster.after(testLatency, func() { node.appendStream(effect) })
+	case PollEngines:
+		node.polled = effect.Engines
+		node.poll()
+	case RunModelCall:
+		cluster.after(testLatency, func() { node.runModel(effect) })
+	case RunToolCall:
+		cluster.after(testLatency, func() { node.runTool(effect) })
+	case StopRun:
+		node.stops[effect.Run] = true
+		if effect.AtBackEnd {
+			cluster.sealed[backEndRequestID(effect.Run)] = true
+		}
+	case ReleaseCache:
+		cluster.released[effect.Program] = true
+	}
+}
+
+func (node *testNode) deliver(process string, batch *schedulerv1.PeerBatch, ask bool) {
+	cluster := node.cluster
+	if cluster.cut(node.name, process) {
+		return
+	}
+	cluster.after(testLatency, func() {
+		target := cluster.nodes[process]
+		event := PeerBatchReceived{Batch: batch}
+		if ask {
+			cluster.nextAsk++
+			event.Ask = cluster.nextAsk
+			target.peerOf[event.Ask] = node.name
+		}
+		target.step(event)
+	})
+}
+
+func (node *testNode) readStream(effect ReadStream) {
+	read := StreamRead{Shard: effect.Shard, Failed: node.cluster.logDown}
+	if !read.Failed {
+		for offset, data := range node.cluster.streams[effect.Shard] {
+			if uint64(offset) >= effect.From {
+				read.Records = append(read.Records, platform.Record{Offset: uint64(offset), Data: data})
+			}
+		}
+		read.AtEnd = len(read.Records) == 0
+	}
+	node.step(read)
+}
+
+func (node *testNode) appendStream(effect AppendStream) {
+	if !node.cluster.logDown {
+		node.cluster.streams[effect.Shard] = append(node.cluster.streams[effect.Shard], effect.Data)
+	}
+	node.step(StreamAppended{Shard: effect.Shard, UpTo: effect.UpTo, Stands: !node.cluster.logDown})
+}
+
+func (node *testNode) poll() {
+	for _, engine := range node.polled {
+		node.step(EngineReported{Engine: engine.Engine, Report: platform.LoadReport{
+			Engine: engine.Engine, Model: testModel, RunningLimit: 8, BlocksTotal: 4096,
+			BlockTokens: 16, StepDuration: 3 * time.Millisecond,
+		}})
+	}
+	if !node.dead && len(node.polled) > 0 {
+		node.cluster.after(200*time.Millisecond, node.poll)
+	}
+}
+
+// runModel is an engine: it runs a request id once, whoever asks, and goes on
+// when its follower is gone.
+func (node *testNode) runModel(effect RunModelCall) {
+	cluster := node.cluster
+	name := effect.Request.RequestID
+	generation := cluster.running[name]
+	if generation == nil {
+		if effect.Request.AttachOnly || cluster.sealed[name] {
+			cluster.sealed[name] = true
+			end := RunNotRun
+			if effect.Request.AttachOnly {
+				end = RunLost
+			}
+			node.step(RunEnded{Run: effect.Run, End: end, Detail: "sealed"})
+			return
+		}
+		cluster.runs[name]++
+		generation = &testGeneration{request: name}
+		cluster.running[name] = generation
+		cluster.generate(generation)
+	}
+	node.followGeneration(effect, generation)
+}
+
+func (cluster *testCluster) generate(generation *testGeneration) {
+	if generation.chunks == cluster.callSteps {
+		generation.done = true
+		return
+	}
+	generation.chunks++
+	cluster.after(10*time.Millisecond, func() { cluster.generate(generation) })
+}
+
+func (node *testNode) followGeneration(effect RunModelCall, generation *testGeneration) {
+	if node.dead || node.stops[effect.Run] {
+		return
+	}
+	for sequence := 1; sequence <= generation.chunks; sequence++ {
+		text := fmt.Sprintf("%s:%d ", generation.request, sequence)
+		effect.Buffer.Append(uint64(sequence)+effect.Offset, text, 1)
+	}
+	if generation.done {
+		node.step(RunEnded{Run: effect.Run, End: RunCompleted, FinishReason: "stop", PromptTokens: 10, OutputTokens: uint32(generation.chunks)})
+		return
+	}
+	node.cluster.after(5*time.Millisecond, func() { node.followGeneration(effect, generation) })
+}
+
+func (node *testNode) runTool(effect RunToolCall) {
+	node.cluster.runs[effect.Request.RequestID]++
+	node.cluster.after(20*time.Millisecond, func() {
+		if node.stops[effect.Run] {
+			return
+		}
+		effect.Buffer.Append(1, "tool:"+effect.Request.RequestID, 0)
+		node.step(RunEnded{Run: effect.Run, End: RunCompleted, FinishReason: "stop"})
+	})
+}
+
+// ask sends one request to a process and waits for its answer.
+func (cluster *testCluster) ask(process string, build func(AskID) Event) (callAnswer, bool) {
+	cluster.nextAsk++
+	ask := cluster.nextAsk
+	cluster.nodes[process].step(build(ask))
+	answered := cluster.runUntil(5*time.Second, func() bool {
+		_, found := cluster.answers[ask]
+		return found
+	})
+	return cluster.answers[ask], answered
+}
+
+// leader names the process that leads a program's shard, once there is one.
+func (cluster *testCluster) leader(programID string) string {
+	found := ""
+	cluster.runUntil(30*time.Second, func() bool {
+		for name, node := range cluster.nodes {
+			if !node.dead && !node.paused && node.core.leadingHost(programID) != nil {
+				found = name
+				return true
+			}
+		}
+		return false
+	})
+	return found
+}
+
+// outcome is a call's final answer as its caller sees it.
+type outcome struct {
+	text    string
+	failure *schedulerv1.Error
+	ended   bool
+}
+
+// call asks for a call like a gateway: at the leader, and again at the next one
+// when the stream ends with no answer.
+func (cluster *testCluster) call(request *schedulerv1.CallRequest, bound time.Duration) outcome {
+	end := cluster.now + bound
+	for cluster.now < end {
+		leader := cluster.leader(request.ProgramId)
+		if leader == "" {
+			break
+		}
+		answer, answered := cluster.ask(leader, func(ask AskID) Event { return CallAsked{Ask: ask, Request: request} })
+		if !answered {
+			continue
+		}
+		if answer.failure != nil {
+			if answer.failure.LeaderAddress != "" || answer.failure.Code == 2007 {
+				cluster.runFor(50 * time.Millisecond)
+				continue
+			}
+			return outcome{failure: answer.failure, ended: true}
+		}
+		if final, known := cluster.follow(leader, answer.buffer, end-cluster.now); known {
+			return final
+		}
+	}
+	return outcome{}
+}
+
+func (cluster *testCluster) follow(leader string, buffer *stream.Buffer, bound time.Duration) (outcome, bool) {
+	node := cluster.nodes[leader]
+	over := func() bool {
+		view := buffer.Look(0)
+		return view.Finished != nil || view.Failure != nil || view.Dropped
+	}
+	cluster.runUntil(bound, func() bool { return over() || node.dead || node.paused })
+	view := buffer.Look(0)
+	text, _ := buffer.Content()
+	switch {
+	case view.Finished != nil:
+		return outcome{text: text, ended: true}, true
+	case view.Failure != nil:
+		return outcome{failure: wireError(view.Failure), ended: true}, true
+	}
+	return outcome{}, false
+}
+
+type testConfiguration struct{}
+
+func (testConfiguration) Version() uint64 { return 1 }
+func (testConfiguration) Tier(tenant, name string) (*operatorv1.Tier, bool) {
+	return &operatorv1.Tier{
+		Name: testTier, Tenant: testTenant, Weight: 10, PromptPriceMicros: 100, OutputPriceMicros: 1000,
+		BudgetMicros: 1 << 40, ProgramCapMicros: 1_000,
+	}, tenant == testTenant && name == testTier
+}
+func (testConfiguration) Service(name string) (*operatorv1.Service, bool) {
+	kind := operatorv1.ServiceKind_SERVICE_KIND_MODEL
+	if name == testTool {
+		kind = operatorv1.ServiceKind_SERVICE_KIND_TOOL
+	}
+	return &operatorv1.Service{Name: name, Kind: kind}, name == testModel || name == testTool
+}
+func (testConfiguration) Kind(name string) (*operatorv1.ProgramKind, bool) {
+	return &operatorv1.ProgramKind{Name: "dispute", Tiers: []string{testTier}, Services: []string{testModel, testTool}}, name == "dispute"
+}
+func (testConfiguration) Policy() *operatorv1.SchedulingPolicy { return nil }
+func (testConfiguration) Drained(string) bool                  { return false }
--- /dev/null
+++ b/internal/scheduler/core_test.go
@@ -0,0 +1,121 @@
+package scheduler
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	schedulerv1 "github.com/magpielug/magpielug/api/scheduler/v1"
+	"github.com/magpielug/magpielug/internal/resultcode"
+)
+
+func testCall(program, requestID string) *schedulerv1.CallRequest {
+	return &schedulerv1.CallRequest{
+		ProgramId: program,
+		RequestId: requestID,
+		Caller:    &schedulerv1.Caller{Tenant: testTenant, Tier: testTier},
+		Kind:      schedulerv1.CallKind_CALL_KIND_MODEL,
+		Target:    testModel,
+		Messages:  []*schedulerv1.Message{{Role: "user", Content: "why is the token refused"}},
+		MaxTokens: 50,
+		Digest:    []byte(requestID),
+	}
+}
+
+func (cluster *testCluster) create(program string) *schedulerv1.ProgramReply {
+	leader := cluster.leader(program)
+	answer, answered := cluster.ask(leader, func(ask AskID) Event {
+		return CreateAsked{Ask: ask, Request: &schedulerv1.CreateProgramRequest{
+			ProgramId: program, Kind: "dispute", Caller: &schedulerv1.Caller{Tenant: testTenant, Tier: testTier},
+		}}
+	})
+	Expect(answered).To(BeTrue())
+	return answer.message.(*schedulerv1.ProgramReply)
+}
+
+var _ = Describe("scheduler core", func() {
+	It("founds groups, runs a call and records it", func() {
+		cluster := newTestCluster(1, 3)
+		Expect(cluster.create("p1").Error).To(BeNil())
+		final := cluster.call(testCall("p1", "r1"), 20*time.Second)
+		Expect(final.failure).To(BeNil())
+		Expect(final.text).To(HavePrefix("p1/r1:1 "))
+		again := cluster.call(testCall("p1", "r1"), 20*time.Second)
+		Expect(again.text).To(Equal(final.text))
+		Expect(cluster.runs["p1/r1"]).To(Equal(1))
+	})
+
+	It("refuses a request id that comes with another body", func() {
+		cluster := newTestCluster(2, 3)
+		cluster.create("p1")
+		cluster.call(testCall("p1", "r1"), 20*time.Second)
+		other := testCall("p1", "r1")
+		other.Digest = []byte("other")
+		Expect(cluster.call(other, time.Second).failure.Code).To(BeEquivalentTo(resultcode.RequestIDReused))
+	})
+
+	It("gives a foreign tenant the answer of a program that is not there", func() {
+		cluster := newTestCluster(3, 3)
+		cluster.create("p1")
+		foreign := testCall("p1", "r1")
+		foreign.Caller = &schedulerv1.Caller{Tenant: "other", Tier: "other"}
+		absent := testCall("p9", "r1")
+		absent.Caller = foreign.Caller
+		refused := cluster.call(foreign, time.Second).failure
+		Expect(refused.Code).To(BeEquivalentTo(resultcode.UnknownProgram))
+		Expect(cluster.call(absent, time.Second).failure.Code).To(Equal(refused.Code))
+	})
+
+	It("ends a loop at the program's cap and charges no more", func() {
+		cluster := newTestCluster(4, 3)
+		cluster.create("p1")
+		var last outcome
+		for turn := 0; turn < 1000 && last.failure == nil; turn++ {
+			last = cluster.call(testCall("p1", string(rune('a'+turn%26))+string(rune('a'+turn/26))), 20*time.Second)
+		}
+		Expect(last.failure.Code).To(BeEquivalentTo(resultcode.ProgramCapReached))
+		host := cluster.nodes[cluster.leader("p1")].core.leadingHost("p1")
+		program := host.state.Program("p1")
+		Expect(program.Spent() + program.Reserved()).To(BeNumerically("<=", program.Created().CapMicros))
+	})
+
+	It("goes on with a call when its leader dies", func() {
+		cluster := newTestCluster(5, 3)
+		cluster.create("p1")
+		cluster.callSteps = 100
+		leader := cluster.leader("p1")
+		cluster.after(300*time.Millisecond, func() { cluster.nodes[leader].dead = true })
+		final := cluster.call(testCall("p1", "r1"), 30*time.Second)
+		Expect(final.failure).To(BeNil())
+		Expect(final.text).To(ContainSubstring("p1/r1:100 "))
+		Expect(cluster.runs["p1/r1"]).To(Equal(1))
+	})
+
+	It("takes a restarted process in as a new member", func() {
+		cluster := newTestCluster(6, 3)
+		cluster.create("p1")
+		cluster.call(testCall("p1", "r1"), 20*time.Second)
+		leader := cluster.leader("p1")
+		cluster.start(leader)
+		cluster.runFor(10 * time.Second)
+		second := cluster.leader("p1")
+		cluster.start(second)
+		cluster.runFor(10 * time.Second)
+		final := cluster.call(testCall("p1", "r1"), 20*time.Second)
+		Expect(final.text).To(HavePrefix("p1/r1:1 "))
+		Expect(cluster.runs["p1/r1"]).To(Equal(1))
+	})
+
+	It("releases the cache of a stopped program", func() {
+		cluster := newTestCluster(7, 3)
+		cluster.create("p1")
+		cluster.call(testCall("p1", "r1"), 20*time.Second)
+		cluster.ask(cluster.leader("p1"), func(ask AskID) Event {
+			return EndAsked{Ask: ask, Request: &schedulerv1.EndProgramRequest{
+				ProgramId: "p1", Stop: true, Caller: &schedulerv1.Caller{Tenant: testTenant},
+			}}
+		})
+		Expect(cluster.runUntil(10*time.Second, func() bool { return cluster.released["p1"] })).To(BeTrue())
+	})
+})
--- a/internal/stream/buffer.go
+++ b/internal/stream/buffer.go
@@ -187,6 +187,12 @@
 	}
 }
 
+// Look returns what there is after the sequence number now, without waiting.
+func (buffer *Buffer) Look(after uint64) View {
+	view, _, _ := buffer.view(after)
+	return view
+}
+
 func (buffer *Buffer) view(after uint64) (View, <-chan struct{}, bool) {
 	buffer.mutex.Lock()
 	defer buffer.mutex.Unlock()
