--- a/rehearsal/workload/deployment.go
+++ b/rehearsal/workload/deployment.go
@@ -87,6 +87,13 @@
 	return Tier{}
 }
 
+// OutputBound is the most tokens that a turn of a kind can generate: what a
+// caller of that kind asks for as its bound.
+func (deployment Deployment) OutputBound(kindName string) int {
+	kind, _ := deployment.kind(kindName)
+	return int(kind.Output.High)
+}
+
 // kind returns the kind called name and its index.
 func (deployment Deployment) kind(name string) (Kind, int) {
 	for index, kind := range deployment.Kinds {
