--- /dev/null
+++ b/internal/platform/httpadapter/adapter_test.go
@@ -0,0 +1,194 @@
+package httpadapter
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/magpielug/magpielug/internal/platform"
+)
+
+const (
+	shortTimeout = 30 * time.Millisecond
+	longTimeout  = 20 * time.Second
+)
+
+// readGeneration reads a stream as Generate does and returns the items' numbers.
+func readGeneration(body []byte, resumeAfter uint64) ([]uint64, error) {
+	var sequences []uint64
+	stream := generationStream{
+		events: newEventReader(bytes.NewReader(body), defaultMaxLineBytes),
+		next:   resumeAfter + 1,
+		receive: func(chunk platform.EngineChunk) error {
+			sequences = append(sequences, chunk.Sequence)
+			return nil
+		},
+	}
+	ctx, cancel := context.WithCancelCause(context.Background())
+	defer cancel(nil)
+	return sequences, stream.read(ctx, cancel, longTimeout)
+}
+
+// serve runs a back end that answers every request in one way.
+func serve(handler http.HandlerFunc) string {
+	server := httptest.NewServer(handler)
+	DeferCleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func answer(status int, body string) http.HandlerFunc {
+	return func(writer http.ResponseWriter, _ *http.Request) {
+		writer.WriteHeader(status)
+		_, _ = writer.Write([]byte(body))
+	}
+}
+
+func newPool(config Config) *Client {
+	pool, err := NewClient(config)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(pool.Close)
+	return pool
+}
+
+// hold never answers, but for what it sends at once.
+func hold(begin string) http.HandlerFunc {
+	return func(writer http.ResponseWriter, request *http.Request) {
+		// The server sees the caller's end only once the body was read.
+		_, _ = bytes.NewBuffer(nil).ReadFrom(request.Body)
+		if begin != "" {
+			_, _ = writer.Write([]byte(begin))
+			_ = http.NewResponseController(writer).Flush()
+		}
+		<-request.Context().Done()
+	}
+}
+
+func generate(pool *Client, address string) error {
+	request := platform.GenerateRequest{RequestID: "r"}
+	return NewEngine(pool).Generate(context.Background(), address, request, func(platform.EngineChunk) error { return nil })
+}
+
+const firstItem = "event: chunk\ndata: {\"sequence\":1,\"text\":\"a\",\"tokens\":1}\n\n"
+
+var _ = Describe("Adapters", func() {
+	DescribeTable("tell what an answer means",
+		func(status int, body string, wanted, unwanted error) {
+			address := serve(answer(status, body))
+			pool := newPool(Config{})
+			_, appended := NewLog(pool, address).Append(context.Background(), "s", nil)
+			_, called := NewTool(pool).Call(context.Background(), address, platform.ToolRequest{})
+			_, listed := NewMachines(pool, address).List(context.Background())
+			for _, err := range []error{appended, called, listed, generate(pool, address)} {
+				Expect(err).To(MatchError(wanted))
+				Expect(err).NotTo(MatchError(unwanted))
+				var failure *Failure
+				Expect(errors.As(err, &failure)).To(BeTrue())
+			}
+		},
+		Entry("refused", 503, `{"code":"unavailable","not_run":true}`, platform.ErrNotRun, platform.ErrOutcomeUnknown),
+		Entry("stale", 409, `{"code":"stale_fence","not_run":true}`, platform.ErrStaleFence, platform.ErrOutcomeUnknown),
+		Entry("failed within", 500, `{"code":"internal"}`, platform.ErrOutcomeUnknown, platform.ErrNotRun),
+		Entry("error without a body", 503, ``, platform.ErrOutcomeUnknown, platform.ErrNotRun),
+		Entry("error page", 502, `<html>`, platform.ErrMalformedAnswer, platform.ErrNotRun),
+		Entry("rubbish", 200, "\x00\xff{\n", platform.ErrMalformedAnswer, platform.ErrNotRun),
+		Entry("wrong type", 200, "[]\n", platform.ErrMalformedAnswer, platform.ErrNotRun),
+		Entry("fields missing", 200, "{}\n", platform.ErrMalformedAnswer, platform.ErrNotRun),
+	)
+
+	It("say not run when nothing listens", func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		address := listener.Addr().String()
+		Expect(listener.Close()).To(Succeed())
+		_, err = NewLog(newPool(Config{}), address).Append(context.Background(), "s", nil)
+		Expect(err).To(MatchError(platform.ErrNotRun))
+		Expect(generate(newPool(Config{}), address)).To(MatchError(platform.ErrNotRun))
+	})
+
+	It("say not run when the context was over before", func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_, err := NewLog(newPool(Config{}), "127.0.0.1:9").Append(ctx, "s", nil)
+		Expect(err).To(MatchError(platform.ErrNotRun))
+		Expect(err).To(MatchError(context.Canceled))
+	})
+
+	It("say unknown when the connection is closed instead of an answer", func() {
+		address := serve(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+		_, err := NewLog(newPool(Config{}), address).Append(context.Background(), "s", nil)
+		Expect(err).To(MatchError(platform.ErrOutcomeUnknown))
+		Expect(generate(newPool(Config{}), address)).To(MatchError(platform.ErrOutcomeUnknown))
+	})
+
+	It("end every wait by a bound, with the outcome unknown", func() {
+		pool := newPool(Config{OrderTimeout: shortTimeout, ToolTimeout: shortTimeout, StreamIdleTimeout: shortTimeout})
+		silent := serve(hold(""))
+		_, err := NewLog(pool, silent).Append(context.Background(), "s", nil)
+		Expect(err).To(MatchError(platform.ErrOutcomeUnknown))
+		_, err = NewTool(pool).Call(context.Background(), silent, platform.ToolRequest{})
+		Expect(err).To(MatchError(platform.ErrOutcomeUnknown))
+		Expect(generate(pool, silent)).To(And(MatchError(errAcceptTimeout), MatchError(platform.ErrOutcomeUnknown)))
+		Expect(generate(pool, serve(hold(firstItem)))).To(And(MatchError(errStreamIdle), MatchError(platform.ErrOutcomeUnknown)))
+	})
+
+	It("do not count a slow receiver as an idle engine", func() {
+		pool := newPool(Config{StreamIdleTimeout: shortTimeout})
+		address := serve(answer(http.StatusOK, firstItem+"event: chunk\ndata: {\"sequence\":2,\"finish\":\"stop\"}\n\n"))
+		err := NewEngine(pool).Generate(context.Background(), address, platform.GenerateRequest{RequestID: "r"}, func(platform.EngineChunk) error {
+			time.Sleep(2 * shortTimeout)
+			return nil
+		})
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	It("refuse log records with a gap", func() {
+		address := serve(answer(http.StatusOK, `{"records":[{"offset":3},{"offset":5}]}`))
+		_, err := NewLog(newPool(Config{}), address).Read(context.Background(), "s", 3, 10)
+		Expect(err).To(MatchError(platform.ErrMalformedAnswer))
+	})
+
+	It("bound the answer they hold", func() {
+		address := serve(answer(http.StatusOK, `{"output":"`+strings.Repeat("x", 100)+`"}`))
+		_, err := NewTool(newPool(Config{MaxAnswerBytes: 64})).Call(context.Background(), address, platform.ToolRequest{})
+		Expect(err).To(MatchError(platform.ErrMalformedAnswer))
+	})
+
+	DescribeTable("check the order of a stream",
+		func(resumeAfter uint64, items string, wanted []uint64, failure error) {
+			body := ""
+			for _, item := range strings.Fields(items) {
+				body += fmt.Sprintf("event: chunk\ndata: {%s}\n\n", item)
+			}
+			sequences, err := readGeneration([]byte(body), resumeAfter)
+			Expect(sequences).To(Equal(wanted))
+			if failure == nil {
+				Expect(err).NotTo(HaveOccurred())
+				return
+			}
+			Expect(err).To(MatchError(failure))
+		},
+		Entry("whole", uint64(0), `"sequence":1 "sequence":2,"finish":"stop"`, []uint64{1, 2}, nil),
+		Entry("resumed", uint64(4), `"sequence":5,"finish":"stop"`, []uint64{5}, nil),
+		Entry("finish repeated", uint64(5), `"sequence":5,"finish":"stop"`, []uint64{5}, nil),
+		Entry("gap", uint64(0), `"sequence":1 "sequence":3`, []uint64{1}, platform.ErrMalformedAnswer),
+		Entry("finish after a gap", uint64(0), `"sequence":1 "sequence":3,"finish":"stop"`, []uint64{1}, platform.ErrMalformedAnswer),
+		Entry("repeat", uint64(0), `"sequence":1 "sequence":1`, []uint64{1}, platform.ErrMalformedAnswer),
+		Entry("older finish after an item", uint64(0), `"sequence":1 "sequence":2 "sequence":1,"finish":"stop"`, []uint64{1, 2}, platform.ErrMalformedAnswer),
+		Entry("negative tokens", uint64(0), `"sequence":1,"tokens":-1`, nil, platform.ErrMalformedAnswer),
+		Entry("no finish", uint64(0), `"sequence":1`, []uint64{1}, platform.ErrOutcomeUnknown),
+	)
+
+	It("refuse a bad source address", func() {
+		_, err := NewClient(Config{SourceAddress: "x"})
+		Expect(err).To(HaveOccurred())
+	})
+})
--- a/internal/platform/httpadapter/generate.go
+++ b/internal/platform/httpadapter/generate.go
@@ -59,7 +59,9 @@
 	place  target
 	events *eventReader
 	// next is the sequence number that the next item must have.
-	next    uint64
+	next uint64
+	// begun is true once an item has come.
+	begun   bool
 	receive func(platform.EngineChunk) error
 }
 
@@ -123,6 +125,7 @@
 		return false, stream.place.malformed(err)
 	}
 	stream.next = chunk.Sequence + 1
+	stream.begun = true
 	err = stream.receive(platform.EngineChunk{
 		Sequence:     chunk.Sequence,
 		Text:         chunk.Text,
@@ -135,13 +138,13 @@
 	return chunk.Finish != "", err
 }
 
-// check refuses gaps and repeats. Only the finish may come again: an engine
-// repeats it to a stream that resumes after it.
+// check refuses gaps and repeats. Only the finish may come again, alone: an
+// engine repeats it to a stream that resumes after it.
 func (stream *generationStream) check(chunk wire.Chunk) error {
 	if chunk.Tokens < 0 || chunk.PromptTokens < 0 || chunk.CachedTokens < 0 || chunk.OutputTokens < 0 {
 		return errors.New("negative number of tokens")
 	}
-	repeated := chunk.Finish != "" && chunk.Sequence > 0 && chunk.Sequence < stream.next
+	repeated := !stream.begun && chunk.Finish != "" && chunk.Sequence > 0 && chunk.Sequence < stream.next
 	if chunk.Sequence != stream.next && !repeated {
 		return fmt.Errorf("item %d came where %d was due", chunk.Sequence, stream.next)
 	}
