Add the capacity tool and its page

Purpose: the target's size has to decide the design, so each role's needs are worked out from slopes, with the arithmetic shown.

Change: rehearsal/capacity computes rows, totals against the limits and two designs (today's defaults, planned changes) from three yaml files; 'rehearsal capacity' prints them; a test compares docs/CAPACITY.md.

--- /dev/null
+++ b/rehearsal/capacity/keeper.go
@@ -0,0 +1,25 @@
+package capacity
+
+// keeperLines are the costs of a scheduler that keeps one pool.
+func keeperLines(model *inputModel) []line {
+	const role = RoleKeeper
+	lines := keeperTalk(model, role, "pools")
+	return append(lines,
+		line{role, ControlBytes, "engines' load reports", "polled",
+			Multiply(model.get("engines"), Sum(model.get("http_bytes"), model.get("report_bytes")),
+				model.per("report_seconds"), model.per("pools"))},
+		line{role, ControlBytes, "engines' load reports, programs' blocks", "whole map in each; planned: changes only",
+			Multiply(model.get("programs"), model.get("report_program_bytes"), model.get("report_share"),
+				model.per("report_seconds"), model.per("pools"))},
+		line{role, ControlProcessor, "engines' load reports", "net/http and JSON",
+			Multiply(model.get("engines"), model.get("rpc_us"), model.per("report_seconds"), model.per("pools"))},
+		line{role, ControlProcessor, "engines' load reports, programs' blocks", "decoded whole; planned: changes only",
+			Multiply(model.get("programs"), model.get("report_program_us"), model.get("report_share"),
+				model.per("report_seconds"), model.per("pools"))},
+		line{role, ControlProcessor, "decisions", "filter, score, pick",
+			Multiply(model.get("requests"), model.get("keeper_call_us"), model.per("pools"))},
+		line{role, Memory, "programs with cache in the pool", "table of prefixes, corrected by reports",
+			Multiply(model.get("programs"), model.get("keeper_program_bytes"), model.per("pools"))},
+		line{role, Operations, "calls", "-", Multiply(model.get("requests"), model.per("pools"))},
+	)
+}
