--- a/rehearsal/experiment/collector.go
+++ b/rehearsal/experiment/collector.go
@@ -30,6 +30,8 @@
 type tierCollector struct {
 	name    string
 	latency *hdrhistogram.Histogram
+	// unloaded is the latency that the same programs would have alone.
+	unloaded *hdrhistogram.Histogram
 	// delay is latency less the program's own tool pauses.
 	delay      *hdrhistogram.Histogram
 	firstToken *hdrhistogram.Histogram
@@ -66,6 +68,7 @@
 		metrics.tiers = append(metrics.tiers, &tierCollector{
 			name:       tier.Name,
 			latency:    newHistogram(),
+			unloaded:   newHistogram(),
 			delay:      newHistogram(),
 			firstToken: newHistogram(),
 			tokenGap:   newHistogram(),
@@ -112,7 +115,9 @@
 		tier.completed++
 		record(tier.latency, latency)
 		record(tier.delay, latency-program.paused)
-		speed := idealLatency(program.program, simulation.config).Seconds() / latency.Seconds()
+		unloaded := idealLatency(program.program, simulation.config)
+		record(tier.unloaded, unloaded)
+		speed := unloaded.Seconds() / latency.Seconds()
 		tier.speedSum += speed
 		tier.speedSquares += speed * speed
 	case outcomeRefused:
@@ -171,6 +176,7 @@
 
 func (tier *tierCollector) merge(other *tierCollector) {
 	tier.latency.Merge(other.latency)
+	tier.unloaded.Merge(other.unloaded)
 	tier.delay.Merge(other.delay)
 	tier.firstToken.Merge(other.firstToken)
 	tier.tokenGap.Merge(other.tokenGap)
--- a/rehearsal/experiment/result.go
+++ b/rehearsal/experiment/result.go
@@ -43,7 +43,10 @@
 	Tier string `json:"tier"`
 	// Latency is of whole completed programs; Delay is without their own tool
 	// pauses.
-	Latency    Summary `json:"latency"`
+	Latency Summary `json:"latency"`
+	// Unloaded is the latency that the same programs would have alone with
+	// their history cached: the floor under any policy.
+	Unloaded   Summary `json:"unloaded"`
 	Delay      Summary `json:"delay"`
 	FirstToken Summary `json:"first_token"`
 	TokenGap   Summary `json:"token_gap"`
@@ -105,6 +108,7 @@
 	all := &tierCollector{
 		name:       "all",
 		latency:    newHistogram(),
+		unloaded:   newHistogram(),
 		delay:      newHistogram(),
 		firstToken: newHistogram(),
 		tokenGap:   newHistogram(),
@@ -125,6 +129,7 @@
 	return Tier{
 		Tier:         tier.name,
 		Latency:      summarize(tier.latency),
+		Unloaded:     summarize(tier.unloaded),
 		Delay:        summarize(tier.delay),
 		FirstToken:   summarize(tier.firstToken),
 		TokenGap:     summarize(tier.tokenGap),
--- a/rehearsal/experiment/run_test.go
+++ b/rehearsal/experiment/run_test.go
@@ -77,7 +77,7 @@
 	It("measures capacity as the rate of a saturated closed population", func() {
 		file := tiny()
 		file.LoseEngineAt = 0
-		rate, err := MeasureCapacity(file)
+		rate, err := MeasureCapacity(context.Background(), file, DefaultWorkers)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(rate).To(BeNumerically(">", 0))
 	})
--- a/rehearsal/experiment/runner.go
+++ b/rehearsal/experiment/runner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -16,14 +15,6 @@
 // Progress is told of each run that ended.
 type Progress func(done, total int, policy string, load float64, seed uint64, took time.Duration)
 
-// Saturation: capacity is the rate at which a closed population of programs
-// completes under one policy. The population holds populationFactor
-// programs for each slot of a batch, so that the queue never runs dry.
-const populationFactor = 2
-
-// unboundedWait switches admission off while capacity is measured.
-const unboundedWait = 24 * time.Hour
-
 // Run carries out every policy at every load with every seed, workers at a
 // time.
 func Run(ctx context.Context, file File, workers int, progress Progress) (Result, error) {
@@ -36,7 +27,7 @@
 		result.Policies = append(result.Policies, policy.Name)
 	}
 	if result.CapacityRate == 0 {
-		rate, err := MeasureCapacity(file)
+		rate, err := MeasureCapacity(ctx, file, workers)
 		if err != nil {
 			return Result{}, err
 		}
@@ -51,34 +42,6 @@
 	return result, nil
 }
 
-// MeasureCapacity returns the programs a second that complete under the file's
-// capacity policy when the engines are saturated, with the file's first seed.
-func MeasureCapacity(file File) (float64, error) {
-	config := file.runConfig(file.policy(file.capacityPolicy()), file.Seeds[0], 0)
-	for index := range config.Deployment.Tiers {
-		config.Deployment.Tiers[index].WaitBound = unboundedWait
-	}
-	config.EndlessPrograms = 0
-	config.LoseEngineAt = 0
-	config.Population = populationFactor * config.Deployment.ModelEngines * config.Engine.RunningLimit
-	metrics, err := run(config)
-	if err != nil {
-		return 0, err
-	}
-	rate := float64(metrics.completed) / (config.Duration - config.WarmUp).Seconds()
-	if rate == 0 {
-		return 0, fmt.Errorf("no program completed while capacity was measured: duration is too short")
-	}
-	return rate, nil
-}
-
-func (file File) capacityPolicy() string {
-	if file.CapacityPolicy == "" {
-		return file.Baseline
-	}
-	return file.CapacityPolicy
-}
-
 func (file File) policy(name string) Policy {
 	for _, policy := range file.Policies {
 		if policy.Name == name {
--- a/rehearsal/report/csv.go
+++ b/rehearsal/report/csv.go
@@ -14,7 +14,7 @@
 var csvHeader = []string{
 	"policy", "load", "seed", "tier",
 	"latency_mean", "latency_p50", "latency_p95", "latency_p99", "latency_max",
-	"delay_mean", "delay_p95",
+	"unloaded_mean", "unloaded_p95", "delay_mean", "delay_p95",
 	"first_token_mean", "first_token_p50", "first_token_p95", "first_token_p99",
 	"token_gap_mean", "token_gap_p50", "token_gap_p95", "token_gap_p99",
 	"queue_wait_mean", "queue_wait_p95", "queue_wait_max",
@@ -43,6 +43,7 @@
 	row := []string{cell.Policy, number(cell.Load), strconv.FormatUint(cell.Seed, 10), tier.Tier}
 	row = appendNumbers(row,
 		tier.Latency.Mean, tier.Latency.P50, tier.Latency.P95, tier.Latency.P99, tier.Latency.Max,
+		tier.Unloaded.Mean, tier.Unloaded.P95,
 		tier.Delay.Mean, tier.Delay.P95,
 		tier.FirstToken.Mean, tier.FirstToken.P50, tier.FirstToken.P95, tier.FirstToken.P99,
 		tier.TokenGap.Mean, tier.TokenGap.P50, tier.TokenGap.P95, tier.TokenGap.P99,
--- a/rehearsal/report/sections.go
+++ b/rehearsal/report/sections.go
@@ -41,7 +41,7 @@
 // programTable has a row for each policy and tier at a load.
 func programTable(result experiment.Result, load float64) *table {
 	table := &table{header: []string{
-		"policy", "tier", "mean", "p50", "p95", "p99", "less pauses: mean", "p95",
+		"policy", "tier", "mean", "p50", "p95", "p99", "alone: mean", "p95", "less pauses: mean", "p95",
 		"Jain", "arrived", "completed", "refused", "capped", "failed",
 	}}
 	for _, policy := range result.Policies {
@@ -60,6 +60,7 @@
 	return []string{
 		policy, tier.Tier,
 		whole(tier.Latency.Mean), whole(tier.Latency.P50), whole(tier.Latency.P95), whole(tier.Latency.P99),
+		whole(tier.Unloaded.Mean), whole(tier.Unloaded.P95),
 		whole(tier.Delay.Mean), whole(tier.Delay.P95),
 		decimal(tier.Fairness, 3),
 		strconv.Itoa(tier.Arrived), strconv.Itoa(tier.Completed), strconv.Itoa(tier.Refused),
