--- /dev/null
+++ b/rehearsal/standin/logservice/log_test.go
@@ -0,0 +1,71 @@
+package logservice
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/platform/httpadapter"
+	"github.com/magpielug/magpielug/rehearsal/standin/fault"
+)
+
+func newBench(config Config) (*Log, *httpadapter.Log) {
+	standIn := New(config)
+	server := httptest.NewServer(standIn.Handler())
+	pool, err := httpadapter.NewClient(httpadapter.Config{})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() {
+		pool.Close()
+		server.Close()
+	})
+	return standIn, httpadapter.NewLog(pool, strings.TrimPrefix(server.URL, "http://"))
+}
+
+var _ = Describe("Log stand-in", func() {
+	ctx := context.Background()
+
+	It("keeps the records of each stream in order, from offset 0", func() {
+		_, log := newBench(Config{})
+		for offset, text := range []string{"a", "b", "c"} {
+			Expect(log.Append(ctx, "one", []byte(text))).To(Equal(uint64(offset)))
+		}
+		Expect(log.Append(ctx, "two", []byte("x"))).To(BeZero())
+		Expect(log.Read(ctx, "one", 1, 2)).To(Equal([]platform.Record{{Offset: 1, Data: []byte("b")}, {Offset: 2, Data: []byte("c")}}))
+		Expect(log.Read(ctx, "one", 3, 2)).To(BeEmpty())
+		Expect(log.Read(ctx, "none", 0, 2)).To(BeEmpty())
+	})
+
+	It("keeps a record whose answer was lost, and none that it refused", func() {
+		standIn, log := newBench(Config{})
+		Expect(standIn.Faults().Set(fault.Order{Kind: fault.LoseAnswers, ForMillis: 600_000})).To(Succeed())
+		_, err := log.Append(ctx, "one", []byte("lost"))
+		Expect(err).To(MatchError(platform.ErrOutcomeUnknown))
+		Expect(standIn.Faults().Set(fault.Order{Kind: fault.Clear})).To(Succeed())
+		Expect(standIn.Faults().Set(fault.Order{Kind: fault.Outage, ForMillis: 600_000})).To(Succeed())
+		_, err = log.Append(ctx, "one", []byte("refused"))
+		Expect(err).To(MatchError(platform.ErrNotRun))
+		Expect(standIn.Faults().Set(fault.Order{Kind: fault.Clear})).To(Succeed())
+		Expect(log.Read(ctx, "one", 0, 9)).To(Equal([]platform.Record{{Offset: 0, Data: []byte("lost")}}))
+	})
+
+	It("refuses a record when it is full", func() {
+		_, log := newBench(Config{MaxBytes: 3})
+		_, err := log.Append(ctx, "one", []byte("1234"))
+		Expect(err).To(MatchError(platform.ErrNotRun))
+		_, err = log.Append(ctx, "", []byte("1"))
+		Expect(err).To(MatchError(platform.ErrNotRun))
+	})
+
+	It("ends an answer early rather than send records without bound", func() {
+		_, log := newBench(Config{})
+		for range 3 {
+			_, err := log.Append(ctx, "one", make([]byte, maxReadBytes/2+1))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(log.Read(ctx, "one", 0, 3)).To(HaveLen(1))
+	})
+})
--- /dev/null
+++ b/rehearsal/standin/machines/machines_test.go
@@ -0,0 +1,33 @@
+package machines
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/magpielug/magpielug/internal/platform/wire"
+)
+
+var _ = Describe("Machine list stand-in", func() {
+	It("shows each change its lag late", func() {
+		list := New(Config{Lag: time.Hour})
+		Expect(list.Register(wire.Machine{ID: "e1", Role: "engine", Address: "127.0.0.1:1"})).To(Succeed())
+		Expect(list.Leave("e1")).To(Succeed())
+		registered, left := list.versions[1].from, list.versions[2].from
+		Expect(list.shown(registered.Add(time.Hour - 1))).To(BeEmpty())
+		Expect(list.shown(registered.Add(time.Hour))[0].State).To(Equal("live"))
+		Expect(list.shown(left.Add(time.Hour))[0].State).To(Equal("leaving"))
+		Expect(list.Remove("e1")).To(Succeed())
+		Expect(list.shown(time.Now().Add(time.Hour))).To(BeEmpty())
+	})
+
+	It("refuses bad changes and keeps the list", func() {
+		list := New(Config{Machines: []wire.Machine{{ID: "e1", Role: "engine", Address: "127.0.0.1:1"}}})
+		Expect(list.Register(wire.Machine{ID: "e2"})).NotTo(Succeed())
+		Expect(list.Leave("e2")).NotTo(Succeed())
+		Expect(list.Remove("e2")).NotTo(Succeed())
+		Expect(list.SetLag(-1)).NotTo(Succeed())
+		Expect(list.shown(time.Now())).To(HaveLen(1))
+	})
+})
--- /dev/null
+++ b/rehearsal/standin/tool/tool_test.go
@@ -0,0 +1,60 @@
+package tool
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/platform/httpadapter"
+	"github.com/magpielug/magpielug/rehearsal/standin/fault"
+)
+
+var _ = Describe("Tool stand-in", func() {
+	var (
+		standIn *Tool
+		call    func(context.Context, platform.ToolRequest) (string, error)
+	)
+	credit := platform.ToolRequest{RequestID: "r#1", Program: "p", Service: "metering", Input: "credit [[delay=1ms]]"}
+
+	BeforeEach(func() {
+		standIn = New(Config{Service: "metering"})
+		server := httptest.NewServer(standIn.Handler())
+		pool, err := httpadapter.NewClient(httpadapter.Config{})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() {
+			pool.Close()
+			server.Close()
+		})
+		address := strings.TrimPrefix(server.URL, "http://")
+		call = func(ctx context.Context, request platform.ToolRequest) (string, error) {
+			return httpadapter.NewTool(pool).Call(ctx, address, request)
+		}
+	})
+
+	It("gives its expected answer and counts each run", func() {
+		for range 2 {
+			Expect(call(context.Background(), credit)).To(Equal(ExpectedOutput("p", "r", "metering", credit.Input)))
+		}
+		Expect(standIn.Runs()).To(Equal(map[string]int{"r#1": 2}))
+	})
+
+	It("counts a run whose answer is lost or hangs, and none that it refuses", func() {
+		Expect(standIn.Faults().Set(fault.Order{Kind: fault.LoseAnswers, ForMillis: 600_000})).To(Succeed())
+		_, err := call(context.Background(), credit)
+		Expect(err).To(MatchError(platform.ErrOutcomeUnknown))
+		Expect(standIn.Faults().Set(fault.Order{Kind: fault.Clear})).To(Succeed())
+		hanging := platform.ToolRequest{RequestID: "hangs", Service: "metering", Input: "[[hang]]"}
+		ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+		defer cancel()
+		_, err = call(ctx, hanging)
+		Expect(err).To(And(MatchError(platform.ErrOutcomeUnknown), MatchError(context.DeadlineExceeded)))
+		_, err = call(context.Background(), platform.ToolRequest{RequestID: "x", Service: "portal"})
+		Expect(err).To(MatchError(platform.ErrNotRun))
+		Expect(standIn.Runs()).To(Equal(map[string]int{"r#1": 1, "hangs": 1}))
+	})
+})
