--- a/internal/ledger/account.go
+++ b/internal/ledger/account.go
@@ -102,6 +102,15 @@
 	return account.holders[index].granted
 }
 
+// Returned returns a shard's returned total.
+func (account *Account) Returned(shard uint32) Micros {
+	index, known := account.find(shard)
+	if !known {
+		return 0
+	}
+	return account.holders[index].returned
+}
+
 // RaiseReturned takes back what a shard has given up. It fails, and changes
 // nothing, where the shard claims to return more than it was granted.
 func (account *Account) RaiseReturned(shard uint32, total Micros) *resultcode.Error {
