Serve a call end to end through separate processes

A caller's chat completion goes through a gateway to the leader of its program's shard (three replicas in three zones), is granted a slot by the pool's keeper, is committed as an intent, runs on a stand-in engine and streams back. Sub-agents' ids begin with their parent's, so a family shares a shard.

--- /dev/null
+++ b/cmd/rehearsal/main.go
@@ -0,0 +1,61 @@
+// Command rehearsal holds the stand-ins of the platform, the load and the
+// experiments. It is the test side of magpielug: it alone starts processes.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/magpielug/magpielug/rehearsal/command"
+)
+
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// arguments are the sub-commands.
+type arguments struct {
+	Run        *command.Run             `arg:"subcommand:run" help:"start everything, run a mixed set of programs, print the figures"`
+	Up         *command.Up              `arg:"subcommand:up" help:"start everything and keep it serving"`
+	Experiment *command.Experiment      `arg:"subcommand:experiment" help:"compare policies over the engine model"`
+	Capacity   *command.Capacity        `arg:"subcommand:capacity" help:"work out the capacity page"`
+	Engine     *command.StandInEngine   `arg:"subcommand:engine" help:"run a stand-in model engine"`
+	Log        *command.StandInLog      `arg:"subcommand:log" help:"run a stand-in log service"`
+	Machines   *command.StandInMachines `arg:"subcommand:machines" help:"run a stand-in machine list"`
+	Weights    *command.StandInWeights  `arg:"subcommand:weights" help:"run a stand-in weight store"`
+	Tool       *command.StandInTool     `arg:"subcommand:tool" help:"run a stand-in tool service"`
+}
+
+// Description heads the help text.
+func (arguments) Description() string {
+	return "rehearsal: magpielug's stand-ins, load and experiments"
+}
+
+type runner interface {
+	Run(ctx context.Context) error
+}
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	var given arguments
+	parser := arg.MustParse(&given)
+	chosen, found := parser.Subcommand().(runner)
+	if !found {
+		parser.WriteHelp(os.Stderr)
+		return exitUsage
+	}
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer cancel()
+	if err := chosen.Run(ctx); err != nil {
+		fmt.Fprintf(os.Stderr, "rehearsal: %v\n", err)
+		return exitFailed
+	}
+	return 0
+}
--- a/internal/gateway/program.go
+++ b/internal/gateway/program.go
@@ -7,6 +7,7 @@
 	"strconv"
 
 	schedulerv1 "github.com/magpielug/magpielug/api/scheduler/v1"
+	"github.com/magpielug/magpielug/internal/membership"
 	"github.com/magpielug/magpielug/internal/resultcode"
 )
 
@@ -62,7 +63,7 @@
 	if body.Parent != "" && !validIdentifier(body.Parent) {
 		return unknownProgram()
 	}
-	if err := exchange.nameNewProgram(); err != nil {
+	if err := exchange.nameNewProgram(body.Parent); err != nil {
 		return err
 	}
 	order := &schedulerv1.CreateProgramRequest{
@@ -82,17 +83,25 @@
 	return exchange.answerJSON(http.StatusCreated, programOf(created.GetProgram()))
 }
 
-func (exchange *exchange) nameNewProgram() error {
+// nameNewProgram gives the program its id. A sub-agent's begins with its
+// parent's, so that the whole family belongs to one shard.
+func (exchange *exchange) nameNewProgram(parent string) error {
 	requestID, err := requestIDOf(exchange.request.Header)
 	if err != nil {
 		return err
 	}
 	exchange.requestID = requestID
-	if requestID == "" {
-		exchange.programID = newIdentifier()
+	exchange.programID = newIdentifier()
+	if requestID != "" {
+		exchange.programID = derivedProgramID(purposeProgram, exchange.caller.Tenant, requestID)
+	}
+	if parent == "" {
 		return nil
 	}
-	exchange.programID = derivedProgramID(purposeProgram, exchange.caller.Tenant, requestID)
+	exchange.programID = parent + membership.FamilySeparator + exchange.programID
+	if !validIdentifier(exchange.programID) {
+		return resultcode.New(resultcode.BadRequest, "sub-agents are nested too deep")
+	}
 	return nil
 }
 
--- /dev/null
+++ b/internal/process/placement.go
@@ -0,0 +1,39 @@
+package process
+
+import (
+	"github.com/magpielug/magpielug/internal/membership"
+	"github.com/magpielug/magpielug/internal/platform"
+)
+
+// memberPlacement tells a gateway where shards should be, by the same rule as
+// the schedulers use.
+type memberPlacement struct{ shards uint32 }
+
+// ShardOf returns the shard of a program and its sub-agents.
+func (placement memberPlacement) ShardOf(program string) uint32 {
+	return membership.ShardOf(program, placement.shards)
+}
+
+// Order returns the addresses of the shard's home first, then those of the
+// others: any scheduler may know the leader.
+func (placement memberPlacement) Order(shard uint32, schedulers []platform.Machine) []string {
+	addresses := make(map[string]string, len(schedulers))
+	var processes []membership.Process
+	for _, machine := range schedulers {
+		addresses[machine.ID] = machine.Address
+		if machine.State == platform.MachineLive {
+			processes = append(processes, membership.Process{ID: machine.ID, Region: machine.Region, Zone: machine.Zone})
+		}
+	}
+	var order []string
+	for _, process := range membership.HomeOf(shard, processes) {
+		order = append(order, addresses[process.ID])
+		delete(addresses, process.ID)
+	}
+	for _, machine := range schedulers {
+		if address, left := addresses[machine.ID]; left {
+			order = append(order, address)
+		}
+	}
+	return order
+}
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -97,9 +97,30 @@
 	scheduler.loop.Post(ctx, FreshnessChanged{Fresh: fresh})
 }
 
-// Stop begins a planned stop: leadership is handed over.
-func (scheduler *Scheduler) Stop(ctx context.Context) {
-	scheduler.loop.Post(ctx, StopOrdered{})
+const (
+	handOverTime     = 3 * time.Second
+	handOverInterval = 100 * time.Millisecond
+)
+
+// HandOver begins a planned stop: nothing new is taken, and leadership goes to
+// other members. It returns once no shard is led here, or after handOverTime.
+func (scheduler *Scheduler) HandOver(ctx context.Context) {
+	bounded, cancel := context.WithTimeout(ctx, handOverTime)
+	defer cancel()
+	ticker := time.NewTicker(handOverInterval)
+	defer ticker.Stop()
+	for {
+		scheduler.loop.Post(bounded, StopOrdered{})
+		status, err := scheduler.Status(bounded, nil)
+		if err != nil || len(status.ShardsLed) == 0 {
+			return
+		}
+		select {
+		case <-bounded.Done():
+			return
+		case <-ticker.C:
+		}
+	}
 }
 
 // Status returns the process's own view of itself.
--- /dev/null
+++ b/rehearsal/cluster/cluster.go
@@ -0,0 +1,286 @@
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/platform/wire"
+)
+
+const (
+	stopBound    = 15 * time.Second
+	readyBound   = 60 * time.Second
+	readyRetry   = 100 * time.Millisecond
+	machineLagMs = "300ms"
+)
+
+// Binaries are the two programs of the repository.
+type Binaries struct {
+	Magpielug string
+	Rehearsal string
+}
+
+// Cluster is a running plan.
+type Cluster struct {
+	plan      Plan
+	binaries  Binaries
+	directory string
+	children  map[string]*child
+	// order is the order of starting; it is stopped in reverse.
+	order []string
+}
+
+// Start starts everything of the plan and waits until it serves. Logs and
+// settings files go into directory.
+func Start(ctx context.Context, plan Plan, binaries Binaries, directory string) (*Cluster, error) {
+	if err := plan.checkPorts(); err != nil {
+		return nil, err
+	}
+	if err := os.MkdirAll(directory, 0o755); err != nil {
+		return nil, eris.Wrap(err, "make the directory of the run")
+	}
+	cluster := &Cluster{plan: plan, binaries: binaries, directory: directory, children: make(map[string]*child)}
+	if err := cluster.startAll(ctx); err != nil {
+		cluster.Stop()
+		return nil, err
+	}
+	return cluster, nil
+}
+
+// checkPorts finds a taken port before anything is started.
+func (plan Plan) checkPorts() error {
+	addresses := []string{plan.LogAddress(), plan.MachinesAddress(), plan.WeightsAddress()}
+	for _, machine := range plan.Machines() {
+		addresses = append(addresses, machine.Address)
+	}
+	for _, address := range addresses {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return eris.Errorf("address %s is taken or not usable (choose another port with --port): %v", address, err)
+		}
+		listener.Close()
+	}
+	return nil
+}
+
+func (cluster *Cluster) startAll(ctx context.Context) error {
+	if err := cluster.startPlatform(ctx); err != nil {
+		return err
+	}
+	for _, machine := range cluster.plan.Machines() {
+		if err := cluster.StartMachine(ctx, machine); err != nil {
+			return err
+		}
+	}
+	if err := cluster.publish(ctx); err != nil {
+		return err
+	}
+	return cluster.awaitReady(ctx)
+}
+
+func (cluster *Cluster) startPlatform(ctx context.Context) error {
+	plan := cluster.plan
+	services := []struct {
+		id, address string
+		arguments   []string
+	}{
+		{"log", plan.LogAddress(), nil},
+		{"machines", plan.MachinesAddress(), []string{"--lag", machineLagMs}},
+		{"weights", plan.WeightsAddress(), nil},
+	}
+	for _, service := range services {
+		arguments := append([]string{service.id, "--listen", service.address}, service.arguments...)
+		if err := cluster.startChild(service.id, cluster.binaries.Rehearsal, arguments); err != nil {
+			return err
+		}
+		if err := awaitListening(ctx, service.address); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// StartMachine starts a machine's process and puts it on the machine list.
+func (cluster *Cluster) StartMachine(ctx context.Context, machine Machine) error {
+	switch machine.Role {
+	case platform.RoleEngine:
+		return cluster.startEngine(machine)
+	case platform.RoleTool:
+		return cluster.startTool(machine)
+	}
+	path, err := cluster.plan.writeSettings(cluster.directory, machine)
+	if err != nil {
+		return err
+	}
+	arguments := []string{string(machine.Role), "--settings", path}
+	if err := cluster.startChild(machine.ID, cluster.binaries.Magpielug, arguments); err != nil {
+		return err
+	}
+	return cluster.register(ctx, machine)
+}
+
+func (cluster *Cluster) startEngine(machine Machine) error {
+	return cluster.startChild(machine.ID, cluster.binaries.Rehearsal, append([]string{"engine",
+		"--model", machine.Service,
+		"--blocks", strconv.Itoa(cluster.plan.Blocks),
+		"--running-limit", strconv.Itoa(cluster.plan.RunningLimit),
+		"--weights", cluster.plan.WeightsAddress(),
+	}, cluster.registration(machine)...))
+}
+
+func (cluster *Cluster) startTool(machine Machine) error {
+	return cluster.startChild(machine.ID, cluster.binaries.Rehearsal, append([]string{"tool",
+		"--service", machine.Service,
+	}, cluster.registration(machine)...))
+}
+
+func (cluster *Cluster) registration(machine Machine) []string {
+	return []string{
+		"--listen", machine.Address,
+		"--id", machine.ID,
+		"--region", Region,
+		"--zone", machine.Zone,
+		"--machines", cluster.plan.MachinesAddress(),
+	}
+}
+
+func (cluster *Cluster) startChild(id, program string, arguments []string) error {
+	started, err := startChild(cluster.directory, id, program, arguments)
+	if err != nil {
+		return err
+	}
+	if _, again := cluster.children[id]; !again {
+		cluster.order = append(cluster.order, id)
+	}
+	cluster.children[id] = started
+	return nil
+}
+
+func (cluster *Cluster) register(ctx context.Context, machine Machine) error {
+	return postJSON(ctx, cluster.plan.MachinesAddress(), registerPath, wire.Machine{
+		ID:      machine.ID,
+		Role:    string(machine.Role),
+		Region:  Region,
+		Zone:    machine.Zone,
+		Address: machine.Address,
+		State:   string(platform.MachineLive),
+	})
+}
+
+// Machine finds a machine of the plan by its id.
+func (cluster *Cluster) Machine(id string) (Machine, bool) {
+	for _, machine := range cluster.plan.Machines() {
+		if machine.ID == id {
+			return machine, true
+		}
+	}
+	return Machine{}, false
+}
+
+// Plan returns what runs.
+func (cluster *Cluster) Plan() Plan { return cluster.plan }
+
+// Gateways lists the addresses that callers can use.
+func (cluster *Cluster) Gateways() []string { return cluster.addresses(platform.RoleGateway) }
+
+// Engines lists the engines' addresses.
+func (cluster *Cluster) Engines() []string { return cluster.addresses(platform.RoleEngine) }
+
+func (cluster *Cluster) addresses(role platform.MachineRole) []string {
+	var addresses []string
+	for _, machine := range cluster.plan.Machines() {
+		if machine.Role == role {
+			addresses = append(addresses, machine.Address)
+		}
+	}
+	return addresses
+}
+
+// Kill ends a machine's process without warning.
+func (cluster *Cluster) Kill(id string) error { return cluster.signal(id, syscall.SIGKILL) }
+
+// Freeze stops a machine's process from running, and Wake lets it go on.
+func (cluster *Cluster) Freeze(id string) error { return cluster.signal(id, syscall.SIGSTOP) }
+
+// Wake lets a frozen process go on.
+func (cluster *Cluster) Wake(id string) error { return cluster.signal(id, syscall.SIGCONT) }
+
+func (cluster *Cluster) signal(id string, signal syscall.Signal) error {
+	child := cluster.children[id]
+	if child == nil {
+		return eris.Errorf("no process %q", id)
+	}
+	return child.signal(signal)
+}
+
+// StopMachine asks one process to stop and waits for its end.
+func (cluster *Cluster) StopMachine(id string) error {
+	child := cluster.children[id]
+	if child == nil {
+		return eris.Errorf("no process %q", id)
+	}
+	return child.stop(stopBound)
+}
+
+// Stop ends every process that was started, the last one first.
+func (cluster *Cluster) Stop() {
+	for index := len(cluster.order) - 1; index >= 0; index-- {
+		child := cluster.children[cluster.order[index]]
+		if child.running() {
+			child.signal(syscall.SIGCONT)
+			child.signal(syscall.SIGTERM)
+		}
+	}
+	for _, id := range cluster.order {
+		child := cluster.children[id]
+		if child.running() {
+			child.stop(stopBound)
+		}
+	}
+}
+
+// awaitReady waits until every gateway and scheduler says it is ready.
+func (cluster *Cluster) awaitReady(ctx context.Context) error {
+	bounded, cancel := context.WithTimeout(ctx, readyBound)
+	defer cancel()
+	for _, machine := range cluster.plan.Machines() {
+		if machine.Role != platform.RoleGateway && machine.Role != platform.RoleScheduler {
+			continue
+		}
+		for !isReady(bounded, machine.Address) {
+			if !cluster.children[machine.ID].running() {
+				return eris.Errorf("%s ended at once; see %s/%s.log", machine.ID, cluster.directory, machine.ID)
+			}
+			if bounded.Err() != nil {
+				return eris.Errorf("%s was not ready within %s; see %s/%s.log", machine.ID, readyBound, cluster.directory, machine.ID)
+			}
+			time.Sleep(readyRetry)
+		}
+	}
+	return nil
+}
+
+// awaitListening waits until an address takes connections.
+func awaitListening(ctx context.Context, address string) error {
+	bounded, cancel := context.WithTimeout(ctx, readyBound)
+	defer cancel()
+	dialer := net.Dialer{}
+	for {
+		connection, err := dialer.DialContext(bounded, "tcp", address)
+		if err == nil {
+			return connection.Close()
+		}
+		if bounded.Err() != nil {
+			return fmt.Errorf("%s does not answer: %w", address, err)
+		}
+		time.Sleep(readyRetry)
+	}
+}
