--- a/rehearsal/capacity/capacity_test.go
+++ b/rehearsal/capacity/capacity_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/magpielug/magpielug/rehearsal/capacity"
+	"github.com/magpielug/magpielug/rehearsal/capacity/slope"
 )
 
 var update = flag.Bool("update", false, "write the tables of docs/CAPACITY.md")
@@ -66,6 +67,20 @@
 	)
 })
 
+var _ = Describe("slopes", func() {
+	It("has the sizes that messages have", func() {
+		used := map[string]float64{}
+		for _, known := range loadDefaults().Slopes {
+			used[known.Name] = known.Value
+		}
+		sizes, err := slope.Sizes()
+		Expect(err).NotTo(HaveOccurred())
+		for _, size := range sizes {
+			Expect(used).To(HaveKeyWithValue(size.Name, size.Values[0]))
+		}
+	})
+})
+
 var _ = Describe("inputs", func() {
 	It("fails on a missing, doubled or unused one", func() {
 		for _, change := range []func(*capacity.Inputs){
