--- a/rehearsal/command/registration.go
+++ b/rehearsal/command/registration.go
@@ -67,12 +67,13 @@
 	}
 }
 
-// remove takes the machine off the list; the list may be gone already.
-func (entry *Registration) remove(ctx context.Context) {
+// order gives the list an order about the machine; the list may be gone
+// already.
+func (entry *Registration) order(ctx context.Context, path string) {
 	if entry.Machines == "" {
 		return
 	}
-	_ = postAdmin(ctx, entry.Machines, machines.PathRemove, machines.MachineID{ID: entry.ID})
+	_ = postAdmin(ctx, entry.Machines, path, machines.MachineID{ID: entry.ID})
 }
 
 // postAdmin posts an order to the machine list's admin endpoints.
--- a/rehearsal/command/standin.go
+++ b/rehearsal/command/standin.go
@@ -147,7 +147,8 @@
 }
 
 // serveStandIn serves until ctx ends, then lets requests under way finish. With
-// a registration the stand-in is on the machine list meanwhile.
+// a registration the stand-in is on the machine list meanwhile: live, then
+// leaving, then gone.
 func serveStandIn(ctx context.Context, listen string, handler http.Handler, entry *Registration) error {
 	server, err := httpserver.Start(listen, handler, httpserver.Limits{
 		MaxConnections: standInInFlight,
@@ -165,7 +166,8 @@
 	drain, cancel := context.WithTimeout(context.WithoutCancel(ctx), standInDrain)
 	defer cancel()
 	if entry != nil {
-		entry.remove(drain)
+		entry.order(drain, machines.PathLeave)
+		defer entry.order(drain, machines.PathRemove)
 	}
 	err = server.Shutdown(drain)
 	if errors.Is(err, context.DeadlineExceeded) {
--- a/rehearsal/enginemodel/engine_test.go
+++ b/rehearsal/enginemodel/engine_test.go
@@ -56,7 +56,9 @@
 		Expect(stats.HeldBlockSeconds).To(BeNumerically("~", 20, 0.1))
 		Expect(stats.WastedShare()).To(Equal(1.0))
 		Expect(engine.Release(10*time.Second, "p")).To(Equal(2))
-		Expect(engine.Stats(99 * time.Second).HeldBlockSeconds).To(Equal(stats.HeldBlockSeconds))
+		released := engine.Stats(99 * time.Second)
+		Expect(released.HeldBlockSeconds).To(Equal(stats.HeldBlockSeconds))
+		Expect(released.IdleBlockSeconds).To(BeNumerically("~", 20, 0.1))
 	})
 
 	It("admits by priority, then by submission", func() {
@@ -81,11 +83,49 @@
 		config.Blocks = 8
 		engine := New(config)
 		Expect(engine.Submit(0, Request{ID: "low", Program: "a", PromptTokens: 8, OutputTokens: 20, OutputSeed: 1})).To(Succeed())
+		var finished []string
 		Expect(engine.Submit(0, Request{ID: "high", Program: "b", PromptTokens: 8, OutputTokens: 20, OutputSeed: 2, Priority: 1})).To(Succeed())
-		finished, now := runUntilIdle(engine, 0)
-		Expect(engine.Stats(now).Preemptions).To(BeNumerically(">", 0))
-		Expect(finished).To(HaveLen(2))
-		Expect(finished["low"].OutputTokens).To(Equal(20))
+		for now, busy := engine.NextStep(0); busy; now, busy = engine.NextStep(now) {
+			for _, output := range engine.Step(now) {
+				if output.Finished {
+					finished = append(finished, output.RequestID)
+					Expect(output.OutputTokens).To(Equal(20))
+				}
+			}
+		}
+		Expect(finished).To(Equal([]string{"high", "low"}))
+		stats := engine.Stats(time.Minute)
+		Expect(stats.Preemptions).To(BeNumerically(">", 0))
+		// The preempted request found its own blocks again: no reuse.
+		Expect(stats.WastedShare()).To(BeNumerically("~", 1, 1e-9))
+	})
+
+	It("evicts the end of a prefix before its beginning", func() {
+		config := smallConfig()
+		config.Blocks = 8
+		engine := New(config)
+		prompt := Request{ID: "1", Program: "a", Prefix: ExtendPrefix(nil, 1, 20, 4), PromptTokens: 20, OutputTokens: 1}
+		Expect(engine.Submit(0, prompt)).To(Succeed())
+		_, now := runUntilIdle(engine, 0)
+		Expect(engine.Submit(now, Request{ID: "2", Program: "b", PromptTokens: 20, OutputTokens: 1, OutputSeed: 2})).To(Succeed())
+		_, now = runUntilIdle(engine, now)
+		Expect(engine.Stats(now).Evictions).To(Equal(uint64(2)))
+		prompt.ID = "3"
+		Expect(engine.Submit(now, prompt)).To(Succeed())
+		finished, _ := runUntilIdle(engine, now)
+		Expect(finished["3"].CachedTokens).To(Equal(12))
+	})
+
+	It("takes time for the base, each decoding sequence and each prompt token", func() {
+		config := smallConfig()
+		config.StepBase, config.StepPerSequence, config.StepPerPrefillToken = time.Second, time.Millisecond, time.Microsecond
+		engine := New(config)
+		Expect(engine.Submit(0, Request{ID: "1", PromptTokens: 20, OutputTokens: 3})).To(Succeed())
+		Expect(engine.Submit(0, Request{ID: "2", PromptTokens: 4, OutputTokens: 2})).To(Succeed())
+		_, now := runUntilIdle(engine, 0)
+		// Steps: prompt tokens 8, 8 and 8, both first tokens in the third; then
+		// two decoding sequences, then one.
+		Expect(now).To(Equal(5*time.Second + 3*time.Millisecond + 24*time.Microsecond))
 	})
 
 	It("exports a program's blocks and imports them elsewhere for reuse", func() {
@@ -98,6 +138,8 @@
 		Expect(target.Submit(now, Request{ID: "2", Program: "p", Prefix: OutputPrefix(first, 4), PromptTokens: 18, OutputTokens: 1})).To(Succeed())
 		finished, _ := runUntilIdle(target, now)
 		Expect(finished["2"].CachedTokens).To(Equal(16))
+		Expect(target.Release(now, "p")).To(Equal(4))
+		Expect(target.Stats(now).BlocksUsed).To(BeZero())
 	})
 
 	It("refuses what it can never run", func() {
