--- /dev/null
+++ b/internal/command/operator.go
@@ -0,0 +1,193 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	operatorv1 "github.com/magpielug/magpielug/api/operator/v1"
+	"github.com/magpielug/magpielug/internal/httpclient"
+	"github.com/magpielug/magpielug/internal/operator"
+	"github.com/magpielug/magpielug/internal/resultcode"
+	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	keyVariable   = "MAGPIELUG_OPERATOR_KEY"
+	authorization = "Authorization"
+	bearerPrefix  = "Bearer "
+	defaultScheme = "http://"
+	outputTable   = "table"
+	outputJSON    = "json"
+)
+
+// OperatorCommand speaks the operators' schema to a gateway.
+type OperatorCommand struct {
+	Address []string      `arg:"--address,separate,env:MAGPIELUG_ADDRESS" placeholder:"IP:PORT" help:"gateway to ask; further ones are asked in turn when one does not answer"`
+	KeyFile string        `arg:"--key-file,env:MAGPIELUG_OPERATOR_KEY_FILE" placeholder:"FILE" help:"file with the operators' key; without it the key is taken from MAGPIELUG_OPERATOR_KEY"`
+	Output  string        `arg:"--output" default:"table" placeholder:"FORMAT" help:"table or json"`
+	Timeout time.Duration `arg:"--timeout" default:"15s" help:"longest wait for one gateway's answer"`
+
+	Publish     *PublishCommand     `arg:"subcommand:publish" help:"publish a whole configuration"`
+	Get         *GetCommand         `arg:"subcommand:get" help:"show the configuration in force on the gateway"`
+	Nodes       *NodesCommand       `arg:"subcommand:nodes" help:"list all processes with their configuration version"`
+	Drain       *DrainCommand       `arg:"subcommand:drain" help:"give a back end no new work"`
+	Programs    *ProgramsCommand    `arg:"subcommand:programs" help:"list programs"`
+	StopProgram *StopProgramCommand `arg:"subcommand:stop-program" help:"stop a program and release its cache"`
+	Explain     *ExplainCommand     `arg:"subcommand:explain" help:"show the last decisions taken for a call"`
+}
+
+// usageError is a wrong flag or input file of an operator's command.
+type usageError struct{ reason string }
+
+func (failure *usageError) Error() string { return failure.reason }
+
+// action is one operator sub-command.
+type action interface {
+	// call makes the request and returns the reply.
+	call(ctx context.Context, client operatorv1.Operator) (proto.Message, error)
+	// table writes the reply for people.
+	table(reply proto.Message) table
+}
+
+func (command *OperatorCommand) action() action {
+	switch {
+	case command.Publish != nil:
+		return command.Publish
+	case command.Get != nil:
+		return command.Get
+	case command.Nodes != nil:
+		return command.Nodes
+	case command.Drain != nil:
+		return command.Drain
+	case command.Programs != nil:
+		return command.Programs
+	case command.StopProgram != nil:
+		return command.StopProgram
+	}
+	return command.Explain
+}
+
+func (command *OperatorCommand) run(ctx context.Context, streams Streams) int {
+	chosen := command.action()
+	reply, err := command.ask(ctx, chosen)
+	if err != nil {
+		return command.fail(streams, err)
+	}
+	err = command.print(streams, chosen, reply)
+	if err != nil {
+		return command.fail(streams, err)
+	}
+	return ExitOK
+}
+
+// ask calls the gateways in turn until one answers. Every request of the
+// schema may be repeated: a change carries its change id.
+func (command *OperatorCommand) ask(ctx context.Context, chosen action) (proto.Message, error) {
+	key, err := command.check()
+	if err != nil {
+		return nil, err
+	}
+	ctx, err = withKey(ctx, key)
+	if err != nil {
+		return nil, err
+	}
+	httpClient, err := httpclient.New(httpclient.Options{Timeout: command.Timeout})
+	if err != nil {
+		return nil, err
+	}
+	var failures []error
+	for _, address := range command.Address {
+		client := operatorv1.NewOperatorProtobufClient(baseURL(address), httpClient)
+		reply, callErr := chosen.call(ctx, client)
+		if callErr == nil || answered(callErr) {
+			return reply, callErr
+		}
+		failures = append(failures, fmt.Errorf("%s: %w", address, callErr))
+	}
+	return nil, errors.Join(failures...)
+}
+
+// answered tells whether err is an answer that another gateway would give too.
+func answered(err error) bool {
+	var usage *usageError
+	if errors.As(err, &usage) {
+		return true
+	}
+	failure := operator.FromTwirp(err)
+	return failure != nil && !isUnavailable(failure.Code)
+}
+
+// check looks over the flags and returns the operators' key.
+func (command *OperatorCommand) check() (string, error) {
+	if command.Output != outputTable && command.Output != outputJSON {
+		return "", &usageError{fmt.Sprintf("--output: %q is none of table, json", command.Output)}
+	}
+	if len(command.Address) == 0 {
+		return "", &usageError{"--address: missing"}
+	}
+	key := os.Getenv(keyVariable)
+	if command.KeyFile != "" {
+		content, err := os.ReadFile(command.KeyFile)
+		if err != nil {
+			return "", &usageError{fmt.Sprintf("--key-file: %v", err)}
+		}
+		key = string(content)
+	}
+	key = strings.TrimSpace(key)
+	if key == "" {
+		return "", &usageError{"the operators' key is missing: use --key-file or " + keyVariable}
+	}
+	return key, nil
+}
+
+func withKey(ctx context.Context, key string) (context.Context, error) {
+	header := http.Header{}
+	header.Set(authorization, bearerPrefix+key)
+	return twirp.WithHTTPRequestHeaders(ctx, header)
+}
+
+func baseURL(address string) string {
+	if strings.Contains(address, "://") {
+		return address
+	}
+	return defaultScheme + address
+}
+
+// fail writes what went wrong and returns the exit code it stands for.
+func (command *OperatorCommand) fail(streams Streams, err error) int {
+	var usage *usageError
+	if errors.As(err, &usage) {
+		fmt.Fprintf(streams.Errors, "%s: %v\n", programName, err)
+		return ExitUsage
+	}
+	failure := operator.FromTwirp(err)
+	if failure == nil {
+		fmt.Fprintf(streams.Errors, "%s: no gateway answered: %s\n", programName, oneLine(err))
+		return ExitUnavailable
+	}
+	command.printFailure(streams, failure)
+	if isUnavailable(failure.Code) {
+		return ExitUnavailable
+	}
+	return ExitRefused
+}
+
+// isUnavailable tells whether a code says that the same request can succeed
+// later or at another gateway.
+func isUnavailable(code resultcode.Code) bool {
+	switch resultcode.Lookup(code).Status {
+	case http.StatusServiceUnavailable, http.StatusBadGateway, http.StatusGatewayTimeout:
+		return true
+	}
+	return false
+}
+
+func oneLine(err error) string {
+	return strings.Join(strings.Fields(err.Error()), " ")
+}
--- /dev/null
+++ b/internal/command/output.go
@@ -0,0 +1,115 @@
+package command
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	operatorv1 "github.com/magpielug/magpielug/api/operator/v1"
+	"github.com/magpielug/magpielug/internal/httpserver"
+	"github.com/magpielug/magpielug/internal/resultcode"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+)
+
+// columnGap is the number of spaces between columns.
+const columnGap = 2
+
+// table is a reply in rows of columns.
+type table struct {
+	header []string
+	rows   [][]string
+}
+
+func newTable(header ...string) table { return table{header: header} }
+
+// add returns the table with one more row.
+func (rows table) add(cells ...any) table {
+	row := make([]string, len(cells))
+	for index, cell := range cells {
+		row[index] = fmt.Sprint(cell)
+	}
+	rows.rows = append(rows.rows, row)
+	return rows
+}
+
+// configurationTable has a row for each part of a configuration.
+func configurationTable(configuration *operatorv1.Configuration) table {
+	rows := newTable("PART", "NAME", "DETAIL")
+	for _, service := range configuration.GetServices() {
+		rows = rows.add("service", service.GetName(), detail(service))
+	}
+	for _, tier := range configuration.GetTiers() {
+		shown := proto.CloneOf(tier)
+		shown.Name, shown.Tenant, shown.KeySha256 = "", "", ""
+		rows = rows.add("tier", tier.GetTenant()+"/"+tier.GetName(), detail(shown))
+	}
+	for _, kind := range configuration.GetProgramKinds() {
+		rows = rows.add("program kind", kind.GetName(), detail(kind))
+	}
+	if configuration.GetScheduling() != nil {
+		rows = rows.add("scheduling", "", detail(configuration.GetScheduling()))
+	}
+	for _, backEnd := range configuration.GetDrainedBackEnds() {
+		rows = rows.add("drained", backEnd, "")
+	}
+	return rows
+}
+
+// detail writes a message's fields on one line.
+func detail(message proto.Message) string {
+	content, err := protojson.MarshalOptions{UseProtoNames: true}.Marshal(message)
+	if err != nil {
+		return err.Error()
+	}
+	var fields map[string]json.RawMessage
+	err = json.Unmarshal(content, &fields)
+	if err != nil {
+		return err.Error()
+	}
+	delete(fields, "name")
+	var parts []string
+	for _, name := range slices.Sorted(maps.Keys(fields)) {
+		parts = append(parts, name+"="+strings.ReplaceAll(string(fields[name]), `"`, ""))
+	}
+	return strings.Join(parts, " ")
+}
+
+// print writes a reply as a table or as JSON.
+func (command *OperatorCommand) print(streams Streams, chosen action, reply proto.Message) error {
+	if command.Output == outputJSON {
+		options := protojson.MarshalOptions{Multiline: true, UseProtoNames: true, EmitUnpopulated: true}
+		content, err := options.Marshal(reply)
+		if err != nil {
+			return err
+		}
+		_, err = fmt.Fprintf(streams.Output, "%s\n", content)
+		return err
+	}
+	shown := chosen.table(reply)
+	writer := tabwriter.NewWriter(streams.Output, 0, 0, columnGap, ' ', 0)
+	fmt.Fprintln(writer, strings.Join(shown.header, "\t"))
+	for _, row := range shown.rows {
+		fmt.Fprintln(writer, strings.Join(row, "\t"))
+	}
+	return writer.Flush()
+}
+
+// printFailure writes a refusal as one line, as JSON where asked for.
+func (command *OperatorCommand) printFailure(streams Streams, failure *resultcode.Error) {
+	if command.Output == outputJSON {
+		content, err := json.Marshal(httpserver.ErrorBody{Error: httpserver.NewErrorDetail(failure)})
+		if err == nil {
+			fmt.Fprintf(streams.Errors, "%s\n", content)
+			return
+		}
+	}
+	line := failure.Error()
+	if failure.RetryAfter > 0 {
+		line = fmt.Sprintf("%s (try again in %v)", line, failure.RetryAfter)
+	}
+	fmt.Fprintf(streams.Errors, "%s: %s\n", programName, line)
+}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -21,6 +21,9 @@
 type Override struct {
 	Key   string
 	Value string
+	// OnlyIfMissing leaves a key alone that the file or an earlier override
+	// sets.
+	OnlyIfMissing bool
 }
 
 // Load reads the file at path (none where path is empty), puts overrides over
@@ -58,6 +61,9 @@
 
 func applyOverrides(tree *koanf.Koanf, overrides []Override) error {
 	for _, override := range overrides {
+		if override.OnlyIfMissing && tree.Exists(override.Key) {
+			continue
+		}
 		var value any
 		err := yamlv3.Unmarshal([]byte(override.Value), &value)
 		if err != nil {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -37,6 +37,8 @@
 			{Key: "scheduler.lease", Value: "300ms"},
 			{Key: "limits.body", Value: "1MiB"},
 			{Key: "configuration.serve_stale", Value: "true"},
+			{Key: "node.role", Value: "gateway", OnlyIfMissing: true},
+			{Key: "log.level", Value: "debug", OnlyIfMissing: true},
 		})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(loaded.Node.Zone).To(Equal("b"))
@@ -48,6 +50,8 @@
 		Expect(loaded.Limits.Body).To(Equal(MiB))
 		Expect(loaded.Configuration.ServeStale).To(BeTrue())
 		Expect(loaded.Scheduler.Replicas).To(Equal(3))
+		Expect(loaded.Node.Role).To(Equal(RoleScheduler))
+		Expect(loaded.Log.Level).To(Equal("debug"))
 	})
 
 	DescribeTable("refuses a wrong key in one line that names it",
