--- a/rehearsal/standin/engine/engine_test.go
+++ b/rehearsal/standin/engine/engine_test.go
@@ -280,6 +280,22 @@
 		}, settleTimeout).Should(BeTrue())
 	})
 
+	It("switches weights once the requests under way are done, with an empty cache", func() {
+		bench := newBench(Config{LoadDuration: time.Millisecond})
+		asked := request("a", "hello [[tokens=100]]")
+		bench.generateFirst(asked, 1)
+		Expect(bench.client.Load(context.Background(), bench.address, testModel, "", "2", platform.Fence{})).To(Succeed())
+		asked.ResumeAfter = 1
+		seen, err := bench.generate(asked)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(seen.text).To(Equal(expected(asked)[tokenBytes:]))
+		Eventually(func() (string, error) {
+			report, err := bench.client.Report(context.Background(), bench.address)
+			return report.Version, err
+		}, settleTimeout).Should(Equal("2"))
+		Expect(bench.Stats().BlocksUsed).To(BeZero())
+	})
+
 	It("publishes cache events with rising sequence numbers and gaps", func() {
 		bench := newBench(Config{ReportInterval: time.Millisecond, EventDelay: time.Millisecond, EventLoss: 0.5, EventSeed: 3})
 		for _, id := range []string{"1", "2", "3", "4", "5", "6", "7", "8"} {
