Hold every tier to its budget by escrow of its shards

Purpose: a tier's budget is one account in one shard; each shard that runs its calls holds escrow, asked for before it is needed. A leader with an older configuration can't bring an old budget back (the entry carries the version).

--- a/internal/scheduler/call_ask.go
+++ b/internal/scheduler/call_ask.go
@@ -105,25 +105,30 @@
 	return resultcode.New(resultcode.KindNotAllowed, "kind %s may not call %s", kind.Name, target)
 }
 
-// acceptCall proposes the call, and before it the program where the call makes
-// one of its own.
+// acceptCall proposes the call, once the shard's escrow of the tier covers it.
 func (host *host) acceptCall(ask AskID, request *schedulerv1.CallRequest) {
-	tier, _ := host.core.configuration.Tier(request.Caller.Tenant, request.Caller.Tier)
-	if request.SingleCall && host.state.Program(request.ProgramId) == nil {
-		created := &shardv1.ProgramCreated{
-			ProgramId:  request.ProgramId,
-			Tenant:     request.Caller.Tenant,
-			Tier:       request.Caller.Tier,
-			CapMicros:  tier.ProgramCapMicros,
-			SingleCall: true,
-		}
-		entry := &shardv1.Entry{Change: &shardv1.Entry_ProgramCreated{ProgramCreated: created}}
-		if failure := host.propose(entry, ignoredWaiter{}); failure != nil {
-			host.core.declineProposal(ask, host.number, failure)
-			return
-		}
+	tier, found := host.core.configuration.Tier(request.Caller.Tenant, request.Caller.Tier)
+	if !found {
+		host.core.decline(ask, resultcode.New(resultcode.BadKey, "no tier %s", request.Caller.Tier))
+		return
+	}
+	accepted := acceptedCall(request, tier)
+	worstCase := host.worstCase(request.ProgramId, accepted)
+	if worstCase > tier.BudgetMicros {
+		host.core.decline(ask, budgetExhausted(worstCase))
+		return
+	}
+	if !host.coversCall(tierKey(tier), worstCase) {
+		host.parkCall(parkedCall{ask: ask, request: request, worstCase: worstCase, since: host.core.now})
+		return
+	}
+	if failure := host.proposeCall(ask, request, tier, accepted, worstCase); failure != nil {
+		host.core.declineProposal(ask, host.number, failure)
 	}
-	accepted := &shardv1.CallAccepted{
+}
+
+func acceptedCall(request *schedulerv1.CallRequest, tier *operatorv1.Tier) *shardv1.CallAccepted {
+	return &shardv1.CallAccepted{
 		ProgramId:         request.ProgramId,
 		RequestId:         request.RequestId,
 		Digest:            request.Digest,
@@ -136,23 +141,44 @@
 		PromptPriceMicros: tier.PromptPriceMicros,
 		OutputPriceMicros: tier.OutputPriceMicros,
 	}
+}
+
+// proposeCall proposes the call, and before it the program where the call makes
+// one of its own.
+func (host *host) proposeCall(ask AskID, request *schedulerv1.CallRequest, tier *operatorv1.Tier, accepted *shardv1.CallAccepted, worstCase uint64) *resultcode.Error {
+	if request.SingleCall && host.state.Program(request.ProgramId) == nil {
+		entry := &shardv1.Entry{Change: &shardv1.Entry_ProgramCreated{ProgramCreated: &shardv1.ProgramCreated{
+			ProgramId:  request.ProgramId,
+			Tenant:     tier.Tenant,
+			Tier:       tier.Name,
+			CapMicros:  tier.ProgramCapMicros,
+			SingleCall: true,
+		}}}
+		if failure := host.propose(entry, ignoredWaiter{}); failure != nil {
+			return failure
+		}
+	}
+	waiting := acceptWaiter{ask: ask, request: request, tier: tierKey(tier), worstCase: worstCase}
 	entry := &shardv1.Entry{Change: &shardv1.Entry_CallAccepted{CallAccepted: accepted}}
-	waiting := acceptWaiter{ask: ask, deadline: time.Duration(request.DeadlineMs) * time.Millisecond}
 	if failure := host.propose(entry, waiting); failure != nil {
-		host.core.declineProposal(ask, host.number, failure)
+		return failure
 	}
+	host.need(waiting.tier).proposed += worstCase
+	return nil
 }
 
 // acceptWaiter answers the caller once the call has its place in the order.
 type acceptWaiter struct {
-	ask AskID
-	// deadline counts from the acceptance; 0 is none.
-	deadline time.Duration
+	ask       AskID
+	request   *schedulerv1.CallRequest
+	tier      shard.TierKey
+	worstCase uint64
 }
 
 func (waiting acceptWaiter) applied(host *host, outcome shard.Outcome) {
+	host.need(waiting.tier).proposed -= waiting.worstCase
 	if outcome.Err != nil {
-		host.core.decline(waiting.ask, outcome.Err)
+		waiting.refused(host, outcome.Err)
 		return
 	}
 	call := outcome.Call
@@ -161,13 +187,26 @@
 		return
 	}
 	live := host.track(call)
-	if waiting.deadline > 0 {
-		live.deadline = host.core.now + waiting.deadline
+	if waiting.request.DeadlineMs > 0 {
+		live.deadline = host.core.now + time.Duration(waiting.request.DeadlineMs)*time.Millisecond
 	}
 	delete(host.quietSince, call.Program().ID())
-	live.decide("accepted", "turn of the program")
+	live.decide("accepted", "it has its place in the program's order")
 	host.core.emit(Follow{Ask: waiting.ask, Turn: call.Turn(), Buffer: live.buffer})
 	host.advance(call.Program())
+	host.topUp(waiting.tier)
+}
+
+// refused parks a call that lost a race for the shard's escrow, and declines
+// any other.
+func (waiting acceptWaiter) refused(host *host, failure *resultcode.Error) {
+	if failure.Code != resultcode.BudgetExhausted {
+		host.core.decline(waiting.ask, failure)
+		return
+	}
+	host.parkCall(parkedCall{
+		ask: waiting.ask, request: waiting.request, worstCase: waiting.worstCase, since: host.core.now,
+	})
 }
 
 // abandoned lets the caller ask the next leader: the acceptance may stand.
--- a/internal/scheduler/host.go
+++ b/internal/scheduler/host.go
@@ -38,6 +38,10 @@
 	overSince  map[string]time.Duration
 	lastSweep  time.Duration
 	lastLive   time.Duration
+	// needs are the tiers whose calls want escrow of this shard.
+	needs map[shard.TierKey]*escrowNeed
+	// recalledAt tells when escrow of an account held here was last recalled.
+	recalledAt map[shard.TierKey]time.Duration
 	// decisions of closed calls, dropped in the order of remembered.
 	decisions  map[callID][]*schedulerv1.Decision
 	remembered []callID
@@ -68,6 +72,8 @@
 		quietSince: make(map[string]time.Duration),
 		overSince:  make(map[string]time.Duration),
 		decisions:  make(map[callID][]*schedulerv1.Decision),
+		needs:      make(map[shard.TierKey]*escrowNeed),
+		recalledAt: make(map[shard.TierKey]time.Duration),
 	}
 }
 
@@ -190,6 +196,7 @@
 	for _, live := range host.sortedCalls() {
 		live.drop()
 	}
+	host.dropParked()
 	clear(host.calls)
 	clear(host.quietSince)
 	clear(host.overSince)
@@ -247,6 +254,7 @@
 	}
 	host.sendUnsent()
 	host.retryOffers()
+	host.tickEscrow()
 	if now-host.lastSweep >= sweepInterval {
 		host.lastSweep = now
 		host.sweepPrograms()
--- a/internal/scheduler/keeper_client.go
+++ b/internal/scheduler/keeper_client.go
@@ -92,10 +92,7 @@
 		core.keeperRequested(request)
 		return
 	}
-	process := core.directory.leaders[keeperShard]
-	if process == "" || process == core.config.Process {
-		process = core.otherHomeMember(keeperShard)
-	}
+	process := core.leaderProcess(keeperShard)
 	if process == "" {
 		return
 	}
--- a/internal/scheduler/outbox.go
+++ b/internal/scheduler/outbox.go
@@ -72,4 +72,14 @@
 	for _, reply := range batch.KeeperReplies {
 		core.keeperReplied(reply)
 	}
+	for _, request := range batch.EscrowRequests {
+		core.escrowRequested(request)
+	}
+	for _, reply := range batch.EscrowReplies {
+		core.directory.leaders[core.shardOfAccount(tierOfReply(reply))] = sender.Process()
+		core.escrowReplied(reply)
+	}
+	for _, recall := range batch.EscrowRecalls {
+		core.escrowRecalled(recall)
+	}
 }
--- a/internal/scheduler/peer_sender.go
+++ b/internal/scheduler/peer_sender.go
@@ -68,6 +68,7 @@
 	merged.KeeperReplies = append(merged.KeeperReplies, batch.KeeperReplies...)
 	merged.EscrowRequests = append(merged.EscrowRequests, batch.EscrowRequests...)
 	merged.EscrowReplies = append(merged.EscrowReplies, batch.EscrowReplies...)
+	merged.EscrowRecalls = append(merged.EscrowRecalls, batch.EscrowRecalls...)
 }
 
 // start sends what waits, if the bound on exchanges allows. The mutex is held.
--- a/internal/scheduler/pools.go
+++ b/internal/scheduler/pools.go
@@ -62,7 +62,25 @@
 	return membership.ShardOf(poolPrefix+name, core.config.Shards)
 }
 
-const poolPrefix = "pool/"
+// shardOfAccount returns the shard that holds a tier's account.
+func (core *Core) shardOfAccount(key shard.TierKey) uint32 {
+	return membership.ShardOf(accountPrefix+key.Tenant+"/"+key.Tier, core.config.Shards)
+}
+
+const (
+	poolPrefix    = "pool/"
+	accountPrefix = "account/"
+)
+
+// leaderProcess names another process to ask for what a shard's leader does:
+// the leader where it is known, else a member that should know it.
+func (core *Core) leaderProcess(shardNumber uint32) string {
+	process := core.directory.leaders[shardNumber]
+	if process == "" || process == core.config.Process {
+		return core.otherHomeMember(shardNumber)
+	}
+	return process
+}
 
 // leadingHost returns the host of the program's shard if this process may
 // answer for it now.
--- a/internal/shard/apply.go
+++ b/internal/shard/apply.go
@@ -135,6 +135,16 @@
 	return Outcome{Program: program, Call: call}
 }
 
+// WorstCase bounds what a call would cost if it were accepted now, micro units.
+func (program *Program) WorstCase(accepted *shardv1.CallAccepted) uint64 {
+	return program.worstCase(accepted)
+}
+
+// WorstCaseAlone bounds the cost of a call that has no history before it.
+func WorstCaseAlone(accepted *shardv1.CallAccepted) uint64 {
+	return uint64(price(accepted).Cost(EstimateTokens(accepted.Messages), accepted.MaxTokens))
+}
+
 // worstCase bounds the call's cost: the whole prompt uncached and every token
 // the caller allows. Calls before it that are still open may lengthen the
 // prompt by their own messages and outputs.
@@ -144,7 +154,7 @@
 		open := program.calls[requestID].record.Accepted
 		promptTokens += EstimateTokens(open.Messages) + open.MaxTokens + tokensPerMessage
 	}
-	return cost(promptTokens, accepted.MaxTokens, accepted.PromptPriceMicros, accepted.OutputPriceMicros)
+	return uint64(price(accepted).Cost(promptTokens, accepted.MaxTokens))
 }
 
 // PromptTokens estimates the call's whole prompt.
@@ -210,7 +220,7 @@
 		return outcome
 	}
 	accepted := call.record.Accepted
-	actual := cost(finished.PromptTokens, finished.OutputTokens, accepted.PromptPriceMicros, accepted.OutputPriceMicros)
+	actual := uint64(price(accepted).Cost(finished.PromptTokens, finished.OutputTokens))
 	call.record.Finished = finished
 	state.settle(call, actual)
 	program := call.program
--- a/internal/shard/ledger.go
+++ b/internal/shard/ledger.go
@@ -1,18 +1,180 @@
 package shard
 
 import (
+	"cmp"
+	"slices"
+	"strings"
+
 	shardv1 "github.com/magpielug/magpielug/api/shard/v1"
+	"github.com/magpielug/magpielug/internal/ledger"
 	"github.com/magpielug/magpielug/internal/resultcode"
 )
 
-type ledgerState struct{}
+// TierKey names a tier.
+type TierKey struct {
+	Tenant string
+	Tier   string
+}
+
+// Compare orders keys by tenant, then tier.
+func (key TierKey) Compare(other TierKey) int {
+	return cmp.Or(strings.Compare(key.Tenant, other.Tenant), strings.Compare(key.Tier, other.Tier))
+}
+
+// ledgerState is the money part of a shard: its own escrows, and the accounts
+// of the tiers whose name belongs to the shard.
+type ledgerState struct {
+	escrows  map[TierKey]*ledger.Escrow
+	accounts map[TierKey]*account
+}
 
-func newLedgerState() *ledgerState { return &ledgerState{} }
+// account is a tier's account and the configuration its budget stands in.
+type account struct {
+	*ledger.Account
+	configurationVersion uint64
+}
 
-func (state *State) reserveEscrow(*Program, uint64) *resultcode.Error { return nil }
+func newLedgerState() *ledgerState {
+	return &ledgerState{
+		escrows:  make(map[TierKey]*ledger.Escrow),
+		accounts: make(map[TierKey]*account),
+	}
+}
 
-func (state *State) settleEscrow(*Program, uint64, uint64) {}
+func (ledgers *ledgerState) escrow(key TierKey) *ledger.Escrow {
+	found := ledgers.escrows[key]
+	if found == nil {
+		found = &ledger.Escrow{}
+		ledgers.escrows[key] = found
+	}
+	return found
+}
+
+func (ledgers *ledgerState) account(key TierKey) *account {
+	found := ledgers.accounts[key]
+	if found == nil {
+		found = &account{Account: ledger.NewAccount(0)}
+		ledgers.accounts[key] = found
+	}
+	return found
+}
+
+// Tier names the program's tier.
+func (program *Program) Tier() TierKey {
+	return TierKey{Tenant: program.Created().Tenant, Tier: program.Created().Tier}
+}
+
+// Escrow returns the shard's part of a tier's budget, empty where it has none.
+// Callers must not change it.
+func (state *State) Escrow(key TierKey) *ledger.Escrow {
+	if found := state.ledger.escrows[key]; found != nil {
+		return found
+	}
+	return &ledger.Escrow{}
+}
+
+// Account returns the account of a tier, empty where the shard holds none.
+// Callers must not change it.
+func (state *State) Account(key TierKey) *ledger.Account {
+	if found := state.ledger.accounts[key]; found != nil {
+		return found.Account
+	}
+	return ledger.NewAccount(0)
+}
+
+// Escrows lists the tiers that the shard holds escrow of, in a fixed order.
+func (state *State) Escrows() []TierKey {
+	keys := make([]TierKey, 0, len(state.ledger.escrows))
+	for key := range state.ledger.escrows {
+		keys = append(keys, key)
+	}
+	slices.SortFunc(keys, TierKey.Compare)
+	return keys
+}
+
+func (state *State) reserveEscrow(program *Program, amount uint64) *resultcode.Error {
+	return state.ledger.escrow(program.Tier()).Reserve(ledger.Micros(amount))
+}
+
+func (state *State) settleEscrow(program *Program, reserved, charge uint64) {
+	// It fails only where the state itself is broken; the invariants of the
+	// ledger then hold the money back rather than pay twice.
+	_, _ = state.ledger.escrow(program.Tier()).Settle(ledger.Micros(reserved), ledger.Micros(charge))
+}
+
+// applyLedger carries out an entry about escrows and accounts.
+func (state *State) applyLedger(entry *shardv1.Entry) Outcome {
+	switch change := entry.Change.(type) {
+	case *shardv1.Entry_EscrowRaised:
+		raised := change.EscrowRaised
+		key := TierKey{Tenant: raised.Tenant, Tier: raised.Tier}
+		news := state.ledger.escrow(key).RaiseGranted(ledger.Micros(raised.GrantedTotalMicros))
+		return Outcome{Duplicate: !news}
+	case *shardv1.Entry_EscrowReturned:
+		returned := change.EscrowReturned
+		key := TierKey{Tenant: returned.Tenant, Tier: returned.Tier}
+		return Outcome{Err: state.ledger.escrow(key).RaiseReturned(ledger.Micros(returned.ReturnedTotalMicros))}
+	case *shardv1.Entry_AccountGranted:
+		return state.grantAccount(change.AccountGranted)
+	case *shardv1.Entry_AccountReturned:
+		returned := change.AccountReturned
+		key := TierKey{Tenant: returned.Tenant, Tier: returned.Tier}
+		failure := state.ledger.account(key).RaiseReturned(returned.Shard, ledger.Micros(returned.ReturnedTotalMicros))
+		return Outcome{Err: failure}
+	default:
+		return refused(resultcode.Internal, "an entry of unknown kind")
+	}
+}
+
+// grantAccount grants what the budget has left. A leader with an older
+// configuration than the account's can't bring an old budget back.
+func (state *State) grantAccount(granted *shardv1.AccountGranted) Outcome {
+	found := state.ledger.account(TierKey{Tenant: granted.Tenant, Tier: granted.Tier})
+	if granted.ConfigurationVersion >= found.configurationVersion {
+		found.configurationVersion = granted.ConfigurationVersion
+		found.SetBudget(ledger.Micros(granted.BudgetMicros))
+	}
+	found.Grant(granted.Shard, ledger.Micros(granted.WantedTotalMicros))
+	return Outcome{}
+}
+
+// export adds the ledger to a snapshot.
+func (ledgers *ledgerState) export(snapshot *shardv1.Snapshot) {
+	for key, escrow := range ledgers.escrows {
+		snapshot.Escrows = append(snapshot.Escrows, escrow.Record(key.Tenant, key.Tier))
+	}
+	for key, held := range ledgers.accounts {
+		record := held.Record(key.Tenant, key.Tier)
+		record.ConfigurationVersion = held.configurationVersion
+		snapshot.Accounts = append(snapshot.Accounts, record)
+	}
+	slices.SortFunc(snapshot.Escrows, func(left, right *shardv1.EscrowRecord) int {
+		return TierKey{left.Tenant, left.Tier}.Compare(TierKey{right.Tenant, right.Tier})
+	})
+	slices.SortFunc(snapshot.Accounts, func(left, right *shardv1.AccountRecord) int {
+		return TierKey{left.Tenant, left.Tier}.Compare(TierKey{right.Tenant, right.Tier})
+	})
+}
 
-func (state *State) applyLedger(*shardv1.Entry) Outcome {
-	return refused(resultcode.Internal, "unknown entry")
+// importLedger reads the ledger of a snapshot.
+func importLedger(snapshot *shardv1.Snapshot) (*ledgerState, error) {
+	ledgers := newLedgerState()
+	for _, record := range snapshot.Escrows {
+		escrow, failure := ledger.RestoreEscrow(record)
+		if failure != nil {
+			return nil, failure
+		}
+		ledgers.escrows[TierKey{Tenant: record.Tenant, Tier: record.Tier}] = escrow
+	}
+	for _, record := range snapshot.Accounts {
+		restored, failure := ledger.RestoreAccount(record)
+		if failure != nil {
+			return nil, failure
+		}
+		ledgers.accounts[TierKey{Tenant: record.Tenant, Tier: record.Tier}] = &account{
+			Account:              restored,
+			configurationVersion: record.ConfigurationVersion,
+		}
+	}
+	return ledgers, nil
 }
--- a/internal/shard/snapshot.go
+++ b/internal/shard/snapshot.go
@@ -21,6 +21,7 @@
 	slices.SortFunc(snapshot.Programs, func(left, right *shardv1.ProgramRecord) int {
 		return strings.Compare(left.Created.ProgramId, right.Created.ProgramId)
 	})
+	state.ledger.export(snapshot)
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(snapshot)
 	return data, eris.Wrap(err, "encode snapshot")
 }
@@ -57,7 +58,12 @@
 	if err := linkFamilies(programs); err != nil {
 		return err
 	}
+	ledgers, err := importLedger(snapshot)
+	if err != nil {
+		return err
+	}
 	state.programs = programs
+	state.ledger = ledgers
 	return nil
 }
 
