Count a prompt's computation once for each call it delays, and keep room for prefixes

Waiting a moment for the engine with the prefix was priced like computing 4,000 tokens elsewhere, though the computation stalls the whole batch there; and calls of programs not yet begun pushed out prefixes about to be used.

Change: PrefillScorer and EvictionScorer count once for each call delayed; RoomFilter holds a call back while its memory would come out of prefixes of programs ranked before it and expected back. A due reserved grant ignores it. The hold counts from when a call was first passed over, not from its offer.

Found by the starvation property: a pool whose memory was full of prefixes of programs that never return stood still. Prefixes are now protected only while the program is expected back, and never on an engine that runs nothing.

--- a/internal/keeper/config.go
+++ b/internal/keeper/config.go
@@ -23,6 +23,9 @@
 	// MaxHold is how long a call may wait for the engine with its prefix while
 	// another has a free slot.
 	MaxHold time.Duration
+	// ReturnWithin is how long after a call its program is expected to make the
+	// next one, until a pause is told.
+	ReturnWithin time.Duration
 	// ReservedShare is the part of grants shared by tier weight, 0 to 1; the
 	// rest goes to the highest tier that waits. Below 0 is strict priority.
 	ReservedShare float64
@@ -69,6 +72,7 @@
 	defaultLookAhead        = 16
 	defaultMaxSkips         = 16
 	defaultMaxHold          = 2 * time.Second
+	defaultReturnWithin     = 5 * time.Second
 	defaultInProgressFactor = 2
 	defaultPreemptWait      = 500 * time.Millisecond
 	defaultPreemptRatio     = 4
@@ -92,6 +96,7 @@
 	setDefault(&config.LookAhead, defaultLookAhead)
 	setDefault(&config.MaxSkips, defaultMaxSkips)
 	setDefault(&config.MaxHold, defaultMaxHold)
+	setDefault(&config.ReturnWithin, defaultReturnWithin)
 	setDefault(&config.ReservedShare, queue.DefaultReservedShare)
 	setDefault(&config.InProgressFactor, defaultInProgressFactor)
 	setDefault(&config.PreemptWait, defaultPreemptWait)
--- a/internal/keeper/dispatch.go
+++ b/internal/keeper/dispatch.go
@@ -69,8 +69,8 @@
 	}
 	for _, item := range keeper.aside {
 		keeper.pool.Restore(item)
-		if chosen != nil && item != chosen {
-			item.Value.skips++
+		if item != chosen {
+			keeper.passOver(item.Value, chosen != nil)
 		}
 	}
 	clear(keeper.aside)
@@ -81,17 +81,37 @@
 	return true
 }
 
+// passOver notes that a call could have been granted another engine than the
+// one it waits for; skipped tells that a later call was.
+func (keeper *Keeper) passOver(call *waitingCall, skipped bool) {
+	if skipped {
+		call.skips++
+	}
+	if !call.held {
+		call.held = true
+		call.heldSince = keeper.now
+	}
+}
+
+// patient tells whether a call may still wait for the engine it prefers.
+func (keeper *Keeper) patient(call *waitingCall) bool {
+	if call.skips >= keeper.config.MaxSkips {
+		return false
+	}
+	return !call.held || keeper.now-call.heldSince < keeper.config.MaxHold
+}
+
 // engineFor returns the engine to grant the call on now, nil if it should wait.
 func (keeper *Keeper) engineFor(call *waitingCall) *engineState {
 	keeper.fitCandidates(call)
-	patient := call.skips < keeper.config.MaxSkips && keeper.now-call.queuedAt < keeper.config.MaxHold
-	if !patient {
+	if !keeper.patient(call) {
 		keeper.onlyFreeCandidates()
 	}
 	placed := call.placed()
+	placed.Due = keeper.pool.Due(call.item)
 	index := keeper.policies.Placement.Place(&placed, keeper.candidates)
 	if index == placement.None {
-		if call.skips >= keeper.config.MaxSkips {
+		if placed.Due {
 			keeper.reserveFor(call)
 		}
 		return nil
@@ -143,6 +163,7 @@
 		if !engine.fits(call.need) {
 			candidate.FreeSlots = 0
 		}
+		candidate.Crowded = candidate.FreeSlots > 0 && keeper.crowded(engine, call)
 		candidate.Wait = 0
 		if candidate.FreeSlots == 0 {
 			candidate.Wait = keeper.slotWait(engine, slot.claimed)
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -82,8 +82,8 @@
 	keeper.now = max(keeper.now, now)
 	clear(keeper.effects)
 	keeper.effects = keeper.effects[:0]
-	keeper.runTimers()
 	keeper.handle(event)
+	keeper.runTimers()
 	keeper.refuseWithoutEngine()
 	keeper.dispatch()
 	keeper.preempt()
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -109,3 +109,64 @@
 		Expect(refused[0].Code).To(Equal(resultcode.NoBackEnd))
 	})
 })
+
+var _ = Describe("engine memory", func() {
+	It("goes on when paused programs' prefixes fill an idle engine", func() {
+		// Failed first: the call was held back for prefixes of programs that never
+		// returned, and nothing ran whose end could change that.
+		b := newBench(keeper.Config{}, "", "", "keep")
+		small := report("e1", 2)
+		small.BlocksTotal = 16
+		b.step(small)
+		for _, program := range []string{"a", "b"} {
+			b.step(keeper.CallQueued{Request: request(program, 1, 8)})
+			b.step(finished(program, 1))
+		}
+		Expect(granted(b.step(keeper.CallQueued{Request: request("c", 1, 1)}))).To(Equal([]string{"c"}))
+	})
+
+	It("holds a call back while programs ranked before it are expected to return", func() {
+		b := newBench(keeper.Config{}, "", "", "keep")
+		small := report("e1", 3)
+		small.BlocksTotal = 22
+		b.step(small)
+		b.step(keeper.CallQueued{Request: request("a", 1, 8)})
+		b.step(finished("a", 1))
+		b.step(keeper.CallQueued{Request: request("b", 1, 8)})
+		Expect(granted(b.step(keeper.CallQueued{Request: request("c", 1, 1)}))).To(BeEmpty())
+		Expect(granted(b.step(keeper.ProgramEnded{Program: "a"}))).To(Equal([]string{"c"}))
+	})
+})
+
+var _ = Describe("cache of programs that are gone", func() {
+	It("is released at a program's end, and again when a report still shows it", func() {
+		b := newBench(keeper.Config{}, "", "", "")
+		b.step(report("e1", 2))
+		b.step(keeper.CallQueued{Request: request("a", 1, 1)})
+		b.step(finished("a", 1))
+		Expect(released(b.step(keeper.ProgramEnded{Program: "a"}))).To(Equal([]string{"a@e1"}))
+		b.after(keeper.DefaultConfig().CacheLag + keeper.DefaultConfig().ReleaseRetry)
+		still := report("e1", 2)
+		still.ProgramBlocks = map[string]int{"a": 8}
+		Expect(released(b.step(still))).To(Equal([]string{"a@e1"}))
+		Expect(released(b.step(still))).To(BeEmpty())
+	})
+
+	It("is released by a new keeper once a leader has listed the live programs", func() {
+		b := newBench(keeper.Config{ShardOf: func(string) uint32 { return 1 }}, "", "", "")
+		held := report("e1", 2)
+		held.ProgramBlocks = map[string]int{"live": 8, "gone": 8}
+		Expect(released(b.step(held))).To(BeEmpty())
+		Expect(released(b.step(keeper.ProgramsLive{Shard: 1, Programs: []string{"live"}}))).To(Equal([]string{"gone@e1"}))
+		held.ProgramBlocks = map[string]int{"unheard": 8}
+		Expect(released(b.step(held))).To(Equal([]string{"unheard@e1"}))
+	})
+
+	It("is left to the engine by the none policy", func() {
+		b := newBench(keeper.Config{}, "", "", "none")
+		b.step(report("e1", 2))
+		b.step(keeper.CallQueued{Request: request("a", 1, 1)})
+		b.step(finished("a", 1))
+		Expect(b.step(keeper.ProgramEnded{Program: "a"})).To(BeEmpty())
+	})
+})
--- a/internal/keeper/pause.go
+++ b/internal/keeper/pause.go
@@ -13,6 +13,8 @@
 	// firstPauseSeconds and firstReuse are taken before anything was measured.
 	firstPauseSeconds = 2.0
 	firstReuse        = 0.9
+	// returnMargin is how many expected pauses a program may take to return.
+	returnMargin = 3
 )
 
 // pauseKey names a program kind of one tenant.
@@ -59,6 +61,7 @@
 	}
 	program.paused = true
 	program.pausedAt = keeper.now
+	program.returnBy = keeper.now + returnMargin*keeper.expectedPause(program, event.ExpectedPause)
 	if !keeper.policies.ManagesCache {
 		return
 	}
@@ -76,15 +79,20 @@
 	}
 }
 
+// expectedPause is the leader's prediction, or what the kind has shown.
+func (keeper *Keeper) expectedPause(program *programState, predicted time.Duration) time.Duration {
+	if predicted > 0 {
+		return predicted
+	}
+	return seconds(program.pauseRecord().pauseSeconds.value(firstPauseSeconds))
+}
+
 // describePause is what a cache policy may know.
 func (keeper *Keeper) describePause(held *prefix, expected time.Duration) cache.Pause {
 	record := held.program.pauseRecord()
-	if expected == 0 {
-		expected = seconds(record.pauseSeconds.value(firstPauseSeconds))
-	}
 	return cache.Pause{
 		Tokens:           held.tokens,
-		ExpectedPause:    expected,
+		ExpectedPause:    keeper.expectedPause(held.program, expected),
 		ReuseProbability: record.reuse.value(firstReuse),
 		Pressure:         held.engine.pressure(),
 		RecomputeCost:    time.Duration(held.tokens) * keeper.estimates.prefillPerToken(),
--- a/internal/keeper/prefix.go
+++ b/internal/keeper/prefix.go
@@ -62,6 +62,36 @@
 	return found
 }
 
+// crowded tells whether a call's memory would come out of idle prefixes whose
+// programs are ranked before it and expected back. An engine that runs nothing
+// is never crowded, so a pool can't stand still.
+func (keeper *Keeper) crowded(engine *engineState, call *waitingCall) bool {
+	if engine.memoryTokens == 0 || len(engine.running) == 0 {
+		return false
+	}
+	free := engine.memoryTokens - engine.usedTokens - call.need
+	if free >= engine.prefixes.idleTokens {
+		return false
+	}
+	for held := engine.prefixes.newest; held != nil; held = held.older {
+		if held.pins == 0 && held.program != call.program && keeper.protected(held.program, call) {
+			free -= held.tokens
+		}
+		if free < 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// protected tells whether a call may not push out a program's prefix.
+func (keeper *Keeper) protected(program *programState, call *waitingCall) bool {
+	if program.calls == 0 && keeper.now > program.returnBy {
+		return false
+	}
+	return program.rank.Before(call.rank)
+}
+
 // resize sets the estimate.
 func (p *prefix) resize(tokens int) {
 	if p.pins == 0 {
--- a/internal/keeper/program.go
+++ b/internal/keeper/program.go
@@ -3,6 +3,8 @@
 import (
 	"container/list"
 	"time"
+
+	"github.com/magpielug/magpielug/internal/queue"
 )
 
 // programState is what the keeper remembers of one program.
@@ -13,6 +15,8 @@
 	hasShard bool
 	// prefixes are its cached prefixes, few: one an engine it has run on.
 	prefixes []*prefix
+	// rank is that of its latest call.
+	rank queue.Rank
 	// calls counts its waiting and running calls.
 	calls       int
 	preemptions int
@@ -22,6 +26,8 @@
 	listedAt   time.Duration
 	statistics *pauseRecord
 
+	// returnBy is until when its next call is expected.
+	returnBy time.Duration
 	paused   bool
 	pausedAt time.Duration
 	// keepTimer runs while a paused program's prefix is kept; nil if it never was.
--- a/internal/keeper/running.go
+++ b/internal/keeper/running.go
@@ -87,6 +87,7 @@
 	}
 	engine := call.engine
 	keeper.endGrant(call)
+	call.program.returnBy = keeper.now + keeper.config.ReturnWithin
 	keeper.ensurePrefix(call.program, engine)
 	if call.program.ended {
 		keeper.releaseAll(call.program, "program ended while its call ran")
--- a/internal/keeper/waiting.go
+++ b/internal/keeper/waiting.go
@@ -24,8 +24,11 @@
 	queuedAt time.Duration
 	// need is the KV memory expected at the call's end, tokens.
 	need int
-	// skips counts grants to calls ranked after this one.
-	skips int
+	// skips counts grants to calls ranked after this one; heldSince is when it
+	// was first passed over.
+	skips     int
+	held      bool
+	heldSince time.Duration
 }
 
 // queueCall takes an offered call in, or refuses it at once.
@@ -68,6 +71,7 @@
 	call := &waitingCall{request: request, rank: rank, queuedAt: keeper.now}
 	call.need = keeper.estimates.needTokens(&request)
 	call.program = keeper.seeProgram(&request)
+	call.program.rank = rank
 	if request.Parent != "" {
 		call.parent = keeper.programs.byName[request.Parent]
 	}
--- a/internal/placement/filter.go
+++ b/internal/placement/filter.go
@@ -17,3 +17,14 @@
 
 // commonFilters apply to every placement.
 func commonFilters() []Filter { return []Filter{ReadyFilter{}, ModelFilter{}} }
+
+// RoomFilter keeps a call off an engine whose memory is taken by programs
+// ranked before it. Without it, at overload, each program's prefix is pushed
+// out before its next call, and engines compute the same prompts over and over.
+type RoomFilter struct{}
+
+// Admits tells whether the call has room. A full engine is not judged: its
+// memory will have changed by the time a slot frees.
+func (RoomFilter) Admits(call *Call, candidate *Candidate) bool {
+	return call.Due || candidate.FreeSlots == 0 || !candidate.Crowded
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -28,6 +28,9 @@
 	PromptTokens int
 	// NeedTokens is the KV memory the call is expected to hold at its end.
 	NeedTokens int
+	// Due is true when the call's tier has earned its reserved share: it may push
+	// out prefixes of programs ranked before it.
+	Due bool
 }
 
 // Candidate is one engine of the pool as the keeper sees it.
@@ -50,6 +53,9 @@
 	// FreeTokens is the KV memory that neither running calls nor cached
 	// prefixes hold.
 	FreeTokens int
+	// Crowded is true when the call would push out prefixes that programs ranked
+	// before it are about to use again.
+	Crowded bool
 	// Wait is the predicted wait for a slot.
 	Wait time.Duration
 	// PrefillPerToken is the measured time to compute one prompt token.
@@ -166,7 +172,7 @@
 // balanced weighs prompt computation against waiting; affinity lies in 0 to 1.
 func balanced(affinity float64) *Policy {
 	return &Policy{
-		filters: commonFilters(),
+		filters: append(commonFilters(), RoomFilter{}),
 		scorers: []Weighted{
 			{PrefillScorer{}, 2 * affinity},
 			{WaitScorer{}, 2 * (1 - affinity)},
--- a/internal/placement/score.go
+++ b/internal/placement/score.go
@@ -17,13 +17,20 @@
 )
 
 // PrefillScorer costs the time to compute the part of the prompt that is not
-// cached.
+// cached. The calls that run on the engine wait for it too, so it counts once
+// for each of them.
 type PrefillScorer struct{}
 
-// Cost returns seconds of prompt computation.
+// Cost returns seconds of delay, summed over the calls delayed.
 func (PrefillScorer) Cost(call *Call, candidate *Candidate) float64 {
 	uncached := max(call.PromptTokens-candidate.CachedTokens, 0)
-	return float64(uncached) * candidate.PrefillPerToken.Seconds()
+	return float64(uncached) * candidate.PrefillPerToken.Seconds() * delayedCalls(candidate)
+}
+
+// delayedCalls is how many calls a prompt computation delays: the new one and
+// those that run.
+func delayedCalls(candidate *Candidate) float64 {
+	return float64(1 + candidate.Running)
 }
 
 // UncachedScorer costs one for each prompt token that is not cached, whatever
@@ -54,11 +61,11 @@
 // of the engine's cache.
 type EvictionScorer struct{}
 
-// Cost returns seconds of prompt computation.
+// Cost returns seconds of delay, summed over the calls delayed.
 func (EvictionScorer) Cost(call *Call, candidate *Candidate) float64 {
 	added := call.NeedTokens - min(candidate.CachedTokens, call.PromptTokens)
 	evicted := max(added-max(candidate.FreeTokens, 0), 0)
-	return float64(evicted) * candidate.PrefillPerToken.Seconds()
+	return float64(evicted) * candidate.PrefillPerToken.Seconds() * delayedCalls(candidate)
 }
 
 // BatchScorer costs the slower steps of a fuller batch.
--- a/internal/queue/order.go
+++ b/internal/queue/order.go
@@ -42,6 +42,15 @@
 	Value float64
 }
 
+// Before tells whether a call of this rank goes before one of the other, shares
+// apart.
+func (rank Rank) Before(other Rank) bool {
+	if rank.Band != other.Band {
+		return rank.Band > other.Band
+	}
+	return rank.Value < other.Value
+}
+
 // Order ranks waiting calls.
 type Order interface {
 	Rank(call Call) Rank
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -79,6 +79,12 @@
 	}
 }
 
+// Due tells whether an item's band has earned its reserved grant: the item must
+// not be put off for the sake of other bands.
+func (queue *Queue[V]) Due(item *Item[V]) bool {
+	return queue.bandOf(item.rank.Band).credit >= 1
+}
+
 // Ahead returns how many items wait in bands at or above number, and how many
 // of them in that very band.
 func (queue *Queue[V]) Ahead(number uint32) (atOrAbove, inBand int) {
