--- a/rehearsal/capacity/markdown.go
+++ b/rehearsal/capacity/markdown.go
@@ -94,7 +94,7 @@
 // formatAmount prints an amount with the unit that suits its size.
 func formatAmount(value float64, resource Resource) string {
 	if resource == ControlProcessor || resource == DataProcessor {
-		return FormatNumber(value/million*100) + "% of a core"
+		return FormatNumber(value/million*percent) + "% of a core"
 	}
 	unit := unitOf(resource)
 	switch {
--- a/rehearsal/capacity/slope/size.go
+++ b/rehearsal/capacity/slope/size.go
@@ -150,7 +150,7 @@
 		{"escrow_request_bytes", &schedulerv1.EscrowRequest{Tenant: tenant, Tier: tier, Shard: shardNumber,
 			Leader: process, WantedTotalMicros: total, ReturnedTotalMicros: total}},
 		{"escrow_reply_bytes", &schedulerv1.EscrowReply{Tenant: tenant, Tier: tier, Shard: shardNumber,
-			GrantedTotalMicros: total, ReturnedTotalMicros: total}},
+			GrantedTotalMicros: total, WantedTotalMicros: total}},
 		{"tier_bytes", usualTier()},
 		{"chunk_bytes", &schedulerv1.CallEvent{Event: &schedulerv1.CallEvent_Chunk{
 			Chunk: &schedulerv1.Chunk{Sequence: outputTokens, Text: "word", Tokens: 1}}}},
