Commit every refusal before it is answered

Cause: a refusal for want of budget was answered by one leader while an earlier ask for the same request id, sent to a paused leader or parked there, was still to be accepted: the caller heard 'not run' and the call then ran. Ruled out: a run after a committed refusal at the same leader (the chart refuses it). Change: a refusal is an entry (CallDeclined) that records the call as refused; where an earlier entry has accepted the call, its stream is followed instead. The budget check of the test compared replicas at different moments and cried wolf; it now reads, of each shard, the replica that has applied most.

--- a/internal/scheduler/call_ask.go
+++ b/internal/scheduler/call_ask.go
@@ -39,6 +39,10 @@
 		core.decline(event.Ask, failure)
 		return
 	}
+	if failure := core.checkTarget(program, request); failure != nil {
+		host.declineCall(event.Ask, request, failure)
+		return
+	}
 	host.acceptCall(event.Ask, request)
 }
 
@@ -74,6 +78,12 @@
 	if _, found := core.configuration.Tier(request.Caller.GetTenant(), request.Caller.GetTier()); !found {
 		return resultcode.New(resultcode.BadKey, "no tier %s", request.Caller.GetTier())
 	}
+	return nil
+}
+
+// checkTarget holds a call to the services that exist and that its program may
+// call.
+func (core *Core) checkTarget(program *shard.Program, request *schedulerv1.CallRequest) *resultcode.Error {
 	service, found := core.configuration.Service(request.Target)
 	if !found || service.Kind != serviceKind(request.Kind) {
 		return resultcode.New(resultcode.UnknownTarget, "no service %s of this kind", request.Target)
@@ -115,7 +125,7 @@
 	accepted := acceptedCall(request, tier)
 	worstCase := host.worstCase(request.ProgramId, accepted)
 	if worstCase > tier.BudgetMicros {
-		host.core.decline(ask, budgetExhausted(worstCase))
+		host.declineCall(ask, request, budgetExhausted(worstCase))
 		return
 	}
 	if !host.coversCall(tierKey(tier), worstCase) {
@@ -220,6 +230,56 @@
 func (ignoredWaiter) applied(*host, shard.Outcome) {}
 func (ignoredWaiter) abandoned(*host)              {}
 
+// declineCall refuses a call for good. The refusal is committed before it is
+// answered: the same request may have reached another leader before, or may
+// come late, and must not run once its caller was told that it did not.
+func (host *host) declineCall(ask AskID, request *schedulerv1.CallRequest, failure *resultcode.Error) {
+	if request.SingleCall {
+		host.declineSingleCall(request)
+	}
+	entry := &shardv1.Entry{Change: &shardv1.Entry_CallDeclined{CallDeclined: &shardv1.CallDeclined{
+		ProgramId:    request.ProgramId,
+		RequestId:    request.RequestId,
+		Digest:       request.Digest,
+		Code:         uint32(failure.Code),
+		Message:      failure.Message,
+		RetryAfterMs: millisecondsOf(failure.RetryAfter),
+	}}}
+	if failure := host.propose(entry, declineWaiter{ask: ask}); failure != nil {
+		host.core.declineProposal(ask, host.number, failure)
+	}
+}
+
+// declineSingleCall makes the program that remembers a single call's refusal.
+func (host *host) declineSingleCall(request *schedulerv1.CallRequest) {
+	host.propose(&shardv1.Entry{Change: &shardv1.Entry_ProgramCreated{ProgramCreated: &shardv1.ProgramCreated{
+		ProgramId:  request.ProgramId,
+		Tenant:     request.Caller.Tenant,
+		Tier:       request.Caller.Tier,
+		SingleCall: true,
+	}}}, ignoredWaiter{})
+}
+
+// declineWaiter answers a refused call, or lets its caller follow the call that
+// an earlier entry has accepted.
+type declineWaiter struct{ ask AskID }
+
+func (waiting declineWaiter) applied(host *host, outcome shard.Outcome) {
+	if outcome.Err != nil {
+		host.core.decline(waiting.ask, outcome.Err)
+		return
+	}
+	host.core.emit(Follow{Ask: waiting.ask, Turn: outcome.Call.Turn(), Buffer: host.bufferOf(outcome.Call)})
+	program := outcome.Program
+	if program.Created().SingleCall && program.OpenCalls() == 0 && !program.Over() {
+		host.proposeEnd(&shardv1.ProgramEnded{ProgramId: program.ID()}, ignoredWaiter{})
+	}
+}
+
+func (waiting declineWaiter) abandoned(host *host) {
+	host.core.emit(Follow{Ask: waiting.ask, Buffer: droppedBuffer()})
+}
+
 func (core *Core) decline(ask AskID, failure *resultcode.Error) {
 	core.emit(Decline{Ask: ask, Error: wireError(failure)})
 }
--- a/internal/scheduler/cluster_test.go
+++ b/internal/scheduler/cluster_test.go
@@ -44,8 +44,10 @@
 	cut       func(from, to string) bool
 	logDown   bool
 	callSteps int
-	answers   map[AskID]callAnswer
-	nextAsk   AskID
+	// budget of the one tier, micro units.
+	budget  uint64
+	answers map[AskID]callAnswer
+	nextAsk AskID
 }
 
 type testNode struct {
@@ -64,8 +66,11 @@
 
 type testGeneration struct {
 	request string
+	engine  string
 	chunks  int
 	done    bool
+	// lost is true once the engine has crashed and forgotten it.
+	lost bool
 }
 
 type testTimer struct {
@@ -103,6 +108,7 @@
 		answers:   make(map[AskID]callAnswer),
 		cut:       func(string, string) bool { return false },
 		callSteps: 5,
+		budget:    1 << 40,
 	}
 	for number := range schedulers {
 		name := fmt.Sprintf("s%d", number)
@@ -153,7 +159,7 @@
 	}
 	cluster.nodes[name] = node
 	node.step(MachinesListed{Machines: cluster.machines})
-	node.step(ConfigurationChanged{View: testConfiguration{}})
+	node.step(ConfigurationChanged{View: testConfiguration{cluster: cluster}})
 	node.step(FreshnessChanged{Fresh: true})
 	node.tick()
 	return node
@@ -318,15 +324,25 @@
 			return
 		}
 		cluster.runs[name]++
-		generation = &testGeneration{request: name}
+		generation = &testGeneration{request: name, engine: effect.Address}
 		cluster.running[name] = generation
 		cluster.generate(generation)
 	}
 	node.followGeneration(effect, generation)
 }
 
+// crashEngine makes an engine forget everything it ran or sealed.
+func (cluster *testCluster) crashEngine(engine string) {
+	for name, generation := range cluster.running {
+		if generation.engine == engine {
+			generation.lost = true
+			delete(cluster.running, name)
+		}
+	}
+}
+
 func (cluster *testCluster) generate(generation *testGeneration) {
-	if generation.chunks == cluster.callSteps {
+	if generation.chunks == cluster.callSteps || generation.lost {
 		generation.done = true
 		return
 	}
@@ -342,6 +358,10 @@
 		text := fmt.Sprintf("%s:%d ", generation.request, sequence)
 		effect.Buffer.Append(uint64(sequence)+effect.Offset, text, 1)
 	}
+	if generation.lost {
+		node.step(RunEnded{Run: effect.Run, End: RunLost, Detail: "engine lost"})
+		return
+	}
 	if generation.done {
 		node.step(RunEnded{Run: effect.Run, End: RunCompleted, FinishReason: "stop", PromptTokens: 10, OutputTokens: uint32(generation.chunks)})
 		return
@@ -439,13 +459,13 @@
 	return outcome{}, false
 }
 
-type testConfiguration struct{}
+type testConfiguration struct{ cluster *testCluster }
 
 func (testConfiguration) Version() uint64 { return 1 }
-func (testConfiguration) Tier(tenant, name string) (*operatorv1.Tier, bool) {
+func (view testConfiguration) Tier(tenant, name string) (*operatorv1.Tier, bool) {
 	return &operatorv1.Tier{
 		Name: testTier, Tenant: testTenant, Weight: 10, PromptPriceMicros: 100, OutputPriceMicros: 1000,
-		BudgetMicros: 1 << 40, ProgramCapMicros: 1_000,
+		BudgetMicros: view.cluster.budget, ProgramCapMicros: 1_000,
 	}, tenant == testTenant && name == testTier
 }
 func (testConfiguration) Service(name string) (*operatorv1.Service, bool) {
--- a/internal/scheduler/escrow.go
+++ b/internal/scheduler/escrow.go
@@ -180,7 +180,7 @@
 		case host.coversCall(key, parked.worstCase):
 			host.core.callAsked(CallAsked{Ask: parked.ask, Request: parked.request})
 		case exhausted:
-			host.core.decline(parked.ask, budgetExhausted(parked.worstCase))
+			host.declineCall(parked.ask, parked.request, budgetExhausted(parked.worstCase))
 		default:
 			need.parked = append(need.parked, parked)
 		}
@@ -216,7 +216,7 @@
 	need.parked = slices.DeleteFunc(need.parked, func(parked parkedCall) bool {
 		impatient := host.core.now-parked.since >= escrowPatience
 		if impatient {
-			host.core.decline(parked.ask, budgetExhausted(parked.worstCase))
+			host.declineCall(parked.ask, parked.request, budgetExhausted(parked.worstCase))
 		}
 		return impatient
 	})
--- /dev/null
+++ b/internal/scheduler/schedule_test.go
@@ -0,0 +1,170 @@
+package scheduler
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/magpielug/magpielug/internal/shard"
+)
+
+const (
+	// ciSchedules run in CI; SCHEDULER_SCHEDULES asks for more.
+	ciSchedules       = 12
+	schedulesVariable = "SCHEDULER_SCHEDULES"
+	faultTime         = 20 * time.Second
+	healTime          = 90 * time.Second
+	faultStart        = 2500 * time.Millisecond
+	faultInterval     = 300 * time.Millisecond
+	recoveryTime      = 3 * time.Second
+	scheduleClients   = 6
+	scheduleTurns     = 60
+	scheduleThinkTime = 300 * time.Millisecond
+	scheduleBudget    = 5_000
+)
+
+func schedules() int {
+	if asked, err := strconv.Atoi(os.Getenv(schedulesVariable)); err == nil {
+		return asked
+	}
+	return ciSchedules
+}
+
+// faults throws one random fault at the cluster and undoes it later. At most one
+// process at a time is down, frozen or cut off, so that a majority of every
+// group lives; the log may be away at any time.
+type faults struct {
+	cluster *testCluster
+	busy    bool
+}
+
+func (faults *faults) throw() {
+	cluster := faults.cluster
+	if cluster.now > faultTime {
+		return
+	}
+	cluster.after(faultInterval, faults.throw)
+	if cluster.random.Intn(4) == 0 {
+		cluster.crashEngine(fmt.Sprintf("e%d", cluster.random.Intn(2)))
+	}
+	if faults.busy {
+		return
+	}
+	faults.busy = true
+	names := sortedKeys(cluster.nodes)
+	name := names[cluster.random.Intn(len(names))]
+	length := time.Duration(cluster.random.Int63n(int64(3 * time.Second)))
+	switch cluster.random.Intn(4) {
+	case 0:
+		cluster.nodes[name].dead = true
+		faults.undo(length, func() { cluster.start(name) })
+	case 1:
+		node := cluster.nodes[name]
+		node.paused = true
+		faults.undo(length, node.wake)
+	case 2:
+		cluster.cut = func(from, to string) bool { return from == name || to == name }
+		faults.undo(length, func() { cluster.cut = func(string, string) bool { return false } })
+	case 3:
+		cluster.logDown = true
+		faults.undo(length, func() { cluster.logDown = false })
+	}
+}
+
+// undo ends the fault, and leaves the groups time to replace a member before
+// the next.
+func (faults *faults) undo(length time.Duration, end func()) {
+	faults.cluster.after(length, func() {
+		end()
+		faults.cluster.after(recoveryTime, func() { faults.busy = false })
+	})
+}
+
+// budgetViolation checks the money at this moment, over all shards. Of each
+// shard the replica that has applied most speaks: one that lags still shows
+// reservations which have been settled, and whose escrow may be in use elsewhere.
+func (cluster *testCluster) budgetViolation(budget uint64) string {
+	key := shard.TierKey{Tenant: testTenant, Tier: testTier}
+	total := uint64(0)
+	for number := range testConfig("s0").Shards {
+		host := cluster.furthest(number)
+		if host == nil {
+			continue
+		}
+		escrow := host.state.Escrow(key)
+		total += uint64(escrow.Spent() + escrow.Reserved())
+		if outstanding := uint64(host.state.Account(key).Outstanding()); outstanding > budget {
+			return fmt.Sprintf("outstanding escrow %d is over the budget %d", outstanding, budget)
+		}
+	}
+	if total > budget {
+		return fmt.Sprintf("spent and reserved %d are over the budget %d", total, budget)
+	}
+	return ""
+}
+
+// furthest returns the replica of a shard that has applied most.
+func (cluster *testCluster) furthest(number uint32) *host {
+	var found *host
+	for _, name := range sortedKeys(cluster.nodes) {
+		candidate := cluster.nodes[name].core.hosts[number]
+		if candidate == nil {
+			continue
+		}
+		if found == nil || candidate.replica.CommittedIndex() > found.replica.CommittedIndex() {
+			found = candidate
+		}
+	}
+	return found
+}
+
+// runSchedule runs one seeded schedule of faults and returns what was violated.
+func runSchedule(seed int64) []string {
+	cluster := newTestCluster(seed, 4)
+	cluster.callSteps = 20
+	cluster.budget = scheduleBudget
+	var clients []*testClient
+	for number := range scheduleClients {
+		client := cluster.addClient(fmt.Sprintf("p%d", number), scheduleTurns)
+		client.think = scheduleThinkTime
+		clients = append(clients, client)
+	}
+	var found []string
+	var check func()
+	check = func() {
+		if violation := cluster.budgetViolation(scheduleBudget); violation != "" && len(found) == 0 {
+			found = append(found, violation)
+		}
+		cluster.after(20*time.Millisecond, check)
+	}
+	check()
+	thrower := &faults{cluster: cluster}
+	cluster.after(faultStart, thrower.throw)
+	cluster.runUntil(faultTime+healTime, func() bool {
+		for _, client := range clients {
+			if !client.finished {
+				return false
+			}
+		}
+		return true
+	})
+	for _, client := range clients {
+		if !client.finished {
+			found = append(found, fmt.Sprintf("%s did not finish: %d of %d calls", client.program, len(client.results), client.turns))
+		}
+		found = append(found, client.violations()...)
+	}
+	return found
+}
+
+var _ = Describe("scheduler under seeded faults", func() {
+	It("keeps order, history, at-most-once and budgets", func() {
+		for seed := int64(1); seed <= int64(schedules()); seed++ {
+			Expect(runSchedule(seed)).To(BeEmpty(), "seed %d", seed)
+		}
+	})
+})
--- a/internal/shard/apply.go
+++ b/internal/shard/apply.go
@@ -40,6 +40,8 @@
 		return state.createProgram(change.ProgramCreated)
 	case *shardv1.Entry_CallAccepted:
 		return state.acceptCall(change.CallAccepted)
+	case *shardv1.Entry_CallDeclined:
+		return state.declineCall(change.CallDeclined)
 	case *shardv1.Entry_CallIntended:
 		return state.intendCall(change.CallIntended)
 	case *shardv1.Entry_CallRequeued:
@@ -114,11 +116,12 @@
 	}
 	limit := program.Created().TurnLimit
 	if limit > 0 && program.record.NextTurn >= limit {
-		return refused(resultcode.TurnLimitReached, "program %s has taken its %d turns", accepted.ProgramId, limit)
+		return program.decline(accepted,
+			resultcode.New(resultcode.TurnLimitReached, "program %s has taken its %d turns", accepted.ProgramId, limit))
 	}
 	reservation := program.worstCase(accepted)
 	if failure := state.reserve(program, reservation); failure != nil {
-		return Outcome{Program: program, Err: failure}
+		return program.decline(accepted, failure)
 	}
 	if failure := program.move(charts.ProgramEventCallAccepted); failure != nil {
 		return Outcome{Program: program, Err: failure}
@@ -140,6 +143,63 @@
 	return program.worstCase(accepted)
 }
 
+// decline records why a call was not accepted. BudgetExhausted is not recorded
+// here: the leader may still get escrow, or commits a CallDeclined.
+func (program *Program) decline(accepted *shardv1.CallAccepted, failure *resultcode.Error) Outcome {
+	if failure.Code == resultcode.BudgetExhausted {
+		return Outcome{Program: program, Err: failure}
+	}
+	call := program.recordDeclined(&shardv1.CallDeclined{
+		ProgramId: accepted.ProgramId,
+		RequestId: accepted.RequestId,
+		Digest:    accepted.Digest,
+		Code:      uint32(failure.Code),
+		Message:   failure.Message,
+	})
+	return Outcome{Program: program, Call: call, Err: failure}
+}
+
+// declineCall refuses a call that the leader will not accept. A call that an
+// earlier entry has accepted goes on: then this entry changes nothing.
+func (state *State) declineCall(declined *shardv1.CallDeclined) Outcome {
+	program := state.programs[declined.ProgramId]
+	if program == nil {
+		return refused(resultcode.UnknownProgram, "no program %s", declined.ProgramId)
+	}
+	if known := program.calls[declined.RequestId]; known != nil {
+		return Outcome{Program: program, Call: known, Duplicate: true}
+	}
+	return Outcome{Program: program, Call: program.recordDeclined(declined)}
+}
+
+// maximumDeclined bounds the refused calls that a program remembers. With more,
+// the oldest are forgotten.
+const maximumDeclined = 64
+
+func (program *Program) recordDeclined(declined *shardv1.CallDeclined) *Call {
+	if len(program.record.Declined) >= maximumDeclined {
+		delete(program.calls, program.record.Declined[0])
+		program.record.Declined = program.record.Declined[1:]
+	}
+	program.record.Declined = append(program.record.Declined, declined.RequestId)
+	call := &Call{program: program, state: charts.CallStateRefused, record: &shardv1.CallRecord{
+		Accepted: &shardv1.CallAccepted{
+			ProgramId: declined.ProgramId,
+			RequestId: declined.RequestId,
+			Digest:    declined.Digest,
+		},
+		Ended: &shardv1.CallEnded{
+			ProgramId:    declined.ProgramId,
+			RequestId:    declined.RequestId,
+			Code:         declined.Code,
+			Message:      declined.Message,
+			RetryAfterMs: declined.RetryAfterMs,
+		},
+	}}
+	program.calls[declined.RequestId] = call
+	return call
+}
+
 // WorstCaseAlone bounds the cost of a call that has no history before it.
 func WorstCaseAlone(accepted *shardv1.CallAccepted) uint64 {
 	return uint64(price(accepted).Cost(EstimateTokens(accepted.Messages), accepted.MaxTokens))
--- a/internal/shard/snapshot.go
+++ b/internal/shard/snapshot.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 
@@ -35,7 +36,10 @@
 		record.Calls = append(record.Calls, call.record)
 	}
 	slices.SortFunc(record.Calls, func(left, right *shardv1.CallRecord) int {
-		return int(left.Turn) - int(right.Turn)
+		return cmp.Or(
+			cmp.Compare(left.Turn, right.Turn),
+			strings.Compare(left.Accepted.RequestId, right.Accepted.RequestId),
+		)
 	})
 	return record
 }
