Test calls cut after the headers, reset, or left silent

Cause: trials that broke the code on purpose showed three rules that no test held: a call counts as delivered after headers alone, a reset connection is no refused one, and a silent stream ends by itself. The fake scheduler's silence ended after a second by itself and hid the last. Change: the fake scheduler stays silent until the gateway leaves, and sends headers alone; entries for each of the three.

--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -64,8 +64,13 @@
 	scheduler.calls = append(scheduler.calls, request)
 	scheduler.mutex.Unlock()
 	scheduler.onCall(request, func(event *schedulerv1.CallEvent) {
-		_, _ = protodelim.MarshalTo(writer, event)
+		if event != headersOnly && event != hang {
+			_, _ = protodelim.MarshalTo(writer, event)
+		}
 		writer.(http.Flusher).Flush()
+		if event == hang {
+			<-httpRequest.Context().Done()
+		}
 	})
 }
 
@@ -139,6 +144,10 @@
 
 const helloText = `Hello "wörld"`
 
+// Instead of an event: headersOnly sends the answer's headers alone, hang keeps
+// the connection open and silent until the gateway closes it.
+var headersOnly, hang = &schedulerv1.CallEvent{}, &schedulerv1.CallEvent{}
+
 // cut breaks the scheduler's connection in mid-answer.
 func cut() { panic(http.ErrAbortHandler) }
 
@@ -257,6 +266,23 @@
 	return body.Error.Code
 }
 
+// resettingAddress takes one request and resets its connection.
+func resettingAddress() string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	go func() {
+		defer listener.Close()
+		connection, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = connection.Read(make([]byte, 1<<10))
+		_ = connection.(*net.TCPConn).SetLinger(0)
+		_ = connection.Close()
+	}()
+	return listener.Addr().String()
+}
+
 // unusedAddress is one that refuses connections.
 func unusedAddress() string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -7,7 +7,6 @@
 	"slices"
 	"strings"
 	"sync/atomic"
-	"time"
 
 	"pgregory.net/rapid"
 
@@ -46,12 +45,7 @@
 
 // silentAfter keeps the connection open and sends nothing more.
 func silentAfter(events ...*schedulerv1.CallEvent) func(*schedulerv1.CallRequest, sender) {
-	return func(_ *schedulerv1.CallRequest, send sender) {
-		for _, event := range events {
-			send(event)
-		}
-		time.Sleep(time.Second)
-	}
+	return cutAfter(append(events, hang)...)
 }
 
 var _ = Describe("Relay", func() {
@@ -157,11 +151,20 @@
 				Expect(running).To(HaveLen(1))
 			},
 			Entry("forgotten before it was accepted", cutAfter(), answering(resultcode.UnknownRequest)),
+			Entry("forgotten after headers alone", cutAfter(headersOnly), answering(resultcode.UnknownRequest)),
+			Entry("forgotten after a silence", silentAfter(), answering(resultcode.UnknownRequest)),
 			Entry("forgotten with its program", cutAfter(), answering(resultcode.UnknownProgram)),
 			Entry("forgotten after it was accepted", cutAfter(accepted()), answering(resultcode.UnknownRequest)),
 			Entry("no leader afterwards", cutAfter(), answering(resultcode.NoLeader)),
 		)
 
+		It("is answered as unknown after a reset connection", func() {
+			scheduler := startScheduler(answering(resultcode.UnknownRequest))
+			reply := send(serve(resettingAddress(), scheduler.address()))
+			Expect(reply.code()).To(Equal(resultcode.OutcomeUnknown))
+			Expect(scheduler.requests()[0].AttachOnly).To(BeTrue())
+		})
+
 		It("is refused as not run where no scheduler took it", func() {
 			reply := send(serve(startScheduler(answering(resultcode.NotLeader)).address(), unusedAddress()))
 			Expect(reply.code()).To(Equal(resultcode.NoLeader))
