Speak TLS to callers, operators and between processes

Purpose: TLS by settings, certificates reread without a restart. Ruled out: nbhttp's own TLS (an older copy of crypto/tls); a custom check of server chains, which would not see an IP address as the server's name.

--- a/internal/command/operator.go
+++ b/internal/command/operator.go
@@ -10,6 +10,7 @@
 	"time"
 
 	operatorv1 "github.com/magpielug/magpielug/api/operator/v1"
+	"github.com/magpielug/magpielug/internal/certificate"
 	"github.com/magpielug/magpielug/internal/httpclient"
 	"github.com/magpielug/magpielug/internal/operator"
 	"github.com/magpielug/magpielug/internal/resultcode"
@@ -28,10 +29,11 @@
 
 // OperatorCommand speaks the operators' schema to a gateway.
 type OperatorCommand struct {
-	Address []string      `arg:"--address,separate,env:MAGPIELUG_ADDRESS" placeholder:"IP:PORT" help:"gateway to ask; further ones are asked in turn when one does not answer"`
-	KeyFile string        `arg:"--key-file,env:MAGPIELUG_OPERATOR_KEY_FILE" placeholder:"FILE" help:"file with the operators' key; without it the key is taken from MAGPIELUG_OPERATOR_KEY"`
-	Output  string        `arg:"--output" default:"table" placeholder:"FORMAT" help:"table or json"`
-	Timeout time.Duration `arg:"--timeout" default:"15s" help:"longest wait for one gateway's answer"`
+	Address   []string      `arg:"--address,separate,env:MAGPIELUG_ADDRESS" placeholder:"IP:PORT" help:"gateway to ask; further ones are asked in turn when one does not answer"`
+	KeyFile   string        `arg:"--key-file,env:MAGPIELUG_OPERATOR_KEY_FILE" placeholder:"FILE" help:"file with the operators' key; without it the key is taken from MAGPIELUG_OPERATOR_KEY"`
+	Authority string        `arg:"--authority-file,env:MAGPIELUG_AUTHORITY_FILE" placeholder:"FILE" help:"PEM file with the authority of the gateways' certificates; with it TLS is used"`
+	Output    string        `arg:"--output" default:"table" placeholder:"FORMAT" help:"table or json"`
+	Timeout   time.Duration `arg:"--timeout" default:"15s" help:"longest wait for one gateway's answer"`
 
 	Publish     *PublishCommand     `arg:"subcommand:publish" help:"publish a whole configuration"`
 	Get         *GetCommand         `arg:"subcommand:get" help:"show the configuration in force on the gateway"`
@@ -97,7 +99,7 @@
 	if err != nil {
 		return nil, err
 	}
-	httpClient, err := httpclient.New(httpclient.Options{Timeout: command.Timeout})
+	httpClient, err := command.newHTTPClient()
 	if err != nil {
 		return nil, err
 	}
@@ -113,6 +115,18 @@
 	return nil, errors.Join(failures...)
 }
 
+func (command *OperatorCommand) newHTTPClient() (*http.Client, error) {
+	options := httpclient.Options{Timeout: command.Timeout}
+	if command.Authority != "" {
+		source, err := certificate.NewSource(certificate.Files{Authority: command.Authority}, nil)
+		if err != nil {
+			return nil, &usageError{"--authority-file: " + err.Error()}
+		}
+		options.TLS = source.ClientConfig
+	}
+	return httpclient.New(options)
+}
+
 // answered tells whether err is an answer that another gateway would give too.
 func answered(err error) bool {
 	var usage *usageError
--- a/internal/command/operator_test.go
+++ b/internal/command/operator_test.go
@@ -5,6 +5,8 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"encoding/pem"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -60,12 +62,16 @@
 	}, gateway.failure
 }
 
-// serve starts a gateway and returns the flags that reach it.
-func (gateway *gateway) serve() []string {
+func (gateway *gateway) handler() http.Handler {
 	digest := sha256.Sum256([]byte("operator-key"))
-	server := httptest.NewServer(operator.NewHandler(operator.Dependencies{
+	return operator.NewHandler(operator.Dependencies{
 		Publisher: gateway, Reader: gateway, Cluster: gateway, KeySHA256: hex.EncodeToString(digest[:]),
-	}))
+	})
+}
+
+// serve starts a gateway and returns the flags that reach it.
+func (gateway *gateway) serve() []string {
+	server := httptest.NewServer(gateway.handler())
 	DeferCleanup(server.Close)
 	return []string{"operator", "--address", server.Listener.Addr().String(), "--key-file", keyFile("operator-key\n")}
 }
@@ -142,6 +148,18 @@
 		expectOneLine(run("operator", "--key-file", keyFile("k"), "nodes"), ExitUsage, "--address: missing")
 	})
 
+	It("speaks TLS to gateways of the authority alone", func() {
+		server := httptest.NewTLSServer(served.handler())
+		DeferCleanup(server.Close)
+		path := filepath.Join(GinkgoT().TempDir(), "authority.pem")
+		block := &pem.Block{Type: "CERTIFICATE", Bytes: server.Certificate().Raw}
+		Expect(os.WriteFile(path, pem.EncodeToMemory(block), 0o600)).To(Succeed())
+		secured := []string{"operator", "--address", server.Listener.Addr().String(), "--key-file", keyFile("operator-key"), "nodes"}
+		Expect(run(append(secured, "--authority-file", path)...).code).To(Equal(ExitOK))
+		expectOneLine(run(secured...), ExitUnavailable, "no gateway answered")
+		expectOneLine(run(append(secured, "--authority-file", "absent.pem")...), ExitUsage, "--authority-file")
+	})
+
 	It("refuses a wrong key and asks the next gateway when one is away", func() {
 		expectOneLine(run("operator", "--address", flags[2], "--key-file", keyFile("guess"), "nodes"), ExitRefused, "1003 BAD_KEY")
 		got := run(append([]string{"operator", "--address", "127.0.0.1:1"}, append(flags[1:], "nodes")...)...)
--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -3,6 +3,8 @@
 package httpclient
 
 import (
+	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"time"
@@ -18,6 +20,11 @@
 	keepAliveProbeInterval = 5 * time.Second
 )
 
+const (
+	plainScheme  = "http"
+	secureScheme = "https"
+)
+
 // Options tunes a client; zero fields take their defaults.
 type Options struct {
 	// SourceAddress is the local IP address that connections come from; empty
@@ -29,6 +36,10 @@
 	// Timeout bounds a whole exchange, body included; 0 is no bound, as
 	// streams need.
 	Timeout time.Duration
+	// TLS, where set, is used for every exchange: an http URL is taken for an
+	// https one, so that callers need not know. It is called for each new
+	// connection, so that certificates can change.
+	TLS func() *tls.Config
 	// IdlePerAddress is the number of idle connections kept per address.
 	IdlePerAddress int
 	IdleTimeout    time.Duration
@@ -62,7 +73,7 @@
 		DisableCompression:    true,
 	}
 	client := &http.Client{
-		Transport: transport,
+		Transport: secure(transport, dialer, options.TLS),
 		Timeout:   options.Timeout,
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
@@ -71,6 +82,33 @@
 	return client, nil
 }
 
+// secure makes every exchange of transport use TLS under config, if any.
+func secure(transport *http.Transport, dialer *net.Dialer, config func() *tls.Config) http.RoundTripper {
+	if config == nil {
+		return transport
+	}
+	transport.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		secured := &tls.Dialer{NetDialer: dialer, Config: config()}
+		return secured.DialContext(ctx, network, address)
+	}
+	return &securedTransport{transport: transport}
+}
+
+// securedTransport turns http URLs into https ones.
+type securedTransport struct{ transport *http.Transport }
+
+// RoundTrip implements http.RoundTripper.
+func (secured *securedTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+	if request.URL.Scheme == plainScheme {
+		request = request.Clone(request.Context())
+		request.URL.Scheme = secureScheme
+	}
+	return secured.transport.RoundTrip(request)
+}
+
+// CloseIdleConnections closes the connections that no exchange uses.
+func (secured *securedTransport) CloseIdleConnections() { secured.transport.CloseIdleConnections() }
+
 func orDefault(value, fallback time.Duration) time.Duration {
 	if value > 0 {
 		return value
--- a/internal/httpserver/bounded_conn.go
+++ b/internal/httpserver/bounded_conn.go
@@ -51,6 +51,9 @@
 	return nil
 }
 
+// caller returns the server's state of the connection.
+func (conn *boundedConn) caller() *connection { return conn.connection }
+
 // pending is the number of bytes that the connection holds for its client.
 func (connection *connection) pending() int {
 	return int(connection.submitted.Load() - connection.written.Load())
--- a/internal/httpserver/connection.go
+++ b/internal/httpserver/connection.go
@@ -29,11 +29,15 @@
 	// excess is true for a connection over the limit.
 	excess bool
 
-	// Owned by the poller goroutine that reads the connection.
+	// Owned by the goroutine that reads the connection: the poller, or
+	// secureConn's own.
 	attached   bool
 	received   int
 	headerDone bool
 
+	// secure is nil on a connection without TLS.
+	secure *secureConn
+
 	// receiving is true from a request's first byte to its last.
 	receiving atomic.Bool
 
@@ -66,12 +70,24 @@
 	}
 }
 
-// receive handles bytes from the client, on the poller goroutine.
+// receive takes bytes from the client, on the poller goroutine.
 func (connection *connection) receive(data []byte) {
 	if connection.discarding.Load() {
 		return
 	}
 	connection.attach()
+	if connection.secure != nil {
+		connection.secure.feed(data)
+		return
+	}
+	connection.parse(data)
+}
+
+// parse hands a request's bytes to nbhttp.
+func (connection *connection) parse(data []byte) {
+	if connection.discarding.Load() {
+		return
+	}
 	connection.startRequest()
 	connection.received += len(data)
 	connection.socket.DataHandler()(connection.socket, data)
@@ -91,7 +107,12 @@
 		Processor:  parser.Processor,
 		connection: connection,
 	}
-	parser.Conn = &boundedConn{Conn: parser.Conn, connection: connection}
+	bounded := &boundedConn{Conn: parser.Conn, connection: connection}
+	parser.Conn = bounded
+	if connection.server.tlsConfig != nil {
+		connection.secure = newSecureConn(bounded, connection.server.tlsConfig)
+		parser.Conn = connection.secure
+	}
 }
 
 // startRequest arms the timeout of a half-sent request at its first byte.
--- a/internal/httpserver/handler.go
+++ b/internal/httpserver/handler.go
@@ -11,6 +11,9 @@
 
 type callerKey struct{}
 
+// callerConn is what nbhttp writes answers to.
+type callerConn interface{ caller() *connection }
+
 // CallerGone returns a channel that is closed when the request's connection
 // closes. The request's context ends then too, and when its handler returns.
 // The channel is nil, and so never ready, for a request of another server.
@@ -26,7 +29,7 @@
 // here unseen: a request over the limit is refused at once.
 func (server *Server) serve(writer http.ResponseWriter, request *http.Request) {
 	response := writer.(*nbhttp.Response)
-	caller := response.Parser.Conn.(*boundedConn).connection
+	caller := response.Parser.Conn.(callerConn).caller()
 	// The deadline may have been armed by the end of the request before.
 	caller.clearReadTimeout()
 	if server.draining.Load() {
--- a/internal/httpserver/refusal.go
+++ b/internal/httpserver/refusal.go
@@ -107,10 +107,20 @@
 		_ = connection.socket.Close()
 		return
 	}
-	_, _ = connection.socket.Write(rawResponse(failure))
+	connection.writeRefusal(rawResponse(failure))
 	connection.setReadTimeout(lingerTimeout)
 }
 
+// writeRefusal sends a short answer. Without TLS it runs on the poller and so
+// must not wait for the client, as boundedConn does.
+func (connection *connection) writeRefusal(answer []byte) {
+	if connection.secure != nil {
+		_, _ = connection.secure.Write(answer)
+		return
+	}
+	_, _ = connection.socket.Write(answer)
+}
+
 // rawResponse is a whole HTTP response for use outside a handler.
 func rawResponse(failure *resultcode.Error) []byte {
 	content := errorContent(failure)
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -36,8 +37,10 @@
 	handler  http.Handler
 	engine   *nbhttp.Engine
 	listener *stoppableListener
-	context  context.Context
-	cancel   context.CancelFunc
+	// tlsConfig is nil for plain HTTP.
+	tlsConfig *tls.Config
+	context   context.Context
+	cancel    context.CancelFunc
 
 	connections sync.Map // *nbio.Conn to *connection
 	open        atomic.Int64
@@ -50,17 +53,29 @@
 // *resultcode.Error with code AddressInUse, any other bad address one with
 // code InvalidSettings.
 func Start(address string, handler http.Handler, limits Limits) (*Server, error) {
+	return listen(address, handler, limits, nil)
+}
+
+// StartTLS is Start with TLS (HTTP/1.1) under config.
+func StartTLS(address string, handler http.Handler, limits Limits, config *tls.Config) (*Server, error) {
+	secured := config.Clone()
+	secured.NextProtos = []string{"http/1.1"}
+	return listen(address, handler, limits, secured)
+}
+
+func listen(address string, handler http.Handler, limits Limits, config *tls.Config) (*Server, error) {
 	inner, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, listenFailure(address, err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	server := &Server{
-		limits:   limits.withDefaults(),
-		handler:  handler,
-		listener: newStoppableListener(inner),
-		context:  ctx,
-		cancel:   cancel,
+		limits:    limits.withDefaults(),
+		handler:   handler,
+		listener:  newStoppableListener(inner),
+		tlsConfig: config,
+		context:   ctx,
+		cancel:    cancel,
 	}
 	server.engine = server.newEngine(inner.Addr().String())
 	err = server.engine.Start()
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -4,11 +4,13 @@
 	"bufio"
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"runtime"
 	"strings"
 	"time"
@@ -24,8 +26,14 @@
 // largeAnswer is more than the system's socket buffers hold.
 const largeAnswer = 12 << 20
 
+// secured makes start, newClient, dial and url use TLS.
+var secured bool
+
+// identity is a certificate for 127.0.0.1 and a client's trust in it.
+var identity = httptest.NewTLSServer(nil)
+
 func start(handler http.HandlerFunc, limits Limits) *Server {
-	server, err := Start("127.0.0.1:0", handler, limits)
+	server, err := startAt("127.0.0.1:0", handler, limits)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
@@ -35,8 +43,23 @@
 	return server
 }
 
+func startAt(address string, handler http.HandlerFunc, limits Limits) (*Server, error) {
+	if secured {
+		return StartTLS(address, handler, limits, identity.TLS)
+	}
+	return Start(address, handler, limits)
+}
+
+func clientConfig() *tls.Config {
+	return identity.Client().Transport.(*http.Transport).TLSClientConfig.Clone()
+}
+
 func newClient() *http.Client {
-	client, err := httpclient.New(httpclient.Options{SourceAddress: "127.0.0.1", Timeout: patience})
+	options := httpclient.Options{SourceAddress: "127.0.0.1", Timeout: patience}
+	if secured {
+		options.TLS = clientConfig
+	}
+	client, err := httpclient.New(options)
 	Expect(err).NotTo(HaveOccurred())
 	return client
 }
@@ -46,7 +69,12 @@
 	Expect(err).NotTo(HaveOccurred())
 	Expect(connection.SetDeadline(time.Now().Add(patience))).To(Succeed())
 	DeferCleanup(func() { _ = connection.Close() })
-	return connection
+	if !secured {
+		return connection
+	}
+	config := clientConfig()
+	config.ServerName = "127.0.0.1"
+	return tls.Client(connection, config)
 }
 
 func errorOf(body io.Reader) ErrorDetail {
@@ -65,10 +93,16 @@
 	return bytes.Repeat(line, size/len(line)+1)[:size]
 }
 
-var _ = Describe("Server", func() {
+var _ = Describe("Server", func() { describeServer(false) })
+
+var _ = Describe("Server with TLS", func() { describeServer(true) })
+
+func describeServer(withTLS bool) {
+	BeforeEach(func() { secured = withTLS })
+
 	It("says in one line that a port is taken", func() {
 		server := start(echo, Limits{})
-		_, err := Start(server.Address(), http.HandlerFunc(echo), Limits{})
+		_, err := startAt(server.Address(), echo, Limits{})
 		Expect(resultcode.CodeOf(err)).To(Equal(resultcode.AddressInUse))
 		Expect(err.Error()).To(ContainSubstring(server.Address()))
 		Expect(err.Error()).NotTo(ContainSubstring("\n"))
@@ -299,6 +333,23 @@
 		defer cancel()
 		Expect(server.Shutdown(ctx)).To(MatchError(context.DeadlineExceeded))
 	})
+}
+
+var _ = Describe("Server with TLS, towards clients without", func() {
+	It("answers no plain request and closes half a handshake", func() {
+		secured = true
+		server := start(echo, Limits{RequestTimeout: 100 * time.Millisecond})
+		for _, sent := range []string{"GET / HTTP/1.1\r\nHost: x\r\n\r\n", "\x16\x03\x01"} {
+			connection, err := net.Dial("tcp", server.Address())
+			Expect(err).NotTo(HaveOccurred())
+			Expect(connection.SetDeadline(time.Now().Add(patience))).To(Succeed())
+			fmt.Fprint(connection, sent)
+			answer, _ := io.ReadAll(connection)
+			Expect(string(answer)).NotTo(ContainSubstring("HTTP"))
+			Expect(connection.Close()).To(Succeed())
+		}
+		Eventually(server.Connections, patience).Should(BeZero())
+	})
 })
 
 func fetchSlowly(client *http.Client, server *Server, seed, size int) error {
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -9,6 +9,7 @@
 	"strings"
 
 	"github.com/go-playground/validator/v10"
+	"github.com/magpielug/magpielug/internal/certificate"
 )
 
 // keyTag is the struct tag that names a settings key.
@@ -47,7 +48,12 @@
 	case 2*loaded.Configuration.Poll > loaded.Configuration.FreshBound:
 		return invalid("configuration.poll: %v must be at most half of configuration.fresh_bound (%v)", loaded.Configuration.Poll, loaded.Configuration.FreshBound)
 	}
-	return checkAdvertised(loaded.Node)
+	err := checkAdvertised(loaded.Node)
+	if err != nil {
+		return err
+	}
+	_, err = certificate.NewSource(loaded.TLS.Files(), nil)
+	return err
 }
 
 // checkAdvertised refuses an address that no other process can reach.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -3,7 +3,11 @@
 // docs/OPERATING.md and is checked against this package by a test.
 package settings
 
-import "time"
+import (
+	"time"
+
+	"github.com/magpielug/magpielug/internal/certificate"
+)
 
 // Roles of a process.
 const (
@@ -21,6 +25,7 @@
 	Gateway           Gateway       `koanf:"gateway"`
 	Configuration     Configuration `koanf:"configuration"`
 	Log               Log           `koanf:"log"`
+	TLS               TLS           `koanf:"tls"`
 	OperatorKeySHA256 string        `koanf:"operator_key_sha256" validate:"omitempty,len=64,hexadecimal" about:"SHA-256 of the operators' key, hex. Without it a gateway refuses every operator call."`
 }
 
@@ -113,6 +118,26 @@
 	Level string `koanf:"level" validate:"oneof=debug info warn error" about:"Least level of events written."`
 }
 
+// TLS names PEM files; they are read again when they change. With a
+// certificate the process serves TLS alone; with an authority it speaks TLS to
+// the system's other processes.
+type TLS struct {
+	Certificate   string `koanf:"certificate" about:"File with the process's certificate, for its IP address. Empty serves plain HTTP."`
+	Key           string `koanf:"key" about:"File with the certificate's private key."`
+	Authority     string `koanf:"authority" about:"File with the authority that signs the processes' certificates. Empty speaks plain HTTP to other processes."`
+	RequireClient bool   `koanf:"require_client" about:"Accept only clients with a certificate of tls.authority; for schedulers, which talk to processes alone."`
+}
+
+// Files returns the settings as the certificate package takes them.
+func (settings TLS) Files() certificate.Files {
+	return certificate.Files{
+		Certificate:   settings.Certificate,
+		Key:           settings.Key,
+		Authority:     settings.Authority,
+		RequireClient: settings.RequireClient,
+	}
+}
+
 // AdvertisedAddress is the address that other processes use.
 func (node Node) AdvertisedAddress() string {
 	if node.Advertise != "" {
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -50,6 +50,9 @@
 	if field.Type.Kind() == reflect.Bool {
 		return "true, false"
 	}
+	if field.Tag.Get("validate") == "" {
+		return "path"
+	}
 	var parts []string
 	for _, rule := range strings.Split(field.Tag.Get("validate"), ",") {
 		name, bound, _ := strings.Cut(rule, "=")
