Keep refusals that say nothing of an earlier send from reading as not run

Cause: a repeatable call that was sent, cut off and sent again got the second leader's CONFIGURATION_STALE (not run), although the first send may run. Change: refusals that the scheduler does not commit are answered as OUTCOME_UNKNOWN where the call was sent before, also for creations and ends; committed ones stand. Empty events, by which the scheduler shows that it is alive, no longer count as an acceptance.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -137,6 +137,10 @@
 		if failed := event.GetFailed(); failed != nil {
 			return nil, relay.failed(search, address, failed, acceptedHere)
 		}
+		if event.Event == nil {
+			// The scheduler only shows that it is alive.
+			continue
+		}
 		if !acceptedHere {
 			acceptedHere = true
 			relay.acceptedBy(search, address)
@@ -216,10 +220,15 @@
 		return errNotTaken
 	}
 	search.found(address)
-	if relay.request.AttachOnly && relay.mayHaveRun() && !acceptedHere && isUnknown(failure) {
+	sentBefore := relay.mayHaveRun() && !acceptedHere
+	switch {
+	case sentBefore && relay.request.AttachOnly && isUnknown(failure):
 		return relay.forgotten()
+	case sentBefore && isUncommitted(failure):
+		return relay.lost(failure.GetMessage())
+	default:
+		return fromScheduler(failure)
 	}
-	return fromScheduler(failure)
 }
 
 // isUnknown reports whether the leader knows nothing of the call.
@@ -228,6 +237,18 @@
 	return code == resultcode.UnknownRequest || code == resultcode.UnknownProgram
 }
 
+// isUncommitted reports whether the refusal speaks of this request alone: the
+// scheduler commits its other refusals, so that they hold for every request of
+// the same id, but these say nothing of one that was sent before.
+func isUncommitted(failure *schedulerv1.Error) bool {
+	switch resultcode.Code(failure.GetCode()) {
+	case resultcode.BadKey, resultcode.UnknownProgram, resultcode.ConfigurationStale, resultcode.ArchiveBacklogFull:
+		return true
+	default:
+		return false
+	}
+}
+
 // mayHaveRun reports whether the call may have run for all that the gateway
 // knows. A request to resume can't make a call run.
 func (relay *relay) mayHaveRun() bool {
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -188,6 +188,22 @@
 		Expect(reply.body).To(ContainSubstring(`"code":3001`))
 	})
 
+	DescribeTable("never says not run of a repeatable call that may have run",
+		func(code resultcode.Code, told resultcode.Code) {
+			scheduler := startScheduler(inTurn(cutAfter(headersOnly), answering(code)))
+			Expect(serve(scheduler.address()).send("POST", chatPath, chat("")).code()).To(Equal(told))
+		},
+		Entry("refused for this request alone", resultcode.ConfigurationStale, resultcode.OutcomeUnknown),
+		Entry("unknown program", resultcode.UnknownProgram, resultcode.OutcomeUnknown),
+		Entry("refused for good", resultcode.Overloaded, resultcode.Overloaded),
+	)
+
+	It("is not misled by events that only show life", func() {
+		scheduler := startScheduler(inTurn(cutAfter(&schedulerv1.CallEvent{}), answering(resultcode.UnknownRequest)))
+		reply := serve(scheduler.address()).send("POST", chatPath, streamed, headerRepeatable, "false")
+		Expect(reply.code()).To(Equal(resultcode.OutcomeUnknown))
+	})
+
 	It("keeps retries within their budget", func() {
 		config := testConfig()
 		config.RetryBurst = 1
--- a/internal/gateway/scheduler_client.go
+++ b/internal/gateway/scheduler_client.go
@@ -93,7 +93,8 @@
 		}
 		search.found(address)
 		if failure.GetCode() != 0 {
-			return none, fromScheduler(failure)
+			refusal := fromScheduler(failure)
+			return none, unansweredRequest(refusal, mayHaveRun && isUncommitted(failure))
 		}
 		return answer, nil
 	}
@@ -106,7 +107,9 @@
 	return send(bounded, client.service(address))
 }
 
-// unansweredRequest is the final answer of a search that failed.
+// unansweredRequest is the final answer of a request that no leader took. err
+// stands unless the request may have taken effect at a scheduler whose answer
+// was lost.
 func unansweredRequest(err error, mayHaveRun bool) error {
 	var failure *resultcode.Error
 	if !mayHaveRun || !errors.As(err, &failure) {
