--- a/cmd/magpielug/main.go
+++ b/cmd/magpielug/main.go
@@ -3,45 +3,18 @@
 package main
 
 import (
-	"context"
-	"fmt"
 	"os"
 
-	"github.com/alexflint/go-arg"
-
+	"github.com/magpielug/magpielug/internal/command"
 	"github.com/magpielug/magpielug/internal/process"
-	"github.com/magpielug/magpielug/internal/settings"
 )
 
-type roleArguments struct {
-	Settings string `arg:"--settings,required"`
-}
-
-type arguments struct {
-	Gateway   *roleArguments `arg:"subcommand:gateway"`
-	Scheduler *roleArguments `arg:"subcommand:scheduler"`
-}
+// version is set when a release is linked.
+var version = "development"
 
 func main() {
-	var given arguments
-	arg.MustParse(&given)
-	var err error
-	switch {
-	case given.Gateway != nil:
-		err = start(given.Gateway, process.RunGateway)
-	case given.Scheduler != nil:
-		err = start(given.Scheduler, process.RunScheduler)
-	}
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "magpielug:", err)
-		os.Exit(2)
-	}
-}
-
-func start(role *roleArguments, run func(context.Context, string, settings.Settings) error) error {
-	loaded, err := settings.Load(role.Settings, nil)
-	if err != nil {
-		return err
-	}
-	return run(context.Background(), "development", loaded)
+	os.Exit(command.Main(version, command.Runners{
+		Gateway:   process.RunGateway,
+		Scheduler: process.RunScheduler,
+	}))
 }
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -6,6 +6,7 @@
 	operatorv1 "github.com/magpielug/magpielug/api/operator/v1"
 	"github.com/magpielug/magpielug/internal/configuration"
 	"github.com/magpielug/magpielug/internal/gateway"
+	"github.com/magpielug/magpielug/internal/operator"
 	"github.com/magpielug/magpielug/internal/resultcode"
 	"github.com/magpielug/magpielug/internal/settings"
 )
@@ -25,6 +26,14 @@
 		Metrics:       shared.registry,
 	})
 	shared.mux.Handle("/", callers.Handler())
+	shared.mux.Handle(operator.PathPrefix, operator.NewHandler(operator.Dependencies{
+		Publisher: configuration.NewPublisher(shared.log, shared.reader,
+			loaded.Configuration.PublishTimeout, loaded.Platform.AppendTimeout),
+		Reader:    shared.reader,
+		Cluster:   &operatorCluster{machines: shared.machines, client: shared.client, callers: callers},
+		KeySHA256: loaded.OperatorKeySHA256,
+		Logger:    shared.logger.Logger,
+	}))
 	serve := func(ctx context.Context) {
 		router.Run(ctx, loaded.Platform.MachinesPoll)
 	}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -38,6 +38,7 @@
 	machines *machineCache
 	reader   *configuration.Reader
 	exchange *configurationExchange
+	secure   certificates
 	server   *httpserver.Server
 }
 
@@ -49,9 +50,14 @@
 		return nil, err
 	}
 	logger.Logger = logger.With(zap.String("node", loaded.Node.ID))
+	secure, err := newCertificates(loaded.TLS, logger.Logger)
+	if err != nil {
+		return nil, err
+	}
 	client, err := httpclient.New(httpclient.Options{
 		SourceAddress:  loaded.Node.Source,
 		IdlePerAddress: loaded.Platform.IdleConnections,
+		TLS:            secure.client(),
 	})
 	if err != nil {
 		return nil, err
@@ -72,6 +78,7 @@
 		mux:      http.NewServeMux(),
 		client:   client,
 		adapters: adapters,
+		secure:   secure,
 		log:      httpadapter.NewLog(adapters, hostOf(loaded.Platform.Log)),
 		machines: newMachineCache(httpadapter.NewMachines(adapters, hostOf(loaded.Platform.Machines)),
 			loaded.Platform.MachinesPoll, loaded.Platform.ReadTimeout, logger.Logger),
@@ -128,7 +135,7 @@
 // requests under way are finished, and run returns.
 func (process *process) run(ctx context.Context, ready metrics.Readiness, serve func(context.Context), stop func(context.Context)) error {
 	metrics.Mount(process.mux, process.registry, ready)
-	server, err := httpserver.Start(process.settings.Node.Listen, process.mux, process.limits())
+	server, err := process.secure.serve(process.settings.Node.Listen, process.mux, process.limits())
 	if err != nil {
 		return err
 	}
