Correct the estimate of cached prefixes: adopted ones are the oldest, shared prompts count once

Cause: at 1.3 of measured capacity the keeper forgot prefixes that engines still had (41,451 trims for 18,000 calls on Cairo). A prefix adopted from a late report counted as the most recently used and pushed out what the keeper had seen itself; and the beginning of the prompt that all programs of a kind share was counted for each program, so memory seemed a quarter fuller than it was.

Change: adopted prefixes are linked as the oldest. A kind's shared tokens are learnt from what programs without a prefix of their own found cached, and left out of memory. Prompt computation is measured against the reported cached tokens.

--- a/internal/keeper/dispatch.go
+++ b/internal/keeper/dispatch.go
@@ -213,5 +213,6 @@
 	if cached == 0 && call.parent != nil {
 		cached = call.parent.cachedOn(engine) / sharedPart
 	}
+	cached = max(cached, call.program.kindRecord().sharedTokens())
 	return min(cached, call.request.PromptTokens)
 }
--- a/internal/keeper/estimate.go
+++ b/internal/keeper/estimate.go
@@ -52,10 +52,11 @@
 // outputMargin covers answers longer than the mean.
 const outputMargin = 1.5
 
-// needTokens is the KV memory a call is expected to hold at its end.
-func (e *estimates) needTokens(request *Request) int {
-	part := min(outputMargin*e.outputPart.value(firstOutputPart), 1)
-	return request.PromptTokens + int(part*float64(request.MaxTokens))
+// needTokens is the KV memory a call alone is expected to hold at its end.
+func (keeper *Keeper) needTokens(request *Request, program *programState) int {
+	part := min(outputMargin*keeper.estimates.outputPart.value(firstOutputPart), 1)
+	own := max(request.PromptTokens-program.kindRecord().sharedTokens(), 0)
+	return own + int(part*float64(request.MaxTokens))
 }
 
 // seconds turns a float of seconds into a duration.
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -40,7 +40,7 @@
 	started   bool
 
 	programs  programTable
-	pauses    pauseStatistics
+	kinds     kindTable
 	tiers     tierTable
 	timers    timerHeap
 	estimates estimates
@@ -66,7 +66,7 @@
 		pool:      queue.New[*waitingCall](config.ReservedShare),
 		drained:   make(map[string]bool),
 		programs:  newProgramTable(config.MaxPrograms),
-		pauses:    newPauseStatistics(),
+		kinds:     newKindTable(),
 		tiers:     newTierTable(),
 		decisions: newDecisionRing(config.DecisionMemory),
 	}
--- a/internal/keeper/leader.go
+++ b/internal/keeper/leader.go
@@ -52,11 +52,12 @@
 		keeper.dropCall(waiting)
 	}
 	rank := keeper.policies.Order.Rank(keeper.describe(&request))
+	program := keeper.seeProgram(&request)
 	call := &runningCall{
 		request: request,
-		program: keeper.seeProgram(&request),
+		program: program,
 		tier:    keeper.tiers.of(&request, rank.Band),
-		need:    keeper.estimates.needTokens(&request),
+		need:    keeper.needTokens(&request, program),
 	}
 	keeper.startCall(call, keeper.ensureEngine(grant.Engine))
 	keeper.decide(request.Call, "take over", "granted by an earlier keeper")
--- a/internal/keeper/pause.go
+++ b/internal/keeper/pause.go
@@ -6,52 +6,8 @@
 	"github.com/magpielug/magpielug/internal/cache"
 )
 
-const (
-	// maxPauseKinds bounds the kinds with statistics of their own; later ones
-	// share one record.
-	maxPauseKinds = 1024
-	// firstPauseSeconds and firstReuse are taken before anything was measured.
-	firstPauseSeconds = 2.0
-	firstReuse        = 0.9
-	// returnMargin is how many expected pauses a program may take to return.
-	returnMargin = 3
-)
-
-// pauseKey names a program kind of one tenant.
-type pauseKey struct{ tenant, kind string }
-
-// pauseRecord is what past pauses of one kind have shown.
-type pauseRecord struct {
-	// pauseSeconds is the mean length of pauses that ended in another call.
-	pauseSeconds ratio
-	// reuse is the part of pauses that ended in another call.
-	reuse ratio
-}
-
-// pauseStatistics holds the records by kind.
-type pauseStatistics struct {
-	byKind map[pauseKey]*pauseRecord
-	others pauseRecord
-}
-
-func newPauseStatistics() pauseStatistics {
-	return pauseStatistics{byKind: make(map[pauseKey]*pauseRecord)}
-}
-
-// of returns the record of a kind.
-func (statistics *pauseStatistics) of(tenant, kind string) *pauseRecord {
-	key := pauseKey{tenant, kind}
-	record := statistics.byKind[key]
-	if record != nil {
-		return record
-	}
-	if len(statistics.byKind) >= maxPauseKinds {
-		return &statistics.others
-	}
-	record = &pauseRecord{}
-	statistics.byKind[key] = record
-	return record
-}
+// returnMargin is how many expected pauses a program may take to return.
+const returnMargin = 3
 
 // pauseProgram decides what becomes of a waiting program's prefixes.
 func (keeper *Keeper) pauseProgram(event ProgramPaused) {
@@ -84,12 +40,12 @@
 	if predicted > 0 {
 		return predicted
 	}
-	return seconds(program.pauseRecord().pauseSeconds.value(firstPauseSeconds))
+	return seconds(program.kindRecord().pauseSeconds.value(firstPauseSeconds))
 }
 
 // describePause is what a cache policy may know.
 func (keeper *Keeper) describePause(held *prefix, expected time.Duration) cache.Pause {
-	record := held.program.pauseRecord()
+	record := held.program.kindRecord()
 	return cache.Pause{
 		Tokens:           held.tokens,
 		ExpectedPause:    keeper.expectedPause(held.program, expected),
@@ -126,13 +82,20 @@
 	if !program.paused {
 		return
 	}
-	record := program.pauseRecord()
+	record := program.kindRecord()
 	record.reuse.add(1, 1)
 	record.pauseSeconds.add((keeper.now - program.pausedAt).Seconds(), 1)
 	program.paused = false
 	keeper.timers.stop(program.keepTimer)
 }
 
+// noteNoReturn counts a pause that ended with the program.
+func (program *programState) noteNoReturn() {
+	if program.kind != nil {
+		program.kind.reuse.add(0, 1)
+	}
+}
+
 // releaseOverdue frees the prefixes of a program whose pause has outlasted the
 // time they were kept for.
 func (keeper *Keeper) releaseOverdue(program *programState) {
@@ -140,11 +103,3 @@
 		keeper.releaseAll(program, "pause outlasted its prediction")
 	}
 }
-
-// pauseRecord returns the statistics of the program's kind.
-func (program *programState) pauseRecord() *pauseRecord {
-	if program.statistics == nil {
-		program.statistics = &pauseRecord{}
-	}
-	return program.statistics
-}
--- a/internal/keeper/prefix.go
+++ b/internal/keeper/prefix.go
@@ -7,7 +7,11 @@
 type prefix struct {
 	engine  *engineState
 	program *programState
-	tokens  int
+	// tokens is what a next call of the program would find; memory is the part
+	// that it alone holds: a prompt's beginning that all programs of a kind share
+	// is held once.
+	tokens int
+	memory int
 	// pins counts the program's running calls on the engine: their memory is
 	// counted with the calls, and the prefix can't be evicted.
 	pins int
@@ -22,9 +26,8 @@
 // prefixList is an engine's prefixes from the least to the most recently used.
 type prefixList struct {
 	oldest, newest *prefix
-	// idleTokens sums the prefixes without pins.
+	// idleTokens sums the memory of the prefixes without pins.
 	idleTokens int
-	count      int
 }
 
 // prefixOn returns the program's prefix on an engine, nil if there is none.
@@ -52,7 +55,6 @@
 	if found == nil {
 		found = &prefix{engine: engine, program: program}
 		program.prefixes = append(program.prefixes, found)
-		engine.prefixes.count++
 	} else {
 		engine.prefixes.unlink(found)
 	}
@@ -62,6 +64,20 @@
 	return found
 }
 
+// neverTouched is the touchedAt of a prefix known only from reports: it is
+// settled at once.
+const neverTouched = -time.Hour
+
+// adoptPrefix enters an empty prefix that the keeper knows only from a report.
+// It counts as the least recently used: what the keeper has seen itself is
+// never pushed out for it.
+func adoptPrefix(program *programState, engine *engineState) *prefix {
+	adopted := &prefix{engine: engine, program: program, touchedAt: neverTouched}
+	program.prefixes = append(program.prefixes, adopted)
+	engine.prefixes.linkOldest(adopted)
+	return adopted
+}
+
 // crowded tells whether a call's memory would come out of idle prefixes whose
 // programs are ranked before it and expected back. An engine that runs nothing
 // is never crowded, so a pool can't stand still.
@@ -75,7 +91,7 @@
 	}
 	for held := engine.prefixes.newest; held != nil; held = held.older {
 		if held.pins == 0 && held.program != call.program && keeper.protected(held.program, call) {
-			free -= held.tokens
+			free -= held.memory
 		}
 		if free < 0 {
 			return true
@@ -94,16 +110,18 @@
 
 // resize sets the estimate.
 func (p *prefix) resize(tokens int) {
+	memory := max(tokens-p.program.kindRecord().sharedTokens(), 0)
 	if p.pins == 0 {
-		p.engine.prefixes.idleTokens += tokens - p.tokens
+		p.engine.prefixes.idleTokens += memory - p.memory
 	}
 	p.tokens = tokens
+	p.memory = memory
 }
 
 // pin marks one more running call of the program on the engine.
 func (p *prefix) pin() {
 	if p.pins == 0 {
-		p.engine.prefixes.idleTokens -= p.tokens
+		p.engine.prefixes.idleTokens -= p.memory
 	}
 	p.pins++
 }
@@ -112,17 +130,16 @@
 func (p *prefix) unpin() {
 	p.pins--
 	if p.pins == 0 {
-		p.engine.prefixes.idleTokens += p.tokens
+		p.engine.prefixes.idleTokens += p.memory
 	}
 }
 
 // drop forgets the prefix, on the engine's side and on the program's.
 func (p *prefix) drop() {
 	if p.pins == 0 {
-		p.engine.prefixes.idleTokens -= p.tokens
+		p.engine.prefixes.idleTokens -= p.memory
 	}
 	p.engine.prefixes.unlink(p)
-	p.engine.prefixes.count--
 	for index, candidate := range p.program.prefixes {
 		if candidate == p {
 			last := len(p.program.prefixes) - 1
@@ -145,6 +162,17 @@
 	list.newest = p
 }
 
+func (list *prefixList) linkOldest(p *prefix) {
+	p.newer = list.oldest
+	p.older = nil
+	if list.oldest != nil {
+		list.oldest.older = p
+	} else {
+		list.newest = p
+	}
+	list.oldest = p
+}
+
 func (list *prefixList) unlink(p *prefix) {
 	if p.older != nil {
 		p.older.newer = p.newer
--- a/internal/keeper/program.go
+++ b/internal/keeper/program.go
@@ -22,9 +22,10 @@
 	preemptions int
 	// seenAt is when a call of it was last offered; listedAt when a leader last
 	// listed it as live.
-	seenAt     time.Duration
-	listedAt   time.Duration
-	statistics *pauseRecord
+	seenAt   time.Duration
+	listedAt time.Duration
+	// kind is nil for a program that no call was offered of.
+	kind *kindRecord
 
 	// returnBy is until when its next call is expected.
 	returnBy time.Duration
--- a/internal/keeper/release.go
+++ b/internal/keeper/release.go
@@ -60,7 +60,7 @@
 	}
 	if program.paused {
 		program.paused = false
-		program.pauseRecord().reuse.add(0, 1)
+		program.noteNoReturn()
 	}
 	keeper.timers.stop(program.keepTimer)
 	program.exportedTokens = 0
--- a/internal/keeper/report.go
+++ b/internal/keeper/report.go
@@ -89,8 +89,7 @@
 		return
 	}
 	if held == nil {
-		held = keeper.ensurePrefix(program, engine)
-		held.touchedAt = neverTouched
+		held = adoptPrefix(program, engine)
 	}
 	if !program.ended && !held.released {
 		held.resize(tokens)
@@ -156,9 +155,5 @@
 	return program.seenAt == neverSeen || keeper.now-program.seenAt > keeper.config.LiveMargin
 }
 
-// neverTouched is the touchedAt of a prefix known only from reports: it is
-// settled at once.
-const neverTouched = -time.Hour
-
 // neverSeen is the seenAt of a program known only from reports and lists.
 const neverSeen = time.Duration(-1)
--- a/internal/keeper/running.go
+++ b/internal/keeper/running.go
@@ -19,7 +19,11 @@
 	// need is the KV memory counted for the call, tokens.
 	need           int
 	expectedCached int
-	grantedAt      time.Duration
+	// fresh is true when the program had no prefix on the engine.
+	fresh     bool
+	grantedAt time.Duration
+	// firstToken is the time from the grant to the first token, 0 before it.
+	firstToken time.Duration
 	// sequence rises with each grant.
 	sequence   uint64
 	preempting bool
@@ -53,6 +57,7 @@
 	engine.usedTokens += call.need
 	call.tier.running++
 	keeper.running[call.request.Call] = call
+	call.fresh = call.program.cachedOn(engine) == 0
 	call.prefix = keeper.ensurePrefix(call.program, engine)
 	call.prefix.pin()
 	engine.trimPrefixes()
@@ -101,17 +106,19 @@
 	if call.request.MaxTokens > 0 {
 		keeper.estimates.outputPart.add(float64(event.OutputTokens), float64(call.request.MaxTokens))
 	}
+	uncached := event.PromptTokens - event.CachedTokens
+	if call.firstToken > 0 && uncached > 0 {
+		keeper.estimates.prefillSeconds.add(call.firstToken.Seconds(), float64(uncached))
+	}
+	if call.fresh && call.request.AttainedService == 0 {
+		call.program.kind.shared.add(float64(event.CachedTokens), 1)
+	}
 }
 
 // noteFirstToken measures prompt computation.
 func (keeper *Keeper) noteFirstToken(key CallKey) {
-	call := keeper.running[key]
-	if call == nil {
-		return
-	}
-	uncached := call.request.PromptTokens - call.expectedCached
-	if uncached > 0 {
-		keeper.estimates.prefillSeconds.add((keeper.now - call.grantedAt).Seconds(), float64(uncached))
+	if call := keeper.running[key]; call != nil {
+		call.firstToken = keeper.now - call.grantedAt
 	}
 }
 
--- a/internal/keeper/waiting.go
+++ b/internal/keeper/waiting.go
@@ -69,8 +69,8 @@
 // enqueue adds an admitted call.
 func (keeper *Keeper) enqueue(request Request, rank queue.Rank) {
 	call := &waitingCall{request: request, rank: rank, queuedAt: keeper.now}
-	call.need = keeper.estimates.needTokens(&request)
 	call.program = keeper.seeProgram(&request)
+	call.need = keeper.needTokens(&request, call.program)
 	call.program.rank = rank
 	if request.Parent != "" {
 		call.parent = keeper.programs.byName[request.Parent]
@@ -86,7 +86,7 @@
 func (keeper *Keeper) seeProgram(request *Request) *programState {
 	program := keeper.programs.see(request.Call.Program, keeper.now)
 	keeper.programs.placeInShard(program, request.Shard)
-	program.statistics = keeper.pauses.of(request.Tenant, request.Kind)
+	program.kind = keeper.kinds.of(request.Tenant, request.Kind)
 	program.calls++
 	keeper.resumeProgram(program)
 	return program
