Rebuild a shard's group from the log when its majority has died

Cause: processes keep nothing. When two or three members of a group were replaced at once, the new ones asked to join a group that could not answer, for ever. Test first: 'every process replaced at once' and 'lost two of three' hung. Change: a home that hears no leader for 8 s reads the shard's stream anew and asks every possible member to abstain; with a majority of the old members gone (not listed, or a promise to take no part) the first live one claims the next generation in the stream, whose order decides between claimants. A process that hears a leader vetoes. Ruled out: trusting silence alone, since a cut-off majority is silent too (test: 60 s of partition leave the generation alone). After: history and recorded results are there, one run counted at the engine.

--- a/internal/scheduler/cluster_test.go
+++ b/internal/scheduler/cluster_test.go
@@ -276,7 +276,7 @@
 }
 
 func (node *testNode) readStream(effect ReadStream) {
-	read := StreamRead{Shard: effect.Shard, Failed: node.cluster.logDown}
+	read := StreamRead{Shard: effect.Shard, From: effect.From, Failed: node.cluster.logDown}
 	if !read.Failed {
 		for offset, data := range node.cluster.streams[effect.Shard] {
 			if uint64(offset) >= effect.From {
--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -107,6 +107,48 @@
 		Expect(cluster.runs["p1/r1"]).To(Equal(1))
 	})
 
+	It("rebuilds its groups from the log when every process is replaced at once", func() {
+		cluster := newTestCluster(8, 3)
+		cluster.create("p1")
+		first := cluster.call(testCall("p1", "r1"), 20*time.Second)
+		cluster.runFor(time.Second)
+		for _, name := range sortedKeys(cluster.nodes) {
+			cluster.start(name)
+		}
+		again := cluster.call(testCall("p1", "r1"), 60*time.Second)
+		Expect(again.text).To(Equal(first.text))
+		Expect(cluster.runs["p1/r1"]).To(Equal(1))
+		next := cluster.call(testCall("p1", "r2"), 20*time.Second)
+		Expect(next.failure).To(BeNil())
+	})
+
+	It("rebuilds a group that has lost two of three", func() {
+		cluster := newTestCluster(9, 3)
+		cluster.create("p1")
+		first := cluster.call(testCall("p1", "r1"), 20*time.Second)
+		cluster.runFor(time.Second)
+		cluster.start("s0")
+		cluster.start("s1")
+		again := cluster.call(testCall("p1", "r1"), 60*time.Second)
+		Expect(again.text).To(Equal(first.text))
+		Expect(cluster.runs["p1/r1"]).To(Equal(1))
+	})
+
+	It("does not rebuild a group whose majority is only cut off", func() {
+		cluster := newTestCluster(10, 3)
+		cluster.create("p1")
+		cluster.call(testCall("p1", "r1"), 20*time.Second)
+		cluster.cut = func(from, to string) bool { return from == "s0" || to == "s0" }
+		cluster.runFor(60 * time.Second)
+		cluster.cut = func(string, string) bool { return false }
+		cluster.runFor(20 * time.Second)
+		for _, name := range sortedKeys(cluster.nodes) {
+			for _, host := range cluster.nodes[name].core.hosts {
+				Expect(host.generation).To(BeEquivalentTo(1))
+			}
+		}
+	})
+
 	It("releases the cache of a stopped program", func() {
 		cluster := newTestCluster(7, 3)
 		cluster.create("p1")
--- a/internal/scheduler/event.go
+++ b/internal/scheduler/event.go
@@ -36,7 +36,9 @@
 
 // StreamRead brings the next records of a shard's stream in the platform's log.
 type StreamRead struct {
-	Shard   uint32
+	Shard uint32
+	// From is the effect's own.
+	From    uint64
 	Records []platform.Record
 	// AtEnd is true where the stream has no further record.
 	AtEnd bool
--- a/internal/scheduler/home.go
+++ b/internal/scheduler/home.go
@@ -30,11 +30,15 @@
 	offset  uint64
 	reading bool
 	atEnd   bool
+	// failed is true while the log does not answer.
+	failed  bool
 	lastAsk time.Duration
 	since   time.Duration
 	// appending is true while an append to the stream is under way.
 	appending  bool
 	lastRepair time.Duration
+	// rebuild is set while the shard's replica here hears no leader.
+	rebuild *rebuild
 }
 
 func (core *Core) newHome(number uint32) *home {
@@ -110,31 +114,61 @@
 			core.archiveEntries(host, home)
 			core.repairGroup(host, home)
 		}
+		core.tickRebuild(home, host)
 	}
 }
 
 // tickUnhosted reads the stream to its end, then founds or joins the group.
 func (core *Core) tickUnhosted(home *home) {
-	if home.reading {
+	core.readHome(home)
+	if !home.atEnd {
 		return
 	}
-	if !home.atEnd || home.archive.Claim().Generation == 0 {
-		if core.now-home.lastAsk >= streamReadInterval || !home.atEnd {
-			home.lastAsk = core.now
-			home.reading = true
-			core.emit(ReadStream{Shard: home.number, From: home.offset})
-		}
-		if !home.atEnd {
-			return
-		}
-	}
-	if home.archive.Claim().Generation == 0 {
+	switch {
+	case home.archive.Claim().Generation == 0:
 		core.claimGroup(home)
+	case home.rebuild != nil:
+		core.claimOrHost(home)
+	default:
+		core.hostReplica(home)
+	}
+	if core.hosts[home.number] == nil && home.rebuild == nil && core.abstained(home) {
+		home.rebuild = newRebuild()
+	}
+}
+
+// abstained tells whether this process has promised to take no part in the
+// generation in force.
+func (core *Core) abstained(home *home) bool {
+	generation := home.archive.Claim().Generation
+	if generation == 0 {
+		return false
+	}
+	_, err := core.registry.Joiner(home.number, generation)
+	return err != nil
+}
+
+// claimOrHost goes on with a rebuild whose claimant has given its own replica
+// up, until the stream shows a new generation.
+func (core *Core) claimOrHost(home *home) {
+	if home.archive.Claim().Generation == home.rebuild.generation {
+		core.claimAnew(home)
 		return
 	}
 	core.hostReplica(home)
 }
 
+// readHome reads on in the stream: at once while there is more, at intervals at
+// its end.
+func (core *Core) readHome(home *home) {
+	if home.reading || (home.atEnd || home.failed) && core.now-home.lastAsk < streamReadInterval {
+		return
+	}
+	home.lastAsk = core.now
+	home.reading = true
+	core.emit(ReadStream{Shard: home.number, From: home.offset})
+}
+
 func (core *Core) streamRead(event StreamRead) {
 	home := core.homes[event.Shard]
 	if home == nil {
@@ -142,6 +176,13 @@
 	}
 	home.reading = false
 	if event.Failed {
+		home.atEnd = false
+		home.failed = true
+		return
+	}
+	home.failed = false
+	if event.From != home.offset {
+		// Asked for before the stream was begun anew.
 		return
 	}
 	for _, record := range event.Records {
@@ -187,13 +228,7 @@
 		core.log("claim_refused", home.number, "", "", err.Error())
 		return
 	}
-	data, err := replication.EncodeClaim(claim)
-	if err != nil {
-		core.log("claim_unencodable", home.number, "", "", err.Error())
-		return
-	}
-	home.appending = true
-	core.emit(AppendStream{Shard: home.number, Data: data})
+	core.appendClaim(home, claim)
 }
 
 // greet sends an empty batch to peers whose incarnation is not yet known.
@@ -253,10 +288,11 @@
 	}
 	made := newHost(core, home.number, replica)
 	made.state = restored
+	made.generation = claim.Generation
+	made.lastLed = core.now
 	core.hosts[home.number] = made
 	// From here on the group's log brings every entry.
-	home.state = shard.New()
-	home.tail = nil
+	home.dropRestored()
 	core.log("replica_hosted", home.number, "", "", string(replica.Role())+" as "+string(incarnation))
 }
 
--- a/internal/scheduler/host.go
+++ b/internal/scheduler/host.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	replicationv1 "github.com/magpielug/magpielug/api/replication/v1"
 	schedulerv1 "github.com/magpielug/magpielug/api/scheduler/v1"
 	shardv1 "github.com/magpielug/magpielug/api/shard/v1"
 	"github.com/magpielug/magpielug/internal/replication"
@@ -26,7 +27,11 @@
 	state   *shard.State
 	// serving is true once a leader has applied its epoch's first entry: only
 	// then is state known to hold everything committed before.
-	serving   bool
+	serving bool
+	// generation is the one of the claim that founded the group.
+	generation uint32
+	// lastLed is when a leader of the shard was last heard.
+	lastLed   time.Duration
 	epoch     replication.Epoch
 	proposals map[uint64]waiter
 	calls     map[callID]*liveCall
@@ -109,6 +114,14 @@
 	leaderRetryAfter  = 500 * time.Millisecond
 )
 
+// receive takes a message of another replica in.
+func (host *host) receive(message *replicationv1.Message) {
+	if fromLeader(message) {
+		host.lastLed = host.core.now
+	}
+	host.replica.Receive(host.core.now, message)
+}
+
 // settleReplicas closes the step of every replica that has output. Applying an
 // entry may propose further ones, so it goes on until all are quiet.
 func (core *Core) settleReplicas() {
@@ -252,6 +265,7 @@
 	if !host.leads() {
 		return
 	}
+	host.lastLed = now
 	host.sendUnsent()
 	host.retryOffers()
 	host.tickEscrow()
@@ -284,6 +298,9 @@
 		host.endLeadership()
 	}
 	delete(core.hosts, host.number)
+	if home := core.homes[host.number]; home != nil && home.rebuild == nil {
+		home.rereadFrom(core)
+	}
 	core.log("replica_dropped", host.number, "", "", "")
 }
 
--- a/internal/scheduler/outbox.go
+++ b/internal/scheduler/outbox.go
@@ -63,7 +63,7 @@
 	core.directory.heard(sender.Process(), string(sender), core.now)
 	for _, message := range core.batcher.Open(batch.Replication) {
 		if host := core.hosts[message.Shard]; host != nil {
-			host.replica.Receive(core.now, message)
+			host.receive(message)
 		}
 	}
 	for _, request := range batch.KeeperRequests {
@@ -82,4 +82,10 @@
 	for _, recall := range batch.EscrowRecalls {
 		core.escrowRecalled(recall)
 	}
+	for _, request := range batch.AbstainRequests {
+		core.abstainRequested(request)
+	}
+	for _, reply := range batch.AbstainReplies {
+		core.abstainReplied(reply)
+	}
 }
--- a/internal/scheduler/peer_sender.go
+++ b/internal/scheduler/peer_sender.go
@@ -69,6 +69,8 @@
 	merged.EscrowRequests = append(merged.EscrowRequests, batch.EscrowRequests...)
 	merged.EscrowReplies = append(merged.EscrowReplies, batch.EscrowReplies...)
 	merged.EscrowRecalls = append(merged.EscrowRecalls, batch.EscrowRecalls...)
+	merged.AbstainRequests = append(merged.AbstainRequests, batch.AbstainRequests...)
+	merged.AbstainReplies = append(merged.AbstainReplies, batch.AbstainReplies...)
 }
 
 // start sends what waits, if the bound on exchanges allows. The mutex is held.
--- /dev/null
+++ b/internal/scheduler/rebuild.go
@@ -0,0 +1,224 @@
+package scheduler
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	replicationv1 "github.com/magpielug/magpielug/api/replication/v1"
+	schedulerv1 "github.com/magpielug/magpielug/api/scheduler/v1"
+	"github.com/magpielug/magpielug/internal/replication"
+	"github.com/magpielug/magpielug/internal/shard"
+)
+
+const (
+	// rebuildAfter is how long a shard may have no leader before its members
+	// ask whether the group has lost its majority for good.
+	rebuildAfter = 8 * time.Second
+	// abstainInterval is how often the members are asked.
+	abstainInterval = time.Second
+)
+
+// rebuild is the attempt to found a shard's group anew from its stream, under a
+// higher generation, after a majority of its replicas has died at once.
+//
+// It needs the proof that a majority of the old members is gone: the machine
+// list does not name them any more, or they have promised to take no part. What
+// the old group had committed and not yet archived is lost with it.
+type rebuild struct {
+	generation uint32
+	gone       map[string]bool
+	lastAsk    time.Duration
+	// provenAt is when the proof was complete; it is set once proven is true.
+	proven   bool
+	provenAt time.Duration
+}
+
+func newRebuild() *rebuild {
+	return &rebuild{gone: make(map[string]bool), lastAsk: -abstainInterval}
+}
+
+// fromLeader tells whether only a leader sends such a message.
+func fromLeader(message *replicationv1.Message) bool {
+	switch message.Body.(type) {
+	case *replicationv1.Message_AppendRequest, *replicationv1.Message_Heartbeat, *replicationv1.Message_SnapshotChunk:
+		return true
+	}
+	return false
+}
+
+// led tells whether the shard's group is known here to have had a leader of
+// late.
+func (host *host) led() bool {
+	return host.leads() || host.core.now-host.lastLed < rebuildAfter
+}
+
+// tickRebuild looks after a home whose replica hears no leader.
+func (core *Core) tickRebuild(home *home, host *host) {
+	if host.led() {
+		home.rebuild = nil
+		return
+	}
+	if home.rebuild == nil {
+		home.rereadFrom(core)
+		home.rebuild = newRebuild()
+		core.log("shard_without_leader", home.number, "", "", string(host.replica.Role()))
+	}
+	core.readHome(home)
+	if !home.atEnd {
+		return
+	}
+	if home.archive.Claim().Generation > host.generation {
+		host.replica.Retire()
+		return
+	}
+	core.claimAnew(home)
+}
+
+// rereadFrom begins to read the shard's stream from its start, for the state of
+// a new generation.
+func (home *home) rereadFrom(core *Core) {
+	fresh := core.newHome(home.number)
+	fresh.appending = home.appending
+	fresh.reading = home.reading
+	*home = *fresh
+}
+
+// claimAnew gathers the proof and appends the claim, if this process is the
+// first live one of the shard's home.
+func (core *Core) claimAnew(home *home) {
+	members := core.homeMembers(home.number)
+	if home.appending || core.firstAlive(members) != core.config.Process {
+		return
+	}
+	attempt := home.rebuild
+	if attempt.generation != home.archive.Claim().Generation {
+		attempt.generation = home.archive.Claim().Generation
+		clear(attempt.gone)
+		attempt.proven = false
+	}
+	core.askToAbstain(home, members)
+	claimID := fmt.Sprintf("%s/%d/%d", core.Incarnation(), home.number, attempt.generation)
+	claim, err := home.archive.NextClaim(claimID, core.founders(members), core.isGone(attempt))
+	if err != nil {
+		attempt.proven = false
+		return
+	}
+	if !attempt.proven {
+		attempt.proven = true
+		attempt.provenAt = core.now
+	}
+	if core.now-attempt.provenAt < core.config.Replication.RebuildDelay() || len(claim.Members) == 0 {
+		return
+	}
+	core.appendClaim(home, claim)
+}
+
+func (core *Core) appendClaim(home *home, claim replication.Claim) {
+	data, err := replication.EncodeClaim(claim)
+	if err != nil {
+		core.log("claim_unencodable", home.number, "", "", err.Error())
+		return
+	}
+	home.appending = true
+	core.log("group_claimed", home.number, "", "", fmt.Sprintf("generation %d with %d members", claim.Generation, len(claim.Members)))
+	core.emit(AppendStream{Shard: home.number, Data: data})
+}
+
+// firstAlive names the first of the processes that answers.
+func (core *Core) firstAlive(processes []string) string {
+	for _, process := range processes {
+		if core.directory.alive(process, core.now, peerSilenceBound) {
+			return process
+		}
+	}
+	return ""
+}
+
+func (core *Core) isGone(attempt *rebuild) func(process string) bool {
+	return func(process string) bool {
+		_, listed := core.directory.schedulers[process]
+		return !listed || attempt.gone[process]
+	}
+}
+
+// askToAbstain asks everybody who may hold a replica: the members that the
+// stream names, and the shard's home.
+func (core *Core) askToAbstain(home *home, members []string) {
+	attempt := home.rebuild
+	if core.now-attempt.lastAsk < abstainInterval {
+		return
+	}
+	attempt.lastAsk = core.now
+	asked := slices.Clone(members)
+	for _, member := range home.archive.Members() {
+		asked = append(asked, member.Incarnation.Process())
+	}
+	slices.Sort(asked)
+	for _, process := range slices.Compact(asked) {
+		request := &schedulerv1.AbstainRequest{
+			Shard:      home.number,
+			Generation: attempt.generation,
+			Claimant:   core.config.Process,
+		}
+		if process == core.config.Process {
+			core.abstainRequested(request)
+			continue
+		}
+		batch := core.batchTo(process)
+		batch.AbstainRequests = append(batch.AbstainRequests, request)
+	}
+}
+
+// abstainRequested promises to take no part in a generation, unless this
+// process has a vote there.
+func (core *Core) abstainRequested(request *schedulerv1.AbstainRequest) {
+	reply := &schedulerv1.AbstainReply{
+		Shard:      request.Shard,
+		Generation: request.Generation,
+		Process:    core.config.Process,
+	}
+	host := core.hosts[request.Shard]
+	switch {
+	case host != nil && host.led():
+		reply.Led = true
+	case host != nil && host.generation == request.Generation && host.replica.Role() != replication.RoleLearner:
+		// A voter of the old group is no proof of its end.
+	default:
+		core.registry.Abstain(request.Shard, request.Generation)
+		reply.Abstained = true
+		if host != nil && host.generation == request.Generation {
+			host.replica.Retire()
+		}
+	}
+	if request.Claimant == core.config.Process {
+		core.abstainReplied(reply)
+		return
+	}
+	batch := core.batchTo(request.Claimant)
+	batch.AbstainReplies = append(batch.AbstainReplies, reply)
+}
+
+// abstainReplied takes a promise in. A process that hears a leader ends the
+// attempt.
+func (core *Core) abstainReplied(reply *schedulerv1.AbstainReply) {
+	home := core.homes[reply.Shard]
+	if home == nil || home.rebuild == nil || home.rebuild.generation != reply.Generation {
+		return
+	}
+	if reply.Led {
+		clear(home.rebuild.gone)
+		home.rebuild.proven = false
+		return
+	}
+	if reply.Abstained {
+		home.rebuild.gone[reply.Process] = true
+	}
+}
+
+// dropRestored forgets what was read of the stream once a replica is hosted.
+func (home *home) dropRestored() {
+	home.state = shard.New()
+	home.tail = nil
+	home.rebuild = nil
+}
--- a/internal/scheduler/traffic.go
+++ b/internal/scheduler/traffic.go
@@ -140,6 +140,7 @@
 	records, err := traffic.log.Read(ctx, streamName(effect.Shard), effect.From, streamReadLimit)
 	traffic.post(StreamRead{
 		Shard:   effect.Shard,
+		From:    effect.From,
 		Records: records,
 		AtEnd:   len(records) == 0,
 		Failed:  err != nil,
