--- /dev/null
+++ b/internal/replication/batcher_test.go
@@ -0,0 +1,112 @@
+package replication_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	replicationv1 "github.com/magpielug/magpielug/api/replication/v1"
+	"github.com/magpielug/magpielug/internal/replication"
+)
+
+func encode(message proto.Message) []byte {
+	encoded, err := proto.Marshal(message)
+	Expect(err).NotTo(HaveOccurred())
+	return encoded
+}
+
+func chunkMessage(index, offset, total uint64, data []byte) *replicationv1.Message {
+	return &replicationv1.Message{Body: &replicationv1.Message_SnapshotChunk{
+		SnapshotChunk: &replicationv1.SnapshotChunk{Index: index, Offset: offset, Total: total, Data: data},
+	}}
+}
+
+func heartbeat(shard uint32, epoch uint64, sentAt int64) replication.Envelope {
+	return replication.Envelope{ToProcess: "b", Message: &replicationv1.Message{
+		Shard: shard, Epoch: epoch, From: self, To: peerB,
+		Body: &replicationv1.Message_Heartbeat{Heartbeat: &replicationv1.Heartbeat{SentAt: sentAt}},
+	}}
+}
+
+func response(message *replicationv1.Message) replication.Envelope {
+	return replication.Envelope{ToProcess: "a", Message: &replicationv1.Message{
+		Shard: message.GetShard(), Epoch: message.GetEpoch(), From: message.GetTo(), To: message.GetFrom(),
+		Body: &replicationv1.Message_HeartbeatResponse{HeartbeatResponse: &replicationv1.HeartbeatResponse{
+			SentAt: message.GetHeartbeat().GetSentAt(),
+		}},
+	}}
+}
+
+func shardsOf(messages []*replicationv1.Message) []uint32 {
+	shards := []uint32{}
+	for _, message := range messages {
+		shards = append(shards, message.GetShard())
+	}
+	return shards
+}
+
+var _ = Describe("A batcher of heartbeats", func() {
+	var sender, receiver *replication.Batcher
+
+	BeforeEach(func() {
+		sender = replication.NewBatcher("a#boot")
+		receiver = replication.NewBatcher("b#boot")
+	})
+
+	beat := func(sentAt int64, epoch uint64, shards ...uint32) *replicationv1.Batch {
+		for _, shard := range shards {
+			sender.Add(heartbeat(shard, epoch, sentAt))
+		}
+		return sender.Take("b")
+	}
+	// answer opens a batch, lets the replicas of some shards respond, and
+	// returns the receiver's batch.
+	answer := func(batch *replicationv1.Batch, silent uint32) *replicationv1.Batch {
+		for _, message := range receiver.Open(batch) {
+			if message.GetShard() != silent {
+				receiver.Add(response(message))
+			}
+		}
+		return receiver.Take("a")
+	}
+
+	It("sends an unchanged shard no more, and hears all that answered", func() {
+		Expect(shardsOf(sender.Open(answer(beat(1, 5, 1, 2, 3), 0)))).To(Equal([]uint32{1, 2, 3}))
+		second := beat(2, 5, 1, 2, 3)
+		Expect(second.GetHeartbeats().GetChanged()).To(BeEmpty())
+		reply := answer(second, 2)
+		Expect(reply.GetMessages()).To(BeEmpty())
+		heard := sender.Open(reply)
+		Expect(shardsOf(heard)).To(Equal([]uint32{1, 3}))
+		Expect(heard[0].GetHeartbeatResponse().GetSentAt()).To(BeEquivalentTo(2))
+	})
+
+	It("repeats what a lost batch carried, and drops a shard led no more", func() {
+		sender.Open(answer(beat(1, 5, 1, 2), 0))
+		beat(2, 6, 1, 2)
+		Expect(shardsOf(receiver.Open(beat(3, 6, 2)))).To(Equal([]uint32{2}))
+	})
+
+	It("takes no acknowledgement for an epoch that came after it", func() {
+		reply := answer(beat(1, 5, 1, 2), 0)
+		sender.Add(heartbeat(1, 6, 2))
+		sender.Add(heartbeat(2, 5, 2))
+		sender.Take("b")
+		Expect(shardsOf(sender.Open(reply))).To(Equal([]uint32{2}))
+	})
+
+	It("sends the full list to a receiver that has restarted", func() {
+		sender.Open(answer(beat(1, 5, 1, 2), 0))
+		receiver = replication.NewBatcher("b#next")
+		Expect(sender.Open(answer(beat(2, 5, 1, 2), 0))).To(BeEmpty())
+		Expect(shardsOf(sender.Open(answer(beat(3, 5, 1, 2), 0)))).To(Equal([]uint32{1, 2}))
+	})
+
+	It("ignores repeated and overtaken batches", func() {
+		first := beat(1, 5, 1)
+		second := beat(2, 5, 1)
+		Expect(receiver.Open(second)).To(HaveLen(1))
+		Expect(receiver.Open(first)).To(BeEmpty())
+		Expect(receiver.Open(second)).To(BeEmpty())
+	})
+})
--- /dev/null
+++ b/internal/replication/replica_test.go
@@ -0,0 +1,180 @@
+package replication_test
+
+import (
+	"math/rand"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	replicationv1 "github.com/magpielug/magpielug/api/replication/v1"
+	"github.com/magpielug/magpielug/internal/replication"
+)
+
+const (
+	self  = "a#1"
+	peerB = "b#1"
+	peerC = "c#1"
+)
+
+// bench is one replica whose peers are played by the test.
+type bench struct {
+	replica *replication.Replica
+	now     time.Duration
+}
+
+func newBench(config replication.Config) *bench {
+	members := namedMembers(peerB, self, peerC)
+	group := replication.Group{Shard: 1, Generation: 1, Members: members}
+	now := time.Hour
+	replica, err := replication.New(config, now, members[1], group, replication.Base{}, rand.New(rand.NewSource(1)))
+	Expect(err).NotTo(HaveOccurred())
+	return &bench{replica: replica, now: now}
+}
+
+// receive feeds a message and returns the answers.
+func (b *bench) receive(from string, epoch replication.Epoch, message *replicationv1.Message) []*replicationv1.Message {
+	message.Shard = 1
+	message.Epoch = uint64(epoch)
+	message.From = from
+	message.To = self
+	b.replica.Receive(b.now, message)
+	return messagesOf(b.replica.Ready(b.now))
+}
+
+func messagesOf(output replication.Output) []*replicationv1.Message {
+	messages := []*replicationv1.Message{}
+	for _, envelope := range output.Messages {
+		messages = append(messages, envelope.Message)
+	}
+	return messages
+}
+
+func appendMessage(previous uint64, previousEpoch replication.Epoch, entries ...*replicationv1.Entry) *replicationv1.Message {
+	return &replicationv1.Message{Body: &replicationv1.Message_AppendRequest{
+		AppendRequest: &replicationv1.AppendRequest{
+			PreviousIndex: previous, PreviousEpoch: uint64(previousEpoch), Entries: entries, SentAt: 1,
+		},
+	}}
+}
+
+func (b *bench) acknowledge(from string, index uint64) []*replicationv1.Message {
+	return b.receive(from, b.replica.Epoch(), &replicationv1.Message{
+		Body: &replicationv1.Message_AppendResponse{AppendResponse: &replicationv1.AppendResponse{
+			Success: true, Index: index, SentAt: int64(b.now),
+		}},
+	})
+}
+
+func entryOf(index uint64, epoch replication.Epoch) *replicationv1.Entry {
+	return &replicationv1.Entry{Index: index, Epoch: uint64(epoch)}
+}
+
+// elect makes the replica the leader of the next epoch by the vote of c.
+func (b *bench) elect() {
+	b.now += time.Minute
+	b.replica.Tick(b.now)
+	candidateEpoch := b.replica.Epoch().Next()
+	for _, preVote := range []bool{true, false} {
+		b.receive(peerC, b.replica.Epoch(), &replicationv1.Message{
+			Body: &replicationv1.Message_VoteResponse{VoteResponse: &replicationv1.VoteResponse{
+				CandidateEpoch: uint64(candidateEpoch), PreVote: preVote, Granted: true,
+			}},
+		})
+	}
+	Expect(b.replica.Role()).To(Equal(replication.RoleLeader))
+}
+
+var _ = Describe("A replica", func() {
+	first := replication.MakeEpoch(1, 1)
+
+	It("commits an earlier epoch's entry only with one of its own", func() {
+		b := newBench(replication.DefaultConfig())
+		b.receive(peerB, first, appendMessage(0, 0, entryOf(1, first)))
+		b.elect()
+		b.acknowledge(peerC, 1)
+		Expect(b.replica.CommittedIndex()).To(BeZero())
+		b.acknowledge(peerC, 2)
+		Expect(b.replica.CommittedIndex()).To(BeEquivalentTo(2))
+	})
+
+	It("changes no member before an entry of its epoch is committed, and one at a time", func() {
+		b := newBench(replication.DefaultConfig())
+		b.elect()
+		Expect(b.replica.Remove(b.now, peerB)).To(MatchError(replication.ErrChangePending))
+		b.acknowledge(peerC, 1)
+		Expect(b.replica.Remove(b.now, peerB)).To(Succeed())
+		Expect(b.replica.Remove(b.now, peerC)).To(MatchError(replication.ErrChangePending))
+		Expect(b.replica.Remove(b.now, self)).To(MatchError(replication.ErrUnknownMember))
+	})
+
+	It("keeps acknowledged entries after a late snapshot of earlier ones", func() {
+		b := newBench(replication.DefaultConfig())
+		b.receive(peerB, first, appendMessage(0, 0, entryOf(1, first), entryOf(2, first), entryOf(3, first)))
+		payload := encode(&replicationv1.Snapshot{Index: 2, Epoch: uint64(first), State: []byte("state")})
+		b.receive(peerB, first, chunkMessage(2, 0, uint64(len(payload)), payload))
+		answers := b.receive(peerB, first, appendMessage(3, first))
+		Expect(answers[0].GetAppendResponse().GetSuccess()).To(BeTrue())
+		Expect(b.replica.CommittedIndex()).To(BeEquivalentTo(2))
+	})
+
+	It("sends a snapshot on from what the receiver has, also if it lost a part", func() {
+		config := replication.DefaultConfig()
+		config.KeepEntries = 0
+		config.SnapshotChunkBytes = 10
+		b := newBench(config)
+		b.receive(peerB, first, appendMessage(0, 0, entryOf(1, first)))
+		b.elect()
+		b.acknowledge(peerC, 2)
+		b.replica.SetArchived(2)
+		b.replica.Ready(b.now)
+		b.receive(peerB, b.replica.Epoch(), &replicationv1.Message{
+			Body: &replicationv1.Message_AppendResponse{AppendResponse: &replicationv1.AppendResponse{Index: 1}},
+		})
+		Expect(b.replica.ProvideSnapshot(b.now, make([]byte, 100))).To(Succeed())
+		b.replica.Ready(b.now)
+		ack := func(received uint64, sentAt time.Duration) []*replicationv1.Message {
+			return b.receive(peerB, b.replica.Epoch(), &replicationv1.Message{
+				Body: &replicationv1.Message_SnapshotAck{SnapshotAck: &replicationv1.SnapshotAck{
+					Index: 2, Received: received, SentAt: int64(sentAt),
+				}},
+			})
+		}
+		sentAt := b.now
+		b.now += time.Millisecond
+		Expect(ack(30, sentAt)[0].GetSnapshotChunk().GetOffset()).To(BeEquivalentTo(30))
+		Expect(ack(10, sentAt)).To(BeEmpty(), "an answer to an earlier chunk")
+		Expect(ack(20, b.now)[0].GetSnapshotChunk().GetOffset()).To(BeEquivalentTo(20))
+	})
+
+	It("retires when it hears of a later generation, and ignores an earlier one", func() {
+		b := newBench(replication.DefaultConfig())
+		b.receive(peerB, replication.MakeEpoch(0, 9), appendMessage(0, 0, entryOf(1, first)))
+		Expect(b.replica.Leader()).To(BeEmpty())
+		b.receive(peerB, replication.MakeEpoch(2, 0), appendMessage(0, 0))
+		Expect(b.replica.Role()).To(Equal(replication.RoleRetired))
+	})
+
+	It("refuses proposals without a lease or with a full backlog", func() {
+		config := replication.DefaultConfig()
+		config.MaxBacklogBytes = 1000
+		b := newBench(config)
+		_, err := b.replica.Propose(b.now, nil)
+		Expect(err).To(MatchError(replication.ErrNotLeader))
+		b.elect()
+		_, err = b.replica.Propose(b.now, nil)
+		Expect(err).To(MatchError(replication.ErrNoLease))
+		b.acknowledge(peerC, 1)
+		_, err = b.replica.Propose(b.now, make([]byte, 1000))
+		Expect(err).To(MatchError(replication.ErrBacklogFull))
+		_, err = b.replica.Propose(b.now, make([]byte, 10))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(b.replica.HoldsLease(b.now + config.LeaseDuration)).To(BeFalse())
+	})
+
+	It("refuses a lease that would not be exclusive", func() {
+		config := replication.DefaultConfig()
+		config.LeaseDuration = config.ElectionTimeoutMin
+		Expect(config.Validate()).To(MatchError(replication.ErrBadConfig))
+	})
+})
--- a/internal/replication/schedule_test.go
+++ b/internal/replication/schedule_test.go
@@ -18,6 +18,7 @@
 	schedulesEnvironment = "REPLICATION_SCHEDULES"
 	seedEnvironment      = "REPLICATION_SEED"
 	defaultSchedules     = 150
+	stormIntensity       = 5
 	faultyTime           = 25 * time.Second
 	healedTime           = 20 * time.Second
 	// settleTime lets the members apply all, with no new proposals.
@@ -34,22 +35,30 @@
 	return number
 }
 
-// drawRates draws what goes wrong in a schedule, and how often.
+// drawRates draws what goes wrong in a schedule, and how often. One in two is a
+// storm, in which leaders seldom last long.
 func drawRates(random *rand.Rand) faultRates {
+	intensity := 1.0
+	if random.Intn(2) == 0 {
+		intensity = stormIntensity
+	}
 	chance := func(highest float64) float64 {
 		if random.Intn(2) == 0 {
 			return 0
 		}
 		return highest * random.Float64()
 	}
+	often := func(highest float64) float64 {
+		return intensity * chance(highest)
+	}
 	return faultRates{
 		drop:      chance(0.3),
 		duplicate: chance(0.3),
 		longDelay: chance(0.1),
-		pause:     chance(0.4),
-		cut:       chance(0.4),
-		restart:   chance(0.3),
-		order:     chance(0.5),
+		pause:     often(0.4),
+		cut:       often(0.4),
+		restart:   chance(0.4),
+		order:     often(0.5),
 	}
 }
 
@@ -59,7 +68,7 @@
 		return w.random.Float64() < perSecond*tickInterval.Seconds()
 	}
 	if happens(w.rates.cut) {
-		w.cutZones(node.zone, w.processes[w.random.Intn(len(w.processes))].zone)
+		w.cutOff(node)
 	}
 	if happens(w.rates.pause) {
 		node.pausedUntil = w.now + time.Duration(w.random.Int63n(int64(3*time.Second)))
@@ -82,6 +91,17 @@
 	w.propose(node)
 }
 
+// cutOff cuts a process's zone from one other or, half of the time, from all.
+func (w *world) cutOff(node *process) {
+	if w.random.Intn(2) == 0 {
+		w.cutZones(node.zone, w.processes[w.random.Intn(len(w.processes))].zone)
+		return
+	}
+	for _, other := range w.processes {
+		w.cutZones(node.zone, other.zone)
+	}
+}
+
 // order is a transfer of the leadership, or a change of the group's processes.
 func (w *world) order(node *process) {
 	now := node.clock(w.now)
