--- a/internal/gateway/completion_test.go
+++ b/internal/gateway/completion_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"os"
 	"strings"
 
 	schedulerv1 "github.com/magpielug/magpielug/api/scheduler/v1"
@@ -117,6 +118,18 @@
 		Expect(data[1]).To(ContainSubstring(`"code":3002`))
 	})
 
+	It("has every path and header on the interface page", func() {
+		page, err := os.ReadFile("../../docs/INTERFACES-callers.md")
+		Expect(err).NotTo(HaveOccurred())
+		for _, route := range (&Gateway{}).routes() {
+			Expect(string(page)).To(ContainSubstring("`" + route.pattern))
+		}
+		headers := []string{headerProgram, headerRequestID, headerIdempotencyKey, headerRepeatable, headerDeadline, headerLastEventID}
+		for _, header := range headers {
+			Expect(string(page)).To(ContainSubstring("`" + header))
+		}
+	})
+
 	It("lists models with their adapters", func() {
 		reply := caller.send("GET", "/v1/models", "")
 		Expect(reply.body).To(ContainSubstring(`"id":"agent:minutes"`))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,7 +32,7 @@
 		metrics:      newMetrics(dependencies.Metrics),
 	}
 	gateway.schedulers = newSchedulerClient(config, dependencies, gateway.metrics)
-	gateway.handler = gateway.routes()
+	gateway.handler = gateway.newHandler()
 	return gateway
 }
 
@@ -43,21 +43,35 @@
 // been written to the caller yet.
 type endpoint func(exchange *exchange) error
 
-func (gateway *Gateway) routes() http.Handler {
+// route is one of the callers' paths, as docs/INTERFACES-callers.md lists them.
+type route struct {
+	pattern string
+	serve   endpoint
+}
+
+func (gateway *Gateway) routes() []route {
+	return []route{
+		{"POST /v1/chat/completions", gateway.completeChat},
+		{"GET /v1/models", gateway.listModels},
+		{"POST /v1/programs", gateway.createProgram},
+		{"GET /v1/programs/{id}", gateway.getProgram},
+		{"POST /v1/programs/{id}/end", gateway.endProgram},
+		{"POST /v1/programs/{id}/stop", gateway.stopProgram},
+		{"GET /v1/programs/{id}/history", gateway.readHistory},
+		{"POST /v1/programs/{id}/calls", gateway.callProgram},
+		{"GET /v1/programs/{id}/calls/{request}/stream", gateway.resumeCall},
+	}
+}
+
+// unknownRoute names requests for no path of routes in logs and metrics.
+const unknownRoute = "unknown"
+
+func (gateway *Gateway) newHandler() http.Handler {
 	mux := http.NewServeMux()
-	add := func(pattern string, serve endpoint) {
-		mux.Handle(pattern, gateway.serve(pattern, serve))
+	for _, route := range gateway.routes() {
+		mux.Handle(route.pattern, gateway.serve(route.pattern, route.serve))
 	}
-	add("POST /v1/chat/completions", gateway.completeChat)
-	add("GET /v1/models", gateway.listModels)
-	add("POST /v1/programs", gateway.createProgram)
-	add("GET /v1/programs/{id}", gateway.getProgram)
-	add("POST /v1/programs/{id}/end", gateway.endProgram)
-	add("POST /v1/programs/{id}/stop", gateway.stopProgram)
-	add("GET /v1/programs/{id}/history", gateway.readHistory)
-	add("POST /v1/programs/{id}/calls", gateway.callProgram)
-	add("GET /v1/programs/{id}/calls/{request}/stream", gateway.resumeCall)
-	mux.Handle("/", gateway.serveUnauthenticated("unknown", func(exchange *exchange) error {
+	mux.Handle("/", gateway.serveUnauthenticated(unknownRoute, func(*exchange) error {
 		return resultcode.New(resultcode.UnknownRoute, "no such path or method")
 	}))
 	return mux
