Throw faults at real processes and judge what callers saw

The cluster package may start and end processes side by side; a plan may set budgets. Not covered yet: cuts between zones.

--- a/cmd/rehearsal/main.go
+++ b/cmd/rehearsal/main.go
@@ -22,6 +22,7 @@
 // arguments are the sub-commands.
 type arguments struct {
 	Run        *command.Run             `arg:"subcommand:run" help:"start everything, run a mixed set of programs, print the figures"`
+	Fault      *command.Fault           `arg:"subcommand:fault" help:"run scenarios of faults and judge them"`
 	Up         *command.Up              `arg:"subcommand:up" help:"start everything and keep it serving"`
 	Experiment *command.Experiment      `arg:"subcommand:experiment" help:"compare policies over the engine model"`
 	Capacity   *command.Capacity        `arg:"subcommand:capacity" help:"work out the capacity page"`
--- a/rehearsal/cluster/cluster.go
+++ b/rehearsal/cluster/cluster.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"strconv"
+	"sync"
 	"syscall"
 	"time"
 
@@ -33,7 +34,9 @@
 	plan      Plan
 	binaries  Binaries
 	directory string
-	children  map[string]*child
+	// lock guards the fields below: faults start and end processes side by side.
+	lock     sync.Mutex
+	children map[string]*child
 	// order is the order of starting; it is stopped in reverse.
 	order []string
 }
@@ -157,6 +160,8 @@
 	if err != nil {
 		return err
 	}
+	cluster.lock.Lock()
+	defer cluster.lock.Unlock()
 	if _, again := cluster.children[id]; !again {
 		cluster.order = append(cluster.order, id)
 	}
@@ -165,7 +170,7 @@
 }
 
 func (cluster *Cluster) register(ctx context.Context, machine Machine) error {
-	return postJSON(ctx, cluster.plan.MachinesAddress(), registerPath, wire.Machine{
+	return PostJSON(ctx, cluster.plan.MachinesAddress(), registerPath, wire.Machine{
 		ID:      machine.ID,
 		Role:    string(machine.Role),
 		Region:  Region,
@@ -214,24 +219,37 @@
 func (cluster *Cluster) Wake(id string) error { return cluster.signal(id, syscall.SIGCONT) }
 
 func (cluster *Cluster) signal(id string, signal syscall.Signal) error {
-	child := cluster.children[id]
-	if child == nil {
-		return eris.Errorf("no process %q", id)
+	child, err := cluster.child(id)
+	if err != nil {
+		return err
 	}
 	return child.signal(signal)
 }
 
+// child finds the newest process of an id.
+func (cluster *Cluster) child(id string) (*child, error) {
+	cluster.lock.Lock()
+	defer cluster.lock.Unlock()
+	found := cluster.children[id]
+	if found == nil {
+		return nil, eris.Errorf("no process %q", id)
+	}
+	return found, nil
+}
+
 // StopMachine asks one process to stop and waits for its end.
 func (cluster *Cluster) StopMachine(id string) error {
-	child := cluster.children[id]
-	if child == nil {
-		return eris.Errorf("no process %q", id)
+	child, err := cluster.child(id)
+	if err != nil {
+		return err
 	}
 	return child.stop(stopBound)
 }
 
 // Stop ends every process that was started, the last one first.
 func (cluster *Cluster) Stop() {
+	cluster.lock.Lock()
+	defer cluster.lock.Unlock()
 	for index := len(cluster.order) - 1; index >= 0; index-- {
 		child := cluster.children[cluster.order[index]]
 		if child.running() {
@@ -255,15 +273,28 @@
 		if machine.Role != platform.RoleGateway && machine.Role != platform.RoleScheduler {
 			continue
 		}
-		for !isReady(bounded, machine.Address) {
-			if !cluster.children[machine.ID].running() {
-				return eris.Errorf("%s ended at once; see %s/%s.log", machine.ID, cluster.directory, machine.ID)
-			}
-			if bounded.Err() != nil {
-				return eris.Errorf("%s was not ready within %s; see %s/%s.log", machine.ID, readyBound, cluster.directory, machine.ID)
-			}
-			time.Sleep(readyRetry)
+		if err := cluster.AwaitReady(bounded, machine); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// AwaitReady waits until a gateway or scheduler says it is ready, at most until
+// ctx ends.
+func (cluster *Cluster) AwaitReady(ctx context.Context, machine Machine) error {
+	for !isReady(ctx, machine.Address) {
+		child, err := cluster.child(machine.ID)
+		if err != nil {
+			return err
+		}
+		if !child.running() {
+			return eris.Errorf("%s ended at once; see %s/%s.log", machine.ID, cluster.directory, machine.ID)
+		}
+		if ctx.Err() != nil {
+			return eris.Errorf("%s was not ready in time; see %s/%s.log", machine.ID, cluster.directory, machine.ID)
 		}
+		time.Sleep(readyRetry)
 	}
 	return nil
 }
@@ -284,3 +315,9 @@
 		time.Sleep(readyRetry)
 	}
 }
+
+// Running tells whether a machine's process runs.
+func (cluster *Cluster) Running(id string) bool {
+	child, err := cluster.child(id)
+	return err == nil && child.running()
+}
--- a/rehearsal/cluster/configuration.go
+++ b/rehearsal/cluster/configuration.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -22,13 +23,13 @@
 	// Tenant owns every tier of a rehearsal.
 	Tenant = "rehearsal"
 
-	promptPriceMicros = 50
-	outputPriceMicros = 200
-	tierBudgetMicros  = 1_000_000_000
-	programCapMicros  = 20_000
-	turnLimit         = 240
-	pauseLimit        = 2 * time.Minute
-	toolDeadline      = 5 * time.Second
+	promptPriceMicros       = 50
+	outputPriceMicros       = 200
+	defaultTierBudgetMicros = 1_000_000_000
+	defaultProgramCapMicros = 20_000
+	turnLimit               = 240
+	pauseLimit              = 2 * time.Minute
+	toolDeadline            = 5 * time.Second
 )
 
 // TierKey is the key that callers of a tier present in a rehearsal.
@@ -59,8 +60,8 @@
 			Weight:            tier.Weight,
 			PromptPriceMicros: promptPriceMicros,
 			OutputPriceMicros: outputPriceMicros,
-			BudgetMicros:      tierBudgetMicros,
-			ProgramCapMicros:  programCapMicros,
+			BudgetMicros:      cmp.Or(plan.TierBudgetMicros, defaultTierBudgetMicros),
+			ProgramCapMicros:  cmp.Or(plan.ProgramCapMicros, defaultProgramCapMicros),
 			QueueWaitBoundMs:  uint32(tier.WaitBound / time.Millisecond),
 		})
 	}
--- a/rehearsal/cluster/http.go
+++ b/rehearsal/cluster/http.go
@@ -22,8 +22,8 @@
 
 var httpClient = &http.Client{Timeout: requestTimeout}
 
-// postJSON posts a body to a stand-in and expects success.
-func postJSON(ctx context.Context, address, path string, body any) error {
+// PostJSON posts a body to a stand-in and expects success.
+func PostJSON(ctx context.Context, address, path string, body any) error {
 	encoded, err := json.Marshal(body)
 	if err != nil {
 		return eris.Wrap(err, "encode request")
--- a/rehearsal/cluster/plan.go
+++ b/rehearsal/cluster/plan.go
@@ -40,6 +40,10 @@
 	LogLevel     string
 	// Deployment names the workload whose tiers and kinds are published.
 	Deployment string
+	// TierBudgetMicros and ProgramCapMicros bound the spending of each tier and
+	// of each program; 0 takes the defaults.
+	TierBudgetMicros uint64
+	ProgramCapMicros uint64
 }
 
 // Machine is one process of a plan.
--- /dev/null
+++ b/rehearsal/command/fault.go
@@ -0,0 +1,74 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/magpielug/magpielug/rehearsal/fault"
+)
+
+// Fault runs scenarios of faults on real processes.
+type Fault struct {
+	Files     []string `arg:"positional,required" placeholder:"FILE" help:"scenario files"`
+	Port      int      `arg:"--port" default:"7800" help:"port of every machine; the platform's services take this one and the next two"`
+	Directory string   `arg:"--directory" default:"out/fault" help:"where logs and settings files go, a directory for each scenario"`
+	Magpielug string   `arg:"--magpielug" help:"program to start; default is the one beside this program"`
+	Times     int      `arg:"--times" default:"1" help:"how often each scenario runs; the seed rises by one each time"`
+}
+
+// Run runs all scenarios one after the other; it fails where a check failed.
+func (command *Fault) Run(ctx context.Context) error {
+	binaries, err := (&Layout{Magpielug: command.Magpielug}).binaries()
+	if err != nil {
+		return err
+	}
+	var scenarios []*fault.Scenario
+	for _, file := range command.Files {
+		scenario, err := fault.LoadScenario(file)
+		if err != nil {
+			return err
+		}
+		scenarios = append(scenarios, scenario)
+	}
+	failed := 0
+	for round := range command.Times {
+		for _, scenario := range scenarios {
+			again := *scenario
+			again.Seed += uint64(round)
+			report, err := fault.Run(ctx, &again, fault.Environment{
+				Binaries:  binaries,
+				Directory: filepath.Join(command.Directory, fmt.Sprintf("%s-%d", again.Name, again.Seed)),
+				Port:      command.Port,
+				Output:    os.Stderr,
+			})
+			if err != nil {
+				return eris.Wrapf(err, "scenario %s", again.Name)
+			}
+			printReport(report)
+			if report.Failed() {
+				failed++
+			}
+		}
+	}
+	if failed > 0 {
+		return eris.Errorf("%d runs failed a check", failed)
+	}
+	return nil
+}
+
+func printReport(report *fault.Report) {
+	verdict := "passed"
+	if report.Failed() {
+		verdict = "FAILED"
+	}
+	fmt.Printf("scenario %s, seed %d: %s (%s)\n", report.Scenario.Name, report.Scenario.Seed, verdict,
+		report.Duration.Round(time.Second))
+	for _, result := range report.Results {
+		fmt.Print("  ", result)
+	}
+}
