Keep the read timeouts of connections in the server

Ruled out: nbio's open callback (it runs before nbhttp's deadline too). Change: one timer per connection, which looks whether a call is under way before it closes; nbhttp's deadlines are unused.

--- a/internal/httpserver/bounded_conn.go
+++ b/internal/httpserver/bounded_conn.go
@@ -51,6 +51,9 @@
 	return nil
 }
 
+// SetReadDeadline does nothing: the connection has its own read timer.
+func (conn *boundedConn) SetReadDeadline(time.Time) error { return nil }
+
 // caller returns the server's state of the connection.
 func (conn *boundedConn) caller() *connection { return conn.connection }
 
--- a/internal/httpserver/connection.go
+++ b/internal/httpserver/connection.go
@@ -59,15 +59,20 @@
 
 	cancelMutex sync.Mutex
 	cancel      context.CancelFunc
+
+	// readTimer closes the connection when no whole request arrives in time.
+	readTimer *time.Timer
 }
 
 func newConnection(server *Server, socket *nbio.Conn) *connection {
-	return &connection{
+	made := &connection{
 		server:   server,
 		socket:   socket,
 		gone:     make(chan struct{}),
 		progress: make(chan struct{}, 1),
 	}
+	made.readTimer = time.AfterFunc(server.limits.IdleTimeout, made.readTimedOut)
+	return made
 }
 
 // receive takes bytes from the client, on the poller goroutine.
@@ -199,7 +204,10 @@
 
 // finishCall notes that an answer has been handed to the socket.
 func (connection *connection) finishCall() {
-	connection.calls.Add(-1)
+	remaining := connection.calls.Add(-1)
+	if remaining == 0 {
+		connection.awaitRequest()
+	}
 	if connection.server.draining.Load() {
 		connection.closeWhenIdle()
 	}
@@ -215,6 +223,7 @@
 
 // closed is called once nbio has closed the socket.
 func (connection *connection) closed() {
+	connection.readTimer.Stop()
 	close(connection.gone)
 	connection.cancelMutex.Lock()
 	defer connection.cancelMutex.Unlock()
@@ -253,11 +262,3 @@
 		return nil
 	}
 }
-
-func (connection *connection) setReadTimeout(timeout time.Duration) {
-	_ = connection.socket.SetReadDeadline(time.Now().Add(timeout))
-}
-
-func (connection *connection) clearReadTimeout() {
-	_ = connection.socket.SetReadDeadline(time.Time{})
-}
--- a/internal/httpserver/handler.go
+++ b/internal/httpserver/handler.go
@@ -30,8 +30,6 @@
 func (server *Server) serve(writer http.ResponseWriter, request *http.Request) {
 	response := writer.(*nbhttp.Response)
 	caller := response.Parser.Conn.(callerConn).caller()
-	// The deadline may have been armed by the end of the request before.
-	caller.clearReadTimeout()
 	if server.draining.Load() {
 		request.Close = true
 	}
--- a/internal/httpserver/secure_conn.go
+++ b/internal/httpserver/secure_conn.go
@@ -76,10 +76,8 @@
 	return nil
 }
 
-// SetReadDeadline closes the connection at the deadline, as nbio does.
-func (conn *secureConn) SetReadDeadline(deadline time.Time) error {
-	return conn.caller().socket.SetReadDeadline(deadline)
-}
+// SetReadDeadline does nothing: the connection has its own read timer.
+func (conn *secureConn) SetReadDeadline(time.Time) error { return nil }
 
 // SetDeadline does nothing: nbhttp sets both deadlines apart.
 func (conn *secureConn) SetDeadline(time.Time) error { return nil }
@@ -153,7 +151,7 @@
 	return count, count == 0 && conn.overflowed
 }
 
-// SetDeadline does nothing: nbio's read deadline and boundedConn's write
+// SetDeadline does nothing: the connection's read timer and boundedConn's write
 // timeout hold for the connection.
 func (conn *cipherConn) SetDeadline(time.Time) error { return nil }
 
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -107,7 +107,7 @@
 		MaxLoad:            limits.MaxConnections + excessConnections,
 		ReadLimit:          limits.MaxHeaderBytes + limits.MaxBodyBytes + 2*bodyEncodingSlack,
 		MaxWriteBufferSize: limits.WriteBufferBytes + writePiece,
-		KeepaliveTime:      limits.IdleTimeout,
+		KeepaliveTime:      unusedTimeout,
 		Handler:            http.HandlerFunc(server.serve),
 		// Requests run on their connection's goroutine (connection.execute);
 		// nbio itself only runs its close callbacks here.
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -6,11 +6,13 @@
 	"context"
 	"crypto/tls"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"runtime"
 	"strings"
 	"time"
@@ -140,6 +142,22 @@
 		Eventually(server.Connections, patience).Should(BeZero())
 	})
 
+	It("closes a request half sent with the connection's first bytes", func() {
+		const connections = 100
+		firstByte := "G"
+		if withTLS {
+			firstByte = "\x16"
+		}
+		server := start(echo, Limits{IdleTimeout: time.Hour, RequestTimeout: 100 * time.Millisecond})
+		for range connections {
+			raw, err := net.Dial("tcp", server.Address())
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(func() { _ = raw.Close() })
+			fmt.Fprint(raw, firstByte)
+		}
+		Eventually(server.Connections, patience).Should(BeZero())
+	})
+
 	It("refuses a call over MaxInFlight at once, with when to come back", func() {
 		release := make(chan struct{})
 		started := make(chan struct{}, 1)
@@ -344,7 +362,8 @@
 			Expect(err).NotTo(HaveOccurred())
 			Expect(connection.SetDeadline(time.Now().Add(patience))).To(Succeed())
 			fmt.Fprint(connection, sent)
-			answer, _ := io.ReadAll(connection)
+			answer, err := io.ReadAll(connection)
+			Expect(errors.Is(err, os.ErrDeadlineExceeded)).To(BeFalse())
 			Expect(string(answer)).NotTo(ContainSubstring("HTTP"))
 			Expect(connection.Close()).To(Succeed())
 		}
