--- a/internal/gateway/completion_answer.go
+++ b/internal/gateway/completion_answer.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strconv"
 
 	schedulerv1 "github.com/magpielug/magpielug/api/scheduler/v1"
 )
@@ -104,11 +105,13 @@
 	buffer []byte
 }
 
-// The parts of a chunk's JSON around its text.
+// The parts of a chunk's JSON around its text. The sequence number stands in
+// the JSON, since some client libraries take an event's id line for a part of
+// an error.
 const (
 	deltaPrefix      = `,"choices":[{"index":0,"delta":{"content":`
 	firstDeltaPrefix = `,"choices":[{"index":0,"delta":{"role":"assistant","content":`
-	deltaSuffix      = `},"finish_reason":null}]}`
+	deltaSuffix      = `},"finish_reason":null}],"sequence":`
 )
 
 // endOfStream is the data of an OpenAI stream's last event.
@@ -138,9 +141,11 @@
 	}
 	buffer = appendJSONString(buffer, chunk.GetText())
 	buffer = append(buffer, deltaSuffix...)
+	buffer = strconv.AppendUint(buffer, chunk.GetSequence(), 10)
+	buffer = append(buffer, '}')
 	stream.buffer = buffer
 	stream.events.exchange.noteChunk()
-	return stream.events.send(chunk.GetSequence(), "", buffer)
+	return stream.events.send(0, "", buffer)
 }
 
 func (stream *completionStream) canRestart() bool { return !stream.events.exchange.committed }
--- a/internal/gateway/completion_test.go
+++ b/internal/gateway/completion_test.go
@@ -80,6 +80,7 @@
 		data := dataOf(reply.body)
 		Expect(data).To(HaveLen(6))
 		Expect(data[0]).To(ContainSubstring(`"role":"assistant"`))
+		Expect(data[1]).To(ContainSubstring(`"sequence":2`))
 		Expect(data[3]).To(ContainSubstring(`"finish_reason":"stop"`))
 		Expect(data[4]).To(ContainSubstring(`"total_tokens":8`))
 		Expect(data[5]).To(Equal("[DONE]"))
--- a/internal/gateway/departure_test.go
+++ b/internal/gateway/departure_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
@@ -84,10 +85,12 @@
 			send(finished(count))
 		})
 		core, lines := observer.New(zap.InfoLevel)
+		registry := prometheus.NewRegistry()
 		gateway := New(testConfig(), Dependencies{
 			Configuration: func() Configuration { return fixedConfiguration{} },
 			Router:        routerTo(scheduler.address()),
 			Logger:        zap.New(core),
+			Metrics:       registry,
 		})
 		limits := httpserver.Limits{WriteBufferBytes: 64 << 10, WriteTimeout: 300 * time.Millisecond}
 		server, err := httpserver.Start("127.0.0.1:0", gateway.Handler(), limits)
@@ -103,6 +106,10 @@
 		Expect(fields["program"]).To(Equal("p1"))
 		Expect(fields["request"]).To(Equal("r1"))
 		Expect(fields["tenant"]).To(Equal("metering"))
+		families, err := registry.Gather()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(fmt.Sprint(families)).To(ContainSubstring(`value:"SLOW_READER"`))
+
 		resumed := caller.send("GET", fmt.Sprintf("%s/r1/stream?after=%d", callsPath, count-2), "")
 		Expect(dataOf(resumed.body)).To(HaveLen(3))
 	})
