--- a/cmd/rehearsal/main.go
+++ b/cmd/rehearsal/main.go
@@ -25,6 +25,7 @@
 	Fault      *command.Fault           `arg:"subcommand:fault" help:"run scenarios of faults and judge them"`
 	Up         *command.Up              `arg:"subcommand:up" help:"start everything and keep it serving"`
 	Experiment *command.Experiment      `arg:"subcommand:experiment" help:"compare policies over the engine model"`
+	Speed      *command.Speed           `arg:"subcommand:speed" help:"measure what gateway and scheduler add to a call"`
 	Capacity   *command.Capacity        `arg:"subcommand:capacity" help:"work out the capacity page"`
 	Engine     *command.StandInEngine   `arg:"subcommand:engine" help:"run a stand-in model engine"`
 	Log        *command.StandInLog      `arg:"subcommand:log" help:"run a stand-in log service"`
--- /dev/null
+++ b/rehearsal/command/speed.go
@@ -0,0 +1,106 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/magpielug/magpielug/internal/platform/httpadapter"
+	"github.com/magpielug/magpielug/rehearsal/cluster"
+	"github.com/magpielug/magpielug/rehearsal/speed"
+)
+
+// Speed measures what gateway and scheduler add to a call's tokens.
+type Speed struct {
+	Port      int           `arg:"--port" default:"7700" help:"port of every machine; the platform's services take this one and the next two"`
+	Directory string        `arg:"--directory" default:"out/speed" help:"where logs and settings files go"`
+	Magpielug string        `arg:"--magpielug" help:"program to start; default is the one beside this program"`
+	Shards    int           `arg:"--shards" default:"16" help:"number of shards"`
+	InFlight  []int         `arg:"--in-flight" help:"numbers of calls in flight; default 1 64 512"`
+	Rounds    int           `arg:"--rounds" default:"3" help:"rounds of each way at each number"`
+	Duration  time.Duration `arg:"--duration" default:"5s" help:"duration of a round"`
+	WarmUp    time.Duration `arg:"--warm-up" default:"1s" help:"first part of a round, which is not counted"`
+	Seed      int64         `arg:"--seed" default:"1" help:"seed of the outputs' lengths"`
+}
+
+const (
+	// speedRunningLimit keeps calls from queueing at the engine.
+	speedRunningLimit = 1024
+	// speedBlocks holds every call in flight and the prefixes of calls before.
+	speedBlocks = 1 << 17
+)
+
+// Run starts one engine, one gateway and one scheduler a zone, and prints the
+// figures.
+func (command *Speed) Run(ctx context.Context) error {
+	started, kind, key, err := command.start(ctx)
+	if err != nil {
+		return err
+	}
+	defer started.Stop()
+	adapters, err := httpadapter.NewClient(httpadapter.Config{})
+	if err != nil {
+		return err
+	}
+	defer adapters.Close()
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: speedRunningLimit}}
+	inFlight := command.InFlight
+	if len(inFlight) == 0 {
+		inFlight = []int{1, 64, 512}
+	}
+	rounds := speed.Measure(ctx, speed.Config{
+		Ways: []speed.Way{
+			speed.Direct(adapters, started.Engines()[0], rehearsalModel),
+			speed.Program(client, started.Gateways(), key, kind, rehearsalModel),
+			speed.Chat(started.Gateways(), key, rehearsalModel),
+		},
+		InFlight:      inFlight,
+		Rounds:        command.Rounds,
+		RoundDuration: command.Duration,
+		WarmUp:        command.WarmUp,
+		Seed:          command.Seed,
+		Client:        client,
+		Progress:      showRound,
+	})
+	if err := ctx.Err(); err != nil {
+		return eris.Wrap(err, "measure")
+	}
+	fmt.Print(speed.Table(rounds))
+	return nil
+}
+
+func (command *Speed) start(ctx context.Context) (started *cluster.Cluster, kind, key string, err error) {
+	layout := Layout{
+		Deployment:        "namibia",
+		Port:              command.Port,
+		GatewaysPerZone:   1,
+		SchedulersPerZone: 1,
+		Engines:           1,
+		Tools:             1,
+		Shards:            command.Shards,
+		Blocks:            speedBlocks,
+		RunningLimit:      speedRunningLimit,
+		LogLevel:          "info",
+		Directory:         command.Directory,
+		Magpielug:         command.Magpielug,
+	}
+	started, deployment, err := layout.start(ctx)
+	if err != nil {
+		return nil, "", "", err
+	}
+	first := deployment.Kinds[0]
+	return started, first.Name, cluster.TierKey(first.Tier), nil
+}
+
+func showRound(round speed.Round) {
+	fmt.Fprintf(os.Stderr, "%d in flight, %s: %d calls, first token p50 %s, each next mean %s", round.InFlight, round.Way,
+		round.Calls, round.First.Median.Round(time.Microsecond), round.Gap.Mean.Round(time.Microsecond))
+	if round.Failed > 0 {
+		fmt.Fprintf(os.Stderr, ", %d failed, the first: %s", round.Failed, round.FailedFor)
+	}
+	fmt.Fprintln(os.Stderr)
+}
