--- a/internal/membership/home.go
+++ b/internal/membership/home.go
@@ -1,4 +1,3 @@
-// Package membership decides by rendezvous hashing which processes hold what.
 package membership
 
 import (
--- /dev/null
+++ b/internal/membership/winner.go
@@ -0,0 +1,32 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+)
+
+// sortedProcesses returns the processes in the order of their ids, each once.
+func sortedProcesses(processes []Process) []Process {
+	sorted := slices.Clone(processes)
+	slices.SortFunc(sorted, func(left, right Process) int {
+		return cmp.Compare(left.ID, right.ID)
+	})
+	return slices.CompactFunc(sorted, func(left, right Process) bool {
+		return left.ID == right.ID
+	})
+}
+
+// winner returns the process with the highest score for a key, or false if there
+// are none.
+func winner(key string, processes []Process) (Process, bool) {
+	if len(processes) == 0 {
+		return Process{}, false
+	}
+	return slices.MaxFunc(processes, func(left, right Process) int {
+		order := cmp.Compare(score(key, left.ID), score(key, right.ID))
+		if order == 0 {
+			order = cmp.Compare(left.ID, right.ID)
+		}
+		return order
+	}), true
+}
