Give clients a grace to leave before a planned stop; report panics

Cause: Shutdown closed idle connections at once, so a request sent at that moment was lost; a handler's panic was silent unless a hook was set. Change: for limits.drain_grace (1 s) a stopping server goes on serving, each answer ending its connection; panics are written to standard error by default. Conclusion: go test ./internal/httpserver (37 specs) ./internal/httpclient ./internal/settings ./internal/command passes. A request sent on an idle connection in the instant it is closed after the grace can still be lost.

--- a/internal/httpserver/handler.go
+++ b/internal/httpserver/handler.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"os"
 	"runtime/debug"
 
 	"github.com/lesismal/nbio/nbhttp"
@@ -78,11 +80,14 @@
 	WriteError(writer, resultcode.New(resultcode.Internal, "internal fault"))
 }
 
-// ReportPanic is told of every panic of a handler. Set it before Start.
-var ReportPanic func(fault any, stack []byte)
+// ReportPanic is told of every panic of a handler; by default it writes one
+// line to standard error. Set it before Start.
+var ReportPanic = func(fault any, stack []byte) {
+	fmt.Fprintf(os.Stderr, "level=error event=\"handler panicked\" fault=%q stack=%q\n", fmt.Sprint(fault), stack)
+}
 
 func reportPanic(fault any) {
-	if fault != http.ErrAbortHandler && ReportPanic != nil {
+	if fault != http.ErrAbortHandler {
 		ReportPanic(fault, debug.Stack())
 	}
 }
--- a/internal/httpserver/limits.go
+++ b/internal/httpserver/limits.go
@@ -16,6 +16,7 @@
 	DefaultRequestTimeout = 20 * time.Second
 	DefaultWriteTimeout   = 10 * time.Second
 	DefaultRetryAfter     = time.Second
+	DefaultDrainGrace     = time.Second
 )
 
 // MinWriteBuffer is the smallest WriteBufferBytes that is honoured.
@@ -48,6 +49,10 @@
 	WriteTimeout time.Duration
 	// RetryAfter is told to callers refused by a limit.
 	RetryAfter time.Duration
+	// DrainGrace is how long Shutdown goes on accepting and keeps idle
+	// connections, so that clients see in time that the process leaves. A
+	// request sent on a connection at the moment it is closed would be lost.
+	DrainGrace time.Duration
 	// Exempt tells which requests MaxInFlight does not count, such as
 	// heartbeats between processes; nil counts all.
 	Exempt func(request *http.Request) bool
@@ -64,6 +69,7 @@
 	limits.RequestTimeout = positive(limits.RequestTimeout, DefaultRequestTimeout)
 	limits.WriteTimeout = positive(limits.WriteTimeout, DefaultWriteTimeout)
 	limits.RetryAfter = positive(limits.RetryAfter, DefaultRetryAfter)
+	limits.DrainGrace = positive(limits.DrainGrace, DefaultDrainGrace)
 	return limits
 }
 
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -137,7 +137,8 @@
 // Connections returns the number of open connections.
 func (server *Server) Connections() int { return int(server.open.Load()) }
 
-// Shutdown stops accepting, closes idle connections, waits until every request
+// Shutdown ends every connection with its next answer. After the limits' grace
+// it stops accepting and closes idle connections, waits until every request
 // under way is answered or ctx ends, then closes what is left. It returns
 // ctx's error where requests were cut. A second call returns nil at once.
 func (server *Server) Shutdown(ctx context.Context) error {
@@ -148,6 +149,7 @@
 
 func (server *Server) drain(ctx context.Context) error {
 	server.draining.Store(true)
+	server.awaitGrace(ctx)
 	server.listener.Stop()
 	server.eachConnection((*connection).closeWhenIdle)
 	err := server.awaitConnections(ctx)
@@ -158,6 +160,15 @@
 	return err
 }
 
+func (server *Server) awaitGrace(ctx context.Context) {
+	timer := time.NewTimer(server.limits.DrainGrace)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 func (server *Server) awaitConnections(ctx context.Context) error {
 	ticker := time.NewTicker(drainPoll)
 	defer ticker.Stop()
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -35,6 +35,9 @@
 var identity = httptest.NewTLSServer(nil)
 
 func start(handler http.HandlerFunc, limits Limits) *Server {
+	if limits.DrainGrace == 0 {
+		limits.DrainGrace = time.Millisecond
+	}
 	server, err := startAt("127.0.0.1:0", handler, limits)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(func() {
@@ -307,12 +310,21 @@
 	})
 
 	It("answers Internal when a handler panics and goes on", func() {
+		reported := 0
+		report := ReportPanic
+		DeferCleanup(func() { ReportPanic = report })
+		ReportPanic = func(fault any, stack []byte) {
+			reported++
+			Expect(fault).To(Equal("fault"))
+			Expect(string(stack)).To(ContainSubstring("server_test.go"))
+		}
 		server := start(func(writer http.ResponseWriter, request *http.Request) { panic("fault") }, Limits{})
 		for range 2 {
 			answer, err := newClient().Get("http://" + server.Address())
 			Expect(err).NotTo(HaveOccurred())
 			Expect(errorOf(answer.Body).Code).To(Equal(resultcode.Internal))
 		}
+		Expect(reported).To(Equal(2))
 	})
 
 	It("finishes requests under way when it is shut down, and accepts no more", func() {
@@ -339,6 +351,25 @@
 		Expect(err).To(HaveOccurred())
 	})
 
+	It("serves clients that come within the grace of a shutdown, each on its last connection", func() {
+		server := start(echo, Limits{DrainGrace: 500 * time.Millisecond})
+		client := newClient()
+		_, err := client.Get("http://" + server.Address())
+		Expect(err).NotTo(HaveOccurred())
+		stopped := make(chan error, 1)
+		go func() { stopped <- server.Shutdown(context.Background()) }()
+		Eventually(server.draining.Load, patience).Should(BeTrue())
+		for range 2 {
+			answer, err := client.Post("http://"+server.Address(), "text/plain", strings.NewReader("late"))
+			Expect(err).NotTo(HaveOccurred())
+			body, err := io.ReadAll(answer.Body)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(body)).To(Equal("late"))
+			Expect(answer.Close).To(BeTrue())
+		}
+		Eventually(stopped, patience).Should(Receive(BeNil()))
+	})
+
 	It("ends with its context's error when a request outlasts the shutdown", func() {
 		entered := make(chan struct{})
 		server := start(func(writer http.ResponseWriter, request *http.Request) {
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -45,6 +45,8 @@
 		return invalid("scheduler.election_max: %v must be above scheduler.election_min (%v)", scheduler.ElectionMax, scheduler.ElectionMin)
 	case loaded.Gateway.DefaultOutputTokens > loaded.Gateway.MaxOutputTokens:
 		return invalid("gateway.default_output_tokens: %d must be at most gateway.max_output_tokens (%d)", loaded.Gateway.DefaultOutputTokens, loaded.Gateway.MaxOutputTokens)
+	case loaded.Limits.DrainGrace >= loaded.Limits.ShutdownTimeout:
+		return invalid("limits.drain_grace: %v must be below limits.shutdown_timeout (%v)", loaded.Limits.DrainGrace, loaded.Limits.ShutdownTimeout)
 	case 2*loaded.Configuration.Poll > loaded.Configuration.FreshBound:
 		return invalid("configuration.poll: %v must be at most half of configuration.fresh_bound (%v)", loaded.Configuration.Poll, loaded.Configuration.FreshBound)
 	}
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -37,6 +37,7 @@
 		RequestTimeout:  20 * time.Second,
 		WriteTimeout:    10 * time.Second,
 		RetryAfter:      time.Second,
+		DrainGrace:      time.Second,
 		ShutdownTimeout: 60 * time.Second,
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -65,6 +65,7 @@
 	RequestTimeout  time.Duration `koanf:"request_timeout" validate:"gte=100ms,lte=10m" about:"A half-sent request is closed after it."`
 	WriteTimeout    time.Duration `koanf:"write_timeout" validate:"gte=100ms,lte=10m" about:"A client that takes nothing for so long is closed; its stream can be resumed."`
 	RetryAfter      time.Duration `koanf:"retry_after" validate:"gte=1ms,lte=10m" about:"When a caller refused by a limit may come back."`
+	DrainGrace      time.Duration `koanf:"drain_grace" validate:"gte=1ms,lte=10m" about:"How long a planned stop goes on accepting, so that clients see in time that the process leaves."`
 	ShutdownTimeout time.Duration `koanf:"shutdown_timeout" validate:"gte=1s,lte=1h" about:"Longest planned stop: what is still under way then is cut."`
 }
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -92,6 +92,7 @@
 		Entry("lease too long", "scheduler.lease", "950ms", "0.9 of scheduler.election_min"),
 		Entry("lease under the heartbeat", "scheduler.lease", "50ms", "above scheduler.heartbeat"),
 		Entry("election bounds crossed", "scheduler.election_max", "1s", "above scheduler.election_min"),
+		Entry("grace over the whole stop", "limits.drain_grace", "1m", "below limits.shutdown_timeout"),
 		Entry("poll too slow", "configuration.poll", "4s", "half of configuration.fresh_bound"),
 	)
 
