Keep finished calls compressed, and show a scheduler's stats

A finished call was kept as a decoded turn and a decoded record with its chunk table. Change: a finished call is one zstd block (content, usage, chunk table) with its id, digest and number; a call is shown from it when asked for. A prompt is put together from the blocks by the run's own goroutine, so that a long history does not hold up the control loop. Weighed: dropping bodies from followers, which would stop programs when a leader dies while the log is away.

--- a/internal/process/scheduler.go
+++ b/internal/process/scheduler.go
@@ -37,6 +37,7 @@
 		return err
 	}
 	shared.mux.Handle("/", running.Handler())
+	shared.registry.MustRegister(scheduler.NewCollector(running))
 	serve := func(ctx context.Context) {
 		go watchFreshness(ctx, shared, running)
 		running.Run(ctx)
--- a/internal/scheduler/call_ask.go
+++ b/internal/scheduler/call_ask.go
@@ -196,6 +196,7 @@
 		host.core.emit(Follow{Ask: waiting.ask, Turn: call.Turn(), Buffer: host.bufferOf(call)})
 		return
 	}
+	host.core.counters.Accepted++
 	live := host.track(call)
 	if waiting.request.DeadlineMs > 0 {
 		live.deadline = host.core.now + time.Duration(waiting.request.DeadlineMs)*time.Millisecond
@@ -211,6 +212,7 @@
 // any other.
 func (waiting acceptWaiter) refused(host *host, failure *resultcode.Error) {
 	if failure.Code != resultcode.BudgetExhausted {
+		host.core.counters.Ended[failure.Code]++
 		host.core.decline(waiting.ask, failure)
 		return
 	}
@@ -269,6 +271,9 @@
 		host.core.decline(waiting.ask, outcome.Err)
 		return
 	}
+	if !outcome.Duplicate {
+		host.core.counters.Ended[outcome.Call.Failure().Code]++
+	}
 	host.core.emit(Follow{Ask: waiting.ask, Turn: outcome.Call.Turn(), Buffer: host.bufferOf(outcome.Call)})
 	program := outcome.Program
 	if program.Created().SingleCall && program.OpenCalls() == 0 && !program.Over() {
--- a/internal/scheduler/call_run.go
+++ b/internal/scheduler/call_run.go
@@ -173,12 +173,12 @@
 		Address: intent.Address,
 		Buffer:  live.buffer,
 		Offset:  uint64(len(live.call.Partial().ChunkBytes)),
+		Prompt:  live.call.Prompt(),
 		Request: platform.GenerateRequest{
 			RequestID:  backEndRequestID(live.run()),
 			Program:    live.id().program,
 			Model:      accepted.Target,
 			Adapter:    accepted.Adapter,
-			Prompt:     live.call.Prompt(),
 			MaxTokens:  int(accepted.MaxTokens - min(accepted.MaxTokens, live.call.Partial().Tokens)),
 			Priority:   priority,
 			Fence:      live.fence(),
@@ -289,6 +289,7 @@
 	}
 	live.phase = phaseClosing
 	live.decide("queued again", detail)
+	host.core.counters.Requeued++
 	output, chunkBytes := live.buffer.Content()
 	partial := &shardv1.Partial{
 		Output:     output,
@@ -328,8 +329,10 @@
 func (host *host) closeCall(live *liveCall) {
 	call := live.call
 	if failure := call.Failure(); failure != nil {
+		host.core.counters.Ended[failure.Code]++
 		live.buffer.Fail(failure)
 	} else {
+		host.core.counters.Finished++
 		live.buffer.Finish(call.Finished().FinishReason, call.Usage())
 	}
 	delete(host.calls, live.id())
--- a/internal/scheduler/client_test.go
+++ b/internal/scheduler/client_test.go
@@ -233,7 +233,7 @@
 	}
 	var recorded []string
 	for _, turn := range program.Turns() {
-		recorded = append(recorded, turn.RequestId)
+		recorded = append(recorded, turn.RequestID())
 	}
 	var found []string
 	if !slices.IsSorted(recorded) {
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -69,6 +69,7 @@
 	// answering is the peer whose batch is being taken in, and answerTo its ask:
 	// what is queued for it by the step's end goes back as the answer.
 	answering string
+	counters  Counters
 	answerTo  AskID
 	effects   []Effect
 	now       time.Duration
@@ -89,6 +90,7 @@
 		pools:      make(map[string]*pool),
 		heldBefore: make(map[string]bool),
 		outbox:     make(map[string]*schedulerv1.PeerBatch),
+		counters:   newCounters(),
 	}
 }
 
@@ -143,6 +145,8 @@
 		core.explainAsked(event)
 	case StatusAsked:
 		core.statusAsked(event)
+	case StatsAsked:
+		core.emit(StatsTaken{Ask: event.Ask, Stats: core.stats()})
 	case ConfigurationChanged:
 		core.configurationChanged(event.View)
 	case FreshnessChanged:
--- a/internal/scheduler/effect.go
+++ b/internal/scheduler/effect.go
@@ -7,6 +7,7 @@
 
 	schedulerv1 "github.com/magpielug/magpielug/api/scheduler/v1"
 	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/shard"
 	"github.com/magpielug/magpielug/internal/stream"
 )
 
@@ -39,11 +40,20 @@
 	Batch   *schedulerv1.PeerBatch
 }
 
+// TurnsTaken answers a HistoryAsked; the asker decodes the turns.
+type TurnsTaken struct {
+	Ask   AskID
+	Turns []shard.StoredTurn
+}
+
 // RunModelCall sends a call to an engine, or attaches to a running one.
 type RunModelCall struct {
 	Run     RunKey
 	Address string
+	// Request is complete but for its prompt, which the run puts together from
+	// Prompt: a long history must not hold up the control goroutine.
 	Request platform.GenerateRequest
+	Prompt  shard.Prompt
 	Buffer  *stream.Buffer
 	// Offset is how many chunks of the buffer earlier attempts have given.
 	Offset uint64
@@ -110,6 +120,7 @@
 func (Follow) effect()       {}
 func (Decline) effect()      {}
 func (SendPeer) effect()     {}
+func (TurnsTaken) effect()   {}
 func (RunModelCall) effect() {}
 func (RunToolCall) effect()  {}
 func (StopRun) effect()      {}
--- a/internal/scheduler/loop.go
+++ b/internal/scheduler/loop.go
@@ -9,6 +9,7 @@
 
 	schedulerv1 "github.com/magpielug/magpielug/api/scheduler/v1"
 	"github.com/magpielug/magpielug/internal/resultcode"
+	"github.com/magpielug/magpielug/internal/shard"
 	"github.com/magpielug/magpielug/internal/stream"
 )
 
@@ -36,6 +37,8 @@
 	turn    uint32
 	buffer  *stream.Buffer
 	failure *schedulerv1.Error
+	stats   Stats
+	turns   []shard.StoredTurn
 }
 
 // askRegistration is an event that wants an answer.
@@ -120,6 +123,10 @@
 		loop.answer(effect.Ask, callAnswer{turn: effect.Turn, buffer: effect.Buffer})
 	case Decline:
 		loop.answer(effect.Ask, callAnswer{failure: effect.Error})
+	case TurnsTaken:
+		loop.answer(effect.Ask, callAnswer{turns: effect.Turns})
+	case StatsTaken:
+		loop.answer(effect.Ask, callAnswer{stats: effect.Stats})
 	case Logged:
 		loop.log(effect)
 	default:
--- a/internal/scheduler/program_ask.go
+++ b/internal/scheduler/program_ask.go
@@ -224,7 +224,7 @@
 		count = min(count, int(request.Limit))
 	}
 	count = min(count, maximumHistoryTurns)
-	core.emit(Answer{Ask: event.Ask, Message: &schedulerv1.ReadHistoryReply{Turns: slices.Clone(turns[from : from+count])}})
+	core.emit(TurnsTaken{Ask: event.Ask, Turns: slices.Clone(turns[from : from+count])})
 }
 
 // listAsked lists the programs of the shards that this process leads.
--- a/internal/scheduler/run_model.go
+++ b/internal/scheduler/run_model.go
@@ -28,7 +28,7 @@
 // broken stream is picked up at the same engine, which runs a request id once.
 func (traffic *traffic) runModelCall(ctx context.Context, effect RunModelCall) {
 	run := &modelRun{traffic: traffic, effect: effect}
-	ended := run.follow(ctx)
+	ended := run.start(ctx)
 	ended.Run = effect.Run
 	if ctx.Err() == nil {
 		traffic.post(ended)
@@ -36,6 +36,16 @@
 	traffic.forgetRun(effect.Run)
 }
 
+// start puts the prompt together and follows the generation.
+func (run *modelRun) start(ctx context.Context) RunEnded {
+	parts, err := run.effect.Prompt.Parts()
+	if err != nil {
+		return RunEnded{End: RunNotRun, Detail: err.Error()}
+	}
+	run.effect.Request.Prompt = parts
+	return run.follow(ctx)
+}
+
 func (run *modelRun) follow(ctx context.Context) RunEnded {
 	request := run.effect.Request
 	for attempt := 0; ; attempt++ {
--- a/internal/scheduler/service.go
+++ b/internal/scheduler/service.go
@@ -34,11 +34,27 @@
 	})
 }
 
-// ReadHistory returns a program's turns.
+// ReadHistory returns a program's turns. They are decoded here, away from the
+// control goroutine.
 func (scheduler *Scheduler) ReadHistory(ctx context.Context, request *schedulerv1.ReadHistoryRequest) (*schedulerv1.ReadHistoryReply, error) {
-	return askFor[*schedulerv1.ReadHistoryReply](ctx, scheduler, func(ask AskID) Event {
+	answer, err := scheduler.loop.Ask(ctx, func(ask AskID) Event {
 		return HistoryAsked{Ask: ask, Request: request}
 	})
+	if err != nil {
+		return nil, err
+	}
+	if refused, isReply := answer.message.(*schedulerv1.ReadHistoryReply); isReply {
+		return refused, nil
+	}
+	reply := &schedulerv1.ReadHistoryReply{}
+	for _, stored := range answer.turns {
+		content, err := stored.Decode()
+		if err != nil {
+			return nil, err
+		}
+		reply.Turns = append(reply.Turns, content.Turn)
+	}
+	return reply, nil
 }
 
 // ListPrograms lists the programs that this process leads.
--- a/internal/shard/apply.go
+++ b/internal/shard/apply.go
@@ -64,9 +64,10 @@
 		return repeatedCreation(known, created)
 	}
 	program := &Program{
-		record: &shardv1.ProgramRecord{Created: created},
-		state:  charts.Program.Initial(),
-		calls:  make(map[string]*Call),
+		record:   &shardv1.ProgramRecord{Created: created},
+		state:    charts.Program.Initial(),
+		calls:    make(map[string]*Call),
+		finished: make(map[string]int),
 	}
 	program.root = program
 	if created.ParentId != "" {
@@ -105,7 +106,7 @@
 	if program == nil {
 		return refused(resultcode.UnknownProgram, "no program %s", accepted.ProgramId)
 	}
-	if known := program.calls[accepted.RequestId]; known != nil {
+	if known := program.Call(accepted.RequestId); known != nil {
 		if !known.SameBody(accepted.Digest) {
 			return refused(resultcode.RequestIDReused, "request id %s was used with another body", accepted.RequestId)
 		}
@@ -134,6 +135,7 @@
 		Attempt:        1,
 	}}
 	program.calls[accepted.RequestId] = call
+	program.addModel(accepted)
 	program.record.Pending = append(program.record.Pending, accepted.RequestId)
 	return Outcome{Program: program, Call: call}
 }
@@ -166,7 +168,7 @@
 	if program == nil {
 		return refused(resultcode.UnknownProgram, "no program %s", declined.ProgramId)
 	}
-	if known := program.calls[declined.RequestId]; known != nil {
+	if known := program.Call(declined.RequestId); known != nil {
 		return Outcome{Program: program, Call: known, Duplicate: true}
 	}
 	return Outcome{Program: program, Call: program.recordDeclined(declined)}
@@ -229,7 +231,7 @@
 	if program == nil {
 		return nil, refused(resultcode.UnknownProgram, "no program %s", programID)
 	}
-	call := program.calls[requestID]
+	call := program.Call(requestID)
 	if call == nil {
 		return nil, refused(resultcode.UnknownRequest, "no call %s", requestID)
 	}
@@ -284,7 +286,7 @@
 	call.record.Finished = finished
 	state.settle(call, actual)
 	program := call.program
-	program.record.History = append(program.record.History, &Turn{
+	program.addTurn(storeTurn(&Turn{
 		Number:       call.record.Turn,
 		RequestId:    accepted.RequestId,
 		Kind:         accepted.Kind,
@@ -293,10 +295,10 @@
 		Output:       finished.Output,
 		FinishReason: finished.FinishReason,
 		Usage:        call.Usage(),
-	})
+	}, accepted.Digest, finished.ChunkBytes))
+	delete(program.calls, accepted.RequestId)
 	program.record.HistoryTokens += EstimateTokens(accepted.Messages) + finished.OutputTokens + tokensPerMessage
 	program.root.record.AttainedService += serviceTokens(finished.PromptTokens, finished.CachedTokens, finished.OutputTokens)
-	accepted.Messages = nil
 	program.close(call)
 	return outcome
 }
--- a/internal/shard/call.go
+++ b/internal/shard/call.go
@@ -10,9 +10,6 @@
 	"github.com/magpielug/magpielug/internal/resultcode"
 )
 
-// Turn is one finished call in a program's history.
-type Turn = schedulerv1.Turn
-
 // Call is one call's replicated record.
 type Call struct {
 	program *Program
@@ -26,8 +23,8 @@
 // Program returns the call's program.
 func (call *Call) Program() *Program { return call.program }
 
-// Accepted returns the entry the call was accepted by. Its messages are gone
-// once the call has finished: they stand in the history then.
+// Accepted returns the entry the call was accepted by. Of a call with a result
+// only the ids and the digest are kept: the rest stands in the stored turn.
 func (call *Call) Accepted() *shardv1.CallAccepted { return call.record.Accepted }
 
 // Intent returns the last committed intent, nil before the first.
@@ -83,31 +80,41 @@
 	return failure.After(time.Duration(ended.RetryAfterMs) * time.Millisecond)
 }
 
-// Prompt returns the whole prompt of the call, one part a message: the
-// program's history first, then the call's own messages. An earlier output is a
-// part with its text unchanged, so that an engine finds its cached blocks.
-func (call *Call) Prompt() []string {
-	var parts []string
-	for _, turn := range call.program.record.History {
-		parts = appendMessages(parts, turn.Messages)
-		if turn.Output != "" {
-			parts = append(parts, turn.Output)
-		}
-	}
-	parts = appendMessages(parts, call.record.Accepted.Messages)
-	if partial := call.Partial().Output; partial != "" {
-		parts = append(parts, partial)
+// Prompt returns the whole prompt of an open call, to be put together by its
+// reader.
+func (call *Call) Prompt() Prompt {
+	return Prompt{
+		history: call.program.turns,
+		added:   call.record.Accepted.Messages,
+		partial: call.Partial().Output,
 	}
-	return parts
 }
 
-func appendMessages(parts []string, messages []*schedulerv1.Message) []string {
-	for _, message := range messages {
-		parts = append(parts, renderMessage(message.Role, message.Content))
+// finishedCall shows a stored turn as a call.
+func (program *Program) finishedCall(stored StoredTurn) *Call {
+	record := &shardv1.CallRecord{
+		Accepted: &shardv1.CallAccepted{
+			ProgramId: program.ID(),
+			RequestId: stored.RequestID(),
+			Digest:    stored.record.Digest,
+		},
+		Turn: stored.Number(),
 	}
-	return parts
-}
-
-func renderMessage(role, content string) string {
-	return "\n" + role + ": " + content
+	shown := &Call{program: program, state: charts.CallStateDone, record: record}
+	content, err := stored.Decode()
+	if err != nil {
+		record.Ended = &shardv1.CallEnded{Code: uint32(resultcode.Internal), Message: err.Error()}
+		return shown
+	}
+	usage := content.Turn.Usage
+	record.CostMicros = usage.GetCostMicros()
+	record.Finished = &shardv1.CallFinished{
+		Output:       content.Turn.Output,
+		FinishReason: content.Turn.FinishReason,
+		PromptTokens: usage.GetPromptTokens(),
+		CachedTokens: usage.GetCachedTokens(),
+		OutputTokens: usage.GetOutputTokens(),
+		ChunkBytes:   content.ChunkBytes,
+	}
+	return shown
 }
--- /dev/null
+++ b/internal/shard/shard_suite_test.go
@@ -0,0 +1,21 @@
+package shard
+
+import (
+	"flag"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestShard(t *testing.T) {
+	// A fixed seed gives the same verdict on each run.
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		t.Fatal(err)
+	}
+	if err := flag.Set("rapid.nofailfile", "true"); err != nil {
+		t.Fatal(err)
+	}
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Shard Suite")
+}
--- a/internal/shard/snapshot.go
+++ b/internal/shard/snapshot.go
@@ -41,6 +41,10 @@
 			strings.Compare(left.Accepted.RequestId, right.Accepted.RequestId),
 		)
 	})
+	record.Finished = nil
+	for _, stored := range program.turns {
+		record.Finished = append(record.Finished, stored.record)
+	}
 	return record
 }
 
@@ -77,9 +81,10 @@
 		return nil, eris.Errorf("snapshot: program state %q", record.State)
 	}
 	program := &Program{
-		record: record,
-		state:  programState,
-		calls:  make(map[string]*Call, len(record.Calls)),
+		record:   record,
+		state:    programState,
+		calls:    make(map[string]*Call, len(record.Calls)),
+		finished: make(map[string]int, len(record.Finished)),
 	}
 	for _, callRecord := range record.Calls {
 		callState, known := charts.Call.ParseState(callRecord.State)
@@ -89,7 +94,11 @@
 		call := &Call{program: program, record: callRecord, state: callState}
 		program.calls[call.RequestID()] = call
 	}
+	for _, finished := range record.Finished {
+		program.addTurn(StoredTurn{record: finished})
+	}
 	record.Calls = nil
+	record.Finished = nil
 	return program, nil
 }
 
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -5,7 +5,6 @@
 package shard
 
 import (
-	"maps"
 	"slices"
 
 	schedulerv1 "github.com/magpielug/magpielug/api/scheduler/v1"
@@ -48,8 +47,12 @@
 type Program struct {
 	record *shardv1.ProgramRecord
 	state  charts.ProgramState
-	calls  map[string]*Call
-	root   *Program
+	// calls are those without a result, by request id, and turns those with one,
+	// in the program's order; finished finds a turn by its request id.
+	calls    map[string]*Call
+	turns    []StoredTurn
+	finished map[string]int
+	root     *Program
 	// liveChildren counts the sub-agents that are not over.
 	liveChildren int
 }
@@ -83,11 +86,25 @@
 func (program *Program) Root() *Program { return program.root }
 
 // Turns returns the finished calls in the program's order. Callers must not
-// change them.
-func (program *Program) Turns() []*Turn { return program.record.History }
+// change the slice.
+func (program *Program) Turns() []StoredTurn { return program.turns }
 
 // Call returns the call with the request id, nil where there is none.
-func (program *Program) Call(requestID string) *Call { return program.calls[requestID] }
+func (program *Program) Call(requestID string) *Call {
+	if call := program.calls[requestID]; call != nil {
+		return call
+	}
+	if index, found := program.finished[requestID]; found {
+		return program.finishedCall(program.turns[index])
+	}
+	return nil
+}
+
+// addTurn stores a finished call at the end of the history.
+func (program *Program) addTurn(stored StoredTurn) {
+	program.finished[stored.RequestID()] = len(program.turns)
+	program.turns = append(program.turns, stored)
+}
 
 // Head returns the call that is next or under way, nil where none is open.
 func (program *Program) Head() *Call {
@@ -112,18 +129,14 @@
 // LiveSubAgents returns how many of the program's own sub-agents are not over.
 func (program *Program) LiveSubAgents() int { return program.liveChildren }
 
-// Models names the models that the program has called or is to call.
-func (program *Program) Models() []string {
-	named := make(map[string]bool)
-	for _, turn := range program.record.History {
-		if turn.Kind == schedulerv1.CallKind_CALL_KIND_MODEL {
-			named[turn.Target] = true
-		}
-	}
-	for _, call := range program.calls {
-		if call.record.Accepted.Kind == schedulerv1.CallKind_CALL_KIND_MODEL {
-			named[call.record.Accepted.Target] = true
-		}
+// Models names the models that the program has called or is to call. Callers
+// must not change the slice.
+func (program *Program) Models() []string { return program.record.Models }
+
+// addModel notes a model that the program calls.
+func (program *Program) addModel(accepted *shardv1.CallAccepted) {
+	isModel := accepted.Kind == schedulerv1.CallKind_CALL_KIND_MODEL
+	if isModel && !slices.Contains(program.record.Models, accepted.Target) {
+		program.record.Models = append(program.record.Models, accepted.Target)
 	}
-	return slices.Sorted(maps.Keys(named))
 }
