--- a/internal/command/operator_test.go
+++ b/internal/command/operator_test.go
@@ -111,6 +111,7 @@
 		Expect(ask("publish", exampleConfiguration).code).To(Equal(ExitOK))
 		path := filepath.Join(GinkgoT().TempDir(), "read.json")
 		Expect(os.WriteFile(path, []byte(ask("--output", "json", "get", "--content").output), 0o600)).To(Succeed())
+		Expect(ask("--output", "json", "get").output).To(HavePrefix("{\n  \"version\": \"1\",\n"))
 		got := ask("publish", path)
 		Expect(got.code).To(Equal(ExitOK), got.errors)
 		Expect(served.version).To(BeEquivalentTo(2))
--- a/internal/command/output.go
+++ b/internal/command/output.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"maps"
@@ -81,13 +82,7 @@
 // print writes a reply as a table or as JSON.
 func (command *OperatorCommand) print(streams Streams, chosen action, reply proto.Message) error {
 	if command.Output == outputJSON {
-		options := protojson.MarshalOptions{Multiline: true, UseProtoNames: true, EmitUnpopulated: true}
-		content, err := options.Marshal(reply)
-		if err != nil {
-			return err
-		}
-		_, err = fmt.Fprintf(streams.Output, "%s\n", content)
-		return err
+		return printJSON(streams, reply)
 	}
 	shown := chosen.table(reply)
 	writer := tabwriter.NewWriter(streams.Output, 0, 0, columnGap, ' ', 0)
@@ -98,6 +93,23 @@
 	return writer.Flush()
 }
 
+// printJSON writes a reply with all its fields. protojson varies its spaces on
+// purpose, so they are set anew.
+func printJSON(streams Streams, reply proto.Message) error {
+	options := protojson.MarshalOptions{UseProtoNames: true, EmitUnpopulated: true}
+	content, err := options.Marshal(reply)
+	if err != nil {
+		return err
+	}
+	var indented bytes.Buffer
+	err = json.Indent(&indented, content, "", "  ")
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(streams.Output, "%s\n", indented.Bytes())
+	return err
+}
+
 // printFailure writes a refusal as one line, as JSON where asked for.
 func (command *OperatorCommand) printFailure(streams Streams, failure *resultcode.Error) {
 	if command.Output == outputJSON {
