Know for sure when a call never left the gateway; ask silent schedulers last

Cause: a dial that is given up, as to a zone that is cut off, or a failed TLS handshake was taken for a call that may have run, so one that must not run twice was answered OUTCOME_UNKNOWN though nothing was sent; and each further call waited for the same silent scheduler first. Ruled out: telling it from the error's type, as the transport hands over the context's error for a dial given up. Change: httptrace tells whether the request ever had a connection; the router asks a scheduler that did not answer last for 5 s or until it leads again. The counter of attempts is named for what it counts. Test: the new spec fails without the trace ('never made').

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -28,7 +28,7 @@
 	finished, err := relay.run(exchange.context)
 	exchange.attaches = relay.attaches
 	if relay.attaches > 1 {
-		exchange.gateway.metrics.reattaches.Add(float64(relay.attaches - 1))
+		exchange.gateway.metrics.attempts.Add(float64(relay.attaches - 1))
 	}
 	if err != nil {
 		if !errors.Is(err, errCallerGone) {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -9,7 +9,7 @@
 	betweenTokens prometheus.Histogram
 	inFlight      prometheus.Gauge
 	retries       prometheus.Counter
-	reattaches    prometheus.Counter
+	attempts      prometheus.Counter
 }
 
 // Buckets run from half a millisecond by factors of two.
@@ -44,12 +44,12 @@
 			Name: "magpielug_gateway_retries_total",
 			Help: "Waits before a shard's candidates were asked once more.",
 		}),
-		reattaches: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "magpielug_gateway_reattaches_total",
-			Help: "Calls attached to again after their stream ended early.",
+		attempts: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "magpielug_gateway_further_attempts_total",
+			Help: "Schedulers asked for a call after the first: others than its leader, unreachable ones, streams that ended early.",
 		}),
 	}
 	registerer.MustRegister(created.requests, created.firstToken, created.betweenTokens,
-		created.inFlight, created.retries, created.reattaches)
+		created.inFlight, created.retries, created.attempts)
 	return created
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -105,10 +105,11 @@
 func (relay *relay) attach(ctx context.Context, search *search, address string) (*schedulerv1.Finished, error) {
 	relay.prepare()
 	relay.attaches++
-	stream, err := relay.client.open(ctx, address, relay.request)
+	delivery := &delivery{}
+	stream, err := relay.client.open(delivery.watch(ctx), address, relay.request)
 	if err != nil {
 		search.unreachable(address)
-		relay.delivered = relay.delivered || !notDelivered(err)
+		relay.delivered = relay.delivered || !delivery.ruledOut(err)
 		return nil, errNotTaken
 	}
 	defer stream.close()
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -158,6 +160,26 @@
 			Entry("no leader afterwards", cutAfter(), answering(resultcode.NoLeader)),
 		)
 
+		It("is passed on where the connection or its handshake was never made", func() {
+			scheduler := startScheduler(hello)
+			hanging := unusedAddress()
+			gateway := New(testConfig(), Dependencies{Router: routerTo(hanging, scheduler.address())})
+			transport := gateway.dependencies.Client.Transport.(*http.Transport)
+			transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+				if address == hanging {
+					<-ctx.Done()
+					return nil, errors.New("handshake failed")
+				}
+				return (&net.Dialer{}).DialContext(ctx, network, address)
+			}
+			received := &collector{}
+			relay := &relay{client: gateway.schedulers, receiver: received, request: &schedulerv1.CallRequest{}}
+			_, err := relay.run(context.Background())
+			Expect(err).NotTo(HaveOccurred())
+			Expect(strings.Join(received.text, "")).To(Equal(helloText))
+			Expect(scheduler.requests()[0].AttachOnly).To(BeFalse())
+		})
+
 		It("is answered as unknown after a reset connection", func() {
 			scheduler := startScheduler(answering(resultcode.UnknownRequest))
 			reply := send(serve(resettingAddress(), scheduler.address()))
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -20,8 +21,10 @@
 	Candidates(program string) []string
 	// Learn notes that address leads the program's shard.
 	Learn(program, address string)
-	// Forget notes that address does not, or did not answer.
+	// Forget notes that address does not lead the program's shard.
 	Forget(program, address string)
+	// Suspect notes that address did not answer: it is asked last for a while.
+	Suspect(program, address string)
 }
 
 // Placement tells how programs map to shards and shards to schedulers.
@@ -46,19 +49,29 @@
 
 	schedulers atomic.Pointer[[]platform.Machine]
 
+	now func() time.Time
+
 	mutex   sync.RWMutex
 	leaders map[uint32]string
 	orders  map[uint32][]string
+	// suspects holds until when a scheduler is asked last.
+	suspects map[string]time.Time
 }
 
+// suspectPeriod is how long a scheduler that did not answer is asked last, so
+// that not every call waits for one that is cut off or frozen.
+const suspectPeriod = 5 * time.Second
+
 // NewShardRouter makes a router that knows no scheduler until Refresh or Run.
 func NewShardRouter(machines platform.Machines, placement Placement, logger *zap.Logger) *ShardRouter {
 	router := &ShardRouter{
 		machines:  machines,
 		placement: placement,
 		logger:    logger,
+		now:       time.Now,
 		leaders:   map[uint32]string{},
 		orders:    map[uint32][]string{},
+		suspects:  map[string]time.Time{},
 	}
 	router.schedulers.Store(&[]platform.Machine{})
 	return router
@@ -121,7 +134,30 @@
 			candidates = append(candidates, address)
 		}
 	}
-	return candidates
+	return router.suspectsLast(candidates)
+}
+
+// suspectsLast keeps the order otherwise.
+func (router *ShardRouter) suspectsLast(candidates []string) []string {
+	router.mutex.RLock()
+	defer router.mutex.RUnlock()
+	if len(router.suspects) == 0 {
+		return candidates
+	}
+	now := router.now()
+	isSuspect := func(address string) bool { return router.suspects[address].After(now) }
+	sorted := make([]string, 0, len(candidates))
+	for _, address := range candidates {
+		if !isSuspect(address) {
+			sorted = append(sorted, address)
+		}
+	}
+	for _, address := range candidates {
+		if isSuspect(address) {
+			sorted = append(sorted, address)
+		}
+	}
+	return sorted
 }
 
 func (router *ShardRouter) order(shard uint32) []string {
@@ -137,7 +173,8 @@
 func (router *ShardRouter) Learn(program, address string) {
 	shard := router.placement.ShardOf(program)
 	router.mutex.RLock()
-	known := router.leaders[shard] == address
+	_, suspect := router.suspects[address]
+	known := router.leaders[shard] == address && !suspect
 	router.mutex.RUnlock()
 	if known {
 		return
@@ -145,6 +182,7 @@
 	router.mutex.Lock()
 	defer router.mutex.Unlock()
 	router.leaders[shard] = address
+	delete(router.suspects, address)
 }
 
 // Forget drops the learned leader if it is address.
@@ -157,6 +195,16 @@
 	}
 }
 
+// Suspect forgets the address as a leader and asks it last for suspectPeriod.
+func (router *ShardRouter) Suspect(program, address string) {
+	router.Forget(program, address)
+	router.mutex.Lock()
+	defer router.mutex.Unlock()
+	now := router.now()
+	maps.DeleteFunc(router.suspects, func(_ string, until time.Time) bool { return !until.After(now) })
+	router.suspects[address] = now.Add(suspectPeriod)
+}
+
 // HashPlacement places shards by rendezvous hashing over all schedulers.
 type HashPlacement struct {
 	// Shards is the fixed number of shards.
--- a/internal/gateway/router_test.go
+++ b/internal/gateway/router_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/magpielug/magpielug/internal/platform"
 	. "github.com/onsi/ginkgo/v2"
@@ -57,6 +58,22 @@
 		Expect(router.Candidates("p")).To(Equal(order))
 	})
 
+	It("asks a scheduler that did not answer last, for a while or until it leads again", func() {
+		now := time.Unix(0, 0)
+		router := NewShardRouter(&changingList{machines: schedulers(3)}, HashPlacement{Shards: 1}, nil)
+		router.now = func() time.Time { return now }
+		Expect(router.Refresh(context.Background())).To(Succeed())
+		order := router.Candidates("p")
+		router.Learn("p", order[0])
+		router.Suspect("p", order[0])
+		Expect(router.Candidates("p")).To(Equal([]string{order[1], order[2], order[0]}))
+		now = now.Add(suspectPeriod)
+		Expect(router.Candidates("p")).To(Equal(order))
+		router.Suspect("p", order[0])
+		router.Learn("p", order[0])
+		Expect(router.Candidates("p")).To(Equal(order))
+	})
+
 	It("moves only the shards of a machine that is gone, and asks leaving ones last", func() {
 		placement := HashPlacement{Shards: 64}
 		all := schedulers(9)
--- a/internal/gateway/scheduler_client.go
+++ b/internal/gateway/scheduler_client.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -78,12 +77,13 @@
 		if err != nil {
 			return none, unansweredRequest(err, mayHaveRun)
 		}
-		answer, err := sendOnce(ctx, client, address, send)
+		delivery := &delivery{}
+		answer, err := sendOnce(delivery.watch(ctx), client, address, send)
 		if err != nil {
 			if ctx.Err() != nil {
 				return none, errCallerGone
 			}
-			mayHaveRun = mayHaveRun || (mutates && !notDelivered(err))
+			mayHaveRun = mayHaveRun || (mutates && !delivery.ruledOut(err))
 			search.unreachable(address)
 			continue
 		}
@@ -128,33 +128,13 @@
 		search.redirected(address, failure.GetLeaderAddress())
 		return true
 	case resultcode.NoLeader, resultcode.Stopping:
-		search.unreachable(address)
+		search.redirected(address, "")
 		return true
 	default:
 		return false
 	}
 }
 
-// statusError is a scheduler's HTTP status that stands for no answer of its
-// call handler.
-type statusError struct{ status int }
-
-func (failure *statusError) Error() string {
-	return "unexpected status " + http.StatusText(failure.status)
-}
-
-// notDelivered reports whether err means that the request can't have been
-// taken: no connection was made, or the scheduler's HTTP server refused it
-// before its handler.
-func notDelivered(err error) bool {
-	var operation *net.OpError
-	if errors.As(err, &operation) {
-		return operation.Op == "dial"
-	}
-	var status *statusError
-	return errors.As(err, &status) && status.status != http.StatusInternalServerError
-}
-
 // callStream is the open stream of one call from one scheduler.
 type callStream struct {
 	body   io.ReadCloser
--- a/internal/gateway/search.go
+++ b/internal/gateway/search.go
@@ -107,9 +107,9 @@
 	search.hint = leader
 }
 
-// unreachable notes that address did not answer.
+// unreachable notes that address did not answer, or cut its answer off.
 func (search *search) unreachable(address string) {
-	search.client.router.Forget(search.program, address)
+	search.client.router.Suspect(search.program, address)
 }
 
 // found notes that address leads the shard.
