Place shards on copysets, leaders on preferred members, engines in pools

Change: the layout (groups by copysets, pools of at most 16 engines) is worked out once for each new machine list, by the same rule in gateways. A leader that is not the preferred member hands over after 10 s. A call goes to its program's preferred pool, and to the next one when that is full.

--- a/internal/membership/shard.go
+++ b/internal/membership/shard.go
@@ -14,6 +14,11 @@
 // its sub-agents share the shard of their root, the part of the id before the
 // first separator.
 func ShardOf(programID string, shards uint32) uint32 {
+	return uint32(xxhash.Sum64String(rootOf(programID)) % uint64(shards))
+}
+
+// rootOf returns the id of the program at the top of a family.
+func rootOf(programID string) string {
 	root, _, _ := strings.Cut(programID, FamilySeparator)
-	return uint32(xxhash.Sum64String(root) % uint64(shards))
+	return root
 }
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -17,7 +17,7 @@
 	if err != nil {
 		return err
 	}
-	router := gateway.NewShardRouter(shared.machines, memberPlacement{shards: loaded.Scheduler.Shards}, shared.logger.Logger)
+	router := gateway.NewShardRouter(shared.machines, &memberPlacement{shards: loaded.Scheduler.Shards}, shared.logger.Logger)
 	callers := gateway.New(gatewayConfig(loaded), gateway.Dependencies{
 		Configuration: func() gateway.Configuration { return gatewayView(shared) },
 		Router:        router,
--- a/internal/scheduler/call_run.go
+++ b/internal/scheduler/call_run.go
@@ -47,11 +47,11 @@
 		return
 	}
 	head.phase = phaseRunning
-	head.pool = host.core.poolOf(head.call.Accepted().Target)
 	if head.isTool() {
 		host.runEnded(head, RunEnded{Run: head.run(), End: RunLost, Detail: "the leader was lost"})
 		return
 	}
+	head.pool = host.core.poolOfEngine(head.call.Intent().BackEnd)
 	head.decide("attached", "the intent was committed under an earlier leader")
 	host.runModel(head, true)
 }
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -57,6 +57,7 @@
 	configuration ConfigurationView
 	fresh         bool
 	directory     *directory
+	layout        *layout
 	homes         map[uint32]*home
 	hosts         map[uint32]*host
 	pools         map[string]*pool
@@ -79,12 +80,14 @@
 // seeded differently at every start of the process.
 func NewCore(config Config, random *rand.Rand) *Core {
 	registry := replication.NewRegistry(config.Process, random)
+	known := newDirectory(config.Process)
 	return &Core{
 		config:     config,
 		random:     random,
 		registry:   registry,
 		batcher:    replication.NewBatcher(registry.Boot()),
-		directory:  newDirectory(config.Process),
+		directory:  known,
+		layout:     newLayout(known),
 		homes:      make(map[uint32]*home),
 		hosts:      make(map[uint32]*host),
 		pools:      make(map[string]*pool),
--- a/internal/scheduler/directory.go
+++ b/internal/scheduler/directory.go
@@ -12,6 +12,7 @@
 // list says who exists, answers say who lives, hints say who leads.
 type directory struct {
 	self       string
+	listed     []platform.Machine
 	schedulers map[string]platform.Machine
 	engines    map[string]platform.Machine
 	tools      map[string]platform.Machine
@@ -37,11 +38,16 @@
 	}
 }
 
-// update replaces the machines by a newer list.
-func (directory *directory) update(machines []platform.Machine) {
+// update replaces the machines by a newer list and tells whether it differs.
+func (directory *directory) update(machines []platform.Machine) bool {
+	if slices.Equal(machines, directory.listed) {
+		return false
+	}
+	directory.listed = slices.Clone(machines)
 	directory.schedulers = byRole(machines, platform.RoleScheduler)
 	directory.engines = byRole(machines, platform.RoleEngine)
 	directory.tools = byRole(machines, platform.RoleTool)
+	return true
 }
 
 func byRole(machines []platform.Machine, role platform.MachineRole) map[string]platform.Machine {
--- a/internal/scheduler/home.go
+++ b/internal/scheduler/home.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/magpielug/magpielug/internal/membership"
 	"github.com/magpielug/magpielug/internal/platform"
 	"github.com/magpielug/magpielug/internal/replication"
 	"github.com/magpielug/magpielug/internal/shard"
@@ -15,6 +14,9 @@
 	streamReadInterval = 300 * time.Millisecond
 	peerSilenceBound   = 3 * time.Second
 	repairInterval     = time.Second
+	// preferAfter is how long a leader serves before it may hand over to the
+	// preferred one.
+	preferAfter = 10 * time.Second
 )
 
 // home is a shard in whose group this process belongs by the machine list. It
@@ -54,7 +56,10 @@
 // machinesListed takes the platform's list in and arranges what follows from
 // it: the shards this process belongs to, and the pools' engines.
 func (core *Core) machinesListed(machines []platform.Machine) {
-	core.directory.update(machines)
+	if !core.directory.update(machines) {
+		return
+	}
+	core.layout = newLayout(core.directory)
 	core.arrangeHomes()
 	core.arrangePools()
 }
@@ -75,18 +80,7 @@
 
 // homeMembers lists the processes that should hold the shard, best first.
 func (core *Core) homeMembers(number uint32) []string {
-	var processes []membership.Process
-	for _, machine := range sorted(core.directory.schedulers) {
-		if machine.State != platform.MachineLive {
-			continue
-		}
-		processes = append(processes, membership.Process{ID: machine.ID, Region: machine.Region, Zone: machine.Zone})
-	}
-	var members []string
-	for _, process := range membership.HomeOf(number, processes) {
-		members = append(members, process.ID)
-	}
-	return members
+	return core.layout.members(number)
 }
 
 // otherHomeMember names a process, not this one, that should know the shard's
@@ -217,7 +211,7 @@
 	if home.appending || len(members) == 0 || members[0] != core.config.Process {
 		return
 	}
-	founders := core.founders(members)
+	founders := core.founders(home.number, members)
 	if len(founders) < core.config.Replicas && core.now-home.since < core.config.FoundingWait {
 		core.greet(members)
 		return
@@ -240,11 +234,18 @@
 	}
 }
 
-// founders lists the members that answer now, this process first.
-func (core *Core) founders(members []string) []replication.Member {
+// founders lists the members that answer now, the preferred leader first: the
+// first member named in a claim campaigns at once.
+func (core *Core) founders(number uint32, members []string) []replication.Member {
+	preferred, _ := core.layout.placement.LeaderOf(number)
 	var founders []replication.Member
 	for _, process := range members {
-		if member, alive := core.member(process); alive {
+		member, alive := core.member(process)
+		switch {
+		case !alive:
+		case process == preferred.ID:
+			founders = slices.Insert(founders, 0, member)
+		default:
 			founders = append(founders, member)
 		}
 	}
@@ -321,6 +322,7 @@
 	wanted := core.homeMembers(home.number)
 	members := host.replica.Members()
 	if !core.replacementReady(wanted, members) {
+		core.preferLeader(host, members)
 		return
 	}
 	for _, member := range members {
@@ -335,6 +337,27 @@
 	}
 }
 
+// preferLeader hands leadership to the process that the layout prefers, so that
+// leaders are spread evenly. It waits until the group has been quiet for a while:
+// every hand-over makes the gateways attach anew.
+func (core *Core) preferLeader(host *host, members []replication.Member) {
+	preferred, found := core.layout.placement.LeaderOf(host.number)
+	if !found || preferred.ID == core.config.Process || core.now-host.servingSince < preferAfter {
+		return
+	}
+	if !core.directory.alive(preferred.ID, core.now, peerSilenceBound) {
+		return
+	}
+	for _, member := range members {
+		if member.Incarnation.Process() == preferred.ID {
+			err := host.replica.TransferLeadership(core.now, member.Incarnation)
+			core.log("leadership_handed_over", host.number, "", "", fmt.Sprintf("to %s: %v", preferred.ID, err))
+			host.servingSince = core.now
+			return
+		}
+	}
+}
+
 // replacementReady tells whether a wanted process outside the group is alive.
 func (core *Core) replacementReady(wanted []string, members []replication.Member) bool {
 	for _, process := range wanted {
--- a/internal/scheduler/host.go
+++ b/internal/scheduler/host.go
@@ -30,6 +30,8 @@
 	serving bool
 	// generation is the one of the claim that founded the group.
 	generation uint32
+	// servingSince is when this replica began to serve as the leader.
+	servingSince time.Duration
 	// lastLed is when a leader of the shard was last heard.
 	lastLed   time.Duration
 	epoch     replication.Epoch
@@ -253,6 +255,7 @@
 		return
 	}
 	host.serving = true
+	host.servingSince = host.core.now
 	host.epoch = entry.Epoch
 	host.core.directory.leaders[host.number] = host.core.config.Process
 	host.core.arrangePools()
--- a/internal/scheduler/keeper_client.go
+++ b/internal/scheduler/keeper_client.go
@@ -16,8 +16,8 @@
 
 // offer asks the keeper of the model's pool for a slot.
 func (host *host) offer(live *liveCall) {
-	live.pool = host.core.poolOf(live.call.Accepted().Target)
-	if live.pool == "" {
+	pools := host.core.poolsFor(live.call.Accepted().Target, live.id().program)
+	if len(pools) == 0 {
 		host.refuse(live, resultcode.New(resultcode.NoBackEnd,
 			"no engine serves %s", live.call.Accepted().Target).After(noBackEndRetryAfter))
 		return
@@ -26,6 +26,7 @@
 		host.refuse(live, resultcode.New(resultcode.DeadlineNotRun, "the deadline passed in the queue"))
 		return
 	}
+	live.pool = pools[live.poolsTried%len(pools)]
 	live.phase = phaseOffered
 	live.offeredAt = host.core.now
 	host.core.requestKeeper(live.pool, host.number, &schedulerv1.KeeperRequest{
@@ -167,10 +168,26 @@
 	if live == nil {
 		return
 	}
+	if live.host.tryNextPool(live, resultcode.Code(refusal.Code)) {
+		return
+	}
 	failure := resultcode.New(resultcode.Code(refusal.Code), "%s", refusal.Why)
 	live.host.refuse(live, failure.After(time.Duration(refusal.RetryAfterMs)*time.Millisecond))
 }
 
+// tryNextPool offers a call to the model's next pool when its own is full.
+func (host *host) tryNextPool(live *liveCall, code resultcode.Code) bool {
+	full := code == resultcode.Overloaded || code == resultcode.NoBackEnd
+	pools := host.core.poolsFor(live.call.Accepted().Target, live.id().program)
+	if !full || live.poolsTried+1 >= len(pools) {
+		return false
+	}
+	live.poolsTried++
+	live.decide("offered elsewhere", "pool "+live.pool+": "+code.String())
+	host.offer(live)
+	return true
+}
+
 // preempted cancels a running repeatable call, to be offered again.
 func (core *Core) preempted(reply *schedulerv1.KeeperReply, preemption *schedulerv1.CallPreemption) {
 	live := core.offeredCall(reply.Shard, preemption.Call, phaseRunning)
@@ -272,7 +289,7 @@
 // in its pool, so that cache of all others can be released.
 func (host *host) reportLivePrograms() {
 	byPool := make(map[string]*schedulerv1.ProgramsLive)
-	for _, poolName := range sortedKeys(host.core.enginePools()) {
+	for _, poolName := range sortedKeys(host.core.layout.engines) {
 		byPool[poolName] = &schedulerv1.ProgramsLive{}
 	}
 	for _, program := range host.sortedPrograms() {
--- a/internal/scheduler/live_call.go
+++ b/internal/scheduler/live_call.go
@@ -38,7 +38,9 @@
 	buffer *stream.Buffer
 	phase  callPhase
 	// pool the call is offered to; empty for a tool call.
-	pool       string
+	pool string
+	// poolsTried counts the model's pools that were full.
+	poolsTried int
 	offeredAt  time.Duration
 	acceptedAt time.Duration
 	// deadline is on this leader's clock; 0 is none.
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -37,7 +37,8 @@
 // arrangePools keeps exactly the pools whose shards this process leads.
 func (core *Core) arrangePools() {
 	kept := make(map[string]bool)
-	for name, engines := range core.enginePools() {
+	for _, name := range sortedKeys(core.layout.engines) {
+		engines := core.layout.engines[name]
 		host := core.hosts[core.shardOfPool(name)]
 		if host == nil || !host.serving {
 			continue
--- a/internal/scheduler/pools.go
+++ b/internal/scheduler/pools.go
@@ -2,54 +2,86 @@
 
 import (
 	"math"
-	"strings"
+	"slices"
 
 	"github.com/magpielug/magpielug/internal/membership"
 	"github.com/magpielug/magpielug/internal/platform"
 	"github.com/magpielug/magpielug/internal/shard"
 )
 
-// poolSeparator stands between model and region in a pool's name.
-const poolSeparator = "@"
+// layout is what follows from the machine list alone: where shards belong and
+// how engines form pools. It is worked out once for each new list.
+type layout struct {
+	placement *membership.Placement
+	pools     []membership.Pool
+	// engines are the machines of each pool, by the pool's name.
+	engines map[string][]platform.Machine
+}
 
-// enginePools sorts the listed engines into pools.
-func (core *Core) enginePools() map[string][]platform.Machine {
-	pools := make(map[string][]platform.Machine)
-	for _, engine := range sorted(core.directory.engines) {
-		name := engine.Service + poolSeparator + engine.Region
-		pools[name] = append(pools[name], engine)
+// newLayout works the layout out.
+func newLayout(directory *directory) *layout {
+	processes := liveProcesses(directory)
+	made := &layout{
+		placement: membership.NewPlacement(membership.CopysetCount(len(processes)), processes, nil),
+		engines:   make(map[string][]platform.Machine),
+	}
+	var engines []membership.Engine
+	for _, machine := range sorted(directory.engines) {
+		engines = append(engines, membership.Engine{ID: machine.ID, Model: machine.Service, Region: machine.Region})
+	}
+	made.pools = membership.AssignPools(engines)
+	for _, pool := range made.pools {
+		for _, engine := range pool.Engines {
+			made.engines[pool.Name] = append(made.engines[pool.Name], directory.engines[engine])
+		}
 	}
-	return pools
+	return made
 }
 
-// poolOf names the pool that a model's calls go to: the one in this region
-// where there is one. It is empty where no engine serves the model.
-func (core *Core) poolOf(model string) string {
-	found := ""
-	for name := range core.enginePools() {
-		served, region, _ := strings.Cut(name, poolSeparator)
-		if served != model {
-			continue
-		}
-		if region == core.config.Region {
-			return name
+func liveProcesses(directory *directory) []membership.Process {
+	var processes []membership.Process
+	for _, machine := range sorted(directory.schedulers) {
+		if machine.State == platform.MachineLive {
+			processes = append(processes, membership.Process{ID: machine.ID, Region: machine.Region, Zone: machine.Zone})
 		}
-		if found == "" || name < found {
-			found = name
+	}
+	return processes
+}
+
+// members lists the processes that should hold the shard, best first.
+func (layout *layout) members(number uint32) []string {
+	var members []string
+	for _, process := range layout.placement.GroupOf(number) {
+		members = append(members, process.ID)
+	}
+	return members
+}
+
+// poolsFor lists the pools that a program's calls of a model may go to, the
+// preferred one first.
+func (core *Core) poolsFor(model, programID string) []string {
+	return membership.PoolsFor(core.layout.pools, model, core.config.Region, programID)
+}
+
+// poolOfEngine names the pool that an engine belongs to, empty where it is not
+// listed any more.
+func (core *Core) poolOfEngine(engine string) string {
+	for _, pool := range core.layout.pools {
+		if slices.Contains(pool.Engines, engine) {
+			return pool.Name
 		}
 	}
-	return found
+	return ""
 }
 
 // poolsUsed names the pools that may hold cache of the program.
 func (core *Core) poolsUsed(program *shard.Program) []string {
-	used := make(map[string]bool)
+	var used []string
 	for _, model := range program.Models() {
-		if name := core.poolOf(model); name != "" {
-			used[name] = true
-		}
+		used = append(used, core.poolsFor(model, program.ID())...)
 	}
-	return sortedKeys(used)
+	slices.Sort(used)
+	return slices.Compact(used)
 }
 
 // shardOf returns the shard of a program and its whole family.
--- a/internal/scheduler/rebuild.go
+++ b/internal/scheduler/rebuild.go
@@ -99,7 +99,7 @@
 	}
 	core.askToAbstain(home, members)
 	claimID := fmt.Sprintf("%s/%d/%d", core.Incarnation(), home.number, attempt.generation)
-	claim, err := home.archive.NextClaim(claimID, core.founders(members), core.isGone(attempt))
+	claim, err := home.archive.NextClaim(claimID, core.founders(home.number, members), core.isGone(attempt))
 	if err != nil {
 		attempt.proven = false
 		return
