--- a/rehearsal/capacity/common.go
+++ b/rehearsal/capacity/common.go
@@ -4,7 +4,10 @@
 func commonLines(model *inputModel) []line {
 	lines := platformLines(model, RoleCommon)
 	return append(lines,
-		line{RoleCommon, Memory, "process without load", "-", Multiply(model.get("process_bytes"))})
+		line{RoleCommon, Memory, "process without load", "-", Multiply(model.get("process_bytes"))},
+		line{RoleCommon, ControlProcessor, "process without load", "timers, collector", Multiply(model.get("idle_scheduler_us"))},
+		line{RoleCommon, ControlProcessor, "ticks of the control loop", "planned: a timer at the next due time",
+			Multiply(model.get("ticks"), model.get("tick_us"))})
 }
 
 // logLines are the load of all processes on the platform's log.
--- a/rehearsal/capacity/gateway.go
+++ b/rehearsal/capacity/gateway.go
@@ -6,7 +6,8 @@
 	lines := platformLines(model, role)
 	return append(lines,
 		line{role, Memory, "calls under way", "one relay for each call, bounded write buffers",
-			Multiply(model.get("streams"), model.get("gateway_call_bytes"), model.per("gateways"))},
+			Multiply(model.get("streams"), model.get("gateway_call_bytes"), model.get("heap_factor"), model.per("gateways"))},
+		line{role, ControlProcessor, "process without load", "timers, collector", Multiply(model.get("idle_gateway_us"))},
 		line{role, Memory, "table of shard leaders", "learnt from replies, never replicated",
 			Multiply(model.get("shards"), model.get("leader_entry_bytes"))},
 		line{role, Memory, "process without load", "-",
@@ -41,6 +42,11 @@
 		{role, ControlBytes, "configuration, changes", "whole configuration in a record; planned: the changed tiers",
 			Multiply(model.get("changes"), model.get("peak"), model.get("tiers_per_change"),
 				model.get("tier_bytes"), model.get("log_encoding"), day)},
+		{role, ControlBytes, "configuration, compared with other zones", "one process of each, both ways",
+			Multiply(model.get("other_zones"), Constant(2, "ways"), Sum(model.get("http_bytes"), model.get("exchange_bytes")),
+				model.per("exchange_seconds"))},
+		{role, ControlProcessor, "configuration, compared with other zones", "twirp",
+			Multiply(model.get("other_zones"), Constant(2, "ways"), model.get("rpc_us"), model.per("exchange_seconds"))},
 		{role, ControlProcessor, "machine list", "decoded at each poll; planned: only when it has changed",
 			Multiply(model.get("machines"), model.get("machine_decode_us"), model.get("list_share"), model.per("list_seconds"))},
 		{role, ControlProcessor, "polls", "net/http",
@@ -48,7 +54,7 @@
 		{role, ControlProcessor, "configuration, changes", "decoded and checked whole",
 			Multiply(model.get("changes"), model.get("peak"), model.get("tiers_per_change"), model.get("tier_decode_us"), day)},
 		{role, Memory, "configuration", "one value, replaced whole",
-			Multiply(model.get("tenants"), model.get("tiers_per_tenant"), model.get("tier_memory_bytes"))},
+			Multiply(model.get("tenants"), model.get("tiers_per_tenant"), model.get("tier_memory_bytes"), model.get("heap_factor"))},
 	}
 }
 
--- a/rehearsal/capacity/ledger.go
+++ b/rehearsal/capacity/ledger.go
@@ -25,8 +25,8 @@
 		{role, ControlProcessor, "reservations", "four counters",
 			Multiply(model.get("requests"), model.get("replicas"), model.get("reserve_us"), model.per("schedulers"))},
 		{role, Memory, "accounts", "24 B a holder",
-			perTier(model.get("shards"), model.get("account_holder_bytes"), model.get("replicas"), model.per("schedulers"))},
+			perTier(model.get("shards"), model.get("account_holder_bytes"), model.get("replicas"), model.get("heap_factor"), model.per("schedulers"))},
 		{role, Memory, "escrows", "if every tier runs in every shard",
-			perTier(model.get("shards"), model.get("escrow_bytes"), model.get("replicas"), model.per("schedulers"))},
+			perTier(model.get("shards"), model.get("escrow_bytes"), model.get("replicas"), model.get("heap_factor"), model.per("schedulers"))},
 	}
 }
