Refuse a member change that a degraded group could not bear; test rebuilds

A group now adds or removes a member only if those heard of late are a majority of the changed group without the newcomer (ErrTooFewHeard). The directed test failed before the rule.

Also: schedules that kill processes until the stream's reader may claim a rebuild, and check that the old group commits nothing after the proof.

Not caught, and no rule is broken by them: counting votes of any incarnation (requests go to members alone), keeping removed members as peers.

--- a/internal/replication/members.go
+++ b/internal/replication/members.go
@@ -38,6 +38,9 @@
 	if !r.mayChangeMembers() || !r.archivedAllows(members) {
 		return ErrChangePending
 	}
+	if !r.canLoseNewcomer(now, members) {
+		return ErrTooFewHeard
+	}
 	r.changeMembers(now, members)
 	return nil
 }
@@ -155,7 +158,10 @@
 			continue
 		}
 		members := r.membersAfterAdmission(peer)
-		if members != nil && r.archivedAllows(members) {
+		isSafe := members != nil &&
+			r.archivedAllows(members) &&
+			r.canLoseNewcomer(now, members)
+		if isSafe {
 			r.changeMembers(now, members)
 			return
 		}
@@ -178,9 +184,30 @@
 
 // hasCaughtUp tells whether a learner holds all that is committed, and answers.
 func (r *Replica) hasCaughtUp(now time.Duration, peer *progress) bool {
-	return peer.match >= r.commit &&
-		peer.heard &&
-		now-peer.acknowledged < r.config.ElectionTimeoutMin
+	return peer.match >= r.commit && r.isHeard(now, peer)
+}
+
+func (r *Replica) isHeard(now time.Duration, peer *progress) bool {
+	return peer.heard && now-peer.acknowledged < r.config.ElectionTimeoutMin
+}
+
+// canLoseNewcomer tells whether a changed group would still have a majority if
+// a member that the change adds died at once: the others heard of late must be
+// one. Else a group with a dead member could lose its majority by its own
+// change. A group of one can only grow by trusting the newcomer.
+func (r *Replica) canLoseNewcomer(now time.Duration, changed []Member) bool {
+	if len(r.members) == 1 {
+		return true
+	}
+	heard := 0
+	for _, member := range changed {
+		peer := r.lead.find(member.Incarnation)
+		isSelf := member.Incarnation == r.self.Incarnation
+		if isSelf || (peer != nil && !peer.learner && r.isHeard(now, peer)) {
+			heard++
+		}
+	}
+	return heard >= quorum(len(changed))
 }
 
 func (r *Replica) dropSilentLearners(now time.Duration) {
--- a/internal/replication/output.go
+++ b/internal/replication/output.go
@@ -18,6 +18,9 @@
 	ErrTransferring = errors.New("leadership is being transferred")
 	// ErrChangePending says that a member change is not yet committed.
 	ErrChangePending = errors.New("a member change is pending")
+	// ErrTooFewHeard says that a member change would leave the group without a
+	// majority of members heard of late.
+	ErrTooFewHeard = errors.New("too few members are heard")
 	// ErrUnknownMember says that an order names no member that it may name.
 	ErrUnknownMember = errors.New("unknown member")
 	// ErrNoSnapshotWanted says that no member waits for a snapshot.
--- a/internal/replication/replica_test.go
+++ b/internal/replication/replica_test.go
@@ -108,6 +108,32 @@
 		Expect(b.replica.Remove(b.now, self)).To(MatchError(replication.ErrUnknownMember))
 	})
 
+	It("adds no member that the group could not lose again", func() {
+		b := newBench(replication.DefaultConfig())
+		b.elect()
+		b.acknowledge(peerC, 1)
+		b.now += replication.DefaultConfig().ElectionTimeoutMin
+		b.acknowledge(peerC, 1)
+		Expect(b.replica.Admit(b.now, replication.Member{Incarnation: "d#1"})).To(Succeed())
+		b.acknowledge("d#1", 1)
+		Expect(b.replica.Members()).To(HaveLen(3), "b is silent: a majority of four would need d")
+		Expect(b.replica.Remove(b.now, peerC)).To(MatchError(replication.ErrTooFewHeard))
+		b.acknowledge(peerB, 1)
+		Expect(b.replica.Members()).To(HaveLen(4))
+	})
+
+	It("adds a process's next incarnation only once the last one's removal is committed", func() {
+		b := newBench(replication.DefaultConfig())
+		b.elect()
+		b.acknowledge(peerC, 1)
+		Expect(b.replica.Remove(b.now, peerB)).To(Succeed())
+		Expect(b.replica.Admit(b.now, replication.Member{Incarnation: "b#2"})).To(Succeed())
+		b.acknowledge("b#2", 2)
+		Expect(b.replica.Members()).To(HaveLen(2))
+		b.acknowledge(peerC, 2)
+		Expect(b.replica.Members()).To(HaveLen(3))
+	})
+
 	It("keeps acknowledged entries after a late snapshot of earlier ones", func() {
 		b := newBench(replication.DefaultConfig())
 		b.receive(peerB, first, appendMessage(0, 0, entryOf(1, first), entryOf(2, first), entryOf(3, first)))
--- a/internal/replication/schedule_test.go
+++ b/internal/replication/schedule_test.go
@@ -86,7 +86,7 @@
 		w.order(node)
 	}
 	if w.now >= w.storeDownUntil && w.random.Intn(2) == 0 {
-		node.replica.SetArchived(node.replica.CommittedIndex())
+		w.archive(node)
 	}
 	w.propose(node)
 }
--- a/internal/replication/world_test.go
+++ b/internal/replication/world_test.go
@@ -68,6 +68,8 @@
 	proposals int
 	// quiet ends the proposals.
 	quiet bool
+	// stream is the shard's stream in the platform's log.
+	stream [][]byte
 	// storeDownUntil holds back the archive.
 	storeDownUntil time.Duration
 }
@@ -105,6 +107,7 @@
 		}
 	}
 	w.committedMembers = group.Members
+	w.archiveClaim(group)
 	for position, node := range w.processes {
 		incarnation, err := node.registry.Joiner(shardNumber, generation)
 		if position < 3 {
@@ -174,6 +177,7 @@
 	for w.failure == "" && w.events[0].at < until {
 		w.handle(w.next())
 	}
+	w.now = max(w.now, until)
 }
 
 func (w *world) handle(item *event) {
