Let calls wait one turnover of the pool for their prefix before they move

Change: MaxSkips is the pool's number of slots by default; a due grant must have been passed over as often before it pushes out prefixes ranked before it; a hold lasts 5 s at most; memory is planned for answers of mean length.

--- a/internal/keeper/config.go
+++ b/internal/keeper/config.go
@@ -18,7 +18,8 @@
 	// LookAhead is how many waiting calls are tried for a free slot.
 	LookAhead int
 	// MaxSkips is how many grants may pass a waiting call for the sake of cache
-	// affinity or memory before it takes the next slot it can.
+	// affinity or memory before it takes the next slot it can. 0 takes the pool's
+	// number of slots, one turnover, and leastSkips at least.
 	MaxSkips int
 	// MaxHold is how long a call may wait for the engine with its prefix while
 	// another has a free slot.
@@ -70,8 +71,7 @@
 const (
 	defaultMaxWaiting       = 4096
 	defaultLookAhead        = 16
-	defaultMaxSkips         = 16
-	defaultMaxHold          = 2 * time.Second
+	defaultMaxHold          = 5 * time.Second
 	defaultReturnWithin     = 5 * time.Second
 	defaultInProgressFactor = 2
 	defaultPreemptWait      = 500 * time.Millisecond
@@ -94,7 +94,6 @@
 func (config Config) withDefaults() Config {
 	setDefault(&config.MaxWaiting, defaultMaxWaiting)
 	setDefault(&config.LookAhead, defaultLookAhead)
-	setDefault(&config.MaxSkips, defaultMaxSkips)
 	setDefault(&config.MaxHold, defaultMaxHold)
 	setDefault(&config.ReturnWithin, defaultReturnWithin)
 	setDefault(&config.ReservedShare, queue.DefaultReservedShare)
--- a/internal/keeper/dispatch.go
+++ b/internal/keeper/dispatch.go
@@ -95,12 +95,23 @@
 
 // patient tells whether a call may still wait for the engine it prefers.
 func (keeper *Keeper) patient(call *waitingCall) bool {
-	if call.skips >= keeper.config.MaxSkips {
+	if call.skips >= keeper.maxSkips() {
 		return false
 	}
 	return !call.held || keeper.now-call.heldSince < keeper.config.MaxHold
 }
 
+// leastSkips bounds the skips of a small pool from below.
+const leastSkips = 16
+
+// maxSkips is how many grants may pass a waiting call.
+func (keeper *Keeper) maxSkips() int {
+	if keeper.config.MaxSkips > 0 {
+		return keeper.config.MaxSkips
+	}
+	return max(keeper.slotTotal, leastSkips)
+}
+
 // engineFor returns the engine to grant the call on now, nil if it should wait.
 func (keeper *Keeper) engineFor(call *waitingCall) *engineState {
 	keeper.fitCandidates(call)
@@ -108,7 +119,7 @@
 		keeper.onlyFreeCandidates()
 	}
 	placed := call.placed()
-	placed.Due = keeper.pool.Due(call.item)
+	placed.Due = keeper.pool.Due(call.item) && call.skips >= keeper.maxSkips()
 	index := keeper.policies.Placement.Place(&placed, keeper.candidates)
 	if index == placement.None {
 		if placed.Due {
@@ -135,9 +146,14 @@
 func (keeper *Keeper) fillCandidates() {
 	keeper.candidates = keeper.candidates[:0]
 	keeper.slots = keeper.slots[:0]
+	keeper.slotTotal = 0
 	prefill := keeper.estimates.prefillPerToken()
 	for _, engine := range keeper.engines {
-		keeper.slots = append(keeper.slots, slotState{ready: keeper.ready(engine), free: keeper.freeSlots(engine)})
+		ready := keeper.ready(engine)
+		if ready {
+			keeper.slotTotal += keeper.limit(engine)
+		}
+		keeper.slots = append(keeper.slots, slotState{ready: ready, free: keeper.freeSlots(engine)})
 		keeper.candidates = append(keeper.candidates, placement.Candidate{
 			Engine:          engine.name,
 			Model:           engine.model,
--- a/internal/keeper/estimate.go
+++ b/internal/keeper/estimate.go
@@ -49,12 +49,10 @@
 	return seconds(e.prefillSeconds.value(firstPrefillSeconds))
 }
 
-// outputMargin covers answers longer than the mean.
-const outputMargin = 1.5
-
-// needTokens is the KV memory a call alone is expected to hold at its end.
+// needTokens is the KV memory a call alone is expected to hold at its end: with
+// an answer of mean length, as many calls share the memory.
 func (keeper *Keeper) needTokens(request *Request, program *programState) int {
-	part := min(outputMargin*keeper.estimates.outputPart.value(firstOutputPart), 1)
+	part := min(keeper.estimates.outputPart.value(firstOutputPart), 1)
 	own := max(request.PromptTokens-program.kindRecord().sharedTokens(), 0)
 	return own + int(part*float64(request.MaxTokens))
 }
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -52,7 +52,10 @@
 	// Buffers reused between steps.
 	candidates []placement.Candidate
 	slots      []slotState
-	aside      []*queue.Item[*waitingCall]
+	// slotTotal is the number of slots of the ready engines, as of the last
+	// dispatch.
+	slotTotal int
+	aside     []*queue.Item[*waitingCall]
 }
 
 // New makes a keeper that knows no engines and no calls.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -28,8 +28,9 @@
 	PromptTokens int
 	// NeedTokens is the KV memory the call is expected to hold at its end.
 	NeedTokens int
-	// Due is true when the call's tier has earned its reserved share: it may push
-	// out prefixes of programs ranked before it.
+	// Due is true when the call's tier has earned its reserved share and the call
+	// has been passed over often enough: it may push out prefixes of programs
+	// ranked before it.
 	Due bool
 }
 
