--- a/internal/scheduler/escrow.go
+++ b/internal/scheduler/escrow.go
@@ -143,6 +143,10 @@
 		return
 	}
 	key := tierOfReply(reply)
+	if reply.GrantedTotalMicros >= reply.WantedTotalMicros {
+		// Answered in full: the next request need not wait.
+		host.need(key).lastAsk = host.core.now - escrowRetry
+	}
 	settled := escrowWaiter{key: key}
 	exhausted := reply.GrantedTotalMicros < reply.WantedTotalMicros && !reply.Recalling
 	if reply.GrantedTotalMicros <= uint64(host.state.Escrow(key).Granted()) {
@@ -185,6 +189,9 @@
 			need.parked = append(need.parked, parked)
 		}
 	}
+	if len(need.parked) > 0 {
+		host.topUp(key)
+	}
 }
 
 // tickEscrow repeats requests, refuses calls that have waited too long, and
