--- a/internal/keeper/admission.go
+++ b/internal/keeper/admission.go
@@ -126,6 +126,10 @@
 			keeper.lastReady = keeper.now
 			return false
 		}
+		if keeper.allowed(engine) {
+			// It was ready until its silence grew too long.
+			keeper.lastReady = max(keeper.lastReady, engine.reportedAt+keeper.config.ReportTimeout)
+		}
 	}
 	return keeper.now-keeper.lastReady > keeper.config.NoEngineGrace
 }
--- a/internal/keeper/engine.go
+++ b/internal/keeper/engine.go
@@ -61,13 +61,14 @@
 // ready tells whether the engine may get new grants: it has reported lately,
 // and neither itself nor an operator is taking it out.
 func (keeper *Keeper) ready(engine *engineState) bool {
-	if engine.leaving || engine.runningLimit == 0 {
-		return false
-	}
-	if keeper.now-engine.reportedAt > keeper.config.ReportTimeout {
-		return false
-	}
-	return !keeper.drained[engine.name]
+	silence := keeper.now - engine.reportedAt
+	return silence <= keeper.config.ReportTimeout && keeper.allowed(engine)
+}
+
+// allowed tells whether neither the engine itself nor an operator is taking it
+// out.
+func (keeper *Keeper) allowed(engine *engineState) bool {
+	return !engine.leaving && engine.runningLimit > 0 && !keeper.drained[engine.name]
 }
 
 // limit is how many calls may run on the engine together.
