Never call a run call not run; stop spent programs; hand over without cutting tools

Cause 2: a program whose cap covers no further token, or that has taken all its turns, kept its cache until its pause limit. It is stopped now (test first). Cause 3: a planned stop handed a shard over while a tool ran; the next leader can't pick a tool's answer up, so its caller got OUTCOME_UNKNOWN. A stopping process starts no tool call and keeps a shard until its last one has ended; all else goes on (test first: 5 tool calls across a stop). Also: metrics, heartbeats and comparisons between processes do not count against the bound on calls.

--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -8,6 +8,7 @@
 	"net/url"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
@@ -16,6 +17,7 @@
 	"go.uber.org/zap"
 
 	configurationv1 "github.com/magpielug/magpielug/api/configuration/v1"
+	schedulerv1 "github.com/magpielug/magpielug/api/scheduler/v1"
 	"github.com/magpielug/magpielug/internal/configuration"
 	"github.com/magpielug/magpielug/internal/httpclient"
 	"github.com/magpielug/magpielug/internal/httpserver"
@@ -50,6 +52,9 @@
 		return nil, err
 	}
 	logger.Logger = logger.With(zap.String("node", loaded.Node.ID))
+	httpserver.ReportPanic = func(fault any, stack []byte) {
+		logger.Error("handler_panicked", zap.Any("fault", fault), zap.ByteString("stack", stack))
+	}
 	secure, err := newCertificates(loaded.TLS, logger.Logger)
 	if err != nil {
 		return nil, err
@@ -127,10 +132,19 @@
 		RequestTimeout:   bounds.RequestTimeout,
 		WriteTimeout:     bounds.WriteTimeout,
 		RetryAfter:       bounds.RetryAfter,
-		Exempt:           metrics.Exempt,
+		DrainGrace:       bounds.DrainGrace,
+		Exempt:           exempt,
 	}
 }
 
+// exempt tells which requests the bound on calls does not count: metrics, and what
+// processes say among themselves, which must go on at overload.
+func exempt(request *http.Request) bool {
+	return metrics.Exempt(request) ||
+		strings.HasPrefix(request.URL.Path, schedulerv1.PeerPathPrefix) ||
+		strings.HasPrefix(request.URL.Path, configurationv1.ExchangePathPrefix)
+}
+
 // run serves until ctx ends or the system asks for a stop; then stop is called,
 // requests under way are finished, and run returns.
 func (process *process) run(ctx context.Context, ready metrics.Readiness, serve func(context.Context), stop func(context.Context)) error {
--- a/internal/scheduler/call_ask.go
+++ b/internal/scheduler/call_ask.go
@@ -10,10 +10,7 @@
 	"github.com/magpielug/magpielug/internal/shard"
 )
 
-const (
-	staleRetryAfter    = time.Second
-	stoppingRetryAfter = time.Second
-)
+const staleRetryAfter = time.Second
 
 // callAsked joins a known call, or checks a new one and offers it to the group.
 // Every answer given here says that nothing was run or changed.
@@ -68,9 +65,6 @@
 	if program == nil && !request.SingleCall {
 		return unknownProgram(request.ProgramId)
 	}
-	if core.stopping {
-		return resultcode.New(resultcode.Stopping, "the process is stopping").After(stoppingRetryAfter)
-	}
 	if core.configuration == nil || !core.fresh {
 		return resultcode.New(resultcode.ConfigurationStale,
 			"the configuration may not be current").After(staleRetryAfter)
@@ -214,6 +208,7 @@
 	if failure.Code != resultcode.BudgetExhausted {
 		host.core.counters.Ended[failure.Code]++
 		host.core.decline(waiting.ask, failure)
+		host.stopIfSpent(waiting.request, failure)
 		return
 	}
 	host.parkCall(parkedCall{
@@ -221,6 +216,25 @@
 	})
 }
 
+// stopIfSpent stops a program that has taken all its turns, or whose cap does not
+// cover even one token more: what is left of a loop without end would hold cache
+// for nothing.
+func (host *host) stopIfSpent(request *schedulerv1.CallRequest, failure *resultcode.Error) {
+	program := host.state.Program(request.ProgramId)
+	tier, found := host.core.configuration.Tier(request.Caller.Tenant, request.Caller.Tier)
+	if program == nil || program.Over() || program.OpenCalls() > 0 || !found {
+		return
+	}
+	smallest := acceptedCall(request, tier)
+	smallest.MaxTokens = 1
+	capSpent := failure.Code == resultcode.ProgramCapReached && !host.state.Covers(program, program.WorstCase(smallest))
+	if !capSpent && failure.Code != resultcode.TurnLimitReached {
+		return
+	}
+	ended := &shardv1.ProgramEnded{ProgramId: request.ProgramId, Stopped: true, Reason: failure.Message}
+	host.proposeEnd(ended, ignoredWaiter{})
+}
+
 // abandoned lets the caller ask the next leader: the acceptance may stand.
 func (waiting acceptWaiter) abandoned(host *host) {
 	host.core.emit(Follow{Ask: waiting.ask, Buffer: droppedBuffer()})
--- a/internal/scheduler/call_run.go
+++ b/internal/scheduler/call_run.go
@@ -70,6 +70,10 @@
 	if live == nil || live.phase != phaseWaiting {
 		return
 	}
+	if live.isTool() && host.core.stopping {
+		// The next leader starts it.
+		return
+	}
 	if live.isTool() {
 		host.startTool(live)
 		return
@@ -305,8 +309,13 @@
 	}}})
 }
 
-// refuse commits that the call did not run and never will.
+// refuse commits that the call did not run and never will. A call of which an
+// earlier attempt may have run is given up as failed instead.
 func (host *host) refuse(live *liveCall, failure *resultcode.Error) {
+	if live.call.MayHaveRun() {
+		failure = resultcode.New(resultcode.EngineFailed,
+			"an attempt was lost and the next one got no slot: %s", failure.Message).After(failure.RetryAfter)
+	}
 	host.end(live, failure)
 }
 
--- a/internal/scheduler/client_test.go
+++ b/internal/scheduler/client_test.go
@@ -142,8 +142,7 @@
 // takeFailure goes on after codes that a gateway hides, and takes any other as
 // the final answer.
 func (client *testClient) takeFailure(failure *schedulerv1.Error) {
-	switch resultcode.Code(failure.Code) {
-	case resultcode.NotLeader, resultcode.NoLeader, resultcode.Stopping, resultcode.ConfigurationStale:
+	if hiddenByGateway(failure) {
 		client.takeHint(failure)
 		return
 	}
--- a/internal/scheduler/cluster_test.go
+++ b/internal/scheduler/cluster_test.go
@@ -12,6 +12,7 @@
 	schedulerv1 "github.com/magpielug/magpielug/api/scheduler/v1"
 	"github.com/magpielug/magpielug/internal/platform"
 	"github.com/magpielug/magpielug/internal/replication"
+	"github.com/magpielug/magpielug/internal/resultcode"
 	"github.com/magpielug/magpielug/internal/stream"
 )
 
@@ -428,7 +429,7 @@
 			continue
 		}
 		if answer.failure != nil {
-			if answer.failure.LeaderAddress != "" || answer.failure.Code == 2007 {
+			if hiddenByGateway(answer.failure) {
 				cluster.runFor(50 * time.Millisecond)
 				continue
 			}
@@ -441,6 +442,15 @@
 	return outcome{}
 }
 
+// hiddenByGateway tells whether a gateway asks again, since nothing ran.
+func hiddenByGateway(failure *schedulerv1.Error) bool {
+	switch resultcode.Code(failure.Code) {
+	case resultcode.NotLeader, resultcode.NoLeader, resultcode.Stopping:
+		return true
+	}
+	return false
+}
+
 func (cluster *testCluster) follow(leader string, buffer *stream.Buffer, bound time.Duration) (outcome, bool) {
 	node := cluster.nodes[leader]
 	over := func() bool {
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -199,8 +199,9 @@
 	core.arrangePools()
 }
 
-// stopOrdered begins a planned stop: leadership goes to other members, and
-// nothing new is taken.
+// stopOrdered goes on with a planned stop: no tool call is started here any more,
+// and each shard is handed over once it has none under way, since a tool's answer
+// can't be picked up by another process. Everything else goes on until then.
 func (core *Core) stopOrdered() {
 	core.stopping = true
 	for _, number := range core.hostNumbers() {
--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -149,6 +150,48 @@
 		}
 	})
 
+	It("stops a program whose cap covers no further call", func() {
+		cluster := newTestCluster(11, 3)
+		cluster.create("p1")
+		var last outcome
+		for turn := 0; last.failure == nil; turn++ {
+			last = cluster.call(testCall("p1", fmt.Sprintf("r%d", turn)), 20*time.Second)
+		}
+		small := testCall("p1", "small")
+		small.MaxTokens = 1
+		for last.failure.Code == uint32(resultcode.ProgramCapReached) {
+			small.RequestId += "+"
+			small.Digest = []byte(small.RequestId)
+			last = cluster.call(small, 20*time.Second)
+			if last.failure == nil {
+				last.failure = &schedulerv1.Error{Code: uint32(resultcode.ProgramCapReached)}
+			}
+		}
+		Expect(last.failure.Code).To(BeEquivalentTo(resultcode.ProgramOver))
+		Expect(cluster.runUntil(10*time.Second, func() bool { return cluster.released["p1"] })).To(BeTrue())
+	})
+
+	It("cuts no call when a process is stopped as planned", func() {
+		cluster := newTestCluster(12, 3)
+		cluster.create("p1")
+		leader := cluster.leader("p1")
+		var order func()
+		order = func() {
+			cluster.nodes[leader].step(StopOrdered{})
+			cluster.after(50*time.Millisecond, order)
+		}
+		cluster.after(10*time.Millisecond, order)
+		for number := range 5 {
+			tool := testCall("p1", fmt.Sprintf("tool%d", number))
+			tool.Kind = schedulerv1.CallKind_CALL_KIND_TOOL
+			tool.Target = testTool
+			final := cluster.call(tool, 20*time.Second)
+			Expect(final.failure).To(BeNil())
+			Expect(cluster.runs["p1/"+tool.RequestId]).To(Equal(1))
+		}
+		Expect(cluster.leader("p1")).NotTo(Equal(leader))
+	})
+
 	It("releases the cache of a stopped program", func() {
 		cluster := newTestCluster(7, 3)
 		cluster.create("p1")
--- a/internal/scheduler/home.go
+++ b/internal/scheduler/home.go
@@ -345,6 +345,9 @@
 	if !found || preferred.ID == core.config.Process || core.now-host.servingSince < preferAfter {
 		return
 	}
+	if host.runsTool() {
+		return
+	}
 	if !core.directory.alive(preferred.ID, core.now, peerSilenceBound) {
 		return
 	}
--- a/internal/scheduler/host.go
+++ b/internal/scheduler/host.go
@@ -282,7 +282,7 @@
 
 // handOver gives leadership to another member for a planned stop.
 func (host *host) handOver() {
-	if host.replica.Role() != replication.RoleLeader {
+	if host.replica.Role() != replication.RoleLeader || host.runsTool() {
 		return
 	}
 	for _, member := range host.replica.Members() {
@@ -295,6 +295,16 @@
 	}
 }
 
+// runsTool tells whether a tool call is under way.
+func (host *host) runsTool() bool {
+	for _, live := range host.calls {
+		if live.isTool() && live.phase != phaseWaiting {
+			return true
+		}
+	}
+	return false
+}
+
 // dropHost forgets a replica that takes no part any more.
 func (core *Core) dropHost(host *host) {
 	if host.serving {
--- a/internal/scheduler/program_ask.go
+++ b/internal/scheduler/program_ask.go
@@ -61,9 +61,6 @@
 }
 
 func (core *Core) checkCreation(request *schedulerv1.CreateProgramRequest) (*shardv1.ProgramCreated, *resultcode.Error) {
-	if core.stopping {
-		return nil, resultcode.New(resultcode.Stopping, "the process is stopping").After(stoppingRetryAfter)
-	}
 	if core.configuration == nil || !core.fresh {
 		return nil, resultcode.New(resultcode.ConfigurationStale,
 			"the configuration may not be current").After(staleRetryAfter)
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -98,25 +98,25 @@
 }
 
 const (
-	handOverTime     = 3 * time.Second
 	handOverInterval = 100 * time.Millisecond
+	// settleTime lets the last hand-over reach the other members.
+	settleTime = 500 * time.Millisecond
 )
 
-// HandOver begins a planned stop: nothing new is taken, and leadership goes to
-// other members. It returns once no shard is led here, or after handOverTime.
+// HandOver is the first part of a planned stop: leadership of every shard goes to
+// other members. It returns once no shard is led here, or when ctx ends.
 func (scheduler *Scheduler) HandOver(ctx context.Context) {
-	bounded, cancel := context.WithTimeout(ctx, handOverTime)
-	defer cancel()
+	defer time.Sleep(settleTime)
 	ticker := time.NewTicker(handOverInterval)
 	defer ticker.Stop()
 	for {
-		scheduler.loop.Post(bounded, StopOrdered{})
-		status, err := scheduler.Status(bounded, nil)
+		scheduler.loop.Post(ctx, StopOrdered{})
+		status, err := scheduler.Status(ctx, nil)
 		if err != nil || len(status.ShardsLed) == 0 {
 			return
 		}
 		select {
-		case <-bounded.Done():
+		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
--- a/internal/shard/apply.go
+++ b/internal/shard/apply.go
@@ -270,6 +270,7 @@
 	call.record.Attempt++
 	call.record.Intent = nil
 	call.record.Partial = requeued.Partial
+	call.record.MayHaveRun = call.record.MayHaveRun || !requeued.NotRun
 	return outcome
 }
 
--- a/internal/shard/budget.go
+++ b/internal/shard/budget.go
@@ -9,12 +9,10 @@
 // reserve holds amount against the caps of the program and its ancestors and
 // against the shard's escrow of the tier. It changes all or nothing.
 func (state *State) reserve(program *Program, amount uint64) *resultcode.Error {
-	for ancestor := program; ancestor != nil; ancestor = state.parent(ancestor) {
-		if !ancestor.covers(amount) {
-			return resultcode.New(resultcode.ProgramCapReached,
-				"program %s has %d of %d micros left, the call may need %d",
-				ancestor.ID(), ancestor.left(), ancestor.Created().CapMicros, amount)
-		}
+	if short := state.shortOf(program, amount); short != nil {
+		return resultcode.New(resultcode.ProgramCapReached,
+			"program %s has %d of %d micros left, the call may need %d",
+			short.ID(), short.left(), short.Created().CapMicros, amount)
 	}
 	if failure := state.reserveEscrow(program, amount); failure != nil {
 		return failure
@@ -25,6 +23,23 @@
 	return nil
 }
 
+// Covers tells whether the caps of the program and its ancestors have room for
+// amount more, micro units.
+func (state *State) Covers(program *Program, amount uint64) bool {
+	return state.shortOf(program, amount) == nil
+}
+
+// shortOf returns the first of the program and its ancestors whose cap does not
+// cover amount more, nil where all do.
+func (state *State) shortOf(program *Program, amount uint64) *Program {
+	for ancestor := program; ancestor != nil; ancestor = state.parent(ancestor) {
+		if !ancestor.covers(amount) {
+			return ancestor
+		}
+	}
+	return nil
+}
+
 // settle replaces a call's reservation by its charge. The charge never exceeds
 // the reservation, so a back end that reports more than was asked for can't
 // carry a budget over its bound.
--- a/internal/shard/call.go
+++ b/internal/shard/call.go
@@ -50,6 +50,10 @@
 // Finished returns the recorded result, nil where the call has none.
 func (call *Call) Finished() *shardv1.CallFinished { return call.record.Finished }
 
+// MayHaveRun tells whether an earlier attempt was lost that may have run. Such a
+// call must not be answered as not run.
+func (call *Call) MayHaveRun() bool { return call.record.MayHaveRun }
+
 // Partial returns the beginning of the answer that earlier attempts have given;
 // it is empty for a first attempt.
 func (call *Call) Partial() *shardv1.Partial {
