--- a/internal/replication/election.go
+++ b/internal/replication/election.go
@@ -4,55 +4,74 @@
 	"time"
 
 	replicationv1 "github.com/magpielug/magpielug/api/replication/v1"
+	"github.com/magpielug/magpielug/charts"
 )
 
-// becomeFollower enters an epoch, or steps back within it. The vote is
-// forgotten only when the epoch rises.
-func (r *Replica) becomeFollower(now time.Duration, epoch Epoch, leader Incarnation) {
+// ballot is what a candidate asks for.
+type ballot int
+
+const (
+	// preVote asks whether a vote would be given, so that a replica that was
+	// paused or cut off doesn't raise the epoch in vain.
+	preVote ballot = iota
+	// fullVote asks for the vote of the next epoch.
+	fullVote
+	// orderedVote does so at the order of the leader, which has given up its lease.
+	orderedVote
+)
+
+// becomeFollower enters an epoch, or steps back within it, for a cause that the
+// chart names. The vote is forgotten only when the epoch rises.
+func (r *Replica) becomeFollower(now time.Duration, epoch Epoch, cause charts.ReplicaEvent) {
 	if epoch > r.epoch {
 		r.epoch = epoch
 		r.votedFor = ""
 	}
-	r.leader = leader
+	r.fire(cause)
+	r.leader = ""
 	r.lead = nil
 	r.votes = nil
 	r.electionDeadline = now + r.electionDelay()
-	if r.role != RoleLearner {
-		r.role = RoleFollower
-	}
 }
 
 // followLeader takes note of a sign of life of the epoch's leader, and promises
-// it the time of a lease.
-func (r *Replica) followLeader(now time.Duration, leader Incarnation) {
-	if r.role == RoleCandidate || r.leader != leader {
-		r.becomeFollower(now, r.epoch, leader)
+// it the time of a lease. It returns false if this replica itself leads the
+// epoch, so that the sign can't be genuine.
+func (r *Replica) followLeader(now time.Duration, leader Incarnation) bool {
+	if !r.fire(charts.ReplicaEventLeaderSeen) {
+		return false
 	}
+	r.leader = leader
+	r.votes = nil
 	r.promiseEnd = max(r.promiseEnd, now+r.config.ElectionTimeoutMin)
 	r.electionDeadline = now + r.electionDelay()
+	return true
 }
 
-// campaign asks for votes, or with preVote whether they would be given, so that
-// a replica that was paused or cut off doesn't raise the epoch in vain.
-func (r *Replica) campaign(now time.Duration, preVote, byTransfer bool) {
+// campaign asks the group for votes.
+func (r *Replica) campaign(now time.Duration, wanted ballot) {
 	r.electionDeadline = now + r.electionDelay()
 	if findMember(r.members, r.self.Incarnation) < 0 {
 		return
 	}
-	r.role = RoleCandidate
+	cause := charts.ReplicaEventElectionTimeout
+	if wanted == orderedVote {
+		cause = charts.ReplicaEventCampaignOrdered
+	}
+	r.fire(cause)
 	r.leader = ""
-	r.preVote = preVote
+	r.ballot = wanted
 	r.votes = map[Incarnation]bool{r.self.Incarnation: true}
 	candidateEpoch := r.epoch.Next()
-	if !preVote {
+	if wanted != preVote {
 		r.epoch = candidateEpoch
 		r.votedFor = r.self.Incarnation
 	}
-	r.requestVotes(candidateEpoch, byTransfer)
+	r.requestVotes(candidateEpoch)
 	r.countVotes(now)
 }
 
-func (r *Replica) requestVotes(candidateEpoch Epoch, byTransfer bool) {
+func (r *Replica) requestVotes(candidateEpoch Epoch) {
 	for _, member := range r.members {
 		if member.Incarnation == r.self.Incarnation {
 			continue
@@ -61,8 +80,8 @@
 			CandidateEpoch: uint64(candidateEpoch),
 			LastIndex:      r.log.lastIndex(),
 			LastEpoch:      uint64(r.log.lastEpoch()),
-			PreVote:        r.preVote,
-			ByTransfer:     byTransfer,
+			PreVote:        r.ballot == preVote,
+			ByTransfer:     r.ballot == orderedVote,
 		}
 		r.send(member.Incarnation, &replicationv1.Message{
 			Body: &replicationv1.Message_VoteRequest{VoteRequest: request},
@@ -89,7 +108,7 @@
 		return
 	}
 	if candidateEpoch > r.epoch {
-		r.becomeFollower(now, candidateEpoch, "")
+		r.becomeFollower(now, candidateEpoch, charts.ReplicaEventHigherEpochSeen)
 	}
 	granted := candidateEpoch == r.epoch &&
 		(r.votedFor == "" || r.votedFor == from) &&
@@ -130,10 +149,10 @@
 	return request.GetLastIndex() >= r.log.lastIndex()
 }
 
-func (r *Replica) respondVote(to Incarnation, candidateEpoch Epoch, preVote, granted bool) {
+func (r *Replica) respondVote(to Incarnation, candidateEpoch Epoch, isPreVote, granted bool) {
 	response := &replicationv1.VoteResponse{
 		CandidateEpoch: uint64(candidateEpoch),
-		PreVote:        preVote,
+		PreVote:        isPreVote,
 		Granted:        granted,
 	}
 	r.send(to, &replicationv1.Message{
@@ -145,14 +164,15 @@
 // pre-vote may come from an earlier epoch.
 func (r *Replica) receiveVoteResponse(now time.Duration, message *replicationv1.Message, response *replicationv1.VoteResponse) {
 	if epoch := Epoch(message.GetEpoch()); epoch > r.epoch {
-		r.becomeFollower(now, epoch, "")
+		r.becomeFollower(now, epoch, charts.ReplicaEventHigherEpochSeen)
 		return
 	}
-	if r.role != RoleCandidate || response.GetPreVote() != r.preVote || !response.GetGranted() {
+	isPreVote := r.ballot == preVote
+	if r.role != RoleCandidate || response.GetPreVote() != isPreVote || !response.GetGranted() {
 		return
 	}
 	campaigned := r.epoch
-	if r.preVote {
+	if isPreVote {
 		campaigned = r.epoch.Next()
 	}
 	if Epoch(response.GetCandidateEpoch()) != campaigned {
@@ -173,8 +193,8 @@
 	if granted < quorum(len(r.members)) {
 		return
 	}
-	if r.preVote {
-		r.campaign(now, false, false)
+	if r.ballot == preVote {
+		r.campaign(now, fullVote)
 		return
 	}
 	r.becomeLeader(now)
@@ -187,5 +207,5 @@
 	if r.role != RoleFollower || (r.leader != "" && r.leader != from) {
 		return
 	}
-	r.campaign(now, false, true)
+	r.campaign(now, orderedVote)
 }
--- a/internal/replication/leadership.go
+++ b/internal/replication/leadership.go
@@ -4,6 +4,7 @@
 	"time"
 
 	replicationv1 "github.com/magpielug/magpielug/api/replication/v1"
+	"github.com/magpielug/magpielug/charts"
 )
 
 // leadership is what a leader keeps for its epoch. It is dropped with the role.
@@ -73,7 +74,7 @@
 
 // becomeLeader opens the epoch with an entry of its own.
 func (r *Replica) becomeLeader(now time.Duration) {
-	r.role = RoleLeader
+	r.fire(charts.ReplicaEventElectionWon)
 	r.leader = r.self.Incarnation
 	r.votes = nil
 	r.lead = &leadership{
@@ -187,7 +188,7 @@
 		heard = r.lead.electedAt
 	}
 	if now-max(heard, r.lead.electedAt) > r.config.ElectionTimeoutMax {
-		r.becomeFollower(now, r.epoch, "")
+		r.becomeFollower(now, r.epoch, charts.ReplicaEventLeaseLost)
 		return
 	}
 	slot := int64(now / r.config.HeartbeatInterval)
--- a/internal/replication/output.go
+++ b/internal/replication/output.go
@@ -4,6 +4,7 @@
 	"errors"
 
 	replicationv1 "github.com/magpielug/magpielug/api/replication/v1"
+	"github.com/magpielug/magpielug/charts"
 )
 
 // Errors of proposals and orders. None of them has changed anything.
@@ -27,18 +28,18 @@
 	ErrNoSnapshotWanted = errors.New("no snapshot wanted")
 )
 
-// Role is a state of the replica's state chart.
-type Role string
+// Role is a state of the replica chart, charts/replica.yaml.
+type Role = charts.ReplicaState
 
 // Roles of a replica.
 const (
 	// RoleLearner receives entries and votes if asked, but is no member yet.
-	RoleLearner   Role = "learner"
-	RoleFollower  Role = "follower"
-	RoleCandidate Role = "candidate"
-	RoleLeader    Role = "leader"
+	RoleLearner   = charts.ReplicaStateLearner
+	RoleFollower  = charts.ReplicaStateFollower
+	RoleCandidate = charts.ReplicaStateCandidate
+	RoleLeader    = charts.ReplicaStateLeader
 	// RoleRetired takes no part any more; the host drops the replica.
-	RoleRetired Role = "retired"
+	RoleRetired = charts.ReplicaStateRetired
 )
 
 // EntryKind says what an entry holds.
--- a/internal/replication/replica.go
+++ b/internal/replication/replica.go
@@ -6,6 +6,7 @@
 	"time"
 
 	replicationv1 "github.com/magpielug/magpielug/api/replication/v1"
+	"github.com/magpielug/magpielug/charts"
 )
 
 // Replica is one replica of a shard. It belongs to one goroutine.
@@ -35,7 +36,7 @@
 	electionDeadline time.Duration
 	joinDeadline     time.Duration
 	votes            map[Incarnation]bool
-	preVote          bool
+	ballot           ballot
 
 	lead     *leadership
 	incoming *incomingSnapshot
@@ -66,14 +67,14 @@
 		self:       self,
 		epoch:      MakeEpoch(group.Generation, 0),
 		members:    slices.Clone(group.Members),
+		role:       charts.Replica.Initial(),
 	}
 	if findMember(group.Members, self.Incarnation) < 0 {
-		replica.role = RoleLearner
 		replica.joinDeadline = now
 		replica.log.baseMembers = replica.members
 		return replica, nil
 	}
-	replica.role = RoleFollower
+	replica.fire(charts.ReplicaEventMemberCommitted)
 	replica.log = entryLog{
 		previousIndex:    base.Index,
 		previousEpoch:    base.Epoch,
@@ -88,6 +89,17 @@
 	return replica, nil
 }
 
+// fire takes the replica along its chart. It returns false for an event that
+// the chart refuses in the present role.
+func (r *Replica) fire(event charts.ReplicaEvent) bool {
+	next, refusal := charts.Replica.Next(r.role, event)
+	if refusal != nil {
+		return false
+	}
+	r.role = next
+	return true
+}
+
 // firstElectionDelay lets the first member named campaign at once: no leader of
 // the generation can hold a lease yet.
 func (r *Replica) firstElectionDelay() time.Duration {
@@ -159,7 +171,7 @@
 		r.tickLearner(now)
 	case RoleFollower, RoleCandidate:
 		if now >= r.electionDeadline {
-			r.campaign(now, true, false)
+			r.campaign(now, preVote)
 		}
 	}
 }
@@ -167,7 +179,7 @@
 // Retire ends the replica's part, for instance when the stream shows a claim of
 // a higher generation. It is as if its process had died.
 func (r *Replica) Retire() {
-	r.role = RoleRetired
+	r.fire(charts.ReplicaEventRemoved)
 	r.leader = ""
 	r.lead = nil
 	r.incoming = nil
@@ -208,7 +220,7 @@
 	from := Incarnation(message.GetFrom())
 	epoch := Epoch(message.GetEpoch())
 	if epoch > r.epoch {
-		r.becomeFollower(now, epoch, "")
+		r.becomeFollower(now, epoch, charts.ReplicaEventHigherEpochSeen)
 	}
 	if epoch < r.epoch {
 		r.rejectOldEpoch(message)
@@ -216,14 +228,17 @@
 	}
 	switch body := message.GetBody().(type) {
 	case *replicationv1.Message_AppendRequest:
-		r.followLeader(now, from)
-		r.receiveAppend(from, body.AppendRequest)
+		if r.followLeader(now, from) {
+			r.receiveAppend(from, body.AppendRequest)
+		}
 	case *replicationv1.Message_Heartbeat:
-		r.followLeader(now, from)
-		r.receiveHeartbeat(from, body.Heartbeat)
+		if r.followLeader(now, from) {
+			r.receiveHeartbeat(from, body.Heartbeat)
+		}
 	case *replicationv1.Message_SnapshotChunk:
-		r.followLeader(now, from)
-		r.receiveSnapshotChunk(now, from, body.SnapshotChunk)
+		if r.followLeader(now, from) {
+			r.receiveSnapshotChunk(now, from, body.SnapshotChunk)
+		}
 	case *replicationv1.Message_TransferOrder:
 		r.receiveTransferOrder(now, from)
 	case *replicationv1.Message_RetireNotice:
@@ -311,7 +326,7 @@
 func (r *Replica) refreshMembers() {
 	r.members, r.membersIndex = r.log.membersAt(r.log.lastIndex())
 	isMember := findMember(r.members, r.self.Incarnation) >= 0
-	if isMember && r.role == RoleLearner {
-		r.role = RoleFollower
+	if isMember {
+		r.fire(charts.ReplicaEventMemberCommitted)
 	}
 }
--- a/internal/replication/replica_test.go
+++ b/internal/replication/replica_test.go
@@ -108,6 +108,20 @@
 		Expect(b.replica.Remove(b.now, self)).To(MatchError(replication.ErrUnknownMember))
 	})
 
+	It("passes a joining process's request on to the leader, once", func() {
+		b := newBench(replication.DefaultConfig())
+		b.receive(peerB, first, appendMessage(0, 0))
+		join := func(from string) []*replicationv1.Message {
+			return b.receive(from, replication.MakeEpoch(1, 0), &replicationv1.Message{
+				Body: &replicationv1.Message_JoinRequest{JoinRequest: &replicationv1.JoinRequest{
+					Member: &replicationv1.Member{Incarnation: "c#2"},
+				}},
+			})
+		}
+		Expect(join("c#2")[0].GetTo()).To(Equal(peerB))
+		Expect(join(peerC)).To(BeEmpty())
+	})
+
 	It("adds no member that the group could not lose again", func() {
 		b := newBench(replication.DefaultConfig())
 		b.elect()
--- a/internal/replication/transfer.go
+++ b/internal/replication/transfer.go
@@ -4,6 +4,7 @@
 	"time"
 
 	replicationv1 "github.com/magpielug/magpielug/api/replication/v1"
+	"github.com/magpielug/magpielug/charts"
 )
 
 // TransferLeadership hands the leadership to a member, or to the one that has
@@ -59,7 +60,7 @@
 	if peer.match < r.log.lastIndex() {
 		return
 	}
-	r.becomeFollower(now, r.epoch, "")
+	r.becomeFollower(now, r.epoch, charts.ReplicaEventLeaseLost)
 	r.electionDeadline = now + r.config.ElectionTimeoutMax
 	r.send(target, &replicationv1.Message{
 		Body: &replicationv1.Message_TransferOrder{TransferOrder: &replicationv1.TransferOrder{}},
