--- /dev/null
+++ b/internal/shard/apply_program.go
@@ -0,0 +1,149 @@
+package shard
+
+import (
+	"slices"
+	"strings"
+
+	shardv1 "github.com/magpielug/magpielug/api/shard/v1"
+	"github.com/magpielug/magpielug/charts"
+	"github.com/magpielug/magpielug/internal/resultcode"
+)
+
+func (state *State) createProgram(created *shardv1.ProgramCreated) Outcome {
+	if known := state.programs[created.ProgramId]; known != nil {
+		return repeatedCreation(known, created)
+	}
+	program := &Program{
+		record:   &shardv1.ProgramRecord{Created: created},
+		state:    charts.Program.Initial(),
+		calls:    make(map[string]*Call),
+		finished: make(map[string]int),
+	}
+	program.root = program
+	if created.ParentId != "" {
+		parent := state.programs[created.ParentId]
+		if parent == nil || parent.Created().Tenant != created.Tenant {
+			return refused(resultcode.UnknownProgram, "no parent program %s", created.ParentId)
+		}
+		if parent.Over() {
+			return refused(resultcode.ProgramOver, "parent program %s is over", created.ParentId)
+		}
+		if failure := parent.move(charts.ProgramEventSubAgentStarted); failure != nil {
+			return Outcome{Err: failure}
+		}
+		parent.liveChildren++
+		program.root = parent.root
+	}
+	state.programs[created.ProgramId] = program
+	return Outcome{Program: program}
+}
+
+func repeatedCreation(known *Program, created *shardv1.ProgramCreated) Outcome {
+	first := known.Created()
+	if first.Tenant != created.Tenant {
+		return refused(resultcode.UnknownProgram, "no program %s", created.ProgramId)
+	}
+	if first.Tier != created.Tier || first.Kind != created.Kind || first.ParentId != created.ParentId {
+		return refused(resultcode.RequestIDReused, "program %s was created otherwise", created.ProgramId)
+	}
+	return Outcome{Program: known, Duplicate: true}
+}
+
+func (state *State) endProgram(ended *shardv1.ProgramEnded) Outcome {
+	program := state.programs[ended.ProgramId]
+	if program == nil {
+		return refused(resultcode.UnknownProgram, "no program %s", ended.ProgramId)
+	}
+	outcome := Outcome{Program: program}
+	if program.Over() {
+		outcome.Duplicate = true
+		return outcome
+	}
+	outcome.Ended = []*Program{program}
+	outcome.Cancelled = state.cancelOpenCalls(program, ended.Reason)
+	event := charts.ProgramEventEnd
+	if ended.Stopped {
+		event = charts.ProgramEventStop
+	}
+	program.move(event)
+	state.childOver(program)
+	for _, child := range state.childrenOf(program) {
+		if child.Over() {
+			continue
+		}
+		childEnd := &shardv1.ProgramEnded{ProgramId: child.ID(), Stopped: ended.Stopped, Reason: ended.Reason}
+		childOutcome := state.endProgram(childEnd)
+		outcome.Cancelled = append(outcome.Cancelled, childOutcome.Cancelled...)
+		outcome.Ended = append(outcome.Ended, childOutcome.Ended...)
+	}
+	slices.SortFunc(outcome.Cancelled, compareCalls)
+	return outcome
+}
+
+// childrenOf lists the program's own sub-agents in the order of their ids.
+func (state *State) childrenOf(program *Program) []*Program {
+	var children []*Program
+	for _, candidate := range state.programs {
+		if candidate.Created().ParentId == program.ID() {
+			children = append(children, candidate)
+		}
+	}
+	slices.SortFunc(children, func(left, right *Program) int {
+		return strings.Compare(left.ID(), right.ID())
+	})
+	return children
+}
+
+// childOver tells the parent that one of its sub-agents is over.
+func (state *State) childOver(program *Program) {
+	parent := state.parent(program)
+	if parent == nil {
+		return
+	}
+	parent.liveChildren--
+	if parent.liveChildren == 0 {
+		parent.move(charts.ProgramEventSubAgentsEnded)
+	}
+}
+
+func compareCalls(left, right *Call) int {
+	byProgram := strings.Compare(left.program.ID(), right.program.ID())
+	if byProgram != 0 {
+		return byProgram
+	}
+	return int(left.record.Turn) - int(right.record.Turn)
+}
+
+func (state *State) cancelOpenCalls(program *Program, reason string) []*Call {
+	var cancelled []*Call
+	for _, requestID := range slices.Clone(program.record.Pending) {
+		call := program.calls[requestID]
+		if call.move(charts.CallEventCancel) != nil {
+			continue
+		}
+		state.closeWithoutResult(call, &shardv1.CallEnded{
+			ProgramId: program.ID(),
+			RequestId: requestID,
+			Attempt:   call.record.Attempt,
+			Code:      uint32(resultcode.CallStopped),
+			Message:   "program stopped: " + reason,
+		})
+		cancelled = append(cancelled, call)
+	}
+	return cancelled
+}
+
+// forgetProgram drops a program that is over, together with its sub-agents.
+func (state *State) forgetProgram(forgotten *shardv1.ProgramForgotten) Outcome {
+	program := state.programs[forgotten.ProgramId]
+	if program == nil || !program.Over() {
+		return Outcome{Program: program, Duplicate: true}
+	}
+	for programID, child := range state.programs {
+		if child.root == program {
+			delete(state.programs, programID)
+		}
+	}
+	delete(state.programs, forgotten.ProgramId)
+	return Outcome{Program: program}
+}
--- a/internal/shard/tokens.go
+++ b/internal/shard/tokens.go
@@ -2,8 +2,6 @@
 
 import (
 	schedulerv1 "github.com/magpielug/magpielug/api/scheduler/v1"
-	shardv1 "github.com/magpielug/magpielug/api/shard/v1"
-	"github.com/magpielug/magpielug/internal/ledger"
 )
 
 const (
@@ -25,14 +23,6 @@
 	return uint32(total)
 }
 
-// price is what the call's tier paid for 1000 tokens when it was accepted.
-func price(accepted *shardv1.CallAccepted) ledger.Price {
-	return ledger.Price{
-		Prompt: ledger.Micros(accepted.PromptPriceMicros),
-		Output: ledger.Micros(accepted.OutputPriceMicros),
-	}
-}
-
 // serviceTokens is the service that a finished call has attained.
 func serviceTokens(promptTokens, cachedTokens, outputTokens uint32) float64 {
 	uncached := float64(promptTokens) - float64(min(cachedTokens, promptTokens))
