Check the keeper's books after every random event; keep an engine for a large call in every order

CheckBooks adds up calls, memory, pins and tiers from scratch; new tests for release at a call's end, after a move, after a long pause, and for a large call.

Found: an engine was kept for a call that small ones keep out of memory only if its tier had earned a reserved grant, never in an order of one band such as fcfs.

--- a/internal/keeper/dispatch.go
+++ b/internal/keeper/dispatch.go
@@ -122,7 +122,7 @@
 	placed.Due = keeper.pool.Due(call.item) && call.skips >= keeper.maxSkips()
 	index := keeper.policies.Placement.Place(&placed, keeper.candidates)
 	if index == placement.None {
-		if placed.Due {
+		if call.skips >= keeper.maxSkips() && !keeper.fitsSomewhere() {
 			keeper.reserveFor(call)
 		}
 		return nil
@@ -202,6 +202,17 @@
 	}
 }
 
+// fitsSomewhere tells whether an engine has a slot and memory for the call that
+// the candidates were filled in for.
+func (keeper *Keeper) fitsSomewhere() bool {
+	for index := range keeper.candidates {
+		if keeper.candidates[index].FreeSlots > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // reserveFor keeps the engine that will fit the call soonest from calls ranked
 // after it, so that small calls can't starve a large one.
 func (keeper *Keeper) reserveFor(call *waitingCall) {
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -125,6 +125,24 @@
 		Expect(granted(b.step(keeper.CallQueued{Request: request("c", 1, 1)}))).To(Equal([]string{"c"}))
 	})
 
+	It("keeps an engine for a large call that small ones keep out", func() {
+		b := newBench(keeper.Config{MaxSkips: 2}, "fcfs", "", "")
+		small := report("e1", 4)
+		small.BlocksTotal = 30
+		b.step(small)
+		b.step(keeper.CallQueued{Request: request("s", 1, 1)})
+		b.step(keeper.CallQueued{Request: request("s", 2, 1)})
+		large := request("large", 1, 1)
+		large.PromptTokens = 400
+		b.step(keeper.CallQueued{Request: large})
+		for number := 3; number < 9; number++ {
+			b.step(keeper.CallQueued{Request: request("s", number, 1)})
+			b.step(finished("s", number-2))
+		}
+		b.step(finished("s", 3))
+		Expect(b.keeper.Explain("large", "1")[0].What).To(Equal("grant"))
+	})
+
 	It("holds a call back while programs ranked before it are expected to return", func() {
 		b := newBench(keeper.Config{}, "", "", "keep")
 		small := report("e1", 3)
@@ -162,6 +180,48 @@
 		Expect(released(b.step(held))).To(Equal([]string{"unheard@e1"}))
 	})
 
+	It("is released when the call ends that still ran at the program's end", func() {
+		b := newBench(keeper.Config{}, "", "", "")
+		b.step(report("e1", 2))
+		b.step(keeper.CallQueued{Request: request("a", 1, 1)})
+		Expect(b.step(keeper.ProgramEnded{Program: "a"})).To(BeEmpty())
+		Expect(released(b.step(finished("a", 1)))).To(Equal([]string{"a@e1"}))
+	})
+
+	It("is released once where a program has moved away", func() {
+		b := newBench(keeper.Config{}, "", "", "")
+		b.step(report("e1", 1))
+		b.step(keeper.CallQueued{Request: request("a", 1, 1)})
+		b.step(finished("a", 1))
+		b.step(keeper.EngineDraining{Engine: "e1"})
+		b.step(report("e2", 1))
+		moved := b.step(keeper.CallQueued{Request: request("a", 2, 1)})
+		Expect(granted(moved)).To(Equal([]string{"a"}))
+		Expect(released(moved)).To(Equal([]string{"a@e1"}))
+		b.step(finished("a", 2))
+		Expect(released(b.step(keeper.ProgramEnded{Program: "a"}))).To(Equal([]string{"a@e2"}))
+	})
+
+	It("is kept over a pause, but no longer than predicted", func() {
+		b := newBench(keeper.Config{}, "", "", "predictive")
+		b.step(report("e1", 1))
+		b.step(keeper.CallQueued{Request: request("a", 1, 1)})
+		b.step(finished("a", 1))
+		b.step(keeper.ProgramPaused{Program: "a", ExpectedPause: 4 * time.Second})
+		Expect(released(b.after(8 * time.Second))).To(BeEmpty())
+		Expect(released(b.after(8 * time.Second))).To(Equal([]string{"a@e1"}))
+	})
+
+	It("stays while a program has calls, whatever a live list says", func() {
+		b := newBench(keeper.Config{}, "", "", "")
+		b.step(report("e1", 1))
+		b.step(keeper.CallQueued{Request: request("a", 1, 1)})
+		b.now += keeper.DefaultConfig().LiveMargin
+		b.step(keeper.ProgramsLive{Leader: "s1", Shard: 1})
+		Expect(released(b.step(finished("a", 1)))).To(BeEmpty())
+		Expect(released(b.step(keeper.ProgramsLive{Leader: "s1", Shard: 1}))).To(Equal([]string{"a@e1"}))
+	})
+
 	It("is left to the engine by the none policy", func() {
 		b := newBench(keeper.Config{}, "", "", "none")
 		b.step(report("e1", 2))
--- a/internal/keeper/property_test.go
+++ b/internal/keeper/property_test.go
@@ -232,6 +232,9 @@
 			if again := a.twin.Step(a.now, event); !reflect.DeepEqual(effects, again) {
 				t.Fatalf("after %T: %v, but the twin gives %v", event, effects, again)
 			}
+			if err := a.keeper.CheckBooks(); err != nil {
+				t.Fatalf("after %T: %v", event, err)
+			}
 			load := a.keeper.Snapshot()
 			if load.Waiting != len(a.waiting) || load.Running != len(a.running) {
 				t.Fatalf("after %T: keeper has %d waiting, %d running; the books say %d and %d",
