--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -79,7 +79,6 @@
 	ElectionMax         time.Duration `koanf:"election_max" validate:"gte=20ms,lte=120s" about:"Longest such silence; above scheduler.election_min."`
 	ArchiveBacklog      Size          `koanf:"archive_backlog" validate:"gte=64KiB,lte=8GiB" about:"Entries a shard keeps while the log is away; past it calls are refused with code 2008."`
 	KeepEntries         int           `koanf:"keep_entries" validate:"gte=0,lte=1000000" about:"Archived entries kept in memory for members that lag."`
-	PoolSize            int           `koanf:"pool_size" validate:"gte=1,lte=1024" about:"Most engines under one keeper; a model with more has several pools."`
 	OfferRetry          time.Duration `koanf:"offer_retry" validate:"gte=10ms,lte=60s" about:"How long an offer to a keeper waits for its answer."`
 	HeldInterval        time.Duration `koanf:"held_interval" validate:"gte=10ms,lte=60s" about:"How often a leader tells keepers which grants it holds."`
 	LiveInterval        time.Duration `koanf:"live_interval" validate:"gte=10ms,lte=10m" about:"How often a leader tells keepers its live programs."`
