--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -52,7 +52,6 @@
 		ElectionMax:         2000 * time.Millisecond,
 		ArchiveBacklog:      16 * MiB,
 		KeepEntries:         256,
-		PoolSize:            64,
 		OfferRetry:          time.Second,
 		HeldInterval:        time.Second,
 		LiveInterval:        2 * time.Second,
