Hold member changes to every group that the log may show

The leader knew {a,b,c,d} as archived; the log already showed {a,b,c}, whose answer was lost; the group had gone on to {b,c,d}. With a and b gone the log's reader counts a majority of {a,b,c} gone, while c and d are one of {b,c,d}.

Change: a change is checked against every group from the archived one on, by whether a gone majority of that group leaves the changed one without a majority. This also allows what the rule of one process refused without need, such as replacing a second process that restarts while the store is down.

The directed test fails with the comparison to the archived group alone (run on a scratch copy).

--- a/internal/replication/log.go
+++ b/internal/replication/log.go
@@ -126,6 +126,17 @@
 	return l.baseMembers, l.baseMembersIndex
 }
 
+// nextMembers returns the first group that is set after an index, and the index
+// that sets it, or 0 if there is none.
+func (l *entryLog) nextMembers(after uint64) ([]Member, uint64) {
+	for index := max(after, l.previousIndex) + 1; index <= l.lastIndex(); index++ {
+		if entry := l.at(index); entry.GetKind() == KindMembers {
+			return DecodeMembers(entry.GetMembers()), index
+		}
+	}
+	return nil, 0
+}
+
 // firstIndexOfEpoch returns the first index, above floor, of the run of
 // entries that have the same epoch as the one at index.
 func (l *entryLog) firstIndexOfEpoch(index, floor uint64) uint64 {
--- a/internal/replication/members.go
+++ b/internal/replication/members.go
@@ -109,24 +109,37 @@
 	}
 }
 
-// archivedAllows keeps the group's processes within one of those that the
-// platform's log knows. A claimant that reads the log then sees from it whether
-// a majority can be alive, whatever the group has changed since. A process
-// replaced by its next incarnation counts as the same.
-func (r *Replica) archivedAllows(members []Member) bool {
-	archived, _ := r.log.membersAt(r.log.archived)
-	differences := 0
-	for _, member := range archived {
-		if findProcess(members, member.Incarnation.Process()) < 0 {
-			differences++
+// archivedAllows keeps the platform's log enough to judge the group by. The log
+// may show any group from the last one known to be archived on, since the answer
+// to a later record may be lost. Whichever it shows: once a majority of its
+// processes is gone, the changed group must have no majority either. A change
+// that goes further waits for the archive.
+func (r *Replica) archivedAllows(changed []Member) bool {
+	shown, index := r.log.membersAt(r.log.archived)
+	for {
+		if !impliesNoMajority(shown, changed) {
+			return false
 		}
+		next, nextIndex := r.log.nextMembers(max(index, r.log.archived))
+		if nextIndex == 0 {
+			return true
+		}
+		shown, index = next, nextIndex
 	}
-	for _, member := range members {
-		if findProcess(archived, member.Incarnation.Process()) < 0 {
-			differences++
+}
+
+// impliesNoMajority tells whether the changed group can't have a majority alive
+// when a majority of the shown group's processes is gone. In the worst case as
+// many as can be of those gone are in the shown group alone.
+func impliesNoMajority(shown, changed []Member) bool {
+	left := 0
+	for _, member := range shown {
+		if findProcess(changed, member.Incarnation.Process()) < 0 {
+			left++
 		}
 	}
-	return differences <= 1
+	gone := max(0, quorum(len(shown))-left)
+	return len(changed)-gone < quorum(len(changed))
 }
 
 // mayChangeMembers keeps two rules that single-member changes rest on: one
--- a/internal/replication/replica_test.go
+++ b/internal/replication/replica_test.go
@@ -148,6 +148,31 @@
 		Expect(b.replica.Members()).To(HaveLen(3))
 	})
 
+	It("changes the group no further than any group that the log may show allows", func() {
+		b := newBench(replication.DefaultConfig())
+		b.elect()
+		answer := func(index uint64, members ...string) {
+			for _, member := range members {
+				b.acknowledge(member, index)
+			}
+		}
+		answer(1, peerB, peerC)
+		Expect(b.replica.Admit(b.now, replication.Member{Incarnation: "d#1"})).To(Succeed())
+		answer(1, "d#1")
+		answer(2, peerB, peerC, "d#1")
+		b.replica.SetArchived(2)
+		Expect(b.replica.Remove(b.now, peerC)).To(Succeed())
+		answer(3, peerB, "d#1")
+		Expect(b.replica.Admit(b.now, replication.Member{Incarnation: "c#2"})).To(Succeed())
+		answer(3, "c#2")
+		answer(4, peerB, "d#1", "c#2")
+		Expect(b.replica.Members()).To(HaveLen(4))
+		Expect(b.replica.Remove(b.now, peerB)).To(MatchError(replication.ErrChangePending),
+			"the log may show a, b and d, of which a and b may be gone with d and c alive")
+		b.replica.SetArchived(4)
+		Expect(b.replica.Remove(b.now, peerB)).To(Succeed())
+	})
+
 	It("keeps acknowledged entries after a late snapshot of earlier ones", func() {
 		b := newBench(replication.DefaultConfig())
 		b.receive(peerB, first, appendMessage(0, 0, entryOf(1, first), entryOf(2, first), entryOf(3, first)))
