Give an engine that failed a call no grant before its next report

Cause: an engine that was killed counts as silent only after three polls that failed. Until then the keeper granted its slots again and again, so that a call used up its three attempts on the same dead engine within 10 ms and ended with ENGINE_FAILED, though other engines were idle. Change: a call that an engine failed takes the engine out until it reports anew, one poll interval for one that lives. Preempted and cancelled calls don't count.

--- a/internal/keeper/engine.go
+++ b/internal/keeper/engine.go
@@ -14,7 +14,10 @@
 	model string
 	zone  string
 
-	reportedAt   time.Duration
+	reportedAt time.Duration
+	// failed is true from a failed call to the engine's next report: one that
+	// has died would fail all attempts of a call until it counts as silent.
+	failed       bool
 	leaving      bool
 	adapters     []string
 	runningLimit int
@@ -58,11 +61,12 @@
 	return keeper.engines[index]
 }
 
-// ready tells whether the engine may get new grants: it has reported lately,
-// and neither itself nor an operator is taking it out.
+// ready tells whether the engine may get new grants: it has reported lately and
+// since it last failed a call, and neither itself nor an operator is taking it
+// out.
 func (keeper *Keeper) ready(engine *engineState) bool {
 	silence := keeper.now - engine.reportedAt
-	return silence <= keeper.config.ReportTimeout && keeper.allowed(engine)
+	return silence <= keeper.config.ReportTimeout && !engine.failed && keeper.allowed(engine)
 }
 
 // allowed tells whether neither the engine itself nor an operator is taking it
--- a/internal/keeper/report.go
+++ b/internal/keeper/report.go
@@ -15,6 +15,7 @@
 	engine.runningLimit = event.RunningLimit
 	engine.memoryTokens = event.BlocksTotal * event.BlockTokens
 	engine.reportedAt = keeper.now
+	engine.failed = false
 	engine.leaving = event.Leaving
 	if keeper.ready(engine) {
 		keeper.lastReady = keeper.now
--- a/internal/keeper/running.go
+++ b/internal/keeper/running.go
@@ -91,6 +91,8 @@
 		call.prefix.resize(held)
 	}
 	engine := call.engine
+	ordered := call.preempting || call.cancelling
+	engine.failed = engine.failed || (event.Failed && !ordered)
 	keeper.endGrant(call)
 	call.program.returnBy = keeper.now + keeper.config.ReturnWithin
 	keeper.ensurePrefix(call.program, engine)
