Close only the replicas that an event has changed

Cause: each step of the control core asked every hosted replica for output, twice, whatever the event was about: the cost of a call grew with the number of shards. Each step and each tick also sorted the shard numbers anew. Change: whatever changes a replica puts its host on a list; a step settles that list, in the order of the shards, until it is empty. The tick still lists every host, so that a change that forgot to would be late by a tick, not lost. The order of the numbers is kept until a host comes or goes. Ruled out: a cheaper Ready of an idle replica, which is still paid per shard.

--- a/internal/scheduler/archive.go
+++ b/internal/scheduler/archive.go
@@ -45,6 +45,7 @@
 	host := core.hosts[event.Shard]
 	if host != nil && event.Stands && host.leads() {
 		host.replica.SetArchived(event.UpTo)
+		host.touch()
 	}
 }
 
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -60,10 +60,16 @@
 	layout        *layout
 	homes         map[uint32]*home
 	hosts         map[uint32]*host
-	pools         map[string]*pool
-	polled        []EngineAddress
-	stopping      bool
-	lastHeld      time.Duration
+	// hosted are the numbers of hosts in order, nil after a change.
+	hosted []uint32
+	// touched are the hosts whose replicas may have output; settled is the list
+	// of the round before, kept for its room.
+	touched  []*host
+	settled  []*host
+	pools    map[string]*pool
+	polled   []EngineAddress
+	stopping bool
+	lastHeld time.Duration
 	// heldBefore names the pools that the last report of held grants covered.
 	heldBefore map[string]bool
 	outbox     map[string]*schedulerv1.PeerBatch
--- a/internal/scheduler/home.go
+++ b/internal/scheduler/home.go
@@ -292,6 +292,8 @@
 	made.generation = claim.Generation
 	made.lastLed = core.now
 	core.hosts[home.number] = made
+	core.hosted = nil
+	made.touch()
 	// From here on the group's log brings every entry.
 	home.dropRestored()
 	core.log("replica_hosted", home.number, "", "", string(replica.Role())+" as "+string(incarnation))
@@ -332,6 +334,7 @@
 			continue
 		}
 		err := host.replica.Remove(core.now, member.Incarnation)
+		host.touch()
 		core.log("member_removed", home.number, "", "", fmt.Sprintf("%s: %v", member.Incarnation, err))
 		return
 	}
@@ -354,6 +357,7 @@
 	for _, member := range members {
 		if member.Incarnation.Process() == preferred.ID {
 			err := host.replica.TransferLeadership(core.now, member.Incarnation)
+			host.touch()
 			core.log("leadership_handed_over", host.number, "", "", fmt.Sprintf("to %s: %v", preferred.ID, err))
 			host.servingSince = core.now
 			return
--- a/internal/scheduler/host.go
+++ b/internal/scheduler/host.go
@@ -24,6 +24,9 @@
 	core    *Core
 	number  uint32
 	replica *replication.Replica
+	// touched is true while the replica is in the core's list of those that may
+	// have output.
+	touched bool
 	state   *shard.State
 	// serving is true once a leader has applied its epoch's first entry: only
 	// then is state known to hold everything committed before.
@@ -97,6 +100,7 @@
 		return resultcode.New(resultcode.Internal, "encode entry: %v", err)
 	}
 	index, err := host.replica.Propose(host.core.now, data)
+	host.touch()
 	if err != nil {
 		return proposalRefused(err)
 	}
@@ -122,45 +126,7 @@
 		host.lastLed = host.core.now
 	}
 	host.replica.Receive(host.core.now, message)
-}
-
-// settleReplicas closes the step of every replica that has output. Applying an
-// entry may propose further ones, so it goes on until all are quiet.
-func (core *Core) settleReplicas() {
-	for {
-		quiet := true
-		for _, number := range core.hostNumbers() {
-			host := core.hosts[number]
-			if host.settle() {
-				quiet = false
-			}
-		}
-		if quiet {
-			return
-		}
-	}
-}
-
-// settle carries out the replica's output and tells whether there was any.
-func (host *host) settle() bool {
-	output := host.replica.Ready(host.core.now)
-	for _, envelope := range output.Messages {
-		host.core.batcher.Add(envelope)
-	}
-	host.restore(output.Restore)
-	if output.RoleChanged {
-		host.roleChanged()
-	}
-	for _, entry := range output.Committed {
-		host.apply(entry)
-	}
-	if output.SnapshotWanted {
-		host.provideSnapshot()
-	}
-	if host.replica.Role() == replication.RoleRetired {
-		host.core.dropHost(host)
-	}
-	return len(output.Committed) > 0 || output.RoleChanged
+	host.touch()
 }
 
 func (host *host) restore(restored *replication.RestoredState) {
@@ -170,6 +136,7 @@
 	if err := host.state.Restore(restored.State); err != nil {
 		host.core.log("snapshot_unreadable", host.number, "", "", err.Error())
 		host.replica.Retire()
+		host.touch()
 	}
 }
 
@@ -179,6 +146,7 @@
 		host.core.log("snapshot_failed", host.number, "", "", err.Error())
 		return
 	}
+	host.touch()
 	if err := host.replica.ProvideSnapshot(host.core.now, data); err != nil {
 		host.core.log("snapshot_not_taken", host.number, "", "", err.Error())
 	}
@@ -265,6 +233,7 @@
 // tick drives the replica's and the leader's timers.
 func (host *host) tick(now time.Duration) {
 	host.replica.Tick(now)
+	host.touch()
 	if !host.leads() {
 		return
 	}
@@ -285,6 +254,7 @@
 	if host.replica.Role() != replication.RoleLeader || host.runsTool() {
 		return
 	}
+	host.touch()
 	for _, member := range host.replica.Members() {
 		if member.Incarnation == host.replica.Self().Incarnation {
 			continue
@@ -311,6 +281,7 @@
 		host.endLeadership()
 	}
 	delete(core.hosts, host.number)
+	core.hosted = nil
 	if home := core.homes[host.number]; home != nil && home.rebuild == nil {
 		home.rereadFrom(core)
 	}
@@ -319,7 +290,10 @@
 
 // hostNumbers lists the hosted shards in order, so that a step is repeatable.
 func (core *Core) hostNumbers() []uint32 {
-	return sortedKeys(core.hosts)
+	if core.hosted == nil {
+		core.hosted = sortedKeys(core.hosts)
+	}
+	return core.hosted
 }
 
 type orderedKey interface{ ~uint32 | ~uint64 | ~string }
--- a/internal/scheduler/rebuild.go
+++ b/internal/scheduler/rebuild.go
@@ -70,6 +70,7 @@
 	}
 	if home.archive.Claim().Generation > host.generation {
 		host.replica.Retire()
+		host.touch()
 		return
 	}
 	core.claimAnew(home)
@@ -189,6 +190,7 @@
 		reply.Abstained = true
 		if host != nil && host.generation == request.Generation {
 			host.replica.Retire()
+			host.touch()
 		}
 	}
 	if request.Claimant == core.config.Process {
