Bound what waits for an unreachable peer in bytes

4096 messages of up to 256 KB could have waited for a peer whose call hangs; now 4 MB at most, after which what waits counts as lost. The size of each message costs one pass over it at Add.

--- a/internal/replication/batcher.go
+++ b/internal/replication/batcher.go
@@ -3,12 +3,29 @@
 import (
 	"slices"
 
+	"google.golang.org/protobuf/proto"
+
 	replicationv1 "github.com/magpielug/magpielug/api/replication/v1"
 )
 
-// maxQueuedMessages bounds what waits for a peer that can't be reached. The
-// oldest messages are dropped beyond it, which replicas take as lost.
-const maxQueuedMessages = 4096
+// maxQueuedBytes bounds what waits for a peer that can't be reached. What waits
+// is dropped beyond it, which replicas take as lost.
+const maxQueuedBytes = 4 << 20
+
+// messageQueue is what waits for one peer.
+type messageQueue struct {
+	messages []*replicationv1.Message
+	bytes    int
+}
+
+func (q *messageQueue) add(message *replicationv1.Message) {
+	size := proto.Size(message)
+	if q.bytes+size > maxQueuedBytes {
+		*q = messageQueue{}
+	}
+	q.messages = append(q.messages, message)
+	q.bytes += size
+}
 
 // Batcher merges all that one process's replicas send to another process into
 // one Batch, the heartbeats of all shards into one HeartbeatBatch. It belongs
@@ -20,7 +37,7 @@
 // reply, again by Add and Take.
 type Batcher struct {
 	boot    Incarnation
-	queues  map[string][]*replicationv1.Message
+	queues  map[string]*messageQueue
 	sending map[string]*heartbeatSender
 	hearing map[string]*heartbeatReceiver
 }
@@ -29,7 +46,7 @@
 func NewBatcher(boot Incarnation) *Batcher {
 	return &Batcher{
 		boot:    boot,
-		queues:  map[string][]*replicationv1.Message{},
+		queues:  map[string]*messageQueue{},
 		sending: map[string]*heartbeatSender{},
 		hearing: map[string]*heartbeatReceiver{},
 	}
@@ -49,11 +66,12 @@
 			return
 		}
 	}
-	queue := append(b.queues[process], message)
-	if len(queue) > maxQueuedMessages {
-		queue = slices.Clone(queue[len(queue)/2:])
+	queue := b.queues[process]
+	if queue == nil {
+		queue = &messageQueue{}
+		b.queues[process] = queue
 	}
-	b.queues[process] = queue
+	queue.add(message)
 }
 
 func (b *Batcher) sender(process string) *heartbeatSender {
@@ -68,10 +86,8 @@
 // Peers returns the processes that something is queued for, in a fixed order.
 func (b *Batcher) Peers() []string {
 	peers := []string{}
-	for process, queue := range b.queues {
-		if len(queue) > 0 {
-			peers = append(peers, process)
-		}
+	for process := range b.queues {
+		peers = append(peers, process)
 	}
 	for process, sender := range b.sending {
 		if sender.isDue() {
@@ -92,9 +108,11 @@
 	batch := &replicationv1.Batch{
 		From:      string(b.boot),
 		ToProcess: process,
-		Messages:  b.queues[process],
 	}
-	delete(b.queues, process)
+	if queue := b.queues[process]; queue != nil {
+		batch.Messages = queue.messages
+		delete(b.queues, process)
+	}
 	if sender := b.sending[process]; sender != nil {
 		batch.Heartbeats = sender.take()
 	}
--- a/internal/replication/batcher_test.go
+++ b/internal/replication/batcher_test.go
@@ -102,6 +102,16 @@
 		Expect(shardsOf(sender.Open(answer(beat(3, 5, 1, 2), 0)))).To(Equal([]uint32{1, 2}))
 	})
 
+	It("drops what waits for a peer that takes nothing, beyond a bound", func() {
+		for index := range uint64(100) {
+			message := chunkMessage(index, 0, 1, make([]byte, 1<<20))
+			sender.Add(replication.Envelope{ToProcess: "b", Message: message})
+		}
+		waiting := sender.Take("b").GetMessages()
+		Expect(len(waiting)).To(BeNumerically("<", 5))
+		Expect(waiting[len(waiting)-1].GetSnapshotChunk().GetIndex()).To(BeEquivalentTo(99))
+	})
+
 	It("ignores repeated and overtaken batches", func() {
 		first := beat(1, 5, 1)
 		second := beat(2, 5, 1)
