Ask for the machine list only when it has changed

Change: the adapter sends the last entity tag as If-None-Match and returns the list it has on a 304; the stand-in gives weak tags. A platform without tags sends the list at each poll as before. The poll is each 2 s less jitter, each 500 ms after a change or a failed read. The control loop gets a list only when it differs.

--- a/internal/platform/httpadapter/adapter_test.go
+++ b/internal/platform/httpadapter/adapter_test.go
@@ -191,4 +191,45 @@
 		_, err := NewClient(Config{SourceAddress: "x"})
 		Expect(err).To(HaveOccurred())
 	})
+
+	It("reads the machine list again only when its entity tag changes", func() {
+		tag, bodies := `W/"1"`, 0
+		address := serve(func(writer http.ResponseWriter, request *http.Request) {
+			writer.Header().Set("ETag", tag)
+			if request.Header.Get("If-None-Match") == tag {
+				writer.WriteHeader(http.StatusNotModified)
+				return
+			}
+			bodies++
+			_, _ = fmt.Fprintf(writer, `{"machines":[{"id":"m%d","role":"engine"}]}`, bodies)
+		})
+		list := NewMachines(newPool(Config{}), address)
+		for range 2 {
+			machines, err := list.List(context.Background())
+			Expect(err).NotTo(HaveOccurred())
+			Expect(machines).To(HaveExactElements(HaveField("ID", "m1")))
+		}
+		tag = `W/"2"`
+		machines, err := list.List(context.Background())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(machines).To(HaveExactElements(HaveField("ID", "m2")))
+		Expect(bodies).To(Equal(2))
+	})
+
+	It("reads the whole machine list from a platform without entity tags, and takes no 304 it did not ask for", func() {
+		statuses := []int{http.StatusOK, http.StatusOK, http.StatusNotModified}
+		asked := 0
+		address := serve(func(writer http.ResponseWriter, request *http.Request) {
+			Expect(request.Header).NotTo(HaveKey("If-None-Match"))
+			writer.WriteHeader(statuses[asked])
+			asked++
+			_, _ = fmt.Fprintf(writer, `{"machines":[{"id":"m%d","role":"engine"}]}`, asked)
+		})
+		list := NewMachines(newPool(Config{}), address)
+		for _, id := range []string{"m1", "m2"} {
+			Expect(list.List(context.Background())).To(HaveExactElements(HaveField("ID", id)))
+		}
+		_, err := list.List(context.Background())
+		Expect(err).To(MatchError(platform.ErrOutcomeUnknown))
+	})
 })
--- a/internal/platform/httpadapter/exchange.go
+++ b/internal/platform/httpadapter/exchange.go
@@ -33,52 +33,92 @@
 	if err != nil {
 		return answer, place.notRun(err)
 	}
-	return exchange[Answer](ctx, client, place, http.MethodPost, "", timeout, encoded)
+	answered, err := exchange[Answer](ctx, client, place, timeout, question{method: http.MethodPost, body: encoded})
+	return answered.answer, err
 }
 
 // get asks with a query and decodes the JSON answer.
 func get[Answer any](ctx context.Context, client *Client, address, path string, query url.Values) (Answer, error) {
+	answered, err := getChanged[Answer](ctx, client, address, path, query, "")
+	return answered.answer, err
+}
+
+// getChanged asks with a query for an answer other than the one of an entity
+// tag (RFC 9110, If-None-Match); an empty tag asks for any.
+func getChanged[Answer any](ctx context.Context, client *Client, address, path string, query url.Values, tag string) (tagged[Answer], error) {
 	place := target{operation: path, address: address}
-	return exchange[Answer](ctx, client, place, http.MethodGet, query.Encode(), client.config.OrderTimeout, nil)
+	asked := question{method: http.MethodGet, query: query.Encode(), tag: tag}
+	return exchange[Answer](ctx, client, place, client.config.OrderTimeout, asked)
 }
 
-func exchange[Answer any](ctx context.Context, client *Client, place target, method, query string, timeout time.Duration, body []byte) (Answer, error) {
-	var answer Answer
+// question is what one exchange asks.
+type question struct {
+	method string
+	query  string
+	body   []byte
+	// tag is the entity tag of the answer that the asker has, empty for none.
+	tag string
+}
+
+// tagged is an answer with its entity tag, empty where the back end gives none.
+type tagged[Answer any] struct {
+	answer Answer
+	tag    string
+	// unchanged is true where the asker's answer still holds; answer is empty.
+	unchanged bool
+}
+
+func exchange[Answer any](ctx context.Context, client *Client, place target, timeout time.Duration, asked question) (tagged[Answer], error) {
+	var answered tagged[Answer]
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	response, err := client.send(ctx, place, method, query, body)
+	response, err := client.send(ctx, place, asked)
 	if err != nil {
-		return answer, err
+		return answered, err
 	}
 	defer drain(response.Body)
+	if response.StatusCode == http.StatusNotModified {
+		return tagged[Answer]{tag: asked.tag, unchanged: true}, nil
+	}
 	content, err := readBounded(response.Body, client.config.MaxAnswerBytes)
 	if errors.Is(err, errAnswerTooLong) {
-		return answer, place.malformed(err)
+		return answered, place.malformed(err)
 	}
 	if err != nil {
-		return answer, place.unknown(err)
+		return answered, place.unknown(err)
 	}
-	if err := json.Unmarshal(content, &answer); err != nil {
-		return answer, place.malformed(err)
+	if err := json.Unmarshal(content, &answered.answer); err != nil {
+		return answered, place.malformed(err)
 	}
-	return answer, nil
+	answered.tag = response.Header.Get(headerTag)
+	return answered, nil
 }
 
-// send returns an answer of status 200; any other is a *Failure.
-func (client *Client) send(ctx context.Context, place target, method, query string, body []byte) (*http.Response, error) {
+// Headers of conditional requests.
+const (
+	headerTag      = "ETag"
+	headerKnownTag = "If-None-Match"
+)
+
+// send returns an answer of status 200, or 304 to a question with a tag; any
+// other is a *Failure.
+func (client *Client) send(ctx context.Context, place target, asked question) (*http.Response, error) {
 	// Until a connection is at hand nothing can have been sent.
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
-	address := url.URL{Scheme: "http", Host: place.address, Path: place.operation, RawQuery: query}
-	request, err := http.NewRequestWithContext(ctx, method, address.String(), bytes.NewReader(body))
+	address := url.URL{Scheme: "http", Host: place.address, Path: place.operation, RawQuery: asked.query}
+	request, err := http.NewRequestWithContext(ctx, asked.method, address.String(), bytes.NewReader(asked.body))
 	if err != nil {
 		return nil, place.notRun(err)
 	}
-	if method == http.MethodPost {
+	if asked.method == http.MethodPost {
 		request.Header.Set("Content-Type", "application/json")
 	}
+	if asked.tag != "" {
+		request.Header.Set(headerKnownTag, asked.tag)
+	}
 	response, err := client.http.Do(request)
 	if cause := context.Cause(ctx); err != nil && cause != nil {
 		err = cause
@@ -89,7 +129,8 @@
 	if err != nil {
 		return nil, place.unknown(err)
 	}
-	if response.StatusCode != http.StatusOK {
+	unchanged := asked.tag != "" && response.StatusCode == http.StatusNotModified
+	if response.StatusCode != http.StatusOK && !unchanged {
 		defer drain(response.Body)
 		return nil, readRefusal(place, response)
 	}
--- a/internal/platform/httpadapter/generate.go
+++ b/internal/platform/httpadapter/generate.go
@@ -39,7 +39,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	accept := time.AfterFunc(client.pool.config.OrderTimeout, func() { cancel(errAcceptTimeout) })
-	response, err := client.pool.send(ctx, place, http.MethodPost, "", encoded)
+	response, err := client.pool.send(ctx, place, question{method: http.MethodPost, body: encoded})
 	accept.Stop()
 	if err != nil {
 		return err
--- a/internal/platform/httpadapter/services.go
+++ b/internal/platform/httpadapter/services.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/magpielug/magpielug/internal/platform"
@@ -17,10 +18,18 @@
 	address string
 }
 
-// Machines is the adapter of the machine list.
+// Machines is the adapter of the machine list. It is safe for concurrent use.
 type Machines struct {
 	pool    *Client
 	address string
+	// last is the list read last, with its entity tag.
+	last atomic.Pointer[taggedMachines]
+}
+
+// taggedMachines is never changed.
+type taggedMachines struct {
+	tag      string
+	machines []platform.Machine
 }
 
 // Weights is the adapter of the weight store.
@@ -94,15 +103,31 @@
 	return records, nil
 }
 
-// List implements platform.Machines.
+// List implements platform.Machines. A list that has not changed since the last
+// read is neither sent nor decoded, where the platform gives entity tags: then
+// the same slice is returned, which must not be changed.
 func (client *Machines) List(ctx context.Context) ([]platform.Machine, error) {
-	answer, err := get[wire.MachinesAnswer](ctx, client.pool, client.address, wire.PathMachines, nil)
+	last := client.last.Load()
+	known := ""
+	if last != nil {
+		known = last.tag
+	}
+	answered, err := getChanged[wire.MachinesAnswer](ctx, client.pool, client.address, wire.PathMachines, nil, known)
 	if err != nil {
 		return nil, err
 	}
-	if answer.Machines == nil {
+	if answered.unchanged {
+		return last.machines, nil
+	}
+	if answered.answer.Machines == nil {
 		return nil, target{operation: wire.PathMachines, address: client.address}.malformed(errFieldMissing)
 	}
+	machines := machinesOf(answered.answer)
+	client.last.Store(&taggedMachines{tag: answered.tag, machines: machines})
+	return machines, nil
+}
+
+func machinesOf(answer wire.MachinesAnswer) []platform.Machine {
 	machines := make([]platform.Machine, len(answer.Machines))
 	for place, machine := range answer.Machines {
 		machines[place] = platform.Machine{
@@ -115,7 +140,7 @@
 			Service: machine.Service,
 		}
 	}
-	return machines, nil
+	return machines
 }
 
 // Reserve implements platform.Weights.
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -35,7 +35,7 @@
 		Logger:    shared.logger.Logger,
 	}))
 	serve := func(ctx context.Context) {
-		router.Run(ctx, loaded.Platform.MachinesPoll)
+		router.Run(ctx, listLocalInterval)
 	}
 	return shared.run(ctx, gatewayReadiness(shared), serve, func(context.Context) {})
 }
--- a/internal/process/machines.go
+++ b/internal/process/machines.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -35,21 +36,36 @@
 // machines returns the last list read.
 func (cache *machineCache) machines() []platform.Machine { return *cache.last.Load() }
 
-// run reads the list at intervals until the context ends.
+const (
+	// listLocalInterval is how often a part of the process looks at the cache.
+	// It costs no exchange.
+	listLocalInterval = 500 * time.Millisecond
+	// listSoonInterval is the wait after a failed read, and after a change, since
+	// changes come in groups: machines that start, a zone that is lost.
+	listSoonInterval = 500 * time.Millisecond
+	// listJitter is the part of the wait by which a read may come earlier, so that
+	// processes that started together don't ask together for ever.
+	listJitter = 0.2
+)
+
+// run reads the list at jittered intervals until the context ends.
 func (cache *machineCache) run(ctx context.Context) {
-	ticker := time.NewTicker(cache.interval)
-	defer ticker.Stop()
 	for {
-		cache.refresh(ctx)
+		wait := cache.interval
+		if cache.refresh(ctx) {
+			wait = min(wait, listSoonInterval)
+		}
+		wait -= time.Duration(rand.Float64() * listJitter * float64(wait))
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-time.After(wait):
 		}
 	}
 }
 
-func (cache *machineCache) refresh(ctx context.Context) {
+// refresh reads the list once and tells whether it should be read again soon.
+func (cache *machineCache) refresh(ctx context.Context) bool {
 	bounded, cancel := context.WithTimeout(ctx, cache.timeout)
 	defer cancel()
 	machines, err := cache.source.List(bounded)
@@ -57,9 +73,11 @@
 		if ctx.Err() == nil {
 			cache.logger.Warn("machine_list_unreadable", zap.String("error", err.Error()))
 		}
-		return
+		return true
 	}
+	changed := !slices.Equal(machines, cache.machines())
 	cache.last.Store(&machines)
+	return changed
 }
 
 // zones names the zones of magpielug's own machines.
--- a/internal/process/scheduler.go
+++ b/internal/process/scheduler.go
@@ -31,7 +31,7 @@
 		Client:       shared.client,
 		Logger:       shared.logger.Logger,
 		PollInterval: loaded.Platform.EngineReports,
-		ListInterval: loaded.Platform.MachinesPoll,
+		ListInterval: listLocalInterval,
 	})
 	if err != nil {
 		return err
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	mathrand "math/rand"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -68,15 +69,18 @@
 	scheduler.loop.Run(ctx)
 }
 
-// readMachines brings the machine list at intervals.
+// readMachines brings the machine list whenever it has changed.
 func (scheduler *Scheduler) readMachines(ctx context.Context) {
 	ticker := time.NewTicker(scheduler.dependencies.ListInterval)
 	defer ticker.Stop()
+	var last []platform.Machine
 	for {
 		machines, err := scheduler.dependencies.Machines.List(ctx)
-		if err == nil {
+		if err == nil && !slices.Equal(machines, last) {
+			last = machines
 			scheduler.loop.Post(ctx, MachinesListed{Machines: machines})
-		} else if ctx.Err() == nil {
+		}
+		if err != nil && ctx.Err() == nil {
 			scheduler.dependencies.Logger.Warn("machine_list_unreadable", zap.String("error", err.Error()))
 		}
 		select {
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -18,7 +18,7 @@
 	return Platform{
 		AppendTimeout:   2 * time.Second,
 		ReadTimeout:     2 * time.Second,
-		MachinesPoll:    500 * time.Millisecond,
+		MachinesPoll:    2 * time.Second,
 		EngineReports:   100 * time.Millisecond,
 		EngineTimeout:   2 * time.Second,
 		EngineSilence:   5 * time.Second,
--- a/rehearsal/standin/reply/reply.go
+++ b/rehearsal/standin/reply/reply.go
@@ -5,6 +5,8 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
+	"hash/fnv"
 	"net/http"
 	"strconv"
 
@@ -65,6 +67,42 @@
 	})
 }
 
+// QueryTagged is Query with an entity tag: a request whose If-None-Match names
+// the tag of the present answer gets status 304 without a body (RFC 9110). The
+// tag is of the validated answer, so validate may leave out of its copy what
+// does not matter to an asker; the tag is then a weak one.
+func QueryTagged[Answer any](mux *http.ServeMux, path string, serve func(*http.Request) (Answer, error), validate func(Answer) Answer) {
+	mux.HandleFunc("GET "+path, func(writer http.ResponseWriter, request *http.Request) {
+		answer, err := serve(request)
+		if err != nil {
+			WriteError(writer, err)
+			return
+		}
+		tag, err := weakTag(validate(answer))
+		if err != nil {
+			WriteError(writer, err)
+			return
+		}
+		writer.Header().Set("ETag", tag)
+		if request.Header.Get("If-None-Match") == tag {
+			writer.WriteHeader(http.StatusNotModified)
+			return
+		}
+		Write(writer, http.StatusOK, answer)
+	})
+}
+
+// weakTag is a weak entity tag of a value's JSON.
+func weakTag(value any) (string, error) {
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		return "", err
+	}
+	digest := fnv.New64a()
+	_, _ = digest.Write(encoded)
+	return fmt.Sprintf("W/\"%x\"", digest.Sum64()), nil
+}
+
 // Read decodes a JSON body; its error is a *Failure.
 func Read(writer http.ResponseWriter, request *http.Request, body any) error {
 	decoder := json.NewDecoder(http.MaxBytesReader(writer, request.Body, maxBody))
