--- a/rehearsal/cluster/cluster.go
+++ b/rehearsal/cluster/cluster.go
@@ -321,3 +321,14 @@
 	child, err := cluster.child(id)
 	return err == nil && child.running()
 }
+
+// Processes lists the system's process ids of what runs, by machine id.
+func (cluster *Cluster) Processes() map[string]int {
+	processes := make(map[string]int)
+	for id, child := range cluster.children {
+		if child.running() {
+			processes[id] = child.command.Process.Pid
+		}
+	}
+	return processes
+}
--- /dev/null
+++ b/rehearsal/command/cost.go
@@ -0,0 +1,97 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/magpielug/magpielug/rehearsal/caller"
+	"github.com/magpielug/magpielug/rehearsal/cluster"
+	"github.com/magpielug/magpielug/rehearsal/speed"
+)
+
+// Cost measures what schedulers and gateways use when idle, under steady calls,
+// and for programs in progress.
+type Cost struct {
+	SpeedLayout
+	Rates    []float64     `arg:"--rate" help:"calls a second; default 50 200"`
+	Duration time.Duration `arg:"--duration" default:"10s" help:"duration of each measurement"`
+	Programs int           `arg:"--programs" default:"4000" help:"programs to create for the memory of programs in progress"`
+}
+
+// rampUp is how long a load runs before it is measured.
+const rampUp = 2 * time.Second
+
+// Run prints a table.
+func (command *Cost) Run(ctx context.Context) error {
+	started, kind, key, err := command.start(ctx)
+	if err != nil {
+		return err
+	}
+	defer started.Stop()
+	idle, err := speed.Watch(ctx, started, command.Duration)
+	if err != nil {
+		return err
+	}
+	fmt.Print(speed.CostHeader)
+	speed.WriteCosts(os.Stdout, fmt.Sprintf("idle, %d shards", command.Shards), idle, nil, 0)
+	rates := command.Rates
+	if len(rates) == 0 {
+		rates = []float64{50, 200}
+	}
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: speedRunningLimit}}
+	for _, rate := range rates {
+		if err := command.loaded(ctx, started, client, key, rate, idle); err != nil {
+			return err
+		}
+	}
+	return command.memory(ctx, started, caller.New(client, key), kind)
+}
+
+// loaded measures under a steady rate of calls.
+func (command *Cost) loaded(ctx context.Context, started *cluster.Cluster, client *http.Client, key string, rate float64, idle []speed.Cost) error {
+	load := &speed.Load{Way: speed.Chat(started.Gateways(), key, rehearsalModel), Client: client, PerSecond: rate}
+	running, stop := context.WithCancel(ctx)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		load.Run(running)
+	}()
+	defer func() {
+		stop()
+		<-ended
+	}()
+	time.Sleep(rampUp)
+	before, _ := load.Counts()
+	costs, err := speed.Watch(ctx, started, command.Duration)
+	if err != nil {
+		return err
+	}
+	after, failed := load.Counts()
+	if failed > 0 {
+		fmt.Fprintf(os.Stderr, "%d calls failed\n", failed)
+	}
+	made := float64(after-before) / command.Duration.Seconds()
+	speed.WriteCosts(os.Stdout, fmt.Sprintf("%.0f calls/s", made), costs, idle, made)
+	return nil
+}
+
+// memory creates programs and measures with them in progress.
+func (command *Cost) memory(ctx context.Context, started *cluster.Cluster, user *caller.Caller, kind string) error {
+	gateways := started.Gateways()
+	for number := range command.Programs {
+		if _, err := user.CreateProgram(ctx, gateways[number%len(gateways)], "", kind, ""); err != nil {
+			return eris.Wrapf(err, "create program %d", number)
+		}
+	}
+	costs, err := speed.Watch(ctx, started, command.Duration)
+	if err != nil {
+		return err
+	}
+	speed.WriteCosts(os.Stdout, fmt.Sprintf("idle, %d programs in progress", command.Programs), costs, nil, 0)
+	return nil
+}
--- a/rehearsal/command/speed.go
+++ b/rehearsal/command/speed.go
@@ -14,17 +14,24 @@
 	"github.com/magpielug/magpielug/rehearsal/speed"
 )
 
-// Speed measures what gateway and scheduler add to a call's tokens.
-type Speed struct {
+// SpeedLayout is what the measurements of speed and cost start: one gateway and
+// one scheduler a zone, and one engine at which calls don't queue.
+type SpeedLayout struct {
 	Port      int           `arg:"--port" default:"7700" help:"port of every machine; the platform's services take this one and the next two"`
 	Directory string        `arg:"--directory" default:"out/speed" help:"where logs and settings files go"`
 	Magpielug string        `arg:"--magpielug" help:"program to start; default is the one beside this program"`
 	Shards    int           `arg:"--shards" default:"16" help:"number of shards"`
-	InFlight  []int         `arg:"--in-flight" help:"numbers of calls in flight; default 1 64 512"`
-	Rounds    int           `arg:"--rounds" default:"3" help:"rounds of each way at each number"`
-	Duration  time.Duration `arg:"--duration" default:"5s" help:"duration of a round"`
-	WarmUp    time.Duration `arg:"--warm-up" default:"1s" help:"first part of a round, which is not counted"`
-	Seed      int64         `arg:"--seed" default:"1" help:"seed of the outputs' lengths"`
+	Settle    time.Duration `arg:"--settle" default:"15s" help:"wait before the first measurement: leaders hand over to the preferred processes"`
+}
+
+// Speed measures what gateway and scheduler add to a call's tokens.
+type Speed struct {
+	SpeedLayout
+	InFlight []int         `arg:"--in-flight" help:"numbers of calls in flight; default 1 64 512"`
+	Rounds   int           `arg:"--rounds" default:"3" help:"rounds of each way at each number"`
+	Duration time.Duration `arg:"--duration" default:"5s" help:"duration of a round"`
+	WarmUp   time.Duration `arg:"--warm-up" default:"1s" help:"first part of a round, which is not counted"`
+	Seed     int64         `arg:"--seed" default:"1" help:"seed of the outputs' lengths"`
 }
 
 const (
@@ -34,8 +41,7 @@
 	speedBlocks = 1 << 17
 )
 
-// Run starts one engine, one gateway and one scheduler a zone, and prints the
-// figures.
+// Run prints a table.
 func (command *Speed) Run(ctx context.Context) error {
 	started, kind, key, err := command.start(ctx)
 	if err != nil {
@@ -73,7 +79,9 @@
 	return nil
 }
 
-func (command *Speed) start(ctx context.Context) (started *cluster.Cluster, kind, key string, err error) {
+// start returns once everything serves and has settled, with a kind of programs
+// and the key of its tier.
+func (command *SpeedLayout) start(ctx context.Context) (started *cluster.Cluster, kind, key string, err error) {
 	layout := Layout{
 		Deployment:        "namibia",
 		Port:              command.Port,
@@ -92,6 +100,10 @@
 	if err != nil {
 		return nil, "", "", err
 	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(command.Settle):
+	}
 	first := deployment.Kinds[0]
 	return started, first.Name, cluster.TierKey(first.Tier), nil
 }
--- a/rehearsal/speed/round.go
+++ b/rehearsal/speed/round.go
@@ -14,6 +14,8 @@
 	// Outputs vary in length, so that calls in flight don't begin together.
 	shortestOutput = 60
 	longestOutput  = 140
+	// failurePause keeps a caller whose call has failed from trying at once.
+	failurePause = 200 * time.Millisecond
 )
 
 // Config is one measurement.
@@ -131,6 +133,9 @@
 				if counted || err != nil {
 					times.add(measured, err)
 				}
+				if err != nil {
+					time.Sleep(failurePause)
+				}
 			}
 		}()
 	}
