--- a/rehearsal/experiment/file.go
+++ b/rehearsal/experiment/file.go
@@ -74,8 +74,18 @@
 	// EnginesPerKeeper splits the engines over several keepers; 0 is one keeper
 	// for all of them.
 	EnginesPerKeeper int `yaml:"engines_per_keeper"`
+	// KeeperBinding binds a program to one of several keepers at its arrival:
+	// fewest-programs, which needs an exact view of all keepers, or hash, which
+	// needs none. Empty is fewest-programs.
+	KeeperBinding string `yaml:"keeper_binding"`
 }
 
+// Bindings of programs to keepers.
+const (
+	bindingFewestPrograms = "fewest-programs"
+	bindingHash           = "hash"
+)
+
 // ReadFile reads and checks an experiment file.
 func ReadFile(path string) (File, error) {
 	content, err := os.ReadFile(path)
@@ -175,6 +185,9 @@
 		if policy.EnginesPerKeeper < 0 {
 			return invalid(key+".engines_per_keeper", "is below 0")
 		}
+		if !policy.bindingKnown() {
+			return invalid(key+".keeper_binding", "is neither fewest-programs nor hash")
+		}
 		if _, err := policy.policies(); err != nil {
 			return invalid(key, err.Error())
 		}
@@ -192,6 +205,15 @@
 	return nil
 }
 
+func (policy Policy) bindingKnown() bool {
+	switch policy.KeeperBinding {
+	case "", bindingFewestPrograms, bindingHash:
+		return true
+	default:
+		return false
+	}
+}
+
 // policies looks the keeper's policies up by name.
 func (policy Policy) policies() (keeper.Policies, error) {
 	return keeper.PoliciesByName(policy.Queue, policy.Placement, policy.Cache, policy.AffinityPercent)
--- a/rehearsal/experiment/file_test.go
+++ b/rehearsal/experiment/file_test.go
@@ -1,6 +1,7 @@
 package experiment
 
 import (
+	"path/filepath"
 	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -33,6 +34,7 @@
   - {name: first-come, queue: fcfs, placement: round-robin, cache: none}
   - {name: attained, queue: least-attained, placement: affinity-balanced, cache: predictive, affinity_percent: 50}
   - {name: single, queue: oracle, placement: least-loaded, cache: keep, engines_per_keeper: 1}
+  - {name: hashed, queue: fcfs, placement: affinity, cache: release, engines_per_keeper: 1, keeper_binding: hash}
 baseline: first-come
 candidate: attained
 `
@@ -41,10 +43,20 @@
 	It("takes a whole file", func() {
 		file, err := ParseFile([]byte(tinyFile))
 		Expect(err).NotTo(HaveOccurred())
-		Expect(file.Policies).To(HaveLen(3))
+		Expect(file.Policies).To(HaveLen(4))
 		Expect(file.Engine.StepBase.String()).To(Equal("3ms"))
 	})
 
+	It("takes every file of the repository", func() {
+		paths, err := filepath.Glob("../experiments/*.yaml")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(paths).NotTo(BeEmpty())
+		for _, path := range paths {
+			_, err := ReadFile(path)
+			Expect(err).NotTo(HaveOccurred(), path)
+		}
+	})
+
 	DescribeTable("refuses a bad file and names the key",
 		func(from, to, key string) {
 			Expect(tinyFile).To(ContainSubstring(from))
@@ -74,6 +86,7 @@
 		Entry("unknown placement", "placement: round-robin", "placement: dice", "policies[0]"),
 		Entry("unknown cache", "cache: none", "cache: all", "policies[0]"),
 		Entry("negative pool", "engines_per_keeper: 1", "engines_per_keeper: -1", "engines_per_keeper"),
+		Entry("unknown binding", "engines_per_keeper: 1", "keeper_binding: luck", "keeper_binding"),
 		Entry("no baseline", "baseline: first-come", "", "baseline"),
 		Entry("unknown candidate", "candidate: attained", "candidate: best", "candidate"),
 	)
--- a/rehearsal/experiment/pool.go
+++ b/rehearsal/experiment/pool.go
@@ -3,6 +3,8 @@
 import (
 	"sort"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/magpielug/magpielug/internal/keeper"
 )
 
@@ -48,9 +50,16 @@
 	return nil
 }
 
-// choosePool binds a program that arrives to the pool with the fewest programs
-// an engine.
-func (simulation *simulation) choosePool() *pool {
+// choosePool binds a program that arrives to a pool.
+func (simulation *simulation) choosePool(program string) *pool {
+	if simulation.config.Policy.KeeperBinding == bindingHash {
+		return simulation.pools[xxhash.Sum64String(program)%uint64(len(simulation.pools))]
+	}
+	return simulation.emptiestPool()
+}
+
+// emptiestPool returns the pool with the fewest programs an engine.
+func (simulation *simulation) emptiestPool() *pool {
 	chosen := simulation.pools[0]
 	for _, candidate := range simulation.pools[1:] {
 		if candidate.programs*chosen.capacity < chosen.programs*candidate.capacity {
--- a/rehearsal/experiment/program.go
+++ b/rehearsal/experiment/program.go
@@ -75,7 +75,7 @@
 		simulation: simulation,
 		program:    program,
 		tier:       simulation.config.Deployment.TierByName(program.Tier),
-		pool:       simulation.choosePool(),
+		pool:       simulation.choosePool(program.ID),
 		history:    workload.NewHistory(simulation.config.Engine.BlockTokens),
 		startsAt:   simulation.now,
 	}
--- a/rehearsal/experiment/run_test.go
+++ b/rehearsal/experiment/run_test.go
@@ -23,8 +23,8 @@
 		second, err := Run(context.Background(), tiny(), DefaultWorkers, nil)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(second).To(Equal(first))
-		Expect(first.Cells).To(HaveLen(6))
-		Expect(first.Runs).To(HaveLen(12))
+		Expect(first.Cells).To(HaveLen(8))
+		Expect(first.Runs).To(HaveLen(16))
 	})
 
 	It("accounts for every program: completed, refused or capped", func() {
