--- a/internal/keeper/dispatch.go
+++ b/internal/keeper/dispatch.go
@@ -147,6 +147,7 @@
 	keeper.candidates = keeper.candidates[:0]
 	keeper.slots = keeper.slots[:0]
 	keeper.slotTotal = 0
+	keeper.dispatches++
 	prefill := keeper.estimates.prefillPerToken()
 	for _, engine := range keeper.engines {
 		ready := keeper.ready(engine)
--- a/internal/keeper/effect.go
+++ b/internal/keeper/effect.go
@@ -43,6 +43,10 @@
 	Why     string
 }
 
+// CheckEngine asks for an engine's load report without waiting for the next one
+// that is due: a call has failed there, and it gets no grant before it reports.
+type CheckEngine struct{ Engine string }
+
 // ExportCache orders an engine to export a program's blocks, then free them.
 type ExportCache struct {
 	Engine  string
@@ -59,5 +63,6 @@
 func (Refuse) effect()       {}
 func (Preempt) effect()      {}
 func (ReleaseCache) effect() {}
+func (CheckEngine) effect()  {}
 func (ExportCache) effect()  {}
 func (ImportCache) effect()  {}
--- a/internal/keeper/prefix.go
+++ b/internal/keeper/prefix.go
@@ -1,6 +1,10 @@
 package keeper
 
-import "time"
+import (
+	"time"
+
+	"github.com/magpielug/magpielug/internal/queue"
+)
 
 // prefix is the estimate of what one engine has cached for one program. It is
 // linked in its engine's list, by last use, and listed in its program.
@@ -89,9 +93,10 @@
 	if free >= engine.prefixes.idleTokens {
 		return false
 	}
-	for held := engine.prefixes.newest; held != nil; held = held.older {
-		if held.pins == 0 && held.program != call.program && keeper.protected(held.program, call) {
-			free -= held.memory
+	for index := range keeper.claims(engine) {
+		claim := &engine.claims[index]
+		if claim.program != call.program && claim.rank.Before(call.rank) {
+			free -= claim.memory
 		}
 		if free < 0 {
 			return true
@@ -100,12 +105,33 @@
 	return false
 }
 
-// protected tells whether a call may not push out a program's prefix.
-func (keeper *Keeper) protected(program *programState, call *waitingCall) bool {
-	if program.calls == 0 && keeper.now > program.returnBy {
-		return false
+// claim is the memory of one idle prefix whose program is expected back.
+type claim struct {
+	program *programState
+	rank    queue.Rank
+	memory  int
+}
+
+// claims lists an engine's claims. The list is made once a dispatch, for all
+// the calls it tries: walking the prefixes for each call costs more than all
+// else together.
+func (keeper *Keeper) claims(engine *engineState) []claim {
+	if engine.claimsOf == keeper.dispatches {
+		return engine.claims
 	}
-	return program.rank.Before(call.rank)
+	engine.claimsOf = keeper.dispatches
+	engine.claims = engine.claims[:0]
+	for held := engine.prefixes.newest; held != nil; held = held.older {
+		if held.pins == 0 && held.memory > 0 && keeper.expectedBack(held.program) {
+			engine.claims = append(engine.claims, claim{held.program, held.program.rank, held.memory})
+		}
+	}
+	return engine.claims
+}
+
+// expectedBack tells whether a program waits for a slot or should soon.
+func (keeper *Keeper) expectedBack(program *programState) bool {
+	return program.calls > 0 || keeper.now <= program.returnBy
 }
 
 // resize sets the estimate.
--- a/internal/keeper/running.go
+++ b/internal/keeper/running.go
@@ -92,7 +92,10 @@
 	}
 	engine := call.engine
 	ordered := call.preempting || call.cancelling
-	engine.failed = engine.failed || (event.Failed && !ordered)
+	if event.Failed && !ordered {
+		engine.failed = true
+		keeper.emit(CheckEngine{Engine: engine.name})
+	}
 	keeper.endGrant(call)
 	call.program.returnBy = keeper.now + keeper.config.ReturnWithin
 	keeper.ensurePrefix(call.program, engine)
