--- a/internal/keeper/dispatch.go
+++ b/internal/keeper/dispatch.go
@@ -140,6 +140,25 @@
 	free  int
 	// claimed counts calls passed over in this dispatch that wait for the engine.
 	claimed int
+	// crowdedNeed and crowdedRank are of the smallest call found crowded out in
+	// this dispatch; crowdedNeed is 0 before any was.
+	crowdedNeed int
+	crowdedRank queue.Rank
+}
+
+// judgeCrowded is crowded, but saves the look at every claim for a call that
+// needs no less than one found crowded out and is ranked after it.
+func (keeper *Keeper) judgeCrowded(slot *slotState, engine *engineState, call *waitingCall) bool {
+	implied := slot.crowdedNeed > 0 && call.need >= slot.crowdedNeed && slot.crowdedRank.Before(call.rank)
+	if implied && call.program.prefixOn(engine) == nil {
+		return true
+	}
+	crowded := keeper.crowded(engine, call)
+	if crowded && (slot.crowdedNeed == 0 || call.need < slot.crowdedNeed) {
+		slot.crowdedNeed = call.need
+		slot.crowdedRank = call.rank
+	}
+	return crowded
 }
 
 // fillCandidates describes the engines for one dispatch.
@@ -147,7 +166,6 @@
 	keeper.candidates = keeper.candidates[:0]
 	keeper.slots = keeper.slots[:0]
 	keeper.slotTotal = 0
-	keeper.dispatches++
 	prefill := keeper.estimates.prefillPerToken()
 	for _, engine := range keeper.engines {
 		ready := keeper.ready(engine)
@@ -180,7 +198,7 @@
 		if !engine.fits(call.need) {
 			candidate.FreeSlots = 0
 		}
-		candidate.Crowded = candidate.FreeSlots > 0 && keeper.crowded(engine, call)
+		candidate.Crowded = candidate.FreeSlots > 0 && keeper.judgeCrowded(slot, engine, call)
 		candidate.Wait = 0
 		if candidate.FreeSlots == 0 {
 			candidate.Wait = keeper.slotWait(engine, slot.claimed)
--- a/internal/keeper/engine.go
+++ b/internal/keeper/engine.go
@@ -28,9 +28,9 @@
 	// usedTokens is the KV memory the running calls are expected to need.
 	usedTokens int
 	prefixes   prefixList
-	// claims is valid for the dispatch numbered claimsOf.
-	claims   []claim
-	claimsOf uint64
+	// claims is valid unless claimsStale.
+	claims      []claim
+	claimsStale bool
 	// bound holds the calls bound here on arrival.
 	bound *queue.Queue[*waitingCall]
 }
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -49,9 +49,6 @@
 	// sequence counts grants.
 	sequence uint64
 
-	// dispatches counts looks at the engines' state.
-	dispatches uint64
-
 	// Buffers reused between steps.
 	candidates []placement.Candidate
 	slots      []slotState
--- a/internal/keeper/pause.go
+++ b/internal/keeper/pause.go
@@ -18,6 +18,7 @@
 	program.paused = true
 	program.pausedAt = keeper.now
 	program.returnBy = keeper.now + returnMargin*keeper.expectedPause(program, event.ExpectedPause)
+	program.changeClaims()
 	if !keeper.policies.ManagesCache {
 		return
 	}
--- a/internal/keeper/prefix.go
+++ b/internal/keeper/prefix.go
@@ -1,6 +1,7 @@
 package keeper
 
 import (
+	"math"
 	"time"
 
 	"github.com/magpielug/magpielug/internal/queue"
@@ -95,7 +96,10 @@
 	}
 	for index := range keeper.claims(engine) {
 		claim := &engine.claims[index]
-		if claim.program != call.program && claim.rank.Before(call.rank) {
+		if claim.program == call.program || keeper.now > claim.until {
+			continue
+		}
+		if claim.rank.Before(call.rank) {
 			free -= claim.memory
 		}
 		if free < 0 {
@@ -105,37 +109,50 @@
 	return false
 }
 
-// claim is the memory of one idle prefix whose program is expected back.
+// claim is the memory of one idle prefix, for as long as its program waits for
+// a slot or is expected back.
 type claim struct {
 	program *programState
 	rank    queue.Rank
 	memory  int
+	until   time.Duration
 }
 
-// claims lists an engine's claims. The list is made once a dispatch, for all
-// the calls it tries: walking the prefixes for each call costs more than all
-// else together.
+// untilGranted is the end of a claim whose program has calls.
+const untilGranted = time.Duration(math.MaxInt64)
+
+// claims lists an engine's claims. Walking the prefixes for each call tried
+// would cost more than all else together, so the list is kept until a prefix
+// of the engine, or a program of one, changes.
 func (keeper *Keeper) claims(engine *engineState) []claim {
-	if engine.claimsOf == keeper.dispatches {
+	if !engine.claimsStale {
 		return engine.claims
 	}
-	engine.claimsOf = keeper.dispatches
+	engine.claimsStale = false
 	engine.claims = engine.claims[:0]
 	for held := engine.prefixes.newest; held != nil; held = held.older {
-		if held.pins == 0 && held.memory > 0 && keeper.expectedBack(held.program) {
-			engine.claims = append(engine.claims, claim{held.program, held.program.rank, held.memory})
+		until := held.program.returnBy
+		if held.program.calls > 0 {
+			until = untilGranted
+		}
+		if held.pins == 0 && held.memory > 0 && keeper.now <= until {
+			engine.claims = append(engine.claims, claim{held.program, held.program.rank, held.memory, until})
 		}
 	}
 	return engine.claims
 }
 
-// expectedBack tells whether a program waits for a slot or should soon.
-func (keeper *Keeper) expectedBack(program *programState) bool {
-	return program.calls > 0 || keeper.now <= program.returnBy
+// changeClaims marks the claims of every engine that has a prefix of the
+// program as stale. It is called after each change of rank, calls or returnBy.
+func (program *programState) changeClaims() {
+	for _, held := range program.prefixes {
+		held.engine.claimsStale = true
+	}
 }
 
 // resize sets the estimate.
 func (p *prefix) resize(tokens int) {
+	p.engine.claimsStale = true
 	memory := max(tokens-p.program.kindRecord().sharedTokens(), 0)
 	if p.pins == 0 {
 		p.engine.prefixes.idleTokens += memory - p.memory
@@ -146,6 +163,7 @@
 
 // pin marks one more running call of the program on the engine.
 func (p *prefix) pin() {
+	p.engine.claimsStale = true
 	if p.pins == 0 {
 		p.engine.prefixes.idleTokens -= p.memory
 	}
@@ -154,6 +172,7 @@
 
 // unpin takes one running call back.
 func (p *prefix) unpin() {
+	p.engine.claimsStale = true
 	p.pins--
 	if p.pins == 0 {
 		p.engine.prefixes.idleTokens += p.memory
@@ -162,6 +181,7 @@
 
 // drop forgets the prefix, on the engine's side and on the program's.
 func (p *prefix) drop() {
+	p.engine.claimsStale = true
 	if p.pins == 0 {
 		p.engine.prefixes.idleTokens -= p.memory
 	}
--- a/internal/keeper/running.go
+++ b/internal/keeper/running.go
@@ -76,6 +76,7 @@
 	call.tier.running--
 	keeper.tiers.forgetIdle(call.tier)
 	call.program.calls--
+	call.program.changeClaims()
 	delete(keeper.running, call.request.Call)
 }
 
@@ -98,6 +99,7 @@
 	}
 	keeper.endGrant(call)
 	call.program.returnBy = keeper.now + keeper.config.ReturnWithin
+	call.program.changeClaims()
 	keeper.ensurePrefix(call.program, engine)
 	if call.program.ended {
 		keeper.releaseAll(call.program, "program ended while its call ran")
--- a/internal/keeper/waiting.go
+++ b/internal/keeper/waiting.go
@@ -72,6 +72,7 @@
 	call.program = keeper.seeProgram(&request)
 	call.need = keeper.needTokens(&request, call.program)
 	call.program.rank = rank
+	call.program.changeClaims()
 	if request.Parent != "" {
 		call.parent = keeper.programs.byName[request.Parent]
 	}
@@ -117,6 +118,7 @@
 func (keeper *Keeper) dropCall(call *waitingCall) {
 	keeper.leaveQueue(call)
 	call.program.calls--
+	call.program.changeClaims()
 	keeper.tiers.forgetIdle(call.tier)
 }
 
