--- a/internal/queue/leastattained.go
+++ b/internal/queue/leastattained.go
@@ -18,9 +18,11 @@
 	AgePerToken float64
 }
 
+// A program is served by its age until it has used what nine in ten programs
+// need in all; then it goes behind those that have not.
 const (
-	defaultLevelTokens = 500
-	defaultAgePerToken = 0.05
+	defaultLevelTokens = 4000
+	defaultAgePerToken = 1
 )
 
 // DefaultAttainedOrder returns the order with its default tuning.
