--- a/internal/replication/replica_test.go
+++ b/internal/replication/replica_test.go
@@ -88,6 +88,26 @@
 var _ = Describe("A replica", func() {
 	first := replication.MakeEpoch(1, 1)
 
+	It("votes once an epoch, for a log as new as its own, and not while its leader may lead", func() {
+		b := newBench(replication.DefaultConfig())
+		b.receive(peerB, first, appendMessage(0, 0, entryOf(1, first)))
+		ask := func(from string, request *replicationv1.VoteRequest) []*replicationv1.Message {
+			request.CandidateEpoch = uint64(first.Next())
+			return b.receive(from, first, &replicationv1.Message{
+				Body: &replicationv1.Message_VoteRequest{VoteRequest: request},
+			})
+		}
+		current := func() *replicationv1.VoteRequest {
+			return &replicationv1.VoteRequest{LastIndex: 1, LastEpoch: uint64(first)}
+		}
+		Expect(ask(peerC, current())).To(BeEmpty())
+		b.now += replication.DefaultConfig().ElectionTimeoutMin
+		Expect(ask(peerC, &replicationv1.VoteRequest{PreVote: true})[0].GetVoteResponse().GetGranted()).To(BeFalse())
+		Expect(ask(peerC, &replicationv1.VoteRequest{})[0].GetVoteResponse().GetGranted()).To(BeFalse())
+		Expect(ask(peerC, current())[0].GetVoteResponse().GetGranted()).To(BeTrue())
+		Expect(ask(peerB, current())[0].GetVoteResponse().GetGranted()).To(BeFalse())
+	})
+
 	It("commits an earlier epoch's entry only with one of its own", func() {
 		b := newBench(replication.DefaultConfig())
 		b.receive(peerB, first, appendMessage(0, 0, entryOf(1, first)))
