Keep room in the backlog for calls under way, and bound it for the process

Cause: while the log is away a shard's backlog filled up to the replica's bound, and then no entry was taken at all: calls under way could not end until the log was back. 30 shards at 16 MB each would also pass the target's 256 MB.

--- a/internal/process/scheduler.go
+++ b/internal/process/scheduler.go
@@ -89,6 +89,7 @@
 		Shards:              bounds.Shards,
 		Replicas:            bounds.Replicas,
 		Replication:         agreement,
+		BacklogBytes:        int(bounds.ArchiveBacklogTotal),
 		OfferRetry:          bounds.OfferRetry,
 		HeldInterval:        bounds.HeldInterval,
 		LiveInterval:        bounds.LiveInterval,
--- a/internal/scheduler/archive.go
+++ b/internal/scheduler/archive.go
@@ -11,6 +11,29 @@
 // maximumArchiveBytes bounds the entries of one archive record.
 const maximumArchiveBytes = 1 << 20
 
+// newCallShare is the part of a shard's backlog bound that new calls may fill.
+// The rest is for the entries that calls under way still need: without it they
+// could not end while the log is away.
+const newCallShare = 0.75
+
+// backlogFull tells whether so much waits for the log that no new call may be
+// accepted.
+func (host *host) backlogFull() bool {
+	core := host.core
+	bound := float64(core.config.Replication.MaxBacklogBytes) * newCallShare
+	if float64(host.replica.BacklogBytes()) >= bound {
+		return true
+	}
+	if core.config.BacklogBytes == 0 {
+		return false
+	}
+	total := 0
+	for _, other := range core.hosts {
+		total += other.replica.BacklogBytes()
+	}
+	return total >= core.config.BacklogBytes
+}
+
 // archiveEntries appends what is committed and not yet archived to the shard's
 // stream, one append at a time. A record that was lost, or whose answer was
 // lost, is appended again: readers pass over what they have.
--- a/internal/scheduler/call_ask.go
+++ b/internal/scheduler/call_ask.go
@@ -36,6 +36,11 @@
 		core.decline(event.Ask, failure)
 		return
 	}
+	if host.backlogFull() {
+		core.decline(event.Ask, resultcode.New(resultcode.ArchiveBacklogFull,
+			"the log has been away for too long").After(archiveRetryAfter))
+		return
+	}
 	if failure := core.checkTarget(program, request); failure != nil {
 		host.declineCall(event.Ask, request, failure)
 		return
--- a/internal/scheduler/cluster_test.go
+++ b/internal/scheduler/cluster_test.go
@@ -45,6 +45,8 @@
 	cut       func(from, to string) bool
 	logDown   bool
 	callSteps int
+	// backlog bounds a shard's unarchived entries; 0 takes the default.
+	backlog int
 	// budget of the one tier, micro units.
 	budget  uint64
 	answers map[AskID]callAnswer
@@ -135,6 +137,14 @@
 	return cluster
 }
 
+func (cluster *testCluster) config(name string) Config {
+	config := testConfig(name)
+	if cluster.backlog > 0 {
+		config.Replication.MaxBacklogBytes = cluster.backlog
+	}
+	return config
+}
+
 func testConfig(name string) Config {
 	return Config{
 		Process: name, Region: "r", Zone: "z" + string(name[1]), Shards: 4, Replicas: 3,
@@ -154,7 +164,7 @@
 	}
 	node := &testNode{
 		cluster: cluster, name: name, epoch: epoch,
-		core:   NewCore(testConfig(name), rand.New(rand.NewSource(cluster.random.Int63()))),
+		core:   NewCore(cluster.config(name), rand.New(rand.NewSource(cluster.random.Int63()))),
 		peerOf: make(map[AskID]string),
 		stops:  make(map[RunKey]bool),
 	}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -26,6 +26,9 @@
 	// Replicas is the number of members of a group.
 	Replicas    int
 	Replication replication.Config
+	// BacklogBytes bounds the committed entries of all shards hosted that are not
+	// yet archived; 0 is no bound.
+	BacklogBytes int
 	// OfferRetry is how long an offer to a keeper waits for its answer.
 	OfferRetry time.Duration
 	// HeldInterval is how often a leader tells keepers which grants it holds.
--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -192,6 +193,30 @@
 		Expect(cluster.leader("p1")).NotTo(Equal(leader))
 	})
 
+	It("refuses new calls while the log is away for long, and ends those under way", func() {
+		cluster := newTestCluster(13, 3)
+		cluster.backlog = 64 << 10
+		for _, name := range sortedKeys(cluster.nodes) {
+			cluster.start(name)
+		}
+		cluster.create("p1")
+		cluster.runFor(time.Second)
+		cluster.logDown = true
+		var refused outcome
+		answered := 0
+		for ; refused.failure == nil && answered < 400; answered++ {
+			request := testCall(fmt.Sprintf("single%d", answered), "r1")
+			request.SingleCall = true
+			request.Messages[0].Content = strings.Repeat("reading ", 256)
+			refused = cluster.call(request, 20*time.Second)
+		}
+		Expect(refused.failure.Code).To(BeEquivalentTo(resultcode.ArchiveBacklogFull))
+		Expect(refused.failure.RetryAfterMs).NotTo(BeZero())
+		cluster.logDown = false
+		cluster.runFor(2 * time.Second)
+		Expect(cluster.call(testCall("p1", "after"), 20*time.Second).failure).To(BeNil())
+	})
+
 	It("releases the cache of a stopped program", func() {
 		cluster := newTestCluster(7, 3)
 		cluster.create("p1")
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -77,7 +77,8 @@
 	Lease               time.Duration `koanf:"lease" validate:"gte=20ms,lte=60s" about:"How long a leader may act after a majority heard it; above scheduler.heartbeat and at most 0.9 of scheduler.election_min."`
 	ElectionMin         time.Duration `koanf:"election_min" validate:"gte=20ms,lte=60s" about:"Shortest silence of a leader before another stands."`
 	ElectionMax         time.Duration `koanf:"election_max" validate:"gte=20ms,lte=120s" about:"Longest such silence; above scheduler.election_min."`
-	ArchiveBacklog      Size          `koanf:"archive_backlog" validate:"gte=64KiB,lte=8GiB" about:"Entries a shard keeps while the log is away; past it calls are refused with code 2008."`
+	ArchiveBacklog      Size          `koanf:"archive_backlog" validate:"gte=64KiB,lte=8GiB" about:"Entries a shard keeps while the log is away; past three quarters of it new calls are refused with code 2008, the rest is for calls under way."`
+	ArchiveBacklogTotal Size          `koanf:"archive_backlog_total" validate:"gte=64KiB,lte=64GiB" about:"The same over all shards of the process."`
 	KeepEntries         int           `koanf:"keep_entries" validate:"gte=0,lte=1000000" about:"Archived entries kept in memory for members that lag."`
 	OfferRetry          time.Duration `koanf:"offer_retry" validate:"gte=10ms,lte=60s" about:"How long an offer to a keeper waits for its answer."`
 	HeldInterval        time.Duration `koanf:"held_interval" validate:"gte=10ms,lte=60s" about:"How often a leader tells keepers which grants it holds."`
