Let the keeper's engines follow their state chart

Cause: charts/engine.yaml was read by nothing; the keeper worked an engine's readiness out anew from four fields at each look.

Change: engineState has a typed state of package charts, and every event goes through charts.Engine.Next. The chart learns call_failed (ready to joining until the next report), which the code had and the chart had not; a report counts only where it shows slots. Behaviour kept: the keeper's tests are unchanged.

--- a/internal/keeper/admission.go
+++ b/internal/keeper/admission.go
@@ -85,7 +85,7 @@
 func (keeper *Keeper) predictWait(band uint32) time.Duration {
 	slots, free := 0, 0
 	for _, engine := range keeper.engines {
-		if keeper.ready(engine) {
+		if engine.ready() {
 			slots += keeper.limit(engine)
 			free += keeper.freeSlots(engine)
 		}
@@ -122,11 +122,11 @@
 // grace.
 func (keeper *Keeper) withoutEngine() bool {
 	for _, engine := range keeper.engines {
-		if keeper.ready(engine) {
+		if engine.ready() {
 			keeper.lastReady = keeper.now
 			return false
 		}
-		if keeper.allowed(engine) {
+		if engine.allowed() {
 			// It was ready until its silence grew too long.
 			keeper.lastReady = max(keeper.lastReady, engine.reportedAt+keeper.config.ReportTimeout)
 		}
--- a/internal/keeper/dispatch.go
+++ b/internal/keeper/dispatch.go
@@ -168,7 +168,7 @@
 	keeper.slotTotal = 0
 	prefill := keeper.estimates.prefillPerToken()
 	for _, engine := range keeper.engines {
-		ready := keeper.ready(engine)
+		ready := engine.ready()
 		if ready {
 			keeper.slotTotal += keeper.limit(engine)
 		}
--- a/internal/keeper/engine.go
+++ b/internal/keeper/engine.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/magpielug/magpielug/charts"
 	"github.com/magpielug/magpielug/internal/queue"
 )
 
@@ -14,10 +15,13 @@
 	model string
 	zone  string
 
+	// state follows the engine chart; only a ready engine gets grants.
+	state      charts.EngineState
 	reportedAt time.Duration
 	// failed is true from a failed call to the engine's next report: one that
 	// has died would fail all attempts of a call until it counts as silent.
-	failed       bool
+	failed bool
+	// leaving is what the engine itself says.
 	leaving      bool
 	adapters     []string
 	runningLimit int
@@ -57,27 +61,15 @@
 	if !found {
 		engine := &engineState{
 			name:  name,
+			state: charts.Engine.Initial(),
 			bound: queue.New[*waitingCall](keeper.config.ReservedShare),
 		}
 		keeper.engines = slices.Insert(keeper.engines, index, engine)
+		keeper.followDrain(engine)
 	}
 	return keeper.engines[index]
 }
 
-// ready tells whether the engine may get new grants: it has reported lately and
-// since it last failed a call, and neither itself nor an operator is taking it
-// out.
-func (keeper *Keeper) ready(engine *engineState) bool {
-	silence := keeper.now - engine.reportedAt
-	return silence <= keeper.config.ReportTimeout && !engine.failed && keeper.allowed(engine)
-}
-
-// allowed tells whether neither the engine itself nor an operator is taking it
-// out.
-func (keeper *Keeper) allowed(engine *engineState) bool {
-	return !engine.leaving && engine.runningLimit > 0 && !keeper.drained[engine.name]
-}
-
 // limit is how many calls may run on the engine together.
 func (keeper *Keeper) limit(engine *engineState) int {
 	target := keeper.config.TargetRunning
@@ -89,7 +81,7 @@
 
 // freeSlots is how many more calls may be granted on the engine now.
 func (keeper *Keeper) freeSlots(engine *engineState) int {
-	if !keeper.ready(engine) {
+	if !engine.ready() {
 		return 0
 	}
 	return max(keeper.limit(engine)-len(engine.running), 0)
@@ -129,14 +121,6 @@
 	}
 }
 
-// drainEngine stops new grants on an engine and sends calls bound there back.
-func (keeper *Keeper) drainEngine(name string) {
-	keeper.drained[name] = true
-	if engine := keeper.engineNamed(name); engine != nil {
-		keeper.unbind(engine)
-	}
-}
-
 // loseEngine removes an engine. Its grants end; their leaders find the calls
 // failed on their own.
 func (keeper *Keeper) loseEngine(name string) {
@@ -145,11 +129,15 @@
 		return
 	}
 	engine := keeper.engines[index]
+	if engine.state == charts.EngineStateDraining && len(engine.running) == 0 {
+		engine.follow(charts.EngineEventEmptied)
+	}
 	for len(engine.running) > 0 {
 		keeper.endGrant(engine.running[len(engine.running)-1])
 	}
 	engine.prefixes.dropAll()
 	keeper.unbind(engine)
+	engine.follow(charts.EngineEventLost)
 	keeper.engines = slices.Delete(keeper.engines, index, index+1)
 }
 
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -85,6 +85,7 @@
 	keeper.now = max(keeper.now, now)
 	clear(keeper.effects)
 	keeper.effects = keeper.effects[:0]
+	keeper.followSilence()
 	keeper.handle(event)
 	keeper.runTimers()
 	keeper.refuseWithoutEngine()
@@ -117,7 +118,7 @@
 	case EngineDraining:
 		keeper.drainEngine(event.Engine)
 	case EngineResumed:
-		delete(keeper.drained, event.Engine)
+		keeper.resumeEngine(event.Engine)
 	case LeaderLost:
 		keeper.loseLeader(event.Leader, event.Shard)
 	case ProgramsLive:
--- a/internal/keeper/load.go
+++ b/internal/keeper/load.go
@@ -62,7 +62,7 @@
 	}
 	for _, engine := range keeper.engines {
 		load.Engines = append(load.Engines, keeper.engineLoad(engine))
-		if keeper.ready(engine) {
+		if engine.ready() {
 			load.Slots += keeper.limit(engine)
 		}
 	}
@@ -73,7 +73,7 @@
 	return EngineLoad{
 		Engine:       engine.name,
 		Zone:         engine.zone,
-		Ready:        keeper.ready(engine),
+		Ready:        engine.ready(),
 		Running:      len(engine.running),
 		Waiting:      engine.bound.Len(),
 		Limit:        keeper.limit(engine),
--- a/internal/keeper/preempt.go
+++ b/internal/keeper/preempt.go
@@ -60,7 +60,7 @@
 func (keeper *Keeper) preemptionVictim(weight uint32) *runningCall {
 	var victim *runningCall
 	for _, engine := range keeper.engines {
-		if !keeper.ready(engine) {
+		if !engine.ready() {
 			continue
 		}
 		for _, call := range engine.running {
--- a/internal/keeper/report.go
+++ b/internal/keeper/report.go
@@ -17,7 +17,9 @@
 	engine.reportedAt = keeper.now
 	engine.failed = false
 	engine.leaving = event.Leaving
-	if keeper.ready(engine) {
+	keeper.followDrain(engine)
+	keeper.followReport(engine)
+	if engine.ready() {
 		keeper.lastReady = keeper.now
 	} else {
 		keeper.unbind(engine)
--- a/internal/keeper/running.go
+++ b/internal/keeper/running.go
@@ -94,8 +94,7 @@
 	engine := call.engine
 	ordered := call.preempting || call.cancelling
 	if event.Failed && !ordered {
-		engine.failed = true
-		keeper.emit(CheckEngine{Engine: engine.name})
+		keeper.noteFailure(engine)
 	}
 	keeper.endGrant(call)
 	call.program.returnBy = keeper.now + keeper.config.ReturnWithin
