Order adapters for the calls that wait for them

Cause: a call whose adapter its engine had not loaded was granted and sent, and the engine refused it; placement counted on a load that nothing ordered.

Change: a filter keeps calls off engines without their adapter. Calls whose adapter no ready engine has stand in a queue of the adapter's own, so that they hold up nothing, for no longer than their wait bound; the keeper orders the load on the ready engine with the most free slots, one at a time a pool, adapters in turns. It orders a second copy when calls wait long for the engines that have it and another has a free slot. The engine's report is the truth: a load that it does not show, that is refused or takes too long is ordered elsewhere; an engine that loads by an earlier keeper's order counts as loading. The property test now draws adapters and checks that no grant misses one.

Ruled out: adapter calls in the pool's queue (sixteen of them at its head would stop every other call); loading before a call waits (nothing tells which).

--- a/internal/keeper/admission.go
+++ b/internal/keeper/admission.go
@@ -21,7 +21,7 @@
 		keeper.refuse(request, resultcode.NoBackEnd, keeper.config.NoEngineGrace, "no engine is ready")
 		return false
 	}
-	predicted := keeper.predictWait(rank.Band)
+	predicted := keeper.predictWait(rank.Band) + keeper.predictLoad(request.Adapter)
 	if bound := keeper.waitBound(request); bound > 0 && predicted > bound {
 		keeper.refuse(request, resultcode.Overloaded, retryAfter(predicted), "predicted wait over the tier's bound")
 		return false
@@ -68,6 +68,9 @@
 	for _, engine := range keeper.engines {
 		consider(engine.bound)
 	}
+	for _, adapter := range keeper.adapters {
+		consider(adapter.waiting)
+	}
 	return victim
 }
 
@@ -143,6 +146,7 @@
 	for _, engine := range keeper.engines {
 		keeper.unbind(engine)
 	}
+	keeper.unparkAll()
 	for keeper.pool.Len() > 0 {
 		call := keeper.pool.Take().Value
 		keeper.refuseWaiting(call, resultcode.NoBackEnd, keeper.config.NoEngineGrace, "no engine is ready")
--- a/internal/keeper/config.go
+++ b/internal/keeper/config.go
@@ -58,6 +58,18 @@
 	GrantConfirm time.Duration
 	// MaxPrograms bounds the programs tracked.
 	MaxPrograms int
+	// MaxLoads bounds the loads of adapters under way in the pool.
+	MaxLoads int
+	// LoadTimeout is how long a load may take before it is ordered elsewhere.
+	LoadTimeout time.Duration
+	// LoadConfirm is how late a report may first show an order to load.
+	LoadConfirm time.Duration
+	// LoadRetry is how long an adapter is not ordered again on an engine that
+	// failed to load it.
+	LoadRetry time.Duration
+	// AdapterPatience is how long calls wait for the engines that have their
+	// adapter before it is loaded on one more.
+	AdapterPatience time.Duration
 	// DecisionMemory is how many decisions are kept for Explain.
 	DecisionMemory int
 	// ExportPerToken is the time to export and import one cached token; 0 means
@@ -85,6 +97,11 @@
 	defaultGrantConfirm     = 5 * time.Second
 	defaultMaxPrograms      = 20000
 	defaultDecisionMemory   = 2048
+	defaultMaxLoads         = 1
+	defaultLoadTimeout      = 30 * time.Second
+	defaultLoadConfirm      = 4 * time.Second
+	defaultLoadRetry        = 15 * time.Second
+	defaultAdapterPatience  = 2 * time.Second
 )
 
 // DefaultConfig returns the defaults.
@@ -109,6 +126,11 @@
 	setDefault(&config.GrantConfirm, defaultGrantConfirm)
 	setDefault(&config.MaxPrograms, defaultMaxPrograms)
 	setDefault(&config.DecisionMemory, defaultDecisionMemory)
+	setDefault(&config.MaxLoads, defaultMaxLoads)
+	setDefault(&config.LoadTimeout, defaultLoadTimeout)
+	setDefault(&config.LoadConfirm, defaultLoadConfirm)
+	setDefault(&config.LoadRetry, defaultLoadRetry)
+	setDefault(&config.AdapterPatience, defaultAdapterPatience)
 	return config
 }
 
--- a/internal/keeper/dispatch.go
+++ b/internal/keeper/dispatch.go
@@ -48,6 +48,10 @@
 	}
 }
 
+// mostPassed bounds the calls that are passed over for a full adapter without
+// being tried, in multiples of LookAhead.
+const mostPassed = 8
+
 // dispatchOne tries waiting calls in turn and grants the first that has an
 // engine now. Those before it are passed over: they wait for the engine that
 // has their prefix, or for memory.
@@ -56,12 +60,17 @@
 	keeper.aside = keeper.aside[:0]
 	var chosen *queue.Item[*waitingCall]
 	var target *engineState
-	for range keeper.config.LookAhead {
-		item := keeper.pool.Take()
+	for tried := 0; tried < keeper.config.LookAhead && len(keeper.aside) < mostPassed*keeper.config.LookAhead; {
+		item := keeper.takeServed()
 		if item == nil {
 			break
 		}
 		keeper.aside = append(keeper.aside, item)
+		if !keeper.adapterHasSlot(item.Value.request.Adapter) {
+			keeper.noteScarce(item.Value)
+			continue
+		}
+		tried++
 		if target = keeper.engineFor(item.Value); target != nil {
 			chosen = item
 			break
@@ -237,7 +246,7 @@
 func (keeper *Keeper) reserveFor(call *waitingCall) {
 	chosen := placement.None
 	for index, engine := range keeper.engines {
-		if !keeper.slots[index].ready {
+		if !keeper.slots[index].ready || !engine.has(call.request.Adapter) {
 			continue
 		}
 		if chosen == placement.None || engine.usedTokens < keeper.engines[chosen].usedTokens {
--- a/internal/keeper/effect.go
+++ b/internal/keeper/effect.go
@@ -47,6 +47,16 @@
 // that is due: a call has failed there, and it gets no grant before it reports.
 type CheckEngine struct{ Engine string }
 
+// LoadAdapter orders an engine to load an adapter beside the model version that
+// it has. The engine's reports tell what becomes of the order.
+type LoadAdapter struct {
+	Engine  string
+	Model   string
+	Version string
+	Adapter string
+	Why     string
+}
+
 // ExportCache orders an engine to export a program's blocks, then free them.
 type ExportCache struct {
 	Engine  string
@@ -64,5 +74,6 @@
 func (Preempt) effect()      {}
 func (ReleaseCache) effect() {}
 func (CheckEngine) effect()  {}
+func (LoadAdapter) effect()  {}
 func (ExportCache) effect()  {}
 func (ImportCache) effect()  {}
--- a/internal/keeper/engine.go
+++ b/internal/keeper/engine.go
@@ -22,8 +22,13 @@
 	// has died would fail all attempts of a call until it counts as silent.
 	failed bool
 	// leaving is what the engine itself says.
-	leaving      bool
-	adapters     []string
+	leaving  bool
+	version  string
+	adapters []string
+	// loading is what the last report says; load is the order under way, nil if
+	// none is known.
+	loading      bool
+	load         *adapterLoad
 	runningLimit int
 	memoryTokens int
 
--- a/internal/keeper/estimate.go
+++ b/internal/keeper/estimate.go
@@ -31,6 +31,7 @@
 	firstHoldSeconds    = 1.0
 	firstPrefillSeconds = 0.0001
 	firstOutputPart     = 1.0
+	firstLoadSeconds    = 2.0
 )
 
 // estimates are what the keeper has measured over its pool.
@@ -41,10 +42,14 @@
 	prefillSeconds ratio
 	// outputPart is generated tokens over MaxTokens.
 	outputPart ratio
+	// loadSeconds is how long an adapter's load takes until a report shows it.
+	loadSeconds ratio
 }
 
 func (e *estimates) hold() float64 { return e.holdSeconds.value(firstHoldSeconds) }
 
+func (e *estimates) load() float64 { return e.loadSeconds.value(firstLoadSeconds) }
+
 func (e *estimates) prefillPerToken() time.Duration {
 	return seconds(e.prefillSeconds.value(firstPrefillSeconds))
 }
--- a/internal/keeper/event.go
+++ b/internal/keeper/event.go
@@ -83,9 +83,12 @@
 
 // EngineReported brings an engine's lagging load report.
 type EngineReported struct {
-	Engine       string
-	Model        string
-	Zone         string
+	Engine  string
+	Model   string
+	Version string
+	Zone    string
+	// Loading is true while the engine carries an order to load out.
+	Loading      bool
 	Adapters     []string
 	Leaving      bool
 	Running      int
@@ -118,6 +121,12 @@
 // EngineResumed ends an EngineDraining.
 type EngineResumed struct{ Engine string }
 
+// LoadFailed tells that an engine has refused an order to load an adapter.
+type LoadFailed struct {
+	Engine  string
+	Adapter string
+}
+
 // LeaderLost drops the waiting calls and ends the grants of a leader.
 type LeaderLost struct {
 	Leader string
@@ -161,6 +170,7 @@
 func (EngineLost) event()         {}
 func (EngineDraining) event()     {}
 func (EngineResumed) event()      {}
+func (LoadFailed) event()         {}
 func (LeaderLost) event()         {}
 func (ProgramsLive) event()       {}
 func (GrantsHeld) event()         {}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -29,12 +29,14 @@
 	waiting map[CallKey]*waitingCall
 	running map[CallKey]*runningCall
 	// pool holds waiting calls not bound to an engine; with a placement that
-	// binds on arrival the rest stand in their engine's queue.
+	// binds on arrival the rest stand in their engine's queue. Those whose adapter
+	// no ready engine has stand in the adapter's.
 	pool *queue.Queue[*waitingCall]
 
-	// engines are sorted by name.
-	engines []*engineState
-	drained map[string]bool
+	// engines and adapters are sorted by name.
+	engines  []*engineState
+	adapters []*adapterState
+	drained  map[string]bool
 	// lastReady is when an engine was last seen ready, at first the first step.
 	lastReady time.Duration
 	started   bool
@@ -89,7 +91,10 @@
 	keeper.handle(event)
 	keeper.runTimers()
 	keeper.refuseWithoutEngine()
+	keeper.unparkServed()
 	keeper.dispatch()
+	keeper.expireLoads()
+	keeper.orderLoads()
 	keeper.preempt()
 	return keeper.effects
 }
@@ -119,6 +124,8 @@
 		keeper.drainEngine(event.Engine)
 	case EngineResumed:
 		keeper.resumeEngine(event.Engine)
+	case LoadFailed:
+		keeper.loadFailed(event)
 	case LeaderLost:
 		keeper.loseLeader(event.Leader, event.Shard)
 	case ProgramsLive:
@@ -127,6 +134,7 @@
 		keeper.applyHeldGrants(event)
 	case Tick:
 		keeper.programs.forgetEnded(keeper.now - keeper.config.EndedMemory)
+		keeper.forgetAdapters()
 	}
 }
 
--- a/internal/keeper/property_test.go
+++ b/internal/keeper/property_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 
@@ -23,6 +24,9 @@
 	limits  map[string]int
 	leaving map[string]bool
 	drained map[string]bool
+	// adapters and loading are those of the engines' last reports.
+	adapters map[string][]string
+	loading  map[string]bool
 }
 
 var (
@@ -48,6 +52,7 @@
 		keeper: keeper.New(config, first), twin: keeper.New(config, second),
 		waiting: map[keeper.CallKey]keeper.Request{}, running: map[keeper.CallKey]string{},
 		granted: map[keeper.CallKey]time.Duration{}, limits: map[string]int{}, leaving: map[string]bool{}, drained: map[string]bool{},
+		adapters: map[string][]string{}, loading: map[string]bool{},
 	}
 }
 
@@ -80,6 +85,7 @@
 		return keeper.EngineReported{
 			Engine: engine, RunningLimit: rapid.IntRange(0, 5).Draw(t, "limit"), Leaving: rapid.Bool().Draw(t, "leaving"),
 			BlocksTotal: 64, BlockTokens: 16, BlocksUsed: 4, ProgramBlocks: map[string]int{program: 4, "p1": 2},
+			Loading: rapid.Bool().Draw(t, "loading"), Adapters: rapid.SampledFrom([][]string{nil, {"x"}, {"x", "y"}}).Draw(t, "adapters"),
 		}
 	case 13:
 		return keeper.EngineLost{Engine: engine}
@@ -102,6 +108,7 @@
 		Tenant: "t", Tier: "tier", Weight: rapid.SampledFrom([]uint32{1, 3, 8}).Draw(t, "weight"),
 		PromptTokens: rapid.IntRange(1, 1500).Draw(t, "prompt"), MaxTokens: 100,
 		AttainedService: float64(rapid.IntRange(0, 5000).Draw(t, "attained")), Repeatable: true,
+		Adapter: rapid.SampledFrom([]string{"", "", "x", "y"}).Draw(t, "adapter"), WaitBound: time.Duration(rapid.IntRange(0, 10).Draw(t, "bound")) * time.Second,
 		Deadline: time.Duration(rapid.IntRange(0, 60).Draw(t, "deadline")) * time.Second,
 	}
 }
@@ -120,6 +127,8 @@
 	case keeper.EngineReported:
 		a.limits[event.Engine] = min(event.RunningLimit, targetRunning)
 		a.leaving[event.Engine] = event.Leaving
+		a.adapters[event.Engine] = event.Adapters
+		a.loading[event.Engine] = event.Loading
 	case keeper.EngineDraining:
 		a.drained[event.Engine] = true
 	case keeper.EngineResumed:
@@ -153,6 +162,10 @@
 			if !a.settle(effect.Request.Call) {
 				t.Fatalf("refused %v, which did not wait", effect.Request.Call)
 			}
+		case keeper.LoadAdapter:
+			if a.loading[effect.Engine] || slices.Contains(a.adapters[effect.Engine], effect.Adapter) {
+				t.Fatalf("ordered %s on %s, which loads or has it", effect.Adapter, effect.Engine)
+			}
 		case keeper.Preempt:
 			if a.running[effect.Request.Call] != effect.Engine {
 				t.Fatalf("preempted %v, which does not run on %s", effect.Request.Call, effect.Engine)
@@ -173,6 +186,9 @@
 	if !known || a.leaving[grant.Engine] || a.drained[grant.Engine] {
 		t.Fatalf("granted %v on %s, which is lost, leaving or drained", call, grant.Engine)
 	}
+	if adapter := grant.Request.Adapter; adapter != "" && !slices.Contains(a.adapters[grant.Engine], adapter) {
+		t.Fatalf("granted %v on %s, which does not have adapter %s", call, grant.Engine, adapter)
+	}
 	a.running[call] = grant.Engine
 	a.granted[call] = a.now
 	count := 0
--- a/internal/keeper/report.go
+++ b/internal/keeper/report.go
@@ -11,7 +11,7 @@
 	engine := keeper.ensureEngine(event.Engine)
 	engine.model = event.Model
 	engine.zone = event.Zone
-	engine.adapters = event.Adapters
+	engine.version = event.Version
 	engine.runningLimit = event.RunningLimit
 	engine.memoryTokens = event.BlocksTotal * event.BlockTokens
 	engine.reportedAt = keeper.now
@@ -19,6 +19,8 @@
 	engine.leaving = event.Leaving
 	keeper.followDrain(engine)
 	keeper.followReport(engine)
+	keeper.changedAdapters(engine, event.Adapters)
+	keeper.followLoad(engine, event)
 	if engine.ready() {
 		keeper.lastReady = keeper.now
 	} else {
--- a/internal/keeper/timer.go
+++ b/internal/keeper/timer.go
@@ -92,10 +92,13 @@
 		if t == nil {
 			return
 		}
-		if t.call != nil {
-			keeper.refuseLate(t.call)
-		} else {
+		switch {
+		case t.program != nil:
 			keeper.releaseOverdue(t.program)
+		case t == t.call.patience:
+			keeper.refuseUnserved(t.call)
+		default:
+			keeper.refuseLate(t.call)
 		}
 	}
 }
--- a/internal/keeper/waiting.go
+++ b/internal/keeper/waiting.go
@@ -19,7 +19,11 @@
 	item   *queue.Item[*waitingCall]
 	// engine is where the call was bound on arrival; nil while it is in the
 	// pool's queue.
-	engine   *engineState
+	engine *engineState
+	// adapter is the one whose queue the call stands in; nil while it stands in
+	// another. patience ends that wait; nil where it has no bound.
+	adapter  *adapterState
+	patience *timer
 	deadline *timer
 	queuedAt time.Duration
 	// need is the KV memory expected at the call's end, tokens.
@@ -80,6 +84,10 @@
 	call.tier.waiting++
 	keeper.waiting[request.Call] = call
 	keeper.setDeadline(call)
+	if !keeper.served(request.Adapter) {
+		keeper.park(call)
+		return
+	}
 	call.item = keeper.pool.Push(call, rank)
 }
 
@@ -101,15 +109,23 @@
 	keeper.timers.set(call.deadline, call.request.Deadline)
 }
 
+// queueOf returns the queue that a waiting call stands in.
+func (keeper *Keeper) queueOf(call *waitingCall) *queue.Queue[*waitingCall] {
+	switch {
+	case call.engine != nil:
+		return call.engine.bound
+	case call.adapter != nil:
+		return call.adapter.waiting
+	}
+	return keeper.pool
+}
+
 // leaveQueue takes a waiting call out of everything that counts it as waiting.
 // The caller then grants, refuses or drops it.
 func (keeper *Keeper) leaveQueue(call *waitingCall) {
-	if call.engine != nil {
-		call.engine.bound.Remove(call.item)
-	} else {
-		keeper.pool.Remove(call.item)
-	}
+	keeper.queueOf(call).Remove(call.item)
 	keeper.timers.stop(call.deadline)
+	keeper.timers.stop(call.patience)
 	delete(keeper.waiting, call.request.Call)
 	call.tier.waiting--
 }
@@ -150,7 +166,10 @@
 // placement that binds on arrival.
 func (keeper *Keeper) bindArrivals() {
 	for keeper.pool.Len() > 0 {
-		item := keeper.pool.Take()
+		item := keeper.takeServed()
+		if item == nil {
+			return
+		}
 		call := item.Value
 		keeper.fillCandidates()
 		keeper.fitCandidates(call)
--- a/internal/placement/filter.go
+++ b/internal/placement/filter.go
@@ -1,5 +1,7 @@
 package placement
 
+import "slices"
+
 // ReadyFilter keeps engines that may get new work.
 type ReadyFilter struct{}
 
@@ -16,7 +18,18 @@
 }
 
 // commonFilters apply to every placement.
-func commonFilters() []Filter { return []Filter{ReadyFilter{}, ModelFilter{}} }
+func commonFilters() []Filter {
+	return []Filter{ReadyFilter{}, ModelFilter{}, AdapterFilter{}}
+}
+
+// AdapterFilter keeps engines that have the call's adapter loaded: an engine
+// refuses a call whose adapter it does not have.
+type AdapterFilter struct{}
+
+// Admits tells whether the adapter is loaded.
+func (AdapterFilter) Admits(call *Call, candidate *Candidate) bool {
+	return call.Adapter == "" || slices.Contains(candidate.Adapters, call.Adapter)
+}
 
 // RoomFilter keeps a call off an engine whose memory is taken by programs
 // ranked before it. Without it, at overload, each program's prefix is pushed
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -179,7 +179,6 @@
 			{WaitScorer{}, 2 * (1 - affinity)},
 			{EvictionScorer{}, evictionWeight},
 			{BatchScorer{}, 1},
-			{AdapterScorer{}, 1},
 			{ZoneScorer{}, 1},
 		},
 		picker: LowestPicker{},
--- a/internal/placement/score.go
+++ b/internal/placement/score.go
@@ -1,7 +1,5 @@
 package placement
 
-import "slices"
-
 const (
 	// crossZoneCost is the cost of one call that crosses zones, seconds: a few
 	// messages of about 1.5 ms each.
@@ -9,8 +7,6 @@
 	// fullBatchCost is the cost of joining a full batch against an empty one,
 	// seconds: each step gets longer with the batch.
 	fullBatchCost = 0.1
-	// adapterLoadCost is the cost of loading an adapter first, seconds.
-	adapterLoadCost = 1.0
 	// evictionWeight is the chance that a prefix evicted for the call would
 	// have been used again.
 	evictionWeight = 0.5
@@ -86,14 +82,3 @@
 	}
 	return crossZoneCost
 }
-
-// AdapterScorer costs the load of an adapter that the engine does not have.
-type AdapterScorer struct{}
-
-// Cost returns seconds of loading.
-func (AdapterScorer) Cost(call *Call, candidate *Candidate) float64 {
-	if call.Adapter == "" || slices.Contains(candidate.Adapters, call.Adapter) {
-		return 0
-	}
-	return adapterLoadCost
-}
