--- a/internal/scheduler/host.go
+++ b/internal/scheduler/host.go
@@ -159,7 +159,7 @@
 		host.core.directory.leaders[host.number] = leader
 	}
 	host.core.log("role_changed", host.number, "", "",
-		string(host.replica.Role())+" epoch "+host.replica.Epoch().String())
+		host.replica.Role().String()+" epoch "+host.replica.Epoch().String())
 	stillLeads := host.replica.Role() == replication.RoleLeader && host.epoch == host.replica.Epoch()
 	if host.serving && !stillLeads {
 		host.endLeadership()
