--- a/rehearsal/command/fault.go
+++ b/rehearsal/command/fault.go
@@ -40,9 +40,13 @@
 		for _, scenario := range scenarios {
 			again := *scenario
 			again.Seed += uint64(round)
+			directory := filepath.Join(command.Directory, fmt.Sprintf("%s-%d", again.Name, again.Seed))
+			if err := os.RemoveAll(directory); err != nil {
+				return eris.Wrap(err, "clear the directory of the run")
+			}
 			report, err := fault.Run(ctx, &again, fault.Environment{
 				Binaries:  binaries,
-				Directory: filepath.Join(command.Directory, fmt.Sprintf("%s-%d", again.Name, again.Seed)),
+				Directory: directory,
 				Port:      command.Port,
 				Output:    os.Stderr,
 			})
--- /dev/null
+++ b/rehearsal/fault/run_test.go
@@ -0,0 +1,86 @@
+package fault_test
+
+import (
+	"context"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/magpielug/magpielug/rehearsal/cluster"
+	"github.com/magpielug/magpielug/rehearsal/fault"
+)
+
+const (
+	shortScenarios = "../scenarios/ci/*.yaml"
+	runBound       = 3 * time.Minute
+	// Ports below the ones that the kernel gives out, apart for test processes
+	// that run side by side.
+	firstPort = 10_000
+	portStep  = 10
+	portSteps = 2_000
+	// portsOfRun are the ports that one run takes on the platform's address.
+	portsOfRun = 3
+)
+
+func buildBinaries(directory string) cluster.Binaries {
+	output, err := exec.Command("go", "build", "-o", directory+string(os.PathSeparator), "../../cmd/...").CombinedOutput()
+	Expect(err).NotTo(HaveOccurred(), string(output))
+	return cluster.Binaries{
+		Magpielug: filepath.Join(directory, "magpielug"),
+		Rehearsal: filepath.Join(directory, "rehearsal"),
+	}
+}
+
+// outcome is what one run gave.
+type outcome struct {
+	report *fault.Report
+	err    error
+}
+
+// runShort runs a scenario at a port of its own.
+func runShort(file string, number int, binaries cluster.Binaries, directory string) outcome {
+	scenario, err := fault.LoadScenario(file)
+	if err != nil {
+		return outcome{err: err}
+	}
+	bounded, cancel := context.WithTimeout(context.Background(), runBound)
+	defer cancel()
+	report, err := fault.Run(bounded, scenario, fault.Environment{
+		Binaries:  binaries,
+		Directory: filepath.Join(directory, scenario.Name),
+		Port:      firstPort + os.Getpid()%portSteps*portStep + number*portsOfRun,
+		Output:    io.Discard,
+	})
+	return outcome{report, err}
+}
+
+// The scenarios run side by side, each with processes of its own.
+var _ = Describe("short scenarios on real processes", Ordered, func() {
+	files, _ := filepath.Glob(shortScenarios)
+	outcomes := make([]chan outcome, len(files))
+
+	BeforeAll(func() {
+		binaries, directory := buildBinaries(GinkgoT().TempDir()), GinkgoT().TempDir()
+		for number, file := range files {
+			outcomes[number] = make(chan outcome, 1)
+			go func() { outcomes[number] <- runShort(file, number, binaries, directory) }()
+		}
+	})
+
+	for number, file := range files {
+		It("hold in "+filepath.Base(file), func() {
+			ended := <-outcomes[number]
+			Expect(ended.err).NotTo(HaveOccurred())
+			for _, result := range ended.report.Results {
+				Expect(result.Violations).To(BeEmpty(), result.String())
+			}
+		})
+	}
+
+	It("are found", func() { Expect(files).To(HaveLen(3)) })
+})
--- a/rehearsal/history/machine.go
+++ b/rehearsal/history/machine.go
@@ -1,6 +1,10 @@
 package history
 
-import "fmt"
+import (
+	"fmt"
+
+	"github.com/magpielug/magpielug/internal/resultcode"
+)
 
 // Cache holds the engines to keep no memory for programs that are gone.
 func Cache(run *Run) Result {
@@ -44,13 +48,16 @@
 	for _, cut := range run.Cuts {
 		violations = append(violations, fmt.Sprintf("%s: %s at %s was cut: %s", cut.At, cut.Request, cut.Gateway, cut.Cause))
 	}
+	for _, shown := range run.Shown {
+		violations = append(violations, fmt.Sprintf("%s: %s at %s was shown: %s", shown.At, shown.Request, shown.Gateway, shown.Cause))
+	}
 	run.calls(func(program *Program, call *Call) {
 		calls++
 		if call.Outcome != Answered {
 			violations = append(violations, fmt.Sprintf("%s got %s", BackEndName(program.ID, call.RequestID), call.Failure))
 		}
 	})
-	return newResult(CheckPlannedStop, calls, violations, "%d calls, %d cut", calls, len(run.Cuts))
+	return newResult(CheckPlannedStop, calls, violations, "%d calls, %d cut, %d errors shown", calls, len(run.Cuts), len(run.Shown))
 }
 
 // Progress holds the run to have done its work: faults may end calls, but every
@@ -58,10 +65,14 @@
 func Progress(run *Run) Result {
 	var violations []string
 	outcomes := make(map[Outcome]int)
+	codes := make(map[resultcode.Code]int)
 	calls, again := 0, 0
 	run.calls(func(_ *Program, call *Call) {
 		calls++
 		outcomes[call.Outcome]++
+		if call.Code > 0 {
+			codes[resultcode.Code(call.Code)]++
+		}
 		if call.Sends > 1 {
 			again++
 		}
@@ -72,6 +83,6 @@
 		}
 	}
 	return newResult(CheckProgress, calls, violations,
-		"%d programs, %d calls: %d answered, %d not run, %d unknown, %d failed; %d sent more than once, %d cut",
-		len(run.Programs), calls, outcomes[Answered], outcomes[NotRun], outcomes[Unknown], outcomes[Failed], again, len(run.Cuts))
+		"%d programs, %d calls: %d answered, %d not run, %d unknown, %d failed; %d sent more than once, %d cut, %d errors shown for a while; codes %v",
+		len(run.Programs), calls, outcomes[Answered], outcomes[NotRun], outcomes[Unknown], outcomes[Failed], again, len(run.Cuts), len(run.Shown), codes)
 }
--- a/rehearsal/history/record.go
+++ b/rehearsal/history/record.go
@@ -90,8 +90,11 @@
 
 // Run is everything recorded of one run.
 type Run struct {
-	Programs  []Program
-	Cuts      []Cut
+	Programs []Program
+	Cuts     []Cut
+	// Shown are the error answers that callers had to take for a while, though
+	// the same request succeeded later.
+	Shown     []Cut
 	BackEnds  BackEnds
 	Publishes []Publish
 	Samples   []VersionSample
