Keep goroutines, with their grown stacks, for the next exchange

Cause: every request, peer exchange and run began in a new goroutine whose stack was copied as it grew: 12 % of the schedulers' instructions at 200 calls a second (perf, runtime.newstack). Change: internal/workerpool hands a job to a goroutine that waits, or starts a new one; up to 64 wait. What runs at once is not bounded by it. Ruled out: a goroutine kept a connection, which costs a stack for each idle connection.

--- a/internal/httpserver/connection.go
+++ b/internal/httpserver/connection.go
@@ -169,7 +169,7 @@
 	connection.jobs = append(connection.jobs, job)
 	if !connection.running {
 		connection.running = true
-		go connection.runJobs()
+		connection.server.workers.Go(connection.runJobs)
 	}
 	return true
 }
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -18,6 +18,7 @@
 	nbiologging "github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/magpielug/magpielug/internal/resultcode"
+	"github.com/magpielug/magpielug/internal/workerpool"
 	"github.com/rotisserie/eris"
 )
 
@@ -27,6 +28,8 @@
 	excessConnections = 256
 	// drainPoll is how often Shutdown looks for the last request's end.
 	drainPoll = 10 * time.Millisecond
+	// keptWorkers is how many goroutines wait for the next request.
+	keptWorkers = 64
 	// closeTimeout bounds the closing of nbio itself.
 	closeTimeout = 2 * time.Second
 )
@@ -41,6 +44,7 @@
 	tlsConfig *tls.Config
 	context   context.Context
 	cancel    context.CancelFunc
+	workers   *workerpool.Pool
 
 	connections sync.Map // *nbio.Conn to *connection
 	open        atomic.Int64
@@ -70,6 +74,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	server := &Server{
+		workers:   workerpool.New(ctx, keptWorkers),
 		limits:    limits.withDefaults(),
 		handler:   handler,
 		listener:  newStoppableListener(inner),
--- a/internal/scheduler/peer_sender.go
+++ b/internal/scheduler/peer_sender.go
@@ -81,7 +81,8 @@
 	batch := sender.waiting
 	sender.waiting = nil
 	sender.underWay++
-	go senders.exchange(process, sender, sender.address, batch)
+	address := sender.address
+	senders.traffic.workers.Go(func() { senders.exchange(process, sender, address, batch) })
 }
 
 func (senders *peerSenders) exchange(process string, sender *peerSender, address string, batch *schedulerv1.PeerBatch) {
--- a/internal/scheduler/traffic.go
+++ b/internal/scheduler/traffic.go
@@ -11,6 +11,7 @@
 
 	schedulerv1 "github.com/magpielug/magpielug/api/scheduler/v1"
 	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/workerpool"
 )
 
 const (
@@ -21,6 +22,8 @@
 	peerTimeout       = 2 * time.Second
 	releaseAttempts   = 3
 	releaseRetryDelay = 200 * time.Millisecond
+	// keptWorkers is how many goroutines wait for the next exchange or run.
+	keptWorkers = 64
 )
 
 // traffic carries the core's effects out, each in goroutines of its own, and
@@ -35,6 +38,7 @@
 	client  *http.Client
 	peers   *peerSenders
 	polls   *enginePolls
+	workers *workerpool.Pool
 
 	mutex sync.Mutex
 	runs  map[RunKey]context.CancelFunc
@@ -49,6 +53,7 @@
 		engines: dependencies.Engines,
 		tools:   dependencies.Tools,
 		client:  dependencies.Client,
+		workers: workerpool.New(ctx, keptWorkers),
 		runs:    make(map[RunKey]context.CancelFunc),
 	}
 	made.peers = newPeerSenders(made)
@@ -61,7 +66,8 @@
 	case SendPeer:
 		traffic.peers.send(effect)
 	case RunModelCall:
-		go traffic.runModelCall(traffic.startRun(effect.Run), effect)
+		run := traffic.startRun(effect.Run)
+		traffic.workers.Go(func() { traffic.runModelCall(run, effect) })
 	case RunToolCall:
 		go traffic.runToolCall(traffic.startRun(effect.Run), effect)
 	case StopRun:
