Send no heartbeat that an append has made needless; commit only under the lease

Cause: every pair of processes exchanged heartbeats each interval, also where appends had renewed the lease and held elections off just before.

Change: a replica marks a heartbeat as spare where its member has answered a message sent within half an interval; the batcher sends no batch whose heartbeats are all spare, and keeps its list of shards. Half, so that answered messages are at most one and a half intervals and an exchange apart.

A leader that has lost its majority stays leader for up to the election timeout, and an answer delayed for longer than RebuildDelay let it commit an entry that the rebuilt group lacks. Not a fault of the spare heartbeats: any answer can be that late. A leader now commits only under its lease, which is shorter than that delay.

Ruled out: skipping in the replica (the batch names the shards led, so a shard left out would be taken off the receiver's list and sent anew).

--- a/internal/replication/batcher.go
+++ b/internal/replication/batcher.go
@@ -28,8 +28,9 @@
 }
 
 // Batcher merges all that one process's replicas send to another process into
-// one Batch, the heartbeats of all shards into one HeartbeatBatch. It belongs
-// to the goroutine that owns the replicas.
+// one Batch, the heartbeats of all shards into one HeartbeatBatch. Where all of
+// them are spare there is none. It belongs to the goroutine that owns the
+// replicas.
 //
 // A host adds every Envelope of every Output, takes a Batch for each of Peers
 // once all replicas have ticked, and hands every Batch that arrives to Open and
@@ -58,7 +59,7 @@
 	message := envelope.Message
 	switch body := message.GetBody().(type) {
 	case *replicationv1.Message_Heartbeat:
-		b.sender(process).add(message, body.Heartbeat)
+		b.sender(process).add(message, body.Heartbeat, envelope.Spare)
 		return
 	case *replicationv1.Message_HeartbeatResponse:
 		receiver := b.hearing[process]
--- a/internal/replication/batcher_test.go
+++ b/internal/replication/batcher_test.go
@@ -102,6 +102,26 @@
 		Expect(shardsOf(sender.Open(answer(beat(3, 5, 1, 2), 0)))).To(Equal([]uint32{1, 2}))
 	})
 
+	It("sends no batch of spare heartbeats, and keeps their shards for the next one", func() {
+		sender.Open(answer(beat(1, 5, 1, 2, 3), 0))
+		spare := func(sentAt int64, shards ...uint32) {
+			for _, shard := range shards {
+				envelope := heartbeat(shard, 5, sentAt)
+				envelope.Spare = true
+				sender.Add(envelope)
+			}
+		}
+		spare(2, 1, 2, 3)
+		Expect(sender.Peers()).To(BeEmpty())
+		spare(3, 1, 2)
+		sender.Add(heartbeat(1, 5, 3))
+		Expect(sender.Peers()).To(Equal([]string{"b"}))
+		batch := sender.Take("b")
+		Expect(batch.GetHeartbeats().GetSentAt()).To(BeEquivalentTo(3))
+		Expect(batch.GetHeartbeats().GetRemovedShards()).To(Equal([]uint32{3}))
+		Expect(shardsOf(receiver.Open(batch))).To(Equal([]uint32{1, 2}))
+	})
+
 	It("drops what waits for a peer that takes nothing, beyond a bound", func() {
 		for index := range uint64(100) {
 			message := chunkMessage(index, 0, 1, make([]byte, 1<<20))
--- a/internal/replication/heartbeat_sender.go
+++ b/internal/replication/heartbeat_sender.go
@@ -30,8 +30,10 @@
 	sequence     uint64
 	acknowledged uint64
 	sentAt       int64
-	shards       []*sentShard
-	removed      []removedShard
+	// needed says that a heartbeat which is not spare waits for the next batch.
+	needed  bool
+	shards  []*sentShard
+	removed []removedShard
 }
 
 func (s *heartbeatSender) find(shard uint32) (int, bool) {
@@ -40,11 +42,14 @@
 	})
 }
 
-// add takes in a replica's heartbeat for the next batch.
-func (s *heartbeatSender) add(message *replicationv1.Message, heartbeat *replicationv1.Heartbeat) {
-	if !s.isDue() || heartbeat.GetSentAt() < s.sentAt {
-		s.sentAt = heartbeat.GetSentAt()
+// add takes in a replica's heartbeat for the next batch. A round of spare ones
+// alone is forgotten when the next round begins.
+func (s *heartbeatSender) add(message *replicationv1.Message, heartbeat *replicationv1.Heartbeat, spare bool) {
+	if !s.needed && heartbeat.GetSentAt() != s.sentAt {
+		s.beginRound(heartbeat.GetSentAt())
 	}
+	s.sentAt = min(s.sentAt, heartbeat.GetSentAt())
+	s.needed = s.needed || !spare
 	next := s.sequence + 1
 	position, found := s.find(message.GetShard())
 	if !found {
@@ -77,16 +82,22 @@
 	}
 }
 
-func (s *heartbeatSender) isDue() bool {
-	return slices.ContainsFunc(s.shards, func(sent *sentShard) bool { return sent.due })
+func (s *heartbeatSender) beginRound(sentAt int64) {
+	s.sentAt = sentAt
+	for _, sent := range s.shards {
+		sent.due = false
+	}
 }
 
+func (s *heartbeatSender) isDue() bool { return s.needed }
+
 // take closes the next batch. Shards without a heartbeat since the last one are
 // led no more and leave the list.
 func (s *heartbeatSender) take() *replicationv1.HeartbeatBatch {
 	if !s.isDue() {
 		return nil
 	}
+	s.needed = false
 	s.sequence++
 	s.dropStopped()
 	batch := &replicationv1.HeartbeatBatch{
--- a/internal/replication/leadership.go
+++ b/internal/replication/leadership.go
@@ -164,8 +164,13 @@
 }
 
 // advanceCommit commits what a majority holds, if it is of this epoch; earlier
-// epochs' entries are committed with it.
-func (r *Replica) advanceCommit() {
+// epochs' entries are committed with it. It commits nothing without the lease: an
+// answer can come so late that its sender has died since and the group has been
+// rebuilt without the entry (see Config.RebuildDelay).
+func (r *Replica) advanceCommit(now time.Duration) {
+	if now >= r.leaseEnd(now) {
+		return
+	}
 	matches := make([]uint64, 0, len(r.members))
 	for _, member := range r.members {
 		if member.Incarnation == r.self.Incarnation {
--- a/internal/replication/output.go
+++ b/internal/replication/output.go
@@ -68,6 +68,9 @@
 type Envelope struct {
 	ToProcess string
 	Message   *replicationv1.Message
+	// Spare marks a heartbeat that need not be sent: the member has answered an
+	// append of late, which renewed the lease and held its election off.
+	Spare bool
 }
 
 // RestoredState replaces the state machine's state.
--- a/internal/replication/replica_test.go
+++ b/internal/replication/replica_test.go
@@ -118,6 +118,48 @@
 		Expect(b.replica.CommittedIndex()).To(BeEquivalentTo(2))
 	})
 
+	It("holds a heartbeat spare to a member that has answered within half an interval only", func() {
+		config := replication.DefaultConfig()
+		b := newBench(config)
+		b.elect()
+		b.acknowledge(peerC, 1)
+		spare := func() map[string]bool {
+			found := map[string]bool{}
+			b.replica.Tick(b.now)
+			for _, envelope := range b.replica.Ready(b.now).Messages {
+				if envelope.Message.GetHeartbeat() != nil {
+					found[envelope.Message.GetTo()] = envelope.Spare
+				}
+			}
+			return found
+		}
+		answered := b.now
+		b.now = (b.now/config.HeartbeatInterval + 1) * config.HeartbeatInterval
+		Expect(spare()).To(Equal(map[string]bool{peerB: false, peerC: b.now-answered < config.HeartbeatInterval/2}))
+		b.acknowledge(peerC, 1)
+		b.now += config.HeartbeatInterval
+		Expect(spare()).To(Equal(map[string]bool{peerB: false, peerC: false}))
+		b.now += config.HeartbeatInterval - 1
+		b.acknowledge(peerC, 1)
+		b.now++
+		Expect(spare()).To(Equal(map[string]bool{peerB: false, peerC: true}))
+	})
+
+	It("commits nothing on an answer that comes after the lease", func() {
+		config := replication.DefaultConfig()
+		b := newBench(config)
+		b.elect()
+		sent := b.now
+		late := &replicationv1.Message{Body: &replicationv1.Message_AppendResponse{
+			AppendResponse: &replicationv1.AppendResponse{Success: true, Index: 1, SentAt: int64(sent)},
+		}}
+		b.now += config.LeaseDuration
+		b.receive(peerC, b.replica.Epoch(), late)
+		Expect(b.replica.CommittedIndex()).To(BeZero())
+		b.acknowledge(peerC, 1)
+		Expect(b.replica.CommittedIndex()).To(BeEquivalentTo(1))
+	})
+
 	It("changes no member before an entry of its epoch is committed, and one at a time", func() {
 		b := newBench(replication.DefaultConfig())
 		b.elect()
--- a/internal/replication/replicate.go
+++ b/internal/replication/replicate.go
@@ -9,9 +9,9 @@
 // replicate sends new entries and advances the commit. Taking members in or
 // out may add entries, which go out in the same step.
 func (r *Replica) replicate(now time.Duration) {
-	r.advanceCommit()
+	r.advanceCommit(now)
 	r.advanceMembers(now)
-	r.advanceCommit()
+	r.advanceCommit(now)
 	r.advanceTransfer(now)
 	if r.role != RoleLeader {
 		return
@@ -60,7 +60,10 @@
 	peer.next += uint64(len(entries))
 }
 
-// sendHeartbeat never tells a commit beyond what the member holds.
+// sendHeartbeat never tells a commit beyond what the member holds. It is spare
+// where an answer to a message sent within half an interval has come: then the
+// time between two answered messages stays within one and a half intervals and
+// an exchange.
 func (r *Replica) sendHeartbeat(now time.Duration, peer *progress) {
 	heartbeat := &replicationv1.Heartbeat{
 		Commit:   min(r.commit, peer.match),
@@ -70,6 +73,8 @@
 	r.send(peer.member.Incarnation, &replicationv1.Message{
 		Body: &replicationv1.Message_Heartbeat{Heartbeat: heartbeat},
 	})
+	sent := &r.outbox[len(r.outbox)-1]
+	sent.Spare = peer.heard && now-peer.acknowledged < r.config.HeartbeatInterval/2
 }
 
 // resend starts again after the last entry known to agree, if no answer has
