--- a/internal/scheduler/archive.go
+++ b/internal/scheduler/archive.go
@@ -51,6 +51,7 @@
 		return
 	}
 	home.appending = true
+	home.appendingBytes = len(data)
 	core.emit(AppendStream{Shard: host.number, Data: data, UpTo: entries[len(entries)-1].Index})
 }
 
@@ -67,6 +68,7 @@
 	}
 	host := core.hosts[event.Shard]
 	if host != nil && event.Stands && host.leads() {
+		home.archivedBytes += home.appendingBytes
 		host.replica.SetArchived(event.UpTo)
 		host.touch()
 	}
--- a/internal/scheduler/cluster_test.go
+++ b/internal/scheduler/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"context"
 	"fmt"
 	"math/rand"
 	"time"
@@ -32,7 +33,7 @@
 	random   *rand.Rand
 	queue    testQueue
 	nodes    map[string]*testNode
-	streams  map[uint32][][]byte
+	log      *testLog
 	machines []platform.Machine
 	// runs counts starts at back ends by request id.
 	runs map[string]int
@@ -43,7 +44,6 @@
 	released map[string]bool
 	// cut tells whether a message from one process to another is lost.
 	cut       func(from, to string) bool
-	logDown   bool
 	callSteps int
 	// backlog bounds a shard's unarchived entries; 0 takes the default.
 	backlog int
@@ -103,7 +103,6 @@
 	cluster := &testCluster{
 		random:    rand.New(rand.NewSource(seed)),
 		nodes:     make(map[string]*testNode),
-		streams:   make(map[uint32][][]byte),
 		runs:      make(map[string]int),
 		running:   make(map[string]*testGeneration),
 		sealed:    make(map[string]bool),
@@ -113,6 +112,7 @@
 		callSteps: 5,
 		budget:    1 << 40,
 	}
+	cluster.log = newTestLog(cluster.random)
 	for number := range schedulers {
 		name := fmt.Sprintf("s%d", number)
 		cluster.machines = append(cluster.machines, platform.Machine{
@@ -152,6 +152,7 @@
 		OfferRetry:  500 * time.Millisecond, HeldInterval: time.Second, LiveInterval: 5 * time.Second,
 		FoundingWait: 2 * time.Second, EndedMemory: time.Minute, MaximumAttempts: 3,
 		DefaultCallDeadline: 2 * time.Second, DefaultWaitBound: 30 * time.Second,
+		SnapshotBytes: 4 << 10, SnapshotEntries: 50,
 	}
 }
 
@@ -252,6 +253,14 @@
 		cluster.after(testLatency, func() { node.readStream(effect) })
 	case AppendStream:
 		cluster.after(testLatency, func() { node.appendStream(effect) })
+	case OpenStream:
+		cluster.after(testLatency, func() { node.step(openStream(context.Background(), cluster.log, effect)) })
+	case SnapshotStream:
+		cluster.after(testLatency, func() {
+			if !node.dead {
+				node.step(snapshotStream(context.Background(), cluster.log, effect))
+			}
+		})
 	case PollEngines:
 		node.polled = effect.Engines
 		node.poll()
@@ -287,23 +296,15 @@
 }
 
 func (node *testNode) readStream(effect ReadStream) {
-	read := StreamRead{Shard: effect.Shard, From: effect.From, Failed: node.cluster.logDown}
-	if !read.Failed {
-		for offset, data := range node.cluster.streams[effect.Shard] {
-			if uint64(offset) >= effect.From {
-				read.Records = append(read.Records, platform.Record{Offset: uint64(offset), Data: data})
-			}
-		}
-		read.AtEnd = len(read.Records) == 0
-	}
-	node.step(read)
+	records, err := readRecords(context.Background(), node.cluster.log, streamName(effect.Shard), effect.From)
+	node.step(StreamRead{
+		Shard: effect.Shard, From: effect.From, Records: records, AtEnd: len(records) == 0, Failed: err != nil,
+	})
 }
 
 func (node *testNode) appendStream(effect AppendStream) {
-	if !node.cluster.logDown {
-		node.cluster.streams[effect.Shard] = append(node.cluster.streams[effect.Shard], effect.Data)
-	}
-	node.step(StreamAppended{Shard: effect.Shard, UpTo: effect.UpTo, Stands: !node.cluster.logDown})
+	_, err := node.cluster.log.Append(context.Background(), streamName(effect.Shard), effect.Data)
+	node.step(StreamAppended{Shard: effect.Shard, UpTo: effect.UpTo, Stands: err == nil})
 }
 
 func (node *testNode) poll() {
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -29,6 +29,13 @@
 	// BacklogBytes bounds the committed entries of all shards hosted that are not
 	// yet archived; 0 is no bound.
 	BacklogBytes int
+	// SnapshotBytes is how much is archived of a shard before a snapshot is put
+	// into its stream; 0 is never. A snapshot larger than it waits for as much as
+	// its own size.
+	SnapshotBytes int
+	// SnapshotEntries is how many entries a new leader finds archived since the
+	// last snapshot before it has one made.
+	SnapshotEntries uint64
 	// OfferRetry is how long an offer to a keeper waits for its answer.
 	OfferRetry time.Duration
 	// HeldInterval is how often a leader tells keepers which grants it holds.
@@ -79,10 +86,14 @@
 	// answering is the peer whose batch is being taken in, and answerTo its ask:
 	// what is queued for it by the step's end goes back as the answer.
 	answering string
-	counters  Counters
-	answerTo  AskID
-	effects   []Effect
-	now       time.Duration
+	// snapshotting is true while a SnapshotStream is under way, and snapshotCount
+	// numbers them.
+	snapshotting  bool
+	snapshotCount int
+	counters      Counters
+	answerTo      AskID
+	effects       []Effect
+	now           time.Duration
 }
 
 // NewCore returns a core that knows nothing yet. The random source must be
@@ -169,6 +180,10 @@
 		core.streamRead(event)
 	case StreamAppended:
 		core.streamAppended(event)
+	case StreamOpened:
+		core.streamOpened(event)
+	case StreamSnapshotted:
+		core.streamSnapshotted(event)
 	case StopOrdered:
 		core.stopOrdered()
 	}
--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -201,7 +201,7 @@
 		}
 		cluster.create("p1")
 		cluster.runFor(time.Second)
-		cluster.logDown = true
+		cluster.log.down = true
 		var refused outcome
 		answered := 0
 		for ; refused.failure == nil && answered < 400; answered++ {
@@ -212,7 +212,7 @@
 		}
 		Expect(refused.failure.Code).To(BeEquivalentTo(resultcode.ArchiveBacklogFull))
 		Expect(refused.failure.RetryAfterMs).NotTo(BeZero())
-		cluster.logDown = false
+		cluster.log.down = false
 		cluster.runFor(2 * time.Second)
 		Expect(cluster.call(testCall("p1", "after"), 20*time.Second).failure).To(BeNil())
 	})
--- a/internal/scheduler/decision_benchmark_test.go
+++ b/internal/scheduler/decision_benchmark_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"context"
 	"fmt"
 	"math/rand"
 	"runtime"
@@ -29,11 +30,11 @@
 // Batches are encoded and decoded between them, outside of the measured steps,
 // as the traffic goroutines do.
 type benchmarkGroup struct {
-	now     time.Duration
-	names   []string
-	cores   map[string]*Core
-	spent   map[string]time.Duration
-	streams map[uint32][][]byte
+	now   time.Duration
+	names []string
+	cores map[string]*Core
+	spent map[string]time.Duration
+	log   *testLog
 	// arriving are events for the next hop, waiting the batches to each peer.
 	arriving map[string][]Event
 	waiting  map[string]*peerSender
@@ -53,7 +54,7 @@
 	group := &benchmarkGroup{
 		cores:    make(map[string]*Core),
 		spent:    make(map[string]time.Duration),
-		streams:  make(map[uint32][][]byte),
+		log:      newTestLog(nil),
 		arriving: make(map[string][]Event),
 		waiting:  make(map[string]*peerSender),
 		peerOf:   make(map[AskID]string),
@@ -112,10 +113,12 @@
 			group.arrive(group.peerOf[effect.Ask], PeerBatchReceived{Batch: group.transmit(batch)})
 			delete(group.peerOf, effect.Ask)
 		}
+	case OpenStream:
+		group.arrive(name, openStream(context.Background(), group.log, effect))
 	case ReadStream:
 		group.arrive(name, group.read(effect))
 	case AppendStream:
-		group.streams[effect.Shard] = append(group.streams[effect.Shard], effect.Data)
+		_, _ = group.log.Append(context.Background(), streamName(effect.Shard), effect.Data)
 		group.arrive(name, StreamAppended{Shard: effect.Shard, UpTo: effect.UpTo, Stands: true})
 	case PollEngines:
 		group.polled[name] = effect.Engines
@@ -135,14 +138,8 @@
 }
 
 func (group *benchmarkGroup) read(effect ReadStream) StreamRead {
-	read := StreamRead{Shard: effect.Shard, From: effect.From}
-	for offset, data := range group.streams[effect.Shard] {
-		if uint64(offset) >= effect.From {
-			read.Records = append(read.Records, platform.Record{Offset: uint64(offset), Data: data})
-		}
-	}
-	read.AtEnd = len(read.Records) == 0
-	return read
+	records, _ := readRecords(context.Background(), group.log, streamName(effect.Shard), effect.From)
+	return StreamRead{Shard: effect.Shard, From: effect.From, Records: records, AtEnd: len(records) == 0}
 }
 
 // transmit encodes and decodes a batch, and counts it.
--- a/internal/scheduler/home.go
+++ b/internal/scheduler/home.go
@@ -23,13 +23,14 @@
 // reads the shard's stream until it can host a replica: as a founder where a
 // claim names this start of the process, else as a learner.
 type home struct {
-	number  uint32
-	archive *replication.Archive
-	// state holds the stream's entries up to the claim in force, and tail those
-	// after it, which a group's own log brings to a founder's replica.
-	state   *shard.State
-	tail    []replication.Entry
-	offset  uint64
+	number uint32
+	*streamView
+	// opened is true once the view has been read in whole for the first time; it
+	// is then read on record by record.
+	opened bool
+	// below is the generation from which on snapshots of the stream are no use, 0
+	// for none.
+	below   uint32
 	reading bool
 	atEnd   bool
 	// failed is true while the log does not answer.
@@ -39,17 +40,27 @@
 	// appending is true while an append to the stream is under way.
 	appending  bool
 	lastRepair time.Duration
+	// appendingBytes is the size of that append, and archivedBytes what was
+	// appended since the last snapshot known.
+	appendingBytes int
+	archivedBytes  int
+	// snapshotIndex and snapshotSize are of the newest snapshot known, and
+	// snapshotAfter is when another may be made at the earliest.
+	snapshotIndex uint64
+	snapshotSize  int
+	snapshotAfter time.Duration
+	// lookedAt is the epoch in which this leader last asked for a snapshot.
+	lookedAt replication.Epoch
 	// rebuild is set while the shard's replica here hears no leader.
 	rebuild *rebuild
 }
 
 func (core *Core) newHome(number uint32) *home {
 	return &home{
-		number:  number,
-		archive: replication.NewArchive(number),
-		state:   shard.New(),
-		lastAsk: -streamReadInterval,
-		since:   core.now,
+		number:     number,
+		streamView: newStreamView(number),
+		lastAsk:    -streamReadInterval,
+		since:      core.now,
 	}
 }
 
@@ -106,6 +117,7 @@
 		}
 		if host.leads() {
 			core.archiveEntries(host, home)
+			core.snapshotHome(host, home)
 			core.repairGroup(host, home)
 		}
 		core.tickRebuild(home, host)
@@ -160,9 +172,35 @@
 	}
 	home.lastAsk = core.now
 	home.reading = true
+	if !home.opened {
+		core.emit(OpenStream{Shard: home.number, Below: home.below})
+		return
+	}
 	core.emit(ReadStream{Shard: home.number, From: home.offset})
 }
 
+// streamOpened takes a view of the whole stream in.
+func (core *Core) streamOpened(event StreamOpened) {
+	home := core.homes[event.Shard]
+	if home == nil {
+		return
+	}
+	home.reading = false
+	home.failed = event.view == nil
+	unwanted := home.opened || event.Below != home.below || core.hosts[event.Shard] != nil && home.rebuild == nil
+	if home.failed || unwanted {
+		return
+	}
+	home.opened = true
+	home.streamView = event.view
+	home.snapshotIndex = max(home.snapshotIndex, event.view.restored)
+	core.log("stream_opened", home.number, "", "",
+		fmt.Sprintf("%d bytes from snapshot %d", event.Bytes, event.view.restored))
+	if event.view.unreadable > 0 {
+		core.log("stream_record_unreadable", home.number, "", "", fmt.Sprintf("%d records", event.view.unreadable))
+	}
+}
+
 func (core *Core) streamRead(event StreamRead) {
 	home := core.homes[event.Shard]
 	if home == nil {
@@ -175,33 +213,16 @@
 		return
 	}
 	home.failed = false
-	if event.From != home.offset {
+	if !home.opened || event.From != home.offset {
 		// Asked for before the stream was begun anew.
 		return
 	}
 	for _, record := range event.Records {
-		home.offset = record.Offset + 1
-		core.readRecord(home, record.Data)
-	}
-	home.atEnd = event.AtEnd
-}
-
-// readRecord takes one record of the stream. A new claim's group starts from
-// everything before the claim.
-func (core *Core) readRecord(home *home, record []byte) {
-	before := home.archive.Claim().Generation
-	entries, err := home.archive.Read(record)
-	if err != nil {
-		core.log("stream_record_unreadable", home.number, "", "", err.Error())
-		return
-	}
-	if home.archive.Claim().Generation != before {
-		for _, entry := range home.tail {
-			applyArchived(home.state, entry)
+		if err := home.read(record); err != nil {
+			core.log("stream_record_unreadable", home.number, "", "", err.Error())
 		}
-		home.tail = nil
 	}
-	home.tail = append(home.tail, entries...)
+	home.atEnd = event.AtEnd
 }
 
 // claimGroup founds the shard's first group, if this process is the one to do
@@ -268,6 +289,11 @@
 // hostReplica starts this process's replica of the shard.
 func (core *Core) hostReplica(home *home) {
 	claim := home.archive.Claim()
+	if home.beyondBase() && core.isNamed(claim) {
+		// A founder's state must end where its group begins.
+		home.rereadBelow(core, claim.Generation)
+		return
+	}
 	self := replication.Member{Zone: core.config.Zone}
 	group := replication.Group{Shard: home.number, Generation: claim.Generation, Members: claim.Members}
 	base := home.archive.Base()
@@ -296,17 +322,13 @@
 	made.touch()
 	// From here on the group's log brings every entry.
 	home.dropRestored()
-	core.log("replica_hosted", home.number, "", "", string(replica.Role())+" as "+string(incarnation))
+	core.log("replica_hosted", home.number, "", "", replica.Role().String()+" as "+string(incarnation))
 }
 
 // ownIncarnation founds where the claim names this start of the process, and
 // joins as a new incarnation otherwise.
 func (core *Core) ownIncarnation(claim replication.Claim) (replication.Incarnation, error) {
-	boot := core.registry.Boot()
-	named := slices.ContainsFunc(claim.Members, func(member replication.Member) bool {
-		return member.Incarnation == boot
-	})
-	if named {
+	if core.isNamed(claim) {
 		if incarnation, err := core.registry.Founder(claim.Shard, claim.Generation); err == nil {
 			return incarnation, nil
 		}
@@ -314,6 +336,14 @@
 	return core.registry.Joiner(claim.Shard, claim.Generation)
 }
 
+// isNamed tells whether a claim names this start of the process.
+func (core *Core) isNamed(claim replication.Claim) bool {
+	boot := core.registry.Boot()
+	return slices.ContainsFunc(claim.Members, func(member replication.Member) bool {
+		return member.Incarnation == boot
+	})
+}
+
 // repairGroup removes a member that is silent or does not belong here, once
 // another process is there to take its place.
 func (core *Core) repairGroup(host *host, home *home) {
--- a/internal/scheduler/rebuild.go
+++ b/internal/scheduler/rebuild.go
@@ -62,7 +62,7 @@
 	if home.rebuild == nil {
 		home.rereadFrom(core)
 		home.rebuild = newRebuild()
-		core.log("shard_without_leader", home.number, "", "", string(host.replica.Role()))
+		core.log("shard_without_leader", home.number, "", "", host.replica.Role().String())
 	}
 	core.readHome(home)
 	if !home.atEnd {
@@ -82,9 +82,19 @@
 	fresh := core.newHome(home.number)
 	fresh.appending = home.appending
 	fresh.reading = home.reading
+	fresh.snapshotIndex = home.snapshotIndex
 	*home = *fresh
 }
 
+// rereadBelow begins to read the stream anew, without the snapshots of a
+// generation and of later ones.
+func (home *home) rereadBelow(core *Core, generation uint32) {
+	attempt := home.rebuild
+	home.rereadFrom(core)
+	home.below = generation
+	home.rebuild = attempt
+}
+
 // claimAnew gathers the proof and appends the claim, if this process is the
 // first live one of the shard's home.
 func (core *Core) claimAnew(home *home) {
@@ -222,5 +232,6 @@
 func (home *home) dropRestored() {
 	home.state = shard.New()
 	home.tail = nil
+	home.restored = 0
 	home.rebuild = nil
 }
--- a/internal/scheduler/schedule_test.go
+++ b/internal/scheduler/schedule_test.go
@@ -70,8 +70,8 @@
 		cluster.cut = func(from, to string) bool { return from == name || to == name }
 		faults.undo(length, func() { cluster.cut = func(string, string) bool { return false } })
 	case 3:
-		cluster.logDown = true
-		faults.undo(length, func() { cluster.logDown = false })
+		cluster.log.down = true
+		faults.undo(length, func() { cluster.log.down = false })
 	}
 }
 
--- /dev/null
+++ b/internal/scheduler/stream_open.go
@@ -0,0 +1,155 @@
+package scheduler
+
+import (
+	"cmp"
+	"context"
+	"slices"
+
+	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/replication"
+)
+
+// maximumSnapshotTries bounds how many snapshots a reader looks for before it
+// reads the stream from its start.
+const maximumSnapshotTries = 4
+
+// streamReader reads a shard's streams outside the control goroutine. An error
+// is always the log's: what stands in the streams never stops a reader.
+type streamReader struct {
+	log   platform.Log
+	shard uint32
+	// records and bytes count what was read of the shard's stream.
+	records int
+	bytes   int
+}
+
+// open returns a view of the whole stream, begun from the newest usable
+// snapshot, or from the stream's start. With below above 0, only snapshots of an
+// earlier generation are used.
+func (reader *streamReader) open(ctx context.Context, below uint32) (*streamView, error) {
+	pointers, err := reader.pointers(ctx)
+	if err != nil {
+		return nil, err
+	}
+	tries := 0
+	for _, pointer := range pointers {
+		if below > 0 && pointer.Generation >= below {
+			continue
+		}
+		if tries++; tries > maximumSnapshotTries {
+			break
+		}
+		view, err := reader.openAt(ctx, pointer)
+		if err != nil {
+			return nil, err
+		}
+		if view != nil && (below == 0 || !view.beyondBase()) {
+			return view, nil
+		}
+	}
+	view := newStreamView(reader.shard)
+	return view, reader.readOn(ctx, view)
+}
+
+// pointers returns what the index stream holds, those that leave the least to
+// read first.
+func (reader *streamReader) pointers(ctx context.Context) ([]replication.SnapshotPointer, error) {
+	var pointers []replication.SnapshotPointer
+	err := reader.each(ctx, indexStreamName(reader.shard), 0, func(record platform.Record) bool {
+		if pointer, err := replication.DecodeSnapshotPointer(reader.shard, record.Data); err == nil {
+			pointers = append(pointers, pointer)
+		}
+		return true
+	})
+	slices.SortStableFunc(pointers, func(left, right replication.SnapshotPointer) int {
+		return cmp.Compare(right.Offset, left.Offset)
+	})
+	return pointers, err
+}
+
+// openAt reads from a pointer's offset to the stream's end. It returns no view
+// where the snapshot is not whole, can't be decoded, or is another than the
+// pointer says.
+func (reader *streamReader) openAt(ctx context.Context, pointer replication.SnapshotPointer) (*streamView, error) {
+	search := &snapshotSearch{
+		pointer:   pointer,
+		collector: replication.NewSnapshotCollector(reader.shard, pointer.SnapshotID),
+	}
+	err := reader.each(ctx, streamName(reader.shard), pointer.Offset, func(record platform.Record) bool {
+		reader.count(record)
+		search.take(record)
+		return !search.failed
+	})
+	return search.view, err
+}
+
+// readOn reads from the view's offset to the stream's end.
+func (reader *streamReader) readOn(ctx context.Context, view *streamView) error {
+	return reader.each(ctx, streamName(reader.shard), view.offset, func(record platform.Record) bool {
+		reader.count(record)
+		_ = view.read(record)
+		return true
+	})
+}
+
+func (reader *streamReader) count(record platform.Record) {
+	reader.records++
+	reader.bytes += len(record.Data)
+}
+
+// each hands the records of a stream over, up to the one that it found as the
+// last, or until take returns false.
+func (reader *streamReader) each(ctx context.Context, stream string, from uint64, take func(platform.Record) bool) error {
+	for {
+		records, err := readRecords(ctx, reader.log, stream, from)
+		if err != nil || len(records) == 0 {
+			return err
+		}
+		for _, record := range records {
+			from = record.Offset + 1
+			if !take(record) {
+				return nil
+			}
+		}
+	}
+}
+
+func readRecords(ctx context.Context, log platform.Log, stream string, from uint64) ([]platform.Record, error) {
+	bounded, cancel := context.WithTimeout(ctx, logTimeout)
+	defer cancel()
+	return log.Read(bounded, stream, from, streamReadLimit)
+}
+
+// OpenStream asks for a view of a shard's whole stream.
+type OpenStream struct {
+	Shard uint32
+	// Below excludes snapshots of this generation and later ones; 0 excludes
+	// none.
+	Below uint32
+}
+
+// StreamOpened brings a view of a shard's stream.
+type StreamOpened struct {
+	Shard uint32
+	// Below is the effect's own.
+	Below uint32
+	// Bytes is what was read of the stream.
+	Bytes int
+	// view is nil where the log did not answer.
+	view *streamView
+}
+
+func (OpenStream) effect()  {}
+func (StreamOpened) event() {}
+
+// openStream carries an OpenStream out.
+func openStream(ctx context.Context, log platform.Log, effect OpenStream) StreamOpened {
+	opened := StreamOpened{Shard: effect.Shard, Below: effect.Below}
+	reader := &streamReader{log: log, shard: effect.Shard}
+	view, err := reader.open(ctx, effect.Below)
+	if err == nil {
+		opened.view = view
+		opened.Bytes = reader.bytes
+	}
+	return opened
+}
--- a/internal/scheduler/traffic.go
+++ b/internal/scheduler/traffic.go
@@ -16,6 +16,7 @@
 
 const (
 	streamNamePrefix  = "shard/"
+	indexNamePrefix   = "shard-index/"
 	streamReadLimit   = 256
 	orderTimeout      = 2 * time.Second
 	logTimeout        = 5 * time.Second
@@ -82,6 +83,10 @@
 		go traffic.readStream(effect)
 	case AppendStream:
 		go traffic.appendStream(effect)
+	case OpenStream:
+		go func() { traffic.post(openStream(traffic.ctx, traffic.log, effect)) }()
+	case SnapshotStream:
+		go func() { traffic.post(snapshotStream(traffic.ctx, traffic.log, effect)) }()
 	}
 }
 
@@ -142,10 +147,13 @@
 	return streamNamePrefix + strconv.FormatUint(uint64(shardNumber), 10)
 }
 
+// indexStreamName names the stream of pointers to a shard's snapshots.
+func indexStreamName(shardNumber uint32) string {
+	return indexNamePrefix + strconv.FormatUint(uint64(shardNumber), 10)
+}
+
 func (traffic *traffic) readStream(effect ReadStream) {
-	ctx, cancel := context.WithTimeout(traffic.ctx, logTimeout)
-	defer cancel()
-	records, err := traffic.log.Read(ctx, streamName(effect.Shard), effect.From, streamReadLimit)
+	records, err := readRecords(traffic.ctx, traffic.log, streamName(effect.Shard), effect.From)
 	traffic.post(StreamRead{
 		Shard:   effect.Shard,
 		From:    effect.From,
