Load adapters by the keeper's order and announce fences

Change: effect LoadAdapter, given once; LoadRefused where the engine did not take it. The leader refuses adapters that the service does not list, also for calls that wait. A keeper announces its fence to each engine by releasing a program name that can't exist, again where the report shows a lower one, and raises it over a higher one.

Ruled out: repeating an order to load (the weights would move twice); a seam of its own for announcing (every fenced order does it).

Test engines of the virtual cluster now count blocks held by program, check fences and adapters.

--- a/internal/scheduler/call_ask.go
+++ b/internal/scheduler/call_ask.go
@@ -87,6 +87,9 @@
 	if !found || service.Kind != serviceKind(request.Kind) {
 		return resultcode.New(resultcode.UnknownTarget, "no service %s of this kind", request.Target)
 	}
+	if failure := core.checkAdapter(request.Target, request.Adapter); failure != nil {
+		return failure
+	}
 	return core.checkKind(program, request.Target)
 }
 
--- a/internal/scheduler/cluster_test.go
+++ b/internal/scheduler/cluster_test.go
@@ -20,6 +20,7 @@
 const (
 	testModel   = "small"
 	testTool    = "ledger"
+	testAdapter = "dialect"
 	testTenant  = "metering"
 	testTier    = "kiosk"
 	testLatency = time.Millisecond
@@ -40,11 +41,13 @@
 	// running holds the generations an engine knows.
 	running map[string]*testGeneration
 	sealed  map[string]bool
-	// released holds the programs whose cache was released.
-	released map[string]bool
+	// engines are the engines by their address.
+	engines map[string]*testEngine
 	// cut tells whether a message from one process to another is lost.
 	cut       func(from, to string) bool
 	callSteps int
+	// runDelay is how late calls come to the engines.
+	runDelay time.Duration
 	// backlog bounds a shard's unarchived entries; 0 takes the default.
 	backlog int
 	// budget of the one tier, micro units.
@@ -106,7 +109,7 @@
 		runs:      make(map[string]int),
 		running:   make(map[string]*testGeneration),
 		sealed:    make(map[string]bool),
-		released:  make(map[string]bool),
+		engines:   make(map[string]*testEngine),
 		answers:   make(map[AskID]callAnswer),
 		cut:       func(string, string) bool { return false },
 		callSteps: 5,
@@ -126,6 +129,7 @@
 			ID: name, Role: platform.RoleEngine, Region: "r", Zone: "z0", Address: name,
 			State: platform.MachineLive, Service: testModel,
 		})
+		cluster.engines[name] = newTestEngine(cluster, name)
 	}
 	cluster.machines = append(cluster.machines, platform.Machine{
 		ID: "t0", Role: platform.RoleTool, Region: "r", Zone: "z0", Address: "t0",
@@ -265,7 +269,7 @@
 		node.polled = effect.Engines
 		node.poll()
 	case RunModelCall:
-		cluster.after(testLatency, func() { node.runModel(effect) })
+		cluster.after(testLatency+cluster.runDelay, func() { node.runModel(effect) })
 	case RunToolCall:
 		cluster.after(testLatency, func() { node.runTool(effect) })
 	case StopRun:
@@ -274,7 +278,9 @@
 			cluster.sealed[backEndRequestID(effect.Run)] = true
 		}
 	case ReleaseCache:
-		cluster.released[effect.Program] = true
+		cluster.after(testLatency, func() { cluster.engines[effect.Address].release(effect) })
+	case LoadAdapter:
+		cluster.after(testLatency, func() { cluster.engines[effect.Address].load(node, effect) })
 	}
 }
 
@@ -309,10 +315,7 @@
 
 func (node *testNode) poll() {
 	for _, engine := range node.polled {
-		node.step(EngineReported{Engine: engine.Engine, Report: platform.LoadReport{
-			Engine: engine.Engine, Model: testModel, RunningLimit: 8, BlocksTotal: 4096,
-			BlockTokens: 16, StepDuration: 3 * time.Millisecond,
-		}})
+		node.step(EngineReported{Engine: engine.Engine, Report: node.cluster.engines[engine.Address].report()})
 	}
 	if !node.dead && len(node.polled) > 0 {
 		node.cluster.after(200*time.Millisecond, node.poll)
@@ -335,6 +338,10 @@
 			node.step(RunEnded{Run: effect.Run, End: end, Detail: "sealed"})
 			return
 		}
+		if reason := cluster.engines[effect.Address].admit(effect.Request); reason != "" {
+			node.step(RunEnded{Run: effect.Run, End: RunNotRun, Detail: reason})
+			return
+		}
 		cluster.runs[name]++
 		generation = &testGeneration{request: name, engine: effect.Address}
 		cluster.running[name] = generation
@@ -345,6 +352,7 @@
 
 // crashEngine makes an engine forget everything it ran or sealed.
 func (cluster *testCluster) crashEngine(engine string) {
+	cluster.engines[engine].restart()
 	for name, generation := range cluster.running {
 		if generation.engine == engine {
 			generation.lost = true
@@ -494,7 +502,7 @@
 	if name == testTool {
 		kind = operatorv1.ServiceKind_SERVICE_KIND_TOOL
 	}
-	return &operatorv1.Service{Name: name, Kind: kind}, name == testModel || name == testTool
+	return &operatorv1.Service{Name: name, Kind: kind, Adapters: []string{testAdapter}}, name == testModel || name == testTool
 }
 func (testConfiguration) Kind(name string) (*operatorv1.ProgramKind, bool) {
 	return &operatorv1.ProgramKind{Name: "dispute", Tiers: []string{testTier}, Services: []string{testModel, testTool}}, name == "dispute"
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -184,6 +184,8 @@
 		core.streamOpened(event)
 	case StreamSnapshotted:
 		core.streamSnapshotted(event)
+	case LoadRefused:
+		core.loadRefused(event)
 	case StopOrdered:
 		core.stopOrdered()
 	}
--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -169,7 +169,7 @@
 			}
 		}
 		Expect(last.failure.Code).To(BeEquivalentTo(resultcode.ProgramOver))
-		Expect(cluster.runUntil(10*time.Second, func() bool { return cluster.released["p1"] })).To(BeTrue())
+		Expect(cluster.runUntil(10*time.Second, func() bool { return len(cluster.holders("p1")) == 0 })).To(BeTrue())
 	})
 
 	It("cuts no call when a process is stopped as planned", func() {
@@ -221,11 +221,12 @@
 		cluster := newTestCluster(7, 3)
 		cluster.create("p1")
 		cluster.call(testCall("p1", "r1"), 20*time.Second)
+		Expect(cluster.holders("p1")).NotTo(BeEmpty())
 		cluster.ask(cluster.leader("p1"), func(ask AskID) Event {
 			return EndAsked{Ask: ask, Request: &schedulerv1.EndProgramRequest{
 				ProgramId: "p1", Stop: true, Caller: &schedulerv1.Caller{Tenant: testTenant},
 			}}
 		})
-		Expect(cluster.runUntil(10*time.Second, func() bool { return cluster.released["p1"] })).To(BeTrue())
+		Expect(cluster.runUntil(10*time.Second, func() bool { return len(cluster.holders("p1")) == 0 })).To(BeTrue())
 	})
 })
--- a/internal/scheduler/effect.go
+++ b/internal/scheduler/effect.go
@@ -84,6 +84,17 @@
 	Fence   platform.Fence
 }
 
+// LoadAdapter orders an engine to load an adapter beside the model version that
+// it has. It is given once; a LoadRefused follows where the engine did not take it.
+type LoadAdapter struct {
+	Engine  string
+	Address string
+	Model   string
+	Version string
+	Adapter string
+	Fence   platform.Fence
+}
+
 // PollEngines replaces the engines whose load reports are asked for.
 type PollEngines struct{ Engines []EngineAddress }
 
@@ -130,6 +141,7 @@
 func (PollEngineSoon) effect() {}
 func (StopRun) effect()        {}
 func (ReleaseCache) effect()   {}
+func (LoadAdapter) effect()    {}
 func (PollEngines) effect()    {}
 func (ReadStream) effect()     {}
 func (AppendStream) effect()   {}
--- a/internal/scheduler/event.go
+++ b/internal/scheduler/event.go
@@ -150,6 +150,12 @@
 // EngineSilent tells that an engine has not answered for its report.
 type EngineSilent struct{ Engine string }
 
+// LoadRefused tells that an engine did not take an order to load an adapter.
+type LoadRefused struct {
+	Engine  string
+	Adapter string
+}
+
 // StopOrdered begins a planned stop.
 type StopOrdered struct{}
 
@@ -187,5 +193,6 @@
 func (RunEnded) event()             {}
 func (EngineReported) event()       {}
 func (EngineSilent) event()         {}
+func (LoadRefused) event()          {}
 func (StopOrdered) event()          {}
 func (Tick) event()                 {}
--- a/internal/scheduler/keeper_client.go
+++ b/internal/scheduler/keeper_client.go
@@ -16,6 +16,13 @@
 
 // offer asks the keeper of the model's pool for a slot.
 func (host *host) offer(live *liveCall) {
+	accepted := live.call.Accepted()
+	if failure := host.core.checkAdapter(accepted.Target, accepted.Adapter); failure != nil {
+		// The configuration has dropped the adapter while the call waited.
+		host.cancelOffer(live)
+		host.refuse(live, failure)
+		return
+	}
 	pools := host.core.poolsFor(live.call.Accepted().Target, live.id().program)
 	if len(pools) == 0 {
 		host.refuse(live, resultcode.New(resultcode.NoBackEnd,
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -11,7 +11,7 @@
 
 // pool is an engine pool that this process keeps, because it leads the pool's
 // shard. The shard's epoch is the fence of every order to the engines, so a
-// keeper that has been replaced is refused by them.
+// keeper that has been replaced is refused by them; see pool_fence.go.
 type pool struct {
 	core    *Core
 	name    string
@@ -19,6 +19,7 @@
 	keeper  *keeper.Keeper
 	engines map[string]platform.Machine
 	drained map[string]bool
+	fences  map[string]*engineFence
 	// policies are the names that the keeper was made with.
 	policies policyNames
 }
@@ -28,12 +29,6 @@
 	affinityPercent         uint32
 }
 
-// fence is the order under which the pool's engines are told what to do now.
-func (pool *pool) fence() platform.Fence {
-	host := pool.core.hosts[pool.shard]
-	return platform.Fence{Holder: pool.core.Incarnation(), Epoch: uint64(host.epoch)}
-}
-
 // arrangePools keeps exactly the pools whose shards this process leads.
 func (core *Core) arrangePools() {
 	kept := make(map[string]bool)
@@ -72,6 +67,7 @@
 		shard:   shardNumber,
 		engines: make(map[string]platform.Machine),
 		drained: make(map[string]bool),
+		fences:  make(map[string]*engineFence),
 	}
 	made.buildKeeper()
 	return made
@@ -129,9 +125,15 @@
 		if _, found := listed[name]; !found {
 			pool.step(keeper.EngineLost{Engine: name})
 			delete(pool.drained, name)
+			delete(pool.fences, name)
 		}
 	}
 	pool.engines = listed
+	for _, engine := range engines {
+		if pool.fences[engine.ID] == nil {
+			pool.announceFence(engine)
+		}
+	}
 }
 
 func (pool *pool) arrangeDrain(engine platform.Machine) {
@@ -172,8 +174,7 @@
 // granted unless the shard's lease covers this moment.
 func (pool *pool) step(event keeper.Event) {
 	effects := slices.Clone(pool.keeper.Step(pool.core.now, event))
-	host := pool.core.hosts[pool.shard]
-	if host == nil || !host.leads() {
+	if !pool.leads() {
 		return
 	}
 	for _, effect := range effects {
@@ -196,6 +197,8 @@
 			Engine:  effect.Engine,
 			Address: pool.engines[effect.Engine].Address,
 		}})
+	case keeper.LoadAdapter:
+		pool.orderLoad(effect)
 	case keeper.ExportCache, keeper.ImportCache:
 		pool.core.log("cache_move_unsupported", pool.shard, "", "", pool.name)
 	}
@@ -206,11 +209,11 @@
 	if !found {
 		return
 	}
-	pool.core.emit(ReleaseCache{Address: engine.Address, Program: effect.Program, Fence: pool.fence()})
+	pool.core.emit(ReleaseCache{Address: engine.Address, Program: effect.Program, Fence: pool.fenceOf(effect.Engine)})
 }
 
 func (pool *pool) grantOf(grant keeper.Grant) *schedulerv1.KeeperReply {
-	fence := pool.fence()
+	fence := pool.fenceOf(grant.Engine)
 	return &schedulerv1.KeeperReply{Reply: &schedulerv1.KeeperReply_Grant{Grant: &schedulerv1.CallGrant{
 		Call:        wireCallKey(grant.Request.Call),
 		Engine:      grant.Engine,
@@ -319,6 +322,7 @@
 		if !found {
 			continue
 		}
+		kept.followFence(machine, event.Report.FenceEpoch)
 		kept.step(reportedEngine(event, machine))
 		return
 	}
@@ -329,7 +333,10 @@
 	return keeper.EngineReported{
 		Engine:        event.Engine,
 		Model:         report.Model,
+		Version:       report.Version,
 		Zone:          machine.Zone,
+		Loading:       report.Loading,
+		Adapters:      report.Adapters,
 		Leaving:       report.Leaving,
 		Running:       report.Running,
 		Waiting:       report.Waiting,
--- a/internal/scheduler/traffic.go
+++ b/internal/scheduler/traffic.go
@@ -75,6 +75,8 @@
 		traffic.stopRun(effect)
 	case ReleaseCache:
 		go traffic.releaseCache(effect)
+	case LoadAdapter:
+		go traffic.loadAdapter(effect)
 	case PollEngines:
 		traffic.polls.watch(effect.Engines)
 	case PollEngineSoon:
