Let what the keeper only takes note of ride with other messages

Cause: a first token, a pause and the end of a program each went to the keeper in an HTTP exchange of its own, though nothing waits for them. Change: they stay in the batch to the keeper's process until something else is due there, or until the next tick. The order of messages to a process is kept. Returned slots and cancelled offers still go at once: calls may wait for them.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -83,6 +83,10 @@
 	// heldBefore names the pools that the last report of held grants covered.
 	heldBefore map[string]bool
 	outbox     map[string]*schedulerv1.PeerBatch
+	// due are the processes whose batch goes out at the step's end; after a tick
+	// all do.
+	due    map[string]bool
+	ticked bool
 	// answering is the peer whose batch is being taken in, and answerTo its ask:
 	// what is queued for it by the step's end goes back as the answer.
 	answering string
@@ -113,6 +117,7 @@
 		pools:      make(map[string]*pool),
 		heldBefore: make(map[string]bool),
 		outbox:     make(map[string]*schedulerv1.PeerBatch),
+		due:        make(map[string]bool),
 		counters:   newCounters(),
 	}
 }
@@ -201,6 +206,7 @@
 
 // tick drives every timer of the core.
 func (core *Core) tick() {
+	core.ticked = true
 	for _, number := range core.hostNumbers() {
 		core.hosts[number].tick(core.now)
 	}
--- a/internal/scheduler/keeper_client.go
+++ b/internal/scheduler/keeper_client.go
@@ -104,10 +104,22 @@
 	if process == "" {
 		return
 	}
-	batch := core.batchTo(process)
+	batch := core.keeperBatch(process, request)
 	batch.KeeperRequests = append(batch.KeeperRequests, request)
 }
 
+// keeperBatch returns the batch to take a request along. What the keeper only
+// takes note of can wait for other messages.
+func (core *Core) keeperBatch(process string, request *schedulerv1.KeeperRequest) *schedulerv1.PeerBatch {
+	switch request.Request.(type) {
+	case *schedulerv1.KeeperRequest_FirstToken,
+		*schedulerv1.KeeperRequest_Pause,
+		*schedulerv1.KeeperRequest_Gone:
+		return core.waitingBatch(process)
+	}
+	return core.batchTo(process)
+}
+
 // keeperReplied takes a keeper's answer in.
 func (core *Core) keeperReplied(reply *schedulerv1.KeeperReply) {
 	switch answer := reply.Reply.(type) {
--- a/internal/scheduler/outbox.go
+++ b/internal/scheduler/outbox.go
@@ -7,8 +7,15 @@
 	"github.com/magpielug/magpielug/internal/replication"
 )
 
-// batchTo returns the batch that collects this step's messages to a process.
+// batchTo returns the batch that is sent to a process at the step's end.
 func (core *Core) batchTo(process string) *schedulerv1.PeerBatch {
+	core.due[process] = true
+	return core.waitingBatch(process)
+}
+
+// waitingBatch returns the batch for a process that goes with the next message
+// to it that is due, or at the next tick. It keeps the order of all messages.
+func (core *Core) waitingBatch(process string) *schedulerv1.PeerBatch {
 	batch := core.outbox[process]
 	if batch == nil {
 		batch = &schedulerv1.PeerBatch{}
@@ -17,23 +24,27 @@
 	return batch
 }
 
-// flushOutbox sends one batch to each process that has messages waiting. The
+// flushOutbox sends one batch to each process that has messages due. The
 // peer that is being answered gets its batch as the answer.
 func (core *Core) flushOutbox() {
 	processes := core.batcher.Peers()
 	for process := range core.outbox {
-		processes = append(processes, process)
+		if core.due[process] || core.ticked {
+			processes = append(processes, process)
+		}
 	}
 	if core.answering != "" {
 		processes = append(processes, core.answering)
 	}
 	slices.Sort(processes)
 	for _, process := range slices.Compact(processes) {
-		batch := core.batchTo(process)
+		batch := core.waitingBatch(process)
 		batch.Replication = core.batcher.Take(process)
 		delete(core.outbox, process)
 		core.sendBatch(process, batch)
 	}
+	clear(core.due)
+	core.ticked = false
 	core.answering = ""
 	core.answerTo = 0
 }
