--- a/rehearsal/capacity/keeper.go
+++ b/rehearsal/capacity/keeper.go
@@ -16,6 +16,8 @@
 		line{role, ControlProcessor, "engines' load reports, programs' blocks", "decoded whole; planned: changes only",
 			Multiply(model.get("programs"), model.get("report_program_us"), model.get("report_share"),
 				model.per("report_seconds"), model.per("pools"))},
+		line{role, ControlProcessor, "decisions", "filter, score, pick; part of the leader's row too",
+			Multiply(model.get("requests"), model.get("keeper_call_us"), model.per("pools"))},
 		line{role, Memory, "programs with cache in the pool", "table of prefixes, corrected by reports",
 			Multiply(model.get("programs"), model.get("keeper_program_bytes"), model.get("heap_factor"), model.per("pools"))},
 		line{role, Operations, "calls", "-", Multiply(model.get("requests"), model.per("pools"))},
--- a/rehearsal/capacity/member.go
+++ b/rehearsal/capacity/member.go
@@ -14,8 +14,6 @@
 		{role, ControlProcessor, "heartbeats", "twirp",
 			Multiply(model.get("peers"), model.get("heartbeat_calls"), model.get("heartbeat_share"),
 				model.get("rpc_us"), model.per("heartbeat_seconds"))},
-		{role, ControlProcessor, "ticks of replicas", "planned: a timer at the next due time",
-			Multiply(model.get("shards"), model.get("replicas"), model.get("ticks"), model.get("replica_tick_us"), model.per("schedulers"))},
 		{role, ControlProcessor, "replicas without load", "heartbeats' content",
 			Multiply(model.get("shards"), model.get("replicas"), model.get("replica_us"), model.per("schedulers"))},
 		{role, Memory, "program records", "replicated state",
@@ -26,6 +24,9 @@
 		{role, Memory, "histories", "state, not control; planned: a cache at the leader, the archive behind it",
 			Multiply(model.get("programs"), model.get("history_tokens"), model.get("history_share"),
 				model.get("token_bytes"), model.get("history_copies"), model.get("heap_factor"), model.per("compression"), model.per("schedulers"))},
+		{role, Memory, "entries kept for members that lag", "the last archived ones",
+			Multiply(model.get("shards"), model.get("replicas"), model.get("kept_entries"), entryBytes(model),
+				model.get("heap_factor"), model.per("schedulers"))},
 		{role, OutageMemory, "turns of an hour without the log", "turns counted; the setting archive_backlog bounds them, then ARCHIVE_BACKLOG_FULL",
 			Multiply(model.get("requests"), Constant(secondsPerHour, "s"), model.get("history_tokens"), model.per("turns"),
 				model.get("token_bytes"), model.get("replicas"), model.get("heap_factor"), model.per("compression"), model.per("schedulers"))},
@@ -45,3 +46,13 @@
 	bytes := model.get("token_bytes")
 	return Factor{Value: tokens * bytes.Value, Label: "B a turn", Basis: bytes.Basis}
 }
+
+// entriesPerCall is how many entries of its shard's log a call takes.
+const entriesPerCall = 3
+
+// entryBytes is the mean entry of a shard's log.
+func entryBytes(model *inputModel) Factor {
+	turn := turnBytes(model)
+	overhead := model.get("entry_overhead_bytes")
+	return Factor{Value: (turn.Value + overhead.Value) / entriesPerCall, Label: "B an entry", Basis: max(turn.Basis, overhead.Basis)}
+}
