Predict a backlog's wait from the grants it gets; spread the affinity baseline

Cause 1: at 1.6 of our own saturation for ten minutes almost nothing was refused: the predicted wait took every slot as usable, while memory bound the pool. Change: a band whose calls have waited for 10 s without a break is predicted by its waiting calls over its measured grants (Little's law). The new test fails on the code before. Cause 2: the prefix-affinity baseline broke ties by free memory, which is 0 everywhere once caches are full, so all new programs went to one engine.

--- a/internal/keeper/admission.go
+++ b/internal/keeper/admission.go
@@ -82,10 +82,16 @@
 	return call.rank.Value > other.rank.Value
 }
 
-// predictWait is the wait a call entering a band now can expect. A band is
-// served either after all calls above it, at the rate that higher bands leave,
-// or by its reserved share, whichever comes first.
+// predictWait is the wait a call entering a band now can expect. In a band with
+// a backlog it is the calls that wait over the rate at which they are granted,
+// which also knows how far memory and not slots bound the pool. Without one, a
+// band is served either after all calls above it, at the rate that higher bands
+// leave, or by its reserved share, whichever comes first.
 func (keeper *Keeper) predictWait(band uint32) time.Duration {
+	atOrAbove, inBand := keeper.ahead(band)
+	if rate := keeper.tiers.backlogRate(band, keeper.now); rate > 0 {
+		return seconds(float64(inBand+1) / rate)
+	}
 	slots, free := 0, 0
 	for _, engine := range keeper.engines {
 		if engine.ready() {
@@ -96,7 +102,6 @@
 	if free > len(keeper.waiting) {
 		return 0
 	}
-	atOrAbove, inBand := keeper.ahead(band)
 	rate := max(float64(slots)/keeper.estimates.hold(), leastRate)
 	left := max(rate-keeper.tiers.rateAbove(band, keeper.now), leastRate)
 	inTurn := float64(atOrAbove+1) / left
@@ -104,6 +109,15 @@
 	return seconds(min(inTurn, byShare))
 }
 
+// noteIdleBands records which bands have no waiting call.
+func (keeper *Keeper) noteIdleBands() {
+	for _, rate := range keeper.tiers.bands {
+		if _, inBand := keeper.ahead(rate.number); inBand == 0 {
+			rate.idleAt = keeper.now
+		}
+	}
+}
+
 // ahead counts waiting calls at or above a band, and in it.
 func (keeper *Keeper) ahead(band uint32) (atOrAbove, inBand int) {
 	atOrAbove, inBand = keeper.pool.Ahead(band)
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -133,6 +133,7 @@
 	case GrantsHeld:
 		keeper.applyHeldGrants(event)
 	case Tick:
+		keeper.noteIdleBands()
 		keeper.programs.forgetEnded(keeper.now - keeper.config.EndedMemory)
 		keeper.forgetAdapters()
 	}
--- a/internal/keeper/overload_test.go
+++ b/internal/keeper/overload_test.go
@@ -1,6 +1,7 @@
 package keeper_test
 
 import (
+	"strconv"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -11,6 +12,29 @@
 )
 
 var _ = Describe("overload", func() {
+	It("predicts a backlog's wait from the grants it gets when memory and not slots bound the pool", func() {
+		b := newBench(keeper.Config{}, "", "", "")
+		small := report("e1", 100)
+		small.BlocksTotal = 16
+		b.step(small)
+		for number := range 80 {
+			b.step(keeper.CallQueued{Request: request(strconv.Itoa(number), 1, 1)})
+		}
+		running := "0"
+		for range 15 {
+			b.after(time.Second)
+			b.step(small)
+			next := granted(b.step(finished(running, 1)))
+			Expect(next).To(HaveLen(1))
+			running = next[0]
+		}
+		late := request("late", 1, 1)
+		late.WaitBound = 20 * time.Second
+		refused := refusals(b.step(keeper.CallQueued{Request: late}))
+		Expect(refused).To(HaveLen(1))
+		Expect(refused[0].RetryAfter).To(BeNumerically(">", 30*time.Second))
+	})
+
 	It("refuses at once, with when to come back, over the tier's wait bound", func() {
 		b := newBench(keeper.Config{}, "", "", "")
 		b.step(report("e1", 1))
--- a/internal/keeper/tier.go
+++ b/internal/keeper/tier.go
@@ -75,6 +75,8 @@
 	number  uint32
 	count   float64
 	counted time.Duration
+	// idleAt is when the band was last seen without a waiting call.
+	idleAt time.Duration
 }
 
 // decayed returns the count as of now.
@@ -83,15 +85,31 @@
 	return rate.count * math.Exp(-age/rateMemory.Seconds())
 }
 
-// countGrant adds one grant to a band's rate.
-func (table *tierTable) countGrant(band uint32, now time.Duration) {
-	index, found := slices.BinarySearchFunc(table.bands, band, func(rate *bandRate, number uint32) int {
+// band returns a band's rate, made if needed.
+func (table *tierTable) band(number uint32, now time.Duration) *bandRate {
+	index, found := slices.BinarySearchFunc(table.bands, number, func(rate *bandRate, number uint32) int {
 		return cmp.Compare(number, rate.number)
 	})
 	if !found {
-		table.bands = slices.Insert(table.bands, index, &bandRate{number: band})
+		table.bands = slices.Insert(table.bands, index, &bandRate{number: number, idleAt: now})
+	}
+	return table.bands[index]
+}
+
+// backlogRate returns the grants a second that a band gets, once calls of it
+// have waited without a break for as long as rates are averaged; 0 before. Less
+// than that says nothing: a band may get few grants because it asks for few.
+func (table *tierTable) backlogRate(number uint32, now time.Duration) float64 {
+	rate := table.band(number, now)
+	if now-rate.idleAt < rateMemory {
+		return 0
 	}
-	rate := table.bands[index]
+	return max(rate.decayed(now)/rateMemory.Seconds(), leastRate)
+}
+
+// countGrant adds one grant to a band's rate.
+func (table *tierTable) countGrant(band uint32, now time.Duration) {
+	rate := table.band(band, now)
 	rate.count = rate.decayed(now) + 1
 	rate.counted = now
 }
--- a/internal/placement/score.go
+++ b/internal/placement/score.go
@@ -30,13 +30,14 @@
 }
 
 // UncachedScorer costs one for each prompt token that is not cached, whatever
-// the engine's load; a program without a prefix goes where least memory is used.
+// the engine's load; a program without a prefix goes where the fewest calls are.
 type UncachedScorer struct{}
 
-// Cost returns uncached tokens, with a tie-break under one by memory in use.
+// Cost returns uncached tokens, with a tie-break under one by calls.
 func (UncachedScorer) Cost(call *Call, candidate *Candidate) float64 {
 	uncached := max(call.PromptTokens-candidate.CachedTokens, 0)
-	return float64(uncached) + 1/float64(1+max(candidate.FreeTokens, 0))
+	calls := float64(candidate.Running + candidate.Waiting)
+	return float64(uncached) + calls/(calls+1)
 }
 
 // WaitScorer costs the predicted wait for a slot.
