Wait for a call's next chunk with one timer a stream; show idle peers' talk

Cause: following a call made a context with a timer for each token. Change: the buffer's wait ends by a channel, fed by one timer a stream.

--- a/internal/scheduler/call_handler.go
+++ b/internal/scheduler/call_handler.go
@@ -64,10 +64,13 @@
 // or until the caller is gone. A buffer that ends with no answer ends the
 // stream with no final event.
 func follow(ctx context.Context, events *eventWriter, buffer *stream.Buffer, after uint64) {
+	quiet := time.NewTimer(aliveInterval)
+	defer quiet.Stop()
 	for {
-		view, err := nextOrAlive(ctx, buffer, after)
+		view, err := buffer.Next(ctx, quiet.C, after)
+		quiet.Reset(aliveInterval)
 		switch {
-		case errors.Is(err, context.DeadlineExceeded) && ctx.Err() == nil:
+		case errors.Is(err, stream.ErrQuiet):
 			if events.alive() != nil {
 				return
 			}
@@ -85,13 +88,6 @@
 	}
 }
 
-// nextOrAlive waits for the next view, but no longer than aliveInterval.
-func nextOrAlive(ctx context.Context, buffer *stream.Buffer, after uint64) (stream.View, error) {
-	bounded, cancel := context.WithTimeout(ctx, aliveInterval)
-	defer cancel()
-	return buffer.Next(bounded, after)
-}
-
 // eventWriter writes length-delimited events.
 type eventWriter struct{ writer http.ResponseWriter }
 
--- a/internal/scheduler/decision_benchmark_test.go
+++ b/internal/scheduler/decision_benchmark_test.go
@@ -393,3 +393,27 @@
 		})
 	}
 }
+
+// BenchmarkIdlePeers shows what three processes without calls say to one another
+// in a second of virtual time: messages with their answers, and their bytes
+// without HTTP, for each process.
+func BenchmarkIdlePeers(b *testing.B) {
+	const watched = 20 * time.Second
+	for _, shards := range []uint32{4, 16, 32, 64} {
+		b.Run(fmt.Sprintf("shards=%d", shards), func(b *testing.B) {
+			for range b.N {
+				group := newBenchmarkGroup(3, shards)
+				for end := group.now + watched; group.now < end; {
+					group.hop()
+				}
+				group.messages, group.bytes = 0, 0
+				for end := group.now + watched; group.now < end; {
+					group.hop()
+				}
+				seconds := watched.Seconds() * float64(len(group.names))
+				b.ReportMetric(float64(group.messages)/seconds, "messages/s")
+				b.ReportMetric(float64(group.bytes)/seconds, "B/s")
+			}
+		})
+	}
+}
--- a/internal/stream/buffer.go
+++ b/internal/stream/buffer.go
@@ -5,8 +5,10 @@
 
 import (
 	"context"
+	"errors"
 	"strings"
 	"sync"
+	"time"
 
 	schedulerv1 "github.com/magpielug/magpielug/api/scheduler/v1"
 	"github.com/magpielug/magpielug/internal/resultcode"
@@ -172,8 +174,12 @@
 	Dropped bool
 }
 
+// ErrQuiet is returned by Next where the wait has ended first.
+var ErrQuiet = errors.New("nothing new in the stream")
+
 // Next waits until there is something after the sequence number and returns it.
-func (buffer *Buffer) Next(ctx context.Context, after uint64) (View, error) {
+// It returns ErrQuiet once quiet is ready.
+func (buffer *Buffer) Next(ctx context.Context, quiet <-chan time.Time, after uint64) (View, error) {
 	for {
 		view, changed, ready := buffer.view(after)
 		if ready {
@@ -181,6 +187,8 @@
 		}
 		select {
 		case <-changed:
+		case <-quiet:
+			return View{}, ErrQuiet
 		case <-ctx.Done():
 			return View{}, ctx.Err()
 		}
