--- a/rehearsal/command/speed.go
+++ b/rehearsal/command/speed.go
@@ -70,6 +70,7 @@
 		WarmUp:        command.WarmUp,
 		Seed:          command.Seed,
 		Client:        client,
+		Engine:        started.Engines()[0],
 		Progress:      showRound,
 	})
 	if err := ctx.Err(); err != nil {
--- a/rehearsal/speed/cost.go
+++ b/rehearsal/speed/cost.go
@@ -76,6 +76,7 @@
 // Run makes calls until ctx ends, and waits for those under way.
 func (load *Load) Run(ctx context.Context) {
 	var group sync.WaitGroup
+	probe := probe{way: load.Way, client: load.Client}
 	ticker := time.NewTicker(time.Duration(float64(time.Second) / load.PerSecond))
 	defer ticker.Stop()
 	for {
@@ -89,7 +90,7 @@
 		number := uint64(load.begun.Add(1))
 		go func() {
 			defer group.Done()
-			if _, err := load.Way.measure(context.WithoutCancel(ctx), load.Client, number, costTokens); err != nil {
+			if _, err := probe.measure(context.WithoutCancel(ctx), number, costTokens); err != nil {
 				load.failed.Add(1)
 			}
 		}()
--- a/rehearsal/speed/round.go
+++ b/rehearsal/speed/round.go
@@ -30,6 +30,8 @@
 	WarmUp        time.Duration
 	Seed          int64
 	Client        *http.Client
+	// Engine is where generations are joined to see when a token was sent.
+	Engine string
 	// Progress is told of each round.
 	Progress func(Round)
 }
@@ -44,6 +46,9 @@
 	FailedFor string
 	First     Spread
 	Gap       Spread
+	// Delay is from a token's arrival straight from the engine to its arrival by
+	// the way; of some calls, none of ways whose calls can't be joined.
+	Delay Spread
 }
 
 // Spread sums up a set of durations.
@@ -75,6 +80,7 @@
 	mutex     sync.Mutex
 	first     []time.Duration
 	gaps      []time.Duration
+	delays    []time.Duration
 	failed    int
 	failedFor string
 }
@@ -91,6 +97,7 @@
 	}
 	collection.first = append(collection.first, times.first)
 	collection.gaps = append(collection.gaps, times.gaps...)
+	collection.delays = append(collection.delays, times.delays...)
 }
 
 // Measure runs the ways one after the other, several rounds at each number of
@@ -119,6 +126,7 @@
 // round keeps the number of calls in flight for the round's duration.
 func (config Config) round(ctx context.Context, way Way, inFlight int, numbers *atomic.Uint64) Round {
 	var times collection
+	probe := probe{way: way, client: config.Client, engine: config.Engine}
 	var group sync.WaitGroup
 	begun := time.Now()
 	for worker := range inFlight {
@@ -129,7 +137,7 @@
 			for time.Since(begun) < config.RoundDuration && ctx.Err() == nil {
 				counted := time.Since(begun) >= config.WarmUp
 				tokens := shortestOutput + random.Intn(longestOutput-shortestOutput)
-				measured, err := way.measure(ctx, config.Client, numbers.Add(1), tokens)
+				measured, err := probe.measure(ctx, numbers.Add(1), tokens)
 				if counted || err != nil {
 					times.add(measured, err)
 				}
@@ -148,5 +156,6 @@
 		FailedFor: times.failedFor,
 		First:     spreadOf(times.first),
 		Gap:       spreadOf(times.gaps),
+		Delay:     spreadOf(times.delays),
 	}
 }
--- a/rehearsal/speed/table.go
+++ b/rehearsal/speed/table.go
@@ -12,8 +12,8 @@
 // greatest. The rounds of two ways are compared in the order they were run.
 func Table(rounds []Round) string {
 	var text strings.Builder
-	text.WriteString("| in flight | way | calls | failed | first token p50 ms | p95 ms | each next token p50 ms | p95 ms | mean ms |\n")
-	text.WriteString("|---|---|---|---|---|---|---|---|---|\n")
+	text.WriteString("| in flight | way | calls | failed | first token p50 ms | p95 ms | gap to each next p50 ms | p95 ms | mean ms | behind the engine p50 ms | p95 ms | mean ms |\n")
+	text.WriteString("|---|---|---|---|---|---|---|---|---|---|---|---|\n")
 	base := rounds[0].Way
 	for _, inFlight := range levels(rounds) {
 		direct := ofWay(rounds, inFlight, base)
@@ -58,6 +58,10 @@
 	return found
 }
 
+// firstDelay is the first column of quantities about delays, which not every way
+// has.
+const firstDelay = 5
+
 // quantities are the columns of times.
 var quantities = []func(Round) time.Duration{
 	func(round Round) time.Duration { return round.First.Median },
@@ -65,6 +69,9 @@
 	func(round Round) time.Duration { return round.Gap.Median },
 	func(round Round) time.Duration { return round.Gap.High },
 	func(round Round) time.Duration { return round.Gap.Mean },
+	func(round Round) time.Duration { return round.Delay.Median },
+	func(round Round) time.Duration { return round.Delay.High },
+	func(round Round) time.Duration { return round.Delay.Mean },
 }
 
 // writeRow writes the rounds' times, less those of the base's rounds.
@@ -75,7 +82,11 @@
 		failed += round.Failed
 	}
 	fmt.Fprintf(text, "| %d | %s | %d | %d |", rounds[0].InFlight, name, calls, failed)
-	for _, quantity := range quantities {
+	for column, quantity := range quantities {
+		if column >= firstDelay && rounds[0].Delay == (Spread{}) {
+			text.WriteString(" – |")
+			continue
+		}
 		var values []time.Duration
 		for index, round := range rounds {
 			value := quantity(round)
--- a/rehearsal/speed/way.go
+++ b/rehearsal/speed/way.go
@@ -30,15 +30,24 @@
 // Way is one way of bringing a call to the engine.
 type Way struct {
 	Name string
-	// begin prepares one call, outside of the measured time, and returns its
-	// request; done is called after the call.
-	begin func(ctx context.Context, number uint64, tokens int) (request *http.Request, done func(), err error)
+	// begin prepares one call, outside of the measured time.
+	begin func(ctx context.Context, number uint64, tokens int) (attempt, error)
 	// token is in each line of the answer that carries a token, and in no other.
 	token []byte
 	// end is in the last line of a whole answer.
 	end []byte
 }
 
+// attempt is one call, prepared.
+type attempt struct {
+	request *http.Request
+	// done, where set, is called after the call.
+	done func()
+	// generation, where set, names the call's generation at the engine, which can
+	// be joined there to see when each token was sent.
+	generation *wire.GenerateRequest
+}
+
 // addresses hands out addresses in turn.
 type addresses struct {
 	list []string
@@ -65,8 +74,6 @@
 	return request, nil
 }
 
-func nothing() {}
-
 // fenceAge is how long a fence read from the engine is used.
 const fenceAge = time.Second
 
@@ -102,19 +109,20 @@
 		Name:  "direct",
 		token: []byte(`"text":"`),
 		end:   []byte(`"finish":"`),
-		begin: func(ctx context.Context, number uint64, tokens int) (*http.Request, func(), error) {
+		begin: func(ctx context.Context, number uint64, tokens int) (attempt, error) {
 			order, err := seen.current(ctx)
 			if err != nil {
-				return nil, nil, err
+				return attempt{}, err
 			}
-			request, err := post(ctx, engine+wire.PathGenerate, "", wire.GenerateRequest{
+			generation := wire.GenerateRequest{
 				RequestID: fmt.Sprintf("direct-%d", number),
 				Model:     model,
 				Prompt:    []string{fmt.Sprintf(prompt, tokens)},
 				MaxTokens: tokens,
 				Fence:     order,
-			})
-			return request, nothing, err
+			}
+			request, err := post(ctx, engine+wire.PathGenerate, "", generation)
+			return attempt{request: request, generation: &generation}, err
 		},
 	}
 }
@@ -134,14 +142,14 @@
 		Name:  "chat completion",
 		token: []byte(`"content":`),
 		end:   []byte("[DONE]"),
-		begin: func(ctx context.Context, _ uint64, tokens int) (*http.Request, func(), error) {
+		begin: func(ctx context.Context, _ uint64, tokens int) (attempt, error) {
 			request, err := post(ctx, turns.take()+chatPath, key, chatBody{
 				Model:     model,
 				Messages:  messages(tokens),
 				MaxTokens: tokens,
 				Stream:    true,
 			})
-			return request, nothing, err
+			return attempt{request: request}, err
 		},
 	}
 }
@@ -154,11 +162,11 @@
 		Name:  "program call",
 		token: []byte(`"text":`),
 		end:   []byte(`"last_sequence"`),
-		begin: func(ctx context.Context, number uint64, tokens int) (*http.Request, func(), error) {
+		begin: func(ctx context.Context, number uint64, tokens int) (attempt, error) {
 			gateway := turns.take()
 			made, err := user.CreateProgram(ctx, gateway, "", kind, "")
 			if err != nil {
-				return nil, nil, err
+				return attempt{}, err
 			}
 			request, err := post(ctx, gateway+"/v1/programs/"+made.ID+"/calls", key, caller.Call{
 				Kind:       "model",
@@ -169,15 +177,30 @@
 				Stream:     true,
 			})
 			if err != nil {
-				return nil, nil, err
+				return attempt{}, err
 			}
-			request.Header.Set(headerRequestID, fmt.Sprintf("call-%d", number))
-			end := func() { _ = user.EndProgram(context.WithoutCancel(ctx), gateway, made.ID) }
-			return request, end, nil
+			name := fmt.Sprintf("call-%d", number)
+			request.Header.Set(headerRequestID, name)
+			return attempt{
+				request:    request,
+				done:       func() { _ = user.EndProgram(context.WithoutCancel(ctx), gateway, made.ID) },
+				generation: generationOf(made.ID, name, model, tokens),
+			}, nil
 		},
 	}
 }
 
+// generationOf is the request that a scheduler makes for a program's first call.
+func generationOf(program, requestID, model string, tokens int) *wire.GenerateRequest {
+	return &wire.GenerateRequest{
+		RequestID: program + "/" + requestID,
+		Program:   program,
+		Model:     model,
+		Prompt:    []string{"\nuser: " + fmt.Sprintf(prompt, tokens)},
+		MaxTokens: tokens,
+	}
+}
+
 func messages(tokens int) []caller.Message {
 	return []caller.Message{{Role: "user", Content: fmt.Sprintf(prompt, tokens)}}
 }
