--- /dev/null
+++ b/internal/scheduler/recovery_test.go
@@ -0,0 +1,198 @@
+package scheduler
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	replicationv1 "github.com/magpielug/magpielug/api/replication/v1"
+	"github.com/magpielug/magpielug/internal/replication"
+	"github.com/magpielug/magpielug/internal/shard"
+)
+
+const recoveryBound = 60 * time.Second
+
+// replaceAll replaces every process at once: nothing in memory survives.
+func (cluster *testCluster) replaceAll() {
+	for _, name := range sortedKeys(cluster.nodes) {
+		cluster.nodes[name].dead = true
+	}
+	for _, name := range sortedKeys(cluster.nodes) {
+		cluster.start(name)
+	}
+}
+
+// viewFromStart reads a shard's stream from its start, without snapshots.
+func (cluster *testCluster) viewFromStart(number uint32) *streamView {
+	return viewFromStart(&testLog{streams: cluster.log.streams}, number)
+}
+
+func viewFromStart(log *testLog, number uint32) *streamView {
+	view := newStreamView(number)
+	reader := &streamReader{log: log, shard: number}
+	Expect(reader.readOn(context.Background(), view)).To(Succeed())
+	return view
+}
+
+// archivedAll tells whether the log holds all that any process knows to be
+// committed.
+func (cluster *testCluster) archivedAll() bool {
+	for number := range testConfig("s0").Shards {
+		host := cluster.furthest(number)
+		if host == nil || host.replica.CommittedIndex() > cluster.viewFromStart(number).archive.Last().Index {
+			return false
+		}
+	}
+	return true
+}
+
+// states encodes the state of every shard, programs, histories, escrows and
+// accounts, once each has a leader.
+func (cluster *testCluster) states() [][]byte {
+	states := make([][]byte, testConfig("s0").Shards)
+	for number := range states {
+		var leading *host
+		Expect(cluster.runUntil(recoveryBound, func() bool {
+			leading = cluster.leadingShard(uint32(number))
+			return leading != nil
+		})).To(BeTrue())
+		state, err := leading.state.Snapshot()
+		Expect(err).NotTo(HaveOccurred())
+		states[number] = state
+	}
+	return states
+}
+
+// leadingShard returns the replica that leads a shard, nil where none does.
+func (cluster *testCluster) leadingShard(number uint32) *host {
+	for _, node := range cluster.nodes {
+		host := node.core.hosts[number]
+		if !node.dead && !node.paused && host != nil && host.leads() {
+			return host
+		}
+	}
+	return nil
+}
+
+// callMany runs calls of one program and returns the shards' states after them.
+func (cluster *testCluster) callMany(program string, first, count int) [][]byte {
+	for number := first; number < first+count; number++ {
+		final := cluster.call(testCall(program, fmt.Sprintf("r%03d", number)), recoveryBound)
+		Expect(final.failure).To(BeNil())
+		Expect(final.ended).To(BeTrue())
+	}
+	Expect(cluster.runUntil(recoveryBound, cluster.archivedAll)).To(BeTrue())
+	cluster.runFor(time.Second)
+	return cluster.states()
+}
+
+// snapshotsOf counts the snapshots that a program's shard has in the log.
+func (cluster *testCluster) snapshotsOf(program string) int {
+	number := cluster.nodes["s0"].core.shardOf(program)
+	return len(cluster.log.streams[indexStreamName(number)])
+}
+
+var _ = Describe("recovery from the log", func() {
+	It("restores history and budgets byte for byte from snapshots when every process is replaced", func() {
+		cluster := newTestCluster(21, 3)
+		cluster.create("p1")
+		before := cluster.callMany("p1", 0, 60)
+		Expect(cluster.snapshotsOf("p1")).To(BeNumerically(">", 1))
+		for round := range 3 {
+			number := cluster.nodes["s0"].core.shardOf("p1")
+			opened := openStream(context.Background(), cluster.log, OpenStream{Shard: number})
+			Expect(opened.view.restored).To(BeNumerically(">", 0))
+			cluster.replaceAll()
+			Expect(cluster.states()).To(Equal(before), "round %d", round)
+			before = cluster.callMany("p1", 60+10*round, 10)
+		}
+		key := shard.TierKey{Tenant: testTenant, Tier: testTier}
+		host := cluster.nodes[cluster.leader("p1")].core.leadingHost("p1")
+		Expect(host.state.Escrow(key).Spent()).To(BeNumerically(">", 0))
+		for number := range 90 {
+			Expect(cluster.runs[fmt.Sprintf("p1/r%03d", number)]).To(Equal(1))
+		}
+	})
+
+	It("recovers after the log when every process is replaced while it is away", func() {
+		cluster := newTestCluster(22, 3)
+		cluster.create("p1")
+		before := cluster.callMany("p1", 0, 40)
+		cluster.log.down = true
+		cluster.replaceAll()
+		cluster.runFor(2 * time.Minute)
+		for _, name := range sortedKeys(cluster.nodes) {
+			Expect(cluster.nodes[name].core.hosts).To(BeEmpty())
+		}
+		cluster.log.down = false
+		Expect(cluster.states()).To(Equal(before))
+		cluster.callMany("p1", 40, 5)
+	})
+
+	It("falls back where snapshots are lost, broken or pointed to falsely", func() {
+		cluster := newTestCluster(23, 3)
+		cluster.create("p1")
+		before := cluster.callMany("p1", 0, 40)
+		number := cluster.nodes["s0"].core.shardOf("p1")
+		for kind, damage := range map[string]func(position int, record []byte) []byte{
+			"parts lost":   func(int, []byte) []byte { return []byte{} },
+			"parts broken": func(_ int, record []byte) []byte { return append(record[:len(record)-1:len(record)-1], 'x') },
+		} {
+			damageSnapshots(cluster.log, number, damage)
+			false1, err := replication.EncodeSnapshotPointer(replication.SnapshotPointer{
+				Shard: number, SnapshotID: "none", Offset: 3, LastIndex: 1 << 40, Generation: 9, Size: 1 << 60,
+			})
+			Expect(err).NotTo(HaveOccurred())
+			index := indexStreamName(number)
+			cluster.log.streams[index] = append(cluster.log.streams[index], false1, []byte("no pointer"))
+			cluster.replaceAll()
+			Expect(cluster.states()).To(Equal(before), kind)
+			before = cluster.callMany("p1", len(cluster.runs), 10)
+		}
+	})
+
+	It("keeps the books when the answers of appends are lost", func() {
+		cluster := newTestCluster(24, 3)
+		cluster.log.lostAnswers = 0.5
+		cluster.log.lost = 0.2
+		cluster.create("p1")
+		before := cluster.callMany("p1", 0, 60)
+		cluster.replaceAll()
+		Expect(cluster.states()).To(Equal(before))
+	})
+
+	It("gives a founder that comes late no entry of its own generation", func() {
+		cluster := newTestCluster(25, 3)
+		cluster.create("p1")
+		cluster.nodes["s2"].paused = true
+		cluster.callMany("p1", 0, 40)
+		number := cluster.nodes["s0"].core.shardOf("p1")
+		opened := openStream(context.Background(), cluster.log, OpenStream{Shard: number})
+		Expect(opened.view.beyondBase()).To(BeTrue())
+		claim := opened.view.archive.Claim()
+		opened = openStream(context.Background(), cluster.log, OpenStream{Shard: number, Below: claim.Generation})
+		Expect(opened.view.beyondBase()).To(BeFalse())
+		empty, err := shard.New().Snapshot()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(opened.view.state.Snapshot()).To(Equal(empty))
+	})
+})
+
+// damageSnapshots changes the parts of all snapshots in a shard's stream.
+func damageSnapshots(log *testLog, number uint32, damage func(position int, record []byte) []byte) {
+	stream := log.streams[streamName(number)]
+	for position, record := range stream {
+		if isSnapshotPart(record) {
+			stream[position] = damage(position, record)
+		}
+	}
+}
+
+func isSnapshotPart(record []byte) bool {
+	decoded := &replicationv1.ArchiveRecord{}
+	return proto.Unmarshal(record, decoded) == nil && decoded.GetSnapshotChunk() != nil
+}
--- /dev/null
+++ b/internal/scheduler/stream_open_test.go
@@ -0,0 +1,165 @@
+package scheduler
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	shardv1 "github.com/magpielug/magpielug/api/shard/v1"
+	"github.com/magpielug/magpielug/internal/replication"
+)
+
+// lateLog acknowledges appends that take effect later, in any order, more than
+// once or never: what a paused writer's appends may look like, and worse.
+type lateLog struct {
+	*testLog
+	waiting []lateAppend
+}
+
+type lateAppend struct {
+	stream string
+	data   []byte
+}
+
+func (log *lateLog) Append(_ context.Context, stream string, data []byte) (uint64, error) {
+	log.waiting = append(log.waiting, lateAppend{stream: stream, data: data})
+	return 0, nil
+}
+
+// drawEffect lets one waiting append take effect, or loses it.
+func (log *lateLog) drawEffect(t *rapid.T) {
+	if len(log.waiting) == 0 {
+		return
+	}
+	position := rapid.IntRange(0, len(log.waiting)-1).Draw(t, "append")
+	chosen := log.waiting[position]
+	fate := rapid.IntRange(0, 9).Draw(t, "fate")
+	if fate != 0 {
+		log.streams[chosen.stream] = append(log.streams[chosen.stream], chosen.data)
+	}
+	if fate != 1 {
+		log.waiting = slices.Delete(log.waiting, position, position+1)
+	}
+}
+
+// drawStreamRecord appends what a claimant or a leader, present or past, would.
+func (log *lateLog) drawStreamRecord(t *rapid.T, number uint32) {
+	now := viewFromStart(log.testLog, number).archive
+	count := len(log.streams[streamName(number)])
+	generation := now.Claim().Generation
+	var record []byte
+	var err error
+	if generation == 0 || rapid.IntRange(0, 5).Draw(t, "claims") == 0 {
+		generation = max(1, generation+rapid.SampledFrom([]uint32{1, 1, 1, 0, 2}).Draw(t, "step"))
+		name := replication.Incarnation(fmt.Sprintf("s%d#1", count))
+		record, err = replication.EncodeClaim(replication.Claim{
+			Shard: number, Generation: generation, ID: fmt.Sprint(count), Members: []replication.Member{{Incarnation: name}},
+		})
+	} else {
+		first := now.Last().Index + 1
+		if rapid.IntRange(0, 3).Draw(t, "is late") == 0 {
+			generation = rapid.Uint32Range(1, generation).Draw(t, "generation")
+			first = rapid.Uint64Range(1, first).Draw(t, "first")
+		}
+		record, err = replication.EncodeEntries(number, generation, drawEntries(t, generation, first, count))
+	}
+	Expect(err).NotTo(HaveOccurred())
+	log.streams[streamName(number)] = append(log.streams[streamName(number)], record)
+}
+
+func drawEntries(t *rapid.T, generation uint32, first uint64, seed int) []replication.Entry {
+	var entries []replication.Entry
+	for index := first; index < first+rapid.Uint64Range(1, 4).Draw(t, "length"); index++ {
+		data, err := proto.Marshal(&shardv1.Entry{Change: &shardv1.Entry_EscrowRaised{EscrowRaised: &shardv1.EscrowRaised{
+			Tenant: "t", Tier: fmt.Sprint(index), GrantedTotalMicros: uint64(seed + 1),
+		}}})
+		Expect(err).NotTo(HaveOccurred())
+		entries = append(entries, replication.Entry{Index: index, Epoch: replication.MakeEpoch(generation, 1), Data: data})
+	}
+	return entries
+}
+
+// verdict is everything that a process acts on: the claim, the group and the
+// state. With founds, the state is a founder's, without the claim's own entries.
+func (view *streamView) verdict(founds bool) string {
+	archive := view.archive
+	var text strings.Builder
+	fmt.Fprintf(&text, "%+v %v %v %v %d ", archive.Claim(), archive.Base(), archive.Last(), archive.Members(), view.offset)
+	if founds {
+		fmt.Fprintf(&text, "%v ", view.tail)
+	} else {
+		view.applyTail()
+	}
+	state, err := view.state.Snapshot()
+	Expect(err).NotTo(HaveOccurred())
+	fmt.Fprintf(&text, "%x", state)
+	return text.String()
+}
+
+var _ = Describe("opening a shard's stream", func() {
+	const number = 2
+
+	It("gives the same from any snapshots as from the stream's start", func() {
+		restored, founded := 0, 0
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			log := &lateLog{testLog: newTestLog(nil)}
+			for step := range rapid.IntRange(1, 40).Draw(t, "steps") {
+				switch rapid.IntRange(0, 5).Draw(t, "step") {
+				case 0:
+					snapshotStream(context.Background(), log, SnapshotStream{
+						Shard: number, ID: fmt.Sprint("s", step), Bytes: maximumSnapshotWait,
+					})
+				case 1, 2:
+					log.drawStreamRecord(t, number)
+				default:
+					log.drawEffect(t)
+				}
+			}
+			opened := openStream(context.Background(), log, OpenStream{Shard: number})
+			if opened.view.restored > 0 {
+				restored++
+			}
+			if got, want := opened.view.verdict(false), viewFromStart(log.testLog, number).verdict(false); got != want {
+				t.Fatalf("from a snapshot at %d: %s, from the start: %s", opened.view.restored, got, want)
+			}
+			generation := opened.view.archive.Claim().Generation
+			founder := openStream(context.Background(), log, OpenStream{Shard: number, Below: generation})
+			if founder.view.restored > 0 {
+				founded++
+			}
+			if got, want := founder.view.verdict(generation > 0), viewFromStart(log.testLog, number).verdict(generation > 0); got != want {
+				t.Fatalf("a founder from a snapshot at %d: %s, from the start: %s", founder.view.restored, got, want)
+			}
+		})
+		GinkgoWriter.Printf("begun from a snapshot: %d, as a founder: %d\n", restored, founded)
+		Expect(restored).To(BeNumerically(">", 0))
+	})
+
+	It("is not changed by a snapshot that fails at any point", func() {
+		cluster := newTestCluster(26, 3)
+		cluster.create("p1")
+		cluster.callMany("p1", 0, 20)
+		shardNumber := cluster.nodes["s0"].core.shardOf("p1")
+		const enough = 100
+		for operations := 1; ; operations++ {
+			Expect(operations).To(BeNumerically("<", enough))
+			cluster.log.breakAfter = operations
+			made := snapshotStream(context.Background(), cluster.log, SnapshotStream{
+				Shard: shardNumber, ID: fmt.Sprint(operations), Bytes: maximumSnapshotWait,
+			})
+			cluster.log.breakAfter = 0
+			opened := openStream(context.Background(), cluster.log, OpenStream{Shard: shardNumber})
+			Expect(opened.view.verdict(false)).To(Equal(cluster.viewFromStart(shardNumber).verdict(false)))
+			if made.Written {
+				Expect(opened.view.restored).To(Equal(made.Index))
+				break
+			}
+		}
+	})
+})
