Pass over a tool back end that has just failed a call

Cause: a tool call goes to the back end with the fewest calls under way. One that is gone refuses connections and so has none; it got all three attempts of each call until the machine list dropped it, and the calls ended as ENGINE_FAILED while others of the service were idle. The new test fails without the change.

A call that hangs to its deadline says nothing about its back end.

--- a/internal/scheduler/call_run.go
+++ b/internal/scheduler/call_run.go
@@ -231,6 +231,7 @@
 	if live == nil || live.run() != event.Run || live.phase != phaseRunning {
 		return
 	}
+	core.noteToolEnd(live, event.End)
 	host.runEnded(live, event)
 }
 
--- a/internal/scheduler/cluster_test.go
+++ b/internal/scheduler/cluster_test.go
@@ -46,6 +46,10 @@
 	// cut tells whether a message from one process to another is lost.
 	cut       func(from, to string) bool
 	callSteps int
+	// toolsDown are the addresses of tool back ends that refuse connections;
+	// lastTool is when each last got a call.
+	toolsDown map[string]bool
+	lastTool  map[string]time.Duration
 	// runDelay is how late calls come to the engines.
 	runDelay time.Duration
 	// backlog bounds a shard's unarchived entries; 0 takes the default.
@@ -390,6 +394,14 @@
 }
 
 func (node *testNode) runTool(effect RunToolCall) {
+	if node.cluster.toolsDown[effect.Address] {
+		node.step(RunEnded{Run: effect.Run, End: RunNotRun, Detail: "connection refused"})
+		return
+	}
+	if node.cluster.lastTool == nil {
+		node.cluster.lastTool = make(map[string]time.Duration)
+	}
+	node.cluster.lastTool[effect.Address] = node.cluster.now
 	node.cluster.runs[effect.Request.RequestID]++
 	node.cluster.after(20*time.Millisecond, func() {
 		if node.stops[effect.Run] {
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -74,12 +74,14 @@
 	hosted []uint32
 	// touched are the hosts whose replicas may have output; settled is the list
 	// of the round before, kept for its room.
-	touched  []*host
-	settled  []*host
-	pools    map[string]*pool
-	polled   []EngineAddress
-	stopping bool
-	lastHeld time.Duration
+	touched []*host
+	settled []*host
+	pools   map[string]*pool
+	// toolFailedAt tells when a tool back end last failed a call of this process.
+	toolFailedAt map[string]time.Duration
+	polled       []EngineAddress
+	stopping     bool
+	lastHeld     time.Duration
 	// heldBefore names the pools that the last report of held grants covered.
 	heldBefore map[string]bool
 	outbox     map[string]*schedulerv1.PeerBatch
@@ -106,19 +108,20 @@
 	registry := replication.NewRegistry(config.Process, random)
 	known := newDirectory(config.Process)
 	return &Core{
-		config:     config,
-		random:     random,
-		registry:   registry,
-		batcher:    replication.NewBatcher(registry.Boot()),
-		directory:  known,
-		layout:     newLayout(known),
-		homes:      make(map[uint32]*home),
-		hosts:      make(map[uint32]*host),
-		pools:      make(map[string]*pool),
-		heldBefore: make(map[string]bool),
-		outbox:     make(map[string]*schedulerv1.PeerBatch),
-		due:        make(map[string]bool),
-		counters:   newCounters(),
+		config:       config,
+		random:       random,
+		registry:     registry,
+		batcher:      replication.NewBatcher(registry.Boot()),
+		directory:    known,
+		layout:       newLayout(known),
+		homes:        make(map[uint32]*home),
+		hosts:        make(map[uint32]*host),
+		pools:        make(map[string]*pool),
+		toolFailedAt: make(map[string]time.Duration),
+		heldBefore:   make(map[string]bool),
+		outbox:       make(map[string]*schedulerv1.PeerBatch),
+		due:          make(map[string]bool),
+		counters:     newCounters(),
 	}
 }
 
@@ -217,6 +220,7 @@
 	if core.now-core.lastHeld >= core.config.HeldInterval {
 		core.lastHeld = core.now
 		core.reportHeldGrants()
+		core.forgetToolFailures()
 	}
 }
 
--- a/internal/scheduler/engine_test.go
+++ b/internal/scheduler/engine_test.go
@@ -230,4 +230,42 @@
 		}
 		Expect(leaving.lastCall).To(BeNumerically("<", since+3*time.Second))
 	})
+
+	It("that refuses tool calls gets each call once at most, and others run it", func() {
+		cluster := newTestCluster(41, 3)
+		second := platform.Machine{
+			ID: "t1", Role: platform.RoleTool, Region: "r", Zone: "z1", Address: "t1",
+			State: platform.MachineLive, Service: testTool,
+		}
+		cluster.machines = append(cluster.machines, second)
+		for _, node := range cluster.nodes {
+			node.step(MachinesListed{Machines: cluster.machines})
+		}
+		cluster.create("p1")
+		cluster.toolsDown = map[string]bool{"t0": true}
+		for number := range 10 {
+			call := testCall("p1", fmt.Sprintf("r%d", number))
+			call.Kind = schedulerv1.CallKind_CALL_KIND_TOOL
+			call.Target = testTool
+			Expect(cluster.call(call, 20*time.Second).text).To(HavePrefix("tool:"))
+		}
+	})
+
+	It("gets no tool call once the machine list shows it, by any leader", func() {
+		cluster := newTestCluster(42, 3)
+		cluster.create("p1")
+		for index := range cluster.machines {
+			if cluster.machines[index].ID == "t0" {
+				cluster.machines[index].State = platform.MachineLeaving
+			}
+		}
+		for _, node := range cluster.nodes {
+			node.step(MachinesListed{Machines: cluster.machines})
+		}
+		call := testCall("p1", "r1")
+		call.Kind = schedulerv1.CallKind_CALL_KIND_TOOL
+		call.Target = testTool
+		Expect(cluster.call(call, 20*time.Second).failure.Code).To(BeEquivalentTo(resultcode.NoBackEnd))
+		Expect(cluster.lastTool).To(BeEmpty())
+	})
 })
--- a/internal/scheduler/pools.go
+++ b/internal/scheduler/pools.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"math"
 	"slices"
 
 	"github.com/magpielug/magpielug/internal/membership"
@@ -123,34 +122,3 @@
 	}
 	return host
 }
-
-// pickTool returns the live back end of a tool service on which this process
-// has the fewest calls under way.
-func (core *Core) pickTool(service string) (platform.Machine, bool) {
-	busy := core.toolLoad()
-	fewest := math.MaxInt
-	var picked platform.Machine
-	for _, machine := range core.directory.toolsOf(service) {
-		if core.configuration != nil && core.configuration.Drained(machine.ID) {
-			continue
-		}
-		if busy[machine.ID] < fewest {
-			fewest = busy[machine.ID]
-			picked = machine
-		}
-	}
-	return picked, fewest < math.MaxInt
-}
-
-// toolLoad counts this process's tool calls under way by back end.
-func (core *Core) toolLoad() map[string]int {
-	busy := make(map[string]int)
-	for _, host := range core.hosts {
-		for _, live := range host.calls {
-			if live.isTool() && live.call.Intent() != nil {
-				busy[live.call.Intent().BackEnd]++
-			}
-		}
-	}
-	return busy
-}
