Carry AttachOnly to the engine: an attach never starts a run

Fault: platform.GenerateRequest.AttachOnly was dropped by the HTTP adapter and had no place on the wire. A leader that took an intended call over, or picked a broken stream up, sent a plain request: an engine that had restarted since ran the call again, also one that must run at most once. Change: attach_only on the wire; the stand-in refuses an unknown id as not run and bars a later start of it.

--- a/internal/platform/httpadapter/generate.go
+++ b/internal/platform/httpadapter/generate.go
@@ -32,6 +32,7 @@
 		Priority:    request.Priority,
 		Fence:       wireFence(request.Fence),
 		ResumeAfter: request.ResumeAfter,
+		AttachOnly:  request.AttachOnly,
 	})
 	if err != nil {
 		return place.notRun(err)
--- a/internal/platform/wire/wire.go
+++ b/internal/platform/wire/wire.go
@@ -87,6 +87,7 @@
 	Priority    int      `json:"priority"`
 	Fence       Fence    `json:"fence"`
 	ResumeAfter uint64   `json:"resume_after,omitempty"`
+	AttachOnly  bool     `json:"attach_only,omitempty"`
 }
 
 // Chunk is one item of a generation's stream.
--- a/rehearsal/standin/engine/engine.go
+++ b/rehearsal/standin/engine/engine.go
@@ -173,20 +173,37 @@
 		}
 		return known, nil
 	}
+	if request.AttachOnly {
+		return nil, engine.refuseAttach(request.RequestID)
+	}
 	if err := engine.admit(request); err != nil {
 		return nil, err
 	}
 	return engine.submit(request, seed)
 }
 
+// refuseAttach refuses to join a generation that the engine does not know, and
+// any later start of it: who attaches takes the request for sent before.
+func (engine *Engine) refuseAttach(requestID string) error {
+	if engine.barred.reason(requestID) == wire.CodeExpired {
+		return expired()
+	}
+	engine.barred.add(requestID, wire.CodeCancelled)
+	return reply.NotRun(http.StatusNotFound, wire.CodeNotFound, "no such generation to attach to")
+}
+
+func expired() error {
+	return &reply.Failure{
+		Status: http.StatusGone,
+		Body:   wire.Error{Code: wire.CodeExpired, Message: "the request ran; its output is no longer kept"},
+	}
+}
+
 // admit tells whether a new request may run.
 func (engine *Engine) admit(request wire.GenerateRequest) error {
 	switch engine.barred.reason(request.RequestID) {
 	case wire.CodeExpired:
-		return &reply.Failure{
-			Status: http.StatusGone,
-			Body:   wire.Error{Code: wire.CodeExpired, Message: "the request ran; its output is no longer kept"},
-		}
+		return expired()
 	case wire.CodeCancelled:
 		return reply.NotRun(http.StatusConflict, wire.CodeCancelled, "the request was cancelled before it came")
 	}
--- a/rehearsal/standin/engine/engine_test.go
+++ b/rehearsal/standin/engine/engine_test.go
@@ -109,6 +109,29 @@
 		Expect(bench.runs("a")).To(Equal(1))
 	})
 
+	It("starts nothing for a request that only attaches, nor for one that comes after it", func() {
+		bench := newBench(Config{})
+		asked := request("a", "hello [[tokens=30]]")
+		attaching := asked
+		attaching.AttachOnly = true
+		_, err := bench.generate(attaching)
+		Expect(err).To(MatchError(platform.ErrNotRun))
+		_, err = bench.generate(asked)
+		Expect(err).To(MatchError(platform.ErrNotRun))
+		Expect(bench.runs("a")).To(BeZero())
+	})
+
+	It("lets a request that only attaches follow a known generation", func() {
+		bench := newBench(Config{})
+		asked := request("a", "hello [[tokens=30]]")
+		bench.generateFirst(asked, 3)
+		asked.AttachOnly = true
+		seen, err := bench.generate(asked)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(seen.text).To(Equal(expected(asked)))
+		Expect(bench.runs("a")).To(Equal(1))
+	})
+
 	It("cuts an output at MaxTokens and says so", func() {
 		bench := newBench(Config{})
 		asked := request("a", "hello [[tokens=30]]")
