--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -89,7 +89,7 @@
 		Entry("bad operator key digest", "operator_key_sha256", "abc", "64 hexadecimal"),
 		Entry("certificate without a key", "tls.certificate", "a.pem", "needs tls.key"),
 		Entry("missing authority", "tls.authority", "absent.pem", "absent.pem"),
-		Entry("lease too long", "scheduler.lease", "950ms", "0.9 of scheduler.election_min"),
+		Entry("lease too long", "scheduler.lease", "1900ms", "0.9 of scheduler.election_min"),
 		Entry("lease under the heartbeat", "scheduler.lease", "50ms", "above scheduler.heartbeat"),
 		Entry("election bounds crossed", "scheduler.election_max", "1s", "above scheduler.election_min"),
 		Entry("grace over the whole stop", "limits.drain_grace", "1m", "below limits.shutdown_timeout"),
