Order engines back to the mixed role

Cause: a call was granted to an engine that only prefills or only decodes; cache is not moved between engines, so such an engine can serve no call as a whole.

Change: the keeper reads the role that an engine reports, grants nothing on one that serves no whole calls, and orders it back to mixed under its fence, again after 3 s until the report shows it. Drained and leaving engines are left alone.

Ruled out: roles by configuration (without moving cache they only take an engine out, which a drain does).

--- a/internal/keeper/config.go
+++ b/internal/keeper/config.go
@@ -70,6 +70,8 @@
 	// AdapterPatience is how long calls wait for the engines that have their
 	// adapter before it is loaded on one more.
 	AdapterPatience time.Duration
+	// RoleRetry is the least time between two orders to change an engine's role.
+	RoleRetry time.Duration
 	// DecisionMemory is how many decisions are kept for Explain.
 	DecisionMemory int
 	// ExportPerToken is the time to export and import one cached token; 0 means
@@ -98,6 +100,7 @@
 	defaultMaxPrograms      = 20000
 	defaultDecisionMemory   = 2048
 	defaultMaxLoads         = 1
+	defaultRoleRetry        = 3 * time.Second
 	defaultLoadTimeout      = 30 * time.Second
 	defaultLoadConfirm      = 4 * time.Second
 	defaultLoadRetry        = 15 * time.Second
@@ -127,6 +130,7 @@
 	setDefault(&config.MaxPrograms, defaultMaxPrograms)
 	setDefault(&config.DecisionMemory, defaultDecisionMemory)
 	setDefault(&config.MaxLoads, defaultMaxLoads)
+	setDefault(&config.RoleRetry, defaultRoleRetry)
 	setDefault(&config.LoadTimeout, defaultLoadTimeout)
 	setDefault(&config.LoadConfirm, defaultLoadConfirm)
 	setDefault(&config.LoadRetry, defaultLoadRetry)
--- a/internal/keeper/effect.go
+++ b/internal/keeper/effect.go
@@ -57,6 +57,12 @@
 	Why     string
 }
 
+// SetRole orders an engine to change its role.
+type SetRole struct {
+	Engine string
+	Role   string
+}
+
 // ExportCache orders an engine to export a program's blocks, then free them.
 type ExportCache struct {
 	Engine  string
@@ -75,5 +81,6 @@
 func (ReleaseCache) effect() {}
 func (CheckEngine) effect()  {}
 func (LoadAdapter) effect()  {}
+func (SetRole) effect()      {}
 func (ExportCache) effect()  {}
 func (ImportCache) effect()  {}
--- a/internal/keeper/engine.go
+++ b/internal/keeper/engine.go
@@ -21,6 +21,11 @@
 	// failed is true from a failed call to the engine's next report: one that
 	// has died would fail all attempts of a call until it counts as silent.
 	failed bool
+	// role is what the engine reports; roleOrderedAt is when it was last ordered to
+	// change it, if roleOrdered.
+	role          string
+	roleOrdered   bool
+	roleOrderedAt time.Duration
 	// leaving is what the engine itself says.
 	leaving  bool
 	version  string
--- a/internal/keeper/engine_chart.go
+++ b/internal/keeper/engine_chart.go
@@ -17,7 +17,7 @@
 // allowed tells whether an engine that shows slots is being taken out neither by
 // itself nor by an operator or the machine list.
 func (engine *engineState) allowed() bool {
-	return engine.state != charts.EngineStateDraining && engine.runningLimit > 0
+	return engine.state != charts.EngineStateDraining && engine.runningLimit > 0 && engine.wholeCalls()
 }
 
 // silence is how long ago the engine has reported.
@@ -29,7 +29,7 @@
 // until it is overdue or a call has failed.
 func (keeper *Keeper) followReport(engine *engineState) {
 	current := keeper.silence(engine) <= keeper.config.ReportTimeout && !engine.failed
-	if current && engine.runningLimit > 0 {
+	if current && engine.runningLimit > 0 && engine.wholeCalls() {
 		engine.follow(charts.EngineEventReported)
 		return
 	}
--- a/internal/keeper/event.go
+++ b/internal/keeper/event.go
@@ -87,6 +87,9 @@
 	Model   string
 	Version string
 	Zone    string
+	// Role is what the engine does: RoleMixed, "prefill" or "decode"; empty where
+	// it does not tell.
+	Role string
 	// Loading is true while the engine carries an order to load out.
 	Loading      bool
 	Adapters     []string
--- a/internal/keeper/report.go
+++ b/internal/keeper/report.go
@@ -17,8 +17,10 @@
 	engine.reportedAt = keeper.now
 	engine.failed = false
 	engine.leaving = event.Leaving
+	engine.role = event.Role
 	keeper.followDrain(engine)
 	keeper.followReport(engine)
+	keeper.restoreRole(engine)
 	keeper.changedAdapters(engine, event.Adapters)
 	keeper.followLoad(engine, event)
 	if engine.ready() {
--- a/internal/scheduler/cluster_test.go
+++ b/internal/scheduler/cluster_test.go
@@ -283,6 +283,8 @@
 		}
 	case ReleaseCache:
 		cluster.after(testLatency, func() { cluster.engines[effect.Address].release(effect) })
+	case SetRole:
+		cluster.after(testLatency, func() { cluster.engines[effect.Address].setRole(effect) })
 	case LoadAdapter:
 		cluster.after(testLatency, func() { cluster.engines[effect.Address].load(node, effect) })
 	}
--- a/internal/scheduler/effect.go
+++ b/internal/scheduler/effect.go
@@ -95,6 +95,14 @@
 	Fence   platform.Fence
 }
 
+// SetRole orders an engine to change its role.
+type SetRole struct {
+	Engine  string
+	Address string
+	Role    string
+	Fence   platform.Fence
+}
+
 // PollEngines replaces the engines whose load reports are asked for.
 type PollEngines struct{ Engines []EngineAddress }
 
@@ -142,6 +150,7 @@
 func (StopRun) effect()        {}
 func (ReleaseCache) effect()   {}
 func (LoadAdapter) effect()    {}
+func (SetRole) effect()        {}
 func (PollEngines) effect()    {}
 func (ReadStream) effect()     {}
 func (AppendStream) effect()   {}
--- a/internal/scheduler/engine_test.go
+++ b/internal/scheduler/engine_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	schedulerv1 "github.com/magpielug/magpielug/api/scheduler/v1"
+	"github.com/magpielug/magpielug/internal/keeper"
 	"github.com/magpielug/magpielug/internal/platform"
 	"github.com/magpielug/magpielug/internal/resultcode"
 )
@@ -116,6 +117,18 @@
 	})
 })
 
+var _ = Describe("engines that serve no whole calls", func() {
+	It("are ordered back, and calls wait meanwhile", func() {
+		cluster := newTestCluster(43, 3)
+		for _, engine := range cluster.engines {
+			engine.role = "prefill"
+		}
+		cluster.create("p1")
+		Expect(cluster.call(testCall("p1", "r1"), 20*time.Second).text).To(HavePrefix("p1/r1:1"))
+		Expect(cluster.engines["e0"].role).To(Equal(keeper.RoleMixed))
+	})
+})
+
 var _ = Describe("fences", func() {
 	It("has engines refuse a replaced keeper before the new one grants anything", func() {
 		cluster := newTestCluster(25, 4)
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -199,6 +199,8 @@
 		}})
 	case keeper.LoadAdapter:
 		pool.orderLoad(effect)
+	case keeper.SetRole:
+		pool.orderRole(effect)
 	case keeper.ExportCache, keeper.ImportCache:
 		pool.core.log("cache_move_unsupported", pool.shard, "", "", pool.name)
 	}
@@ -334,6 +336,7 @@
 		Engine:        event.Engine,
 		Model:         report.Model,
 		Version:       report.Version,
+		Role:          report.Role,
 		Zone:          machine.Zone,
 		Loading:       report.Loading,
 		Adapters:      report.Adapters,
--- a/internal/scheduler/test_engine_test.go
+++ b/internal/scheduler/test_engine_test.go
@@ -21,6 +21,7 @@
 	adapters []string
 	loading  bool
 	leaving  bool
+	role     string
 	// held counts the blocks of each program.
 	held map[string]int
 	// loads counts the orders to load that were taken, stale the orders and new
@@ -55,7 +56,7 @@
 	return platform.LoadReport{
 		Engine: engine.name, Model: testModel, Version: "1", RunningLimit: 8, BlocksTotal: 4096, BlocksUsed: used,
 		BlockTokens: 16, StepDuration: 3 * time.Millisecond, ProgramBlocks: maps.Clone(engine.held),
-		Adapters: slices.Clone(engine.adapters), Loading: engine.loading, Leaving: engine.leaving, FenceEpoch: engine.fence,
+		Adapters: slices.Clone(engine.adapters), Loading: engine.loading, Leaving: engine.leaving, Role: engine.role, FenceEpoch: engine.fence,
 	}
 }
 
@@ -88,6 +89,12 @@
 	}
 }
 
+func (engine *testEngine) setRole(order SetRole) {
+	if engine.obeys(order.Fence) {
+		engine.role = order.Role
+	}
+}
+
 func (engine *testEngine) load(from *testNode, order LoadAdapter) {
 	if engine.refuseLoads || !engine.obeys(order.Fence) {
 		from.step(LoadRefused{Engine: order.Engine, Adapter: order.Adapter})
--- a/internal/scheduler/traffic.go
+++ b/internal/scheduler/traffic.go
@@ -77,6 +77,8 @@
 		go traffic.releaseCache(effect)
 	case LoadAdapter:
 		go traffic.loadAdapter(effect)
+	case SetRole:
+		go traffic.setRole(effect)
 	case PollEngines:
 		traffic.polls.watch(effect.Engines)
 	case PollEngineSoon:
