Take no call that arrives after its gateway has given it up

Cause: a gateway that hears nothing from a scheduler for first_event_bound turns elsewhere, and in the end answers OUTCOME_UNKNOWN. Its request stays in the connection while a zone is cut off (or its scheduler is frozen), comes out when the cut heals, and was accepted then: a call ran after calls that its program had made later. The relay is new with this commit: rehearsal/relay stands before every process of such a scenario, reads the zones from the addresses and holds the bytes of a cut back. Ruled out: a request is sent by wall clock (machines have no common clock); the closed connection (its end arrives with the request, too late). Change: internal/arrival. A gateway stamps each call with its own monotonic time and how long it waits; a scheduler takes the least difference to its own clock as an undelayed request's, and answers one that is later than the wait NO_LEADER without taking it. The first request that a scheduler sees of a gateway has no measure and is taken.

--- a/internal/gateway/scheduler_client.go
+++ b/internal/gateway/scheduler_client.go
@@ -15,6 +15,7 @@
 	"google.golang.org/protobuf/proto"
 
 	schedulerv1 "github.com/magpielug/magpielug/api/scheduler/v1"
+	"github.com/magpielug/magpielug/internal/arrival"
 	"github.com/magpielug/magpielug/internal/resultcode"
 )
 
@@ -35,6 +36,7 @@
 	clock   Clock
 	metrics *metrics
 	budget  *retryBudget
+	sender  *arrival.Sender
 	// services holds one twirp client by scheduler address.
 	services sync.Map
 }
@@ -47,6 +49,7 @@
 		clock:   dependencies.Clock,
 		metrics: metrics,
 		budget:  newRetryBudget(config.RetryRatio, config.RetryBurst),
+		sender:  arrival.NewSender(),
 	}
 }
 
@@ -176,6 +179,7 @@
 		return nil, err
 	}
 	request.Header.Set("Content-Type", "application/protobuf")
+	client.sender.Stamp(request.Header, client.config.FirstEventBound)
 	response, err := client.client.Do(request)
 	if err != nil {
 		return nil, err
--- a/internal/scheduler/call_handler.go
+++ b/internal/scheduler/call_handler.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	schedulerv1 "github.com/magpielug/magpielug/api/scheduler/v1"
+	"github.com/magpielug/magpielug/internal/resultcode"
 	"github.com/magpielug/magpielug/internal/stream"
 )
 
@@ -46,6 +47,10 @@
 		return
 	}
 	events := &eventWriter{writer: writer}
+	if scheduler.arrivals.Late(request.Header, time.Since(scheduler.begun)) {
+		events.fail(wireError(resultcode.New(resultcode.NoLeader, "the request was held up on its way")))
+		return
+	}
 	answer, err := scheduler.loop.Ask(request.Context(), func(ask AskID) Event {
 		return CallAsked{Ask: ask, Request: asked}
 	})
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	schedulerv1 "github.com/magpielug/magpielug/api/scheduler/v1"
+	"github.com/magpielug/magpielug/internal/arrival"
 	"github.com/magpielug/magpielug/internal/platform"
 )
 
@@ -36,6 +37,8 @@
 	loop         *Loop
 	dependencies Dependencies
 	incarnation  string
+	begun        time.Time
+	arrivals     *arrival.Receiver
 }
 
 // New makes a scheduler that does nothing until Run.
@@ -49,6 +52,8 @@
 		loop:         newLoop(core, dependencies.Logger),
 		dependencies: dependencies,
 		incarnation:  core.Incarnation(),
+		begun:        time.Now(),
+		arrivals:     arrival.NewReceiver(),
 	}, nil
 }
 
--- a/rehearsal/cluster/cluster.go
+++ b/rehearsal/cluster/cluster.go
@@ -14,6 +14,7 @@
 
 	"github.com/magpielug/magpielug/internal/platform"
 	"github.com/magpielug/magpielug/internal/platform/wire"
+	"github.com/magpielug/magpielug/rehearsal/relay"
 )
 
 const (
@@ -37,6 +38,8 @@
 	// lock guards the fields below: faults start and end processes side by side.
 	lock     sync.Mutex
 	children map[string]*child
+	// network holds the relays of a relayed plan.
+	network *relay.Network
 	// order is the order of starting; it is stopped in reverse.
 	order []string
 }
@@ -50,7 +53,8 @@
 	if err := os.MkdirAll(directory, 0o755); err != nil {
 		return nil, eris.Wrap(err, "make the directory of the run")
 	}
-	cluster := &Cluster{plan: plan, binaries: binaries, directory: directory, children: make(map[string]*child)}
+	cluster := &Cluster{plan: plan, binaries: binaries, directory: directory, children: make(map[string]*child),
+		network: relay.NewNetwork()}
 	if err := cluster.startAll(ctx); err != nil {
 		cluster.Stop()
 		return nil, err
@@ -75,6 +79,9 @@
 }
 
 func (cluster *Cluster) startAll(ctx context.Context) error {
+	if err := cluster.startRelays(); err != nil {
+		return err
+	}
 	if err := cluster.startPlatform(ctx); err != nil {
 		return err
 	}
@@ -99,12 +106,13 @@
 		{"machines", plan.MachinesAddress(), []string{"--lag", machineLagMs}},
 		{"weights", plan.WeightsAddress(), nil},
 	}
-	for _, service := range services {
-		arguments := append([]string{service.id, "--listen", service.address}, service.arguments...)
+	for place, service := range services {
+		listen := plan.platformAddress(place + plan.listenPort() - plan.Port)
+		arguments := append([]string{service.id, "--listen", listen}, service.arguments...)
 		if err := cluster.startChild(service.id, cluster.binaries.Rehearsal, arguments); err != nil {
 			return err
 		}
-		if err := awaitListening(ctx, service.address); err != nil {
+		if err := awaitListening(ctx, listen); err != nil {
 			return err
 		}
 	}
@@ -147,7 +155,8 @@
 
 func (cluster *Cluster) registration(machine Machine) []string {
 	return []string{
-		"--listen", machine.Address,
+		"--listen", machine.Listen,
+		"--advertise", machine.Address,
 		"--id", machine.ID,
 		"--region", Region,
 		"--zone", machine.Zone,
@@ -248,6 +257,7 @@
 
 // Stop ends every process that was started, the last one first.
 func (cluster *Cluster) Stop() {
+	defer cluster.network.Close()
 	cluster.lock.Lock()
 	defer cluster.lock.Unlock()
 	for index := len(cluster.order) - 1; index >= 0; index-- {
--- a/rehearsal/cluster/plan.go
+++ b/rehearsal/cluster/plan.go
@@ -12,6 +12,8 @@
 const (
 	// Region is the one region of a plan.
 	Region = "region-1"
+	// relayedPort is how far above its relay a process listens.
+	relayedPort = 4
 	// platformHost carries the platform's services.
 	platformHost = "127.0.0.1"
 	// First host numbers of the machines of a zone.
@@ -44,6 +46,8 @@
 	// of each program; 0 takes the defaults.
 	TierBudgetMicros uint64
 	ProgramCapMicros uint64
+	// Relayed puts a relay before every process, at its address.
+	Relayed bool
 }
 
 // Machine is one process of a plan.
@@ -53,6 +57,8 @@
 	Zone    string
 	Host    string
 	Address string
+	// Listen is where the process listens: its address, or behind its relay.
+	Listen  string
 	Service string
 }
 
@@ -69,6 +75,14 @@
 	return fmt.Sprintf("%s:%d", platformHost, plan.Port+offset)
 }
 
+// listenPort is the port that machines' processes listen at.
+func (plan Plan) listenPort() int {
+	if plan.Relayed {
+		return plan.Port + relayedPort
+	}
+	return plan.Port
+}
+
 // Machines lists the machines of the plan: gateways, schedulers, engines, tools.
 func (plan Plan) Machines() []Machine {
 	var machines []Machine
@@ -100,6 +114,7 @@
 			Zone:    fmt.Sprintf("zone-%d", zone),
 			Host:    host,
 			Address: fmt.Sprintf("%s:%d", host, plan.Port),
+			Listen:  fmt.Sprintf("%s:%d", host, plan.listenPort()),
 			Service: service,
 		})
 	}
--- a/rehearsal/cluster/settings_file.go
+++ b/rehearsal/cluster/settings_file.go
@@ -12,12 +12,13 @@
 // keys keep their defaults.
 type settingsFile struct {
 	Node struct {
-		ID     string `yaml:"id"`
-		Role   string `yaml:"role"`
-		Region string `yaml:"region"`
-		Zone   string `yaml:"zone"`
-		Listen string `yaml:"listen"`
-		Source string `yaml:"source"`
+		ID        string `yaml:"id"`
+		Role      string `yaml:"role"`
+		Region    string `yaml:"region"`
+		Zone      string `yaml:"zone"`
+		Listen    string `yaml:"listen"`
+		Advertise string `yaml:"advertise"`
+		Source    string `yaml:"source"`
 	} `yaml:"node"`
 	Platform struct {
 		Log      string `yaml:"log"`
@@ -40,7 +41,8 @@
 	file.Node.Role = string(machine.Role)
 	file.Node.Region = Region
 	file.Node.Zone = machine.Zone
-	file.Node.Listen = machine.Address
+	file.Node.Listen = machine.Listen
+	file.Node.Advertise = machine.Address
 	file.Node.Source = machine.Host
 	file.Platform.Log = "http://" + plan.LogAddress()
 	file.Platform.Machines = "http://" + plan.MachinesAddress()
--- a/rehearsal/fault/run_test.go
+++ b/rehearsal/fault/run_test.go
@@ -21,10 +21,10 @@
 	// Ports below the ones that the kernel gives out, apart for test processes
 	// that run side by side.
 	firstPort = 10_000
-	portStep  = 10
-	portSteps = 2_000
+	portStep  = 25
+	portSteps = 800
 	// portsOfRun are the ports that one run takes on the platform's address.
-	portsOfRun = 3
+	portsOfRun = 8
 )
 
 func buildBinaries(directory string) cluster.Binaries {
--- a/rehearsal/fault/scenario.go
+++ b/rehearsal/fault/scenario.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"os"
 	"slices"
 	"time"
@@ -96,9 +97,13 @@
 	ReportLeaving Kind = "report_leaving"
 	// Inject orders a fault of a stand-in for a time of For.
 	Inject Kind = "inject"
+	// Cut stops all bytes between a zone and the others for a time of For.
+	Cut Kind = "cut"
+	// CutOff does that, and between the zone and the platform too.
+	CutOff Kind = "cut_off"
 )
 
-var faultKinds = []Kind{Kill, Freeze, Stop, Rolling, Leave, ReportLeaving, Inject}
+var faultKinds = []Kind{Kill, Freeze, Stop, Rolling, Leave, ReportLeaving, Inject, Cut, CutOff}
 
 // Targets that are no machine ids.
 const (
@@ -238,7 +243,7 @@
 	if (fault.Kind == Inject) != (fault.Effect != "") {
 		return eris.New("effect belongs to inject, and inject needs one")
 	}
-	if (fault.Kind == Freeze || fault.Kind == Inject) && fault.For == 0 {
+	if fault.mustEnd() && fault.For == 0 {
 		return eris.New("for: missing")
 	}
 	if !scenario.hasTarget(fault) {
@@ -247,7 +252,31 @@
 	return nil
 }
 
+// mustEnd tells whether a fault of this kind can't last to the end of the run.
+func (fault Fault) mustEnd() bool {
+	switch fault.Kind {
+	case Freeze, Inject, Cut, CutOff:
+		return true
+	}
+	return false
+}
+
+func (fault Fault) cutsZone() bool { return fault.Kind == Cut || fault.Kind == CutOff }
+
+// zone is the number of the zone that a cut is about, 0 for no zone.
+func (scenario *Scenario) zone(fault Fault) int {
+	for number := 1; number <= scenario.Layout.Zones; number++ {
+		if fault.Target == fmt.Sprintf("zone-%d", number) {
+			return number
+		}
+	}
+	return 0
+}
+
 func (scenario *Scenario) hasTarget(fault Fault) bool {
+	if fault.cutsZone() {
+		return scenario.zone(fault) > 0
+	}
 	switch fault.Target {
 	case LogTarget, MachinesTarget:
 		return fault.Kind == Inject
@@ -287,5 +316,6 @@
 		Deployment:        deployment,
 		TierBudgetMicros:  layout.TierBudgetMicros,
 		ProgramCapMicros:  layout.ProgramCapMicros,
+		Relayed:           slices.ContainsFunc(scenario.Faults, Fault.cutsZone),
 	}
 }
--- a/rehearsal/fault/throw.go
+++ b/rehearsal/fault/throw.go
@@ -72,6 +72,9 @@
 		return runner.leave(ctx, target, runner.cluster.Plan().MachinesAddress(), machines.PathLeave, machines.MachineID{ID: target})
 	case ReportLeaving:
 		return runner.leave(ctx, target, runner.addressOf(target), leavePath, struct{}{})
+	case Cut, CutOff:
+		runner.cutZone(ctx, planned)
+		return nil
 	}
 	return runner.inject(ctx, target, planned)
 }
@@ -174,6 +177,25 @@
 	return nil
 }
 
+// cutZone cuts a zone off and heals it. A zone that reaches neither the other
+// zones nor the log can't know of new configurations meanwhile.
+func (runner *runner) cutZone(ctx context.Context, planned Fault) {
+	from, off := runner.now(), planned.Kind == CutOff
+	zone := runner.scenario.zone(planned)
+	runner.cluster.CutZone(zone, off)
+	pause(ctx, planned.For)
+	runner.cluster.HealZone(zone, off)
+	runner.tell("%s healed", planned.Target)
+	if !off {
+		return
+	}
+	for _, machine := range runner.cluster.Plan().Machines() {
+		if machine.Zone == planned.Target {
+			runner.disturbed(machine.ID, from, runner.now())
+		}
+	}
+}
+
 func (runner *runner) inject(ctx context.Context, target string, planned Fault) error {
 	err := cluster.PostJSON(ctx, runner.addressOf(target), faultPath, fault.Order{
 		Kind:        planned.Effect,
