--- a/rehearsal/experiment/program.go
+++ b/rehearsal/experiment/program.go
@@ -45,22 +45,29 @@
 	// root is the outermost program; it accounts for all its sub-agents.
 	root   *programRun
 	parent *programRun
-	// attained and tokens are kept at the root.
+	// attained is the service the program has used, and tokens all its prompt
+	// and output tokens, for its cap; both are kept at the root.
 	attained float64
 	tokens   int
 
-	history  *workload.History
-	turn     int
+	history *workload.History
+	// turn is the number of the turn that is under way or comes next.
+	turn    int
+	current *call
+	// attempt numbers the offers of calls; refusals counts those of the current
+	// turn that were refused.
 	attempt  uint32
 	refusals int
 	startsAt time.Duration
 	// paused sums the time that the caller's tools took, sub-agents excluded.
-	paused    time.Duration
-	children  int
-	toolDone  bool
-	outcome   outcome
-	current   *call
-	childFail outcome
+	paused time.Duration
+	// children and toolDone are what the program waits for between two turns.
+	children int
+	toolDone bool
+	outcome  outcome
+	// childOutcome is how a sub-agent ended that did not complete; the program
+	// ends the same way.
+	childOutcome outcome
 }
 
 // startRoot starts a program that arrives from outside.
@@ -245,8 +252,8 @@
 	if !run.toolDone || run.children > 0 {
 		return
 	}
-	if run.childFail != outcomeOpen {
-		run.end(run.childFail)
+	if run.childOutcome != outcomeOpen {
+		run.end(run.childOutcome)
 		return
 	}
 	run.send()
@@ -262,7 +269,7 @@
 		return
 	}
 	if result != outcomeCompleted {
-		run.parent.childFail = result
+		run.parent.childOutcome = result
 	}
 	run.parent.children--
 	run.parent.resume()
