Archive the intent of a call that is not repeatable before it is sent

A loss of all replicas at once forgot what was committed and not yet archived. A caller's repetition of a call then ran it anew, though it may have run. Such a call now waits for its intent to stand in the log, at most scheduler.archive_intents (250 ms); after a wait in vain none waits until the log answers again. Ruled out: waiting for every entry or every call, which binds all work to the log; no bound, which stops work with it.

--- a/internal/scheduler/archive.go
+++ b/internal/scheduler/archive.go
@@ -69,8 +69,10 @@
 	host := core.hosts[event.Shard]
 	if host != nil && event.Stands && host.leads() {
 		home.archivedBytes += home.appendingBytes
+		home.logSlow = false
 		host.replica.SetArchived(event.UpTo)
 		host.touch()
+		host.sendNowArchived(home)
 	}
 }
 
--- a/internal/scheduler/call_run.go
+++ b/internal/scheduler/call_run.go
@@ -129,7 +129,7 @@
 	case live.call.Over():
 		host.closeCall(live)
 	case live.call.State() == charts.CallStateDispatched && live.phase == phaseIntending:
-		host.send(live)
+		host.sendArchived(live)
 	case live.call.State() == charts.CallStateQueued:
 		live.phase = phaseWaiting
 		host.advance(live.call.Program())
--- a/internal/scheduler/client_test.go
+++ b/internal/scheduler/client_test.go
@@ -29,9 +29,11 @@
 	results []testResult
 	wakeAt  time.Duration
 	// current call
-	request  *schedulerv1.CallRequest
-	begun    time.Duration
-	process  string
+	request *schedulerv1.CallRequest
+	begun   time.Duration
+	process string
+	// node is the start of the process that was asked.
+	node     *testNode
 	ask      AskID
 	asked    time.Duration
 	buffer   *stream.Buffer
@@ -102,6 +104,7 @@
 	client.ask = client.cluster.nextAsk
 	client.asked = client.cluster.now
 	node := client.cluster.nodes[client.process]
+	client.node = node
 	if !client.created {
 		node.step(CreateAsked{Ask: client.ask, Request: &schedulerv1.CreateProgramRequest{
 			ProgramId: client.program, Kind: "dispute", Caller: client.request.Caller,
@@ -150,7 +153,7 @@
 }
 
 func (client *testClient) followBuffer() {
-	node := client.cluster.nodes[client.process]
+	node := client.node
 	view := client.buffer.Look(0)
 	switch {
 	case view.Finished != nil:
--- a/internal/scheduler/cluster_test.go
+++ b/internal/scheduler/cluster_test.go
@@ -29,13 +29,15 @@
 // testCluster runs several cores on a virtual clock and network, with an engine
 // and a log of its own. The same seed gives the same run.
 type testCluster struct {
-	now      time.Duration
-	order    uint64
-	random   *rand.Rand
-	queue    testQueue
-	nodes    map[string]*testNode
-	log      *testLog
-	machines []platform.Machine
+	now    time.Duration
+	order  uint64
+	random *rand.Rand
+	queue  testQueue
+	nodes  map[string]*testNode
+	log    *testLog
+	// replacements counts the times that all processes were replaced at once.
+	replacements int
+	machines     []platform.Machine
 	// runs counts starts at back ends by request id.
 	runs map[string]int
 	// running holds the generations an engine knows.
@@ -160,7 +162,7 @@
 		OfferRetry:  500 * time.Millisecond, HeldInterval: time.Second, LiveInterval: 5 * time.Second,
 		FoundingWait: 2 * time.Second, EndedMemory: time.Minute, MaximumAttempts: 3,
 		DefaultCallDeadline: 2 * time.Second, DefaultWaitBound: 30 * time.Second,
-		SnapshotBytes: 4 << 10, SnapshotEntries: 50,
+		SnapshotBytes: 4 << 10, SnapshotEntries: 50, ArchiveIntents: 250 * time.Millisecond,
 	}
 }
 
@@ -260,7 +262,7 @@
 	case ReadStream:
 		cluster.after(testLatency, func() { node.readStream(effect) })
 	case AppendStream:
-		cluster.after(testLatency, func() { node.appendStream(effect) })
+		cluster.after(testLatency+cluster.log.latency, func() { node.appendStream(effect) })
 	case OpenStream:
 		cluster.after(testLatency, func() { node.step(openStream(context.Background(), cluster.log, effect)) })
 	case SnapshotStream:
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -36,6 +36,9 @@
 	// SnapshotEntries is how many entries a new leader finds archived since the
 	// last snapshot before it has one made.
 	SnapshotEntries uint64
+	// ArchiveIntents is how long the sending of a call that is not repeatable
+	// waits at most for the log to hold its intent; 0 is not at all.
+	ArchiveIntents time.Duration
 	// OfferRetry is how long an offer to a keeper waits for its answer.
 	OfferRetry time.Duration
 	// HeldInterval is how often a leader tells keepers which grants it holds.
--- a/internal/scheduler/home.go
+++ b/internal/scheduler/home.go
@@ -49,6 +49,9 @@
 	snapshotIndex uint64
 	snapshotSize  int
 	snapshotAfter time.Duration
+	// logSlow is true after an intent has waited in vain for its archiving, until
+	// the log answers again.
+	logSlow bool
 	// lookedAt is the epoch in which this leader last asked for a snapshot.
 	lookedAt replication.Epoch
 	// rebuild is set while the shard's replica here hears no leader.
@@ -118,6 +121,7 @@
 		if host.leads() {
 			core.archiveEntries(host, home)
 			core.snapshotHome(host, home)
+			host.sendOverdue(home)
 			core.repairGroup(host, home)
 		}
 		core.tickRebuild(home, host)
--- a/internal/scheduler/host.go
+++ b/internal/scheduler/host.go
@@ -42,6 +42,8 @@
 	calls     map[callID]*liveCall
 	// unsent are committed intents that wait for the lease to be certain.
 	unsent []RunKey
+	// unarchived are committed intents that wait until the log holds them.
+	unarchived []unarchivedIntent
 	// quietSince tells since when a program has had no open call, and overSince
 	// since when it has been over, both on this leader's clock.
 	quietSince map[string]time.Duration
@@ -184,6 +186,7 @@
 	clear(host.quietSince)
 	clear(host.overSince)
 	host.unsent = nil
+	host.unarchived = nil
 	host.core.arrangePools()
 }
 
--- a/internal/scheduler/recovery_test.go
+++ b/internal/scheduler/recovery_test.go
@@ -10,7 +10,9 @@
 	"google.golang.org/protobuf/proto"
 
 	replicationv1 "github.com/magpielug/magpielug/api/replication/v1"
+	schedulerv1 "github.com/magpielug/magpielug/api/scheduler/v1"
 	"github.com/magpielug/magpielug/internal/replication"
+	"github.com/magpielug/magpielug/internal/resultcode"
 	"github.com/magpielug/magpielug/internal/shard"
 )
 
@@ -165,6 +167,47 @@
 		Expect(cluster.states()).To(Equal(before))
 	})
 
+	It("runs no call twice that is not repeatable when every process is replaced before it is archived", func() {
+		cluster := newTestCluster(27, 3)
+		cluster.create("p1")
+		cluster.callMany("p1", 0, 1)
+		cluster.log.latency = 50 * time.Millisecond
+		var sentAt time.Duration
+		var replace func()
+		replace = func() {
+			if cluster.runsOf("p1/tool") == 0 {
+				cluster.after(testLatency, replace)
+				return
+			}
+			sentAt = cluster.now
+			cluster.replaceAll()
+		}
+		replace()
+		tool := testCall("p1", "tool")
+		tool.Kind = schedulerv1.CallKind_CALL_KIND_TOOL
+		tool.Target = testTool
+		final := cluster.call(tool, recoveryBound)
+		Expect(sentAt).NotTo(BeZero())
+		Expect(final.ended).To(BeTrue())
+		Expect(final.failure.GetCode()).To(BeEquivalentTo(resultcode.OutcomeUnknown))
+		Expect(cluster.runsOf("p1/tool")).To(Equal(1))
+	})
+
+	It("sends such a call after a bounded wait while the log is away", func() {
+		cluster := newTestCluster(28, 3)
+		cluster.create("p1")
+		cluster.callMany("p1", 0, 1)
+		cluster.log.down = true
+		begun := cluster.now
+		Expect(cluster.call(testCall("p1", "first"), recoveryBound).failure).To(BeNil())
+		Expect(cluster.now - begun).To(BeNumerically("<", time.Second))
+		begun = cluster.now
+		Expect(cluster.call(testCall("p1", "second"), recoveryBound).failure).To(BeNil())
+		Expect(cluster.now - begun).To(BeNumerically("<", testConfig("s0").ArchiveIntents))
+		cluster.log.down = false
+		cluster.callMany("p1", 1, 3)
+	})
+
 	It("gives a founder that comes late no entry of its own generation", func() {
 		cluster := newTestCluster(25, 3)
 		cluster.create("p1")
--- a/internal/scheduler/schedule_test.go
+++ b/internal/scheduler/schedule_test.go
@@ -19,6 +19,10 @@
 	faultTime         = 20 * time.Second
 	healTime          = 90 * time.Second
 	faultStart        = 2500 * time.Millisecond
+	// replaceWait bounds the wait for a moment at which all is archived, and
+	// rebuildTime is what the groups are given to be rebuilt.
+	replaceWait       = time.Second
+	rebuildTime       = 15 * time.Second
 	faultInterval     = 300 * time.Millisecond
 	recoveryTime      = 3 * time.Second
 	scheduleClients   = 6
@@ -36,7 +40,8 @@
 
 // faults throws one random fault at the cluster and undoes it later. At most one
 // process at a time is down, frozen or cut off, so that a majority of every
-// group lives; the log may be away at any time.
+// group lives, or all are replaced at once when everything is archived. The log
+// may be away, or lose appends or their answers, at any time.
 type faults struct {
 	cluster *testCluster
 	busy    bool
@@ -58,7 +63,12 @@
 	names := sortedKeys(cluster.nodes)
 	name := names[cluster.random.Intn(len(names))]
 	length := time.Duration(cluster.random.Int63n(int64(3 * time.Second)))
-	switch cluster.random.Intn(4) {
+	switch cluster.random.Intn(6) {
+	case 5:
+		faults.replaceAll()
+	case 4:
+		cluster.log.lost, cluster.log.lostAnswers = 0.2, 0.4
+		faults.undo(length, func() { cluster.log.lost, cluster.log.lostAnswers = 0, 0 })
 	case 0:
 		cluster.nodes[name].dead = true
 		faults.undo(length, func() { cluster.start(name) })
@@ -75,6 +85,27 @@
 	}
 }
 
+// replaceAll replaces every process at once, at a moment when the log holds all
+// that is committed. It gives up where none comes soon: that is rare by itself.
+func (faults *faults) replaceAll() {
+	cluster := faults.cluster
+	end := cluster.now + replaceWait
+	var try func()
+	try = func() {
+		switch {
+		case cluster.archivedAll():
+			cluster.replacements++
+			cluster.replaceAll()
+			cluster.after(rebuildTime, func() { faults.busy = false })
+		case cluster.now > end:
+			faults.busy = false
+		default:
+			cluster.after(testLatency, try)
+		}
+	}
+	try()
+}
+
 // undo ends the fault, and leaves the groups time to replace a member before
 // the next.
 func (faults *faults) undo(length time.Duration, end func()) {
@@ -122,8 +153,9 @@
 	return found
 }
 
-// runSchedule runs one seeded schedule of faults and returns what was violated.
-func runSchedule(seed int64) []string {
+// runSchedule runs one seeded schedule of faults and returns what was violated,
+// and how often every process was replaced at once.
+func runSchedule(seed int64) ([]string, int) {
 	cluster := newTestCluster(seed, 4)
 	cluster.callSteps = 20
 	cluster.budget = scheduleBudget
@@ -158,13 +190,18 @@
 		}
 		found = append(found, client.violations()...)
 	}
-	return found
+	return found, cluster.replacements
 }
 
 var _ = Describe("scheduler under seeded faults", func() {
 	It("keeps order, history, at-most-once and budgets", func() {
+		replacements := 0
 		for seed := int64(1); seed <= int64(schedules()); seed++ {
-			Expect(runSchedule(seed)).To(BeEmpty(), "seed %d", seed)
+			violations, replaced := runSchedule(seed)
+			Expect(violations).To(BeEmpty(), "seed %d", seed)
+			replacements += replaced
 		}
+		GinkgoWriter.Printf("all processes replaced at once: %d times\n", replacements)
+		Expect(replacements).To(BeNumerically(">", 0))
 	})
 })
--- a/internal/scheduler/test_log_test.go
+++ b/internal/scheduler/test_log_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand"
+	"time"
 
 	"github.com/magpielug/magpielug/internal/platform"
 )
@@ -20,6 +21,8 @@
 	// part that take effect and whose answer is lost.
 	lost        float64
 	lostAnswers float64
+	// latency is added to the appends of entries and claims.
+	latency time.Duration
 	// breakAfter lets so many operations through and fails the rest; 0 is no such
 	// bound.
 	breakAfter int
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -80,6 +80,9 @@
 	ArchiveBacklog      Size          `koanf:"archive_backlog" validate:"gte=64KiB,lte=8GiB" about:"Entries a shard keeps while the log is away; past three quarters of it new calls are refused with code 2008, the rest is for calls under way."`
 	ArchiveBacklogTotal Size          `koanf:"archive_backlog_total" validate:"gte=64KiB,lte=64GiB" about:"The same over all shards of the process."`
 	KeepEntries         int           `koanf:"keep_entries" validate:"gte=0,lte=1000000" about:"Archived entries kept in memory for members that lag."`
+	SnapshotBytes       Size          `koanf:"snapshot_bytes" validate:"gte=64KiB,lte=64MiB" about:"Archived bytes of a shard after which a snapshot is put into its stream in the log; at least as much as the last snapshot's size."`
+	SnapshotEntries     uint64        `koanf:"snapshot_entries" validate:"gte=1,lte=100000000" about:"Archived entries since the last snapshot that make a new leader have one made."`
+	ArchiveIntents      time.Duration `koanf:"archive_intents" validate:"gte=0s,lte=10s" about:"Longest wait, before a call that is not repeatable is sent, for the log to hold its intent; 0 is no wait."`
 	OfferRetry          time.Duration `koanf:"offer_retry" validate:"gte=10ms,lte=60s" about:"How long an offer to a keeper waits for its answer."`
 	HeldInterval        time.Duration `koanf:"held_interval" validate:"gte=10ms,lte=60s" about:"How often a leader tells keepers which grants it holds."`
 	LiveInterval        time.Duration `koanf:"live_interval" validate:"gte=10ms,lte=10m" about:"How often a leader tells keepers its live programs."`
