Bring escrow back from a shard that never heard of its grant

Where the message of a grant or of a return was lost, the money lay with a shard that did not know of it until it asked again; it was never spent twice, but calls that the budget covers were refused. Change: a recall tells the granted total, which is taken in first; a shard with nothing to spare tells again what it has returned. The test fails with the old escrow.go and passes now.

--- a/internal/scheduler/account.go
+++ b/internal/scheduler/account.go
@@ -115,7 +115,12 @@
 			continue
 		}
 		recalling = true
-		host.core.recallFrom(&schedulerv1.EscrowRecall{Tenant: key.Tenant, Tier: key.Tier, Shard: holder})
+		host.core.recallFrom(&schedulerv1.EscrowRecall{
+			Tenant:             key.Tenant,
+			Tier:               key.Tier,
+			Shard:              holder,
+			GrantedTotalMicros: uint64(host.state.Account(key).Granted(holder)),
+		})
 	}
 	return recalling
 }
--- a/internal/scheduler/escrow.go
+++ b/internal/scheduler/escrow.go
@@ -239,19 +239,38 @@
 	clear(host.needs)
 }
 
-// escrowRecalled gives back what the shard does not need now.
+// escrowRecalled gives back what the shard does not need now. A grant that it has
+// not heard of is taken in first.
 func (core *Core) escrowRecalled(recall *schedulerv1.EscrowRecall) {
 	host := core.hosts[recall.Shard]
 	if host == nil || !host.leads() {
 		return
 	}
-	host.returnEscrow(shard.TierKey{Tenant: recall.Tenant, Tier: recall.Tier})
+	key := shard.TierKey{Tenant: recall.Tenant, Tier: recall.Tier}
+	if recall.GrantedTotalMicros <= uint64(host.state.Escrow(key).Granted()) {
+		host.returnEscrow(key)
+		return
+	}
+	host.propose(&shardv1.Entry{Change: &shardv1.Entry_EscrowRaised{EscrowRaised: &shardv1.EscrowRaised{
+		Tenant:             recall.Tenant,
+		Tier:               recall.Tier,
+		GrantedTotalMicros: recall.GrantedTotalMicros,
+	}}}, recallWaiter{key: key})
 }
 
-// returnEscrow commits the return first; only then the account hears of it.
+// recallWaiter goes on with a recall once an unheard grant is applied.
+type recallWaiter struct{ key shard.TierKey }
+
+func (waiting recallWaiter) applied(host *host, _ shard.Outcome) { host.returnEscrow(waiting.key) }
+
+func (recallWaiter) abandoned(*host) {}
+
+// returnEscrow commits the return first; only then the account hears of it. With
+// nothing to spare it tells what was given back before: that message may be lost.
 func (host *host) returnEscrow(key shard.TierKey) {
 	total, spare := ledger.IdleReturn(host.state.Escrow(key), host.need(key).total())
 	if !spare {
+		host.askAccount(key, host.state.Escrow(key).Granted())
 		return
 	}
 	host.propose(&shardv1.Entry{Change: &shardv1.Entry_EscrowReturned{EscrowReturned: &shardv1.EscrowReturned{
--- a/internal/scheduler/escrow_test.go
+++ b/internal/scheduler/escrow_test.go
@@ -3,9 +3,13 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	shardv1 "github.com/magpielug/magpielug/api/shard/v1"
+	"github.com/magpielug/magpielug/internal/shard"
 )
 
 var _ = Describe("escrow of a shard", func() {
@@ -35,4 +39,32 @@
 			})
 		})).To(BeTrue())
 	})
+
+	It("comes back from a shard that never heard of its grant", func() {
+		cluster := newTestCluster(21, 3)
+		cluster.budget = 1_000
+		key := shard.TierKey{Tenant: testTenant, Tier: testTier}
+		cluster.create("p1")
+		cluster.runFor(3 * time.Second)
+		account := cluster.accountHost(key)
+		needy := account.core.shardOf("p1")
+		unaware := (needy + 1) % account.core.config.Shards
+		Expect(account.propose(&shardv1.Entry{Change: &shardv1.Entry_AccountGranted{AccountGranted: &shardv1.AccountGranted{
+			Tenant: testTenant, Tier: testTier, Shard: unaware, WantedTotalMicros: 1_000, BudgetMicros: 1_000,
+		}}}, ignoredWaiter{})).To(BeNil())
+		cluster.runFor(time.Second)
+		Expect(account.state.Account(key).Available()).To(BeZero())
+		Expect(cluster.call(testCall("p1", "r1"), 20*time.Second).failure).To(BeNil())
+	})
 })
+
+// accountHost returns the leader of the shard that holds a tier's account.
+func (cluster *testCluster) accountHost(key shard.TierKey) *host {
+	for _, name := range sortedKeys(cluster.nodes) {
+		core := cluster.nodes[name].core
+		if found := core.hosts[core.shardOfAccount(key)]; found != nil && found.leads() {
+			return found
+		}
+	}
+	return nil
+}
