--- a/internal/keeper/property_test.go
+++ b/internal/keeper/property_test.go
@@ -213,6 +213,17 @@
 	}
 }
 
+// adopt follows ProgramsLive: its leader answers for the shard's grants.
+func (a *audit) adopt(event keeper.ProgramsLive, owners map[keeper.CallKey]keeper.Request) {
+	for call := range a.running {
+		owner := owners[call]
+		if owner.Shard == event.Shard {
+			owner.Leader = event.Leader
+			owners[call] = owner
+		}
+	}
+}
+
 // unconfirm follows GrantsHeld with an empty list: grants older than the
 // confirmation time end.
 func (a *audit) unconfirm(event keeper.GrantsHeld, owners map[keeper.CallKey]keeper.Request) {
@@ -242,6 +253,8 @@
 				a.loseLeader(event, owners)
 			case keeper.GrantsHeld:
 				a.unconfirm(event, owners)
+			case keeper.ProgramsLive:
+				a.adopt(event, owners)
 			}
 			effects := a.keeper.Step(a.now, event)
 			a.check(t, event, effects)
--- a/internal/keeper/report.go
+++ b/internal/keeper/report.go
@@ -131,6 +131,7 @@
 func (keeper *Keeper) applyLivePrograms(event ProgramsLive) {
 	shard := keeper.programs.shard(event.Shard)
 	shard.listed = true
+	keeper.adoptGrants(event)
 	for _, name := range event.Programs {
 		keeper.noteLive(name, event.Shard)
 	}
--- a/internal/scheduler/client_test.go
+++ b/internal/scheduler/client_test.go
@@ -24,6 +24,8 @@
 	cluster *testCluster
 	program string
 	turns   int
+	// adapters has every third call use an adapter.
+	adapters bool
 	// think is the longest pause before a call.
 	think   time.Duration
 	results []testResult
@@ -85,6 +87,9 @@
 	number := len(client.results)
 	client.request = testCall(client.program, fmt.Sprintf("r%02d", number))
 	client.request.Repeatable = number%2 == 0
+	if client.adapters && number%3 == 0 {
+		client.request.Adapter = testAdapter
+	}
 	client.begun = client.cluster.now
 }
 
--- a/internal/scheduler/keeper_client.go
+++ b/internal/scheduler/keeper_client.go
@@ -309,6 +309,9 @@
 func (host *host) reportLivePrograms() {
 	byPool := make(map[string]*schedulerv1.ProgramsLive)
 	for _, poolName := range sortedKeys(host.core.layout.engines) {
+		// The keeper may count grants of the shard's former leader: it must be told
+		// also that this process holds none.
+		host.core.heldBefore[poolName] = true
 		byPool[poolName] = &schedulerv1.ProgramsLive{}
 	}
 	for _, program := range host.sortedPrograms() {
