--- a/rehearsal/command/speed.go
+++ b/rehearsal/command/speed.go
@@ -58,7 +58,7 @@
 	if len(inFlight) == 0 {
 		inFlight = []int{1, 64, 512}
 	}
-	rounds := speed.Measure(ctx, speed.Config{
+	rounds := speed.Compare(ctx, speed.Config{
 		Ways: []speed.Way{
 			speed.Direct(adapters, started.Engines()[0], rehearsalModel),
 			speed.Program(client, started.Gateways(), key, kind, rehearsalModel),
--- a/rehearsal/speed/round.go
+++ b/rehearsal/speed/round.go
@@ -100,9 +100,9 @@
 	collection.delays = append(collection.delays, times.delays...)
 }
 
-// Measure runs the ways one after the other, several rounds at each number of
+// Compare runs the ways one after the other, several rounds at each number of
 // calls in flight.
-func Measure(ctx context.Context, config Config) []Round {
+func Compare(ctx context.Context, config Config) []Round {
 	var rounds []Round
 	var numbers atomic.Uint64
 	for _, inFlight := range config.InFlight {
