--- a/internal/scheduler/recovery_test.go
+++ b/internal/scheduler/recovery_test.go
@@ -172,7 +172,7 @@
 		cluster.create("p1")
 		cluster.callMany("p1", 0, 1)
 		cluster.log.latency = 50 * time.Millisecond
-		var sentAt time.Duration
+		begun, sentAt := cluster.now, time.Duration(0)
 		var replace func()
 		replace = func() {
 			if cluster.runsOf("p1/tool") == 0 {
@@ -187,7 +187,8 @@
 		tool.Kind = schedulerv1.CallKind_CALL_KIND_TOOL
 		tool.Target = testTool
 		final := cluster.call(tool, recoveryBound)
-		Expect(sentAt).NotTo(BeZero())
+		Expect(sentAt).To(BeNumerically(">=", begun+cluster.log.latency))
+		Expect(sentAt).To(BeNumerically("<", begun+testConfig("s0").ArchiveIntents))
 		Expect(final.ended).To(BeTrue())
 		Expect(final.failure.GetCode()).To(BeEquivalentTo(resultcode.OutcomeUnknown))
 		Expect(cluster.runsOf("p1/tool")).To(Equal(1))
--- a/internal/scheduler/stream_open_test.go
+++ b/internal/scheduler/stream_open_test.go
@@ -48,6 +48,20 @@
 	}
 }
 
+// drawFalsePointer appends a pointer to a snapshot that is there, or may come, and
+// begins elsewhere.
+func (log *lateLog) drawFalsePointer(t *rapid.T, number uint32, step int) {
+	record, err := replication.EncodeSnapshotPointer(replication.SnapshotPointer{
+		Shard:      number,
+		SnapshotID: fmt.Sprint("s", rapid.IntRange(0, step).Draw(t, "false id")),
+		Offset:     rapid.Uint64Range(0, uint64(len(log.streams[streamName(number)]))).Draw(t, "false offset"),
+		Generation: rapid.Uint32Range(0, 3).Draw(t, "false generation"),
+		Size:       rapid.Uint64().Draw(t, "false size"),
+	})
+	Expect(err).NotTo(HaveOccurred())
+	log.streams[indexStreamName(number)] = append(log.streams[indexStreamName(number)], record)
+}
+
 // drawStreamRecord appends what a claimant or a leader, present or past, would.
 func (log *lateLog) drawStreamRecord(t *rapid.T, number uint32) {
 	now := viewFromStart(log.testLog, number).archive
@@ -110,7 +124,9 @@
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			log := &lateLog{testLog: newTestLog(nil)}
 			for step := range rapid.IntRange(1, 40).Draw(t, "steps") {
-				switch rapid.IntRange(0, 5).Draw(t, "step") {
+				switch rapid.IntRange(0, 6).Draw(t, "step") {
+				case 6:
+					log.drawFalsePointer(t, number, step)
 				case 0:
 					snapshotStream(context.Background(), log, SnapshotStream{
 						Shard: number, ID: fmt.Sprint("s", step), Bytes: maximumSnapshotWait,
