--- a/internal/scheduler/recovery_test.go
+++ b/internal/scheduler/recovery_test.go
@@ -16,7 +16,10 @@
 	"github.com/magpielug/magpielug/internal/shard"
 )
 
-const recoveryBound = 60 * time.Second
+const (
+	recoveryBound = 60 * time.Second
+	lossSchedules = 10
+)
 
 // replaceAll replaces every process at once: nothing in memory survives.
 func (cluster *testCluster) replaceAll() {
@@ -194,6 +197,35 @@
 		Expect(cluster.runsOf("p1/tool")).To(Equal(1))
 	})
 
+	It("keeps at-most-once when every process is replaced at any moment while the log answers", func() {
+		for seed := int64(100); seed < 100+lossSchedules; seed++ {
+			cluster := newTestCluster(seed, 3)
+			cluster.log.latency = time.Duration(cluster.random.Int63n(int64(100 * time.Millisecond)))
+			var clients []*testClient
+			for number := range scheduleClients {
+				clients = append(clients, cluster.addClient(fmt.Sprintf("p%d", number), scheduleTurns))
+			}
+			for range 3 {
+				cluster.runFor(3*time.Second + time.Duration(cluster.random.Int63n(int64(time.Second))))
+				// Engines that remember a request would not run it again.
+				cluster.crashEngine("e0")
+				cluster.crashEngine("e1")
+				cluster.replaceAll()
+				cluster.runFor(rebuildTime)
+			}
+			cluster.runFor(rebuildTime)
+			for _, client := range clients {
+				Expect(client.results).NotTo(BeEmpty())
+				for _, result := range client.results {
+					name := client.program + "/" + result.request.RequestId
+					if !result.request.Repeatable {
+						Expect(cluster.runsOf(name)).To(BeNumerically("<=", 1), "seed %d, %s", seed, name)
+					}
+				}
+			}
+		}
+	})
+
 	It("sends such a call after a bounded wait while the log is away", func() {
 		cluster := newTestCluster(28, 3)
 		cluster.create("p1")
