Test that a late founder begins at its claim's base

Without the check in hostReplica the test fails: the replica began with 40 calls' state although its log begins before them. Entries that are applied twice hide that, so the test looks at the state when the replica is hosted.

--- a/internal/scheduler/recovery_test.go
+++ b/internal/scheduler/recovery_test.go
@@ -241,6 +241,28 @@
 		cluster.callMany("p1", 1, 3)
 	})
 
+	It("lets a founder that comes late found from the claim's base, and catch up", func() {
+		cluster := newTestCluster(29, 3)
+		number := cluster.nodes["s0"].core.shardOf("p1")
+		Expect(cluster.runUntil(recoveryBound, func() bool { return len(cluster.log.streams[streamName(number)]) > 0 })).To(BeTrue())
+		late := cluster.nodes["s2"]
+		Expect(late.core.hosts[number]).To(BeNil())
+		// It is as if the log had not answered this process before.
+		late.core.homes[number] = late.core.newHome(number)
+		late.paused = true
+		cluster.create("p1")
+		before := cluster.callMany("p1", 0, 40)
+		late.wake()
+		Expect(cluster.runUntil(recoveryBound, func() bool { return late.core.hosts[number] != nil })).To(BeTrue())
+		Expect(late.core.hosts[number].state.Len()).To(BeZero())
+		Expect(cluster.runUntil(recoveryBound, func() bool {
+			host := late.core.hosts[number]
+			return host != nil && host.replica.CommittedIndex() == cluster.furthest(number).replica.CommittedIndex()
+		})).To(BeTrue())
+		Expect(late.core.hosts[number].replica.Self().Incarnation).To(Equal(late.core.registry.Boot()))
+		Expect(late.core.hosts[number].state.Snapshot()).To(Equal(before[number]))
+	})
+
 	It("gives a founder that comes late no entry of its own generation", func() {
 		cluster := newTestCluster(25, 3)
 		cluster.create("p1")
