Tell keepers digests of grants and live programs, and the lists only if wanted

Cause: every leader sent its whole list of held grants each second and its list of live programs each 2 s, to say nearly always what the keeper knows.

A keeper asks for the list (ListsWanted) of a process that has told it none, or whose grants differ at two digests in a row (one difference may be a grant or a return on its way), and of a shard whose live programs differ. A list that has not changed counts anew. A new keeper, or one with new policies, asks every scheduler at once, which is sooner than the second that the next list took. A shard's new leader lists the grants that it has taken over, and the keeper notes it as their holder (so far a preemption went to the old one).

Conclusion: what a keeper is told no longer grows with programs that live.

--- a/internal/keeper/leader.go
+++ b/internal/keeper/leader.go
@@ -40,12 +40,27 @@
 	}
 }
 
+// EachGrant shows every grant that the keeper counts as held by a leader, in no
+// order.
+func (keeper *Keeper) EachGrant(leader string, show func(call CallKey, engine string)) {
+	for _, engine := range keeper.engines {
+		for _, call := range engine.running {
+			if call.request.Leader == leader {
+				show(call.request.Call, engine.name)
+			}
+		}
+	}
+}
+
 // takeOver enters a grant made by an earlier keeper, or by this one before it
 // forgot, into the books. It counts against the engine's limit even when that
 // leaves the engine over it.
 func (keeper *Keeper) takeOver(grant HeldGrant) {
 	request := grant.Request
-	if keeper.running[request.Call] != nil {
+	if known := keeper.running[request.Call]; known != nil {
+		// The program's shard may have a new leader.
+		known.request.Leader = request.Leader
+		known.request.Shard = request.Shard
 		return
 	}
 	if waiting := keeper.waiting[request.Call]; waiting != nil {
--- a/internal/scheduler/host.go
+++ b/internal/scheduler/host.go
@@ -231,6 +231,7 @@
 	host.core.directory.leaders[host.number] = host.core.config.Process
 	host.core.arrangePools()
 	host.resumeCalls()
+	host.listResumedGrants()
 }
 
 // tick drives the replica's and the leader's timers.
--- a/internal/scheduler/keeper_client.go
+++ b/internal/scheduler/keeper_client.go
@@ -129,6 +129,8 @@
 		core.offerRefused(reply, answer.Refusal)
 	case *schedulerv1.KeeperReply_Preemption:
 		core.preempted(reply, answer.Preemption)
+	case *schedulerv1.KeeperReply_ListsWanted:
+		core.listsWanted(reply.Pool, reply.Shard, answer.ListsWanted)
 	case *schedulerv1.KeeperReply_NotKeeper:
 		core.directory.leaders[core.shardOfPool(reply.Pool)] = answer.NotKeeper.Leader
 	}
@@ -264,73 +266,6 @@
 	}
 }
 
-// reportHeldGrants tells each keeper which of its grants this process holds,
-// over all shards. A pool that had grants in the last report is told once more
-// when it has none.
-func (core *Core) reportHeldGrants() {
-	reports := make(map[string]*schedulerv1.GrantsHeld)
-	for poolName := range core.heldBefore {
-		reports[poolName] = &schedulerv1.GrantsHeld{}
-	}
-	clear(core.heldBefore)
-	for _, number := range core.hostNumbers() {
-		host := core.hosts[number]
-		if host.leads() {
-			host.collectHeldGrants(reports)
-		}
-	}
-	for _, poolName := range sortedKeys(reports) {
-		core.requestKeeper(poolName, core.shardOfPool(poolName), &schedulerv1.KeeperRequest{
-			Request: &schedulerv1.KeeperRequest_Held{Held: reports[poolName]},
-		})
-	}
-}
-
-func (host *host) collectHeldGrants(reports map[string]*schedulerv1.GrantsHeld) {
-	for _, live := range host.sortedCalls() {
-		intent := live.call.Intent()
-		if live.pool == "" || intent == nil || live.phase == phaseClosing {
-			continue
-		}
-		if reports[live.pool] == nil {
-			reports[live.pool] = &schedulerv1.GrantsHeld{}
-		}
-		host.core.heldBefore[live.pool] = true
-		reports[live.pool].Grants = append(reports[live.pool].Grants, &schedulerv1.HeldGrant{
-			Offer:  host.offerOf(live),
-			Engine: intent.BackEnd,
-			Shard:  host.number,
-		})
-	}
-}
-
-// reportLivePrograms tells each keeper the shard's programs that may have cache
-// in its pool, so that cache of all others can be released.
-func (host *host) reportLivePrograms() {
-	byPool := make(map[string]*schedulerv1.ProgramsLive)
-	for _, poolName := range sortedKeys(host.core.layout.engines) {
-		// The keeper may count grants of the shard's former leader: it must be told
-		// also that this process holds none.
-		host.core.heldBefore[poolName] = true
-		byPool[poolName] = &schedulerv1.ProgramsLive{}
-	}
-	for _, program := range host.sortedPrograms() {
-		if program.Over() {
-			continue
-		}
-		for _, poolName := range host.core.poolsUsed(program) {
-			if live := byPool[poolName]; live != nil {
-				live.Programs = append(live.Programs, program.ID())
-			}
-		}
-	}
-	for _, poolName := range sortedKeys(byPool) {
-		host.core.requestKeeper(poolName, host.number, &schedulerv1.KeeperRequest{
-			Request: &schedulerv1.KeeperRequest_Live{Live: byPool[poolName]},
-		})
-	}
-}
-
 func attemptSuffix(attempt uint32) string {
 	return "#" + strconv.FormatUint(uint64(attempt), 10)
 }
--- /dev/null
+++ b/internal/scheduler/list_digest.go
@@ -0,0 +1,41 @@
+package scheduler
+
+import (
+	"hash/fnv"
+	"io"
+	"strconv"
+
+	schedulerv1 "github.com/magpielug/magpielug/api/scheduler/v1"
+	"github.com/magpielug/magpielug/internal/keeper"
+)
+
+// listDigest sums up a list whose order does not matter. Two lists that differ
+// have the same digest by chance only (one in 2^64): it guards against lost
+// messages, not against forged ones.
+type listDigest struct {
+	count uint32
+	sum   uint64
+}
+
+// add takes an item in; its parts must not hold a zero byte.
+func (digest *listDigest) add(parts ...string) {
+	hash := fnv.New64a()
+	for _, part := range parts {
+		_, _ = io.WriteString(hash, part)
+		_, _ = hash.Write([]byte{0})
+	}
+	digest.count++
+	digest.sum += hash.Sum64()
+}
+
+func (digest *listDigest) addGrant(call keeper.CallKey, engine string) {
+	digest.add(call.Program, call.RequestID, strconv.FormatUint(uint64(call.Attempt), 10), engine)
+}
+
+func (digest *listDigest) wire() *schedulerv1.ListDigest {
+	return &schedulerv1.ListDigest{Count: digest.count, Sum: digest.sum}
+}
+
+func (digest *listDigest) matches(told *schedulerv1.ListDigest) bool {
+	return digest.count == told.GetCount() && digest.sum == told.GetSum()
+}
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -22,6 +22,7 @@
 	fences  map[string]*engineFence
 	// policies are the names that the keeper was made with.
 	policies policyNames
+	lists    poolLists
 }
 
 type policyNames struct {
@@ -56,6 +57,7 @@
 		kept = core.newPool(name, shardNumber)
 		core.pools[name] = kept
 		core.log("pool_kept", shardNumber, "", "", name)
+		kept.askForLists()
 	}
 	kept.arrangeEngines(engines)
 }
@@ -68,13 +70,15 @@
 		engines: make(map[string]platform.Machine),
 		drained: make(map[string]bool),
 		fences:  make(map[string]*engineFence),
+		lists:   newPoolLists(),
 	}
 	made.buildKeeper()
 	return made
 }
 
 // buildKeeper makes a keeper with the configured policies. Leaders repeat
-// their offers and tell their grants, so it learns what its predecessor knew.
+// their offers and are asked for their grants, so it learns what its predecessor
+// knew.
 func (pool *pool) buildKeeper() {
 	pool.policies = pool.core.policyNames()
 	names := pool.policies
@@ -105,6 +109,7 @@
 func (pool *pool) configurationChanged() {
 	if pool.policies != pool.core.policyNames() {
 		pool.buildKeeper()
+		pool.askForLists()
 	}
 	pool.arrangeEngines(pool.machines())
 }
@@ -281,11 +286,7 @@
 	case *schedulerv1.KeeperRequest_Held:
 		kept.grantsHeld(request, asked.Held)
 	case *schedulerv1.KeeperRequest_Live:
-		kept.step(keeper.ProgramsLive{
-			Leader:   request.Leader,
-			Shard:    request.Shard,
-			Programs: asked.Live.Programs,
-		})
+		kept.programsLive(request, asked.Live)
 	}
 }
 
@@ -305,17 +306,6 @@
 	})
 }
 
-// grantsHeld passes on what a process holds of the pool.
-func (pool *pool) grantsHeld(request *schedulerv1.KeeperRequest, held *schedulerv1.GrantsHeld) {
-	var grants []keeper.HeldGrant
-	for _, grant := range held.Grants {
-		asked := pool.core.keeperRequest(request, grant.Offer)
-		asked.Shard = grant.Shard
-		grants = append(grants, keeper.HeldGrant{Request: asked, Engine: grant.Engine})
-	}
-	pool.step(keeper.GrantsHeld{Leader: request.Leader, Grants: grants})
-}
-
 // engineReported passes an engine's load report to the pool it belongs to.
 func (core *Core) engineReported(event EngineReported) {
 	for _, name := range core.poolNames() {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -84,8 +84,8 @@
 	SnapshotEntries     uint64        `koanf:"snapshot_entries" validate:"gte=1,lte=100000000" about:"Archived entries since the last snapshot that make a new leader have one made."`
 	ArchiveIntents      time.Duration `koanf:"archive_intents" validate:"gte=0s,lte=10s" about:"Longest wait, before a call that is not repeatable is sent, for the log to hold its intent; 0 is no wait."`
 	OfferRetry          time.Duration `koanf:"offer_retry" validate:"gte=10ms,lte=60s" about:"How long an offer to a keeper waits for its answer."`
-	HeldInterval        time.Duration `koanf:"held_interval" validate:"gte=10ms,lte=60s" about:"How often a leader tells keepers which grants it holds."`
-	LiveInterval        time.Duration `koanf:"live_interval" validate:"gte=10ms,lte=10m" about:"How often a leader tells keepers its live programs."`
+	HeldInterval        time.Duration `koanf:"held_interval" validate:"gte=10ms,lte=60s" about:"How often a leader tells keepers the digest of the grants it holds; a keeper that sees others, or is new, asks for the list."`
+	LiveInterval        time.Duration `koanf:"live_interval" validate:"gte=10ms,lte=10m" about:"How often a leader tells keepers the digest of its live programs; as for grants."`
 	FoundingWait        time.Duration `koanf:"founding_wait" validate:"gte=0s,lte=10m" about:"How long a founder waits for members in further zones."`
 	EndedMemory         time.Duration `koanf:"ended_memory" validate:"gte=1s,lte=24h" about:"How long the record of a program that is over is kept."`
 	MaximumAttempts     uint32        `koanf:"maximum_attempts" validate:"gte=1,lte=100" about:"Runs of a repeatable call."`
