--- a/rehearsal/fault/program.go
+++ b/rehearsal/fault/program.go
@@ -109,6 +109,12 @@
 	return false
 }
 
+// isUnknownProgram tells whether the program is lost: asking again won't help.
+func isUnknownProgram(err error) bool {
+	var failure *caller.Failure
+	return errors.As(err, &failure) && resultcode.Code(failure.Code) == resultcode.UnknownProgram
+}
+
 // backOff is how long to wait after an error.
 func (program *programRun) backOff(err error) time.Duration {
 	var failure *caller.Failure
@@ -142,7 +148,7 @@
 			program.over = true
 			return false
 		}
-		if time.Now().After(until) || !pause(ctx, program.backOff(failure)) {
+		if isUnknownProgram(failure) || time.Now().After(until) || !pause(ctx, program.backOff(failure)) {
 			program.record.Problem = fmt.Sprintf("call %d was refused to the end: %v", number, failure)
 			return false
 		}
@@ -225,7 +231,7 @@
 			return
 		}
 		program.noteError(gateway, step+" "+program.record.ID, err)
-		if time.Now().After(until) || !pause(ctx, program.backOff(err)) {
+		if isUnknownProgram(err) || time.Now().After(until) || !pause(ctx, program.backOff(err)) {
 			program.record.Problem = step + ": " + err.Error()
 			return
 		}
