--- a/rehearsal/capacity/leader.go
+++ b/rehearsal/capacity/leader.go
@@ -43,10 +43,10 @@
 			Multiply(model.get("requests"), model.get("remote_share"), model.get("keeper_calls"), model.get("http_bytes"), model.per(processes))},
 		{role, ControlProcessor, "offers, grants, returns", "twirp",
 			Multiply(model.get("requests"), model.get("remote_share"), model.get("keeper_calls"), model.get("rpc_us"), model.per(processes))},
-		{role, ControlBytes, "grants held", "whole list at intervals; planned: a digest, the list where it differs",
+		{role, ControlBytes, "grants held", "a digest at intervals, the list where it differs",
 			Multiply(model.get("streams"), model.get("remote_share"), model.get("held_bytes"), model.get("held_share"),
 				model.per("held_seconds"), model.per(processes))},
-		{role, ControlBytes, "live programs", "whole list at intervals; planned: a digest, the list where it differs",
+		{role, ControlBytes, "live programs", "a digest at intervals, the list where it differs",
 			Multiply(model.get("programs"), model.get("remote_share"), model.get("live_bytes"), model.get("live_share"),
 				model.per("live_seconds"), model.per(processes))},
 	}
