Begin measured calls at random moments of the engine's step

Fault of the measurement: a caller began its next call where the one before had ended, at the end of a step, so direct calls always waited a whole step; a way that came some milliseconds later caught the same step and looked as fast. Seen in a run where chat completions seemed to add 0.04 ms at 64 in flight and program calls, which pause in between, 1.6 ms. Change: each call begins after a pause of 0 to 20 ms.

--- a/rehearsal/speed/round.go
+++ b/rehearsal/speed/round.go
@@ -14,6 +14,10 @@
 	// Outputs vary in length, so that calls in flight don't begin together.
 	shortestOutput = 60
 	longestOutput  = 140
+	// longestPause before a call is several steps of the engine. A call begun where
+	// the one before has ended, at a step's end, would always wait a whole step,
+	// and a way that comes later in the step would look as fast.
+	longestPause = 20 * time.Millisecond
 	// failurePause keeps a caller whose call has failed from trying at once.
 	failurePause = 200 * time.Millisecond
 )
@@ -136,6 +140,7 @@
 			defer group.Done()
 			for time.Since(begun) < config.RoundDuration && ctx.Err() == nil {
 				counted := time.Since(begun) >= config.WarmUp
+				time.Sleep(time.Duration(random.Int63n(int64(longestPause))))
 				tokens := shortestOutput + random.Intn(longestOutput-shortestOutput)
 				measured, err := probe.measure(ctx, numbers.Add(1), tokens)
 				if counted || err != nil {
