Read the configuration each 2 s and compare versions rarely while all is quiet

Cause: each process read the stream's end twice a second and compared versions with each other zone every second: nearly all of an idle gateway's bytes.

Change: configuration.poll is 2s. Versions are compared each 10 s while the log answers and nothing has changed for 10 s, each second otherwise: when the log has not answered for 2.5 s, which leaves time before configuration.fresh_bound (5 s) to hear the zones. A process that is asked by one with a newer version reads the log at once, so a change spreads without waiting for polls.

Ruled out: handing the round on in the request (it would be sent to every process asked; a number makes the ones behind read the log, and a process without the log still gets the round by asking).

Not done: a change record that names only what differs. The 39 KB/s of changes at ten times the mean rate are still there.

--- a/internal/configuration/reader.go
+++ b/internal/configuration/reader.go
@@ -101,6 +101,21 @@
 	reader.change(func() { reader.fresh.heardPeer(zone, version, sent) })
 }
 
+// LogHeard returns when the last read that reached the stream's end was sent.
+func (reader *Reader) LogHeard() time.Time {
+	reader.mutex.Lock()
+	defer reader.mutex.Unlock()
+	return reader.fresh.logHeard
+}
+
+// PeerAhead notes that a process of another zone told a version in a request of
+// its own. A newer one than this process knows is read for at once.
+func (reader *Reader) PeerAhead(version uint64) {
+	if version > reader.Version() {
+		reader.poke()
+	}
+}
+
 // Round returns the state to hand to a peer that is behind.
 func (reader *Reader) Round() *configurationv1.Round {
 	reader.mutex.Lock()
--- /dev/null
+++ b/internal/process/exchange_test.go
@@ -0,0 +1,66 @@
+package process
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	configurationv1 "github.com/magpielug/magpielug/api/configuration/v1"
+	"github.com/magpielug/magpielug/internal/configuration"
+	"github.com/magpielug/magpielug/internal/platform"
+)
+
+// emptyLog is a log without records that counts its reads.
+type emptyLog struct{ reads atomic.Int64 }
+
+func (log *emptyLog) Append(context.Context, string, []byte) (uint64, error) {
+	return 0, platform.ErrNotRun
+}
+
+func (log *emptyLog) Read(context.Context, string, uint64, int) ([]platform.Record, error) {
+	log.reads.Add(1)
+	return nil, nil
+}
+
+var _ = Describe("The exchange of configuration versions", func() {
+	var (
+		log      *emptyLog
+		exchange *configurationExchange
+	)
+
+	BeforeEach(func() {
+		log = &emptyLog{}
+		reader := configuration.NewReader(configuration.ReaderOptions{
+			Log: log, Poll: time.Hour, FreshBound: time.Hour, ReadTimeout: time.Minute,
+		})
+		exchange = &configurationExchange{reader: reader}
+	})
+
+	It("is each second while the log is silent, and rare while it answers", func() {
+		begun := time.Now()
+		Expect(exchange.due(begun)).To(BeTrue())
+		Expect(exchange.due(begun.Add(exchangeInterval))).To(BeTrue())
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		go exchange.reader.Run(ctx)
+		Eventually(exchange.reader.LogHeard, time.Minute).ShouldNot(BeZero())
+		heard := exchange.reader.LogHeard()
+		exchange.compared = heard
+		Expect(exchange.due(heard.Add(exchangeLogSilence - 1))).To(BeFalse())
+		Expect(exchange.due(heard.Add(exchangeLogSilence))).To(BeTrue())
+		Expect(exchange.due(heard.Add(exchangeLogSilence + exchangeInterval))).To(BeTrue())
+	})
+
+	It("has a process that is behind read the log at once", func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		go exchange.reader.Run(ctx)
+		Eventually(log.reads.Load, time.Minute).Should(BeEquivalentTo(1))
+		_, err := exchange.Compare(ctx, &configurationv1.CompareRequest{Version: 1})
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(log.reads.Load, time.Minute).Should(BeEquivalentTo(2))
+	})
+})
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -87,7 +87,7 @@
 func defaultConfiguration() Configuration {
 	return Configuration{
 		FreshBound:     5 * time.Second,
-		Poll:           500 * time.Millisecond,
+		Poll:           2 * time.Second,
 		PublishTimeout: 10 * time.Second,
 	}
 }
