Let calls wait for escrow longer than an election lasts

Cause: a call waited 2 s for escrow, then was refused with BUDGET_EXHAUSTED. Since elections take 2 to 4 s the tier's account can be without a leader for longer. Runs of `rehearsal run` refused 0 to 4 of 31 kiosk programs, all at their first call: the log has code 2002 after 2.5 s, and three shards elected their first leader 2.2 to 2.8 s after the others.

Change: the wait is the longest election and a second (5 s by default, within gateway.route_bound).

SCHEDULER_SCHEDULES=60 go test ./internal/scheduler passes.

Open: calls that wait out a dead account's leader are still told that the budget is exhausted, where no answer came at all.

--- a/internal/scheduler/escrow.go
+++ b/internal/scheduler/escrow.go
@@ -19,8 +19,9 @@
 const (
 	// escrowRetry is how long a request for escrow waits for its answer.
 	escrowRetry = 300 * time.Millisecond
-	// escrowPatience bounds the wait of a call for escrow.
-	escrowPatience = 2 * time.Second
+	// escrowMargin is what a call waits for escrow beyond the longest election: the
+	// account's shard may be without a leader.
+	escrowMargin = time.Second
 	// escrowIdle is how long a tier's escrow lies unused before it goes back.
 	escrowIdle = time.Minute
 	// budgetRetryAfter is when a caller may ask again for a tier without budget.
@@ -219,9 +220,14 @@
 	return keys
 }
 
+// escrowPatience bounds the wait of a call for escrow.
+func (core *Core) escrowPatience() time.Duration {
+	return core.config.Replication.ElectionTimeoutMax + escrowMargin
+}
+
 func (host *host) refuseImpatient(need *escrowNeed) {
 	need.parked = slices.DeleteFunc(need.parked, func(parked parkedCall) bool {
-		impatient := host.core.now-parked.since >= escrowPatience
+		impatient := host.core.now-parked.since >= host.core.escrowPatience()
 		if impatient {
 			host.declineCall(parked.ask, parked.request, budgetExhausted(parked.worstCase))
 		}
