Let a gateway listen once it is ready

Callers take the next gateway when a port is closed; they should not meet one that knows nothing. Change: a gateway listens when it has a current configuration and knows a scheduler, or after 3 s. Ruled out: holding early requests back.

--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -7,6 +7,7 @@
 	"github.com/magpielug/magpielug/internal/configuration"
 	"github.com/magpielug/magpielug/internal/gateway"
 	"github.com/magpielug/magpielug/internal/operator"
+	"github.com/magpielug/magpielug/internal/platform"
 	"github.com/magpielug/magpielug/internal/resultcode"
 	"github.com/magpielug/magpielug/internal/settings"
 )
@@ -35,9 +36,15 @@
 		Logger:    shared.logger.Logger,
 	}))
 	serve := func(ctx context.Context) {
+		shared.machines.awaitFirst(ctx)
 		router.Run(ctx, listLocalInterval)
 	}
-	return shared.run(ctx, gatewayReadiness(shared), serve, func(context.Context) {})
+	return shared.run(ctx, role{
+		ready:        gatewayReadiness(shared),
+		listensReady: true,
+		serve:        serve,
+		stop:         func(context.Context) {},
+	})
 }
 
 func gatewayReadiness(shared *process) func() error {
@@ -45,6 +52,9 @@
 		if gatewayView(shared) == nil {
 			return resultcode.New(resultcode.ConfigurationStale, "no current configuration")
 		}
+		if !shared.machines.lists(platform.RoleScheduler) {
+			return resultcode.New(resultcode.NoLeader, "the machine list names no scheduler")
+		}
 		return nil
 	}
 }
--- a/internal/process/machines.go
+++ b/internal/process/machines.go
@@ -33,6 +33,20 @@
 	return *cache.last.Load(), nil
 }
 
+// lists tells whether the list names a machine of the role.
+func (cache *machineCache) lists(role platform.MachineRole) bool {
+	return slices.ContainsFunc(cache.machines(), func(machine platform.Machine) bool {
+		return machine.Role == role
+	})
+}
+
+// awaitFirst waits until the list has been read once.
+func (cache *machineCache) awaitFirst(ctx context.Context) {
+	for len(cache.machines()) == 0 && ctx.Err() == nil {
+		time.Sleep(startInterval)
+	}
+}
+
 // machines returns the last list read.
 func (cache *machineCache) machines() []platform.Machine { return *cache.last.Load() }
 
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -145,10 +145,36 @@
 		strings.HasPrefix(request.URL.Path, configurationv1.ExchangePathPrefix)
 }
 
-// run serves until ctx ends or the system asks for a stop; then stop is called,
-// requests under way are finished, and run returns.
-func (process *process) run(ctx context.Context, ready metrics.Readiness, serve func(context.Context), stop func(context.Context)) error {
-	metrics.Mount(process.mux, process.registry, ready)
+const (
+	// startBound is how long a gateway waits to be ready before it listens.
+	startBound    = 3 * time.Second
+	startInterval = 10 * time.Millisecond
+)
+
+// role is what makes a process a gateway or a scheduler.
+type role struct {
+	ready metrics.Readiness
+	// listensReady makes the process listen only once it is ready, or after
+	// startBound: a caller that meets a closed port takes another gateway, one that
+	// meets a gateway without a configuration is refused.
+	listensReady bool
+	serve        func(context.Context)
+	stop         func(context.Context)
+}
+
+// run serves until ctx ends or the system asks for a stop; then requests under way
+// are finished, and run returns.
+func (process *process) run(ctx context.Context, role role) error {
+	metrics.Mount(process.mux, process.registry, role.ready)
+	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	go process.machines.run(running)
+	go process.reader.Run(running)
+	go process.exchange.run(running)
+	go role.serve(running)
+	if role.listensReady {
+		awaitReady(role.ready)
+	}
 	server, err := process.secure.serve(process.settings.Node.Listen, process.mux, process.limits())
 	if err != nil {
 		return err
@@ -157,16 +183,15 @@
 	metrics.RegisterServer(process.registry, server)
 	process.logger.Info("started", zap.String("role", process.settings.Node.Role),
 		zap.String("zone", process.settings.Node.Zone), zap.String("listen", server.Address()))
-
-	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	defer cancel()
-	go process.machines.run(running)
-	go process.reader.Run(running)
-	go process.exchange.run(running)
-	go serve(running)
-
 	awaitStop(ctx)
-	return process.shutDown(stop)
+	return process.shutDown(role.stop)
+}
+
+// awaitReady waits until the process is ready, no longer than startBound.
+func awaitReady(ready metrics.Readiness) {
+	for begun := time.Now(); ready() != nil && time.Since(begun) < startBound; {
+		time.Sleep(startInterval)
+	}
 }
 
 func awaitStop(ctx context.Context) {
--- a/internal/process/scheduler.go
+++ b/internal/process/scheduler.go
@@ -42,7 +42,7 @@
 		go watchFreshness(ctx, shared, running)
 		running.Run(ctx)
 	}
-	return shared.run(ctx, schedulerReadiness(shared), serve, running.HandOver)
+	return shared.run(ctx, role{ready: schedulerReadiness(shared), serve: serve, stop: running.HandOver})
 }
 
 func schedulerReadiness(shared *process) func() error {
