--- a/internal/scheduler/call_handler.go
+++ b/internal/scheduler/call_handler.go
@@ -51,9 +51,10 @@
 		events.fail(wireError(resultcode.New(resultcode.NoLeader, "the request was held up on its way")))
 		return
 	}
-	answer, err := scheduler.loop.Ask(request.Context(), func(ask AskID) Event {
+	// A call may wait for escrow: the gateway must not take that for silence.
+	answer, err := scheduler.loop.askWhile(request.Context(), func(ask AskID) Event {
 		return CallAsked{Ask: ask, Request: asked}
-	})
+	}, events.alive)
 	switch {
 	case err != nil:
 		events.fail(unavailable())
--- a/internal/scheduler/escrow.go
+++ b/internal/scheduler/escrow.go
@@ -229,7 +229,9 @@
 	need.parked = slices.DeleteFunc(need.parked, func(parked parkedCall) bool {
 		impatient := host.core.now-parked.since >= host.core.escrowPatience()
 		if impatient {
-			host.declineCall(parked.ask, parked.request, budgetExhausted(parked.worstCase))
+			// Nothing was proposed, and whether the budget has more is not known.
+			host.core.decline(parked.ask, resultcode.New(resultcode.NoLeader,
+				"the tier's account does not answer").After(leaderRetryAfter))
 		}
 		return impatient
 	})
--- a/internal/scheduler/loop.go
+++ b/internal/scheduler/loop.go
@@ -89,17 +89,31 @@
 
 // Ask hands an event over and waits for its answer.
 func (loop *Loop) Ask(ctx context.Context, build func(AskID) Event) (callAnswer, error) {
+	return loop.askWhile(ctx, build, func() error { return nil })
+}
+
+// askWhile is Ask that calls quiet each aliveInterval until the answer comes.
+func (loop *Loop) askWhile(ctx context.Context, build func(AskID) Event, quiet func() error) (callAnswer, error) {
 	answer := make(chan callAnswer, 1)
 	select {
 	case loop.asking <- askRegistration{build: build, answer: answer}:
 	case <-ctx.Done():
 		return callAnswer{}, ctx.Err()
 	}
-	select {
-	case got := <-answer:
-		return got, nil
-	case <-ctx.Done():
-		return callAnswer{}, ctx.Err()
+	timer := time.NewTimer(aliveInterval)
+	defer timer.Stop()
+	for {
+		select {
+		case got := <-answer:
+			return got, nil
+		case <-ctx.Done():
+			return callAnswer{}, ctx.Err()
+		case <-timer.C:
+			if err := quiet(); err != nil {
+				return callAnswer{}, err
+			}
+			timer.Reset(aliveInterval)
+		}
 	}
 }
 
