Read the engines' caches once the last releases have settled

Cause: rehearsal run printed 724 blocks held at the end in some runs: the caches were read in the moment after the last program's end, with releases on their way. It now reads until none is held, 15 s at most, and shows what is left.

--- a/rehearsal/command/run.go
+++ b/rehearsal/command/run.go
@@ -14,7 +14,9 @@
 
 const (
 	progressInterval = 2 * time.Second
-	// endlessKindOffset sets the endless program's number apart.
+	// cacheSettleBound is how long the last releases may take.
+	cacheSettleBound = 15 * time.Second
+	// endlessNumber sets the endless program's number apart.
 	endlessNumber = 900_000
 )
 
@@ -49,7 +51,7 @@
 	begun := time.Now()
 	records := driver.Run(bounded, programs)
 	fmt.Fprintf(os.Stderr, "%d programs ended in %s\n", len(records), time.Since(begun).Round(time.Millisecond))
-	cache, err := drive.ReadCache(ctx, started.Engines())
+	cache, err := drive.SettledCache(ctx, started.Engines(), cacheSettleBound)
 	if err != nil {
 		return err
 	}
--- a/rehearsal/drive/cache.go
+++ b/rehearsal/drive/cache.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -29,6 +30,21 @@
 	return cache.WastedBlockSeconds / cache.HeldBlockSeconds
 }
 
+// SettledCache is ReadCache once the engines hold no block any more, or after the
+// bound: orders to release what ended programs held are on their way for a moment.
+func SettledCache(ctx context.Context, engines []string, bound time.Duration) (Cache, error) {
+	begun := time.Now()
+	for {
+		cache, err := ReadCache(ctx, engines)
+		if err != nil || cache.BlocksUsed == 0 || time.Since(begun) > bound {
+			return cache, err
+		}
+		time.Sleep(settleInterval)
+	}
+}
+
+const settleInterval = 100 * time.Millisecond
+
 // ReadCache asks the stand-in engines for their caches.
 func ReadCache(ctx context.Context, engines []string) (Cache, error) {
 	var total Cache
