Take out an event and a choice that nothing uses

PeerFailed was posted and taken by nobody; KeeperOf chose keepers by rendezvous, which the leaders of the pools' shards have been since. Its spec goes with it.

--- a/internal/membership/placement_test.go
+++ b/internal/membership/placement_test.go
@@ -192,21 +192,6 @@
 		})
 		Expect(pools).To(HaveLen(3))
 	})
-
-	It("has a keeper in its region that changes only if it leaves", func() {
-		processes := processesIn(12, sixZones()...)
-		pool := membership.Pool{Name: "m/r2/0", Region: "r2"}
-		keeper, found := membership.KeeperOf(pool, processes)
-		Expect(found).To(BeTrue())
-		Expect(keeper.Region).To(Equal("r2"))
-		for _, other := range processes {
-			rest := slices.DeleteFunc(slices.Clone(processes), func(process membership.Process) bool {
-				return process == other
-			})
-			next, _ := membership.KeeperOf(pool, rest)
-			Expect(next == keeper).To(Equal(other != keeper))
-		}
-	})
 })
 
 var _ = Describe("The shard of a program", func() {
--- a/internal/membership/pool.go
+++ b/internal/membership/pool.go
@@ -90,15 +90,3 @@
 	}
 	return best
 }
-
-// KeeperOf returns the process that should keep a pool: one of the pool's
-// region if there is any, or false if there are no processes at all.
-func KeeperOf(pool Pool, processes []Process) (Process, bool) {
-	near := slices.DeleteFunc(slices.Clone(processes), func(process Process) bool {
-		return process.Region != pool.Region
-	})
-	if len(near) == 0 {
-		near = processes
-	}
-	return winner("keeper"+keySeparator+pool.Name, near)
-}
--- a/internal/scheduler/event.go
+++ b/internal/scheduler/event.go
@@ -62,9 +62,6 @@
 	Batch *schedulerv1.PeerBatch
 }
 
-// PeerFailed tells that a batch to a peer was not answered.
-type PeerFailed struct{ Process string }
-
 // CreateAsked asks for a program.
 type CreateAsked struct {
 	Ask     AskID
@@ -180,7 +177,6 @@
 func (StreamRead) event()           {}
 func (StreamAppended) event()       {}
 func (PeerBatchReceived) event()    {}
-func (PeerFailed) event()           {}
 func (CreateAsked) event()          {}
 func (EndAsked) event()             {}
 func (GetAsked) event()             {}
--- a/internal/scheduler/peer_sender.go
+++ b/internal/scheduler/peer_sender.go
@@ -85,11 +85,11 @@
 	senders.traffic.workers.Go(func() { senders.exchange(process, sender, address, batch) })
 }
 
+// exchange sends one batch. A lost one is not reported: every message in it bears
+// its loss.
 func (senders *peerSenders) exchange(process string, sender *peerSender, address string, batch *schedulerv1.PeerBatch) {
 	answer, err := senders.traffic.exchange(address, batch)
-	if err != nil {
-		senders.traffic.post(PeerFailed{Process: process})
-	} else {
+	if err == nil {
 		senders.traffic.post(PeerBatchReceived{Batch: answer})
 	}
 	senders.mutex.Lock()
