--- /dev/null
+++ b/internal/history/history_suite_test.go
@@ -0,0 +1,13 @@
+package history_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestHistory(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "history")
+}
--- a/internal/history/reader.go
+++ b/internal/history/reader.go
@@ -39,28 +39,26 @@
 	Exists bool
 }
 
-// Find returns the chain that ends with id. An error says that it can't be told
-// now whether the turn exists.
+// Find returns the chain that ends with id. It looks in the shard's partition
+// first, then in all others: a program may go on from another program's turn. An
+// error says that it can't be told now whether the turn exists.
 func (reader *Reader) Find(ctx context.Context, shard int, id string) (Lookup, error) {
 	chain, _, complete := reader.store.Chain(id)
 	if complete {
 		return Lookup{Chain: chain, Exists: true}, nil
 	}
-	own := durable.Partition{Topic: Topic, Number: shard}
-	ownFailure := reader.readOn(ctx, own)
+	failure := reader.readOn(ctx, durable.Partition{Topic: Topic, Number: shard})
 	chain, _, complete = reader.store.Chain(id)
 	if complete {
 		return Lookup{Chain: chain, Exists: true}, nil
 	}
-	spareFailure := reader.readSpares(ctx)
+	failure = errors.Join(failure, reader.readOthers(ctx, shard))
 	chain, missing, complete := reader.store.Chain(id)
 	switch {
 	case complete:
 		return Lookup{Chain: chain, Exists: true}, nil
-	case ownFailure != nil:
-		return Lookup{}, ownFailure
-	case spareFailure != nil:
-		return Lookup{}, spareFailure
+	case failure != nil:
+		return Lookup{}, failure
 	case missing != id:
 		return Lookup{}, eris.Errorf("turn %s of the chain is missing", missing)
 	case reader.store.Evicted():
@@ -69,24 +67,26 @@
 	return Lookup{}, nil
 }
 
-// readSpares reads all spare partitions at once.
-func (reader *Reader) readSpares(ctx context.Context) error {
-	failures := make(chan error, reader.shards)
+// readOthers reads all partitions but the shard's own, at once.
+func (reader *Reader) readOthers(ctx context.Context, shard int) error {
+	var partitions []durable.Partition
 	for number := range reader.shards {
-		go func() { failures <- reader.readOn(ctx, durable.Partition{Topic: SpareTopic, Number: number}) }()
+		partitions = append(partitions, durable.Partition{Topic: SpareTopic, Number: number})
+		if number != shard {
+			partitions = append(partitions, durable.Partition{Topic: Topic, Number: number})
+		}
+	}
+	failures := make(chan error, len(partitions))
+	for _, partition := range partitions {
+		go func() { failures <- reader.readOn(ctx, partition) }()
 	}
 	var failure error
-	for range reader.shards {
+	for range partitions {
 		failure = errors.Join(failure, <-failures)
 	}
 	return failure
 }
 
-// Preload reads a shard's partition, so that its turns are at hand.
-func (reader *Reader) Preload(ctx context.Context, shard int) error {
-	return reader.readOn(ctx, durable.Partition{Topic: Topic, Number: shard})
-}
-
 // readOn reads a partition from where it was read to, up to its end.
 func (reader *Reader) readOn(ctx context.Context, partition durable.Partition) error {
 	tail := reader.tail(partition)
--- /dev/null
+++ b/internal/history/reader_test.go
@@ -0,0 +1,82 @@
+package history_test
+
+import (
+	"context"
+	"time"
+
+	"github.com/magpielug/magpielug/internal/durable"
+	"github.com/magpielug/magpielug/internal/history"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+const shards = 4
+
+func turn(id, previous, input, output string) *history.Turn {
+	return &history.Turn{ID: id, Program: "p", Previous: previous, Input: []byte(input), Output: []byte(output),
+		Ended: time.Now(), Retention: time.Minute}
+}
+
+var _ = Describe("Reader", func() {
+	var log *durable.Memory
+	var ctx context.Context
+
+	BeforeEach(func() {
+		log = durable.NewMemory()
+		ctx = context.Background()
+		recorder := history.NewRecorder(log, shards)
+		Expect(recorder.Record(ctx, 1, turn("a", "", "hello", "hi\n"))).To(Succeed())
+		Expect(recorder.Record(ctx, 1, turn("b", "a", "more", "some\n"))).To(Succeed())
+	})
+
+	newReader := func() *history.Reader {
+		return history.NewReader(log, history.NewStore(1<<20), shards)
+	}
+
+	It("finds a chain written by a process that is gone", func() {
+		found, err := newReader().Find(ctx, 1, "b")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(found.Exists).To(BeTrue())
+		Expect(string(history.Prompt(found.Chain, []byte("next")))).To(Equal("hellohi\nmoresome\nnext"))
+	})
+
+	It("finds a turn of another program, in another program's shard", func() {
+		found, err := newReader().Find(ctx, 3, "b")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(found.Exists).To(BeTrue())
+	})
+
+	It("says that a turn does not exist only where every partition was read", func() {
+		found, err := newReader().Find(ctx, 1, "forged")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(found.Exists).To(BeFalse())
+
+		log.Intercept = func(_ string, partition durable.Partition) error {
+			if partition.Number == 2 {
+				return durable.ErrUnavailable
+			}
+			return nil
+		}
+		_, err = newReader().Find(ctx, 1, "forged")
+		Expect(err).To(HaveOccurred())
+	})
+
+	It("records a turn in a spare partition where its own does not answer, and finds it", func() {
+		log.Intercept = func(operation string, partition durable.Partition) error {
+			if operation == "append" && partition == (durable.Partition{Topic: history.Topic, Number: 1}) {
+				return durable.ErrUnavailable
+			}
+			return nil
+		}
+		Expect(history.NewRecorder(log, shards).Record(ctx, 1, turn("c", "b", "x", "y\n"))).To(Succeed())
+		found, err := newReader().Find(ctx, 1, "c")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(found.Chain).To(HaveLen(3))
+	})
+
+	It("goes on from the oldest record kept", func() {
+		log.Trim(durable.Partition{Topic: history.Topic, Number: 1}, 1)
+		_, err := newReader().Find(ctx, 1, "b")
+		Expect(err).To(MatchError(ContainSubstring("turn a of the chain is missing")))
+	})
+})
