Take a shard over only from an owner that the log names and that is gone

Ruled out: too short time-outs alone. Change: a claimant reads who owns the shard and leaves a present owner in place; an owner that waits for the log says so; ceilings are one turn and a sixteenth of the budget ahead.

--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -160,7 +160,7 @@
 		current.call.Turn.Previous = ""
 	}
 	reservation := current.service.Programs.Reserve(ctx, current.call)
-	current.service.Logger.Debug("turn reserved", zap.String("request", current.call.ID),
+	current.service.Logger.Debug("turn reserved", zap.Int64("budget", current.call.Turn.Budget), zap.Int64("most", current.call.Turn.Most), zap.String("request", current.call.ID),
 		zap.String("program", current.call.Program), zap.Stringer("verdict", reservation.Verdict),
 		zap.String("owner", reservation.Owner), zap.Int64("epoch", reservation.Epoch))
 	switch reservation.Verdict {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -104,7 +104,7 @@
 	}
 	node.peers = newPeers(node.members, client)
 	node.reader = history.NewReader(around.Log, node.turns, settings.Shards)
-	node.ownership = ownership.NewManager(around.Log, logger.Logger, settings.Name, node.incarnation, settings.Shards)
+	node.ownership = ownership.NewManager(around.Log, logger.Logger, settings.Name, node.incarnation, settings.Shards, node.members.present)
 	node.programs = newPrograms(node)
 	node.service = &forward.Service{
 		Routes:   node.routes,
--- a/internal/node/programs.go
+++ b/internal/node/programs.go
@@ -25,7 +25,9 @@
 	// settleTimeout bounds one handing over of what was spent.
 	settleTimeout = 800 * time.Millisecond
 	// askRounds is how many nodes are asked for one reservation.
-	askRounds = 5
+	askRounds = 6
+	// waitPatience is how long a turn waits for its program's owner in all.
+	waitPatience = 900 * time.Millisecond
 	// suspicion is how long an owner that did not answer is not asked first.
 	suspicion = 600 * time.Millisecond
 )
@@ -87,7 +89,8 @@
 func (programs *programs) ask(ctx context.Context, shard int, request *nodev1.ReserveRequest) *nodev1.ReserveReply {
 	last := &nodev1.ReserveReply{Verdict: nodev1.Verdict_VERDICT_UNSURE, Reason: "no node could be asked"}
 	asked := map[string]bool{}
-	for range askRounds {
+	began := time.Now()
+	for round := 0; round < askRounds; round++ {
 		target, found := programs.target(shard, asked)
 		if !found || ctx.Err() != nil {
 			return last
@@ -104,6 +107,14 @@
 		}
 		last = reply
 		newer := programs.learn(shard, target, reply)
+		if reply.Verdict == nodev1.Verdict_VERDICT_WAITING {
+			if time.Since(began) > waitPatience {
+				return reply
+			}
+			delete(asked, target)
+			round--
+			continue
+		}
 		if reply.Verdict != nodev1.Verdict_VERDICT_NOT_OWNER {
 			return reply
 		}
@@ -233,6 +244,7 @@
 		Budget:  request.Budget,
 		Most:    request.Most,
 		Claim:   request.TakeOver,
+		Failed:  request.Failed,
 	}
 	owner := node.programs.believedOwner(shard)
 	if owner.Node != "" && owner.Node != node.settings.Name && !node.ownership.Owns(shard) {
@@ -263,7 +275,7 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, passOnTimeout)
 	defer cancel()
-	passed := &nodev1.ReserveRequest{
+	passed := &nodev1.ReserveRequest{ // Without TakeOver: the owner answers as it is.
 		Program:    request.Program,
 		Request:    request.Request,
 		Budget:     request.Budget,
--- a/internal/ownership/claim.go
+++ b/internal/ownership/claim.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
@@ -20,14 +21,23 @@
 	records  int
 }
 
-// claim takes a shard over in a goroutine of its own.
-func (manager *Manager) claim(shard *shard) {
+// ownedElsewhere says that the log names an owner that is left in place.
+type ownedElsewhere struct{ owner Owner }
+
+// Error implements error.
+func (elsewhere *ownedElsewhere) Error() string {
+	return "owned by " + elsewhere.owner.Node
+}
+
+// claim takes a shard over in a goroutine of its own, unless the log names an
+// owner that is present and not among failed.
+func (manager *Manager) claim(shard *shard, failed []string) {
 	manager.enter(shard, claiming)
 	began := time.Now()
 	go func() {
 		ctx, cancel := context.WithTimeout(manager.context, claimTimeout)
 		defer cancel()
-		won, err := manager.takeOver(ctx, shard.number)
+		won, err := manager.takeOver(ctx, shard.number, failed)
 		manager.post(func() { manager.finishClaim(shard, won, err, time.Since(began)) })
 	}()
 }
@@ -36,6 +46,15 @@
 	if shard.phase != claiming {
 		return
 	}
+	var elsewhere *ownedElsewhere
+	if errors.As(err, &elsewhere) {
+		manager.logger.Info("shard owned elsewhere", zap.Int("shard", shard.number),
+			zap.String("owner", elsewhere.owner.Node), zap.Int64("epoch", elsewhere.owner.Epoch))
+		manager.enter(shard, notOwned)
+		shard.owner = elsewhere.owner
+		manager.refuseWaiters(shard, Answer{Verdict: nodev1.Verdict_VERDICT_NOT_OWNER, Owner: elsewhere.owner, Reason: "another node owns the shard"})
+		return
+	}
 	if err != nil {
 		manager.logger.Warn("claim failed", zap.Int("shard", shard.number), zap.Duration("took", took), zap.Error(err))
 		manager.enter(shard, notOwned)
@@ -55,14 +74,15 @@
 
 // takeOver reads the shard's partition to its end and claims it there. A round
 // fails where another node appended in between; then it reads on.
-func (manager *Manager) takeOver(ctx context.Context, number int) (claimed, error) {
+func (manager *Manager) takeOver(ctx context.Context, number int, failed []string) (claimed, error) {
 	partition := durable.Partition{Topic: Topic, Number: number}
 	reading := &replay{log: manager.log, partition: partition, ceilings: map[string]spending.Ceiling{}}
 	var failure error
 	for range claimTries {
-		won, err := manager.claimOnce(ctx, reading)
-		if err == nil {
-			return won, nil
+		won, err := manager.claimOnce(ctx, reading, failed)
+		var elsewhere *ownedElsewhere
+		if err == nil || errors.As(err, &elsewhere) {
+			return won, err
 		}
 		failure = err
 		if ctx.Err() != nil {
@@ -82,7 +102,7 @@
 	}
 }
 
-func (manager *Manager) claimOnce(ctx context.Context, reading *replay) (claimed, error) {
+func (manager *Manager) claimOnce(ctx context.Context, reading *replay, failed []string) (claimed, error) {
 	err := reading.toEnd(ctx)
 	if err != nil {
 		return claimed{}, err
@@ -91,6 +111,9 @@
 		// An append of an earlier round was done though its answer was lost.
 		return reading.won(reading.owner.Epoch), nil
 	}
+	if manager.stays(reading.owner, failed) {
+		return claimed{}, &ownedElsewhere{owner: Owner{Node: reading.owner.Node, Epoch: reading.owner.Epoch}}
+	}
 	epoch := reading.highest + 1
 	record := marshal(&nodev1.SpendingRecord{Claim: &nodev1.Claim{Node: manager.node, Incarnation: manager.incarnation, Epoch: epoch}})
 	at := reading.next
@@ -107,6 +130,14 @@
 	return reading.won(epoch), nil
 }
 
+// stays tells whether the owner that the log names is left in place.
+func (manager *Manager) stays(owner claimant, failed []string) bool {
+	if owner.Node == "" || owner.Node == manager.node || slices.Contains(failed, owner.Node) {
+		return false
+	}
+	return manager.present(owner.Node, owner.Incarnation)
+}
+
 // replay reads a shard's partition from its first record on.
 type replay struct {
 	log       durable.Log
--- a/internal/ownership/shard.go
+++ b/internal/ownership/shard.go
@@ -35,8 +35,9 @@
 	appendTimeout = 1200 * time.Millisecond
 	// appendPause separates two tries of an append.
 	appendPause = 30 * time.Millisecond
-	// waitLimit is how long a request for tokens waits for the log.
-	waitLimit = 700 * time.Millisecond
+	// waitLimit is how long a request for tokens waits for the log before its
+	// asker is told that it has to; the asker asks again.
+	waitLimit = 180 * time.Millisecond
 	// accountRetention is how long an account outlasts its program's last turn.
 	accountRetention = 5 * time.Minute
 )
@@ -53,8 +54,11 @@
 	Request string
 	Budget  int64
 	Most    int64
-	// Claim tells the node to take the shard over where it does not own it.
+	// Claim tells the node to take the shard over where the log names no owner
+	// that may be left in place.
 	Claim bool
+	// Failed holds the nodes that the asker could not reach.
+	Failed []string
 }
 
 // Answer is the outcome of an Ask.
@@ -97,12 +101,16 @@
 	waiters     []waiter
 }
 
+// Present tells whether a node is known to run in an incarnation, and to stay.
+type Present func(node, incarnation string) bool
+
 // Manager runs the shards of a node on one control goroutine. Its methods may
 // be called from any goroutine.
 type Manager struct {
 	log         durable.Log
 	logger      *zap.Logger
 	node        string
+	present     Present
 	incarnation string
 	events      chan func()
 	shards      []*shard
@@ -115,11 +123,12 @@
 const eventQueue = 4096
 
 // NewManager returns a manager for a number of shards. Run must be called.
-func NewManager(log durable.Log, logger *zap.Logger, node, incarnation string, shards int) *Manager {
+func NewManager(log durable.Log, logger *zap.Logger, node, incarnation string, shards int, present Present) *Manager {
 	manager := &Manager{
 		log:         log,
 		logger:      logger,
 		node:        node,
+		present:     present,
 		incarnation: incarnation,
 		events:      make(chan func(), eventQueue),
 	}
@@ -202,7 +211,7 @@
 		shard.waiters = append(shard.waiters, asked)
 	case shard.phase == notOwned && asked.ask.Claim:
 		shard.waiters = append(shard.waiters, asked)
-		manager.claim(shard)
+		manager.claim(shard, asked.ask.Failed)
 	default:
 		asked.reply <- Answer{Verdict: nodev1.Verdict_VERDICT_NOT_OWNER, Owner: shard.owner, Reason: "another node owns the shard"}
 	}
@@ -295,7 +304,13 @@
 	manager.enter(shard, notOwned)
 	shard.ledger = nil
 	shard.owner = Owner{}
-	manager.refuseWaiters(shard, Answer{Verdict: nodev1.Verdict_VERDICT_NOT_OWNER, Reason: "another node has claimed the shard"})
+	waiting := shard.waiters
+	shard.waiters = nil
+	// Those that wait learn from the log who the owner is.
+	for _, asked := range waiting {
+		asked.ask.Claim = true
+		manager.reserve(shard, asked)
+	}
 }
 
 func (manager *Manager) refuseWaiters(shard *shard, answer Answer) {
@@ -311,7 +326,7 @@
 		kept := shard.waiters[:0]
 		for _, asked := range shard.waiters {
 			if now.Sub(asked.since) > waitLimit {
-				asked.reply <- unsure("the log does not answer")
+				asked.reply <- Answer{Verdict: nodev1.Verdict_VERDICT_WAITING, Owner: shard.owner, Reason: "the log does not answer"}
 				continue
 			}
 			kept = append(kept, asked)
--- a/internal/spending/spending.go
+++ b/internal/spending/spending.go
@@ -24,13 +24,10 @@
 	AwaitCeiling
 )
 
-const (
-	// aheadTurns is how many turns of the present one's size a new ceiling
-	// allows beyond it.
-	aheadTurns = 6
-	// renewTurns is how many such turns must be left, or a new ceiling is wanted.
-	renewTurns = 3
-)
+// aheadShare of the budget is what a new ceiling allows beyond the turn that
+// needs it and one more of its size. More means fewer appends; less means that
+// less is counted as spent when the owner is lost.
+const aheadShare = 1.0 / 16
 
 // Ceiling bounds what a program may have been granted.
 type Ceiling struct {
@@ -116,7 +113,7 @@
 	}
 	account.open[request] = most
 	account.openTotal += most
-	if account.ceiling-needed < renewTurns*most {
+	if account.ceiling < needed+most {
 		ledger.raise(program, account, needed, most)
 	}
 	return Granted
@@ -137,8 +134,8 @@
 
 // raise wants a ceiling for what is needed and some turns ahead.
 func (ledger *Ledger) raise(program string, account *account, needed, most int64) {
-	next := min(needed+aheadTurns*most, account.budget+account.largest)
-	next = max(next, needed)
+	ahead := most + int64(aheadShare*float64(account.budget))
+	next := max(min(needed+ahead, account.budget), needed)
 	if next > account.wanted {
 		account.wanted = next
 		ledger.changed[program] = true
