Let claims of one epoch differ in their first number; reserve by a key of its own

Change: claims begin at a random number; each ask has a key, settled at the node that granted; turns are looked for before tokens are reserved; a ceiling leaves the room of one last turn.

--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -19,9 +19,14 @@
 	Verdict nodev1.Verdict
 	Chain   []*history.Turn
 	Reason  string
-	// Owner and Epoch say who decided, for the log.
+	Grant   Grant
+}
+
+// Grant names a reservation to the owner that made it.
+type Grant struct {
 	Owner string
 	Epoch int64
+	Key   string
 }
 
 // Programs asks the owners of programs.
@@ -30,7 +35,7 @@
 	Reserve(ctx context.Context, call *Call) Reservation
 	// Settle tells what a turn spent; turn is nil where none is kept. It does
 	// not wait.
-	Settle(call *Call, tokens int64, turn *history.Turn)
+	Settle(call *Call, grant Grant, tokens int64, turn *history.Turn)
 	// Record returns nil once the turn will outlast all machines.
 	Record(ctx context.Context, turn *history.Turn) error
 }
@@ -98,6 +103,7 @@
 	begun       bool
 	events      int64
 	reserved    bool
+	grant       Grant
 }
 
 // Serve takes a call to its answer. ctx ends when the caller is gone.
@@ -162,10 +168,11 @@
 	reservation := current.service.Programs.Reserve(ctx, current.call)
 	current.service.Logger.Debug("turn reserved", zap.Int64("budget", current.call.Turn.Budget), zap.Int64("most", current.call.Turn.Most), zap.String("request", current.call.ID),
 		zap.String("program", current.call.Program), zap.Stringer("verdict", reservation.Verdict),
-		zap.String("owner", reservation.Owner), zap.Int64("epoch", reservation.Epoch))
+		zap.String("owner", reservation.Grant.Owner), zap.Int64("epoch", reservation.Grant.Epoch))
 	switch reservation.Verdict {
 	case nodev1.Verdict_VERDICT_GRANTED:
 		current.reserved = true
+		current.grant = reservation.Grant
 		if len(reservation.Chain) > 0 {
 			current.body = history.Prompt(reservation.Chain, current.call.Body)
 		}
@@ -182,7 +189,7 @@
 // settle tells the owner what the turn spent, once.
 func (current *course) settle(turn *history.Turn) {
 	current.reserved = false
-	current.service.Programs.Settle(current.call, current.events*int64(current.definition.TokensPerEvent), turn)
+	current.service.Programs.Settle(current.call, current.grant, current.events*int64(current.definition.TokensPerEvent), turn)
 }
 
 // sendUntilAnswered tries engines until one answers, or nothing may be tried any
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -76,7 +76,7 @@
 	if err != nil {
 		return err
 	}
-	node, err := build(settings, around, logger)
+	node, err := build(ctx, settings, around, logger)
 	if err != nil {
 		return err
 	}
@@ -86,7 +86,7 @@
 	return node.run(ctx)
 }
 
-func build(settings Settings, around Surroundings, logger *logging.Logger) (*Node, error) {
+func build(ctx context.Context, settings Settings, around Surroundings, logger *logging.Logger) (*Node, error) {
 	client, err := httpclient.New(httpclient.Options{DialTimeout: peerDialTimeout})
 	if err != nil {
 		return nil, err
@@ -104,7 +104,7 @@
 	}
 	node.peers = newPeers(node.members, client)
 	node.reader = history.NewReader(around.Log, node.turns, settings.Shards)
-	node.ownership = ownership.NewManager(around.Log, logger.Logger, settings.Name, node.incarnation, settings.Shards, node.members.present)
+	node.ownership = ownership.NewManager(ctx, around.Log, logger.Logger, settings.Name, node.incarnation, settings.Shards, node.members.present)
 	node.programs = newPrograms(node)
 	node.service = &forward.Service{
 		Routes:   node.routes,
@@ -146,7 +146,7 @@
 	working, cancel := context.WithCancel(ctx)
 	defer cancel()
 	node.members.put(node.self())
-	go node.ownership.Run(working)
+	go node.ownership.Run()
 	err := node.listen()
 	if err != nil {
 		return err
--- a/internal/node/programs.go
+++ b/internal/node/programs.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -55,7 +56,6 @@
 func (programs *programs) Reserve(ctx context.Context, call *forward.Call) forward.Reservation {
 	request := &nodev1.ReserveRequest{
 		Program:  call.Program,
-		Request:  call.ID,
 		Budget:   call.Turn.Budget,
 		Most:     call.Turn.Most,
 		Previous: call.Turn.Previous,
@@ -66,11 +66,12 @@
 		chain = held
 		request.NeedsChain = !complete
 	}
-	reply := programs.ask(ctx, programs.shardOf(call.Program), request)
+	reply := programs.ask(ctx, programs.shardOf(call.Program), call.ID, request)
 	if request.NeedsChain {
 		chain = programs.takeChain(reply.Chain)
 	}
-	return forward.Reservation{Verdict: reply.Verdict, Chain: chain, Reason: reply.Reason, Owner: reply.Owner, Epoch: reply.Epoch}
+	return forward.Reservation{Verdict: reply.Verdict, Chain: chain, Reason: reply.Reason,
+		Grant: forward.Grant{Owner: reply.Owner, Epoch: reply.Epoch, Key: request.Request}}
 }
 
 // takeChain keeps turns that another node sent.
@@ -86,11 +87,12 @@
 
 // ask finds the node that owns the shard and asks it. A node that does not
 // answer is named to the next one, which may then take the shard over.
-func (programs *programs) ask(ctx context.Context, shard int, request *nodev1.ReserveRequest) *nodev1.ReserveReply {
+func (programs *programs) ask(ctx context.Context, shard int, id string, request *nodev1.ReserveRequest) *nodev1.ReserveReply {
 	last := &nodev1.ReserveReply{Verdict: nodev1.Verdict_VERDICT_UNSURE, Reason: "no node could be asked"}
 	asked := map[string]bool{}
 	began := time.Now()
 	for round := 0; round < askRounds; round++ {
+		request.Request = id + "/" + strconv.Itoa(round)
 		target, found := programs.target(shard, asked)
 		if !found || ctx.Err() != nil {
 			return last
@@ -100,8 +102,10 @@
 		reply, err := programs.askNode(ctx, shard, target, request)
 		if err != nil {
 			programs.node.logger.Info("owner not reached", zap.Int("shard", shard), zap.String("node", target),
-				zap.String("request", request.Request), zap.Error(err))
+				zap.String("request", id), zap.Error(err))
 			programs.suspect(shard, target)
+			// The node may have granted all the same.
+			go programs.settleAt(target, &nodev1.Settlement{Program: request.Program, Request: request.Request})
 			request.Failed = append(request.Failed, target)
 			continue
 		}
@@ -203,19 +207,17 @@
 }
 
 // Settle implements forward.Programs.
-func (programs *programs) Settle(call *forward.Call, tokens int64, turn *history.Turn) {
-	shard := programs.shardOf(call.Program)
-	settlement := &nodev1.Settlement{Program: call.Program, Request: call.ID, Tokens: tokens}
+func (programs *programs) Settle(call *forward.Call, grant forward.Grant, tokens int64, turn *history.Turn) {
+	settlement := &nodev1.Settlement{Program: call.Program, Request: grant.Key, Tokens: tokens}
 	if turn != nil {
 		programs.node.turns.Add(turn)
 		settlement.Turn = history.ToMessage(turn)
 	}
-	owner := programs.believedOwner(shard).Node
-	if owner == programs.node.settings.Name {
-		programs.node.ownership.Settle(shard, call.Program, call.ID, tokens)
+	if grant.Owner == programs.node.settings.Name {
+		programs.node.ownership.Settle(programs.shardOf(call.Program), call.Program, grant.Key, tokens)
 		return
 	}
-	go programs.settleAt(owner, settlement)
+	go programs.settleAt(grant.Owner, settlement)
 }
 
 func (programs *programs) settleAt(owner string, settlement *nodev1.Settlement) {
@@ -254,11 +256,24 @@
 		}
 		ask.Claim = true
 	}
+	reply := &nodev1.ReserveReply{}
+	if request.NeedsChain && node.ownership.Owns(shard) && !node.addChain(ctx, shard, request, reply) {
+		return reply
+	}
 	answer := node.ownership.Reserve(ctx, shard, ask)
-	reply := &nodev1.ReserveReply{Verdict: answer.Verdict, Owner: answer.Owner.Node, Epoch: answer.Owner.Epoch, Reason: answer.Reason}
-	if reply.Verdict == nodev1.Verdict_VERDICT_GRANTED && request.NeedsChain {
-		node.addChain(ctx, shard, request, reply)
+	if answer.Verdict == nodev1.Verdict_VERDICT_GRANTED && ctx.Err() != nil {
+		node.ownership.Settle(shard, request.Program, request.Request, 0)
+	}
+	if answer.Verdict == nodev1.Verdict_VERDICT_GRANTED && request.NeedsChain && len(reply.Chain) == 0 &&
+		!node.addChain(ctx, shard, request, reply) {
+		node.ownership.Settle(shard, request.Program, request.Request, 0)
+		answer.Verdict = reply.Verdict
+		answer.Reason = reply.Reason
 	}
+	reply.Verdict = answer.Verdict
+	reply.Owner = answer.Owner.Node
+	reply.Epoch = answer.Owner.Epoch
+	reply.Reason = answer.Reason
 	return reply
 }
 
@@ -291,23 +306,23 @@
 	return reply, true
 }
 
-// addChain puts the turns before a granted one into the reply, or takes the
-// reservation back.
-func (node *Node) addChain(ctx context.Context, shard int, request *nodev1.ReserveRequest, reply *nodev1.ReserveReply) {
+// addChain puts the turns before the one asked for into the reply, or the
+// reason why it can't.
+func (node *Node) addChain(ctx context.Context, shard int, request *nodev1.ReserveRequest, reply *nodev1.ReserveReply) bool {
 	found, err := node.reader.Find(ctx, shard, request.Previous)
-	switch {
-	case err != nil:
+	if err != nil {
 		reply.Verdict = nodev1.Verdict_VERDICT_UNSURE
 		reply.Reason = err.Error()
-	case !found.Exists:
+		return false
+	}
+	if !found.Exists {
 		reply.Verdict = nodev1.Verdict_VERDICT_NO_SUCH_TURN
-	default:
-		for _, turn := range found.Chain {
-			reply.Chain = append(reply.Chain, history.ToMessage(turn))
-		}
-		return
+		return false
+	}
+	for _, turn := range found.Chain {
+		reply.Chain = append(reply.Chain, history.ToMessage(turn))
 	}
-	node.ownership.Settle(shard, request.Program, request.Request, 0)
+	return true
 }
 
 // peerServer serves the other nodes.
--- a/internal/ownership/claim.go
+++ b/internal/ownership/claim.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -14,9 +15,14 @@
 	"google.golang.org/protobuf/proto"
 )
 
+// firstSequences is the number of sequence numbers that a claim may begin at.
+const firstSequences = 1 << 40
+
 // claimed is what a won claim brings.
 type claimed struct {
-	epoch    int64
+	epoch int64
+	// sequence is the claim's number; appends go on from there.
+	sequence int64
 	ceilings map[string]spending.Ceiling
 	records  int
 }
@@ -65,7 +71,7 @@
 		zap.Int("programs", len(won.ceilings)), zap.Int("records", won.records), zap.Duration("took", took))
 	manager.enter(shard, owned)
 	shard.epoch = won.epoch
-	shard.sequence = 0
+	shard.sequence = won.sequence
 	shard.writing = false
 	shard.owner = Owner{Node: manager.node, Epoch: won.epoch}
 	shard.ledger = spending.NewLedger(won.ceilings, time.Now())
@@ -109,25 +115,31 @@
 	}
 	if reading.owner.Incarnation == manager.incarnation && reading.owner.Node == manager.node && reading.claimedHere {
 		// An append of an earlier round was done though its answer was lost.
-		return reading.won(reading.owner.Epoch), nil
+		return reading.won(reading.owner.Epoch, reading.owner.Sequence), nil
 	}
 	if manager.stays(reading.owner, failed) {
 		return claimed{}, &ownedElsewhere{owner: Owner{Node: reading.owner.Node, Epoch: reading.owner.Epoch}}
 	}
-	epoch := reading.highest + 1
-	record := marshal(&nodev1.SpendingRecord{Claim: &nodev1.Claim{Node: manager.node, Incarnation: manager.incarnation, Epoch: epoch}})
+	epoch := max(reading.highest, reading.refused) + 1
+	// The store answers an append that repeats another's epoch and number as if
+	// it were the same one. Two claimants of one epoch must therefore not begin
+	// at the same number.
+	sequence := rand.Int64N(firstSequences)
+	record := marshal(&nodev1.SpendingRecord{Claim: &nodev1.Claim{
+		Node: manager.node, Incarnation: manager.incarnation, Epoch: epoch, Sequence: sequence,
+	}})
 	at := reading.next
-	fence := durable.Fence{Producer: producer, Epoch: epoch}
+	fence := durable.Fence{Producer: producer, Epoch: epoch, Sequence: sequence}
 	reading.claimedHere = true
 	_, err = manager.log.Append(ctx, reading.partition, [][]byte{record}, durable.Condition{At: &at, Fence: &fence})
 	if errors.Is(err, durable.ErrFenced) || errors.Is(err, durable.ErrSequence) {
 		// A claim that is not in the records yet; go beyond it.
-		reading.highest = epoch
+		reading.refused = epoch
 	}
 	if err != nil {
 		return claimed{}, err
 	}
-	return reading.won(epoch), nil
+	return reading.won(epoch, sequence), nil
 }
 
 // stays tells whether the owner that the log names is left in place.
@@ -143,16 +155,18 @@
 	log       durable.Log
 	partition durable.Partition
 	next      int64
-	highest   int64
-	records   int
-	ceilings  map[string]spending.Ceiling
-	owner     claimant
+	// highest is the newest claim's epoch, refused one that the store refused.
+	highest  int64
+	refused  int64
+	records  int
+	ceilings map[string]spending.Ceiling
+	owner    claimant
 	// claimedHere is true once this takeover has sent a claim.
 	claimedHere bool
 }
 
-func (reading *replay) won(epoch int64) claimed {
-	return claimed{epoch: epoch, ceilings: reading.ceilings, records: reading.records}
+func (reading *replay) won(epoch, sequence int64) claimed {
+	return claimed{epoch: epoch, sequence: sequence, ceilings: reading.ceilings, records: reading.records}
 }
 
 // toEnd reads up to the partition's end.
@@ -191,6 +205,7 @@
 		reading.owner.Node = record.Claim.Node
 		reading.owner.Incarnation = record.Claim.Incarnation
 		reading.owner.Epoch = record.Claim.Epoch
+		reading.owner.Sequence = record.Claim.Sequence
 	}
 	for _, ceiling := range record.Ceilings {
 		reading.ceilings[ceiling.Program] = spending.Ceiling{
@@ -206,4 +221,5 @@
 	Node        string
 	Incarnation string
 	Epoch       int64
+	Sequence    int64
 }
--- a/internal/ownership/shard.go
+++ b/internal/ownership/shard.go
@@ -122,9 +122,11 @@
 // eventQueue is how many events may wait for the control goroutine.
 const eventQueue = 4096
 
-// NewManager returns a manager for a number of shards. Run must be called.
-func NewManager(log durable.Log, logger *zap.Logger, node, incarnation string, shards int, present Present) *Manager {
+// NewManager returns a manager for a number of shards that works until ctx
+// ends. Run must be called.
+func NewManager(ctx context.Context, log durable.Log, logger *zap.Logger, node, incarnation string, shards int, present Present) *Manager {
 	manager := &Manager{
+		context:     ctx,
 		log:         log,
 		logger:      logger,
 		node:        node,
@@ -139,9 +141,8 @@
 	return manager
 }
 
-// Run is the control goroutine; it returns when ctx ends.
-func (manager *Manager) Run(ctx context.Context) {
-	manager.context = ctx
+// Run is the control goroutine; it returns when the manager's context ends.
+func (manager *Manager) Run() {
 	const tick = 50 * time.Millisecond
 	const expiryTicks = 200
 	ticker := time.NewTicker(tick)
@@ -149,7 +150,7 @@
 	ticks := 0
 	for {
 		select {
-		case <-ctx.Done():
+		case <-manager.context.Done():
 			return
 		case event := <-manager.events:
 			event()
--- a/internal/spending/spending.go
+++ b/internal/spending/spending.go
@@ -135,7 +135,8 @@
 // raise wants a ceiling for what is needed and some turns ahead.
 func (ledger *Ledger) raise(program string, account *account, needed, most int64) {
 	ahead := most + int64(aheadShare*float64(account.budget))
-	next := max(min(needed+ahead, account.budget), needed)
+	// The room of a last turn stays out of it, so that a successor can grant one.
+	next := max(min(needed+ahead, account.budget-most), needed)
 	if next > account.wanted {
 		account.wanted = next
 		ledger.changed[program] = true
