Ask the owner that the log names before a shard is claimed

Ruled out: ceilings too far ahead (they leave the last turn's room). Change: a claimant asks the owner; one that can write keeps the shard, one that can't hands its accounts over; an owner that still reads says so at once. Tests: ownership 'takes over exactly from an owner that can't write'.

--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -62,12 +62,6 @@
 	return member, found
 }
 
-// present tells whether a node runs in an incarnation and is not leaving.
-func (known *members) present(name, incarnation string) bool {
-	member, found := known.get(name)
-	return found && !member.Leaving && member.Incarnation == incarnation
-}
-
 // staying returns the number of nodes that are not leaving.
 func (known *members) staying() int {
 	known.mutex.RLock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,7 +25,11 @@
 	"go.uber.org/zap"
 )
 
-var errUnknownNode = errors.New("no such node is known")
+var (
+	errUnknownNode  = errors.New("no such node is known")
+	errUnknownShard = errors.New("no such shard")
+	errStillReading = errors.New("the turns before are still being read")
+)
 
 const (
 	// memoryShare of the process's bound is where the garbage collector works
@@ -104,7 +108,11 @@
 	}
 	node.peers = newPeers(node.members, client)
 	node.reader = history.NewReader(around.Log, node.turns, settings.Shards)
-	node.ownership = ownership.NewManager(ctx, around.Log, logger.Logger, settings.Name, node.incarnation, settings.Shards, node.members.present)
+	node.ownership = ownership.NewManager(ctx, around.Log, logger.Logger, ownership.Identity{
+		Node:        settings.Name,
+		Incarnation: node.incarnation,
+		Address:     settings.PeerAddress,
+	}, settings.Shards, node.askToYield)
 	node.programs = newPrograms(node)
 	node.service = &forward.Service{
 		Routes:   node.routes,
--- a/internal/node/programs.go
+++ b/internal/node/programs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"strconv"
@@ -29,6 +30,10 @@
 	askRounds = 6
 	// waitPatience is how long a turn waits for its program's owner in all.
 	waitPatience = 900 * time.Millisecond
+	// findWait is how long an owner looks for a chain before it tells the asker
+	// to wait; findTimeout bounds the reading itself.
+	findWait    = 180 * time.Millisecond
+	findTimeout = 4 * time.Second
 	// suspicion is how long an owner that did not answer is not asked first.
 	suspicion = 600 * time.Millisecond
 )
@@ -119,6 +124,11 @@
 			round--
 			continue
 		}
+		if reply.Verdict == nodev1.Verdict_VERDICT_UNABLE {
+			programs.suspect(shard, target)
+			request.Failed = append(request.Failed, target)
+			continue
+		}
 		if reply.Verdict != nodev1.Verdict_VERDICT_NOT_OWNER {
 			return reply
 		}
@@ -214,22 +224,27 @@
 		settlement.Turn = history.ToMessage(turn)
 	}
 	if grant.Owner == programs.node.settings.Name {
-		programs.node.ownership.Settle(programs.shardOf(call.Program), call.Program, grant.Key, tokens)
+		programs.node.settle(settlement, false)
 		return
 	}
 	go programs.settleAt(grant.Owner, settlement)
 }
 
 func (programs *programs) settleAt(owner string, settlement *nodev1.Settlement) {
+	programs.send(owner, &nodev1.SettleRequest{Settlements: []*nodev1.Settlement{settlement}})
+}
+
+// send hands settlements over, once.
+func (programs *programs) send(owner string, request *nodev1.SettleRequest) {
 	client, err := programs.node.peers.client(owner)
 	if err == nil {
 		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 		defer cancel()
-		_, err = client.Settle(ctx, &nodev1.SettleRequest{Settlements: []*nodev1.Settlement{settlement}})
+		_, err = client.Settle(ctx, request)
 	}
 	if err != nil {
-		programs.node.logger.Info("settlement lost", zap.String("request", settlement.Request),
-			zap.String("program", settlement.Program), zap.String("owner", owner), zap.Error(err))
+		programs.node.logger.Info("settlement lost", zap.String("key", request.Settlements[0].Request),
+			zap.String("program", request.Settlements[0].Program), zap.String("owner", owner), zap.Error(err))
 	}
 }
 
@@ -246,13 +261,11 @@
 		Budget:  request.Budget,
 		Most:    request.Most,
 		Claim:   request.TakeOver,
-		Failed:  request.Failed,
 	}
 	owner := node.programs.believedOwner(shard)
 	if owner.Node != "" && owner.Node != node.settings.Name && !node.ownership.Owns(shard) {
-		reply, decided := node.deferToOwner(ctx, owner, request)
-		if decided {
-			return reply
+		if !slices.Contains(request.Failed, owner.Node) || request.PassedOn {
+			return &nodev1.ReserveReply{Verdict: nodev1.Verdict_VERDICT_NOT_OWNER, Owner: owner.Node, Epoch: owner.Epoch}
 		}
 		ask.Claim = true
 	}
@@ -261,6 +274,9 @@
 		return reply
 	}
 	answer := node.ownership.Reserve(ctx, shard, ask)
+	if answer.Verdict == nodev1.Verdict_VERDICT_NOT_OWNER && slices.Contains(request.Failed, answer.Owner.Node) && !request.PassedOn {
+		return node.passOn(ctx, answer.Owner, request)
+	}
 	if answer.Verdict == nodev1.Verdict_VERDICT_GRANTED && ctx.Err() != nil {
 		node.ownership.Settle(shard, request.Program, request.Request, 0)
 	}
@@ -277,20 +293,16 @@
 	return reply
 }
 
-// deferToOwner names the owner that this node knows of. Where the asker could
-// not reach it, the request is passed on to it; it returns false where this
-// node can't reach it either.
-func (node *Node) deferToOwner(ctx context.Context, owner ownership.Owner, request *nodev1.ReserveRequest) (*nodev1.ReserveReply, bool) {
-	if !slices.Contains(request.Failed, owner.Node) || request.PassedOn {
-		return &nodev1.ReserveReply{Verdict: nodev1.Verdict_VERDICT_NOT_OWNER, Owner: owner.Node, Epoch: owner.Epoch}, true
-	}
+// passOn asks an owner that keeps the shard for a node that can't reach it.
+func (node *Node) passOn(ctx context.Context, owner ownership.Owner, request *nodev1.ReserveRequest) *nodev1.ReserveReply {
+	refusal := &nodev1.ReserveReply{Verdict: nodev1.Verdict_VERDICT_UNSURE, Reason: "the owner does not answer"}
 	client, err := node.peers.client(owner.Node)
 	if err != nil {
-		return nil, false
+		return refusal
 	}
 	bounded, cancel := context.WithTimeout(ctx, passOnTimeout)
 	defer cancel()
-	passed := &nodev1.ReserveRequest{ // Without TakeOver: the owner answers as it is.
+	reply, err := client.Reserve(bounded, &nodev1.ReserveRequest{
 		Program:    request.Program,
 		Request:    request.Request,
 		Budget:     request.Budget,
@@ -298,18 +310,48 @@
 		Previous:   request.Previous,
 		NeedsChain: request.NeedsChain,
 		PassedOn:   true,
+	})
+	if err != nil {
+		return refusal
 	}
-	reply, err := client.Reserve(bounded, passed)
-	if err != nil || reply.Verdict == nodev1.Verdict_VERDICT_NOT_OWNER {
-		return nil, false
+	return reply
+}
+
+// find looks for a chain, and gives up waiting after a while; the reading goes
+// on, so that a later ask finds more.
+func (node *Node) find(ctx context.Context, shard int, id string) (history.Lookup, error) {
+	type outcome struct {
+		found history.Lookup
+		err   error
+	}
+	done := make(chan outcome, 1)
+	go func() {
+		reading, cancel := context.WithTimeout(context.Background(), findTimeout)
+		defer cancel()
+		found, err := node.reader.Find(reading, shard, id)
+		done <- outcome{found: found, err: err}
+	}()
+	timer := time.NewTimer(findWait)
+	defer timer.Stop()
+	select {
+	case result := <-done:
+		return result.found, result.err
+	case <-timer.C:
+		return history.Lookup{}, errStillReading
+	case <-ctx.Done():
+		return history.Lookup{}, errStillReading
 	}
-	return reply, true
 }
 
 // addChain puts the turns before the one asked for into the reply, or the
 // reason why it can't.
 func (node *Node) addChain(ctx context.Context, shard int, request *nodev1.ReserveRequest, reply *nodev1.ReserveReply) bool {
-	found, err := node.reader.Find(ctx, shard, request.Previous)
+	found, err := node.find(ctx, shard, request.Previous)
+	if errors.Is(err, errStillReading) {
+		reply.Verdict = nodev1.Verdict_VERDICT_WAITING
+		reply.Reason = err.Error()
+		return false
+	}
 	if err != nil {
 		reply.Verdict = nodev1.Verdict_VERDICT_UNSURE
 		reply.Reason = err.Error()
@@ -333,17 +375,43 @@
 	return server.node.reserveHere(ctx, server.node.programs.shardOf(request.Program), request), nil
 }
 
-// Settle implements nodev1.Node.
+// Settle implements nodev1.Node. Settlements of a shard that another node owns
+// by now are passed on to it once.
 func (server *peerServer) Settle(_ context.Context, request *nodev1.SettleRequest) (*nodev1.SettleReply, error) {
 	for _, settlement := range request.Settlements {
 		if settlement.Turn != nil {
 			server.node.turns.Add(history.FromMessage(settlement.Turn))
 		}
-		server.node.ownership.Settle(server.node.programs.shardOf(settlement.Program), settlement.Program, settlement.Request, settlement.Tokens)
+		server.node.settle(settlement, request.PassedOn)
 	}
 	return &nodev1.SettleReply{}, nil
 }
 
+// settle ends a turn here, or at the node that owns its shard by now.
+func (node *Node) settle(settlement *nodev1.Settlement, passedOn bool) {
+	shard := node.programs.shardOf(settlement.Program)
+	owner := node.programs.believedOwner(shard).Node
+	if node.ownership.Owns(shard) || passedOn || owner == "" || owner == node.settings.Name {
+		node.ownership.Settle(shard, settlement.Program, settlement.Request, settlement.Tokens)
+		return
+	}
+	go node.programs.send(owner, &nodev1.SettleRequest{Settlements: []*nodev1.Settlement{settlement}, PassedOn: true})
+}
+
+// Yield implements nodev1.Node.
+func (server *peerServer) Yield(ctx context.Context, request *nodev1.YieldRequest) (*nodev1.YieldReply, error) {
+	if int(request.Shard) >= server.node.settings.Shards {
+		return nil, errUnknownShard
+	}
+	return server.node.ownership.Yielded(ctx, int(request.Shard), request.Epoch), nil
+}
+
+// askToYield asks the node that made a claim whether it keeps the shard.
+func (node *Node) askToYield(ctx context.Context, claim *nodev1.Claim, shard int) (*nodev1.YieldReply, error) {
+	client := node.peers.at(claim.Address)
+	return client.Yield(ctx, &nodev1.YieldRequest{Shard: uint32(shard), Epoch: claim.Epoch})
+}
+
 // peers makes clients of the other nodes.
 type peers struct {
 	members *members
@@ -362,12 +430,17 @@
 	if !known {
 		return nil, errUnknownNode
 	}
+	return peers.at(member.Address), nil
+}
+
+// at returns a client of an address.
+func (peers *peers) at(address string) nodev1.Node {
 	peers.mutex.Lock()
 	defer peers.mutex.Unlock()
-	found := peers.clients[member.Address]
+	found := peers.clients[address]
 	if found == nil {
-		found = nodev1.NewNodeProtobufClient("http://"+member.Address, peers.http)
-		peers.clients[member.Address] = found
+		found = nodev1.NewNodeProtobufClient("http://"+address, peers.http)
+		peers.clients[address] = found
 	}
-	return found, nil
+	return found
 }
--- a/internal/ownership/claim.go
+++ b/internal/ownership/claim.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
@@ -18,6 +17,9 @@
 // firstSequences is the number of sequence numbers that a claim may begin at.
 const firstSequences = 1 << 40
 
+// yieldTimeout is how long the owner that the log names may take to answer.
+const yieldTimeout = 150 * time.Millisecond
+
 // claimed is what a won claim brings.
 type claimed struct {
 	epoch int64
@@ -25,6 +27,8 @@
 	sequence int64
 	ceilings map[string]spending.Ceiling
 	records  int
+	// accounts are the former owner's own, where it has yielded.
+	accounts []spending.Account
 }
 
 // ownedElsewhere says that the log names an owner that is left in place.
@@ -36,14 +40,14 @@
 }
 
 // claim takes a shard over in a goroutine of its own, unless the log names an
-// owner that is present and not among failed.
-func (manager *Manager) claim(shard *shard, failed []string) {
+// owner that keeps the shard.
+func (manager *Manager) claim(shard *shard) {
 	manager.enter(shard, claiming)
 	began := time.Now()
 	go func() {
 		ctx, cancel := context.WithTimeout(manager.context, claimTimeout)
 		defer cancel()
-		won, err := manager.takeOver(ctx, shard.number, failed)
+		won, err := manager.takeOver(ctx, shard.number)
 		manager.post(func() { manager.finishClaim(shard, won, err, time.Since(began)) })
 	}()
 }
@@ -68,24 +72,25 @@
 		return
 	}
 	manager.logger.Info("shard claimed", zap.Int("shard", shard.number), zap.Int64("epoch", won.epoch),
-		zap.Int("programs", len(won.ceilings)), zap.Int("records", won.records), zap.Duration("took", took))
+		zap.Int("programs", len(won.ceilings)), zap.Int("records", won.records), zap.Int("handed_over", len(won.accounts)), zap.Duration("took", took))
 	manager.enter(shard, owned)
 	shard.epoch = won.epoch
 	shard.sequence = won.sequence
 	shard.writing = false
-	shard.owner = Owner{Node: manager.node, Epoch: won.epoch}
+	shard.owner = Owner{Node: manager.self.Node, Epoch: won.epoch}
 	shard.ledger = spending.NewLedger(won.ceilings, time.Now())
+	shard.ledger.Adopt(won.accounts, time.Now())
 	manager.decideWaiters(shard)
 }
 
 // takeOver reads the shard's partition to its end and claims it there. A round
 // fails where another node appended in between; then it reads on.
-func (manager *Manager) takeOver(ctx context.Context, number int, failed []string) (claimed, error) {
+func (manager *Manager) takeOver(ctx context.Context, number int) (claimed, error) {
 	partition := durable.Partition{Topic: Topic, Number: number}
 	reading := &replay{log: manager.log, partition: partition, ceilings: map[string]spending.Ceiling{}}
 	var failure error
 	for range claimTries {
-		won, err := manager.claimOnce(ctx, reading, failed)
+		won, err := manager.claimOnce(ctx, reading)
 		var elsewhere *ownedElsewhere
 		if err == nil || errors.As(err, &elsewhere) {
 			return won, err
@@ -108,16 +113,16 @@
 	}
 }
 
-func (manager *Manager) claimOnce(ctx context.Context, reading *replay, failed []string) (claimed, error) {
+func (manager *Manager) claimOnce(ctx context.Context, reading *replay) (claimed, error) {
 	err := reading.toEnd(ctx)
 	if err != nil {
 		return claimed{}, err
 	}
-	if reading.owner.Incarnation == manager.incarnation && reading.owner.Node == manager.node && reading.claimedHere {
+	if reading.owner.GetIncarnation() == manager.self.Incarnation && reading.claimedHere {
 		// An append of an earlier round was done though its answer was lost.
 		return reading.won(reading.owner.Epoch, reading.owner.Sequence), nil
 	}
-	if manager.stays(reading.owner, failed) {
+	if manager.keeps(ctx, reading) {
 		return claimed{}, &ownedElsewhere{owner: Owner{Node: reading.owner.Node, Epoch: reading.owner.Epoch}}
 	}
 	epoch := max(reading.highest, reading.refused) + 1
@@ -126,7 +131,11 @@
 	// at the same number.
 	sequence := rand.Int64N(firstSequences)
 	record := marshal(&nodev1.SpendingRecord{Claim: &nodev1.Claim{
-		Node: manager.node, Incarnation: manager.incarnation, Epoch: epoch, Sequence: sequence,
+		Node:        manager.self.Node,
+		Incarnation: manager.self.Incarnation,
+		Address:     manager.self.Address,
+		Epoch:       epoch,
+		Sequence:    sequence,
 	}})
 	at := reading.next
 	fence := durable.Fence{Producer: producer, Epoch: epoch, Sequence: sequence}
@@ -142,12 +151,24 @@
 	return reading.won(epoch, sequence), nil
 }
 
-// stays tells whether the owner that the log names is left in place.
-func (manager *Manager) stays(owner claimant, failed []string) bool {
-	if owner.Node == "" || owner.Node == manager.node || slices.Contains(failed, owner.Node) {
+// keeps asks the owner that the log names whether it keeps the shard. An owner
+// that can't write hands its accounts over instead.
+func (manager *Manager) keeps(ctx context.Context, reading *replay) bool {
+	owner := reading.owner
+	if owner == nil || owner.Incarnation == manager.self.Incarnation || reading.yieldedEpoch == owner.Epoch {
+		return false
+	}
+	bounded, cancel := context.WithTimeout(ctx, yieldTimeout)
+	defer cancel()
+	reply, err := manager.yield(bounded, owner, reading.partition.Number)
+	if err != nil || reply.Incarnation != owner.Incarnation {
 		return false
 	}
-	return manager.present(owner.Node, owner.Incarnation)
+	if reply.Yielded {
+		reading.yieldedEpoch = owner.Epoch
+		reading.accounts = decodeAccounts(reply.Accounts)
+	}
+	return reply.Keeps
 }
 
 // replay reads a shard's partition from its first record on.
@@ -156,17 +177,35 @@
 	partition durable.Partition
 	next      int64
 	// highest is the newest claim's epoch, refused one that the store refused.
-	highest  int64
-	refused  int64
+	highest int64
+	refused int64
+	// previous is the epoch of the claim before the newest.
+	previous int64
 	records  int
 	ceilings map[string]spending.Ceiling
-	owner    claimant
+	// owner is the newest claim, nil where there is none.
+	owner *nodev1.Claim
+	// accounts are those of the owner that has yielded in yieldedEpoch.
+	accounts     []spending.Account
+	yieldedEpoch int64
 	// claimedHere is true once this takeover has sent a claim.
 	claimedHere bool
 }
 
 func (reading *replay) won(epoch, sequence int64) claimed {
-	return claimed{epoch: epoch, sequence: sequence, ceilings: reading.ceilings, records: reading.records}
+	won := claimed{epoch: epoch, sequence: sequence, ceilings: reading.ceilings, records: reading.records}
+	if reading.yieldedEpoch != 0 && reading.yieldedEpoch == reading.formerEpoch(epoch) {
+		won.accounts = reading.accounts
+	}
+	return won
+}
+
+// formerEpoch is the epoch of the newest claim before the one won.
+func (reading *replay) formerEpoch(won int64) int64 {
+	if reading.owner != nil && reading.owner.Epoch != won {
+		return reading.owner.Epoch
+	}
+	return reading.previous
 }
 
 // toEnd reads up to the partition's end.
@@ -201,11 +240,9 @@
 		return
 	}
 	if record.Claim != nil && record.Claim.Epoch > reading.highest {
+		reading.previous = reading.highest
 		reading.highest = record.Claim.Epoch
-		reading.owner.Node = record.Claim.Node
-		reading.owner.Incarnation = record.Claim.Incarnation
-		reading.owner.Epoch = record.Claim.Epoch
-		reading.owner.Sequence = record.Claim.Sequence
+		reading.owner = record.Claim
 	}
 	for _, ceiling := range record.Ceilings {
 		reading.ceilings[ceiling.Program] = spending.Ceiling{
@@ -215,11 +252,3 @@
 		}
 	}
 }
-
-// claimant is who made the newest claim read.
-type claimant struct {
-	Node        string
-	Incarnation string
-	Epoch       int64
-	Sequence    int64
-}
--- a/internal/ownership/claim_test.go
+++ b/internal/ownership/claim_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"sync/atomic"
 	"time"
 
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
@@ -17,25 +19,36 @@
 var _ = Describe("Manager", func() {
 	var log *durable.Memory
 	var ctx context.Context
-	everyonePresent := func(string, string) bool { return true }
+	var managers map[string]*ownership.Manager
+	var unreachable map[string]bool
 
 	BeforeEach(func() {
 		log = durable.NewMemory()
+		managers = map[string]*ownership.Manager{}
+		unreachable = map[string]bool{}
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithCancel(context.Background())
 		DeferCleanup(cancel)
 	})
 
 	start := func(store durable.Log, name string) *ownership.Manager {
-		manager := ownership.NewManager(ctx, store, zap.NewNop(), name, name+"-1", 1, everyonePresent)
+		identity := ownership.Identity{Node: name, Incarnation: name + "-1", Address: name}
+		yield := func(ctx context.Context, claim *nodev1.Claim, shard int) (*nodev1.YieldReply, error) {
+			if unreachable[claim.Node] {
+				return nil, errUnreachable
+			}
+			return managers[claim.Node].Yielded(ctx, shard, claim.Epoch), nil
+		}
+		manager := ownership.NewManager(ctx, store, zap.NewNop(), identity, 1, yield)
+		managers[name] = manager
 		go manager.Run()
 		return manager
 	}
-	ask := func(manager *ownership.Manager, request string, budget, most int64, failed ...string) ownership.Answer {
+	ask := func(manager *ownership.Manager, request string, budget, most int64) ownership.Answer {
 		bounded, cancel := context.WithTimeout(ctx, patience)
 		defer cancel()
 		return manager.Reserve(bounded, 0, ownership.Ask{
-			Program: "p", Request: request, Budget: budget, Most: most, Claim: true, Failed: failed,
+			Program: "p", Request: request, Budget: budget, Most: most, Claim: true,
 		})
 	}
 
@@ -55,8 +68,9 @@
 	It("fences the former owner, and starts from what it may have granted", func() {
 		first := start(log, "a")
 		Expect(ask(first, "r1", 1000, 288).Verdict).To(Equal(nodev1.Verdict_VERDICT_GRANTED))
+		unreachable["a"] = true
 		second := start(log, "b")
-		Expect(ask(second, "r2", 1000, 288, "a").Verdict).To(Equal(nodev1.Verdict_VERDICT_GRANTED))
+		Expect(ask(second, "r2", 1000, 288).Verdict).To(Equal(nodev1.Verdict_VERDICT_GRANTED))
 		// The former owner may use what it wrote ahead, and not more.
 		for _, request := range []string{"r3", "r4", "r5", "r6"} {
 			ask(first, request, 1000, 288)
@@ -64,6 +78,20 @@
 		Expect(ask(first, "r7", 1000, 288).Verdict).NotTo(Equal(nodev1.Verdict_VERDICT_GRANTED))
 	})
 
+	It("takes over exactly from an owner that can't write", func() {
+		cut := &cutLog{Memory: log}
+		first := start(cut, "a")
+		Expect(ask(first, "r1", 700, 288).Verdict).To(Equal(nodev1.Verdict_VERDICT_GRANTED))
+		first.Settle(0, "p", "r1", 9)
+		cut.silent.Store(true)
+		// More than the log has acknowledged: the owner has to write, and can't.
+		Eventually(func() nodev1.Verdict { return ask(first, "r2", 700, 650).Verdict }, patience).
+			Should(Equal(nodev1.Verdict_VERDICT_UNABLE))
+		second := start(log, "b")
+		Expect(ask(second, "r3", 700, 600).Verdict).To(Equal(nodev1.Verdict_VERDICT_GRANTED))
+		Expect(ask(first, "r4", 700, 1).Verdict).To(Equal(nodev1.Verdict_VERDICT_NOT_OWNER))
+	})
+
 	It("lets one of two nodes that claim at the same place win", func() {
 		racing := &racingLog{Memory: log}
 		rival := start(log, "b")
@@ -74,6 +102,23 @@
 	})
 })
 
+var errUnreachable = errors.New("unreachable")
+
+// cutLog takes no more appends once it is silent.
+type cutLog struct {
+	*durable.Memory
+	silent atomic.Bool
+}
+
+// Append implements durable.Log.
+func (log *cutLog) Append(ctx context.Context, partition durable.Partition, records [][]byte, condition durable.Condition) (durable.Appended, error) {
+	if log.silent.Load() {
+		<-ctx.Done()
+		return durable.Appended{}, ctx.Err()
+	}
+	return log.Memory.Append(ctx, partition, records, condition)
+}
+
 // racingLog runs a rival's claim between the reading and the append of another.
 type racingLog struct {
 	*durable.Memory
--- a/internal/ownership/shard.go
+++ b/internal/ownership/shard.go
@@ -35,6 +35,9 @@
 	appendTimeout = 1200 * time.Millisecond
 	// appendPause separates two tries of an append.
 	appendPause = 30 * time.Millisecond
+	// unableAfter is how long the log may be silent before an owner says that
+	// it can't write.
+	unableAfter = 600 * time.Millisecond
 	// waitLimit is how long a request for tokens waits for the log before its
 	// asker is told that it has to; the asker asks again.
 	waitLimit = 180 * time.Millisecond
@@ -57,8 +60,6 @@
 	// Claim tells the node to take the shard over where the log names no owner
 	// that may be left in place.
 	Claim bool
-	// Failed holds the nodes that the asker could not reach.
-	Failed []string
 }
 
 // Answer is the outcome of an Ask.
@@ -101,19 +102,26 @@
 	waiters     []waiter
 }
 
-// Present tells whether a node is known to run in an incarnation, and to stay.
-type Present func(node, incarnation string) bool
+// Yield asks the owner that a claim names whether it keeps a shard; see the
+// call of that name. An error says that it does not answer.
+type Yield func(ctx context.Context, claim *nodev1.Claim, shard int) (*nodev1.YieldReply, error)
+
+// Identity is how a node appears in its claims.
+type Identity struct {
+	Node        string
+	Incarnation string
+	Address     string
+}
 
 // Manager runs the shards of a node on one control goroutine. Its methods may
 // be called from any goroutine.
 type Manager struct {
-	log         durable.Log
-	logger      *zap.Logger
-	node        string
-	present     Present
-	incarnation string
-	events      chan func()
-	shards      []*shard
+	log    durable.Log
+	logger *zap.Logger
+	self   Identity
+	yield  Yield
+	events chan func()
+	shards []*shard
 	// held tells other goroutines which shards are owned or being claimed.
 	held    []atomic.Bool
 	context context.Context
@@ -124,15 +132,14 @@
 
 // NewManager returns a manager for a number of shards that works until ctx
 // ends. Run must be called.
-func NewManager(ctx context.Context, log durable.Log, logger *zap.Logger, node, incarnation string, shards int, present Present) *Manager {
+func NewManager(ctx context.Context, log durable.Log, logger *zap.Logger, self Identity, shards int, yield Yield) *Manager {
 	manager := &Manager{
-		context:     ctx,
-		log:         log,
-		logger:      logger,
-		node:        node,
-		present:     present,
-		incarnation: incarnation,
-		events:      make(chan func(), eventQueue),
+		context: ctx,
+		log:     log,
+		logger:  logger,
+		self:    self,
+		yield:   yield,
+		events:  make(chan func(), eventQueue),
 	}
 	manager.held = make([]atomic.Bool, shards)
 	for number := range shards {
@@ -212,7 +219,7 @@
 		shard.waiters = append(shard.waiters, asked)
 	case shard.phase == notOwned && asked.ask.Claim:
 		shard.waiters = append(shard.waiters, asked)
-		manager.claim(shard, asked.ask.Failed)
+		manager.claim(shard)
 	default:
 		asked.reply <- Answer{Verdict: nodev1.Verdict_VERDICT_NOT_OWNER, Owner: shard.owner, Reason: "another node owns the shard"}
 	}
@@ -229,11 +236,59 @@
 	case spending.Unsure:
 		asked.reply <- Answer{Verdict: nodev1.Verdict_VERDICT_UNSURE, Owner: shard.owner, Reason: "a former owner may have used the room left"}
 	case spending.AwaitCeiling:
+		if shard.unable(time.Now()) {
+			asked.reply <- Answer{Verdict: nodev1.Verdict_VERDICT_UNABLE, Owner: shard.owner, Reason: "the log does not answer the owner"}
+			return
+		}
 		shard.waiters = append(shard.waiters, asked)
 	}
 	manager.write(shard)
 }
 
+// unable tells whether the log has been silent too long.
+func (shard *shard) unable(now time.Time) bool {
+	return shard.writing && now.Sub(shard.silentSince) > unableAfter
+}
+
+// Yielded answers another node that wants to claim a shard of which this one
+// made the newest claim. It keeps a shard while it can write to the log;
+// otherwise it hands its accounts over.
+func (manager *Manager) Yielded(ctx context.Context, number int, epoch int64) *nodev1.YieldReply {
+	reply := make(chan *nodev1.YieldReply, 1)
+	manager.post(func() { reply <- manager.yielded(manager.shards[number], epoch) })
+	select {
+	case answer := <-reply:
+		return answer
+	case <-ctx.Done():
+		return &nodev1.YieldReply{Incarnation: manager.self.Incarnation, Keeps: true}
+	}
+}
+
+func (manager *Manager) yielded(shard *shard, epoch int64) *nodev1.YieldReply {
+	answer := &nodev1.YieldReply{Incarnation: manager.self.Incarnation}
+	if shard.phase == claiming {
+		answer.Keeps = true
+		return answer
+	}
+	if shard.phase != owned || shard.epoch != epoch {
+		return answer
+	}
+	if !shard.unable(time.Now()) {
+		answer.Keeps = true
+		return answer
+	}
+	answer.Yielded = true
+	for _, account := range shard.ledger.Accounts() {
+		answer.Accounts = append(answer.Accounts, encodeAccount(account))
+	}
+	manager.logger.Info("shard yielded", zap.Int("shard", shard.number), zap.Int64("epoch", epoch), zap.Int("programs", len(answer.Accounts)))
+	manager.enter(shard, notOwned)
+	shard.ledger = nil
+	shard.owner = Owner{}
+	manager.refuseWaiters(shard, Answer{Verdict: nodev1.Verdict_VERDICT_NOT_OWNER, Reason: "the shard was yielded"})
+	return answer
+}
+
 // write starts an append of the ceilings wanted, one at a time.
 func (manager *Manager) write(shard *shard) {
 	if shard.writing || shard.phase != owned {
@@ -305,6 +360,7 @@
 	manager.enter(shard, notOwned)
 	shard.ledger = nil
 	shard.owner = Owner{}
+	shard.writing = false
 	waiting := shard.waiters
 	shard.waiters = nil
 	// Those that wait learn from the log who the owner is.
@@ -399,6 +455,38 @@
 	return marshal(record)
 }
 
+func encodeAccount(account spending.Account) *nodev1.Account {
+	message := &nodev1.Account{
+		Program: account.Program,
+		Spent:   account.Spent,
+		Doubt:   account.Doubt,
+		Ceiling: account.Ceiling,
+		Largest: account.Largest,
+	}
+	for _, turn := range account.Open {
+		message.Open = append(message.Open, &nodev1.OpenTurn{Key: turn.Request, Most: turn.Most})
+	}
+	return message
+}
+
+func decodeAccounts(messages []*nodev1.Account) []spending.Account {
+	accounts := make([]spending.Account, 0, len(messages))
+	for _, message := range messages {
+		account := spending.Account{
+			Program: message.Program,
+			Spent:   message.Spent,
+			Doubt:   message.Doubt,
+			Ceiling: message.Ceiling,
+			Largest: message.Largest,
+		}
+		for _, turn := range message.Open {
+			account.Open = append(account.Open, spending.OpenTurn{Request: turn.Key, Most: turn.Most})
+		}
+		accounts = append(accounts, account)
+	}
+	return accounts
+}
+
 func marshal(record proto.Message) []byte {
 	content, err := proto.Marshal(record)
 	if err != nil {
--- a/internal/spending/spending.go
+++ b/internal/spending/spending.go
@@ -184,6 +184,66 @@
 	}
 }
 
+// OpenTurn is a reservation that has not been settled.
+type OpenTurn struct {
+	Request string
+	Most    int64
+}
+
+// Account is a program's state, as one owner hands it to the next.
+type Account struct {
+	Program string
+	// Spent is what is counted beside the open turns; Doubt the part of it of
+	// which it is not known whether it was used.
+	Spent   int64
+	Doubt   int64
+	Open    []OpenTurn
+	Ceiling int64
+	Largest int64
+}
+
+// Accounts returns the whole state, for a successor. The ledger must grant
+// nothing afterwards.
+func (ledger *Ledger) Accounts() []Account {
+	accounts := make([]Account, 0, len(ledger.accounts))
+	for program, held := range ledger.accounts {
+		handed := Account{
+			Program: program,
+			Spent:   held.base + held.settled,
+			Doubt:   held.doubt,
+			Ceiling: held.ceiling,
+			Largest: held.largest,
+		}
+		for request, most := range held.open {
+			handed.Open = append(handed.Open, OpenTurn{Request: request, Most: most})
+		}
+		accounts = append(accounts, handed)
+	}
+	return accounts
+}
+
+// Adopt replaces what the log says by a predecessor's own accounts. The
+// predecessor's ceilings stay in force; those of the log may be higher where it
+// did not hear of its last append.
+func (ledger *Ledger) Adopt(accounts []Account, now time.Time) {
+	for _, handed := range accounts {
+		held := ledger.account(handed.Program)
+		held.base = handed.Spent
+		held.doubt = handed.Doubt
+		held.settled = 0
+		held.open = make(map[string]int64, len(handed.Open))
+		held.openTotal = 0
+		for _, turn := range handed.Open {
+			held.open[turn.Request] = turn.Most
+			held.openTotal += turn.Most
+		}
+		held.ceiling = max(held.ceiling, handed.Ceiling)
+		held.wanted = max(held.wanted, held.ceiling)
+		held.largest = max(held.largest, handed.Largest)
+		held.used = now
+	}
+}
+
 // Release returns ceilings at exactly what is used, for a successor. The ledger
 // must grant nothing afterwards.
 func (ledger *Ledger) Release() []Ceiling {
