--- a/internal/httpserver/processor.go
+++ b/internal/httpserver/processor.go
@@ -1,6 +1,8 @@
 package httpserver
 
 import (
+	"strings"
+
 	"github.com/lesismal/nbio/nbhttp"
 )
 
@@ -32,7 +34,8 @@
 		processor.connection.refuse(headerTooLarge(limits))
 		return
 	}
-	processor.Processor.OnHeader(parser, key, value)
+	// nbhttp keeps the white space of an empty value, which is not part of it.
+	processor.Processor.OnHeader(parser, key, strings.TrimSpace(value))
 }
 
 // OnContentLength refuses a body by its announced length, before it is sent.
