--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -9,6 +9,7 @@
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
 	"github.com/magpielug/magpielug/internal/backend"
 	"github.com/magpielug/magpielug/internal/history"
+	"github.com/magpielug/magpielug/internal/logging"
 	"github.com/magpielug/magpielug/internal/resultcode"
 	"github.com/magpielug/magpielug/internal/routing"
 	"go.uber.org/zap"
@@ -66,6 +67,9 @@
 const (
 	// unknownRetry is when to come back to a node that is not sure yet.
 	unknownRetry = 150 * time.Millisecond
+	// ownerRetry is when to come back where a program's owner could not be found
+	// or could not write for longer than a call waits.
+	ownerRetry = 400 * time.Millisecond
 	// fullRetry is when to come back where all engines are full.
 	fullRetry = 100 * time.Millisecond
 	// fullPoll separates two rounds over engines that were all full.
@@ -182,7 +186,7 @@
 	case nodev1.Verdict_VERDICT_NO_SUCH_TURN:
 		return resultcode.New(resultcode.UnknownTurn, "there is no turn %s to go on from", current.call.Turn.Previous)
 	default:
-		return resultcode.New(resultcode.NoLeader, "the program's owner can't tell now: %s", reservation.Reason).After(unknownRetry)
+		return resultcode.New(resultcode.NoLeader, "the program's owner can't tell now: %s", reservation.Reason).After(ownerRetry)
 	}
 }
 
@@ -320,7 +324,7 @@
 // afterSendFailure tells whether another engine may be tried.
 func (current *course) afterSendFailure(ctx context.Context, err error) (bool, error) {
 	current.service.Logger.Info("send failed", zap.String("request", current.call.ID),
-		zap.String("engine", current.lastEngine), zap.Duration("after", time.Since(current.call.Received)), zap.Error(err))
+		zap.String("engine", current.lastEngine), zap.Duration("after", time.Since(current.call.Received)), logging.Cause(err))
 	if errors.Is(err, backend.ErrNotSent) {
 		return false, nil
 	}
@@ -413,7 +417,7 @@
 		zap.String("engine", current.lastEngine), zap.Int("runs", current.runs), zap.Int("refusals", current.refusals),
 		zap.Int64("events", current.events), zap.Duration("took", took)}
 	if failure != nil {
-		fields = append(fields, zap.NamedError("failure", failure))
+		fields = append(fields, zap.String("failure", failure.Error()))
 	}
 	entry.Write(fields...)
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -10,6 +10,7 @@
 
 	"github.com/magpielug/magpielug/internal/backend"
 	"github.com/magpielug/magpielug/internal/history"
+	"github.com/magpielug/magpielug/internal/logging"
 	"github.com/magpielug/magpielug/internal/resultcode"
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
@@ -144,7 +145,7 @@
 		return backend.Abandoned, current.timedOut(ctx)
 	}
 	current.service.Logger.Info("stream broken off", zap.String("request", current.call.ID),
-		zap.String("engine", current.lastEngine), zap.Int64("events", current.events), zap.Error(err))
+		zap.String("engine", current.lastEngine), zap.Int64("events", current.events), logging.Cause(err))
 	return backend.Failed, current.outcomeUnknown()
 }
 
@@ -163,7 +164,7 @@
 		err := current.service.Programs.Record(ctx, turn)
 		if err != nil {
 			current.service.Logger.Warn("turn not recorded", zap.String("request", current.call.ID),
-				zap.String("program", current.call.Program), zap.Error(err))
+				zap.String("program", current.call.Program), logging.Cause(err))
 			return resultcodeOfRecord(err)
 		}
 	}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -66,6 +66,15 @@
 	return fields
 }
 
+// Cause returns the field that tells err's text on one line, without the trace
+// that zap would add.
+func Cause(err error) zap.Field {
+	if err == nil {
+		return zap.Skip()
+	}
+	return zap.String("error", oneLine(err.Error()))
+}
+
 // oneLine joins the lines of text.
 func oneLine(text string) string {
 	return strings.Join(strings.FieldsFunc(text, isLineEnd), " | ")
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/magpielug/magpielug/internal/durable"
+	"github.com/magpielug/magpielug/internal/logging"
 	"go.uber.org/zap"
 )
 
@@ -82,7 +83,7 @@
 		return
 	}
 	if !follower.lost {
-		follower.logger.Warn("view lost", zap.String("view", follower.name), zap.Error(err))
+		follower.logger.Warn("view lost", zap.String("view", follower.name), logging.Cause(err))
 	}
 	follower.lost = true
 	sleep(ctx, failurePause)
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
 	"github.com/magpielug/magpielug/internal/durable"
+	"github.com/magpielug/magpielug/internal/logging"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 )
@@ -55,6 +56,18 @@
 	return true
 }
 
+// learn notes a node's address, told by another, where none is known.
+func (known *members) learn(name, address string) {
+	if name == "" || address == "" {
+		return
+	}
+	known.mutex.Lock()
+	defer known.mutex.Unlock()
+	if _, found := known.byName[name]; !found {
+		known.byName[name] = Member{Name: name, Address: address}
+	}
+}
+
 func (known *members) get(name string) (Member, bool) {
 	known.mutex.RLock()
 	defer known.mutex.RUnlock()
@@ -105,7 +118,7 @@
 		Leaving:     member.Leaving,
 	})
 	if err != nil {
-		logger.Error("node record not encoded", zap.Error(err))
+		logger.Error("node record not encoded", logging.Cause(err))
 		return
 	}
 	content := durable.EncodeKeyed(member.Name, record)
@@ -117,7 +130,7 @@
 			logger.Info("node registered", zap.String("incarnation", member.Incarnation), zap.Bool("leaving", member.Leaving))
 			return
 		}
-		logger.Warn("node not registered", zap.Error(err))
+		logger.Warn("node not registered", logging.Cause(err))
 		sleep(ctx, registerPause)
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -260,7 +260,7 @@
 	node.ownership.Release(ctx)
 	callers := node.servers[len(node.servers)-1]
 	err := callers.Shutdown(ctx)
-	node.logger.Info("node stopped", zap.Duration("took", time.Since(began)), zap.Int("in_flight", callers.InFlight()), zap.Error(err))
+	node.logger.Info("node stopped", zap.Duration("took", time.Since(began)), zap.Int("in_flight", callers.InFlight()), logging.Cause(err))
 }
 
 // stopMargin is kept before the platform kills a stopping process.
--- a/internal/ownership/claim.go
+++ b/internal/ownership/claim.go
@@ -8,6 +8,7 @@
 
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
 	"github.com/magpielug/magpielug/internal/durable"
+	"github.com/magpielug/magpielug/internal/logging"
 	"github.com/magpielug/magpielug/internal/spending"
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
@@ -66,7 +67,7 @@
 		return
 	}
 	if err != nil {
-		manager.logger.Warn("claim failed", zap.Int("shard", shard.number), zap.Duration("took", took), zap.Error(err))
+		manager.logger.Warn("claim failed", zap.Int("shard", shard.number), zap.Duration("took", took), logging.Cause(err))
 		manager.enter(shard, notOwned)
 		manager.refuseWaiters(shard, unsure("the shard can't be taken over now"))
 		return
@@ -77,7 +78,7 @@
 	shard.epoch = won.epoch
 	shard.sequence = won.sequence
 	shard.writing = false
-	shard.owner = Owner{Node: manager.self.Node, Epoch: won.epoch}
+	shard.owner = Owner{Node: manager.self.Node, Epoch: won.epoch, Address: manager.self.Address}
 	shard.ledger = spending.NewLedger(won.ceilings, time.Now())
 	shard.ledger.Adopt(won.accounts, time.Now())
 	manager.decideWaiters(shard)
@@ -123,7 +124,7 @@
 		return reading.won(reading.owner.Epoch, reading.owner.Sequence), nil
 	}
 	if manager.keeps(ctx, reading) {
-		return claimed{}, &ownedElsewhere{owner: Owner{Node: reading.owner.Node, Epoch: reading.owner.Epoch}}
+		return claimed{}, &ownedElsewhere{owner: Owner{Node: reading.owner.Node, Epoch: reading.owner.Epoch, Address: reading.owner.Address}}
 	}
 	epoch := max(reading.highest, reading.refused) + 1
 	// The store answers an append that repeats another's epoch and number as if
@@ -140,7 +141,10 @@
 	at := reading.next
 	fence := durable.Fence{Producer: producer, Epoch: epoch, Sequence: sequence}
 	reading.claimedHere = true
-	_, err = manager.log.Append(ctx, reading.partition, [][]byte{record}, durable.Condition{At: &at, Fence: &fence})
+	err = durable.Hedge(ctx, &manager.pace, func(ctx context.Context) error {
+		_, err := manager.log.Append(ctx, reading.partition, [][]byte{record}, durable.Condition{At: &at, Fence: &fence})
+		return err
+	})
 	if errors.Is(err, durable.ErrFenced) || errors.Is(err, durable.ErrSequence) {
 		// A claim that is not in the records yet; go beyond it.
 		reading.refused = epoch
--- a/internal/ownership/shard.go
+++ b/internal/ownership/shard.go
@@ -14,6 +14,7 @@
 
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
 	"github.com/magpielug/magpielug/internal/durable"
+	"github.com/magpielug/magpielug/internal/logging"
 	"github.com/magpielug/magpielug/internal/spending"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
@@ -49,6 +50,8 @@
 type Owner struct {
 	Node  string
 	Epoch int64
+	// Address is where the owner serves the other nodes.
+	Address string
 }
 
 // Ask is a request for tokens.
@@ -122,6 +125,8 @@
 	yield  Yield
 	events chan func()
 	shards []*shard
+	// pace is that of the store's appends.
+	pace durable.Pace
 	// held tells other goroutines which shards are owned or being claimed.
 	held    []atomic.Bool
 	context context.Context
@@ -314,7 +319,10 @@
 func (manager *Manager) append(partition durable.Partition, fence durable.Fence, record []byte) error {
 	for {
 		ctx, cancel := context.WithTimeout(manager.context, appendTimeout)
-		_, err := manager.log.Append(ctx, partition, [][]byte{record}, durable.Condition{Fence: &fence})
+		err := durable.Hedge(ctx, &manager.pace, func(ctx context.Context) error {
+			_, err := manager.log.Append(ctx, partition, [][]byte{record}, durable.Condition{Fence: &fence})
+			return err
+		})
 		cancel()
 		if err == nil || errors.Is(err, durable.ErrFenced) || errors.Is(err, durable.ErrSequence) {
 			return err
@@ -356,7 +364,7 @@
 
 // lose lets go of a shard that another node has claimed.
 func (manager *Manager) lose(shard *shard, err error) {
-	manager.logger.Info("shard lost", zap.Int("shard", shard.number), zap.Int64("epoch", shard.epoch), zap.Error(err))
+	manager.logger.Info("shard lost", zap.Int("shard", shard.number), zap.Int64("epoch", shard.epoch), logging.Cause(err))
 	manager.enter(shard, notOwned)
 	shard.ledger = nil
 	shard.owner = Owner{}
