--- a/internal/configuration/fixture_test.go
+++ b/internal/configuration/fixture_test.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/outside"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
@@ -56,25 +56,25 @@
 	}
 	lost := log.random.Float64()
 	if lost < log.lossRate/2 {
-		return 0, fmt.Errorf("lost before: %w", platform.ErrOutcomeUnknown)
+		return 0, fmt.Errorf("lost before: %w", outside.ErrOutcomeUnknown)
 	}
 	log.records = append(log.records, data)
 	if lost < log.lossRate {
-		return 0, fmt.Errorf("lost after: %w", platform.ErrOutcomeUnknown)
+		return 0, fmt.Errorf("lost after: %w", outside.ErrOutcomeUnknown)
 	}
 	return uint64(len(log.records) - 1), nil
 }
 
-func (client client) Read(_ context.Context, _ string, offset uint64, limit int) ([]platform.Record, error) {
+func (client client) Read(_ context.Context, _ string, offset uint64, limit int) ([]outside.Record, error) {
 	log := client.log
 	log.mutex.Lock()
 	defer log.mutex.Unlock()
 	if log.away[client.node] || log.random.Float64() < log.lossRate/2 {
 		return nil, errRefused
 	}
-	var records []platform.Record
+	var records []outside.Record
 	for at := offset; at < uint64(len(log.records)) && len(records) < limit; at++ {
-		records = append(records, platform.Record{Offset: at, Data: log.records[at]})
+		records = append(records, outside.Record{Offset: at, Data: log.records[at]})
 	}
 	return records, nil
 }
--- a/internal/configuration/publisher.go
+++ b/internal/configuration/publisher.go
@@ -8,7 +8,7 @@
 
 	configurationv1 "github.com/magpielug/magpielug/api/configuration/v1"
 	operatorv1 "github.com/magpielug/magpielug/api/operator/v1"
-	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/outside"
 	"github.com/magpielug/magpielug/internal/resultcode"
 	"google.golang.org/protobuf/proto"
 )
@@ -25,7 +25,7 @@
 
 // Publisher offers changes to the stream and tells how they were decided.
 type Publisher struct {
-	log    platform.Log
+	log    outside.Log
 	reader *Reader
 	// timeout bounds one publish.
 	timeout time.Duration
@@ -35,7 +35,7 @@
 
 // NewPublisher returns a publisher that settles its changes by reader, whose
 // Run must be running.
-func NewPublisher(log platform.Log, reader *Reader, timeout, appendTimeout time.Duration) *Publisher {
+func NewPublisher(log outside.Log, reader *Reader, timeout, appendTimeout time.Duration) *Publisher {
 	return &Publisher{log: log, reader: reader, timeout: timeout, appendTimeout: appendTimeout}
 }
 
@@ -154,7 +154,7 @@
 	case err == nil:
 		publication.appended = true
 		publication.maybeAppended = true
-	case errors.Is(err, platform.ErrOutcomeUnknown), bounded.Err() != nil:
+	case errors.Is(err, outside.ErrOutcomeUnknown), bounded.Err() != nil:
 		publication.maybeAppended = true
 	case !publication.maybeAppended:
 		return resultcode.New(resultcode.LogUnavailable, "the log did not take the change: %v", err).After(unknownRetryAfter)
--- a/internal/configuration/reader.go
+++ b/internal/configuration/reader.go
@@ -7,7 +7,7 @@
 	"time"
 
 	configurationv1 "github.com/magpielug/magpielug/api/configuration/v1"
-	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/outside"
 	"go.uber.org/zap"
 )
 
@@ -19,7 +19,7 @@
 
 // ReaderOptions tunes a Reader.
 type ReaderOptions struct {
-	Log platform.Log
+	Log outside.Log
 	// Zone is the process's own zone.
 	Zone string
 	// Poll is how often the stream is read.
@@ -152,7 +152,7 @@
 // readResult is the answer to one read of the stream.
 type readResult struct {
 	sent    time.Time
-	records []platform.Record
+	records []outside.Record
 	err     error
 }
 
@@ -220,7 +220,7 @@
 
 // step takes the records of one read together: a process that starts goes to the
 // newest version it has read at once, and shows none of those before it.
-func (reader *Reader) step(records []platform.Record) {
+func (reader *Reader) step(records []outside.Record) {
 	var decisions []Decision
 	reader.change(func() {
 		for _, record := range records {
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -16,7 +16,7 @@
 
 	schedulerv1 "github.com/magpielug/magpielug/api/scheduler/v1"
 	"github.com/magpielug/magpielug/internal/httpserver"
-	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/outside"
 	"github.com/magpielug/magpielug/internal/resultcode"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -152,16 +152,16 @@
 func cut() { panic(http.ErrAbortHandler) }
 
 // machineList is a fixed machine list.
-type machineList []platform.Machine
+type machineList []outside.Machine
 
-func (list machineList) List(context.Context) ([]platform.Machine, error) { return list, nil }
+func (list machineList) List(context.Context) ([]outside.Machine, error) { return list, nil }
 
 // inOrder places every shard on the schedulers as listed.
 type inOrder struct{}
 
 func (inOrder) ShardOf(string) uint32 { return 0 }
 
-func (inOrder) Order(_ uint32, schedulers []platform.Machine) []string {
+func (inOrder) Order(_ uint32, schedulers []outside.Machine) []string {
 	var addresses []string
 	for _, machine := range schedulers {
 		addresses = append(addresses, machine.Address)
@@ -172,7 +172,7 @@
 func routerTo(addresses ...string) *ShardRouter {
 	var list machineList
 	for index, address := range addresses {
-		machine := platform.Machine{ID: string(rune('a' + index)), Role: platform.RoleScheduler, Address: address}
+		machine := outside.Machine{ID: string(rune('a' + index)), Role: outside.RoleScheduler, Address: address}
 		list = append(list, machine)
 	}
 	router := NewShardRouter(list, inOrder{}, nil)
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -12,7 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
-	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/outside"
 )
 
 // Router tells which schedulers may lead a program's shard.
@@ -33,7 +33,7 @@
 	ShardOf(program string) uint32
 	// Order returns the addresses of schedulers in the order in which they
 	// should host the shard.
-	Order(shard uint32, schedulers []platform.Machine) []string
+	Order(shard uint32, schedulers []outside.Machine) []string
 }
 
 // maxCandidates bounds the schedulers asked in one pass: a shard's group, and
@@ -43,11 +43,11 @@
 // ShardRouter routes by the platform's lagging machine list and by the leaders
 // learned from answers. It is safe for concurrent use.
 type ShardRouter struct {
-	machines  platform.Machines
+	machines  outside.Machines
 	placement Placement
 	logger    *zap.Logger
 
-	schedulers atomic.Pointer[[]platform.Machine]
+	schedulers atomic.Pointer[[]outside.Machine]
 
 	now func() time.Time
 
@@ -63,7 +63,7 @@
 const suspectPeriod = 5 * time.Second
 
 // NewShardRouter makes a router that knows no scheduler until Refresh or Run.
-func NewShardRouter(machines platform.Machines, placement Placement, logger *zap.Logger) *ShardRouter {
+func NewShardRouter(machines outside.Machines, placement Placement, logger *zap.Logger) *ShardRouter {
 	router := &ShardRouter{
 		machines:  machines,
 		placement: placement,
@@ -73,7 +73,7 @@
 		orders:    map[uint32][]string{},
 		suspects:  map[string]time.Time{},
 	}
-	router.schedulers.Store(&[]platform.Machine{})
+	router.schedulers.Store(&[]outside.Machine{})
 	return router
 }
 
@@ -100,10 +100,10 @@
 	if err != nil {
 		return err
 	}
-	schedulers := slices.DeleteFunc(slices.Clone(machines), func(machine platform.Machine) bool {
-		return machine.Role != platform.RoleScheduler
+	schedulers := slices.DeleteFunc(slices.Clone(machines), func(machine outside.Machine) bool {
+		return machine.Role != outside.RoleScheduler
 	})
-	slices.SortFunc(schedulers, func(one, other platform.Machine) int { return cmp.Compare(one.ID, other.ID) })
+	slices.SortFunc(schedulers, func(one, other outside.Machine) int { return cmp.Compare(one.ID, other.ID) })
 	if len(schedulers) == 0 || slices.Equal(schedulers, *router.schedulers.Load()) {
 		return nil
 	}
@@ -218,7 +218,7 @@
 
 // Order sorts the schedulers by the hash of shard and machine id, live ones
 // first.
-func (placement HashPlacement) Order(shard uint32, schedulers []platform.Machine) []string {
+func (placement HashPlacement) Order(shard uint32, schedulers []outside.Machine) []string {
 	type ranked struct {
 		address string
 		leaving bool
@@ -229,7 +229,7 @@
 		prefix := []byte{byte(shard >> 24), byte(shard >> 16), byte(shard >> 8), byte(shard)}
 		ranking = append(ranking, ranked{
 			address: machine.Address,
-			leaving: machine.State == platform.MachineLeaving,
+			leaving: machine.State == outside.MachineLeaving,
 			score:   xxhash.Sum64(append(prefix, machine.ID...)),
 		})
 	}
--- a/internal/gateway/router_test.go
+++ b/internal/gateway/router_test.go
@@ -6,33 +6,33 @@
 	"fmt"
 	"time"
 
-	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/outside"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
 
 // changingList is a machine list that a test changes and breaks.
 type changingList struct {
-	machines []platform.Machine
+	machines []outside.Machine
 	err      error
 }
 
-func (list *changingList) List(context.Context) ([]platform.Machine, error) {
+func (list *changingList) List(context.Context) ([]outside.Machine, error) {
 	return list.machines, list.err
 }
 
-func schedulers(count int) []platform.Machine {
-	var machines []platform.Machine
+func schedulers(count int) []outside.Machine {
+	var machines []outside.Machine
 	for index := range count {
 		id := fmt.Sprint("s", index)
-		machines = append(machines, platform.Machine{ID: id, Address: id, Role: platform.RoleScheduler})
+		machines = append(machines, outside.Machine{ID: id, Address: id, Role: outside.RoleScheduler})
 	}
 	return machines
 }
 
 var _ = Describe("Router", func() {
 	It("keeps the last machine list through a failed or empty read", func() {
-		list := &changingList{machines: append(schedulers(3), platform.Machine{ID: "g", Address: "g", Role: platform.RoleGateway})}
+		list := &changingList{machines: append(schedulers(3), outside.Machine{ID: "g", Address: "g", Role: outside.RoleGateway})}
 		router := NewShardRouter(list, HashPlacement{Shards: 8}, nil)
 		Expect(router.Candidates("p")).To(BeEmpty())
 		Expect(router.Refresh(context.Background())).To(Succeed())
@@ -83,7 +83,7 @@
 				Expect(placement.Order(shard, all[:8])[0]).To(Equal(before[0]))
 			}
 			leaving := schedulers(9)
-			leaving[8].State = platform.MachineLeaving
+			leaving[8].State = outside.MachineLeaving
 			Expect(placement.Order(shard, leaving)[8]).To(Equal("s8"))
 		}
 	})
--- a/internal/platform/httpadapter/adapter_test.go
+++ b/internal/outside/httpadapter/adapter_test.go
@@ -14,7 +14,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/outside"
 )
 
 const (
@@ -28,7 +28,7 @@
 	stream := generationStream{
 		events: newEventReader(bytes.NewReader(body), defaultMaxLineBytes),
 		next:   resumeAfter + 1,
-		receive: func(chunk platform.EngineChunk) error {
+		receive: func(chunk outside.EngineChunk) error {
 			sequences = append(sequences, chunk.Sequence)
 			return nil
 		},
@@ -73,8 +73,8 @@
 }
 
 func generate(pool *Client, address string) error {
-	request := platform.GenerateRequest{RequestID: "r"}
-	return NewEngine(pool).Generate(context.Background(), address, request, func(platform.EngineChunk) error { return nil })
+	request := outside.GenerateRequest{RequestID: "r"}
+	return NewEngine(pool).Generate(context.Background(), address, request, func(outside.EngineChunk) error { return nil })
 }
 
 const firstItem = "event: chunk\ndata: {\"sequence\":1,\"text\":\"a\",\"tokens\":1}\n\n"
@@ -85,7 +85,7 @@
 			address := serve(answer(status, body))
 			pool := newPool(Config{})
 			_, appended := NewLog(pool, address).Append(context.Background(), "s", nil)
-			_, called := NewTool(pool).Call(context.Background(), address, platform.ToolRequest{})
+			_, called := NewTool(pool).Call(context.Background(), address, outside.ToolRequest{})
 			_, listed := NewMachines(pool, address).List(context.Background())
 			for _, err := range []error{appended, called, listed, generate(pool, address)} {
 				Expect(err).To(MatchError(wanted))
@@ -94,14 +94,14 @@
 				Expect(errors.As(err, &failure)).To(BeTrue())
 			}
 		},
-		Entry("refused", 503, `{"code":"unavailable","not_run":true}`, platform.ErrNotRun, platform.ErrOutcomeUnknown),
-		Entry("stale", 409, `{"code":"stale_fence","not_run":true}`, platform.ErrStaleFence, platform.ErrOutcomeUnknown),
-		Entry("failed within", 500, `{"code":"internal"}`, platform.ErrOutcomeUnknown, platform.ErrNotRun),
-		Entry("error without a body", 503, ``, platform.ErrOutcomeUnknown, platform.ErrNotRun),
-		Entry("error page", 502, `<html>`, platform.ErrMalformedAnswer, platform.ErrNotRun),
-		Entry("rubbish", 200, "\x00\xff{\n", platform.ErrMalformedAnswer, platform.ErrNotRun),
-		Entry("wrong type", 200, "[]\n", platform.ErrMalformedAnswer, platform.ErrNotRun),
-		Entry("fields missing", 200, "{}\n", platform.ErrMalformedAnswer, platform.ErrNotRun),
+		Entry("refused", 503, `{"code":"unavailable","not_run":true}`, outside.ErrNotRun, outside.ErrOutcomeUnknown),
+		Entry("stale", 409, `{"code":"stale_fence","not_run":true}`, outside.ErrStaleFence, outside.ErrOutcomeUnknown),
+		Entry("failed within", 500, `{"code":"internal"}`, outside.ErrOutcomeUnknown, outside.ErrNotRun),
+		Entry("error without a body", 503, ``, outside.ErrOutcomeUnknown, outside.ErrNotRun),
+		Entry("error page", 502, `<html>`, outside.ErrMalformedAnswer, outside.ErrNotRun),
+		Entry("rubbish", 200, "\x00\xff{\n", outside.ErrMalformedAnswer, outside.ErrNotRun),
+		Entry("wrong type", 200, "[]\n", outside.ErrMalformedAnswer, outside.ErrNotRun),
+		Entry("fields missing", 200, "{}\n", outside.ErrMalformedAnswer, outside.ErrNotRun),
 	)
 
 	It("say not run when nothing listens", func() {
@@ -110,40 +110,40 @@
 		address := listener.Addr().String()
 		Expect(listener.Close()).To(Succeed())
 		_, err = NewLog(newPool(Config{}), address).Append(context.Background(), "s", nil)
-		Expect(err).To(MatchError(platform.ErrNotRun))
-		Expect(generate(newPool(Config{}), address)).To(MatchError(platform.ErrNotRun))
+		Expect(err).To(MatchError(outside.ErrNotRun))
+		Expect(generate(newPool(Config{}), address)).To(MatchError(outside.ErrNotRun))
 	})
 
 	It("say not run when the context was over before", func() {
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel()
 		_, err := NewLog(newPool(Config{}), "127.0.0.1:9").Append(ctx, "s", nil)
-		Expect(err).To(MatchError(platform.ErrNotRun))
+		Expect(err).To(MatchError(outside.ErrNotRun))
 		Expect(err).To(MatchError(context.Canceled))
 	})
 
 	It("say unknown when the connection is closed instead of an answer", func() {
 		address := serve(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
 		_, err := NewLog(newPool(Config{}), address).Append(context.Background(), "s", nil)
-		Expect(err).To(MatchError(platform.ErrOutcomeUnknown))
-		Expect(generate(newPool(Config{}), address)).To(MatchError(platform.ErrOutcomeUnknown))
+		Expect(err).To(MatchError(outside.ErrOutcomeUnknown))
+		Expect(generate(newPool(Config{}), address)).To(MatchError(outside.ErrOutcomeUnknown))
 	})
 
 	It("end every wait by a bound, with the outcome unknown", func() {
 		pool := newPool(Config{OrderTimeout: shortTimeout, ToolTimeout: shortTimeout, StreamIdleTimeout: shortTimeout})
 		silent := serve(hold(""))
 		_, err := NewLog(pool, silent).Append(context.Background(), "s", nil)
-		Expect(err).To(MatchError(platform.ErrOutcomeUnknown))
-		_, err = NewTool(pool).Call(context.Background(), silent, platform.ToolRequest{})
-		Expect(err).To(MatchError(platform.ErrOutcomeUnknown))
-		Expect(generate(pool, silent)).To(And(MatchError(errAcceptTimeout), MatchError(platform.ErrOutcomeUnknown)))
-		Expect(generate(pool, serve(hold(firstItem)))).To(And(MatchError(errStreamIdle), MatchError(platform.ErrOutcomeUnknown)))
+		Expect(err).To(MatchError(outside.ErrOutcomeUnknown))
+		_, err = NewTool(pool).Call(context.Background(), silent, outside.ToolRequest{})
+		Expect(err).To(MatchError(outside.ErrOutcomeUnknown))
+		Expect(generate(pool, silent)).To(And(MatchError(errAcceptTimeout), MatchError(outside.ErrOutcomeUnknown)))
+		Expect(generate(pool, serve(hold(firstItem)))).To(And(MatchError(errStreamIdle), MatchError(outside.ErrOutcomeUnknown)))
 	})
 
 	It("do not count a slow receiver as an idle engine", func() {
 		pool := newPool(Config{StreamIdleTimeout: shortTimeout})
 		address := serve(answer(http.StatusOK, firstItem+"event: chunk\ndata: {\"sequence\":2,\"finish\":\"stop\"}\n\n"))
-		err := NewEngine(pool).Generate(context.Background(), address, platform.GenerateRequest{RequestID: "r"}, func(platform.EngineChunk) error {
+		err := NewEngine(pool).Generate(context.Background(), address, outside.GenerateRequest{RequestID: "r"}, func(outside.EngineChunk) error {
 			time.Sleep(2 * shortTimeout)
 			return nil
 		})
@@ -153,13 +153,13 @@
 	It("refuse log records with a gap", func() {
 		address := serve(answer(http.StatusOK, `{"records":[{"offset":3},{"offset":5}]}`))
 		_, err := NewLog(newPool(Config{}), address).Read(context.Background(), "s", 3, 10)
-		Expect(err).To(MatchError(platform.ErrMalformedAnswer))
+		Expect(err).To(MatchError(outside.ErrMalformedAnswer))
 	})
 
 	It("bound the answer they hold", func() {
 		address := serve(answer(http.StatusOK, `{"output":"`+strings.Repeat("x", 100)+`"}`))
-		_, err := NewTool(newPool(Config{MaxAnswerBytes: 64})).Call(context.Background(), address, platform.ToolRequest{})
-		Expect(err).To(MatchError(platform.ErrMalformedAnswer))
+		_, err := NewTool(newPool(Config{MaxAnswerBytes: 64})).Call(context.Background(), address, outside.ToolRequest{})
+		Expect(err).To(MatchError(outside.ErrMalformedAnswer))
 	})
 
 	DescribeTable("check the order of a stream",
@@ -179,12 +179,12 @@
 		Entry("whole", uint64(0), `"sequence":1 "sequence":2,"finish":"stop"`, []uint64{1, 2}, nil),
 		Entry("resumed", uint64(4), `"sequence":5,"finish":"stop"`, []uint64{5}, nil),
 		Entry("finish repeated", uint64(5), `"sequence":5,"finish":"stop"`, []uint64{5}, nil),
-		Entry("gap", uint64(0), `"sequence":1 "sequence":3`, []uint64{1}, platform.ErrMalformedAnswer),
-		Entry("finish after a gap", uint64(0), `"sequence":1 "sequence":3,"finish":"stop"`, []uint64{1}, platform.ErrMalformedAnswer),
-		Entry("repeat", uint64(0), `"sequence":1 "sequence":1`, []uint64{1}, platform.ErrMalformedAnswer),
-		Entry("older finish after an item", uint64(0), `"sequence":1 "sequence":2 "sequence":1,"finish":"stop"`, []uint64{1, 2}, platform.ErrMalformedAnswer),
-		Entry("negative tokens", uint64(0), `"sequence":1,"tokens":-1`, nil, platform.ErrMalformedAnswer),
-		Entry("no finish", uint64(0), `"sequence":1`, []uint64{1}, platform.ErrOutcomeUnknown),
+		Entry("gap", uint64(0), `"sequence":1 "sequence":3`, []uint64{1}, outside.ErrMalformedAnswer),
+		Entry("finish after a gap", uint64(0), `"sequence":1 "sequence":3,"finish":"stop"`, []uint64{1}, outside.ErrMalformedAnswer),
+		Entry("repeat", uint64(0), `"sequence":1 "sequence":1`, []uint64{1}, outside.ErrMalformedAnswer),
+		Entry("older finish after an item", uint64(0), `"sequence":1 "sequence":2 "sequence":1,"finish":"stop"`, []uint64{1, 2}, outside.ErrMalformedAnswer),
+		Entry("negative tokens", uint64(0), `"sequence":1,"tokens":-1`, nil, outside.ErrMalformedAnswer),
+		Entry("no finish", uint64(0), `"sequence":1`, []uint64{1}, outside.ErrOutcomeUnknown),
 	)
 
 	It("refuse a bad source address", func() {
@@ -230,7 +230,7 @@
 			Expect(list.List(context.Background())).To(HaveExactElements(HaveField("ID", id)))
 		}
 		_, err := list.List(context.Background())
-		Expect(err).To(MatchError(platform.ErrOutcomeUnknown))
+		Expect(err).To(MatchError(outside.ErrOutcomeUnknown))
 	})
 
 	It("merges a load report's changes, and starts anew with an engine that was away or does not number them", func() {
@@ -258,7 +258,7 @@
 		for _, blocks := range wanted {
 			report, err := engine.Report(context.Background(), address)
 			if blocks == nil {
-				Expect(err).To(MatchError(platform.ErrMalformedAnswer))
+				Expect(err).To(MatchError(outside.ErrMalformedAnswer))
 				continue
 			}
 			Expect(err).NotTo(HaveOccurred())
--- a/internal/platform/httpadapter/engine.go
+++ b/internal/outside/httpadapter/engine.go
@@ -5,8 +5,8 @@
 	"net/url"
 	"strconv"
 
-	"github.com/magpielug/magpielug/internal/platform"
-	"github.com/magpielug/magpielug/internal/platform/wire"
+	"github.com/magpielug/magpielug/internal/outside"
+	"github.com/magpielug/magpielug/internal/outside/wire"
 )
 
 // Engine is the adapter of model engines. It is safe for concurrent use.
@@ -15,12 +15,12 @@
 	reports knownReports
 }
 
-var _ platform.Engine = (*Engine)(nil)
+var _ outside.Engine = (*Engine)(nil)
 
 // NewEngine makes the adapter on a connection pool.
 func NewEngine(pool *Client) *Engine { return &Engine{pool: pool} }
 
-func wireFence(fence platform.Fence) wire.Fence {
+func wireFence(fence outside.Fence) wire.Fence {
 	return wire.Fence{Holder: fence.Holder, Epoch: fence.Epoch}
 }
 
@@ -29,50 +29,50 @@
 	return post[Answer](ctx, engine.pool, address, path, engine.pool.config.OrderTimeout, body)
 }
 
-// Cancel implements platform.Engine.
-func (client *Engine) Cancel(ctx context.Context, address, requestID string, fence platform.Fence) error {
+// Cancel implements outside.Engine.
+func (client *Engine) Cancel(ctx context.Context, address, requestID string, fence outside.Fence) error {
 	_, err := order[wire.Empty](ctx, client, address, wire.PathCancel,
 		wire.CancelRequest{RequestID: requestID, Fence: wireFence(fence)})
 	return err
 }
 
-// Release implements platform.Engine.
-func (client *Engine) Release(ctx context.Context, address, program string, fence platform.Fence) error {
+// Release implements outside.Engine.
+func (client *Engine) Release(ctx context.Context, address, program string, fence outside.Fence) error {
 	_, err := order[wire.BlocksAnswer](ctx, client, address, wire.PathRelease,
 		wire.ProgramRequest{Program: program, Fence: wireFence(fence)})
 	return err
 }
 
-// Export implements platform.Engine.
-func (client *Engine) Export(ctx context.Context, address, program string, fence platform.Fence) ([]byte, error) {
+// Export implements outside.Engine.
+func (client *Engine) Export(ctx context.Context, address, program string, fence outside.Fence) ([]byte, error) {
 	answer, err := order[wire.ExportAnswer](ctx, client, address, wire.PathExport,
 		wire.ProgramRequest{Program: program, Fence: wireFence(fence)})
 	return answer.Content, err
 }
 
-// Import implements platform.Engine.
-func (client *Engine) Import(ctx context.Context, address, program string, content []byte, fence platform.Fence) error {
+// Import implements outside.Engine.
+func (client *Engine) Import(ctx context.Context, address, program string, content []byte, fence outside.Fence) error {
 	_, err := order[wire.BlocksAnswer](ctx, client, address, wire.PathImport,
 		wire.ImportRequest{Program: program, Content: content, Fence: wireFence(fence)})
 	return err
 }
 
-// Load implements platform.Engine.
-func (client *Engine) Load(ctx context.Context, address, model, adapter, version string, fence platform.Fence) error {
+// Load implements outside.Engine.
+func (client *Engine) Load(ctx context.Context, address, model, adapter, version string, fence outside.Fence) error {
 	_, err := order[wire.Empty](ctx, client, address, wire.PathLoad,
 		wire.LoadRequest{Model: model, Adapter: adapter, Version: version, Fence: wireFence(fence)})
 	return err
 }
 
-// SetRole implements platform.Engine.
-func (client *Engine) SetRole(ctx context.Context, address, role string, fence platform.Fence) error {
+// SetRole implements outside.Engine.
+func (client *Engine) SetRole(ctx context.Context, address, role string, fence outside.Fence) error {
 	_, err := order[wire.Empty](ctx, client, address, wire.PathRole,
 		wire.RoleRequest{Role: role, Fence: wireFence(fence)})
 	return err
 }
 
-// Events implements platform.Engine.
-func (client *Engine) Events(ctx context.Context, address string, after uint64, limit int) ([]platform.CacheEvent, error) {
+// Events implements outside.Engine.
+func (client *Engine) Events(ctx context.Context, address string, after uint64, limit int) ([]outside.CacheEvent, error) {
 	answer, err := get[wire.EventsAnswer](ctx, client.pool, address, wire.PathEvents, url.Values{
 		wire.ParameterAfter: {strconv.FormatUint(after, 10)},
 		wire.ParameterLimit: {strconv.Itoa(limit)},
@@ -80,9 +80,9 @@
 	if err != nil {
 		return nil, err
 	}
-	events := make([]platform.CacheEvent, len(answer.Events))
+	events := make([]outside.CacheEvent, len(answer.Events))
 	for place, event := range answer.Events {
-		events[place] = platform.CacheEvent(event)
+		events[place] = outside.CacheEvent(event)
 	}
 	return events, nil
 }
--- a/internal/platform/httpadapter/exchange.go
+++ b/internal/outside/httpadapter/exchange.go
@@ -13,7 +13,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/magpielug/magpielug/internal/platform/wire"
+	"github.com/magpielug/magpielug/internal/outside/wire"
 )
 
 // errAnswerTooLong says that a body passed its bound.
--- a/internal/platform/httpadapter/failure.go
+++ b/internal/outside/httpadapter/failure.go
@@ -3,8 +3,8 @@
 import (
 	"fmt"
 
-	"github.com/magpielug/magpielug/internal/platform"
-	"github.com/magpielug/magpielug/internal/platform/wire"
+	"github.com/magpielug/magpielug/internal/outside"
+	"github.com/magpielug/magpielug/internal/outside/wire"
 )
 
 // Failure is every error of the adapters, but for those of a caller's own
@@ -44,17 +44,17 @@
 
 // notRun is the failure of a request that was never sent.
 func (place target) notRun(cause error) *Failure {
-	return place.failure(cause, platform.ErrNotRun)
+	return place.failure(cause, outside.ErrNotRun)
 }
 
 // unknown is the failure of a request whose answer was lost.
 func (place target) unknown(cause error) *Failure {
-	return place.failure(cause, platform.ErrOutcomeUnknown)
+	return place.failure(cause, outside.ErrOutcomeUnknown)
 }
 
 // malformed is the failure of an answer that can't be understood.
 func (place target) malformed(cause error) *Failure {
-	return place.failure(cause, platform.ErrOutcomeUnknown, platform.ErrMalformedAnswer)
+	return place.failure(cause, outside.ErrOutcomeUnknown, outside.ErrMalformedAnswer)
 }
 
 // refused is the failure that a back end told.
@@ -63,7 +63,7 @@
 	var failure *Failure
 	switch {
 	case told.Code == wire.CodeStaleFence:
-		failure = place.failure(cause, platform.ErrStaleFence, platform.ErrNotRun)
+		failure = place.failure(cause, outside.ErrStaleFence, outside.ErrNotRun)
 	case told.NotRun:
 		failure = place.notRun(cause)
 	default:
--- a/internal/platform/httpadapter/generate.go
+++ b/internal/outside/httpadapter/generate.go
@@ -9,8 +9,8 @@
 	"net/http"
 	"time"
 
-	"github.com/magpielug/magpielug/internal/platform"
-	"github.com/magpielug/magpielug/internal/platform/wire"
+	"github.com/magpielug/magpielug/internal/outside"
+	"github.com/magpielug/magpielug/internal/outside/wire"
 )
 
 // errAcceptTimeout and errStreamIdle tell which wait for an engine ended.
@@ -19,8 +19,8 @@
 	errStreamIdle    = errors.New("the engine's stream was idle too long")
 )
 
-// Generate implements platform.Engine.
-func (client *Engine) Generate(ctx context.Context, address string, request platform.GenerateRequest, receive func(platform.EngineChunk) error) error {
+// Generate implements outside.Engine.
+func (client *Engine) Generate(ctx context.Context, address string, request outside.GenerateRequest, receive func(outside.EngineChunk) error) error {
 	place := target{operation: wire.PathGenerate, address: address}
 	encoded, err := json.Marshal(wire.GenerateRequest{
 		RequestID:   request.RequestID,
@@ -63,7 +63,7 @@
 	next uint64
 	// begun is true once an item has come.
 	begun   bool
-	receive func(platform.EngineChunk) error
+	receive func(outside.EngineChunk) error
 }
 
 // read hands on items until the finish. The idle timer ends the connection, and
@@ -127,7 +127,7 @@
 	}
 	stream.next = chunk.Sequence + 1
 	stream.begun = true
-	err = stream.receive(platform.EngineChunk{
+	err = stream.receive(outside.EngineChunk{
 		Sequence:     chunk.Sequence,
 		Text:         chunk.Text,
 		Tokens:       chunk.Tokens,
--- a/internal/platform/httpadapter/report.go
+++ b/internal/outside/httpadapter/report.go
@@ -9,8 +9,8 @@
 	"sync"
 	"time"
 
-	"github.com/magpielug/magpielug/internal/platform"
-	"github.com/magpielug/magpielug/internal/platform/wire"
+	"github.com/magpielug/magpielug/internal/outside"
+	"github.com/magpielug/magpielug/internal/outside/wire"
 )
 
 // errOtherBase says that a report names changes since a number that was not
@@ -28,7 +28,7 @@
 type knownReport struct {
 	tag      string
 	sequence uint64
-	report   platform.LoadReport
+	report   outside.LoadReport
 }
 
 func (known *knownReports) of(address string) knownReport {
@@ -54,10 +54,10 @@
 	delete(known.byAddress, address)
 }
 
-// Report implements platform.Engine. The report is always whole; it must not be
+// Report implements outside.Engine. The report is always whole; it must not be
 // changed by its reader. Where the engine gives entity tags or numbers the
 // changes of its cache, only what has changed is sent.
-func (client *Engine) Report(ctx context.Context, address string) (platform.LoadReport, error) {
+func (client *Engine) Report(ctx context.Context, address string) (outside.LoadReport, error) {
 	last := client.reports.of(address)
 	query := url.Values{}
 	if last.sequence > 0 {
@@ -72,7 +72,7 @@
 	}
 	if err != nil {
 		client.reports.forget(address)
-		return platform.LoadReport{}, err
+		return outside.LoadReport{}, err
 	}
 	report := reportOf(answered.answer)
 	if answered.answer.Since > 0 {
@@ -101,8 +101,8 @@
 	return merged
 }
 
-func reportOf(answer wire.LoadReport) platform.LoadReport {
-	return platform.LoadReport{
+func reportOf(answer wire.LoadReport) outside.LoadReport {
+	return outside.LoadReport{
 		Engine:        answer.Engine,
 		Model:         answer.Model,
 		Version:       answer.Version,
--- a/internal/platform/httpadapter/services.go
+++ b/internal/outside/httpadapter/services.go
@@ -8,8 +8,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/magpielug/magpielug/internal/platform"
-	"github.com/magpielug/magpielug/internal/platform/wire"
+	"github.com/magpielug/magpielug/internal/outside"
+	"github.com/magpielug/magpielug/internal/outside/wire"
 )
 
 // Log is the adapter of the append-only log service.
@@ -29,7 +29,7 @@
 // taggedMachines is never changed.
 type taggedMachines struct {
 	tag      string
-	machines []platform.Machine
+	machines []outside.Machine
 }
 
 // Weights is the adapter of the weight store.
@@ -42,10 +42,10 @@
 type Tool struct{ pool *Client }
 
 var (
-	_ platform.Log      = (*Log)(nil)
-	_ platform.Machines = (*Machines)(nil)
-	_ platform.Weights  = (*Weights)(nil)
-	_ platform.Tool     = (*Tool)(nil)
+	_ outside.Log      = (*Log)(nil)
+	_ outside.Machines = (*Machines)(nil)
+	_ outside.Weights  = (*Weights)(nil)
+	_ outside.Tool     = (*Tool)(nil)
 )
 
 // NewLog makes the adapter of the log service at address (host:port).
@@ -64,7 +64,7 @@
 // NewTool makes the adapter of tool services.
 func NewTool(pool *Client) *Tool { return &Tool{pool: pool} }
 
-// Append implements platform.Log.
+// Append implements outside.Log.
 func (client *Log) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
 	answer, err := post[wire.AppendAnswer](ctx, client.pool, client.address, wire.PathLogAppend,
 		client.pool.config.OrderTimeout, wire.AppendRequest{Stream: stream, Data: data})
@@ -77,9 +77,9 @@
 	return *answer.Offset, nil
 }
 
-// Read implements platform.Log. An answer whose offsets are not those asked
+// Read implements outside.Log. An answer whose offsets are not those asked
 // for, in order, is malformed.
-func (client *Log) Read(ctx context.Context, stream string, offset uint64, limit int) ([]platform.Record, error) {
+func (client *Log) Read(ctx context.Context, stream string, offset uint64, limit int) ([]outside.Record, error) {
 	answer, err := get[wire.ReadAnswer](ctx, client.pool, client.address, wire.PathLogRead, url.Values{
 		wire.ParameterStream: {stream},
 		wire.ParameterOffset: {strconv.FormatUint(offset, 10)},
@@ -92,21 +92,21 @@
 	if answer.Records == nil {
 		return nil, at.malformed(errFieldMissing)
 	}
-	records := make([]platform.Record, len(answer.Records))
+	records := make([]outside.Record, len(answer.Records))
 	for place, record := range answer.Records {
 		due := offset + uint64(place)
 		if record.Offset != due {
 			return nil, at.malformed(fmt.Errorf("record %d came where %d was due", record.Offset, due))
 		}
-		records[place] = platform.Record{Offset: record.Offset, Data: record.Data}
+		records[place] = outside.Record{Offset: record.Offset, Data: record.Data}
 	}
 	return records, nil
 }
 
-// List implements platform.Machines. A list that has not changed since the last
+// List implements outside.Machines. A list that has not changed since the last
 // read is neither sent nor decoded, where the platform gives entity tags: then
 // the same slice is returned, which must not be changed.
-func (client *Machines) List(ctx context.Context) ([]platform.Machine, error) {
+func (client *Machines) List(ctx context.Context) ([]outside.Machine, error) {
 	last := client.last.Load()
 	known := ""
 	if last != nil {
@@ -127,23 +127,23 @@
 	return machines, nil
 }
 
-func machinesOf(answer wire.MachinesAnswer) []platform.Machine {
-	machines := make([]platform.Machine, len(answer.Machines))
+func machinesOf(answer wire.MachinesAnswer) []outside.Machine {
+	machines := make([]outside.Machine, len(answer.Machines))
 	for place, machine := range answer.Machines {
-		machines[place] = platform.Machine{
+		machines[place] = outside.Machine{
 			ID:      machine.ID,
-			Role:    platform.MachineRole(machine.Role),
+			Role:    outside.MachineRole(machine.Role),
 			Region:  machine.Region,
 			Zone:    machine.Zone,
 			Address: machine.Address,
-			State:   platform.MachineState(machine.State),
+			State:   outside.MachineState(machine.State),
 			Service: machine.Service,
 		}
 	}
 	return machines
 }
 
-// Reserve implements platform.Weights.
+// Reserve implements outside.Weights.
 func (client *Weights) Reserve(ctx context.Context, model, version string) (granted bool, wait time.Duration, err error) {
 	answer, err := post[wire.ReserveAnswer](ctx, client.pool, client.address, wire.PathWeightsReserve,
 		client.pool.config.OrderTimeout, wire.ReserveRequest{Model: model, Version: version})
@@ -153,8 +153,8 @@
 	return answer.Granted, time.Duration(answer.WaitMillis) * time.Millisecond, nil
 }
 
-// Call implements platform.Tool.
-func (client *Tool) Call(ctx context.Context, address string, request platform.ToolRequest) (string, error) {
+// Call implements outside.Tool.
+func (client *Tool) Call(ctx context.Context, address string, request outside.ToolRequest) (string, error) {
 	answer, err := post[wire.ToolAnswer](ctx, client.pool, address, wire.PathToolCall,
 		client.pool.config.ToolTimeout, wire.ToolRequest(request))
 	if err != nil {
--- a/internal/platform/platform.go
+++ b/internal/outside/outside.go
@@ -1,7 +1,7 @@
-// Package platform declares the outside systems that magpielug meets, one
+// Package outside declares the outside systems that magpielug meets, one
 // interface each, and their HTTP adapters. The wire shapes stand in
 // docs/INTERFACES.md; another platform is met by another adapter.
-package platform
+package outside
 
 import (
 	"context"
--- a/internal/process/cluster.go
+++ b/internal/process/cluster.go
@@ -11,7 +11,7 @@
 	operatorv1 "github.com/magpielug/magpielug/api/operator/v1"
 	schedulerv1 "github.com/magpielug/magpielug/api/scheduler/v1"
 	"github.com/magpielug/magpielug/internal/gateway"
-	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/outside"
 	"github.com/magpielug/magpielug/internal/resultcode"
 )
 
@@ -34,18 +34,18 @@
 func (cluster *operatorCluster) Nodes(ctx context.Context) ([]*operatorv1.Node, error) {
 	machines := cluster.own()
 	nodes := make([]*operatorv1.Node, len(machines))
-	cluster.each(machines, func(index int, machine platform.Machine) {
+	cluster.each(machines, func(index int, machine outside.Machine) {
 		nodes[index] = cluster.node(ctx, machine)
 	})
 	return nodes, nil
 }
 
 // own lists magpielug's own machines.
-func (cluster *operatorCluster) own(roles ...platform.MachineRole) []platform.Machine {
+func (cluster *operatorCluster) own(roles ...outside.MachineRole) []outside.Machine {
 	if len(roles) == 0 {
-		roles = []platform.MachineRole{platform.RoleGateway, platform.RoleScheduler}
+		roles = []outside.MachineRole{outside.RoleGateway, outside.RoleScheduler}
 	}
-	var machines []platform.Machine
+	var machines []outside.Machine
 	for _, machine := range cluster.machines.machines() {
 		for _, role := range roles {
 			if machine.Role == role {
@@ -57,7 +57,7 @@
 }
 
 // each asks all machines, a bounded number at a time.
-func (cluster *operatorCluster) each(machines []platform.Machine, ask func(int, platform.Machine)) {
+func (cluster *operatorCluster) each(machines []outside.Machine, ask func(int, outside.Machine)) {
 	var group sync.WaitGroup
 	slots := make(chan struct{}, maximumAsked)
 	for index, machine := range machines {
@@ -72,7 +72,7 @@
 	group.Wait()
 }
 
-func (cluster *operatorCluster) node(ctx context.Context, machine platform.Machine) *operatorv1.Node {
+func (cluster *operatorCluster) node(ctx context.Context, machine outside.Machine) *operatorv1.Node {
 	node := &operatorv1.Node{
 		Id:      machine.ID,
 		Role:    string(machine.Role),
@@ -90,7 +90,7 @@
 		return node
 	}
 	node.ConfigurationVersion = reply.Version
-	if machine.Role != platform.RoleScheduler {
+	if machine.Role != outside.RoleScheduler {
 		return node
 	}
 	status, err := cluster.programs(machine).Status(bounded, &schedulerv1.StatusRequest{})
@@ -100,15 +100,15 @@
 	return node
 }
 
-func (cluster *operatorCluster) programs(machine platform.Machine) schedulerv1.Programs {
+func (cluster *operatorCluster) programs(machine outside.Machine) schedulerv1.Programs {
 	return schedulerv1.NewProgramsProtobufClient("http://"+machine.Address, cluster.client)
 }
 
 // Programs asks every scheduler for the programs that it leads.
 func (cluster *operatorCluster) Programs(ctx context.Context, tenant string, limit uint32) ([]*operatorv1.Program, error) {
-	machines := cluster.own(platform.RoleScheduler)
+	machines := cluster.own(outside.RoleScheduler)
 	replies := make([]*schedulerv1.ListProgramsReply, len(machines))
-	cluster.each(machines, func(index int, machine platform.Machine) {
+	cluster.each(machines, func(index int, machine outside.Machine) {
 		bounded, cancel := context.WithTimeout(ctx, nodeTimeout)
 		defer cancel()
 		reply, err := cluster.programs(machine).ListPrograms(bounded, &schedulerv1.ListProgramsRequest{Tenant: tenant, Limit: limit})
--- a/internal/process/exchange.go
+++ b/internal/process/exchange.go
@@ -8,7 +8,7 @@
 
 	configurationv1 "github.com/magpielug/magpielug/api/configuration/v1"
 	"github.com/magpielug/magpielug/internal/configuration"
-	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/outside"
 )
 
 const (
@@ -101,22 +101,22 @@
 }
 
 // onePerZone picks a random process of each other zone.
-func (exchange *configurationExchange) onePerZone() []platform.Machine {
-	byZone := make(map[string][]platform.Machine)
+func (exchange *configurationExchange) onePerZone() []outside.Machine {
+	byZone := make(map[string][]outside.Machine)
 	for _, machine := range exchange.machines.machines() {
-		own := machine.Role == platform.RoleGateway || machine.Role == platform.RoleScheduler
+		own := machine.Role == outside.RoleGateway || machine.Role == outside.RoleScheduler
 		if own && machine.Zone != exchange.zone && machine.ID != exchange.self {
 			byZone[machine.Zone] = append(byZone[machine.Zone], machine)
 		}
 	}
-	var picked []platform.Machine
+	var picked []outside.Machine
 	for _, machines := range byZone {
 		picked = append(picked, machines[rand.IntN(len(machines))])
 	}
 	return picked
 }
 
-func (exchange *configurationExchange) compare(ctx context.Context, machine platform.Machine) {
+func (exchange *configurationExchange) compare(ctx context.Context, machine outside.Machine) {
 	bounded, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	sent := time.Now()
--- a/internal/process/exchange_test.go
+++ b/internal/process/exchange_test.go
@@ -10,17 +10,17 @@
 
 	configurationv1 "github.com/magpielug/magpielug/api/configuration/v1"
 	"github.com/magpielug/magpielug/internal/configuration"
-	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/outside"
 )
 
 // emptyLog is a log without records that counts its reads.
 type emptyLog struct{ reads atomic.Int64 }
 
 func (log *emptyLog) Append(context.Context, string, []byte) (uint64, error) {
-	return 0, platform.ErrNotRun
+	return 0, outside.ErrNotRun
 }
 
-func (log *emptyLog) Read(context.Context, string, uint64, int) ([]platform.Record, error) {
+func (log *emptyLog) Read(context.Context, string, uint64, int) ([]outside.Record, error) {
 	log.reads.Add(1)
 	return nil, nil
 }
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -7,7 +7,7 @@
 	"github.com/magpielug/magpielug/internal/configuration"
 	"github.com/magpielug/magpielug/internal/gateway"
 	"github.com/magpielug/magpielug/internal/operator"
-	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/outside"
 	"github.com/magpielug/magpielug/internal/resultcode"
 	"github.com/magpielug/magpielug/internal/settings"
 )
@@ -52,7 +52,7 @@
 		if gatewayView(shared) == nil {
 			return resultcode.New(resultcode.ConfigurationStale, "no current configuration")
 		}
-		if !shared.machines.lists(platform.RoleScheduler) {
+		if !shared.machines.lists(outside.RoleScheduler) {
 			return resultcode.New(resultcode.NoLeader, "the machine list names no scheduler")
 		}
 		return nil
--- a/internal/process/machines.go
+++ b/internal/process/machines.go
@@ -9,33 +9,33 @@
 
 	"go.uber.org/zap"
 
-	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/outside"
 )
 
 // machineCache reads the platform's machine list for the whole process. While
 // the list does not answer, the last one read stays in force.
 type machineCache struct {
-	source   platform.Machines
+	source   outside.Machines
 	interval time.Duration
 	timeout  time.Duration
 	logger   *zap.Logger
-	last     atomic.Pointer[[]platform.Machine]
+	last     atomic.Pointer[[]outside.Machine]
 }
 
-func newMachineCache(source platform.Machines, interval, timeout time.Duration, logger *zap.Logger) *machineCache {
+func newMachineCache(source outside.Machines, interval, timeout time.Duration, logger *zap.Logger) *machineCache {
 	cache := &machineCache{source: source, interval: interval, timeout: timeout, logger: logger}
-	cache.last.Store(&[]platform.Machine{})
+	cache.last.Store(&[]outside.Machine{})
 	return cache
 }
 
 // List returns the last list read.
-func (cache *machineCache) List(context.Context) ([]platform.Machine, error) {
+func (cache *machineCache) List(context.Context) ([]outside.Machine, error) {
 	return *cache.last.Load(), nil
 }
 
 // lists tells whether the list names a machine of the role.
-func (cache *machineCache) lists(role platform.MachineRole) bool {
-	return slices.ContainsFunc(cache.machines(), func(machine platform.Machine) bool {
+func (cache *machineCache) lists(role outside.MachineRole) bool {
+	return slices.ContainsFunc(cache.machines(), func(machine outside.Machine) bool {
 		return machine.Role == role
 	})
 }
@@ -48,7 +48,7 @@
 }
 
 // machines returns the last list read.
-func (cache *machineCache) machines() []platform.Machine { return *cache.last.Load() }
+func (cache *machineCache) machines() []outside.Machine { return *cache.last.Load() }
 
 const (
 	// listLocalInterval is how often a part of the process looks at the cache.
@@ -98,7 +98,7 @@
 func (cache *machineCache) zones() []string {
 	var zones []string
 	for _, machine := range cache.machines() {
-		own := machine.Role == platform.RoleGateway || machine.Role == platform.RoleScheduler
+		own := machine.Role == outside.RoleGateway || machine.Role == outside.RoleScheduler
 		if own && !slices.Contains(zones, machine.Zone) {
 			zones = append(zones, machine.Zone)
 		}
--- a/internal/process/placement.go
+++ b/internal/process/placement.go
@@ -5,7 +5,7 @@
 	"sync"
 
 	"github.com/magpielug/magpielug/internal/membership"
-	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/outside"
 )
 
 // memberPlacement tells a gateway where shards should be, by the same rule as
@@ -25,12 +25,12 @@
 
 // Order returns the addresses of the shard's home first, then those of the
 // others: any scheduler may know the leader.
-func (placement *memberPlacement) Order(shard uint32, schedulers []platform.Machine) []string {
+func (placement *memberPlacement) Order(shard uint32, schedulers []outside.Machine) []string {
 	addresses := make(map[string]string, len(schedulers))
 	var processes []membership.Process
 	for _, machine := range schedulers {
 		addresses[machine.ID] = machine.Address
-		if machine.State == platform.MachineLive {
+		if machine.State == outside.MachineLive {
 			processes = append(processes, membership.Process{ID: machine.ID, Region: machine.Region, Zone: machine.Zone})
 		}
 	}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -23,8 +23,8 @@
 	"github.com/magpielug/magpielug/internal/httpserver"
 	"github.com/magpielug/magpielug/internal/logging"
 	"github.com/magpielug/magpielug/internal/metrics"
-	"github.com/magpielug/magpielug/internal/platform"
-	"github.com/magpielug/magpielug/internal/platform/httpadapter"
+	"github.com/magpielug/magpielug/internal/outside"
+	"github.com/magpielug/magpielug/internal/outside/httpadapter"
 	"github.com/magpielug/magpielug/internal/settings"
 )
 
@@ -36,7 +36,7 @@
 	mux      *http.ServeMux
 	client   *http.Client
 	adapters *httpadapter.Client
-	log      platform.Log
+	log      outside.Log
 	machines *machineCache
 	reader   *configuration.Reader
 	exchange *configurationExchange
--- a/internal/process/scheduler.go
+++ b/internal/process/scheduler.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/magpielug/magpielug/internal/configuration"
-	"github.com/magpielug/magpielug/internal/platform/httpadapter"
+	"github.com/magpielug/magpielug/internal/outside/httpadapter"
 	"github.com/magpielug/magpielug/internal/replication"
 	"github.com/magpielug/magpielug/internal/resultcode"
 	"github.com/magpielug/magpielug/internal/scheduler"
--- a/internal/scheduler/call_run.go
+++ b/internal/scheduler/call_run.go
@@ -6,7 +6,7 @@
 	schedulerv1 "github.com/magpielug/magpielug/api/scheduler/v1"
 	shardv1 "github.com/magpielug/magpielug/api/shard/v1"
 	"github.com/magpielug/magpielug/charts"
-	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/outside"
 	"github.com/magpielug/magpielug/internal/resultcode"
 	"github.com/magpielug/magpielug/internal/shard"
 	"github.com/magpielug/magpielug/internal/stream"
@@ -178,7 +178,7 @@
 		Buffer:  live.buffer,
 		Offset:  uint64(len(live.call.Partial().ChunkBytes)),
 		Prompt:  live.call.Prompt(),
-		Request: platform.GenerateRequest{
+		Request: outside.GenerateRequest{
 			RequestID:  backEndRequestID(live.run()),
 			Program:    live.id().program,
 			Model:      accepted.Target,
@@ -202,7 +202,7 @@
 		Address:  live.call.Intent().Address,
 		Deadline: host.core.callDeadline(accepted.Target),
 		Buffer:   live.buffer,
-		Request: platform.ToolRequest{
+		Request: outside.ToolRequest{
 			RequestID:  backEndRequestID(live.run()),
 			Program:    live.id().program,
 			Service:    accepted.Target,
--- a/internal/scheduler/cluster_test.go
+++ b/internal/scheduler/cluster_test.go
@@ -11,7 +11,7 @@
 
 	operatorv1 "github.com/magpielug/magpielug/api/operator/v1"
 	schedulerv1 "github.com/magpielug/magpielug/api/scheduler/v1"
-	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/outside"
 	"github.com/magpielug/magpielug/internal/replication"
 	"github.com/magpielug/magpielug/internal/resultcode"
 	"github.com/magpielug/magpielug/internal/stream"
@@ -37,7 +37,7 @@
 	log    *testLog
 	// replacements counts the times that all processes were replaced at once.
 	replacements int
-	machines     []platform.Machine
+	machines     []outside.Machine
 	// runs counts starts at back ends by request id.
 	runs map[string]int
 	// running holds the generations an engine knows.
@@ -124,22 +124,22 @@
 	cluster.log = newTestLog(cluster.random)
 	for number := range schedulers {
 		name := fmt.Sprintf("s%d", number)
-		cluster.machines = append(cluster.machines, platform.Machine{
-			ID: name, Role: platform.RoleScheduler, Region: "r", Zone: fmt.Sprintf("z%d", number%3),
-			Address: name, State: platform.MachineLive,
+		cluster.machines = append(cluster.machines, outside.Machine{
+			ID: name, Role: outside.RoleScheduler, Region: "r", Zone: fmt.Sprintf("z%d", number%3),
+			Address: name, State: outside.MachineLive,
 		})
 	}
 	for number := range 2 {
 		name := fmt.Sprintf("e%d", number)
-		cluster.machines = append(cluster.machines, platform.Machine{
-			ID: name, Role: platform.RoleEngine, Region: "r", Zone: "z0", Address: name,
-			State: platform.MachineLive, Service: testModel,
+		cluster.machines = append(cluster.machines, outside.Machine{
+			ID: name, Role: outside.RoleEngine, Region: "r", Zone: "z0", Address: name,
+			State: outside.MachineLive, Service: testModel,
 		})
 		cluster.engines[name] = newTestEngine(cluster, name)
 	}
-	cluster.machines = append(cluster.machines, platform.Machine{
-		ID: "t0", Role: platform.RoleTool, Region: "r", Zone: "z0", Address: "t0",
-		State: platform.MachineLive, Service: testTool,
+	cluster.machines = append(cluster.machines, outside.Machine{
+		ID: "t0", Role: outside.RoleTool, Region: "r", Zone: "z0", Address: "t0",
+		State: outside.MachineLive, Service: testTool,
 	})
 	for number := range schedulers {
 		cluster.start(fmt.Sprintf("s%d", number))
--- a/internal/scheduler/decision_benchmark_test.go
+++ b/internal/scheduler/decision_benchmark_test.go
@@ -11,7 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	schedulerv1 "github.com/magpielug/magpielug/api/scheduler/v1"
-	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/outside"
 )
 
 const (
@@ -60,16 +60,16 @@
 		polled:   make(map[string][]EngineAddress),
 	}
 	random := rand.New(rand.NewSource(1))
-	machines := []platform.Machine{{
-		ID: "e0", Role: platform.RoleEngine, Region: "r", Zone: "z0", Address: "e0",
-		State: platform.MachineLive, Service: testModel,
+	machines := []outside.Machine{{
+		ID: "e0", Role: outside.RoleEngine, Region: "r", Zone: "z0", Address: "e0",
+		State: outside.MachineLive, Service: testModel,
 	}}
 	for number := range members {
 		name := fmt.Sprintf("s%d", number)
 		group.names = append(group.names, name)
-		machines = append(machines, platform.Machine{
-			ID: name, Role: platform.RoleScheduler, Region: "r", Zone: fmt.Sprintf("z%d", number),
-			Address: name, State: platform.MachineLive,
+		machines = append(machines, outside.Machine{
+			ID: name, Role: outside.RoleScheduler, Region: "r", Zone: fmt.Sprintf("z%d", number),
+			Address: name, State: outside.MachineLive,
 		})
 		config := testConfig(name)
 		config.Shards = shards
@@ -191,7 +191,7 @@
 
 func (group *benchmarkGroup) poll(name string) {
 	for _, engine := range group.polled[name] {
-		group.step(name, EngineReported{Engine: engine.Engine, Report: platform.LoadReport{
+		group.step(name, EngineReported{Engine: engine.Engine, Report: outside.LoadReport{
 			Engine: engine.Engine, Model: testModel, RunningLimit: 1 << 15, BlocksTotal: 1 << 24,
 			BlockTokens: 16, StepDuration: 3 * time.Millisecond,
 		}})
--- a/internal/scheduler/directory.go
+++ b/internal/scheduler/directory.go
@@ -5,17 +5,17 @@
 	"strings"
 	"time"
 
-	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/outside"
 )
 
 // directory is what the process believes of the other machines: the platform's
 // list says who exists, answers say who lives, hints say who leads.
 type directory struct {
 	self       string
-	listed     []platform.Machine
-	schedulers map[string]platform.Machine
-	engines    map[string]platform.Machine
-	tools      map[string]platform.Machine
+	listed     []outside.Machine
+	schedulers map[string]outside.Machine
+	engines    map[string]outside.Machine
+	tools      map[string]outside.Machine
 	peers      map[string]peer
 	// leaders holds, by shard, the process last heard to lead it.
 	leaders map[uint32]string
@@ -30,28 +30,28 @@
 func newDirectory(self string) *directory {
 	return &directory{
 		self:       self,
-		schedulers: make(map[string]platform.Machine),
-		engines:    make(map[string]platform.Machine),
-		tools:      make(map[string]platform.Machine),
+		schedulers: make(map[string]outside.Machine),
+		engines:    make(map[string]outside.Machine),
+		tools:      make(map[string]outside.Machine),
 		peers:      make(map[string]peer),
 		leaders:    make(map[uint32]string),
 	}
 }
 
 // update replaces the machines by a newer list and tells whether it differs.
-func (directory *directory) update(machines []platform.Machine) bool {
+func (directory *directory) update(machines []outside.Machine) bool {
 	if slices.Equal(machines, directory.listed) {
 		return false
 	}
 	directory.listed = slices.Clone(machines)
-	directory.schedulers = byRole(machines, platform.RoleScheduler)
-	directory.engines = byRole(machines, platform.RoleEngine)
-	directory.tools = byRole(machines, platform.RoleTool)
+	directory.schedulers = byRole(machines, outside.RoleScheduler)
+	directory.engines = byRole(machines, outside.RoleEngine)
+	directory.tools = byRole(machines, outside.RoleTool)
 	return true
 }
 
-func byRole(machines []platform.Machine, role platform.MachineRole) map[string]platform.Machine {
-	found := make(map[string]platform.Machine)
+func byRole(machines []outside.Machine, role outside.MachineRole) map[string]outside.Machine {
+	found := make(map[string]outside.Machine)
 	for _, machine := range machines {
 		if machine.Role == role {
 			found[machine.ID] = machine
@@ -80,10 +80,10 @@
 }
 
 // toolsOf lists the live back ends of a tool service in the order of their ids.
-func (directory *directory) toolsOf(service string) []platform.Machine {
-	var found []platform.Machine
+func (directory *directory) toolsOf(service string) []outside.Machine {
+	var found []outside.Machine
 	for _, machine := range directory.tools {
-		if machine.Service == service && machine.State == platform.MachineLive {
+		if machine.Service == service && machine.State == outside.MachineLive {
 			found = append(found, machine)
 		}
 	}
@@ -92,8 +92,8 @@
 }
 
 // sorted lists machines in the order of their ids.
-func sorted(machines map[string]platform.Machine) []platform.Machine {
-	list := make([]platform.Machine, 0, len(machines))
+func sorted(machines map[string]outside.Machine) []outside.Machine {
+	list := make([]outside.Machine, 0, len(machines))
 	for _, machine := range machines {
 		list = append(list, machine)
 	}
@@ -101,8 +101,8 @@
 	return list
 }
 
-func sortMachines(machines []platform.Machine) {
-	slices.SortFunc(machines, func(left, right platform.Machine) int {
+func sortMachines(machines []outside.Machine) {
+	slices.SortFunc(machines, func(left, right outside.Machine) int {
 		return strings.Compare(left.ID, right.ID)
 	})
 }
--- a/internal/scheduler/effect.go
+++ b/internal/scheduler/effect.go
@@ -6,7 +6,7 @@
 	"google.golang.org/protobuf/proto"
 
 	schedulerv1 "github.com/magpielug/magpielug/api/scheduler/v1"
-	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/outside"
 	"github.com/magpielug/magpielug/internal/shard"
 	"github.com/magpielug/magpielug/internal/stream"
 )
@@ -52,7 +52,7 @@
 	Address string
 	// Request is complete but for its prompt, which the run puts together from
 	// Prompt: a long history must not hold up the control goroutine.
-	Request platform.GenerateRequest
+	Request outside.GenerateRequest
 	Prompt  shard.Prompt
 	Buffer  *stream.Buffer
 	// Offset is how many chunks of the buffer earlier attempts have given.
@@ -63,7 +63,7 @@
 type RunToolCall struct {
 	Run      RunKey
 	Address  string
-	Request  platform.ToolRequest
+	Request  outside.ToolRequest
 	Deadline time.Duration
 	Buffer   *stream.Buffer
 }
@@ -74,14 +74,14 @@
 	Run       RunKey
 	AtBackEnd bool
 	Address   string
-	Fence     platform.Fence
+	Fence     outside.Fence
 }
 
 // ReleaseCache orders an engine to free a program's blocks.
 type ReleaseCache struct {
 	Address string
 	Program string
-	Fence   platform.Fence
+	Fence   outside.Fence
 }
 
 // LoadAdapter orders an engine to load an adapter beside the model version that
@@ -92,7 +92,7 @@
 	Model   string
 	Version string
 	Adapter string
-	Fence   platform.Fence
+	Fence   outside.Fence
 }
 
 // SetRole orders an engine to change its role.
@@ -100,7 +100,7 @@
 	Engine  string
 	Address string
 	Role    string
-	Fence   platform.Fence
+	Fence   outside.Fence
 }
 
 // PollEngines replaces the engines whose load reports are asked for.
--- a/internal/scheduler/engine_test.go
+++ b/internal/scheduler/engine_test.go
@@ -9,7 +9,7 @@
 
 	schedulerv1 "github.com/magpielug/magpielug/api/scheduler/v1"
 	"github.com/magpielug/magpielug/internal/keeper"
-	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/outside"
 	"github.com/magpielug/magpielug/internal/resultcode"
 )
 
@@ -147,7 +147,7 @@
 			engine.held["p1"] = testCallBlocks
 			engine.release(ReleaseCache{Program: "p1", Fence: stale})
 			Expect(engine.held["p1"]).To(Equal(testCallBlocks))
-			Expect(engine.admit(platform.GenerateRequest{Fence: stale})).To(Equal("stale fence"))
+			Expect(engine.admit(outside.GenerateRequest{Fence: stale})).To(Equal("stale fence"))
 		}
 	})
 
@@ -246,9 +246,9 @@
 
 	It("that refuses tool calls gets each call once at most, and others run it", func() {
 		cluster := newTestCluster(41, 3)
-		second := platform.Machine{
-			ID: "t1", Role: platform.RoleTool, Region: "r", Zone: "z1", Address: "t1",
-			State: platform.MachineLive, Service: testTool,
+		second := outside.Machine{
+			ID: "t1", Role: outside.RoleTool, Region: "r", Zone: "z1", Address: "t1",
+			State: outside.MachineLive, Service: testTool,
 		}
 		cluster.machines = append(cluster.machines, second)
 		for _, node := range cluster.nodes {
@@ -269,7 +269,7 @@
 		cluster.create("p1")
 		for index := range cluster.machines {
 			if cluster.machines[index].ID == "t0" {
-				cluster.machines[index].State = platform.MachineLeaving
+				cluster.machines[index].State = outside.MachineLeaving
 			}
 		}
 		for _, node := range cluster.nodes {
--- a/internal/scheduler/event.go
+++ b/internal/scheduler/event.go
@@ -5,7 +5,7 @@
 
 	operatorv1 "github.com/magpielug/magpielug/api/operator/v1"
 	schedulerv1 "github.com/magpielug/magpielug/api/scheduler/v1"
-	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/outside"
 )
 
 // Event is one input to the core's step.
@@ -32,14 +32,14 @@
 type FreshnessChanged struct{ Fresh bool }
 
 // MachinesListed brings the platform's lagging list.
-type MachinesListed struct{ Machines []platform.Machine }
+type MachinesListed struct{ Machines []outside.Machine }
 
 // StreamRead brings the next records of a shard's stream in the platform's log.
 type StreamRead struct {
 	Shard uint32
 	// From is the effect's own.
 	From    uint64
-	Records []platform.Record
+	Records []outside.Record
 	// AtEnd is true where the stream has no further record.
 	AtEnd bool
 	// Failed is true where the log did not answer.
@@ -141,7 +141,7 @@
 // EngineReported brings an engine's load report.
 type EngineReported struct {
 	Engine string
-	Report platform.LoadReport
+	Report outside.LoadReport
 }
 
 // EngineSilent tells that an engine has not answered for its report.
--- a/internal/scheduler/home.go
+++ b/internal/scheduler/home.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/outside"
 	"github.com/magpielug/magpielug/internal/replication"
 	"github.com/magpielug/magpielug/internal/shard"
 )
@@ -69,7 +69,7 @@
 
 // machinesListed takes the platform's list in and arranges what follows from
 // it: the shards this process belongs to, and the pools' engines.
-func (core *Core) machinesListed(machines []platform.Machine) {
+func (core *Core) machinesListed(machines []outside.Machine) {
 	if !core.directory.update(machines) {
 		return
 	}
--- a/internal/scheduler/live_call.go
+++ b/internal/scheduler/live_call.go
@@ -7,7 +7,7 @@
 
 	schedulerv1 "github.com/magpielug/magpielug/api/scheduler/v1"
 	shardv1 "github.com/magpielug/magpielug/api/shard/v1"
-	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/outside"
 	"github.com/magpielug/magpielug/internal/resultcode"
 	"github.com/magpielug/magpielug/internal/shard"
 	"github.com/magpielug/magpielug/internal/stream"
@@ -96,12 +96,12 @@
 }
 
 // fence is the order of the engine's lease under which the call was granted.
-func (live *liveCall) fence() platform.Fence {
+func (live *liveCall) fence() outside.Fence {
 	intent := live.call.Intent()
 	if intent == nil {
-		return platform.Fence{}
+		return outside.Fence{}
 	}
-	return platform.Fence{Holder: intent.FenceHolder, Epoch: intent.FenceEpoch}
+	return outside.Fence{Holder: intent.FenceHolder, Epoch: intent.FenceEpoch}
 }
 
 // bufferOf returns the stream to follow for a known call: the live one, or the
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -6,7 +6,7 @@
 
 	schedulerv1 "github.com/magpielug/magpielug/api/scheduler/v1"
 	"github.com/magpielug/magpielug/internal/keeper"
-	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/outside"
 )
 
 // pool is an engine pool that this process keeps, because it leads the pool's
@@ -17,7 +17,7 @@
 	name    string
 	shard   uint32
 	keeper  *keeper.Keeper
-	engines map[string]platform.Machine
+	engines map[string]outside.Machine
 	drained map[string]bool
 	fences  map[string]*engineFence
 	// policies are the names that the keeper was made with.
@@ -51,7 +51,7 @@
 	core.arrangePolling()
 }
 
-func (core *Core) arrangePool(name string, shardNumber uint32, engines []platform.Machine) {
+func (core *Core) arrangePool(name string, shardNumber uint32, engines []outside.Machine) {
 	kept := core.pools[name]
 	if kept == nil {
 		kept = core.newPool(name, shardNumber)
@@ -67,7 +67,7 @@
 		core:    core,
 		name:    name,
 		shard:   shardNumber,
-		engines: make(map[string]platform.Machine),
+		engines: make(map[string]outside.Machine),
 		drained: make(map[string]bool),
 		fences:  make(map[string]*engineFence),
 		lists:   newPoolLists(),
@@ -114,14 +114,14 @@
 	pool.arrangeEngines(pool.machines())
 }
 
-func (pool *pool) machines() []platform.Machine {
+func (pool *pool) machines() []outside.Machine {
 	return sorted(pool.engines)
 }
 
 // arrangeEngines takes the pool's engines from the machine list. A leaving or
 // drained one gets no new work from here on.
-func (pool *pool) arrangeEngines(engines []platform.Machine) {
-	listed := make(map[string]platform.Machine, len(engines))
+func (pool *pool) arrangeEngines(engines []outside.Machine) {
+	listed := make(map[string]outside.Machine, len(engines))
 	for _, engine := range engines {
 		listed[engine.ID] = engine
 		pool.arrangeDrain(engine)
@@ -141,9 +141,9 @@
 	}
 }
 
-func (pool *pool) arrangeDrain(engine platform.Machine) {
+func (pool *pool) arrangeDrain(engine outside.Machine) {
 	configuration := pool.core.configuration
-	drained := engine.State == platform.MachineLeaving ||
+	drained := engine.State == outside.MachineLeaving ||
 		configuration != nil && configuration.Drained(engine.ID)
 	if drained == pool.drained[engine.ID] {
 		return
@@ -320,7 +320,7 @@
 	}
 }
 
-func reportedEngine(event EngineReported, machine platform.Machine) keeper.EngineReported {
+func reportedEngine(event EngineReported, machine outside.Machine) keeper.EngineReported {
 	report := event.Report
 	return keeper.EngineReported{
 		Engine:        event.Engine,
--- a/internal/scheduler/pool_fence.go
+++ b/internal/scheduler/pool_fence.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/outside"
 )
 
 const (
@@ -26,8 +26,8 @@
 // fenceOf is the fence of orders and grants to an engine now: the epoch of the
 // pool's shard. Epochs of two shards can't be compared, so for an engine that was
 // in another pool before it is raised over what the engine has seen there.
-func (pool *pool) fenceOf(engine string) platform.Fence {
-	fence := platform.Fence{Holder: pool.core.Incarnation(), Epoch: uint64(pool.core.hosts[pool.shard].epoch)}
+func (pool *pool) fenceOf(engine string) outside.Fence {
+	fence := outside.Fence{Holder: pool.core.Incarnation(), Epoch: uint64(pool.core.hosts[pool.shard].epoch)}
 	if known := pool.fences[engine]; known != nil {
 		fence.Epoch = max(fence.Epoch, known.raised)
 	}
@@ -42,7 +42,7 @@
 
 // announceFence has an engine refuse all orders and grants of earlier keepers
 // from now on.
-func (pool *pool) announceFence(engine platform.Machine) {
+func (pool *pool) announceFence(engine outside.Machine) {
 	if !pool.leads() {
 		return
 	}
@@ -59,7 +59,7 @@
 // own. A lower one means that the announcement was lost or the engine has started
 // anew; a higher one that the engine comes from another pool. It can't come from
 // a later keeper of this pool: none has the lease while this one does.
-func (pool *pool) followFence(engine platform.Machine, seen uint64) {
+func (pool *pool) followFence(engine outside.Machine, seen uint64) {
 	if !pool.leads() {
 		return
 	}
--- a/internal/scheduler/pool_lists_test.go
+++ b/internal/scheduler/pool_lists_test.go
@@ -7,7 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	schedulerv1 "github.com/magpielug/magpielug/api/scheduler/v1"
-	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/outside"
 )
 
 var _ = Describe("The lists of a keeper's leaders", func() {
@@ -68,7 +68,7 @@
 	})
 
 	It("are asked of every scheduler by a keeper that has just begun", func() {
-		kept.core.directory.schedulers["leader"] = platform.Machine{ID: "leader"}
+		kept.core.directory.schedulers["leader"] = outside.Machine{ID: "leader"}
 		kept.askForLists()
 		wanted := asked()
 		Expect(wanted.GetGrants() && wanted.GetPrograms() && wanted.GetAllShards()).To(BeTrue())
--- a/internal/scheduler/pool_load.go
+++ b/internal/scheduler/pool_load.go
@@ -8,7 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/magpielug/magpielug/internal/keeper"
-	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/outside"
 	"github.com/magpielug/magpielug/internal/resultcode"
 )
 
@@ -63,7 +63,7 @@
 	}
 	traffic.logger.Warn("engine_load_failed",
 		zap.String("engine", effect.Engine), zap.String("adapter", effect.Adapter), zap.String("error", err.Error()))
-	if errors.Is(err, platform.ErrNotRun) {
+	if errors.Is(err, outside.ErrNotRun) {
 		traffic.post(LoadRefused{Engine: effect.Engine, Adapter: effect.Adapter})
 	}
 }
--- a/internal/scheduler/pools.go
+++ b/internal/scheduler/pools.go
@@ -4,7 +4,7 @@
 	"slices"
 
 	"github.com/magpielug/magpielug/internal/membership"
-	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/outside"
 	"github.com/magpielug/magpielug/internal/shard"
 )
 
@@ -14,7 +14,7 @@
 	placement *membership.Placement
 	pools     []membership.Pool
 	// engines are the machines of each pool, by the pool's name.
-	engines map[string][]platform.Machine
+	engines map[string][]outside.Machine
 }
 
 // newLayout works the layout out.
@@ -22,7 +22,7 @@
 	processes := liveProcesses(directory)
 	made := &layout{
 		placement: membership.NewPlacement(membership.CopysetCount(len(processes)), processes, nil),
-		engines:   make(map[string][]platform.Machine),
+		engines:   make(map[string][]outside.Machine),
 	}
 	var engines []membership.Engine
 	for _, machine := range sorted(directory.engines) {
@@ -40,7 +40,7 @@
 func liveProcesses(directory *directory) []membership.Process {
 	var processes []membership.Process
 	for _, machine := range sorted(directory.schedulers) {
-		if machine.State == platform.MachineLive {
+		if machine.State == outside.MachineLive {
 			processes = append(processes, membership.Process{ID: machine.ID, Region: machine.Region, Zone: machine.Zone})
 		}
 	}
--- a/internal/scheduler/run_model.go
+++ b/internal/scheduler/run_model.go
@@ -5,7 +5,7 @@
 	"errors"
 	"time"
 
-	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/outside"
 )
 
 const (
@@ -20,7 +20,7 @@
 type modelRun struct {
 	traffic *traffic
 	effect  RunModelCall
-	last    platform.EngineChunk
+	last    outside.EngineChunk
 	started bool
 }
 
@@ -66,7 +66,7 @@
 }
 
 // receive takes one item of the stream.
-func (run *modelRun) receive(chunk platform.EngineChunk) error {
+func (run *modelRun) receive(chunk outside.EngineChunk) error {
 	if chunk.Finish != "" {
 		run.last = chunk
 	}
@@ -104,7 +104,7 @@
 		err = errors.New("the engine's stream ended early")
 	}
 	lost := RunEnded{End: RunLost, Detail: err.Error()}
-	refused := errors.Is(err, platform.ErrNotRun) || errors.Is(err, platform.ErrStaleFence)
+	refused := errors.Is(err, outside.ErrNotRun) || errors.Is(err, outside.ErrStaleFence)
 	if refused && attached {
 		// The engine does not know the call: it may have restarted since.
 		return lost, true
--- a/internal/scheduler/run_tool.go
+++ b/internal/scheduler/run_tool.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 
-	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/outside"
 )
 
 // runToolCall sends a call to a tool service and waits for its answer, no
@@ -27,7 +27,7 @@
 		effect.Buffer.Append(1, output, 0)
 		ended.End = RunCompleted
 		ended.FinishReason = finishStop
-	case errors.Is(err, platform.ErrNotRun):
+	case errors.Is(err, outside.ErrNotRun):
 		ended.End = RunNotRun
 		ended.Detail = err.Error()
 	case timedOut:
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -14,15 +14,15 @@
 
 	schedulerv1 "github.com/magpielug/magpielug/api/scheduler/v1"
 	"github.com/magpielug/magpielug/internal/arrival"
-	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/outside"
 )
 
 // Dependencies are the parts that a scheduler works with.
 type Dependencies struct {
-	Log      platform.Log
-	Machines platform.Machines
-	Engines  platform.Engine
-	Tools    platform.Tool
+	Log      outside.Log
+	Machines outside.Machines
+	Engines  outside.Engine
+	Tools    outside.Tool
 	// Client speaks to the other schedulers.
 	Client *http.Client
 	Logger *zap.Logger
@@ -78,7 +78,7 @@
 func (scheduler *Scheduler) readMachines(ctx context.Context) {
 	ticker := time.NewTicker(scheduler.dependencies.ListInterval)
 	defer ticker.Stop()
-	var last []platform.Machine
+	var last []outside.Machine
 	for {
 		machines, err := scheduler.dependencies.Machines.List(ctx)
 		if err == nil && !slices.Equal(machines, last) {
--- a/internal/scheduler/snapshot_search.go
+++ b/internal/scheduler/snapshot_search.go
@@ -1,7 +1,7 @@
 package scheduler
 
 import (
-	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/outside"
 	"github.com/magpielug/magpielug/internal/replication"
 )
 
@@ -17,14 +17,14 @@
 	collector *replication.SnapshotCollector
 	// held are the records to read once the snapshot is whole, its parts left
 	// out.
-	held      []platform.Record
+	held      []outside.Record
 	heldBytes int
 	// view is set once the snapshot is whole, and failed once it can't be used.
 	view   *streamView
 	failed bool
 }
 
-func (search *snapshotSearch) take(record platform.Record) {
+func (search *snapshotSearch) take(record outside.Record) {
 	if search.view != nil {
 		_ = search.view.read(record)
 		return
@@ -41,7 +41,7 @@
 	}
 }
 
-func (search *snapshotSearch) hold(record platform.Record) {
+func (search *snapshotSearch) hold(record outside.Record) {
 	search.held = append(search.held, record)
 	search.heldBytes += len(record.Data)
 	search.failed = search.heldBytes > maximumHeldBytes
--- a/internal/scheduler/stream_open.go
+++ b/internal/scheduler/stream_open.go
@@ -5,7 +5,7 @@
 	"context"
 	"slices"
 
-	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/outside"
 	"github.com/magpielug/magpielug/internal/replication"
 )
 
@@ -16,7 +16,7 @@
 // streamReader reads a shard's streams outside the control goroutine. An error
 // is always the log's: what stands in the streams never stops a reader.
 type streamReader struct {
-	log   platform.Log
+	log   outside.Log
 	shard uint32
 	// records and bytes count what was read of the shard's stream.
 	records int
@@ -55,7 +55,7 @@
 // read first.
 func (reader *streamReader) pointers(ctx context.Context) ([]replication.SnapshotPointer, error) {
 	var pointers []replication.SnapshotPointer
-	err := reader.each(ctx, indexStreamName(reader.shard), 0, func(record platform.Record) bool {
+	err := reader.each(ctx, indexStreamName(reader.shard), 0, func(record outside.Record) bool {
 		if pointer, err := replication.DecodeSnapshotPointer(reader.shard, record.Data); err == nil {
 			pointers = append(pointers, pointer)
 		}
@@ -75,7 +75,7 @@
 		pointer:   pointer,
 		collector: replication.NewSnapshotCollector(reader.shard, pointer.SnapshotID),
 	}
-	err := reader.each(ctx, streamName(reader.shard), pointer.Offset, func(record platform.Record) bool {
+	err := reader.each(ctx, streamName(reader.shard), pointer.Offset, func(record outside.Record) bool {
 		reader.count(record)
 		search.take(record)
 		return !search.failed
@@ -85,21 +85,21 @@
 
 // readOn reads from the view's offset to the stream's end.
 func (reader *streamReader) readOn(ctx context.Context, view *streamView) error {
-	return reader.each(ctx, streamName(reader.shard), view.offset, func(record platform.Record) bool {
+	return reader.each(ctx, streamName(reader.shard), view.offset, func(record outside.Record) bool {
 		reader.count(record)
 		_ = view.read(record)
 		return true
 	})
 }
 
-func (reader *streamReader) count(record platform.Record) {
+func (reader *streamReader) count(record outside.Record) {
 	reader.records++
 	reader.bytes += len(record.Data)
 }
 
 // each hands the records of a stream over, up to the one that it found as the
 // last, or until take returns false.
-func (reader *streamReader) each(ctx context.Context, stream string, from uint64, take func(platform.Record) bool) error {
+func (reader *streamReader) each(ctx context.Context, stream string, from uint64, take func(outside.Record) bool) error {
 	for {
 		records, err := readRecords(ctx, reader.log, stream, from)
 		if err != nil || len(records) == 0 {
@@ -114,7 +114,7 @@
 	}
 }
 
-func readRecords(ctx context.Context, log platform.Log, stream string, from uint64) ([]platform.Record, error) {
+func readRecords(ctx context.Context, log outside.Log, stream string, from uint64) ([]outside.Record, error) {
 	bounded, cancel := context.WithTimeout(ctx, logTimeout)
 	defer cancel()
 	return log.Read(bounded, stream, from, streamReadLimit)
@@ -143,7 +143,7 @@
 func (StreamOpened) event() {}
 
 // openStream carries an OpenStream out.
-func openStream(ctx context.Context, log platform.Log, effect OpenStream) StreamOpened {
+func openStream(ctx context.Context, log outside.Log, effect OpenStream) StreamOpened {
 	opened := StreamOpened{Shard: effect.Shard, Below: effect.Below}
 	reader := &streamReader{log: log, shard: effect.Shard}
 	view, err := reader.open(ctx, effect.Below)
--- a/internal/scheduler/stream_snapshot.go
+++ b/internal/scheduler/stream_snapshot.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/outside"
 	"github.com/magpielug/magpielug/internal/replication"
 )
 
@@ -51,7 +51,7 @@
 func (StreamSnapshotted) event() {}
 
 // snapshotStream carries a SnapshotStream out.
-func snapshotStream(ctx context.Context, log platform.Log, effect SnapshotStream) StreamSnapshotted {
+func snapshotStream(ctx context.Context, log outside.Log, effect SnapshotStream) StreamSnapshotted {
 	reader := &streamReader{log: log, shard: effect.Shard}
 	pointers, err := reader.pointers(ctx)
 	if err != nil {
@@ -119,7 +119,7 @@
 }
 
 // appendRecord appends a record that may stand in the stream more than once.
-func appendRecord(ctx context.Context, log platform.Log, stream string, record []byte) error {
+func appendRecord(ctx context.Context, log outside.Log, stream string, record []byte) error {
 	var err error
 	for range snapshotAppendTries {
 		bounded, cancel := context.WithTimeout(ctx, logTimeout)
--- a/internal/scheduler/stream_view.go
+++ b/internal/scheduler/stream_view.go
@@ -1,7 +1,7 @@
 package scheduler
 
 import (
-	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/outside"
 	"github.com/magpielug/magpielug/internal/replication"
 	"github.com/magpielug/magpielug/internal/shard"
 )
@@ -44,7 +44,7 @@
 
 // read takes in the stream's next record. A new claim's group starts from
 // everything before the claim.
-func (view *streamView) read(record platform.Record) error {
+func (view *streamView) read(record outside.Record) error {
 	view.offset = record.Offset + 1
 	before := view.archive.Claim().Generation
 	entries, err := view.archive.Read(record.Data)
--- a/internal/scheduler/test_engine_test.go
+++ b/internal/scheduler/test_engine_test.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/outside"
 )
 
 const (
@@ -48,12 +48,12 @@
 	clear(engine.held)
 }
 
-func (engine *testEngine) report() platform.LoadReport {
+func (engine *testEngine) report() outside.LoadReport {
 	used := 0
 	for _, blocks := range engine.held {
 		used += blocks
 	}
-	return platform.LoadReport{
+	return outside.LoadReport{
 		Engine: engine.name, Model: testModel, Version: "1", RunningLimit: 8, BlocksTotal: 4096, BlocksUsed: used,
 		BlockTokens: 16, StepDuration: 3 * time.Millisecond, ProgramBlocks: maps.Clone(engine.held),
 		Adapters: slices.Clone(engine.adapters), Loading: engine.loading, Leaving: engine.leaving, Role: engine.role, FenceEpoch: engine.fence,
@@ -61,7 +61,7 @@
 }
 
 // obeys tells whether an order under the fence is taken, and remembers it.
-func (engine *testEngine) obeys(fence platform.Fence) bool {
+func (engine *testEngine) obeys(fence outside.Fence) bool {
 	if fence.Epoch < engine.fence {
 		engine.stale++
 		return false
@@ -71,7 +71,7 @@
 }
 
 // admit tells why a new call is refused, empty where it is not.
-func (engine *testEngine) admit(request platform.GenerateRequest) string {
+func (engine *testEngine) admit(request outside.GenerateRequest) string {
 	if !engine.obeys(request.Fence) {
 		return "stale fence"
 	}
--- a/internal/scheduler/test_log_test.go
+++ b/internal/scheduler/test_log_test.go
@@ -6,7 +6,7 @@
 	"math/rand"
 	"time"
 
-	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/outside"
 )
 
 // errTestLog is the answer of a log that is away, or whose answer was lost.
@@ -52,13 +52,13 @@
 	return uint64(len(log.streams[stream]) - 1), nil
 }
 
-func (log *testLog) Read(_ context.Context, stream string, offset uint64, limit int) ([]platform.Record, error) {
+func (log *testLog) Read(_ context.Context, stream string, offset uint64, limit int) ([]outside.Record, error) {
 	if log.away() {
 		return nil, errTestLog
 	}
-	var records []platform.Record
+	var records []outside.Record
 	for position := int(offset); position < len(log.streams[stream]) && len(records) < limit; position++ {
-		records = append(records, platform.Record{Offset: uint64(position), Data: log.streams[stream][position]})
+		records = append(records, outside.Record{Offset: uint64(position), Data: log.streams[stream][position]})
 	}
 	return records, nil
 }
--- a/internal/scheduler/tool_pick.go
+++ b/internal/scheduler/tool_pick.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/outside"
 )
 
 // toolAvoidance is how long a tool back end that failed a call is passed over
@@ -14,11 +14,11 @@
 
 // pickTool returns the live back end of a tool service on which this process
 // has the fewest calls under way, one that has failed none lately if there is.
-func (core *Core) pickTool(service string) (platform.Machine, bool) {
+func (core *Core) pickTool(service string) (outside.Machine, bool) {
 	busy := core.toolLoad()
 	fewest := math.MaxInt
 	avoided := true
-	var picked platform.Machine
+	var picked outside.Machine
 	for _, machine := range core.directory.toolsOf(service) {
 		if core.configuration != nil && core.configuration.Drained(machine.ID) {
 			continue
--- a/internal/scheduler/traffic.go
+++ b/internal/scheduler/traffic.go
@@ -10,7 +10,7 @@
 	"go.uber.org/zap"
 
 	schedulerv1 "github.com/magpielug/magpielug/api/scheduler/v1"
-	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/outside"
 	"github.com/magpielug/magpielug/internal/workerpool"
 )
 
@@ -33,9 +33,9 @@
 	ctx     context.Context
 	loop    *Loop
 	logger  *zap.Logger
-	log     platform.Log
-	engines platform.Engine
-	tools   platform.Tool
+	log     outside.Log
+	engines outside.Engine
+	tools   outside.Tool
 	client  *http.Client
 	peers   *peerSenders
 	polls   *enginePolls
--- a/rehearsal/capacity/slope/decoding.go
+++ b/rehearsal/capacity/slope/decoding.go
@@ -9,7 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	operatorv1 "github.com/magpielug/magpielug/api/operator/v1"
-	"github.com/magpielug/magpielug/internal/platform/wire"
+	"github.com/magpielug/magpielug/internal/outside/wire"
 )
 
 // decodings is how many decodings are averaged.
--- a/rehearsal/capacity/slope/size.go
+++ b/rehearsal/capacity/slope/size.go
@@ -11,7 +11,7 @@
 	replicationv1 "github.com/magpielug/magpielug/api/replication/v1"
 	schedulerv1 "github.com/magpielug/magpielug/api/scheduler/v1"
 	shardv1 "github.com/magpielug/magpielug/api/shard/v1"
-	"github.com/magpielug/magpielug/internal/platform/wire"
+	"github.com/magpielug/magpielug/internal/outside/wire"
 )
 
 // Values of usual length and size.
--- a/rehearsal/cluster/cluster.go
+++ b/rehearsal/cluster/cluster.go
@@ -12,8 +12,8 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/magpielug/magpielug/internal/platform"
-	"github.com/magpielug/magpielug/internal/platform/wire"
+	"github.com/magpielug/magpielug/internal/outside"
+	"github.com/magpielug/magpielug/internal/outside/wire"
 	"github.com/magpielug/magpielug/rehearsal/relay"
 )
 
@@ -122,9 +122,9 @@
 // StartMachine starts a machine's process and puts it on the machine list.
 func (cluster *Cluster) StartMachine(ctx context.Context, machine Machine) error {
 	switch machine.Role {
-	case platform.RoleEngine:
+	case outside.RoleEngine:
 		return cluster.startEngine(machine)
-	case platform.RoleTool:
+	case outside.RoleTool:
 		return cluster.startTool(machine)
 	}
 	path, err := cluster.plan.writeSettings(cluster.directory, machine)
@@ -185,7 +185,7 @@
 		Region:  Region,
 		Zone:    machine.Zone,
 		Address: machine.Address,
-		State:   string(platform.MachineLive),
+		State:   string(outside.MachineLive),
 	})
 }
 
@@ -203,12 +203,12 @@
 func (cluster *Cluster) Plan() Plan { return cluster.plan }
 
 // Gateways lists the addresses that callers can use.
-func (cluster *Cluster) Gateways() []string { return cluster.addresses(platform.RoleGateway) }
+func (cluster *Cluster) Gateways() []string { return cluster.addresses(outside.RoleGateway) }
 
 // Engines lists the engines' addresses.
-func (cluster *Cluster) Engines() []string { return cluster.addresses(platform.RoleEngine) }
+func (cluster *Cluster) Engines() []string { return cluster.addresses(outside.RoleEngine) }
 
-func (cluster *Cluster) addresses(role platform.MachineRole) []string {
+func (cluster *Cluster) addresses(role outside.MachineRole) []string {
 	var addresses []string
 	for _, machine := range cluster.plan.Machines() {
 		if machine.Role == role {
@@ -280,7 +280,7 @@
 	bounded, cancel := context.WithTimeout(ctx, readyBound)
 	defer cancel()
 	for _, machine := range cluster.plan.Machines() {
-		if machine.Role != platform.RoleGateway && machine.Role != platform.RoleScheduler {
+		if machine.Role != outside.RoleGateway && machine.Role != outside.RoleScheduler {
 			continue
 		}
 		if err := cluster.AwaitReady(bounded, machine); err != nil {
--- a/rehearsal/cluster/configuration.go
+++ b/rehearsal/cluster/configuration.go
@@ -13,7 +13,7 @@
 	configurationv1 "github.com/magpielug/magpielug/api/configuration/v1"
 	operatorv1 "github.com/magpielug/magpielug/api/operator/v1"
 	"github.com/magpielug/magpielug/internal/configuration"
-	"github.com/magpielug/magpielug/internal/platform/httpadapter"
+	"github.com/magpielug/magpielug/internal/outside/httpadapter"
 	"github.com/magpielug/magpielug/rehearsal/workload"
 )
 
--- a/rehearsal/cluster/plan.go
+++ b/rehearsal/cluster/plan.go
@@ -6,7 +6,7 @@
 import (
 	"fmt"
 
-	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/outside"
 )
 
 const (
@@ -53,7 +53,7 @@
 // Machine is one process of a plan.
 type Machine struct {
 	ID      string
-	Role    platform.MachineRole
+	Role    outside.MachineRole
 	Zone    string
 	Host    string
 	Address string
@@ -87,10 +87,10 @@
 func (plan Plan) Machines() []Machine {
 	var machines []Machine
 	for zone := 1; zone <= plan.Zones; zone++ {
-		machines = append(machines, plan.inZone(platform.RoleGateway, zone, plan.GatewaysPerZone, firstGateway, "")...)
-		machines = append(machines, plan.inZone(platform.RoleScheduler, zone, plan.SchedulersPerZone, firstScheduler, "")...)
-		machines = append(machines, plan.inZone(platform.RoleEngine, zone, plan.share(plan.Engines, zone), firstEngine, plan.Model)...)
-		machines = append(machines, plan.inZone(platform.RoleTool, zone, plan.share(plan.Tools, zone), firstTool, plan.Tool)...)
+		machines = append(machines, plan.inZone(outside.RoleGateway, zone, plan.GatewaysPerZone, firstGateway, "")...)
+		machines = append(machines, plan.inZone(outside.RoleScheduler, zone, plan.SchedulersPerZone, firstScheduler, "")...)
+		machines = append(machines, plan.inZone(outside.RoleEngine, zone, plan.share(plan.Engines, zone), firstEngine, plan.Model)...)
+		machines = append(machines, plan.inZone(outside.RoleTool, zone, plan.share(plan.Tools, zone), firstTool, plan.Tool)...)
 	}
 	return machines
 }
@@ -104,7 +104,7 @@
 	return count
 }
 
-func (plan Plan) inZone(role platform.MachineRole, zone, count, first int, service string) []Machine {
+func (plan Plan) inZone(role outside.MachineRole, zone, count, first int, service string) []Machine {
 	var machines []Machine
 	for number := range count {
 		host := fmt.Sprintf("127.%d.0.%d", zone, first+number)
--- a/rehearsal/command/registration.go
+++ b/rehearsal/command/registration.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"github.com/magpielug/magpielug/internal/httpclient"
-	"github.com/magpielug/magpielug/internal/platform"
-	"github.com/magpielug/magpielug/internal/platform/wire"
+	"github.com/magpielug/magpielug/internal/outside"
+	"github.com/magpielug/magpielug/internal/outside/wire"
 	"github.com/magpielug/magpielug/rehearsal/standin/machines"
 )
 
@@ -29,7 +29,7 @@
 	Machines  string `arg:"--machines" placeholder:"HOST:PORT" help:"machine list to register at; none registers nowhere"`
 	Advertise string `arg:"--advertise" placeholder:"HOST:PORT" help:"address to register; default is the listen address"`
 
-	role    platform.MachineRole
+	role    outside.MachineRole
 	service string
 }
 
--- a/rehearsal/command/speed.go
+++ b/rehearsal/command/speed.go
@@ -9,7 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/magpielug/magpielug/internal/platform/httpadapter"
+	"github.com/magpielug/magpielug/internal/outside/httpadapter"
 	"github.com/magpielug/magpielug/rehearsal/cluster"
 	"github.com/magpielug/magpielug/rehearsal/speed"
 )
--- a/rehearsal/command/standin.go
+++ b/rehearsal/command/standin.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"github.com/magpielug/magpielug/internal/httpserver"
-	"github.com/magpielug/magpielug/internal/platform"
-	"github.com/magpielug/magpielug/internal/platform/httpadapter"
+	"github.com/magpielug/magpielug/internal/outside"
+	"github.com/magpielug/magpielug/internal/outside/httpadapter"
 	"github.com/magpielug/magpielug/rehearsal/enginemodel"
 	"github.com/magpielug/magpielug/rehearsal/standin/engine"
 	"github.com/magpielug/magpielug/rehearsal/standin/logservice"
@@ -55,7 +55,7 @@
 	}
 	standIn := engine.New(config)
 	defer standIn.Close()
-	command.role = platform.RoleEngine
+	command.role = outside.RoleEngine
 	command.service = command.Model
 	return serveStandIn(ctx, command.Listen, standIn.Handler(), &command.Registration)
 }
@@ -141,7 +141,7 @@
 // Run serves until ctx ends.
 func (command *StandInTool) Run(ctx context.Context) error {
 	standIn := tool.New(tool.Config{Service: command.Service, Delay: command.Delay})
-	command.role = platform.RoleTool
+	command.role = outside.RoleTool
 	command.service = command.Service
 	return serveStandIn(ctx, command.Listen, standIn.Handler(), &command.Registration)
 }
--- a/rehearsal/command/standin_test.go
+++ b/rehearsal/command/standin_test.go
@@ -10,8 +10,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/magpielug/magpielug/internal/platform"
-	"github.com/magpielug/magpielug/internal/platform/httpadapter"
+	"github.com/magpielug/magpielug/internal/outside"
+	"github.com/magpielug/magpielug/internal/outside/httpadapter"
 	"github.com/magpielug/magpielug/rehearsal/standin/engine"
 )
 
@@ -54,19 +54,19 @@
 		start(&StandInEngine{}, "--listen", back, "--id", "engine-1", "--model", "small", "--machines", list, "--weights", store, "--report-lag", "1ms")
 
 		ctx := context.Background()
-		Eventually(func() ([]platform.Machine, error) {
+		Eventually(func() ([]outside.Machine, error) {
 			return httpadapter.NewMachines(client, list).List(ctx)
 		}, settleTimeout).Should(HaveLen(2))
 		engines := httpadapter.NewEngine(client)
 		var text string
 		prompt := []string{"hello [[tokens=20]]"}
-		request := platform.GenerateRequest{RequestID: "r", Program: "p", Model: "small", Prompt: prompt, MaxTokens: 40}
-		Expect(engines.Generate(ctx, back, request, func(chunk platform.EngineChunk) error {
+		request := outside.GenerateRequest{RequestID: "r", Program: "p", Model: "small", Prompt: prompt, MaxTokens: 40}
+		Expect(engines.Generate(ctx, back, request, func(chunk outside.EngineChunk) error {
 			text += chunk.Text
 			return nil
 		})).To(Succeed())
 		Expect(text).To(Equal(engine.ExpectedOutput("p", "r", prompt, 40).Text))
-		Expect(engines.Load(ctx, back, "large", "", "2", platform.Fence{Epoch: 1})).To(Succeed())
+		Expect(engines.Load(ctx, back, "large", "", "2", outside.Fence{Epoch: 1})).To(Succeed())
 		Eventually(func() (string, error) {
 			report, err := engines.Report(ctx, back)
 			return report.Model + report.Version, err
--- a/rehearsal/drive/cache.go
+++ b/rehearsal/drive/cache.go
@@ -8,7 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/magpielug/magpielug/internal/platform/wire"
+	"github.com/magpielug/magpielug/internal/outside/wire"
 	"github.com/magpielug/magpielug/rehearsal/standin/engine"
 )
 
--- a/rehearsal/experiment/standin_benchmark_test.go
+++ b/rehearsal/experiment/standin_benchmark_test.go
@@ -11,8 +11,8 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/magpielug/magpielug/internal/httpserver"
-	"github.com/magpielug/magpielug/internal/platform"
-	"github.com/magpielug/magpielug/internal/platform/httpadapter"
+	"github.com/magpielug/magpielug/internal/outside"
+	"github.com/magpielug/magpielug/internal/outside/httpadapter"
 	"github.com/magpielug/magpielug/rehearsal/enginemodel"
 	standin "github.com/magpielug/magpielug/rehearsal/standin/engine"
 	"github.com/magpielug/magpielug/rehearsal/workload"
@@ -134,7 +134,7 @@
 		group.Go(func() {
 			sent := time.Now()
 			var firstAfter time.Duration
-			err := client.Generate(context.Background(), server.Address(), standInRequest(index), func(platform.EngineChunk) error {
+			err := client.Generate(context.Background(), server.Address(), standInRequest(index), func(outside.EngineChunk) error {
 				if firstAfter == 0 {
 					firstAfter = time.Since(sent)
 				}
@@ -154,11 +154,11 @@
 	return whole, first
 }
 
-func standInRequest(index int) platform.GenerateRequest {
+func standInRequest(index int) outside.GenerateRequest {
 	name := fmt.Sprintf("request-%03d", index)
 	marker := fmt.Sprintf("%s [[tokens=%d]]", name, generatedTokens)
 	own := strings.Repeat(tokenText, ownTokens)[:ownTokens*len(tokenText)-len(marker)]
-	return platform.GenerateRequest{
+	return outside.GenerateRequest{
 		RequestID: name, Program: name, Model: modelName,
 		Prompt:    []string{strings.Repeat(tokenText, sharedTokens), name + own + marker[len(name):]},
 		MaxTokens: generatedTokens,
--- a/rehearsal/fault/back_end.go
+++ b/rehearsal/fault/back_end.go
@@ -9,8 +9,8 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/magpielug/magpielug/internal/platform"
-	"github.com/magpielug/magpielug/internal/platform/wire"
+	"github.com/magpielug/magpielug/internal/outside"
+	"github.com/magpielug/magpielug/internal/outside/wire"
 	"github.com/magpielug/magpielug/rehearsal/cluster"
 	"github.com/magpielug/magpielug/rehearsal/history"
 	"github.com/magpielug/magpielug/rehearsal/standin/engine"
@@ -34,8 +34,8 @@
 	runner.starts[target]++
 }
 
-func isBackEnd(role platform.MachineRole) bool {
-	return role == platform.RoleEngine || role == platform.RoleTool
+func isBackEnd(role outside.MachineRole) bool {
+	return role == outside.RoleEngine || role == outside.RoleTool
 }
 
 // barAndCount takes the counts of a back end that is about to be killed. From
@@ -105,7 +105,7 @@
 func (runner *runner) heldMemory(ctx context.Context) ([]history.HeldMemory, error) {
 	var held []history.HeldMemory
 	for _, machine := range runner.cluster.Plan().Machines() {
-		if machine.Role != platform.RoleEngine || !runner.cluster.Running(machine.ID) {
+		if machine.Role != outside.RoleEngine || !runner.cluster.Running(machine.ID) {
 			continue
 		}
 		var state wire.LoadReport
--- a/rehearsal/fault/operators.go
+++ b/rehearsal/fault/operators.go
@@ -13,7 +13,7 @@
 
 	operatorv1 "github.com/magpielug/magpielug/api/operator/v1"
 	"github.com/magpielug/magpielug/internal/operator"
-	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/outside"
 	"github.com/magpielug/magpielug/internal/resultcode"
 	"github.com/magpielug/magpielug/rehearsal/cluster"
 	"github.com/magpielug/magpielug/rehearsal/history"
@@ -102,7 +102,7 @@
 	}
 	for turn := 0; pause(ctx, sampleInterval); turn++ {
 		for _, machine := range runner.cluster.Plan().Machines() {
-			if machine.Role == platform.RoleGateway {
+			if machine.Role == outside.RoleGateway {
 				runner.sampleGateway(ctx, machine)
 			}
 		}
@@ -132,7 +132,7 @@
 		return
 	}
 	for _, node := range nodes {
-		if node.GetRole() == string(platform.RoleScheduler) && node.GetConfigurationVersion() > 0 {
+		if node.GetRole() == string(outside.RoleScheduler) && node.GetConfigurationVersion() > 0 {
 			runner.sampled(node.GetId(), at, node.GetConfigurationVersion())
 		}
 	}
--- a/rehearsal/fault/throw.go
+++ b/rehearsal/fault/throw.go
@@ -8,7 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/outside"
 	"github.com/magpielug/magpielug/rehearsal/cluster"
 	"github.com/magpielug/magpielug/rehearsal/history"
 	"github.com/magpielug/magpielug/rehearsal/standin/fault"
@@ -120,8 +120,8 @@
 	return runner.cluster.AwaitReady(bounded, machine)
 }
 
-func isOurs(role platform.MachineRole) bool {
-	return role == platform.RoleGateway || role == platform.RoleScheduler
+func isOurs(role outside.MachineRole) bool {
+	return role == outside.RoleGateway || role == outside.RoleScheduler
 }
 
 func (runner *runner) freeze(ctx context.Context, target string, length time.Duration) error {
--- a/rehearsal/speed/call.go
+++ b/rehearsal/speed/call.go
@@ -10,7 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/magpielug/magpielug/internal/platform/wire"
+	"github.com/magpielug/magpielug/internal/outside/wire"
 )
 
 const (
--- a/rehearsal/speed/cost.go
+++ b/rehearsal/speed/cost.go
@@ -10,7 +10,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/outside"
 	"github.com/magpielug/magpielug/rehearsal/capacity/usage"
 	"github.com/magpielug/magpielug/rehearsal/cluster"
 )
@@ -23,7 +23,7 @@
 
 // Cost is what the processes of one role used together, on average over a while.
 type Cost struct {
-	Role      platform.MachineRole
+	Role      outside.MachineRole
 	Processes int
 	// Processor is in cores, Read and Written in bytes a second.
 	Processor, Read, Written float64
@@ -37,7 +37,7 @@
 	var processes []int
 	var roles []int
 	pids := running.Processes()
-	for index, role := range []platform.MachineRole{platform.RoleScheduler, platform.RoleGateway} {
+	for index, role := range []outside.MachineRole{outside.RoleScheduler, outside.RoleGateway} {
 		costs = append(costs, Cost{Role: role})
 		for _, machine := range running.Plan().Machines() {
 			if pid, found := pids[machine.ID]; found && machine.Role == role {
--- a/rehearsal/speed/way.go
+++ b/rehearsal/speed/way.go
@@ -15,8 +15,8 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/magpielug/magpielug/internal/platform/httpadapter"
-	"github.com/magpielug/magpielug/internal/platform/wire"
+	"github.com/magpielug/magpielug/internal/outside/httpadapter"
+	"github.com/magpielug/magpielug/internal/outside/wire"
 	"github.com/magpielug/magpielug/rehearsal/caller"
 )
 
--- a/rehearsal/standin/engine/bounded_set.go
+++ b/rehearsal/standin/engine/bounded_set.go
@@ -1,6 +1,6 @@
 package engine
 
-import "github.com/magpielug/magpielug/internal/platform/wire"
+import "github.com/magpielug/magpielug/internal/outside/wire"
 
 // boundedSet remembers the latest ids with a reason each.
 type boundedSet struct {
--- a/rehearsal/standin/engine/changes.go
+++ b/rehearsal/standin/engine/changes.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/magpielug/magpielug/internal/platform/wire"
+	"github.com/magpielug/magpielug/internal/outside/wire"
 )
 
 // cacheChanges numbers the changes of programs' blocks, so that a report can
--- a/rehearsal/standin/engine/config.go
+++ b/rehearsal/standin/engine/config.go
@@ -8,7 +8,7 @@
 import (
 	"time"
 
-	"github.com/magpielug/magpielug/internal/platform"
+	"github.com/magpielug/magpielug/internal/outside"
 	"github.com/magpielug/magpielug/rehearsal/enginemodel"
 )
 
@@ -53,7 +53,7 @@
 	// LoadDuration is how long weights take to move once Weights grants it;
 	// nil Weights always grants.
 	LoadDuration time.Duration
-	Weights      platform.Weights
+	Weights      outside.Weights
 }
 
 func (config Config) withDefaults() Config {
--- a/rehearsal/standin/engine/engine.go
+++ b/rehearsal/standin/engine/engine.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/magpielug/magpielug/internal/platform/wire"
+	"github.com/magpielug/magpielug/internal/outside/wire"
 	"github.com/magpielug/magpielug/rehearsal/enginemodel"
 	"github.com/magpielug/magpielug/rehearsal/standin/fault"
 	"github.com/magpielug/magpielug/rehearsal/standin/reply"
--- a/rehearsal/standin/engine/engine_benchmark_test.go
+++ b/rehearsal/standin/engine/engine_benchmark_test.go
@@ -12,9 +12,9 @@
 	"time"
 
 	"github.com/magpielug/magpielug/internal/httpserver"
-	"github.com/magpielug/magpielug/internal/platform"
-	"github.com/magpielug/magpielug/internal/platform/httpadapter"
-	"github.com/magpielug/magpielug/internal/platform/wire"
+	"github.com/magpielug/magpielug/internal/outside"
+	"github.com/magpielug/magpielug/internal/outside/httpadapter"
+	"github.com/magpielug/magpielug/internal/outside/wire"
 	"github.com/magpielug/magpielug/rehearsal/enginemodel"
 	"github.com/magpielug/magpielug/rehearsal/standin/reply"
 )
@@ -56,7 +56,7 @@
 		for stream := range streams {
 			group.Go(func() {
 				asked := request(fmt.Sprintf("%d-%d", rounds, stream), strings.Repeat("word", 50)+fmt.Sprintf("[[tokens=%d]]", tokens))
-				err := client.Generate(context.Background(), server.Address(), asked, func(platform.EngineChunk) error { return nil })
+				err := client.Generate(context.Background(), server.Address(), asked, func(outside.EngineChunk) error { return nil })
 				if err != nil {
 					b.Error(err)
 				}
--- a/rehearsal/standin/engine/engine_test.go
+++ b/rehearsal/standin/engine/engine_test.go
@@ -13,9 +13,9 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/magpielug/magpielug/internal/httpserver"
-	"github.com/magpielug/magpielug/internal/platform"
-	"github.com/magpielug/magpielug/internal/platform/httpadapter"
-	"github.com/magpielug/magpielug/internal/platform/wire"
+	"github.com/magpielug/magpielug/internal/outside"
+	"github.com/magpielug/magpielug/internal/outside/httpadapter"
+	"github.com/magpielug/magpielug/internal/outside/wire"
 	"github.com/magpielug/magpielug/rehearsal/standin/fault"
 )
 
@@ -50,28 +50,28 @@
 	return &bench{Engine: standIn, address: server.Address(), client: httpadapter.NewEngine(pool)}
 }
 
-func request(id, prompt string) platform.GenerateRequest {
-	return platform.GenerateRequest{RequestID: id, Program: "p", Model: testModel, Prompt: []string{prompt}, MaxTokens: 4000}
+func request(id, prompt string) outside.GenerateRequest {
+	return outside.GenerateRequest{RequestID: id, Program: "p", Model: testModel, Prompt: []string{prompt}, MaxTokens: 4000}
 }
 
-func expected(asked platform.GenerateRequest) string {
+func expected(asked outside.GenerateRequest) string {
 	return ExpectedOutput(asked.Program, asked.RequestID, asked.Prompt, asked.MaxTokens).Text
 }
 
 // received collects a stream's items.
 type received struct {
 	text string
-	last platform.EngineChunk
+	last outside.EngineChunk
 }
 
-func (seen *received) add(chunk platform.EngineChunk) error {
+func (seen *received) add(chunk outside.EngineChunk) error {
 	seen.text += chunk.Text
 	seen.last = chunk
 	return nil
 }
 
 // generate streams a whole request.
-func (bench *bench) generate(asked platform.GenerateRequest) (received, error) {
+func (bench *bench) generate(asked outside.GenerateRequest) (received, error) {
 	var seen received
 	err := bench.client.Generate(context.Background(), bench.address, asked, seen.add)
 	return seen, err
@@ -80,9 +80,9 @@
 var errStopReading = errors.New("stop reading")
 
 // generateFirst reads the first items and drops the connection.
-func (bench *bench) generateFirst(asked platform.GenerateRequest, items uint64) received {
+func (bench *bench) generateFirst(asked outside.GenerateRequest, items uint64) received {
 	var seen received
-	err := bench.client.Generate(context.Background(), bench.address, asked, func(chunk platform.EngineChunk) error {
+	err := bench.client.Generate(context.Background(), bench.address, asked, func(chunk outside.EngineChunk) error {
 		_ = seen.add(chunk)
 		if chunk.Sequence == items {
 			return errStopReading
@@ -102,7 +102,7 @@
 		seen, err := bench.generate(asked)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(seen.text).To(Equal(expected(asked)))
-		Expect(seen.last).To(Equal(platform.EngineChunk{Sequence: 31, Finish: "stop", PromptTokens: 5, OutputTokens: 30}))
+		Expect(seen.last).To(Equal(outside.EngineChunk{Sequence: 31, Finish: "stop", PromptTokens: 5, OutputTokens: 30}))
 		again, err := bench.generate(asked)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(again).To(Equal(seen))
@@ -115,9 +115,9 @@
 		attaching := asked
 		attaching.AttachOnly = true
 		_, err := bench.generate(attaching)
-		Expect(err).To(MatchError(platform.ErrNotRun))
+		Expect(err).To(MatchError(outside.ErrNotRun))
 		_, err = bench.generate(asked)
-		Expect(err).To(MatchError(platform.ErrNotRun))
+		Expect(err).To(MatchError(outside.ErrNotRun))
 		Expect(bench.runs("a")).To(BeZero())
 	})
 
@@ -162,25 +162,25 @@
 		bench := newBench(Config{})
 		asked := request("a", "hello [[tokens=4000]]")
 		bench.generateFirst(asked, 2)
-		Expect(bench.client.Cancel(context.Background(), bench.address, "a", platform.Fence{})).To(Succeed())
+		Expect(bench.client.Cancel(context.Background(), bench.address, "a", outside.Fence{})).To(Succeed())
 		seen, err := bench.generate(asked)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(seen.last.Finish).To(Equal("cancelled"))
 		Expect(strings.HasPrefix(expected(asked), seen.text)).To(BeTrue())
 		Expect(bench.Stats().Running).To(BeZero())
-		Expect(bench.client.Cancel(context.Background(), bench.address, "b", platform.Fence{})).To(Succeed())
+		Expect(bench.client.Cancel(context.Background(), bench.address, "b", outside.Fence{})).To(Succeed())
 		_, err = bench.generate(request("b", "hello"))
-		Expect(err).To(MatchError(platform.ErrNotRun))
+		Expect(err).To(MatchError(outside.ErrNotRun))
 		Expect(bench.runs("b")).To(BeZero())
 	})
 
 	It("refuses orders under an older fence, but lets a stream be joined", func() {
 		bench := newBench(Config{})
 		asked := request("a", "hello [[tokens=20]]")
-		asked.Fence = platform.Fence{Holder: "one", Epoch: 3}
+		asked.Fence = outside.Fence{Holder: "one", Epoch: 3}
 		_, err := bench.generate(asked)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(bench.client.SetRole(context.Background(), bench.address, RoleDecode, platform.Fence{Holder: "two", Epoch: 4})).To(Succeed())
+		Expect(bench.client.SetRole(context.Background(), bench.address, RoleDecode, outside.Fence{Holder: "two", Epoch: 4})).To(Succeed())
 		stale := []error{
 			bench.client.Cancel(context.Background(), bench.address, "a", asked.Fence),
 			bench.client.Release(context.Background(), bench.address, "p", asked.Fence),
@@ -189,14 +189,14 @@
 			bench.client.Import(context.Background(), bench.address, "p", []byte(`{"format":1}`), asked.Fence),
 		}
 		for _, err := range stale {
-			Expect(err).To(MatchError(platform.ErrStaleFence))
-			Expect(err).To(MatchError(platform.ErrNotRun))
+			Expect(err).To(MatchError(outside.ErrStaleFence))
+			Expect(err).To(MatchError(outside.ErrNotRun))
 		}
 		_, err = bench.generate(asked)
 		Expect(err).NotTo(HaveOccurred())
 		asked.RequestID = "new"
 		_, err = bench.generate(asked)
-		Expect(err).To(MatchError(platform.ErrStaleFence))
+		Expect(err).To(MatchError(outside.ErrStaleFence))
 		Expect(bench.runs("new")).To(BeZero())
 	})
 
@@ -205,16 +205,16 @@
 		Expect(bench.Faults().Set(fault.Order{Kind: fault.LoseAnswers, ForMillis: faultMillis})).To(Succeed())
 		asked := request("a", "hello [[tokens=20]]")
 		_, err := bench.generate(asked)
-		Expect(err).To(MatchError(platform.ErrOutcomeUnknown))
-		Expect(err).NotTo(MatchError(platform.ErrNotRun))
-		err = bench.client.SetRole(context.Background(), bench.address, RoleDecode, platform.Fence{Epoch: 2})
-		Expect(err).To(MatchError(platform.ErrOutcomeUnknown))
+		Expect(err).To(MatchError(outside.ErrOutcomeUnknown))
+		Expect(err).NotTo(MatchError(outside.ErrNotRun))
+		err = bench.client.SetRole(context.Background(), bench.address, RoleDecode, outside.Fence{Epoch: 2})
+		Expect(err).To(MatchError(outside.ErrOutcomeUnknown))
 		Expect(bench.Faults().Set(fault.Order{Kind: fault.Clear})).To(Succeed())
 		seen, err := bench.generate(asked)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(seen.text).To(Equal(expected(asked)))
 		Expect(bench.runs("a")).To(Equal(1))
-		Expect(bench.client.SetRole(context.Background(), bench.address, RoleMixed, platform.Fence{Epoch: 1})).To(MatchError(platform.ErrStaleFence))
+		Expect(bench.client.SetRole(context.Background(), bench.address, RoleMixed, outside.Fence{Epoch: 1})).To(MatchError(outside.ErrStaleFence))
 	})
 
 	DescribeTable("breaks its stream under a fault, and every part can be had by resuming",
@@ -232,21 +232,21 @@
 				}
 				failures++
 				Expect(err).To(MatchError(wanted))
-				Expect(err).To(MatchError(platform.ErrOutcomeUnknown))
+				Expect(err).To(MatchError(outside.ErrOutcomeUnknown))
 			}
 			Expect(failures).To(BeNumerically(">", 0))
 			Expect(text).To(Equal(expected(asked)))
 			Expect(bench.runs("a")).To(Equal(1))
 		},
-		Entry("cut", fault.CutStream, platform.ErrOutcomeUnknown),
-		Entry("rubbish", fault.Rubbish, platform.ErrMalformedAnswer),
+		Entry("cut", fault.CutStream, outside.ErrOutcomeUnknown),
+		Entry("rubbish", fault.Rubbish, outside.ErrMalformedAnswer),
 	)
 
 	It("refuses everything in an outage as not run", func() {
 		bench := newBench(Config{})
 		Expect(bench.Faults().Set(fault.Order{Kind: fault.Outage, ForMillis: faultMillis})).To(Succeed())
 		_, err := bench.generate(request("a", "hello"))
-		Expect(err).To(MatchError(platform.ErrNotRun))
+		Expect(err).To(MatchError(outside.ErrNotRun))
 		Expect(bench.runs("a")).To(BeZero())
 	})
 
@@ -262,7 +262,7 @@
 		whole := seen.last.PromptTokens + seen.last.OutputTokens
 		Expect(answer.last.CachedTokens).To(BeNumerically(">=", whole-32))
 		Expect(bench.Stats().ProgramBlocks["p"]).To(BeNumerically(">", 0))
-		Expect(bench.client.Release(context.Background(), bench.address, "p", platform.Fence{})).To(Succeed())
+		Expect(bench.client.Release(context.Background(), bench.address, "p", outside.Fence{})).To(Succeed())
 		Expect(bench.Stats().ProgramBlocks).NotTo(HaveKey("p"))
 	})
 
@@ -271,14 +271,14 @@
 		first := request("1", strings.Repeat("question ", 30)+"[[tokens=4]]")
 		_, err := source.generate(first)
 		Expect(err).NotTo(HaveOccurred())
-		content, err := source.client.Export(context.Background(), source.address, "p", platform.Fence{})
+		content, err := source.client.Export(context.Background(), source.address, "p", outside.Fence{})
 		Expect(err).NotTo(HaveOccurred())
-		Expect(target.client.Import(context.Background(), target.address, "p", content, platform.Fence{})).To(Succeed())
+		Expect(target.client.Import(context.Background(), target.address, "p", content, outside.Fence{})).To(Succeed())
 		first.RequestID = "2"
 		answer, err := target.generate(first)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(answer.last.CachedTokens).To(Equal(64))
-		Expect(target.client.Import(context.Background(), target.address, "p", []byte("rubbish"), platform.Fence{})).To(MatchError(platform.ErrNotRun))
+		Expect(target.client.Import(context.Background(), target.address, "p", []byte("rubbish"), outside.Fence{})).To(MatchError(outside.ErrNotRun))
 	})
 
 	It("refuses new work once its grace for leaving is over", func() {
@@ -292,7 +292,7 @@
 			attempts++
 			_, err := bench.generate(request(fmt.Sprint("b", attempts), "hello [[tokens=1]]"))
 			return err
-		}, settleTimeout).Should(MatchError(platform.ErrNotRun))
+		}, settleTimeout).Should(MatchError(outside.ErrNotRun))
 		Expect(bench.Runs().Late).To(BeNumerically(">", 0))
 		seen, err := bench.generate(asked)
 		Expect(err).NotTo(HaveOccurred())
@@ -307,7 +307,7 @@
 		bench := newBench(Config{LoadDuration: time.Millisecond})
 		asked := request("a", "hello [[tokens=100]]")
 		bench.generateFirst(asked, 1)
-		Expect(bench.client.Load(context.Background(), bench.address, testModel, "", "2", platform.Fence{})).To(Succeed())
+		Expect(bench.client.Load(context.Background(), bench.address, testModel, "", "2", outside.Fence{})).To(Succeed())
 		asked.ResumeAfter = 1
 		seen, err := bench.generate(asked)
 		Expect(err).NotTo(HaveOccurred())
@@ -343,7 +343,7 @@
 			_, err := bench.generate(asked)
 			Expect(err).NotTo(HaveOccurred())
 			if id == "2" {
-				Expect(bench.client.Release(context.Background(), bench.address, "p1", platform.Fence{})).To(Succeed())
+				Expect(bench.client.Release(context.Background(), bench.address, "p1", outside.Fence{})).To(Succeed())
 			}
 			Eventually(func() (map[string]int, error) {
 				report, err := bench.client.Report(context.Background(), bench.address)
@@ -360,7 +360,7 @@
 			_, err := bench.generate(asked)
 			Expect(err).NotTo(HaveOccurred())
 		}
-		var events []platform.CacheEvent
+		var events []outside.CacheEvent
 		Eventually(func() (uint64, error) {
 			var err error
 			events, err = bench.client.Events(context.Background(), bench.address, 0, 100)
@@ -384,30 +384,30 @@
 			Expect(err).NotTo(HaveOccurred())
 		}
 		_, err := bench.generate(request("1", "hello [[tokens=1]]"))
-		Expect(err).To(MatchError(platform.ErrOutcomeUnknown))
+		Expect(err).To(MatchError(outside.ErrOutcomeUnknown))
 		Expect(bench.runs("1")).To(Equal(1))
 	})
 
 	DescribeTable("refuses bad requests as not run",
-		func(change func(*platform.GenerateRequest)) {
+		func(change func(*outside.GenerateRequest)) {
 			bench := newBench(Config{})
 			_, err := bench.generate(request("known", "hello [[tokens=1]]"))
 			Expect(err).NotTo(HaveOccurred())
 			asked := request("a", "hello")
 			change(&asked)
 			_, err = bench.generate(asked)
-			Expect(err).To(MatchError(platform.ErrNotRun))
+			Expect(err).To(MatchError(outside.ErrNotRun))
 			Expect(bench.Runs().Runs).To(HaveLen(1))
 		},
-		Entry("no id", func(asked *platform.GenerateRequest) { asked.RequestID = "" }),
-		Entry("no prompt", func(asked *platform.GenerateRequest) { asked.Prompt = nil }),
-		Entry("empty prompt", func(asked *platform.GenerateRequest) { asked.Prompt = []string{""} }),
-		Entry("no tokens", func(asked *platform.GenerateRequest) { asked.MaxTokens = 0 }),
-		Entry("far too many tokens", func(asked *platform.GenerateRequest) { asked.MaxTokens = 1 << 30 }),
-		Entry("larger than the cache", func(asked *platform.GenerateRequest) { asked.Prompt[0] = strings.Repeat("x", 1<<20) }),
-		Entry("another model", func(asked *platform.GenerateRequest) { asked.Model = "huge" }),
-		Entry("unknown adapter", func(asked *platform.GenerateRequest) { asked.Adapter = "x" }),
-		Entry("id of another prompt", func(asked *platform.GenerateRequest) { asked.RequestID = "known" }),
+		Entry("no id", func(asked *outside.GenerateRequest) { asked.RequestID = "" }),
+		Entry("no prompt", func(asked *outside.GenerateRequest) { asked.Prompt = nil }),
+		Entry("empty prompt", func(asked *outside.GenerateRequest) { asked.Prompt = []string{""} }),
+		Entry("no tokens", func(asked *outside.GenerateRequest) { asked.MaxTokens = 0 }),
+		Entry("far too many tokens", func(asked *outside.GenerateRequest) { asked.MaxTokens = 1 << 30 }),
+		Entry("larger than the cache", func(asked *outside.GenerateRequest) { asked.Prompt[0] = strings.Repeat("x", 1<<20) }),
+		Entry("another model", func(asked *outside.GenerateRequest) { asked.Model = "huge" }),
+		Entry("unknown adapter", func(asked *outside.GenerateRequest) { asked.Adapter = "x" }),
+		Entry("id of another prompt", func(asked *outside.GenerateRequest) { asked.RequestID = "known" }),
 	)
 
 	DescribeTable("refuses bodies that are no request",
--- a/rehearsal/standin/engine/generate.go
+++ b/rehearsal/standin/engine/generate.go
@@ -5,7 +5,7 @@
 	"net/http"
 	"strconv"
 
-	"github.com/magpielug/magpielug/internal/platform/wire"
+	"github.com/magpielug/magpielug/internal/outside/wire"
 	"github.com/magpielug/magpielug/rehearsal/standin/fault"
 	"github.com/magpielug/magpielug/rehearsal/standin/reply"
 )
--- a/rehearsal/standin/engine/generation.go
+++ b/rehearsal/standin/engine/generation.go
@@ -6,7 +6,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/magpielug/magpielug/internal/platform/wire"
+	"github.com/magpielug/magpielug/internal/outside/wire"
 )
 
 // generation is one request id's output. The stepping goroutine advances it;
--- a/rehearsal/standin/engine/observe.go
+++ b/rehearsal/standin/engine/observe.go
@@ -7,8 +7,8 @@
 	"slices"
 	"time"
 
-	"github.com/magpielug/magpielug/internal/platform"
-	"github.com/magpielug/magpielug/internal/platform/wire"
+	"github.com/magpielug/magpielug/internal/outside"
+	"github.com/magpielug/magpielug/internal/outside/wire"
 	"github.com/magpielug/magpielug/rehearsal/enginemodel"
 	"github.com/magpielug/magpielug/rehearsal/standin/reply"
 )
@@ -92,12 +92,12 @@
 	var changed []wire.CacheEvent
 	for program, count := range blocks {
 		if count > seen.blocks[program] {
-			changed = append(changed, wire.CacheEvent{Kind: platform.CacheStored, Program: program, Blocks: count})
+			changed = append(changed, wire.CacheEvent{Kind: outside.CacheStored, Program: program, Blocks: count})
 		}
 	}
 	for program, count := range seen.blocks {
 		if blocks[program] < count {
-			changed = append(changed, wire.CacheEvent{Kind: platform.CacheEvicted, Program: program, Blocks: blocks[program]})
+			changed = append(changed, wire.CacheEvent{Kind: outside.CacheEvicted, Program: program, Blocks: blocks[program]})
 		}
 	}
 	seen.blocks = blocks
--- a/rehearsal/standin/engine/orders.go
+++ b/rehearsal/standin/engine/orders.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/magpielug/magpielug/internal/platform/wire"
+	"github.com/magpielug/magpielug/internal/outside/wire"
 	"github.com/magpielug/magpielug/rehearsal/enginemodel"
 	"github.com/magpielug/magpielug/rehearsal/standin/reply"
 )
--- a/rehearsal/standin/logservice/log.go
+++ b/rehearsal/standin/logservice/log.go
@@ -9,7 +9,7 @@
 	"slices"
 	"sync"
 
-	"github.com/magpielug/magpielug/internal/platform/wire"
+	"github.com/magpielug/magpielug/internal/outside/wire"
 	"github.com/magpielug/magpielug/rehearsal/standin/fault"
 	"github.com/magpielug/magpielug/rehearsal/standin/reply"
 )
--- a/rehearsal/standin/logservice/log_test.go
+++ b/rehearsal/standin/logservice/log_test.go
@@ -8,8 +8,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/magpielug/magpielug/internal/platform"
-	"github.com/magpielug/magpielug/internal/platform/httpadapter"
+	"github.com/magpielug/magpielug/internal/outside"
+	"github.com/magpielug/magpielug/internal/outside/httpadapter"
 	"github.com/magpielug/magpielug/rehearsal/standin/fault"
 )
 
@@ -34,7 +34,7 @@
 			Expect(log.Append(ctx, "one", []byte(text))).To(Equal(uint64(offset)))
 		}
 		Expect(log.Append(ctx, "two", []byte("x"))).To(BeZero())
-		Expect(log.Read(ctx, "one", 1, 2)).To(Equal([]platform.Record{{Offset: 1, Data: []byte("b")}, {Offset: 2, Data: []byte("c")}}))
+		Expect(log.Read(ctx, "one", 1, 2)).To(Equal([]outside.Record{{Offset: 1, Data: []byte("b")}, {Offset: 2, Data: []byte("c")}}))
 		Expect(log.Read(ctx, "one", 3, 2)).To(BeEmpty())
 		Expect(log.Read(ctx, "none", 0, 2)).To(BeEmpty())
 	})
@@ -43,21 +43,21 @@
 		standIn, log := newBench(Config{})
 		Expect(standIn.Faults().Set(fault.Order{Kind: fault.LoseAnswers, ForMillis: 600_000})).To(Succeed())
 		_, err := log.Append(ctx, "one", []byte("lost"))
-		Expect(err).To(MatchError(platform.ErrOutcomeUnknown))
+		Expect(err).To(MatchError(outside.ErrOutcomeUnknown))
 		Expect(standIn.Faults().Set(fault.Order{Kind: fault.Clear})).To(Succeed())
 		Expect(standIn.Faults().Set(fault.Order{Kind: fault.Outage, ForMillis: 600_000})).To(Succeed())
 		_, err = log.Append(ctx, "one", []byte("refused"))
-		Expect(err).To(MatchError(platform.ErrNotRun))
+		Expect(err).To(MatchError(outside.ErrNotRun))
 		Expect(standIn.Faults().Set(fault.Order{Kind: fault.Clear})).To(Succeed())
-		Expect(log.Read(ctx, "one", 0, 9)).To(Equal([]platform.Record{{Offset: 0, Data: []byte("lost")}}))
+		Expect(log.Read(ctx, "one", 0, 9)).To(Equal([]outside.Record{{Offset: 0, Data: []byte("lost")}}))
 	})
 
 	It("refuses a record when it is full", func() {
 		_, log := newBench(Config{MaxBytes: 3})
 		_, err := log.Append(ctx, "one", []byte("1234"))
-		Expect(err).To(MatchError(platform.ErrNotRun))
+		Expect(err).To(MatchError(outside.ErrNotRun))
 		_, err = log.Append(ctx, "", []byte("1"))
-		Expect(err).To(MatchError(platform.ErrNotRun))
+		Expect(err).To(MatchError(outside.ErrNotRun))
 	})
 
 	It("ends an answer early rather than send records without bound", func() {
--- a/rehearsal/standin/machines/machines.go
+++ b/rehearsal/standin/machines/machines.go
@@ -11,8 +11,8 @@
 	"sync"
 	"time"
 
-	"github.com/magpielug/magpielug/internal/platform"
-	"github.com/magpielug/magpielug/internal/platform/wire"
+	"github.com/magpielug/magpielug/internal/outside"
+	"github.com/magpielug/magpielug/internal/outside/wire"
 	"github.com/magpielug/magpielug/rehearsal/standin/fault"
 	"github.com/magpielug/magpielug/rehearsal/standin/reply"
 )
@@ -66,7 +66,7 @@
 	first := make(map[string]wire.Machine, len(config.Machines))
 	for _, machine := range config.Machines {
 		if machine.State == "" {
-			machine.State = string(platform.MachineLive)
+			machine.State = string(outside.MachineLive)
 		}
 		first[machine.ID] = machine
 	}
@@ -101,7 +101,7 @@
 		return reply.BadRequest("id, role and address must not be empty")
 	}
 	if machine.State == "" {
-		machine.State = string(platform.MachineLive)
+		machine.State = string(outside.MachineLive)
 	}
 	return list.change(func(machines map[string]wire.Machine) error {
 		machines[machine.ID] = machine
@@ -116,7 +116,7 @@
 		if !found {
 			return unknown(id)
 		}
-		machine.State = string(platform.MachineLeaving)
+		machine.State = string(outside.MachineLeaving)
 		machines[id] = machine
 		return nil
 	})
--- a/rehearsal/standin/reply/reply.go
+++ b/rehearsal/standin/reply/reply.go
@@ -10,7 +10,7 @@
 	"net/http"
 	"strconv"
 
-	"github.com/magpielug/magpielug/internal/platform/wire"
+	"github.com/magpielug/magpielug/internal/outside/wire"
 )
 
 // maxBody bounds a request's body, bytes.
--- a/rehearsal/standin/tool/tool.go
+++ b/rehearsal/standin/tool/tool.go
@@ -16,7 +16,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/magpielug/magpielug/internal/platform/wire"
+	"github.com/magpielug/magpielug/internal/outside/wire"
 	"github.com/magpielug/magpielug/rehearsal/standin/fault"
 	"github.com/magpielug/magpielug/rehearsal/standin/reply"
 )
--- a/rehearsal/standin/tool/tool_test.go
+++ b/rehearsal/standin/tool/tool_test.go
@@ -9,17 +9,17 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/magpielug/magpielug/internal/platform"
-	"github.com/magpielug/magpielug/internal/platform/httpadapter"
+	"github.com/magpielug/magpielug/internal/outside"
+	"github.com/magpielug/magpielug/internal/outside/httpadapter"
 	"github.com/magpielug/magpielug/rehearsal/standin/fault"
 )
 
 var _ = Describe("Tool stand-in", func() {
 	var (
 		standIn *Tool
-		call    func(context.Context, platform.ToolRequest) (string, error)
+		call    func(context.Context, outside.ToolRequest) (string, error)
 	)
-	credit := platform.ToolRequest{RequestID: "r#1", Program: "p", Service: "metering", Input: "credit [[delay=1ms]]"}
+	credit := outside.ToolRequest{RequestID: "r#1", Program: "p", Service: "metering", Input: "credit [[delay=1ms]]"}
 
 	BeforeEach(func() {
 		standIn = New(Config{Service: "metering"})
@@ -31,7 +31,7 @@
 			server.Close()
 		})
 		address := strings.TrimPrefix(server.URL, "http://")
-		call = func(ctx context.Context, request platform.ToolRequest) (string, error) {
+		call = func(ctx context.Context, request outside.ToolRequest) (string, error) {
 			return httpadapter.NewTool(pool).Call(ctx, address, request)
 		}
 	})
@@ -46,15 +46,15 @@
 	It("counts a run whose answer is lost or hangs, and none that it refuses", func() {
 		Expect(standIn.Faults().Set(fault.Order{Kind: fault.LoseAnswers, ForMillis: 600_000})).To(Succeed())
 		_, err := call(context.Background(), credit)
-		Expect(err).To(MatchError(platform.ErrOutcomeUnknown))
+		Expect(err).To(MatchError(outside.ErrOutcomeUnknown))
 		Expect(standIn.Faults().Set(fault.Order{Kind: fault.Clear})).To(Succeed())
-		hanging := platform.ToolRequest{RequestID: "hangs", Service: "metering", Input: "[[hang]]"}
+		hanging := outside.ToolRequest{RequestID: "hangs", Service: "metering", Input: "[[hang]]"}
 		ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
 		defer cancel()
 		_, err = call(ctx, hanging)
-		Expect(err).To(And(MatchError(platform.ErrOutcomeUnknown), MatchError(context.DeadlineExceeded)))
-		_, err = call(context.Background(), platform.ToolRequest{RequestID: "x", Service: "portal"})
-		Expect(err).To(MatchError(platform.ErrNotRun))
+		Expect(err).To(And(MatchError(outside.ErrOutcomeUnknown), MatchError(context.DeadlineExceeded)))
+		_, err = call(context.Background(), outside.ToolRequest{RequestID: "x", Service: "portal"})
+		Expect(err).To(MatchError(outside.ErrNotRun))
 		Expect(standIn.Runs()).To(Equal(map[string]int{"r#1": 1, "hangs": 1}))
 	})
 })
--- a/rehearsal/standin/weights/weights.go
+++ b/rehearsal/standin/weights/weights.go
@@ -8,7 +8,7 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/magpielug/magpielug/internal/platform/wire"
+	"github.com/magpielug/magpielug/internal/outside/wire"
 	"github.com/magpielug/magpielug/rehearsal/standin/fault"
 	"github.com/magpielug/magpielug/rehearsal/standin/reply"
 )
--- a/rehearsal/standin/weights/weights_test.go
+++ b/rehearsal/standin/weights/weights_test.go
@@ -4,7 +4,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/magpielug/magpielug/internal/platform/wire"
+	"github.com/magpielug/magpielug/internal/outside/wire"
 )
 
 var _ = Describe("Weight store stand-in", func() {
