Back off from a store that refuses; count calls at the store

Change: pauses double up to 0.25 s; calls are counted by operation, topic and outcome, and a summary line is written each 10 s.

--- a/internal/history/recorder.go
+++ b/internal/history/recorder.go
@@ -14,8 +14,10 @@
 	Topic = "turns"
 	// SpareTopic holds turns whose own partition did not answer in time.
 	SpareTopic = "turns-spare"
-	// retryPause separates two tries at one partition.
-	retryPause = 40 * time.Millisecond
+	// firstPause follows a round that the store refused; it doubles up to
+	// longestPause, so that many waiting turns do not flood a store that is away.
+	firstPause   = 40 * time.Millisecond
+	longestPause = 250 * time.Millisecond
 	// batchBytes bounds the records of one append.
 	batchBytes = 512 << 10
 	// appendTimeout bounds one append.
@@ -71,6 +73,7 @@
 	timer := time.NewTimer(patience)
 	defer timer.Stop()
 	spare := 0
+	pause := firstPause
 	for {
 		select {
 		case err := <-done:
@@ -79,7 +82,8 @@
 			}
 			outstanding--
 			if outstanding == 0 {
-				timer.Reset(retryPause)
+				timer.Reset(pause)
+				pause = min(2*pause, longestPause)
 			}
 		case <-timer.C:
 			spare++
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -15,8 +15,10 @@
 	enginePoll = 400 * time.Millisecond
 	// configurationWait is how long a read waits for a change.
 	configurationWait = 1500 * time.Millisecond
-	// failurePause follows a failed read.
-	failurePause = 100 * time.Millisecond
+	// firstFailurePause follows a failed read; it doubles up to
+	// longestFailurePause.
+	firstFailurePause   = 100 * time.Millisecond
+	longestFailurePause = 400 * time.Millisecond
 	// repeatedAfterRestart is how often a view is read anew after its history
 	// was gone, a pause apart: a store may then serve an old state for a while.
 	repeatedAfterRestart = 8
@@ -34,6 +36,8 @@
 	apply func(durable.Update)
 	// lost is true while the store does not answer.
 	lost bool
+	// failurePause is the next one.
+	failurePause time.Duration
 	// repeats counts the anew readings still owed.
 	repeats int
 	lastEnd int64
@@ -86,7 +90,8 @@
 		follower.logger.Warn("view lost", zap.String("view", follower.name), logging.Cause(err))
 	}
 	follower.lost = true
-	sleep(ctx, failurePause)
+	follower.failurePause = min(max(2*follower.failurePause, firstFailurePause), longestFailurePause)
+	sleep(ctx, follower.failurePause)
 }
 
 func (follower *follower) regained() {
@@ -94,6 +99,7 @@
 		follower.logger.Info("view regained", zap.String("view", follower.name))
 	}
 	follower.lost = false
+	follower.failurePause = 0
 }
 
 // followConfiguration applies each newer version.
--- a/internal/node/meter.go
+++ b/internal/node/meter.go
@@ -1,8 +1,12 @@
 package node
 
 import (
+	"maps"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
+	"sync"
 	"time"
 
 	"github.com/magpielug/magpielug/internal/metrics"
@@ -16,6 +20,12 @@
 	calls      *prometheus.CounterVec
 	duration   *prometheus.HistogramVec
 	firstEvent prometheus.Histogram
+	storeCalls *prometheus.CounterVec
+	storeTime  *prometheus.HistogramVec
+
+	// mutex guards calls at the store since the last summary line.
+	mutex  sync.Mutex
+	recent map[string]int
 }
 
 // Histogram bounds, seconds.
@@ -37,7 +47,43 @@
 			Help:    "Time from a streaming call's arrival to its first event.",
 			Buckets: latencyBounds,
 		}),
+		storeCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "magpielug_store_calls_total",
+			Help: "Calls at the store, by operation, topic and outcome.",
+		}, []string{"operation", "topic", "outcome"}),
+		storeTime: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "magpielug_store_call_seconds",
+			Help:    "Time of a call at the store, by operation; reads that wait for a record included.",
+			Buckets: latencyBounds,
+		}, []string{"operation"}),
+		recent: map[string]int{},
+	}
+}
+
+// storeCall implements durable.Observe.
+func (meter *meter) storeCall(operation, topic string, took time.Duration, err error) {
+	outcome := "done"
+	if err != nil {
+		outcome = "failed"
+	}
+	meter.storeCalls.WithLabelValues(operation, topic, outcome).Inc()
+	meter.storeTime.WithLabelValues(operation).Observe(took.Seconds())
+	meter.mutex.Lock()
+	defer meter.mutex.Unlock()
+	meter.recent[operation+"/"+topic+"/"+outcome]++
+}
+
+// takeRecent returns the calls at the store since it was last asked, as text.
+func (meter *meter) takeRecent() string {
+	meter.mutex.Lock()
+	defer meter.mutex.Unlock()
+	names := slices.Sorted(maps.Keys(meter.recent))
+	parts := make([]string, 0, len(names))
+	for _, name := range names {
+		parts = append(parts, name+":"+strconv.Itoa(meter.recent[name]))
 	}
+	clear(meter.recent)
+	return strings.Join(parts, " ")
 }
 
 var kindNames = map[routing.Kind]string{
@@ -58,9 +104,9 @@
 
 // metricsHandler serves the node's metrics, health and readiness.
 func (node *Node) metricsHandler() http.Handler {
-	meter := node.service.Meter.(*meter)
+	meter := node.meter
 	registry := prometheus.NewRegistry()
-	registry.MustRegister(meter.calls, meter.duration, meter.firstEvent)
+	registry.MustRegister(meter.calls, meter.duration, meter.firstEvent, meter.storeCalls, meter.storeTime)
 	gauges := []struct {
 		name, help string
 		value      func() float64
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
 	"github.com/magpielug/magpielug/internal/backend"
+	"github.com/magpielug/magpielug/internal/durable"
 	"github.com/magpielug/magpielug/internal/forward"
 	"github.com/magpielug/magpielug/internal/history"
 	"github.com/magpielug/magpielug/internal/httpclient"
@@ -40,6 +41,8 @@
 	defaultHistoryBytes = 64 << 20
 	// housekeepingPause separates two rounds of dropping what is over.
 	housekeepingPause = 2 * time.Second
+	// summaryPause separates two summary lines.
+	summaryPause = 10 * time.Second
 	// drainNotice is how long a leaving node still takes new connections, so
 	// that those in front of it see in time that it is not ready.
 	drainNotice = 2500 * time.Millisecond
@@ -63,6 +66,7 @@
 	ownership   *ownership.Manager
 	programs    *programs
 	service     *forward.Service
+	meter       *meter
 	stopping    atomic.Bool
 	servers     []*httpserver.Server
 }
@@ -95,7 +99,10 @@
 	if err != nil {
 		return nil, err
 	}
+	meter := newMeter()
+	around.Log = &durable.Counted{Log: around.Log, Observe: meter.storeCall}
 	node := &Node{
+		meter:       meter,
 		settings:    settings,
 		around:      around,
 		logger:      logger,
@@ -119,7 +126,7 @@
 		Engines:  node.engines,
 		Sender:   around.Sender,
 		Programs: node.programs,
-		Meter:    newMeter(),
+		Meter:    meter,
 		Logger:   logger.Logger,
 		Zone:     settings.Zone,
 		Nodes:    node.members.staying,
@@ -239,14 +246,27 @@
 }
 
 func (node *Node) keepHouse(ctx context.Context) {
+	summary := time.Now()
 	for ctx.Err() == nil {
 		sleep(ctx, housekeepingPause)
 		now := time.Now()
+		if now.Sub(summary) >= summaryPause {
+			summary = now
+			node.logSummary()
+		}
 		node.turns.Expire(now)
 		node.around.Connections.CloseExpired(now)
 	}
 }
 
+// logSummary writes what the process holds and has done since the last one.
+func (node *Node) logSummary() {
+	turns, bytes := node.turns.Size()
+	node.logger.Info("summary", zap.Int("in_flight", node.inFlight()), zap.Int("engines", node.engines.Known()),
+		zap.Int("nodes", node.members.staying()), zap.Int("turns", turns), zap.Int("turn_bytes", bytes),
+		zap.String("store_calls", node.meter.takeRecent()))
+}
+
 // drain is a planned stop: not ready at once, shards handed over, requests under
 // way finished within the grace.
 func (node *Node) drain(working context.Context) {
--- a/internal/ownership/shard.go
+++ b/internal/ownership/shard.go
@@ -34,8 +34,10 @@
 	// appendTimeout is how long an append of ceilings may take before it is
 	// sent again with its number.
 	appendTimeout = 1200 * time.Millisecond
-	// appendPause separates two tries of an append.
-	appendPause = 30 * time.Millisecond
+	// firstAppendPause follows an append that the store refused; it doubles up
+	// to longestAppendPause.
+	firstAppendPause   = 30 * time.Millisecond
+	longestAppendPause = 200 * time.Millisecond
 	// unableAfter is how long the log may be silent before an owner says that
 	// it can't write.
 	unableAfter = 600 * time.Millisecond
@@ -317,7 +319,7 @@
 // append sends a record until its outcome is known: a repetition with the same
 // number gets the first one's answer.
 func (manager *Manager) append(partition durable.Partition, fence durable.Fence, record []byte) error {
-	for {
+	for wait := firstAppendPause; ; wait = min(2*wait, longestAppendPause) {
 		ctx, cancel := context.WithTimeout(manager.context, appendTimeout)
 		err := durable.Hedge(ctx, &manager.pace, func(ctx context.Context) error {
 			_, err := manager.log.Append(ctx, partition, [][]byte{record}, durable.Condition{Fence: &fence})
@@ -330,7 +332,7 @@
 		if manager.context.Err() != nil {
 			return err
 		}
-		time.Sleep(appendPause)
+		pause(manager.context, wait)
 	}
 }
 
