Learn configuration, engines and nodes from other nodes while the store does not answer

Cause: the store may refuse, throttle or drop single machines while it serves the operators; such a node is still bound by the configuration's and draining's bounds. Test: platform 'learns from other nodes while the store refuses it alone'.

--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -92,19 +92,6 @@
 	return true
 }
 
-// Keep removes every engine that is not among ids.
-func (directory *Directory) Keep(ids map[string]bool) {
-	directory.mutex.Lock()
-	defer directory.mutex.Unlock()
-	for id, engine := range directory.engines {
-		if !ids[id] {
-			engine.gone = true
-			delete(directory.engines, id)
-		}
-	}
-	directory.index()
-}
-
 func (directory *Directory) index() {
 	services := map[string][]*Engine{}
 	for _, engine := range directory.engines {
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/magpielug/magpielug/internal/durable"
@@ -35,7 +36,9 @@
 	pause func() time.Duration
 	apply func(durable.Update)
 	// lost is true while the store does not answer.
-	lost bool
+	lost atomic.Bool
+	// lastAnswer is when the store last answered, Unix milliseconds.
+	lastAnswer atomic.Int64
 	// failurePause is the next one.
 	failurePause time.Duration
 	// repeats counts the anew readings still owed.
@@ -86,67 +89,66 @@
 	if ctx.Err() != nil {
 		return
 	}
-	if !follower.lost {
+	if !follower.lost.Swap(true) {
 		follower.logger.Warn("view lost", zap.String("view", follower.name), logging.Cause(err))
 	}
-	follower.lost = true
 	follower.failurePause = min(max(2*follower.failurePause, firstFailurePause), longestFailurePause)
 	sleep(ctx, follower.failurePause)
 }
 
 func (follower *follower) regained() {
-	if follower.lost {
+	follower.lastAnswer.Store(time.Now().UnixMilli())
+	if follower.lost.Swap(false) {
 		follower.logger.Info("view regained", zap.String("view", follower.name))
 	}
-	follower.lost = false
 	follower.failurePause = 0
 }
 
-// followConfiguration applies each newer version.
-func (node *Node) followConfiguration() *follower {
-	apply := func(update durable.Update) {
-		for _, record := range update.Records {
-			decoded, sound := node.around.DecodeConfiguration(record)
-			if sound && node.routes.Apply(decoded) {
-				node.logger.Info("configuration applied", zap.Int64("version", decoded.Version), zap.Int64("offset", record.Offset))
-			}
+// newViews makes the views of configuration, engines and nodes.
+func (node *Node) newViews() {
+	logger := node.logger.Logger
+	node.configurationView = newRecordView("configuration", logger, node.applyConfiguration)
+	node.engineView = newRecordView("engines", logger, node.applyEngine)
+	node.memberView = newRecordView("nodes", logger, node.applyMember)
+}
+
+// followers read the views from the store.
+func (node *Node) followers() []*follower {
+	always := func(pause time.Duration) func() time.Duration { return func() time.Duration { return pause } }
+	began := time.Now()
+	memberPause := func() time.Duration {
+		if time.Since(began) < memberEarly {
+			return memberPollEarly
 		}
+		return memberPollLate
 	}
-	return &follower{
-		view:   durable.NewView(node.around.Log, node.around.ConfigurationTopic),
-		name:   "configuration",
-		logger: node.logger.Logger,
-		wait:   configurationWait,
-		pause:  func() time.Duration { return 0 },
-		apply:  apply,
+	return []*follower{
+		node.newFollower(node.configurationView, node.around.ConfigurationTopic, configurationWait, always(0)),
+		node.newFollower(node.engineView, node.around.EngineTopic, 0, always(enginePoll)),
+		node.newFollower(node.memberView, memberTopic, 0, memberPause),
 	}
 }
 
-// followEngines keeps the directory of engines. A record older than one seen of
-// the same engine changes nothing.
-func (node *Node) followEngines() *follower {
-	newest := map[string]int64{}
-	apply := func(update durable.Update) {
-		for _, record := range update.Records {
-			if seen, known := newest[record.Key]; known && record.Offset < seen {
-				continue
-			}
-			newest[record.Key] = record.Offset
-			node.applyEngine(record)
-		}
-		if update.Full {
-			node.keepListed(update, newest)
-		}
-	}
+func (node *Node) newFollower(view *recordView, topic string, wait time.Duration, pause func() time.Duration) *follower {
 	return &follower{
-		view:   durable.NewView(node.around.Log, node.around.EngineTopic),
-		name:   "engines",
+		view:   durable.NewView(node.around.Log, topic),
+		name:   view.name,
 		logger: node.logger.Logger,
-		pause:  func() time.Duration { return enginePoll },
-		apply:  apply,
+		wait:   wait,
+		pause:  pause,
+		apply:  view.take,
+	}
+}
+
+// applyConfiguration puts a newer version in force.
+func (node *Node) applyConfiguration(record durable.KeyedRecord) {
+	decoded, sound := node.around.DecodeConfiguration(record)
+	if sound && node.routes.Apply(decoded) {
+		node.logger.Info("configuration applied", zap.Int64("version", decoded.Version), zap.Int64("offset", record.Offset))
 	}
 }
 
+// applyEngine notes an engine's newest record.
 func (node *Node) applyEngine(record durable.KeyedRecord) {
 	if len(record.Value) == 0 {
 		if node.engines.Remove(record.Key) {
@@ -155,47 +157,17 @@
 		return
 	}
 	instance, sound := node.around.DecodeEngine(record)
-	if !sound {
-		return
-	}
-	if node.engines.Put(instance) {
+	if sound && node.engines.Put(instance) {
 		node.logger.Info("engine listed", zap.String("engine", instance.ID), zap.String("address", instance.Address),
 			zap.Bool("leaving", instance.Leaving), zap.Int64("offset", record.Offset))
 	}
 }
 
-// keepListed removes engines that a whole reading does not list, unless the
-// reading is older than what was seen of them.
-func (node *Node) keepListed(update durable.Update, newest map[string]int64) {
-	listed := make(map[string]bool, len(update.Records))
-	for _, record := range update.Records {
-		listed[record.Key] = true
-	}
-	for id, offset := range newest {
-		if offset >= update.End {
-			listed[id] = true
-		}
-	}
-	node.engines.Keep(listed)
-}
-
-// followMembers keeps the list of nodes.
-func (node *Node) followMembers() *follower {
-	began := time.Now()
-	apply := func(update durable.Update) {
-		for _, record := range update.Records {
-			member, sound := decodeMember(record)
-			if sound && node.members.put(member) {
-				node.logger.Info("node known", zap.String("node", member.Name), zap.String("address", member.Address),
-					zap.String("incarnation", member.Incarnation), zap.Bool("leaving", member.Leaving))
-			}
-		}
-	}
-	pause := func() time.Duration {
-		if time.Since(began) < memberEarly {
-			return memberPollEarly
-		}
-		return memberPollLate
+// applyMember notes a node's newest record.
+func (node *Node) applyMember(record durable.KeyedRecord) {
+	member, sound := decodeMember(record)
+	if sound && node.members.put(member) {
+		node.logger.Info("node known", zap.String("node", member.Name), zap.String("address", member.Address),
+			zap.String("incarnation", member.Incarnation), zap.Bool("leaving", member.Leaving))
 	}
-	return &follower{view: durable.NewView(node.around.Log, memberTopic), name: "nodes", logger: node.logger.Logger, pause: pause, apply: apply}
 }
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -75,6 +75,19 @@
 	return member, found
 }
 
+// others returns the nodes but one that are not leaving.
+func (known *members) others(name string) []Member {
+	known.mutex.RLock()
+	defer known.mutex.RUnlock()
+	list := make([]Member, 0, len(known.byName))
+	for _, member := range known.byName {
+		if member.Name != name && !member.Leaving {
+			list = append(list, member)
+		}
+	}
+	return list
+}
+
 // staying returns the number of nodes that are not leaving.
 func (known *members) staying() int {
 	known.mutex.RLock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -59,16 +59,21 @@
 	routes      *routing.Current
 	engines     *backend.Directory
 	members     *members
-	peers       *peers
-	turns       *history.Store
-	recorder    *history.Recorder
-	reader      *history.Reader
-	ownership   *ownership.Manager
-	programs    *programs
-	service     *forward.Service
-	meter       *meter
-	stopping    atomic.Bool
-	servers     []*httpserver.Server
+
+	configurationView *recordView
+	engineView        *recordView
+	memberView        *recordView
+
+	peers     *peers
+	turns     *history.Store
+	recorder  *history.Recorder
+	reader    *history.Reader
+	ownership *ownership.Manager
+	programs  *programs
+	service   *forward.Service
+	meter     *meter
+	stopping  atomic.Bool
+	servers   []*httpserver.Server
 }
 
 // Run runs a node until it is told to stop.
@@ -113,6 +118,7 @@
 		turns:       history.NewStore(historyBytes(settings.MemoryBytes)),
 		recorder:    history.NewRecorder(around.Log, settings.Shards),
 	}
+	node.newViews()
 	node.peers = newPeers(node.members, client)
 	node.reader = history.NewReader(around.Log, node.turns, settings.Shards)
 	node.ownership = ownership.NewManager(ctx, around.Log, logger.Logger, ownership.Identity{
@@ -167,9 +173,12 @@
 		return err
 	}
 	go register(working, node.around.Log, node.logger.Logger, node.self())
-	go node.followConfiguration().run(working)
-	go node.followEngines().run(working)
-	go node.followMembers().run(working)
+	followers := node.followers()
+	for _, follower := range followers {
+		follower.lastAnswer.Store(time.Now().UnixMilli())
+		go follower.run(working)
+	}
+	go node.learnFromPeers(working, followers)
 	go node.keepHouse(working)
 	for {
 		select {
@@ -185,19 +194,25 @@
 	}
 }
 
+// listenerSettings is one address to listen on.
+type listenerSettings struct {
+	address string
+	handler http.Handler
+	limits  httpserver.Limits
+}
+
 // listen opens the node's addresses, the callers' last.
 func (node *Node) listen() error {
 	peerHandler := nodev1.NewNodeServer(&peerServer{node: node})
-	listeners := []struct {
-		address string
-		handler http.Handler
-		limits  httpserver.Limits
-	}{
+	listeners := []listenerSettings{
 		{node.settings.PeerAddress, peerHandler, httpserver.Limits{DrainGrace: node.settings.Grace}},
 		{node.settings.MetricsAddress, node.metricsHandler(), httpserver.Limits{}},
 		{node.settings.ReadinessAddress, http.HandlerFunc(node.answerReadiness), httpserver.Limits{DrainGrace: node.settings.Grace}},
 		{node.settings.CallerAddress, node.around.CallerHandler(node.service), node.callerLimits()},
 	}
+	if node.settings.ControlAddress != "" {
+		listeners = append([]listenerSettings{{node.settings.ControlAddress, peerHandler, httpserver.Limits{DrainGrace: node.settings.Grace}}}, listeners...)
+	}
 	for _, listener := range listeners {
 		if listener.address == "" {
 			continue
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -25,6 +25,11 @@
 	// PeerAddress serves the other nodes, MetricsAddress the metrics.
 	PeerAddress    string
 	MetricsAddress string
+	// ControlAddress serves the other nodes too, where it is given: it is what
+	// Seeds names, and seeds are known before the store has answered.
+	ControlAddress string
+	// Seeds are control addresses of some nodes, which may be gone.
+	Seeds []string
 	// MemoryBytes is what the process may hold, 0 where nothing bounds it.
 	MemoryBytes int64
 	// Connections is how many callers' connections may be open.
--- /dev/null
+++ b/internal/node/view.go
@@ -0,0 +1,85 @@
+package node
+
+import (
+	"sync"
+
+	"github.com/magpielug/magpielug/internal/durable"
+	"go.uber.org/zap"
+)
+
+// recordView holds the newest records of a keyed topic, from whichever source
+// they come: the store, or another node while the store does not answer. A
+// record older than one seen of the same key changes nothing.
+type recordView struct {
+	name   string
+	logger *zap.Logger
+	// apply is told of each record that is new; an empty value says that the key
+	// was dropped.
+	apply func(record durable.KeyedRecord)
+
+	mutex  sync.Mutex
+	newest map[string]durable.KeyedRecord
+	end    int64
+}
+
+func newRecordView(name string, logger *zap.Logger, apply func(durable.KeyedRecord)) *recordView {
+	return &recordView{name: name, logger: logger, apply: apply, newest: map[string]durable.KeyedRecord{}}
+}
+
+// take takes an update in.
+func (view *recordView) take(update durable.Update) {
+	view.mutex.Lock()
+	defer view.mutex.Unlock()
+	for _, record := range update.Records {
+		view.takeRecord(record)
+	}
+	if update.Full {
+		view.dropUnlisted(update)
+	}
+	view.end = max(view.end, update.End)
+}
+
+func (view *recordView) takeRecord(record durable.KeyedRecord) {
+	known, found := view.newest[record.Key]
+	if found && known.Offset >= record.Offset {
+		return
+	}
+	view.newest[record.Key] = record
+	view.apply(record)
+}
+
+// dropUnlisted drops the keys that a whole reading does not list, unless the
+// reading is older than what was seen of them.
+func (view *recordView) dropUnlisted(update durable.Update) {
+	listed := make(map[string]bool, len(update.Records))
+	for _, record := range update.Records {
+		listed[record.Key] = true
+	}
+	for key, record := range view.newest {
+		if !listed[key] && record.Offset < update.End && len(record.Value) > 0 {
+			view.takeRecord(durable.KeyedRecord{Key: key, Offset: update.End - 1})
+		}
+	}
+}
+
+// since returns the records from an offset on, and how far the view has come.
+func (view *recordView) since(offset int64) (records []durable.KeyedRecord, end int64) {
+	view.mutex.Lock()
+	defer view.mutex.Unlock()
+	if offset >= view.end {
+		return nil, view.end
+	}
+	for _, record := range view.newest {
+		if record.Offset >= offset {
+			records = append(records, record)
+		}
+	}
+	return records, view.end
+}
+
+// reached returns how far the view has come.
+func (view *recordView) reached() int64 {
+	view.mutex.Lock()
+	defer view.mutex.Unlock()
+	return view.end
+}
--- a/rehearsal/standin/logstore/logstore.go
+++ b/rehearsal/standin/logstore/logstore.go
@@ -48,11 +48,21 @@
 
 // Start serves on address, "127.0.0.1:0" for a free port.
 func Start(address string) (*Store, error) {
+	return start(address, durable.NewMemory())
+}
+
+// Second serves the same records on another address, with faults of its own: it
+// is the store as a single node sees it.
+func (store *Store) Second(address string) (*Store, error) {
+	return start(address, store.Log)
+}
+
+func start(address string, log *durable.Memory) (*Store, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	store := &Store{Log: durable.NewMemory(), listener: listener}
+	store := &Store{Log: log, listener: listener}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /log-append", store.guard(store.append))
 	mux.HandleFunc("GET /log-read", store.guard(store.read))
