--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"time"
 
@@ -42,7 +43,8 @@
 
 // TurnOrder is what a call says as a turn of a program.
 type TurnOrder struct {
-	// Budget is what the program may spend over all turns, tokens.
+	// Budget is what the program may spend over all turns, tokens; Unlimited
+	// where the caller names no bound.
 	Budget int64
 	// Most is what the turn may emit, tokens.
 	Most int64
@@ -50,6 +52,9 @@
 	Previous string
 }
 
+// Unlimited is the budget of a program that names none.
+const Unlimited = math.MaxInt64 / 4
+
 // Answer takes what the caller gets. Its methods are called from one goroutine,
 // Fail alone or Begin first.
 type Answer interface {
@@ -74,6 +79,8 @@
 	Body []byte
 	// Remaining is how long the engine may work.
 	Remaining time.Duration
+	// Streams is true on a streaming route.
+	Streams bool
 	// Urgency is 0 for the most urgent calls.
 	Urgency int
 	// MaxConnections bounds this node's connections to the engine.
--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -160,8 +160,14 @@
 	return failure
 }
 
+// isTurn tells whether the program's owner has to be asked: for what a bounded
+// program may spend, and for the turns to go on from.
 func (current *course) isTurn() bool {
-	return current.call.Turn != nil && current.route.Kind == routing.Streaming
+	turn := current.call.Turn
+	if turn == nil || current.route.Kind != routing.Streaming {
+		return false
+	}
+	return turn.Budget < Unlimited || (current.route.KeepsTurns && turn.Previous != "")
 }
 
 // reserve asks the program's owner, and puts the chain before the input.
@@ -278,6 +284,7 @@
 		Engine:         engine.Instance,
 		Body:           current.body,
 		Remaining:      max(remaining-answerMargin, time.Millisecond),
+		Streams:        current.route.Kind == routing.Streaming,
 		Urgency:        current.route.Priority,
 		MaxConnections: current.maxConnections(),
 	})
--- /dev/null
+++ b/internal/httpserver/adjust_test.go
@@ -0,0 +1,69 @@
+package httpserver_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/magpielug/magpielug/internal/httpserver"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("Bounds that change", func() {
+	echoLength := http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		content, _ := io.ReadAll(request.Body)
+		_, _ = fmt.Fprintf(writer, "%d", len(content))
+	})
+	start := func(limits httpserver.Limits) *httpserver.Server {
+		server, err := httpserver.Start("127.0.0.1:0", echoLength, limits)
+		Expect(err).NotTo(HaveOccurred())
+		return server
+	}
+	post := func(server *httpserver.Server, body io.Reader) (int, string) {
+		response, err := http.Post("http://"+server.Address()+"/", "text/plain", body)
+		if err != nil {
+			return 0, ""
+		}
+		defer func() { _ = response.Body.Close() }()
+		content, _ := io.ReadAll(response.Body)
+		return response.StatusCode, string(content)
+	}
+
+	It("takes a chunked body that is larger than the headers may be", func() {
+		server := start(httpserver.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20})
+		connection, err := net.Dial("tcp", server.Address())
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = connection.Close() }()
+		const size = 100 << 10
+		_, err = fmt.Fprintf(connection, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n", size)
+		Expect(err).NotTo(HaveOccurred())
+		for range 10 {
+			_, err = io.WriteString(connection, strings.Repeat("x", size/10))
+			Expect(err).NotTo(HaveOccurred())
+			time.Sleep(5 * time.Millisecond)
+		}
+		_, err = io.WriteString(connection, "\r\n0\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(connection.SetReadDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+		answer := make([]byte, 4096)
+		count, err := connection.Read(answer)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(answer[:count])).To(ContainSubstring("200 OK"))
+	})
+
+	It("holds the bounds in force when a request comes", func() {
+		server := start(httpserver.Limits{MaxBodyBytes: 1 << 20})
+		status, _ := post(server, strings.NewReader(strings.Repeat("x", 5000)))
+		Expect(status).To(Equal(http.StatusOK))
+		server.Adjust(httpserver.Bounds{MaxBodyBytes: 1000})
+		status, _ = post(server, strings.NewReader(strings.Repeat("x", 5000)))
+		Expect(status).To(BeElementOf(http.StatusRequestEntityTooLarge, 0))
+		server.Adjust(httpserver.Bounds{MaxBodyBytes: 1 << 20, IdleTimeout: time.Minute})
+		status, _ = post(server, strings.NewReader(strings.Repeat("x", 5000)))
+		Expect(status).To(Equal(http.StatusOK))
+	})
+})
--- a/internal/httpserver/bounded_conn.go
+++ b/internal/httpserver/bounded_conn.go
@@ -74,7 +74,7 @@
 
 // awaitRoom waits until size more bytes fit into the write buffer.
 func (connection *connection) awaitRoom(size int) error {
-	limit := connection.server.limits.WriteBufferBytes
+	limit := connection.server.bounds().WriteBufferBytes
 	return connection.awaitPending(limit - size)
 }
 
@@ -82,7 +82,7 @@
 // client takes nothing for the write timeout or is gone.
 func (connection *connection) awaitPending(limit int) error {
 	for connection.pending() > limit {
-		timer := time.NewTimer(connection.server.limits.WriteTimeout)
+		timer := time.NewTimer(connection.server.bounds().WriteTimeout)
 		select {
 		case <-connection.progress:
 			timer.Stop()
--- a/internal/httpserver/connection.go
+++ b/internal/httpserver/connection.go
@@ -71,7 +71,7 @@
 		gone:     make(chan struct{}),
 		progress: make(chan struct{}, 1),
 	}
-	made.readTimer = time.AfterFunc(server.limits.IdleTimeout, made.readTimedOut)
+	made.readTimer = time.AfterFunc(server.bounds().IdleTimeout, made.readTimedOut)
 	return made
 }
 
@@ -128,7 +128,7 @@
 	connection.received = 0
 	connection.headerDone = false
 	if connection.calls.Load() == 0 {
-		connection.setReadTimeout(connection.server.limits.RequestTimeout)
+		connection.setReadTimeout(connection.server.bounds().RequestTimeout)
 	}
 }
 
@@ -144,7 +144,7 @@
 
 // checkReceived refuses a request that is over the limits before it is whole.
 func (connection *connection) checkReceived() {
-	limits := connection.server.limits
+	limits := connection.server.bounds()
 	if !connection.receiving.Load() || connection.discarding.Load() {
 		return
 	}
--- a/internal/httpserver/handler.go
+++ b/internal/httpserver/handler.go
@@ -44,7 +44,7 @@
 	if caller.excess {
 		request.Close = true
 		response.Header().Set("Connection", "close")
-		WriteError(response, tooManyConnections(server.limits))
+		WriteError(response, tooManyConnections(server.bounds()))
 		return
 	}
 	ctx = context.WithValue(ctx, callerKey{}, caller)
@@ -53,11 +53,11 @@
 
 // admit counts the request and hands it to the handler, or refuses it.
 func (server *Server) admit(writer *responseWriter, request *http.Request) {
-	exempt := server.limits.Exempt != nil && server.limits.Exempt(request)
+	exempt := server.bounds().Exempt != nil && server.bounds().Exempt(request)
 	if !exempt {
 		defer server.inFlight.Add(-1)
-		if server.inFlight.Add(1) > int64(server.limits.MaxInFlight) {
-			WriteError(writer, tooManyCalls(server.limits))
+		if server.inFlight.Add(1) > int64(server.bounds().MaxInFlight) {
+			WriteError(writer, tooManyCalls(server.bounds()))
 			return
 		}
 	}
--- a/internal/httpserver/limits.go
+++ b/internal/httpserver/limits.go
@@ -59,7 +59,7 @@
 }
 
 // withDefaults returns limits with every zero field replaced.
-func (limits Limits) withDefaults() Limits {
+func (limits Limits) withDefaults() *Limits {
 	limits.MaxConnections = positive(limits.MaxConnections, DefaultMaxConnections)
 	limits.MaxInFlight = positive(limits.MaxInFlight, DefaultMaxInFlight)
 	limits.MaxBodyBytes = positive(limits.MaxBodyBytes, DefaultMaxBodyBytes)
@@ -70,7 +70,7 @@
 	limits.WriteTimeout = positive(limits.WriteTimeout, DefaultWriteTimeout)
 	limits.RetryAfter = positive(limits.RetryAfter, DefaultRetryAfter)
 	limits.DrainGrace = positive(limits.DrainGrace, DefaultDrainGrace)
-	return limits
+	return &limits
 }
 
 // positive returns value, or fallback where value is not above zero.
@@ -80,3 +80,26 @@
 	}
 	return fallback
 }
+
+// Bounds are the limits that may change while a server runs. A zero field
+// leaves its limit as it is.
+type Bounds struct {
+	MaxHeaderBytes int
+	MaxBodyBytes   int
+	RequestTimeout time.Duration
+	IdleTimeout    time.Duration
+}
+
+// Adjust puts other bounds in force, for requests and idle times that begin
+// from now on. No bound can be raised over what the server was started with.
+func (server *Server) Adjust(bounds Bounds) {
+	adjusted := *server.bounds()
+	adjusted.MaxHeaderBytes = min(positive(bounds.MaxHeaderBytes, adjusted.MaxHeaderBytes), server.started.MaxHeaderBytes)
+	adjusted.MaxBodyBytes = min(positive(bounds.MaxBodyBytes, adjusted.MaxBodyBytes), server.started.MaxBodyBytes)
+	adjusted.RequestTimeout = positive(bounds.RequestTimeout, adjusted.RequestTimeout)
+	adjusted.IdleTimeout = positive(bounds.IdleTimeout, adjusted.IdleTimeout)
+	server.limits.Store(&adjusted)
+}
+
+// bounds returns the limits in force.
+func (server *Server) bounds() *Limits { return server.limits.Load() }
--- a/internal/httpserver/processor.go
+++ b/internal/httpserver/processor.go
@@ -29,7 +29,7 @@
 // OnHeader keeps a header while the headers are within their limit.
 func (processor *limitingProcessor) OnHeader(parser *nbhttp.Parser, key, value string) {
 	processor.headerBytes += len(key) + len(value)
-	limits := processor.connection.server.limits
+	limits := processor.connection.server.bounds()
 	if processor.headerBytes > limits.MaxHeaderBytes {
 		processor.connection.refuse(headerTooLarge(limits))
 		return
@@ -41,7 +41,7 @@
 // OnContentLength refuses a body by its announced length, before it is sent.
 func (processor *limitingProcessor) OnContentLength(parser *nbhttp.Parser, length int) {
 	processor.connection.headerDone = true
-	limits := processor.connection.server.limits
+	limits := processor.connection.server.bounds()
 	if length > limits.MaxBodyBytes {
 		processor.connection.refuse(bodyTooLarge(limits))
 		return
@@ -52,7 +52,7 @@
 // OnBody keeps body bytes while the body is within its limit.
 func (processor *limitingProcessor) OnBody(parser *nbhttp.Parser, data []byte) error {
 	processor.bodyBytes += len(data)
-	limits := processor.connection.server.limits
+	limits := processor.connection.server.bounds()
 	if processor.bodyBytes > limits.MaxBodyBytes {
 		processor.connection.refuse(bodyTooLarge(limits))
 	}
--- a/internal/httpserver/read_timeout.go
+++ b/internal/httpserver/read_timeout.go
@@ -22,10 +22,10 @@
 // connection, or of a request that has begun to arrive.
 func (connection *connection) awaitRequest() {
 	if connection.receiving.Load() {
-		connection.setReadTimeout(connection.server.limits.RequestTimeout)
+		connection.setReadTimeout(connection.server.bounds().RequestTimeout)
 		return
 	}
-	connection.setReadTimeout(connection.server.limits.IdleTimeout)
+	connection.setReadTimeout(connection.server.bounds().IdleTimeout)
 }
 
 // readTimedOut closes the connection. It may have been armed by the end of one
--- a/internal/httpserver/refusal.go
+++ b/internal/httpserver/refusal.go
@@ -83,20 +83,20 @@
 	return strconv.Itoa(int(math.Ceil(wait.Seconds())))
 }
 
-func headerTooLarge(limits Limits) *resultcode.Error {
+func headerTooLarge(limits *Limits) *resultcode.Error {
 	return resultcode.New(resultcode.BadRequest, "request headers are over %d bytes", limits.MaxHeaderBytes)
 }
 
-func bodyTooLarge(limits Limits) *resultcode.Error {
+func bodyTooLarge(limits *Limits) *resultcode.Error {
 	return resultcode.New(resultcode.BodyTooLarge, "request body is over %d bytes", limits.MaxBodyBytes)
 }
 
-func tooManyCalls(limits Limits) *resultcode.Error {
+func tooManyCalls(limits *Limits) *resultcode.Error {
 	failure := resultcode.New(resultcode.TooManyConnections, "%d calls are under way already", limits.MaxInFlight)
 	return failure.After(limits.RetryAfter)
 }
 
-func tooManyConnections(limits Limits) *resultcode.Error {
+func tooManyConnections(limits *Limits) *resultcode.Error {
 	failure := resultcode.New(resultcode.TooManyConnections, "%d connections are open already", limits.MaxConnections)
 	return failure.After(limits.RetryAfter)
 }
--- a/internal/httpserver/secure_conn.go
+++ b/internal/httpserver/secure_conn.go
@@ -31,7 +31,7 @@
 func (conn *secureConn) feed(data []byte) {
 	if !conn.cipher.started {
 		conn.cipher.started = true
-		conn.caller().setReadTimeout(conn.caller().server.limits.RequestTimeout)
+		conn.caller().setReadTimeout(conn.caller().server.bounds().RequestTimeout)
 		go conn.run()
 	}
 	conn.cipher.append(data)
@@ -46,7 +46,7 @@
 	if err != nil {
 		return
 	}
-	caller.setReadTimeout(caller.server.limits.IdleTimeout)
+	caller.setReadTimeout(caller.server.bounds().IdleTimeout)
 	buffer := make([]byte, secureReadBuffer)
 	for {
 		count, err := conn.Read(buffer)
@@ -105,7 +105,7 @@
 // whole request the rest is dropped: the reader refuses the request as too
 // long, or closes the connection where it finds the gap.
 func (conn *cipherConn) append(data []byte) {
-	limits := conn.connection.server.limits
+	limits := conn.connection.server.bounds()
 	bound := limits.MaxHeaderBytes + limits.MaxBodyBytes + 2*bodyEncodingSlack
 	conn.mutex.Lock()
 	conn.overflowed = conn.overflowed || len(conn.received)+len(data) > bound
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -36,7 +36,9 @@
 
 // Server is one listening address.
 type Server struct {
-	limits   Limits
+	// started are the limits at the start, limits those in force.
+	started  *Limits
+	limits   atomic.Pointer[Limits]
 	handler  http.Handler
 	engine   *nbhttp.Engine
 	listener *stoppableListener
@@ -75,13 +77,14 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	server := &Server{
 		workers:   workerpool.New(ctx, keptWorkers),
-		limits:    limits.withDefaults(),
 		handler:   handler,
 		listener:  newStoppableListener(inner),
 		tlsConfig: config,
 		context:   ctx,
 		cancel:    cancel,
 	}
+	server.started = limits.withDefaults()
+	server.limits.Store(server.started)
 	server.engine = server.newEngine(inner.Addr().String())
 	err = server.engine.Start()
 	if err != nil {
@@ -102,7 +105,7 @@
 // newEngine builds the nbhttp engine around the open listener.
 func (server *Server) newEngine(address string) *nbhttp.Engine {
 	silenceNbio()
-	limits := server.limits
+	limits := server.bounds()
 	engine := nbhttp.NewEngine(nbhttp.Config{
 		Network: "tcp",
 		Addrs:   []string{address},
@@ -166,7 +169,7 @@
 }
 
 func (server *Server) awaitGrace(ctx context.Context) {
-	timer := time.NewTimer(server.limits.DrainGrace)
+	timer := time.NewTimer(server.bounds().DrainGrace)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
@@ -198,7 +201,7 @@
 func (server *Server) opened(socket net.Conn) {
 	accepted := socket.(*nbio.Conn)
 	state := newConnection(server, accepted)
-	state.excess = server.open.Add(1) > int64(server.limits.MaxConnections)
+	state.excess = server.open.Add(1) > int64(server.bounds().MaxConnections)
 	server.connections.Store(accepted, state)
 }
 
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -144,6 +144,7 @@
 func (node *Node) applyConfiguration(record durable.KeyedRecord) {
 	decoded, sound := node.around.DecodeConfiguration(record)
 	if sound && node.routes.Apply(decoded) {
+		node.adjustCallers(decoded.Limits)
 		node.logger.Info("configuration applied", zap.Int64("version", decoded.Version), zap.Int64("offset", record.Offset))
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -237,14 +237,33 @@
 }
 
 const (
-	// maxBodyBytes and maxHeaderBytes bound callers' requests until the
-	// configuration's own bounds are known.
-	maxBodyBytes   = 8 << 20
-	maxHeaderBytes = 32 << 10
+	// maxBodyBytes and maxHeaderBytes bound callers' requests whatever the
+	// configuration says.
+	maxBodyBytes   = 64 << 20
+	maxHeaderBytes = 64 << 10
+	// headerSlack is added to the configuration's bound, which may be counted in
+	// another way.
+	headerSlack = 1 << 10
 	// callerIdleTimeout closes callers' quiet connections.
 	callerIdleTimeout = 60 * time.Second
 )
 
+// adjustCallers puts the configuration's bounds in force.
+func (node *Node) adjustCallers(limits routing.Limits) {
+	bounds := httpserver.Bounds{
+		MaxBodyBytes:   limits.MaxBodyBytes,
+		RequestTimeout: limits.HeaderTimeout + bodyTimeout,
+		IdleTimeout:    limits.IdleTimeout,
+	}
+	if limits.MaxHeaderBytes > 0 {
+		bounds.MaxHeaderBytes = limits.MaxHeaderBytes + headerSlack
+	}
+	node.servers[len(node.servers)-1].Adjust(bounds)
+}
+
+// bodyTimeout is how long a body may take beyond the bound of the headers.
+const bodyTimeout = 30 * time.Second
+
 // answerReadiness says 200 while the node takes new callers.
 func (node *Node) answerReadiness(writer http.ResponseWriter, request *http.Request) {
 	ready := request.URL.Path == node.around.ReadinessPath && node.ready()
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -3,6 +3,7 @@
 package routing
 
 import (
+	"math"
 	"math/rand/v2"
 	"sort"
 	"strings"
@@ -50,6 +51,10 @@
 	// KeepsTurns says that the system keeps what was said, for Retention.
 	KeepsTurns bool
 	Retention  time.Duration
+
+	// phase is where the choice of services begins, picked how often it was made.
+	phase  float64
+	picked atomic.Uint64
 }
 
 // Repeatable tells whether a request of the route may run more than once.
@@ -57,7 +62,11 @@
 	return route.Kind == Safe || (route.Kind == Streaming && route.Resumable)
 }
 
-// PickService draws a service by the route's weights.
+// goldenRatio steps through [0, 1) so that any run of steps is spread evenly.
+const goldenRatio = 0.6180339887498949
+
+// PickService chooses a service by the route's weights. The shares of any run
+// of requests differ from the weights by little, unlike those of a draw.
 func (route *Route) PickService() string {
 	if len(route.Shares) == 1 {
 		return route.Shares[0].Service
@@ -66,10 +75,11 @@
 	for _, share := range route.Shares {
 		total += share.Weight
 	}
-	drawn := rand.Float64() * total
+	_, place := math.Modf(route.phase + goldenRatio*float64(route.picked.Add(1)))
+	place *= total
 	for _, share := range route.Shares {
-		drawn -= share.Weight
-		if drawn < 0 {
+		place -= share.Weight
+		if place < 0 {
 			return share.Service
 		}
 	}
@@ -106,7 +116,7 @@
 }
 
 // New builds a configuration.
-func New(version int64, routes []Route, services []Service, limits Limits) *Configuration {
+func New(version int64, routes []*Route, services []Service, limits Limits) *Configuration {
 	built := &Configuration{
 		Version:  version,
 		Services: make(map[string]Service, len(services)),
@@ -116,8 +126,8 @@
 	for _, service := range services {
 		built.Services[service.Name] = service
 	}
-	for index := range routes {
-		route := &routes[index]
+	for _, route := range routes {
+		route.phase = rand.Float64()
 		host := strings.ToLower(route.Host)
 		built.byHost[host] = append(built.byHost[host], route)
 	}
