Log each call on one line with what decided it; never block on the log

A call's line now names route, configuration's version, owner, epoch and verdict, engine, number and age of the list of engines, runs, refusals, events and the time for reservation and record; an owner's refusal names budget, spent, doubt, open and ceiling. Lines go through a queue that drops and counts what a reader does not take, and a sampler bounds them.

--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -62,6 +62,8 @@
 	Nodes func() int
 	// Stopping tells that the process is leaving.
 	Stopping func() bool
+	// ViewAge is how long ago the list of engines was last confirmed.
+	ViewAge func() time.Duration
 }
 
 const (
@@ -108,6 +110,11 @@
 	events      int64
 	reserved    bool
 	grant       Grant
+	reservation Reservation
+	reserveTook time.Duration
+	recordTook  time.Duration
+	viewAge     time.Duration
+	usable      int
 }
 
 // Serve takes a call to its answer. ctx ends when the caller is gone.
@@ -175,10 +182,10 @@
 	if !current.route.KeepsTurns {
 		current.call.Turn.Previous = ""
 	}
+	began := time.Now()
 	reservation := current.service.Programs.Reserve(ctx, current.call)
-	current.service.Logger.Debug("turn reserved", zap.Int64("budget", current.call.Turn.Budget), zap.Int64("most", current.call.Turn.Most), zap.String("request", current.call.ID),
-		zap.String("program", current.call.Program), zap.Stringer("verdict", reservation.Verdict),
-		zap.String("owner", reservation.Grant.Owner), zap.Int64("epoch", reservation.Grant.Epoch))
+	current.reservation = reservation
+	current.reserveTook = time.Since(began)
 	switch reservation.Verdict {
 	case nodev1.Verdict_VERDICT_GRANTED:
 		current.reserved = true
@@ -232,6 +239,8 @@
 		Zone:     current.service.Zone,
 		Tried:    current.tried,
 	}
+	current.viewAge = current.service.ViewAge()
+	current.usable = current.service.Engines.Usable(current.serviceName)
 	return current.service.Engines.Pick(request, time.Now())
 }
 
@@ -301,7 +310,7 @@
 			outcome = backend.Misdirected
 		}
 		current.refusals++
-		current.service.Logger.Debug("engine refused", zap.String("request", current.call.ID),
+		current.service.Logger.Info("engine refused", zap.String("request", current.call.ID),
 			zap.String("engine", engine.ID), zap.Int("status", reply.Status))
 		return false, nil
 	}
@@ -411,18 +420,36 @@
 		routeName = current.route.Name
 	}
 	current.service.Meter.Finished(kind, code, took)
-	level := zap.DebugLevel
+	current.logEnd(routeName, code, took, failure)
+}
+
+// logEnd writes the one line that says how the call ended and on what.
+func (current *course) logEnd(routeName string, code resultcode.Code, took time.Duration, failure error) {
+	event := "call answered"
 	if failure != nil {
-		level = zap.InfoLevel
+		event = "call failed"
 	}
-	entry := current.service.Logger.Check(level, "call finished")
+	entry := current.service.Logger.Check(zap.InfoLevel, event)
 	if entry == nil {
 		return
 	}
-	fields := []zap.Field{zap.String("request", current.call.ID), zap.String("program", current.call.Program),
-		zap.String("route", routeName), zap.Int64("configuration", current.version), zap.Stringer("result", code),
-		zap.String("engine", current.lastEngine), zap.Int("runs", current.runs), zap.Int("refusals", current.refusals),
-		zap.Int64("events", current.events), zap.Duration("took", took)}
+	fields := []zap.Field{zap.String("request", current.call.ID), zap.String("route", routeName),
+		zap.Int64("configuration", current.version), zap.Uint32("code", uint32(code)), zap.Stringer("result", code),
+		zap.Duration("took", took)}
+	if current.call.Program != "" {
+		fields = append(fields, zap.String("program", current.call.Program))
+	}
+	if current.reservation.Verdict != 0 {
+		fields = append(fields, zap.Stringer("verdict", current.reservation.Verdict), zap.String("owner", current.reservation.Grant.Owner),
+			zap.Int64("epoch", current.reservation.Grant.Epoch), zap.Duration("reserve_took", current.reserveTook))
+	}
+	if len(current.tried) > 0 || current.usable > 0 {
+		fields = append(fields, zap.String("engine", current.lastEngine), zap.Int("engines", current.usable),
+			zap.Duration("engines_age", current.viewAge), zap.Int("runs", current.runs), zap.Int("refusals", current.refusals))
+	}
+	if current.route != nil && current.route.Kind == routing.Streaming {
+		fields = append(fields, zap.Int64("events", current.events), zap.Duration("record_took", current.recordTook))
+	}
 	if failure != nil {
 		fields = append(fields, zap.String("failure", failure.Error()))
 	}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -161,7 +161,9 @@
 	var turn *history.Turn
 	if current.route.KeepsTurns && current.call.Turn != nil {
 		turn = current.turn(said)
+		began := time.Now()
 		err := current.service.Programs.Record(ctx, turn)
+		current.recordTook = time.Since(began)
 		if err != nil {
 			current.service.Logger.Warn("turn not recorded", zap.String("request", current.call.ID),
 				zap.String("program", current.call.Program), logging.Cause(err))
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -17,6 +17,22 @@
 // timeLayout writes UTC times to the millisecond.
 const timeLayout = "2006-01-02T15:04:05.000Z"
 
+const (
+	// sampleTick is the time over which lines of one event are counted; of more
+	// than sampleFirst of them, one in sampleThereafter is written.
+	sampleTick       = time.Second
+	sampleFirst      = 300
+	sampleThereafter = 100
+)
+
+// Bounded returns a logger that writes a bounded number of lines a second.
+func (logger *Logger) Bounded() *Logger {
+	sampled := logger.WithOptions(zap.WrapCore(func(core zapcore.Core) zapcore.Core {
+		return zapcore.NewSamplerWithOptions(core, sampleTick, sampleFirst, sampleThereafter)
+	}))
+	return &Logger{Logger: sampled, Level: logger.Level}
+}
+
 // Logger is the process's logger with its settable level.
 type Logger struct {
 	*zap.Logger
--- /dev/null
+++ b/internal/logging/nonblocking_test.go
@@ -0,0 +1,37 @@
+package logging_test
+
+import (
+	"bytes"
+
+	"github.com/magpielug/magpielug/internal/logging"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// blockedWriter takes nothing until it is released.
+type blockedWriter struct {
+	release chan struct{}
+	written bytes.Buffer
+}
+
+func (writer *blockedWriter) Write(data []byte) (int, error) {
+	<-writer.release
+	return writer.written.Write(data)
+}
+
+var _ = Describe("NonBlocking", func() {
+	It("drops and counts lines rather than wait for a reader", func() {
+		output := &blockedWriter{release: make(chan struct{})}
+		writer := logging.NewNonBlocking(output)
+		const lines = 10000
+		for range lines {
+			_, err := writer.Write([]byte("line\n"))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(writer.Dropped()).To(BeNumerically(">", 0))
+		close(output.release)
+		writer.Close()
+		kept := bytes.Count(output.written.Bytes(), []byte("\n"))
+		Expect(int64(kept) + writer.Dropped()).To(BeEquivalentTo(lines))
+	})
+})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -72,6 +72,7 @@
 	programs  *programs
 	service   *forward.Service
 	meter     *meter
+	logOutput *logging.NonBlocking
 	stopping  atomic.Bool
 	servers   []*httpserver.Server
 }
@@ -85,10 +86,13 @@
 	if settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes)))
 	}
-	logger, err := logging.New(settings.LogLevel, os.Stdout)
+	output := logging.NewNonBlocking(os.Stdout)
+	defer output.Close()
+	unbounded, err := logging.New(settings.LogLevel, output)
 	if err != nil {
 		return err
 	}
+	logger := unbounded.Bounded()
 	node, err := build(ctx, settings, around, logger)
 	if err != nil {
 		return err
@@ -96,6 +100,7 @@
 	logger.Info("node starts", zap.String("node", settings.Name), zap.String("zone", settings.Zone),
 		zap.String("incarnation", node.incarnation), zap.String("version", version),
 		zap.String("callers", settings.CallerAddress), zap.String("peers", settings.PeerAddress), zap.Int("shards", settings.Shards))
+	node.logOutput = output
 	return node.run(ctx)
 }
 
@@ -137,6 +142,7 @@
 		Zone:     settings.Zone,
 		Nodes:    node.members.staying,
 		Stopping: node.stopping.Load,
+		ViewAge:  node.engineView.age,
 	}
 	return node, nil
 }
@@ -298,7 +304,7 @@
 	turns, bytes := node.turns.Size()
 	node.logger.Info("summary", zap.Int("in_flight", node.inFlight()), zap.Int("engines", node.engines.Known()),
 		zap.Int("nodes", node.members.staying()), zap.Int("turns", turns), zap.Int("turn_bytes", bytes),
-		zap.String("store_calls", node.meter.takeRecent()))
+		zap.Int64("lines_dropped", node.logOutput.Dropped()), zap.String("store_calls", node.meter.takeRecent()))
 }
 
 // drain is a planned stop: not ready at once, shards handed over, requests under
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/magpielug/magpielug/internal/durable"
 	"go.uber.org/zap"
@@ -20,6 +21,8 @@
 	mutex  sync.Mutex
 	newest map[string]durable.KeyedRecord
 	end    int64
+	// taken is when the last update came, even if it held nothing new.
+	taken time.Time
 }
 
 func newRecordView(name string, logger *zap.Logger, apply func(durable.KeyedRecord)) *recordView {
@@ -37,6 +40,14 @@
 		view.dropUnlisted(update)
 	}
 	view.end = max(view.end, update.End)
+	view.taken = time.Now()
+}
+
+// age is the time since the last update.
+func (view *recordView) age() time.Duration {
+	view.mutex.Lock()
+	defer view.mutex.Unlock()
+	return time.Since(view.taken)
 }
 
 func (view *recordView) takeRecord(record durable.KeyedRecord) {
--- a/internal/ownership/shard.go
+++ b/internal/ownership/shard.go
@@ -239,8 +239,10 @@
 	case spending.Granted:
 		asked.reply <- Answer{Verdict: nodev1.Verdict_VERDICT_GRANTED, Owner: shard.owner}
 	case spending.Spent:
+		manager.logRefusal(shard, asked.ask, "spent")
 		asked.reply <- Answer{Verdict: nodev1.Verdict_VERDICT_SPENT, Owner: shard.owner, Reason: "the budget leaves no room"}
 	case spending.Unsure:
+		manager.logRefusal(shard, asked.ask, "unsure")
 		asked.reply <- Answer{Verdict: nodev1.Verdict_VERDICT_UNSURE, Owner: shard.owner, Reason: "a former owner may have used the room left"}
 	case spending.AwaitCeiling:
 		if shard.unable(time.Now()) {
@@ -252,6 +254,15 @@
 	manager.write(shard)
 }
 
+// logRefusal writes on what a program was refused.
+func (manager *Manager) logRefusal(shard *shard, ask Ask, verdict string) {
+	balance := shard.ledger.Balance(ask.Program)
+	manager.logger.Info("turn refused", zap.String("key", ask.Request), zap.String("program", ask.Program),
+		zap.String("verdict", verdict), zap.Int("shard", shard.number), zap.Int64("epoch", shard.epoch),
+		zap.Int64("budget", ask.Budget), zap.Int64("most", ask.Most), zap.Int64("spent", balance.Spent),
+		zap.Int64("doubt", balance.Doubt), zap.Int64("open", balance.Open), zap.Int64("ceiling", balance.Ceiling))
+}
+
 // unable tells whether the log has been silent too long.
 func (shard *shard) unable(now time.Time) bool {
 	return shard.writing && now.Sub(shard.silentSince) > unableAfter
--- a/internal/spending/spending.go
+++ b/internal/spending/spending.go
@@ -265,5 +265,24 @@
 	}
 }
 
+// Balance is what decided about a program.
+type Balance struct {
+	// Spent is counted beside the open turns, Doubt the part of it that may not
+	// have been used, Open what open turns may use.
+	Spent   int64
+	Doubt   int64
+	Open    int64
+	Ceiling int64
+}
+
+// Balance returns a program's, zero for one without an account.
+func (ledger *Ledger) Balance(program string) Balance {
+	account := ledger.accounts[program]
+	if account == nil {
+		return Balance{}
+	}
+	return Balance{Spent: account.base + account.settled, Doubt: account.doubt, Open: account.openTotal, Ceiling: account.ceiling}
+}
+
 // Programs returns the number of accounts.
 func (ledger *Ledger) Programs() int { return len(ledger.accounts) }
