--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -50,11 +50,12 @@
 	mutex    sync.Mutex
 	engines  map[string]*Engine
 	services map[string][]*Engine
+	policy   Policy
 }
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
-	return &Directory{engines: map[string]*Engine{}, services: map[string][]*Engine{}}
+	return &Directory{engines: map[string]*Engine{}, services: map[string][]*Engine{}, policy: policies[PolicyProgram]}
 }
 
 // Put notes an engine's newest record and tells whether something changed.
--- /dev/null
+++ b/internal/backend/pick_test.go
@@ -0,0 +1,89 @@
+package backend_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/magpielug/magpielug/internal/backend"
+	"github.com/magpielug/magpielug/internal/resultcode"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+const service = "s"
+
+var now = time.Unix(1000, 0)
+
+func newDirectory(engines int) *backend.Directory {
+	directory := backend.NewDirectory()
+	for number := range engines {
+		directory.Put(backend.Instance{ID: fmt.Sprint("e", number), Service: service, Address: fmt.Sprint("10.0.0.", number, ":1"), Zone: "z"})
+	}
+	return directory
+}
+
+var _ = Describe("Pick", func() {
+	It("keeps a program on one engine", func() {
+		directory := newDirectory(8)
+		request := &backend.Request{Service: service, Program: "p"}
+		first := directory.Pick(request, now)
+		directory.Finish(first, backend.Answered, time.Millisecond, now)
+		for range 10 {
+			again := directory.Pick(request, now)
+			Expect(again.ID).To(Equal(first.ID))
+			directory.Finish(again, backend.Answered, time.Millisecond, now)
+		}
+	})
+
+	It("moves only the programs of an engine that leaves", func() {
+		directory := newDirectory(8)
+		place := func(program string) string {
+			picked := directory.Pick(&backend.Request{Service: service, Program: program}, now)
+			directory.Finish(picked, backend.Answered, time.Millisecond, now)
+			return picked.ID
+		}
+		before := map[string]string{}
+		for number := range 200 {
+			before[fmt.Sprint(number)] = place(fmt.Sprint(number))
+		}
+		directory.Remove("e3")
+		for program, engine := range before {
+			if engine != "e3" {
+				Expect(place(program)).To(Equal(engine))
+			}
+		}
+	})
+
+	It("passes over an engine that leaves, that was tried, or that has failed", func() {
+		directory := newDirectory(3)
+		directory.Put(backend.Instance{ID: "e0", Service: service, Leaving: true})
+		for range 2 {
+			failing := directory.Pick(&backend.Request{Service: service, Tried: []string{"e2"}}, now)
+			Expect(failing.ID).To(Equal("e1"))
+			directory.Finish(failing, backend.Failed, time.Millisecond, now)
+		}
+		Expect(directory.Pick(&backend.Request{Service: service}, now).ID).To(Equal("e2"))
+		Expect(directory.Pick(&backend.Request{Service: service, Tried: []string{"e2"}}, now).ID).To(Equal("e1"), "better than none")
+		Expect(directory.Pick(&backend.Request{Service: service, Tried: []string{"e1", "e2"}}, now)).To(BeNil())
+		later := now.Add(time.Minute)
+		Expect(directory.Pick(&backend.Request{Service: service, Tried: []string{"e2"}}, later).ID).To(Equal("e1"))
+	})
+
+	It("never goes back to an engine that has said it leaves", func() {
+		directory := newDirectory(1)
+		directory.Put(backend.Instance{ID: "e0", Service: service, Leaving: true})
+		directory.Put(backend.Instance{ID: "e0", Service: service})
+		Expect(directory.Pick(&backend.Request{Service: service}, now)).To(BeNil())
+	})
+
+	It("spreads by what runs under the least policy, and refuses an unknown one", func() {
+		directory := newDirectory(4)
+		Expect(directory.UsePolicy(backend.PolicyLeast)).To(Succeed())
+		seen := map[string]int{}
+		for range 8 {
+			seen[directory.Pick(&backend.Request{Service: service, Program: "p", Zone: "z"}, now).ID]++
+		}
+		Expect(seen).To(HaveLen(4))
+		Expect(resultcode.CodeOf(directory.UsePolicy("best"))).To(Equal(resultcode.InvalidSettings))
+	})
+})
--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -233,28 +233,16 @@
 }
 
 func (current *course) pick() *backend.Engine {
-	request := &backend.Request{
-		Service:  current.serviceName,
-		Affinity: current.affinity(),
-		Zone:     current.service.Zone,
-		Tried:    current.tried,
+	request := &backend.Request{Service: current.serviceName, Zone: current.service.Zone, Tried: current.tried}
+	if current.route.Kind == routing.Streaming {
+		request.Program = current.call.Program
+		request.Prompt = current.call.SharedPrompt
 	}
 	current.viewAge = current.service.ViewAge()
 	current.usable = current.service.Engines.Usable(current.serviceName)
 	return current.service.Engines.Pick(request, time.Now())
 }
 
-// affinity names what keeps a call near the memory of those before it.
-func (current *course) affinity() string {
-	if current.route.Kind != routing.Streaming {
-		return ""
-	}
-	if current.call.Program != "" {
-		return current.call.Program
-	}
-	return current.call.SharedPrompt
-}
-
 // awaitEngine waits a moment for an engine with room, or refuses.
 func (current *course) awaitEngine(ctx context.Context) error {
 	objective := current.route.Objective
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -123,6 +123,10 @@
 		turns:       history.NewStore(historyBytes(settings.MemoryBytes)),
 		recorder:    history.NewRecorder(around.Log, settings.Shards),
 	}
+	err = node.engines.UsePolicy(settings.Placement)
+	if err != nil {
+		return nil, err
+	}
 	node.newViews()
 	node.peers = newPeers(node.members, client)
 	node.reader = history.NewReader(around.Log, node.turns, settings.Shards)
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -38,6 +38,8 @@
 	Shards int
 	// Grace is how long a planned stop may take.
 	Grace time.Duration
+	// Placement names the policy that chooses engines; empty is the default.
+	Placement string
 	// LogLevel is debug, info, warn or error.
 	LogLevel string
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -1,6 +1,6 @@
 // Package settings reads and checks the settings of a process: a YAML file,
 // then flags, each key with a unit and bounds. The table of all keys stands in
-// docs/OPERATING.md and is checked against this package by a test.
+// docs/OPERATIONS.md and is checked against this package by a test.
 package settings
 
 import (
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -115,9 +115,9 @@
 	})
 })
 
-var _ = Describe("docs/OPERATING.md", func() {
+var _ = Describe("docs/OPERATIONS.md", func() {
 	It("lists every key with its default, unit and bounds", func() {
-		page, err := os.ReadFile("../../docs/OPERATING.md")
+		page, err := os.ReadFile("../../docs/OPERATIONS.md")
 		Expect(err).NotTo(HaveOccurred())
 		for _, line := range strings.Split(Markdown(), "\n") {
 			Expect(string(page)).To(ContainSubstring(line))
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -84,7 +84,7 @@
 	return strings.Join(parts, "; ")
 }
 
-// Markdown returns the table as docs/OPERATING.md holds it.
+// Markdown returns the table as docs/OPERATIONS.md holds it.
 func Markdown() string {
 	var text strings.Builder
 	text.WriteString("| key | default | unit and bounds | meaning |\n|---|---|---|---|\n")
