--- /dev/null
+++ b/internal/forward/outcome.go
@@ -0,0 +1,69 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/magpielug/magpielug/internal/resultcode"
+	"github.com/magpielug/magpielug/internal/routing"
+	"go.uber.org/zap"
+)
+
+// finish answers a failure and writes the call's line.
+func (current *course) finish(ctx context.Context, failure error) {
+	took := time.Since(current.call.Received)
+	code := resultcode.OK
+	if failure != nil {
+		code = resultcode.CodeOf(failure)
+		if errors.Is(failure, errCallerGone) || ctx.Err() != nil {
+			code = resultcode.CallStopped
+		}
+		if current.begun {
+			current.answer.Abort()
+		} else {
+			current.answer.Fail(failure)
+		}
+	}
+	kind := routing.Unsafe
+	routeName := ""
+	if current.route != nil {
+		kind = current.route.Kind
+		routeName = current.route.Name
+	}
+	current.service.Meter.Finished(kind, code, took)
+	current.logEnd(routeName, code, took, failure)
+}
+
+// logEnd writes the one line that says how the call ended and on what.
+func (current *course) logEnd(routeName string, code resultcode.Code, took time.Duration, failure error) {
+	event := "call answered"
+	if failure != nil {
+		event = "call failed"
+	}
+	entry := current.service.Logger.Check(zap.InfoLevel, event)
+	if entry == nil {
+		return
+	}
+	fields := []zap.Field{zap.String("request", current.call.ID), zap.String("route", routeName),
+		zap.Int64("configuration", current.version), zap.Uint32("code", uint32(code)), zap.Stringer("result", code),
+		zap.Duration("took", took)}
+	if current.call.Program != "" {
+		fields = append(fields, zap.String("program", current.call.Program))
+	}
+	if current.reservation.Verdict != 0 {
+		fields = append(fields, zap.Stringer("verdict", current.reservation.Verdict), zap.String("owner", current.reservation.Grant.Owner),
+			zap.Int64("epoch", current.reservation.Grant.Epoch), zap.Duration("reserve_took", current.reserveTook))
+	}
+	if len(current.tried) > 0 || current.usable > 0 {
+		fields = append(fields, zap.String("engine", current.lastEngine), zap.Int("engines", current.usable),
+			zap.Duration("engines_age", current.viewAge), zap.Int("runs", current.runs), zap.Int("refusals", current.refusals))
+	}
+	if current.route != nil && current.route.Kind == routing.Streaming {
+		fields = append(fields, zap.Int64("events", current.events), zap.Duration("record_took", current.recordTook))
+	}
+	if failure != nil {
+		fields = append(fields, zap.String("failure", failure.Error()))
+	}
+	entry.Write(fields...)
+}
--- /dev/null
+++ b/internal/forward/send.go
@@ -0,0 +1,191 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/magpielug/magpielug/internal/backend"
+	"github.com/magpielug/magpielug/internal/logging"
+	"github.com/magpielug/magpielug/internal/resultcode"
+	"github.com/magpielug/magpielug/internal/routing"
+	"go.uber.org/zap"
+)
+
+// sendUntilAnswered tries engines until one answers, or nothing may be tried any
+// more. It returns nil once the caller has its answer.
+func (current *course) sendUntilAnswered(ctx context.Context) error {
+	for {
+		remaining := time.Until(current.end)
+		if remaining < minimumWork || ctx.Err() != nil {
+			return current.timedOut(ctx)
+		}
+		engine := current.pick()
+		if engine == nil {
+			failure := current.awaitEngine(ctx)
+			if failure != nil {
+				return failure
+			}
+			continue
+		}
+		done, failure := current.attempt(ctx, engine, remaining)
+		if done {
+			return failure
+		}
+	}
+}
+
+func (current *course) pick() *backend.Engine {
+	request := &backend.Request{Service: current.serviceName, Zone: current.service.Zone, Tried: current.tried}
+	if current.route.Kind == routing.Streaming {
+		request.Program = current.call.Program
+		request.Prompt = current.call.SharedPrompt
+	}
+	current.viewAge = current.service.ViewAge()
+	current.usable = current.service.Engines.Usable(current.serviceName)
+	return current.service.Engines.Pick(request, time.Now())
+}
+
+// awaitEngine waits a moment for an engine with room, or refuses.
+func (current *course) awaitEngine(ctx context.Context) error {
+	objective := current.route.Objective
+	if objective == 0 {
+		objective = fallbackObjective
+	}
+	patience := time.Duration(refusalShare * float64(objective))
+	if time.Since(current.call.Received) > patience {
+		if current.runs > 0 {
+			return current.outcomeUnknown()
+		}
+		return resultcode.New(resultcode.NoBackEnd, "none of %d engines of %s has room, %d refusals",
+			current.service.Engines.Usable(current.serviceName), current.serviceName, current.refusals).After(fullRetry)
+	}
+	select {
+	case <-time.After(fullPoll):
+	case <-ctx.Done():
+	}
+	if current.runs == 0 || current.route.Repeatable() {
+		current.tried = current.tried[:0]
+	}
+	return nil
+}
+
+// attempt sends the call to one engine. It returns true once the call is over.
+func (current *course) attempt(ctx context.Context, engine *backend.Engine, remaining time.Duration) (bool, error) {
+	began := time.Now()
+	current.tried = append(current.tried, engine.ID)
+	current.lastEngine = engine.ID
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	outcome := backend.Abandoned
+	defer func() { current.service.Engines.Finish(engine, outcome, time.Since(began), time.Now()) }()
+	reply, err := current.service.Sender.Send(ctx, &Attempt{
+		Call:           current.call,
+		Engine:         engine.Instance,
+		Body:           current.body,
+		Remaining:      max(remaining-answerMargin, time.Millisecond),
+		Streams:        current.route.Kind == routing.Streaming,
+		Urgency:        current.route.Priority,
+		MaxConnections: current.maxConnections(),
+	})
+	if err != nil {
+		if ctx.Err() == nil {
+			outcome = backend.Failed
+		}
+		return current.afterSendFailure(ctx, err)
+	}
+	defer func() { _ = reply.Body.Close() }()
+	if reply.NotRun || reply.Misdirected {
+		outcome = backend.Full
+		if reply.Misdirected {
+			outcome = backend.Misdirected
+		}
+		current.refusals++
+		current.service.Logger.Info("engine refused", zap.String("request", current.call.ID),
+			zap.String("engine", engine.ID), zap.Int("status", reply.Status))
+		return false, nil
+	}
+	current.runs++
+	if current.route.Kind == routing.Streaming && isSuccess(reply.Status) {
+		outcome, err = current.relayStream(ctx, reply)
+		return true, err
+	}
+	outcome, err = current.relayWhole(ctx, reply)
+	if errors.Is(err, errBrokenOff) {
+		return current.afterSendFailure(ctx, err)
+	}
+	return true, err
+}
+
+func isSuccess(status int) bool { return status >= 200 && status < 300 }
+
+// maxConnections is this node's share of what an engine takes.
+func (current *course) maxConnections() int {
+	if current.definition.MaxConnections == 0 {
+		return 0
+	}
+	const least = 4
+	return max(current.definition.MaxConnections/max(current.service.Nodes(), 1), least)
+}
+
+// afterSendFailure tells whether another engine may be tried.
+func (current *course) afterSendFailure(ctx context.Context, err error) (bool, error) {
+	current.service.Logger.Info("send failed", zap.String("request", current.call.ID),
+		zap.String("engine", current.lastEngine), zap.Duration("after", time.Since(current.call.Received)), logging.Cause(err))
+	if errors.Is(err, backend.ErrNotSent) {
+		return false, nil
+	}
+	if !errors.Is(err, errBrokenOff) {
+		current.runs++
+	}
+	if ctx.Err() != nil {
+		return true, current.timedOut(ctx)
+	}
+	if current.route.Kind == routing.Safe && current.runs < max(current.route.Attempts, 1) {
+		return false, nil
+	}
+	return true, current.outcomeUnknown()
+}
+
+func (current *course) outcomeUnknown() error {
+	return resultcode.New(resultcode.OutcomeUnknown, "engine %s got the request and gave no whole answer", current.lastEngine)
+}
+
+// timedOut is the answer once the call's time is over.
+func (current *course) timedOut(ctx context.Context) error {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return errCallerGone
+	}
+	if current.runs > 0 || current.begun {
+		return resultcode.New(resultcode.ToolTimeout, "no answer in the time allowed")
+	}
+	return resultcode.New(resultcode.NoBackEnd, "no engine took the request in the time allowed").After(fullRetry)
+}
+
+var (
+	errCallerGone = errors.New("the caller is gone")
+	errBrokenOff  = errors.New("the engine broke its answer off")
+)
+
+// relayWhole reads an answer to its end and passes it on.
+func (current *course) relayWhole(ctx context.Context, reply *Reply) (backend.Outcome, error) {
+	content, err := io.ReadAll(io.LimitReader(reply.Body, maxAnswerBytes))
+	if err != nil {
+		if ctx.Err() != nil {
+			return backend.Abandoned, current.timedOut(ctx)
+		}
+		return backend.Failed, errBrokenOff
+	}
+	current.begun = true
+	err = current.answer.Begin(reply.Status, reply.Header)
+	if err == nil && len(content) > 0 {
+		err = current.answer.Write(content)
+	}
+	if err != nil {
+		current.answer.Abort()
+		return backend.Answered, errCallerGone
+	}
+	current.answer.End()
+	return backend.Answered, nil
+}
--- /dev/null
+++ b/internal/node/peer_server.go
@@ -0,0 +1,53 @@
+package node
+
+import (
+	"context"
+
+	nodev1 "github.com/magpielug/magpielug/api/node/v1"
+	"github.com/magpielug/magpielug/internal/history"
+)
+
+// peerServer serves the other nodes.
+type peerServer struct{ node *Node }
+
+// Reserve implements nodev1.Node.
+func (server *peerServer) Reserve(ctx context.Context, request *nodev1.ReserveRequest) (*nodev1.ReserveReply, error) {
+	return server.node.reserveHere(ctx, server.node.programs.shardOf(request.Program), request), nil
+}
+
+// Settle implements nodev1.Node. Settlements of a shard that another node owns
+// by now are passed on to it once.
+func (server *peerServer) Settle(_ context.Context, request *nodev1.SettleRequest) (*nodev1.SettleReply, error) {
+	for _, settlement := range request.Settlements {
+		if settlement.Turn != nil {
+			server.node.turns.Add(history.FromMessage(settlement.Turn))
+		}
+		server.node.settle(settlement, request.PassedOn)
+	}
+	return &nodev1.SettleReply{}, nil
+}
+
+// settle ends a turn here, or at the node that owns its shard by now.
+func (node *Node) settle(settlement *nodev1.Settlement, passedOn bool) {
+	shard := node.programs.shardOf(settlement.Program)
+	owner := node.programs.believedOwner(shard).Node
+	if node.ownership.Owns(shard) || passedOn || owner == "" || owner == node.settings.Name {
+		node.ownership.Settle(shard, settlement.Program, settlement.Request, settlement.Tokens)
+		return
+	}
+	go node.programs.send(owner, &nodev1.SettleRequest{Settlements: []*nodev1.Settlement{settlement}, PassedOn: true})
+}
+
+// Yield implements nodev1.Node.
+func (server *peerServer) Yield(ctx context.Context, request *nodev1.YieldRequest) (*nodev1.YieldReply, error) {
+	if int(request.Shard) >= server.node.settings.Shards {
+		return nil, errUnknownShard
+	}
+	return server.node.ownership.Yielded(ctx, int(request.Shard), request.Epoch), nil
+}
+
+// askToYield asks the node that made a claim whether it keeps the shard.
+func (node *Node) askToYield(ctx context.Context, claim *nodev1.Claim, shard int) (*nodev1.YieldReply, error) {
+	client := node.peers.at(claim.Address)
+	return client.Yield(ctx, &nodev1.YieldRequest{Shard: uint32(shard), Epoch: claim.Epoch})
+}
--- /dev/null
+++ b/internal/node/peers.go
@@ -0,0 +1,41 @@
+package node
+
+import (
+	"net/http"
+	"sync"
+
+	nodev1 "github.com/magpielug/magpielug/api/node/v1"
+)
+
+// peers makes clients of the other nodes.
+type peers struct {
+	members *members
+	http    *http.Client
+	mutex   sync.Mutex
+	clients map[string]nodev1.Node
+}
+
+func newPeers(members *members, client *http.Client) *peers {
+	return &peers{members: members, http: client, clients: map[string]nodev1.Node{}}
+}
+
+// client returns a client of the node's present address.
+func (peers *peers) client(name string) (nodev1.Node, error) {
+	member, known := peers.members.get(name)
+	if !known {
+		return nil, errUnknownNode
+	}
+	return peers.at(member.Address), nil
+}
+
+// at returns a client of an address.
+func (peers *peers) at(address string) nodev1.Node {
+	peers.mutex.Lock()
+	defer peers.mutex.Unlock()
+	found := peers.clients[address]
+	if found == nil {
+		found = nodev1.NewNodeProtobufClient("http://"+address, peers.http)
+		peers.clients[address] = found
+	}
+	return found
+}
--- /dev/null
+++ b/internal/node/reserve.go
@@ -0,0 +1,124 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	nodev1 "github.com/magpielug/magpielug/api/node/v1"
+	"github.com/magpielug/magpielug/internal/history"
+	"github.com/magpielug/magpielug/internal/ownership"
+)
+
+// reserveHere answers a reservation for which this node is asked.
+func (node *Node) reserveHere(ctx context.Context, shard int, request *nodev1.ReserveRequest) *nodev1.ReserveReply {
+	ask := ownership.Ask{
+		Program: request.Program,
+		Request: request.Request,
+		Budget:  request.Budget,
+		Most:    request.Most,
+		Claim:   request.TakeOver,
+	}
+	owner := node.programs.believedOwner(shard)
+	if owner.Node != "" && owner.Node != node.settings.Name && !node.ownership.Owns(shard) {
+		if !slices.Contains(request.Failed, owner.Node) || request.PassedOn {
+			return &nodev1.ReserveReply{Verdict: nodev1.Verdict_VERDICT_NOT_OWNER, Owner: owner.Node, Epoch: owner.Epoch}
+		}
+		ask.Claim = true
+	}
+	reply := &nodev1.ReserveReply{}
+	if request.NeedsChain && node.ownership.Owns(shard) && !node.addChain(ctx, shard, request, reply) {
+		return reply
+	}
+	answer := node.ownership.Reserve(ctx, shard, ask)
+	if answer.Verdict == nodev1.Verdict_VERDICT_NOT_OWNER && slices.Contains(request.Failed, answer.Owner.Node) && !request.PassedOn {
+		return node.passOn(ctx, answer.Owner, request)
+	}
+	if answer.Verdict == nodev1.Verdict_VERDICT_GRANTED && ctx.Err() != nil {
+		node.ownership.Settle(shard, request.Program, request.Request, 0)
+	}
+	if answer.Verdict == nodev1.Verdict_VERDICT_GRANTED && request.NeedsChain && len(reply.Chain) == 0 &&
+		!node.addChain(ctx, shard, request, reply) {
+		node.ownership.Settle(shard, request.Program, request.Request, 0)
+		answer.Verdict = reply.Verdict
+		answer.Reason = reply.Reason
+	}
+	reply.Verdict = answer.Verdict
+	reply.Owner = answer.Owner.Node
+	reply.OwnerAddress = answer.Owner.Address
+	reply.Epoch = answer.Owner.Epoch
+	reply.Reason = answer.Reason
+	return reply
+}
+
+// passOn asks an owner that keeps the shard for a node that can't reach it.
+func (node *Node) passOn(ctx context.Context, owner ownership.Owner, request *nodev1.ReserveRequest) *nodev1.ReserveReply {
+	refusal := &nodev1.ReserveReply{Verdict: nodev1.Verdict_VERDICT_UNSURE, Reason: "the owner does not answer"}
+	client := node.peers.at(owner.Address)
+	bounded, cancel := context.WithTimeout(ctx, passOnTimeout)
+	defer cancel()
+	reply, err := client.Reserve(bounded, &nodev1.ReserveRequest{
+		Program:    request.Program,
+		Request:    request.Request,
+		Budget:     request.Budget,
+		Most:       request.Most,
+		Previous:   request.Previous,
+		NeedsChain: request.NeedsChain,
+		PassedOn:   true,
+	})
+	if err != nil {
+		return refusal
+	}
+	return reply
+}
+
+// find looks for a chain, and gives up waiting after a while; the reading goes
+// on, so that a later ask finds more.
+func (node *Node) find(ctx context.Context, shard int, id string) (history.Lookup, error) {
+	type outcome struct {
+		found history.Lookup
+		err   error
+	}
+	done := make(chan outcome, 1)
+	go func() {
+		reading, cancel := context.WithTimeout(context.Background(), findTimeout)
+		defer cancel()
+		found, err := node.reader.Find(reading, shard, id)
+		done <- outcome{found: found, err: err}
+	}()
+	timer := time.NewTimer(findWait)
+	defer timer.Stop()
+	select {
+	case result := <-done:
+		return result.found, result.err
+	case <-timer.C:
+		return history.Lookup{}, errStillReading
+	case <-ctx.Done():
+		return history.Lookup{}, errStillReading
+	}
+}
+
+// addChain puts the turns before the one asked for into the reply, or the
+// reason why it can't.
+func (node *Node) addChain(ctx context.Context, shard int, request *nodev1.ReserveRequest, reply *nodev1.ReserveReply) bool {
+	found, err := node.find(ctx, shard, request.Previous)
+	if errors.Is(err, errStillReading) {
+		reply.Verdict = nodev1.Verdict_VERDICT_WAITING
+		reply.Reason = err.Error()
+		return false
+	}
+	if err != nil {
+		reply.Verdict = nodev1.Verdict_VERDICT_UNSURE
+		reply.Reason = err.Error()
+		return false
+	}
+	if !found.Exists {
+		reply.Verdict = nodev1.Verdict_VERDICT_NO_SUCH_TURN
+		return false
+	}
+	for _, turn := range found.Chain {
+		reply.Chain = append(reply.Chain, history.ToMessage(turn))
+	}
+	return true
+}
--- /dev/null
+++ b/internal/node/search.go
@@ -0,0 +1,173 @@
+package node
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	nodev1 "github.com/magpielug/magpielug/api/node/v1"
+	"github.com/magpielug/magpielug/internal/logging"
+	"github.com/magpielug/magpielug/internal/ownership"
+	"go.uber.org/zap"
+)
+
+// ask finds the node that owns the shard and asks it. A node that does not
+// answer is named to the next one, which may then take the shard over.
+func (programs *programs) ask(ctx context.Context, shard int, id string, request *nodev1.ReserveRequest) *nodev1.ReserveReply {
+	search := &ownerSearch{programs: programs, shard: shard, id: id, request: request, asked: map[string]bool{}}
+	until := time.Now().Add(waitPatience)
+	for {
+		reply, decided := search.once(ctx)
+		if decided || ctx.Err() != nil || time.Now().After(until) {
+			return reply
+		}
+		sleep(ctx, searchPause)
+		search.asked = map[string]bool{}
+		request.Failed = nil
+	}
+}
+
+// ownerSearch is one reservation on its way to the shard's owner.
+type ownerSearch struct {
+	programs *programs
+	shard    int
+	id       string
+	request  *nodev1.ReserveRequest
+	// asked holds the nodes asked in this round, asks counts all.
+	asked map[string]bool
+	asks  int
+}
+
+// once asks one node after another. It returns false where none decided.
+func (search *ownerSearch) once(ctx context.Context) (*nodev1.ReserveReply, bool) {
+	last := &nodev1.ReserveReply{Verdict: nodev1.Verdict_VERDICT_UNSURE, Reason: "no node could be asked"}
+	for range askRounds {
+		target, found := search.programs.target(search.shard, search.asked)
+		if !found || ctx.Err() != nil {
+			return last, false
+		}
+		reply, err := search.askOne(ctx, target)
+		if err != nil {
+			continue
+		}
+		last = reply
+		switch reply.Verdict {
+		case nodev1.Verdict_VERDICT_WAITING:
+			return reply, false
+		case nodev1.Verdict_VERDICT_UNABLE:
+			search.failed(target)
+		case nodev1.Verdict_VERDICT_NOT_OWNER:
+		case nodev1.Verdict_VERDICT_UNSURE:
+			return reply, reply.Epoch != 0
+		default:
+			return reply, true
+		}
+	}
+	return last, false
+}
+
+// askOne asks one node, and learns from what it says.
+func (search *ownerSearch) askOne(ctx context.Context, target string) (*nodev1.ReserveReply, error) {
+	programs := search.programs
+	search.asked[target] = true
+	search.request.TakeOver = programs.mayTakeOver(search.shard, target)
+	search.request.Request = search.id + "/" + strconv.Itoa(search.asks)
+	search.asks++
+	reply, err := programs.askNode(ctx, search.shard, target, search.request)
+	if err != nil {
+		programs.node.logger.Info("owner not reached", zap.Int("shard", search.shard), zap.String("node", target),
+			zap.String("request", search.id), logging.Cause(err))
+		search.failed(target)
+		// The node may have granted all the same.
+		go programs.settleAt(target, &nodev1.Settlement{Program: search.request.Program, Request: search.request.Request})
+		return nil, err
+	}
+	if programs.learn(search.shard, target, reply) {
+		delete(search.asked, reply.Owner)
+	}
+	return reply, nil
+}
+
+// failed notes that a node does not answer, or can't write to the log.
+func (search *ownerSearch) failed(target string) {
+	search.programs.suspect(search.shard, target)
+	search.request.Failed = append(search.request.Failed, target)
+}
+
+// mayTakeOver tells whether the node asked should own the shard if no other
+// does: it is not the one already believed to.
+func (programs *programs) mayTakeOver(shard int, target string) bool {
+	programs.mutex.Lock()
+	defer programs.mutex.Unlock()
+	return programs.owners[shard].Node == "" || programs.owners[shard].Node == target
+}
+
+// target is the next node to ask: the owner believed in, then the candidates.
+func (programs *programs) target(shard int, asked map[string]bool) (string, bool) {
+	candidates := programs.node.members.candidates(shard)
+	programs.mutex.Lock()
+	defer programs.mutex.Unlock()
+	believed := programs.owners[shard].Node
+	if believed != "" && !asked[believed] {
+		return believed, true
+	}
+	now := time.Now()
+	for _, member := range candidates {
+		if !asked[member.Name] && now.After(programs.suspects[member.Name]) {
+			return member.Name, true
+		}
+	}
+	for _, member := range candidates {
+		if !asked[member.Name] {
+			return member.Name, true
+		}
+	}
+	return "", false
+}
+
+// suspect notes that a node did not answer.
+func (programs *programs) suspect(shard int, name string) {
+	programs.mutex.Lock()
+	defer programs.mutex.Unlock()
+	programs.suspects[name] = time.Now().Add(suspicion)
+	if programs.owners[shard].Node == name {
+		delete(programs.owners, shard)
+	}
+}
+
+// learn notes what a node said of the shard's owner, and tells whether that is
+// a newer owner than the one believed in.
+func (programs *programs) learn(shard int, target string, reply *nodev1.ReserveReply) bool {
+	programs.mutex.Lock()
+	defer programs.mutex.Unlock()
+	believed := programs.owners[shard]
+	programs.node.members.learn(reply.Owner, reply.OwnerAddress)
+	if reply.Owner != "" && reply.Epoch >= believed.Epoch && reply.Owner != believed.Node {
+		programs.owners[shard] = ownership.Owner{Node: reply.Owner, Epoch: reply.Epoch}
+		return reply.Owner != target
+	}
+	if reply.Verdict == nodev1.Verdict_VERDICT_NOT_OWNER && believed.Node == target {
+		delete(programs.owners, shard)
+	}
+	return false
+}
+
+// believedOwner returns the owner that this node would ask.
+func (programs *programs) believedOwner(shard int) ownership.Owner {
+	programs.mutex.Lock()
+	defer programs.mutex.Unlock()
+	return programs.owners[shard]
+}
+
+func (programs *programs) askNode(ctx context.Context, shard int, target string, request *nodev1.ReserveRequest) (*nodev1.ReserveReply, error) {
+	if target == programs.node.settings.Name {
+		return programs.node.reserveHere(ctx, shard, request), nil
+	}
+	client, err := programs.node.peers.client(target)
+	if err != nil {
+		return nil, err
+	}
+	bounded, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	return client.Reserve(bounded, request)
+}
--- a/internal/ownership/claim.go
+++ b/internal/ownership/claim.go
@@ -7,6 +7,7 @@
 	"time"
 
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
+	"github.com/magpielug/magpielug/charts"
 	"github.com/magpielug/magpielug/internal/durable"
 	"github.com/magpielug/magpielug/internal/logging"
 	"github.com/magpielug/magpielug/internal/spending"
@@ -43,7 +44,7 @@
 // claim takes a shard over in a goroutine of its own, unless the log names an
 // owner that keeps the shard.
 func (manager *Manager) claim(shard *shard) {
-	manager.enter(shard, claiming)
+	manager.fire(shard, charts.OwnershipEventClaimWanted)
 	began := time.Now()
 	go func() {
 		ctx, cancel := context.WithTimeout(manager.context, claimTimeout)
@@ -54,27 +55,27 @@
 }
 
 func (manager *Manager) finishClaim(shard *shard, won claimed, err error, took time.Duration) {
-	if shard.phase != claiming {
+	if shard.phase != charts.OwnershipStateClaiming {
 		return
 	}
 	var elsewhere *ownedElsewhere
 	if errors.As(err, &elsewhere) {
 		manager.logger.Info("shard owned elsewhere", zap.Int("shard", shard.number),
 			zap.String("owner", elsewhere.owner.Node), zap.Int64("epoch", elsewhere.owner.Epoch))
-		manager.enter(shard, notOwned)
+		manager.fire(shard, charts.OwnershipEventClaimFailed)
 		shard.owner = elsewhere.owner
 		manager.refuseWaiters(shard, Answer{Verdict: nodev1.Verdict_VERDICT_NOT_OWNER, Owner: elsewhere.owner, Reason: "another node owns the shard"})
 		return
 	}
 	if err != nil {
 		manager.logger.Warn("claim failed", zap.Int("shard", shard.number), zap.Duration("took", took), logging.Cause(err))
-		manager.enter(shard, notOwned)
+		manager.fire(shard, charts.OwnershipEventClaimFailed)
 		manager.refuseWaiters(shard, unsure("the shard can't be taken over now"))
 		return
 	}
 	manager.logger.Info("shard claimed", zap.Int("shard", shard.number), zap.Int64("epoch", won.epoch),
 		zap.Int("programs", len(won.ceilings)), zap.Int("records", won.records), zap.Int("handed_over", len(won.accounts)), zap.Duration("took", took))
-	manager.enter(shard, owned)
+	manager.fire(shard, charts.OwnershipEventClaimWon)
 	shard.epoch = won.epoch
 	shard.sequence = won.sequence
 	shard.writing = false
--- /dev/null
+++ b/internal/ownership/manager.go
@@ -0,0 +1,106 @@
+package ownership
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/magpielug/magpielug/internal/durable"
+	"go.uber.org/zap"
+)
+
+// Manager runs the shards of a node on one control goroutine. Its methods may
+// be called from any goroutine.
+type Manager struct {
+	log    durable.Log
+	logger *zap.Logger
+	self   Identity
+	yield  Yield
+	events chan func()
+	shards []*shard
+	// pace is that of the store's appends.
+	pace durable.Pace
+	// held tells other goroutines which shards are owned or being claimed.
+	held    []atomic.Bool
+	context context.Context
+}
+
+// eventQueue is how many events may wait for the control goroutine.
+const eventQueue = 4096
+
+// NewManager returns a manager for a number of shards that works until ctx
+// ends. Run must be called.
+func NewManager(ctx context.Context, log durable.Log, logger *zap.Logger, self Identity, shards int, yield Yield) *Manager {
+	manager := &Manager{
+		context: ctx,
+		log:     log,
+		logger:  logger,
+		self:    self,
+		yield:   yield,
+		events:  make(chan func(), eventQueue),
+	}
+	manager.held = make([]atomic.Bool, shards)
+	for number := range shards {
+		manager.shards = append(manager.shards, &shard{number: number})
+	}
+	return manager
+}
+
+// Run is the control goroutine; it returns when the manager's context ends.
+func (manager *Manager) Run() {
+	const tick = 50 * time.Millisecond
+	const expiryTicks = 200
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	ticks := 0
+	for {
+		select {
+		case <-manager.context.Done():
+			return
+		case event := <-manager.events:
+			event()
+		case now := <-ticker.C:
+			ticks++
+			manager.expireWaiters(now)
+			if ticks%expiryTicks == 0 {
+				manager.expireAccounts(now)
+			}
+		}
+	}
+}
+
+// post hands an event to the control goroutine.
+func (manager *Manager) post(event func()) {
+	select {
+	case manager.events <- event:
+	case <-manager.context.Done():
+	}
+}
+
+// Reserve asks for tokens of a program in a shard. It waits for the log where
+// that is needed, and until ctx ends.
+func (manager *Manager) Reserve(ctx context.Context, number int, ask Ask) Answer {
+	reply := make(chan Answer, 1)
+	manager.post(func() {
+		manager.reserve(manager.shards[number], waiter{ask: ask, since: time.Now(), reply: reply})
+	})
+	select {
+	case answer := <-reply:
+		return answer
+	case <-ctx.Done():
+		return unsure("the request's time is over")
+	}
+}
+
+// Settle ends a turn in a shard.
+func (manager *Manager) Settle(number int, program, request string, tokens int64) {
+	manager.post(func() {
+		shard := manager.shards[number]
+		if shard.ledger != nil {
+			shard.ledger.Settle(program, request, tokens, time.Now())
+		}
+	})
+}
+
+// Owns tells whether this node owns a shard or is claiming it.
+func (manager *Manager) Owns(number int) bool { return manager.held[number].Load() }
