--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -137,6 +137,11 @@
 	if current.route == nil {
 		return resultcode.New(resultcode.UnknownRoute, "no route for this host and path")
 	}
+	if current.route.KeepsTurns && current.call.Resumes {
+		// The turn's record has to hold what the caller got from the start, and an
+		// earlier attempt's node may be gone with it.
+		return resultcode.New(resultcode.ResumeNotHeld, "the beginning of the stream is not held").After(unknownRetry)
+	}
 	current.serviceName = current.route.PickService()
 	current.definition = configuration.Services[current.serviceName]
 	current.body = current.call.Body
--- a/internal/resultcode/resultcode.go
+++ b/internal/resultcode/resultcode.go
@@ -41,6 +41,7 @@
 	NoBackEnd          Code = 2009
 	Stopping           Code = 2010
 	DeadlineNotRun     Code = 2011
+	ResumeNotHeld      Code = 2012
 
 	OutcomeUnknown Code = 3001
 	CallStopped    Code = 3002
@@ -100,6 +101,7 @@
 	{NoBackEnd, "NO_BACK_END", http.StatusServiceUnavailable, true, "No back end for this target takes work now; not run."},
 	{Stopping, "STOPPING", http.StatusServiceUnavailable, true, "The process is stopping; this sending did not run."},
 	{DeadlineNotRun, "DEADLINE_NOT_RUN", http.StatusGatewayTimeout, true, "The call's deadline passed while it waited; not run."},
+	{ResumeNotHeld, "RESUME_NOT_HELD", http.StatusServiceUnavailable, true, "The beginning of this kept turn's stream is not held here, so it can't go on; send the turn anew. Not run."},
 	{OutcomeUnknown, "OUTCOME_UNKNOWN", http.StatusBadGateway, false, "The call was sent and its outcome is lost; it may have run and will not run again."},
 	{CallStopped, "CALL_STOPPED", http.StatusConflict, false, "The call was cancelled because its program was stopped."},
 	{SlowReader, "SLOW_READER", http.StatusRequestTimeout, true, "The caller read too slowly; the stream can be resumed."},
