--- a/internal/backend/pick.go
+++ b/internal/backend/pick.go
@@ -5,10 +5,11 @@
 // Request is what a choice of an engine depends on.
 type Request struct {
 	Service string
-	// Program and Prompt, where set, name what requests share that find their
-	// shared part in an engine's memory: a program's turns, and prompts that
-	// begin alike.
+	// Program, Session and Prompt, where set, name what requests share that find
+	// their shared part in an engine's memory: a program's turns, those of one of
+	// its lines, and prompts that begin alike.
 	Program string
+	Session string
 	Prompt  string
 	// Zone is the asker's.
 	Zone string
--- a/internal/backend/policy.go
+++ b/internal/backend/policy.go
@@ -19,6 +19,9 @@
 	// PolicyProgram keeps a program's turns on one engine, whose memory holds
 	// what they share, and takes the least busy engine for anything else.
 	PolicyProgram = "program"
+	// PolicySession keeps each line of a program's turns on one engine; lines of
+	// sub-agents may go to others.
+	PolicySession = "session"
 	// PolicyPrompt keeps prompts that begin alike on one engine.
 	PolicyPrompt = "prompt"
 	// PolicyLeast takes the engine with the fewest of this node's requests.
@@ -30,6 +33,7 @@
 // policies are the policies by name.
 var policies = map[string]Policy{
 	PolicyProgram: affinityPolicy{key: func(request *Request) string { return request.Program }},
+	PolicySession: affinityPolicy{key: func(request *Request) string { return request.Session }},
 	PolicyPrompt:  affinityPolicy{key: func(request *Request) string { return request.Prompt }},
 	PolicyLeast:   leastPolicy{},
 	PolicyRandom:  randomPolicy{},
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -40,6 +40,7 @@
 	request := &backend.Request{Service: current.serviceName, Zone: current.service.Zone, Tried: current.tried}
 	if current.route.Kind == routing.Streaming {
 		request.Program = current.call.Program
+		request.Session = current.call.Session
 		request.Prompt = current.call.SharedPrompt
 	}
 	current.viewAge = current.service.ViewAge()
