Let a program's owner assign engines to its lines of turns

Change: a request for tokens carries the node's requests under way; the owner assigns a line to the engine with the least of all, keeps it there, and sends a sub-agent elsewhere only where that engine is full. Tests: internal/assignment, backend.

--- /dev/null
+++ b/internal/assignment/assignment.go
@@ -0,0 +1,183 @@
+// Package assignment gives each line of a program's turns an engine that keeps
+// it, chosen by what runs where at the moment the line begins.
+//
+// The owner of a program's shard assigns. It learns the load from the nodes: each
+// request for tokens carries the sender's requests under way at each engine, so
+// that the owner's sum is some hundred milliseconds old. A line stays where it
+// is for the sake of the engine's memory; a sub-agent's line follows its program
+// unless that engine is full.
+package assignment
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// reportAge is how long a node's report counts.
+	reportAge = 2 * time.Second
+	// recentAge is how long an assignment counts beside the reports, which may
+	// not show it yet.
+	recentAge = 400 * time.Millisecond
+	// retention is how long an assignment outlasts its last turn.
+	retention = 60 * time.Second
+	// otherZoneCost is the cost of another zone than the caller's, in requests.
+	otherZoneCost = 0.5
+	// spareSlots is how many slots of an engine a further line of a program
+	// leaves free.
+	spareSlots = 2
+)
+
+// Candidate is an engine that may be assigned.
+type Candidate struct {
+	ID    string
+	Zone  string
+	Slots int
+	// Order breaks ties, the highest first; alike for all owners.
+	Order uint64
+}
+
+// Line names a line of turns.
+type Line struct {
+	Program string
+	Session string
+	// Zone is where the caller came in.
+	Zone string
+}
+
+type report struct {
+	running map[string]int
+	at      time.Time
+}
+
+type assigned struct {
+	engine string
+	used   time.Time
+}
+
+type recent struct {
+	engine string
+	at     time.Time
+}
+
+// Assigner holds the assignments of an owner's programs. It is safe for
+// concurrent use.
+type Assigner struct {
+	mutex    sync.Mutex
+	reports  map[string]report
+	sessions map[string]assigned
+	programs map[string]assigned
+	recents  []recent
+}
+
+// New returns an assigner that knows nothing.
+func New() *Assigner {
+	return &Assigner{reports: map[string]report{}, sessions: map[string]assigned{}, programs: map[string]assigned{}}
+}
+
+// Report takes in what a node has under way, by engine.
+func (assigner *Assigner) Report(node string, running map[string]int, now time.Time) {
+	assigner.mutex.Lock()
+	defer assigner.mutex.Unlock()
+	assigner.reports[node] = report{running: running, at: now}
+}
+
+// Choose returns the engine of a line, empty where there is no candidate.
+func (assigner *Assigner) Choose(line Line, candidates []Candidate, now time.Time) string {
+	assigner.mutex.Lock()
+	defer assigner.mutex.Unlock()
+	if len(candidates) == 0 {
+		return ""
+	}
+	load := assigner.load(now)
+	engine, held := assigner.present(line, candidates, load)
+	if !held {
+		engine = least(candidates, load, line.Zone)
+		assigner.recents = append(assigner.recents, recent{engine: engine, at: now})
+	}
+	assigner.sessions[line.Session] = assigned{engine: engine, used: now}
+	if _, known := assigner.programs[line.Program]; !known || line.Session == line.Program {
+		assigner.programs[line.Program] = assigned{engine: engine, used: now}
+	}
+	return engine
+}
+
+// present returns the engine that the line, or else its program, has already.
+func (assigner *Assigner) present(line Line, candidates []Candidate, load map[string]int) (string, bool) {
+	if session, known := assigner.sessions[line.Session]; known && find(candidates, session.engine) != nil {
+		return session.engine, true
+	}
+	program, known := assigner.programs[line.Program]
+	if !known {
+		return "", false
+	}
+	candidate := find(candidates, program.engine)
+	if candidate == nil || (candidate.Slots > 0 && load[candidate.ID] >= candidate.Slots-spareSlots) {
+		return "", false
+	}
+	return candidate.ID, true
+}
+
+func find(candidates []Candidate, id string) *Candidate {
+	for index := range candidates {
+		if candidates[index].ID == id {
+			return &candidates[index]
+		}
+	}
+	return nil
+}
+
+// load sums the reports that still count and the newest assignments.
+func (assigner *Assigner) load(now time.Time) map[string]int {
+	sum := map[string]int{}
+	for node, reported := range assigner.reports {
+		if now.Sub(reported.at) > reportAge {
+			delete(assigner.reports, node)
+			continue
+		}
+		for engine, running := range reported.running {
+			sum[engine] += running
+		}
+	}
+	for len(assigner.recents) > 0 && now.Sub(assigner.recents[0].at) > recentAge {
+		assigner.recents = assigner.recents[1:]
+	}
+	for _, made := range assigner.recents {
+		sum[made.engine]++
+	}
+	return sum
+}
+
+func least(candidates []Candidate, load map[string]int, zone string) string {
+	best := 0
+	bestCost := cost(&candidates[0], load, zone)
+	for index := 1; index < len(candidates); index++ {
+		next := cost(&candidates[index], load, zone)
+		if next < bestCost || (next == bestCost && candidates[index].Order > candidates[best].Order) {
+			best = index
+			bestCost = next
+		}
+	}
+	return candidates[best].ID
+}
+
+func cost(candidate *Candidate, load map[string]int, zone string) float64 {
+	total := float64(load[candidate.ID])
+	if candidate.Zone != zone {
+		total += otherZoneCost
+	}
+	return total
+}
+
+// Expire drops assignments that were not used for a while.
+func (assigner *Assigner) Expire(now time.Time) {
+	assigner.mutex.Lock()
+	defer assigner.mutex.Unlock()
+	for _, table := range []map[string]assigned{assigner.sessions, assigner.programs} {
+		for key, made := range table {
+			if now.Sub(made.used) > retention {
+				delete(table, key)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/assignment/assignment_test.go
@@ -0,0 +1,75 @@
+package assignment_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/magpielug/magpielug/internal/assignment"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var now = time.Unix(1000, 0)
+
+func candidates(count int) []assignment.Candidate {
+	list := make([]assignment.Candidate, 0, count)
+	for number := range count {
+		list = append(list, assignment.Candidate{ID: fmt.Sprint("e", number), Zone: "z", Slots: 12, Order: uint64(number)})
+	}
+	return list
+}
+
+var _ = Describe("Assigner", func() {
+	line := func(program, session string) assignment.Line {
+		return assignment.Line{Program: program, Session: session, Zone: "z"}
+	}
+
+	It("spreads programs that begin at once", func() {
+		assigner := assignment.New()
+		seen := map[string]int{}
+		for number := range 8 {
+			seen[assigner.Choose(line(fmt.Sprint(number), fmt.Sprint(number)), candidates(4), now)]++
+		}
+		Expect(seen).To(HaveLen(4))
+		for _, count := range seen {
+			Expect(count).To(Equal(2))
+		}
+	})
+
+	It("goes by what all nodes have under way, while their reports are fresh", func() {
+		assigner := assignment.New()
+		assigner.Report("a", map[string]int{"e0": 3, "e1": 1}, now)
+		assigner.Report("b", map[string]int{"e1": 4}, now)
+		Expect(assigner.Choose(line("p", "p"), candidates(2), now)).To(Equal("e0"))
+		assigner.Report("a", map[string]int{"e0": 9}, now)
+		Expect(assigner.Choose(line("q", "q"), candidates(2), now)).To(Equal("e1"))
+		later := now.Add(time.Minute)
+		Expect(assigner.Choose(line("r", "r"), candidates(2), later)).To(Equal("e1"), "old reports count no more")
+	})
+
+	It("keeps a line on its engine, and moves it when the engine goes", func() {
+		assigner := assignment.New()
+		first := assigner.Choose(line("p", "p"), candidates(4), now)
+		assigner.Report("a", map[string]int{first: 11}, now)
+		Expect(assigner.Choose(line("p", "p"), candidates(4), now)).To(Equal(first))
+		var left []assignment.Candidate
+		for _, candidate := range candidates(4) {
+			if candidate.ID != first {
+				left = append(left, candidate)
+			}
+		}
+		Expect(assigner.Choose(line("p", "p"), left, now)).NotTo(Equal(first))
+	})
+
+	It("sends a sub-agent to its program's engine unless that is full", func() {
+		assigner := assignment.New()
+		first := assigner.Choose(line("p", "p"), candidates(4), now)
+		Expect(assigner.Choose(line("p", "s1"), candidates(4), now)).To(Equal(first))
+		assigner.Report("a", map[string]int{first: 12}, now)
+		Expect(assigner.Choose(line("p", "s2"), candidates(4), now)).NotTo(Equal(first))
+	})
+
+	It("has no engine where there is none", func() {
+		Expect(assignment.New().Choose(line("p", "p"), nil, now)).To(BeEmpty())
+	})
+})
--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -51,6 +51,8 @@
 	engines  map[string]*Engine
 	services map[string][]*Engine
 	policy   Policy
+	// assigns is true where owners assign engines.
+	assigns bool
 }
 
 // NewDirectory returns an empty directory.
@@ -103,6 +105,33 @@
 	directory.services = services
 }
 
+// Running returns this node's requests under way, by engine.
+func (directory *Directory) Running() map[string]int {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	running := map[string]int{}
+	for id, engine := range directory.engines {
+		if engine.running > 0 {
+			running[id] = engine.running
+		}
+	}
+	return running
+}
+
+// Sound returns the instances of a service that may get requests and are not
+// passed over for what this node has seen of them.
+func (directory *Directory) Sound(service string, now time.Time) []Instance {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	var instances []Instance
+	for _, engine := range directory.services[service] {
+		if !now.Before(engine.avoidUntil) {
+			instances = append(instances, engine.Instance)
+		}
+	}
+	return instances
+}
+
 // Usable returns the number of engines of a service that may get requests.
 func (directory *Directory) Usable(service string) int {
 	directory.mutex.Lock()
--- a/internal/backend/pick.go
+++ b/internal/backend/pick.go
@@ -11,6 +11,9 @@
 	Program string
 	Session string
 	Prompt  string
+	// Assigned, where set, is the engine that keeps the line of turns; it is
+	// taken where all filters admit it.
+	Assigned string
 	// Zone is the asker's.
 	Zone string
 	// Tried holds the ids of engines that were asked already.
@@ -61,6 +64,10 @@
 	for _, filters := range filterSets {
 		admitted := admit(candidates, filters, request, now)
 		if len(admitted) > 0 {
+			if assigned := byID(admitted, request.Assigned); assigned != nil {
+				assigned.running++
+				return assigned
+			}
 			chosen := directory.policy.Choose(admitted, request)
 			chosen.running++
 			return chosen
@@ -69,6 +76,16 @@
 	return nil
 }
 
+// byID returns the engine of an id, nil where it is not admitted.
+func byID(admitted []*Engine, id string) *Engine {
+	for _, candidate := range admitted {
+		if candidate.ID == id {
+			return candidate
+		}
+	}
+	return nil
+}
+
 func admit(candidates []*Engine, filters []Filter, request *Request, now time.Time) []*Engine {
 	admitted := make([]*Engine, 0, len(candidates))
 	for _, candidate := range candidates {
--- a/internal/backend/pick_test.go
+++ b/internal/backend/pick_test.go
@@ -23,6 +23,17 @@
 }
 
 var _ = Describe("Pick", func() {
+	It("takes the engine assigned to the line of turns, where it may", func() {
+		directory := newDirectory(8)
+		Expect(directory.UsePolicy("")).To(Succeed())
+		Expect(directory.Assigns()).To(BeTrue())
+		for _, id := range []string{"e0", "e5"} {
+			Expect(directory.Pick(&backend.Request{Service: service, Program: "p", Assigned: id}, now).ID).To(Equal(id))
+		}
+		picked := directory.Pick(&backend.Request{Service: service, Program: "p", Assigned: "e5", Tried: []string{"e5"}}, now)
+		Expect(picked.ID).NotTo(Equal("e5"))
+	})
+
 	It("keeps a program on one engine", func() {
 		directory := newDirectory(8)
 		request := &backend.Request{Service: service, Program: "p"}
--- a/internal/backend/policy.go
+++ b/internal/backend/policy.go
@@ -16,6 +16,9 @@
 
 // Names of policies.
 const (
+	// PolicyAssigned takes the engine that the owner of the program has assigned
+	// to the line of turns, and chooses as PolicyProgram does where it has not.
+	PolicyAssigned = "assigned"
 	// PolicyProgram keeps a program's turns on one engine, whose memory holds
 	// what they share, and takes the least busy engine for anything else.
 	PolicyProgram = "program"
@@ -32,18 +35,19 @@
 
 // policies are the policies by name.
 var policies = map[string]Policy{
-	PolicyProgram: affinityPolicy{key: func(request *Request) string { return request.Program }},
-	PolicySession: affinityPolicy{key: func(request *Request) string { return request.Session }},
-	PolicyPrompt:  affinityPolicy{key: func(request *Request) string { return request.Prompt }},
-	PolicyLeast:   leastPolicy{},
-	PolicyRandom:  randomPolicy{},
+	PolicyAssigned: affinityPolicy{key: func(request *Request) string { return request.Program }},
+	PolicyProgram:  affinityPolicy{key: func(request *Request) string { return request.Program }},
+	PolicySession:  affinityPolicy{key: func(request *Request) string { return request.Session }},
+	PolicyPrompt:   affinityPolicy{key: func(request *Request) string { return request.Prompt }},
+	PolicyLeast:    leastPolicy{},
+	PolicyRandom:   randomPolicy{},
 }
 
-// UsePolicy puts the policy of a name in force, PolicyProgram for the empty
+// UsePolicy puts the policy of a name in force, PolicyAssigned for the empty
 // name. An unknown name is an InvalidSettings error.
 func (directory *Directory) UsePolicy(name string) error {
 	if name == "" {
-		name = PolicyProgram
+		name = PolicyAssigned
 	}
 	policy, known := policies[name]
 	if !known {
@@ -57,6 +61,7 @@
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
 	directory.policy = policy
+	directory.assigns = name == PolicyAssigned
 	return nil
 }
 
@@ -122,6 +127,16 @@
 	return first
 }
 
+// Assigns tells whether owners assign engines to lines of turns.
+func (directory *Directory) Assigns() bool {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	return directory.assigns
+}
+
+// Order is an engine's place for a line where loads are alike.
+func Order(line, engine string) uint64 { return hashWeight(line, engine) }
+
 // firstTwo returns the first and the second engine in a key's order; the second
 // is nil where there is only one.
 func firstTwo(admitted []*Engine, key string) (first, second *Engine) {
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -41,6 +41,7 @@
 	if current.route.Kind == routing.Streaming {
 		request.Program = current.call.Program
 		request.Session = current.call.Session
+		request.Assigned = current.reservation.Engine
 		request.Prompt = current.call.SharedPrompt
 	}
 	current.viewAge = current.service.ViewAge()
--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -18,6 +18,8 @@
 	Chain   []*history.Turn
 	Reason  string
 	Grant   Grant
+	// Engine keeps the line of turns, empty where the owner names none.
+	Engine string
 }
 
 // Grant names a reservation to the owner that made it.
@@ -29,8 +31,8 @@
 
 // Programs asks the owners of programs.
 type Programs interface {
-	// Reserve asks for a turn's tokens and its chain.
-	Reserve(ctx context.Context, call *Call) Reservation
+	// Reserve asks for a turn's tokens, its chain and its engine of the service.
+	Reserve(ctx context.Context, call *Call, service string) Reservation
 	// Settle tells what a turn spent; turn is nil where none is kept. It does
 	// not wait.
 	Settle(call *Call, grant Grant, tokens int64, turn *history.Turn)
@@ -185,7 +187,7 @@
 		current.call.Turn.Previous = ""
 	}
 	began := time.Now()
-	reservation := current.service.Programs.Reserve(ctx, current.call)
+	reservation := current.service.Programs.Reserve(ctx, current.call, current.serviceName)
 	current.reservation = reservation
 	current.reserveTook = time.Since(began)
 	switch reservation.Verdict {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	"time"
 
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
+	"github.com/magpielug/magpielug/internal/assignment"
 	"github.com/magpielug/magpielug/internal/backend"
 	"github.com/magpielug/magpielug/internal/durable"
 	"github.com/magpielug/magpielug/internal/forward"
@@ -69,6 +70,7 @@
 	recorder  *history.Recorder
 	reader    *history.Reader
 	ownership *ownership.Manager
+	assigner  *assignment.Assigner
 	programs  *programs
 	service   *forward.Service
 	meter     *meter
@@ -118,6 +120,7 @@
 		logger:      logger,
 		incarnation: strconv.FormatUint(rand.Uint64(), 36),
 		routes:      &routing.Current{},
+		assigner:    assignment.New(),
 		engines:     backend.NewDirectory(),
 		members:     newMembers(),
 		turns:       history.NewStore(historyBytes(settings.MemoryBytes)),
@@ -299,6 +302,7 @@
 			node.logSummary()
 		}
 		node.turns.Expire(now)
+		node.assigner.Expire(now)
 		node.around.Connections.CloseExpired(now)
 	}
 }
--- a/internal/node/programs.go
+++ b/internal/node/programs.go
@@ -57,12 +57,17 @@
 }
 
 // Reserve implements forward.Programs.
-func (programs *programs) Reserve(ctx context.Context, call *forward.Call) forward.Reservation {
+func (programs *programs) Reserve(ctx context.Context, call *forward.Call, service string) forward.Reservation {
 	request := &nodev1.ReserveRequest{
 		Program:  call.Program,
 		Budget:   call.Turn.Budget,
 		Most:     call.Turn.Most,
 		Previous: call.Turn.Previous,
+		Session:  call.Session,
+		Service:  service,
+		Node:     programs.node.settings.Name,
+		Zone:     programs.node.settings.Zone,
+		Running:  programs.node.running(),
 	}
 	var chain []*history.Turn
 	if request.Previous != "" {
@@ -74,7 +79,7 @@
 	if request.NeedsChain {
 		chain = programs.takeChain(reply.Chain)
 	}
-	return forward.Reservation{Verdict: reply.Verdict, Chain: chain, Reason: reply.Reason,
+	return forward.Reservation{Verdict: reply.Verdict, Chain: chain, Reason: reply.Reason, Engine: reply.Engine,
 		Grant: forward.Grant{Owner: reply.Owner, Epoch: reply.Epoch, Key: request.Request}}
 }
 
--- a/internal/node/reserve.go
+++ b/internal/node/reserve.go
@@ -7,6 +7,8 @@
 	"time"
 
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
+	"github.com/magpielug/magpielug/internal/assignment"
+	"github.com/magpielug/magpielug/internal/backend"
 	"github.com/magpielug/magpielug/internal/history"
 	"github.com/magpielug/magpielug/internal/ownership"
 )
@@ -49,9 +51,54 @@
 	reply.OwnerAddress = answer.Owner.Address
 	reply.Epoch = answer.Owner.Epoch
 	reply.Reason = answer.Reason
+	if reply.Verdict == nodev1.Verdict_VERDICT_GRANTED {
+		reply.Engine = node.assign(request)
+	}
 	return reply
 }
 
+// running returns the node's requests under way by engine, for the owners that
+// assign engines.
+func (node *Node) running() map[string]int32 {
+	if !node.engines.Assigns() {
+		return nil
+	}
+	running := node.engines.Running()
+	reported := make(map[string]int32, len(running))
+	for engine, count := range running {
+		reported[engine] = int32(count)
+	}
+	return reported
+}
+
+// assign chooses the engine that keeps a line of turns of a program that this
+// node owns.
+func (node *Node) assign(request *nodev1.ReserveRequest) string {
+	if !node.engines.Assigns() || request.Session == "" {
+		return ""
+	}
+	now := time.Now()
+	if request.Node != "" {
+		running := make(map[string]int, len(request.Running))
+		for engine, count := range request.Running {
+			running[engine] = int(count)
+		}
+		node.assigner.Report(request.Node, running, now)
+	}
+	instances := node.engines.Sound(request.Service, now)
+	candidates := make([]assignment.Candidate, 0, len(instances))
+	for _, instance := range instances {
+		candidates = append(candidates, assignment.Candidate{
+			ID:    instance.ID,
+			Zone:  instance.Zone,
+			Slots: instance.Slots,
+			Order: backend.Order(request.Session, instance.ID),
+		})
+	}
+	line := assignment.Line{Program: request.Program, Session: request.Session, Zone: request.Zone}
+	return node.assigner.Choose(line, candidates, now)
+}
+
 // passOn asks an owner that keeps the shard for a node that can't reach it.
 func (node *Node) passOn(ctx context.Context, owner ownership.Owner, request *nodev1.ReserveRequest) *nodev1.ReserveReply {
 	refusal := &nodev1.ReserveReply{Verdict: nodev1.Verdict_VERDICT_UNSURE, Reason: "the owner does not answer"}
@@ -66,6 +113,11 @@
 		Previous:   request.Previous,
 		NeedsChain: request.NeedsChain,
 		PassedOn:   true,
+		Session:    request.Session,
+		Service:    request.Service,
+		Node:       request.Node,
+		Zone:       request.Zone,
+		Running:    request.Running,
 	})
 	if err != nil {
 		return refusal
