Read a view as a whole again only while the store serves an old state

Cause: after a compaction each node read each view eight times as a whole; with 3,000 engines and 300 nodes that is 2.4 GB from a store that gives 80 MB/s. The list of engines by service was also made anew at each record (3,000 times 3,000 at a start).

--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -47,8 +47,10 @@
 
 // Directory holds the engines of all services. It is safe for concurrent use.
 type Directory struct {
-	mutex    sync.Mutex
-	engines  map[string]*Engine
+	mutex   sync.Mutex
+	engines map[string]*Engine
+	// services lists the engines that may get requests, by service; it is nil
+	// while it has to be made anew.
 	services map[string][]*Engine
 	policy   Policy
 	// assigns is true where owners assign engines.
@@ -77,7 +79,7 @@
 	}
 	known.Instance = instance
 	known.gone = false
-	directory.index()
+	directory.services = nil
 	return true
 }
 
@@ -91,18 +93,21 @@
 	}
 	known.gone = true
 	delete(directory.engines, id)
-	directory.index()
+	directory.services = nil
 	return true
 }
 
-func (directory *Directory) index() {
-	services := map[string][]*Engine{}
-	for _, engine := range directory.engines {
-		if !engine.Leaving {
-			services[engine.Service] = append(services[engine.Service], engine)
+// usable returns the engines of a service that may get requests.
+func (directory *Directory) usable(service string) []*Engine {
+	if directory.services == nil {
+		directory.services = map[string][]*Engine{}
+		for _, engine := range directory.engines {
+			if !engine.Leaving {
+				directory.services[engine.Service] = append(directory.services[engine.Service], engine)
+			}
 		}
 	}
-	directory.services = services
+	return directory.services[service]
 }
 
 // Running returns this node's requests under way, by engine.
@@ -124,7 +129,7 @@
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
 	var instances []Instance
-	for _, engine := range directory.services[service] {
+	for _, engine := range directory.usable(service) {
 		if !now.Before(engine.avoidUntil) {
 			instances = append(instances, engine.Instance)
 		}
@@ -136,7 +141,7 @@
 func (directory *Directory) Usable(service string) int {
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
-	return len(directory.services[service])
+	return len(directory.usable(service))
 }
 
 // Known returns the number of engines known.
--- a/internal/backend/pick.go
+++ b/internal/backend/pick.go
@@ -59,7 +59,7 @@
 func (directory *Directory) Pick(request *Request, now time.Time) *Engine {
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
-	candidates := directory.services[request.Service]
+	candidates := directory.usable(request.Service)
 	filterSets := [][]Filter{{untried{}, sound{}, roomy{}}, {untried{}, roomy{}}}
 	for _, filters := range filterSets {
 		admitted := admit(candidates, filters, request, now)
--- a/internal/durable/memory.go
+++ b/internal/durable/memory.go
@@ -21,6 +21,8 @@
 type memoryPartition struct {
 	first   int64
 	records [][]byte
+	// newest holds the newest record of each key; trimming leaves it.
+	newest map[string]KeyedRecord
 	writers map[string]*memoryWriter
 	changed chan struct{}
 }
@@ -40,7 +42,11 @@
 func (log *Memory) partition(name Partition) *memoryPartition {
 	found := log.partitions[name]
 	if found == nil {
-		found = &memoryPartition{writers: map[string]*memoryWriter{}, changed: make(chan struct{})}
+		found = &memoryPartition{
+			newest:  map[string]KeyedRecord{},
+			writers: map[string]*memoryWriter{},
+			changed: make(chan struct{}),
+		}
 		log.partitions[name] = found
 	}
 	return found
@@ -123,7 +129,12 @@
 func (partition *memoryPartition) append(records [][]byte) Appended {
 	offset := partition.end()
 	for _, record := range records {
-		partition.records = append(partition.records, append([]byte(nil), record...))
+		copied := append([]byte(nil), record...)
+		key, value, sound := DecodeKeyed(copied)
+		if sound {
+			partition.newest[key] = KeyedRecord{Key: key, Value: value, Offset: partition.end()}
+		}
+		partition.records = append(partition.records, copied)
 	}
 	if len(records) > 0 {
 		close(partition.changed)
@@ -177,15 +188,8 @@
 	log.mutex.Lock()
 	defer log.mutex.Unlock()
 	partition := log.partition(name)
-	newest := map[string]KeyedRecord{}
-	for index, record := range partition.records {
-		key, value, sound := DecodeKeyed(record)
-		if sound {
-			newest[key] = KeyedRecord{Key: key, Value: value, Offset: partition.first + int64(index)}
-		}
-	}
 	snapshot := Snapshot{End: partition.end()}
-	for _, record := range newest {
+	for _, record := range partition.newest {
 		if len(record.Value) > 0 {
 			snapshot.Records = append(snapshot.Records, record)
 		}
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -20,10 +20,9 @@
 	// longestFailurePause.
 	firstFailurePause   = 100 * time.Millisecond
 	longestFailurePause = 400 * time.Millisecond
-	// repeatedAfterRestart is how often a view is read anew after its history
-	// was gone, a pause apart: a store may then serve an old state for a while.
-	repeatedAfterRestart = 8
-	repeatPause          = 700 * time.Millisecond
+	// stalePause separates two whole readings while the store serves an older
+	// state than was seen, as it may after its history was dropped.
+	stalePause = 700 * time.Millisecond
 )
 
 // follower reads one keyed topic for as long as the node runs.
@@ -41,8 +40,7 @@
 	lastAnswer atomic.Int64
 	// failurePause is the next one.
 	failurePause time.Duration
-	// repeats counts the anew readings still owed.
-	repeats int
+	// lastEnd is the furthest end seen.
 	lastEnd int64
 }
 
@@ -59,25 +57,23 @@
 		follower.regained()
 		if update.Full && !first {
 			follower.logger.Info("view read anew", zap.String("view", follower.name), zap.Int64("end", update.End), zap.Int64("before", follower.lastEnd))
-			if follower.repeats == 0 {
-				follower.repeats = repeatedAfterRestart
-			}
 		}
 		first = false
-		follower.lastEnd = max(follower.lastEnd, update.End)
 		follower.apply(update)
-		follower.rest(ctx)
+		follower.rest(ctx, update)
 	}
 }
 
-// rest pauses before the next reading.
-func (follower *follower) rest(ctx context.Context) {
-	if follower.repeats > 0 {
-		follower.repeats--
-		if follower.repeats > 0 {
-			follower.view.Restart()
-		}
-		sleep(ctx, repeatPause)
+// rest pauses before the next reading. A reading that ends before what was seen
+// is of an old state: going on from its end would repeat what is known, so the
+// view is read as a whole again. One that ends later is completed by the records
+// that follow it.
+func (follower *follower) rest(ctx context.Context, update durable.Update) {
+	stale := update.Full && update.End < follower.lastEnd
+	follower.lastEnd = max(follower.lastEnd, update.End)
+	if stale {
+		follower.view.Restart()
+		sleep(ctx, stalePause)
 		return
 	}
 	if pause := follower.pause(); pause > 0 {
--- a/internal/node/search.go
+++ b/internal/node/search.go
@@ -104,13 +104,13 @@
 
 // target is the next node to ask: the owner believed in, then the candidates.
 func (programs *programs) target(shard int, asked map[string]bool) (string, bool) {
-	candidates := programs.node.members.candidates(shard)
-	programs.mutex.Lock()
-	defer programs.mutex.Unlock()
-	believed := programs.owners[shard].Node
+	believed := programs.believedOwner(shard).Node
 	if believed != "" && !asked[believed] {
 		return believed, true
 	}
+	candidates := programs.node.members.candidates(shard)
+	programs.mutex.Lock()
+	defer programs.mutex.Unlock()
 	now := time.Now()
 	for _, member := range candidates {
 		if !asked[member.Name] && now.After(programs.suspects[member.Name]) {
