--- a/internal/durable/memory.go
+++ b/internal/durable/memory.go
@@ -22,7 +22,7 @@
 	first   int64
 	records [][]byte
 	// newest holds the newest record of each key; trimming leaves it.
-	newest map[string]KeyedRecord
+	newest  map[string]KeyedRecord
 	writers map[string]*memoryWriter
 	changed chan struct{}
 }
