Read the machine list first where it is from before a freeze

Ruled out: the list's lag (0.3 s). Change: a list older than its interval is read before it is given out. Test: internal/process 'reads the list before it gives out one from before the process was frozen'.

--- a/internal/process/machines.go
+++ b/internal/process/machines.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -20,6 +21,9 @@
 	timeout  time.Duration
 	logger   *zap.Logger
 	last     atomic.Pointer[[]outside.Machine]
+	// readAt is when the list was last asked for, by the monotonic clock.
+	readAt  time.Time
+	reading sync.Mutex
 }
 
 func newMachineCache(source outside.Machines, interval, timeout time.Duration, logger *zap.Logger) *machineCache {
@@ -28,11 +32,23 @@
 	return cache
 }
 
-// List returns the last list read.
-func (cache *machineCache) List(context.Context) ([]outside.Machine, error) {
+// List returns the last list read. Where that is older than it can be while the
+// process runs, the process has been frozen, and the list is read first: what
+// left meanwhile must get no new work.
+func (cache *machineCache) List(ctx context.Context) ([]outside.Machine, error) {
+	if cache.outdated() {
+		cache.refresh(ctx)
+	}
 	return *cache.last.Load(), nil
 }
 
+// outdated tells whether the list should have been read since it last was.
+func (cache *machineCache) outdated() bool {
+	cache.reading.Lock()
+	defer cache.reading.Unlock()
+	return !cache.readAt.IsZero() && time.Since(cache.readAt) > cache.interval+frozenSlack
+}
+
 // lists tells whether the list names a machine of the role.
 func (cache *machineCache) lists(role outside.MachineRole) bool {
 	return slices.ContainsFunc(cache.machines(), func(machine outside.Machine) bool {
@@ -54,6 +70,9 @@
 	// listLocalInterval is how often a part of the process looks at the cache.
 	// It costs no exchange.
 	listLocalInterval = 500 * time.Millisecond
+	// frozenSlack is how much later than its interval a reading may be before the
+	// process is taken to have been frozen.
+	frozenSlack = 250 * time.Millisecond
 	// listSoonInterval is the wait after a failed read, and after a change, since
 	// changes come in groups: machines that start, a zone that is lost.
 	listSoonInterval = 500 * time.Millisecond
@@ -82,6 +101,9 @@
 func (cache *machineCache) refresh(ctx context.Context) bool {
 	bounded, cancel := context.WithTimeout(ctx, cache.timeout)
 	defer cancel()
+	cache.reading.Lock()
+	cache.readAt = time.Now()
+	cache.reading.Unlock()
 	machines, err := cache.source.List(bounded)
 	if err != nil {
 		if ctx.Err() == nil {
