--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -121,7 +121,7 @@
 	return []*follower{
 		node.newFollower(node.configurationView, node.around.ConfigurationTopic, configurationWait, always(0)),
 		node.newFollower(node.engineView, node.around.EngineTopic, 0, always(enginePoll)),
-		node.newFollower(node.memberView, memberTopic, 0, memberPause),
+		node.newFollower(node.memberView, node.around.MemberTopic, 0, memberPause),
 	}
 }
 
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -16,9 +16,8 @@
 )
 
 const (
-	// memberTopic holds one record of each node.
-	memberTopic = "keyed.nodes"
-	// memberPoll separates two readings of it, shortly after the start and later.
+	// memberPoll separates two readings of the nodes' records, shortly after the
+	// start and later.
 	memberPollEarly = 500 * time.Millisecond
 	memberPollLate  = 2 * time.Second
 	// memberEarly is how long the early pace lasts.
@@ -123,7 +122,7 @@
 }
 
 // register writes the node's own record until the store has taken it.
-func register(ctx context.Context, log durable.Log, logger *zap.Logger, member Member) {
+func register(ctx context.Context, log durable.Log, topic string, logger *zap.Logger, member Member) {
 	record, err := proto.Marshal(&nodev1.NodeRecord{
 		Address:     member.Address,
 		Zone:        member.Zone,
@@ -137,7 +136,7 @@
 	content := durable.EncodeKeyed(member.Name, record)
 	for ctx.Err() == nil {
 		bounded, cancel := context.WithTimeout(ctx, storeTimeout)
-		_, err = log.Append(bounded, durable.Partition{Topic: memberTopic}, [][]byte{content}, durable.Condition{})
+		_, err = log.Append(bounded, durable.Partition{Topic: topic}, [][]byte{content}, durable.Condition{})
 		cancel()
 		if err == nil {
 			logger.Info("node registered", zap.String("incarnation", member.Incarnation), zap.Bool("leaving", member.Leaving))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -187,7 +187,7 @@
 	if err != nil {
 		return err
 	}
-	go register(working, node.around.Log, node.logger.Logger, node.self())
+	go register(working, node.around.Log, node.around.MemberTopic, node.logger.Logger, node.self())
 	followers := node.followers()
 	for _, follower := range followers {
 		follower.lastAnswer.Store(time.Now().UnixMilli())
@@ -325,7 +325,7 @@
 	node.logger.Info("node stops", zap.Int("in_flight", node.inFlight()))
 	ctx, cancel := context.WithTimeout(context.Background(), node.settings.Grace-stopMargin)
 	defer cancel()
-	go register(ctx, node.around.Log, node.logger.Logger, node.self())
+	go register(ctx, node.around.Log, node.around.MemberTopic, node.logger.Logger, node.self())
 	node.members.put(node.self())
 	node.ownership.Release(ctx)
 	callers := node.servers[len(node.servers)-1]
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -66,9 +66,11 @@
 // Surroundings are what a node meets through translations.
 type Surroundings struct {
 	Log durable.Log
-	// ConfigurationTopic and EngineTopic are keyed topics of the store.
+	// ConfigurationTopic, EngineTopic and MemberTopic are keyed topics of the
+	// store; the nodes write the last one themselves.
 	ConfigurationTopic string
 	EngineTopic        string
+	MemberTopic        string
 	// DecodeConfiguration returns false for a record that is none.
 	DecodeConfiguration func(durable.KeyedRecord) (*routing.Configuration, bool)
 	// DecodeEngine returns false for a record that is none.
