Join the two loops that read a partition to its end; drop what nothing uses

A call kept its grant beside the reservation that holds it. Behaviour is as before; tests changed only in the argument that Finish lost.

--- a/charts/charts.go
+++ b/charts/charts.go
@@ -1,7 +1,7 @@
 // Package charts embeds the state charts of programs, calls, shard replicas,
-// engines and the ownership of shards, and gives their states and events as typed constants. The .yaml
-// files are the only source of the transitions; the *_generated.go files follow
-// from them by `go test ./charts -update`, and a test compares.
+// engines and the ownership of shards, and gives their states and events as typed
+// constants. The .yaml files are the only source of the transitions; the
+// *_generated.go files follow from them by `go test ./charts -update`, and a test compares.
 package charts
 
 import "embed"
--- a/internal/backend/connections.go
+++ b/internal/backend/connections.go
@@ -59,12 +59,10 @@
 
 // Connection carries one request at a time to one engine.
 type Connection struct {
-	owner   *Connections
-	address string
-	socket  *net.TCPConn
-	reader  *bufio.Reader
-	// Reused is true where an earlier request used the connection.
-	Reused    bool
+	owner     *Connections
+	address   string
+	socket    *net.TCPConn
+	reader    *bufio.Reader
 	idleUntil time.Time
 }
 
@@ -84,7 +82,6 @@
 			break
 		}
 		if time.Now().Before(kept.idleUntil) && kept.quiet() {
-			kept.Reused = true
 			return kept, nil
 		}
 		kept.Close()
@@ -142,13 +139,6 @@
 	}
 }
 
-// Forget closes the idle connections to an address.
-func (connections *Connections) Forget(address string) {
-	for kept := connections.takeIdle(address); kept != nil; kept = connections.takeIdle(address) {
-		kept.Close()
-	}
-}
-
 // CloseExpired closes idle connections whose time is over.
 func (connections *Connections) CloseExpired(now time.Time) {
 	for _, expired := range connections.takeExpired(now) {
--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -27,10 +27,8 @@
 	// gone is true once the record has disappeared.
 	gone bool
 	// failures in a row, and until when the engine is passed over for them.
-	failures    int
-	avoidUntil  time.Time
-	latency     time.Duration
-	lastFailure time.Time
+	failures   int
+	avoidUntil time.Time
 }
 
 const (
@@ -41,8 +39,6 @@
 	avoidMost  = 3 * time.Second
 	// fullPause is how long an engine is passed over that said it was full.
 	fullPause = 25 * time.Millisecond
-	// latencyWeight is the weight of the newest answer in an engine's mean.
-	latencyWeight = 0.2
 )
 
 // Directory holds the engines of all services. It is safe for concurrent use.
@@ -151,13 +147,6 @@
 	return len(directory.engines)
 }
 
-// MayGet tells whether an engine may still get a new request.
-func (directory *Directory) MayGet(engine *Engine) bool {
-	directory.mutex.Lock()
-	defer directory.mutex.Unlock()
-	return !engine.gone && !engine.Leaving
-}
-
 // Outcome is how an engine dealt with a request.
 type Outcome int
 
@@ -176,19 +165,17 @@
 )
 
 // Finish ends a request that Pick has counted.
-func (directory *Directory) Finish(engine *Engine, outcome Outcome, took time.Duration, now time.Time) {
+func (directory *Directory) Finish(engine *Engine, outcome Outcome, now time.Time) {
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
 	engine.running--
 	switch outcome {
 	case Answered:
 		engine.failures = 0
-		engine.latency += time.Duration(latencyWeight * float64(took-engine.latency))
 	case Full:
 		engine.avoidUntil = now.Add(fullPause)
 	case Failed:
 		engine.failures++
-		engine.lastFailure = now
 		if engine.failures >= failuresToAvoid {
 			engine.avoidUntil = now.Add(min(avoidFirst<<min(engine.failures-failuresToAvoid, 8), avoidMost))
 		}
--- a/internal/backend/pick_test.go
+++ b/internal/backend/pick_test.go
@@ -38,11 +38,11 @@
 		directory := newDirectory(8)
 		request := &backend.Request{Service: service, Program: "p"}
 		first := directory.Pick(request, now)
-		directory.Finish(first, backend.Answered, time.Millisecond, now)
+		directory.Finish(first, backend.Answered, now)
 		for range 10 {
 			again := directory.Pick(request, now)
 			Expect(again.ID).To(Equal(first.ID))
-			directory.Finish(again, backend.Answered, time.Millisecond, now)
+			directory.Finish(again, backend.Answered, now)
 		}
 	})
 
@@ -50,7 +50,7 @@
 		directory := newDirectory(8)
 		place := func(program string) string {
 			picked := directory.Pick(&backend.Request{Service: service, Program: program}, now)
-			directory.Finish(picked, backend.Answered, time.Millisecond, now)
+			directory.Finish(picked, backend.Answered, now)
 			return picked.ID
 		}
 		before := map[string]string{}
@@ -71,7 +71,7 @@
 		for range 2 {
 			failing := directory.Pick(&backend.Request{Service: service, Tried: []string{"e2"}}, now)
 			Expect(failing.ID).To(Equal("e1"))
-			directory.Finish(failing, backend.Failed, time.Millisecond, now)
+			directory.Finish(failing, backend.Failed, now)
 		}
 		Expect(directory.Pick(&backend.Request{Service: service}, now).ID).To(Equal("e2"))
 		Expect(directory.Pick(&backend.Request{Service: service, Tried: []string{"e2"}}, now).ID).To(Equal("e1"), "better than none")
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -76,13 +76,12 @@
 
 // attempt sends the call to one engine. It returns true once the call is over.
 func (current *course) attempt(ctx context.Context, engine *backend.Engine, remaining time.Duration) (bool, error) {
-	began := time.Now()
 	current.tried = append(current.tried, engine.ID)
 	current.lastEngine = engine.ID
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	outcome := backend.Abandoned
-	defer func() { current.service.Engines.Finish(engine, outcome, time.Since(began), time.Now()) }()
+	defer func() { current.service.Engines.Finish(engine, outcome, time.Now()) }()
 	reply, err := current.service.Sender.Send(ctx, &Attempt{
 		Call:           current.call,
 		Engine:         engine.Instance,
--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -59,8 +59,6 @@
 	Zone     string
 	// Nodes returns how many nodes share the engines' connections.
 	Nodes func() int
-	// Stopping tells that the process is leaving.
-	Stopping func() bool
 	// ViewAge is how long ago the list of engines was last confirmed.
 	ViewAge func() time.Duration
 }
@@ -110,7 +108,6 @@
 	begun       bool
 	events      int64
 	reserved    bool
-	grant       Grant
 	reservation Reservation
 	reserveTook time.Duration
 	recordTook  time.Duration
@@ -197,7 +194,6 @@
 	switch reservation.Verdict {
 	case nodev1.Verdict_VERDICT_GRANTED:
 		current.reserved = true
-		current.grant = reservation.Grant
 		if len(reservation.Chain) > 0 {
 			current.body = history.Prompt(reservation.Chain, current.call.Body)
 		}
@@ -214,5 +210,5 @@
 // settle tells the owner what the turn spent, once.
 func (current *course) settle(turn *history.Turn) {
 	current.reserved = false
-	current.service.Programs.Settle(current.call, current.grant, current.events*int64(current.definition.TokensPerEvent), turn)
+	current.service.Programs.Settle(current.call, current.reservation.Grant, current.events*int64(current.definition.TokensPerEvent), turn)
 }
--- a/internal/history/reader.go
+++ b/internal/history/reader.go
@@ -92,28 +92,15 @@
 	tail := reader.tail(partition)
 	tail.mutex.Lock()
 	defer tail.mutex.Unlock()
-	for {
-		batch, err := reader.log.Read(ctx, partition, tail.next, 0)
-		var trimmed *durable.TrimmedError
-		if errors.As(err, &trimmed) && trimmed.First > tail.next {
-			tail.next = trimmed.First
-			continue
-		}
-		if err != nil {
-			return eris.Wrap(err, "read "+partition.String())
-		}
-		if batch.End < tail.next {
-			return eris.Errorf("%s ends at %d, before %d", partition, batch.End, tail.next)
-		}
-		for _, record := range batch.Records {
-			if turn := decode(record); turn != nil {
-				reader.store.Add(turn)
-			}
-		}
-		tail.next += int64(len(batch.Records))
-		if tail.next >= batch.End || len(batch.Records) == 0 {
-			return nil
-		}
+	next, err := durable.ReadToEnd(ctx, reader.log, partition, tail.next, reader.take)
+	tail.next = next
+	return err
+}
+
+// take keeps the turn of a record; bytes that are no turn are passed over.
+func (reader *Reader) take(record []byte) {
+	if turn := decode(record); turn != nil {
+		reader.store.Add(turn)
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -150,7 +150,6 @@
 		Logger:   logger.Logger,
 		Zone:     settings.Zone,
 		Nodes:    node.members.staying,
-		Stopping: node.stopping.Load,
 		ViewAge:  node.engineView.age,
 	}
 	return node, nil
--- a/internal/node/reserve.go
+++ b/internal/node/reserve.go
@@ -11,6 +11,7 @@
 	"github.com/magpielug/magpielug/internal/backend"
 	"github.com/magpielug/magpielug/internal/history"
 	"github.com/magpielug/magpielug/internal/ownership"
+	"google.golang.org/protobuf/proto"
 )
 
 // reserveHere answers a reservation for which this node is asked.
@@ -105,20 +106,11 @@
 	client := node.peers.at(owner.Address)
 	bounded, cancel := context.WithTimeout(ctx, passOnTimeout)
 	defer cancel()
-	reply, err := client.Reserve(bounded, &nodev1.ReserveRequest{
-		Program:    request.Program,
-		Request:    request.Request,
-		Budget:     request.Budget,
-		Most:       request.Most,
-		Previous:   request.Previous,
-		NeedsChain: request.NeedsChain,
-		PassedOn:   true,
-		Session:    request.Session,
-		Service:    request.Service,
-		Node:       request.Node,
-		Zone:       request.Zone,
-		Running:    request.Running,
-	})
+	passed := proto.Clone(request).(*nodev1.ReserveRequest)
+	passed.PassedOn = true
+	passed.TakeOver = false
+	passed.Failed = nil
+	reply, err := client.Reserve(bounded, passed)
 	if err != nil {
 		return refusal
 	}
--- a/internal/ownership/claim.go
+++ b/internal/ownership/claim.go
@@ -11,7 +11,6 @@
 	"github.com/magpielug/magpielug/internal/durable"
 	"github.com/magpielug/magpielug/internal/logging"
 	"github.com/magpielug/magpielug/internal/spending"
-	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 )
@@ -215,27 +214,9 @@
 
 // toEnd reads up to the partition's end.
 func (reading *replay) toEnd(ctx context.Context) error {
-	for {
-		batch, err := reading.log.Read(ctx, reading.partition, reading.next, 0)
-		var trimmed *durable.TrimmedError
-		if errors.As(err, &trimmed) && trimmed.First > reading.next {
-			reading.next = trimmed.First
-			continue
-		}
-		if err != nil {
-			return eris.Wrap(err, "read "+reading.partition.String())
-		}
-		if batch.End < reading.next {
-			return eris.Errorf("%s ends at %d, before %d", reading.partition, batch.End, reading.next)
-		}
-		for _, content := range batch.Records {
-			reading.apply(content)
-		}
-		reading.next += int64(len(batch.Records))
-		if reading.next >= batch.End || len(batch.Records) == 0 {
-			return nil
-		}
-	}
+	next, err := durable.ReadToEnd(ctx, reading.log, reading.partition, reading.next, reading.apply)
+	reading.next = next
+	return err
 }
 
 func (reading *replay) apply(content []byte) {
--- a/internal/spending/spending.go
+++ b/internal/spending/spending.go
@@ -283,6 +283,3 @@
 	}
 	return Balance{Spent: account.base + account.settled, Doubt: account.doubt, Open: account.openTotal, Ceiling: account.ceiling}
 }
-
-// Programs returns the number of accounts.
-func (ledger *Ledger) Programs() int { return len(ledger.accounts) }
