Hold no room for a turn whose asker gave up or whose end is never heard of

Its owner's account stood at spent=0 open=288 for good: an asker had given up while the shard was being claimed, its settlement came before the reservation and changed nothing, and the reservation was granted afterwards.

Ruled out: ceilings (ceiling=288, spent=0) and doubt (0).

Change: an end that comes before its request is remembered for 10 s, and the request is then refused; a reservation carries its turn's time, after which it counts at its most as doubt; settlements are tried three times.

--- a/internal/node/programs.go
+++ b/internal/node/programs.go
@@ -23,6 +23,9 @@
 	passOnTimeout = 150 * time.Millisecond
 	// settleTimeout bounds one handing over of what was spent.
 	settleTimeout = 800 * time.Millisecond
+	// settleTries bounds the tries, settlePause separates two of them.
+	settleTries = 3
+	settlePause = 250 * time.Millisecond
 	// askRounds is how many nodes are asked for one reservation.
 	askRounds = 6
 	// waitPatience is how long a turn waits for its program's owner in all.
@@ -69,6 +72,9 @@
 		Zone:     programs.node.settings.Zone,
 		Running:  programs.node.running(),
 	}
+	if until, bounded := ctx.Deadline(); bounded {
+		request.TimeLeftMs = time.Until(until).Milliseconds()
+	}
 	var chain []*history.Turn
 	if request.Previous != "" {
 		held, _, complete := programs.node.turns.Chain(request.Previous)
@@ -112,18 +118,30 @@
 	programs.send(owner, &nodev1.SettleRequest{Settlements: []*nodev1.Settlement{settlement}})
 }
 
-// send hands settlements over, once.
+// send hands settlements over. One that can't be handed over in a few tries is
+// lost: the owner then counts the turn at its most once its time is over.
 func (programs *programs) send(owner string, request *nodev1.SettleRequest) {
-	client, err := programs.node.peers.client(owner)
-	if err == nil {
-		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
-		defer cancel()
-		_, err = client.Settle(ctx, request)
+	var err error
+	for range settleTries {
+		err = programs.sendOnce(owner, request)
+		if err == nil {
+			return
+		}
+		time.Sleep(settlePause)
 	}
+	programs.node.logger.Info("settlement lost", zap.String("key", request.Settlements[0].Request),
+		zap.String("program", request.Settlements[0].Program), zap.String("owner", owner), logging.Cause(err))
+}
+
+func (programs *programs) sendOnce(owner string, request *nodev1.SettleRequest) error {
+	client, err := programs.node.peers.client(owner)
 	if err != nil {
-		programs.node.logger.Info("settlement lost", zap.String("key", request.Settlements[0].Request),
-			zap.String("program", request.Settlements[0].Program), zap.String("owner", owner), logging.Cause(err))
+		return err
 	}
+	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+	defer cancel()
+	_, err = client.Settle(ctx, request)
+	return err
 }
 
 // Record implements forward.Programs.
--- a/internal/node/reserve.go
+++ b/internal/node/reserve.go
@@ -21,6 +21,7 @@
 		Request: request.Request,
 		Budget:  request.Budget,
 		Most:    request.Most,
+		Until:   time.Now().Add(time.Duration(request.TimeLeftMs) * time.Millisecond),
 		Claim:   request.TakeOver,
 	}
 	owner := node.programs.believedOwner(shard)
--- a/internal/ownership/claim_test.go
+++ b/internal/ownership/claim_test.go
@@ -49,6 +49,7 @@
 		defer cancel()
 		return manager.Reserve(bounded, 0, ownership.Ask{
 			Program: "p", Request: request, Budget: budget, Most: most, Claim: true,
+			Until: time.Now().Add(patience),
 		})
 	}
 
@@ -78,6 +79,14 @@
 		Expect(ask(first, "r7", 1000, 288).Verdict).NotTo(Equal(nodev1.Verdict_VERDICT_GRANTED))
 	})
 
+	It("reserves nothing for an asker that gave up while the shard was being claimed", func() {
+		racing := &racingLog{Memory: log}
+		manager := start(racing, "a")
+		racing.beforeAppend = func() { manager.Settle(0, "p", "r1", 0) }
+		Expect(ask(manager, "r1", 500, 288).Verdict).To(Equal(nodev1.Verdict_VERDICT_UNSURE))
+		Expect(ask(manager, "r2", 500, 288).Verdict).To(Equal(nodev1.Verdict_VERDICT_GRANTED))
+	})
+
 	It("takes over exactly from an owner that can't write", func() {
 		cut := &cutLog{Memory: log}
 		first := start(cut, "a")
--- a/internal/ownership/manager.go
+++ b/internal/ownership/manager.go
@@ -41,7 +41,7 @@
 	}
 	manager.held = make([]atomic.Bool, shards)
 	for number := range shards {
-		manager.shards = append(manager.shards, &shard{number: number})
+		manager.shards = append(manager.shards, &shard{number: number, ended: map[string]time.Time{}})
 	}
 	return manager
 }
@@ -49,6 +49,7 @@
 // Run is the control goroutine; it returns when the manager's context ends.
 func (manager *Manager) Run() {
 	const tick = 50 * time.Millisecond
+	const overdueTicks = 10
 	const expiryTicks = 200
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
@@ -62,6 +63,9 @@
 		case now := <-ticker.C:
 			ticks++
 			manager.expireWaiters(now)
+			if ticks%overdueTicks == 0 {
+				manager.expireTurns(now)
+			}
 			if ticks%expiryTicks == 0 {
 				manager.expireAccounts(now)
 			}
@@ -94,12 +98,7 @@
 
 // Settle ends a turn in a shard.
 func (manager *Manager) Settle(number int, program, request string, tokens int64) {
-	manager.post(func() {
-		shard := manager.shards[number]
-		if shard.ledger != nil {
-			shard.ledger.Settle(program, request, tokens, time.Now())
-		}
-	})
+	manager.post(func() { manager.shards[number].settle(program, request, tokens, time.Now()) })
 }
 
 // Owns tells whether this node owns a shard or is claiming it.
--- a/internal/ownership/record.go
+++ b/internal/ownership/record.go
@@ -31,7 +31,11 @@
 		Largest: account.Largest,
 	}
 	for _, turn := range account.Open {
-		message.Open = append(message.Open, &nodev1.OpenTurn{Key: turn.Request, Most: turn.Most})
+		message.Open = append(message.Open, &nodev1.OpenTurn{
+			Key:        turn.Request,
+			Most:       turn.Most,
+			TimeLeftMs: time.Until(turn.Until).Milliseconds(),
+		})
 	}
 	return message
 }
@@ -47,7 +51,11 @@
 			Largest: message.Largest,
 		}
 		for _, turn := range message.Open {
-			account.Open = append(account.Open, spending.OpenTurn{Request: turn.Key, Most: turn.Most})
+			account.Open = append(account.Open, spending.OpenTurn{
+				Request: turn.Key,
+				Most:    turn.Most,
+				Until:   time.Now().Add(time.Duration(turn.TimeLeftMs) * time.Millisecond),
+			})
 		}
 		accounts = append(accounts, account)
 	}
--- a/internal/ownership/shard.go
+++ b/internal/ownership/shard.go
@@ -40,6 +40,11 @@
 	// waitLimit is how long a request for tokens waits for the log before its
 	// asker is told that it has to; the asker asks again.
 	waitLimit = 180 * time.Millisecond
+	// overdueMargin is how long after a turn's time its end may still come in.
+	overdueMargin = time.Second
+	// endedRetention is how long a request's end is remembered that came before
+	// the request.
+	endedRetention = 10 * time.Second
 	// accountRetention is how long an account outlasts its program's last turn.
 	accountRetention = 5 * time.Minute
 )
@@ -58,11 +63,17 @@
 	Request string
 	Budget  int64
 	Most    int64
+	// Until is when the turn's time is over.
+	Until time.Time
 	// Claim tells the node to take the shard over where the log names no owner
 	// that may be left in place.
 	Claim bool
 }
 
+func (ask Ask) order() spending.Order {
+	return spending.Order{Program: ask.Program, Request: ask.Request, Budget: ask.Budget, Most: ask.Most, Until: ask.Until.Add(overdueMargin)}
+}
+
 // Answer is the outcome of an Ask.
 type Answer struct {
 	Verdict nodev1.Verdict
@@ -91,6 +102,9 @@
 	// silentSince is when the append under way began.
 	silentSince time.Time
 	waiters     []waiter
+	// ended holds requests whose end came before they were granted, with the time
+	// of that: their askers have given up, and nothing may stay reserved for them.
+	ended map[string]time.Time
 }
 
 // Yield asks the owner that a claim names whether it keeps a shard; see the
@@ -124,7 +138,11 @@
 
 // decide answers a request for tokens, or lets it wait for a ceiling.
 func (manager *Manager) decide(shard *shard, asked waiter) {
-	verdict := shard.ledger.Reserve(asked.ask.Program, asked.ask.Request, asked.ask.Budget, asked.ask.Most, time.Now())
+	if _, ended := shard.ended[asked.ask.Request]; ended {
+		asked.reply <- Answer{Verdict: nodev1.Verdict_VERDICT_UNSURE, Owner: shard.owner, Reason: "the asker has given up"}
+		return
+	}
+	verdict := shard.ledger.Reserve(asked.ask.order(), time.Now())
 	switch verdict {
 	case spending.Granted:
 		asked.reply <- Answer{Verdict: nodev1.Verdict_VERDICT_GRANTED, Owner: shard.owner}
@@ -200,10 +218,33 @@
 	}
 }
 
+// settle ends a turn, or remembers its end where its request has not come yet:
+// the asker may have given up while the shard was being claimed.
+func (shard *shard) settle(program, request string, tokens int64, now time.Time) {
+	if shard.ledger != nil && shard.ledger.Settle(program, request, tokens, now) {
+		return
+	}
+	shard.ended[request] = now
+}
+
+// expireTurns ends the turns whose time is over.
+func (manager *Manager) expireTurns(now time.Time) {
+	for _, shard := range manager.shards {
+		if shard.ledger != nil {
+			shard.ledger.Overdue(now)
+		}
+	}
+}
+
 func (manager *Manager) expireAccounts(now time.Time) {
 	for _, shard := range manager.shards {
 		if shard.ledger != nil {
 			shard.ledger.Expire(now.Add(-accountRetention))
 		}
+		for request, at := range shard.ended {
+			if now.Sub(at) > endedRetention {
+				delete(shard.ended, request)
+			}
+		}
 	}
 }
--- a/internal/spending/spending.go
+++ b/internal/spending/spending.go
@@ -45,8 +45,8 @@
 	doubt int64
 	// settled is what turns that ended under this owner have spent.
 	settled int64
-	// open holds the most of each turn that has not ended, by request.
-	open      map[string]int64
+	// open holds each turn that has not ended, by request.
+	open      map[string]reservation
 	openTotal int64
 	// ceiling is acknowledged, wanted the highest asked for.
 	ceiling int64
@@ -56,6 +56,13 @@
 	used    time.Time
 }
 
+// reservation is a turn that has not ended: the most that it may spend, and when
+// its time is over even where its end is never heard of.
+type reservation struct {
+	most  int64
+	until time.Time
+}
+
 func (account *account) total() int64 { return account.base + account.settled + account.openTotal }
 
 // Ledger holds the accounts of a shard.
@@ -72,7 +79,7 @@
 		ledger.accounts[program] = &account{
 			base:    ceiling.Tokens,
 			doubt:   ceiling.Tokens - ceiling.Settled,
-			open:    map[string]int64{},
+			open:    map[string]reservation{},
 			ceiling: ceiling.Tokens,
 			wanted:  ceiling.Tokens,
 			used:    now,
@@ -84,20 +91,32 @@
 func (ledger *Ledger) account(program string) *account {
 	found := ledger.accounts[program]
 	if found == nil {
-		found = &account{open: map[string]int64{}}
+		found = &account{open: map[string]reservation{}}
 		ledger.accounts[program] = found
 	}
 	return found
 }
 
+// Order is a request for a turn's tokens.
+type Order struct {
+	Program string
+	Request string
+	// Budget is the program's, Most what the turn may spend, tokens.
+	Budget int64
+	Most   int64
+	// Until is when the turn's time is over.
+	Until time.Time
+}
+
 // Reserve asks for a turn's most tokens under the program's budget. The same
 // request may ask again; it reserves once.
-func (ledger *Ledger) Reserve(program, request string, budget, most int64, now time.Time) Verdict {
+func (ledger *Ledger) Reserve(order Order, now time.Time) Verdict {
+	program, budget, most := order.Program, order.Budget, order.Most
 	account := ledger.account(program)
 	account.used = now
 	account.budget = budget
 	account.largest = max(account.largest, most)
-	if _, open := account.open[request]; open {
+	if _, open := account.open[order.Request]; open {
 		return Granted
 	}
 	needed := account.total() + most
@@ -111,7 +130,7 @@
 		ledger.raise(program, account, needed, most)
 		return AwaitCeiling
 	}
-	account.open[request] = most
+	account.open[order.Request] = reservation{most: most, until: order.Until}
 	account.openTotal += most
 	if account.ceiling < needed+most {
 		ledger.raise(program, account, needed, most)
@@ -143,21 +162,39 @@
 	}
 }
 
-// Settle ends a turn that spent tokens. An unknown request changes nothing: it
-// was reserved with a former owner and is counted in the ceiling.
-func (ledger *Ledger) Settle(program, request string, tokens int64, now time.Time) {
+// Settle ends a turn that spent tokens. It returns false for an unknown request,
+// which changes nothing: it was reserved with a former owner and is counted in
+// the ceiling, or its reservation has not come yet.
+func (ledger *Ledger) Settle(program, request string, tokens int64, now time.Time) bool {
 	account := ledger.accounts[program]
 	if account == nil {
-		return
+		return false
 	}
-	most, open := account.open[request]
+	turn, open := account.open[request]
 	if !open {
-		return
+		return false
 	}
 	delete(account.open, request)
-	account.openTotal -= most
+	account.openTotal -= turn.most
 	account.settled += tokens
 	account.used = now
+	return true
+}
+
+// Overdue ends the turns whose time is over and of which no end was heard, at
+// their most. What they have spent is in doubt from then on: their node may be
+// gone, or may have been answered nothing.
+func (ledger *Ledger) Overdue(now time.Time) {
+	for _, account := range ledger.accounts {
+		for request, turn := range account.open {
+			if now.After(turn.until) {
+				delete(account.open, request)
+				account.openTotal -= turn.most
+				account.base += turn.most
+				account.doubt += turn.most
+			}
+		}
+	}
 }
 
 // Wanted returns the ceilings to write and forgets that they are wanted.
@@ -188,6 +225,7 @@
 type OpenTurn struct {
 	Request string
 	Most    int64
+	Until   time.Time
 }
 
 // Account is a program's state, as one owner hands it to the next.
@@ -214,8 +252,8 @@
 			Ceiling: held.ceiling,
 			Largest: held.largest,
 		}
-		for request, most := range held.open {
-			handed.Open = append(handed.Open, OpenTurn{Request: request, Most: most})
+		for request, turn := range held.open {
+			handed.Open = append(handed.Open, OpenTurn{Request: request, Most: turn.most, Until: turn.until})
 		}
 		accounts = append(accounts, handed)
 	}
@@ -231,10 +269,10 @@
 		held.base = handed.Spent
 		held.doubt = handed.Doubt
 		held.settled = 0
-		held.open = make(map[string]int64, len(handed.Open))
+		held.open = make(map[string]reservation, len(handed.Open))
 		held.openTotal = 0
 		for _, turn := range handed.Open {
-			held.open[turn.Request] = turn.Most
+			held.open[turn.Request] = reservation{most: turn.Most, until: turn.Until}
 			held.openTotal += turn.Most
 		}
 		held.ceiling = max(held.ceiling, handed.Ceiling)
--- a/internal/spending/spending_test.go
+++ b/internal/spending/spending_test.go
@@ -15,6 +15,15 @@
 
 var start = time.Unix(1000, 0)
 
+// turnTime is how long a turn may take.
+const turnTime = 4 * time.Second
+
+// reserve asks a ledger for a turn's tokens at the start of the test.
+func reserve(ledger *spending.Ledger, request string, budget, most int64) spending.Verdict {
+	order := spending.Order{Program: program, Request: request, Budget: budget, Most: most, Until: start.Add(turnTime)}
+	return ledger.Reserve(order, start)
+}
+
 // write acknowledges what the ledger wants written.
 func write(ledger *spending.Ledger, logged map[string]spending.Ceiling) {
 	wanted := ledger.Wanted()
@@ -27,50 +36,65 @@
 var _ = Describe("Ledger", func() {
 	It("grants only under a ceiling that the log has acknowledged", func() {
 		ledger := spending.NewLedger(nil, start)
-		Expect(ledger.Reserve(program, "a", 1000, 100, start)).To(Equal(spending.AwaitCeiling))
-		Expect(ledger.Reserve(program, "a", 1000, 100, start)).To(Equal(spending.AwaitCeiling))
+		Expect(reserve(ledger, "a", 1000, 100)).To(Equal(spending.AwaitCeiling))
+		Expect(reserve(ledger, "a", 1000, 100)).To(Equal(spending.AwaitCeiling))
 		write(ledger, map[string]spending.Ceiling{})
-		Expect(ledger.Reserve(program, "a", 1000, 100, start)).To(Equal(spending.Granted))
-		Expect(ledger.Reserve(program, "a", 1000, 100, start)).To(Equal(spending.Granted))
+		Expect(reserve(ledger, "a", 1000, 100)).To(Equal(spending.Granted))
+		Expect(reserve(ledger, "a", 1000, 100)).To(Equal(spending.Granted))
 	})
 
 	It("refuses a turn that does not fit at its most beside the open ones", func() {
 		ledger := spending.NewLedger(nil, start)
-		ledger.Reserve(program, "a", 500, 288, start)
+		reserve(ledger, "a", 500, 288)
 		write(ledger, map[string]spending.Ceiling{})
-		Expect(ledger.Reserve(program, "a", 500, 288, start)).To(Equal(spending.Granted))
-		Expect(ledger.Reserve(program, "b", 500, 288, start)).To(Equal(spending.Spent))
+		Expect(reserve(ledger, "a", 500, 288)).To(Equal(spending.Granted))
+		Expect(reserve(ledger, "b", 500, 288)).To(Equal(spending.Spent))
 		ledger.Settle(program, "a", 9, start)
-		Expect(ledger.Reserve(program, "b", 500, 288, start)).NotTo(Equal(spending.Spent))
+		Expect(reserve(ledger, "b", 500, 288)).NotTo(Equal(spending.Spent))
 	})
 
 	It("leaves a successor the room of a last turn", func() {
 		logged := map[string]spending.Ceiling{}
 		ledger := spending.NewLedger(nil, start)
-		ledger.Reserve(program, "a", 500, 288, start)
+		reserve(ledger, "a", 500, 288)
 		write(ledger, logged)
-		ledger.Reserve(program, "a", 500, 288, start)
+		reserve(ledger, "a", 500, 288)
 		write(ledger, logged)
 		successor := spending.NewLedger(logged, start)
-		successor.Reserve(program, "b", 500, 288, start)
+		reserve(successor, "b", 500, 288)
 		write(successor, logged)
-		Expect(successor.Reserve(program, "b", 500, 288, start)).To(Equal(spending.Granted))
+		Expect(reserve(successor, "b", 500, 288)).To(Equal(spending.Granted))
 	})
 
 	It("says that it is unsure where only a former owner may have spent the room", func() {
 		ledger := spending.NewLedger(map[string]spending.Ceiling{program: {Program: program, Tokens: 700, Settled: 100}}, start)
-		Expect(ledger.Reserve(program, "a", 500, 288, start)).To(Equal(spending.Unsure))
+		Expect(reserve(ledger, "a", 500, 288)).To(Equal(spending.Unsure))
+	})
+
+	It("holds the room of a turn whose end it never hears of only as long as the turn may take", func() {
+		logged := map[string]spending.Ceiling{}
+		ledger := spending.NewLedger(nil, start)
+		reserve(ledger, "a", 500, 288)
+		write(ledger, logged)
+		Expect(reserve(ledger, "a", 500, 288)).To(Equal(spending.Granted))
+		ledger.Overdue(start.Add(turnTime))
+		Expect(reserve(ledger, "b", 500, 288)).To(Equal(spending.Spent))
+		ledger.Overdue(start.Add(turnTime + time.Millisecond))
+		Expect(ledger.Settle(program, "a", 9, start)).To(BeFalse())
+		Expect(reserve(ledger, "b", 500, 288)).To(Equal(spending.AwaitCeiling))
+		write(ledger, logged)
+		Expect(reserve(ledger, "b", 500, 288)).To(Equal(spending.Granted))
 	})
 
 	It("is exact for a successor that it hands its accounts to", func() {
 		ledger := spending.NewLedger(nil, start)
-		ledger.Reserve(program, "a", 1000, 288, start)
+		reserve(ledger, "a", 1000, 288)
 		write(ledger, map[string]spending.Ceiling{})
-		ledger.Reserve(program, "a", 1000, 288, start)
+		reserve(ledger, "a", 1000, 288)
 		successor := spending.NewLedger(map[string]spending.Ceiling{program: {Program: program, Tokens: 900}}, start)
 		successor.Adopt(ledger.Accounts(), start)
 		successor.Settle(program, "a", 9, start)
-		Expect(successor.Reserve(program, "b", 1000, 700, start)).To(Equal(spending.Granted))
+		Expect(reserve(successor, "b", 1000, 700)).To(Equal(spending.Granted))
 	})
 })
 
@@ -92,12 +116,12 @@
 		steps := rapid.IntRange(1, 120).Draw(t, "steps")
 		for step := range steps {
 			newest := len(owners) - 1
-			switch rapid.IntRange(0, 6).Draw(t, "action") {
+			switch rapid.IntRange(0, 7).Draw(t, "action") {
 			case 0, 1, 2: // Any owner, also one that was cut off, is asked.
 				owner := rapid.IntRange(0, newest).Draw(t, "owner")
 				key := fmt.Sprint(step)
 				size := rapid.Int64Range(1, most).Draw(t, "most")
-				if owners[owner].Reserve(program, key, budget, size, start) == spending.Granted {
+				if reserve(owners[owner], key, budget, size) == spending.Granted {
 					spent := rapid.Int64Range(0, size).Draw(t, "spent")
 					given += spent
 					open = append(open, turn{owner, key, spent})
@@ -118,6 +142,9 @@
 					copied[name] = ceiling
 				}
 				owners = append(owners, spending.NewLedger(copied, start))
+			case 7: // An owner hears of no end until the turns' time is over.
+				owner := rapid.IntRange(0, newest).Draw(t, "owner")
+				owners[owner].Overdue(start.Add(turnTime + time.Second))
 			}
 			if given > budget+most {
 				t.Fatalf("%d tokens given, budget %d and one turn of %d", given, budget, most)
