Read each partition of turns at one node; let strong machines own shards

A turn of another program stands in an unknown partition, so every owner read all 16 partitions and 16 spare ones of the whole history, at machines of 0.192 cores and 30 Mbit/s.

Ruled out: claims (27 to 77 ms after the fault), the store's own read bound.

Change: a node reads the partitions of its shards; it asks the owners of the others for a line of turns (rpc Line), and reads a partition itself only where three nodes do not answer. Searches of one turn and readings of one partition are shared. Turns whose partition does not answer go to another partition of the same topic in place of a topic of their own. A node tells its share of a processor; the chance to own a shard grows with its square.

--- a/internal/history/history.go
+++ b/internal/history/history.go
@@ -106,20 +106,38 @@
 // Chain returns the turns of the line that ends with id, the oldest first. It
 // returns false, with the first id that is missing, where one is not held.
 func (store *Store) Chain(id string) (chain []*Turn, missing string, complete bool) {
+	line, missing := store.walk(id)
+	if missing != "" {
+		return nil, missing, false
+	}
+	return line, "", true
+}
+
+// Line returns the turns of the line that ends with id as far back as they are
+// held, the oldest first.
+func (store *Store) Line(id string) []*Turn {
+	line, _ := store.walk(id)
+	return line
+}
+
+// walk goes back from id to the start of its line, or to the first turn that is
+// missing.
+func (store *Store) walk(id string) (line []*Turn, missing string) {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
-	for id != "" && len(chain) < maxChain {
+	for id != "" && len(line) < maxChain {
 		element := store.turns[id]
 		if element == nil {
-			return nil, id, false
+			missing = id
+			break
 		}
 		store.recent.MoveToFront(element)
 		turn := element.Value.(*entry).turn
-		chain = append(chain, turn)
+		line = append(line, turn)
 		id = turn.Previous
 	}
-	slices.Reverse(chain)
-	return chain, "", true
+	slices.Reverse(line)
+	return line, missing
 }
 
 // Expire drops turns whose retention is over at now.
--- a/internal/history/reader.go
+++ b/internal/history/reader.go
@@ -4,33 +4,54 @@
 	"context"
 	"errors"
 	"sync"
+	"time"
 
 	"github.com/magpielug/magpielug/internal/durable"
 	"github.com/rotisserie/eris"
 )
 
-// Reader finds turns that this node does not hold in the log. It reads each
-// partition once, from the oldest record kept, and later only what is new. It
-// is safe for concurrent use.
+// Elsewhere asks whichever node reads a shard's partition for the line of turns
+// that ends with id, as Reader.Line returns it.
+type Elsewhere func(ctx context.Context, shard int, id string) ([]*Turn, error)
+
+// Reader finds turns that this node does not hold in the log. It reads a
+// partition once, from the oldest record kept, and later only what is new. The
+// partitions of other shards are read by other nodes where Delegate names a way
+// to ask them: after the loss of all nodes each partition is then read about
+// once, and not by each node. It is safe for concurrent use.
 type Reader struct {
-	log    durable.Log
-	store  *Store
-	shards int
-	mutex  sync.Mutex
-	tails  map[durable.Partition]*tail
+	log       durable.Log
+	store     *Store
+	shards    int
+	elsewhere Elsewhere
+	mutex     sync.Mutex
+	tails     map[int]*tail
 }
 
-// tail is how far a partition has been read.
+// tail is how far a shard's partition has been read.
 type tail struct {
 	mutex sync.Mutex
 	next  int64
+	// readSince is when the newest whole reading began.
+	readSince time.Time
 }
 
-// NewReader returns a reader that puts what it finds into store.
+// maxSearches bounds the lookups of one chain: each goes from one program to the
+// one that it goes on from, or to a turn that was recorded in another partition.
+const maxSearches = 64
+
+// NewReader returns a reader that puts what it finds into store, and reads all
+// partitions itself.
 func NewReader(log durable.Log, store *Store, shards int) *Reader {
-	return &Reader{log: log, store: store, shards: shards, tails: map[durable.Partition]*tail{}}
+	reader := &Reader{log: log, store: store, shards: shards, tails: map[int]*tail{}}
+	reader.elsewhere = reader.Line
+	return reader
 }
 
+// Delegate makes the reader ask others for the turns of other shards. It must be
+// called before the first search.
+func (reader *Reader) Delegate(elsewhere Elsewhere) { reader.elsewhere = elsewhere }
+
 // Lookup is the outcome of a search.
 type Lookup struct {
 	Chain []*Turn
@@ -43,57 +64,96 @@
 // first, then in all others: a program may go on from another program's turn. An
 // error says that it can't be told now whether the turn exists.
 func (reader *Reader) Find(ctx context.Context, shard int, id string) (Lookup, error) {
-	chain, _, complete := reader.store.Chain(id)
-	if complete {
-		return Lookup{Chain: chain, Exists: true}, nil
-	}
-	failure := reader.readOn(ctx, durable.Partition{Topic: Topic, Number: shard})
-	chain, _, complete = reader.store.Chain(id)
-	if complete {
-		return Lookup{Chain: chain, Exists: true}, nil
-	}
-	failure = errors.Join(failure, reader.readOthers(ctx, shard))
-	chain, missing, complete := reader.store.Chain(id)
-	switch {
-	case complete:
-		return Lookup{Chain: chain, Exists: true}, nil
-	case failure != nil:
-		return Lookup{}, failure
-	case missing != id:
-		return Lookup{}, eris.Errorf("turn %s of the chain is missing", missing)
-	case reader.store.Evicted():
-		return Lookup{}, eris.New("turns were dropped for want of memory")
+	for range maxSearches {
+		chain, missing, complete := reader.store.Chain(id)
+		if complete {
+			return Lookup{Chain: chain, Exists: true}, nil
+		}
+		line, err := reader.search(ctx, shard, missing)
+		if err != nil {
+			return Lookup{}, err
+		}
+		if len(line) == 0 && missing == id {
+			return Lookup{}, nil
+		}
+		if len(line) == 0 {
+			return Lookup{}, eris.Errorf("turn %s of the chain is missing", missing)
+		}
+		for _, turn := range line {
+			reader.store.Add(turn)
+		}
 	}
-	return Lookup{}, nil
+	return Lookup{}, eris.Errorf("the chain of turn %s is spread too far", id)
 }
 
-// readOthers reads all partitions but the shard's own, at once.
-func (reader *Reader) readOthers(ctx context.Context, shard int) error {
-	var partitions []durable.Partition
-	for number := range reader.shards {
-		partitions = append(partitions, durable.Partition{Topic: SpareTopic, Number: number})
-		if number != shard {
-			partitions = append(partitions, durable.Partition{Topic: Topic, Number: number})
+// search looks for a turn in the shard's partition, then in all others.
+func (reader *Reader) search(ctx context.Context, shard int, id string) ([]*Turn, error) {
+	line, failure := reader.Line(ctx, shard, id)
+	if len(line) > 0 {
+		return line, nil
+	}
+	type outcome struct {
+		line []*Turn
+		err  error
+	}
+	outcomes := make(chan outcome, reader.shards)
+	for other := range reader.shards {
+		if other == shard {
+			continue
 		}
+		go func() {
+			found, err := reader.elsewhere(ctx, other, id)
+			outcomes <- outcome{line: found, err: err}
+		}()
 	}
-	failures := make(chan error, len(partitions))
-	for _, partition := range partitions {
-		go func() { failures <- reader.readOn(ctx, partition) }()
+	for range reader.shards - 1 {
+		ended := <-outcomes
+		if len(ended.line) > 0 {
+			return ended.line, nil
+		}
+		failure = errors.Join(failure, ended.err)
 	}
-	var failure error
-	for range partitions {
-		failure = errors.Join(failure, <-failures)
+	return nil, failure
+}
+
+// Line returns the turns of the line that ends with id, the oldest first, as far
+// back as this node holds them once it has read the shard's partition to its
+// end; none where the partition has no such turn. An error says that it can't be
+// told now.
+func (reader *Reader) Line(ctx context.Context, shard int, id string) ([]*Turn, error) {
+	line := reader.store.Line(id)
+	if len(line) > 0 {
+		return line, nil
 	}
-	return failure
+	err := reader.readOn(ctx, shard)
+	line = reader.store.Line(id)
+	switch {
+	case len(line) > 0:
+		return line, nil
+	case err != nil:
+		return nil, err
+	case reader.store.Evicted():
+		return nil, eris.New("turns were dropped for want of memory")
+	}
+	return nil, nil
 }
 
-// readOn reads a partition from where it was read to, up to its end.
-func (reader *Reader) readOn(ctx context.Context, partition durable.Partition) error {
-	tail := reader.tail(partition)
+// readOn reads a partition from where it was read to, up to its end. A reading
+// that began after the call serves the call too.
+func (reader *Reader) readOn(ctx context.Context, shard int) error {
+	called := time.Now()
+	tail := reader.tail(shard)
 	tail.mutex.Lock()
 	defer tail.mutex.Unlock()
-	next, err := durable.ReadToEnd(ctx, reader.log, partition, tail.next, reader.take)
+	if tail.readSince.After(called) {
+		return nil
+	}
+	began := time.Now()
+	next, err := durable.ReadToEnd(ctx, reader.log, durable.Partition{Topic: Topic, Number: shard}, tail.next, reader.take)
 	tail.next = next
+	if err == nil {
+		tail.readSince = began
+	}
 	return err
 }
 
@@ -104,13 +164,13 @@
 	}
 }
 
-func (reader *Reader) tail(partition durable.Partition) *tail {
+func (reader *Reader) tail(shard int) *tail {
 	reader.mutex.Lock()
 	defer reader.mutex.Unlock()
-	found := reader.tails[partition]
+	found := reader.tails[shard]
 	if found == nil {
 		found = &tail{}
-		reader.tails[partition] = found
+		reader.tails[shard] = found
 	}
 	return found
 }
--- a/internal/history/reader_test.go
+++ b/internal/history/reader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -47,6 +48,45 @@
 		Expect(found.Exists).To(BeTrue())
 	})
 
+	It("leaves the partitions of other shards to the nodes that read them", func() {
+		Expect(history.NewRecorder(log, shards).Record(ctx, 3, turn("c", "b", "x", "y\n"))).To(Succeed())
+		var mutex sync.Mutex
+		reads := map[durable.Partition]int{}
+		log.Intercept = func(operation string, partition durable.Partition) error {
+			mutex.Lock()
+			defer mutex.Unlock()
+			if operation == "read" {
+				reads[partition]++
+			}
+			return nil
+		}
+		nodes := make([]*history.Reader, shards)
+		for shard := range shards {
+			nodes[shard] = newReader()
+		}
+		for _, node := range nodes {
+			node.Delegate(func(ctx context.Context, shard int, id string) ([]*history.Turn, error) {
+				return nodes[shard].Line(ctx, shard, id)
+			})
+		}
+		for shard, node := range nodes {
+			found, err := node.Find(ctx, shard, "c")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(found.Chain).To(HaveLen(3))
+		}
+		for shard := range shards {
+			// One reading of the records, and one per later search that ends at once.
+			Expect(reads[durable.Partition{Topic: history.Topic, Number: shard}]).To(BeNumerically("<=", shards+1))
+		}
+	})
+
+	It("joins a chain that goes from one shard to another", func() {
+		Expect(history.NewRecorder(log, shards).Record(ctx, 3, turn("c", "b", "x", "y\n"))).To(Succeed())
+		found, err := newReader().Find(ctx, 0, "c")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(history.Prompt(found.Chain, nil))).To(Equal("hellohi\nmoresome\nxy\n"))
+	})
+
 	It("says that a turn does not exist only where every partition was read", func() {
 		found, err := newReader().Find(ctx, 1, "forged")
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/history/recorder.go
+++ b/internal/history/recorder.go
@@ -10,10 +10,9 @@
 )
 
 const (
-	// Topic holds turns by the shard of their program.
+	// Topic holds turns by the shard of their program; those whose own partition
+	// did not answer in time stand in another one.
 	Topic = "turns"
-	// SpareTopic holds turns whose own partition did not answer in time.
-	SpareTopic = "turns-spare"
 	// firstPause follows a round that the store refused; it doubles up to
 	// longestPause, so that many waiting turns do not flood a store that is away.
 	firstPause   = 40 * time.Millisecond
@@ -57,7 +56,7 @@
 }
 
 // Record returns nil once the log has acknowledged the turn. It tries the
-// shard's partition, and one spare partition after another while there is no
+// shard's partition, and one of the others after another while there is no
 // answer, until ctx ends.
 func (recorder *Recorder) Record(ctx context.Context, shard int, turn *Turn) error {
 	record, err := encode(turn)
@@ -67,12 +66,12 @@
 	done := make(chan error, recorder.shards+1)
 	recorder.enqueue(durable.Partition{Topic: Topic, Number: shard}, record, done)
 	outstanding := 1
-	// A spare partition is tried when an append takes unusually long, the next
+	// Another partition is tried when an append takes unusually long, the next
 	// one after twice that time, and so on.
 	patience := recorder.pace.Patience()
 	timer := time.NewTimer(patience)
 	defer timer.Stop()
-	spare := 0
+	others := 0
 	pause := firstPause
 	for {
 		select {
@@ -86,9 +85,9 @@
 				pause = min(2*pause, longestPause)
 			}
 		case <-timer.C:
-			spare++
-			number := (shard + spare) % recorder.shards
-			recorder.enqueue(durable.Partition{Topic: SpareTopic, Number: number}, record, done)
+			others++
+			number := (shard + others) % recorder.shards
+			recorder.enqueue(durable.Partition{Topic: Topic, Number: number}, record, done)
 			outstanding++
 			patience = min(2*patience, appendTimeout)
 			timer.Reset(patience)
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -3,7 +3,9 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -35,6 +37,8 @@
 	Zone        string
 	Incarnation string
 	Leaving     bool
+	// Capacity is the node's share of a processor, thousandths of a core.
+	Capacity uint32
 }
 
 // members holds the nodes known. It is safe for concurrent use.
@@ -102,23 +106,42 @@
 
 // candidates returns the nodes that may own a shard, the first choice first
 // (rendezvous hashing, so that a node that leaves moves its own shards only).
+// The chance to come first grows with the square of a node's capacity: owning
+// costs processor time and reading of the log, of which weak machines have
+// little, while a few strong ones among many weak ones must not own everything.
 func (known *members) candidates(shard int) []Member {
 	known.mutex.RLock()
-	defer known.mutex.RUnlock()
 	list := make([]Member, 0, len(known.byName))
 	for _, member := range known.byName {
 		if !member.Leaving {
 			list = append(list, member)
 		}
 	}
+	known.mutex.RUnlock()
+	weights := make(map[string]float64, len(list))
+	for _, member := range list {
+		weights[member.Name] = candidateWeight(member, shard)
+	}
 	slices.SortFunc(list, func(left, right Member) int {
-		return cmp.Compare(candidateWeight(right.Name, shard), candidateWeight(left.Name, shard))
+		return cmp.Compare(weights[right.Name], weights[left.Name])
 	})
 	return list
 }
 
-func candidateWeight(name string, shard int) uint64 {
-	return xxhash.Sum64String(name + "/" + string(rune('0'+shard)))
+// unknownCapacity is taken for nodes that do not tell theirs, thousandths.
+const unknownCapacity = 500
+
+// candidateWeight is a node's weight for a shard, the highest comes first
+// (weighted rendezvous hashing: a uniform hash to the power of 1/weight, as a
+// logarithm).
+func candidateWeight(member Member, shard int) float64 {
+	capacity := float64(member.Capacity)
+	if capacity == 0 {
+		capacity = unknownCapacity
+	}
+	hash := xxhash.Sum64String(member.Name + "/" + strconv.Itoa(shard))
+	uniform := (float64(hash>>11) + 0.5) / (1 << 53)
+	return math.Log(uniform) / (capacity * capacity)
 }
 
 // register writes the node's own record until the store has taken it.
@@ -128,6 +151,7 @@
 		Zone:        member.Zone,
 		Incarnation: member.Incarnation,
 		Leaving:     member.Leaving,
+		Capacity:    member.Capacity,
 	})
 	if err != nil {
 		logger.Error("node record not encoded", logging.Cause(err))
@@ -169,5 +193,6 @@
 		Zone:        message.Zone,
 		Incarnation: message.Incarnation,
 		Leaving:     message.Leaving,
+		Capacity:    message.Capacity,
 	}, true
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,6 +25,7 @@
 	"github.com/magpielug/magpielug/internal/ownership"
 	"github.com/magpielug/magpielug/internal/routing"
 	"go.uber.org/zap"
+	"golang.org/x/sync/singleflight"
 )
 
 var (
@@ -67,10 +68,12 @@
 	engineView        *recordView
 	memberView        *recordView
 
-	peers     *peers
-	turns     *history.Store
-	recorder  *history.Recorder
-	reader    *history.Reader
+	peers    *peers
+	turns    *history.Store
+	recorder *history.Recorder
+	reader   *history.Reader
+	// searches are those for chains under way, by the turn they end with.
+	searches  singleflight.Group
 	ownership *ownership.Manager
 	assigner  *assignment.Assigner
 	programs  *programs
@@ -141,6 +144,7 @@
 		Address:     settings.PeerAddress,
 	}, settings.Shards, node.askToYield)
 	node.programs = newPrograms(node)
+	node.reader.Delegate(node.lineElsewhere)
 	node.service = &forward.Service{
 		Routes:   node.routes,
 		Engines:  node.engines,
@@ -162,6 +166,9 @@
 	return int(historyShare * float64(memory))
 }
 
+// capacityUnit is the unit of Member.Capacity, in a core.
+const capacityUnit = 1000
+
 // self is this node's own record.
 func (node *Node) self() Member {
 	return Member{
@@ -170,6 +177,7 @@
 		Zone:        node.settings.Zone,
 		Incarnation: node.incarnation,
 		Leaving:     node.stopping.Load(),
+		Capacity:    uint32(capacityUnit * node.settings.Capacity),
 	}
 }
 
--- a/internal/node/programs.go
+++ b/internal/node/programs.go
@@ -32,10 +32,6 @@
 	waitPatience = 1200 * time.Millisecond
 	// searchPause separates two rounds over the nodes.
 	searchPause = 60 * time.Millisecond
-	// findWait is how long an owner looks for a chain before it tells the asker
-	// to wait; findTimeout bounds the reading itself.
-	findWait    = 180 * time.Millisecond
-	findTimeout = 4 * time.Second
 	// suspicion is how long an owner that did not answer is not asked first.
 	suspicion = 600 * time.Millisecond
 )
--- a/internal/node/reserve.go
+++ b/internal/node/reserve.go
@@ -118,32 +118,6 @@
 	return reply
 }
 
-// find looks for a chain, and gives up waiting after a while; the reading goes
-// on, so that a later ask finds more.
-func (node *Node) find(ctx context.Context, shard int, id string) (history.Lookup, error) {
-	type outcome struct {
-		found history.Lookup
-		err   error
-	}
-	done := make(chan outcome, 1)
-	go func() {
-		reading, cancel := context.WithTimeout(context.Background(), findTimeout)
-		defer cancel()
-		found, err := node.reader.Find(reading, shard, id)
-		done <- outcome{found: found, err: err}
-	}()
-	timer := time.NewTimer(findWait)
-	defer timer.Stop()
-	select {
-	case result := <-done:
-		return result.found, result.err
-	case <-timer.C:
-		return history.Lookup{}, errStillReading
-	case <-ctx.Done():
-		return history.Lookup{}, errStillReading
-	}
-}
-
 // addChain puts the turns before the one asked for into the reply, or the
 // reason why it can't.
 func (node *Node) addChain(ctx context.Context, shard int, request *nodev1.ReserveRequest, reply *nodev1.ReserveReply) bool {
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -32,6 +32,9 @@
 	Seeds []string
 	// MemoryBytes is what the process may hold, 0 where nothing bounds it.
 	MemoryBytes int64
+	// Capacity is the share of a processor that the process has, in cores; 0
+	// where it is not known.
+	Capacity float64
 	// Connections is how many callers' connections may be open.
 	Connections int
 	// Shards is the number of partitions of the store's topics.
--- /dev/null
+++ b/internal/node/turns.go
@@ -0,0 +1,105 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	nodev1 "github.com/magpielug/magpielug/api/node/v1"
+	"github.com/magpielug/magpielug/internal/history"
+	"github.com/magpielug/magpielug/internal/logging"
+	"go.uber.org/zap"
+)
+
+const (
+	// findWait is how long an owner looks for a chain before it tells the asker
+	// to wait; findTimeout bounds the search itself.
+	findWait    = 180 * time.Millisecond
+	findTimeout = 4 * time.Second
+	// lineTimeout is how long a node may take to read its partition before
+	// another one is asked.
+	lineTimeout = time.Second
+	// lineAsks is how many nodes are asked for one partition before this node
+	// reads it itself.
+	lineAsks = 3
+)
+
+// find looks for a chain, and gives up waiting after a while; the search goes
+// on, so that a later ask finds more. Asks for the same turn share a search.
+func (node *Node) find(ctx context.Context, shard int, id string) (history.Lookup, error) {
+	searched := node.searches.DoChan(id, func() (any, error) {
+		searching, cancel := context.WithTimeout(context.Background(), findTimeout)
+		defer cancel()
+		return node.reader.Find(searching, shard, id)
+	})
+	timer := time.NewTimer(findWait)
+	defer timer.Stop()
+	select {
+	case result := <-searched:
+		return result.Val.(history.Lookup), result.Err
+	case <-timer.C:
+		return history.Lookup{}, errStillReading
+	case <-ctx.Done():
+		return history.Lookup{}, errStillReading
+	}
+}
+
+// lineElsewhere asks the node that is likely to have read a shard's partition:
+// the shard's owner, or the one that would own it. It implements
+// history.Elsewhere.
+func (node *Node) lineElsewhere(ctx context.Context, shard int, id string) ([]*history.Turn, error) {
+	asked := map[string]bool{}
+	for range lineAsks {
+		target, found := node.programs.target(shard, asked)
+		if !found || target == node.settings.Name {
+			break
+		}
+		asked[target] = true
+		line, err := node.askLine(ctx, target, shard, id)
+		if err == nil {
+			return line, nil
+		}
+		node.logger.Info("turns not read elsewhere", zap.String("turn", id), zap.Int("shard", shard),
+			zap.String("node", target), logging.Cause(err))
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
+	}
+	return node.reader.Line(ctx, shard, id)
+}
+
+func (node *Node) askLine(ctx context.Context, target string, shard int, id string) ([]*history.Turn, error) {
+	client, err := node.peers.client(target)
+	if err != nil {
+		return nil, err
+	}
+	bounded, cancel := context.WithTimeout(ctx, lineTimeout)
+	defer cancel()
+	reply, err := client.Line(bounded, &nodev1.LineRequest{Shard: uint32(shard), Id: id})
+	if err != nil {
+		return nil, err
+	}
+	line := make([]*history.Turn, 0, len(reply.Line))
+	for _, message := range reply.Line {
+		line = append(line, history.FromMessage(message))
+	}
+	return line, nil
+}
+
+// Line implements nodev1.Node. The reading outlasts an asker that gives up, so
+// that a later ask finds more.
+func (server *peerServer) Line(_ context.Context, request *nodev1.LineRequest) (*nodev1.LineReply, error) {
+	if int(request.Shard) >= server.node.settings.Shards {
+		return nil, errUnknownShard
+	}
+	reading, cancel := context.WithTimeout(context.Background(), findTimeout)
+	defer cancel()
+	line, err := server.node.reader.Line(reading, int(request.Shard), request.Id)
+	if err != nil {
+		return nil, err
+	}
+	reply := &nodev1.LineReply{}
+	for _, turn := range line {
+		reply.Line = append(reply.Line, history.ToMessage(turn))
+	}
+	return reply, nil
+}
