Let one node of a zone read configuration, engines and nodes for the others

Change: one node in eight of a zone (the first choices by capacity) reads the store; the others ask it each 0.3 s for what changed and rest their own reading while it answers and is current (its list of engines at most 0.8 s old). A reader that does not answer in 0.25 s or is not current is left for 3 s, and the node reads the store itself at once. Records that change nothing are not passed on. A view's end no longer runs ahead of a batch that was cut short.

--- a/internal/durable/view.go
+++ b/internal/durable/view.go
@@ -31,7 +31,8 @@
 	// Full is true where Records are the newest of all keys.
 	Full    bool
 	Records []KeyedRecord
-	End     int64
+	// End is the offset up to which the update, with those before it, is whole.
+	End int64
 }
 
 // Next returns the records that are new, waiting up to wait for one.
@@ -56,14 +57,14 @@
 }
 
 func (view *View) advance(batch Batch) Update {
-	update := Update{End: batch.End}
+	view.next = batch.Offset + int64(len(batch.Records))
+	update := Update{End: view.next}
 	for index, record := range batch.Records {
 		key, value, sound := DecodeKeyed(record)
 		if sound {
 			update.Records = append(update.Records, KeyedRecord{Key: key, Value: value, Offset: batch.Offset + int64(index)})
 		}
 	}
-	view.next = batch.Offset + int64(len(batch.Records))
 	return update
 }
 
@@ -77,5 +78,13 @@
 	return Update{Full: true, Records: snapshot.Records, End: snapshot.End}, nil
 }
 
+// SkipTo makes the view go on from an offset up to which the receiver has learned
+// everything in another way.
+func (view *View) SkipTo(offset int64) {
+	if view.read {
+		view.next = max(view.next, offset)
+	}
+}
+
 // Restart makes the next call read the newest records of all keys.
 func (view *View) Restart() { view.read = false }
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -23,6 +23,9 @@
 	// stalePause separates two whole readings while the store serves an older
 	// state than was seen, as it may after its history was dropped.
 	stalePause = 700 * time.Millisecond
+	// restPause separates two looks whether another node still reads a topic for
+	// this one.
+	restPause = 60 * time.Millisecond
 )
 
 // follower reads one keyed topic for as long as the node runs.
@@ -30,6 +33,10 @@
 	view   *durable.View
 	name   string
 	logger *zap.Logger
+	// resting tells whether another node reads the topic for this one now, and
+	// reached how far that has come.
+	resting func() bool
+	reached func() int64
 	// wait is passed to the view, pause follows each reading.
 	wait  time.Duration
 	pause func() time.Duration
@@ -47,6 +54,9 @@
 func (follower *follower) run(ctx context.Context) {
 	first := true
 	for ctx.Err() == nil {
+		if !first && follower.rests(ctx) {
+			continue
+		}
 		bounded, cancel := context.WithTimeout(ctx, storeTimeout+follower.wait)
 		update, err := follower.view.Next(bounded, follower.wait)
 		cancel()
@@ -64,6 +74,17 @@
 	}
 }
 
+// rests waits a moment where another node reads the topic for this one.
+func (follower *follower) rests(ctx context.Context) bool {
+	if follower.resting == nil || !follower.resting() {
+		return false
+	}
+	sleep(ctx, restPause)
+	follower.lastAnswer.Store(time.Now().UnixMilli())
+	follower.view.SkipTo(follower.reached())
+	return true
+}
+
 // rest pauses before the next reading. A reading that ends before what was seen
 // is of an old state: going on from its end would repeat what is known, so the
 // view is read as a whole again. One that ends later is completed by the records
@@ -127,44 +148,53 @@
 
 func (node *Node) newFollower(view *recordView, topic string, wait time.Duration, pause func() time.Duration) *follower {
 	return &follower{
-		view:   durable.NewView(node.around.Log, topic),
-		name:   view.name,
-		logger: node.logger.Logger,
-		wait:   wait,
-		pause:  pause,
-		apply:  view.take,
+		view:    durable.NewView(node.around.Log, topic),
+		name:    view.name,
+		logger:  node.logger.Logger,
+		wait:    wait,
+		pause:   pause,
+		apply:   view.take,
+		resting: node.learner.learns,
+		reached: view.reached,
 	}
 }
 
 // applyConfiguration puts a newer version in force.
-func (node *Node) applyConfiguration(record durable.KeyedRecord) {
+func (node *Node) applyConfiguration(record durable.KeyedRecord) bool {
 	decoded, sound := node.around.DecodeConfiguration(record)
-	if sound && node.routes.Apply(decoded) {
-		node.adjustCallers(decoded.Limits)
-		node.logger.Info("configuration applied", zap.Int64("version", decoded.Version), zap.Int64("offset", record.Offset))
+	if !sound || !node.routes.Apply(decoded) {
+		return false
 	}
+	node.adjustCallers(decoded.Limits)
+	node.logger.Info("configuration applied", zap.Int64("version", decoded.Version), zap.Int64("offset", record.Offset))
+	return true
 }
 
 // applyEngine notes an engine's newest record.
-func (node *Node) applyEngine(record durable.KeyedRecord) {
+func (node *Node) applyEngine(record durable.KeyedRecord) bool {
 	if len(record.Value) == 0 {
-		if node.engines.Remove(record.Key) {
+		removed := node.engines.Remove(record.Key)
+		if removed {
 			node.logger.Info("engine gone", zap.String("engine", record.Key), zap.Int64("offset", record.Offset))
 		}
-		return
+		return removed
 	}
 	instance, sound := node.around.DecodeEngine(record)
-	if sound && node.engines.Put(instance) {
-		node.logger.Info("engine listed", zap.String("engine", instance.ID), zap.String("address", instance.Address),
-			zap.Bool("leaving", instance.Leaving), zap.Int64("offset", record.Offset))
+	if !sound || !node.engines.Put(instance) {
+		return false
 	}
+	node.logger.Info("engine listed", zap.String("engine", instance.ID), zap.String("address", instance.Address),
+		zap.Bool("leaving", instance.Leaving), zap.Int64("offset", record.Offset))
+	return true
 }
 
 // applyMember notes a node's newest record.
-func (node *Node) applyMember(record durable.KeyedRecord) {
+func (node *Node) applyMember(record durable.KeyedRecord) bool {
 	member, sound := decodeMember(record)
-	if sound && node.members.put(member) {
-		node.logger.Info("node known", zap.String("node", member.Name), zap.String("address", member.Address),
-			zap.String("incarnation", member.Incarnation), zap.Bool("leaving", member.Leaving))
+	if !sound || !node.members.put(member) {
+		return false
 	}
+	node.logger.Info("node known", zap.String("node", member.Name), zap.String("address", member.Address),
+		zap.String("incarnation", member.Incarnation), zap.Bool("leaving", member.Leaving))
+	return true
 }
--- a/internal/node/follow_test.go
+++ b/internal/node/follow_test.go
@@ -62,7 +62,10 @@
 	BeforeEach(func() {
 		log = &staleLog{Memory: durable.NewMemory()}
 		seen.Clear()
-		view = newRecordView("t", zap.NewNop(), func(record durable.KeyedRecord) { seen.Store(record.Key, string(record.Value)) })
+		view = newRecordView("t", zap.NewNop(), func(record durable.KeyedRecord) bool {
+			seen.Store(record.Key, string(record.Value))
+			return true
+		})
 		reader := &follower{view: durable.NewView(log, "t"), name: "t", logger: zap.NewNop(), apply: view.take,
 			pause: func() time.Duration { return time.Millisecond }}
 		ctx, cancel := context.WithCancel(context.Background())
--- a/internal/node/learn.go
+++ b/internal/node/learn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
@@ -13,51 +14,105 @@
 
 const (
 	// learnAfter is how long the store may be silent before other nodes are
-	// asked; learnPause separates two such asks.
+	// asked; learnPause separates two asks.
 	learnAfter = 700 * time.Millisecond
 	learnPause = 300 * time.Millisecond
 	// learnTimeout bounds one ask.
 	learnTimeout = 250 * time.Millisecond
+	// learnTrust is how long an answer of the zone's reader spares reading the
+	// store: an answer's time and pause, and a little.
+	learnTrust = learnPause + learnTimeout + 100*time.Millisecond
+	// readerPause is how long a node reads the store itself after its reader did
+	// not answer, or was not current.
+	readerPause = 3 * time.Second
+	// currentAge is how old a reader's list of engines may be for others to rely
+	// on it: its poll, and as much again.
+	currentAge = 2 * enginePoll
+	// nodesPerReader is how many nodes of a zone share one that reads the store.
+	nodesPerReader = 8
 )
 
-// learnFromPeers asks other nodes, one at a time in turn, while the store does
-// not answer one of the followers: a store may refuse single nodes while it
-// serves the operators and the others.
-func (node *Node) learnFromPeers(ctx context.Context, followers []*follower) {
-	learning := false
+// learner learns configuration, engines and nodes from other nodes: from a node
+// of its zone that reads the store for several, and from any other one while the
+// store does not answer.
+type learner struct {
+	node *Node
+	// until is the time up to which the store need not be read, Unix
+	// milliseconds.
+	until atomic.Int64
+	// retry is when the zone's reader is asked again after a failure.
+	retry time.Time
+	// reader is the one last asked, for the log.
+	reader string
+}
+
+// learns tells whether another node reads the store for this one now.
+func (learner *learner) learns() bool {
+	return time.Now().UnixMilli() < learner.until.Load()
+}
+
+// run asks for as long as the node runs.
+func (learner *learner) run(ctx context.Context, followers []*follower) {
+	node := learner.node
+	silent := false
 	for ctx.Err() == nil {
 		sleep(ctx, learnPause)
-		silent := anySilent(followers, time.Now())
-		if silent != learning {
-			learning = silent
-			node.logger.Info("learning from other nodes", zap.Bool("active", learning))
+		now := time.Now()
+		if anySilent(followers, now) != silent {
+			silent = !silent
+			node.logger.Info("learning from other nodes", zap.Bool("active", silent))
+		}
+		if silent {
+			learner.fromAny(ctx)
+			continue
 		}
-		if learning {
-			node.learnOnce(ctx)
+		if now.After(learner.retry) {
+			learner.fromReader(ctx, now)
 		}
 	}
 }
 
-// anySilent tells whether the store has not answered a follower for a while.
-func anySilent(followers []*follower, now time.Time) bool {
-	for _, follower := range followers {
-		allowed := learnAfter + follower.wait
-		if follower.lost.Load() {
-			allowed = learnAfter
-		}
-		if now.Sub(time.UnixMilli(follower.lastAnswer.Load())) > allowed+follower.pause() {
-			return true
-		}
+// fromAny asks one node drawn from all while the store does not answer this one:
+// it may refuse single nodes while it serves the operators and the others.
+func (learner *learner) fromAny(ctx context.Context) {
+	address, found := learner.node.someAddress()
+	if found {
+		_, _ = learner.ask(ctx, address)
 	}
-	return false
 }
 
-// learnOnce asks one node.
-func (node *Node) learnOnce(ctx context.Context) {
-	address, found := node.someAddress()
-	if !found {
+// fromReader asks the node that reads the store for this one, if another does.
+func (learner *learner) fromReader(ctx context.Context, now time.Time) {
+	node := learner.node
+	reader := node.members.readerFor(node.self())
+	if reader.Name == "" || reader.Name == node.settings.Name {
+		learner.until.Store(0)
+		learner.note("")
+		return
+	}
+	current, err := learner.ask(ctx, reader.Address)
+	if err != nil || !current {
+		learner.until.Store(0)
+		learner.retry = now.Add(readerPause)
+		learner.note("")
 		return
 	}
+	learner.note(reader.Name)
+	learner.until.Store(time.Now().Add(learnTrust).UnixMilli())
+}
+
+// note logs a change of the node that reads the store for this one.
+func (learner *learner) note(reader string) {
+	if learner.reader == reader {
+		return
+	}
+	learner.reader = reader
+	learner.node.logger.Info("views read by", zap.String("node", reader))
+}
+
+// ask takes in what a node knows, and tells whether that is current.
+func (learner *learner) ask(ctx context.Context, address string) (bool, error) {
+	node := learner.node
 	bounded, cancel := context.WithTimeout(ctx, learnTimeout)
 	defer cancel()
 	reply, err := node.peers.at(address).Learn(bounded, &nodev1.LearnRequest{
@@ -67,11 +122,26 @@
 	})
 	if err != nil {
 		node.logger.Debug("nothing learned", zap.String("address", address), logging.Cause(err))
-		return
+		return false, err
 	}
 	node.configurationView.take(fromRecords(reply.Configuration))
 	node.engineView.take(fromRecords(reply.Engines))
 	node.memberView.take(fromRecords(reply.Nodes))
+	return reply.Current, nil
+}
+
+// anySilent tells whether the store has not answered a follower for a while.
+func anySilent(followers []*follower, now time.Time) bool {
+	for _, follower := range followers {
+		allowed := learnAfter + follower.wait
+		if follower.lost.Load() {
+			allowed = learnAfter
+		}
+		if now.Sub(time.UnixMilli(follower.lastAnswer.Load())) > allowed+follower.pause() {
+			return true
+		}
+	}
+	return false
 }
 
 // someAddress draws another node, or a seed of the settings.
@@ -93,6 +163,7 @@
 		Configuration: toRecords(node.configurationView.since(request.ConfigurationEnd)),
 		Engines:       toRecords(node.engineView.since(request.EnginesEnd)),
 		Nodes:         toRecords(node.memberView.since(request.NodesEnd)),
+		Current:       !node.learner.learns() && node.engineView.age() < currentAge,
 	}, nil
 }
 
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -128,6 +128,26 @@
 	return list
 }
 
+// readerFor returns the node of a member's zone that reads the store for it, or
+// the member itself. Each zone has a reader for every few of its nodes: the
+// first choices of a shard that no program has.
+func (known *members) readerFor(member Member) Member {
+	var zone []Member
+	for _, candidate := range known.candidates(readerShard) {
+		if candidate.Zone == member.Zone {
+			zone = append(zone, candidate)
+		}
+	}
+	readers := zone[:(len(zone)+nodesPerReader-1)/nodesPerReader]
+	if len(readers) == 0 || slices.ContainsFunc(readers, func(reader Member) bool { return reader.Name == member.Name }) {
+		return member
+	}
+	return readers[xxhash.Sum64String(member.Name)%uint64(len(readers))]
+}
+
+// readerShard stands for the reading of the store in the order of candidates.
+const readerShard = -1
+
 // unknownCapacity is taken for nodes that do not tell theirs, thousandths.
 const unknownCapacity = 500
 
--- a/internal/node/members_test.go
+++ b/internal/node/members_test.go
@@ -3,8 +3,10 @@
 import (
 	"strconv"
 
+	"github.com/magpielug/magpielug/internal/durable"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
 )
 
 var _ = Describe("Candidates of a shard", func() {
@@ -50,4 +52,38 @@
 			}
 		}
 	})
+
+	It("name a few nodes of each zone that read the store for the others", func() {
+		known := newMembers()
+		for number := range 40 {
+			known.put(Member{Name: "node-" + strconv.Itoa(number), Zone: "zone-" + strconv.Itoa(number%2), Capacity: 800})
+		}
+		readers := map[string]map[string]bool{"zone-0": {}, "zone-1": {}}
+		for number := range 40 {
+			member, _ := known.get("node-" + strconv.Itoa(number))
+			reader := known.readerFor(member)
+			Expect(reader.Zone).To(Equal(member.Zone))
+			Expect(known.readerFor(reader)).To(Equal(reader))
+			readers[member.Zone][reader.Name] = true
+		}
+		Expect(readers["zone-0"]).To(HaveLen(3))
+		Expect(readers["zone-1"]).To(HaveLen(3))
+	})
+})
+
+var _ = Describe("A view", func() {
+	It("tells others of what changed, not of what was repeated", func() {
+		view := newRecordView("t", zap.NewNop(), func(record durable.KeyedRecord) bool { return string(record.Value) != "same" })
+		view.take(durable.Update{Records: []durable.KeyedRecord{{Key: "a", Value: []byte("1"), Offset: 0}}, End: 1})
+		view.take(durable.Update{Records: []durable.KeyedRecord{{Key: "a", Value: []byte("same"), Offset: 1}}, End: 2})
+		records, end := view.since(1)
+		Expect(records).To(BeEmpty())
+		Expect(end).To(Equal(int64(2)))
+		records, _ = view.since(0)
+		Expect(records).To(HaveLen(1))
+		view.take(durable.Update{Records: []durable.KeyedRecord{{Key: "a", Offset: 2}}, End: 3})
+		records, _ = view.since(2)
+		Expect(records).To(HaveLen(1))
+		Expect(records[0].Value).To(BeEmpty())
+	})
 })
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -69,6 +69,7 @@
 	memberView        *recordView
 
 	peers    *peers
+	learner  *learner
 	turns    *history.Store
 	recorder *history.Recorder
 	reader   *history.Reader
@@ -136,6 +137,7 @@
 		return nil, err
 	}
 	node.newViews()
+	node.learner = &learner{node: node}
 	node.peers = newPeers(node.members, client)
 	node.reader = history.NewReader(around.Log, node.turns, settings.Shards)
 	node.ownership = ownership.NewManager(ctx, around.Log, logger.Logger, ownership.Identity{
@@ -200,7 +202,7 @@
 		follower.lastAnswer.Store(time.Now().UnixMilli())
 		go follower.run(working)
 	}
-	go node.learnFromPeers(working, followers)
+	go node.learner.run(working, followers)
 	go node.keepHouse(working)
 	for {
 		select {
--- a/internal/node/turns.go
+++ b/internal/node/turns.go
@@ -58,11 +58,11 @@
 		if err == nil {
 			return line, nil
 		}
-		node.logger.Info("turns not read elsewhere", zap.String("turn", id), zap.Int("shard", shard),
-			zap.String("node", target), logging.Cause(err))
 		if ctx.Err() != nil {
-			return nil, ctx.Err()
+			return nil, ctx.Err() // Found in another shard, or the search is over.
 		}
+		node.logger.Info("turns not read elsewhere", zap.String("turn", id), zap.Int("shard", shard),
+			zap.String("node", target), logging.Cause(err))
 	}
 	return node.reader.Line(ctx, shard, id)
 }
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -14,19 +14,27 @@
 type recordView struct {
 	name   string
 	logger *zap.Logger
-	// apply is told of each record that is new; an empty value says that the key
-	// was dropped.
-	apply func(record durable.KeyedRecord)
+	// apply is told of each record that is new, and tells whether it changed
+	// anything; an empty value says that the key was dropped.
+	apply func(record durable.KeyedRecord) bool
 
 	mutex  sync.Mutex
-	newest map[string]durable.KeyedRecord
+	newest map[string]heldRecord
 	end    int64
 	// taken is when the last update came, even if it held nothing new.
 	taken time.Time
 }
 
-func newRecordView(name string, logger *zap.Logger, apply func(durable.KeyedRecord)) *recordView {
-	return &recordView{name: name, logger: logger, apply: apply, newest: map[string]durable.KeyedRecord{}}
+// heldRecord is a key's newest record.
+type heldRecord struct {
+	durable.KeyedRecord
+	// changed is the offset of the record that last changed anything: engines
+	// repeat theirs all the time, which others need not be told.
+	changed int64
+}
+
+func newRecordView(name string, logger *zap.Logger, apply func(durable.KeyedRecord) bool) *recordView {
+	return &recordView{name: name, logger: logger, apply: apply, newest: map[string]heldRecord{}}
 }
 
 // take takes an update in.
@@ -55,8 +63,11 @@
 	if found && known.Offset >= record.Offset {
 		return
 	}
-	view.newest[record.Key] = record
-	view.apply(record)
+	held := heldRecord{KeyedRecord: record, changed: known.changed}
+	if view.apply(record) || !found {
+		held.changed = record.Offset
+	}
+	view.newest[record.Key] = held
 }
 
 // dropUnlisted drops the keys that a whole reading does not list, unless the
@@ -73,7 +84,8 @@
 	}
 }
 
-// since returns the records from an offset on, and how far the view has come.
+// since returns the records that changed something from an offset on, and how far
+// the view has come.
 func (view *recordView) since(offset int64) (records []durable.KeyedRecord, end int64) {
 	view.mutex.Lock()
 	defer view.mutex.Unlock()
@@ -81,8 +93,8 @@
 		return nil, view.end
 	}
 	for _, record := range view.newest {
-		if record.Offset >= offset {
-			records = append(records, record)
+		if record.changed >= offset {
+			records = append(records, record.KeyedRecord)
 		}
 	}
 	return records, view.end
