Have another node record a turn that the store does not take from this one

Change: on a refusal, or when a second partition takes unusually long too, the turn is handed to other nodes (rpc Record), beside the node's own tries; one that was refused itself in the last 0.5 s says so at once, so that an outage of the whole store costs no more calls there.

--- a/internal/history/reader_test.go
+++ b/internal/history/reader_test.go
@@ -115,6 +115,22 @@
 		Expect(found.Chain).To(HaveLen(3))
 	})
 
+	It("has another node record a turn that the log does not take from this one", func() {
+		refused := durable.NewMemory()
+		refused.Intercept = func(string, durable.Partition) error { return durable.ErrUnavailable }
+		other := history.NewRecorder(log, shards)
+		recorder := history.NewRecorder(refused, shards)
+		recorder.RelayBy(other.RecordHere)
+		bounded, cancel := context.WithTimeout(ctx, 5*time.Second)
+		defer cancel()
+		Expect(recorder.Record(bounded, 1, turn("c", "b", "x", "y\n"))).To(Succeed())
+		Expect(recorder.Refused()).To(BeTrue())
+		Expect(other.Refused()).To(BeFalse())
+		found, err := newReader().Find(ctx, 1, "c")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(found.Chain).To(HaveLen(3))
+	})
+
 	It("does not flood a store that refuses", func() {
 		var calls atomic.Int32
 		log.Intercept = func(operation string, _ durable.Partition) error {
--- a/internal/history/recorder.go
+++ b/internal/history/recorder.go
@@ -17,6 +17,10 @@
 	// longestPause, so that many waiting turns do not flood a store that is away.
 	firstPause   = 40 * time.Millisecond
 	longestPause = 250 * time.Millisecond
+	// refusedFor is how long a failed append says that the log refuses this node.
+	refusedFor = 500 * time.Millisecond
+	// relayPause separates two rounds of asking other nodes.
+	relayPause = 100 * time.Millisecond
 	// batchBytes bounds the records of one append.
 	batchBytes = 512 << 10
 	// appendTimeout bounds one append.
@@ -32,6 +36,10 @@
 	mutex   sync.Mutex
 	pending map[durable.Partition]*pendingAppend
 	pace    durable.Pace
+	relay   Relay
+	// refused is when an append last failed with none done since, zero where the
+	// last one was done. The mutex guards it.
+	refused time.Time
 }
 
 // pendingAppend collects what waits while an append is under way.
@@ -42,6 +50,9 @@
 	waiting []waitingRecord
 }
 
+// Relay has another node record a turn. An error says that this one could not.
+type Relay func(ctx context.Context, shard int, turn *Turn) error
+
 // maxWorkers bounds the appends under way in one partition.
 const maxWorkers = 4
 
@@ -55,40 +66,95 @@
 	return &Recorder{log: log, shards: shards, pending: map[durable.Partition]*pendingAppend{}}
 }
 
+// RelayBy makes the recorder ask another node where the log does not answer this
+// one: a store may refuse single nodes. It must be called before the first turn.
+func (recorder *Recorder) RelayBy(relay Relay) { recorder.relay = relay }
+
+// Refused tells whether the log has just refused this node, so that it is no
+// help to another one.
+func (recorder *Recorder) Refused() bool {
+	recorder.mutex.Lock()
+	defer recorder.mutex.Unlock()
+	return time.Since(recorder.refused) < refusedFor
+}
+
 // Record returns nil once the log has acknowledged the turn. It tries the
 // shard's partition, and one of the others after another while there is no
-// answer, until ctx ends.
+// answer, until ctx ends; beside that another node, where there is a Relay.
 func (recorder *Recorder) Record(ctx context.Context, shard int, turn *Turn) error {
+	return recorder.record(ctx, shard, turn, recorder.relay)
+}
+
+// RecordHere is Record without asking another node.
+func (recorder *Recorder) RecordHere(ctx context.Context, shard int, turn *Turn) error {
+	return recorder.record(ctx, shard, turn, nil)
+}
+
+func (recorder *Recorder) record(ctx context.Context, shard int, turn *Turn, relay Relay) error {
 	record, err := encode(turn)
 	if err != nil {
 		return eris.Wrap(err, "encode turn")
 	}
-	done := make(chan error, recorder.shards+1)
-	recorder.enqueue(durable.Partition{Topic: Topic, Number: shard}, record, done)
-	outstanding := 1
+	current := &recording{
+		recorder: recorder,
+		relay:    relay,
+		shard:    shard,
+		turn:     turn,
+		record:   record,
+		done:     make(chan error, recorder.shards+1),
+		relayed:  make(chan error, 1),
+	}
+	return current.run(ctx)
+}
+
+// recording is one turn on its way into the log.
+type recording struct {
+	recorder *Recorder
+	relay    Relay
+	shard    int
+	turn     *Turn
+	record   []byte
+	// done takes the outcomes of appends, relayed that of the other node asked.
+	done    chan error
+	relayed chan error
+	// partitions is the number of partitions tried, outstanding of them unanswered.
+	partitions  int
+	outstanding int
+	relaying    bool
+}
+
+func (current *recording) run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	current.tryNext()
 	// Another partition is tried when an append takes unusually long, the next
 	// one after twice that time, and so on.
-	patience := recorder.pace.Patience()
+	patience := current.recorder.pace.Patience()
 	timer := time.NewTimer(patience)
 	defer timer.Stop()
-	others := 0
 	pause := firstPause
 	for {
 		select {
-		case err := <-done:
+		case err := <-current.done:
 			if err == nil {
 				return nil
 			}
-			outstanding--
-			if outstanding == 0 {
+			current.outstanding--
+			current.ask(ctx)
+			if current.outstanding == 0 {
 				timer.Reset(pause)
 				pause = min(2*pause, longestPause)
 			}
+		case err := <-current.relayed:
+			if err == nil {
+				return nil
+			}
+			current.relaying = false
 		case <-timer.C:
-			others++
-			number := (shard + others) % recorder.shards
-			recorder.enqueue(durable.Partition{Topic: Topic, Number: number}, record, done)
-			outstanding++
+			if current.partitions > 1 {
+				current.ask(ctx)
+			}
+			current.tryNext()
 			patience = min(2*patience, appendTimeout)
 			timer.Reset(patience)
 		case <-ctx.Done():
@@ -97,6 +163,36 @@
 	}
 }
 
+// tryNext appends the turn to the next partition, the shard's own first.
+func (current *recording) tryNext() {
+	number := (current.shard + current.partitions) % current.recorder.shards
+	current.recorder.enqueue(durable.Partition{Topic: Topic, Number: number}, current.record, current.done)
+	current.partitions++
+	current.outstanding++
+}
+
+// ask has another node record the turn, unless one is being asked.
+func (current *recording) ask(ctx context.Context) {
+	if current.relaying || current.relay == nil {
+		return
+	}
+	current.relaying = true
+	go func() {
+		err := current.relay(ctx, current.shard, current.turn)
+		if err != nil {
+			pauseFor(ctx, relayPause)
+		}
+		current.relayed <- err
+	}()
+}
+
+func pauseFor(ctx context.Context, duration time.Duration) {
+	select {
+	case <-time.After(duration):
+	case <-ctx.Done():
+	}
+}
+
 func (recorder *Recorder) enqueue(partition durable.Partition, record []byte, done chan error) {
 	recorder.mutex.Lock()
 	defer recorder.mutex.Unlock()
@@ -128,9 +224,7 @@
 		began := time.Now()
 		_, err := recorder.log.Append(ctx, partition, records, durable.Condition{})
 		cancel()
-		if err == nil {
-			recorder.pace.Note(time.Since(began))
-		}
+		recorder.note(began, err)
 		for _, waiting := range taken {
 			select {
 			case waiting.done <- err:
@@ -140,6 +234,20 @@
 	}
 }
 
+// note learns from an append's outcome.
+func (recorder *Recorder) note(began time.Time, err error) {
+	if err == nil {
+		recorder.pace.Note(time.Since(began))
+	}
+	recorder.mutex.Lock()
+	defer recorder.mutex.Unlock()
+	if err == nil {
+		recorder.refused = time.Time{}
+		return
+	}
+	recorder.refused = time.Now()
+}
+
 // take removes up to one append's worth of what waits.
 func (recorder *Recorder) take(pending *pendingAppend) []waitingRecord {
 	recorder.mutex.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,6 +31,7 @@
 var (
 	errUnknownNode  = errors.New("no such node is known")
 	errUnknownShard = errors.New("no such shard")
+	errLogRefuses   = errors.New("the log refuses this node too")
 	errStillReading = errors.New("the turns before are still being read")
 )
 
@@ -147,6 +148,7 @@
 	}, settings.Shards, node.askToYield)
 	node.programs = newPrograms(node)
 	node.reader.Delegate(node.lineElsewhere)
+	node.recorder.RelayBy(node.recordElsewhere)
 	node.service = &forward.Service{
 		Routes:   node.routes,
 		Engines:  node.engines,
--- a/internal/node/turns.go
+++ b/internal/node/turns.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
@@ -21,6 +22,10 @@
 	// lineAsks is how many nodes are asked for one partition before this node
 	// reads it itself.
 	lineAsks = 3
+	// recordAsks is how many nodes are asked to record a turn in one round, and
+	// recordTimeout is how long each may take.
+	recordAsks    = 3
+	recordTimeout = 500 * time.Millisecond
 )
 
 // find looks for a chain, and gives up waiting after a while; the search goes
@@ -103,3 +108,41 @@
 	}
 	return reply, nil
 }
+
+// recordElsewhere has another node record a turn. It implements history.Relay.
+func (node *Node) recordElsewhere(ctx context.Context, shard int, turn *history.Turn) error {
+	others := node.members.others(node.settings.Name)
+	rand.Shuffle(len(others), func(left, right int) { others[left], others[right] = others[right], others[left] })
+	failure := errUnknownNode
+	for _, other := range others[:min(recordAsks, len(others))] {
+		bounded, cancel := context.WithTimeout(ctx, recordTimeout)
+		_, err := node.peers.at(other.Address).Record(bounded, &nodev1.RecordRequest{Shard: uint32(shard), Turn: history.ToMessage(turn)})
+		cancel()
+		if err == nil {
+			node.logger.Info("turn recorded elsewhere", zap.String("request", turn.ID), zap.String("program", turn.Program), zap.String("node", other.Name))
+			return nil
+		}
+		failure = err
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return failure
+}
+
+// Record implements nodev1.Node.
+func (server *peerServer) Record(ctx context.Context, request *nodev1.RecordRequest) (*nodev1.RecordReply, error) {
+	if int(request.Shard) >= server.node.settings.Shards || request.Turn == nil {
+		return nil, errUnknownShard
+	}
+	if server.node.recorder.Refused() {
+		return nil, errLogRefuses
+	}
+	bounded, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	err := server.node.recorder.RecordHere(bounded, int(request.Shard), history.FromMessage(request.Turn))
+	if err != nil {
+		return nil, err
+	}
+	return &nodev1.RecordReply{}, nil
+}
