A fault soak of nodes run as processes

The users ask for a randomized soak that throws faults from outside at the real programs and judges what callers and back ends see. `rehearsal soak` starts nodes, the store's and the engines' stand-ins and a door (loopback proxy: silent, mute, resets, delay) on each way to the store and to an engine; faults and calls are drawn from a seed. Checked: whole answers, history byte for byte, at most once, true refusals, nothing unasked, budgets, 402 only when due, versions that never go back, programs that go on within 12 s after the faults.

--- a/cmd/rehearsal/main.go
+++ b/cmd/rehearsal/main.go
@@ -24,6 +24,7 @@
 	Run        *command.Run             `arg:"subcommand:run" help:"start everything, run a mixed set of programs, print the figures"`
 	Fault      *command.Fault           `arg:"subcommand:fault" help:"run scenarios of faults and judge them"`
 	Up         *command.Up              `arg:"subcommand:up" help:"start everything and keep it serving"`
+	Soak       *command.Soak            `arg:"subcommand:soak" help:"throw random faults at nodes run as processes, and judge what callers and engines saw"`
 	Experiment *command.Experiment      `arg:"subcommand:experiment" help:"compare policies over the engine model"`
 	Speed      *command.Speed           `arg:"subcommand:speed" help:"measure what gateway and scheduler add to a call"`
 	Cost       *command.Cost            `arg:"subcommand:cost" help:"measure what schedulers and gateways use, idle and loaded"`
--- /dev/null
+++ b/rehearsal/command/soak.go
@@ -0,0 +1,83 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/magpielug/magpielug/rehearsal/soak"
+)
+
+// Soak throws random faults at nodes run as processes.
+type Soak struct {
+	Seed      uint64        `arg:"--seed" help:"seed of the first run; 0 draws one"`
+	Runs      int           `arg:"--runs" default:"1" help:"runs, each with the next seed"`
+	Length    time.Duration `arg:"--length" default:"30s" help:"how long each run throws faults"`
+	Nodes     int           `arg:"--nodes" default:"5" help:"processes of the system"`
+	Callers   int           `arg:"--callers" default:"8" help:"agent programs at once"`
+	Lanes     int           `arg:"--lanes" default:"2" help:"faults at once"`
+	Directory string        `arg:"--directory" default:"out/soak" help:"where logs and settings files go, a directory for each seed"`
+	Magpielug string        `arg:"--magpielug" help:"program to start; default is the one beside this program"`
+}
+
+// mostShown bounds the broken promises shown of one run.
+const mostShown = 10
+
+// Run makes the runs one after the other; it fails where a promise was broken.
+func (command *Soak) Run(ctx context.Context) error {
+	binaries, err := (&Layout{Magpielug: command.Magpielug}).binaries()
+	if err != nil {
+		return err
+	}
+	seed := command.Seed
+	if seed == 0 {
+		seed = uint64(rand.Uint32())
+	}
+	failed := 0
+	for range command.Runs {
+		broken, err := command.once(ctx, seed, binaries.Magpielug)
+		if err != nil {
+			return err
+		}
+		if broken {
+			failed++
+		}
+		seed++
+	}
+	if failed > 0 {
+		return eris.Errorf("%d of %d runs broke a promise", failed, command.Runs)
+	}
+	return nil
+}
+
+// once makes one run and tells whether a promise was broken.
+func (command *Soak) once(ctx context.Context, seed uint64, magpielug string) (bool, error) {
+	directory := filepath.Join(command.Directory, fmt.Sprint(seed))
+	if err := os.RemoveAll(directory); err != nil {
+		return false, eris.Wrap(err, "clear the directory of the run")
+	}
+	report, err := soak.Run(ctx, soak.Options{
+		Seed:      seed,
+		Length:    command.Length,
+		Nodes:     command.Nodes,
+		Callers:   command.Callers,
+		Lanes:     command.Lanes,
+		Magpielug: magpielug,
+		Directory: directory,
+		Output:    os.Stderr,
+	})
+	if err != nil {
+		return false, err
+	}
+	fmt.Printf("seed %d: %d faults, %d turns, answers by status %v, %d broken\n",
+		report.Seed, report.Thrown, report.Turns, report.Statuses, len(report.Violations))
+	for _, violation := range report.Violations[:min(mostShown, len(report.Violations))] {
+		fmt.Println("  " + violation.String())
+	}
+	return len(report.Violations) > 0, nil
+}
--- /dev/null
+++ b/rehearsal/soak/caller.go
@@ -0,0 +1,230 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	turnPath  = "/stream/kept/x"
+	plainPath = "/stream/plain/x"
+	toolPath  = "/tool/x"
+	safePath  = "/safe/x"
+	// deadline is what a caller allows an attempt, gap how long it waits for the
+	// next byte of a stream.
+	deadline = 4 * time.Second
+	gap      = 2 * time.Second
+	// most is the most tokens of a turn, by what the engine's streams hold.
+	most = eventsPerStream*tokensPerEvent + 4
+	// turnsPerProgram is how many turns a program takes, of which a share begins
+	// without an end to its budget in sight.
+	turnsPerProgram = 6
+	// tightBudget is that of programs that run into it.
+	tightBudget = 2*eventsPerStream*tokensPerEvent + most
+	wideBudget  = 100 * most
+	// attemptsPerTurn bounds the tries of one turn.
+	attemptsPerTurn = 40
+	// attemptPause follows a failed attempt.
+	attemptPause = 150 * time.Millisecond
+	toolsEach    = 2
+)
+
+// callers run agent programs one after another, several at once.
+type callers struct {
+	world  *world
+	ledger *ledger
+	ids    atomic.Int64
+	// turns counts turns answered whole.
+	turns atomic.Int64
+}
+
+// program is one agent program under way.
+type program struct {
+	name   string
+	random *rand.Rand
+	path   string
+	budget int64
+	// previous is the last turn answered whole, history the prompt up to it.
+	previous string
+	history  string
+	// given is what the caller got, reached what engines may have given at most.
+	given   int64
+	reached int64
+}
+
+// run takes programs to their ends, until ctx ends.
+func (callers *callers) run(ctx context.Context, number int, random *rand.Rand) {
+	for round := 0; ctx.Err() == nil; round++ {
+		running := &program{
+			name:   fmt.Sprintf("program-%d-%d", number, round),
+			random: random,
+			path:   turnPath,
+			budget: wideBudget,
+		}
+		if random.IntN(4) == 0 {
+			running.path = plainPath
+		}
+		if random.IntN(4) == 0 {
+			running.budget = tightBudget
+		}
+		callers.runProgram(ctx, running)
+	}
+}
+
+func (callers *callers) runProgram(ctx context.Context, running *program) {
+	for range turnsPerProgram {
+		if !callers.turn(ctx, running) {
+			return
+		}
+		for range toolsEach {
+			callers.tool(ctx, running)
+		}
+	}
+}
+
+// turn takes one turn to its whole answer, and returns false where the program
+// is over.
+func (callers *callers) turn(ctx context.Context, running *program) bool {
+	for range attemptsPerTurn {
+		if ctx.Err() != nil {
+			return false
+		}
+		input := fmt.Sprintf("input of %s after %s;", running.name, running.previous)
+		attempt := &sent{method: http.MethodPost, target: running.path, prompt: running.history + input}
+		header := http.Header{}
+		header.Set("Program-Id", running.name)
+		header.Set("Session-Id", running.name)
+		header.Set("Token-Budget", strconv.FormatInt(running.budget, 10))
+		header.Set("Token-Usage", "10,"+strconv.Itoa(most))
+		if running.path == turnPath && running.previous != "" {
+			header.Set("Previous-Turn", running.previous)
+		}
+		callers.send(ctx, running.random, attempt, input, header)
+		if callers.turnEnded(running, attempt, input) {
+			return attempt.status == http.StatusOK && attempt.whole
+		}
+		pause(ctx, attemptPause)
+	}
+	return false
+}
+
+// turnEnded notes what an attempt of a turn came to, and returns true where it
+// decided the turn.
+func (callers *callers) turnEnded(running *program, attempt *sent, input string) bool {
+	ledger := callers.ledger
+	if attempt.status == http.StatusOK {
+		ledger.checkStream(attempt)
+		running.given += int64(tokensPerEvent * strings.Count(attempt.body, "data:"))
+	}
+	if running.given > running.budget+most {
+		ledger.violated(promiseBudget, "%s got %d tokens of %d", running.name, running.given, running.budget)
+	}
+	room := running.budget - running.reached
+	if !promisesNotRun(attempt.status) {
+		running.reached += most
+	}
+	switch attempt.status {
+	case http.StatusOK:
+		if !attempt.whole {
+			return false
+		}
+		running.reached -= most - eventsPerStream*tokensPerEvent
+		callers.turns.Add(1)
+		running.previous = attempt.id
+		if running.path == turnPath {
+			running.history = attempt.prompt + said(attempt.id)
+		}
+		return true
+	case http.StatusPaymentRequired:
+		if room >= most {
+			ledger.violated(promiseSpent, "%s was told 402 for %s with room for %d of %d", running.name, attempt.id, room, running.budget)
+		}
+		return true
+	case http.StatusNotFound:
+		ledger.violated(promiseHistory, "%s was told 404 for %s after %q: %s", running.name, attempt.id, running.previous, attempt.body)
+		return true
+	}
+	return false
+}
+
+// said is what a whole turn adds to the history.
+func said(id string) string {
+	var text strings.Builder
+	for event := 1; event <= eventsPerStream; event++ {
+		fmt.Fprintf(&text, "%s-%d\n", id, event)
+	}
+	return text.String()
+}
+
+// tool makes one call that may not be repeated, and one that may.
+func (callers *callers) tool(ctx context.Context, running *program) {
+	attempt := &sent{method: http.MethodPost, target: toolPath, prompt: "tool input"}
+	callers.send(ctx, running.random, attempt, attempt.prompt, http.Header{})
+	callers.ledger.checkAnswer(attempt)
+	safe := &sent{method: http.MethodGet, target: safePath, repeatable: true}
+	callers.send(ctx, running.random, safe, "", http.Header{})
+	callers.ledger.checkAnswer(safe)
+}
+
+// send sends an attempt to any node, with an id of its own.
+func (callers *callers) send(ctx context.Context, random *rand.Rand, attempt *sent, body string, header http.Header) {
+	target := callers.world.nodes[random.IntN(len(callers.world.nodes))]
+	callers.sendTo(ctx, target, attempt, body, header)
+}
+
+func (callers *callers) sendTo(ctx context.Context, target *node, attempt *sent, body string, header http.Header) {
+	attempt.id = fmt.Sprintf("request-%d", callers.ids.Add(1))
+	callers.ledger.begin(attempt)
+	defer callers.ledger.end(attempt)
+	bounded, cancel := context.WithTimeout(ctx, deadline)
+	defer cancel()
+	request, err := http.NewRequestWithContext(bounded, attempt.method, "http://"+target.front+attempt.target, strings.NewReader(body))
+	if err != nil {
+		return
+	}
+	request.Host = "h"
+	request.Header = header
+	request.Header.Set("Request-Id", attempt.id)
+	request.Header.Set("Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	waiting := time.AfterFunc(gap, cancel)
+	defer waiting.Stop()
+	response, err := client.Do(request)
+	if err != nil {
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(&timedReader{reader: response.Body, timer: waiting})
+	attempt.body = string(content)
+	attempt.whole = err == nil
+	attempt.status = response.StatusCode
+}
+
+// timedReader sets a timer back at each read.
+type timedReader struct {
+	reader io.Reader
+	timer  *time.Timer
+}
+
+// Read implements io.Reader.
+func (timed *timedReader) Read(buffer []byte) (int, error) {
+	count, err := timed.reader.Read(buffer)
+	timed.timer.Reset(gap)
+	return count, err
+}
+
+func pause(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/rehearsal/soak/check.go
@@ -0,0 +1,143 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+
+	"github.com/magpielug/magpielug/rehearsal/standin/agentengine"
+)
+
+// sent is one attempt of a caller, and what came of it.
+type sent struct {
+	id     string
+	method string
+	target string
+	// prompt is the body that an engine is to get.
+	prompt string
+	// repeatable attempts may run more than once.
+	repeatable bool
+	// status is 0 where no answer came; whole is false where it broke off.
+	status int
+	whole  bool
+	body   string
+}
+
+// Violation is a promise that did not hold.
+type Violation struct {
+	Promise string
+	Detail  string
+}
+
+// String shows the violation on one line.
+func (violation Violation) String() string { return violation.Promise + ": " + violation.Detail }
+
+// Names of promises.
+const (
+	promiseWhole    = "every answer whole and its own request's"
+	promiseHistory  = "a program's history is neither lost nor mixed"
+	promiseOnce     = "what may not be repeated runs once"
+	promiseRefusal  = "what was refused as not run did not run"
+	promiseUnasked  = "engines run what was asked, unaltered"
+	promiseBudget   = "a program stays in its budget and one turn"
+	promiseSpent    = "402 only where the budget leaves no room"
+	promiseVersion  = "a process never goes back to an older configuration"
+	promiseRecovery = "programs go on after the faults"
+)
+
+// mostViolations bounds what is kept of one run.
+const mostViolations = 50
+
+// ledger holds every attempt of the callers and what was found wrong. It is
+// safe for concurrent use.
+type ledger struct {
+	mutex      sync.Mutex
+	attempts   map[string]*sent
+	violations []Violation
+	statuses   map[int]int
+}
+
+func newLedger() *ledger {
+	return &ledger{attempts: map[string]*sent{}, statuses: map[int]int{}}
+}
+
+func (ledger *ledger) begin(attempt *sent) {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	ledger.attempts[attempt.id] = attempt
+}
+
+func (ledger *ledger) end(attempt *sent) {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	ledger.statuses[attempt.status]++
+}
+
+func (ledger *ledger) violated(promise, format string, values ...any) {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	if len(ledger.violations) < mostViolations {
+		ledger.violations = append(ledger.violations, Violation{Promise: promise, Detail: fmt.Sprintf(format, values...)})
+	}
+}
+
+// checkStream checks what a caller got of a stream: events of its own request in
+// order from the first on, all of them where the answer is whole.
+func (ledger *ledger) checkStream(attempt *sent) {
+	var expected strings.Builder
+	for event := 1; event <= eventsPerStream; event++ {
+		fmt.Fprintf(&expected, "id: %d\ndata: %s-%d\n\n", event, attempt.id, event)
+	}
+	if attempt.whole && attempt.body != expected.String() {
+		ledger.violated(promiseWhole, "%s got %q as whole", attempt.id, attempt.body)
+	}
+	if !strings.HasPrefix(expected.String(), attempt.body) {
+		ledger.violated(promiseWhole, "%s got %q", attempt.id, attempt.body)
+	}
+}
+
+// checkAnswer checks a plain answer.
+func (ledger *ledger) checkAnswer(attempt *sent) {
+	if attempt.status == http.StatusOK && attempt.whole && !strings.HasSuffix(attempt.body, " to "+attempt.id) {
+		ledger.violated(promiseWhole, "%s got %q", attempt.id, attempt.body)
+	}
+}
+
+// promisesNotRun tells whether a status says that the request did not run and
+// never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusPaymentRequired, http.StatusNotFound, http.StatusRequestTimeout,
+		http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// checkRuns compares what engines ran with what callers asked and were told.
+func (ledger *ledger) checkRuns(runs []agentengine.Run) {
+	ledger.mutex.Lock()
+	attempts := ledger.attempts
+	ledger.mutex.Unlock()
+	count := map[string]int{}
+	for _, run := range runs {
+		count[run.ID]++
+		attempt := attempts[run.ID]
+		switch {
+		case attempt == nil:
+			ledger.violated(promiseUnasked, "%s ran and nobody asked", run.ID)
+			continue
+		case run.Method != attempt.method || run.Target != attempt.target:
+			ledger.violated(promiseUnasked, "%s ran as %s %s", run.ID, run.Method, run.Target)
+		case run.Body != attempt.prompt:
+			ledger.violated(promiseHistory, "%s ran on %d bytes that are not its %d", run.ID, len(run.Body), len(attempt.prompt))
+		}
+		if promisesNotRun(attempt.status) {
+			ledger.violated(promiseRefusal, "%s was answered %d and ran", run.ID, attempt.status)
+		}
+		if count[run.ID] == 2 && !attempt.repeatable {
+			ledger.violated(promiseOnce, "%s ran twice", run.ID)
+		}
+	}
+}
--- /dev/null
+++ b/rehearsal/soak/node.go
@@ -0,0 +1,165 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/magpielug/magpielug/rehearsal/relay"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	settingsVariable = "MAGPIELUG_NODE_FILE"
+	graceSeconds     = 8
+	// readyTimeout bounds one question whether a node is ready.
+	readyTimeout = 500 * time.Millisecond
+)
+
+// node is one process of the system, started again and again.
+type node struct {
+	name     string
+	binary   string
+	settings string
+	log      string
+	front    string
+	ready    string
+	// door is the node's own way to the store.
+	door *relay.Door
+
+	mutex   sync.Mutex
+	command *exec.Cmd
+	ended   chan struct{}
+	// life counts the starts.
+	life int
+}
+
+func newNode(number int, options Options, store string, ports *portPicker) (*node, error) {
+	door, err := relay.OpenDoor(loopback, store)
+	if err != nil {
+		return nil, err
+	}
+	picked, err := ports.pick(4)
+	if err != nil {
+		return nil, err
+	}
+	made := &node{
+		name:   fmt.Sprintf("node-%d", number),
+		binary: options.Magpielug,
+		front:  fmt.Sprintf("127.0.0.1:%d", picked[0]),
+		ready:  fmt.Sprintf("127.0.0.1:%d", picked[1]),
+		door:   door,
+	}
+	peer, metrics := min(picked[2], picked[3]), max(picked[2], picked[3])
+	content := strings.Join([]string{
+		"NodeName=" + made.name,
+		"Zone=z1",
+		"Ip=127.0.0.1",
+		"Listen.Front=" + made.front,
+		"Listen.Readiness=" + made.ready,
+		fmt.Sprintf("InternalPortRange=%d,%d", peer, metrics),
+		"Limits.MemoryMb=254",
+		"Limits.MaxFds=8200",
+		fmt.Sprintf("Bounds.GraceS=%d", graceSeconds),
+		"Platform.Address=" + door.Address(),
+		fmt.Sprintf("Platform.parts=%d", partitions),
+	}, "\n")
+	made.settings = filepath.Join(options.Directory, made.name+".conf")
+	made.log = filepath.Join(options.Directory, made.name+".log")
+	err = os.WriteFile(made.settings, []byte(content), 0o600)
+	return made, eris.Wrap(err, "write a node's settings")
+}
+
+// start starts the process, unless it runs.
+func (node *node) start() error {
+	node.mutex.Lock()
+	defer node.mutex.Unlock()
+	if node.command != nil {
+		return nil
+	}
+	output, err := os.OpenFile(node.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return eris.Wrap(err, "open a node's log")
+	}
+	command := exec.Command(node.binary, "node")
+	command.Env = append(os.Environ(), settingsVariable+"="+node.settings)
+	command.Stdout = output
+	command.Stderr = output
+	err = command.Start()
+	if err != nil {
+		return eris.Wrap(err, "start a node")
+	}
+	node.life++
+	node.command = command
+	ended := make(chan struct{})
+	node.ended = ended
+	go func() {
+		_ = command.Wait()
+		_ = output.Close()
+		close(ended)
+	}()
+	return nil
+}
+
+// stop sends a signal that ends the process, and waits for its end up to a time;
+// then it kills it.
+func (node *node) stop(signal os.Signal, within time.Duration) {
+	node.mutex.Lock()
+	defer node.mutex.Unlock()
+	if node.command == nil {
+		return
+	}
+	_ = node.command.Process.Signal(signal)
+	select {
+	case <-node.ended:
+	case <-time.After(within):
+		_ = node.command.Process.Kill()
+		<-node.ended
+	}
+	node.command = nil
+}
+
+// freeze stops the process without a word, wake lets it go on.
+func (node *node) freeze() { node.signal(syscall.SIGSTOP) }
+
+func (node *node) wake() { node.signal(syscall.SIGCONT) }
+
+func (node *node) signal(signal os.Signal) {
+	node.mutex.Lock()
+	defer node.mutex.Unlock()
+	if node.command != nil {
+		_ = node.command.Process.Signal(signal)
+	}
+}
+
+// lives returns the number of the present start.
+func (node *node) lives() int {
+	node.mutex.Lock()
+	defer node.mutex.Unlock()
+	return node.life
+}
+
+// end stops the process for good; a frozen one is woken first, so that it can
+// be waited for.
+func (node *node) end() {
+	node.wake()
+	node.stop(syscall.SIGKILL, time.Second)
+	node.door.Close()
+}
+
+// isReady asks the node whether it takes callers.
+func (node *node) isReady() bool {
+	client := http.Client{Timeout: readyTimeout}
+	response, err := client.Get("http://" + node.ready + "/ready")
+	if err != nil {
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	return response.StatusCode == http.StatusOK
+}
