Rehearsal: send a request again that crossed the close of an idle connection

HTTP/1.1 can't tell that in advance; the users' rules say so too (a request that crosses a close and isn't passed on doesn't count), and the product takes Idempotency-Key for it. The rehearsal's caller did not set that key, so that its HTTP client reported the crossing as an error.

Test, failed first with the symptom recorded (EOF): a server that closes a kept connection as the next request comes.

--- a/rehearsal/caller/caller.go
+++ b/rehearsal/caller/caller.go
@@ -17,11 +17,12 @@
 )
 
 const (
-	headerRequestID = "X-Magpielug-Request-Id"
-	maxLineBytes    = 4 << 20
-	eventChunk      = "chunk"
-	eventFinished   = "finished"
-	eventError      = "error"
+	headerRequestID      = "X-Magpielug-Request-Id"
+	headerIdempotencyKey = "Idempotency-Key"
+	maxLineBytes         = 4 << 20
+	eventChunk           = "chunk"
+	eventFinished        = "finished"
+	eventError           = "error"
 )
 
 // Caller makes requests with one tier's key. It is safe for concurrent use.
@@ -156,6 +157,11 @@
 	request.Header.Set("Content-Type", "application/json")
 	if requestID != "" {
 		request.Header.Set(headerRequestID, requestID)
+		// Under this name the HTTP client knows that it may send the request again
+		// where it crossed the close of an idle connection.
+		request.Header.Set(headerIdempotencyKey, requestID)
+	} else {
+		request.Header.Set(headerIdempotencyKey, url) // Ending a program twice is ending it once.
 	}
 	response, err := caller.client.Do(request)
 	if err != nil {
--- /dev/null
+++ b/rehearsal/caller/caller_test.go
@@ -0,0 +1,69 @@
+package caller_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/magpielug/magpielug/rehearsal/caller"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestCaller(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "caller")
+}
+
+// closingServer answers one request on each connection, and closes the first
+// connection when another request comes on it.
+func closingServer(listener net.Listener, requests chan<- string) {
+	const answer = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 10\r\n\r\n{\"id\":\"p\"}"
+	serve := func(connection net.Conn, first bool) {
+		defer connection.Close()
+		reader := bufio.NewReader(connection)
+		for {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, request.Body)
+			requests <- request.Header.Get("X-Magpielug-Request-Id")
+			_, err = connection.Write([]byte(answer))
+			if err != nil || first {
+				_, _ = reader.Peek(1)
+				return
+			}
+		}
+	}
+	for first := true; ; first = false {
+		connection, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go serve(connection, first)
+	}
+}
+
+var _ = Describe("Caller", func() {
+	It("sends a request again that crossed the close of an idle connection", func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(listener.Close)
+		requests := make(chan string, 8)
+		go closingServer(listener, requests)
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		made := caller.New(&http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}}, "key")
+		for _, id := range []string{"one", "two"} {
+			_, err = made.CreateProgram(ctx, listener.Addr().String(), id, "kind", "")
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(requests).To(Receive(Equal("one")))
+		Expect(requests).To(Receive(Equal("two")))
+	})
+})
