--- a/internal/node/turns.go
+++ b/internal/node/turns.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
@@ -109,10 +110,17 @@
 	return reply, nil
 }
 
-// recordElsewhere has another node record a turn. It implements history.Relay.
+// recordElsewhere has another node record a turn. The shard's owner is asked
+// first: where the store takes too few calls for all nodes, what waits at the
+// owner goes into one append. It implements history.Relay.
 func (node *Node) recordElsewhere(ctx context.Context, shard int, turn *history.Turn) error {
 	others := node.members.others(node.settings.Name)
 	rand.Shuffle(len(others), func(left, right int) { others[left], others[right] = others[right], others[left] })
+	owner := node.programs.believedOwner(shard).Node
+	preferred := slices.IndexFunc(others, func(other Member) bool { return other.Name == owner })
+	if preferred > 0 {
+		others[0], others[preferred] = others[preferred], others[0]
+	}
 	failure := errUnknownNode
 	for _, other := range others[:min(recordAsks, len(others))] {
 		bounded, cancel := context.WithTimeout(ctx, recordTimeout)
