--- a/cmd/rehearsal/main.go
+++ b/cmd/rehearsal/main.go
@@ -28,7 +28,6 @@
 	Experiment *command.Experiment      `arg:"subcommand:experiment" help:"compare policies over the engine model"`
 	Speed      *command.Speed           `arg:"subcommand:speed" help:"measure what gateway and scheduler add to a call"`
 	Cost       *command.Cost            `arg:"subcommand:cost" help:"measure what schedulers and gateways use, idle and loaded"`
-	Capacity   *command.Capacity        `arg:"subcommand:capacity" help:"work out the capacity page"`
 	Engine     *command.StandInEngine   `arg:"subcommand:engine" help:"run a stand-in model engine"`
 	Log        *command.StandInLog      `arg:"subcommand:log" help:"run a stand-in log service"`
 	Machines   *command.StandInMachines `arg:"subcommand:machines" help:"run a stand-in machine list"`
--- a/rehearsal/speed/cost.go
+++ b/rehearsal/speed/cost.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"github.com/magpielug/magpielug/internal/outside"
-	"github.com/magpielug/magpielug/rehearsal/capacity/usage"
 	"github.com/magpielug/magpielug/rehearsal/cluster"
+	"github.com/magpielug/magpielug/rehearsal/usage"
 )
 
 const (
--- a/rehearsal/capacity/usage/usage_test.go
+++ b/rehearsal/usage/usage_test.go
@@ -9,7 +9,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/magpielug/magpielug/rehearsal/capacity/usage"
+	"github.com/magpielug/magpielug/rehearsal/usage"
 )
 
 func TestUsage(t *testing.T) {
