Pass over engines that are silent, unreachable or reported by another node

Cause: an engine that hung cost each node its own calls: a request whose caller left said nothing of the engine, and the line of turns went back there until the program failed. A node sees each of many engines less than once a second, too seldom to learn alone.

Change: a request that has got no byte for three objectives (0.6 s at least) makes its engine passed over while it waits and for 1 to 3 s after its caller left; one that takes no connection, for 1 to 3 s. What a node passes over for what it saw goes with each reservation to the owner that assigns engines, and with each ask to the zone's reader and on to the zone; a report counts 1 s and is not reported on. Where all are in doubt, one of them is taken.

Tests: the directory's rules, a silent engine under a waiting call.

--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -29,6 +29,15 @@
 	// failures in a row, and until when the engine is passed over for them.
 	failures   int
 	avoidUntil time.Time
+	// fullUntil is until when it is passed over for having no room.
+	fullUntil time.Time
+	// reportedUntil is until when it is passed over for what other nodes told.
+	reportedUntil time.Time
+}
+
+// passedOver tells whether the engine gets requests only where no other can.
+func (engine *Engine) passedOver(now time.Time) bool {
+	return now.Before(engine.avoidUntil) || now.Before(engine.fullUntil) || now.Before(engine.reportedUntil)
 }
 
 const (
@@ -37,6 +46,14 @@
 	// avoidFirst is the first such while; it doubles up to avoidMost.
 	avoidFirst = 300 * time.Millisecond
 	avoidMost  = 3 * time.Second
+	// unreachableAvoid is how long an engine is passed over at least that took no
+	// connection: it is down, and may come and go.
+	unreachableAvoid = time.Second
+	// silentAvoid is how long an engine is passed over while a request there gets
+	// no answer, and after such a one was given up.
+	silentAvoid = time.Second
+	// reportedFor is how long another node's report counts.
+	reportedFor = time.Second
 	// fullPause is how long an engine is passed over that said it was full.
 	fullPause = 25 * time.Millisecond
 )
@@ -126,7 +143,7 @@
 	defer directory.mutex.Unlock()
 	var instances []Instance
 	for _, engine := range directory.usable(service) {
-		if !now.Before(engine.avoidUntil) {
+		if !engine.passedOver(now) {
 			instances = append(instances, engine.Instance)
 		}
 	}
@@ -162,6 +179,10 @@
 	Abandoned
 	// Misdirected: another engine has the address.
 	Misdirected
+	// Unreachable: it took no connection.
+	Unreachable
+	// Silent: nothing came of the request for too long, and its caller left.
+	Silent
 )
 
 // Finish ends a request that Pick has counted.
@@ -173,14 +194,71 @@
 	case Answered:
 		engine.failures = 0
 	case Full:
-		engine.avoidUntil = now.Add(fullPause)
+		engine.fullUntil = now.Add(fullPause)
 	case Failed:
 		engine.failures++
 		if engine.failures >= failuresToAvoid {
-			engine.avoidUntil = now.Add(min(avoidFirst<<min(engine.failures-failuresToAvoid, 8), avoidMost))
+			engine.avoid(now, min(avoidFirst<<min(engine.failures-failuresToAvoid, 8), avoidMost))
 		}
 	case Misdirected:
-		engine.avoidUntil = now.Add(avoidMost)
+		engine.avoid(now, avoidMost)
+	case Unreachable:
+		engine.failures++
+		engine.avoid(now, min(unreachableAvoid<<min(engine.failures-1, 8), avoidMost))
+	case Silent:
+		engine.failures++
+		engine.avoid(now, min(silentAvoid<<min(engine.failures-1, 8), avoidMost))
 	case Abandoned:
 	}
 }
+
+func (engine *Engine) avoid(now time.Time, while time.Duration) {
+	until := now.Add(while)
+	if until.After(engine.avoidUntil) {
+		engine.avoidUntil = until
+	}
+}
+
+// Suspect passes an engine over for a while: a request there gets no answer.
+func (directory *Directory) Suspect(engine *Engine, now time.Time) {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	engine.avoid(now, silentAvoid)
+}
+
+// Avoided returns the engines that this node passes over for what it has seen of
+// them itself, for other nodes.
+func (directory *Directory) Avoided(now time.Time) []string {
+	return directory.matching(func(engine *Engine) bool { return now.Before(engine.avoidUntil) })
+}
+
+// AvoidedByAny returns also those that other nodes have reported.
+func (directory *Directory) AvoidedByAny(now time.Time) []string {
+	return directory.matching(func(engine *Engine) bool {
+		return now.Before(engine.avoidUntil) || now.Before(engine.reportedUntil)
+	})
+}
+
+func (directory *Directory) matching(condition func(engine *Engine) bool) []string {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	var ids []string
+	for id, engine := range directory.engines {
+		if condition(engine) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// Report notes engines that another node passes over: a node alone sees little of
+// each of many engines.
+func (directory *Directory) Report(ids []string, now time.Time) {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	for _, id := range ids {
+		if engine := directory.engines[id]; engine != nil {
+			engine.reportedUntil = now.Add(reportedFor)
+		}
+	}
+}
--- a/internal/backend/pick.go
+++ b/internal/backend/pick.go
@@ -43,7 +43,7 @@
 type sound struct{}
 
 func (sound) Admits(engine *Engine, _ *Request, now time.Time) bool {
-	return !now.Before(engine.avoidUntil)
+	return !engine.passedOver(now)
 }
 
 // roomy admits engines below the node's bound of requests under way.
--- a/internal/backend/pick_test.go
+++ b/internal/backend/pick_test.go
@@ -97,4 +97,64 @@
 		Expect(seen).To(HaveLen(4))
 		Expect(resultcode.CodeOf(directory.UsePolicy("best"))).To(Equal(resultcode.InvalidSettings))
 	})
+
+	Describe("of engines in doubt", func() {
+		pickedOften := func(directory *backend.Directory, at time.Time) map[string]int {
+			counts := map[string]int{}
+			for number := range 200 {
+				engine := directory.Pick(&backend.Request{Service: service, Program: fmt.Sprint(number)}, at)
+				counts[engine.ID]++
+				directory.Finish(engine, backend.Answered, at)
+			}
+			return counts
+		}
+		assign := func(directory *backend.Directory, id string) *backend.Engine {
+			return directory.Pick(&backend.Request{Service: service, Assigned: id}, now)
+		}
+
+		It("passes over one that took no connection, at once, and comes back to it", func() {
+			directory := newDirectory(3)
+			directory.Finish(assign(directory, "e1"), backend.Unreachable, now)
+			Expect(pickedOften(directory, now.Add(900*time.Millisecond))).NotTo(HaveKey("e1"))
+			Expect(pickedOften(directory, now.Add(1100*time.Millisecond))).To(HaveKey("e1"))
+		})
+
+		It("passes over one whose request got no answer before its caller left, longer each time", func() {
+			directory := newDirectory(3)
+			first, second := assign(directory, "e1"), assign(directory, "e1")
+			directory.Finish(first, backend.Silent, now)
+			Expect(directory.Avoided(now.Add(900 * time.Millisecond))).To(ConsistOf("e1"))
+			Expect(directory.Avoided(now.Add(1100 * time.Millisecond))).To(BeEmpty())
+			directory.Finish(second, backend.Silent, now)
+			Expect(directory.Avoided(now.Add(1900 * time.Millisecond))).To(ConsistOf("e1"))
+		})
+
+		It("passes over one while a request there is silent", func() {
+			directory := newDirectory(3)
+			directory.Suspect(assign(directory, "e1"), now)
+			Expect(pickedOften(directory, now)).NotTo(HaveKey("e1"))
+		})
+
+		It("passes over one that another node reports, and does not report it as seen here", func() {
+			directory := newDirectory(3)
+			directory.Report([]string{"e1", "unknown"}, now)
+			Expect(pickedOften(directory, now)).NotTo(HaveKey("e1"))
+			Expect(directory.Sound(service, now)).To(HaveLen(2))
+			Expect(directory.Avoided(now)).To(BeEmpty())
+			Expect(directory.AvoidedByAny(now)).To(ConsistOf("e1"))
+			Expect(pickedOften(directory, now.Add(1100*time.Millisecond))).To(HaveKey("e1"))
+		})
+
+		It("takes one in doubt where there is no other", func() {
+			directory := newDirectory(1)
+			directory.Finish(assign(directory, "e0"), backend.Unreachable, now)
+			Expect(assign(directory, "e0")).NotTo(BeNil())
+		})
+
+		It("does not report one that only had no room", func() {
+			directory := newDirectory(2)
+			directory.Finish(assign(directory, "e1"), backend.Full, now)
+			Expect(directory.Avoided(now)).To(BeEmpty())
+		})
+	})
 })
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/magpielug/magpielug/internal/backend"
@@ -81,7 +82,14 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	outcome := backend.Abandoned
-	defer func() { current.service.Engines.Finish(engine, outcome, time.Now()) }()
+	stopWatch := current.watch(engine)
+	defer func() {
+		silent := stopWatch()
+		if silent && outcome == backend.Abandoned {
+			outcome = backend.Silent
+		}
+		current.service.Engines.Finish(engine, outcome, time.Now())
+	}()
 	reply, err := current.service.Sender.Send(ctx, &Attempt{
 		Call:           current.call,
 		Engine:         engine.Instance,
@@ -118,6 +126,25 @@
 	return true, err
 }
 
+// watch passes the engine over for other requests once this one has got no byte
+// of an answer for unusually long. What it returns ends the watch, and tells
+// whether that is still so.
+func (current *course) watch(engine *backend.Engine) func() bool {
+	limit := max(silenceShare*current.route.Objective, leastSilence)
+	var silent atomic.Bool
+	timer := time.AfterFunc(limit, func() {
+		silent.Store(true)
+		current.service.Engines.Suspect(engine, time.Now())
+		current.service.Logger.Info("engine suspected", zap.String("request", current.call.ID),
+			zap.String("engine", engine.ID), zap.Duration("silent", limit))
+	})
+	current.heard = func() { timer.Stop() }
+	return func() bool {
+		timer.Stop()
+		return silent.Load() && !current.begun
+	}
+}
+
 // outcomeOfSending tells what a failed sending says of the engine.
 func outcomeOfSending(ctx context.Context, err error) backend.Outcome {
 	switch {
@@ -125,6 +152,8 @@
 		return backend.Abandoned
 	case errors.Is(err, backend.ErrTooManyConnections):
 		return backend.Full
+	case errors.Is(err, backend.ErrNotSent):
+		return backend.Unreachable
 	}
 	return backend.Failed
 }
@@ -184,6 +213,7 @@
 // on before its end has come.
 func (current *course) relayWhole(ctx context.Context, reply *Reply) (backend.Outcome, error) {
 	content, err := io.ReadAll(io.LimitReader(reply.Body, heldBytes))
+	current.heard()
 	if err != nil {
 		return current.brokenAnswer(ctx, errBrokenOff)
 	}
--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -83,6 +83,10 @@
 	answerMargin = 5 * time.Millisecond
 	// minimumWork is the least time worth sending a request for.
 	minimumWork = 3 * time.Millisecond
+	// silenceShare of the objective, and leastSilence at least, is how long an
+	// engine may give no byte of an answer before others pass it over.
+	silenceShare = 3
+	leastSilence = 600 * time.Millisecond
 	// heldBytes is how much of an answer is held until it is whole; restBytes is
 	// how much of a longer one is passed on at once.
 	heldBytes = 1 << 20
@@ -106,6 +110,8 @@
 	refusals    int
 	lastEngine  string
 	begun       bool
+	// heard is called with the first byte of an answer.
+	heard       func()
 	events      int64
 	reserved    bool
 	reservation Reservation
--- a/internal/forward/service_test.go
+++ b/internal/forward/service_test.go
@@ -145,6 +145,18 @@
 	}
 	lines := func(event string) int { return logs.FilterMessage(event).Len() }
 
+	It("passes an engine over that gives no byte, while the request waits and after its caller left", func() {
+		sender.replies = []func() (*forward.Reply, error){func() (*forward.Reply, error) {
+			time.Sleep(700 * time.Millisecond)
+			Expect(directory.Avoided(time.Now())).To(HaveLen(1))
+			time.Sleep(1400 * time.Millisecond) // The call's time is over.
+			return nil, backend.ErrLost
+		}}
+		serve("/stream/x")
+		Expect(lines("engine suspected")).To(Equal(1))
+		Expect(directory.Avoided(time.Now().Add(500 * time.Millisecond))).To(HaveLen(1))
+	})
+
 	It("writes a line, counts and settles for a stream that its engine broke off", func() {
 		sender.replies = []func() (*forward.Reply, error){answerOf(200, brokenReader{strings.NewReader("data: a\n\ndata: b\n\ndata: ha")})}
 		answer := serve("/stream/x")
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -123,6 +123,7 @@
 func (current *course) passOn(reply *Reply, read event) error {
 	if !current.begun {
 		current.begun = true
+		current.heard()
 		current.service.Meter.FirstEvent(time.Since(current.call.Received))
 		err := current.answer.Begin(reply.Status, reply.Header)
 		if err != nil {
--- a/internal/node/learn.go
+++ b/internal/node/learn.go
@@ -119,6 +119,7 @@
 		ConfigurationEnd: node.configurationView.reached(),
 		EnginesEnd:       node.engineView.reached(),
 		NodesEnd:         node.memberView.reached(),
+		Avoided:          node.engines.Avoided(time.Now()),
 	})
 	if err != nil {
 		node.logger.Debug("nothing learned", zap.String("address", address), logging.Cause(err))
@@ -127,6 +128,7 @@
 	node.configurationView.take(fromRecords(reply.Configuration))
 	node.engineView.take(fromRecords(reply.Engines))
 	node.memberView.take(fromRecords(reply.Nodes))
+	node.engines.Report(reply.Avoided, time.Now())
 	return reply.Current, nil
 }
 
@@ -159,10 +161,13 @@
 // Learn implements nodev1.Node.
 func (server *peerServer) Learn(_ context.Context, request *nodev1.LearnRequest) (*nodev1.LearnReply, error) {
 	node := server.node
+	now := time.Now()
+	node.engines.Report(request.Avoided, now)
 	return &nodev1.LearnReply{
 		Configuration: toRecords(node.configurationView.since(request.ConfigurationEnd)),
 		Engines:       toRecords(node.engineView.since(request.EnginesEnd)),
 		Nodes:         toRecords(node.memberView.since(request.NodesEnd)),
+		Avoided:       node.engines.AvoidedByAny(now),
 		Current:       !node.learner.learns() && node.engineView.age() < currentAge,
 	}, nil
 }
--- a/internal/node/programs.go
+++ b/internal/node/programs.go
@@ -67,6 +67,7 @@
 		Node:     programs.node.settings.Name,
 		Zone:     programs.node.settings.Zone,
 		Running:  programs.node.running(),
+		Avoided:  programs.node.engines.Avoided(time.Now()),
 	}
 	if until, bounded := ctx.Deadline(); bounded {
 		request.TimeLeftMs = time.Until(until).Milliseconds()
--- a/internal/node/reserve.go
+++ b/internal/node/reserve.go
@@ -87,6 +87,7 @@
 		}
 		node.assigner.Report(request.Node, running, now)
 	}
+	node.engines.Report(request.Avoided, now)
 	instances := node.engines.Sound(request.Service, now)
 	candidates := make([]assignment.Candidate, 0, len(instances))
 	for _, instance := range instances {
