Count a predecessor's open turns as doubt, and doubt as spent after 3 s

Ruled out: a settlement lost (the turn had ended whole long before).

Change: what a ceiling says to be settled leaves open turns out, so that they are in doubt for a successor and the room of one last turn may be used for them.

Tests, failed first: a successor and a predecessor's open turn; a doubt that ends.

--- a/internal/spending/spending.go
+++ b/internal/spending/spending.go
@@ -29,11 +29,15 @@
 // less is counted as spent when the owner is lost.
 const aheadShare = 1.0 / 16
 
+// doubtPatience is how long an account says that it is unsure.
+const doubtPatience = 3 * time.Second
+
 // Ceiling bounds what a program may have been granted.
 type Ceiling struct {
 	Program string
 	Tokens  int64
-	// Settled is the part that is known to be spent or reserved.
+	// Settled is the part that is known to be spent. Open turns are no part of
+	// it: their ends may never come to a successor.
 	Settled int64
 }
 
@@ -43,6 +47,8 @@
 	// it of which it is not known whether it was used.
 	base  int64
 	doubt int64
+	// doubtSince is when the newest part of the doubt began.
+	doubtSince time.Time
 	// settled is what turns that ended under this owner have spent.
 	settled int64
 	// open holds each turn that has not ended, by request.
@@ -65,6 +71,9 @@
 
 func (account *account) total() int64 { return account.base + account.settled + account.openTotal }
 
+// known is what is spent for certain.
+func (account *account) known() int64 { return account.base - account.doubt + account.settled }
+
 // Ledger holds the accounts of a shard.
 type Ledger struct {
 	accounts map[string]*account
@@ -77,12 +86,13 @@
 	ledger := &Ledger{accounts: make(map[string]*account, len(ceilings)), changed: map[string]bool{}}
 	for program, ceiling := range ceilings {
 		ledger.accounts[program] = &account{
-			base:    ceiling.Tokens,
-			doubt:   ceiling.Tokens - ceiling.Settled,
-			open:    map[string]reservation{},
-			ceiling: ceiling.Tokens,
-			wanted:  ceiling.Tokens,
-			used:    now,
+			base:       ceiling.Tokens,
+			doubt:      ceiling.Tokens - ceiling.Settled,
+			doubtSince: now,
+			open:       map[string]reservation{},
+			ceiling:    ceiling.Tokens,
+			wanted:     ceiling.Tokens,
+			used:       now,
 		}
 	}
 	return ledger
@@ -121,7 +131,7 @@
 	}
 	needed := account.total() + most
 	if needed > budget {
-		verdict := account.overBudget(needed, budget)
+		verdict := account.overBudget(needed, budget, now)
 		if verdict != Granted {
 			return verdict
 		}
@@ -140,13 +150,17 @@
 
 // overBudget decides where the turn at its most does not fit. The bound that
 // holds is the budget and one largest turn; that turn's room is used only for
-// what is in doubt.
-func (account *account) overBudget(needed, budget int64) Verdict {
-	if needed-account.doubt > budget {
+// what is in doubt. A doubt that nothing has settled for doubtPatience never will
+// be: it counts as spent from then on, so that a program that loops without end
+// is stopped, and not told to come back for ever.
+func (account *account) overBudget(needed, budget int64, now time.Time) Verdict {
+	switch {
+	case needed-account.doubt > budget:
 		return Spent
-	}
-	if needed <= budget+account.largest {
+	case needed <= budget+account.largest:
 		return Granted
+	case now.Sub(account.doubtSince) > doubtPatience:
+		return Spent
 	}
 	return Unsure
 }
@@ -192,6 +206,7 @@
 				account.openTotal -= turn.most
 				account.base += turn.most
 				account.doubt += turn.most
+				account.doubtSince = now
 			}
 		}
 	}
@@ -205,7 +220,7 @@
 	wanted := make([]Ceiling, 0, len(ledger.changed))
 	for program := range ledger.changed {
 		account := ledger.accounts[program]
-		wanted = append(wanted, Ceiling{Program: program, Tokens: account.wanted, Settled: account.total() - account.doubt})
+		wanted = append(wanted, Ceiling{Program: program, Tokens: account.wanted, Settled: account.known()})
 	}
 	clear(ledger.changed)
 	return wanted
@@ -268,6 +283,7 @@
 		held := ledger.account(handed.Program)
 		held.base = handed.Spent
 		held.doubt = handed.Doubt
+		held.doubtSince = now
 		held.settled = 0
 		held.open = make(map[string]reservation, len(handed.Open))
 		held.openTotal = 0
@@ -288,7 +304,7 @@
 	var exact []Ceiling
 	for program, account := range ledger.accounts {
 		if account.ceiling > account.total() {
-			exact = append(exact, Ceiling{Program: program, Tokens: account.total(), Settled: account.total() - account.doubt})
+			exact = append(exact, Ceiling{Program: program, Tokens: account.total(), Settled: account.known()})
 		}
 	}
 	return exact
--- a/internal/spending/spending_test.go
+++ b/internal/spending/spending_test.go
@@ -69,6 +69,9 @@
 	It("says that it is unsure where only a former owner may have spent the room", func() {
 		ledger := spending.NewLedger(map[string]spending.Ceiling{program: {Program: program, Tokens: 700, Settled: 100}}, start)
 		Expect(reserve(ledger, "a", 500, 288)).To(Equal(spending.Unsure))
+		later := spending.Order{Program: program, Request: "a", Budget: 500, Most: 288, Until: start.Add(turnTime)}
+		Expect(ledger.Reserve(later, start.Add(2*time.Second))).To(Equal(spending.Unsure))
+		Expect(ledger.Reserve(later, start.Add(4*time.Second))).To(Equal(spending.Spent))
 	})
 
 	It("holds the room of a turn whose end it never hears of only as long as the turn may take", func() {
@@ -86,6 +89,23 @@
 		Expect(reserve(ledger, "b", 500, 288)).To(Equal(spending.Granted))
 	})
 
+	It("does not let a successor take a predecessor's open turn for spent", func() {
+		logged := map[string]spending.Ceiling{}
+		ledger := spending.NewLedger(nil, start)
+		for _, request := range []string{"a", "b"} {
+			reserve(ledger, request, 112, 40)
+			write(ledger, logged)
+			Expect(reserve(ledger, request, 112, 40)).To(Equal(spending.Granted))
+		}
+		ledger.Settle(program, "a", 36, start)
+		for _, exact := range ledger.Release() {
+			logged[exact.Program] = exact
+		}
+		// Turn b has spent 36, which came too late for the predecessor.
+		successor := spending.NewLedger(logged, start)
+		Expect(reserve(successor, "c", 112, 40)).NotTo(Equal(spending.Spent))
+	})
+
 	It("is exact for a successor that it hands its accounts to", func() {
 		ledger := spending.NewLedger(nil, start)
 		reserve(ledger, "a", 1000, 288)
--- a/rehearsal/soak/run_test.go
+++ b/rehearsal/soak/run_test.go
@@ -10,7 +10,7 @@
 
 // seeds are run each time: the first as a sample, the others because they
 // failed once. What each one found stands in docs/MEASUREMENTS.md.
-var seeds = []uint64{1}
+var seeds = []uint64{1, 200}
 
 var _ = Describe("A soak", func() {
 	for _, seed := range seeds {
