Tell callers later times to come back while no configuration is known

Change: half the time since the node's start, 150 ms to 1.2 s.

Test failed first (no field for it).

--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -57,6 +57,8 @@
 	Meter    Meter
 	Logger   *zap.Logger
 	Zone     string
+	// Started is when the process started.
+	Started time.Time
 	// Nodes returns how many nodes share the engines' connections.
 	Nodes func() int
 	// ViewAge is how long ago the list of engines was last confirmed.
@@ -64,8 +66,13 @@
 }
 
 const (
-	// unknownRetry is when to come back to a node that is not sure yet.
-	unknownRetry = 150 * time.Millisecond
+	// unknownRetry is when to come back to a node that is not sure yet. A node that
+	// has been without a configuration for longer says so the later, by
+	// unknownRetryShare of the time since its start and up to unknownRetryMost: the
+	// store is away then, and a caller has only so many tries.
+	unknownRetry      = 150 * time.Millisecond
+	unknownRetryShare = 0.5
+	unknownRetryMost  = 1200 * time.Millisecond
 	// ownerRetry is when to come back where a program's owner could not be found
 	// or could not write for longer than a call waits.
 	ownerRetry = 400 * time.Millisecond
@@ -139,7 +146,7 @@
 func (current *course) prepare() error {
 	configuration := current.service.Routes.Load()
 	if configuration == nil {
-		return resultcode.New(resultcode.ConfigurationStale, "no configuration is known yet").After(unknownRetry)
+		return resultcode.New(resultcode.ConfigurationStale, "no configuration is known yet").After(current.service.unknownRetry())
 	}
 	current.version = configuration.Version
 	current.route = configuration.Match(current.call.Host, current.call.Path)
@@ -164,6 +171,11 @@
 	return nil
 }
 
+func (service *Service) unknownRetry() time.Duration {
+	waited := time.Duration(unknownRetryShare * float64(time.Since(service.Started)))
+	return min(max(waited, unknownRetry), unknownRetryMost)
+}
+
 func (current *course) run(ctx context.Context) error {
 	if current.isTurn() {
 		failure := current.reserve(ctx)
--- a/internal/forward/service_test.go
+++ b/internal/forward/service_test.go
@@ -145,6 +145,20 @@
 	}
 	lines := func(event string) int { return logs.FilterMessage(event).Len() }
 
+	It("tells callers to come back the later, the longer it has known no configuration", func() {
+		service.Routes = &routing.Current{}
+		wait := func(since time.Duration) time.Duration {
+			service.Started = time.Now().Add(-since)
+			var failure *resultcode.Error
+			Expect(errors.As(serve("/stream/x").failure, &failure)).To(BeTrue())
+			Expect(failure.Code).To(Equal(resultcode.ConfigurationStale))
+			return failure.RetryAfter
+		}
+		Expect(wait(0)).To(Equal(150 * time.Millisecond))
+		Expect(wait(time.Second)).To(BeNumerically("~", 500*time.Millisecond, 100*time.Millisecond))
+		Expect(wait(time.Minute)).To(Equal(1200 * time.Millisecond))
+	})
+
 	It("passes an engine over that gives no byte, while the request waits and after its caller left", func() {
 		sender.replies = []func() (*forward.Reply, error){func() (*forward.Reply, error) {
 			time.Sleep(700 * time.Millisecond)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -159,6 +159,7 @@
 		Zone:     settings.Zone,
 		Nodes:    node.members.staying,
 		ViewAge:  node.engineView.age,
+		Started:  time.Now(),
 	}
 	return node, nil
 }
