Heed doubt of engines only while few are in doubt

Overloaded engines were silent for more than 0.6 s, all nodes left them at once, and so overloaded the others.

Ruled out: claims and records (3 ms and 15 ms), the list of engines (9 to 11 of 11).

Change: where more than a third of a service's engines are in doubt, doubt is not heeded at all; and a request waits at least five times what is usual at its service at present before its engine is in doubt. What was refused, broke off twice or took no connection is passed over as before.

Tests: a third of the engines in doubt; patience by the usual wait.

--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -31,13 +31,36 @@
 	avoidUntil time.Time
 	// fullUntil is until when it is passed over for having no room.
 	fullUntil time.Time
-	// reportedUntil is until when it is passed over for what other nodes told.
+	// silentUntil is until when it is in doubt for a request that got no answer,
+	// reportedUntil for what other nodes told.
+	silentUntil   time.Time
 	reportedUntil time.Time
 }
 
-// passedOver tells whether the engine gets requests only where no other can.
-func (engine *Engine) passedOver(now time.Time) bool {
-	return now.Before(engine.avoidUntil) || now.Before(engine.fullUntil) || now.Before(engine.reportedUntil)
+// unfit tells whether the engine gets requests only where no other can.
+func (engine *Engine) unfit(now time.Time) bool {
+	return now.Before(engine.avoidUntil) || now.Before(engine.fullUntil)
+}
+
+// doubted tells whether the engine may be hung or down.
+func (engine *Engine) doubted(now time.Time) bool {
+	return now.Before(engine.silentUntil) || now.Before(engine.reportedUntil)
+}
+
+// doubtShare of a service's engines is the most that may be passed over for
+// doubt. Where more are silent the service is overloaded, and to leave its slowest
+// engines would overload the others in turn, for as long as the load lasts.
+const doubtShare = 1.0 / 3
+
+// heedsDoubt tells whether few enough engines are in doubt.
+func heedsDoubt(engines []*Engine, now time.Time) bool {
+	doubted := 0
+	for _, engine := range engines {
+		if engine.doubted(now) {
+			doubted++
+		}
+	}
+	return float64(doubted) <= doubtShare*float64(len(engines))
 }
 
 const (
@@ -52,6 +75,10 @@
 	// silentAvoid is how long an engine is passed over while a request there gets
 	// no answer, and after such a one was given up.
 	silentAvoid = time.Second
+	// usualWeight is the weight of the newest answer in the usual wait, usualShare
+	// how many times that a request may wait without a doubt.
+	usualWeight = 0.05
+	usualShare  = 5
 	// reportedFor is how long another node's report counts.
 	reportedFor = time.Second
 	// fullPause is how long an engine is passed over that said it was full.
@@ -66,13 +93,16 @@
 	// while it has to be made anew.
 	services map[string][]*Engine
 	policy   Policy
+	// usual is the usual wait for the first byte of an answer, by service.
+	usual map[string]time.Duration
 	// assigns is true where owners assign engines.
 	assigns bool
 }
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
-	return &Directory{engines: map[string]*Engine{}, services: map[string][]*Engine{}, policy: policies[PolicyProgram]}
+	return &Directory{engines: map[string]*Engine{}, services: map[string][]*Engine{}, policy: policies[PolicyProgram],
+		usual: map[string]time.Duration{}}
 }
 
 // Put notes an engine's newest record and tells whether something changed.
@@ -142,8 +172,10 @@
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
 	var instances []Instance
-	for _, engine := range directory.usable(service) {
-		if !engine.passedOver(now) {
+	engines := directory.usable(service)
+	filter := sound{heedDoubt: heedsDoubt(engines, now)}
+	for _, engine := range engines {
+		if filter.Admits(engine, nil, now) {
 			instances = append(instances, engine.Instance)
 		}
 	}
@@ -207,7 +239,7 @@
 		engine.avoid(now, min(unreachableAvoid<<min(engine.failures-1, 8), avoidMost))
 	case Silent:
 		engine.failures++
-		engine.avoid(now, min(silentAvoid<<min(engine.failures-1, 8), avoidMost))
+		engine.silentUntil = now.Add(min(silentAvoid<<min(engine.failures-1, 8), avoidMost))
 	case Abandoned:
 	}
 }
@@ -223,19 +255,40 @@
 func (directory *Directory) Suspect(engine *Engine, now time.Time) {
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
-	engine.avoid(now, silentAvoid)
+	engine.silentUntil = now.Add(silentAvoid)
+}
+
+// Heard notes how long a request waited for the first byte of its answer.
+func (directory *Directory) Heard(service string, took time.Duration) {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	usual := directory.usual[service]
+	if usual == 0 {
+		usual = took
+	}
+	directory.usual[service] = usual + time.Duration(usualWeight*float64(took-usual))
+}
+
+// Patience is how long a request to a service may wait for the first byte before
+// its engine is in doubt: some times what is usual there at present.
+func (directory *Directory) Patience(service string) time.Duration {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	return usualShare * directory.usual[service]
 }
 
 // Avoided returns the engines that this node passes over for what it has seen of
 // them itself, for other nodes.
 func (directory *Directory) Avoided(now time.Time) []string {
-	return directory.matching(func(engine *Engine) bool { return now.Before(engine.avoidUntil) })
+	return directory.matching(func(engine *Engine) bool {
+		return now.Before(engine.avoidUntil) || now.Before(engine.silentUntil)
+	})
 }
 
 // AvoidedByAny returns also those that other nodes have reported.
 func (directory *Directory) AvoidedByAny(now time.Time) []string {
 	return directory.matching(func(engine *Engine) bool {
-		return now.Before(engine.avoidUntil) || now.Before(engine.reportedUntil)
+		return now.Before(engine.avoidUntil) || engine.doubted(now)
 	})
 }
 
--- a/internal/backend/pick.go
+++ b/internal/backend/pick.go
@@ -40,10 +40,10 @@
 }
 
 // sound admits engines that are not passed over for what was seen of them.
-type sound struct{}
+type sound struct{ heedDoubt bool }
 
-func (sound) Admits(engine *Engine, _ *Request, now time.Time) bool {
-	return !engine.passedOver(now)
+func (filter sound) Admits(engine *Engine, _ *Request, now time.Time) bool {
+	return !engine.unfit(now) && !(filter.heedDoubt && engine.doubted(now))
 }
 
 // roomy admits engines below the node's bound of requests under way.
@@ -60,7 +60,8 @@
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
 	candidates := directory.usable(request.Service)
-	filterSets := [][]Filter{{untried{}, sound{}, roomy{}}, {untried{}, roomy{}}}
+	noticed := sound{heedDoubt: heedsDoubt(candidates, now)}
+	filterSets := [][]Filter{{untried{}, noticed, roomy{}}, {untried{}, roomy{}}}
 	for _, filters := range filterSets {
 		admitted := admit(candidates, filters, request, now)
 		if len(admitted) > 0 {
--- a/internal/backend/pick_test.go
+++ b/internal/backend/pick_test.go
@@ -145,6 +145,26 @@
 			Expect(pickedOften(directory, now.Add(1100*time.Millisecond))).To(HaveKey("e1"))
 		})
 
+		It("does not leave a third of a service's engines for doubt: then it is the load", func() {
+			directory := newDirectory(9)
+			for _, id := range []string{"e1", "e2", "e3"} {
+				directory.Suspect(assign(directory, id), now)
+			}
+			Expect(directory.Sound(service, now)).To(HaveLen(6))
+			directory.Report([]string{"e4"}, now)
+			Expect(directory.Sound(service, now)).To(HaveLen(9))
+			Expect(pickedOften(directory, now)).To(HaveKey("e1"))
+		})
+
+		It("waits the longer for an engine, the slower its service is at present", func() {
+			directory := newDirectory(1)
+			Expect(directory.Patience(service)).To(BeZero())
+			for range 100 {
+				directory.Heard(service, 400*time.Millisecond)
+			}
+			Expect(directory.Patience(service)).To(BeNumerically("~", 2*time.Second, 10*time.Millisecond))
+		})
+
 		It("takes one in doubt where there is no other", func() {
 			directory := newDirectory(1)
 			directory.Finish(assign(directory, "e0"), backend.Unreachable, now)
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -130,15 +130,20 @@
 // of an answer for unusually long. What it returns ends the watch, and tells
 // whether that is still so.
 func (current *course) watch(engine *backend.Engine) func() bool {
-	limit := max(silenceShare*current.route.Objective, leastSilence)
+	began := time.Now()
+	engines := current.service.Engines
+	limit := max(silenceShare*current.route.Objective, leastSilence, engines.Patience(current.serviceName))
 	var silent atomic.Bool
 	timer := time.AfterFunc(limit, func() {
 		silent.Store(true)
-		current.service.Engines.Suspect(engine, time.Now())
+		engines.Suspect(engine, time.Now())
 		current.service.Logger.Info("engine suspected", zap.String("request", current.call.ID),
 			zap.String("engine", engine.ID), zap.Duration("silent", limit))
 	})
-	current.heard = func() { timer.Stop() }
+	current.heard = func() {
+		timer.Stop()
+		engines.Heard(current.serviceName, time.Since(began))
+	}
 	return func() bool {
 		timer.Stop()
 		return silent.Load() && !current.begun
