Bear log lines that come after the log's end

Change: the channel of lines is never closed; Close writes what waits, later lines are lost. Test failed first (panic).

--- a/internal/logging/nonblocking.go
+++ b/internal/logging/nonblocking.go
@@ -13,12 +13,19 @@
 type NonBlocking struct {
 	lines   chan []byte
 	dropped atomic.Int64
+	// closing is closed by Close. The lines' channel never is: goroutines that
+	// outlast the end of their work may still write.
+	closing chan struct{}
 	done    chan struct{}
 }
 
 // NewNonBlocking returns a writer in front of output.
 func NewNonBlocking(output io.Writer) *NonBlocking {
-	writer := &NonBlocking{lines: make(chan []byte, queuedLines), done: make(chan struct{})}
+	writer := &NonBlocking{
+		lines:   make(chan []byte, queuedLines),
+		closing: make(chan struct{}),
+		done:    make(chan struct{}),
+	}
 	go writer.run(output)
 	return writer
 }
@@ -26,9 +33,26 @@
 func (writer *NonBlocking) run(output io.Writer) {
 	defer close(writer.done)
 	var batch []byte
-	for line := range writer.lines {
-		batch = append(batch[:0], line...)
-		batch = writer.takeWaiting(batch)
+	for {
+		select {
+		case line := <-writer.lines:
+			batch = append(batch[:0], line...)
+			batch = writer.takeWaiting(batch)
+			_, _ = output.Write(batch)
+		case <-writer.closing:
+			writer.flush(output)
+			return
+		}
+	}
+}
+
+// flush writes what waits.
+func (writer *NonBlocking) flush(output io.Writer) {
+	for {
+		batch := writer.takeWaiting(nil)
+		if len(batch) == 0 {
+			return
+		}
 		_, _ = output.Write(batch)
 	}
 }
@@ -41,10 +65,7 @@
 func (writer *NonBlocking) takeWaiting(batch []byte) []byte {
 	for len(batch) < batchBytes {
 		select {
-		case line, open := <-writer.lines:
-			if !open {
-				return batch
-			}
+		case line := <-writer.lines:
 			batch = append(batch, line...)
 		default:
 			return batch
@@ -67,8 +88,9 @@
 // Dropped returns how many lines were dropped so far.
 func (writer *NonBlocking) Dropped() int64 { return writer.dropped.Load() }
 
-// Close writes what waits. Nothing may be written afterwards.
+// Close writes what waits. What is written afterwards is lost. It must be called
+// once.
 func (writer *NonBlocking) Close() {
-	close(writer.lines)
+	close(writer.closing)
 	<-writer.done
 }
--- a/internal/logging/nonblocking_test.go
+++ b/internal/logging/nonblocking_test.go
@@ -34,4 +34,14 @@
 		kept := bytes.Count(output.written.Bytes(), []byte("\n"))
 		Expect(int64(kept) + writer.Dropped()).To(BeEquivalentTo(lines))
 	})
+
+	It("bears lines of goroutines that outlast its end", func() {
+		var output bytes.Buffer
+		writer := logging.NewNonBlocking(&output)
+		_, err := writer.Write([]byte("before\n"))
+		Expect(err).NotTo(HaveOccurred())
+		writer.Close()
+		Expect(output.String()).To(Equal("before\n"))
+		Expect(func() { _, _ = writer.Write([]byte("after\n")) }).NotTo(Panic())
+	})
 })
