--- a/rehearsal/caller/caller.go
+++ b/rehearsal/caller/caller.go
@@ -160,8 +160,6 @@
 		// Under this name the HTTP client knows that it may send the request again
 		// where it crossed the close of an idle connection.
 		request.Header.Set(headerIdempotencyKey, requestID)
-	} else {
-		request.Header.Set(headerIdempotencyKey, url) // Ending a program twice is ending it once.
 	}
 	response, err := caller.client.Do(request)
 	if err != nil {
--- a/rehearsal/caller/caller_test.go
+++ b/rehearsal/caller/caller_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -66,4 +67,17 @@
 		Expect(requests).To(Receive(Equal("one")))
 		Expect(requests).To(Receive(Equal("two")))
 	})
+
+	It("names no key for a request without an id, which the gateway would refuse", func() {
+		var header http.Header
+		server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+			header = request.Header
+			_, _ = writer.Write([]byte(`{"id":"p"}`))
+		}))
+		DeferCleanup(server.Close)
+		made := caller.New(server.Client(), "key")
+		_, err := made.CreateProgram(context.Background(), server.Listener.Addr().String(), "", "kind", "")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(header).NotTo(HaveKey("Idempotency-Key"))
+	})
 })
--- a/rehearsal/soak/caller.go
+++ b/rehearsal/soak/caller.go
@@ -33,7 +33,10 @@
 	attemptsPerTurn = 40
 	// attemptPause follows a failed attempt.
 	attemptPause = 150 * time.Millisecond
-	toolsEach    = 2
+	// settleTime is how long the end of a turn may take to be known to those that
+	// decide about the next one.
+	settleTime = time.Second
+	toolsEach  = 2
 )
 
 // callers run agent programs one after another, several at once.
@@ -54,9 +57,35 @@
 	// previous is the last turn answered whole, history the prompt up to it.
 	previous string
 	history  string
-	// given is what the caller got, reached what engines may have given at most.
-	given   int64
-	reached int64
+	// given is what the caller got.
+	given int64
+	// ends are those of its turns' attempts.
+	ends []attemptEnd
+}
+
+// attemptEnd is how an attempt of a turn ended.
+type attemptEnd struct {
+	at    time.Time
+	whole bool
+	// notRun is true where the caller was told that it did not run.
+	notRun bool
+}
+
+// room is what the budget leaves at a time, where every attempt counts at its
+// most that had not ended for certain by settleTime before.
+func (running *program) room(now time.Time) int64 {
+	room := running.budget
+	for _, end := range running.ends {
+		settled := now.Sub(end.at) >= settleTime
+		switch {
+		case settled && end.notRun:
+		case settled && end.whole:
+			room -= eventsPerStream * tokensPerEvent
+		default:
+			room -= most
+		}
+	}
+	return room
 }
 
 // run takes programs to their ends, until ctx ends.
@@ -106,8 +135,9 @@
 		if running.path == turnPath && running.previous != "" {
 			header.Set("Previous-Turn", running.previous)
 		}
+		room := running.room(time.Now())
 		callers.send(ctx, running.random, attempt, input, header)
-		if callers.turnEnded(running, attempt, input) {
+		if callers.turnEnded(running, attempt, room) {
 			return attempt.status == http.StatusOK && attempt.whole
 		}
 		pause(ctx, attemptPause)
@@ -116,8 +146,8 @@
 }
 
 // turnEnded notes what an attempt of a turn came to, and returns true where it
-// decided the turn.
-func (callers *callers) turnEnded(running *program, attempt *sent, input string) bool {
+// decided the turn. room is what the budget left before it.
+func (callers *callers) turnEnded(running *program, attempt *sent, room int64) bool {
 	ledger := callers.ledger
 	if attempt.status == http.StatusOK {
 		ledger.checkStream(attempt)
@@ -126,16 +156,16 @@
 	if running.given > running.budget+most {
 		ledger.violated(promiseBudget, "%s got %d tokens of %d", running.name, running.given, running.budget)
 	}
-	room := running.budget - running.reached
-	if !promisesNotRun(attempt.status) {
-		running.reached += most
-	}
+	running.ends = append(running.ends, attemptEnd{
+		at:     time.Now(),
+		whole:  attempt.status == http.StatusOK && attempt.whole,
+		notRun: promisesNotRun(attempt.status),
+	})
 	switch attempt.status {
 	case http.StatusOK:
 		if !attempt.whole {
 			return false
 		}
-		running.reached -= most - eventsPerStream*tokensPerEvent
 		callers.turns.Add(1)
 		running.previous = attempt.id
 		if running.path == turnPath {
