One pause that ends with its context; one backoff; one way to send a line of turns

Three pauses of the engines' directory doubled by the same expression: backoff. Four loops turned lines of turns into messages or back: ToMessages, FromMessages. Behaviour stays as it is; no test was changed.

--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -230,20 +230,26 @@
 	case Failed:
 		engine.failures++
 		if engine.failures >= failuresToAvoid {
-			engine.avoid(now, min(avoidFirst<<min(engine.failures-failuresToAvoid, 8), avoidMost))
+			engine.avoid(now, backoff(avoidFirst, engine.failures-failuresToAvoid))
 		}
 	case Misdirected:
 		engine.avoid(now, avoidMost)
 	case Unreachable:
 		engine.failures++
-		engine.avoid(now, min(unreachableAvoid<<min(engine.failures-1, 8), avoidMost))
+		engine.avoid(now, backoff(unreachableAvoid, engine.failures-1))
 	case Silent:
 		engine.failures++
-		engine.silentUntil = now.Add(min(silentAvoid<<min(engine.failures-1, 8), avoidMost))
+		engine.silentUntil = now.Add(backoff(silentAvoid, engine.failures-1))
 	case Abandoned:
 	}
 }
 
+// backoff doubles a first pause with each repetition, up to avoidMost.
+func backoff(first time.Duration, repetitions int) time.Duration {
+	const mostDoublings = 8
+	return min(first<<min(repetitions, mostDoublings), avoidMost)
+}
+
 func (engine *Engine) avoid(now time.Time, while time.Duration) {
 	until := now.Add(while)
 	if until.After(engine.avoidUntil) {
--- a/internal/history/record.go
+++ b/internal/history/record.go
@@ -33,6 +33,24 @@
 	}
 }
 
+// ToMessages is ToMessage for a line of turns.
+func ToMessages(line []*Turn) []*nodev1.Turn {
+	messages := make([]*nodev1.Turn, 0, len(line))
+	for _, turn := range line {
+		messages = append(messages, ToMessage(turn))
+	}
+	return messages
+}
+
+// FromMessages is the reverse of ToMessages.
+func FromMessages(messages []*nodev1.Turn) []*Turn {
+	line := make([]*Turn, 0, len(messages))
+	for _, message := range messages {
+		line = append(line, FromMessage(message))
+	}
+	return line
+}
+
 func encode(turn *Turn) ([]byte, error) { return proto.Marshal(ToMessage(turn)) }
 
 // decode returns nil for bytes that are no turn.
--- a/internal/history/recorder.go
+++ b/internal/history/recorder.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/magpielug/magpielug/internal/durable"
+	"github.com/magpielug/magpielug/internal/wait"
 	"github.com/rotisserie/eris"
 )
 
@@ -180,19 +181,12 @@
 	go func() {
 		err := current.relay(ctx, current.shard, current.turn)
 		if err != nil {
-			pauseFor(ctx, relayPause)
+			wait.For(ctx, relayPause)
 		}
 		current.relayed <- err
 	}()
 }
 
-func pauseFor(ctx context.Context, duration time.Duration) {
-	select {
-	case <-time.After(duration):
-	case <-ctx.Done():
-	}
-}
-
 func (recorder *Recorder) enqueue(partition durable.Partition, record []byte, done chan error) {
 	recorder.mutex.Lock()
 	defer recorder.mutex.Unlock()
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -7,6 +7,7 @@
 
 	"github.com/magpielug/magpielug/internal/durable"
 	"github.com/magpielug/magpielug/internal/logging"
+	"github.com/magpielug/magpielug/internal/wait"
 	"go.uber.org/zap"
 )
 
@@ -79,7 +80,7 @@
 	if follower.resting == nil || !follower.resting() {
 		return false
 	}
-	sleep(ctx, restPause)
+	wait.For(ctx, restPause)
 	follower.lastAnswer.Store(time.Now().UnixMilli())
 	follower.view.SkipTo(follower.reached())
 	return true
@@ -94,11 +95,11 @@
 	follower.lastEnd = max(follower.lastEnd, update.End)
 	if stale {
 		follower.view.Restart()
-		sleep(ctx, stalePause)
+		wait.For(ctx, stalePause)
 		return
 	}
 	if pause := follower.pause(); pause > 0 {
-		sleep(ctx, pause)
+		wait.For(ctx, pause)
 	}
 }
 
@@ -110,7 +111,7 @@
 		follower.logger.Warn("view lost", zap.String("view", follower.name), logging.Cause(err))
 	}
 	follower.failurePause = min(max(2*follower.failurePause, firstFailurePause), longestFailurePause)
-	sleep(ctx, follower.failurePause)
+	wait.For(ctx, follower.failurePause)
 }
 
 func (follower *follower) regained() {
--- a/internal/node/learn.go
+++ b/internal/node/learn.go
@@ -9,6 +9,7 @@
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
 	"github.com/magpielug/magpielug/internal/durable"
 	"github.com/magpielug/magpielug/internal/logging"
+	"github.com/magpielug/magpielug/internal/wait"
 	"go.uber.org/zap"
 )
 
@@ -56,7 +57,7 @@
 	node := learner.node
 	silent := false
 	for ctx.Err() == nil {
-		sleep(ctx, learnPause)
+		wait.For(ctx, learnPause)
 		now := time.Now()
 		if anySilent(followers, now) != silent {
 			silent = !silent
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -13,6 +13,7 @@
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
 	"github.com/magpielug/magpielug/internal/durable"
 	"github.com/magpielug/magpielug/internal/logging"
+	"github.com/magpielug/magpielug/internal/wait"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 )
@@ -187,17 +188,7 @@
 			return
 		}
 		logger.Warn("node not registered", logging.Cause(err))
-		sleep(ctx, registerPause)
-	}
-}
-
-// sleep waits, or returns early when ctx ends.
-func sleep(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+		wait.For(ctx, registerPause)
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,6 +24,7 @@
 	"github.com/magpielug/magpielug/internal/logging"
 	"github.com/magpielug/magpielug/internal/ownership"
 	"github.com/magpielug/magpielug/internal/routing"
+	"github.com/magpielug/magpielug/internal/wait"
 	"go.uber.org/zap"
 	"golang.org/x/sync/singleflight"
 )
@@ -309,7 +310,7 @@
 func (node *Node) keepHouse(ctx context.Context) {
 	summary := time.Now()
 	for ctx.Err() == nil {
-		sleep(ctx, housekeepingPause)
+		wait.For(ctx, housekeepingPause)
 		now := time.Now()
 		if now.Sub(summary) >= summaryPause {
 			summary = now
--- a/internal/node/programs.go
+++ b/internal/node/programs.go
@@ -88,11 +88,9 @@
 
 // takeChain keeps turns that another node sent.
 func (programs *programs) takeChain(messages []*nodev1.Turn) []*history.Turn {
-	chain := make([]*history.Turn, 0, len(messages))
-	for _, message := range messages {
-		turn := history.FromMessage(message)
+	chain := history.FromMessages(messages)
+	for _, turn := range chain {
 		programs.node.turns.Add(turn)
-		chain = append(chain, turn)
 	}
 	return chain
 }
--- a/internal/node/reserve.go
+++ b/internal/node/reserve.go
@@ -157,8 +157,6 @@
 		reply.Verdict = nodev1.Verdict_VERDICT_NO_SUCH_TURN
 		return false
 	}
-	for _, turn := range found.Chain {
-		reply.Chain = append(reply.Chain, history.ToMessage(turn))
-	}
+	reply.Chain = history.ToMessages(found.Chain)
 	return true
 }
--- a/internal/node/search.go
+++ b/internal/node/search.go
@@ -8,6 +8,7 @@
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
 	"github.com/magpielug/magpielug/internal/logging"
 	"github.com/magpielug/magpielug/internal/ownership"
+	"github.com/magpielug/magpielug/internal/wait"
 	"go.uber.org/zap"
 )
 
@@ -21,7 +22,7 @@
 		if decided || ctx.Err() != nil || time.Now().After(until) {
 			return reply
 		}
-		sleep(ctx, searchPause)
+		wait.For(ctx, searchPause)
 		search.asked = map[string]bool{}
 		request.Failed = nil
 	}
--- a/internal/node/turns.go
+++ b/internal/node/turns.go
@@ -84,11 +84,7 @@
 	if err != nil {
 		return nil, err
 	}
-	line := make([]*history.Turn, 0, len(reply.Line))
-	for _, message := range reply.Line {
-		line = append(line, history.FromMessage(message))
-	}
-	return line, nil
+	return history.FromMessages(reply.Line), nil
 }
 
 // Line implements nodev1.Node. The reading outlasts an asker that gives up, so
@@ -103,11 +99,7 @@
 	if err != nil {
 		return nil, err
 	}
-	reply := &nodev1.LineReply{}
-	for _, turn := range line {
-		reply.Line = append(reply.Line, history.ToMessage(turn))
-	}
-	return reply, nil
+	return &nodev1.LineReply{Line: history.ToMessages(line)}, nil
 }
 
 // recordElsewhere has another node record a turn. The shard's owner is asked
--- a/internal/ownership/claim.go
+++ b/internal/ownership/claim.go
@@ -11,6 +11,7 @@
 	"github.com/magpielug/magpielug/internal/durable"
 	"github.com/magpielug/magpielug/internal/logging"
 	"github.com/magpielug/magpielug/internal/spending"
+	"github.com/magpielug/magpielug/internal/wait"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 )
@@ -101,19 +102,12 @@
 			break
 		}
 		if !errors.Is(err, durable.ErrConflict) {
-			pause(ctx, claimPause)
+			wait.For(ctx, claimPause)
 		}
 	}
 	return claimed{}, failure
 }
 
-func pause(ctx context.Context, duration time.Duration) {
-	select {
-	case <-time.After(duration):
-	case <-ctx.Done():
-	}
-}
-
 func (manager *Manager) claimOnce(ctx context.Context, reading *replay) (claimed, error) {
 	err := reading.toEnd(ctx)
 	if err != nil {
--- a/internal/ownership/write.go
+++ b/internal/ownership/write.go
@@ -9,6 +9,7 @@
 	"github.com/magpielug/magpielug/internal/durable"
 	"github.com/magpielug/magpielug/internal/logging"
 	"github.com/magpielug/magpielug/internal/spending"
+	"github.com/magpielug/magpielug/internal/wait"
 	"go.uber.org/zap"
 )
 
@@ -35,7 +36,7 @@
 // append sends a record until its outcome is known: a repetition with the same
 // number gets the first one's answer.
 func (manager *Manager) append(partition durable.Partition, fence durable.Fence, record []byte) error {
-	for wait := firstAppendPause; ; wait = min(2*wait, longestAppendPause) {
+	for delay := firstAppendPause; ; delay = min(2*delay, longestAppendPause) {
 		ctx, cancel := context.WithTimeout(manager.context, appendTimeout)
 		err := durable.Hedge(ctx, &manager.pace, func(ctx context.Context) error {
 			_, err := manager.log.Append(ctx, partition, [][]byte{record}, durable.Condition{Fence: &fence})
@@ -48,7 +49,7 @@
 		if manager.context.Err() != nil {
 			return err
 		}
-		pause(manager.context, wait)
+		wait.For(manager.context, delay)
 	}
 }
 
--- /dev/null
+++ b/internal/wait/wait.go
@@ -0,0 +1,17 @@
+// Package wait holds pauses that end early with their context.
+package wait
+
+import (
+	"context"
+	"time"
+)
+
+// For waits for a duration, or until ctx ends.
+func For(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/rehearsal/soak/caller.go
+++ b/rehearsal/soak/caller.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/magpielug/magpielug/internal/wait"
 )
 
 const (
@@ -140,7 +142,7 @@
 		if callers.turnEnded(running, attempt, room) {
 			return attempt.status == http.StatusOK && attempt.whole
 		}
-		pause(ctx, attemptPause)
+		wait.For(ctx, attemptPause)
 	}
 	return false
 }
@@ -249,12 +251,3 @@
 	timed.timer.Reset(gap)
 	return count, err
 }
-
-func pause(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/rehearsal/soak/faults.go
+++ b/rehearsal/soak/faults.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/magpielug/magpielug/internal/durable"
+	"github.com/magpielug/magpielug/internal/wait"
 	"github.com/magpielug/magpielug/rehearsal/relay"
 	"github.com/magpielug/magpielug/rehearsal/standin/agentengine"
 	"github.com/magpielug/magpielug/rehearsal/standin/logstore"
@@ -75,7 +76,7 @@
 			thrower.thrown++
 			thrower.mutex.Unlock()
 		}
-		pause(ctx, between(random, 0, calmMost))
+		wait.For(ctx, between(random, 0, calmMost))
 	}
 }
 
@@ -123,7 +124,7 @@
 	}
 	defer thrower.release(target.name)
 	target.stop(syscall.SIGKILL, time.Second)
-	pause(ctx, down)
+	wait.For(ctx, down)
 	_ = target.start()
 	return fmt.Sprintf("%s for %s", target.name, down)
 }
@@ -143,7 +144,7 @@
 		killing.Go(func() { target.stop(syscall.SIGKILL, time.Second) })
 	}
 	killing.Wait()
-	pause(ctx, down)
+	wait.For(ctx, down)
 	for _, target := range thrower.world.nodes {
 		_ = target.start()
 	}
@@ -158,7 +159,7 @@
 	}
 	defer thrower.release(target.name)
 	target.freeze()
-	pause(ctx, lasts)
+	wait.For(ctx, lasts)
 	target.wake()
 	return fmt.Sprintf("%s for %s", target.name, lasts)
 }
@@ -191,7 +192,7 @@
 	}
 	defer thrower.release(storeThing)
 	thrower.world.store.SetFaults(chosen)
-	pause(ctx, lasts)
+	wait.For(ctx, lasts)
 	thrower.world.store.SetFaults(logstore.Faults{})
 	return fmt.Sprintf("%+v for %s", chosen, lasts)
 }
@@ -231,7 +232,7 @@
 	}
 	defer thrower.release(thing)
 	door.Set(mode)
-	pause(ctx, lasts)
+	wait.For(ctx, lasts)
 	door.Set(relay.Mode{})
 	return fmt.Sprintf("%s %+v for %s", thing, mode, lasts)
 }
@@ -251,7 +252,7 @@
 	}
 	defer thrower.release(target.ID)
 	target.SetFaults(chosen)
-	pause(ctx, lasts)
+	wait.For(ctx, lasts)
 	target.SetFaults(agentengine.Faults{})
 	return fmt.Sprintf("%s %+v for %s", target.ID, chosen, lasts)
 }
--- a/rehearsal/soak/run.go
+++ b/rehearsal/soak/run.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/magpielug/magpielug/internal/wait"
 	"github.com/rotisserie/eris"
 )
 
@@ -90,7 +91,7 @@
 			if bounded.Err() != nil {
 				return eris.Errorf("%s is not ready after %s", each.name, startTimeout)
 			}
-			pause(bounded, readyPause)
+			wait.For(bounded, readyPause)
 		}
 	}
 	return nil
@@ -166,7 +167,7 @@
 	defer cancel()
 	for number, turns := range run.progress {
 		for turns.Load() == before[number] && bounded.Err() == nil {
-			pause(bounded, readyPause)
+			wait.For(bounded, readyPause)
 		}
 		if turns.Load() == before[number] && ctx.Err() == nil {
 			run.ledger.violated(promiseRecovery, "caller %d had no turn in %s", number, recoveryBound)
@@ -210,7 +211,7 @@
 		if older > 0 && run.serves(ctx, target, older) && target.lives() == present.number {
 			run.ledger.violated(promiseVersion, "%s served version %d after %d", target.name, older, seen[present])
 		}
-		pause(ctx, probePause)
+		wait.For(ctx, probePause)
 	}
 }
 
