Let claims carry an allowance of every budget, so that programs go on while the store is away

Cause: each program's first turn waited for a ceiling in the log.

Change: a claim says what its owner may grant of every budget beyond the ceiling written (a third, and the turn that goes beyond it). Ceilings are written behind the grants. A successor counts the allowance unless the owner closed its accounts, by a planned stop or by yielding. Only one allowance is outstanding at a time.

--- a/internal/ownership/claim.go
+++ b/internal/ownership/claim.go
@@ -13,7 +13,6 @@
 	"github.com/magpielug/magpielug/internal/spending"
 	"github.com/magpielug/magpielug/internal/wait"
 	"go.uber.org/zap"
-	"google.golang.org/protobuf/proto"
 )
 
 // firstSequences is the number of sequence numbers that a claim may begin at.
@@ -27,10 +26,12 @@
 	epoch int64
 	// sequence is the claim's number; appends go on from there.
 	sequence int64
-	ceilings map[string]spending.Ceiling
-	records  int
-	// accounts are the former owner's own, where it has yielded.
-	accounts []spending.Account
+	ledger   *spending.Ledger
+	// records and handedOver are what the ledger was made from: records of the
+	// log, and accounts of a former owner that has yielded.
+	records    int
+	handedOver int
+	allowance  spending.Allowance
 }
 
 // ownedElsewhere says that the log names an owner that is left in place.
@@ -46,10 +47,11 @@
 func (manager *Manager) claim(shard *shard) {
 	manager.fire(shard, charts.OwnershipEventClaimWanted)
 	began := time.Now()
+	largest := manager.largestTurn
 	go func() {
 		ctx, cancel := context.WithTimeout(manager.context, claimTimeout)
 		defer cancel()
-		won, err := manager.takeOver(ctx, shard.number)
+		won, err := manager.takeOver(ctx, shard.number, largest)
 		manager.post(func() { manager.finishClaim(shard, won, err, time.Since(began)) })
 	}()
 }
@@ -74,25 +76,25 @@
 		return
 	}
 	manager.logger.Info("shard claimed", zap.Int("shard", shard.number), zap.Int64("epoch", won.epoch),
-		zap.Int("programs", len(won.ceilings)), zap.Int("records", won.records), zap.Int("handed_over", len(won.accounts)), zap.Duration("took", took))
+		zap.Int("records", won.records), zap.Int("handed_over", won.handedOver),
+		zap.Int64("allowance_permille", won.allowance.Permille), zap.Int64("least_budget", won.allowance.LeastBudget), zap.Duration("took", took))
 	manager.fire(shard, charts.OwnershipEventClaimWon)
 	shard.epoch = won.epoch
 	shard.sequence = won.sequence
 	shard.writing = false
 	shard.owner = Owner{Node: manager.self.Node, Epoch: won.epoch, Address: manager.self.Address}
-	shard.ledger = spending.NewLedger(won.ceilings, time.Now())
-	shard.ledger.Adopt(won.accounts, time.Now())
+	shard.ledger = won.ledger
 	manager.decideWaiters(shard)
 }
 
 // takeOver reads the shard's partition to its end and claims it there. A round
 // fails where another node appended in between; then it reads on.
-func (manager *Manager) takeOver(ctx context.Context, number int) (claimed, error) {
+func (manager *Manager) takeOver(ctx context.Context, number int, largest int64) (claimed, error) {
 	partition := durable.Partition{Topic: Topic, Number: number}
-	reading := &replay{log: manager.log, partition: partition, ceilings: map[string]spending.Ceiling{}}
+	reading := newReplay(manager.log, partition)
 	var failure error
 	for range claimTries {
-		won, err := manager.claimOnce(ctx, reading)
+		won, err := manager.claimOnce(ctx, reading, largest)
 		var elsewhere *ownedElsewhere
 		if err == nil || errors.As(err, &elsewhere) {
 			return won, err
@@ -108,14 +110,15 @@
 	return claimed{}, failure
 }
 
-func (manager *Manager) claimOnce(ctx context.Context, reading *replay) (claimed, error) {
+func (manager *Manager) claimOnce(ctx context.Context, reading *replay, largest int64) (claimed, error) {
 	err := reading.toEnd(ctx)
 	if err != nil {
 		return claimed{}, err
 	}
 	if reading.owner.GetIncarnation() == manager.self.Incarnation && reading.claimedHere {
-		// An append of an earlier round was done though its answer was lost.
-		return reading.won(reading.owner.Epoch, reading.owner.Sequence), nil
+		// An append of an earlier round was done though its answer was lost. The
+		// records hold all that it said.
+		return reading.won(reading.owner), nil
 	}
 	if manager.keeps(ctx, reading) {
 		return claimed{}, &ownedElsewhere{owner: Owner{Node: reading.owner.Node, Epoch: reading.owner.Epoch, Address: reading.owner.Address}}
@@ -125,28 +128,43 @@
 	// it were the same one. Two claimants of one epoch must therefore not begin
 	// at the same number.
 	sequence := rand.Int64N(firstSequences)
-	record := marshal(&nodev1.SpendingRecord{Claim: &nodev1.Claim{
-		Node:        manager.self.Node,
-		Incarnation: manager.self.Incarnation,
-		Address:     manager.self.Address,
-		Epoch:       epoch,
-		Sequence:    sequence,
-	}})
+	won, records := manager.draft(reading, epoch, sequence, largest)
 	at := reading.next
 	fence := durable.Fence{Producer: producer, Epoch: epoch, Sequence: sequence}
 	reading.claimedHere = true
 	err = durable.Hedge(ctx, &manager.pace, func(ctx context.Context) error {
-		_, err := manager.log.Append(ctx, reading.partition, [][]byte{record}, durable.Condition{At: &at, Fence: &fence})
+		_, err := manager.log.Append(ctx, reading.partition, records, durable.Condition{At: &at, Fence: &fence})
 		return err
 	})
 	if errors.Is(err, durable.ErrFenced) || errors.Is(err, durable.ErrSequence) {
 		// A claim that is not in the records yet; go beyond it.
 		reading.refused = epoch
 	}
-	if err != nil {
-		return claimed{}, err
-	}
-	return reading.won(epoch, sequence), nil
+	return won, err
+}
+
+// draft returns a claim's records, and what it brings once the log has taken
+// them. The accounts of an owner that has yielded are written with the claim, so
+// that they are not lost with the claimant.
+func (manager *Manager) draft(reading *replay, epoch, sequence, largest int64) (claimed, [][]byte) {
+	outstanding := reading.allowances
+	closes := int64(0)
+	ledger := spending.NewLedger(reading.ceilings, time.Now())
+	var handed []spending.Ceiling
+	if reading.yieldedEpoch != 0 && reading.yieldedEpoch == reading.owner.GetEpoch() {
+		closes = reading.yieldedEpoch
+		outstanding = without(outstanding, closes)
+		ledger.Adopt(reading.accounts, time.Now())
+		handed = ledger.Checkpoint()
+	}
+	allowance := spending.Allowance{}
+	if len(outstanding) == 0 && largest > 0 {
+		allowance = spending.NewAllowance(epoch, largest)
+	}
+	ledger.Allow(allowance, outstanding)
+	records := append([]*nodev1.SpendingRecord{encodeClaim(manager.self, epoch, sequence, allowance, closes)}, encodeCeilings(handed)...)
+	won := claimed{epoch: epoch, sequence: sequence, ledger: ledger, records: reading.records, handedOver: len(handed), allowance: allowance}
+	return won, marshal(records...)
 }
 
 // keeps asks the owner that the log names whether it keeps the shard. An owner
@@ -168,67 +186,3 @@
 	}
 	return reply.Keeps
 }
-
-// replay reads a shard's partition from its first record on.
-type replay struct {
-	log       durable.Log
-	partition durable.Partition
-	next      int64
-	// highest is the newest claim's epoch, refused one that the store refused.
-	highest int64
-	refused int64
-	// previous is the epoch of the claim before the newest.
-	previous int64
-	records  int
-	ceilings map[string]spending.Ceiling
-	// owner is the newest claim, nil where there is none.
-	owner *nodev1.Claim
-	// accounts are those of the owner that has yielded in yieldedEpoch.
-	accounts     []spending.Account
-	yieldedEpoch int64
-	// claimedHere is true once this takeover has sent a claim.
-	claimedHere bool
-}
-
-func (reading *replay) won(epoch, sequence int64) claimed {
-	won := claimed{epoch: epoch, sequence: sequence, ceilings: reading.ceilings, records: reading.records}
-	if reading.yieldedEpoch != 0 && reading.yieldedEpoch == reading.formerEpoch(epoch) {
-		won.accounts = reading.accounts
-	}
-	return won
-}
-
-// formerEpoch is the epoch of the newest claim before the one won.
-func (reading *replay) formerEpoch(won int64) int64 {
-	if reading.owner != nil && reading.owner.Epoch != won {
-		return reading.owner.Epoch
-	}
-	return reading.previous
-}
-
-// toEnd reads up to the partition's end.
-func (reading *replay) toEnd(ctx context.Context) error {
-	next, err := durable.ReadToEnd(ctx, reading.log, reading.partition, reading.next, reading.apply)
-	reading.next = next
-	return err
-}
-
-func (reading *replay) apply(content []byte) {
-	reading.records++
-	var record nodev1.SpendingRecord
-	if proto.Unmarshal(content, &record) != nil {
-		return
-	}
-	if record.Claim != nil && record.Claim.Epoch > reading.highest {
-		reading.previous = reading.highest
-		reading.highest = record.Claim.Epoch
-		reading.owner = record.Claim
-	}
-	for _, ceiling := range record.Ceilings {
-		reading.ceilings[ceiling.Program] = spending.Ceiling{
-			Program: ceiling.Program,
-			Tokens:  ceiling.Tokens,
-			Settled: ceiling.Settled,
-		}
-	}
-}
--- a/internal/ownership/handover.go
+++ b/internal/ownership/handover.go
@@ -75,17 +75,24 @@
 	}
 	manager.fire(shard, charts.OwnershipEventStopping)
 	manager.refuseWaiters(shard, Answer{Verdict: nodev1.Verdict_VERDICT_NOT_OWNER, Reason: "the node is leaving"})
-	exact := shard.ledger.Release()
 	shard.owner = Owner{}
-	if len(exact) == 0 || shard.writing {
-		done <- struct{}{}
-		return
+	shard.closed = done
+	if !shard.writing {
+		manager.closeAccounts(shard)
 	}
+}
+
+// closeAccounts writes what is used of each program as a shard's last record under
+// this owner, so that a successor need not count the owner's allowance.
+func (manager *Manager) closeAccounts(shard *shard) {
+	done := shard.closed
+	shard.closed = nil
 	shard.sequence++
 	fence := durable.Fence{Producer: producer, Epoch: shard.epoch, Sequence: shard.sequence}
 	partition := durable.Partition{Topic: Topic, Number: shard.number}
+	records := append(encodeCeilings(shard.ledger.Checkpoint()), &nodev1.SpendingRecord{Closed: true})
 	go func() {
-		_ = manager.append(partition, fence, encodeCeilings(exact))
+		_ = manager.append(partition, fence, marshal(records...))
 		done <- struct{}{}
 	}()
 }
--- a/internal/ownership/manager.go
+++ b/internal/ownership/manager.go
@@ -20,6 +20,9 @@
 	shards []*shard
 	// pace is that of the store's appends.
 	pace durable.Pace
+	// largestTurn is the most that a turn was asked for, tokens. Only the control
+	// goroutine touches it.
+	largestTurn int64
 	// held tells other goroutines which shards are owned or being claimed.
 	held    []atomic.Bool
 	context context.Context
--- a/internal/ownership/record.go
+++ b/internal/ownership/record.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"slices"
 	"time"
 
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
@@ -8,18 +9,48 @@
 	"google.golang.org/protobuf/proto"
 )
 
-func encodeCeilings(ceilings []spending.Ceiling) []byte {
-	record := &nodev1.SpendingRecord{}
+// ceilingsPerRecord keeps a record below what the store takes.
+const ceilingsPerRecord = 1000
+
+// encodeCeilings returns records of ceilings, none for none.
+func encodeCeilings(ceilings []spending.Ceiling) []*nodev1.SpendingRecord {
+	var records []*nodev1.SpendingRecord
 	now := time.Now().UnixMilli()
-	for _, ceiling := range ceilings {
-		record.Ceilings = append(record.Ceilings, &nodev1.Ceiling{
-			Program:       ceiling.Program,
-			Tokens:        ceiling.Tokens,
-			Settled:       ceiling.Settled,
-			WrittenUnixMs: now,
-		})
+	for part := range slices.Chunk(ceilings, ceilingsPerRecord) {
+		record := &nodev1.SpendingRecord{}
+		for _, ceiling := range part {
+			record.Ceilings = append(record.Ceilings, &nodev1.Ceiling{
+				Program:       ceiling.Program,
+				Tokens:        ceiling.Tokens,
+				Settled:       ceiling.Settled,
+				WrittenUnixMs: now,
+			})
+		}
+		records = append(records, record)
+	}
+	return records
+}
+
+func encodeClaim(self Identity, epoch, sequence int64, allowance spending.Allowance, closes int64) *nodev1.SpendingRecord {
+	return &nodev1.SpendingRecord{Claim: &nodev1.Claim{
+		Node:              self.Node,
+		Incarnation:       self.Incarnation,
+		Address:           self.Address,
+		Epoch:             epoch,
+		Sequence:          sequence,
+		AllowancePermille: allowance.Permille,
+		LeastBudget:       allowance.LeastBudget,
+		ClosesEpoch:       closes,
+	}}
+}
+
+// allowanceOf returns what a claim allows its owner.
+func allowanceOf(claim *nodev1.Claim) spending.Allowance {
+	return spending.Allowance{
+		Epoch:       claim.Epoch,
+		Permille:    claim.AllowancePermille,
+		LeastBudget: claim.LeastBudget,
 	}
-	return marshal(record)
 }
 
 func encodeAccount(account spending.Account) *nodev1.Account {
@@ -28,7 +59,6 @@
 		Spent:   account.Spent,
 		Doubt:   account.Doubt,
 		Ceiling: account.Ceiling,
-		Largest: account.Largest,
 	}
 	for _, turn := range account.Open {
 		message.Open = append(message.Open, &nodev1.OpenTurn{
@@ -48,7 +78,6 @@
 			Spent:   message.Spent,
 			Doubt:   message.Doubt,
 			Ceiling: message.Ceiling,
-			Largest: message.Largest,
 		}
 		for _, turn := range message.Open {
 			account.Open = append(account.Open, spending.OpenTurn{
@@ -62,10 +91,15 @@
 	return accounts
 }
 
-func marshal(record proto.Message) []byte {
-	content, err := proto.Marshal(record)
-	if err != nil {
-		panic(err) // Only invalid text fails to marshal, and ids are checked before.
+// marshal encodes the records of one append.
+func marshal(records ...*nodev1.SpendingRecord) [][]byte {
+	encoded := make([][]byte, 0, len(records))
+	for _, record := range records {
+		content, err := proto.Marshal(record)
+		if err != nil {
+			panic(err) // Only invalid text fails to marshal, and ids are checked before.
+		}
+		encoded = append(encoded, content)
 	}
-	return content
+	return encoded
 }
--- a/internal/ownership/shard.go
+++ b/internal/ownership/shard.go
@@ -105,6 +105,9 @@
 	// ended holds requests whose end came before they were granted, with the time
 	// of that: their askers have given up, and nothing may stay reserved for them.
 	ended map[string]time.Time
+	// closed is told once the accounts of a shard that is being released are
+	// written; it is set while an append before that is under way.
+	closed chan<- struct{}
 }
 
 // Yield asks the owner that a claim names whether it keeps a shard; see the
@@ -123,6 +126,7 @@
 }
 
 func (manager *Manager) reserve(shard *shard, asked waiter) {
+	manager.largestTurn = max(manager.largestTurn, asked.ask.Most)
 	switch {
 	case shard.phase == charts.OwnershipStateOwned:
 		manager.decide(shard, asked)
--- a/internal/ownership/write.go
+++ b/internal/ownership/write.go
@@ -28,18 +28,18 @@
 	fence := durable.Fence{Producer: producer, Epoch: shard.epoch, Sequence: shard.sequence}
 	partition := durable.Partition{Topic: Topic, Number: shard.number}
 	go func() {
-		err := manager.append(partition, fence, encodeCeilings(ceilings))
+		err := manager.append(partition, fence, marshal(encodeCeilings(ceilings)...))
 		manager.post(func() { manager.written(shard, fence.Epoch, ceilings, err) })
 	}()
 }
 
-// append sends a record until its outcome is known: a repetition with the same
+// append sends records until its outcome is known: a repetition with the same
 // number gets the first one's answer.
-func (manager *Manager) append(partition durable.Partition, fence durable.Fence, record []byte) error {
+func (manager *Manager) append(partition durable.Partition, fence durable.Fence, records [][]byte) error {
 	for delay := firstAppendPause; ; delay = min(2*delay, longestAppendPause) {
 		ctx, cancel := context.WithTimeout(manager.context, appendTimeout)
 		err := durable.Hedge(ctx, &manager.pace, func(ctx context.Context) error {
-			_, err := manager.log.Append(ctx, partition, [][]byte{record}, durable.Condition{Fence: &fence})
+			_, err := manager.log.Append(ctx, partition, records, durable.Condition{Fence: &fence})
 			return err
 		})
 		cancel()
@@ -54,6 +54,10 @@
 }
 
 func (manager *Manager) written(shard *shard, epoch int64, ceilings []spending.Ceiling, err error) {
+	if shard.closed != nil && shard.epoch == epoch {
+		manager.closeAccounts(shard)
+		return
+	}
 	if shard.phase != charts.OwnershipStateOwned || shard.epoch != epoch {
 		return
 	}
--- /dev/null
+++ b/internal/spending/allowance.go
@@ -0,0 +1,105 @@
+package spending
+
+// Allowance is what an owner may grant of every program's budget beyond the
+// ceiling that the log has acknowledged. It stands in the owner's claim, so that a
+// successor counts it for each program whether the log names the program or not.
+// The zero value allows nothing.
+type Allowance struct {
+	// Epoch is the claim's.
+	Epoch int64
+	// Permille is the part of a budget, thousandths.
+	Permille int64
+	// LeastBudget bounds the programs that it holds for: smaller budgets leave a
+	// successor no room for a whole turn beside it.
+	LeastBudget int64
+}
+
+// wholeBudget is a budget in the unit of Permille.
+const wholeBudget = 1000
+
+// allowedPermille is what a claim allows. More lets more programs finish while
+// the log is away; less leaves more to programs after the loss of all nodes.
+const allowedPermille = 333
+
+// NewAllowance returns what a claim allows where turns spend at most largest
+// tokens: a turn of that size fits beside it.
+func NewAllowance(epoch, largest int64) Allowance {
+	return Allowance{
+		Epoch:       epoch,
+		Permille:    allowedPermille,
+		LeastBudget: largest*wholeBudget/(wholeBudget-allowedPermille) + 1,
+	}
+}
+
+// of returns what is allowed of a budget.
+func (allowance Allowance) of(budget int64) int64 {
+	if allowance.Permille == 0 || budget < allowance.LeastBudget {
+		return 0
+	}
+	// In two parts: a budget without a bound is too large to multiply.
+	return budget/wholeBudget*allowance.Permille + budget%wholeBudget*allowance.Permille/wholeBudget
+}
+
+// Allow tells a ledger that has granted nothing yet what its owner's claim
+// allows, and which allowances of former owners are not known to be unused. The
+// first must be zero unless the second are none: the turn that may go beyond an
+// allowance is granted once.
+func (ledger *Ledger) Allow(own Allowance, outstanding []Allowance) {
+	ledger.own = own
+	ledger.outstanding = outstanding
+}
+
+// countOutstanding adds to an account what former owners may have granted beyond
+// the ceiling that the log names. A budget that turns out larger adds the rest.
+func (ledger *Ledger) countOutstanding(account *account, budget int64) (added int64) {
+	if account.exact {
+		return 0
+	}
+	allowed := int64(0)
+	for _, allowance := range ledger.outstanding {
+		if allowance.Epoch >= account.ceilingEpoch {
+			allowed += allowance.of(budget)
+		}
+	}
+	added = max(allowed-account.outstanding, 0)
+	account.outstanding += added
+	account.base += added
+	account.doubt += added
+	return added
+}
+
+// overshot tells whether a former owner may have granted a turn beyond its
+// allowance. That uses the room of one largest turn beyond the budget.
+func (ledger *Ledger) overshot(budget int64) bool {
+	for _, allowance := range ledger.outstanding {
+		if allowance.of(budget) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// covered tells whether a turn may be granted under what the log has
+// acknowledged. An allowance covers the turns that begin below it.
+func (ledger *Ledger) covered(account *account, most int64) bool {
+	allowed := ledger.own.of(account.budget)
+	if allowed > 0 {
+		return account.total() <= account.ceiling+allowed
+	}
+	return account.total()+most <= account.ceiling
+}
+
+// renewShare of an allowance is what may be used before a higher ceiling is
+// written behind the grants.
+const renewShare = 0.5
+
+// renew wants the ceiling written that gives an allowance back, once enough of it
+// is used. total is what was counted before the turn that is being granted.
+func (ledger *Ledger) renew(program string, account *account, total int64) {
+	allowed := ledger.own.of(account.budget)
+	if total <= account.ceiling+int64(renewShare*float64(allowed)) || total <= account.wanted {
+		return
+	}
+	account.wanted = total
+	ledger.changed[program] = true
+}
--- a/internal/spending/spending.go
+++ b/internal/spending/spending.go
@@ -39,6 +39,8 @@
 	// Settled is the part that is known to be spent. Open turns are no part of
 	// it: their ends may never come to a successor.
 	Settled int64
+	// Epoch is that of the claim under which it was written.
+	Epoch int64
 }
 
 // account is one program's.
@@ -57,9 +59,14 @@
 	// ceiling is acknowledged, wanted the highest asked for.
 	ceiling int64
 	wanted  int64
-	largest int64
 	budget  int64
 	used    time.Time
+	// ceilingEpoch is that of the ceiling which the ledger started from.
+	ceilingEpoch int64
+	// outstanding is the part of base that former owners' allowances account for;
+	// exact accounts came from the former owner itself and have none.
+	outstanding int64
+	exact       bool
 }
 
 // reservation is a turn that has not ended: the most that it may spend, and when
@@ -79,6 +86,10 @@
 	accounts map[string]*account
 	// changed holds the programs of which a ceiling is wanted.
 	changed map[string]bool
+	// own and outstanding are allowances: this owner's, and those of former owners
+	// that may have been used.
+	own         Allowance
+	outstanding []Allowance
 }
 
 // NewLedger returns a ledger that starts from the newest ceilings of the log.
@@ -93,6 +104,8 @@
 			ceiling:    ceiling.Tokens,
 			wanted:     ceiling.Tokens,
 			used:       now,
+
+			ceilingEpoch: ceiling.Epoch,
 		}
 	}
 	return ledger
@@ -125,18 +138,20 @@
 	account := ledger.account(program)
 	account.used = now
 	account.budget = budget
-	account.largest = max(account.largest, most)
+	if ledger.countOutstanding(account, budget) > 0 {
+		account.doubtSince = now
+	}
 	if _, open := account.open[order.Request]; open {
 		return Granted
 	}
 	needed := account.total() + most
 	if needed > budget {
-		verdict := account.overBudget(needed, budget, now)
+		verdict := ledger.overBudget(account, needed, now)
 		if verdict != Granted {
 			return verdict
 		}
 	}
-	if needed > account.ceiling {
+	if !ledger.covered(account, most) {
 		ledger.raise(program, account, needed, most)
 		return AwaitCeiling
 	}
@@ -149,15 +164,15 @@
 }
 
 // overBudget decides where the turn at its most does not fit. The bound that
-// holds is the budget and one largest turn; that turn's room is used only for
-// what is in doubt. A doubt that nothing has settled for doubtPatience never will
-// be: it counts as spent from then on, so that a program that loops without end
-// is stopped, and not told to come back for ever.
-func (account *account) overBudget(needed, budget int64, now time.Time) Verdict {
+// holds is the budget and one largest turn. One turn that begins below the budget
+// may go beyond it, and only for what is in doubt. A doubt that nothing has settled
+// for doubtPatience never will be: it counts as spent from then on, so that a
+// program that loops without end is stopped, and not told to come back for ever.
+func (ledger *Ledger) overBudget(account *account, needed int64, now time.Time) Verdict {
 	switch {
-	case needed-account.doubt > budget:
+	case needed-account.doubt > account.budget:
 		return Spent
-	case needed <= budget+account.largest:
+	case account.total() <= account.budget && !ledger.overshot(account.budget):
 		return Granted
 	case now.Sub(account.doubtSince) > doubtPatience:
 		return Spent
@@ -165,8 +180,13 @@
 	return Unsure
 }
 
-// raise wants a ceiling for what is needed and some turns ahead.
+// raise wants a ceiling for what is needed and some turns ahead, or behind it
+// where an allowance goes ahead.
 func (ledger *Ledger) raise(program string, account *account, needed, most int64) {
+	if ledger.own.of(account.budget) > 0 {
+		ledger.renew(program, account, needed-most)
+		return
+	}
 	ahead := most + int64(aheadShare*float64(account.budget))
 	// The room of a last turn stays out of it, so that a successor can grant one.
 	next := max(min(needed+ahead, account.budget-most), needed)
@@ -252,7 +272,6 @@
 	Doubt   int64
 	Open    []OpenTurn
 	Ceiling int64
-	Largest int64
 }
 
 // Accounts returns the whole state, for a successor. The ledger must grant
@@ -260,12 +279,14 @@
 func (ledger *Ledger) Accounts() []Account {
 	accounts := make([]Account, 0, len(ledger.accounts))
 	for program, held := range ledger.accounts {
+		if held.budget == 0 && !held.exact {
+			continue // Never asked for here: the log's ceiling says what is known.
+		}
 		handed := Account{
 			Program: program,
 			Spent:   held.base + held.settled,
 			Doubt:   held.doubt,
 			Ceiling: held.ceiling,
-			Largest: held.largest,
 		}
 		for request, turn := range held.open {
 			handed.Open = append(handed.Open, OpenTurn{Request: request, Most: turn.most, Until: turn.until})
@@ -291,22 +312,27 @@
 			held.open[turn.Request] = reservation{most: turn.Most, until: turn.Until}
 			held.openTotal += turn.Most
 		}
+		held.exact = true
 		held.ceiling = max(held.ceiling, handed.Ceiling)
 		held.wanted = max(held.wanted, held.ceiling)
-		held.largest = max(held.largest, handed.Largest)
 		held.used = now
 	}
 }
 
-// Release returns ceilings at exactly what is used, for a successor. The ledger
-// must grant nothing afterwards.
-func (ledger *Ledger) Release() []Ceiling {
+// Checkpoint returns ceilings at exactly what is used, and goes on from them: once
+// they are written, no allowance used so far is outstanding. The ledger must grant
+// nothing until then.
+func (ledger *Ledger) Checkpoint() []Ceiling {
 	var exact []Ceiling
 	for program, account := range ledger.accounts {
-		if account.ceiling > account.total() {
-			exact = append(exact, Ceiling{Program: program, Tokens: account.total(), Settled: account.known()})
+		if account.ceiling == account.total() && account.wanted == account.total() {
+			continue
 		}
+		account.ceiling = account.total()
+		account.wanted = account.total()
+		exact = append(exact, Ceiling{Program: program, Tokens: account.total(), Settled: account.known()})
 	}
+	clear(ledger.changed)
 	return exact
 }
 
