Send reads of the store again that get no answer

Change: durable.Rereading sends a read that need not wait for a record again every 0.4 s until one sending is answered.

--- /dev/null
+++ b/internal/durable/reread.go
@@ -0,0 +1,79 @@
+package durable
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// readPatience is how long a read that need not wait for a record may take
+	// before it is sent again: a store that was silent answers new calls once it is
+	// back, and not those of before.
+	readPatience = 400 * time.Millisecond
+	// readsInFlight bounds the sendings of one read; the oldest is given up for a
+	// new one.
+	readsInFlight = 5
+)
+
+// Rereading is a Log that sends reads again which get no answer.
+type Rereading struct{ Log }
+
+// Read implements Log. A read that waits for a record is sent once.
+func (rereading *Rereading) Read(ctx context.Context, partition Partition, from int64, wait time.Duration) (Batch, error) {
+	if wait > 0 {
+		return rereading.Log.Read(ctx, partition, from, wait)
+	}
+	return reread(ctx, func(ctx context.Context) (Batch, error) {
+		return rereading.Log.Read(ctx, partition, from, 0)
+	})
+}
+
+// Newest implements Log.
+func (rereading *Rereading) Newest(ctx context.Context, topic string) (Snapshot, error) {
+	return reread(ctx, func(ctx context.Context) (Snapshot, error) {
+		return rereading.Log.Newest(ctx, topic)
+	})
+}
+
+// answer is the outcome of one sending.
+type answer[Content any] struct {
+	content Content
+	err     error
+}
+
+// reread sends a read, and again for as long as no answer comes. The first answer
+// decides, be it an error.
+func reread[Content any](ctx context.Context, send func(ctx context.Context) (Content, error)) (Content, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan answer[Content], readsInFlight)
+	var cancels []context.CancelFunc
+	launch := func() {
+		sending, giveUp := context.WithCancel(ctx)
+		cancels = append(cancels, giveUp)
+		go func() {
+			content, err := send(sending)
+			if sending.Err() == nil {
+				answers <- answer[Content]{content: content, err: err}
+			}
+		}()
+	}
+	launch()
+	ticker := time.NewTicker(readPatience)
+	defer ticker.Stop()
+	for {
+		select {
+		case first := <-answers:
+			return first.content, first.err
+		case <-ticker.C:
+			if len(cancels) == readsInFlight {
+				cancels[0]()
+				cancels = cancels[1:]
+			}
+			launch()
+		case <-ctx.Done():
+			var none Content
+			return none, ctx.Err()
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -120,7 +120,7 @@
 		return nil, err
 	}
 	meter := newMeter()
-	around.Log = &durable.Counted{Log: around.Log, Observe: meter.storeCall}
+	around.Log = &durable.Rereading{Log: &durable.Counted{Log: around.Log, Observe: meter.storeCall}}
 	node := &Node{
 		meter:       meter,
 		settings:    settings,
