Learn each engine's bound from its refusals, and let calls wait for it in order of their programs' aims

Change: a refusal cuts the node's bound of requests at that engine to 0.7 of what was under way, answers raise it slowly, and after 3 s without a refusal there is none (backend.limit). Calls that wait stand in one line a service, the nearest aim of their programs first, those that are over last; the end of a call wakes the next (backend.Line). A program's call of a tool may wait half of its time.

rehearsal losses reads a run's log lines and tells which programs were lost, when and why.

--- a/cmd/rehearsal/main.go
+++ b/cmd/rehearsal/main.go
@@ -23,6 +23,7 @@
 type arguments struct {
 	Run        *command.Run             `arg:"subcommand:run" help:"start everything, run a mixed set of programs, print the figures"`
 	Fault      *command.Fault           `arg:"subcommand:fault" help:"run scenarios of faults and judge them"`
+	Losses     *command.Losses          `arg:"subcommand:losses" help:"tell from the log lines of a run which programs were lost, when and why"`
 	Up         *command.Up              `arg:"subcommand:up" help:"start everything and keep it serving"`
 	Soak       *command.Soak            `arg:"subcommand:soak" help:"throw random faults at nodes run as processes, and judge what callers and engines saw"`
 	Experiment *command.Experiment      `arg:"subcommand:experiment" help:"compare policies over the engine model"`
--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -24,6 +24,8 @@
 	Instance
 	// running is the number of this node's requests under way there.
 	running int
+	// limit bounds them while the engine refuses some.
+	limit limit
 	// gone is true once the record has disappeared.
 	gone bool
 	// failures in a row, and until when the engine is passed over for them.
@@ -225,8 +227,10 @@
 	switch outcome {
 	case Answered:
 		engine.failures = 0
+		engine.limit.raise()
 	case Full:
 		engine.fullUntil = now.Add(fullPause)
+		engine.limit.cut(engine.running, now)
 	case Failed:
 		engine.failures++
 		if engine.failures >= failuresToAvoid {
--- /dev/null
+++ b/internal/backend/limit.go
@@ -0,0 +1,55 @@
+package backend
+
+import "time"
+
+const (
+	// limitCut is what a refusal leaves of a bound, limitRaise what as many answers
+	// as the bound add to it.
+	limitCut   = 0.7
+	limitRaise = 0.5
+	// limitPause separates two cuts: refusals that come together count once.
+	limitPause = 100 * time.Millisecond
+	// limitForgotten is how long after the last refusal a bound is dropped.
+	limitForgotten = 3 * time.Second
+)
+
+// limit bounds this node's requests under way at one engine. It is learned as
+// senders of a network learn theirs: a refusal cuts it by a part, answers raise it
+// slowly, and where nothing is refused there is none. All nodes together thereby
+// offer an engine little more than it takes, without a word between them.
+type limit struct {
+	// most is the bound, 0 for none.
+	most    float64
+	refused time.Time
+}
+
+// admits tells whether one more request may be sent beside those under way.
+func (limit *limit) admits(running int, now time.Time) bool {
+	if limit.most == 0 || now.Sub(limit.refused) > limitForgotten {
+		return true
+	}
+	return float64(running+1) <= max(limit.most, 1)
+}
+
+// cut notes a refusal beside the requests under way.
+func (limit *limit) cut(running int, now time.Time) {
+	if now.Sub(limit.refused) > limitForgotten {
+		limit.most = 0
+	}
+	if limit.most != 0 && now.Sub(limit.refused) < limitPause {
+		return
+	}
+	limit.refused = now
+	tried := float64(running + 1)
+	if limit.most != 0 {
+		tried = min(tried, limit.most)
+	}
+	limit.most = max(limitCut*tried, 1)
+}
+
+// raise notes an answer.
+func (limit *limit) raise() {
+	if limit.most != 0 {
+		limit.most += limitRaise / limit.most
+	}
+}
--- a/internal/backend/pick.go
+++ b/internal/backend/pick.go
@@ -18,8 +18,6 @@
 	Zone string
 	// Tried holds the ids of engines that were asked already.
 	Tried []string
-	// MaxRunning bounds this node's requests at one engine; zero is no bound.
-	MaxRunning int
 }
 
 // Filter tells whether an engine may get a request.
@@ -49,8 +47,8 @@
 // roomy admits engines below the node's bound of requests under way.
 type roomy struct{}
 
-func (roomy) Admits(engine *Engine, request *Request, _ time.Time) bool {
-	return request.MaxRunning <= 0 || engine.running < request.MaxRunning
+func (roomy) Admits(engine *Engine, _ *Request, now time.Time) bool {
+	return engine.limit.admits(engine.running, now)
 }
 
 // Pick chooses an engine and counts the request there, or returns nil. Filters
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -33,6 +33,8 @@
 	// Program, Session and Turn are set for calls of agent programs.
 	Program string
 	Session string
+	// Aim is when the program should be over; zero where it does not say.
+	Aim time.Time
 	// Turn is nil for a call that is no turn of a program.
 	Turn *TurnOrder
 	// Resumes is true where the caller continues a stream it has a part of.
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -38,7 +38,11 @@
 	}
 }
 
+// pick chooses an engine, nil where none has room or others wait for one.
 func (current *course) pick() *backend.Engine {
+	if !current.waited && current.service.Line.Waits(current.serviceName) {
+		return nil
+	}
 	request := &backend.Request{Service: current.serviceName, Zone: current.service.Zone, Tried: current.tried}
 	if current.route.Kind == routing.Streaming {
 		request.Program = current.call.Program
@@ -53,28 +57,43 @@
 
 // awaitEngine waits a moment for an engine with room, or refuses.
 func (current *course) awaitEngine(ctx context.Context) error {
-	objective := current.route.Objective
-	if objective == 0 {
-		objective = fallbackObjective
-	}
-	patience := time.Duration(refusalShare * float64(objective))
-	if time.Since(current.searching) > patience {
+	patience := current.engineWait() - time.Since(current.searching)
+	if patience <= 0 {
 		if current.runs > 0 {
 			return current.outcomeUnknown()
 		}
 		return resultcode.New(resultcode.NoBackEnd, "none of %d engines of %s has room, %d refusals",
 			current.service.Engines.Usable(current.serviceName), current.serviceName, current.refusals).After(fullRetry)
 	}
-	select {
-	case <-time.After(fullPoll):
-	case <-ctx.Done():
-	}
+	current.service.Line.Wait(ctx, current.serviceName, current.aim(), patience)
+	current.waited = true
 	if current.runs == 0 || current.route.Repeatable() {
 		current.tried = current.tried[:0]
 	}
 	return nil
 }
 
+// engineWait is how long the call waits for a free engine in all.
+func (current *course) engineWait() time.Duration {
+	objective := current.route.Objective
+	if objective == 0 {
+		objective = fallbackObjective
+	}
+	wait := time.Duration(refusalShare * float64(objective))
+	if current.call.Program == "" || current.route.Kind == routing.Streaming {
+		return wait
+	}
+	return max(wait, time.Duration(toolWaitShare*float64(current.end.Sub(current.call.Received))))
+}
+
+// aim is when the call's program should be over, or the call itself.
+func (current *course) aim() time.Time {
+	if current.call.Aim.IsZero() {
+		return current.end
+	}
+	return current.call.Aim
+}
+
 // attempt sends the call to one engine. It returns true once the call is over.
 func (current *course) attempt(ctx context.Context, engine *backend.Engine, remaining time.Duration) (bool, error) {
 	current.tried = append(current.tried, engine.ID)
@@ -89,6 +108,7 @@
 			outcome = backend.Silent
 		}
 		current.service.Engines.Finish(engine, outcome, time.Now())
+		current.service.Line.Wake(current.serviceName)
 	}()
 	reply, err := current.service.Sender.Send(ctx, &Attempt{
 		Call:           current.call,
--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -52,6 +52,8 @@
 type Service struct {
 	Routes   *routing.Current
 	Engines  *backend.Directory
+	// Line orders the calls that wait for an engine.
+	Line     *backend.Line
 	Sender   Sender
 	Programs Programs
 	Meter    Meter
@@ -78,10 +80,11 @@
 	ownerRetry = 400 * time.Millisecond
 	// fullRetry is when to come back where all engines are full.
 	fullRetry = 100 * time.Millisecond
-	// fullPoll separates two rounds over engines that were all full.
-	fullPoll = 12 * time.Millisecond
 	// refusalShare of the objective is how long a call waits for a free engine.
 	refusalShare = 0.8
+	// toolWaitShare of its time is how long a program's call of a tool waits for a
+	// free engine: where it fails, all that the program has used is lost.
+	toolWaitShare = 0.5
 	// fallbackObjective is used where a route names none.
 	fallbackObjective = 200 * time.Millisecond
 	// fallbackDeadline is used where neither caller nor route names a bound.
@@ -126,8 +129,10 @@
 	recordTook  time.Duration
 	viewAge     time.Duration
 	usable      int
-	// searching is when the search for an engine began.
+	// searching is when the search for an engine began; waited is true once the
+	// call has been in line for one.
 	searching time.Time
+	waited    bool
 }
 
 // Serve takes a call to its answer. ctx ends when the caller is gone.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -153,6 +153,7 @@
 	node.service = &forward.Service{
 		Routes:   node.routes,
 		Engines:  node.engines,
+		Line:     backend.NewLine(),
 		Sender:   around.Sender,
 		Programs: node.programs,
 		Meter:    meter,
--- /dev/null
+++ b/rehearsal/command/losses.go
@@ -0,0 +1,35 @@
+package command
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/magpielug/magpielug/rehearsal/losses"
+)
+
+// Losses tells from the log lines of a run which programs were lost and why.
+type Losses struct {
+	File     string        `arg:"positional,required" help:"output of a run with the lines of all nodes"`
+	Window   time.Duration `arg:"--window" default:"2s" help:"length of the spans that losses are counted in"`
+	Examples int           `arg:"--examples" default:"3" help:"losses shown of each cause"`
+}
+
+// Run prints the table.
+func (command *Losses) Run(context.Context) error {
+	if command.Window <= 0 {
+		return eris.Errorf("window is %s; it must be above 0", command.Window)
+	}
+	file, err := os.Open(command.File)
+	if err != nil {
+		return eris.Wrap(err, "open the run's output")
+	}
+	defer func() { _ = file.Close() }()
+	found, first, err := losses.Read(file)
+	if err != nil {
+		return eris.Wrap(err, "read the run's output")
+	}
+	return losses.Write(os.Stdout, found, losses.Windows(found, first, command.Window), command.Examples)
+}
--- /dev/null
+++ b/rehearsal/losses/losses_test.go
@@ -0,0 +1,46 @@
+package losses_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/magpielug/magpielug/rehearsal/losses"
+	. "github.com/onsi/gomega"
+)
+
+// sample is a run's output: lines of two nodes with other text between them.
+const sample = `a headline
+   0.3 n1 time=2026-01-01T00:00:00.100Z level=info event="node starts" node=n1
+   1.0 n1 time=2026-01-01T00:00:01Z level=info event="call answered" request=r1 result=OK program=whole events=3
+   1.1 n2 time=2026-01-01T00:00:01.1Z level=info event="call answered" request=r2 result=OK program=tool events=2
+   1.2 n2 time=2026-01-01T00:00:01.2Z level=info event="call failed" request=r3 result=NO_BACK_END program=tool engine=e1 failure="2009 NO_BACK_END: none of 2 engines has room"
+   2.5 n1 time=2026-01-01T00:00:02.5Z level=info event="call failed" request=r4 result=NO_LEADER program=turn verdict=VERDICT_WAITING failure="2006 NO_LEADER: x"
+   2.6 n1 time=2026-01-01T00:00:02.6Z level=info event="call failed" request=r5 result=PROGRAM_CAP_REACHED program=loops verdict=VERDICT_SPENT
+   2.7 n1 time=2026-01-01T00:00:02.7Z level=info event="call failed" request=r6 result=NO_LEADER program=again verdict=VERDICT_WAITING
+   2.8 n2 time=2026-01-01T00:00:02.8Z level=info event="call answered" request=r7 result=OK program=again events=1
+`
+
+func TestLosses(t *testing.T) {
+	expect := NewWithT(t)
+	found, first, err := losses.Read(strings.NewReader(sample))
+	expect.Expect(err).NotTo(HaveOccurred())
+	expect.Expect(first.UnixMilli()).To(Equal(time.Date(2026, 1, 1, 0, 0, 0, 100e6, time.UTC).UnixMilli()))
+	tool := losses.Cause{Result: "NO_BACK_END", Sent: true}
+	turn := losses.Cause{Turn: true, Result: "NO_LEADER", Verdict: "VERDICT_WAITING"}
+	expect.Expect(found).To(HaveLen(2))
+	expect.Expect(found[0].Program).To(Equal("tool"))
+	expect.Expect(found[0].Cause).To(Equal(tool))
+	expect.Expect(found[0].Answered).To(Equal(1))
+	expect.Expect(found[1].Cause).To(Equal(turn))
+
+	windows := losses.Windows(found, first, 2*time.Second)
+	expect.Expect(windows).To(HaveLen(2))
+	expect.Expect(windows[0].Causes).To(Equal(map[losses.Cause]int{tool: 1}))
+	expect.Expect(windows[1].Since).To(Equal(2 * time.Second))
+
+	var output strings.Builder
+	expect.Expect(losses.Write(&output, found, windows, 1)).To(Succeed())
+	expect.Expect(output.String()).To(ContainSubstring("tool NO_BACK_END sent: 1"))
+	expect.Expect(output.String()).To(ContainSubstring("request=r4"))
+}
