--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -86,10 +86,12 @@
 	return max(wait, time.Duration(toolWaitShare*float64(current.end.Sub(current.call.Received))))
 }
 
-// aim is when the call's program should be over, or the call itself.
+// aim is when the call's program should be over, or the call itself. A call that
+// is about to be given up is as urgent as one whose program is nearly over.
 func (current *course) aim() time.Time {
-	if current.call.Aim.IsZero() {
-		return current.end
+	givenUp := current.searching.Add(current.engineWait())
+	if current.call.Aim.IsZero() || (current.call.Aim.After(givenUp) && current.call.Aim.After(time.Now())) {
+		return givenUp
 	}
 	return current.call.Aim
 }
