--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -50,8 +50,8 @@
 
 // Service takes calls their way.
 type Service struct {
-	Routes   *routing.Current
-	Engines  *backend.Directory
+	Routes  *routing.Current
+	Engines *backend.Directory
 	// Line orders the calls that wait for an engine.
 	Line     *backend.Line
 	Sender   Sender
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -52,6 +52,15 @@
 	lastEnd int64
 }
 
+// silent tells whether the store has not answered for longer than it may take.
+func (follower *follower) silent(now time.Time) bool {
+	allowed := learnAfter + follower.wait
+	if follower.lost.Load() {
+		allowed = learnAfter
+	}
+	return now.Sub(time.UnixMilli(follower.lastAnswer.Load())) > allowed+follower.pause()
+}
+
 func (follower *follower) run(ctx context.Context) {
 	first := true
 	for ctx.Err() == nil {
--- a/internal/node/learn.go
+++ b/internal/node/learn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -135,16 +136,18 @@
 
 // anySilent tells whether the store has not answered a follower for a while.
 func anySilent(followers []*follower, now time.Time) bool {
-	for _, follower := range followers {
-		allowed := learnAfter + follower.wait
-		if follower.lost.Load() {
-			allowed = learnAfter
-		}
-		if now.Sub(time.UnixMilli(follower.lastAnswer.Load())) > allowed+follower.pause() {
-			return true
+	return slices.ContainsFunc(followers, func(follower *follower) bool { return follower.silent(now) })
+}
+
+// logAway tells whether the store has answered none of the followers for a while.
+func (node *Node) logAway() bool {
+	now := time.Now()
+	for _, follower := range node.following {
+		if !follower.silent(now) {
+			return false
 		}
 	}
-	return false
+	return len(node.following) > 0
 }
 
 // someAddress draws another node, or a seed of the settings.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -70,6 +70,9 @@
 	engineView        *recordView
 	memberView        *recordView
 
+	// following read the views from the store; set before anything else runs.
+	following []*follower
+
 	peers    *peers
 	learner  *learner
 	turns    *history.Store
@@ -146,7 +149,7 @@
 		Node:        settings.Name,
 		Incarnation: node.incarnation,
 		Address:     settings.PeerAddress,
-	}, settings.Shards, node.askToYield)
+	}, settings.Shards, ownership.Around{Yield: node.askToYield, LogAway: node.logAway})
 	node.programs = newPrograms(node)
 	node.reader.Delegate(node.lineElsewhere)
 	node.recorder.RelayBy(node.recordElsewhere)
@@ -196,18 +199,21 @@
 	working, cancel := context.WithCancel(ctx)
 	defer cancel()
 	node.members.put(node.self())
+	node.following = node.followers()
+	now := time.Now().UnixMilli()
+	for _, follower := range node.following {
+		follower.lastAnswer.Store(now)
+	}
 	go node.ownership.Run()
 	err := node.listen()
 	if err != nil {
 		return err
 	}
 	go register(working, node.around.Log, node.around.MemberTopic, node.logger.Logger, node.self())
-	followers := node.followers()
-	for _, follower := range followers {
-		follower.lastAnswer.Store(time.Now().UnixMilli())
+	for _, follower := range node.following {
 		go follower.run(working)
 	}
-	go node.learner.run(working, followers)
+	go node.learner.run(working, node.following)
 	go node.keepHouse(working)
 	for {
 		select {
--- a/internal/ownership/claim.go
+++ b/internal/ownership/claim.go
@@ -47,6 +47,7 @@
 func (manager *Manager) claim(shard *shard) {
 	manager.fire(shard, charts.OwnershipEventClaimWanted)
 	began := time.Now()
+	shard.claimBegan = began
 	largest := manager.largestTurn
 	go func() {
 		ctx, cancel := context.WithTimeout(manager.context, claimTimeout)
@@ -176,7 +177,7 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, yieldTimeout)
 	defer cancel()
-	reply, err := manager.yield(bounded, owner, reading.partition.Number)
+	reply, err := manager.around.Yield(bounded, owner, reading.partition.Number)
 	if err != nil || reply.Incarnation != owner.Incarnation {
 		return false
 	}
--- a/internal/ownership/claim_test.go
+++ b/internal/ownership/claim_test.go
@@ -22,8 +22,10 @@
 	var ctx context.Context
 	var managers map[string]*ownership.Manager
 	var unreachable map[string]bool
+	var away map[string]bool
 
 	BeforeEach(func() {
+		away = map[string]bool{}
 		log = durable.NewMemory()
 		managers = map[string]*ownership.Manager{}
 		unreachable = map[string]bool{}
@@ -40,7 +42,7 @@
 			}
 			return managers[claim.Node].Yielded(ctx, shard, claim.Epoch), nil
 		}
-		manager := ownership.NewManager(ctx, store, zap.NewNop(), identity, 1, yield)
+		manager := ownership.NewManager(ctx, store, zap.NewNop(), identity, 1, ownership.Around{Yield: yield, LogAway: func() bool { return away[name] }})
 		managers[name] = manager
 		go manager.Run()
 		return manager
@@ -156,6 +158,20 @@
 		Expect(granted(start(log, "c"), "c", 900)).To(BeNumerically("<=", 5))
 	})
 
+	It("claims nothing while the log does not answer the node", func() {
+		away["a"] = true
+		Expect(ask(start(log, "a"), "r1", 500, 100).Verdict).To(Equal(nodev1.Verdict_VERDICT_UNABLE))
+		Expect(ask(start(log, "b"), "r1", 500, 100).Verdict).To(Equal(nodev1.Verdict_VERDICT_GRANTED))
+	})
+
+	It("says that it is unable while its claim gets no answer", func() {
+		cut := &cutLog{Memory: log}
+		cut.silent.Store(true)
+		first := start(cut, "a")
+		Eventually(func() nodev1.Verdict { return ask(first, "r1", 500, 100).Verdict }, patience).
+			Should(Equal(nodev1.Verdict_VERDICT_UNABLE))
+	})
+
 	It("lets one of two nodes that claim at the same place win", func() {
 		racing := &racingLog{Memory: log}
 		rival := start(log, "b")
--- a/internal/ownership/manager.go
+++ b/internal/ownership/manager.go
@@ -15,7 +15,7 @@
 	log    durable.Log
 	logger *zap.Logger
 	self   Identity
-	yield  Yield
+	around Around
 	events chan func()
 	shards []*shard
 	// pace is that of the store's appends.
@@ -33,13 +33,13 @@
 
 // NewManager returns a manager for a number of shards that works until ctx
 // ends. Run must be called.
-func NewManager(ctx context.Context, log durable.Log, logger *zap.Logger, self Identity, shards int, yield Yield) *Manager {
+func NewManager(ctx context.Context, log durable.Log, logger *zap.Logger, self Identity, shards int, around Around) *Manager {
 	manager := &Manager{
 		context: ctx,
 		log:     log,
 		logger:  logger,
 		self:    self,
-		yield:   yield,
+		around:  around,
 		events:  make(chan func(), eventQueue),
 	}
 	manager.held = make([]atomic.Bool, shards)
--- a/internal/ownership/shard.go
+++ b/internal/ownership/shard.go
@@ -102,6 +102,8 @@
 	// silentSince is when the append under way began.
 	silentSince time.Time
 	waiters     []waiter
+	// claimBegan is when the claim under way began.
+	claimBegan time.Time
 	// ended holds requests whose end came before they were granted, with the time
 	// of that: their askers have given up, and nothing may stay reserved for them.
 	ended map[string]time.Time
@@ -110,9 +112,15 @@
 	closed chan<- struct{}
 }
 
-// Yield asks the owner that a claim names whether it keeps a shard; see the
-// call of that name. An error says that it does not answer.
-type Yield func(ctx context.Context, claim *nodev1.Claim, shard int) (*nodev1.YieldReply, error)
+// Around is what a manager asks of its node.
+type Around struct {
+	// Yield asks the owner that a claim names whether it keeps a shard; see the
+	// call of that name. An error says that it does not answer.
+	Yield func(ctx context.Context, claim *nodev1.Claim, shard int) (*nodev1.YieldReply, error)
+	// LogAway tells whether the log has not answered this node for a while. It
+	// claims nothing then: another node may reach the log.
+	LogAway func() bool
+}
 
 // Identity is how a node appears in its claims.
 type Identity struct {
@@ -132,6 +140,8 @@
 		manager.decide(shard, asked)
 	case shard.phase == charts.OwnershipStateClaiming:
 		shard.waiters = append(shard.waiters, asked)
+	case shard.phase == charts.OwnershipStateElsewhere && asked.ask.Claim && manager.around.LogAway():
+		asked.reply <- Answer{Verdict: nodev1.Verdict_VERDICT_UNABLE, Reason: "the log does not answer this node"}
 	case shard.phase == charts.OwnershipStateElsewhere && asked.ask.Claim:
 		shard.waiters = append(shard.waiters, asked)
 		manager.claim(shard)
@@ -213,7 +223,7 @@
 		kept := shard.waiters[:0]
 		for _, asked := range shard.waiters {
 			if now.Sub(asked.since) > waitLimit {
-				asked.reply <- Answer{Verdict: nodev1.Verdict_VERDICT_WAITING, Owner: shard.owner, Reason: "the log does not answer"}
+				asked.reply <- shard.stillWaiting(now)
 				continue
 			}
 			kept = append(kept, asked)
@@ -222,6 +232,15 @@
 	}
 }
 
+// stillWaiting is the answer to one that has waited for the log too long. Where a
+// claim has waited for longer than an owner may, another node may try.
+func (shard *shard) stillWaiting(now time.Time) Answer {
+	if shard.phase == charts.OwnershipStateClaiming && now.Sub(shard.claimBegan) > unableAfter {
+		return Answer{Verdict: nodev1.Verdict_VERDICT_UNABLE, Reason: "the log does not answer this node's claim"}
+	}
+	return Answer{Verdict: nodev1.Verdict_VERDICT_WAITING, Owner: shard.owner, Reason: "the log does not answer"}
+}
+
 // settle ends a turn, or remembers its end where its request has not come yet:
 // the asker may have given up while the shard was being claimed.
 func (shard *shard) settle(program, request string, tokens int64, now time.Time) {
