--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -100,7 +100,7 @@
 func (current *course) attempt(ctx context.Context, engine *backend.Engine, remaining time.Duration) (bool, error) {
 	current.tried = append(current.tried, engine.ID)
 	current.lastEngine = engine.ID
-	ctx, cancel := context.WithCancel(ctx)
+	sending, cancel := context.WithCancel(ctx)
 	defer cancel()
 	outcome := backend.Abandoned
 	stopWatch := current.watch(engine)
@@ -112,7 +112,9 @@
 		current.service.Engines.Finish(engine, outcome, time.Now())
 		current.service.Line.Wake(current.serviceName)
 	}()
-	reply, err := current.service.Sender.Send(ctx, &Attempt{
+	stopRepeat := current.repeatWhereSilent(engine, cancel)
+	defer stopRepeat()
+	reply, err := current.service.Sender.Send(sending, &Attempt{
 		Call:           current.call,
 		Engine:         engine.Instance,
 		Body:           current.body,
@@ -125,6 +127,7 @@
 		outcome = outcomeOfSending(ctx, err)
 		return current.afterSendFailure(ctx, err)
 	}
+	stopRepeat()
 	defer func() { _ = reply.Body.Close() }()
 	if reply.NotRun || reply.Misdirected {
 		outcome = backend.Full
@@ -172,6 +175,22 @@
 	}
 }
 
+// repeatWhereSilent gives an attempt of a safe request up that has got no answer
+// for long, while it may be sent to another engine. An engine may run a request and
+// lose its answer. What it returns ends the watch.
+func (current *course) repeatWhereSilent(engine *backend.Engine, giveUp context.CancelFunc) func() {
+	if current.route.Kind != routing.Safe || current.runs+1 >= current.route.Attempts {
+		return func() {}
+	}
+	patience := max(current.route.Objective, leastRepeat, current.service.Engines.Patience(current.serviceName))
+	timer := time.AfterFunc(patience, func() {
+		current.service.Logger.Info("request repeated elsewhere", zap.String("request", current.call.ID),
+			zap.String("engine", engine.ID), zap.Duration("silent", patience))
+		giveUp()
+	})
+	return func() { timer.Stop() }
+}
+
 // outcomeOfSending tells what a failed sending says of the engine.
 func outcomeOfSending(ctx context.Context, err error) backend.Outcome {
 	switch {
--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -96,6 +96,9 @@
 	// silenceShare of the objective, and leastSilence at least, is how long an
 	// engine may give no byte of an answer before others pass it over.
 	silenceShare = 3
+	// leastRepeat is how long an engine may at least give no answer to a safe request
+	// before that is sent to another one.
+	leastRepeat = 50 * time.Millisecond
 	leastSilence = 600 * time.Millisecond
 	// heldBytes is how much of an answer is held until it is whole; restBytes is
 	// how much of a longer one is passed on at once.
--- a/internal/forward/service_test.go
+++ b/internal/forward/service_test.go
@@ -56,6 +56,21 @@
 	return count, err
 }
 
+// hangingSender hangs on the first attempt and answers the others.
+type hangingSender struct {
+	hang    func(ctx context.Context) (*forward.Reply, error)
+	then    func() (*forward.Reply, error)
+	engines []string
+}
+
+func (sender *hangingSender) Send(ctx context.Context, attempt *forward.Attempt) (*forward.Reply, error) {
+	sender.engines = append(sender.engines, attempt.Engine.ID)
+	if len(sender.engines) == 1 {
+		return sender.hang(ctx)
+	}
+	return sender.then()
+}
+
 // fakePrograms grants everything and notes what is settled.
 type fakePrograms struct {
 	reservation forward.Reservation
@@ -221,6 +236,22 @@
 		Expect(sender.sent).To(HaveLen(1))
 	})
 
+	It("sends a safe request on whose answer is lost, and no other one", func() {
+		silence := func(ctx context.Context) (*forward.Reply, error) {
+			<-ctx.Done()
+			return nil, backend.ErrLost
+		}
+		hanging := &hangingSender{hang: silence, then: answerOf(200, strings.NewReader("ok"))}
+		service.Sender = hanging
+		Expect(serve("/safe/x").body.String()).To(Equal("ok"))
+		Expect(hanging.engines).To(HaveLen(2))
+		Expect(hanging.engines[0]).NotTo(Equal(hanging.engines[1]))
+
+		hanging.engines = nil
+		Expect(resultcode.CodeOf(serve("/tool/x").failure)).To(Equal(resultcode.ToolTimeout))
+		Expect(hanging.engines).To(HaveLen(1))
+	})
+
 	It("passes on an answer of any length whole, or not as whole", func() {
 		long := strings.Repeat("x", 9<<20)
 		sender.replies = []func() (*forward.Reply, error){answerOf(200, strings.NewReader(long))}
