Let a node that reaches neither the store nor another node say so, and end its searches early

Cause: a node cut off from the store and from all nodes still got callers. Their turns waited 1.2 to 1.5 s for an owner that could not be asked, before they were told to come back in 0.4 s, while any other node would have served them.

Change: a node that has heard neither the store nor another node for 0.9 s is not ready; a search for an owner ends after two nodes in a row that let their time pass, and the caller is told to come back in 50 ms.

--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -20,6 +20,9 @@
 	Grant   Grant
 	// Engine keeps the line of turns, empty where the owner names none.
 	Engine string
+	// Elsewhere is true where the owner could not be asked from this node, and may
+	// be from another one.
+	Elsewhere bool
 }
 
 // Grant names a reservation to the owner that made it.
@@ -78,6 +81,8 @@
 	// ownerRetry is when to come back where a program's owner could not be found
 	// or could not write for longer than a call waits.
 	ownerRetry = 400 * time.Millisecond
+	// elsewhereRetry is when to come back to another node than this one.
+	elsewhereRetry = 50 * time.Millisecond
 	// fullRetry is when to come back where all engines are full.
 	fullRetry = 100 * time.Millisecond
 	// refusalShare of the objective is how long a call waits for a free engine.
@@ -98,7 +103,7 @@
 	silenceShare = 3
 	// leastRepeat is how long an engine may at least give no answer to a safe request
 	// before that is sent to another one.
-	leastRepeat = 50 * time.Millisecond
+	leastRepeat  = 50 * time.Millisecond
 	leastSilence = 600 * time.Millisecond
 	// heldBytes is how much of an answer is held until it is whole; restBytes is
 	// how much of a longer one is passed on at once.
@@ -229,7 +234,11 @@
 	case nodev1.Verdict_VERDICT_NO_SUCH_TURN:
 		return resultcode.New(resultcode.UnknownTurn, "there is no turn %s to go on from", current.call.Turn.Previous)
 	default:
-		return resultcode.New(resultcode.NoLeader, "the program's owner can't tell now: %s", reservation.Reason).After(ownerRetry)
+		comeBack := ownerRetry
+		if reservation.Elsewhere {
+			comeBack = elsewhereRetry
+		}
+		return resultcode.New(resultcode.NoLeader, "the program's owner can't tell now: %s", reservation.Reason).After(comeBack)
 	}
 }
 
--- /dev/null
+++ b/internal/node/contact.go
@@ -0,0 +1,56 @@
+package node
+
+import (
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+// isolatedAfter is how long no other node may have been heard before a node that
+// the store does not answer either takes itself for cut off.
+const isolatedAfter = 900 * time.Millisecond
+
+// contact notes when other nodes were last heard, by their answers to this one or
+// by their calls. It is safe for concurrent use.
+type contact struct {
+	// heard is Unix milliseconds.
+	heard atomic.Int64
+}
+
+func (contact *contact) note() { contact.heard.Store(time.Now().UnixMilli()) }
+
+func (contact *contact) silent(now time.Time) bool {
+	return now.Sub(time.UnixMilli(contact.heard.Load())) > isolatedAfter
+}
+
+// transport notes the answers that come to calls of other nodes.
+func (contact *contact) transport(next http.RoundTripper) http.RoundTripper {
+	return roundTrip(func(request *http.Request) (*http.Response, error) {
+		response, err := next.RoundTrip(request)
+		if err == nil {
+			contact.note()
+		}
+		return response, err
+	})
+}
+
+// handler notes the calls that other nodes make.
+func (contact *contact) handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		contact.note()
+		next.ServeHTTP(writer, request)
+	})
+}
+
+// roundTrip is a http.RoundTripper made of a function.
+type roundTrip func(request *http.Request) (*http.Response, error)
+
+// RoundTrip implements http.RoundTripper.
+func (trip roundTrip) RoundTrip(request *http.Request) (*http.Response, error) { return trip(request) }
+
+// isolated tells whether this node reaches neither the store nor another node,
+// though it knows of some. Its callers are better off at any other node: it is not
+// ready then, and does not let turns wait for what it can't ask.
+func (node *Node) isolated() bool {
+	return node.logAway() && node.contact.silent(time.Now()) && len(node.members.others(node.settings.Name)) > 0
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -73,6 +73,7 @@
 	// following read the views from the store; set before anything else runs.
 	following []*follower
 
+	contact  contact
 	peers    *peers
 	learner  *learner
 	turns    *history.Store
@@ -143,6 +144,8 @@
 	}
 	node.newViews()
 	node.learner = &learner{node: node}
+	node.contact.note()
+	client.Transport = node.contact.transport(client.Transport)
 	node.peers = newPeers(node.members, client)
 	node.reader = history.NewReader(around.Log, node.turns, settings.Shards)
 	node.ownership = ownership.NewManager(ctx, around.Log, logger.Logger, ownership.Identity{
@@ -238,7 +241,7 @@
 
 // listen opens the node's addresses, the callers' last.
 func (node *Node) listen() error {
-	peerHandler := nodev1.NewNodeServer(&peerServer{node: node})
+	peerHandler := node.contact.handler(nodev1.NewNodeServer(&peerServer{node: node}))
 	listeners := []listenerSettings{
 		{node.settings.PeerAddress, peerHandler, httpserver.Limits{DrainGrace: node.settings.Grace}},
 		{node.settings.MetricsAddress, node.metricsHandler(), httpserver.Limits{}},
@@ -309,9 +312,10 @@
 	writer.WriteHeader(http.StatusOK)
 }
 
-// ready tells whether the node can serve: it knows a configuration and engines.
+// ready tells whether the node can serve: it knows a configuration and engines, and
+// is not cut off from all else.
 func (node *Node) ready() bool {
-	return !node.stopping.Load() && node.routes.Load() != nil && node.engines.Known() > 0
+	return !node.stopping.Load() && node.routes.Load() != nil && node.engines.Known() > 0 && !node.isolated()
 }
 
 func (node *Node) keepHouse(ctx context.Context) {
--- a/internal/node/programs.go
+++ b/internal/node/programs.go
@@ -28,6 +28,8 @@
 	settlePause = 250 * time.Millisecond
 	// askRounds is how many nodes are asked for one reservation.
 	askRounds = 6
+	// unansweredAsks in a row let a search end: this node may be cut off.
+	unansweredAsks = 2
 	// waitPatience is how long a turn waits for its program's owner in all.
 	waitPatience = 1200 * time.Millisecond
 	// searchPause separates two rounds over the nodes.
@@ -78,11 +80,11 @@
 		chain = held
 		request.NeedsChain = !complete
 	}
-	reply := programs.ask(ctx, programs.shardOf(call.Program), call.ID, request)
+	reply, elsewhere := programs.ask(ctx, programs.shardOf(call.Program), call.ID, request)
 	if request.NeedsChain {
 		chain = programs.takeChain(reply.Chain)
 	}
-	return forward.Reservation{Verdict: reply.Verdict, Chain: chain, Reason: reply.Reason, Engine: reply.Engine,
+	return forward.Reservation{Verdict: reply.Verdict, Chain: chain, Reason: reply.Reason, Engine: reply.Engine, Elsewhere: elsewhere,
 		Grant: forward.Grant{Owner: reply.Owner, Epoch: reply.Epoch, Key: request.Request}}
 }
 
--- a/internal/node/search.go
+++ b/internal/node/search.go
@@ -13,14 +13,15 @@
 )
 
 // ask finds the node that owns the shard and asks it. A node that does not
-// answer is named to the next one, which may then take the shard over.
-func (programs *programs) ask(ctx context.Context, shard int, id string, request *nodev1.ReserveRequest) *nodev1.ReserveReply {
+// answer is named to the next one, which may then take the shard over. elsewhere is
+// true where other nodes are likely to do better than this one.
+func (programs *programs) ask(ctx context.Context, shard int, id string, request *nodev1.ReserveRequest) (reply *nodev1.ReserveReply, elsewhere bool) {
 	search := &ownerSearch{programs: programs, shard: shard, id: id, request: request, asked: map[string]bool{}}
 	until := time.Now().Add(waitPatience)
 	for {
 		reply, decided := search.once(ctx)
-		if decided || ctx.Err() != nil || time.Now().After(until) {
-			return reply
+		if decided || ctx.Err() != nil || time.Now().After(until) || search.cutOff() {
+			return reply, search.cutOff()
 		}
 		wait.For(ctx, searchPause)
 		search.asked = map[string]bool{}
@@ -34,9 +35,11 @@
 	shard    int
 	id       string
 	request  *nodev1.ReserveRequest
-	// asked holds the nodes asked in this round, asks counts all.
-	asked map[string]bool
-	asks  int
+	// asked holds the nodes asked in this round, asks counts all; unanswered counts
+	// those in a row that let their time pass.
+	asked      map[string]bool
+	asks       int
+	unanswered int
 }
 
 // once asks one node after another. It returns false where none decided.
@@ -44,7 +47,7 @@
 	last := &nodev1.ReserveReply{Verdict: nodev1.Verdict_VERDICT_UNSURE, Reason: "no node could be asked"}
 	for range askRounds {
 		target, found := search.programs.target(search.shard, search.asked)
-		if !found || ctx.Err() != nil {
+		if !found || ctx.Err() != nil || search.cutOff() {
 			return last, false
 		}
 		reply, err := search.askOne(ctx, target)
@@ -74,7 +77,9 @@
 	search.request.TakeOver = programs.mayTakeOver(search.shard, target)
 	search.request.Request = search.id + "/" + strconv.Itoa(search.asks)
 	search.asks++
+	began := time.Now()
 	reply, err := programs.askNode(ctx, search.shard, target, search.request)
+	search.noteAnswer(err, time.Since(began))
 	if err != nil {
 		programs.node.logger.Info("owner not reached", zap.Int("shard", search.shard), zap.String("node", target),
 			zap.String("request", search.id), logging.Cause(err))
@@ -89,6 +94,22 @@
 	return reply, nil
 }
 
+// noteAnswer counts the nodes in a row that let their time pass.
+func (search *ownerSearch) noteAnswer(err error, took time.Duration) {
+	switch {
+	case err == nil:
+		search.unanswered = 0
+	case took >= peerDialTimeout:
+		search.unanswered++
+	}
+}
+
+// cutOff tells whether this node is likely to reach none. The caller does better to
+// try another node than to wait here.
+func (search *ownerSearch) cutOff() bool {
+	return search.unanswered >= unansweredAsks || (search.unanswered > 0 && search.programs.node.isolated())
+}
+
 // failed notes that a node does not answer, or can't write to the log.
 func (search *ownerSearch) failed(target string) {
 	search.programs.suspect(search.shard, target)
