--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -3,6 +3,7 @@
 package backend
 
 import (
+	"github.com/magpielug/magpielug/internal/feature"
 	"sync"
 	"time"
 )
@@ -56,6 +57,9 @@
 
 // heedsDoubt tells whether few enough engines are in doubt.
 func heedsDoubt(engines []*Engine, now time.Time) bool {
+	if !feature.Enabled(feature.EngineDoubt) {
+		return false
+	}
 	doubted := 0
 	for _, engine := range engines {
 		if engine.doubted(now) {
@@ -317,6 +321,9 @@
 // Report notes engines that another node passes over: a node alone sees little of
 // each of many engines.
 func (directory *Directory) Report(ids []string, now time.Time) {
+	if !feature.Enabled(feature.EngineReports) {
+		return
+	}
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
 	for _, id := range ids {
--- a/internal/backend/limit.go
+++ b/internal/backend/limit.go
@@ -1,6 +1,9 @@
 package backend
 
-import "time"
+import (
+	"github.com/magpielug/magpielug/internal/feature"
+	"time"
+)
 
 const (
 	// limitCut is what a refusal leaves of a bound, limitRaise what as many answers
@@ -25,7 +28,7 @@
 
 // admits tells whether one more request may be sent beside those under way.
 func (limit *limit) admits(running int, now time.Time) bool {
-	if limit.most == 0 || now.Sub(limit.refused) > limitForgotten {
+	if limit.most == 0 || !feature.Enabled(feature.EngineLimits) || now.Sub(limit.refused) > limitForgotten {
 		return true
 	}
 	return float64(running+1) <= max(limit.most, 1)
--- a/internal/backend/line.go
+++ b/internal/backend/line.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"context"
+	"github.com/magpielug/magpielug/internal/feature"
 	"sync"
 	"time"
 )
@@ -114,6 +115,9 @@
 func (order order) Len() int { return len(order) }
 
 func (order order) Less(left, right int) bool {
+	if !feature.Enabled(feature.OrderedLine) {
+		return false
+	}
 	if order[left].late != order[right].late {
 		return order[right].late
 	}
--- a/internal/durable/hedge.go
+++ b/internal/durable/hedge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"github.com/magpielug/magpielug/internal/feature"
 	"sync"
 	"time"
 )
@@ -75,7 +76,7 @@
 				return err
 			}
 		case <-timer.C:
-			if sent < hedgesInFlight {
+			if sent < hedgesInFlight && feature.Enabled(feature.HedgedAppends) {
 				sent++
 				go launch()
 				timer.Reset(pace.Patience())
--- a/internal/durable/reread.go
+++ b/internal/durable/reread.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"github.com/magpielug/magpielug/internal/feature"
 	"time"
 )
 
@@ -20,7 +21,7 @@
 
 // Read implements Log. A read that waits for a record is sent once.
 func (rereading *Rereading) Read(ctx context.Context, partition Partition, from int64, wait time.Duration) (Batch, error) {
-	if wait > 0 {
+	if wait > 0 || !feature.Enabled(feature.Rereading) {
 		return rereading.Log.Read(ctx, partition, from, wait)
 	}
 	return reread(ctx, func(ctx context.Context) (Batch, error) {
@@ -30,6 +31,9 @@
 
 // Newest implements Log.
 func (rereading *Rereading) Newest(ctx context.Context, topic string) (Snapshot, error) {
+	if !feature.Enabled(feature.Rereading) {
+		return rereading.Log.Newest(ctx, topic)
+	}
 	return reread(ctx, func(ctx context.Context) (Snapshot, error) {
 		return rereading.Log.Newest(ctx, topic)
 	})
--- /dev/null
+++ b/internal/feature/feature.go
@@ -0,0 +1,89 @@
+// Package feature holds the gates of the mechanisms that a node may run without.
+// All are on; a setting turns some off, to measure what each is worth or to rule it
+// out when a failure is looked into. A gate is set once, before anything runs.
+package feature
+
+import (
+	"slices"
+	"strings"
+	"sync/atomic"
+
+	"github.com/magpielug/magpielug/internal/resultcode"
+)
+
+// Feature is a mechanism with a gate.
+type Feature string
+
+// Features, each with what a node does without it.
+const (
+	// Allowances: every grant waits for a ceiling in the log.
+	Allowances Feature = "allowances"
+	// HedgedAppends: an append is sent once, until its time is over.
+	HedgedAppends Feature = "hedged-appends"
+	// Rereading: a read is sent once, until its time is over.
+	Rereading Feature = "rereading"
+	// LearningFromPeers: a node that the store does not answer learns nothing.
+	LearningFromPeers Feature = "learning-from-peers"
+	// SharedReader: each node reads the store itself.
+	SharedReader Feature = "shared-reader"
+	// EngineDoubt: engines that give no byte are passed over no more than others.
+	EngineDoubt Feature = "engine-doubt"
+	// EngineReports: nodes do not tell each other which engines they pass over.
+	EngineReports Feature = "engine-reports"
+	// EngineLimits: a node's requests at an engine that refuses some are not bounded.
+	EngineLimits Feature = "engine-limits"
+	// OrderedLine: calls that wait for an engine are served in any order.
+	OrderedLine Feature = "ordered-line"
+	// ToolPatience: a program's call of a tool waits no longer than any other.
+	ToolPatience Feature = "tool-patience"
+	// SafeRepeats: a safe request without an answer waits for it.
+	SafeRepeats Feature = "safe-repeats"
+	// RecordingElsewhere: a turn is written by its own node only.
+	RecordingElsewhere Feature = "recording-elsewhere"
+	// Yielding: an owner keeps its shards though it can't write.
+	Yielding Feature = "yielding"
+	// OwnershipByCapacity: all nodes own alike.
+	OwnershipByCapacity Feature = "ownership-by-capacity"
+	// ClaimRefusal: a node claims shards also while the store does not answer it.
+	ClaimRefusal Feature = "claim-refusal"
+	// Isolation: a node that reaches nobody goes on as ready, and searches on.
+	Isolation Feature = "isolation"
+	// EnginePriority: requests carry no priority to engines.
+	EnginePriority Feature = "engine-priority"
+	// LaterRetries: a node without a configuration names one time to come back.
+	LaterRetries Feature = "later-retries"
+)
+
+// All lists the features.
+var All = []Feature{
+	Allowances, HedgedAppends, Rereading, LearningFromPeers, SharedReader, EngineDoubt, EngineReports, EngineLimits,
+	OrderedLine, ToolPatience, SafeRepeats, RecordingElsewhere, Yielding, OwnershipByCapacity, ClaimRefusal, Isolation,
+	EnginePriority, LaterRetries,
+}
+
+// disabled holds the features turned off.
+var disabled atomic.Pointer[map[Feature]bool]
+
+// Enabled tells whether a feature is on.
+func Enabled(asked Feature) bool {
+	off := disabled.Load()
+	return off == nil || !(*off)[asked]
+}
+
+// Disable turns the features off that a list with commas names, and all others on.
+// An unknown name is an InvalidSettings error and changes nothing.
+func Disable(list string) error {
+	off := map[Feature]bool{}
+	for name := range strings.SplitSeq(list, ",") {
+		name = strings.TrimSpace(name)
+		if name == "" {
+			continue
+		}
+		if !slices.Contains(All, Feature(name)) {
+			return resultcode.New(resultcode.InvalidSettings, "feature %q is none of %v", name, All)
+		}
+		off[Feature(name)] = true
+	}
+	disabled.Store(&off)
+	return nil
+}
--- /dev/null
+++ b/internal/feature/feature_test.go
@@ -0,0 +1,26 @@
+package feature_test
+
+import (
+	"testing"
+
+	"github.com/magpielug/magpielug/internal/feature"
+	"github.com/magpielug/magpielug/internal/resultcode"
+	. "github.com/onsi/gomega"
+)
+
+func TestGates(t *testing.T) {
+	expect := NewWithT(t)
+	t.Cleanup(func() { _ = feature.Disable("") })
+	for _, each := range feature.All {
+		expect.Expect(feature.Enabled(each)).To(BeTrue())
+	}
+	expect.Expect(feature.Disable("yielding, isolation")).To(Succeed())
+	expect.Expect(feature.Enabled(feature.Yielding)).To(BeFalse())
+	expect.Expect(feature.Enabled(feature.Isolation)).To(BeFalse())
+	expect.Expect(feature.Enabled(feature.Allowances)).To(BeTrue())
+
+	err := feature.Disable("allowances,guesses")
+	expect.Expect(resultcode.CodeOf(err)).To(Equal(resultcode.InvalidSettings))
+	expect.Expect(feature.Enabled(feature.Allowances)).To(BeTrue(), "nothing changed")
+	expect.Expect(feature.Enabled(feature.Yielding)).To(BeFalse())
+}
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"github.com/magpielug/magpielug/internal/feature"
 	"io"
 	"sync/atomic"
 	"time"
@@ -80,7 +81,7 @@
 		objective = fallbackObjective
 	}
 	wait := time.Duration(refusalShare * float64(objective))
-	if current.call.Program == "" || current.route.Kind == routing.Streaming {
+	if current.call.Program == "" || current.route.Kind == routing.Streaming || !feature.Enabled(feature.ToolPatience) {
 		return wait
 	}
 	return max(wait, time.Duration(toolWaitShare*float64(current.end.Sub(current.call.Received))))
@@ -179,7 +180,7 @@
 // for long, while it may be sent to another engine. An engine may run a request and
 // lose its answer. What it returns ends the watch.
 func (current *course) repeatWhereSilent(engine *backend.Engine, giveUp context.CancelFunc) func() {
-	if current.route.Kind != routing.Safe || current.runs+1 >= current.route.Attempts {
+	if current.route.Kind != routing.Safe || current.runs+1 >= current.route.Attempts || !feature.Enabled(feature.SafeRepeats) {
 		return func() {}
 	}
 	patience := max(current.route.Objective, leastRepeat, current.service.Engines.Patience(current.serviceName))
--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"github.com/magpielug/magpielug/internal/feature"
 	"time"
 
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
@@ -185,6 +186,9 @@
 }
 
 func (service *Service) unknownRetry() time.Duration {
+	if !feature.Enabled(feature.LaterRetries) {
+		return unknownRetry
+	}
 	waited := time.Duration(unknownRetryShare * float64(time.Since(service.Started)))
 	return min(max(waited, unknownRetry), unknownRetryMost)
 }
--- a/internal/node/contact.go
+++ b/internal/node/contact.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"github.com/magpielug/magpielug/internal/feature"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -52,5 +53,5 @@
 // though it knows of some. Its callers are better off at any other node: it is not
 // ready then, and does not let turns wait for what it can't ask.
 func (node *Node) isolated() bool {
-	return node.logAway() && node.contact.silent(time.Now()) && len(node.members.others(node.settings.Name)) > 0
+	return feature.Enabled(feature.Isolation) && node.logAway() && node.contact.silent(time.Now()) && len(node.members.others(node.settings.Name)) > 0
 }
--- a/internal/node/learn.go
+++ b/internal/node/learn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"github.com/magpielug/magpielug/internal/feature"
 	"math/rand/v2"
 	"slices"
 	"sync/atomic"
@@ -78,7 +79,7 @@
 // it may refuse single nodes while it serves the operators and the others.
 func (learner *learner) fromAny(ctx context.Context) {
 	address, found := learner.node.someAddress()
-	if found {
+	if found && feature.Enabled(feature.LearningFromPeers) {
 		_, _ = learner.ask(ctx, address)
 	}
 }
@@ -87,7 +88,7 @@
 func (learner *learner) fromReader(ctx context.Context, now time.Time) {
 	node := learner.node
 	reader := node.members.readerFor(node.self())
-	if reader.Name == "" || reader.Name == node.settings.Name {
+	if reader.Name == "" || reader.Name == node.settings.Name || !feature.Enabled(feature.SharedReader) {
 		learner.until.Store(0)
 		learner.note("")
 		return
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"github.com/magpielug/magpielug/internal/feature"
 	"math"
 	"slices"
 	"strconv"
@@ -157,7 +158,7 @@
 // logarithm).
 func candidateWeight(member Member, shard int) float64 {
 	capacity := float64(member.Capacity)
-	if capacity == 0 {
+	if capacity == 0 || !feature.Enabled(feature.OwnershipByCapacity) {
 		capacity = unknownCapacity
 	}
 	hash := xxhash.Sum64String(member.Name + "/" + strconv.Itoa(shard))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"github.com/magpielug/magpielug/internal/feature"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -17,6 +18,7 @@
 	"github.com/magpielug/magpielug/internal/assignment"
 	"github.com/magpielug/magpielug/internal/backend"
 	"github.com/magpielug/magpielug/internal/durable"
+	"github.com/magpielug/magpielug/internal/feature"
 	"github.com/magpielug/magpielug/internal/forward"
 	"github.com/magpielug/magpielug/internal/history"
 	"github.com/magpielug/magpielug/internal/httpclient"
@@ -97,6 +99,10 @@
 	if err != nil {
 		return err
 	}
+	err = feature.Disable(settings.Disabled)
+	if err != nil {
+		return err
+	}
 	if settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes)))
 	}
@@ -111,7 +117,7 @@
 	if err != nil {
 		return err
 	}
-	logger.Info("node starts", zap.String("node", settings.Name), zap.String("zone", settings.Zone),
+	logger.Info("node starts", zap.String("node", settings.Name), zap.String("features_off", settings.Disabled), zap.String("zone", settings.Zone),
 		zap.String("incarnation", node.incarnation), zap.String("version", version),
 		zap.String("callers", settings.CallerAddress), zap.String("peers", settings.PeerAddress), zap.Int("shards", settings.Shards))
 	node.logOutput = output
@@ -155,7 +161,9 @@
 	}, settings.Shards, ownership.Around{Yield: node.askToYield, LogAway: node.logAway})
 	node.programs = newPrograms(node)
 	node.reader.Delegate(node.lineElsewhere)
-	node.recorder.RelayBy(node.recordElsewhere)
+	if feature.Enabled(feature.RecordingElsewhere) {
+		node.recorder.RelayBy(node.recordElsewhere)
+	}
 	node.service = &forward.Service{
 		Routes:   node.routes,
 		Engines:  node.engines,
--- a/internal/node/search.go
+++ b/internal/node/search.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"github.com/magpielug/magpielug/internal/feature"
 	"strconv"
 	"time"
 
@@ -107,6 +108,9 @@
 // cutOff tells whether this node is likely to reach none. The caller does better to
 // try another node than to wait here.
 func (search *ownerSearch) cutOff() bool {
+	if !feature.Enabled(feature.Isolation) {
+		return false
+	}
 	return search.unanswered >= unansweredAsks || (search.unanswered > 0 && search.programs.node.isolated())
 }
 
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -43,6 +43,8 @@
 	Grace time.Duration
 	// Placement names the policy that chooses engines; empty is the default.
 	Placement string
+	// Disabled names features that are off, with commas; see package feature.
+	Disabled string
 	// LogLevel is debug, info, warn or error.
 	LogLevel string
 }
--- a/internal/ownership/claim.go
+++ b/internal/ownership/claim.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"github.com/magpielug/magpielug/internal/feature"
 	"math/rand/v2"
 	"time"
 
@@ -159,7 +160,7 @@
 		handed = ledger.Checkpoint()
 	}
 	allowance := spending.Allowance{}
-	if len(outstanding) == 0 && largest > 0 {
+	if len(outstanding) == 0 && largest > 0 && feature.Enabled(feature.Allowances) {
 		allowance = spending.NewAllowance(epoch, largest)
 	}
 	ledger.Allow(allowance, outstanding)
--- a/internal/ownership/handover.go
+++ b/internal/ownership/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"github.com/magpielug/magpielug/internal/feature"
 	"time"
 
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
@@ -33,7 +34,7 @@
 	if shard.phase != charts.OwnershipStateOwned || shard.epoch != epoch {
 		return answer
 	}
-	if !shard.unable(time.Now()) {
+	if !shard.unable(time.Now()) || !feature.Enabled(feature.Yielding) {
 		answer.Keeps = true
 		return answer
 	}
--- a/internal/ownership/shard.go
+++ b/internal/ownership/shard.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"github.com/magpielug/magpielug/internal/feature"
 	"time"
 
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
@@ -140,7 +141,7 @@
 		manager.decide(shard, asked)
 	case shard.phase == charts.OwnershipStateClaiming:
 		shard.waiters = append(shard.waiters, asked)
-	case shard.phase == charts.OwnershipStateElsewhere && asked.ask.Claim && manager.around.LogAway():
+	case shard.phase == charts.OwnershipStateElsewhere && asked.ask.Claim && feature.Enabled(feature.ClaimRefusal) && manager.around.LogAway():
 		asked.reply <- Answer{Verdict: nodev1.Verdict_VERDICT_UNABLE, Reason: "the log does not answer this node"}
 	case shard.phase == charts.OwnershipStateElsewhere && asked.ask.Claim:
 		shard.waiters = append(shard.waiters, asked)
@@ -235,7 +236,7 @@
 // stillWaiting is the answer to one that has waited for the log too long. Where a
 // claim has waited for longer than an owner may, another node may try.
 func (shard *shard) stillWaiting(now time.Time) Answer {
-	if shard.phase == charts.OwnershipStateClaiming && now.Sub(shard.claimBegan) > unableAfter {
+	if shard.phase == charts.OwnershipStateClaiming && feature.Enabled(feature.ClaimRefusal) && now.Sub(shard.claimBegan) > unableAfter {
 		return Answer{Verdict: nodev1.Verdict_VERDICT_UNABLE, Reason: "the log does not answer this node's claim"}
 	}
 	return Answer{Verdict: nodev1.Verdict_VERDICT_WAITING, Owner: shard.owner, Reason: "the log does not answer"}
