--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -3,9 +3,10 @@
 package backend
 
 import (
-	"github.com/magpielug/magpielug/internal/feature"
 	"sync"
 	"time"
+
+	"github.com/magpielug/magpielug/internal/feature"
 )
 
 // Instance is one incarnation of an engine as it records itself.
--- a/internal/backend/limit.go
+++ b/internal/backend/limit.go
@@ -1,8 +1,9 @@
 package backend
 
 import (
-	"github.com/magpielug/magpielug/internal/feature"
 	"time"
+
+	"github.com/magpielug/magpielug/internal/feature"
 )
 
 const (
--- a/internal/backend/line.go
+++ b/internal/backend/line.go
@@ -3,9 +3,10 @@
 import (
 	"container/heap"
 	"context"
-	"github.com/magpielug/magpielug/internal/feature"
 	"sync"
 	"time"
+
+	"github.com/magpielug/magpielug/internal/feature"
 )
 
 // linePoll is how long the first of a line waits at most for a wake-up.
--- a/internal/durable/hedge.go
+++ b/internal/durable/hedge.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"github.com/magpielug/magpielug/internal/feature"
 	"sync"
 	"time"
+
+	"github.com/magpielug/magpielug/internal/feature"
 )
 
 const (
--- a/internal/durable/reread.go
+++ b/internal/durable/reread.go
@@ -2,8 +2,9 @@
 
 import (
 	"context"
-	"github.com/magpielug/magpielug/internal/feature"
 	"time"
+
+	"github.com/magpielug/magpielug/internal/feature"
 )
 
 const (
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"errors"
-	"github.com/magpielug/magpielug/internal/feature"
 	"io"
 	"sync/atomic"
 	"time"
 
 	"github.com/magpielug/magpielug/internal/backend"
+	"github.com/magpielug/magpielug/internal/feature"
 	"github.com/magpielug/magpielug/internal/logging"
 	"github.com/magpielug/magpielug/internal/resultcode"
 	"github.com/magpielug/magpielug/internal/routing"
--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"github.com/magpielug/magpielug/internal/feature"
 	"time"
 
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
 	"github.com/magpielug/magpielug/internal/backend"
+	"github.com/magpielug/magpielug/internal/feature"
 	"github.com/magpielug/magpielug/internal/history"
 	"github.com/magpielug/magpielug/internal/resultcode"
 	"github.com/magpielug/magpielug/internal/routing"
--- a/internal/node/contact.go
+++ b/internal/node/contact.go
@@ -1,10 +1,11 @@
 package node
 
 import (
-	"github.com/magpielug/magpielug/internal/feature"
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"github.com/magpielug/magpielug/internal/feature"
 )
 
 // isolatedAfter is how long no other node may have been heard before a node that
--- a/internal/node/learn.go
+++ b/internal/node/learn.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"github.com/magpielug/magpielug/internal/feature"
 	"math/rand/v2"
 	"slices"
 	"sync/atomic"
@@ -10,6 +9,7 @@
 
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
 	"github.com/magpielug/magpielug/internal/durable"
+	"github.com/magpielug/magpielug/internal/feature"
 	"github.com/magpielug/magpielug/internal/logging"
 	"github.com/magpielug/magpielug/internal/wait"
 	"go.uber.org/zap"
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"github.com/magpielug/magpielug/internal/feature"
 	"math"
 	"slices"
 	"strconv"
@@ -13,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
 	"github.com/magpielug/magpielug/internal/durable"
+	"github.com/magpielug/magpielug/internal/feature"
 	"github.com/magpielug/magpielug/internal/logging"
 	"github.com/magpielug/magpielug/internal/wait"
 	"go.uber.org/zap"
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"github.com/magpielug/magpielug/internal/feature"
 	"math/rand/v2"
 	"net/http"
 	"os"
--- a/internal/node/search.go
+++ b/internal/node/search.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"github.com/magpielug/magpielug/internal/feature"
 	"strconv"
 	"time"
 
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
+	"github.com/magpielug/magpielug/internal/feature"
 	"github.com/magpielug/magpielug/internal/logging"
 	"github.com/magpielug/magpielug/internal/ownership"
 	"github.com/magpielug/magpielug/internal/wait"
--- a/internal/ownership/claim.go
+++ b/internal/ownership/claim.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"errors"
-	"github.com/magpielug/magpielug/internal/feature"
 	"math/rand/v2"
 	"time"
 
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
 	"github.com/magpielug/magpielug/charts"
 	"github.com/magpielug/magpielug/internal/durable"
+	"github.com/magpielug/magpielug/internal/feature"
 	"github.com/magpielug/magpielug/internal/logging"
 	"github.com/magpielug/magpielug/internal/spending"
 	"github.com/magpielug/magpielug/internal/wait"
--- a/internal/ownership/handover.go
+++ b/internal/ownership/handover.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"github.com/magpielug/magpielug/internal/feature"
 	"time"
 
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
 	"github.com/magpielug/magpielug/charts"
 	"github.com/magpielug/magpielug/internal/durable"
+	"github.com/magpielug/magpielug/internal/feature"
 	"go.uber.org/zap"
 )
 
--- a/internal/ownership/shard.go
+++ b/internal/ownership/shard.go
@@ -8,11 +8,11 @@
 
 import (
 	"context"
-	"github.com/magpielug/magpielug/internal/feature"
 	"time"
 
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
 	"github.com/magpielug/magpielug/charts"
+	"github.com/magpielug/magpielug/internal/feature"
 	"github.com/magpielug/magpielug/internal/spending"
 	"go.uber.org/zap"
 )
