Tell callers of a node without a configuration to come back in 1.2 s, once it has started

Change: 0.15 s while the node starts (a reading takes some 13 ms), 1.2 s from 0.15 s on, in place of half of the time since the start. The test of that growth is replaced by one of the two steps.

--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -72,13 +72,12 @@
 }
 
 const (
-	// unknownRetry is when to come back to a node that is not sure yet. A node that
-	// has been without a configuration for longer says so the later, by
-	// unknownRetryShare of the time since its start and up to unknownRetryMost: the
-	// store is away then, and a caller has only so many tries.
-	unknownRetry      = 150 * time.Millisecond
-	unknownRetryShare = 0.5
-	unknownRetryMost  = 1200 * time.Millisecond
+	// unknownRetry is when to come back to a node that has just started. One that has
+	// no configuration after startupTime says unknownRetryMost: the store is away then,
+	// and a caller has only so many tries.
+	unknownRetry     = 150 * time.Millisecond
+	unknownRetryMost = 1200 * time.Millisecond
+	startupTime      = 150 * time.Millisecond
 	// ownerRetry is when to come back where a program's owner could not be found
 	// or could not write for longer than a call waits.
 	ownerRetry = 400 * time.Millisecond
@@ -189,8 +188,10 @@
 	if !feature.Enabled(feature.LaterRetries) {
 		return unknownRetry
 	}
-	waited := time.Duration(unknownRetryShare * float64(time.Since(service.Started)))
-	return min(max(waited, unknownRetry), unknownRetryMost)
+	if time.Since(service.Started) < startupTime {
+		return unknownRetry
+	}
+	return unknownRetryMost
 }
 
 func (current *course) run(ctx context.Context) error {
--- a/internal/forward/service_test.go
+++ b/internal/forward/service_test.go
@@ -160,7 +160,7 @@
 	}
 	lines := func(event string) int { return logs.FilterMessage(event).Len() }
 
-	It("tells callers to come back the later, the longer it has known no configuration", func() {
+	It("tells callers to come back soon while it starts, and late where it then knows no configuration", func() {
 		service.Routes = &routing.Current{}
 		wait := func(since time.Duration) time.Duration {
 			service.Started = time.Now().Add(-since)
@@ -170,7 +170,8 @@
 			return failure.RetryAfter
 		}
 		Expect(wait(0)).To(Equal(150 * time.Millisecond))
-		Expect(wait(time.Second)).To(BeNumerically("~", 500*time.Millisecond, 100*time.Millisecond))
+		Expect(wait(200 * time.Millisecond)).To(Equal(1200 * time.Millisecond))
+		Expect(wait(time.Second)).To(Equal(1200 * time.Millisecond))
 		Expect(wait(time.Minute)).To(Equal(1200 * time.Millisecond))
 	})
 
