Leave claims to others for half a second after the log has failed one

Nodes that others read the views for do not know that the store refuses them.

Change: a failed claim is answered with VERDICT_UNABLE, so that the next node is asked, and for 0.5 s the node says so at once.

--- a/internal/ownership/claim.go
+++ b/internal/ownership/claim.go
@@ -74,7 +74,8 @@
 	if err != nil {
 		manager.logger.Warn("claim failed", zap.Int("shard", shard.number), zap.Duration("took", took), logging.Cause(err))
 		manager.fire(shard, charts.OwnershipEventClaimFailed)
-		manager.refuseWaiters(shard, unsure("the shard can't be taken over now"))
+		manager.claimFailed = time.Now()
+		manager.refuseWaiters(shard, Answer{Verdict: nodev1.Verdict_VERDICT_UNABLE, Reason: "the log fails this node's claim"})
 		return
 	}
 	manager.logger.Info("shard claimed", zap.Int("shard", shard.number), zap.Int64("epoch", won.epoch),
--- a/internal/ownership/claim_test.go
+++ b/internal/ownership/claim_test.go
@@ -164,6 +164,22 @@
 		Expect(ask(start(log, "b"), "r1", 500, 100).Verdict).To(Equal(nodev1.Verdict_VERDICT_GRANTED))
 	})
 
+	It("leaves claims to others after the log has refused one, and claims again later", func() {
+		var refusing atomic.Bool
+		refusing.Store(true)
+		log.Intercept = func(string, durable.Partition) error {
+			if refusing.Load() {
+				return durable.ErrUnavailable
+			}
+			return nil
+		}
+		first := start(log, "a")
+		verdict := func() nodev1.Verdict { return ask(first, "r1", 500, 100).Verdict }
+		Eventually(verdict, patience).Should(Equal(nodev1.Verdict_VERDICT_UNABLE))
+		refusing.Store(false)
+		Eventually(verdict, patience).Should(Equal(nodev1.Verdict_VERDICT_GRANTED))
+	})
+
 	It("says that it is unable while its claim gets no answer", func() {
 		cut := &cutLog{Memory: log}
 		cut.silent.Store(true)
--- a/internal/ownership/manager.go
+++ b/internal/ownership/manager.go
@@ -23,6 +23,8 @@
 	// largestTurn is the most that a turn was asked for, tokens. Only the control
 	// goroutine touches it.
 	largestTurn int64
+	// claimFailed is when the log last failed a claim of this node.
+	claimFailed time.Time
 	// held tells other goroutines which shards are owned or being claimed.
 	held    []atomic.Bool
 	context context.Context
--- a/internal/ownership/shard.go
+++ b/internal/ownership/shard.go
@@ -41,6 +41,8 @@
 	// waitLimit is how long a request for tokens waits for the log before its
 	// asker is told that it has to; the asker asks again.
 	waitLimit = 180 * time.Millisecond
+	// claimRest is how long a node claims nothing after the log has failed a claim.
+	claimRest = 500 * time.Millisecond
 	// overdueMargin is how long after a turn's time its end may still come in.
 	overdueMargin = time.Second
 	// endedRetention is how long a request's end is remembered that came before
@@ -141,7 +143,7 @@
 		manager.decide(shard, asked)
 	case shard.phase == charts.OwnershipStateClaiming:
 		shard.waiters = append(shard.waiters, asked)
-	case shard.phase == charts.OwnershipStateElsewhere && asked.ask.Claim && feature.Enabled(feature.ClaimRefusal) && manager.around.LogAway():
+	case shard.phase == charts.OwnershipStateElsewhere && asked.ask.Claim && manager.logAway(time.Now()):
 		asked.reply <- Answer{Verdict: nodev1.Verdict_VERDICT_UNABLE, Reason: "the log does not answer this node"}
 	case shard.phase == charts.OwnershipStateElsewhere && asked.ask.Claim:
 		shard.waiters = append(shard.waiters, asked)
@@ -151,6 +153,15 @@
 	}
 }
 
+// logAway tells whether this node had better leave claims to others: the log has
+// not answered it for a while, or has just failed a claim.
+func (manager *Manager) logAway(now time.Time) bool {
+	if !feature.Enabled(feature.ClaimRefusal) {
+		return false
+	}
+	return now.Sub(manager.claimFailed) < claimRest || manager.around.LogAway()
+}
+
 // decide answers a request for tokens, or lets it wait for a ceiling.
 func (manager *Manager) decide(shard *shard, asked waiter) {
 	if _, ended := shard.ended[asked.ask.Request]; ended {
