--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -4,11 +4,9 @@
 	"context"
 	"errors"
 	"io"
-	"sync/atomic"
 	"time"
 
 	"github.com/magpielug/magpielug/internal/backend"
-	"github.com/magpielug/magpielug/internal/feature"
 	"github.com/magpielug/magpielug/internal/logging"
 	"github.com/magpielug/magpielug/internal/resultcode"
 	"github.com/magpielug/magpielug/internal/routing"
@@ -56,47 +54,6 @@
 	return current.service.Engines.Pick(request, time.Now())
 }
 
-// awaitEngine waits a moment for an engine with room, or refuses.
-func (current *course) awaitEngine(ctx context.Context) error {
-	patience := current.engineWait() - time.Since(current.searching)
-	if patience <= 0 {
-		if current.runs > 0 {
-			return current.outcomeUnknown()
-		}
-		return resultcode.New(resultcode.NoBackEnd, "none of %d engines of %s has room, %d refusals",
-			current.service.Engines.Usable(current.serviceName), current.serviceName, current.refusals).After(fullRetry)
-	}
-	current.service.Line.Wait(ctx, current.serviceName, current.aim(), patience)
-	current.waited = true
-	if current.runs == 0 || current.route.Repeatable() {
-		current.tried = current.tried[:0]
-	}
-	return nil
-}
-
-// engineWait is how long the call waits for a free engine in all.
-func (current *course) engineWait() time.Duration {
-	objective := current.route.Objective
-	if objective == 0 {
-		objective = fallbackObjective
-	}
-	wait := time.Duration(refusalShare * float64(objective))
-	if current.call.Program == "" || current.route.Kind == routing.Streaming || !feature.Enabled(feature.ToolPatience) {
-		return wait
-	}
-	return max(wait, time.Duration(toolWaitShare*float64(current.end.Sub(current.call.Received))))
-}
-
-// aim is when the call's program should be over, or the call itself. A call that
-// is about to be given up is as urgent as one whose program is nearly over.
-func (current *course) aim() time.Time {
-	givenUp := current.searching.Add(current.engineWait())
-	if current.call.Aim.IsZero() || (current.call.Aim.After(givenUp) && current.call.Aim.After(time.Now())) {
-		return givenUp
-	}
-	return current.call.Aim
-}
-
 // attempt sends the call to one engine. It returns true once the call is over.
 func (current *course) attempt(ctx context.Context, engine *backend.Engine, remaining time.Duration) (bool, error) {
 	current.tried = append(current.tried, engine.ID)
@@ -152,46 +109,6 @@
 	return true, err
 }
 
-// watch passes the engine over for other requests once this one has got no byte
-// of an answer for unusually long. What it returns ends the watch, and tells
-// whether that is still so.
-func (current *course) watch(engine *backend.Engine) func() bool {
-	began := time.Now()
-	engines := current.service.Engines
-	limit := max(silenceShare*current.route.Objective, leastSilence, engines.Patience(current.serviceName))
-	var silent atomic.Bool
-	timer := time.AfterFunc(limit, func() {
-		silent.Store(true)
-		engines.Suspect(engine, time.Now())
-		current.service.Logger.Info("engine suspected", zap.String("request", current.call.ID),
-			zap.String("engine", engine.ID), zap.Duration("silent", limit))
-	})
-	current.heard = func() {
-		timer.Stop()
-		engines.Heard(current.serviceName, time.Since(began))
-	}
-	return func() bool {
-		timer.Stop()
-		return silent.Load() && !current.begun
-	}
-}
-
-// repeatWhereSilent gives an attempt of a safe request up that has got no answer
-// for long, while it may be sent to another engine. An engine may run a request and
-// lose its answer. What it returns ends the watch.
-func (current *course) repeatWhereSilent(engine *backend.Engine, giveUp context.CancelFunc) func() {
-	if current.route.Kind != routing.Safe || current.runs+1 >= current.route.Attempts || !feature.Enabled(feature.SafeRepeats) {
-		return func() {}
-	}
-	patience := max(current.route.Objective, leastRepeat, current.service.Engines.Patience(current.serviceName))
-	timer := time.AfterFunc(patience, func() {
-		current.service.Logger.Info("request repeated elsewhere", zap.String("request", current.call.ID),
-			zap.String("engine", engine.ID), zap.Duration("silent", patience))
-		giveUp()
-	})
-	return func() { timer.Stop() }
-}
-
 // outcomeOfSending tells what a failed sending says of the engine.
 func outcomeOfSending(ctx context.Context, err error) backend.Outcome {
 	switch {
