Measure silence by the steady clock; call what waits for an engine a queue

A step of the time of day made followers and other nodes look silent, or a reader trusted for longer: node.moment counts from the process's start. backend.Line stood beside lines of turns: backend.WaitQueue.

--- a/internal/backend/limit_test.go
+++ b/internal/backend/limit_test.go
@@ -64,28 +64,28 @@
 	})
 })
 
-var _ = Describe("Line", func() {
+var _ = Describe("WaitQueue", func() {
 	const patience = 20 * time.Second
 
 	It("wakes its first though nothing ends, and keeps services apart", func() {
-		line := backend.NewLine()
+		queue := backend.NewWaitQueue()
 		done := make(chan struct{})
 		go func() {
-			line.Wait(context.Background(), service, time.Now(), patience)
+			queue.Wait(context.Background(), service, time.Now(), patience)
 			close(done)
 		}()
-		line.Wake("another")
+		queue.Wake("another")
 		Eventually(done, patience).Should(BeClosed())
 	})
 
 	It("is left by a request whose patience is over or whose caller is gone", func() {
-		line := backend.NewLine()
+		queue := backend.NewWaitQueue()
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel()
 		for number := range 3 {
-			line.Wait(ctx, fmt.Sprint("s", number), time.Now(), patience)
-			line.Wait(context.Background(), fmt.Sprint("s", number), time.Now(), 0)
-			Expect(line.Waits(fmt.Sprint("s", number))).To(BeFalse())
+			queue.Wait(ctx, fmt.Sprint("s", number), time.Now(), patience)
+			queue.Wait(context.Background(), fmt.Sprint("s", number), time.Now(), 0)
+			Expect(queue.Waits(fmt.Sprint("s", number))).To(BeFalse())
 		}
 	})
 })
--- a/internal/backend/line.go
+++ b/internal/backend/wait_queue.go
@@ -9,18 +9,18 @@
 	"github.com/magpielug/magpielug/internal/feature"
 )
 
-// linePoll is how long the first of a line waits at most for a wake-up.
-const linePoll = 12 * time.Millisecond
+// queuePoll is how long the first of a queue waits at most for a wake-up.
+const queuePoll = 12 * time.Millisecond
 
-// Line holds the requests that wait for an engine, by service, in order of what
+// WaitQueue holds the requests that wait for an engine, by service, in order of what
 // is left to the aims of their programs. It is safe for concurrent use.
-type Line struct {
+type WaitQueue struct {
 	mutex    sync.Mutex
 	services map[string]*waiters
 }
 
-// NewLine returns an empty line.
-func NewLine() *Line { return &Line{services: map[string]*waiters{}} }
+// NewWaitQueue returns an empty queue.
+func NewWaitQueue() *WaitQueue { return &WaitQueue{services: map[string]*waiters{}} }
 
 // waiters are the requests that wait for engines of one service.
 type waiters struct {
@@ -29,7 +29,7 @@
 	armed bool
 }
 
-// waiting is one request in line.
+// waiting is one request in queue.
 type waiting struct {
 	aim   time.Time
 	late  bool
@@ -37,21 +37,21 @@
 	index int
 }
 
-// Waits tells whether requests to a service are in line.
-func (line *Line) Waits(service string) bool {
-	line.mutex.Lock()
-	defer line.mutex.Unlock()
-	found := line.services[service]
+// Waits tells whether requests to a service are in queue.
+func (queue *WaitQueue) Waits(service string) bool {
+	queue.mutex.Lock()
+	defer queue.mutex.Unlock()
+	found := queue.services[service]
 	return found != nil && len(found.ordered) > 0
 }
 
 // Wait returns when it is the request's turn to look for an engine, or after
 // patience, or when ctx ends. Requests with the nearest aim come first; those
 // whose aim is over come last, for their programs gain little any more.
-func (line *Line) Wait(ctx context.Context, service string, aim time.Time, patience time.Duration) {
+func (queue *WaitQueue) Wait(ctx context.Context, service string, aim time.Time, patience time.Duration) {
 	mine := &waiting{aim: aim, late: !aim.After(time.Now()), woken: make(chan struct{}, 1)}
-	line.enter(service, mine)
-	defer line.leave(service, mine)
+	queue.enter(service, mine)
+	defer queue.leave(service, mine)
 	timer := time.NewTimer(patience)
 	defer timer.Stop()
 	select {
@@ -61,52 +61,52 @@
 	}
 }
 
-func (line *Line) enter(service string, mine *waiting) {
-	line.mutex.Lock()
-	defer line.mutex.Unlock()
-	found := line.services[service]
+func (queue *WaitQueue) enter(service string, mine *waiting) {
+	queue.mutex.Lock()
+	defer queue.mutex.Unlock()
+	found := queue.services[service]
 	if found == nil {
 		found = &waiters{}
-		line.services[service] = found
+		queue.services[service] = found
 	}
 	heap.Push(&found.ordered, mine)
-	line.arm(service, found)
+	queue.arm(service, found)
 }
 
-func (line *Line) leave(service string, mine *waiting) {
-	line.mutex.Lock()
-	defer line.mutex.Unlock()
+func (queue *WaitQueue) leave(service string, mine *waiting) {
+	queue.mutex.Lock()
+	defer queue.mutex.Unlock()
 	if mine.index >= 0 {
-		heap.Remove(&line.services[service].ordered, mine.index)
+		heap.Remove(&queue.services[service].ordered, mine.index)
 	}
 }
 
-// arm makes sure that the first in line looks again though nothing ends.
-func (line *Line) arm(service string, found *waiters) {
+// arm makes sure that the first in the queue looks again though nothing ends.
+func (queue *WaitQueue) arm(service string, found *waiters) {
 	if found.armed {
 		return
 	}
 	found.armed = true
-	time.AfterFunc(linePoll, func() {
-		line.mutex.Lock()
+	time.AfterFunc(queuePoll, func() {
+		queue.mutex.Lock()
 		found.armed = false
-		line.mutex.Unlock()
-		line.Wake(service)
+		queue.mutex.Unlock()
+		queue.Wake(service)
 	})
 }
 
-// Wake lets the first in line for a service look for an engine.
-func (line *Line) Wake(service string) {
-	line.mutex.Lock()
-	defer line.mutex.Unlock()
-	found := line.services[service]
+// Wake lets the first in the queue for a service look for an engine.
+func (queue *WaitQueue) Wake(service string) {
+	queue.mutex.Lock()
+	defer queue.mutex.Unlock()
+	found := queue.services[service]
 	if found == nil || len(found.ordered) == 0 {
 		return
 	}
 	first := heap.Pop(&found.ordered).(*waiting)
 	first.woken <- struct{}{}
 	if len(found.ordered) > 0 {
-		line.arm(service, found)
+		queue.arm(service, found)
 	}
 }
 
@@ -116,7 +116,7 @@
 func (order order) Len() int { return len(order) }
 
 func (order order) Less(left, right int) bool {
-	if !feature.Enabled(feature.OrderedLine) {
+	if !feature.Enabled(feature.QueueOrder) {
 		return false
 	}
 	if order[left].late != order[right].late {
--- a/internal/feature/feature.go
+++ b/internal/feature/feature.go
@@ -32,8 +32,8 @@
 	EngineReports Feature = "engine-reports"
 	// EngineLimits: a node's requests at an engine that refuses some are not bounded.
 	EngineLimits Feature = "engine-limits"
-	// OrderedLine: calls that wait for an engine are served in any order.
-	OrderedLine Feature = "ordered-line"
+	// QueueOrder: calls that wait for an engine are served in any order.
+	QueueOrder Feature = "queue-order"
 	// ToolPatience: a program's call of a tool waits no longer than any other.
 	ToolPatience Feature = "tool-patience"
 	// SafeRepeats: a safe request without an answer waits for it.
@@ -57,7 +57,7 @@
 // All lists the features.
 var All = []Feature{
 	Allowances, HedgedAppends, Rereading, LearningFromPeers, SharedReader, EngineDoubt, EngineReports, EngineLimits,
-	OrderedLine, ToolPatience, SafeRepeats, RecordingElsewhere, Yielding, OwnershipByCapacity, ClaimRefusal, Isolation,
+	QueueOrder, ToolPatience, SafeRepeats, RecordingElsewhere, Yielding, OwnershipByCapacity, ClaimRefusal, Isolation,
 	EnginePriority, LaterRetries,
 }
 
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -39,7 +39,7 @@
 
 // pick chooses an engine, nil where none has room or others wait for one.
 func (current *course) pick() *backend.Engine {
-	if !current.waited && current.service.Line.Waits(current.serviceName) {
+	if !current.waited && current.service.Waiting.Waits(current.serviceName) {
 		return nil
 	}
 	request := &backend.Request{Service: current.serviceName, Zone: current.service.Zone, Tried: current.tried}
@@ -68,7 +68,7 @@
 			outcome = backend.Silent
 		}
 		current.service.Engines.Finish(engine, outcome, time.Now())
-		current.service.Line.Wake(current.serviceName)
+		current.service.Waiting.Wake(current.serviceName)
 	}()
 	stopRepeat := current.repeatWhereSilent(engine, cancel)
 	defer stopRepeat()
--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -56,8 +56,8 @@
 type Service struct {
 	Routes  *routing.Current
 	Engines *backend.Directory
-	// Line orders the calls that wait for an engine.
-	Line     *backend.Line
+	// Waiting orders the calls that wait for an engine.
+	Waiting  *backend.WaitQueue
 	Sender   Sender
 	Programs Programs
 	Meter    Meter
@@ -138,7 +138,7 @@
 	viewAge     time.Duration
 	usable      int
 	// searching is when the search for an engine began; waited is true once the
-	// call has been in line for one.
+	// call has waited for one.
 	searching time.Time
 	waited    bool
 }
--- a/internal/forward/service_test.go
+++ b/internal/forward/service_test.go
@@ -143,7 +143,7 @@
 			{Name: "tool", Host: "h", Prefix: "/tool/", Shares: share, Objective: 50 * time.Millisecond},
 			{Name: "safe", Host: "h", Prefix: "/safe/", Kind: routing.Safe, Shares: share, Attempts: 2},
 		}, []routing.Service{{Name: "s", TokensPerEvent: 9}}, routing.Limits{}))
-		service = &forward.Service{Routes: routes, Engines: directory, Sender: sender, Line: backend.NewLine(), Programs: programs, Meter: meter,
+		service = &forward.Service{Routes: routes, Engines: directory, Sender: sender, Waiting: backend.NewWaitQueue(), Programs: programs, Meter: meter,
 			Logger: zap.New(core), Nodes: func() int { return 1 }, ViewAge: func() time.Duration { return 0 }}
 	})
 
--- a/internal/forward/wait.go
+++ b/internal/forward/wait.go
@@ -19,7 +19,7 @@
 		return resultcode.New(resultcode.NoBackEnd, "none of %d engines of %s has room, %d refusals",
 			current.service.Engines.Usable(current.serviceName), current.serviceName, current.refusals).After(fullRetry)
 	}
-	current.service.Line.Wait(ctx, current.serviceName, current.aim(), patience)
+	current.service.Waiting.Wait(ctx, current.serviceName, current.aim(), patience)
 	current.waited = true
 	if current.runs == 0 || current.route.Repeatable() {
 		current.tried = current.tried[:0]
--- a/internal/node/contact.go
+++ b/internal/node/contact.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/magpielug/magpielug/internal/feature"
@@ -15,14 +14,13 @@
 // contact notes when other nodes were last heard, by their answers to this one or
 // by their calls. It is safe for concurrent use.
 type contact struct {
-	// heard is Unix milliseconds.
-	heard atomic.Int64
+	heard moment
 }
 
-func (contact *contact) note() { contact.heard.Store(time.Now().UnixMilli()) }
+func (contact *contact) note() { contact.heard.set(time.Now()) }
 
 func (contact *contact) silent(now time.Time) bool {
-	return now.Sub(time.UnixMilli(contact.heard.Load())) > isolatedAfter
+	return contact.heard.age(now) > isolatedAfter
 }
 
 // transport notes the answers that come to calls of other nodes.
--- a/internal/node/contact_test.go
+++ b/internal/node/contact_test.go
@@ -28,8 +28,8 @@
 		node.members.put(Member{Name: fmt.Sprint("other", number), Address: address, Incarnation: "1"})
 	}
 	node.following = []*follower{{pause: func() time.Duration { return 0 }}}
-	node.following[0].lastAnswer.Store(heard.UnixMilli())
-	node.contact.heard.Store(heard.UnixMilli())
+	node.following[0].lastAnswer.set(heard)
+	node.contact.heard.set(heard)
 	node.peers = newPeers(node.members, &http.Client{Transport: node.contact.transport(http.DefaultTransport)})
 	node.programs = newPrograms(node)
 	return node
@@ -42,7 +42,7 @@
 		Expect(lonelyNode(longAgo, "a").isolated()).To(BeTrue())
 		Expect(lonelyNode(longAgo).isolated()).To(BeFalse())
 		answered := lonelyNode(longAgo, "a")
-		answered.following[0].lastAnswer.Store(time.Now().UnixMilli())
+		answered.following[0].lastAnswer.set(time.Now())
 		Expect(answered.isolated()).To(BeFalse())
 	})
 
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -44,8 +44,8 @@
 	apply func(durable.Update)
 	// lost is true while the store does not answer.
 	lost atomic.Bool
-	// lastAnswer is when the store last answered, Unix milliseconds.
-	lastAnswer atomic.Int64
+	// lastAnswer is when the store last answered.
+	lastAnswer moment
 	// failurePause is the next one.
 	failurePause time.Duration
 	// lastEnd is the furthest end seen.
@@ -58,7 +58,7 @@
 	if follower.lost.Load() {
 		allowed = learnAfter
 	}
-	return now.Sub(time.UnixMilli(follower.lastAnswer.Load())) > allowed+follower.pause()
+	return follower.lastAnswer.age(now) > allowed+follower.pause()
 }
 
 func (follower *follower) run(ctx context.Context) {
@@ -90,7 +90,7 @@
 		return false
 	}
 	wait.For(ctx, restPause)
-	follower.lastAnswer.Store(time.Now().UnixMilli())
+	follower.lastAnswer.set(time.Now())
 	follower.view.SkipTo(follower.reached())
 	return true
 }
@@ -124,7 +124,7 @@
 }
 
 func (follower *follower) regained() {
-	follower.lastAnswer.Store(time.Now().UnixMilli())
+	follower.lastAnswer.set(time.Now())
 	if follower.lost.Swap(false) {
 		follower.logger.Info("view regained", zap.String("view", follower.name))
 	}
--- a/internal/node/learn.go
+++ b/internal/node/learn.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
@@ -40,9 +39,8 @@
 // store does not answer.
 type learner struct {
 	node *Node
-	// until is the time up to which the store need not be read, Unix
-	// milliseconds.
-	until atomic.Int64
+	// until is the time up to which the store need not be read.
+	until moment
 	// retry is when the zone's reader is asked again after a failure.
 	retry time.Time
 	// reader is the one last asked, for the log.
@@ -51,7 +49,7 @@
 
 // learns tells whether another node reads the store for this one now.
 func (learner *learner) learns() bool {
-	return time.Now().UnixMilli() < learner.until.Load()
+	return learner.until.age(time.Now()) < 0
 }
 
 // run asks for as long as the node runs.
@@ -89,19 +87,19 @@
 	node := learner.node
 	reader := node.members.readerFor(node.self())
 	if reader.Name == "" || reader.Name == node.settings.Name || !feature.Enabled(feature.SharedReader) {
-		learner.until.Store(0)
+		learner.until.set(now)
 		learner.note("")
 		return
 	}
 	current, err := learner.ask(ctx, reader.Address)
 	if err != nil || !current {
-		learner.until.Store(0)
+		learner.until.set(now)
 		learner.retry = now.Add(readerPause)
 		learner.note("")
 		return
 	}
 	learner.note(reader.Name)
-	learner.until.Store(time.Now().Add(learnTrust).UnixMilli())
+	learner.until.set(time.Now().Add(learnTrust))
 }
 
 // note logs a change of the node that reads the store for this one.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -166,7 +166,7 @@
 	node.service = &forward.Service{
 		Routes:   node.routes,
 		Engines:  node.engines,
-		Line:     backend.NewLine(),
+		Waiting:  backend.NewWaitQueue(),
 		Sender:   around.Sender,
 		Programs: node.programs,
 		Meter:    meter,
@@ -210,9 +210,8 @@
 	defer cancel()
 	node.members.put(node.self())
 	node.following = node.followers()
-	now := time.Now().UnixMilli()
 	for _, follower := range node.following {
-		follower.lastAnswer.Store(now)
+		follower.lastAnswer.set(time.Now())
 	}
 	go node.ownership.Run()
 	err := node.listen()
