Tests: hold the connections that a silent node has accepted

Cause of a failure seen once (3 nodes asked in place of 2): the test dropped what it accepted, the garbage collector closed it, and the asker saw an error at once in place of silence.

--- a/internal/node/contact_test.go
+++ b/internal/node/contact_test.go
@@ -62,15 +62,20 @@
 
 	It("ends its search for an owner after two nodes that let their time pass", func() {
 		var asked atomic.Int64
+		ended := make(chan struct{})
+		DeferCleanup(func() { close(ended) })
 		var addresses []string
 		for range 5 {
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
 			Expect(err).NotTo(HaveOccurred())
 			DeferCleanup(listener.Close)
 			go func() {
-				_, failure := listener.Accept()
+				// Held until the end: an unused connection is closed with the garbage.
+				connection, failure := listener.Accept()
 				if failure == nil {
 					asked.Add(1)
+					<-ended
+					_ = connection.Close()
 				}
 			}()
 			addresses = append(addresses, listener.Addr().String())
