Wake no waiting call after a refusal

The end of a refused attempt woke the next call in the queue, whose refusal woke the one before, without a pause: 157,439 requests a second in the test.

Change: only other outcomes wake the next call; after a refusal the queue's own pace of 12 ms holds. Test: 'does not hammer engines that refuse everything' (failed first).

--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -68,7 +68,10 @@
 			outcome = backend.Silent
 		}
 		current.service.Engines.Finish(engine, outcome, time.Now())
-		current.service.Waiting.Wake(current.serviceName)
+		if outcome != backend.Full {
+			// After a refusal the next one waits for the queue's own pace.
+			current.service.Waiting.Wake(current.serviceName)
+		}
 	}()
 	stopRepeat := current.repeatWhereSilent(engine, cancel)
 	defer stopRepeat()
--- a/internal/forward/service_test.go
+++ b/internal/forward/service_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
@@ -56,6 +58,14 @@
 	return count, err
 }
 
+// refusingSender refuses everything and counts.
+type refusingSender struct{ asked atomic.Int64 }
+
+func (sender *refusingSender) Send(context.Context, *forward.Attempt) (*forward.Reply, error) {
+	sender.asked.Add(1)
+	return refused()
+}
+
 // hangingSender hangs on the first attempt and answers the others.
 type hangingSender struct {
 	hang    func(ctx context.Context) (*forward.Reply, error)
@@ -221,6 +231,19 @@
 		Expect(failure.RetryAfter).To(BeNumerically(">", 0))
 	})
 
+	It("does not hammer engines that refuse everything", func() {
+		refusing := &refusingSender{}
+		service.Sender = refusing
+		var calls sync.WaitGroup
+		for range 8 {
+			calls.Go(func() { serve("/tool/x") })
+		}
+		calls.Wait()
+		// The calls wait for a second, and the queue wakes its first each 12 ms, which
+		// may then ask the three engines.
+		Expect(refusing.asked.Load()).To(BeNumerically("<", 8*3+3*100))
+	})
+
 	It("looks for an engine as long after a long reservation as after a short one", func() {
 		programs.wait = 300 * time.Millisecond
 		sender.replies = []func() (*forward.Reply, error){refused, refused, refused, answerOf(200, strings.NewReader("data: a\n\n"))}
