--- a/internal/spending/spending.go
+++ b/internal/spending/spending.go
@@ -2,9 +2,10 @@
 //
 // A Ledger is the account book of one shard, kept by the shard's owner alone.
 // It is a pure state machine without clock, lock or input and output. What it
-// grants stays under ceilings that the log has acknowledged. A new owner starts
-// each program from its ceiling, so that a former owner, which was cut off and
-// does not know it, can only use what has been counted already.
+// grants stays under ceilings that the log has acknowledged, and beyond them
+// within the Allowance of the owner's claim. A new owner starts each program from
+// its ceiling and the allowances that former owners may have used, so that one of
+// them that was cut off and goes on can only use what has been counted already.
 package spending
 
 import "time"
@@ -180,8 +181,8 @@
 	return Unsure
 }
 
-// raise wants a ceiling for what is needed and some turns ahead, or behind it
-// where an allowance goes ahead.
+// raise wants a ceiling for what is needed and some turns ahead. Where the owner
+// has an allowance it wants one behind the grants instead.
 func (ledger *Ledger) raise(program string, account *account, needed, most int64) {
 	if ledger.own.of(account.budget) > 0 {
 		ledger.renew(program, account, needed-most)
