--- a/internal/feature/feature.go
+++ b/internal/feature/feature.go
@@ -50,6 +50,8 @@
 	Isolation Feature = "isolation"
 	// EnginePriority: requests carry no priority to engines.
 	EnginePriority Feature = "engine-priority"
+	// LogGate: a turn runs also while the log answers nobody that could record it.
+	LogGate Feature = "log-gate"
 	// LaterRetries: a node without a configuration names one time to come back.
 	LaterRetries Feature = "later-retries"
 )
@@ -58,7 +60,7 @@
 var All = []Feature{
 	Allowances, HedgedAppends, Rereading, LearningFromPeers, SharedReader, EngineDoubt, EngineReports, EngineLimits,
 	QueueOrder, ToolPatience, SafeRepeats, RecordingElsewhere, Yielding, OwnershipByCapacity, ClaimRefusal, Isolation,
-	EnginePriority, LaterRetries,
+	EnginePriority, LogGate, LaterRetries,
 }
 
 // disabled holds the features turned off.
--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -69,6 +69,8 @@
 	Nodes func() int
 	// ViewAge is how long ago the list of engines was last confirmed.
 	ViewAge func() time.Duration
+	// LogAway tells whether the log answers nobody now; nil where that is not known.
+	LogAway func() bool
 }
 
 const (
@@ -192,13 +194,17 @@
 }
 
 func (current *course) run(ctx context.Context) error {
+	failure := current.awaitLog(ctx)
+	if failure != nil {
+		return failure
+	}
 	if current.isTurn() {
 		failure := current.reserve(ctx)
 		if failure != nil {
 			return failure
 		}
 	}
-	failure := current.sendUntilAnswered(ctx)
+	failure = current.sendUntilAnswered(ctx)
 	if current.reserved {
 		current.settle(nil)
 	}
--- a/internal/forward/service_test.go
+++ b/internal/forward/service_test.go
@@ -207,6 +207,33 @@
 		Expect(lines("call failed")).To(Equal(1))
 	})
 
+	It("runs no turn that could not be recorded, and says when to come back", func() {
+		service.LogAway = func() bool { return true }
+		began := time.Now()
+		answer := serve("/kept/x")
+		var failure *resultcode.Error
+		Expect(errors.As(answer.failure, &failure)).To(BeTrue())
+		Expect(failure.Code).To(Equal(resultcode.LogAway))
+		left := 2*time.Second - time.Since(began)
+		Expect(failure.RetryAfter).To(BeNumerically(">", 0))
+		Expect(failure.RetryAfter).To(BeNumerically("<", left/2))
+		Expect(sender.sent).To(BeEmpty())
+		Expect(programs.settled).To(BeEmpty(), "nothing was reserved")
+	})
+
+	It("runs a turn that waited once the log is back, and those that need no record at once", func() {
+		var looks atomic.Int64
+		service.LogAway = func() bool { return looks.Add(1) <= 3 }
+		sender.replies = []func() (*forward.Reply, error){answerOf(200, strings.NewReader("data: a\n\n"))}
+		Expect(serve("/kept/x").ended).To(BeTrue())
+		Expect(programs.recorded).To(HaveLen(1))
+		Expect(lines("log back")).To(Equal(1))
+
+		service.LogAway = func() bool { return true }
+		sender.replies = []func() (*forward.Reply, error){answerOf(200, strings.NewReader("data: a\n\n"))}
+		Expect(serve("/stream/x").ended).To(BeTrue())
+	})
+
 	It("records a kept turn before it ends the answer, and never ends one that is not recorded", func() {
 		sender.replies = []func() (*forward.Reply, error){answerOf(200, strings.NewReader("data: a\n\ndata: b\n\n"))}
 		Expect(serve("/kept/x").ended).To(BeTrue())
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -160,7 +160,7 @@
 		}
 	}
 	var turn *history.Turn
-	if current.route.KeepsTurns && current.call.Turn != nil {
+	if current.recorded() {
 		turn = current.turn(said)
 		began := time.Now()
 		err := current.service.Programs.Record(ctx, turn)
--- a/internal/history/recorder.go
+++ b/internal/history/recorder.go
@@ -38,6 +38,10 @@
 	pending map[durable.Partition]*pendingAppend
 	pace    durable.Pace
 	relay   Relay
+	// underway counts the recordings that have not ended; waitingSince is when the
+	// newest of them was recorded, or the first of them began. The mutex guards both.
+	underway     int
+	waitingSince time.Time
 	// refused is when an append last failed with none done since, zero where the
 	// last one was done. The mutex guards it.
 	refused time.Time
@@ -105,7 +109,39 @@
 		done:     make(chan error, recorder.shards+1),
 		relayed:  make(chan error, 1),
 	}
-	return current.run(ctx)
+	recorder.began()
+	err = current.run(ctx)
+	recorder.ended(err)
+	return err
+}
+
+func (recorder *Recorder) began() {
+	recorder.mutex.Lock()
+	defer recorder.mutex.Unlock()
+	if recorder.underway == 0 {
+		recorder.waitingSince = time.Now()
+	}
+	recorder.underway++
+}
+
+func (recorder *Recorder) ended(err error) {
+	recorder.mutex.Lock()
+	defer recorder.mutex.Unlock()
+	recorder.underway--
+	if err == nil {
+		recorder.waitingSince = time.Now()
+	}
+}
+
+// Waiting is for how long turns have waited here and none was recorded, 0 where none
+// waits.
+func (recorder *Recorder) Waiting(now time.Time) time.Duration {
+	recorder.mutex.Lock()
+	defer recorder.mutex.Unlock()
+	if recorder.underway == 0 {
+		return 0
+	}
+	return now.Sub(recorder.waitingSince)
 }
 
 // recording is one turn on its way into the log.
--- a/internal/node/learn.go
+++ b/internal/node/learn.go
@@ -121,6 +121,7 @@
 		EnginesEnd:       node.engineView.reached(),
 		NodesEnd:         node.memberView.reached(),
 		Avoided:          node.engines.Avoided(time.Now()),
+		LogAnswerAgeMs:   node.logHealth.ageMilliseconds(time.Now()),
 	})
 	if err != nil {
 		node.logger.Debug("nothing learned", zap.String("address", address), logging.Cause(err))
@@ -130,6 +131,7 @@
 	node.engineView.take(fromRecords(reply.Engines))
 	node.memberView.take(fromRecords(reply.Nodes))
 	node.engines.Report(reply.Avoided, time.Now())
+	node.logHealth.hear(reply.LogAnswerAgeMs, time.Now())
 	return reply.Current, nil
 }
 
@@ -166,12 +168,14 @@
 	node := server.node
 	now := time.Now()
 	node.engines.Report(request.Avoided, now)
+	node.logHealth.hear(request.LogAnswerAgeMs, now)
 	return &nodev1.LearnReply{
-		Configuration: toRecords(node.configurationView.since(request.ConfigurationEnd)),
-		Engines:       toRecords(node.engineView.since(request.EnginesEnd)),
-		Nodes:         toRecords(node.memberView.since(request.NodesEnd)),
-		Avoided:       node.engines.AvoidedByAny(now),
-		Current:       !node.learner.learns() && node.engineView.age() < currentAge,
+		Configuration:  toRecords(node.configurationView.since(request.ConfigurationEnd)),
+		Engines:        toRecords(node.engineView.since(request.EnginesEnd)),
+		Nodes:          toRecords(node.memberView.since(request.NodesEnd)),
+		Avoided:        node.engines.AvoidedByAny(now),
+		LogAnswerAgeMs: node.logHealth.ageMilliseconds(now),
+		Current:        !node.learner.learns() && node.engineView.age() < currentAge,
 	}, nil
 }
 
--- /dev/null
+++ b/internal/node/log_health.go
@@ -0,0 +1,69 @@
+package node
+
+import (
+	"errors"
+	"time"
+
+	"github.com/magpielug/magpielug/internal/durable"
+	"github.com/magpielug/magpielug/internal/feature"
+)
+
+const (
+	// logAwayAfter is how long the log may have answered no node that this one hears
+	// of before it counts as away. In good times an answer is at most 0.7 s old: a
+	// reader's poll of 0.4 s and an ask of 0.3 s, twice as much while a reader is lost.
+	logAwayAfter = 1400 * time.Millisecond
+	// unrecordedAfter is how long a turn may wait for its record, and the log have
+	// answered nobody, before the log counts as away: the wait shows it sooner.
+	unrecordedAfter = 700 * time.Millisecond
+)
+
+// logHealth knows when the log last answered a node: this one, or another one that
+// told of it. A log that refuses this node alone is therefore not away. It is safe for
+// concurrent use.
+type logHealth struct {
+	answered moment
+}
+
+// observe notes the outcome of a call of the log. It implements durable.Observe but for
+// what does not count here.
+func (health *logHealth) observe(err error) {
+	if err == nil || answersRefusal(err) {
+		health.answered.advance(time.Now())
+	}
+}
+
+// answersRefusal tells whether an error is the answer of a log that works.
+func answersRefusal(err error) bool {
+	var trimmed *durable.TrimmedError
+	return errors.Is(err, durable.ErrFenced) || errors.Is(err, durable.ErrSequence) ||
+		errors.Is(err, durable.ErrConflict) || errors.As(err, &trimmed)
+}
+
+// ageMilliseconds is how old the newest answer known is, for other nodes; 0 where none
+// is known.
+func (health *logHealth) ageMilliseconds(now time.Time) int64 {
+	if health.answered.unset() {
+		return 0
+	}
+	return max(health.answered.age(now).Milliseconds(), 1)
+}
+
+// hear takes in how old the newest answer is that another node knows of. One that knows
+// of none, or is of a version that does not tell, sends 0.
+func (health *logHealth) hear(ageMilliseconds int64, now time.Time) {
+	if ageMilliseconds > 0 {
+		health.answered.advance(now.Add(-time.Duration(ageMilliseconds) * time.Millisecond))
+	}
+}
+
+// recordingAway tells whether a turn that runs now is not likely to be recorded: the log
+// answers no node that this one hears of.
+func (node *Node) recordingAway() bool {
+	if !feature.Enabled(feature.LogGate) {
+		return false
+	}
+	now := time.Now()
+	age := node.logHealth.answered.age(now)
+	return age > logAwayAfter || (age > unrecordedAfter && node.recorder.Waiting(now) > unrecordedAfter)
+}
--- a/internal/node/moment.go
+++ b/internal/node/moment.go
@@ -15,6 +15,20 @@
 // set takes a time of this process's time.Now.
 func (moment *moment) set(at time.Time) { moment.sinceStart.Store(int64(at.Sub(processStart))) }
 
+// advance is set, unless the moment is later already.
+func (moment *moment) advance(at time.Time) {
+	later := int64(at.Sub(processStart))
+	for {
+		held := moment.sinceStart.Load()
+		if held >= later || moment.sinceStart.CompareAndSwap(held, later) {
+			return
+		}
+	}
+}
+
+// unset tells whether the moment was never set; it then is the process's start.
+func (moment *moment) unset() bool { return moment.sinceStart.Load() == 0 }
+
 // age is the time from the moment to now.
 func (moment *moment) age(now time.Time) time.Duration {
 	return now.Sub(processStart) - time.Duration(moment.sinceStart.Load())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -74,12 +74,14 @@
 	// following read the views from the store; set before anything else runs.
 	following []*follower
 
-	contact  contact
-	peers    *peers
-	learner  *learner
-	turns    *history.Store
-	recorder *history.Recorder
-	reader   *history.Reader
+	contact contact
+	// logHealth tells when the log last answered a node.
+	logHealth logHealth
+	peers     *peers
+	learner   *learner
+	turns     *history.Store
+	recorder  *history.Recorder
+	reader    *history.Reader
 	// searches are those for chains under way, by the turn they end with.
 	searches  singleflight.Group
 	ownership *ownership.Manager
@@ -129,7 +131,6 @@
 		return nil, err
 	}
 	meter := newMeter()
-	around.Log = &durable.Rereading{Log: &durable.Counted{Log: around.Log, Observe: meter.storeCall}}
 	node := &Node{
 		meter:       meter,
 		settings:    settings,
@@ -141,8 +142,10 @@
 		engines:     backend.NewDirectory(),
 		members:     newMembers(),
 		turns:       history.NewStore(historyBytes(settings.MemoryBytes)),
-		recorder:    history.NewRecorder(around.Log, settings.Shards),
 	}
+	around.Log = &durable.Rereading{Log: &durable.Counted{Log: around.Log, Observe: node.storeCall}}
+	node.around = around
+	node.recorder = history.NewRecorder(around.Log, settings.Shards)
 	err = node.engines.UsePolicy(settings.Placement)
 	if err != nil {
 		return nil, err
@@ -174,11 +177,18 @@
 		Zone:     settings.Zone,
 		Nodes:    node.members.staying,
 		ViewAge:  node.engineView.age,
+		LogAway:  node.recordingAway,
 		Started:  time.Now(),
 	}
 	return node, nil
 }
 
+// storeCall implements durable.Observe.
+func (node *Node) storeCall(operation, topic string, took time.Duration, err error) {
+	node.meter.storeCall(operation, topic, took, err)
+	node.logHealth.observe(err)
+}
+
 func historyBytes(memory int64) int {
 	if memory <= 0 {
 		return defaultHistoryBytes
--- a/internal/node/peer_server.go
+++ b/internal/node/peer_server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
 	"github.com/magpielug/magpielug/internal/history"
@@ -12,7 +13,9 @@
 
 // Reserve implements nodev1.Node.
 func (server *peerServer) Reserve(ctx context.Context, request *nodev1.ReserveRequest) (*nodev1.ReserveReply, error) {
-	return server.node.reserveHere(ctx, server.node.programs.shardOf(request.Program), request), nil
+	reply := server.node.reserveHere(ctx, server.node.programs.shardOf(request.Program), request)
+	reply.LogAnswerAgeMs = server.node.logHealth.ageMilliseconds(time.Now())
+	return reply, nil
 }
 
 // Settle implements nodev1.Node. Settlements of a shard that another node owns
--- a/internal/node/search.go
+++ b/internal/node/search.go
@@ -195,5 +195,7 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	return client.Reserve(bounded, request)
+	reply, err := client.Reserve(bounded, request)
+	programs.node.logHealth.hear(reply.GetLogAnswerAgeMs(), time.Now())
+	return reply, err
 }
--- a/internal/resultcode/resultcode.go
+++ b/internal/resultcode/resultcode.go
@@ -42,6 +42,7 @@
 	Stopping           Code = 2010
 	DeadlineNotRun     Code = 2011
 	ResumeNotHeld      Code = 2012
+	LogAway            Code = 2013
 
 	OutcomeUnknown Code = 3001
 	CallStopped    Code = 3002
@@ -102,6 +103,7 @@
 	{Stopping, "STOPPING", http.StatusServiceUnavailable, true, "The process is stopping; this sending did not run."},
 	{DeadlineNotRun, "DEADLINE_NOT_RUN", http.StatusGatewayTimeout, true, "The call's deadline passed while it waited; not run."},
 	{ResumeNotHeld, "RESUME_NOT_HELD", http.StatusServiceUnavailable, true, "The beginning of this kept turn's stream is not held here, so it can't go on; send the turn anew. Not run."},
+	{LogAway, "LOG_AWAY", http.StatusServiceUnavailable, true, "The platform's log answers no node, so that the turn could not be recorded; not run."},
 	{OutcomeUnknown, "OUTCOME_UNKNOWN", http.StatusBadGateway, false, "The call was sent and its outcome is lost; it may have run and will not run again."},
 	{CallStopped, "CALL_STOPPED", http.StatusConflict, false, "The call was cancelled because its program was stopped."},
 	{SlowReader, "SLOW_READER", http.StatusRequestTimeout, true, "The caller read too slowly; the stream can be resumed."},
--- a/internal/spending/allowance.go
+++ b/internal/spending/allowance.go
@@ -68,15 +68,31 @@
 	return added
 }
 
-// overshot tells whether a former owner may have granted a turn beyond its
-// allowance. That uses the room of one largest turn beyond the budget.
-func (ledger *Ledger) overshot(budget int64) bool {
+// firstBeyond tells whether a turn that may go beyond the budget would be the first
+// such turn of the program, over all owners. A turn beyond the budget is granted
+// only once the log names it, and what it names is then over the budget. A former
+// owner whose allowance is outstanding may therefore have granted the whole budget
+// and no more; this ledger may add one turn to that, and nothing to it if it has
+// granted any other.
+func (ledger *Ledger) firstBeyond(account *account) bool {
+	newest := ledger.newestOutstanding(account.budget)
+	if newest == 0 {
+		return true
+	}
+	granted := account.settled + account.openTotal + account.overdue
+	return granted == 0 && !account.exact && account.ceilingEpoch <= newest
+}
+
+// newestOutstanding is the epoch of the newest outstanding allowance that holds for a
+// budget, 0 where none does.
+func (ledger *Ledger) newestOutstanding(budget int64) int64 {
+	newest := int64(0)
 	for _, allowance := range ledger.outstanding {
 		if allowance.of(budget) > 0 {
-			return true
+			newest = max(newest, allowance.Epoch)
 		}
 	}
-	return false
+	return newest
 }
 
 // covered tells whether a turn may be granted under what the log has
--- a/internal/spending/allowance_test.go
+++ b/internal/spending/allowance_test.go
@@ -75,6 +75,46 @@
 		Expect(granted).To(BeNumerically(">=", 500))
 	})
 
+	It("leaves a successor one turn of any size, and no second one", func() {
+		// The claim was made when only small turns had been asked for.
+		_, own := firstOwner(20)
+		logged := map[string]spending.Ceiling{}
+		next := successor(own)
+		Expect(reserve(next, "a", 1000, 900)).To(Equal(spending.AwaitCeiling))
+		write(next, logged)
+		Expect(reserve(next, "a", 1000, 900)).To(Equal(spending.Granted))
+		Expect(reserve(next, "b", 1000, 100)).To(Equal(spending.Unsure))
+		next.Settle(program, "a", 900, start)
+		Expect(reserve(next, "b", 1000, 100)).To(Equal(spending.Unsure))
+		Expect(reserve(next, "c", 1000, 101)).To(Equal(spending.Spent))
+		for name, ceiling := range logged {
+			ceiling.Epoch = own.Epoch + 1
+			logged[name] = ceiling
+		}
+		third := spending.NewLedger(logged, start)
+		third.Allow(spending.Allowance{}, []spending.Allowance{own})
+		Expect(reserve(third, "b", 1000, 100)).To(Equal(spending.Unsure))
+	})
+
+	It("leaves no turn beyond the budget to a successor that has granted another", func() {
+		_, own := firstOwner(20)
+		next := successor(own)
+		Expect(reserve(next, "a", 1000, 300)).To(Equal(spending.AwaitCeiling))
+		write(next, map[string]spending.Ceiling{})
+		Expect(reserve(next, "a", 1000, 300)).To(Equal(spending.Granted))
+		Expect(reserve(next, "b", 1000, 600)).To(Equal(spending.Unsure))
+	})
+
+	It("lets the log name a turn beyond the budget first, also where there is an allowance", func() {
+		ledger := spending.NewLedger(map[string]spending.Ceiling{program: {Program: program, Tokens: 700, Settled: 100}}, start)
+		ledger.Allow(spending.NewAllowance(1, 100), nil)
+		Expect(reserve(ledger, "a", 1000, 400)).To(Equal(spending.AwaitCeiling))
+		logged := map[string]spending.Ceiling{}
+		write(ledger, logged)
+		Expect(logged[program].Tokens).To(BeNumerically(">", 1000))
+		Expect(reserve(ledger, "a", 1000, 400)).To(Equal(spending.Granted))
+	})
+
 	It("holds for a budget without a bound", func() {
 		ledger, _ := firstOwner(576)
 		Expect(reserve(ledger, "a", 1<<61, 576)).To(Equal(spending.Granted))
--- a/internal/spending/spending.go
+++ b/internal/spending/spending.go
@@ -57,6 +57,9 @@
 	// open holds each turn that has not ended, by request.
 	open      map[string]reservation
 	openTotal int64
+	// overdue is what turns may have spent whose end was never heard of. It is part
+	// of base.
+	overdue int64
 	// ceiling is acknowledged, wanted the highest asked for.
 	ceiling int64
 	wanted  int64
@@ -151,6 +154,12 @@
 		if verdict != Granted {
 			return verdict
 		}
+		if needed > account.ceiling {
+			// A turn beyond the budget is granted once, over all owners: the log has
+			// to name it first.
+			ledger.want(program, account, needed)
+			return AwaitCeiling
+		}
 	}
 	if !ledger.covered(account, most) {
 		ledger.raise(program, account, needed, most)
@@ -173,7 +182,7 @@
 	switch {
 	case needed-account.doubt > account.budget:
 		return Spent
-	case account.total() <= account.budget && !ledger.overshot(account.budget):
+	case account.total() <= account.budget && ledger.firstBeyond(account):
 		return Granted
 	case now.Sub(account.doubtSince) > doubtPatience:
 		return Spent
@@ -191,8 +200,13 @@
 	ahead := most + int64(aheadShare*float64(account.budget))
 	// The room of a last turn stays out of it, so that a successor can grant one.
 	next := max(min(needed+ahead, account.budget-most), needed)
-	if next > account.wanted {
-		account.wanted = next
+	ledger.want(program, account, next)
+}
+
+// want asks for a ceiling to be written, unless one as high was asked for already.
+func (ledger *Ledger) want(program string, account *account, ceiling int64) {
+	if ceiling > account.wanted {
+		account.wanted = ceiling
 		ledger.changed[program] = true
 	}
 }
@@ -226,6 +240,7 @@
 				delete(account.open, request)
 				account.openTotal -= turn.most
 				account.base += turn.most
+				account.overdue += turn.most
 				account.doubt += turn.most
 				account.doubtSince = now
 			}
