--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -39,6 +39,11 @@
 	// reportedUntil for what other nodes told.
 	silentUntil   time.Time
 	reportedUntil time.Time
+	// pace is how long requests wait there, untold the part of it that the gathering
+	// node was not told yet, slowTold what that node says of the engine.
+	pace     fadingPace
+	untold   Pace
+	slowTold float64
 }
 
 // unfit tells whether the engine gets requests only where no other can.
@@ -102,6 +107,10 @@
 	policy   Policy
 	// usual is the usual wait for the first byte of an answer, by service.
 	usual map[string]time.Duration
+	// usualOfRoute is the same by route, and less moved by single long waits.
+	usualOfRoute map[string]time.Duration
+	// slowToldUntil is until when the slow engines count that another node told of.
+	slowToldUntil time.Time
 	// assigns is true where owners assign engines.
 	assigns bool
 }
@@ -109,7 +118,7 @@
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
 	return &Directory{engines: map[string]*Engine{}, services: map[string][]*Engine{}, policy: policies[PolicyProgram],
-		usual: map[string]time.Duration{}}
+		usual: map[string]time.Duration{}, usualOfRoute: map[string]time.Duration{}}
 }
 
 // Put notes an engine's newest record and tells whether something changed.
@@ -273,15 +282,17 @@
 	engine.silentUntil = now.Add(silentAvoid)
 }
 
-// Heard notes how long a request waited for the first byte of its answer.
-func (directory *Directory) Heard(service string, took time.Duration) {
+// Heard notes how long a request of a route waited at an engine for the first byte of
+// its answer.
+func (directory *Directory) Heard(engine *Engine, route string, took time.Duration, now time.Time) {
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
-	usual := directory.usual[service]
+	usual := directory.usual[engine.Service]
 	if usual == 0 {
 		usual = took
 	}
-	directory.usual[service] = usual + time.Duration(usualWeight*float64(took-usual))
+	directory.usual[engine.Service] = usual + time.Duration(usualWeight*float64(took-usual))
+	directory.observePace(engine, route, took, now)
 }
 
 // Patience is how long a request to a service may wait for the first byte before
--- /dev/null
+++ b/internal/backend/pace.go
@@ -0,0 +1,155 @@
+package backend
+
+import (
+	"math"
+	"time"
+
+	"github.com/magpielug/magpielug/internal/feature"
+)
+
+const (
+	// paceMemory is the time in which the weight of an observation falls to 1/e. Some
+	// twenty observations of an engine thereby count for about 4 s after the last one.
+	paceMemory = time.Second
+	// leastPaceWeight is the weight of observations below which they say nothing.
+	leastPaceWeight = 0.7
+	// slowFrom is how many times the usual wait an engine's mean has to be to count as
+	// slow: the waits of one route differ by as much from request to request.
+	slowFrom = 2.0
+	// mostRatio bounds one observation, in times the usual wait.
+	mostRatio = 10.0
+	// usualBound bounds what one observation counts for the usual wait, in times that.
+	usualBound = 3.0
+	// paceToldFor is how long the slow engines count that another node told of.
+	paceToldFor = time.Second
+)
+
+// Pace sums observations of how long requests waited at an engine for the first byte of
+// an answer, each divided by what is usual on its route.
+type Pace struct {
+	// Weight is the number of observations, older ones counted for less.
+	Weight float64
+	// Sum is that of the waits, in times the usual wait.
+	Sum float64
+}
+
+// fadingPace is a Pace that fades with time.
+type fadingPace struct {
+	Pace
+	at time.Time
+}
+
+// add takes observations in.
+func (pace *fadingPace) add(observed Pace, now time.Time) {
+	pace.Pace = pace.now(now)
+	pace.Weight += observed.Weight
+	pace.Sum += observed.Sum
+	pace.at = now
+}
+
+// now is what the observations count at a time.
+func (pace *fadingPace) now(now time.Time) Pace {
+	faded := math.Exp(-max(now.Sub(pace.at), 0).Seconds() / paceMemory.Seconds())
+	return Pace{Weight: pace.Weight * faded, Sum: pace.Sum * faded}
+}
+
+// slowness is how many times the usual wait requests wait, 1 where the engine is not
+// known to be slow.
+func (pace *fadingPace) slowness(now time.Time) float64 {
+	held := pace.now(now)
+	if held.Weight < leastPaceWeight || held.Sum < slowFrom*held.Weight {
+		return 1
+	}
+	return held.Sum / held.Weight
+}
+
+// slowness is an engine's, as told by a node that hears of more requests, or else as
+// seen here.
+func (directory *Directory) slowness(engine *Engine, now time.Time) float64 {
+	if !feature.Enabled(feature.EnginePace) {
+		return 1
+	}
+	if now.Before(directory.slowToldUntil) {
+		return max(engine.slowTold, 1)
+	}
+	return engine.pace.slowness(now)
+}
+
+// observePace notes one request's wait at an engine.
+func (directory *Directory) observePace(engine *Engine, route string, took time.Duration, now time.Time) {
+	usual, known := directory.usualOfRoute[route]
+	if !known {
+		directory.usualOfRoute[route] = took
+		return
+	}
+	bounded := min(took, time.Duration(usualBound*float64(usual)))
+	directory.usualOfRoute[route] = max(usual+time.Duration(usualWeight*float64(bounded-usual)), time.Microsecond)
+	observed := Pace{Weight: 1, Sum: min(took.Seconds()/usual.Seconds(), mostRatio)}
+	engine.pace.add(observed, now)
+	engine.untold.Weight += observed.Weight
+	engine.untold.Sum += observed.Sum
+}
+
+// TakePaces returns what was observed since it was last asked, by engine, for the node
+// that gathers what several observe.
+func (directory *Directory) TakePaces() map[string]Pace {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	taken := map[string]Pace{}
+	for id, engine := range directory.engines {
+		if engine.untold.Weight > 0 {
+			taken[id] = engine.untold
+			engine.untold = Pace{}
+		}
+	}
+	return taken
+}
+
+// AddPaces takes in what another node has observed.
+func (directory *Directory) AddPaces(observed map[string]Pace, now time.Time) {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	for id, pace := range observed {
+		engine := directory.engines[id]
+		if engine != nil && pace.Weight > 0 && pace.Sum >= 0 {
+			engine.pace.add(pace, now)
+		}
+	}
+}
+
+// Slow returns the engines that are slow by what was observed here and told to this
+// node, with how many times the usual wait requests wait there.
+func (directory *Directory) Slow(now time.Time) map[string]float64 {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	slow := map[string]float64{}
+	for id, engine := range directory.engines {
+		if slowness := engine.pace.slowness(now); slowness > 1 {
+			slow[id] = slowness
+		}
+	}
+	return slow
+}
+
+// TellSlow takes in the slow engines that another node knows of; it takes all others
+// for not slow.
+func (directory *Directory) TellSlow(slow map[string]float64, now time.Time) {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	for id, engine := range directory.engines {
+		engine.slowTold = slow[id]
+	}
+	directory.slowToldUntil = now.Add(paceToldFor)
+}
+
+// Slowness is how many times the usual wait requests wait at an engine, 1 where it is
+// not known to be slow.
+func (directory *Directory) Slowness(id string, now time.Time) float64 {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	engine := directory.engines[id]
+	if engine == nil {
+		return 1
+	}
+	return directory.slowness(engine, now)
+}
--- a/internal/backend/pick_test.go
+++ b/internal/backend/pick_test.go
@@ -22,6 +22,11 @@
 	return directory
 }
 
+// assign sends a request to an engine.
+func assign(directory *backend.Directory, id string) *backend.Engine {
+	return directory.Pick(&backend.Request{Service: service, Assigned: id}, now)
+}
+
 var _ = Describe("Pick", func() {
 	It("takes the engine assigned to the line of turns, where it may", func() {
 		directory := newDirectory(8)
@@ -108,10 +113,6 @@
 			}
 			return counts
 		}
-		assign := func(directory *backend.Directory, id string) *backend.Engine {
-			return directory.Pick(&backend.Request{Service: service, Assigned: id}, now)
-		}
-
 		It("passes over one that took no connection, at once, and comes back to it", func() {
 			directory := newDirectory(3)
 			directory.Finish(assign(directory, "e1"), backend.Unreachable, now)
@@ -159,8 +160,9 @@
 		It("waits the longer for an engine, the slower its service is at present", func() {
 			directory := newDirectory(1)
 			Expect(directory.Patience(service)).To(BeZero())
+			engine := assign(directory, "e0")
 			for range 100 {
-				directory.Heard(service, 400*time.Millisecond)
+				directory.Heard(engine, "r", 400*time.Millisecond, now)
 			}
 			Expect(directory.Patience(service)).To(BeNumerically("~", 2*time.Second, 10*time.Millisecond))
 		})
--- a/internal/backend/policy.go
+++ b/internal/backend/policy.go
@@ -9,9 +9,10 @@
 )
 
 // Policy chooses among engines that may all get a request. It is called under
-// the directory's lock with at least one engine.
+// the directory's lock with at least one engine. slowness is how many times the usual
+// wait requests wait at an engine.
 type Policy interface {
-	Choose(admitted []*Engine, request *Request) *Engine
+	Choose(admitted []*Engine, request *Request, slowness func(*Engine) float64) *Engine
 }
 
 // Names of policies.
@@ -79,11 +80,11 @@
 type leastPolicy struct{}
 
 // Choose implements Policy.
-func (leastPolicy) Choose(admitted []*Engine, request *Request) *Engine {
+func (leastPolicy) Choose(admitted []*Engine, request *Request, slowness func(*Engine) float64) *Engine {
 	best := admitted[0]
-	bestCost := runningCost(best, request)
+	bestCost := runningCost(best, request, slowness(best))
 	for _, candidate := range admitted[1:] {
-		cost := runningCost(candidate, request)
+		cost := runningCost(candidate, request, slowness(candidate))
 		if cost < bestCost {
 			best = candidate
 			bestCost = cost
@@ -92,8 +93,10 @@
 	return best
 }
 
-func runningCost(engine *Engine, request *Request) float64 {
-	cost := float64(engine.running) + noiseCost*rand.Float64()
+// runningCost is the cost of one more request at an engine: at a slow one, each under
+// way counts as several.
+func runningCost(engine *Engine, request *Request, slowness float64) float64 {
+	cost := float64(engine.running+1)*slowness + noiseCost*rand.Float64()
 	if engine.Zone != request.Zone {
 		cost += otherZoneCost
 	}
@@ -104,7 +107,7 @@
 type randomPolicy struct{}
 
 // Choose implements Policy.
-func (randomPolicy) Choose(admitted []*Engine, _ *Request) *Engine {
+func (randomPolicy) Choose(admitted []*Engine, _ *Request, _ func(*Engine) float64) *Engine {
 	return admitted[rand.IntN(len(admitted))]
 }
 
@@ -115,10 +118,10 @@
 }
 
 // Choose implements Policy.
-func (policy affinityPolicy) Choose(admitted []*Engine, request *Request) *Engine {
+func (policy affinityPolicy) Choose(admitted []*Engine, request *Request, slowness func(*Engine) float64) *Engine {
 	key := policy.key(request)
 	if key == "" {
-		return leastPolicy{}.Choose(admitted, request)
+		return leastPolicy{}.Choose(admitted, request, slowness)
 	}
 	first, second := firstTwo(admitted, key)
 	if second != nil && float64(first.running) > float64(second.running)+affinityReach {
--- a/internal/feature/feature.go
+++ b/internal/feature/feature.go
@@ -30,6 +30,8 @@
 	EngineDoubt Feature = "engine-doubt"
 	// EngineReports: nodes do not tell each other which engines they pass over.
 	EngineReports Feature = "engine-reports"
+	// EnginePace: engines that are slower than others get as many requests.
+	EnginePace Feature = "engine-pace"
 	// EngineLimits: a node's requests at an engine that refuses some are not bounded.
 	EngineLimits Feature = "engine-limits"
 	// QueueOrder: calls that wait for an engine are served in any order.
@@ -58,7 +60,7 @@
 
 // All lists the features.
 var All = []Feature{
-	Allowances, HedgedAppends, Rereading, LearningFromPeers, SharedReader, EngineDoubt, EngineReports, EngineLimits,
+	Allowances, HedgedAppends, Rereading, LearningFromPeers, SharedReader, EngineDoubt, EngineReports, EnginePace, EngineLimits,
 	QueueOrder, ToolPatience, SafeRepeats, RecordingElsewhere, Yielding, OwnershipByCapacity, ClaimRefusal, Isolation,
 	EnginePriority, LogGate, LaterRetries,
 }
--- a/internal/forward/watch.go
+++ b/internal/forward/watch.go
@@ -27,7 +27,7 @@
 	})
 	current.heard = func() {
 		timer.Stop()
-		engines.Heard(current.serviceName, time.Since(began))
+		engines.Heard(engine, current.route.Name, time.Since(began), time.Now())
 	}
 	return func() bool {
 		timer.Stop()
--- a/internal/node/learn.go
+++ b/internal/node/learn.go
@@ -7,6 +7,7 @@
 	"time"
 
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
+	"github.com/magpielug/magpielug/internal/backend"
 	"github.com/magpielug/magpielug/internal/durable"
 	"github.com/magpielug/magpielug/internal/feature"
 	"github.com/magpielug/magpielug/internal/logging"
@@ -122,6 +123,7 @@
 		NodesEnd:         node.memberView.reached(),
 		Avoided:          node.engines.Avoided(time.Now()),
 		LogAnswerAgeMs:   node.logHealth.ageMilliseconds(time.Now()),
+		Paces:            toPaces(node.engines.TakePaces()),
 	})
 	if err != nil {
 		node.logger.Debug("nothing learned", zap.String("address", address), logging.Cause(err))
@@ -132,6 +134,9 @@
 	node.memberView.take(fromRecords(reply.Nodes))
 	node.engines.Report(reply.Avoided, time.Now())
 	node.logHealth.hear(reply.LogAnswerAgeMs, time.Now())
+	if reply.Current {
+		node.engines.TellSlow(reply.Slow, time.Now())
+	}
 	return reply.Current, nil
 }
 
@@ -169,16 +174,34 @@
 	now := time.Now()
 	node.engines.Report(request.Avoided, now)
 	node.logHealth.hear(request.LogAnswerAgeMs, now)
+	node.engines.AddPaces(fromPaces(request.Paces), now)
 	return &nodev1.LearnReply{
 		Configuration:  toRecords(node.configurationView.since(request.ConfigurationEnd)),
 		Engines:        toRecords(node.engineView.since(request.EnginesEnd)),
 		Nodes:          toRecords(node.memberView.since(request.NodesEnd)),
 		Avoided:        node.engines.AvoidedByAny(now),
+		Slow:           node.engines.Slow(now),
 		LogAnswerAgeMs: node.logHealth.ageMilliseconds(now),
 		Current:        !node.learner.learns() && node.engineView.age() < currentAge,
 	}, nil
 }
 
+func toPaces(paces map[string]backend.Pace) map[string]*nodev1.Pace {
+	messages := make(map[string]*nodev1.Pace, len(paces))
+	for engine, pace := range paces {
+		messages[engine] = &nodev1.Pace{Weight: pace.Weight, Sum: pace.Sum}
+	}
+	return messages
+}
+
+func fromPaces(messages map[string]*nodev1.Pace) map[string]backend.Pace {
+	paces := make(map[string]backend.Pace, len(messages))
+	for engine, message := range messages {
+		paces[engine] = backend.Pace{Weight: message.GetWeight(), Sum: message.GetSum()}
+	}
+	return paces
+}
+
 func toRecords(records []durable.KeyedRecord, end int64) *nodev1.Records {
 	message := &nodev1.Records{End: end}
 	for _, record := range records {
