Deliver what was written of an aborted answer; a turn after a takeover whatever was named

httpserver: an answer that its handler aborts lost what nbio had not yet handed to the system (a write that a signal interrupts, or a full socket buffer): the socket was closed at once. The connection now closes once that is delivered, and drops all output behind it, so that nbhttp's own end of the answer can't make it look whole.

spending: the first turn after a takeover is granted wherever the log names no turn beyond the budget.

--- a/internal/httpserver/bounded_conn.go
+++ b/internal/httpserver/bounded_conn.go
@@ -26,6 +26,9 @@
 
 // Write sends data piece by piece within the write buffer's bound.
 func (conn *boundedConn) Write(data []byte) (int, error) {
+	if conn.connection.aborted.Load() {
+		return 0, net.ErrClosed
+	}
 	sent := 0
 	for sent < len(data) {
 		piece := data[sent:min(sent+writePiece, len(data))]
--- a/internal/httpserver/connection.go
+++ b/internal/httpserver/connection.go
@@ -41,6 +41,9 @@
 	// receiving is true from a request's first byte to its last.
 	receiving atomic.Bool
 
+	// aborted drops all further output: an answer ends in its middle.
+	aborted atomic.Bool
+
 	// discarding drops all further input: the connection has been refused.
 	discarding atomic.Bool
 	// calls counts complete requests whose answer is not finished.
@@ -162,6 +165,9 @@
 func (connection *connection) execute(job func()) bool {
 	connection.jobsMutex.Lock()
 	defer connection.jobsMutex.Unlock()
+	if connection.discarding.Load() {
+		return false
+	}
 	if len(connection.jobs) >= maxPipelined {
 		_ = connection.socket.Close()
 		return false
@@ -196,12 +202,27 @@
 		fault := recover()
 		if fault != nil {
 			reportPanic(fault)
-			_ = connection.socket.Close()
+			connection.abort()
 		}
 	}()
 	job()
 }
 
+// abort ends an answer in its middle: the client gets what was written of it, then the
+// end of the connection. Nothing may follow that, neither the end that nbhttp writes
+// behind a handler nor the answers of requests that wait. nbio writes later what the
+// system did not take at once, as when a signal interrupts a write; closing the socket
+// at once would lose that.
+func (connection *connection) abort() {
+	connection.aborted.Store(true)
+	connection.discarding.Store(true)
+	connection.jobsMutex.Lock()
+	connection.calls.Add(-int32(len(connection.jobs)))
+	connection.jobs = nil
+	connection.jobsMutex.Unlock()
+	connection.closeWhenDrained()
+}
+
 // finishCall notes that an answer has been handed to the socket.
 func (connection *connection) finishCall() {
 	remaining := connection.calls.Add(-1)
--- a/internal/httpserver/handler.go
+++ b/internal/httpserver/handler.go
@@ -74,7 +74,7 @@
 	}
 	reportPanic(fault)
 	if writer.started {
-		_ = writer.connection.socket.Close()
+		writer.connection.abort()
 		return
 	}
 	WriteError(writer, resultcode.New(resultcode.Internal, "internal fault"))
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -201,6 +201,27 @@
 		Expect(errorOf(answer.Body).Code).To(Equal(resultcode.TooManyConnections))
 	})
 
+	It("delivers what was written of an answer that is aborted, and nothing behind it", func() {
+		const size = 16 << 20
+		server := start(func(writer http.ResponseWriter, request *http.Request) {
+			if request.URL.Path == "/next" {
+				return
+			}
+			writer.Header().Set("Content-Length", fmt.Sprint(2*size))
+			_, _ = writer.Write(content(1, size))
+			panic(http.ErrAbortHandler)
+		}, Limits{WriteBufferBytes: 2 * size})
+		raw := dial(server)
+		fmt.Fprint(raw, "GET / HTTP/1.1\r\nHost: a\r\n\r\nGET /next HTTP/1.1\r\nHost: a\r\n\r\n")
+		Eventually(server.InFlight, patience).Should(BeZero())
+		// The client reads only now that the handler has ended.
+		answer, err := http.ReadResponse(bufio.NewReader(raw), nil)
+		Expect(err).NotTo(HaveOccurred())
+		body, err := io.ReadAll(answer.Body)
+		Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+		Expect(bytes.Equal(body, content(1, size))).To(BeTrue(), "%d bytes came", len(body))
+	})
+
 	DescribeTable("refuses a body over the limit without keeping it",
 		func(newBody func() io.Reader, length int64) {
 			server := start(echo, Limits{MaxBodyBytes: 1000})
--- a/internal/spending/allowance.go
+++ b/internal/spending/allowance.go
@@ -77,10 +77,11 @@
 func (ledger *Ledger) firstBeyond(account *account) bool {
 	newest := ledger.newestOutstanding(account.budget)
 	if newest == 0 {
-		return true
+		return account.total() <= account.budget
 	}
 	granted := account.settled + account.openTotal + account.overdue
-	return granted == 0 && !account.exact && account.ceilingEpoch <= newest
+	named := account.base - account.outstanding
+	return granted == 0 && named <= account.budget && !account.exact && account.ceilingEpoch <= newest
 }
 
 // newestOutstanding is the epoch of the newest outstanding allowance that holds for a
--- a/internal/spending/allowance_test.go
+++ b/internal/spending/allowance_test.go
@@ -96,6 +96,16 @@
 		Expect(reserve(third, "b", 1000, 100)).To(Equal(spending.Unsure))
 	})
 
+	It("leaves a successor a turn also of a program that used most of its budget", func() {
+		_, own := firstOwner(20)
+		next := spending.NewLedger(map[string]spending.Ceiling{program: {Program: program, Tokens: 900, Settled: 600, Epoch: own.Epoch}}, start)
+		next.Allow(spending.Allowance{}, []spending.Allowance{own})
+		Expect(reserve(next, "a", 1000, 300)).To(Equal(spending.AwaitCeiling))
+		write(next, map[string]spending.Ceiling{})
+		Expect(reserve(next, "a", 1000, 300)).To(Equal(spending.Granted))
+		Expect(reserve(next, "b", 1000, 100)).To(Equal(spending.Unsure))
+	})
+
 	It("leaves no turn beyond the budget to a successor that has granted another", func() {
 		_, own := firstOwner(20)
 		next := successor(own)
--- a/internal/spending/spending.go
+++ b/internal/spending/spending.go
@@ -182,7 +182,7 @@
 	switch {
 	case needed-account.doubt > account.budget:
 		return Spent
-	case account.total() <= account.budget && ledger.firstBeyond(account):
+	case ledger.firstBeyond(account):
 		return Granted
 	case now.Sub(account.doubtSince) > doubtPatience:
 		return Spent
