--- a/internal/assignment/assignment.go
+++ b/internal/assignment/assignment.go
@@ -33,8 +33,6 @@
 	ID    string
 	Zone  string
 	Slots int
-	// Slowness is how many times the usual wait requests wait there, 1 at least.
-	Slowness float64
 	// Order breaks ties, the highest first; alike for all owners.
 	Order uint64
 }
@@ -164,7 +162,7 @@
 }
 
 func cost(candidate *Candidate, load map[string]int, zone string) float64 {
-	total := float64(load[candidate.ID]+1) * max(candidate.Slowness, 1)
+	total := float64(load[candidate.ID])
 	if candidate.Zone != zone {
 		total += otherZoneCost
 	}
--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -283,7 +283,7 @@
 }
 
 // Heard notes how long a request of a route waited at an engine for the first byte of
-// its answer.
+// its answer. The route is empty for a wait that says nothing of the engine's pace.
 func (directory *Directory) Heard(engine *Engine, route string, took time.Duration, now time.Time) {
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
--- a/internal/backend/pace.go
+++ b/internal/backend/pace.go
@@ -63,20 +63,24 @@
 	return held.Sum / held.Weight
 }
 
-// slowness is an engine's, as told by a node that hears of more requests, or else as
-// seen here.
+// slowness is an engine's as seen here, which is the sooner known, or as told by a node
+// that hears of more requests, whichever is more.
 func (directory *Directory) slowness(engine *Engine, now time.Time) float64 {
 	if !feature.Enabled(feature.EnginePace) {
 		return 1
 	}
+	slowness := engine.pace.slowness(now)
 	if now.Before(directory.slowToldUntil) {
-		return max(engine.slowTold, 1)
+		slowness = max(slowness, engine.slowTold)
 	}
-	return engine.pace.slowness(now)
+	return slowness
 }
 
-// observePace notes one request's wait at an engine.
+// observePace notes one request's wait at an engine, unless its route is empty.
 func (directory *Directory) observePace(engine *Engine, route string, took time.Duration, now time.Time) {
+	if route == "" {
+		return
+	}
 	usual, known := directory.usualOfRoute[route]
 	if !known {
 		directory.usualOfRoute[route] = took
--- a/internal/forward/watch.go
+++ b/internal/forward/watch.go
@@ -27,7 +27,7 @@
 	})
 	current.heard = func() {
 		timer.Stop()
-		engines.Heard(engine, current.route.Name, time.Since(began), time.Now())
+		engines.Heard(engine, current.paceRoute(), time.Since(began), time.Now())
 	}
 	return func() bool {
 		timer.Stop()
@@ -35,6 +35,16 @@
 	}
 }
 
+// paceRoute is the route whose usual wait the call's is compared with, empty where the
+// wait says little of the engine: that of a model's turn depends on its prompt, on what
+// of it the engine's memory holds, and on the turns before it.
+func (current *course) paceRoute() string {
+	if current.route.Kind == routing.Streaming {
+		return ""
+	}
+	return current.route.Name
+}
+
 // repeatWhereSilent gives an attempt of a safe request up that has got no answer
 // for long, while it may be sent to another engine. An engine may run a request and
 // lose its answer. What it returns ends the watch.
--- a/internal/node/reserve.go
+++ b/internal/node/reserve.go
@@ -112,11 +112,10 @@
 	candidates := make([]assignment.Candidate, 0, len(instances))
 	for _, instance := range instances {
 		candidates = append(candidates, assignment.Candidate{
-			ID:       instance.ID,
-			Zone:     instance.Zone,
-			Slots:    instance.Slots,
-			Slowness: node.engines.Slowness(instance.ID, now),
-			Order:    backend.Order(request.Session, instance.ID),
+			ID:    instance.ID,
+			Zone:  instance.Zone,
+			Slots: instance.Slots,
+			Order: backend.Order(request.Session, instance.ID),
 		})
 	}
 	line := assignment.Line{Program: request.Program, Session: request.Session, Zone: request.Zone}
