--- a/rehearsal/losses/losses.go
+++ b/rehearsal/losses/losses.go
@@ -3,7 +3,8 @@
 // mixed from many, with other text between them.
 //
 // A program counts as lost in the log where the last line about it is a failure
-// other than that its budget is spent. What its caller made of it stands in the
+// other than that its budget is spent, or that the turn it names does not exist and
+// none of that id was ever answered. What its caller made of it stands in the
 // caller's own report; this tells where to look.
 package losses
 
@@ -31,6 +32,12 @@
 // spent is the result of programs that are stopped for good reason.
 var spent = resultcode.ProgramCapReached.String()
 
+// unknownTurn is the result of turns that go on from one that is not known.
+var unknownTurn = resultcode.UnknownTurn.String()
+
+// namedTurn matches the turn that such a failure names.
+var namedTurn = regexp.MustCompile(`there is no turn (\S+) to go on from`)
+
 // fieldPattern matches a key=value pair of a log line.
 var fieldPattern = regexp.MustCompile(`(\w+)=("(?:[^"\\]|\\.)*"|\S+)`)
 
@@ -137,6 +144,7 @@
 // first line was written.
 func Read(source io.Reader) ([]Loss, time.Time, error) {
 	programs := map[string]*account{}
+	answered := map[string]bool{}
 	var first time.Time
 	scanner := bufio.NewScanner(source)
 	scanner.Buffer(nil, maxLine)
@@ -148,11 +156,24 @@
 		if first.IsZero() || parsed.at.Before(first) {
 			first = parsed.at
 		}
+		if parsed.event == eventAnswered {
+			answered[parsed.request] = true
+		}
 		if parsed.program != "" && (parsed.event == eventAnswered || parsed.event == eventFailed) {
 			note(programs, parsed)
 		}
 	}
-	return lost(programs), first, scanner.Err()
+	return lost(programs, answered), first, scanner.Err()
+}
+
+// rightly tells whether a program was refused for good reason: its budget is spent, or
+// it goes on from a turn that was never answered.
+func rightly(refused line, answered map[string]bool) bool {
+	if refused.result == unknownTurn {
+		named := namedTurn.FindStringSubmatch(refused.failure)
+		return named != nil && !answered[named[1]]
+	}
+	return refused.result == spent
 }
 
 func note(programs map[string]*account, parsed line) {
@@ -169,11 +190,11 @@
 	}
 }
 
-func lost(programs map[string]*account) []Loss {
+func lost(programs map[string]*account, answered map[string]bool) []Loss {
 	var losses []Loss
 	for program, known := range programs {
 		last := known.last
-		if last.event != eventFailed || last.result == spent {
+		if last.event != eventFailed || rightly(last, answered) {
 			continue
 		}
 		losses = append(losses, Loss{
--- a/rehearsal/losses/losses_test.go
+++ b/rehearsal/losses/losses_test.go
@@ -44,3 +44,16 @@
 	expect.Expect(output.String()).To(ContainSubstring("tool NO_BACK_END sent: 1"))
 	expect.Expect(output.String()).To(ContainSubstring("request=r4"))
 }
+
+func TestUnknownTurns(t *testing.T) {
+	expect := NewWithT(t)
+	const output = `
+1.0 n1 time=2026-01-01T00:00:01Z event="call answered" request=kept result=OK program=first events=3
+1.1 n2 time=2026-01-01T00:00:02Z event="call failed" request=r2 result=UNKNOWN_TURN program=forged verdict=VERDICT_NO_SUCH_TURN failure="1012 UNKNOWN_TURN: there is no turn never to go on from"
+1.2 n2 time=2026-01-01T00:00:03Z event="call failed" request=r3 result=UNKNOWN_TURN program=owed verdict=VERDICT_NO_SUCH_TURN failure="1012 UNKNOWN_TURN: there is no turn kept to go on from"
+`
+	found, _, err := losses.Read(strings.NewReader(output))
+	expect.Expect(err).NotTo(HaveOccurred())
+	expect.Expect(found).To(HaveLen(1), "the turn that was answered")
+	expect.Expect(found[0].Program).To(Equal("owed"))
+}
