--- a/internal/backend/pace.go
+++ b/internal/backend/pace.go
@@ -20,6 +20,8 @@
 	mostRatio = 10.0
 	// usualBound bounds what one observation counts for the usual wait, in times that.
 	usualBound = 3.0
+	// leastUsual bounds the usual wait from below, so that it can be divided by.
+	leastUsual = time.Microsecond
 	// paceToldFor is how long the slow engines count that another node told of.
 	paceToldFor = time.Second
 )
@@ -33,6 +35,11 @@
 	Sum float64
 }
 
+// sound tells whether a node that observes can have told this.
+func (pace Pace) sound() bool {
+	return pace.Weight > 0 && pace.Sum >= 0 && pace.Sum <= mostRatio*pace.Weight
+}
+
 // fadingPace is a Pace that fades with time.
 type fadingPace struct {
 	Pace
@@ -83,11 +90,11 @@
 	}
 	usual, known := directory.usualOfRoute[route]
 	if !known {
-		directory.usualOfRoute[route] = took
+		directory.usualOfRoute[route] = max(took, leastUsual)
 		return
 	}
 	bounded := min(took, time.Duration(usualBound*float64(usual)))
-	directory.usualOfRoute[route] = max(usual+time.Duration(usualWeight*float64(bounded-usual)), time.Microsecond)
+	directory.usualOfRoute[route] = max(usual+time.Duration(usualWeight*float64(bounded-usual)), leastUsual)
 	observed := Pace{Weight: 1, Sum: min(took.Seconds()/usual.Seconds(), mostRatio)}
 	engine.pace.add(observed, now)
 	engine.untold.Weight += observed.Weight
@@ -109,13 +116,14 @@
 	return taken
 }
 
-// AddPaces takes in what another node has observed.
+// AddPaces takes in what another node has observed; what no node can observe is passed
+// over.
 func (directory *Directory) AddPaces(observed map[string]Pace, now time.Time) {
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
 	for id, pace := range observed {
 		engine := directory.engines[id]
-		if engine != nil && pace.Weight > 0 && pace.Sum >= 0 {
+		if engine != nil && pace.sound() {
 			engine.pace.add(pace, now)
 		}
 	}
@@ -145,15 +153,3 @@
 	}
 	directory.slowToldUntil = now.Add(paceToldFor)
 }
-
-// Slowness is how many times the usual wait requests wait at an engine, 1 where it is
-// not known to be slow.
-func (directory *Directory) Slowness(id string, now time.Time) float64 {
-	directory.mutex.Lock()
-	defer directory.mutex.Unlock()
-	engine := directory.engines[id]
-	if engine == nil {
-		return 1
-	}
-	return directory.slowness(engine, now)
-}
--- a/internal/backend/pace_test.go
+++ b/internal/backend/pace_test.go
@@ -1,6 +1,7 @@
 package backend_test
 
 import (
+	"math"
 	"time"
 
 	"github.com/magpielug/magpielug/internal/backend"
@@ -39,8 +40,8 @@
 		hear(directory, "e0", usual, 20)
 		hear(directory, "e1", 8*usual, 5)
 		hear(directory, "e2", 8*usual, 5)
-		Expect(directory.Slowness("e1", now)).To(BeNumerically(">", 4))
-		Expect(directory.Slowness("e0", now)).To(BeNumerically("==", 1))
+		Expect(directory.Slow(now)["e1"]).To(BeNumerically(">", 4))
+		Expect(directory.Slow(now)).NotTo(HaveKey("e0"))
 		Expect(shareOf(directory, "e1", now)).To(BeZero())
 		Expect(shareOf(directory, "e0", now)).To(BeNumerically(">", 0.3))
 	})
@@ -50,15 +51,15 @@
 		hear(directory, "e0", usual, 20)
 		hear(directory, "e1", usual, 9)
 		hear(directory, "e1", 8*usual, 1)
-		Expect(directory.Slowness("e1", now)).To(BeNumerically("==", 1))
+		Expect(directory.Slow(now)).To(BeEmpty())
 	})
 
 	It("tries an engine again some seconds after it was slow", func() {
 		directory := newDirectory(2)
 		hear(directory, "e0", usual, 20)
 		hear(directory, "e1", 8*usual, 5)
-		Expect(directory.Slowness("e1", now.Add(time.Second))).To(BeNumerically(">", 4))
-		Expect(directory.Slowness("e1", now.Add(4*time.Second))).To(BeNumerically("==", 1))
+		Expect(directory.Slow(now.Add(time.Second))["e1"]).To(BeNumerically(">", 4))
+		Expect(directory.Slow(now.Add(4 * time.Second))).To(BeEmpty())
 	})
 
 	It("gathers what several nodes observe, and tells it", func() {
@@ -74,6 +75,9 @@
 		Expect(slow).To(HaveLen(1))
 		Expect(slow).To(HaveKey("e1"))
 
+		gathering.AddPaces(map[string]backend.Pace{"e0": {Weight: 1, Sum: math.Inf(1)}, "e1": {Weight: math.NaN(), Sum: math.NaN()}}, now)
+		Expect(gathering.Slow(now)).To(Equal(slow), "what no node can observe")
+
 		told := newDirectory(2)
 		told.TellSlow(slow, now)
 		Expect(shareOf(told, "e1", now)).To(BeZero())
