One list of a working log's answers; slowness as a state of the engine, as its others are

Cause: read again as a newcomer. node/log_health listed the errors of a log that answers beside durable.NothingDone, its twin; a closure for an engine's slowness went through every placement policy, since half of that state lay in the directory. Change: durable.Answered stands beside NothingDone and calls it; slowTold lapses with its engine, so that slowness is a method of the engine with the time, as unfit and doubted are, and policies take the time as filters do; Pace adds in one place. Behaviour and tests as before.

--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -40,10 +40,12 @@
 	silentUntil   time.Time
 	reportedUntil time.Time
 	// pace is how long requests wait there, untold the part of it that the gathering
-	// node was not told yet, slowTold what that node says of the engine.
-	pace     fadingPace
-	untold   Pace
-	slowTold float64
+	// node was not told yet, slowTold what that node says of the engine, which counts
+	// until slowToldUntil.
+	pace          fadingPace
+	untold        Pace
+	slowTold      float64
+	slowToldUntil time.Time
 }
 
 // unfit tells whether the engine gets requests only where no other can.
@@ -109,8 +111,6 @@
 	usual map[string]time.Duration
 	// usualOfRoute is the same by route, and less moved by single long waits.
 	usualOfRoute map[string]time.Duration
-	// slowToldUntil is until when the slow engines count that another node told of.
-	slowToldUntil time.Time
 	// assigns is true where owners assign engines.
 	assigns bool
 }
--- a/internal/backend/pace.go
+++ b/internal/backend/pace.go
@@ -35,6 +35,12 @@
 	Sum float64
 }
 
+// add takes further observations in.
+func (pace *Pace) add(observed Pace) {
+	pace.Weight += observed.Weight
+	pace.Sum += observed.Sum
+}
+
 // sound tells whether a node that observes can have told this.
 func (pace Pace) sound() bool {
 	return pace.Weight > 0 && pace.Sum >= 0 && pace.Sum <= mostRatio*pace.Weight
@@ -49,8 +55,7 @@
 // add takes observations in.
 func (pace *fadingPace) add(observed Pace, now time.Time) {
 	pace.Pace = pace.now(now)
-	pace.Weight += observed.Weight
-	pace.Sum += observed.Sum
+	pace.Pace.add(observed)
 	pace.at = now
 }
 
@@ -72,12 +77,12 @@
 
 // slowness is an engine's as seen here, which is the sooner known, or as told by a node
 // that hears of more requests, whichever is more.
-func (directory *Directory) slowness(engine *Engine, now time.Time) float64 {
+func (engine *Engine) slowness(now time.Time) float64 {
 	if !feature.Enabled(feature.EnginePace) {
 		return 1
 	}
 	slowness := engine.pace.slowness(now)
-	if now.Before(directory.slowToldUntil) {
+	if now.Before(engine.slowToldUntil) {
 		slowness = max(slowness, engine.slowTold)
 	}
 	return slowness
@@ -97,8 +102,7 @@
 	directory.usualOfRoute[route] = max(usual+time.Duration(usualWeight*float64(bounded-usual)), leastUsual)
 	observed := Pace{Weight: 1, Sum: min(took.Seconds()/usual.Seconds(), mostRatio)}
 	engine.pace.add(observed, now)
-	engine.untold.Weight += observed.Weight
-	engine.untold.Sum += observed.Sum
+	engine.untold.add(observed)
 }
 
 // TakePaces returns what was observed since it was last asked, by engine, for the node
@@ -150,6 +154,6 @@
 	defer directory.mutex.Unlock()
 	for id, engine := range directory.engines {
 		engine.slowTold = slow[id]
+		engine.slowToldUntil = now.Add(paceToldFor)
 	}
-	directory.slowToldUntil = now.Add(paceToldFor)
 }
--- a/internal/backend/pick.go
+++ b/internal/backend/pick.go
@@ -67,7 +67,7 @@
 				assigned.running++
 				return assigned
 			}
-			chosen := directory.policy.Choose(admitted, request, func(engine *Engine) float64 { return directory.slowness(engine, now) })
+			chosen := directory.policy.Choose(admitted, request, now)
 			chosen.running++
 			return chosen
 		}
--- a/internal/backend/policy.go
+++ b/internal/backend/policy.go
@@ -3,16 +3,16 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/magpielug/magpielug/internal/resultcode"
 )
 
 // Policy chooses among engines that may all get a request. It is called under
-// the directory's lock with at least one engine. slowness is how many times the usual
-// wait requests wait at an engine.
+// the directory's lock with at least one engine.
 type Policy interface {
-	Choose(admitted []*Engine, request *Request, slowness func(*Engine) float64) *Engine
+	Choose(admitted []*Engine, request *Request, now time.Time) *Engine
 }
 
 // Names of policies.
@@ -80,11 +80,11 @@
 type leastPolicy struct{}
 
 // Choose implements Policy.
-func (leastPolicy) Choose(admitted []*Engine, request *Request, slowness func(*Engine) float64) *Engine {
+func (leastPolicy) Choose(admitted []*Engine, request *Request, now time.Time) *Engine {
 	best := admitted[0]
-	bestCost := runningCost(best, request, slowness(best))
+	bestCost := runningCost(best, request, now)
 	for _, candidate := range admitted[1:] {
-		cost := runningCost(candidate, request, slowness(candidate))
+		cost := runningCost(candidate, request, now)
 		if cost < bestCost {
 			best = candidate
 			bestCost = cost
@@ -95,8 +95,8 @@
 
 // runningCost is the cost of one more request at an engine: at a slow one, each under
 // way counts as several.
-func runningCost(engine *Engine, request *Request, slowness float64) float64 {
-	cost := float64(engine.running+1)*slowness + noiseCost*rand.Float64()
+func runningCost(engine *Engine, request *Request, now time.Time) float64 {
+	cost := float64(engine.running+1)*engine.slowness(now) + noiseCost*rand.Float64()
 	if engine.Zone != request.Zone {
 		cost += otherZoneCost
 	}
@@ -107,7 +107,7 @@
 type randomPolicy struct{}
 
 // Choose implements Policy.
-func (randomPolicy) Choose(admitted []*Engine, _ *Request, _ func(*Engine) float64) *Engine {
+func (randomPolicy) Choose(admitted []*Engine, _ *Request, _ time.Time) *Engine {
 	return admitted[rand.IntN(len(admitted))]
 }
 
@@ -118,10 +118,10 @@
 }
 
 // Choose implements Policy.
-func (policy affinityPolicy) Choose(admitted []*Engine, request *Request, slowness func(*Engine) float64) *Engine {
+func (policy affinityPolicy) Choose(admitted []*Engine, request *Request, now time.Time) *Engine {
 	key := policy.key(request)
 	if key == "" {
-		return leastPolicy{}.Choose(admitted, request, slowness)
+		return leastPolicy{}.Choose(admitted, request, now)
 	}
 	first, second := firstTwo(admitted, key)
 	if second != nil && float64(first.running) > float64(second.running)+affinityReach {
--- a/internal/durable/durable.go
+++ b/internal/durable/durable.go
@@ -111,6 +111,13 @@
 		errors.Is(err, ErrConflict) || errors.Is(err, ErrUnavailable)
 }
 
+// Answered tells whether err, or nil, is the answer of a log that works: it did what it
+// was asked, or refused that for good reason.
+func Answered(err error) bool {
+	var trimmed *TrimmedError
+	return err == nil || errors.As(err, &trimmed) || (NothingDone(err) && !errors.Is(err, ErrUnavailable))
+}
+
 // maxKeyLength is the longest key of a keyed record, bytes.
 const maxKeyLength = 255
 
--- a/internal/node/log_health.go
+++ b/internal/node/log_health.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"errors"
 	"time"
 
 	"github.com/magpielug/magpielug/internal/durable"
@@ -28,18 +27,11 @@
 // observe notes the outcome of a call of the log. It implements durable.Observe but for
 // what does not count here.
 func (health *logHealth) observe(err error) {
-	if err == nil || answersRefusal(err) {
+	if durable.Answered(err) {
 		health.answered.advance(time.Now())
 	}
 }
 
-// answersRefusal tells whether an error is the answer of a log that works.
-func answersRefusal(err error) bool {
-	var trimmed *durable.TrimmedError
-	return errors.Is(err, durable.ErrFenced) || errors.Is(err, durable.ErrSequence) ||
-		errors.Is(err, durable.ErrConflict) || errors.As(err, &trimmed)
-}
-
 // ageMilliseconds is how old the newest answer known is, for other nodes; 0 where none
 // is known.
 func (health *logHealth) ageMilliseconds(now time.Time) int64 {
