--- a/internal/httpserver/connection.go
+++ b/internal/httpserver/connection.go
@@ -9,6 +9,7 @@
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
+	"golang.org/x/sys/unix"
 )
 
 // maxPipelined bounds the complete requests that one connection may have
@@ -25,7 +26,10 @@
 	server *Server
 	socket *nbio.Conn
 	// gone is closed when the connection is closed by either side.
-	gone chan struct{}
+	gone   chan struct{}
+	opened time.Time
+	// used is true once a request's first byte has come.
+	used atomic.Bool
 	// excess is true for a connection over the limit.
 	excess bool
 
@@ -71,6 +75,7 @@
 	made := &connection{
 		server:   server,
 		socket:   socket,
+		opened:   time.Now(),
 		gone:     make(chan struct{}),
 		progress: make(chan struct{}, 1),
 	}
@@ -128,6 +133,7 @@
 	if connection.receiving.Swap(true) {
 		return
 	}
+	connection.used.Store(true)
 	connection.received = 0
 	connection.headerDone = false
 	if connection.calls.Load() == 0 {
@@ -234,14 +240,33 @@
 	}
 }
 
-// closeWhenIdle closes a connection that has no request under way and none
-// half received.
+// closeWhenIdle closes a connection that has no request under way, none half
+// received or unread, and whose first one is not about to come.
 func (connection *connection) closeWhenIdle() {
+	awaitsFirst := !connection.used.Load() && time.Since(connection.opened) < connection.server.bounds().FirstRequest
+	if awaitsFirst || connection.hasUnread() {
+		return
+	}
 	if !connection.receiving.Load() && connection.calls.Load() == 0 {
 		connection.closeWhenDrained()
 	}
 }
 
+// hasUnread tells whether bytes of the client wait in the system. A socket that is
+// closed over them is reset, and the request that they begin is lost.
+func (connection *connection) hasUnread() bool {
+	raw, err := connection.socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	unread := 0
+	_ = raw.Control(func(descriptor uintptr) {
+		// A closed socket has none, and fails here.
+		unread, _ = unix.IoctlGetInt(int(descriptor), unix.TIOCINQ)
+	})
+	return unread > 0
+}
+
 // closed is called once nbio has closed the socket.
 func (connection *connection) closed() {
 	connection.readTimer.Stop()
--- a/internal/httpserver/limits.go
+++ b/internal/httpserver/limits.go
@@ -17,6 +17,9 @@
 	DefaultWriteTimeout   = 10 * time.Second
 	DefaultRetryAfter     = time.Second
 	DefaultDrainGrace     = time.Second
+	// DefaultFirstRequest is some ten times what a client of another region, or on a
+	// busy machine, needs to send on a connection that it has just opened.
+	DefaultFirstRequest = 500 * time.Millisecond
 )
 
 // MinWriteBuffer is the smallest WriteBufferBytes that is honoured.
@@ -53,6 +56,9 @@
 	// connections, so that clients see in time that the process leaves. A
 	// request sent on a connection at the moment it is closed would be lost.
 	DrainGrace time.Duration
+	// FirstRequest is how long a connection may be open without a request until
+	// Shutdown takes it for idle: its client is about to send one.
+	FirstRequest time.Duration
 	// Exempt tells which requests MaxInFlight does not count, such as
 	// heartbeats between processes; nil counts all.
 	Exempt func(request *http.Request) bool
@@ -70,6 +76,7 @@
 	limits.WriteTimeout = positive(limits.WriteTimeout, DefaultWriteTimeout)
 	limits.RetryAfter = positive(limits.RetryAfter, DefaultRetryAfter)
 	limits.DrainGrace = positive(limits.DrainGrace, DefaultDrainGrace)
+	limits.FirstRequest = positive(limits.FirstRequest, DefaultFirstRequest)
 	return &limits
 }
 
--- a/internal/httpserver/read_timeout.go
+++ b/internal/httpserver/read_timeout.go
@@ -29,9 +29,19 @@
 }
 
 // readTimedOut closes the connection. It may have been armed by the end of one
-// call just as the next one arrived, so it looks whether a call is under way.
+// call just as the next one arrived, so it looks whether a call is under way, or
+// whether a request has come to a quiet connection that was not read yet.
 func (connection *connection) readTimedOut() {
-	if connection.calls.Load() == 0 {
-		_ = connection.socket.Close()
+	if connection.calls.Load() > 0 {
+		return
+	}
+	if !connection.receiving.Load() && connection.hasUnread() {
+		connection.setReadTimeout(unreadPause)
+		return
 	}
+	_ = connection.socket.Close()
 }
+
+// unreadPause is when a connection with unread bytes is looked at again; the poller
+// reads them long before.
+const unreadPause = 100 * time.Millisecond
