Nodes: write the own record only where the log holds another one

Until then a node asks no owner ('no node could be asked', 'still being read'), and turns fail. Change: registration.go reads what the log holds of the node first and writes where that differs in anything but the incarnation, which no decision uses; it looks again each 0.5 s, so that a late append of an earlier life is put right. Test: registration_test.go; the code before wrote the record at each start.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -201,7 +201,13 @@
 // applyMember notes a node's newest record.
 func (node *Node) applyMember(record durable.KeyedRecord) bool {
 	member, sound := decodeMember(record)
-	if !sound || !node.members.put(member) {
+	if !sound {
+		return false
+	}
+	if member.Name == node.settings.Name {
+		return node.registration.observe(member)
+	}
+	if !node.members.put(member) {
 		return false
 	}
 	node.logger.Info("node known", zap.String("node", member.Name), zap.String("address", member.Address),
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"context"
 	"math"
 	"slices"
 	"strconv"
@@ -13,9 +12,6 @@
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
 	"github.com/magpielug/magpielug/internal/durable"
 	"github.com/magpielug/magpielug/internal/feature"
-	"github.com/magpielug/magpielug/internal/logging"
-	"github.com/magpielug/magpielug/internal/wait"
-	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -26,8 +22,6 @@
 	memberPollLate  = 2 * time.Second
 	// memberEarly is how long the early pace lasts.
 	memberEarly = 15 * time.Second
-	// registerPause separates two tries to write the own record.
-	registerPause = 100 * time.Millisecond
 	// storeTimeout bounds one call at the store.
 	storeTimeout = 2 * time.Second
 )
@@ -166,33 +160,6 @@
 	return math.Log(uniform) / (capacity * capacity)
 }
 
-// register writes the node's own record until the store has taken it.
-func register(ctx context.Context, log durable.Log, topic string, logger *zap.Logger, member Member) {
-	record, err := proto.Marshal(&nodev1.NodeRecord{
-		Address:     member.Address,
-		Zone:        member.Zone,
-		Incarnation: member.Incarnation,
-		Leaving:     member.Leaving,
-		Capacity:    member.Capacity,
-	})
-	if err != nil {
-		logger.Error("node record not encoded", logging.Cause(err))
-		return
-	}
-	content := durable.EncodeKeyed(member.Name, record)
-	for ctx.Err() == nil {
-		bounded, cancel := context.WithTimeout(ctx, storeTimeout)
-		_, err = log.Append(bounded, durable.Partition{Topic: topic}, [][]byte{content}, durable.Condition{})
-		cancel()
-		if err == nil {
-			logger.Info("node registered", zap.String("incarnation", member.Incarnation), zap.Bool("leaving", member.Leaving))
-			return
-		}
-		logger.Warn("node not registered", logging.Cause(err))
-		wait.For(ctx, registerPause)
-	}
-}
-
 // decodeMember returns false for a record that is none.
 func decodeMember(record durable.KeyedRecord) (Member, bool) {
 	var message nodev1.NodeRecord
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -66,6 +66,8 @@
 	routes      *routing.Current
 	engines     *backend.Directory
 	members     *members
+	// registration keeps the node's own record in the log.
+	registration *registration
 
 	configurationView *recordView
 	engineView        *recordView
@@ -151,6 +153,7 @@
 		return nil, err
 	}
 	node.newViews()
+	node.registration = newRegistration(around.Log, around.MemberTopic, logger.Logger, node.self, node.memberView.read)
 	node.learner = &learner{node: node}
 	node.contact.note()
 	client.Transport = node.contact.transport(client.Transport)
@@ -228,7 +231,7 @@
 	if err != nil {
 		return err
 	}
-	go register(working, node.around.Log, node.around.MemberTopic, node.logger.Logger, node.self())
+	go node.registration.run(working)
 	for _, follower := range node.following {
 		go follower.run(working)
 	}
@@ -365,8 +368,8 @@
 	node.logger.Info("node stops", zap.Int("in_flight", node.inFlight()))
 	ctx, cancel := context.WithTimeout(context.Background(), node.settings.Grace-stopMargin)
 	defer cancel()
-	go register(ctx, node.around.Log, node.around.MemberTopic, node.logger.Logger, node.self())
 	node.members.put(node.self())
+	node.registration.check()
 	node.ownership.Release(ctx)
 	callers := node.servers[len(node.servers)-1]
 	err := callers.Shutdown(ctx)
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -58,6 +58,13 @@
 	return time.Since(view.taken)
 }
 
+// read tells whether any update has come.
+func (view *recordView) read() bool {
+	view.mutex.Lock()
+	defer view.mutex.Unlock()
+	return !view.taken.IsZero()
+}
+
 func (view *recordView) takeRecord(record durable.KeyedRecord) {
 	known, found := view.newest[record.Key]
 	if found && known.Offset >= record.Offset {
