Ports of tests: one package, ranges that no outgoing connection can take

Change: rehearsal/ports picks ports for both, in ranges of their own that the fault scenarios do not use either. Test: ports_test.go, which held the soak's ports only, holds both ranges.

--- a/rehearsal/soak/ports_test.go
+++ b/rehearsal/ports/ports_test.go
@@ -1,4 +1,4 @@
-package soak
+package ports
 
 import (
 	"fmt"
@@ -20,10 +20,21 @@
 		var first, last int
 		_, err = fmt.Sscan(string(content), &first, &last)
 		Expect(err).NotTo(HaveOccurred())
-		ports, err := newPortPicker().pick(50)
-		Expect(err).NotTo(HaveOccurred())
-		for _, port := range ports {
-			Expect(port).To(Or(BeNumerically("<", first), BeNumerically(">", last)))
+		for _, each := range []Range{OfSoak, OfPlatform} {
+			picked, err := NewPicker(each).Pick(50)
+			Expect(err).NotTo(HaveOccurred())
+			for _, port := range picked {
+				Expect(port).To(Or(BeNumerically("<", first), BeNumerically(">", last)))
+			}
 		}
 	})
+
+	It("are given once", func() {
+		picker := NewPicker(Range{First: OfSoak.First, Last: OfSoak.First + 3})
+		picked, err := picker.Pick(3)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(picked).To(ConsistOf(OfSoak.First, OfSoak.First+1, OfSoak.First+2))
+		_, err = picker.Pick(1)
+		Expect(err).To(HaveOccurred())
+	})
 })
--- a/rehearsal/soak/node.go
+++ b/rehearsal/soak/node.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"github.com/magpielug/magpielug/rehearsal/ports"
 	"github.com/magpielug/magpielug/rehearsal/relay"
 	"github.com/rotisserie/eris"
 )
@@ -40,12 +41,12 @@
 	life int
 }
 
-func newNode(number int, options Options, store string, ports *portPicker) (*node, error) {
+func newNode(number int, options Options, store string, picker *ports.Picker) (*node, error) {
 	door, err := relay.OpenDoor(loopback, store)
 	if err != nil {
 		return nil, err
 	}
-	picked, err := ports.pick(4)
+	picked, err := picker.Pick(4)
 	if err != nil {
 		return nil, err
 	}
--- a/rehearsal/soak/world.go
+++ b/rehearsal/soak/world.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"sync"
 
+	"github.com/magpielug/magpielug/rehearsal/ports"
 	"github.com/magpielug/magpielug/rehearsal/relay"
 	"github.com/magpielug/magpielug/rehearsal/standin/agentengine"
 	"github.com/magpielug/magpielug/rehearsal/standin/logstore"
@@ -66,9 +67,9 @@
 		}
 	}
 	built.configure()
-	ports := newPortPicker()
+	picker := ports.NewPicker(ports.OfSoak)
 	for number := range options.Nodes {
-		made, err := newNode(number, options, store.Address(), ports)
+		made, err := newNode(number, options, store.Address(), picker)
 		if err != nil {
 			return nil, err
 		}
