--- a/internal/egress/sender.go
+++ b/internal/egress/sender.go
@@ -43,6 +43,7 @@
 	topology Topology
 	client   *http.Client
 	logger   *zap.Logger
+	observe  Observe
 	demand   *demand
 
 	// mutex guards suspects.
@@ -57,14 +58,43 @@
 }
 
 // NewSender returns a sender that uses direct where it hands nothing over.
-func NewSender(direct forward.Sender, topology Topology, client *http.Client, logger *zap.Logger) *Sender {
-	return &Sender{direct: direct, topology: topology, client: client, logger: logger, demand: newDemand(), suspects: map[string]suspect{}}
+func NewSender(direct forward.Sender, topology Topology, client *http.Client, logger *zap.Logger, observe Observe) *Sender {
+	return &Sender{direct: direct, topology: topology, client: client, logger: logger, observe: observe,
+		demand: newDemand(), suspects: map[string]suspect{}}
+}
+
+// Observe is told how each hand-over ended, by one of the Handed names.
+type Observe func(outcome string)
+
+// Ends of a hand-over.
+const (
+	// HandedAnswered: the engine answered.
+	HandedAnswered = "answered"
+	// HandedNotReached: the egress node did not get the request, or does not know the engine.
+	HandedNotReached = "not_reached"
+	// HandedNodeLost: the egress node may have got the request and did not answer.
+	HandedNodeLost = "node_lost"
+	// HandedFailed: the egress node got no answer of the engine, or the caller left.
+	HandedFailed = "failed"
+)
+
+func handedOutcome(err error) string {
+	switch {
+	case err == nil:
+		return HandedAnswered
+	case errors.Is(err, errNotHandedOver):
+		return HandedNotReached
+	case errors.Is(err, backend.ErrNodeLost):
+		return HandedNodeLost
+	}
+	return HandedFailed
 }
 
 // Send implements forward.Sender.
 func (sender *Sender) Send(ctx context.Context, attempt *forward.Attempt) (*forward.Reply, error) {
 	for _, node := range sender.nodesFor(attempt) {
 		reply, err := sender.handOver(ctx, node, attempt)
+		sender.observe(handedOutcome(err))
 		if !errors.Is(err, errNotHandedOver) {
 			return reply, err
 		}
--- a/internal/egress/sender_test.go
+++ b/internal/egress/sender_test.go
@@ -55,6 +55,7 @@
 		direct   atomic.Int64
 		topology oneNode
 		sender   *Sender
+		outcomes []string
 	)
 
 	BeforeEach(func() {
@@ -80,7 +81,8 @@
 			direct.Add(1)
 			return &forward.Reply{Status: http.StatusOK, Body: http.NoBody}, nil
 		})
-		sender = NewSender(own, topology, client, zap.NewNop())
+		outcomes = nil
+		sender = NewSender(own, topology, client, zap.NewNop(), func(outcome string) { outcomes = append(outcomes, outcome) })
 	})
 
 	turn := func() *forward.Attempt {
@@ -138,6 +140,7 @@
 		Expect(rest).To(BeEmpty())
 		Expect(reply.Body.Close()).To(Succeed())
 		Expect(direct.Load()).To(BeZero())
+		Expect(outcomes).To(Equal([]string{HandedAnswered}))
 	})
 
 	It("ends as broken off where the engine breaks off", func() {
@@ -211,6 +214,7 @@
 			Expect(reply.Via).To(BeEmpty())
 			Expect(direct.Load()).To(BeEquivalentTo(1))
 			Expect(sender.nodesFor(turn())).To(BeEmpty())
+			Expect(outcomes).To(Equal([]string{HandedNotReached}))
 		})
 	})
 
@@ -244,6 +248,7 @@
 			Expect(err).NotTo(HaveOccurred())
 			Expect(direct.Load()).To(BeEquivalentTo(1))
 			Expect(connected.Load()).To(BeEquivalentTo(1))
+			Expect(outcomes).To(Equal([]string{HandedNodeLost}))
 		})
 	})
 
--- a/internal/node/meter.go
+++ b/internal/node/meter.go
@@ -22,6 +22,7 @@
 	firstEvent prometheus.Histogram
 	storeCalls *prometheus.CounterVec
 	storeTime  *prometheus.HistogramVec
+	handedOver *prometheus.CounterVec
 
 	// mutex guards calls at the store since the last summary line.
 	mutex  sync.Mutex
@@ -56,6 +57,10 @@
 			Help:    "Time of a call at the store, by operation; reads that wait for a record included.",
 			Buckets: latencyBounds,
 		}, []string{"operation"}),
+		handedOver: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "magpielug_handed_over_total",
+			Help: "Requests handed to egress nodes, by how that ended.",
+		}, []string{"outcome"}),
 		recent: map[string]int{},
 	}
 }
@@ -99,6 +104,9 @@
 	meter.duration.WithLabelValues(name).Observe(took.Seconds())
 }
 
+// handed implements egress.Observe.
+func (meter *meter) handed(outcome string) { meter.handedOver.WithLabelValues(outcome).Inc() }
+
 // FirstEvent implements forward.Meter.
 func (meter *meter) FirstEvent(took time.Duration) { meter.firstEvent.Observe(took.Seconds()) }
 
@@ -106,13 +114,14 @@
 func (node *Node) metricsHandler() http.Handler {
 	meter := node.meter
 	registry := prometheus.NewRegistry()
-	registry.MustRegister(meter.calls, meter.duration, meter.firstEvent, meter.storeCalls, meter.storeTime)
+	registry.MustRegister(meter.calls, meter.duration, meter.firstEvent, meter.storeCalls, meter.storeTime, meter.handedOver)
 	gauges := []struct {
 		name, help string
 		value      func() float64
 	}{
 		{"magpielug_in_flight", "Requests under way.", func() float64 { return float64(node.inFlight()) }},
 		{"magpielug_engines", "Engines known.", func() float64 { return float64(node.engines.Known()) }},
+		{"magpielug_nodes", "Nodes known that are not leaving.", func() float64 { return float64(node.members.staying()) }},
 		{"magpielug_turns", "Turns held in memory.", func() float64 { turns, _ := node.turns.Size(); return float64(turns) }},
 		{"magpielug_turn_bytes", "Bytes of turns held in memory.", func() float64 { _, bytes := node.turns.Size(); return float64(bytes) }},
 		{"magpielug_engine_connections_opened", "Connections opened to engines.", func() float64 { return float64(node.around.Connections.Opened()) }},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -174,7 +174,7 @@
 		Routes:   node.routes,
 		Engines:  node.engines,
 		Waiting:  backend.NewWaitQueue(),
-		Sender:   egress.NewSender(around.Sender, &egressTopology{node: node}, client, logger.Logger),
+		Sender:   egress.NewSender(around.Sender, &egressTopology{node: node}, client, logger.Logger, meter.handed),
 		Programs: node.programs,
 		Meter:    meter,
 		Logger:   logger.Logger,
