Egress: a planned stop finishes the turns sent for others; acceptance may take half a second

Cause: read again: a stopping node ended with its callers' last request and cut what it sent for other nodes; and an acceptance bound of 0.3 s would lose the turns of nodes that are only slow. Change: the handler refuses further turns while its node stops (their nodes send them), the stop waits for those under way, and acceptTimeout is 0.5 s. Tests: platform/egress_test.go 'finish a planned stop without cutting' (failed without the wait), sender_test.go 'where the egress node stops'.

--- a/internal/egress/handler.go
+++ b/internal/egress/handler.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
@@ -33,8 +34,15 @@
 	Engines Engines
 	Sender  forward.Sender
 	Logger  *zap.Logger
+	// Stopping tells whether the node stops: it then takes no more requests.
+	Stopping func() bool
+
+	underWay atomic.Int64
 }
 
+// UnderWay returns the number of requests that are being sent for other nodes.
+func (handler *Handler) UnderWay() int { return int(handler.underWay.Load()) }
+
 // ServeHTTP implements http.Handler. The answer's headers go out at once: they tell the
 // asker that the request has arrived.
 func (handler *Handler) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
@@ -53,8 +61,10 @@
 	if control.Flush() != nil {
 		return // The asker is gone.
 	}
+	handler.underWay.Add(1)
+	defer handler.underWay.Add(-1)
 	engine, known := handler.Engines.Instance(message.Engine)
-	if !known {
+	if !known || handler.Stopping() {
 		handler.end(writer, message, nodev1.EgressOutcome_EGRESS_OUTCOME_UNKNOWN_ENGINE, nil)
 		return
 	}
--- a/internal/egress/sender.go
+++ b/internal/egress/sender.go
@@ -21,8 +21,10 @@
 
 const (
 	// acceptTimeout is how long an egress node may take to say that a request has
-	// arrived: as long as another node may take for any other answer.
-	acceptTimeout = 300 * time.Millisecond
+	// arrived. A turn whose node did not say so in time is lost, also where that node or
+	// this one is only slow: hence longer than the wait for other nodes' answers, and
+	// shorter than the silence for which an engine is passed over.
+	acceptTimeout = 500 * time.Millisecond
 	// firstSuspicion is how long an egress node gets nothing after it did not answer:
 	// about as long as machines freeze or are started anew. It doubles with each further
 	// failure up to longestSuspicion, since a machine may be gone for good.
@@ -219,7 +221,7 @@
 	case nodev1.EgressOutcome_EGRESS_OUTCOME_NOT_SENT:
 		return nil, eris.Wrap(backend.ErrNotSent, head.Failure)
 	case nodev1.EgressOutcome_EGRESS_OUTCOME_UNKNOWN_ENGINE:
-		return nil, eris.Wrap(errNotHandedOver, "the node does not know the engine")
+		return nil, eris.Wrap(errNotHandedOver, "the node does not know the engine, or stops")
 	}
 	return nil, eris.Wrap(backend.ErrLost, head.Failure)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -91,6 +91,8 @@
 	assigner  *assignment.Assigner
 	programs  *programs
 	service   *forward.Service
+	// egress sends turns for other nodes.
+	egress    *egress.Handler
 	meter     *meter
 	logOutput *logging.NonBlocking
 	stopping  atomic.Bool
@@ -170,6 +172,7 @@
 	if feature.Enabled(feature.RecordingElsewhere) {
 		node.recorder.RelayBy(node.recordElsewhere)
 	}
+	node.egress = &egress.Handler{Engines: node.engines, Sender: around.Sender, Logger: logger.Logger, Stopping: node.stopping.Load}
 	node.service = &forward.Service{
 		Routes:   node.routes,
 		Engines:  node.engines,
@@ -287,7 +290,7 @@
 // peerHandler serves the other nodes.
 func (node *Node) peerHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(egress.Path, &egress.Handler{Engines: node.engines, Sender: node.around.Sender, Logger: node.logger.Logger})
+	mux.Handle(egress.Path, node.egress)
 	mux.Handle("/", nodev1.NewNodeServer(&peerServer{node: node}))
 	return mux
 }
@@ -382,7 +385,19 @@
 	node.ownership.Release(ctx)
 	callers := node.servers[len(node.servers)-1]
 	err := callers.Shutdown(ctx)
-	node.logger.Info("node stopped", zap.Duration("took", time.Since(began)), zap.Int("in_flight", callers.InFlight()), logging.Cause(err))
+	node.awaitEgress(ctx)
+	node.logger.Info("node stopped", zap.Duration("took", time.Since(began)), zap.Int("in_flight", callers.InFlight()),
+		zap.Int("for_others", node.egress.UnderWay()), logging.Cause(err))
+}
+
+// egressLook separates two looks whether requests for other nodes are under way.
+const egressLook = 20 * time.Millisecond
+
+// awaitEgress waits for the requests that this node sends for others; it takes no more.
+func (node *Node) awaitEgress(ctx context.Context) {
+	for node.egress.UnderWay() > 0 && ctx.Err() == nil {
+		wait.For(ctx, egressLook)
+	}
 }
 
 // stopMargin is kept before the platform kills a stopping process.
