--- /dev/null
+++ b/rehearsal/nodesettings/nodesettings.go
@@ -0,0 +1,73 @@
+// Package nodesettings writes settings files of nodes in the form of the users' platform, for
+// tests that start nodes as processes on one machine.
+package nodesettings
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/rotisserie/eris"
+)
+
+// Variable is the environment variable that names a node's settings file.
+const Variable = "MAGPIELUG_NODE_FILE"
+
+const (
+	// host is the address of all nodes.
+	host = "127.0.0.1"
+	// memoryMegabytes and descriptors are those of the users' smaller machines.
+	memoryMegabytes = 254
+	descriptors     = 8200
+)
+
+// Settings are those of one node.
+type Settings struct {
+	Name string
+	// Front, Ready, Peer, Metrics and Control are ports; Peer is below Metrics. Control
+	// may be 0 for a node without one.
+	Front, Ready, Peer, Metrics, Control int
+	// Store is the store's address, Partitions the number of its partitions.
+	Store      string
+	Partitions int
+	// Grace is how long a planned stop may take, seconds.
+	Grace int
+	// Seeds are control addresses of other nodes.
+	Seeds []string
+}
+
+// Address returns the address of one of the node's ports.
+func Address(port int) string { return fmt.Sprintf("%s:%d", host, port) }
+
+// Write puts the settings into a directory, and returns the file's path.
+func (settings Settings) Write(directory string) (string, error) {
+	path := filepath.Join(directory, settings.Name+".conf")
+	err := os.WriteFile(path, []byte(settings.content()), 0o600)
+	return path, eris.Wrap(err, "write a node's settings")
+}
+
+func (settings Settings) content() string {
+	lines := []string{
+		"NodeName=" + settings.Name,
+		"Zone=z1",
+		"Ip=" + host,
+		"Listen.Front=" + Address(settings.Front),
+		"Listen.Readiness=" + Address(settings.Ready),
+		fmt.Sprintf("InternalPortRange=%d,%d", settings.Peer, settings.Metrics),
+		fmt.Sprintf("Limits.MemoryMb=%d", memoryMegabytes),
+		fmt.Sprintf("Limits.MaxFds=%d", descriptors),
+		fmt.Sprintf("Bounds.GraceS=%d", settings.Grace),
+		"Platform.Address=" + settings.Store,
+		fmt.Sprintf("Platform.parts=%d", settings.Partitions),
+		// A field that no node knows must be passed over.
+		"Some.NewField=unknown",
+	}
+	if settings.Control != 0 {
+		lines = append(lines, "Listen.Control="+Address(settings.Control))
+	}
+	if len(settings.Seeds) > 0 {
+		lines = append(lines, "Seeds="+strings.Join(settings.Seeds, ","))
+	}
+	return strings.Join(lines, "\n")
+}
--- a/rehearsal/soak/node.go
+++ b/rehearsal/soak/node.go
@@ -6,19 +6,18 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/magpielug/magpielug/rehearsal/nodesettings"
 	"github.com/magpielug/magpielug/rehearsal/ports"
 	"github.com/magpielug/magpielug/rehearsal/relay"
 	"github.com/rotisserie/eris"
 )
 
 const (
-	settingsVariable = "MAGPIELUG_NODE_FILE"
-	graceSeconds     = 8
+	graceSeconds = 8
 	// readyTimeout bounds one question whether a node is ready.
 	readyTimeout = 500 * time.Millisecond
 )
@@ -50,31 +49,29 @@
 	if err != nil {
 		return nil, err
 	}
-	made := &node{
-		name:   fmt.Sprintf("node-%d", number),
-		binary: options.Magpielug,
-		front:  fmt.Sprintf("127.0.0.1:%d", picked[0]),
-		ready:  fmt.Sprintf("127.0.0.1:%d", picked[1]),
-		door:   door,
+	settings := nodesettings.Settings{
+		Name:       fmt.Sprintf("node-%d", number),
+		Front:      picked[0],
+		Ready:      picked[1],
+		Peer:       min(picked[2], picked[3]),
+		Metrics:    max(picked[2], picked[3]),
+		Store:      door.Address(),
+		Partitions: partitions,
+		Grace:      graceSeconds,
 	}
-	peer, metrics := min(picked[2], picked[3]), max(picked[2], picked[3])
-	content := strings.Join([]string{
-		"NodeName=" + made.name,
-		"Zone=z1",
-		"Ip=127.0.0.1",
-		"Listen.Front=" + made.front,
-		"Listen.Readiness=" + made.ready,
-		fmt.Sprintf("InternalPortRange=%d,%d", peer, metrics),
-		"Limits.MemoryMb=254",
-		"Limits.MaxFds=8200",
-		fmt.Sprintf("Bounds.GraceS=%d", graceSeconds),
-		"Platform.Address=" + door.Address(),
-		fmt.Sprintf("Platform.parts=%d", partitions),
-	}, "\n")
-	made.settings = filepath.Join(options.Directory, made.name+".conf")
-	made.log = filepath.Join(options.Directory, made.name+".log")
-	err = os.WriteFile(made.settings, []byte(content), 0o600)
-	return made, eris.Wrap(err, "write a node's settings")
+	path, err := settings.Write(options.Directory)
+	if err != nil {
+		return nil, err
+	}
+	return &node{
+		name:     settings.Name,
+		binary:   options.Magpielug,
+		front:    nodesettings.Address(settings.Front),
+		ready:    nodesettings.Address(settings.Ready),
+		door:     door,
+		settings: path,
+		log:      filepath.Join(options.Directory, settings.Name+".log"),
+	}, nil
 }
 
 // start starts the process, unless it runs.
@@ -89,7 +86,7 @@
 		return eris.Wrap(err, "open a node's log")
 	}
 	command := exec.Command(node.binary, "node")
-	command.Env = append(os.Environ(), settingsVariable+"="+node.settings)
+	command.Env = append(os.Environ(), nodesettings.Variable+"="+node.settings)
 	command.Stdout = output
 	command.Stderr = output
 	err = command.Start()
