Nodes: say that views are current only while the store answers

Change: LearnReply.current needs the store's own answers (node.readsStore). Test: learn_test.go, failed before.

--- a/internal/node/learn.go
+++ b/internal/node/learn.go
@@ -145,6 +145,13 @@
 	return slices.ContainsFunc(followers, func(follower *follower) bool { return follower.silent(now) })
 }
 
+// readsStore tells whether this node's views come from the store itself and are recent,
+// so that others may rely on them. Views that it learned from any node are as recent, and
+// may have come over nodes that know less: those who rely on them would add their delays.
+func (node *Node) readsStore(now time.Time) bool {
+	return !node.learner.learns() && !anySilent(node.following, now) && node.engineView.age() < currentAge
+}
+
 // logAway tells whether the store has answered none of the followers for a while.
 func (node *Node) logAway() bool {
 	now := time.Now()
@@ -182,7 +189,7 @@
 		Avoided:        node.engines.AvoidedByAny(now),
 		Slow:           node.engines.Slow(now),
 		LogAnswerAgeMs: node.logHealth.ageMilliseconds(now),
-		Current:        !node.learner.learns() && node.engineView.age() < currentAge,
+		Current:        node.readsStore(now),
 	}, nil
 }
 
--- /dev/null
+++ b/internal/node/learn_test.go
@@ -0,0 +1,41 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	nodev1 "github.com/magpielug/magpielug/api/node/v1"
+	"github.com/magpielug/magpielug/internal/backend"
+	"github.com/magpielug/magpielug/internal/durable"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+)
+
+var _ = Describe("A node that others learn from", func() {
+	// A reader whose store answered some time ago, and whose views are from just now.
+	answer := func(sinceStore time.Duration) *nodev1.LearnReply {
+		node := &Node{engines: backend.NewDirectory()}
+		node.learner = &learner{node: node}
+		ignore := func(durable.KeyedRecord) bool { return false }
+		node.configurationView = newRecordView("configuration", zap.NewNop(), ignore)
+		node.engineView = newRecordView("engines", zap.NewNop(), ignore)
+		node.memberView = newRecordView("nodes", zap.NewNop(), ignore)
+		pause := func() time.Duration { return enginePoll }
+		follower := &follower{name: "engines", pause: pause, logger: zap.NewNop()}
+		follower.lastAnswer.set(time.Now().Add(-sinceStore))
+		node.following = append(node.following, follower)
+		node.engineView.take(durable.Update{End: 1})
+		reply, err := (&peerServer{node: node}).Learn(context.Background(), &nodev1.LearnRequest{})
+		Expect(err).NotTo(HaveOccurred())
+		return reply
+	}
+
+	It("is current while the store answers it", func() {
+		Expect(answer(0).Current).To(BeTrue())
+	})
+
+	It("is not while the store is silent to it, however new the views that it learned from others", func() {
+		Expect(answer(time.Minute).Current).To(BeFalse())
+	})
+})
