Keepers: a leader that holds no grants says so more than once

Lists of held grants make up for that: a keeper asks for the list when two digests in a row differ; but a leader told 'none' only once after its last grant, and then nothing until its next report of live programs, 30 s later. Ruled out: a lost message of the program's end (it arrived), an engine that does not report. Change: 'none' is told in four reports (noneReports), 5 s apart. Test: pool_lists_test.go 'though one report in two is lost'; with one report it fails.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -85,8 +85,9 @@
 	polled       []EngineAddress
 	stopping     bool
 	lastHeld     time.Duration
-	// heldBefore names the pools that the last report of held grants covered.
-	heldBefore map[string]bool
+	// heldBefore names the pools whose keepers are told of held grants, with how many
+	// more reports they get should none be held.
+	heldBefore map[string]int
 	outbox     map[string]*schedulerv1.PeerBatch
 	// due are the processes whose batch goes out at the step's end; after a tick
 	// all do.
@@ -121,7 +122,7 @@
 		hosts:        make(map[uint32]*host),
 		pools:        make(map[string]*pool),
 		toolFailedAt: make(map[string]time.Duration),
-		heldBefore:   make(map[string]bool),
+		heldBefore:   make(map[string]int),
 		outbox:       make(map[string]*schedulerv1.PeerBatch),
 		due:          make(map[string]bool),
 		counters:     newCounters(),
--- a/internal/scheduler/list_report.go
+++ b/internal/scheduler/list_report.go
@@ -9,20 +9,28 @@
 // intervals only a digest of each list is told; a keeper that is new, or sees
 // something else, asks for the list itself.
 
+// noneReports is how many reports a pool gets after its last grant. A keeper that
+// counts a grant which its leader does not hold asks for the list when two reports in a
+// row differ, and ends what is older than its GrantConfirm: two asks are sure to find it.
+const noneReports = 4
+
 // reportHeldGrants tells each keeper the digest of its grants that this process
-// holds, over all shards. A pool that had grants in the last report is told once
-// more when it has none.
+// holds, over all shards. A pool that had grants is told some more times when it has
+// none: with one report alone the keeper would go on counting a grant whose end was lost.
 func (core *Core) reportHeldGrants() {
 	digests := make(map[string]*listDigest)
-	for poolName := range core.heldBefore {
+	for poolName, left := range core.heldBefore {
 		digests[poolName] = &listDigest{}
+		core.heldBefore[poolName] = left - 1
+		if left <= 1 {
+			delete(core.heldBefore, poolName)
+		}
 	}
-	clear(core.heldBefore)
 	core.eachHeldGrant(func(live *liveCall) {
 		if digests[live.pool] == nil {
 			digests[live.pool] = &listDigest{}
 		}
-		core.heldBefore[live.pool] = true
+		core.heldBefore[live.pool] = noneReports
 		digests[live.pool].addGrant(callKey(live.wireKey()), live.call.Intent().BackEnd)
 	})
 	for _, poolName := range sortedKeys(digests) {
@@ -59,7 +67,7 @@
 		})
 	})
 	if len(list.Grants) > 0 {
-		core.heldBefore[poolName] = true
+		core.heldBefore[poolName] = noneReports
 	}
 	core.sendHeldGrants(poolName, list)
 }
@@ -91,7 +99,7 @@
 	for _, poolName := range sortedKeys(host.core.layout.engines) {
 		// The keeper may count grants of the shard's former leader: it must be told
 		// also that this process holds none.
-		host.core.heldBefore[poolName] = true
+		host.core.heldBefore[poolName] = noneReports
 		digests[poolName] = &listDigest{}
 	}
 	for _, program := range host.livePrograms() {
--- a/internal/scheduler/pool_lists_test.go
+++ b/internal/scheduler/pool_lists_test.go
@@ -54,6 +54,37 @@
 		Expect(asked().GetGrants()).To(BeTrue())
 	})
 
+	It("are asked for where a leader holds none any more, though one report in two is lost", func() {
+		leader := NewCore(Config{Process: "leader", Shards: 1}, rand.New(rand.NewSource(2)))
+		leader.directory.leaders[0] = "keeper"
+		leader.heldBefore["pool"] = noneReports
+		kept.grantsHeld(request, &schedulerv1.GrantsHeld{Grants: []*schedulerv1.HeldGrant{heldGrant("1")}})
+		// reported returns what the leader reports at its next interval, if anything.
+		reported := func() *schedulerv1.GrantsHeld {
+			leader.reportHeldGrants()
+			batch := leader.outbox["keeper"]
+			delete(leader.outbox, "keeper")
+			if batch == nil {
+				return nil
+			}
+			return batch.KeeperRequests[0].GetHeld()
+		}
+		asks := 0
+		for report := 0; report < noneReports; report++ {
+			held := reported()
+			Expect(held).NotTo(BeNil(), "report %d", report)
+			if report%2 == 1 {
+				continue // Lost.
+			}
+			kept.grantsHeld(request, held)
+			if asked().GetGrants() {
+				asks++
+			}
+		}
+		Expect(asks).To(Equal(1))
+		Expect(reported()).To(BeNil())
+	})
+
 	It("are asked for at once where the live programs of a shard differ", func() {
 		live := func(programs ...string) *schedulerv1.ProgramsLive {
 			return &schedulerv1.ProgramsLive{Digest: digestOfPrograms(&schedulerv1.ProgramsLive{Programs: programs}).wire()}
