Leaders: tell a keeper what they hold from a call's offer on

Change: the pool of each offer is noted (noteGrantsAt); the keeper may grant it and the answer be lost. Test: core_test.go 'tells a keeper what it holds from a call's offer on', failed before.

--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -237,6 +237,15 @@
 		Expect(cluster.call(testCall("p1", "after"), 20*time.Second).failure).To(BeNil())
 	})
 
+	It("tells a keeper what it holds from a call's offer on, for the answer may be lost", func() {
+		cluster := newTestCluster(11, 3)
+		cluster.create("p1")
+		leader := cluster.nodes[cluster.leader("p1")].core
+		clear(leader.heldBefore)
+		Expect(cluster.call(testCall("p1", "r1"), 20*time.Second).ended).To(BeTrue())
+		Expect(leader.heldBefore).To(HaveKey(testPool))
+	})
+
 	It("releases the cache of a stopped program", func() {
 		cluster := newTestCluster(7, 3)
 		cluster.create("p1")
--- a/internal/scheduler/keeper_client.go
+++ b/internal/scheduler/keeper_client.go
@@ -34,6 +34,7 @@
 		return
 	}
 	live.pool = pools[live.poolsTried%len(pools)]
+	host.core.noteGrantsAt(live.pool)
 	live.phase = phaseOffered
 	live.offeredAt = host.core.now
 	host.core.requestKeeper(live.pool, host.number, &schedulerv1.KeeperRequest{
--- a/internal/scheduler/list_report.go
+++ b/internal/scheduler/list_report.go
@@ -14,6 +14,10 @@
 // row differ, and ends what is older than its GrantConfirm: two asks are sure to find it.
 const noneReports = 4
 
+// noteGrantsAt has the next reports tell a pool's keeper of held grants. It is called with
+// each offer: the keeper may grant it, and the answer be lost.
+func (core *Core) noteGrantsAt(poolName string) { core.heldBefore[poolName] = noneReports }
+
 // reportHeldGrants tells each keeper the digest of its grants that this process
 // holds, over all shards. A pool that had grants is told some more times when it has
 // none: with one report alone the keeper would go on counting a grant whose end was lost.
@@ -30,7 +34,7 @@
 		if digests[live.pool] == nil {
 			digests[live.pool] = &listDigest{}
 		}
-		core.heldBefore[live.pool] = noneReports
+		core.noteGrantsAt(live.pool)
 		digests[live.pool].addGrant(callKey(live.wireKey()), live.call.Intent().BackEnd)
 	})
 	for _, poolName := range sortedKeys(digests) {
@@ -67,7 +71,7 @@
 		})
 	})
 	if len(list.Grants) > 0 {
-		core.heldBefore[poolName] = noneReports
+		core.noteGrantsAt(poolName)
 	}
 	core.sendHeldGrants(poolName, list)
 }
@@ -99,7 +103,7 @@
 	for _, poolName := range sortedKeys(host.core.layout.engines) {
 		// The keeper may count grants of the shard's former leader: it must be told
 		// also that this process holds none.
-		host.core.heldBefore[poolName] = noneReports
+		host.core.noteGrantsAt(poolName)
 		digests[poolName] = &listDigest{}
 	}
 	for _, program := range host.livePrograms() {
