--- a/internal/egress/egress.go
+++ b/internal/egress/egress.go
@@ -19,7 +19,7 @@
 // Path is where a node takes requests that others hand to it, on its peer address.
 const Path = "/egress/v1/exchange"
 
-// Node is a node that sends requests to the engines of its zone for others.
+// Node is a node that sends requests to the engines of its zone for other nodes.
 type Node struct {
 	Name    string
 	Address string
@@ -27,8 +27,8 @@
 
 // Topology tells which nodes may send to an engine.
 type Topology interface {
-	// EgressNodes returns the egress nodes of an engine, the first choice first, without
-	// the node itself where Self is true: then it sends the request alone.
+	// EgressNodes returns the other egress nodes of an engine, the first choice first;
+	// self is true where this node is the first choice, and sends itself.
 	EgressNodes(engine backend.Instance) (nodes []Node, self bool)
 	// Siblings returns how many engines of the service the engine's zone has.
 	Siblings(engine backend.Instance) int
--- a/internal/egress/sender.go
+++ b/internal/egress/sender.go
@@ -30,7 +30,8 @@
 	// failure up to longestSuspicion, since a machine may be gone for good.
 	firstSuspicion   = 3 * time.Second
 	longestSuspicion = 24 * time.Second
-	mostDoublings    = 3
+	// mostDoublings is how many lead from the first to the longest one.
+	mostDoublings = 3
 	// mostTried is how many egress nodes are tried before a node sends itself.
 	mostTried = 2
 )
