--- a/internal/assignment/assignment.go
+++ b/internal/assignment/assignment.go
@@ -11,6 +11,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/magpielug/magpielug/internal/tenant"
 )
 
 const (
@@ -39,12 +41,17 @@
 
 // Line names a line of turns.
 type Line struct {
-	Program string
+	Program tenant.Program
 	Session string
 	// Zone is where the caller came in.
 	Zone string
 }
 
+// session names the line among all tenants' lines.
+func (line Line) session() tenant.Program {
+	return tenant.Program{Tenant: line.Program.Tenant, ID: line.Session}
+}
+
 type report struct {
 	running map[string]int
 	at      time.Time
@@ -63,16 +70,17 @@
 // Assigner holds the assignments of an owner's programs. It is safe for
 // concurrent use.
 type Assigner struct {
-	mutex    sync.Mutex
-	reports  map[string]report
-	sessions map[string]assigned
-	programs map[string]assigned
+	mutex   sync.Mutex
+	reports map[string]report
+	// sessions are lines of turns, each named by its session in place of the program.
+	sessions map[tenant.Program]assigned
+	programs map[tenant.Program]assigned
 	recents  []recent
 }
 
 // New returns an assigner that knows nothing.
 func New() *Assigner {
-	return &Assigner{reports: map[string]report{}, sessions: map[string]assigned{}, programs: map[string]assigned{}}
+	return &Assigner{reports: map[string]report{}, sessions: map[tenant.Program]assigned{}, programs: map[tenant.Program]assigned{}}
 }
 
 // Report takes in what a node has under way, by engine.
@@ -95,8 +103,8 @@
 		engine = least(candidates, load, line.Zone)
 		assigner.recents = append(assigner.recents, recent{engine: engine, at: now})
 	}
-	assigner.sessions[line.Session] = assigned{engine: engine, used: now}
-	if _, known := assigner.programs[line.Program]; !known || line.Session == line.Program {
+	assigner.sessions[line.session()] = assigned{engine: engine, used: now}
+	if _, known := assigner.programs[line.Program]; !known || line.Session == line.Program.ID {
 		assigner.programs[line.Program] = assigned{engine: engine, used: now}
 	}
 	return engine
@@ -104,7 +112,7 @@
 
 // present returns the engine that the line, or else its program, has already.
 func (assigner *Assigner) present(line Line, candidates []Candidate, load map[string]int) (string, bool) {
-	if session, known := assigner.sessions[line.Session]; known && find(candidates, session.engine) != nil {
+	if session, known := assigner.sessions[line.session()]; known && find(candidates, session.engine) != nil {
 		return session.engine, true
 	}
 	program, known := assigner.programs[line.Program]
@@ -173,7 +181,7 @@
 func (assigner *Assigner) Expire(now time.Time) {
 	assigner.mutex.Lock()
 	defer assigner.mutex.Unlock()
-	for _, table := range []map[string]assigned{assigner.sessions, assigner.programs} {
+	for _, table := range []map[tenant.Program]assigned{assigner.sessions, assigner.programs} {
 		for key, made := range table {
 			if now.Sub(made.used) > retention {
 				delete(table, key)
--- a/internal/assignment/assignment_test.go
+++ b/internal/assignment/assignment_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/magpielug/magpielug/internal/assignment"
+	"github.com/magpielug/magpielug/internal/tenant"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
@@ -21,7 +22,7 @@
 
 var _ = Describe("Assigner", func() {
 	line := func(program, session string) assignment.Line {
-		return assignment.Line{Program: program, Session: session, Zone: "z"}
+		return assignment.Line{Program: tenant.Program{ID: program}, Session: session, Zone: "z"}
 	}
 
 	It("spreads programs that begin at once", func() {
@@ -72,4 +73,14 @@
 	It("has no engine where there is none", func() {
 		Expect(assignment.New().Choose(line("p", "p"), nil, now)).To(BeEmpty())
 	})
+
+	It("takes two tenants' programs and lines of one name for different ones", func() {
+		assigner := assignment.New()
+		of := func(holder string) assignment.Line {
+			return assignment.Line{Program: tenant.Program{Tenant: holder, ID: "p"}, Session: "s", Zone: "z"}
+		}
+		first := assigner.Choose(of("a"), candidates(2), now)
+		Expect(assigner.Choose(of("b"), candidates(2), now)).NotTo(Equal(first), "the less busy engine, and not the line's of the other tenant")
+		Expect(assigner.Choose(of("a"), candidates(2), now)).To(Equal(first))
+	})
 })
--- a/internal/egress/wire.go
+++ b/internal/egress/wire.go
@@ -33,6 +33,7 @@
 		Streams:        attempt.Streams,
 		Urgency:        int32(attempt.Urgency),
 		MaxConnections: int32(attempt.MaxSharedConnections),
+		Tenant:         attempt.Call.Tenant,
 	}
 	content, err := proto.Marshal(message)
 	return content, eris.Wrap(err, "encode a request for an egress node")
@@ -53,6 +54,7 @@
 			Host:   message.Host,
 			Target: message.Target,
 			Header: fromHeaders(message.Headers),
+			Tenant: message.Tenant,
 		},
 		Engine:         engine,
 		Body:           message.Body,
--- /dev/null
+++ b/internal/forward/admission.go
@@ -0,0 +1,106 @@
+package forward
+
+import (
+	"context"
+	"time"
+
+	"github.com/magpielug/magpielug/internal/resultcode"
+	"github.com/magpielug/magpielug/internal/routing"
+	"github.com/magpielug/magpielug/internal/tenant"
+)
+
+// Quotas asks whether a request fits into its tenant's limit.
+type Quotas interface {
+	// Admit returns once the request may run, or may not. kind names programs that make
+	// about as many requests; patience is how long the request may wait for room.
+	Admit(ctx context.Context, order *AdmissionOrder) Admission
+}
+
+// AdmissionOrder is a request that asks to be admitted.
+type AdmissionOrder struct {
+	Call   *Call
+	Holder *tenant.Tenant
+	// Configuration is the version that the holder's limit stands in.
+	Configuration int64
+	// Kind names programs that make about as many requests, empty where the request
+	// begins none.
+	Kind string
+	// Continues is true where the call's program has begun for certain.
+	Continues bool
+	// Patience is how long the request may wait for room.
+	Patience time.Duration
+}
+
+// AdmissionVerdict is how a request for admission ended.
+type AdmissionVerdict int
+
+// Verdicts of admission.
+const (
+	// Admitted: the request may run.
+	Admitted AdmissionVerdict = iota + 1
+	// OverLimit: the tenant's limit has no room before Admission.RetryAfter.
+	OverLimit
+	// LimitUnknown: nobody who keeps the limit could be asked.
+	LimitUnknown
+)
+
+// Admission is the answer to an AdmissionOrder.
+type Admission struct {
+	Verdict    AdmissionVerdict
+	RetryAfter time.Duration
+}
+
+const (
+	// admissionPatience is the share of its time that a request waits for room in its
+	// tenant's limit, where it belongs to a program under way.
+	admissionPatience = 0.25
+	// limitRetry is when to come back to another node where this one reaches nobody
+	// that keeps the tenant's limit.
+	limitRetry = 100 * time.Millisecond
+)
+
+// admit begins to ask for admission, so that a turn can ask its program's owner
+// meanwhile. What it returns waits for the answer.
+func (current *course) admit(ctx context.Context) func() error {
+	if current.tenant == nil || !current.tenant.Limit.Bounded() || current.service.Quotas == nil {
+		return func() error { return nil }
+	}
+	answer := make(chan Admission, 1)
+	began := time.Now()
+	go func() { answer <- current.service.Quotas.Admit(ctx, current.admissionOrder()) }()
+	return func() error {
+		admission := <-answer
+		current.admitTook = time.Since(began)
+		return current.afterAdmission(ctx, admission)
+	}
+}
+
+func (current *course) admissionOrder() *AdmissionOrder {
+	order := &AdmissionOrder{
+		Call:          current.call,
+		Holder:        current.tenant,
+		Configuration: current.version,
+		Patience:      time.Duration(admissionPatience * float64(time.Until(current.end))),
+	}
+	if current.route.Kind != routing.Streaming {
+		// A program begins with a turn, and calls tools later.
+		order.Continues = true
+		return order
+	}
+	order.Kind = current.route.Name
+	order.Continues = current.call.Turn != nil && current.call.Turn.Previous != ""
+	return order
+}
+
+func (current *course) afterAdmission(ctx context.Context, admission Admission) error {
+	switch {
+	case admission.Verdict == Admitted:
+		return nil
+	case admission.Verdict == OverLimit:
+		return resultcode.New(resultcode.QuotaExceeded, "tenant %s has reached its limit of %g requests a second", current.tenant.Name,
+			current.tenant.Limit.PerSecond).After(admission.RetryAfter)
+	case ctx.Err() != nil:
+		return current.timedOut(ctx)
+	}
+	return resultcode.New(resultcode.QuotaUnknown, "no node that keeps the limit of tenant %s could be asked", current.tenant.Name).After(limitRetry)
+}
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/magpielug/magpielug/internal/backend"
+	"github.com/magpielug/magpielug/internal/tenant"
 )
 
 // Call is a request of a caller.
@@ -26,6 +27,13 @@
 	Header http.Header
 	Body   []byte
 
+	// Key proves the tenant that sends the call; empty where it carries none that can
+	// be read.
+	Key string
+	// Tenant is the name of that tenant, once the key has been looked up; empty where
+	// there is none.
+	Tenant string
+
 	Received time.Time
 	// Deadline is when the caller gives up; zero where it did not say.
 	Deadline time.Time
@@ -57,6 +65,11 @@
 // Unlimited is the budget of a program that names none.
 const Unlimited = math.MaxInt64 / 4
 
+// ProgramName names the call's program with its tenant.
+func (call *Call) ProgramName() tenant.Program {
+	return tenant.Program{Tenant: call.Tenant, ID: call.Program}
+}
+
 // Answer takes what the caller gets. Its methods are called from one goroutine,
 // Fail alone or Begin first.
 type Answer interface {
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -7,6 +7,7 @@
 
 	"github.com/magpielug/magpielug/internal/resultcode"
 	"github.com/magpielug/magpielug/internal/routing"
+	"github.com/magpielug/magpielug/internal/tenant"
 	"go.uber.org/zap"
 )
 
@@ -54,10 +55,19 @@
 	if current.call.Program != "" {
 		fields = append(fields, zap.String("program", current.call.Program))
 	}
+	if current.call.Tenant != "" {
+		fields = append(fields, zap.String("tenant", current.call.Tenant))
+	}
+	if code == resultcode.BadKey && current.call.Key != "" {
+		fields = append(fields, zap.String("key_digest", tenant.ShortDigest(current.call.Key)))
+	}
 	if current.reservation.Verdict != 0 {
 		fields = append(fields, zap.Stringer("verdict", current.reservation.Verdict), zap.String("owner", current.reservation.Grant.Owner),
 			zap.Int64("epoch", current.reservation.Grant.Epoch), zap.Duration("reserve_took", current.reserveTook))
 	}
+	if current.admitTook > 0 {
+		fields = append(fields, zap.Duration("admit_took", current.admitTook))
+	}
 	if len(current.tried) > 0 || current.usable > 0 {
 		fields = append(fields, zap.String("engine", current.lastEngine), zap.Int("engines", current.usable),
 			zap.Duration("engines_age", current.viewAge), zap.Int("runs", current.runs), zap.Int("refusals", current.refusals))
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -81,7 +81,7 @@
 		Body:           current.body,
 		Remaining:      max(remaining-answerMargin, time.Millisecond),
 		Streams:        current.route.Kind == routing.Streaming,
-		Urgency:        current.route.Priority,
+		Urgency:        current.urgency(),
 		MaxConnections: current.maxConnections(),
 		// A quarter for each: few nodes send to an engine for all others.
 		MaxSharedConnections: current.definition.MaxConnections / sharedConnections,
--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -10,6 +10,7 @@
 	"github.com/magpielug/magpielug/internal/history"
 	"github.com/magpielug/magpielug/internal/resultcode"
 	"github.com/magpielug/magpielug/internal/routing"
+	"github.com/magpielug/magpielug/internal/tenant"
 	"go.uber.org/zap"
 )
 
@@ -60,9 +61,11 @@
 	Waiting  *backend.WaitQueue
 	Sender   Sender
 	Programs Programs
-	Meter    Meter
-	Logger   *zap.Logger
-	Zone     string
+	// Quotas bounds the requests of tenants; nil where none has a limit.
+	Quotas Quotas
+	Meter  Meter
+	Logger *zap.Logger
+	Zone   string
 	// Started is when the process started.
 	Started time.Time
 	// Nodes returns how many nodes share the engines' connections.
@@ -123,12 +126,14 @@
 	serviceName string
 	definition  routing.Service
 	version     int64
-	end         time.Time
-	body        []byte
-	tried       []string
-	runs        int
-	refusals    int
-	lastEngine  string
+	// tenant is who sends the call, nil where nobody is known.
+	tenant     *tenant.Tenant
+	end        time.Time
+	body       []byte
+	tried      []string
+	runs       int
+	refusals   int
+	lastEngine string
 	// via is the node that sent the last attempt for this one.
 	via   string
 	begun bool
@@ -138,6 +143,7 @@
 	reserved    bool
 	reservation Reservation
 	reserveTook time.Duration
+	admitTook   time.Duration
 	recordTook  time.Duration
 	viewAge     time.Duration
 	usable      int
@@ -175,6 +181,10 @@
 		// earlier attempt's node may be gone with it.
 		return resultcode.New(resultcode.ResumeNotHeld, "the beginning of the stream is not held").After(unknownRetry)
 	}
+	failure := current.authenticate(configuration)
+	if failure != nil {
+		return failure
+	}
 	current.serviceName = current.route.PickService()
 	current.definition = configuration.Services[current.serviceName]
 	current.body = current.call.Body
@@ -200,13 +210,17 @@
 	if failure != nil {
 		return failure
 	}
+	admitted := current.admit(ctx)
 	if current.isTurn() {
 		failure := current.reserve(ctx)
 		if failure != nil {
 			return failure
 		}
 	}
-	failure = current.sendUntilAnswered(ctx)
+	failure = admitted()
+	if failure == nil {
+		failure = current.sendUntilAnswered(ctx)
+	}
 	if current.reserved {
 		current.settle(nil)
 	}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -181,6 +181,7 @@
 func (current *course) turn(said []byte) *history.Turn {
 	return &history.Turn{
 		ID:        current.call.ID,
+		Tenant:    current.call.Tenant,
 		Program:   current.call.Program,
 		Previous:  current.call.Turn.Previous,
 		Input:     current.call.Body,
--- a/internal/history/history.go
+++ b/internal/history/history.go
@@ -11,7 +11,9 @@
 
 // Turn is one finished turn.
 type Turn struct {
-	ID      string
+	ID string
+	// Tenant is whose turn it is, empty where no tenants were configured.
+	Tenant  string
 	Program string
 	// Previous is the id of the turn that this one goes on from, empty at the
 	// start of a line.
@@ -26,9 +28,22 @@
 	Retention time.Duration
 }
 
+// Key names a turn: another tenant's turn is none, also under the same id.
+type Key struct {
+	// Tenant is empty for a call without a tenant.
+	Tenant string
+	ID     string
+}
+
+// Key returns the turn's name.
+func (turn *Turn) Key() Key { return Key{Tenant: turn.Tenant, ID: turn.ID} }
+
+// before names the turn that this one goes on from, for a line that a tenant asks for.
+func (turn *Turn) before(asker string) Key { return Key{Tenant: asker, ID: turn.Previous} }
+
 // size is what the turn holds in memory, bytes.
 func (turn *Turn) size() int {
-	return len(turn.ID) + len(turn.Program) + len(turn.Previous) + len(turn.Input) + len(turn.Output) + turnOverhead
+	return len(turn.ID) + len(turn.Tenant) + len(turn.Program) + len(turn.Previous) + len(turn.Input) + len(turn.Output) + turnOverhead
 }
 
 const (
@@ -45,7 +60,7 @@
 // It is safe for concurrent use.
 type Store struct {
 	mutex    sync.Mutex
-	turns    map[string]*list.Element
+	turns    map[Key]*list.Element
 	recent   *list.List // of *entry, most recently used first
 	bytes    int
 	maxBytes int
@@ -60,7 +75,7 @@
 
 // NewStore returns an empty store that holds about maxBytes.
 func NewStore(maxBytes int) *Store {
-	return &Store{turns: map[string]*list.Element{}, recent: list.New(), maxBytes: maxBytes}
+	return &Store{turns: map[Key]*list.Element{}, recent: list.New(), maxBytes: maxBytes}
 }
 
 // Add keeps a turn and, as long as it, the chain before it. A turn that is
@@ -68,23 +83,32 @@
 func (store *Store) Add(turn *Turn) {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
-	if known := store.turns[turn.ID]; known != nil {
+	if known := store.turns[turn.Key()]; known != nil {
 		return
 	}
 	keep := turn.Ended.Add(turn.Retention + retentionMargin)
-	store.turns[turn.ID] = store.recent.PushFront(&entry{turn: turn, keep: keep})
+	store.turns[turn.Key()] = store.recent.PushFront(&entry{turn: turn, keep: keep})
 	store.bytes += turn.size()
-	store.extend(turn.Previous, keep)
+	store.extend(turn.before(turn.Tenant), keep)
 	for store.bytes > store.maxBytes && store.recent.Len() > 1 {
 		store.evicted = true
 		store.drop(store.recent.Back())
 	}
 }
 
-// extend keeps the chain that ends with id at least until keep.
-func (store *Store) extend(id string, keep time.Time) {
+// find returns what the store holds of a tenant's turn, nil for nothing. A turn that
+// was recorded before there were tenants belongs to whoever names it.
+func (store *Store) find(key Key) *list.Element {
+	if element := store.turns[key]; element != nil {
+		return element
+	}
+	return store.turns[Key{ID: key.ID}]
+}
+
+// extend keeps the chain that ends with a turn at least until keep.
+func (store *Store) extend(key Key, keep time.Time) {
 	for length := 0; length < maxChain; length++ {
-		element := store.turns[id]
+		element := store.find(key)
 		if element == nil {
 			return
 		}
@@ -93,48 +117,48 @@
 			return
 		}
 		held.keep = keep
-		id = held.turn.Previous
+		key = held.turn.before(key.Tenant)
 	}
 }
 
 func (store *Store) drop(element *list.Element) {
 	held := store.recent.Remove(element).(*entry)
-	delete(store.turns, held.turn.ID)
+	delete(store.turns, held.turn.Key())
 	store.bytes -= held.turn.size()
 }
 
-// Chain returns the turns of the line that ends with id, the oldest first. It
-// returns false, with the first id that is missing, where one is not held.
-func (store *Store) Chain(id string) (chain []*Turn, missing string, complete bool) {
-	line, missing := store.walk(id)
-	if missing != "" {
+// Chain returns the turns of the line that ends with a turn, the oldest first. It
+// returns false, with the first turn that is missing, where one is not held.
+func (store *Store) Chain(key Key) (chain []*Turn, missing Key, complete bool) {
+	line, missing := store.walk(key)
+	if missing.ID != "" {
 		return nil, missing, false
 	}
-	return line, "", true
+	return line, Key{}, true
 }
 
-// Line returns the turns of the line that ends with id as far back as they are
+// Line returns the turns of the line that ends with a turn as far back as they are
 // held, the oldest first.
-func (store *Store) Line(id string) []*Turn {
-	line, _ := store.walk(id)
+func (store *Store) Line(key Key) []*Turn {
+	line, _ := store.walk(key)
 	return line
 }
 
-// walk goes back from id to the start of its line, or to the first turn that is
+// walk goes back from a turn to the start of its line, or to the first turn that is
 // missing.
-func (store *Store) walk(id string) (line []*Turn, missing string) {
+func (store *Store) walk(key Key) (line []*Turn, missing Key) {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
-	for id != "" && len(line) < maxChain {
-		element := store.turns[id]
+	for key.ID != "" && len(line) < maxChain {
+		element := store.find(key)
 		if element == nil {
-			missing = id
+			missing = key
 			break
 		}
 		store.recent.MoveToFront(element)
 		turn := element.Value.(*entry).turn
 		line = append(line, turn)
-		id = turn.Previous
+		key = turn.before(key.Tenant)
 	}
 	slices.Reverse(line)
 	return line, missing
--- a/internal/history/reader.go
+++ b/internal/history/reader.go
@@ -11,8 +11,8 @@
 )
 
 // Elsewhere asks whichever node reads a shard's partition for the line of turns
-// that ends with id, as Reader.Line returns it.
-type Elsewhere func(ctx context.Context, shard int, id string) ([]*Turn, error)
+// that ends with a turn, as Reader.Line returns it.
+type Elsewhere func(ctx context.Context, shard int, key Key) ([]*Turn, error)
 
 // Reader finds turns that this node does not hold in the log. It reads a
 // partition once, from the oldest record kept, and later only what is new. The
@@ -60,12 +60,12 @@
 	Exists bool
 }
 
-// Find returns the chain that ends with id. It looks in the shard's partition
+// Find returns the chain that ends with a turn. It looks in the shard's partition
 // first, then in all others: a program may go on from another program's turn. An
 // error says that it can't be told now whether the turn exists.
-func (reader *Reader) Find(ctx context.Context, shard int, id string) (Lookup, error) {
+func (reader *Reader) Find(ctx context.Context, shard int, key Key) (Lookup, error) {
 	for range maxSearches {
-		chain, missing, complete := reader.store.Chain(id)
+		chain, missing, complete := reader.store.Chain(key)
 		if complete {
 			return Lookup{Chain: chain, Exists: true}, nil
 		}
@@ -73,22 +73,22 @@
 		if err != nil {
 			return Lookup{}, err
 		}
-		if len(line) == 0 && missing == id {
+		if len(line) == 0 && missing == key {
 			return Lookup{}, nil
 		}
 		if len(line) == 0 {
-			return Lookup{}, eris.Errorf("turn %s of the chain is missing", missing)
+			return Lookup{}, eris.Errorf("turn %s of the chain is missing", missing.ID)
 		}
 		for _, turn := range line {
 			reader.store.Add(turn)
 		}
 	}
-	return Lookup{}, eris.Errorf("the chain of turn %s is spread too far", id)
+	return Lookup{}, eris.Errorf("the chain of turn %s is spread too far", key.ID)
 }
 
 // search looks for a turn in the shard's partition, then in all others.
-func (reader *Reader) search(ctx context.Context, shard int, id string) ([]*Turn, error) {
-	line, failure := reader.Line(ctx, shard, id)
+func (reader *Reader) search(ctx context.Context, shard int, key Key) ([]*Turn, error) {
+	line, failure := reader.Line(ctx, shard, key)
 	if len(line) > 0 {
 		return line, nil
 	}
@@ -102,7 +102,7 @@
 			continue
 		}
 		go func() {
-			found, err := reader.elsewhere(ctx, other, id)
+			found, err := reader.elsewhere(ctx, other, key)
 			outcomes <- outcome{line: found, err: err}
 		}()
 	}
@@ -116,17 +116,17 @@
 	return nil, failure
 }
 
-// Line returns the turns of the line that ends with id, the oldest first, as far
+// Line returns the turns of the line that ends with a turn, the oldest first, as far
 // back as this node holds them once it has read the shard's partition to its
 // end; none where the partition has no such turn. An error says that it can't be
 // told now.
-func (reader *Reader) Line(ctx context.Context, shard int, id string) ([]*Turn, error) {
-	line := reader.store.Line(id)
+func (reader *Reader) Line(ctx context.Context, shard int, key Key) ([]*Turn, error) {
+	line := reader.store.Line(key)
 	if len(line) > 0 {
 		return line, nil
 	}
 	err := reader.readOn(ctx, shard)
-	line = reader.store.Line(id)
+	line = reader.store.Line(key)
 	switch {
 	case len(line) > 0:
 		return line, nil
--- a/internal/history/reader_test.go
+++ b/internal/history/reader_test.go
@@ -14,6 +14,9 @@
 
 const shards = 4
 
+// key names a turn that was recorded without tenants.
+func key(id string) history.Key { return history.Key{ID: id} }
+
 func turn(id, previous, input, output string) *history.Turn {
 	return &history.Turn{ID: id, Program: "p", Previous: previous, Input: []byte(input), Output: []byte(output),
 		Ended: time.Now(), Retention: time.Minute}
@@ -36,14 +39,14 @@
 	}
 
 	It("finds a chain written by a process that is gone", func() {
-		found, err := newReader().Find(ctx, 1, "b")
+		found, err := newReader().Find(ctx, 1, key("b"))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(found.Exists).To(BeTrue())
 		Expect(string(history.Prompt(found.Chain, []byte("next")))).To(Equal("hellohi\nmoresome\nnext"))
 	})
 
 	It("finds a turn of another program, in another program's shard", func() {
-		found, err := newReader().Find(ctx, 3, "b")
+		found, err := newReader().Find(ctx, 3, key("b"))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(found.Exists).To(BeTrue())
 	})
@@ -65,12 +68,12 @@
 			nodes[shard] = newReader()
 		}
 		for _, node := range nodes {
-			node.Delegate(func(ctx context.Context, shard int, id string) ([]*history.Turn, error) {
+			node.Delegate(func(ctx context.Context, shard int, id history.Key) ([]*history.Turn, error) {
 				return nodes[shard].Line(ctx, shard, id)
 			})
 		}
 		for shard, node := range nodes {
-			found, err := node.Find(ctx, shard, "c")
+			found, err := node.Find(ctx, shard, key("c"))
 			Expect(err).NotTo(HaveOccurred())
 			Expect(found.Chain).To(HaveLen(3))
 		}
@@ -82,13 +85,13 @@
 
 	It("joins a chain that goes from one shard to another", func() {
 		Expect(history.NewRecorder(log, shards).Record(ctx, 3, turn("c", "b", "x", "y\n"))).To(Succeed())
-		found, err := newReader().Find(ctx, 0, "c")
+		found, err := newReader().Find(ctx, 0, key("c"))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(string(history.Prompt(found.Chain, nil))).To(Equal("hellohi\nmoresome\nxy\n"))
 	})
 
 	It("says that a turn does not exist only where every partition was read", func() {
-		found, err := newReader().Find(ctx, 1, "forged")
+		found, err := newReader().Find(ctx, 1, key("forged"))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(found.Exists).To(BeFalse())
 
@@ -98,7 +101,7 @@
 			}
 			return nil
 		}
-		_, err = newReader().Find(ctx, 1, "forged")
+		_, err = newReader().Find(ctx, 1, key("forged"))
 		Expect(err).To(HaveOccurred())
 	})
 
@@ -110,7 +113,7 @@
 			return nil
 		}
 		Expect(history.NewRecorder(log, shards).Record(ctx, 1, turn("c", "b", "x", "y\n"))).To(Succeed())
-		found, err := newReader().Find(ctx, 1, "c")
+		found, err := newReader().Find(ctx, 1, key("c"))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(found.Chain).To(HaveLen(3))
 	})
@@ -126,7 +129,7 @@
 		Expect(recorder.Record(bounded, 1, turn("c", "b", "x", "y\n"))).To(Succeed())
 		Expect(recorder.Refused()).To(BeTrue())
 		Expect(other.Refused()).To(BeFalse())
-		found, err := newReader().Find(ctx, 1, "c")
+		found, err := newReader().Find(ctx, 1, key("c"))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(found.Chain).To(HaveLen(3))
 	})
@@ -146,7 +149,7 @@
 
 	It("goes on from the oldest record kept", func() {
 		log.Trim(durable.Partition{Topic: history.Topic, Number: 1}, 1)
-		_, err := newReader().Find(ctx, 1, "b")
+		_, err := newReader().Find(ctx, 1, key("b"))
 		Expect(err).To(MatchError(ContainSubstring("turn a of the chain is missing")))
 	})
 })
--- a/internal/history/record.go
+++ b/internal/history/record.go
@@ -11,6 +11,7 @@
 func ToMessage(turn *Turn) *nodev1.Turn {
 	return &nodev1.Turn{
 		Id:          turn.ID,
+		Tenant:      turn.Tenant,
 		Program:     turn.Program,
 		Previous:    turn.Previous,
 		Input:       turn.Input,
@@ -24,6 +25,7 @@
 func FromMessage(message *nodev1.Turn) *Turn {
 	return &Turn{
 		ID:        message.Id,
+		Tenant:    message.Tenant,
 		Program:   message.Program,
 		Previous:  message.Previous,
 		Input:     message.Input,
--- /dev/null
+++ b/internal/history/tenant_test.go
@@ -0,0 +1,59 @@
+package history_test
+
+import (
+	"context"
+
+	nodev1 "github.com/magpielug/magpielug/api/node/v1"
+	"github.com/magpielug/magpielug/internal/durable"
+	"github.com/magpielug/magpielug/internal/history"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+)
+
+var _ = Describe("Turns of tenants", func() {
+	ctx := context.Background()
+
+	of := func(holder, id, previous, input string) *history.Turn {
+		made := turn(id, previous, input, "said\n")
+		made.Tenant = holder
+		return made
+	}
+
+	find := func(log durable.Log, holder, id string) history.Lookup {
+		found, err := history.NewReader(log, history.NewStore(1<<20), shards).Find(ctx, 0, history.Key{Tenant: holder, ID: id})
+		Expect(err).NotTo(HaveOccurred())
+		return found
+	}
+
+	It("are found by their own tenant alone", func() {
+		log := durable.NewMemory()
+		recorder := history.NewRecorder(log, shards)
+		Expect(recorder.Record(ctx, 0, of("a", "1", "", "first"))).To(Succeed())
+		Expect(recorder.Record(ctx, 2, of("a", "2", "1", "second"))).To(Succeed())
+		Expect(find(log, "a", "2").Chain).To(HaveLen(2))
+		Expect(find(log, "b", "2").Exists).To(BeFalse())
+		Expect(find(log, "", "2").Exists).To(BeFalse())
+	})
+
+	It("are kept apart where two tenants use one id", func() {
+		log := durable.NewMemory()
+		recorder := history.NewRecorder(log, shards)
+		Expect(recorder.Record(ctx, 0, of("a", "1", "", "of a"))).To(Succeed())
+		Expect(recorder.Record(ctx, 0, of("b", "1", "", "of b"))).To(Succeed())
+		Expect(string(find(log, "a", "1").Chain[0].Input)).To(Equal("of a"))
+		Expect(string(find(log, "b", "1").Chain[0].Input)).To(Equal("of b"))
+	})
+
+	It("go on from turns that a node without tenants has recorded", func() {
+		log := durable.NewMemory()
+		// What such a node writes: no field for the tenant.
+		record, err := proto.Marshal(&nodev1.Turn{Id: "1", Program: "p", Input: []byte("first"), Output: []byte("said\n"),
+			EndedUnixMs: turn("1", "", "", "").Ended.UnixMilli(), RetentionMs: 60_000})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = log.Append(ctx, durable.Partition{Topic: history.Topic, Number: 0}, [][]byte{record}, durable.Condition{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(history.NewRecorder(log, shards).Record(ctx, 0, of("a", "2", "1", "second"))).To(Succeed())
+		Expect(find(log, "a", "2").Chain).To(HaveLen(2))
+	})
+})
--- a/internal/node/meter.go
+++ b/internal/node/meter.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/magpielug/magpielug/internal/forward"
 	"github.com/magpielug/magpielug/internal/metrics"
 	"github.com/magpielug/magpielug/internal/resultcode"
 	"github.com/magpielug/magpielug/internal/routing"
@@ -23,10 +24,13 @@
 	storeCalls *prometheus.CounterVec
 	storeTime  *prometheus.HistogramVec
 	handedOver *prometheus.CounterVec
+	admissions *prometheus.CounterVec
 
 	// mutex guards calls at the store since the last summary line.
 	mutex  sync.Mutex
 	recent map[string]int
+	// tenants are those that have labels of their own.
+	tenants map[string]bool
 }
 
 // Histogram bounds, seconds.
@@ -61,10 +65,46 @@
 			Name: "magpielug_handed_over_total",
 			Help: "Requests handed to egress nodes, by how that ended.",
 		}, []string{"outcome"}),
-		recent: map[string]int{},
+		admissions: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "magpielug_tenant_requests_total",
+			Help: "Requests of tenants with a limit, by whether the limit had room. Tenants beyond the first 200 count as \"other\".",
+		}, []string{"tenant", "verdict"}),
+		recent:  map[string]int{},
+		tenants: map[string]bool{},
 	}
 }
 
+// mostTenantLabels bounds the tenants that the metrics tell apart.
+const mostTenantLabels = 200
+
+// otherTenants stands for the tenants beyond them.
+const otherTenants = "other"
+
+var verdictNames = map[forward.AdmissionVerdict]string{
+	forward.Admitted:     "admitted",
+	forward.OverLimit:    "over_limit",
+	forward.LimitUnknown: "unknown",
+}
+
+// admitted counts a request of a tenant with a limit.
+func (meter *meter) admitted(tenant string, verdict forward.AdmissionVerdict) {
+	meter.admissions.WithLabelValues(meter.tenantLabel(tenant), verdictNames[verdict]).Inc()
+}
+
+// tenantLabel bounds the labels whatever the configurations name.
+func (meter *meter) tenantLabel(tenant string) string {
+	meter.mutex.Lock()
+	defer meter.mutex.Unlock()
+	if meter.tenants[tenant] {
+		return tenant
+	}
+	if len(meter.tenants) >= mostTenantLabels {
+		return otherTenants
+	}
+	meter.tenants[tenant] = true
+	return tenant
+}
+
 // storeCall implements durable.Observe.
 func (meter *meter) storeCall(operation, topic string, took time.Duration, err error) {
 	outcome := "done"
@@ -114,7 +154,7 @@
 func (node *Node) metricsHandler() http.Handler {
 	meter := node.meter
 	registry := prometheus.NewRegistry()
-	registry.MustRegister(meter.calls, meter.duration, meter.firstEvent, meter.storeCalls, meter.storeTime, meter.handedOver)
+	registry.MustRegister(meter.calls, meter.duration, meter.firstEvent, meter.storeCalls, meter.storeTime, meter.handedOver, meter.admissions)
 	gauges := []struct {
 		name, help string
 		value      func() float64
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -35,6 +35,7 @@
 	errUnknownNode  = errors.New("no such node is known")
 	errUnknownShard = errors.New("no such shard")
 	errLogRefuses   = errors.New("the log refuses this node too")
+	errNoLimit      = errors.New("the tenant has no limit to keep")
 	errStillReading = errors.New("the turns before are still being read")
 )
 
@@ -90,6 +91,7 @@
 	ownership *ownership.Manager
 	assigner  *assignment.Assigner
 	programs  *programs
+	quotas    *quotas
 	service   *forward.Service
 	// egress sends turns for other nodes.
 	egress    *egress.Handler
@@ -168,6 +170,7 @@
 		Address:     settings.PeerAddress,
 	}, settings.Shards, ownership.Around{Yield: node.askToYield, LogAway: node.logAway})
 	node.programs = newPrograms(node)
+	node.quotas = newQuotas(node)
 	node.reader.Delegate(node.lineElsewhere)
 	if feature.Enabled(feature.RecordingElsewhere) {
 		node.recorder.RelayBy(node.recordElsewhere)
@@ -179,6 +182,7 @@
 		Waiting:  backend.NewWaitQueue(),
 		Sender:   egress.NewSender(around.Sender, &egressTopology{node: node}, client, logger.Logger, meter.handed),
 		Programs: node.programs,
+		Quotas:   node.quotas,
 		Meter:    meter,
 		Logger:   logger.Logger,
 		Zone:     settings.Zone,
@@ -240,6 +244,7 @@
 		go follower.run(working)
 	}
 	go node.learner.run(working, node.following)
+	go node.quotas.lend(working)
 	go node.keepHouse(working)
 	for {
 		select {
--- a/internal/node/programs.go
+++ b/internal/node/programs.go
@@ -61,6 +61,7 @@
 func (programs *programs) Reserve(ctx context.Context, call *forward.Call, service string) forward.Reservation {
 	request := &nodev1.ReserveRequest{
 		Program:  call.Program,
+		Tenant:   call.Tenant,
 		Budget:   call.Turn.Budget,
 		Most:     call.Turn.Most,
 		Previous: call.Turn.Previous,
@@ -76,7 +77,7 @@
 	}
 	var chain []*history.Turn
 	if request.Previous != "" {
-		held, _, complete := programs.node.turns.Chain(request.Previous)
+		held, _, complete := programs.node.turns.Chain(history.Key{Tenant: call.Tenant, ID: request.Previous})
 		chain = held
 		request.NeedsChain = !complete
 	}
@@ -99,7 +100,7 @@
 
 // Settle implements forward.Programs.
 func (programs *programs) Settle(call *forward.Call, grant forward.Grant, tokens int64, turn *history.Turn) {
-	settlement := &nodev1.Settlement{Program: call.Program, Request: grant.Key, Tokens: tokens}
+	settlement := &nodev1.Settlement{Program: call.Program, Tenant: call.Tenant, Request: grant.Key, Tokens: tokens}
 	if turn != nil {
 		programs.node.turns.Add(turn)
 		settlement.Turn = history.ToMessage(turn)
--- /dev/null
+++ b/internal/node/quotas.go
@@ -0,0 +1,283 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	nodev1 "github.com/magpielug/magpielug/api/node/v1"
+	"github.com/magpielug/magpielug/internal/feature"
+	"github.com/magpielug/magpielug/internal/forward"
+	"github.com/magpielug/magpielug/internal/logging"
+	"github.com/magpielug/magpielug/internal/quota"
+	"github.com/magpielug/magpielug/internal/tenant"
+	"github.com/magpielug/magpielug/internal/wait"
+	"go.uber.org/zap"
+)
+
+const (
+	// shardsPerQuotaGroup relates the number of groups of tenants to that of shards: a
+	// keeper bears the asks of some hundred requests a second, and each node meets a
+	// group's keeper often enough for its asks to lend its share.
+	shardsPerQuotaGroup = 4
+	// quotaShard stands for the first group's keeper in the order of candidates; the
+	// other groups follow below it.
+	quotaShard = -3
+	// quotaTimeout is how long a keeper may take to answer.
+	quotaTimeout = 200 * time.Millisecond
+	// quotaAsks is how many keepers that do not answer are tried for one request.
+	quotaAsks = 3
+	// unsettledPatience is how long a request waits while its keeper has been lent too
+	// little: the time that a lost keeper's loans last and others take to notice.
+	unsettledPatience = 2*quota.LentFor + quotaTimeout
+	// unsettledPause separates two asks of such a keeper.
+	unsettledPause = 50 * time.Millisecond
+	// lendPause is how long after its last ask a node lends again: twice that and the
+	// way fit into the time for which it lends.
+	lendPause = 150 * time.Millisecond
+	// lendLook separates two looks whether it is time to.
+	lendLook = 30 * time.Millisecond
+	// keeperSuspicion is how long a keeper that did not answer is not chosen: about as
+	// long as machines freeze or are started anew.
+	keeperSuspicion = 3 * time.Second
+)
+
+// quotas implements forward.Quotas: it asks the keepers of tenants' limits, is one
+// itself, and lends this node's share to those of all groups.
+type quotas struct {
+	node   *Node
+	keeper *quota.Keeper
+	groups []*lending
+
+	// mutex guards suspects.
+	mutex    sync.Mutex
+	suspects map[string]time.Time
+}
+
+// lending is what this node has to do with the keeper of one group.
+type lending struct {
+	group int
+	// mutex guards the fields below.
+	mutex  sync.Mutex
+	lender quota.Lender
+	// asked is when a keeper was last asked.
+	asked time.Time
+	// candidates may keep the group, the first choice first, by a version of the nodes
+	// known.
+	candidates []Member
+	version    int64
+}
+
+func newQuotas(node *Node) *quotas {
+	made := &quotas{
+		node:     node,
+		keeper:   quota.NewKeeper(node.incarnation, time.Now(), feature.Enabled(feature.WholePrograms)),
+		suspects: map[string]time.Time{},
+	}
+	for group := range max(node.settings.Shards/shardsPerQuotaGroup, 1) {
+		made.groups = append(made.groups, &lending{group: group, version: -1})
+	}
+	return made
+}
+
+// groupOf returns the group of a tenant.
+func (quotas *quotas) groupOf(tenantName string) *lending {
+	return quotas.groups[xxhash.Sum64String(tenantName)%uint64(len(quotas.groups))]
+}
+
+// Admit implements forward.Quotas.
+func (quotas *quotas) Admit(ctx context.Context, order *forward.AdmissionOrder) forward.Admission {
+	admission := quotas.admit(ctx, order)
+	quotas.node.meter.admitted(order.Holder.Name, admission.Verdict)
+	return admission
+}
+
+func (quotas *quotas) admit(ctx context.Context, order *forward.AdmissionOrder) forward.Admission {
+	lent := quotas.groupOf(order.Holder.Name)
+	request := quotas.request(lent, order)
+	until := time.Now().Add(unsettledPatience)
+	unanswered := 0
+	for ctx.Err() == nil && unanswered < quotaAsks && time.Now().Before(until) {
+		reply, err := quotas.ask(ctx, lent, request)
+		switch {
+		case err != nil:
+			unanswered++
+		case reply.Admission == nodev1.Admission_ADMISSION_GRANTED:
+			wait.For(ctx, milliseconds(reply.DelayMs))
+			return forward.Admission{Verdict: forward.Admitted}
+		case reply.Admission == nodev1.Admission_ADMISSION_REFUSED:
+			return forward.Admission{Verdict: forward.OverLimit, RetryAfter: milliseconds(reply.RetryAfterMs)}
+		default:
+			unanswered = 0
+			wait.For(ctx, unsettledPause)
+		}
+	}
+	return forward.Admission{Verdict: forward.LimitUnknown}
+}
+
+func milliseconds(count int64) time.Duration { return time.Duration(count) * time.Millisecond }
+
+func (quotas *quotas) request(lent *lending, order *forward.AdmissionOrder) *nodev1.AdmitRequest {
+	request := quotas.loan(lent)
+	request.Tenant = order.Holder.Name
+	request.Configuration = order.Configuration
+	request.PerSecond = order.Holder.Limit.PerSecond
+	request.Burst = order.Holder.Limit.Burst
+	request.Program = order.Call.Program
+	request.Continues = order.Continues
+	request.Kind = order.Kind
+	request.PatienceMs = order.Patience.Milliseconds()
+	return request
+}
+
+// loan is an ask that only lends.
+func (quotas *quotas) loan(lent *lending) *nodev1.AdmitRequest {
+	return &nodev1.AdmitRequest{
+		Node:  quotas.node.settings.Name,
+		Nodes: uint32(quotas.node.members.staying()),
+		Group: uint32(lent.group),
+	}
+}
+
+// ask asks the group's keeper once.
+func (quotas *quotas) ask(ctx context.Context, lent *lending, request *nodev1.AdmitRequest) (*nodev1.AdmitReply, error) {
+	target, clock := quotas.target(lent, time.Now())
+	request.Lent = toClock(clock)
+	reply, err := quotas.send(ctx, target, request)
+	if err != nil {
+		if ctx.Err() == nil {
+			quotas.suspect(target, request, err)
+		}
+		return nil, err
+	}
+	lent.mutex.Lock()
+	defer lent.mutex.Unlock()
+	lent.lender.Heard(target, fromClock(reply.Clock), time.Now())
+	return reply, nil
+}
+
+// target returns the keeper to ask, and the moment from which on the share is lent.
+func (quotas *quotas) target(lent *lending, now time.Time) (string, quota.Clock) {
+	lent.mutex.Lock()
+	defer lent.mutex.Unlock()
+	lent.asked = now
+	wanted := quotas.choose(lent, now)
+	present, clock := lent.lender.Target(wanted, !quotas.suspected(lent.lender.Keeper(), now), now)
+	return present, clock
+}
+
+// choose returns the first candidate that answers.
+func (quotas *quotas) choose(lent *lending, now time.Time) string {
+	version := quotas.node.members.version.Load()
+	if lent.version != version {
+		lent.version = version
+		lent.candidates = quotas.node.members.candidates(quotaShard - lent.group)
+	}
+	for _, candidate := range lent.candidates {
+		if !quotas.suspected(candidate.Name, now) {
+			return candidate.Name
+		}
+	}
+	return quotas.node.settings.Name
+}
+
+func (quotas *quotas) suspected(name string, now time.Time) bool {
+	quotas.mutex.Lock()
+	defer quotas.mutex.Unlock()
+	return now.Before(quotas.suspects[name])
+}
+
+func (quotas *quotas) suspect(name string, request *nodev1.AdmitRequest, cause error) {
+	quotas.node.logger.Info("keeper not reached", zap.String("node", name), zap.Uint32("group", request.Group),
+		zap.String("tenant", request.Tenant), logging.Cause(cause))
+	quotas.mutex.Lock()
+	defer quotas.mutex.Unlock()
+	quotas.suspects[name] = time.Now().Add(keeperSuspicion)
+}
+
+func (quotas *quotas) send(ctx context.Context, target string, request *nodev1.AdmitRequest) (*nodev1.AdmitReply, error) {
+	if target == quotas.node.settings.Name {
+		return quotas.decide(request), nil
+	}
+	client, err := quotas.node.peers.client(target)
+	if err != nil {
+		return nil, err
+	}
+	bounded, cancel := context.WithTimeout(ctx, quotaTimeout)
+	defer cancel()
+	return client.Admit(bounded, request)
+}
+
+// decide answers as the keeper of a group.
+func (quotas *quotas) decide(request *nodev1.AdmitRequest) *nodev1.AdmitReply {
+	answer := quotas.keeper.Decide(quota.Ask{
+		Node:          request.Node,
+		Nodes:         int(request.Nodes),
+		Group:         int(request.Group),
+		Lent:          fromClock(request.Lent),
+		Tenant:        request.Tenant,
+		Limit:         tenant.Limit{PerSecond: request.PerSecond, Burst: request.Burst},
+		Configuration: request.Configuration,
+		Program:       request.Program,
+		Continues:     request.Continues,
+		Kind:          request.Kind,
+		Patience:      milliseconds(request.PatienceMs),
+	}, time.Now())
+	return &nodev1.AdmitReply{
+		Clock:        toClock(answer.Clock),
+		Admission:    admissions[answer.Verdict],
+		DelayMs:      answer.Delay.Milliseconds(),
+		RetryAfterMs: answer.RetryAfter.Milliseconds(),
+	}
+}
+
+var admissions = map[quota.Verdict]nodev1.Admission{
+	quota.Granted:   nodev1.Admission_ADMISSION_GRANTED,
+	quota.Refused:   nodev1.Admission_ADMISSION_REFUSED,
+	quota.Unsettled: nodev1.Admission_ADMISSION_UNSETTLED,
+}
+
+func toClock(clock quota.Clock) *nodev1.KeeperClock {
+	if clock == (quota.Clock{}) {
+		return nil
+	}
+	return &nodev1.KeeperClock{Incarnation: clock.Incarnation, Micros: clock.Since.Microseconds()}
+}
+
+func fromClock(message *nodev1.KeeperClock) quota.Clock {
+	return quota.Clock{Incarnation: message.GetIncarnation(), Since: time.Duration(message.GetMicros()) * time.Microsecond}
+}
+
+// Admit implements nodev1.Node.
+func (server *peerServer) Admit(_ context.Context, request *nodev1.AdmitRequest) (*nodev1.AdmitReply, error) {
+	if request.Tenant != "" && request.PerSecond <= 0 {
+		return nil, errNoLimit
+	}
+	return server.node.quotas.decide(request), nil
+}
+
+// lend lends this node's share of each group to its keeper for as long as there are
+// limits, also while it has nothing to ask: a keeper grants only what it was lent.
+func (quotas *quotas) lend(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait.For(ctx, lendLook)
+		configuration := quotas.node.routes.Load()
+		if configuration == nil || !configuration.Tenants.Limited() {
+			continue
+		}
+		now := time.Now()
+		for _, lent := range quotas.groups {
+			if lent.due(now) {
+				go func() { _, _ = quotas.ask(ctx, lent, quotas.loan(lent)) }() // A failure is logged where it is noticed.
+			}
+		}
+	}
+}
+
+// due tells whether it is time to lend again.
+func (lent *lending) due(now time.Time) bool {
+	lent.mutex.Lock()
+	defer lent.mutex.Unlock()
+	return now.Sub(lent.asked) >= lendPause
+}
--- a/internal/node/reserve.go
+++ b/internal/node/reserve.go
@@ -11,6 +11,7 @@
 	"github.com/magpielug/magpielug/internal/backend"
 	"github.com/magpielug/magpielug/internal/history"
 	"github.com/magpielug/magpielug/internal/ownership"
+	"github.com/magpielug/magpielug/internal/tenant"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -47,7 +48,7 @@
 
 func askOf(request *nodev1.ReserveRequest) ownership.Ask {
 	return ownership.Ask{
-		Program: request.Program,
+		Program: programOf(request),
 		Request: request.Request,
 		Budget:  request.Budget,
 		Most:    request.Most,
@@ -56,6 +57,11 @@
 	}
 }
 
+// programOf names the program that a reservation is for.
+func programOf(request *nodev1.ReserveRequest) tenant.Program {
+	return tenant.Program{Tenant: request.Tenant, ID: request.Program}
+}
+
 // failedFor tells whether the asker could not reach an owner, so that this node
 // may act in its place. A request that was passed on is not passed on again.
 func failedFor(request *nodev1.ReserveRequest, owner ownership.Owner) bool {
@@ -68,11 +74,11 @@
 	if ctx.Err() != nil {
 		reply.Verdict = nodev1.Verdict_VERDICT_UNSURE
 		reply.Reason = "the asker has given up"
-		node.ownership.Settle(shard, request.Program, request.Request, 0)
+		node.ownership.Settle(shard, programOf(request), request.Request, 0)
 		return
 	}
 	if request.NeedsChain && len(reply.Chain) == 0 && !node.addChain(ctx, shard, request, reply) {
-		node.ownership.Settle(shard, request.Program, request.Request, 0)
+		node.ownership.Settle(shard, programOf(request), request.Request, 0)
 		return
 	}
 	reply.Verdict = nodev1.Verdict_VERDICT_GRANTED
@@ -118,7 +124,7 @@
 			Order: backend.Order(request.Session, instance.ID),
 		})
 	}
-	line := assignment.Line{Program: request.Program, Session: request.Session, Zone: request.Zone}
+	line := assignment.Line{Program: programOf(request), Session: request.Session, Zone: request.Zone}
 	return node.assigner.Choose(line, candidates, now)
 }
 
@@ -142,7 +148,7 @@
 // addChain puts the turns before the one asked for into the reply, or the
 // reason why it can't.
 func (node *Node) addChain(ctx context.Context, shard int, request *nodev1.ReserveRequest, reply *nodev1.ReserveReply) bool {
-	found, err := node.find(ctx, shard, request.Previous)
+	found, err := node.find(ctx, shard, history.Key{Tenant: request.Tenant, ID: request.Previous})
 	if errors.Is(err, errStillReading) {
 		reply.Verdict = nodev1.Verdict_VERDICT_WAITING
 		reply.Reason = err.Error()
--- a/internal/node/search.go
+++ b/internal/node/search.go
@@ -86,7 +86,7 @@
 			zap.String("request", search.id), logging.Cause(err))
 		search.failed(target)
 		// The node may have granted all the same.
-		go programs.settleAt(target, &nodev1.Settlement{Program: search.request.Program, Request: search.request.Request})
+		go programs.settleAt(target, &nodev1.Settlement{Program: search.request.Program, Tenant: search.request.Tenant, Request: search.request.Request})
 		return nil, err
 	}
 	if programs.learn(search.shard, target, reply) {
--- a/internal/node/turns.go
+++ b/internal/node/turns.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"time"
 
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
@@ -31,11 +32,11 @@
 
 // find looks for a chain, and gives up waiting after a while; the search goes
 // on, so that a later ask finds more. Asks for the same turn share a search.
-func (node *Node) find(ctx context.Context, shard int, id string) (history.Lookup, error) {
-	searched := node.searches.DoChan(id, func() (any, error) {
+func (node *Node) find(ctx context.Context, shard int, key history.Key) (history.Lookup, error) {
+	searched := node.searches.DoChan(strconv.Quote(key.Tenant)+key.ID, func() (any, error) {
 		searching, cancel := context.WithTimeout(context.Background(), findTimeout)
 		defer cancel()
-		return node.reader.Find(searching, shard, id)
+		return node.reader.Find(searching, shard, key)
 	})
 	timer := time.NewTimer(findWait)
 	defer timer.Stop()
@@ -52,7 +53,7 @@
 // lineElsewhere asks the node that is likely to have read a shard's partition:
 // the shard's owner, or the one that would own it. It implements
 // history.Elsewhere.
-func (node *Node) lineElsewhere(ctx context.Context, shard int, id string) ([]*history.Turn, error) {
+func (node *Node) lineElsewhere(ctx context.Context, shard int, key history.Key) ([]*history.Turn, error) {
 	asked := map[string]bool{}
 	for range lineAsks {
 		target, found := node.programs.target(shard, asked)
@@ -60,27 +61,27 @@
 			break
 		}
 		asked[target] = true
-		line, err := node.askLine(ctx, target, shard, id)
+		line, err := node.askLine(ctx, target, shard, key)
 		if err == nil {
 			return line, nil
 		}
 		if ctx.Err() != nil {
 			return nil, ctx.Err() // Found in another shard, or the search is over.
 		}
-		node.logger.Info("turns not read elsewhere", zap.String("turn", id), zap.Int("shard", shard),
+		node.logger.Info("turns not read elsewhere", zap.String("turn", key.ID), zap.Int("shard", shard),
 			zap.String("node", target), logging.Cause(err))
 	}
-	return node.reader.Line(ctx, shard, id)
+	return node.reader.Line(ctx, shard, key)
 }
 
-func (node *Node) askLine(ctx context.Context, target string, shard int, id string) ([]*history.Turn, error) {
+func (node *Node) askLine(ctx context.Context, target string, shard int, key history.Key) ([]*history.Turn, error) {
 	client, err := node.peers.client(target)
 	if err != nil {
 		return nil, err
 	}
 	bounded, cancel := context.WithTimeout(ctx, lineTimeout)
 	defer cancel()
-	reply, err := client.Line(bounded, &nodev1.LineRequest{Shard: uint32(shard), Id: id})
+	reply, err := client.Line(bounded, &nodev1.LineRequest{Shard: uint32(shard), Id: key.ID, Tenant: key.Tenant})
 	if err != nil {
 		return nil, err
 	}
@@ -95,7 +96,7 @@
 	}
 	reading, cancel := context.WithTimeout(context.Background(), findTimeout)
 	defer cancel()
-	line, err := server.node.reader.Line(reading, int(request.Shard), request.Id)
+	line, err := server.node.reader.Line(reading, int(request.Shard), history.Key{Tenant: request.Tenant, ID: request.Id})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/ownership/claim_test.go
+++ b/internal/ownership/claim_test.go
@@ -10,6 +10,7 @@
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
 	"github.com/magpielug/magpielug/internal/durable"
 	"github.com/magpielug/magpielug/internal/ownership"
+	"github.com/magpielug/magpielug/internal/tenant"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
@@ -17,6 +18,8 @@
 
 const patience = 5 * time.Second
 
+var program = tenant.Program{ID: "p"}
+
 var _ = Describe("Manager", func() {
 	var log *durable.Memory
 	var ctx context.Context
@@ -51,7 +54,7 @@
 		bounded, cancel := context.WithTimeout(ctx, patience)
 		defer cancel()
 		return manager.Reserve(bounded, 0, ownership.Ask{
-			Program: "p", Request: request, Budget: budget, Most: most, Claim: true,
+			Program: program, Request: request, Budget: budget, Most: most, Claim: true,
 			Until: time.Now().Add(patience),
 		})
 	}
@@ -85,7 +88,7 @@
 	It("reserves nothing for an asker that gave up while the shard was being claimed", func() {
 		racing := &racingLog{Memory: log}
 		manager := start(racing, "a")
-		racing.beforeAppend = func() { manager.Settle(0, "p", "r1", 0) }
+		racing.beforeAppend = func() { manager.Settle(0, program, "r1", 0) }
 		Expect(ask(manager, "r1", 500, 288).Verdict).To(Equal(nodev1.Verdict_VERDICT_UNSURE))
 		Expect(ask(manager, "r2", 500, 288).Verdict).To(Equal(nodev1.Verdict_VERDICT_GRANTED))
 	})
@@ -95,7 +98,7 @@
 		first := start(cut, "a")
 		Expect(ask(first, "r1", 700, 288).Verdict).To(Equal(nodev1.Verdict_VERDICT_GRANTED))
 		// More than the claim's allowance, a third of the budget.
-		first.Settle(0, "p", "r1", 288)
+		first.Settle(0, program, "r1", 288)
 		cut.silent.Store(true)
 		// More than the log has acknowledged: the owner has to write, and can't.
 		Eventually(func() nodev1.Verdict { return ask(first, "r2", 700, 400).Verdict }, patience).
@@ -135,8 +138,8 @@
 	It("leaves a successor an allowance of its own after a planned stop", func() {
 		first := start(log, "a")
 		Expect(granted(first, "a", 1000)).To(Equal(10))
-		first.Settle(0, "p", "a0", 0)
-		first.Settle(0, "p", "a1", 0)
+		first.Settle(0, program, "a0", 0)
+		first.Settle(0, program, "a1", 0)
 		first.Release(ctx)
 		cut := &cutLog{Memory: log}
 		second := start(cut, "b")
--- a/internal/ownership/manager.go
+++ b/internal/ownership/manager.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/magpielug/magpielug/internal/durable"
+	"github.com/magpielug/magpielug/internal/tenant"
 	"go.uber.org/zap"
 )
 
@@ -102,7 +103,7 @@
 }
 
 // Settle ends a turn in a shard.
-func (manager *Manager) Settle(number int, program, request string, tokens int64) {
+func (manager *Manager) Settle(number int, program tenant.Program, request string, tokens int64) {
 	manager.post(func() { manager.shards[number].settle(program, request, tokens, time.Now()) })
 }
 
--- a/internal/ownership/record.go
+++ b/internal/ownership/record.go
@@ -6,6 +6,7 @@
 
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
 	"github.com/magpielug/magpielug/internal/spending"
+	"github.com/magpielug/magpielug/internal/tenant"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -20,7 +21,8 @@
 		record := &nodev1.SpendingRecord{}
 		for _, ceiling := range part {
 			record.Ceilings = append(record.Ceilings, &nodev1.Ceiling{
-				Program:       ceiling.Program,
+				Program:       ceiling.Program.ID,
+				Tenant:        ceiling.Program.Tenant,
 				Tokens:        ceiling.Tokens,
 				Settled:       ceiling.Settled,
 				WrittenUnixMs: now,
@@ -55,7 +57,8 @@
 
 func encodeAccount(account spending.Account) *nodev1.Account {
 	message := &nodev1.Account{
-		Program: account.Program,
+		Program: account.Program.ID,
+		Tenant:  account.Program.Tenant,
 		Spent:   account.Spent,
 		Doubt:   account.Doubt,
 		Ceiling: account.Ceiling,
@@ -74,7 +77,7 @@
 	accounts := make([]spending.Account, 0, len(messages))
 	for _, message := range messages {
 		account := spending.Account{
-			Program: message.Program,
+			Program: tenant.Program{Tenant: message.Tenant, ID: message.Program},
 			Spent:   message.Spent,
 			Doubt:   message.Doubt,
 			Ceiling: message.Ceiling,
--- a/internal/ownership/replay.go
+++ b/internal/ownership/replay.go
@@ -8,6 +8,7 @@
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
 	"github.com/magpielug/magpielug/internal/durable"
 	"github.com/magpielug/magpielug/internal/spending"
+	"github.com/magpielug/magpielug/internal/tenant"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -20,7 +21,7 @@
 	highest  int64
 	refused  int64
 	records  int
-	ceilings map[string]spending.Ceiling
+	ceilings map[tenant.Program]spending.Ceiling
 	// allowances are those of owners that have not closed their accounts.
 	allowances []spending.Allowance
 	// owner is the newest claim, nil where there is none.
@@ -33,7 +34,7 @@
 }
 
 func newReplay(log durable.Log, partition durable.Partition) *replay {
-	return &replay{log: log, partition: partition, ceilings: map[string]spending.Ceiling{}}
+	return &replay{log: log, partition: partition, ceilings: map[tenant.Program]spending.Ceiling{}}
 }
 
 // won returns what a claim brings that stands in the records.
@@ -66,8 +67,9 @@
 		reading.applyClaim(record.Claim)
 	}
 	for _, ceiling := range record.Ceilings {
-		reading.ceilings[ceiling.Program] = spending.Ceiling{
-			Program: ceiling.Program,
+		program := tenant.Program{Tenant: ceiling.Tenant, ID: ceiling.Program}
+		reading.ceilings[program] = spending.Ceiling{
+			Program: program,
 			Tokens:  ceiling.Tokens,
 			Settled: ceiling.Settled,
 			Epoch:   reading.highest,
--- a/internal/ownership/shard.go
+++ b/internal/ownership/shard.go
@@ -14,6 +14,7 @@
 	"github.com/magpielug/magpielug/charts"
 	"github.com/magpielug/magpielug/internal/feature"
 	"github.com/magpielug/magpielug/internal/spending"
+	"github.com/magpielug/magpielug/internal/tenant"
 	"go.uber.org/zap"
 )
 
@@ -62,7 +63,7 @@
 
 // Ask is a request for tokens.
 type Ask struct {
-	Program string
+	Program tenant.Program
 	Request string
 	Budget  int64
 	Most    int64
@@ -191,7 +192,7 @@
 // logRefusal writes on what a program was refused.
 func (manager *Manager) logRefusal(shard *shard, ask Ask, verdict string) {
 	balance := shard.ledger.Balance(ask.Program)
-	manager.logger.Info("turn refused", zap.String("key", ask.Request), zap.String("program", ask.Program),
+	manager.logger.Info("turn refused", zap.String("key", ask.Request), zap.String("program", ask.Program.ID), zap.String("tenant", ask.Program.Tenant),
 		zap.String("verdict", verdict), zap.Int("shard", shard.number), zap.Int64("epoch", shard.epoch),
 		zap.Int64("budget", ask.Budget), zap.Int64("most", ask.Most), zap.Int64("spent", balance.Spent),
 		zap.Int64("doubt", balance.Doubt), zap.Int64("open", balance.Open), zap.Int64("ceiling", balance.Ceiling))
@@ -255,7 +256,7 @@
 
 // settle ends a turn, or remembers its end where its request has not come yet:
 // the asker may have given up while the shard was being claimed.
-func (shard *shard) settle(program, request string, tokens int64, now time.Time) {
+func (shard *shard) settle(program tenant.Program, request string, tokens int64, now time.Time) {
 	if shard.ledger != nil && shard.ledger.Settle(program, request, tokens, now) {
 		return
 	}
--- /dev/null
+++ b/internal/quota/bucket.go
@@ -0,0 +1,77 @@
+package quota
+
+import (
+	"time"
+
+	"github.com/magpielug/magpielug/internal/tenant"
+)
+
+const (
+	// mostDelay is how long a granted request is held at most until there is room for
+	// it: less than a program loses by another try of its turn.
+	mostDelay = 400 * time.Millisecond
+	// mostRetryAfter is the latest time to come back that is named. The limit may be
+	// raised and others may leave meanwhile.
+	mostRetryAfter = 4 * time.Second
+	// minimumBurst lets a limit without a burst grant one request at once.
+	minimumBurst = 1
+)
+
+// bucket is one tenant's limit at a keeper: a token bucket that fills by what is lent.
+type bucket struct {
+	limit         tenant.Limit
+	configuration int64
+	// tokens is how many requests may run now; below zero for those that wait.
+	tokens float64
+	// lent is the group's sum up to which the bucket was filled.
+	lent     float64
+	programs programs
+	// promised is up to when room has been named to callers that were refused.
+	promised time.Time
+}
+
+func newBucket(lent float64) *bucket { return &bucket{lent: lent, programs: newPrograms()} }
+
+// refill adds what was lent since the last time, up to what the share may hold.
+func (bucket *bucket) refill(lent, share float64) {
+	most := max(bucket.limit.Burst, minimumBurst) * share
+	bucket.tokens = min(bucket.tokens+bucket.limit.PerSecond*(lent-bucket.lent), most)
+	bucket.lent = lent
+}
+
+// decide grants a request or refuses it.
+func (bucket *bucket) decide(ask Ask, share float64, wholePrograms bool, now time.Time) (verdict Verdict, delay, retryAfter time.Duration) {
+	rate := bucket.limit.PerSecond * share
+	if wholePrograms && bucket.programs.begins(ask, now) {
+		missing := bucket.programs.needed(ask.Kind) - bucket.tokens - rate*horizon.Seconds()
+		if missing > 0 && bucket.programs.running() {
+			return Refused, 0, bucket.promise(missing, bucket.programs.expected(ask.Kind), rate, now)
+		}
+	}
+	wait := max(inSeconds((1-bucket.tokens)/rate), 0)
+	if wait > min(ask.Patience, mostDelay) {
+		return Refused, 0, min(wait, mostRetryAfter)
+	}
+	bucket.tokens--
+	bucket.programs.note(ask, now)
+	return Granted, wait, 0
+}
+
+// promise names a time at which there is room for a program, one caller after another.
+func (bucket *bucket) promise(missing, requests, rate float64, now time.Time) time.Duration {
+	earliest := now.Add(inSeconds(missing / rate))
+	if bucket.promised.After(earliest) {
+		earliest = bucket.promised
+	}
+	bucket.promised = earliest.Add(inSeconds(requests / rate))
+	if latest := now.Add(mostRetryAfter); bucket.promised.After(latest) {
+		bucket.promised = latest
+	}
+	return min(earliest.Sub(now), mostRetryAfter)
+}
+
+// inSeconds is a time of so many seconds, bounded so that it can be added to any other.
+func inSeconds(count float64) time.Duration {
+	const most = 24 * 3600
+	return time.Duration(min(count, most) * float64(time.Second))
+}
--- /dev/null
+++ b/internal/quota/keeper.go
@@ -0,0 +1,168 @@
+package quota
+
+import (
+	"sync"
+	"time"
+)
+
+// settledShare is the least share of a limit with which a keeper refuses. With less it
+// is likely that nodes are about to change keepers, and that another one could tell.
+const settledShare = 0.5
+
+// Keeper keeps the limits of groups of tenants. It is safe for concurrent use.
+type Keeper struct {
+	incarnation string
+	started     time.Time
+	// wholePrograms is true where programs are admitted as a whole.
+	wholePrograms bool
+
+	mutex  sync.Mutex
+	groups map[int]*group
+}
+
+// NewKeeper returns a keeper that has been lent nothing. Its incarnation tells it from
+// every other process. Without wholePrograms it counts each request as it comes.
+func NewKeeper(incarnation string, now time.Time, wholePrograms bool) *Keeper {
+	return &Keeper{incarnation: incarnation, started: now, wholePrograms: wholePrograms, groups: map[int]*group{}}
+}
+
+// Decide takes in what a node lends and answers for its request. now must come from a
+// clock that does not jump.
+func (keeper *Keeper) Decide(ask Ask, now time.Time) Answer {
+	keeper.mutex.Lock()
+	defer keeper.mutex.Unlock()
+	asked := keeper.group(ask.Group, now)
+	asked.advance(now)
+	keeper.borrow(asked, ask, now)
+	answer := Answer{Clock: Clock{Incarnation: keeper.incarnation, Since: now.Sub(keeper.started)}}
+	if ask.Tenant == "" {
+		return answer
+	}
+	share := asked.share()
+	if share == 0 {
+		answer.Verdict = Unsettled
+		return answer
+	}
+	held := asked.bucket(ask)
+	held.refill(asked.lent, share)
+	answer.Verdict, answer.Delay, answer.RetryAfter = held.decide(ask, share, keeper.wholePrograms, now)
+	if answer.Verdict == Refused && share < settledShare {
+		answer.Verdict = Unsettled
+	}
+	return answer
+}
+
+// borrow notes the asker's share. It counts for LentFor from the moment that the asker
+// names, and not from the ask's arrival, which may come at any time after.
+func (keeper *Keeper) borrow(asked *group, ask Ask, now time.Time) {
+	if ask.Lent.Incarnation != keeper.incarnation {
+		return
+	}
+	until := keeper.started.Add(ask.Lent.Since + LentFor)
+	if !until.After(now) {
+		return
+	}
+	held := asked.loans[ask.Node]
+	if until.After(held.until) {
+		held.until = until
+	}
+	held.nodes = max(ask.Nodes, 1)
+	asked.loans[ask.Node] = held
+}
+
+func (keeper *Keeper) group(number int, now time.Time) *group {
+	found := keeper.groups[number]
+	if found == nil {
+		found = &group{advanced: now, loans: map[string]loan{}, buckets: map[string]*bucket{}}
+		keeper.groups[number] = found
+	}
+	return found
+}
+
+// group is a group of tenants whose limits are lent together.
+type group struct {
+	loans map[string]loan
+	// lent sums the share over time, seconds: a limit of one request a second has given
+	// as many requests. It stands at the time of advanced.
+	lent     float64
+	advanced time.Time
+	// shrunk is what lent was when a loan last ended.
+	shrunk  float64
+	buckets map[string]*bucket
+}
+
+// loan is the share of one node.
+type loan struct {
+	until time.Time
+	// nodes is how many nodes the lender knows of.
+	nodes int
+}
+
+// nodes is the most that any lender knows of: one that has just started knows few, and
+// would lend too much.
+func (group *group) nodes() int {
+	most := len(group.loans)
+	for _, held := range group.loans {
+		most = max(most, held.nodes)
+	}
+	return most
+}
+
+// share is the part of each limit that is lent at the time of advanced.
+func (group *group) share() float64 {
+	if len(group.loans) == 0 {
+		return 0
+	}
+	return float64(len(group.loans)) / float64(group.nodes())
+}
+
+// advance adds what was lent up to now, and drops the loans that are over.
+func (group *group) advance(now time.Time) {
+	elapsed := now.Sub(group.advanced)
+	if elapsed <= 0 {
+		return
+	}
+	nodes := group.nodes()
+	sum := time.Duration(0)
+	ended := 0
+	for node, held := range group.loans {
+		sum += min(held.until.Sub(group.advanced), elapsed)
+		if !held.until.After(now) {
+			delete(group.loans, node)
+			ended++
+		}
+	}
+	if nodes > 0 {
+		group.lent += min(sum.Seconds()/float64(nodes), elapsed.Seconds())
+	}
+	group.advanced = now
+	if ended > 0 {
+		group.shrink()
+	}
+}
+
+// shrink takes from each bucket what it may not hold with a smaller share: the nodes that
+// lent the rest may have it from another keeper.
+func (group *group) shrink() {
+	group.shrunk = group.lent
+	share := group.share()
+	for _, held := range group.buckets {
+		held.refill(group.lent, share)
+	}
+}
+
+// bucket returns the tenant's bucket, with the newest limit seen.
+func (group *group) bucket(ask Ask) *bucket {
+	found := group.buckets[ask.Tenant]
+	if found == nil {
+		// A new bucket holds what was lent since a loan last ended: another keeper may
+		// have granted what was lent before.
+		found = newBucket(group.shrunk)
+		group.buckets[ask.Tenant] = found
+	}
+	if ask.Configuration >= found.configuration {
+		found.configuration = ask.Configuration
+		found.limit = ask.Limit
+	}
+	return found
+}
--- /dev/null
+++ b/internal/quota/quota.go
@@ -0,0 +1,80 @@
+// Package quota bounds how many requests of a tenant run in any span of time, counted
+// over all nodes, also while nodes are cut off, lost, frozen or started anew.
+//
+// Each of n nodes holds an n-th of every tenant's limit. It lends that share to one
+// keeper at a time, for LentFor from a moment of the keeper's own clock that the node
+// has heard. A Keeper grants requests out of what it has been lent: where all nodes lend
+// to one keeper that is the whole limit, in a part of the system that is cut off it is
+// the share of the nodes there. A node lends to another keeper only after the former one
+// can't count its share any more. Nothing of this needs the platform's log, so that a
+// limit holds, and is granted in full, while the log is away.
+//
+// In any span of t seconds a tenant's requests are thereby at most Burst + PerSecond x t.
+// A node that is started anew has forgotten to whom it lent: its share may count twice
+// for LentFor after that.
+//
+// Keeper and Lender are pure state machines without clock, input and output.
+package quota
+
+import (
+	"time"
+
+	"github.com/magpielug/magpielug/internal/tenant"
+)
+
+// LentFor is how long a share counts from the keeper's moment that its lender names. It
+// bounds what nodes that are all started anew may grant too much, in seconds of a
+// limit, and how long a limit is held up when its keeper is lost.
+const LentFor = 500 * time.Millisecond
+
+// Clock is a moment by the clock of one keeper's process. The zero value is none.
+type Clock struct {
+	Incarnation string
+	Since       time.Duration
+}
+
+// Ask is a request of a node to a keeper. Without a tenant it only lends.
+type Ask struct {
+	// Node asks, and knows of Nodes nodes, itself included.
+	Node  string
+	Nodes int
+	// Group is the group of tenants that is asked for.
+	Group int
+	// Lent is the keeper's moment from which on the node's share is lent; zero lends
+	// nothing.
+	Lent Clock
+	// Tenant sends the request, under a limit that stands in a version of the
+	// configuration.
+	Tenant        string
+	Limit         tenant.Limit
+	Configuration int64
+	// Program is empty for a request that belongs to none. Continues is true where the
+	// request is known to go on with what the program has begun. Programs of a kind make
+	// about as many requests.
+	Program   string
+	Continues bool
+	Kind      string
+	// Patience is how long the request may wait for room.
+	Patience time.Duration
+}
+
+// Verdict is a keeper's answer.
+type Verdict int
+
+// Verdicts.
+const (
+	// Granted: the request may run, after Answer.Delay.
+	Granted Verdict = iota + 1
+	// Refused: the limit has no room. Answer.RetryAfter says when it will have.
+	Refused
+	// Unsettled: the keeper was lent too little to tell, as while nodes change keepers.
+	Unsettled
+)
+
+// Answer is a keeper's answer to an Ask.
+type Answer struct {
+	Clock      Clock
+	Verdict    Verdict
+	Delay      time.Duration
+	RetryAfter time.Duration
+}
--- a/internal/resultcode/resultcode.go
+++ b/internal/resultcode/resultcode.go
@@ -43,6 +43,8 @@
 	DeadlineNotRun     Code = 2011
 	ResumeNotHeld      Code = 2012
 	LogAway            Code = 2013
+	QuotaExceeded      Code = 2014
+	QuotaUnknown       Code = 2015
 
 	OutcomeUnknown Code = 3001
 	CallStopped    Code = 3002
@@ -81,7 +83,7 @@
 	{OK, "OK", http.StatusOK, false, "The request succeeded."},
 	{BadRequest, "BAD_REQUEST", http.StatusBadRequest, false, "The body or a header can't be read; nothing ran."},
 	{BodyTooLarge, "BODY_TOO_LARGE", http.StatusRequestEntityTooLarge, false, "The body is over the settings' bound; nothing ran."},
-	{BadKey, "BAD_KEY", http.StatusUnauthorized, false, "The key names no tier; nothing ran."},
+	{BadKey, "BAD_KEY", http.StatusUnauthorized, false, "The call carries no key that a tier or a tenant holds; nothing ran."},
 	{UnknownProgram, "UNKNOWN_PROGRAM", http.StatusNotFound, false, "No such program under this key; nothing ran."},
 	{UnknownTarget, "UNKNOWN_TARGET", http.StatusNotFound, false, "No such model, adapter or tool service; nothing ran."},
 	{KindNotAllowed, "KIND_NOT_ALLOWED", http.StatusForbidden, false, "The tier may not run this kind of program, or the kind may not call this service; nothing ran."},
@@ -104,6 +106,8 @@
 	{DeadlineNotRun, "DEADLINE_NOT_RUN", http.StatusGatewayTimeout, true, "The call's deadline passed while it waited; not run."},
 	{ResumeNotHeld, "RESUME_NOT_HELD", http.StatusServiceUnavailable, true, "The beginning of this kept turn's stream is not held here, so it can't go on; send the turn anew. Not run."},
 	{LogAway, "LOG_AWAY", http.StatusServiceUnavailable, true, "The platform's log answers no node, so that the turn could not be recorded; not run."},
+	{QuotaExceeded, "QUOTA_EXCEEDED", http.StatusTooManyRequests, true, "The tenant's requests have reached its limit, counted over all nodes; not run."},
+	{QuotaUnknown, "QUOTA_UNKNOWN", http.StatusServiceUnavailable, true, "No node that keeps the tenant's limit could be asked in time; not run."},
 	{OutcomeUnknown, "OUTCOME_UNKNOWN", http.StatusBadGateway, false, "The call was sent and its outcome is lost; it may have run and will not run again."},
 	{CallStopped, "CALL_STOPPED", http.StatusConflict, false, "The call was cancelled because its program was stopped."},
 	{SlowReader, "SLOW_READER", http.StatusRequestTimeout, true, "The caller read too slowly; the stream can be resumed."},
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/magpielug/magpielug/internal/tenant"
 )
 
 // Kind says what may be repeated.
@@ -51,6 +53,8 @@
 	// KeepsTurns says that the system keeps what was said, for Retention.
 	KeepsTurns bool
 	Retention  time.Duration
+	// Open routes take calls without a key, also where there are tenants.
+	Open bool
 
 	// phase is where the choice of services begins, picked how often it was made.
 	phase  float64
@@ -112,7 +116,9 @@
 	Version  int64
 	Services map[string]Service
 	Limits   Limits
-	byHost   map[string][]*Route
+	// Tenants hold the keys that calls carry; none where it is the zero value.
+	Tenants tenant.Directory
+	byHost  map[string][]*Route
 }
 
 // New builds a configuration.
--- a/internal/spending/allowance.go
+++ b/internal/spending/allowance.go
@@ -1,5 +1,7 @@
 package spending
 
+import "github.com/magpielug/magpielug/internal/tenant"
+
 // Allowance is what an owner may grant of every program's budget beyond the
 // ceiling that the log has acknowledged. It stands in the owner's claim, so that a
 // successor counts it for each program whether the log names the program or not.
@@ -112,7 +114,7 @@
 
 // renew wants the ceiling written that gives an allowance back, once enough of it
 // is used. total is what was counted before the turn that is being granted.
-func (ledger *Ledger) renew(program string, account *account, total int64) {
+func (ledger *Ledger) renew(program tenant.Program, account *account, total int64) {
 	allowed := ledger.own.of(account.budget)
 	if total <= account.ceiling+int64(renewShare*float64(allowed)) || total <= account.wanted {
 		return
--- a/internal/spending/allowance_test.go
+++ b/internal/spending/allowance_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/magpielug/magpielug/internal/spending"
+	"github.com/magpielug/magpielug/internal/tenant"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
@@ -36,7 +37,7 @@
 			ledger.Settle(program, request, 280, start)
 		}
 		Expect(reserve(ledger, "d", 1800, 576)).To(Equal(spending.AwaitCeiling))
-		write(ledger, map[string]spending.Ceiling{})
+		write(ledger, map[tenant.Program]spending.Ceiling{})
 		Expect(reserve(ledger, "d", 1800, 576)).To(Equal(spending.Granted))
 	})
 
@@ -57,7 +58,7 @@
 		_, own := firstOwner(576)
 		next := successor(own)
 		Expect(reserve(next, "a", 900, 576)).To(Equal(spending.AwaitCeiling))
-		write(next, map[string]spending.Ceiling{})
+		write(next, map[tenant.Program]spending.Ceiling{})
 		Expect(reserve(next, "a", 900, 576)).To(Equal(spending.Granted))
 	})
 
@@ -69,7 +70,7 @@
 			if reserve(next, fmt.Sprint(step), 1000, 100) == spending.Granted {
 				granted += 100
 			}
-			write(next, map[string]spending.Ceiling{})
+			write(next, map[tenant.Program]spending.Ceiling{})
 		}
 		Expect(granted).To(BeNumerically("<=", 667))
 		Expect(granted).To(BeNumerically(">=", 500))
@@ -78,7 +79,7 @@
 	It("leaves a successor one turn of any size, and no second one", func() {
 		// The claim was made when only small turns had been asked for.
 		_, own := firstOwner(20)
-		logged := map[string]spending.Ceiling{}
+		logged := map[tenant.Program]spending.Ceiling{}
 		next := successor(own)
 		Expect(reserve(next, "a", 1000, 900)).To(Equal(spending.AwaitCeiling))
 		write(next, logged)
@@ -98,10 +99,10 @@
 
 	It("leaves a successor a turn also of a program that used most of its budget", func() {
 		_, own := firstOwner(20)
-		next := spending.NewLedger(map[string]spending.Ceiling{program: {Program: program, Tokens: 900, Settled: 600, Epoch: own.Epoch}}, start)
+		next := spending.NewLedger(map[tenant.Program]spending.Ceiling{program: {Program: program, Tokens: 900, Settled: 600, Epoch: own.Epoch}}, start)
 		next.Allow(spending.Allowance{}, []spending.Allowance{own})
 		Expect(reserve(next, "a", 1000, 300)).To(Equal(spending.AwaitCeiling))
-		write(next, map[string]spending.Ceiling{})
+		write(next, map[tenant.Program]spending.Ceiling{})
 		Expect(reserve(next, "a", 1000, 300)).To(Equal(spending.Granted))
 		Expect(reserve(next, "b", 1000, 100)).To(Equal(spending.Unsure))
 	})
@@ -110,16 +111,16 @@
 		_, own := firstOwner(20)
 		next := successor(own)
 		Expect(reserve(next, "a", 1000, 300)).To(Equal(spending.AwaitCeiling))
-		write(next, map[string]spending.Ceiling{})
+		write(next, map[tenant.Program]spending.Ceiling{})
 		Expect(reserve(next, "a", 1000, 300)).To(Equal(spending.Granted))
 		Expect(reserve(next, "b", 1000, 600)).To(Equal(spending.Unsure))
 	})
 
 	It("lets the log name a turn beyond the budget first, also where there is an allowance", func() {
-		ledger := spending.NewLedger(map[string]spending.Ceiling{program: {Program: program, Tokens: 700, Settled: 100}}, start)
+		ledger := spending.NewLedger(map[tenant.Program]spending.Ceiling{program: {Program: program, Tokens: 700, Settled: 100}}, start)
 		ledger.Allow(spending.NewAllowance(1, 100), nil)
 		Expect(reserve(ledger, "a", 1000, 400)).To(Equal(spending.AwaitCeiling))
-		logged := map[string]spending.Ceiling{}
+		logged := map[tenant.Program]spending.Ceiling{}
 		write(ledger, logged)
 		Expect(logged[program].Tokens).To(BeNumerically(">", 1000))
 		Expect(reserve(ledger, "a", 1000, 400)).To(Equal(spending.Granted))
@@ -133,7 +134,7 @@
 
 // shardModel is a shard's partition of the log and all owners that it ever had.
 type shardModel struct {
-	ceilings    map[string]spending.Ceiling
+	ceilings    map[tenant.Program]spending.Ceiling
 	outstanding []spending.Allowance
 	owners      []*modelOwner
 }
@@ -196,7 +197,7 @@
 		sizes := rapid.SampledFrom([]int64{20, 60, most})
 		budget := rapid.SampledFrom([]int64{100, 150, 200, 300, 400}).Draw(t, "budget")
 		largestKnown := sizes.Draw(t, "largest known")
-		model := &shardModel{ceilings: map[string]spending.Ceiling{}}
+		model := &shardModel{ceilings: map[tenant.Program]spending.Ceiling{}}
 		model.claim(largestKnown, nil)
 		type turn struct {
 			owner *modelOwner
--- a/internal/spending/handover.go
+++ b/internal/spending/handover.go
@@ -1,6 +1,10 @@
 package spending
 
-import "time"
+import (
+	"time"
+
+	"github.com/magpielug/magpielug/internal/tenant"
+)
 
 // OpenTurn is a reservation that has not been settled.
 type OpenTurn struct {
@@ -11,7 +15,7 @@
 
 // Account is a program's state, as one owner hands it to the next.
 type Account struct {
-	Program string
+	Program tenant.Program
 	// Spent is what is counted beside the open turns; Doubt the part of it of
 	// which it is not known whether it was used.
 	Spent   int64
--- a/internal/spending/spending.go
+++ b/internal/spending/spending.go
@@ -8,7 +8,11 @@
 // them that was cut off and goes on can only use what has been counted already.
 package spending
 
-import "time"
+import (
+	"time"
+
+	"github.com/magpielug/magpielug/internal/tenant"
+)
 
 // Verdict is the answer to a request for tokens.
 type Verdict int
@@ -35,7 +39,7 @@
 
 // Ceiling bounds what a program may have been granted.
 type Ceiling struct {
-	Program string
+	Program tenant.Program
 	Tokens  int64
 	// Settled is the part that is known to be spent. Open turns are no part of
 	// it: their ends may never come to a successor.
@@ -87,9 +91,9 @@
 
 // Ledger holds the accounts of a shard.
 type Ledger struct {
-	accounts map[string]*account
+	accounts map[tenant.Program]*account
 	// changed holds the programs of which a ceiling is wanted.
-	changed map[string]bool
+	changed map[tenant.Program]bool
 	// own and outstanding are allowances: this owner's, and those of former owners
 	// that may have been used.
 	own         Allowance
@@ -97,8 +101,8 @@
 }
 
 // NewLedger returns a ledger that starts from the newest ceilings of the log.
-func NewLedger(ceilings map[string]Ceiling, now time.Time) *Ledger {
-	ledger := &Ledger{accounts: make(map[string]*account, len(ceilings)), changed: map[string]bool{}}
+func NewLedger(ceilings map[tenant.Program]Ceiling, now time.Time) *Ledger {
+	ledger := &Ledger{accounts: make(map[tenant.Program]*account, len(ceilings)), changed: map[tenant.Program]bool{}}
 	for program, ceiling := range ceilings {
 		ledger.accounts[program] = &account{
 			base:       ceiling.Tokens,
@@ -115,18 +119,37 @@
 	return ledger
 }
 
-func (ledger *Ledger) account(program string) *account {
+func (ledger *Ledger) account(program tenant.Program) *account {
 	found := ledger.accounts[program]
 	if found == nil {
-		found = &account{open: map[string]reservation{}}
+		found = ledger.accounts[program.Unowned()].continued()
 		ledger.accounts[program] = found
 	}
 	return found
 }
 
+// continued returns the account of a program that went on under a name without its
+// tenant, at a node that knew no tenants: what may be spent there counts for each tenant
+// with a program of that id.
+func (unowned *account) continued() *account {
+	fresh := &account{open: map[string]reservation{}}
+	if unowned == nil {
+		return fresh
+	}
+	fresh.base = unowned.total()
+	fresh.doubt = unowned.doubt + unowned.openTotal
+	fresh.doubtSince = unowned.doubtSince
+	fresh.ceiling = unowned.ceiling
+	fresh.wanted = unowned.wanted
+	fresh.ceilingEpoch = unowned.ceilingEpoch
+	fresh.outstanding = unowned.outstanding
+	fresh.exact = unowned.exact
+	return fresh
+}
+
 // Order is a request for a turn's tokens.
 type Order struct {
-	Program string
+	Program tenant.Program
 	Request string
 	// Budget is the program's, Most what the turn may spend, tokens.
 	Budget int64
@@ -192,7 +215,7 @@
 
 // raise wants a ceiling for what is needed and some turns ahead. Where the owner
 // has an allowance it wants one behind the grants instead.
-func (ledger *Ledger) raise(program string, account *account, needed, most int64) {
+func (ledger *Ledger) raise(program tenant.Program, account *account, needed, most int64) {
 	if ledger.own.of(account.budget) > 0 {
 		ledger.renew(program, account, needed-most)
 		return
@@ -204,7 +227,7 @@
 }
 
 // want asks for a ceiling to be written, unless one as high was asked for already.
-func (ledger *Ledger) want(program string, account *account, ceiling int64) {
+func (ledger *Ledger) want(program tenant.Program, account *account, ceiling int64) {
 	if ceiling > account.wanted {
 		account.wanted = ceiling
 		ledger.changed[program] = true
@@ -214,7 +237,7 @@
 // Settle ends a turn that spent tokens. It returns false for an unknown request,
 // which changes nothing: it was reserved with a former owner and is counted in
 // the ceiling, or its reservation has not come yet.
-func (ledger *Ledger) Settle(program, request string, tokens int64, now time.Time) bool {
+func (ledger *Ledger) Settle(program tenant.Program, request string, tokens int64, now time.Time) bool {
 	account := ledger.accounts[program]
 	if account == nil {
 		return false
@@ -292,7 +315,7 @@
 }
 
 // Balance returns a program's, zero for one without an account.
-func (ledger *Ledger) Balance(program string) Balance {
+func (ledger *Ledger) Balance(program tenant.Program) Balance {
 	account := ledger.accounts[program]
 	if account == nil {
 		return Balance{}
--- a/internal/spending/spending_test.go
+++ b/internal/spending/spending_test.go
@@ -6,12 +6,13 @@
 	"time"
 
 	"github.com/magpielug/magpielug/internal/spending"
+	"github.com/magpielug/magpielug/internal/tenant"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 )
 
-const program = "p"
+var program = tenant.Program{ID: "p"}
 
 var start = time.Unix(1000, 0)
 
@@ -25,7 +26,7 @@
 }
 
 // write acknowledges what the ledger wants written.
-func write(ledger *spending.Ledger, logged map[string]spending.Ceiling) {
+func write(ledger *spending.Ledger, logged map[tenant.Program]spending.Ceiling) {
 	wanted := ledger.Wanted()
 	for _, ceiling := range wanted {
 		logged[ceiling.Program] = ceiling
@@ -38,7 +39,7 @@
 		ledger := spending.NewLedger(nil, start)
 		Expect(reserve(ledger, "a", 1000, 100)).To(Equal(spending.AwaitCeiling))
 		Expect(reserve(ledger, "a", 1000, 100)).To(Equal(spending.AwaitCeiling))
-		write(ledger, map[string]spending.Ceiling{})
+		write(ledger, map[tenant.Program]spending.Ceiling{})
 		Expect(reserve(ledger, "a", 1000, 100)).To(Equal(spending.Granted))
 		Expect(reserve(ledger, "a", 1000, 100)).To(Equal(spending.Granted))
 	})
@@ -46,7 +47,7 @@
 	It("refuses a turn that does not fit at its most beside the open ones", func() {
 		ledger := spending.NewLedger(nil, start)
 		reserve(ledger, "a", 500, 288)
-		write(ledger, map[string]spending.Ceiling{})
+		write(ledger, map[tenant.Program]spending.Ceiling{})
 		Expect(reserve(ledger, "a", 500, 288)).To(Equal(spending.Granted))
 		Expect(reserve(ledger, "b", 500, 288)).To(Equal(spending.Spent))
 		ledger.Settle(program, "a", 9, start)
@@ -54,7 +55,7 @@
 	})
 
 	It("leaves a successor the room of a last turn", func() {
-		logged := map[string]spending.Ceiling{}
+		logged := map[tenant.Program]spending.Ceiling{}
 		ledger := spending.NewLedger(nil, start)
 		reserve(ledger, "a", 500, 288)
 		write(ledger, logged)
@@ -67,7 +68,7 @@
 	})
 
 	It("says that it is unsure where only a former owner may have spent the room", func() {
-		ledger := spending.NewLedger(map[string]spending.Ceiling{program: {Program: program, Tokens: 700, Settled: 100}}, start)
+		ledger := spending.NewLedger(map[tenant.Program]spending.Ceiling{program: {Program: program, Tokens: 700, Settled: 100}}, start)
 		Expect(reserve(ledger, "a", 500, 288)).To(Equal(spending.Unsure))
 		later := spending.Order{Program: program, Request: "a", Budget: 500, Most: 288, Until: start.Add(turnTime)}
 		Expect(ledger.Reserve(later, start.Add(2*time.Second))).To(Equal(spending.Unsure))
@@ -75,7 +76,7 @@
 	})
 
 	It("holds the room of a turn whose end it never hears of only as long as the turn may take", func() {
-		logged := map[string]spending.Ceiling{}
+		logged := map[tenant.Program]spending.Ceiling{}
 		ledger := spending.NewLedger(nil, start)
 		reserve(ledger, "a", 500, 288)
 		write(ledger, logged)
@@ -90,7 +91,7 @@
 	})
 
 	It("does not let a successor take a predecessor's open turn for spent", func() {
-		logged := map[string]spending.Ceiling{}
+		logged := map[tenant.Program]spending.Ceiling{}
 		ledger := spending.NewLedger(nil, start)
 		for _, request := range []string{"a", "b"} {
 			reserve(ledger, request, 112, 40)
@@ -109,9 +110,9 @@
 	It("is exact for a successor that it hands its accounts to", func() {
 		ledger := spending.NewLedger(nil, start)
 		reserve(ledger, "a", 1000, 288)
-		write(ledger, map[string]spending.Ceiling{})
+		write(ledger, map[tenant.Program]spending.Ceiling{})
 		reserve(ledger, "a", 1000, 288)
-		successor := spending.NewLedger(map[string]spending.Ceiling{program: {Program: program, Tokens: 900}}, start)
+		successor := spending.NewLedger(map[tenant.Program]spending.Ceiling{program: {Program: program, Tokens: 900}}, start)
 		successor.Adopt(ledger.Accounts(), start)
 		successor.Settle(program, "a", 9, start)
 		Expect(reserve(successor, "b", 1000, 700)).To(Equal(spending.Granted))
@@ -124,7 +125,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		const most = 100
 		budget := rapid.Int64Range(100, 1500).Draw(t, "budget")
-		logged := map[string]spending.Ceiling{}
+		logged := map[tenant.Program]spending.Ceiling{}
 		owners := []*spending.Ledger{spending.NewLedger(nil, start)}
 		type turn struct {
 			owner int
@@ -157,7 +158,7 @@
 					}
 				}
 			case 6:
-				copied := map[string]spending.Ceiling{}
+				copied := map[tenant.Program]spending.Ceiling{}
 				for name, ceiling := range logged {
 					copied[name] = ceiling
 				}
--- /dev/null
+++ b/internal/tenant/tenant.go
@@ -0,0 +1,101 @@
+// Package tenant holds who may send calls: the tenants of the operators'
+// configuration and the keys that prove them. It decides nothing and keeps no state
+// beside the configuration.
+package tenant
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+)
+
+// Tenant is one customer of the operators.
+type Tenant struct {
+	Name string
+	// Priority is the rank of its calls, 0 the most urgent; nil leaves each call the
+	// rank of its route.
+	Priority *int
+	Limit    Limit
+}
+
+// Limit bounds a tenant's requests, counted over all nodes together.
+type Limit struct {
+	// PerSecond is how many requests a second may run, 0 for any number.
+	PerSecond float64
+	// Burst is how many may run on top of that at once.
+	Burst float64
+}
+
+// Bounded tells whether there is a limit at all.
+func (limit Limit) Bounded() bool { return limit.PerSecond > 0 }
+
+// Program names an agent program: two tenants may use the same id.
+type Program struct {
+	// Tenant is empty where no tenants are configured.
+	Tenant string
+	ID     string
+}
+
+// Unowned is the program of the same id as a node names it that knows no tenants.
+func (program Program) Unowned() Program { return Program{ID: program.ID} }
+
+// digest stands for a key, so that a copy of the memory or a log line gives none away.
+type digest [sha256.Size]byte
+
+// Directory finds the tenant that holds a key. The zero value has no tenants. It never
+// changes once built.
+type Directory struct {
+	byKey  map[digest]*Tenant
+	byName map[string]*Tenant
+	// limited is true where any tenant has a limit.
+	limited bool
+}
+
+// Holder is a tenant with its keys.
+type Holder struct {
+	Tenant Tenant
+	Keys   []string
+}
+
+// NewDirectory builds a directory. Of two tenants with one key the first holds it.
+func NewDirectory(holders []Holder) Directory {
+	built := Directory{byKey: map[digest]*Tenant{}, byName: make(map[string]*Tenant, len(holders))}
+	for index := range holders {
+		holder := &holders[index]
+		built.byName[holder.Tenant.Name] = &holder.Tenant
+		built.limited = built.limited || holder.Tenant.Limit.Bounded()
+		for _, key := range holder.Keys {
+			sum := digest(sha256.Sum256([]byte(key)))
+			if _, held := built.byKey[sum]; !held && key != "" {
+				built.byKey[sum] = &holder.Tenant
+			}
+		}
+	}
+	return built
+}
+
+// Configured tells whether calls need a key at all.
+func (directory Directory) Configured() bool { return directory.byName != nil }
+
+// HolderOf returns the tenant that holds a key, nil for a key that nobody holds.
+func (directory Directory) HolderOf(key string) *Tenant {
+	if key == "" {
+		return nil
+	}
+	return directory.byKey[sha256.Sum256([]byte(key))]
+}
+
+// Named returns a tenant, nil for a name that is not configured.
+func (directory Directory) Named(name string) *Tenant { return directory.byName[name] }
+
+// Limited tells whether any tenant has a limit.
+func (directory Directory) Limited() bool { return directory.limited }
+
+// shortDigestBytes is how much of a key's digest names it in a log: enough to compare
+// with the digest of a key at hand, too little to find the key.
+const shortDigestBytes = 4
+
+// ShortDigest names a key for logs.
+func ShortDigest(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:shortDigestBytes])
+}
--- /dev/null
+++ b/internal/tenant/tenant_test.go
@@ -0,0 +1,39 @@
+package tenant_test
+
+import (
+	"fmt"
+
+	"github.com/magpielug/magpielug/internal/tenant"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("Directory", func() {
+	directory := tenant.NewDirectory([]tenant.Holder{
+		{Tenant: tenant.Tenant{Name: "a", Limit: tenant.Limit{PerSecond: 3}}, Keys: []string{"key-1", "key-2"}},
+		{Tenant: tenant.Tenant{Name: "b"}, Keys: []string{"key-3", "key-1", ""}},
+		{Tenant: tenant.Tenant{Name: "c"}},
+	})
+
+	It("finds who holds a key, and nobody for any other one", func() {
+		Expect(directory.HolderOf("key-2").Name).To(Equal("a"))
+		Expect(directory.HolderOf("key-3").Name).To(Equal("b"))
+		Expect(directory.HolderOf("key-1").Name).To(Equal("a"), "the first of two that name it")
+		for _, unknown := range []string{"", "key", "key-11", "KEY-1"} {
+			Expect(directory.HolderOf(unknown)).To(BeNil())
+		}
+	})
+
+	It("tells no tenants from tenants without keys", func() {
+		Expect(tenant.Directory{}.Configured()).To(BeFalse())
+		Expect(tenant.NewDirectory(nil).Configured()).To(BeTrue())
+		Expect(tenant.NewDirectory(nil).HolderOf("key-1")).To(BeNil())
+		Expect(directory.Limited()).To(BeTrue())
+		Expect(tenant.NewDirectory(nil).Limited()).To(BeFalse())
+	})
+
+	It("holds no key that a dump of it would show", func() {
+		Expect(fmt.Sprintf("%+v", directory)).NotTo(ContainSubstring("key-2"))
+		Expect(tenant.ShortDigest("key-2")).To(HaveLen(8))
+	})
+})
