Soak: tenants, keys that are taken away, and a limit, judged from what callers and engines see

Cause: the soak knew no tenants. Change: callers belong to two tenants, one with a limit; each version of the configuration holds a key of its own that the next one takes away; callers forge a tenant and try to go on from another tenant's turns. Judged: engines are told the holder of the key and get no key, a key that was taken away is taken no more within a process's life, no window sees more requests than is tolerated, another tenant's turn is none. Tests of forward for keys and limits, with the race detector, which made the order for admission be made before the reservation may change the call.

--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -67,7 +67,9 @@
 	}
 	answer := make(chan Admission, 1)
 	began := time.Now()
-	go func() { answer <- current.service.Quotas.Admit(ctx, current.admissionOrder()) }()
+	// Made here: what a call says as a turn may change meanwhile.
+	order := current.admissionOrder()
+	go func() { answer <- current.service.Quotas.Admit(ctx, order) }()
 	return func() error {
 		admission := <-answer
 		current.admitTook = time.Since(began)
--- a/rehearsal/nodesettings/nodesettings.go
+++ b/rehearsal/nodesettings/nodesettings.go
@@ -35,6 +35,18 @@
 	Grace int
 	// Seeds are control addresses of other nodes.
 	Seeds []string
+	// Quota is how the operators judge tenants' limits; nil leaves it out.
+	Quota *Quota
+}
+
+// Quota is how the operators judge tenants' limits.
+type Quota struct {
+	// Window is the span that is judged, seconds.
+	Window int
+	// Overage is the share above the limit of a window that is tolerated, Slack the
+	// number of requests beside that.
+	Overage float64
+	Slack   int
 }
 
 // Address returns the address of one of the node's ports.
@@ -69,5 +81,9 @@
 	if len(settings.Seeds) > 0 {
 		lines = append(lines, "Seeds="+strings.Join(settings.Seeds, ","))
 	}
+	if settings.Quota != nil {
+		lines = append(lines, fmt.Sprintf("Bounds.QuotaWindowS=%d", settings.Quota.Window),
+			fmt.Sprintf("Bounds.QuotaOverage=%g", settings.Quota.Overage), fmt.Sprintf("Bounds.QuotaSlack=%d", settings.Quota.Slack))
+	}
 	return strings.Join(lines, "\n")
 }
--- a/rehearsal/soak/caller.go
+++ b/rehearsal/soak/caller.go
@@ -52,10 +52,12 @@
 
 // program is one agent program under way.
 type program struct {
-	name   string
-	random *rand.Rand
-	path   string
-	budget int64
+	name    string
+	tenant  string
+	context context.Context
+	random  *rand.Rand
+	path    string
+	budget  int64
 	// previous is the last turn answered whole, history the prompt up to it.
 	previous string
 	history  string
@@ -94,10 +96,12 @@
 func (callers *callers) run(ctx context.Context, number int, random *rand.Rand) {
 	for round := 0; ctx.Err() == nil; round++ {
 		running := &program{
-			name:   fmt.Sprintf("program-%d-%d", number, round),
-			random: random,
-			path:   turnPath,
-			budget: wideBudget,
+			name:    fmt.Sprintf("program-%d-%d", number, round),
+			tenant:  tenantOf(number),
+			context: ctx,
+			random:  random,
+			path:    turnPath,
+			budget:  wideBudget,
 		}
 		if random.IntN(4) == 0 {
 			running.path = plainPath
@@ -128,7 +132,7 @@
 			return false
 		}
 		input := fmt.Sprintf("input of %s after %s;", running.name, running.previous)
-		attempt := &sent{method: http.MethodPost, target: running.path, prompt: running.history + input}
+		attempt := &sent{method: http.MethodPost, target: running.path, prompt: running.history + input, tenant: running.tenant}
 		header := http.Header{}
 		header.Set("Program-Id", running.name)
 		header.Set("Session-Id", running.name)
@@ -140,6 +144,9 @@
 		room := running.room(time.Now())
 		callers.send(ctx, running.random, attempt, input, header)
 		if callers.turnEnded(running, attempt, room) {
+			if attempt.whole && running.path == turnPath && running.random.IntN(strangerShare) == 0 {
+				callers.stranger(running, attempt)
+			}
 			return attempt.status == http.StatusOK && attempt.whole
 		}
 		wait.For(ctx, attemptPause)
@@ -197,10 +204,10 @@
 
 // tool makes one call that may not be repeated, and one that may.
 func (callers *callers) tool(ctx context.Context, running *program) {
-	attempt := &sent{method: http.MethodPost, target: toolPath, prompt: "tool input"}
+	attempt := &sent{method: http.MethodPost, target: toolPath, prompt: "tool input", tenant: running.tenant}
 	callers.send(ctx, running.random, attempt, attempt.prompt, http.Header{})
 	callers.ledger.checkAnswer(attempt)
-	safe := &sent{method: http.MethodGet, target: safePath, repeatable: true}
+	safe := &sent{method: http.MethodGet, target: safePath, repeatable: true, tenant: running.tenant}
 	callers.send(ctx, running.random, safe, "", http.Header{})
 	callers.ledger.checkAnswer(safe)
 }
@@ -213,6 +220,7 @@
 
 func (callers *callers) sendTo(ctx context.Context, target *node, attempt *sent, body string, header http.Header) {
 	attempt.id = fmt.Sprintf("request-%d", callers.ids.Add(1))
+	attempt.sentAt = time.Now()
 	callers.ledger.begin(attempt)
 	defer callers.ledger.end(attempt)
 	bounded, cancel := context.WithTimeout(ctx, deadline)
@@ -225,6 +233,12 @@
 	request.Header = header
 	request.Header.Set("Request-Id", attempt.id)
 	request.Header.Set("Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
+	key := attempt.key
+	if key == "" {
+		key = keyOf(attempt.tenant)
+	}
+	request.Header.Set("Authorization", "Token "+key)
+	request.Header.Set("Tenant", other(attempt.tenant)) // A forged one.
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	waiting := time.AfterFunc(gap, cancel)
 	defer waiting.Stop()
--- a/rehearsal/soak/check.go
+++ b/rehearsal/soak/check.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/magpielug/magpielug/rehearsal/standin/agentengine"
 )
@@ -18,6 +19,10 @@
 	prompt string
 	// repeatable attempts may run more than once.
 	repeatable bool
+	// tenant sends it at sentAt, with a key of its own where key is empty.
+	tenant string
+	key    string
+	sentAt time.Time
 	// status is 0 where no answer came; whole is false where it broke off.
 	status int
 	whole  bool
@@ -43,6 +48,9 @@
 	promiseBudget   = "a program stays in its budget and one turn"
 	promiseSpent    = "402 only where the budget leaves no room"
 	promiseVersion  = "a process never goes back to an older configuration"
+	promiseTenant   = "engines are told the tenant that holds the key, and no key"
+	promiseKey      = "a key that was taken away is taken no more"
+	promiseLimit    = "a tenant stays in its limit over all nodes"
 	promiseRecovery = "programs go on after the faults"
 )
 
@@ -133,6 +141,7 @@
 		case run.Body != attempt.prompt:
 			ledger.violated(promiseHistory, "%s ran on %d bytes that are not its %d", run.ID, len(run.Body), len(attempt.prompt))
 		}
+		ledger.checkTenant(run, attempt)
 		if promisesNotRun(attempt.status) {
 			ledger.violated(promiseRefusal, "%s was answered %d and ran", run.ID, attempt.status)
 		}
--- a/rehearsal/soak/node.go
+++ b/rehearsal/soak/node.go
@@ -58,6 +58,7 @@
 		Store:      door.Address(),
 		Partitions: partitions,
 		Grace:      graceSeconds,
+		Quota:      &nodesettings.Quota{Window: int(quotaWindow.Seconds()), Overage: quotaOverage, Slack: quotaSlack},
 	}
 	path, err := settings.Write(options.Directory)
 	if err != nil {
--- a/rehearsal/soak/run.go
+++ b/rehearsal/soak/run.go
@@ -182,7 +182,9 @@
 	run.stop()
 	run.working.Wait()
 	time.Sleep(lateRuns)
-	run.ledger.checkRuns(run.world.runs())
+	runs := run.world.runs()
+	run.ledger.checkRuns(runs)
+	run.ledger.checkLimit(runs)
 }
 
 func (run *run) outcome() *Outcome {
@@ -214,13 +216,23 @@
 		if older > 0 && run.serves(ctx, target, older) && target.lives() == present.number {
 			run.ledger.violated(promiseVersion, "%s served version %d after %d", target.name, older, seen[present])
 		}
+		if older > 0 && run.takesKey(ctx, target, older) && target.lives() == present.number {
+			run.ledger.violated(promiseKey, "%s took the key of version %d after %d", target.name, older, seen[present])
+		}
 		wait.For(ctx, probePause)
 	}
 }
 
 // serves tells whether a node has a version in force.
 func (run *run) serves(ctx context.Context, target *node, version int) bool {
-	attempt := &sent{method: http.MethodGet, target: versionPath(version) + "x", repeatable: true}
+	attempt := &sent{method: http.MethodGet, target: versionPath(version) + "x", repeatable: true, tenant: tenantFree}
+	run.callers.sendTo(ctx, target, attempt, "", http.Header{})
+	return attempt.status == http.StatusOK
+}
+
+// takesKey tells whether a node takes the key of a version.
+func (run *run) takesKey(ctx context.Context, target *node, version int) bool {
+	attempt := &sent{method: http.MethodGet, target: safePath, repeatable: true, tenant: tenantFree, key: versionKey(version)}
 	run.callers.sendTo(ctx, target, attempt, "", http.Header{})
 	return attempt.status == http.StatusOK
 }
--- a/rehearsal/soak/world.go
+++ b/rehearsal/soak/world.go
@@ -155,7 +155,8 @@
 		{"Name":"tool","Host":"h","PathPrefix":"/tool/","Kind":"unsafe","TimeoutMs":2000,"Service":"tools"},
 		{"Name":"version","Host":"h","PathPrefix":%q,"Kind":"safe","TimeoutMs":2000,"Service":"tools"}],
 		"Services":[{"Name":"models","MaxConnections":80,"Engine":{"Slots":8,"StreamStride":%d}},{"Name":"tools","MaxConnections":80}],
-		"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":1000000}}`, world.version, versionPath(world.version), tokensPerEvent)
+		"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":1000000},
+		"Tenants":%s}`, world.version, versionPath(world.version), tokensPerEvent, tenantRecords(world.version))
 	world.store.Put(topicOperator, "config", []byte(record))
 	return world.version
 }
--- a/rehearsal/standin/agentengine/agentengine.go
+++ b/rehearsal/standin/agentengine/agentengine.go
@@ -33,6 +33,8 @@
 	Body     string
 	Header   http.Header
 	Canceled bool
+	// At is when the request arrived.
+	At time.Time
 }
 
 // Engine is a running stand-in.
@@ -121,6 +123,7 @@
 		Target: request.RequestURI,
 		Body:   body,
 		Header: request.Header.Clone(),
+		At:     time.Now(),
 	})
 	return len(engine.runs) - 1
 }
