Quotas: each request counts as it comes; programs under way first only while a limit is scarce

Hypothesis: where a limit is too small, refusing programs at their first turn lets those under way end.

Kept: each request as it comes, and half of the bucket kept for programs under way for two seconds after one of them found no room.

--- a/internal/feature/feature.go
+++ b/internal/feature/feature.go
@@ -58,16 +58,16 @@
 	Egress Feature = "egress"
 	// LaterRetries: a node without a configuration names one time to come back.
 	LaterRetries Feature = "later-retries"
-	// WholePrograms: a tenant's limit counts each request as it comes, also where
+	// ProgramsFirst: a tenant's limit counts each request as it comes, also where
 	// programs that have begun can't end.
-	WholePrograms Feature = "whole-programs"
+	ProgramsFirst Feature = "programs-first"
 )
 
 // All lists the features.
 var All = []Feature{
 	Allowances, HedgedAppends, Rereading, LearningFromPeers, SharedReader, EngineDoubt, EngineReports, EnginePace, EngineLimits,
 	QueueOrder, ToolPatience, SafeRepeats, RecordingElsewhere, Yielding, OwnershipByCapacity, ClaimRefusal, Isolation,
-	EnginePriority, LogGate, Egress, LaterRetries, WholePrograms,
+	EnginePriority, LogGate, Egress, LaterRetries, ProgramsFirst,
 }
 
 // disabled holds the features turned off.
--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -11,8 +11,7 @@
 
 // Quotas asks whether a request fits into its tenant's limit.
 type Quotas interface {
-	// Admit returns once the request may run, or may not. kind names programs that make
-	// about as many requests; patience is how long the request may wait for room.
+	// Admit returns once the request may run, or may not.
 	Admit(ctx context.Context, order *AdmissionOrder) Admission
 }
 
@@ -22,9 +21,6 @@
 	Holder *tenant.Tenant
 	// Configuration is the version that the holder's limit stands in.
 	Configuration int64
-	// Kind names programs that make about as many requests, empty where the request
-	// begins none.
-	Kind string
 	// Continues is true where the call's program has begun for certain.
 	Continues bool
 	// Patience is how long the request may wait for room.
@@ -84,13 +80,9 @@
 		Configuration: current.version,
 		Patience:      time.Duration(admissionPatience * float64(time.Until(current.end))),
 	}
-	if current.route.Kind != routing.Streaming {
-		// A program begins with a turn, and calls tools later.
-		order.Continues = true
-		return order
-	}
-	order.Kind = current.route.Name
-	order.Continues = current.call.Turn != nil && current.call.Turn.Previous != ""
+	// A program begins with a turn, and calls tools later.
+	goesOn := current.call.Turn != nil && current.call.Turn.Previous != ""
+	order.Continues = goesOn || current.route.Kind != routing.Streaming
 	return order
 }
 
--- a/internal/node/quotas.go
+++ b/internal/node/quotas.go
@@ -73,7 +73,7 @@
 	made := &quotas{
 		node: node,
 		keeper: quota.NewKeeper(node.incarnation, time.Now(), quota.Options{
-			Tolerance: node.settings.QuotaTolerance, WholePrograms: feature.Enabled(feature.WholePrograms)}),
+			Tolerance: node.settings.QuotaTolerance, ProgramsFirst: feature.Enabled(feature.ProgramsFirst)}),
 		suspects: map[string]time.Time{},
 	}
 	for group := range max(node.settings.Shards/shardsPerQuotaGroup, 1) {
@@ -132,7 +132,6 @@
 	request.Burst = order.Holder.Limit.Burst
 	request.Program = order.Call.Program
 	request.Continues = order.Continues
-	request.Kind = order.Kind
 	request.PatienceMs = order.Patience.Milliseconds()
 	request.Request = order.Call.ID
 	return request
@@ -228,14 +227,13 @@
 		Configuration: request.Configuration,
 		Program:       request.Program,
 		Continues:     request.Continues,
-		Kind:          request.Kind,
 		Patience:      milliseconds(request.PatienceMs),
 	}, time.Now())
 	if answer.Verdict == quota.Refused {
 		quotas.node.logger.Info("request over limit", zap.String("request", request.Request), zap.String("tenant", request.Tenant),
 			zap.String("program", request.Program), zap.Bool("continues", request.Continues), zap.String("asker", request.Node),
 			zap.Int64("configuration", request.Configuration), zap.Float64("per_second", request.PerSecond), zap.Float64("burst", request.Burst),
-			zap.Float64("share", answer.Share), zap.Float64("room", answer.Room), zap.Float64("needed", answer.Needed),
+			zap.Float64("share", answer.Share), zap.Float64("room", answer.Room),
 			zap.Duration("retry_after", answer.RetryAfter))
 	}
 	return &nodev1.AdmitReply{
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -17,6 +17,13 @@
 	mostRetryAfter = 4 * time.Second
 	// minimumBurst lets a limit without a burst grant one request at once.
 	minimumBurst = 1
+	// reserveShare of a bucket is kept for programs under way while the limit is scarce:
+	// only whole programs are worth anything to a caller, so that where a limit is too
+	// small for all it is better to begin fewer.
+	reserveShare = 0.5
+	// scarceFor is how long a limit counts as scarce after a request of a program under
+	// way found no room: about as long as a program runs.
+	scarceFor = 2 * time.Second
 )
 
 // bucket is one tenant's limit at a keeper: a token bucket that fills by what is lent.
@@ -30,11 +37,15 @@
 	// lent is the group's sum up to which the bucket was filled.
 	lent     float64
 	programs programs
+	// scarceUntil is until when the limit counts as scarce.
+	scarceUntil time.Time
 	// promised is up to when room has been named to callers that were refused.
 	promised time.Time
 }
 
-func newBucket(lent float64) *bucket { return &bucket{lent: lent, programs: newPrograms()} }
+func newBucket(lent float64, now time.Time) *bucket {
+	return &bucket{lent: lent, programs: newPrograms(now)}
+}
 
 // refill adds what was lent since the last time, up to what the share may hold.
 func (bucket *bucket) refill(lent, share float64) {
@@ -43,30 +54,32 @@
 }
 
 // decide grants a request or refuses it.
-func (bucket *bucket) decide(ask Ask, share float64, wholePrograms bool, now time.Time) (verdict Verdict, delay, retryAfter time.Duration) {
+func (bucket *bucket) decide(ask Ask, share float64, programsFirst bool, now time.Time) (verdict Verdict, delay, retryAfter time.Duration) {
 	rate := bucket.limit.PerSecond * share
-	if wholePrograms && bucket.programs.begins(ask, now) {
-		missing := bucket.programs.needed(ask.Kind) - bucket.tokens - rate*horizon.Seconds()
-		if missing > 0 && bucket.programs.running() {
-			return Refused, 0, bucket.promise(missing, bucket.programs.expected(ask.Kind), rate, now)
-		}
+	needed := 1.0
+	begins := bucket.programs.begins(ask)
+	if programsFirst && begins && now.Before(bucket.scarceUntil) {
+		needed += reserveShare * bucket.depth * share
+	}
+	if !begins && bucket.tokens < needed {
+		bucket.scarceUntil = now.Add(scarceFor)
 	}
-	wait := max(inSeconds((1-bucket.tokens)/rate), 0)
+	wait := max(inSeconds((needed-bucket.tokens)/rate), 0)
 	if wait > min(ask.Patience, mostDelay) {
-		return Refused, 0, min(wait, mostRetryAfter)
+		return Refused, 0, bucket.promise(wait, rate, now)
 	}
 	bucket.tokens--
 	bucket.programs.note(ask, now)
 	return Granted, wait, 0
 }
 
-// promise names a time at which there is room for a program, one caller after another.
-func (bucket *bucket) promise(missing, requests, rate float64, now time.Time) time.Duration {
-	earliest := now.Add(inSeconds(missing / rate))
+// promise names a time at which there is room, one caller after another.
+func (bucket *bucket) promise(wait time.Duration, rate float64, now time.Time) time.Duration {
+	earliest := now.Add(wait)
 	if bucket.promised.After(earliest) {
 		earliest = bucket.promised
 	}
-	bucket.promised = earliest.Add(inSeconds(requests / rate))
+	bucket.promised = earliest.Add(inSeconds(1 / rate))
 	if latest := now.Add(mostRetryAfter); bucket.promised.After(latest) {
 		bucket.promised = latest
 	}
--- a/internal/quota/keeper.go
+++ b/internal/quota/keeper.go
@@ -22,9 +22,9 @@
 // Options is how a keeper counts.
 type Options struct {
 	Tolerance Tolerance
-	// WholePrograms is true where programs are admitted as a whole; otherwise each
+	// ProgramsFirst keeps a part of each limit for programs under way; otherwise each
 	// request counts as it comes.
-	WholePrograms bool
+	ProgramsFirst bool
 }
 
 // NewKeeper returns a keeper that has been lent nothing. Its incarnation tells it from
@@ -51,11 +51,10 @@
 		answer.Verdict = Unsettled
 		return answer
 	}
-	held := asked.bucket(ask)
+	held := asked.bucket(ask, now)
 	held.refill(asked.lent, share)
 	answer.Room = held.tokens
-	answer.Needed = held.programs.needed(ask.Kind)
-	answer.Verdict, answer.Delay, answer.RetryAfter = held.decide(ask, share, keeper.options.WholePrograms, now)
+	answer.Verdict, answer.Delay, answer.RetryAfter = held.decide(ask, share, keeper.options.ProgramsFirst, now)
 	if answer.Verdict == Refused && share < settledShare {
 		answer.Verdict = Unsettled
 	}
@@ -163,12 +162,12 @@
 }
 
 // bucket returns the tenant's bucket, with the newest limit seen.
-func (group *group) bucket(ask Ask) *bucket {
+func (group *group) bucket(ask Ask, now time.Time) *bucket {
 	found := group.buckets[ask.Tenant]
 	if found == nil {
 		// A new bucket holds what was lent since a loan last ended: another keeper may
 		// have granted what was lent before.
-		found = newBucket(group.shrunk)
+		found = newBucket(group.shrunk, now)
 		group.buckets[ask.Tenant] = found
 	}
 	if ask.Configuration >= found.configuration {
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -68,11 +68,9 @@
 	Limit         tenant.Limit
 	Configuration int64
 	// Program is empty for a request that belongs to none. Continues is true where the
-	// request is known to go on with what the program has begun. Programs of a kind make
-	// about as many requests.
+	// request is known to go on with what the program has begun.
 	Program   string
 	Continues bool
-	Kind      string
 	// Patience is how long the request may wait for room.
 	Patience time.Duration
 }
@@ -96,9 +94,8 @@
 	Verdict    Verdict
 	Delay      time.Duration
 	RetryAfter time.Duration
-	// What decided: the part of the limit that is lent, the requests that may run now,
-	// and those that programs under way are likely to make.
-	Share  float64
-	Room   float64
-	Needed float64
+	// What decided: the part of the limit that is lent, and the requests that might run
+	// at once before the request was decided.
+	Share float64
+	Room  float64
 }
