Quotas: limits judged over their window, with room left for a keeper's successor

Cause: a bucket that holds the burst and fills at the rate refuses callers inside what the window allows: a tenant that asks for more than its limit got its rate, 62 a second, where the window's limit is 74.

Change: a keeper keeps the grants of the last window; over the last s seconds, for each s up to the window, no more than depth + rate x s. The rate is 0.7 of the limit's, at which a new keeper begins from empty; the depth is all that the window allows beyond that. A share counts towards the depth once its node has lent it to no other keeper for a window.

--- a/internal/node/quotas.go
+++ b/internal/node/quotas.go
@@ -148,8 +148,9 @@
 
 // ask asks the group's keeper once.
 func (quotas *quotas) ask(ctx context.Context, lent *lending, request *nodev1.AdmitRequest) (*nodev1.AdmitReply, error) {
-	target, clock := quotas.target(lent, time.Now())
+	target, clock, held := quotas.target(lent, time.Now())
 	request.Lent = toClock(clock)
+	request.HeldMs = held.Milliseconds()
 	reply, err := quotas.send(ctx, target, request)
 	if err != nil {
 		if ctx.Err() == nil {
@@ -163,14 +164,15 @@
 	return reply, nil
 }
 
-// target returns the keeper to ask, and the moment from which on the share is lent.
-func (quotas *quotas) target(lent *lending, now time.Time) (string, quota.Clock) {
+// target returns the keeper to ask, the moment from which on the share is lent, and for how
+// long it was lent to no other keeper.
+func (quotas *quotas) target(lent *lending, now time.Time) (string, quota.Clock, time.Duration) {
 	lent.mutex.Lock()
 	defer lent.mutex.Unlock()
 	lent.asked = now
 	wanted := quotas.choose(lent, now)
 	present, clock := lent.lender.Target(wanted, !quotas.suspected(lent.lender.Keeper(), now), now)
-	return present, clock
+	return present, clock, lent.lender.Held(now)
 }
 
 // choose returns the first candidate that answers.
@@ -222,6 +224,7 @@
 		Nodes:         int(request.Nodes),
 		Group:         int(request.Group),
 		Lent:          fromClock(request.Lent),
+		Held:          milliseconds(request.HeldMs),
 		Tenant:        request.Tenant,
 		Limit:         tenant.Limit{PerSecond: request.PerSecond, Burst: request.Burst},
 		Configuration: request.Configuration,
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -15,27 +15,24 @@
 	// mostRetryAfter is the latest time to come back that is named. The limit may be
 	// raised and others may leave meanwhile.
 	mostRetryAfter = 4 * time.Second
-	// minimumBurst lets a limit without a burst grant one request at once.
-	minimumBurst = 1
-	// reserveShare of a bucket is kept for programs under way while the limit is scarce:
-	// only whole programs are worth anything to a caller, so that where a limit is too
-	// small for all it is better to begin fewer.
-	reserveShare = 0.5
+	// reserveShare of what may run at once is kept for programs under way while the limit
+	// is scarce: only whole programs are worth anything to a caller, so that where a limit
+	// is too small for all it is better to begin fewer.
+	reserveShare = 0.25
 	// scarceFor is how long a limit counts as scarce after a request of a program under
 	// way found no room: about as long as a program runs.
 	scarceFor = 2 * time.Second
 )
 
-// bucket is one tenant's limit at a keeper: a token bucket that fills by what is lent.
+// bucket is one tenant's limit at a keeper. Over the last s seconds, for each s up to the
+// window, no more requests are granted than an envelope allows, which is the depth and
+// what the rate gives in that time. Requests before the window count no more.
 type bucket struct {
 	limit         tenant.Limit
 	configuration int64
-	// depth is how many requests may run at once where the whole limit is lent.
-	depth float64
-	// tokens is how many requests may run now; below zero for those that wait.
-	tokens float64
-	// lent is the group's sum up to which the bucket was filled.
-	lent     float64
+	envelope      envelope
+	// grants are those of the window, the oldest first, those that wait included.
+	grants   []grant
 	programs programs
 	// scarceUntil is until when the limit counts as scarce.
 	scarceUntil time.Time
@@ -43,51 +40,111 @@
 	promised time.Time
 }
 
-func newBucket(lent float64, now time.Time) *bucket {
-	return &bucket{lent: lent, programs: newPrograms(now)}
+// grant is one request that may run at a time, when the group's sum stands at lent.
+type grant struct {
+	at   time.Time
+	lent float64
 }
 
-// refill adds what was lent since the last time, up to what the share may hold.
-func (bucket *bucket) refill(lent, share float64) {
-	bucket.tokens = min(bucket.tokens+bucket.limit.PerSecond*(lent-bucket.lent), bucket.depth*share)
-	bucket.lent = lent
+// credit is what the nodes have lent at a moment.
+type credit struct {
+	now time.Time
+	// sum is the group's over time, inWindow what it grew by in the last window, seconds
+	// of a limit; share is the part of each limit that is lent now, settled the part that
+	// was lent to no other keeper for a whole window.
+	sum, inWindow, share, settled float64
 }
 
+func newBucket(now time.Time) *bucket { return &bucket{programs: newPrograms(now)} }
+
 // decide grants a request or refuses it.
-func (bucket *bucket) decide(ask Ask, share float64, programsFirst bool, now time.Time) (verdict Verdict, delay, retryAfter time.Duration) {
-	rate := bucket.limit.PerSecond * share
-	needed := 1.0
+func (bucket *bucket) decide(ask Ask, lent credit, programsFirst bool) (verdict Verdict, delay, retryAfter time.Duration) {
+	bucket.forget(lent.now)
+	requests := 1.0
 	begins := bucket.programs.begins(ask)
-	if programsFirst && begins && now.Before(bucket.scarceUntil) {
-		needed += reserveShare * bucket.depth * share
+	if programsFirst && begins && lent.now.Before(bucket.scarceUntil) {
+		requests += reserveShare * bucket.envelope.depth * lent.share
 	}
-	if !begins && bucket.tokens < needed {
-		bucket.scarceUntil = now.Add(scarceFor)
+	wait := bucket.waitFor(requests, lent)
+	if !begins && wait > 0 {
+		bucket.scarceUntil = lent.now.Add(scarceFor)
 	}
-	wait := max(inSeconds((needed-bucket.tokens)/rate), 0)
 	if wait > min(ask.Patience, mostDelay) {
-		return Refused, 0, bucket.promise(wait, rate, now)
+		return Refused, 0, bucket.promise(wait, lent)
 	}
-	bucket.tokens--
-	bucket.programs.note(ask, now)
+	bucket.add(grant{at: lent.now.Add(wait), lent: lent.sum + wait.Seconds()*lent.share})
+	bucket.programs.note(ask, lent.now)
 	return Granted, wait, 0
 }
 
+// forget drops the grants from before the window.
+func (bucket *bucket) forget(now time.Time) {
+	first := 0
+	for first < len(bucket.grants) && now.Sub(bucket.grants[first].at) > bucket.envelope.window {
+		first++
+	}
+	bucket.grants = bucket.grants[first:]
+}
+
+// add keeps the grants in order: one that waits may stand behind a later one.
+func (bucket *bucket) add(added grant) {
+	bucket.grants = append(bucket.grants, added)
+	for place := len(bucket.grants) - 1; place > 0 && bucket.grants[place-1].at.After(added.at); place-- {
+		bucket.grants[place-1], bucket.grants[place] = bucket.grants[place], bucket.grants[place-1]
+	}
+}
+
+// waitFor returns how long it takes until so many more requests may run at once. For each
+// grant, the requests since it and those asked for have to fit into the envelope, or the
+// grant has to leave the window. All of the window have to fit into what was lent in it.
+func (bucket *bucket) waitFor(requests float64, lent credit) time.Duration {
+	settled := bucket.envelope.depth * lent.settled
+	rate := bucket.envelope.rate * lent.share
+	all := float64(len(bucket.grants)) + requests
+	longest := inSeconds((all - settled - bucket.envelope.rate*lent.inWindow) / rate)
+	if len(bucket.grants) > 0 {
+		longest = min(longest, bucket.leaves(0, lent.now))
+	}
+	depth := max(settled, 1)
+	for index, granted := range bucket.grants {
+		since := float64(len(bucket.grants)-index) + requests
+		missing := since - depth - bucket.envelope.rate*(lent.sum-granted.lent)
+		longest = max(longest, min(inSeconds(missing/rate), bucket.leaves(index, lent.now)))
+	}
+	return max(longest, 0)
+}
+
+// leaves returns when a grant leaves the window.
+func (bucket *bucket) leaves(index int, now time.Time) time.Duration {
+	return bucket.grants[index].at.Add(bucket.envelope.window).Sub(now)
+}
+
+// room is how many requests may run at once, below zero where some wait already.
+func (bucket *bucket) room(lent credit) float64 {
+	settled := bucket.envelope.depth * lent.settled
+	least := settled + bucket.envelope.rate*lent.inWindow - float64(len(bucket.grants))
+	for index, granted := range bucket.grants {
+		since := float64(len(bucket.grants) - index)
+		least = min(least, max(settled, 1)+bucket.envelope.rate*(lent.sum-granted.lent)-since)
+	}
+	return least
+}
+
 // promise names a time at which there is room, one caller after another.
-func (bucket *bucket) promise(wait time.Duration, rate float64, now time.Time) time.Duration {
-	earliest := now.Add(wait)
+func (bucket *bucket) promise(wait time.Duration, lent credit) time.Duration {
+	earliest := lent.now.Add(wait)
 	if bucket.promised.After(earliest) {
 		earliest = bucket.promised
 	}
-	bucket.promised = earliest.Add(inSeconds(1 / rate))
-	if latest := now.Add(mostRetryAfter); bucket.promised.After(latest) {
+	bucket.promised = earliest.Add(inSeconds(1 / (bucket.envelope.rate * lent.share)))
+	if latest := lent.now.Add(mostRetryAfter); bucket.promised.After(latest) {
 		bucket.promised = latest
 	}
-	return min(earliest.Sub(now), mostRetryAfter)
+	return min(earliest.Sub(lent.now), mostRetryAfter)
 }
 
 // inSeconds is a time of so many seconds, bounded so that it can be added to any other.
 func inSeconds(count float64) time.Duration {
 	const most = 24 * 3600
-	return time.Duration(min(count, most) * float64(time.Second))
+	return time.Duration(min(max(count, -most), most) * float64(time.Second))
 }
--- a/internal/quota/keeper.go
+++ b/internal/quota/keeper.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/magpielug/magpielug/internal/tenant"
 )
 
 // settledShare is the least share of a limit with which a keeper refuses. With less it
@@ -45,17 +47,16 @@
 	if ask.Tenant == "" {
 		return answer
 	}
-	share := asked.share()
-	answer.Share = share
-	if share == 0 {
+	lent := asked.credit(now)
+	answer.Share = lent.share
+	if lent.share == 0 {
 		answer.Verdict = Unsettled
 		return answer
 	}
 	held := asked.bucket(ask, now)
-	held.refill(asked.lent, share)
-	answer.Room = held.tokens
-	answer.Verdict, answer.Delay, answer.RetryAfter = held.decide(ask, share, keeper.options.ProgramsFirst, now)
-	if answer.Verdict == Refused && share < settledShare {
+	answer.Room = held.room(lent)
+	answer.Verdict, answer.Delay, answer.RetryAfter = held.decide(ask, lent, keeper.options.ProgramsFirst)
+	if answer.Verdict == Refused && lent.share < settledShare {
 		answer.Verdict = Unsettled
 	}
 	return answer
@@ -75,6 +76,7 @@
 	if until.After(held.until) {
 		held.until = until
 	}
+	held.since = now.Add(-ask.Held)
 	held.nodes = max(ask.Nodes, 1)
 	asked.loans[ask.Node] = held
 }
@@ -96,14 +98,25 @@
 	// as many requests. It stands at the time of advanced.
 	lent     float64
 	advanced time.Time
-	// shrunk is what lent was when a loan last ended.
-	shrunk  float64
+	// marks hold the sum at some moments of the last window, the oldest first.
+	marks   []mark
 	buckets map[string]*bucket
 }
 
+// mark is the sum of what was lent at a moment.
+type mark struct {
+	at   time.Time
+	lent float64
+}
+
+// markPause separates two marks.
+const markPause = 50 * time.Millisecond
+
 // loan is the share of one node.
 type loan struct {
 	until time.Time
+	// since is from when on the node has lent to no other keeper.
+	since time.Time
 	// nodes is how many nodes the lender knows of.
 	nodes int
 }
@@ -118,62 +131,72 @@
 	return most
 }
 
-// share is the part of each limit that is lent at the time of advanced.
-func (group *group) share() float64 {
+// credit is what is lent at the time of advanced.
+func (group *group) credit(now time.Time) credit {
 	if len(group.loans) == 0 {
-		return 0
+		return credit{now: now, sum: group.lent}
+	}
+	window := group.tolerance.envelope(tenant.Limit{}).window
+	settled := 0
+	for _, held := range group.loans {
+		if now.Sub(held.since) >= window {
+			settled++
+		}
+	}
+	nodes := float64(group.nodes())
+	return credit{
+		now:      now,
+		sum:      group.lent,
+		inWindow: group.lent - group.lentBefore(now.Add(-window)),
+		share:    float64(len(group.loans)) / nodes,
+		settled:  float64(settled) / nodes,
 	}
-	return float64(len(group.loans)) / float64(group.nodes())
+}
+
+// lentBefore returns the sum at a moment, or a little after it, and forgets what is older.
+func (group *group) lentBefore(moment time.Time) float64 {
+	first := 0
+	for first < len(group.marks)-1 && group.marks[first].at.Before(moment) {
+		first++
+	}
+	group.marks = group.marks[first:]
+	return group.marks[0].lent
 }
 
 // advance adds what was lent up to now, and drops the loans that are over.
 func (group *group) advance(now time.Time) {
+	if len(group.marks) == 0 || now.Sub(group.marks[len(group.marks)-1].at) >= markPause {
+		defer func() { group.marks = append(group.marks, mark{at: now, lent: group.lent}) }()
+	}
 	elapsed := now.Sub(group.advanced)
 	if elapsed <= 0 {
 		return
 	}
 	nodes := group.nodes()
 	sum := time.Duration(0)
-	ended := 0
 	for node, held := range group.loans {
 		sum += min(held.until.Sub(group.advanced), elapsed)
 		if !held.until.After(now) {
 			delete(group.loans, node)
-			ended++
 		}
 	}
 	if nodes > 0 {
 		group.lent += min(sum.Seconds()/float64(nodes), elapsed.Seconds())
 	}
 	group.advanced = now
-	if ended > 0 {
-		group.shrink()
-	}
-}
-
-// shrink takes from each bucket what it may not hold with a smaller share: the nodes that
-// lent the rest may have it from another keeper.
-func (group *group) shrink() {
-	group.shrunk = group.lent
-	share := group.share()
-	for _, held := range group.buckets {
-		held.refill(group.lent, share)
-	}
 }
 
 // bucket returns the tenant's bucket, with the newest limit seen.
 func (group *group) bucket(ask Ask, now time.Time) *bucket {
 	found := group.buckets[ask.Tenant]
 	if found == nil {
-		// A new bucket holds what was lent since a loan last ended: another keeper may
-		// have granted what was lent before.
-		found = newBucket(group.shrunk, now)
+		found = newBucket(now)
 		group.buckets[ask.Tenant] = found
 	}
 	if ask.Configuration >= found.configuration {
 		found.configuration = ask.Configuration
 		found.limit = ask.Limit
-		found.depth = group.tolerance.depth(ask.Limit)
+		found.envelope = group.tolerance.envelope(ask.Limit)
 	}
 	return found
 }
--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -10,6 +10,8 @@
 	// clock is the keeper's newest moment heard, zero where none was; heard is when.
 	clock Clock
 	heard time.Time
+	// since is from when on the share was lent to no other keeper.
+	since time.Time
 	// until is when no keeper counts the share any more.
 	until time.Time
 }
@@ -24,9 +26,13 @@
 	if lender.keeper != wanted && !now.Before(lender.until) {
 		lender.keeper = wanted
 		lender.clock = Clock{}
+		lender.since = time.Time{}
 	}
 	switch {
 	case lender.keeper == wanted && lender.clock != Clock{}:
+		if lender.since.IsZero() {
+			lender.since = now
+		}
 		// The clock was read before it was heard.
 		lender.until = lender.heard.Add(LentFor)
 		return wanted, lender.clock
@@ -36,6 +42,14 @@
 	return wanted, Clock{}
 }
 
+// Held is for how long the share was lent to no other keeper than the present one.
+func (lender *Lender) Held(now time.Time) time.Duration {
+	if lender.since.IsZero() {
+		return 0
+	}
+	return now.Sub(lender.since)
+}
+
 // Heard notes a keeper's clock.
 func (lender *Lender) Heard(keeper string, clock Clock, now time.Time) {
 	if keeper != lender.keeper {
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -9,11 +9,12 @@
 // can't count its share any more. Nothing of this needs the platform's log, so that a
 // limit holds, and is granted in full, while the log is away.
 //
-// In any span of t seconds a tenant's requests are thereby at most Burst + PerSecond x t.
-// A node that is started anew has forgotten to whom it lent: its share may count twice
-// for LentFor after that. Where the operators judge a limit over a window and tolerate
-// something above it, a keeper's bucket holds as much more as is tolerated beyond that,
-// so that callers who come in bursts are not refused within their window's limit.
+// A limit is judged over a window: in any span of that length a tenant's requests are at
+// most PerSecond x Window + Burst, and what the operators tolerate above that. A keeper
+// does not know what another one has granted before. It therefore begins empty, at a part
+// of the rate, and has the whole limit at its disposal once the nodes have lent to it for
+// a window; before that each keeper leaves as much of the window's limit unused as its
+// successor may grant in the rest of the window (Tolerance.envelope).
 //
 // Keeper and Lender are pure state machines without clock, input and output.
 package quota
@@ -29,21 +30,44 @@
 // limit, and how long a limit is held up when its keeper is lost.
 const LentFor = 500 * time.Millisecond
 
+const (
+	// defaultWindow is the span over which requests are counted where the operators name
+	// none: that of the deployments seen.
+	defaultWindow = 5 * time.Second
+	// successorShare is the part of a limit's rate that a new keeper grants from the
+	// start: what tenants use in the mean is 0.6 of their limits. More of it leaves less
+	// for bursts while a keeper lasts.
+	successorShare = 0.7
+)
+
 // Tolerance is how the operators judge a limit. The zero value tolerates nothing.
 type Tolerance struct {
-	// Window is the span over which requests are counted.
+	// Window is the span over which requests are counted, 0 where it is not known.
 	Window time.Duration
 	// Share of a window's limit, and Requests beside it, may run above it.
 	Share    float64
 	Requests float64
 }
 
-// depth is how many requests of a limit may run at once. Over the window that comes to
-// PerSecond x Window + depth, and PerSecond x LentFor after all nodes are started anew.
-func (tolerance Tolerance) depth(limit tenant.Limit) float64 {
-	window := limit.PerSecond*tolerance.Window.Seconds() + limit.Burst
-	tolerated := tolerance.Share*window + tolerance.Requests - limit.PerSecond*LentFor.Seconds()
-	return max(limit.Burst+max(tolerated, 0), minimumBurst)
+// envelope is what a keeper may grant: over the last s seconds no more than depth + rate x
+// s requests, for each s up to the window.
+type envelope struct {
+	depth  float64
+	rate   float64
+	window time.Duration
+}
+
+// envelope leaves room for a successor, which grants at the rate from empty on, and for the
+// time in which shares may count twice after all nodes were started anew. A limit may run
+// one request at once however small it is.
+func (tolerance Tolerance) envelope(limit tenant.Limit) envelope {
+	window := tolerance.Window
+	if window <= 0 {
+		window = defaultWindow
+	}
+	most := (limit.PerSecond*window.Seconds()+limit.Burst)*(1+tolerance.Share) + tolerance.Requests
+	rate := successorShare * limit.PerSecond
+	return envelope{depth: max(most-rate*(window+LentFor).Seconds(), 1), rate: rate, window: window}
 }
 
 // Clock is a moment by the clock of one keeper's process. The zero value is none.
@@ -62,6 +86,8 @@
 	// Lent is the keeper's moment from which on the node's share is lent; zero lends
 	// nothing.
 	Lent Clock
+	// Held is for how long the node has lent its share to no other keeper.
+	Held time.Duration
 	// Tenant sends the request, under a limit that stands in a version of the
 	// configuration.
 	Tenant        string
