--- a/rehearsal/losses/losses_test.go
+++ b/rehearsal/losses/losses_test.go
@@ -57,3 +57,19 @@
 	expect.Expect(found).To(HaveLen(1), "the turn that was answered")
 	expect.Expect(found[0].Program).To(Equal("owed"))
 }
+
+func TestTenants(t *testing.T) {
+	expect := NewWithT(t)
+	const output = `
+1.0 n1 time=2026-01-01T00:00:01Z event="call failed" request=r1 result=QUOTA_EXCEEDED program=a tenant=first failure="2014 QUOTA_EXCEEDED: x"
+1.1 n2 time=2026-01-01T00:00:02Z event="call failed" request=r2 result=QUOTA_EXCEEDED program=b tenant=first failure="2014 QUOTA_EXCEEDED: x"
+1.2 n2 time=2026-01-01T00:00:03Z event="call failed" request=r3 result=NO_BACK_END program=c tenant=second failure="2009 NO_BACK_END: x"
+1.3 n2 time=2026-01-01T00:00:03Z event="call failed" request=r4 result=BAD_KEY program=d failure="1003 BAD_KEY: x"
+`
+	found, first, err := losses.Read(strings.NewReader(output))
+	expect.Expect(err).NotTo(HaveOccurred())
+	expect.Expect(found).To(HaveLen(3), "a key that nobody holds is refused for good reason")
+	var written strings.Builder
+	expect.Expect(losses.Write(&written, found, losses.Windows(found, first, time.Second), 0)).To(Succeed())
+	expect.Expect(written.String()).To(ContainSubstring("of 2 that lost any:\n  first: 2\n  second: 1\n"))
+}
--- a/rehearsal/losses/table.go
+++ b/rehearsal/losses/table.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"time"
 )
@@ -63,9 +64,38 @@
 		_, err = fmt.Fprintf(output, "\n%s: %d\n", found.cause, found.times)
 		writeExamples(output, losses, found.cause, examples)
 	}
+	if err == nil {
+		err = writeTenants(output, losses)
+	}
 	return err
 }
 
+// mostTenants bounds the tenants that are listed.
+const mostTenants = 10
+
+// writeTenants lists the tenants that lost most.
+func writeTenants(output io.Writer, losses []Loss) error {
+	lost := map[string]int{}
+	for _, loss := range losses {
+		if loss.Tenant != "" {
+			lost[loss.Tenant]++
+		}
+	}
+	names := slices.SortedFunc(maps.Keys(lost), func(left, right string) int {
+		return cmp.Or(cmp.Compare(lost[right], lost[left]), cmp.Compare(left, right))
+	})
+	for place, name := range names[:min(len(names), mostTenants)] {
+		if place == 0 {
+			_, _ = fmt.Fprintf(output, "\nby tenant, of %d that lost any:\n", len(names))
+		}
+		_, err := fmt.Fprintf(output, "  %s: %d\n", name, lost[name])
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func writeExamples(output io.Writer, losses []Loss, cause Cause, examples int) {
 	for _, loss := range losses {
 		if examples == 0 {
