--- /dev/null
+++ b/internal/node/quota_keeper.go
@@ -0,0 +1,67 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	nodev1 "github.com/magpielug/magpielug/api/node/v1"
+	"github.com/magpielug/magpielug/internal/quota"
+	"github.com/magpielug/magpielug/internal/tenant"
+	"go.uber.org/zap"
+)
+
+// decide answers as the keeper of a group.
+func (quotas *quotas) decide(request *nodev1.AdmitRequest) *nodev1.AdmitReply {
+	answer := quotas.keeper.Decide(quota.Ask{
+		Node:          request.Node,
+		Nodes:         int(request.Nodes),
+		Group:         int(request.Group),
+		Lent:          fromClock(request.Lent),
+		Held:          milliseconds(request.HeldMs),
+		Tenant:        request.Tenant,
+		Limit:         tenant.Limit{PerSecond: request.PerSecond, Burst: request.Burst},
+		Configuration: request.Configuration,
+		Program:       request.Program,
+		Continues:     request.Continues,
+		Patience:      milliseconds(request.PatienceMs),
+	}, time.Now())
+	if answer.Verdict == quota.Refused {
+		quotas.node.logger.Info("request over limit", zap.String("request", request.Request), zap.String("tenant", request.Tenant),
+			zap.String("program", request.Program), zap.Bool("continues", request.Continues), zap.String("asker", request.Node),
+			zap.Int64("configuration", request.Configuration), zap.Float64("per_second", request.PerSecond), zap.Float64("burst", request.Burst),
+			zap.Float64("share", answer.Share), zap.Float64("room", answer.Room),
+			zap.Duration("retry_after", answer.RetryAfter))
+	}
+	return &nodev1.AdmitReply{
+		Clock:        toClock(answer.Clock),
+		Admission:    admissions[answer.Verdict],
+		DelayMs:      answer.Delay.Milliseconds(),
+		RetryAfterMs: answer.RetryAfter.Milliseconds(),
+		Share:        answer.Share,
+	}
+}
+
+var admissions = map[quota.Verdict]nodev1.Admission{
+	quota.Granted:   nodev1.Admission_ADMISSION_GRANTED,
+	quota.Refused:   nodev1.Admission_ADMISSION_REFUSED,
+	quota.Unsettled: nodev1.Admission_ADMISSION_UNSETTLED,
+}
+
+func toClock(clock quota.Clock) *nodev1.KeeperClock {
+	if clock == (quota.Clock{}) {
+		return nil
+	}
+	return &nodev1.KeeperClock{Incarnation: clock.Incarnation, Micros: clock.Since.Microseconds()}
+}
+
+func fromClock(message *nodev1.KeeperClock) quota.Clock {
+	return quota.Clock{Incarnation: message.GetIncarnation(), Since: time.Duration(message.GetMicros()) * time.Microsecond}
+}
+
+// Admit implements nodev1.Node.
+func (server *peerServer) Admit(_ context.Context, request *nodev1.AdmitRequest) (*nodev1.AdmitReply, error) {
+	if request.Tenant != "" && request.PerSecond <= 0 {
+		return nil, errNoLimit
+	}
+	return server.node.quotas.decide(request), nil
+}
