--- a/internal/forward/tenant_test.go
+++ b/internal/forward/tenant_test.go
@@ -24,10 +24,15 @@
 type fakeQuotas struct {
 	admission forward.Admission
 	orders    []*forward.AdmissionOrder
+	// holds lets each order wait until its caller is gone.
+	holds bool
 }
 
-func (quotas *fakeQuotas) Admit(_ context.Context, order *forward.AdmissionOrder) forward.Admission {
+func (quotas *fakeQuotas) Admit(ctx context.Context, order *forward.AdmissionOrder) forward.Admission {
 	quotas.orders = append(quotas.orders, order)
+	if quotas.holds {
+		<-ctx.Done()
+	}
 	return quotas.admission
 }
 
@@ -138,4 +143,15 @@
 		Expect(failure.RetryAfter).To(BeNumerically(">", 0))
 		Expect(sender.sent).To(BeEmpty())
 	})
+
+	It("send nothing to an engine once their caller has left while they waited for room", func() {
+		quotas.holds = true
+		ctx, leave := context.WithCancel(context.Background())
+		time.AfterFunc(20*time.Millisecond, leave)
+		answer := &fakeAnswer{}
+		service.Serve(ctx, &forward.Call{ID: "r", Method: "POST", Host: "h", Target: "/stream/x", Path: "/stream/x", Received: time.Now(), Key: "key-1",
+			Header: http.Header{}, Deadline: time.Now().Add(2 * time.Second), Program: "p", Turn: &forward.TurnOrder{Budget: 1000, Most: 100}}, answer)
+		Expect(sender.sent).To(BeEmpty())
+		Expect(programs.settled).To(Equal([]int64{0}))
+	})
 })
