Limits and nodes: one order of candidates, one list of suspects, one formula for what is left

Read once more; behaviour stays as it is.

Twins: quotas kept the nodes that did not answer in a map of its own beside that of the programs' owners; both use suspects now. Quotas cached the order of candidates beside members, which worked it out anew (a hash a node and a sort) for each reservation; members keeps it until a node changes, for all callers. A grant and a mark were one type twice. waitFor and room repeated the formula for what an envelope leaves.

Hot path: a keeper worked room out over all grants of the window for each request, and only a refusal tells it.

Dead: the tenant's limit in its bucket (the envelope holds what counts), the lookup of tenants by name. The mark of the sum was appended by a deferred function inside a condition.

Tests keep their assertions; one of limits at a node finds the first candidate through members now.

--- a/internal/node/log_health.go
+++ b/internal/node/log_health.go
@@ -45,7 +45,7 @@
 // of none, or is of a version that does not tell, sends 0.
 func (health *logHealth) hear(ageMilliseconds int64, now time.Time) {
 	if ageMilliseconds > 0 {
-		health.answered.advance(now.Add(-time.Duration(ageMilliseconds) * time.Millisecond))
+		health.answered.advance(now.Add(-milliseconds(ageMilliseconds)))
 	}
 }
 
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -42,11 +42,22 @@
 type members struct {
 	mutex  sync.RWMutex
 	byName map[string]Member
+	// ordered holds the candidates of the shards that were asked for since the last change.
+	ordered map[int][]Member
 	// version counts the changes.
 	version atomic.Int64
 }
 
-func newMembers() *members { return &members{byName: map[string]Member{}} }
+func newMembers() *members {
+	return &members{byName: map[string]Member{}, ordered: map[int][]Member{}}
+}
+
+// set notes a change of a node. The caller holds the mutex.
+func (known *members) set(member Member) {
+	known.byName[member.Name] = member
+	clear(known.ordered)
+	known.version.Add(1)
+}
 
 func (known *members) put(member Member) bool {
 	known.mutex.Lock()
@@ -54,8 +65,7 @@
 	if known.byName[member.Name] == member {
 		return false
 	}
-	known.byName[member.Name] = member
-	known.version.Add(1)
+	known.set(member)
 	return true
 }
 
@@ -67,8 +77,7 @@
 	known.mutex.Lock()
 	defer known.mutex.Unlock()
 	if _, found := known.byName[name]; !found {
-		known.byName[name] = Member{Name: name, Address: address}
-		known.version.Add(1)
+		known.set(Member{Name: name, Address: address})
 	}
 }
 
@@ -110,15 +119,19 @@
 // The chance to come first grows with the square of a node's capacity: owning
 // costs processor time and reading of the log, of which weak machines have
 // little, while a few strong ones among many weak ones must not own everything.
+// The order is worked out once for each change of the nodes; callers must not alter it.
 func (known *members) candidates(shard int) []Member {
-	known.mutex.RLock()
+	known.mutex.Lock()
+	defer known.mutex.Unlock()
+	if ordered, found := known.ordered[shard]; found {
+		return ordered
+	}
 	list := make([]Member, 0, len(known.byName))
 	for _, member := range known.byName {
 		if !member.Leaving {
 			list = append(list, member)
 		}
 	}
-	known.mutex.RUnlock()
 	weights := make(map[string]float64, len(list))
 	for _, member := range list {
 		weights[member.Name] = candidateWeight(member, shard)
@@ -126,6 +139,7 @@
 	slices.SortFunc(list, func(left, right Member) int {
 		return cmp.Compare(weights[right.Name], weights[left.Name])
 	})
+	known.ordered[shard] = list
 	return list
 }
 
--- a/internal/node/programs.go
+++ b/internal/node/programs.go
@@ -41,15 +41,15 @@
 // programs implements forward.Programs: it finds a program's owner, here or at
 // another node.
 type programs struct {
-	node *Node
-	// mutex guards owners and suspects.
-	mutex    sync.Mutex
-	owners   map[int]ownership.Owner
-	suspects map[string]time.Time
+	node     *Node
+	suspects *suspects
+	// mutex guards owners.
+	mutex  sync.Mutex
+	owners map[int]ownership.Owner
 }
 
 func newPrograms(node *Node) *programs {
-	return &programs{node: node, owners: map[int]ownership.Owner{}, suspects: map[string]time.Time{}}
+	return &programs{node: node, owners: map[int]ownership.Owner{}, suspects: newSuspects()}
 }
 
 // shardOf returns the shard of a program.
--- a/internal/node/quotas.go
+++ b/internal/node/quotas.go
@@ -45,13 +45,10 @@
 // quotas implements forward.Quotas: it asks the keepers of tenants' limits, is one
 // itself, and lends this node's share to those of all groups.
 type quotas struct {
-	node   *Node
-	keeper *quota.Keeper
-	groups []*lending
-
-	// mutex guards suspects.
-	mutex    sync.Mutex
-	suspects map[string]time.Time
+	node     *Node
+	keeper   *quota.Keeper
+	groups   []*lending
+	suspects *suspects
 }
 
 // lending is what this node has to do with the keeper of one group.
@@ -62,10 +59,6 @@
 	lender quota.Lender
 	// asked is when a keeper was last asked.
 	asked time.Time
-	// candidates may keep the group, the first choice first, by a version of the nodes
-	// known.
-	candidates []Member
-	version    int64
 }
 
 func newQuotas(node *Node) *quotas {
@@ -73,10 +66,10 @@
 		node: node,
 		keeper: quota.NewKeeper(node.incarnation, time.Now(), quota.Options{
 			Tolerance: node.settings.QuotaTolerance, ProgramsFirst: feature.Enabled(feature.ProgramsFirst)}),
-		suspects: map[string]time.Time{},
+		suspects: newSuspects(),
 	}
 	for group := range max(node.settings.Shards/shardsPerQuotaGroup, 1) {
-		made.groups = append(made.groups, &lending{group: group, version: -1})
+		made.groups = append(made.groups, &lending{group: group})
 	}
 	return made
 }
@@ -169,38 +162,25 @@
 	lent.mutex.Lock()
 	defer lent.mutex.Unlock()
 	lent.asked = now
-	wanted := quotas.choose(lent, now)
-	present, clock := lent.lender.Target(wanted, !quotas.suspected(lent.lender.Keeper(), now), now)
+	wanted := quotas.choose(lent.group, now)
+	present, clock := lent.lender.Target(wanted, !quotas.suspects.holds(lent.lender.Keeper(), now), now)
 	return present, clock, lent.lender.Held(now)
 }
 
 // choose returns the first candidate that answers.
-func (quotas *quotas) choose(lent *lending, now time.Time) string {
-	version := quotas.node.members.version.Load()
-	if lent.version != version {
-		lent.version = version
-		lent.candidates = quotas.node.members.candidates(quotaShard - lent.group)
-	}
-	for _, candidate := range lent.candidates {
-		if !quotas.suspected(candidate.Name, now) {
+func (quotas *quotas) choose(group int, now time.Time) string {
+	for _, candidate := range quotas.node.members.candidates(quotaShard - group) {
+		if !quotas.suspects.holds(candidate.Name, now) {
 			return candidate.Name
 		}
 	}
 	return quotas.node.settings.Name
 }
 
-func (quotas *quotas) suspected(name string, now time.Time) bool {
-	quotas.mutex.Lock()
-	defer quotas.mutex.Unlock()
-	return now.Before(quotas.suspects[name])
-}
-
 func (quotas *quotas) suspect(name string, request *nodev1.AdmitRequest, cause error) {
 	quotas.node.logger.Info("keeper not reached", zap.String("node", name), zap.Uint32("group", request.Group),
 		zap.String("tenant", request.Tenant), logging.Cause(cause))
-	quotas.mutex.Lock()
-	defer quotas.mutex.Unlock()
-	quotas.suspects[name] = time.Now().Add(keeperSuspicion)
+	quotas.suspects.note(name, time.Now().Add(keeperSuspicion))
 }
 
 func (quotas *quotas) send(ctx context.Context, target string, request *nodev1.AdmitRequest) (*nodev1.AdmitReply, error) {
--- a/internal/node/quotas_test.go
+++ b/internal/node/quotas_test.go
@@ -39,12 +39,12 @@
 	It("are kept by the next node where the first one does not answer", func() {
 		node := newAlone()
 		lent := node.quotas.groupOf(holder.Name)
-		for number := 0; lent.candidates == nil || lent.candidates[0].Name == "self"; number++ {
+		first := func() string { return node.members.candidates(quotaShard - lent.group)[0].Name }
+		for number := 0; first() == "self"; number++ {
 			node.members.put(Member{Name: string(rune('a' + number)), Address: "127.0.0.1:1"})
-			lent.candidates = node.members.candidates(quotaShard - lent.group)
 		}
 		Expect(node.quotas.Admit(context.Background(), order()).Verdict).NotTo(Equal(forward.OverLimit))
-		Expect(node.quotas.suspected(lent.candidates[0].Name, time.Now())).To(BeTrue())
+		Expect(node.quotas.suspects.holds(first(), time.Now())).To(BeTrue())
 	})
 
 	It("give a request up whose caller has left", func() {
--- a/internal/node/reserve.go
+++ b/internal/node/reserve.go
@@ -52,7 +52,7 @@
 		Request: request.Request,
 		Budget:  request.Budget,
 		Most:    request.Most,
-		Until:   time.Now().Add(time.Duration(request.TimeLeftMs) * time.Millisecond),
+		Until:   time.Now().Add(milliseconds(request.TimeLeftMs)),
 		Claim:   request.TakeOver,
 	}
 }
--- a/internal/node/search.go
+++ b/internal/node/search.go
@@ -135,11 +135,9 @@
 		return believed, true
 	}
 	candidates := programs.node.members.candidates(shard)
-	programs.mutex.Lock()
-	defer programs.mutex.Unlock()
 	now := time.Now()
 	for _, member := range candidates {
-		if !asked[member.Name] && now.After(programs.suspects[member.Name]) {
+		if !asked[member.Name] && !programs.suspects.holds(member.Name, now) {
 			return member.Name, true
 		}
 	}
@@ -153,9 +151,9 @@
 
 // suspect notes that a node did not answer.
 func (programs *programs) suspect(shard int, name string) {
+	programs.suspects.note(name, time.Now().Add(suspicion))
 	programs.mutex.Lock()
 	defer programs.mutex.Unlock()
-	programs.suspects[name] = time.Now().Add(suspicion)
 	if programs.owners[shard].Node == name {
 		delete(programs.owners, shard)
 	}
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -1,10 +1,6 @@
 package quota
 
-import (
-	"time"
-
-	"github.com/magpielug/magpielug/internal/tenant"
-)
+import "time"
 
 const (
 	// mostDelay is how long a granted request is held at most until there is room for
@@ -28,11 +24,10 @@
 // window, no more requests are granted than an envelope allows, which is the depth and
 // what the rate gives in that time. Requests before the window count no more.
 type bucket struct {
-	limit         tenant.Limit
 	configuration int64
 	envelope      envelope
 	// grants are those of the window, the oldest first, those that wait included.
-	grants   []grant
+	grants   []mark
 	programs programs
 	// scarceUntil is until when the limit counts as scarce.
 	scarceUntil time.Time
@@ -40,12 +35,6 @@
 	promised time.Time
 }
 
-// grant is one request that may run at a time, when the group's sum stands at lent.
-type grant struct {
-	at   time.Time
-	lent float64
-}
-
 // credit is what the nodes have lent at a moment.
 type credit struct {
 	now time.Time
@@ -72,7 +61,7 @@
 	if wait > min(ask.Patience, mostDelay) {
 		return Refused, 0, bucket.promise(wait, lent)
 	}
-	bucket.add(grant{at: lent.now.Add(wait), lent: lent.sum + wait.Seconds()*lent.share})
+	bucket.add(mark{at: lent.now.Add(wait), lent: lent.sum + wait.Seconds()*lent.share})
 	bucket.programs.note(ask, lent.now)
 	return Granted, wait, 0
 }
@@ -87,34 +76,41 @@
 }
 
 // add keeps the grants in order: one that waits may stand behind a later one.
-func (bucket *bucket) add(added grant) {
+func (bucket *bucket) add(added mark) {
 	bucket.grants = append(bucket.grants, added)
 	for place := len(bucket.grants) - 1; place > 0 && bucket.grants[place-1].at.After(added.at); place-- {
 		bucket.grants[place-1], bucket.grants[place] = bucket.grants[place], bucket.grants[place-1]
 	}
 }
 
-// waitFor returns how long it takes until so many more requests may run at once. For each
-// grant, the requests since it and those asked for have to fit into the envelope, or the
-// grant has to leave the window. All of the window have to fit into what was lent in it, and
-// into the depth of the shares that no other keeper may have used before.
+// waitFor returns how long it takes until so many more requests may run at once: until all
+// of the window and they fit into what was lent, and those since each grant and they into
+// the envelope, or the grant has left the window.
 func (bucket *bucket) waitFor(requests float64, lent credit) time.Duration {
-	settled := bucket.envelope.depth * lent.settled
 	rate := bucket.envelope.rate * lent.share
-	all := float64(len(bucket.grants)) + requests
-	longest := inSeconds((all - settled - bucket.envelope.rate*lent.inWindow) / rate)
+	longest := inSeconds((requests - bucket.leftOfWindow(lent)) / rate)
 	if len(bucket.grants) > 0 {
 		longest = min(longest, bucket.leaves(0, lent.now))
 	}
-	depth := max(bucket.envelope.depth*lent.share, 1)
-	for index, granted := range bucket.grants {
-		since := float64(len(bucket.grants)-index) + requests
-		missing := since - depth - bucket.envelope.rate*(lent.sum-granted.lent)
-		longest = max(longest, min(inSeconds(missing/rate), bucket.leaves(index, lent.now)))
+	for index := range bucket.grants {
+		fits := inSeconds((requests - bucket.leftSince(index, lent)) / rate)
+		longest = max(longest, min(fits, bucket.leaves(index, lent.now)))
 	}
 	return max(longest, 0)
 }
 
+// leftOfWindow is how many requests are left of what was lent in the window, and of the
+// depth for the shares that no other keeper may have used before.
+func (bucket *bucket) leftOfWindow(lent credit) float64 {
+	return bucket.envelope.depth*lent.settled + bucket.envelope.rate*lent.inWindow - float64(len(bucket.grants))
+}
+
+// leftSince is how many requests the envelope leaves from a grant on.
+func (bucket *bucket) leftSince(index int, lent credit) float64 {
+	depth := max(bucket.envelope.depth*lent.share, 1)
+	return depth + bucket.envelope.rate*(lent.sum-bucket.grants[index].lent) - float64(len(bucket.grants)-index)
+}
+
 // leaves returns when a grant leaves the window.
 func (bucket *bucket) leaves(index int, now time.Time) time.Duration {
 	return bucket.grants[index].at.Add(bucket.envelope.window).Sub(now)
@@ -122,11 +118,9 @@
 
 // room is how many requests may run at once, below zero where some wait already.
 func (bucket *bucket) room(lent credit) float64 {
-	settled := bucket.envelope.depth * lent.settled
-	least := settled + bucket.envelope.rate*lent.inWindow - float64(len(bucket.grants))
-	for index, granted := range bucket.grants {
-		since := float64(len(bucket.grants) - index)
-		least = min(least, max(bucket.envelope.depth*lent.share, 1)+bucket.envelope.rate*(lent.sum-granted.lent)-since)
+	least := bucket.leftOfWindow(lent)
+	for index := range bucket.grants {
+		least = min(least, bucket.leftSince(index, lent))
 	}
 	return least
 }
--- a/internal/quota/keeper.go
+++ b/internal/quota/keeper.go
@@ -3,8 +3,6 @@
 import (
 	"sync"
 	"time"
-
-	"github.com/magpielug/magpielug/internal/tenant"
 )
 
 // settledShare is the least share of a limit with which a keeper refuses. With less it
@@ -54,10 +52,12 @@
 		return answer
 	}
 	held := asked.bucket(ask, now)
-	answer.Room = held.room(lent)
 	answer.Verdict, answer.Delay, answer.RetryAfter = held.decide(ask, lent, keeper.options.ProgramsFirst)
-	if answer.Verdict == Refused && lent.share < settledShare {
-		answer.Verdict = Unsettled
+	if answer.Verdict == Refused {
+		answer.Room = held.room(lent)
+		if lent.share < settledShare {
+			answer.Verdict = Unsettled
+		}
 	}
 	return answer
 }
@@ -103,7 +103,7 @@
 	buckets map[string]*bucket
 }
 
-// mark is the sum of what was lent at a moment.
+// mark is a moment, and what the sum of what was lent comes to then.
 type mark struct {
 	at   time.Time
 	lent float64
@@ -136,7 +136,7 @@
 	if len(group.loans) == 0 {
 		return credit{now: now, sum: group.lent}
 	}
-	window := group.tolerance.envelope(tenant.Limit{}).window
+	window := group.tolerance.window()
 	settled := 0
 	for _, held := range group.loans {
 		if now.Sub(held.since) >= window {
@@ -163,11 +163,16 @@
 	return group.marks[0].lent
 }
 
-// advance adds what was lent up to now, and drops the loans that are over.
+// advance brings the sum up to now, and marks it now and then.
 func (group *group) advance(now time.Time) {
+	group.add(now)
 	if len(group.marks) == 0 || now.Sub(group.marks[len(group.marks)-1].at) >= markPause {
-		defer func() { group.marks = append(group.marks, mark{at: now, lent: group.lent}) }()
+		group.marks = append(group.marks, mark{at: now, lent: group.lent})
 	}
+}
+
+// add adds what was lent up to now, and drops the loans that are over.
+func (group *group) add(now time.Time) {
 	elapsed := now.Sub(group.advanced)
 	if elapsed <= 0 {
 		return
@@ -195,7 +200,6 @@
 	}
 	if ask.Configuration >= found.configuration {
 		found.configuration = ask.Configuration
-		found.limit = ask.Limit
 		found.envelope = group.tolerance.envelope(ask.Limit)
 	}
 	return found
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -50,6 +50,14 @@
 	Requests float64
 }
 
+// window is the span over which requests are counted.
+func (tolerance Tolerance) window() time.Duration {
+	if tolerance.Window <= 0 {
+		return defaultWindow
+	}
+	return tolerance.Window
+}
+
 // envelope is what a keeper may grant: over the last s seconds no more than depth + rate x
 // s requests, for each s up to the window.
 type envelope struct {
@@ -62,10 +70,7 @@
 // time in which shares may count twice after all nodes were started anew. A limit may run
 // one request at once however small it is.
 func (tolerance Tolerance) envelope(limit tenant.Limit) envelope {
-	window := tolerance.Window
-	if window <= 0 {
-		window = defaultWindow
-	}
+	window := tolerance.window()
 	most := (limit.PerSecond*window.Seconds()+limit.Burst)*(1+tolerance.Share) + tolerance.Requests
 	rate := successorShare * limit.PerSecond
 	return envelope{depth: max(most-rate*(window+LentFor).Seconds(), 1), rate: rate, window: window}
@@ -121,8 +126,8 @@
 	Verdict    Verdict
 	Delay      time.Duration
 	RetryAfter time.Duration
-	// What decided: the part of the limit that is lent, and the requests that might run
-	// at once before the request was decided.
+	// What decided: the part of the limit that is lent and, of a refusal, the requests
+	// that might run at once.
 	Share float64
 	Room  float64
 }
--- a/internal/tenant/tenant.go
+++ b/internal/tenant/tenant.go
@@ -44,8 +44,9 @@
 // Directory finds the tenant that holds a key. The zero value has no tenants. It never
 // changes once built.
 type Directory struct {
-	byKey  map[digest]*Tenant
-	byName map[string]*Tenant
+	byKey map[digest]*Tenant
+	// configured is true where calls need a key.
+	configured bool
 	// limited is true where any tenant has a limit.
 	limited bool
 }
@@ -58,10 +59,9 @@
 
 // NewDirectory builds a directory. Of two tenants with one key the first holds it.
 func NewDirectory(holders []Holder) Directory {
-	built := Directory{byKey: map[digest]*Tenant{}, byName: make(map[string]*Tenant, len(holders))}
+	built := Directory{byKey: map[digest]*Tenant{}, configured: true}
 	for index := range holders {
 		holder := &holders[index]
-		built.byName[holder.Tenant.Name] = &holder.Tenant
 		built.limited = built.limited || holder.Tenant.Limit.Bounded()
 		for _, key := range holder.Keys {
 			sum := digest(sha256.Sum256([]byte(key)))
@@ -74,7 +74,7 @@
 }
 
 // Configured tells whether calls need a key at all.
-func (directory Directory) Configured() bool { return directory.byName != nil }
+func (directory Directory) Configured() bool { return directory.configured }
 
 // HolderOf returns the tenant that holds a key, nil for a key that nobody holds.
 func (directory Directory) HolderOf(key string) *Tenant {
@@ -84,9 +84,6 @@
 	return directory.byKey[sha256.Sum256([]byte(key))]
 }
 
-// Named returns a tenant, nil for a name that is not configured.
-func (directory Directory) Named(name string) *Tenant { return directory.byName[name] }
-
 // Limited tells whether any tenant has a limit.
 func (directory Directory) Limited() bool { return directory.limited }
 
