--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/magpielug/magpielug/internal/feature"
+	"github.com/magpielug/magpielug/internal/load"
 )
 
 // Instance is one incarnation of an engine as it records itself.
@@ -113,14 +114,19 @@
 	usualOfRoute map[string]time.Duration
 	// assigns is true where owners assign engines.
 	assigns bool
+	// load is what all nodes have at the engines.
+	load *load.View
 }
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
-	return &Directory{engines: map[string]*Engine{}, services: map[string][]*Engine{}, policy: policies[PolicyProgram],
+	return &Directory{engines: map[string]*Engine{}, services: map[string][]*Engine{}, policy: policies[PolicyProgram], load: load.NewView(),
 		usual: map[string]time.Duration{}, usualOfRoute: map[string]time.Duration{}}
 }
 
+// UseLoad has the directory heed a view of the load. It is called before anything else.
+func (directory *Directory) UseLoad(view *load.View) { directory.load = view }
+
 // Put notes an engine's newest record and tells whether something changed.
 func (directory *Directory) Put(instance Instance) bool {
 	directory.mutex.Lock()
--- a/internal/feature/feature.go
+++ b/internal/feature/feature.go
@@ -61,6 +61,24 @@
 	// ProgramsFirst: a tenant's limit counts each request as it comes, also where
 	// programs that have begun can't end.
 	ProgramsFirst Feature = "programs-first"
+	// LoadSharing: a node knows of the load only what it has under way itself.
+	LoadSharing Feature = "load-sharing"
+	// RoomByLoad: engines are asked that have no room by the load known.
+	RoomByLoad Feature = "room-by-load"
+	// RetryBudget: a call goes on to further engines as long as it finds one.
+	RetryBudget Feature = "retry-budget"
+	// Admission: programs begin also where there is no room for them.
+	Admission Feature = "admission"
+	// TenantShares: programs are admitted whatever their tenants have under way.
+	TenantShares Feature = "tenant-shares"
+	// MemoryRoom: programs begin also where their prompts don't fit into engines' memory.
+	MemoryRoom Feature = "memory-room"
+	// EngineBreaker: engines whose requests end badly get as many as others.
+	EngineBreaker Feature = "engine-breaker"
+	// EngineSpeed: work is dealt to engines without regard to their speed.
+	EngineSpeed Feature = "engine-speed"
+	// HeldBytes: what callers have not read is held without a bound over all calls.
+	HeldBytes Feature = "held-bytes"
 )
 
 // All lists the features.
@@ -68,6 +86,7 @@
 	Allowances, HedgedAppends, Rereading, LearningFromPeers, SharedReader, EngineDoubt, EngineReports, EnginePace, EngineLimits,
 	QueueOrder, ToolPatience, SafeRepeats, RecordingElsewhere, Yielding, OwnershipByCapacity, ClaimRefusal, Isolation,
 	EnginePriority, LogGate, Egress, LaterRetries, ProgramsFirst,
+	LoadSharing, RoomByLoad, RetryBudget, Admission, TenantShares, MemoryRoom, EngineBreaker, EngineSpeed, HeldBytes,
 }
 
 // disabled holds the features turned off.
--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,62 @@
+package load_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/magpielug/magpielug/internal/load"
+	. "github.com/onsi/gomega"
+)
+
+var now = time.Unix(1000, 0)
+
+// reportOf is a node's report of requests at one engine.
+func reportOf(engine string, running int) load.Report {
+	report := load.NewReport()
+	report.Engines[engine] = load.Engine{Running: running}
+	return report
+}
+
+func TestViewTellsWhatOtherNodesHave(t *testing.T) {
+	expect := NewWithT(t)
+	own := reportOf("e", 2)
+	total := load.NewReport()
+	total.Add(own)
+	total.Add(reportOf("e", 5))
+	view := load.NewView()
+	view.Take(total, own, 100*time.Millisecond, now)
+
+	others, known := view.Others("e", now)
+	expect.Expect(known).To(BeTrue())
+	expect.Expect(others.Running).To(Equal(5))
+	others, known = view.Others("f", now)
+	expect.Expect(known).To(BeTrue(), "an engine without requests is known to have none")
+	expect.Expect(others).To(BeZero())
+}
+
+func TestAnOldViewCountsAsUnknown(t *testing.T) {
+	expect := NewWithT(t)
+	view := load.NewView()
+	_, known := view.Others("e", now)
+	expect.Expect(known).To(BeFalse(), "nothing was heard yet")
+	view.Take(reportOf("e", 1), load.NewReport(), 0, now)
+	_, known = view.Total(now.Add(load.Trust))
+	expect.Expect(known).To(BeTrue())
+	_, known = view.Total(now.Add(load.Trust + time.Millisecond))
+	expect.Expect(known).To(BeFalse())
+}
+
+func TestReportsAddUp(t *testing.T) {
+	expect := NewWithT(t)
+	total := load.NewReport()
+	for range 3 {
+		part := load.NewReport()
+		part.Waiting[load.Queue{Service: "s", Rank: 1}] = 2
+		part.Tenants[load.Holder{Tenant: "t", Rank: 1}] = 4
+		part.Routes["r"] = load.Route{Service: "s", Rank: 1, Programs: 5, Turns: 7, Begun: 1.5, Refused: 0.5, Late: 0.25, Tokens: 100}
+		total.Add(part)
+	}
+	expect.Expect(total.Waiting).To(HaveKeyWithValue(load.Queue{Service: "s", Rank: 1}, 6))
+	expect.Expect(total.Tenants).To(HaveKeyWithValue(load.Holder{Tenant: "t", Rank: 1}, 12))
+	expect.Expect(total.Routes["r"]).To(Equal(load.Route{Service: "s", Rank: 1, Programs: 15, Turns: 21, Begun: 4.5, Refused: 1.5, Late: 0.75, Tokens: 300}))
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/magpielug/magpielug/internal/history"
 	"github.com/magpielug/magpielug/internal/httpclient"
 	"github.com/magpielug/magpielug/internal/httpserver"
+	"github.com/magpielug/magpielug/internal/load"
 	"github.com/magpielug/magpielug/internal/logging"
 	"github.com/magpielug/magpielug/internal/ownership"
 	"github.com/magpielug/magpielug/internal/routing"
@@ -35,6 +36,7 @@
 	errUnknownShard = errors.New("no such shard")
 	errLogRefuses   = errors.New("the log refuses this node too")
 	errNoLimit      = errors.New("the tenant has no limit to keep")
+	errNoLoad       = errors.New("this node gathers no load")
 	errStillReading = errors.New("the turns before are still being read")
 )
 
@@ -66,7 +68,9 @@
 	incarnation string
 	routes      *routing.Current
 	engines     *backend.Directory
-	members     *members
+	// load is what all nodes have under way.
+	load    *load.View
+	members *members
 	// registration keeps the node's own record in the log.
 	registration *registration
 
@@ -146,12 +150,14 @@
 		routes:      &routing.Current{},
 		assigner:    assignment.New(),
 		engines:     backend.NewDirectory(),
+		load:        load.NewView(),
 		members:     newMembers(),
 		turns:       history.NewStore(historyBytes(settings.MemoryBytes)),
 	}
 	around.Log = &durable.Rereading{Log: &durable.Counted{Log: around.Log, Observe: node.storeCall}}
 	node.around = around
 	node.recorder = history.NewRecorder(around.Log, settings.Shards)
+	node.engines.UseLoad(node.load)
 	err = node.engines.UsePolicy(settings.Placement)
 	if err != nil {
 		return nil, err
--- a/internal/resultcode/resultcode.go
+++ b/internal/resultcode/resultcode.go
@@ -45,6 +45,7 @@
 	LogAway            Code = 2013
 	QuotaExceeded      Code = 2014
 	QuotaUnknown       Code = 2015
+	NoRoom             Code = 2016
 
 	OutcomeUnknown Code = 3001
 	CallStopped    Code = 3002
@@ -108,6 +109,7 @@
 	{LogAway, "LOG_AWAY", http.StatusServiceUnavailable, true, "The platform's log answers no node, so that the turn could not be recorded; not run."},
 	{QuotaExceeded, "QUOTA_EXCEEDED", http.StatusTooManyRequests, true, "The tenant's requests have reached its limit, counted over all nodes; not run."},
 	{QuotaUnknown, "QUOTA_UNKNOWN", http.StatusServiceUnavailable, true, "No node that keeps the tenant's limit could be asked in time; not run."},
+	{NoRoom, "NO_ROOM", http.StatusServiceUnavailable, true, "A program that begins now would not end in its aim, or would make others late; not run."},
 	{OutcomeUnknown, "OUTCOME_UNKNOWN", http.StatusBadGateway, false, "The call was sent and its outcome is lost; it may have run and will not run again."},
 	{CallStopped, "CALL_STOPPED", http.StatusConflict, false, "The call was cancelled because its program was stopped."},
 	{SlowReader, "SLOW_READER", http.StatusRequestTimeout, true, "The caller read too slowly; the stream can be resumed."},
