Admission: a program begins only where there is room for it

Cause: every program that comes is admitted; in a burst all of them wait for engines and none ends in its aim. Change: internal/admission holds the programs of an owner's shards (Table) and decides on the first turn of a program (Controller) by what programs under way are expected to need of the slots of models and tools; node/admission.go asks it before tokens are reserved. Nothing is refused without a fresh view of the load or by an owner of less than four seconds.

--- /dev/null
+++ b/internal/admission/controller.go
@@ -0,0 +1,192 @@
+package admission
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/magpielug/magpielug/internal/load"
+	"github.com/magpielug/magpielug/internal/tenant"
+)
+
+const (
+	// correctionSpan is within which demand is brought to its limit. It is longer than
+	// it takes to see what an admission has changed: a view is some tenths of a second
+	// old.
+	correctionSpan = 500 * time.Millisecond
+	// leastRate of the capacity may begin in the time that a program lives, whatever
+	// demand is: where other callers fill the engines programs still begin.
+	leastRate = 0.05
+	// longestCredit bounds for how long what may begin adds up while nobody asks, and
+	// mostCredit how many programs may begin at once for it.
+	longestCredit = time.Second
+	mostCredit    = 1.5
+	// returnSpan is how long a refused program is remembered, which goes first when it
+	// comes back and can still end in its aim.
+	returnSpan = 3 * time.Second
+	// leastRetry and mostRetry bound when a refused program is told to come back. Callers
+	// wait for a third of their time at most, of some seconds, and their aims leave about
+	// half a second. A shorter wait costs them a try of the one or two that they have.
+	leastRetry = 150 * time.Millisecond
+	mostRetry  = 900 * time.Millisecond
+	// retrySpread is the part of the wait by which two programs refused together differ.
+	retrySpread = 0.5
+	// retryFrom is the part of the predicted wait that the first of them gets.
+	retryFrom = 0.75
+)
+
+// Options switches parts of a controller on.
+type Options struct {
+	// Shares has tenants share what is scarce.
+	Shares bool
+	// Memory counts engines' memory as a limit.
+	Memory bool
+}
+
+// credit is what may begin, as a part of the capacity that binds.
+type credit struct {
+	value float64
+	at    time.Time
+}
+
+// Controller decides for one owner. It is not safe for concurrent use.
+type Controller struct {
+	options Options
+	learned *learned
+	// begun are this owner's admissions that a view may not show yet.
+	begun []begun
+	// credits are by rank.
+	credits map[int]*credit
+	refused map[tenant.Program]time.Time
+}
+
+// NewController returns a controller that has learned nothing.
+func NewController(options Options) *Controller {
+	return &Controller{options: options, learned: newLearned(), credits: map[int]*credit{}, refused: map[tenant.Program]time.Time{}}
+}
+
+// Observe learns from a state. It is called some times a second, also while no program
+// asks.
+func (controller *Controller) Observe(state *State, now time.Time) {
+	controller.expire(now)
+	if !state.Known {
+		return
+	}
+	step, taken := controller.learned.observe(state, now)
+	if !taken {
+		return
+	}
+	late := lateOf(state)
+	for _, shared := range controller.learned.resources(state, false) {
+		use := controller.learned.service(shared.service)
+		use.bound = corrected(use.bound, signals{
+			queue: use.present.value / shared.capacity,
+			late:  late,
+			binds: shared.demand >= bindsFrom*shared.limit,
+		}, step)
+	}
+}
+
+func lateOf(state *State) float64 {
+	var begun, late float64
+	for _, route := range state.Total.Routes {
+		begun += route.Begun
+		late += route.Late
+	}
+	return lateBeyondLoops(begun, late)
+}
+
+func (controller *Controller) expire(now time.Time) {
+	controller.begun = slices.DeleteFunc(controller.begun, func(admission begun) bool { return now.Sub(admission.at) > load.Trust })
+	maps.DeleteFunc(controller.refused, func(_ tenant.Program, at time.Time) bool { return now.Sub(at) > returnSpan })
+}
+
+// Decide tells whether a program may begin. It has to be asked once for each try.
+func (controller *Controller) Decide(order Order, state *State, now time.Time) Decision {
+	controller.Observe(state, now)
+	if !state.Known || state.Share <= 0 {
+		return controller.admit(order, Decision{}, now)
+	}
+	scene := controller.scene(order, state, now)
+	if scene == nil {
+		return controller.admit(order, Decision{}, now)
+	}
+	decision := scene.decision()
+	if controller.options.Shares {
+		scene.share(order, &decision)
+	}
+	switch {
+	case scene.fits(decision):
+		controller.credits[order.Rank] = &credit{at: now}
+		return controller.admit(order, decision, now)
+	case decision.overShare():
+		return controller.refuse(order, decision, OverShare, scene, now)
+	case scene.fitsUnderShare(decision):
+		return controller.admit(order, decision, now)
+	}
+	if controller.draw(order, scene, now) {
+		return controller.admit(order, decision, now)
+	}
+	return controller.refuse(order, decision, scene.reason(), scene, now)
+}
+
+func (controller *Controller) admit(order Order, decision Decision, now time.Time) Decision {
+	decision.Admitted = true
+	controller.begun = append(controller.begun, begun{route: order.Route, service: order.Service, at: now})
+	delete(controller.refused, order.Program)
+	return decision
+}
+
+func (controller *Controller) refuse(order Order, decision Decision, reason Reason, scene *scene, now time.Time) Decision {
+	decision.Reason = reason
+	decision.RetryAfter = scene.retryAfter(order, controller.learned.routes[order.Route].life())
+	controller.refused[order.Program] = now
+	return decision
+}
+
+// draw takes a program's need from what may begin, and tells whether there was enough.
+func (controller *Controller) draw(order Order, scene *scene, now time.Time) bool {
+	held := controller.credits[order.Rank]
+	if held == nil {
+		held = &credit{at: now}
+		controller.credits[order.Rank] = held
+	}
+	need := scene.need / scene.capacity
+	since := min(now.Sub(held.at), longestCredit)
+	held.value = min(held.value+scene.state.Share*scene.rate*since.Seconds()/scene.capacity, mostCredit*need)
+	held.at = now
+	least := need
+	if controller.returnsInTime(order) {
+		least = 0
+	}
+	if held.value < least {
+		return false
+	}
+	held.value -= need
+	return true
+}
+
+// returnsInTime tells whether a program that was refused can still end in its aim. Such a
+// one may begin ahead of what adds up.
+func (controller *Controller) returnsInTime(order Order) bool {
+	_, refused := controller.refused[order.Program]
+	return refused && (!order.HasAim || order.AimLeft >= controller.learned.routes[order.Route].life())
+}
+
+// Resource is what programs share, for the metrics.
+type Resource struct {
+	Service  string
+	Memory   bool
+	Capacity float64
+	Limit    float64
+	Demand   float64
+}
+
+// Resources returns what programs share, as a state shows it.
+func (controller *Controller) Resources(state *State) []Resource {
+	var all []Resource
+	for _, shared := range controller.learned.resources(state, controller.options.Memory) {
+		all = append(all, Resource{Service: shared.service, Memory: shared.memory, Capacity: shared.capacity, Limit: shared.limit, Demand: shared.demand})
+	}
+	return all
+}
--- /dev/null
+++ b/internal/admission/forecast.go
@@ -0,0 +1,142 @@
+package admission
+
+import (
+	"math"
+	"time"
+
+	"github.com/magpielug/magpielug/internal/load"
+)
+
+const (
+	// chanceSlots times the root of a service's slots is room that chance needs: what
+	// programs that come at a steady rate use together varies by about the root of it,
+	// times the root of the slots of one. Without it 6 slots that are half used would
+	// refuse 7 in 100 programs.
+	chanceSlots = 2.0
+	// memoryShare is the part of engines' memory that prompts of programs under way may
+	// take. The shared beginnings in them are counted for each, so that it is not reached
+	// before the memory is.
+	memoryShare = 1.0
+	// nominalNeed is the part of a resource from which on a program is held to need any.
+	nominalNeed = 1e-6
+)
+
+// resource is a thing that programs share.
+type resource struct {
+	service  string
+	memory   bool
+	capacity float64
+	// limit is how much of it programs may use, demand how much they are expected to.
+	limit  float64
+	demand float64
+	// ends is how much becomes free in a second by programs that end.
+	ends float64
+	// tools is the part of a turn that goes there with each turn, for a service that no
+	// route of programs names.
+	tools float64
+	// models is true for a service that routes of programs name.
+	models bool
+}
+
+// need is what a program of a route uses of the resource in the mean of its life.
+func (known *learned) need(shared *resource, name, service string) float64 {
+	use := known.routes[name]
+	switch {
+	case shared.memory && shared.service == service:
+		return use.promptTokens()
+	case shared.memory:
+		return 0
+	case shared.models && shared.service == service:
+		return use.slots()
+	case shared.models:
+		return 0
+	}
+	return shared.tools * use.slots()
+}
+
+// resources lists what programs share, with the demand that the state shows.
+func (known *learned) resources(state *State, withMemory bool) []*resource {
+	var all []*resource
+	present := asked(state)
+	models := map[string]bool{}
+	for _, route := range state.Total.Routes {
+		models[route.Service] = true
+	}
+	for index := range state.Services {
+		service := &state.Services[index]
+		if service.Slots > 0 {
+			all = append(all, known.slotsOf(service, models[service.Name], present[service.Name], state))
+		}
+		if withMemory && service.MemoryTokens > 0 && models[service.Name] {
+			all = append(all, known.memoryOf(service, state))
+		}
+	}
+	return all
+}
+
+func (known *learned) slotsOf(service *Service, models bool, present float64, state *State) *resource {
+	use := known.service(service.Name)
+	slots := float64(service.Slots)
+	made := &resource{service: service.Name, models: models, capacity: slots, limit: use.bound*slots + chanceSlots*math.Sqrt(slots)}
+	if !models && known.turns.value > 0 {
+		made.tools = use.usual.value / known.turns.value
+	}
+	predicted := known.sum(made, state)
+	if models {
+		predicted += max(use.foreign.value, 0)
+	}
+	made.demand = max(predicted, use.present.value)
+	return made
+}
+
+func (known *learned) memoryOf(service *Service, state *State) *resource {
+	made := &resource{service: service.Name, memory: true, models: true, capacity: float64(service.Engines * service.MemoryTokens)}
+	made.limit = memoryShare * made.capacity
+	known.sum(made, state)
+	for _, route := range state.Total.Routes {
+		if route.Service == service.Name {
+			made.demand += float64(route.Tokens)
+		}
+	}
+	return made
+}
+
+// sum is what the programs under way are expected to use of a resource. It sets also what
+// becomes free by those that end.
+func (known *learned) sum(shared *resource, state *State) float64 {
+	total := 0.0
+	for name, route := range state.Total.Routes {
+		used := float64(route.Programs) * known.need(shared, name, route.Service)
+		total += used
+		shared.ends += used / known.routes[name].life().Seconds()
+	}
+	return total
+}
+
+// begun is one admission of this owner.
+type begun struct {
+	route   string
+	service string
+	at      time.Time
+}
+
+// moved is how the demand has changed since the moment that the state shows: by the
+// programs that this owner has admitted, those that others are likely to have, and those
+// that are likely to have ended.
+func (known *learned) moved(shared *resource, state *State, own []begun) float64 {
+	change := 0.0
+	for _, admission := range own {
+		change += known.need(shared, admission.route, admission.service)
+	}
+	rate := known.rate(shared, state, func(route load.Route) float64 { return route.Begun })
+	return change + state.Age.Seconds()*((1-state.Share)*rate-shared.ends)
+}
+
+// rate is how much of a resource programs ask for in a second, by a count of them.
+func (known *learned) rate(shared *resource, state *State, count func(route load.Route) float64) float64 {
+	total := 0.0
+	for name, route := range state.Total.Routes {
+		total += perSecond(count(route)) * known.need(shared, name, route.Service)
+	}
+	return total
+}
--- /dev/null
+++ b/internal/admission/scene.go
@@ -0,0 +1,151 @@
+package admission
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/magpielug/magpielug/internal/load"
+)
+
+// scene is the resource that leaves an order the least room, with what asks for it.
+type scene struct {
+	*resource
+	state *State
+	order Order
+	need  float64
+	// place is the number of more urgent ranks, ranks all there are.
+	place int
+	ranks []int
+	// projected is the demand with what has begun since the state's moment and with the
+	// order; limit leaves out what is kept for more urgent ranks.
+	projected float64
+	limit     float64
+	// rate is what may begin in a second at the order's rank, over all owners, and
+	// backlog what was refused to it lately.
+	rate    float64
+	backlog float64
+}
+
+// scene finds the resource that binds, nil where there is none.
+func (controller *Controller) scene(order Order, state *State, now time.Time) *scene {
+	known := controller.learned
+	own := controller.begunSince(now.Add(-state.Age))
+	ranks := ranksOf(state, order.Rank)
+	var tightest *scene
+	for _, shared := range known.resources(state, controller.options.Memory) {
+		next := &scene{resource: shared, state: state, order: order, ranks: ranks, place: position(ranks, order.Rank)}
+		next.need = known.need(shared, order.Route, order.Service)
+		if shared.memory {
+			next.need = max(next.need, float64(order.Prompt)*ownMemory(shared, order))
+		}
+		if next.need < nominalNeed*shared.capacity {
+			continue
+		}
+		next.projected = shared.demand + known.moved(shared, state, own) + next.need
+		next.limit = shared.limit - reserve(next.place)*shared.capacity
+		if tightest == nil || next.fill() > tightest.fill() {
+			tightest = next
+		}
+	}
+	if tightest != nil {
+		tightest.setRate(known)
+	}
+	return tightest
+}
+
+// ownMemory is 1 where the order's prompts go into the memory.
+func ownMemory(shared *resource, order Order) float64 {
+	if shared.service == order.Service {
+		return 1
+	}
+	return 0
+}
+
+// begunSince lists this owner's admissions since a moment.
+func (controller *Controller) begunSince(moment time.Time) []begun {
+	first, _ := slices.BinarySearchFunc(controller.begun, moment, func(admission begun, moment time.Time) int { return admission.at.Compare(moment) })
+	return controller.begun[first:]
+}
+
+// ranksOf lists the ranks of which programs are under way or ask, and that of the order.
+func ranksOf(state *State, own int) []int {
+	ranks := []int{own}
+	for _, route := range state.Total.Routes {
+		if route.Programs > 0 || perSecond(route.Begun+route.Refused) >= 1 {
+			ranks = append(ranks, route.Rank)
+		}
+	}
+	slices.Sort(ranks)
+	return slices.Compact(ranks)
+}
+
+func (scene *scene) fill() float64 { return scene.projected / scene.limit }
+
+// setRate works out what may begin: as much as ends, and what brings demand to its limit
+// soon.
+func (scene *scene) setRate(known *learned) {
+	room := scene.limit - (scene.projected - scene.need)
+	rate := scene.ends + room/correctionSpan.Seconds()
+	life := max(known.routes[scene.order.Route].life(), firstLife)
+	rate = max(rate, leastRate*scene.capacity/life.Seconds())
+	wanted := make([]float64, len(scene.ranks))
+	for place, rank := range scene.ranks {
+		wanted[place] = known.rate(scene.resource, scene.state, atRank(rank, func(route load.Route) float64 { return route.Begun + route.Refused }))
+	}
+	scene.rate = divide(rate, wanted, scene.place)
+	scene.backlog = known.rate(scene.resource, scene.state, atRank(scene.order.Rank, func(route load.Route) float64 { return route.Refused }))
+}
+
+// atRank counts only routes of one rank.
+func atRank(rank int, count func(route load.Route) float64) func(route load.Route) float64 {
+	return func(route load.Route) float64 {
+		if route.Rank != rank {
+			return 0
+		}
+		return count(route)
+	}
+}
+
+func (scene *scene) decision() Decision {
+	return Decision{Service: scene.service, Demand: scene.projected, Need: scene.need, Limit: scene.limit, Capacity: scene.capacity, Rate: scene.rate}
+}
+
+func (scene *scene) reason() Reason {
+	if scene.memory {
+		return NoMemory
+	}
+	return NoSlots
+}
+
+// fits tells whether the order leaves demand below its limit. A tenant that has more than
+// its share finds less room.
+func (scene *scene) fits(decision Decision) bool {
+	limit := scene.limit
+	if decision.overShare() {
+		limit -= overShareReserve * scene.capacity
+	}
+	return scene.projected <= limit
+}
+
+// fitsUnderShare tells whether there is room for a tenant that has much less than its
+// share.
+func (scene *scene) fitsUnderShare(decision Decision) bool {
+	return decision.farUnderShare() && scene.projected <= scene.limit+underShareRoom*scene.capacity
+}
+
+// retryAfter is when there will be room for the order: those refused before it begin
+// first.
+func (scene *scene) retryAfter(order Order, life time.Duration) time.Duration {
+	ahead := scene.backlog + scene.need
+	wait := mostRetry.Seconds()
+	if scene.rate > 0 {
+		wait = math.Min(wait, ahead/scene.rate)
+	}
+	wait *= retryFrom + retrySpread*order.Spread
+	most := mostRetry
+	if order.HasAim {
+		most = min(most, max(order.AimLeft-life, leastRetry))
+	}
+	return max(min(time.Duration(wait*float64(time.Second)), most), leastRetry)
+}
--- /dev/null
+++ b/internal/admission/shares.go
@@ -0,0 +1,115 @@
+package admission
+
+import (
+	"math"
+	"slices"
+)
+
+const (
+	// overShareReserve of the capacity is left free by tenants that have more than their
+	// share: the others shall not be refused for their sake first.
+	overShareReserve = 0.05
+	// underShareRoom of the capacity is what tenants find beyond the limit that have less
+	// than farUnder of their share: there are few of their programs.
+	underShareRoom = 0.1
+	farUnder       = 0.5
+	// contested is the part of what is under way that shares are made of. What is left
+	// over is as much as programs end and begin within a view's age.
+	contested = 0.9
+	// sharesFrom is the part of the limit from which on shares matter.
+	sharesFrom = 0.9
+)
+
+// holding is what a tenant has under way.
+type holding struct {
+	programs float64
+	weight   float64
+}
+
+func (held holding) perWeight() float64 { return held.programs / held.weight }
+
+// share notes the share of the order's tenant in the decision, where room is scarce and
+// several tenants of its rank want it.
+func (scene *scene) share(order Order, decision *Decision) {
+	if scene.projected < sharesFrom*scene.limit {
+		return
+	}
+	holdings := scene.state.holdings(order)
+	if len(holdings) < 2 {
+		return
+	}
+	total := 0.0
+	for _, held := range holdings {
+		total += held.programs
+	}
+	level := fairLevel(holdings, contested*total*min(1, scene.limit/scene.projected))
+	own := holdings[order.Program.Tenant]
+	decision.Held = own.programs
+	decision.Fair = level * own.weight
+}
+
+// holdings lists what the tenants of the order's rank have under way, the order's tenant
+// included.
+func (state *State) holdings(order Order) map[string]holding {
+	held := map[string]holding{order.Program.Tenant: {weight: state.weight(order.Program.Tenant)}}
+	for holder, programs := range state.Total.Tenants {
+		if holder.Rank == order.Rank && programs > 0 {
+			held[holder.Tenant] = holding{programs: float64(programs), weight: state.weight(holder.Tenant)}
+		}
+	}
+	return held
+}
+
+// weight is the size of a tenant.
+func (state *State) weight(tenant string) float64 {
+	if weight := state.Weights[tenant]; weight > 0 {
+		return weight
+	}
+	sum := 0.0
+	for _, weight := range state.Weights {
+		sum += weight
+	}
+	if sum <= 0 {
+		return 1
+	}
+	return sum / float64(len(state.Weights))
+}
+
+// fairLevel is the most programs for each unit of weight that a tenant may have so that
+// all together have no more than fit (max-min fairness): who has less keeps all of it.
+func fairLevel(holdings map[string]holding, fit float64) float64 {
+	sorted := make([]holding, 0, len(holdings))
+	weight := 0.0
+	for _, held := range holdings {
+		sorted = append(sorted, held)
+		weight += held.weight
+	}
+	slices.SortFunc(sorted, func(left, right holding) int {
+		switch {
+		case left.perWeight() < right.perWeight():
+			return -1
+		case left.perWeight() > right.perWeight():
+			return 1
+		}
+		return 0
+	})
+	for _, held := range sorted {
+		if held.perWeight()*weight > fit {
+			return fit / weight
+		}
+		fit -= held.programs
+		weight -= held.weight
+	}
+	return math.Inf(1)
+}
+
+// overShare tells whether the tenant has its share already. One without a program under
+// way never has.
+func (decision *Decision) overShare() bool {
+	return decision.Fair > 0 && decision.Held >= max(decision.Fair, 1)
+}
+
+// farUnderShare tells whether the tenant has much less than its share.
+func (decision *Decision) farUnderShare() bool {
+	return decision.Fair > 0 && decision.Held+1 <= farUnder*decision.Fair
+}
--- /dev/null
+++ b/internal/admission/table.go
@@ -0,0 +1,219 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/magpielug/magpielug/internal/load"
+	"github.com/magpielug/magpielug/internal/tenant"
+)
+
+const (
+	// remembered is how long after its last turn a program is still known to have
+	// begun. It is as long as assignments of engines last.
+	remembered = time.Minute
+	// firstPause is taken for the usual pause between two turns until it is known: those
+	// of agents that think and call tools last some tenths of a second.
+	firstPause = 150 * time.Millisecond
+	// pauseWeight is the weight of the newest pause in the usual one.
+	pauseWeight = 0.05
+	// pausesToEnd is after how many usual pauses a program counts as over. Of pauses
+	// that vary like those between chance events 5 in 100 are longer; such a program
+	// counts again from its next turn on.
+	pausesToEnd = 3
+	// leastSilence and mostSilence bound that. A program that counts for long after its
+	// end hides how many have begun lately.
+	leastSilence = 250 * time.Millisecond
+	mostSilence  = 2 * time.Second
+	// endMargin is how long after a turn's time its end may still come in.
+	endMargin = time.Second
+)
+
+// Turn is a turn whose tokens were reserved.
+type Turn struct {
+	Program tenant.Program
+	// Request is the key of its reservation.
+	Request string
+	Session string
+	Route   string
+	Service string
+	Rank    int
+	// Prompt is the length of its prompt, tokens.
+	Prompt int64
+	// Until is when its time is over, also where its end is never heard of.
+	Until time.Time
+	// Aim is when its program should be over, zero where it names no such time.
+	Aim time.Time
+	// Begins is true for the first turn of a program.
+	Begins bool
+}
+
+// underWay is a program that has begun.
+type underWay struct {
+	route   string
+	holder  load.Holder
+	prompts map[string]int64
+	// open holds when the time of each open turn is over.
+	open map[string]time.Time
+	// seen is when a turn last began or ended.
+	seen time.Time
+	aim  time.Time
+	// late is true once the program was seen at work after its aim.
+	late bool
+}
+
+// routeCounts is what the table counts of a route.
+type routeCounts struct {
+	service string
+	rank    int
+	begun   fading
+	refused fading
+	late    fading
+	// pause is the usual pause between two turns.
+	pause time.Duration
+}
+
+// silence is how long a program of the route may pause without counting as over.
+func (counts *routeCounts) silence() time.Duration {
+	return min(max(pausesToEnd*counts.pause, leastSilence), mostSilence)
+}
+
+// Table holds the programs of an owner's shards. It is not safe for concurrent use.
+type Table struct {
+	programs map[tenant.Program]*underWay
+	routes   map[string]*routeCounts
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{programs: map[tenant.Program]*underWay{}, routes: map[string]*routeCounts{}}
+}
+
+// Knows tells whether a program has begun.
+func (table *Table) Knows(program tenant.Program) bool { return table.programs[program] != nil }
+
+func (table *Table) countsOf(name, service string, rank int) *routeCounts {
+	counts := table.routes[name]
+	if counts == nil {
+		counts = &routeCounts{pause: firstPause}
+		table.routes[name] = counts
+	}
+	counts.service = service
+	counts.rank = rank
+	return counts
+}
+
+// TurnBegins notes a turn.
+func (table *Table) TurnBegins(turn Turn, now time.Time) {
+	name := RouteName(turn.Route, turn.Rank)
+	counts := table.countsOf(name, turn.Service, turn.Rank)
+	program := table.programs[turn.Program]
+	if program == nil {
+		program = &underWay{prompts: map[string]int64{}, open: map[string]time.Time{}}
+		table.programs[turn.Program] = program
+	} else if len(program.open) == 0 {
+		counts.notePause(now.Sub(program.seen))
+	}
+	if turn.Begins {
+		counts.begun.add(1, now)
+	}
+	program.route = name
+	program.holder = load.Holder{Tenant: turn.Program.Tenant, Rank: turn.Rank}
+	program.prompts[turn.Session] = turn.Prompt
+	program.open[turn.Request] = turn.Until.Add(endMargin)
+	program.seen = now
+	program.aim = turn.Aim
+	table.noteLate(program, now)
+}
+
+// notePause learns how long programs pause.
+func (counts *routeCounts) notePause(pause time.Duration) {
+	if pause <= mostSilence {
+		counts.pause += time.Duration(pauseWeight * float64(pause-counts.pause))
+	}
+}
+
+// noteLate counts a program that is at work after its aim, once.
+func (table *Table) noteLate(program *underWay, now time.Time) {
+	if program.late || program.aim.IsZero() || now.Before(program.aim) || len(program.open) == 0 {
+		return
+	}
+	program.late = true
+	table.routes[program.route].late.add(1, now)
+}
+
+// TurnEnds notes the end of a turn.
+func (table *Table) TurnEnds(name tenant.Program, request string, now time.Time) {
+	program := table.programs[name]
+	if program == nil {
+		return
+	}
+	if _, open := program.open[request]; !open {
+		return
+	}
+	table.noteLate(program, now)
+	delete(program.open, request)
+	program.seen = now
+}
+
+// Refused notes that a program was refused.
+func (table *Table) Refused(order Order, now time.Time) {
+	table.countsOf(order.Route, order.Service, order.Rank).refused.add(1, now)
+}
+
+// Report returns what the programs have under way, by route and by tenant.
+func (table *Table) Report(now time.Time) (map[string]load.Route, map[load.Holder]int) {
+	routes := make(map[string]load.Route, len(table.routes))
+	tenants := map[load.Holder]int{}
+	for name, program := range table.programs {
+		table.expire(name, program, now)
+		table.noteLate(program, now)
+		if !table.counts(program, now) {
+			continue
+		}
+		route := routes[program.route]
+		route.Programs++
+		route.Turns += len(program.open)
+		for _, tokens := range program.prompts {
+			route.Tokens += tokens
+		}
+		routes[program.route] = route
+		tenants[program.holder]++
+	}
+	for name, counts := range table.routes {
+		route := routes[name]
+		route.Service = counts.service
+		route.Rank = counts.rank
+		route.Begun = counts.begun.read(now)
+		route.Refused = counts.refused.read(now)
+		route.Late = counts.late.read(now)
+		routes[name] = route
+	}
+	return routes, tenants
+}
+
+// counts tells whether a program is under way.
+func (table *Table) counts(program *underWay, now time.Time) bool {
+	return len(program.open) > 0 || now.Sub(program.seen) <= table.routes[program.route].silence()
+}
+
+// expire drops turns whose end was never heard of, and a program that is long over.
+func (table *Table) expire(name tenant.Program, program *underWay, now time.Time) {
+	for request, until := range program.open {
+		if now.After(until) {
+			delete(program.open, request)
+		}
+	}
+	if len(program.open) == 0 && now.Sub(program.seen) > remembered {
+		delete(table.programs, name)
+	}
+}
+
+// Drop forgets the programs for which a condition holds: their shard is owned by
+// another node.
+func (table *Table) Drop(condition func(program tenant.Program) bool) {
+	for name := range table.programs {
+		if condition(name) {
+			delete(table.programs, name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/backend/capacity.go
@@ -0,0 +1,39 @@
+package backend
+
+import "time"
+
+// Capacity is what the sound engines of a service have.
+type Capacity struct {
+	Service string
+	// Slots is how many requests they run at once, 0 where none says so.
+	Slots int
+	// Engines lists their ids.
+	Engines []string
+}
+
+// Capacities returns what the sound engines of each service have. An engine that has just
+// said that it is full is as sound as others, and so is one among many that are silent:
+// that is what load looks like.
+func (directory *Directory) Capacities(now time.Time) []Capacity {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	directory.usable("")
+	var all []Capacity
+	for service, engines := range directory.services {
+		all = append(all, capacityOf(service, engines, now))
+	}
+	return all
+}
+
+func capacityOf(service string, engines []*Engine, now time.Time) Capacity {
+	capacity := Capacity{Service: service}
+	heedDoubt := heedsDoubt(engines, now)
+	for _, engine := range engines {
+		if now.Before(engine.avoidUntil) || (heedDoubt && engine.doubted(now)) {
+			continue
+		}
+		capacity.Slots += engine.Slots
+		capacity.Engines = append(capacity.Engines, engine.ID)
+	}
+	return capacity
+}
--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -14,6 +14,16 @@
 	"go.uber.org/zap"
 )
 
+// ReservationOrder is a turn that asks its program's owner.
+type ReservationOrder struct {
+	Call *Call
+	// Service runs the turn.
+	Service string
+	// Route takes it, and Rank is how urgent it is: 0 is the most urgent.
+	Route string
+	Rank  int
+}
+
 // Reservation is the owner's answer to a turn.
 type Reservation struct {
 	Verdict nodev1.Verdict
@@ -25,6 +35,8 @@
 	// Elsewhere is true where the owner could not be asked from this node, and may
 	// be from another one.
 	Elsewhere bool
+	// RetryAfter is when there will be room for a program that may not begin now.
+	RetryAfter time.Duration
 }
 
 // Grant names a reservation to the owner that made it.
@@ -36,8 +48,9 @@
 
 // Programs asks the owners of programs.
 type Programs interface {
-	// Reserve asks for a turn's tokens, its chain and its engine of the service.
-	Reserve(ctx context.Context, call *Call, service string) Reservation
+	// Reserve asks for a turn's tokens, its chain and its engine of the service, and
+	// whether its program may begin.
+	Reserve(ctx context.Context, order *ReservationOrder) Reservation
 	// Settle tells what a turn spent; turn is nil where none is kept. It does
 	// not wait.
 	Settle(call *Call, grant Grant, tokens int64, turn *history.Turn)
@@ -243,7 +256,8 @@
 		current.call.Turn.Previous = ""
 	}
 	began := time.Now()
-	reservation := current.service.Programs.Reserve(ctx, current.call, current.serviceName)
+	reservation := current.service.Programs.Reserve(ctx, &ReservationOrder{
+		Call: current.call, Service: current.serviceName, Route: current.route.Name, Rank: current.urgency()})
 	current.reservation = reservation
 	current.reserveTook = time.Since(began)
 	switch reservation.Verdict {
@@ -257,6 +271,8 @@
 		return resultcode.New(resultcode.ProgramCapReached, "the program's budget leaves no room for the turn: %s", reservation.Reason)
 	case nodev1.Verdict_VERDICT_NO_SUCH_TURN:
 		return resultcode.New(resultcode.UnknownTurn, "there is no turn %s to go on from", current.call.Turn.Previous)
+	case nodev1.Verdict_VERDICT_NO_ROOM:
+		return resultcode.New(resultcode.NoRoom, "there is no room for the program to begin: %s", reservation.Reason).After(reservation.RetryAfter)
 	default:
 		comeBack := ownerRetry
 		if reservation.Elsewhere {
--- a/internal/forward/service_test.go
+++ b/internal/forward/service_test.go
@@ -92,7 +92,7 @@
 	wait        time.Duration
 }
 
-func (programs *fakePrograms) Reserve(context.Context, *forward.Call, string) forward.Reservation {
+func (programs *fakePrograms) Reserve(context.Context, *forward.ReservationOrder) forward.Reservation {
 	programs.reserves++
 	time.Sleep(programs.wait)
 	return programs.reservation
--- /dev/null
+++ b/internal/node/admission.go
@@ -0,0 +1,193 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	nodev1 "github.com/magpielug/magpielug/api/node/v1"
+	"github.com/magpielug/magpielug/internal/admission"
+	"github.com/magpielug/magpielug/internal/backend"
+	"github.com/magpielug/magpielug/internal/feature"
+	"github.com/magpielug/magpielug/internal/load"
+	"github.com/magpielug/magpielug/internal/tenant"
+	"github.com/magpielug/magpielug/internal/wait"
+	"go.uber.org/zap"
+)
+
+const (
+	// knowsPrograms is how long after it has come to own a shard an owner refuses nobody
+	// there: it takes a program that goes on for one that begins. Within this time nearly
+	// every program under way has shown itself by a turn; a turn lasts 3 s at most.
+	knowsPrograms = 4 * time.Second
+	// admissionPause separates two looks at the load.
+	admissionPause = 200 * time.Millisecond
+)
+
+// admitter decides for this node which programs of its shards may begin.
+type admitter struct {
+	node *Node
+	// mutex guards table and controller.
+	mutex      sync.Mutex
+	table      *admission.Table
+	controller *admission.Controller
+}
+
+func newAdmitter(node *Node) *admitter {
+	options := admission.Options{Shares: feature.Enabled(feature.TenantShares), Memory: feature.Enabled(feature.MemoryRoom)}
+	return &admitter{node: node, table: admission.NewTable(), controller: admission.NewController(options)}
+}
+
+// run learns what programs need, also while none begins here.
+func (admitter *admitter) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait.For(ctx, admissionPause)
+		now := time.Now()
+		state := admitter.state(now)
+		admitter.mutex.Lock()
+		admitter.controller.Observe(state, now)
+		admitter.table.Drop(admitter.elsewhere)
+		admitter.mutex.Unlock()
+	}
+}
+
+// elsewhere tells whether another node owns a program's shard.
+func (admitter *admitter) elsewhere(program tenant.Program) bool {
+	return !admitter.node.ownership.Owns(admitter.node.programs.shardOf(program.ID))
+}
+
+// report returns the programs of this node's shards, for the load report.
+func (admitter *admitter) report() (map[string]load.Route, map[load.Holder]int) {
+	admitter.mutex.Lock()
+	defer admitter.mutex.Unlock()
+	return admitter.table.Report(time.Now())
+}
+
+// begins tells whether a turn is the first of its program, as far as this node knows.
+func (admitter *admitter) begins(request *nodev1.ReserveRequest) bool {
+	if request.Previous != "" {
+		return false
+	}
+	admitter.mutex.Lock()
+	defer admitter.mutex.Unlock()
+	return !admitter.table.Knows(programOf(request))
+}
+
+// admits tells whether a program may begin. Where it may not, the reply says so.
+func (admitter *admitter) admits(shard int, request *nodev1.ReserveRequest, reply *nodev1.ReserveReply) bool {
+	now := time.Now()
+	since, owned := admitter.node.ownership.OwnedSince(shard)
+	if !feature.Enabled(feature.Admission) || !owned || now.Sub(since) < knowsPrograms {
+		return true
+	}
+	state := admitter.state(now)
+	order := orderOf(request)
+	admitter.mutex.Lock()
+	decision := admitter.controller.Decide(order, state, now)
+	if !decision.Admitted {
+		admitter.table.Refused(order, now)
+	}
+	admitter.mutex.Unlock()
+	if decision.Admitted {
+		return true
+	}
+	admitter.logRefusal(request, decision, state.Age)
+	reply.Verdict = nodev1.Verdict_VERDICT_NO_ROOM
+	reply.Reason = string(decision.Reason)
+	reply.RetryAfterMs = decision.RetryAfter.Milliseconds()
+	reply.Owner = admitter.node.settings.Name
+	return false
+}
+
+func orderOf(request *nodev1.ReserveRequest) admission.Order {
+	const parts = 1 << 16
+	return admission.Order{
+		Program: programOf(request),
+		Route:   admission.RouteName(request.Route, int(request.Rank)),
+		Service: request.Service,
+		Rank:    int(request.Rank),
+		Prompt:  request.Prompt,
+		AimLeft: milliseconds(request.AimLeftMs),
+		HasAim:  request.HasAim,
+		Spread:  float64(xxhash.Sum64String(request.Request)%parts) / parts,
+	}
+}
+
+// logRefusal writes what decided.
+func (admitter *admitter) logRefusal(request *nodev1.ReserveRequest, decision admission.Decision, age time.Duration) {
+	admitter.node.logger.Info("program refused", zap.String("key", request.Request), zap.String("program", request.Program),
+		zap.String("tenant", request.Tenant), zap.String("route", request.Route), zap.Int32("rank", request.Rank),
+		zap.String("reason", string(decision.Reason)), zap.String("service", decision.Service),
+		zap.Float64("demand", decision.Demand), zap.Float64("need", decision.Need), zap.Float64("limit", decision.Limit),
+		zap.Float64("capacity", decision.Capacity), zap.Float64("rate", decision.Rate),
+		zap.Float64("held", decision.Held), zap.Float64("fair", decision.Fair),
+		zap.Duration("view_age", age), zap.Duration("retry_after", decision.RetryAfter))
+}
+
+// turnBegins notes a turn whose tokens were reserved.
+func (admitter *admitter) turnBegins(request *nodev1.ReserveRequest, until time.Time, begins bool) {
+	now := time.Now()
+	turn := admission.Turn{
+		Program: programOf(request),
+		Request: request.Request,
+		Session: request.Session,
+		Route:   request.Route,
+		Service: request.Service,
+		Rank:    int(request.Rank),
+		Prompt:  request.Prompt,
+		Until:   until,
+		Begins:  begins,
+	}
+	if request.HasAim {
+		turn.Aim = now.Add(milliseconds(request.AimLeftMs))
+	}
+	admitter.mutex.Lock()
+	defer admitter.mutex.Unlock()
+	admitter.table.TurnBegins(turn, now)
+}
+
+// turnEnds notes a turn's end.
+func (admitter *admitter) turnEnds(program tenant.Program, request string) {
+	admitter.mutex.Lock()
+	defer admitter.mutex.Unlock()
+	admitter.table.TurnEnds(program, request, time.Now())
+}
+
+// state puts together what a decision goes by.
+func (admitter *admitter) state(now time.Time) *admission.State {
+	node := admitter.node
+	total, known := node.load.Total(now)
+	age, _ := node.load.Age(now)
+	state := &admission.State{Total: total, Known: known, Age: age, Share: admitter.share()}
+	if !known {
+		return state
+	}
+	for _, capacity := range node.engines.Capacities(now) {
+		state.Services = append(state.Services, node.serviceState(capacity, total))
+	}
+	if configuration := node.routes.Load(); configuration != nil {
+		state.Weights = configuration.Tenants.Rates()
+	}
+	return state
+}
+
+// serviceState tells what a service's engines have, and what runs there.
+func (node *Node) serviceState(capacity backend.Capacity, total load.Report) admission.Service {
+	service := admission.Service{Name: capacity.Service, Slots: capacity.Slots, Engines: len(capacity.Engines), MemoryTokens: node.memoryOf(capacity.Service)}
+	for _, engine := range capacity.Engines {
+		service.Running += total.Engines[engine].Running
+	}
+	return service
+}
+
+// share is the part of all shards that this node owns.
+func (admitter *admitter) share() float64 {
+	owned := 0
+	for shard := range admitter.node.settings.Shards {
+		if _, owns := admitter.node.ownership.OwnedSince(shard); owns {
+			owned++
+		}
+	}
+	return float64(owned) / float64(admitter.node.settings.Shards)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -94,6 +94,7 @@
 	ownership *ownership.Manager
 	assigner  *assignment.Assigner
 	programs  *programs
+	admission *admitter
 	quotas    *quotas
 	service   *forward.Service
 	// egress sends turns for other nodes.
@@ -175,6 +176,7 @@
 		Address:     settings.PeerAddress,
 	}, settings.Shards, ownership.Around{Yield: node.askToYield, LogAway: node.logAway})
 	node.programs = newPrograms(node)
+	node.admission = newAdmitter(node)
 	node.quotas = newQuotas(node)
 	node.reader.Delegate(node.lineElsewhere)
 	if feature.Enabled(feature.RecordingElsewhere) {
@@ -250,6 +252,7 @@
 	}
 	go node.learner.run(working, node.following)
 	go node.quotas.lend(working)
+	go node.admission.run(working)
 	go node.keepHouse(working)
 	for {
 		select {
--- a/internal/node/peer_server.go
+++ b/internal/node/peer_server.go
@@ -36,7 +36,7 @@
 	shard := node.programs.shardOf(settlement.Program)
 	owner := node.programs.believedOwner(shard).Node
 	if node.ownership.Owns(shard) || passedOn || owner == "" || owner == node.settings.Name {
-		node.ownership.Settle(shard, tenant.Program{Tenant: settlement.Tenant, ID: settlement.Program}, settlement.Request, settlement.Tokens)
+		node.endTurn(shard, tenant.Program{Tenant: settlement.Tenant, ID: settlement.Program}, settlement.Request, settlement.Tokens)
 		return
 	}
 	go node.programs.send(owner, &nodev1.SettleRequest{Settlements: []*nodev1.Settlement{settlement}, PassedOn: true})
--- a/internal/node/programs.go
+++ b/internal/node/programs.go
@@ -58,7 +58,8 @@
 }
 
 // Reserve implements forward.Programs.
-func (programs *programs) Reserve(ctx context.Context, call *forward.Call, service string) forward.Reservation {
+func (programs *programs) Reserve(ctx context.Context, order *forward.ReservationOrder) forward.Reservation {
+	call := order.Call
 	request := &nodev1.ReserveRequest{
 		Program:  call.Program,
 		Tenant:   call.Tenant,
@@ -67,7 +68,9 @@
 		Prompt:   call.Turn.Prompt,
 		Previous: call.Turn.Previous,
 		Session:  call.Session,
-		Service:  service,
+		Service:  order.Service,
+		Route:    order.Route,
+		Rank:     int32(order.Rank),
 		Node:     programs.node.settings.Name,
 		Zone:     programs.node.settings.Zone,
 		Running:  programs.node.running(),
@@ -76,6 +79,10 @@
 	if until, bounded := ctx.Deadline(); bounded {
 		request.TimeLeftMs = time.Until(until).Milliseconds()
 	}
+	if !call.Aim.IsZero() {
+		request.HasAim = true
+		request.AimLeftMs = time.Until(call.Aim).Milliseconds()
+	}
 	var chain []*history.Turn
 	if request.Previous != "" {
 		held, _, complete := programs.node.turns.Chain(history.Key{Tenant: call.Tenant, ID: request.Previous})
@@ -87,7 +94,8 @@
 		chain = programs.takeChain(reply.Chain)
 	}
 	return forward.Reservation{Verdict: reply.Verdict, Chain: chain, Reason: reply.Reason, Engine: reply.Engine, Elsewhere: elsewhere,
-		Grant: forward.Grant{Owner: reply.Owner, Epoch: reply.Epoch, Key: request.Request}}
+		RetryAfter: milliseconds(reply.RetryAfterMs),
+		Grant:      forward.Grant{Owner: reply.Owner, Epoch: reply.Epoch, Key: request.Request}}
 }
 
 // takeChain keeps turns that another node sent.
--- a/internal/node/reserve.go
+++ b/internal/node/reserve.go
@@ -30,6 +30,10 @@
 	if request.NeedsChain && node.ownership.Owns(shard) && !node.addChain(ctx, shard, request, reply) {
 		return reply
 	}
+	begins := node.admission.begins(request)
+	if begins && !node.admission.admits(shard, request, reply) {
+		return reply
+	}
 	answer := node.ownership.Reserve(ctx, shard, ask)
 	if answer.Verdict == nodev1.Verdict_VERDICT_NOT_OWNER && failedFor(request, answer.Owner) {
 		return node.passOn(ctx, answer.Owner, request)
@@ -38,6 +42,7 @@
 	reply.OwnerAddress = answer.Owner.Address
 	reply.Epoch = answer.Owner.Epoch
 	if answer.Verdict == nodev1.Verdict_VERDICT_GRANTED {
+		node.admission.turnBegins(request, ask.Until, begins)
 		node.complete(ctx, shard, request, reply)
 		return reply
 	}
@@ -74,17 +79,23 @@
 	if ctx.Err() != nil {
 		reply.Verdict = nodev1.Verdict_VERDICT_UNSURE
 		reply.Reason = "the asker has given up"
-		node.ownership.Settle(shard, programOf(request), request.Request, 0)
+		node.endTurn(shard, programOf(request), request.Request, 0)
 		return
 	}
 	if request.NeedsChain && len(reply.Chain) == 0 && !node.addChain(ctx, shard, request, reply) {
-		node.ownership.Settle(shard, programOf(request), request.Request, 0)
+		node.endTurn(shard, programOf(request), request.Request, 0)
 		return
 	}
 	reply.Verdict = nodev1.Verdict_VERDICT_GRANTED
 	reply.Engine = node.assign(request)
 }
 
+// endTurn ends a turn of a program that this node owns.
+func (node *Node) endTurn(shard int, program tenant.Program, request string, tokens int64) {
+	node.admission.turnEnds(program, request)
+	node.ownership.Settle(shard, program, request, tokens)
+}
+
 // running returns the node's requests under way by engine, for the owners that
 // assign engines.
 func (node *Node) running() map[string]int32 {
--- a/internal/ownership/manager.go
+++ b/internal/ownership/manager.go
@@ -27,8 +27,11 @@
 	// claimFailed is when the log last failed a claim of this node.
 	claimFailed time.Time
 	// held tells other goroutines which shards are owned or being claimed.
-	held    []atomic.Bool
-	context context.Context
+	held []atomic.Bool
+	// ownedSince is when this node came to own a shard, Unix nanoseconds; 0 where it
+	// does not.
+	ownedSince []atomic.Int64
+	context    context.Context
 }
 
 // eventQueue is how many events may wait for the control goroutine.
@@ -46,6 +49,7 @@
 		events:  make(chan func(), eventQueue),
 	}
 	manager.held = make([]atomic.Bool, shards)
+	manager.ownedSince = make([]atomic.Int64, shards)
 	for number := range shards {
 		manager.shards = append(manager.shards, &shard{number: number, ended: map[string]time.Time{}})
 	}
@@ -109,3 +113,9 @@
 
 // Owns tells whether this node owns a shard or is claiming it.
 func (manager *Manager) Owns(number int) bool { return manager.held[number].Load() }
+
+// OwnedSince returns when this node came to own a shard, false where it does not.
+func (manager *Manager) OwnedSince(number int) (time.Time, bool) {
+	since := manager.ownedSince[number].Load()
+	return time.Unix(0, since), since != 0
+}
--- a/internal/ownership/shard.go
+++ b/internal/ownership/shard.go
@@ -212,6 +212,11 @@
 	}
 	shard.phase = next
 	manager.held[shard.number].Store(next == charts.OwnershipStateOwned || next == charts.OwnershipStateClaiming)
+	since := int64(0)
+	if next == charts.OwnershipStateOwned {
+		since = time.Now().UnixNano()
+	}
+	manager.ownedSince[shard.number].Store(since)
 	return true
 }
 
--- a/internal/tenant/tenant.go
+++ b/internal/tenant/tenant.go
@@ -49,6 +49,8 @@
 	configured bool
 	// limited is true where any tenant has a limit.
 	limited bool
+	// rates are the tenants' limits in requests a second, of those that have one.
+	rates map[string]float64
 }
 
 // Holder is a tenant with its keys.
@@ -59,10 +61,13 @@
 
 // NewDirectory builds a directory. Of two tenants with one key the first holds it.
 func NewDirectory(holders []Holder) Directory {
-	built := Directory{byKey: map[digest]*Tenant{}, configured: true}
+	built := Directory{byKey: map[digest]*Tenant{}, configured: true, rates: map[string]float64{}}
 	for index := range holders {
 		holder := &holders[index]
 		built.limited = built.limited || holder.Tenant.Limit.Bounded()
+		if holder.Tenant.Limit.Bounded() {
+			built.rates[holder.Tenant.Name] = holder.Tenant.Limit.PerSecond
+		}
 		for _, key := range holder.Keys {
 			sum := digest(sha256.Sum256([]byte(key)))
 			if _, held := built.byKey[sum]; !held && key != "" {
@@ -84,6 +89,10 @@
 	return directory.byKey[sha256.Sum256([]byte(key))]
 }
 
+// Rates returns the limits of the tenants that have one, requests a second: what the
+// operators say of the tenants' sizes. The caller must not change it.
+func (directory Directory) Rates() map[string]float64 { return directory.rates }
+
 // Limited tells whether any tenant has a limit.
 func (directory Directory) Limited() bool { return directory.limited }
 
