--- a/internal/admission/bound.go
+++ b/internal/admission/bound.go
@@ -28,8 +28,8 @@
 	// it leaves an overload within a second, and is back two seconds after it.
 	cutRate   = 0.5
 	raiseRate = 0.15
-	// probeRate is what it gains beyond firstBound, while programs use all of it and are
-	// in time.
+	// probeRate is what it gains beyond firstBound while programs are expected to use all
+	// of it, and yet nothing waits and they are in time: less is used than expected.
 	probeRate = 0.03
 	// bindsFrom is the part of the limit from which on it is held to bind.
 	bindsFrom = 0.9
@@ -54,7 +54,7 @@
 		return max(bound*math.Exp(-cutRate*seconds), leastBound)
 	case bound < firstBound && seen.queue <= 1:
 		return min(bound+raiseRate*seconds, firstBound)
-	case bound >= firstBound && seen.binds && seen.late <= lateShare:
+	case bound >= firstBound && seen.binds && seen.queue <= 1 && seen.late <= lateShare:
 		return min(bound+probeRate*seconds, mostBound)
 	case bound > firstBound && !seen.binds:
 		return max(bound-probeRate*seconds, firstBound)
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -17,10 +17,11 @@
 	// leastRate of the capacity may begin in the time that a program lives, whatever
 	// demand is: where other callers fill the engines programs still begin.
 	leastRate = 0.05
-	// longestCredit bounds for how long what may begin adds up while nobody asks, and
-	// mostCredit how many programs may begin at once for it.
-	longestCredit = time.Second
-	mostCredit    = 1.5
+	// longestCredit bounds for how long what may begin adds up while nobody asks: programs
+	// come by chance, and an owner sees a dozen a second. leastCredit programs may always
+	// add up.
+	longestCredit = 300 * time.Millisecond
+	leastCredit   = 1.5
 	// returnSpan is how long a refused program is remembered, which goes first when it
 	// comes back and can still end in its aim.
 	returnSpan = 3 * time.Second
@@ -31,8 +32,6 @@
 	mostRetry  = 900 * time.Millisecond
 	// retrySpread is the part of the wait by which two programs refused together differ.
 	retrySpread = 0.5
-	// retryFrom is the part of the predicted wait that the first of them gets.
-	retryFrom = 0.75
 )
 
 // Options switches parts of a controller on.
@@ -116,11 +115,11 @@
 		scene.share(order, &decision)
 	}
 	switch {
-	case scene.fits(decision):
-		controller.credits[order.Rank] = &credit{at: now}
-		return controller.admit(order, decision, now)
 	case decision.overShare():
 		return controller.refuse(order, decision, OverShare, scene, now)
+	case scene.fits():
+		controller.credits[order.Rank] = &credit{at: now}
+		return controller.admit(order, decision, now)
 	case scene.fitsUnderShare(decision):
 		return controller.admit(order, decision, now)
 	}
@@ -152,8 +151,9 @@
 		controller.credits[order.Rank] = held
 	}
 	need := scene.need / scene.capacity
-	since := min(now.Sub(held.at), longestCredit)
-	held.value = min(held.value+scene.state.Share*scene.rate*since.Seconds()/scene.capacity, mostCredit*need)
+	rate := scene.state.Share * scene.rate / scene.capacity
+	most := max(rate*longestCredit.Seconds(), leastCredit*need)
+	held.value = min(held.value+rate*now.Sub(held.at).Seconds(), most)
 	held.at = now
 	least := need
 	if controller.returnsInTime(order) {
--- a/internal/admission/forecast.go
+++ b/internal/admission/forecast.go
@@ -17,6 +17,9 @@
 	// take. The shared beginnings in them are counted for each, so that it is not reached
 	// before the memory is.
 	memoryShare = 1.0
+	// ahead is how far a program that begins now looks ahead: its first turn is over then,
+	// and what begins at the rate of a burst has come.
+	ahead = 200 * time.Millisecond
 	// nominalNeed is the part of a resource from which on a program is held to need any.
 	nominalNeed = 1e-6
 )
@@ -120,16 +123,17 @@
 	at      time.Time
 }
 
-// moved is how the demand has changed since the moment that the state shows: by the
-// programs that this owner has admitted, those that others are likely to have, and those
-// that are likely to have ended.
+// moved is how the demand will have changed since the moment that the state shows: by the
+// programs that this owner has admitted, those that others are likely to have, those that
+// are likely to have ended, and what begins and ends in the time ahead.
 func (known *learned) moved(shared *resource, state *State, own []begun) float64 {
 	change := 0.0
 	for _, admission := range own {
 		change += known.need(shared, admission.route, admission.service)
 	}
-	rate := known.rate(shared, state, func(route load.Route) float64 { return route.Begun })
-	return change + state.Age.Seconds()*((1-state.Share)*rate-shared.ends)
+	begins := known.rate(shared, state, func(route load.Route) float64 { return route.Begun })
+	since := state.Age.Seconds() * ((1-state.Share)*begins - shared.ends)
+	return change + since + ahead.Seconds()*(begins-shared.ends)
 }
 
 // rate is how much of a resource programs ask for in a second, by a count of them.
--- a/internal/admission/learned.go
+++ b/internal/admission/learned.go
@@ -83,7 +83,9 @@
 	services map[string]*serviceUse
 	// turns is the usual number of turns under way in all.
 	turns smoothed
-	at    time.Time
+	// refused is the part of the programs that were refused lately.
+	refused smoothed
+	at      time.Time
 }
 
 func newLearned() *learned {
@@ -109,12 +111,26 @@
 		}
 		known.turns.observe(total, step, usualSpan)
 	}
+	known.refused.observe(refusedShare(state), step, scarceSpan)
 	for name, route := range state.Total.Routes {
 		known.observeRoute(name, route, queues, step)
 	}
 	return step, true
 }
 
+// refusedShare is the part of the programs that were refused.
+func refusedShare(state *State) float64 {
+	var begun, refused float64
+	for _, route := range state.Total.Routes {
+		begun += route.Begun
+		refused += route.Refused
+	}
+	if refused <= 0 {
+		return 0
+	}
+	return refused / (begun + refused)
+}
+
 // asked is what runs and waits at each service.
 func asked(state *State) map[string]float64 {
 	present := map[string]float64{}
--- a/internal/admission/ranks.go
+++ b/internal/admission/ranks.go
@@ -1,12 +1,21 @@
 package admission
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 const (
-	// rankReserve of the capacity is left free by each rank for the more urgent ones, so
-	// that one of those finds room at once; mostReserves bounds for how many.
-	rankReserve  = 0.05
+	// rankReserve of the capacity is left free by each rank for the more urgent ones, for
+	// mostReserves of them, while scarceFrom or more of the programs are refused, and
+	// calmReserve while none are. Programs of a lower rank that have begun go on for
+	// seconds, and what comes of a more urgent one within those shall find room.
+	rankReserve  = 0.15
+	calmReserve  = 0.04
 	mostReserves = 2
+	scarceFrom   = 0.2
+	// scarceSpan is over how long that is averaged.
+	scarceSpan = 800 * time.Millisecond
 	// leastRankShare of what may begin is kept for each rank that asks: its programs get
 	// through now and then, also while more urgent ones could use all.
 	leastRankShare = 0.05
@@ -19,7 +28,10 @@
 }
 
 // reserve is what a rank leaves free for more urgent ones, as a part of the capacity.
-func reserve(place int) float64 { return rankReserve * float64(min(place, mostReserves)) }
+func (known *learned) reserve(place int) float64 {
+	scarcity := min(known.refused.value/scarceFrom, 1)
+	return float64(min(place, mostReserves)) * (calmReserve + scarcity*(rankReserve-calmReserve))
+}
 
 // divide deals what may begin in a second to ranks, the most urgent first, and returns the
 // part of the one at a place. wanted is what each asks for. Each keeps a small part for
--- a/internal/admission/scene.go
+++ b/internal/admission/scene.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -43,7 +42,7 @@
 			continue
 		}
 		next.projected = shared.demand + known.moved(shared, state, own) + next.need
-		next.limit = shared.limit - reserve(next.place)*shared.capacity
+		next.limit = shared.limit - known.reserve(next.place)*shared.capacity
 		if tightest == nil || next.fill() > tightest.fill() {
 			tightest = next
 		}
@@ -118,15 +117,8 @@
 	return NoSlots
 }
 
-// fits tells whether the order leaves demand below its limit. A tenant that has more than
-// its share finds less room.
-func (scene *scene) fits(decision Decision) bool {
-	limit := scene.limit
-	if decision.overShare() {
-		limit -= overShareReserve * scene.capacity
-	}
-	return scene.projected <= limit
-}
+// fits tells whether the order leaves demand below its limit.
+func (scene *scene) fits() bool { return scene.projected <= scene.limit }
 
 // fitsUnderShare tells whether there is room for a tenant that has much less than its
 // share.
@@ -137,15 +129,14 @@
 // retryAfter is when there will be room for the order: those refused before it begin
 // first.
 func (scene *scene) retryAfter(order Order, life time.Duration) time.Duration {
-	ahead := scene.backlog + scene.need
-	wait := mostRetry.Seconds()
-	if scene.rate > 0 {
-		wait = math.Min(wait, ahead/scene.rate)
-	}
-	wait *= retryFrom + retrySpread*order.Spread
 	most := mostRetry
 	if order.HasAim {
 		most = min(most, max(order.AimLeft-life, leastRetry))
 	}
-	return max(min(time.Duration(wait*float64(time.Second)), most), leastRetry)
+	first := most.Seconds() / (1 + retrySpread)
+	if scene.rate > 0 {
+		first = min(first, (scene.backlog+scene.need)/scene.rate)
+	}
+	first = max(first, leastRetry.Seconds())
+	return time.Duration(first * (1 + retrySpread*order.Spread) * float64(time.Second))
 }
--- a/internal/admission/shares.go
+++ b/internal/admission/shares.go
@@ -6,18 +6,14 @@
 )
 
 const (
-	// overShareReserve of the capacity is left free by tenants that have more than their
-	// share: the others shall not be refused for their sake first.
-	overShareReserve = 0.05
+	// sharedReserve of the capacity below the limit is where shares begin to matter: what
+	// goes beyond it is taken from those that have most, the more the nearer the limit
+	// is, so that the others are not refused for their sake.
+	sharedReserve = 0.05
 	// underShareRoom of the capacity is what tenants find beyond the limit that have less
 	// than farUnder of their share: there are few of their programs.
 	underShareRoom = 0.1
 	farUnder       = 0.5
-	// contested is the part of what is under way that shares are made of. What is left
-	// over is as much as programs end and begin within a view's age.
-	contested = 0.9
-	// sharesFrom is the part of the limit from which on shares matter.
-	sharesFrom = 0.9
 )
 
 // holding is what a tenant has under way.
@@ -31,7 +27,8 @@
 // share notes the share of the order's tenant in the decision, where room is scarce and
 // several tenants of its rank want it.
 func (scene *scene) share(order Order, decision *Decision) {
-	if scene.projected < sharesFrom*scene.limit {
+	uncontested := scene.limit - sharedReserve*scene.capacity
+	if scene.projected <= uncontested {
 		return
 	}
 	holdings := scene.state.holdings(order)
@@ -42,7 +39,7 @@
 	for _, held := range holdings {
 		total += held.programs
 	}
-	level := fairLevel(holdings, contested*total*min(1, scene.limit/scene.projected))
+	level := fairLevel(holdings, total*uncontested/scene.projected)
 	own := holdings[order.Program.Tenant]
 	decision.Held = own.programs
 	decision.Fair = level * own.weight
@@ -51,20 +48,24 @@
 // holdings lists what the tenants of the order's rank have under way, the order's tenant
 // included.
 func (state *State) holdings(order Order) map[string]holding {
-	held := map[string]holding{order.Program.Tenant: {weight: state.weight(order.Program.Tenant)}}
+	usual := state.usualWeight()
+	weight := func(tenant string) float64 {
+		if own := state.Weights[tenant]; own > 0 {
+			return own
+		}
+		return usual
+	}
+	held := map[string]holding{order.Program.Tenant: {weight: weight(order.Program.Tenant)}}
 	for holder, programs := range state.Total.Tenants {
 		if holder.Rank == order.Rank && programs > 0 {
-			held[holder.Tenant] = holding{programs: float64(programs), weight: state.weight(holder.Tenant)}
+			held[holder.Tenant] = holding{programs: float64(programs), weight: weight(holder.Tenant)}
 		}
 	}
 	return held
 }
 
-// weight is the size of a tenant.
-func (state *State) weight(tenant string) float64 {
-	if weight := state.Weights[tenant]; weight > 0 {
-		return weight
-	}
+// usualWeight is the size of a tenant of which the configuration tells none.
+func (state *State) usualWeight() float64 {
 	sum := 0.0
 	for _, weight := range state.Weights {
 		sum += weight
--- a/internal/admission/smoothing.go
+++ b/internal/admission/smoothing.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// RecentSpan is the time constant by which events count for less as they get older. It
-// is as long as a burst may last before programs are turned away for it.
-const RecentSpan = time.Second
+// RecentSpan is the time constant by which events count for less as they get older. What
+// begins in a view's age is judged by them, so that it is not much longer than that.
+const RecentSpan = 500 * time.Millisecond
 
 // fading counts events, older ones for less.
 type fading struct {
@@ -40,5 +40,5 @@
 	if mean.seen <= 0 {
 		return
 	}
-	mean.value += (sample - mean.value) * stands.Seconds() / mean.seen.Seconds()
+	mean.value += (sample - mean.value) * min(stands.Seconds()/mean.seen.Seconds(), 1)
 }
