Admission: tests at an owner, of the table and the parts; metrics

Metrics: programs refused by route, rank and reason; capacity, limit and demand by service; programs under way. A new owner, an unknown view, a program that goes on and the gate are tested at reserveHere; nothing is reserved with a refusal.

--- a/internal/admission/forecast.go
+++ b/internal/admission/forecast.go
@@ -19,7 +19,7 @@
 	memoryShare = 1.0
 	// ahead is how far a program that begins now looks ahead: its first turn is over then,
 	// and what begins at the rate of a burst has come.
-	ahead = 200 * time.Millisecond
+	ahead = 300 * time.Millisecond
 	// nominalNeed is the part of a resource from which on a program is held to need any.
 	nominalNeed = 1e-6
 )
--- a/internal/admission/replay_test.go
+++ b/internal/admission/replay_test.go
@@ -14,6 +14,8 @@
 const (
 	// replayStep is one step of a replay.
 	replayStep = 20 * time.Millisecond
+	// reportPause separates two reports of the owners.
+	reportPause = 100 * time.Millisecond
 	// models and tools are the services of a replay.
 	models = "models"
 	tools  = "tools"
@@ -127,7 +129,9 @@
 		}
 	}
 	run.programs = kept
-	run.show(present.demand)
+	if at%reportPause == 0 {
+		run.show(present.demand)
+	}
 	for _, each := range run.kinds {
 		for range run.arrivals(each, at) {
 			run.arrive(each, at, &present)
--- /dev/null
+++ b/internal/admission/table_test.go
@@ -0,0 +1,104 @@
+package admission_test
+
+import (
+	"time"
+
+	"github.com/magpielug/magpielug/internal/admission"
+	"github.com/magpielug/magpielug/internal/load"
+	"github.com/magpielug/magpielug/internal/tenant"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("Table", func() {
+	program := tenant.Program{Tenant: "t", ID: "p"}
+	name := admission.RouteName("r", 2)
+	var table *admission.Table
+	var now time.Time
+
+	BeforeEach(func() {
+		table = admission.NewTable()
+		now = time.Unix(1000, 0)
+	})
+
+	begin := func(request, session string, begins bool) {
+		table.TurnBegins(admission.Turn{Program: program, Request: request, Session: session, Route: "r", Service: models, Rank: 2, Prompt: 500,
+			Until: now.Add(3 * time.Second), Aim: time.Unix(1002, 0), Begins: begins}, now)
+	}
+	after := func(wait time.Duration) load.Route {
+		now = now.Add(wait)
+		routes, _ := table.Report(now)
+		return routes[name]
+	}
+
+	It("tells programs, turns and tokens of their prompts by route, and programs by tenant", func() {
+		begin("1", "main", true)
+		begin("2", "helper", false)
+		routes, tenants := table.Report(now)
+		Expect(routes[name]).To(Equal(load.Route{Service: models, Rank: 2, Programs: 1, Turns: 2, Begun: 1, Tokens: 1000}))
+		Expect(tenants).To(Equal(map[load.Holder]int{{Tenant: "t", Rank: 2}: 1}))
+	})
+
+	It("counts a program while it pauses, and as over soon after its last turn", func() {
+		begin("1", "main", true)
+		table.TurnEnds(program, "1", now)
+		Expect(after(200 * time.Millisecond).Programs).To(Equal(1))
+		Expect(after(time.Second).Programs).To(BeZero())
+		Expect(table.Knows(program)).To(BeTrue(), "it is none that begins when it goes on")
+		begin("2", "main", false)
+		Expect(after(0).Programs).To(Equal(1))
+		Expect(after(0).Begun).To(BeNumerically("<", 1), "it began once")
+		table.TurnEnds(program, "2", now)
+		after(2 * time.Minute)
+		Expect(table.Knows(program)).To(BeFalse())
+	})
+
+	It("learns how long programs pause", func() {
+		for range 60 {
+			begin("1", "main", false)
+			table.TurnEnds(program, "1", now)
+			now = now.Add(600 * time.Millisecond)
+		}
+		Expect(after(600*time.Millisecond).Programs).To(Equal(1), "1.2 s after its last turn")
+		Expect(after(2 * time.Second).Programs).To(BeZero())
+	})
+
+	It("ends a turn whose end is never heard of, and heeds an end only once", func() {
+		begin("1", "main", true)
+		table.TurnEnds(program, "other", now)
+		Expect(after(3 * time.Second).Turns).To(Equal(1))
+		Expect(after(1100 * time.Millisecond).Turns).To(BeZero())
+		table.TurnEnds(program, "1", now)
+		Expect(after(0).Programs).To(BeZero())
+	})
+
+	It("counts a program once that is at work after its aim, and none that was over by then", func() {
+		begin("1", "main", true)
+		Expect(after(1900 * time.Millisecond).Late).To(BeZero())
+		Expect(after(200 * time.Millisecond).Late).To(BeNumerically("~", 1, 0.01))
+		begin("2", "main", false)
+		Expect(after(0).Late).To(BeNumerically("~", 1, 0.01))
+
+		other := tenant.Program{Tenant: "t", ID: "in time"}
+		table.TurnBegins(admission.Turn{Program: other, Request: "1", Route: "s", Service: models, Until: now.Add(time.Second), Aim: now.Add(100 * time.Millisecond), Begins: true}, now)
+		table.TurnEnds(other, "1", now.Add(50*time.Millisecond))
+		routes, _ := table.Report(now.Add(150 * time.Millisecond))
+		Expect(routes["s/0"].Late).To(BeZero())
+	})
+
+	It("counts what was begun, refused and late lately, and forgets it", func() {
+		begin("1", "main", true)
+		table.Refused(admission.Order{Program: tenant.Program{ID: "q"}, Route: name, Service: models, Rank: 2}, now)
+		Expect(after(0).Refused).To(BeNumerically("==", 1))
+		Expect(after(admission.RecentSpan).Refused).To(BeNumerically("~", 0.37, 0.01))
+		Expect(after(10 * time.Second).Begun).To(BeNumerically("<", 0.001))
+	})
+
+	It("forgets the programs of a shard that another node owns", func() {
+		begin("1", "main", true)
+		table.Drop(func(tenant.Program) bool { return true })
+		Expect(table.Knows(program)).To(BeFalse())
+		table.TurnEnds(program, "1", now)
+		Expect(after(0).Turns).To(BeZero())
+	})
+})
--- /dev/null
+++ b/internal/backend/capacity_test.go
@@ -0,0 +1,53 @@
+package backend_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/magpielug/magpielug/internal/backend"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("Capacities", func() {
+	newSlotted := func() *backend.Directory {
+		directory := backend.NewDirectory()
+		for number := range 4 {
+			directory.Put(backend.Instance{ID: fmt.Sprint("e", number), Service: service, Address: fmt.Sprint("10.0.0.", number, ":1"), Slots: 6})
+		}
+		directory.Put(backend.Instance{ID: "t", Service: "tools", Address: "10.0.1.1:1", Slots: 5})
+		return directory
+	}
+	slots := func(directory *backend.Directory, name string, at time.Time) int {
+		for _, capacity := range directory.Capacities(at) {
+			if capacity.Service == name {
+				Expect(len(capacity.Engines) * 6).To(BeNumerically(">=", capacity.Slots))
+				return capacity.Slots
+			}
+		}
+		return 0
+	}
+
+	It("sum the slots of each service", func() {
+		directory := newSlotted()
+		Expect(slots(directory, service, now)).To(Equal(24))
+		Expect(slots(directory, "tools", now)).To(Equal(5))
+	})
+
+	It("leave engines out that leave or are down, but not those that are full", func() {
+		directory := newSlotted()
+		directory.Put(backend.Instance{ID: "e3", Service: service, Address: "10.0.0.3:1", Slots: 6, Leaving: true})
+		directory.Finish(assign(directory, "e0"), backend.Unreachable, now)
+		directory.Finish(assign(directory, "e1"), backend.Full, now)
+		Expect(slots(directory, service, now)).To(Equal(12))
+		Expect(slots(directory, service, now.Add(time.Minute))).To(Equal(18))
+	})
+
+	It("heed doubt of single engines, and not of most: that is what load looks like", func() {
+		directory := newSlotted()
+		directory.Report([]string{"e0"}, now)
+		Expect(slots(directory, service, now)).To(Equal(18))
+		directory.Report([]string{"e1", "e2"}, now)
+		Expect(slots(directory, service, now)).To(Equal(24))
+	})
+})
--- a/internal/forward/service_test.go
+++ b/internal/forward/service_test.go
@@ -84,16 +84,18 @@
 // fakePrograms grants everything and notes what is settled.
 type fakePrograms struct {
 	reservation forward.Reservation
-	// reserves counts the asks for tokens.
+	// reserves counts the asks for tokens, orders are they.
 	reserves    int
+	orders      []*forward.ReservationOrder
 	settled     []int64
 	recorded    []*history.Turn
 	recordError error
 	wait        time.Duration
 }
 
-func (programs *fakePrograms) Reserve(context.Context, *forward.ReservationOrder) forward.Reservation {
+func (programs *fakePrograms) Reserve(_ context.Context, order *forward.ReservationOrder) forward.Reservation {
 	programs.reserves++
+	programs.orders = append(programs.orders, order)
 	time.Sleep(programs.wait)
 	return programs.reservation
 }
@@ -234,6 +236,18 @@
 		Expect(programs.settled).To(BeEmpty(), "nothing was reserved")
 	})
 
+	It("runs no turn of a program that may not begin, and says when to come back", func() {
+		programs.reservation = forward.Reservation{Verdict: nodev1.Verdict_VERDICT_NO_ROOM, Reason: "slots", RetryAfter: 240 * time.Millisecond}
+		var failure *resultcode.Error
+		Expect(errors.As(serve("/stream/x").failure, &failure)).To(BeTrue())
+		Expect(failure.Code).To(Equal(resultcode.NoRoom))
+		Expect(failure.RetryAfter).To(Equal(240 * time.Millisecond))
+		Expect(sender.sent).To(BeEmpty())
+		Expect(programs.settled).To(BeEmpty(), "nothing was reserved")
+		Expect(programs.orders[0].Route).To(Equal("stream"))
+		Expect(programs.orders[0].Service).To(Equal("s"))
+	})
+
 	It("runs a turn that waited once the log is back, and those that need no record at once", func() {
 		var looks atomic.Int64
 		service.LogAway = func() bool { return looks.Add(1) <= 3 }
--- a/internal/node/admission.go
+++ b/internal/node/admission.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	// knowsPrograms is how long after it has come to own a shard an owner refuses nobody
-	// there: it takes a program that goes on for one that begins. Within this time nearly
+	// knowsPrograms is how long an owner has to own a shard to know its programs. Before
+	// that it refuses nobody there: it takes a program that goes on for one that begins. Within this time nearly
 	// every program under way has shown itself by a turn; a turn lasts 3 s at most.
 	knowsPrograms = 4 * time.Second
 	// admissionPause separates two looks at the load.
@@ -28,15 +28,20 @@
 // admitter decides for this node which programs of its shards may begin.
 type admitter struct {
 	node *Node
+	// patience is how long after it has come to own a shard this node refuses nobody there.
+	patience time.Duration
 	// mutex guards table and controller.
 	mutex      sync.Mutex
 	table      *admission.Table
 	controller *admission.Controller
+	metrics    *admissionMetrics
 }
 
 func newAdmitter(node *Node) *admitter {
 	options := admission.Options{Shares: feature.Enabled(feature.TenantShares), Memory: feature.Enabled(feature.MemoryRoom)}
-	return &admitter{node: node, table: admission.NewTable(), controller: admission.NewController(options)}
+	made := &admitter{node: node, patience: knowsPrograms, table: admission.NewTable(), controller: admission.NewController(options)}
+	made.metrics = newAdmissionMetrics(made)
+	return made
 }
 
 // run learns what programs need, also while none begins here.
@@ -78,7 +83,7 @@
 func (admitter *admitter) admits(shard int, request *nodev1.ReserveRequest, reply *nodev1.ReserveReply) bool {
 	now := time.Now()
 	since, owned := admitter.node.ownership.OwnedSince(shard)
-	if !feature.Enabled(feature.Admission) || !owned || now.Sub(since) < knowsPrograms {
+	if !feature.Enabled(feature.Admission) || !owned || now.Sub(since) < admitter.patience {
 		return true
 	}
 	state := admitter.state(now)
@@ -87,6 +92,7 @@
 	decision := admitter.controller.Decide(order, state, now)
 	if !decision.Admitted {
 		admitter.table.Refused(order, now)
+		admitter.metrics.countRefusal(request.Route, request.Rank, string(decision.Reason))
 	}
 	admitter.mutex.Unlock()
 	if decision.Admitted {
--- /dev/null
+++ b/internal/node/admission_test.go
@@ -0,0 +1,133 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"time"
+
+	nodev1 "github.com/magpielug/magpielug/api/node/v1"
+	"github.com/magpielug/magpielug/internal/admission"
+	"github.com/magpielug/magpielug/internal/assignment"
+	"github.com/magpielug/magpielug/internal/backend"
+	"github.com/magpielug/magpielug/internal/durable"
+	"github.com/magpielug/magpielug/internal/feature"
+	"github.com/magpielug/magpielug/internal/load"
+	"github.com/magpielug/magpielug/internal/logging"
+	"github.com/magpielug/magpielug/internal/ownership"
+	"github.com/magpielug/magpielug/internal/routing"
+	"github.com/magpielug/magpielug/internal/tenant"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+var _ = Describe("Admission at an owner", func() {
+	const program = "p"
+	var node *Node
+
+	BeforeEach(func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		logger, err := logging.New("error", GinkgoWriter)
+		Expect(err).NotTo(HaveOccurred())
+		node = &Node{settings: Settings{Name: "self", Shards: 1}, members: newMembers(), logger: logger.Bounded(), engines: backend.NewDirectory(),
+			load: load.NewView(), routes: &routing.Current{}, assigner: assignment.New()}
+		node.members.put(Member{Name: "self"})
+		node.peers = newPeers(node.members, &http.Client{})
+		node.ownership = ownership.NewManager(ctx, durable.NewMemory(), logger.Logger, ownership.Identity{Node: "self", Incarnation: "life", Address: "self"}, 1,
+			ownership.Around{LogAway: func() bool { return false }})
+		go node.ownership.Run()
+		node.programs = newPrograms(node)
+		node.admission = newAdmitter(node)
+		for number := range 2 {
+			node.engines.Put(backend.Instance{ID: fmt.Sprint("e", number), Service: "models", Address: fmt.Sprint("10.0.0.", number, ":1"), Slots: 6})
+		}
+	})
+
+	reserve := func(name, request, previous string) *nodev1.ReserveReply {
+		return node.reserveHere(context.Background(), 0, &nodev1.ReserveRequest{Program: name, Tenant: "t", Request: request, Previous: previous, Route: "r", Rank: 2,
+			Service: "models", Session: name, Budget: 10_000, Most: 100, Prompt: 700, TimeLeftMs: 3000, TakeOver: true})
+	}
+	// overload has the view tell of far more than the engines have room for.
+	overload := func() {
+		total := load.NewReport()
+		total.Routes[admission.RouteName("r", 2)] = load.Route{Service: "models", Rank: 2, Programs: 60, Turns: 60, Begun: 15}
+		total.Engines["e0"] = load.Engine{Running: 6}
+		total.Engines["e1"] = load.Engine{Running: 6}
+		total.Waiting[load.Queue{Service: "models", Rank: 2}] = 48
+		now := time.Now()
+		node.load.Take(total, load.NewReport(), 0, now)
+		for step := range 20 {
+			node.admission.controller.Observe(node.admission.state(now), now.Add(time.Duration(step-20)*200*time.Millisecond))
+		}
+	}
+	// own has the node own the shard for long enough.
+	own := func() {
+		Expect(reserve(program, program+"/0", "").Verdict).To(Equal(nodev1.Verdict_VERDICT_GRANTED))
+		node.admission.patience = 0
+	}
+
+	It("refuses a program that would begin, reserves nothing, and says when to come back", func() {
+		own()
+		overload()
+		reply := reserve("q", "q/0", "")
+		Expect(reply.Verdict).To(Equal(nodev1.Verdict_VERDICT_NO_ROOM))
+		Expect(reply.Reason).To(Equal(string(admission.NoSlots)))
+		Expect(reply.RetryAfterMs).To(And(BeNumerically(">=", 150), BeNumerically("<=", 1000)))
+		Expect(node.admission.table.Knows(tenant.Program{Tenant: "t", ID: "q"})).To(BeFalse())
+		routes, _ := node.admission.report()
+		Expect(routes["r/2"].Refused).To(BeNumerically("~", 1, 0.5))
+		Expect(routes["r/2"].Programs).To(Equal(1))
+		node.load.Take(load.NewReport(), load.NewReport(), 0, time.Now())
+		Expect(reserve("q", "q/1", "").Verdict).To(Equal(nodev1.Verdict_VERDICT_GRANTED), "it comes back once there is room")
+	})
+
+	It("lets a program go on that has begun, whatever the load", func() {
+		own()
+		overload()
+		Expect(reserve(program, program+"/1", "").Verdict).To(Equal(nodev1.Verdict_VERDICT_GRANTED), "a program of which no turns are kept")
+		Expect(reserve("elsewhere", "elsewhere/1", "turn-1").Verdict).To(Equal(nodev1.Verdict_VERDICT_GRANTED), "one that names its turn before")
+	})
+
+	It("refuses nobody as a new owner, which does not know the programs under way", func() {
+		Expect(reserve(program, program+"/0", "").Verdict).To(Equal(nodev1.Verdict_VERDICT_GRANTED))
+		overload()
+		Expect(reserve("q", "q/0", "").Verdict).To(Equal(nodev1.Verdict_VERDICT_GRANTED))
+	})
+
+	It("refuses nobody while the load over all nodes is not known, and while its gate is off", func() {
+		own()
+		Expect(reserve("q", "q/0", "").Verdict).To(Equal(nodev1.Verdict_VERDICT_GRANTED))
+		overload()
+		Expect(feature.Disable(string(feature.Admission))).To(Succeed())
+		DeferCleanup(func() { Expect(feature.Disable("")).To(Succeed()) })
+		Expect(reserve("s", "s/0", "").Verdict).To(Equal(nodev1.Verdict_VERDICT_GRANTED))
+	})
+
+	It("counts turns from their reservation to their settlement", func() {
+		own()
+		turns := func() int {
+			routes, _ := node.admission.report()
+			return routes["r/2"].Turns
+		}
+		Expect(turns()).To(Equal(1))
+		node.settle(&nodev1.Settlement{Program: program, Tenant: "t", Request: program + "/0", Tokens: 5}, false)
+		Expect(turns()).To(BeZero())
+	})
+
+	It("shows what it decides by", func() {
+		own()
+		overload()
+		reserve("q", "q/0", "")
+		registry := prometheus.NewRegistry()
+		registry.MustRegister(node.admission.metrics)
+		answer := httptest.NewRecorder()
+		promhttp.HandlerFor(registry, promhttp.HandlerOpts{}).ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+		Expect(answer.Body.String()).To(ContainSubstring(`magpielug_programs_refused_total{rank="2",reason="slots",route="r"} 1`))
+		Expect(answer.Body.String()).To(ContainSubstring(`magpielug_admission_capacity{resource="slots",service="models"} 12`))
+		Expect(answer.Body.String()).To(ContainSubstring(`magpielug_programs_under_way{rank="2",route="r"} 1`))
+	})
+})
--- a/internal/node/meter.go
+++ b/internal/node/meter.go
@@ -155,6 +155,7 @@
 	meter := node.meter
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(meter.calls, meter.duration, meter.firstEvent, meter.storeCalls, meter.storeTime, meter.handedOver, meter.admissions)
+	registry.MustRegister(node.admission.metrics)
 	gauges := []struct {
 		name, help string
 		value      func() float64
--- a/internal/ownership/claim_test.go
+++ b/internal/ownership/claim_test.go
@@ -65,6 +65,23 @@
 		Expect(answer.Owner).To(Equal(ownership.Owner{Node: "a", Epoch: 1, Address: "a"}))
 	})
 
+	It("tells since when it owns a shard, and that it does no more", func() {
+		manager := start(log, "a")
+		_, owns := manager.OwnedSince(0)
+		Expect(owns).To(BeFalse())
+		before := time.Now()
+		ask(manager, "r1", 500, 100)
+		since, owns := manager.OwnedSince(0)
+		Expect(owns).To(BeTrue())
+		Expect(since).To(BeTemporally(">=", before))
+		ask(manager, "r2", 500, 100)
+		again, _ := manager.OwnedSince(0)
+		Expect(again).To(Equal(since))
+		manager.Release(ctx)
+		_, owns = manager.OwnedSince(0)
+		Expect(owns).To(BeFalse())
+	})
+
 	It("leaves an owner in place that is present", func() {
 		ask(start(log, "a"), "r1", 500, 100)
 		answer := ask(start(log, "b"), "r2", 500, 100)
--- a/internal/tenant/tenant_test.go
+++ b/internal/tenant/tenant_test.go
@@ -32,6 +32,11 @@
 		Expect(tenant.NewDirectory(nil).Limited()).To(BeFalse())
 	})
 
+	It("tells the rates of the tenants that have a limit", func() {
+		Expect(directory.Rates()).To(Equal(map[string]float64{"a": 3}))
+		Expect(tenant.Directory{}.Rates()).To(BeEmpty())
+	})
+
 	It("holds no key that a dump of it would show", func() {
 		Expect(fmt.Sprintf("%+v", directory)).NotTo(ContainSubstring("key-2"))
 		Expect(tenant.ShortDigest("key-2")).To(HaveLen(8))
