Admission: only services that programs call bind them

Cause, by reading: any service without turns counted as a tool, so that a full one that no program calls would have refused programs. Nodes now count programs' calls beside turns (forward.ToolCalls) and report them; a service binds by its calls for each turn. Reports name routes with their service, since a route may be served by several.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -14,6 +14,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/magpielug/magpielug/internal/load"
@@ -104,5 +105,22 @@
 }
 
 // RouteName names a route's programs of one rank in reports: tenants may have ranks of
-// their own.
-func RouteName(route string, rank int) string { return route + "/" + strconv.Itoa(rank) }
+// their own, and a route several services.
+func RouteName(route, service string, rank int) string { return route + nameSuffix(service, rank) }
+
+// BareRoute returns the route's own name of one that RouteName has made.
+func BareRoute(name, service string, rank int) string {
+	return strings.TrimSuffix(name, nameSuffix(service, rank))
+}
+
+func nameSuffix(service string, rank int) string { return "/" + service + "/" + strconv.Itoa(rank) }
+
+// toolsRank is where calls of tools stand in reports. They have no rank of their own: what
+// programs call has to go on.
+const toolsRank = 0
+
+// ToolRoute returns what a report tells of the calls that programs have under way at a
+// service without being turns: calls of tools. Every node tells those that it serves.
+func ToolRoute(service string, calls int) (string, load.Route) {
+	return RouteName("", service, toolsRank), load.Route{Service: service, Rank: toolsRank, Turns: calls}
+}
--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -178,16 +178,17 @@
 
 var _ = Describe("Controller", func() {
 	now := time.Unix(1000, 0)
+	short := admission.RouteName("r", models, 0)
 	// stateOf has programs of a route, each with a turn under way, at some slots.
 	stateOf := func(programs, slots int) *admission.State {
 		total := load.NewReport()
-		total.Routes["r/0"] = load.Route{Service: models, Programs: programs, Turns: programs, Begun: float64(programs) / 4}
+		total.Routes[short] = load.Route{Service: models, Programs: programs, Turns: programs, Begun: float64(programs) / 4}
 		return &admission.State{Total: total, Known: true, Share: 1, Services: []admission.Service{
 			{Name: models, Slots: slots, Engines: slots / 6, Running: min(programs, slots)},
 		}}
 	}
 	order := func(id string) admission.Order {
-		return admission.Order{Program: tenant.Program{ID: id}, Route: "r/0", Service: models}
+		return admission.Order{Program: tenant.Program{ID: id}, Route: short, Service: models}
 	}
 	// taught has learned from a state for a while.
 	taught := func(options admission.Options, state *admission.State) *admission.Controller {
@@ -228,9 +229,9 @@
 
 	It("does not cut what begins for programs that are late without a queue", func() {
 		state := stateOf(200, 270)
-		route := state.Total.Routes["r/0"]
+		route := state.Total.Routes[short]
 		route.Late = route.Begun
-		state.Total.Routes["r/0"] = route
+		state.Total.Routes[short] = route
 		controller := taught(admission.Options{}, state)
 		Expect(controller.Decide(order("a"), state, now).Admitted).To(BeTrue())
 		Expect(controller.Resources(state)[0].Limit).To(BeNumerically(">", 270))
@@ -240,9 +241,9 @@
 		limit := func(late float64) float64 {
 			state := stateOf(300, 270)
 			state.Total.Waiting[load.Queue{Service: models}] = 30
-			route := state.Total.Routes["r/0"]
+			route := state.Total.Routes[short]
 			route.Late = late * route.Begun
-			state.Total.Routes["r/0"] = route
+			state.Total.Routes[short] = route
 			return taught(admission.Options{}, state).Resources(state)[0].Limit
 		}
 		Expect(limit(0.03)).To(BeNumerically(">", 270), "two or three loops in 100 are always late")
@@ -257,9 +258,9 @@
 
 	It("refuses what the engines' memory has no room for", func() {
 		state := stateOf(100, 270)
-		route := state.Total.Routes["r/0"]
+		route := state.Total.Routes[short]
 		route.Tokens = 100 * 20_000
-		state.Total.Routes["r/0"] = route
+		state.Total.Routes[short] = route
 		state.Services[0].MemoryTokens = 44_000
 		Expect(taught(admission.Options{}, state).Decide(order("a"), state, now).Admitted).To(BeTrue())
 		decision := taught(admission.Options{Memory: true}, state).Decide(order("a"), state, now)
@@ -270,6 +271,8 @@
 	It("counts tools, which programs use with their turns", func() {
 		state := stateOf(200, 270)
 		state.Services = append(state.Services, admission.Service{Name: tools, Slots: 48, Engines: 8, Running: 40})
+		name, calls := admission.ToolRoute(tools, 40)
+		state.Total.Routes[name] = calls
 		controller := taught(admission.Options{}, state)
 		crowded := stateOf(320, 600)
 		crowded.Services = append(crowded.Services, state.Services[1])
@@ -277,4 +280,11 @@
 		Expect(decision.Admitted).To(BeFalse())
 		Expect(decision.Service).To(Equal(tools), "320 programs will use 64 slots of 48")
 	})
+
+	It("leaves services out that programs do not call, however full", func() {
+		state := stateOf(200, 270)
+		state.Services = append(state.Services, admission.Service{Name: "pages", Slots: 48, Engines: 8, Running: 48})
+		state.Total.Waiting[load.Queue{Service: "pages"}] = 400
+		Expect(taught(admission.Options{}, state).Decide(order("a"), state, now).Admitted).To(BeTrue())
+	})
 })
--- a/internal/admission/forecast.go
+++ b/internal/admission/forecast.go
@@ -34,11 +34,10 @@
 	demand float64
 	// ends is how much becomes free in a second by programs that end.
 	ends float64
-	// tools is the part of a turn that goes there with each turn, for a service that no
-	// route of programs names.
-	tools float64
-	// models is true for a service that routes of programs name.
+	// models is true for a service that runs programs' turns; at any other one tools is how
+	// many calls programs have under way for each turn.
 	models bool
+	tools  float64
 }
 
 // need is what a program of a route uses of the resource in the mean of its life.
@@ -62,8 +61,10 @@
 	var all []*resource
 	present := asked(state)
 	models := map[string]bool{}
-	for _, route := range state.Total.Routes {
-		models[route.Service] = true
+	for name, route := range state.Total.Routes {
+		if known.runsPrograms(name, route) {
+			models[route.Service] = true
+		}
 	}
 	for index := range state.Services {
 		service := &state.Services[index]
@@ -82,13 +83,9 @@
 	slots := float64(service.Slots)
 	made := &resource{service: service.Name, models: models, capacity: slots, limit: use.bound*slots + chanceSlots*math.Sqrt(slots)}
 	if !models && known.turns.value > 0 {
-		made.tools = use.usual.value / known.turns.value
-	}
-	predicted := known.sum(made, state)
-	if models {
-		predicted += max(use.foreign.value, 0)
+		made.tools = use.calls.value / known.turns.value
 	}
-	made.demand = max(predicted, use.present.value)
+	made.demand = max(known.sum(made, state)+max(use.foreign.value, 0), use.present.value)
 	return made
 }
 
--- a/internal/admission/learned.go
+++ b/internal/admission/learned.go
@@ -67,10 +67,10 @@
 
 // serviceUse is what is learned of a service's engines.
 type serviceUse struct {
-	// present is what runs and waits now, usual the same over long.
+	// present is what runs and waits now.
 	present smoothed
-	usual   smoothed
-	// foreign is how much more than programs' turns that is.
+	// calls is the usual part of that which programs have there, foreign the rest.
+	calls   smoothed
 	foreign smoothed
 	// bound is the part of the slots that programs may use, see corrected.
 	bound float64
@@ -81,7 +81,7 @@
 type learned struct {
 	routes   map[string]*routeUse
 	services map[string]*serviceUse
-	// turns is the usual number of turns under way in all.
+	// turns is the usual number of turns under way in all, calls of tools left out.
 	turns smoothed
 	// refused is the part of the programs that were refused lately.
 	refused smoothed
@@ -104,17 +104,13 @@
 	present := asked(state)
 	turns := turnsOf(state)
 	queues := known.observeServices(state, present, turns, step)
-	if !queues {
-		total := 0.0
-		for _, count := range turns {
-			total += count
-		}
-		known.turns.observe(total, step, usualSpan)
-	}
 	known.refused.observe(refusedShare(state), step, scarceSpan)
 	for name, route := range state.Total.Routes {
 		known.observeRoute(name, route, queues, step)
 	}
+	if !queues {
+		known.turns.observe(known.modelTurns(state), step, usualSpan)
+	}
 	return step, true
 }
 
@@ -143,7 +139,24 @@
 	return present
 }
 
-// turnsOf is the number of programs' turns under way of each service.
+// runsPrograms tells whether programs of a route begin, unlike those of the calls of tools.
+func (known *learned) runsPrograms(name string, route load.Route) bool {
+	use := known.routes[name]
+	return route.Programs > 0 || (use != nil && use.alive.value > 0)
+}
+
+// modelTurns is the number of turns under way in all.
+func (known *learned) modelTurns(state *State) float64 {
+	total := 0.0
+	for name, route := range state.Total.Routes {
+		if known.runsPrograms(name, route) {
+			total += float64(route.Turns)
+		}
+	}
+	return total
+}
+
+// turnsOf is the number of programs' turns and calls of tools under way at each service.
 func turnsOf(state *State) map[string]float64 {
 	turns := map[string]float64{}
 	for _, route := range state.Total.Routes {
@@ -163,7 +176,7 @@
 		if full && service.Slots > 0 {
 			continue
 		}
-		use.usual.observe(present[service.Name], step, usualSpan)
+		use.calls.observe(turns[service.Name], step, usualSpan)
 		use.foreign.observe(present[service.Name]-turns[service.Name], step, usualSpan)
 	}
 	return queues
--- a/internal/admission/replay_test.go
+++ b/internal/admission/replay_test.go
@@ -197,6 +197,8 @@
 	running := min(demand, modelSlots)
 	total.Waiting[load.Queue{Service: models}] = demand - running
 	toolCalls := int(run.toolsPerTurn * float64(demand))
+	toolName, toolRoute := admission.ToolRoute(tools, toolCalls)
+	total.Routes[toolName] = toolRoute
 	total.Waiting[load.Queue{Service: tools}] = max(toolCalls-toolSlots, 0)
 	run.views = append(run.views, viewed{at: run.now, state: admission.State{Total: total, Known: true, Share: 1 / float64(run.owners), Services: []admission.Service{
 		{Name: models, Slots: modelSlots, Engines: 45, Running: running, MemoryTokens: 51109},
@@ -225,7 +227,7 @@
 	if each.tenant != nil {
 		program.name.Tenant = each.tenant(at, run.random)
 	}
-	order := admission.Order{Program: program.name, Route: admission.RouteName(each.route, each.rank), Service: models, Rank: each.rank, Spread: run.random.Float64()}
+	order := admission.Order{Program: program.name, Route: admission.RouteName(each.route, models, each.rank), Service: models, Rank: each.rank, Spread: run.random.Float64()}
 	key := each.route + program.name.Tenant
 	present.asked[key]++
 	decision := run.controllers[program.owner].Decide(order, run.state(), run.now)
--- a/internal/admission/table.go
+++ b/internal/admission/table.go
@@ -77,6 +77,14 @@
 	return min(max(pausesToEnd*counts.pause, leastSilence), mostSilence)
 }
 
+// leastCount is a count of recent events that is none any more.
+const leastCount = 0.01
+
+// idle tells whether nothing was counted lately.
+func (counts *routeCounts) idle(now time.Time) bool {
+	return counts.begun.read(now)+counts.refused.read(now)+counts.late.read(now) < leastCount
+}
+
 // Table holds the programs of an owner's shards. It is not safe for concurrent use.
 type Table struct {
 	programs map[tenant.Program]*underWay
@@ -104,7 +112,7 @@
 
 // TurnBegins notes a turn.
 func (table *Table) TurnBegins(turn Turn, now time.Time) {
-	name := RouteName(turn.Route, turn.Rank)
+	name := RouteName(turn.Route, turn.Service, turn.Rank)
 	counts := table.countsOf(name, turn.Service, turn.Rank)
 	program := table.programs[turn.Program]
 	if program == nil {
@@ -181,6 +189,9 @@
 	}
 	for name, counts := range table.routes {
 		route := routes[name]
+		if route.Programs == 0 && counts.idle(now) {
+			continue
+		}
 		route.Service = counts.service
 		route.Rank = counts.rank
 		route.Begun = counts.begun.read(now)
--- a/internal/admission/table_test.go
+++ b/internal/admission/table_test.go
@@ -12,7 +12,7 @@
 
 var _ = Describe("Table", func() {
 	program := tenant.Program{Tenant: "t", ID: "p"}
-	name := admission.RouteName("r", 2)
+	name := admission.RouteName("r", models, 2)
 	var table *admission.Table
 	var now time.Time
 
@@ -83,7 +83,7 @@
 		table.TurnBegins(admission.Turn{Program: other, Request: "1", Route: "s", Service: models, Until: now.Add(time.Second), Aim: now.Add(100 * time.Millisecond), Begins: true}, now)
 		table.TurnEnds(other, "1", now.Add(50*time.Millisecond))
 		routes, _ := table.Report(now.Add(150 * time.Millisecond))
-		Expect(routes["s/0"].Late).To(BeZero())
+		Expect(routes[admission.RouteName("s", models, 0)].Late).To(BeZero())
 	})
 
 	It("counts what was begun, refused and late lately, and forgets it", func() {
@@ -91,7 +91,9 @@
 		table.Refused(admission.Order{Program: tenant.Program{ID: "q"}, Route: name, Service: models, Rank: 2}, now)
 		Expect(after(0).Refused).To(BeNumerically("==", 1))
 		Expect(after(admission.RecentSpan).Refused).To(BeNumerically("~", 0.37, 0.01))
-		Expect(after(10 * time.Second).Begun).To(BeNumerically("<", 0.001))
+		now = now.Add(10 * time.Second)
+		routes, _ := table.Report(now)
+		Expect(routes).To(BeEmpty())
 	})
 
 	It("forgets the programs of a shard that another node owns", func() {
--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -76,9 +76,11 @@
 	Programs Programs
 	// Quotas bounds the requests of tenants; nil where none has a limit.
 	Quotas Quotas
-	Meter  Meter
-	Logger *zap.Logger
-	Zone   string
+	// ToolCalls counts what programs have under way beside turns; nil where nobody asks.
+	ToolCalls *ToolCalls
+	Meter     Meter
+	Logger    *zap.Logger
+	Zone      string
 	// Started is when the process started.
 	Started time.Time
 	// Nodes returns how many nodes share the engines' connections.
@@ -233,6 +235,7 @@
 			return failure
 		}
 	}
+	defer current.countToolCall()()
 	failure = current.sendUntilAnswered(ctx)
 	if current.reserved {
 		current.settle(nil)
--- a/internal/forward/service_test.go
+++ b/internal/forward/service_test.go
@@ -304,6 +304,20 @@
 		Expect(serve("/stream/x").ended).To(BeTrue())
 	})
 
+	It("counts a program's calls of tools while they are under way, and no turns", func() {
+		service.ToolCalls = forward.NewToolCalls()
+		var during []map[string]int
+		note := func() (*forward.Reply, error) {
+			during = append(during, service.ToolCalls.Counts())
+			return answerOf(200, strings.NewReader("data: a\n\n"))()
+		}
+		sender.replies = []func() (*forward.Reply, error){note}
+		serve("/tool/x")
+		serve("/stream/x")
+		Expect(during).To(Equal([]map[string]int{{"s": 1}, {}}))
+		Expect(service.ToolCalls.Counts()).To(BeEmpty())
+	})
+
 	It("repeats a safe request up to its attempts, an unsafe one never", func() {
 		lost := func() (*forward.Reply, error) { return nil, backend.ErrLost }
 		sender.replies = []func() (*forward.Reply, error){lost}
--- a/internal/node/admission.go
+++ b/internal/node/admission.go
@@ -62,11 +62,17 @@
 	return !admitter.node.ownership.Owns(admitter.node.programs.shardOf(program.ID))
 }
 
-// report returns the programs of this node's shards, for the load report.
+// report returns the programs of this node's shards and the calls of tools that it serves,
+// for the load report.
 func (admitter *admitter) report() (map[string]load.Route, map[load.Holder]int) {
 	admitter.mutex.Lock()
-	defer admitter.mutex.Unlock()
-	return admitter.table.Report(time.Now())
+	routes, tenants := admitter.table.Report(time.Now())
+	admitter.mutex.Unlock()
+	for service, calls := range admitter.node.service.ToolCalls.Counts() {
+		name, route := admission.ToolRoute(service, calls)
+		routes[name] = route
+	}
+	return routes, tenants
 }
 
 // begins tells whether a turn is the first of its program, as far as this node knows.
@@ -110,7 +116,7 @@
 	const parts = 1 << 16
 	return admission.Order{
 		Program: programOf(request),
-		Route:   admission.RouteName(request.Route, int(request.Rank)),
+		Route:   admission.RouteName(request.Route, request.Service, int(request.Rank)),
 		Service: request.Service,
 		Rank:    int(request.Rank),
 		Prompt:  request.Prompt,
--- a/internal/node/admission_metrics.go
+++ b/internal/node/admission_metrics.go
@@ -2,9 +2,9 @@
 
 import (
 	"strconv"
-	"strings"
 	"time"
 
+	"github.com/magpielug/magpielug/internal/admission"
 	"github.com/prometheus/client_golang/prometheus"
 )
 
@@ -95,7 +95,7 @@
 	routes, _ := metrics.admitter.table.Report(time.Now())
 	for name, route := range routes {
 		rank := strconv.Itoa(route.Rank)
-		sums[labels{metrics.label(strings.TrimSuffix(name, "/"+rank)), rank}] += float64(route.Programs)
+		sums[labels{metrics.label(admission.BareRoute(name, route.Service, route.Rank)), rank}] += float64(route.Programs)
 	}
 	for each, programs := range sums {
 		collected <- gauge(metrics.programs, programs, each.route, each.rank)
--- a/internal/node/admission_test.go
+++ b/internal/node/admission_test.go
@@ -13,6 +13,7 @@
 	"github.com/magpielug/magpielug/internal/backend"
 	"github.com/magpielug/magpielug/internal/durable"
 	"github.com/magpielug/magpielug/internal/feature"
+	"github.com/magpielug/magpielug/internal/forward"
 	"github.com/magpielug/magpielug/internal/load"
 	"github.com/magpielug/magpielug/internal/logging"
 	"github.com/magpielug/magpielug/internal/ownership"
@@ -26,6 +27,7 @@
 
 var _ = Describe("Admission at an owner", func() {
 	const program = "p"
+	name := admission.RouteName("r", "models", 2)
 	var node *Node
 
 	BeforeEach(func() {
@@ -41,20 +43,21 @@
 			ownership.Around{LogAway: func() bool { return false }})
 		go node.ownership.Run()
 		node.programs = newPrograms(node)
+		node.service = &forward.Service{ToolCalls: forward.NewToolCalls()}
 		node.admission = newAdmitter(node)
 		for number := range 2 {
 			node.engines.Put(backend.Instance{ID: fmt.Sprint("e", number), Service: "models", Address: fmt.Sprint("10.0.0.", number, ":1"), Slots: 6})
 		}
 	})
 
-	reserve := func(name, request, previous string) *nodev1.ReserveReply {
-		return node.reserveHere(context.Background(), 0, &nodev1.ReserveRequest{Program: name, Tenant: "t", Request: request, Previous: previous, Route: "r", Rank: 2,
-			Service: "models", Session: name, Budget: 10_000, Most: 100, Prompt: 700, TimeLeftMs: 3000, TakeOver: true})
+	reserve := func(id, request, previous string) *nodev1.ReserveReply {
+		return node.reserveHere(context.Background(), 0, &nodev1.ReserveRequest{Program: id, Tenant: "t", Request: request, Previous: previous, Route: "r", Rank: 2,
+			Service: "models", Session: id, Budget: 10_000, Most: 100, Prompt: 700, TimeLeftMs: 3000, TakeOver: true})
 	}
 	// overload has the view tell of far more than the engines have room for.
 	overload := func() {
 		total := load.NewReport()
-		total.Routes[admission.RouteName("r", 2)] = load.Route{Service: "models", Rank: 2, Programs: 60, Turns: 60, Begun: 15}
+		total.Routes[name] = load.Route{Service: "models", Rank: 2, Programs: 60, Turns: 60, Begun: 15}
 		total.Engines["e0"] = load.Engine{Running: 6}
 		total.Engines["e1"] = load.Engine{Running: 6}
 		total.Waiting[load.Queue{Service: "models", Rank: 2}] = 48
@@ -79,8 +82,8 @@
 		Expect(reply.RetryAfterMs).To(And(BeNumerically(">=", 150), BeNumerically("<=", 1000)))
 		Expect(node.admission.table.Knows(tenant.Program{Tenant: "t", ID: "q"})).To(BeFalse())
 		routes, _ := node.admission.report()
-		Expect(routes["r/2"].Refused).To(BeNumerically("~", 1, 0.5))
-		Expect(routes["r/2"].Programs).To(Equal(1))
+		Expect(routes[name].Refused).To(BeNumerically("~", 1, 0.5))
+		Expect(routes[name].Programs).To(Equal(1))
 		node.load.Take(load.NewReport(), load.NewReport(), 0, time.Now())
 		Expect(reserve("q", "q/1", "").Verdict).To(Equal(nodev1.Verdict_VERDICT_GRANTED), "it comes back once there is room")
 	})
@@ -111,7 +114,7 @@
 		own()
 		turns := func() int {
 			routes, _ := node.admission.report()
-			return routes["r/2"].Turns
+			return routes[name].Turns
 		}
 		Expect(turns()).To(Equal(1))
 		node.settle(&nodev1.Settlement{Program: program, Tenant: "t", Request: program + "/0", Tokens: 5}, false)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -190,13 +190,15 @@
 		Sender:   egress.NewSender(around.Sender, &egressTopology{node: node}, client, logger.Logger, meter.handed),
 		Programs: node.programs,
 		Quotas:   node.quotas,
-		Meter:    meter,
-		Logger:   logger.Logger,
-		Zone:     settings.Zone,
-		Nodes:    node.members.staying,
-		ViewAge:  node.engineView.age,
-		LogAway:  node.recordingAway,
-		Started:  time.Now(),
+
+		ToolCalls: forward.NewToolCalls(),
+		Meter:     meter,
+		Logger:    logger.Logger,
+		Zone:      settings.Zone,
+		Nodes:     node.members.staying,
+		ViewAge:   node.engineView.age,
+		LogAway:   node.recordingAway,
+		Started:   time.Now(),
 	}
 	return node, nil
 }
