--- a/internal/assignment/assignment.go
+++ b/internal/assignment/assignment.go
@@ -52,6 +52,9 @@
 	Slots int
 	// Memory is how many tokens of prompts the engine holds, 0 where that is not known.
 	Memory int
+	// OwnMemory is the part of that which this owner's lines may take, 0 where nothing
+	// bounds it.
+	OwnMemory int
 	// Order breaks ties, the highest first; alike for all owners.
 	Order uint64
 }
@@ -79,6 +82,8 @@
 type assigned struct {
 	engine string
 	used   time.Time
+	// prompt is the length of a line's newest prompt, tokens.
+	prompt int
 }
 
 type recent struct {
@@ -122,10 +127,10 @@
 	load := assigner.load(now)
 	engine, held := assigner.present(line, candidates, load)
 	if !held {
-		engine = least(candidates, load, line.Zone)
+		engine = least(assigner.withMemory(candidates, line.Prompt, now), load, line.Zone)
 		assigner.recents = append(assigner.recents, recent{engine: engine, at: now})
 	}
-	assigner.sessions[line.session()] = assigned{engine: engine, used: now}
+	assigner.sessions[line.session()] = assigned{engine: engine, used: now, prompt: line.Prompt}
 	if _, known := assigner.programs[line.Program]; !known || line.Session == line.Program.ID {
 		assigner.programs[line.Program] = assigned{engine: engine, used: now}
 	}
--- /dev/null
+++ b/internal/assignment/memory.go
@@ -0,0 +1,48 @@
+package assignment
+
+import "time"
+
+const (
+	// promptAge is how long after a line's last turn its prompt counts as held for it. A
+	// program pauses for some tenths of a second.
+	promptAge = 2 * time.Second
+	// telling is how many prompts an owner's part of an engine's memory has to hold for
+	// what it has assigned there to tell anything of the whole.
+	telling = 2
+	// roomyShare of its part may be taken at an engine that has room for sure.
+	roomyShare = 0.5
+)
+
+// withMemory leaves the engines out whose memory is full of prompts, by what this owner has
+// assigned to them, while others have half of theirs: what goes beyond an engine's memory
+// drives out prompts that others go on with, and those are read again.
+func (assigner *Assigner) withMemory(candidates []Candidate, prompt int, now time.Time) []Candidate {
+	held := assigner.promptsHeld(now)
+	var fitting []Candidate
+	roomy := false
+	for _, candidate := range candidates {
+		if candidate.OwnMemory <= telling*prompt {
+			return candidates
+		}
+		tokens := held[candidate.ID]
+		if tokens+prompt <= candidate.OwnMemory {
+			fitting = append(fitting, candidate)
+		}
+		roomy = roomy || float64(tokens) <= roomyShare*float64(candidate.OwnMemory)
+	}
+	if !roomy || len(fitting) == 0 {
+		return candidates
+	}
+	return fitting
+}
+
+// promptsHeld sums the prompts of this owner's lines by engine, tokens.
+func (assigner *Assigner) promptsHeld(now time.Time) map[string]int {
+	held := map[string]int{}
+	for _, session := range assigner.sessions {
+		if now.Sub(session.used) <= promptAge {
+			held[session.engine] += session.prompt
+		}
+	}
+	return held
+}
--- a/internal/node/reserve.go
+++ b/internal/node/reserve.go
@@ -9,6 +9,7 @@
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
 	"github.com/magpielug/magpielug/internal/assignment"
 	"github.com/magpielug/magpielug/internal/backend"
+	"github.com/magpielug/magpielug/internal/feature"
 	"github.com/magpielug/magpielug/internal/history"
 	"github.com/magpielug/magpielug/internal/ownership"
 	"github.com/magpielug/magpielug/internal/tenant"
@@ -127,6 +128,7 @@
 	node.engines.Report(request.Avoided, now)
 	instances := node.engines.Sound(request.Service, now)
 	memory := node.memoryOf(request.Service)
+	own := node.ownMemory(memory)
 	candidates := make([]assignment.Candidate, 0, len(instances))
 	for _, instance := range instances {
 		candidates = append(candidates, assignment.Candidate{
@@ -135,12 +137,22 @@
 			Slots:  instance.Slots,
 			Memory: memory,
 			Order:  backend.Order(request.Session, instance.ID),
+
+			OwnMemory: own,
 		})
 	}
 	line := assignment.Line{Program: programOf(request), Session: request.Session, Zone: request.Zone, Prompt: int(request.Prompt)}
 	return node.assigner.Choose(line, candidates, now)
 }
 
+// ownMemory is the part of an engine's memory that goes to programs of this node's shards.
+func (node *Node) ownMemory(memory int) int {
+	if !feature.Enabled(feature.MemoryRoom) {
+		return 0
+	}
+	return int(node.admission.share() * float64(memory))
+}
+
 // memoryOf returns how many tokens an engine of a service holds, 0 where the configuration
 // does not say.
 func (node *Node) memoryOf(service string) int {
