Held bytes: bounds over all calls of what a node keeps for slow callers

Cause: a connection may hold 256 KB of unread answer and a call 1 MB of a held one; a node of 112 MB takes thousands, and nothing bounded their sum. Change: three bounds as shares of the process's memory. A request beyond is refused before it is whole, unread answers go on piece by piece, answers that don't fit are not held.

--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -189,7 +189,8 @@
 // told as such or tried elsewhere. Of one over heldBytes the beginning is passed
 // on before its end has come.
 func (current *course) relayWhole(ctx context.Context, reply *Reply) (backend.Outcome, error) {
-	content, err := io.ReadAll(io.LimitReader(reply.Body, heldBytes))
+	content, whole, err := current.hold(reply.Body)
+	defer current.service.Answers.Release(int64(cap(content)))
 	current.heard()
 	if err != nil {
 		return current.brokenAnswer(ctx, errBrokenOff)
@@ -202,7 +203,7 @@
 	if err != nil {
 		return backend.Answered, errCallerGone
 	}
-	if len(content) == heldBytes {
+	if !whole {
 		outcome, failure := current.relayRest(ctx, reply)
 		if failure != nil {
 			return outcome, failure
--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -7,6 +7,7 @@
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
 	"github.com/magpielug/magpielug/internal/backend"
 	"github.com/magpielug/magpielug/internal/feature"
+	"github.com/magpielug/magpielug/internal/heldbytes"
 	"github.com/magpielug/magpielug/internal/history"
 	"github.com/magpielug/magpielug/internal/resultcode"
 	"github.com/magpielug/magpielug/internal/routing"
@@ -72,6 +73,8 @@
 	Nodes func() int
 	// ViewAge is how long ago the list of engines was last confirmed.
 	ViewAge func() time.Duration
+	// Answers bounds the bytes of answers that are held until they are whole; nil is no bound.
+	Answers *heldbytes.Bound
 	// LogAway tells whether the log answers nobody now; nil where that is not known.
 	LogAway func() bool
 }
@@ -113,7 +116,10 @@
 	// heldBytes is how much of an answer is held until it is whole; restBytes is
 	// how much of a longer one is passed on at once.
 	heldBytes = 1 << 20
-	restBytes = 16 << 10
+	// firstHeldBytes is the room that an answer begins with; most are shorter. heldBytes is
+	// a power of two times that.
+	firstHeldBytes = 4 << 10
+	restBytes      = 16 << 10
 )
 
 // course is one call under way.
--- a/internal/httpserver/bounded_conn.go
+++ b/internal/httpserver/bounded_conn.go
@@ -39,6 +39,7 @@
 			return sent, err
 		}
 		conn.connection.submitted.Add(int64(len(piece)))
+		conn.connection.unread.add(conn.connection.server, len(piece))
 		_, err = conn.Conn.Write(piece)
 		if err != nil {
 			return sent, eris.Wrap(err, "write to client")
@@ -69,6 +70,7 @@
 // socket's lock, so it must not touch the socket.
 func (connection *connection) wrote(count int) {
 	connection.written.Add(int64(count))
+	connection.unread.took(connection.server, int64(count))
 	select {
 	case connection.progress <- struct{}{}:
 	default:
@@ -77,14 +79,13 @@
 
 // awaitRoom waits until size more bytes fit into the write buffer.
 func (connection *connection) awaitRoom(size int) error {
-	limit := connection.server.bounds().WriteBufferBytes
-	return connection.awaitPending(limit - size)
+	return connection.awaitPending(func() int { return connection.unreadLimit() - size })
 }
 
 // awaitPending waits until at most limit bytes are pending. It fails when the
 // client takes nothing for the write timeout or is gone.
-func (connection *connection) awaitPending(limit int) error {
-	for connection.pending() > limit {
+func (connection *connection) awaitPending(limit func() int) error {
+	for connection.pending() > max(limit(), 0) {
 		timer := time.NewTimer(connection.server.bounds().WriteTimeout)
 		select {
 		case <-connection.progress:
@@ -107,7 +108,7 @@
 		return
 	}
 	go func() {
-		_ = connection.awaitPending(0)
+		_ = connection.awaitPending(func() int { return 0 })
 		_ = connection.socket.Close()
 	}()
 }
--- a/internal/httpserver/connection.go
+++ b/internal/httpserver/connection.go
@@ -55,6 +55,10 @@
 
 	submitted atomic.Int64
 	written   atomic.Int64
+	// sent is what its client has sent of requests that are not answered yet.
+	sent sentBytes
+	// unread is what its client has not taken, for the bound over all connections.
+	unread unreadBytes
 	// slow is true once the connection was closed for its slow client.
 	slow atomic.Bool
 	// progress tells a writer that the client took bytes.
@@ -101,6 +105,10 @@
 	if connection.discarding.Load() {
 		return
 	}
+	if !connection.sent.take(connection.server, len(data)) {
+		connection.refuse(bodiesTooLarge(connection.server.bounds()))
+		return
+	}
 	connection.startRequest()
 	connection.received += len(data)
 	connection.socket.DataHandler()(connection.socket, data)
@@ -233,6 +241,9 @@
 func (connection *connection) finishCall() {
 	remaining := connection.calls.Add(-1)
 	if remaining == 0 {
+		if !connection.receiving.Load() {
+			connection.sent.release(connection.server)
+		}
 		connection.awaitRequest()
 	}
 	if connection.server.draining.Load() {
@@ -270,6 +281,8 @@
 // closed is called once nbio has closed the socket.
 func (connection *connection) closed() {
 	connection.readTimer.Stop()
+	connection.sent.close(connection.server)
+	connection.unread.close(connection.server)
 	close(connection.gone)
 	connection.cancelMutex.Lock()
 	defer connection.cancelMutex.Unlock()
--- a/internal/httpserver/limits.go
+++ b/internal/httpserver/limits.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/magpielug/magpielug/internal/heldbytes"
 )
 
 // Default limits, used for every field of Limits that is zero.
@@ -42,6 +44,12 @@
 	// WriteBufferBytes bounds what one connection holds of answers that the
 	// client has not taken.
 	WriteBufferBytes int
+	// Sent bounds what is held of requests over all connections, nil for no bound. A request
+	// that does not fit is refused with code TooManyConnections.
+	Sent *heldbytes.Bound
+	// Unread bounds the answers that clients have not taken over all connections, nil for
+	// no bound. Once they hold that much, each gets its answer piece by piece.
+	Unread *heldbytes.Bound
 	// IdleTimeout closes a connection without a request.
 	IdleTimeout time.Duration
 	// RequestTimeout closes a connection whose request is not complete this
--- a/internal/httpserver/refusal.go
+++ b/internal/httpserver/refusal.go
@@ -101,6 +101,11 @@
 	return failure.After(limits.RetryAfter)
 }
 
+func bodiesTooLarge(limits *Limits) *resultcode.Error {
+	failure := resultcode.New(resultcode.TooManyConnections, "the requests under way hold all the memory that is kept for their bodies")
+	return failure.After(limits.RetryAfter)
+}
+
 // refuse answers a request that is not whole, drops all further input and
 // closes the connection soon after. With an earlier request still under way
 // the connection is closed without an answer, which would mix with the other.
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -57,6 +57,8 @@
 		MaxBodyBytes:   maxBodyBytes,
 		MaxHeaderBytes: maxHeaderBytes,
 		IdleTimeout:    callerIdleTimeout,
+		Sent:           node.held.sent,
+		Unread:         node.held.unread,
 	}
 }
 
--- a/internal/node/meter.go
+++ b/internal/node/meter.go
@@ -164,6 +164,9 @@
 		{"magpielug_nodes", "Nodes known that are not leaving.", func() float64 { return float64(node.members.staying()) }},
 		{"magpielug_turns", "Turns held in memory.", func() float64 { turns, _ := node.turns.Size(); return float64(turns) }},
 		{"magpielug_turn_bytes", "Bytes of turns held in memory.", func() float64 { _, bytes := node.turns.Size(); return float64(bytes) }},
+		{"magpielug_held_request_bytes", "Bytes held of callers' requests.", func() float64 { return float64(node.held.sent.Held()) }},
+		{"magpielug_unread_bytes", "Bytes of answers that callers have not taken.", func() float64 { return float64(node.held.unread.Held()) }},
+		{"magpielug_held_answer_bytes", "Bytes of answers held until they are whole.", func() float64 { return float64(node.held.answers.Held()) }},
 		{"magpielug_engine_connections_opened", "Connections opened to engines.", func() float64 { return float64(node.around.Connections.Opened()) }},
 	}
 	for _, gauge := range gauges {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -70,6 +70,7 @@
 	engines     *backend.Directory
 	// load is what all nodes have under way.
 	load    *load.View
+	held    heldBounds
 	members *members
 	// registration keeps the node's own record in the log.
 	registration *registration
@@ -151,6 +152,7 @@
 		assigner:    assignment.New(),
 		engines:     backend.NewDirectory(),
 		load:        load.NewView(),
+		held:        newHeldBounds(settings.MemoryBytes),
 		members:     newMembers(),
 		turns:       history.NewStore(historyBytes(settings.MemoryBytes)),
 	}
@@ -195,6 +197,7 @@
 		ViewAge:  node.engineView.age,
 		LogAway:  node.recordingAway,
 		Started:  time.Now(),
+		Answers:  node.held.answers,
 	}
 	return node, nil
 }
