Nodes: each tells its zone's gatherer its load and hears the sum over all

Engines are sent as columns without names, by a list that both sides know. Gate load-sharing. Nothing decides by it yet.

--- /dev/null
+++ b/internal/node/load.go
@@ -0,0 +1,455 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	nodev1 "github.com/magpielug/magpielug/api/node/v1"
+	"github.com/magpielug/magpielug/internal/feature"
+	"github.com/magpielug/magpielug/internal/load"
+	"github.com/magpielug/magpielug/internal/logging"
+	"github.com/magpielug/magpielug/internal/wait"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	// loadShard stands for the gathering of load in the order of candidates, below the
+	// numbers of the keepers of limits.
+	loadShard = -1 << 20
+	// sharePace separates two reports of a node where they are short: with the same again
+	// between gatherers, and for the way back, a view is at most 0.5 s old.
+	sharePace = 150 * time.Millisecond
+	// shareBytes is what a node that does not gather spends on sharing in a second, both
+	// ways: what its other control traffic leaves of 12 KB (docs/CAPACITY.md).
+	shareBytes = 3500
+	// exchangeBytes is what a gatherer sends to each other one in a second.
+	exchangeBytes = 6000
+	// messageOverhead is the length of the headers of a request and its answer, bytes.
+	messageOverhead = 400
+	// shareTimeout is how long a gatherer may take to answer. Two in a row that do not
+	// answer leave a view fresh.
+	shareTimeout = 200 * time.Millisecond
+	// shareTries is how many gatherers are tried in one round.
+	shareTries = 3
+	// gathererSuspicion is how long a gatherer that did not answer is passed over; the time
+	// doubles each time in a row, up to mostSuspicion. The first is short, for a slow answer
+	// must not leave a node with another gatherer than its zone for long.
+	gathererSuspicion = 600 * time.Millisecond
+	mostSuspicion     = 5 * time.Second
+	// totalReuse is how long a sum serves several askers: a third of the pace.
+	totalReuse = sharePace / 3
+	// leastZoneShare of the nodes of its zone must be in a sum for a node to go by it. A
+	// node that only itself or few others tell anything would take all engines for idle.
+	leastZoneShare = 1.0 / 3
+)
+
+// loadSharing tells this node's load to its zone's gatherer and takes in the sum over all
+// nodes; and it gathers, where other nodes tell this one theirs.
+type loadSharing struct {
+	node     *Node
+	gatherer *load.Gatherer
+	suspects *suspects
+	sequence atomic.Int64
+	// chosen is the gatherer last asked with success, known whether the view was fresh
+	// then, both for the log.
+	chosen string
+	known  bool
+	// told is the report that the gatherer told last holds of this node.
+	told told
+
+	// mutex guards the following.
+	mutex sync.Mutex
+	// failures counts asks in a row that a gatherer did not answer.
+	failures map[string]int
+	// lists are the lists of engines that gatherers have answered with.
+	lists map[string]engineList
+	// gathered is the newest sum, former the list before its own.
+	gathered *gathered
+	former   engineList
+}
+
+// told is a report and who was told it.
+type told struct {
+	gatherer string
+	report   load.Report
+}
+
+// gathered is a sum over all nodes, ready to be sent.
+type gathered struct {
+	at        time.Time
+	sum       load.Sum
+	zoneNodes int
+	list      engineList
+	// whole has routes and tenants in it, engines not.
+	whole, engines *nodev1.LoadReport
+}
+
+func newLoadSharing(node *Node) *loadSharing {
+	sharing := &loadSharing{node: node, gatherer: load.NewGatherer(node.settings.Zone), suspects: newSuspects(),
+		failures: map[string]int{}, lists: map[string]engineList{}}
+	// A node that is started anew goes on above what it has told before.
+	sharing.sequence.Store(time.Now().UnixMicro())
+	return sharing
+}
+
+// run shares load for as long as the node runs.
+func (sharing *loadSharing) run(ctx context.Context) {
+	if !feature.Enabled(feature.LoadSharing) {
+		return
+	}
+	go sharing.exchange(ctx)
+	for ctx.Err() == nil {
+		sent := sharing.round(ctx)
+		sharing.noteView(time.Now())
+		wait.For(ctx, paceOf(sent, shareBytes))
+	}
+}
+
+// paceOf is the pause after a message of a length under a bound of bytes a second.
+func paceOf(bytes, perSecond int) time.Duration {
+	return max(sharePace, time.Duration(bytes)*time.Second/time.Duration(perSecond))
+}
+
+// round tells one gatherer this node's load and takes in its answer. It returns the bytes
+// spent.
+func (sharing *loadSharing) round(ctx context.Context) int {
+	own := sharing.node.ownLoad()
+	spent := 0
+	for range shareTries {
+		target := sharing.gathererOf(sharing.node.settings.Zone, time.Now())
+		if target == sharing.node.settings.Name {
+			sharing.gatherHere(own, time.Now())
+			sharing.noteChosen(target)
+			return spent
+		}
+		bytes, err := sharing.tell(ctx, target, own)
+		spent += bytes
+		if err == nil {
+			sharing.noteChosen(target)
+			return spent
+		}
+		if ctx.Err() != nil {
+			return spent
+		}
+	}
+	return spent
+}
+
+// gathererOf returns the node that gathers for a zone: its first candidate that is not
+// passed over; of its own zone this node itself where there is none.
+func (sharing *loadSharing) gathererOf(zone string, now time.Time) string {
+	own := sharing.node.settings
+	for _, candidate := range sharing.node.members.candidates(loadShard) {
+		if candidate.Zone == zone && (candidate.Name == own.Name || !sharing.suspects.holds(candidate.Name, now)) {
+			return candidate.Name
+		}
+	}
+	if zone == own.Zone {
+		return own.Name
+	}
+	return ""
+}
+
+// gatherHere takes this node's load in as its own gatherer.
+func (sharing *loadSharing) gatherHere(own load.Report, now time.Time) {
+	sharing.gatherer.Hear(load.Origin{Node: sharing.node.settings.Name, Zone: sharing.node.settings.Zone, Sequence: sharing.sequence.Add(1)}, own, now)
+	sum, zoneNodes := sharing.gatherer.Total(sharing.node.members.zoneSizes(), now)
+	sharing.takeTotal(sum.Report, own, sum.Age, zoneNodes, now)
+}
+
+// takeTotal makes a sum the node's view, unless too few nodes are in it.
+func (sharing *loadSharing) takeTotal(total, own load.Report, age time.Duration, zoneNodes int, now time.Time) {
+	size := sharing.node.members.zoneSizes()[sharing.node.settings.Zone]
+	if float64(zoneNodes) < leastZoneShare*float64(size) {
+		return
+	}
+	sharing.node.load.Take(total, own, age, now)
+}
+
+// tell asks a gatherer. It returns the bytes spent.
+func (sharing *loadSharing) tell(ctx context.Context, target string, own load.Report) (int, error) {
+	list := sharing.listOf(target)
+	request := &nodev1.ShareLoadRequest{
+		Node:         sharing.node.settings.Name,
+		Zone:         sharing.node.settings.Zone,
+		Report:       toLoadReport(own, list, true),
+		Sequence:     sharing.sequence.Add(1),
+		List:         list.digest,
+		OwnsPrograms: sharing.node.ownsPrograms(),
+	}
+	asked := time.Now()
+	reply, err := sharing.send(ctx, target, request)
+	if err != nil {
+		return messageOverhead + proto.Size(request), err
+	}
+	total := fromLoadReport(reply.GetTotal(), sharing.noteList(target, list, reply))
+	sharing.takeTotal(total, sharing.heldBy(target), milliseconds(reply.GetAgeMs()), int(reply.GetZoneNodes()), asked)
+	sharing.told = told{gatherer: target, report: own}
+	return messageOverhead + proto.Size(request) + proto.Size(reply), nil
+}
+
+// heldBy returns this node's part of a gatherer's answer: the sum is older than the report
+// that it answers.
+func (sharing *loadSharing) heldBy(target string) load.Report {
+	if sharing.told.gatherer != target {
+		return load.NewReport()
+	}
+	return sharing.told.report
+}
+
+// listOf returns the list of engines that a gatherer goes by, as far as it is known.
+func (sharing *loadSharing) listOf(target string) engineList {
+	sharing.mutex.Lock()
+	defer sharing.mutex.Unlock()
+	list, known := sharing.lists[target]
+	if known {
+		return list
+	}
+	return newEngineList(sharing.node.engines.IDs())
+}
+
+// mostLists bounds the lists held: a gatherer and two that follow it, of a few zones.
+const mostLists = 32
+
+// noteList returns the list that an answer goes by, and keeps it where it is a new one.
+func (sharing *loadSharing) noteList(target string, used engineList, reply *nodev1.ShareLoadReply) engineList {
+	if reply.GetList() == used.digest {
+		return used
+	}
+	list := newEngineList(reply.GetEngines())
+	sharing.mutex.Lock()
+	defer sharing.mutex.Unlock()
+	if len(sharing.lists) >= mostLists {
+		clear(sharing.lists)
+	}
+	sharing.lists[target] = list
+	return list
+}
+
+// send sends one message, and notes whether it was answered.
+func (sharing *loadSharing) send(ctx context.Context, target string, request *nodev1.ShareLoadRequest) (*nodev1.ShareLoadReply, error) {
+	reply, err := sharing.sendOnce(ctx, target, request)
+	sharing.node.meter.loadMessage(request.GetSumsZone(), err)
+	if err == nil {
+		sharing.answered(target)
+		return reply, nil
+	}
+	if ctx.Err() == nil {
+		sharing.suspect(target, err)
+	}
+	return nil, err
+}
+
+func (sharing *loadSharing) sendOnce(ctx context.Context, target string, request *nodev1.ShareLoadRequest) (*nodev1.ShareLoadReply, error) {
+	client, err := sharing.node.peers.client(target)
+	if err != nil {
+		return nil, err
+	}
+	bounded, cancel := context.WithTimeout(ctx, shareTimeout)
+	defer cancel()
+	return client.ShareLoad(bounded, request)
+}
+
+func (sharing *loadSharing) answered(target string) {
+	sharing.mutex.Lock()
+	defer sharing.mutex.Unlock()
+	delete(sharing.failures, target)
+}
+
+// suspect passes a gatherer over for a while.
+func (sharing *loadSharing) suspect(target string, cause error) {
+	sharing.mutex.Lock()
+	failures := sharing.failures[target]
+	sharing.failures[target] = failures + 1
+	sharing.mutex.Unlock()
+	const mostDoublings = 4
+	pause := min(gathererSuspicion<<min(failures, mostDoublings), mostSuspicion)
+	sharing.suspects.note(target, time.Now().Add(pause))
+	sharing.node.logger.Info("load gatherer not reached", zap.String("node", target), zap.Duration("passed_over", pause), logging.Cause(cause))
+}
+
+// noteChosen logs a change of the gatherer.
+func (sharing *loadSharing) noteChosen(target string) {
+	if sharing.chosen == target {
+		return
+	}
+	sharing.chosen = target
+	sharing.node.logger.Info("load gathered by", zap.String("node", target))
+}
+
+// noteView logs when the view of the load is lost and when it is there again.
+func (sharing *loadSharing) noteView(now time.Time) {
+	_, known := sharing.node.load.Total(now)
+	if sharing.known == known {
+		return
+	}
+	sharing.known = known
+	sharing.node.logger.Info("view of the load", zap.Bool("known", known))
+}
+
+// exchange tells other gatherers what this node gathers, for as long as it runs.
+func (sharing *loadSharing) exchange(ctx context.Context) {
+	for ctx.Err() == nil {
+		sent := 0
+		if sharing.gatherer.Heard(time.Now()) > 0 {
+			sent = sharing.tellGatherers(ctx)
+		}
+		wait.For(ctx, paceOf(sent, exchangeBytes))
+	}
+}
+
+// tellGatherers sends the sum of what this node hears itself to all other gatherers. It
+// returns the length of the longest message.
+func (sharing *loadSharing) tellGatherers(ctx context.Context) int {
+	sum := sharing.gatherer.Own(time.Now())
+	longest := &atomic.Int64{}
+	waiting := sync.WaitGroup{}
+	for _, target := range sharing.otherGatherers(time.Now()) {
+		waiting.Go(func() {
+			bytes := int64(sharing.tellSum(ctx, target, sum))
+			for held := longest.Load(); held < bytes && !longest.CompareAndSwap(held, bytes); held = longest.Load() {
+			}
+		})
+	}
+	waiting.Wait()
+	return int(longest.Load())
+}
+
+// otherGatherers are those of all zones as far as this node knows, and those that told it
+// their sums: nodes may for a while disagree who gathers for a zone.
+func (sharing *loadSharing) otherGatherers(now time.Time) []string {
+	names := sharing.gatherer.Gatherers(now)
+	for zone := range sharing.node.members.zoneSizes() {
+		names = append(names, sharing.gathererOf(zone, now))
+	}
+	others := names[:0]
+	seen := map[string]bool{"": true, sharing.node.settings.Name: true}
+	for _, name := range names {
+		if !seen[name] {
+			seen[name] = true
+			others = append(others, name)
+		}
+	}
+	return others
+}
+
+// tellSum sends a sum to another gatherer. It returns the bytes spent.
+func (sharing *loadSharing) tellSum(ctx context.Context, target string, sum load.Sum) int {
+	list := sharing.listOf(target)
+	request := &nodev1.ShareLoadRequest{
+		Node:     sharing.node.settings.Name,
+		Zone:     sharing.node.settings.Zone,
+		SumsZone: true,
+		Report:   toLoadReport(sum.Report, list, true),
+		Nodes:    uint32(sum.Nodes),
+		AgeMs:    sum.Age.Milliseconds(),
+		Sequence: sharing.sequence.Add(1),
+		List:     list.digest,
+	}
+	reply, err := sharing.send(ctx, target, request)
+	if err == nil {
+		sharing.noteList(target, list, reply)
+	}
+	return messageOverhead + proto.Size(request)
+}
+
+// answer takes in a report, and returns the sum over all nodes to a node that told its own.
+func (sharing *loadSharing) answer(request *nodev1.ShareLoadRequest, now time.Time) *nodev1.ShareLoadReply {
+	total := sharing.total(now)
+	sharing.takeReport(request, now)
+	reply := &nodev1.ShareLoadReply{List: total.list.digest}
+	if request.GetList() != total.list.digest {
+		reply.Engines = total.list.names
+	}
+	if request.GetSumsZone() {
+		return reply
+	}
+	reply.Total = total.engines
+	if request.GetOwnsPrograms() {
+		reply.Total = total.whole
+	}
+	reply.AgeMs = (total.sum.Age + now.Sub(total.at)).Milliseconds()
+	reply.ZoneNodes = uint32(total.zoneNodes)
+	return reply
+}
+
+// takeReport takes in a report that goes by a list known here; the sender hears of the
+// newest list and goes by that one next time.
+func (sharing *loadSharing) takeReport(request *nodev1.ShareLoadRequest, now time.Time) {
+	list, known := sharing.listNamed(request.GetList())
+	if !known && request.GetReport().GetColumns() != nil {
+		return
+	}
+	report := fromLoadReport(request.GetReport(), list)
+	origin := load.Origin{Node: request.GetNode(), Zone: request.GetZone(), Sequence: request.GetSequence()}
+	if request.GetSumsZone() {
+		sharing.gatherer.HearSum(origin, load.Sum{Report: report, Nodes: int(request.GetNodes()), Age: milliseconds(request.GetAgeMs())}, now)
+		return
+	}
+	sharing.gatherer.Hear(origin, report, now)
+}
+
+// listNamed returns the newest list or the one before, by its digest.
+func (sharing *loadSharing) listNamed(digest uint64) (engineList, bool) {
+	sharing.mutex.Lock()
+	defer sharing.mutex.Unlock()
+	if sharing.gathered != nil && sharing.gathered.list.digest == digest {
+		return sharing.gathered.list, true
+	}
+	if sharing.former.digest == digest {
+		return sharing.former, true
+	}
+	return engineList{}, false
+}
+
+// total returns the sum over all nodes as it was a moment ago.
+func (sharing *loadSharing) total(now time.Time) *gathered {
+	sharing.mutex.Lock()
+	defer sharing.mutex.Unlock()
+	before := sharing.gathered
+	if before != nil && now.Sub(before.at) < totalReuse {
+		return before
+	}
+	list := newEngineList(sharing.node.engines.IDs())
+	sum, zoneNodes := sharing.gatherer.Total(sharing.node.members.zoneSizes(), now)
+	sharing.gathered = &gathered{at: now, sum: sum, zoneNodes: zoneNodes, list: list,
+		whole: toLoadReport(sum.Report, list, true), engines: toLoadReport(sum.Report, list, false)}
+	if before != nil && before.list.digest != list.digest {
+		sharing.former = before.list
+	}
+	return sharing.gathered
+}
+
+// ShareLoad implements nodev1.Node.
+func (server *peerServer) ShareLoad(_ context.Context, request *nodev1.ShareLoadRequest) (*nodev1.ShareLoadReply, error) {
+	if !feature.Enabled(feature.LoadSharing) {
+		return nil, errNoLoad
+	}
+	return server.node.sharing.answer(request, time.Now()), nil
+}
+
+// ownLoad is what this node has under way.
+func (node *Node) ownLoad() load.Report {
+	report := load.NewReport()
+	report.Engines = node.engines.Load()
+	if node.waitingCalls != nil {
+		report.Waiting = node.waitingCalls()
+	}
+	if node.programLoad != nil {
+		report.Routes, report.Tenants = node.programLoad()
+	}
+	return report
+}
+
+// ownsPrograms tells whether this node owns any shard.
+func (node *Node) ownsPrograms() bool {
+	for shard := range node.settings.Shards {
+		if node.ownership.Owns(shard) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/node/load_metrics.go
@@ -0,0 +1,70 @@
+package node
+
+import (
+	"time"
+
+	"github.com/magpielug/magpielug/internal/load"
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+var (
+	loadAge = prometheus.NewDesc("magpielug_load_view_age_seconds",
+		"Age of this node's view of the load over all nodes; left out where there is none.", nil, nil)
+	loadRunning = prometheus.NewDesc("magpielug_load_running",
+		"Requests under way at the engines of a service over all nodes; left out while that is not known.", []string{"service"}, nil)
+	loadSilent = prometheus.NewDesc("magpielug_load_silent",
+		"Those of them without a byte of an answer.", []string{"service"}, nil)
+	loadWaiting = prometheus.NewDesc("magpielug_load_waiting",
+		"Calls that wait at nodes for an engine of a service, over all nodes.", []string{"service"}, nil)
+)
+
+// loadCollector shows the view of the load as metrics. Its labels are the services of the
+// engines known, which are few.
+type loadCollector struct{ node *Node }
+
+// Describe implements prometheus.Collector.
+func (collector *loadCollector) Describe(descriptions chan<- *prometheus.Desc) {
+	for _, description := range []*prometheus.Desc{loadAge, loadRunning, loadSilent, loadWaiting} {
+		descriptions <- description
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (collector *loadCollector) Collect(collected chan<- prometheus.Metric) {
+	now := time.Now()
+	age, any := collector.node.load.Age(now)
+	if any {
+		collected <- prometheus.MustNewConstMetric(loadAge, prometheus.GaugeValue, age.Seconds())
+	}
+	total, known := collector.node.load.Total(now)
+	if !known {
+		return
+	}
+	for service, sum := range collector.byService(total) {
+		collected <- prometheus.MustNewConstMetric(loadRunning, prometheus.GaugeValue, float64(sum.running), service)
+		collected <- prometheus.MustNewConstMetric(loadSilent, prometheus.GaugeValue, float64(sum.silent), service)
+		collected <- prometheus.MustNewConstMetric(loadWaiting, prometheus.GaugeValue, float64(sum.waiting), service)
+	}
+}
+
+// serviceLoad is what all nodes have under way at a service.
+type serviceLoad struct{ running, silent, waiting int }
+
+func (collector *loadCollector) byService(total load.Report) map[string]serviceLoad {
+	sums := map[string]serviceLoad{}
+	for id, engine := range total.Engines {
+		service, known := collector.node.engines.ServiceOf(id)
+		if known {
+			sum := sums[service]
+			sum.running += engine.Running
+			sum.silent += engine.Silent
+			sums[service] = sum
+		}
+	}
+	for queue, calls := range total.Waiting {
+		sum := sums[queue.Service]
+		sum.waiting += calls
+		sums[queue.Service] = sum
+	}
+	return sums
+}
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -114,6 +114,19 @@
 	return count
 }
 
+// zoneSizes returns the number of nodes of each zone that are not leaving.
+func (known *members) zoneSizes() map[string]int {
+	known.mutex.RLock()
+	defer known.mutex.RUnlock()
+	sizes := map[string]int{}
+	for _, member := range known.byName {
+		if !member.Leaving {
+			sizes[member.Zone]++
+		}
+	}
+	return sizes
+}
+
 // candidates returns the nodes that may own a shard, the first choice first
 // (rendezvous hashing, so that a node that leaves moves its own shards only).
 // The chance to come first grows with the square of a node's capacity: owning
--- a/internal/node/meter.go
+++ b/internal/node/meter.go
@@ -25,6 +25,8 @@
 	storeTime  *prometheus.HistogramVec
 	handedOver *prometheus.CounterVec
 	admissions *prometheus.CounterVec
+	// loadMessages counts messages about load.
+	loadMessages *prometheus.CounterVec
 
 	// mutex guards calls at the store since the last summary line.
 	mutex  sync.Mutex
@@ -69,6 +71,10 @@
 			Name: "magpielug_tenant_requests_total",
 			Help: "Requests of tenants with a limit, by whether the limit had room. Tenants beyond the first 200 count as \"other\".",
 		}, []string{"tenant", "verdict"}),
+		loadMessages: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "magpielug_load_messages_total",
+			Help: "Messages about load to gatherers, reports of this node and sums that it gathered, by outcome.",
+		}, []string{"kind", "outcome"}),
 		recent:  map[string]int{},
 		tenants: map[string]bool{},
 	}
@@ -105,6 +111,18 @@
 	return tenant
 }
 
+// loadMessage counts a message to a gatherer.
+func (meter *meter) loadMessage(sum bool, err error) {
+	kind, outcome := "report", "done"
+	if sum {
+		kind = "sum"
+	}
+	if err != nil {
+		outcome = "failed"
+	}
+	meter.loadMessages.WithLabelValues(kind, outcome).Inc()
+}
+
 // storeCall implements durable.Observe.
 func (meter *meter) storeCall(operation, topic string, took time.Duration, err error) {
 	outcome := "done"
@@ -154,7 +172,7 @@
 func (node *Node) metricsHandler() http.Handler {
 	meter := node.meter
 	registry := prometheus.NewRegistry()
-	registry.MustRegister(meter.calls, meter.duration, meter.firstEvent, meter.storeCalls, meter.storeTime, meter.handedOver, meter.admissions)
+	registry.MustRegister(meter.calls, meter.duration, meter.firstEvent, meter.storeCalls, meter.storeTime, meter.handedOver, meter.admissions, meter.loadMessages)
 	gauges := []struct {
 		name, help string
 		value      func() float64
@@ -166,6 +184,7 @@
 		{"magpielug_turn_bytes", "Bytes of turns held in memory.", func() float64 { _, bytes := node.turns.Size(); return float64(bytes) }},
 		{"magpielug_engine_connections_opened", "Connections opened to engines.", func() float64 { return float64(node.around.Connections.Opened()) }},
 	}
+	registry.MustRegister(&loadCollector{node: node})
 	for _, gauge := range gauges {
 		registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: gauge.name, Help: gauge.help}, gauge.value))
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -68,9 +68,14 @@
 	incarnation string
 	routes      *routing.Current
 	engines     *backend.Directory
-	// load is what all nodes have under way.
+	// load is what all nodes have under way, sharing keeps it current.
 	load    *load.View
-	members *members
+	sharing *loadSharing
+	// waitingCalls counts the calls that wait here for engines, programLoad tells what the
+	// programs that this node owns have under way. Either may be nil.
+	waitingCalls func() map[load.Queue]int
+	programLoad  func() (map[string]load.Route, map[load.Holder]int)
+	members      *members
 	// registration keeps the node's own record in the log.
 	registration *registration
 
@@ -176,6 +181,7 @@
 	}, settings.Shards, ownership.Around{Yield: node.askToYield, LogAway: node.logAway})
 	node.programs = newPrograms(node)
 	node.quotas = newQuotas(node)
+	node.sharing = newLoadSharing(node)
 	node.reader.Delegate(node.lineElsewhere)
 	if feature.Enabled(feature.RecordingElsewhere) {
 		node.recorder.RelayBy(node.recordElsewhere)
@@ -250,6 +256,7 @@
 	}
 	go node.learner.run(working, node.following)
 	go node.quotas.lend(working)
+	go node.sharing.run(working)
 	go node.keepHouse(working)
 	for {
 		select {
--- a/internal/node/peer_server.go
+++ b/internal/node/peer_server.go
@@ -55,8 +55,3 @@
 	client := node.peers.at(claim.Address)
 	return client.Yield(ctx, &nodev1.YieldRequest{Shard: uint32(shard), Epoch: claim.Epoch})
 }
-
-// ShareLoad implements nodev1.Node.
-func (server *peerServer) ShareLoad(_ context.Context, _ *nodev1.ShareLoadRequest) (*nodev1.ShareLoadReply, error) {
-	return nil, errNoLoad
-}
