Assignment: owners go by the load over all nodes

Cause: each reservation carried its asker's requests under way at every engine, so that owners could sum them; that is a map of names an ask, also between zones. Change: an owner goes by load.View and its own count; reservations carry the map only while the asker's view is unknown, and owners fall back to it then. Lines that begin are dealt among engines of one zone within one request of the least busy, since several owners go by nearly one view.

--- a/internal/assignment/assignment.go
+++ b/internal/assignment/assignment.go
@@ -1,17 +1,17 @@
 // Package assignment gives each line of a program's turns an engine that keeps
 // it, chosen by what runs where at the moment the line begins.
 //
-// The owner of a program's shard assigns. It learns the load from the nodes: each
-// request for tokens carries the sender's requests under way at each engine, so
-// that the owner's sum is some hundred milliseconds old. A line stays where it
-// is for the sake of the engine's memory; a sub-agent's line follows its program
-// unless that engine is full.
+// The owner of a program's shard assigns. It goes by the load over all nodes, which is
+// some hundred milliseconds old; while that is not known, by what the nodes tell it with
+// their requests for tokens. A line stays where it is for the sake of the engine's memory;
+// a sub-agent's line follows its program unless that engine is full.
 package assignment
 
 import (
 	"sync"
 	"time"
 
+	"github.com/magpielug/magpielug/internal/load"
 	"github.com/magpielug/magpielug/internal/tenant"
 )
 
@@ -21,6 +21,13 @@
 	// recentAge is how long an assignment counts beside the reports, which may
 	// not show it yet.
 	recentAge = 400 * time.Millisecond
+	// startAge is how long a turn takes from its assignment to the engine, before which
+	// no view of the load shows it.
+	startAge = 50 * time.Millisecond
+	// nearlyEqual is how many requests more than the least an engine may have and be
+	// taken all the same, where a view is gone by. Several owners go by nearly one view,
+	// and would all send what begins within its age to the least busy engine.
+	nearlyEqual = 1.0
 	// retention is how long an assignment outlasts its last turn.
 	retention = 60 * time.Second
 	// otherZoneCost is the cost of another zone than the caller's, in requests.
@@ -97,11 +104,21 @@
 	recents  []recent
 	// prompt is the usual length of a prompt, tokens.
 	prompt float64
+	// view is the load over all nodes, own returns what this node has at an engine.
+	view *load.View
+	own  func(engine string) int
 }
 
 // New returns an assigner that knows nothing.
 func New() *Assigner {
-	return &Assigner{reports: map[string]report{}, sessions: map[tenant.Program]assigned{}, programs: map[tenant.Program]assigned{}}
+	return &Assigner{reports: map[string]report{}, sessions: map[tenant.Program]assigned{}, programs: map[tenant.Program]assigned{}, view: load.NewView()}
+}
+
+// UseLoad has the assigner go by a view of the load over all nodes while it is known, with
+// what this node itself has at an engine by its own count. It is called before anything else.
+func (assigner *Assigner) UseLoad(view *load.View, own func(engine string) int) {
+	assigner.view = view
+	assigner.own = own
 }
 
 // Report takes in what a node has under way, by engine.
@@ -119,10 +136,10 @@
 		return ""
 	}
 	assigner.notePrompt(line.Prompt)
-	load := assigner.load(now)
-	engine, held := assigner.present(line, candidates, load)
+	requests, slack := assigner.requests(candidates, now)
+	engine, held := assigner.present(line, candidates, requests)
 	if !held {
-		engine = least(candidates, load, line.Zone)
+		engine = least(candidates, requests, line.Zone, slack)
 		assigner.recents = append(assigner.recents, recent{engine: engine, at: now})
 	}
 	assigner.sessions[line.session()] = assigned{engine: engine, used: now}
@@ -133,7 +150,7 @@
 }
 
 // present returns the engine that the line, or else its program, has already.
-func (assigner *Assigner) present(line Line, candidates []Candidate, load map[string]int) (string, bool) {
+func (assigner *Assigner) present(line Line, candidates []Candidate, requests map[string]int) (string, bool) {
 	if session, known := assigner.sessions[line.session()]; known && find(candidates, session.engine) != nil {
 		return session.engine, true
 	}
@@ -142,7 +159,7 @@
 		return "", false
 	}
 	candidate := find(candidates, program.engine)
-	if candidate == nil || (candidate.Slots > 0 && load[candidate.ID] >= assigner.mostToFollow(candidate)) {
+	if candidate == nil || (candidate.Slots > 0 && requests[candidate.ID] >= assigner.mostToFollow(candidate)) {
 		return "", false
 	}
 	return candidate.ID, true
@@ -177,8 +194,42 @@
 	return nil
 }
 
-// load sums the reports that still count and the newest assignments.
-func (assigner *Assigner) load(now time.Time) map[string]int {
+// requests returns the requests at the candidates, those on their way included, and how far
+// apart candidates may be that count as equal.
+func (assigner *Assigner) requests(candidates []Candidate, now time.Time) (map[string]int, float64) {
+	sum, unseen, slack := assigner.reported(now), recentAge, 0.0
+	if viewed, age, known := assigner.viewed(candidates, now); known {
+		sum, unseen, slack = viewed, age+startAge, nearlyEqual
+	}
+	for len(assigner.recents) > 0 && now.Sub(assigner.recents[0].at) > load.Trust+startAge {
+		assigner.recents = assigner.recents[1:]
+	}
+	for _, made := range assigner.recents {
+		if now.Sub(made.at) <= unseen {
+			sum[made.engine]++
+		}
+	}
+	return sum, slack
+}
+
+// viewed returns the requests at the candidates by the view of the load and its age, false
+// where it is not known.
+func (assigner *Assigner) viewed(candidates []Candidate, now time.Time) (map[string]int, time.Duration, bool) {
+	age, _ := assigner.view.Age(now)
+	sum := make(map[string]int, len(candidates))
+	for index := range candidates {
+		id := candidates[index].ID
+		others, known := assigner.view.Others(id, now)
+		if !known {
+			return nil, 0, false
+		}
+		sum[id] = others.Running + assigner.own(id)
+	}
+	return sum, age, true
+}
+
+// reported sums the reports that still count.
+func (assigner *Assigner) reported(now time.Time) map[string]int {
 	sum := map[string]int{}
 	for node, reported := range assigner.reports {
 		if now.Sub(reported.at) > reportAge {
@@ -189,30 +240,38 @@
 			sum[engine] += running
 		}
 	}
-	for len(assigner.recents) > 0 && now.Sub(assigner.recents[0].at) > recentAge {
-		assigner.recents = assigner.recents[1:]
-	}
-	for _, made := range assigner.recents {
-		sum[made.engine]++
-	}
 	return sum
 }
 
-func least(candidates []Candidate, load map[string]int, zone string) string {
-	best := 0
-	bestCost := cost(&candidates[0], load, zone)
-	for index := 1; index < len(candidates); index++ {
-		next := cost(&candidates[index], load, zone)
-		if next < bestCost || (next == bestCost && candidates[index].Order > candidates[best].Order) {
-			best = index
-			bestCost = next
+// least returns the candidate that costs least, or of those of its zone that have nearly as
+// little the first in the line's order.
+func least(candidates []Candidate, requests map[string]int, zone string, slack float64) string {
+	best := &candidates[0]
+	for index := range candidates {
+		best = cheaper(best, &candidates[index], requests, zone)
+	}
+	bound := cost(best, requests, zone) + slack
+	chosen := best
+	for index := range candidates {
+		candidate := &candidates[index]
+		if candidate.Zone == best.Zone && cost(candidate, requests, zone) <= bound && candidate.Order > chosen.Order {
+			chosen = candidate
 		}
 	}
-	return candidates[best].ID
+	return chosen.ID
+}
+
+// cheaper returns that of two candidates which costs less, or comes first in the order.
+func cheaper(left, right *Candidate, requests map[string]int, zone string) *Candidate {
+	leftCost, rightCost := cost(left, requests, zone), cost(right, requests, zone)
+	if rightCost < leftCost || (rightCost == leftCost && right.Order > left.Order) {
+		return right
+	}
+	return left
 }
 
-func cost(candidate *Candidate, load map[string]int, zone string) float64 {
-	total := float64(load[candidate.ID])
+func cost(candidate *Candidate, requests map[string]int, zone string) float64 {
+	total := float64(requests[candidate.ID])
 	if candidate.Zone != zone {
 		total += otherZoneCost
 	}
--- a/internal/backend/load.go
+++ b/internal/backend/load.go
@@ -20,6 +20,17 @@
 	return loads
 }
 
+// RunningAt returns the number of this node's requests under way at an engine.
+func (directory *Directory) RunningAt(id string) int {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	engine := directory.engines[id]
+	if engine == nil {
+		return 0
+	}
+	return engine.running
+}
+
 // IDs returns the ids of all engines known, in order.
 func (directory *Directory) IDs() []string {
 	directory.mutex.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -163,6 +163,7 @@
 	node.around = around
 	node.recorder = history.NewRecorder(around.Log, settings.Shards)
 	node.engines.UseLoad(node.load)
+	node.assigner.UseLoad(node.load, node.engines.RunningAt)
 	err = node.engines.UsePolicy(settings.Placement)
 	if err != nil {
 		return nil, err
--- a/internal/node/reserve.go
+++ b/internal/node/reserve.go
@@ -86,9 +86,9 @@
 }
 
 // running returns the node's requests under way by engine, for the owners that
-// assign engines.
+// assign engines. While the load over all nodes is known the owners know it without.
 func (node *Node) running() map[string]int32 {
-	if !node.engines.Assigns() {
+	if _, known := node.load.Total(time.Now()); known || !node.engines.Assigns() {
 		return nil
 	}
 	running := node.engines.Running()
