--- a/internal/node/load.go
+++ b/internal/node/load.go
@@ -25,10 +25,15 @@
 	// shareBytes is what a node that does not gather spends on sharing in a second, both
 	// ways: what its other control traffic leaves of 12 KB (docs/CAPACITY.md).
 	shareBytes = 3500
-	// exchangeBytes is what a gatherer sends to each other one in a second.
-	exchangeBytes = 6000
-	// messageOverhead is the length of the headers of a request and its answer, bytes.
-	messageOverhead = 400
+	// ownerBytes is the same of a node that owns programs, which gets routes and tenants too.
+	// At the target size it spends some 390 KB a second on reservations.
+	ownerBytes = 12000
+	// exchangeBytes is what a gatherer sends to each other one in a second: at the target
+	// size a sum each 0.4 s.
+	exchangeBytes = 9000
+	// messageOverhead is the length of the headers of a request and its answer, bytes: 354
+	// counted with empty messages over a kept connection.
+	messageOverhead = 360
 	// shareTimeout is how long a gatherer may take to answer. Two in a row that do not
 	// answer leave a view fresh.
 	shareTimeout = 200 * time.Millisecond
@@ -83,7 +88,7 @@
 	sum       load.Sum
 	zoneNodes int
 	list      engineList
-	// whole has routes and tenants in it, engines not.
+	// whole is for nodes that own programs, engines for the others.
 	whole, engines *nodev1.LoadReport
 }
 
@@ -104,10 +109,18 @@
 	for ctx.Err() == nil {
 		sent := sharing.round(ctx)
 		sharing.noteView(time.Now())
-		wait.For(ctx, paceOf(sent, shareBytes))
+		wait.For(ctx, paceOf(sent, sharing.bytesAllowed()))
 	}
 }
 
+// bytesAllowed is what this node may spend on sharing in a second.
+func (sharing *loadSharing) bytesAllowed() int {
+	if sharing.node.ownsPrograms() {
+		return ownerBytes
+	}
+	return shareBytes
+}
+
 // paceOf is the pause after a message of a length under a bound of bytes a second.
 func paceOf(bytes, perSecond int) time.Duration {
 	return max(sharePace, time.Duration(bytes)*time.Second/time.Duration(perSecond))
@@ -175,7 +188,7 @@
 	request := &nodev1.ShareLoadRequest{
 		Node:         sharing.node.settings.Name,
 		Zone:         sharing.node.settings.Zone,
-		Report:       toLoadReport(own, list, true),
+		Report:       packed(toLoadReport(own, list)),
 		Sequence:     sharing.sequence.Add(1),
 		List:         list.digest,
 		OwnsPrograms: sharing.node.ownsPrograms(),
@@ -185,7 +198,11 @@
 	if err != nil {
 		return messageOverhead + proto.Size(request), err
 	}
-	total := fromLoadReport(reply.GetTotal(), sharing.noteList(target, list, reply))
+	message, err := unpacked(reply.GetTotal())
+	if err != nil {
+		return messageOverhead + proto.Size(request) + proto.Size(reply), err
+	}
+	total := fromLoadReport(message, sharing.noteList(target, list, reply))
 	sharing.takeTotal(total, sharing.heldBy(target), milliseconds(reply.GetAgeMs()), int(reply.GetZoneNodes()), asked)
 	sharing.told = told{gatherer: target, report: own}
 	return messageOverhead + proto.Size(request) + proto.Size(reply), nil
@@ -343,7 +360,7 @@
 		Node:     sharing.node.settings.Name,
 		Zone:     sharing.node.settings.Zone,
 		SumsZone: true,
-		Report:   toLoadReport(sum.Report, list, true),
+		Report:   packed(toLoadReport(sum.Report, list)),
 		Nodes:    uint32(sum.Nodes),
 		AgeMs:    sum.Age.Milliseconds(),
 		Sequence: sharing.sequence.Add(1),
@@ -357,15 +374,18 @@
 }
 
 // answer takes in a report, and returns the sum over all nodes to a node that told its own.
-func (sharing *loadSharing) answer(request *nodev1.ShareLoadRequest, now time.Time) *nodev1.ShareLoadReply {
+func (sharing *loadSharing) answer(request *nodev1.ShareLoadRequest, now time.Time) (*nodev1.ShareLoadReply, error) {
 	total := sharing.total(now)
-	sharing.takeReport(request, now)
+	err := sharing.takeReport(request, now)
+	if err != nil {
+		return nil, err
+	}
 	reply := &nodev1.ShareLoadReply{List: total.list.digest}
 	if request.GetList() != total.list.digest {
 		reply.Engines = total.list.names
 	}
 	if request.GetSumsZone() {
-		return reply
+		return reply, nil
 	}
 	reply.Total = total.engines
 	if request.GetOwnsPrograms() {
@@ -373,23 +393,28 @@
 	}
 	reply.AgeMs = (total.sum.Age + now.Sub(total.at)).Milliseconds()
 	reply.ZoneNodes = uint32(total.zoneNodes)
-	return reply
+	return reply, nil
 }
 
 // takeReport takes in a report that goes by a list known here; the sender hears of the
 // newest list and goes by that one next time.
-func (sharing *loadSharing) takeReport(request *nodev1.ShareLoadRequest, now time.Time) {
+func (sharing *loadSharing) takeReport(request *nodev1.ShareLoadRequest, now time.Time) error {
+	message, err := unpacked(request.GetReport())
+	if err != nil {
+		return err
+	}
 	list, known := sharing.listNamed(request.GetList())
-	if !known && request.GetReport().GetColumns() != nil {
-		return
+	if !known && message.GetColumns() != nil {
+		return nil
 	}
-	report := fromLoadReport(request.GetReport(), list)
+	report := fromLoadReport(message, list)
 	origin := load.Origin{Node: request.GetNode(), Zone: request.GetZone(), Sequence: request.GetSequence()}
 	if request.GetSumsZone() {
 		sharing.gatherer.HearSum(origin, load.Sum{Report: report, Nodes: int(request.GetNodes()), Age: milliseconds(request.GetAgeMs())}, now)
-		return
+		return nil
 	}
 	sharing.gatherer.Hear(origin, report, now)
+	return nil
 }
 
 // listNamed returns the newest list or the one before, by its digest.
@@ -416,7 +441,7 @@
 	list := newEngineList(sharing.node.engines.IDs())
 	sum, zoneNodes := sharing.gatherer.Total(sharing.node.members.zoneSizes(), now)
 	sharing.gathered = &gathered{at: now, sum: sum, zoneNodes: zoneNodes, list: list,
-		whole: toLoadReport(sum.Report, list, true), engines: toLoadReport(sum.Report, list, false)}
+		whole: packed(toLoadReport(sum.Report, list)), engines: packed(toLoadReport(forEngines(sum.Report), list))}
 	if before != nil && before.list.digest != list.digest {
 		sharing.former = before.list
 	}
@@ -428,7 +453,7 @@
 	if !feature.Enabled(feature.LoadSharing) {
 		return nil, errNoLoad
 	}
-	return server.node.sharing.answer(request, time.Now()), nil
+	return server.node.sharing.answer(request, time.Now())
 }
 
 // ownLoad is what this node has under way.
--- a/internal/node/load_message.go
+++ b/internal/node/load_message.go
@@ -55,9 +55,22 @@
 
 func toCount(count float64) uint32 { return uint32(math.Round(max(count, 0) / countUnit)) }
 
-// toLoadReport writes a report for one who knows a list. Routes and tenants are left out
-// for those who own no programs.
-func toLoadReport(report load.Report, list engineList, programs bool) *nodev1.LoadReport {
+// forEngines returns what a node needs of a sum to choose engines: no programs, and answers
+// only of engines whose requests also fail.
+func forEngines(sum load.Report) load.Report {
+	engines := load.NewReport()
+	engines.Waiting = sum.Waiting
+	for id, engine := range sum.Engines {
+		if toCount(engine.Failed) == 0 {
+			engine.Answered = 0
+		}
+		engines.Engines[id] = engine
+	}
+	return engines
+}
+
+// toLoadReport writes a report for one who knows a list.
+func toLoadReport(report load.Report, list engineList) *nodev1.LoadReport {
 	message := &nodev1.LoadReport{}
 	columns := newEngineColumns(len(list.names))
 	for id, engine := range report.Engines {
@@ -77,9 +90,7 @@
 			message.Waiting = append(message.Waiting, &nodev1.WaitingLoad{Service: queue.Service, Rank: int32(queue.Rank), Calls: int32(calls)})
 		}
 	}
-	if programs {
-		addPrograms(message, report)
-	}
+	addPrograms(message, report)
 	return message
 }
 
--- a/internal/node/load_test.go
+++ b/internal/node/load_test.go
@@ -11,11 +11,13 @@
 
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
 	"github.com/magpielug/magpielug/internal/backend"
+	"github.com/magpielug/magpielug/internal/feature"
 	"github.com/magpielug/magpielug/internal/load"
 	"github.com/magpielug/magpielug/internal/logging"
 	"github.com/magpielug/magpielug/internal/ownership"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
 )
 
 // network carries calls between nodes of one process, without sockets.
@@ -143,4 +145,124 @@
 			}
 		}
 	})
+
+	It("comes to a node that alone can't reach its gatherer", func() {
+		start(6, 2)
+		var zone []string
+		for _, candidate := range nodes[0].members.candidates(loadShard) {
+			if candidate.Zone == "zone-0" {
+				zone = append(zone, candidate.Name)
+			}
+		}
+		gatherer, last := zone[0], zone[len(zone)-1]
+		lines.cut[[2]string{last, gatherer}] = true
+		run()
+		for _, node := range nodes {
+			Eventually(othersAt(node, "e"), patience).Should(Equal(5), node.settings.Name)
+		}
+	})
+
+	It("is that of one side where zones are cut off from each other", func() {
+		start(6, 2)
+		run()
+		var some, others []*Node
+		for _, node := range nodes {
+			Eventually(othersAt(node, "e"), patience).Should(Equal(5))
+			if node.settings.Zone == "zone-0" {
+				some = append(some, node)
+			} else {
+				others = append(others, node)
+			}
+		}
+		lines.cutBetween(some, others)
+		for _, node := range nodes {
+			Eventually(othersAt(node, "e"), patience).Should(Equal(2))
+		}
+	})
+
+	It("is not known to a node that reaches none of its zone", func() {
+		start(6, 1)
+		lines.lose("node-3")
+		run()
+		for _, node := range nodes {
+			if node.settings.Name != "node-3" {
+				Eventually(othersAt(node, "e"), patience).Should(Equal(4))
+			}
+		}
+		Expect(othersAt(nodes[3], "e")()).To(Equal(-1))
+		Expect(nodes[3].running()).To(BeEmpty(), "owners do not assign engines here")
+	})
+
+	It("goes on where engines come that only some nodes know", func() {
+		start(4, 2)
+		run()
+		for _, node := range nodes {
+			Eventually(othersAt(node, "e"), patience).Should(Equal(3))
+		}
+		nodes[1].engines.Put(backend.Instance{ID: "new", Service: "n"})
+		nodes[1].engines.Pick(&backend.Request{Service: "n"}, time.Now())
+		for _, node := range nodes {
+			if node.settings.Name != "node-1" {
+				Eventually(othersAt(node, "new"), patience).Should(Equal(1))
+			}
+		}
+	})
+
+	It("tells owners of programs, and waiting calls to all", func() {
+		start(3, 1)
+		queue := load.Queue{Service: "s", Rank: 1}
+		nodes[2].waitingCalls = func() map[load.Queue]int { return map[load.Queue]int{queue: 4} }
+		nodes[2].programLoad = func() (map[string]load.Route, map[load.Holder]int) {
+			return map[string]load.Route{"r": {Service: "s", Programs: 2}}, map[load.Holder]int{{Tenant: "t"}: 2}
+		}
+		answer := func(owns bool) load.Report {
+			gatherer := nodes[0]
+			request := &nodev1.ShareLoadRequest{Node: "node-2", Zone: "zone-0", OwnsPrograms: owns, Sequence: 1, Report: toLoadReport(nodes[2].ownLoad(), engineList{})}
+			_, err := gatherer.sharing.answer(request, time.Now())
+			Expect(err).NotTo(HaveOccurred())
+			request.Sequence++
+			reply, err := gatherer.sharing.answer(request, time.Now().Add(2*totalReuse))
+			Expect(err).NotTo(HaveOccurred())
+			message, err := unpacked(reply.Total)
+			Expect(err).NotTo(HaveOccurred())
+			return fromLoadReport(message, newEngineList(reply.Engines))
+		}
+		Expect(answer(true).Routes).To(HaveKey("r"))
+		Expect(answer(true).Tenants).To(HaveLen(1))
+		Expect(answer(true).Waiting).To(HaveKeyWithValue(queue, 4))
+		Expect(answer(false).Routes).To(BeEmpty())
+		Expect(answer(false).Waiting).To(HaveKeyWithValue(queue, 4))
+	})
+
+	It("is not shared where the feature is off", func() {
+		start(2, 1)
+		Expect(feature.Disable(string(feature.LoadSharing))).To(Succeed())
+		DeferCleanup(func() { Expect(feature.Disable("")).To(Succeed()) })
+		nodes[0].sharing.run(context.Background())
+		_, err := (&peerServer{node: nodes[1]}).ShareLoad(context.Background(), &nodev1.ShareLoadRequest{})
+		Expect(err).To(MatchError(errNoLoad))
+		Expect(othersAt(nodes[0], "e")()).To(Equal(-1))
+	})
+
+	It("is shown by service", func() {
+		start(2, 1)
+		nodes[0].sharing.gatherHere(nodes[0].ownLoad(), time.Now())
+		registry := prometheus.NewPedanticRegistry()
+		registry.MustRegister(&loadCollector{node: nodes[0]})
+		families, err := registry.Gather()
+		Expect(err).NotTo(HaveOccurred())
+		shown := map[string]float64{}
+		for _, family := range families {
+			for _, metric := range family.GetMetric() {
+				name := family.GetName()
+				for _, label := range metric.GetLabel() {
+					name += "/" + label.GetValue()
+				}
+				shown[name] = metric.GetGauge().GetValue()
+			}
+		}
+		Expect(shown).To(HaveKeyWithValue("magpielug_load_running/s", 1.0))
+		Expect(shown).To(HaveKeyWithValue("magpielug_load_running/t", 1.0))
+		Expect(shown).To(HaveKey("magpielug_load_view_age_seconds"))
+	})
 })
