Load: the list of engines is compressed and checked; gatherers in a file of their own; metrics

Cause: a changed list of 600 engines cost each node 9 KB, by which its pace would have left it without a view; a first failure passed a gatherer over twice as long where report and sum failed at once.

--- a/internal/node/load.go
+++ b/internal/node/load.go
@@ -28,9 +28,6 @@
 	// ownerBytes is the same of a node that owns programs, which gets routes and tenants too.
 	// At the target size it spends some 390 KB a second on reservations.
 	ownerBytes = 12000
-	// exchangeBytes is what a gatherer sends to each other one in a second: at the target
-	// size a sum each 0.4 s.
-	exchangeBytes = 9000
 	// messageOverhead is the length of the headers of a request and its answer, bytes: 354
 	// counted with empty messages over a kept connection.
 	messageOverhead = 360
@@ -44,8 +41,6 @@
 	// must not leave a node with another gatherer than its zone for long.
 	gathererSuspicion = 600 * time.Millisecond
 	mostSuspicion     = 5 * time.Second
-	// totalReuse is how long a sum serves several askers: a third of the pace.
-	totalReuse = sharePace / 3
 	// leastZoneShare of the nodes of its zone must be in a sum for a node to go by it. A
 	// node that only itself or few others tell anything would take all engines for idle.
 	leastZoneShare = 1.0 / 3
@@ -82,16 +77,6 @@
 	report   load.Report
 }
 
-// gathered is a sum over all nodes, ready to be sent.
-type gathered struct {
-	at        time.Time
-	sum       load.Sum
-	zoneNodes int
-	list      engineList
-	// whole is for nodes that own programs, engines for the others.
-	whole, engines *nodev1.LoadReport
-}
-
 func newLoadSharing(node *Node) *loadSharing {
 	sharing := &loadSharing{node: node, gatherer: load.NewGatherer(node.settings.Zone), suspects: newSuspects(),
 		failures: map[string]int{}, lists: map[string]engineList{}}
@@ -171,10 +156,15 @@
 	sharing.gatherer.Hear(load.Origin{Node: sharing.node.settings.Name, Zone: sharing.node.settings.Zone, Sequence: sharing.sequence.Add(1)}, own, now)
 	sum, zoneNodes := sharing.gatherer.Total(sharing.node.members.zoneSizes(), now)
 	sharing.takeTotal(sum.Report, own, sum.Age, zoneNodes, now)
+	sharing.told = told{}
 }
 
-// takeTotal makes a sum the node's view, unless too few nodes are in it.
+// takeTotal makes a sum the node's view, unless too few nodes are in it, or this node can't
+// tell since it has not read yet which nodes there are.
 func (sharing *loadSharing) takeTotal(total, own load.Report, age time.Duration, zoneNodes int, now time.Time) {
+	if !sharing.node.memberView.read() {
+		return
+	}
 	size := sharing.node.members.zoneSizes()[sharing.node.settings.Zone]
 	if float64(zoneNodes) < leastZoneShare*float64(size) {
 		return
@@ -182,7 +172,7 @@
 	sharing.node.load.Take(total, own, age, now)
 }
 
-// tell asks a gatherer. It returns the bytes spent.
+// tell asks a gatherer, and passes it over where that fails. It returns the bytes spent.
 func (sharing *loadSharing) tell(ctx context.Context, target string, own load.Report) (int, error) {
 	list := sharing.listOf(target)
 	request := &nodev1.ShareLoadRequest{
@@ -195,17 +185,33 @@
 	}
 	asked := time.Now()
 	reply, err := sharing.send(ctx, target, request)
+	if err == nil {
+		err = sharing.takeAnswer(target, list, reply, asked)
+	}
+	if err != nil && ctx.Err() == nil {
+		sharing.suspect(target, err)
+	}
+	if err == nil {
+		sharing.told = told{gatherer: target, report: own}
+	}
+	// A list of engines is not counted: it comes where engines do, and a node that then
+	// paused for its length would be without a view.
+	return messageOverhead + proto.Size(request) + proto.Size(reply.GetTotal()), err
+}
+
+// takeAnswer takes in the sum that a gatherer answered with.
+func (sharing *loadSharing) takeAnswer(target string, used engineList, reply *nodev1.ShareLoadReply, asked time.Time) error {
+	list, err := sharing.noteList(target, used, reply)
 	if err != nil {
-		return messageOverhead + proto.Size(request), err
+		return err
 	}
 	message, err := unpacked(reply.GetTotal())
 	if err != nil {
-		return messageOverhead + proto.Size(request) + proto.Size(reply), err
+		return err
 	}
-	total := fromLoadReport(message, sharing.noteList(target, list, reply))
+	total := fromLoadReport(message, list)
 	sharing.takeTotal(total, sharing.heldBy(target), milliseconds(reply.GetAgeMs()), int(reply.GetZoneNodes()), asked)
-	sharing.told = told{gatherer: target, report: own}
-	return messageOverhead + proto.Size(request) + proto.Size(reply), nil
+	return nil
 }
 
 // heldBy returns this node's part of a gatherer's answer: the sum is older than the report
@@ -232,32 +238,32 @@
 const mostLists = 32
 
 // noteList returns the list that an answer goes by, and keeps it where it is a new one.
-func (sharing *loadSharing) noteList(target string, used engineList, reply *nodev1.ShareLoadReply) engineList {
+func (sharing *loadSharing) noteList(target string, used engineList, reply *nodev1.ShareLoadReply) (engineList, error) {
 	if reply.GetList() == used.digest {
-		return used
+		return used, nil
+	}
+	list, err := readEngineList(reply.GetList(), reply.GetEngines())
+	if err != nil {
+		return engineList{}, err
 	}
-	list := newEngineList(reply.GetEngines())
 	sharing.mutex.Lock()
 	defer sharing.mutex.Unlock()
 	if len(sharing.lists) >= mostLists {
 		clear(sharing.lists)
 	}
 	sharing.lists[target] = list
-	return list
+	return list, nil
 }
 
-// send sends one message, and notes whether it was answered.
+// send sends one message.
 func (sharing *loadSharing) send(ctx context.Context, target string, request *nodev1.ShareLoadRequest) (*nodev1.ShareLoadReply, error) {
 	reply, err := sharing.sendOnce(ctx, target, request)
 	sharing.node.meter.loadMessage(request.GetSumsZone(), err)
-	if err == nil {
-		sharing.answered(target)
-		return reply, nil
-	}
-	if ctx.Err() == nil {
-		sharing.suspect(target, err)
+	if err != nil {
+		return nil, err
 	}
-	return nil, err
+	sharing.answered(target)
+	return reply, nil
 }
 
 func (sharing *loadSharing) sendOnce(ctx context.Context, target string, request *nodev1.ShareLoadRequest) (*nodev1.ShareLoadReply, error) {
@@ -276,15 +282,19 @@
 	delete(sharing.failures, target)
 }
 
-// suspect passes a gatherer over for a while.
+// suspect passes a gatherer over for a while, unless it is already.
 func (sharing *loadSharing) suspect(target string, cause error) {
 	sharing.mutex.Lock()
+	if sharing.suspects.holds(target, time.Now()) {
+		sharing.mutex.Unlock()
+		return
+	}
 	failures := sharing.failures[target]
 	sharing.failures[target] = failures + 1
-	sharing.mutex.Unlock()
 	const mostDoublings = 4
 	pause := min(gathererSuspicion<<min(failures, mostDoublings), mostSuspicion)
 	sharing.suspects.note(target, time.Now().Add(pause))
+	sharing.mutex.Unlock()
 	sharing.node.logger.Info("load gatherer not reached", zap.String("node", target), zap.Duration("passed_over", pause), logging.Cause(cause))
 }
 
@@ -307,155 +317,6 @@
 	sharing.node.logger.Info("view of the load", zap.Bool("known", known))
 }
 
-// exchange tells other gatherers what this node gathers, for as long as it runs.
-func (sharing *loadSharing) exchange(ctx context.Context) {
-	for ctx.Err() == nil {
-		sent := 0
-		if sharing.gatherer.Heard(time.Now()) > 0 {
-			sent = sharing.tellGatherers(ctx)
-		}
-		wait.For(ctx, paceOf(sent, exchangeBytes))
-	}
-}
-
-// tellGatherers sends the sum of what this node hears itself to all other gatherers. It
-// returns the length of the longest message.
-func (sharing *loadSharing) tellGatherers(ctx context.Context) int {
-	sum := sharing.gatherer.Own(time.Now())
-	longest := &atomic.Int64{}
-	waiting := sync.WaitGroup{}
-	for _, target := range sharing.otherGatherers(time.Now()) {
-		waiting.Go(func() {
-			bytes := int64(sharing.tellSum(ctx, target, sum))
-			for held := longest.Load(); held < bytes && !longest.CompareAndSwap(held, bytes); held = longest.Load() {
-			}
-		})
-	}
-	waiting.Wait()
-	return int(longest.Load())
-}
-
-// otherGatherers are those of all zones as far as this node knows, and those that told it
-// their sums: nodes may for a while disagree who gathers for a zone.
-func (sharing *loadSharing) otherGatherers(now time.Time) []string {
-	names := sharing.gatherer.Gatherers(now)
-	for zone := range sharing.node.members.zoneSizes() {
-		names = append(names, sharing.gathererOf(zone, now))
-	}
-	others := names[:0]
-	seen := map[string]bool{"": true, sharing.node.settings.Name: true}
-	for _, name := range names {
-		if !seen[name] {
-			seen[name] = true
-			others = append(others, name)
-		}
-	}
-	return others
-}
-
-// tellSum sends a sum to another gatherer. It returns the bytes spent.
-func (sharing *loadSharing) tellSum(ctx context.Context, target string, sum load.Sum) int {
-	list := sharing.listOf(target)
-	request := &nodev1.ShareLoadRequest{
-		Node:     sharing.node.settings.Name,
-		Zone:     sharing.node.settings.Zone,
-		SumsZone: true,
-		Report:   packed(toLoadReport(sum.Report, list)),
-		Nodes:    uint32(sum.Nodes),
-		AgeMs:    sum.Age.Milliseconds(),
-		Sequence: sharing.sequence.Add(1),
-		List:     list.digest,
-	}
-	reply, err := sharing.send(ctx, target, request)
-	if err == nil {
-		sharing.noteList(target, list, reply)
-	}
-	return messageOverhead + proto.Size(request)
-}
-
-// answer takes in a report, and returns the sum over all nodes to a node that told its own.
-func (sharing *loadSharing) answer(request *nodev1.ShareLoadRequest, now time.Time) (*nodev1.ShareLoadReply, error) {
-	total := sharing.total(now)
-	err := sharing.takeReport(request, now)
-	if err != nil {
-		return nil, err
-	}
-	reply := &nodev1.ShareLoadReply{List: total.list.digest}
-	if request.GetList() != total.list.digest {
-		reply.Engines = total.list.names
-	}
-	if request.GetSumsZone() {
-		return reply, nil
-	}
-	reply.Total = total.engines
-	if request.GetOwnsPrograms() {
-		reply.Total = total.whole
-	}
-	reply.AgeMs = (total.sum.Age + now.Sub(total.at)).Milliseconds()
-	reply.ZoneNodes = uint32(total.zoneNodes)
-	return reply, nil
-}
-
-// takeReport takes in a report that goes by a list known here; the sender hears of the
-// newest list and goes by that one next time.
-func (sharing *loadSharing) takeReport(request *nodev1.ShareLoadRequest, now time.Time) error {
-	message, err := unpacked(request.GetReport())
-	if err != nil {
-		return err
-	}
-	list, known := sharing.listNamed(request.GetList())
-	if !known && message.GetColumns() != nil {
-		return nil
-	}
-	report := fromLoadReport(message, list)
-	origin := load.Origin{Node: request.GetNode(), Zone: request.GetZone(), Sequence: request.GetSequence()}
-	if request.GetSumsZone() {
-		sharing.gatherer.HearSum(origin, load.Sum{Report: report, Nodes: int(request.GetNodes()), Age: milliseconds(request.GetAgeMs())}, now)
-		return nil
-	}
-	sharing.gatherer.Hear(origin, report, now)
-	return nil
-}
-
-// listNamed returns the newest list or the one before, by its digest.
-func (sharing *loadSharing) listNamed(digest uint64) (engineList, bool) {
-	sharing.mutex.Lock()
-	defer sharing.mutex.Unlock()
-	if sharing.gathered != nil && sharing.gathered.list.digest == digest {
-		return sharing.gathered.list, true
-	}
-	if sharing.former.digest == digest {
-		return sharing.former, true
-	}
-	return engineList{}, false
-}
-
-// total returns the sum over all nodes as it was a moment ago.
-func (sharing *loadSharing) total(now time.Time) *gathered {
-	sharing.mutex.Lock()
-	defer sharing.mutex.Unlock()
-	before := sharing.gathered
-	if before != nil && now.Sub(before.at) < totalReuse {
-		return before
-	}
-	list := newEngineList(sharing.node.engines.IDs())
-	sum, zoneNodes := sharing.gatherer.Total(sharing.node.members.zoneSizes(), now)
-	sharing.gathered = &gathered{at: now, sum: sum, zoneNodes: zoneNodes, list: list,
-		whole: packed(toLoadReport(sum.Report, list)), engines: packed(toLoadReport(forEngines(sum.Report), list))}
-	if before != nil && before.list.digest != list.digest {
-		sharing.former = before.list
-	}
-	return sharing.gathered
-}
-
-// ShareLoad implements nodev1.Node.
-func (server *peerServer) ShareLoad(_ context.Context, request *nodev1.ShareLoadRequest) (*nodev1.ShareLoadReply, error) {
-	if !feature.Enabled(feature.LoadSharing) {
-		return nil, errNoLoad
-	}
-	return server.node.sharing.answer(request, time.Now())
-}
-
 // ownLoad is what this node has under way.
 func (node *Node) ownLoad() load.Report {
 	report := load.NewReport()
--- /dev/null
+++ b/internal/node/load_benchmark_test.go
@@ -0,0 +1,67 @@
+package node
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	nodev1 "github.com/magpielug/magpielug/api/node/v1"
+	"github.com/magpielug/magpielug/internal/backend"
+	"github.com/magpielug/magpielug/internal/load"
+)
+
+// gathererAtTarget is a gatherer with the engines and nodes of the target size, and the
+// requests of its zone's nodes to it.
+func gathererAtTarget() (*loadSharing, []*nodev1.ShareLoadRequest) {
+	node := &Node{settings: Settings{Name: "node-000", Zone: "zone-0"}, members: newMembers(), engines: backend.NewDirectory()}
+	list := targetList()
+	for _, name := range list.names {
+		node.engines.Put(backend.Instance{ID: name, Service: "models"})
+	}
+	var requests []*nodev1.ShareLoadRequest
+	reports := targetReports(list, rand.New(rand.NewPCG(1, 2)))
+	for number := range targetNodes {
+		name, zone := fmt.Sprintf("node-%03d", number), fmt.Sprintf("zone-%d", number*targetZones/targetNodes)
+		node.members.put(Member{Name: name, Zone: zone})
+		if zone == node.settings.Zone {
+			requests = append(requests, &nodev1.ShareLoadRequest{Node: name, Zone: zone, List: list.digest, Report: packed(toLoadReport(reports[number], list))})
+		}
+	}
+	return newLoadSharing(node), requests
+}
+
+// BenchmarkGatherer answers one node; a sum serves all that ask within totalReuse.
+func BenchmarkGatherer(b *testing.B) {
+	sharing, requests := gathererAtTarget()
+	now := time.Now()
+	step := 420 * time.Millisecond / time.Duration(len(requests))
+	sequence := int64(0)
+	for b.Loop() {
+		sequence++
+		now = now.Add(step)
+		request := requests[sequence%int64(len(requests))]
+		request.Sequence = sequence
+		_, err := sharing.answer(request, now)
+		if err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkReport writes a node's report and reads the answer.
+func BenchmarkReport(b *testing.B) {
+	list := targetList()
+	reports := targetReports(list, rand.New(rand.NewPCG(1, 2)))
+	answer := packed(toLoadReport(forEngines(sumOf(reports)), list))
+	var read load.Report
+	for b.Loop() {
+		packed(toLoadReport(reports[100], list))
+		message, err := unpacked(answer)
+		if err != nil {
+			b.Fatal(err)
+		}
+		read = fromLoadReport(message, list)
+	}
+	_ = read
+}
--- a/internal/node/load_message.go
+++ b/internal/node/load_message.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"errors"
 	"math"
 	"strings"
 
@@ -23,13 +24,43 @@
 }
 
 func newEngineList(names []string) engineList {
-	list := engineList{digest: xxhash.Sum64String(strings.Join(names, "\n")), names: names, places: make(map[string]int, len(names))}
+	list := engineList{digest: xxhash.Sum64String(strings.Join(names, nameSeparator)), names: names, places: make(map[string]int, len(names))}
 	for place, name := range names {
 		list.places[name] = place
 	}
 	return list
 }
 
+// nameSeparator stands between the names of a list.
+const nameSeparator = "\n"
+
+var errOtherList = errors.New("the list of engines is another one than its digest says")
+
+// packedNames returns the list as it is sent.
+func (list engineList) packedNames() []byte {
+	return compressed([]byte(strings.Join(list.names, nameSeparator)))
+}
+
+// readEngineList reads a list of a digest as it was sent.
+func readEngineList(digest uint64, message []byte) (engineList, error) {
+	content, err := decompressed(message)
+	if err != nil {
+		return engineList{}, err
+	}
+	list := newEngineList(splitNames(string(content)))
+	if list.digest != digest {
+		return engineList{}, errOtherList
+	}
+	return list, nil
+}
+
+func splitNames(joined string) []string {
+	if joined == "" {
+		return nil
+	}
+	return strings.Split(joined, nameSeparator)
+}
+
 // engineColumns are the figures of the engines of a list, as they are sent.
 type engineColumns struct{ running, silent, answered, failed []uint32 }
 
--- a/internal/node/load_message_test.go
+++ b/internal/node/load_message_test.go
@@ -113,14 +113,26 @@
 		Expect(forEngines(sum).Engines).To(Equal(map[string]load.Engine{"sound": {Running: 3}, "failing": {Running: 3, Answered: 9, Failed: 2}}))
 	})
 
+	It("carry a list of engines, checked by its digest", func() {
+		read, err := readEngineList(list.digest, list.packedNames())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(read).To(Equal(list))
+		_, err = readEngineList(list.digest+1, list.packedNames())
+		Expect(err).To(MatchError(errOtherList))
+		none, err := readEngineList(newEngineList(nil).digest, newEngineList(nil).packedNames())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(none.names).To(BeEmpty())
+		GinkgoWriter.Printf("bytes of a list: %d\n", len(list.packedNames()))
+	})
+
 	It("do no harm where they are broken", func() {
 		Expect(fromColumn(&nodev1.Column{Steps: []uint32{4, 0, 1}, Values: []uint32{1, 2, 3}}, 3)).To(Equal([]uint32{0, 0, 0}))
 		Expect(fromColumn(&nodev1.Column{Steps: []uint32{1}, Values: []uint32{7, 8}}, 3)).To(Equal([]uint32{7, 0, 0}))
 		Expect(fromColumn(&nodev1.Column{Values: []uint32{1, 2, 3, 4}}, 3)).To(Equal([]uint32{1, 2, 3}))
 		_, err := unpacked(&nodev1.LoadReport{Packed: []byte("no such thing")})
 		Expect(err).To(HaveOccurred())
-		_, err = unpacked(&nodev1.LoadReport{Packed: compressed(make([]byte, mostReportBytes+1))})
-		Expect(err).To(MatchError(errLongReport))
+		_, err = unpacked(&nodev1.LoadReport{Packed: compressed(make([]byte, mostUnpackedBytes+1))})
+		Expect(err).To(MatchError(errLongMessage))
 	})
 
 	It("stay in their bound at the target size, with views that still count", func() {
--- a/internal/node/load_metrics.go
+++ b/internal/node/load_metrics.go
@@ -10,6 +10,8 @@
 var (
 	loadAge = prometheus.NewDesc("magpielug_load_view_age_seconds",
 		"Age of this node's view of the load over all nodes; left out where there is none.", nil, nil)
+	loadGathered = prometheus.NewDesc("magpielug_load_gathered_nodes",
+		"Nodes that tell this node their load, 0 where it gathers none.", nil, nil)
 	loadRunning = prometheus.NewDesc("magpielug_load_running",
 		"Requests under way at the engines of a service over all nodes; left out while that is not known.", []string{"service"}, nil)
 	loadSilent = prometheus.NewDesc("magpielug_load_silent",
@@ -24,7 +26,7 @@
 
 // Describe implements prometheus.Collector.
 func (collector *loadCollector) Describe(descriptions chan<- *prometheus.Desc) {
-	for _, description := range []*prometheus.Desc{loadAge, loadRunning, loadSilent, loadWaiting} {
+	for _, description := range []*prometheus.Desc{loadAge, loadGathered, loadRunning, loadSilent, loadWaiting} {
 		descriptions <- description
 	}
 }
@@ -32,10 +34,11 @@
 // Collect implements prometheus.Collector.
 func (collector *loadCollector) Collect(collected chan<- prometheus.Metric) {
 	now := time.Now()
-	age, any := collector.node.load.Age(now)
-	if any {
+	age, taken := collector.node.load.Age(now)
+	if taken {
 		collected <- prometheus.MustNewConstMetric(loadAge, prometheus.GaugeValue, age.Seconds())
 	}
+	collected <- prometheus.MustNewConstMetric(loadGathered, prometheus.GaugeValue, float64(collector.node.sharing.gatherer.Heard(now)))
 	total, known := collector.node.load.Total(now)
 	if !known {
 		return
--- a/internal/node/load_pack.go
+++ b/internal/node/load_pack.go
@@ -15,12 +15,12 @@
 	// worthPacking is the length from which on a report is compressed, bytes: below it the
 	// table of a compressed report costs about what it spares.
 	worthPacking = 128
-	// mostReportBytes bounds a report that is unpacked: some twenty times the longest at
-	// the target size, 9 KB.
-	mostReportBytes = 256 << 10
+	// mostUnpackedBytes bounds what is unpacked: some twenty times the longest report and the
+	// list of engines at the target size, 9 KB each.
+	mostUnpackedBytes = 256 << 10
 )
 
-var errLongReport = errors.New("the report of load is too long")
+var errLongMessage = errors.New("a message about load is too long")
 
 // compressors are kept, for one takes half a megabyte to make.
 var compressors = sync.Pool{New: func() any {
@@ -65,15 +65,24 @@
 	if len(message.GetPacked()) == 0 {
 		return message, nil
 	}
-	reader := flate.NewReader(bytes.NewReader(message.GetPacked()))
-	content, err := io.ReadAll(io.LimitReader(reader, mostReportBytes+1))
+	content, err := decompressed(message.GetPacked())
 	if err != nil {
 		return nil, err
 	}
-	if len(content) > mostReportBytes {
-		return nil, errLongReport
-	}
 	report := &nodev1.LoadReport{}
 	err = proto.Unmarshal(content, report)
 	return report, err
 }
+
+// decompressed is the reverse of compressed.
+func decompressed(short []byte) ([]byte, error) {
+	reader := flate.NewReader(bytes.NewReader(short))
+	content, err := io.ReadAll(io.LimitReader(reader, mostUnpackedBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(content) > mostUnpackedBytes {
+		return nil, errLongMessage
+	}
+	return content, nil
+}
--- a/internal/node/load_test.go
+++ b/internal/node/load_test.go
@@ -11,6 +11,7 @@
 
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
 	"github.com/magpielug/magpielug/internal/backend"
+	"github.com/magpielug/magpielug/internal/durable"
 	"github.com/magpielug/magpielug/internal/feature"
 	"github.com/magpielug/magpielug/internal/load"
 	"github.com/magpielug/magpielug/internal/logging"
@@ -86,6 +87,8 @@
 				ownership: ownership.NewManager(context.Background(), nil, logger.Logger, ownership.Identity{}, 4, ownership.Around{})}
 			node.peers = newPeers(node.members, lines.clientOf(name))
 			node.sharing = newLoadSharing(node)
+			node.memberView = newRecordView("nodes", logger.Logger, func(durable.KeyedRecord) bool { return false })
+			node.memberView.take(durable.Update{End: 1})
 			for engine := range count {
 				node.engines.Put(backend.Instance{ID: "engine-" + strconv.Itoa(engine), Service: "s"})
 			}
@@ -225,7 +228,9 @@
 			Expect(err).NotTo(HaveOccurred())
 			message, err := unpacked(reply.Total)
 			Expect(err).NotTo(HaveOccurred())
-			return fromLoadReport(message, newEngineList(reply.Engines))
+			list, err := readEngineList(reply.List, reply.Engines)
+			Expect(err).NotTo(HaveOccurred())
+			return fromLoadReport(message, list)
 		}
 		Expect(answer(true).Routes).To(HaveKey("r"))
 		Expect(answer(true).Tenants).To(HaveLen(1))
@@ -234,6 +239,21 @@
 		Expect(answer(false).Waiting).To(HaveKeyWithValue(queue, 4))
 	})
 
+	It("is not known before the nodes' records were read", func() {
+		start(2, 1)
+		nodes[0].memberView = newRecordView("nodes", nodes[0].logger.Logger, func(durable.KeyedRecord) bool { return false })
+		nodes[0].sharing.gatherHere(nodes[0].ownLoad(), time.Now())
+		Expect(othersAt(nodes[0], "e")()).To(Equal(-1), "it would take itself for the only node")
+	})
+
+	It("passes a gatherer over no longer where two messages at once find no answer", func() {
+		start(2, 1)
+		for range 3 {
+			nodes[0].sharing.suspect("node-1", errCut)
+		}
+		Expect(nodes[0].sharing.suspects.holds("node-1", time.Now().Add(2*gathererSuspicion))).To(BeFalse())
+	})
+
 	It("is not shared where the feature is off", func() {
 		start(2, 1)
 		Expect(feature.Disable(string(feature.LoadSharing))).To(Succeed())
