--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -16,7 +16,8 @@
 	Running int
 	Silent  int
 	// Answered and Failed count requests that ended well, and badly by the engine's own
-	// doing, in the last seconds, older ones for less.
+	// doing, in the last seconds, older ones for less. In a view Answered is 0 at engines
+	// without failures, where it would be sent for nothing.
 	Answered float64
 	Failed   float64
 }
--- a/internal/node/load_metrics.go
+++ b/internal/node/load_metrics.go
@@ -14,8 +14,6 @@
 		"Nodes that tell this node their load, 0 where it gathers none.", nil, nil)
 	loadRunning = prometheus.NewDesc("magpielug_load_running",
 		"Requests under way at the engines of a service over all nodes; left out while that is not known.", []string{"service"}, nil)
-	loadSilent = prometheus.NewDesc("magpielug_load_silent",
-		"Those of them without a byte of an answer.", []string{"service"}, nil)
 	loadWaiting = prometheus.NewDesc("magpielug_load_waiting",
 		"Calls that wait at nodes for an engine of a service, over all nodes.", []string{"service"}, nil)
 )
@@ -26,7 +24,7 @@
 
 // Describe implements prometheus.Collector.
 func (collector *loadCollector) Describe(descriptions chan<- *prometheus.Desc) {
-	for _, description := range []*prometheus.Desc{loadAge, loadGathered, loadRunning, loadSilent, loadWaiting} {
+	for _, description := range []*prometheus.Desc{loadAge, loadGathered, loadRunning, loadWaiting} {
 		descriptions <- description
 	}
 }
@@ -45,13 +43,12 @@
 	}
 	for service, sum := range collector.byService(total) {
 		collected <- prometheus.MustNewConstMetric(loadRunning, prometheus.GaugeValue, float64(sum.running), service)
-		collected <- prometheus.MustNewConstMetric(loadSilent, prometheus.GaugeValue, float64(sum.silent), service)
 		collected <- prometheus.MustNewConstMetric(loadWaiting, prometheus.GaugeValue, float64(sum.waiting), service)
 	}
 }
 
 // serviceLoad is what all nodes have under way at a service.
-type serviceLoad struct{ running, silent, waiting int }
+type serviceLoad struct{ running, waiting int }
 
 func (collector *loadCollector) byService(total load.Report) map[string]serviceLoad {
 	sums := map[string]serviceLoad{}
@@ -60,7 +57,6 @@
 		if known {
 			sum := sums[service]
 			sum.running += engine.Running
-			sum.silent += engine.Silent
 			sums[service] = sum
 		}
 	}
