Room: engines are asked only where they have room, and waiting calls are woken by room

Cause: a waiting call was woken each 12 ms and then asked all engines of its service in turn; engines that had refused 25 ms ago were asked again once none was left. Refused asks cost the engines the time that would have ended the overload.

Change: a node counts an engine's requests over all nodes by the load view (what it shows fades with its age), takes its part of the room at each new view, and replaces its own requests that end at once. Engines that refused within the full pause are never asked. Asks after refusals come from a token bucket of the node; two refusals, and a call waits, four, and it is refused. Waiters are woken by ends, new views and the end of pauses, in order of rank. A call whose predicted wait (Little's law) is over its patience is refused at once, and told when to come back, each in its turn. A turn of a program that has turns already waits for 0.3 of its time, as engines' own queue let it. Bodies of refusals are read, so that their connections are kept.

Two cases of limit_test.go asked an engine at the moment of its refusal, which this part forbids: they now expect nothing then, and the same bounds 25 ms later.

--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -27,6 +27,8 @@
 	Instance
 	// running is the number of this node's requests under way there.
 	running int
+	// others is what the other nodes are thought to have there, as of the last estimate.
+	others othersAt
 	// limit bounds them while the engine refuses some.
 	limit limit
 	// gone is true once the record has disappeared.
@@ -112,6 +114,14 @@
 	usual map[string]time.Duration
 	// usualOfRoute is the same by route, and less moved by single long waits.
 	usualOfRoute map[string]time.Duration
+	// durations is the mean time of a request that was answered, by service.
+	durations map[string]time.Duration
+	// bounds are this node's parts of the room by the newest view, limits what it has learned
+	// from refusals, by service.
+	bounds bounds
+	limits map[string]*limit
+	// nodes counts the nodes that share the engines, nil where that is not known.
+	nodes func() int
 	// assigns is true where owners assign engines.
 	assigns bool
 	// load is what all nodes have at the engines.
@@ -273,9 +283,11 @@
 	case Answered:
 		engine.failures = 0
 		engine.limit.raise()
+		directory.learned(engine.Service).raise()
 	case Full:
 		engine.fullUntil = now.Add(fullPause)
 		engine.limit.cut(engine.running, now)
+		directory.noteFull(engine, now)
 	case Failed:
 		engine.failures++
 		if engine.failures >= failuresToAvoid {
--- a/internal/backend/limit_test.go
+++ b/internal/backend/limit_test.go
@@ -12,6 +12,8 @@
 
 var _ = Describe("The bound of requests at an engine", func() {
 	request := &backend.Request{Service: service}
+	// pause is when an engine that has refused may be asked again.
+	const pause = 25 * time.Millisecond
 	// take picks until nothing has room, and returns what it got.
 	take := func(directory *backend.Directory, most int, at time.Time) []*backend.Engine {
 		var taken []*backend.Engine
@@ -37,7 +39,8 @@
 		for range 4 {
 			directory.Finish(taken[0], backend.Answered, now)
 		}
-		Expect(take(directory, 100, now)).To(HaveLen(1), "7.7 and what 4 answers add, less 6 under way")
+		Expect(take(directory, 100, now)).To(BeEmpty(), "it has refused just now")
+		Expect(take(directory, 100, now.Add(pause))).To(HaveLen(1), "7.7 and what 4 answers add, less 6 under way")
 	})
 
 	It("counts refusals that come together once, and always lets one request through", func() {
@@ -46,7 +49,8 @@
 		for _, engine := range taken {
 			directory.Finish(engine, backend.Full, now)
 		}
-		Expect(take(directory, 100, now)).To(HaveLen(14))
+		Expect(take(directory, 100, now)).To(BeEmpty(), "it has refused just now")
+		Expect(take(directory, 100, now.Add(pause))).To(HaveLen(14))
 		for round := range 50 {
 			at := now.Add(time.Duration(round) * time.Second)
 			for _, engine := range take(directory, 1, at) {
@@ -71,7 +75,7 @@
 		queue := backend.NewWaitQueue()
 		done := make(chan struct{})
 		go func() {
-			queue.Wait(context.Background(), service, time.Now(), patience)
+			queue.Wait(context.Background(), backend.Waiter{Service: service, Aim: time.Now()}, patience)
 			close(done)
 		}()
 		queue.Wake("another")
@@ -83,8 +87,8 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel()
 		for number := range 3 {
-			queue.Wait(ctx, fmt.Sprint("s", number), time.Now(), patience)
-			queue.Wait(context.Background(), fmt.Sprint("s", number), time.Now(), 0)
+			queue.Wait(ctx, backend.Waiter{Service: fmt.Sprint("s", number), Aim: time.Now()}, patience)
+			queue.Wait(context.Background(), backend.Waiter{Service: fmt.Sprint("s", number), Aim: time.Now()}, 0)
 			Expect(queue.Waits(fmt.Sprint("s", number))).To(BeFalse())
 		}
 	})
--- a/internal/backend/pick.go
+++ b/internal/backend/pick.go
@@ -1,6 +1,10 @@
 package backend
 
-import "time"
+import (
+	"time"
+
+	"github.com/magpielug/magpielug/internal/feature"
+)
 
 // Request is what a choice of an engine depends on.
 type Request struct {
@@ -53,21 +57,21 @@
 
 // Pick chooses an engine and counts the request there, or returns nil. Filters
 // are given up one after another where nothing is left: an engine that is
-// passed over is better than none, one asked already is not.
+// passed over is better than none, one asked already or without room is not.
 func (directory *Directory) Pick(request *Request, now time.Time) *Engine {
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
 	candidates := directory.usable(request.Service)
+	directory.estimateOthers(request.Service, candidates, now)
+	always := []Filter{untried{}, roomy{}}
+	if feature.Enabled(feature.RoomByLoad) {
+		always = append(always, notFull{}, hasRoom{first: idleHere(candidates), left: directory.leftHere(request.Service, candidates, now)})
+	}
 	noticed := sound{heedDoubt: heedsDoubt(candidates, now)}
-	filterSets := [][]Filter{{untried{}, noticed, roomy{}}, {untried{}, roomy{}}}
-	for _, filters := range filterSets {
+	for _, filters := range [][]Filter{append([]Filter{noticed}, always...), always} {
 		admitted := admit(candidates, filters, request, now)
 		if len(admitted) > 0 {
-			if assigned := byID(admitted, request.Assigned); assigned != nil {
-				assigned.running++
-				return assigned
-			}
-			chosen := directory.policy.Choose(admitted, request, now)
+			chosen := directory.choose(admitted, request, now)
 			chosen.running++
 			return chosen
 		}
@@ -75,6 +79,15 @@
 	return nil
 }
 
+// choose takes the assigned engine where it is admitted, for the prompt of the line lies in
+// its memory, or else what the policy takes.
+func (directory *Directory) choose(admitted []*Engine, request *Request, now time.Time) *Engine {
+	if assigned := byID(admitted, request.Assigned); assigned != nil {
+		return assigned
+	}
+	return directory.policy.Choose(admitted, request, now)
+}
+
 // byID returns the engine of an id, nil where it is not admitted.
 func byID(admitted []*Engine, id string) *Engine {
 	for _, candidate := range admitted {
--- a/internal/backend/policy.go
+++ b/internal/backend/policy.go
@@ -28,7 +28,7 @@
 	PolicySession = "session"
 	// PolicyPrompt keeps prompts that begin alike on one engine.
 	PolicyPrompt = "prompt"
-	// PolicyLeast takes the engine with the fewest of this node's requests.
+	// PolicyLeast takes an engine with few requests, as far as is known.
 	PolicyLeast = "least"
 	// PolicyRandom takes any engine.
 	PolicyRandom = "random"
@@ -76,15 +76,20 @@
 	affinityReach = 4.0
 )
 
-// leastPolicy prefers engines with few of this node's requests, and nearby ones.
+// leastPolicy prefers engines with few requests, and nearby ones.
 type leastPolicy struct{}
 
 // Choose implements Policy.
 func (leastPolicy) Choose(admitted []*Engine, request *Request, now time.Time) *Engine {
-	best := admitted[0]
-	bestCost := runningCost(best, request, now)
-	for _, candidate := range admitted[1:] {
-		cost := runningCost(candidate, request, now)
+	compared := admitted
+	if admitted[0].others.known {
+		compared = drawn(admitted, request.Zone)
+	}
+	slots := meanSlots(admitted)
+	best := compared[0]
+	bestCost := runningCost(best, request, slots, now)
+	for _, candidate := range compared[1:] {
+		cost := runningCost(candidate, request, slots, now)
 		if cost < bestCost {
 			best = candidate
 			bestCost = cost
@@ -93,10 +98,51 @@
 	return best
 }
 
-// runningCost is the cost of one more request at an engine: at a slow one, each under
-// way counts as several.
-func runningCost(engine *Engine, request *Request, now time.Time) float64 {
-	cost := float64(engine.running+1)*engine.slowness(now) + noiseCost*rand.Float64()
+// choices is how many engines, of the asker's zone and of all, are compared with each other
+// where all nodes see one view. With two the busiest engine gets nearly as little as if all
+// were compared, and the least busy one only twice its part.
+const choices = 2
+
+// drawn returns the engines to compare. It answers the load of many nodes that see one view
+// at once: if each took its least busy engine, that would be the busiest one by the next view.
+func drawn(admitted []*Engine, zone string) []*Engine {
+	nearby := make([]*Engine, 0, len(admitted))
+	for _, engine := range admitted {
+		if engine.Zone == zone {
+			nearby = append(nearby, engine)
+		}
+	}
+	compared := make([]*Engine, 0, choices+choices)
+	for _, group := range [][]*Engine{nearby, admitted} {
+		if len(group) == 0 {
+			continue
+		}
+		for range choices {
+			compared = append(compared, group[rand.IntN(len(group))])
+		}
+	}
+	return compared
+}
+
+// meanSlots is the mean number of slots, 0 where an engine does not tell its own.
+func meanSlots(engines []*Engine) float64 {
+	sum := 0
+	for _, engine := range engines {
+		if engine.Slots <= 0 {
+			return 0
+		}
+		sum += engine.Slots
+	}
+	return float64(sum) / float64(len(engines))
+}
+
+// runningCost is the cost of one more request at an engine, in requests at one of usual
+// slots: at a slow one, each under way counts as several.
+func runningCost(engine *Engine, request *Request, usualSlots float64, now time.Time) float64 {
+	cost := (engine.under()+1)*engine.slowness(now) + noiseCost*rand.Float64()
+	if usualSlots > 0 {
+		cost *= usualSlots / float64(engine.Slots)
+	}
 	if engine.Zone != request.Zone {
 		cost += otherZoneCost
 	}
@@ -124,7 +170,7 @@
 		return leastPolicy{}.Choose(admitted, request, now)
 	}
 	first, second := firstTwo(admitted, key)
-	if second != nil && float64(first.running) > float64(second.running)+affinityReach {
+	if second != nil && first.under() > second.under()+affinityReach {
 		return second
 	}
 	return first
--- /dev/null
+++ b/internal/backend/returns.go
@@ -0,0 +1,33 @@
+package backend
+
+import (
+	"sync"
+	"time"
+)
+
+// Returns spreads the calls that come back after they were refused for want of room. It
+// answers the load of many callers that were told the same time and came back at one
+// moment. It is safe for concurrent use, its zero value is ready.
+type Returns struct {
+	mutex sync.Mutex
+	// next is when the next call may come back, by service.
+	next map[string]time.Time
+}
+
+// After is when a call to a service is to come back: when its predicted wait is over, one
+// interval after the call before it. Times over most begin anew from the predicted one, for
+// a caller has only so much time: the later ones then come among the earlier ones.
+func (returns *Returns) After(service string, predicted, interval, most time.Duration, now time.Time) time.Duration {
+	returns.mutex.Lock()
+	defer returns.mutex.Unlock()
+	if returns.next == nil {
+		returns.next = map[string]time.Time{}
+	}
+	soonest := now.Add(min(predicted, most))
+	at := returns.next[service]
+	if at.Before(soonest) || at.Sub(now) > most {
+		at = soonest
+	}
+	returns.next[service] = at.Add(interval)
+	return at.Sub(now)
+}
--- a/internal/backend/wait_queue.go
+++ b/internal/backend/wait_queue.go
@@ -3,40 +3,104 @@
 import (
 	"container/heap"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/magpielug/magpielug/internal/feature"
+	"github.com/magpielug/magpielug/internal/load"
 )
 
-// queuePoll is how long the first of a queue waits at most for a wake-up.
-const queuePoll = 12 * time.Millisecond
+const (
+	// queuePoll is how long the first of a queue waits at most for a wake-up where rooms
+	// are not heeded, and for a place that is known to be free.
+	queuePoll = 12 * time.Millisecond
+	// longestLook separates two looks for room that no event tells of: a bound that is
+	// forgotten, an engine that came. Looks ask no engine.
+	longestLook = 100 * time.Millisecond
+)
+
+// Rooms knows what room engines have.
+type Rooms interface {
+	// Room is how many more requests to a service engines have room for.
+	Room(service string, now time.Time) int
+	// Renew takes in that the view of all nodes has changed; here counts the requests that
+	// wait at this node.
+	Renew(here map[load.Queue]int, now time.Time)
+	// NextRoom is when an engine that has refused may be asked again, false where none has.
+	NextRoom(service string, now time.Time) (time.Time, bool)
+}
+
+// Waiter is a request that waits for an engine of a service. Rank 0 is the most urgent.
+type Waiter struct {
+	Service string
+	Rank    int
+	// Aim is when the request's program should be over.
+	Aim time.Time
+}
 
-// WaitQueue holds the requests that wait for an engine, by service, in order of what
-// is left to the aims of their programs. It is safe for concurrent use.
+// WaitQueue holds the requests that wait for an engine, by service, in order of their ranks
+// and of what is left to the aims of their programs. It is safe for concurrent use.
+//
+// It answers the load of more calls than engines have room for. Requests are woken by
+// events that show room, and no more of them than there is room for: where each was woken
+// by a clock and asked all engines in turn, the asks took more of the engines' time than
+// the work.
 type WaitQueue struct {
 	mutex    sync.Mutex
 	services map[string]*waiters
+	// rooms is nil where the first is woken by each event and by a clock.
+	rooms Rooms
+	// now is the clock, and after runs a function later by it.
+	now   func() time.Time
+	after func(while time.Duration, run func())
 }
 
 // NewWaitQueue returns an empty queue.
-func NewWaitQueue() *WaitQueue { return &WaitQueue{services: map[string]*waiters{}} }
+func NewWaitQueue() *WaitQueue {
+	after := func(while time.Duration, run func()) { time.AfterFunc(while, run) }
+	return &WaitQueue{services: map[string]*waiters{}, now: time.Now, after: after}
+}
+
+// UseRooms has the queue heed what room there is. It is called before anything else.
+func (queue *WaitQueue) UseRooms(rooms Rooms) { queue.rooms = rooms }
+
+// paced tells whether requests are woken only where there is room.
+func (queue *WaitQueue) paced() bool {
+	return queue.rooms != nil && feature.Enabled(feature.RoomByLoad)
+}
 
 // waiters are the requests that wait for engines of one service.
 type waiters struct {
 	ordered order
-	// armed is true while a wake-up is due.
+	// armed is true while a look for room is due.
 	armed bool
 }
 
 // waiting is one request in the queue.
 type waiting struct {
+	rank  int
 	aim   time.Time
 	late  bool
 	woken chan struct{}
 	index int
 }
 
+func newWaiting(waiter Waiter, now time.Time) *waiting {
+	return &waiting{rank: waiter.Rank, aim: waiter.Aim, late: !waiter.Aim.After(now), woken: make(chan struct{}, 1)}
+}
+
+// Here counts the requests to a service in the queue, by rank.
+func (queue *WaitQueue) Here(service string) map[int]int {
+	queue.mutex.Lock()
+	defer queue.mutex.Unlock()
+	found := queue.services[service]
+	if found == nil {
+		return nil
+	}
+	return found.byRank()
+}
+
 // Waits tells whether requests to a service are in the queue.
 func (queue *WaitQueue) Waits(service string) bool {
 	queue.mutex.Lock()
@@ -45,13 +109,47 @@
 	return found != nil && len(found.ordered) > 0
 }
 
-// Wait returns when it is the request's turn to look for an engine, or after
-// patience, or when ctx ends. Requests with the nearest aim come first; those
-// whose aim is over come last, for their programs gain little any more.
-func (queue *WaitQueue) Wait(ctx context.Context, service string, aim time.Time, patience time.Duration) {
-	mine := &waiting{aim: aim, late: !aim.After(time.Now()), woken: make(chan struct{}, 1)}
-	queue.enter(service, mine)
-	defer queue.leave(service, mine)
+// Waiting counts the requests in the queue, by service and rank.
+func (queue *WaitQueue) Waiting() map[load.Queue]int {
+	queue.mutex.Lock()
+	defer queue.mutex.Unlock()
+	return queue.counts()
+}
+
+func (queue *WaitQueue) counts() map[load.Queue]int {
+	counts := map[load.Queue]int{}
+	for service, found := range queue.services {
+		for _, each := range found.ordered {
+			counts[load.Queue{Service: service, Rank: each.rank}]++
+		}
+	}
+	return counts
+}
+
+// Ahead is the number of requests that come before one that would enter the queue now.
+func (queue *WaitQueue) Ahead(waiter Waiter, now time.Time) int {
+	queue.mutex.Lock()
+	defer queue.mutex.Unlock()
+	found := queue.services[waiter.Service]
+	if found == nil {
+		return 0
+	}
+	mine := newWaiting(waiter, now)
+	ahead := 0
+	for _, each := range found.ordered {
+		if !mine.before(each) {
+			ahead++
+		}
+	}
+	return ahead
+}
+
+// Wait returns when it is the request's turn to look for an engine, or after patience, or
+// when ctx ends. More urgent ranks come first, and among equals requests with the nearest
+// aim; those whose aim is over come last, for their programs gain little any more.
+func (queue *WaitQueue) Wait(ctx context.Context, waiter Waiter, patience time.Duration) {
+	mine := newWaiting(waiter, queue.now())
+	queue.enter(waiter.Service, mine)
 	timer := time.NewTimer(patience)
 	defer timer.Stop()
 	select {
@@ -59,6 +157,11 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
+	waited := queue.leave(waiter.Service, mine)
+	if !waited && ctx.Err() != nil {
+		// Its caller left just as its turn came, which is now another one's.
+		queue.Wake(waiter.Service)
+	}
 }
 
 func (queue *WaitQueue) enter(service string, mine *waiting) {
@@ -70,44 +173,122 @@
 		queue.services[service] = found
 	}
 	heap.Push(&found.ordered, mine)
-	queue.arm(service, found)
+	queue.arm(service, found, queue.now())
 }
 
-func (queue *WaitQueue) leave(service string, mine *waiting) {
+// leave takes a request out of the queue; it is false where its turn had come.
+func (queue *WaitQueue) leave(service string, mine *waiting) bool {
 	queue.mutex.Lock()
 	defer queue.mutex.Unlock()
-	if mine.index >= 0 {
-		heap.Remove(&queue.services[service].ordered, mine.index)
+	if mine.index < 0 {
+		return false
 	}
+	heap.Remove(&queue.services[service].ordered, mine.index)
+	return true
 }
 
-// arm makes sure that the first in the queue looks again though nothing ends.
-func (queue *WaitQueue) arm(service string, found *waiters) {
-	if found.armed {
+// arm makes sure that there is a look for room though no event tells of any.
+func (queue *WaitQueue) arm(service string, found *waiters, now time.Time) {
+	if found.armed || len(found.ordered) == 0 {
 		return
 	}
 	found.armed = true
-	time.AfterFunc(queuePoll, func() {
-		queue.mutex.Lock()
-		found.armed = false
-		queue.mutex.Unlock()
-		queue.Wake(service)
-	})
+	queue.after(queue.pause(service, now), func() { queue.look(service) })
 }
 
-// Wake lets the first in the queue for a service look for an engine.
+// pause is how long after now to look for room.
+func (queue *WaitQueue) pause(service string, now time.Time) time.Duration {
+	if !queue.paced() || queue.rooms.Room(service, now) > 0 {
+		return queuePoll
+	}
+	next, refused := queue.rooms.NextRoom(service, now)
+	if refused {
+		return min(next.Sub(now), longestLook)
+	}
+	return longestLook
+}
+
+// look wakes requests for room that no event told of.
+func (queue *WaitQueue) look(service string) {
+	queue.mutex.Lock()
+	defer queue.mutex.Unlock()
+	now := queue.now()
+	found := queue.services[service]
+	if found == nil {
+		return
+	}
+	found.armed = false
+	queue.wakeFor(found, queue.roomToLookFor(service, now))
+	queue.arm(service, found, now)
+}
+
+// roomToLookFor is how many requests a look may wake.
+func (queue *WaitQueue) roomToLookFor(service string, now time.Time) int {
+	if !queue.paced() {
+		return 1
+	}
+	return queue.rooms.Room(service, now)
+}
+
+// Wake lets the first in the queue for a service look for an engine: a request of this node
+// has ended there.
 func (queue *WaitQueue) Wake(service string) {
 	queue.mutex.Lock()
 	defer queue.mutex.Unlock()
+	now := queue.now()
 	found := queue.services[service]
 	if found == nil || len(found.ordered) == 0 {
 		return
 	}
-	first := heap.Pop(&found.ordered).(*waiting)
-	first.woken <- struct{}{}
-	if len(found.ordered) > 0 {
-		queue.arm(service, found)
+	if !queue.paced() || queue.rooms.Room(service, now) > 0 {
+		queue.wakeFor(found, 1)
 	}
+	queue.arm(service, found, now)
+}
+
+// Renewed is called when the view of the load has changed. It lets as many requests look
+// for an engine as this node's part of the room that it shows.
+func (queue *WaitQueue) Renewed() {
+	if !queue.paced() {
+		return
+	}
+	queue.mutex.Lock()
+	defer queue.mutex.Unlock()
+	now := queue.now()
+	queue.rooms.Renew(queue.counts(), now)
+	for service, found := range queue.services {
+		if len(found.ordered) > 0 {
+			queue.wakeFor(found, queue.rooms.Room(service, now))
+			queue.arm(service, found, now)
+		}
+	}
+}
+
+// wakeFor wakes the first requests of a queue. The caller holds the mutex.
+func (queue *WaitQueue) wakeFor(found *waiters, most int) {
+	for range min(most, len(found.ordered)) {
+		first := heap.Pop(&found.ordered).(*waiting)
+		first.woken <- struct{}{}
+	}
+}
+
+// byRank counts the requests by rank.
+func (found *waiters) byRank() map[int]int {
+	counts := map[int]int{}
+	for _, each := range found.ordered {
+		counts[each.rank]++
+	}
+	return counts
+}
+
+// ranksOf returns the ranks of a count, the most urgent first.
+func ranksOf(counts map[int]int) []int {
+	ranks := make([]int, 0, len(counts))
+	for rank := range counts {
+		ranks = append(ranks, rank)
+	}
+	slices.Sort(ranks)
+	return ranks
 }
 
 // order implements heap.Interface.
@@ -115,14 +296,20 @@
 
 func (order order) Len() int { return len(order) }
 
-func (order order) Less(left, right int) bool {
+func (order order) Less(left, right int) bool { return order[left].before(order[right]) }
+
+// before tells whether a request's turn comes before another one's.
+func (request *waiting) before(other *waiting) bool {
 	if !feature.Enabled(feature.QueueOrder) {
 		return false
 	}
-	if order[left].late != order[right].late {
-		return order[right].late
+	if request.rank != other.rank && feature.Enabled(feature.RoomByLoad) {
+		return request.rank < other.rank
+	}
+	if request.late != other.late {
+		return other.late
 	}
-	return order[left].aim.Before(order[right].aim)
+	return request.aim.Before(other.aim)
 }
 
 func (order order) Swap(left, right int) {
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -37,11 +37,24 @@
 	}
 }
 
-// pick chooses an engine, nil where none has room or others wait for one.
+// pick chooses an engine, nil where none has room, others wait for one, or the call may
+// not ask again.
 func (current *course) pick() *backend.Engine {
 	if !current.waited && current.service.Waiting.Waits(current.serviceName) {
 		return nil
 	}
+	if !current.asking.Take(&current.service.Retries, time.Now()) {
+		return nil
+	}
+	engine := current.pickAmong()
+	if engine == nil {
+		current.asking.Return(&current.service.Retries)
+	}
+	return engine
+}
+
+// pickAmong chooses among the engines that may get the call.
+func (current *course) pickAmong() *backend.Engine {
 	request := &backend.Request{Service: current.serviceName, Zone: current.service.Zone, Tried: current.tried}
 	if current.route.Kind == routing.Streaming {
 		request.Program = current.call.Program
@@ -60,6 +73,7 @@
 	current.lastEngine = engine.ID
 	sending, cancel := context.WithCancel(ctx)
 	defer cancel()
+	began := time.Now()
 	outcome := backend.Abandoned
 	stopWatch := current.watch(engine)
 	defer func() {
@@ -68,6 +82,10 @@
 			outcome = backend.Silent
 		}
 		current.service.Engines.Finish(engine, outcome, time.Now())
+		if outcome == backend.Answered {
+			current.service.Engines.Took(current.serviceName, time.Since(began))
+			current.service.Retries.Served()
+		}
 		if outcome != backend.Full {
 			// After a refusal the next one waits for the queue's own pace.
 			current.service.Waiting.Wake(current.serviceName)
@@ -98,7 +116,8 @@
 		if reply.Misdirected {
 			outcome = backend.Misdirected
 		}
-		current.refusals++
+		current.asking.Refused()
+		drain(reply, cancel)
 		current.service.Logger.Info("engine refused", zap.String("request", current.call.ID),
 			zap.String("engine", engine.ID), zap.Int("status", reply.Status))
 		return false, nil
@@ -115,6 +134,15 @@
 	return true, err
 }
 
+// drain reads a refusal to its end, so that its connection can be kept: a new one for each
+// ask after a refusal costs a full engine more than the ask.
+func drain(reply *Reply, giveUp context.CancelFunc) {
+	timer := time.AfterFunc(refusalDrain, giveUp)
+	defer timer.Stop()
+	// Where it can't be read the connection is closed with the body.
+	_, _ = io.Copy(io.Discard, io.LimitReader(reply.Body, refusalBytes))
+}
+
 // outcomeOfSending tells what a failed sending says of the engine.
 func outcomeOfSending(ctx context.Context, err error) backend.Outcome {
 	switch {
--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -51,6 +51,8 @@
 	Finished(kind routing.Kind, code resultcode.Code, took time.Duration)
 	// FirstEvent notes the time to a stream's first event.
 	FirstEvent(took time.Duration)
+	// RefusedForRoom notes a call refused because no engine of a service had room in time.
+	RefusedForRoom(service string, reason RoomReason)
 }
 
 // Service takes calls their way.
@@ -58,7 +60,11 @@
 	Routes  *routing.Current
 	Engines *backend.Directory
 	// Waiting orders the calls that wait for an engine.
-	Waiting  *backend.WaitQueue
+	Waiting *backend.WaitQueue
+	// Retries bounds the asks that follow on refusals, Returns spreads the calls that come
+	// back after their own.
+	Retries  backend.RetryBudget
+	Returns  backend.Returns
 	Sender   Sender
 	Programs Programs
 	// Quotas bounds the requests of tenants; nil where none has a limit.
@@ -88,13 +94,25 @@
 	ownerRetry = 400 * time.Millisecond
 	// elsewhereRetry is when to come back to another node than this one.
 	elsewhereRetry = 50 * time.Millisecond
-	// fullRetry is when to come back where all engines are full.
+	// fullRetry is when to come back where all engines are full and nothing tells for how
+	// long; at least so long where that is predicted.
 	fullRetry = 100 * time.Millisecond
+	// fullRetryShare of what is left of a call's time is the most that a predicted time to
+	// come back may be: callers that are told a later one do not come back in time.
+	fullRetryShare = 0.3
 	// refusalShare of the objective is how long a call waits for a free engine.
 	refusalShare = 0.8
 	// toolWaitShare of its time is how long a program's call of a tool waits for a
 	// free engine: where it fails, all that the program has used is lost.
 	toolWaitShare = 0.5
+	// turnWaitShare is the same for a turn of a program that has turns already. A call that
+	// is refused then costs its caller all that the program has used, and its second try has
+	// as much time again.
+	turnWaitShare = 0.3
+	// refusalDrain is how long the body of a refusal may take to be read, so that its
+	// connection can be kept, and refusalBytes how long it may be.
+	refusalDrain = 50 * time.Millisecond
+	refusalBytes = 4 << 10
 	// fallbackObjective is used where a route names none.
 	fallbackObjective = 200 * time.Millisecond
 	// fallbackDeadline is used where neither caller nor route names a bound.
@@ -127,12 +145,15 @@
 	definition  routing.Service
 	version     int64
 	// tenant is who sends the call, nil where nobody is known.
-	tenant     *tenant.Tenant
-	end        time.Time
-	body       []byte
-	tried      []string
-	runs       int
-	refusals   int
+	tenant *tenant.Tenant
+	end    time.Time
+	body   []byte
+	tried  []string
+	runs   int
+	// asking is how often engines have refused the call.
+	asking backend.Asking
+	// goesOn is true for a turn whose program has turns already.
+	goesOn     bool
 	lastEngine string
 	// via is the node that sent the last attempt for this one.
 	via   string
@@ -151,6 +172,8 @@
 	// call has waited for one.
 	searching time.Time
 	waited    bool
+	// line is what the call found when it first had to wait.
+	line backend.Line
 }
 
 // Serve takes a call to its answer. ctx ends when the caller is gone.
@@ -186,6 +209,7 @@
 		return failure
 	}
 	current.serviceName = current.route.PickService()
+	current.goesOn = current.call.Turn != nil && current.call.Turn.Previous != ""
 	current.definition = configuration.Services[current.serviceName]
 	current.body = current.call.Body
 	current.end = current.call.Received.Add(fallbackDeadline)
--- a/internal/forward/service_test.go
+++ b/internal/forward/service_test.go
@@ -122,13 +122,19 @@
 func (answer *fakeAnswer) Abort()                                { answer.aborted = true; panic(http.ErrAbortHandler) }
 func (answer *fakeAnswer) Fail(err error)                        { answer.failure = err }
 
-// fakeMeter notes the codes.
-type fakeMeter struct{ codes []resultcode.Code }
+// fakeMeter notes the codes, and why calls were refused for want of room.
+type fakeMeter struct {
+	codes   []resultcode.Code
+	refused []forward.RoomReason
+}
 
 func (meter *fakeMeter) Finished(_ routing.Kind, code resultcode.Code, _ time.Duration) {
 	meter.codes = append(meter.codes, code)
 }
 func (meter *fakeMeter) FirstEvent(time.Duration) {}
+func (meter *fakeMeter) RefusedForRoom(_ string, reason forward.RoomReason) {
+	meter.refused = append(meter.refused, reason)
+}
 
 var _ = Describe("Service", func() {
 	var sender *fakeSender
--- a/internal/forward/wait.go
+++ b/internal/forward/wait.go
@@ -4,29 +4,104 @@
 	"context"
 	"time"
 
+	"github.com/magpielug/magpielug/internal/backend"
 	"github.com/magpielug/magpielug/internal/feature"
 	"github.com/magpielug/magpielug/internal/resultcode"
 	"github.com/magpielug/magpielug/internal/routing"
 )
 
+// RoomReason is why a call was refused for want of room.
+type RoomReason string
+
+// Reasons of such a refusal.
+const (
+	// NoRoomInPatience: the call has waited as long as it may.
+	NoRoomInPatience RoomReason = "patience"
+	// NoRoomPredicted: it would have to wait longer than it may.
+	NoRoomPredicted RoomReason = "predicted"
+	// NoRoomInTime: its time would be over before an engine had answered.
+	NoRoomInTime RoomReason = "time"
+	// NoRoomRefused: as many engines have refused it as may.
+	NoRoomRefused RoomReason = "refused"
+)
+
 // awaitEngine waits a moment for an engine with room, or refuses.
 func (current *course) awaitEngine(ctx context.Context) error {
-	patience := current.engineWait() - time.Since(current.searching)
-	if patience <= 0 {
-		if current.runs > 0 {
-			return current.outcomeUnknown()
-		}
-		return resultcode.New(resultcode.NoBackEnd, "none of %d engines of %s has room, %d refusals",
-			current.service.Engines.Usable(current.serviceName), current.serviceName, current.refusals).After(fullRetry)
+	waiter := backend.Waiter{Service: current.serviceName, Rank: current.urgency(), Aim: current.aim()}
+	line, predicted := current.predict(waiter)
+	patience, reason := current.patience(line, predicted)
+	if reason != "" {
+		return current.noRoom(reason, line)
 	}
-	current.service.Waiting.Wait(ctx, current.serviceName, current.aim(), patience)
+	current.service.Waiting.Wait(ctx, waiter, patience)
 	current.waited = true
+	current.asking.Waited()
 	if current.runs == 0 || current.route.Repeatable() {
 		current.tried = current.tried[:0]
 	}
 	return nil
 }
 
+// predict tells what the call would find in the queue, false where nothing is known to
+// predict its wait from.
+func (current *course) predict(waiter backend.Waiter) (backend.Line, bool) {
+	if !feature.Enabled(feature.RoomByLoad) {
+		return backend.Line{}, false
+	}
+	now := time.Now()
+	queue := current.service.Waiting
+	line, known := current.service.Engines.Predict(waiter, queue.Ahead(waiter, now), queue.Here(waiter.Service), now)
+	if !current.waited {
+		current.line = line
+	}
+	return line, known
+}
+
+// patience is how long the call may wait on, or why it may not.
+//
+// It answers the load of more calls than can be served in time: one that waits all its
+// patience for nothing keeps its caller from trying elsewhere, and stands before others.
+func (current *course) patience(line backend.Line, predicted bool) (time.Duration, RoomReason) {
+	patience := current.engineWait() - time.Since(current.searching)
+	if patience <= 0 {
+		return 0, NoRoomInPatience
+	}
+	if current.asking.Over() {
+		return 0, NoRoomRefused
+	}
+	if !feature.Enabled(feature.RoomByLoad) {
+		return patience, ""
+	}
+	inTime := time.Until(current.end) - current.service.Engines.Duration(current.serviceName)
+	switch {
+	case inTime <= 0:
+		return 0, NoRoomInTime
+	case predicted && line.Over(min(patience, inTime)):
+		return 0, NoRoomPredicted
+	}
+	return min(patience, inTime), ""
+}
+
+// noRoom refuses the call. It has not run, unless an engine has got it before.
+func (current *course) noRoom(reason RoomReason, line backend.Line) error {
+	if current.runs > 0 {
+		return current.outcomeUnknown()
+	}
+	current.service.Meter.RefusedForRoom(current.serviceName, reason)
+	return resultcode.New(resultcode.NoBackEnd, "none of %d engines of %s has room (%s), %d refusals, %d calls ahead, predicted wait %s",
+		current.service.Engines.Usable(current.serviceName), current.serviceName, reason, current.asking.Refusals, line.Ahead, line.Wait).
+		After(current.comeBack(line))
+}
+
+// comeBack is when room is predicted, each call refused in its turn.
+func (current *course) comeBack(line backend.Line) time.Duration {
+	if line.Wait == 0 {
+		return fullRetry
+	}
+	most := max(time.Duration(fullRetryShare*float64(time.Until(current.end))), fullRetry)
+	return current.service.Returns.After(current.serviceName, max(line.Wait, fullRetry), line.Interval, most, time.Now())
+}
+
 // engineWait is how long the call waits for a free engine in all.
 func (current *course) engineWait() time.Duration {
 	objective := current.route.Objective
@@ -34,6 +109,9 @@
 		objective = fallbackObjective
 	}
 	wait := time.Duration(refusalShare * float64(objective))
+	if current.goesOn && feature.Enabled(feature.RoomByLoad) {
+		return max(wait, time.Duration(turnWaitShare*float64(current.end.Sub(current.call.Received))))
+	}
 	if current.call.Program == "" || current.route.Kind == routing.Streaming || !feature.Enabled(feature.ToolPatience) {
 		return wait
 	}
--- a/internal/node/meter.go
+++ b/internal/node/meter.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/magpielug/magpielug/internal/backend"
 	"github.com/magpielug/magpielug/internal/forward"
 	"github.com/magpielug/magpielug/internal/metrics"
 	"github.com/magpielug/magpielug/internal/resultcode"
@@ -25,6 +26,7 @@
 	storeTime  *prometheus.HistogramVec
 	handedOver *prometheus.CounterVec
 	admissions *prometheus.CounterVec
+	noRoom     *prometheus.CounterVec
 
 	// mutex guards calls at the store since the last summary line.
 	mutex  sync.Mutex
@@ -69,6 +71,10 @@
 			Name: "magpielug_tenant_requests_total",
 			Help: "Requests of tenants with a limit, by whether the limit had room. Tenants beyond the first 200 count as \"other\".",
 		}, []string{"tenant", "verdict"}),
+		noRoom: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "magpielug_refused_for_room_total",
+			Help: "Calls refused because no engine had room in time, by service and reason.",
+		}, []string{"service", "reason"}),
 		recent:  map[string]int{},
 		tenants: map[string]bool{},
 	}
@@ -150,11 +156,36 @@
 // FirstEvent implements forward.Meter.
 func (meter *meter) FirstEvent(took time.Duration) { meter.firstEvent.Observe(took.Seconds()) }
 
+// RefusedForRoom implements forward.Meter.
+func (meter *meter) RefusedForRoom(service string, reason forward.RoomReason) {
+	meter.noRoom.WithLabelValues(service, string(reason)).Inc()
+}
+
+// waitingCalls collects the calls that wait for an engine, by service and rank.
+type waitingCalls struct{ queue *backend.WaitQueue }
+
+var waitingDescription = prometheus.NewDesc("magpielug_waiting_calls", "Calls that wait for an engine, by service and rank.",
+	[]string{"service", "rank"}, nil)
+
+// Describe implements prometheus.Collector.
+func (waitingCalls) Describe(descriptions chan<- *prometheus.Desc) {
+	descriptions <- waitingDescription
+}
+
+// Collect implements prometheus.Collector.
+func (waiting waitingCalls) Collect(metrics chan<- prometheus.Metric) {
+	for queue, calls := range waiting.queue.Waiting() {
+		metrics <- prometheus.MustNewConstMetric(waitingDescription, prometheus.GaugeValue, float64(calls),
+			queue.Service, strconv.Itoa(queue.Rank))
+	}
+}
+
 // metricsHandler serves the node's metrics, health and readiness.
 func (node *Node) metricsHandler() http.Handler {
 	meter := node.meter
 	registry := prometheus.NewRegistry()
-	registry.MustRegister(meter.calls, meter.duration, meter.firstEvent, meter.storeCalls, meter.storeTime, meter.handedOver, meter.admissions)
+	registry.MustRegister(meter.calls, meter.duration, meter.firstEvent, meter.storeCalls, meter.storeTime, meter.handedOver, meter.admissions,
+		meter.noRoom, waitingCalls{queue: node.service.Waiting})
 	gauges := []struct {
 		name, help string
 		value      func() float64
@@ -165,6 +196,8 @@
 		{"magpielug_turns", "Turns held in memory.", func() float64 { turns, _ := node.turns.Size(); return float64(turns) }},
 		{"magpielug_turn_bytes", "Bytes of turns held in memory.", func() float64 { _, bytes := node.turns.Size(); return float64(bytes) }},
 		{"magpielug_engine_connections_opened", "Connections opened to engines.", func() float64 { return float64(node.around.Connections.Opened()) }},
+		{"magpielug_retry_budget", "Asks of engines after a refusal that are left.", func() float64 { return node.service.Retries.Left(time.Now()) }},
+		{"magpielug_retry_denials", "Asks of engines after a refusal that were denied.", func() float64 { return float64(node.service.Retries.Denied()) }},
 	}
 	for _, gauge := range gauges {
 		registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: gauge.name, Help: gauge.help}, gauge.value))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -181,10 +181,12 @@
 		node.recorder.RelayBy(node.recordElsewhere)
 	}
 	node.egress = &egress.Handler{Engines: node.engines, Sender: around.Sender, Logger: logger.Logger, Stopping: node.stopping.Load}
+	waiting := backend.NewWaitQueue()
+	waiting.UseRooms(node.engines)
 	node.service = &forward.Service{
 		Routes:   node.routes,
 		Engines:  node.engines,
-		Waiting:  backend.NewWaitQueue(),
+		Waiting:  waiting,
 		Sender:   egress.NewSender(around.Sender, &egressTopology{node: node}, client, logger.Logger, meter.handed),
 		Programs: node.programs,
 		Quotas:   node.quotas,
