Room: short requests, connections of refusing engines, places freed before records

(2) Each ask of an engine without a kept connection opens one, also while it refuses. (3) A turn counted at its engine until its record was written.

Change: queues of short requests may be as long as callers can bear (40 ms); what a view shows of one engine fades all the way; a node may take an eighth of the room for calls that come together. An engine that has refused within 0.5 s gets a new connection of a node each 0.2 s at most. An attempt ends at its engine with the end of the answer. Calls refused for room come back each in its turn at the rate of this node's ends.

--- a/internal/backend/connections.go
+++ b/internal/backend/connections.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/magpielug/magpielug/internal/deadpeer"
+	"github.com/magpielug/magpielug/internal/feature"
 	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
 )
@@ -24,6 +25,12 @@
 	silenceTimeout = 1500 * time.Millisecond
 	// readBuffer is the size of a connection's read buffer, bytes.
 	readBuffer = 4 << 10
+	// refusingFor is how long an engine counts as refusing after it refused a request for
+	// want of room, and refusingPause how long a node then waits between two connections
+	// that it opens to it. A connection holds a slot for about a millisecond: five a second
+	// of each of 58 nodes take a twentieth of an engine of six slots, and no more.
+	refusingFor   = 500 * time.Millisecond
+	refusingPause = 200 * time.Millisecond
 	// surplusAnswers is how many answers to other requests are passed over.
 	surplusAnswers = 3
 )
@@ -49,12 +56,21 @@
 	idle   map[string][]*Connection
 	open   map[string]int
 	opened int64
-	dialer *net.Dialer
+	// refusing are the addresses that refuse requests.
+	refusing map[string]refusing
+	dialer   *net.Dialer
+}
+
+// refusing is when an engine last refused a request for want of room, and when the last
+// connection was opened to it.
+type refusing struct {
+	refused time.Time
+	opened  time.Time
 }
 
 // NewConnections returns an empty set.
 func NewConnections() *Connections {
-	connections := &Connections{idle: map[string][]*Connection{}, open: map[string]int{}}
+	connections := &Connections{idle: map[string][]*Connection{}, open: map[string]int{}, refusing: map[string]refusing{}}
 	connections.dialer = deadpeer.Dialer(dialTimeout, silenceTimeout)
 	return connections
 }
@@ -103,9 +119,40 @@
 	return kept
 }
 
+// Refused notes that an engine has refused a request for want of room. Until it has not for
+// a while, few new connections are opened to it.
+//
+// It answers the load of an engine without room that many nodes ask at once: to take their
+// connections costs it more than to refuse their requests.
+func (connections *Connections) Refused(address string, now time.Time) {
+	connections.mutex.Lock()
+	defer connections.mutex.Unlock()
+	found := connections.refusing[address]
+	found.refused = now
+	connections.refusing[address] = found
+}
+
+// mayOpen tells whether a connection may be opened to an address, and counts it. The caller
+// holds the mutex.
+func (connections *Connections) mayOpen(address string, now time.Time) bool {
+	found, known := connections.refusing[address]
+	switch {
+	case !known || !feature.Enabled(feature.RoomByLoad):
+		return true
+	case now.Sub(found.refused) > refusingFor:
+		delete(connections.refusing, address)
+		return true
+	case now.Sub(found.opened) < refusingPause:
+		return false
+	}
+	found.opened = now
+	connections.refusing[address] = found
+	return true
+}
+
 func (connections *Connections) dial(ctx context.Context, address string, limit int) (*Connection, error) {
 	if !connections.count(address, limit) {
-		return nil, eris.Wrapf(ErrTooManyConnections, "%d to %s", limit, address)
+		return nil, eris.Wrapf(ErrTooManyConnections, "to %s, of %d allowed, or too fast while it refuses", address, limit)
 	}
 	socket, err := connections.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
@@ -123,7 +170,7 @@
 func (connections *Connections) count(address string, limit int) bool {
 	connections.mutex.Lock()
 	defer connections.mutex.Unlock()
-	if limit > 0 && connections.open[address] >= limit {
+	if limit > 0 && connections.open[address] >= limit || !connections.mayOpen(address, time.Now()) {
 		return false
 	}
 	connections.open[address]++
--- a/internal/backend/overload_replay_test.go
+++ b/internal/backend/overload_replay_test.go
@@ -15,21 +15,41 @@
 // over both. The view of all nodes comes every viewPeriod and is then viewAge old.
 const (
 	replayNodes   = 58
-	replayEngines = 45
 	replaySlots   = 6
 	replayQueue   = 18
 	replayService = "s"
 	replayStep    = 2 * time.Millisecond
 	viewPeriod    = 200 * time.Millisecond
 	viewAge       = 150 * time.Millisecond
-	usualTurn     = 230 * time.Millisecond
-	replayWait    = 300 * time.Millisecond
 	replayLoad    = 3 * time.Second
 	replayAfter   = 2 * time.Second
 	// oftenUrgent of the calls are of rank 0, the others of rank 2.
 	oftenUrgent = 0.5
 )
 
+// replayKind is a kind of calls and the engines that serve them.
+type replayKind struct {
+	name    string
+	engines int
+	// takes is how long one usually takes, patience how long it may wait.
+	takes    time.Duration
+	patience time.Duration
+	// comeBack is the latest time that a refused one is told: 0.3 of what callers have left.
+	comeBack time.Duration
+	// together is how many come to one node at a time.
+	together int
+}
+
+var (
+	turns = replayKind{name: "turns", engines: 45, takes: 230 * time.Millisecond, patience: 300 * time.Millisecond, comeBack: 800 * time.Millisecond, together: 1}
+	tools = replayKind{name: "tools", engines: 8, takes: 25 * time.Millisecond, patience: 500 * time.Millisecond, comeBack: 300 * time.Millisecond, together: 3}
+)
+
+// perSecond is what the engines can serve.
+func (kind replayKind) perSecond() float64 {
+	return float64(kind.engines) * replaySlots / kind.takes.Seconds()
+}
+
 // replayCall is a call at a node.
 type replayCall struct {
 	node     *replayNode
@@ -65,6 +85,7 @@
 }
 
 type replay struct {
+	kind   replayKind
 	random *rand.Rand
 	clock  time.Time
 	// loadEnds is when nothing more is offered.
@@ -77,12 +98,12 @@
 	owns     []load.Report
 	// counts
 	asks, refusals, lateRefusals, served, servedUnderLoad int
-	took                                                  time.Duration
+	took, before                                          time.Duration
 	offered, lost                                         map[int]int
 }
 
-func newReplay(blind bool) *replay {
-	world := &replay{random: rand.New(rand.NewPCG(1, 2)), clock: time.Unix(1000, 0), engines: map[string]*replayEngine{}, blind: blind,
+func newReplay(kind replayKind, blind bool) *replay {
+	world := &replay{kind: kind, random: rand.New(rand.NewPCG(1, 2)), clock: time.Unix(1000, 0), engines: map[string]*replayEngine{}, blind: blind,
 		offered: map[int]int{}, lost: map[int]int{}}
 	for range replayNodes {
 		node := &replayNode{directory: NewDirectory(), view: load.NewView(), queue: NewWaitQueue()}
@@ -93,7 +114,7 @@
 		node.queue.after = func(while time.Duration, run func()) {
 			world.timers = append(world.timers, replayTimer{at: world.clock.Add(while), run: run})
 		}
-		for number := range replayEngines {
+		for number := range world.kind.engines {
 			id := fmt.Sprint("e", number)
 			node.directory.Put(Instance{ID: id, Service: replayService, Zone: fmt.Sprint(number % 3), Slots: replaySlots})
 			world.engines[id] = &replayEngine{}
@@ -105,7 +126,7 @@
 
 // run offers a multiple of what the engines can serve and then nothing.
 func (world *replay) run(times float64) {
-	perStep := times * replayEngines * replaySlots / usualTurn.Seconds() * replayStep.Seconds()
+	perStep := times * world.kind.perSecond() * replayStep.Seconds() / float64(world.kind.together)
 	begins := world.clock
 	world.loadEnds = begins.Add(replayLoad)
 	due := 0.0
@@ -117,20 +138,23 @@
 		world.goOn()
 		if world.clock.Sub(begins) < replayLoad {
 			for due += perStep; due >= 1; due-- {
-				world.offer()
+				node := world.nodes[world.random.IntN(replayNodes)]
+				for range world.kind.together {
+					world.offer(node)
+				}
 			}
 		}
 	}
 }
 
-func (world *replay) offer() {
+func (world *replay) offer(node *replayNode) {
 	rank := 2
 	if world.random.Float64() < oftenUrgent {
 		rank = 0
 	}
 	world.offered[rank]++
-	call := &replayCall{node: world.nodes[world.random.IntN(replayNodes)], begun: world.clock,
-		waiter: Waiter{Service: replayService, Rank: rank, Aim: world.clock.Add(replayWait)}}
+	call := &replayCall{node: node, begun: world.clock,
+		waiter: Waiter{Service: replayService, Rank: rank, Aim: world.clock.Add(world.kind.patience)}}
 	world.try(call)
 }
 
@@ -160,7 +184,7 @@
 
 func (world *replay) wait(call *replayCall) {
 	node := call.node
-	left := replayWait - world.clock.Sub(call.begun)
+	left := world.kind.patience - world.clock.Sub(call.begun)
 	line, known := node.directory.Predict(call.waiter, node.queue.Ahead(call.waiter, world.clock), node.queue.Here(replayService), world.clock)
 	if left <= 0 || call.asking.Over() || feature.Enabled(feature.RoomByLoad) && known && line.Over(left) {
 		world.refuse(call, line)
@@ -177,10 +201,10 @@
 		world.lost[call.waiter.Rank]++
 		return
 	}
-	later := call.node.returns.After(replayService, max(line.Wait, 100*time.Millisecond), line.Interval, time.Second, world.clock)
+	later := call.node.returns.After(replayService, max(line.Wait, 100*time.Millisecond), line.Interval, world.kind.comeBack, world.clock)
 	world.timers = append(world.timers, replayTimer{at: world.clock.Add(later), run: func() {
 		again := &replayCall{node: world.nodes[world.random.IntN(replayNodes)], begun: world.clock, comeback: true,
-			waiter: Waiter{Service: replayService, Rank: call.waiter.Rank, Aim: world.clock.Add(replayWait)}}
+			waiter: Waiter{Service: replayService, Rank: call.waiter.Rank, Aim: world.clock.Add(world.kind.patience)}}
 		world.try(again)
 	}})
 }
@@ -191,7 +215,7 @@
 		held := node.waiting
 		node.waiting = nil
 		for _, call := range held {
-			over := world.clock.Sub(call.begun) >= replayWait
+			over := world.clock.Sub(call.begun) >= world.kind.patience
 			if len(call.entered.woken) == 0 && !over {
 				node.waiting = append(node.waiting, call)
 				continue
@@ -223,7 +247,7 @@
 
 func (world *replay) start(engine *replayEngine) {
 	for len(engine.running) < replaySlots && len(engine.queued) > 0 {
-		takes := time.Duration((0.5 + world.random.Float64()) * float64(usualTurn))
+		takes := time.Duration((0.5 + world.random.Float64()) * float64(world.kind.takes))
 		engine.running = append(engine.running, engine.queued[0])
 		engine.ends = append(engine.ends, world.clock.Add(takes))
 		engine.queued = engine.queued[1:]
@@ -231,7 +255,7 @@
 }
 
 func (world *replay) endRequests() {
-	for number := range replayEngines {
+	for number := range world.kind.engines {
 		engine := world.engines[fmt.Sprint("e", number)]
 		for place := 0; place < len(engine.running); {
 			if world.clock.Before(engine.ends[place]) {
@@ -243,6 +267,7 @@
 			engine.ends = append(engine.ends[:place], engine.ends[place+1:]...)
 			world.served++
 			world.took += world.clock.Sub(call.sent)
+			world.before += call.sent.Sub(call.begun)
 			if world.clock.Before(world.loadEnds) {
 				world.servedUnderLoad++
 			}
@@ -309,21 +334,24 @@
 func TestOverloadDoesNotSustainItself(t *testing.T) {
 	for _, blind := range []bool{false, true} {
 		for _, times := range []float64{0.5, 1, 1.5, 2, 3} {
-			t.Run(fmt.Sprintf("%g times what engines serve, blind %v", times, blind), func(t *testing.T) {
-				replayOverload(t, blind, times)
-			})
+			for _, kind := range []replayKind{turns, tools} {
+				t.Run(fmt.Sprintf("%s, %g times what engines serve, blind %v", kind.name, times, blind), func(t *testing.T) {
+					replayOverload(t, kind, blind, times)
+				})
+			}
 		}
 	}
 }
 
-func replayOverload(t *testing.T, blind bool, times float64) {
+func replayOverload(t *testing.T, kind replayKind, blind bool, times float64) {
 	expect := NewWithT(t)
-	world := newReplay(blind)
+	world := newReplay(kind, blind)
 	world.run(times)
 	served, asks := float64(world.served), float64(world.asks)
-	capacity := replayEngines * replaySlots / usualTurn.Seconds() * (replayLoad - usualTurn).Seconds()
-	t.Logf("offered %v, served %.2f of capacity under load, %s at engines, %.3f asks per served, %d refusals by engines, lost %v",
-		world.offered, float64(world.servedUnderLoad)/capacity, world.took/time.Duration(world.served), asks/served, world.refusals, world.lost)
+	capacity := kind.perSecond() * (replayLoad - kind.takes).Seconds()
+	t.Logf("offered %v, served %.2f of capacity under load, %s before engines, %s there, %.3f asks per served, %d refusals by engines, lost %v",
+		world.offered, float64(world.servedUnderLoad)/capacity,
+		world.before/time.Duration(world.served), world.took/time.Duration(world.served), asks/served, world.refusals, world.lost)
 	most := asksPerServed
 	if blind {
 		most = blindAsksPerServed
@@ -339,7 +367,7 @@
 	expect := NewWithT(t)
 	t.Cleanup(func() { _ = feature.Disable("") })
 	expect.Expect(feature.Disable("room-by-load,retry-budget")).To(Succeed())
-	world := newReplay(true)
+	world := newReplay(turns, true)
 	world.run(2)
 	t.Logf("%.2f asks per served, %d refusals by engines", float64(world.asks)/float64(world.served), world.refusals)
 	expect.Expect(float64(world.asks) / float64(world.served)).To(BeNumerically(">", blindAsksPerServed))
--- a/internal/backend/pick.go
+++ b/internal/backend/pick.go
@@ -65,7 +65,11 @@
 	directory.estimateOthers(request.Service, candidates, now)
 	always := []Filter{untried{}, roomy{}}
 	if feature.Enabled(feature.RoomByLoad) {
-		always = append(always, notFull{}, hasRoom{first: idleHere(candidates), left: directory.leftHere(request.Service, candidates, now)})
+		always = append(always, notFull{}, hasRoom{
+			first: idleHere(candidates),
+			left:  directory.leftHere(request.Service, candidates, now),
+			share: directory.queueShareOf(request.Service, candidates),
+		})
 	}
 	noticed := sound{heedDoubt: heedsDoubt(candidates, now)}
 	for _, filters := range [][]Filter{append([]Filter{noticed}, always...), always} {
--- a/internal/backend/returns.go
+++ b/internal/backend/returns.go
@@ -15,17 +15,20 @@
 }
 
 // After is when a call to a service is to come back: when its predicted wait is over, one
-// interval after the call before it. Times over most begin anew from the predicted one, for
-// a caller has only so much time: the later ones then come among the earlier ones.
+// interval after the call before it. Where that is later than most, which is all that a
+// caller has, calls come back over the second half of that time.
 func (returns *Returns) After(service string, predicted, interval, most time.Duration, now time.Time) time.Duration {
 	returns.mutex.Lock()
 	defer returns.mutex.Unlock()
 	if returns.next == nil {
 		returns.next = map[string]time.Time{}
 	}
-	soonest := now.Add(min(predicted, most))
+	soonest := now.Add(predicted)
+	if predicted >= most {
+		soonest = now.Add(most / 2)
+	}
 	at := returns.next[service]
-	if at.Before(soonest) || at.Sub(now) > most {
+	if at.Before(soonest) || at.After(now.Add(most)) {
 		at = soonest
 	}
 	returns.next[service] = at.Add(interval)
--- a/internal/backend/room.go
+++ b/internal/backend/room.go
@@ -15,22 +15,24 @@
 	// costs a third of a turn; turns are some three quarters of a program's ideal time, and
 	// the strictest aims leave 0.3 of that as slack.
 	queueShare = 1.0 / 3
-	// engineQueueShare is the same for a single engine by a view of all nodes. What a view
-	// shows of one engine is as old as the requests there: where nodes pass over engines that
-	// are a little busier than the mean, all turn to the few others until the next view. At
-	// 1.5 times the load in the replay of TestOverloadDoesNotSustainItself, engines served
-	// 0.80 of their capacity with a third here, 0.89 with two and 0.95 with three, and no
-	// more with a longer queue.
-	engineQueueShare = 1.0
-	// assignedQueueShare is the same for a turn whose line is kept on the engine. It may
-	// stand there for another third of a turn, about what it costs to read its prompt
-	// again elsewhere and to drive another one out of memory there. A longer queue costs
-	// more than that, and the turn goes elsewhere or waits.
-	assignedQueueShare = engineQueueShare + 1.0/3
-	// leastShown is the least part of an engine's difference from the mean that a view
-	// counts for, however old: engines that are busier for long, being slow, show it in
-	// each view, while what came by chance is over.
-	leastShown = 0.25
+	// bearableWait is how long a short request may stand in a queue in any case: half of the
+	// shortest objective that callers name for one. Nodes know nothing newer of such requests
+	// than a view that is several times as old as they take, and need the queues to make up
+	// for it. mostQueueShare bounds what that makes of requests of few milliseconds: engines
+	// with longer queues are not seen.
+	bearableWait   = 40 * time.Millisecond
+	mostQueueShare = 2.0
+	// engineQueueShare is how much more a single engine may have by a view of all nodes. What
+	// it shows of one engine is as old as the requests there: where nodes pass over engines
+	// that are a little busier than the mean, all turn to the few others until the next view.
+	// At 1.5 times the load of turns in the replay of TestOverloadDoesNotSustainItself,
+	// engines served 0.80 of their capacity with nothing here, 0.89 with a third and 0.95
+	// with two thirds, and no more with a longer queue.
+	engineQueueShare = 2.0 / 3
+	// assignedQueueShare is how much more still a turn may find whose line is kept on the
+	// engine: about what it costs to read its prompt again elsewhere and to drive another one
+	// out of memory there. A longer queue costs more, and the turn goes elsewhere or waits.
+	assignedQueueShare = 1.0 / 3
 	// durationWeight is the weight of the newest request in the mean duration.
 	durationWeight = 0.1
 	// unboundedRoom stands for the room of an engine without a bound.
@@ -74,7 +76,7 @@
 	if duration == 0 {
 		return 1
 	}
-	return max(math.Exp(-age.Seconds()/duration.Seconds()), leastShown)
+	return math.Exp(-max(age, 0).Seconds() / duration.Seconds())
 }
 
 // under is the number of requests thought to be under way at an engine, over all nodes.
@@ -89,13 +91,30 @@
 	return float64(engine.Slots) + math.Ceil(share*float64(engine.Slots))
 }
 
-// queueShare is how much of a queue the engine may have: where the view is unknown nothing
-// else bounds that of the service.
-func (engine *Engine) queueShare() float64 {
+// toleratedShare is how much more of a queue than its service the engine may have. Where the
+// view is unknown nothing else bounds the service.
+func (engine *Engine) toleratedShare() float64 {
 	if engine.others.known {
 		return engineQueueShare
 	}
-	return queueShare
+	return 0
+}
+
+// queueShareOf is how much of a queue the requests of a service may find. The caller holds
+// the mutex and has estimated the others.
+func (directory *Directory) queueShareOf(service string, engines []*Engine) float64 {
+	under, slots := 0.0, 0.0
+	for _, engine := range engines {
+		under += engine.under()
+		slots += float64(engine.Slots)
+	}
+	duration := directory.durations[service].Seconds()
+	if duration == 0 || slots == 0 {
+		return queueShare
+	}
+	// What a request takes without a queue before it.
+	alone := duration * min(1, slots/max(under, 1))
+	return min(max(bearableWait.Seconds()/alone, queueShare), mostQueueShare)
 }
 
 // roomFor is how many more requests an engine has room for within a share of queue.
@@ -125,13 +144,15 @@
 	// may have.
 	first bool
 	left  int
+	// share is how much of a queue the service may have.
+	share float64
 }
 
 // Admits implements Filter.
 func (filter hasRoom) Admits(engine *Engine, request *Request, now time.Time) bool {
-	share := engine.queueShare()
+	share := filter.share + engine.toleratedShare()
 	if request.Assigned == engine.ID {
-		share = assignedQueueShare
+		share += assignedQueueShare
 	}
 	return filter.first || filter.left >= 1 && engine.roomFor(share, now) >= 1
 }
@@ -180,13 +201,14 @@
 	engines := directory.usable(service)
 	directory.estimateOthers(service, engines, now)
 	noticed := sound{heedDoubt: heedsDoubt(engines, now)}
+	share := directory.queueShareOf(service, engines)
 	sure, doubtful, asked := 0, 0, false
 	for _, engine := range engines {
 		if !(notFull{}).Admits(engine, nil, now) {
 			continue
 		}
 		asked = true
-		room := int(engine.roomFor(engine.queueShare(), now))
+		room := int(engine.roomFor(share+engine.toleratedShare(), now))
 		doubtful += room
 		if noticed.Admits(engine, nil, now) {
 			sure += room
@@ -256,10 +278,15 @@
 	}
 }
 
-// overcommit is how many times its part of the room a node may take between two views for
-// calls that have not waited. Nodes seldom all take theirs, and where they do engines still
-// have places in their queues.
-const overcommit = 2.0
+const (
+	// overcommit is how many times its part of the room a node may take between two views
+	// for calls that have not waited. Nodes seldom all take theirs, and where they do engines
+	// still have places in their queues.
+	overcommit = 2.0
+	// burstShare of the room a node may take in any case: the calls that a program makes at
+	// once come to one node.
+	burstShare = 1.0 / 8
+)
 
 // bounds is how many requests this node may have at a service until the next view.
 type bounds map[string]int
@@ -282,9 +309,11 @@
 	}
 	directory.usable("")
 	for service, engines := range directory.services {
+		directory.estimateOthers(service, engines, now)
+		share := directory.queueShareOf(service, engines)
 		room, all, own, bounded := 0.0, 0.0, 0, true
 		for _, engine := range engines {
-			most := engine.mostUnder(queueShare)
+			most := engine.mostUnder(share)
 			bounded = bounded && most > 0
 			room += most - float64(total.Engines[engine.ID].Running)
 			all += float64(total.Engines[engine.ID].Running)
@@ -339,7 +368,7 @@
 		}
 	}
 	left := max(part.room-float64(waiting), 0)
-	coming := overcommit * left * (part.own + 1) / (part.all + part.nodes)
+	coming := max(overcommit*left*(part.own+1)/(part.all+part.nodes), burstShare*left)
 	return int(math.Floor(shareOfRoom(part.room, here, elsewhere) + coming + draw))
 }
 
@@ -401,9 +430,9 @@
 	// all nodes where that is known.
 	Ahead   int
 	Running int
-	// Interval is the time between two ends of a request, Wait the predicted one.
-	Interval time.Duration
+	// Wait is the predicted one, Interval the time between two ends of this node's requests.
 	Wait     time.Duration
+	Interval time.Duration
 }
 
 // Over tells whether the predicted wait is longer than a call's patience.
@@ -424,7 +453,7 @@
 	if known {
 		ahead += aheadElsewhere(waitingElsewhere(total, waiter.Service, here), waiter.Rank)
 	}
-	return predict(ahead, int(under+roundingSlack), directory.durations[waiter.Service])
+	return predict(ahead, int(under+roundingSlack), runningHere(engines), directory.durations[waiter.Service])
 }
 
 // aheadElsewhere counts the calls at other nodes that come before one of a rank: all of more
@@ -440,12 +469,12 @@
 }
 
 // predict works out a wait by Little's law: of some requests under way that take a time
-// each, one ends each time/requests. It answers the load of a queue longer than engines
-// can serve in the callers' patience.
-func predict(ahead, running int, duration time.Duration) (Line, bool) {
+// each, one ends each time/requests; here of them are this node's. It answers the load of a
+// queue longer than engines can serve in the callers' patience.
+func predict(ahead, running, here int, duration time.Duration) (Line, bool) {
 	if running == 0 || duration == 0 {
 		return Line{Ahead: ahead}, false
 	}
-	interval := duration / time.Duration(running)
-	return Line{Ahead: ahead, Running: running, Interval: interval, Wait: time.Duration(ahead+1) * interval}, true
+	wait := duration * time.Duration(ahead+1) / time.Duration(running)
+	return Line{Ahead: ahead, Running: running, Wait: wait, Interval: duration / time.Duration(max(here, 1))}, true
 }
--- a/internal/backend/wait_queue.go
+++ b/internal/backend/wait_queue.go
@@ -75,6 +75,8 @@
 	ordered order
 	// armed is true while a look for room is due.
 	armed bool
+	// due is when that look is; looks for which it has become another time are void.
+	due time.Time
 }
 
 // waiting is one request in the queue.
@@ -189,11 +191,17 @@
 
 // arm makes sure that there is a look for room though no event tells of any.
 func (queue *WaitQueue) arm(service string, found *waiters, now time.Time) {
-	if found.armed || len(found.ordered) == 0 {
+	if len(found.ordered) == 0 {
+		return
+	}
+	pause := queue.pause(service, now)
+	due := now.Add(pause)
+	if found.armed && !due.Before(found.due) {
 		return
 	}
 	found.armed = true
-	queue.after(queue.pause(service, now), func() { queue.look(service) })
+	found.due = due
+	queue.after(pause, func() { queue.look(service, due) })
 }
 
 // pause is how long after now to look for room.
@@ -208,16 +216,16 @@
 	return longestLook
 }
 
-// look wakes requests for room that no event told of.
-func (queue *WaitQueue) look(service string) {
+// look wakes requests for room that no event told of, where it is due.
+func (queue *WaitQueue) look(service string, due time.Time) {
 	queue.mutex.Lock()
 	defer queue.mutex.Unlock()
-	now := queue.now()
 	found := queue.services[service]
-	if found == nil {
+	if found == nil || !found.due.Equal(due) {
 		return
 	}
 	found.armed = false
+	now := queue.now()
 	queue.wakeFor(found, queue.roomToLookFor(service, now))
 	queue.arm(service, found, now)
 }
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -73,23 +73,15 @@
 	current.lastEngine = engine.ID
 	sending, cancel := context.WithCancel(ctx)
 	defer cancel()
-	began := time.Now()
 	outcome := backend.Abandoned
+	current.release = current.releaseOnce(engine, time.Now())
 	stopWatch := current.watch(engine)
 	defer func() {
 		silent := stopWatch()
 		if silent && outcome == backend.Abandoned {
 			outcome = backend.Silent
 		}
-		current.service.Engines.Finish(engine, outcome, time.Now())
-		if outcome == backend.Answered {
-			current.service.Engines.Took(current.serviceName, time.Since(began))
-			current.service.Retries.Served()
-		}
-		if outcome != backend.Full {
-			// After a refusal the next one waits for the queue's own pace.
-			current.service.Waiting.Wake(current.serviceName)
-		}
+		current.release(outcome)
 	}()
 	stopRepeat := current.repeatWhereSilent(engine, cancel)
 	defer stopRepeat()
@@ -134,6 +126,27 @@
 	return true, err
 }
 
+// releaseOnce returns what ends the attempt at its engine, once: the engine has a place free
+// from then on, also where the call's answer still waits for its record.
+func (current *course) releaseOnce(engine *backend.Engine, began time.Time) func(backend.Outcome) {
+	released := false
+	return func(outcome backend.Outcome) {
+		if released {
+			return
+		}
+		released = true
+		current.service.Engines.Finish(engine, outcome, time.Now())
+		if outcome == backend.Answered {
+			current.service.Engines.Took(current.serviceName, time.Since(began))
+			current.service.Retries.Served()
+		}
+		if outcome != backend.Full {
+			// After a refusal the next one waits for the queue's own pace.
+			current.service.Waiting.Wake(current.serviceName)
+		}
+	}
+}
+
 // drain reads a refusal to its end, so that its connection can be kept: a new one for each
 // ask after a refusal costs a full engine more than the ask.
 func drain(reply *Reply, giveUp context.CancelFunc) {
--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -158,6 +158,8 @@
 	// via is the node that sent the last attempt for this one.
 	via   string
 	begun bool
+	// release ends the attempt at its engine.
+	release func(backend.Outcome)
 	// heard is called with the first byte of an answer.
 	heard       func()
 	events      int64
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -103,6 +103,7 @@
 	for {
 		read, err := reader.next()
 		if errors.Is(err, io.EOF) {
+			current.release(backend.Answered)
 			return backend.Answered, current.endStream(ctx, reply, said)
 		}
 		if err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -158,6 +158,7 @@
 	node.around = around
 	node.recorder = history.NewRecorder(around.Log, settings.Shards)
 	node.engines.UseLoad(node.load)
+	node.engines.UseNodes(node.members.staying)
 	err = node.engines.UsePolicy(settings.Placement)
 	if err != nil {
 		return nil, err
