--- a/internal/node/meter.go
+++ b/internal/node/meter.go
@@ -204,6 +204,7 @@
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(meter.calls, meter.duration, meter.firstEvent, meter.storeCalls, meter.storeTime, meter.handedOver, meter.admissions,
 		meter.loadMessages, meter.noRoom, waitingCalls{queue: node.service.Waiting})
+	registry.MustRegister(node.admission.metrics)
 	gauges := []struct {
 		name, help string
 		value      func() float64
