--- a/internal/node/load.go
+++ b/internal/node/load.go
@@ -170,6 +170,9 @@
 		return
 	}
 	sharing.node.load.Take(total, own, age, now)
+	if sharing.node.loadRenewed != nil {
+		sharing.node.loadRenewed()
+	}
 }
 
 // tell asks a gatherer, and passes it over where that fails. It returns the bytes spent.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -76,7 +76,9 @@
 	// programs that this node owns have under way. Either may be nil.
 	waitingCalls func() map[load.Queue]int
 	programLoad  func() (map[string]load.Route, map[load.Holder]int)
-	members      *members
+	// loadRenewed is called after each new view of the load; it may be nil.
+	loadRenewed func()
+	members     *members
 	// registration keeps the node's own record in the log.
 	registration *registration
 
@@ -211,6 +213,9 @@
 		Started:  time.Now(),
 		Answers:  node.held.answers,
 	}
+	node.waitingCalls = node.service.Waiting.Waiting
+	node.programLoad = node.admission.report
+	node.loadRenewed = node.service.Waiting.Renewed
 	return node, nil
 }
 
