--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -68,7 +68,9 @@
 // asks.
 func (controller *Controller) Observe(state *State, now time.Time) {
 	controller.expire(now)
-	if !state.Known {
+	// A node that owns no shard is not told of programs, and would take all that runs at
+	// engines for other callers'.
+	if !state.Known || state.Share <= 0 || len(state.Total.Routes) == 0 {
 		return
 	}
 	step, taken := controller.learned.observe(state, now)
--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -281,6 +281,16 @@
 		Expect(decision.Service).To(Equal(tools), "320 programs will use 64 slots of 48")
 	})
 
+	It("learns nothing while it owns no shard and is told of no programs", func() {
+		untold := stateOf(200, 270)
+		untold.Share = 0
+		clear(untold.Total.Routes)
+		controller := taught(admission.Options{}, untold)
+		decision := controller.Decide(order("a"), stateOf(200, 270), now)
+		Expect(decision.Admitted).To(BeTrue())
+		Expect(decision.Demand).To(BeNumerically("<", 270), "what runs are its programs' turns")
+	})
+
 	It("leaves services out that programs do not call, however full", func() {
 		state := stateOf(200, 270)
 		state.Services = append(state.Services, admission.Service{Name: "pages", Slots: 48, Engines: 8, Running: 48})
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -37,11 +37,24 @@
 	}
 }
 
-// pick chooses an engine, nil where none has room or others wait for one.
+// pick chooses an engine, nil where none has room, others wait for one, or the call may
+// not ask again.
 func (current *course) pick() *backend.Engine {
 	if !current.waited && current.service.Waiting.Waits(current.serviceName) {
 		return nil
 	}
+	if !current.asking.Take(&current.service.Retries, time.Now()) {
+		return nil
+	}
+	engine := current.pickAmong()
+	if engine == nil {
+		current.asking.Return(&current.service.Retries)
+	}
+	return engine
+}
+
+// pickAmong chooses among the engines that may get the call.
+func (current *course) pickAmong() *backend.Engine {
 	request := &backend.Request{Service: current.serviceName, Zone: current.service.Zone, Tried: current.tried}
 	if current.route.Kind == routing.Streaming {
 		request.Program = current.call.Program
@@ -61,17 +74,14 @@
 	sending, cancel := context.WithCancel(ctx)
 	defer cancel()
 	outcome := backend.Abandoned
+	current.release = current.releaseOnce(engine, time.Now())
 	stopWatch := current.watch(engine)
 	defer func() {
 		silent := stopWatch()
 		if silent && outcome == backend.Abandoned {
 			outcome = backend.Silent
 		}
-		current.service.Engines.Finish(engine, outcome, time.Now())
-		if outcome != backend.Full {
-			// After a refusal the next one waits for the queue's own pace.
-			current.service.Waiting.Wake(current.serviceName)
-		}
+		current.release(outcome)
 	}()
 	stopRepeat := current.repeatWhereSilent(engine, cancel)
 	defer stopRepeat()
@@ -98,7 +108,8 @@
 		if reply.Misdirected {
 			outcome = backend.Misdirected
 		}
-		current.refusals++
+		current.asking.Refused()
+		drain(reply, cancel)
 		current.service.Logger.Info("engine refused", zap.String("request", current.call.ID),
 			zap.String("engine", engine.ID), zap.Int("status", reply.Status))
 		return false, nil
@@ -115,6 +126,36 @@
 	return true, err
 }
 
+// releaseOnce returns what ends the attempt at its engine, once: the engine has a place free
+// from then on, also where the call's answer still waits for its record.
+func (current *course) releaseOnce(engine *backend.Engine, began time.Time) func(backend.Outcome) {
+	released := false
+	return func(outcome backend.Outcome) {
+		if released {
+			return
+		}
+		released = true
+		current.service.Engines.Finish(engine, outcome, time.Now())
+		if outcome == backend.Answered {
+			current.service.Engines.Took(current.serviceName, time.Since(began))
+			current.service.Retries.Served()
+		}
+		if outcome != backend.Full {
+			// After a refusal the next one waits for the queue's own pace.
+			current.service.Waiting.Wake(current.serviceName)
+		}
+	}
+}
+
+// drain reads a refusal to its end, so that its connection can be kept: a new one for each
+// ask after a refusal costs a full engine more than the ask.
+func drain(reply *Reply, giveUp context.CancelFunc) {
+	timer := time.AfterFunc(refusalDrain, giveUp)
+	defer timer.Stop()
+	// Where it can't be read the connection is closed with the body.
+	_, _ = io.Copy(io.Discard, io.LimitReader(reply.Body, refusalBytes))
+}
+
 // outcomeOfSending tells what a failed sending says of the engine.
 func outcomeOfSending(ctx context.Context, err error) backend.Outcome {
 	switch {
@@ -189,7 +230,8 @@
 // told as such or tried elsewhere. Of one over heldBytes the beginning is passed
 // on before its end has come.
 func (current *course) relayWhole(ctx context.Context, reply *Reply) (backend.Outcome, error) {
-	content, err := io.ReadAll(io.LimitReader(reply.Body, heldBytes))
+	content, whole, err := current.hold(reply.Body)
+	defer current.service.Answers.Release(int64(cap(content)))
 	current.heard()
 	if err != nil {
 		return current.brokenAnswer(ctx, errBrokenOff)
@@ -202,7 +244,7 @@
 	if err != nil {
 		return backend.Answered, errCallerGone
 	}
-	if len(content) == heldBytes {
+	if !whole {
 		outcome, failure := current.relayRest(ctx, reply)
 		if failure != nil {
 			return outcome, failure
--- /dev/null
+++ b/internal/node/load_test.go
@@ -0,0 +1,288 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"time"
+
+	nodev1 "github.com/magpielug/magpielug/api/node/v1"
+	"github.com/magpielug/magpielug/internal/backend"
+	"github.com/magpielug/magpielug/internal/durable"
+	"github.com/magpielug/magpielug/internal/feature"
+	"github.com/magpielug/magpielug/internal/load"
+	"github.com/magpielug/magpielug/internal/logging"
+	"github.com/magpielug/magpielug/internal/ownership"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// network carries calls between nodes of one process, without sockets.
+type network struct {
+	mutex sync.Mutex
+	nodes map[string]http.Handler
+	// cut holds pairs of nodes, caller first, between which nothing passes.
+	cut map[[2]string]bool
+}
+
+var errCut = errors.New("nothing passes")
+
+// clientOf returns the client of one node.
+func (network *network) clientOf(name string) *http.Client {
+	return &http.Client{Transport: roundTrip(func(request *http.Request) (*http.Response, error) {
+		network.mutex.Lock()
+		handler := network.nodes[request.URL.Host]
+		cut := network.cut[[2]string{name, request.URL.Host}]
+		network.mutex.Unlock()
+		if cut || handler == nil {
+			return nil, errCut
+		}
+		recorder := httptest.NewRecorder()
+		handler.ServeHTTP(recorder, request)
+		return recorder.Result(), nil
+	})}
+}
+
+// lose cuts a node off from all.
+func (network *network) lose(name string) {
+	network.mutex.Lock()
+	defer network.mutex.Unlock()
+	for other := range network.nodes {
+		network.cut[[2]string{name, other}] = true
+		network.cut[[2]string{other, name}] = true
+	}
+}
+
+// cutBetween lets nothing pass between two groups of nodes.
+func (network *network) cutBetween(some, others []*Node) {
+	network.mutex.Lock()
+	defer network.mutex.Unlock()
+	for _, one := range some {
+		for _, other := range others {
+			network.cut[[2]string{one.settings.Name, other.settings.Name}] = true
+			network.cut[[2]string{other.settings.Name, one.settings.Name}] = true
+		}
+	}
+}
+
+var _ = Describe("Load shared between nodes", func() {
+	var lines *network
+	var nodes []*Node
+
+	// start makes nodes of a number of zones, each with one request under way at engine e
+	// and one at an engine of its own.
+	start := func(count, zones int) {
+		logger, err := logging.New("error", GinkgoWriter)
+		Expect(err).NotTo(HaveOccurred())
+		lines = &network{nodes: map[string]http.Handler{}, cut: map[[2]string]bool{}}
+		nodes = nil
+		for number := range count {
+			name := "node-" + strconv.Itoa(number)
+			node := &Node{settings: Settings{Name: name, Zone: "zone-" + strconv.Itoa(number%zones), Shards: 4}, members: newMembers(), meter: newMeter(),
+				logger: logger.Bounded(), engines: backend.NewDirectory(), load: load.NewView(),
+				ownership: ownership.NewManager(context.Background(), nil, logger.Logger, ownership.Identity{}, 4, ownership.Around{})}
+			node.peers = newPeers(node.members, lines.clientOf(name))
+			node.sharing = newLoadSharing(node)
+			node.memberView = newRecordView("nodes", logger.Logger, func(durable.KeyedRecord) bool { return false })
+			node.memberView.take(durable.Update{End: 1})
+			for engine := range count {
+				node.engines.Put(backend.Instance{ID: "engine-" + strconv.Itoa(engine), Service: "s"})
+			}
+			node.engines.Put(backend.Instance{ID: "e", Service: "t"})
+			node.engines.Pick(&backend.Request{Service: "t"}, time.Now())
+			node.engines.Pick(&backend.Request{Service: "s", Assigned: "engine-" + strconv.Itoa(number)}, time.Now())
+			lines.nodes[name] = nodev1.NewNodeServer(&peerServer{node: node})
+			nodes = append(nodes, node)
+		}
+		for _, node := range nodes {
+			for _, other := range nodes {
+				node.members.put(Member{Name: other.settings.Name, Address: other.settings.Name, Zone: other.settings.Zone, Capacity: 800})
+			}
+		}
+	}
+
+	run := func() {
+		ctx, stop := context.WithCancel(context.Background())
+		DeferCleanup(stop)
+		for _, node := range nodes {
+			go node.sharing.run(ctx)
+		}
+	}
+
+	othersAt := func(node *Node, engine string) func() int {
+		return func() int {
+			others, known := node.load.Others(engine, time.Now())
+			if !known {
+				return -1
+			}
+			return others.Running
+		}
+	}
+
+	const patience = 5 * time.Second
+
+	It("comes to every node from all zones", func() {
+		start(7, 2)
+		run()
+		for _, node := range nodes {
+			Eventually(othersAt(node, "e"), patience).Should(Equal(6))
+			Expect(othersAt(node, "engine-3")()).To(Equal(map[bool]int{true: 0, false: 1}[node.settings.Name == "node-3"]))
+		}
+	})
+
+	It("goes on where a gatherer is lost", func() {
+		start(6, 2)
+		run()
+		lost := nodes[0].sharing.gathererOf("zone-0", time.Now())
+		for _, node := range nodes {
+			Eventually(othersAt(node, "e"), patience).Should(Equal(5))
+		}
+		lines.lose(lost)
+		for _, node := range nodes {
+			if node.settings.Name != lost {
+				Eventually(othersAt(node, "e"), patience).Should(Equal(4))
+			}
+		}
+	})
+
+	It("comes to a node that alone can't reach its gatherer", func() {
+		start(6, 2)
+		var zone []string
+		for _, candidate := range nodes[0].members.candidates(loadShard) {
+			if candidate.Zone == "zone-0" {
+				zone = append(zone, candidate.Name)
+			}
+		}
+		gatherer, last := zone[0], zone[len(zone)-1]
+		lines.cut[[2]string{last, gatherer}] = true
+		run()
+		for _, node := range nodes {
+			Eventually(othersAt(node, "e"), patience).Should(Equal(5), node.settings.Name)
+		}
+	})
+
+	It("is that of one side where zones are cut off from each other", func() {
+		start(6, 2)
+		run()
+		var some, others []*Node
+		for _, node := range nodes {
+			Eventually(othersAt(node, "e"), patience).Should(Equal(5))
+			if node.settings.Zone == "zone-0" {
+				some = append(some, node)
+			} else {
+				others = append(others, node)
+			}
+		}
+		lines.cutBetween(some, others)
+		for _, node := range nodes {
+			Eventually(othersAt(node, "e"), patience).Should(Equal(2))
+		}
+	})
+
+	It("is not known to a node that reaches none of its zone", func() {
+		start(6, 1)
+		lines.lose("node-3")
+		run()
+		for _, node := range nodes {
+			if node.settings.Name != "node-3" {
+				Eventually(othersAt(node, "e"), patience).Should(Equal(4))
+			}
+		}
+		Expect(othersAt(nodes[3], "e")()).To(Equal(-1))
+		Expect(nodes[3].running()).To(BeEmpty(), "owners do not assign engines here")
+	})
+
+	It("goes on where engines come that only some nodes know", func() {
+		start(4, 2)
+		run()
+		for _, node := range nodes {
+			Eventually(othersAt(node, "e"), patience).Should(Equal(3))
+		}
+		nodes[1].engines.Put(backend.Instance{ID: "new", Service: "n"})
+		nodes[1].engines.Pick(&backend.Request{Service: "n"}, time.Now())
+		for _, node := range nodes {
+			if node.settings.Name != "node-1" {
+				Eventually(othersAt(node, "new"), patience).Should(Equal(1))
+			}
+		}
+	})
+
+	It("tells owners of programs, and waiting calls to all", func() {
+		start(3, 1)
+		queue := load.Queue{Service: "s", Rank: 1}
+		nodes[2].waitingCalls = func() map[load.Queue]int { return map[load.Queue]int{queue: 4} }
+		nodes[2].programLoad = func() (map[string]load.Route, map[load.Holder]int) {
+			return map[string]load.Route{"r": {Service: "s", Programs: 2}}, map[load.Holder]int{{Tenant: "t"}: 2}
+		}
+		answer := func(owns bool) load.Report {
+			gatherer := nodes[0]
+			request := &nodev1.ShareLoadRequest{Node: "node-2", Zone: "zone-0", OwnsPrograms: owns, Sequence: 1, Report: toLoadReport(nodes[2].ownLoad(), engineList{})}
+			_, err := gatherer.sharing.answer(request, time.Now())
+			Expect(err).NotTo(HaveOccurred())
+			request.Sequence++
+			reply, err := gatherer.sharing.answer(request, time.Now().Add(2*totalReuse))
+			Expect(err).NotTo(HaveOccurred())
+			message, err := unpacked(reply.Total)
+			Expect(err).NotTo(HaveOccurred())
+			list, err := readEngineList(reply.List, reply.Engines)
+			Expect(err).NotTo(HaveOccurred())
+			return fromLoadReport(message, list)
+		}
+		Expect(answer(true).Routes).To(HaveKey("r"))
+		Expect(answer(true).Tenants).To(HaveLen(1))
+		Expect(answer(true).Waiting).To(HaveKeyWithValue(queue, 4))
+		Expect(answer(false).Routes).To(BeEmpty())
+		Expect(answer(false).Waiting).To(HaveKeyWithValue(queue, 4))
+	})
+
+	It("is not known before the nodes' records were read", func() {
+		start(2, 1)
+		nodes[0].memberView = newRecordView("nodes", nodes[0].logger.Logger, func(durable.KeyedRecord) bool { return false })
+		nodes[0].sharing.gatherHere(nodes[0].ownLoad(), time.Now())
+		Expect(othersAt(nodes[0], "e")()).To(Equal(-1), "it would take itself for the only node")
+	})
+
+	It("passes a gatherer over no longer where two messages at once find no answer", func() {
+		start(2, 1)
+		for range 3 {
+			nodes[0].sharing.suspect("node-1", errCut)
+		}
+		Expect(nodes[0].sharing.suspects.holds("node-1", time.Now().Add(2*gathererSuspicion))).To(BeFalse())
+	})
+
+	It("is not shared where the feature is off", func() {
+		start(2, 1)
+		Expect(feature.Disable(string(feature.LoadSharing))).To(Succeed())
+		DeferCleanup(func() { Expect(feature.Disable("")).To(Succeed()) })
+		nodes[0].sharing.run(context.Background())
+		_, err := (&peerServer{node: nodes[1]}).ShareLoad(context.Background(), &nodev1.ShareLoadRequest{})
+		Expect(err).To(MatchError(errNoLoad))
+		Expect(othersAt(nodes[0], "e")()).To(Equal(-1))
+	})
+
+	It("is shown by service", func() {
+		start(2, 1)
+		nodes[0].sharing.gatherHere(nodes[0].ownLoad(), time.Now())
+		registry := prometheus.NewPedanticRegistry()
+		registry.MustRegister(&loadCollector{node: nodes[0]})
+		families, err := registry.Gather()
+		Expect(err).NotTo(HaveOccurred())
+		shown := map[string]float64{}
+		for _, family := range families {
+			for _, metric := range family.GetMetric() {
+				name := family.GetName()
+				for _, label := range metric.GetLabel() {
+					name += "/" + label.GetValue()
+				}
+				shown[name] = metric.GetGauge().GetValue()
+			}
+		}
+		Expect(shown).To(HaveKeyWithValue("magpielug_load_running/s", 1.0))
+		Expect(shown).To(HaveKeyWithValue("magpielug_load_running/t", 1.0))
+		Expect(shown).To(HaveKey("magpielug_load_view_age_seconds"))
+	})
+})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -68,9 +68,17 @@
 	incarnation string
 	routes      *routing.Current
 	engines     *backend.Directory
-	// load is what all nodes have under way.
+	// load is what all nodes have under way, sharing keeps it current.
 	load    *load.View
-	members *members
+	sharing *loadSharing
+	held    heldBounds
+	// waitingCalls counts the calls that wait here for engines, programLoad tells what the
+	// programs that this node owns have under way. Either may be nil.
+	waitingCalls func() map[load.Queue]int
+	programLoad  func() (map[string]load.Route, map[load.Holder]int)
+	// loadRenewed is called after each new view of the load; it may be nil.
+	loadRenewed func()
+	members     *members
 	// registration keeps the node's own record in the log.
 	registration *registration
 
@@ -152,6 +160,7 @@
 		assigner:    assignment.New(),
 		engines:     backend.NewDirectory(),
 		load:        load.NewView(),
+		held:        newHeldBounds(settings.MemoryBytes),
 		members:     newMembers(),
 		turns:       history.NewStore(historyBytes(settings.MemoryBytes)),
 	}
@@ -159,6 +168,8 @@
 	node.around = around
 	node.recorder = history.NewRecorder(around.Log, settings.Shards)
 	node.engines.UseLoad(node.load)
+	node.assigner.UseLoad(node.load, node.engines.RunningAt)
+	node.engines.UseNodes(node.members.staying)
 	err = node.engines.UsePolicy(settings.Placement)
 	if err != nil {
 		return nil, err
@@ -178,28 +189,35 @@
 	node.programs = newPrograms(node)
 	node.admission = newAdmitter(node)
 	node.quotas = newQuotas(node)
+	node.sharing = newLoadSharing(node)
 	node.reader.Delegate(node.lineElsewhere)
 	if feature.Enabled(feature.RecordingElsewhere) {
 		node.recorder.RelayBy(node.recordElsewhere)
 	}
 	node.egress = &egress.Handler{Engines: node.engines, Sender: around.Sender, Logger: logger.Logger, Stopping: node.stopping.Load}
+	waiting := backend.NewWaitQueue()
+	waiting.UseRooms(node.engines)
 	node.service = &forward.Service{
 		Routes:   node.routes,
 		Engines:  node.engines,
-		Waiting:  backend.NewWaitQueue(),
+		Waiting:  waiting,
 		Sender:   egress.NewSender(around.Sender, &egressTopology{node: node}, client, logger.Logger, meter.handed),
 		Programs: node.programs,
 		Quotas:   node.quotas,
+		Meter:    meter,
+		Logger:   logger.Logger,
+		Zone:     settings.Zone,
+		Nodes:    node.members.staying,
+		ViewAge:  node.engineView.age,
+		LogAway:  node.recordingAway,
+		Started:  time.Now(),
+		Answers:  node.held.answers,
 
 		ToolCalls: forward.NewToolCalls(),
-		Meter:     meter,
-		Logger:    logger.Logger,
-		Zone:      settings.Zone,
-		Nodes:     node.members.staying,
-		ViewAge:   node.engineView.age,
-		LogAway:   node.recordingAway,
-		Started:   time.Now(),
 	}
+	node.waitingCalls = node.service.Waiting.Waiting
+	node.programLoad = node.admission.report
+	node.loadRenewed = node.service.Waiting.Renewed
 	return node, nil
 }
 
@@ -254,6 +272,7 @@
 	}
 	go node.learner.run(working, node.following)
 	go node.quotas.lend(working)
+	go node.sharing.run(working)
 	go node.admission.run(working)
 	go node.keepHouse(working)
 	for {
