--- a/internal/admission/scene.go
+++ b/internal/admission/constraint.go
@@ -7,8 +7,8 @@
 	"github.com/magpielug/magpielug/internal/load"
 )
 
-// scene is the resource that leaves an order the least room, with what asks for it.
-type scene struct {
+// constraint is the resource that leaves an order the least room, with what asks for it.
+type constraint struct {
 	*resource
 	state *State
 	order Order
@@ -26,14 +26,14 @@
 	backlog float64
 }
 
-// scene finds the resource that binds, nil where there is none.
-func (controller *Controller) scene(order Order, state *State, now time.Time) *scene {
+// constraint finds the resource that binds, nil where there is none.
+func (controller *Controller) constraint(order Order, state *State, now time.Time) *constraint {
 	known := controller.learned
 	own := controller.begunSince(now.Add(-state.Age))
 	ranks := ranksOf(state, order.Rank)
-	var tightest *scene
+	var tightest *constraint
 	for _, shared := range known.resources(state, controller.options.Memory) {
-		next := &scene{resource: shared, state: state, order: order, ranks: ranks, place: position(ranks, order.Rank)}
+		next := &constraint{resource: shared, state: state, order: order, ranks: ranks, place: position(ranks, order.Rank)}
 		next.need = known.need(shared, order.Route, order.Service)
 		if shared.memory {
 			next.need = max(next.need, float64(order.Prompt)*ownMemory(shared, order))
@@ -79,21 +79,21 @@
 	return slices.Compact(ranks)
 }
 
-func (scene *scene) fill() float64 { return scene.projected / scene.limit }
+func (constraint *constraint) fill() float64 { return constraint.projected / constraint.limit }
 
 // setRate works out what may begin: as much as ends, and what brings demand to its limit
 // soon.
-func (scene *scene) setRate(known *learned) {
-	room := scene.limit - (scene.projected - scene.need)
-	rate := scene.ends + room/correctionSpan.Seconds()
-	life := max(known.routes[scene.order.Route].life(), firstLife)
-	rate = max(rate, leastRate*scene.capacity/life.Seconds())
-	wanted := make([]float64, len(scene.ranks))
-	for place, rank := range scene.ranks {
-		wanted[place] = known.rate(scene.resource, scene.state, atRank(rank, func(route load.Route) float64 { return route.Begun + route.Refused }))
+func (constraint *constraint) setRate(known *learned) {
+	room := constraint.limit - (constraint.projected - constraint.need)
+	rate := constraint.ends + room/correctionSpan.Seconds()
+	life := max(known.routes[constraint.order.Route].life(), firstLife)
+	rate = max(rate, leastRate*constraint.capacity/life.Seconds())
+	wanted := make([]float64, len(constraint.ranks))
+	for place, rank := range constraint.ranks {
+		wanted[place] = known.rate(constraint.resource, constraint.state, atRank(rank, func(route load.Route) float64 { return route.Begun + route.Refused }))
 	}
-	scene.rate = divide(rate, wanted, scene.place)
-	scene.backlog = known.rate(scene.resource, scene.state, atRank(scene.order.Rank, func(route load.Route) float64 { return route.Refused }))
+	constraint.rate = divide(rate, wanted, constraint.place)
+	constraint.backlog = known.rate(constraint.resource, constraint.state, atRank(constraint.order.Rank, func(route load.Route) float64 { return route.Refused }))
 }
 
 // atRank counts only routes of one rank.
@@ -106,36 +106,36 @@
 	}
 }
 
-func (scene *scene) decision() Decision {
-	return Decision{Service: scene.service, Demand: scene.projected, Need: scene.need, Limit: scene.limit, Capacity: scene.capacity, Rate: scene.rate}
+func (constraint *constraint) decision() Decision {
+	return Decision{Service: constraint.service, Demand: constraint.projected, Need: constraint.need, Limit: constraint.limit, Capacity: constraint.capacity, Rate: constraint.rate}
 }
 
-func (scene *scene) reason() Reason {
-	if scene.memory {
+func (constraint *constraint) reason() Reason {
+	if constraint.memory {
 		return NoMemory
 	}
 	return NoSlots
 }
 
 // fits tells whether the order leaves demand below its limit.
-func (scene *scene) fits() bool { return scene.projected <= scene.limit }
+func (constraint *constraint) fits() bool { return constraint.projected <= constraint.limit }
 
 // fitsUnderShare tells whether there is room for a tenant that has much less than its
 // share.
-func (scene *scene) fitsUnderShare(decision Decision) bool {
-	return decision.farUnderShare() && scene.projected <= scene.limit+underShareRoom*scene.capacity
+func (constraint *constraint) fitsUnderShare(decision Decision) bool {
+	return decision.farUnderShare() && constraint.projected <= constraint.limit+underShareRoom*constraint.capacity
 }
 
 // retryAfter is when there will be room for the order: those refused before it begin
 // first.
-func (scene *scene) retryAfter(order Order, life time.Duration) time.Duration {
+func (constraint *constraint) retryAfter(order Order, life time.Duration) time.Duration {
 	most := mostRetry
 	if order.HasAim {
 		most = min(most, max(order.AimLeft-life, leastRetry))
 	}
 	first := most.Seconds() / (1 + retrySpread)
-	if scene.rate > 0 {
-		first = min(first, (scene.backlog+scene.need)/scene.rate)
+	if constraint.rate > 0 {
+		first = min(first, (constraint.backlog+constraint.need)/constraint.rate)
 	}
 	first = max(first, leastRetry.Seconds())
 	return time.Duration(first * (1 + retrySpread*order.Spread) * float64(time.Second))
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -108,27 +108,27 @@
 	if !state.Known || state.Share <= 0 {
 		return controller.admit(order, Decision{}, now)
 	}
-	scene := controller.scene(order, state, now)
-	if scene == nil {
+	constraint := controller.constraint(order, state, now)
+	if constraint == nil {
 		return controller.admit(order, Decision{}, now)
 	}
-	decision := scene.decision()
+	decision := constraint.decision()
 	if controller.options.Shares {
-		scene.share(order, &decision)
+		constraint.share(order, &decision)
 	}
 	switch {
 	case decision.overShare():
-		return controller.refuse(order, decision, OverShare, scene, now)
-	case scene.fits():
+		return controller.refuse(order, decision, OverShare, constraint, now)
+	case constraint.fits():
 		controller.credits[order.Rank] = &credit{at: now}
 		return controller.admit(order, decision, now)
-	case scene.fitsUnderShare(decision):
+	case constraint.fitsUnderShare(decision):
 		return controller.admit(order, decision, now)
 	}
-	if controller.draw(order, scene, now) {
+	if controller.draw(order, constraint, now) {
 		return controller.admit(order, decision, now)
 	}
-	return controller.refuse(order, decision, scene.reason(), scene, now)
+	return controller.refuse(order, decision, constraint.reason(), constraint, now)
 }
 
 func (controller *Controller) admit(order Order, decision Decision, now time.Time) Decision {
@@ -138,22 +138,22 @@
 	return decision
 }
 
-func (controller *Controller) refuse(order Order, decision Decision, reason Reason, scene *scene, now time.Time) Decision {
+func (controller *Controller) refuse(order Order, decision Decision, reason Reason, constraint *constraint, now time.Time) Decision {
 	decision.Reason = reason
-	decision.RetryAfter = scene.retryAfter(order, controller.learned.routes[order.Route].life())
+	decision.RetryAfter = constraint.retryAfter(order, controller.learned.routes[order.Route].life())
 	controller.refused[order.Program] = now
 	return decision
 }
 
 // draw takes a program's need from what may begin, and tells whether there was enough.
-func (controller *Controller) draw(order Order, scene *scene, now time.Time) bool {
+func (controller *Controller) draw(order Order, constraint *constraint, now time.Time) bool {
 	held := controller.credits[order.Rank]
 	if held == nil {
 		held = &credit{at: now}
 		controller.credits[order.Rank] = held
 	}
-	need := scene.need / scene.capacity
-	rate := scene.state.Share * scene.rate / scene.capacity
+	need := constraint.need / constraint.capacity
+	rate := constraint.state.Share * constraint.rate / constraint.capacity
 	most := max(rate*longestCredit.Seconds(), leastCredit*need)
 	held.value = min(held.value+rate*now.Sub(held.at).Seconds(), most)
 	held.at = now
--- a/internal/admission/forecast.go
+++ b/internal/admission/forecast.go
@@ -59,7 +59,7 @@
 // resources lists what programs share, with the demand that the state shows.
 func (known *learned) resources(state *State, withMemory bool) []*resource {
 	var all []*resource
-	present := asked(state)
+	present := occupancy(state)
 	models := map[string]bool{}
 	for name, route := range state.Total.Routes {
 		if known.runsPrograms(name, route) {
--- a/internal/admission/learned.go
+++ b/internal/admission/learned.go
@@ -101,7 +101,7 @@
 	}
 	known.at = now
 	step = min(step, longestStep)
-	present := asked(state)
+	present := occupancy(state)
 	turns := turnsOf(state)
 	queues := known.observeServices(state, present, turns, step)
 	known.refused.observe(refusedShare(state), step, scarceSpan)
@@ -127,8 +127,8 @@
 	return refused / (begun + refused)
 }
 
-// asked is what runs and waits at each service.
-func asked(state *State) map[string]float64 {
+// occupancy is what runs and waits at each service.
+func occupancy(state *State) map[string]float64 {
 	present := map[string]float64{}
 	for _, service := range state.Services {
 		present[service.Name] = float64(service.Running)
--- a/internal/admission/shares.go
+++ b/internal/admission/shares.go
@@ -26,12 +26,12 @@
 
 // share notes the share of the order's tenant in the decision, where room is scarce and
 // several tenants of its rank want it.
-func (scene *scene) share(order Order, decision *Decision) {
-	uncontested := scene.limit - sharedReserve*scene.capacity
-	if scene.projected <= uncontested {
+func (constraint *constraint) share(order Order, decision *Decision) {
+	uncontested := constraint.limit - sharedReserve*constraint.capacity
+	if constraint.projected <= uncontested {
 		return
 	}
-	holdings := scene.state.holdings(order)
+	holdings := constraint.state.holdings(order)
 	if len(holdings) < 2 {
 		return
 	}
@@ -39,7 +39,7 @@
 	for _, held := range holdings {
 		total += held.programs
 	}
-	level := fairLevel(holdings, total*uncontested/scene.projected)
+	level := fairLevel(holdings, total*uncontested/constraint.projected)
 	own := holdings[order.Program.Tenant]
 	decision.Held = own.programs
 	decision.Fair = level * own.weight
