Load: nodes next in line for a shard hear of programs too

Cause: a node that takes a shard over had a view without routes and tenants for a round, and would take all programs for over. Effect: the first two candidates of each shard hold them; at most 16 nodes of 390 at eight shards.

--- a/internal/node/load.go
+++ b/internal/node/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -330,10 +331,16 @@
 	return report
 }
 
-// ownsPrograms tells whether this node owns any shard.
+// nextOwners is how many first candidates of a shard hear of routes and tenants: the one
+// that comes next must not take all programs for over in the moment that it claims.
+const nextOwners = 2
+
+// ownsPrograms tells whether this node owns a shard, or is next in line for one.
 func (node *Node) ownsPrograms() bool {
 	for shard := range node.settings.Shards {
-		if node.ownership.Owns(shard) {
+		candidates := node.members.candidates(shard)
+		next := candidates[:min(len(candidates), nextOwners)]
+		if node.ownership.Owns(shard) || slices.ContainsFunc(next, func(member Member) bool { return member.Name == node.settings.Name }) {
 			return true
 		}
 	}
--- a/internal/node/load_test.go
+++ b/internal/node/load_test.go
@@ -239,6 +239,18 @@
 		Expect(answer(false).Waiting).To(HaveKeyWithValue(queue, 4))
 	})
 
+	It("is told with its programs to those next in line for a shard", func() {
+		start(30, 1)
+		count := 0
+		for _, node := range nodes {
+			if node.ownsPrograms() {
+				count++
+			}
+		}
+		Expect(count).To(BeNumerically(">=", nextOwners))
+		Expect(count).To(BeNumerically("<=", 4*nextOwners), "four shards")
+	})
+
 	It("is not known before the nodes' records were read", func() {
 		start(2, 1)
 		nodes[0].memberView = newRecordView("nodes", nodes[0].logger.Logger, func(durable.KeyedRecord) bool { return false })
