--- a/internal/backend/pick.go
+++ b/internal/backend/pick.go
@@ -63,16 +63,7 @@
 	defer directory.mutex.Unlock()
 	candidates := directory.usable(request.Service)
 	directory.estimateOthers(request.Service, candidates, now)
-	always := []Filter{untried{}, roomy{}}
-	if feature.Enabled(feature.RoomByLoad) {
-		always = append(always, notFull{}, hasRoom{
-			first: idleHere(candidates),
-			left:  directory.leftHere(request.Service, candidates, now),
-			share: directory.queueShareOf(request.Service, candidates),
-		})
-	}
-	noticed := sound{heedDoubt: heedsDoubt(candidates, now)}
-	for _, filters := range [][]Filter{append([]Filter{noticed}, always...), always} {
+	for _, filters := range directory.filterSets(request.Service, candidates, now) {
 		admitted := admit(candidates, filters, request, now)
 		if len(admitted) > 0 {
 			chosen := directory.choose(admitted, request, now)
@@ -83,6 +74,25 @@
 	return nil
 }
 
+// filterSets returns the filters for a request to a service, those to be used first in front.
+func (directory *Directory) filterSets(service string, candidates []*Engine, now time.Time) [][]Filter {
+	noticed := sound{heedDoubt: heedsDoubt(candidates, now)}
+	if !feature.Enabled(feature.RoomByLoad) {
+		return [][]Filter{{untried{}, noticed, roomy{}}, {untried{}, roomy{}}}
+	}
+	room := hasRoom{
+		left:  directory.leftHere(service, candidates, now),
+		share: directory.queueShareOf(service, candidates),
+	}
+	sets := [][]Filter{{untried{}, notFull{}, noticed, roomy{}, room}, {untried{}, notFull{}, roomy{}, room}}
+	if runningHere(candidates) == 0 {
+		// A view that is wrong does not stop a node: all nodes together thereby add some one
+		// request an engine.
+		sets = append(sets, []Filter{untried{}, notFull{}, noticed, roomy{}})
+	}
+	return sets
+}
+
 // choose takes the assigned engine where it is admitted, for the prompt of the line lies in
 // its memory, or else what the policy takes.
 func (directory *Directory) choose(admitted []*Engine, request *Request, now time.Time) *Engine {
--- a/internal/backend/room.go
+++ b/internal/backend/room.go
@@ -137,13 +137,10 @@
 //
 // It answers the load of an overload in which nearly nine of ten asks were refused: each
 // refused ask takes the engine's time, and the asks sustain the overload when the load is
-// over. A node without a request at the service may have one anywhere: a view that is
-// wrong does not stop it, and all nodes together thereby add some one request an engine.
+// over.
 type hasRoom struct {
-	// first is true where the node has no request at the service, left how many more it
-	// may have.
-	first bool
-	left  int
+	// left is how many more requests this node may have at the service.
+	left int
 	// share is how much of a queue the service may have.
 	share float64
 }
@@ -154,7 +151,7 @@
 	if request.Assigned == engine.ID {
 		share += assignedQueueShare
 	}
-	return filter.first || filter.left >= 1 && engine.roomFor(share, now) >= 1
+	return filter.left >= 1 && engine.roomFor(share, now) >= 1
 }
 
 // notFull admits engines that have not refused a request for want of room just now. It is
@@ -166,9 +163,6 @@
 	return !now.Before(engine.fullUntil)
 }
 
-// idleHere tells whether this node has no request at any of the engines.
-func idleHere(engines []*Engine) bool { return runningHere(engines) == 0 }
-
 // Took notes how long a request to a service took that was answered.
 func (directory *Directory) Took(service string, took time.Duration) {
 	directory.mutex.Lock()
@@ -202,12 +196,12 @@
 	directory.estimateOthers(service, engines, now)
 	noticed := sound{heedDoubt: heedsDoubt(engines, now)}
 	share := directory.queueShareOf(service, engines)
-	sure, doubtful, asked := 0, 0, false
+	sure, doubtful, unrefused := 0, 0, false
 	for _, engine := range engines {
 		if !(notFull{}).Admits(engine, nil, now) {
 			continue
 		}
-		asked = true
+		unrefused = true
 		room := int(engine.roomFor(share+engine.toleratedShare(), now))
 		doubtful += room
 		if noticed.Admits(engine, nil, now) {
@@ -219,7 +213,7 @@
 		room = doubtful
 	}
 	room = min(room, directory.leftHere(service, engines, now))
-	if room == 0 && asked && idleHere(engines) {
+	if room == 0 && unrefused && runningHere(engines) == 0 {
 		return 1
 	}
 	return room
