--- /dev/null
+++ b/internal/backend/connections_refusing_test.go
@@ -0,0 +1,64 @@
+package backend
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/magpielug/magpielug/internal/feature"
+	. "github.com/onsi/gomega"
+)
+
+// listening is an address that takes connections.
+func listening(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	return listener.Addr().String()
+}
+
+func TestFewConnectionsAreOpenedToAnEngineThatRefuses(t *testing.T) {
+	expect := NewWithT(t)
+	connections, address, other := NewConnections(), listening(t), listening(t)
+	connections.Refused(address, time.Now().Add(time.Hour))
+	first, err := connections.Get(context.Background(), address, 0)
+	expect.Expect(err).NotTo(HaveOccurred())
+	defer first.Close()
+	_, err = connections.Get(context.Background(), address, 0)
+	expect.Expect(err).To(MatchError(ErrTooManyConnections))
+	elsewhere, err := connections.Get(context.Background(), other, 0)
+	expect.Expect(err).NotTo(HaveOccurred(), "other engines don't refuse")
+	defer elsewhere.Close()
+
+	first.Keep(time.Now().Add(time.Minute))
+	kept, err := connections.Get(context.Background(), address, 0)
+	expect.Expect(err).NotTo(HaveOccurred())
+	expect.Expect(kept).To(BeIdenticalTo(first), "kept ones are used")
+	expect.Expect(connections.Opened()).To(Equal(int64(2)))
+}
+
+func TestPaceOfConnectionsWhileAnEngineRefuses(t *testing.T) {
+	expect := NewWithT(t)
+	connections := NewConnections()
+	opened := func(from, to time.Duration) int {
+		count := 0
+		for since := from; since < to; since += 10 * time.Millisecond {
+			if connections.mayOpen("a", roomNow.Add(since)) {
+				count++
+			}
+		}
+		return count
+	}
+	expect.Expect(opened(0, time.Second)).To(Equal(100))
+	connections.Refused("a", roomNow)
+	expect.Expect(opened(0, refusingFor)).To(Equal(3))
+	expect.Expect(opened(refusingFor+10*time.Millisecond, time.Second)).To(Equal(49), "it refuses no more")
+
+	t.Cleanup(func() { _ = feature.Disable("") })
+	expect.Expect(feature.Disable(string(feature.RoomByLoad))).To(Succeed())
+	connections.Refused("a", roomNow)
+	expect.Expect(opened(0, refusingFor)).To(Equal(50))
+}
--- a/internal/forward/wait_test.go
+++ b/internal/forward/wait_test.go
@@ -41,3 +41,11 @@
 	expect.Expect(waitingCall(routing.Unsafe, now, -time.Second).aim()).To(Equal(now.Add(-time.Second)), "late, so that it comes last")
 	expect.Expect(waitingCall(routing.Unsafe, now, 0).aim()).To(Equal(givenUp), "no aim")
 }
+
+func TestTurnsOfProgramsThatGoOnWaitLonger(t *testing.T) {
+	expect := NewWithT(t)
+	first := waitingCall(routing.Streaming, time.Now(), time.Hour)
+	expect.Expect(first.engineWait()).To(Equal(80 * time.Millisecond))
+	first.goesOn = true
+	expect.Expect(first.engineWait()).To(Equal(600 * time.Millisecond))
+}
