--- a/internal/forward/room_test.go
+++ b/internal/forward/room_test.go
@@ -155,7 +155,9 @@
 		go func() { answered <- serve(context.Background(), "/tool/x") }()
 		Eventually(func() bool { return service.Waiting.Waits("s") }).Should(BeTrue())
 		close(busy.release)
-		Eventually(answered).Should(Receive(HaveField("ended", true)))
+		var answer *fakeAnswer
+		Eventually(answered).Should(Receive(&answer))
+		Expect(answer.ended).To(BeTrue())
 		Expect(busy.asked.Load()).To(Equal(int64(3)))
 	})
 
--- a/internal/forward/service_test.go
+++ b/internal/forward/service_test.go
@@ -124,15 +124,20 @@
 
 // fakeMeter notes the codes, and why calls were refused for want of room.
 type fakeMeter struct {
+	mutex   sync.Mutex
 	codes   []resultcode.Code
 	refused []forward.RoomReason
 }
 
 func (meter *fakeMeter) Finished(_ routing.Kind, code resultcode.Code, _ time.Duration) {
+	meter.mutex.Lock()
+	defer meter.mutex.Unlock()
 	meter.codes = append(meter.codes, code)
 }
 func (meter *fakeMeter) FirstEvent(time.Duration) {}
 func (meter *fakeMeter) RefusedForRoom(_ string, reason forward.RoomReason) {
+	meter.mutex.Lock()
+	defer meter.mutex.Unlock()
 	meter.refused = append(meter.refused, reason)
 }
 
