--- a/internal/backend/overload_replay_test.go
+++ b/internal/backend/overload_replay_test.go
@@ -187,9 +187,9 @@
 func (world *replay) wait(call *replayCall) {
 	node := call.node
 	left := world.kind.patience - world.clock.Sub(call.begun)
-	line, known := node.directory.Predict(call.waiter, node.queue.Ahead(call.waiter, world.clock), node.queue.Here(replayService), world.clock)
-	if left <= 0 || call.asking.Over() || feature.Enabled(feature.RoomByLoad) && known && line.Over(left) {
-		world.refuse(call, line)
+	forecast, known := node.directory.Predict(call.waiter, node.queue.Ahead(call.waiter, world.clock), node.queue.Here(replayService), world.clock)
+	if left <= 0 || call.asking.Over() || feature.Enabled(feature.RoomByLoad) && known && forecast.Over(left) {
+		world.refuse(call, forecast)
 		return
 	}
 	call.entered = newWaiting(call.waiter, world.clock)
@@ -198,12 +198,12 @@
 }
 
 // refuse ends a call. Its caller comes back once, when it was told to.
-func (world *replay) refuse(call *replayCall, line Line) {
+func (world *replay) refuse(call *replayCall, forecast Forecast) {
 	if call.comeback {
 		world.lost[call.waiter.Rank]++
 		return
 	}
-	later := call.node.returns.After(replayService, max(line.Wait, 100*time.Millisecond), line.Interval, world.kind.comeBack, world.clock)
+	later := call.node.returns.After(replayService, max(forecast.Wait, 100*time.Millisecond), forecast.Interval, world.kind.comeBack, world.clock)
 	world.timers = append(world.timers, replayTimer{at: world.clock.Add(later), run: func() {
 		again := &replayCall{node: world.nodes[world.random.IntN(replayNodes)], begun: world.clock, comeback: true,
 			waiter: Waiter{Service: replayService, Rank: call.waiter.Rank, Aim: world.clock.Add(world.kind.patience)}}
--- a/internal/backend/room.go
+++ b/internal/backend/room.go
@@ -2,11 +2,9 @@
 
 import (
 	"math"
-	"math/rand/v2"
 	"time"
 
 	"github.com/magpielug/magpielug/internal/feature"
-	"github.com/magpielug/magpielug/internal/load"
 )
 
 const (
@@ -33,8 +31,6 @@
 	// engine: about what it costs to read its prompt again elsewhere and to drive another one
 	// out of memory there. A longer queue costs more, and the turn goes elsewhere or waits.
 	assignedQueueShare = 1.0 / 3
-	// durationWeight is the weight of the newest request in the mean duration.
-	durationWeight = 0.1
 	// unboundedRoom stands for the room of an engine without a bound.
 	unboundedRoom = 1 << 16
 )
@@ -163,27 +159,6 @@
 	return !now.Before(engine.fullUntil)
 }
 
-// Took notes how long a request to a service took that was answered.
-func (directory *Directory) Took(service string, took time.Duration) {
-	directory.mutex.Lock()
-	defer directory.mutex.Unlock()
-	if directory.durations == nil {
-		directory.durations = map[string]time.Duration{}
-	}
-	mean, known := directory.durations[service]
-	if !known {
-		mean = took
-	}
-	directory.durations[service] = mean + time.Duration(durationWeight*float64(took-mean))
-}
-
-// Duration is how long a request to a service takes at present, 0 where none was seen.
-func (directory *Directory) Duration(service string) time.Duration {
-	directory.mutex.Lock()
-	defer directory.mutex.Unlock()
-	return directory.durations[service]
-}
-
 // Room is how many more requests the engines of a service have room for, as far as is known.
 func (directory *Directory) Room(service string, now time.Time) int {
 	directory.mutex.Lock()
@@ -272,133 +247,6 @@
 	}
 }
 
-const (
-	// overcommit is how many times its part of the room a node may take between two views
-	// for calls that have not waited. Nodes seldom all take theirs, and where they do engines
-	// still have places in their queues.
-	overcommit = 2.0
-	// burstShare of the room a node may take in any case: the calls that a program makes at
-	// once come to one node.
-	burstShare = 1.0 / 8
-)
-
-// bounds is how many requests this node may have at a service until the next view.
-type bounds map[string]int
-
-// Renew takes in that the view of the load has changed. here counts the calls that wait at
-// this node.
-//
-// It answers the load of many nodes that see at one moment how much room there is: if each
-// took what it sees, together they would take it many times over, and all would hold back
-// at the next view. Each node takes its part, and in place of its requests that end it may
-// send others at once. Where the engines have more than they have room for, it gives back
-// its part.
-func (directory *Directory) Renew(here map[load.Queue]int, now time.Time) {
-	directory.mutex.Lock()
-	defer directory.mutex.Unlock()
-	directory.bounds = bounds{}
-	total, known := directory.load.Total(now)
-	if !known {
-		return
-	}
-	directory.usable("")
-	for service, engines := range directory.services {
-		directory.estimateOthers(service, engines, now)
-		share := directory.queueShareOf(service, engines)
-		room, all, own, bounded := 0.0, 0.0, 0, true
-		for _, engine := range engines {
-			most := engine.mostUnder(share)
-			bounded = bounded && most > 0
-			room += most - float64(total.Engines[engine.ID].Running)
-			all += float64(total.Engines[engine.ID].Running)
-			own += engine.running
-		}
-		if bounded {
-			waits := ranksIn(here, service)
-			waitsElsewhere := waitingElsewhere(total, service, waits)
-			part := partOfRoom{room: room, all: all, own: float64(own), nodes: directory.countNodes()}
-			directory.bounds[service] = own + part.of(waits, waitsElsewhere, rand.Float64())
-		}
-	}
-}
-
-// UseNodes tells the directory how many nodes there are. It is called before anything else.
-func (directory *Directory) UseNodes(nodes func() int) { directory.nodes = nodes }
-
-func (directory *Directory) countNodes() float64 {
-	if directory.nodes == nil {
-		return 1
-	}
-	return float64(max(directory.nodes(), 1))
-}
-
-// ranksIn counts a service's waiting calls by rank.
-func ranksIn(waiting map[load.Queue]int, service string) map[int]int {
-	counts := map[int]int{}
-	for queue, calls := range waiting {
-		if queue.Service == service {
-			counts[queue.Rank] += calls
-		}
-	}
-	return counts
-}
-
-// partOfRoom divides room at a service, negative where engines have more than they have room
-// for, among nodes: all is what all nodes have there, own what this one has.
-type partOfRoom struct {
-	room, all, own, nodes float64
-}
-
-// of is this node's part: first for the calls that wait, then of what is left for those that
-// come. It is negative where the node is to give back.
-func (part partOfRoom) of(here, elsewhere map[int]int, draw float64) int {
-	if part.room <= 0 {
-		return int(math.Floor(part.room*part.own/max(part.all, 1) + draw))
-	}
-	waiting := 0
-	for _, counts := range []map[int]int{here, elsewhere} {
-		for _, calls := range counts {
-			waiting += calls
-		}
-	}
-	left := max(part.room-float64(waiting), 0)
-	coming := max(overcommit*left*(part.own+1)/(part.all+part.nodes), burstShare*left)
-	return int(math.Floor(shareOfRoom(part.room, here, elsewhere) + coming + draw))
-}
-
-// waitingElsewhere counts the calls to a service that wait at other nodes, by rank; here
-// counts those of this node, which the total holds too.
-func waitingElsewhere(total load.Report, service string, here map[int]int) map[int]int {
-	elsewhere := map[int]int{}
-	for queue, calls := range total.Waiting {
-		if queue.Service == service {
-			elsewhere[queue.Rank] += max(calls-here[queue.Rank], 0)
-		}
-	}
-	return elsewhere
-}
-
-// shareOfRoom divides room among the calls that wait here and elsewhere, more urgent ranks
-// first, and within a rank by their number.
-func shareOfRoom(room float64, here, elsewhere map[int]int) float64 {
-	left := room
-	share := 0.0
-	for _, rank := range ranksOf(here) {
-		before := 0
-		for other, calls := range elsewhere {
-			if other < rank {
-				before += calls
-			}
-		}
-		free := max(left-float64(before), 0)
-		all := here[rank] + elsewhere[rank]
-		granted := min(free, float64(all)) * float64(here[rank]) / float64(all)
-		share += granted
-		left -= granted
-	}
-	return share
-}
-
 // knowsOthers tells whether it is known what other nodes have under way.
 func (directory *Directory) knowsOthers(now time.Time) bool {
 	_, known := directory.load.Total(now)
@@ -417,58 +265,3 @@
 	}
 	return next, !next.IsZero()
 }
-
-// Line is what a call that would wait finds.
-type Line struct {
-	// Ahead is the number of calls before it, Running that of requests at the engines, over
-	// all nodes where that is known.
-	Ahead   int
-	Running int
-	// Wait is the predicted one, Interval the time between two ends of this node's requests.
-	Wait     time.Duration
-	Interval time.Duration
-}
-
-// Over tells whether the predicted wait is longer than a call's patience.
-func (line Line) Over(patience time.Duration) bool { return line.Wait > patience }
-
-// Predict tells what a call would find behind ahead calls of those that wait here, which
-// are counted by rank; it is false where nothing is known to predict from.
-func (directory *Directory) Predict(waiter Waiter, ahead int, here map[int]int, now time.Time) (Line, bool) {
-	directory.mutex.Lock()
-	defer directory.mutex.Unlock()
-	engines := directory.usable(waiter.Service)
-	directory.estimateOthers(waiter.Service, engines, now)
-	under := 0.0
-	for _, engine := range engines {
-		under += engine.under()
-	}
-	total, known := directory.load.Total(now)
-	if known {
-		ahead += aheadElsewhere(waitingElsewhere(total, waiter.Service, here), waiter.Rank)
-	}
-	return predict(ahead, int(under+roundingSlack), runningHere(engines), directory.durations[waiter.Service])
-}
-
-// aheadElsewhere counts the calls at other nodes that come before one of a rank: all of more
-// urgent ranks, and half of its own, for how near their aims are is not known here.
-func aheadElsewhere(elsewhere map[int]int, rank int) int {
-	ahead := elsewhere[rank] / 2
-	for other, calls := range elsewhere {
-		if other < rank {
-			ahead += calls
-		}
-	}
-	return ahead
-}
-
-// predict works out a wait by Little's law: of some requests under way that take a time
-// each, one ends each time/requests; here of them are this node's. It answers the load of a
-// queue longer than engines can serve in the callers' patience.
-func predict(ahead, running, here int, duration time.Duration) (Line, bool) {
-	if running == 0 || duration == 0 {
-		return Line{Ahead: ahead}, false
-	}
-	wait := duration * time.Duration(ahead+1) / time.Duration(running)
-	return Line{Ahead: ahead, Running: running, Wait: wait, Interval: duration / time.Duration(max(here, 1))}, true
-}
--- a/internal/backend/room_test.go
+++ b/internal/backend/room_test.go
@@ -219,17 +219,17 @@
 
 func TestPredictedWait(t *testing.T) {
 	expect := NewWithT(t)
-	line, known := predict(59, 30, 10, 240*time.Millisecond)
+	forecast, known := predict(59, 30, 10, 240*time.Millisecond)
 	expect.Expect(known).To(BeTrue())
-	expect.Expect(line.Wait).To(Equal(480 * time.Millisecond))
-	expect.Expect(line.Interval).To(Equal(24 * time.Millisecond))
-	expect.Expect(line.Over(400 * time.Millisecond)).To(BeTrue())
-	expect.Expect(line.Over(500 * time.Millisecond)).To(BeFalse())
+	expect.Expect(forecast.Wait).To(Equal(480 * time.Millisecond))
+	expect.Expect(forecast.Interval).To(Equal(24 * time.Millisecond))
+	expect.Expect(forecast.Over(400 * time.Millisecond)).To(BeTrue())
+	expect.Expect(forecast.Over(500 * time.Millisecond)).To(BeFalse())
 	_, known = predict(59, 0, 0, 240*time.Millisecond)
 	expect.Expect(known).To(BeFalse(), "nothing ends")
-	line, known = predict(59, 30, 10, 0)
+	forecast, known = predict(59, 30, 10, 0)
 	expect.Expect(known).To(BeFalse(), "nothing has ended yet")
-	expect.Expect(line.Over(0)).To(BeFalse())
+	expect.Expect(forecast.Over(0)).To(BeFalse())
 }
 
 func TestPredictionCountsOtherNodes(t *testing.T) {
@@ -240,9 +240,9 @@
 	total.Waiting = map[load.Queue]int{{Service: "s", Rank: 0}: 3, {Service: "s", Rank: 1}: 6, {Service: "s", Rank: 2}: 9, {Service: "t"}: 9}
 	view.Take(total, load.NewReport(), 0, roomNow)
 	directory.Took("s", 80*time.Millisecond)
-	line, _ := directory.Predict(Waiter{Service: "s", Rank: 1}, 2, map[int]int{1: 2}, roomNow)
-	expect.Expect(line.Ahead).To(Equal(2+3+2), "those here, the more urgent, and half of its rank elsewhere")
-	expect.Expect(line.Wait).To(Equal(80 * time.Millisecond))
+	forecast, _ := directory.Predict(Waiter{Service: "s", Rank: 1}, 2, map[int]int{1: 2}, roomNow)
+	expect.Expect(forecast.Ahead).To(Equal(2+3+2), "those here, the more urgent, and half of its rank elsewhere")
+	expect.Expect(forecast.Wait).To(Equal(80 * time.Millisecond))
 }
 
 func TestRetryBudget(t *testing.T) {
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -72,9 +72,9 @@
 		fields = append(fields, zap.String("engine", current.lastEngine), zap.Int("engines", current.usable),
 			zap.Duration("engines_age", current.viewAge), zap.Int("runs", current.runs), zap.Int("refusals", current.asking.Refusals))
 	}
-	if current.waited || current.line.Wait > 0 {
-		fields = append(fields, zap.Bool("waited", current.waited), zap.Int("ahead", current.line.Ahead),
-			zap.Duration("predicted_wait", current.line.Wait))
+	if current.waited || current.forecast.Wait > 0 {
+		fields = append(fields, zap.Bool("waited", current.waited), zap.Int("ahead", current.forecast.Ahead),
+			zap.Duration("predicted_wait", current.forecast.Wait))
 	}
 	if current.via != "" {
 		fields = append(fields, zap.String("via", current.via))
--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -174,8 +174,8 @@
 	// call has waited for one.
 	searching time.Time
 	waited    bool
-	// line is what the call found when it first had to wait.
-	line backend.Line
+	// forecast is what the call found when it first had to wait.
+	forecast backend.Forecast
 }
 
 // Serve takes a call to its answer. ctx ends when the caller is gone.
--- a/internal/forward/wait.go
+++ b/internal/forward/wait.go
@@ -28,10 +28,10 @@
 // awaitEngine waits a moment for an engine with room, or refuses.
 func (current *course) awaitEngine(ctx context.Context) error {
 	waiter := backend.Waiter{Service: current.serviceName, Rank: current.urgency(), Aim: current.aim()}
-	line, predicted := current.predict(waiter)
-	patience, reason := current.patience(line, predicted)
+	forecast, predicted := current.predict(waiter)
+	patience, reason := current.patience(forecast, predicted)
 	if reason != "" {
-		return current.noRoom(reason, line)
+		return current.noRoom(reason, forecast)
 	}
 	current.service.Waiting.Wait(ctx, waiter, patience)
 	current.waited = true
@@ -44,24 +44,24 @@
 
 // predict tells what the call would find in the queue, false where nothing is known to
 // predict its wait from.
-func (current *course) predict(waiter backend.Waiter) (backend.Line, bool) {
+func (current *course) predict(waiter backend.Waiter) (backend.Forecast, bool) {
 	if !feature.Enabled(feature.RoomByLoad) {
-		return backend.Line{}, false
+		return backend.Forecast{}, false
 	}
 	now := time.Now()
 	queue := current.service.Waiting
-	line, known := current.service.Engines.Predict(waiter, queue.Ahead(waiter, now), queue.Here(waiter.Service), now)
+	forecast, known := current.service.Engines.Predict(waiter, queue.Ahead(waiter, now), queue.Here(waiter.Service), now)
 	if !current.waited {
-		current.line = line
+		current.forecast = forecast
 	}
-	return line, known
+	return forecast, known
 }
 
 // patience is how long the call may wait on, or why it may not.
 //
 // It answers the load of more calls than can be served in time: one that waits all its
 // patience for nothing keeps its caller from trying elsewhere, and stands before others.
-func (current *course) patience(line backend.Line, predicted bool) (time.Duration, RoomReason) {
+func (current *course) patience(forecast backend.Forecast, predicted bool) (time.Duration, RoomReason) {
 	patience := current.engineWait() - time.Since(current.searching)
 	if patience <= 0 {
 		return 0, NoRoomInPatience
@@ -76,30 +76,30 @@
 	switch {
 	case inTime <= 0:
 		return 0, NoRoomInTime
-	case predicted && line.Over(min(patience, inTime)):
+	case predicted && forecast.Over(min(patience, inTime)):
 		return 0, NoRoomPredicted
 	}
 	return min(patience, inTime), ""
 }
 
 // noRoom refuses the call. It has not run, unless an engine has got it before.
-func (current *course) noRoom(reason RoomReason, line backend.Line) error {
+func (current *course) noRoom(reason RoomReason, forecast backend.Forecast) error {
 	if current.runs > 0 {
 		return current.outcomeUnknown()
 	}
 	current.service.Meter.RefusedForRoom(current.serviceName, reason)
 	return resultcode.New(resultcode.NoBackEnd, "none of %d engines of %s has room (%s), %d refusals, %d calls ahead, predicted wait %s",
-		current.service.Engines.Usable(current.serviceName), current.serviceName, reason, current.asking.Refusals, line.Ahead, line.Wait).
-		After(current.comeBack(line))
+		current.service.Engines.Usable(current.serviceName), current.serviceName, reason, current.asking.Refusals, forecast.Ahead, forecast.Wait).
+		After(current.comeBack(forecast))
 }
 
 // comeBack is when room is predicted, each call refused in its turn.
-func (current *course) comeBack(line backend.Line) time.Duration {
-	if line.Wait == 0 {
+func (current *course) comeBack(forecast backend.Forecast) time.Duration {
+	if forecast.Wait == 0 {
 		return fullRetry
 	}
 	most := max(time.Duration(fullRetryShare*float64(time.Until(current.end))), fullRetry)
-	return current.service.Returns.After(current.serviceName, max(line.Wait, fullRetry), line.Interval, most, time.Now())
+	return current.service.Returns.After(current.serviceName, max(forecast.Wait, fullRetry), forecast.Interval, most, time.Now())
 }
 
 // engineWait is how long the call waits for a free engine in all.
