Zones: a zone that is cut off turns its callers away, and the others pass it over as one

Change: what is seen of any node or engine of a zone is put together (internal/reach), probes confirm a suspicion within a second; a zone that reaches neither the store nor another zone is not ready, closes kept connections and names the time at which callers reach another zone; the other zones give its engines no work and don't wait for its owners.

--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -8,6 +8,7 @@
 
 	"github.com/magpielug/magpielug/internal/feature"
 	"github.com/magpielug/magpielug/internal/load"
+	"github.com/magpielug/magpielug/internal/reach"
 )
 
 // Instance is one incarnation of an engine as it records itself.
@@ -124,6 +125,8 @@
 	nodes func() int
 	// assigns is true where owners assign engines.
 	assigns bool
+	// zones, where set, tells which zones are reached.
+	zones *reach.Zones
 	// load is what all nodes have at the engines.
 	load *load.View
 }
@@ -134,6 +137,10 @@
 		usual: map[string]time.Duration{}, usualOfRoute: map[string]time.Duration{}}
 }
 
+// UseZones has the directory heed which zones are reached, and tell what it sees of their
+// engines. It is called before anything else.
+func (directory *Directory) UseZones(zones *reach.Zones) { directory.zones = zones }
+
 // UseLoad has the directory heed a view of the load. It is called before anything else.
 func (directory *Directory) UseLoad(view *load.View) { directory.load = view }
 
@@ -206,8 +213,9 @@
 	var instances []Instance
 	engines := directory.usable(service)
 	filter := sound{heedDoubt: heedsDoubt(engines, now)}
+	reached := reachable{zones: directory.zones}
 	for _, engine := range engines {
-		if filter.Admits(engine, nil, now) {
+		if filter.Admits(engine, nil, now) && reached.Admits(engine, nil, now) {
 			instances = append(instances, engine.Instance)
 		}
 	}
@@ -279,6 +287,7 @@
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
 	engine.running--
+	directory.noteZone(engine, outcome, now)
 	switch outcome {
 	case Answered:
 		engine.failures = 0
--- a/internal/backend/pick.go
+++ b/internal/backend/pick.go
@@ -72,7 +72,8 @@
 		})
 	}
 	noticed := sound{heedDoubt: heedsDoubt(candidates, now)}
-	for _, filters := range [][]Filter{append([]Filter{noticed}, always...), always} {
+	reached := reachable{zones: directory.zones}
+	for _, filters := range [][]Filter{append([]Filter{noticed, reached}, always...), append([]Filter{reached}, always...), always} {
 		admitted := admit(candidates, filters, request, now)
 		if len(admitted) > 0 {
 			chosen := directory.choose(admitted, request, now)
--- /dev/null
+++ b/internal/backend/zones_test.go
@@ -0,0 +1,32 @@
+package backend_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/magpielug/magpielug/internal/backend"
+	"github.com/magpielug/magpielug/internal/reach"
+	. "github.com/onsi/gomega"
+)
+
+func TestEnginesBehindACutGetWorkOnlyWhereNoOtherCan(t *testing.T) {
+	expect := NewWithT(t)
+	now := time.Unix(1000, 0)
+	zones := reach.NewZones("a")
+	directory := backend.NewDirectory()
+	directory.UseZones(zones)
+	directory.Put(backend.Instance{ID: "near", Service: "s", Zone: "a"})
+	directory.Put(backend.Instance{ID: "far", Service: "s", Zone: "b"})
+	request := &backend.Request{Service: "s", Zone: "b", Assigned: "far"}
+	expect.Expect(directory.Pick(request, now).ID).To(Equal("far"))
+	zones.Unanswered("b", now, now)
+	zones.Unanswered("b", now, now)
+	expect.Expect(directory.Pick(request, now).ID).To(Equal("near"))
+	expect.Expect(directory.Sound("s", now)).To(HaveLen(1), "owners assign no engine there")
+	request.Tried = []string{"near"}
+	expect.Expect(directory.Pick(request, now).ID).To(Equal("far"), "better than none")
+
+	engine := directory.Pick(&backend.Request{Service: "s", Tried: []string{"near"}}, now)
+	directory.Finish(engine, backend.Answered, now.Add(time.Second))
+	expect.Expect(zones.Reached("b", now.Add(time.Second))).To(BeTrue(), "an engine there answers")
+}
--- a/internal/feature/feature.go
+++ b/internal/feature/feature.go
@@ -79,6 +79,9 @@
 	EngineSpeed Feature = "engine-speed"
 	// HeldBytes: what callers have not read is held without a bound over all calls.
 	HeldBytes Feature = "held-bytes"
+	// ZoneReach: a node goes by what it sees of single nodes and engines, also where a
+	// whole zone is cut off.
+	ZoneReach Feature = "zone-reach"
 )
 
 // All lists the features.
@@ -86,7 +89,7 @@
 	Allowances, HedgedAppends, Rereading, LearningFromPeers, SharedReader, EngineDoubt, EngineReports, EnginePace, EngineLimits,
 	QueueOrder, ToolPatience, SafeRepeats, RecordingElsewhere, Yielding, OwnershipByCapacity, ClaimRefusal, Isolation,
 	EnginePriority, LogGate, Egress, LaterRetries, ProgramsFirst,
-	LoadSharing, RoomByLoad, RetryBudget, Admission, TenantShares, MemoryRoom, EngineBreaker, EngineSpeed, HeldBytes,
+	LoadSharing, RoomByLoad, RetryBudget, Admission, TenantShares, MemoryRoom, EngineBreaker, EngineSpeed, HeldBytes, ZoneReach,
 }
 
 // disabled holds the features turned off.
--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -94,6 +94,9 @@
 	ViewAge func() time.Duration
 	// Answers bounds the bytes of answers that are held until they are whole; nil is no bound.
 	Answers *heldbytes.Bound
+	// CutOff tells whether this node's zone reaches neither the store nor another zone; nil
+	// where that is not known.
+	CutOff func() bool
 	// LogAway tells whether the log answers nobody now; nil where that is not known.
 	LogAway func() bool
 }
@@ -307,13 +310,21 @@
 		return resultcode.New(resultcode.NoRoom, "there is no room for the program to begin: %s", reservation.Reason).After(reservation.RetryAfter)
 	default:
 		comeBack := ownerRetry
-		if reservation.Elsewhere {
+		switch {
+		case reservation.RetryAfter > 0:
+			comeBack = current.retryWithin(reservation.RetryAfter)
+		case reservation.Elsewhere:
 			comeBack = elsewhereRetry
 		}
 		return resultcode.New(resultcode.NoLeader, "the program's owner can't tell now: %s", reservation.Reason).After(comeBack)
 	}
 }
 
+// retryWithin bounds a time to come back by what callers heed of it.
+func (current *course) retryWithin(wait time.Duration) time.Duration {
+	return min(wait, time.Duration(logRetryShare*float64(time.Until(current.end))))
+}
+
 // settle tells the owner what the turn spent, once.
 func (current *course) settle(turn *history.Turn) {
 	current.reserved = false
--- a/internal/httpserver/handler.go
+++ b/internal/httpserver/handler.go
@@ -32,7 +32,7 @@
 func (server *Server) serve(writer http.ResponseWriter, request *http.Request) {
 	response := writer.(*nbhttp.Response)
 	caller := response.Parser.Conn.(callerConn).caller()
-	if server.draining.Load() {
+	if server.draining.Load() || server.turnsAway() {
 		request.Close = true
 	}
 	if request.Close {
@@ -51,6 +51,12 @@
 	server.admit(newResponseWriter(response, caller), request.WithContext(ctx))
 }
 
+// turnsAway tells whether callers are to leave the connections that they keep.
+func (server *Server) turnsAway() bool {
+	turnAway := server.bounds().TurnAway
+	return turnAway != nil && turnAway()
+}
+
 // admit counts the request and hands it to the handler, or refuses it.
 func (server *Server) admit(writer *responseWriter, request *http.Request) {
 	exempt := server.bounds().Exempt != nil && server.bounds().Exempt(request)
--- a/internal/httpserver/limits.go
+++ b/internal/httpserver/limits.go
@@ -50,6 +50,9 @@
 	// Unread bounds the answers that clients have not taken over all connections, nil for
 	// no bound. Once they hold that much, each gets its answer piece by piece.
 	Unread *heldbytes.Bound
+	// TurnAway tells whether callers are to leave the connections that they keep, for
+	// another process serves them better; nil is never.
+	TurnAway func() bool
 	// IdleTimeout closes a connection without a request.
 	IdleTimeout time.Duration
 	// RequestTimeout closes a connection whose request is not complete this
--- a/internal/node/contact.go
+++ b/internal/node/contact.go
@@ -52,5 +52,8 @@
 // though it knows of some. Its callers are better off at any other node: it is not
 // ready then, and does not let turns wait for what it can't ask.
 func (node *Node) isolated() bool {
+	if node.zoneCutOff(time.Now()) {
+		return true
+	}
 	return feature.Enabled(feature.Isolation) && node.logAway() && node.contact.silent(time.Now()) && len(node.members.others(node.settings.Name)) > 0
 }
--- a/internal/node/contact_test.go
+++ b/internal/node/contact_test.go
@@ -17,12 +17,13 @@
 	"github.com/magpielug/magpielug/internal/durable"
 	"github.com/magpielug/magpielug/internal/logging"
 	"github.com/magpielug/magpielug/internal/ownership"
+	"github.com/magpielug/magpielug/internal/reach"
 )
 
 // lonelyNode returns a node that heard neither the store nor other nodes since a
 // time, of which it knows the given addresses.
 func lonelyNode(heard time.Time, addresses ...string) *Node {
-	node := &Node{settings: Settings{Name: "self", Shards: 1}, members: newMembers()}
+	node := &Node{settings: Settings{Name: "self", Shards: 1}, members: newMembers(), zones: reach.NewZones("")}
 	node.logger = &logging.Logger{Logger: zap.NewNop()}
 	for number, address := range addresses {
 		node.members.put(Member{Name: fmt.Sprint("other", number), Address: address, Incarnation: "1"})
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -59,6 +59,7 @@
 		IdleTimeout:    callerIdleTimeout,
 		Sent:           node.held.sent,
 		Unread:         node.held.unread,
+		TurnAway:       node.isolated,
 	}
 }
 
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"sync"
@@ -42,6 +43,8 @@
 type members struct {
 	mutex  sync.RWMutex
 	byName map[string]Member
+	// zones holds the zone of each address.
+	zones map[string]string
 	// ordered holds the candidates of the shards that were asked for since the last change.
 	ordered map[int][]Member
 	// version counts the changes.
@@ -49,12 +52,13 @@
 }
 
 func newMembers() *members {
-	return &members{byName: map[string]Member{}, ordered: map[int][]Member{}}
+	return &members{byName: map[string]Member{}, zones: map[string]string{}, ordered: map[int][]Member{}}
 }
 
 // set notes a change of a node. The caller holds the mutex.
 func (known *members) set(member Member) {
 	known.byName[member.Name] = member
+	known.zones[member.Address] = member.Zone
 	clear(known.ordered)
 	known.version.Add(1)
 }
@@ -114,6 +118,29 @@
 	return count
 }
 
+// zoneAt returns the zone of a node's address, empty where that is not known.
+func (known *members) zoneAt(address string) string {
+	known.mutex.RLock()
+	defer known.mutex.RUnlock()
+	return known.zones[address]
+}
+
+// someOf draws a node of a zone but one.
+func (known *members) someOf(zone, but string) (Member, bool) {
+	known.mutex.RLock()
+	defer known.mutex.RUnlock()
+	var list []Member
+	for _, member := range known.byName {
+		if member.Zone == zone && member.Name != but && !member.Leaving {
+			list = append(list, member)
+		}
+	}
+	if len(list) == 0 {
+		return Member{}, false
+	}
+	return list[rand.IntN(len(list))], true
+}
+
 // zoneSizes returns the number of nodes of each zone that are not leaving.
 func (known *members) zoneSizes() map[string]int {
 	known.mutex.RLock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,6 +25,7 @@
 	"github.com/magpielug/magpielug/internal/load"
 	"github.com/magpielug/magpielug/internal/logging"
 	"github.com/magpielug/magpielug/internal/ownership"
+	"github.com/magpielug/magpielug/internal/reach"
 	"github.com/magpielug/magpielug/internal/routing"
 	"github.com/magpielug/magpielug/internal/wait"
 	"go.uber.org/zap"
@@ -90,6 +91,8 @@
 	following []*follower
 
 	contact contact
+	// zones tells which zones are reached.
+	zones *reach.Zones
 	// logHealth tells when the log last answered a node.
 	logHealth logHealth
 	peers     *peers
@@ -161,6 +164,7 @@
 		engines:     backend.NewDirectory(),
 		load:        load.NewView(),
 		held:        newHeldBounds(settings.MemoryBytes),
+		zones:       reach.NewZones(settings.Zone),
 		members:     newMembers(),
 		turns:       history.NewStore(historyBytes(settings.MemoryBytes)),
 	}
@@ -169,6 +173,9 @@
 	node.recorder = history.NewRecorder(around.Log, settings.Shards)
 	node.engines.UseLoad(node.load)
 	node.assigner.UseLoad(node.load, node.engines.RunningAt)
+	if feature.Enabled(feature.ZoneReach) {
+		node.engines.UseZones(node.zones)
+	}
 	node.engines.UseNodes(node.members.staying)
 	err = node.engines.UsePolicy(settings.Placement)
 	if err != nil {
@@ -178,7 +185,7 @@
 	node.registration = newRegistration(around.Log, around.MemberTopic, logger.Logger, node.self, node.memberView.read)
 	node.learner = &learner{node: node}
 	node.contact.note()
-	client.Transport = node.contact.transport(client.Transport)
+	client.Transport = node.zoneTransport(node.contact.transport(client.Transport))
 	node.peers = newPeers(node.members, client)
 	node.reader = history.NewReader(around.Log, node.turns, settings.Shards)
 	node.ownership = ownership.NewManager(ctx, around.Log, logger.Logger, ownership.Identity{
@@ -212,6 +219,7 @@
 		LogAway:  node.recordingAway,
 		Started:  time.Now(),
 		Answers:  node.held.answers,
+		CutOff:   func() bool { return node.zoneCutOff(time.Now()) },
 	}
 	node.waitingCalls = node.service.Waiting.Waiting
 	node.programLoad = node.admission.report
@@ -270,6 +278,7 @@
 	}
 	go node.learner.run(working, node.following)
 	go node.quotas.lend(working)
+	go node.probeZones(working)
 	go node.sharing.run(working)
 	go node.admission.run(working)
 	go node.keepHouse(working)
--- a/internal/node/search.go
+++ b/internal/node/search.go
@@ -17,6 +17,9 @@
 // answer is named to the next one, which may then take the shard over. elsewhere is
 // true where other nodes are likely to do better than this one.
 func (programs *programs) ask(ctx context.Context, shard int, id string, request *nodev1.ReserveRequest) (reply *nodev1.ReserveReply, elsewhere bool) {
+	if refusal := programs.cutOff(shard); refusal != nil {
+		return refusal, false
+	}
 	search := &ownerSearch{programs: programs, shard: shard, id: id, request: request, asked: map[string]bool{}}
 	until := time.Now().Add(waitPatience)
 	for {
@@ -30,6 +33,21 @@
 	}
 }
 
+// cutOff refuses a turn whose owner is beyond a cut, before callers wait for what this zone
+// can't tell; nil where the owner may be asked. Other owners can't be made without the store.
+func (programs *programs) cutOff(shard int) *nodev1.ReserveReply {
+	now := time.Now()
+	if !programs.node.zoneCutOff(now) {
+		return nil
+	}
+	owner := programs.believedOwner(shard).Node
+	if owner != "" && programs.node.reaches(owner, now) {
+		return nil
+	}
+	return &nodev1.ReserveReply{Verdict: nodev1.Verdict_VERDICT_UNSURE, RetryAfterMs: zoneRetry.Milliseconds(),
+		Reason: "this zone is cut off from the others and the store"}
+}
+
 // ownerSearch is one reservation on its way to the shard's owner.
 type ownerSearch struct {
 	programs *programs
@@ -51,6 +69,11 @@
 		if !found || ctx.Err() != nil || search.cutOff() {
 			return last, false
 		}
+		if !search.programs.node.reaches(target, time.Now()) {
+			search.asked[target] = true
+			search.failed(target)
+			continue
+		}
 		reply, err := search.askOne(ctx, target)
 		if err != nil {
 			continue
--- /dev/null
+++ b/internal/node/zones.go
@@ -0,0 +1,128 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	nodev1 "github.com/magpielug/magpielug/api/node/v1"
+	"github.com/magpielug/magpielug/internal/feature"
+	"github.com/magpielug/magpielug/internal/wait"
+	"go.uber.org/zap"
+)
+
+const (
+	// storeSilentAfter is how long the store may have answered no node that this one hears of
+	// for a cut to be looked for. In good times its newest answer is at most 0.7 s old.
+	storeSilentAfter = 700 * time.Millisecond
+	// probePause separates two rounds of probes, probeTimeout bounds one probe.
+	probePause   = 150 * time.Millisecond
+	probeTimeout = 200 * time.Millisecond
+	// zoneRetry is when callers are to come back to a zone that is cut off: in front of the
+	// nodes it takes two questions, a second apart, to send callers to other zones.
+	zoneRetry = time.Second
+)
+
+// zoneTransport notes which zones' nodes answer.
+func (node *Node) zoneTransport(next http.RoundTripper) http.RoundTripper {
+	return roundTrip(func(request *http.Request) (*http.Response, error) {
+		response, err := next.RoundTrip(request)
+		zone := node.members.zoneAt(request.URL.Host)
+		switch {
+		case err == nil:
+			node.zones.Heard(zone, time.Now())
+		case request.Context().Err() == nil || isTimeout(request.Context()):
+			node.zones.Failed(zone, time.Now())
+		}
+		return response, err
+	})
+}
+
+// isTimeout tells an ask whose time is over from one that was given up.
+func isTimeout(ctx context.Context) bool { return ctx.Err() == context.DeadlineExceeded }
+
+// probeZones asks nodes of zones that may be cut off for as long as the node runs.
+func (node *Node) probeZones(ctx context.Context) {
+	if !feature.Enabled(feature.ZoneReach) {
+		return
+	}
+	unreached := map[string]bool{}
+	alone := false
+	for ctx.Err() == nil {
+		wait.For(ctx, probePause)
+		now := time.Now()
+		for _, zone := range node.zones.Due(node.otherZones(), node.storeSilent(now), now) {
+			go node.probeZone(ctx, zone)
+		}
+		node.logZones(unreached, now)
+		if node.zoneCutOff(now) != alone {
+			alone = !alone
+			node.logger.Warn("zone cut off", zap.Bool("active", alone), zap.Duration("store_silent", node.logHealth.answered.age(now)))
+		}
+	}
+}
+
+// logZones logs which zones are lost and reached again.
+func (node *Node) logZones(unreached map[string]bool, now time.Time) {
+	for _, zone := range node.otherZones() {
+		lost := !node.zones.Reached(zone, now)
+		if lost != unreached[zone] {
+			unreached[zone] = lost
+			node.logger.Warn("zone out of reach", zap.String("zone", zone), zap.Bool("active", lost))
+		}
+	}
+}
+
+// probeZone asks one node of a zone. Its answer, or that of any engine there, is noted
+// where it arrives.
+func (node *Node) probeZone(ctx context.Context, zone string) {
+	member, found := node.members.someOf(zone, node.settings.Name)
+	if !found {
+		return
+	}
+	sent := time.Now()
+	bounded, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	_, err := node.peers.at(member.Address).Learn(bounded, &nodev1.LearnRequest{
+		ConfigurationEnd: node.configurationView.reached(),
+		EnginesEnd:       node.engineView.reached(),
+		NodesEnd:         node.memberView.reached(),
+		LogAnswerAgeMs:   node.logHealth.ageMilliseconds(time.Now()),
+	})
+	if err != nil {
+		node.zones.Unanswered(zone, sent, time.Now())
+	}
+}
+
+// otherZones returns the zones of the other nodes known, in order.
+func (node *Node) otherZones() []string {
+	var zones []string
+	for zone := range node.members.zoneSizes() {
+		if zone != "" && zone != node.settings.Zone {
+			zones = append(zones, zone)
+		}
+	}
+	slices.Sort(zones)
+	return zones
+}
+
+// storeSilent tells whether the store has answered no node that this one hears of for long.
+func (node *Node) storeSilent(now time.Time) bool {
+	return node.logHealth.answered.age(now) > storeSilentAfter
+}
+
+// zoneCutOff tells whether this node's zone reaches neither the store nor another zone. Its
+// callers are better off in another zone.
+func (node *Node) zoneCutOff(now time.Time) bool {
+	return feature.Enabled(feature.ZoneReach) && node.storeSilent(now) && node.zones.Alone(node.otherZones(), now)
+}
+
+// reaches tells whether a node's zone is reached.
+func (node *Node) reaches(name string, now time.Time) bool {
+	if !feature.Enabled(feature.ZoneReach) {
+		return true
+	}
+	member, known := node.members.get(name)
+	return !known || node.zones.Reached(member.Zone, now)
+}
--- /dev/null
+++ b/internal/node/zones_test.go
@@ -0,0 +1,91 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"time"
+
+	nodev1 "github.com/magpielug/magpielug/api/node/v1"
+	"github.com/magpielug/magpielug/internal/durable"
+	"github.com/magpielug/magpielug/internal/ownership"
+	"github.com/magpielug/magpielug/internal/reach"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+)
+
+// zonedNode is a node of zone a that knows a neighbour there and a node of zone b, whose
+// address is given. The store has answered nobody for long.
+func zonedNode(beyond string) *Node {
+	node := lonelyNode(time.Now().Add(-time.Hour))
+	node.settings.Zone = "a"
+	node.zones = reach.NewZones("a")
+	node.members.put(Member{Name: "near", Address: "near", Zone: "a"})
+	node.members.put(Member{Name: "far", Address: beyond, Zone: "b"})
+	node.peers = newPeers(node.members, &http.Client{Transport: node.zoneTransport(http.DefaultTransport)})
+	node.newViews()
+	node.programs = newPrograms(node)
+	return node
+}
+
+// deafListener takes connections and never answers.
+func deafListener() *httptest.Server {
+	ended := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-ended }))
+	DeferCleanup(server.Close)
+	DeferCleanup(func() { close(ended) })
+	return server
+}
+
+var _ = Describe("A zone that is cut off", func() {
+	It("is known to its nodes though they hear each other, and they are not ready", func() {
+		node := zonedNode(deafListener().Listener.Addr().String())
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		node.contact.note() // The neighbour answers.
+		Expect(node.isolated()).To(BeFalse(), "nothing was asked yet")
+		go node.probeZones(ctx)
+		Eventually(node.isolated, "10s").Should(BeTrue())
+		node.logHealth.observe(nil)
+		Expect(node.isolated()).To(BeFalse(), "the store answers")
+	})
+
+	It("is not taken for cut off while a node of another zone answers", func() {
+		other := httptest.NewServer(http.NotFoundHandler())
+		DeferCleanup(other.Close)
+		node := zonedNode(other.Listener.Addr().String())
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		node.contact.note()
+		go node.probeZones(ctx)
+		Consistently(func() bool { return node.zoneCutOff(time.Now()) }, "1500ms").Should(BeFalse())
+	})
+
+	It("refuses a turn at once whose owner is beyond the cut, with when callers reach another zone", func() {
+		node := zonedNode("beyond")
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		node.ownership = ownership.NewManager(ctx, durable.NewMemory(), zap.NewNop(), ownership.Identity{Node: "self"}, 1, ownership.Around{})
+		node.programs.owners[0] = ownership.Owner{Node: "far", Epoch: 1}
+		node.zones.Unanswered("b", time.Now(), time.Now())
+		node.zones.Unanswered("b", time.Now(), time.Now())
+		reply, elsewhere := node.programs.ask(ctx, 0, "r", &nodev1.ReserveRequest{Program: "p"})
+		Expect(elsewhere).To(BeFalse(), "no other node of the zone does better")
+		Expect(reply.Verdict).To(Equal(nodev1.Verdict_VERDICT_UNSURE))
+		Expect(reply.RetryAfterMs).To(Equal(zoneRetry.Milliseconds()))
+		node.programs.owners[0] = ownership.Owner{Node: "near", Epoch: 1}
+		Expect(node.programs.cutOff(0)).To(BeNil(), "an owner in the zone is asked")
+	})
+
+	It("has its owners passed over by the other zones without waiting for them", func() {
+		node := zonedNode("beyond")
+		node.logHealth.observe(nil)
+		Expect(node.reaches("far", time.Now())).To(BeTrue())
+		node.zones.Unanswered("b", time.Now(), time.Now())
+		node.zones.Unanswered("b", time.Now(), time.Now())
+		Expect(node.reaches("far", time.Now())).To(BeFalse())
+		Expect(node.reaches("near", time.Now())).To(BeTrue())
+		Expect(node.zoneCutOff(time.Now())).To(BeFalse(), "the store answers this zone")
+	})
+})
