--- a/internal/backend/pick.go
+++ b/internal/backend/pick.go
@@ -61,7 +61,7 @@
 func (directory *Directory) Pick(request *Request, now time.Time) *Engine {
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
-	candidates := directory.usable(request.Service)
+	candidates := directory.reached(directory.usable(request.Service), request, now)
 	directory.estimateOthers(request.Service, candidates, now)
 	for _, filters := range directory.filterSets(request.Service, candidates, now) {
 		admitted := admit(candidates, filters, request, now)
--- /dev/null
+++ b/internal/backend/zones.go
@@ -0,0 +1,36 @@
+package backend
+
+import (
+	"slices"
+	"time"
+)
+
+// noteZone tells what a request's end says of the engine's zone.
+func (directory *Directory) noteZone(engine *Engine, outcome Outcome, now time.Time) {
+	if directory.zones == nil {
+		return
+	}
+	switch outcome {
+	case Answered, Full, Misdirected:
+		directory.zones.Heard(engine.Zone, now)
+	case Failed, Unreachable, Silent:
+		directory.zones.Failed(engine.Zone, now)
+	case Abandoned:
+	}
+}
+
+// reached returns the engines of zones that are reached, or all where each of those was asked
+// already. Each node finds out for itself that an engine behind a cut is silent, a second a
+// connection; with a third of the engines there, that second is all the time that a request
+// has.
+func (directory *Directory) reached(candidates []*Engine, request *Request, now time.Time) []*Engine {
+	if directory.zones == nil {
+		return candidates
+	}
+	reached := slices.Clone(candidates)
+	reached = slices.DeleteFunc(reached, func(engine *Engine) bool { return !directory.zones.Reached(engine.Zone, now) })
+	if slices.ContainsFunc(reached, func(engine *Engine) bool { return untried{}.Admits(engine, request, now) }) {
+		return reached
+	}
+	return candidates
+}
