Admission: memory by lines, cheap programs first, a bound that falls less deep

The bound fell to 0.7 of the slots on programs that passed their aims seconds after they were admitted, so that slots stood empty; and of two kinds of one rank the one that needs seven times the work got as much.

--- a/internal/admission/bound.go
+++ b/internal/admission/bound.go
@@ -13,7 +13,7 @@
 	// leastBound and mostBound bound the correction. With mostBound each turn takes 1.3
 	// times as long, which is all that aims of 1.3 times the time on idle engines leave;
 	// with less than leastBound slots stay empty that programs could use.
-	leastBound = 0.7
+	leastBound = 0.85
 	mostBound  = 1.3
 	// slackQueue is how much may run and wait for each slot: aims leave three tenths.
 	slackQueue = 1.3
@@ -24,6 +24,10 @@
 	// requests wait, before fewer are admitted: single machines that fail make a few in
 	// a hundred late.
 	lateShare = 0.1
+	// lateQueue is how much has to run and wait for each slot for late programs to count:
+	// those that pass their aim now began seconds ago, and to admit fewer once the queue is
+	// short leaves slots empty for as long.
+	lateQueue = 1.1
 	// cutRate is the part by which the bound falls in a second, raiseRate what it gains:
 	// it leaves an overload within a second, and is back two seconds after it.
 	cutRate   = 0.5
@@ -50,7 +54,7 @@
 func corrected(bound float64, seen signals, step time.Duration) float64 {
 	seconds := step.Seconds()
 	switch {
-	case seen.queue > slackQueue, seen.queue > 1 && seen.late > lateShare:
+	case seen.queue > slackQueue, seen.queue > lateQueue && seen.late > lateShare:
 		return max(bound*math.Exp(-cutRate*seconds), leastBound)
 	case bound < firstBound && seen.queue <= 1:
 		return min(bound+raiseRate*seconds, firstBound)
--- a/internal/admission/constraint.go
+++ b/internal/admission/constraint.go
@@ -31,6 +31,7 @@
 	known := controller.learned
 	own := controller.begunSince(now.Add(-state.Age))
 	ranks := ranksOf(state, order.Rank)
+	dear := known.dear(order.Route, state)
 	var tightest *constraint
 	for _, shared := range known.resources(state, controller.options.Memory) {
 		next := &constraint{resource: shared, state: state, order: order, ranks: ranks, place: position(ranks, order.Rank)}
@@ -42,7 +43,7 @@
 			continue
 		}
 		next.projected = shared.demand + known.moved(shared, state, own) + next.need
-		next.limit = shared.limit - known.reserve(next.place)*shared.capacity
+		next.limit = shared.limit - (known.reserve(next.place)+dear)*shared.capacity
 		if tightest == nil || next.fill() > tightest.fill() {
 			tightest = next
 		}
--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -95,6 +95,22 @@
 	})
 })
 
+var _ = Describe("A burst of programs that need many times the work of others of their rank", func() {
+	It("costs the others little, and still gets most of the room", func() {
+		kinds := burst(1, 3)
+		for _, each := range kinds {
+			each.rank = 1
+		}
+		run := replayOf(kinds, 14)
+		run.play(played)
+		during := run.within(settled+time.Second, burstEnds)
+		Expect(during.refusedShare("long")).To(BeNumerically(">", 0.2))
+		Expect(during.refusedShare("short")).To(BeNumerically("<", during.refusedShare("long")/2))
+		Expect(during.refused["long"]).To(BeNumerically("<", during.asked["long"]))
+		Expect(during.demand).To(BeNumerically("<=", mostBeyond*modelSlots))
+	})
+})
+
 var _ = Describe("More of the urgent programs than there is room for, without an end", func() {
 	It("leave each rank that asks its small share", func() {
 		kinds := kindsAt(0.75)
--- a/internal/admission/ranks.go
+++ b/internal/admission/ranks.go
@@ -16,6 +16,11 @@
 	scarceFrom   = 0.2
 	// scarceSpan is over how long that is averaged.
 	scarceSpan = 800 * time.Millisecond
+	// dearReserve of the capacity is left free, while scarceFrom or more of the programs are
+	// refused, by programs that need many times the work of others of their rank: of two that
+	// are worth as much to their callers, the room for one that runs 38 turns ends six that
+	// run 6.
+	dearReserve = 0.4
 	// leastRankShare of what may begin is kept for each rank that asks: its programs get
 	// through now and then, also while more urgent ones could use all.
 	leastRankShare = 0.05
@@ -33,6 +38,28 @@
 	return float64(min(place, mostReserves)) * (calmReserve + scarcity*(rankReserve-calmReserve))
 }
 
+// dear is what a route's programs leave free for those of their rank that need less work, as
+// a part of the capacity.
+func (known *learned) dear(name string, state *State) float64 {
+	own := known.work(name)
+	least := own
+	for other, route := range state.Total.Routes {
+		if route.Rank == state.Total.Routes[name].Rank && perSecond(route.Begun+route.Refused) >= 1 && known.runsPrograms(other, route) {
+			least = min(least, known.work(other))
+		}
+	}
+	if own <= 0 {
+		return 0
+	}
+	return min(known.refused.value/scarceFrom, 1) * dearReserve * (1 - least/own)
+}
+
+// work is how long a route's program uses a slot in all, seconds.
+func (known *learned) work(name string) float64 {
+	use := known.routes[name]
+	return use.slots() * use.life().Seconds()
+}
+
 // divide deals what may begin in a second to ranks, the most urgent first, and returns the
 // part of the one at a place. wanted is what each asks for. Each keeps a small part for
 // itself as long as it asks.
--- a/internal/admission/table.go
+++ b/internal/admission/table.go
@@ -49,11 +49,13 @@
 
 // underWay is a program that has begun.
 type underWay struct {
-	route   string
-	holder  load.Holder
-	prompts map[string]int64
-	// open holds when the time of each open turn is over.
-	open map[string]time.Time
+	route  string
+	holder load.Holder
+	// main is the session of its first line of turns; lines are all that it has.
+	main  string
+	lines map[string]*line
+	// open holds the turns under way, by their reservations.
+	open map[string]openTurn
 	// seen is when a turn last began or ended.
 	seen time.Time
 	aim  time.Time
@@ -61,6 +63,67 @@
 	late bool
 }
 
+// line is one of a program's lines of turns.
+type line struct {
+	// prompt is the length of its newest prompt, tokens.
+	prompt int64
+	// open is the number of its turns under way, seen when one last began or ended.
+	open int
+	seen time.Time
+}
+
+// openTurn is a turn under way; its time is over at until.
+type openTurn struct {
+	session string
+	until   time.Time
+}
+
+// tokens is how much of engines' memory a program's prompts use: its main line, and what
+// each line of a sub-agent adds to that, for its prompt begins with the main line's. A
+// sub-agent's line without a turn for as long as a program may pause is over, and dropped.
+func (program *underWay) tokens(silence time.Duration, now time.Time) int64 {
+	var first int64
+	if main := program.lines[program.main]; main != nil {
+		first = main.prompt
+	}
+	total := first
+	for session, held := range program.lines {
+		switch {
+		case session == program.main:
+		case held.open == 0 && now.Sub(held.seen) > silence:
+			delete(program.lines, session)
+		default:
+			total += max(held.prompt-first, 0)
+		}
+	}
+	return total
+}
+
+// begin notes a turn of a line.
+func (program *underWay) begin(turn Turn, now time.Time) {
+	if _, again := program.open[turn.Request]; !again {
+		held := program.lines[turn.Session]
+		if held == nil {
+			held = &line{}
+			program.lines[turn.Session] = held
+		}
+		held.open++
+		held.prompt = turn.Prompt
+		held.seen = now
+	}
+	program.open[turn.Request] = openTurn{session: turn.Session, until: turn.Until.Add(endMargin)}
+}
+
+// end notes a turn's end.
+func (program *underWay) end(request string, now time.Time) {
+	turn := program.open[request]
+	delete(program.open, request)
+	if held := program.lines[turn.session]; held != nil {
+		held.open--
+		held.seen = now
+	}
+}
+
 // routeCounts is what the table counts of a route.
 type routeCounts struct {
 	service string
@@ -116,7 +179,7 @@
 	counts := table.countsOf(name, turn.Service, turn.Rank)
 	program := table.programs[turn.Program]
 	if program == nil {
-		program = &underWay{prompts: map[string]int64{}, open: map[string]time.Time{}}
+		program = &underWay{main: turn.Session, lines: map[string]*line{}, open: map[string]openTurn{}}
 		table.programs[turn.Program] = program
 	} else if len(program.open) == 0 {
 		counts.notePause(now.Sub(program.seen))
@@ -126,8 +189,7 @@
 	}
 	program.route = name
 	program.holder = load.Holder{Tenant: turn.Program.Tenant, Rank: turn.Rank}
-	program.prompts[turn.Session] = turn.Prompt
-	program.open[turn.Request] = turn.Until.Add(endMargin)
+	program.begin(turn, now)
 	program.seen = now
 	program.aim = turn.Aim
 	table.noteLate(program, now)
@@ -159,7 +221,7 @@
 		return
 	}
 	table.noteLate(program, now)
-	delete(program.open, request)
+	program.end(request, now)
 	program.seen = now
 }
 
@@ -181,9 +243,7 @@
 		route := routes[program.route]
 		route.Programs++
 		route.Turns += len(program.open)
-		for _, tokens := range program.prompts {
-			route.Tokens += tokens
-		}
+		route.Tokens += program.tokens(table.routes[program.route].silence(), now)
 		routes[program.route] = route
 		tenants[program.holder]++
 	}
@@ -209,9 +269,9 @@
 
 // expire drops turns whose end was never heard of, and a program that is long over.
 func (table *Table) expire(name tenant.Program, program *underWay, now time.Time) {
-	for request, until := range program.open {
-		if now.After(until) {
-			delete(program.open, request)
+	for request, turn := range program.open {
+		if now.After(turn.until) {
+			program.end(request, now)
 		}
 	}
 	if len(program.open) == 0 && now.Sub(program.seen) > remembered {
