Engines: breakers on bad ends, over all nodes, and lines that leave an engine at its first failure

Cause: an engine that answers every request 500 at once counts as one that answers. It is never busy and so draws work, and a line of turns comes back to it with all three tries of its caller. A settlement names the engine that failed the turn, and the owner's assigner keeps the program off it for five seconds.

--- a/internal/assignment/assignment.go
+++ b/internal/assignment/assignment.go
@@ -5,10 +5,12 @@
 // request for tokens carries the sender's requests under way at each engine, so
 // that the owner's sum is some hundred milliseconds old. A line stays where it
 // is for the sake of the engine's memory; a sub-agent's line follows its program
-// unless that engine is full.
+// unless that engine is full. A program of which an engine has failed a turn goes to other
+// engines.
 package assignment
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -41,6 +43,10 @@
 	// 100 programs were late or failed on an overloaded day, with 2.8 a slot 1.4 instead
 	// of 0.5.
 	roomyPrompts = 2.5
+	// failedFor is how long a program stays away from an engine that has failed a turn of it.
+	// Callers come back up to three times within two seconds; by the end of it the engine
+	// has recovered, or all nodes know that it has not.
+	failedFor = 5 * time.Second
 	// promptWeight is the weight of the newest turn in the usual length of a prompt.
 	promptWeight = 0.01
 )
@@ -81,6 +87,12 @@
 	used   time.Time
 }
 
+// failure is an engine's failure of a program's turn.
+type failure struct {
+	engine string
+	at     time.Time
+}
+
 type recent struct {
 	engine string
 	at     time.Time
@@ -94,6 +106,8 @@
 	// sessions are lines of turns, each named by its session in place of the program.
 	sessions map[tenant.Program]assigned
 	programs map[tenant.Program]assigned
+	// failures are engines' failures of programs, the oldest first.
+	failures map[tenant.Program][]failure
 	recents  []recent
 	// prompt is the usual length of a prompt, tokens.
 	prompt float64
@@ -101,7 +115,8 @@
 
 // New returns an assigner that knows nothing.
 func New() *Assigner {
-	return &Assigner{reports: map[string]report{}, sessions: map[tenant.Program]assigned{}, programs: map[tenant.Program]assigned{}}
+	return &Assigner{reports: map[string]report{}, sessions: map[tenant.Program]assigned{}, programs: map[tenant.Program]assigned{},
+		failures: map[tenant.Program][]failure{}}
 }
 
 // Report takes in what a node has under way, by engine.
@@ -111,6 +126,37 @@
 	assigner.reports[node] = report{running: running, at: now}
 }
 
+// Failed notes that an engine has failed a turn of a line: its program goes to others.
+func (assigner *Assigner) Failed(line Line, engine string, now time.Time) {
+	assigner.mutex.Lock()
+	defer assigner.mutex.Unlock()
+	assigner.failures[line.Program] = append(assigner.failures[line.Program], failure{engine: engine, at: now})
+	if assigner.sessions[line.session()].engine == engine {
+		delete(assigner.sessions, line.session())
+	}
+	if assigner.programs[line.Program].engine == engine {
+		delete(assigner.programs, line.Program)
+	}
+}
+
+// sound returns the candidates that have not failed the program of late, or all where
+// there are no others.
+func (assigner *Assigner) sound(line Line, candidates []Candidate, now time.Time) []Candidate {
+	failures := assigner.failures[line.Program]
+	if len(failures) == 0 {
+		return candidates
+	}
+	left := slices.DeleteFunc(slices.Clone(candidates), func(candidate Candidate) bool {
+		return slices.ContainsFunc(failures, func(failed failure) bool {
+			return failed.engine == candidate.ID && now.Sub(failed.at) <= failedFor
+		})
+	})
+	if len(left) == 0 {
+		return candidates
+	}
+	return left
+}
+
 // Choose returns the engine of a line, empty where there is no candidate.
 func (assigner *Assigner) Choose(line Line, candidates []Candidate, now time.Time) string {
 	assigner.mutex.Lock()
@@ -118,6 +164,7 @@
 	if len(candidates) == 0 {
 		return ""
 	}
+	candidates = assigner.sound(line, candidates, now)
 	assigner.notePrompt(line.Prompt)
 	load := assigner.load(now)
 	engine, held := assigner.present(line, candidates, load)
@@ -230,4 +277,9 @@
 			}
 		}
 	}
+	for program, failures := range assigner.failures {
+		if now.Sub(failures[len(failures)-1].at) > failedFor {
+			delete(assigner.failures, program)
+		}
+	}
 }
--- a/internal/assignment/assignment_test.go
+++ b/internal/assignment/assignment_test.go
@@ -62,6 +62,38 @@
 		Expect(assigner.Choose(line("p", "p"), left, now)).NotTo(Equal(first))
 	})
 
+	It("moves a line off an engine at the first turn that the engine fails, and its program's other lines", func() {
+		assigner := assignment.New()
+		main, other := line("p", "p"), line("q", "q")
+		first := assigner.Choose(main, candidates(4), now)
+		Expect(assigner.Choose(line("p", "r"), candidates(4), now)).To(Equal(first))
+		assigner.Report("a", map[string]int{"e0": 5, "e1": 5, "e2": 5, "e3": 5, first: 0}, now)
+		assigner.Failed(main, first, now)
+		second := assigner.Choose(main, candidates(4), now)
+		Expect(second).NotTo(Equal(first))
+		assigner.Failed(main, second, now)
+		Expect(assigner.Choose(main, candidates(4), now)).NotTo(Or(Equal(first), Equal(second)))
+		Expect(assigner.Choose(line("p", "r"), candidates(4), now)).NotTo(Or(Equal(first), Equal(second)))
+		Expect(assigner.Choose(line("p", "s"), candidates(4), now)).NotTo(Or(Equal(first), Equal(second)))
+		Expect(assigner.Choose(other, candidates(4), now)).To(Equal(first), "another program's")
+	})
+
+	It("takes an engine that has failed the line where there is no other, and after a while", func() {
+		assigner := assignment.New()
+		main := line("p", "p")
+		Expect(assigner.Choose(main, candidates(1), now)).To(Equal("e0"))
+		assigner.Failed(main, "e0", now)
+		Expect(assigner.Choose(main, candidates(1), now)).To(Equal("e0"))
+		assigner.Report("a", map[string]int{"e1": 9}, now)
+		Expect(assigner.Choose(main, candidates(2), now)).To(Equal("e1"))
+		later := now.Add(6 * time.Second)
+		assigner.Report("a", map[string]int{"e1": 9}, later)
+		assigner.Expire(later)
+		Expect(assigner.Choose(line("p", "s"), candidates(1), later)).To(Equal("e0"))
+		assigner.Failed(main, "e1", later)
+		Expect(assigner.Choose(main, candidates(2), later)).To(Equal("e0"))
+	})
+
 	It("sends a sub-agent to its program's engine unless that is full", func() {
 		assigner := assignment.New()
 		first := assigner.Choose(line("p", "p"), candidates(4), now)
--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -47,6 +47,9 @@
 	untold        Pace
 	slowTold      float64
 	slowToldUntil time.Time
+	// ends sums how this node's requests ended there.
+	ends    fadingEnds
+	breaker breaker
 }
 
 // unfit tells whether the engine gets requests only where no other can.
@@ -116,12 +119,18 @@
 	assigns bool
 	// load is what all nodes have at the engines.
 	load *load.View
+	// breakersDecided is when the breakers of a service's engines were last decided on.
+	breakersDecided map[string]time.Time
+	// breakerChanged is told of changes; nil for nobody. nodes is how many nodes there
+	// are; nil for this one alone.
+	breakerChanged func(BreakerChange)
+	nodes          func() int
 }
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
 	return &Directory{engines: map[string]*Engine{}, services: map[string][]*Engine{}, policy: policies[PolicyProgram], load: load.NewView(),
-		usual: map[string]time.Duration{}, usualOfRoute: map[string]time.Duration{}}
+		usual: map[string]time.Duration{}, usualOfRoute: map[string]time.Duration{}, breakersDecided: map[string]time.Time{}}
 }
 
 // UseLoad has the directory heed a view of the load. It is called before anything else.
@@ -189,12 +198,12 @@
 }
 
 // Sound returns the instances of a service that may get requests and are not
-// passed over for what this node has seen of them.
+// passed over for what was seen of them.
 func (directory *Directory) Sound(service string, now time.Time) []Instance {
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
 	var instances []Instance
-	engines := directory.usable(service)
+	engines := directory.closedEngines(service, now)
 	filter := sound{heedDoubt: heedsDoubt(engines, now)}
 	for _, engine := range engines {
 		if filter.Admits(engine, nil, now) {
@@ -250,8 +259,12 @@
 const (
 	// Answered: the engine ran the request.
 	Answered Outcome = iota
+	// Erred: it answered with a failure of its own.
+	Erred
 	// Full: it had no room.
 	Full
+	// NoConnection: the node has as many connections to it as it may have.
+	NoConnection
 	// Failed: it could not be reached, or broke its answer off.
 	Failed
 	// Abandoned: the caller left; nothing is said of the engine.
@@ -269,15 +282,25 @@
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
 	engine.running--
+	engine.breaker.probing = false
+	if outcome == Erred && !feature.Enabled(feature.EngineBreaker) {
+		outcome = Answered
+	}
 	switch outcome {
 	case Answered:
 		engine.failures = 0
 		engine.limit.raise()
+		directory.noteAnswered(engine, now)
 	case Full:
 		engine.fullUntil = now.Add(fullPause)
 		engine.limit.cut(engine.running, now)
-	case Failed:
+		directory.noteRefused(engine, now)
+	case NoConnection:
+		engine.fullUntil = now.Add(fullPause)
+		engine.limit.cut(engine.running, now)
+	case Failed, Erred:
 		engine.failures++
+		directory.noteFailed(engine, now)
 		if engine.failures >= failuresToAvoid {
 			engine.avoid(now, backoff(avoidFirst, engine.failures-failuresToAvoid))
 		}
@@ -311,6 +334,7 @@
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
 	engine.silentUntil = now.Add(silentAvoid)
+	directory.noteFailed(engine, now)
 }
 
 // Heard notes how long a request of a route waited at an engine for the first byte of
--- a/internal/backend/pick.go
+++ b/internal/backend/pick.go
@@ -18,6 +18,8 @@
 	Zone string
 	// Tried holds the ids of engines that were asked already.
 	Tried []string
+	// Repeatable is true where the request may run more than once.
+	Repeatable bool
 }
 
 // Filter tells whether an engine may get a request.
@@ -53,11 +55,15 @@
 
 // Pick chooses an engine and counts the request there, or returns nil. Filters
 // are given up one after another where nothing is left: an engine that is
-// passed over is better than none, one asked already is not.
+// passed over is better than none, one asked already or with an open breaker is not.
 func (directory *Directory) Pick(request *Request, now time.Time) *Engine {
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
-	candidates := directory.usable(request.Service)
+	candidates := directory.closedEngines(request.Service, now)
+	if probed := directory.dueProbe(request, now); probed != nil {
+		probed.running++
+		return probed
+	}
 	noticed := sound{heedDoubt: heedsDoubt(candidates, now)}
 	filterSets := [][]Filter{{untried{}, noticed, roomy{}}, {untried{}, roomy{}}}
 	for _, filters := range filterSets {
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/magpielug/magpielug/internal/backend"
@@ -42,7 +43,8 @@
 	if !current.waited && current.service.Waiting.Waits(current.serviceName) {
 		return nil
 	}
-	request := &backend.Request{Service: current.serviceName, Zone: current.service.Zone, Tried: current.tried}
+	request := &backend.Request{Service: current.serviceName, Zone: current.service.Zone, Tried: current.tried,
+		Repeatable: current.route.Kind == routing.Safe}
 	if current.route.Kind == routing.Streaming {
 		request.Program = current.call.Program
 		request.Session = current.call.Session
@@ -68,7 +70,8 @@
 			outcome = backend.Silent
 		}
 		current.service.Engines.Finish(engine, outcome, time.Now())
-		if outcome != backend.Full {
+		current.noteFailure(engine, outcome)
+		if outcome != backend.Full && outcome != backend.NoConnection {
 			// After a refusal the next one waits for the queue's own pace.
 			current.service.Waiting.Wake(current.serviceName)
 		}
@@ -109,6 +112,7 @@
 		return true, err
 	}
 	outcome, err = current.relayWhole(ctx, reply)
+	outcome = outcomeOfStatus(outcome, reply.Status)
 	if errors.Is(err, errBrokenOff) {
 		return current.afterSendFailure(ctx, err)
 	}
@@ -121,7 +125,7 @@
 	case ctx.Err() != nil:
 		return backend.Abandoned
 	case errors.Is(err, backend.ErrTooManyConnections):
-		return backend.Full
+		return backend.NoConnection
 	case errors.Is(err, backend.ErrNotSent):
 		return backend.Unreachable
 	case errors.Is(err, backend.ErrNodeLost):
@@ -130,6 +134,22 @@
 	return backend.Failed
 }
 
+// outcomeOfStatus tells an engine's own failure from an answer.
+func outcomeOfStatus(outcome backend.Outcome, status int) backend.Outcome {
+	if outcome == backend.Answered && status >= http.StatusInternalServerError {
+		return backend.Erred
+	}
+	return outcome
+}
+
+// noteFailure keeps the engine that ran a call and failed it, for the owner of its program.
+func (current *course) noteFailure(engine *backend.Engine, outcome backend.Outcome) {
+	switch outcome {
+	case backend.Erred, backend.Failed, backend.Silent:
+		current.failedEngine = engine.ID
+	}
+}
+
 func isSuccess(status int) bool { return status >= 200 && status < 300 }
 
 // sharedConnections is how many nodes may share what an engine takes of connections
--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -34,13 +34,22 @@
 	Key   string
 }
 
+// TurnEnd is how a turn ended.
+type TurnEnd struct {
+	// Tokens is what it spent.
+	Tokens int64
+	// Turn is what is kept of it, nil where nothing is.
+	Turn *history.Turn
+	// FailedEngine is the engine that ran the turn and failed it, empty where none did.
+	FailedEngine string
+}
+
 // Programs asks the owners of programs.
 type Programs interface {
 	// Reserve asks for a turn's tokens, its chain and its engine of the service.
 	Reserve(ctx context.Context, call *Call, service string) Reservation
-	// Settle tells what a turn spent; turn is nil where none is kept. It does
-	// not wait.
-	Settle(call *Call, grant Grant, tokens int64, turn *history.Turn)
+	// Settle tells how a turn ended. It does not wait.
+	Settle(call *Call, grant Grant, end TurnEnd)
 	// Record returns nil once the turn will outlast all machines.
 	Record(ctx context.Context, turn *history.Turn) error
 }
@@ -134,6 +143,8 @@
 	runs       int
 	refusals   int
 	lastEngine string
+	// failedEngine is the engine that ran the call and failed it, empty where none did.
+	failedEngine string
 	// via is the node that sent the last attempt for this one.
 	via   string
 	begun bool
@@ -269,5 +280,9 @@
 // settle tells the owner what the turn spent, once.
 func (current *course) settle(turn *history.Turn) {
 	current.reserved = false
-	current.service.Programs.Settle(current.call, current.reservation.Grant, current.events*int64(current.definition.TokensPerEvent), turn)
+	current.service.Programs.Settle(current.call, current.reservation.Grant, TurnEnd{
+		Tokens:       current.events * int64(current.definition.TokensPerEvent),
+		Turn:         turn,
+		FailedEngine: current.failedEngine,
+	})
 }
--- a/internal/forward/service_test.go
+++ b/internal/forward/service_test.go
@@ -85,11 +85,13 @@
 type fakePrograms struct {
 	reservation forward.Reservation
 	// reserves counts the asks for tokens.
-	reserves    int
-	settled     []int64
-	recorded    []*history.Turn
-	recordError error
-	wait        time.Duration
+	reserves int
+	settled  []int64
+	// failedEngine is the one that the last settlement names.
+	failedEngine string
+	recorded     []*history.Turn
+	recordError  error
+	wait         time.Duration
 }
 
 func (programs *fakePrograms) Reserve(context.Context, *forward.Call, string) forward.Reservation {
@@ -98,8 +100,9 @@
 	return programs.reservation
 }
 
-func (programs *fakePrograms) Settle(_ *forward.Call, _ forward.Grant, tokens int64, _ *history.Turn) {
-	programs.settled = append(programs.settled, tokens)
+func (programs *fakePrograms) Settle(_ *forward.Call, _ forward.Grant, end forward.TurnEnd) {
+	programs.settled = append(programs.settled, end.Tokens)
+	programs.failedEngine = end.FailedEngine
 }
 
 func (programs *fakePrograms) Record(_ context.Context, turn *history.Turn) error {
@@ -210,6 +213,31 @@
 		Expect(directory.Avoided(time.Now().Add(500 * time.Millisecond))).To(HaveLen(1))
 	})
 
+	It("counts an engine's own errors against it, tells the owner which engine failed a turn, and passes the answer on", func() {
+		failed := func() (*forward.Reply, error) { return answerOf(500, strings.NewReader("no"))() }
+		sender.replies = []func() (*forward.Reply, error){failed}
+		for range 6 {
+			answer := serve("/stream/x")
+			Expect(answer.status).To(Equal(500))
+			Expect(answer.ended).To(BeTrue())
+			Expect(programs.failedEngine).To(Equal(sender.sent[len(sender.sent)-1].Engine.ID))
+		}
+		Expect(sender.sent).To(HaveLen(6))
+		Expect(directory.Avoided(time.Now())).NotTo(BeEmpty())
+	})
+
+	It("takes neither a full set of connections nor a refusal nor an answer of the caller's fault for an engine's failure", func() {
+		full := func() (*forward.Reply, error) { return nil, backend.ErrTooManyConnections }
+		fault := answerOf(404, strings.NewReader("no"))
+		sender.replies = []func() (*forward.Reply, error){full, refused, fault}
+		for range 4 {
+			sender.sent = nil
+			serve("/stream/x")
+			Expect(programs.failedEngine).To(BeEmpty())
+		}
+		Expect(directory.Avoided(time.Now())).To(BeEmpty())
+	})
+
 	It("writes a line, counts and settles for a stream that its engine broke off", func() {
 		sender.replies = []func() (*forward.Reply, error){answerOf(200, brokenReader{strings.NewReader("data: a\n\ndata: b\n\ndata: ha")})}
 		answer := serve("/stream/x")
--- a/internal/node/meter.go
+++ b/internal/node/meter.go
@@ -154,7 +154,8 @@
 func (node *Node) metricsHandler() http.Handler {
 	meter := node.meter
 	registry := prometheus.NewRegistry()
-	registry.MustRegister(meter.calls, meter.duration, meter.firstEvent, meter.storeCalls, meter.storeTime, meter.handedOver, meter.admissions)
+	registry.MustRegister(meter.calls, meter.duration, meter.firstEvent, meter.storeCalls, meter.storeTime, meter.handedOver, meter.admissions,
+		breakerCollector{engines: node.engines})
 	gauges := []struct {
 		name, help string
 		value      func() float64
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -158,6 +158,8 @@
 	node.around = around
 	node.recorder = history.NewRecorder(around.Log, settings.Shards)
 	node.engines.UseLoad(node.load)
+	node.engines.UseNodes(node.members.staying)
+	node.engines.ObserveBreakers(node.logBreaker)
 	err = node.engines.UsePolicy(settings.Placement)
 	if err != nil {
 		return nil, err
--- a/internal/node/programs.go
+++ b/internal/node/programs.go
@@ -100,11 +100,12 @@
 }
 
 // Settle implements forward.Programs.
-func (programs *programs) Settle(call *forward.Call, grant forward.Grant, tokens int64, turn *history.Turn) {
-	settlement := &nodev1.Settlement{Program: call.Program, Tenant: call.Tenant, Request: grant.Key, Tokens: tokens}
-	if turn != nil {
-		programs.node.turns.Add(turn)
-		settlement.Turn = history.ToMessage(turn)
+func (programs *programs) Settle(call *forward.Call, grant forward.Grant, end forward.TurnEnd) {
+	settlement := &nodev1.Settlement{Program: call.Program, Tenant: call.Tenant, Request: grant.Key, Tokens: end.Tokens,
+		Session: call.Session, FailedEngine: end.FailedEngine}
+	if end.Turn != nil {
+		programs.node.turns.Add(end.Turn)
+		settlement.Turn = history.ToMessage(end.Turn)
 	}
 	if grant.Owner == programs.node.settings.Name {
 		programs.node.settle(settlement, false)
