Engines: speeds, learned from waits of tools and from the time between events of streams

Cause: only engines at least twice as slow as usual counted as slow, and only tools: the wait for a model's first event says little. Where a third of the engines takes 1.7 and the others 0.7 times the usual time, lines of turns were dealt to all alike. Change: the time between the events of a stream is an observation like a tool's wait; a second, longer memory of the observations gives each engine's lasting speed, near 1 where little is known. Readers tell speeds to the nodes that learn from them. Owners assign lines by how long a turn takes with what runs there, and a line leaves an engine at more than 2.5 times the usual time. A request that was counted as silent is taken back once its answer begins. Effect (tests without a network): of 24 lines none goes to the two slow ones of six engines of 12 slots, of 120 they get some.

--- a/internal/assignment/assignment.go
+++ b/internal/assignment/assignment.go
@@ -47,6 +47,10 @@
 	// Callers come back up to three times within two seconds; by the end of it the engine
 	// has recovered, or all nodes know that it has not.
 	failedFor = 5 * time.Second
+	// leavingSlowness is how many times the usual time an engine takes that a line leaves.
+	// Its prompt is computed again elsewhere: of 3,000 tokens that takes a tenth of a usual
+	// turn, and it saves one and a half of them on the next turn.
+	leavingSlowness = 2.5
 	// promptWeight is the weight of the newest turn in the usual length of a prompt.
 	promptWeight = 0.01
 )
@@ -60,6 +64,16 @@
 	Memory int
 	// Order breaks ties, the highest first; alike for all owners.
 	Order uint64
+	// Slowness is how many times the usual time the engine takes, 0 where that is not known.
+	Slowness float64
+}
+
+// slowness is how many times the usual time the engine takes.
+func (candidate *Candidate) slowness() float64 {
+	if candidate.Slowness <= 0 {
+		return 1
+	}
+	return candidate.Slowness
 }
 
 // Line names a line of turns.
@@ -181,15 +195,17 @@
 
 // present returns the engine that the line, or else its program, has already.
 func (assigner *Assigner) present(line Line, candidates []Candidate, load map[string]int) (string, bool) {
-	if session, known := assigner.sessions[line.session()]; known && find(candidates, session.engine) != nil {
-		return session.engine, true
+	if session, known := assigner.sessions[line.session()]; known {
+		if candidate := find(candidates, session.engine); candidate != nil && candidate.slowness() <= leavingSlowness {
+			return session.engine, true
+		}
 	}
 	program, known := assigner.programs[line.Program]
 	if !known {
 		return "", false
 	}
 	candidate := find(candidates, program.engine)
-	if candidate == nil || (candidate.Slots > 0 && load[candidate.ID] >= assigner.mostToFollow(candidate)) {
+	if candidate == nil || candidate.slowness() > leavingSlowness || (candidate.Slots > 0 && load[candidate.ID] >= assigner.mostToFollow(candidate)) {
 		return "", false
 	}
 	return candidate.ID, true
@@ -258,12 +274,15 @@
 	return candidates[best].ID
 }
 
+// cost compares engines by how long a turn takes there, a usual one at an idle engine being
+// 1. One with free slots is as fast as its speed; once all are in use, turns wait the longer
+// the slower it is. A slow engine therefore gets work when the faster ones are about full.
 func cost(candidate *Candidate, load map[string]int, zone string) float64 {
-	total := float64(load[candidate.ID])
+	requests := float64(load[candidate.ID])
 	if candidate.Zone != zone {
-		total += otherZoneCost
+		requests += otherZoneCost
 	}
-	return total
+	return candidate.slowness() * (1 + requests/float64(max(candidate.Slots, 1)))
 }
 
 // Expire drops assignments that were not used for a while.
--- a/internal/assignment/assignment_test.go
+++ b/internal/assignment/assignment_test.go
@@ -120,6 +120,55 @@
 		Expect(assigner.Choose(line("p", "s2"), bound(12), now)).NotTo(Equal(first))
 	})
 
+	Describe("with engines of unequal speed", func() {
+		// uneven makes a third of the engines slow.
+		uneven := func() []assignment.Candidate {
+			list := candidates(6)
+			for index := range list {
+				list[index].Slowness = []float64{0.75, 0.75, 1.5}[index%3]
+			}
+			return list
+		}
+		// begin has programs begin that stay, and counts them by engine.
+		begin := func(programs int) map[string]int {
+			assigner := assignment.New()
+			counts := map[string]int{}
+			for number := range programs {
+				name := fmt.Sprint(number)
+				counts[assigner.Choose(line(name, name), uneven(), now)]++
+			}
+			return counts
+		}
+
+		It("fills the fast ones first, and keeps waits alike where all are full", func() {
+			few := begin(24)
+			Expect(few["e2"] + few["e5"]).To(BeZero())
+			many := begin(120)
+			Expect(many["e0"]).To(BeNumerically(">", many["e2"]*2))
+			Expect(many["e2"]).To(BeNumerically(">", 4))
+		})
+
+		It("moves a line off an engine that has become very slow, and off no other", func() {
+			assigner := assignment.New()
+			list := uneven()
+			first := assigner.Choose(line("p", "p"), list, now)
+			for index := range list {
+				if list[index].ID == first {
+					list[index].Slowness = 2
+				}
+			}
+			Expect(assigner.Choose(line("p", "p"), list, now)).To(Equal(first))
+			for index := range list {
+				if list[index].ID == first {
+					list[index].Slowness = 4
+				}
+			}
+			second := assigner.Choose(line("p", "p"), list, now)
+			Expect(second).NotTo(Equal(first))
+			Expect(assigner.Choose(line("p", "s"), list, now)).To(Equal(second))
+		})
+	})
+
 	It("has no engine where there is none", func() {
 		Expect(assignment.New().Choose(line("p", "p"), nil, now)).To(BeEmpty())
 	})
--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -47,6 +47,11 @@
 	untold        Pace
 	slowTold      float64
 	slowToldUntil time.Time
+	// steady is how long requests take there lastingly, speedTold what another node says
+	// of that, which counts until speedToldUntil.
+	steady         fadingPace
+	speedTold      float64
+	speedToldUntil time.Time
 	// ends sums how this node's requests ended there.
 	ends    fadingEnds
 	breaker breaker
@@ -337,6 +342,13 @@
 	directory.noteFailed(engine, now)
 }
 
+// Unsuspect takes back that a request gets no answer: its answer has begun.
+func (directory *Directory) Unsuspect(engine *Engine, now time.Time) {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	directory.takeBackFailed(engine, now)
+}
+
 // Heard notes how long a request of a route waited at an engine for the first byte of
 // its answer. The route is empty for a wait that says nothing of the engine's pace.
 func (directory *Directory) Heard(engine *Engine, route string, took time.Duration, now time.Time) {
--- a/internal/backend/engine_ends.go
+++ b/internal/backend/engine_ends.go
@@ -107,6 +107,12 @@
 	delete(directory.breakersDecided, engine.Service)
 }
 
+// takeBackFailed uncounts a request that was counted as failed. The caller holds the mutex.
+func (directory *Directory) takeBackFailed(engine *Engine, now time.Time) {
+	held := engine.ends.now(now)
+	engine.ends = fadingEnds{ends: ends{answered: held.answered, failed: max(held.failed-1, 0)}, at: now}
+}
+
 // noteRefused counts a refusal as a failure where the engine has next to nothing to do. The
 // caller holds the mutex.
 func (directory *Directory) noteRefused(engine *Engine, now time.Time) {
--- a/internal/backend/pace.go
+++ b/internal/backend/pace.go
@@ -24,6 +24,9 @@
 	leastUsual = time.Microsecond
 	// paceToldFor is how long the slow engines count that another node told of.
 	paceToldFor = time.Second
+	// leastEvents is how many events a stream has at least for the time between them to be
+	// an observation.
+	leastEvents = 3
 )
 
 // Pace sums observations of how long requests waited at an engine for the first byte of
@@ -53,35 +56,39 @@
 }
 
 // add takes observations in.
-func (pace *fadingPace) add(observed Pace, now time.Time) {
-	pace.Pace = pace.now(now)
+func (pace *fadingPace) add(observed Pace, memory time.Duration, now time.Time) {
+	pace.Pace = pace.now(memory, now)
 	pace.Pace.add(observed)
 	pace.at = now
 }
 
-// now is what the observations count at a time.
-func (pace *fadingPace) now(now time.Time) Pace {
-	faded := math.Exp(-max(now.Sub(pace.at), 0).Seconds() / paceMemory.Seconds())
+// now is what the observations count at a time, where their weight falls to 1/e in memory.
+func (pace *fadingPace) now(memory time.Duration, now time.Time) Pace {
+	faded := math.Exp(-max(now.Sub(pace.at), 0).Seconds() / memory.Seconds())
 	return Pace{Weight: pace.Weight * faded, Sum: pace.Sum * faded}
 }
 
 // slowness is how many times the usual wait requests wait, 1 where the engine is not
 // known to be slow.
 func (pace *fadingPace) slowness(now time.Time) float64 {
-	held := pace.now(now)
+	held := pace.now(paceMemory, now)
 	if held.Weight < leastPaceWeight || held.Sum < slowFrom*held.Weight {
 		return 1
 	}
 	return held.Sum / held.Weight
 }
 
-// slowness is an engine's as seen here, which is the sooner known, or as told by a node
-// that hears of more requests, whichever is more.
+// slowness is how many times the usual time an engine takes: what its speed says, or more
+// where it is found slow of late. What this node has seen is the sooner known, what a node
+// tells that hears of more requests the surer.
 func (engine *Engine) slowness(now time.Time) float64 {
+	slowness := engine.speed(now)
 	if !feature.Enabled(feature.EnginePace) {
-		return 1
+		return slowness
+	}
+	if late := engine.pace.slowness(now); late > 1 {
+		slowness = max(slowness, late)
 	}
-	slowness := engine.pace.slowness(now)
 	if now.Before(engine.slowToldUntil) {
 		slowness = max(slowness, engine.slowTold)
 	}
@@ -101,10 +108,28 @@
 	bounded := min(took, time.Duration(usualBound*float64(usual)))
 	directory.usualOfRoute[route] = max(usual+time.Duration(usualWeight*float64(bounded-usual)), leastUsual)
 	observed := Pace{Weight: 1, Sum: min(took.Seconds()/usual.Seconds(), mostRatio)}
-	engine.pace.add(observed, now)
+	engine.addPace(observed, now)
 	engine.untold.add(observed)
 }
 
+// addPace takes observations in, for what is so of late and for the engine's speed.
+func (engine *Engine) addPace(observed Pace, now time.Time) {
+	engine.pace.add(observed, paceMemory, now)
+	engine.steady.add(observed.bounded(), speedMemory, now)
+}
+
+// ObserveEvents notes how long a stream of an engine took from its first event to its
+// last. Unlike the wait for the first one, that hardly depends on the prompt and on the
+// turns before it.
+func (directory *Directory) ObserveEvents(engine *Engine, events int, took time.Duration, now time.Time) {
+	if events < leastEvents || !feature.Enabled(feature.EngineSpeed) {
+		return
+	}
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	directory.observePace(engine, "events of "+engine.Service, took/time.Duration(events-1), now)
+}
+
 // TakePaces returns what was observed since it was last asked, by engine, for the node
 // that gathers what several observe.
 func (directory *Directory) TakePaces() map[string]Pace {
@@ -128,7 +153,7 @@
 	for id, pace := range observed {
 		engine := directory.engines[id]
 		if engine != nil && pace.sound() {
-			engine.pace.add(pace, now)
+			engine.addPace(pace, now)
 		}
 	}
 }
--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -149,8 +149,12 @@
 	via   string
 	begun bool
 	// heard is called with the first byte of an answer.
-	heard       func()
+	heard func()
+	// streamed is called once a stream has come whole.
+	streamed    func()
 	events      int64
+	firstEvent  time.Time
+	lastEvent   time.Time
 	reserved    bool
 	reservation Reservation
 	reserveTook time.Duration
--- a/internal/forward/service_test.go
+++ b/internal/forward/service_test.go
@@ -248,6 +248,24 @@
 		Expect(lines("call failed")).To(Equal(1))
 	})
 
+	It("observes the time between the events of streams that have enough", func() {
+		events := func(count int) {
+			for range 3 {
+				sender.replies = []func() (*forward.Reply, error){answerOf(200, strings.NewReader(strings.Repeat("data: a\n\n", count)))}
+				Expect(serve("/stream/x").ended).To(BeTrue())
+			}
+		}
+		events(2)
+		Expect(directory.TakePaces()).To(BeEmpty())
+		events(4)
+		// The first one says what is usual.
+		observed := 0.0
+		for _, pace := range directory.TakePaces() {
+			observed += pace.Weight
+		}
+		Expect(observed).To(BeNumerically("==", 2))
+	})
+
 	It("runs no turn that could not be recorded, and says when to come back", func() {
 		service.LogAway = func() bool { return true }
 		began := time.Now()
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -103,6 +103,7 @@
 	for {
 		read, err := reader.next()
 		if errors.Is(err, io.EOF) {
+			current.streamed()
 			return backend.Answered, current.endStream(ctx, reply, said)
 		}
 		if err != nil {
@@ -131,7 +132,7 @@
 		}
 	}
 	if read.present {
-		current.events++
+		current.noteEvent(time.Now())
 	}
 	err := current.answer.Write(read.raw)
 	if err != nil {
@@ -140,6 +141,15 @@
 	return nil
 }
 
+// noteEvent counts an event with data.
+func (current *course) noteEvent(now time.Time) {
+	current.events++
+	if current.events == 1 {
+		current.firstEvent = now
+	}
+	current.lastEvent = now
+}
+
 // brokenStream ends a stream that its engine broke off.
 func (current *course) brokenStream(ctx context.Context, err error) (backend.Outcome, error) {
 	if ctx.Err() != nil {
--- a/internal/forward/watch.go
+++ b/internal/forward/watch.go
@@ -28,6 +28,12 @@
 	current.heard = func() {
 		timer.Stop()
 		engines.Heard(engine, current.paceRoute(), time.Since(began), time.Now())
+		if silent.Load() {
+			engines.Unsuspect(engine, time.Now())
+		}
+	}
+	current.streamed = func() {
+		engines.ObserveEvents(engine, int(current.events), current.lastEvent.Sub(current.firstEvent), time.Now())
 	}
 	return func() bool {
 		timer.Stop()
--- a/internal/node/learn.go
+++ b/internal/node/learn.go
@@ -46,6 +46,8 @@
 	retry time.Time
 	// reader is the one last asked, for the log.
 	reader string
+	// speedsAt is when the speeds of engines were last learned.
+	speedsAt time.Time
 }
 
 // learns tells whether another node reads the store for this one now.
@@ -124,6 +126,7 @@
 		Avoided:          node.engines.Avoided(time.Now()),
 		LogAnswerAgeMs:   node.logHealth.ageMilliseconds(time.Now()),
 		Paces:            toPaces(node.engines.TakePaces()),
+		WantsSpeeds:      time.Since(learner.speedsAt) >= backend.SpeedPause,
 	})
 	if err != nil {
 		node.logger.Debug("nothing learned", zap.String("address", address), logging.Cause(err))
@@ -136,10 +139,21 @@
 	node.logHealth.hear(reply.LogAnswerAgeMs, time.Now())
 	if reply.Current {
 		node.engines.TellSlow(reply.Slow, time.Now())
+		learner.takeSpeeds(reply.Speeds)
 	}
 	return reply.Current, nil
 }
 
+// takeSpeeds takes in the speeds of engines, where the reader has sent some.
+func (learner *learner) takeSpeeds(speeds map[string]float32) {
+	if len(speeds) == 0 {
+		return
+	}
+	now := time.Now()
+	learner.node.engines.TellSpeeds(speeds, now)
+	learner.speedsAt = now
+}
+
 // anySilent tells whether the store has not answered a follower for a while.
 func anySilent(followers []*follower, now time.Time) bool {
 	return slices.ContainsFunc(followers, func(follower *follower) bool { return follower.silent(now) })
@@ -182,7 +196,7 @@
 	node.engines.Report(request.Avoided, now)
 	node.logHealth.hear(request.LogAnswerAgeMs, now)
 	node.engines.AddPaces(fromPaces(request.Paces), now)
-	return &nodev1.LearnReply{
+	reply := &nodev1.LearnReply{
 		Configuration:  toRecords(node.configurationView.since(request.ConfigurationEnd)),
 		Engines:        toRecords(node.engineView.since(request.EnginesEnd)),
 		Nodes:          toRecords(node.memberView.since(request.NodesEnd)),
@@ -190,7 +204,11 @@
 		Slow:           node.engines.Slow(now),
 		LogAnswerAgeMs: node.logHealth.ageMilliseconds(now),
 		Current:        node.readsStore(now),
-	}, nil
+	}
+	if request.WantsSpeeds {
+		reply.Speeds = node.engines.Speeds(now)
+	}
+	return reply, nil
 }
 
 func toPaces(paces map[string]backend.Pace) map[string]*nodev1.Pace {
--- a/internal/node/reserve.go
+++ b/internal/node/reserve.go
@@ -119,11 +119,12 @@
 	candidates := make([]assignment.Candidate, 0, len(instances))
 	for _, instance := range instances {
 		candidates = append(candidates, assignment.Candidate{
-			ID:     instance.ID,
-			Zone:   instance.Zone,
-			Slots:  instance.Slots,
-			Memory: memory,
-			Order:  backend.Order(request.Session, instance.ID),
+			ID:       instance.ID,
+			Zone:     instance.Zone,
+			Slots:    instance.Slots,
+			Memory:   memory,
+			Order:    backend.Order(request.Session, instance.ID),
+			Slowness: node.engines.Slowness(instance.ID, now),
 		})
 	}
 	line := assignment.Line{Program: programOf(request), Session: request.Session, Zone: request.Zone, Prompt: int(request.Prompt)}
