--- a/internal/backend/breaker_test.go
+++ b/internal/backend/breaker_test.go
@@ -229,6 +229,17 @@
 		Expect(changes[1].Open).To(BeFalse())
 	})
 
+	It("does not count a request against an engine that is only late", func() {
+		directory := newDirectory(3)
+		sent := []*backend.Engine{assign(directory, "e1"), assign(directory, "e1"), assign(directory, "e1")}
+		for _, engine := range sent {
+			directory.Suspect(engine, now)
+			directory.Unsuspect(engine, now)
+		}
+		Expect(directory.OpenBreakers()).To(Equal(map[string]int{service: 0}))
+		Expect(directory.EndsReport(now).Engines["e1"].Failed).To(BeNumerically("==", 0))
+	})
+
 	It("does nothing with its gate off", func() {
 		Expect(feature.Disable(string(feature.EngineBreaker))).To(Succeed())
 		DeferCleanup(func() { _ = feature.Disable("") })
--- a/internal/backend/speed.go
+++ b/internal/backend/speed.go
@@ -18,8 +18,9 @@
 	// that one of which little is known counts as nearly usual: tools' waits have a
 	// deviation of about their mean, and of ten the mean still has a third of it.
 	speedPrior = 5.0
-	// speedBound bounds what observations count for an engine's speed, in times the usual:
-	// an engine that is slow for some seconds counts as that by its pace.
+	// speedBound, and one over it, bound what observations count for an engine's speed, in
+	// times the usual: an engine that is slow for some seconds counts as that by its pace,
+	// and one that answers at once what it does not do is not fast.
 	speedBound = 2.5
 	// speedToldFor is how long the speeds count that another node told: it is asked for
 	// them each SpeedPause.
@@ -30,7 +31,7 @@
 
 // bounded is the observation as it counts for an engine's speed.
 func (pace Pace) bounded() Pace {
-	return Pace{Weight: pace.Weight, Sum: min(pace.Sum, speedBound*pace.Weight)}
+	return Pace{Weight: pace.Weight, Sum: min(max(pace.Sum, pace.Weight/speedBound), speedBound*pace.Weight)}
 }
 
 // steadiness is how many times the usual time is taken by what was observed, and nearly 1
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -95,6 +95,7 @@
 	}
 	stopRepeat()
 	current.via = reply.Via
+	current.status = reply.Status
 	defer func() { _ = reply.Body.Close() }()
 	if reply.NotRun || reply.Misdirected {
 		outcome = backend.Full
--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -143,6 +143,8 @@
 	runs       int
 	refusals   int
 	lastEngine string
+	// status is that of the last engine's answer.
+	status int
 	// failedEngine is the engine that ran the call and failed it, empty where none did.
 	failedEngine string
 	// via is the node that sent the last attempt for this one.
--- a/internal/forward/service_test.go
+++ b/internal/forward/service_test.go
@@ -266,6 +266,19 @@
 		Expect(observed).To(BeNumerically("==", 2))
 	})
 
+	It("takes no engine for fast that answers errors at once", func() {
+		for range 3 {
+			sender.replies = []func() (*forward.Reply, error){answerOf(200, strings.NewReader("ok"))}
+			serve("/tool/x")
+		}
+		directory.TakePaces()
+		for range 3 {
+			sender.replies = []func() (*forward.Reply, error){answerOf(500, strings.NewReader("no"))}
+			serve("/tool/x")
+		}
+		Expect(directory.TakePaces()).To(BeEmpty())
+	})
+
 	It("runs no turn that could not be recorded, and says when to come back", func() {
 		service.LogAway = func() bool { return true }
 		began := time.Now()
--- a/internal/forward/watch.go
+++ b/internal/forward/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -43,9 +44,9 @@
 
 // paceRoute is the route whose usual wait the call's is compared with, empty where the
 // wait says little of the engine: that of a model's turn depends on its prompt, on what
-// of it the engine's memory holds, and on the turns before it.
+// of it the engine's memory holds, and on the turns before it. A failure comes at once.
 func (current *course) paceRoute() string {
-	if current.route.Kind == routing.Streaming {
+	if current.route.Kind == routing.Streaming || current.status >= http.StatusInternalServerError {
 		return ""
 	}
 	return current.route.Name
--- /dev/null
+++ b/internal/node/breaker_test.go
@@ -0,0 +1,98 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	nodev1 "github.com/magpielug/magpielug/api/node/v1"
+	"github.com/magpielug/magpielug/internal/assignment"
+	"github.com/magpielug/magpielug/internal/backend"
+	"github.com/magpielug/magpielug/internal/feature"
+	"github.com/magpielug/magpielug/internal/logging"
+	"github.com/magpielug/magpielug/internal/routing"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+)
+
+var _ = Describe("An engine that fails", func() {
+	var node *Node
+	engines := []string{"e0", "e1", "e2"}
+
+	BeforeEach(func() {
+		node = &Node{engines: backend.NewDirectory(), assigner: assignment.New(), routes: &routing.Current{}}
+		Expect(node.engines.UsePolicy("")).To(Succeed())
+		for _, id := range engines {
+			node.engines.Put(backend.Instance{ID: id, Service: "models", Zone: "a", Slots: 4})
+		}
+	})
+	turn := &nodev1.ReserveRequest{Program: "p", Session: "p", Service: "models", Zone: "a"}
+
+	It("loses the program whose turn it failed, as its settlement says, where the gate is on", func() {
+		first := node.assign(turn)
+		Expect(node.assign(turn)).To(Equal(first))
+		settlement := &nodev1.Settlement{Program: "p", Session: "p", FailedEngine: first}
+		Expect(feature.Disable(string(feature.EngineBreaker))).To(Succeed())
+		DeferCleanup(func() { _ = feature.Disable("") })
+		node.noteFailedEngine(settlement)
+		Expect(node.assign(turn)).To(Equal(first))
+		Expect(feature.Disable("")).To(Succeed())
+		node.noteFailedEngine(&nodev1.Settlement{Program: "p", Session: "p"})
+		Expect(node.assign(turn)).To(Equal(first))
+		node.noteFailedEngine(settlement)
+		Expect(node.assign(turn)).NotTo(Equal(first))
+	})
+
+	It("gets no lines while its breaker is open, which a line and a gauge tell", func() {
+		core, logs := observer.New(zap.InfoLevel)
+		node.logger = &logging.Logger{Logger: zap.New(core)}
+		node.engines.ObserveBreakers(node.logBreaker)
+		first := node.assign(turn)
+		now := time.Now()
+		var sent []*backend.Engine
+		for range 3 {
+			sent = append(sent, node.engines.Pick(&backend.Request{Service: "models", Assigned: first}, now))
+		}
+		for _, engine := range sent {
+			node.engines.Finish(engine, backend.Erred, now)
+		}
+		Expect(node.assign(turn)).NotTo(Equal(first))
+		opened := logs.FilterMessage("engine breaker opened").All()
+		Expect(opened).To(HaveLen(1))
+		Expect(opened[0].ContextMap()).To(HaveKeyWithValue("engine", first))
+		Expect(opened[0].ContextMap()).To(HaveKeyWithValue("failed", BeNumerically(">", 2.9)))
+
+		registry := prometheus.NewRegistry()
+		registry.MustRegister(breakerCollector{engines: node.engines})
+		families, err := registry.Gather()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(families).To(HaveLen(1))
+		Expect(families[0].GetMetric()[0].GetGauge().GetValue()).To(BeNumerically("==", 1))
+		Expect(families[0].GetMetric()[0].GetLabel()[0].GetValue()).To(Equal("models"))
+	})
+})
+
+var _ = Describe("Speeds of engines", func() {
+	It("are told to the node that wants them", func() {
+		node := newReader(0)
+		node.engines.Put(backend.Instance{ID: "e0", Service: "models"})
+		node.engines.AddPaces(map[string]backend.Pace{"e0": {Weight: 5, Sum: 10}}, time.Now())
+		learn := func(wants bool) map[string]float32 {
+			reply, err := (&peerServer{node: node}).Learn(context.Background(), &nodev1.LearnRequest{WantsSpeeds: wants})
+			Expect(err).NotTo(HaveOccurred())
+			return reply.Speeds
+		}
+		Expect(learn(false)).To(BeEmpty())
+		Expect(learn(true)["e0"]).To(BeNumerically("~", 1.5, 0.01))
+
+		other := &learner{node: &Node{engines: backend.NewDirectory()}}
+		other.node.engines.Put(backend.Instance{ID: "e0", Service: "models"})
+		other.takeSpeeds(learn(false))
+		Expect(other.speedsAt).To(BeZero())
+		other.takeSpeeds(learn(true))
+		Expect(other.speedsAt).NotTo(BeZero())
+		Expect(other.node.engines.Slowness("e0", time.Now())).To(BeNumerically("~", 1.5, 0.01))
+	})
+})
--- a/internal/node/learn_test.go
+++ b/internal/node/learn_test.go
@@ -12,20 +12,25 @@
 	"go.uber.org/zap"
 )
 
+// newReader is a node whose store answered some time ago, and whose views are from just now.
+func newReader(sinceStore time.Duration) *Node {
+	node := &Node{engines: backend.NewDirectory()}
+	node.learner = &learner{node: node}
+	ignore := func(durable.KeyedRecord) bool { return false }
+	node.configurationView = newRecordView("configuration", zap.NewNop(), ignore)
+	node.engineView = newRecordView("engines", zap.NewNop(), ignore)
+	node.memberView = newRecordView("nodes", zap.NewNop(), ignore)
+	pause := func() time.Duration { return enginePoll }
+	follower := &follower{name: "engines", pause: pause, logger: zap.NewNop()}
+	follower.lastAnswer.set(time.Now().Add(-sinceStore))
+	node.following = append(node.following, follower)
+	node.engineView.take(durable.Update{End: 1})
+	return node
+}
+
 var _ = Describe("A node that others learn from", func() {
-	// A reader whose store answered some time ago, and whose views are from just now.
 	answer := func(sinceStore time.Duration) *nodev1.LearnReply {
-		node := &Node{engines: backend.NewDirectory()}
-		node.learner = &learner{node: node}
-		ignore := func(durable.KeyedRecord) bool { return false }
-		node.configurationView = newRecordView("configuration", zap.NewNop(), ignore)
-		node.engineView = newRecordView("engines", zap.NewNop(), ignore)
-		node.memberView = newRecordView("nodes", zap.NewNop(), ignore)
-		pause := func() time.Duration { return enginePoll }
-		follower := &follower{name: "engines", pause: pause, logger: zap.NewNop()}
-		follower.lastAnswer.set(time.Now().Add(-sinceStore))
-		node.following = append(node.following, follower)
-		node.engineView.take(durable.Update{End: 1})
+		node := newReader(sinceStore)
 		reply, err := (&peerServer{node: node}).Learn(context.Background(), &nodev1.LearnRequest{})
 		Expect(err).NotTo(HaveOccurred())
 		return reply
--- a/internal/node/peer_server.go
+++ b/internal/node/peer_server.go
@@ -5,8 +5,6 @@
 	"time"
 
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
-	"github.com/magpielug/magpielug/internal/assignment"
-	"github.com/magpielug/magpielug/internal/feature"
 	"github.com/magpielug/magpielug/internal/history"
 	"github.com/magpielug/magpielug/internal/tenant"
 )
@@ -38,11 +36,8 @@
 	shard := node.programs.shardOf(settlement.Program)
 	owner := node.programs.believedOwner(shard).Node
 	if node.ownership.Owns(shard) || passedOn || owner == "" || owner == node.settings.Name {
-		program := tenant.Program{Tenant: settlement.Tenant, ID: settlement.Program}
-		node.ownership.Settle(shard, program, settlement.Request, settlement.Tokens)
-		if settlement.FailedEngine != "" && feature.Enabled(feature.EngineBreaker) {
-			node.assigner.Failed(assignment.Line{Program: program, Session: settlement.Session}, settlement.FailedEngine, time.Now())
-		}
+		node.ownership.Settle(shard, tenant.Program{Tenant: settlement.Tenant, ID: settlement.Program}, settlement.Request, settlement.Tokens)
+		node.noteFailedEngine(settlement)
 		return
 	}
 	go node.programs.send(owner, &nodev1.SettleRequest{Settlements: []*nodev1.Settlement{settlement}, PassedOn: true})
--- a/internal/node/reserve.go
+++ b/internal/node/reserve.go
@@ -9,6 +9,7 @@
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
 	"github.com/magpielug/magpielug/internal/assignment"
 	"github.com/magpielug/magpielug/internal/backend"
+	"github.com/magpielug/magpielug/internal/feature"
 	"github.com/magpielug/magpielug/internal/history"
 	"github.com/magpielug/magpielug/internal/ownership"
 	"github.com/magpielug/magpielug/internal/tenant"
@@ -131,6 +132,15 @@
 	return node.assigner.Choose(line, candidates, now)
 }
 
+// noteFailedEngine has a program that this node owns leave the engine that failed its turn.
+func (node *Node) noteFailedEngine(settlement *nodev1.Settlement) {
+	if settlement.FailedEngine == "" || !feature.Enabled(feature.EngineBreaker) {
+		return
+	}
+	line := assignment.Line{Program: tenant.Program{Tenant: settlement.Tenant, ID: settlement.Program}, Session: settlement.Session}
+	node.assigner.Failed(line, settlement.FailedEngine, time.Now())
+}
+
 // memoryOf returns how many tokens an engine of a service holds, 0 where the configuration
 // does not say.
 func (node *Node) memoryOf(service string) int {
