--- a/internal/backend/breaker.go
+++ b/internal/backend/breaker.go
@@ -47,8 +47,6 @@
 	probePeriod = 500 * time.Millisecond
 	// probeGrace is how long a due probe waits for a request that may be repeated.
 	probeGrace = probePeriod
-	// mostSilentProbes is how many requests may be silent at an engine for a further probe.
-	mostSilentProbes = 1
 )
 
 // ends sums how requests to an engine ended, faded by answeredMemory and failedMemory.
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/magpielug/magpielug/internal/resultcode"
@@ -72,6 +73,9 @@
 		fields = append(fields, zap.String("engine", current.lastEngine), zap.Int("engines", current.usable),
 			zap.Duration("engines_age", current.viewAge), zap.Int("runs", current.runs), zap.Int("refusals", current.refusals))
 	}
+	if current.failedEngine != "" && current.status >= http.StatusInternalServerError {
+		fields = append(fields, zap.Int("status", current.status))
+	}
 	if current.via != "" {
 		fields = append(fields, zap.String("via", current.via))
 	}
--- a/rehearsal/standin/agentengine/agentengine.go
+++ b/rehearsal/standin/agentengine/agentengine.go
@@ -17,6 +17,8 @@
 type Faults struct {
 	// Full refuses every request as not run.
 	Full bool
+	// Fail answers every request with a failure of the engine's own.
+	Fail bool
 	// LoseAnswers runs requests and closes the connection.
 	LoseAnswers bool
 	// BreakAfter breaks streams off after so many events, 0 not at all.
@@ -103,6 +105,10 @@
 		return
 	}
 	number := engine.note(request, string(body))
+	if faults.Fail {
+		writer.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	if faults.LoseAnswers {
 		panic(http.ErrAbortHandler)
 	}
