Breakers: silence and broken streams of turns sent by egress nodes are counted there

Cause: to the node that handed a turn over, the loss of the egress node looks like the engine's failure; such a loss ends all that it sends to its engines at once and would open their breakers. Streams that ceased in the middle counted as left by their callers. Change: an egress node counts silence and broken answers of the turns that it sends; the asker counts what it is told. A stream without an event for 0.6 s at the end of its caller's time counts as failed.

--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -270,8 +270,11 @@
 	Full
 	// NoConnection: the node has as many connections to it as it may have.
 	NoConnection
-	// Failed: it could not be reached, or broke its answer off.
+	// Failed: it broke its answer off, or ceased to send it.
 	Failed
+	// FailedElsewhere is Failed where another node sent the request: that one counts it,
+	// since it may have been lost itself.
+	FailedElsewhere
 	// Abandoned: the caller left; nothing is said of the engine.
 	Abandoned
 	// Misdirected: another engine has the address.
@@ -303,9 +306,11 @@
 	case NoConnection:
 		engine.fullUntil = now.Add(fullPause)
 		engine.limit.cut(engine.running, now)
-	case Failed, Erred:
+	case Failed, Erred, FailedElsewhere:
 		engine.failures++
-		directory.noteFailed(engine, now)
+		if outcome != FailedElsewhere {
+			directory.noteFailed(engine, now)
+		}
 		if engine.failures >= failuresToAvoid {
 			engine.avoid(now, backoff(avoidFirst, engine.failures-failuresToAvoid))
 		}
@@ -339,14 +344,6 @@
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
 	engine.silentUntil = now.Add(silentAvoid)
-	directory.noteFailed(engine, now)
-}
-
-// Unsuspect takes back that a request gets no answer: its answer has begun.
-func (directory *Directory) Unsuspect(engine *Engine, now time.Time) {
-	directory.mutex.Lock()
-	defer directory.mutex.Unlock()
-	directory.takeBackFailed(engine, now)
 }
 
 // Heard notes how long a request of a route waited at an engine for the first byte of
--- a/internal/backend/engine_ends.go
+++ b/internal/backend/engine_ends.go
@@ -11,8 +11,8 @@
 const (
 	// answeredMemory and failedMemory are the times in which the weight of a good and of a
 	// bad end falls to 1/e. Good ones fade sooner, so that an engine which begins to fail
-	// is not covered by what it did before: at 9 requests a second its breaker opens 0.4 s
-	// after the first bad end, with 2 s for both after 0.8 s.
+	// is not covered by what it did before: by these formulas its breaker opens 0.42 s after
+	// it has begun to fail all requests, with 2 s for both after 0.58 s.
 	answeredMemory = 700 * time.Millisecond
 	failedMemory   = 2 * time.Second
 	// decisionPause separates two decisions on the breakers of a service where this node
@@ -107,10 +107,24 @@
 	delete(directory.breakersDecided, engine.Service)
 }
 
-// takeBackFailed uncounts a request that was counted as failed. The caller holds the mutex.
-func (directory *Directory) takeBackFailed(engine *Engine, now time.Time) {
-	held := engine.ends.now(now)
-	engine.ends = fadingEnds{ends: ends{answered: held.answered, failed: max(held.failed-1, 0)}, at: now}
+// CountFailed counts a request that this node has sent and that ends badly by the engine's
+// own doing, before it ends or for another node.
+func (directory *Directory) CountFailed(id string, now time.Time) {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	if engine := directory.engines[id]; engine != nil {
+		directory.noteFailed(engine, now)
+	}
+}
+
+// UncountFailed takes a CountFailed back: the answer goes on.
+func (directory *Directory) UncountFailed(id string, now time.Time) {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	if engine := directory.engines[id]; engine != nil {
+		held := engine.ends.now(now)
+		engine.ends = fadingEnds{ends: ends{answered: held.answered, failed: max(held.failed-1, 0)}, at: now}
+	}
 }
 
 // noteRefused counts a refusal as a failure where the engine has next to nothing to do. The
--- a/internal/egress/handler.go
+++ b/internal/egress/handler.go
@@ -27,6 +27,11 @@
 type Engines interface {
 	// Instance returns an engine, false where it is not known or leaves.
 	Instance(id string) (backend.Instance, bool)
+	// Patience is how long a request to a service may at least be silent.
+	Patience(service string) time.Duration
+	// CountFailed counts a request that an engine fails, UncountFailed takes that back.
+	CountFailed(id string, now time.Time)
+	UncountFailed(id string, now time.Time)
 }
 
 // Handler sends requests that other nodes hand over.
@@ -71,13 +76,18 @@
 	attempt := attemptOf(message, engine)
 	bounded, cancel := context.WithTimeout(request.Context(), attempt.Remaining+remainingSlack)
 	defer cancel()
+	watched := watchSilence(request.Context(), handler.Engines, engine)
+	defer watched.stop()
 	reply, err := handler.Sender.Send(bounded, attempt)
 	if err != nil {
+		if request.Context().Err() == nil {
+			watched.takeBack() // The asker hears of the failure, and counts it.
+		}
 		handler.end(writer, message, outcomeOf(err), err)
 		return
 	}
 	defer func() { _ = reply.Body.Close() }()
-	relay(writer, control, reply)
+	relay(writer, control, reply, watched)
 }
 
 // end answers that no engine's answer follows.
@@ -105,7 +115,8 @@
 
 // relay passes an engine's answer on as it comes, its head with its first piece. One that breaks off is broken off
 // here too, so that it can't be taken for whole.
-func relay(writer http.ResponseWriter, control *http.ResponseController, reply *forward.Reply) {
+func relay(writer http.ResponseWriter, control *http.ResponseController, reply *forward.Reply, watched *silence) {
+	watched.heard()
 	err := writeHead(writer, &nodev1.EgressHead{
 		Outcome:     nodev1.EgressOutcome_EGRESS_OUTCOME_ANSWERED,
 		Status:      int32(reply.Status),
@@ -113,6 +124,9 @@
 		NotRun:      reply.NotRun,
 		Misdirected: reply.Misdirected,
 	})
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
 	buffer := make([]byte, pieceBytes)
 	for err == nil {
 		var count int
@@ -120,6 +134,7 @@
 		if count == 0 {
 			continue
 		}
+		watched.heard()
 		_, failure := writer.Write(buffer[:count])
 		if failure == nil {
 			failure = control.Flush()
@@ -129,6 +144,7 @@
 		}
 	}
 	if !errors.Is(err, io.EOF) {
+		watched.broken()
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/internal/egress/sender.go
+++ b/internal/egress/sender.go
@@ -96,11 +96,13 @@
 // Send implements forward.Sender.
 func (sender *Sender) Send(ctx context.Context, attempt *forward.Attempt) (*forward.Reply, error) {
 	for _, node := range sender.nodesFor(attempt) {
+		attempt.HandedOver.Store(true)
 		reply, err := sender.handOver(ctx, node, attempt)
 		sender.observe(handedOutcome(err))
 		if !errors.Is(err, errNotHandedOver) {
 			return reply, err
 		}
+		attempt.HandedOver.Store(false)
 		sender.logger.Info("request not handed over", zap.String("request", attempt.Call.ID),
 			zap.String("engine", attempt.Engine.ID), zap.String("node", node.Name), logging.Cause(err))
 	}
--- /dev/null
+++ b/internal/egress/silence.go
@@ -0,0 +1,81 @@
+package egress
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/magpielug/magpielug/internal/backend"
+)
+
+// leastSilence is how long an engine may at least send nothing of an answer: as long as
+// where a node sends itself.
+const leastSilence = 600 * time.Millisecond
+
+// silence counts a request of another node against an engine that sends nothing of its
+// answer for long, or breaks it off. The asker can't tell that from the loss of this node.
+// It is safe for concurrent use.
+type silence struct {
+	// asker ends when the asker leaves.
+	asker   context.Context
+	engines Engines
+	engine  string
+	limit   time.Duration
+
+	mutex   sync.Mutex
+	timer   *time.Timer
+	counted bool
+	stopped bool
+}
+
+// watchSilence begins with a request's sending.
+func watchSilence(asker context.Context, engines Engines, engine backend.Instance) *silence {
+	watched := &silence{asker: asker, engines: engines, engine: engine.ID,
+		limit: max(leastSilence, engines.Patience(engine.Service))}
+	watched.mutex.Lock()
+	defer watched.mutex.Unlock()
+	watched.timer = time.AfterFunc(watched.limit, watched.count)
+	return watched
+}
+
+// count counts the request once.
+func (watched *silence) count() {
+	watched.mutex.Lock()
+	defer watched.mutex.Unlock()
+	if watched.counted || watched.stopped {
+		return
+	}
+	watched.counted = true
+	watched.engines.CountFailed(watched.engine, time.Now())
+}
+
+// takeBack uncounts the request.
+func (watched *silence) takeBack() {
+	watched.mutex.Lock()
+	defer watched.mutex.Unlock()
+	if watched.counted {
+		watched.counted = false
+		watched.engines.UncountFailed(watched.engine, time.Now())
+	}
+}
+
+// heard notes a part of the answer.
+func (watched *silence) heard() {
+	watched.takeBack()
+	watched.timer.Reset(watched.limit)
+}
+
+// broken notes that the answer has broken off, unless that is for the asker's leaving.
+func (watched *silence) broken() {
+	if watched.asker.Err() == nil {
+		watched.count()
+	}
+}
+
+// stop ends the watch.
+func (watched *silence) stop() {
+	watched.timer.Stop()
+	watched.mutex.Lock()
+	defer watched.mutex.Unlock()
+	watched.stopped = true
+}
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -8,6 +8,7 @@
 	"io"
 	"math"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/magpielug/magpielug/internal/backend"
@@ -104,6 +105,9 @@
 	// those of a node that sends for many; 0 is no bound.
 	MaxConnections       int
 	MaxSharedConnections int
+	// HandedOver is true while another node sends the request: what becomes of it at the
+	// engine is that node's to count.
+	HandedOver atomic.Bool
 }
 
 // Reply is an engine's answer.
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -63,7 +63,8 @@
 	sending, cancel := context.WithCancel(ctx)
 	defer cancel()
 	outcome := backend.Abandoned
-	stopWatch := current.watch(engine)
+	attempt := current.newAttempt(engine, remaining)
+	stopWatch := current.watch(engine, attempt)
 	defer func() {
 		silent := stopWatch()
 		if silent && outcome == backend.Abandoned {
@@ -78,17 +79,7 @@
 	}()
 	stopRepeat := current.repeatWhereSilent(engine, cancel)
 	defer stopRepeat()
-	reply, err := current.service.Sender.Send(sending, &Attempt{
-		Call:           current.call,
-		Engine:         engine.Instance,
-		Body:           current.body,
-		Remaining:      max(remaining-answerMargin, time.Millisecond),
-		Streams:        current.route.Kind == routing.Streaming,
-		Urgency:        current.urgency(),
-		MaxConnections: current.maxConnections(),
-		// A quarter for each: few nodes send to an engine for all others.
-		MaxSharedConnections: current.definition.MaxConnections / sharedConnections,
-	})
+	reply, err := current.service.Sender.Send(sending, attempt)
 	if err != nil {
 		outcome = outcomeOfSending(ctx, err)
 		return current.afterSendFailure(ctx, err)
@@ -120,6 +111,21 @@
 	return true, err
 }
 
+// newAttempt makes an attempt of the call at an engine.
+func (current *course) newAttempt(engine *backend.Engine, remaining time.Duration) *Attempt {
+	return &Attempt{
+		Call:           current.call,
+		Engine:         engine.Instance,
+		Body:           current.body,
+		Remaining:      max(remaining-answerMargin, time.Millisecond),
+		Streams:        current.route.Kind == routing.Streaming,
+		Urgency:        current.urgency(),
+		MaxConnections: current.maxConnections(),
+		// A quarter for each: few nodes send to an engine for all others.
+		MaxSharedConnections: current.definition.MaxConnections / sharedConnections,
+	}
+}
+
 // outcomeOfSending tells what a failed sending says of the engine.
 func outcomeOfSending(ctx context.Context, err error) backend.Outcome {
 	switch {
@@ -146,7 +152,7 @@
 // noteFailure keeps the engine that ran a call and failed it, for the owner of its program.
 func (current *course) noteFailure(engine *backend.Engine, outcome backend.Outcome) {
 	switch outcome {
-	case backend.Erred, backend.Failed, backend.Silent:
+	case backend.Erred, backend.Failed, backend.FailedElsewhere, backend.Silent:
 		current.failedEngine = engine.ID
 	}
 }
--- a/internal/forward/service_test.go
+++ b/internal/forward/service_test.go
@@ -66,6 +66,18 @@
 	return refused()
 }
 
+// togetherSender answers once three attempts are there.
+type togetherSender struct {
+	answer  func(ctx context.Context, attempt *forward.Attempt) (*forward.Reply, error)
+	arrived sync.WaitGroup
+}
+
+func (sender *togetherSender) Send(ctx context.Context, attempt *forward.Attempt) (*forward.Reply, error) {
+	sender.arrived.Done()
+	sender.arrived.Wait()
+	return sender.answer(ctx, attempt)
+}
+
 // hangingSender hangs on the first attempt and answers the others.
 type hangingSender struct {
 	hang    func(ctx context.Context) (*forward.Reply, error)
@@ -110,6 +122,21 @@
 	return programs.recordError
 }
 
+// silentPrograms grants everything to any number of calls.
+type silentPrograms struct{}
+
+func (*silentPrograms) Reserve(context.Context, *forward.Call, string) forward.Reservation {
+	return forward.Reservation{Verdict: nodev1.Verdict_VERDICT_GRANTED}
+}
+func (*silentPrograms) Settle(*forward.Call, forward.Grant, forward.TurnEnd) {}
+func (*silentPrograms) Record(context.Context, *history.Turn) error          { return nil }
+
+// silentMeter notes nothing, for any number of calls.
+type silentMeter struct{}
+
+func (silentMeter) Finished(routing.Kind, resultcode.Code, time.Duration) {}
+func (silentMeter) FirstEvent(time.Duration)                              {}
+
 // fakeAnswer is the caller's side. Abort leaves by a panic, as a real one does.
 type fakeAnswer struct {
 	status  int
@@ -226,6 +253,59 @@
 		Expect(directory.Avoided(time.Now())).NotTo(BeEmpty())
 	})
 
+	DescribeTable("counts against an engine what it fails, and not what may be another node's loss",
+		func(counted int, answer func(ctx context.Context, attempt *forward.Attempt) (*forward.Reply, error)) {
+			together := &togetherSender{answer: answer}
+			together.arrived.Add(3)
+			service.Sender = together
+			service.Programs = &silentPrograms{}
+			service.Meter = silentMeter{}
+			var calls sync.WaitGroup
+			for range 3 {
+				calls.Go(func() { serve("/stream/x") })
+			}
+			ended := make(chan struct{})
+			go func() {
+				calls.Wait()
+				close(ended)
+			}()
+			most := 0
+			look := func() {
+				directory.Sound("s", time.Now())
+				most = max(most, directory.OpenBreakers()["s"])
+			}
+			Eventually(func() chan struct{} { look(); return ended }, 5*time.Second, 50*time.Millisecond).Should(BeClosed())
+			look()
+			Expect(most).To(Equal(counted))
+		},
+		Entry("a stream broken off", 1, func(context.Context, *forward.Attempt) (*forward.Reply, error) {
+			return answerOf(200, brokenReader{strings.NewReader("data: a\n\n")})()
+		}),
+		Entry("one that another node sent", 0, func(context.Context, *forward.Attempt) (*forward.Reply, error) {
+			reply, err := answerOf(200, brokenReader{strings.NewReader("data: a\n\n")})()
+			reply.Via = "node-2"
+			return reply, err
+		}),
+		Entry("a stream that ceases without an end", 1, func(ctx context.Context, _ *forward.Attempt) (*forward.Reply, error) {
+			pieces, written := io.Pipe()
+			go func() {
+				_, _ = io.WriteString(written, "data: a\n\n")
+				<-ctx.Done()
+				_ = written.CloseWithError(ctx.Err())
+			}()
+			return answerOf(200, pieces)()
+		}),
+		Entry("no byte", 1, func(ctx context.Context, _ *forward.Attempt) (*forward.Reply, error) {
+			<-ctx.Done()
+			return nil, backend.ErrLost
+		}),
+		Entry("no byte from another node", 0, func(ctx context.Context, attempt *forward.Attempt) (*forward.Reply, error) {
+			attempt.HandedOver.Store(true)
+			<-ctx.Done()
+			return nil, backend.ErrLost
+		}),
+	)
+
 	It("takes neither a full set of connections nor a refusal nor an answer of the caller's fault for an engine's failure", func() {
 		full := func() (*forward.Reply, error) { return nil, backend.ErrTooManyConnections }
 		fault := answerOf(404, strings.NewReader("no"))
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -150,14 +150,21 @@
 	current.lastEvent = now
 }
 
-// brokenStream ends a stream that its engine broke off.
+// brokenStream ends a stream that its engine broke off, or ceased to send.
 func (current *course) brokenStream(ctx context.Context, err error) (backend.Outcome, error) {
+	outcome := backend.Failed
+	if current.via != "" {
+		outcome = backend.FailedElsewhere
+	}
 	if ctx.Err() != nil {
-		return backend.Abandoned, current.timedOut(ctx)
+		if !current.begun || time.Since(current.lastEvent) < leastSilence {
+			outcome = backend.Abandoned
+		}
+		return outcome, current.timedOut(ctx)
 	}
 	current.service.Logger.Info("stream broken off", zap.String("request", current.call.ID),
 		zap.String("engine", current.lastEngine), zap.Int64("events", current.events), logging.Cause(err))
-	return backend.Failed, current.outcomeUnknown()
+	return outcome, current.outcomeUnknown()
 }
 
 // endStream completes the answer once nothing of it can be lost.
--- a/internal/forward/watch.go
+++ b/internal/forward/watch.go
@@ -15,22 +15,26 @@
 // watch passes the engine over for other requests once this one has got no byte
 // of an answer for unusually long. What it returns ends the watch, and tells
 // whether that is still so.
-func (current *course) watch(engine *backend.Engine) func() bool {
+func (current *course) watch(engine *backend.Engine, attempt *Attempt) func() bool {
 	began := time.Now()
 	engines := current.service.Engines
 	limit := max(silenceShare*current.route.Objective, leastSilence, engines.Patience(current.serviceName))
-	var silent atomic.Bool
+	var silent, counted atomic.Bool
 	timer := time.AfterFunc(limit, func() {
 		silent.Store(true)
 		engines.Suspect(engine, time.Now())
+		if !attempt.HandedOver.Load() {
+			counted.Store(true)
+			engines.CountFailed(engine.ID, time.Now())
+		}
 		current.service.Logger.Info("engine suspected", zap.String("request", current.call.ID),
 			zap.String("engine", engine.ID), zap.Duration("silent", limit))
 	})
 	current.heard = func() {
 		timer.Stop()
 		engines.Heard(engine, current.paceRoute(), time.Since(began), time.Now())
-		if silent.Load() {
-			engines.Unsuspect(engine, time.Now())
+		if counted.Swap(false) {
+			engines.UncountFailed(engine.ID, time.Now())
 		}
 	}
 	current.streamed = func() {
