--- a/internal/backend/breaker.go
+++ b/internal/backend/breaker.go
@@ -39,9 +39,12 @@
 	// have: an engine may fail the callers of one zone only.
 	ownWeight = 2.0
 	// leastOpen is how long a breaker stays open at least. It doubles with each time that
-	// it opens within flapMemory of its closing, up to avoidMost.
-	leastOpen  = time.Second
-	flapMemory = 10 * time.Second
+	// it opens within flapMemory of its closing, up to longestOpen: nodes notice a failure
+	// half a second late, and of one that comes each other second only a long pause spares
+	// callers most.
+	leastOpen   = time.Second
+	longestOpen = 8 * time.Second
+	flapMemory  = 20 * time.Second
 	// probePeriod is how long all nodes together leave between two probes of an engine
 	// whose breaker is open. Each may cost a caller one of its tries.
 	probePeriod = 500 * time.Millisecond
@@ -132,6 +135,12 @@
 	return best.share()
 }
 
+// openTime is how long a breaker stays open at least that has opened again some times.
+func openTime(repetitions int) time.Duration {
+	const mostDoublings = 8
+	return min(leastOpen<<min(repetitions, mostDoublings), longestOpen)
+}
+
 // halfOpen tells whether probes of an engine whose breaker is open have succeeded.
 func halfOpen(sum ends) bool { return sum.share() < halfOpenShare }
 
--- a/internal/backend/engine_ends.go
+++ b/internal/backend/engine_ends.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/magpielug/magpielug/internal/feature"
@@ -144,6 +145,9 @@
 		return engines
 	}
 	directory.decideBreakers(service, engines, now)
+	if !slices.ContainsFunc(engines, func(engine *Engine) bool { return engine.breaker.open }) {
+		return engines
+	}
 	closed := make([]*Engine, 0, len(engines))
 	for _, engine := range engines {
 		if !engine.breaker.open {
@@ -200,7 +204,7 @@
 	if breaker.closed.IsZero() || now.Sub(breaker.closed) > flapMemory {
 		breaker.repetitions = 0
 	}
-	breaker.heldUntil = now.Add(backoff(leastOpen, breaker.repetitions))
+	breaker.heldUntil = now.Add(openTime(breaker.repetitions))
 	breaker.probed = now
 	// Nodes open their breakers at about the same time.
 	breaker.phase = rand.Float64()
