--- a/internal/backend/breaker_test.go
+++ b/internal/backend/breaker_test.go
@@ -193,6 +193,9 @@
 	It("probes with requests that may be repeated where there are some", func() {
 		played := newReplay(60, 44)
 		played.repeatable = 0.5
+		// A node gets eight such requests a second: in the time that a due probe waits for
+		// one, none comes to it once in 55 times.
+		played.interval = time.Millisecond
 		probes := map[bool]int{}
 		played.answer = func(engine, _ string, at time.Duration) (backend.Outcome, time.Duration) {
 			if slices.Contains(failing, engine) && at >= from {
