--- a/internal/assignment/assignment.go
+++ b/internal/assignment/assignment.go
@@ -4,10 +4,12 @@
 // The owner of a program's shard assigns. It goes by the load over all nodes, which is
 // some hundred milliseconds old; while that is not known, by what the nodes tell it with
 // their requests for tokens. A line stays where it is for the sake of the engine's memory;
-// a sub-agent's line follows its program unless that engine is full.
+// a sub-agent's line follows its program unless that engine is full. A program of
+// which an engine has failed a turn goes to other engines.
 package assignment
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -48,6 +50,14 @@
 	// 100 programs were late or failed on an overloaded day, with 2.8 a slot 1.4 instead
 	// of 0.5.
 	roomyPrompts = 2.5
+	// failedFor is how long a program stays away from an engine that has failed a turn of it.
+	// Callers come back up to three times within two seconds; by the end of it the engine
+	// has recovered, or all nodes know that it has not.
+	failedFor = 5 * time.Second
+	// leavingSlowness is how many times the usual time an engine takes that a line leaves.
+	// Its prompt is computed again elsewhere: of 3,000 tokens that takes a tenth of a usual
+	// turn, and it saves one and a half of them on the next turn.
+	leavingSlowness = 2.5
 	// promptWeight is the weight of the newest turn in the usual length of a prompt.
 	promptWeight = 0.01
 )
@@ -64,6 +74,16 @@
 	OwnMemory int
 	// Order breaks ties, the highest first; alike for all owners.
 	Order uint64
+	// Slowness is how many times the usual time the engine takes, 0 where that is not known.
+	Slowness float64
+}
+
+// slowness is how many times the usual time the engine takes.
+func (candidate *Candidate) slowness() float64 {
+	if candidate.Slowness <= 0 {
+		return 1
+	}
+	return candidate.Slowness
 }
 
 // Line names a line of turns.
@@ -93,6 +113,12 @@
 	prompt int
 }
 
+// failure is an engine's failure of a program's turn.
+type failure struct {
+	engine string
+	at     time.Time
+}
+
 type recent struct {
 	engine string
 	at     time.Time
@@ -106,6 +132,8 @@
 	// sessions are lines of turns, each named by its session in place of the program.
 	sessions map[tenant.Program]assigned
 	programs map[tenant.Program]assigned
+	// failures are engines' failures of programs, the oldest first.
+	failures map[tenant.Program][]failure
 	recents  []recent
 	// prompt is the usual length of a prompt, tokens.
 	prompt float64
@@ -116,7 +144,8 @@
 
 // New returns an assigner that knows nothing.
 func New() *Assigner {
-	return &Assigner{reports: map[string]report{}, sessions: map[tenant.Program]assigned{}, programs: map[tenant.Program]assigned{}, view: load.NewView()}
+	return &Assigner{reports: map[string]report{}, sessions: map[tenant.Program]assigned{}, programs: map[tenant.Program]assigned{},
+		failures: map[tenant.Program][]failure{}, view: load.NewView()}
 }
 
 // UseLoad has the assigner go by a view of the load over all nodes while it is known, with
@@ -133,6 +162,37 @@
 	assigner.reports[node] = report{running: running, at: now}
 }
 
+// Failed notes that an engine has failed a turn of a line: its program goes to others.
+func (assigner *Assigner) Failed(line Line, engine string, now time.Time) {
+	assigner.mutex.Lock()
+	defer assigner.mutex.Unlock()
+	assigner.failures[line.Program] = append(assigner.failures[line.Program], failure{engine: engine, at: now})
+	if assigner.sessions[line.session()].engine == engine {
+		delete(assigner.sessions, line.session())
+	}
+	if assigner.programs[line.Program].engine == engine {
+		delete(assigner.programs, line.Program)
+	}
+}
+
+// sound returns the candidates that have not failed the program of late, or all where
+// there are no others.
+func (assigner *Assigner) sound(line Line, candidates []Candidate, now time.Time) []Candidate {
+	failures := assigner.failures[line.Program]
+	if len(failures) == 0 {
+		return candidates
+	}
+	left := slices.DeleteFunc(slices.Clone(candidates), func(candidate Candidate) bool {
+		return slices.ContainsFunc(failures, func(failed failure) bool {
+			return failed.engine == candidate.ID && now.Sub(failed.at) <= failedFor
+		})
+	})
+	if len(left) == 0 {
+		return candidates
+	}
+	return left
+}
+
 // Choose returns the engine of a line, empty where there is no candidate.
 func (assigner *Assigner) Choose(line Line, candidates []Candidate, now time.Time) string {
 	assigner.mutex.Lock()
@@ -140,6 +200,7 @@
 	if len(candidates) == 0 {
 		return ""
 	}
+	candidates = assigner.sound(line, candidates, now)
 	assigner.notePrompt(line.Prompt)
 	requests, slack := assigner.requests(candidates, now)
 	engine, held := assigner.present(line, candidates, requests)
@@ -156,15 +217,17 @@
 
 // present returns the engine that the line, or else its program, has already.
 func (assigner *Assigner) present(line Line, candidates []Candidate, requests map[string]int) (string, bool) {
-	if session, known := assigner.sessions[line.session()]; known && find(candidates, session.engine) != nil {
-		return session.engine, true
+	if session, known := assigner.sessions[line.session()]; known {
+		if candidate := find(candidates, session.engine); candidate != nil && candidate.slowness() <= leavingSlowness {
+			return session.engine, true
+		}
 	}
 	program, known := assigner.programs[line.Program]
 	if !known {
 		return "", false
 	}
 	candidate := find(candidates, program.engine)
-	if candidate == nil || (candidate.Slots > 0 && requests[candidate.ID] >= assigner.mostToFollow(candidate)) {
+	if candidate == nil || candidate.slowness() > leavingSlowness || (candidate.Slots > 0 && requests[candidate.ID] >= assigner.mostToFollow(candidate)) {
 		return "", false
 	}
 	return candidate.ID, true
@@ -255,7 +318,7 @@
 	for index := range candidates {
 		best = cheaper(best, &candidates[index], requests, zone)
 	}
-	bound := cost(best, requests, zone) + slack
+	bound := cost(best, requests, zone) + slack/float64(max(best.Slots, 1))
 	chosen := best
 	for index := range candidates {
 		candidate := &candidates[index]
@@ -275,12 +338,15 @@
 	return left
 }
 
-func cost(candidate *Candidate, requests map[string]int, zone string) float64 {
-	total := float64(requests[candidate.ID])
+// cost compares engines by how long a turn takes there, a usual one at an idle engine being
+// 1. One with free slots is as fast as its speed; once all are in use, turns wait the longer
+// the slower it is. A slow engine therefore gets work when the faster ones are about full.
+func cost(candidate *Candidate, running map[string]int, zone string) float64 {
+	requests := float64(running[candidate.ID])
 	if candidate.Zone != zone {
-		total += otherZoneCost
+		requests += otherZoneCost
 	}
-	return total
+	return candidate.slowness() * (1 + requests/float64(max(candidate.Slots, 1)))
 }
 
 // Expire drops assignments that were not used for a while.
@@ -294,4 +360,9 @@
 			}
 		}
 	}
+	for program, failures := range assigner.failures {
+		if now.Sub(failures[len(failures)-1].at) > failedFor {
+			delete(assigner.failures, program)
+		}
+	}
 }
--- a/internal/backend/load.go
+++ b/internal/backend/load.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/magpielug/magpielug/internal/load"
 )
@@ -12,14 +13,34 @@
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
 	loads := map[string]load.Engine{}
+	now := time.Now()
 	for id, engine := range directory.engines {
-		if engine.running > 0 {
-			loads[id] = load.Engine{Running: engine.running}
+		answered, failed := directory.outcomes(engine, now)
+		told := load.Engine{Running: engine.running, Silent: engine.silent, Answered: answered, Failed: failed}
+		if told.Running > 0 || told.Answered+told.Failed >= leastTold {
+			loads[id] = told
 		}
 	}
 	return loads
 }
 
+// leastTold is the number of recent ends below which they are not told.
+const leastTold = 0.1
+
+// take counts a request that is about to be sent.
+func (engine *Engine) take() {
+	engine.running++
+	engine.silent++
+}
+
+// EndSilence counts a request no more as one without a byte of an answer: a byte has come,
+// or the request has ended. It is called once for each.
+func (directory *Directory) EndSilence(engine *Engine) {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	engine.silent--
+}
+
 // RunningAt returns the number of this node's requests under way at an engine.
 func (directory *Directory) RunningAt(id string) int {
 	directory.mutex.Lock()
--- a/internal/backend/pick.go
+++ b/internal/backend/pick.go
@@ -22,6 +22,8 @@
 	Zone string
 	// Tried holds the ids of engines that were asked already.
 	Tried []string
+	// Repeatable is true where the request may run more than once.
+	Repeatable bool
 }
 
 // Filter tells whether an engine may get a request.
@@ -57,17 +59,22 @@
 
 // Pick chooses an engine and counts the request there, or returns nil. Filters
 // are given up one after another where nothing is left: an engine that is
-// passed over is better than none, one asked already or without room is not.
+// passed over is better than none, one asked already, without room or with an open breaker
+// is not.
 func (directory *Directory) Pick(request *Request, now time.Time) *Engine {
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
-	candidates := directory.reached(directory.usable(request.Service), request, now)
+	candidates := directory.reached(directory.closedEngines(request.Service, now), request, now)
+	if probed := directory.dueProbe(request, now); probed != nil {
+		probed.take()
+		return probed
+	}
 	directory.estimateOthers(request.Service, candidates, now)
 	for _, filters := range directory.filterSets(request.Service, candidates, now) {
 		admitted := admit(candidates, filters, request, now)
 		if len(admitted) > 0 {
 			chosen := directory.choose(admitted, request, now)
-			chosen.running++
+			chosen.take()
 			return chosen
 		}
 	}
--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -47,14 +47,23 @@
 	Key   string
 }
 
+// TurnEnd is how a turn ended.
+type TurnEnd struct {
+	// Tokens is what it spent.
+	Tokens int64
+	// Turn is what is kept of it, nil where nothing is.
+	Turn *history.Turn
+	// FailedEngine is the engine that ran the turn and failed it, empty where none did.
+	FailedEngine string
+}
+
 // Programs asks the owners of programs.
 type Programs interface {
 	// Reserve asks for a turn's tokens, its chain and its engine of the service, and
 	// whether its program may begin.
 	Reserve(ctx context.Context, order *ReservationOrder) Reservation
-	// Settle tells what a turn spent; turn is nil where none is kept. It does
-	// not wait.
-	Settle(call *Call, grant Grant, tokens int64, turn *history.Turn)
+	// Settle tells how a turn ended. It does not wait.
+	Settle(call *Call, grant Grant, end TurnEnd)
 	// Record returns nil once the turn will outlast all machines.
 	Record(ctx context.Context, turn *history.Turn) error
 }
@@ -179,14 +188,24 @@
 	// goesOn is true for a turn whose program has turns already.
 	goesOn     bool
 	lastEngine string
+	// status is that of the last engine's answer.
+	status int
+	// failedEngine is the engine that ran the call and failed it, empty where none did.
+	failedEngine string
 	// via is the node that sent the last attempt for this one.
 	via   string
 	begun bool
 	// release ends the attempt at its engine.
 	release func(backend.Outcome)
 	// heard is called with the first byte of an answer.
-	heard       func()
+	heard func()
+	// endSilence tells once that the attempt has got a byte, or has ended.
+	endSilence func()
+	// streamed is called once a stream has come whole.
+	streamed    func()
 	events      int64
+	firstEvent  time.Time
+	lastEvent   time.Time
 	reserved    bool
 	reservation Reservation
 	reserveTook time.Duration
@@ -331,5 +350,9 @@
 // settle tells the owner what the turn spent, once.
 func (current *course) settle(turn *history.Turn) {
 	current.reserved = false
-	current.service.Programs.Settle(current.call, current.reservation.Grant, current.events*int64(current.definition.TokensPerEvent), turn)
+	current.service.Programs.Settle(current.call, current.reservation.Grant, TurnEnd{
+		Tokens:       current.events * int64(current.definition.TokensPerEvent),
+		Turn:         turn,
+		FailedEngine: current.failedEngine,
+	})
 }
--- a/internal/forward/service_test.go
+++ b/internal/forward/service_test.go
@@ -67,6 +67,18 @@
 	return refused()
 }
 
+// togetherSender answers once three attempts are there.
+type togetherSender struct {
+	answer  func(ctx context.Context, attempt *forward.Attempt) (*forward.Reply, error)
+	arrived sync.WaitGroup
+}
+
+func (sender *togetherSender) Send(ctx context.Context, attempt *forward.Attempt) (*forward.Reply, error) {
+	sender.arrived.Done()
+	sender.arrived.Wait()
+	return sender.answer(ctx, attempt)
+}
+
 // hangingSender hangs on the first attempt and answers the others.
 type hangingSender struct {
 	hang    func(ctx context.Context) (*forward.Reply, error)
@@ -86,12 +98,14 @@
 type fakePrograms struct {
 	reservation forward.Reservation
 	// reserves counts the asks for tokens, orders are they.
-	reserves    int
-	orders      []*forward.ReservationOrder
-	settled     []int64
-	recorded    []*history.Turn
-	recordError error
-	wait        time.Duration
+	reserves int
+	orders   []*forward.ReservationOrder
+	settled  []int64
+	// failedEngine is the one that the last settlement names.
+	failedEngine string
+	recorded     []*history.Turn
+	recordError  error
+	wait         time.Duration
 }
 
 func (programs *fakePrograms) Reserve(_ context.Context, order *forward.ReservationOrder) forward.Reservation {
@@ -101,8 +115,9 @@
 	return programs.reservation
 }
 
-func (programs *fakePrograms) Settle(_ *forward.Call, _ forward.Grant, tokens int64, _ *history.Turn) {
-	programs.settled = append(programs.settled, tokens)
+func (programs *fakePrograms) Settle(_ *forward.Call, _ forward.Grant, end forward.TurnEnd) {
+	programs.settled = append(programs.settled, end.Tokens)
+	programs.failedEngine = end.FailedEngine
 }
 
 func (programs *fakePrograms) Record(_ context.Context, turn *history.Turn) error {
@@ -110,6 +125,22 @@
 	return programs.recordError
 }
 
+// silentPrograms grants everything to any number of calls.
+type silentPrograms struct{}
+
+func (*silentPrograms) Reserve(context.Context, *forward.ReservationOrder) forward.Reservation {
+	return forward.Reservation{Verdict: nodev1.Verdict_VERDICT_GRANTED}
+}
+func (*silentPrograms) Settle(*forward.Call, forward.Grant, forward.TurnEnd) {}
+func (*silentPrograms) Record(context.Context, *history.Turn) error          { return nil }
+
+// silentMeter notes nothing, for any number of calls.
+type silentMeter struct{}
+
+func (silentMeter) Finished(routing.Kind, resultcode.Code, time.Duration) {}
+func (silentMeter) FirstEvent(time.Duration)                              {}
+func (silentMeter) RefusedForRoom(string, forward.RoomReason)             {}
+
 // fakeAnswer is the caller's side. Abort leaves by a panic, as a real one does.
 type fakeAnswer struct {
 	status  int
@@ -232,6 +263,84 @@
 		Expect(directory.Avoided(time.Now().Add(500 * time.Millisecond))).To(HaveLen(1))
 	})
 
+	It("counts an engine's own errors against it, tells the owner which engine failed a turn, and passes the answer on", func() {
+		failed := func() (*forward.Reply, error) { return answerOf(500, strings.NewReader("no"))() }
+		sender.replies = []func() (*forward.Reply, error){failed}
+		for range 6 {
+			answer := serve("/stream/x")
+			Expect(answer.status).To(Equal(500))
+			Expect(answer.ended).To(BeTrue())
+			Expect(programs.failedEngine).To(Equal(sender.sent[len(sender.sent)-1].Engine.ID))
+		}
+		Expect(sender.sent).To(HaveLen(6))
+		Expect(directory.Avoided(time.Now())).NotTo(BeEmpty())
+	})
+
+	DescribeTable("counts against an engine what it fails, and not what may be another node's loss",
+		func(counted int, answer func(ctx context.Context, attempt *forward.Attempt) (*forward.Reply, error)) {
+			together := &togetherSender{answer: answer}
+			together.arrived.Add(3)
+			service.Sender = together
+			service.Programs = &silentPrograms{}
+			service.Meter = silentMeter{}
+			var calls sync.WaitGroup
+			for range 3 {
+				calls.Go(func() { serve("/stream/x") })
+			}
+			ended := make(chan struct{})
+			go func() {
+				calls.Wait()
+				close(ended)
+			}()
+			most := 0
+			look := func() {
+				directory.Sound("s", time.Now())
+				most = max(most, directory.OpenBreakers()["s"])
+			}
+			Eventually(func() chan struct{} { look(); return ended }, 5*time.Second, 50*time.Millisecond).Should(BeClosed())
+			look()
+			Expect(most).To(Equal(counted))
+		},
+		Entry("a stream broken off", 1, func(context.Context, *forward.Attempt) (*forward.Reply, error) {
+			return answerOf(200, brokenReader{strings.NewReader("data: a\n\n")})()
+		}),
+		Entry("one that another node sent", 0, func(context.Context, *forward.Attempt) (*forward.Reply, error) {
+			reply, err := answerOf(200, brokenReader{strings.NewReader("data: a\n\n")})()
+			reply.Via = "node-2"
+			return reply, err
+		}),
+		Entry("a stream that ceases without an end", 1, func(ctx context.Context, _ *forward.Attempt) (*forward.Reply, error) {
+			pieces, written := io.Pipe()
+			go func() {
+				_, _ = io.WriteString(written, "data: a\n\n")
+				<-ctx.Done()
+				_ = written.CloseWithError(ctx.Err())
+			}()
+			return answerOf(200, pieces)()
+		}),
+		Entry("no byte", 1, func(ctx context.Context, _ *forward.Attempt) (*forward.Reply, error) {
+			<-ctx.Done()
+			return nil, backend.ErrLost
+		}),
+		Entry("no byte from another node", 0, func(ctx context.Context, attempt *forward.Attempt) (*forward.Reply, error) {
+			attempt.HandedOver.Store(true)
+			<-ctx.Done()
+			return nil, backend.ErrLost
+		}),
+	)
+
+	It("takes neither a full set of connections nor a refusal nor an answer of the caller's fault for an engine's failure", func() {
+		full := func() (*forward.Reply, error) { return nil, backend.ErrTooManyConnections }
+		fault := answerOf(404, strings.NewReader("no"))
+		sender.replies = []func() (*forward.Reply, error){full, refused, fault}
+		for range 4 {
+			sender.sent = nil
+			serve("/stream/x")
+			Expect(programs.failedEngine).To(BeEmpty())
+		}
+		Expect(directory.Avoided(time.Now())).To(BeEmpty())
+	})
+
 	It("writes a line, counts and settles for a stream that its engine broke off", func() {
 		sender.replies = []func() (*forward.Reply, error){answerOf(200, brokenReader{strings.NewReader("data: a\n\ndata: b\n\ndata: ha")})}
 		answer := serve("/stream/x")
@@ -242,6 +351,37 @@
 		Expect(lines("call failed")).To(Equal(1))
 	})
 
+	It("observes the time between the events of streams that have enough", func() {
+		events := func(count int) {
+			for range 3 {
+				sender.replies = []func() (*forward.Reply, error){answerOf(200, strings.NewReader(strings.Repeat("data: a\n\n", count)))}
+				Expect(serve("/stream/x").ended).To(BeTrue())
+			}
+		}
+		events(2)
+		Expect(directory.TakePaces()).To(BeEmpty())
+		events(4)
+		// The first one says what is usual.
+		observed := 0.0
+		for _, pace := range directory.TakePaces() {
+			observed += pace.Weight
+		}
+		Expect(observed).To(BeNumerically("==", 2))
+	})
+
+	It("takes no engine for fast that answers errors at once", func() {
+		for range 3 {
+			sender.replies = []func() (*forward.Reply, error){answerOf(200, strings.NewReader("ok"))}
+			serve("/tool/x")
+		}
+		directory.TakePaces()
+		for range 3 {
+			sender.replies = []func() (*forward.Reply, error){answerOf(500, strings.NewReader("no"))}
+			serve("/tool/x")
+		}
+		Expect(directory.TakePaces()).To(BeEmpty())
+	})
+
 	It("runs no turn that could not be recorded, and says when to come back", func() {
 		service.LogAway = func() bool { return true }
 		began := time.Now()
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -104,6 +104,7 @@
 		read, err := reader.next()
 		if errors.Is(err, io.EOF) {
 			current.release(backend.Answered)
+			current.streamed()
 			return backend.Answered, current.endStream(ctx, reply, said)
 		}
 		if err != nil {
@@ -132,7 +133,7 @@
 		}
 	}
 	if read.present {
-		current.events++
+		current.noteEvent(time.Now())
 	}
 	err := current.answer.Write(read.raw)
 	if err != nil {
@@ -141,14 +142,30 @@
 	return nil
 }
 
-// brokenStream ends a stream that its engine broke off.
+// noteEvent counts an event with data.
+func (current *course) noteEvent(now time.Time) {
+	current.events++
+	if current.events == 1 {
+		current.firstEvent = now
+	}
+	current.lastEvent = now
+}
+
+// brokenStream ends a stream that its engine broke off, or ceased to send.
 func (current *course) brokenStream(ctx context.Context, err error) (backend.Outcome, error) {
+	outcome := backend.Failed
+	if current.via != "" {
+		outcome = backend.FailedElsewhere
+	}
 	if ctx.Err() != nil {
-		return backend.Abandoned, current.timedOut(ctx)
+		if !current.begun || time.Since(current.lastEvent) < leastSilence {
+			outcome = backend.Abandoned
+		}
+		return outcome, current.timedOut(ctx)
 	}
 	current.service.Logger.Info("stream broken off", zap.String("request", current.call.ID),
 		zap.String("engine", current.lastEngine), zap.Int64("events", current.events), logging.Cause(err))
-	return backend.Failed, current.outcomeUnknown()
+	return outcome, current.outcomeUnknown()
 }
 
 // endStream completes the answer once nothing of it can be lost.
--- a/internal/node/meter.go
+++ b/internal/node/meter.go
@@ -203,7 +203,7 @@
 	meter := node.meter
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(meter.calls, meter.duration, meter.firstEvent, meter.storeCalls, meter.storeTime, meter.handedOver, meter.admissions,
-		meter.loadMessages, meter.noRoom, waitingCalls{queue: node.service.Waiting})
+		meter.loadMessages, meter.noRoom, waitingCalls{queue: node.service.Waiting}, breakerCollector{engines: node.engines})
 	registry.MustRegister(node.admission.metrics)
 	gauges := []struct {
 		name, help string
--- a/internal/node/reserve.go
+++ b/internal/node/reserve.go
@@ -132,13 +132,13 @@
 	candidates := make([]assignment.Candidate, 0, len(instances))
 	for _, instance := range instances {
 		candidates = append(candidates, assignment.Candidate{
-			ID:     instance.ID,
-			Zone:   instance.Zone,
-			Slots:  instance.Slots,
-			Memory: memory,
-			Order:  backend.Order(request.Session, instance.ID),
-
+			ID:        instance.ID,
+			Zone:      instance.Zone,
+			Slots:     instance.Slots,
+			Memory:    memory,
 			OwnMemory: own,
+			Order:     backend.Order(request.Session, instance.ID),
+			Slowness:  node.engines.Slowness(instance.ID, now),
 		})
 	}
 	line := assignment.Line{Program: programOf(request), Session: request.Session, Zone: request.Zone, Prompt: int(request.Prompt)}
@@ -147,12 +147,21 @@
 
 // ownMemory is the part of an engine's memory that goes to programs of this node's shards.
 func (node *Node) ownMemory(memory int) int {
-	if !feature.Enabled(feature.MemoryRoom) {
+	if memory == 0 || !feature.Enabled(feature.MemoryRoom) {
 		return 0
 	}
 	return int(node.admission.share() * float64(memory))
 }
 
+// noteFailedEngine has a program that this node owns leave the engine that failed its turn.
+func (node *Node) noteFailedEngine(settlement *nodev1.Settlement) {
+	if settlement.FailedEngine == "" || !feature.Enabled(feature.EngineBreaker) {
+		return
+	}
+	line := assignment.Line{Program: tenant.Program{Tenant: settlement.Tenant, ID: settlement.Program}, Session: settlement.Session}
+	node.assigner.Failed(line, settlement.FailedEngine, time.Now())
+}
+
 // memoryOf returns how many tokens an engine of a service holds, 0 where the configuration
 // does not say.
 func (node *Node) memoryOf(service string) int {
