--- a/cmd/magpielug/main.go
+++ b/cmd/magpielug/main.go
@@ -1,5 +1,5 @@
-// Command magpielug runs the gateway and scheduler processes and the operators'
-// command line.
+// Command magpielug runs a node, and the gateway and scheduler processes with the
+// operators' command line.
 package main
 
 import (
@@ -15,8 +15,9 @@
 
 func main() {
 	os.Exit(command.Main(version, command.Runners{
-		Gateway:   process.RunGateway,
-		Scheduler: process.RunScheduler,
-		Node:      platform.Run,
+		Gateway:      process.RunGateway,
+		Scheduler:    process.RunScheduler,
+		Node:         platform.RunWithSettings,
+		PlatformNode: platform.Run,
 	}))
 }
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -39,11 +39,14 @@
 	Expect(got.output).To(BeEmpty())
 }
 
-const example = "../../examples/namibia/scheduler.yaml"
+const (
+	example     = "../../examples/namibia/scheduler.yaml"
+	nodeExample = "../../examples/node.toml"
+)
 
 var _ = Describe("Run", func() {
 	It("shows complete help for each command", func() {
-		for _, command := range []string{"", "gateway", "scheduler", "check-settings", "operator", "operator publish", "operator explain"} {
+		for _, command := range []string{"", "gateway", "scheduler", "node", "check-settings", "operator", "operator publish", "operator explain"} {
 			got := run(append(strings.Fields(command), "--help")...)
 			Expect(got.code).To(Equal(ExitOK))
 			Expect(got.output).To(ContainSubstring("Usage: magpielug " + command))
@@ -75,6 +78,29 @@
 		Expect(given.Log.Level).To(Equal("debug"))
 	})
 
+	It("hands a node the settings of its file, and nothing without one", func() {
+		var given []settings.NodeSettings
+		platform := 0
+		runners := Runners{
+			Node: func(_ context.Context, version string, loaded settings.NodeSettings) error {
+				Expect(version).To(Equal("v1"))
+				given = append(given, loaded)
+				return nil
+			},
+			PlatformNode: func(context.Context, string) error { platform++; return nil },
+		}
+		got := runWith(runners, "node", "--settings", nodeExample, "--set", "node.name=node-7")
+		Expect(got.code).To(Equal(ExitOK), got.errors)
+		Expect(given).To(HaveLen(1))
+		Expect(given[0].Node.Name).To(Equal("node-7"))
+		Expect(runWith(runners, "node").code).To(Equal(ExitOK))
+		Expect(platform).To(Equal(1))
+		expectOneLine(runWith(runners, "node", "--set", "node.name=node-7"), ExitUsage, "needs --settings")
+		expectOneLine(runWith(runners, "node", "--settings", nodeExample, "--set", "node.seeds=a"), ExitUsage, "node.seeds: unknown key")
+		expectOneLine(run("check-settings", "--role", "node", "--settings", "absent.toml"), ExitUsage, "absent.toml")
+		Expect(given).To(HaveLen(1))
+	})
+
 	It("turns a process's failure into one line and an exit code", func() {
 		for failure, code := range map[error]int{
 			resultcode.New(resultcode.AddressInUse, "127.0.0.1:1 is taken"): ExitUsage,
@@ -94,12 +120,16 @@
 	})
 
 	It("lists all keys", func() {
-		Expect(run("check-settings", "--keys").output).To(Equal(settings.Markdown()))
+		Expect(run("check-settings", "--keys").output).To(Equal(settings.Markdown(settings.Table())))
+		Expect(run("check-settings", "--role", "node", "--keys").output).To(Equal(settings.Markdown(settings.NodeTable())))
 	})
 })
 
 var _ = Describe("examples", func() {
 	It("have sound settings and configurations", func() {
+		got := run("check-settings", "--role", "node", "--settings", nodeExample)
+		Expect(got.code).To(Equal(ExitOK), got.errors)
+		Expect(got.output).To(ContainSubstring("node node-1 in zone zone-1"))
 		for _, place := range []string{"namibia", "cairo"} {
 			directory := filepath.Join("../../examples", place)
 			for _, role := range []string{"gateway", "scheduler"} {
--- a/internal/command/process.go
+++ b/internal/command/process.go
@@ -28,13 +28,9 @@
 // overrides turns the flags into settings overrides. The short forms come last
 // and win over --set.
 func (flags *SettingsFlags) overrides() ([]settings.Override, error) {
-	var overrides []settings.Override
-	for _, pair := range flags.Set {
-		key, value, found := strings.Cut(pair, "=")
-		if !found || key == "" {
-			return nil, resultcode.New(resultcode.InvalidSettings, "--set: %q is not KEY=VALUE", pair)
-		}
-		overrides = append(overrides, settings.Override{Key: key, Value: value})
+	overrides, err := parseOverrides(flags.Set)
+	if err != nil {
+		return nil, err
 	}
 	shortForms := []struct {
 		key   string
@@ -59,6 +55,19 @@
 	return overrides, nil
 }
 
+// parseOverrides reads the values of --set.
+func parseOverrides(pairs []string) ([]settings.Override, error) {
+	var overrides []settings.Override
+	for _, pair := range pairs {
+		key, value, found := strings.Cut(pair, "=")
+		if !found || key == "" {
+			return nil, resultcode.New(resultcode.InvalidSettings, "--set: %q is not KEY=VALUE", pair)
+		}
+		overrides = append(overrides, settings.Override{Key: key, Value: value})
+	}
+	return overrides, nil
+}
+
 // quote writes text as a YAML string, so that an id such as 7 stays text.
 func quote(text string) string {
 	return "'" + strings.ReplaceAll(text, "'", "''") + "'"
@@ -104,13 +113,16 @@
 // CheckSettingsCommand checks settings without starting a process.
 type CheckSettingsCommand struct {
 	SettingsFlags
-	Role string `arg:"--role" placeholder:"ROLE" help:"gateway or scheduler, where the file names none"`
-	Keys bool   `arg:"--keys" help:"print the table of all keys and stop"`
+	Role string `arg:"--role" placeholder:"ROLE" help:"node for a node's TOML file; gateway or scheduler where a YAML file names none"`
+	Keys bool   `arg:"--keys" help:"print the table of all keys and stop; those of a node with --role node"`
 }
 
 func (command *CheckSettingsCommand) run(streams Streams) int {
+	if command.Role == settings.RoleNode {
+		return command.runNode(streams)
+	}
 	if command.Keys {
-		fmt.Fprint(streams.Output, settings.Markdown())
+		fmt.Fprint(streams.Output, settings.Markdown(settings.Table()))
 		return ExitOK
 	}
 	loaded, err := command.load(command.Role)
@@ -122,13 +134,54 @@
 	return ExitOK
 }
 
-// NodeCommand runs a node; the platform names its settings file.
-type NodeCommand struct{}
+func (command *CheckSettingsCommand) runNode(streams Streams) int {
+	if command.Keys {
+		fmt.Fprint(streams.Output, settings.Markdown(settings.NodeTable()))
+		return ExitOK
+	}
+	loaded, err := loadNode(command.Settings, command.Set)
+	if err != nil {
+		return report(streams, err)
+	}
+	fmt.Fprintf(streams.Output, "settings are sound: node %s in zone %s, callers at %s, store at %s\n",
+		loaded.Node.Name, loaded.Node.Zone, loaded.Listen.Callers, loaded.Store.Address)
+	return ExitOK
+}
+
+// loadNode reads and checks a node's settings file with the overrides of --set.
+func loadNode(path string, set []string) (settings.NodeSettings, error) {
+	overrides, err := parseOverrides(set)
+	if err != nil {
+		return settings.NodeSettings{}, err
+	}
+	return settings.LoadNode(path, overrides)
+}
 
-func (*NodeCommand) run(ctx context.Context, streams Streams, version string, runner func(context.Context, string) error) int {
-	err := runner(ctx, version)
+// NodeCommand runs a node, from a settings file of the product's own or, without one, with
+// what the platform hands over.
+type NodeCommand struct {
+	Settings string   `arg:"--settings" placeholder:"FILE" help:"TOML file; its keys are listed by check-settings --role node --keys. Without it the platform names a file"`
+	Set      []string `arg:"--set,separate" placeholder:"KEY=VALUE" help:"override any key of --settings; may be repeated"`
+}
+
+func (command *NodeCommand) run(ctx context.Context, streams Streams, version string, runners Runners) int {
+	err := command.start(ctx, version, runners)
 	if err != nil {
 		return report(streams, err)
 	}
 	return ExitOK
 }
+
+func (command *NodeCommand) start(ctx context.Context, version string, runners Runners) error {
+	if command.Settings != "" {
+		loaded, err := loadNode(command.Settings, command.Set)
+		if err != nil {
+			return err
+		}
+		return runners.Node(ctx, version, loaded)
+	}
+	if len(command.Set) > 0 {
+		return resultcode.New(resultcode.InvalidSettings, "--set: needs --settings")
+	}
+	return runners.PlatformNode(ctx, version)
+}
--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -36,8 +36,10 @@
 type Runners struct {
 	Gateway   Runner
 	Scheduler Runner
-	// Node runs a node with the settings of the platform it runs on.
-	Node func(ctx context.Context, version string) error
+	// Node runs a node with a settings file of the product's own.
+	Node func(ctx context.Context, version string, loaded settings.NodeSettings) error
+	// PlatformNode runs a node with the settings that the platform hands over.
+	PlatformNode func(ctx context.Context, version string) error
 }
 
 // Streams are where a command reads and writes.
@@ -51,7 +53,7 @@
 type Root struct {
 	Gateway       *ProcessCommand       `arg:"subcommand:gateway" help:"run a gateway: takes callers' and operators' requests"`
 	Scheduler     *ProcessCommand       `arg:"subcommand:scheduler" help:"run a scheduler: hosts shards and decides order, place and time"`
-	Node          *NodeCommand          `arg:"subcommand:node" help:"run a node on a platform that hands over its settings file"`
+	Node          *NodeCommand          `arg:"subcommand:node" help:"run a node: takes callers' requests, owns shards of programs, sends to engines"`
 	Operator      *OperatorCommand      `arg:"subcommand:operator" help:"configure and watch the system through a gateway"`
 	CheckSettings *CheckSettingsCommand `arg:"subcommand:check-settings" help:"check a settings file without starting anything"`
 
@@ -106,7 +108,7 @@
 	case root.Scheduler != nil:
 		return root.Scheduler.run(ctx, streams, settings.RoleScheduler, root.version, runners.Scheduler)
 	case root.Node != nil:
-		return root.Node.run(ctx, streams, root.version, runners.Node)
+		return root.Node.run(ctx, streams, root.version, runners)
 	case root.CheckSettings != nil:
 		return root.CheckSettings.run(streams)
 	case root.Operator != nil && parser.Subcommand() != root.Operator:
--- /dev/null
+++ b/internal/node/settings_file.go
@@ -0,0 +1,32 @@
+package node
+
+import (
+	"github.com/magpielug/magpielug/internal/quota"
+	"github.com/magpielug/magpielug/internal/settings"
+)
+
+// FromFile returns the settings of a node that was started with a settings file of the
+// product's own. It has no seeds: it finds the other nodes in the store.
+func FromFile(loaded settings.NodeSettings) Settings {
+	return Settings{
+		Name:             loaded.Node.Name,
+		Zone:             loaded.Node.Zone,
+		CallerAddress:    loaded.Listen.Callers,
+		ReadinessAddress: loaded.Listen.Readiness,
+		PeerAddress:      loaded.Listen.Peers,
+		MetricsAddress:   loaded.Listen.Metrics,
+		MemoryBytes:      int64(loaded.Limits.Memory),
+		Capacity:         loaded.Limits.Cores,
+		Connections:      loaded.Limits.Connections,
+		Shards:           loaded.Store.Partitions,
+		QuotaTolerance: quota.Tolerance{
+			Window:   loaded.Quota.Window,
+			Share:    loaded.Quota.Overage,
+			Requests: loaded.Quota.Slack,
+		},
+		Grace:     loaded.Limits.DrainTimeout,
+		Placement: loaded.Node.Placement,
+		Disabled:  loaded.Node.Disabled,
+		LogLevel:  loaded.Log.Level,
+	}
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -21,6 +21,15 @@
 
 // check applies the bounds of each key, then the rules between keys.
 func check(loaded Settings) error {
+	err := checkBounds(loaded)
+	if err != nil {
+		return err
+	}
+	return checkTogether(loaded)
+}
+
+// checkBounds applies the bounds in the tags of a struct of settings.
+func checkBounds(loaded any) error {
 	err := newValidator().Struct(loaded)
 	var failures validator.ValidationErrors
 	if errors.As(err, &failures) {
@@ -29,7 +38,7 @@
 	if err != nil {
 		return invalid("%s", firstLine(err))
 	}
-	return checkTogether(loaded)
+	return nil
 }
 
 // checkTogether applies the rules between keys.
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -43,22 +43,28 @@
 
 // Parse is Load with the file's content.
 func Parse(content []byte, overrides []Override) (Settings, error) {
-	tree := koanf.New(keyDelimiter)
-	err := tree.Load(rawbytes.Provider(content), yaml.Parser())
-	if err != nil {
-		return Settings{}, invalid("settings file is not YAML: %s", firstLine(err))
-	}
-	err = applyOverrides(tree, overrides)
+	tree, err := readTree(content, "YAML", yaml.Parser(), overrides)
 	if err != nil {
 		return Settings{}, err
 	}
-	loaded, err := decode(tree)
+	loaded, err := decode(tree, Defaults())
 	if err != nil {
 		return Settings{}, err
 	}
 	return loaded, check(loaded)
 }
 
+// readTree parses a file's content, whose format has a name and a parser, and puts overrides
+// over it.
+func readTree(content []byte, format string, parser koanf.Parser, overrides []Override) (*koanf.Koanf, error) {
+	tree := koanf.New(keyDelimiter)
+	err := tree.Load(rawbytes.Provider(content), parser)
+	if err != nil {
+		return nil, invalid("settings file is not %s: %s", format, firstLine(err))
+	}
+	return tree, applyOverrides(tree, overrides)
+}
+
 func applyOverrides(tree *koanf.Koanf, overrides []Override) error {
 	for _, override := range overrides {
 		if override.OnlyIfMissing && tree.Exists(override.Key) {
@@ -82,8 +88,8 @@
 
 // decode fills the defaults with what tree names. It accepts no unknown key
 // and no value of another type.
-func decode(tree *koanf.Koanf) (Settings, error) {
-	loaded := Defaults()
+func decode[Loaded any](tree *koanf.Koanf, defaults Loaded) (Loaded, error) {
+	loaded := defaults
 	var metadata mapstructure.Metadata
 	err := tree.UnmarshalWithConf("", &loaded, koanf.UnmarshalConf{
 		Tag: keyTag,
@@ -95,10 +101,10 @@
 	})
 	if len(metadata.Unused) > 0 {
 		sort.Strings(metadata.Unused)
-		return Settings{}, invalid("%s: unknown key", metadata.Unused[0])
+		return defaults, invalid("%s: unknown key", metadata.Unused[0])
 	}
 	if err != nil {
-		return Settings{}, decodeFailure(err)
+		return defaults, decodeFailure(err)
 	}
 	return loaded, nil
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -1,6 +1,7 @@
-// Package settings reads and checks the settings of a process: a YAML file,
-// then flags, each key with a unit and bounds. The table of all keys stands in
-// docs/OPERATIONS.md and is checked against this package by a test.
+// Package settings reads and checks the settings of a process: a TOML file of a
+// node or a YAML file of a gateway or scheduler, then flags, each key with a unit
+// and bounds. The tables of all keys stand in docs/OPERATIONS.md and are checked
+// against this package by a test.
 package settings
 
 import (
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -116,12 +116,15 @@
 })
 
 var _ = Describe("docs/OPERATIONS.md", func() {
-	It("lists every key with its default, unit and bounds", func() {
+	DescribeTable("lists every key with its default, unit and bounds", func(rows []Row) {
 		page, err := os.ReadFile("../../docs/OPERATIONS.md")
 		Expect(err).NotTo(HaveOccurred())
-		for _, line := range strings.Split(Markdown(), "\n") {
+		for _, line := range strings.Split(Markdown(rows), "\n") {
 			Expect(string(page)).To(ContainSubstring(line))
 		}
-		Expect(strings.Count(string(page), "\n| `")).To(BeNumerically(">=", len(Table())))
-	})
+		Expect(strings.Count(string(page), "\n| `")).To(BeNumerically(">=", len(Table())+len(NodeTable())))
+	},
+		Entry("of gateways and schedulers", Table()),
+		Entry("of nodes", NodeTable()),
+	)
 })
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -14,10 +14,11 @@
 	About   string
 }
 
-// Table lists every key in the order of the settings' fields.
-func Table() []Row {
-	return appendRows(nil, "", reflect.ValueOf(Defaults()))
-}
+// Table lists every key of a gateway and a scheduler in the order of the settings' fields.
+func Table() []Row { return appendRows(nil, "", reflect.ValueOf(Defaults())) }
+
+// NodeTable lists every key of a node.
+func NodeTable() []Row { return appendRows(nil, "", reflect.ValueOf(NodeDefaults())) }
 
 func appendRows(rows []Row, prefix string, value reflect.Value) []Row {
 	for index := range value.NumField() {
@@ -84,11 +85,11 @@
 	return strings.Join(parts, "; ")
 }
 
-// Markdown returns the table as docs/OPERATIONS.md holds it.
-func Markdown() string {
+// Markdown returns a table as docs/OPERATIONS.md holds it.
+func Markdown(rows []Row) string {
 	var text strings.Builder
 	text.WriteString("| key | default | unit and bounds | meaning |\n|---|---|---|---|\n")
-	for _, row := range Table() {
+	for _, row := range rows {
 		fmt.Fprintf(&text, "| `%s` | %s | %s | %s |\n", row.Key, row.Default, row.Bounds, row.About)
 	}
 	return text.String()
--- a/rehearsal/nodesettings/nodesettings.go
+++ b/rehearsal/nodesettings/nodesettings.go
@@ -1,5 +1,5 @@
-// Package nodesettings writes settings files of nodes in the form of the users' platform, for
-// tests that start nodes as processes on one machine.
+// Package nodesettings writes settings files of nodes that are started as processes on one
+// machine, in the product's own form and in that of the users' platform.
 package nodesettings
 
 import (
@@ -16,7 +16,8 @@
 
 const (
 	// host is the address of all nodes.
-	host = "127.0.0.1"
+	host        = "127.0.0.1"
+	defaultZone = "z1"
 	// memoryMegabytes and descriptors are those of the users' smaller machines.
 	memoryMegabytes = 254
 	descriptors     = 8200
@@ -25,6 +26,8 @@
 // Settings are those of one node.
 type Settings struct {
 	Name string
+	// Zone is empty for the one zone of a test.
+	Zone string
 	// Front, Ready, Peer, Metrics and Control are ports; Peer is below Metrics. Control
 	// may be 0 for a node without one.
 	Front, Ready, Peer, Metrics, Control int
@@ -52,17 +55,58 @@
 // Address returns the address of one of the node's ports.
 func Address(port int) string { return fmt.Sprintf("%s:%d", host, port) }
 
-// Write puts the settings into a directory, and returns the file's path.
+// Write puts the settings into a directory in the form of the users' platform, and returns
+// the file's path.
 func (settings Settings) Write(directory string) (string, error) {
-	path := filepath.Join(directory, settings.Name+".conf")
-	err := os.WriteFile(path, []byte(settings.content()), 0o600)
+	return write(filepath.Join(directory, settings.Name+".conf"), settings.content())
+}
+
+// WriteOwn is Write in the product's own form, which names no other nodes: Control and Seeds
+// are left out.
+func (settings Settings) WriteOwn(directory string) (string, error) {
+	return write(filepath.Join(directory, settings.Name+".toml"), settings.ownContent())
+}
+
+func write(path, content string) (string, error) {
+	err := os.WriteFile(path, []byte(content), 0o600)
 	return path, eris.Wrap(err, "write a node's settings")
 }
 
+func (settings Settings) zone() string {
+	if settings.Zone == "" {
+		return defaultZone
+	}
+	return settings.Zone
+}
+
+func (settings Settings) ownContent() string {
+	lines := []string{
+		"[node]",
+		fmt.Sprintf("name = %q", settings.Name),
+		fmt.Sprintf("zone = %q", settings.zone()),
+		"[listen]",
+		fmt.Sprintf("callers = %q", Address(settings.Front)),
+		fmt.Sprintf("readiness = %q", Address(settings.Ready)),
+		fmt.Sprintf("peers = %q", Address(settings.Peer)),
+		fmt.Sprintf("metrics = %q", Address(settings.Metrics)),
+		"[store]",
+		fmt.Sprintf("address = %q", settings.Store),
+		fmt.Sprintf("partitions = %d", settings.Partitions),
+		"[limits]",
+		fmt.Sprintf(`memory = "%dMiB"`, memoryMegabytes),
+		fmt.Sprintf(`drain_timeout = "%ds"`, settings.Grace),
+	}
+	if settings.Quota != nil {
+		lines = append(lines, "[quota]", fmt.Sprintf(`window = "%ds"`, settings.Quota.Window),
+			fmt.Sprintf("overage = %g", settings.Quota.Overage), fmt.Sprintf("slack = %d", settings.Quota.Slack))
+	}
+	return strings.Join(lines, "\n") + "\n"
+}
+
 func (settings Settings) content() string {
 	lines := []string{
 		"NodeName=" + settings.Name,
-		"Zone=z1",
+		"Zone=" + settings.zone(),
 		"Ip=" + host,
 		"Listen.Front=" + Address(settings.Front),
 		"Listen.Readiness=" + Address(settings.Ready),
--- a/rehearsal/nodesettings/nodesettings_test.go
+++ b/rehearsal/nodesettings/nodesettings_test.go
@@ -4,7 +4,9 @@
 	"os"
 	"strings"
 	"testing"
+	"time"
 
+	ownsettings "github.com/magpielug/magpielug/internal/settings"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
@@ -30,4 +32,19 @@
 		settings.Seeds = []string{"a", "b"}
 		Expect(strings.Split(settings.content(), "\n")).To(ContainElements("Listen.Control=127.0.0.1:5", "Seeds=a,b"))
 	})
+
+	It("holds the same in the product's own form", func() {
+		settings := Settings{Name: "node-1", Zone: "zone-3", Front: 1, Ready: 2, Peer: 3, Metrics: 4, Store: "127.0.0.1:9", Partitions: 4, Grace: 8,
+			Quota: &Quota{Window: 5, Overage: 0.1, Slack: 20}}
+		path, err := settings.WriteOwn(GinkgoT().TempDir())
+		Expect(err).NotTo(HaveOccurred())
+		loaded, err := ownsettings.LoadNode(path, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(loaded.Node.Name).To(Equal("node-1"))
+		Expect(loaded.Node.Zone).To(Equal("zone-3"))
+		Expect(loaded.Listen).To(Equal(ownsettings.NodeListen{Callers: "127.0.0.1:1", Readiness: "127.0.0.1:2", Peers: "127.0.0.1:3", Metrics: "127.0.0.1:4"}))
+		Expect(loaded.Store).To(Equal(ownsettings.NodeStore{Address: "127.0.0.1:9", Partitions: 4}))
+		Expect(loaded.Limits.DrainTimeout).To(Equal(8 * time.Second))
+		Expect(loaded.Quota).To(Equal(ownsettings.NodeQuota{Window: 5 * time.Second, Overage: 0.1, Slack: 20}))
+	})
 })
