Rehearsal: a store, an engine and a tool for nodes, started by hand

A node could be tried only through tests: the stand-ins of its store and engines lived inside them. `rehearsal store|engine|tool` start the same stand-ins as processes; the store holds a configuration, engines and tools list themselves in it and leave the list when they stop. The stand-ins of the schedulers' platform that had these names are now pool-engine and pool-tool. The records that operators and engines write are typed, in one package, in place of format strings of the soak.

--- a/cmd/rehearsal/main.go
+++ b/cmd/rehearsal/main.go
@@ -29,11 +29,14 @@
 	Experiment *command.Experiment      `arg:"subcommand:experiment" help:"compare policies over the engine model"`
 	Speed      *command.Speed           `arg:"subcommand:speed" help:"measure what gateway and scheduler add to a call"`
 	Cost       *command.Cost            `arg:"subcommand:cost" help:"measure what schedulers and gateways use, idle and loaded"`
-	Engine     *command.StandInEngine   `arg:"subcommand:engine" help:"run a stand-in model engine"`
-	Log        *command.StandInLog      `arg:"subcommand:log" help:"run a stand-in log service"`
-	Machines   *command.StandInMachines `arg:"subcommand:machines" help:"run a stand-in machine list"`
-	Weights    *command.StandInWeights  `arg:"subcommand:weights" help:"run a stand-in weight store"`
-	Tool       *command.StandInTool     `arg:"subcommand:tool" help:"run a stand-in tool service"`
+	Store      *command.Store           `arg:"subcommand:store" help:"run a stand-in of the nodes' store, with a configuration"`
+	Engine     *command.Engine          `arg:"subcommand:engine" help:"run a stand-in model engine for nodes"`
+	Tool       *command.Tool            `arg:"subcommand:tool" help:"run a stand-in tool service for nodes"`
+	Log        *command.StandInLog      `arg:"subcommand:log" help:"run a stand-in log service for schedulers"`
+	Machines   *command.StandInMachines `arg:"subcommand:machines" help:"run a stand-in machine list for schedulers"`
+	Weights    *command.StandInWeights  `arg:"subcommand:weights" help:"run a stand-in weight store for schedulers"`
+	PoolEngine *command.PoolEngine      `arg:"subcommand:pool-engine" help:"run a stand-in model engine for schedulers"`
+	PoolTool   *command.PoolTool        `arg:"subcommand:pool-tool" help:"run a stand-in tool service for schedulers"`
 }
 
 // Description heads the help text.
--- a/rehearsal/cluster/cluster.go
+++ b/rehearsal/cluster/cluster.go
@@ -139,7 +139,7 @@
 }
 
 func (cluster *Cluster) startEngine(machine Machine) error {
-	return cluster.startChild(machine.ID, cluster.binaries.Rehearsal, append([]string{"engine",
+	return cluster.startChild(machine.ID, cluster.binaries.Rehearsal, append([]string{"pool-engine",
 		"--model", machine.Service,
 		"--blocks", strconv.Itoa(cluster.plan.Blocks),
 		"--running-limit", strconv.Itoa(cluster.plan.RunningLimit),
@@ -148,7 +148,7 @@
 }
 
 func (cluster *Cluster) startTool(machine Machine) error {
-	return cluster.startChild(machine.ID, cluster.binaries.Rehearsal, append([]string{"tool",
+	return cluster.startChild(machine.ID, cluster.binaries.Rehearsal, append([]string{"pool-tool",
 		"--service", machine.Service,
 	}, cluster.registration(machine)...))
 }
--- a/rehearsal/command/standin.go
+++ b/rehearsal/command/standin.go
@@ -2,176 +2,153 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"net/http"
 	"os"
 	"time"
 
-	"github.com/magpielug/magpielug/internal/httpserver"
-	"github.com/magpielug/magpielug/internal/outside"
-	"github.com/magpielug/magpielug/internal/outside/httpadapter"
-	"github.com/magpielug/magpielug/rehearsal/enginemodel"
-	"github.com/magpielug/magpielug/rehearsal/standin/engine"
-	"github.com/magpielug/magpielug/rehearsal/standin/logservice"
-	"github.com/magpielug/magpielug/rehearsal/standin/machines"
-	"github.com/magpielug/magpielug/rehearsal/standin/tool"
-	"github.com/magpielug/magpielug/rehearsal/standin/weights"
+	"github.com/rotisserie/eris"
+
+	"github.com/magpielug/magpielug/internal/httpclient"
+	"github.com/magpielug/magpielug/internal/wait"
+	"github.com/magpielug/magpielug/rehearsal/standin/agentengine"
+	"github.com/magpielug/magpielug/rehearsal/standin/logstore"
+	"github.com/magpielug/magpielug/rehearsal/standin/records"
 )
 
 const (
-	// standInBodyBytes bounds the requests that a stand-in takes.
-	standInBodyBytes = 16 << 20
-	// standInInFlight bounds the requests that a stand-in serves at once.
-	standInInFlight = 16384
-	// standInDrain bounds the wait for requests under way at a stop.
-	standInDrain = 10 * time.Second
+	// tokensPerEvent is what an event of a stand-in engine's stream counts for.
+	tokensPerEvent = 9
+	// announceRetry is the wait before a failed record is written again.
+	announceRetry = 200 * time.Millisecond
+	// announceTimeout bounds one write of a record.
+	announceTimeout = 2 * time.Second
+	// leaveNotice is how long a leaving engine still takes requests: nodes read the
+	// engines' records every 0.4 s.
+	leaveNotice = time.Second
 )
 
-// StandInEngine runs a stand-in model engine.
-type StandInEngine struct {
-	Listen string `arg:"--listen,required" placeholder:"HOST:PORT" help:"address to listen on"`
-	Registration
-	Model          string        `arg:"--model" default:"default" help:"model served from the start"`
-	Version        string        `arg:"--version" default:"1" help:"version of the model"`
-	Adapters       []string      `arg:"--adapter,separate" help:"adapter loaded from the start (repeatable)"`
-	Blocks         int           `arg:"--blocks" default:"8192" help:"cache blocks"`
-	BlockTokens    int           `arg:"--block-tokens" default:"16" help:"tokens a cache block"`
-	RunningLimit   int           `arg:"--running-limit" default:"64" help:"requests in one batch"`
-	StepBase       time.Duration `arg:"--step" default:"3ms" help:"duration of an empty step"`
-	ReportLag      time.Duration `arg:"--report-lag" default:"100ms" help:"age of a load report"`
-	EventDelay     time.Duration `arg:"--event-delay" default:"200ms" help:"delay of cache events"`
-	EventLoss      float64       `arg:"--event-loss" default:"0.05" help:"share of cache events that are lost"`
-	Seed           uint64        `arg:"--seed" default:"1" help:"seed of the lost events"`
-	WeightsAddress string        `arg:"--weights" placeholder:"HOST:PORT" help:"weight store; none grants every load"`
-	LoadDuration   time.Duration `arg:"--load-duration" default:"500ms" help:"time to move weights"`
+// Store runs a stand-in of the nodes' store, with a configuration in it.
+type Store struct {
+	Listen string `arg:"--listen" default:"127.0.0.1:7600" placeholder:"IP:PORT" help:"address to listen on"`
+	Host   string `arg:"--host" default:"127.0.0.1" help:"host that callers name; the configuration's routes are for it"`
 }
 
 // Run serves until ctx ends.
-func (command *StandInEngine) Run(ctx context.Context) error {
-	config, err := command.config()
-	if err != nil {
-		return err
-	}
-	standIn := engine.New(config)
-	defer standIn.Close()
-	command.role = outside.RoleEngine
-	command.service = command.Model
-	return serveStandIn(ctx, command.Listen, standIn.Handler(), &command.Registration)
-}
-
-func (command *StandInEngine) config() (engine.Config, error) {
-	batching := enginemodel.DefaultConfig()
-	batching.Blocks = command.Blocks
-	batching.BlockTokens = command.BlockTokens
-	batching.RunningLimit = command.RunningLimit
-	batching.StepBase = command.StepBase
-	config := engine.Config{
-		Name:         command.ID,
-		Model:        command.Model,
-		Version:      command.Version,
-		Adapters:     command.Adapters,
-		Role:         engine.RoleMixed,
-		Batching:     batching,
-		ReportLag:    command.ReportLag,
-		EventDelay:   command.EventDelay,
-		EventLoss:    command.EventLoss,
-		EventSeed:    command.Seed,
-		LoadDuration: command.LoadDuration,
-	}
-	if err := batching.Validate(); err != nil {
-		return config, err
-	}
-	if command.WeightsAddress == "" {
-		return config, nil
-	}
-	client, err := httpadapter.NewClient(httpadapter.Config{})
+func (command *Store) Run(ctx context.Context) error {
+	store, err := logstore.Start(command.Listen)
 	if err != nil {
-		return config, err
+		return eris.Wrap(err, "start the store")
 	}
-	config.Weights = httpadapter.NewWeights(client, command.WeightsAddress)
-	return config, nil
-}
-
-// StandInLog runs a stand-in log service.
-type StandInLog struct {
-	Listen   string `arg:"--listen,required" placeholder:"HOST:PORT" help:"address to listen on"`
-	MaxBytes int    `arg:"--max-bytes" default:"1073741824" help:"bound on all records together"`
-}
-
-// Run serves until ctx ends.
-func (command *StandInLog) Run(ctx context.Context) error {
-	standIn := logservice.New(logservice.Config{MaxBytes: command.MaxBytes})
-	return serveStandIn(ctx, command.Listen, standIn.Handler(), nil)
+	defer store.Close()
+	configuration := records.NewConfiguration(1, command.Host, tokensPerEvent)
+	store.Put(records.TopicOperator, records.KeyConfiguration, records.Encode(configuration))
+	fmt.Fprintf(os.Stderr, "event=listening address=%s\n", store.Address())
+	<-ctx.Done()
+	return nil
 }
 
-// StandInMachines runs a stand-in machine list.
-type StandInMachines struct {
-	Listen string        `arg:"--listen,required" placeholder:"HOST:PORT" help:"address to listen on"`
-	Lag    time.Duration `arg:"--lag" default:"1s" help:"how late a change shows"`
+// Engine runs a stand-in model engine.
+type Engine struct {
+	Listen string `arg:"--listen" default:"127.0.0.1:7610" placeholder:"IP:PORT" help:"address to listen on"`
+	NodeBackEnd
+	Events int           `arg:"--events" default:"20" help:"events of a stream"`
+	Pause  time.Duration `arg:"--pause" default:"50ms" help:"time between two events"`
 }
 
 // Run serves until ctx ends.
-func (command *StandInMachines) Run(ctx context.Context) error {
-	standIn := machines.New(machines.Config{Lag: command.Lag})
-	return serveStandIn(ctx, command.Listen, standIn.Handler(), nil)
+func (command *Engine) Run(ctx context.Context) error {
+	return command.serve(ctx, command.Listen, records.ServiceModels, command.Events, agentengine.Faults{Pause: command.Pause})
 }
 
-// StandInWeights runs a stand-in weight store.
-type StandInWeights struct {
-	Listen    string  `arg:"--listen,required" placeholder:"HOST:PORT" help:"address to listen on"`
-	PerSecond float64 `arg:"--per-second" default:"1" help:"moves granted a second"`
-	Burst     int     `arg:"--burst" default:"2" help:"moves granted at once"`
+// Tool runs a stand-in tool service.
+type Tool struct {
+	Listen string `arg:"--listen" default:"127.0.0.1:7620" placeholder:"IP:PORT" help:"address to listen on"`
+	NodeBackEnd
 }
 
 // Run serves until ctx ends.
-func (command *StandInWeights) Run(ctx context.Context) error {
-	standIn := weights.New(weights.Config{PerSecond: command.PerSecond, Burst: command.Burst})
-	return serveStandIn(ctx, command.Listen, standIn.Handler(), nil)
-}
-
-// StandInTool runs a stand-in application or tool service.
-type StandInTool struct {
-	Listen string `arg:"--listen,required" placeholder:"HOST:PORT" help:"address to listen on"`
-	Registration
-	Service string        `arg:"--service" help:"service served; none serves every name"`
-	Delay   time.Duration `arg:"--delay" default:"0s" help:"least duration of a call"`
+func (command *Tool) Run(ctx context.Context) error {
+	return command.serve(ctx, command.Listen, records.ServiceTools, 0, agentengine.Faults{})
 }
 
-// Run serves until ctx ends.
-func (command *StandInTool) Run(ctx context.Context) error {
-	standIn := tool.New(tool.Config{Service: command.Service, Delay: command.Delay})
-	command.role = outside.RoleTool
-	command.service = command.Service
-	return serveStandIn(ctx, command.Listen, standIn.Handler(), &command.Registration)
+// NodeBackEnd puts a stand-in on the list of engines that nodes read in the store.
+type NodeBackEnd struct {
+	Store string `arg:"--store" default:"127.0.0.1:7600" placeholder:"IP:PORT" help:"store to be listed in"`
+	ID    string `arg:"--id" help:"name in the store; default is made of service and address"`
+	Zone  string `arg:"--zone" default:"zone-1" help:"zone of the machine"`
 }
 
-// serveStandIn serves until ctx ends, then lets requests under way finish. With
-// a registration the stand-in is on the machine list meanwhile: live, then
-// leaving, then gone.
-func serveStandIn(ctx context.Context, listen string, handler http.Handler, entry *Registration) error {
-	server, err := httpserver.Start(listen, handler, httpserver.Limits{
-		MaxConnections: standInInFlight,
-		MaxInFlight:    standInInFlight,
-		MaxBodyBytes:   standInBodyBytes,
-	})
+// serve runs the stand-in until ctx ends: listed as ready, then as leaving, then gone.
+func (entry *NodeBackEnd) serve(ctx context.Context, listen, service string, events int, faults agentengine.Faults) error {
+	if entry.ID == "" {
+		entry.ID = service + "-" + listen
+	}
+	engine, err := agentengine.Start(listen, entry.ID, events)
+	if err != nil {
+		return eris.Wrapf(err, "start %s", entry.ID)
+	}
+	defer engine.Close()
+	engine.SetFaults(faults)
+	client, err := httpclient.New(httpclient.Options{Timeout: announceTimeout})
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(os.Stderr, "event=listening address=%s\n", server.Address())
-	if entry != nil {
-		go entry.register(ctx, entry.machine(server.Address()))
+	defer client.CloseIdleConnections()
+	listed := &listing{
+		store:  &logstore.Client{Address: entry.Store, HTTP: client},
+		id:     entry.ID,
+		server: records.Server{Service: service, Address: engine.Address(), Zone: entry.Zone, Slots: records.Slots},
 	}
+	listed.keepTrying(ctx, records.StateReady)
+	fmt.Fprintf(os.Stderr, "event=listening address=%s id=%s service=%s\n", engine.Address(), entry.ID, service)
 	<-ctx.Done()
-	drain, cancel := context.WithTimeout(context.WithoutCancel(ctx), standInDrain)
+	return leave(context.WithoutCancel(ctx), engine, listed)
+}
+
+// leave has the nodes send nothing new, lets what is under way finish, and takes the engine
+// off the list. A store that is gone needs no record.
+func leave(ctx context.Context, engine *agentengine.Engine, listed *listing) error {
+	bounded, cancel := context.WithTimeout(ctx, standInDrain)
 	defer cancel()
-	if entry != nil {
-		entry.order(drain, machines.PathLeave)
-		defer entry.order(drain, machines.PathRemove)
+	if listed.write(bounded, records.StateDraining) == nil {
+		wait.For(bounded, leaveNotice)
+	}
+	err := engine.Drain(bounded)
+	if err != nil {
+		return eris.Wrapf(err, "requests were cut after %s", standInDrain)
+	}
+	if failure := listed.remove(bounded); failure != nil {
+		fmt.Fprintf(os.Stderr, "event=\"not taken off the list\" id=%s error=%q\n", listed.id, failure)
 	}
-	err = server.Shutdown(drain)
-	if errors.Is(err, context.DeadlineExceeded) {
-		return fmt.Errorf("requests were cut after %s: %w", standInDrain, err)
+	return nil
+}
+
+// listing is an engine's record in the store.
+type listing struct {
+	store  *logstore.Client
+	id     string
+	server records.Server
+}
+
+func (listing *listing) write(ctx context.Context, state string) error {
+	record := listing.server
+	record.State = state
+	return listing.store.Put(ctx, records.TopicEngines, listing.id, records.Encode(record))
+}
+
+func (listing *listing) remove(ctx context.Context) error {
+	return listing.store.Put(ctx, records.TopicEngines, listing.id, nil)
+}
+
+// keepTrying writes the record until the store has taken it or ctx ends: the store may be
+// started later.
+func (listing *listing) keepTrying(ctx context.Context, state string) {
+	for ctx.Err() == nil {
+		err := listing.write(ctx, state)
+		if err == nil {
+			return
+		}
+		fmt.Fprintf(os.Stderr, "event=\"not listed yet\" id=%s error=%q\n", listing.id, err)
+		wait.For(ctx, announceRetry)
 	}
-	return err
 }
--- a/rehearsal/command/standin_test.go
+++ b/rehearsal/command/standin_test.go
@@ -2,77 +2,102 @@
 
 import (
 	"context"
-	"net"
+	"encoding/json"
+	"io"
 	"net/http"
+	"os/exec"
+	"strings"
 	"time"
 
-	"github.com/alexflint/go-arg"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gexec"
 
-	"github.com/magpielug/magpielug/internal/outside"
-	"github.com/magpielug/magpielug/internal/outside/httpadapter"
-	"github.com/magpielug/magpielug/rehearsal/standin/engine"
+	"github.com/magpielug/magpielug/rehearsal/standin/logstore"
+	"github.com/magpielug/magpielug/rehearsal/standin/records"
 )
 
-const settleTimeout = 20 * time.Second
+// nodeExample is the settings file that README starts a node with.
+const nodeExample = "../../examples/node.toml"
 
-// start parses a command line into the sub-command and runs it until the test's
-// end.
-func start(command interface{ Run(context.Context) error }, line ...string) {
-	parser, err := arg.NewParser(arg.Config{}, command)
+// ask sends a request to a node and returns its status and body, and how many reads gave it.
+func ask(address, path, id, body string) (status int, content string, pieces int) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+address+path, strings.NewReader(body))
 	Expect(err).NotTo(HaveOccurred())
-	Expect(parser.Parse(line)).To(Succeed())
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- command.Run(ctx) }()
-	DeferCleanup(func() {
-		cancel()
-		Eventually(ended, settleTimeout).Should(Receive(Succeed()))
-	})
+	request.Header.Set("Request-Id", id)
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: settleTimeout}
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, err.Error(), 0
+	}
+	defer func() { _ = response.Body.Close() }()
+	buffer := make([]byte, 4096)
+	for err == nil {
+		var count int
+		count, err = response.Body.Read(buffer)
+		content += string(buffer[:count])
+		pieces++
+	}
+	Expect(err).To(MatchError(io.EOF))
+	return response.StatusCode, content, pieces
 }
 
-// freeAddress returns a loopback address that was free a moment ago.
-func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+// startNode starts a node by its example file, at addresses of the test.
+func startNode(store string) (callers string) {
+	binary, err := gexec.Build("github.com/magpielug/magpielug/cmd/magpielug")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(gexec.CleanupBuildArtifacts)
+	callers = freeAddress()
+	session, err := gexec.Start(exec.Command(binary, "node", "--settings", nodeExample, "--set", "store.address="+store, "--set", "listen.callers="+callers,
+		"--set", "listen.readiness="+freeAddress(), "--set", "listen.peers="+freeAddress(), "--set", "listen.metrics="+freeAddress()), GinkgoWriter, GinkgoWriter)
 	Expect(err).NotTo(HaveOccurred())
-	defer func() { Expect(listener.Close()).To(Succeed()) }()
-	return listener.Addr().String()
+	DeferCleanup(func() { session.Kill().Wait() })
+	return callers
 }
 
-var _ = Describe("Stand-in commands", func() {
-	It("serve, and keep their back ends on the machine list while they run", func() {
-		list, back, tools, store, log := freeAddress(), freeAddress(), freeAddress(), freeAddress(), freeAddress()
-		client, err := httpadapter.NewClient(httpadapter.Config{})
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(client.Close)
-		DeferCleanup(http.DefaultClient.CloseIdleConnections)
-		start(&StandInMachines{}, "--listen", list, "--lag", "0s")
-		start(&StandInWeights{}, "--listen", store)
-		start(&StandInLog{}, "--listen", log)
-		start(&StandInTool{}, "--listen", tools, "--service", "metering", "--machines", list)
-		start(&StandInEngine{}, "--listen", back, "--id", "engine-1", "--model", "small", "--machines", list, "--weights", store, "--report-lag", "1ms")
+var _ = Describe("A store, an engine, a tool and a node started by hand", func() {
+	It("stream an answer, and run a tool call", func() {
+		store := freeAddress()
+		start(&Engine{}, "--listen", freeAddress(), "--store", store, "--events", "5", "--pause", "20ms")
+		start(&Tool{}, "--listen", freeAddress(), "--store", store)
+		start(&Store{}, "--listen", store)
+		callers := startNode(store)
+		// Each try is a request of its own.
+		Eventually(func() int {
+			status, _, _ := ask(callers, records.PathTool+"x", "tool-"+time.Now().String(), "credit")
+			return status
+		}, settleTimeout, "50ms").Should(Equal(http.StatusOK))
+		status, content, pieces := ask(callers, records.PathKept+"chat", "turn-1", "why was the token refused?")
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(content).To(And(HavePrefix("id: 1\ndata: turn-1-1\n\n"), HaveSuffix("id: 5\ndata: turn-1-5\n\n")))
+		Expect(pieces).To(BeNumerically(">", 2), "the answer came at once")
+	})
 
-		ctx := context.Background()
-		Eventually(func() ([]outside.Machine, error) {
-			return httpadapter.NewMachines(client, list).List(ctx)
-		}, settleTimeout).Should(HaveLen(2))
-		engines := httpadapter.NewEngine(client)
-		var text string
-		prompt := []string{"hello [[tokens=20]]"}
-		request := outside.GenerateRequest{RequestID: "r", Program: "p", Model: "small", Prompt: prompt, MaxTokens: 40}
-		Expect(engines.Generate(ctx, back, request, func(chunk outside.EngineChunk) error {
-			text += chunk.Text
-			return nil
-		})).To(Succeed())
-		Expect(text).To(Equal(engine.ExpectedOutput("p", "r", prompt, 40).Text))
-		Expect(engines.Load(ctx, back, "large", "", "2", outside.Fence{Epoch: 1})).To(Succeed())
-		Eventually(func() (string, error) {
-			report, err := engines.Report(ctx, back)
-			return report.Model + report.Version, err
-		}, settleTimeout).Should(Equal("large2"))
-		offset, err := httpadapter.NewLog(client, log).Append(ctx, "s", []byte("x"))
+	It("leave the store's list when they stop", func() {
+		store, err := logstore.Start(freeAddress())
 		Expect(err).NotTo(HaveOccurred())
-		Expect(offset).To(BeZero())
+		DeferCleanup(store.Close)
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		command := &Engine{Listen: freeAddress(), Events: 1}
+		command.Store, command.ID, command.Zone = store.Address(), "engine-1", "zone-2"
+		go func() { ended <- command.Run(ctx) }()
+		state := func() string {
+			snapshot, err := store.Log.Newest(context.Background(), records.TopicEngines)
+			Expect(err).NotTo(HaveOccurred())
+			if len(snapshot.Records) == 0 || len(snapshot.Records[0].Value) == 0 {
+				return "gone"
+			}
+			var server records.Server
+			Expect(json.Unmarshal(snapshot.Records[0].Value, &server)).To(Succeed())
+			Expect(server).To(Equal(records.Server{Service: records.ServiceModels, Address: command.Listen, Zone: "zone-2", Slots: records.Slots, State: server.State}))
+			return server.State
+		}
+		Eventually(state, settleTimeout).Should(Equal(records.StateReady))
+		cancel()
+		Eventually(state, settleTimeout).Should(Equal(records.StateDraining))
+		Consistently(ended, "200ms").ShouldNot(Receive())
+		Eventually(state, settleTimeout).Should(Equal("gone"))
+		Eventually(ended, settleTimeout).Should(Receive(Succeed()))
 	})
 })
--- a/rehearsal/soak/caller.go
+++ b/rehearsal/soak/caller.go
@@ -12,13 +12,14 @@
 	"time"
 
 	"github.com/magpielug/magpielug/internal/wait"
+	"github.com/magpielug/magpielug/rehearsal/standin/records"
 )
 
 const (
-	turnPath  = "/stream/kept/x"
-	plainPath = "/stream/plain/x"
-	toolPath  = "/tool/x"
-	safePath  = "/safe/x"
+	turnPath  = records.PathKept + "x"
+	plainPath = records.PathPlain + "x"
+	toolPath  = records.PathTool + "x"
+	safePath  = records.PathSafe + "x"
 	// deadline is what a caller allows an attempt, gap how long it waits for the
 	// next byte of a stream.
 	deadline = 4 * time.Second
@@ -229,7 +230,7 @@
 	if err != nil {
 		return
 	}
-	request.Host = "h"
+	request.Host = callerHost
 	request.Header = header
 	request.Header.Set("Request-Id", attempt.id)
 	request.Header.Set("Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
--- a/rehearsal/soak/faults.go
+++ b/rehearsal/soak/faults.go
@@ -13,6 +13,7 @@
 	"github.com/magpielug/magpielug/rehearsal/relay"
 	"github.com/magpielug/magpielug/rehearsal/standin/agentengine"
 	"github.com/magpielug/magpielug/rehearsal/standin/logstore"
+	"github.com/magpielug/magpielug/rehearsal/standin/records"
 )
 
 const (
@@ -199,7 +200,7 @@
 
 // compactStore drops the history of the keyed topics; the newest records stay.
 func (thrower *thrower) compactStore(ctx context.Context, _ *rand.Rand) string {
-	for _, topic := range []string{topicOperator, topicEngines} {
+	for _, topic := range []string{records.TopicOperator, records.TopicEngines} {
 		snapshot, err := thrower.world.store.Log.Newest(ctx, topic)
 		if err == nil {
 			thrower.world.store.Log.Trim(durable.Partition{Topic: topic}, snapshot.End)
--- a/rehearsal/soak/tenants.go
+++ b/rehearsal/soak/tenants.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/magpielug/magpielug/rehearsal/standin/agentengine"
+	"github.com/magpielug/magpielug/rehearsal/standin/records"
 )
 
 const (
@@ -29,9 +30,11 @@
 
 // tenantRecords are the tenants of a version of the configuration. Each has a key that
 // stays; the free one has a further key that only this version holds.
-func tenantRecords(version int) string {
-	return fmt.Sprintf(`[{"Name":%q,"ApiKeys":[%q,%q]},{"Name":%q,"ApiKeys":[%q],"RatePerS":%d,"Burst":%d}]`,
-		tenantFree, keyOf(tenantFree), versionKey(version), tenantLimited, keyOf(tenantLimited), limitPerSecond, limitBurst)
+func tenantRecords(version int) []records.Tenant {
+	return []records.Tenant{
+		{Name: tenantFree, ApiKeys: []string{keyOf(tenantFree), versionKey(version)}},
+		{Name: tenantLimited, ApiKeys: []string{keyOf(tenantLimited)}, RatePerS: limitPerSecond, Burst: limitBurst},
+	}
 }
 
 // keyOf is the key of a tenant that stays.
--- a/rehearsal/soak/world.go
+++ b/rehearsal/soak/world.go
@@ -11,6 +11,7 @@
 	"github.com/magpielug/magpielug/rehearsal/relay"
 	"github.com/magpielug/magpielug/rehearsal/standin/agentengine"
 	"github.com/magpielug/magpielug/rehearsal/standin/logstore"
+	"github.com/magpielug/magpielug/rehearsal/standin/records"
 	"github.com/rotisserie/eris"
 )
 
@@ -20,13 +21,11 @@
 	// eventsPerStream and tokensPerEvent fix what a turn gives to its caller.
 	eventsPerStream = 4
 	tokensPerEvent  = 9
-	serviceModels   = "models"
-	serviceTools    = "tools"
 	modelEngines    = 3
 	toolEngines     = 2
 	loopback        = "127.0.0.1:0"
-	topicEngines    = "keyed.servers"
-	topicOperator   = "keyed.op"
+	// callerHost is the host that callers name.
+	callerHost = "h"
 )
 
 // engine is a stand-in engine behind a door, and its service.
@@ -57,12 +56,12 @@
 	}
 	built := &world{store: store}
 	for range modelEngines {
-		if err := built.addEngine(serviceModels); err != nil {
+		if err := built.addEngine(records.ServiceModels); err != nil {
 			return nil, err
 		}
 	}
 	for range toolEngines {
-		if err := built.addEngine(serviceTools); err != nil {
+		if err := built.addEngine(records.ServiceTools); err != nil {
 			return nil, err
 		}
 	}
@@ -93,14 +92,14 @@
 	}
 	added := &engine{Engine: started, service: service, door: door}
 	world.engines = append(world.engines, added)
-	world.list(added, "ready")
+	world.list(added, records.StateReady)
 	return nil
 }
 
 // list writes an engine's record.
 func (world *world) list(listed *engine, state string) {
-	record := fmt.Sprintf(`{"Service":%q,"Address":%q,"Zone":"z1","Slots":8,"State":%q}`, listed.service, listed.door.Address(), state)
-	world.store.Put(topicEngines, listed.ID, []byte(record))
+	record := records.Server{Service: listed.service, Address: listed.door.Address(), Zone: "z1", Slots: records.Slots, State: state}
+	world.store.Put(records.TopicEngines, listed.ID, records.Encode(record))
 }
 
 // replace puts a new engine in the place of one, which is closed without a word.
@@ -120,7 +119,7 @@
 	world.mutex.Unlock()
 	old.door.Close()
 	old.Close()
-	world.store.Put(topicEngines, old.ID, nil)
+	world.store.Put(records.TopicEngines, old.ID, nil)
 	return nil
 }
 
@@ -148,16 +147,10 @@
 	world.mutex.Lock()
 	defer world.mutex.Unlock()
 	world.version++
-	record := fmt.Sprintf(`{"Version":%d,"Routes":[
-		{"Name":"kept","Host":"h","PathPrefix":"/stream/kept/","Kind":"streaming","TimeoutMs":4000,"Service":"models","MaxAttempts":1,"RetainContext":true,"RetentionS":60},
-		{"Name":"plain","Host":"h","PathPrefix":"/stream/plain/","Kind":"streaming","TimeoutMs":4000,"Service":"models","MaxAttempts":1},
-		{"Name":"safe","Host":"h","PathPrefix":"/safe/","Kind":"safe","TimeoutMs":2000,"Service":"tools","MaxAttempts":2},
-		{"Name":"tool","Host":"h","PathPrefix":"/tool/","Kind":"unsafe","TimeoutMs":2000,"Service":"tools"},
-		{"Name":"version","Host":"h","PathPrefix":%q,"Kind":"safe","TimeoutMs":2000,"Service":"tools"}],
-		"Services":[{"Name":"models","MaxConnections":80,"Engine":{"Slots":8,"StreamStride":%d}},{"Name":"tools","MaxConnections":80}],
-		"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":1000000},
-		"Tenants":%s}`, world.version, versionPath(world.version), tokensPerEvent, tenantRecords(world.version))
-	world.store.Put(topicOperator, "config", []byte(record))
+	configuration := records.NewConfiguration(world.version, callerHost, tokensPerEvent)
+	configuration.Routes = append(configuration.Routes, records.NewSafeRoute("version", callerHost, versionPath(world.version)))
+	configuration.Tenants = tenantRecords(world.version)
+	world.store.Put(records.TopicOperator, records.KeyConfiguration, records.Encode(configuration))
 	return world.version
 }
 
--- a/rehearsal/standin/agentengine/agentengine.go
+++ b/rehearsal/standin/agentengine/agentengine.go
@@ -4,6 +4,7 @@
 package agentengine
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -68,6 +69,9 @@
 // Close ends the stand-in and its connections.
 func (engine *Engine) Close() { _ = engine.server.Close() }
 
+// Drain takes no new connection and waits for requests under way, until ctx ends.
+func (engine *Engine) Drain(ctx context.Context) error { return engine.server.Shutdown(ctx) }
+
 // SetFaults replaces the faults.
 func (engine *Engine) SetFaults(faults Faults) {
 	engine.mutex.Lock()
--- a/rehearsal/standin/logstore/logstore.go
+++ b/rehearsal/standin/logstore/logstore.go
@@ -43,8 +43,11 @@
 	calls    int
 }
 
-// maxWait bounds a waiting read.
-const maxWait = 30 * time.Second
+const (
+	// maxWait bounds a waiting read.
+	maxWait    = 30 * time.Second
+	pathAppend = "/log-append"
+)
 
 // Start serves on address, "127.0.0.1:0" for a free port.
 func Start(address string) (*Store, error) {
@@ -64,7 +67,7 @@
 	}
 	store := &Store{Log: log, listener: listener}
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /log-append", store.guard(store.append))
+	mux.HandleFunc("POST "+pathAppend, store.guard(store.append))
 	mux.HandleFunc("GET /log-read", store.guard(store.read))
 	mux.HandleFunc("GET /log-newest", store.guard(store.newest))
 	store.server = &http.Server{Handler: mux, ReadHeaderTimeout: maxWait}
