make run and make up show nodes

Both started gateways, schedulers and keepers, which no user runs. Now `make run` starts 8 nodes in 4 zones over a stand-in store with 11 engines and 9 tools, runs generated programs of four tenants with pauses and sub-agents and one that loops until its budget stops it, kills a node, freezes the owner of most shards, publishes a configuration, and prints program latency by tenant against its aim, prompt tokens that a second engine read again, and refusals by cause. The soak's ledger judges it, with two promises more: programs end, the endless one is stopped. `make up` keeps the same serving. Nodes are started by settings files of their own. rehearsal/drive, which drove gateways for the old run, is gone.

--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 up: build
 	$(BIN)/rehearsal up --port $(PORT)
 
-# All scenarios of faults on real processes, TIMES seeds of each; about 8 minutes a round.
+# All scenarios of faults on gateways and schedulers, TIMES seeds of each; about 8 minutes a round.
 TIMES ?= 3
 soak: build
 	$(BIN)/rehearsal fault --port $(PORT) --times $(TIMES) rehearsal/scenarios/*.yaml
--- a/rehearsal/command/run.go
+++ b/rehearsal/command/run.go
@@ -4,84 +4,118 @@
 	"context"
 	"fmt"
 	"os"
+	"path/filepath"
 	"time"
 
 	"github.com/rotisserie/eris"
 
-	"github.com/magpielug/magpielug/rehearsal/drive"
+	"github.com/magpielug/magpielug/rehearsal/soak"
 	"github.com/magpielug/magpielug/rehearsal/workload"
 )
 
 const (
-	progressInterval = 2 * time.Second
-	// cacheSettleBound is how long the last releases may take.
-	cacheSettleBound = 15 * time.Second
-	// endlessNumber sets the endless program's number apart.
-	endlessNumber = 900_000
+	// rehearsalHost is the host that callers name; it is what curl sends by itself.
+	rehearsalHost = "127.0.0.1"
+	// eventPause makes a turn of the stand-in engines last some 60 ms.
+	eventPause = 15 * time.Millisecond
 )
 
-// Run starts everything, runs a mixed set of programs and prints the figures.
+// NodeLayout says what is started of nodes and around them.
+type NodeLayout struct {
+	Deployment string `arg:"--deployment" default:"namibia" help:"namibia or cairo: zones, engines, tools, kinds of programs, and tiers as tenants"`
+	Nodes      int    `arg:"--nodes" default:"8" help:"nodes, spread over the zones"`
+	Port       int    `arg:"--port" default:"7700" help:"port of the first node's callers; each further node's is 10 above the one before"`
+	Directory  string `arg:"--directory" default:"out/rehearsal" help:"where logs and settings files go"`
+	Magpielug  string `arg:"--magpielug" help:"program to start; default is the one beside this program"`
+}
+
+func (layout *NodeLayout) options() (soak.StagedOptions, error) {
+	deployment, err := workload.DeploymentByName(layout.Deployment)
+	if err != nil {
+		return soak.StagedOptions{}, err
+	}
+	binaries, err := (&Layout{Magpielug: layout.Magpielug}).binaries()
+	if err != nil {
+		return soak.StagedOptions{}, err
+	}
+	directory := filepath.Clean(layout.Directory)
+	err = os.RemoveAll(directory)
+	if err != nil {
+		return soak.StagedOptions{}, eris.Wrap(err, "clear the directory of the run")
+	}
+	return soak.StagedOptions{
+		Options: soak.Options{
+			Nodes:      layout.Nodes,
+			Host:       rehearsalHost,
+			FirstPort:  layout.Port,
+			EventPause: eventPause,
+			Magpielug:  binaries.Magpielug,
+			Directory:  directory,
+			Output:     os.Stderr,
+		},
+		Deployment: deployment,
+	}, nil
+}
+
+// Run starts nodes, runs a mixed set of programs with a few faults and prints the figures.
 type Run struct {
-	Layout
-	Programs  int           `arg:"--programs" default:"60" help:"programs to run, besides one that loops without end"`
-	Over      time.Duration `arg:"--over" default:"20s" help:"time over which the programs arrive"`
-	TimeScale float64       `arg:"--time-scale" default:"0.5" help:"factor on the programs' tool pauses"`
-	Seed      uint64        `arg:"--seed" default:"1" help:"seed of the programs"`
-	Bound     time.Duration `arg:"--bound" default:"5m" help:"longest run"`
+	NodeLayout
+	Programs   int           `arg:"--programs" default:"60" help:"programs to run, besides one that loops without end"`
+	Over       time.Duration `arg:"--over" default:"16s" help:"time over which the programs arrive"`
+	TimeScale  float64       `arg:"--time-scale" default:"0.5" help:"factor on the programs' pauses, each at most 1s then"`
+	LoopBudget int64         `arg:"--loop-budget" default:"4000" help:"tokens that the program that loops without end may use; the default lasts beyond the faults"`
+	Seed       uint64        `arg:"--seed" default:"1" help:"seed of the programs"`
 }
 
-// Run fails where a program fails, or where the endless one is not stopped.
+// longestAim is what the lowest tier's programs should take at most; each tier above is to take
+// aimStep less of it.
+const (
+	longestAim = 10 * time.Second
+	aimStep    = 2 * time.Second
+)
+
+// Run fails where a promise was broken.
 func (command *Run) Run(ctx context.Context) error {
-	bounded, cancel := context.WithTimeout(ctx, command.Bound)
-	defer cancel()
-	started, deployment, err := command.start(bounded)
+	options, err := command.options()
 	if err != nil {
 		return err
 	}
-	defer started.Stop()
-	driver := drive.New(drive.Config{
-		Gateways:  started.Gateways(),
-		Model:     rehearsalModel,
-		Tool:      rehearsalTool,
-		ToolEvery: 2,
-		TimeScale: command.TimeScale,
-	})
-	programs := command.programs(deployment)
-	go command.showProgress(bounded, driver, len(programs))
-	begun := time.Now()
-	records := driver.Run(bounded, programs)
-	fmt.Fprintf(os.Stderr, "%d programs ended in %s\n", len(records), time.Since(begun).Round(time.Millisecond))
-	cache, err := drive.SettledCache(ctx, started.Engines(), cacheSettleBound)
+	options.Seed = command.Seed
+	options.Programs = command.Programs
+	options.Over = command.Over
+	options.TimeScale = command.TimeScale
+	options.LoopBudget = command.LoopBudget
+	options.Aims = aimsOf(options.Deployment)
+	fmt.Fprintf(os.Stderr, "starting %d nodes in %d zones, %d engines, %d tools and a store; logs in %s\n",
+		options.Nodes, len(options.Deployment.Zones), options.Deployment.ModelEngines, options.Deployment.ApplicationBackEnds, options.Directory)
+	outcome, err := soak.RunStaged(ctx, options)
 	if err != nil {
 		return err
 	}
-	fmt.Print(drive.Table(records, tierNames(deployment), cache))
-	return judge(records)
+	fmt.Print(outcome.Table(tierNames(options.Deployment), options.Aims))
+	return judge(outcome.Violations)
 }
 
-// programs generates the set: arrivals evenly spread, one endless program in
-// the lowest tier.
-func (command *Run) programs(deployment workload.Deployment) []*workload.Program {
-	generator := workload.NewGenerator(deployment, command.Seed)
-	var programs []*workload.Program
-	gap := time.Duration(float64(command.Over) / command.TimeScale / float64(max(command.Programs, 1)))
-	for number := range command.Programs {
-		program := generator.Program(number)
-		program.Arrival = time.Duration(number) * gap
-		programs = append(programs, program)
+// judge shows the broken promises; it fails where there is one.
+func judge(violations []soak.Violation) error {
+	if len(violations) == 0 {
+		fmt.Println("no promise was broken")
+		return nil
+	}
+	for _, violation := range violations[:min(mostShown, len(violations))] {
+		fmt.Println("broken: " + violation.String())
 	}
-	return append(programs, generator.EndlessProgram(endlessNumber, lowestKind(deployment)))
+	return eris.Errorf("%d promises were broken", len(violations))
 }
 
-// lowestKind names a kind of the lowest tier.
-func lowestKind(deployment workload.Deployment) string {
-	lowest := deployment.Tiers[len(deployment.Tiers)-1].Name
-	for _, kind := range deployment.Kinds {
-		if kind.Tier == lowest {
-			return kind.Name
-		}
+// aimsOf is what programs should take at most, by tier.
+func aimsOf(deployment workload.Deployment) map[string]time.Duration {
+	aims := map[string]time.Duration{}
+	for rank := range deployment.Tiers {
+		fromLowest := time.Duration(len(deployment.Tiers) - 1 - rank)
+		aims[deployment.Tiers[rank].Name] = longestAim - fromLowest*aimStep
 	}
-	return deployment.Kinds[0].Name
+	return aims
 }
 
 func tierNames(deployment workload.Deployment) []string {
@@ -91,35 +125,3 @@
 	}
 	return names
 }
-
-func (command *Run) showProgress(ctx context.Context, driver *drive.Driver, total int) {
-	ticker := time.NewTicker(progressInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			programs, calls := driver.Progress()
-			fmt.Fprintf(os.Stderr, "programs ended %d of %d, calls finished %d\n", programs, total, calls)
-		}
-	}
-}
-
-// judge holds the run to what it shows: programs complete, and the endless one
-// is stopped at its cap.
-func judge(records []drive.Record) error {
-	capped := 0
-	for _, record := range records {
-		switch record.Outcome {
-		case drive.Capped:
-			capped++
-		case drive.Failed:
-			return eris.Errorf("program %s failed: %s", record.Program, record.Detail)
-		}
-	}
-	if capped == 0 {
-		return eris.New("no program was stopped at its cap")
-	}
-	return nil
-}
--- a/rehearsal/command/up.go
+++ b/rehearsal/command/up.go
@@ -4,112 +4,29 @@
 	"context"
 	"fmt"
 	"os"
-	"path/filepath"
 
-	"github.com/rotisserie/eris"
-
-	"github.com/magpielug/magpielug/rehearsal/cluster"
-	"github.com/magpielug/magpielug/rehearsal/workload"
-)
-
-// Layout says what a rehearsal starts.
-type Layout struct {
-	Deployment        string `arg:"--deployment" default:"namibia" help:"namibia or cairo: zones, back ends, tiers and program kinds"`
-	Port              int    `arg:"--port" default:"7700" help:"port of every machine; the platform's services take this one and the next two"`
-	GatewaysPerZone   int    `arg:"--gateways" default:"1" help:"gateways in each zone"`
-	SchedulersPerZone int    `arg:"--schedulers" default:"1" help:"schedulers in each zone"`
-	Engines           int    `arg:"--engines" help:"model engines; 0 takes the deployment's number"`
-	Tools             int    `arg:"--tools" help:"tool back ends; 0 takes the deployment's number"`
-	Shards            int    `arg:"--shards" default:"16" help:"number of shards"`
-	Blocks            int    `arg:"--blocks" default:"8192" help:"cache blocks of an engine, 16 tokens each"`
-	RunningLimit      int    `arg:"--running-limit" default:"32" help:"requests in one batch of an engine"`
-	LogLevel          string `arg:"--log-level" default:"info" help:"least level of events logged"`
-	Directory         string `arg:"--directory" default:"out/rehearsal" help:"where logs and settings files go"`
-	Magpielug         string `arg:"--magpielug" help:"program to start; default is the one beside this program"`
-}
-
-// Names of the one model and the one tool service of a rehearsal.
-const (
-	rehearsalModel = "small"
-	rehearsalTool  = "records"
+	"github.com/magpielug/magpielug/rehearsal/soak"
+	"github.com/magpielug/magpielug/rehearsal/standin/records"
 )
 
-func (layout *Layout) plan() (cluster.Plan, workload.Deployment, error) {
-	deployment, err := workload.DeploymentByName(layout.Deployment)
-	if err != nil {
-		return cluster.Plan{}, deployment, err
-	}
-	plan := cluster.Plan{
-		Zones:             len(deployment.Zones),
-		GatewaysPerZone:   layout.GatewaysPerZone,
-		SchedulersPerZone: layout.SchedulersPerZone,
-		Engines:           orNumber(layout.Engines, deployment.ModelEngines),
-		Tools:             orNumber(layout.Tools, deployment.ApplicationBackEnds),
-		Model:             rehearsalModel,
-		Tool:              rehearsalTool,
-		Port:              layout.Port,
-		Shards:            layout.Shards,
-		Blocks:            layout.Blocks,
-		RunningLimit:      layout.RunningLimit,
-		LogLevel:          layout.LogLevel,
-		Deployment:        deployment.Name,
-	}
-	return plan, deployment, nil
-}
-
-func orNumber(given, fallback int) int {
-	if given > 0 {
-		return given
-	}
-	return fallback
-}
-
-func (layout *Layout) binaries() (cluster.Binaries, error) {
-	self, err := os.Executable()
-	if err != nil {
-		return cluster.Binaries{}, eris.Wrap(err, "find this program")
-	}
-	magpielug := layout.Magpielug
-	if magpielug == "" {
-		magpielug = filepath.Join(filepath.Dir(self), "magpielug")
-	}
-	return cluster.Binaries{Magpielug: magpielug, Rehearsal: self}, nil
-}
-
-// start starts the layout's processes and waits until they serve.
-func (layout *Layout) start(ctx context.Context) (*cluster.Cluster, workload.Deployment, error) {
-	plan, deployment, err := layout.plan()
-	if err != nil {
-		return nil, deployment, err
-	}
-	binaries, err := layout.binaries()
-	if err != nil {
-		return nil, deployment, err
-	}
-	fmt.Fprintf(os.Stderr, "starting %d processes, logs in %s\n", len(plan.Machines())+3, layout.Directory)
-	started, err := cluster.Start(ctx, plan, binaries, layout.Directory)
-	return started, deployment, err
-}
-
-// Up starts everything and keeps it serving.
+// Up starts nodes with everything around them and keeps it serving.
 type Up struct {
-	Layout
+	NodeLayout
 }
 
 // Run serves until ctx ends.
 func (command *Up) Run(ctx context.Context) error {
-	started, deployment, err := command.start(ctx)
+	options, err := command.options()
 	if err != nil {
 		return err
 	}
-	defer started.Stop()
-	gateway := started.Gateways()[0]
-	tier := deployment.Tiers[0].Name
-	fmt.Printf("serving; gateways: %v\ntry:\n", started.Gateways())
-	fmt.Printf("  curl -sN http://%s/v1/chat/completions -H 'Authorization: Bearer %s' \\\n"+
-		"    -d '{\"model\":\"%s\",\"stream\":true,\"max_tokens\":20,\"messages\":[{\"role\":\"user\",\"content\":\"hello\"}]}'\n",
-		gateway, cluster.TierKey(tier), rehearsalModel)
-	<-ctx.Done()
-	fmt.Fprintln(os.Stderr, "stopping")
-	return nil
+	tenant := options.Deployment.Tiers[0].Name
+	err = soak.Serve(ctx, options, func(addresses []string, keys map[string]string) {
+		fmt.Printf("serving; callers ask any of %v\n", addresses)
+		fmt.Println("tenants and their keys:", keys)
+		fmt.Printf("try:\n  curl -sN http://%s%schat -H 'Request-Id: turn-1' -H 'Authorization: Token %s' -d 'why was the token refused?'\n",
+			addresses[0], records.PathKept, keys[tenant])
+	})
+	fmt.Fprintln(os.Stderr, "stopped")
+	return err
 }
--- a/rehearsal/soak/caller.go
+++ b/rehearsal/soak/caller.go
@@ -51,58 +51,26 @@
 	turns atomic.Int64
 }
 
-// program is one agent program under way.
-type program struct {
-	name    string
-	tenant  string
-	context context.Context
+// line is a chain of turns: that of a program, or of one of its sub-agents.
+type line struct {
+	*program
+	session string
 	random  *rand.Rand
 	path    string
-	budget  int64
 	// previous is the last turn answered whole, history the prompt up to it.
 	previous string
 	history  string
-	// given is what the caller got.
-	given int64
-	// ends are those of its turns' attempts.
-	ends []attemptEnd
-}
-
-// attemptEnd is how an attempt of a turn ended.
-type attemptEnd struct {
-	at    time.Time
-	whole bool
-	// notRun is true where the caller was told that it did not run.
-	notRun bool
-}
-
-// room is what the budget leaves at a time, where every attempt counts at its
-// most that had not ended for certain by settleTime before.
-func (running *program) room(now time.Time) int64 {
-	room := running.budget
-	for _, end := range running.ends {
-		settled := now.Sub(end.at) >= settleTime
-		switch {
-		case settled && end.notRun:
-		case settled && end.whole:
-			room -= eventsPerStream * tokensPerEvent
-		default:
-			room -= most
-		}
-	}
-	return room
 }
 
 // run takes programs to their ends, until ctx ends.
 func (callers *callers) run(ctx context.Context, number int, random *rand.Rand) {
 	for round := 0; ctx.Err() == nil; round++ {
-		running := &program{
-			name:    fmt.Sprintf("program-%d-%d", number, round),
-			tenant:  tenantOf(number),
-			context: ctx,
+		name := fmt.Sprintf("program-%d-%d", number, round)
+		running := &line{
+			program: &program{name: name, tenant: tenantOf(number), budget: wideBudget},
+			session: name,
 			random:  random,
 			path:    turnPath,
-			budget:  wideBudget,
 		}
 		if random.IntN(4) == 0 {
 			running.path = plainPath
@@ -114,84 +82,105 @@
 	}
 }
 
-func (callers *callers) runProgram(ctx context.Context, running *program) {
+func (callers *callers) runProgram(ctx context.Context, running *line) {
 	for range turnsPerProgram {
-		if !callers.turn(ctx, running) {
+		input := fmt.Sprintf("input of %s after %s;", running.name, running.previous)
+		if callers.turn(ctx, running, input) != turnWhole {
 			return
 		}
+		if running.path == turnPath && running.random.IntN(strangerShare) == 0 {
+			callers.stranger(ctx, running)
+		}
 		for range toolsEach {
 			callers.tool(ctx, running)
 		}
 	}
 }
 
-// turn takes one turn to its whole answer, and returns false where the program
-// is over.
-func (callers *callers) turn(ctx context.Context, running *program) bool {
+// turnEnd is how a turn ended for its caller.
+type turnEnd int
+
+const (
+	// turnFailed was given up, or its history is gone.
+	turnFailed turnEnd = iota
+	// turnWhole was answered whole.
+	turnWhole
+	// turnSpent was refused since the budget leaves no room.
+	turnSpent
+)
+
+// turn takes one turn to its end.
+func (callers *callers) turn(ctx context.Context, running *line, input string) turnEnd {
 	for range attemptsPerTurn {
 		if ctx.Err() != nil {
-			return false
+			return turnFailed
 		}
-		input := fmt.Sprintf("input of %s after %s;", running.name, running.previous)
 		attempt := &sent{method: http.MethodPost, target: running.path, prompt: running.history + input, tenant: running.tenant}
-		header := http.Header{}
-		header.Set("Program-Id", running.name)
-		header.Set("Session-Id", running.name)
-		header.Set("Token-Budget", strconv.FormatInt(running.budget, 10))
-		header.Set("Token-Usage", "10,"+strconv.Itoa(most))
-		if running.path == turnPath && running.previous != "" {
-			header.Set("Previous-Turn", running.previous)
+		if running.path == turnPath {
+			attempt.previous, attempt.historyBytes = running.previous, len(running.history)
 		}
-		room := running.room(time.Now())
-		callers.send(ctx, running.random, attempt, input, header)
-		if callers.turnEnded(running, attempt, room) {
-			if attempt.whole && running.path == turnPath && running.random.IntN(strangerShare) == 0 {
-				callers.stranger(running, attempt)
-			}
-			return attempt.status == http.StatusOK && attempt.whole
+		open := running.begin(time.Now())
+		callers.send(ctx, running.random, attempt, input, running.header())
+		end, decided := callers.turnEnded(running, attempt, open)
+		if decided {
+			return end
 		}
 		wait.For(ctx, attemptPause)
 	}
-	return false
+	return turnFailed
+}
+
+// header is that of the line's next turn.
+func (running *line) header() http.Header {
+	header := http.Header{}
+	header.Set("Program-Id", running.name)
+	header.Set("Session-Id", running.session)
+	header.Set("Token-Budget", strconv.FormatInt(running.budget, 10))
+	header.Set("Token-Usage", "10,"+strconv.Itoa(most))
+	if running.path == turnPath && running.previous != "" {
+		header.Set("Previous-Turn", running.previous)
+	}
+	if !running.due.IsZero() {
+		header.Set("Program-Deadline-Ms", strconv.FormatInt(time.Until(running.due).Milliseconds(), 10))
+	}
+	return header
 }
 
-// turnEnded notes what an attempt of a turn came to, and returns true where it
-// decided the turn. room is what the budget left before it.
-func (callers *callers) turnEnded(running *program, attempt *sent, room int64) bool {
+// turnEnded notes what an attempt of a turn came to, and tells whether it decided the turn.
+func (callers *callers) turnEnded(running *line, attempt *sent, open *turnAttempt) (end turnEnd, decided bool) {
 	ledger := callers.ledger
-	if attempt.status == http.StatusOK {
+	room := running.room(open)
+	answered := attempt.status == http.StatusOK
+	given := 0
+	if answered {
 		ledger.checkStream(attempt)
-		running.given += int64(tokensPerEvent * strings.Count(attempt.body, "data:"))
+		given = tokensPerEvent * strings.Count(attempt.body, "data:")
 	}
-	if running.given > running.budget+most {
-		ledger.violated(promiseBudget, "%s got %d tokens of %d", running.name, running.given, running.budget)
+	total := running.end(open, answered && attempt.whole, promisesNotRun(attempt.status), int64(given))
+	if total > running.budget+most {
+		ledger.violated(promiseBudget, "%s got %d tokens of %d", running.name, total, running.budget)
 	}
-	running.ends = append(running.ends, attemptEnd{
-		at:     time.Now(),
-		whole:  attempt.status == http.StatusOK && attempt.whole,
-		notRun: promisesNotRun(attempt.status),
-	})
 	switch attempt.status {
 	case http.StatusOK:
 		if !attempt.whole {
-			return false
+			return turnFailed, false
 		}
 		callers.turns.Add(1)
 		running.previous = attempt.id
 		if running.path == turnPath {
 			running.history = attempt.prompt + said(attempt.id)
 		}
-		return true
+		return turnWhole, true
 	case http.StatusPaymentRequired:
-		if room >= most {
+		if running.refusedTooEarly(room) {
 			ledger.violated(promiseSpent, "%s was told 402 for %s with room for %d of %d", running.name, attempt.id, room, running.budget)
 		}
-		return true
+		return turnSpent, true
 	case http.StatusNotFound:
 		ledger.violated(promiseHistory, "%s was told 404 for %s after %q: %s", running.name, attempt.id, running.previous, attempt.body)
-		return true
+		return turnFailed, true
 	}
-	return false
+	return turnFailed, false
 }
 
 // said is what a whole turn adds to the history.
@@ -204,7 +193,7 @@
 }
 
 // tool makes one call that may not be repeated, and one that may.
-func (callers *callers) tool(ctx context.Context, running *program) {
+func (callers *callers) tool(ctx context.Context, running *line) {
 	attempt := &sent{method: http.MethodPost, target: toolPath, prompt: "tool input", tenant: running.tenant}
 	callers.send(ctx, running.random, attempt, attempt.prompt, http.Header{})
 	callers.ledger.checkAnswer(attempt)
@@ -230,7 +219,7 @@
 	if err != nil {
 		return
 	}
-	request.Host = callerHost
+	request.Host = callers.world.options.Host
 	request.Header = header
 	request.Header.Set("Request-Id", attempt.id)
 	request.Header.Set("Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
--- a/rehearsal/soak/check.go
+++ b/rehearsal/soak/check.go
@@ -1,12 +1,14 @@
 package soak
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/magpielug/magpielug/internal/httpserver"
 	"github.com/magpielug/magpielug/rehearsal/standin/agentengine"
 )
 
@@ -17,12 +19,17 @@
 	target string
 	// prompt is the body that an engine is to get.
 	prompt string
+	// previous is the turn that it goes on from, whose history has so many bytes.
+	previous     string
+	historyBytes int
 	// repeatable attempts may run more than once.
 	repeatable bool
 	// tenant sends it at sentAt, with a key of its own where key is empty.
 	tenant string
 	key    string
 	sentAt time.Time
+	// probe attempts ask which configuration is in force, and are no work.
+	probe bool
 	// status is 0 where no answer came; whole is false where it broke off.
 	status int
 	whole  bool
@@ -52,6 +59,8 @@
 	promiseKey      = "a key that was taken away is taken no more"
 	promiseLimit    = "a tenant stays in its limit over all nodes"
 	promiseRecovery = "programs go on after the faults"
+	promiseEnd      = "every program comes to its end"
+	promiseStop     = "a program that loops is stopped by its budget"
 )
 
 // mostViolations bounds what is kept of one run.
@@ -64,10 +73,12 @@
 	attempts   map[string]*sent
 	violations []Violation
 	statuses   map[int]int
+	// refusals counts attempts that were not answered with 200, by cause.
+	refusals map[string]int
 }
 
 func newLedger() *ledger {
-	return &ledger{attempts: map[string]*sent{}, statuses: map[int]int{}}
+	return &ledger{attempts: map[string]*sent{}, statuses: map[int]int{}, refusals: map[string]int{}}
 }
 
 func (ledger *ledger) begin(attempt *sent) {
@@ -80,6 +91,22 @@
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
 	ledger.statuses[attempt.status]++
+	if attempt.status != http.StatusOK && !attempt.probe {
+		ledger.refusals[causeOf(attempt)]++
+	}
+}
+
+// causeOf names why an attempt got no answer of an engine.
+func causeOf(attempt *sent) string {
+	if attempt.status == 0 {
+		return "no answer"
+	}
+	var body httpserver.ErrorBody
+	err := json.Unmarshal([]byte(attempt.body), &body)
+	if err != nil || body.Error.Name == "" {
+		return fmt.Sprintf("status %d", attempt.status)
+	}
+	return fmt.Sprintf("%d %s", body.Error.Code, body.Error.Name)
 }
 
 func (ledger *ledger) violated(promise, format string, values ...any) {
--- a/rehearsal/soak/node.go
+++ b/rehearsal/soak/node.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -24,9 +25,11 @@
 
 // node is one process of the system, started again and again.
 type node struct {
-	name     string
-	binary   string
+	name   string
+	binary string
+	// settings is the path of the settings file, in the product's own form where own is true.
 	settings string
+	own      bool
 	log      string
 	front    string
 	ready    string
@@ -45,12 +48,13 @@
 	if err != nil {
 		return nil, err
 	}
-	picked, err := picker.Pick(4)
+	picked, err := options.portsOf(number, picker)
 	if err != nil {
 		return nil, err
 	}
 	settings := nodesettings.Settings{
 		Name:       fmt.Sprintf("node-%d", number),
+		Zone:       options.zone(number),
 		Front:      picked[0],
 		Ready:      picked[1],
 		Peer:       min(picked[2], picked[3]),
@@ -60,13 +64,18 @@
 		Grace:      graceSeconds,
 		Quota:      &nodesettings.Quota{Window: int(quotaWindow.Seconds()), Overage: quotaOverage, Slack: quotaSlack},
 	}
-	path, err := settings.Write(options.Directory)
+	write := settings.Write
+	if options.OwnSettings {
+		write = settings.WriteOwn
+	}
+	path, err := write(options.Directory)
 	if err != nil {
 		return nil, err
 	}
 	return &node{
 		name:     settings.Name,
 		binary:   options.Magpielug,
+		own:      options.OwnSettings,
 		front:    nodesettings.Address(settings.Front),
 		ready:    nodesettings.Address(settings.Ready),
 		door:     door,
@@ -75,6 +84,35 @@
 	}, nil
 }
 
+const (
+	// portsEach is how many ports a node has, portStride how far the first ports of two
+	// nodes lie apart where they are fixed.
+	portsEach  = 4
+	portStride = 10
+)
+
+// portsOf returns the ports of the node with a number.
+func (options Options) portsOf(number int, picker *ports.Picker) ([]int, error) {
+	if options.FirstPort == 0 {
+		return picker.Pick(portsEach)
+	}
+	var fixed []int
+	for offset := range portsEach {
+		fixed = append(fixed, options.FirstPort+portStride*number+offset)
+	}
+	return fixed, nil
+}
+
+// process is the command that starts the node.
+func (node *node) process() *exec.Cmd {
+	if node.own {
+		return exec.Command(node.binary, "node", "--settings", node.settings)
+	}
+	command := exec.Command(node.binary, "node")
+	command.Env = append(os.Environ(), nodesettings.Variable+"="+node.settings)
+	return command
+}
+
 // start starts the process, unless it runs.
 func (node *node) start() error {
 	node.mutex.Lock()
@@ -86,8 +124,9 @@
 	if err != nil {
 		return eris.Wrap(err, "open a node's log")
 	}
-	command := exec.Command(node.binary, "node")
-	command.Env = append(os.Environ(), nodesettings.Variable+"="+node.settings)
+	command := node.process()
+	// A node must not outlive this process, however that ends.
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	command.Stdout = output
 	command.Stderr = output
 	err = command.Start()
@@ -152,6 +191,22 @@
 	}
 }
 
+// Words of a node's log by which an owner is found.
+const (
+	wordsStart = `event="node starts"`
+	wordsClaim = `event="shard claimed"`
+)
+
+// claims counts the shards that the node has claimed since its last start, by its log.
+func (node *node) claims() int {
+	content, err := os.ReadFile(node.log)
+	if err != nil {
+		return 0
+	}
+	life := string(content)
+	return strings.Count(life[max(strings.LastIndex(life, wordsStart), 0):], wordsClaim)
+}
+
 // lives returns the number of the present start.
 func (node *node) lives() int {
 	node.mutex.Lock()
--- a/rehearsal/soak/run.go
+++ b/rehearsal/soak/run.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -12,6 +13,7 @@
 	"time"
 
 	"github.com/magpielug/magpielug/internal/wait"
+	"github.com/magpielug/magpielug/rehearsal/standin/records"
 	"github.com/rotisserie/eris"
 )
 
@@ -30,8 +32,49 @@
 	Directory string
 	// Output takes one line a fault.
 	Output io.Writer
+
+	// Zones, Engines and Tools are the numbers of zones, of model engines and of tool
+	// services; 0 takes the default.
+	Zones, Engines, Tools int
+	// Host is the host that callers name; empty takes the default.
+	Host string
+	// Tenants are those of the configuration, without their keys; nil takes the default.
+	Tenants []records.Tenant
+	// EventPause is the time between the events of a stream.
+	EventPause time.Duration
+	// FirstPort is that of the first node's callers; 0 draws all ports.
+	FirstPort int
+	// OwnSettings starts nodes with settings files of the product's own, and not with those
+	// of the users' platform.
+	OwnSettings bool
+}
+
+// Defaults of Options.
+const (
+	defaultZones   = 1
+	defaultEngines = 3
+	defaultTools   = 2
+	defaultHost    = "h"
+)
+
+// withDefaults fills in what is not set.
+func (options Options) withDefaults() Options {
+	options.Zones = cmp.Or(options.Zones, defaultZones)
+	options.Engines = cmp.Or(options.Engines, defaultEngines)
+	options.Tools = cmp.Or(options.Tools, defaultTools)
+	options.Host = cmp.Or(options.Host, defaultHost)
+	if options.Tenants == nil {
+		options.Tenants = defaultTenants()
+	}
+	return options
 }
 
+// zone is that of the machine with a number; they are spread in turn.
+func (options Options) zone(number int) string { return fmt.Sprintf("zone-%d", number%options.Zones+1) }
+
+// prober is the tenant that asks which configuration is in force.
+func (options Options) prober() string { return options.Tenants[0].Name }
+
 // Outcome is what a run came to.
 type Outcome struct {
 	Seed       uint64
@@ -56,25 +99,35 @@
 // Run throws faults at nodes under load and judges what callers and engines saw.
 // An error says that the run could not be made.
 func Run(ctx context.Context, options Options) (*Outcome, error) {
+	world, err := startWorld(ctx, options.withDefaults())
+	if err != nil {
+		return nil, err
+	}
+	defer world.close()
+	run := newRun(world, world.options)
+	run.load(ctx)
+	run.throw(ctx)
+	run.recover(ctx)
+	run.finish()
+	return run.outcome(), nil
+}
+
+// startWorld starts everything around the callers and waits until the nodes take calls.
+func startWorld(ctx context.Context, options Options) (*world, error) {
 	err := os.MkdirAll(options.Directory, 0o750)
 	if err != nil {
 		return nil, eris.Wrap(err, "make the directory of the run")
 	}
-	world, err := newWorld(options)
+	built, err := newWorld(options)
 	if err != nil {
 		return nil, err
 	}
-	defer world.close()
-	err = startAll(ctx, world)
+	err = startAll(ctx, built)
 	if err != nil {
+		built.close()
 		return nil, err
 	}
-	run := newRun(world, options)
-	run.load(ctx)
-	run.throw(ctx)
-	run.recover(ctx)
-	run.finish()
-	return run.outcome(), nil
+	return built, nil
 }
 
 func startAll(ctx context.Context, world *world) error {
@@ -225,14 +278,14 @@
 
 // serves tells whether a node has a version in force.
 func (run *run) serves(ctx context.Context, target *node, version int) bool {
-	attempt := &sent{method: http.MethodGet, target: versionPath(version) + "x", repeatable: true, tenant: tenantFree}
+	attempt := &sent{method: http.MethodGet, target: versionPath(version) + "x", repeatable: true, probe: true, tenant: run.world.options.prober()}
 	run.callers.sendTo(ctx, target, attempt, "", http.Header{})
 	return attempt.status == http.StatusOK
 }
 
 // takesKey tells whether a node takes the key of a version.
 func (run *run) takesKey(ctx context.Context, target *node, version int) bool {
-	attempt := &sent{method: http.MethodGet, target: safePath, repeatable: true, tenant: tenantFree, key: versionKey(version)}
+	attempt := &sent{method: http.MethodGet, target: safePath, repeatable: true, probe: true, tenant: run.world.options.prober(), key: versionKey(version)}
 	run.callers.sendTo(ctx, target, attempt, "", http.Header{})
 	return attempt.status == http.StatusOK
 }
--- a/rehearsal/soak/tenants.go
+++ b/rehearsal/soak/tenants.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"slices"
@@ -28,13 +29,20 @@
 	strangerShare = 6
 )
 
+// defaultTenants are those of random soaks. The first one is the prober.
+func defaultTenants() []records.Tenant {
+	return []records.Tenant{{Name: tenantFree}, {Name: tenantLimited, RatePerS: limitPerSecond, Burst: limitBurst}}
+}
+
 // tenantRecords are the tenants of a version of the configuration. Each has a key that
-// stays; the free one has a further key that only this version holds.
-func tenantRecords(version int) []records.Tenant {
-	return []records.Tenant{
-		{Name: tenantFree, ApiKeys: []string{keyOf(tenantFree), versionKey(version)}},
-		{Name: tenantLimited, ApiKeys: []string{keyOf(tenantLimited)}, RatePerS: limitPerSecond, Burst: limitBurst},
+// stays; the first one has a further key that only this version holds.
+func tenantRecords(tenants []records.Tenant, version int) []records.Tenant {
+	listed := slices.Clone(tenants)
+	for number := range listed {
+		listed[number].ApiKeys = []string{keyOf(listed[number].Name)}
 	}
+	listed[0].ApiKeys = append(listed[0].ApiKeys, versionKey(version))
+	return listed
 }
 
 // keyOf is the key of a tenant that stays.
@@ -99,14 +107,14 @@
 	}
 }
 
-// stranger has another tenant go on from a turn: that must not run.
-func (callers *callers) stranger(running *program, turn *sent) {
+// stranger has another tenant go on from a line's last turn: that must not run.
+func (callers *callers) stranger(ctx context.Context, running *line) {
 	attempt := &sent{method: http.MethodPost, target: turnPath, tenant: other(running.tenant)}
 	header := http.Header{}
 	header.Set("Program-Id", running.name)
-	header.Set("Session-Id", running.name)
-	header.Set("Previous-Turn", turn.id)
-	callers.send(running.context, running.random, attempt, "stranger", header)
+	header.Set("Session-Id", running.session)
+	header.Set("Previous-Turn", running.previous)
+	callers.send(ctx, running.random, attempt, "stranger", header)
 	if attempt.status == http.StatusOK {
 		callers.ledger.violated(promiseHistory, "%s of %s went on from a turn of %s", attempt.id, attempt.tenant, running.tenant)
 	}
--- a/rehearsal/soak/world.go
+++ b/rehearsal/soak/world.go
@@ -21,24 +21,22 @@
 	// eventsPerStream and tokensPerEvent fix what a turn gives to its caller.
 	eventsPerStream = 4
 	tokensPerEvent  = 9
-	modelEngines    = 3
-	toolEngines     = 2
 	loopback        = "127.0.0.1:0"
-	// callerHost is the host that callers name.
-	callerHost = "h"
 )
 
 // engine is a stand-in engine behind a door, and its service.
 type engine struct {
 	*agentengine.Engine
 	service string
+	zone    string
 	door    *relay.Door
 }
 
 // world is everything around the callers.
 type world struct {
-	store *logstore.Store
-	nodes []*node
+	options Options
+	store   *logstore.Store
+	nodes   []*node
 
 	mutex sync.Mutex
 	// engines are those listed; gone are those that were taken away, whose runs
@@ -54,31 +52,41 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "start the store's stand-in")
 	}
-	built := &world{store: store}
-	for range modelEngines {
-		if err := built.addEngine(records.ServiceModels); err != nil {
-			return nil, err
+	built := &world{options: options, store: store}
+	err = built.fill()
+	if err != nil {
+		built.close()
+		return nil, err
+	}
+	return built, nil
+}
+
+// fill starts the engines, publishes a configuration and makes the nodes.
+func (world *world) fill() error {
+	for number := range world.options.Engines {
+		if err := world.addEngine(records.ServiceModels, world.options.zone(number)); err != nil {
+			return err
 		}
 	}
-	for range toolEngines {
-		if err := built.addEngine(records.ServiceTools); err != nil {
-			return nil, err
+	for number := range world.options.Tools {
+		if err := world.addEngine(records.ServiceTools, world.options.zone(number)); err != nil {
+			return err
 		}
 	}
-	built.configure()
+	world.configure()
 	picker := ports.NewPicker(ports.OfSoak)
-	for number := range options.Nodes {
-		made, err := newNode(number, options, store.Address(), picker)
+	for number := range world.options.Nodes {
+		made, err := newNode(number, world.options, world.store.Address(), picker)
 		if err != nil {
-			return nil, err
+			return err
 		}
-		built.nodes = append(built.nodes, made)
+		world.nodes = append(world.nodes, made)
 	}
-	return built, nil
+	return nil
 }
 
 // addEngine starts an engine and lists it.
-func (world *world) addEngine(service string) error {
+func (world *world) addEngine(service, zone string) error {
 	world.mutex.Lock()
 	defer world.mutex.Unlock()
 	world.started++
@@ -90,7 +98,10 @@
 	if err != nil {
 		return err
 	}
-	added := &engine{Engine: started, service: service, door: door}
+	if service == records.ServiceModels {
+		started.SetFaults(agentengine.Faults{Pause: world.options.EventPause})
+	}
+	added := &engine{Engine: started, service: service, zone: zone, door: door}
 	world.engines = append(world.engines, added)
 	world.list(added, records.StateReady)
 	return nil
@@ -98,13 +109,13 @@
 
 // list writes an engine's record.
 func (world *world) list(listed *engine, state string) {
-	record := records.Server{Service: listed.service, Address: listed.door.Address(), Zone: "z1", Slots: records.Slots, State: state}
+	record := records.Server{Service: listed.service, Address: listed.door.Address(), Zone: listed.zone, Slots: records.Slots, State: state}
 	world.store.Put(records.TopicEngines, listed.ID, records.Encode(record))
 }
 
 // replace puts a new engine in the place of one, which is closed without a word.
 func (world *world) replace(old *engine) error {
-	err := world.addEngine(old.service)
+	err := world.addEngine(old.service, old.zone)
 	if err != nil {
 		return err
 	}
@@ -130,26 +141,42 @@
 	return append([]*engine(nil), world.engines...)
 }
 
-// runs returns all that any engine has run.
-func (world *world) runs() []agentengine.Run {
+// all returns the engines, also those that are gone.
+func (world *world) all() []*engine {
 	world.mutex.Lock()
 	defer world.mutex.Unlock()
+	return append(append([]*engine(nil), world.engines...), world.gone...)
+}
+
+// runs returns all that any engine has run.
+func (world *world) runs() []agentengine.Run {
 	var all []agentengine.Run
-	for _, each := range append(append([]*engine(nil), world.engines...), world.gone...) {
+	for _, each := range world.all() {
 		all = append(all, each.Runs()...)
 	}
 	return all
 }
 
+// owner returns the node that has claimed the most shards in its present life, and how many.
+func (world *world) owner() (*node, int) {
+	owner, most := world.nodes[0], -1
+	for _, each := range world.nodes {
+		if claimed := each.claims(); claimed > most {
+			owner, most = each, claimed
+		}
+	}
+	return owner, most
+}
+
 // configure writes the next version of the configuration and returns it. Each
 // version has a route of its own, by which it can be told which one is in force.
 func (world *world) configure() int {
 	world.mutex.Lock()
 	defer world.mutex.Unlock()
 	world.version++
-	configuration := records.NewConfiguration(world.version, callerHost, tokensPerEvent)
-	configuration.Routes = append(configuration.Routes, records.NewSafeRoute("version", callerHost, versionPath(world.version)))
-	configuration.Tenants = tenantRecords(world.version)
+	configuration := records.NewConfiguration(world.version, world.options.Host, tokensPerEvent)
+	configuration.Routes = append(configuration.Routes, records.NewSafeRoute("version", world.options.Host, versionPath(world.version)))
+	configuration.Tenants = tenantRecords(world.options.Tenants, world.version)
 	world.store.Put(records.TopicOperator, records.KeyConfiguration, records.Encode(configuration))
 	return world.version
 }
--- a/rehearsal/workload/deployment.go
+++ b/rehearsal/workload/deployment.go
@@ -77,6 +77,17 @@
 	return Deployment{}, fmt.Errorf("unknown deployment %q: namibia or cairo", name)
 }
 
+// LowestKind names a kind of the lowest tier.
+func (deployment Deployment) LowestKind() string {
+	lowest := deployment.Tiers[len(deployment.Tiers)-1].Name
+	for _, kind := range deployment.Kinds {
+		if kind.Tier == lowest {
+			return kind.Name
+		}
+	}
+	return deployment.Kinds[0].Name
+}
+
 // TierByName returns the tier called name; the zero tier if there is none.
 func (deployment Deployment) TierByName(name string) Tier {
 	for _, tier := range deployment.Tiers {
--- a/rehearsal/workload/program.go
+++ b/rehearsal/workload/program.go
@@ -4,7 +4,11 @@
 // processes. Nothing here reads a clock or a global random source.
 package workload
 
-import "time"
+import (
+	"fmt"
+	"strings"
+	"time"
+)
 
 // Program is one agent program, or a sub-agent that another program spawns.
 type Program struct {
@@ -46,6 +50,13 @@
 	Tokens int
 }
 
+// Text spells the segment out, with so many bytes a token.
+func (segment Segment) Text(bytesPerToken int) string {
+	word := fmt.Sprintf("%016x", segment.Seed)
+	length := segment.Tokens * bytesPerToken
+	return strings.Repeat(word, length/len(word)+1)[:length]
+}
+
 // TurnAt returns turn number index, counted from 0, and whether the program
 // has it. An endless program has every turn.
 func (program *Program) TurnAt(index int) (Turn, bool) {
