Stand-in engine's tests: no second of grace after each

The suite took 43 s, the longest of `make test`: each spec's cleanup stopped its server with the default grace of 1 s, in which new clients are still taken, and none comes. With 1 ms the suite takes 9 s; the specs and their checks are the same.

--- a/rehearsal/standin/engine/engine_test.go
+++ b/rehearsal/standin/engine/engine_test.go
@@ -24,6 +24,9 @@
 	settleTimeout = 20 * time.Second
 	// faultMillis outlasts any test.
 	faultMillis = 600_000
+	// stopGrace is short: no client comes after a test, and 1 s for each is most of the
+	// suite's time (43 s with it, 9 s without).
+	stopGrace = time.Millisecond
 )
 
 // bench is one stand-in engine on nbhttp, and its adapter.
@@ -36,7 +39,7 @@
 func newBench(config Config) *bench {
 	config.Model = testModel
 	standIn := New(config)
-	server, err := httpserver.Start("127.0.0.1:0", standIn.Handler(), httpserver.Limits{})
+	server, err := httpserver.Start("127.0.0.1:0", standIn.Handler(), httpserver.Limits{DrainGrace: stopGrace})
 	Expect(err).NotTo(HaveOccurred())
 	pool, err := httpadapter.NewClient(httpadapter.Config{})
 	Expect(err).NotTo(HaveOccurred())
