--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -98,6 +98,7 @@
 		expectOneLine(runWith(runners, "node", "--set", "node.name=node-7"), ExitUsage, "needs --settings")
 		expectOneLine(runWith(runners, "node", "--settings", nodeExample, "--set", "node.seeds=a"), ExitUsage, "node.seeds: unknown key")
 		expectOneLine(run("check-settings", "--role", "node", "--settings", "absent.toml"), ExitUsage, "absent.toml")
+		expectOneLine(run("check-settings", "--role", "node", "--settings", nodeExample, "--zone", "z"), ExitUsage, "no short form")
 		Expect(given).To(HaveLen(1))
 	})
 
--- a/internal/command/process.go
+++ b/internal/command/process.go
@@ -139,7 +139,7 @@
 		fmt.Fprint(streams.Output, settings.Markdown(settings.NodeTable()))
 		return ExitOK
 	}
-	loaded, err := loadNode(command.Settings, command.Set)
+	loaded, err := command.loadNode()
 	if err != nil {
 		return report(streams, err)
 	}
@@ -148,6 +148,18 @@
 	return ExitOK
 }
 
+// loadNode refuses the short forms, which name keys of gateways and schedulers.
+func (command *CheckSettingsCommand) loadNode() (settings.NodeSettings, error) {
+	overrides, err := command.overrides()
+	if err != nil {
+		return settings.NodeSettings{}, err
+	}
+	if len(overrides) > len(command.Set) {
+		return settings.NodeSettings{}, resultcode.New(resultcode.InvalidSettings, "--role node: takes --set KEY=VALUE and no short form of a key")
+	}
+	return loadNode(command.Settings, command.Set)
+}
+
 // loadNode reads and checks a node's settings file with the overrides of --set.
 func loadNode(path string, set []string) (settings.NodeSettings, error) {
 	overrides, err := parseOverrides(set)
--- a/rehearsal/command/run.go
+++ b/rehearsal/command/run.go
@@ -16,7 +16,8 @@
 const (
 	// rehearsalHost is the host that callers name; it is what curl sends by itself.
 	rehearsalHost = "127.0.0.1"
-	// eventPause makes a turn of the stand-in engines last some 60 ms.
+	// eventPause makes a turn of the stand-in engines last some 60 ms, so that a run takes
+	// well under 40 s: at 3 ms a step an event's 9 tokens would take 27 ms.
 	eventPause = 15 * time.Millisecond
 )
 
@@ -68,7 +69,7 @@
 }
 
 // longestAim is what the lowest tier's programs should take at most; each tier above is to take
-// aimStep less of it.
+// aimStep less. The figures are the rehearsal's own, to show the order of the tiers.
 const (
 	longestAim = 10 * time.Second
 	aimStep    = 2 * time.Second
