make run: programs of at most 40 turns

Programs are cut to 40 turns and pauses to 0.5 s, so that the last to arrive ends within the 15 s left.

--- a/rehearsal/soak/staged.go
+++ b/rehearsal/soak/staged.go
@@ -41,8 +41,10 @@
 	killedFor = 1500 * time.Millisecond
 	// frozenFor is longer than other nodes wait for an owner before they replace it.
 	frozenFor = 2500 * time.Millisecond
-	// longestPause bounds a program's pauses, so that a run ends in time.
-	longestPause = time.Second
+	// longestPause and longestChain bound a program's pauses and turns, so that one which
+	// arrives last ends within stagedBound.
+	longestPause = 500 * time.Millisecond
+	longestChain = 40
 	// stagedBound is how long programs may go on after the last one has arrived.
 	stagedBound = 15 * time.Second
 	// progressPause separates two lines of progress.
@@ -180,6 +182,7 @@
 	for number := range staged.options.Programs {
 		plan := generator.Program(number)
 		plan.Arrival = time.Duration(number) * gap
+		plan.Turns = plan.Turns[:min(len(plan.Turns), longestChain)]
 		plans = append(plans, plan)
 	}
 	return plans
