Held bytes: a connection that closes gives back all that it counted

Cause: close released the counted bytes and then closed the count, in two steps. Bytes counted between them were never taken back; over time the bound of a server fills, and each further request is refused (requests) or goes piece by piece (answers).

--- a/internal/httpserver/held.go
+++ b/internal/httpserver/held.go
@@ -1,9 +1,6 @@
 package httpserver
 
-import (
-	"math"
-	"sync"
-)
+import "sync"
 
 // Bytes that connections hold: request bodies, and answers that clients have not taken.
 // Each connection is bounded for itself; the bounds here hold over all of a server's
@@ -31,15 +28,21 @@
 func (sent *sentBytes) release(server *Server) {
 	sent.mutex.Lock()
 	defer sent.mutex.Unlock()
+	sent.releaseLocked(server)
+}
+
+// releaseLocked is release for a caller that holds the mutex.
+func (sent *sentBytes) releaseLocked(server *Server) {
 	server.bounds().Sent.Release(sent.bytes)
 	sent.bytes = 0
 }
 
-// close takes back what was counted, and lets nothing more be.
+// close takes back what was counted, and lets nothing more be. Both are one step: what was
+// counted between them would never be taken back.
 func (sent *sentBytes) close(server *Server) {
-	sent.release(server)
 	sent.mutex.Lock()
 	defer sent.mutex.Unlock()
+	sent.releaseLocked(server)
 	sent.closed = true
 }
 
@@ -66,19 +69,22 @@
 func (unread *unreadBytes) took(server *Server, count int64) {
 	unread.mutex.Lock()
 	defer unread.mutex.Unlock()
+	unread.tookLocked(server, count)
+}
+
+// tookLocked is took for a caller that holds the mutex.
+func (unread *unreadBytes) tookLocked(server *Server, count int64) {
 	counted := min(count, unread.bytes)
-	if counted == 0 {
-		return
-	}
 	unread.bytes -= counted
 	server.bounds().Unread.Release(counted)
 }
 
-// close forgets what was not taken, and counts nothing more.
+// close forgets what was not taken, and counts nothing more. Both are one step, as with
+// requests.
 func (unread *unreadBytes) close(server *Server) {
-	unread.took(server, math.MaxInt64)
 	unread.mutex.Lock()
 	defer unread.mutex.Unlock()
+	unread.tookLocked(server, unread.bytes)
 	unread.closed = true
 }
 
