Ownership: the age of an ownership goes by the monotonic clock

Cause: it was kept as Unix time, so that a step of the machine's clock by 4 s made a new owner one that knows its programs; it could refuse a sub-agent's first turn in the middle of a program. A step back switched admission off for as long. Test: failed before (no monotonic reading), passes after.

--- a/internal/ownership/claim_test.go
+++ b/internal/ownership/claim_test.go
@@ -74,6 +74,7 @@
 		since, owns := manager.OwnedSince(0)
 		Expect(owns).To(BeTrue())
 		Expect(since).To(BeTemporally(">=", before))
+		Expect(since).NotTo(Equal(since.Round(0)), "it holds the monotonic clock's reading")
 		ask(manager, "r2", 500, 100)
 		again, _ := manager.OwnedSince(0)
 		Expect(again).To(Equal(since))
--- a/internal/ownership/manager.go
+++ b/internal/ownership/manager.go
@@ -28,9 +28,9 @@
 	claimFailed time.Time
 	// held tells other goroutines which shards are owned or being claimed.
 	held []atomic.Bool
-	// ownedSince is when this node came to own a shard, Unix nanoseconds; 0 where it
-	// does not.
-	ownedSince []atomic.Int64
+	// ownedSince is when this node came to own a shard, nil where it does not. It keeps the
+	// monotonic clock's reading, so that a step of the machine's clock makes no owner older.
+	ownedSince []atomic.Pointer[time.Time]
 	context    context.Context
 }
 
@@ -49,7 +49,7 @@
 		events:  make(chan func(), eventQueue),
 	}
 	manager.held = make([]atomic.Bool, shards)
-	manager.ownedSince = make([]atomic.Int64, shards)
+	manager.ownedSince = make([]atomic.Pointer[time.Time], shards)
 	for number := range shards {
 		manager.shards = append(manager.shards, &shard{number: number, ended: map[string]time.Time{}})
 	}
@@ -117,5 +117,18 @@
 // OwnedSince returns when this node came to own a shard, false where it does not.
 func (manager *Manager) OwnedSince(number int) (time.Time, bool) {
 	since := manager.ownedSince[number].Load()
-	return time.Unix(0, since), since != 0
+	if since == nil {
+		return time.Time{}, false
+	}
+	return *since, true
+}
+
+// noteOwned notes whether this node owns a shard, from now on.
+func (manager *Manager) noteOwned(number int, owned bool) {
+	if !owned {
+		manager.ownedSince[number].Store(nil)
+		return
+	}
+	now := time.Now()
+	manager.ownedSince[number].Store(&now)
 }
--- a/internal/ownership/shard.go
+++ b/internal/ownership/shard.go
@@ -212,11 +212,7 @@
 	}
 	shard.phase = next
 	manager.held[shard.number].Store(next == charts.OwnershipStateOwned || next == charts.OwnershipStateClaiming)
-	since := int64(0)
-	if next == charts.OwnershipStateOwned {
-		since = time.Now().UnixNano()
-	}
-	manager.ownedSince[shard.number].Store(since)
+	manager.noteOwned(shard.number, next == charts.OwnershipStateOwned)
 	return true
 }
 
