Zones: the test of a cut has its neighbour answer all the time

Now only the cut of the zone can make the node unready: as strict in the last check, stricter in the first.

--- a/internal/node/zones_test.go
+++ b/internal/node/zones_test.go
@@ -10,6 +10,7 @@
 	"github.com/magpielug/magpielug/internal/durable"
 	"github.com/magpielug/magpielug/internal/ownership"
 	"github.com/magpielug/magpielug/internal/reach"
+	"github.com/magpielug/magpielug/internal/wait"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
@@ -38,12 +39,23 @@
 	return server
 }
 
+// neighbourAnswers has a node hear another one of its zone until ctx ends.
+func neighbourAnswers(ctx context.Context, node *Node) {
+	node.contact.note()
+	go func() {
+		for ctx.Err() == nil {
+			node.contact.note()
+			wait.For(ctx, isolatedAfter/10)
+		}
+	}()
+}
+
 var _ = Describe("A zone that is cut off", func() {
 	It("is known to its nodes though they hear each other, and they are not ready", func() {
 		node := zonedNode(deafListener().Listener.Addr().String())
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		node.contact.note() // The neighbour answers.
+		neighbourAnswers(ctx, node)
 		Expect(node.isolated()).To(BeFalse(), "nothing was asked yet")
 		go node.probeZones(ctx)
 		Eventually(node.isolated, "10s").Should(BeTrue())
