Zones: one that is not probed any more counts as reached

Cause: a zone found unreached whose nodes then leave or are replaced by none is not probed any more; its engines were passed over for good, as nothing asked them. Test failed before.

--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -20,7 +20,9 @@
 	leastUnanswered = 2
 	// suspectedAfter is how long after its last answer a suspected zone is probed.
 	suspectedAfter = 300 * time.Millisecond
-	// suspicion is how long a failed call makes its zone a suspect.
+	// suspicion is how long a failed call makes its zone a suspect, and how long a zone counts
+	// as unreached after the last probe of it: a zone without nodes is not probed any more,
+	// and its engines would get no work for good.
 	suspicion = 2 * time.Second
 )
 
@@ -34,7 +36,7 @@
 }
 
 func (zone *zone) unreached(now time.Time) bool {
-	return zone.unanswered >= leastUnanswered && now.Sub(zone.heard) > unreachedAfter
+	return zone.unanswered >= leastUnanswered && now.Sub(zone.heard) > unreachedAfter && now.Sub(zone.failed) <= suspicion
 }
 
 func (zone *zone) suspected(now time.Time) bool {
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -78,3 +78,12 @@
 	expect.Expect(zones.Reached("a", at(5000))).To(BeTrue())
 	expect.Expect(zones.Due([]string{"a"}, true, at(5000))).To(BeEmpty())
 }
+
+func TestAZoneThatNobodyProbesAnyMoreCountsAsReached(t *testing.T) {
+	expect := NewWithT(t)
+	zones := reach.NewZones("a")
+	zones.Unanswered("b", start, start)
+	zones.Unanswered("b", at(200), at(200))
+	expect.Expect(zones.Reached("b", at(400))).To(BeFalse())
+	expect.Expect(zones.Reached("b", at(60_000))).To(BeTrue(), "its nodes have left; its engines may be well")
+}
