Zones: a lost node that is its zone's only one does not cost the zone's engines

Cause: where a zone has a single node, its silence alone made the zone unreached after 0.7 s without an answer of an engine; the engines, which were well, then got work only where no other engine was left, for as long as the node was away. Such a probe now counts only where the zone's engine that was asked last did not answer either. Ruled out: requiring two nodes for a zone to be taken for cut off (a zone of one node would never be known to be). Test failed before (unreached after 0.7 s).

--- a/internal/backend/zones.go
+++ b/internal/backend/zones.go
@@ -12,9 +12,9 @@
 	}
 	switch outcome {
 	case Answered, Full, Misdirected:
-		directory.zones.Heard(engine.Zone, now)
+		directory.zones.EngineHeard(engine.Zone, now)
 	case Failed, Unreachable, Silent:
-		directory.zones.Failed(engine.Zone, now)
+		directory.zones.EngineFailed(engine.Zone, now)
 	case Abandoned:
 	}
 }
--- a/internal/node/zones.go
+++ b/internal/node/zones.go
@@ -90,11 +90,17 @@
 		NodesEnd:         node.memberView.reached(),
 		LogAnswerAgeMs:   node.logHealth.ageMilliseconds(time.Now()),
 	})
-	if err != nil {
+	if err != nil && !node.mayBeLostAlone(zone) {
 		node.zones.Unanswered(zone, sent, time.Now())
 	}
 }
 
+// mayBeLostAlone tells whether the silence of a zone's nodes says nothing of the zone: there
+// is a single one, and the zone's engines answered last. Where it is lost they go on working.
+func (node *Node) mayBeLostAlone(zone string) bool {
+	return node.members.zoneSizes()[zone] == 1 && node.zones.EnginesAnswer(zone)
+}
+
 // otherZones returns the zones of the other nodes known, in order.
 func (node *Node) otherZones() []string {
 	var zones []string
--- a/internal/node/zones_test.go
+++ b/internal/node/zones_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
+	"github.com/magpielug/magpielug/internal/backend"
 	"github.com/magpielug/magpielug/internal/durable"
 	"github.com/magpielug/magpielug/internal/ownership"
 	"github.com/magpielug/magpielug/internal/reach"
@@ -22,6 +23,8 @@
 	node := lonelyNode(time.Now().Add(-time.Hour))
 	node.settings.Zone = "a"
 	node.zones = reach.NewZones("a")
+	node.engines = backend.NewDirectory()
+	node.engines.UseZones(node.zones)
 	node.members.put(Member{Name: "near", Address: "near", Zone: "a"})
 	node.members.put(Member{Name: "far", Address: beyond, Zone: "b"})
 	node.peers = newPeers(node.members, &http.Client{Transport: node.zoneTransport(http.DefaultTransport)})
@@ -74,6 +77,22 @@
 		Consistently(func() bool { return node.zoneCutOff(time.Now()) }, "1500ms").Should(BeFalse())
 	})
 
+	It("is not one whose only node is silent while its engines answer", func() {
+		node := zonedNode(deafListener().Listener.Addr().String())
+		node.engines.Put(backend.Instance{ID: "e", Service: "s", Zone: "b"})
+		end := func(outcome backend.Outcome) {
+			node.engines.Finish(node.engines.Pick(&backend.Request{Service: "s"}, time.Now()), outcome, time.Now())
+		}
+		end(backend.Answered)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go node.probeZones(ctx)
+		reached := func() bool { return node.reaches("far", time.Now()) }
+		Consistently(reached, "2s").Should(BeTrue(), "an engine there has answered")
+		end(backend.Silent)
+		Eventually(reached, "10s").Should(BeFalse())
+	})
+
 	It("refuses a turn at once whose owner is beyond the cut, with when callers reach another zone", func() {
 		node := zonedNode("beyond")
 		ctx, cancel := context.WithCancel(context.Background())
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -33,6 +33,8 @@
 	failed time.Time
 	// unanswered counts probes in a row.
 	unanswered int
+	// enginesAnswer is true where the engine there that was asked last has answered.
+	enginesAnswer bool
 }
 
 func (zone *zone) unreached(now time.Time) bool {
@@ -66,7 +68,7 @@
 	return found
 }
 
-// Heard notes an answer of a node or an engine.
+// Heard notes an answer of a node.
 func (zones *Zones) Heard(name string, now time.Time) {
 	zones.mutex.Lock()
 	defer zones.mutex.Unlock()
@@ -76,7 +78,7 @@
 	}
 }
 
-// Failed notes that a node or an engine did not answer.
+// Failed notes that a node did not answer.
 func (zones *Zones) Failed(name string, now time.Time) {
 	zones.mutex.Lock()
 	defer zones.mutex.Unlock()
@@ -85,6 +87,33 @@
 	}
 }
 
+// EngineHeard notes an answer of an engine.
+func (zones *Zones) EngineHeard(name string, now time.Time) { zones.noteEngine(name, true, now) }
+
+// EngineFailed notes that an engine did not answer.
+func (zones *Zones) EngineFailed(name string, now time.Time) { zones.noteEngine(name, false, now) }
+
+func (zones *Zones) noteEngine(name string, answers bool, now time.Time) {
+	if answers {
+		zones.Heard(name, now)
+	} else {
+		zones.Failed(name, now)
+	}
+	zones.mutex.Lock()
+	defer zones.mutex.Unlock()
+	if found := zones.of(name); found != nil {
+		found.enginesAnswer = answers
+	}
+}
+
+// EnginesAnswer tells whether the engine of a zone that was asked last has answered.
+func (zones *Zones) EnginesAnswer(name string) bool {
+	zones.mutex.Lock()
+	defer zones.mutex.Unlock()
+	found := zones.zones[name]
+	return found != nil && found.enginesAnswer
+}
+
 // Unanswered notes that a probe sent at a time was not answered. It says nothing where the
 // zone was heard since.
 func (zones *Zones) Unanswered(name string, sent, now time.Time) {
