Load: nodes that know of no sharing are passed over for 30 s, not as lost ones

Cause: while versions change, an older node answers bad_route; it was suspected as one that is lost, for 0.6 to 5 s, so that each node asked and logged each older one of its zone up to each 5 s (13 asks and lines a second with 65 nodes in a zone, by arithmetic). Nodes with the feature off answer Unimplemented now, which counts the same.

--- a/internal/node/load.go
+++ b/internal/node/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -12,6 +13,7 @@
 	"github.com/magpielug/magpielug/internal/load"
 	"github.com/magpielug/magpielug/internal/logging"
 	"github.com/magpielug/magpielug/internal/wait"
+	"github.com/twitchtv/twirp"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 )
@@ -42,6 +44,10 @@
 	// must not leave a node with another gatherer than its zone for long.
 	gathererSuspicion = 600 * time.Millisecond
 	mostSuspicion     = 5 * time.Second
+	// withoutSharingPause is how long a node is passed over that does not know of sharing,
+	// being of an older version, or has it switched off: it is so until it is restarted.
+	// While versions change, a node asks each other one of its zone once in that time.
+	withoutSharingPause = 30 * time.Second
 	// leastZoneShare of the nodes of its zone must be in a sum for a node to go by it. A
 	// node that only itself or few others tell anything would take all engines for idle.
 	leastZoneShare = 1.0 / 3
@@ -293,15 +299,25 @@
 		sharing.mutex.Unlock()
 		return
 	}
-	failures := sharing.failures[target]
-	sharing.failures[target] = failures + 1
-	const mostDoublings = 4
-	pause := min(gathererSuspicion<<min(failures, mostDoublings), mostSuspicion)
+	pause := sharing.pauseAfter(target, cause)
 	sharing.suspects.note(target, time.Now().Add(pause))
 	sharing.mutex.Unlock()
 	sharing.node.logger.Info("load gatherer not reached", zap.String("node", target), zap.Duration("passed_over", pause), logging.Cause(cause))
 }
 
+// pauseAfter is how long to pass a gatherer over for a failure, which it counts. The caller
+// holds the mutex.
+func (sharing *loadSharing) pauseAfter(target string, cause error) time.Duration {
+	var answer twirp.Error
+	if errors.As(cause, &answer) && (answer.Code() == twirp.BadRoute || answer.Code() == twirp.Unimplemented) {
+		return withoutSharingPause
+	}
+	failures := sharing.failures[target]
+	sharing.failures[target] = failures + 1
+	const mostDoublings = 4
+	return min(gathererSuspicion<<min(failures, mostDoublings), mostSuspicion)
+}
+
 // noteChosen logs a change of the gatherer.
 func (sharing *loadSharing) noteChosen(target string) {
 	if sharing.chosen == target {
--- a/internal/node/load_test.go
+++ b/internal/node/load_test.go
@@ -19,6 +19,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/twitchtv/twirp"
 )
 
 // network carries calls between nodes of one process, without sockets.
@@ -266,6 +267,22 @@
 		Expect(nodes[0].sharing.suspects.holds("node-1", time.Now().Add(2*gathererSuspicion))).To(BeFalse())
 	})
 
+	It("passes nodes of older versions, and those without the feature, over for long", func() {
+		start(3, 1)
+		lines.nodes["node-1"] = nodev1.NewNodeServer(&peerServer{node: nodes[1]}, twirp.WithServerPathPrefix("/older"))
+		lines.nodes["node-2"] = http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+			Expect(twirp.WriteError(writer, errNoLoad)).To(Succeed())
+		})
+		sharing := nodes[0].sharing
+		for _, name := range []string{"node-1", "node-2"} {
+			_, err := sharing.tell(context.Background(), name, nodes[0].ownLoad())
+			Expect(err).To(HaveOccurred())
+			Expect(sharing.suspects.holds(name, time.Now().Add(2*mostSuspicion))).To(BeTrue(), name)
+			Expect(sharing.failures).NotTo(HaveKey(name), "it answers")
+		}
+		Expect(sharing.gathererOf("zone-0", time.Now())).To(Equal("node-0"))
+	})
+
 	It("is not shared where the feature is off", func() {
 		start(2, 1)
 		Expect(feature.Disable(string(feature.LoadSharing))).To(Succeed())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,6 +28,7 @@
 	"github.com/magpielug/magpielug/internal/reach"
 	"github.com/magpielug/magpielug/internal/routing"
 	"github.com/magpielug/magpielug/internal/wait"
+	"github.com/twitchtv/twirp"
 	"go.uber.org/zap"
 	"golang.org/x/sync/singleflight"
 )
@@ -37,7 +38,7 @@
 	errUnknownShard = errors.New("no such shard")
 	errLogRefuses   = errors.New("the log refuses this node too")
 	errNoLimit      = errors.New("the tenant has no limit to keep")
-	errNoLoad       = errors.New("this node gathers no load")
+	errNoLoad       = twirp.Unimplemented.Error("this node gathers no load")
 	errStillReading = errors.New("the turns before are still being read")
 )
 
