Admission: a service with an engine that does not say its slots binds nobody

Cause: the requests of all its engines were counted against the slots of those that say theirs, so that programs were refused for want of slots that nobody knows the number of. Test failed before (24 instead of unknown).

--- a/internal/backend/capacity.go
+++ b/internal/backend/capacity.go
@@ -5,7 +5,7 @@
 // Capacity is what the sound engines of a service have.
 type Capacity struct {
 	Service string
-	// Slots is how many requests they run at once, 0 where none says so.
+	// Slots is how many requests they run at once, 0 where not all say so.
 	Slots int
 	// Engines lists their ids.
 	Engines []string
@@ -28,12 +28,17 @@
 func capacityOf(service string, engines []*Engine, now time.Time) Capacity {
 	capacity := Capacity{Service: service}
 	heedDoubt := heedsDoubt(engines, now)
+	allTell := true
 	for _, engine := range engines {
 		if now.Before(engine.avoidUntil) || (heedDoubt && engine.doubted(now)) {
 			continue
 		}
+		allTell = allTell && engine.Slots > 0
 		capacity.Slots += engine.Slots
 		capacity.Engines = append(capacity.Engines, engine.ID)
 	}
+	if !allTell {
+		capacity.Slots = 0
+	}
 	return capacity
 }
--- a/internal/backend/capacity_test.go
+++ b/internal/backend/capacity_test.go
@@ -50,4 +50,11 @@
 		directory.Report([]string{"e1", "e2"}, now)
 		Expect(slots(directory, service, now)).To(Equal(24))
 	})
+
+	It("are not known of a service with an engine that does not say its slots", func() {
+		directory := newSlotted()
+		directory.Put(backend.Instance{ID: "e4", Service: service, Address: "10.0.0.4:1"})
+		Expect(slots(directory, service, now)).To(BeZero(), "its requests would count against the slots of others")
+		Expect(slots(directory, "tools", now)).To(Equal(5))
+	})
 })
