Room: a call that may not ask again takes no other call's turn

Cause: a refused call whose node has no further ask left kept its place at the head of the queue; each event that showed room woke it, it was denied and came back to the head. With room for one request the calls behind it waited until the budget had refilled: 0.99 s on an idle engine (test, failed before; bound 0.4 s). Such a call keeps its place and is passed over. Ruled out: waking the next after a denial (calls that are all denied would wake each other without end); sorting denied calls last (they would wait on when the budget has refilled).

--- a/internal/backend/retry_budget.go
+++ b/internal/backend/retry_budget.go
@@ -58,6 +58,11 @@
 	return true
 }
 
+// Has tells whether an ask is left.
+func (budget *RetryBudget) Has(now time.Time) bool {
+	return budget.Left(now) >= 1-roundingSlack || !feature.Enabled(feature.RetryBudget)
+}
+
 // Return puts an ask back that was not made.
 func (budget *RetryBudget) Return() {
 	budget.mutex.Lock()
@@ -120,6 +125,11 @@
 	return budget.Take(now)
 }
 
+// MayAsk tells whether the call may ask an engine once it has waited.
+func (asking *Asking) MayAsk(budget *RetryBudget, now time.Time) bool {
+	return asking.Refusals == 0 || budget.Has(now)
+}
+
 // Return notes that no engine was asked after Take.
 func (asking *Asking) Return(budget *RetryBudget) {
 	if asking.Refusals > 0 {
--- a/internal/backend/wait_queue.go
+++ b/internal/backend/wait_queue.go
@@ -37,6 +37,9 @@
 	Rank    int
 	// Aim is when the request's program should be over.
 	Aim time.Time
+	// MayAsk tells whether the request may ask an engine now; nil is always. One that may not
+	// keeps its place and is not woken: it would take the turn of others for nothing.
+	MayAsk func() bool
 }
 
 // WaitQueue holds the requests that wait for an engine, by service, in order of their ranks
@@ -81,15 +84,16 @@
 
 // waiting is one request in the queue.
 type waiting struct {
-	rank  int
-	aim   time.Time
-	late  bool
-	woken chan struct{}
-	index int
+	rank   int
+	aim    time.Time
+	late   bool
+	mayAsk func() bool
+	woken  chan struct{}
+	index  int
 }
 
 func newWaiting(waiter Waiter, now time.Time) *waiting {
-	return &waiting{rank: waiter.Rank, aim: waiter.Aim, late: !waiter.Aim.After(now), woken: make(chan struct{}, 1)}
+	return &waiting{rank: waiter.Rank, aim: waiter.Aim, late: !waiter.Aim.After(now), mayAsk: waiter.MayAsk, woken: make(chan struct{}, 1)}
 }
 
 // Here counts the requests to a service in the queue, by rank.
@@ -272,11 +276,20 @@
 	}
 }
 
-// wakeFor wakes the first requests of a queue. The caller holds the mutex.
+// wakeFor wakes the first requests of a queue that may ask. The caller holds the mutex.
 func (queue *WaitQueue) wakeFor(found *waiters, most int) {
-	for range min(most, len(found.ordered)) {
+	var passedOver []*waiting
+	for woken := 0; woken < most && len(found.ordered) > 0; {
 		first := heap.Pop(&found.ordered).(*waiting)
+		if first.mayAsk != nil && !first.mayAsk() {
+			passedOver = append(passedOver, first)
+			continue
+		}
 		first.woken <- struct{}{}
+		woken++
+	}
+	for _, each := range passedOver {
+		heap.Push(&found.ordered, each)
 	}
 }
 
--- a/internal/forward/room_test.go
+++ b/internal/forward/room_test.go
@@ -194,6 +194,23 @@
 		Expect(whole.Load()).To(BeTrue())
 	})
 
+	It("lets calls past one that waits for room and may not ask", func() {
+		for service.Retries.Take(time.Now()) {
+			continue
+		}
+		service.Sender = &fakeSender{replies: []func() (*forward.Reply, error){refused, answerOf(http.StatusOK, strings.NewReader("ok"))}}
+		held := make(chan struct{})
+		go func() {
+			defer close(held)
+			serve(context.Background(), "/tool/x")
+		}()
+		Eventually(func() bool { return service.Waiting.Waits("s") }).Should(BeTrue())
+		began := time.Now()
+		Expect(serve(context.Background(), "/tool/x").ended).To(BeTrue())
+		Expect(time.Since(began)).To(BeNumerically("<", 400*time.Millisecond), "a second refills the budget by one")
+		<-held
+	})
+
 	It("asks on while there are engines without the gates", func() {
 		DeferCleanup(func() { _ = feature.Disable("") })
 		Expect(feature.Disable("retry-budget,room-by-load")).To(Succeed())
--- a/internal/forward/wait.go
+++ b/internal/forward/wait.go
@@ -27,7 +27,7 @@
 
 // awaitEngine waits a moment for an engine with room, or refuses.
 func (current *course) awaitEngine(ctx context.Context) error {
-	waiter := backend.Waiter{Service: current.serviceName, Rank: current.urgency(), Aim: current.aim()}
+	waiter := backend.Waiter{Service: current.serviceName, Rank: current.urgency(), Aim: current.aim(), MayAsk: current.mayAsk}
 	forecast, predicted := current.predict(waiter)
 	patience, reason := current.patience(forecast, predicted)
 	if reason != "" {
@@ -42,6 +42,11 @@
 	return nil
 }
 
+// mayAsk tells whether the call may ask an engine now. It is called while the call waits.
+func (current *course) mayAsk() bool {
+	return current.asking.MayAsk(&current.service.Retries, time.Now())
+}
+
 // predict tells what the call would find in the queue, false where nothing is known to
 // predict its wait from.
 func (current *course) predict(waiter backend.Waiter) (backend.Forecast, bool) {
