Held bytes: a request's bytes are given back with its answer, each for itself

Cause: a connection's count was given back only when no request was under way and none was half received, so that callers that send ahead kept it growing; a request whose first bytes came while the answer before was being ended was given back at once and then held uncounted; and one that did not fit behind a request under way closed the connection, which cost the answer of a request that was running. Test failed before (the connection was closed, nothing counted).

--- a/internal/httpserver/connection.go
+++ b/internal/httpserver/connection.go
@@ -152,6 +152,7 @@
 // completeRequest notes that a whole request has arrived. The read deadline
 // stops: it would cut an answer that takes longer.
 func (connection *connection) completeRequest() {
+	connection.sent.completed()
 	connection.calls.Add(1)
 	connection.receiving.Store(false)
 	connection.received = 0
@@ -240,10 +241,8 @@
 // finishCall notes that an answer has been handed to the socket.
 func (connection *connection) finishCall() {
 	remaining := connection.calls.Add(-1)
+	connection.sent.answered(connection.server)
 	if remaining == 0 {
-		if !connection.receiving.Load() {
-			connection.sent.release(connection.server)
-		}
 		connection.awaitRequest()
 	}
 	if connection.server.draining.Load() {
--- a/internal/httpserver/held.go
+++ b/internal/httpserver/held.go
@@ -6,35 +6,50 @@
 // Each connection is bounded for itself; the bounds here hold over all of a server's
 // connections, for many slow clients at once hold many times what one may.
 
-// sentBytes counts what one connection's client has sent of requests, until all are answered.
+// sentBytes counts what one connection's client has sent of requests, each until it is
+// answered. Requests of a connection are answered in order.
 type sentBytes struct {
-	mutex  sync.Mutex
-	bytes  int64
-	closed bool
+	mutex sync.Mutex
+	// partial is what has come of a request that is not whole, whole what each has that is.
+	partial int64
+	whole   []int64
+	closed  bool
 }
 
-// take counts bytes of a request, or returns false where they don't fit.
+// take counts bytes of a request, or returns false where they don't fit. Behind a request
+// under way they are taken in any case: to refuse them would cost that one its answer.
 func (sent *sentBytes) take(server *Server, count int) bool {
 	sent.mutex.Lock()
 	defer sent.mutex.Unlock()
-	if sent.closed || !server.bounds().Sent.TryTake(int64(count)) {
+	if sent.closed {
+		return false
+	}
+	if len(sent.whole) > 0 {
+		server.bounds().Sent.Take(int64(count))
+	} else if !server.bounds().Sent.TryTake(int64(count)) {
 		return false
 	}
-	sent.bytes += int64(count)
+	sent.partial += int64(count)
 	return true
 }
 
-// release takes back what was counted.
-func (sent *sentBytes) release(server *Server) {
+// completed notes that a request is whole.
+func (sent *sentBytes) completed() {
 	sent.mutex.Lock()
 	defer sent.mutex.Unlock()
-	sent.releaseLocked(server)
+	sent.whole = append(sent.whole, sent.partial)
+	sent.partial = 0
 }
 
-// releaseLocked is release for a caller that holds the mutex.
-func (sent *sentBytes) releaseLocked(server *Server) {
-	server.bounds().Sent.Release(sent.bytes)
-	sent.bytes = 0
+// answered takes back what was counted of the oldest request.
+func (sent *sentBytes) answered(server *Server) {
+	sent.mutex.Lock()
+	defer sent.mutex.Unlock()
+	if len(sent.whole) == 0 {
+		return
+	}
+	server.bounds().Sent.Release(sent.whole[0])
+	sent.whole = sent.whole[1:]
 }
 
 // close takes back what was counted, and lets nothing more be. Both are one step: what was
@@ -42,7 +57,13 @@
 func (sent *sentBytes) close(server *Server) {
 	sent.mutex.Lock()
 	defer sent.mutex.Unlock()
-	sent.releaseLocked(server)
+	counted := sent.partial
+	for _, bytes := range sent.whole {
+		counted += bytes
+	}
+	server.bounds().Sent.Release(counted)
+	sent.partial = 0
+	sent.whole = nil
 	sent.closed = true
 }
 
--- a/internal/httpserver/held_test.go
+++ b/internal/httpserver/held_test.go
@@ -1,6 +1,7 @@
 package httpserver
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -84,6 +85,31 @@
 		Expect(answer.StatusCode).To(Equal(http.StatusOK))
 	})
 
+	It("gives back each request of a connection with its answer, and drops none for a further one", func() {
+		sent := heldbytes.New(100_000)
+		leave := make(chan struct{})
+		server := start(func(writer http.ResponseWriter, request *http.Request) {
+			_, _ = io.Copy(io.Discard, request.Body)
+			<-leave
+		}, Limits{Sent: sent})
+		caller := dial(server)
+		const length = 60_000
+		for range 2 {
+			fmt.Fprintf(caller, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", length, content(1, length))
+		}
+		Eventually(sent.Held, patience).Should(BeNumerically(">", 2*length))
+		answers := bufio.NewReader(caller)
+		for left := range 2 {
+			leave <- struct{}{}
+			answer, err := http.ReadResponse(answers, nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(answer.StatusCode).To(Equal(http.StatusOK))
+			Expect(io.Copy(io.Discard, answer.Body)).To(BeZero())
+			Eventually(sent.Held, patience).Should(BeNumerically("<", (2-left)*length))
+		}
+		Eventually(sent.Held, patience).Should(BeZero())
+	})
+
 	It("forgets what a caller sent that left in the middle of its body", func() {
 		sent := heldbytes.New(100_000)
 		server := start(echo, Limits{Sent: sent})
