--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -172,13 +172,7 @@
 	around.Log = &durable.Rereading{Log: &durable.Counted{Log: around.Log, Observe: node.storeCall}}
 	node.around = around
 	node.recorder = history.NewRecorder(around.Log, settings.Shards)
-	node.engines.UseLoad(node.load)
-	node.assigner.UseLoad(node.load, node.engines.RunningAt)
-	if feature.Enabled(feature.ZoneReach) {
-		node.engines.UseZones(node.zones)
-	}
-	node.engines.UseNodes(node.members.staying)
-	err = node.engines.UsePolicy(settings.Placement)
+	err = node.prepareChoices()
 	if err != nil {
 		return nil, err
 	}
@@ -203,18 +197,38 @@
 		node.recorder.RelayBy(node.recordElsewhere)
 	}
 	node.egress = &egress.Handler{Engines: node.engines, Sender: around.Sender, Logger: logger.Logger, Stopping: node.stopping.Load}
+	node.service = node.newService(egress.NewSender(around.Sender, &egressTopology{node: node}, client, logger.Logger, meter.handed))
+	node.waitingCalls = node.service.Waiting.Waiting
+	node.programLoad = node.admission.report
+	node.loadRenewed = node.service.Waiting.Renewed
+	return node, nil
+}
+
+// prepareChoices tells those who choose engines what to go by.
+func (node *Node) prepareChoices() error {
+	node.engines.UseLoad(node.load)
+	node.assigner.UseLoad(node.load, node.engines.RunningAt)
+	if feature.Enabled(feature.ZoneReach) {
+		node.engines.UseZones(node.zones)
+	}
+	node.engines.UseNodes(node.members.staying)
+	return node.engines.UsePolicy(node.settings.Placement)
+}
+
+// newService makes what takes calls their way.
+func (node *Node) newService(sender forward.Sender) *forward.Service {
 	waiting := backend.NewWaitQueue()
 	waiting.UseRooms(node.engines)
-	node.service = &forward.Service{
+	return &forward.Service{
 		Routes:   node.routes,
 		Engines:  node.engines,
 		Waiting:  waiting,
-		Sender:   egress.NewSender(around.Sender, &egressTopology{node: node}, client, logger.Logger, meter.handed),
+		Sender:   sender,
 		Programs: node.programs,
 		Quotas:   node.quotas,
-		Meter:    meter,
-		Logger:   logger.Logger,
-		Zone:     settings.Zone,
+		Meter:    node.meter,
+		Logger:   node.logger.Logger,
+		Zone:     node.settings.Zone,
 		Nodes:    node.members.staying,
 		ViewAge:  node.engineView.age,
 		LogAway:  node.recordingAway,
@@ -224,10 +238,6 @@
 
 		ToolCalls: forward.NewToolCalls(),
 	}
-	node.waitingCalls = node.service.Waiting.Waiting
-	node.programLoad = node.admission.report
-	node.loadRenewed = node.service.Waiting.Renewed
-	return node, nil
 }
 
 // storeCall implements durable.Observe.
