Connections: engines that have left are forgotten after their refusals

Cause: the entry of an address that has refused was dropped only when a connection to it was asked for; addresses of engines that were replaced stayed for good. Test failed before (100).

--- a/internal/backend/connections.go
+++ b/internal/backend/connections.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"sync"
@@ -68,6 +69,9 @@
 	opened  time.Time
 }
 
+// over tells whether the engine counts as refusing no more.
+func (engine refusing) over(now time.Time) bool { return now.Sub(engine.refused) > refusingFor }
+
 // NewConnections returns an empty set.
 func NewConnections() *Connections {
 	connections := &Connections{idle: map[string][]*Connection{}, open: map[string]int{}, refusing: map[string]refusing{}}
@@ -127,7 +131,11 @@
 func (connections *Connections) Refused(address string, now time.Time) {
 	connections.mutex.Lock()
 	defer connections.mutex.Unlock()
-	found := connections.refusing[address]
+	found, known := connections.refusing[address]
+	if !known {
+		// Nobody asks for connections to engines that have left.
+		maps.DeleteFunc(connections.refusing, func(_ string, other refusing) bool { return other.over(now) })
+	}
 	found.refused = now
 	connections.refusing[address] = found
 }
@@ -139,7 +147,7 @@
 	switch {
 	case !known || !feature.Enabled(feature.RoomByLoad):
 		return true
-	case now.Sub(found.refused) > refusingFor:
+	case found.over(now):
 		delete(connections.refusing, address)
 		return true
 	case now.Sub(found.opened) < refusingPause:
--- a/internal/backend/connections_refusing_test.go
+++ b/internal/backend/connections_refusing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"testing"
 	"time"
@@ -62,3 +63,12 @@
 	connections.Refused("a", roomNow)
 	expect.Expect(opened(0, refusingFor)).To(Equal(50))
 }
+
+func TestEnginesThatHaveLeftAreForgottenAfterTheirRefusals(t *testing.T) {
+	expect := NewWithT(t)
+	connections := NewConnections()
+	for number := range 100 {
+		connections.Refused(fmt.Sprint("engine-", number), roomNow.Add(time.Duration(number)*time.Minute))
+	}
+	expect.Expect(connections.refusing).To(HaveLen(1))
+}
