--- a/internal/forward/log_gate.go
+++ b/internal/forward/log_gate.go
@@ -17,9 +17,9 @@
 	// logRetryShare of what is then left is when to come back: callers that are told a
 	// later time than a third of it do not come back in time.
 	logRetryShare = 0.3
-	// cutOffRetry is when callers are to come back to a zone that is cut off: in front of
+	// CutOffRetry is when callers are to come back to a zone that is cut off: in front of
 	// the nodes it takes two questions, a second apart, to send callers to other zones.
-	cutOffRetry = time.Second
+	CutOffRetry = time.Second
 	// logLook separates two looks whether the log is back.
 	logLook = 25 * time.Millisecond
 )
@@ -32,7 +32,7 @@
 		return nil
 	}
 	if current.service.CutOff != nil && current.service.CutOff() {
-		return resultcode.New(resultcode.LogAway, "this zone is cut off from the others and the log").After(current.retryWithin(cutOffRetry))
+		return resultcode.New(resultcode.LogAway, "this zone is cut off from the others and the log").After(current.retryWithin(CutOffRetry))
 	}
 	began := time.Now()
 	until := began.Add(time.Duration(logWaitShare * float64(current.end.Sub(began))))
--- a/internal/node/search.go
+++ b/internal/node/search.go
@@ -7,6 +7,7 @@
 
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
 	"github.com/magpielug/magpielug/internal/feature"
+	"github.com/magpielug/magpielug/internal/forward"
 	"github.com/magpielug/magpielug/internal/logging"
 	"github.com/magpielug/magpielug/internal/ownership"
 	"github.com/magpielug/magpielug/internal/wait"
@@ -44,7 +45,7 @@
 	if owner != "" && programs.node.reaches(owner, now) {
 		return nil
 	}
-	return &nodev1.ReserveReply{Verdict: nodev1.Verdict_VERDICT_UNSURE, RetryAfterMs: zoneRetry.Milliseconds(),
+	return &nodev1.ReserveReply{Verdict: nodev1.Verdict_VERDICT_UNSURE, RetryAfterMs: forward.CutOffRetry.Milliseconds(),
 		Reason: "this zone is cut off from the others and the store"}
 }
 
--- a/internal/node/zones.go
+++ b/internal/node/zones.go
@@ -19,9 +19,6 @@
 	// probePause separates two rounds of probes, probeTimeout bounds one probe.
 	probePause   = 150 * time.Millisecond
 	probeTimeout = 200 * time.Millisecond
-	// zoneRetry is when callers are to come back to a zone that is cut off: in front of the
-	// nodes it takes two questions, a second apart, to send callers to other zones.
-	zoneRetry = time.Second
 )
 
 // zoneTransport notes which zones' nodes answer.
--- a/internal/node/zones_test.go
+++ b/internal/node/zones_test.go
@@ -9,6 +9,7 @@
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
 	"github.com/magpielug/magpielug/internal/backend"
 	"github.com/magpielug/magpielug/internal/durable"
+	"github.com/magpielug/magpielug/internal/forward"
 	"github.com/magpielug/magpielug/internal/ownership"
 	"github.com/magpielug/magpielug/internal/reach"
 	"github.com/magpielug/magpielug/internal/wait"
@@ -104,7 +105,7 @@
 		reply, elsewhere := node.programs.ask(ctx, 0, "r", &nodev1.ReserveRequest{Program: "p"})
 		Expect(elsewhere).To(BeFalse(), "no other node of the zone does better")
 		Expect(reply.Verdict).To(Equal(nodev1.Verdict_VERDICT_UNSURE))
-		Expect(reply.RetryAfterMs).To(Equal(zoneRetry.Milliseconds()))
+		Expect(reply.RetryAfterMs).To(Equal(forward.CutOffRetry.Milliseconds()))
 		node.programs.owners[0] = ownership.Owner{Node: "near", Epoch: 1}
 		Expect(node.programs.cutOff(0)).To(BeNil(), "an owner in the zone is asked")
 	})
