Admission: a service whose engines don't say their slots does not stop learning

Cause: 0 slots counted as full, also with nothing under way, so that requests seemed to wait all the time: what programs need was never learned beyond the first guess, and calls of tools bound nobody. The same while all engines of any service are down. Test failed before (1 slot a program, 2 used).

--- a/internal/admission/learned.go
+++ b/internal/admission/learned.go
@@ -171,9 +171,10 @@
 	for _, service := range state.Services {
 		use := known.service(service.Name)
 		use.present.observe(present[service.Name], step, presentSpan)
-		full := use.present.value >= float64(service.Slots)
-		queues = queues || full
-		if full && service.Slots > 0 {
+		// Nobody knows whether requests wait at engines that don't say their slots.
+		full := service.Slots > 0 && use.present.value >= float64(service.Slots)
+		if full {
+			queues = true
 			continue
 		}
 		use.calls.observe(turns[service.Name], step, usualSpan)
--- a/internal/admission/parts_test.go
+++ b/internal/admission/parts_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/magpielug/magpielug/internal/load"
 	. "github.com/onsi/gomega"
 )
 
@@ -82,3 +83,21 @@
 	mean.observe(8, time.Second, 10*time.Second)
 	expect.Expect(mean.value).To(Equal(6.0))
 }
+
+func TestAServiceWithoutSlotsDoesNotStopLearning(t *testing.T) {
+	expect := NewWithT(t)
+	known := newLearned()
+	state := &State{Known: true, Services: []Service{{Name: "m", Slots: 100, Running: 20}, {Name: "other", Engines: 1}}}
+	state.Total.Routes = map[string]load.Route{"r": {Service: "m", Programs: 10, Turns: 10}}
+	now := time.Unix(1000, 0)
+	sample := func(turns int, while time.Duration) {
+		state.Total.Routes["r"] = load.Route{Service: "m", Programs: 10, Turns: turns}
+		for until := now.Add(while); now.Before(until); now = now.Add(learnPause) {
+			known.observe(state, now)
+		}
+	}
+	sample(10, usualSpan)
+	sample(20, 10*usualSpan)
+	expect.Expect(known.routes["r"].slots()).To(BeNumerically("~", 2, 0.1), "programs use two slots each")
+	expect.Expect(known.turns.value).To(BeNumerically("~", 20, 1))
+}
