Assignment: prompts held are summed only where they tell anything

An owner summed all lines of the last minute for each new line, also where its part of the memory holds too little to be gone by (the target size), or nothing bounds it.

--- a/internal/assignment/memory.go
+++ b/internal/assignment/memory.go
@@ -1,6 +1,9 @@
 package assignment
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// promptAge is how long after a line's last turn its prompt counts as held for it. A
@@ -17,13 +20,13 @@
 // assigned to them, while others have half of theirs: what goes beyond an engine's memory
 // drives out prompts that others go on with, and those are read again.
 func (assigner *Assigner) withMemory(candidates []Candidate, prompt int, now time.Time) []Candidate {
+	if slices.ContainsFunc(candidates, func(candidate Candidate) bool { return candidate.OwnMemory <= telling*prompt }) {
+		return candidates
+	}
 	held := assigner.promptsHeld(now)
 	var fitting []Candidate
 	roomy := false
 	for _, candidate := range candidates {
-		if candidate.OwnMemory <= telling*prompt {
-			return candidates
-		}
 		tokens := held[candidate.ID]
 		if tokens+prompt <= candidate.OwnMemory {
 			fitting = append(fitting, candidate)
