Zones: engines behind a cut have no room for waiting calls

Cause: Pick passed them over, but the room that wakes calls, the node's part of it and the predicted wait counted them: calls were woken each 12 ms for engines that they don't get, and their wait was predicted by requests that don't end. Test failed before (room 4 instead of 0).

--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -213,7 +213,7 @@
 	var instances []Instance
 	engines := directory.usable(service)
 	filter := sound{heedDoubt: heedsDoubt(engines, now)}
-	for _, engine := range directory.reached(engines, &Request{}, now) {
+	for _, engine := range directory.usableNow(service, now) {
 		if filter.Admits(engine, nil, now) {
 			instances = append(instances, engine.Instance)
 		}
--- a/internal/backend/forecast.go
+++ b/internal/backend/forecast.go
@@ -45,7 +45,7 @@
 func (directory *Directory) Predict(waiter Waiter, ahead int, here map[int]int, now time.Time) (Forecast, bool) {
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
-	engines := directory.usable(waiter.Service)
+	engines := directory.usableNow(waiter.Service, now)
 	directory.estimateOthers(waiter.Service, engines, now)
 	under := 0.0
 	for _, engine := range engines {
--- a/internal/backend/room.go
+++ b/internal/backend/room.go
@@ -167,7 +167,7 @@
 }
 
 func (directory *Directory) room(service string, now time.Time) int {
-	engines := directory.usable(service)
+	engines := directory.usableNow(service, now)
 	directory.estimateOthers(service, engines, now)
 	noticed := sound{heedDoubt: heedsDoubt(engines, now)}
 	share := directory.queueShareOf(service, engines)
--- a/internal/backend/share_of_room.go
+++ b/internal/backend/share_of_room.go
@@ -38,7 +38,8 @@
 		return
 	}
 	directory.usable("") // It lists the engines of all services.
-	for service, engines := range directory.services {
+	for service := range directory.services {
+		engines := directory.usableNow(service, now)
 		directory.estimateOthers(service, engines, now)
 		share := directory.queueShareOf(service, engines)
 		room, all, own, bounded := 0.0, 0.0, 0, true
--- a/internal/backend/zones.go
+++ b/internal/backend/zones.go
@@ -27,10 +27,19 @@
 	if directory.zones == nil {
 		return candidates
 	}
-	reached := slices.Clone(candidates)
-	reached = slices.DeleteFunc(reached, func(engine *Engine) bool { return !directory.zones.Reached(engine.Zone, now) })
+	beyond := func(engine *Engine) bool { return !directory.zones.Reached(engine.Zone, now) }
+	if !slices.ContainsFunc(candidates, beyond) {
+		return candidates
+	}
+	reached := slices.DeleteFunc(slices.Clone(candidates), beyond)
 	if slices.ContainsFunc(reached, func(engine *Engine) bool { return untried{}.Admits(engine, request, now) }) {
 		return reached
 	}
 	return candidates
 }
+
+// usableNow returns those of a service's engines that get requests as its zones are reached
+// now. The caller holds the mutex.
+func (directory *Directory) usableNow(service string, now time.Time) []*Engine {
+	return directory.reached(directory.usable(service), &Request{}, now)
+}
--- a/internal/backend/zones_test.go
+++ b/internal/backend/zones_test.go
@@ -30,3 +30,21 @@
 	directory.Finish(engine, backend.Answered, now.Add(time.Second))
 	expect.Expect(zones.Reached("b", now.Add(time.Second))).To(BeTrue(), "an engine there answers")
 }
+
+func TestEnginesBehindACutHaveNoRoomForWaitingCalls(t *testing.T) {
+	expect := NewWithT(t)
+	now := time.Unix(1000, 0)
+	zones := reach.NewZones("a")
+	directory := backend.NewDirectory()
+	directory.UseZones(zones)
+	directory.Put(backend.Instance{ID: "near", Service: "s", Zone: "a", Slots: 3})
+	directory.Put(backend.Instance{ID: "far", Service: "s", Zone: "b", Slots: 3})
+	zones.Unanswered("b", now, now)
+	zones.Unanswered("b", now, now)
+	request := &backend.Request{Service: "s", Zone: "a"}
+	for directory.Pick(request, now) != nil {
+		expect.Expect(directory.Running()["near"]).To(BeNumerically("<", 10))
+	}
+	expect.Expect(directory.Running()).NotTo(HaveKey("far"))
+	expect.Expect(directory.Room("s", now)).To(BeZero(), "a call that was woken would find no engine")
+}
