Zones: programs begin by the slots of the zones that are reached

Cause: admission counted the slots of engines behind a cut, while what runs there is not in the view: programs began for engines that their turns don't get. Test failed before (8, not 3).

--- a/internal/backend/capacity.go
+++ b/internal/backend/capacity.go
@@ -13,14 +13,15 @@
 
 // Capacities returns what the sound engines of each service have. An engine that has just
 // said that it is full is as sound as others, and so is one among many that are silent:
-// that is what load looks like.
+// that is what load looks like. Engines of zones that are out of reach count only where a
+// service has no others.
 func (directory *Directory) Capacities(now time.Time) []Capacity {
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
 	directory.usable("")
 	var all []Capacity
-	for service, engines := range directory.services {
-		all = append(all, capacityOf(service, engines, now))
+	for service := range directory.services {
+		all = append(all, capacityOf(service, directory.usableNow(service, now), now))
 	}
 	return all
 }
--- a/internal/backend/zones_test.go
+++ b/internal/backend/zones_test.go
@@ -48,3 +48,17 @@
 	expect.Expect(directory.Running()).NotTo(HaveKey("far"))
 	expect.Expect(directory.Room("s", now)).To(BeZero(), "a call that was woken would find no engine")
 }
+
+func TestProgramsBeginByTheSlotsThatAreReached(t *testing.T) {
+	expect := NewWithT(t)
+	now := time.Unix(1000, 0)
+	zones := reach.NewZones("a")
+	directory := backend.NewDirectory()
+	directory.UseZones(zones)
+	directory.Put(backend.Instance{ID: "near", Service: "s", Zone: "a", Slots: 3})
+	directory.Put(backend.Instance{ID: "far", Service: "s", Zone: "b", Slots: 5})
+	expect.Expect(directory.Capacities(now)[0].Slots).To(Equal(8))
+	zones.Unanswered("b", now, now)
+	zones.Unanswered("b", now, now)
+	expect.Expect(directory.Capacities(now)[0].Slots).To(Equal(3))
+}
