--- a/internal/forward/room_test.go
+++ b/internal/forward/room_test.go
@@ -198,7 +198,8 @@
 		for service.Retries.Take(time.Now()) {
 			continue
 		}
-		service.Sender = &fakeSender{replies: []func() (*forward.Reply, error){refused, answerOf(http.StatusOK, strings.NewReader("ok"))}}
+		answered := func() (*forward.Reply, error) { return answerOf(http.StatusOK, strings.NewReader("ok"))() }
+		service.Sender = &fakeSender{replies: []func() (*forward.Reply, error){refused, answered}}
 		held := make(chan struct{})
 		go func() {
 			defer close(held)
--- a/internal/forward/service_test.go
+++ b/internal/forward/service_test.go
@@ -27,13 +27,21 @@
 // fakeSender answers with what it is given, attempt by attempt.
 type fakeSender struct {
 	replies []func() (*forward.Reply, error)
-	sent    []*forward.Attempt
+	// mutex guards sent while calls are under way.
+	mutex sync.Mutex
+	sent  []*forward.Attempt
 }
 
 func (sender *fakeSender) Send(_ context.Context, attempt *forward.Attempt) (*forward.Reply, error) {
+	return sender.next(attempt)()
+}
+
+func (sender *fakeSender) next(attempt *forward.Attempt) func() (*forward.Reply, error) {
+	sender.mutex.Lock()
+	defer sender.mutex.Unlock()
 	reply := sender.replies[min(len(sender.sent), len(sender.replies)-1)]
 	sender.sent = append(sender.sent, attempt)
-	return reply()
+	return reply
 }
 
 func answerOf(status int, body io.Reader) func() (*forward.Reply, error) {
@@ -85,6 +93,8 @@
 // fakePrograms grants everything and notes what is settled.
 type fakePrograms struct {
 	reservation forward.Reservation
+	// mutex guards the following while calls are under way.
+	mutex sync.Mutex
 	// reserves counts the asks for tokens, orders are they.
 	reserves    int
 	orders      []*forward.ReservationOrder
@@ -95,17 +105,23 @@
 }
 
 func (programs *fakePrograms) Reserve(_ context.Context, order *forward.ReservationOrder) forward.Reservation {
+	programs.mutex.Lock()
 	programs.reserves++
 	programs.orders = append(programs.orders, order)
+	programs.mutex.Unlock()
 	time.Sleep(programs.wait)
 	return programs.reservation
 }
 
 func (programs *fakePrograms) Settle(_ *forward.Call, _ forward.Grant, tokens int64, _ *history.Turn) {
+	programs.mutex.Lock()
+	defer programs.mutex.Unlock()
 	programs.settled = append(programs.settled, tokens)
 }
 
 func (programs *fakePrograms) Record(_ context.Context, turn *history.Turn) error {
+	programs.mutex.Lock()
+	defer programs.mutex.Unlock()
 	programs.recorded = append(programs.recorded, turn)
 	return programs.recordError
 }
