Operators: GET /load and magpielug load show engines, waiting, admission, tenants and zones

Asked under load were which engines are full or passed over and why, who waits by rank, what admission decides by and which tenant holds how much against its share; metrics told it in part, and not by engine or tenant.

--- /dev/null
+++ b/internal/admission/status_test.go
@@ -0,0 +1,42 @@
+package admission
+
+import (
+	"math"
+	"testing"
+
+	"github.com/magpielug/magpielug/internal/load"
+	. "github.com/onsi/gomega"
+)
+
+func TestTenantSharesShowWhoHasMoreThanItsPart(t *testing.T) {
+	expect := NewWithT(t)
+	report := load.NewReport()
+	report.Tenants[load.Holder{Tenant: "hot", Rank: 1}] = 60
+	report.Tenants[load.Holder{Tenant: "small", Rank: 1}] = 2
+	report.Tenants[load.Holder{Tenant: "other", Rank: 1}] = 8
+	report.Tenants[load.Holder{Tenant: "urgent", Rank: 0}] = 5
+	stateWith := func(running int) *State {
+		return &State{Total: report, Known: true, Share: 1, Services: []Service{{Name: "s", Slots: 40, Engines: 4, Running: running}}}
+	}
+	shares := func(state *State) map[string]float64 {
+		controller := NewController(Options{Shares: true})
+		controller.learned.service("s").present.value = float64(state.Services[0].Running)
+		found := map[string]float64{}
+		for _, share := range controller.TenantShares(state) {
+			found[share.Tenant] = share.Fair
+		}
+		return found
+	}
+
+	roomy := shares(stateWith(10))
+	expect.Expect(roomy["hot"]).To(Equal(math.Inf(1)), "there is room for all")
+	scarce := shares(stateWith(80))
+	expect.Expect(scarce["hot"]).To(And(BeNumerically("<", 60), BeNumerically(">", 8)))
+	expect.Expect(scarce["small"]).To(Equal(scarce["hot"]), "tenants of one size have one share")
+	expect.Expect(scarce["urgent"]).To(Equal(math.Inf(1)), "nobody else asks at its rank")
+
+	ordered := NewController(Options{}).TenantShares(stateWith(80))
+	expect.Expect(ordered[0].Tenant).To(Equal("hot"))
+	expect.Expect(ordered[0].Fair).To(Equal(math.Inf(1)), "shares are switched off")
+	expect.Expect(ordered).To(HaveLen(4))
+}
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -43,7 +43,7 @@
 
 var _ = Describe("Run", func() {
 	It("shows complete help for each command", func() {
-		for _, command := range []string{"", "gateway", "scheduler", "check-settings", "operator", "operator publish", "operator explain"} {
+		for _, command := range []string{"", "gateway", "scheduler", "check-settings", "load", "operator", "operator publish", "operator explain"} {
 			got := run(append(strings.Fields(command), "--help")...)
 			Expect(got.code).To(Equal(ExitOK))
 			Expect(got.output).To(ContainSubstring("Usage: magpielug " + command))
--- a/internal/command/output.go
+++ b/internal/command/output.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"maps"
 	"slices"
 	"strings"
@@ -84,10 +85,14 @@
 	if command.Output == outputJSON {
 		return printJSON(streams, reply)
 	}
-	shown := chosen.table(reply)
-	writer := tabwriter.NewWriter(streams.Output, 0, 0, columnGap, ' ', 0)
-	fmt.Fprintln(writer, strings.Join(shown.header, "\t"))
-	for _, row := range shown.rows {
+	return chosen.table(reply).write(streams.Output)
+}
+
+// write writes the table in columns.
+func (rows table) write(output io.Writer) error {
+	writer := tabwriter.NewWriter(output, 0, 0, columnGap, ' ', 0)
+	fmt.Fprintln(writer, strings.Join(rows.header, "\t"))
+	for _, row := range rows.rows {
 		fmt.Fprintln(writer, strings.Join(row, "\t"))
 	}
 	return writer.Flush()
--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -53,6 +53,7 @@
 	Scheduler     *ProcessCommand       `arg:"subcommand:scheduler" help:"run a scheduler: hosts shards and decides order, place and time"`
 	Node          *NodeCommand          `arg:"subcommand:node" help:"run a node on a platform that hands over its settings file"`
 	Operator      *OperatorCommand      `arg:"subcommand:operator" help:"configure and watch the system through a gateway"`
+	Load          *LoadCommand          `arg:"subcommand:load" help:"show the load as a node knows it: engines, waiting, admission, tenants"`
 	CheckSettings *CheckSettingsCommand `arg:"subcommand:check-settings" help:"check a settings file without starting anything"`
 
 	version string
@@ -107,6 +108,8 @@
 		return root.Scheduler.run(ctx, streams, settings.RoleScheduler, root.version, runners.Scheduler)
 	case root.Node != nil:
 		return root.Node.run(ctx, streams, root.version, runners.Node)
+	case root.Load != nil:
+		return root.Load.run(ctx, streams)
 	case root.CheckSettings != nil:
 		return root.CheckSettings.run(streams)
 	case root.Operator != nil && parser.Subcommand() != root.Operator:
--- a/internal/node/admission_metrics.go
+++ b/internal/node/admission_metrics.go
@@ -76,10 +76,7 @@
 	metrics.admitter.mutex.Lock()
 	defer metrics.admitter.mutex.Unlock()
 	for _, resource := range metrics.admitter.controller.Resources(state) {
-		kind := "slots"
-		if resource.Memory {
-			kind = "memory"
-		}
+		kind := resourceName(resource)
 		collected <- gauge(metrics.capacity, resource.Capacity, resource.Service, kind)
 		collected <- gauge(metrics.limit, resource.Limit, resource.Service, kind)
 		collected <- gauge(metrics.demand, resource.Demand, resource.Service, kind)
--- /dev/null
+++ b/internal/node/load_status.go
@@ -0,0 +1,245 @@
+package node
+
+import (
+	"encoding/json"
+	"maps"
+	"math"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/magpielug/magpielug/internal/admission"
+	"github.com/magpielug/magpielug/internal/backend"
+	"github.com/magpielug/magpielug/internal/httpserver"
+	"github.com/magpielug/magpielug/internal/load"
+	"github.com/magpielug/magpielug/internal/resultcode"
+)
+
+// serveLoad answers an operator who asks for the load.
+func (node *Node) serveLoad(writer http.ResponseWriter, request *http.Request) {
+	status, err := node.answerLoad(request)
+	if err != nil {
+		httpserver.WriteError(writer, err)
+		return
+	}
+	writer.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(writer).Encode(status)
+}
+
+func (node *Node) answerLoad(request *http.Request) (load.Status, error) {
+	if request.Method != http.MethodGet {
+		return load.Status{}, resultcode.New(resultcode.UnknownRoute, "%s %s: only GET is served", request.Method, load.StatusPath)
+	}
+	query := request.URL.Query()
+	for name, values := range query {
+		if name != load.StatusService || len(values) != 1 {
+			return load.Status{}, resultcode.New(resultcode.BadRequest, "%s: the query %q is none but one %s=NAME", load.StatusPath, request.URL.RawQuery, load.StatusService)
+		}
+	}
+	status := node.loadStatus(time.Now())
+	if !query.Has(load.StatusService) {
+		return status, nil
+	}
+	service := query.Get(load.StatusService)
+	if !slices.ContainsFunc(status.Services, func(known load.ServiceStatus) bool { return known.Service == service }) {
+		return load.Status{}, resultcode.New(resultcode.UnknownTarget, "no engine of a service %q is known", service)
+	}
+	return ofService(status, service), nil
+}
+
+// ofService leaves out what concerns other services.
+func ofService(status load.Status, service string) load.Status {
+	status.Services = slices.DeleteFunc(status.Services, func(each load.ServiceStatus) bool { return each.Service != service })
+	status.Engines = slices.DeleteFunc(status.Engines, func(each load.EngineStatus) bool { return each.Service != service })
+	status.Admission = slices.DeleteFunc(status.Admission, func(each load.AdmissionStatus) bool { return each.Service != service })
+	status.Routes = slices.DeleteFunc(status.Routes, func(each load.RouteStatus) bool { return each.Service != service })
+	return status
+}
+
+// loadStatus tells operators what this node knows of the load.
+func (node *Node) loadStatus(now time.Time) load.Status {
+	total, known := node.load.Total(now)
+	status := load.Status{
+		Node:            node.settings.Name,
+		Zone:            node.settings.Zone,
+		View:            node.viewStatus(known, now),
+		OwnedShare:      node.admission.share(),
+		ZonesOutOfReach: []string{},
+		CutOff:          node.zoneCutOff(now),
+	}
+	for _, zone := range node.otherZones() {
+		if !node.zones.Reached(zone, now) {
+			status.ZonesOutOfReach = append(status.ZonesOutOfReach, zone)
+		}
+	}
+	engines := node.engines.Statuses(now)
+	status.Engines = engineStatuses(engines, total, known)
+	status.Services = node.serviceStatuses(engines, total, known, now)
+	status.Admission, status.Tenants, status.OtherTenants = node.admission.status(now)
+	status.Routes, status.OtherRoutes = routeStatuses(total, known)
+	return status
+}
+
+func (node *Node) viewStatus(known bool, now time.Time) load.ViewStatus {
+	status := load.ViewStatus{Known: known, Nodes: node.members.staying(), GatheredNodes: node.sharing.gatherer.Heard(now)}
+	if age, taken := node.load.Age(now); taken {
+		milliseconds := age.Milliseconds()
+		status.AgeMillis = &milliseconds
+	}
+	return status
+}
+
+func engineStatuses(engines []backend.Status, total load.Report, known bool) []load.EngineStatus {
+	statuses := make([]load.EngineStatus, 0, len(engines))
+	for _, engine := range engines {
+		status := load.EngineStatus{
+			Engine:      engine.ID,
+			Service:     engine.Service,
+			Zone:        engine.Zone,
+			ZoneReached: engine.ZoneReached,
+			Slots:       engine.Slots,
+			RunningHere: engine.Running,
+		}
+		if known {
+			running := total.Engines[engine.ID].Running
+			status.Running = &running
+		}
+		for _, reason := range engine.PassedOver {
+			status.PassedOver = append(status.PassedOver, string(reason))
+		}
+		statuses = append(statuses, status)
+	}
+	return statuses
+}
+
+// serviceStatuses sums the engines, which are listed by service.
+func (node *Node) serviceStatuses(engines []backend.Status, total load.Report, known bool, now time.Time) []load.ServiceStatus {
+	sums := map[string]*load.ServiceStatus{}
+	for _, engine := range engines {
+		sum := sums[engine.Service]
+		if sum == nil {
+			sum = newServiceStatus(engine.Service, total, known)
+			sums[engine.Service] = sum
+		}
+		sum.Engines++
+		if len(engine.PassedOver) > 0 {
+			sum.PassedOver++
+		}
+		if !engine.Leaving {
+			sum.Slots += engine.Slots
+		}
+		if known {
+			*sum.Running += total.Engines[engine.ID].Running
+		}
+	}
+	for _, capacity := range node.engines.Capacities(now) {
+		if sum := sums[capacity.Service]; sum != nil {
+			sum.SoundSlots = capacity.Slots
+		}
+	}
+	here := node.service.Waiting.Waiting()
+	statuses := make([]load.ServiceStatus, 0, len(sums))
+	for _, service := range slices.Sorted(maps.Keys(sums)) {
+		status := *sums[service]
+		status.WaitingHere = waitingByRank(here, service)
+		statuses = append(statuses, status)
+	}
+	return statuses
+}
+
+func newServiceStatus(service string, total load.Report, known bool) *load.ServiceStatus {
+	status := &load.ServiceStatus{Service: service}
+	if !known {
+		return status
+	}
+	status.Running = new(int)
+	status.Waiting = waitingByRank(total.Waiting, service)
+	if name, _ := admission.ToolRoute(service, 0); total.Routes[name].Turns > 0 {
+		calls := total.Routes[name].Turns
+		status.ToolCalls = &calls
+	}
+	return status
+}
+
+// waitingByRank lists the calls that wait for a service, the most urgent first.
+func waitingByRank(waiting map[load.Queue]int, service string) []load.RankCalls {
+	var counts []load.RankCalls
+	for queue, calls := range waiting {
+		if queue.Service == service && calls > 0 {
+			counts = append(counts, load.RankCalls{Rank: queue.Rank, Calls: calls})
+		}
+	}
+	slices.SortFunc(counts, func(left, right load.RankCalls) int { return left.Rank - right.Rank })
+	return counts
+}
+
+// routeStatuses lists the routes with the most programs under way, and counts the others.
+func routeStatuses(total load.Report, known bool) ([]load.RouteStatus, int) {
+	statuses := []load.RouteStatus{}
+	if !known {
+		return statuses, 0
+	}
+	for _, name := range slices.Sorted(maps.Keys(total.Routes)) {
+		route := total.Routes[name]
+		bare := admission.BareRoute(name, route.Service, route.Rank)
+		if bare == "" {
+			continue // Calls of tools.
+		}
+		statuses = append(statuses, load.RouteStatus{
+			Route:            bare,
+			Service:          route.Service,
+			Rank:             route.Rank,
+			Programs:         route.Programs,
+			Turns:            route.Turns,
+			BegunPerSecond:   admission.PerSecond(route.Begun),
+			RefusedPerSecond: admission.PerSecond(route.Refused),
+			LatePerSecond:    admission.PerSecond(route.Late),
+		})
+	}
+	slices.SortStableFunc(statuses, func(left, right load.RouteStatus) int { return right.Programs - left.Programs })
+	listed := min(len(statuses), load.MostRoutes)
+	return statuses[:listed], len(statuses) - listed
+}
+
+// status tells operators what admission decides by: what programs share, the tenants with the
+// most programs under way, and how many others there are.
+func (admitter *admitter) status(now time.Time) ([]load.AdmissionStatus, []load.TenantStatus, int) {
+	resources, tenants := []load.AdmissionStatus{}, []load.TenantStatus{}
+	state := admitter.state(now)
+	if !state.Known {
+		return resources, tenants, 0
+	}
+	admitter.mutex.Lock()
+	defer admitter.mutex.Unlock()
+	for _, resource := range admitter.controller.Resources(state) {
+		resources = append(resources, load.AdmissionStatus{
+			Service:  resource.Service,
+			Resource: resourceName(resource),
+			Demand:   resource.Demand,
+			Limit:    resource.Limit,
+			Capacity: resource.Capacity,
+		})
+	}
+	shares := admitter.controller.TenantShares(state)
+	listed := min(len(shares), load.MostTenants)
+	for _, share := range shares[:listed] {
+		tenants = append(tenants, tenantStatus(share))
+	}
+	return resources, tenants, len(shares) - listed
+}
+
+// resourceName is that of the metrics.
+func resourceName(resource admission.Resource) string {
+	if resource.Memory {
+		return "memory"
+	}
+	return "slots"
+}
+
+func tenantStatus(share admission.TenantShare) load.TenantStatus {
+	status := load.TenantStatus{Tenant: share.Tenant, Rank: share.Rank, Programs: share.Programs}
+	if !math.IsInf(share.Fair, 1) {
+		status.Fair = &share.Fair
+	}
+	return status
+}
--- /dev/null
+++ b/internal/node/load_status_test.go
@@ -0,0 +1,158 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"time"
+
+	"github.com/magpielug/magpielug/internal/admission"
+	"github.com/magpielug/magpielug/internal/backend"
+	"github.com/magpielug/magpielug/internal/durable"
+	"github.com/magpielug/magpielug/internal/forward"
+	"github.com/magpielug/magpielug/internal/httpserver"
+	"github.com/magpielug/magpielug/internal/load"
+	"github.com/magpielug/magpielug/internal/logging"
+	"github.com/magpielug/magpielug/internal/ownership"
+	"github.com/magpielug/magpielug/internal/reach"
+	"github.com/magpielug/magpielug/internal/resultcode"
+	"github.com/magpielug/magpielug/internal/routing"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("The load for operators", func() {
+	var node *Node
+
+	BeforeEach(func() {
+		logger, err := logging.New("error", GinkgoWriter)
+		Expect(err).NotTo(HaveOccurred())
+		node = &Node{settings: Settings{Name: "self", Zone: "a", Shards: 1}, members: newMembers(), logger: logger.Bounded(), engines: backend.NewDirectory(),
+			load: load.NewView(), routes: &routing.Current{}, zones: reach.NewZones("a")}
+		node.members.put(Member{Name: "self", Zone: "a"})
+		node.members.put(Member{Name: "other", Zone: "b"})
+		node.ownership = ownership.NewManager(context.Background(), durable.NewMemory(), logger.Logger, ownership.Identity{Node: "self"}, 1, ownership.Around{})
+		node.service = &forward.Service{ToolCalls: forward.NewToolCalls(), Waiting: backend.NewWaitQueue()}
+		node.sharing = newLoadSharing(node)
+		node.admission = newAdmitter(node)
+		node.engines.UseZones(node.zones)
+		node.engines.UseLoad(node.load)
+		for number := range 2 {
+			node.engines.Put(backend.Instance{ID: fmt.Sprint("e", number), Service: "models", Zone: "a", Slots: 6})
+		}
+		node.engines.Put(backend.Instance{ID: "tool", Service: "tools", Zone: "b", Slots: 4})
+	})
+
+	ask := func(method, target string) *httptest.ResponseRecorder {
+		answer := httptest.NewRecorder()
+		node.serveLoad(answer, httptest.NewRequest(method, target, nil))
+		return answer
+	}
+	statusOf := func(target string) load.Status {
+		answer := ask(http.MethodGet, target)
+		Expect(answer.Code).To(Equal(http.StatusOK), answer.Body.String())
+		var status load.Status
+		Expect(json.Unmarshal(answer.Body.Bytes(), &status)).To(Succeed())
+		return status
+	}
+	// busy has the view tell of more than the engines have room for.
+	busy := func(tenants int) {
+		total := load.NewReport()
+		total.Engines["e0"] = load.Engine{Running: 9}
+		total.Engines["e1"] = load.Engine{Running: 7}
+		total.Waiting[load.Queue{Service: "models", Rank: 2}] = 48
+		total.Waiting[load.Queue{Service: "models", Rank: 0}] = 3
+		total.Routes[admission.RouteName("r", "models", 2)] = load.Route{Service: "models", Rank: 2, Programs: 60, Turns: 50, Begun: 15, Refused: 4}
+		name, calls := admission.ToolRoute("tools", 5)
+		total.Routes[name] = calls
+		for number := range tenants {
+			total.Tenants[load.Holder{Tenant: fmt.Sprint("t", number), Rank: 2}] = number + 1
+		}
+		node.load.Take(total, load.NewReport(), 200*time.Millisecond, time.Now())
+	}
+
+	It("tells what all nodes have at engines and services, and who waits by rank", func() {
+		busy(3)
+		status := statusOf("/load")
+		Expect(status.Node).To(Equal("self"))
+		Expect(status.View.Known).To(BeTrue())
+		Expect(*status.View.AgeMillis).To(BeNumerically(">=", 200))
+		Expect(status.View.Nodes).To(Equal(2))
+		Expect(status.Engines).To(HaveLen(3))
+		Expect(*status.Engines[0].Running).To(Equal(9))
+		Expect(status.Engines[0].ZoneReached).To(BeTrue())
+		Expect(status.Services).To(HaveLen(2))
+		models, tools := status.Services[0], status.Services[1]
+		Expect(models.Slots).To(Equal(12))
+		Expect(models.SoundSlots).To(Equal(12))
+		Expect(*models.Running).To(Equal(16))
+		Expect(models.Waiting).To(Equal([]load.RankCalls{{Rank: 0, Calls: 3}, {Rank: 2, Calls: 48}}))
+		Expect(models.ToolCalls).To(BeNil())
+		Expect(*tools.ToolCalls).To(Equal(5))
+		Expect(status.Routes).To(HaveLen(1), "calls of tools are no programs")
+		Expect(status.Routes[0].Route).To(Equal("r"))
+		Expect(status.Routes[0].BegunPerSecond).To(BeNumerically("~", 30, 0.1))
+		Expect(status.Routes[0].RefusedPerSecond).To(BeNumerically("~", 8, 0.1))
+		Expect(status.Admission).NotTo(BeEmpty())
+		Expect(status.Admission[0].Resource).To(Equal("slots"))
+		Expect(status.ZonesOutOfReach).To(BeEmpty())
+	})
+
+	It("lists the tenants with the most programs, and counts the others", func() {
+		busy(70)
+		status := statusOf("/load")
+		Expect(status.Tenants).To(HaveLen(load.MostTenants))
+		Expect(status.Tenants[0].Tenant).To(Equal("t69"))
+		Expect(status.Tenants[0].Programs).To(Equal(70))
+		Expect(status.OtherTenants).To(Equal(20))
+	})
+
+	It("leaves out what is not known while there is no view", func() {
+		status := statusOf("/load")
+		Expect(status.View.Known).To(BeFalse())
+		Expect(status.View.AgeMillis).To(BeNil())
+		Expect(status.Engines).To(HaveLen(3))
+		Expect(status.Engines[0].Running).To(BeNil())
+		Expect(status.Services[0].Running).To(BeNil())
+		Expect(status.Routes).To(BeEmpty())
+		Expect(status.Tenants).To(BeEmpty())
+		Expect(status.Admission).To(BeEmpty())
+	})
+
+	It("names zones out of reach, and their engines", func() {
+		now := time.Now()
+		node.logHealth.answered.set(now.Add(-2 * storeSilentAfter))
+		node.zones.Unanswered("b", now, now)
+		node.zones.Unanswered("b", now, now)
+		status := statusOf("/load")
+		Expect(status.ZonesOutOfReach).To(Equal([]string{"b"}))
+		Expect(status.CutOff).To(BeTrue(), "the store is silent too")
+		Expect(status.Engines[2].Engine).To(Equal("tool"))
+		Expect(status.Engines[2].ZoneReached).To(BeFalse())
+		Expect(status.Engines[2].PassedOver).To(ContainElement(string(backend.PassOverZone)))
+		Expect(status.Services[1].PassedOver).To(Equal(1))
+	})
+
+	It("limits the answer to one service", func() {
+		busy(1)
+		status := statusOf("/load?service=tools")
+		Expect(status.Services).To(HaveLen(1))
+		Expect(status.Engines).To(HaveLen(1))
+		Expect(status.Routes).To(BeEmpty())
+	})
+
+	DescribeTable("refuses what it does not serve, with a number", func(method, target string, code resultcode.Code) {
+		answer := ask(method, target)
+		Expect(answer.Code).To(Equal(resultcode.Lookup(code).Status))
+		var body httpserver.ErrorBody
+		Expect(json.Unmarshal(answer.Body.Bytes(), &body)).To(Succeed())
+		Expect(body.Error.Code).To(Equal(code))
+	},
+		Entry("another method", http.MethodPost, "/load", resultcode.UnknownRoute),
+		Entry("an unknown parameter", http.MethodGet, "/load?colour=red", resultcode.BadRequest),
+		Entry("a parameter twice", http.MethodGet, "/load?service=models&service=tools", resultcode.BadRequest),
+		Entry("an unknown service", http.MethodGet, "/load?service=nowhere", resultcode.UnknownTarget),
+	)
+})
--- a/internal/node/meter.go
+++ b/internal/node/meter.go
@@ -11,6 +11,7 @@
 
 	"github.com/magpielug/magpielug/internal/backend"
 	"github.com/magpielug/magpielug/internal/forward"
+	"github.com/magpielug/magpielug/internal/load"
 	"github.com/magpielug/magpielug/internal/metrics"
 	"github.com/magpielug/magpielug/internal/resultcode"
 	"github.com/magpielug/magpielug/internal/routing"
@@ -226,6 +227,7 @@
 		registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: gauge.name, Help: gauge.help}, gauge.value))
 	}
 	mux := http.NewServeMux()
+	mux.HandleFunc(load.StatusPath, node.serveLoad)
 	metrics.Mount(mux, registry, func() error {
 		if node.ready() {
 			return nil
