--- a/rehearsal/command/soak.go
+++ b/rehearsal/command/soak.go
@@ -21,6 +21,7 @@
 	Nodes     int           `arg:"--nodes" default:"5" help:"processes of the system"`
 	Callers   int           `arg:"--callers" default:"8" help:"agent programs at once"`
 	Lanes     int           `arg:"--lanes" default:"2" help:"faults at once"`
+	LoadLanes int           `arg:"--load-lanes" default:"1" help:"disturbances of the load at once: hot tenants, slow readers, engines that fail at once, zones without the store; 0 leaves them out, and makes engines alike"`
 	Directory string        `arg:"--directory" default:"out/soak" help:"where logs and settings files go, a directory for each seed"`
 	Magpielug string        `arg:"--magpielug" help:"program to start; default is the one beside this program"`
 }
@@ -67,6 +68,7 @@
 		Nodes:     command.Nodes,
 		Callers:   command.Callers,
 		Lanes:     command.Lanes,
+		LoadLanes: command.LoadLanes,
 		Magpielug: magpielug,
 		Directory: directory,
 		Output:    os.Stderr,
--- a/rehearsal/nodesettings/nodesettings.go
+++ b/rehearsal/nodesettings/nodesettings.go
@@ -3,6 +3,7 @@
 package nodesettings
 
 import (
+	"cmp"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -16,7 +17,8 @@
 
 const (
 	// host is the address of all nodes.
-	host = "127.0.0.1"
+	host        = "127.0.0.1"
+	defaultZone = "z1"
 	// memoryMegabytes and descriptors are those of the users' smaller machines.
 	memoryMegabytes = 254
 	descriptors     = 8200
@@ -25,6 +27,8 @@
 // Settings are those of one node.
 type Settings struct {
 	Name string
+	// Zone is where the node stands, z1 where it is empty.
+	Zone string
 	// Front, Ready, Peer, Metrics and Control are ports; Peer is below Metrics. Control
 	// may be 0 for a node without one.
 	Front, Ready, Peer, Metrics, Control int
@@ -62,7 +66,7 @@
 func (settings Settings) content() string {
 	lines := []string{
 		"NodeName=" + settings.Name,
-		"Zone=z1",
+		"Zone=" + cmp.Or(settings.Zone, defaultZone),
 		"Ip=" + host,
 		"Listen.Front=" + Address(settings.Front),
 		"Listen.Readiness=" + Address(settings.Ready),
--- a/rehearsal/soak/caller.go
+++ b/rehearsal/soak/caller.go
@@ -94,10 +94,15 @@
 
 // run takes programs to their ends, until ctx ends.
 func (callers *callers) run(ctx context.Context, number int, random *rand.Rand) {
+	callers.runFor(ctx, number, tenantOf(number), random)
+}
+
+// runFor is run for a tenant.
+func (callers *callers) runFor(ctx context.Context, number int, tenant string, random *rand.Rand) {
 	for round := 0; ctx.Err() == nil; round++ {
 		running := &program{
 			name:    fmt.Sprintf("program-%d-%d", number, round),
-			tenant:  tenantOf(number),
+			tenant:  tenant,
 			context: ctx,
 			random:  random,
 			path:    turnPath,
@@ -239,7 +244,7 @@
 	}
 	request.Header.Set("Authorization", "Token "+key)
 	request.Header.Set("Tenant", other(attempt.tenant)) // A forged one.
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{Transport: transportOf(attempt)}
 	waiting := time.AfterFunc(gap, cancel)
 	defer waiting.Stop()
 	response, err := client.Do(request)
@@ -247,12 +252,29 @@
 		return
 	}
 	defer func() { _ = response.Body.Close() }()
-	content, err := io.ReadAll(&timedReader{reader: response.Body, timer: waiting})
+	content, err := io.ReadAll(bodyOf(attempt, &timedReader{reader: response.Body, timer: waiting}))
 	attempt.body = string(content)
 	attempt.whole = err == nil
 	attempt.status = response.StatusCode
 }
 
+// transportOf makes a connection for an attempt alone.
+func transportOf(attempt *sent) *http.Transport {
+	transport := &http.Transport{DisableKeepAlives: true}
+	if attempt.slow {
+		transport.DialContext = dialSlow
+	}
+	return transport
+}
+
+// bodyOf reads as fast as the attempt's caller does.
+func bodyOf(attempt *sent, reader io.Reader) io.Reader {
+	if attempt.slow {
+		return &slowReader{reader: reader}
+	}
+	return reader
+}
+
 // timedReader sets a timer back at each read.
 type timedReader struct {
 	reader io.Reader
--- a/rehearsal/soak/check.go
+++ b/rehearsal/soak/check.go
@@ -23,6 +23,8 @@
 	tenant string
 	key    string
 	sentAt time.Time
+	// slow attempts are read slowly.
+	slow bool
 	// status is 0 where no answer came; whole is false where it broke off.
 	status int
 	whole  bool
--- a/rehearsal/soak/faults.go
+++ b/rehearsal/soak/faults.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -59,16 +60,19 @@
 // thrower throws faults in lanes. Two lanes never touch the same thing at once.
 type thrower struct {
 	world  *world
+	ledger *ledger
 	logf   func(format string, values ...any)
 	mutex  sync.Mutex
 	busy   map[string]bool
 	thrown int
+	// extra counts the callers that faults have brought.
+	extra atomic.Int64
 }
 
-// run throws one fault after another until ctx ends. What it began it ends.
-func (thrower *thrower) run(ctx context.Context, random *rand.Rand) {
+// run throws one fault of some kinds after another until ctx ends. What it began it ends.
+func (thrower *thrower) run(ctx context.Context, random *rand.Rand, kinds []fault) {
 	for ctx.Err() == nil {
-		chosen := faults[random.IntN(len(faults))]
+		chosen := kinds[random.IntN(len(kinds))]
 		detail := chosen.throw(thrower, ctx, random)
 		if detail != "" {
 			thrower.logf("%s: %s", chosen.name, detail)
@@ -216,9 +220,12 @@
 
 func (thrower *thrower) disturbWayToStore(ctx context.Context, random *rand.Rand) string {
 	target := thrower.anyNode(random)
-	return thrower.disturbDoor(ctx, random, target.door, "store of "+target.name)
+	return thrower.disturbDoor(ctx, random, target.door, wayToStore(target))
 }
 
+// wayToStore names a node's way to the store.
+func wayToStore(node *node) string { return "store of " + node.name }
+
 func (thrower *thrower) disturbWayToEngine(ctx context.Context, random *rand.Rand) string {
 	target := thrower.anyEngine(random)
 	return thrower.disturbDoor(ctx, random, target.door, target.ID)
--- a/rehearsal/soak/node.go
+++ b/rehearsal/soak/node.go
@@ -30,6 +30,7 @@
 	log      string
 	front    string
 	ready    string
+	zone     string
 	// door is the node's own way to the store.
 	door *relay.Door
 
@@ -51,6 +52,7 @@
 	}
 	settings := nodesettings.Settings{
 		Name:       fmt.Sprintf("node-%d", number),
+		Zone:       options.zoneOf(number),
 		Front:      picked[0],
 		Ready:      picked[1],
 		Peer:       min(picked[2], picked[3]),
@@ -66,6 +68,7 @@
 	}
 	return &node{
 		name:     settings.Name,
+		zone:     settings.Zone,
 		binary:   options.Magpielug,
 		front:    nodesettings.Address(settings.Front),
 		ready:    nodesettings.Address(settings.Ready),
--- a/rehearsal/soak/run.go
+++ b/rehearsal/soak/run.go
@@ -25,6 +25,9 @@
 	// Callers is how many programs run at once, Lanes how many faults.
 	Callers int
 	Lanes   int
+	// LoadLanes is how many disturbances of the load there are at once. With them, nodes and
+	// engines stand in two zones, and engines are of unequal speed.
+	LoadLanes int
 	// Magpielug is the program to start; Directory takes settings and logs.
 	Magpielug string
 	Directory string
@@ -32,6 +35,14 @@
 	Output io.Writer
 }
 
+// zoneOf is the zone of a node or an engine, by its number.
+func (options *Options) zoneOf(number int) string {
+	if options.LoadLanes == 0 {
+		return zonesUnderLoad[0]
+	}
+	return zonesUnderLoad[number%len(zonesUnderLoad)]
+}
+
 // Outcome is what a run came to.
 type Outcome struct {
 	Seed       uint64
@@ -118,7 +129,7 @@
 func newRun(world *world, options Options) *run {
 	made := &run{options: options, world: world, ledger: newLedger(), began: time.Now()}
 	made.callers = &callers{world: world, ledger: made.ledger}
-	made.thrower = &thrower{world: world, logf: made.logf, busy: map[string]bool{}}
+	made.thrower = &thrower{world: world, ledger: made.ledger, logf: made.logf, busy: map[string]bool{}}
 	return made
 }
 
@@ -154,7 +165,10 @@
 	defer cancel()
 	var lanes sync.WaitGroup
 	for lane := range run.options.Lanes {
-		lanes.Go(func() { run.thrower.run(throwing, run.random(uint64(1000+lane))) })
+		lanes.Go(func() { run.thrower.run(throwing, run.random(uint64(1000+lane)), faults) })
+	}
+	for lane := range run.options.LoadLanes {
+		lanes.Go(func() { run.thrower.run(throwing, run.random(uint64(2000+lane)), loadFaults) })
 	}
 	lanes.Wait()
 }
--- a/rehearsal/soak/run_test.go
+++ b/rehearsal/soak/run_test.go
@@ -12,8 +12,11 @@
 // failed once. What each one found stands in docs/MEASUREMENTS.md.
 var seeds = []uint64{1, 200}
 
+// loadSeeds are run with disturbances of the load.
+var loadSeeds = []uint64{1}
+
 var _ = Describe("A soak", func() {
-	for _, seed := range seeds {
+	findsNothing := func(seed uint64, loadLanes int) {
 		It("finds no broken promise", func() {
 			report, err := Run(context.Background(), Options{
 				Seed:      seed,
@@ -21,6 +24,7 @@
 				Nodes:     4,
 				Callers:   6,
 				Lanes:     2,
+				LoadLanes: loadLanes,
 				Magpielug: binary,
 				Directory: GinkgoT().TempDir(),
 				Output:    GinkgoWriter,
@@ -30,4 +34,10 @@
 			Expect(report.Turns).To(BeNumerically(">", 0))
 		})
 	}
+	for _, seed := range seeds {
+		findsNothing(seed, 0)
+	}
+	for _, seed := range loadSeeds {
+		findsNothing(seed, 1)
+	}
 })
--- a/rehearsal/soak/tenants.go
+++ b/rehearsal/soak/tenants.go
@@ -12,8 +12,10 @@
 
 const (
 	// tenantFree has no limit, tenantLimited limitPerSecond and limitBurst.
-	tenantFree     = "free"
-	tenantLimited  = "limited"
+	tenantFree    = "free"
+	tenantLimited = "limited"
+	// tenantHot has no limit either; it sends nothing but as a fault.
+	tenantHot      = "hot"
 	limitPerSecond = 8
 	limitBurst     = 8
 	// quotaWindow, quotaOverage and quotaSlack are how a limit is judged.
@@ -30,8 +32,8 @@
 // tenantRecords are the tenants of a version of the configuration. Each has a key that
 // stays; the free one has a further key that only this version holds.
 func tenantRecords(version int) string {
-	return fmt.Sprintf(`[{"Name":%q,"ApiKeys":[%q,%q]},{"Name":%q,"ApiKeys":[%q],"RatePerS":%d,"Burst":%d}]`,
-		tenantFree, keyOf(tenantFree), versionKey(version), tenantLimited, keyOf(tenantLimited), limitPerSecond, limitBurst)
+	return fmt.Sprintf(`[{"Name":%q,"ApiKeys":[%q,%q]},{"Name":%q,"ApiKeys":[%q]},{"Name":%q,"ApiKeys":[%q],"RatePerS":%d,"Burst":%d}]`,
+		tenantFree, keyOf(tenantFree), versionKey(version), tenantHot, keyOf(tenantHot), tenantLimited, keyOf(tenantLimited), limitPerSecond, limitBurst)
 }
 
 // keyOf is the key of a tenant that stays.
--- a/rehearsal/soak/world.go
+++ b/rehearsal/soak/world.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"sync"
+	"time"
 
 	"github.com/magpielug/magpielug/rehearsal/ports"
 	"github.com/magpielug/magpielug/rehearsal/relay"
@@ -33,13 +34,15 @@
 type engine struct {
 	*agentengine.Engine
 	service string
+	zone    string
 	door    *relay.Door
 }
 
 // world is everything around the callers.
 type world struct {
-	store *logstore.Store
-	nodes []*node
+	options Options
+	store   *logstore.Store
+	nodes   []*node
 
 	mutex sync.Mutex
 	// engines are those listed; gone are those that were taken away, whose runs
@@ -55,7 +58,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "start the store's stand-in")
 	}
-	built := &world{store: store}
+	built := &world{options: options, store: store}
 	for range modelEngines {
 		if err := built.addEngine(serviceModels); err != nil {
 			return nil, err
@@ -91,15 +94,26 @@
 	if err != nil {
 		return err
 	}
-	added := &engine{Engine: started, service: service, door: door}
+	if world.options.LoadLanes > 0 {
+		started.Pace = paceOf(service, world.started)
+	}
+	added := &engine{Engine: started, service: service, zone: world.options.zoneOf(world.started), door: door}
 	world.engines = append(world.engines, added)
 	world.list(added, "ready")
 	return nil
 }
 
+// paceOf is the pace of an engine by its number.
+func paceOf(service string, number int) time.Duration {
+	if service == serviceModels {
+		return modelPaces[number%len(modelPaces)]
+	}
+	return toolPaces[number%len(toolPaces)]
+}
+
 // list writes an engine's record.
 func (world *world) list(listed *engine, state string) {
-	record := fmt.Sprintf(`{"Service":%q,"Address":%q,"Zone":"z1","Slots":8,"State":%q}`, listed.service, listed.door.Address(), state)
+	record := fmt.Sprintf(`{"Service":%q,"Address":%q,"Zone":%q,"Slots":8,"State":%q}`, listed.service, listed.door.Address(), listed.zone, state)
 	world.store.Put(topicEngines, listed.ID, []byte(record))
 }
 
--- a/rehearsal/standin/agentengine/agentengine.go
+++ b/rehearsal/standin/agentengine/agentengine.go
@@ -17,6 +17,8 @@
 type Faults struct {
 	// Full refuses every request as not run.
 	Full bool
+	// Fail answers every request with a failure of the engine's own.
+	Fail bool
 	// LoseAnswers runs requests and closes the connection.
 	LoseAnswers bool
 	// BreakAfter breaks streams off after so many events, 0 not at all.
@@ -39,8 +41,11 @@
 
 // Engine is a running stand-in.
 type Engine struct {
-	ID       string
-	Events   int
+	ID     string
+	Events int
+	// Pace is the time between a stream's events, and before another answer, of an engine
+	// that is sound. It is set before the first request.
+	Pace     time.Duration
 	server   *http.Server
 	listener net.Listener
 	mutex    sync.Mutex
@@ -50,6 +55,12 @@
 
 const headerTimeout = 30 * time.Second
 
+// An answer to a path that ends in LargeSuffix has LargeBytes before its text.
+const (
+	LargeSuffix = "/large"
+	LargeBytes  = 1 << 20
+)
+
 // Start serves on address. A stream has the given number of events.
 func Start(address, id string, events int) (*Engine, error) {
 	listener, err := net.Listen("tcp", address)
@@ -103,6 +114,10 @@
 		return
 	}
 	number := engine.note(request, string(body))
+	if faults.Fail {
+		writer.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	if faults.LoseAnswers {
 		panic(http.ErrAbortHandler)
 	}
@@ -111,6 +126,10 @@
 		engine.stream(writer, request, faults, number)
 		return
 	}
+	time.Sleep(engine.Pace)
+	if strings.HasSuffix(request.URL.Path, LargeSuffix) {
+		_, _ = io.WriteString(writer, strings.Repeat(".", LargeBytes))
+	}
 	_, _ = fmt.Fprintf(writer, "answer of %s to %s", engine.ID, request.Header.Get("Request-Id"))
 }
 
@@ -141,7 +160,7 @@
 		}
 		flusher.Flush()
 		select {
-		case <-time.After(faults.Pause):
+		case <-time.After(faults.Pause + engine.Pace):
 		case <-request.Context().Done():
 			engine.mutex.Lock()
 			engine.runs[number].Canceled = true
