--- a/internal/command/load.go
+++ b/internal/command/load.go
@@ -164,7 +164,7 @@
 		age = (time.Duration(*status.View.AgeMillis) * time.Millisecond).String()
 	}
 	return newTable("NODE", "ZONE", "OWNED", "VIEW", "AGE", "NODES", "GATHERED", "CUT OFF", "ZONES OUT OF REACH").add(status.Node, status.Zone,
-		figure(status.OwnedShare), word(status.View.Known, "known", "unknown"), age, status.View.Nodes, status.View.GatheredNodes,
+		share(status.OwnedShare), word(status.View.Known, "known", "unknown"), age, status.View.Nodes, status.View.GatheredNodes,
 		word(status.CutOff, "yes", "no"), list(status.ZonesOutOfReach))
 }
 
@@ -240,6 +240,9 @@
 // figure writes a number with one digit after the point.
 func figure(value float64) string { return strconv.FormatFloat(value, 'f', 1, 64) }
 
+// share writes a part of 1.
+func share(value float64) string { return strconv.FormatFloat(value, 'f', 3, 64) }
+
 func list(names []string) string {
 	if len(names) == 0 {
 		return notKnown
--- a/internal/command/load_test.go
+++ b/internal/command/load_test.go
@@ -50,7 +50,7 @@
 	It("prints tables", func() {
 		got := run("load", "--address", serve(answerStatus))
 		Expect(got.code).To(Equal(ExitOK), got.errors)
-		Expect(got.output).To(MatchRegexp(`node-1 +a +0\.2 +known +230ms +3 +2 +no +b`))
+		Expect(got.output).To(MatchRegexp(`node-1 +a +0\.250 +known +230ms +3 +2 +no +b`))
 		Expect(got.output).To(MatchRegexp(`models +2 +0 +12 +12 +9 +0:3,2:48 +- +-`))
 		Expect(got.output).To(MatchRegexp(`models +slots +15\.2 +13\.0 +12\.0`))
 		Expect(got.output).To(MatchRegexp(`turn +models +2 +60 +0 +0\.0 +8\.0 +0\.0`))
