--- a/internal/assignment/assignment_test.go
+++ b/internal/assignment/assignment_test.go
@@ -136,6 +136,38 @@
 		Expect(assigner.Choose(line("p", "p"), left, now)).NotTo(Equal(first))
 	})
 
+	It("moves a line off an engine at the first turn that the engine fails, and its program's other lines", func() {
+		assigner := assignment.New()
+		main, other := line("p", "p"), line("q", "q")
+		first := assigner.Choose(main, candidates(4), now)
+		Expect(assigner.Choose(line("p", "r"), candidates(4), now)).To(Equal(first))
+		assigner.Report("a", map[string]int{"e0": 5, "e1": 5, "e2": 5, "e3": 5, first: 0}, now)
+		assigner.Failed(main, first, now)
+		second := assigner.Choose(main, candidates(4), now)
+		Expect(second).NotTo(Equal(first))
+		assigner.Failed(main, second, now)
+		Expect(assigner.Choose(main, candidates(4), now)).NotTo(Or(Equal(first), Equal(second)))
+		Expect(assigner.Choose(line("p", "r"), candidates(4), now)).NotTo(Or(Equal(first), Equal(second)))
+		Expect(assigner.Choose(line("p", "s"), candidates(4), now)).NotTo(Or(Equal(first), Equal(second)))
+		Expect(assigner.Choose(other, candidates(4), now)).To(Equal(first), "another program's")
+	})
+
+	It("takes an engine that has failed the line where there is no other, and after a while", func() {
+		assigner := assignment.New()
+		main := line("p", "p")
+		Expect(assigner.Choose(main, candidates(1), now)).To(Equal("e0"))
+		assigner.Failed(main, "e0", now)
+		Expect(assigner.Choose(main, candidates(1), now)).To(Equal("e0"))
+		assigner.Report("a", map[string]int{"e1": 9}, now)
+		Expect(assigner.Choose(main, candidates(2), now)).To(Equal("e1"))
+		later := now.Add(6 * time.Second)
+		assigner.Report("a", map[string]int{"e1": 9}, later)
+		assigner.Expire(later)
+		Expect(assigner.Choose(line("p", "s"), candidates(1), later)).To(Equal("e0"))
+		assigner.Failed(main, "e1", later)
+		Expect(assigner.Choose(main, candidates(2), later)).To(Equal("e0"))
+	})
+
 	It("sends a sub-agent to its program's engine unless that is full", func() {
 		assigner := assignment.New()
 		first := assigner.Choose(line("p", "p"), candidates(4), now)
@@ -162,6 +194,55 @@
 		Expect(assigner.Choose(line("p", "s2"), bound(12), now)).NotTo(Equal(first))
 	})
 
+	Describe("with engines of unequal speed", func() {
+		// uneven makes a third of the engines slow.
+		uneven := func() []assignment.Candidate {
+			list := candidates(6)
+			for index := range list {
+				list[index].Slowness = []float64{0.75, 0.75, 1.5}[index%3]
+			}
+			return list
+		}
+		// begin has programs begin that stay, and counts them by engine.
+		begin := func(programs int) map[string]int {
+			assigner := assignment.New()
+			counts := map[string]int{}
+			for number := range programs {
+				name := fmt.Sprint(number)
+				counts[assigner.Choose(line(name, name), uneven(), now)]++
+			}
+			return counts
+		}
+
+		It("fills the fast ones first, and keeps waits alike where all are full", func() {
+			few := begin(24)
+			Expect(few["e2"] + few["e5"]).To(BeZero())
+			many := begin(120)
+			Expect(many["e0"]).To(BeNumerically(">", many["e2"]*2))
+			Expect(many["e2"]).To(BeNumerically(">", 4))
+		})
+
+		It("moves a line off an engine that has become very slow, and off no other", func() {
+			assigner := assignment.New()
+			list := uneven()
+			first := assigner.Choose(line("p", "p"), list, now)
+			for index := range list {
+				if list[index].ID == first {
+					list[index].Slowness = 2
+				}
+			}
+			Expect(assigner.Choose(line("p", "p"), list, now)).To(Equal(first))
+			for index := range list {
+				if list[index].ID == first {
+					list[index].Slowness = 4
+				}
+			}
+			second := assigner.Choose(line("p", "p"), list, now)
+			Expect(second).NotTo(Equal(first))
+			Expect(assigner.Choose(line("p", "s"), list, now)).To(Equal(second))
+		})
+	})
+
 	It("has no engine where there is none", func() {
 		Expect(assignment.New().Choose(line("p", "p"), nil, now)).To(BeEmpty())
 	})
--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -26,8 +26,10 @@
 // the directory's lock are read through the directory's methods.
 type Engine struct {
 	Instance
-	// running is the number of this node's requests under way there.
+	// running is the number of this node's requests under way there, silent that of those
+	// without a byte of an answer.
 	running int
+	silent  int
 	// others is what the other nodes are thought to have there, as of the last estimate.
 	others othersAt
 	// limit bounds them while the engine refuses some.
@@ -50,6 +52,14 @@
 	untold        Pace
 	slowTold      float64
 	slowToldUntil time.Time
+	// steady is how long requests take there lastingly, speedTold what another node says
+	// of that, which counts until speedToldUntil.
+	steady         fadingPace
+	speedTold      float64
+	speedToldUntil time.Time
+	// ends sums how this node's requests ended there.
+	ends    fadingEnds
+	breaker breaker
 }
 
 // unfit tells whether the engine gets requests only where no other can.
@@ -129,12 +139,16 @@
 	zones *reach.Zones
 	// load is what all nodes have at the engines.
 	load *load.View
+	// breakersDecided is when the breakers of a service's engines were last decided on.
+	breakersDecided map[string]time.Time
+	// breakerChanged is told of changes; nil for nobody.
+	breakerChanged func(BreakerChange)
 }
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
 	return &Directory{engines: map[string]*Engine{}, services: map[string][]*Engine{}, policy: policies[PolicyProgram], load: load.NewView(),
-		usual: map[string]time.Duration{}, usualOfRoute: map[string]time.Duration{}}
+		usual: map[string]time.Duration{}, usualOfRoute: map[string]time.Duration{}, breakersDecided: map[string]time.Time{}}
 }
 
 // UseZones has the directory heed which zones are reached, and tell what it sees of their
@@ -206,12 +220,12 @@
 }
 
 // Sound returns the instances of a service that may get requests and are not
-// passed over for what this node has seen of them.
+// passed over for what was seen of them.
 func (directory *Directory) Sound(service string, now time.Time) []Instance {
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
 	var instances []Instance
-	engines := directory.usable(service)
+	engines := directory.closedEngines(service, now)
 	filter := sound{heedDoubt: heedsDoubt(engines, now)}
 	for _, engine := range directory.reached(engines, &Request{}, now) {
 		if filter.Admits(engine, nil, now) {
@@ -267,10 +281,17 @@
 const (
 	// Answered: the engine ran the request.
 	Answered Outcome = iota
+	// Erred: it answered with a failure of its own.
+	Erred
 	// Full: it had no room.
 	Full
-	// Failed: it could not be reached, or broke its answer off.
+	// NoConnection: the node has as many connections to it as it may have.
+	NoConnection
+	// Failed: it broke its answer off, or ceased to send it.
 	Failed
+	// FailedElsewhere is Failed where another node sent the request: that one counts it,
+	// since it may have been lost itself.
+	FailedElsewhere
 	// Abandoned: the caller left; nothing is said of the engine.
 	Abandoned
 	// Misdirected: another engine has the address.
@@ -287,17 +308,29 @@
 	defer directory.mutex.Unlock()
 	engine.running--
 	directory.noteZone(engine, outcome, now)
+	engine.breaker.probing = false
+	if outcome == Erred && !feature.Enabled(feature.EngineBreaker) {
+		outcome = Answered
+	}
 	switch outcome {
 	case Answered:
 		engine.failures = 0
 		engine.limit.raise()
 		directory.learned(engine.Service).raise()
+		directory.noteAnswered(engine, now)
 	case Full:
 		engine.passOverFull(now)
 		engine.limit.cut(engine.running, now)
 		directory.noteFull(engine, now)
-	case Failed:
+		directory.noteRefused(engine, now)
+	case NoConnection:
+		engine.fullUntil = now.Add(fullPause)
+		engine.limit.cut(engine.running, now)
+	case Failed, Erred, FailedElsewhere:
 		engine.failures++
+		if outcome != FailedElsewhere {
+			directory.noteFailed(engine, now)
+		}
 		if engine.failures >= failuresToAvoid {
 			engine.avoid(now, backoff(avoidFirst, engine.failures-failuresToAvoid))
 		}
--- a/internal/backend/status.go
+++ b/internal/backend/status.go
@@ -19,6 +19,9 @@
 	PassOverFailures PassOver = "failures"
 	// PassOverFull: it has just refused a request for want of room.
 	PassOverFull PassOver = "full"
+	// PassOverBreaker: its requests end badly far more often than others', and it gets
+	// nothing but probes.
+	PassOverBreaker PassOver = "breaker"
 	// PassOverSilent: a request there got no answer, as seen here.
 	PassOverSilent PassOver = "silent"
 	// PassOverReported: other nodes pass it over.
@@ -66,6 +69,7 @@
 		{PassOverZone, !reached},
 		{PassOverFailures, now.Before(engine.avoidUntil)},
 		{PassOverFull, now.Before(engine.fullUntil)},
+		{PassOverBreaker, engine.breaker.open},
 		{PassOverSilent, heedDoubt && now.Before(engine.silentUntil)},
 		{PassOverReported, heedDoubt && now.Before(engine.reportedUntil)},
 	}
--- a/internal/backend/status_test.go
+++ b/internal/backend/status_test.go
@@ -50,6 +50,12 @@
 	expect.Expect(statuses["far"].PassedOver).To(Equal([]backend.PassOver{backend.PassOverZone}))
 	expect.Expect(statuses["far"].ZoneReached).To(BeFalse())
 
+	for range 6 {
+		directory.CountFailed("idle", now)
+	}
+	directory.Pick(&backend.Request{Service: "s"}, now)
+	expect.Expect(byID()["idle"].PassedOver).To(ContainElement(backend.PassOverBreaker))
+
 	directory.Report([]string{"reported"}, now)
 	expect.Expect(byID()["reported"].PassedOver).To(BeEmpty(), "two of five are more than may be in doubt")
 	expect.Expect(byID()["silent"].PassedOver).To(BeEmpty())
--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -36,8 +36,10 @@
 type Runners struct {
 	Gateway   Runner
 	Scheduler Runner
-	// Node runs a node with the settings of the platform it runs on.
-	Node func(ctx context.Context, version string) error
+	// Node runs a node with a settings file of the product's own.
+	Node func(ctx context.Context, version string, loaded settings.NodeSettings) error
+	// PlatformNode runs a node with the settings that the platform hands over.
+	PlatformNode func(ctx context.Context, version string) error
 }
 
 // Streams are where a command reads and writes.
@@ -51,7 +53,7 @@
 type Root struct {
 	Gateway       *ProcessCommand       `arg:"subcommand:gateway" help:"run a gateway: takes callers' and operators' requests"`
 	Scheduler     *ProcessCommand       `arg:"subcommand:scheduler" help:"run a scheduler: hosts shards and decides order, place and time"`
-	Node          *NodeCommand          `arg:"subcommand:node" help:"run a node on a platform that hands over its settings file"`
+	Node          *NodeCommand          `arg:"subcommand:node" help:"run a node: takes callers' requests, owns shards of programs, sends to engines"`
 	Operator      *OperatorCommand      `arg:"subcommand:operator" help:"configure and watch the system through a gateway"`
 	Load          *LoadCommand          `arg:"subcommand:load" help:"show the load as a node knows it: engines, waiting, admission, tenants"`
 	CheckSettings *CheckSettingsCommand `arg:"subcommand:check-settings" help:"check a settings file without starting anything"`
@@ -107,7 +109,7 @@
 	case root.Scheduler != nil:
 		return root.Scheduler.run(ctx, streams, settings.RoleScheduler, root.version, runners.Scheduler)
 	case root.Node != nil:
-		return root.Node.run(ctx, streams, root.version, runners.Node)
+		return root.Node.run(ctx, streams, root.version, runners)
 	case root.Load != nil:
 		return root.Load.run(ctx, streams)
 	case root.CheckSettings != nil:
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/magpielug/magpielug/internal/resultcode"
@@ -76,6 +77,9 @@
 		fields = append(fields, zap.Bool("waited", current.waited), zap.Int("ahead", current.forecast.Ahead),
 			zap.Duration("predicted_wait", current.forecast.Wait))
 	}
+	if current.failedEngine != "" && current.status >= http.StatusInternalServerError {
+		fields = append(fields, zap.Int("status", current.status))
+	}
 	if current.via != "" {
 		fields = append(fields, zap.String("via", current.via))
 	}
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/magpielug/magpielug/internal/backend"
@@ -55,7 +56,8 @@
 
 // pickAmong chooses among the engines that may get the call.
 func (current *course) pickAmong() *backend.Engine {
-	request := &backend.Request{Service: current.serviceName, Zone: current.service.Zone, Tried: current.tried}
+	request := &backend.Request{Service: current.serviceName, Zone: current.service.Zone, Tried: current.tried,
+		Repeatable: current.route.Kind == routing.Safe}
 	if current.route.Kind == routing.Streaming {
 		request.Program = current.call.Program
 		request.Session = current.call.Session
@@ -75,33 +77,26 @@
 	defer cancel()
 	outcome := backend.Abandoned
 	current.release = current.releaseOnce(engine, time.Now())
-	stopWatch := current.watch(engine)
+	attempt := current.newAttempt(engine, remaining)
+	stopWatch := current.watch(engine, attempt)
 	defer func() {
 		silent := stopWatch()
 		if silent && outcome == backend.Abandoned {
 			outcome = backend.Silent
 		}
 		current.release(outcome)
+		current.noteFailure(engine, outcome)
 	}()
 	stopRepeat := current.repeatWhereSilent(engine, cancel)
 	defer stopRepeat()
-	reply, err := current.service.Sender.Send(sending, &Attempt{
-		Call:           current.call,
-		Engine:         engine.Instance,
-		Body:           current.body,
-		Remaining:      max(remaining-answerMargin, time.Millisecond),
-		Streams:        current.route.Kind == routing.Streaming,
-		Urgency:        current.urgency(),
-		MaxConnections: current.maxConnections(),
-		// A quarter for each: few nodes send to an engine for all others.
-		MaxSharedConnections: current.definition.MaxConnections / sharedConnections,
-	})
+	reply, err := current.service.Sender.Send(sending, attempt)
 	if err != nil {
 		outcome = outcomeOfSending(ctx, err)
 		return current.afterSendFailure(ctx, err)
 	}
 	stopRepeat()
 	current.via = reply.Via
+	current.status = reply.Status
 	defer func() { _ = reply.Body.Close() }()
 	if reply.NotRun || reply.Misdirected {
 		outcome = backend.Misdirected
@@ -120,6 +115,7 @@
 		return true, err
 	}
 	outcome, err = current.relayWhole(ctx, reply)
+	outcome = outcomeOfStatus(outcome, reply.Status)
 	if errors.Is(err, errBrokenOff) {
 		return current.afterSendFailure(ctx, err)
 	}
@@ -135,12 +131,13 @@
 			return
 		}
 		released = true
+		current.endSilence()
 		current.service.Engines.Finish(engine, outcome, time.Now())
 		if outcome == backend.Answered {
 			current.service.Engines.Took(current.serviceName, time.Since(began))
 			current.service.Retries.Served()
 		}
-		if outcome != backend.Full {
+		if outcome != backend.Full && outcome != backend.NoConnection {
 			// After a refusal the next one waits for the queue's own pace.
 			current.service.Waiting.Wake(current.serviceName)
 		}
@@ -156,13 +153,28 @@
 	_, _ = io.Copy(io.Discard, io.LimitReader(reply.Body, refusalBytes))
 }
 
+// newAttempt makes an attempt of the call at an engine.
+func (current *course) newAttempt(engine *backend.Engine, remaining time.Duration) *Attempt {
+	return &Attempt{
+		Call:           current.call,
+		Engine:         engine.Instance,
+		Body:           current.body,
+		Remaining:      max(remaining-answerMargin, time.Millisecond),
+		Streams:        current.route.Kind == routing.Streaming,
+		Urgency:        current.urgency(),
+		MaxConnections: current.maxConnections(),
+		// A quarter for each: few nodes send to an engine for all others.
+		MaxSharedConnections: current.definition.MaxConnections / sharedConnections,
+	}
+}
+
 // outcomeOfSending tells what a failed sending says of the engine.
 func outcomeOfSending(ctx context.Context, err error) backend.Outcome {
 	switch {
 	case ctx.Err() != nil:
 		return backend.Abandoned
 	case errors.Is(err, backend.ErrTooManyConnections):
-		return backend.Full
+		return backend.NoConnection
 	case errors.Is(err, backend.ErrNotSent):
 		return backend.Unreachable
 	case errors.Is(err, backend.ErrNodeLost):
@@ -171,6 +183,22 @@
 	return backend.Failed
 }
 
+// outcomeOfStatus tells an engine's own failure from an answer.
+func outcomeOfStatus(outcome backend.Outcome, status int) backend.Outcome {
+	if outcome == backend.Answered && status >= http.StatusInternalServerError {
+		return backend.Erred
+	}
+	return outcome
+}
+
+// noteFailure keeps the engine that ran a call and failed it, for the owner of its program.
+func (current *course) noteFailure(engine *backend.Engine, outcome backend.Outcome) {
+	switch outcome {
+	case backend.Erred, backend.Failed, backend.FailedElsewhere, backend.Silent:
+		current.failedEngine = engine.ID
+	}
+}
+
 func isSuccess(status int) bool { return status >= 200 && status < 300 }
 
 // sharedConnections is how many nodes may share what an engine takes of connections
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -177,6 +177,7 @@
 		node.engines.UseZones(node.zones)
 	}
 	node.engines.UseNodes(node.members.staying)
+	node.engines.ObserveBreakers(node.logBreaker)
 	err = node.engines.UsePolicy(settings.Placement)
 	if err != nil {
 		return nil, err
--- a/internal/node/peer_server.go
+++ b/internal/node/peer_server.go
@@ -37,6 +37,7 @@
 	owner := node.programs.believedOwner(shard).Node
 	if node.ownership.Owns(shard) || passedOn || owner == "" || owner == node.settings.Name {
 		node.endTurn(shard, tenant.Program{Tenant: settlement.Tenant, ID: settlement.Program}, settlement.Request, settlement.Tokens)
+		node.noteFailedEngine(settlement)
 		return
 	}
 	go node.programs.send(owner, &nodev1.SettleRequest{Settlements: []*nodev1.Settlement{settlement}, PassedOn: true})
--- a/rehearsal/nodesettings/nodesettings.go
+++ b/rehearsal/nodesettings/nodesettings.go
@@ -1,9 +1,8 @@
-// Package nodesettings writes settings files of nodes in the form of the users' platform, for
-// tests that start nodes as processes on one machine.
+// Package nodesettings writes settings files of nodes that are started as processes on one
+// machine, in the product's own form and in that of the users' platform.
 package nodesettings
 
 import (
-	"cmp"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -27,7 +26,7 @@
 // Settings are those of one node.
 type Settings struct {
 	Name string
-	// Zone is where the node stands, z1 where it is empty.
+	// Zone is empty for the one zone of a test.
 	Zone string
 	// Front, Ready, Peer, Metrics and Control are ports; Peer is below Metrics. Control
 	// may be 0 for a node without one.
@@ -56,17 +55,58 @@
 // Address returns the address of one of the node's ports.
 func Address(port int) string { return fmt.Sprintf("%s:%d", host, port) }
 
-// Write puts the settings into a directory, and returns the file's path.
+// Write puts the settings into a directory in the form of the users' platform, and returns
+// the file's path.
 func (settings Settings) Write(directory string) (string, error) {
-	path := filepath.Join(directory, settings.Name+".conf")
-	err := os.WriteFile(path, []byte(settings.content()), 0o600)
+	return write(filepath.Join(directory, settings.Name+".conf"), settings.content())
+}
+
+// WriteOwn is Write in the product's own form, which names no other nodes: Control and Seeds
+// are left out.
+func (settings Settings) WriteOwn(directory string) (string, error) {
+	return write(filepath.Join(directory, settings.Name+".toml"), settings.ownContent())
+}
+
+func write(path, content string) (string, error) {
+	err := os.WriteFile(path, []byte(content), 0o600)
 	return path, eris.Wrap(err, "write a node's settings")
 }
 
+func (settings Settings) zone() string {
+	if settings.Zone == "" {
+		return defaultZone
+	}
+	return settings.Zone
+}
+
+func (settings Settings) ownContent() string {
+	lines := []string{
+		"[node]",
+		fmt.Sprintf("name = %q", settings.Name),
+		fmt.Sprintf("zone = %q", settings.zone()),
+		"[listen]",
+		fmt.Sprintf("callers = %q", Address(settings.Front)),
+		fmt.Sprintf("readiness = %q", Address(settings.Ready)),
+		fmt.Sprintf("peers = %q", Address(settings.Peer)),
+		fmt.Sprintf("metrics = %q", Address(settings.Metrics)),
+		"[store]",
+		fmt.Sprintf("address = %q", settings.Store),
+		fmt.Sprintf("partitions = %d", settings.Partitions),
+		"[limits]",
+		fmt.Sprintf(`memory = "%dMiB"`, memoryMegabytes),
+		fmt.Sprintf(`drain_timeout = "%ds"`, settings.Grace),
+	}
+	if settings.Quota != nil {
+		lines = append(lines, "[quota]", fmt.Sprintf(`window = "%ds"`, settings.Quota.Window),
+			fmt.Sprintf("overage = %g", settings.Quota.Overage), fmt.Sprintf("slack = %d", settings.Quota.Slack))
+	}
+	return strings.Join(lines, "\n") + "\n"
+}
+
 func (settings Settings) content() string {
 	lines := []string{
 		"NodeName=" + settings.Name,
-		"Zone=" + cmp.Or(settings.Zone, defaultZone),
+		"Zone=" + settings.zone(),
 		"Ip=" + host,
 		"Listen.Front=" + Address(settings.Front),
 		"Listen.Readiness=" + Address(settings.Ready),
--- a/rehearsal/soak/load_faults.go
+++ b/rehearsal/soak/load_faults.go
@@ -32,8 +32,8 @@
 	firstExtra = 1000
 )
 
-// zonesUnderLoad are those of nodes and engines in runs with disturbances of the load.
-var zonesUnderLoad = []string{"z1", "z2"}
+// zonesUnderLoad is the default number of zones in runs with disturbances of the load.
+const zonesUnderLoad = 2
 
 // modelPaces and toolPaces are the times of engines of unequal speed: 0.7, 1 and 1.7 times
 // the usual, as customers' engines have them.
@@ -145,7 +145,7 @@
 // nodes stay: a node's address in the store is the one that it listens at, so that nothing
 // stands between.
 func (thrower *thrower) zoneWithoutStore(ctx context.Context, random *rand.Rand) string {
-	zone := zonesUnderLoad[random.IntN(len(zonesUnderLoad))]
+	zone := thrower.world.options.zone(random.IntN(thrower.world.options.Zones))
 	lasts := between(random, shortest, longest)
 	var doors []*relay.Door
 	var things []string
--- a/rehearsal/soak/tenants.go
+++ b/rehearsal/soak/tenants.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"slices"
@@ -8,6 +9,7 @@
 	"time"
 
 	"github.com/magpielug/magpielug/rehearsal/standin/agentengine"
+	"github.com/magpielug/magpielug/rehearsal/standin/records"
 )
 
 const (
@@ -29,11 +31,20 @@
 	strangerShare = 6
 )
 
+// defaultTenants are those of random soaks. The first one is the prober.
+func defaultTenants() []records.Tenant {
+	return []records.Tenant{{Name: tenantFree}, {Name: tenantLimited, RatePerS: limitPerSecond, Burst: limitBurst}, {Name: tenantHot}}
+}
+
 // tenantRecords are the tenants of a version of the configuration. Each has a key that
-// stays; the free one has a further key that only this version holds.
-func tenantRecords(version int) string {
-	return fmt.Sprintf(`[{"Name":%q,"ApiKeys":[%q,%q]},{"Name":%q,"ApiKeys":[%q]},{"Name":%q,"ApiKeys":[%q],"RatePerS":%d,"Burst":%d}]`,
-		tenantFree, keyOf(tenantFree), versionKey(version), tenantHot, keyOf(tenantHot), tenantLimited, keyOf(tenantLimited), limitPerSecond, limitBurst)
+// stays; the first one has a further key that only this version holds.
+func tenantRecords(tenants []records.Tenant, version int) []records.Tenant {
+	listed := slices.Clone(tenants)
+	for number := range listed {
+		listed[number].ApiKeys = []string{keyOf(listed[number].Name)}
+	}
+	listed[0].ApiKeys = append(listed[0].ApiKeys, versionKey(version))
+	return listed
 }
 
 // keyOf is the key of a tenant that stays.
@@ -98,14 +109,14 @@
 	}
 }
 
-// stranger has another tenant go on from a turn: that must not run.
-func (callers *callers) stranger(running *program, turn *sent) {
+// stranger has another tenant go on from a line's last turn: that must not run.
+func (callers *callers) stranger(ctx context.Context, running *line) {
 	attempt := &sent{method: http.MethodPost, target: turnPath, tenant: other(running.tenant)}
 	header := http.Header{}
 	header.Set("Program-Id", running.name)
-	header.Set("Session-Id", running.name)
-	header.Set("Previous-Turn", turn.id)
-	callers.send(running.context, running.random, attempt, "stranger", header)
+	header.Set("Session-Id", running.session)
+	header.Set("Previous-Turn", running.previous)
+	callers.send(ctx, running.random, attempt, "stranger", header)
 	if attempt.status == http.StatusOK {
 		callers.ledger.violated(promiseHistory, "%s of %s went on from a turn of %s", attempt.id, attempt.tenant, running.tenant)
 	}
--- a/rehearsal/soak/world.go
+++ b/rehearsal/soak/world.go
@@ -12,6 +12,7 @@
 	"github.com/magpielug/magpielug/rehearsal/relay"
 	"github.com/magpielug/magpielug/rehearsal/standin/agentengine"
 	"github.com/magpielug/magpielug/rehearsal/standin/logstore"
+	"github.com/magpielug/magpielug/rehearsal/standin/records"
 	"github.com/rotisserie/eris"
 )
 
@@ -21,13 +22,7 @@
 	// eventsPerStream and tokensPerEvent fix what a turn gives to its caller.
 	eventsPerStream = 4
 	tokensPerEvent  = 9
-	serviceModels   = "models"
-	serviceTools    = "tools"
-	modelEngines    = 3
-	toolEngines     = 2
 	loopback        = "127.0.0.1:0"
-	topicEngines    = "keyed.servers"
-	topicOperator   = "keyed.op"
 )
 
 // engine is a stand-in engine behind a door, and its service.
@@ -59,30 +54,40 @@
 		return nil, eris.Wrap(err, "start the store's stand-in")
 	}
 	built := &world{options: options, store: store}
-	for range modelEngines {
-		if err := built.addEngine(serviceModels); err != nil {
-			return nil, err
+	err = built.fill()
+	if err != nil {
+		built.close()
+		return nil, err
+	}
+	return built, nil
+}
+
+// fill starts the engines, publishes a configuration and makes the nodes.
+func (world *world) fill() error {
+	for number := range world.options.Engines {
+		if err := world.addEngine(records.ServiceModels, world.options.zone(number)); err != nil {
+			return err
 		}
 	}
-	for range toolEngines {
-		if err := built.addEngine(serviceTools); err != nil {
-			return nil, err
+	for number := range world.options.Tools {
+		if err := world.addEngine(records.ServiceTools, world.options.zone(number)); err != nil {
+			return err
 		}
 	}
-	built.configure()
+	world.configure()
 	picker := ports.NewPicker(ports.OfSoak)
-	for number := range options.Nodes {
-		made, err := newNode(number, options, store.Address(), picker)
+	for number := range world.options.Nodes {
+		made, err := newNode(number, world.options, world.store.Address(), picker)
 		if err != nil {
-			return nil, err
+			return err
 		}
-		built.nodes = append(built.nodes, made)
+		world.nodes = append(world.nodes, made)
 	}
-	return built, nil
+	return nil
 }
 
 // addEngine starts an engine and lists it.
-func (world *world) addEngine(service string) error {
+func (world *world) addEngine(service, zone string) error {
 	world.mutex.Lock()
 	defer world.mutex.Unlock()
 	world.started++
@@ -97,15 +102,18 @@
 	if world.options.LoadLanes > 0 {
 		started.Pace = paceOf(service, world.started)
 	}
-	added := &engine{Engine: started, service: service, zone: world.options.zoneOf(world.started), door: door}
+	if service == records.ServiceModels {
+		started.SetFaults(agentengine.Faults{Pause: world.options.EventPause})
+	}
+	added := &engine{Engine: started, service: service, zone: zone, door: door}
 	world.engines = append(world.engines, added)
-	world.list(added, "ready")
+	world.list(added, records.StateReady)
 	return nil
 }
 
 // paceOf is the pace of an engine by its number.
 func paceOf(service string, number int) time.Duration {
-	if service == serviceModels {
+	if service == records.ServiceModels {
 		return modelPaces[number%len(modelPaces)]
 	}
 	return toolPaces[number%len(toolPaces)]
@@ -113,13 +121,13 @@
 
 // list writes an engine's record.
 func (world *world) list(listed *engine, state string) {
-	record := fmt.Sprintf(`{"Service":%q,"Address":%q,"Zone":%q,"Slots":8,"State":%q}`, listed.service, listed.door.Address(), listed.zone, state)
-	world.store.Put(topicEngines, listed.ID, []byte(record))
+	record := records.Server{Service: listed.service, Address: listed.door.Address(), Zone: listed.zone, Slots: records.Slots, State: state}
+	world.store.Put(records.TopicEngines, listed.ID, records.Encode(record))
 }
 
 // replace puts a new engine in the place of one, which is closed without a word.
 func (world *world) replace(old *engine) error {
-	err := world.addEngine(old.service)
+	err := world.addEngine(old.service, old.zone)
 	if err != nil {
 		return err
 	}
@@ -134,7 +142,7 @@
 	world.mutex.Unlock()
 	old.door.Close()
 	old.Close()
-	world.store.Put(topicEngines, old.ID, nil)
+	world.store.Put(records.TopicEngines, old.ID, nil)
 	return nil
 }
 
@@ -145,33 +153,43 @@
 	return append([]*engine(nil), world.engines...)
 }
 
-// runs returns all that any engine has run.
-func (world *world) runs() []agentengine.Run {
+// all returns the engines, also those that are gone.
+func (world *world) all() []*engine {
 	world.mutex.Lock()
 	defer world.mutex.Unlock()
+	return append(append([]*engine(nil), world.engines...), world.gone...)
+}
+
+// runs returns all that any engine has run.
+func (world *world) runs() []agentengine.Run {
 	var all []agentengine.Run
-	for _, each := range append(append([]*engine(nil), world.engines...), world.gone...) {
+	for _, each := range world.all() {
 		all = append(all, each.Runs()...)
 	}
 	return all
 }
 
+// owner returns the node that has claimed the most shards in its present life, and how many.
+func (world *world) owner() (*node, int) {
+	owner, most := world.nodes[0], -1
+	for _, each := range world.nodes {
+		if claimed := each.claims(); claimed > most {
+			owner, most = each, claimed
+		}
+	}
+	return owner, most
+}
+
 // configure writes the next version of the configuration and returns it. Each
 // version has a route of its own, by which it can be told which one is in force.
 func (world *world) configure() int {
 	world.mutex.Lock()
 	defer world.mutex.Unlock()
 	world.version++
-	record := fmt.Sprintf(`{"Version":%d,"Routes":[
-		{"Name":"kept","Host":"h","PathPrefix":"/stream/kept/","Kind":"streaming","TimeoutMs":4000,"Service":"models","MaxAttempts":1,"RetainContext":true,"RetentionS":60},
-		{"Name":"plain","Host":"h","PathPrefix":"/stream/plain/","Kind":"streaming","TimeoutMs":4000,"Service":"models","MaxAttempts":1},
-		{"Name":"safe","Host":"h","PathPrefix":"/safe/","Kind":"safe","TimeoutMs":2000,"Service":"tools","MaxAttempts":2},
-		{"Name":"tool","Host":"h","PathPrefix":"/tool/","Kind":"unsafe","TimeoutMs":2000,"Service":"tools"},
-		{"Name":"version","Host":"h","PathPrefix":%q,"Kind":"safe","TimeoutMs":2000,"Service":"tools"}],
-		"Services":[{"Name":"models","MaxConnections":80,"Engine":{"Slots":8,"StreamStride":%d}},{"Name":"tools","MaxConnections":80}],
-		"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":1000000},
-		"Tenants":%s}`, world.version, versionPath(world.version), tokensPerEvent, tenantRecords(world.version))
-	world.store.Put(topicOperator, "config", []byte(record))
+	configuration := records.NewConfiguration(world.version, world.options.Host, tokensPerEvent)
+	configuration.Routes = append(configuration.Routes, records.NewSafeRoute("version", world.options.Host, versionPath(world.version)))
+	configuration.Tenants = tenantRecords(world.options.Tenants, world.version)
+	world.store.Put(records.TopicOperator, records.KeyConfiguration, records.Encode(configuration))
 	return world.version
 }
 
