--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -46,7 +46,7 @@
 
 var _ = Describe("Run", func() {
 	It("shows complete help for each command", func() {
-		for _, command := range []string{"", "gateway", "scheduler", "node", "check-settings", "operator", "operator publish", "operator explain"} {
+		for _, command := range []string{"", "gateway", "scheduler", "node", "check-settings", "load", "operator", "operator publish", "operator explain"} {
 			got := run(append(strings.Fields(command), "--help")...)
 			Expect(got.code).To(Equal(ExitOK))
 			Expect(got.output).To(ContainSubstring("Usage: magpielug " + command))
--- a/rehearsal/soak/check.go
+++ b/rehearsal/soak/check.go
@@ -28,6 +28,8 @@
 	tenant string
 	key    string
 	sentAt time.Time
+	// slow attempts are read slowly.
+	slow bool
 	// probe attempts ask which configuration is in force, and are no work.
 	probe bool
 	// status is 0 where no answer came; whole is false where it broke off.
--- a/rehearsal/soak/node.go
+++ b/rehearsal/soak/node.go
@@ -33,6 +33,7 @@
 	log      string
 	front    string
 	ready    string
+	zone     string
 	// door is the node's own way to the store.
 	door *relay.Door
 
@@ -74,6 +75,7 @@
 	}
 	return &node{
 		name:     settings.Name,
+		zone:     settings.Zone,
 		binary:   options.Magpielug,
 		own:      options.OwnSettings,
 		front:    nodesettings.Address(settings.Front),
--- a/rehearsal/soak/run.go
+++ b/rehearsal/soak/run.go
@@ -27,6 +27,9 @@
 	// Callers is how many programs run at once, Lanes how many faults.
 	Callers int
 	Lanes   int
+	// LoadLanes is how many disturbances of the load there are at once. With them, nodes and
+	// engines stand in two zones, and engines are of unequal speed.
+	LoadLanes int
 	// Magpielug is the program to start; Directory takes settings and logs.
 	Magpielug string
 	Directory string
@@ -59,6 +62,9 @@
 
 // withDefaults fills in what is not set.
 func (options Options) withDefaults() Options {
+	if options.LoadLanes > 0 {
+		options.Zones = cmp.Or(options.Zones, zonesUnderLoad)
+	}
 	options.Zones = cmp.Or(options.Zones, defaultZones)
 	options.Engines = cmp.Or(options.Engines, defaultEngines)
 	options.Tools = cmp.Or(options.Tools, defaultTools)
@@ -171,7 +177,7 @@
 func newRun(world *world, options Options) *run {
 	made := &run{options: options, world: world, ledger: newLedger(), began: time.Now()}
 	made.callers = &callers{world: world, ledger: made.ledger}
-	made.thrower = &thrower{world: world, logf: made.logf, busy: map[string]bool{}}
+	made.thrower = &thrower{world: world, ledger: made.ledger, logf: made.logf, busy: map[string]bool{}}
 	return made
 }
 
@@ -207,7 +213,10 @@
 	defer cancel()
 	var lanes sync.WaitGroup
 	for lane := range run.options.Lanes {
-		lanes.Go(func() { run.thrower.run(throwing, run.random(uint64(1000+lane))) })
+		lanes.Go(func() { run.thrower.run(throwing, run.random(uint64(1000+lane)), faults) })
+	}
+	for lane := range run.options.LoadLanes {
+		lanes.Go(func() { run.thrower.run(throwing, run.random(uint64(2000+lane)), loadFaults) })
 	}
 	lanes.Wait()
 }
--- a/rehearsal/soak/tenants.go
+++ b/rehearsal/soak/tenants.go
@@ -14,8 +14,10 @@
 
 const (
 	// tenantFree has no limit, tenantLimited limitPerSecond and limitBurst.
-	tenantFree     = "free"
-	tenantLimited  = "limited"
+	tenantFree    = "free"
+	tenantLimited = "limited"
+	// tenantHot has no limit either; it sends nothing but as a fault.
+	tenantHot      = "hot"
 	limitPerSecond = 8
 	limitBurst     = 8
 	// quotaWindow, quotaOverage and quotaSlack are how a limit is judged.
@@ -31,7 +33,7 @@
 
 // defaultTenants are those of random soaks. The first one is the prober.
 func defaultTenants() []records.Tenant {
-	return []records.Tenant{{Name: tenantFree}, {Name: tenantLimited, RatePerS: limitPerSecond, Burst: limitBurst}}
+	return []records.Tenant{{Name: tenantFree}, {Name: tenantLimited, RatePerS: limitPerSecond, Burst: limitBurst}, {Name: tenantHot}}
 }
 
 // tenantRecords are the tenants of a version of the configuration. Each has a key that
--- a/rehearsal/soak/world.go
+++ b/rehearsal/soak/world.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"sync"
+	"time"
 
 	"github.com/magpielug/magpielug/rehearsal/ports"
 	"github.com/magpielug/magpielug/rehearsal/relay"
@@ -98,6 +99,9 @@
 	if err != nil {
 		return err
 	}
+	if world.options.LoadLanes > 0 {
+		started.Pace = paceOf(service, world.started)
+	}
 	if service == records.ServiceModels {
 		started.SetFaults(agentengine.Faults{Pause: world.options.EventPause})
 	}
@@ -107,6 +111,14 @@
 	return nil
 }
 
+// paceOf is the pace of an engine by its number.
+func paceOf(service string, number int) time.Duration {
+	if service == records.ServiceModels {
+		return modelPaces[number%len(modelPaces)]
+	}
+	return toolPaces[number%len(toolPaces)]
+}
+
 // list writes an engine's record.
 func (world *world) list(listed *engine, state string) {
 	record := records.Server{Service: listed.service, Address: listed.door.Address(), Zone: listed.zone, Slots: records.Slots, State: state}
--- a/rehearsal/standin/agentengine/agentengine.go
+++ b/rehearsal/standin/agentengine/agentengine.go
@@ -42,8 +42,11 @@
 
 // Engine is a running stand-in.
 type Engine struct {
-	ID       string
-	Events   int
+	ID     string
+	Events int
+	// Pace is the time between a stream's events, and before another answer, of an engine
+	// that is sound. It is set before the first request.
+	Pace     time.Duration
 	server   *http.Server
 	listener net.Listener
 	mutex    sync.Mutex
@@ -53,6 +56,12 @@
 
 const headerTimeout = 30 * time.Second
 
+// An answer to a path that ends in LargeSuffix has LargeBytes before its text.
+const (
+	LargeSuffix = "/large"
+	LargeBytes  = 1 << 20
+)
+
 // Start serves on address. A stream has the given number of events.
 func Start(address, id string, events int) (*Engine, error) {
 	listener, err := net.Listen("tcp", address)
@@ -121,6 +130,10 @@
 		engine.stream(writer, request, faults, number)
 		return
 	}
+	time.Sleep(engine.Pace)
+	if strings.HasSuffix(request.URL.Path, LargeSuffix) {
+		_, _ = io.WriteString(writer, strings.Repeat(".", LargeBytes))
+	}
 	_, _ = fmt.Fprintf(writer, "answer of %s to %s", engine.ID, request.Header.Get("Request-Id"))
 }
 
@@ -151,7 +164,7 @@
 		}
 		flusher.Flush()
 		select {
-		case <-time.After(faults.Pause):
+		case <-time.After(faults.Pause + engine.Pace):
 		case <-request.Context().Done():
 			engine.mutex.Lock()
 			engine.runs[number].Canceled = true
