--- a/internal/forward/room_test.go
+++ b/internal/forward/room_test.go
@@ -224,6 +224,16 @@
 		Expect(len(sender.sent)).To(BeNumerically(">", 6))
 	})
 
+	It("tells no time in the past to a call whose time is over by then", func() {
+		service.Programs = &fakePrograms{wait: 30 * time.Millisecond,
+			reservation: forward.Reservation{Verdict: nodev1.Verdict_VERDICT_UNSURE, RetryAfter: time.Second}}
+		answer := &fakeAnswer{}
+		service.Serve(context.Background(), &forward.Call{ID: "r", Method: "POST", Host: "h", Target: "/kept/x", Path: "/kept/x", Received: time.Now(),
+			Deadline: time.Now().Add(20 * time.Millisecond), Program: "p", Turn: &forward.TurnOrder{Budget: 1000, Most: 100}}, answer)
+		Expect(failureOf(answer).Code).To(Equal(resultcode.NoLeader))
+		Expect(failureOf(answer).RetryAfter).To(BeNumerically(">=", 0))
+	})
+
 	It("frees the engine's place before a turn is recorded", func() {
 		programs := &slowLog{fakePrograms: fakePrograms{reservation: forward.Reservation{Verdict: nodev1.Verdict_VERDICT_GRANTED}}, directory: directory}
 		service.Programs = programs
--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -325,7 +325,7 @@
 
 // retryWithin bounds a time to come back by what callers heed of it.
 func (current *course) retryWithin(wait time.Duration) time.Duration {
-	return min(wait, time.Duration(logRetryShare*float64(time.Until(current.end))))
+	return max(min(wait, time.Duration(logRetryShare*float64(time.Until(current.end)))), 0)
 }
 
 // settle tells the owner what the turn spent, once.
