--- a/internal/forward/room_test.go
+++ b/internal/forward/room_test.go
@@ -194,6 +194,24 @@
 		Expect(whole.Load()).To(BeTrue())
 	})
 
+	It("lets calls past one that waits for room and may not ask", func() {
+		for service.Retries.Take(time.Now()) {
+			continue
+		}
+		answered := func() (*forward.Reply, error) { return answerOf(http.StatusOK, strings.NewReader("ok"))() }
+		service.Sender = &fakeSender{replies: []func() (*forward.Reply, error){refused, answered}}
+		held := make(chan struct{})
+		go func() {
+			defer close(held)
+			serve(context.Background(), "/tool/x")
+		}()
+		Eventually(func() bool { return service.Waiting.Waits("s") }).Should(BeTrue())
+		began := time.Now()
+		Expect(serve(context.Background(), "/tool/x").ended).To(BeTrue())
+		Expect(time.Since(began)).To(BeNumerically("<", 400*time.Millisecond), "a second refills the budget by one")
+		<-held
+	})
+
 	It("asks on while there are engines without the gates", func() {
 		DeferCleanup(func() { _ = feature.Disable("") })
 		Expect(feature.Disable("retry-budget,room-by-load")).To(Succeed())
@@ -206,6 +224,16 @@
 		Expect(len(sender.sent)).To(BeNumerically(">", 6))
 	})
 
+	It("tells no time in the past to a call whose time is over by then", func() {
+		service.Programs = &fakePrograms{wait: 30 * time.Millisecond,
+			reservation: forward.Reservation{Verdict: nodev1.Verdict_VERDICT_UNSURE, RetryAfter: time.Second}}
+		answer := &fakeAnswer{}
+		service.Serve(context.Background(), &forward.Call{ID: "r", Method: "POST", Host: "h", Target: "/kept/x", Path: "/kept/x", Received: time.Now(),
+			Deadline: time.Now().Add(20 * time.Millisecond), Program: "p", Turn: &forward.TurnOrder{Budget: 1000, Most: 100}}, answer)
+		Expect(failureOf(answer).Code).To(Equal(resultcode.NoLeader))
+		Expect(failureOf(answer).RetryAfter).To(BeNumerically(">=", 0))
+	})
+
 	It("frees the engine's place before a turn is recorded", func() {
 		programs := &slowLog{fakePrograms: fakePrograms{reservation: forward.Reservation{Verdict: nodev1.Verdict_VERDICT_GRANTED}}, directory: directory}
 		service.Programs = programs
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,6 +28,7 @@
 	"github.com/magpielug/magpielug/internal/reach"
 	"github.com/magpielug/magpielug/internal/routing"
 	"github.com/magpielug/magpielug/internal/wait"
+	"github.com/twitchtv/twirp"
 	"go.uber.org/zap"
 	"golang.org/x/sync/singleflight"
 )
@@ -37,7 +38,7 @@
 	errUnknownShard = errors.New("no such shard")
 	errLogRefuses   = errors.New("the log refuses this node too")
 	errNoLimit      = errors.New("the tenant has no limit to keep")
-	errNoLoad       = errors.New("this node gathers no load")
+	errNoLoad       = twirp.Unimplemented.Error("this node gathers no load")
 	errStillReading = errors.New("the turns before are still being read")
 )
 
@@ -171,14 +172,7 @@
 	around.Log = &durable.Rereading{Log: &durable.Counted{Log: around.Log, Observe: node.storeCall}}
 	node.around = around
 	node.recorder = history.NewRecorder(around.Log, settings.Shards)
-	node.engines.UseLoad(node.load)
-	node.assigner.UseLoad(node.load, node.engines.RunningAt)
-	if feature.Enabled(feature.ZoneReach) {
-		node.engines.UseZones(node.zones)
-	}
-	node.engines.UseNodes(node.members.staying)
-	node.engines.ObserveBreakers(node.logBreaker)
-	err = node.engines.UsePolicy(settings.Placement)
+	err = node.prepareChoices()
 	if err != nil {
 		return nil, err
 	}
@@ -203,18 +197,39 @@
 		node.recorder.RelayBy(node.recordElsewhere)
 	}
 	node.egress = &egress.Handler{Engines: node.engines, Sender: around.Sender, Logger: logger.Logger, Stopping: node.stopping.Load}
+	node.service = node.newService(egress.NewSender(around.Sender, &egressTopology{node: node}, client, logger.Logger, meter.handed))
+	node.waitingCalls = node.service.Waiting.Waiting
+	node.programLoad = node.admission.report
+	node.loadRenewed = node.service.Waiting.Renewed
+	return node, nil
+}
+
+// prepareChoices tells those who choose engines what to go by.
+func (node *Node) prepareChoices() error {
+	node.engines.UseLoad(node.load)
+	node.assigner.UseLoad(node.load, node.engines.RunningAt)
+	if feature.Enabled(feature.ZoneReach) {
+		node.engines.UseZones(node.zones)
+	}
+	node.engines.UseNodes(node.members.staying)
+	node.engines.ObserveBreakers(node.logBreaker)
+	return node.engines.UsePolicy(node.settings.Placement)
+}
+
+// newService makes what takes calls their way.
+func (node *Node) newService(sender forward.Sender) *forward.Service {
 	waiting := backend.NewWaitQueue()
 	waiting.UseRooms(node.engines)
-	node.service = &forward.Service{
+	return &forward.Service{
 		Routes:   node.routes,
 		Engines:  node.engines,
 		Waiting:  waiting,
-		Sender:   egress.NewSender(around.Sender, &egressTopology{node: node}, client, logger.Logger, meter.handed),
+		Sender:   sender,
 		Programs: node.programs,
 		Quotas:   node.quotas,
-		Meter:    meter,
-		Logger:   logger.Logger,
-		Zone:     settings.Zone,
+		Meter:    node.meter,
+		Logger:   node.logger.Logger,
+		Zone:     node.settings.Zone,
 		Nodes:    node.members.staying,
 		ViewAge:  node.engineView.age,
 		LogAway:  node.recordingAway,
@@ -224,10 +239,6 @@
 
 		ToolCalls: forward.NewToolCalls(),
 	}
-	node.waitingCalls = node.service.Waiting.Waiting
-	node.programLoad = node.admission.report
-	node.loadRenewed = node.service.Waiting.Renewed
-	return node, nil
 }
 
 // storeCall implements durable.Observe.
--- a/internal/node/zones.go
+++ b/internal/node/zones.go
@@ -19,9 +19,6 @@
 	// probePause separates two rounds of probes, probeTimeout bounds one probe.
 	probePause   = 150 * time.Millisecond
 	probeTimeout = 200 * time.Millisecond
-	// zoneRetry is when callers are to come back to a zone that is cut off: in front of the
-	// nodes it takes two questions, a second apart, to send callers to other zones.
-	zoneRetry = time.Second
 )
 
 // zoneTransport notes which zones' nodes answer.
@@ -90,11 +87,17 @@
 		NodesEnd:         node.memberView.reached(),
 		LogAnswerAgeMs:   node.logHealth.ageMilliseconds(time.Now()),
 	})
-	if err != nil {
+	if err != nil && !node.mayBeLostAlone(zone) {
 		node.zones.Unanswered(zone, sent, time.Now())
 	}
 }
 
+// mayBeLostAlone tells whether the silence of a zone's nodes says nothing of the zone: there
+// is a single one, and the zone's engines answered last. Where it is lost they go on working.
+func (node *Node) mayBeLostAlone(zone string) bool {
+	return node.members.zoneSizes()[zone] == 1 && node.zones.EnginesAnswer(zone)
+}
+
 // otherZones returns the zones of the other nodes known, in order.
 func (node *Node) otherZones() []string {
 	var zones []string
--- a/internal/node/zones_test.go
+++ b/internal/node/zones_test.go
@@ -7,9 +7,12 @@
 	"time"
 
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
+	"github.com/magpielug/magpielug/internal/backend"
 	"github.com/magpielug/magpielug/internal/durable"
+	"github.com/magpielug/magpielug/internal/forward"
 	"github.com/magpielug/magpielug/internal/ownership"
 	"github.com/magpielug/magpielug/internal/reach"
+	"github.com/magpielug/magpielug/internal/wait"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
@@ -21,6 +24,8 @@
 	node := lonelyNode(time.Now().Add(-time.Hour))
 	node.settings.Zone = "a"
 	node.zones = reach.NewZones("a")
+	node.engines = backend.NewDirectory()
+	node.engines.UseZones(node.zones)
 	node.members.put(Member{Name: "near", Address: "near", Zone: "a"})
 	node.members.put(Member{Name: "far", Address: beyond, Zone: "b"})
 	node.peers = newPeers(node.members, &http.Client{Transport: node.zoneTransport(http.DefaultTransport)})
@@ -38,12 +43,23 @@
 	return server
 }
 
+// neighbourAnswers has a node hear another one of its zone until ctx ends.
+func neighbourAnswers(ctx context.Context, node *Node) {
+	node.contact.note()
+	go func() {
+		for ctx.Err() == nil {
+			node.contact.note()
+			wait.For(ctx, isolatedAfter/10)
+		}
+	}()
+}
+
 var _ = Describe("A zone that is cut off", func() {
 	It("is known to its nodes though they hear each other, and they are not ready", func() {
 		node := zonedNode(deafListener().Listener.Addr().String())
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		node.contact.note() // The neighbour answers.
+		neighbourAnswers(ctx, node)
 		Expect(node.isolated()).To(BeFalse(), "nothing was asked yet")
 		go node.probeZones(ctx)
 		Eventually(node.isolated, "10s").Should(BeTrue())
@@ -62,6 +78,22 @@
 		Consistently(func() bool { return node.zoneCutOff(time.Now()) }, "1500ms").Should(BeFalse())
 	})
 
+	It("is not one whose only node is silent while its engines answer", func() {
+		node := zonedNode(deafListener().Listener.Addr().String())
+		node.engines.Put(backend.Instance{ID: "e", Service: "s", Zone: "b"})
+		end := func(outcome backend.Outcome) {
+			node.engines.Finish(node.engines.Pick(&backend.Request{Service: "s"}, time.Now()), outcome, time.Now())
+		}
+		end(backend.Answered)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go node.probeZones(ctx)
+		reached := func() bool { return node.reaches("far", time.Now()) }
+		Consistently(reached, "2s").Should(BeTrue(), "an engine there has answered")
+		end(backend.Silent)
+		Eventually(reached, "10s").Should(BeFalse())
+	})
+
 	It("refuses a turn at once whose owner is beyond the cut, with when callers reach another zone", func() {
 		node := zonedNode("beyond")
 		ctx, cancel := context.WithCancel(context.Background())
@@ -73,7 +105,7 @@
 		reply, elsewhere := node.programs.ask(ctx, 0, "r", &nodev1.ReserveRequest{Program: "p"})
 		Expect(elsewhere).To(BeFalse(), "no other node of the zone does better")
 		Expect(reply.Verdict).To(Equal(nodev1.Verdict_VERDICT_UNSURE))
-		Expect(reply.RetryAfterMs).To(Equal(zoneRetry.Milliseconds()))
+		Expect(reply.RetryAfterMs).To(Equal(forward.CutOffRetry.Milliseconds()))
 		node.programs.owners[0] = ownership.Owner{Node: "near", Epoch: 1}
 		Expect(node.programs.cutOff(0)).To(BeNil(), "an owner in the zone is asked")
 	})
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -20,7 +20,9 @@
 	leastUnanswered = 2
 	// suspectedAfter is how long after its last answer a suspected zone is probed.
 	suspectedAfter = 300 * time.Millisecond
-	// suspicion is how long a failed call makes its zone a suspect.
+	// suspicion is how long a failed call makes its zone a suspect, and how long a zone counts
+	// as unreached after the last probe of it: a zone without nodes is not probed any more,
+	// and its engines would get no work for good.
 	suspicion = 2 * time.Second
 )
 
@@ -31,10 +33,12 @@
 	failed time.Time
 	// unanswered counts probes in a row.
 	unanswered int
+	// enginesAnswer is true where the engine there that was asked last has answered.
+	enginesAnswer bool
 }
 
 func (zone *zone) unreached(now time.Time) bool {
-	return zone.unanswered >= leastUnanswered && now.Sub(zone.heard) > unreachedAfter
+	return zone.unanswered >= leastUnanswered && now.Sub(zone.heard) > unreachedAfter && now.Sub(zone.failed) <= suspicion
 }
 
 func (zone *zone) suspected(now time.Time) bool {
@@ -64,7 +68,7 @@
 	return found
 }
 
-// Heard notes an answer of a node or an engine.
+// Heard notes an answer of a node.
 func (zones *Zones) Heard(name string, now time.Time) {
 	zones.mutex.Lock()
 	defer zones.mutex.Unlock()
@@ -74,7 +78,7 @@
 	}
 }
 
-// Failed notes that a node or an engine did not answer.
+// Failed notes that a node did not answer.
 func (zones *Zones) Failed(name string, now time.Time) {
 	zones.mutex.Lock()
 	defer zones.mutex.Unlock()
@@ -83,6 +87,33 @@
 	}
 }
 
+// EngineHeard notes an answer of an engine.
+func (zones *Zones) EngineHeard(name string, now time.Time) { zones.noteEngine(name, true, now) }
+
+// EngineFailed notes that an engine did not answer.
+func (zones *Zones) EngineFailed(name string, now time.Time) { zones.noteEngine(name, false, now) }
+
+func (zones *Zones) noteEngine(name string, answers bool, now time.Time) {
+	if answers {
+		zones.Heard(name, now)
+	} else {
+		zones.Failed(name, now)
+	}
+	zones.mutex.Lock()
+	defer zones.mutex.Unlock()
+	if found := zones.of(name); found != nil {
+		found.enginesAnswer = answers
+	}
+}
+
+// EnginesAnswer tells whether the engine of a zone that was asked last has answered.
+func (zones *Zones) EnginesAnswer(name string) bool {
+	zones.mutex.Lock()
+	defer zones.mutex.Unlock()
+	found := zones.zones[name]
+	return found != nil && found.enginesAnswer
+}
+
 // Unanswered notes that a probe sent at a time was not answered. It says nothing where the
 // zone was heard since.
 func (zones *Zones) Unanswered(name string, sent, now time.Time) {
