--- a/internal/egress/sender_test.go
+++ b/internal/egress/sender_test.go
@@ -286,18 +286,27 @@
 			connected.Store(0)
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
 			Expect(err).NotTo(HaveOccurred())
-			DeferCleanup(listener.Close)
 			topology.node.Address = listener.Addr().String()
+			var sockets []net.Conn
+			ended := make(chan struct{})
 			go func() {
+				defer close(ended)
 				for {
 					socket, err := listener.Accept()
 					if err != nil {
 						return
 					}
 					connected.Add(1)
-					DeferCleanup(socket.Close)
+					sockets = append(sockets, socket)
 				}
 			}()
+			DeferCleanup(func() {
+				Expect(listener.Close()).To(Succeed())
+				<-ended
+				for _, socket := range sockets {
+					_ = socket.Close()
+				}
+			})
 		})
 
 		It("is not sent again, since it may run there later", func() {
