Admission: a program whose first turn is being reserved is not refused

Cause: the table knew a program from its grant on. While the grant waited for a write to the log, a sub-agent's turn of the program was asked about as if another program began, and could be refused. Change: what was admitted counts as begun until its reservation has ended.

--- a/internal/node/admission.go
+++ b/internal/node/admission.go
@@ -34,12 +34,15 @@
 	mutex      sync.Mutex
 	table      *admission.Table
 	controller *admission.Controller
-	metrics    *admissionMetrics
+	// beginning counts, by program, the first turns that were admitted and whose tokens are
+	// being reserved: that may take a write to the log, and sub-agents come meanwhile.
+	beginning map[tenant.Program]int
+	metrics   *admissionMetrics
 }
 
 func newAdmitter(node *Node) *admitter {
 	options := admission.Options{Shares: feature.Enabled(feature.TenantShares), Memory: feature.Enabled(feature.MemoryRoom)}
-	made := &admitter{node: node, patience: knowsPrograms, table: admission.NewTable(), controller: admission.NewController(options)}
+	made := &admitter{node: node, patience: knowsPrograms, table: admission.NewTable(), controller: admission.NewController(options), beginning: map[tenant.Program]int{}}
 	made.metrics = newAdmissionMetrics(made)
 	return made
 }
@@ -82,10 +85,27 @@
 	}
 	admitter.mutex.Lock()
 	defer admitter.mutex.Unlock()
-	return !admitter.table.Knows(programOf(request))
+	return !admitter.goesOn(programOf(request))
 }
 
-// admits tells whether a program may begin. Where it may not, the reply says so.
+// goesOn tells whether a program has begun, or was admitted. The caller holds the mutex.
+func (admitter *admitter) goesOn(program tenant.Program) bool {
+	return admitter.table.Knows(program) || admitter.beginning[program] > 0
+}
+
+// reserved notes that the reservation of an admitted first turn has ended.
+func (admitter *admitter) reserved(request *nodev1.ReserveRequest) {
+	program := programOf(request)
+	admitter.mutex.Lock()
+	defer admitter.mutex.Unlock()
+	admitter.beginning[program]--
+	if admitter.beginning[program] <= 0 {
+		delete(admitter.beginning, program)
+	}
+}
+
+// admits tells whether a program may begin; reserved ends what it notes. Where it may not,
+// the reply says so.
 func (admitter *admitter) admits(shard int, request *nodev1.ReserveRequest, reply *nodev1.ReserveReply) bool {
 	now := time.Now()
 	since, owned := admitter.node.ownership.OwnedSince(shard)
@@ -93,14 +113,7 @@
 		return true
 	}
 	state := admitter.state(now)
-	order := orderOf(request)
-	admitter.mutex.Lock()
-	decision := admitter.controller.Decide(order, state, now)
-	if !decision.Admitted {
-		admitter.table.Refused(order, now)
-		admitter.metrics.countRefusal(request.Route, request.Rank, string(decision.Reason))
-	}
-	admitter.mutex.Unlock()
+	decision := admitter.decide(request, state, now)
 	if decision.Admitted {
 		return true
 	}
@@ -112,6 +125,24 @@
 	return false
 }
 
+// decide asks the controller, unless another turn of the program was admitted meanwhile.
+func (admitter *admitter) decide(request *nodev1.ReserveRequest, state *admission.State, now time.Time) admission.Decision {
+	order := orderOf(request)
+	admitter.mutex.Lock()
+	defer admitter.mutex.Unlock()
+	decision := admission.Decision{Admitted: true}
+	if !admitter.goesOn(order.Program) {
+		decision = admitter.controller.Decide(order, state, now)
+	}
+	if decision.Admitted {
+		admitter.beginning[order.Program]++
+	} else {
+		admitter.table.Refused(order, now)
+		admitter.metrics.countRefusal(request.Route, request.Rank, string(decision.Reason))
+	}
+	return decision
+}
+
 func orderOf(request *nodev1.ReserveRequest) admission.Order {
 	const parts = 1 << 16
 	return admission.Order{
--- a/internal/node/admission_test.go
+++ b/internal/node/admission_test.go
@@ -95,6 +95,20 @@
 		Expect(reserve("elsewhere", "elsewhere/1", "turn-1").Verdict).To(Equal(nodev1.Verdict_VERDICT_GRANTED), "one that names its turn before")
 	})
 
+	It("lets a program's other turns go on while its first one is being reserved", func() {
+		own()
+		overload()
+		first := &nodev1.ReserveRequest{Program: "q", Tenant: "t", Request: "q/0", Route: "r", Rank: 2, Service: "models", Session: "q", Prompt: 700}
+		second := &nodev1.ReserveRequest{Program: "q", Tenant: "t", Request: "q/1", Route: "r", Rank: 2, Service: "models", Session: "helper", Prompt: 700}
+		Expect(node.admission.begins(first)).To(BeTrue())
+		node.load.Take(load.NewReport(), load.NewReport(), 0, time.Now())
+		Expect(node.admission.admits(0, first, &nodev1.ReserveReply{})).To(BeTrue())
+		overload()
+		Expect(node.admission.begins(second)).To(BeFalse(), "it was admitted")
+		node.admission.reserved(first)
+		Expect(node.admission.begins(second)).To(BeTrue(), "nothing was reserved for it")
+	})
+
 	It("refuses nobody as a new owner, which does not know the programs under way", func() {
 		Expect(reserve(program, program+"/0", "").Verdict).To(Equal(nodev1.Verdict_VERDICT_GRANTED))
 		overload()
--- a/internal/node/reserve.go
+++ b/internal/node/reserve.go
@@ -32,8 +32,11 @@
 		return reply
 	}
 	begins := node.admission.begins(request)
-	if begins && !node.admission.admits(shard, request, reply) {
-		return reply
+	if begins {
+		if !node.admission.admits(shard, request, reply) {
+			return reply
+		}
+		defer node.admission.reserved(request)
 	}
 	answer := node.ownership.Reserve(ctx, shard, ask)
 	if answer.Verdict == nodev1.Verdict_VERDICT_NOT_OWNER && failedFor(request, answer.Owner) {
