Soak: a 402 of a staged run is judged strictly until an owner is lost

Cause: the check allowed for two lost owners from the start of the run, before any fault was thrown. Change: what one lost owner, and the second, may take is allowed once they are lost. The staged run and the cases of the check pass (go test ./rehearsal/soak, focus 'staged|budget', once).

--- a/rehearsal/soak/program.go
+++ b/rehearsal/soak/program.go
@@ -13,9 +13,9 @@
 	budget int64
 	// due is when the program should be over, the zero time where nothing is said.
 	due time.Time
-	// doubt is how much of the budget may count as spent since owners were lost, 0 where
-	// nothing may.
-	doubt int64
+	// doubt tells how much of the budget may count as spent since owners were lost, nil where
+	// nothing ever may.
+	doubt func() int64
 
 	mutex sync.Mutex
 	// given is what the caller got.
@@ -55,7 +55,12 @@
 }
 
 // refusedTooEarly tells whether 402 came while the budget left room for a turn.
-func (running *program) refusedTooEarly(room int64) bool { return room >= most+running.doubt }
+func (running *program) refusedTooEarly(room int64) bool {
+	if running.doubt == nil {
+		return room >= most
+	}
+	return room >= most+running.doubt()
+}
 
 // room is what the budget left to an attempt, where every other one counts at its most that
 // had not ended for certain by settleTime before this one began.
--- a/rehearsal/soak/staged.go
+++ b/rehearsal/soak/staged.go
@@ -93,6 +93,8 @@
 	*run
 	options StagedOptions
 	ended   atomic.Int64
+	// lost is how many nodes were killed or frozen, each of which may own a program.
+	lost    atomic.Int64
 	mutex   sync.Mutex
 	records []ProgramRecord
 }
@@ -197,6 +199,7 @@
 	at(killAt)
 	killed := staged.world.nodes[staged.random(faultStream).IntN(len(staged.world.nodes))]
 	staged.logf("%s is killed for %s", killed.name, killedFor)
+	staged.lost.Add(1)
 	killed.stop(syscall.SIGKILL, time.Second)
 	wait.For(ctx, killedFor)
 	err := killed.start()
@@ -206,6 +209,7 @@
 	at(freezeAt)
 	owner, shards := staged.world.owner()
 	staged.logf("%s, owner of %d shards, is frozen for %s", owner.name, shards, frozenFor)
+	staged.lost.Add(1)
 	owner.freeze()
 	wait.For(ctx, frozenFor)
 	owner.wake()
@@ -235,7 +239,7 @@
 	if plan.Endless {
 		shared.budget = staged.options.LoopBudget
 	}
-	shared.doubt = doubtOf(shared.budget)
+	shared.doubt = func() int64 { return doubtOf(shared.budget, staged.lost.Load()) }
 	record := ProgramRecord{Name: plan.ID, Tenant: plan.Tier}
 	end := staged.runLine(ctx, shared, plan, &record)
 	record.Latency = time.Since(begun)
@@ -253,8 +257,14 @@
 	staged.records = append(staged.records, record)
 }
 
-// doubtOf is what two lost owners may take of a budget: one is killed and one frozen.
-func doubtOf(budget int64) int64 {
+// doubtOf is what lost owners may take of a budget: one is killed, then one frozen.
+func doubtOf(budget, lost int64) int64 {
+	switch lost {
+	case 0:
+		return 0
+	case 1:
+		return int64(allowanceShare*float64(budget)) + most
+	}
 	return int64((allowanceShare+aheadShare)*float64(budget)) + 2*most
 }
 
--- a/rehearsal/soak/staged_test.go
+++ b/rehearsal/soak/staged_test.go
@@ -87,9 +87,15 @@
 		Expect(sound.refusedTooEarly(most - 1)).To(BeFalse())
 		// An owner was killed: its successor counted 1372 of 4000 in doubt, and refused with
 		// room for 696 once that was 3 s old.
-		afterLoss := &program{budget: 4000, doubt: doubtOf(4000)}
-		Expect(afterLoss.refusedTooEarly(696)).To(BeFalse())
-		Expect(afterLoss.refusedTooEarly(1372 + 4000/16 + 2*most + 1)).To(BeTrue())
+		lost := int64(0)
+		running := &program{budget: 4000, doubt: func() int64 { return doubtOf(4000, lost) }}
+		Expect(running.refusedTooEarly(most)).To(BeTrue(), "nothing was lost yet")
+		lost = 1
+		Expect(running.refusedTooEarly(696)).To(BeFalse())
+		Expect(running.refusedTooEarly(1372 + 2*most)).To(BeTrue())
+		lost = 2
+		Expect(running.refusedTooEarly(1372 + 2*most)).To(BeFalse())
+		Expect(running.refusedTooEarly(1372 + 4000/16 + 2*most + 1)).To(BeTrue())
 	})
 })
 
