Forward: a request that was silent and then broken off counts once against its engine

Cause: silence counted it as a bad end, and its failed end once more: two such requests opened a breaker that three bad ends are to open. The count is now one object with a lock: a byte that came just as silence was counted took nothing back.

--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -80,10 +80,7 @@
 	attempt := current.newAttempt(engine, remaining)
 	stopWatch := current.watch(engine, attempt)
 	defer func() {
-		silent := stopWatch()
-		if silent && outcome == backend.Abandoned {
-			outcome = backend.Silent
-		}
+		outcome = stopWatch(outcome)
 		current.release(outcome)
 		current.noteFailure(engine, outcome)
 	}()
--- a/internal/forward/service_test.go
+++ b/internal/forward/service_test.go
@@ -345,6 +345,16 @@
 		}),
 	)
 
+	It("counts a request once that gave no byte for long and was then broken off", func() {
+		sender.replies = []func() (*forward.Reply, error){func() (*forward.Reply, error) {
+			time.Sleep(700 * time.Millisecond)
+			return nil, backend.ErrLost
+		}}
+		serve("/stream/x")
+		Expect(lines("engine suspected")).To(Equal(1))
+		Expect(directory.Load()[sender.sent[0].Engine.ID].Failed).To(BeNumerically("~", 1, 0.1))
+	})
+
 	It("takes neither a full set of connections nor a refusal nor an answer of the caller's fault for an engine's failure", func() {
 		full := func() (*forward.Reply, error) { return nil, backend.ErrTooManyConnections }
 		fault := answerOf(404, strings.NewReader("no"))
--- a/internal/forward/watch.go
+++ b/internal/forward/watch.go
@@ -13,21 +13,54 @@
 	"go.uber.org/zap"
 )
 
-// watch passes the engine over for other requests once this one has got no byte
-// of an answer for unusually long. What it returns ends the watch, and tells
-// whether that is still so.
-func (current *course) watch(engine *backend.Engine, attempt *Attempt) func() bool {
+// silentCount counts a request against its engine while it has got no byte of an answer for
+// unusually long. It is safe for concurrent use.
+type silentCount struct {
+	engines *backend.Directory
+	engine  string
+
+	mutex   sync.Mutex
+	counted bool
+	// over is true once nothing more may be counted.
+	over bool
+}
+
+// count counts the request, unless that is over.
+func (silent *silentCount) count() {
+	silent.mutex.Lock()
+	defer silent.mutex.Unlock()
+	if !silent.over {
+		silent.counted = true
+		silent.engines.CountFailed(silent.engine, time.Now())
+	}
+}
+
+// end keeps what was counted, or takes it back.
+func (silent *silentCount) end(takeBack bool) {
+	silent.mutex.Lock()
+	defer silent.mutex.Unlock()
+	silent.over = true
+	if takeBack && silent.counted {
+		silent.counted = false
+		silent.engines.UncountFailed(silent.engine, time.Now())
+	}
+}
+
+// watch passes the engine over for other requests once this one has got no byte of an answer
+// for unusually long. What it returns ends the watch with the attempt's outcome, and tells
+// what that is where nothing has come until its caller left.
+func (current *course) watch(engine *backend.Engine, attempt *Attempt) func(backend.Outcome) backend.Outcome {
 	began := time.Now()
 	engines := current.service.Engines
 	limit := max(silenceShare*current.route.Objective, leastSilence, engines.Patience(current.serviceName))
 	current.endSilence = sync.OnceFunc(func() { engines.EndSilence(engine) })
-	var silent, counted atomic.Bool
+	var silent atomic.Bool
+	count := &silentCount{engines: engines, engine: engine.ID}
 	timer := time.AfterFunc(limit, func() {
 		silent.Store(true)
 		engines.Suspect(engine, time.Now())
 		if !attempt.HandedOver.Load() {
-			counted.Store(true)
-			engines.CountFailed(engine.ID, time.Now())
+			count.count()
 		}
 		current.service.Logger.Info("engine suspected", zap.String("request", current.call.ID),
 			zap.String("engine", engine.ID), zap.Duration("silent", limit))
@@ -36,16 +69,19 @@
 		timer.Stop()
 		current.endSilence()
 		engines.Heard(engine, current.paceRoute(), time.Since(began), time.Now())
-		if counted.Swap(false) {
-			engines.UncountFailed(engine.ID, time.Now())
-		}
+		count.end(true)
 	}
 	current.streamed = func() {
 		engines.ObserveEvents(engine, int(current.events), current.lastEvent.Sub(current.firstEvent), time.Now())
 	}
-	return func() bool {
+	return func(outcome backend.Outcome) backend.Outcome {
 		timer.Stop()
-		return silent.Load() && !current.begun
+		// One that failed is counted with its end.
+		count.end(outcome == backend.Failed)
+		if outcome == backend.Abandoned && silent.Load() && !current.begun {
+			return backend.Silent
+		}
+		return outcome
 	}
 }
 
