Breakers: no probe while an earlier request of the node itself is silent

Cause: a node heeded its probe under way and the silent requests of others, and any end at the engine counted as the probe's: with requests of its own hanging there from before, it sent further ones into an engine that hangs. The replay now ends silence with each request, as forward does: without that its case of repeatable probes failed, as silence never ended.

--- a/internal/backend/breaker_replay_test.go
+++ b/internal/backend/breaker_replay_test.go
@@ -93,6 +93,7 @@
 		})
 	}
 	played.plan(at+took, func() {
+		node.EndSilence(engine)
 		node.Finish(engine, outcome, now.Add(at+took))
 		played.noted(engine.ID, zone, at+took, outcome)
 	})
--- a/internal/backend/breaker_test.go
+++ b/internal/backend/breaker_test.go
@@ -220,6 +220,7 @@
 	failThrice := func(directory *backend.Directory, id string) {
 		sent := []*backend.Engine{assign(directory, id), assign(directory, id), assign(directory, id)}
 		for _, engine := range sent {
+			directory.EndSilence(engine)
 			directory.Finish(engine, backend.Erred, now)
 		}
 	}
@@ -237,6 +238,28 @@
 		Expect(changes[1].Open).To(BeFalse())
 	})
 
+	It("sends no probe while a request of this node's own is there without a byte, also one from before", func() {
+		directory := newDirectory(3)
+		answered, silent := assign(directory, "e1"), assign(directory, "e1")
+		failThrice(directory, "e1")
+		Expect(directory.Sound(service, now)).To(HaveLen(2))
+		// probed tells whether one of some requests goes to the engine.
+		probed := func(after time.Duration) bool {
+			for range 4 {
+				if directory.Pick(&backend.Request{Service: service, Repeatable: true}, now.Add(after)).ID == "e1" {
+					return true
+				}
+			}
+			return false
+		}
+		directory.EndSilence(answered)
+		directory.Finish(answered, backend.Abandoned, now)
+		Expect(probed(900 * time.Millisecond)).To(BeFalse())
+		directory.EndSilence(silent)
+		directory.Finish(silent, backend.Abandoned, now)
+		Expect(probed(900 * time.Millisecond)).To(BeTrue())
+	})
+
 	It("does not count a request against an engine that is only late", func() {
 		directory := newDirectory(3)
 		sent := []*backend.Engine{assign(directory, "e1"), assign(directory, "e1"), assign(directory, "e1")}
--- a/internal/backend/engine_ends.go
+++ b/internal/backend/engine_ends.go
@@ -239,9 +239,9 @@
 	return nil
 }
 
-// probeDue tells whether a request may probe an engine now. None does while another one is
-// there without a byte of an answer, since at an engine that hangs each costs a caller all
-// of its time.
+// probeDue tells whether a request may probe an engine now. None does while another one, of
+// this node or another, is there without a byte of an answer, since at an engine that hangs
+// each costs a caller all of its time.
 func (directory *Directory) probeDue(engine *Engine, request *Request, now time.Time) bool {
 	pause := directory.probePause(engine)
 	due := engine.breaker.probed.Add(time.Duration(engine.breaker.phase * float64(pause)))
@@ -249,7 +249,8 @@
 		due = due.Add(probeGrace)
 	}
 	others, _ := directory.load.Others(engine.ID, now)
-	return !engine.breaker.probing && others.Silent == 0 && !now.Before(due)
+	silent := engine.silent + others.Silent
+	return !engine.breaker.probing && silent == 0 && !now.Before(due)
 }
 
 // probePause is how long this node waits between its probes of an engine.
