Forward: a caller that reads slowly says nothing of its engine

Cause: the time that a caller took to take an event counted as the engine's silence, and as time between its events. Where a caller read slowly until its time was over, the engine got a bad end (test: 1 in place of 0), and it counted as slow. Change: silence is counted from when the next event is awaited, and streams whose callers took more than a tenth of their time are not observed.

--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -202,10 +202,14 @@
 	// endSilence tells once that the attempt has got a byte, or has ended.
 	endSilence func()
 	// streamed is called once a stream has come whole.
-	streamed    func()
-	events      int64
-	firstEvent  time.Time
-	lastEvent   time.Time
+	streamed   func()
+	events     int64
+	firstEvent time.Time
+	lastEvent  time.Time
+	// awaiting is since when the engine's next event is awaited, writing how long the caller
+	// took to take events.
+	awaiting    time.Time
+	writing     time.Duration
 	reserved    bool
 	reservation Reservation
 	reserveTook time.Duration
--- a/internal/forward/service_test.go
+++ b/internal/forward/service_test.go
@@ -172,6 +172,17 @@
 func (answer *fakeAnswer) Abort()                                { answer.aborted = true; panic(http.ErrAbortHandler) }
 func (answer *fakeAnswer) Fail(err error)                        { answer.failure = err }
 
+// slowAnswer is a caller that takes a pause for each event.
+type slowAnswer struct {
+	fakeAnswer
+	pause time.Duration
+}
+
+func (answer *slowAnswer) Write(data []byte) error {
+	time.Sleep(answer.pause)
+	return answer.fakeAnswer.Write(data)
+}
+
 // fakeMeter notes the codes, and why calls were refused for want of room.
 type fakeMeter struct {
 	mutex   sync.Mutex
@@ -345,6 +356,30 @@
 		}),
 	)
 
+	It("counts nothing against an engine whose caller reads slowly until its time is over", func() {
+		var sentBy string
+		sending := &togetherSender{answer: func(ctx context.Context, attempt *forward.Attempt) (*forward.Reply, error) {
+			sentBy = attempt.Engine.ID
+			pieces, written := io.Pipe()
+			go func() {
+				for err := error(nil); err == nil && ctx.Err() == nil; {
+					_, err = io.WriteString(written, "data: a\n\n")
+				}
+				_ = written.CloseWithError(ctx.Err())
+			}()
+			return answerOf(200, pieces)()
+		}}
+		sending.arrived.Add(1)
+		service.Sender = sending
+		call := &forward.Call{ID: "r", Method: "POST", Host: "h", Target: "/stream/x", Path: "/stream/x", Received: time.Now(),
+			Deadline: time.Now().Add(1500 * time.Millisecond), Program: "p", Body: []byte("in"), Turn: &forward.TurnOrder{Budget: 1000, Most: 100}}
+		func() {
+			defer func() { _ = recover() }()
+			service.Serve(context.Background(), call, &slowAnswer{pause: 1100 * time.Millisecond})
+		}()
+		Expect(directory.Load()[sentBy].Failed).To(BeZero())
+	})
+
 	It("counts a request once that gave no byte for long and was then broken off", func() {
 		sender.replies = []func() (*forward.Reply, error){func() (*forward.Reply, error) {
 			time.Sleep(700 * time.Millisecond)
@@ -395,6 +430,18 @@
 		Expect(observed).To(BeNumerically("==", 2))
 	})
 
+	It("learns nothing of an engine by streams whose callers read slowly", func() {
+		for range 3 {
+			sender.replies = []func() (*forward.Reply, error){answerOf(200, strings.NewReader(strings.Repeat("data: a\n\n", 4)))}
+			call := &forward.Call{ID: "r", Method: "POST", Host: "h", Target: "/stream/x", Path: "/stream/x", Received: time.Now(),
+				Deadline: time.Now().Add(2 * time.Second), Program: "p", Body: []byte("in"), Turn: &forward.TurnOrder{Budget: 1000, Most: 100}}
+			answer := &slowAnswer{pause: 30 * time.Millisecond}
+			service.Serve(context.Background(), call, answer)
+			Expect(answer.ended).To(BeTrue())
+		}
+		Expect(directory.TakePaces()).To(BeEmpty())
+	})
+
 	It("takes no engine for fast that answers errors at once", func() {
 		for range 3 {
 			sender.replies = []func() (*forward.Reply, error){answerOf(200, strings.NewReader("ok"))}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -101,6 +101,7 @@
 	reader := newEventReader(reply.Body)
 	var said []byte
 	for {
+		current.awaiting = time.Now()
 		read, err := reader.next()
 		if errors.Is(err, io.EOF) {
 			current.release(backend.Answered)
@@ -135,7 +136,9 @@
 	if read.present {
 		current.noteEvent(time.Now())
 	}
+	began := time.Now()
 	err := current.answer.Write(read.raw)
+	current.writing += time.Since(began)
 	if err != nil {
 		return errCallerGone
 	}
@@ -158,7 +161,7 @@
 		outcome = backend.FailedElsewhere
 	}
 	if ctx.Err() != nil {
-		if !current.begun || time.Since(current.lastEvent) < leastSilence {
+		if !current.begun || time.Since(current.awaiting) < leastSilence {
 			outcome = backend.Abandoned
 		}
 		return outcome, current.timedOut(ctx)
--- a/internal/forward/watch.go
+++ b/internal/forward/watch.go
@@ -13,6 +13,13 @@
 	"go.uber.org/zap"
 )
 
+// A caller may take mostWriting of a stream's time to read it, or quickWriting where that is
+// more, for the time between events to tell something of the engine.
+const (
+	mostWriting  = 0.1
+	quickWriting = 5 * time.Millisecond
+)
+
 // silentCount counts a request against its engine while it has got no byte of an answer for
 // unusually long. It is safe for concurrent use.
 type silentCount struct {
@@ -72,7 +79,10 @@
 		count.end(true)
 	}
 	current.streamed = func() {
-		engines.ObserveEvents(engine, int(current.events), current.lastEvent.Sub(current.firstEvent), time.Now())
+		took := current.lastEvent.Sub(current.firstEvent)
+		if current.writing <= max(time.Duration(mostWriting*float64(took)), quickWriting) {
+			engines.ObserveEvents(engine, int(current.events), took, time.Now())
+		}
 	}
 	return func(outcome backend.Outcome) backend.Outcome {
 		timer.Stop()
