Egress: an asker that reads slowly is not an engine's silence

Cause: the wait for the next part of an answer was timed from the former part on, while that was still being written: a slow caller, through its node, counted a bad end against the engine (test: 1 in place of 0), and for good where it left meanwhile. Change: it is timed while the engine is read only.

--- a/internal/egress/handler.go
+++ b/internal/egress/handler.go
@@ -130,6 +130,7 @@
 	buffer := make([]byte, pieceBytes)
 	for err == nil {
 		var count int
+		watched.awaits()
 		count, err = reply.Body.Read(buffer)
 		if count == 0 {
 			continue
--- a/internal/egress/silence.go
+++ b/internal/egress/silence.go
@@ -59,12 +59,16 @@
 	}
 }
 
-// heard notes a part of the answer.
+// heard notes a part of the answer. What the asker takes to read it is not the engine's
+// silence, which goes on with awaits.
 func (watched *silence) heard() {
+	watched.timer.Stop()
 	watched.takeBack()
-	watched.timer.Reset(watched.limit)
 }
 
+// awaits begins the wait for the next part.
+func (watched *silence) awaits() { watched.timer.Reset(watched.limit) }
+
 // broken notes that the answer has broken off, unless that is for the asker's leaving.
 func (watched *silence) broken() {
 	if watched.asker.Err() == nil {
