Breakers: no probe goes to a zone that is not reached

Cause: probes were drawn from all of a service's engines. Behind a cut a probe waits for silence, costs its caller a try, and says nothing of the engine. The test picked the engine behind the cut.

--- a/internal/backend/engine_ends.go
+++ b/internal/backend/engine_ends.go
@@ -222,13 +222,14 @@
 }
 
 // dueProbe returns an engine whose breaker is open and that the request shall probe, nil
-// where none is due. Requests that may be repeated are taken first: others only once a
-// probe has been due for as long again. The caller holds the mutex.
+// where none is due: none is behind a cut, where probes tell nothing of the engine. Requests
+// that may be repeated are taken first, others only once a probe has been due for as long
+// again. The caller holds the mutex.
 func (directory *Directory) dueProbe(request *Request, now time.Time) *Engine {
 	if !feature.Enabled(feature.EngineBreaker) || len(request.Tried) > 0 {
 		return nil
 	}
-	for _, engine := range directory.usable(request.Service) {
+	for _, engine := range directory.usableNow(request.Service, now) {
 		if engine.breaker.open && directory.probeDue(engine, request, now) {
 			engine.breaker.probing = true
 			engine.breaker.probed = now
--- a/internal/backend/zones_test.go
+++ b/internal/backend/zones_test.go
@@ -62,3 +62,30 @@
 	zones.Unanswered("b", now, now)
 	expect.Expect(directory.Capacities(now)[0].Slots).To(Equal(3))
 }
+
+func TestEnginesBehindACutGetNoProbes(t *testing.T) {
+	expect := NewWithT(t)
+	now := time.Unix(1000, 0)
+	zones := reach.NewZones("a")
+	directory := backend.NewDirectory()
+	directory.UseZones(zones)
+	for id, zone := range map[string]string{"near-1": "a", "near-2": "a", "far": "b"} {
+		directory.Put(backend.Instance{ID: id, Service: "s", Zone: zone, Slots: 3})
+	}
+	var sent []*backend.Engine
+	for range 3 {
+		sent = append(sent, directory.Pick(&backend.Request{Service: "s", Assigned: "far"}, now))
+	}
+	for _, engine := range sent {
+		expect.Expect(engine.ID).To(Equal("far"))
+		directory.EndSilence(engine)
+		directory.Finish(engine, backend.Erred, now)
+	}
+	expect.Expect(directory.Sound("s", now)).To(HaveLen(2))
+	later := now.Add(900 * time.Millisecond)
+	zones.Unanswered("b", later, later)
+	zones.Unanswered("b", later, later)
+	expect.Expect(zones.Reached("b", later)).To(BeFalse())
+	expect.Expect(directory.OpenBreakers()["s"]).To(Equal(1))
+	expect.Expect(directory.Pick(&backend.Request{Service: "s", Repeatable: true}, later).ID).NotTo(Equal("far"))
+}
