--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -96,14 +96,7 @@
 	current.status = reply.Status
 	defer func() { _ = reply.Body.Close() }()
 	if reply.NotRun || reply.Misdirected {
-		outcome = backend.Misdirected
-		if !reply.Misdirected {
-			outcome = backend.Full
-			current.asking.Refused()
-		}
-		drain(reply, cancel)
-		current.service.Logger.Info("engine refused", zap.String("request", current.call.ID),
-			zap.String("engine", engine.ID), zap.Int("status", reply.Status))
+		outcome = current.refusedBy(engine, reply, cancel)
 		return false, nil
 	}
 	current.runs++
@@ -119,6 +112,19 @@
 	return true, err
 }
 
+// refusedBy reads an engine's refusal to its end, and returns what it says of the engine.
+func (current *course) refusedBy(engine *backend.Engine, reply *Reply, giveUp context.CancelFunc) backend.Outcome {
+	outcome := backend.Misdirected
+	if !reply.Misdirected {
+		outcome = backend.Full
+		current.asking.Refused()
+	}
+	drain(reply, giveUp)
+	current.service.Logger.Info("engine refused", zap.String("request", current.call.ID),
+		zap.String("engine", engine.ID), zap.Int("status", reply.Status))
+	return outcome
+}
+
 // releaseOnce returns what ends the attempt at its engine, once: the engine has a place free
 // from then on, also where the call's answer still waits for its record.
 func (current *course) releaseOnce(engine *backend.Engine, began time.Time) func(backend.Outcome) {
