--- a/internal/backend/engine_ends.go
+++ b/internal/backend/engine_ends.go
@@ -222,13 +222,14 @@
 }
 
 // dueProbe returns an engine whose breaker is open and that the request shall probe, nil
-// where none is due. Requests that may be repeated are taken first: others only once a
-// probe has been due for as long again. The caller holds the mutex.
+// where none is due: none is behind a cut, where probes tell nothing of the engine. Requests
+// that may be repeated are taken first, others only once a probe has been due for as long
+// again. The caller holds the mutex.
 func (directory *Directory) dueProbe(request *Request, now time.Time) *Engine {
 	if !feature.Enabled(feature.EngineBreaker) || len(request.Tried) > 0 {
 		return nil
 	}
-	for _, engine := range directory.usable(request.Service) {
+	for _, engine := range directory.usableNow(request.Service, now) {
 		if engine.breaker.open && directory.probeDue(engine, request, now) {
 			engine.breaker.probing = true
 			engine.breaker.probed = now
@@ -239,9 +240,9 @@
 	return nil
 }
 
-// probeDue tells whether a request may probe an engine now. None does while another one is
-// there without a byte of an answer, since at an engine that hangs each costs a caller all
-// of its time.
+// probeDue tells whether a request may probe an engine now. None does while another one, of
+// this node or another, is there without a byte of an answer, since at an engine that hangs
+// each costs a caller all of its time.
 func (directory *Directory) probeDue(engine *Engine, request *Request, now time.Time) bool {
 	pause := directory.probePause(engine)
 	due := engine.breaker.probed.Add(time.Duration(engine.breaker.phase * float64(pause)))
@@ -249,7 +250,8 @@
 		due = due.Add(probeGrace)
 	}
 	others, _ := directory.load.Others(engine.ID, now)
-	return !engine.breaker.probing && others.Silent == 0 && !now.Before(due)
+	silent := engine.silent + others.Silent
+	return !engine.breaker.probing && silent == 0 && !now.Before(due)
 }
 
 // probePause is how long this node waits between its probes of an engine.
