Admission: calls of tools may wait as long as programs' aims bear

Change: how many calls may run and wait for each slot follows from the part of a program's time that its calls take, 1.5 to 5.

--- a/internal/admission/forecast.go
+++ b/internal/admission/forecast.go
@@ -13,11 +13,14 @@
 	// times the root of the slots of one. Without it 6 slots that are half used would
 	// refuse 7 in 100 programs.
 	chanceSlots = 2.0
-	// toolQueue is how many calls of tools may run and wait for each slot. A call takes tens
-	// of milliseconds of the seconds that a program lives: two more in front of each add
-	// less than a tenth to a program whose calls take a twentieth of its time. With one for
-	// each slot, two engines of six slots that served all in time refused 17 in 100 programs.
-	toolQueue = 3.0
+	// toolSlack is the part of a program's time by which waiting for tools may lengthen it:
+	// aims leave three tenths, of which turns need a part. leastToolQueue and mostToolQueue
+	// bound how many calls may therefore run and wait for each slot: calls come together, and
+	// engines have no more places. With one call for each slot, two engines of six slots that
+	// served all in time refused 17 in 100 programs.
+	toolSlack      = 0.2
+	leastToolQueue = 1.5
+	mostToolQueue  = 5.0
 	// memoryShare is the part of engines' memory that prompts of programs under way may
 	// take. The shared beginnings in them are counted for each, so that it is not reached
 	// before the memory is.
@@ -87,17 +90,27 @@
 	use := known.service(service.Name)
 	slots := float64(service.Slots)
 	made := &resource{service: service.Name, models: models, capacity: slots}
-	if !models {
-		made.capacity *= toolQueue
-	}
-	made.limit = use.bound*made.capacity + chanceSlots*math.Sqrt(slots)
 	if !models && known.turns.value > 0 {
 		made.tools = use.calls.value / known.turns.value
 	}
+	if !models {
+		made.capacity *= toolQueue(made.tools)
+	}
+	made.limit = use.bound*made.capacity + chanceSlots*math.Sqrt(slots)
 	made.demand = max(known.sum(made, state)+max(use.foreign.value, 0), use.present.value)
 	return made
 }
 
+// toolQueue is how many calls may run and wait for each slot of a tool service, where programs
+// have so many calls there for each turn: w calls for each slot make each take w times as
+// long, and a program longer by the part of its time that calls take, times w less one.
+func toolQueue(callsForTurn float64) float64 {
+	if callsForTurn <= 0 {
+		return mostToolQueue
+	}
+	return min(max(1+toolSlack/callsForTurn, leastToolQueue), mostToolQueue)
+}
+
 func (known *learned) memoryOf(service *Service, state *State) *resource {
 	made := &resource{service: service.Name, memory: true, models: true, capacity: float64(service.Engines * service.MemoryTokens)}
 	made.limit = memoryShare * made.capacity
