--- a/internal/admission/forecast.go
+++ b/internal/admission/forecast.go
@@ -76,7 +76,7 @@
 	}
 	for index := range state.Services {
 		service := &state.Services[index]
-		if service.Slots > 0 {
+		if service.Slots > 0 && models[service.Name] {
 			all = append(all, known.slotsOf(service, models[service.Name], present[service.Name], state))
 		}
 		if withMemory && service.MemoryTokens > 0 && models[service.Name] {
--- a/internal/backend/room.go
+++ b/internal/backend/room.go
@@ -31,6 +31,10 @@
 	// engine: about what it costs to read its prompt again elsewhere and to drive another one
 	// out of memory there. A longer queue costs more, and the turn goes elsewhere or waits.
 	assignedQueueShare = 1.0 / 3
+	// shortestShown is the time below which requests are over before a view of them is heard,
+	// which is some 0.2 s old. Nodes that go by such a view hold calls back at engines that
+	// have become idle since; engines' own queues and refusals bound what is sent there.
+	shortestShown = 100 * time.Millisecond
 	// unboundedRoom stands for the room of an engine without a bound.
 	unboundedRoom = 1 << 16
 )
@@ -49,9 +53,10 @@
 // remains is the mean over the engines, by their slots. The caller holds the mutex.
 func (directory *Directory) estimateOthers(service string, engines []*Engine, now time.Time) {
 	requests, slots := 0.0, 0.0
+	shows := feature.Enabled(feature.RoomByLoad) && directory.viewShows(service)
 	for _, engine := range engines {
 		others, known := directory.load.Others(engine.ID, now)
-		engine.others = othersAt{requests: float64(others.Running), known: known && feature.Enabled(feature.RoomByLoad)}
+		engine.others = othersAt{requests: float64(others.Running), known: known && shows}
 		requests += engine.others.requests
 		slots += float64(max(engine.Slots, 1))
 	}
@@ -66,6 +71,12 @@
 	}
 }
 
+// viewShows tells whether a view of the load says anything of the requests of a service.
+func (directory *Directory) viewShows(service string) bool {
+	duration := directory.durations[service]
+	return duration == 0 || duration >= shortestShown
+}
+
 // shownOf is the part of an engine's difference from the mean that a view of an age counts
 // for, where requests take a time.
 func shownOf(age, duration time.Duration) float64 {
@@ -201,7 +212,7 @@
 	if bound, known := directory.bounds[service]; known && directory.knowsOthers(now) {
 		most = bound
 	}
-	if learned := directory.learned(service).inForce(now); learned > 0 && !directory.knowsOthers(now) {
+	if learned := directory.learned(service).inForce(now); learned > 0 && !(directory.knowsOthers(now) && directory.viewShows(service)) {
 		most = min(most, int(learned))
 	}
 	return max(most-runningHere(engines), 0)
--- a/internal/backend/share_of_room.go
+++ b/internal/backend/share_of_room.go
@@ -39,6 +39,9 @@
 	}
 	directory.usable("") // It lists the engines of all services.
 	for service := range directory.services {
+		if !directory.viewShows(service) {
+			continue
+		}
 		engines := directory.usableNow(service, now)
 		directory.estimateOthers(service, engines, now)
 		share := directory.queueShareOf(service, engines)
