--- a/internal/admission/bound.go
+++ b/internal/admission/bound.go
@@ -9,12 +9,12 @@
 	// firstBound is the part of a service's slots that programs may use to begin with.
 	// Engines keep their speed up to as many requests; q requests more behind s slots add
 	// q/s of a turn to each turn.
-	firstBound = 1.3
+	firstBound = 1.1
 	// leastBound and mostBound bound the correction. With mostBound each turn takes 1.3
 	// times as long, which is all that aims of 1.3 times the time on idle engines leave;
 	// with less than leastBound slots stay empty that programs could use.
 	leastBound = 0.85
-	mostBound  = 1.5
+	mostBound  = 1.3
 	// slackQueue is how much may run and wait for each slot: aims leave three tenths.
 	slackQueue = 1.3
 	// loopShare is the part of the programs that go on until their budget is spent: two
@@ -30,7 +30,7 @@
 	lateQueue = 1.1
 	// cutRate is the part by which the bound falls in a second, raiseRate what it gains:
 	// it leaves an overload within a second, and is back two seconds after it.
-	cutRate   = 1.0
+	cutRate   = 0.5
 	raiseRate = 0.15
 	// probeRate is what it gains beyond firstBound while programs are expected to use all
 	// of it, and yet nothing waits and they are in time: less is used than expected.
@@ -54,7 +54,7 @@
 func corrected(bound float64, seen signals, step time.Duration) float64 {
 	seconds := step.Seconds()
 	switch {
-	case seen.queue > slackQueue, seen.queue > lateQueue && seen.late > lateShare:
+	case seen.queue > lateQueue && seen.late > lateShare:
 		return max(bound*math.Exp(-cutRate*seconds), leastBound)
 	case bound < firstBound && seen.queue <= 1:
 		return min(bound+raiseRate*seconds, firstBound)
