--- a/internal/admission/constraint.go
+++ b/internal/admission/constraint.go
@@ -85,14 +85,6 @@
 	return slices.Compact(ranks)
 }
 
-// crowdedFrom is the part of a resource from which on what is used of it now bears a refusal:
-// below it the programs expected to come of those under way have not come, and one that
-// begins finds free slots.
-const crowdedFrom = 0.95
-
-// crowded tells whether the resource is about used up now.
-func (constraint *constraint) crowded() bool { return constraint.present >= crowdedFrom*constraint.capacity }
-
 func (constraint *constraint) fill() float64 { return constraint.projected / constraint.limit }
 
 // setRate works out what may begin: as much as ends, and what brings demand to its limit
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -115,7 +115,7 @@
 		return controller.admit(order, Decision{}, now)
 	}
 	constraint := controller.constraint(order, state, now)
-	if constraint == nil || !constraint.crowded() {
+	if constraint == nil {
 		return controller.admit(order, Decision{}, now)
 	}
 	decision := constraint.decision()
--- a/internal/admission/forecast.go
+++ b/internal/admission/forecast.go
@@ -32,8 +32,6 @@
 	// limit is how much of it programs may use, demand how much they are expected to.
 	limit  float64
 	demand float64
-	// present is how much of it is used and waited for now.
-	present float64
 	// ends is how much becomes free in a second by programs that end.
 	ends float64
 	// models is true for a service that runs programs' turns; at any other one tools is how
@@ -91,8 +89,7 @@
 		made.tools = use.calls.value / known.turns.value
 	}
 	made.limit = use.bound*made.capacity + chanceSlots*math.Sqrt(slots)
-	made.present = use.present.value
-	made.demand = max(known.sum(made, state)+max(use.foreign.value, 0), made.present)
+	made.demand = max(known.sum(made, state)+max(use.foreign.value, 0), use.present.value)
 	return made
 }
 
@@ -103,7 +100,6 @@
 	for _, route := range state.Total.Routes {
 		if route.Service == service.Name {
 			made.demand += float64(route.Tokens)
-			made.present = made.demand
 		}
 	}
 	return made
