Speeds: streams whose events came at once say nothing of their engine

The stand-in's events come some microseconds apart, and one delay of the machine made the engine ten times as slow as usual by a single observation; above 2.5 a line leaves. Change: intervals under a millisecond are not observed.

--- a/internal/backend/pace.go
+++ b/internal/backend/pace.go
@@ -118,16 +118,21 @@
 	engine.steady.add(observed.bounded(), speedMemory, now)
 }
 
+// leastEventGap is the time between two events below which a stream tells of this machine's
+// scheduling and not of its engine: a step of a model takes some milliseconds.
+const leastEventGap = time.Millisecond
+
 // ObserveEvents notes how long a stream of an engine took from its first event to its
 // last. Unlike the wait for the first one, that hardly depends on the prompt and on the
 // turns before it.
 func (directory *Directory) ObserveEvents(engine *Engine, events int, took time.Duration, now time.Time) {
-	if events < leastEvents || !feature.Enabled(feature.EngineSpeed) {
+	gap := took / time.Duration(max(events-1, 1))
+	if events < leastEvents || gap < leastEventGap || !feature.Enabled(feature.EngineSpeed) {
 		return
 	}
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
-	directory.observePace(engine, "events of "+engine.Service, took/time.Duration(events-1), now)
+	directory.observePace(engine, "events of "+engine.Service, gap, now)
 }
 
 // TakePaces returns what was observed since it was last asked, by engine, for the node
--- a/internal/backend/speed_test.go
+++ b/internal/backend/speed_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"testing"
 	"time"
 
 	"github.com/magpielug/magpielug/internal/backend"
@@ -124,3 +125,20 @@
 		Expect(slow).To(BeNumerically(">", 100))
 	})
 })
+
+func TestStreamsThatCameAtOnceSayNothingOfTheirEngine(t *testing.T) {
+	expect := NewWithT(t)
+	now := time.Unix(1000, 0)
+	directory := backend.NewDirectory()
+	for _, id := range []string{"a", "b"} {
+		directory.Put(backend.Instance{ID: id, Service: "s", Slots: 6})
+	}
+	observe := func(tried string, gap time.Duration) {
+		engine := directory.Pick(&backend.Request{Service: "s", Tried: []string{tried}}, now)
+		directory.ObserveEvents(engine, 4, 3*gap, now)
+		directory.Finish(engine, backend.Answered, now)
+	}
+	observe("b", 10*time.Microsecond)
+	observe("a", 200*time.Microsecond)
+	expect.Expect(directory.Slowness("b", now)).To(Equal(directory.Slowness("a", now)))
+}
