--- a/internal/assignment/assignment.go
+++ b/internal/assignment/assignment.go
@@ -1,9 +1,8 @@
 // Package assignment gives each line of a program's turns an engine that keeps
 // it, chosen by what runs where at the moment the line begins.
 //
-// The owner of a program's shard assigns. It goes by the load over all nodes, which is
-// some hundred milliseconds old; while that is not known, by what the nodes tell it with
-// their requests for tokens. A line stays where it is for the sake of the engine's memory;
+// The owner of a program's shard assigns. It goes by what the nodes tell it with their
+// requests for tokens, or by a view of the load over all nodes where it is given one. A line stays where it is for the sake of the engine's memory;
 // a sub-agent's line follows its program unless that engine is full. A program of
 // which an engine has failed a turn goes to other engines.
 package assignment
