--- a/internal/keeper/admission.go
+++ b/internal/keeper/admission.go
@@ -170,5 +170,9 @@
 // refuse gives a call its final answer.
 func (keeper *Keeper) refuse(request *Request, code resultcode.Code, after time.Duration, why string) {
 	keeper.decide(request.Call, "refuse", why)
-	keeper.emit(Refuse{Request: *request, Code: code, RetryAfter: after, Why: why})
+	predicted := time.Duration(0)
+	if code == resultcode.Overloaded {
+		predicted = keeper.predictWait(keeper.policies.Order.Rank(keeper.describe(request)).Band)
+	}
+	keeper.emit(Refuse{Request: *request, Code: code, RetryAfter: after, Why: why, Grounds: keeper.grounds(predicted)})
 }
--- a/internal/keeper/effect.go
+++ b/internal/keeper/effect.go
@@ -27,6 +27,8 @@
 	Code       resultcode.Code
 	RetryAfter time.Duration
 	Why        string
+	// Grounds are what the keeper knew of its pool.
+	Grounds Grounds
 }
 
 // Preempt orders the leader to cancel a running call and to offer it again.
--- a/internal/process/machines.go
+++ b/internal/process/machines.go
@@ -20,15 +20,21 @@
 	interval time.Duration
 	timeout  time.Duration
 	logger   *zap.Logger
-	last     atomic.Pointer[[]outside.Machine]
+	last     atomic.Pointer[machineList]
 	// readAt is when the list was last asked for, by the monotonic clock.
 	readAt  time.Time
 	reading sync.Mutex
 }
 
+// machineList is one reading of the list.
+type machineList struct {
+	machines []outside.Machine
+	askedAt  time.Time
+}
+
 func newMachineCache(source outside.Machines, interval, timeout time.Duration, logger *zap.Logger) *machineCache {
 	cache := &machineCache{source: source, interval: interval, timeout: timeout, logger: logger}
-	cache.last.Store(&[]outside.Machine{})
+	cache.last.Store(&machineList{})
 	return cache
 }
 
@@ -36,10 +42,17 @@
 // process runs, the process has been frozen, and the list is read first: what
 // left meanwhile must get no new work.
 func (cache *machineCache) List(ctx context.Context) ([]outside.Machine, error) {
+	machines, _ := cache.Newest(ctx)
+	return machines, nil
+}
+
+// Newest is List, with when the list was asked for.
+func (cache *machineCache) Newest(ctx context.Context) ([]outside.Machine, time.Time) {
 	if cache.outdated() {
 		cache.refresh(ctx)
 	}
-	return *cache.last.Load(), nil
+	newest := cache.last.Load()
+	return newest.machines, newest.askedAt
 }
 
 // outdated tells whether the list should have been read since it last was.
@@ -64,7 +77,7 @@
 }
 
 // machines returns the last list read.
-func (cache *machineCache) machines() []outside.Machine { return *cache.last.Load() }
+func (cache *machineCache) machines() []outside.Machine { return cache.last.Load().machines }
 
 const (
 	// listLocalInterval is how often a part of the process looks at the cache.
@@ -102,7 +115,8 @@
 	bounded, cancel := context.WithTimeout(ctx, cache.timeout)
 	defer cancel()
 	cache.reading.Lock()
-	cache.readAt = time.Now()
+	askedAt := time.Now()
+	cache.readAt = askedAt
 	cache.reading.Unlock()
 	machines, err := cache.source.List(bounded)
 	if err != nil {
@@ -112,7 +126,7 @@
 		return true
 	}
 	changed := !slices.Equal(machines, cache.machines())
-	cache.last.Store(&machines)
+	cache.last.Store(&machineList{machines: machines, askedAt: askedAt})
 	return changed
 }
 
--- a/internal/scheduler/call_run.go
+++ b/internal/scheduler/call_run.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"time"
 
 	schedulerv1 "github.com/magpielug/magpielug/api/scheduler/v1"
@@ -101,6 +102,7 @@
 	intent.RequestId = live.id().requestID
 	intent.Attempt = live.call.Attempt()
 	live.phase = phaseIntending
+	live.grantedAt = host.core.now
 	entry := &shardv1.Entry{Change: &shardv1.Entry_CallIntended{CallIntended: intent}}
 	host.proposeFor(live, entry)
 }
@@ -146,6 +148,8 @@
 		return
 	}
 	live.phase = phaseRunning
+	host.core.log("call_sent", host.number, live.id().program, live.id().requestID,
+		fmt.Sprintf("back_end=%s list_age=%s granted_ago=%s", live.call.Intent().BackEnd, host.core.now-host.core.listAskedAt, host.core.now-live.grantedAt))
 	if live.isTool() {
 		host.runTool(live)
 		return
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -70,9 +70,11 @@
 	configuration ConfigurationView
 	fresh         bool
 	directory     *directory
-	layout        *layout
-	homes         map[uint32]*home
-	hosts         map[uint32]*host
+	// listAskedAt is when the machine list in force was asked for.
+	listAskedAt time.Duration
+	layout      *layout
+	homes       map[uint32]*home
+	hosts       map[uint32]*host
 	// hosted are the numbers of hosts in order, nil after a change.
 	hosted []uint32
 	// touched are the hosts whose replicas may have output; settled is the list
@@ -187,7 +189,7 @@
 	case FreshnessChanged:
 		core.fresh = event.Fresh
 	case MachinesListed:
-		core.machinesListed(event.Machines)
+		core.machinesListed(event)
 	case StreamRead:
 		core.streamRead(event)
 	case StreamAppended:
--- a/internal/scheduler/event.go
+++ b/internal/scheduler/event.go
@@ -31,8 +31,12 @@
 // current.
 type FreshnessChanged struct{ Fresh bool }
 
-// MachinesListed brings the platform's lagging list.
-type MachinesListed struct{ Machines []outside.Machine }
+// MachinesListed brings the platform's lagging list, also where it has not changed.
+type MachinesListed struct {
+	Machines []outside.Machine
+	// AskedAt is when the list was asked for, on the core's clock.
+	AskedAt time.Duration
+}
 
 // StreamRead brings the next records of a shard's stream in the platform's log.
 type StreamRead struct {
--- a/internal/scheduler/home.go
+++ b/internal/scheduler/home.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/magpielug/magpielug/internal/outside"
 	"github.com/magpielug/magpielug/internal/replication"
 	"github.com/magpielug/magpielug/internal/shard"
 )
@@ -69,10 +68,13 @@
 
 // machinesListed takes the platform's list in and arranges what follows from
 // it: the shards this process belongs to, and the pools' engines.
-func (core *Core) machinesListed(machines []outside.Machine) {
-	if !core.directory.update(machines) {
+func (core *Core) machinesListed(event MachinesListed) {
+	former := core.listAskedAt
+	core.listAskedAt = max(core.listAskedAt, event.AskedAt)
+	if !core.directory.update(event.Machines) {
 		return
 	}
+	core.log("machine_list_changed", 0, "", "", fmt.Sprintf("age=%s former_age=%s", core.now-event.AskedAt, core.now-former))
 	core.layout = newLayout(core.directory)
 	core.arrangeHomes()
 	core.arrangePools()
--- a/internal/scheduler/live_call.go
+++ b/internal/scheduler/live_call.go
@@ -42,6 +42,8 @@
 	// poolsTried counts the model's pools that were full.
 	poolsTried int
 	offeredAt  time.Duration
+	// grantedAt is when the back end was chosen.
+	grantedAt  time.Duration
 	acceptedAt time.Duration
 	// deadline is on this leader's clock; 0 is none.
 	deadline time.Duration
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -192,6 +193,8 @@
 	case keeper.Grant:
 		pool.reply(effect.Request, pool.grantOf(effect))
 	case keeper.Refuse:
+		pool.core.log("offer_refused", effect.Request.Shard, effect.Request.Call.Program, effect.Request.Call.RequestID,
+			fmt.Sprintf("pool=%s code=%s retry_after=%s why=%q %s", pool.name, effect.Code, effect.RetryAfter, effect.Why, effect.Grounds))
 		pool.reply(effect.Request, refusalOf(effect))
 	case keeper.Preempt:
 		pool.reply(effect.Request, preemptionOf(effect))
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -6,7 +6,6 @@
 	"encoding/binary"
 	mathrand "math/rand"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -20,7 +19,7 @@
 // Dependencies are the parts that a scheduler works with.
 type Dependencies struct {
 	Log      outside.Log
-	Machines outside.Machines
+	Machines MachineList
 	Engines  outside.Engine
 	Tools    outside.Tool
 	// Client speaks to the other schedulers.
@@ -32,6 +31,12 @@
 	ListInterval time.Duration
 }
 
+// MachineList is the platform's machine list as this process last read it.
+type MachineList interface {
+	// Newest returns the list and when it was asked for.
+	Newest(ctx context.Context) (machines []outside.Machine, askedAt time.Time)
+}
+
 // Scheduler is one scheduler process.
 type Scheduler struct {
 	loop         *Loop
@@ -74,19 +79,14 @@
 	scheduler.loop.Run(ctx)
 }
 
-// readMachines brings the machine list whenever it has changed.
+// readMachines brings the machine list at intervals.
 func (scheduler *Scheduler) readMachines(ctx context.Context) {
 	ticker := time.NewTicker(scheduler.dependencies.ListInterval)
 	defer ticker.Stop()
-	var last []outside.Machine
 	for {
-		machines, err := scheduler.dependencies.Machines.List(ctx)
-		if err == nil && !slices.Equal(machines, last) {
-			last = machines
-			scheduler.loop.Post(ctx, MachinesListed{Machines: machines})
-		}
-		if err != nil && ctx.Err() == nil {
-			scheduler.dependencies.Logger.Warn("machine_list_unreadable", zap.String("error", err.Error()))
+		machines, askedAt := scheduler.dependencies.Machines.Newest(ctx)
+		if !askedAt.IsZero() {
+			scheduler.loop.Post(ctx, MachinesListed{Machines: machines, AskedAt: askedAt.Sub(scheduler.loop.started)})
 		}
 		select {
 		case <-ctx.Done():
