Keeper: nothing is predicted from a pool that has no ready engine, nor from a freeze

Cause: predictWait with no engine ready counts 0 slots, so its rate is leastRate: 1,000 s, cut to mostRetryAfter. A keeper is in that state from its first moment (after a planned stop, a takeover) until the first report, and when each engine has failed a call until its next report, which is what a wake does to the streams of a frozen process. NoEngineGrace says that calls wait then; admit asked for a prediction first. Second cause, by test: a freeze longer than ten seconds looks like a backlog without grants, since a band's idle time is noted by ticks, and rates fade in it.

Four tests on the virtual clock failed first (keeper/overload_test.go); the refusal's line says engines=0 ready=0 slots=0 predicted_wait=16m40s there.

--- a/internal/keeper/admission.go
+++ b/internal/keeper/admission.go
@@ -86,7 +86,8 @@
 // a backlog it is the calls that wait over the rate at which they are granted,
 // which also knows how far memory and not slots bound the pool. Without one, a
 // band is served either after all calls above it, at the rate that higher bands
-// leave, or by its reserved share, whichever comes first.
+// leave, or by its reserved share, whichever comes first. While no engine is
+// ready there is nothing to predict from: calls wait for NoEngineGrace.
 func (keeper *Keeper) predictWait(band uint32) time.Duration {
 	atOrAbove, inBand := keeper.ahead(band)
 	if rate := keeper.tiers.backlogRate(band, keeper.now); rate > 0 {
@@ -99,7 +100,7 @@
 			free += keeper.freeSlots(engine)
 		}
 	}
-	if free > len(keeper.waiting) {
+	if slots == 0 || free > len(keeper.waiting) {
 		return 0
 	}
 	rate := max(float64(slots)/keeper.estimates.hold(), leastRate)
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -83,6 +83,10 @@
 	if !keeper.started {
 		keeper.started = true
 		keeper.lastReady = now
+		keeper.now = now
+	}
+	if gap := now - keeper.now; gap > frozenAfter {
+		keeper.passOverFreeze(gap)
 	}
 	keeper.now = max(keeper.now, now)
 	clear(keeper.effects)
--- a/internal/keeper/overload_test.go
+++ b/internal/keeper/overload_test.go
@@ -35,6 +35,69 @@
 		Expect(refused[0].RetryAfter).To(BeNumerically(">", 30*time.Second))
 	})
 
+	// A call was refused as overloaded, with a minute to come back, while all engines were
+	// idle. Its keeper had just begun, or its engines had failed a call each: none was ready
+	// yet, so the pool counted no slot and the predicted wait was 1,000 s. The refusal's line
+	// said engines=0 ready=0 slots=0 predicted_wait=16m40s. Calls may wait for an engine as
+	// long as NoEngineGrace; within it there is nothing to predict a wait from.
+	It("lets calls wait while a new keeper has no report yet", func() {
+		b := newBench(keeper.Config{}, "", "", "")
+		bounded := request("a", 1, 1)
+		bounded.WaitBound = 30 * time.Second
+		Expect(b.step(keeper.CallQueued{Request: bounded})).To(BeEmpty())
+		Expect(granted(b.step(report("e1", 1)))).To(Equal([]string{"a"}))
+	})
+
+	It("lets calls wait while the engines that failed a call have not reported again", func() {
+		b := newBench(keeper.Config{}, "", "", "")
+		b.step(report("e1", 8))
+		b.step(keeper.CallQueued{Request: request("a", 1, 1)})
+		failed := finished("a", 1)
+		failed.Failed = true
+		b.step(failed)
+		bounded := request("b", 1, 1)
+		bounded.WaitBound = 30 * time.Second
+		Expect(b.step(keeper.CallQueued{Request: bounded})).To(BeEmpty())
+		Expect(granted(b.step(report("e1", 8)))).To(Equal([]string{"b"}))
+	})
+
+	// A process that was frozen sees time jump with its first step after it. Nothing could be
+	// granted meanwhile, and no call could wait: a band that was idle before the jump has no
+	// backlog after it, and one with a backlog is as fast as it was.
+	It("takes a freeze for no backlog", func() {
+		b := newBench(keeper.Config{ReportTimeout: time.Hour}, "", "", "")
+		b.step(report("e1", 1))
+		b.step(keeper.CallQueued{Request: request("a", 1, 1)})
+		b.step(finished("a", 1))
+		b.step(keeper.Tick{})
+		b.step(keeper.CallQueued{Request: request("b", 1, 1)})
+		b.now += time.Minute
+		bounded := request("c", 1, 1)
+		bounded.WaitBound = 30 * time.Second
+		Expect(b.step(keeper.CallQueued{Request: bounded})).To(BeEmpty())
+	})
+
+	It("predicts a backlog's wait as before a freeze", func() {
+		b := newBench(keeper.Config{ReportTimeout: time.Hour}, "", "", "")
+		b.step(report("e1", 1))
+		for number := range 40 {
+			b.step(keeper.CallQueued{Request: request(strconv.Itoa(number), 1, 1)})
+		}
+		running := "0"
+		for range 15 {
+			for range 10 {
+				b.after(100 * time.Millisecond)
+			}
+			next := granted(b.step(finished(running, 1)))
+			Expect(next).To(HaveLen(1))
+			running = next[0]
+		}
+		b.now += time.Minute
+		bounded := request("late", 1, 1)
+		bounded.WaitBound = 50 * time.Second
+		Expect(b.step(keeper.CallQueued{Request: bounded})).To(BeEmpty())
+	})
+
 	It("refuses at once, with when to come back, over the tier's wait bound", func() {
 		b := newBench(keeper.Config{}, "", "", "")
 		b.step(report("e1", 1))
