Scheduler: nothing is sent by what was known before a freeze

Two faults stand behind it: the process's cache took a reading that had just begun for a fresh list, and gave the old one out for half a second more; and nothing bound a send to the age of what it was decided on.

Now the core compares its clock with the last step's: after a gap of 0.5 s it has the list read at once and sends nothing before that is through, a second at most. A back end that has left since the grant gets nothing, its call is queued again as not run. A run that is not sent within 0.5 s of its decision ends as not run. The cache goes by when the newest reading that has ended was begun.

--- a/internal/process/machines.go
+++ b/internal/process/machines.go
@@ -21,9 +21,10 @@
 	timeout  time.Duration
 	logger   *zap.Logger
 	last     atomic.Pointer[machineList]
-	// readAt is when the list was last asked for, by the monotonic clock.
-	readAt  time.Time
-	reading sync.Mutex
+	// checkedAt is when the newest reading that has ended, with or without an answer, was
+	// begun, by the monotonic clock.
+	checkedAt time.Time
+	reading   sync.Mutex
 }
 
 // machineList is one reading of the list.
@@ -59,7 +60,7 @@
 func (cache *machineCache) outdated() bool {
 	cache.reading.Lock()
 	defer cache.reading.Unlock()
-	return !cache.readAt.IsZero() && time.Since(cache.readAt) > cache.interval+frozenSlack
+	return !cache.checkedAt.IsZero() && time.Since(cache.checkedAt) > cache.interval+frozenSlack
 }
 
 // lists tells whether the list names a machine of the role.
@@ -114,11 +115,9 @@
 func (cache *machineCache) refresh(ctx context.Context) bool {
 	bounded, cancel := context.WithTimeout(ctx, cache.timeout)
 	defer cancel()
-	cache.reading.Lock()
 	askedAt := time.Now()
-	cache.readAt = askedAt
-	cache.reading.Unlock()
 	machines, err := cache.source.List(bounded)
+	cache.noteChecked(askedAt)
 	if err != nil {
 		if ctx.Err() == nil {
 			cache.logger.Warn("machine_list_unreadable", zap.String("error", err.Error()))
@@ -126,10 +125,29 @@
 		return true
 	}
 	changed := !slices.Equal(machines, cache.machines())
-	cache.last.Store(&machineList{machines: machines, askedAt: askedAt})
+	cache.take(&machineList{machines: machines, askedAt: askedAt})
 	return changed
 }
 
+// noteChecked notes a reading that has ended. One under way says nothing yet: what was read
+// before it may be from before a freeze.
+func (cache *machineCache) noteChecked(askedAt time.Time) {
+	cache.reading.Lock()
+	defer cache.reading.Unlock()
+	if askedAt.After(cache.checkedAt) {
+		cache.checkedAt = askedAt
+	}
+}
+
+// take keeps a list, unless a later reading was through first.
+func (cache *machineCache) take(list *machineList) {
+	cache.reading.Lock()
+	defer cache.reading.Unlock()
+	if list.askedAt.After(cache.last.Load().askedAt) {
+		cache.last.Store(list)
+	}
+}
+
 // zones names the zones of magpielug's own machines.
 func (cache *machineCache) zones() []string {
 	var zones []string
--- a/internal/scheduler/call_run.go
+++ b/internal/scheduler/call_run.go
@@ -140,14 +140,20 @@
 
 func (callWaiter) abandoned(*host) {}
 
-// send starts the run, if the lease covers this moment: a leader that was
-// paused may have been replaced, and its successor answers for the intent.
+// send starts the run, if the lease covers this moment and the machine list is
+// not from before a freeze: a leader that was paused may have been replaced, and
+// its successor answers for the intent. A back end that has left since it was
+// chosen gets nothing; the call is queued again.
 func (host *host) send(live *liveCall) {
-	if !host.replica.HoldsLease(host.core.now) {
+	if !host.replica.HoldsLease(host.core.now) || !host.core.listCurrent() {
 		host.unsent = append(host.unsent, live.run())
 		return
 	}
 	live.phase = phaseRunning
+	if host.core.leftSince(live) {
+		host.runEnded(live, RunEnded{Run: live.run(), End: RunNotRun, Detail: "the back end left before the call was sent"})
+		return
+	}
 	host.core.log("call_sent", host.number, live.id().program, live.id().requestID,
 		fmt.Sprintf("back_end=%s list_age=%s granted_ago=%s", live.call.Intent().BackEnd, host.core.now-host.core.listAskedAt, host.core.now-live.grantedAt))
 	if live.isTool() {
@@ -157,7 +163,7 @@
 	host.runModel(live, false)
 }
 
-// sendUnsent starts runs that waited for the lease.
+// sendUnsent starts runs that waited for the lease or the machine list.
 func (host *host) sendUnsent() {
 	waiting := host.unsent
 	host.unsent = nil
@@ -182,6 +188,8 @@
 		Buffer:  live.buffer,
 		Offset:  uint64(len(live.call.Partial().ChunkBytes)),
 		Prompt:  live.call.Prompt(),
+
+		DecidedAt: host.core.now,
 		Request: outside.GenerateRequest{
 			RequestID:  backEndRequestID(live.run()),
 			Program:    live.id().program,
@@ -206,6 +214,8 @@
 		Address:  live.call.Intent().Address,
 		Deadline: host.core.callDeadline(accepted.Target),
 		Buffer:   live.buffer,
+
+		DecidedAt: host.core.now,
 		Request: outside.ToolRequest{
 			RequestID:  backEndRequestID(live.run()),
 			Program:    live.id().program,
--- a/internal/scheduler/cluster_test.go
+++ b/internal/scheduler/cluster_test.go
@@ -52,8 +52,10 @@
 	// lastTool is when each last got a call.
 	toolsDown map[string]bool
 	lastTool  map[string]time.Duration
-	// runDelay is how late calls come to the engines.
-	runDelay time.Duration
+	// runDelay is how late calls come to the engines, listDelay how long a reading of the
+	// machine list takes.
+	runDelay  time.Duration
+	listDelay time.Duration
 	// backlog bounds a shard's unarchived entries; 0 takes the default.
 	backlog int
 	// budget of the one tier, micro units.
@@ -259,6 +261,11 @@
 		cluster.answers[effect.Ask] = callAnswer{turn: effect.Turn, buffer: effect.Buffer}
 	case Decline:
 		cluster.answers[effect.Ask] = callAnswer{failure: effect.Error}
+	case ReadMachines:
+		askedAt := cluster.now
+		cluster.after(testLatency+cluster.listDelay, func() {
+			node.step(MachinesListed{Machines: cluster.machines, AskedAt: askedAt})
+		})
 	case ReadStream:
 		cluster.after(testLatency, func() { node.readStream(effect) })
 	case AppendStream:
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -72,9 +72,14 @@
 	directory     *directory
 	// listAskedAt is when the machine list in force was asked for.
 	listAskedAt time.Duration
-	layout      *layout
-	homes       map[uint32]*home
-	hosts       map[uint32]*host
+	// lastStep is the clock of the step before, once there was one; wokenAt is that of the
+	// first step after the last freeze.
+	lastStep time.Duration
+	stepped  bool
+	wokenAt  time.Duration
+	layout   *layout
+	homes    map[uint32]*home
+	hosts    map[uint32]*host
 	// hosted are the numbers of hosts in order, nil after a change.
 	hosted []uint32
 	// touched are the hosts whose replicas may have output; settled is the list
@@ -139,6 +144,7 @@
 func (core *Core) Step(now time.Duration, event Event) []Effect {
 	core.now = now
 	core.effects = core.effects[:0]
+	core.noteStep(now)
 	core.take(event)
 	core.settleReplicas()
 	core.flushOutbox()
--- a/internal/scheduler/effect.go
+++ b/internal/scheduler/effect.go
@@ -57,6 +57,8 @@
 	Buffer  *stream.Buffer
 	// Offset is how many chunks of the buffer earlier attempts have given.
 	Offset uint64
+	// DecidedAt is when the engine was last known to take the call, on the core's clock.
+	DecidedAt time.Duration
 }
 
 // RunToolCall sends a call to a tool service.
@@ -66,6 +68,8 @@
 	Request  outside.ToolRequest
 	Deadline time.Duration
 	Buffer   *stream.Buffer
+	// DecidedAt is when the back end was last known to take the call, on the core's clock.
+	DecidedAt time.Duration
 }
 
 // StopRun cancels a run. With AtBackEnd the engine is told too; without it the
@@ -130,6 +134,9 @@
 	UpTo uint64
 }
 
+// ReadMachines has the machine list read at once; a MachinesListed follows.
+type ReadMachines struct{}
+
 // Logged is one event for the process's log.
 type Logged struct {
 	Event   string
@@ -154,4 +161,5 @@
 func (PollEngines) effect()    {}
 func (ReadStream) effect()     {}
 func (AppendStream) effect()   {}
+func (ReadMachines) effect()   {}
 func (Logged) effect()         {}
--- a/internal/scheduler/host.go
+++ b/internal/scheduler/host.go
@@ -40,7 +40,8 @@
 	epoch     replication.Epoch
 	proposals map[uint64]waiter
 	calls     map[callID]*liveCall
-	// unsent are committed intents that wait for the lease to be certain.
+	// unsent are committed intents that wait for the lease to be certain, or for the
+	// machine list after a freeze.
 	unsent []RunKey
 	// unarchived are committed intents that wait until the log holds them.
 	unarchived []unarchivedIntent
--- a/internal/scheduler/run_model.go
+++ b/internal/scheduler/run_model.go
@@ -28,7 +28,10 @@
 // broken stream is picked up at the same engine, which runs a request id once.
 func (traffic *traffic) runModelCall(ctx context.Context, effect RunModelCall) {
 	run := &modelRun{traffic: traffic, effect: effect}
-	ended := run.start(ctx)
+	ended := heldUp(effect.Run)
+	if effect.Request.AttachOnly || !traffic.overdue(effect.DecidedAt) {
+		ended = run.start(ctx)
+	}
 	ended.Run = effect.Run
 	if ctx.Err() == nil {
 		traffic.post(ended)
--- a/internal/scheduler/run_tool.go
+++ b/internal/scheduler/run_tool.go
@@ -10,6 +10,11 @@
 // runToolCall sends a call to a tool service and waits for its answer, no
 // longer than the deadline.
 func (traffic *traffic) runToolCall(ctx context.Context, effect RunToolCall) {
+	if traffic.overdue(effect.DecidedAt) {
+		traffic.post(heldUp(effect.Run))
+		traffic.forgetRun(effect.Run)
+		return
+	}
 	bounded, cancel := context.WithTimeout(ctx, effect.Deadline)
 	output, err := traffic.tools.Call(bounded, effect.Address, effect.Request)
 	timedOut := bounded.Err() != nil
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -75,12 +75,19 @@
 // Run drives the scheduler until the context ends.
 func (scheduler *Scheduler) Run(ctx context.Context) {
 	scheduler.loop.traffic = newTraffic(ctx, scheduler.loop, scheduler.dependencies)
-	go scheduler.readMachines(ctx)
+	soon := make(chan struct{}, 1)
+	scheduler.loop.traffic.readMachines = func() {
+		select {
+		case soon <- struct{}{}:
+		default:
+		}
+	}
+	go scheduler.readMachines(ctx, soon)
 	scheduler.loop.Run(ctx)
 }
 
-// readMachines brings the machine list at intervals.
-func (scheduler *Scheduler) readMachines(ctx context.Context) {
+// readMachines brings the machine list at intervals, and when told to.
+func (scheduler *Scheduler) readMachines(ctx context.Context, soon <-chan struct{}) {
 	ticker := time.NewTicker(scheduler.dependencies.ListInterval)
 	defer ticker.Stop()
 	for {
@@ -92,6 +99,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-soon:
 		}
 	}
 }
--- a/internal/scheduler/traffic.go
+++ b/internal/scheduler/traffic.go
@@ -39,7 +39,9 @@
 	client  *http.Client
 	peers   *peerSenders
 	polls   *enginePolls
-	workers *workerpool.Pool
+	// readMachines has the machine list read at once.
+	readMachines func()
+	workers      *workerpool.Pool
 
 	mutex sync.Mutex
 	runs  map[RunKey]context.CancelFunc
@@ -59,6 +61,7 @@
 	}
 	made.peers = newPeerSenders(made)
 	made.polls = newEnginePolls(made, dependencies.PollInterval)
+	made.readMachines = func() {}
 	return made
 }
 
@@ -83,6 +86,8 @@
 		traffic.polls.watch(effect.Engines)
 	case PollEngineSoon:
 		traffic.polls.poke(effect.Engine)
+	case ReadMachines:
+		traffic.readMachines()
 	case ReadStream:
 		go traffic.readStream(effect)
 	case AppendStream:
@@ -94,6 +99,17 @@
 	}
 }
 
+// overdue tells whether a decision is too old to be sent: the process was frozen between
+// the two, and the back end may have left meanwhile. Nothing of the call has been sent.
+func (traffic *traffic) overdue(decidedAt time.Duration) bool {
+	return traffic.loop.now()-decidedAt > frozenAfter
+}
+
+// heldUp is the end of a run that was not sent in time.
+func heldUp(run RunKey) RunEnded {
+	return RunEnded{Run: run, End: RunNotRun, Detail: "the process was held up before the call was sent"}
+}
+
 func (traffic *traffic) post(event Event) { traffic.loop.Post(traffic.ctx, event) }
 
 func (traffic *traffic) startRun(run RunKey) context.Context {
