Nodes: one reader of engines a zone, and probes without records

Two loads fill the link: - each reader of a zone (1 for 8 nodes) read all engines' records, which engines repeat each 1.2 s: 19 readers beyond the link x 0.6 MB/s, of 7.5 MB/s in all; - a store that seems silent makes each node probe all zones each 0.15 s. The probe was an ask for records, so a node that knew no engine yet was sent the whole list, 0.75 MB, by each zone, and threw it away: the more the link was full, the more was asked.

Now one node of a zone reads the engines' records, the zone's other readers ask it, and theirs ask them; what they tell carries how old it is, so that nobody takes a list of two hops for current that its source could not renew. A node that has just started leaves the first whole reading to its source for 1.5 s. A probe asks for no record.

Tests that failed first: 'have one of them read the engines' records', 'is probed without its nodes' records' and 'is not current before it has read'.

--- a/internal/node/fleet_benchmark_test.go
+++ b/internal/node/fleet_benchmark_test.go
@@ -33,7 +33,7 @@
 		instance := backend.Instance{ID: record.Key, Service: "models", Address: "10.0.0.1:80", Zone: "zone-0", Slots: 6}
 		return directory.Put(instance, time.Time{}) != backend.Unchanged
 	})
-	view.take(fleetRecords(0))
+	view.take(fleetRecords(0), time.Now())
 	return view
 }
 
@@ -67,7 +67,7 @@
 	view := fleetEngineView()
 	offset := int64(fleetEngines)
 	for b.Loop() {
-		view.take(fleetRecords(offset))
+		view.take(fleetRecords(offset), time.Now())
 		offset += fleetEngines
 	}
 }
@@ -76,7 +76,7 @@
 // a node that reads the log does for each node that it reads for, each 0.3 s.
 func BenchmarkFleetLearnsNothingNew(b *testing.B) {
 	view := fleetEngineView()
-	view.take(fleetRecords(fleetEngines))
+	view.take(fleetRecords(fleetEngines), time.Now())
 	for b.Loop() {
 		view.since(2*fleetEngines - 1)
 	}
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -39,10 +39,12 @@
 	// reached how far that has come.
 	resting func() bool
 	reached func() int64
+	// restsFirst lets another node read it also before this one has.
+	restsFirst bool
 	// wait is passed to the view, pause follows each reading.
 	wait  time.Duration
 	pause func() time.Duration
-	apply func(durable.Update)
+	apply func(update durable.Update, askedAt time.Time)
 	// lost is true while the store does not answer.
 	lost atomic.Bool
 	// lastAnswer is when the store last answered.
@@ -65,10 +67,11 @@
 func (follower *follower) run(ctx context.Context) {
 	first := true
 	for ctx.Err() == nil {
-		if !first && follower.rests(ctx) {
+		if (!first || follower.restsFirst) && follower.rests(ctx) {
 			continue
 		}
 		bounded, cancel := context.WithTimeout(ctx, storeTimeout+follower.wait)
+		askedAt := time.Now()
 		update, err := follower.view.Next(bounded, follower.wait)
 		cancel()
 		if err != nil {
@@ -80,7 +83,7 @@
 			follower.logger.Info("view read anew", zap.String("view", follower.name), zap.Int64("end", update.End), zap.Int64("before", follower.lastEnd))
 		}
 		first = false
-		follower.apply(update)
+		follower.apply(update, askedAt)
 		follower.rest(ctx, update)
 	}
 }
@@ -150,9 +153,12 @@
 		}
 		return memberPollLate
 	}
+	engines := node.newFollower(node.engineView, node.around.EngineTopic, 0, always(enginePoll))
+	engines.resting = node.learner.learnsEngines
+	engines.restsFirst = true
 	return []*follower{
 		node.newFollower(node.configurationView, node.around.ConfigurationTopic, configurationWait, always(0)),
-		node.newFollower(node.engineView, node.around.EngineTopic, 0, always(enginePoll)),
+		engines,
 		node.newFollower(node.memberView, node.around.MemberTopic, 0, memberPause),
 	}
 }
--- a/internal/node/follow_test.go
+++ b/internal/node/follow_test.go
@@ -107,7 +107,7 @@
 		log.mutex.Lock()
 		log.stale = []durable.Snapshot{{Records: []durable.KeyedRecord{{Key: "a", Value: []byte("1"), Offset: 0}}, End: 9}}
 		log.mutex.Unlock()
-		view.take(durable.Update{Full: true, Records: []durable.KeyedRecord{{Key: "a", Value: []byte("1")}}, End: 9})
+		view.take(durable.Update{Full: true, Records: []durable.KeyedRecord{{Key: "a", Value: []byte("1")}}, End: 9}, time.Now())
 		Expect(value("b")()).To(BeEmpty())
 		Expect(value("a")()).To(Equal("1"))
 	})
--- a/internal/node/learn.go
+++ b/internal/node/learn.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
@@ -29,8 +30,14 @@
 	// not answer, or was not current.
 	readerPause = 3 * time.Second
 	// currentAge is how old a reader's list of engines may be for others to rely
-	// on it: its poll, and as much again.
-	currentAge = 2 * enginePoll
+	// on it: twice the poll of the node that reads it from the store, and an ask of that one.
+	currentAge = 2*enginePoll + learnPause + learnTimeout
+	// wholeTimeout bounds the ask that brings the whole list of engines.
+	wholeTimeout = 1500 * time.Millisecond
+	// startPatience is how long a node that has just started leaves the engines to the node
+	// that tells it of them, startLook separates its asks meanwhile.
+	startPatience = 1500 * time.Millisecond
+	startLook     = 60 * time.Millisecond
 	// nodesPerReader is how many nodes of a zone share one that reads the store.
 	nodesPerReader = 8
 )
@@ -40,8 +47,14 @@
 // store does not answer.
 type learner struct {
 	node *Node
-	// until is the time up to which the store need not be read.
-	until moment
+	// started is when the node started.
+	started time.Time
+	// until is the time up to which the store need not be read, enginesUntil the one up to
+	// which the engines' records need not.
+	until        moment
+	enginesUntil moment
+	// noSource is true once a source of the engines was not reached.
+	noSource atomic.Bool
 	// retry is when the zone's reader is asked again after a failure.
 	retry time.Time
 	// reader is the one last asked, for the log.
@@ -55,12 +68,29 @@
 	return learner.until.age(time.Now()) < 0
 }
 
+// learnsEngines tells whether another node tells this one of the engines now, or is about to.
+func (learner *learner) learnsEngines() bool {
+	return learner.learns() || learner.enginesUntil.age(time.Now()) < 0 || learner.awaitsEngines()
+}
+
+// awaitsEngines tells whether a node that has just started waits for the list of engines of
+// the node that tells it of them. Where all nodes start at once and each reads the whole list
+// from the store, the links to it carry nothing else for many seconds.
+func (learner *learner) awaitsEngines() bool {
+	node := learner.node
+	if node.engineView.read() || time.Since(learner.started) > startPatience || learner.noSource.Load() || !feature.Enabled(feature.SharedReader) {
+		return false
+	}
+	_, found := node.members.engineSource(node.self())
+	return found || !node.memberView.read()
+}
+
 // run asks for as long as the node runs.
 func (learner *learner) run(ctx context.Context, followers []*follower) {
 	node := learner.node
 	silent := false
 	for ctx.Err() == nil {
-		wait.For(ctx, learnPause)
+		wait.For(ctx, learner.pause())
 		now := time.Now()
 		if anySilent(followers, now) != silent {
 			silent = !silent
@@ -76,6 +106,14 @@
 	}
 }
 
+// pause separates two asks.
+func (learner *learner) pause() time.Duration {
+	if learner.awaitsEngines() {
+		return startLook
+	}
+	return learnPause
+}
+
 // fromAny asks one node drawn from all while the store does not answer this one:
 // it may refuse single nodes while it serves the operators and the others.
 func (learner *learner) fromAny(ctx context.Context) {
@@ -89,22 +127,65 @@
 func (learner *learner) fromReader(ctx context.Context, now time.Time) {
 	node := learner.node
 	reader := node.members.readerFor(node.self())
-	if reader.Name == "" || reader.Name == node.settings.Name || !feature.Enabled(feature.SharedReader) {
+	if reader.Name == "" || !feature.Enabled(feature.SharedReader) {
 		learner.until.set(now)
 		learner.note("")
 		return
 	}
-	current, err := learner.ask(ctx, reader.Address)
-	if err != nil || !current {
+	if reader.Name == node.settings.Name {
+		learner.until.set(now)
+		learner.enginesFromFirst(ctx, now)
+		return
+	}
+	if !learner.rely(ctx, reader, learner.ask, now) {
 		learner.until.set(now)
-		learner.retry = now.Add(readerPause)
-		learner.note("")
 		return
 	}
-	learner.note(reader.Name)
 	learner.until.set(time.Now().Add(learnTrust))
 }
 
+// enginesFromFirst asks the first of the zone's readers for the engines, if that is another.
+func (learner *learner) enginesFromFirst(ctx context.Context, now time.Time) {
+	node := learner.node
+	first, found := node.members.engineSource(node.self())
+	if !found {
+		learner.enginesUntil.set(now)
+		learner.note("")
+		return
+	}
+	if !learner.rely(ctx, first, learner.askRecords, now) {
+		learner.enginesUntil.set(now)
+		return
+	}
+	learner.enginesUntil.set(time.Now().Add(learnTrust))
+}
+
+// rely asks a node, and tells whether it may be relied on now. One that does not answer, or
+// is not current, is not asked again for a while; one that has itself just started may be.
+func (learner *learner) rely(ctx context.Context, source Member, ask func(ctx context.Context, address string) (bool, error), now time.Time) bool {
+	current, err := ask(ctx, source.Address)
+	if err == nil && current {
+		learner.note(source.Name)
+		return true
+	}
+	learner.note("")
+	if err != nil {
+		learner.noSource.Store(true)
+	}
+	if !learner.awaitsEngines() {
+		learner.retry = now.Add(readerPause)
+	}
+	return false
+}
+
+// patience is how long an ask may take.
+func (learner *learner) patience() time.Duration {
+	if learner.node.engineView.reached() == 0 {
+		return wholeTimeout
+	}
+	return learnTimeout
+}
+
 // note logs a change of the node that reads the store for this one.
 func (learner *learner) note(reader string) {
 	if learner.reader == reader {
@@ -117,26 +198,15 @@
 // ask takes in what a node knows, and tells whether that is current.
 func (learner *learner) ask(ctx context.Context, address string) (bool, error) {
 	node := learner.node
-	bounded, cancel := context.WithTimeout(ctx, learnTimeout)
-	defer cancel()
-	reply, err := node.peers.at(address).Learn(bounded, &nodev1.LearnRequest{
-		ConfigurationEnd: node.configurationView.reached(),
-		EnginesEnd:       node.engineView.reached(),
-		NodesEnd:         node.memberView.reached(),
-		Avoided:          node.engines.Avoided(time.Now()),
-		LogAnswerAgeMs:   node.logHealth.ageMilliseconds(time.Now()),
-		Paces:            toPaces(node.engines.TakePaces()),
-		WantsSpeeds:      time.Since(learner.speedsAt) >= backend.SpeedPause,
-	})
+	request := node.learnRequest()
+	request.Avoided = node.engines.Avoided(time.Now())
+	request.Paces = toPaces(node.engines.TakePaces())
+	request.WantsSpeeds = time.Since(learner.speedsAt) >= backend.SpeedPause
+	reply, err := learner.send(ctx, address, request)
 	if err != nil {
-		node.logger.Debug("nothing learned", zap.String("address", address), logging.Cause(err))
 		return false, err
 	}
-	node.configurationView.take(fromRecords(reply.Configuration))
-	node.engineView.take(fromRecords(reply.Engines))
-	node.memberView.take(fromRecords(reply.Nodes))
 	node.engines.Report(reply.Avoided, time.Now())
-	node.logHealth.hear(reply.LogAnswerAgeMs, time.Now())
 	if reply.Current {
 		node.engines.TellSlow(reply.Slow, time.Now())
 		learner.takeSpeeds(reply.Speeds)
@@ -144,6 +214,41 @@
 	return reply.Current, nil
 }
 
+// askRecords takes in the records that a node knows, and tells whether they are current. What
+// is seen of the engines each reader gathers for itself.
+func (learner *learner) askRecords(ctx context.Context, address string) (bool, error) {
+	reply, err := learner.send(ctx, address, learner.node.learnRequest())
+	return reply.GetCurrent(), err
+}
+
+// learnRequest asks for the records that this node lacks.
+func (node *Node) learnRequest() *nodev1.LearnRequest {
+	return &nodev1.LearnRequest{
+		ConfigurationEnd: node.configurationView.reached(),
+		EnginesEnd:       node.engineView.reached(),
+		NodesEnd:         node.memberView.reached(),
+		LogAnswerAgeMs:   node.logHealth.ageMilliseconds(time.Now()),
+	}
+}
+
+// send asks a node, and takes in the records of its answer.
+func (learner *learner) send(ctx context.Context, address string, request *nodev1.LearnRequest) (*nodev1.LearnReply, error) {
+	node := learner.node
+	bounded, cancel := context.WithTimeout(ctx, learner.patience())
+	defer cancel()
+	askedAt := time.Now()
+	reply, err := node.peers.at(address).Learn(bounded, request)
+	if err != nil {
+		node.logger.Debug("nothing learned", zap.String("address", address), logging.Cause(err))
+		return nil, err
+	}
+	node.configurationView.take(fromRecords(reply.Configuration), askedAt)
+	node.engineView.take(fromRecords(reply.Engines), askedAt.Add(-milliseconds(reply.EnginesAgeMs)))
+	node.memberView.take(fromRecords(reply.Nodes), askedAt)
+	node.logHealth.hear(reply.LogAnswerAgeMs, time.Now())
+	return reply, nil
+}
+
 // takeSpeeds takes in the speeds of engines, where the reader has sent some.
 func (learner *learner) takeSpeeds(speeds map[string]float32) {
 	if len(speeds) == 0 {
@@ -159,11 +264,12 @@
 	return slices.ContainsFunc(followers, func(follower *follower) bool { return follower.silent(now) })
 }
 
-// readsStore tells whether this node's views come from the store itself and are recent,
-// so that others may rely on them. Views that it learned from any node are as recent, and
-// may have come over nodes that know less: those who rely on them would add their delays.
+// readsStore tells whether this node's views come from the store itself and are recent, so
+// that others may rely on them; its engines may come from its zone's first reader. Views that
+// it learned from any node are as recent, and may have come over nodes that know less: those
+// who rely on them would add their delays.
 func (node *Node) readsStore(now time.Time) bool {
-	return !node.learner.learns() && !anySilent(node.following, now) && node.engineView.age() < currentAge
+	return !node.learner.learns() && !anySilent(node.following, now) && node.engineView.read() && node.engineView.age() < currentAge
 }
 
 // logAway tells whether the store has answered none of the followers for a while.
@@ -204,6 +310,7 @@
 		Slow:           node.engines.Slow(now),
 		LogAnswerAgeMs: node.logHealth.ageMilliseconds(now),
 		Current:        node.readsStore(now),
+		EnginesAgeMs:   node.engineView.age().Milliseconds(),
 	}
 	if request.WantsSpeeds {
 		reply.Speeds = node.engines.Speeds(now)
--- a/internal/node/learn_test.go
+++ b/internal/node/learn_test.go
@@ -15,7 +15,7 @@
 // newReader is a node whose store answered some time ago, and whose views are from just now.
 func newReader(sinceStore time.Duration) *Node {
 	node := &Node{engines: backend.NewDirectory()}
-	node.learner = &learner{node: node}
+	node.learner = &learner{node: node, started: time.Now().Add(-time.Minute)}
 	ignore := func(durable.KeyedRecord) bool { return false }
 	node.configurationView = newRecordView("configuration", zap.NewNop(), ignore)
 	node.engineView = newRecordView("engines", zap.NewNop(), ignore)
@@ -24,17 +24,30 @@
 	follower := &follower{name: "engines", pause: pause, logger: zap.NewNop()}
 	follower.lastAnswer.set(time.Now().Add(-sinceStore))
 	node.following = append(node.following, follower)
-	node.engineView.take(durable.Update{End: 1})
+	node.engineView.take(durable.Update{End: 1}, time.Now())
 	return node
 }
 
+func answerOf(node *Node) *nodev1.LearnReply {
+	reply, err := (&peerServer{node: node}).Learn(context.Background(), &nodev1.LearnRequest{})
+	Expect(err).NotTo(HaveOccurred())
+	return reply
+}
+
 var _ = Describe("A node that others learn from", func() {
-	answer := func(sinceStore time.Duration) *nodev1.LearnReply {
-		node := newReader(sinceStore)
-		reply, err := (&peerServer{node: node}).Learn(context.Background(), &nodev1.LearnRequest{})
-		Expect(err).NotTo(HaveOccurred())
-		return reply
-	}
+	answer := func(sinceStore time.Duration) *nodev1.LearnReply { return answerOf(newReader(sinceStore)) }
+
+	It("is not current before it has read the engines' records, and tells how old they are", func() {
+		node := newReader(0)
+		node.engineView = newRecordView("engines", zap.NewNop(), func(durable.KeyedRecord) bool { return false })
+		Expect(answerOf(node).Current).To(BeFalse())
+		node.engineView.take(durable.Update{End: 1}, time.Now())
+		node.engineView.checked.set(time.Now().Add(-time.Second))
+		Expect(answerOf(node).EnginesAgeMs).To(BeNumerically(">=", 1000))
+		Expect(answerOf(node).Current).To(BeTrue())
+		node.engineView.checked.set(time.Now().Add(-currentAge))
+		Expect(answerOf(node).Current).To(BeFalse())
+	})
 
 	It("is current while the store answers it", func() {
 		Expect(answer(0).Current).To(BeTrue())
--- a/internal/node/load_test.go
+++ b/internal/node/load_test.go
@@ -89,7 +89,7 @@
 			node.peers = newPeers(node.members, lines.clientOf(name))
 			node.sharing = newLoadSharing(node)
 			node.memberView = newRecordView("nodes", logger.Logger, func(durable.KeyedRecord) bool { return false })
-			node.memberView.take(durable.Update{End: 1})
+			node.memberView.take(durable.Update{End: 1}, time.Now())
 			for engine := range count {
 				node.engines.Put(backend.Instance{ID: "engine-" + strconv.Itoa(engine), Service: "s"}, time.Time{})
 			}
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -205,19 +205,40 @@
 // the member itself. Each zone has a reader for every few of its nodes: the
 // first choices of a shard that no program has.
 func (known *members) readerFor(member Member) Member {
-	var zone []Member
-	for _, candidate := range known.candidates(readerShard) {
-		if candidate.Zone == member.Zone {
-			zone = append(zone, candidate)
-		}
-	}
-	readers := zone[:(len(zone)+nodesPerReader-1)/nodesPerReader]
+	readers := known.readersOf(member.Zone)
 	if len(readers) == 0 || slices.ContainsFunc(readers, func(reader Member) bool { return reader.Name == member.Name }) {
 		return member
 	}
 	return readers[xxhash.Sum64String(member.Name)%uint64(len(readers))]
 }
 
+// readersOf returns the nodes of a zone that read the store for it, the first choice first.
+func (known *members) readersOf(zone string) []Member {
+	var nodes []Member
+	for _, candidate := range known.candidates(readerShard) {
+		if candidate.Zone == zone {
+			nodes = append(nodes, candidate)
+		}
+	}
+	return nodes[:(len(nodes)+nodesPerReader-1)/nodesPerReader]
+}
+
+// engineSource returns the node that tells a member of the engines: its reader, or the first
+// of its zone's readers. False says that the member reads the engines' records itself, as one
+// node of each zone does. Engines repeat their records all the time: read by each reader, those
+// of 3,000 engines took 12 MB a second of a link of 7.5 that the configuration comes over.
+func (known *members) engineSource(member Member) (Member, bool) {
+	readers := known.readersOf(member.Zone)
+	if len(readers) == 0 || readers[0].Name == member.Name {
+		return Member{}, false
+	}
+	reader := known.readerFor(member)
+	if reader.Name == member.Name {
+		reader = readers[0]
+	}
+	return reader, true
+}
+
 // readerShard stands for the reading of the store in the order of candidates.
 const readerShard = -1
 
--- a/internal/node/members_test.go
+++ b/internal/node/members_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"time"
 
 	"github.com/magpielug/magpielug/internal/durable"
 	. "github.com/onsi/ginkgo/v2"
@@ -71,17 +72,62 @@
 	})
 })
 
+// Configurations came nine seconds late to nodes in three of six zones, which answered 679
+// requests with 404 for routes that were in force: 300 nodes before 3,000 engines, of which 38
+// read all engines' records from the store, and 19 of those over one link of 60 Mbit/s.
+var _ = Describe("The nodes of a zone", func() {
+	It("have one of them read the engines' records, however many they are", func() {
+		for _, size := range []int{1, 8, 50, 160} {
+			known := newMembers()
+			for number := range size {
+				known.put(Member{Name: "node-" + strconv.Itoa(number), Zone: "zone", Capacity: 800})
+			}
+			reading := 0
+			asked := map[string]int{}
+			for number := range size {
+				member, _ := known.get("node-" + strconv.Itoa(number))
+				source, found := known.engineSource(member)
+				if !found {
+					reading++
+					continue
+				}
+				asked[source.Name]++
+				_, above := known.engineSource(source)
+				if above {
+					Expect(known.readerFor(source)).To(Equal(source), "a reader stands between")
+				}
+			}
+			Expect(reading).To(Equal(1), "of %d nodes", size)
+			for name, askers := range asked {
+				Expect(askers).To(BeNumerically("<=", 3*nodesPerReader+size/nodesPerReader), name)
+			}
+		}
+	})
+})
+
 var _ = Describe("A view", func() {
+	It("is as old as the moment at which its newest update was asked for", func() {
+		view := newRecordView("t", zap.NewNop(), func(durable.KeyedRecord) bool { return false })
+		first := time.Now()
+		const held = 20 * time.Millisecond
+		time.Sleep(held)
+		view.take(durable.Update{End: 1}, first)
+		Expect(view.age()).To(BeNumerically(">=", held))
+		view.take(durable.Update{End: 1}, time.Now())
+		view.take(durable.Update{End: 1}, first)
+		Expect(view.age()).To(BeNumerically("<", time.Since(first)))
+	})
+
 	It("tells others of what changed, not of what was repeated", func() {
 		view := newRecordView("t", zap.NewNop(), func(record durable.KeyedRecord) bool { return string(record.Value) != "same" })
-		view.take(durable.Update{Records: []durable.KeyedRecord{{Key: "a", Value: []byte("1"), Offset: 0}}, End: 1})
-		view.take(durable.Update{Records: []durable.KeyedRecord{{Key: "a", Value: []byte("same"), Offset: 1}}, End: 2})
+		view.take(durable.Update{Records: []durable.KeyedRecord{{Key: "a", Value: []byte("1"), Offset: 0}}, End: 1}, time.Now())
+		view.take(durable.Update{Records: []durable.KeyedRecord{{Key: "a", Value: []byte("same"), Offset: 1}}, End: 2}, time.Now())
 		records, end := view.since(1)
 		Expect(records).To(BeEmpty())
 		Expect(end).To(Equal(int64(2)))
 		records, _ = view.since(0)
 		Expect(records).To(HaveLen(1))
-		view.take(durable.Update{Records: []durable.KeyedRecord{{Key: "a", Offset: 2}}, End: 3})
+		view.take(durable.Update{Records: []durable.KeyedRecord{{Key: "a", Offset: 2}}, End: 3}, time.Now())
 		records, _ = view.since(2)
 		Expect(records).To(HaveLen(1))
 		Expect(records[0].Value).To(BeEmpty())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -180,7 +180,7 @@
 	}
 	node.newViews()
 	node.registration = newRegistration(around.Log, around.MemberTopic, logger.Logger, node.self, node.memberView.read)
-	node.learner = &learner{node: node}
+	node.learner = &learner{node: node, started: time.Now()}
 	node.contact.note()
 	client.Transport = node.zoneTransport(node.contact.transport(client.Transport))
 	node.peers = newPeers(node.members, client)
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -21,8 +21,10 @@
 	mutex  sync.Mutex
 	newest map[string]heldRecord
 	end    int64
-	// taken is when the last update came, even if it held nothing new.
-	taken time.Time
+	// hasRead is true once any update has come, checked is when the newest was asked for, even
+	// if it held nothing new.
+	hasRead bool
+	checked moment
 }
 
 // heldRecord is a key's newest record.
@@ -37,8 +39,9 @@
 	return &recordView{name: name, logger: logger, apply: apply, newest: map[string]heldRecord{}}
 }
 
-// take takes an update in.
-func (view *recordView) take(update durable.Update) {
+// take takes an update in. It was asked for at a time, or of a source that had asked for it
+// then: what an update that was held up on its way tells is as old as that.
+func (view *recordView) take(update durable.Update, askedAt time.Time) {
 	view.mutex.Lock()
 	defer view.mutex.Unlock()
 	for _, record := range update.Records {
@@ -48,21 +51,18 @@
 		view.dropUnlisted(update)
 	}
 	view.end = max(view.end, update.End)
-	view.taken = time.Now()
+	view.hasRead = true
+	view.checked.advance(askedAt)
 }
 
-// age is the time since the last update.
-func (view *recordView) age() time.Duration {
-	view.mutex.Lock()
-	defer view.mutex.Unlock()
-	return time.Since(view.taken)
-}
+// age is how old what the view holds may be.
+func (view *recordView) age() time.Duration { return view.checked.age(time.Now()) }
 
 // read tells whether any update has come.
 func (view *recordView) read() bool {
 	view.mutex.Lock()
 	defer view.mutex.Unlock()
-	return !view.taken.IsZero()
+	return view.hasRead
 }
 
 func (view *recordView) takeRecord(record durable.KeyedRecord) {
--- a/internal/node/zones.go
+++ b/internal/node/zones.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"slices"
 	"time"
@@ -81,17 +82,24 @@
 	sent := time.Now()
 	bounded, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	_, err := node.peers.at(member.Address).Learn(bounded, &nodev1.LearnRequest{
-		ConfigurationEnd: node.configurationView.reached(),
-		EnginesEnd:       node.engineView.reached(),
-		NodesEnd:         node.memberView.reached(),
-		LogAnswerAgeMs:   node.logHealth.ageMilliseconds(time.Now()),
-	})
+	_, err := node.peers.at(member.Address).Learn(bounded, node.probeRequest())
 	if err != nil && !node.mayBeLostAlone(zone) {
 		node.zones.Unanswered(zone, sent, time.Now())
 	}
 }
 
+// probeRequest asks for no records: what counts is that an answer comes. A node that knew no
+// engine yet was sent the whole list by each zone that it probed, six times a second, and the
+// links that made the store seem silent carried nothing else.
+func (node *Node) probeRequest() *nodev1.LearnRequest {
+	return &nodev1.LearnRequest{
+		ConfigurationEnd: math.MaxInt64,
+		EnginesEnd:       math.MaxInt64,
+		NodesEnd:         math.MaxInt64,
+		LogAnswerAgeMs:   node.logHealth.ageMilliseconds(time.Now()),
+	}
+}
+
 // mayBeLostAlone tells whether the silence of a zone's nodes says nothing of the zone: there
 // is a single one, and the zone's engines answered last. Where it is lost they go on working.
 func (node *Node) mayBeLostAlone(zone string) bool {
--- a/internal/node/zones_test.go
+++ b/internal/node/zones_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"time"
 
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
@@ -16,6 +17,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 )
 
 // zonedNode is a node of zone a that knows a neighbour there and a node of zone b, whose
@@ -94,6 +96,24 @@
 		Eventually(reached, "10s").Should(BeFalse())
 	})
 
+	// Nodes that had just started knew no engine and did not reach the store: each zone that they
+	// probed, six times a second, sent them its whole list, 0.75 MB of 3,000 engines.
+	It("is probed without its nodes' records, also by a node that knows none", func() {
+		probed := newReader(0)
+		update := durable.Update{End: 3000}
+		for offset := range update.End {
+			update.Records = append(update.Records, durable.KeyedRecord{Key: strconv.FormatInt(offset, 10), Value: make([]byte, 250), Offset: offset})
+		}
+		probed.engineView.take(update, time.Now())
+		prober := newReader(0)
+		whole, err := (&peerServer{node: probed}).Learn(context.Background(), prober.learnRequest())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(proto.Size(whole)).To(BeNumerically(">", 3000*250))
+		reply, err := (&peerServer{node: probed}).Learn(context.Background(), prober.probeRequest())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(proto.Size(reply)).To(BeNumerically("<", 100))
+	})
+
 	It("refuses a turn at once whose owner is beyond the cut, with when callers reach another zone", func() {
 		node := zonedNode("beyond")
 		ctx, cancel := context.WithCancel(context.Background())
