Spending: the patience with a doubt begins when its program is told of it

Its tenant's limit held the second turn back for 3.3 s, so it was refused without having been told to come back.

A program that loops without end is stopped 3 s after that, as before. The test failed first; the model of allowances (TestAllowancesHold) passes.

--- a/internal/spending/spending.go
+++ b/internal/spending/spending.go
@@ -34,7 +34,7 @@
 // less is counted as spent when the owner is lost.
 const aheadShare = 1.0 / 16
 
-// doubtPatience is how long an account says that it is unsure.
+// doubtPatience is how long an account says that it is unsure, from the first time that it does.
 const doubtPatience = 3 * time.Second
 
 // Ceiling bounds what a program may have been granted.
@@ -54,8 +54,10 @@
 	// it of which it is not known whether it was used.
 	base  int64
 	doubt int64
-	// doubtSince is when the newest part of the doubt began.
+	// doubtSince is when the newest part of the doubt began, doubtTold when its program was
+	// first told of it since.
 	doubtSince time.Time
+	doubtTold  time.Time
 	// settled is what turns that ended under this owner have spent.
 	settled int64
 	// open holds each turn that has not ended, by request.
@@ -209,12 +211,22 @@
 		return Spent
 	case ledger.firstBeyond(account):
 		return Granted
-	case now.Sub(account.doubtSince) > doubtPatience:
+	case now.Sub(account.toldSince(now)) > doubtPatience:
 		return Spent
 	}
 	return Unsure
 }
 
+// toldSince is when the program was first told of its newest doubt, now where it was not. The
+// patience with a doubt begins with that, and not with the doubt itself: a program that its
+// limit or a slow tool held back would be refused without ever having been told to come back.
+func (account *account) toldSince(now time.Time) time.Time {
+	if account.doubtTold.Before(account.doubtSince) || account.doubtTold.IsZero() {
+		account.doubtTold = now
+	}
+	return account.doubtTold
+}
+
 // raise wants a ceiling for what is needed and some turns ahead. Where the owner
 // has an allowance it wants one behind the grants instead.
 func (ledger *Ledger) raise(program tenant.Program, account *account, needed, most int64) {
--- a/internal/spending/spending_test.go
+++ b/internal/spending/spending_test.go
@@ -75,6 +75,20 @@
 		Expect(ledger.Reserve(later, start.Add(4*time.Second))).To(Equal(spending.Spent))
 	})
 
+	// A program with room for 72 of its 112 tokens was told that its budget is spent, for its
+	// second turn: its owner had come after an unclean loss, its account was made at its first
+	// turn with doubt=37, its tenant's limit held the second one back for 3.3 s, and 'turn
+	// refused spent=73 doubt=37' has no 'unsure' before it (soak, seed 742542021). The time for
+	// which a doubt is told as such began with the account, and was over unseen.
+	It("says that it is unsure before it refuses, however late it is asked", func() {
+		ledger := spending.NewLedger(map[tenant.Program]spending.Ceiling{program: {Program: program, Tokens: 700, Settled: 100}}, start)
+		later := spending.Order{Program: program, Request: "a", Budget: 500, Most: 288, Until: start.Add(turnTime)}
+		Expect(ledger.Reserve(later, start.Add(3300*time.Millisecond))).To(Equal(spending.Unsure))
+		Expect(ledger.Reserve(later, start.Add(6*time.Second))).To(Equal(spending.Unsure))
+		Expect(ledger.Reserve(later, start.Add(7*time.Second))).To(Equal(spending.Spent))
+		Expect(ledger.Reserve(later, start.Add(time.Minute))).To(Equal(spending.Spent))
+	})
+
 	It("holds the room of a turn whose end it never hears of only as long as the turn may take", func() {
 		logged := map[tenant.Program]spending.Ceiling{}
 		ledger := spending.NewLedger(nil, start)
