Ownership: an owner that wakes refuses no program for its budget before the log names it still

What it grants is counted by its successor, so that no budget is passed; what it refuses was not bound. It counts the turns that were open at the freeze at their most, since their ends went to the next owner, and told a program 402 by that.

Now an owner that would refuse a program for its budget after a freeze has the log take the program's ceiling once more, as it is. A fenced owner learns of the next one by that, and the asker is sent there; while the log says nothing the asker waits, which is 503. Two tests failed first: 402 by the owner that had been replaced, and by one whose log is silent.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -194,7 +194,7 @@
 		Node:        settings.Name,
 		Incarnation: node.incarnation,
 		Address:     settings.PeerAddress,
-	}, settings.Shards, ownership.Around{Yield: node.askToYield, LogAway: node.logAway, CountsSecondAllowance: node.countsSecondAllowance})
+	}, settings.Shards, ownership.Around{Yield: node.askToYield, Freezes: node.freezes, LogAway: node.logAway, CountsSecondAllowance: node.countsSecondAllowance})
 	node.programs = newPrograms(node)
 	node.admission = newAdmitter(node)
 	node.quotas = newQuotas(node)
--- a/internal/ownership/claim.go
+++ b/internal/ownership/claim.go
@@ -85,6 +85,7 @@
 	shard.epoch = won.epoch
 	shard.sequence = won.sequence
 	shard.writing = false
+	shard.confirmedAt = shard.claimBegan
 	shard.owner = Owner{Node: manager.self.Node, Epoch: won.epoch, Address: manager.self.Address}
 	shard.ledger = won.ledger
 	manager.decideWaiters(shard)
--- a/internal/ownership/claim_test.go
+++ b/internal/ownership/claim_test.go
@@ -9,6 +9,7 @@
 
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
 	"github.com/magpielug/magpielug/internal/durable"
+	"github.com/magpielug/magpielug/internal/freeze"
 	"github.com/magpielug/magpielug/internal/ownership"
 	"github.com/magpielug/magpielug/internal/tenant"
 	. "github.com/onsi/ginkgo/v2"
@@ -26,8 +27,11 @@
 	var managers map[string]*ownership.Manager
 	var unreachable map[string]bool
 	var away map[string]bool
+	// frozen is how long the nodes were frozen, in all.
+	var frozen atomic.Int64
 
 	BeforeEach(func() {
+		frozen.Store(0)
 		away = map[string]bool{}
 		log = durable.NewMemory()
 		managers = map[string]*ownership.Manager{}
@@ -45,7 +49,9 @@
 			}
 			return managers[claim.Node].Yielded(ctx, shard, claim.Epoch), nil
 		}
-		manager := ownership.NewManager(ctx, store, zap.NewNop(), identity, 1, ownership.Around{Yield: yield, LogAway: func() bool { return away[name] }})
+		freezes := freeze.NewWatchOf(func() time.Time { return time.Now().Add(time.Duration(frozen.Load())) })
+		manager := ownership.NewManager(ctx, store, zap.NewNop(), identity, 1,
+			ownership.Around{Yield: yield, LogAway: func() bool { return away[name] }, Freezes: freezes})
 		managers[name] = manager
 		go manager.Run()
 		return manager
@@ -103,6 +109,34 @@
 		Expect(ask(first, "r7", 1000, 288).Verdict).NotTo(Equal(nodev1.Verdict_VERDICT_GRANTED))
 	})
 
+	// An owner that wakes does not know that another one has its shard, nor what turns ended
+	// meanwhile: it counts them at their most. A program was refused for good by such books.
+	It("refuses no program for its budget after a freeze before the log says that it still owns the shard", func() {
+		first := start(log, "a")
+		Expect(ask(first, "r1", 500, 288).Verdict).To(Equal(nodev1.Verdict_VERDICT_GRANTED))
+		Expect(ask(first, "r2", 500, 288).Verdict).To(Equal(nodev1.Verdict_VERDICT_SPENT), "r1 is open")
+		unreachable["a"] = true
+		second := start(log, "b")
+		Expect(ask(second, "other", 5000, 100).Verdict).To(Equal(nodev1.Verdict_VERDICT_GRANTED))
+		unreachable["a"] = false
+		frozen.Store(int64(3 * time.Second))
+		answer := ask(first, "r3", 500, 288)
+		Expect(answer.Verdict).To(Equal(nodev1.Verdict_VERDICT_NOT_OWNER))
+		Expect(answer.Owner.Node).To(Equal("b"))
+	})
+
+	It("refuses a program after a freeze once the log has said so, and waits while it says nothing", func() {
+		cut := &cutLog{Memory: log}
+		first := start(cut, "a")
+		Expect(ask(first, "r1", 500, 288).Verdict).To(Equal(nodev1.Verdict_VERDICT_GRANTED))
+		frozen.Store(int64(3 * time.Second))
+		cut.silent.Store(true)
+		Expect(ask(first, "r2", 500, 288).Verdict).To(Equal(nodev1.Verdict_VERDICT_WAITING))
+		cut.silent.Store(false)
+		Eventually(func() nodev1.Verdict { return ask(first, "r2", 500, 288).Verdict }, patience).
+			Should(Equal(nodev1.Verdict_VERDICT_SPENT))
+	})
+
 	It("reserves nothing for an asker that gave up while the shard was being claimed", func() {
 		racing := &racingLog{Memory: log}
 		manager := start(racing, "a")
--- a/internal/ownership/shard.go
+++ b/internal/ownership/shard.go
@@ -13,6 +13,7 @@
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
 	"github.com/magpielug/magpielug/charts"
 	"github.com/magpielug/magpielug/internal/feature"
+	"github.com/magpielug/magpielug/internal/freeze"
 	"github.com/magpielug/magpielug/internal/spending"
 	"github.com/magpielug/magpielug/internal/tenant"
 	"go.uber.org/zap"
@@ -105,6 +106,9 @@
 	writing bool
 	// silentSince is when the append under way began.
 	silentSince time.Time
+	// confirmedAt is when the newest append or claim was begun that the log has taken: up to
+	// then this node owned the shard for certain.
+	confirmedAt time.Time
 	waiters     []waiter
 	// claimBegan is when the claim under way began.
 	claimBegan time.Time
@@ -121,6 +125,8 @@
 	// Yield asks the owner that a claim names whether it keeps a shard; see the
 	// call of that name. An error says that it does not answer.
 	Yield func(ctx context.Context, claim *nodev1.Claim, shard int) (*nodev1.YieldReply, error)
+	// Freezes tells when the process was frozen.
+	Freezes *freeze.Watch
 	// LogAway tells whether the log has not answered this node for a while. It
 	// claims nothing then: another node may reach the log.
 	LogAway func() bool
@@ -177,6 +183,12 @@
 	case spending.Granted:
 		asked.reply <- Answer{Verdict: nodev1.Verdict_VERDICT_GRANTED, Owner: shard.owner}
 	case spending.Spent:
+		if manager.around.Freezes.Since(shard.confirmedAt) {
+			// Another node may own the shard by now and know how turns have ended since.
+			shard.ledger.WriteAgain(asked.ask.Program)
+			shard.waiters = append(shard.waiters, asked)
+			break
+		}
 		manager.logRefusal(shard, asked.ask, "spent")
 		asked.reply <- Answer{Verdict: nodev1.Verdict_VERDICT_SPENT, Owner: shard.owner, Reason: "the budget leaves no room"}
 	case spending.Unsure:
--- a/internal/ownership/write.go
+++ b/internal/ownership/write.go
@@ -66,6 +66,7 @@
 		manager.lose(shard, err)
 		return
 	}
+	shard.confirmedAt = shard.silentSince
 	shard.ledger.Written(ceilings)
 	manager.decideWaiters(shard)
 	manager.write(shard)
--- a/internal/spending/spending.go
+++ b/internal/spending/spending.go
@@ -248,6 +248,13 @@
 	}
 }
 
+// WriteAgain has a program's ceiling written once more, as it is.
+func (ledger *Ledger) WriteAgain(program tenant.Program) {
+	if ledger.accounts[program] != nil {
+		ledger.changed[program] = true
+	}
+}
+
 // Settle ends a turn that spent tokens. It returns false for an unknown request,
 // which changes nothing: it was reserved with a former owner and is counted in
 // the ceiling, or its reservation has not come yet.
