Scheduler: leadership is not handed over while a call is on its way to its engine

The engines had run nothing of it.

The old leader's sending is cancelled with its leadership, the new one attaches to a run that the engine has never seen, and the engine refuses the id from then on, as it must. Hand-overs waited for tools' calls only.

Now a leader keeps its shard while a call is granted and not sent, or was sent less than 0.5 s ago and has no first chunk, both in a planned stop and where it hands over to the preferred leader; and in a planned stop it starts no call any more, as it did with tools', so that this ends. Nodes have no such moment: a call stays at the node that took it until its end, and nothing attaches.

The test on the virtual network failed first ('stopped 5 ms after the first call'); its fixture lets a call that is no more followed not arrive.

--- a/internal/scheduler/call_run.go
+++ b/internal/scheduler/call_run.go
@@ -71,7 +71,7 @@
 	if live == nil || live.phase != phaseWaiting {
 		return
 	}
-	if live.isTool() && host.core.stopping {
+	if host.core.stopping {
 		// The next leader starts it.
 		return
 	}
@@ -150,6 +150,8 @@
 		return
 	}
 	live.phase = phaseRunning
+	live.sentAt = host.core.now
+	live.begun = false
 	if host.core.leftSince(live) {
 		host.runEnded(live, RunEnded{Run: live.run(), End: RunNotRun, Detail: "the back end left before the call was sent"})
 		return
@@ -409,6 +411,7 @@
 	if live == nil || live.run() != run || live.pool == "" {
 		return
 	}
+	live.begun = true
 	core.requestKeeper(live.pool, host.number, &schedulerv1.KeeperRequest{
 		Request: &schedulerv1.KeeperRequest_FirstToken{FirstToken: live.wireKey()},
 	})
--- a/internal/scheduler/cluster_test.go
+++ b/internal/scheduler/cluster_test.go
@@ -56,6 +56,9 @@
 	// machine list takes.
 	runDelay  time.Duration
 	listDelay time.Duration
+	// cutsSending has a call that is no more followed by its leader not come to its engine
+	// where it was on its way; who attaches comes without delay.
+	cutsSending bool
 	// backlog bounds a shard's unarchived entries; 0 takes the default.
 	backlog int
 	// budget of the one tier, micro units.
@@ -282,7 +285,11 @@
 		node.polled = effect.Engines
 		node.poll()
 	case RunModelCall:
-		cluster.after(testLatency+cluster.runDelay, func() { node.runModel(effect) })
+		cluster.after(testLatency+cluster.delayOf(effect), func() {
+			if !cluster.cutsSending || !node.stops[effect.Run] {
+				node.runModel(effect)
+			}
+		})
 	case RunToolCall:
 		cluster.after(testLatency, func() { node.runTool(effect) })
 	case StopRun:
@@ -337,6 +344,14 @@
 	}
 }
 
+// delayOf is how long a call takes to its engine beside the latency.
+func (cluster *testCluster) delayOf(effect RunModelCall) time.Duration {
+	if cluster.cutsSending && effect.Request.AttachOnly {
+		return 0
+	}
+	return cluster.runDelay
+}
+
 // runModel is an engine: it runs a request id once, whoever asks, and goes on
 // when its follower is gone.
 func (node *testNode) runModel(effect RunModelCall) {
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -247,9 +247,8 @@
 	core.arrangePools()
 }
 
-// stopOrdered goes on with a planned stop: no tool call is started here any more,
-// and each shard is handed over once it has none under way, since a tool's answer
-// can't be picked up by another process. Everything else goes on until then.
+// stopOrdered goes on with a planned stop: no call is started here any more, and
+// each shard is handed over once that cuts none of those under way.
 func (core *Core) stopOrdered() {
 	core.stopping = true
 	for _, number := range core.hostNumbers() {
--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -213,6 +213,38 @@
 		Expect(cluster.leader("p1")).NotTo(Equal(leader))
 	})
 
+	// A call that is not repeatable was told 3001 OUTCOME_UNKNOWN, 'no such generation to attach
+	// to', in a planned stop: its leader's call_sent stands in the millisecond in which the leader
+	// was told to stop and another one led. The next leader asked the engine for a run that had
+	// not come there yet, and the engine refused it from then on. Calls are on their way for a
+	// while here, so that each stop comes between a call's sending and its arrival.
+	for _, repeatable := range []bool{true, false} {
+		It(fmt.Sprintf("loses no call that is on its way to its engine when a process is stopped as planned, repeatable %t", repeatable), func() {
+			for wait := range 12 {
+				cluster := newTestCluster(14, 3)
+				cluster.runDelay = 50 * time.Millisecond
+				cluster.cutsSending = true
+				cluster.create("p1")
+				Expect(cluster.call(testCall("p1", "before"), 20*time.Second).failure).To(BeNil())
+				leader := cluster.leader("p1")
+				var order func()
+				order = func() {
+					cluster.nodes[leader].step(StopOrdered{})
+					cluster.after(50*time.Millisecond, order)
+				}
+				cluster.after(time.Duration(wait)*5*time.Millisecond, order)
+				for number := range 3 {
+					call := testCall("p1", fmt.Sprintf("call%d", number))
+					call.Repeatable = repeatable
+					final := cluster.call(call, 20*time.Second)
+					Expect(final.failure).To(BeNil(), "stopped %d ms after the first call", 5*wait)
+					Expect(cluster.runsOf("p1/" + call.RequestId)).To(Equal(1))
+				}
+				Expect(cluster.leader("p1")).NotTo(Equal(leader))
+			}
+		})
+	}
+
 	It("refuses new calls while the log is away for long, and ends those under way", func() {
 		cluster := newTestCluster(13, 3)
 		cluster.backlog = 64 << 10
--- a/internal/scheduler/home.go
+++ b/internal/scheduler/home.go
@@ -323,7 +323,7 @@
 	if !found || preferred.ID == core.config.Process || core.now-host.servingSince < preferAfter {
 		return
 	}
-	if host.runsTool() {
+	if host.cutsCalls() {
 		return
 	}
 	if !core.directory.alive(preferred.ID, core.now, peerSilenceBound) {
--- a/internal/scheduler/host.go
+++ b/internal/scheduler/host.go
@@ -256,7 +256,7 @@
 
 // handOver gives leadership to another member for a planned stop.
 func (host *host) handOver() {
-	if host.replica.Role() != replication.RoleLeader || host.runsTool() {
+	if host.replica.Role() != replication.RoleLeader || host.cutsCalls() {
 		return
 	}
 	host.touch()
@@ -270,10 +270,13 @@
 	}
 }
 
-// runsTool tells whether a tool call is under way.
-func (host *host) runsTool() bool {
+// cutsCalls tells whether a call would be lost if another member led now. A tool's answer
+// can't be picked up elsewhere, and a call that is on its way to its engine is not known there
+// yet: the next leader would find no run to attach to, and the engine would refuse the call
+// from then on.
+func (host *host) cutsCalls() bool {
 	for _, live := range host.calls {
-		if live.isTool() && live.phase != phaseWaiting {
+		if live.isTool() && live.phase != phaseWaiting || live.onItsWay(host.core.now) {
 			return true
 		}
 	}
--- a/internal/scheduler/keeper_client.go
+++ b/internal/scheduler/keeper_client.go
@@ -84,6 +84,9 @@
 // keeper may be lost.
 func (host *host) retryOffers() {
 	for _, live := range host.sortedCalls() {
+		if host.core.stopping {
+			break
+		}
 		if live.phase == phaseOffered && host.core.now-live.offeredAt >= host.core.config.OfferRetry {
 			host.offer(live)
 		}
@@ -159,6 +162,11 @@
 		core.returnStrayGrant(reply, grant)
 		return
 	}
+	if core.stopping {
+		// The next leader offers the call anew.
+		core.returnGrant(reply, grant)
+		return
+	}
 	live.grant = grant
 	live.decide("granted", "engine "+grant.Engine+": "+grant.Why)
 	live.host.intend(live, &shardv1.CallIntended{
@@ -180,6 +188,11 @@
 	if live != nil && live.call.Attempt() == grant.Call.Attempt {
 		return
 	}
+	core.returnGrant(reply, grant)
+}
+
+// returnGrant gives a slot back that nothing was sent to.
+func (core *Core) returnGrant(reply *schedulerv1.KeeperReply, grant *schedulerv1.CallGrant) {
 	core.requestKeeper(reply.Pool, reply.Shard, &schedulerv1.KeeperRequest{
 		Request: &schedulerv1.KeeperRequest_Return{Return: &schedulerv1.CallReturn{Call: grant.Call}},
 	})
--- a/internal/scheduler/live_call.go
+++ b/internal/scheduler/live_call.go
@@ -45,6 +45,9 @@
 	// grantedAt is when the back end was chosen.
 	grantedAt  time.Duration
 	acceptedAt time.Duration
+	// sentAt is when the call was sent, begun is true once its first chunk has come.
+	sentAt time.Duration
+	begun  bool
 	// deadline is on this leader's clock; 0 is none.
 	deadline time.Duration
 	grant    *schedulerv1.CallGrant
@@ -53,6 +56,15 @@
 	decisions []*schedulerv1.Decision
 }
 
+// arrivalBound is how long a call that was sent may be on its way to its engine.
+const arrivalBound = 500 * time.Millisecond
+
+// onItsWay tells whether the call is granted, and its engine may not have got it yet.
+func (live *liveCall) onItsWay(now time.Duration) bool {
+	sending := live.phase == phaseRunning && !live.begun && now-live.sentAt < arrivalBound
+	return live.phase == phaseIntending || sending
+}
+
 // maximumDecisions bounds what is kept to explain one call.
 const maximumDecisions = 32
 
