--- a/internal/node/meter.go
+++ b/internal/node/meter.go
@@ -30,10 +30,14 @@
 	// loadMessages counts messages about load.
 	loadMessages *prometheus.CounterVec
 	noRoom       *prometheus.CounterVec
+	// peerTraffic counts bytes of calls of other nodes, sent and received together.
+	peerTraffic *prometheus.CounterVec
 
 	// mutex guards calls at the store since the last summary line.
 	mutex  sync.Mutex
 	recent map[string]int
+	// recentBytes counts bytes of calls of other nodes since then, by call and zone.
+	recentBytes map[string]int64
 	// tenants are those that have labels of their own.
 	tenants map[string]bool
 }
@@ -82,8 +86,13 @@
 			Name: "magpielug_refused_for_room_total",
 			Help: "Calls refused because no engine had room in time, by service and reason.",
 		}, []string{"service", "reason"}),
-		recent:  map[string]int{},
-		tenants: map[string]bool{},
+		peerTraffic: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "magpielug_peer_bytes_total",
+			Help: "Bytes of calls of other nodes, requests and answers together, by call and zone of the other node.",
+		}, []string{"call", "zone"}),
+		recent:      map[string]int{},
+		recentBytes: map[string]int64{},
+		tenants:     map[string]bool{},
 	}
 }
 
@@ -156,6 +165,27 @@
 	return strings.Join(parts, " ")
 }
 
+// peerBytes counts bytes of a call of another node.
+func (meter *meter) peerBytes(call, zone string, bytes int64) {
+	meter.peerTraffic.WithLabelValues(call, zone).Add(float64(bytes))
+	meter.mutex.Lock()
+	defer meter.mutex.Unlock()
+	meter.recentBytes[call+"/"+zone] += bytes
+}
+
+// takePeerBytes returns the bytes of calls of other nodes since it was last asked, as text.
+func (meter *meter) takePeerBytes() string {
+	meter.mutex.Lock()
+	defer meter.mutex.Unlock()
+	names := slices.Sorted(maps.Keys(meter.recentBytes))
+	parts := make([]string, 0, len(names))
+	for _, name := range names {
+		parts = append(parts, name+":"+strconv.FormatInt(meter.recentBytes[name], 10))
+	}
+	clear(meter.recentBytes)
+	return strings.Join(parts, " ")
+}
+
 var kindNames = map[routing.Kind]string{
 	routing.Safe:      "safe",
 	routing.Unsafe:    "unsafe",
@@ -204,7 +234,7 @@
 	meter := node.meter
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(meter.calls, meter.duration, meter.firstEvent, meter.storeCalls, meter.storeTime, meter.handedOver, meter.admissions,
-		meter.loadMessages, meter.noRoom, waitingCalls{queue: node.service.Waiting}, breakerCollector{engines: node.engines})
+		meter.loadMessages, meter.noRoom, meter.peerTraffic, waitingCalls{queue: node.service.Waiting}, breakerCollector{engines: node.engines})
 	registry.MustRegister(node.admission.metrics)
 	gauges := []struct {
 		name, help string
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -186,7 +186,7 @@
 	node.registration = newRegistration(around.Log, around.MemberTopic, logger.Logger, node.self, node.memberView.read)
 	node.learner = &learner{node: node, started: time.Now()}
 	node.contact.note()
-	client.Transport = node.zoneTransport(node.contact.transport(client.Transport))
+	client.Transport = node.countingTransport(node.zoneTransport(node.contact.transport(client.Transport)))
 	node.peers = newPeers(node.members, client)
 	node.foreign = make(chan struct{}, foreignReadings)
 	node.reader = history.NewReader(around.Log, node.turns, settings.Shards)
@@ -366,7 +366,7 @@
 	turns, bytes := node.turns.Size()
 	node.logger.Info("summary", zap.Int("in_flight", node.inFlight()), zap.Int("engines", node.engines.Known()),
 		zap.Int("nodes", node.members.staying()), zap.Int("turns", turns), zap.Int("turn_bytes", bytes),
-		zap.Int64("lines_dropped", node.logOutput.Dropped()), zap.String("store_calls", node.meter.takeRecent()))
+		zap.Int64("lines_dropped", node.logOutput.Dropped()), zap.String("store_calls", node.meter.takeRecent()), zap.String("peer_bytes", node.meter.takePeerBytes()))
 }
 
 // drain is a planned stop: not ready at once, shards handed over, requests under
