--- /dev/null
+++ b/internal/node/learn_message.go
@@ -0,0 +1,76 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	nodev1 "github.com/magpielug/magpielug/api/node/v1"
+	"github.com/magpielug/magpielug/internal/backend"
+	"github.com/magpielug/magpielug/internal/durable"
+)
+
+// learnRequest asks for the records that this node lacks.
+func (node *Node) learnRequest() *nodev1.LearnRequest {
+	return &nodev1.LearnRequest{
+		ConfigurationEnd: node.configurationView.reached(),
+		EnginesEnd:       node.engineView.reached(),
+		NodesEnd:         node.memberView.reached(),
+		LogAnswerAgeMs:   node.logHealth.ageMilliseconds(time.Now()),
+	}
+}
+
+// Learn implements nodev1.Node.
+func (server *peerServer) Learn(_ context.Context, request *nodev1.LearnRequest) (*nodev1.LearnReply, error) {
+	node := server.node
+	now := time.Now()
+	node.engines.Report(request.Avoided, now)
+	node.logHealth.hear(request.LogAnswerAgeMs, now)
+	node.engines.AddPaces(fromPaces(request.Paces), now)
+	reply := &nodev1.LearnReply{
+		ConfigurationAgeMs: node.configurationView.age().Milliseconds(),
+		EnginesAgeMs:       node.engineView.age().Milliseconds(),
+		Configuration:      toRecords(node.configurationView.since(request.ConfigurationEnd)),
+		Engines:            toRecords(node.engineView.since(request.EnginesEnd)),
+		Nodes:              toRecords(node.memberView.since(request.NodesEnd)),
+		Avoided:            node.engines.AvoidedByAny(now),
+		Slow:               node.engines.Slow(now),
+		LogAnswerAgeMs:     node.logHealth.ageMilliseconds(now),
+		Current:            node.readsStore(now),
+	}
+	if request.WantsSpeeds {
+		reply.Speeds = node.engines.Speeds(now)
+	}
+	return reply, nil
+}
+
+func toPaces(paces map[string]backend.Pace) map[string]*nodev1.Pace {
+	messages := make(map[string]*nodev1.Pace, len(paces))
+	for engine, pace := range paces {
+		messages[engine] = &nodev1.Pace{Weight: pace.Weight, Sum: pace.Sum}
+	}
+	return messages
+}
+
+func fromPaces(messages map[string]*nodev1.Pace) map[string]backend.Pace {
+	paces := make(map[string]backend.Pace, len(messages))
+	for engine, message := range messages {
+		paces[engine] = backend.Pace{Weight: message.GetWeight(), Sum: message.GetSum()}
+	}
+	return paces
+}
+
+func toRecords(records []durable.KeyedRecord, end int64) *nodev1.Records {
+	message := &nodev1.Records{End: end}
+	for _, record := range records {
+		message.Records = append(message.Records, &nodev1.KeyedRecord{Key: record.Key, Value: record.Value, Offset: record.Offset})
+	}
+	return message
+}
+
+func fromRecords(message *nodev1.Records) durable.Update {
+	update := durable.Update{End: message.GetEnd()}
+	for _, record := range message.GetRecords() {
+		update.Records = append(update.Records, durable.KeyedRecord{Key: record.Key, Value: record.Value, Offset: record.Offset})
+	}
+	return update
+}
