Nodes: two readers of engines a zone at the most, and none for being held up with the others

Cause: a reader that is held up by a full link is not current. Who relied on it then read the store itself, all at once, and whoever relied on those too. A node that fell back knew only the old end of the list, and read it from there on. And nodes that knew no engine asked any node of all zones for its whole list while the store was silent.

Now a zone's second reader reads while the first is not current; all others ask these two, and where neither is current make do with what they have for 3 s: who reads for the whole zone is held up by what would hold up all. Configuration and nodes, which are small, are read at once as before. A node without engines asks within its zone.

--- a/internal/node/learn.go
+++ b/internal/node/learn.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
@@ -33,10 +32,8 @@
 	currentAge = 2*enginePoll + learnPause + learnTimeout
 	// wholeTimeout bounds the ask that brings the whole list of engines.
 	wholeTimeout = 1500 * time.Millisecond
-	// startPatience is how long a node that has just started leaves the engines to the node
-	// that tells it of them, startLook separates its asks meanwhile.
-	startPatience = 1500 * time.Millisecond
-	startLook     = 60 * time.Millisecond
+	// startLook separates the asks of a node that has just started.
+	startLook = 60 * time.Millisecond
 	// nodesPerReader is how many nodes of a zone share one that reads the store.
 	nodesPerReader = 8
 )
@@ -48,12 +45,10 @@
 	node *Node
 	// started is when the node started.
 	started time.Time
-	// until is the time up to which the store need not be read, enginesUntil the one up to
-	// which the engines' records need not.
-	until        moment
-	enginesUntil moment
-	// noSource is true once a source of the engines was not reached.
-	noSource atomic.Bool
+	// until is the time up to which the store need not be read.
+	until moment
+	// engines tells the engines where the store need not be read for them alone.
+	engines engineSource
 	// retry is when the zone's reader is asked again after a failure.
 	retry time.Time
 	// reader is the one last asked, for the log.
@@ -62,28 +57,17 @@
 	speedsAt time.Time
 }
 
+func newLearner(node *Node) *learner {
+	made := &learner{node: node, started: time.Now()}
+	made.engines.learner = made
+	return made
+}
+
 // learns tells whether another node reads the store for this one now.
 func (learner *learner) learns() bool {
 	return learner.until.age(time.Now()) < 0
 }
 
-// learnsEngines tells whether another node tells this one of the engines now, or is about to.
-func (learner *learner) learnsEngines() bool {
-	return learner.learns() || learner.enginesUntil.age(time.Now()) < 0 || learner.awaitsEngines()
-}
-
-// awaitsEngines tells whether a node that has just started waits for the list of engines of
-// the node that tells it of them. Where all nodes start at once and each reads the whole list
-// from the store, the links to it carry nothing else for many seconds.
-func (learner *learner) awaitsEngines() bool {
-	node := learner.node
-	if node.engineView.read() || time.Since(learner.started) > startPatience || learner.noSource.Load() || !feature.Enabled(feature.SharedReader) {
-		return false
-	}
-	_, found := node.members.engineSource(node.self())
-	return found || !node.memberView.read()
-}
-
 // run asks for as long as the node runs.
 func (learner *learner) run(ctx context.Context, followers []*follower) {
 	node := learner.node
@@ -95,86 +79,64 @@
 			silent = !silent
 			node.logger.Info("learning from other nodes", zap.Bool("active", silent))
 		}
-		if silent {
+		switch {
+		case silent:
 			learner.fromAny(ctx)
-			continue
-		}
-		if now.After(learner.retry) {
+		case now.After(learner.retry):
 			learner.fromReader(ctx, now)
 		}
+		if !learner.learns() {
+			learner.engines.ask(ctx, now)
+		}
 	}
 }
 
 // pause separates two asks.
 func (learner *learner) pause() time.Duration {
-	if learner.awaitsEngines() {
+	if learner.engines.awaited() {
 		return startLook
 	}
 	return learnPause
 }
 
-// fromAny asks one node drawn from all while the store does not answer this one:
-// it may refuse single nodes while it serves the operators and the others.
+// fromAny asks one node drawn from all while the store does not answer this one: it may refuse
+// single nodes while it serves the operators and the others. A node that knows no engine yet
+// asks within its zone: where many ask others for their whole lists, links carry nothing else.
 func (learner *learner) fromAny(ctx context.Context) {
-	address, found := learner.node.someAddress()
+	node := learner.node
+	address, found := node.someAddress()
+	if !node.engineView.read() {
+		var neighbour Member
+		neighbour, found = node.members.someOf(node.settings.Zone, node.settings.Name)
+		address = neighbour.Address
+	}
 	if found && feature.Enabled(feature.LearningFromPeers) {
 		_, _ = learner.ask(ctx, address)
 	}
 }
 
-// fromReader asks the node that reads the store for this one, if another does.
+// fromReader asks the node that reads the store for this one, if another does. One that does
+// not answer, or is not current, is not asked again for a while.
 func (learner *learner) fromReader(ctx context.Context, now time.Time) {
 	node := learner.node
 	reader := node.members.readerFor(node.self())
-	if reader.Name == "" || !feature.Enabled(feature.SharedReader) {
+	if reader.Name == "" || reader.Name == node.settings.Name || !feature.Enabled(feature.SharedReader) {
 		learner.until.set(now)
 		learner.note("")
 		return
 	}
-	if reader.Name == node.settings.Name {
-		learner.until.set(now)
-		learner.enginesFromFirst(ctx, now)
-		return
-	}
-	if !learner.rely(ctx, reader, learner.ask, now) {
-		learner.until.set(now)
-		return
-	}
-	learner.until.set(time.Now().Add(learnTrust))
-}
-
-// enginesFromFirst asks the first of the zone's readers for the engines, if that is another.
-func (learner *learner) enginesFromFirst(ctx context.Context, now time.Time) {
-	node := learner.node
-	first, found := node.members.engineSource(node.self())
-	if !found {
-		learner.enginesUntil.set(now)
-		learner.note("")
-		return
-	}
-	if !learner.rely(ctx, first, learner.askRecords, now) {
-		learner.enginesUntil.set(now)
-		return
-	}
-	learner.enginesUntil.set(time.Now().Add(learnTrust))
-}
-
-// rely asks a node, and tells whether it may be relied on now. One that does not answer, or
-// is not current, is not asked again for a while; one that has itself just started may be.
-func (learner *learner) rely(ctx context.Context, source Member, ask func(ctx context.Context, address string) (bool, error), now time.Time) bool {
-	current, err := ask(ctx, source.Address)
+	current, err := learner.ask(ctx, reader.Address)
 	if err == nil && current {
-		learner.note(source.Name)
-		return true
+		learner.note(reader.Name)
+		learner.until.set(time.Now().Add(learnTrust))
+		return
 	}
+	learner.engines.hold()
+	learner.until.set(now)
 	learner.note("")
-	if err != nil {
-		learner.noSource.Store(true)
-	}
-	if !learner.awaitsEngines() {
+	if !learner.engines.awaited() {
 		learner.retry = now.Add(readerPause)
 	}
-	return false
 }
 
 // patience is how long an ask may take.
--- a/internal/node/learn_test.go
+++ b/internal/node/learn_test.go
@@ -15,7 +15,8 @@
 // newReader is a node whose store answered some time ago, and whose views are from just now.
 func newReader(sinceStore time.Duration) *Node {
 	node := &Node{engines: backend.NewDirectory()}
-	node.learner = &learner{node: node, started: time.Now().Add(-time.Minute)}
+	node.learner = newLearner(node)
+	node.learner.started = time.Now().Add(-time.Minute)
 	ignore := func(durable.KeyedRecord) bool { return false }
 	node.configurationView = newRecordView("configuration", zap.NewNop(), ignore)
 	node.engineView = newRecordView("engines", zap.NewNop(), ignore)
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -223,20 +223,29 @@
 	return nodes[:(len(nodes)+nodesPerReader-1)/nodesPerReader]
 }
 
-// engineSource returns the node that tells a member of the engines: its reader, or the first
-// of its zone's readers. False says that the member reads the engines' records itself, as one
-// node of each zone does. Engines repeat their records all the time: read by each reader, those
-// of 3,000 engines took 12 MB a second of a link of 7.5 that the configuration comes over.
-func (known *members) engineSource(member Member) (Member, bool) {
+// engineSources returns the nodes that tell a member of the engines, the one to ask first before
+// the others. None says that the member reads the engines' records itself, as the first reader
+// of each zone does. Engines repeat their records all the time: read by each reader, those of
+// 3,000 engines took 12 MB a second of a link of 7.5 that the configuration comes over.
+func (known *members) engineSources(member Member) []Member {
 	readers := known.readersOf(member.Zone)
-	if len(readers) == 0 || readers[0].Name == member.Name {
-		return Member{}, false
+	place := slices.IndexFunc(readers, func(reader Member) bool { return reader.Name == member.Name })
+	const mostReading = 2
+	if place >= 0 {
+		return readers[:min(place, mostReading)]
+	}
+	if len(readers) == 0 {
+		return nil
+	}
+	own := known.readerFor(member)
+	second := readers[0]
+	if own.Name == second.Name {
+		second = readers[len(readers)-1]
 	}
-	reader := known.readerFor(member)
-	if reader.Name == member.Name {
-		reader = readers[0]
+	if own.Name == second.Name {
+		return []Member{own}
 	}
-	return reader, true
+	return []Member{own, second}
 }
 
 // readerShard stands for the reading of the store in the order of candidates.
--- a/internal/node/members_test.go
+++ b/internal/node/members_test.go
@@ -86,15 +86,15 @@
 			asked := map[string]int{}
 			for number := range size {
 				member, _ := known.get("node-" + strconv.Itoa(number))
-				source, found := known.engineSource(member)
-				if !found {
+				sources := known.engineSources(member)
+				if len(sources) == 0 {
 					reading++
 					continue
 				}
-				asked[source.Name]++
-				_, above := known.engineSource(source)
-				if above {
-					Expect(known.readerFor(source)).To(Equal(source), "a reader stands between")
+				asked[sources[0].Name]++
+				for _, source := range sources {
+					Expect(source).NotTo(Equal(member))
+					Expect(known.readerFor(source)).To(Equal(source), "readers are asked")
 				}
 			}
 			Expect(reading).To(Equal(1), "of %d nodes", size)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -184,7 +184,7 @@
 	}
 	node.newViews()
 	node.registration = newRegistration(around.Log, around.MemberTopic, logger.Logger, node.self, node.memberView.read)
-	node.learner = &learner{node: node, started: time.Now()}
+	node.learner = newLearner(node)
 	node.contact.note()
 	client.Transport = node.countingTransport(node.zoneTransport(node.contact.transport(client.Transport)))
 	node.peers = newPeers(node.members, client)
