--- a/internal/node/learn.go
+++ b/internal/node/learn.go
@@ -32,6 +32,8 @@
 	currentAge = 2*enginePoll + learnPause + learnTimeout
 	// wholeTimeout bounds the ask that brings the whole list of engines.
 	wholeTimeout = 1500 * time.Millisecond
+	// neighbourPatience is how long a node that has just started asks within its zone only.
+	neighbourPatience = 4 * time.Second
 	// startLook separates the asks of a node that has just started.
 	startLook = 60 * time.Millisecond
 	// nodesPerReader is how many nodes of a zone share one that reads the store.
@@ -100,21 +102,28 @@
 }
 
 // fromAny asks one node drawn from all while the store does not answer this one: it may refuse
-// single nodes while it serves the operators and the others. A node that knows no engine yet
-// asks within its zone: where many ask others for their whole lists, links carry nothing else.
+// single nodes while it serves the operators and the others.
 func (learner *learner) fromAny(ctx context.Context) {
-	node := learner.node
-	address, found := node.someAddress()
-	if !node.engineView.read() {
-		var neighbour Member
-		neighbour, found = node.members.someOf(node.settings.Zone, node.settings.Name)
-		address = neighbour.Address
-	}
+	address, found := learner.anyAddress()
 	if found && feature.Enabled(feature.LearningFromPeers) {
 		_, _ = learner.ask(ctx, address)
 	}
 }
 
+// anyAddress draws the node to ask. One that has just started and knows no engine yet asks within
+// its zone where it knows a neighbour: where many ask others for their whole lists, the links
+// between zones carry nothing else.
+func (learner *learner) anyAddress() (string, bool) {
+	node := learner.node
+	if !node.engineView.read() && time.Since(learner.started) < neighbourPatience {
+		neighbour, found := node.members.someOf(node.settings.Zone, node.settings.Name)
+		if found {
+			return neighbour.Address, true
+		}
+	}
+	return node.someAddress()
+}
+
 // fromReader asks the node that reads the store for this one, if another does. One that does
 // not answer, or is not current, is not asked again for a while.
 func (learner *learner) fromReader(ctx context.Context, now time.Time) {
