--- a/internal/freeze/freeze.go
+++ b/internal/freeze/freeze.go
@@ -17,7 +17,7 @@
 	// within which a change has to be heeded.
 	frozenAfter = 500 * time.Millisecond
 	// beatPause separates two beats, by which a freeze of an idle process is seen.
-	beatPause = 100 * time.Millisecond
+	beatPause = 200 * time.Millisecond
 )
 
 // Watch notes freezes of the process. It is safe for concurrent use; of a nil Watch nothing
--- a/internal/node/engine_source.go
+++ b/internal/node/engine_source.go
@@ -34,8 +34,8 @@
 	source string
 }
 
-// tells tells whether another node tells this one of the engines now, or is about to.
-func (source *engineSource) tells() bool {
+// sparesStore tells whether another node tells this one of the engines now, or is about to.
+func (source *engineSource) sparesStore() bool {
 	return source.learner.learns() || source.until.age(time.Now()) < 0 || source.awaited()
 }
 
--- a/internal/node/engine_source_test.go
+++ b/internal/node/engine_source_test.go
@@ -69,7 +69,7 @@
 	// reads tells whether a member has to read the store after an ask.
 	reads := func(member *Node) bool {
 		member.learner.engines.ask(context.Background(), time.Now())
-		return !member.learner.engines.tells()
+		return !member.learner.engines.sparesStore()
 	}
 
 	It("are read by the zone's first reader, and told to the others", func() {
@@ -104,15 +104,15 @@
 		started := zone.member(zone.readers[2])
 		started.engineView = newRecordView("engines", zap.NewNop(), func(durable.KeyedRecord) bool { return false })
 		started.learner.started = time.Now()
-		Expect(started.learner.engines.tells()).To(BeTrue())
+		Expect(started.learner.engines.sparesStore()).To(BeTrue())
 		started.memberView.take(durable.Update{End: 1}, time.Now())
-		Expect(started.learner.engines.tells()).To(BeTrue())
+		Expect(started.learner.engines.sparesStore()).To(BeTrue())
 		first := zone.member(zone.readers[0])
 		first.engineView = newRecordView("engines", zap.NewNop(), func(durable.KeyedRecord) bool { return false })
 		first.learner.started = time.Now()
 		first.memberView.take(durable.Update{End: 1}, time.Now())
-		Expect(first.learner.engines.tells()).To(BeFalse())
+		Expect(first.learner.engines.sparesStore()).To(BeFalse())
 		started.learner.started = time.Now().Add(-startPatience)
-		Expect(started.learner.engines.tells()).To(BeFalse())
+		Expect(started.learner.engines.sparesStore()).To(BeFalse())
 	})
 })
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -173,7 +173,7 @@
 		return memberPollLate
 	}
 	engines := node.newFollower(node.engineView, node.around.EngineTopic, 0, always(enginePoll))
-	engines.resting = node.learner.engines.tells
+	engines.resting = node.learner.engines.sparesStore
 	engines.restsFirst = true
 	return []*follower{
 		node.newFollower(node.configurationView, node.around.ConfigurationTopic, configurationWait, always(0)),
