Views: nothing unread and nothing older confirms a view

By reading, then by a test that failed first: a node that has just started told the age of its process for that of views that it had not read, and its answer, which holds nothing, confirmed the old configuration of who asked it. An update that ends before what is known confirmed it likewise.

--- a/internal/node/learn_test.go
+++ b/internal/node/learn_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"net/http"
+	"net/http/httptest"
 	"time"
 
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
 	"github.com/magpielug/magpielug/internal/backend"
 	"github.com/magpielug/magpielug/internal/durable"
+	"github.com/magpielug/magpielug/internal/logging"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
@@ -54,6 +57,28 @@
 		Expect(answer(0).Current).To(BeTrue())
 	})
 
+	// A node with an old configuration took the answer of one that had just started, which holds
+	// nothing and whose views are as old as its process, for a confirmation of its own.
+	It("confirms nothing that it has not read itself", func() {
+		started := newReader(0)
+		started.configurationView = newRecordView("configuration", zap.NewNop(), func(durable.KeyedRecord) bool { return false })
+		started.engineView = newRecordView("engines", zap.NewNop(), func(durable.KeyedRecord) bool { return false })
+		server := httptest.NewServer(nodev1.NewNodeServer(&peerServer{node: started}))
+		DeferCleanup(server.Close)
+		asker := newReader(0)
+		asker.logger = &logging.Logger{Logger: zap.NewNop()}
+		asker.members = newMembers()
+		asker.peers = newPeers(asker.members, http.DefaultClient)
+		longAgo := time.Now().Add(-time.Minute)
+		asker.configurationView.take(durable.Update{End: 5}, longAgo)
+		asker.configurationView.checked.set(longAgo)
+		asker.engineView.checked.set(longAgo)
+		_, err := asker.learner.askRecords(context.Background(), server.Listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(asker.configurationView.age()).To(BeNumerically(">=", time.Minute))
+		Expect(asker.engineView.age()).To(BeNumerically(">=", time.Minute))
+	})
+
 	It("is not while the store is silent to it, however new the views that it learned from others", func() {
 		Expect(answer(time.Minute).Current).To(BeFalse())
 	})
--- a/internal/node/members_test.go
+++ b/internal/node/members_test.go
@@ -118,6 +118,16 @@
 		Expect(view.age()).To(BeNumerically("<", time.Since(first)))
 	})
 
+	It("is not confirmed by an update that ends before what it knows", func() {
+		view := newRecordView("t", zap.NewNop(), func(durable.KeyedRecord) bool { return false })
+		first := time.Now()
+		view.take(durable.Update{End: 5}, first)
+		const later = 20 * time.Millisecond
+		time.Sleep(later)
+		view.take(durable.Update{End: 4}, time.Now())
+		Expect(view.age()).To(BeNumerically(">=", later))
+	})
+
 	It("tells others of what changed, not of what was repeated", func() {
 		view := newRecordView("t", zap.NewNop(), func(record durable.KeyedRecord) bool { return string(record.Value) != "same" })
 		view.take(durable.Update{Records: []durable.KeyedRecord{{Key: "a", Value: []byte("1"), Offset: 0}}, End: 1}, time.Now())
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -50,13 +50,24 @@
 	if update.Full {
 		view.dropUnlisted(update)
 	}
-	view.end = max(view.end, update.End)
 	view.hasRead = true
-	view.checked.advance(askedAt)
+	if update.End >= view.end {
+		// One that ends before what is known is of an older state, and confirms nothing.
+		view.checked.advance(askedAt)
+	}
+	view.end = max(view.end, update.End)
 }
 
+// unreadAge is the age of a view that has read nothing: it confirms what nobody holds.
+const unreadAge = 24 * time.Hour
+
 // age is how old what the view holds may be.
-func (view *recordView) age() time.Duration { return view.checked.age(time.Now()) }
+func (view *recordView) age() time.Duration {
+	if !view.read() {
+		return unreadAge
+	}
+	return view.checked.age(time.Now())
+}
 
 // checkedSince tells whether what the view holds was asked for at a moment or later.
 func (view *recordView) checkedSince(moment time.Time) bool { return view.checked.since(moment) }
