Rehearsal: the fault test prints its processes' logs where a run could not go on

Its log went with the test's directory. Ports don't meet (the test's lie below 30,000, the system's own above 32,767), the machine's log names no process that was ended.

--- a/rehearsal/fault/run_test.go
+++ b/rehearsal/fault/run_test.go
@@ -65,9 +65,11 @@
 var _ = Describe("short scenarios on real processes", Ordered, func() {
 	files, _ := filepath.Glob(shortScenarios)
 	outcomes := make([]chan outcome, len(files))
+	directory := ""
 
 	BeforeAll(func() {
-		binaries, directory := buildBinaries(GinkgoT().TempDir()), GinkgoT().TempDir()
+		binaries := buildBinaries(GinkgoT().TempDir())
+		directory = GinkgoT().TempDir()
 		for number, file := range files {
 			outcomes[number] = make(chan outcome, 1)
 			go func() { outcomes[number] <- runShort(file, number, binaries, directory) }()
@@ -77,6 +79,9 @@
 	for number, file := range files {
 		It("hold in "+filepath.Base(file), func() {
 			ended := <-outcomes[number]
+			if ended.err != nil {
+				printLogs(directory)
+			}
 			Expect(ended.err).NotTo(HaveOccurred())
 			for _, result := range ended.report.Results {
 				if len(result.Violations) > 0 && knownRed(file, result.Check) {
@@ -91,6 +96,18 @@
 	It("are found", func() { Expect(files).To(HaveLen(3)) })
 })
 
+// printLogs prints how each process ended its log, since its directory goes with the test.
+func printLogs(directory string) {
+	const mostBytes = 600
+	logs, _ := filepath.Glob(filepath.Join(directory, "*", "*.log"))
+	for _, name := range logs {
+		content, err := os.ReadFile(name)
+		if err == nil {
+			fmt.Printf("%s: %s\n", name, content[max(len(content)-mostBytes, 0):])
+		}
+	}
+}
+
 // knownRedFile lists the tests that fail for a fault which is not mended yet.
 const knownRedFile = "../../KNOWN-RED.txt"
 
