Rehearsal: tests of things started by hand take ports of a range of their own

Its freeAddress asked the system for an ephemeral port and closed it; until the stand-in listened, a client connection of another test could be given the same port.

Change: ports.OfCommand, 32,500 to 32,760, below the ephemeral ports; the test takes its ports there.

Result: vet and the tests of rehearsal/ports and rehearsal/command pass. The failure was seen once and wasn't made to come again on the old code.

--- a/rehearsal/command/pool_test.go
+++ b/rehearsal/command/pool_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"net"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -12,6 +12,7 @@
 
 	"github.com/magpielug/magpielug/internal/outside"
 	"github.com/magpielug/magpielug/internal/outside/httpadapter"
+	"github.com/magpielug/magpielug/rehearsal/ports"
 	"github.com/magpielug/magpielug/rehearsal/standin/engine"
 )
 
@@ -34,12 +35,15 @@
 
 // freeAddress returns a loopback address that was free a moment ago.
 func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	picked, err := picker.Pick(1)
 	Expect(err).NotTo(HaveOccurred())
-	defer func() { Expect(listener.Close()).To(Succeed()) }()
-	return listener.Addr().String()
+	return fmt.Sprintf("127.0.0.1:%d", picked[0])
 }
 
+// picker gives ports that no outgoing connection takes between the look and the start of what
+// listens there.
+var picker = ports.NewPicker(ports.OfCommand)
+
 var _ = Describe("Stand-ins of the schedulers' platform", func() {
 	It("serve, and keep their back ends on the machine list while they run", func() {
 		list, back, tools, store, log := freeAddress(), freeAddress(), freeAddress(), freeAddress(), freeAddress()
--- a/rehearsal/ports/ports.go
+++ b/rehearsal/ports/ports.go
@@ -20,7 +20,9 @@
 	// OfSoak are the soak's.
 	OfSoak = Range{First: 30_000, Last: 31_300}
 	// OfPlatform are those of the tests of nodes on the users' platform.
-	OfPlatform = Range{First: 31_300, Last: 32_700}
+	OfPlatform = Range{First: 31_300, Last: 32_500}
+	// OfCommand are those of the tests of what is started by hand.
+	OfCommand = Range{First: 32_500, Last: 32_760}
 )
 
 // tries bounds the draws of one port.
--- a/rehearsal/ports/ports_test.go
+++ b/rehearsal/ports/ports_test.go
@@ -20,7 +20,7 @@
 		var first, last int
 		_, err = fmt.Sscan(string(content), &first, &last)
 		Expect(err).NotTo(HaveOccurred())
-		for _, each := range []Range{OfSoak, OfPlatform} {
+		for _, each := range []Range{OfSoak, OfPlatform, OfCommand} {
 			picked, err := NewPicker(each).Pick(50)
 			Expect(err).NotTo(HaveOccurred())
 			for _, port := range picked {
