HTTP server: the poller alone closes sockets, so none closes a new connection for an old one

Cause: nbio's poller finds the connection of each event of a batch by its descriptor. The server closed sockets from other goroutines; a new connection could take the descriptor while the poller still held the old one's event (its client had left too), and was closed for it under its caller's request.

Change: connection.close shuts the socket down under nbio's lock, so that its descriptor is still its own, and drops further input; the poller closes it.

--- a/internal/httpserver/bounded_conn.go
+++ b/internal/httpserver/bounded_conn.go
@@ -35,7 +35,7 @@
 		err := conn.connection.awaitRoom(len(piece))
 		if err != nil {
 			conn.connection.slow.Store(errors.Is(err, ErrSlowReader))
-			_ = conn.connection.socket.Close()
+			conn.connection.close()
 			return sent, err
 		}
 		conn.connection.submitted.Add(int64(len(piece)))
@@ -104,11 +104,11 @@
 // write timeout without progress.
 func (connection *connection) closeWhenDrained() {
 	if connection.pending() <= 0 {
-		_ = connection.socket.Close()
+		connection.close()
 		return
 	}
 	go func() {
 		_ = connection.awaitPending(func() int { return 0 })
-		_ = connection.socket.Close()
+		connection.close()
 	}()
 }
--- a/internal/httpserver/connection.go
+++ b/internal/httpserver/connection.go
@@ -202,7 +202,7 @@
 		return false
 	}
 	if len(connection.jobs) >= maxPipelined {
-		_ = connection.socket.Close()
+		connection.close()
 		return false
 	}
 	connection.jobs = append(connection.jobs, job)
@@ -320,6 +320,29 @@
 	return unread > 0
 }
 
+// close ends the connection from any goroutine: it takes no further input, and the poller closes
+// the socket. Closed elsewhere, its descriptor could go to a new connection while the poller still
+// holds an event for the old one, by which it would close the new one under its caller's request.
+func (connection *connection) close() {
+	connection.discarding.Store(true)
+	// Under the socket's lock an open socket stays open, and its descriptor its own.
+	connection.socket.Lock()
+	defer connection.socket.Unlock()
+	closed, _ := connection.socket.IsClosed()
+	if closed {
+		return
+	}
+	raw, err := connection.socket.SyscallConn()
+	if err != nil {
+		// nbio's sockets always have one.
+		return
+	}
+	_ = raw.Control(func(descriptor uintptr) {
+		// It fails on a socket that its client has reset, which the poller closes for that.
+		_ = unix.Shutdown(int(descriptor), unix.SHUT_RDWR)
+	})
+}
+
 // closed is called once nbio has closed the socket.
 func (connection *connection) closed() {
 	connection.readTimer.Stop()
--- a/internal/httpserver/read_timeout.go
+++ b/internal/httpserver/read_timeout.go
@@ -39,7 +39,7 @@
 		connection.setReadTimeout(unreadPause)
 		return
 	}
-	_ = connection.socket.Close()
+	connection.close()
 }
 
 // unreadPause is when a connection with unread bytes is looked at again; the poller
--- a/internal/httpserver/refusal.go
+++ b/internal/httpserver/refusal.go
@@ -114,7 +114,7 @@
 		return
 	}
 	if connection.calls.Load() > 0 {
-		_ = connection.socket.Close()
+		connection.close()
 		return
 	}
 	connection.writeRefusal(rawResponse(failure))
