HTTP server: one guarded use of a socket's descriptor for reading and closing

Cause: hasUnread asked the system by the descriptor of a socket that might be closed, and so be another connection's by then, where close beside it takes the socket's lock first. Both had the same code around the call. In the caller's tests the server that closes was started twice over.

Change: withDescriptor takes the lock and passes a closed socket over; both use it. startClosingServer serves both tests, whose checks stay as they were.

--- a/internal/httpserver/connection.go
+++ b/internal/httpserver/connection.go
@@ -57,7 +57,7 @@
 	// aborted drops all further output: an answer ends in its middle.
 	aborted atomic.Bool
 
-	// discarding drops all further input: the connection has been refused.
+	// discarding drops all further input: the connection has been refused, or closes.
 	discarding atomic.Bool
 	// calls counts complete requests whose answer is not finished.
 	calls atomic.Int32
@@ -308,14 +308,10 @@
 // hasUnread tells whether bytes of the client wait in the system. A socket that is
 // closed over them is reset, and the request that they begin is lost.
 func (connection *connection) hasUnread() bool {
-	raw, err := connection.socket.SyscallConn()
-	if err != nil {
-		return false
-	}
 	unread := 0
-	_ = raw.Control(func(descriptor uintptr) {
-		// A closed socket has none, and fails here.
-		unread, _ = unix.IoctlGetInt(int(descriptor), unix.TIOCINQ)
+	connection.withDescriptor(func(descriptor int) {
+		// A socket that the client has reset has none, and fails here.
+		unread, _ = unix.IoctlGetInt(descriptor, unix.TIOCINQ)
 	})
 	return unread > 0
 }
@@ -325,7 +321,15 @@
 // holds an event for the old one, by which it would close the new one under its caller's request.
 func (connection *connection) close() {
 	connection.discarding.Store(true)
-	// Under the socket's lock an open socket stays open, and its descriptor its own.
+	connection.withDescriptor(func(descriptor int) {
+		// It fails on a socket that its client has reset, which the poller closes for that.
+		_ = unix.Shutdown(descriptor, unix.SHUT_RDWR)
+	})
+}
+
+// withDescriptor uses the socket's descriptor, unless the socket is closed. Under its lock an open
+// one stays open; the descriptor of a closed one may be another connection's.
+func (connection *connection) withDescriptor(use func(descriptor int)) {
 	connection.socket.Lock()
 	defer connection.socket.Unlock()
 	closed, _ := connection.socket.IsClosed()
@@ -337,10 +341,7 @@
 		// nbio's sockets always have one.
 		return
 	}
-	_ = raw.Control(func(descriptor uintptr) {
-		// It fails on a socket that its client has reset, which the poller closes for that.
-		_ = unix.Shutdown(int(descriptor), unix.SHUT_RDWR)
-	})
+	_ = raw.Control(func(descriptor uintptr) { use(int(descriptor)) })
 }
 
 // closed is called once nbio has closed the socket.
--- a/rehearsal/caller/caller_test.go
+++ b/rehearsal/caller/caller_test.go
@@ -50,18 +50,24 @@
 	}
 }
 
+// startClosingServer starts a closingServer, and returns its address and the ids it gets.
+func startClosingServer() (string, <-chan string) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	requests := make(chan string, 8)
+	go closingServer(listener, requests)
+	return listener.Addr().String(), requests
+}
+
 var _ = Describe("Caller", func() {
 	It("sends a request again that crossed the close of an idle connection", func() {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(listener.Close)
-		requests := make(chan string, 8)
-		go closingServer(listener, requests)
+		address, requests := startClosingServer()
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		defer cancel()
 		made := caller.New(&http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}}, "key")
 		for _, id := range []string{"one", "two"} {
-			_, err = made.CreateProgram(ctx, listener.Addr().String(), id, "kind", "")
+			_, err := made.CreateProgram(ctx, address, id, "kind", "")
 			Expect(err).NotTo(HaveOccurred())
 		}
 		Expect(requests).To(Receive(Equal("one")))
@@ -73,17 +79,13 @@
 	// no line of the request: it never read it. Requests with an id were sent again by the HTTP
 	// client, the end had none.
 	It("sends a program's end again that crossed the close of an idle connection", func() {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(listener.Close)
-		requests := make(chan string, 8)
-		go closingServer(listener, requests)
+		address, requests := startClosingServer()
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		defer cancel()
 		made := caller.New(&http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}}, "key")
-		_, err = made.CreateProgram(ctx, listener.Addr().String(), "one", "kind", "")
+		_, err := made.CreateProgram(ctx, address, "one", "kind", "")
 		Expect(err).NotTo(HaveOccurred())
-		Expect(made.EndProgram(ctx, listener.Addr().String(), "p.q")).To(Succeed())
+		Expect(made.EndProgram(ctx, address, "p.q")).To(Succeed())
 		Expect(requests).To(Receive(Equal("one")))
 		Expect(requests).To(Receive(Equal("end-p.q")))
 	})
