httpserver: a write to a reset connection no longer closes its socket

Callers saw: a call on a new connection ended without an answer while other clients reset theirs during a response.

Cause: nbio's Conn.Write closes the socket on the writing goroutine when the write fails. The descriptor is free then, a new connection may take it, and the poller closes that one on an event it still holds for the old one.

Change: boundedConn writes to the socket itself while nbio holds no output; an error shuts the socket down, ends the connection's output and leaves the close to the poller.

--- a/internal/httpserver/bounded_conn.go
+++ b/internal/httpserver/bounded_conn.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
 )
 
 // maxWriteSize is the largest single write to nbio, in bytes.
@@ -39,7 +40,7 @@
 		}
 		conn.connection.submitted.Add(int64(len(chunk)))
 		conn.connection.responseBytes.add(conn.connection.server, len(chunk))
-		_, err = conn.Conn.Write(chunk)
+		err = conn.writeChunk(chunk)
 		if err != nil {
 			return sent, eris.Wrap(err, "write to client")
 		}
@@ -48,6 +49,47 @@
 	return sent, nil
 }
 
+// writeChunk writes what the socket takes and leaves the rest to nbio's write buffer. nbio closes
+// the socket on the writing goroutine if a write fails, so that its descriptor could be reused by
+// a new connection, which the poller would then close on a pending event of the old one. Writes
+// into nbio's buffer do not fail: the poller sends it.
+func (conn *boundedConn) writeChunk(chunk []byte) error {
+	written := 0
+	if conn.connection.pendingBytes() == len(chunk) {
+		var err error
+		written, err = conn.connection.writeDirectly(chunk)
+		if err != nil {
+			conn.connection.aborted.Store(true)
+			conn.connection.close()
+			return err
+		}
+		conn.connection.onWritten(written)
+	}
+	if written == len(chunk) {
+		return nil
+	}
+	_, err := conn.Conn.Write(chunk[written:])
+	return err
+}
+
+// writeDirectly writes to the socket and returns how many bytes it took. It must not be called
+// while nbio holds buffered output of the connection.
+func (connection *connection) writeDirectly(data []byte) (written int, err error) {
+	err = net.ErrClosed
+	connection.withDescriptor(func(descriptor int) {
+		for {
+			written, err = unix.Write(descriptor, data)
+			if !errors.Is(err, unix.EINTR) {
+				break
+			}
+		}
+		if errors.Is(err, unix.EAGAIN) {
+			written, err = 0, nil
+		}
+	})
+	return written, err
+}
+
 // Close closes the socket after the buffered output has been sent.
 func (conn *boundedConn) Close() error {
 	conn.connection.closeWhenFlushed()
