httpserver: no connection is reset as the listener closes

Causes, told apart by a line at the last accept and at the close: 1. connections that the system establishes between the last accept and the close are reset with the listening socket; 2. a connection accepted and not yet registered did not count as open, so a server that found none open ended and cut it.

Change: a socket filter drops new attempts before the last accept, handshakes in progress get 20 ms, and the stop waits until accepted connections are registered. Dropped attempts are repeated by the client's system after a second and then refused. The filter needs plain TCP; Go listens with Multipath TCP by default, whose sockets refuse it ("operation not supported"), so that the filter alone changed nothing at first.

The test failed before.

--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -70,11 +70,12 @@
 }
 
 func listen(address string, handler http.Handler, limits Limits, config *tls.Config) (*Server, error) {
-	inner, err := net.Listen("tcp", address)
+	ctx, cancel := context.WithCancel(context.Background())
+	inner, err := listenTCP(ctx, address)
 	if err != nil {
+		cancel()
 		return nil, listenError(address, err)
 	}
-	ctx, cancel := context.WithCancel(context.Background())
 	server := &Server{
 		workers:   workerpool.New(ctx, maxIdleWorkers),
 		handler:   handler,
@@ -157,6 +158,7 @@
 	server.draining.Store(true)
 	server.waitDrainGrace(ctx)
 	server.listener.Stop()
+	server.waitBacklogDelivered(ctx)
 	server.eachConnection((*connection).closeIfIdle)
 	err := server.waitConnectionsClosed(ctx)
 	server.cancel()
@@ -175,6 +177,15 @@
 	}
 }
 
+// waitBacklogDelivered waits until all accepted connections are among the open ones. Otherwise
+// the server could find none open, end, and cut those that are not yet registered.
+func (server *Server) waitBacklogDelivered(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-server.listener.delivered:
+	}
+}
+
 func (server *Server) waitConnectionsClosed(ctx context.Context) error {
 	ticker := time.NewTicker(drainPollInterval)
 	defer ticker.Stop()
