backend: the breaker's simulations draw from a seeded source

Seen: go test ./internal/backend, "limits failures by each node's own observations", failed 1 of 70 runs and 1 of 24 (305 failures, 254 in the baseline, 6/5 allowed).

Cause: the check compares two simulated runs of which only the requests were seeded. The choice of engines, the spread of probes and the order of a list built from a map were drawn anew, so that both figures varied (250 to 315).

Change: the package has one random source; simulations replace it by a seeded one and sort the list. Check and bound are unchanged.

Evidence: three runs print the same failures by time; without the sorted list three runs of one seed gave 276, 253 and 272.

--- a/internal/backend/breaker_simulation_test.go
+++ b/internal/backend/breaker_simulation_test.go
@@ -49,6 +49,7 @@
 		for number := range engines {
 			directory.Upsert(backend.Instance{ID: fmt.Sprint("e", number), Service: service, Zone: "z", Slots: 12}, time.Time{})
 		}
+		directory.SortEligible(service)
 		view := load.NewView()
 		directory.SetLoadView(view)
 		directory.SetNodeCount(func() int { return nodes })
--- a/internal/backend/breaker_test.go
+++ b/internal/backend/breaker_test.go
@@ -37,6 +37,9 @@
 		fmt.Fprintln(GinkgoWriter, "failures by time", tally.failedAt)
 		return tally
 	}
+	// Guards against comparisons of two simulations that fail by chance.
+	BeforeEach(func() { DeferCleanup(backend.SeedRandom(1)) })
+
 	isolatedNodes := func(nodes int) *breakerSim {
 		sim := newBreakerSim(nodes, 44)
 		sim.sharesLoad = false
--- a/internal/backend/engine_breaker.go
+++ b/internal/backend/engine_breaker.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -213,7 +212,7 @@
 	breaker.minOpenUntil = now.Add(openTime(breaker.reopenings))
 	breaker.lastProbe = now
 	// The first probes are spread because nodes open their breakers at about the same time.
-	breaker.probeJitter = rand.Float64()
+	breaker.probeJitter = randomFloat()
 	breaker.probing = false
 }
 
@@ -242,7 +241,7 @@
 		if engine.breaker.open && directory.probeDue(engine, request, now) && directory.withinColdLimit(engine, now) {
 			engine.breaker.probing = true
 			engine.breaker.lastProbe = now
-			engine.breaker.probeJitter = minProbeJitter + rand.Float64()
+			engine.breaker.probeJitter = minProbeJitter + randomFloat()
 			return engine
 		}
 	}
--- a/internal/backend/node_quota.go
+++ b/internal/backend/node_quota.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"math/rand/v2"
 	"time"
 
 	"github.com/magpielug/magpielug/internal/load"
@@ -56,7 +55,7 @@
 			localWaiting := waitingByPriority(waiting, service)
 			remote := remoteWaiting(total, service, localWaiting)
 			input := quotaInput{free: free, running: running, local: float64(local), nodes: directory.countNodes()}
-			directory.quotas[service] = local + input.quota(localWaiting, remote, rand.Float64())
+			directory.quotas[service] = local + input.quota(localWaiting, remote, randomFloat())
 		}
 	}
 }
--- a/internal/backend/policy.go
+++ b/internal/backend/policy.go
@@ -1,7 +1,6 @@
 package backend
 
 import (
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -116,7 +115,7 @@
 			continue
 		}
 		for range sampleSize {
-			compared = append(compared, group[rand.IntN(len(group))])
+			compared = append(compared, group[randomInt(len(group))])
 		}
 	}
 	return compared
@@ -137,7 +136,7 @@
 // loadCost is the cost of one more request at an engine: the running requests weighted by its
 // slowness, scaled to the mean number of slots.
 func loadCost(engine *Engine, request *Request, averageSlots float64, now time.Time) float64 {
-	cost := (engine.estimatedRunning()+1)*engine.slowness(now) + tieBreakNoise*rand.Float64()
+	cost := (engine.estimatedRunning()+1)*engine.slowness(now) + tieBreakNoise*randomFloat()
 	if averageSlots > 0 {
 		cost *= averageSlots / float64(engine.Slots)
 	}
@@ -151,7 +150,7 @@
 
 // Choose implements Policy.
 func (randomPolicy) Choose(admitted []*Engine, _ *Request, _ time.Time) *Engine {
-	return admitted[rand.IntN(len(admitted))]
+	return admitted[randomInt(len(admitted))]
 }
 
 // affinityPolicy keeps requests with the same key on one engine, unless that is much more
