history: group commit at a shard's owner while appends are slow

Engines ended their turns in 0.2 s; the turns' records did not come before the callers left.

Cause: each node appended its own turns, 12 appends a second and partition of which a slow partition takes two to four, and hedged each one into further partitions. The queues grew to the store's limit of two seconds.

Evidence: a line for each append; before, appends of 20 to 80 nodes a half second, most of them refused with 503 from second 30 on.

Change: while appends are slow, nodes leave a shard's turns to its owner, which has one append under way and puts what comes meanwhile into the next. Nodes exchange when the latest slow append began and the latest fast one ended; slow means none fast since, so that a log that loses answers keeps the former way. A reply that the turn is pending tells a slow log from a frozen owner; the shard's first candidate is next. An older requester never gets such a reply.

A quiet log pays nothing but three integers in messages.

--- a/internal/durable/hedge.go
+++ b/internal/durable/hedge.go
@@ -13,6 +13,14 @@
 	hedgeDelayFactor = 4
 	minHedgeDelay    = 60 * time.Millisecond
 	maxHedgeDelay    = 600 * time.Millisecond
+	// SlowAppend is the latency from which a successful append counts as slow.
+	SlowAppend = 100 * time.Millisecond
+	// SlowAppendMemory is how long appends count as slow after a slow one. It exceeds the time
+	// between two appends to a slow partition.
+	SlowAppendMemory = 1500 * time.Millisecond
+	// slowHedgeDelay is the hedge delay while appends are slow. Hedges then lengthen the queue
+	// that delays the appends.
+	slowHedgeDelay = 1600 * time.Millisecond
 	// maxAppendAttempts bounds the attempts of one append.
 	maxAppendAttempts = 4
 	// latencyWeight is the weight of the newest sample in the moving average.
@@ -24,12 +32,17 @@
 type AppendLatency struct {
 	mutex   sync.Mutex
 	average time.Duration
+	// lastSlow is when a slow append was last observed.
+	lastSlow time.Time
 }
 
 // Observe adds the latency of one append.
 func (latency *AppendLatency) Observe(took time.Duration) {
 	latency.mutex.Lock()
 	defer latency.mutex.Unlock()
+	if took >= SlowAppend {
+		latency.lastSlow = time.Now()
+	}
 	if latency.average == 0 {
 		latency.average = took
 		return
@@ -41,6 +54,9 @@
 func (latency *AppendLatency) HedgeDelay() time.Duration {
 	latency.mutex.Lock()
 	defer latency.mutex.Unlock()
+	if time.Since(latency.lastSlow) < SlowAppendMemory {
+		return slowHedgeDelay
+	}
 	return min(max(hedgeDelayFactor*latency.average, minHedgeDelay), maxHedgeDelay)
 }
 
--- a/internal/feature/feature.go
+++ b/internal/feature/feature.go
@@ -42,6 +42,8 @@
 	SafeRepeats Feature = "safe-repeats"
 	// RemoteRecording: a turn can be recorded by a node other than its own.
 	RemoteRecording Feature = "recording-elsewhere"
+	// GroupCommit: while appends are slow, one node appends the turns of a partition for all.
+	GroupCommit Feature = "group-commit"
 	// OwnershipHandover: an owner that cannot write hands over its shards.
 	OwnershipHandover Feature = "yielding"
 	// OwnershipByCapacity: a node's share of the shards depends on its capacity.
@@ -85,7 +87,7 @@
 // All lists every feature.
 var All = []Feature{
 	Allowances, HedgedAppends, HedgedReads, LearningFromPeers, SharedReader, AvoidUnresponsiveEngines, EngineReports, AvoidSlowEngines, EngineLimits,
-	QueueOrder, LongerToolWait, SafeRepeats, RemoteRecording, OwnershipHandover, OwnershipByCapacity, ClaimRefusal, Isolation,
+	QueueOrder, LongerToolWait, SafeRepeats, RemoteRecording, GroupCommit, OwnershipHandover, OwnershipByCapacity, ClaimRefusal, Isolation,
 	EnginePriority, LogGate, Egress, StaggeredRetries, ProgramsFirst,
 	LoadSharing, LoadBasedCapacity, RetryBudget, Admission, TenantShares, MemoryAdmission, EngineBreaker, SpeedWeighting, ResponseBufferLimit, ZoneReachability,
 }
--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -58,6 +58,8 @@
 	Turn *history.Turn
 	// FailedEngine is the engine that ran the turn and failed, empty if none did.
 	FailedEngine string
+	// RecordTime is how long it took to record the turn, 0 if it is not stored.
+	RecordTime time.Duration
 }
 
 // Programs gives access to the owners of programs.
@@ -392,5 +394,6 @@
 		Tokens:       inflight.eventCount * int64(inflight.serviceConfig.TokensPerEvent),
 		Turn:         turn,
 		FailedEngine: inflight.failedEngine,
+		RecordTime:   inflight.recordDuration,
 	})
 }
--- a/internal/history/recorder.go
+++ b/internal/history/recorder.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
 	"github.com/magpielug/magpielug/internal/durable"
-	"github.com/magpielug/magpielug/internal/wait"
 	"github.com/rotisserie/eris"
 )
 
@@ -14,18 +14,16 @@
 	// Topic holds turns, partitioned by the shard of their program. A turn is in another
 	// partition if its shard's did not respond in time.
 	Topic = "turns"
-	// initialBackoff is the delay after all appends of a turn have failed. It doubles up
-	// to maxBackoff to limit the load on a recovering store.
-	initialBackoff = 40 * time.Millisecond
-	maxBackoff     = 250 * time.Millisecond
 	// appendFailureWindow is how long a failed append counts as recent.
 	appendFailureWindow = 500 * time.Millisecond
-	// relayRetryDelay is the delay after a failed relay call.
-	relayRetryDelay = 100 * time.Millisecond
 	// maxBatchBytes bounds the size of the records in one append.
 	maxBatchBytes = 512 << 10
 	// appendTimeout bounds one append.
 	appendTimeout = 2500 * time.Millisecond
+	// slowLogHedgeDelay is the minimum time between a turn's appends to different partitions while
+	// no append is known to be fast. The log is then probably slow rather than losing responses,
+	// and each further append slows it more.
+	slowLogHedgeDelay = 500 * time.Millisecond
 )
 
 // Recorder writes turns to the log. Turns are immutable and duplicates are harmless, so
@@ -38,6 +36,9 @@
 	queues        map[durable.Partition]*partitionQueue
 	appendLatency durable.AppendLatency
 	relay         Relay
+	// groupRelay and appendHealth are nil without group commit.
+	groupRelay   Relay
+	appendHealth AppendHealth
 	// inFlight counts the recordings in progress. lastProgress is when a turn was last
 	// recorded, or when the first of those began if that is later. The mutex guards both.
 	inFlight     int
@@ -57,6 +58,22 @@
 // Relay asks another node to record a turn. An error means that it was not recorded there.
 type Relay func(ctx context.Context, shard int, turn *Turn) error
 
+// AppendHealth tracks how fast the log appends, as observed by any node.
+type AppendHealth interface {
+	// ObserveSlowAppend records that an append begun at a time has not responded within its hedge
+	// delay.
+	ObserveSlowAppend(begun time.Time)
+	// AppendsSlow reports whether appends are slow: a slow one is recent, and no fast one has ended
+	// since it began. A log that merely loses responses still has fast appends.
+	AppendsSlow() bool
+	// FastAppendSince reports whether an append that was not slow is known to have ended since a
+	// time.
+	FastAppendSince(since time.Time) bool
+}
+
+// ErrGroupWriter is the error of a group relay whose node batches the partition's appends itself.
+var ErrGroupWriter = errors.New("this node batches the appends of the partition itself")
+
 // maxWorkers bounds the concurrent appends to one partition.
 const maxWorkers = 4
 
@@ -74,6 +91,16 @@
 // not respond to this node. It must be called before the first Record.
 func (recorder *Recorder) SetRelay(relay Relay) { recorder.relay = relay }
 
+// EnableGroupCommit makes the recorder leave turns to the node that batches the appends of
+// their partition while appends are slow: a slow partition takes few appends a second, and one
+// from each node would queue for longer than callers wait. groupRelay asks that node to record
+// a turn, and fails if it does not respond or is this node. EnableGroupCommit must be called
+// before the first Record.
+func (recorder *Recorder) EnableGroupCommit(groupRelay Relay, health AppendHealth) {
+	recorder.groupRelay = groupRelay
+	recorder.appendHealth = health
+}
+
 // AppendFailedRecently reports whether the latest append failed less than appendFailureWindow
 // ago. Such a node cannot record turns for other nodes.
 func (recorder *Recorder) AppendFailedRecently() bool {
@@ -84,29 +111,31 @@
 
 // Record writes a turn and returns nil once the log has acknowledged it. It begins with the
 // shard's partition, adds other partitions one by one while none responds, and uses the
-// Relay, if set, in parallel. It retries until ctx is done.
+// relays, if set. It retries until ctx is done.
 func (recorder *Recorder) Record(ctx context.Context, shard int, turn *Turn) error {
-	return recorder.record(ctx, shard, turn, recorder.relay)
+	return recorder.record(ctx, shard, turn, recorder.relay, recorder.groupRelay)
 }
 
-// RecordLocally is Record without the Relay.
+// RecordLocally is Record without the relays.
 func (recorder *Recorder) RecordLocally(ctx context.Context, shard int, turn *Turn) error {
-	return recorder.record(ctx, shard, turn, nil)
+	return recorder.record(ctx, shard, turn, nil, nil)
 }
 
-func (recorder *Recorder) record(ctx context.Context, shard int, turn *Turn, relay Relay) error {
+func (recorder *Recorder) record(ctx context.Context, shard int, turn *Turn, relay, groupRelay Relay) error {
 	record, err := encode(turn)
 	if err != nil {
 		return eris.Wrap(err, "encode turn")
 	}
 	operation := &recordOperation{
-		recorder: recorder,
-		relay:    relay,
-		shard:    shard,
-		turn:     turn,
-		record:   record,
-		done:     make(chan error, recorder.shards+1),
-		relayed:  make(chan error, 1),
+		recorder:     recorder,
+		relay:        relay,
+		groupRelay:   groupRelay,
+		shard:        shard,
+		turn:         turn,
+		record:       record,
+		done:         make(chan error, recorder.shards+1),
+		relayed:      make(chan error, 1),
+		groupRelayed: make(chan error, 1),
 	}
 	recorder.beginRecording()
 	err = operation.run(ctx)
@@ -132,6 +161,13 @@
 	}
 }
 
+// InFlight returns the number of recordings in progress.
+func (recorder *Recorder) InFlight() int {
+	recorder.mutex.Lock()
+	defer recorder.mutex.Unlock()
+	return recorder.inFlight
+}
+
 // StalledFor returns how long turns have been waiting without any being recorded, 0 if none
 // waits.
 func (recorder *Recorder) StalledFor(now time.Time) time.Duration {
@@ -143,86 +179,6 @@
 	return now.Sub(recorder.lastProgress)
 }
 
-// recordOperation is the state of one Record call.
-type recordOperation struct {
-	recorder *Recorder
-	relay    Relay
-	shard    int
-	turn     *Turn
-	record   []byte
-	// done receives the results of appends, relayed those of relay calls.
-	done    chan error
-	relayed chan error
-	// partitionsTried counts the partitions to which the turn was sent, pendingAppends those
-	// that have not responded.
-	partitionsTried int
-	pendingAppends  int
-	relaying        bool
-}
-
-func (operation *recordOperation) run(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	operation.tryNextPartition()
-	// Without a response, another partition is tried after hedgeDelay, which doubles each
-	// time.
-	hedgeDelay := operation.recorder.appendLatency.HedgeDelay()
-	timer := time.NewTimer(hedgeDelay)
-	defer timer.Stop()
-	backoff := initialBackoff
-	for {
-		select {
-		case err := <-operation.done:
-			if err == nil {
-				return nil
-			}
-			operation.pendingAppends--
-			operation.startRelay(ctx)
-			if operation.pendingAppends == 0 {
-				timer.Reset(backoff)
-				backoff = min(2*backoff, maxBackoff)
-			}
-		case err := <-operation.relayed:
-			if err == nil {
-				return nil
-			}
-			operation.relaying = false
-		case <-timer.C:
-			if operation.partitionsTried > 1 {
-				operation.startRelay(ctx)
-			}
-			operation.tryNextPartition()
-			hedgeDelay = min(2*hedgeDelay, appendTimeout)
-			timer.Reset(hedgeDelay)
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-}
-
-// tryNextPartition queues the turn for the next partition, the shard's own first.
-func (operation *recordOperation) tryNextPartition() {
-	number := (operation.shard + operation.partitionsTried) % operation.recorder.shards
-	operation.recorder.enqueue(durable.Partition{Topic: Topic, Number: number}, operation.record, operation.done)
-	operation.partitionsTried++
-	operation.pendingAppends++
-}
-
-// startRelay starts a relay call unless one is in progress.
-func (operation *recordOperation) startRelay(ctx context.Context) {
-	if operation.relaying || operation.relay == nil {
-		return
-	}
-	operation.relaying = true
-	go func() {
-		err := operation.relay(ctx, operation.shard, operation.turn)
-		if err != nil {
-			wait.Sleep(ctx, relayRetryDelay)
-		}
-		operation.relayed <- err
-	}()
-}
-
 func (recorder *Recorder) enqueue(partition durable.Partition, record []byte, done chan error) {
 	recorder.mutex.Lock()
 	defer recorder.mutex.Unlock()
@@ -232,17 +188,29 @@
 		recorder.queues[partition] = queue
 	}
 	queue.queued = append(queue.queued, queuedRecord{record: record, done: done})
-	stuck := time.Since(queue.lastAppendStarted) > recorder.appendLatency.HedgeDelay()
-	if queue.workers == 0 || (stuck && queue.workers < maxWorkers) {
+	if queue.workers == 0 || (queue.workers < maxWorkers && recorder.stuck(queue)) {
 		queue.workers++
 		go recorder.appendQueued(partition, queue)
 	}
 }
 
-// appendQueued appends batches of queued records until the queue is empty.
+// stuck reports whether the latest append of a queue is overdue, so that its response may be lost
+// and another worker is needed. A second worker shows whether the log is slow instead; further
+// ones wait for longer until an append was fast again. The caller holds the mutex.
+func (recorder *Recorder) stuck(queue *partitionQueue) bool {
+	overdue := recorder.appendLatency.HedgeDelay()
+	if queue.workers > 1 && !recorder.fastAppendSince(queue.lastAppendStarted) {
+		overdue = max(overdue, slowLogHedgeDelay)
+	}
+	return time.Since(queue.lastAppendStarted) > overdue
+}
+
+// appendQueued appends batches of queued records until the queue is empty or another worker can
+// continue alone.
 func (recorder *Recorder) appendQueued(partition durable.Partition, queue *partitionQueue) {
+	start := time.Time{}
 	for {
-		batch := recorder.dequeueBatch(queue)
+		batch := recorder.dequeueBatch(queue, start)
 		if len(batch) == 0 {
 			return
 		}
@@ -251,7 +219,7 @@
 			records[index] = queued.record
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), appendTimeout)
-		start := time.Now()
+		start = time.Now()
 		_, err := recorder.log.Append(ctx, partition, records, durable.Condition{})
 		cancel()
 		recorder.observeAppend(start, err)
@@ -264,6 +232,23 @@
 	}
 }
 
+// appendsSlow reports whether appends are slow at present; false without group commit.
+func (recorder *Recorder) appendsSlow() bool {
+	return recorder.appendHealth != nil && recorder.appendHealth.AppendsSlow()
+}
+
+func (recorder *Recorder) observeSlowAppend(begun time.Time) {
+	if recorder.appendHealth != nil {
+		recorder.appendHealth.ObserveSlowAppend(begun)
+	}
+}
+
+// fastAppendSince reports whether an append is known to have been fast since a time; true without
+// group commit.
+func (recorder *Recorder) fastAppendSince(since time.Time) bool {
+	return recorder.appendHealth == nil || recorder.appendHealth.FastAppendSince(since)
+}
+
 // observeAppend updates the append latency and lastAppendFailure.
 func (recorder *Recorder) observeAppend(start time.Time, err error) {
 	if err == nil {
@@ -278,10 +263,16 @@
 	recorder.lastAppendFailure = time.Now()
 }
 
-// dequeueBatch removes the records of the next append from a queue.
-func (recorder *Recorder) dequeueBatch(queue *partitionQueue) []queuedRecord {
+// dequeueBatch removes the records of the next append from a queue, for a worker whose last append
+// began at lastStart. It returns none if the worker is to end: the queue is empty, or another worker
+// has begun an append since and is not stuck. Several workers would split what one append can carry.
+func (recorder *Recorder) dequeueBatch(queue *partitionQueue, lastStart time.Time) []queuedRecord {
 	recorder.mutex.Lock()
 	defer recorder.mutex.Unlock()
+	if !lastStart.IsZero() && queue.lastAppendStarted.After(lastStart) && !recorder.stuck(queue) {
+		queue.workers--
+		return nil
+	}
 	bytes := 0
 	count := 0
 	for count < len(queue.queued) && (count == 0 || bytes+len(queue.queued[count].record) <= maxBatchBytes) {
--- a/internal/node/learn.go
+++ b/internal/node/learn.go
@@ -204,7 +204,7 @@
 	node.configurationView.merge(fromRecords(reply.Configuration), requestedAt.Add(-milliseconds(reply.ConfigurationAgeMs)))
 	node.engineView.merge(fromRecords(reply.Engines), requestedAt.Add(-milliseconds(reply.EnginesAgeMs)))
 	node.memberView.merge(fromRecords(reply.Nodes), requestedAt)
-	node.logHealth.observeRemote(reply.LogAnswerAgeMs, time.Now())
+	node.logHealth.observeRemote(logObservations{responseAge: reply.LogAnswerAgeMs, slowAppendAge: reply.SlowAppendAgeMs, fastAppendAge: reply.FastAppendAgeMs}, time.Now())
 	return reply, nil
 }
 
--- a/internal/node/learn_message.go
+++ b/internal/node/learn_message.go
@@ -11,11 +11,14 @@
 
 // learnRequest returns a request for the records that this node does not have.
 func (node *Node) learnRequest() *nodev1.LearnRequest {
+	observed := node.logHealth.report(time.Now())
 	return &nodev1.LearnRequest{
 		ConfigurationEnd: node.configurationView.endOffset(),
 		EnginesEnd:       node.engineView.endOffset(),
 		NodesEnd:         node.memberView.endOffset(),
-		LogAnswerAgeMs:   node.logHealth.ageMilliseconds(time.Now()),
+		LogAnswerAgeMs:   observed.responseAge,
+		SlowAppendAgeMs:  observed.slowAppendAge,
+		FastAppendAgeMs:  observed.fastAppendAge,
 	}
 }
 
@@ -24,8 +27,9 @@
 	node := server.node
 	now := time.Now()
 	node.engines.AddReported(request.Avoided, now)
-	node.logHealth.observeRemote(request.LogAnswerAgeMs, now)
+	node.logHealth.observeRemote(logObservations{responseAge: request.LogAnswerAgeMs, slowAppendAge: request.SlowAppendAgeMs, fastAppendAge: request.FastAppendAgeMs}, now)
 	node.engines.AddLatencyStats(fromLatencyMessages(request.Paces), now)
+	observed := node.logHealth.report(now)
 	reply := &nodev1.LearnReply{
 		ConfigurationAgeMs: node.configurationView.age().Milliseconds(),
 		EnginesAgeMs:       node.engineView.age().Milliseconds(),
@@ -34,7 +38,9 @@
 		Nodes:              toRecords(node.memberView.changedSince(request.NodesEnd)),
 		Avoided:            node.engines.AvoidedByAny(now),
 		Slow:               node.engines.SlowEngines(now),
-		LogAnswerAgeMs:     node.logHealth.ageMilliseconds(now),
+		LogAnswerAgeMs:     observed.responseAge,
+		SlowAppendAgeMs:    observed.slowAppendAge,
+		FastAppendAgeMs:    observed.fastAppendAge,
 		Current:            node.readsLog(now),
 	}
 	if request.WantsSpeeds {
--- a/internal/node/log_health.go
+++ b/internal/node/log_health.go
@@ -17,33 +17,89 @@
 	recordStallAfter = 700 * time.Millisecond
 )
 
-// logHealth tracks when the log last answered any node, this one or one that reported it. A log
-// that rejects only this node is therefore not unavailable. It is safe for concurrent use.
+// logHealth tracks when the log last answered any node, this one or one that reported it, and when
+// it was last slow to append. A log that rejects only this node is therefore not unavailable. It is
+// safe for concurrent use.
 type logHealth struct {
 	lastResponse atomicTime
+	// lastSlowAppend is when the latest slow append began, lastFastAppend when the latest other one
+	// ended.
+	lastSlowAppend atomicTime
+	lastFastAppend atomicTime
 }
 
 // observe records the outcome of a call to the log.
-func (health *logHealth) observe(err error) {
+func (health *logHealth) observe(operation string, took time.Duration, err error) {
 	if durable.LogResponded(err) {
 		health.lastResponse.advance(time.Now())
 	}
+	if operation == durable.OperationAppend && err == nil {
+		health.observeAppend(took)
+	}
 }
 
-// ageMilliseconds returns the age of the last known answer for other nodes, at least 1, or 0 if
-// there is none.
-func (health *logHealth) ageMilliseconds(now time.Time) int64 {
-	if health.lastResponse.isZero() {
+// observeAppend records the duration of an append that has just succeeded.
+func (health *logHealth) observeAppend(took time.Duration) {
+	now := time.Now()
+	if took >= durable.SlowAppend {
+		health.ObserveSlowAppend(now.Add(-took))
+		return
+	}
+	health.lastFastAppend.advance(now)
+}
+
+// ObserveSlowAppend implements history.AppendHealth.
+func (health *logHealth) ObserveSlowAppend(begun time.Time) { health.lastSlowAppend.advance(begun) }
+
+// AppendsSlow implements history.AppendHealth.
+func (health *logHealth) AppendsSlow() bool {
+	if health.lastSlowAppend.isZero() {
+		return false
+	}
+	age := health.lastSlowAppend.age(time.Now())
+	return age < durable.SlowAppendMemory && (health.lastFastAppend.isZero() || age < health.lastFastAppend.age(time.Now()))
+}
+
+// FastAppendSince implements history.AppendHealth.
+func (health *logHealth) FastAppendSince(since time.Time) bool {
+	return !health.lastFastAppend.isZero() && health.lastFastAppend.notBefore(since)
+}
+
+// logObservations are the ages, in milliseconds, of what a node knows of the log, as it reports
+// them to other nodes. 0 means that it knows of none, or that its version does not report the age.
+type logObservations struct {
+	responseAge   int64
+	slowAppendAge int64
+	fastAppendAge int64
+}
+
+// report returns the observations for other nodes.
+func (health *logHealth) report(now time.Time) logObservations {
+	return logObservations{
+		responseAge:   reportedAge(&health.lastResponse, now),
+		slowAppendAge: reportedAge(&health.lastSlowAppend, now),
+		fastAppendAge: reportedAge(&health.lastFastAppend, now),
+	}
+}
+
+// reportedAge returns the age of a time in milliseconds, at least 1, or 0 if none was stored.
+func reportedAge(at *atomicTime, now time.Time) int64 {
+	if at.isZero() {
 		return 0
 	}
-	return max(health.lastResponse.age(now).Milliseconds(), 1)
+	return max(at.age(now).Milliseconds(), 1)
 }
 
-// observeRemote records the age of the last answer that another node knows of. 0 means that
-// it knows of none, or that its version does not report the age.
-func (health *logHealth) observeRemote(ageMilliseconds int64, now time.Time) {
-	if ageMilliseconds > 0 {
-		health.lastResponse.advance(now.Add(-milliseconds(ageMilliseconds)))
+// observeRemote records the observations that another node has reported.
+func (health *logHealth) observeRemote(reported logObservations, now time.Time) {
+	if reported.responseAge > 0 {
+		health.lastResponse.advance(now.Add(-milliseconds(reported.responseAge)))
+	}
+	if reported.slowAppendAge > 0 {
+		health.lastSlowAppend.advance(now.Add(-milliseconds(reported.slowAppendAge)))
+	}
+	if reported.fastAppendAge > 0 {
+		health.lastFastAppend.advance(now.Add(-milliseconds(reported.fastAppendAge)))
 	}
 }
 
--- a/internal/node/log_health_test.go
+++ b/internal/node/log_health_test.go
@@ -29,30 +29,30 @@
 	It("is derived from answers, including rejections, and not from failures", func() {
 		for _, answer := range []error{nil, durable.ErrConflict, durable.ErrFenced, durable.ErrOutOfSequence, &durable.TrimmedError{}} {
 			node := nodeWithLogResponse(longAgo)
-			node.logHealth.observe(answer)
+			node.logHealth.observe(durable.OperationRead, 0, answer)
 			Expect(node.recordingUnavailable()).To(BeFalse(), "%v", answer)
 		}
 		for _, failure := range []error{durable.ErrUnavailable, errors.New("no answer")} {
 			node := nodeWithLogResponse(longAgo)
-			node.logHealth.observe(failure)
+			node.logHealth.observe(durable.OperationRead, 0, failure)
 			Expect(node.recordingUnavailable()).To(BeTrue(), "%v", failure)
 		}
 	})
 
 	It("counts answers that other nodes report", func() {
 		node := nodeWithLogResponse(longAgo)
-		node.logHealth.observeRemote(0, time.Now())
+		node.logHealth.observeRemote(logObservations{}, time.Now())
 		Expect(node.recordingUnavailable()).To(BeTrue(), "the other node reports no answer")
-		node.logHealth.observeRemote(300, time.Now())
+		node.logHealth.observeRemote(logObservations{responseAge: 300}, time.Now())
 		Expect(node.recordingUnavailable()).To(BeFalse())
-		node.logHealth.observeRemote(90_000, time.Now())
+		node.logHealth.observeRemote(logObservations{responseAge: 90_000}, time.Now())
 		Expect(node.recordingUnavailable()).To(BeFalse(), "older than the last known answer")
 	})
 
 	It("reports no answer before the first one", func() {
 		var health logHealth
-		Expect(health.ageMilliseconds(time.Now())).To(BeZero())
-		health.observe(nil)
-		Expect(health.ageMilliseconds(time.Now())).To(BeNumerically(">=", 1))
+		Expect(health.report(time.Now()).responseAge).To(BeZero())
+		health.observe(durable.OperationRead, 0, nil)
+		Expect(health.report(time.Now()).responseAge).To(BeNumerically(">=", 1))
 	})
 })
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -97,7 +97,7 @@
 	freezes *freeze.Detector
 	// zones tracks which zones are reachable.
 	zones *reach.Zones
-	// logHealth tracks when the durable log last responded to any node.
+	// logHealth tracks how the durable log responds to any node.
 	logHealth logHealth
 	peers     *peers
 	learner   *learner
@@ -107,7 +107,10 @@
 	// unownedReads is a semaphore for reading partitions of shards that other nodes own.
 	unownedReads chan struct{}
 	// searches deduplicates concurrent chain lookups by their last turn.
-	searches  singleflight.Group
+	searches singleflight.Group
+	// groupRecordings deduplicates the recordings of other nodes' turns by turn.
+	groupRecordings singleflight.Group
+
 	ownership *ownership.Manager
 	assigner  *assignment.Assigner
 	programs  *programs
@@ -204,6 +207,9 @@
 	if feature.Enabled(feature.RemoteRecording) {
 		node.recorder.SetRelay(node.recordRemotely)
 	}
+	if feature.Enabled(feature.GroupCommit) {
+		node.recorder.EnableGroupCommit(node.recordInGroup, &node.logHealth)
+	}
 	node.egress = &egress.Handler{Engines: node.engines, Sender: dependencies.Sender, Logger: logger.Logger, Stopping: node.stopping.Load,
 		Views: callViews{node}, FreezeDetector: node.freezes}
 	node.service = node.newService(egress.NewSender(dependencies.Sender, &egressTopology{node: node}, client, logger.Logger, meter.countHandover))
@@ -256,7 +262,7 @@
 // observeLogCall is a durable.ObserveFunc.
 func (node *Node) observeLogCall(operation, topic string, took time.Duration, err error) {
 	node.meter.observeLogCall(operation, topic, took, err)
-	node.logHealth.observe(err)
+	node.logHealth.observe(operation, took, err)
 }
 
 func historyBytes(memoryBytes int64) int {
@@ -368,6 +374,7 @@
 	turns, bytes := node.turns.Size()
 	node.logger.Info("summary", zap.Int("in_flight", node.inFlight()), zap.Int("engines", node.engines.EngineCount()),
 		zap.Int("nodes", node.members.activeCount()), zap.Int("turns", turns), zap.Int("turn_bytes", bytes),
+		zap.Int("recordings", node.recorder.InFlight()), zap.Bool("appends_slow", node.logHealth.AppendsSlow()),
 		zap.Int64("lines_dropped", node.logOutput.Dropped()), zap.String("store_calls", node.meter.takeLogCallSummary()), zap.String("peer_bytes", node.meter.takePeerByteSummary()))
 }
 
--- a/internal/node/owner_search.go
+++ b/internal/node/owner_search.go
@@ -219,6 +219,6 @@
 	bounded, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
 	reply, err := client.Reserve(bounded, request)
-	programs.node.logHealth.observeRemote(reply.GetLogAnswerAgeMs(), time.Now())
+	programs.node.logHealth.observeRemote(logObservations{responseAge: reply.GetLogAnswerAgeMs(), slowAppendAge: reply.GetSlowAppendAgeMs(), fastAppendAge: reply.GetFastAppendAgeMs()}, time.Now())
 	return reply, err
 }
--- a/internal/node/peer_server.go
+++ b/internal/node/peer_server.go
@@ -15,7 +15,10 @@
 // Reserve implements nodev1.Node.
 func (server *peerServer) Reserve(ctx context.Context, request *nodev1.ReserveRequest) (*nodev1.ReserveReply, error) {
 	reply := server.node.handleReserve(ctx, server.node.programs.shardOf(request.Program), request)
-	reply.LogAnswerAgeMs = server.node.logHealth.ageMilliseconds(time.Now())
+	observed := server.node.logHealth.report(time.Now())
+	reply.LogAnswerAgeMs = observed.responseAge
+	reply.SlowAppendAgeMs = observed.slowAppendAge
+	reply.FastAppendAgeMs = observed.fastAppendAge
 	return reply, nil
 }
 
@@ -26,6 +29,9 @@
 		if settlement.Turn != nil {
 			server.node.turns.Add(history.FromProto(settlement.Turn))
 		}
+		if settlement.RecordMs > 0 {
+			server.node.logHealth.observeAppend(milliseconds(settlement.RecordMs))
+		}
 		server.node.settle(settlement, request.PassedOn)
 	}
 	return &nodev1.SettleReply{}, nil
--- a/internal/node/programs.go
+++ b/internal/node/programs.go
@@ -133,7 +133,7 @@
 // Settle implements forward.Programs.
 func (programs *programs) Settle(call *forward.Call, grant forward.Grant, end forward.TurnResult) {
 	settlement := &nodev1.Settlement{Program: call.Program, Tenant: call.Tenant, Request: grant.Key, Tokens: end.Tokens,
-		Session: call.Session, FailedEngine: end.FailedEngine}
+		Session: call.Session, FailedEngine: end.FailedEngine, RecordMs: end.RecordTime.Milliseconds()}
 	if end.Turn != nil {
 		programs.node.turns.Add(end.Turn)
 		if programs.node.mayReceiveTurn(grant.Owner, end.Turn) {
--- a/internal/node/turns.go
+++ b/internal/node/turns.go
@@ -11,6 +11,7 @@
 	"github.com/magpielug/magpielug/internal/history"
 	"github.com/magpielug/magpielug/internal/logging"
 	"go.uber.org/zap"
+	"golang.org/x/sync/singleflight"
 )
 
 const (
@@ -27,6 +28,13 @@
 	// take.
 	maxRecordNodes = 3
 	recordTimeout  = 500 * time.Millisecond
+	// maxGroupWriters is how many nodes are asked to record a turn in a group commit.
+	maxGroupWriters = 2
+	// pendingReplyAfter is how long a group writer waits for the log before it replies that the
+	// turn is pending, so that the requester can tell a slow log from a frozen node.
+	pendingReplyAfter = 250 * time.Millisecond
+	// groupRecordTimeout bounds the recording of a turn for another node.
+	groupRecordTimeout = 4 * time.Second
 	// maxUnownedReads bounds the partitions of other nodes' shards that a node reads concurrently.
 	// After the loss of all nodes, unbounded reads would saturate the links to the durable log.
 	maxUnownedReads = 1
@@ -173,6 +181,59 @@
 	return lastError
 }
 
+// recordInGroup records a turn through the node that batches the appends of the shard's partition,
+// as the recorder's group relay. It fails if that is this node or if the writers do not respond.
+func (node *Node) recordInGroup(ctx context.Context, shard int, turn *history.Turn) error {
+	observed := node.logHealth.report(time.Now())
+	request := &nodev1.RecordRequest{Shard: uint32(shard), Turn: history.ToProto(turn), AcceptsPending: true,
+		SlowAppendAgeMs: observed.slowAppendAge, FastAppendAgeMs: observed.fastAppendAge}
+	lastError := errUnknownNode
+	for _, writer := range node.groupWriters(shard, turn) {
+		if writer.Name == node.settings.Name {
+			return history.ErrGroupWriter
+		}
+		lastError = node.recordAt(ctx, writer, request)
+		if lastError == nil || ctx.Err() != nil {
+			return lastError
+		}
+		node.programs.suspects.add(writer.Name, time.Now().Add(ownerSuspicion))
+		node.logger.Info("group writer failed", zap.String("request", turn.ID), zap.Int("shard", shard),
+			zap.String("node", writer.Name), logging.ErrorField(lastError))
+	}
+	return lastError
+}
+
+// recordAt repeats a recording request to a group writer while it replies that the turn is pending.
+func (node *Node) recordAt(ctx context.Context, writer Member, request *nodev1.RecordRequest) error {
+	client := node.peers.clientAt(writer.Address)
+	for {
+		bounded, cancel := context.WithTimeout(ctx, recordTimeout)
+		reply, err := client.Record(bounded, request)
+		cancel()
+		if err != nil || !reply.Pending {
+			return err
+		}
+	}
+}
+
+// groupWriters returns the nodes that may batch a shard's appends for all nodes, in order of
+// preference: the known owner, then the candidates. Only nodes that may receive the turn and are
+// not suspected are included.
+func (node *Node) groupWriters(shard int, turn *history.Turn) []Member {
+	owner := node.programs.knownOwner(shard).Node
+	candidates := slices.Clone(node.members.candidates(shard))
+	position := slices.IndexFunc(candidates, func(member Member) bool { return member.Name == owner })
+	if position > 0 {
+		known := candidates[position]
+		candidates = slices.Insert(slices.Delete(candidates, position, position+1), 0, known)
+	}
+	now := time.Now()
+	writers := slices.DeleteFunc(candidates, func(member Member) bool {
+		return !node.mayReceiveTurn(member.Name, turn) || node.programs.suspects.contains(member.Name, now)
+	})
+	return writers[:min(maxGroupWriters, len(writers))]
+}
+
 // mayReceiveTurn reports whether a node may receive a turn's content: this node, or one in a zone
 // permitted for the turn.
 func (node *Node) mayReceiveTurn(name string, turn *history.Turn) bool {
@@ -183,19 +244,53 @@
 	return known && turn.Zones.Contains(member.Zone)
 }
 
-// Record implements nodev1.Node.
+// Record implements nodev1.Node. The recording continues if the requester gives up.
 func (server *peerServer) Record(ctx context.Context, request *nodev1.RecordRequest) (*nodev1.RecordReply, error) {
 	if int(request.Shard) >= server.node.settings.Shards || request.Turn == nil {
 		return nil, errUnknownShard
 	}
-	if server.node.recorder.AppendFailedRecently() {
+	if server.node.rejectsRecordings(request) {
 		return nil, errLogRefused
 	}
-	bounded, cancel := context.WithTimeout(ctx, recordTimeout)
-	defer cancel()
-	err := server.node.recorder.RecordLocally(bounded, int(request.Shard), history.FromProto(request.Turn))
-	if err != nil {
-		return nil, err
+	timeout := recordTimeout
+	if request.AcceptsPending {
+		timeout = pendingReplyAfter
+		// A group writer has to know at once that the log is slow: it limits its own appends then.
+		server.node.logHealth.observeRemote(logObservations{slowAppendAge: request.SlowAppendAgeMs, fastAppendAge: request.FastAppendAgeMs}, time.Now())
+	}
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case result := <-server.node.recordForOther(int(request.Shard), history.FromProto(request.Turn)):
+		if result.Err != nil {
+			return nil, result.Err
+		}
+		return &nodev1.RecordReply{}, nil
+	case <-timer.C:
+		if !request.AcceptsPending {
+			return nil, context.DeadlineExceeded
+		}
+		return &nodev1.RecordReply{Pending: true}, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// rejectsRecordings reports whether this node is unlikely to record other nodes' turns. A group
+// writer accepts them after failures while the log is slow: the requesters would append one by one
+// and make it slower.
+func (node *Node) rejectsRecordings(request *nodev1.RecordRequest) bool {
+	if request.AcceptsPending && node.logHealth.AppendsSlow() {
+		return false
 	}
-	return &nodev1.RecordReply{}, nil
+	return node.recorder.AppendFailedRecently()
+}
+
+// recordForOther records another node's turn. Repeated requests for a turn share one recording.
+func (node *Node) recordForOther(shard int, turn *history.Turn) <-chan singleflight.Result {
+	return node.groupRecordings.DoChan(strconv.Quote(turn.Tenant)+turn.ID, func() (any, error) {
+		bounded, cancel := context.WithTimeout(context.Background(), groupRecordTimeout)
+		defer cancel()
+		return nil, node.recorder.RecordLocally(bounded, shard, turn)
+	})
 }
--- a/internal/node/zones.go
+++ b/internal/node/zones.go
@@ -91,11 +91,14 @@
 // probeRequest returns a request for no records. The reply only has to arrive; a full engine list
 // to every prober could saturate the links between zones.
 func (node *Node) probeRequest() *nodev1.LearnRequest {
+	observed := node.logHealth.report(time.Now())
 	return &nodev1.LearnRequest{
 		ConfigurationEnd: math.MaxInt64,
 		EnginesEnd:       math.MaxInt64,
 		NodesEnd:         math.MaxInt64,
-		LogAnswerAgeMs:   node.logHealth.ageMilliseconds(time.Now()),
+		LogAnswerAgeMs:   observed.responseAge,
+		SlowAppendAgeMs:  observed.slowAppendAge,
+		FastAppendAgeMs:  observed.fastAppendAge,
 	}
 }
 
--- a/internal/node/zones_test.go
+++ b/internal/node/zones_test.go
@@ -65,7 +65,7 @@
 		Expect(node.isolated()).To(BeFalse(), "no probe was sent yet")
 		go node.probeZones(ctx)
 		Eventually(node.isolated, "10s").Should(BeTrue())
-		node.logHealth.observe(nil)
+		node.logHealth.observe(durable.OperationRead, 0, nil)
 		Expect(node.isolated()).To(BeFalse(), "the log answers")
 	})
 
@@ -132,7 +132,7 @@
 
 	It("has its nodes skipped by the other zones without waiting", func() {
 		node := newZonedNode("beyond")
-		node.logHealth.observe(nil)
+		node.logHealth.observe(durable.OperationRead, 0, nil)
 		Expect(node.nodeReachable("far", time.Now())).To(BeTrue())
 		node.zones.RecordProbeTimeout("b", time.Now(), time.Now())
 		node.zones.RecordProbeTimeout("b", time.Now(), time.Now())
