spending: a lost owner's allowance is not charged for good

Cause: a successor can't tell which programs a former owner has granted to, so it charges the allowance to all, and nothing ever ended that.

Change: an owner grants under its allowance for 4 minutes from the beginning of its latest acknowledged append; then it writes ahead. Accounts are kept for 5 minutes after their last use already, so a program that returns later is a new one. A program that appears 9.5 minutes after a takeover can have been granted nothing before it, and is charged nothing. Accounts read from the log are kept 4 minutes longer, since a former owner that is cut off may serve their programs; without that a program could be forgotten while it spent (found by the test).

--- a/internal/ownership/shard.go
+++ b/internal/ownership/shard.go
@@ -49,8 +49,6 @@
 	turnExpiryMargin = time.Second
 	// earlySettleRetention is how long a settlement that precedes its reservation is kept.
 	earlySettleRetention = 10 * time.Second
-	// accountRetention is how long an account is kept after its last use.
-	accountRetention = 5 * time.Minute
 )
 
 // Owner identifies a shard's owner by its claim.
@@ -287,7 +285,7 @@
 func (manager *Manager) expireAccounts(now time.Time) {
 	for _, shard := range manager.shards {
 		if shard.ledger != nil {
-			shard.ledger.ExpireAccounts(now.Add(-accountRetention))
+			shard.ledger.ExpireAccounts(now.Add(-spending.AccountRetention))
 		}
 		for requestID, settledAt := range shard.settledEarly {
 			if now.Sub(settledAt) > earlySettleRetention {
--- a/internal/ownership/write.go
+++ b/internal/ownership/write.go
@@ -67,6 +67,7 @@
 		return
 	}
 	shard.ownedAsOf = shard.appendStartedAt
+	shard.ledger.RenewAllowance(shard.ownedAsOf)
 	shard.ledger.AcknowledgeCeilings(ceilings)
 	manager.decideWaiters(shard)
 	manager.writeCeilings(shard)
--- a/internal/spending/allowance.go
+++ b/internal/spending/allowance.go
@@ -1,6 +1,10 @@
 package spending
 
-import "github.com/magpielug/magpielug/internal/tenant"
+import (
+	"time"
+
+	"github.com/magpielug/magpielug/internal/tenant"
+)
 
 // Allowance is the amount that an owner may grant from every program's budget beyond
 // the ceiling acknowledged by the log. It is part of the owner's claim, so that a
@@ -27,6 +31,20 @@
 // of all nodes.
 const claimPermille = 333
 
+const (
+	// AllowanceLease is how long after the beginning of its latest acknowledged append an owner may
+	// grant under its allowance. An owner that is cut off from the log thus stops using it.
+	AllowanceLease = 4 * time.Minute
+	// AccountRetention is how long after its last use an account is kept. A program that returns
+	// later counts as a new one.
+	AccountRetention = 5 * time.Minute
+	// clockMargin allows for the duration of a claim and for clocks that run at different rates.
+	clockMargin = 30 * time.Second
+	// outstandingPeriod is how long after a takeover a program that appears may have been granted
+	// tokens under a former owner's allowance.
+	outstandingPeriod = AllowanceLease + AccountRetention + clockMargin
+)
+
 // NewAllowance returns the allowance of a claim. Its MinBudget leaves room for one
 // turn of largestTurn tokens beside the allowance.
 func NewAllowance(epoch, largestTurn int64) Allowance {
@@ -81,6 +99,24 @@
 	ledger.outstandingAllowances = outstanding
 }
 
+// RenewAllowance extends the use of the owner's allowance: the log has acknowledged an append that
+// began at a time.
+func (ledger *Ledger) RenewAllowance(appendBegan time.Time) {
+	until := appendBegan.Add(AllowanceLease)
+	if until.After(ledger.allowanceUntil) {
+		ledger.allowanceUntil = until
+	}
+}
+
+// outstandingFor returns the allowances of former owners that may have been used for an account:
+// none if it appeared after they had ended.
+func (ledger *Ledger) outstandingFor(account *account) []Allowance {
+	if account.unknownToFormerOwners {
+		return nil
+	}
+	return ledger.outstandingAllowances
+}
+
 // chargeOutstanding charges an account with the tokens that former owners may have
 // granted beyond the logged ceiling, and returns the tokens added. If the budget grows,
 // it charges the difference.
@@ -89,7 +125,7 @@
 		return 0
 	}
 	allowed := int64(0)
-	for _, allowance := range ledger.outstandingAllowances {
+	for _, allowance := range ledger.outstandingFor(account) {
 		if allowance.Epoch >= account.ceilingEpoch && allowance.appliesTo(account) {
 			allowed += allowance.tokensOf(budget)
 		}
@@ -129,7 +165,7 @@
 // newestOutstanding returns the number of outstanding allowances that apply to an
 // account, and the highest epoch among them.
 func (ledger *Ledger) newestOutstanding(account *account) (epoch int64, count int) {
-	for _, allowance := range ledger.outstandingAllowances {
+	for _, allowance := range ledger.outstandingFor(account) {
 		if allowance.tokensOf(account.budget) > 0 && allowance.appliesTo(account) {
 			epoch = max(epoch, allowance.Epoch)
 			count++
@@ -151,7 +187,7 @@
 
 // ownAllowanceFor returns the tokens that the owner's allowance gives an account.
 func (ledger *Ledger) ownAllowanceFor(account *account) int64 {
-	if ledger.ownAllowance.Second && !account.ceilingAcknowledged {
+	if ledger.allowanceEnded || (ledger.ownAllowance.Second && !account.ceilingAcknowledged) {
 		return 0
 	}
 	return ledger.ownAllowance.tokensOf(account.budget)
--- a/internal/spending/handover.go
+++ b/internal/spending/handover.go
@@ -51,7 +51,7 @@
 // have received the acknowledgment of its last append.
 func (ledger *Ledger) ImportAccounts(accounts []Account, now time.Time) {
 	for _, exported := range accounts {
-		target := ledger.account(exported.Program)
+		target := ledger.account(exported.Program, now)
 		target.charged = exported.Spent
 		target.uncertain = exported.Uncertain
 		target.uncertainSince = now
--- a/internal/spending/spending.go
+++ b/internal/spending/spending.go
@@ -83,6 +83,9 @@
 	// not charged to accounts imported from the former owner.
 	chargedAllowances int64
 	imported          bool
+	// unknownToFormerOwners is true for a program that appeared after the allowances of former
+	// owners had ended.
+	unknownToFormerOwners bool
 }
 
 // reservation is an open turn. It expires at expiresAt if it is not settled.
@@ -106,11 +109,18 @@
 	// may have been used.
 	ownAllowance          Allowance
 	outstandingAllowances []Allowance
+	// outstandingUntil is when programs that appear can no longer have used an outstanding
+	// allowance, allowanceUntil when ownAllowance ends unless it is renewed.
+	outstandingUntil time.Time
+	allowanceUntil   time.Time
+	// allowanceEnded is true if ownAllowance had ended at the latest Reserve.
+	allowanceEnded bool
 }
 
 // NewLedger returns a ledger that starts from the latest logged ceilings.
 func NewLedger(ceilings map[tenant.Program]Ceiling, now time.Time) *Ledger {
-	ledger := &Ledger{accounts: make(map[tenant.Program]*account, len(ceilings)), pendingCeilings: map[tenant.Program]bool{}}
+	ledger := &Ledger{accounts: make(map[tenant.Program]*account, len(ceilings)), pendingCeilings: map[tenant.Program]bool{},
+		outstandingUntil: now.Add(outstandingPeriod), allowanceUntil: now.Add(AllowanceLease)}
 	for program, ceiling := range ceilings {
 		ledger.accounts[program] = &account{
 			charged:          ceiling.Tokens,
@@ -119,18 +129,22 @@
 			openTurns:        map[string]reservation{},
 			ceiling:          ceiling.Tokens,
 			requestedCeiling: ceiling.Tokens,
-			lastUsed:         now,
-
+			// A former owner that is cut off may serve the program for that long.
+			lastUsed:     now.Add(AllowanceLease),
 			ceilingEpoch: ceiling.Epoch,
 		}
 	}
 	return ledger
 }
 
-func (ledger *Ledger) account(program tenant.Program) *account {
+func (ledger *Ledger) account(program tenant.Program, now time.Time) *account {
 	found := ledger.accounts[program]
 	if found == nil {
-		found = ledger.accounts[program.WithoutTenant()].newTenantAccount()
+		legacy := ledger.accounts[program.WithoutTenant()]
+		found = legacy.newTenantAccount()
+		if legacy == nil {
+			found.unknownToFormerOwners = now.After(ledger.outstandingUntil)
+		}
 		ledger.accounts[program] = found
 	}
 	return found
@@ -152,6 +166,7 @@
 	created.ceilingEpoch = legacy.ceilingEpoch
 	created.chargedAllowances = legacy.chargedAllowances
 	created.imported = legacy.imported
+	created.unknownToFormerOwners = legacy.unknownToFormerOwners
 	return created
 }
 
@@ -170,7 +185,8 @@
 // requests with the same id.
 func (ledger *Ledger) Reserve(request ReserveRequest, now time.Time) Verdict {
 	program, budget, maxTokens := request.Program, request.Budget, request.MaxTokens
-	account := ledger.account(program)
+	account := ledger.account(program, now)
+	ledger.allowanceEnded = now.After(ledger.allowanceUntil)
 	account.lastUsed = now
 	account.budget = budget
 	if ledger.chargeOutstanding(account, budget) > 0 {
