--- a/internal/history/record_operation.go
+++ b/internal/history/record_operation.go
@@ -53,6 +53,7 @@
 	if !operation.recorder.appendsSlow() || !operation.startGroupRelay(ctx) {
 		operation.tryNextPartition()
 	}
+	// Without a response, the turn is sent elsewhere after hedgeDelay, which doubles each time.
 	hedgeDelay := operation.recorder.appendLatency.HedgeDelay()
 	timer := time.NewTimer(hedgeDelay)
 	defer timer.Stop()
@@ -78,16 +79,7 @@
 			if err == nil {
 				return nil
 			}
-			operation.groupRelaying = false
-			if errors.Is(err, ErrGroupWriter) {
-				operation.groupRelay = nil
-			}
-			if operation.recorder.appendsSlow() && operation.startGroupRelay(ctx) {
-				continue
-			}
-			if operation.pendingAppends == 0 {
-				operation.tryNextPartition()
-			}
+			operation.handleGroupRelayFailure(ctx, err)
 		case <-timer.C:
 			if operation.postponeHedge() {
 				timer.Reset(hedgeDelay)
@@ -105,21 +97,28 @@
 // postponeHedge reports whether an append to another partition has to wait: no append was fast
 // since the turn's last one, and slowLogHedgeDelay has not passed.
 func (operation *recordOperation) postponeHedge() bool {
-	mayRelay := operation.groupRelay != nil && operation.groupRelayBegan.IsZero()
-	if mayRelay || operation.pendingAppends == 0 || time.Since(operation.lastTry) >= slowLogHedgeDelay {
+	if operation.groupRelayUnused() || operation.pendingAppends == 0 || time.Since(operation.lastTry) >= slowLogHedgeDelay {
 		return false
 	}
 	return !operation.recorder.fastAppendSince(operation.lastTry)
 }
 
+// groupRelayUnused reports whether there is a group relay that was not started yet.
+func (operation *recordOperation) groupRelayUnused() bool {
+	return operation.groupRelay != nil && operation.groupRelayBegan.IsZero()
+}
+
 // hedge sends the turn elsewhere after appends without a response or with failures. The group
 // relay comes first: appends to further partitions delay a slow log even more.
 func (operation *recordOperation) hedge(ctx context.Context) {
 	if operation.pendingAppends > 0 {
 		operation.recorder.observeSlowAppend(operation.lastTry)
 	}
-	firstRelay := operation.pendingAppends > 0 && operation.groupRelayBegan.IsZero()
-	if operation.groupRelaying || (firstRelay && operation.startGroupRelay(ctx)) {
+	if operation.groupRelaying {
+		return
+	}
+	if operation.pendingAppends > 0 && operation.groupRelayUnused() {
+		operation.startGroupRelay(ctx)
 		return
 	}
 	if operation.partitionsTried > 1 {
@@ -131,12 +130,12 @@
 // startGroupRelay starts the group relay, and reports whether it did. It does not start it again
 // once groupRelayPeriod has passed since its first start.
 func (operation *recordOperation) startGroupRelay(ctx context.Context) bool {
-	if operation.groupRelay == nil || !operation.mayRelayToGroup() {
-		return false
-	}
-	if operation.groupRelayBegan.IsZero() {
+	if operation.groupRelayUnused() {
 		operation.groupRelayBegan = time.Now()
 	}
+	if operation.groupRelay == nil || time.Since(operation.groupRelayBegan) >= groupRelayPeriod {
+		return false
+	}
 	operation.groupRelaying = true
 	go func() {
 		err := operation.groupRelay(ctx, operation.shard, operation.turn)
@@ -148,8 +147,19 @@
 	return true
 }
 
-func (operation *recordOperation) mayRelayToGroup() bool {
-	return operation.groupRelayBegan.IsZero() || time.Since(operation.groupRelayBegan) < groupRelayPeriod
+// handleGroupRelayFailure starts the group relay again while appends are slow. Otherwise this node
+// appends the turn itself.
+func (operation *recordOperation) handleGroupRelayFailure(ctx context.Context, err error) {
+	operation.groupRelaying = false
+	if errors.Is(err, ErrGroupWriter) {
+		operation.groupRelay = nil
+	}
+	if operation.recorder.appendsSlow() && operation.startGroupRelay(ctx) {
+		return
+	}
+	if operation.pendingAppends == 0 {
+		operation.tryNextPartition()
+	}
 }
 
 // tryNextPartition queues the turn for the next partition, the shard's own first.
