Test the first seconds of a slow log in virtual time

Cause: not mended here. From the moment the log becomes slow, nodes and group writers send more appends than a partition takes, and turns wait for longer than callers do. Change: a log of which each partition takes one append at a time, 48 and 84 nodes, 200 turns a second, in virtual time; and one group writer alone. Both tests fail on the code as it is.

--- /dev/null
+++ b/internal/node/slow_log_order_test.go
@@ -0,0 +1,477 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	nodev1 "github.com/magpielug/magpielug/api/node/v1"
+	"github.com/magpielug/magpielug/internal/durable"
+	"github.com/magpielug/magpielug/internal/history"
+	"github.com/magpielug/magpielug/internal/logging"
+	"github.com/magpielug/magpielug/internal/ownership"
+)
+
+const (
+	orderShards = 16
+	// orderCallerPatience is the pause after which a caller leaves its stream.
+	orderCallerPatience = 2 * time.Second
+	// orderQueueLimit is the wait beyond which a partition answers 503.
+	orderQueueLimit = 2 * time.Second
+	// orderFastPeriod is how long the log is fast before it becomes slow.
+	orderFastPeriod  = 2 * time.Second
+	fastAppendTime   = 4 * time.Millisecond
+	slowAppendTime   = 60 * fastAppendTime
+	orderNetworkTime = time.Millisecond
+	orderTurnsPerS   = 200
+)
+
+// serialLog is a log of which each partition takes one append at a time, and answers 503 while
+// appends of over orderQueueLimit wait. An append goes on in the log when its caller gives up.
+type serialLog struct {
+	*durable.Memory
+	mutex sync.Mutex
+	// appendTime returns how long an append that is taken at a time lasts; answerLost whether an
+	// append that is sent at a time is never answered.
+	appendTime func(at time.Time) time.Duration
+	answerLost func(at time.Time) bool
+	free       map[durable.Partition]time.Time
+	calls      []*serialCall
+}
+
+// serialCall is one call of Append.
+type serialCall struct {
+	node         string
+	number       int
+	turns        []string
+	sent, taken  time.Time
+	ended        time.Time
+	refused      bool
+	lost         bool
+	beside       bool
+	reasons      map[string]int
+	onlyRepeats  bool
+	durableTurns int
+}
+
+// nodeLog is the serial log as one node calls it.
+type nodeLog struct {
+	*serialLog
+	node string
+	run  *orderRun
+}
+
+func (log *nodeLog) Append(ctx context.Context, partition durable.Partition, records [][]byte, condition durable.Condition) (durable.AppendResult, error) {
+	now := time.Now()
+	call := &serialCall{node: log.node, number: partition.Number, sent: now, reasons: map[string]int{}}
+	for _, record := range records {
+		call.turns = append(call.turns, turnName(record))
+	}
+	log.mutex.Lock()
+	log.calls = append(log.calls, call)
+	log.run.classify(call)
+	free := log.free[partition]
+	if free.Sub(now) > orderQueueLimit {
+		call.refused = true
+		call.ended = now
+		log.mutex.Unlock()
+		time.Sleep(orderNetworkTime)
+		return durable.AppendResult{}, durable.ErrUnavailable
+	}
+	call.taken = now
+	if free.After(now) {
+		call.taken = free
+	}
+	call.ended = call.taken.Add(log.appendTime(call.taken))
+	log.free[partition] = call.ended
+	call.lost = log.answerLost != nil && log.answerLost(now)
+	log.mutex.Unlock()
+	if call.lost {
+		<-ctx.Done()
+		return durable.AppendResult{}, ctx.Err()
+	}
+	select {
+	case <-time.After(call.ended.Sub(now) + orderNetworkTime):
+		return durable.AppendResult{}, nil
+	case <-ctx.Done():
+		return durable.AppendResult{}, ctx.Err()
+	}
+}
+
+// turnName finds the ID of a turn in its record.
+func turnName(record []byte) string {
+	start := bytes.Index(record, []byte("<turn-"))
+	end := bytes.IndexByte(record[start:], '>')
+	return string(record[start : start+end+1])
+}
+
+// orderTurn is a turn of a run.
+type orderTurn struct {
+	shard    int
+	origin   string
+	asked    time.Time
+	recorded time.Duration
+	err      error
+}
+
+// orderRun is a fleet that records turns in a log that becomes slow.
+type orderRun struct {
+	log     *serialLog
+	network *fakeNetwork
+	nodes   []*Node
+	owners  []*Node
+	start   time.Time // of the slowness
+	mutex   sync.Mutex
+	turns   map[string]*orderTurn
+	// forOthers tells why a node records another's turn, sentBy which partitions each turn went to.
+	forOthers map[string]string
+	sent      map[string]bool
+	// frozen nodes answer nobody.
+	frozen map[string]bool
+}
+
+// classify tells why each turn of a call was sent. The caller holds the log's mutex.
+func (run *orderRun) classify(call *serialCall) {
+	run.mutex.Lock()
+	defer run.mutex.Unlock()
+	call.onlyRepeats = true
+	for _, name := range call.turns {
+		turn := run.turns[name]
+		reason := "first try"
+		switch {
+		case turn.origin != call.node:
+			reason = run.forOthers[call.node+name]
+		case run.sent[call.node+name]:
+			reason = "hedge or retry"
+		}
+		if call.number != turn.shard {
+			reason += ", other partition"
+		}
+		call.reasons[reason]++
+		run.sent[call.node+name] = true
+		if !run.sent[name] {
+			call.onlyRepeats = false
+		}
+		run.sent[name] = true
+	}
+	for _, other := range run.log.calls {
+		if other != call && other.node == call.node && other.number == call.number && !other.refused && other.ended.After(call.sent) {
+			call.beside = true
+		}
+	}
+}
+
+// orderServer notes why a node records another's turn.
+type orderServer struct {
+	*peerServer
+	run *orderRun
+}
+
+func (server *orderServer) Record(ctx context.Context, request *nodev1.RecordRequest) (*nodev1.RecordReply, error) {
+	server.run.mutex.Lock()
+	key := server.node.settings.Name + request.Turn.Id
+	if server.run.forOthers[key] == "" {
+		server.run.forOthers[key] = "relay"
+		if request.AcceptsPending {
+			server.run.forOthers[key] = "group relay"
+		}
+	}
+	server.run.mutex.Unlock()
+	return server.peerServer.Record(ctx, request)
+}
+
+// newOrderRun starts nodes whose first ones own the shards.
+func newOrderRun(t *testing.T, nodeCount int) *orderRun {
+	logger, err := logging.New("error", t.Output())
+	if err != nil {
+		t.Fatal(err)
+	}
+	run := &orderRun{network: &fakeNetwork{nodes: map[string]http.Handler{}, cut: map[[2]string]bool{}},
+		turns: map[string]*orderTurn{}, forOthers: map[string]string{}, sent: map[string]bool{}, frozen: map[string]bool{}}
+	run.log = &serialLog{Memory: durable.NewMemory(), free: map[durable.Partition]time.Time{}}
+	run.log.appendTime = func(at time.Time) time.Duration {
+		if at.Before(run.start) {
+			return fastAppendTime
+		}
+		return slowAppendTime
+	}
+	for number := range nodeCount {
+		name := "node-" + strconv.Itoa(number)
+		node := &Node{settings: Settings{Name: name, Shards: orderShards}, members: newMembers(), logger: logger.Sampled(), turns: history.NewStore(1 << 20)}
+		direct := run.network.clientFor(name)
+		node.peers = newPeers(node.members, &http.Client{Transport: roundTripperFunc(func(request *http.Request) (*http.Response, error) {
+			time.Sleep(orderNetworkTime)
+			run.mutex.Lock()
+			frozen := run.frozen[request.URL.Host]
+			run.mutex.Unlock()
+			if frozen {
+				<-request.Context().Done()
+				return nil, request.Context().Err()
+			}
+			return direct.Transport.RoundTrip(request)
+		})})
+		node.programs = newPrograms(node)
+		observed := &durable.Instrumented{Log: &nodeLog{serialLog: run.log, node: name, run: run},
+			Observe: func(operation, _ string, took time.Duration, err error) { node.logHealth.observe(operation, took, err) }}
+		node.recorder = history.NewRecorder(observed, orderShards)
+		node.recorder.SetRelay(node.recordRemotely)
+		node.recorder.EnableGroupCommit(node.recordInGroup, &node.logHealth)
+		run.network.nodes[name] = nodev1.NewNodeServer(&orderServer{peerServer: &peerServer{node: node}, run: run})
+		run.nodes = append(run.nodes, node)
+	}
+	for _, node := range run.nodes {
+		for _, other := range run.nodes {
+			node.members.put(Member{Name: other.settings.Name, Address: other.settings.Name, Capacity: 800})
+		}
+	}
+	for shard := range orderShards {
+		owner := run.nodes[0]
+		for _, node := range run.nodes {
+			if node.settings.Name == run.nodes[0].members.candidates(shard)[0].Name {
+				owner = node
+			}
+		}
+		run.owners = append(run.owners, owner)
+		for _, node := range run.nodes {
+			node.programs.owners[shard] = ownership.Owner{Node: owner.settings.Name, Epoch: 1}
+		}
+	}
+	return run
+}
+
+// gossip exchanges what nodes know of the log as the fleet does: every node asks its reader, one per
+// nodesPerReader nodes, each learnInterval, and the owner of a turn's shard when the turn begins.
+func (run *orderRun) gossip(ctx context.Context, random *rand.Rand) {
+	exchange := func(from, to *Node) {
+		to.logHealth.observeRemote(from.logHealth.report(time.Now()), time.Now())
+		from.logHealth.observeRemote(to.logHealth.report(time.Now()), time.Now())
+	}
+	for index, node := range run.nodes {
+		reader := run.nodes[index/nodesPerReader*nodesPerReader]
+		offset := time.Duration(random.Int64N(int64(learnInterval)))
+		go func() {
+			for time.Sleep(offset); ctx.Err() == nil; time.Sleep(learnInterval) {
+				exchange(node, reader)
+			}
+		}()
+	}
+	starts := rand.New(rand.NewPCG(random.Uint64(), 1))
+	go func() {
+		for ctx.Err() == nil {
+			time.Sleep(time.Second / orderTurnsPerS)
+			node, owner := run.nodes[starts.IntN(len(run.nodes))], run.owners[starts.IntN(orderShards)]
+			node.logHealth.observeRemote(owner.logHealth.report(time.Now()), time.Now())
+		}
+	}()
+}
+
+// play records turns at random nodes for a time after the log has become slow.
+func (run *orderRun) play(seed uint64, slowPeriod time.Duration) {
+	random := rand.New(rand.NewPCG(seed, 0))
+	run.start = time.Now().Add(orderFastPeriod)
+	ctx, cancel := context.WithCancel(context.Background())
+	run.gossip(ctx, random)
+	var group sync.WaitGroup
+	for number := 0; time.Since(run.start) < slowPeriod; number++ {
+		node := run.nodes[random.IntN(len(run.nodes))]
+		name := fmt.Sprintf("<turn-%d>", number)
+		turn := &orderTurn{shard: random.IntN(orderShards), origin: node.settings.Name, asked: time.Now()}
+		run.mutex.Lock()
+		run.turns[name] = turn
+		run.mutex.Unlock()
+		group.Go(func() {
+			patience, left := context.WithTimeout(context.Background(), orderCallerPatience)
+			defer left()
+			err := node.recorder.Record(patience, turn.shard, &history.Turn{ID: name, Program: "p", Input: []byte("in"), Output: []byte("out\n"), EndedAt: time.Now(), Retention: time.Minute})
+			turn.recorded, turn.err = time.Since(turn.asked), err
+			if err == nil { // The owner learns of it with the settlement.
+				run.owners[turn.shard].logHealth.observeAppend(turn.recorded)
+			}
+		})
+		time.Sleep(time.Second / orderTurnsPerS)
+	}
+	group.Wait()
+	cancel()
+	time.Sleep(20 * time.Second)
+}
+
+// report prints counts, and returns how many turns that were asked for from the slowness on, in a
+// period, were lost.
+func (run *orderRun) report(t *testing.T, periods ...time.Duration) int {
+	lost := 0
+	from := time.Duration(-time.Second)
+	for _, until := range periods {
+		var asked, failed int
+		var worst time.Duration
+		for _, turn := range run.turns {
+			at := turn.asked.Sub(run.start)
+			if at < from || at >= until {
+				continue
+			}
+			asked++
+			if turn.err != nil {
+				failed++
+			}
+			worst = max(worst, turn.recorded)
+		}
+		if until > 0 {
+			lost += failed
+		}
+		var calls, refused, beside, repeats, records, lostAnswers int
+		var wait time.Duration
+		reasons := map[string]int{}
+		for _, call := range run.log.calls {
+			at := call.sent.Sub(run.start)
+			if at < from || at >= until {
+				continue
+			}
+			calls++
+			records += len(call.turns)
+			if call.refused {
+				refused++
+				reasons["refused"]++
+				continue
+			}
+			if call.lost {
+				lostAnswers++
+			}
+			if call.beside {
+				beside++
+			}
+			if call.onlyRepeats {
+				repeats++
+			}
+			wait = max(wait, call.taken.Sub(call.sent))
+			names := slices.Sorted(maps.Keys(call.reasons))
+			reasons[strings.Join(names, " + ")]++
+		}
+		t.Logf("%v to %v: %d turns, %d lost, worst %v; %d appends with %d records, %d refused, %d beside the same node's own, %d with repeats only, %d unanswered, longest wait %v",
+			from, until, asked, failed, worst.Round(time.Millisecond), calls, records, refused, beside, repeats, lostAnswers, wait.Round(time.Millisecond))
+		for _, reason := range slices.Sorted(maps.Keys(reasons)) {
+			t.Logf("    %4d %s", reasons[reason], reason)
+		}
+		from = until
+	}
+	return lost
+}
+
+// inVirtualTime runs a test in virtual time, after the origin of atomicTime.
+func inVirtualTime(t *testing.T, run func(t *testing.T)) {
+	synctest.Test(t, func(t *testing.T) {
+		time.Sleep(time.Until(processStart.Round(0)) + time.Hour)
+		run(t)
+	})
+}
+
+// sampleKnowledge logs how many nodes know that appends are slow at times after the slowness began.
+func (run *orderRun) sampleKnowledge(t *testing.T, times ...time.Duration) {
+	go func() {
+		for run.start.IsZero() {
+			time.Sleep(time.Millisecond)
+		}
+		for _, at := range times {
+			time.Sleep(time.Until(run.start.Add(at)))
+			know, owners := 0, 0
+			for _, node := range run.nodes {
+				if node.logHealth.AppendsSlow() {
+					know++
+				}
+			}
+			for _, owner := range run.owners {
+				if owner.logHealth.AppendsSlow() {
+					owners++
+				}
+			}
+			run.log.mutex.Lock()
+			var total, worst time.Duration
+			for _, free := range run.log.free {
+				wait := max(0, time.Until(free))
+				total += wait
+				worst = max(worst, wait)
+			}
+			run.log.mutex.Unlock()
+			t.Logf("at %v: %d of %d nodes and %d of %d owners know; the partitions' queues hold %v on average, %v at most",
+				at, know, len(run.nodes), owners, orderShards, (total / orderShards).Round(time.Millisecond), worst.Round(time.Millisecond))
+		}
+	}()
+}
+
+var orderSamples = []time.Duration{60 * time.Millisecond, 100 * time.Millisecond, 250 * time.Millisecond, 400 * time.Millisecond, 700 * time.Millisecond,
+	time.Second, 1500 * time.Millisecond, 2 * time.Second, 2500 * time.Millisecond, 3 * time.Second, 3500 * time.Millisecond, 4 * time.Second, 5 * time.Second}
+
+// Guards against programs lost in the first seconds of a slow store: one append per partition at a
+// time, with all that waits behind it, would record every turn within two appends.
+func TestTurnsAreRecordedFromTheMomentTheLogBecomesSlow(t *testing.T) {
+	for _, nodeCount := range []int{48, 84} {
+		t.Run(strconv.Itoa(nodeCount)+" nodes", func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				run := newOrderRun(t, nodeCount)
+				run.sampleKnowledge(t, orderSamples...)
+				run.play(1, 6*time.Second)
+				lost := run.report(t, 0, 60*time.Millisecond, 100*time.Millisecond, 250*time.Millisecond, time.Second, 2*time.Second, 3*time.Second, 4*time.Second, 6*time.Second)
+				if lost > 0 {
+					t.Errorf("%d turns not recorded within %v", lost, orderCallerPatience)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a group writer that adds to the queue it waits in: while appends are slow, a second
+// append to its partition, or one to a neighbour's, carries nothing that its next one would not.
+func TestGroupWriterAppendsOneAtATimeWhileTheLogIsSlow(t *testing.T) {
+	// The partition holds some appends of other nodes, from before they knew that the log is slow.
+	for _, foreign := range []int{0, 3} {
+		t.Run(strconv.Itoa(foreign)+" appends before it", func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				run := newOrderRun(t, 4)
+				run.start = time.Now()
+				const shard = 1
+				partition := durable.Partition{Topic: history.Topic, Number: shard}
+				run.log.free[partition] = time.Now().Add(time.Duration(foreign) * slowAppendTime)
+				for _, node := range run.nodes {
+					node.logHealth.ObserveSlowAppend(time.Now())
+				}
+				ctx, cancel := context.WithTimeout(context.Background(), orderCallerPatience)
+				defer cancel()
+				var group sync.WaitGroup
+				// A partition's share of the turns, for one second.
+				for number := range orderTurnsPerS / orderShards {
+					name := fmt.Sprintf("<turn-%d>", number)
+					node := run.nodes[number%len(run.nodes)]
+					run.mutex.Lock()
+					turn := &orderTurn{shard: shard, origin: node.settings.Name, asked: time.Now()}
+					run.turns[name] = turn
+					run.mutex.Unlock()
+					group.Go(func() {
+						turn.err = node.recorder.Record(ctx, shard, &history.Turn{ID: name, Program: "p", Input: []byte("in"), Output: []byte("out\n"), EndedAt: time.Now(), Retention: time.Minute})
+						turn.recorded = time.Since(turn.asked)
+					})
+					time.Sleep(time.Second * orderShards / orderTurnsPerS)
+				}
+				group.Wait()
+				time.Sleep(20 * time.Second)
+				if run.report(t, 2*time.Second) > 0 {
+					t.Error("turns not recorded")
+				}
+				for _, call := range run.log.calls {
+					t.Logf("%v: %s to partition %d, taken %v later: %d turns, %v", call.sent.Sub(run.start).Round(time.Millisecond), call.node, call.number,
+						call.taken.Sub(call.sent).Round(time.Millisecond), len(call.turns), call.reasons)
+					if call.beside || call.number != shard {
+						t.Errorf("append at %v to partition %d, beside another: %v", call.sent.Sub(run.start), call.number, call.beside)
+					}
+				}
+			})
+		})
+	}
+}
