Test group writers that fail, lost answers and repeated group relays in a slow log

Cause: not mended here. A group relay repeats its request with the ages of its first try, so the writer takes old observations for new ones. Change: tests in virtual time: two owners frozen, half of the nodes with another owner in view, 3 in 10 answers lost, one repeated group relay. The table says when the last fast append is believed to have ended.

--- a/internal/node/slow_log_order_test.go
+++ b/internal/node/slow_log_order_test.go
@@ -140,6 +140,12 @@
 	frozen map[string]bool
 }
 
+func (run *orderRun) isFrozen(name string) bool {
+	run.mutex.Lock()
+	defer run.mutex.Unlock()
+	return run.frozen[name]
+}
+
 // classify tells why each turn of a call was sent. The caller holds the log's mutex.
 func (run *orderRun) classify(call *serialCall) {
 	run.mutex.Lock()
@@ -211,10 +217,7 @@
 		direct := run.network.clientFor(name)
 		node.peers = newPeers(node.members, &http.Client{Transport: roundTripperFunc(func(request *http.Request) (*http.Response, error) {
 			time.Sleep(orderNetworkTime)
-			run.mutex.Lock()
-			frozen := run.frozen[request.URL.Host]
-			run.mutex.Unlock()
-			if frozen {
+			if run.isFrozen(request.URL.Host) {
 				<-request.Context().Done()
 				return nil, request.Context().Err()
 			}
@@ -284,6 +287,9 @@
 	var group sync.WaitGroup
 	for number := 0; time.Since(run.start) < slowPeriod; number++ {
 		node := run.nodes[random.IntN(len(run.nodes))]
+		for run.isFrozen(node.settings.Name) {
+			node = run.nodes[random.IntN(len(run.nodes))]
+		}
 		name := fmt.Sprintf("<turn-%d>", number)
 		turn := &orderTurn{shard: random.IntN(orderShards), origin: node.settings.Name, asked: time.Now()}
 		run.mutex.Lock()
@@ -382,7 +388,9 @@
 		for _, at := range times {
 			time.Sleep(time.Until(run.start.Add(at)))
 			know, owners := 0, 0
+			latestFast := -time.Hour
 			for _, node := range run.nodes {
+				latestFast = max(latestFast, at-node.logHealth.lastFastAppend.age(time.Now()))
 				if node.logHealth.AppendsSlow() {
 					know++
 				}
@@ -400,8 +408,8 @@
 				worst = max(worst, wait)
 			}
 			run.log.mutex.Unlock()
-			t.Logf("at %v: %d of %d nodes and %d of %d owners know; the partitions' queues hold %v on average, %v at most",
-				at, know, len(run.nodes), owners, orderShards, (total / orderShards).Round(time.Millisecond), worst.Round(time.Millisecond))
+			t.Logf("at %v: %d of %d nodes and %d of %d owners know; the partitions' queues hold %v on average, %v at most; the last fast append is believed to have ended at %v",
+				at, know, len(run.nodes), owners, orderShards, (total / orderShards).Round(time.Millisecond), worst.Round(time.Millisecond), latestFast.Round(time.Millisecond))
 		}
 	}()
 }
@@ -427,6 +435,93 @@
 	}
 }
 
+// Guards against the same losses where group writers don't answer, or where nodes disagree about the
+// owner of a shard. The candidates that take their place need one recordTimeout more.
+func TestTurnsAreRecordedInASlowLogWhenGroupWritersFail(t *testing.T) {
+	const nodeCount = 84
+	for name, harm := range map[string]func(run *orderRun){
+		"two owners frozen from the beginning": func(run *orderRun) {
+			run.frozen[run.owners[3].settings.Name] = true
+			run.frozen[run.owners[7].settings.Name] = true
+		},
+		"half of the nodes know another owner": func(run *orderRun) {
+			for index, node := range run.nodes {
+				for shard := range orderShards {
+					if index%2 == 0 {
+						node.programs.owners[shard] = ownership.Owner{Node: run.nodes[0].members.candidates(shard)[1].Name, Epoch: 1}
+					}
+				}
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				run := newOrderRun(t, nodeCount)
+				go func() {
+					for run.start.IsZero() {
+						time.Sleep(time.Millisecond)
+					}
+					time.Sleep(time.Until(run.start))
+					run.mutex.Lock()
+					defer run.mutex.Unlock()
+					harm(run)
+				}()
+				run.sampleKnowledge(t, orderSamples...)
+				run.play(1, 6*time.Second)
+				lost := run.report(t, 0, 250*time.Millisecond, time.Second, 2*time.Second, 3*time.Second, 4*time.Second, 6*time.Second)
+				if lost > 0 {
+					t.Errorf("%d turns not recorded within %v", lost, orderCallerPatience)
+				}
+			})
+		})
+	}
+}
+
+// Guards against taking a log that loses 3 in 10 answers for a slow one.
+func TestALogThatLosesAnswersIsNotTakenForASlowOne(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		run := newOrderRun(t, 84)
+		run.log.appendTime = func(time.Time) time.Duration { return fastAppendTime }
+		random := rand.New(rand.NewPCG(7, 7))
+		run.log.answerLost = func(at time.Time) bool { return !at.Before(run.start) && random.IntN(10) < 3 }
+		run.sampleKnowledge(t, orderSamples...)
+		run.play(1, 6*time.Second)
+		if lost := run.report(t, 0, 250*time.Millisecond, time.Second, 2*time.Second, 3*time.Second, 6*time.Second); lost > 0 {
+			t.Errorf("%d turns not recorded within %v", lost, orderCallerPatience)
+		}
+	})
+}
+
+// Guards against an observation that seems newer with each repetition of a request: nodes then
+// believe that an append was fast since the log became slow, and send hedges that add to its queues.
+func TestARepeatedGroupRelayDoesNotRenewWhatItObserved(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		run := newOrderRun(t, 2)
+		run.start = time.Now()
+		const shard = 1
+		writer, requester := run.owners[shard], run.nodes[0]
+		if writer == requester {
+			requester = run.nodes[1]
+		}
+		run.log.free[durable.Partition{Topic: history.Topic, Number: shard}] = run.start.Add(orderQueueLimit)
+		requester.logHealth.observe(durable.OperationAppend, fastAppendTime, nil)
+		time.Sleep(fastAppendTime)
+		requester.logHealth.ObserveSlowAppend(time.Now())
+		run.turns["<turn-0>"] = &orderTurn{shard: shard, origin: requester.settings.Name, asked: time.Now()}
+		ctx, cancel := context.WithTimeout(context.Background(), orderCallerPatience)
+		defer cancel()
+		go func() {
+			_ = requester.recorder.Record(ctx, shard, &history.Turn{ID: "<turn-0>", Program: "p", Input: []byte("in"), Output: []byte("out\n"), EndedAt: time.Now(), Retention: time.Minute})
+		}()
+		time.Sleep(time.Second)
+		// The one fast append ended at the start; ages are whole milliseconds and travel for one more.
+		if tolerance := 10 * time.Millisecond; writer.logHealth.FastAppendSince(run.start.Add(tolerance)) {
+			t.Errorf("after 1 s the writer believes that an append ended %v ago and was fast", writer.logHealth.lastFastAppend.age(time.Now()))
+		}
+		time.Sleep(20 * time.Second)
+	})
+}
+
 // Guards against a group writer that adds to the queue it waits in: while appends are slow, a second
 // append to its partition, or one to a neighbour's, carries nothing that its next one would not.
 func TestGroupWriterAppendsOneAtATimeWhileTheLogIsSlow(t *testing.T) {
