node: what is known of the log's appends does not get newer as it is told

Cause: a group relay built its request, with the ages of the latest slow and fast append, once, and repeated it each 250 ms while the turn was pending. The writer took each repetition for a new observation: the last fast append, from before the log was slow, seemed 250 ms newer each time. The writer then believed that the log was fast, sent its turns to further partitions, beside their own writers, and began second appends. Two smaller parts of it: each hop adds the time of the message (0.35 s per second where messages take 10 ms), and a fast append counted from its end, which may lie after the log has become slow.

Change: ages are taken anew for each request; a reported observation counts only if it is newer by more than the time of messages; appends count from their begin.

--- a/internal/node/log_health.go
+++ b/internal/node/log_health.go
@@ -15,6 +15,9 @@
 	// recordStallAfter replaces logUnavailableAfter while a turn has been waiting for longer than
 	// this to be recorded.
 	recordStallAfter = 700 * time.Millisecond
+	// reportTolerance is how much newer than it is an observation may seem that other nodes have
+	// reported, because of the time that messages take.
+	reportTolerance = 100 * time.Millisecond
 )
 
 // logHealth tracks when the log last answered any node, this one or one that reported it, and when
@@ -22,8 +25,8 @@
 // safe for concurrent use.
 type logHealth struct {
 	lastResponse atomicTime
-	// lastSlowAppend is when the latest slow append began, lastFastAppend when the latest other one
-	// ended.
+	// lastSlowAppend and lastFastAppend are when the latest slow append and the latest other one
+	// began.
 	lastSlowAppend atomicTime
 	lastFastAppend atomicTime
 }
@@ -45,7 +48,7 @@
 		health.ObserveSlowAppend(now.Add(-took))
 		return
 	}
-	health.lastFastAppend.advance(now)
+	health.lastFastAppend.advance(now.Add(-took))
 }
 
 // ObserveSlowAppend implements history.AppendHealth.
@@ -62,7 +65,7 @@
 
 // FastAppendSince implements history.AppendHealth.
 func (health *logHealth) FastAppendSince(since time.Time) bool {
-	return !health.lastFastAppend.isZero() && health.lastFastAppend.notBefore(since)
+	return !health.lastFastAppend.isZero() && health.lastFastAppend.notBefore(since.Add(reportTolerance))
 }
 
 // logObservations are the ages, in milliseconds, of what a node knows of the log, as it reports
@@ -95,11 +98,20 @@
 	if reported.responseAge > 0 {
 		health.lastResponse.advance(now.Add(-milliseconds(reported.responseAge)))
 	}
-	if reported.slowAppendAge > 0 {
-		health.lastSlowAppend.advance(now.Add(-milliseconds(reported.slowAppendAge)))
+	advanceReported(&health.lastSlowAppend, reported.slowAppendAge, now)
+	advanceReported(&health.lastFastAppend, reported.fastAppendAge, now)
+}
+
+// advanceReported stores the time of an observation reported by another node, unless it may be one
+// that is known already. The time of the message makes a reported observation seem newer, and nodes
+// that report it to each other would make it ever newer.
+func advanceReported(known *atomicTime, age int64, now time.Time) {
+	if age <= 0 {
+		return
 	}
-	if reported.fastAppendAge > 0 {
-		health.lastFastAppend.advance(now.Add(-milliseconds(reported.fastAppendAge)))
+	at := now.Add(-milliseconds(age))
+	if known.isZero() || !known.notBefore(at.Add(-reportTolerance)) {
+		known.advance(at)
 	}
 }
 
--- a/internal/node/turns.go
+++ b/internal/node/turns.go
@@ -184,9 +184,7 @@
 // recordInGroup records a turn through the node that batches the appends of the shard's partition,
 // as the recorder's group relay. It fails if that is this node or if the writers do not respond.
 func (node *Node) recordInGroup(ctx context.Context, shard int, turn *history.Turn) error {
-	observed := node.logHealth.report(time.Now())
-	request := &nodev1.RecordRequest{Shard: uint32(shard), Turn: history.ToProto(turn), AcceptsPending: true,
-		SlowAppendAgeMs: observed.slowAppendAge, FastAppendAgeMs: observed.fastAppendAge}
+	request := &nodev1.RecordRequest{Shard: uint32(shard), Turn: history.ToProto(turn), AcceptsPending: true}
 	lastError := errUnknownNode
 	for _, writer := range node.groupWriters(shard, turn) {
 		if writer.Name == node.settings.Name {
@@ -207,6 +205,9 @@
 func (node *Node) recordAt(ctx context.Context, writer Member, request *nodev1.RecordRequest) error {
 	client := node.peers.clientAt(writer.Address)
 	for {
+		observed := node.logHealth.report(time.Now())
+		request.SlowAppendAgeMs = observed.slowAppendAge
+		request.FastAppendAgeMs = observed.fastAppendAge
 		bounded, cancel := context.WithTimeout(ctx, recordTimeout)
 		reply, err := client.Record(bounded, request)
 		cancel()
