forward: a turn that was not recorded reports no time of its recording

Callers saw: after some seconds of a slow store, nodes stopped leaving their turns to the group writer, and further turns were lost.

Cause: the time since the recording began was set before its error was looked at, and sent to the program's owner with the settlement. A caller that left less than 100 ms into the recording was counted as a fast append, and nodes told each other.

Evidence: trace by load: recordings lost after 21, 41 and 10 ms, settlements counted as fast 2 to 5 ms later, the only fast ones while the store was slow; 10 to 21 appends by nodes other than the group writer within a second of them.

Change: the time is reported with the turn, not without it. The test failed before (the time was positive with an error).

--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -58,7 +58,7 @@
 	Turn *history.Turn
 	// FailedEngine is the engine that ran the turn and failed, empty if none did.
 	FailedEngine string
-	// RecordTime is how long it took to record the turn, 0 if it is not stored.
+	// RecordTime is how long it took to record the turn, 0 if Turn is nil.
 	RecordTime time.Duration
 }
 
@@ -390,10 +390,13 @@
 // settle reports the outcome of the reserved turn to its owner.
 func (inflight *inflightCall) settle(turn *history.Turn) {
 	inflight.reserved = false
-	inflight.service.Programs.Settle(inflight.call, inflight.reservation.Grant, TurnResult{
+	result := TurnResult{
 		Tokens:       inflight.eventCount * int64(inflight.serviceConfig.TokensPerEvent),
 		Turn:         turn,
 		FailedEngine: inflight.failedEngine,
-		RecordTime:   inflight.recordDuration,
-	})
+	}
+	if turn != nil {
+		result.RecordTime = inflight.recordDuration
+	}
+	inflight.service.Programs.Settle(inflight.call, inflight.reservation.Grant, result)
 }
--- a/internal/forward/service_test.go
+++ b/internal/forward/service_test.go
@@ -125,9 +125,11 @@
 	settled      []int64
 	// failedEngine is that of the last Settle call.
 	failedEngine string
-	recorded     []*history.Turn
-	recordError  error
-	wait         time.Duration
+	// recordTime is that of the last Settle call.
+	recordTime  time.Duration
+	recorded    []*history.Turn
+	recordError error
+	wait        time.Duration
 }
 
 func (programs *fakePrograms) Reserve(_ context.Context, request *forward.ReservationRequest) forward.Reservation {
@@ -144,6 +146,7 @@
 	defer programs.mutex.Unlock()
 	programs.settled = append(programs.settled, end.Tokens)
 	programs.failedEngine = end.FailedEngine
+	programs.recordTime = end.RecordTime
 }
 
 func (programs *fakePrograms) Record(_ context.Context, turn *history.Turn) error {
@@ -521,6 +524,18 @@
 		Expect(response.aborted).To(BeTrue())
 	})
 
+	// Guards against a slow log that is taken for a fast one because a caller left early.
+	It("reports how long it took to record a turn only if the turn was recorded", func() {
+		sender.responses = []func() (*forward.EngineResponse, error){respondWith(200, strings.NewReader("data: a\n\n"))}
+		serve("/kept/x")
+		Expect(programs.recordTime).To(BeNumerically(">", 0))
+
+		sender.responses = []func() (*forward.EngineResponse, error){respondWith(200, strings.NewReader("data: a\n\n"))}
+		programs.recordError = errors.New("store unavailable")
+		serve("/kept/x")
+		Expect(programs.recordTime).To(BeZero())
+	})
+
 	It("tries other engines after refusals, and refuses early if all are full", func() {
 		sender.responses = []func() (*forward.EngineResponse, error){refuse, respondWith(200, strings.NewReader("ok"))}
 		Expect(serve("/tool/x").body.String()).To(Equal("ok"))
