node: a turn recorded for another node is remembered when its recording ends

Callers saw: turns late or lost in a slow store although their records were made.

Cause: a group writer forgot a recording when it ended. Where that was between two requests for it, the next request appended the turn anew. An append to a slow partition takes about as long as the writer waits before it replies that the turn is pending, so that this was common.

TestARecordingThatEndedBetweenRequestsIsNotMadeAgain failed before.

Change: a successful recording is kept for five seconds, a failed one is forgotten at once, so that a further request tries again.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -108,8 +108,8 @@
 	unownedReads chan struct{}
 	// searches deduplicates concurrent chain lookups by their last turn.
 	searches singleflight.Group
-	// groupRecordings deduplicates the recordings of other nodes' turns by turn.
-	groupRecordings singleflight.Group
+	// recordings are those of other nodes' turns.
+	recordings recordings
 
 	ownership *ownership.Manager
 	assigner  *assignment.Assigner
--- a/internal/node/turns.go
+++ b/internal/node/turns.go
@@ -11,7 +11,6 @@
 	"github.com/magpielug/magpielug/internal/history"
 	"github.com/magpielug/magpielug/internal/logging"
 	"go.uber.org/zap"
-	"golang.org/x/sync/singleflight"
 )
 
 const (
@@ -33,8 +32,6 @@
 	// pendingReplyAfter is how long a group writer waits for the log before it replies that the
 	// turn is pending, so that the requester can tell a slow log from a frozen node.
 	pendingReplyAfter = 250 * time.Millisecond
-	// groupRecordTimeout bounds the recording of a turn for another node.
-	groupRecordTimeout = 4 * time.Second
 	// maxUnownedReads bounds the partitions of other nodes' shards that a node reads concurrently.
 	// After the loss of all nodes, unbounded reads would saturate the links to the durable log.
 	maxUnownedReads = 1
@@ -259,12 +256,13 @@
 		// A group writer has to know at once that the log is slow: it limits its own appends then.
 		server.node.logHealth.observeRemote(logObservations{slowAppendAge: request.SlowAppendAgeMs, fastAppendAge: request.FastAppendAgeMs}, time.Now())
 	}
+	recording := server.node.recordings.start(server.node.recorder, int(request.Shard), history.FromProto(request.Turn))
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	select {
-	case result := <-server.node.recordForOther(int(request.Shard), history.FromProto(request.Turn)):
-		if result.Err != nil {
-			return nil, result.Err
+	case <-recording.done:
+		if recording.err != nil {
+			return nil, recording.err
 		}
 		return &nodev1.RecordReply{}, nil
 	case <-timer.C:
@@ -286,12 +284,3 @@
 	}
 	return node.recorder.AppendFailedRecently()
 }
-
-// recordForOther records another node's turn. Repeated requests for a turn share one recording.
-func (node *Node) recordForOther(shard int, turn *history.Turn) <-chan singleflight.Result {
-	return node.groupRecordings.DoChan(strconv.Quote(turn.Tenant)+turn.ID, func() (any, error) {
-		bounded, cancel := context.WithTimeout(context.Background(), groupRecordTimeout)
-		defer cancel()
-		return nil, node.recorder.RecordLocally(bounded, shard, turn)
-	})
-}
