history: turns always go to their shard's writer, one append behind the other

Cause: five mechanisms acted on a turn without knowing of each other: a queue's workers, hedges to further partitions, the relay, the group relay and the postponement of hedges. Each answered silence with one more append. A slow partition ends an append in 0.24 s, and answers 0.2 s later; 3 to 8 were in flight at each, half to two thirds of them hedges.

Change: a turn is left to its shard's writer at all times, so that nothing has to be known when the log becomes slow. The writer has two appends in flight at most; a second one begins when the log is about to end the first. An overdue append is checked by a read: if the log has the record, it is acknowledged, if the log responds at once without it, it is appended again, and if the log does not respond at once, it is slow and gets nothing more. Turns go to another partition only once an append that began later is known to be fast. A writer to which the log does not respond while it is fast for others is passed over. Older writers and requesters work beside new ones.

--- a/internal/durable/hedge.go
+++ b/internal/durable/hedge.go
@@ -13,6 +13,9 @@
 	hedgeDelayFactor = 4
 	minHedgeDelay    = 60 * time.Millisecond
 	maxHedgeDelay    = 600 * time.Millisecond
+	// overdueFactor is the latency of an overdue append as a multiple of the average.
+	overdueFactor = 2
+	minOverdue    = 30 * time.Millisecond
 	// SlowAppend is the latency from which a successful append counts as slow.
 	SlowAppend = 100 * time.Millisecond
 	// SlowAppendMemory is how long appends count as slow after a slow one. It exceeds the time
@@ -60,6 +63,13 @@
 	return min(max(hedgeDelayFactor*latency.average, minHedgeDelay), maxHedgeDelay)
 }
 
+// OverdueAfter returns the latency from which an append is worth a check that costs the log nothing.
+func (latency *AppendLatency) OverdueAfter() time.Duration {
+	latency.mutex.Lock()
+	defer latency.mutex.Unlock()
+	return min(max(overdueFactor*latency.average, minOverdue), maxHedgeDelay)
+}
+
 // IdempotentAppend is an append that may be sent more than once: the store
 // deduplicates it by its fence's sequence number, or duplicates are harmless.
 type IdempotentAppend func(ctx context.Context) error
--- /dev/null
+++ b/internal/history/partition_writer.go
@@ -0,0 +1,347 @@
+package history
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/magpielug/magpielug/internal/durable"
+)
+
+const (
+	// maxBatchBytes bounds the size of the records in one append.
+	maxBatchBytes = 512 << 10
+	// appendTimeout bounds one append.
+	appendTimeout = 2500 * time.Millisecond
+	// maxAppendsInFlight bounds a node's appends of new records to one partition. A slow log works on
+	// one while the response to the other is on its way; more of them would only queue. While the log
+	// is fast, records need not wait for an append whose response is lost.
+	maxAppendsInFlight = 2
+	// maxUnconfirmedAppends bounds the appends to one partition while none has been acknowledged and
+	// no other append is known to be fast.
+	maxUnconfirmedAppends = 3
+	// checkTimeout is how long the read that checks an overdue append may take. A log that takes
+	// longer is slow or does not respond, and a further append would not help.
+	checkTimeout = durable.SlowAppend
+	// checkInterval is the time between two checks while the log does not respond to them.
+	checkInterval = 500 * time.Millisecond
+	// maxRepeatDelay bounds the delay before overdue records are appended again, which doubles each
+	// time. A log that has been silent for that long has probably dropped the append.
+	maxRepeatDelay = time.Second
+	// unknownEnd is the offset of a check while the partition's end is not known. It is beyond the
+	// end, so that the response is small.
+	unknownEnd int64 = 1 << 40
+)
+
+// partitionWriter appends a node's records to one partition. Few appends are in flight, and the records
+// that arrive meanwhile go into the next one: each further append to a slow partition would delay all
+// that follow it. An overdue append is checked by a read, which tells a lost response from a slow log
+// at no cost to the partition. It is safe for concurrent use.
+type partitionWriter struct {
+	recorder  *Recorder
+	partition durable.Partition
+	// mutex guards all that follows, and the state of the records.
+	mutex sync.Mutex
+	// waiting holds the records that no append in flight carries, oldest first.
+	waiting []*pendingRecord
+	// inFlight holds the appends without a response, oldest first.
+	inFlight []*partitionAppend
+	// endOffset is the partition's end after the latest acknowledged append, unknownEnd if there was
+	// none.
+	endOffset int64
+	// latency is that of the latest acknowledged append, acknowledgedAt when it ended.
+	latency        time.Duration
+	acknowledgedAt time.Time
+	// serviceTime is the shortest time between the responses to two appends in flight since appends are
+	// slow, 0 if it is not known. The log works on one append for that long at most.
+	serviceTime time.Duration
+	// checking is true during a check. nextCheck is the earliest time of the next one.
+	checking  bool
+	nextCheck time.Time
+	// repeatDelay is the delay before overdue records are appended once more, 0 if none were appended
+	// again since the latest acknowledged append.
+	repeatDelay time.Duration
+	// timer calls wake when an append or a check is due.
+	timer *time.Timer
+}
+
+// pendingRecord is a record that the log has not acknowledged. ctx ends when its result is of no more
+// use.
+type pendingRecord struct {
+	ctx          context.Context
+	record       []byte
+	done         chan<- error
+	acknowledged bool
+}
+
+func newPartitionWriter(recorder *Recorder, partition durable.Partition) *partitionWriter {
+	return &partitionWriter{recorder: recorder, partition: partition, endOffset: unknownEnd}
+}
+
+// partitionAppend is an append in flight.
+type partitionAppend struct {
+	records []*pendingRecord
+	began   time.Time
+}
+
+// add queues a record until ctx ends. done receives the result; its buffer has room for it.
+func (writer *partitionWriter) add(ctx context.Context, record []byte, done chan<- error) {
+	writer.mutex.Lock()
+	defer writer.mutex.Unlock()
+	writer.waiting = append(writer.waiting, &pendingRecord{ctx: ctx, record: record, done: done})
+	writer.advance()
+}
+
+func (writer *partitionWriter) wake() {
+	writer.mutex.Lock()
+	defer writer.mutex.Unlock()
+	writer.advance()
+}
+
+// advance begins what is due, an append or a check, and sets the timer for what is due later. The
+// caller holds the mutex.
+func (writer *partitionWriter) advance() {
+	now := time.Now()
+	if len(writer.waiting) > 0 && !now.Before(writer.nextAppendAt(now)) {
+		writer.start()
+	}
+	if len(writer.inFlight) == 0 {
+		return
+	}
+	checkAt := writer.checkAt()
+	if !writer.checking && !now.Before(checkAt) {
+		writer.checking = true
+		go writer.check(writer.endOffset)
+	}
+	writer.wakeAt(checkAt, now)
+}
+
+// wakeAt sets the timer for the next check or append, whichever is due first. The caller holds the
+// mutex.
+func (writer *partitionWriter) wakeAt(checkAt, now time.Time) {
+	due := checkAt
+	if len(writer.waiting) > 0 {
+		appendAt := writer.nextAppendAt(now)
+		if appendAt.Before(due) || !now.Before(due) {
+			due = appendAt
+		}
+	}
+	if writer.timer != nil {
+		writer.timer.Stop()
+	}
+	if now.Before(due) {
+		writer.timer = time.AfterFunc(due.Sub(now), writer.wake)
+	}
+}
+
+// nextAppendAt returns when the next append of waiting records may begin. While appends are slow, it
+// begins before the previous one has ended, so that the partition does not idle while the response is
+// on its way, but not so early that it would queue. The caller holds the mutex.
+func (writer *partitionWriter) nextAppendAt(now time.Time) time.Time {
+	if len(writer.inFlight) == 0 {
+		return now
+	}
+	latest := writer.inFlight[len(writer.inFlight)-1]
+	if len(writer.inFlight) >= maxAppendsInFlight {
+		return latest.began.Add(appendTimeout)
+	}
+	if writer.latency < durable.SlowAppend {
+		return now
+	}
+	return latest.began.Add(max(writer.latency/maxAppendsInFlight, writer.serviceTime))
+}
+
+// checkAt returns when the oldest append in flight is to be checked. The caller holds the mutex.
+func (writer *partitionWriter) checkAt() time.Time {
+	due := writer.inFlight[0].began.Add(writer.recorder.appendLatency.OverdueAfter())
+	if writer.nextCheck.After(due) {
+		return writer.nextCheck
+	}
+	return due
+}
+
+// start begins an append of as many waiting records as fit. The caller holds the mutex.
+func (writer *partitionWriter) start() {
+	flight := &partitionAppend{began: time.Now()}
+	bytes := 0
+	for len(writer.waiting) > 0 {
+		record := writer.waiting[0]
+		if len(flight.records) > 0 && bytes+len(record.record) > maxBatchBytes {
+			break
+		}
+		writer.waiting = writer.waiting[1:]
+		if record.needed() {
+			flight.records = append(flight.records, record)
+			bytes += len(record.record)
+		}
+	}
+	if len(flight.records) == 0 {
+		return
+	}
+	writer.inFlight = append(writer.inFlight, flight)
+	go writer.send(flight)
+}
+
+func (writer *partitionWriter) send(flight *partitionAppend) {
+	records := make([][]byte, len(flight.records))
+	for index, record := range flight.records {
+		records[index] = record.record
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), appendTimeout)
+	defer cancel()
+	result, err := writer.recorder.log.Append(ctx, writer.partition, records, durable.Condition{})
+	writer.mutex.Lock()
+	defer writer.mutex.Unlock()
+	if err == nil {
+		writer.succeed(flight, result)
+	} else {
+		writer.fail(flight, err)
+	}
+	writer.advance()
+}
+
+// succeed reports an acknowledged append. The caller holds the mutex.
+func (writer *partitionWriter) succeed(flight *partitionAppend, result durable.AppendResult) {
+	for _, record := range flight.records {
+		record.acknowledge()
+	}
+	writer.recorder.observeSuccess(flight.began)
+	writer.endOffset = result.EndOffset
+	writer.observeLatency(flight.began)
+	writer.repeatDelay = 0
+	writer.inFlight = slices.DeleteFunc(writer.inFlight, func(other *partitionAppend) bool { return other == flight })
+}
+
+// observeLatency updates the latency and the service time after a successful append. The caller holds
+// the mutex.
+func (writer *partitionWriter) observeLatency(began time.Time) {
+	now := time.Now()
+	writer.latency = now.Sub(began)
+	between := now.Sub(writer.acknowledgedAt)
+	if writer.latency < durable.SlowAppend {
+		writer.serviceTime = 0
+	} else if began.Before(writer.acknowledgedAt) && (writer.serviceTime == 0 || between < writer.serviceTime) {
+		writer.serviceTime = between
+	}
+	writer.acknowledgedAt = now
+}
+
+// fail reports a failed append, unless its records are appended again. The caller holds the mutex.
+func (writer *partitionWriter) fail(flight *partitionAppend, err error) {
+	index := slices.Index(writer.inFlight, flight)
+	if index < 0 {
+		return
+	}
+	writer.recorder.observeFailure()
+	writer.inFlight = slices.Delete(writer.inFlight, index, index+1)
+	repeated := append(neededRecords(writer.inFlight), writer.waiting...)
+	for _, record := range neededRecords([]*partitionAppend{flight}) {
+		if !slices.Contains(repeated, record) {
+			record.report(err)
+		}
+	}
+}
+
+// check reads what was appended since endOffset. The records that the log has are acknowledged. Those
+// of an overdue append that it does not have are appended again, if the log responds at once.
+func (writer *partitionWriter) check(endOffset int64) {
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
+	defer cancel()
+	batch, err := writer.recorder.log.Read(ctx, writer.partition, endOffset, 0)
+	writer.mutex.Lock()
+	defer writer.mutex.Unlock()
+	writer.checking = false
+	responded := durable.LogResponded(err)
+	writer.acknowledgeStored(batch.Records)
+	if len(writer.inFlight) > 0 {
+		writer.handleOverdue(began, responded)
+	}
+	writer.advance()
+}
+
+// acknowledgeStored acknowledges the records in flight that the log has returned. The caller holds
+// the mutex.
+func (writer *partitionWriter) acknowledgeStored(records [][]byte) {
+	stored := make(map[string]bool, len(records))
+	for _, record := range records {
+		stored[string(record)] = true
+	}
+	for _, record := range neededRecords(writer.inFlight) {
+		if stored[string(record.record)] {
+			record.acknowledge()
+		}
+	}
+	writer.inFlight = slices.DeleteFunc(writer.inFlight, func(flight *partitionAppend) bool {
+		return !slices.ContainsFunc(flight.records, func(record *pendingRecord) bool { return !record.acknowledged })
+	})
+}
+
+// handleOverdue appends the records of overdue appends again after a check, if the log has responded
+// or has been silent for long. The caller holds the mutex; an append is in flight.
+func (writer *partitionWriter) handleOverdue(checkBegan time.Time, responded bool) {
+	now := time.Now()
+	delay := writer.recorder.appendLatency.OverdueAfter()
+	overdue := 0
+	for overdue < len(writer.inFlight) && checkBegan.Sub(writer.inFlight[overdue].began) >= delay {
+		overdue++
+	}
+	if overdue == 0 {
+		return
+	}
+	latest := writer.inFlight[overdue-1]
+	silent := now.Sub(latest.began) >= maxRepeatDelay
+	if !responded && !silent {
+		writer.recorder.observeSlowAppend(writer.inFlight[0].began)
+		writer.nextCheck = now.Add(checkInterval)
+		return
+	}
+	records := neededRecords(writer.inFlight[:overdue])
+	if len(writer.inFlight) >= maxUnconfirmedAppends {
+		if !silent && !writer.recorder.fastAppendSince(latest.began) {
+			writer.nextCheck = now.Add(checkInterval)
+			return
+		}
+		writer.inFlight = writer.inFlight[overdue:]
+	}
+	writer.repeatDelay = min(2*max(writer.repeatDelay, delay), maxRepeatDelay)
+	writer.nextCheck = now.Add(writer.repeatDelay)
+	writer.waiting = append(records, writer.waiting...)
+	writer.start()
+}
+
+// neededRecords returns the records of appends that are still needed, oldest first.
+func neededRecords(appends []*partitionAppend) []*pendingRecord {
+	var records []*pendingRecord
+	for _, flight := range appends {
+		for _, record := range flight.records {
+			if record.needed() && !slices.Contains(records, record) {
+				records = append(records, record)
+			}
+		}
+	}
+	return records
+}
+
+// needed reports whether the record has not been acknowledged and its result is still of use.
+func (record *pendingRecord) needed() bool {
+	return !record.acknowledged && record.ctx.Err() == nil
+}
+
+// acknowledge reports the record's success, once.
+func (record *pendingRecord) acknowledge() {
+	if record.acknowledged {
+		return
+	}
+	record.acknowledged = true
+	record.report(nil)
+}
+
+// report passes a result on, unless the caller has returned.
+func (record *pendingRecord) report(err error) {
+	select {
+	case record.done <- err:
+	default:
+	}
+}
--- a/internal/node/log_health.go
+++ b/internal/node/log_health.go
@@ -51,6 +51,14 @@
 	health.lastFastAppend.advance(now.Add(-took))
 }
 
+// observeRelayed records how long another node took to record a turn. A long time may have other
+// causes than a slow append.
+func (health *logHealth) observeRelayed(took time.Duration) {
+	if took < durable.SlowAppend {
+		health.observeAppend(took)
+	}
+}
+
 // ObserveSlowAppend implements history.AppendHealth.
 func (health *logHealth) ObserveSlowAppend(begun time.Time) { health.lastSlowAppend.advance(begun) }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -38,6 +38,7 @@
 	errUnknownNode   = errors.New("unknown node")
 	errUnknownShard  = errors.New("shard out of range")
 	errLogRefused    = errors.New("the durable log has recently rejected this node")
+	errWriterStalled = errors.New("the durable log responds to other nodes but not to the group writer")
 	errNoLimit       = errors.New("admission request for a tenant without a limit")
 	errNoLoadSharing = twirp.Unimplemented.Error("load sharing is disabled on this node")
 	errStillReading  = errors.New("the turns before are still being read")
--- a/internal/node/programs.go
+++ b/internal/node/programs.go
@@ -42,13 +42,15 @@
 type programs struct {
 	node     *Node
 	suspects *suspects
+	// suspectedWriters are nodes that failed to record turns for this one. They may still own shards.
+	suspectedWriters *suspects
 	// mutex guards owners.
 	mutex  sync.Mutex
 	owners map[int]ownership.Owner
 }
 
 func newPrograms(node *Node) *programs {
-	return &programs{node: node, owners: map[int]ownership.Owner{}, suspects: newSuspects()}
+	return &programs{node: node, owners: map[int]ownership.Owner{}, suspects: newSuspects(), suspectedWriters: newSuspects()}
 }
 
 // shardOf returns the shard of a program.
--- a/internal/node/recordings.go
+++ b/internal/node/recordings.go
@@ -43,19 +43,19 @@
 	}
 	started := &recording{done: make(chan struct{})}
 	recordings.byKey[key] = started
-	go recordings.run(started, recorder, shard, turn)
+	go recordings.run(key, started, recorder, shard, turn)
 	return started
 }
 
 // run records a turn. Only a success is kept: after a failure, a further request starts anew.
-func (recordings *recordings) run(started *recording, recorder *history.Recorder, shard int, turn *history.Turn) {
+func (recordings *recordings) run(key history.Key, started *recording, recorder *history.Recorder, shard int, turn *history.Turn) {
 	ctx, cancel := context.WithTimeout(context.Background(), remoteRecordTimeout)
 	defer cancel()
 	started.err = recorder.RecordLocally(ctx, shard, turn)
 	if started.err != nil {
-		recordings.forget(turn.Key())
+		recordings.forget(key)
 	} else {
-		time.AfterFunc(recordingMemory, func() { recordings.forget(turn.Key()) })
+		time.AfterFunc(recordingMemory, func() { recordings.forget(key) })
 	}
 	close(started.done)
 }
--- a/internal/node/turns.go
+++ b/internal/node/turns.go
@@ -29,9 +29,16 @@
 	recordTimeout  = 500 * time.Millisecond
 	// maxGroupWriters is how many nodes are asked to record a turn in a group commit.
 	maxGroupWriters = 2
-	// pendingReplyAfter is how long a group writer waits for the log before it replies that the
-	// turn is pending, so that the requester can tell a slow log from a frozen node.
+	// firstPendingReply is how long a group writer waits for the log before it first replies that a
+	// turn is pending, so that the requester can tell a slow log from an unresponsive node.
+	// pendingReplyAfter is how long it waits after each further request.
+	firstPendingReply = 60 * time.Millisecond
 	pendingReplyAfter = 250 * time.Millisecond
+	// firstReplyTimeout bounds a group writer's first reply. Further ones may take recordTimeout.
+	firstReplyTimeout = 150 * time.Millisecond
+	// writerStalledAfter is how long a turn may be pending at a group writer while appends of other
+	// nodes are fast.
+	writerStalledAfter = 250 * time.Millisecond
 	// maxUnownedReads bounds the partitions of other nodes' shards that a node reads concurrently.
 	// After the loss of all nodes, unbounded reads would saturate the links to the durable log.
 	maxUnownedReads = 1
@@ -179,7 +186,7 @@
 }
 
 // recordInGroup records a turn through the node that batches the appends of the shard's partition,
-// as the recorder's group relay. It fails if that is this node or if the writers do not respond.
+// as the recorder's group relay. It fails if that is this node or if the writers cannot record it.
 func (node *Node) recordInGroup(ctx context.Context, shard int, turn *history.Turn) error {
 	request := &nodev1.RecordRequest{Shard: uint32(shard), Turn: history.ToProto(turn), AcceptsPending: true}
 	lastError := errUnknownNode
@@ -191,7 +198,7 @@
 		if lastError == nil || ctx.Err() != nil {
 			return lastError
 		}
-		node.programs.suspects.add(writer.Name, time.Now().Add(ownerSuspicion))
+		node.programs.suspectedWriters.add(writer.Name, time.Now().Add(ownerSuspicion))
 		node.logger.Info("group writer failed", zap.String("request", turn.ID), zap.Int("shard", shard),
 			zap.String("node", writer.Name), logging.ErrorField(lastError))
 	}
@@ -199,21 +206,41 @@
 }
 
 // recordAt repeats a recording request to a group writer while it replies that the turn is pending.
+// It fails if the turn stays pending although appends of other nodes are fast: the log does not
+// respond to the writer then.
 func (node *Node) recordAt(ctx context.Context, writer Member, request *nodev1.RecordRequest) error {
-	client := node.peers.clientAt(writer.Address)
+	began := time.Now()
+	timeout := firstReplyTimeout
+	request.PendingAfterMs = firstPendingReply.Milliseconds()
 	for {
-		observed := node.logHealth.report(time.Now())
-		request.SlowAppendAgeMs = observed.slowAppendAge
-		request.FastAppendAgeMs = observed.fastAppendAge
-		bounded, cancel := context.WithTimeout(ctx, recordTimeout)
-		reply, err := client.Record(bounded, request)
-		cancel()
-		if err != nil || !reply.Pending {
+		reply, err := node.requestRecording(ctx, writer, request, timeout)
+		if err != nil {
 			return err
 		}
+		took := time.Since(began)
+		if !reply.Pending {
+			node.logHealth.observeRelayed(took)
+			return nil
+		}
+		if took >= writerStalledAfter && node.logHealth.FastAppendSince(began) {
+			return errWriterStalled
+		}
+		timeout = recordTimeout
+		request.PendingAfterMs = pendingReplyAfter.Milliseconds()
 	}
 }
 
+// requestRecording sends a recording request to a group writer, with what this node knows of the
+// log's appends.
+func (node *Node) requestRecording(ctx context.Context, writer Member, request *nodev1.RecordRequest, timeout time.Duration) (*nodev1.RecordReply, error) {
+	observed := node.logHealth.report(time.Now())
+	request.SlowAppendAgeMs = observed.slowAppendAge
+	request.FastAppendAgeMs = observed.fastAppendAge
+	bounded, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return node.peers.clientAt(writer.Address).Record(bounded, request)
+}
+
 // groupWriters returns the nodes that may batch a shard's appends for all nodes, in order of
 // preference: the known owner, then the candidates. Only nodes that may receive the turn and are
 // not suspected are included.
@@ -227,7 +254,8 @@
 	}
 	now := time.Now()
 	writers := slices.DeleteFunc(candidates, func(member Member) bool {
-		return !node.mayReceiveTurn(member.Name, turn) || node.programs.suspects.contains(member.Name, now)
+		return !node.mayReceiveTurn(member.Name, turn) || node.programs.suspects.contains(member.Name, now) ||
+			node.programs.suspectedWriters.contains(member.Name, now)
 	})
 	return writers[:min(maxGroupWriters, len(writers))]
 }
@@ -247,14 +275,17 @@
 	if int(request.Shard) >= server.node.settings.Shards || request.Turn == nil {
 		return nil, errUnknownShard
 	}
+	// A group writer has to know at once that the log is slow: it accepts turns after failures then.
+	server.node.logHealth.observeRemote(logObservations{slowAppendAge: request.SlowAppendAgeMs, fastAppendAge: request.FastAppendAgeMs}, time.Now())
 	if server.node.rejectsRecordings(request) {
 		return nil, errLogRefused
 	}
 	timeout := recordTimeout
 	if request.AcceptsPending {
 		timeout = pendingReplyAfter
-		// A group writer has to know at once that the log is slow: it limits its own appends then.
-		server.node.logHealth.observeRemote(logObservations{slowAppendAge: request.SlowAppendAgeMs, fastAppendAge: request.FastAppendAgeMs}, time.Now())
+	}
+	if request.PendingAfterMs > 0 {
+		timeout = min(milliseconds(request.PendingAfterMs), recordTimeout)
 	}
 	recording := server.node.recordings.start(server.node.recorder, int(request.Shard), history.FromProto(request.Turn))
 	timer := time.NewTimer(timeout)
