durable: an append of a ceiling or claim is hedged only if the log responds to a read

Callers saw: reservations that waited for a ceiling while the store was slow took longer than one append (reserve up to 1 s), and lost time for their turns.

Cause: the same as that of the turns: Hedge answered silence with further appends, at 60, 120 and 180 ms, to the partition that they wait for.

Evidence: read in the code by the trace by order; by load, 35 to 37 of 115 to 129 appends of the spending topic ended without use while the store was slow (p50 of the others 445 ms, of which a partition's turn is 240 ms).

Change: before a further attempt, a read tells a lost response from a slow log; a log that does not respond to it for a second gets the attempt all the same. The read is the one that turns' writers use. The test failed before (repeated after 60 ms). Claims and ceilings keep their fences and sequence numbers.

--- a/internal/durable/durable_test.go
+++ b/internal/durable/durable_test.go
@@ -84,11 +84,42 @@
 	})
 })
 
+// silentReads is a log whose reads are not answered.
+type silentReads struct{ durable.Log }
+
+func (silentReads) Read(ctx context.Context, _ durable.Partition, _ int64, _ time.Duration) (durable.Batch, error) {
+	<-ctx.Done()
+	return durable.Batch{}, ctx.Err()
+}
+
 var _ = Describe("Hedge", func() {
+	partition := durable.Partition{Topic: "topic", Number: 1}
+	var log durable.Log
+
+	BeforeEach(func() { log = durable.NewMemory() })
+
+	// Guards against attempts that lengthen the queue of a slow log, which delays the append itself.
+	It("sends nothing more to a log that does not respond at once, until it has been silent for long", func() {
+		var latency durable.AppendLatency
+		var attempts atomic.Int32
+		began := time.Now()
+		var repeated time.Duration
+		err := durable.Hedge(context.Background(), &latency, silentReads{log}, partition, func(ctx context.Context) error {
+			if attempts.Add(1) == 1 {
+				<-ctx.Done()
+				return ctx.Err()
+			}
+			repeated = time.Since(began)
+			return nil
+		})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(repeated).To(BeNumerically(">=", time.Second))
+	})
+
 	It("sends another attempt if a response is lost, and returns the first known outcome", func() {
 		var latency durable.AppendLatency
 		var attempts atomic.Int32
-		err := durable.Hedge(context.Background(), &latency, func(ctx context.Context) error {
+		err := durable.Hedge(context.Background(), &latency, log, partition, func(ctx context.Context) error {
 			if attempts.Add(1) == 1 {
 				<-ctx.Done()
 				return ctx.Err()
@@ -101,7 +132,7 @@
 
 	It("returns at once if the append was not applied", func() {
 		var latency durable.AppendLatency
-		err := durable.Hedge(context.Background(), &latency, func(context.Context) error { return durable.ErrFenced })
+		err := durable.Hedge(context.Background(), &latency, log, partition, func(context.Context) error { return durable.ErrFenced })
 		Expect(err).To(MatchError(durable.ErrFenced))
 	})
 
@@ -111,7 +142,7 @@
 		defer cancel()
 		done := make(chan error, 1)
 		go func() {
-			done <- durable.Hedge(ctx, &latency, func(ctx context.Context) error {
+			done <- durable.Hedge(ctx, &latency, log, partition, func(ctx context.Context) error {
 				<-ctx.Done()
 				return ctx.Err()
 			})
--- a/internal/durable/hedge.go
+++ b/internal/durable/hedge.go
@@ -24,6 +24,11 @@
 	// slowHedgeDelay is the hedge delay while appends are slow. Hedges then lengthen the queue
 	// that delays the appends.
 	slowHedgeDelay = 1600 * time.Millisecond
+	// slowCheckInterval is the time between two checks of a log that does not respond at once.
+	slowCheckInterval = 250 * time.Millisecond
+	// maxSilence is how long an attempt waits for a log that does not respond at once before another
+	// one is sent. The log may have dropped the attempt.
+	maxSilence = time.Second
 	// maxAppendAttempts bounds the attempts of one append.
 	maxAppendAttempts = 4
 	// latencyWeight is the weight of the newest sample in the moving average.
@@ -74,26 +79,32 @@
 // deduplicates it by its fence's sequence number, or duplicates are harmless.
 type IdempotentAppend func(ctx context.Context) error
 
-// Hedge sends an append, and sends further attempts while none has completed,
-// because an attempt whose response was lost never completes. It returns the result
-// of the first attempt with a known outcome, the last error once all attempts sent
+// Hedge sends an append to a partition, and sends further attempts while none has completed
+// and the log responds to a read at once: an attempt whose response was lost never completes,
+// but in a slow log each further attempt delays all appends to the partition. It returns the
+// result of the first attempt with a known outcome, the last error once all attempts sent
 // have failed, or ctx's error when it is done.
-func Hedge(ctx context.Context, latency *AppendLatency, send IdempotentAppend) error {
+func Hedge(ctx context.Context, latency *AppendLatency, log Log, partition Partition, send IdempotentAppend) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan error, maxAppendAttempts)
+	lastSent := time.Time{}
 	launch := func() {
-		start := time.Now()
-		err := send(ctx)
-		if err == nil {
-			latency.Observe(time.Since(start))
-		}
-		results <- err
+		lastSent = time.Now()
+		go func() {
+			start := time.Now()
+			err := send(ctx)
+			if err == nil {
+				latency.Observe(time.Since(start))
+			}
+			results <- err
+		}()
 	}
-	go launch()
+	launch()
 	sent, completed := 1, 0
 	timer := time.NewTimer(latency.HedgeDelay())
 	defer timer.Stop()
+	checked := make(chan bool, 1)
 	for {
 		select {
 		case err := <-results:
@@ -103,10 +114,19 @@
 			}
 		case <-timer.C:
 			if sent < maxAppendAttempts && feature.Enabled(feature.HedgedAppends) {
-				sent++
-				go launch()
-				timer.Reset(latency.HedgeDelay())
+				go func() {
+					_, responds := ReadAtOnce(ctx, log, partition, UnknownEnd)
+					checked <- responds
+				}()
+			}
+		case responds := <-checked:
+			if !responds && time.Since(lastSent) < maxSilence {
+				timer.Reset(slowCheckInterval)
+				continue
 			}
+			sent++
+			launch()
+			timer.Reset(latency.HedgeDelay())
 		case <-ctx.Done():
 			return ctx.Err()
 		}
--- a/internal/history/partition_writer.go
+++ b/internal/history/partition_writer.go
@@ -21,17 +21,11 @@
 	// maxUnconfirmedAppends bounds the appends to one partition while none has been acknowledged and
 	// no other append is known to be fast.
 	maxUnconfirmedAppends = 3
-	// checkTimeout is how long the read that checks an overdue append may take. A log that takes
-	// longer is slow or does not respond, and a further append would not help.
-	checkTimeout = durable.SlowAppend
 	// checkInterval is the time between two checks while the log does not respond to them.
 	checkInterval = 500 * time.Millisecond
 	// maxRepeatDelay bounds the delay before overdue records are appended again, which doubles each
 	// time. A log that has been silent for that long has probably dropped the append.
 	maxRepeatDelay = time.Second
-	// unknownEnd is the offset of a check while the partition's end is not known. It is beyond the
-	// end, so that the response is small.
-	unknownEnd int64 = 1 << 40
 )
 
 // partitionWriter appends a node's records to one partition. Few appends are in flight, and the records
@@ -47,8 +41,8 @@
 	waiting []*pendingRecord
 	// inFlight holds the appends without a response, oldest first.
 	inFlight []*partitionAppend
-	// endOffset is the partition's end after the latest acknowledged append, unknownEnd if there was
-	// none.
+	// endOffset is the partition's end after the latest acknowledged append, durable.UnknownEnd if there
+	// was none.
 	endOffset int64
 	// latency is that of the latest acknowledged append, acknowledgedAt when it ended.
 	latency        time.Duration
@@ -76,7 +70,7 @@
 }
 
 func newPartitionWriter(recorder *Recorder, partition durable.Partition) *partitionWriter {
-	return &partitionWriter{recorder: recorder, partition: partition, endOffset: unknownEnd}
+	return &partitionWriter{recorder: recorder, partition: partition, endOffset: durable.UnknownEnd}
 }
 
 // partitionAppend is an append in flight.
@@ -247,13 +241,10 @@
 // of an overdue append that it does not have are appended again, if the log responds at once.
 func (writer *partitionWriter) check(endOffset int64) {
 	began := time.Now()
-	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
-	defer cancel()
-	batch, err := writer.recorder.log.Read(ctx, writer.partition, endOffset, 0)
+	batch, responded := durable.ReadAtOnce(context.Background(), writer.recorder.log, writer.partition, endOffset)
 	writer.mutex.Lock()
 	defer writer.mutex.Unlock()
 	writer.checking = false
-	responded := durable.LogResponded(err)
 	writer.acknowledgeStored(batch.Records)
 	if len(writer.inFlight) > 0 {
 		writer.handleOverdue(began, responded)
--- a/internal/ownership/claim.go
+++ b/internal/ownership/claim.go
@@ -135,7 +135,7 @@
 	expectedEnd := replay.nextOffset
 	fence := durable.Fence{Producer: producer, Epoch: epoch, Sequence: sequence}
 	replay.claimSent = true
-	err = durable.Hedge(ctx, &manager.appendLatency, func(ctx context.Context) error {
+	err = durable.Hedge(ctx, &manager.appendLatency, manager.log, replay.partition, func(ctx context.Context) error {
 		_, err := manager.log.Append(ctx, replay.partition, records, durable.Condition{ExpectedEnd: &expectedEnd, Fence: &fence})
 		return err
 	})
--- a/internal/ownership/write.go
+++ b/internal/ownership/write.go
@@ -38,7 +38,7 @@
 func (manager *Manager) append(partition durable.Partition, fence durable.Fence, records [][]byte) error {
 	for backoff := initialAppendBackoff; ; backoff = min(2*backoff, maxAppendBackoff) {
 		ctx, cancel := context.WithTimeout(manager.context, appendTimeout)
-		err := durable.Hedge(ctx, &manager.appendLatency, func(ctx context.Context) error {
+		err := durable.Hedge(ctx, &manager.appendLatency, manager.log, partition, func(ctx context.Context) error {
 			_, err := manager.log.Append(ctx, partition, records, durable.Condition{Fence: &fence})
 			return err
 		})
