--- a/internal/feature/feature.go
+++ b/internal/feature/feature.go
@@ -42,7 +42,7 @@
 	SafeRepeats Feature = "safe-repeats"
 	// RemoteRecording: a turn can be recorded by a node other than its own.
 	RemoteRecording Feature = "recording-elsewhere"
-	// GroupCommit: while appends are slow, one node appends the turns of a partition for all.
+	// GroupCommit: one node appends the turns of a partition for all.
 	GroupCommit Feature = "group-commit"
 	// OwnershipHandover: an owner that cannot write hands over its shards.
 	OwnershipHandover Feature = "yielding"
