--- /dev/null
+++ b/internal/node/review_partition_test.go
@@ -0,0 +1,76 @@
+package node
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/magpielug/magpielug/internal/durable"
+	"github.com/magpielug/magpielug/internal/history"
+)
+
+// Counts, over seeds, the turns lost where one partition is silent to all, and tells which shards they are of.
+func TestReviewOnePartitionSilentOverSeeds(t *testing.T) {
+	for seed := range uint64(10) {
+		inVirtualTime(t, func(t *testing.T) {
+			run := newOrderRun(t, 84, time.Millisecond)
+			run.log.appendTime = func(time.Time) time.Duration { return fastAppendTime }
+			for _, node := range run.nodes {
+				log := &onePartitionLog{Log: &nodeLog{serialLog: run.log, node: node.settings.Name, run: run}, number: 3, from: run.start}
+				node.recorder = history.NewRecorder(&durable.Instrumented{Log: log,
+					Observe: func(operation, _ string, took time.Duration, err error) { node.logHealth.observe(operation, took, err) }}, orderShards)
+				node.recorder.SetRelay(node.recordRemotely)
+				node.recorder.EnableGroupCommit(node.recordInGroup, &node.logHealth)
+			}
+			run.play(seed, 8*time.Second)
+			for name, turn := range run.turns {
+				if turn.err != nil {
+					t.Errorf("seed %d: %s of shard %d at %v from %s lost (owner of shard 3 is %s, of its shard %s): %v", seed, name, turn.shard, turn.asked.Sub(run.start), turn.origin,
+						run.owners[3].settings.Name, run.owners[turn.shard].settings.Name, turn.err)
+				}
+			}
+		})
+	}
+}
+
+// The same cause with a log that is slow only in one partition.
+func TestReviewOnePartitionSlow(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		run := newOrderRun(t, 84, time.Millisecond)
+		run.log.appendTime = func(time.Time) time.Duration { return fastAppendTime }
+		for _, node := range run.nodes {
+			log := &slowPartitionLog{nodeLog: nodeLog{serialLog: run.log, node: node.settings.Name, run: run}}
+			node.recorder = history.NewRecorder(&durable.Instrumented{Log: log,
+				Observe: func(operation, _ string, took time.Duration, err error) { node.logHealth.observe(operation, took, err) }}, orderShards)
+			node.recorder.SetRelay(node.recordRemotely)
+			node.recorder.EnableGroupCommit(node.recordInGroup, &node.logHealth)
+		}
+		run.play(1, 6*time.Second)
+		if lost := run.report(t, 0, time.Second, 3*time.Second, 6*time.Second); lost > 0 {
+			t.Errorf("%d turns not recorded within %v", lost, orderCallerPatience)
+		}
+		count := 0
+		for _, call := range run.log.calls {
+			if call.number == 3 && !call.sent.Before(run.start) {
+				count++
+			}
+		}
+		t.Logf("%d appends to the slow partition in 6 s", count)
+	})
+}
+
+// slowPartitionLog busies partition 3 for slowAppendTime with each append.
+type slowPartitionLog struct{ nodeLog }
+
+func (log *slowPartitionLog) Append(ctx context.Context, partition durable.Partition, records [][]byte, condition durable.Condition) (durable.AppendResult, error) {
+	if partition.Number == 3 && !time.Now().Before(log.run.start) {
+		log.mutex.Lock()
+		free := log.free[partition]
+		if free.Before(time.Now()) {
+			free = time.Now()
+		}
+		log.free[partition] = free.Add(slowAppendTime - fastAppendTime)
+		log.mutex.Unlock()
+	}
+	return log.nodeLog.Append(ctx, partition, records, condition)
+}
