--- a/internal/durable/read_at_once.go
+++ b/internal/durable/read_at_once.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 )
 
@@ -18,5 +19,9 @@
 	bounded, cancel := context.WithTimeout(ctx, responseTimeout)
 	defer cancel()
 	batch, err := log.Read(bounded, partition, from, 0)
+	var trimmed *TrimmedError
+	if errors.As(err, &trimmed) {
+		batch.FirstOffset = trimmed.FirstOffset
+	}
 	return batch, LogResponded(err)
 }
--- a/internal/history/partition_writer.go
+++ b/internal/history/partition_writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -23,6 +24,8 @@
 	maxUnconfirmedAppends = 3
 	// checkInterval is the time between two checks while the log does not respond to them.
 	checkInterval = 500 * time.Millisecond
+	// recentRecords is how many records before the partition's end the first check begins to read.
+	recentRecords = 64
 	// maxRepeatDelay bounds the delay before overdue records are appended again, which doubles each
 	// time. A log that has been silent for that long has probably dropped the append.
 	maxRepeatDelay = time.Second
@@ -41,9 +44,9 @@
 	waiting []*pendingRecord
 	// inFlight holds the appends without a response, oldest first.
 	inFlight []*partitionAppend
-	// endOffset is the partition's end after the latest acknowledged append, durable.UnknownEnd if there
-	// was none.
-	endOffset int64
+	// checkOffset is where the next check begins to read: no record in flight or waiting is stored
+	// before it. It is durable.UnknownEnd before the first response of the log.
+	checkOffset int64
 	// latency is that of the latest acknowledged append, acknowledgedAt when it ended.
 	latency        time.Duration
 	acknowledgedAt time.Time
@@ -67,10 +70,15 @@
 	record       []byte
 	done         chan<- error
 	acknowledged bool
+	// failed is true once an error was reported. The record may be acknowledged afterwards.
+	failed bool
 }
 
+// errPartitionSilent means that a partition does not respond while another one does.
+var errPartitionSilent = errors.New("the partition does not respond")
+
 func newPartitionWriter(recorder *Recorder, partition durable.Partition) *partitionWriter {
-	return &partitionWriter{recorder: recorder, partition: partition, endOffset: durable.UnknownEnd}
+	return &partitionWriter{recorder: recorder, partition: partition, checkOffset: durable.UnknownEnd}
 }
 
 // partitionAppend is an append in flight.
@@ -97,7 +105,7 @@
 // caller holds the mutex.
 func (writer *partitionWriter) advance() {
 	now := time.Now()
-	if len(writer.waiting) > 0 && !now.Before(writer.nextAppendAt(now)) {
+	for len(writer.waiting) > 0 && !now.Before(writer.nextAppendAt(now)) {
 		writer.start()
 	}
 	if len(writer.inFlight) == 0 {
@@ -106,7 +114,7 @@
 	checkAt := writer.checkAt()
 	if !writer.checking && !now.Before(checkAt) {
 		writer.checking = true
-		go writer.check(writer.endOffset)
+		go writer.check(writer.checkOffset)
 	}
 	writer.wakeAt(checkAt, now)
 }
@@ -201,9 +209,11 @@
 		record.acknowledge()
 	}
 	writer.recorder.observeSuccess(flight.began)
-	writer.endOffset = result.EndOffset
 	writer.observeLatency(flight.began)
 	writer.repeatDelay = 0
+	if len(writer.inFlight) > 0 && writer.inFlight[0] == flight {
+		writer.checkOffset = result.EndOffset
+	}
 	writer.inFlight = slices.DeleteFunc(writer.inFlight, func(other *partitionAppend) bool { return other == flight })
 }
 
@@ -232,34 +242,60 @@
 	repeated := append(neededRecords(writer.inFlight), writer.waiting...)
 	for _, record := range neededRecords([]*partitionAppend{flight}) {
 		if !slices.Contains(repeated, record) {
-			record.report(err)
+			record.fail(err)
 		}
 	}
 }
 
-// check reads what was appended since endOffset. The records that the log has are acknowledged. Those
+// check reads what was appended since an offset. The records that the log has are acknowledged. Those
 // of an overdue append that it does not have are appended again, if the log responds at once.
-func (writer *partitionWriter) check(endOffset int64) {
+func (writer *partitionWriter) check(offset int64) {
 	began := time.Now()
-	batch, responded := durable.ReadAtOnce(context.Background(), writer.recorder.log, writer.partition, endOffset)
+	batch, responded := durable.ReadAtOnce(context.Background(), writer.recorder.log, writer.partition, offset)
+	otherResponds := !responded && writer.otherPartitionResponds()
 	writer.mutex.Lock()
 	defer writer.mutex.Unlock()
 	writer.checking = false
-	writer.acknowledgeStored(batch.Records)
+	if responded && offset == durable.UnknownEnd {
+		writer.checkOffset = max(batch.EndOffset-recentRecords, batch.FirstOffset, 0)
+		writer.advance()
+		return
+	}
+	if responded {
+		writer.acknowledgeStored(batch.Records)
+		writer.checkOffset = max(offset+int64(len(batch.Records)), batch.FirstOffset)
+	}
+	if otherResponds {
+		writer.failAll(errPartitionSilent)
+	}
 	if len(writer.inFlight) > 0 {
 		writer.handleOverdue(began, responded)
 	}
 	writer.advance()
 }
 
-// acknowledgeStored acknowledges the records in flight that the log has returned. The caller holds
-// the mutex.
+// otherPartitionResponds reports whether the log responds to a read of another partition at once.
+func (writer *partitionWriter) otherPartitionResponds() bool {
+	other := (writer.partition.Number + 1) % writer.recorder.shards
+	return other != writer.partition.Number && writer.recorder.LogRespondsAtOnce(context.Background(), other)
+}
+
+// failAll reports an error for all records, so that they are appended elsewhere. The caller holds the
+// mutex.
+func (writer *partitionWriter) failAll(err error) {
+	for _, record := range append(neededRecords(writer.inFlight), writer.waiting...) {
+		record.fail(err)
+	}
+	writer.waiting = nil
+}
+
+// acknowledgeStored acknowledges the records that the log has returned. The caller holds the mutex.
 func (writer *partitionWriter) acknowledgeStored(records [][]byte) {
 	stored := make(map[string]bool, len(records))
 	for _, record := range records {
 		stored[string(record)] = true
 	}
-	for _, record := range neededRecords(writer.inFlight) {
+	for _, record := range append(neededRecords(writer.inFlight), writer.waiting...) {
 		if stored[string(record.record)] {
 			record.acknowledge()
 		}
@@ -273,32 +309,29 @@
 // or has been silent for long. The caller holds the mutex; an append is in flight.
 func (writer *partitionWriter) handleOverdue(checkBegan time.Time, responded bool) {
 	now := time.Now()
-	delay := writer.recorder.appendLatency.OverdueAfter()
+	// Many overdue appends end before they count as slow.
+	delay := max(writer.recorder.appendLatency.OverdueAfter(), durable.SlowAppend)
 	overdue := 0
 	for overdue < len(writer.inFlight) && checkBegan.Sub(writer.inFlight[overdue].began) >= delay {
 		overdue++
 	}
 	if overdue == 0 {
+		writer.nextCheck = writer.inFlight[0].began.Add(delay)
 		return
 	}
 	latest := writer.inFlight[overdue-1]
-	silent := now.Sub(latest.began) >= maxRepeatDelay
-	if !responded && !silent {
-		writer.recorder.observeSlowAppend(writer.inFlight[0].began)
+	silent := min(now.Sub(latest.began), now.Sub(writer.acknowledgedAt)) >= maxRepeatDelay
+	unconfirmed := len(writer.inFlight) >= maxUnconfirmedAppends && !writer.recorder.fastAppendSince(latest.began)
+	if !silent && (!responded || unconfirmed) {
 		writer.nextCheck = now.Add(checkInterval)
 		return
 	}
-	records := neededRecords(writer.inFlight[:overdue])
+	writer.repeatDelay = min(2*max(writer.repeatDelay, delay), maxRepeatDelay)
+	writer.nextCheck = now.Add(writer.repeatDelay)
+	writer.waiting = append(neededRecords(writer.inFlight[:overdue]), writer.waiting...)
 	if len(writer.inFlight) >= maxUnconfirmedAppends {
-		if !silent && !writer.recorder.fastAppendSince(latest.began) {
-			writer.nextCheck = now.Add(checkInterval)
-			return
-		}
 		writer.inFlight = writer.inFlight[overdue:]
 	}
-	writer.repeatDelay = min(2*max(writer.repeatDelay, delay), maxRepeatDelay)
-	writer.nextCheck = now.Add(writer.repeatDelay)
-	writer.waiting = append(records, writer.waiting...)
 	writer.start()
 }
 
@@ -317,7 +350,13 @@
 
 // needed reports whether the record has not been acknowledged and its result is still of use.
 func (record *pendingRecord) needed() bool {
-	return !record.acknowledged && record.ctx.Err() == nil
+	return !record.acknowledged && !record.failed && record.ctx.Err() == nil
+}
+
+// fail reports an error.
+func (record *pendingRecord) fail(err error) {
+	record.failed = true
+	record.report(err)
 }
 
 // acknowledge reports the record's success, once.
--- a/internal/history/record_operation.go
+++ b/internal/history/record_operation.go
@@ -127,9 +127,10 @@
 	return operation.recorder.appendsSlow() || time.Since(operation.lastTry) < silentLogHedgeDelay
 }
 
-// hedge sends the turn elsewhere after appends without a response or with failures.
+// hedge sends the turn elsewhere after appends without a response or with failures: to another
+// partition, and to another node, since the log may not respond to this one.
 func (operation *recordOperation) hedge(ctx context.Context) {
-	if operation.partitionsTried > 1 {
+	if operation.partitionsTried > 0 {
 		operation.startRelay(ctx)
 	}
 	operation.tryNextPartition(ctx)
--- a/internal/history/recorder.go
+++ b/internal/history/recorder.go
@@ -45,9 +45,6 @@
 
 // AppendHealth tracks how fast the log appends, as observed by any node.
 type AppendHealth interface {
-	// ObserveSlowAppend records that an append begun at a time is overdue, and that the log responds
-	// to nothing else at once.
-	ObserveSlowAppend(begun time.Time)
 	// AppendsSlow reports whether appends are slow: a slow one is recent, and no fast one has begun
 	// since. A log that merely loses responses still has fast appends.
 	AppendsSlow() bool
@@ -78,6 +75,13 @@
 	recorder.appendHealth = health
 }
 
+// LogRespondsAtOnce reports whether the log responds to a read of a shard's partition at once. A log
+// that does not is slow, or does not respond to this node.
+func (recorder *Recorder) LogRespondsAtOnce(ctx context.Context, shard int) bool {
+	_, responds := durable.ReadAtOnce(ctx, recorder.log, durable.Partition{Topic: Topic, Number: shard}, durable.UnknownEnd)
+	return responds
+}
+
 // AppendFailedRecently reports whether the latest append failed less than appendFailureWindow
 // ago. Such a node cannot record turns for other nodes.
 func (recorder *Recorder) AppendFailedRecently() bool {
@@ -174,12 +178,6 @@
 	return recorder.appendHealth != nil && recorder.appendHealth.AppendsSlow()
 }
 
-func (recorder *Recorder) observeSlowAppend(begun time.Time) {
-	if recorder.appendHealth != nil {
-		recorder.appendHealth.ObserveSlowAppend(begun)
-	}
-}
-
 // fastAppendSince reports whether an append is known to have been fast since a time; true without
 // group commit.
 func (recorder *Recorder) fastAppendSince(since time.Time) bool {
--- a/internal/node/log_health.go
+++ b/internal/node/log_health.go
@@ -25,6 +25,8 @@
 // safe for concurrent use.
 type logHealth struct {
 	lastResponse atomicTime
+	// lastOwnResponse is when the log last responded to this node.
+	lastOwnResponse atomicTime
 	// lastSlowAppend and lastFastAppend are when the latest slow append and the latest other one
 	// began.
 	lastSlowAppend atomicTime
@@ -35,6 +37,7 @@
 func (health *logHealth) observe(operation string, took time.Duration, err error) {
 	if durable.LogResponded(err) {
 		health.lastResponse.advance(time.Now())
+		health.lastOwnResponse.advance(time.Now())
 	}
 	if operation == durable.OperationAppend && err == nil {
 		health.observeAppend(took)
@@ -51,15 +54,15 @@
 	health.lastFastAppend.advance(now.Add(-took))
 }
 
-// observeRelayed records how long another node took to record a turn. A long time may have other
-// causes than a slow append.
-func (health *logHealth) observeRelayed(took time.Duration) {
+// observeRecording records how long it took to record a turn. A long time may have other causes than
+// a slow append.
+func (health *logHealth) observeRecording(took time.Duration) {
 	if took < durable.SlowAppend {
 		health.observeAppend(took)
 	}
 }
 
-// ObserveSlowAppend implements history.AppendHealth.
+// ObserveSlowAppend records that an append begun at a time was slow.
 func (health *logHealth) ObserveSlowAppend(begun time.Time) { health.lastSlowAppend.advance(begun) }
 
 // AppendsSlow implements history.AppendHealth.
--- a/internal/node/peer_server.go
+++ b/internal/node/peer_server.go
@@ -30,7 +30,7 @@
 			server.node.turns.Add(history.FromProto(settlement.Turn))
 		}
 		if settlement.RecordMs > 0 {
-			server.node.logHealth.observeAppend(milliseconds(settlement.RecordMs))
+			server.node.logHealth.observeRecording(milliseconds(settlement.RecordMs))
 		}
 		server.node.settle(settlement, request.PassedOn)
 	}
--- a/internal/node/recordings.go
+++ b/internal/node/recordings.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"sync"
 	"time"
 
@@ -20,18 +21,25 @@
 // is safe for concurrent use; the zero value is ready to use.
 type recordings struct {
 	mutex sync.Mutex
-	byKey map[history.Key]*recording
+	byKey map[recordingKey]*recording
+}
+
+// recordingKey identifies a turn by its content, too: an answer may be made again under the same ID.
+type recordingKey struct {
+	turn   history.Key
+	output [sha256.Size]byte
 }
 
 // recording is the recording of one turn. err may be read once done is closed.
 type recording struct {
-	done chan struct{}
-	err  error
+	began time.Time
+	done  chan struct{}
+	err   error
 }
 
 // start returns the recording of a turn, and starts it unless it is in progress or has ended lately.
 func (recordings *recordings) start(recorder *history.Recorder, shard int, turn *history.Turn) *recording {
-	key := turn.Key()
+	key := recordingKey{turn: turn.Key(), output: sha256.Sum256(turn.Output)}
 	recordings.mutex.Lock()
 	defer recordings.mutex.Unlock()
 	known := recordings.byKey[key]
@@ -39,16 +47,16 @@
 		return known
 	}
 	if recordings.byKey == nil {
-		recordings.byKey = map[history.Key]*recording{}
+		recordings.byKey = map[recordingKey]*recording{}
 	}
-	started := &recording{done: make(chan struct{})}
+	started := &recording{began: time.Now(), done: make(chan struct{})}
 	recordings.byKey[key] = started
 	go recordings.run(key, started, recorder, shard, turn)
 	return started
 }
 
 // run records a turn. Only a success is kept: after a failure, a further request starts anew.
-func (recordings *recordings) run(key history.Key, started *recording, recorder *history.Recorder, shard int, turn *history.Turn) {
+func (recordings *recordings) run(key recordingKey, started *recording, recorder *history.Recorder, shard int, turn *history.Turn) {
 	ctx, cancel := context.WithTimeout(context.Background(), remoteRecordTimeout)
 	defer cancel()
 	started.err = recorder.RecordLocally(ctx, shard, turn)
@@ -60,7 +68,7 @@
 	close(started.done)
 }
 
-func (recordings *recordings) forget(key history.Key) {
+func (recordings *recordings) forget(key recordingKey) {
 	recordings.mutex.Lock()
 	defer recordings.mutex.Unlock()
 	delete(recordings.byKey, key)
--- a/internal/node/slow_log_order_test.go
+++ b/internal/node/slow_log_order_test.go
@@ -55,17 +55,16 @@
 
 // serialCall is one call of Append.
 type serialCall struct {
-	node         string
-	number       int
-	turns        []string
-	sent, taken  time.Time
-	ended        time.Time
-	refused      bool
-	lost         bool
-	beside       bool
-	reasons      map[string]int
-	onlyRepeats  bool
-	durableTurns int
+	node        string
+	number      int
+	turns       []string
+	sent, taken time.Time
+	ended       time.Time
+	refused     bool
+	lost        bool
+	beside      bool
+	reasons     map[string]int
+	onlyRepeats bool
 }
 
 // nodeLog is the serial log as one node calls it.
@@ -339,7 +338,7 @@
 			err := node.recorder.Record(patience, turn.shard, &history.Turn{ID: name, Program: "p", Input: []byte("in"), Output: []byte("out\n"), EndedAt: time.Now(), Retention: time.Minute})
 			turn.recorded, turn.err = time.Since(turn.asked), err
 			if err == nil { // The owner learns of it with the settlement.
-				run.owners[turn.shard].logHealth.observeAppend(turn.recorded)
+				run.owners[turn.shard].logHealth.observeRecording(turn.recorded)
 			}
 		})
 		time.Sleep(time.Second / orderTurnsPerS)
--- a/internal/node/turns.go
+++ b/internal/node/turns.go
@@ -34,11 +34,13 @@
 	// pendingReplyAfter is how long it waits after each further request.
 	firstPendingReply = 60 * time.Millisecond
 	pendingReplyAfter = 250 * time.Millisecond
-	// firstReplyTimeout bounds a group writer's first reply. Further ones may take recordTimeout.
-	firstReplyTimeout = 150 * time.Millisecond
-	// writerStalledAfter is how long a turn may be pending at a group writer while appends of other
-	// nodes are fast.
+	// firstReplyTimeout bounds a group writer's first reply. Versions that do not know
+	// RecordRequest.pending_after_ms wait for pendingReplyAfter. Further replies may take recordTimeout.
+	firstReplyTimeout = 400 * time.Millisecond
+	// writerStalledAfter is how long the log may not respond to a group writer while appends of other
+	// nodes are fast, writerSilenceLimit while it only responds to the requester at once.
 	writerStalledAfter = 250 * time.Millisecond
+	writerSilenceLimit = 500 * time.Millisecond
 	// maxUnownedReads bounds the partitions of other nodes' shards that a node reads concurrently.
 	// After the loss of all nodes, unbounded reads would saturate the links to the durable log.
 	maxUnownedReads = 1
@@ -206,8 +208,8 @@
 }
 
 // recordAt repeats a recording request to a group writer while it replies that the turn is pending.
-// It fails if the turn stays pending although appends of other nodes are fast: the log does not
-// respond to the writer then.
+// It fails if the turn stays pending although the log is not slow: the log does not respond to the
+// writer then.
 func (node *Node) recordAt(ctx context.Context, writer Member, request *nodev1.RecordRequest) error {
 	began := time.Now()
 	timeout := firstReplyTimeout
@@ -217,12 +219,10 @@
 		if err != nil {
 			return err
 		}
-		took := time.Since(began)
 		if !reply.Pending {
-			node.logHealth.observeRelayed(took)
 			return nil
 		}
-		if took >= writerStalledAfter && node.logHealth.FastAppendSince(began) {
+		if node.writerStalled(ctx, began, request, reply) {
 			return errWriterStalled
 		}
 		timeout = recordTimeout
@@ -230,6 +230,19 @@
 	}
 }
 
+// writerStalled reports whether the log does not respond to a group writer that replies that a turn is
+// pending, although it is fast for others.
+func (node *Node) writerStalled(ctx context.Context, began time.Time, request *nodev1.RecordRequest, reply *nodev1.RecordReply) bool {
+	silence := milliseconds(reply.LogSilentMs)
+	if reply.LogSilentMs == 0 { // Its version does not report it.
+		silence = time.Since(began)
+	}
+	if silence >= writerStalledAfter && node.logHealth.FastAppendSince(began) {
+		return true
+	}
+	return reply.LogSilentMs > 0 && silence >= writerSilenceLimit && node.recorder.LogRespondsAtOnce(ctx, int(request.Shard))
+}
+
 // requestRecording sends a recording request to a group writer, with what this node knows of the
 // log's appends.
 func (node *Node) requestRecording(ctx context.Context, writer Member, request *nodev1.RecordRequest, timeout time.Duration) (*nodev1.RecordReply, error) {
@@ -300,7 +313,8 @@
 		if !request.AcceptsPending {
 			return nil, context.DeadlineExceeded
 		}
-		return &nodev1.RecordReply{Pending: true}, nil
+		silent := min(server.node.logHealth.lastOwnResponse.age(time.Now()), time.Since(recording.began))
+		return &nodev1.RecordReply{Pending: true, LogSilentMs: max(silent.Milliseconds(), 1)}, nil
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
