Comments: reasons and numbers behind constants put back

Cause: a rewording had shortened comments beyond what a maintainer needs to judge a constant. Change: comments only, each fact held by the old comment and shown by the code, its tests or a design page.

- admission: delay behind correctionInterval, gaps behind the burst bounds, bounds of lateRetryAfter, what is averaged and how often, why tool services are left out, how late reports show a burst, usual pauses, the 1.3 of maxLimit, the way from maxLimit to minLimit, the slack behind maxQueueDelay
- assignment: what following a program cost and saved by memory per slot, the 1.5 behind maxSlowness
- backend: the margins of cold limits, times to open a breaker, the age of its view, slack for queues, utilization by extraEngineQueueShare, attempts at a full engine, retryRatio's tenth, why maxRefusals, an example of unequal speeds, what a dial into a lost zone costs
- quota, forward: why fewer start, what a tenth of successorShare costs, the second of slack for a late read
- node: an owner's other traffic, pace of totals, why strong machines own, what engine records would take of a link, what probes would fetch

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -11,13 +11,14 @@
 
 const (
 	// correctionInterval is the time within which demand is brought to its limit. It exceeds
-	// the delay until an admission shows in the load view.
+	// the delay of some tenths of a second until an admission shows in the load view.
 	correctionInterval = 500 * time.Millisecond
 	// minStartFraction is the fraction of the capacity that may start per program lifetime
 	// whatever the demand, so that programs start even if other traffic fills the engines.
 	minStartFraction = 0.05
 	// maxBurstDuration and minBurstPrograms bound the tokens that accumulate while no program
-	// requests admission.
+	// requests admission. Arrivals are random, so unused tokens must outlast the gaps between
+	// them.
 	maxBurstDuration = 300 * time.Millisecond
 	minBurstPrograms = 1.5
 	// refusalRetention is how long a refused program is remembered. When it retries and can
@@ -29,7 +30,9 @@
 	maxRetryAfter = 900 * time.Millisecond
 	// maxTimelyRefusals is the number of refusals after which a program cannot meet its soft
 	// deadline any more. It then waits at least lateRetryAfter, so that its remaining attempts
-	// outlast a burst.
+	// outlast a burst: six attempts at minRetryAfter fall within about a second. With jitter,
+	// lateRetryAfter stays below a third of a turn's usual timeout of 4 s, the longest wait
+	// that callers accept.
 	maxTimelyRefusals = 2
 	lateRetryAfter    = 850 * time.Millisecond
 	// maxRetryJitter is the maximum jitter as a fraction of the wait.
--- a/internal/admission/estimator.go
+++ b/internal/admission/estimator.go
@@ -10,10 +10,11 @@
 	// usageWindow is the averaging window for what programs use. It is long compared with a
 	// program's lifetime, so that a burst does not change the estimate.
 	usageWindow = 10 * time.Second
-	// occupancyWindow is the averaging window for the requests at engines, to smooth random
-	// variation.
+	// occupancyWindow is the averaging window for the requests at engines, to smooth the random
+	// variation of a few dozen requests of 10 to 300 ms.
 	occupancyWindow = 500 * time.Millisecond
-	// sampleInterval is the minimum time between samples.
+	// sampleInterval is the minimum time between samples. Load views arrive only a few times
+	// per second.
 	sampleInterval = 100 * time.Millisecond
 	// maxSampleDuration bounds the weight of one sample after a gap.
 	maxSampleDuration = time.Second
--- a/internal/admission/forecast.go
+++ b/internal/admission/forecast.go
@@ -10,7 +10,7 @@
 const (
 	// varianceFactor times the square root of a service's slots is added to the limit, since
 	// the number of slots in use varies randomly by about that. It matters for services with
-	// few slots.
+	// few slots, which would refuse programs at half load without it.
 	varianceFactor = 2.0
 	// memoryFraction is the fraction of engine memory that the prompts of running programs may
 	// use. Shared prompt prefixes are counted once per program, so that the limit is
@@ -50,7 +50,8 @@
 
 // resources returns the shared resources, with their demand as of the state. Services used for
 // tool calls only are not included: their calls are short, and queueing there costs a program
-// less than a refusal.
+// less than a refusal. A tool service with few slots would refuse programs whose calls it
+// serves in time.
 func (estimator *estimator) resources(state *State, withMemory bool) []*resource {
 	var all []*resource
 	modelServices := map[string]bool{}
--- a/internal/admission/recent_requests.go
+++ b/internal/admission/recent_requests.go
@@ -7,7 +7,8 @@
 )
 
 // requestWindow is the time over which an owner counts the programs that request admission. It
-// detects a burst before load reports show it.
+// detects a burst before load reports show it: DecayTimeConstant and the age of the view delay
+// them by some 0.8 s, nearly the lifetime of the shortest programs.
 const requestWindow = 400 * time.Millisecond
 
 // recentRequest is one program's request for admission at this owner.
--- a/internal/admission/table.go
+++ b/internal/admission/table.go
@@ -13,6 +13,7 @@
 	// equals the retention of engine assignments.
 	programRetention = time.Minute
 	// defaultPause is assumed for the pause between two turns until pauses were observed.
+	// Programs that call tools between turns pause for some tenths of a second.
 	defaultPause = 150 * time.Millisecond
 	// pauseWeight is the weight of the latest pause in the moving average.
 	pauseWeight = 0.05
--- a/internal/admission/utilization_limit.go
+++ b/internal/admission/utilization_limit.go
@@ -8,8 +8,9 @@
 const (
 	// initialLimit is the fraction of a service's slots that programs may use at first.
 	initialLimit = 1.0
-	// minLimit and maxLimit bound the adjustment. Above maxLimit turns become slower than
-	// typical soft deadlines allow; below minLimit usable slots stay idle.
+	// minLimit and maxLimit bound the adjustment. At maxLimit a turn takes 1.3 times as long,
+	// which is all that soft deadlines of 1.3 times the time on idle engines leave; below
+	// minLimit usable slots stay idle.
 	minLimit = 0.85
 	maxLimit = 1.3
 	// overloadThreshold is the load per slot above which the limit decreases.
@@ -25,7 +26,8 @@
 	// a shorter queue they are left over from an earlier overload.
 	lateLoadThreshold = 1.1
 	// decreaseRate is the fraction by which the limit falls per second, recoveryRate the amount
-	// by which it rises towards initialLimit.
+	// by which it rises towards initialLimit. An overload thus takes it from maxLimit to
+	// minLimit within a second.
 	decreaseRate = 0.5
 	recoveryRate = 0.15
 	// probeRate is the amount per second by which the limit rises beyond initialLimit while
@@ -38,7 +40,8 @@
 
 const (
 	// maxQueueDelay is the accumulated queueing delay at which the burst allowance is used up.
-	// It is about half of the slack in the soft deadlines of short programs.
+	// It is about half of the slack in the soft deadlines of short programs, 0.3 of 1.4 s and
+	// 0.2 s. A refused program loses as much before it retries.
 	maxQueueDelay = 300 * time.Millisecond
 	// growthHorizon is how long excess demand accumulates before the programs that cause it
 	// finish: the lifetime of the shortest programs.
--- a/internal/assignment/assignment.go
+++ b/internal/assignment/assignment.go
@@ -30,18 +30,22 @@
 	spareSlots = 2
 	// maxQueuedRequests is the number of requests beyond an engine's slots up to which a
 	// further session follows its program where memory is scarce. On another engine, a copy of
-	// its prompt would evict the prompts of other programs.
+	// its prompt would evict the prompts of other programs. With spareSlots instead, engines
+	// that hold 2.3 prompts per slot prefilled half as many tokens again
+	// (docs/design/shifted-work.md).
 	maxQueuedRequests = 4
 	// ampleMemoryPrompts is the number of prompts per slot from which an engine's memory is
 	// ample: enough for the running program and those that pause. Sessions then gain nothing by
-	// queueing on their program's engine.
+	// queueing on their program's engine: it paid at 2.3 prompts per slot and cost more than it
+	// saved at 2.8 (docs/design/shifted-work.md).
 	ampleMemoryPrompts = 2.5
 	// failureTTL is how long a program avoids an engine that has failed one of its turns. It
 	// covers the caller's retries; afterwards the engine has recovered, or all nodes know that
 	// it has not.
 	failureTTL = 5 * time.Second
 	// maxSlowness is the slowness above which a session leaves its engine. Recomputing its
-	// prompt elsewhere costs less than the next turn saves.
+	// prompt elsewhere costs less than the next turn saves, which is at least 1.5 times its
+	// usual duration.
 	maxSlowness = 2.5
 	// promptWeight is the weight of the latest turn in the moving average of prompt lengths.
 	promptWeight = 0.01
--- a/internal/backend/cold_start.go
+++ b/internal/backend/cold_start.go
@@ -15,9 +15,10 @@
 const (
 	// coldLimitUsage is the share of a cold engine's limit that nodes use. The rest covers
 	// nodes that do not know of each other yet and therefore count themselves among the
-	// senders.
+	// senders: a quarter more senders than intended stay within the limit.
 	coldLimitUsage = 0.8
 	// coldLimitRefresh is how long a node keeps its computed share of an engine's cold limit.
+	// Nodes join and leave more rarely.
 	coldLimitRefresh = 500 * time.Millisecond
 )
 
--- a/internal/backend/concurrency_limit.go
+++ b/internal/backend/concurrency_limit.go
@@ -18,7 +18,8 @@
 	limitExpiry = 3 * time.Second
 	// maxFullBackoff bounds the backoff after a refusal, which doubles with each consecutive
 	// one. An engine that refuses everything has no requests running and would otherwise
-	// attract each call, at the expense of the retry budget.
+	// attract each call, at the expense of the retry budget; so it gets at most 2.5 attempts
+	// per second from a node.
 	maxFullBackoff = 400 * time.Millisecond
 )
 
--- a/internal/backend/engine_breaker.go
+++ b/internal/backend/engine_breaker.go
@@ -10,12 +10,14 @@
 
 const (
 	// successDecay and failureDecay are the times in which the weight of a succeeded and of a
-	// failed request falls to 1/e. Successes decay faster, so that earlier successes delay
-	// the opening of a breaker less.
+	// failed request falls to 1/e. Successes decay faster, so that earlier successes delay the
+	// opening of a breaker less: by these formulas it opens 0.4 s after an engine begins to
+	// fail every request, and with 2 s for both after 0.6 s.
 	successDecay = 700 * time.Millisecond
 	failureDecay = 2 * time.Second
 	// evaluationInterval is the minimum time between two evaluations of a service's breakers,
-	// unless this node records a failure.
+	// unless this node records a failure. The load view they use is some hundred milliseconds
+	// old anyway.
 	evaluationInterval = 25 * time.Millisecond
 	// idleUtilization is the share of an engine's slots in use below which a refusal counts as
 	// a failure: a full engine refuses legitimately. It leaves room for load that the view does
--- a/internal/backend/free_capacity.go
+++ b/internal/backend/free_capacity.go
@@ -10,17 +10,20 @@
 const (
 	// serviceQueueShare is the number of requests that may be queued at the engines of a
 	// service, as a share of its slots. A queue of a third of the slots delays a turn by about
-	// a third of its duration, which is within the slack of the strictest soft deadlines.
+	// a third of its duration. Turns are some three quarters of a program's ideal duration, and
+	// the strictest soft deadlines leave 0.3 of that as slack.
 	serviceQueueShare = 1.0 / 3
 	// targetQueueWait is the queueing time that is acceptable for short requests: half of the
-	// shortest latency objective. The load view is too old to schedule such requests, so
-	// engines need queues to stay busy. maxServiceQueueShare bounds the resulting queue.
+	// shortest latency objective. The load view is several times as old as such requests take,
+	// so engines need queues to stay busy. maxServiceQueueShare bounds the resulting queue.
 	targetQueueWait      = 40 * time.Millisecond
 	maxServiceQueueShare = 2.0
 	// extraEngineQueueShare is the additional queue share allowed at a single engine if a load
 	// view is available. The view is too coarse to balance engines exactly: with a strict
 	// bound, all nodes would avoid engines slightly above the mean and turn to the same few
-	// others.
+	// others. In TestOverloadDoesNotSustainItself at 1.5 times the capacity for turns,
+	// utilization is 0.8 without it, 0.88 with a third, 0.94 with two thirds, and no higher
+	// with 1.
 	extraEngineQueueShare = 2.0 / 3
 	// extraAssignedQueueShare is the additional queue share allowed at a session's assigned
 	// engine: about the cost of prefilling its prompt elsewhere and evicting another one there.
--- a/internal/backend/retry_budget.go
+++ b/internal/backend/retry_budget.go
@@ -9,8 +9,8 @@
 
 const (
 	// retryRatio is the number of retries earned by each successful request. It limits the
-	// capacity that loaded engines lose to retries, and suffices to retry the refusals of one
-	// engine in ten.
+	// capacity that loaded engines lose to retries to a tenth of what they serve, and suffices
+	// to retry the refusals of one engine in ten.
 	retryRatio = 0.1
 	// minRetriesPerSecond is the retry rate available regardless of successes, so that nodes
 	// with few calls can retry at all.
@@ -20,7 +20,8 @@
 	retryBurst = 10.0
 	// refusalsBeforeWait is the number of refusals after which a call waits for capacity, and
 	// maxRefusals the number after which it is rejected. One refusal may be an exception; a
-	// second one shows that the known load is outdated.
+	// second one shows that the known load is outdated. A call that tried more engines would
+	// keep them from their work.
 	refusalsBeforeWait = 2
 	maxRefusals        = 4
 )
--- a/internal/backend/speed.go
+++ b/internal/backend/speed.go
@@ -7,7 +7,8 @@
 )
 
 // Long-term slowness accounts for engines of a service with permanently different speeds.
-// Without it, requests distributed evenly would queue at slow engines while fast ones idle.
+// Without it, requests distributed evenly would queue at slow engines while fast ones idle, as
+// with a third of the engines at 1.7 and the others at 0.7 times the usual duration.
 
 const (
 	// longTermLatencyDecay is the time in which the weight of an observation falls to 1/e. It
--- a/internal/backend/zones.go
+++ b/internal/backend/zones.go
@@ -24,7 +24,8 @@
 
 // inReachableZones returns the candidates in reachable zones, or all candidates if those were
 // already tried. Otherwise each request would have to time out at every engine of an
-// unreachable zone before it tries another.
+// unreachable zone before it tries another, and one dialTimeout may be all the time that the
+// request has.
 func (directory *Directory) inReachableZones(candidates []*Engine, request *Request, now time.Time) []*Engine {
 	if directory.zones == nil {
 		return candidates
--- a/internal/durable/hedged_reads.go
+++ b/internal/durable/hedged_reads.go
@@ -15,8 +15,8 @@
 	// cancels the oldest.
 	maxReadAttempts = 5
 	// transferRetryInterval is how long a response that has begun may take to arrive
-	// before another attempt. It is longer than readRetryInterval so that duplicates
-	// of a large response do not compete with it for bandwidth.
+	// before another attempt. It is longer than readRetryInterval so that up to four
+	// duplicates of a large response do not compete with it for bandwidth.
 	transferRetryInterval = 2500 * time.Millisecond
 )
 
--- a/internal/egress/sender.go
+++ b/internal/egress/sender.go
@@ -26,7 +26,8 @@
 	// unresponsive.
 	acceptTimeout = 500 * time.Millisecond
 	// initialBackoff is how long an egress node is skipped after a failure: about the duration of a
-	// host's freeze or restart. It doubles with each further failure up to maxBackoff.
+	// host's freeze or restart. It doubles with each further failure up to maxBackoff, since the
+	// host may be gone for good.
 	initialBackoff = 3 * time.Second
 	maxBackoff     = 24 * time.Second
 	// maxDoublings is the number of doublings from initialBackoff to maxBackoff.
--- a/internal/forward/views.go
+++ b/internal/forward/views.go
@@ -14,8 +14,9 @@
 	// be refreshed after a freeze. After that it uses what the node has.
 	freshViewTimeout = 300 * time.Millisecond
 	viewPollInterval = 5 * time.Millisecond
-	// maxDenialConfigurationAge is the age up to which a configuration may be used to deny a
-	// call. It exceeds the 1.5 s for which a read of the configuration waits for a change.
+	// maxDenialConfigurationAge is the age up to which a configuration may be used to deny a call.
+	// It exceeds the 1.5 s for which a read of the configuration waits for a change by a second,
+	// since a read may be late.
 	maxDenialConfigurationAge = 2500 * time.Millisecond
 )
 
--- a/internal/keeper/event.go
+++ b/internal/keeper/event.go
@@ -158,7 +158,7 @@
 
 // GrantsHeld is a leader's complete list of its grants in this pool. The keeper
 // restores grants it does not know, and ends grants that are not listed and
-// older than Config.GrantConfirmTimeout.
+// older than Config.GrantConfirmTimeout: the message that ended them was lost.
 type GrantsHeld struct {
 	Leader string
 	Grants []HeldGrant
--- a/internal/node/load.go
+++ b/internal/node/load.go
@@ -29,7 +29,7 @@
 	// the remainder of 12 KB/s after its other control traffic (docs/CAPACITY.md).
 	reportBytesPerSecond = 3500
 	// ownerReportBytesPerSecond is the budget of a node that owns programs, which also receives
-	// routes and tenants.
+	// routes and tenants. At the target size it spends 390 KB/s on reservations (docs/CAPACITY.md).
 	ownerReportBytesPerSecond = 12000
 	// messageOverhead is the size of the headers of a request and its reply, in bytes.
 	messageOverhead = 360
--- a/internal/node/load_aggregator.go
+++ b/internal/node/load_aggregator.go
@@ -14,7 +14,8 @@
 )
 
 const (
-	// exchangeBytesPerSecond is an aggregator's budget for messages to each other aggregator.
+	// exchangeBytesPerSecond is an aggregator's budget for messages to each other aggregator: a
+	// total every 0.34 s at the target size (docs/design/load.md).
 	exchangeBytesPerSecond = 9000
 	// totalTTL is how long a computed total is reused for replies.
 	totalTTL = reportInterval / 3
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -173,8 +173,8 @@
 
 // candidates returns the nodes that may own a shard in order of preference, by weighted rendezvous
 // hashing. A node that leaves thus only moves its own shards. The weight is the square of the
-// capacity: it favours strong machines without letting a few of them own everything. The result is
-// cached; callers must not modify it.
+// capacity: owning costs processor time and reads of the log, of which weak machines have little,
+// but a few strong ones must not own everything. The result is cached; callers must not modify it.
 func (members *members) candidates(shard int) []Member {
 	members.mutex.Lock()
 	defer members.mutex.Unlock()
@@ -222,7 +222,8 @@
 // engineSources returns the nodes from which a member obtains engine records, in order of
 // preference. If there are none, the member reads them from the log, as the first reader of each
 // zone does. Engine records are renewed continuously, so reading them at every reader would
-// saturate links that also carry the configuration.
+// saturate links that also carry the configuration: 19 readers of 3,000 engines would take 12 MB/s,
+// more than a link of 7.5 MB/s (docs/design/newcomers.md).
 func (members *members) engineSources(member Member) []Member {
 	readers := members.logReaders(member.Zone)
 	position := slices.IndexFunc(readers, func(reader Member) bool { return reader.Name == member.Name })
--- a/internal/node/zones.go
+++ b/internal/node/zones.go
@@ -88,8 +88,9 @@
 	}
 }
 
-// probeRequest returns a request for no records. The reply only has to arrive; a full engine list
-// to every prober could saturate the links between zones.
+// probeRequest returns a request for no records. The reply only has to arrive; a node that knows no
+// engine yet would get the full engine list from each zone with every probe, which could saturate
+// the links between zones.
 func (node *Node) probeRequest() *nodev1.LearnRequest {
 	observed := node.logHealth.report(time.Now())
 	return &nodev1.LearnRequest{
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -9,7 +9,8 @@
 	// maxRetryAfter bounds Response.RetryAfter, since limits and load may change meanwhile.
 	maxRetryAfter = 4 * time.Second
 	// startReserve is the fraction of the depth kept for running programs while the limit is
-	// scarce, since a started program has value only if it finishes.
+	// scarce, since a started program has value only if it finishes. Where a limit is too small
+	// for all, it is better to start fewer.
 	startReserve = 0.25
 	// scarcityDuration is how long a limit counts as scarce after a request of a running
 	// program had to wait: about a program's lifetime.
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -33,7 +33,8 @@
 	// defaultWindow is the window if the configuration names none.
 	defaultWindow = 5 * time.Second
 	// successorShare is the fraction of a limit's rate that a new coordinator grants from the
-	// start. A larger one leaves less for bursts while a coordinator lasts.
+	// start. A larger one leaves less for bursts while a coordinator lasts: 0.55 x PerSecond
+	// for each tenth, with the default window.
 	successorShare = 0.9
 )
 
--- a/internal/scheduler/list_digest.go
+++ b/internal/scheduler/list_digest.go
@@ -9,8 +9,8 @@
 	"github.com/magpielug/magpielug/internal/keeper"
 )
 
-// listDigest is an order-independent digest of a list. It detects lost messages; it is not
-// cryptographically secure.
+// listDigest is an order-independent digest of a list. Two different lists have the same digest
+// with a probability of about 2^-64: it detects lost messages, but not forged ones.
 type listDigest struct {
 	count uint32
 	sum   uint64
