--- a/internal/admission/estimator.go
+++ b/internal/admission/estimator.go
@@ -11,7 +11,7 @@
 	// program's lifetime, so that a burst does not change the estimate.
 	usageWindow = 10 * time.Second
 	// occupancyWindow is the averaging window for the requests at engines, to smooth the random
-	// variation of a few dozen requests of 10 to 300 ms.
+	// variation of a few dozen short requests.
 	occupancyWindow = 500 * time.Millisecond
 	// sampleInterval is the minimum time between samples. Load views arrive only a few times
 	// per second.
