history: appends whose records are acknowledged leave the writer's window

Cause: an append whose response was lost stayed in flight until its time-out, also after its records had been acknowledged with a later one, so that the window was full and new records waited; and each repetition doubled a delay of the next.

Change: such appends leave the window at once; one that is overdue, not found by a check and older than an acknowledged one is lost (a partition takes its appends in turn) and its records go into the next append; records that a later append carries are not repeated. The doubled delay is gone: the window bounds repetitions.

--- a/internal/history/partition_writer.go
+++ b/internal/history/partition_writer.go
@@ -26,9 +26,9 @@
 	checkInterval = 500 * time.Millisecond
 	// recentRecords is how many records before the partition's end the first check begins to read.
 	recentRecords = 64
-	// maxRepeatDelay bounds the delay before overdue records are appended again, which doubles each
-	// time. A log that has been silent for that long has probably dropped the append.
-	maxRepeatDelay = time.Second
+	// maxSilence is how long records wait for a log that does not respond at once before they are
+	// appended again. It has probably dropped the append.
+	maxSilence = time.Second
 )
 
 // partitionWriter appends a node's records to one partition. Few appends are in flight, and the records
@@ -47,18 +47,17 @@
 	// checkOffset is where the next check begins to read: no record in flight or waiting is stored
 	// before it. It is durable.UnknownEnd before the first response of the log.
 	checkOffset int64
-	// latency is that of the latest acknowledged append, acknowledgedAt when it ended.
+	// latency is that of the latest acknowledged append, acknowledgedAt when it ended. latestBegan is
+	// when the latest one that has been acknowledged began.
 	latency        time.Duration
 	acknowledgedAt time.Time
+	latestBegan    time.Time
 	// serviceTime is the shortest time between the responses to two appends in flight since appends are
 	// slow, 0 if it is not known. The log works on one append for that long at most.
 	serviceTime time.Duration
 	// checking is true during a check. nextCheck is the earliest time of the next one.
 	checking  bool
 	nextCheck time.Time
-	// repeatDelay is the delay before overdue records are appended once more, 0 if none were appended
-	// again since the latest acknowledged append.
-	repeatDelay time.Duration
 	// timer calls wake when an append or a check is due.
 	timer *time.Timer
 }
@@ -210,11 +209,21 @@
 	}
 	writer.recorder.observeSuccess(flight.began)
 	writer.observeLatency(flight.began)
-	writer.repeatDelay = 0
 	if len(writer.inFlight) > 0 && writer.inFlight[0] == flight {
 		writer.checkOffset = result.EndOffset
 	}
-	writer.inFlight = slices.DeleteFunc(writer.inFlight, func(other *partitionAppend) bool { return other == flight })
+	if flight.began.After(writer.latestBegan) {
+		writer.latestBegan = flight.began
+	}
+	writer.removeAcknowledged()
+}
+
+// removeAcknowledged stops waiting for appends whose records are all acknowledged. The caller holds
+// the mutex.
+func (writer *partitionWriter) removeAcknowledged() {
+	writer.inFlight = slices.DeleteFunc(writer.inFlight, func(flight *partitionAppend) bool {
+		return !slices.ContainsFunc(flight.records, func(record *pendingRecord) bool { return !record.acknowledged })
+	})
 }
 
 // observeLatency updates the latency and the service time after a successful append. The caller holds
@@ -300,41 +309,60 @@
 			record.acknowledge()
 		}
 	}
-	writer.inFlight = slices.DeleteFunc(writer.inFlight, func(flight *partitionAppend) bool {
-		return !slices.ContainsFunc(flight.records, func(record *pendingRecord) bool { return !record.acknowledged })
-	})
+	writer.removeAcknowledged()
 }
 
 // handleOverdue appends the records of overdue appends again after a check, if the log has responded
 // or has been silent for long. The caller holds the mutex; an append is in flight.
 func (writer *partitionWriter) handleOverdue(checkBegan time.Time, responded bool) {
 	now := time.Now()
-	// Many overdue appends end before they count as slow.
-	delay := max(writer.recorder.appendLatency.OverdueAfter(), durable.SlowAppend)
+	writer.nextCheck = now.Add(2 * writer.recorder.appendLatency.OverdueAfter())
+	if responded {
+		writer.requeueLost(checkBegan)
+	}
 	overdue := 0
-	for overdue < len(writer.inFlight) && checkBegan.Sub(writer.inFlight[overdue].began) >= delay {
+	for overdue < len(writer.inFlight) && checkBegan.Sub(writer.inFlight[overdue].began) >= durable.SlowAppend {
 		overdue++
 	}
-	if overdue == 0 {
-		writer.nextCheck = writer.inFlight[0].began.Add(delay)
+	records := writer.repeatable(overdue)
+	if len(records) == 0 {
 		return
 	}
 	latest := writer.inFlight[overdue-1]
-	silent := min(now.Sub(latest.began), now.Sub(writer.acknowledgedAt)) >= maxRepeatDelay
+	silent := min(now.Sub(latest.began), now.Sub(writer.acknowledgedAt)) >= maxSilence
 	unconfirmed := len(writer.inFlight) >= maxUnconfirmedAppends && !writer.recorder.fastAppendSince(latest.began)
 	if !silent && (!responded || unconfirmed) {
 		writer.nextCheck = now.Add(checkInterval)
 		return
 	}
-	writer.repeatDelay = min(2*max(writer.repeatDelay, delay), maxRepeatDelay)
-	writer.nextCheck = now.Add(writer.repeatDelay)
-	writer.waiting = append(neededRecords(writer.inFlight[:overdue]), writer.waiting...)
 	if len(writer.inFlight) >= maxUnconfirmedAppends {
 		writer.inFlight = writer.inFlight[overdue:]
 	}
+	writer.waiting = append(records, writer.waiting...)
 	writer.start()
 }
 
+// requeueLost queues the records of the appends whose response is lost: they were overdue when a check
+// began, the check has not found them, and an append that began later is acknowledged. A partition
+// takes its appends in turn. The caller holds the mutex.
+func (writer *partitionWriter) requeueLost(checkBegan time.Time) {
+	lost := 0
+	for lost < len(writer.inFlight) && writer.inFlight[lost].began.Before(writer.latestBegan) &&
+		checkBegan.Sub(writer.inFlight[lost].began) >= writer.recorder.appendLatency.OverdueAfter() {
+		lost++
+	}
+	records := writer.repeatable(lost)
+	writer.inFlight = writer.inFlight[lost:]
+	writer.waiting = append(records, writer.waiting...)
+}
+
+// repeatable returns the records of the oldest appends in flight that no later one carries. The caller
+// holds the mutex.
+func (writer *partitionWriter) repeatable(count int) []*pendingRecord {
+	later := neededRecords(writer.inFlight[count:])
+	return slices.DeleteFunc(neededRecords(writer.inFlight[:count]), func(record *pendingRecord) bool { return slices.Contains(later, record) })
+}
+
 // neededRecords returns the records of appends that are still needed, oldest first.
 func neededRecords(appends []*partitionAppend) []*pendingRecord {
 	var records []*pendingRecord
