history: a lost response does not make a node reject turns

Cause: an append that timed out counted as a failure of the log, also where one that began later was acknowledged, so that only its response was lost.

Change: such a time-out is no failure.

--- a/internal/history/partition_writer.go
+++ b/internal/history/partition_writer.go
@@ -246,7 +246,9 @@
 	if index < 0 {
 		return
 	}
-	writer.recorder.observeFailure()
+	if flight.began.After(writer.latestBegan) { // Otherwise only its response is lost.
+		writer.recorder.observeFailure()
+	}
 	writer.inFlight = slices.Delete(writer.inFlight, index, index+1)
 	repeated := append(neededRecords(writer.inFlight), writer.waiting...)
 	for _, record := range neededRecords([]*partitionAppend{flight}) {
