--- a/internal/history/review_writer_test.go
+++ b/internal/history/partition_writer_test.go
@@ -12,8 +12,8 @@
 	"github.com/magpielug/magpielug/internal/durable"
 )
 
-// reviewLog stores each append after took, and answers it unless lost returns true for its number.
-type reviewLog struct {
+// scriptedLog stores each append after took, and answers it unless lost returns true for its number.
+type scriptedLog struct {
 	*durable.Memory
 	mutex   sync.Mutex
 	appends []int
@@ -24,7 +24,7 @@
 	readErr error
 }
 
-func (log *reviewLog) Append(ctx context.Context, partition durable.Partition, records [][]byte, condition durable.Condition) (durable.AppendResult, error) {
+func (log *scriptedLog) Append(ctx context.Context, partition durable.Partition, records [][]byte, condition durable.Condition) (durable.AppendResult, error) {
 	log.mutex.Lock()
 	number := len(log.appends)
 	log.appends = append(log.appends, len(records))
@@ -39,7 +39,7 @@
 	return result, err
 }
 
-func (log *reviewLog) Read(ctx context.Context, partition durable.Partition, from int64, wait time.Duration) (durable.Batch, error) {
+func (log *scriptedLog) Read(ctx context.Context, partition durable.Partition, from int64, wait time.Duration) (durable.Batch, error) {
 	log.mutex.Lock()
 	log.reads++
 	log.mutex.Unlock()
@@ -51,23 +51,23 @@
 }
 
 // counts returns how many appends and reads have arrived.
-func (log *reviewLog) counts() (appends, reads int) {
+func (log *scriptedLog) counts() (appends, reads int) {
 	log.mutex.Lock()
 	defer log.mutex.Unlock()
 	return len(log.appends), log.reads
 }
 
-func reviewWriter(log durable.Log) *partitionWriter {
+func newTestWriter(log durable.Log) *partitionWriter {
 	recorder := NewRecorder(log, 1)
 	return recorder.writer(durable.Partition{Topic: Topic})
 }
 
 // Guards against an append whose answer is lost while a later one is answered: the check reads from
 // after it, so its record is appended again although the log has it.
-func TestReviewACheckFindsAStoredRecordAfterALaterAcknowledgement(t *testing.T) {
+func TestACheckFindsAStoredRecordAfterALaterAcknowledgement(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log := &reviewLog{Memory: durable.NewMemory(), took: func(int) time.Duration { return 4 * time.Millisecond }, lost: func(number int) bool { return number == 1 }}
-		writer := reviewWriter(log)
+		log := &scriptedLog{Memory: durable.NewMemory(), took: func(int) time.Duration { return 4 * time.Millisecond }, lost: func(number int) bool { return number == 1 }}
+		writer := newTestWriter(log)
 		done := make(chan error, 8)
 		writer.add(context.Background(), []byte("zero"), done)
 		time.Sleep(20 * time.Millisecond)
@@ -83,11 +83,11 @@
 
 // Guards against records beyond one append's size that wait for a lost answer: nothing wakes the
 // writer, neither the next append nor the check.
-func TestReviewRecordsBeyondABatchDoNotWaitForALostAnswer(t *testing.T) {
+func TestRecordsBeyondABatchDoNotWaitForALostAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log := &reviewLog{Memory: durable.NewMemory(), lost: func(number int) bool { return number >= 2 }}
+		log := &scriptedLog{Memory: durable.NewMemory(), lost: func(number int) bool { return number >= 2 }}
 		log.took = func(number int) time.Duration { return time.Duration(4+6*min(number, 1)) * time.Millisecond }
-		writer := reviewWriter(log)
+		writer := newTestWriter(log)
 		done := make(chan error, 64)
 		writer.add(context.Background(), []byte("a"), done)
 		time.Sleep(20 * time.Millisecond)
@@ -111,16 +111,16 @@
 	})
 }
 
-// Guards against an ordinary day's slower append, of 50 ms, that is sent again while reads are fast.
-func TestReviewOneSlowerAppendIsNotRepeated(t *testing.T) {
+// Guards against a single slower append that is sent again while reads are fast.
+func TestOneSlowerAppendIsNotRepeated(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log := &reviewLog{Memory: durable.NewMemory(), took: func(number int) time.Duration {
+		log := &scriptedLog{Memory: durable.NewMemory(), took: func(number int) time.Duration {
 			if number == 20 {
 				return 80 * time.Millisecond
 			}
 			return 4 * time.Millisecond
 		}}
-		writer := reviewWriter(log)
+		writer := newTestWriter(log)
 		done := make(chan error, 64)
 		for number := range 21 {
 			writer.add(context.Background(), []byte(fmt.Sprint(number)), done)
@@ -135,13 +135,13 @@
 
 // Guards against a writer that is stuck after a log that was silent: neither acknowledged, failed nor
 // appended again.
-func TestReviewWriterRecoversFromASilentLog(t *testing.T) {
+func TestWriterRecoversFromASilentLog(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		end := time.Now().Add(6 * time.Second)
-		log := &reviewLog{Memory: durable.NewMemory(), took: func(int) time.Duration { return 4 * time.Millisecond }}
+		log := &scriptedLog{Memory: durable.NewMemory(), took: func(int) time.Duration { return 4 * time.Millisecond }}
 		log.lost = func(int) bool { return time.Now().Before(end) }
 		log.readErr = durable.ErrUnavailable
-		writer := reviewWriter(log)
+		writer := newTestWriter(log)
 		done := make(chan error, 2048)
 		for number := range 200 {
 			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
@@ -173,10 +173,10 @@
 }
 
 // limitedLog returns 288 KB per read at most, as the platform's client does.
-type limitedLog struct{ *reviewLog }
+type limitedLog struct{ *scriptedLog }
 
 func (log *limitedLog) Read(ctx context.Context, partition durable.Partition, from int64, wait time.Duration) (durable.Batch, error) {
-	batch, err := log.reviewLog.Read(ctx, partition, from, wait)
+	batch, err := log.scriptedLog.Read(ctx, partition, from, wait)
 	size := 0
 	for index, record := range batch.Records {
 		size += len(record)
@@ -190,10 +190,10 @@
 
 // Guards against checks that read from an old end: they return other nodes' records, up to the limit
 // of a read, and miss the one that is overdue.
-func TestReviewACheckFindsTheRecordBehindOthers(t *testing.T) {
+func TestACheckFindsTheRecordBehindOthers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log := &reviewLog{Memory: durable.NewMemory(), took: func(int) time.Duration { return 4 * time.Millisecond }, lost: func(number int) bool { return number > 0 }}
-		writer := reviewWriter(&limitedLog{log})
+		log := &scriptedLog{Memory: durable.NewMemory(), took: func(int) time.Duration { return 4 * time.Millisecond }, lost: func(number int) bool { return number > 0 }}
+		writer := newTestWriter(&limitedLog{log})
 		done := make(chan error, 8)
 		writer.add(context.Background(), []byte("first"), done)
 		time.Sleep(time.Second)
@@ -213,10 +213,10 @@
 }
 
 // The same where the end is not known yet: a new node, or one that did not write to the partition.
-func TestReviewACheckFindsTheFirstRecordOfAWriter(t *testing.T) {
+func TestACheckFindsTheFirstRecordOfAWriter(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log := &reviewLog{Memory: durable.NewMemory(), took: func(int) time.Duration { return 4 * time.Millisecond }, lost: func(int) bool { return true }}
-		writer := reviewWriter(&limitedLog{log})
+		log := &scriptedLog{Memory: durable.NewMemory(), took: func(int) time.Duration { return 4 * time.Millisecond }, lost: func(int) bool { return true }}
+		writer := newTestWriter(&limitedLog{log})
 		done := make(chan error, 8)
 		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 		defer cancel()
@@ -230,12 +230,12 @@
 }
 
 // The same where every answer to an append is lost for 4 s.
-func TestReviewChecksAcknowledgeWhileEveryAnswerIsLost(t *testing.T) {
+func TestChecksAcknowledgeWhileEveryAnswerIsLost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		start := time.Now()
-		log := &reviewLog{Memory: durable.NewMemory(), took: func(int) time.Duration { return 4 * time.Millisecond }}
+		log := &scriptedLog{Memory: durable.NewMemory(), took: func(int) time.Duration { return 4 * time.Millisecond }}
 		log.lost = func(int) bool { return time.Since(start) > time.Second }
-		writer := reviewWriter(&limitedLog{log})
+		writer := newTestWriter(&limitedLog{log})
 		var failed, asked int
 		var group sync.WaitGroup
 		for number := range 200 {
--- a/internal/node/review_sparse_test.go
+++ b/internal/node/quiet_fleet_test.go
@@ -11,12 +11,12 @@
 
 // Counts the turns lost where the log is silent to one owner and the fleet records few turns: a requester
 // learns that the log is fast only from other turns' appends.
-func TestReviewLogSilentToOneWriterWithFewTurns(t *testing.T) {
+func TestLogSilentToOneWriterWithFewTurns(t *testing.T) {
 	for _, nodeCount := range []int{2, 3, 12} {
 		for _, perSecond := range []int{1, 5, 20} {
 			t.Run(fmt.Sprintf("%d nodes, %d turns per second", nodeCount, perSecond), func(t *testing.T) {
 				inVirtualTime(t, func(t *testing.T) {
-					run := newOrderRun(t, nodeCount, time.Millisecond)
+					run := newFleet(t, nodeCount, time.Millisecond)
 					run.start = time.Now()
 					run.log.appendTime = func(time.Time) time.Duration { return fastAppendTime }
 					cut := run.owners[3].settings.Name
@@ -28,20 +28,20 @@
 					lost, ofCut := 0, 0
 					for number := range 20 * perSecond {
 						name := fmt.Sprintf("<turn-%d>", number)
-						shard, origin := random.IntN(orderShards), run.nodes[random.IntN(nodeCount)]
+						shard, origin := random.IntN(slowLogShards), run.nodes[random.IntN(nodeCount)]
 						if origin.settings.Name == cut { // its own callers are another matter
 							continue
 						}
 						run.mutex.Lock()
-						run.turns[name] = &orderTurn{shard: shard, origin: origin.settings.Name, asked: time.Now()}
+						run.turns[name] = &fleetTurn{shard: shard, origin: origin.settings.Name, asked: time.Now()}
 						run.mutex.Unlock()
 						if run.owners[shard].settings.Name == cut {
 							ofCut++
 						}
 						group.Go(func() {
-							patience, cancel := context.WithTimeout(context.Background(), orderCallerPatience)
+							bounded, cancel := context.WithTimeout(context.Background(), callerTimeout)
 							defer cancel()
-							if origin.recorder.Record(patience, shard, reviewTurn(name)) != nil {
+							if origin.recorder.Record(bounded, shard, namedTurn(name)) != nil {
 								run.mutex.Lock()
 								lost++
 								run.mutex.Unlock()
--- a/internal/node/review_partition_test.go
+++ b/internal/node/silent_partition_test.go
@@ -10,15 +10,15 @@
 )
 
 // Counts, over seeds, the turns lost where one partition is silent to all, and tells which shards they are of.
-func TestReviewOnePartitionSilentOverSeeds(t *testing.T) {
+func TestOnePartitionSilentOverSeeds(t *testing.T) {
 	for seed := range uint64(10) {
 		inVirtualTime(t, func(t *testing.T) {
-			run := newOrderRun(t, 84, time.Millisecond)
+			run := newFleet(t, 84, time.Millisecond)
 			run.log.appendTime = func(time.Time) time.Duration { return fastAppendTime }
 			for _, node := range run.nodes {
 				log := &onePartitionLog{Log: &nodeLog{serialLog: run.log, node: node.settings.Name, run: run}, number: 3, from: run.start}
 				node.recorder = history.NewRecorder(&durable.Instrumented{Log: log,
-					Observe: func(operation, _ string, took time.Duration, err error) { node.logHealth.observe(operation, took, err) }}, orderShards)
+					Observe: func(operation, _ string, took time.Duration, err error) { node.logHealth.observe(operation, took, err) }}, slowLogShards)
 				node.recorder.SetRelay(node.recordRemotely)
 				node.recorder.EnableGroupCommit(node.recordInGroup, &node.logHealth)
 			}
@@ -34,20 +34,20 @@
 }
 
 // The same cause with a log that is slow only in one partition.
-func TestReviewOnePartitionSlow(t *testing.T) {
+func TestOnePartitionSlow(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
-		run := newOrderRun(t, 84, time.Millisecond)
+		run := newFleet(t, 84, time.Millisecond)
 		run.log.appendTime = func(time.Time) time.Duration { return fastAppendTime }
 		for _, node := range run.nodes {
 			log := &slowPartitionLog{nodeLog: nodeLog{serialLog: run.log, node: node.settings.Name, run: run}}
 			node.recorder = history.NewRecorder(&durable.Instrumented{Log: log,
-				Observe: func(operation, _ string, took time.Duration, err error) { node.logHealth.observe(operation, took, err) }}, orderShards)
+				Observe: func(operation, _ string, took time.Duration, err error) { node.logHealth.observe(operation, took, err) }}, slowLogShards)
 			node.recorder.SetRelay(node.recordRemotely)
 			node.recorder.EnableGroupCommit(node.recordInGroup, &node.logHealth)
 		}
 		run.play(1, 6*time.Second)
 		if lost := run.report(t, 0, time.Second, 3*time.Second, 6*time.Second); lost > 0 {
-			t.Errorf("%d turns not recorded within %v", lost, orderCallerPatience)
+			t.Errorf("%d turns not recorded within %v", lost, callerTimeout)
 		}
 		count := 0
 		for _, call := range run.log.calls {
--- a/internal/node/slow_log_order_test.go
+++ b/internal/node/slow_log_test.go
@@ -23,21 +23,21 @@
 )
 
 const (
-	orderShards = 16
-	// orderCallerPatience is the pause after which a caller leaves its stream.
-	orderCallerPatience = 2 * time.Second
-	// orderQueueLimit is the wait beyond which a partition answers 503.
-	orderQueueLimit = 2 * time.Second
-	// orderFastPeriod is how long the log is fast before it becomes slow.
-	orderFastPeriod = 2 * time.Second
-	fastAppendTime  = 4 * time.Millisecond
-	fastReadTime    = 3 * time.Millisecond
-	slowAppendTime  = 60 * fastAppendTime
-	orderTurnsPerS  = 200
+	slowLogShards = 16
+	// callerTimeout is the pause after which a caller leaves its stream.
+	callerTimeout = 2 * time.Second
+	// partitionQueueLimit is the wait beyond which a partition answers 503.
+	partitionQueueLimit = 2 * time.Second
+	// fastPeriod is how long the log is fast before it becomes slow.
+	fastPeriod          = 2 * time.Second
+	fastAppendTime      = 4 * time.Millisecond
+	fastReadTime        = 3 * time.Millisecond
+	slowAppendTime      = 60 * fastAppendTime
+	fleetTurnsPerSecond = 200
 )
 
 // serialLog is a log of which each partition takes one append at a time, and answers 503 while
-// appends of over orderQueueLimit wait. An append goes on in the log when its caller gives up.
+// appends of over partitionQueueLimit wait. An append goes on in the log when its caller gives up.
 type serialLog struct {
 	*durable.Memory
 	mutex sync.Mutex
@@ -71,7 +71,7 @@
 type nodeLog struct {
 	*serialLog
 	node string
-	run  *orderRun
+	run  *fleet
 }
 
 func (log *nodeLog) Append(ctx context.Context, partition durable.Partition, records [][]byte, condition durable.Condition) (durable.AppendResult, error) {
@@ -90,7 +90,7 @@
 		return durable.AppendResult{}, ctx.Err()
 	}
 	free := log.free[partition]
-	if free.Sub(now) > orderQueueLimit {
+	if free.Sub(now) > partitionQueueLimit {
 		call.refused = true
 		call.ended = now
 		log.mutex.Unlock()
@@ -149,8 +149,8 @@
 	return string(record[start : start+end+1])
 }
 
-// orderTurn is a turn of a run.
-type orderTurn struct {
+// fleetTurn is a turn of a run.
+type fleetTurn struct {
 	shard    int
 	origin   string
 	asked    time.Time
@@ -158,15 +158,15 @@
 	err      error
 }
 
-// orderRun is a fleet that records turns in a log that becomes slow.
-type orderRun struct {
+// fleet is a fleet that records turns in a log that becomes slow.
+type fleet struct {
 	log     *serialLog
 	network *fakeNetwork
 	nodes   []*Node
 	owners  []*Node
 	start   time.Time // of the slowness
 	mutex   sync.Mutex
-	turns   map[string]*orderTurn
+	turns   map[string]*fleetTurn
 	// forOthers tells why a node records another's turn, sentBy which partitions each turn went to.
 	forOthers map[string]string
 	sent      map[string]bool
@@ -176,14 +176,14 @@
 	frozen map[string]bool
 }
 
-func (run *orderRun) isFrozen(name string) bool {
+func (run *fleet) isFrozen(name string) bool {
 	run.mutex.Lock()
 	defer run.mutex.Unlock()
 	return run.frozen[name]
 }
 
 // classify tells why each turn of a call was sent. The caller holds the log's mutex.
-func (run *orderRun) classify(call *serialCall) {
+func (run *fleet) classify(call *serialCall) {
 	run.mutex.Lock()
 	defer run.mutex.Unlock()
 	call.onlyRepeats = true
@@ -213,13 +213,13 @@
 	}
 }
 
-// orderServer notes why a node records another's turn.
-type orderServer struct {
+// observedServer notes why a node records another's turn.
+type observedServer struct {
 	*peerServer
-	run *orderRun
+	run *fleet
 }
 
-func (server *orderServer) Record(ctx context.Context, request *nodev1.RecordRequest) (*nodev1.RecordReply, error) {
+func (server *observedServer) Record(ctx context.Context, request *nodev1.RecordRequest) (*nodev1.RecordReply, error) {
 	server.run.mutex.Lock()
 	key := server.node.settings.Name + request.Turn.Id
 	if server.run.forOthers[key] == "" {
@@ -232,14 +232,14 @@
 	return server.peerServer.Record(ctx, request)
 }
 
-// newOrderRun starts nodes whose first ones own the shards.
-func newOrderRun(t *testing.T, nodeCount int, transit time.Duration) *orderRun {
+// newFleet starts nodes whose first ones own the shards.
+func newFleet(t *testing.T, nodeCount int, transit time.Duration) *fleet {
 	logger, err := logging.New("error", t.Output())
 	if err != nil {
 		t.Fatal(err)
 	}
-	run := &orderRun{start: time.Now().Add(orderFastPeriod), transit: transit, network: &fakeNetwork{nodes: map[string]http.Handler{}, cut: map[[2]string]bool{}},
-		turns: map[string]*orderTurn{}, forOthers: map[string]string{}, sent: map[string]bool{}, frozen: map[string]bool{}}
+	run := &fleet{start: time.Now().Add(fastPeriod), transit: transit, network: &fakeNetwork{nodes: map[string]http.Handler{}, cut: map[[2]string]bool{}},
+		turns: map[string]*fleetTurn{}, forOthers: map[string]string{}, sent: map[string]bool{}, frozen: map[string]bool{}}
 	run.log = &serialLog{Memory: durable.NewMemory(), free: map[durable.Partition]time.Time{}}
 	run.log.appendTime = func(at time.Time) time.Duration {
 		if at.Before(run.start) {
@@ -249,7 +249,7 @@
 	}
 	for number := range nodeCount {
 		name := "node-" + strconv.Itoa(number)
-		node := &Node{settings: Settings{Name: name, Shards: orderShards}, members: newMembers(), logger: logger.Sampled(), turns: history.NewStore(1 << 20)}
+		node := &Node{settings: Settings{Name: name, Shards: slowLogShards}, members: newMembers(), logger: logger.Sampled(), turns: history.NewStore(1 << 20)}
 		direct := run.network.clientFor(name)
 		node.peers = newPeers(node.members, &http.Client{Transport: roundTripperFunc(func(request *http.Request) (*http.Response, error) {
 			time.Sleep(run.transit)
@@ -262,10 +262,10 @@
 		node.programs = newPrograms(node)
 		observed := &durable.Instrumented{Log: &nodeLog{serialLog: run.log, node: name, run: run},
 			Observe: func(operation, _ string, took time.Duration, err error) { node.logHealth.observe(operation, took, err) }}
-		node.recorder = history.NewRecorder(observed, orderShards)
+		node.recorder = history.NewRecorder(observed, slowLogShards)
 		node.recorder.SetRelay(node.recordRemotely)
 		node.recorder.EnableGroupCommit(node.recordInGroup, &node.logHealth)
-		run.network.nodes[name] = nodev1.NewNodeServer(&orderServer{peerServer: &peerServer{node: node}, run: run})
+		run.network.nodes[name] = nodev1.NewNodeServer(&observedServer{peerServer: &peerServer{node: node}, run: run})
 		run.nodes = append(run.nodes, node)
 	}
 	for _, node := range run.nodes {
@@ -273,7 +273,7 @@
 			node.members.put(Member{Name: other.settings.Name, Address: other.settings.Name, Capacity: 800})
 		}
 	}
-	for shard := range orderShards {
+	for shard := range slowLogShards {
 		owner := run.nodes[0]
 		for _, node := range run.nodes {
 			if node.settings.Name == run.nodes[0].members.candidates(shard)[0].Name {
@@ -290,7 +290,7 @@
 
 // gossip exchanges what nodes know of the log as the fleet does: every node asks its reader, one per
 // nodesPerReader nodes, each learnInterval, and the owner of a turn's shard when the turn begins.
-func (run *orderRun) gossip(ctx context.Context, random *rand.Rand) {
+func (run *fleet) gossip(ctx context.Context, random *rand.Rand) {
 	tell := func(from, to *Node) {
 		observed := from.logHealth.report(time.Now())
 		time.Sleep(run.transit)
@@ -309,15 +309,15 @@
 	starts := rand.New(rand.NewPCG(random.Uint64(), 1))
 	go func() {
 		for ctx.Err() == nil {
-			time.Sleep(time.Second / orderTurnsPerS)
-			node, owner := run.nodes[starts.IntN(len(run.nodes))], run.owners[starts.IntN(orderShards)]
+			time.Sleep(time.Second / fleetTurnsPerSecond)
+			node, owner := run.nodes[starts.IntN(len(run.nodes))], run.owners[starts.IntN(slowLogShards)]
 			go tell(owner, node)
 		}
 	}()
 }
 
 // play records turns at random nodes for a time after the log has become slow.
-func (run *orderRun) play(seed uint64, slowPeriod time.Duration) {
+func (run *fleet) play(seed uint64, slowPeriod time.Duration) {
 	random := rand.New(rand.NewPCG(seed, 0))
 	ctx, cancel := context.WithCancel(context.Background())
 	run.gossip(ctx, random)
@@ -328,20 +328,20 @@
 			node = run.nodes[random.IntN(len(run.nodes))]
 		}
 		name := fmt.Sprintf("<turn-%d>", number)
-		turn := &orderTurn{shard: random.IntN(orderShards), origin: node.settings.Name, asked: time.Now()}
+		turn := &fleetTurn{shard: random.IntN(slowLogShards), origin: node.settings.Name, asked: time.Now()}
 		run.mutex.Lock()
 		run.turns[name] = turn
 		run.mutex.Unlock()
 		group.Go(func() {
-			patience, left := context.WithTimeout(context.Background(), orderCallerPatience)
-			defer left()
-			err := node.recorder.Record(patience, turn.shard, &history.Turn{ID: name, Program: "p", Input: []byte("in"), Output: []byte("out\n"), EndedAt: time.Now(), Retention: time.Minute})
+			bounded, cancelBounded := context.WithTimeout(context.Background(), callerTimeout)
+			defer cancelBounded()
+			err := node.recorder.Record(bounded, turn.shard, &history.Turn{ID: name, Program: "p", Input: []byte("in"), Output: []byte("out\n"), EndedAt: time.Now(), Retention: time.Minute})
 			turn.recorded, turn.err = time.Since(turn.asked), err
 			if err == nil { // The owner learns of it with the settlement.
 				run.owners[turn.shard].logHealth.observeRecording(turn.recorded)
 			}
 		})
-		time.Sleep(time.Second / orderTurnsPerS)
+		time.Sleep(time.Second / fleetTurnsPerSecond)
 	}
 	group.Wait()
 	cancel()
@@ -350,7 +350,7 @@
 
 // report prints counts, and returns how many turns that were asked for from the slowness on, in a
 // period, were lost.
-func (run *orderRun) report(t *testing.T, periods ...time.Duration) int {
+func (run *fleet) report(t *testing.T, periods ...time.Duration) int {
 	run.log.mutex.Lock()
 	defer run.log.mutex.Unlock()
 	lost := 0
@@ -419,7 +419,7 @@
 }
 
 // sampleKnowledge logs how many nodes know that appends are slow at times after the slowness began.
-func (run *orderRun) sampleKnowledge(t *testing.T, times ...time.Duration) {
+func (run *fleet) sampleKnowledge(t *testing.T, times ...time.Duration) {
 	go func() {
 		for _, at := range times {
 			time.Sleep(time.Until(run.start.Add(at)))
@@ -445,27 +445,27 @@
 			}
 			run.log.mutex.Unlock()
 			t.Logf("at %v: %d of %d nodes and %d of %d owners know; the partitions' queues hold %v on average, %v at most; the last fast append is believed to have ended at %v",
-				at, know, len(run.nodes), owners, orderShards, (total / orderShards).Round(time.Millisecond), worst.Round(time.Millisecond), latestFast.Round(time.Millisecond))
+				at, know, len(run.nodes), owners, slowLogShards, (total / slowLogShards).Round(time.Millisecond), worst.Round(time.Millisecond), latestFast.Round(time.Millisecond))
 		}
 	}()
 }
 
-var orderSamples = []time.Duration{60 * time.Millisecond, 100 * time.Millisecond, 250 * time.Millisecond, 400 * time.Millisecond, 700 * time.Millisecond,
+var sampleTimes = []time.Duration{60 * time.Millisecond, 100 * time.Millisecond, 250 * time.Millisecond, 400 * time.Millisecond, 700 * time.Millisecond,
 	time.Second, 1500 * time.Millisecond, 2 * time.Second, 2500 * time.Millisecond, 3 * time.Second, 3500 * time.Millisecond, 4 * time.Second, 5 * time.Second}
 
-// Guards against programs lost in the first seconds of a slow store: one append per partition at a
+// Guards against programs lost in the first seconds of a slow log: one append per partition at a
 // time, with all that waits behind it, would record every turn within two appends.
 func TestTurnsAreRecordedFromTheMomentTheLogBecomesSlow(t *testing.T) {
 	for _, transit := range []time.Duration{time.Millisecond, 10 * time.Millisecond} {
 		for _, nodeCount := range []int{48, 84} {
 			t.Run(fmt.Sprintf("%d nodes, %v apart", nodeCount, transit), func(t *testing.T) {
 				inVirtualTime(t, func(t *testing.T) {
-					run := newOrderRun(t, nodeCount, transit)
-					run.sampleKnowledge(t, orderSamples...)
+					run := newFleet(t, nodeCount, transit)
+					run.sampleKnowledge(t, sampleTimes...)
 					run.play(1, 6*time.Second)
 					lost := run.report(t, 0, 60*time.Millisecond, 100*time.Millisecond, 250*time.Millisecond, time.Second, 2*time.Second, 3*time.Second, 4*time.Second, 6*time.Second)
 					if lost > 0 {
-						t.Errorf("%d turns not recorded within %v", lost, orderCallerPatience)
+						t.Errorf("%d turns not recorded within %v", lost, callerTimeout)
 					}
 				})
 			})
@@ -477,11 +477,11 @@
 // answer from a slow append then.
 func TestTurnsAreRecordedInALogWithSlowAppendsAndFastReads(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
-		run := newOrderRun(t, 84, time.Millisecond)
+		run := newFleet(t, 84, time.Millisecond)
 		run.log.fastReads = true
 		run.play(1, 6*time.Second)
 		if lost := run.report(t, 0, 250*time.Millisecond, time.Second, 2*time.Second, 3*time.Second, 6*time.Second); lost > 0 {
-			t.Errorf("%d turns not recorded within %v", lost, orderCallerPatience)
+			t.Errorf("%d turns not recorded within %v", lost, callerTimeout)
 		}
 	})
 }
@@ -490,13 +490,13 @@
 // for the others.
 func TestTurnsAreRecordedWhenTheLogIsSilentToAGroupWriter(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
-		run := newOrderRun(t, 84, time.Millisecond)
+		run := newFleet(t, 84, time.Millisecond)
 		run.log.appendTime = func(time.Time) time.Duration { return fastAppendTime }
 		cut := run.owners[3].settings.Name
 		run.log.silentTo = func(node string, at time.Time) bool { return node == cut && !at.Before(run.start) }
 		run.play(1, 6*time.Second)
 		if lost := run.report(t, 0, 250*time.Millisecond, time.Second, 2*time.Second, 3*time.Second, 6*time.Second); lost > 0 {
-			t.Errorf("%d turns not recorded within %v", lost, orderCallerPatience)
+			t.Errorf("%d turns not recorded within %v", lost, callerTimeout)
 		}
 	})
 }
@@ -505,15 +505,15 @@
 // owner of a shard. The candidates that take their place need one recordTimeout more.
 func TestTurnsAreRecordedInASlowLogWhenGroupWritersFail(t *testing.T) {
 	const nodeCount = 84
-	for name, harm := range map[string]func(run *orderRun){
-		"two owners frozen from the beginning": func(run *orderRun) {
+	for name, harm := range map[string]func(run *fleet){
+		"two owners frozen from the beginning": func(run *fleet) {
 			run.frozen[run.owners[3].settings.Name] = true
 			run.frozen[run.owners[7].settings.Name] = true
 		},
-		"half of the nodes know another owner": func(run *orderRun) {
+		"half of the nodes know another owner": func(run *fleet) {
 			for index, node := range run.nodes {
 				node.programs.mutex.Lock()
-				for shard := range orderShards {
+				for shard := range slowLogShards {
 					if index%2 == 0 {
 						node.programs.owners[shard] = ownership.Owner{Node: run.nodes[0].members.candidates(shard)[1].Name, Epoch: 1}
 					}
@@ -524,36 +524,36 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			inVirtualTime(t, func(t *testing.T) {
-				run := newOrderRun(t, nodeCount, time.Millisecond)
+				run := newFleet(t, nodeCount, time.Millisecond)
 				go func() {
 					time.Sleep(time.Until(run.start))
 					run.mutex.Lock()
 					defer run.mutex.Unlock()
 					harm(run)
 				}()
-				run.sampleKnowledge(t, orderSamples...)
+				run.sampleKnowledge(t, sampleTimes...)
 				run.play(1, 6*time.Second)
 				lost := run.report(t, 0, 250*time.Millisecond, time.Second, 2*time.Second, 3*time.Second, 4*time.Second, 6*time.Second)
 				if lost > 0 {
-					t.Errorf("%d turns not recorded within %v", lost, orderCallerPatience)
+					t.Errorf("%d turns not recorded within %v", lost, callerTimeout)
 				}
 			})
 		})
 	}
 }
 
-// Guards against turns lost with the answers of a fast log, of which 3 in 10 are lost here: what spares a
-// slow log must not keep turns from other partitions in this one.
+// Guards against turns lost with the responses of a fast log, of which 3 in 10 are lost here: bounds
+// for a slow log must not delay a further append to this one.
 func TestTurnsAreRecordedInALogThatLosesAnswers(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
-		run := newOrderRun(t, 84, time.Millisecond)
+		run := newFleet(t, 84, time.Millisecond)
 		run.log.appendTime = func(time.Time) time.Duration { return fastAppendTime }
 		random := rand.New(rand.NewPCG(7, 7))
 		run.log.answerLost = func(at time.Time) bool { return !at.Before(run.start) && random.IntN(10) < 3 }
-		run.sampleKnowledge(t, orderSamples...)
+		run.sampleKnowledge(t, sampleTimes...)
 		run.play(1, 6*time.Second)
 		if lost := run.report(t, 0, 250*time.Millisecond, time.Second, 2*time.Second, 3*time.Second, 6*time.Second); lost > 0 {
-			t.Errorf("%d turns not recorded within %v", lost, orderCallerPatience)
+			t.Errorf("%d turns not recorded within %v", lost, callerTimeout)
 		}
 	})
 }
@@ -562,19 +562,19 @@
 // believe that an append was fast since the log became slow, and send hedges that add to its queues.
 func TestARepeatedGroupRelayDoesNotRenewWhatItObserved(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
-		run := newOrderRun(t, 2, time.Millisecond)
+		run := newFleet(t, 2, time.Millisecond)
 		run.start = time.Now()
 		const shard = 1
 		writer, requester := run.owners[shard], run.nodes[0]
 		if writer == requester {
 			requester = run.nodes[1]
 		}
-		run.log.free[durable.Partition{Topic: history.Topic, Number: shard}] = run.start.Add(orderQueueLimit)
+		run.log.free[durable.Partition{Topic: history.Topic, Number: shard}] = run.start.Add(partitionQueueLimit)
 		requester.logHealth.observe(durable.OperationAppend, fastAppendTime, nil)
 		time.Sleep(fastAppendTime)
 		requester.logHealth.ObserveSlowAppend(time.Now())
-		run.turns["<turn-0>"] = &orderTurn{shard: shard, origin: requester.settings.Name, asked: time.Now()}
-		ctx, cancel := context.WithTimeout(context.Background(), orderCallerPatience)
+		run.turns["<turn-0>"] = &fleetTurn{shard: shard, origin: requester.settings.Name, asked: time.Now()}
+		ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
 		defer cancel()
 		go func() {
 			_ = requester.recorder.Record(ctx, shard, &history.Turn{ID: "<turn-0>", Program: "p", Input: []byte("in"), Output: []byte("out\n"), EndedAt: time.Now(), Retention: time.Minute})
@@ -593,7 +593,7 @@
 func TestWhatNodesTellOfTheLogDoesNotGetNewer(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
 		const transit = 10 * time.Millisecond
-		run := newOrderRun(t, 84, transit)
+		run := newFleet(t, 84, transit)
 		run.nodes[0].logHealth.observe(durable.OperationAppend, fastAppendTime, nil)
 		ended := time.Now()
 		ctx, cancel := context.WithCancel(context.Background())
@@ -619,7 +619,7 @@
 // appended for as long as its requester asks, and never acknowledged.
 func TestARecordingThatEndedBetweenRequestsIsNotMadeAgain(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
-		run := newOrderRun(t, 2, 10*time.Millisecond)
+		run := newFleet(t, 2, 10*time.Millisecond)
 		run.start = time.Now()
 		const shard = 1
 		writer, requester := run.owners[shard], run.nodes[0]
@@ -627,8 +627,8 @@
 			requester = run.nodes[1]
 		}
 		requester.logHealth.ObserveSlowAppend(time.Now())
-		run.turns["<turn-0>"] = &orderTurn{shard: shard, origin: requester.settings.Name, asked: time.Now()}
-		ctx, cancel := context.WithTimeout(context.Background(), orderCallerPatience)
+		run.turns["<turn-0>"] = &fleetTurn{shard: shard, origin: requester.settings.Name, asked: time.Now()}
+		ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
 		defer cancel()
 		err := requester.recorder.Record(ctx, shard, &history.Turn{ID: "<turn-0>", Program: "p", Input: []byte("in"), Output: []byte("out\n"), EndedAt: time.Now(), Retention: time.Minute})
 		if err != nil {
@@ -650,7 +650,7 @@
 	for _, foreign := range []int{0, 3} {
 		t.Run(strconv.Itoa(foreign)+" appends before it", func(t *testing.T) {
 			inVirtualTime(t, func(t *testing.T) {
-				run := newOrderRun(t, 4, time.Millisecond)
+				run := newFleet(t, 4, time.Millisecond)
 				run.start = time.Now()
 				const shard = 1
 				partition := durable.Partition{Topic: history.Topic, Number: shard}
@@ -658,22 +658,22 @@
 				for _, node := range run.nodes {
 					node.logHealth.ObserveSlowAppend(time.Now())
 				}
-				ctx, cancel := context.WithTimeout(context.Background(), orderCallerPatience)
+				ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
 				defer cancel()
 				var group sync.WaitGroup
 				// A partition's share of the turns, for one second.
-				for number := range orderTurnsPerS / orderShards {
+				for number := range fleetTurnsPerSecond / slowLogShards {
 					name := fmt.Sprintf("<turn-%d>", number)
 					node := run.nodes[number%len(run.nodes)]
 					run.mutex.Lock()
-					turn := &orderTurn{shard: shard, origin: node.settings.Name, asked: time.Now()}
+					turn := &fleetTurn{shard: shard, origin: node.settings.Name, asked: time.Now()}
 					run.turns[name] = turn
 					run.mutex.Unlock()
 					group.Go(func() {
 						turn.err = node.recorder.Record(ctx, shard, &history.Turn{ID: name, Program: "p", Input: []byte("in"), Output: []byte("out\n"), EndedAt: time.Now(), Retention: time.Minute})
 						turn.recorded = time.Since(turn.asked)
 					})
-					time.Sleep(time.Second * orderShards / orderTurnsPerS)
+					time.Sleep(time.Second * slowLogShards / fleetTurnsPerSecond)
 				}
 				group.Wait()
 				time.Sleep(20 * time.Second)
--- a/internal/node/review_record_test.go
+++ b/internal/node/unresponsive_log_test.go
@@ -12,42 +12,42 @@
 )
 
 // oldWriter is a group writer of a build before pending_after_ms: it replies after pendingReplyAfter.
-type oldWriter struct{ *orderServer }
+type oldWriter struct{ *observedServer }
 
 func (server *oldWriter) Record(ctx context.Context, request *nodev1.RecordRequest) (*nodev1.RecordReply, error) {
 	request.PendingAfterMs = 0
-	return server.orderServer.Record(ctx, request)
+	return server.observedServer.Record(ctx, request)
 }
 
-func (run *orderRun) makeOld(node *Node) {
-	run.network.nodes[node.settings.Name] = nodev1.NewNodeServer(&oldWriter{&orderServer{peerServer: &peerServer{node: node}, run: run}})
+func (run *fleet) makeOld(node *Node) {
+	run.network.nodes[node.settings.Name] = nodev1.NewNodeServer(&oldWriter{&observedServer{peerServer: &peerServer{node: node}, run: run}})
 }
 
-func reviewTurn(name string) *history.Turn {
+func namedTurn(name string) *history.Turn {
 	return &history.Turn{ID: name, Program: "p", Input: []byte("in"), Output: []byte("out\n"), EndedAt: time.Now(), Retention: time.Minute}
 }
 
 // Guards against a rolling update in a slow log: a writer of an older build replies later than
 // firstReplyTimeout, so its turns would be sent to another writer too and appended by the requester.
-func TestReviewOldGroupWriterIsNotTakenForUnresponsive(t *testing.T) {
+func TestOldGroupWriterIsNotTakenForUnresponsive(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
-		run := newOrderRun(t, 3, time.Millisecond)
+		run := newFleet(t, 3, time.Millisecond)
 		run.start = time.Now()
 		const shard = 1
 		var requester *Node
 		for _, node := range run.nodes {
 			run.makeOld(node)
 		}
-		writers := run.nodes[0].groupWriters(shard, reviewTurn("x"))
+		writers := run.nodes[0].groupWriters(shard, namedTurn("x"))
 		for _, node := range run.nodes {
 			if node.settings.Name != writers[0].Name && node.settings.Name != writers[1].Name {
 				requester = node
 			}
 		}
-		run.turns["<turn-0>"] = &orderTurn{shard: shard, origin: requester.settings.Name, asked: time.Now()}
-		ctx, cancel := context.WithTimeout(context.Background(), orderCallerPatience)
+		run.turns["<turn-0>"] = &fleetTurn{shard: shard, origin: requester.settings.Name, asked: time.Now()}
+		ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
 		defer cancel()
-		if err := requester.recorder.Record(ctx, shard, reviewTurn("<turn-0>")); err != nil {
+		if err := requester.recorder.Record(ctx, shard, namedTurn("<turn-0>")); err != nil {
 			t.Errorf("not recorded: %v", err)
 		}
 		time.Sleep(20 * time.Second)
@@ -61,9 +61,9 @@
 }
 
 // The same in a fleet whose writers are of the old build.
-func TestReviewFleetWithOldWritersInASlowLog(t *testing.T) {
+func TestFleetWithOldWritersInASlowLog(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
-		run := newOrderRun(t, 84, time.Millisecond)
+		run := newFleet(t, 84, time.Millisecond)
 		for index, node := range run.nodes {
 			if index%2 == 0 {
 				run.makeOld(node)
@@ -71,16 +71,16 @@
 		}
 		run.play(1, 6*time.Second)
 		if lost := run.report(t, 0, 250*time.Millisecond, time.Second, 2*time.Second, 3*time.Second, 6*time.Second); lost > 0 {
-			t.Errorf("%d turns not recorded within %v", lost, orderCallerPatience)
+			t.Errorf("%d turns not recorded within %v", lost, callerTimeout)
 		}
 	})
 }
 
 // Guards against a turn that waits for a writer to which the log is silent in a quiet fleet, where no
 // other append tells that the log is fast.
-func TestReviewLogSilentToTheWriterOfAQuietFleet(t *testing.T) {
+func TestLogSilentToTheWriterOfAQuietFleet(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
-		run := newOrderRun(t, 2, time.Millisecond)
+		run := newFleet(t, 2, time.Millisecond)
 		run.start = time.Now()
 		run.log.appendTime = func(time.Time) time.Duration { return fastAppendTime }
 		const shard = 1
@@ -89,10 +89,10 @@
 			requester = run.nodes[1]
 		}
 		run.log.silentTo = func(node string, _ time.Time) bool { return node == writer.settings.Name }
-		run.turns["<turn-0>"] = &orderTurn{shard: shard, origin: requester.settings.Name, asked: time.Now()}
-		ctx, cancel := context.WithTimeout(context.Background(), orderCallerPatience)
+		run.turns["<turn-0>"] = &fleetTurn{shard: shard, origin: requester.settings.Name, asked: time.Now()}
+		ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
 		defer cancel()
-		err := requester.recorder.Record(ctx, shard, reviewTurn("<turn-0>"))
+		err := requester.recorder.Record(ctx, shard, namedTurn("<turn-0>"))
 		t.Logf("took %v", time.Since(run.start))
 		if err != nil {
 			t.Errorf("not recorded: %v", err)
@@ -132,22 +132,22 @@
 	return log.Log.Read(ctx, partition, from, wait)
 }
 
-func TestReviewOnePartitionSilentOrRefusing(t *testing.T) {
+func TestOnePartitionSilentOrRefusing(t *testing.T) {
 	for name, refuses := range map[string]bool{"silent": false, "refusing": true} {
 		t.Run(name, func(t *testing.T) {
 			inVirtualTime(t, func(t *testing.T) {
-				run := newOrderRun(t, 84, time.Millisecond)
+				run := newFleet(t, 84, time.Millisecond)
 				run.log.appendTime = func(time.Time) time.Duration { return fastAppendTime }
 				for _, node := range run.nodes {
 					log := &onePartitionLog{Log: &nodeLog{serialLog: run.log, node: node.settings.Name, run: run}, number: 3, refuses: refuses, from: run.start}
 					node.recorder = history.NewRecorder(&durable.Instrumented{Log: log,
-						Observe: func(operation, _ string, took time.Duration, err error) { node.logHealth.observe(operation, took, err) }}, orderShards)
+						Observe: func(operation, _ string, took time.Duration, err error) { node.logHealth.observe(operation, took, err) }}, slowLogShards)
 					node.recorder.SetRelay(node.recordRemotely)
 					node.recorder.EnableGroupCommit(node.recordInGroup, &node.logHealth)
 				}
 				run.play(1, 6*time.Second)
 				if lost := run.report(t, 0, 250*time.Millisecond, time.Second, 2*time.Second, 3*time.Second, 6*time.Second); lost > 0 {
-					t.Errorf("%d turns not recorded within %v", lost, orderCallerPatience)
+					t.Errorf("%d turns not recorded within %v", lost, callerTimeout)
 				}
 			})
 		})
@@ -155,17 +155,17 @@
 }
 
 // Guards against a recording from memory that is taken for a fast append of a slow log.
-func TestReviewARememberedRecordingIsNotAFastAppend(t *testing.T) {
+func TestARememberedRecordingIsNotAFastAppend(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
-		run := newOrderRun(t, 2, time.Millisecond)
+		run := newFleet(t, 2, time.Millisecond)
 		run.start = time.Now()
 		const shard = 1
 		writer, requester := run.owners[shard], run.nodes[0]
 		if writer == requester {
 			requester = run.nodes[1]
 		}
-		run.turns["<turn-0>"] = &orderTurn{shard: shard, origin: requester.settings.Name, asked: time.Now()}
-		turn := reviewTurn("<turn-0>")
+		run.turns["<turn-0>"] = &fleetTurn{shard: shard, origin: requester.settings.Name, asked: time.Now()}
+		turn := namedTurn("<turn-0>")
 		if err := requester.recordInGroup(context.Background(), shard, turn); err != nil {
 			t.Fatal(err)
 		}
@@ -182,18 +182,18 @@
 }
 
 // Guards against a turn that is acknowledged although the log has another one of the same ID.
-func TestReviewAnAcknowledgedTurnIsInTheLog(t *testing.T) {
+func TestAnAcknowledgedTurnIsInTheLog(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
-		run := newOrderRun(t, 2, time.Millisecond)
+		run := newFleet(t, 2, time.Millisecond)
 		run.log.appendTime = func(time.Time) time.Duration { return fastAppendTime }
 		const shard = 1
 		writer, requester := run.owners[shard], run.nodes[0]
 		if writer == requester {
 			requester = run.nodes[1]
 		}
-		run.turns["<turn-0>"] = &orderTurn{shard: shard, origin: requester.settings.Name, asked: time.Now()}
+		run.turns["<turn-0>"] = &fleetTurn{shard: shard, origin: requester.settings.Name, asked: time.Now()}
 		for _, output := range []string{"first output", "other output"} {
-			turn := reviewTurn("<turn-0>")
+			turn := namedTurn("<turn-0>")
 			turn.Output = []byte(output)
 			if err := requester.recorder.Record(context.Background(), shard, turn); err != nil {
 				t.Fatal(err)
@@ -208,9 +208,9 @@
 }
 
 // Guards against turns lost with a writer that freezes while it has them, in a slow log.
-func TestReviewWritersFreezeOneAfterAnother(t *testing.T) {
+func TestWritersFreezeOneAfterAnother(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
-		run := newOrderRun(t, 84, time.Millisecond)
+		run := newFleet(t, 84, time.Millisecond)
 		go func() {
 			for index := range 4 {
 				time.Sleep(time.Until(run.start.Add(time.Duration(index+1) * time.Second)))
@@ -221,19 +221,19 @@
 		}()
 		run.play(2, 6*time.Second)
 		if lost := run.report(t, 0, 250*time.Millisecond, time.Second, 2*time.Second, 3*time.Second, 6*time.Second); lost > 0 {
-			t.Errorf("%d turns not recorded within %v", lost, orderCallerPatience)
+			t.Errorf("%d turns not recorded within %v", lost, callerTimeout)
 		}
 	})
 }
 
 // One node alone, and two, in a slow log.
-func TestReviewSmallFleetsInASlowLog(t *testing.T) {
+func TestSmallFleetsInASlowLog(t *testing.T) {
 	for _, nodeCount := range []int{1, 2} {
 		inVirtualTime(t, func(t *testing.T) {
-			run := newOrderRun(t, nodeCount, time.Millisecond)
+			run := newFleet(t, nodeCount, time.Millisecond)
 			run.play(3, 6*time.Second)
 			if lost := run.report(t, 0, time.Second, 3*time.Second, 6*time.Second); lost > 0 {
-				t.Errorf("%d nodes: %d turns not recorded within %v", nodeCount, lost, orderCallerPatience)
+				t.Errorf("%d nodes: %d turns not recorded within %v", nodeCount, lost, callerTimeout)
 			}
 		})
 	}
