--- a/internal/durable/durable_test.go
+++ b/internal/durable/durable_test.go
@@ -93,7 +93,6 @@
 }
 
 var _ = Describe("Hedge", func() {
-	partition := durable.Partition{Topic: "topic", Number: 1}
 	var log durable.Log
 
 	BeforeEach(func() { log = durable.NewMemory() })
--- a/internal/history/partition_writer_test.go
+++ b/internal/history/partition_writer_test.go
@@ -188,6 +188,18 @@
 	return batch, err
 }
 
+// expectFound appends a record whose answer is lost, and fails if no check has acknowledged it after 2 s.
+func expectFound(t *testing.T, log *scriptedLog, writer *partitionWriter, done chan error, record string) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	writer.add(ctx, []byte(record), done)
+	time.Sleep(2 * time.Second)
+	if appends, reads := log.counts(); len(done) == 0 {
+		t.Errorf("not acknowledged after 2 s although the log has it and responds to reads: %d appends, %d reads", appends, reads)
+	}
+}
+
 // Guards against checks that read from an old end: they return other nodes' records, up to the limit
 // of a read, and miss the one that is overdue.
 func TestACheckFindsTheRecordBehindOthers(t *testing.T) {
@@ -201,13 +213,7 @@
 		for number := range 100 { // of other nodes
 			_, _ = log.Memory.Append(context.Background(), writer.partition, [][]byte{bytes.Repeat([]byte{byte(number)}, 4<<10)}, durable.Condition{})
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
-		defer cancel()
-		writer.add(ctx, []byte("second"), done)
-		time.Sleep(2 * time.Second)
-		if appends, reads := log.counts(); len(done) == 0 {
-			t.Errorf("not acknowledged after 2 s although the log has it and responds to reads: %d appends, %d reads", appends, reads)
-		}
+		expectFound(t, log, writer, done, "second")
 		time.Sleep(20 * time.Second)
 	})
 }
@@ -218,13 +224,7 @@
 		log := &scriptedLog{Memory: durable.NewMemory(), took: func(int) time.Duration { return 4 * time.Millisecond }, lost: func(int) bool { return true }}
 		writer := newTestWriter(&limitedLog{log})
 		done := make(chan error, 8)
-		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
-		defer cancel()
-		writer.add(ctx, []byte("first"), done)
-		time.Sleep(2 * time.Second)
-		if appends, reads := log.counts(); len(done) == 0 {
-			t.Errorf("not acknowledged after 2 s although the log has it and responds to reads: %d appends, %d reads", appends, reads)
-		}
+		expectFound(t, log, writer, done, "first")
 		time.Sleep(20 * time.Second)
 	})
 }
--- a/internal/node/silent_partition_test.go
+++ b/internal/node/silent_partition_test.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/magpielug/magpielug/internal/durable"
-	"github.com/magpielug/magpielug/internal/history"
 )
 
 // Counts, over seeds, the turns lost where one partition is silent to all, and tells which shards they are of.
@@ -16,11 +15,8 @@
 			run := newFleet(t, 84, time.Millisecond)
 			run.log.appendTime = func(time.Time) time.Duration { return fastAppendTime }
 			for _, node := range run.nodes {
-				log := &onePartitionLog{Log: &nodeLog{serialLog: run.log, node: node.settings.Name, run: run}, number: 3, from: run.start}
-				node.recorder = history.NewRecorder(&durable.Instrumented{Log: log,
-					Observe: func(operation, _ string, took time.Duration, err error) { node.logHealth.observe(operation, took, err) }}, slowLogShards)
-				node.recorder.SetRelay(node.recordRemotely)
-				node.recorder.EnableGroupCommit(node.recordInGroup, &node.logHealth)
+				log := &onePartitionLog{Log: run.logOf(node), number: 3, from: run.start}
+				recordIn(node, log)
 			}
 			run.play(seed, 8*time.Second)
 			for name, turn := range run.turns {
@@ -39,16 +35,11 @@
 		run := newFleet(t, 84, time.Millisecond)
 		run.log.appendTime = func(time.Time) time.Duration { return fastAppendTime }
 		for _, node := range run.nodes {
-			log := &slowPartitionLog{nodeLog: nodeLog{serialLog: run.log, node: node.settings.Name, run: run}}
-			node.recorder = history.NewRecorder(&durable.Instrumented{Log: log,
-				Observe: func(operation, _ string, took time.Duration, err error) { node.logHealth.observe(operation, took, err) }}, slowLogShards)
-			node.recorder.SetRelay(node.recordRemotely)
-			node.recorder.EnableGroupCommit(node.recordInGroup, &node.logHealth)
+			log := &slowPartitionLog{run.logOf(node)}
+			recordIn(node, log)
 		}
 		run.play(1, 6*time.Second)
-		if lost := run.report(t, 0, time.Second, 3*time.Second, 6*time.Second); lost > 0 {
-			t.Errorf("%d turns not recorded within %v", lost, callerTimeout)
-		}
+		run.expectNoneLost(t, 0, time.Second, 3*time.Second, 6*time.Second)
 		count := 0
 		for _, call := range run.log.calls {
 			if call.number == 3 && !call.sent.Before(run.start) {
@@ -60,7 +51,7 @@
 }
 
 // slowPartitionLog busies partition 3 for slowAppendTime with each append.
-type slowPartitionLog struct{ nodeLog }
+type slowPartitionLog struct{ *nodeLog }
 
 func (log *slowPartitionLog) Append(ctx context.Context, partition durable.Partition, records [][]byte, condition durable.Condition) (durable.AppendResult, error) {
 	if partition.Number == 3 && !time.Now().Before(log.run.start) {
--- a/internal/node/unresponsive_log_test.go
+++ b/internal/node/unresponsive_log_test.go
@@ -23,10 +23,6 @@
 	run.network.nodes[node.settings.Name] = nodev1.NewNodeServer(&oldWriter{&observedServer{peerServer: &peerServer{node: node}, run: run}})
 }
 
-func namedTurn(name string) *history.Turn {
-	return &history.Turn{ID: name, Program: "p", Input: []byte("in"), Output: []byte("out\n"), EndedAt: time.Now(), Retention: time.Minute}
-}
-
 // Guards against a rolling update in a slow log: a writer of an older build replies later than
 // firstReplyTimeout, so its turns would be sent to another writer too and appended by the requester.
 func TestOldGroupWriterIsNotTakenForUnresponsive(t *testing.T) {
@@ -70,9 +66,7 @@
 			}
 		}
 		run.play(1, 6*time.Second)
-		if lost := run.report(t, 0, 250*time.Millisecond, time.Second, 2*time.Second, 3*time.Second, 6*time.Second); lost > 0 {
-			t.Errorf("%d turns not recorded within %v", lost, callerTimeout)
-		}
+		run.expectNoneLost(t, 0, 250*time.Millisecond, time.Second, 2*time.Second, 3*time.Second, 6*time.Second)
 	})
 }
 
@@ -84,10 +78,7 @@
 		run.start = time.Now()
 		run.log.appendTime = func(time.Time) time.Duration { return fastAppendTime }
 		const shard = 1
-		writer, requester := run.owners[shard], run.nodes[0]
-		if writer == requester {
-			requester = run.nodes[1]
-		}
+		writer, requester := run.ownerAndRequester(shard)
 		run.log.silentTo = func(node string, _ time.Time) bool { return node == writer.settings.Name }
 		run.turns["<turn-0>"] = &fleetTurn{shard: shard, origin: requester.settings.Name, asked: time.Now()}
 		ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
@@ -139,16 +130,11 @@
 				run := newFleet(t, 84, time.Millisecond)
 				run.log.appendTime = func(time.Time) time.Duration { return fastAppendTime }
 				for _, node := range run.nodes {
-					log := &onePartitionLog{Log: &nodeLog{serialLog: run.log, node: node.settings.Name, run: run}, number: 3, refuses: refuses, from: run.start}
-					node.recorder = history.NewRecorder(&durable.Instrumented{Log: log,
-						Observe: func(operation, _ string, took time.Duration, err error) { node.logHealth.observe(operation, took, err) }}, slowLogShards)
-					node.recorder.SetRelay(node.recordRemotely)
-					node.recorder.EnableGroupCommit(node.recordInGroup, &node.logHealth)
+					log := &onePartitionLog{Log: run.logOf(node), number: 3, refuses: refuses, from: run.start}
+					recordIn(node, log)
 				}
 				run.play(1, 6*time.Second)
-				if lost := run.report(t, 0, 250*time.Millisecond, time.Second, 2*time.Second, 3*time.Second, 6*time.Second); lost > 0 {
-					t.Errorf("%d turns not recorded within %v", lost, callerTimeout)
-				}
+				run.expectNoneLost(t, 0, 250*time.Millisecond, time.Second, 2*time.Second, 3*time.Second, 6*time.Second)
 			})
 		})
 	}
@@ -160,10 +146,7 @@
 		run := newFleet(t, 2, time.Millisecond)
 		run.start = time.Now()
 		const shard = 1
-		writer, requester := run.owners[shard], run.nodes[0]
-		if writer == requester {
-			requester = run.nodes[1]
-		}
+		_, requester := run.ownerAndRequester(shard)
 		run.turns["<turn-0>"] = &fleetTurn{shard: shard, origin: requester.settings.Name, asked: time.Now()}
 		turn := namedTurn("<turn-0>")
 		if err := requester.recordInGroup(context.Background(), shard, turn); err != nil {
@@ -187,10 +170,7 @@
 		run := newFleet(t, 2, time.Millisecond)
 		run.log.appendTime = func(time.Time) time.Duration { return fastAppendTime }
 		const shard = 1
-		writer, requester := run.owners[shard], run.nodes[0]
-		if writer == requester {
-			requester = run.nodes[1]
-		}
+		_, requester := run.ownerAndRequester(shard)
 		run.turns["<turn-0>"] = &fleetTurn{shard: shard, origin: requester.settings.Name, asked: time.Now()}
 		for _, output := range []string{"first output", "other output"} {
 			turn := namedTurn("<turn-0>")
@@ -220,9 +200,7 @@
 			}
 		}()
 		run.play(2, 6*time.Second)
-		if lost := run.report(t, 0, 250*time.Millisecond, time.Second, 2*time.Second, 3*time.Second, 6*time.Second); lost > 0 {
-			t.Errorf("%d turns not recorded within %v", lost, callerTimeout)
-		}
+		run.expectNoneLost(t, 0, 250*time.Millisecond, time.Second, 2*time.Second, 3*time.Second, 6*time.Second)
 	})
 }
 
