Log: attempts that engines did not answer, by the content of the request

Tries of one request carry different ids and come to different nodes, so that no line joined them, and none told an engine that ended from a connection that did. No decision changes.

--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -229,16 +229,17 @@
 	return engine
 }
 
-// Remove removes an engine and reports whether it was known.
-func (directory *Directory) Remove(id string) bool {
+// Remove removes an engine. It returns the instance, false if it was not known.
+func (directory *Directory) Remove(id string) (Instance, bool) {
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
-	if directory.engines[id] == nil {
-		return false
+	engine := directory.engines[id]
+	if engine == nil {
+		return Instance{}, false
 	}
 	delete(directory.engines, id)
 	directory.eligibleByService = nil
-	return true
+	return engine.Instance, true
 }
 
 // eligible returns the engines of a service that may get requests. The caller holds the mutex.
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -88,6 +88,9 @@
 	}
 	if failure != nil {
 		fields = append(fields, zap.String("failure", failure.Error()))
+		if len(inflight.triedEngines) > 0 {
+			fields = append(fields, zap.Stringer("content", inflight.fingerprint()))
+		}
 	}
 	entry.Write(fields...)
 }
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -77,6 +77,7 @@
 	sendCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	outcome := backend.Abandoned
+	sent := false
 	began := time.Now()
 	inflight.releaseEngine = inflight.newEngineRelease(engine, began)
 	attempt := inflight.newAttempt(engine, remaining)
@@ -90,10 +91,14 @@
 		}
 		inflight.releaseEngine(outcome)
 		inflight.recordFailedEngine(engine, outcome)
+		if sent && mayHaveRun(outcome) {
+			inflight.logUnanswered(sendCtx, engine, began)
+		}
 	}()
 	stopRetryTimer := inflight.startRetryTimer(engine, cancel)
 	defer stopRetryTimer()
 	response, err := inflight.service.Sender.Send(sendCtx, attempt)
+	sent = !errors.Is(err, backend.ErrNotSent)
 	if err != nil {
 		outcome = sendOutcome(ctx, err)
 		if errors.Is(err, backend.ErrProcessFrozen) {
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -253,9 +253,10 @@
 	if len(record.Value) > 0 {
 		node.logger.Warn("engine record unusable", zap.String("engine", record.Key), zap.Int("bytes", len(record.Value)), zap.Int64("offset", record.Offset))
 	}
-	removed := node.engines.Remove(record.Key)
+	instance, removed := node.engines.Remove(record.Key)
 	if removed {
-		node.logger.Info("engine removed", zap.String("engine", record.Key), zap.Int64("offset", record.Offset))
+		node.logger.Info("engine removed", zap.String("engine", record.Key), zap.Bool("leaving", instance.Draining),
+			zap.Int64("life", instance.Incarnation), zap.Int64("offset", record.Offset))
 	}
 	return removed
 }
