Test: a request under which three engines have ended is sent to no further one

The stand-in engine ends under requests with a mark: at once, late, in mid-stream, silently or with resets.

--- a/rehearsal/standin/agentengine/agentengine.go
+++ b/rehearsal/standin/agentengine/agentengine.go
@@ -48,9 +48,16 @@
 	BaseDelay time.Duration
 	server    *http.Server
 	listener  net.Listener
-	mutex     sync.Mutex
-	faults    Faults
-	runs      []Run
+	// connections are those that the listener accepted.
+	connections *connectionTracker
+	mutex       sync.Mutex
+	faults      Faults
+	runs        []Run
+	// crash and onEnd are set by SetCrash; ended is true once the engine has ended by itself.
+	crash   *Crash
+	onEnd   func(engine *Engine)
+	ended   bool
+	endedAt time.Time
 }
 
 const headerTimeout = 30 * time.Second
@@ -67,9 +74,9 @@
 	if err != nil {
 		return nil, err
 	}
-	engine := &Engine{ID: id, EventsPerStream: events, listener: listener}
+	engine := &Engine{ID: id, EventsPerStream: events, listener: listener, connections: newConnectionTracker(listener)}
 	engine.server = &http.Server{Handler: engine, ReadHeaderTimeout: headerTimeout}
-	go func() { _ = engine.server.Serve(listener) }()
+	go func() { _ = engine.server.Serve(engine.connections) }()
 	return engine, nil
 }
 
@@ -77,7 +84,10 @@
 func (engine *Engine) Address() string { return engine.listener.Addr().String() }
 
 // Close stops the engine and closes its connections.
-func (engine *Engine) Close() { _ = engine.server.Close() }
+func (engine *Engine) Close() {
+	_ = engine.connections.Close()
+	_ = engine.server.Close()
+}
 
 // Drain stops accepting connections and waits for requests in flight until ctx ends.
 func (engine *Engine) Drain(ctx context.Context) error { return engine.server.Shutdown(ctx) }
@@ -117,6 +127,12 @@
 		return
 	}
 	index := engine.recordRun(request, string(body))
+	crash := engine.crashFor(request, string(body))
+	if crash != nil && crash.AfterEvents == 0 {
+		time.AfterFunc(crash.Delay, func() { engine.end(crash.Silent) })
+		<-request.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	if faults.Fail {
 		writer.WriteHeader(http.StatusInternalServerError)
 		return
@@ -126,7 +142,7 @@
 	}
 	writer.Header().Set("Response-Stamp", "stamp-"+engine.ID)
 	if strings.Contains(request.URL.Path, "/stream") {
-		engine.stream(writer, request, faults, index)
+		engine.stream(writer, request, faults, index, crash)
 		return
 	}
 	time.Sleep(engine.BaseDelay)
@@ -150,13 +166,18 @@
 	return len(engine.runs) - 1
 }
 
-func (engine *Engine) stream(writer http.ResponseWriter, request *http.Request, faults Faults, index int) {
+func (engine *Engine) stream(writer http.ResponseWriter, request *http.Request, faults Faults, index int, crash *Crash) {
 	writer.Header().Set("Content-Type", "text/event-stream")
 	flusher := writer.(http.Flusher)
 	for event := 1; event <= engine.EventsPerStream; event++ {
 		if faults.AbortStreamAfter > 0 && event > faults.AbortStreamAfter {
 			panic(http.ErrAbortHandler)
 		}
+		if crash != nil && event > crash.AfterEvents {
+			engine.end(crash.Silent)
+			<-request.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
 		_, err := fmt.Fprintf(writer, "id: %d\ndata: %s-%d\n\n", event, request.Header.Get("Request-Id"), event)
 		if err != nil {
 			return
