--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -304,6 +304,26 @@
 	return engine.Instance, true
 }
 
+// Serving reports whether an incarnation of an engine is known and not draining.
+func (directory *Directory) Serving(instance Instance) bool {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	engine := directory.engines[instance.ID]
+	return engine != nil && engine.Incarnation == instance.Incarnation && !engine.Draining
+}
+
+// Instances returns the engines of a service that may get requests.
+func (directory *Directory) Instances(service string) []Instance {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	engines := directory.eligible(service)
+	instances := make([]Instance, len(engines))
+	for index, engine := range engines {
+		instances[index] = engine.Instance
+	}
+	return instances
+}
+
 // CountInZone returns the number of engines of a service in a zone that may get requests.
 func (directory *Directory) CountInZone(service, zone string) int {
 	directory.mutex.Lock()
--- a/internal/feature/feature.go
+++ b/internal/feature/feature.go
@@ -82,6 +82,8 @@
 	ResponseBufferLimit Feature = "held-bytes"
 	// ZoneReachability: all nodes and engines of an unreachable zone count as unreachable.
 	ZoneReachability Feature = "zone-reach"
+	// RequestQuarantine: a request under which several engines ended is not sent again.
+	RequestQuarantine Feature = "request-quarantine"
 )
 
 // All lists every feature.
@@ -89,7 +91,7 @@
 	Allowances, HedgedAppends, HedgedReads, LearningFromPeers, SharedReader, AvoidUnresponsiveEngines, EngineReports, AvoidSlowEngines, EngineLimits,
 	QueueOrder, LongerToolWait, SafeRepeats, RemoteRecording, GroupCommit, OwnershipHandover, OwnershipByCapacity, ClaimRefusal, Isolation,
 	EnginePriority, LogGate, Egress, StaggeredRetries, ProgramsFirst,
-	LoadSharing, LoadBasedCapacity, RetryBudget, Admission, TenantShares, MemoryAdmission, EngineBreaker, SpeedWeighting, ResponseBufferLimit, ZoneReachability,
+	LoadSharing, LoadBasedCapacity, RetryBudget, Admission, TenantShares, MemoryAdmission, EngineBreaker, SpeedWeighting, ResponseBufferLimit, ZoneReachability, RequestQuarantine,
 }
 
 // disabled holds the disabled features, nil before Disable is called.
--- a/internal/forward/first_byte.go
+++ b/internal/forward/first_byte.go
@@ -114,6 +114,10 @@
 	if inflight.route.Kind != routing.Safe || inflight.executions+1 >= inflight.route.MaxAttempts || !feature.Enabled(feature.SafeRepeats) {
 		return func() {}
 	}
+	if inflight.isSuspect() {
+		// An engine that ends late would end under a request that is no longer waited for there.
+		return func() {}
+	}
 	timeout := max(inflight.route.Objective, minRetryTimeout, inflight.service.Engines.FirstByteTimeout(inflight.serviceName))
 	timer := inflight.service.FreezeDetector.AfterFunc(timeout, func() {
 		inflight.service.Logger.Info("retrying request on another engine", zap.String("request", inflight.call.ID),
--- /dev/null
+++ b/internal/forward/quarantine_test.go
@@ -0,0 +1,216 @@
+package forward_test
+
+import (
+	"context"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	nodev1 "github.com/magpielug/magpielug/api/node/v1"
+	"github.com/magpielug/magpielug/internal/backend"
+	"github.com/magpielug/magpielug/internal/forward"
+	"github.com/magpielug/magpielug/internal/quarantine"
+	"github.com/magpielug/magpielug/internal/resultcode"
+	"github.com/magpielug/magpielug/internal/routing"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+)
+
+// localQuarantine is the quarantine of a node that is alone.
+type localQuarantine struct{ *quarantine.Tracker }
+
+func (local localQuarantine) Count(fingerprint quarantine.Fingerprint) int {
+	return local.Tracker.Count(fingerprint, time.Now())
+}
+
+func (local localQuarantine) Quarantined(fingerprint quarantine.Fingerprint) bool {
+	return local.QuarantinedFor(fingerprint, time.Now()) > 0
+}
+
+func (local localQuarantine) RetryAfter(fingerprint quarantine.Fingerprint) time.Duration {
+	return local.Tracker.RetryAfter(fingerprint, time.Now())
+}
+
+func (localQuarantine) EngineFor(quarantine.Fingerprint, string) string { return "" }
+
+func (local localQuarantine) RecordLoss(fingerprint quarantine.Fingerprint, engine backend.Instance, cause quarantine.Cause) {
+	now := time.Now()
+	local.Merge([]quarantine.Loss{quarantine.NewLoss(fingerprint, quarantine.EngineLife{ID: engine.ID}, cause, now)}, now)
+}
+
+func (local localQuarantine) EngineAnswered(engine backend.Instance, began time.Time) {
+	local.Tracker.EngineAnswered(quarantine.EngineLife{ID: engine.ID}, began)
+}
+
+func (local localQuarantine) RequestAnswered(fingerprint quarantine.Fingerprint, began time.Time) {
+	local.Tracker.RequestAnswered(fingerprint, began)
+}
+
+var _ = Describe("A service with a quarantine", func() {
+	const engineCount = 6
+	var (
+		sender    *fakeSender
+		programs  *fakePrograms
+		directory *backend.Directory
+		service   *forward.Service
+		tracker   *quarantine.Tracker
+	)
+	lost := func() (*forward.EngineResponse, error) { return nil, backend.ErrResponseLost }
+
+	BeforeEach(func() {
+		sender = &fakeSender{responses: []func() (*forward.EngineResponse, error){lost}}
+		programs = &fakePrograms{reservation: forward.Reservation{Verdict: nodev1.Verdict_VERDICT_GRANTED}}
+		directory = backend.NewDirectory()
+		for number := range engineCount {
+			id := string(rune('a' + number))
+			directory.Upsert(backend.Instance{ID: id, Service: "s", Address: id}, time.Time{})
+		}
+		routes := &routing.ActiveConfiguration{}
+		share := []routing.Share{{Service: "s", Weight: 1}}
+		routes.Apply(routing.New(1, []*routing.Route{
+			{Name: "stream", Host: "h", Prefix: "/stream/", Kind: routing.Streaming, Shares: share},
+			{Name: "tool", Host: "h", Prefix: "/tool/", Shares: share, Objective: 50 * time.Millisecond},
+			{Name: "safe", Host: "h", Prefix: "/safe/", Kind: routing.Safe, Shares: share, MaxAttempts: 2},
+		}, []routing.Service{{Name: "s", TokensPerEvent: 9}}, routing.Limits{}))
+		service = &forward.Service{Routes: routes, Engines: directory, Sender: sender, WaitQueue: backend.NewWaitQueue(), Programs: programs, Metrics: noopMetrics{},
+			Logger: zap.NewNop(), Nodes: func() int { return 1 }, ViewAge: func() time.Duration { return 0 }}
+		tracker = quarantine.NewTracker(service.CancelQuarantined)
+		service.Quarantine = localQuarantine{tracker}
+	})
+
+	// tries numbers the request IDs.
+	var tries atomic.Int64
+	serve := func(ctx context.Context, path, program string) *fakeResponseWriter {
+		response := &fakeResponseWriter{}
+		call := &forward.Call{ID: string(rune('A' + tries.Add(1))), Method: "POST", Host: "h", Target: path, Path: path, Received: time.Now(),
+			Deadline: time.Now().Add(2 * time.Second), Program: program, Body: []byte("in"),
+			Turn: &forward.TurnRequest{Budget: 1000, MaxTokens: 100}}
+		func() {
+			defer func() { _ = recover() }()
+			service.Serve(ctx, call, response)
+		}()
+		return response
+	}
+	code := func(response *fakeResponseWriter) resultcode.Code { return resultcode.CodeOf(response.failure) }
+
+	DescribeTable("refuses a request at once, before its reservation, after three engines", func(path string, callsBefore int) {
+		for number := range callsBefore {
+			programs.reservation.Engine = string(rune('a' + number))
+			Expect(code(serve(context.Background(), path, "p"))).To(Equal(resultcode.OutcomeUnknown))
+		}
+		reserved := programs.reserveCalls
+		refused := serve(context.Background(), path, "p")
+		Expect(code(refused)).To(Equal(resultcode.RequestQuarantined))
+		Expect(refused.failure.(*resultcode.Error).RetryAfter).To(BeNumerically(">", 0))
+		Expect(sender.sent).To(HaveLen(quarantine.MaxLosses))
+		Expect(programs.reserveCalls).To(Equal(reserved))
+		Expect(code(serve(context.Background(), path, "q"))).To(Equal(resultcode.OutcomeUnknown), "another program's request of the same bytes is sent")
+	},
+		Entry("a turn", "/stream/x", 3),
+		Entry("an unsafe call", "/tool/x", 3),
+		Entry("a safe call, whose second try ends the third engine", "/safe/x", 2),
+	)
+
+	It("answers a call that an engine may have run as such, and not as refused", func() {
+		serve(context.Background(), "/safe/x", "p")
+		Expect(code(serve(context.Background(), "/safe/x", "p"))).To(Equal(resultcode.OutcomeUnknown))
+		Expect(sender.sent).To(HaveLen(3))
+	})
+
+	It("does not hold the planned end of an engine against a request", func() {
+		drain := func() (*forward.EngineResponse, error) {
+			instance, _ := directory.Instance(sender.sent[len(sender.sent)-1].Engine.ID)
+			instance.Draining = true
+			directory.Upsert(instance, time.Now())
+			return lost()
+		}
+		sender.responses = []func() (*forward.EngineResponse, error){drain}
+		for range 4 {
+			Expect(code(serve(context.Background(), "/tool/x", "p"))).To(Equal(resultcode.OutcomeUnknown))
+		}
+		Expect(tracker.Empty()).To(BeTrue())
+	})
+
+	It("does not hold a lost egress node, or a request that was not sent, against a request", func() {
+		for _, failure := range []error{backend.ErrNodeLost, backend.ErrNotSent} {
+			sender.responses = []func() (*forward.EngineResponse, error){func() (*forward.EngineResponse, error) { return nil, failure }}
+			serve(context.Background(), "/tool/x", "p")
+		}
+		Expect(tracker.Empty()).To(BeTrue())
+	})
+
+	It("takes a loss back once the engine answers another request", func() {
+		serve(context.Background(), "/tool/x", "p")
+		engine := sender.sent[0].Engine.ID
+		for _, id := range []string{"a", "b", "c", "d", "e", "f"} {
+			if id != engine {
+				directory.Remove(id)
+			}
+		}
+		sender.responses = []func() (*forward.EngineResponse, error){lost, respondWith(200, strings.NewReader("ok"))}
+		Eventually(func() resultcode.Code { return code(serve(context.Background(), "/tool/y", "p")) }).Should(Equal(resultcode.OK))
+		sender.responses = []func() (*forward.EngineResponse, error){lost}
+		Expect(tracker.Losses(time.Now())[0].Refuted).To(BeTrue())
+	})
+
+	It("takes losses outside programs back once the same content is answered", func() {
+		serve(context.Background(), "/tool/x", "")
+		sender.responses = []func() (*forward.EngineResponse, error){lost, respondWith(200, strings.NewReader("ok"))}
+		Expect(serve(context.Background(), "/tool/x", "").status).To(Equal(200))
+		Expect(tracker.Losses(time.Now())[0].Refuted).To(BeTrue())
+	})
+
+	It("does not repeat a request early that an engine may have ended under", func() {
+		serve(context.Background(), "/safe/x", "p")
+		hanging := &hangingSender{hang: func(ctx context.Context) (*forward.EngineResponse, error) {
+			<-ctx.Done()
+			return nil, backend.ErrResponseLost
+		}, then: respondWith(200, strings.NewReader("ok"))}
+		service.Sender = hanging
+		ctx, leave := context.WithTimeout(context.Background(), 500*time.Millisecond)
+		defer leave()
+		serve(ctx, "/safe/x", "p")
+		Expect(hanging.engines).To(HaveLen(1))
+	})
+
+	// Guards against calls under way when the third end is learned: one is at an engine, one about to be sent.
+	It("ends the calls of a request that is quarantined meanwhile", func() {
+		fingerprint := (&quarantine.Content{Program: "p", Method: "POST", Host: "h", Target: "/tool/x", Body: []byte("in")}).Fingerprint()
+		reached := make(chan bool, 1)
+		service.Sender = senderFunc(func(ctx context.Context, _ *forward.Attempt) (*forward.EngineResponse, error) {
+			reached <- true
+			<-ctx.Done()
+			return nil, backend.ErrResponseLost
+		})
+		results := make(chan resultcode.Code, 1)
+		go func() { results <- code(serve(context.Background(), "/tool/x", "p")) }()
+		Eventually(reached).Should(Receive())
+		quarantineNow := func() {
+			now := time.Now()
+			for _, id := range []string{"x", "y", "z"} {
+				tracker.Merge([]quarantine.Loss{quarantine.NewLoss(fingerprint, quarantine.EngineLife{ID: id}, quarantine.Interrupted, now)}, now)
+			}
+		}
+		quarantineNow()
+		Eventually(results, time.Second).Should(Receive(Equal(resultcode.OutcomeUnknown)))
+
+		tracker = quarantine.NewTracker(service.CancelQuarantined)
+		service.Quarantine = localQuarantine{tracker}
+		service.Sender = sender
+		programs.wait = 300 * time.Millisecond
+		fingerprint = (&quarantine.Content{Program: "p", Method: "POST", Host: "h", Target: "/stream/x", Body: []byte("in")}).Fingerprint()
+		go func() { results <- code(serve(context.Background(), "/stream/x", "p")) }()
+		time.Sleep(100 * time.Millisecond)
+		quarantineNow()
+		Eventually(results, time.Second).Should(Receive(Equal(resultcode.RequestQuarantined)))
+		Expect(sender.sent).To(BeEmpty())
+	})
+})
+
+// senderFunc is a forward.Sender.
+type senderFunc func(ctx context.Context, attempt *forward.Attempt) (*forward.EngineResponse, error)
+
+func (send senderFunc) Send(ctx context.Context, attempt *forward.Attempt) (*forward.EngineResponse, error) {
+	return send(ctx, attempt)
+}
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -24,9 +24,13 @@
 		if remaining < minRemaining || ctx.Err() != nil {
 			return inflight.timeoutError(ctx)
 		}
+		failure := inflight.checkQuarantine()
+		if failure != nil {
+			return failure
+		}
 		engine := inflight.pickEngine()
 		if engine == nil {
-			failure := inflight.waitForEngine(ctx)
+			failure = inflight.waitForEngine(ctx)
 			if failure != nil {
 				return failure
 			}
@@ -65,6 +69,9 @@
 		request.Assigned = inflight.reservation.Engine
 		request.Prompt = inflight.call.SharedPrompt
 	}
+	if separated := inflight.separatedEngine(); separated != "" {
+		request.Assigned = separated
+	}
 	inflight.engineViewAge = inflight.service.ViewAge()
 	inflight.eligibleEngines = inflight.service.Engines.EligibleCount(inflight.serviceName)
 	return inflight.service.Engines.Pick(request, time.Now())
@@ -77,8 +84,8 @@
 	sendCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	outcome := backend.Abandoned
-	sent := false
 	began := time.Now()
+	end := attemptEnd{engine: engine, began: began}
 	inflight.releaseEngine = inflight.newEngineRelease(engine, began)
 	attempt := inflight.newAttempt(engine, remaining)
 	stopFirstByteWatch := inflight.watchFirstByte(engine, attempt)
@@ -91,14 +98,15 @@
 		}
 		inflight.releaseEngine(outcome)
 		inflight.recordFailedEngine(engine, outcome)
-		if sent && mayHaveRun(outcome) {
-			inflight.logUnanswered(sendCtx, engine, began)
-		}
+		end.outcome = outcome
+		end.abandoned = sendCtx.Err() != nil
+		inflight.recordAttempt(end)
 	}()
 	stopRetryTimer := inflight.startRetryTimer(engine, cancel)
 	defer stopRetryTimer()
 	response, err := inflight.service.Sender.Send(sendCtx, attempt)
-	sent = !errors.Is(err, backend.ErrNotSent)
+	end.sent = !errors.Is(err, backend.ErrNotSent) && !errors.Is(err, backend.ErrNodeLost)
+	end.answered = err == nil && !response.Misdirected
 	if err != nil {
 		outcome = sendOutcome(ctx, err)
 		if errors.Is(err, backend.ErrProcessFrozen) {
--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"sync"
 	"time"
 
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
@@ -10,6 +12,7 @@
 	"github.com/magpielug/magpielug/internal/freeze"
 	"github.com/magpielug/magpielug/internal/heldbytes"
 	"github.com/magpielug/magpielug/internal/history"
+	"github.com/magpielug/magpielug/internal/quarantine"
 	"github.com/magpielug/magpielug/internal/region"
 	"github.com/magpielug/magpielug/internal/resultcode"
 	"github.com/magpielug/magpielug/internal/routing"
@@ -122,6 +125,10 @@
 	ZoneIsolated func() bool
 	// LogUnavailable reports whether the log currently responds to no node; nil if unknown.
 	LogUnavailable func() bool
+	// Quarantine keeps requests under which engines ended from being sent again; nil if nothing does.
+	Quarantine Quarantine
+	// underWay holds the calls that can be canceled.
+	underWay callSet
 }
 
 const (
@@ -243,22 +250,37 @@
 	hasWaited     bool
 	// initialForecast is the forecast when the call first had to wait.
 	initialForecast backend.Forecast
+	// fingerprint returns the fingerprint of the call's content, which is computed at its first use.
+	fingerprint func() quarantine.Fingerprint
 }
 
 // Serve runs a call until its response is complete or has failed. ctx must be done when the
 // caller is gone.
 func (service *Service) Serve(ctx context.Context, call *Call, writer ResponseWriter) {
 	inflight := &inflightCall{service: service, call: call, writer: writer}
+	inflight.fingerprint = sync.OnceValue(inflight.computeFingerprint)
 	inflight.awaitFreshViews(ctx)
 	failure := inflight.prepare()
 	if failure == nil {
-		bounded, cancel := context.WithDeadline(ctx, inflight.deadline)
-		failure = inflight.run(bounded)
-		cancel()
+		failure = inflight.runUntilDeadline(ctx)
 	}
 	inflight.finish(ctx, failure)
 }
 
+// runUntilDeadline runs the call until its deadline, or until its request is quarantined.
+func (inflight *inflightCall) runUntilDeadline(ctx context.Context) error {
+	cancelable, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer inflight.service.underWay.add(inflight, cancel)()
+	bounded, endDeadline := context.WithDeadline(cancelable, inflight.deadline)
+	defer endDeadline()
+	failure := inflight.run(bounded)
+	if failure != nil && errors.Is(context.Cause(cancelable), errQuarantined) {
+		return inflight.quarantineError()
+	}
+	return failure
+}
+
 // prepare determines the call's route, tenant, service and deadline.
 func (inflight *inflightCall) prepare() error {
 	configuration := inflight.service.Routes.Load()
@@ -313,7 +335,11 @@
 	if inflight.service.Engines.NoneAvailable(inflight.serviceName, inflight.zones) {
 		return inflight.refuseForCapacity(NoEngineAvailable, backend.Forecast{})
 	}
-	failure := inflight.waitForLog(ctx)
+	failure := inflight.checkQuarantine()
+	if failure != nil {
+		return failure
+	}
+	failure = inflight.waitForLog(ctx)
 	if failure != nil {
 		return failure
 	}
--- /dev/null
+++ b/internal/node/loss_sharing.go
@@ -0,0 +1,274 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	nodev1 "github.com/magpielug/magpielug/api/node/v1"
+	"github.com/magpielug/magpielug/internal/feature"
+	"github.com/magpielug/magpielug/internal/logging"
+	"github.com/magpielug/magpielug/internal/quarantine"
+	"github.com/magpielug/magpielug/internal/wait"
+	"go.uber.org/zap"
+)
+
+const (
+	// lossForwardTimeout bounds a message of a relay to a node of its zone, maxForwardWait its wait
+	// for all of them, and lossRelayTimeout a message to a relay, which replies after that wait.
+	lossForwardTimeout = 120 * time.Millisecond
+	maxForwardWait     = 150 * time.Millisecond
+	lossRelayTimeout   = 200 * time.Millisecond
+	// maxLossWait is how long a failed call is held until other nodes know of its loss.
+	maxLossWait = 250 * time.Millisecond
+	// relayAttempts is how many candidates for a zone's relay are tried.
+	relayAttempts = 2
+	// lossBatchDelay is how long losses that no caller waits for are collected into one message.
+	lossBatchDelay = 100 * time.Millisecond
+	// lossPeerSuspicion is how long a node that did not respond gets no losses. It obtains them with
+	// its next exchange.
+	lossPeerSuspicion = time.Second
+	// lossExchangeInterval is the interval at which a node compares the losses that it knows with
+	// its zone's relay, to obtain those told while it was stopped, frozen or cut off.
+	lossExchangeInterval = 2 * time.Second
+	// startupExchangeInterval is the interval until a newly started node has done so once. It is not
+	// ready before, for at most maxStartupExchange.
+	startupExchangeInterval = 50 * time.Millisecond
+	maxStartupExchange      = time.Second
+	// maxLossesPerMessage bounds a message, to some 200 KB.
+	maxLossesPerMessage = 4096
+)
+
+// lossSharing tells all nodes of losses. The node that observes one tells a relay in each zone, which
+// tells the nodes of its zone: messages grow with the number of nodes and not with its square, and
+// losses that arrive together, as when a rack of engines ends, travel in one message.
+type lossSharing struct {
+	node     *Node
+	tracker  *quarantine.Tracker
+	suspects *suspects
+	// synchronized is true once a newly started node knows what the others know.
+	synchronized atomic.Bool
+
+	// mutex guards the outboxes. Each zone and each node has one of its own, so that one that does
+	// not respond holds up no other.
+	mutex      sync.Mutex
+	zoneOutbox map[string]*lossOutbox
+	nodeOutbox map[string]*lossOutbox
+}
+
+func newLossSharing(node *Node, tracker *quarantine.Tracker) *lossSharing {
+	return &lossSharing{node: node, tracker: tracker, suspects: newSuspects(),
+		zoneOutbox: map[string]*lossOutbox{}, nodeOutbox: map[string]*lossOutbox{}}
+}
+
+// shareNow tells all nodes and returns once they know, or after maxLossWait.
+func (sharing *lossSharing) shareNow(losses []quarantine.Loss) {
+	if len(losses) > 0 {
+		awaitAll(sharing.tellZones(losses, 0), maxLossWait)
+	}
+}
+
+// shareSoon tells all nodes within lossBatchDelay. It does not block.
+func (sharing *lossSharing) shareSoon(losses []quarantine.Loss) {
+	if len(losses) > 0 {
+		sharing.tellZones(losses, lossBatchDelay)
+	}
+}
+
+// awaitAll returns once all channels are closed, or after a timeout.
+func awaitAll(channels []<-chan struct{}, timeout time.Duration) {
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	for _, channel := range channels {
+		select {
+		case <-channel:
+		case <-timer.C:
+			return
+		}
+	}
+}
+
+// tellZones tells the relays of all zones that are in reach, after a delay at the latest. The
+// channels are closed once they know.
+func (sharing *lossSharing) tellZones(losses []quarantine.Loss, delay time.Duration) []<-chan struct{} {
+	var delivered []<-chan struct{}
+	for zone := range sharing.node.members.nodesPerZone() {
+		if !sharing.node.zones.Reachable(zone, time.Now()) {
+			continue
+		}
+		outbox := sharing.outbox(sharing.zoneOutbox, zone, sharing.tellRelayOf)
+		delivered = append(delivered, outbox.add(losses, delay))
+	}
+	return delivered
+}
+
+// outbox returns the outbox of a zone or node, creating it at its first use.
+func (sharing *lossSharing) outbox(outboxes map[string]*lossOutbox, name string, deliver func(name string, losses []quarantine.Loss)) *lossOutbox {
+	sharing.mutex.Lock()
+	defer sharing.mutex.Unlock()
+	found := outboxes[name]
+	if found == nil {
+		found = &lossOutbox{deliver: func(losses []quarantine.Loss) { deliver(name, losses) }}
+		outboxes[name] = found
+	}
+	return found
+}
+
+// tellRelayOf tells the relay of a zone, or the next candidate if it does not respond.
+func (sharing *lossSharing) tellRelayOf(zone string, losses []quarantine.Loss) {
+	for range relayAttempts {
+		relay := sharing.relayOf(zone, time.Now())
+		switch relay {
+		case "":
+			return
+		case sharing.node.settings.Name:
+			awaitAll(sharing.tellOwnZone(losses), maxForwardWait)
+			return
+		}
+		if sharing.send(relay, lossMessage(losses, true, time.Now()), lossRelayTimeout) == nil {
+			return
+		}
+	}
+}
+
+// tellOwnZone tells the other nodes of this node's zone. The channels are closed once they know.
+func (sharing *lossSharing) tellOwnZone(losses []quarantine.Loss) []<-chan struct{} {
+	settings := sharing.node.settings
+	var delivered []<-chan struct{}
+	for _, member := range sharing.node.members.inZone(settings.Zone) {
+		if member.Name == settings.Name || sharing.suspects.contains(member.Name, time.Now()) {
+			continue
+		}
+		told := sharing.outbox(sharing.nodeOutbox, member.Name, sharing.tellNode).add(losses, 0)
+		if !member.Draining {
+			delivered = append(delivered, told) // A draining node may be gone for good.
+		}
+	}
+	return delivered
+}
+
+func (sharing *lossSharing) tellNode(name string, losses []quarantine.Loss) {
+	_ = sharing.send(name, lossMessage(losses, false, time.Now()), lossForwardTimeout) // send logs failures.
+}
+
+// relayOf returns the first candidate for a zone's relay that is not suspected, or "" if there is
+// none. Candidates are those for the zone's load aggregator, mostly strong machines.
+func (sharing *lossSharing) relayOf(zone string, now time.Time) string {
+	for _, candidate := range sharing.node.members.candidates(loadPseudoShard) {
+		if candidate.Zone == zone && !sharing.suspects.contains(candidate.Name, now) {
+			return candidate.Name
+		}
+	}
+	return ""
+}
+
+// send sends a message to a node, and suspects the node if it does not respond.
+func (sharing *lossSharing) send(name string, message *nodev1.ShareLossesRequest, timeout time.Duration) error {
+	_, err := sharing.call(context.Background(), name, message, timeout)
+	return err
+}
+
+func (sharing *lossSharing) call(ctx context.Context, name string, message *nodev1.ShareLossesRequest, timeout time.Duration) (*nodev1.ShareLossesReply, error) {
+	client, err := sharing.node.peers.client(name)
+	if err != nil {
+		return nil, err
+	}
+	bounded, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	reply, err := client.ShareLosses(bounded, message)
+	sharing.node.meter.countLossMessage(err)
+	if err != nil && ctx.Err() == nil {
+		sharing.suspects.add(name, time.Now().Add(lossPeerSuspicion))
+		sharing.node.logger.Info("losses not shared", zap.String("node", name), zap.Int("losses", len(message.Losses)), logging.ErrorField(err))
+	}
+	return reply, err
+}
+
+// handle applies a message of another node.
+func (sharing *lossSharing) handle(request *nodev1.ShareLossesRequest, now time.Time) *nodev1.ShareLossesReply {
+	losses := lossesFromProto(request.Losses, now)
+	sharing.tracker.Merge(losses, now)
+	if request.Forward && len(losses) > 0 {
+		awaitAll(sharing.tellOwnZone(losses), maxForwardWait)
+	}
+	reply := &nodev1.ShareLossesReply{}
+	if request.WantsLosses {
+		reply.Losses = lossesToProto(sharing.tracker.LossesBeyond(digestFromProto(request.Digest), now), now)
+	}
+	return reply
+}
+
+// run compares the losses that this node knows with those of others until ctx ends.
+func (sharing *lossSharing) run(ctx context.Context) {
+	var membersKnownSince time.Time
+	for ctx.Err() == nil {
+		interval := lossExchangeInterval
+		if !sharing.synchronized.Load() {
+			interval = startupExchangeInterval
+			if membersKnownSince.IsZero() && sharing.node.memberView.loaded() {
+				membersKnownSince = time.Now()
+			}
+			sharing.checkSynchronized(ctx, membersKnownSince)
+		} else {
+			_ = sharing.exchange(ctx) // call logs failures.
+		}
+		wait.Sleep(ctx, interval)
+	}
+}
+
+// checkSynchronized completes the first exchange after the start. It is over without one if no other
+// node is known, or none has responded since the nodes became known.
+func (sharing *lossSharing) checkSynchronized(ctx context.Context, membersKnownSince time.Time) {
+	if membersKnownSince.IsZero() {
+		return
+	}
+	err := sharing.exchange(ctx)
+	if err == nil || time.Since(membersKnownSince) > maxStartupExchange {
+		sharing.synchronized.Store(true)
+	}
+}
+
+// exchange obtains the losses that another node knows and this one does not.
+func (sharing *lossSharing) exchange(ctx context.Context) error {
+	other := sharing.exchangePartner(time.Now())
+	if other == "" {
+		return nil
+	}
+	request := &nodev1.ShareLossesRequest{WantsLosses: true}
+	if !sharing.tracker.Empty() {
+		digest := sharing.tracker.Digest(time.Now())
+		request.Digest = digest[:]
+	}
+	reply, err := sharing.call(ctx, other, request, lossRelayTimeout)
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	sharing.tracker.Merge(lossesFromProto(reply.Losses, now), now)
+	return nil
+}
+
+// exchangePartner returns the node to compare losses with: the relay of the zone, or for the relay
+// itself a random other node. It is "" if there is none.
+func (sharing *lossSharing) exchangePartner(now time.Time) string {
+	settings := sharing.node.settings
+	relay := sharing.relayOf(settings.Zone, now)
+	if relay != "" && relay != settings.Name {
+		return relay
+	}
+	peers := sharing.node.members.activePeers(settings.Name)
+	if len(peers) == 0 {
+		return ""
+	}
+	return peers[rand.IntN(len(peers))].Name
+}
+
+// ShareLosses implements nodev1.Node.
+func (server *peerServer) ShareLosses(_ context.Context, request *nodev1.ShareLossesRequest) (*nodev1.ShareLossesReply, error) {
+	if !feature.Enabled(feature.RequestQuarantine) {
+		return &nodev1.ShareLossesReply{}, nil
+	}
+	return server.node.quarantine.sharing.handle(request, time.Now()), nil
+}
--- /dev/null
+++ b/internal/node/loss_sharing_test.go
@@ -0,0 +1,210 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	nodev1 "github.com/magpielug/magpielug/api/node/v1"
+	"github.com/magpielug/magpielug/internal/backend"
+	"github.com/magpielug/magpielug/internal/durable"
+	"github.com/magpielug/magpielug/internal/forward"
+	"github.com/magpielug/magpielug/internal/logging"
+	"github.com/magpielug/magpielug/internal/quarantine"
+	"github.com/magpielug/magpielug/internal/reach"
+	. "github.com/onsi/gomega"
+)
+
+// lossFleet is a fleet of nodes that tell each other of losses, without sockets.
+type lossFleet struct {
+	network *fakeNetwork
+	nodes   []*Node
+	transit time.Duration
+	mutex   sync.Mutex
+	frozen  map[string]bool
+	// messages and bytes count requests between nodes.
+	messages, bytes atomic.Int64
+}
+
+func newLossFleet(t *testing.T, nodeCount, zoneCount int) *lossFleet {
+	fleet := &lossFleet{network: &fakeNetwork{nodes: map[string]http.Handler{}, cut: map[[2]string]bool{}}, transit: time.Millisecond, frozen: map[string]bool{}}
+	for number := range nodeCount {
+		fleet.nodes = append(fleet.nodes, fleet.newNode(t, number, zoneCount))
+	}
+	for _, node := range fleet.nodes {
+		for _, other := range fleet.nodes {
+			node.members.put(other.self())
+		}
+	}
+	return fleet
+}
+
+// newNode creates a node that knows no other yet.
+func (fleet *lossFleet) newNode(t *testing.T, number, zoneCount int) *Node {
+	logger, err := logging.New("error", t.Output())
+	if err != nil {
+		t.Fatal(err)
+	}
+	name := "node-" + strconv.Itoa(number)
+	zone := "zone-" + strconv.Itoa(number%zoneCount)
+	node := &Node{settings: Settings{Name: name, Zone: zone, PeerAddress: name, Capacity: 0.8}, members: newMembers(), meter: newMeter(),
+		logger: logger.Sampled(), engines: backend.NewDirectory(), zones: reach.NewZones(zone), service: &forward.Service{}}
+	direct := fleet.network.clientFor(name)
+	node.peers = newPeers(node.members, &http.Client{Transport: roundTripperFunc(func(request *http.Request) (*http.Response, error) {
+		fleet.messages.Add(1)
+		fleet.bytes.Add(request.ContentLength)
+		time.Sleep(fleet.transit)
+		if fleet.isFrozen(request.URL.Host) {
+			<-request.Context().Done()
+			return nil, request.Context().Err()
+		}
+		return direct.Transport.RoundTrip(request)
+	})})
+	node.memberView = newRecordView("nodes", logger.Logger, func(durable.KeyedRecord) bool { return false })
+	node.memberView.merge(durable.Update{EndOffset: 1}, time.Now())
+	node.quarantine = newRequestQuarantine(node)
+	fleet.network.mutex.Lock()
+	fleet.network.nodes[name] = nodev1.NewNodeServer(&peerServer{node: node})
+	fleet.network.mutex.Unlock()
+	return node
+}
+
+func (fleet *lossFleet) isFrozen(name string) bool {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	return fleet.frozen[name]
+}
+
+func (fleet *lossFleet) freeze(name string) {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	fleet.frozen[name] = true
+}
+
+var lostContent = (&quarantine.Content{Target: "/lost"}).Fingerprint()
+
+func lostEngine(number int) backend.Instance {
+	return backend.Instance{ID: fmt.Sprint("engine-", number)}
+}
+
+// knowing counts the nodes that know of a number of ended engines.
+func (fleet *lossFleet) knowing(losses int) int {
+	count := 0
+	for _, node := range fleet.nodes {
+		if node.quarantine.Count(lostContent) == losses {
+			count++
+		}
+	}
+	return count
+}
+
+// Guards against a caller's next try being sent by a node that does not know of the last one.
+func TestAllNodesKnowOfALossBeforeItsCallIsAnswered(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		fleet := newLossFleet(t, 60, 4)
+		for engine := range quarantine.MaxLosses {
+			began := time.Now()
+			fleet.nodes[engine*7].quarantine.RecordLoss(lostContent, lostEngine(engine), quarantine.Interrupted)
+			NewWithT(t).Expect(fleet.knowing(engine + 1)).To(Equal(60))
+			NewWithT(t).Expect(time.Since(began)).To(BeNumerically("<=", 4*fleet.transit))
+		}
+		NewWithT(t).Expect(fleet.nodes[59].quarantine.Quarantined(lostContent)).To(BeTrue())
+	})
+}
+
+// Guards against a frozen relay, or a frozen node of any zone, keeping others from knowing.
+func TestFrozenNodesDoNotKeepOthersFromKnowing(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		fleet := newLossFleet(t, 60, 4)
+		reporter := fleet.nodes[0]
+		relay := reporter.quarantine.sharing.relayOf("zone-1", time.Now())
+		fleet.freeze(relay)
+		fleet.freeze("node-58")
+		began := time.Now()
+		reporter.quarantine.RecordLoss(lostContent, lostEngine(0), quarantine.Interrupted)
+		NewWithT(t).Expect(time.Since(began)).To(BeNumerically("<=", maxLossWait))
+		time.Sleep(lossRelayTimeout)
+		NewWithT(t).Expect(fleet.knowing(1)).To(Equal(58))
+		began = time.Now()
+		reporter.quarantine.RecordLoss(lostContent, lostEngine(1), quarantine.Interrupted)
+		NewWithT(t).Expect(fleet.knowing(2)).To(Equal(58))
+		NewWithT(t).Expect(time.Since(began)).To(BeNumerically("<=", 4*fleet.transit), "nodes that did not respond are not waited for again")
+	})
+}
+
+// Guards against a node that was cut off, or started meanwhile, sending quarantined requests.
+func TestNodesThatWereAwayLearnOfLosses(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		fleet := newLossFleet(t, 12, 4)
+		fleet.network.isolate("node-5")
+		for engine := range quarantine.MaxLosses {
+			fleet.nodes[0].quarantine.RecordLoss(lostContent, lostEngine(engine), quarantine.Interrupted)
+		}
+		NewWithT(t).Expect(fleet.knowing(3)).To(Equal(11))
+		started := fleet.newNode(t, 12, 4)
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		for _, node := range append(fleet.nodes, started) {
+			for _, other := range append(fleet.nodes, started) {
+				node.members.put(other.self())
+			}
+			go node.quarantine.sharing.run(ctx)
+		}
+		NewWithT(t).Expect(started.quarantine.ready()).To(BeFalse())
+		time.Sleep(2 * startupExchangeInterval)
+		NewWithT(t).Expect(started.quarantine.ready()).To(BeTrue())
+		NewWithT(t).Expect(started.quarantine.Count(lostContent)).To(Equal(3))
+		fleet.network.mutex.Lock()
+		clear(fleet.network.cut)
+		fleet.network.mutex.Unlock()
+		time.Sleep(lossExchangeInterval + lossPeerSuspicion)
+		NewWithT(t).Expect(fleet.knowing(3)).To(Equal(12))
+	})
+}
+
+// Guards against an engine that one node saw go on being held against requests at all others.
+func TestARefutedLossIsRefutedEverywhere(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		fleet := newLossFleet(t, 12, 4)
+		fleet.nodes[0].quarantine.RecordLoss(lostContent, lostEngine(0), quarantine.Interrupted)
+		time.Sleep(10 * time.Millisecond)
+		fleet.nodes[7].quarantine.EngineAnswered(lostEngine(0), time.Now())
+		time.Sleep(lossBatchDelay + 10*time.Millisecond)
+		NewWithT(t).Expect(fleet.knowing(0)).To(Equal(12))
+		before := fleet.messages.Load()
+		fleet.nodes[3].quarantine.EngineAnswered(lostEngine(0), time.Now())
+		time.Sleep(time.Second)
+		NewWithT(t).Expect(fleet.messages.Load()).To(Equal(before), "it is told once")
+	})
+}
+
+// At 985 nodes in 6 zones: one loss, and the end of a rack of 100 engines with 6 requests each.
+func TestLossesAtTheTargetSize(t *testing.T) {
+	const nodeCount, zoneCount, rack, slots = 985, 6, 100, 6
+	inVirtualTime(t, func(t *testing.T) {
+		fleet := newLossFleet(t, nodeCount, zoneCount)
+		fleet.nodes[0].quarantine.RecordLoss(lostContent, lostEngine(0), quarantine.Interrupted)
+		NewWithT(t).Expect(fleet.knowing(1)).To(Equal(nodeCount))
+		t.Logf("one loss: %d messages, %d bytes without headers", fleet.messages.Load(), fleet.bytes.Load())
+		NewWithT(t).Expect(fleet.messages.Load()).To(BeNumerically("<", nodeCount+zoneCount))
+		fleet.messages.Store(0)
+		fleet.bytes.Store(0)
+		began := time.Now()
+		var group sync.WaitGroup
+		for request := range rack * slots {
+			group.Go(func() {
+				time.Sleep(time.Duration(request%10) * time.Millisecond)
+				content := (&quarantine.Content{Target: strconv.Itoa(request)}).Fingerprint()
+				fleet.nodes[request].quarantine.RecordLoss(content, lostEngine(request%rack), quarantine.Interrupted)
+			})
+		}
+		group.Wait()
+		t.Logf("%d losses: %d messages, %d bytes without headers, known after %v", rack*slots, fleet.messages.Load(), fleet.bytes.Load(), time.Since(began))
+		NewWithT(t).Expect(fleet.nodes[nodeCount-1].quarantine.tracker.Losses(time.Now())).To(HaveLen(rack*slots + 1))
+	})
+}
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -110,6 +110,19 @@
 	return list
 }
 
+// inZone returns all nodes of a zone, draining ones included.
+func (members *members) inZone(zone string) []Member {
+	members.mutex.RLock()
+	defer members.mutex.RUnlock()
+	var list []Member
+	for _, member := range members.byName {
+		if member.Zone == zone {
+			list = append(list, member)
+		}
+	}
+	return list
+}
+
 // allSupport reports whether all nodes that are not draining support a protocol version.
 func (members *members) allSupport(version uint32) bool {
 	members.mutex.RLock()
--- a/internal/node/meter.go
+++ b/internal/node/meter.go
@@ -13,6 +13,7 @@
 	"github.com/magpielug/magpielug/internal/forward"
 	"github.com/magpielug/magpielug/internal/load"
 	"github.com/magpielug/magpielug/internal/metrics"
+	"github.com/magpielug/magpielug/internal/quarantine"
 	"github.com/magpielug/magpielug/internal/resultcode"
 	"github.com/magpielug/magpielug/internal/routing"
 	"github.com/prometheus/client_golang/prometheus"
@@ -32,6 +33,12 @@
 	capacityRefusals *prometheus.CounterVec
 	// peerTraffic counts bytes exchanged with other nodes, in both directions.
 	peerTraffic *prometheus.CounterVec
+	// lossesRecorded and lossesRefuted count the losses that this node observed and refuted,
+	// quarantined the requests that it saw quarantined, lossMessages its messages about losses.
+	lossesRecorded *prometheus.CounterVec
+	lossesRefuted  prometheus.Counter
+	quarantined    prometheus.Counter
+	lossMessages   *prometheus.CounterVec
 
 	// mutex guards the fields below. recentLogCalls counts calls to the durable log since the last
 	// summary.
@@ -91,6 +98,22 @@
 			Name: "magpielug_peer_bytes_total",
 			Help: "Bytes of calls of other nodes, requests and answers together, by call and zone of the other node.",
 		}, []string{"call", "zone"}),
+		lossesRecorded: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "magpielug_unanswered_attempts_total",
+			Help: "Attempts of this node that an engine may have run and did not answer, by cause.",
+		}, []string{"cause"}),
+		lossesRefuted: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "magpielug_unanswered_attempts_refuted_total",
+			Help: "Attempts without an answer whose engine this node saw go on.",
+		}),
+		quarantined: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "magpielug_requests_quarantined_total",
+			Help: "Requests under which so many engines ended that this node stopped sending them.",
+		}),
+		lossMessages: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "magpielug_loss_messages_total",
+			Help: "Messages to other nodes about requests under which engines may have ended, by outcome.",
+		}, []string{"outcome"}),
 		recentLogCalls:  map[string]int{},
 		recentPeerBytes: map[string]int64{},
 		tenants:         map[string]bool{},
@@ -140,6 +163,15 @@
 	meter.loadMessages.WithLabelValues(kind, outcome).Inc()
 }
 
+// countLossMessage counts a message about losses.
+func (meter *meter) countLossMessage(err error) {
+	outcome := "done"
+	if err != nil {
+		outcome = "failed"
+	}
+	meter.lossMessages.WithLabelValues(outcome).Inc()
+}
+
 // observeLogCall is a durable.ObserveFunc.
 func (meter *meter) observeLogCall(operation, topic string, took time.Duration, err error) {
 	outcome := "done"
@@ -236,7 +268,7 @@
 	meter := node.meter
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(meter.calls, meter.duration, meter.firstEvent, meter.logCalls, meter.logLatency, meter.handovers, meter.admissions,
-		meter.loadMessages, meter.capacityRefusals, meter.peerTraffic, waitQueueCollector{queue: node.service.WaitQueue}, breakerCollector{engines: node.engines})
+		meter.loadMessages, meter.capacityRefusals, meter.peerTraffic, meter.lossesRecorded, meter.lossesRefuted, meter.quarantined, meter.lossMessages, waitQueueCollector{queue: node.service.WaitQueue}, breakerCollector{engines: node.engines})
 	registry.MustRegister(node.admission.metrics)
 	gauges := []struct {
 		name, help string
@@ -255,11 +287,13 @@
 		{"magpielug_retry_denials", "Asks of engines after a refusal that were denied.", func() float64 { return float64(node.service.RetryBudget.DeniedCount()) }},
 	}
 	registry.MustRegister(&loadCollector{node: node})
+	registry.MustRegister(quarantineCollector{tracker: node.quarantine.tracker})
 	for _, gauge := range gauges {
 		registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: gauge.name, Help: gauge.help}, gauge.value))
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc(load.StatusPath, node.serveLoad)
+	mux.HandleFunc(quarantine.StatusPath, node.serveQuarantine)
 	metrics.Mount(mux, registry, func() error {
 		if node.ready() {
 			return nil
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -117,7 +117,9 @@
 	programs  *programs
 	admission *admitter
 	quotas    *quotas
-	service   *forward.Service
+	// quarantine keeps requests under which engines ended from being sent again.
+	quarantine *requestQuarantine
+	service    *forward.Service
 	// egress sends requests to engines on behalf of other nodes.
 	egress    *egress.Handler
 	meter     *meter
@@ -204,6 +206,7 @@
 	node.admission = newAdmitter(node)
 	node.quotas = newQuotas(node)
 	node.sharing = newLoadSharing(node)
+	node.quarantine = newRequestQuarantine(node)
 	node.reader.SetRemoteLookup(node.remotePartialChain)
 	if feature.Enabled(feature.RemoteRecording) {
 		node.recorder.SetRelay(node.recordRemotely)
@@ -236,7 +239,7 @@
 func (node *Node) newService(sender forward.Sender) *forward.Service {
 	queue := backend.NewWaitQueue()
 	queue.SetCapacitySource(node.engines)
-	return &forward.Service{
+	service := &forward.Service{
 		Routes:         node.routes,
 		Engines:        node.engines,
 		WaitQueue:      queue,
@@ -258,6 +261,10 @@
 
 		ToolCalls: forward.NewToolCalls(),
 	}
+	if feature.Enabled(feature.RequestQuarantine) {
+		service.Quarantine = node.quarantine
+	}
+	return service
 }
 
 // observeLogCall is a durable.ObserveFunc.
@@ -322,6 +329,9 @@
 	go node.probeZones(runContext)
 	go node.sharing.run(runContext)
 	go node.admission.run(runContext)
+	if feature.Enabled(feature.RequestQuarantine) {
+		go node.quarantine.sharing.run(runContext)
+	}
 	go node.runHousekeeping(runContext)
 	for {
 		select {
@@ -347,10 +357,10 @@
 	writer.WriteHeader(http.StatusOK)
 }
 
-// ready reports whether the node can serve: it has a configuration and engines, is not draining
-// and is not isolated.
+// ready reports whether the node can serve: it has a configuration and engines, knows the requests
+// that must not be sent, is not draining and is not isolated.
 func (node *Node) ready() bool {
-	return !node.stopping.Load() && node.routes.Load() != nil && node.engines.EngineCount() > 0 && !node.isolated()
+	return !node.stopping.Load() && node.routes.Load() != nil && node.engines.EngineCount() > 0 && node.quarantine.ready() && !node.isolated()
 }
 
 func (node *Node) runHousekeeping(ctx context.Context) {
@@ -366,6 +376,7 @@
 		}
 		node.turns.Expire(now)
 		node.assigner.Expire(now)
+		node.quarantine.tracker.Expire(now)
 		node.dependencies.Connections.CloseExpired(now)
 	}
 }
--- /dev/null
+++ b/internal/quarantine/separation_test.go
@@ -0,0 +1,93 @@
+package quarantine
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("EngineFor", func() {
+	const slots = 12
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+	fingerprints := func(count int) []Fingerprint {
+		var list []Fingerprint
+		for number := range count {
+			list = append(list, (&Content{Target: fmt.Sprint(number)}).Fingerprint())
+		}
+		return list
+	}
+	engines := func(count int) []EngineLife {
+		var list []EngineLife
+		for number := range count {
+			list = append(list, EngineLife{ID: fmt.Sprintf("e%02d", number)})
+		}
+		return list
+	}
+
+	It("leaves requests alone that were not lost with an engine", func() {
+		Expect(NewTracker(nil).EngineFor(fingerprints(1)[0], engines(3), start)).To(BeEmpty())
+	})
+
+	It("leaves requests alone whose callers left early", func() {
+		tracker := NewTracker(nil)
+		request := fingerprints(1)[0]
+		tracker.Merge([]Loss{NewLoss(request, engines(1)[0], Left, start)}, start)
+		Expect(tracker.EngineFor(request, engines(3), start)).To(BeEmpty())
+	})
+
+	// Guards against the requests of one batch being held responsible together: the one that ends its
+	// engines would meet the others again at the next engine.
+	DescribeTable("separates the requests of a batch before the third engine", func(count int) {
+		tracker := NewTracker(nil)
+		available := engines(count)
+		batch := fingerprints(slots)
+		lost := available[0]
+		for round := 0; round < MaxLosses-1 && len(batch) > 1; round++ {
+			now := start.Add(time.Duration(round) * time.Second)
+			var losses []Loss
+			for _, request := range batch {
+				losses = append(losses, NewLoss(request, lost, Interrupted, now))
+			}
+			tracker.Merge(losses, now)
+			// The first request of the batch ends its engines. Those that follow it share its fate.
+			lost = EngineLife{ID: tracker.EngineFor(batch[0], available, now)}
+			together := batch[:1]
+			for _, request := range batch[1:] {
+				if tracker.EngineFor(request, available, now) == lost.ID {
+					together = append(together, request)
+				}
+			}
+			batch = together
+		}
+		Expect(batch).To(HaveLen(1))
+	},
+		Entry("11 engines", 11),
+		Entry("6 engines", 6),
+		Entry("5 engines", 5),
+	)
+
+	It("gives the same engines on nodes that learned of the losses in another order", func() {
+		one, other := NewTracker(nil), NewTracker(nil)
+		var losses []Loss
+		for _, request := range fingerprints(slots) {
+			losses = append(losses, NewLoss(request, engines(1)[0], Interrupted, start))
+		}
+		one.Merge(losses, start)
+		for index := range losses {
+			other.Merge(losses[len(losses)-1-index:len(losses)-index], start)
+		}
+		for _, request := range fingerprints(slots) {
+			Expect(one.EngineFor(request, engines(5), start)).To(Equal(other.EngineFor(request, engines(5), start)))
+		}
+	})
+
+	It("does not choose an engine that may have ended", func() {
+		tracker := NewTracker(nil)
+		request := fingerprints(1)[0]
+		tracker.Merge([]Loss{NewLoss(request, engines(1)[0], Interrupted, start)}, start)
+		Expect(tracker.EngineFor(request, engines(2), start)).To(Equal("e01"))
+	})
+})
--- /dev/null
+++ b/internal/quarantine/tracker.go
@@ -0,0 +1,347 @@
+package quarantine
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// MaxLosses is the number of engines that may end under one request. A single end says little:
+	// all requests of a batch end with their engine. Three engines in a row are rarely shared by
+	// chance.
+	MaxLosses = 3
+	// Lifetime is how long a loss is held against its request. It covers a caller's tries of one
+	// request, and ends so that a request that was blamed in error, or whose engines have been
+	// repaired, can run again.
+	Lifetime = 60 * time.Second
+	// exchangedLifetime is the age up to which nodes compare the losses that they know. Older ones
+	// expire at slightly different times at each node.
+	exchangedLifetime = Lifetime - 5*time.Second
+	// abandonedSettling is how long after its caller has left an engine may still work on a
+	// request, and end under it.
+	abandonedSettling = 500 * time.Millisecond
+	// refutationPeriod is how long after a loss it is usually refuted, if its engine goes on: other
+	// requests are answered there.
+	refutationPeriod = time.Second
+	// maxRequests bounds the requests that a node remembers, to some 2 MB. When a whole zone of
+	// engines ends, requests with a single loss are forgotten first.
+	maxRequests = 8192
+	// evictedShare is the fraction of maxRequests that is forgotten at once when the bound is
+	// reached.
+	evictedShare = 0.125
+	// maxLossesKept bounds the losses kept of one request. More than MaxLosses are kept because
+	// some are refuted.
+	maxLossesKept = 8
+)
+
+// request is what is held against one request.
+type request struct {
+	losses []*Loss
+}
+
+// expire drops the losses that no longer count and returns them.
+func (request *request) expire(now time.Time) (expired []*Loss) {
+	remaining := request.losses[:0]
+	for _, loss := range request.losses {
+		if loss.expired(now) {
+			expired = append(expired, loss)
+		} else {
+			remaining = append(remaining, loss)
+		}
+	}
+	request.losses = remaining
+	return expired
+}
+
+// latestLoss returns when the latest loss was, refuted or not.
+func (request *request) latestLoss() time.Time {
+	var latest time.Time
+	for _, loss := range request.losses {
+		if loss.At.After(latest) {
+			latest = loss.At
+		}
+	}
+	return latest
+}
+
+// find returns the loss with an ID, or nil.
+func (request *request) find(id uint64) *Loss {
+	for _, loss := range request.losses {
+		if loss.ID == id {
+			return loss
+		}
+	}
+	return nil
+}
+
+// Tracker counts the engines that ended under each request. It is safe for concurrent use.
+type Tracker struct {
+	mutex    sync.Mutex
+	requests map[Fingerprint]*request
+	// byEngine holds the losses of each engine that are not refuted.
+	byEngine map[EngineLife][]*Loss
+	// onQuarantine is called, without the mutex, when a request reaches MaxLosses; may be nil.
+	onQuarantine func(Fingerprint)
+}
+
+// NewTracker returns an empty tracker. onQuarantine is called for each request that reaches
+// MaxLosses; it may be nil.
+func NewTracker(onQuarantine func(Fingerprint)) *Tracker {
+	return &Tracker{requests: map[Fingerprint]*request{}, byEngine: map[EngineLife][]*Loss{}, onQuarantine: onQuarantine}
+}
+
+// Empty reports whether nothing is held against any request.
+func (tracker *Tracker) Empty() bool {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	return len(tracker.requests) == 0
+}
+
+// NewLoss returns a loss with an ID of its own.
+func NewLoss(fingerprint Fingerprint, engine EngineLife, cause Cause, at time.Time) Loss {
+	return Loss{ID: rand.Uint64(), Request: fingerprint, Engine: engine, Cause: cause, At: at}
+}
+
+// Merge adds losses of this node or of others, and returns those that were new or newly refuted.
+// Merging the same losses again, or in another order, has the same result.
+func (tracker *Tracker) Merge(losses []Loss, now time.Time) []Loss {
+	news, quarantined := tracker.merge(losses, now)
+	if tracker.onQuarantine != nil {
+		for _, fingerprint := range quarantined {
+			tracker.onQuarantine(fingerprint)
+		}
+	}
+	return news
+}
+
+// merge returns the news, and the requests that have reached MaxLosses by them.
+func (tracker *Tracker) merge(losses []Loss, now time.Time) (news []Loss, quarantined []Fingerprint) {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	for _, loss := range losses {
+		before := tracker.count(loss.Request, now)
+		if !tracker.mergeOne(loss, now) {
+			continue
+		}
+		news = append(news, loss)
+		if before < MaxLosses && tracker.count(loss.Request, now) >= MaxLosses {
+			quarantined = append(quarantined, loss.Request)
+		}
+	}
+	return news, quarantined
+}
+
+// mergeOne reports whether the loss was new or newly refuted. The caller holds the mutex.
+func (tracker *Tracker) mergeOne(loss Loss, now time.Time) bool {
+	if loss.expired(now) {
+		return false
+	}
+	held := tracker.requests[loss.Request]
+	if held == nil {
+		tracker.makeRoom(now)
+		held = &request{}
+		tracker.requests[loss.Request] = held
+	}
+	known := held.find(loss.ID)
+	if known != nil {
+		return loss.Refuted && tracker.refute(known)
+	}
+	if len(held.losses) >= maxLossesKept {
+		tracker.dropOldest(held)
+	}
+	added := loss
+	held.losses = append(held.losses, &added)
+	if !added.Refuted {
+		tracker.byEngine[added.Engine] = append(tracker.byEngine[added.Engine], &added)
+	}
+	return true
+}
+
+// refute marks a loss as refuted and reports whether it was not before. The caller holds the mutex.
+func (tracker *Tracker) refute(loss *Loss) bool {
+	if loss.Refuted {
+		return false
+	}
+	loss.Refuted = true
+	tracker.dropFromEngine(loss)
+	return true
+}
+
+// dropFromEngine removes a loss from its engine's list. The caller holds the mutex.
+func (tracker *Tracker) dropFromEngine(loss *Loss) {
+	remaining := slices.DeleteFunc(tracker.byEngine[loss.Engine], func(other *Loss) bool { return other == loss })
+	if len(remaining) == 0 {
+		delete(tracker.byEngine, loss.Engine)
+		return
+	}
+	tracker.byEngine[loss.Engine] = remaining
+}
+
+// dropOldest forgets a request's oldest loss. The caller holds the mutex.
+func (tracker *Tracker) dropOldest(held *request) {
+	oldest := slices.MinFunc(held.losses, func(left, right *Loss) int { return left.At.Compare(right.At) })
+	tracker.dropFromEngine(oldest)
+	held.losses = slices.DeleteFunc(held.losses, func(other *Loss) bool { return other == oldest })
+}
+
+// EngineAnswered records that an engine answered an attempt that began at a time. It returns the
+// losses that this refutes: the engine has not ended by then.
+func (tracker *Tracker) EngineAnswered(engine EngineLife, began time.Time) []Loss {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	return tracker.refuteAll(slices.Clone(tracker.byEngine[engine]), func(loss *Loss) bool { return began.After(loss.settled()) })
+}
+
+// RequestAnswered records that an engine answered a request completely, in an attempt that began at
+// a time. It returns the losses that this refutes.
+func (tracker *Tracker) RequestAnswered(fingerprint Fingerprint, began time.Time) []Loss {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	held := tracker.requests[fingerprint]
+	if held == nil {
+		return nil
+	}
+	return tracker.refuteAll(held.losses, func(loss *Loss) bool { return began.After(loss.At) })
+}
+
+// refuteAll refutes the losses that match and returns copies of them. The caller holds the mutex.
+func (tracker *Tracker) refuteAll(losses []*Loss, matches func(loss *Loss) bool) []Loss {
+	var refuted []Loss
+	for _, loss := range losses {
+		if matches(loss) && tracker.refute(loss) {
+			refuted = append(refuted, *loss)
+		}
+	}
+	return refuted
+}
+
+// count returns how many engines have ended under a request, as far as is known. The caller holds
+// the mutex.
+func (tracker *Tracker) count(fingerprint Fingerprint, now time.Time) int {
+	return len(tracker.endings(fingerprint, now))
+}
+
+// endings returns the times at which engines ended under a request, latest first. Of several losses
+// at one engine, the latest counts. The caller holds the mutex.
+func (tracker *Tracker) endings(fingerprint Fingerprint, now time.Time) []time.Time {
+	held := tracker.requests[fingerprint]
+	if held == nil {
+		return nil
+	}
+	byEngine := map[EngineLife]time.Time{}
+	for _, loss := range held.losses {
+		if !loss.Refuted && !loss.expired(now) && loss.At.After(byEngine[loss.Engine]) {
+			byEngine[loss.Engine] = loss.At
+		}
+	}
+	return slices.SortedFunc(maps.Values(byEngine), func(left, right time.Time) int { return right.Compare(left) })
+}
+
+// Count returns how many engines have ended under a request.
+func (tracker *Tracker) Count(fingerprint Fingerprint, now time.Time) int {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	return tracker.count(fingerprint, now)
+}
+
+// QuarantinedFor returns for how long a request must not be sent to an engine, 0 if it may be.
+func (tracker *Tracker) QuarantinedFor(fingerprint Fingerprint, now time.Time) time.Duration {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	return tracker.quarantinedFor(fingerprint, now)
+}
+
+// RetryAfter returns when a quarantined request may be tried again: soon, while its latest loss may
+// yet be refuted.
+func (tracker *Tracker) RetryAfter(fingerprint Fingerprint, now time.Time) time.Duration {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	endings := tracker.endings(fingerprint, now)
+	if len(endings) == MaxLosses && now.Sub(endings[0]) < refutationPeriod {
+		return refutationPeriod
+	}
+	return tracker.quarantinedFor(fingerprint, now)
+}
+
+// quarantinedFor is QuarantinedFor. The caller holds the mutex.
+func (tracker *Tracker) quarantinedFor(fingerprint Fingerprint, now time.Time) time.Duration {
+	endings := tracker.endings(fingerprint, now)
+	if len(endings) < MaxLosses {
+		return 0
+	}
+	return endings[MaxLosses-1].Add(Lifetime).Sub(now)
+}
+
+// Losses returns all losses that still count.
+func (tracker *Tracker) Losses(now time.Time) []Loss {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	var all []Loss
+	for _, held := range tracker.requests {
+		for _, loss := range held.losses {
+			if !loss.expired(now) {
+				all = append(all, *loss)
+			}
+		}
+	}
+	return all
+}
+
+// Expire forgets losses that no longer count.
+func (tracker *Tracker) Expire(now time.Time) {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	tracker.expire(now)
+}
+
+// expire is Expire. The caller holds the mutex.
+func (tracker *Tracker) expire(now time.Time) {
+	for fingerprint, held := range tracker.requests {
+		for _, loss := range held.expire(now) {
+			tracker.dropFromEngine(loss)
+		}
+		if len(held.losses) == 0 {
+			delete(tracker.requests, fingerprint)
+		}
+	}
+}
+
+// forget removes a request. The caller holds the mutex.
+func (tracker *Tracker) forget(fingerprint Fingerprint) {
+	for _, loss := range tracker.requests[fingerprint].losses {
+		tracker.dropFromEngine(loss)
+	}
+	delete(tracker.requests, fingerprint)
+}
+
+// makeRoom keeps the number of requests below maxRequests. The caller holds the mutex.
+func (tracker *Tracker) makeRoom(now time.Time) {
+	if len(tracker.requests) < maxRequests {
+		return
+	}
+	tracker.expire(now)
+	if len(tracker.requests) < maxRequests {
+		return
+	}
+	order := make([]Fingerprint, 0, len(tracker.requests))
+	for fingerprint := range tracker.requests {
+		order = append(order, fingerprint)
+	}
+	slices.SortFunc(order, func(left, right Fingerprint) int {
+		return compareForEviction(tracker.requests[left], tracker.requests[right])
+	})
+	for _, fingerprint := range order[:int(evictedShare*maxRequests)] {
+		tracker.forget(fingerprint)
+	}
+}
+
+// compareForEviction orders requests by the number of their losses, then by the time of the latest.
+func compareForEviction(left, right *request) int {
+	if len(left.losses) != len(right.losses) {
+		return len(left.losses) - len(right.losses)
+	}
+	return left.latestLoss().Compare(right.latestLoss())
+}
--- /dev/null
+++ b/internal/quarantine/tracker_test.go
@@ -0,0 +1,194 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("Tracker", func() {
+	var (
+		start       = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+		tracker     *Tracker
+		quarantined []Fingerprint
+		content     = (&Content{Method: "POST", Target: "/a", Body: []byte("work")}).Fingerprint()
+	)
+
+	BeforeEach(func() {
+		quarantined = nil
+		tracker = NewTracker(func(fingerprint Fingerprint) { quarantined = append(quarantined, fingerprint) })
+	})
+
+	at := func(offset time.Duration) time.Time { return start.Add(offset) }
+	engine := func(number int) EngineLife { return EngineLife{ID: fmt.Sprintf("e%d", number)} }
+	lose := func(number int, cause Cause, offset time.Duration) Loss {
+		loss := NewLoss(content, engine(number), cause, at(offset))
+		tracker.Merge([]Loss{loss}, at(offset))
+		return loss
+	}
+
+	It("quarantines a request once three engines have ended under it, and only once", func() {
+		lose(1, Interrupted, 0)
+		lose(2, Silent, time.Second)
+		Expect(tracker.QuarantinedFor(content, at(time.Second))).To(BeZero())
+		lose(3, Left, 2*time.Second)
+		lose(4, Interrupted, 2*time.Second)
+		Expect(quarantined).To(Equal([]Fingerprint{content}))
+		Expect(tracker.QuarantinedFor(content, at(2*time.Second))).To(Equal(Lifetime - time.Second))
+	})
+
+	It("has callers come back soon while the latest loss may yet be refuted", func() {
+		for number := range 3 {
+			lose(number, Interrupted, 0)
+		}
+		Expect(tracker.RetryAfter(content, at(time.Millisecond))).To(Equal(time.Second))
+		Expect(tracker.RetryAfter(content, at(2*time.Second))).To(Equal(Lifetime - 2*time.Second))
+	})
+
+	It("counts several losses at one engine as one", func() {
+		for number := range 5 {
+			lose(1, Interrupted, time.Duration(number)*time.Second)
+		}
+		Expect(tracker.Count(content, at(5*time.Second))).To(Equal(1))
+		Expect(quarantined).To(BeEmpty())
+	})
+
+	It("distinguishes the incarnations of an engine", func() {
+		for life := range int64(3) {
+			loss := NewLoss(content, EngineLife{ID: "e", Incarnation: life + 1}, Interrupted, at(0))
+			tracker.Merge([]Loss{loss}, at(0))
+		}
+		Expect(quarantined).To(HaveLen(1))
+	})
+
+	It("releases a request after the lifetime of its losses", func() {
+		for number := range 3 {
+			lose(number, Interrupted, 0)
+		}
+		Expect(tracker.QuarantinedFor(content, at(Lifetime))).To(BeZero())
+		tracker.Expire(at(Lifetime + time.Second))
+		Expect(tracker.Empty()).To(BeTrue())
+		Expect(tracker.byEngine).To(BeEmpty())
+	})
+
+	// Guards against a reset link, a lost response or a slow engine being taken for an engine that ended.
+	DescribeTable("refutes a loss whose engine answers later", func(cause Cause, began time.Duration, refuted bool) {
+		lose(1, cause, 0)
+		tracker.EngineAnswered(engine(1), at(began))
+		Expect(tracker.Count(content, at(2*time.Second)) == 0).To(Equal(refuted))
+	},
+		Entry("an attempt after the interruption", Interrupted, time.Millisecond, true),
+		Entry("an attempt before the interruption, whose answer was on its way", Interrupted, -time.Millisecond, false),
+		Entry("an attempt while the engine may still work on the abandoned request", Silent, 300*time.Millisecond, false),
+		Entry("an attempt after that", Silent, 600*time.Millisecond, true),
+		Entry("the same for a caller that left early", Left, 600*time.Millisecond, true),
+	)
+
+	It("releases a quarantined request once engines turn out to have gone on", func() {
+		for number := range 3 {
+			lose(number, Interrupted, 0)
+		}
+		Expect(tracker.EngineAnswered(engine(2), at(time.Second))).To(HaveLen(1))
+		Expect(tracker.QuarantinedFor(content, at(time.Second))).To(BeZero())
+	})
+
+	It("refutes the losses of a request that is answered later", func() {
+		lose(1, Interrupted, 0)
+		lose(2, Interrupted, 2*time.Second)
+		Expect(tracker.RequestAnswered(content, at(time.Second))).To(HaveLen(1))
+		Expect(tracker.Count(content, at(2*time.Second))).To(Equal(1))
+	})
+
+	It("reports only news, so that nodes stop telling each other", func() {
+		loss := lose(1, Interrupted, 0)
+		Expect(tracker.Merge([]Loss{loss}, at(0))).To(BeEmpty())
+		loss.Refuted = true
+		Expect(tracker.Merge([]Loss{loss}, at(0))).To(HaveLen(1))
+		Expect(tracker.Merge([]Loss{loss}, at(0))).To(BeEmpty())
+	})
+
+	It("does not count a loss whose refutation arrived first", func() {
+		loss := NewLoss(content, engine(1), Interrupted, at(0))
+		refuted := loss
+		refuted.Refuted = true
+		tracker.Merge([]Loss{refuted, loss}, at(0))
+		Expect(tracker.Count(content, at(0))).To(BeZero())
+	})
+
+	It("reaches the same state in any order of the same losses", func() {
+		random := rand.New(rand.NewPCG(1, 2))
+		var losses []Loss
+		for number := range 40 {
+			request := (&Content{Target: fmt.Sprint(number % 9)}).Fingerprint()
+			loss := NewLoss(request, engine(number%7), Cause(number%3), at(time.Duration(number)*time.Millisecond))
+			losses = append(losses, loss)
+			loss.Refuted = number%4 == 0
+			losses = append(losses, loss)
+		}
+		other := NewTracker(nil)
+		tracker.Merge(losses, at(time.Second))
+		random.Shuffle(len(losses), func(left, right int) { losses[left], losses[right] = losses[right], losses[left] })
+		other.Merge(losses, at(time.Second))
+		Expect(other.Digest(at(time.Second))).To(Equal(tracker.Digest(at(time.Second))))
+		Expect(other.Status(at(time.Second)).Requests).To(HaveLen(9))
+	})
+
+	It("brings a node that knows other losses up to date by the parts in which they differ", func() {
+		other := NewTracker(nil)
+		for number := range 200 {
+			loss := NewLoss((&Content{Target: fmt.Sprint(number)}).Fingerprint(), engine(number), Interrupted, at(0))
+			tracker.Merge([]Loss{loss}, at(0))
+			other.Merge([]Loss{loss}, at(0))
+		}
+		lose(1, Interrupted, 0)
+		missing := tracker.LossesBeyond(other.Digest(at(0)), at(0))
+		Expect(len(missing)).To(BeNumerically("<", 200/digestParts*3))
+		other.Merge(missing, at(0))
+		Expect(other.Digest(at(0))).To(Equal(tracker.Digest(at(0))))
+		Expect(tracker.LossesBeyond(other.Digest(at(0)), at(0))).To(BeEmpty())
+	})
+
+	It("forgets requests with a single loss first when a zone of engines ends", func() {
+		for number := range 2 {
+			lose(number, Interrupted, 0)
+		}
+		for number := range maxRequests + 10 {
+			loss := NewLoss((&Content{Target: fmt.Sprint(number)}).Fingerprint(), engine(100), Interrupted, at(time.Second))
+			tracker.Merge([]Loss{loss}, at(time.Second))
+		}
+		Expect(len(tracker.requests)).To(BeNumerically("<=", maxRequests))
+		Expect(tracker.Count(content, at(time.Second))).To(Equal(2))
+		held := 0
+		for _, losses := range tracker.byEngine {
+			held += len(losses)
+		}
+		Expect(held).To(Equal(len(tracker.requests) + 1))
+	})
+})
+
+var _ = Describe("Fingerprint", func() {
+	It("is the same for all tries and differs in each part of the content", func() {
+		content := Content{Tenant: "t", Program: "p", Previous: "r1", Method: "POST", Host: "h", Target: "/a", Body: []byte("b")}
+		same := content
+		Expect(same.Fingerprint()).To(Equal(content.Fingerprint()))
+		seen := map[Fingerprint]bool{content.Fingerprint(): true}
+		for _, change := range []func(*Content){
+			func(changed *Content) { changed.Tenant = "u" },
+			func(changed *Content) { changed.Program = "q" },
+			func(changed *Content) { changed.Previous = "r2" },
+			func(changed *Content) { changed.Method = "PUT" },
+			func(changed *Content) { changed.Host = "i" },
+			func(changed *Content) { changed.Target = "/b" },
+			func(changed *Content) { changed.Body = []byte("c") },
+			func(changed *Content) { changed.Tenant, changed.Program = "tp", "" },
+		} {
+			changed := content
+			change(&changed)
+			Expect(seen[changed.Fingerprint()]).To(BeFalse())
+			seen[changed.Fingerprint()] = true
+		}
+	})
+})
--- a/internal/resultcode/resultcode.go
+++ b/internal/resultcode/resultcode.go
@@ -46,6 +46,7 @@
 	QuotaExceeded      Code = 2014
 	QuotaUnknown       Code = 2015
 	NoRoom             Code = 2016
+	RequestQuarantined Code = 2017
 
 	OutcomeUnknown Code = 3001
 	CallStopped    Code = 3002
@@ -110,6 +111,7 @@
 	{QuotaExceeded, "QUOTA_EXCEEDED", http.StatusTooManyRequests, true, "The tenant's requests have reached its limit, counted over all nodes; not run."},
 	{QuotaUnknown, "QUOTA_UNKNOWN", http.StatusServiceUnavailable, true, "No node that keeps the tenant's limit could be asked in time; not run."},
 	{NoRoom, "NO_ROOM", http.StatusServiceUnavailable, true, "A program that begins now would not end in its aim, or would make others late; not run."},
+	{RequestQuarantined, "REQUEST_QUARANTINED", http.StatusServiceUnavailable, true, "Several engines ended under requests of this content, so that it is sent to no further one for a while; this sending did not run."},
 	{OutcomeUnknown, "OUTCOME_UNKNOWN", http.StatusBadGateway, false, "The call was sent and its outcome is lost; it may have run and will not run again."},
 	{CallStopped, "CALL_STOPPED", http.StatusConflict, false, "The call was cancelled because its program was stopped."},
 	{SlowReader, "SLOW_READER", http.StatusRequestTimeout, true, "The caller read too slowly; the stream can be resumed."},
--- a/rehearsal/standin/agentengine/agentengine.go
+++ b/rehearsal/standin/agentengine/agentengine.go
@@ -53,11 +53,10 @@
 	mutex       sync.Mutex
 	faults      Faults
 	runs        []Run
-	// crash and onEnd are set by SetCrash; ended is true once the engine has ended by itself.
-	crash   *Crash
-	onEnd   func(engine *Engine)
-	ended   bool
-	endedAt time.Time
+	// crash and onEnd are set by SetCrash; ended is set once the engine has ended by itself.
+	crash *Crash
+	onEnd func(engine *Engine)
+	ended *End
 }
 
 const headerTimeout = 30 * time.Second
@@ -129,7 +128,7 @@
 	index := engine.recordRun(request, string(body))
 	crash := engine.crashFor(request, string(body))
 	if crash != nil && crash.AfterEvents == 0 {
-		time.AfterFunc(crash.Delay, func() { engine.end(crash.Silent) })
+		time.AfterFunc(crash.Delay, func() { engine.end(crash.Silent, request.Header.Get("Request-Id")) })
 		<-request.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
@@ -174,7 +173,7 @@
 			panic(http.ErrAbortHandler)
 		}
 		if crash != nil && event > crash.AfterEvents {
-			engine.end(crash.Silent)
+			engine.end(crash.Silent, request.Header.Get("Request-Id"))
 			<-request.Context().Done()
 			panic(http.ErrAbortHandler)
 		}
--- a/rehearsal/standin/agentengine/crash.go
+++ b/rehearsal/standin/agentengine/crash.go
@@ -34,13 +34,6 @@
 	engine.onEnd = ended
 }
 
-// Ended reports whether the engine has ended by itself.
-func (engine *Engine) Ended() bool {
-	engine.mutex.Lock()
-	defer engine.mutex.Unlock()
-	return engine.ended
-}
-
 // crashFor returns how the engine ends under a request, nil if it does not.
 func (engine *Engine) crashFor(request *http.Request, body string) *Crash {
 	engine.mutex.Lock()
@@ -51,15 +44,22 @@
 	return engine.crash
 }
 
+// End is how an engine ended by itself.
+type End struct {
+	At time.Time
+	// Request is the ID of the request under which it ended.
+	Request string
+	Silent  bool
+}
+
 // end ends the engine once. All its connections are reset, or silent from now on.
-func (engine *Engine) end(silent bool) {
+func (engine *Engine) end(silent bool, request string) {
 	engine.mutex.Lock()
-	if engine.ended {
+	if engine.ended != nil {
 		engine.mutex.Unlock()
 		return
 	}
-	engine.ended = true
-	engine.endedAt = time.Now()
+	engine.ended = &End{At: time.Now(), Request: request, Silent: silent}
 	onEnd := engine.onEnd
 	engine.mutex.Unlock()
 	engine.connections.end(silent)
@@ -68,11 +68,14 @@
 	}
 }
 
-// EndedAt returns when the engine ended by itself, zero if it has not.
-func (engine *Engine) EndedAt() time.Time {
+// Ended returns how the engine ended by itself, false if it has not.
+func (engine *Engine) Ended() (End, bool) {
 	engine.mutex.Lock()
 	defer engine.mutex.Unlock()
-	return engine.endedAt
+	if engine.ended == nil {
+		return End{}, false
+	}
+	return *engine.ended, true
 }
 
 // errEnded ends the exchanges of an engine that has ended.
