Soak: requests that end engines

A lane of callers that send one request again and again under which each engine ends: at once, late, in mid-stream, with resets or silently, beside all other faults. Checked: no more than three engines end under one (one more for each node that did not run meanwhile, three where all were lost), and a request is refused for it only if three engines have ended while it was there.

--- a/rehearsal/command/soak.go
+++ b/rehearsal/command/soak.go
@@ -15,15 +15,16 @@
 
 // Soak injects random faults into nodes that run as processes under load.
 type Soak struct {
-	Seed      uint64        `arg:"--seed" help:"seed of the first run; 0 draws one"`
-	Runs      int           `arg:"--runs" default:"1" help:"runs, each with the next seed"`
-	Length    time.Duration `arg:"--length" default:"30s" help:"how long each run throws faults"`
-	Nodes     int           `arg:"--nodes" default:"5" help:"processes of the system"`
-	Callers   int           `arg:"--callers" default:"8" help:"agent programs at once"`
-	Lanes     int           `arg:"--lanes" default:"2" help:"faults at once"`
-	LoadLanes int           `arg:"--load-lanes" default:"1" help:"disturbances of the load at once: hot tenants, slow readers, engines that fail at once, zones without the store; 0 leaves them out, and makes engines alike"`
-	Directory string        `arg:"--directory" default:"out/soak" help:"where logs and settings files go, a directory for each seed"`
-	Magpielug string        `arg:"--magpielug" help:"program to start; default is the one beside this program"`
+	Seed       uint64        `arg:"--seed" help:"seed of the first run; 0 draws one"`
+	Runs       int           `arg:"--runs" default:"1" help:"runs, each with the next seed"`
+	Length     time.Duration `arg:"--length" default:"30s" help:"how long each run throws faults"`
+	Nodes      int           `arg:"--nodes" default:"5" help:"processes of the system"`
+	Callers    int           `arg:"--callers" default:"8" help:"agent programs at once"`
+	Lanes      int           `arg:"--lanes" default:"2" help:"faults at once"`
+	LoadLanes  int           `arg:"--load-lanes" default:"1" help:"disturbances of the load at once: hot tenants, slow readers, engines that fail at once, zones without the store; 0 leaves them out, and makes engines alike"`
+	CrashLanes int           `arg:"--crash-lanes" default:"1" help:"callers at once whose requests end each engine that runs them"`
+	Directory  string        `arg:"--directory" default:"out/soak" help:"where logs and settings files go, a directory for each seed"`
+	Magpielug  string        `arg:"--magpielug" help:"program to start; default is the one beside this program"`
 }
 
 // maxViolationsShown limits the violations printed for one run.
@@ -70,6 +71,7 @@
 		Callers:          command.Callers,
 		FaultWorkers:     command.Lanes,
 		LoadFaultWorkers: command.LoadLanes,
+		CrashWorkers:     command.CrashLanes,
 		Magpielug:        magpielug,
 		Directory:        directory,
 		Output:           os.Stderr,
--- /dev/null
+++ b/rehearsal/soak/crash_faults.go
@@ -0,0 +1,196 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/magpielug/magpielug/internal/resultcode"
+	"github.com/magpielug/magpielug/internal/wait"
+	"github.com/magpielug/magpielug/rehearsal/standin/agentengine"
+)
+
+const (
+	// maxEngineEnds is the number of engines that may end under one request.
+	maxEngineEnds = 3
+	// crashAttempts is how often a caller sends a request that ends engines, with pauses between
+	// minCrashPause and maxCrashPause.
+	crashAttempts = 10
+	minCrashPause = 50 * time.Millisecond
+	maxCrashPause = 400 * time.Millisecond
+	// endedEngineRecord is how long the record of an engine that ended stays, and
+	// endedEngineReplacement when another engine starts.
+	endedEngineRecord      = 1500 * time.Millisecond
+	endedEngineReplacement = 400 * time.Millisecond
+)
+
+// crashFaults are the kinds of faults whose requests end engines. They are drawn from separate
+// random streams, so that they do not change the other faults of a seed.
+var crashFaults = []fault{{"request that ends engines", (*injector).sendCrashRequest}}
+
+// crashes are the ways in which engines end under a request.
+var crashes = []agentengine.Crash{
+	{},
+	{Delay: 60 * time.Millisecond},
+	{Delay: 300 * time.Millisecond},
+	{AfterEvents: 2},
+	{Delay: 60 * time.Millisecond, Silent: true},
+	{AfterEvents: 1, Silent: true},
+}
+
+// crashOf returns how the engine with the given number ends.
+func crashOf(number int) agentengine.Crash { return crashes[number%len(crashes)] }
+
+// replaceEnded replaces an engine that has ended by itself.
+func (cluster *cluster) replaceEnded(old *engine) {
+	if end, _ := old.Ended(); !end.Silent {
+		old.proxy.Close()
+	}
+	time.Sleep(endedEngineReplacement)
+	cluster.mutex.Lock()
+	closed := cluster.closed
+	cluster.mutex.Unlock()
+	if closed {
+		return
+	}
+	_ = cluster.addEngine(old.service, old.zone) // The run reports missing engines as lost progress.
+	time.Sleep(endedEngineRecord - endedEngineReplacement)
+	cluster.removeEngine(old)
+}
+
+// sendCrashRequest sends one request that ends engines again and again, as a caller does that does not
+// give up.
+func (injector *injector) sendCrashRequest(ctx context.Context, random *rand.Rand) string {
+	extra, number := injector.newExtraCaller()
+	name := fmt.Sprintf("crash-%d", number)
+	mark := fmt.Sprintf("%s %s;", agentengine.CrashMark, name)
+	attempt := func() *callAttempt {
+		return &callAttempt{method: http.MethodPost, prompt: mark, tenant: tenantUnlimited, crash: name}
+	}
+	targets := []string{retainedTurnPath, plainTurnPath, unsafeToolPath, safeToolPath}
+	target := targets[random.IntN(len(targets))]
+	statuses := make([]int, 0, crashAttempts)
+	for len(statuses) < crashAttempts && ctx.Err() == nil {
+		current := attempt()
+		current.target = target
+		current.repeatable = target == safeToolPath
+		extra.send(ctx, random, current, mark, (&session{program: &program{name: name, tenant: tenantUnlimited, budget: largeBudget}, id: name, path: target}).requestHeader())
+		statuses = append(statuses, current.status)
+		wait.Sleep(ctx, randomDuration(random, minCrashPause, maxCrashPause))
+	}
+	return fmt.Sprintf("%s at %s, statuses %v", name, target, statuses)
+}
+
+// nodeOutage is a time in which a node, or all nodes, did not run.
+type nodeOutage struct {
+	from, until time.Time
+	all         bool
+}
+
+// recordOutage records an outage that ends now.
+func (injector *injector) recordOutage(from time.Time, all bool) {
+	injector.mutex.Lock()
+	defer injector.mutex.Unlock()
+	injector.outages = append(injector.outages, nodeOutage{from: from, until: time.Now(), all: all})
+}
+
+// nodeOutages returns all outages that have ended.
+func (injector *injector) nodeOutages() []nodeOutage {
+	injector.mutex.Lock()
+	defer injector.mutex.Unlock()
+	return slices.Clone(injector.outages)
+}
+
+// allowedEngineEnds returns how many engines may end under a request that was sent between two
+// times. A node that does not run may be the only one that saw an engine end; if all nodes were
+// lost, none remembers.
+func allowedEngineEnds(first, last time.Time, outages []nodeOutage) int {
+	allowed := maxEngineEnds
+	for _, outage := range outages {
+		if outage.from.After(last) || outage.until.Before(first) {
+			continue
+		}
+		allowed++
+		if outage.all {
+			allowed += maxEngineEnds - 1
+		}
+	}
+	return allowed
+}
+
+// checkEngineEnds checks that requests which end engines are stopped after three, and that a request
+// is refused for that only if three engines have ended while it was there.
+func (recorder *recorder) checkEngineEnds(engines []*engine, removed map[*engine]bool, outages []nodeOutage) {
+	recorder.mutex.Lock()
+	attempts := recorder.attempts
+	recorder.mutex.Unlock()
+	recorder.checkCrashRequests(attempts, engines, outages)
+	enginesEnded := map[string]int{}
+	for _, each := range engines {
+		if _, ended := each.Ended(); ended || removed[each] {
+			for content := range contentsAt(each, attempts) {
+				enginesEnded[content]++
+			}
+		}
+	}
+	for _, attempt := range attempts {
+		if strings.Contains(attempt.body, quarantineCode) && enginesEnded[attempt.content()] < maxEngineEnds {
+			recorder.addViolation(invariantQuarantine, "%s to %s was refused after %d engines: %s", attempt.id, attempt.target, enginesEnded[attempt.content()], attempt.body)
+		}
+	}
+}
+
+// content is the same for all attempts of one request.
+func (attempt *callAttempt) content() string {
+	return strings.Join([]string{attempt.tenant, attempt.method, attempt.target, attempt.previousTurn, attempt.prompt}, "\n")
+}
+
+// contentsAt returns the contents that an engine ran.
+func contentsAt(target *engine, attempts map[string]*callAttempt) map[string]bool {
+	contents := map[string]bool{}
+	for _, run := range target.Runs() {
+		if attempt := attempts[run.ID]; attempt != nil {
+			contents[attempt.content()] = true
+		}
+	}
+	return contents
+}
+
+// checkCrashRequests checks how many engines ended under each request that ends them.
+func (recorder *recorder) checkCrashRequests(attempts map[string]*callAttempt, engines []*engine, outages []nodeOutage) {
+	type period struct{ first, last time.Time }
+	periods := map[string]period{}
+	for _, attempt := range attempts {
+		if attempt.crash == "" {
+			continue
+		}
+		sent, known := periods[attempt.crash]
+		if !known || attempt.sentAt.Before(sent.first) {
+			sent.first = attempt.sentAt
+		}
+		if end := attempt.sentAt.Add(attemptDeadline); end.After(sent.last) {
+			sent.last = end
+		}
+		periods[attempt.crash] = sent
+	}
+	ends := map[string]int{}
+	for _, each := range engines {
+		end, ended := each.Ended()
+		if attempt := attempts[end.Request]; ended && attempt != nil {
+			ends[attempt.crash]++
+		}
+	}
+	for name, count := range ends {
+		allowed := allowedEngineEnds(periods[name].first, periods[name].last, outages)
+		if count > allowed {
+			recorder.addViolation(invariantEngineEnds, "%d engines ended under %s, %d allowed", count, name, allowed)
+		}
+	}
+}
+
+// quarantineCode is the result code of a quarantined request in a response's body.
+var quarantineCode = fmt.Sprintf(`"code":%d`, resultcode.RequestQuarantined)
--- a/rehearsal/soak/faults.go
+++ b/rehearsal/soak/faults.go
@@ -70,6 +70,8 @@
 	injected int
 	// extraCallers is the number of callers started by faults.
 	extraCallers atomic.Int64
+	// outages are the times at which nodes did not run.
+	outages []nodeOutage
 }
 
 // run injects randomly chosen faults of the given kinds until ctx ends, and ends each
@@ -132,6 +134,7 @@
 		return ""
 	}
 	defer injector.release(target.name)
+	defer injector.recordOutage(time.Now(), false)
 	target.stop(syscall.SIGKILL, time.Second)
 	wait.Sleep(ctx, outage)
 	_ = target.start()
@@ -148,6 +151,7 @@
 		return ""
 	}
 	defer injector.release(names...)
+	defer injector.recordOutage(time.Now(), true)
 	var killing sync.WaitGroup
 	for _, target := range injector.cluster.nodes {
 		killing.Go(func() { target.stop(syscall.SIGKILL, time.Second) })
@@ -167,6 +171,7 @@
 		return ""
 	}
 	defer injector.release(target.name)
+	defer injector.recordOutage(time.Now(), false)
 	target.freeze()
 	wait.Sleep(ctx, duration)
 	target.resume()
@@ -179,6 +184,7 @@
 		return ""
 	}
 	defer injector.release(target.name)
+	defer injector.recordOutage(time.Now(), false)
 	target.stop(syscall.SIGTERM, shutdownTimeout)
 	_ = target.start()
 	return target.name
--- a/rehearsal/soak/recorder.go
+++ b/rehearsal/soak/recorder.go
@@ -35,6 +35,8 @@
 	// probe attempts only test the active configuration and do not count as failed
 	// attempts.
 	probe bool
+	// crash names the request that ends engines which this is an attempt of, empty for others.
+	crash string
 	// status is 0 if no response was received. complete is false if the response was
 	// truncated.
 	status   int
@@ -67,6 +69,8 @@
 	invariantRecovery      = "programs make progress after the faults"
 	invariantCompletion    = "every program completes"
 	invariantEndless       = "endless programs are stopped by their budgets"
+	invariantEngineEnds    = "a request under which three engines have ended is sent to no further one"
+	invariantQuarantine    = "requests are quarantined only after three engines have ended while they were there"
 )
 
 // maxViolations is the maximum number of violations recorded per run.
--- a/rehearsal/soak/run.go
+++ b/rehearsal/soak/run.go
@@ -32,6 +32,9 @@
 	// LoadFaultWorkers is the number of concurrent load faults. If positive, there are two
 	// zones by default and engines have unequal speeds.
 	LoadFaultWorkers int
+	// CrashWorkers is the number of concurrent callers of requests that end each engine that runs
+	// them.
+	CrashWorkers int
 	// Magpielug is the path of the binary under test. Settings files and logs are
 	// written to Directory.
 	Magpielug string
@@ -227,6 +230,9 @@
 	for worker := range run.options.LoadFaultWorkers {
 		workers.Go(func() { run.injector.run(faultCtx, run.random(uint64(2000+worker)), loadFaults) })
 	}
+	for worker := range run.options.CrashWorkers {
+		workers.Go(func() { run.injector.run(faultCtx, run.random(uint64(3000+worker)), crashFaults) })
+	}
 	workers.Wait()
 }
 
@@ -257,6 +263,7 @@
 	runs := run.cluster.engineRuns()
 	run.recorder.checkRuns(runs)
 	run.recorder.checkTenantLimit(runs)
+	run.recorder.checkEngineEnds(run.cluster.allEngines(), run.cluster.removedEngines(), run.injector.nodeOutages())
 }
 
 func (run *run) outcome() *Outcome {
