history: a turn that the log rejects for good fails alone and at once

What callers saw: a turn whose record the log does not accept (over its record size) failed the turns of its batch for a while, was appended again until its caller's deadline, at partition after partition and node after node, and made each of these nodes count as unable to record turns.

A rejected batch is appended again record by record, the rejected one ends with ErrRejected, which other nodes pass on as such, and neither a writer nor the log counts as failing for it.

--- a/internal/durable/durable.go
+++ b/internal/durable/durable.go
@@ -93,6 +93,8 @@
 	ErrConflict = errors.New("partition end differs from the expected offset")
 	// ErrUnavailable means that the store temporarily rejects the call.
 	ErrUnavailable = errors.New("log store temporarily unavailable")
+	// ErrRejected means that the log does not accept the records, now or later.
+	ErrRejected = errors.New("log store rejects the records")
 )
 
 // TrimmedError means that a read began before the oldest retained record.
--- a/internal/history/partition_writer.go
+++ b/internal/history/partition_writer.go
@@ -71,6 +71,9 @@
 	acknowledged bool
 	// failed is true once an error was reported. The record may be acknowledged afterwards.
 	failed bool
+	// alone is true for a record that is appended without others: the log has rejected an append that
+	// it was part of.
+	alone bool
 }
 
 // errPartitionSilent means that a partition does not respond while another one does.
@@ -168,7 +171,7 @@
 	bytes := 0
 	for len(writer.waiting) > 0 {
 		record := writer.waiting[0]
-		if len(flight.records) > 0 && bytes+len(record.record) > maxBatchBytes {
+		if len(flight.records) > 0 && (bytes+len(record.record) > maxBatchBytes || record.alone || flight.records[0].alone) {
 			break
 		}
 		writer.waiting = writer.waiting[1:]
@@ -246,10 +249,15 @@
 	if index < 0 {
 		return
 	}
-	if flight.began.After(writer.latestBegan) { // Otherwise only its response is lost.
+	rejected := errors.Is(err, durable.ErrRejected)
+	if !rejected && flight.began.After(writer.latestBegan) { // Otherwise the log works, or only the response is lost.
 		writer.recorder.observeFailure()
 	}
 	writer.inFlight = slices.Delete(writer.inFlight, index, index+1)
+	if rejected && len(flight.records) > 1 {
+		writer.appendAlone(flight)
+		return
+	}
 	repeated := append(neededRecords(writer.inFlight), writer.waiting...)
 	for _, record := range neededRecords([]*partitionAppend{flight}) {
 		if !slices.Contains(repeated, record) {
@@ -258,6 +266,19 @@
 	}
 }
 
+// appendAlone queues the records of a rejected append again, each for an append of its own: one of
+// them is at fault. The caller holds the mutex.
+func (writer *partitionWriter) appendAlone(flight *partitionAppend) {
+	var records []*pendingRecord
+	for _, record := range neededRecords([]*partitionAppend{flight}) {
+		record.alone = true
+		if !slices.Contains(writer.waiting, record) {
+			records = append(records, record)
+		}
+	}
+	writer.waiting = append(records, writer.waiting...)
+}
+
 // check reads what was appended since an offset. The records that the log has are acknowledged. Those
 // of an overdue append that it does not have are appended again, if the log responds at once.
 func (writer *partitionWriter) check(offset int64) {
--- a/internal/history/record_operation.go
+++ b/internal/history/record_operation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/magpielug/magpielug/internal/durable"
@@ -59,8 +60,8 @@
 	for {
 		select {
 		case err := <-operation.done:
-			if err == nil {
-				return nil
+			if err == nil || errors.Is(err, durable.ErrRejected) {
+				return err
 			}
 			operation.pendingAppends--
 			operation.handleAppendFailure(ctx)
@@ -69,13 +70,13 @@
 				backoff = min(2*backoff, maxBackoff)
 			}
 		case err := <-operation.relayed:
-			if err == nil {
-				return nil
+			if err == nil || errors.Is(err, durable.ErrRejected) {
+				return err
 			}
 			operation.relaying = false
 		case err := <-operation.groupRelayed:
-			if err == nil {
-				return nil
+			if err == nil || errors.Is(err, durable.ErrRejected) {
+				return err
 			}
 			operation.groupRelaying = false
 			operation.tryNextPartition(ctx)
--- a/internal/history/recorder.go
+++ b/internal/history/recorder.go
@@ -93,7 +93,8 @@
 // Record writes a turn and returns nil once the log has acknowledged it. With group commit, it leaves
 // the turn to the node that batches the appends of the shard's partition, and appends it itself if
 // that fails. Its own appends begin with the shard's partition, add others one by one while none
-// responds, and use the relay, if set. It retries until ctx is done.
+// responds, and use the relay, if set. It retries until ctx is done,
+// except a turn that the log rejects for good: no other partition or node can record it either.
 func (recorder *Recorder) Record(ctx context.Context, shard int, turn *Turn) error {
 	return recorder.record(ctx, shard, turn, recorder.relay, recorder.groupRelay)
 }
--- a/internal/node/group_commit_test.go
+++ b/internal/node/group_commit_test.go
@@ -23,6 +23,8 @@
 	// appends counts the appends that have arrived.
 	appends atomic.Int64
 	release chan struct{}
+	// maxRecordBytes is the size above which a record is rejected, 0 for none.
+	maxRecordBytes int
 }
 
 func newHeldLog() *heldLog {
@@ -33,6 +35,11 @@
 	log.appends.Add(1)
 	select {
 	case <-log.release:
+		for _, record := range records {
+			if log.maxRecordBytes > 0 && len(record) > log.maxRecordBytes {
+				return durable.AppendResult{}, durable.ErrRejected
+			}
+		}
 		return log.Memory.Append(ctx, partition, records, condition)
 	case <-ctx.Done():
 		return durable.AppendResult{}, ctx.Err()
@@ -124,6 +131,24 @@
 		expectRecorded(results, nodeCount)
 	})
 
+	// Guards against a turn that the log rejects for good being sent to writer after writer, each of
+	// which then counts as failing and records no other turn.
+	It("holds a rejected turn against neither its writer nor the turns beside it", func() {
+		ownBy(nodes[0])
+		log.maxRecordBytes = 10_000
+		close(log.release)
+		rejected := turnFrom(nodes[1])
+		rejected.Output = make([]byte, 2*log.maxRecordBytes)
+		beside := recordFromAll(context.Background(), nodes[2:])
+		began := time.Now()
+		err := nodes[1].recorder.Record(context.Background(), shard, rejected)
+		Expect(errors.Is(err, durable.ErrRejected)).To(BeTrue())
+		Expect(time.Since(began)).To(BeNumerically("<", time.Second))
+		expectRecorded(beside, nodeCount-2)
+		Expect(nodes[1].programs.suspectedWriters.contains(nodes[0].settings.Name, time.Now())).To(BeFalse())
+		Expect(nodes[0].recorder.AppendFailedRecently()).To(BeFalse())
+	})
+
 	// Guards against two records of a turn where one is enough, and against turns lost with the owner.
 	It("records each turn once while appends are fast, with and without the owner", func() {
 		ownBy(nodes[0])
--- a/internal/node/turns.go
+++ b/internal/node/turns.go
@@ -2,14 +2,18 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"strconv"
 	"time"
 
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
+	"github.com/magpielug/magpielug/internal/durable"
 	"github.com/magpielug/magpielug/internal/history"
 	"github.com/magpielug/magpielug/internal/logging"
+	"github.com/rotisserie/eris"
+	"github.com/twitchtv/twirp"
 	"go.uber.org/zap"
 )
 
@@ -175,6 +179,9 @@
 		bounded, cancel := context.WithTimeout(ctx, recordTimeout)
 		_, err := node.peers.clientAt(other.Address).Record(bounded, &nodev1.RecordRequest{Shard: uint32(shard), Turn: history.ToProto(turn)})
 		cancel()
+		if turnRejected(err) {
+			return eris.Wrapf(durable.ErrRejected, "node %s: %v", other.Name, err)
+		}
 		if err == nil {
 			node.logger.Info("turn recorded by another node", zap.String("request", turn.ID), zap.String("program", turn.Program), zap.String("node", other.Name))
 			return nil
@@ -200,6 +207,9 @@
 		if lastError == nil || ctx.Err() != nil {
 			return lastError
 		}
+		if turnRejected(lastError) {
+			return eris.Wrapf(durable.ErrRejected, "node %s: %v", writer.Name, lastError)
+		}
 		node.programs.suspectedWriters.add(writer.Name, time.Now().Add(ownerSuspicion))
 		node.logger.Info("group writer failed", zap.String("request", turn.ID), zap.Int("shard", shard),
 			zap.String("node", writer.Name), logging.ErrorField(lastError))
@@ -207,6 +217,13 @@
 	return lastError
 }
 
+// turnRejected reports whether a node's answer to a recording request says that the log does not
+// accept the turn. That is no fault of the node.
+func turnRejected(err error) bool {
+	var failure twirp.Error
+	return errors.As(err, &failure) && failure.Code() == twirp.InvalidArgument
+}
+
 // recordAt repeats a recording request to a group writer while it replies that the turn is pending.
 // It fails if the turn stays pending although the log is not slow: the log does not respond to the
 // writer then.
@@ -305,6 +322,9 @@
 	defer timer.Stop()
 	select {
 	case <-recording.done:
+		if errors.Is(recording.err, durable.ErrRejected) {
+			return nil, twirp.InvalidArgumentError("turn", recording.err.Error())
+		}
 		if recording.err != nil {
 			return nil, recording.err
 		}
