--- a/rehearsal/command/soak.go
+++ b/rehearsal/command/soak.go
@@ -20,6 +20,8 @@
 	Length     time.Duration `arg:"--length" default:"30s" help:"how long each run throws faults"`
 	Nodes      int           `arg:"--nodes" default:"5" help:"processes of the system"`
 	Callers    int           `arg:"--callers" default:"8" help:"agent programs at once"`
+	Engines    int           `arg:"--engines" help:"model engines; 0 for the default"`
+	Tools      int           `arg:"--tools" help:"tool services; 0 for the default"`
 	Lanes      int           `arg:"--lanes" default:"2" help:"faults at once"`
 	LoadLanes  int           `arg:"--load-lanes" default:"1" help:"disturbances of the load at once: hot tenants, slow readers, engines that fail at once, zones without the store; 0 leaves them out, and makes engines alike"`
 	CrashLanes int           `arg:"--crash-lanes" default:"1" help:"callers at once whose requests end each engine that runs them"`
@@ -69,6 +71,8 @@
 		FaultDuration:    command.Length,
 		Nodes:            command.Nodes,
 		Callers:          command.Callers,
+		Engines:          command.Engines,
+		Tools:            command.Tools,
 		FaultWorkers:     command.Lanes,
 		LoadFaultWorkers: command.LoadLanes,
 		CrashWorkers:     command.CrashLanes,
