Soak and tests of the quarantine: engines that ended record what still reaches them

A silent engine now records what arrives, and one that resets refuses connections from its end on, as a host does.

--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -19,7 +19,8 @@
 	// Quarantined reports whether a request must not be sent, and RetryAfter when it may be again.
 	Quarantined(fingerprint quarantine.Fingerprint) bool
 	RetryAfter(fingerprint quarantine.Fingerprint) time.Duration
-	// EngineFor returns the engine that a request lost with an engine should try next, "" if any.
+	// EngineFor returns the engine that a request lost with an engine tries next, "" if the choice is
+	// free.
 	EngineFor(fingerprint quarantine.Fingerprint, service string) string
 	// Empty reports whether nothing is held against any request.
 	Empty() bool
@@ -74,11 +75,10 @@
 // separatedEngine returns the engine for a request that was lost with an engine, so that it does not
 // share a batch with others that were; "" if the choice is free.
 func (inflight *inflightCall) separatedEngine() string {
-	tracker := inflight.service.Quarantine
-	if tracker == nil || tracker.Empty() {
+	if !inflight.isSuspect() {
 		return ""
 	}
-	return tracker.EngineFor(inflight.fingerprint(), inflight.serviceName)
+	return inflight.service.Quarantine.EngineFor(inflight.fingerprint(), inflight.serviceName)
 }
 
 // attemptEnd is how one attempt at an engine ended.
--- a/internal/forward/quarantine_test.go
+++ b/internal/forward/quarantine_test.go
@@ -18,7 +18,10 @@
 )
 
 // localQuarantine is the quarantine of a node that is alone.
-type localQuarantine struct{ *quarantine.Tracker }
+type localQuarantine struct {
+	*quarantine.Tracker
+	directory *backend.Directory
+}
 
 func (local localQuarantine) Count(fingerprint quarantine.Fingerprint) int {
 	return local.Tracker.Count(fingerprint, time.Now())
@@ -32,7 +35,13 @@
 	return local.Tracker.RetryAfter(fingerprint, time.Now())
 }
 
-func (localQuarantine) EngineFor(quarantine.Fingerprint, string) string { return "" }
+func (local localQuarantine) EngineFor(fingerprint quarantine.Fingerprint, service string) string {
+	var engines []quarantine.EngineLife
+	for _, instance := range local.directory.Instances(service) {
+		engines = append(engines, quarantine.EngineLife{ID: instance.ID})
+	}
+	return local.Tracker.EngineFor(fingerprint, engines, time.Now())
+}
 
 func (local localQuarantine) RecordLoss(fingerprint quarantine.Fingerprint, engine backend.Instance, cause quarantine.Cause) {
 	now := time.Now()
@@ -76,7 +85,7 @@
 		service = &forward.Service{Routes: routes, Engines: directory, Sender: sender, WaitQueue: backend.NewWaitQueue(), Programs: programs, Metrics: noopMetrics{},
 			Logger: zap.NewNop(), Nodes: func() int { return 1 }, ViewAge: func() time.Duration { return 0 }}
 		tracker = quarantine.NewTracker(service.CancelQuarantined)
-		service.Quarantine = localQuarantine{tracker}
+		service.Quarantine = localQuarantine{tracker, directory}
 	})
 
 	// tries numbers the request IDs.
@@ -95,8 +104,7 @@
 	code := func(response *fakeResponseWriter) resultcode.Code { return resultcode.CodeOf(response.failure) }
 
 	DescribeTable("refuses a request at once, before its reservation, after three engines", func(path string, callsBefore int) {
-		for number := range callsBefore {
-			programs.reservation.Engine = string(rune('a' + number))
+		for range callsBefore {
 			Expect(code(serve(context.Background(), path, "p"))).To(Equal(resultcode.OutcomeUnknown))
 		}
 		reserved := programs.reserveCalls
@@ -196,7 +204,7 @@
 		Eventually(results, time.Second).Should(Receive(Equal(resultcode.OutcomeUnknown)))
 
 		tracker = quarantine.NewTracker(service.CancelQuarantined)
-		service.Quarantine = localQuarantine{tracker}
+		service.Quarantine = localQuarantine{tracker, directory}
 		service.Sender = sender
 		programs.wait = 300 * time.Millisecond
 		fingerprint = (&quarantine.Content{Program: "p", Method: "POST", Host: "h", Target: "/stream/x", Body: []byte("in")}).Fingerprint()
--- a/rehearsal/soak/cluster.go
+++ b/rehearsal/soak/cluster.go
@@ -107,7 +107,7 @@
 		started.BaseDelay = engineBaseDelay(service, cluster.enginesStarted)
 	}
 	if cluster.options.CrashWorkers > 0 {
-		started.SetCrash(crashOf(cluster.enginesStarted), func(*agentengine.Engine) { go cluster.replaceEnded(added) })
+		started.SetCrash(crashOf(cluster.enginesStarted), func(*agentengine.Engine) { cluster.handleEnd(added) })
 	}
 	if service == records.ServiceModels {
 		started.SetFaults(agentengine.Faults{EventDelay: cluster.options.EventDelay})
--- a/rehearsal/soak/crash_faults.go
+++ b/rehearsal/soak/crash_faults.go
@@ -45,11 +45,16 @@
 // crashOf returns how the engine with the given number ends.
 func crashOf(number int) agentengine.Crash { return crashes[number%len(crashes)] }
 
+// handleEnd refuses connections to an engine that ends by itself, unless it is silent, and replaces it.
+func (cluster *cluster) handleEnd(ended *engine) {
+	if end, _ := ended.Ended(); !end.Silent {
+		ended.proxy.Close()
+	}
+	go cluster.replaceEnded(ended)
+}
+
 // replaceEnded replaces an engine that has ended by itself.
 func (cluster *cluster) replaceEnded(old *engine) {
-	if end, _ := old.Ended(); !end.Silent {
-		old.proxy.Close()
-	}
 	time.Sleep(endedEngineReplacement)
 	cluster.mutex.Lock()
 	closed := cluster.closed
--- a/rehearsal/standin/agentengine/crash.go
+++ b/rehearsal/standin/agentengine/crash.go
@@ -20,13 +20,13 @@
 	Delay time.Duration
 	// AfterEvents ends the engine in a stream instead, once it has sent this many events.
 	AfterEvents int
-	// Silent keeps connections open without another byte, like a host that lost its power.
-	// Otherwise they are reset.
+	// Silent keeps connections open without another byte, like a host that lost its power. Requests
+	// that arrive later are recorded, but not answered. Otherwise connections are reset.
 	Silent bool
 }
 
 // SetCrash sets how the engine ends under a request with CrashMark, and a function that is called
-// once it has ended. Without it, such requests are served like others.
+// as it ends, before its connections are reset. Without it, such requests are served like others.
 func (engine *Engine) SetCrash(crash Crash, ended func(engine *Engine)) {
 	engine.mutex.Lock()
 	defer engine.mutex.Unlock()
@@ -62,10 +62,10 @@
 	engine.ended = &End{At: time.Now(), Request: request, Silent: silent}
 	onEnd := engine.onEnd
 	engine.mutex.Unlock()
-	engine.connections.end(silent)
 	if onEnd != nil {
 		onEnd(engine)
 	}
+	engine.connections.end(silent)
 }
 
 // Ended returns how the engine ended by itself, false if it has not.
@@ -97,8 +97,7 @@
 	return &connectionTracker{Listener: listener, open: map[*trackedConnection]bool{}, silenced: make(chan struct{}), closed: make(chan struct{})}
 }
 
-// Accept implements net.Listener. A silent engine takes no connection, while its system still
-// accepts them.
+// Accept implements net.Listener.
 func (tracker *connectionTracker) Accept() (net.Conn, error) {
 	connection, err := tracker.Listener.Accept()
 	if err != nil {
@@ -137,15 +136,6 @@
 	tracker *connectionTracker
 }
 
-// Read implements net.Conn.
-func (connection *trackedConnection) Read(buffer []byte) (int, error) {
-	count, err := connection.Conn.Read(buffer)
-	if connection.waitIfSilent() {
-		return 0, errEnded
-	}
-	return count, err
-}
-
 // Write implements net.Conn.
 func (connection *trackedConnection) Write(data []byte) (int, error) {
 	if connection.waitIfSilent() {
