--- a/internal/backend/pick.go
+++ b/internal/backend/pick.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"slices"
 	"time"
 
 	"github.com/magpielug/magpielug/internal/feature"
@@ -19,6 +20,8 @@
 	// Assigned, if set, is the engine assigned to the session. It is chosen if all filters
 	// admit it.
 	Assigned string
+	// Avoid holds the IDs of engines that are chosen only if all filters admit no other.
+	Avoid []string
 	// Zone is the zone of the requesting node.
 	Zone string
 	// Zones are the zones in which the request may be served; nil means all.
@@ -103,12 +106,30 @@
 }
 
 // choose returns the assigned engine if it is admitted, since its prefix cache holds the
-// session's prompt, or else the choice of the policy.
+// session's prompt, or else the choice of the policy
+// among those that are not to be avoided.
 func (directory *Directory) choose(admitted []*Engine, request *Request, now time.Time) *Engine {
 	if assigned := byID(admitted, request.Assigned); assigned != nil {
 		return assigned
 	}
-	return directory.policy.Choose(admitted, request, now)
+	return directory.policy.Choose(preferred(admitted, request.Avoid), request, now)
+}
+
+// preferred returns the admitted engines that are not to be avoided, or all if there are no others.
+func preferred(admitted []*Engine, avoid []string) []*Engine {
+	if len(avoid) == 0 {
+		return admitted
+	}
+	remaining := make([]*Engine, 0, len(admitted))
+	for _, candidate := range admitted {
+		if !slices.Contains(avoid, candidate.ID) {
+			remaining = append(remaining, candidate)
+		}
+	}
+	if len(remaining) == 0 {
+		return admitted
+	}
+	return remaining
 }
 
 // byID returns the admitted engine with an ID, or nil.
--- a/internal/backend/pick_test.go
+++ b/internal/backend/pick_test.go
@@ -167,6 +167,14 @@
 			Expect(directory.FirstByteTimeout(service)).To(BeNumerically("~", 2*time.Second, 10*time.Millisecond))
 		})
 
+		It("chooses an engine to be avoided only if there is no other", func() {
+			directory := newDirectory(3)
+			request := &backend.Request{Service: service, Assigned: "e0", Tried: []string{"e0"}, Avoid: []string{"e0", "e1"}}
+			Expect(directory.Pick(request, now).ID).To(Equal("e2"))
+			request.Tried = []string{"e0", "e2"}
+			Expect(directory.Pick(request, now).ID).To(Equal("e1"))
+		})
+
 		It("uses a suspected engine if there is no other", func() {
 			directory := newDirectory(1)
 			directory.Finish(pickAssigned(directory, "e0"), backend.Unreachable, now)
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -19,9 +19,8 @@
 	// Quarantined reports whether a request must not be sent, and RetryAfter when it may be again.
 	Quarantined(fingerprint quarantine.Fingerprint) bool
 	RetryAfter(fingerprint quarantine.Fingerprint) time.Duration
-	// EngineFor returns the engine that a request lost with an engine tries next, "" if the choice is
-	// free.
-	EngineFor(fingerprint quarantine.Fingerprint, service string) string
+	// PlacementFor returns where a request that was lost with an engine is tried next.
+	PlacementFor(fingerprint quarantine.Fingerprint, service string) quarantine.Placement
 	// Empty reports whether nothing is held against any request.
 	Empty() bool
 	// RecordLoss records an attempt without a complete response. If its connection ended, it returns
@@ -72,13 +71,13 @@
 	return tracker != nil && !tracker.Empty() && tracker.Count(inflight.fingerprint()) > 0
 }
 
-// separatedEngine returns the engine for a request that was lost with an engine, so that it does not
-// share a batch with others that were; "" if the choice is free.
-func (inflight *inflightCall) separatedEngine() string {
+// placement returns where a request that was lost with an engine is tried next, so that it does not
+// share a batch with others that were. The choice is free for all other requests.
+func (inflight *inflightCall) placement() quarantine.Placement {
 	if !inflight.isSuspect() {
-		return ""
+		return quarantine.Placement{}
 	}
-	return inflight.service.Quarantine.EngineFor(inflight.fingerprint(), inflight.serviceName)
+	return inflight.service.Quarantine.PlacementFor(inflight.fingerprint(), inflight.serviceName)
 }
 
 // attemptEnd is how one attempt at an engine ended.
--- a/internal/forward/quarantine_test.go
+++ b/internal/forward/quarantine_test.go
@@ -35,12 +35,12 @@
 	return local.Tracker.RetryAfter(fingerprint, time.Now())
 }
 
-func (local localQuarantine) EngineFor(fingerprint quarantine.Fingerprint, service string) string {
+func (local localQuarantine) PlacementFor(fingerprint quarantine.Fingerprint, service string) quarantine.Placement {
 	var engines []quarantine.EngineLife
 	for _, instance := range local.directory.Instances(service) {
 		engines = append(engines, quarantine.EngineLife{ID: instance.ID})
 	}
-	return local.Tracker.EngineFor(fingerprint, engines, time.Now())
+	return local.Tracker.PlacementFor(fingerprint, engines, time.Now())
 }
 
 func (local localQuarantine) RecordLoss(fingerprint quarantine.Fingerprint, engine backend.Instance, cause quarantine.Cause) {
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -69,8 +69,10 @@
 		request.Assigned = inflight.reservation.Engine
 		request.Prompt = inflight.call.SharedPrompt
 	}
-	if separated := inflight.separatedEngine(); separated != "" {
-		request.Assigned = separated
+	placement := inflight.placement()
+	if placement.Engine != "" {
+		request.Assigned = placement.Engine
+		request.Avoid = placement.Avoid
 	}
 	inflight.engineViewAge = inflight.service.ViewAge()
 	inflight.eligibleEngines = inflight.service.Engines.EligibleCount(inflight.serviceName)
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -54,13 +54,13 @@
 	return requests.tracker.RetryAfter(fingerprint, time.Now())
 }
 
-// EngineFor implements forward.Quarantine.
-func (requests *requestQuarantine) EngineFor(fingerprint quarantine.Fingerprint, service string) string {
+// PlacementFor implements forward.Quarantine.
+func (requests *requestQuarantine) PlacementFor(fingerprint quarantine.Fingerprint, service string) quarantine.Placement {
 	var engines []quarantine.EngineLife
 	for _, instance := range requests.node.engines.Instances(service) {
 		engines = append(engines, engineLife(instance))
 	}
-	return requests.tracker.EngineFor(fingerprint, engines, time.Now())
+	return requests.tracker.PlacementFor(fingerprint, engines, time.Now())
 }
 
 // RecordLoss implements forward.Quarantine.
--- a/internal/quarantine/separation.go
+++ b/internal/quarantine/separation.go
@@ -17,22 +17,36 @@
 	losses      int
 }
 
-// EngineFor returns the engine at which a request that was lost with an engine is tried next, or ""
-// if it was not. engines are those of its service. All nodes give suspects different engines, as far
-// as there are enough: each takes the engine of its rank among them. Requests that shared the batch
-// of one that ends its engines are thus not lost with it again, and are not held responsible.
-func (tracker *Tracker) EngineFor(fingerprint Fingerprint, engines []EngineLife, now time.Time) string {
+// Placement is where a request that was lost with an engine is tried next. The zero value leaves the
+// choice free.
+type Placement struct {
+	// Engine is the ID of the engine to prefer.
+	Engine string
+	// Avoid holds the IDs of the engines that other such requests prefer.
+	Avoid []string
+}
+
+// PlacementFor returns where a request is tried next, out of the engines of its service. All nodes give
+// suspects different engines, as far as there are enough: each prefers the engine of its rank among
+// them. Requests that shared the batch of one that ends its engines are thus not lost with it again, and
+// are not held responsible.
+func (tracker *Tracker) PlacementFor(fingerprint Fingerprint, engines []EngineLife, now time.Time) Placement {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
-	rank := slices.IndexFunc(tracker.suspects(now), func(other suspect) bool { return other.fingerprint == fingerprint })
-	if rank < 0 {
-		return ""
-	}
+	suspects := tracker.suspects(now)
+	rank := slices.IndexFunc(suspects, func(other suspect) bool { return other.fingerprint == fingerprint })
 	candidates := tracker.withoutLosses(engines)
-	if len(candidates) == 0 {
-		return ""
+	if rank < 0 || len(candidates) == 0 {
+		return Placement{}
+	}
+	preferred := rank % len(candidates)
+	placement := Placement{Engine: candidates[preferred].ID}
+	for index := range min(len(suspects), len(candidates)) {
+		if index != preferred {
+			placement.Avoid = append(placement.Avoid, candidates[index].ID)
+		}
 	}
-	return candidates[rank%len(candidates)].ID
+	return placement
 }
 
 // withoutLosses returns the engines at which no request was lost, in an order that all nodes share.
--- a/internal/quarantine/separation_test.go
+++ b/internal/quarantine/separation_test.go
@@ -8,7 +8,7 @@
 	. "github.com/onsi/gomega"
 )
 
-var _ = Describe("EngineFor", func() {
+var _ = Describe("PlacementFor", func() {
 	const slots = 12
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
@@ -28,14 +28,14 @@
 	}
 
 	It("leaves requests alone that were not lost with an engine", func() {
-		Expect(NewTracker(nil).EngineFor(fingerprints(1)[0], engines(3), start)).To(BeEmpty())
+		Expect(NewTracker(nil).PlacementFor(fingerprints(1)[0], engines(3), start)).To(BeZero())
 	})
 
 	It("leaves requests alone whose callers left early", func() {
 		tracker := NewTracker(nil)
 		request := fingerprints(1)[0]
 		tracker.Merge([]Loss{NewLoss(request, engines(1)[0], Left, start)}, start)
-		Expect(tracker.EngineFor(request, engines(3), start)).To(BeEmpty())
+		Expect(tracker.PlacementFor(request, engines(3), start)).To(BeZero())
 	})
 
 	// Guards against the requests of one batch being held responsible together: the one that ends its
@@ -53,10 +53,10 @@
 			}
 			tracker.Merge(losses, now)
 			// The first request of the batch ends its engines. Those that follow it share its fate.
-			lost = EngineLife{ID: tracker.EngineFor(batch[0], available, now)}
+			lost = EngineLife{ID: tracker.PlacementFor(batch[0], available, now).Engine}
 			together := batch[:1]
 			for _, request := range batch[1:] {
-				if tracker.EngineFor(request, available, now) == lost.ID {
+				if tracker.PlacementFor(request, available, now).Engine == lost.ID {
 					together = append(together, request)
 				}
 			}
@@ -80,14 +80,24 @@
 			other.Merge(losses[len(losses)-1-index:len(losses)-index], start)
 		}
 		for _, request := range fingerprints(slots) {
-			Expect(one.EngineFor(request, engines(5), start)).To(Equal(other.EngineFor(request, engines(5), start)))
+			Expect(one.PlacementFor(request, engines(5), start)).To(Equal(other.PlacementFor(request, engines(5), start)))
 		}
 	})
 
+	// Guards against a suspect whose engine is full meeting another one at the engine that it gets instead.
+	It("names the engines of the other suspects", func() {
+		tracker := NewTracker(nil)
+		for _, request := range fingerprints(3) {
+			tracker.Merge([]Loss{NewLoss(request, EngineLife{ID: "lost"}, Interrupted, start)}, start)
+		}
+		placement := tracker.PlacementFor(fingerprints(3)[1], engines(5), start)
+		Expect(append(placement.Avoid, placement.Engine)).To(ConsistOf("e00", "e01", "e02"))
+	})
+
 	It("does not choose an engine that may have ended", func() {
 		tracker := NewTracker(nil)
 		request := fingerprints(1)[0]
 		tracker.Merge([]Loss{NewLoss(request, engines(1)[0], Interrupted, start)}, start)
-		Expect(tracker.EngineFor(request, engines(2), start)).To(Equal("e01"))
+		Expect(tracker.PlacementFor(request, engines(2), start).Engine).To(Equal("e01"))
 	})
 })
