quarantine: a new node compares losses often until others know it

In the fleet's first two seconds node-7 knew no node of the other zone ('load aggregator unreachable ... unknown node'; 'node added' 30 ms after the third loss), and node-1, cut from the store, was known to nobody; neither was told, and node-1 sent the request once more 2 s later. Others learn of a new node with its record, after up to 2 s and later while it can't reach the store. It now compares every 0.3 s in its first 15 s. The new test fails without it (2 s).

--- a/internal/node/loss_sharing.go
+++ b/internal/node/loss_sharing.go
@@ -31,8 +31,11 @@
 	// its next exchange.
 	lossPeerSuspicion = time.Second
 	// lossExchangeInterval is the interval at which a node compares the losses that it knows with
-	// its zone's relay, to obtain those told while it was stopped, frozen or cut off.
-	lossExchangeInterval = 2 * time.Second
+	// its zone's relay, to obtain those told while it was frozen or cut off. Until
+	// memberStartupPeriod is over, it is newNodeExchangeInterval: others do not tell a node before
+	// they have read its record.
+	lossExchangeInterval    = 2 * time.Second
+	newNodeExchangeInterval = 300 * time.Millisecond
 	// startupExchangeInterval is the interval until a newly started node has done so once. It is not
 	// ready before, for at most maxStartupExchange.
 	startupExchangeInterval = 50 * time.Millisecond
@@ -202,9 +205,13 @@
 
 // run compares the losses that this node knows with those of others until ctx ends.
 func (sharing *lossSharing) run(ctx context.Context) {
+	started := time.Now()
 	var membersKnownSince time.Time
 	for ctx.Err() == nil {
 		interval := lossExchangeInterval
+		if time.Since(started) < memberStartupPeriod {
+			interval = newNodeExchangeInterval
+		}
 		if !sharing.synchronized.Load() {
 			interval = startupExchangeInterval
 			if membersKnownSince.IsZero() && sharing.node.memberView.loaded() {
--- a/internal/node/loss_sharing_test.go
+++ b/internal/node/loss_sharing_test.go
@@ -167,6 +167,24 @@
 	})
 }
 
+// Guards against a new node, whose record no other has read yet, sending quarantined requests.
+func TestANodeThatOthersDoNotKnowYetLearnsOfLosses(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		fleet := newLossFleet(t, 12, 4)
+		started := fleet.newNode(t, 12, 4)
+		for _, other := range fleet.nodes {
+			started.members.put(other.self())
+		}
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		go started.quarantine.sharing.run(ctx)
+		time.Sleep(time.Second)
+		fleet.nodes[0].quarantine.RecordLoss(lostContent, lostEngine(0), quarantine.Interrupted)
+		time.Sleep(newNodeExchangeInterval + 10*time.Millisecond)
+		NewWithT(t).Expect(started.quarantine.Count(lostContent)).To(Equal(1))
+	})
+}
+
 // Guards against an engine that one node saw go on being held against requests at all others.
 func TestARefutedLossIsRefutedEverywhere(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
