quarantine: readiness does not wait for the records of other nodes; relays collect what no caller waits for

Found by reading: a new node was not ready before it had read the nodes' records, so that a store whose partition of these records is away would have kept it out for as long. Relays passed each early repeat and refutation on in a message of its own to each node; they now collect them for 0.1 s, as senders do.

--- a/internal/node/loss_sharing.go
+++ b/internal/node/loss_sharing.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -37,9 +38,9 @@
 	lossExchangeInterval    = 2 * time.Second
 	newNodeExchangeInterval = 300 * time.Millisecond
 	// startupExchangeInterval is the interval until a newly started node has done so once. It is not
-	// ready before, for at most maxStartupExchange.
+	// ready before, for at most maxStartupExchange: the records of the other nodes may be out of reach.
 	startupExchangeInterval = 50 * time.Millisecond
-	maxStartupExchange      = time.Second
+	maxStartupExchange      = 2 * time.Second
 	// maxLossesPerMessage bounds a message, to some 200 KB.
 	maxLossesPerMessage = 4096
 )
@@ -127,7 +128,7 @@
 		case "":
 			return
 		case sharing.node.settings.Name:
-			awaitAll(sharing.tellOwnZone(losses), maxForwardWait)
+			sharing.forward(losses)
 			return
 		}
 		if sharing.send(relay, lossMessage(losses, true, time.Now()), lossRelayTimeout) == nil {
@@ -136,15 +137,16 @@
 	}
 }
 
-// tellOwnZone tells the other nodes of this node's zone. The channels are closed once they know.
-func (sharing *lossSharing) tellOwnZone(losses []quarantine.Loss) []<-chan struct{} {
+// tellOwnZone tells the other nodes of this node's zone, after a delay at the latest. The channels are
+// closed once they know.
+func (sharing *lossSharing) tellOwnZone(losses []quarantine.Loss, delay time.Duration) []<-chan struct{} {
 	settings := sharing.node.settings
 	var delivered []<-chan struct{}
 	for _, member := range sharing.node.members.inZone(settings.Zone) {
 		if member.Name == settings.Name || sharing.suspects.contains(member.Name, time.Now()) {
 			continue
 		}
-		told := sharing.outbox(sharing.nodeOutbox, member.Name, sharing.tellNode).add(losses, 0)
+		told := sharing.outbox(sharing.nodeOutbox, member.Name, sharing.tellNode).add(losses, delay)
 		if !member.Draining {
 			delivered = append(delivered, told) // A draining node may be gone for good.
 		}
@@ -194,7 +196,7 @@
 	losses := lossesFromProto(request.Losses, now)
 	sharing.tracker.Merge(losses, now)
 	if request.Forward && len(losses) > 0 {
-		awaitAll(sharing.tellOwnZone(losses), maxForwardWait)
+		sharing.forward(losses)
 	}
 	reply := &nodev1.ShareLossesReply{}
 	if request.WantsLosses {
@@ -203,38 +205,43 @@
 	return reply
 }
 
+// forward tells the other nodes of this node's zone. It returns once they know if a caller waits for
+// that; other losses are collected into one message with those of other nodes.
+func (sharing *lossSharing) forward(losses []quarantine.Loss) {
+	if slices.ContainsFunc(losses, func(loss quarantine.Loss) bool { return loss.Cause == quarantine.Interrupted && !loss.Refuted }) {
+		awaitAll(sharing.tellOwnZone(losses, 0), maxForwardWait)
+		return
+	}
+	sharing.tellOwnZone(losses, lossBatchDelay)
+}
+
 // run compares the losses that this node knows with those of others until ctx ends.
 func (sharing *lossSharing) run(ctx context.Context) {
 	started := time.Now()
-	var membersKnownSince time.Time
 	for ctx.Err() == nil {
-		interval := lossExchangeInterval
-		if time.Since(started) < memberStartupPeriod {
-			interval = newNodeExchangeInterval
-		}
-		if !sharing.synchronized.Load() {
-			interval = startupExchangeInterval
-			if membersKnownSince.IsZero() && sharing.node.memberView.loaded() {
-				membersKnownSince = time.Now()
+		age := time.Since(started)
+		if sharing.synchronized.Load() || sharing.node.memberView.loaded() {
+			err := sharing.exchange(ctx) // call logs failures.
+			if err == nil {
+				sharing.synchronized.Store(true)
 			}
-			sharing.checkSynchronized(ctx, membersKnownSince)
-		} else {
-			_ = sharing.exchange(ctx) // call logs failures.
 		}
-		wait.Sleep(ctx, interval)
+		if age > maxStartupExchange {
+			sharing.synchronized.Store(true)
+		}
+		wait.Sleep(ctx, sharing.exchangeInterval(age))
 	}
 }
 
-// checkSynchronized completes the first exchange after the start. It is over without one if no other
-// node is known, or none has responded since the nodes became known.
-func (sharing *lossSharing) checkSynchronized(ctx context.Context, membersKnownSince time.Time) {
-	if membersKnownSince.IsZero() {
-		return
-	}
-	err := sharing.exchange(ctx)
-	if err == nil || time.Since(membersKnownSince) > maxStartupExchange {
-		sharing.synchronized.Store(true)
+// exchangeInterval returns the interval between exchanges of a node that started some time ago.
+func (sharing *lossSharing) exchangeInterval(age time.Duration) time.Duration {
+	switch {
+	case !sharing.synchronized.Load():
+		return startupExchangeInterval
+	case age < memberStartupPeriod:
+		return newNodeExchangeInterval
 	}
+	return lossExchangeInterval
 }
 
 // exchange obtains the losses that another node knows and this one does not.
