--- a/internal/quarantine/separation_test.go
+++ b/internal/quarantine/separation_test.go
@@ -52,7 +52,7 @@
 				losses = append(losses, NewLoss(request, lost, Interrupted, now))
 			}
 			tracker.Merge(losses, now)
-			// The first request of the batch ends its engines. Those that follow it share its fate.
+			// The first request of the batch ends its engines, with those that were sent there too.
 			lost = EngineLife{ID: tracker.PlacementFor(batch[0], available, now).Engine}
 			together := batch[:1]
 			for _, request := range batch[1:] {
