Tests of fleets in virtual time: one client that delays requests and knows frozen nodes

The tests of shared losses had written anew how the fleet of the slow log delays a request and keeps one to a frozen node without a response. Both now call fakeNetwork.delayedClientFor; the tests and their assertions are the same.

--- a/internal/node/load_test.go
+++ b/internal/node/load_test.go
@@ -48,6 +48,20 @@
 	})}
 }
 
+// delayedClientFor returns the HTTP client of a node whose requests take a time on their way, and get
+// no response from frozen nodes.
+func (network *fakeNetwork) delayedClientFor(name string, transit time.Duration, isFrozen func(name string) bool) *http.Client {
+	direct := network.clientFor(name)
+	return &http.Client{Transport: roundTripperFunc(func(request *http.Request) (*http.Response, error) {
+		time.Sleep(transit)
+		if isFrozen(request.URL.Host) {
+			<-request.Context().Done()
+			return nil, request.Context().Err()
+		}
+		return direct.Transport.RoundTrip(request)
+	})}
+}
+
 // isolate cuts a node off from all others.
 func (network *fakeNetwork) isolate(name string) {
 	network.mutex.Lock()
--- a/internal/node/loss_sharing_test.go
+++ b/internal/node/loss_sharing_test.go
@@ -54,16 +54,11 @@
 	zone := "zone-" + strconv.Itoa(number%zoneCount)
 	node := &Node{settings: Settings{Name: name, Zone: zone, PeerAddress: name, Capacity: 0.8}, members: newMembers(), meter: newMeter(),
 		logger: logger.Sampled(), engines: backend.NewDirectory(), zones: reach.NewZones(zone), service: &forward.Service{}}
-	direct := fleet.network.clientFor(name)
+	client := fleet.network.delayedClientFor(name, fleet.transit, fleet.isFrozen)
 	node.peers = newPeers(node.members, &http.Client{Transport: roundTripperFunc(func(request *http.Request) (*http.Response, error) {
 		fleet.messages.Add(1)
 		fleet.bytes.Add(request.ContentLength)
-		time.Sleep(fleet.transit)
-		if fleet.isFrozen(request.URL.Host) {
-			<-request.Context().Done()
-			return nil, request.Context().Err()
-		}
-		return direct.Transport.RoundTrip(request)
+		return client.Transport.RoundTrip(request)
 	})})
 	node.memberView = newRecordView("nodes", logger.Logger, func(durable.KeyedRecord) bool { return false })
 	node.memberView.merge(durable.Update{EndOffset: 1}, time.Now())
--- a/internal/node/slow_log_fleet_test.go
+++ b/internal/node/slow_log_fleet_test.go
@@ -250,15 +250,7 @@
 	for number := range nodeCount {
 		name := "node-" + strconv.Itoa(number)
 		node := &Node{settings: Settings{Name: name, Shards: slowLogShards}, members: newMembers(), logger: logger.Sampled(), turns: history.NewStore(1 << 20)}
-		direct := run.network.clientFor(name)
-		node.peers = newPeers(node.members, &http.Client{Transport: roundTripperFunc(func(request *http.Request) (*http.Response, error) {
-			time.Sleep(run.transit)
-			if run.isFrozen(request.URL.Host) {
-				<-request.Context().Done()
-				return nil, request.Context().Err()
-			}
-			return direct.Transport.RoundTrip(request)
-		})})
+		node.peers = newPeers(node.members, run.network.delayedClientFor(name, run.transit, run.isFrozen))
 		node.programs = newPrograms(node)
 		recordIn(node, run.logOf(node))
 		run.network.nodes[name] = nodev1.NewNodeServer(&observedServer{peerServer: &peerServer{node: node}, run: run})
