--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -19,6 +19,9 @@
 	Address string
 	Zone    string
 	Slots   int
+	// Version is the version of the engine's software, empty if the engine does not report it.
+	// Versions have no order.
+	Version string
 	// Draining engines get no new requests.
 	Draining bool
 	// Incarnation is the start time of the engine in Unix milliseconds and distinguishes
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -46,8 +46,11 @@
 	SoftDeadline time.Time
 	// Turn is nil if the call is not a turn of a program.
 	Turn *TurnRequest
-	// Resumes is true if the caller resumes a stream of which it has received a part.
-	Resumes bool
+	// Resumes is true if the caller resumes a stream of which it has received a part. FirstAttempt is
+	// then the ID of the request that brought the stream's first event, empty if the caller does not
+	// name it.
+	Resumes      bool
+	FirstAttempt string
 	// SharedPrompt identifies the parts of the prompt that other calls share.
 	SharedPrompt string
 }
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -84,7 +84,7 @@
 		fields = append(fields, zap.String("via", inflight.via))
 	}
 	if inflight.route != nil && inflight.route.Kind == routing.Streaming {
-		fields = append(fields, zap.Int64("events", inflight.eventCount), zap.Duration("record_took", inflight.recordDuration))
+		fields = append(fields, zap.Int64("events", inflight.eventCount), zap.String("version", inflight.lastVersion), zap.Duration("record_took", inflight.recordDuration))
 	}
 	if failure != nil {
 		fields = append(fields, zap.String("failure", failure.Error()))
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -126,6 +126,7 @@
 	}
 	inflight.executions++
 	if inflight.route.Kind == routing.Streaming && isSuccess(response.Status) {
+		inflight.recordStreamVersion(engine.Instance)
 		outcome, err = inflight.relayStream(ctx, response)
 		return true, err
 	}
--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -214,6 +214,8 @@
 	// continuesProgram is true for a turn whose program already has turns.
 	continuesProgram bool
 	lastEngine       string
+	// lastVersion is the software version of the engine that runs the call's stream.
+	lastVersion string
 	// lastStatus is the HTTP status of the last engine's response.
 	lastStatus int
 	// failedEngine is the engine that last failed the call, empty if none did.
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -243,7 +243,7 @@
 		node.dependencies.Connections.CloseIdle(instance.Address)
 	}
 	node.logger.Info("engine added or updated", zap.String("engine", instance.ID), zap.String("address", instance.Address),
-		zap.Bool("leaving", instance.Draining), zap.Bool("restarted", change == backend.Restarted), zap.Int64("life", instance.Incarnation),
+		zap.String("version", instance.Version), zap.Bool("leaving", instance.Draining), zap.Bool("restarted", change == backend.Restarted), zap.Int64("life", instance.Incarnation),
 		zap.Duration("cold_left", instance.ColdRemaining), zap.Int64("offset", record.Offset))
 	return true
 }
