--- a/rehearsal/standin/agentengine/agentengine.go
+++ b/rehearsal/standin/agentengine/agentengine.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -41,7 +42,10 @@
 
 // Engine is a running stand-in.
 type Engine struct {
-	ID              string
+	ID string
+	// Version is the version of the engine's software, for its record. It must be set before the
+	// record is written.
+	Version         string
 	EventsPerStream int
 	// BaseDelay is the delay between the events of a stream, and before any other response. It
 	// must be set before the first request.
@@ -151,6 +155,15 @@
 	_, _ = fmt.Fprintf(writer, "answer of %s to %s", engine.ID, request.Header.Get("Request-Id"))
 }
 
+// lastEventID returns the number of the event after which a resumed stream goes on, 0 for a new one.
+func lastEventID(request *http.Request) int {
+	last, err := strconv.Atoi(request.Header.Get("Last-Event-Id"))
+	if err != nil {
+		return 0
+	}
+	return last
+}
+
 func (engine *Engine) recordRun(request *http.Request, body string) int {
 	engine.mutex.Lock()
 	defer engine.mutex.Unlock()
@@ -168,7 +181,7 @@
 func (engine *Engine) stream(writer http.ResponseWriter, request *http.Request, faults Faults, index int, crash *Crash) {
 	writer.Header().Set("Content-Type", "text/event-stream")
 	flusher := writer.(http.Flusher)
-	for event := 1; event <= engine.EventsPerStream; event++ {
+	for event := lastEventID(request) + 1; event <= engine.EventsPerStream; event++ {
 		if faults.AbortStreamAfter > 0 && event > faults.AbortStreamAfter {
 			panic(http.ErrAbortHandler)
 		}
--- a/rehearsal/standin/agentengine/crash.go
+++ b/rehearsal/standin/agentengine/crash.go
@@ -68,6 +68,9 @@
 	engine.connections.end(silent)
 }
 
+// Crash ends the engine by resetting all its connections.
+func (engine *Engine) Crash() { engine.end(false, "") }
+
 // Ended returns how the engine ended by itself, false if it has not.
 func (engine *Engine) Ended() (End, bool) {
 	engine.mutex.Lock()
