Streams are resumed only at the software version that began them

Cause: a resumption was placed like a new stream. Nothing outlived the first attempt that knew the version of its engine, and the choice of an engine did not look at versions. A retry that forgets what its first try had fixed.

A resumption asks them, is restricted to that service and version, goes before new streams, and is refused as not run if the origin is unknown (2018) or no engine of the version serves (2019).

Why it works: an origin never changes, so the first positive answer is right, and no answer means no sending.

The outbox of losses serves origins too.

--- a/internal/backend/engine_breaker.go
+++ b/internal/backend/engine_breaker.go
@@ -236,7 +236,7 @@
 // about the engine. Probes are reserved for repeatable requests for nonRepeatableProbeDelay.
 // The caller holds the mutex.
 func (directory *Directory) dueProbe(request *Request, now time.Time) *Engine {
-	if !feature.Enabled(feature.EngineBreaker) || len(request.Tried) > 0 {
+	if !feature.Enabled(feature.EngineBreaker) || len(request.Tried) > 0 || request.Version != nil {
 		return nil
 	}
 	for _, engine := range inZones(directory.eligibleReachable(request.Service, now), request.Zones) {
--- a/internal/backend/pick.go
+++ b/internal/backend/pick.go
@@ -30,6 +30,9 @@
 	Tried []string
 	// Repeatable is true if the request may be executed more than once.
 	Repeatable bool
+	// Version, if not nil, is the software version that the engine must have: the request resumes a
+	// stream that an engine of this version began.
+	Version *string
 }
 
 // Filter reports whether an engine may get a request.
@@ -70,23 +73,40 @@
 func (directory *Directory) Pick(request *Request, now time.Time) *Engine {
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
-	candidates := directory.inReachableZones(inZones(directory.enginesWithClosedBreaker(request.Service, now), request.Zones), request, now)
+	candidates := directory.candidates(request, now)
 	if probe := directory.dueProbe(request, now); probe != nil {
 		return probe.startRequest(now)
 	}
+	admitted := directory.admitted(candidates, request, now)
+	if len(admitted) == 0 {
+		return nil
+	}
+	return directory.choose(admitted, request, now).startRequest(now)
+}
+
+// candidates returns the engines of the request's service, version and zones, except those with an open
+// breaker and those in unreachable zones. The caller holds the mutex.
+func (directory *Directory) candidates(request *Request, now time.Time) []*Engine {
+	candidates := inZones(directory.enginesWithClosedBreaker(request.Service, now), request.Zones)
+	return directory.inReachableZones(ofVersion(candidates, request.Version), request, now)
+}
+
+// admitted returns the candidates that may get a request now. The caller holds the mutex.
+func (directory *Directory) admitted(candidates []*Engine, request *Request, now time.Time) []*Engine {
 	directory.estimateRemoteLoad(request.Service, candidates, now)
-	for _, filters := range directory.filterSets(request.Service, candidates, now) {
+	for _, filters := range directory.filterSets(request, candidates, now) {
 		admitted := admittedEngines(candidates, filters, request, now)
 		if len(admitted) > 0 {
-			return directory.choose(admitted, request, now).startRequest(now)
+			return admitted
 		}
 	}
 	return nil
 }
 
-// filterSets returns the sets of filters for a request to a service, in the order in which they
-// are applied until one admits an engine.
-func (directory *Directory) filterSets(service string, candidates []*Engine, now time.Time) [][]Filter {
+// filterSets returns the sets of filters for a request, in the order in which they are applied until
+// one admits an engine.
+func (directory *Directory) filterSets(request *Request, candidates []*Engine, now time.Time) [][]Filter {
+	service := request.Service
 	healthy := notAvoided{honorSuspicion: honorsSuspicion(candidates, now)}
 	coldLimit := coldLimitFilter{directory: directory}
 	if !feature.Enabled(feature.LoadBasedCapacity) {
@@ -97,8 +117,9 @@
 		queueShare: directory.queueShare(service, candidates),
 	}
 	sets := [][]Filter{{untried{}, notFull{}, coldLimit, healthy, withinLimit{}, capacity}, {untried{}, notFull{}, coldLimit, withinLimit{}, capacity}}
-	if localRunning(candidates) == 0 {
-		// An idle node may send a request even if the view shows no free capacity, as the view
+	if localRunning(candidates) == 0 || request.Version != nil {
+		// A resumed stream has few engines to choose from, and none of the work that it has
+		// received is lost at them. An idle node may send a request even if the view shows no free capacity, as the view
 		// may be wrong. Over all nodes this adds about one request per engine.
 		sets = append(sets, []Filter{untried{}, notFull{}, coldLimit, healthy, withinLimit{}})
 	}
--- a/internal/backend/pick_test.go
+++ b/internal/backend/pick_test.go
@@ -188,3 +188,52 @@
 		})
 	})
 })
+
+var _ = Describe("Pick for a resumed stream", func() {
+	versioned := func(first, second int) *backend.Directory {
+		directory := backend.NewDirectory()
+		for number := range first + second {
+			version := "v1"
+			if number >= first {
+				version = "v2"
+			}
+			directory.Upsert(backend.Instance{ID: fmt.Sprint("e", number), Service: service, Address: fmt.Sprint("10.0.0.", number, ":1"), Zone: "z", Version: version, Slots: 2}, time.Time{})
+		}
+		return directory
+	}
+	version := "v1"
+
+	It("chooses only engines of the required version, whatever the others have free", func() {
+		directory := versioned(2, 20)
+		request := &backend.Request{Service: service, Version: &version, Assigned: "e10"}
+		for range 6 {
+			Expect(directory.HasCapacity(request, now)).To(BeTrue())
+			Expect(directory.Pick(request, now).Version).To(Equal(version))
+		}
+	})
+
+	It("chooses none if there is no engine of the required version", func() {
+		directory := versioned(0, 20)
+		request := &backend.Request{Service: service, Version: &version}
+		Expect(directory.HasCapacity(request, now)).To(BeFalse())
+		Expect(directory.Pick(request, now)).To(BeNil())
+		Expect(directory.VersionServed(service, version, nil, now)).To(BeFalse())
+		Expect(directory.VersionServed(service, "v2", nil, now)).To(BeTrue())
+	})
+
+	It("does not probe engines of another version", func() {
+		directory := versioned(1, 3)
+		for range 40 {
+			failing := directory.Pick(&backend.Request{Service: service, Tried: []string{"e0", "e2", "e3"}}, now)
+			if failing == nil {
+				break
+			}
+			directory.Finish(failing, backend.EngineError, now)
+		}
+		for second := range 60 {
+			picked := directory.Pick(&backend.Request{Service: service, Version: &version}, now.Add(time.Duration(second)*time.Second))
+			Expect(picked.Version).To(Equal(version))
+			directory.Finish(picked, backend.Succeeded, now.Add(time.Duration(second)*time.Second))
+		}
+	})
+})
--- a/internal/backend/wait_queue.go
+++ b/internal/backend/wait_queue.go
@@ -38,13 +38,15 @@
 	Priority int
 	// SoftDeadline is when the request's program should finish.
 	SoftDeadline time.Time
+	// Resumes is true for a request that resumes a stream: its caller already has a part of it.
+	Resumes bool
 	// MayAttempt reports whether the request may be sent to an engine now; nil means always. If
 	// it returns false, the request keeps its position and others are woken instead.
 	MayAttempt func() bool
 }
 
-// WaitQueue holds the requests waiting for an engine, by service, ordered by priority and soft
-// deadline. It is safe for concurrent use.
+// WaitQueue holds the requests waiting for an engine, by service, ordered by priority, resumptions
+// before new requests, and soft deadline. It is safe for concurrent use.
 //
 // Under overload, requests that each poll the engines would cost more engine time than the work
 // itself. Requests are therefore woken by events that indicate free capacity, and no more of
@@ -88,13 +90,14 @@
 	priority     int
 	softDeadline time.Time
 	overdue      bool
+	resumes      bool
 	mayAttempt   func() bool
 	woken        chan struct{}
 	index        int
 }
 
 func newQueuedRequest(waiter Waiter, now time.Time) *queuedRequest {
-	return &queuedRequest{priority: waiter.Priority, softDeadline: waiter.SoftDeadline, overdue: !waiter.SoftDeadline.After(now), mayAttempt: waiter.MayAttempt, woken: make(chan struct{}, 1)}
+	return &queuedRequest{priority: waiter.Priority, softDeadline: waiter.SoftDeadline, overdue: !waiter.SoftDeadline.After(now), resumes: waiter.Resumes, mayAttempt: waiter.MayAttempt, woken: make(chan struct{}, 1)}
 }
 
 // CountByPriority returns the number of waiting requests to a service by priority.
@@ -328,6 +331,9 @@
 	if request.priority != other.priority && feature.Enabled(feature.LoadBasedCapacity) {
 		return request.priority < other.priority
 	}
+	if request.resumes != other.resumes {
+		return request.resumes
+	}
 	if request.overdue != other.overdue {
 		return other.overdue
 	}
--- a/internal/feature/feature.go
+++ b/internal/feature/feature.go
@@ -84,6 +84,8 @@
 	ZoneReachability Feature = "zone-reach"
 	// RequestQuarantine: a request under which several engines ended is not sent again.
 	RequestQuarantine Feature = "request-quarantine"
+	// StreamVersions: a stream is resumed only at engines of the software version that began it.
+	StreamVersions Feature = "stream-versions"
 )
 
 // All lists every feature.
@@ -91,7 +93,7 @@
 	Allowances, HedgedAppends, HedgedReads, LearningFromPeers, SharedReader, AvoidUnresponsiveEngines, EngineReports, AvoidSlowEngines, EngineLimits,
 	QueueOrder, LongerToolWait, SafeRepeats, RemoteRecording, GroupCommit, OwnershipHandover, OwnershipByCapacity, ClaimRefusal, Isolation,
 	EnginePriority, LogGate, Egress, StaggeredRetries, ProgramsFirst,
-	LoadSharing, LoadBasedCapacity, RetryBudget, Admission, TenantShares, MemoryAdmission, EngineBreaker, SpeedWeighting, ResponseBufferLimit, ZoneReachability, RequestQuarantine,
+	LoadSharing, LoadBasedCapacity, RetryBudget, Admission, TenantShares, MemoryAdmission, EngineBreaker, SpeedWeighting, ResponseBufferLimit, ZoneReachability, RequestQuarantine, StreamVersions,
 }
 
 // disabled holds the disabled features, nil before Disable is called.
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -25,6 +25,9 @@
 			return inflight.timeoutError(ctx)
 		}
 		failure := inflight.checkQuarantine()
+		if failure == nil {
+			failure = inflight.checkVersionServed()
+		}
 		if failure != nil {
 			return failure
 		}
@@ -46,7 +49,7 @@
 // pickEngine chooses an engine and takes an attempt from the retry budget. It returns nil if no
 // engine has capacity, other calls are queued, or the call may not attempt again now.
 func (inflight *inflightCall) pickEngine() *backend.Engine {
-	if !inflight.hasWaited && inflight.service.WaitQueue.HasWaiters(inflight.serviceName) {
+	if !inflight.hasWaited && inflight.requiredVersion == nil && inflight.service.WaitQueue.HasWaiters(inflight.serviceName) {
 		return nil
 	}
 	if !inflight.refusalState.AcquireAttempt(&inflight.service.RetryBudget, time.Now()) {
@@ -61,8 +64,15 @@
 
 // selectEngine chooses one of the engines that are eligible for the call.
 func (inflight *inflightCall) selectEngine() *backend.Engine {
+	inflight.engineViewAge = inflight.service.ViewAge()
+	inflight.eligibleEngines = inflight.service.Engines.EligibleCount(inflight.serviceName)
+	return inflight.service.Engines.Pick(inflight.engineRequest(), time.Now())
+}
+
+// engineRequest returns the properties of the call that determine the choice of its engine.
+func (inflight *inflightCall) engineRequest() *backend.Request {
 	request := &backend.Request{Service: inflight.serviceName, Zone: inflight.service.Zone, Zones: inflight.zones, Tried: inflight.triedEngines,
-		Repeatable: inflight.route.Kind == routing.Safe}
+		Repeatable: inflight.route.Kind == routing.Safe, Version: inflight.requiredVersion}
 	if inflight.route.Kind == routing.Streaming {
 		request.Program = inflight.call.Program
 		request.Session = inflight.call.Session
@@ -74,9 +84,7 @@
 		request.Assigned = placement.Engine
 		request.Avoid = placement.Avoid
 	}
-	inflight.engineViewAge = inflight.service.ViewAge()
-	inflight.eligibleEngines = inflight.service.Engines.EligibleCount(inflight.serviceName)
-	return inflight.service.Engines.Pick(request, time.Now())
+	return request
 }
 
 // tryEngine sends the call to one engine. It returns true when the call is finished.
--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -84,6 +84,8 @@
 	FirstEvent(took time.Duration)
 	// RefusedForCapacity records a call that was refused because no engine had capacity in time.
 	RefusedForCapacity(service string, reason CapacityRefusal)
+	// Resumed records how a request to resume a stream was handled.
+	Resumed(handled Resumption)
 }
 
 // Service forwards calls to engines.
@@ -127,6 +129,8 @@
 	LogUnavailable func() bool
 	// Quarantine keeps requests under which engines ended from being sent again; nil if nothing does.
 	Quarantine Quarantine
+	// StreamOrigins knows where streams began; nil if streams may be resumed at any engine.
+	StreamOrigins StreamOrigins
 	// underWay holds the calls that can be canceled.
 	underWay callSet
 }
@@ -201,6 +205,10 @@
 	// zones are the zones in which the call may be served and stored.
 	zones                region.ZoneSet
 	configurationVersion int64
+	configuration        *routing.Configuration
+	// requiredVersion is the software version that began the stream which the call resumes, nil for
+	// other calls.
+	requiredVersion *string
 	// tenant sends the call, nil if it is anonymous.
 	tenant   *tenant.Tenant
 	deadline time.Time
@@ -290,6 +298,7 @@
 		return resultcode.New(resultcode.ConfigurationStale, "no configuration loaded yet").WithRetryAfter(inflight.service.configurationRetryAfter())
 	}
 	inflight.configurationVersion = configuration.Version
+	inflight.configuration = configuration
 	inflight.route = configuration.Match(inflight.call.Host, inflight.call.Path)
 	if inflight.route == nil {
 		return inflight.denialError(resultcode.UnknownRoute, "no route for this host and path")
@@ -334,10 +343,14 @@
 }
 
 func (inflight *inflightCall) run(ctx context.Context) error {
+	failure := inflight.restrictResumption(ctx)
+	if failure != nil {
+		return failure
+	}
 	if inflight.service.Engines.NoneAvailable(inflight.serviceName, inflight.zones) {
 		return inflight.refuseForCapacity(NoEngineAvailable, backend.Forecast{})
 	}
-	failure := inflight.checkQuarantine()
+	failure = inflight.checkQuarantine()
 	if failure != nil {
 		return failure
 	}
--- a/internal/forward/service_test.go
+++ b/internal/forward/service_test.go
@@ -171,6 +171,7 @@
 func (noopMetrics) Finished(routing.Kind, resultcode.Code, time.Duration) {}
 func (noopMetrics) FirstEvent(time.Duration)                              {}
 func (noopMetrics) RefusedForCapacity(string, forward.CapacityRefusal)    {}
+func (noopMetrics) Resumed(forward.Resumption)                            {}
 
 // fakeResponseWriter records the response. Abort panics, as the real one does.
 type fakeResponseWriter struct {
@@ -222,6 +223,8 @@
 	return slices.Clone(metrics.refusals)
 }
 
+func (metrics *fakeMetrics) Resumed(forward.Resumption) {}
+
 func (metrics *fakeMetrics) RefusedForCapacity(_ string, reason forward.CapacityRefusal) {
 	metrics.mutex.Lock()
 	defer metrics.mutex.Unlock()
--- a/internal/forward/wait.go
+++ b/internal/forward/wait.go
@@ -30,7 +30,7 @@
 
 // waitForEngine waits in the queue for an engine with capacity, or refuses the call.
 func (inflight *inflightCall) waitForEngine(ctx context.Context) error {
-	waiter := backend.Waiter{Service: inflight.serviceName, Priority: inflight.priority(), SoftDeadline: inflight.softDeadline(), MayAttempt: inflight.mayAttempt}
+	waiter := backend.Waiter{Service: inflight.serviceName, Priority: inflight.priority(), SoftDeadline: inflight.softDeadline(), Resumes: inflight.requiredVersion != nil, MayAttempt: inflight.mayAttempt}
 	forecast, predicted := inflight.predict(waiter)
 	wait, reason := inflight.maxWait(forecast, predicted)
 	if reason != "" {
@@ -48,7 +48,11 @@
 // mayAttempt reports whether the call may attempt to reach an engine now. The queue calls it while
 // the call waits.
 func (inflight *inflightCall) mayAttempt() bool {
-	return inflight.refusalState.MayAttempt(&inflight.service.RetryBudget, time.Now())
+	now := time.Now()
+	if inflight.requiredVersion != nil && !inflight.service.Engines.HasCapacity(inflight.engineRequest(), now) {
+		return false
+	}
+	return inflight.refusalState.MayAttempt(&inflight.service.RetryBudget, now)
 }
 
 // predict returns the forecast of the call's wait, false if there is no basis for one.
@@ -86,6 +90,9 @@
 	switch {
 	case slack <= 0:
 		return 0, DeadlineTooClose
+	case inflight.requiredVersion != nil:
+		// The forecast is that of new requests to engines of all versions.
+		return min(wait, slack, resumptionPollInterval), ""
 	case predicted && forecast.Exceeds(min(wait, slack)):
 		return 0, WaitPredictedTooLong
 	}
@@ -121,7 +128,7 @@
 		objective = defaultObjective
 	}
 	wait := time.Duration(engineWaitFraction * float64(objective))
-	if inflight.continuesProgram && feature.Enabled(feature.LoadBasedCapacity) {
+	if (inflight.continuesProgram || inflight.requiredVersion != nil) && feature.Enabled(feature.LoadBasedCapacity) {
 		return max(wait, time.Duration(continuedTurnWaitFraction*float64(inflight.deadline.Sub(inflight.call.Received))))
 	}
 	if inflight.call.Program == "" || inflight.route.Kind == routing.Streaming || !feature.Enabled(feature.LongerToolWait) {
--- a/internal/node/loss_sharing.go
+++ b/internal/node/loss_sharing.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"slices"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -55,16 +54,16 @@
 	// synchronized is true once a newly started node knows what the others know.
 	synchronized atomic.Bool
 
-	// mutex guards the outboxes. Each zone and each node has one of its own, so that one that does
-	// not respond holds up no other.
-	mutex      sync.Mutex
-	zoneOutbox map[string]*lossOutbox
-	nodeOutbox map[string]*lossOutbox
+	// toZones and toNodes hold what is yet to be told.
+	toZones *outboxes[quarantine.Loss]
+	toNodes *outboxes[quarantine.Loss]
 }
 
 func newLossSharing(node *Node, tracker *quarantine.Tracker) *lossSharing {
-	return &lossSharing{node: node, tracker: tracker, suspects: newSuspects(),
-		zoneOutbox: map[string]*lossOutbox{}, nodeOutbox: map[string]*lossOutbox{}}
+	sharing := &lossSharing{node: node, tracker: tracker, suspects: newSuspects()}
+	sharing.toZones = newOutboxes(maxLossesPerMessage, sharing.tellRelayOf)
+	sharing.toNodes = newOutboxes(maxLossesPerMessage, sharing.tellNode)
+	return sharing
 }
 
 // shareNow tells all nodes and returns once they know, or after maxLossWait.
@@ -102,24 +101,11 @@
 		if !sharing.node.zones.Reachable(zone, time.Now()) {
 			continue
 		}
-		outbox := sharing.outbox(sharing.zoneOutbox, zone, sharing.tellRelayOf)
-		delivered = append(delivered, outbox.add(losses, delay))
+		delivered = append(delivered, sharing.toZones.to(zone).add(losses, delay))
 	}
 	return delivered
 }
 
-// outbox returns the outbox of a zone or node, creating it at its first use.
-func (sharing *lossSharing) outbox(outboxes map[string]*lossOutbox, name string, deliver func(name string, losses []quarantine.Loss)) *lossOutbox {
-	sharing.mutex.Lock()
-	defer sharing.mutex.Unlock()
-	found := outboxes[name]
-	if found == nil {
-		found = &lossOutbox{deliver: func(losses []quarantine.Loss) { deliver(name, losses) }}
-		outboxes[name] = found
-	}
-	return found
-}
-
 // tellRelayOf tells the relay of a zone, or the next candidate if it does not respond.
 func (sharing *lossSharing) tellRelayOf(zone string, losses []quarantine.Loss) {
 	for range relayAttempts {
@@ -146,7 +132,7 @@
 		if member.Name == settings.Name || sharing.suspects.contains(member.Name, time.Now()) {
 			continue
 		}
-		told := sharing.outbox(sharing.nodeOutbox, member.Name, sharing.tellNode).add(losses, delay)
+		told := sharing.toNodes.to(member.Name).add(losses, delay)
 		if !member.Draining {
 			delivered = append(delivered, told) // A draining node may be gone for good.
 		}
--- a/internal/node/meter.go
+++ b/internal/node/meter.go
@@ -39,6 +39,9 @@
 	lossesRefuted  prometheus.Counter
 	quarantined    prometheus.Counter
 	lossMessages   *prometheus.CounterVec
+	// resumptions counts requests to resume streams, originMessages the messages about their origins.
+	resumptions    *prometheus.CounterVec
+	originMessages *prometheus.CounterVec
 
 	// mutex guards the fields below. recentLogCalls counts calls to the durable log since the last
 	// summary.
@@ -114,6 +117,14 @@
 			Name: "magpielug_loss_messages_total",
 			Help: "Messages to other nodes about requests under which engines may have ended, by outcome.",
 		}, []string{"outcome"}),
+		resumptions: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "magpielug_stream_resumptions_total",
+			Help: "Requests to resume streams, by how they were handled.",
+		}, []string{"handled"}),
+		originMessages: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "magpielug_stream_origin_messages_total",
+			Help: "Messages to other nodes about where streams began, by kind and outcome.",
+		}, []string{"kind", "outcome"}),
 		recentLogCalls:  map[string]int{},
 		recentPeerBytes: map[string]int64{},
 		tenants:         map[string]bool{},
@@ -172,6 +183,21 @@
 	meter.lossMessages.WithLabelValues(outcome).Inc()
 }
 
+// Kinds of messages about the origins of streams.
+const (
+	originsKept  = "keep"
+	originsAsked = "find"
+)
+
+// countOriginMessage counts a message about the origins of streams.
+func (meter *meter) countOriginMessage(kind string, err error) {
+	outcome := "done"
+	if err != nil {
+		outcome = "failed"
+	}
+	meter.originMessages.WithLabelValues(kind, outcome).Inc()
+}
+
 // observeLogCall is a durable.ObserveFunc.
 func (meter *meter) observeLogCall(operation, topic string, took time.Duration, err error) {
 	outcome := "done"
@@ -239,6 +265,11 @@
 // FirstEvent implements forward.Metrics.
 func (meter *meter) FirstEvent(took time.Duration) { meter.firstEvent.Observe(took.Seconds()) }
 
+// Resumed implements forward.Metrics.
+func (meter *meter) Resumed(handled forward.Resumption) {
+	meter.resumptions.WithLabelValues(string(handled)).Inc()
+}
+
 // RefusedForCapacity implements forward.Metrics.
 func (meter *meter) RefusedForCapacity(service string, reason forward.CapacityRefusal) {
 	meter.capacityRefusals.WithLabelValues(service, string(reason)).Inc()
@@ -268,7 +299,7 @@
 	meter := node.meter
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(meter.calls, meter.duration, meter.firstEvent, meter.logCalls, meter.logLatency, meter.handovers, meter.admissions,
-		meter.loadMessages, meter.capacityRefusals, meter.peerTraffic, meter.lossesRecorded, meter.lossesRefuted, meter.quarantined, meter.lossMessages, waitQueueCollector{queue: node.service.WaitQueue}, breakerCollector{engines: node.engines})
+		meter.loadMessages, meter.capacityRefusals, meter.peerTraffic, meter.lossesRecorded, meter.lossesRefuted, meter.quarantined, meter.lossMessages, meter.resumptions, meter.originMessages, waitQueueCollector{queue: node.service.WaitQueue}, breakerCollector{engines: node.engines})
 	registry.MustRegister(node.admission.metrics)
 	gauges := []struct {
 		name, help string
@@ -277,6 +308,7 @@
 		{"magpielug_in_flight", "Requests under way.", func() float64 { return float64(node.inFlight()) }},
 		{"magpielug_engines", "Engines known.", func() float64 { return float64(node.engines.EngineCount()) }},
 		{"magpielug_nodes", "Nodes known that are not leaving.", func() float64 { return float64(node.members.activeCount()) }},
+		{"magpielug_stream_origins", "Streams of which this node knows the software version that began them.", func() float64 { return float64(node.origins.table.Size()) }},
 		{"magpielug_turns", "Turns held in memory.", func() float64 { turns, _ := node.turns.Size(); return float64(turns) }},
 		{"magpielug_turn_bytes", "Bytes of turns held in memory.", func() float64 { _, bytes := node.turns.Size(); return float64(bytes) }},
 		{"magpielug_held_request_bytes", "Bytes held of callers' requests.", func() float64 { return float64(node.bufferLimits.requests.InUse()) }},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -35,13 +35,14 @@
 )
 
 var (
-	errUnknownNode   = errors.New("unknown node")
-	errUnknownShard  = errors.New("shard out of range")
-	errLogRefused    = errors.New("the durable log has recently rejected this node")
-	errWriterStalled = errors.New("the durable log responds to other nodes but not to the group writer")
-	errNoLimit       = errors.New("admission request for a tenant without a limit")
-	errNoLoadSharing = twirp.Unimplemented.Error("load sharing is disabled on this node")
-	errStillReading  = errors.New("the turns before are still being read")
+	errUnknownNode     = errors.New("unknown node")
+	errUnknownShard    = errors.New("shard out of range")
+	errLogRefused      = errors.New("the durable log has recently rejected this node")
+	errWriterStalled   = errors.New("the durable log responds to other nodes but not to the group writer")
+	errNoLimit         = errors.New("admission request for a tenant without a limit")
+	errNoLoadSharing   = twirp.Unimplemented.Error("load sharing is disabled on this node")
+	errNoStreamOrigins = twirp.Unimplemented.Error("stream origins are disabled on this node")
+	errStillReading    = errors.New("the turns before are still being read")
 )
 
 const (
@@ -119,7 +120,9 @@
 	quotas    *quotas
 	// quarantine keeps requests under which engines ended from being sent again.
 	quarantine *requestQuarantine
-	service    *forward.Service
+	// origins knows where streams began, for those that resume them.
+	origins *streamOrigins
+	service *forward.Service
 	// egress sends requests to engines on behalf of other nodes.
 	egress    *egress.Handler
 	meter     *meter
@@ -207,6 +210,7 @@
 	node.quotas = newQuotas(node)
 	node.sharing = newLoadSharing(node)
 	node.quarantine = newRequestQuarantine(node)
+	node.origins = newStreamOrigins(node)
 	node.reader.SetRemoteLookup(node.remotePartialChain)
 	if feature.Enabled(feature.RemoteRecording) {
 		node.recorder.SetRelay(node.recordRemotely)
@@ -264,6 +268,9 @@
 	if feature.Enabled(feature.RequestQuarantine) {
 		service.Quarantine = node.quarantine
 	}
+	if feature.Enabled(feature.StreamVersions) {
+		service.StreamOrigins = node.origins
+	}
 	return service
 }
 
--- a/internal/resultcode/resultcode.go
+++ b/internal/resultcode/resultcode.go
@@ -47,6 +47,9 @@
 	QuotaUnknown       Code = 2015
 	NoRoom             Code = 2016
 	RequestQuarantined Code = 2017
+	// StreamOriginUnknown and StreamVersionLeft refuse to resume a stream.
+	StreamOriginUnknown Code = 2018
+	StreamVersionLeft   Code = 2019
 
 	OutcomeUnknown Code = 3001
 	CallStopped    Code = 3002
@@ -112,6 +115,8 @@
 	{QuotaUnknown, "QUOTA_UNKNOWN", http.StatusServiceUnavailable, true, "No node that keeps the tenant's limit could be asked in time; not run."},
 	{NoRoom, "NO_ROOM", http.StatusServiceUnavailable, true, "A program that begins now would not end in its aim, or would make others late; not run."},
 	{RequestQuarantined, "REQUEST_QUARANTINED", http.StatusServiceUnavailable, true, "Several engines ended under requests of this content, so that it is sent to no further one for a while; this sending did not run."},
+	{StreamOriginUnknown, "STREAM_ORIGIN_UNKNOWN", http.StatusServiceUnavailable, true, "No node that could be asked knows which software version began the stream, so it is not resumed; this sending did not run."},
+	{StreamVersionLeft, "STREAM_VERSION_LEFT", http.StatusServiceUnavailable, true, "No engine of the software version that began the stream serves it now, so it is not resumed; this sending did not run."},
 	{OutcomeUnknown, "OUTCOME_UNKNOWN", http.StatusBadGateway, false, "The call was sent and its outcome is lost; it may have run and will not run again."},
 	{CallStopped, "CALL_STOPPED", http.StatusConflict, false, "The call was cancelled because its program was stopped."},
 	{SlowReader, "SLOW_READER", http.StatusRequestTimeout, true, "The caller read too slowly; the stream can be resumed."},
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -5,6 +5,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"strings"
 	"sync/atomic"
@@ -94,6 +95,11 @@
 	return route.Shares[len(route.Shares)-1].Service
 }
 
+// LeadsTo reports whether the route's requests may go to a service.
+func (route *Route) LeadsTo(service string) bool {
+	return slices.ContainsFunc(route.Shares, func(share Share) bool { return share.Service == service })
+}
+
 // Service is a set of engines that run the same requests.
 type Service struct {
 	Name string
--- /dev/null
+++ b/internal/streamversion/streamversion.go
@@ -0,0 +1,45 @@
+// Package streamversion keeps the software version of the engines that began streams. What two
+// versions write does not fit together, and engines do not check it, so that a stream may be resumed
+// only at an engine of the version that began it. The attempt that resumes a stream arrives at any
+// node, often because the node that began the stream is lost; several nodes therefore keep each
+// stream's origin, chosen by a hash that every node can compute.
+package streamversion
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+)
+
+// keyBytes is the size of a Key. Two streams of a deployment do not share a 128-bit hash by chance.
+const keyBytes = 16
+
+// Key identifies a stream by the attempt that brought its first event.
+type Key [keyBytes]byte
+
+// NewKey returns the key of the stream that a tenant's attempt began. The tenant is part of it:
+// tenants choose the IDs of their attempts independently.
+func NewKey(tenant, attempt string) Key {
+	hash := sha256.New()
+	var length [8]byte
+	binary.BigEndian.PutUint64(length[:], uint64(len(tenant)))
+	_, _ = hash.Write(length[:]) // Writing to a hash cannot fail.
+	_, _ = hash.Write([]byte(tenant))
+	_, _ = hash.Write([]byte(attempt))
+	return Key(hash.Sum(nil)[:keyBytes])
+}
+
+// String returns the key as it appears in logs.
+func (key Key) String() string { return hex.EncodeToString(key[:]) }
+
+// Origin is where a stream began. A version counts only within its service.
+type Origin struct {
+	Service string
+	Version string
+}
+
+// Record is the origin of one stream.
+type Record struct {
+	Key    Key
+	Origin Origin
+}
