Streams whose version leaves are resumed at its draining engines for half of their drain time

Cause: engines that leave get no requests, whoever asks. New requests have others to go to; a stream that began at this version has not.

Such engines are candidates for a resumption if no other engine of its version is there, in the first half of the drain time that the settings name (Bounds.DrainMs, limits.engine_drain_time), counted from when the node learned of it: learning takes 0.4 to 0.8 s, so that the rule on draining engines holds. An engine first seen as leaving is not used: it is not known since when.

--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -22,7 +22,7 @@
 	// Version is the version of the engine's software, empty if the engine does not report it.
 	// Versions have no order.
 	Version string
-	// Draining engines get no new requests.
+	// Draining engines get no new requests, but for streams that no other engine can resume.
 	Draining bool
 	// Incarnation is the start time of the engine in Unix milliseconds and distinguishes
 	// restarts under one ID. It is 0 if the engine does not report it.
@@ -81,6 +81,9 @@
 	// outcomes counts the outcomes of this node's requests.
 	outcomes decayingOutcomes
 	breaker  breaker
+	// drainingSince is when this node learned that the engine is draining. It is zero if the node has
+	// not known the engine before.
+	drainingSince time.Time
 }
 
 // backingOff reports whether the engine is avoided because of failures or refusals.
@@ -168,6 +171,8 @@
 	load *load.View
 	// breakersEvaluated is when the breakers of a service were last evaluated.
 	breakersEvaluated map[string]time.Time
+	// drainTime is how long an engine takes requests after it has announced that it is draining.
+	drainTime time.Duration
 	// onBreakerChange is called on each change of a breaker; may be nil.
 	onBreakerChange func(BreakerChange)
 }
@@ -218,6 +223,8 @@
 	}
 	if existing.Draining {
 		instance.Draining = true
+	} else if instance.Draining && change != Restarted && existing.ID != "" {
+		existing.drainingSince = now
 	}
 	existing.Instance = instance
 	existing.coldUntil = now.Add(instance.ColdRemaining)
--- a/internal/backend/pick.go
+++ b/internal/backend/pick.go
@@ -85,10 +85,15 @@
 }
 
 // candidates returns the engines of the request's service, version and zones, except those with an open
-// breaker and those in unreachable zones. The caller holds the mutex.
+// breaker and those in unreachable zones. If a request requires a version of which all engines are
+// draining, these are the candidates. The caller holds the mutex.
 func (directory *Directory) candidates(request *Request, now time.Time) []*Engine {
 	candidates := inZones(directory.enginesWithClosedBreaker(request.Service, now), request.Zones)
-	return directory.inReachableZones(ofVersion(candidates, request.Version), request, now)
+	candidates = ofVersion(candidates, request.Version)
+	if len(candidates) == 0 && request.Version != nil {
+		candidates = directory.drainingOfVersion(request, now)
+	}
+	return directory.inReachableZones(candidates, request, now)
 }
 
 // admitted returns the candidates that may get a request now. The caller holds the mutex.
--- a/internal/backend/pick_test.go
+++ b/internal/backend/pick_test.go
@@ -236,4 +236,24 @@
 			directory.Finish(picked, backend.Succeeded, now.Add(time.Duration(second)*time.Second))
 		}
 	})
+
+	It("chooses a draining engine for a part of its drain time if there is no other of its version", func() {
+		directory := versioned(2, 4)
+		directory.SetDrainTime(2 * time.Second)
+		request := &backend.Request{Service: service, Version: &version}
+		drain := func(id string) {
+			directory.Upsert(backend.Instance{ID: id, Service: service, Address: "10.0.0.9:1", Zone: "z", Version: version, Slots: 2, Draining: true}, now)
+		}
+		drain("e0")
+		for range 3 {
+			Expect(directory.Pick(request, now).ID).To(Equal("e1"), "an engine that is not draining goes first")
+		}
+		drain("e1")
+		drain("unknown")
+		Expect(directory.VersionServed(service, version, nil, now.Add(900*time.Millisecond))).To(BeTrue())
+		Expect(directory.Pick(request, now.Add(900*time.Millisecond)).ID).To(BeElementOf("e0", "e1"), "it is not known since when another one is draining")
+		Expect(directory.Pick(request, now.Add(1100*time.Millisecond))).To(BeNil())
+		Expect(directory.VersionServed(service, version, nil, now.Add(1100*time.Millisecond))).To(BeFalse())
+		Expect(directory.Pick(&backend.Request{Service: service}, now).Version).To(Equal("v2"), "new requests never get there")
+	})
 })
--- a/internal/backend/version.go
+++ b/internal/backend/version.go
@@ -7,12 +7,23 @@
 	"github.com/magpielug/magpielug/internal/region"
 )
 
-// VersionServed reports whether a request that requires a software version has an engine of it in the
-// given zones.
+// usedDrainShare is the share of an engine's drain time in which it still gets resumed streams. The
+// time counts from when this node learned that the engine is draining, which is later than when the
+// engine announced it.
+const usedDrainShare = 0.5
+
+// SetDrainTime sets how long an engine takes requests after it has announced that it is draining. It
+// must be called before any other method.
+func (directory *Directory) SetDrainTime(drainTime time.Duration) { directory.drainTime = drainTime }
+
+// VersionServed reports whether an engine of a software version in the given zones may get a request
+// that requires this version.
 func (directory *Directory) VersionServed(service, version string, zones region.ZoneSet, now time.Time) bool {
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
-	return len(inZones(ofVersion(directory.eligible(service), &version), zones)) > 0
+	request := &Request{Service: service, Version: &version, Zones: zones}
+	eligible := inZones(ofVersion(directory.eligible(service), request.Version), zones)
+	return len(eligible) > 0 || len(directory.drainingOfVersion(request, now)) > 0
 }
 
 // HasCapacity reports whether Pick would return an engine.
@@ -29,3 +40,17 @@
 	}
 	return slices.DeleteFunc(slices.Clone(engines), func(engine *Engine) bool { return engine.Version != *version })
 }
+
+// drainingOfVersion returns the draining engines of the required version that still take requests. The
+// caller holds the mutex.
+func (directory *Directory) drainingOfVersion(request *Request, now time.Time) []*Engine {
+	usable := time.Duration(usedDrainShare * float64(directory.drainTime))
+	var draining []*Engine
+	for _, engine := range directory.engines {
+		takesRequests := engine.Draining && now.Sub(engine.drainingSince) < usable && !directory.evacuated[engine.Zone]
+		if takesRequests && engine.Service == request.Service {
+			draining = append(draining, engine)
+		}
+	}
+	return inZones(ofVersion(draining, request.Version), request.Zones)
+}
--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -347,7 +347,7 @@
 	if failure != nil {
 		return failure
 	}
-	if inflight.service.Engines.NoneAvailable(inflight.serviceName, inflight.zones) {
+	if inflight.requiredVersion == nil && inflight.service.Engines.NoneAvailable(inflight.serviceName, inflight.zones) {
 		return inflight.refuseForCapacity(NoEngineAvailable, backend.Forecast{})
 	}
 	failure = inflight.checkQuarantine()
--- a/internal/forward/wait.go
+++ b/internal/forward/wait.go
@@ -73,7 +73,7 @@
 // cannot be served in time is refused early, so that its caller can retry elsewhere and it does not
 // delay other calls.
 func (inflight *inflightCall) maxWait(forecast backend.Forecast, predicted bool) (time.Duration, CapacityRefusal) {
-	if inflight.service.Engines.NoneAvailable(inflight.serviceName, inflight.zones) {
+	if inflight.requiredVersion == nil && inflight.service.Engines.NoneAvailable(inflight.serviceName, inflight.zones) {
 		return 0, NoEngineAvailable
 	}
 	wait := inflight.maxEngineWait() - time.Since(inflight.searchStarted)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -234,6 +234,7 @@
 		node.engines.SetZones(node.zones)
 	}
 	node.engines.SetNodeCount(node.members.activeCount)
+	node.engines.SetDrainTime(node.settings.EngineDrainTime)
 	node.engines.SetColdLimits(node.coldLimit, node.senderRank)
 	node.engines.OnBreakerChange(node.logBreakerChange)
 	return node.engines.SetPolicy(node.settings.Placement)
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -47,6 +47,8 @@
 	ColdTolerance ColdTolerance
 	// ShutdownTimeout bounds a graceful shutdown.
 	ShutdownTimeout time.Duration
+	// EngineDrainTime is how long an engine serves on that says that it leaves, 0 if unknown.
+	EngineDrainTime time.Duration
 	// Placement names the engine selection policy; empty selects the default.
 	Placement string
 	// DisabledFeatures is a comma-separated list of disabled features; see package feature.
--- a/internal/node/settings_file.go
+++ b/internal/node/settings_file.go
@@ -29,6 +29,7 @@
 		},
 		ColdTolerance:    ColdTolerance{Factor: loaded.Cold.Overage, Requests: loaded.Cold.Slack},
 		ShutdownTimeout:  loaded.Limits.DrainTimeout,
+		EngineDrainTime:  loaded.Limits.EngineDrainTime,
 		Placement:        loaded.Node.Placement,
 		DisabledFeatures: loaded.Node.Disabled,
 		LogLevel:         loaded.Log.Level,
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -53,6 +53,8 @@
 	Cores        float64       `koanf:"cores" validate:"gte=0,lte=1024" about:"Processor cores that the process has; stronger nodes own more shards. 0 is not known."`
 	Connections  int           `koanf:"connections" validate:"gte=64,lte=1000000" about:"Open connections of callers; one more is refused with code 2004."`
 	DrainTimeout time.Duration `koanf:"drain_timeout" validate:"gte=3s,lte=1h" about:"Longest planned stop: what is still under way then is cut. New requests are taken for its first 2.5s."`
+	// EngineDrainTime is how long an engine that leaves still takes requests.
+	EngineDrainTime time.Duration `koanf:"engine_drain_time" validate:"gte=0s,lte=1h" about:"How long an engine serves on that says that it leaves; half of it is used for streams that no other engine can resume. 0s sends it nothing."`
 }
 
 // NodeQuota is the tolerance in enforcing tenants' rate limits.
--- a/rehearsal/nodesettings/nodesettings.go
+++ b/rehearsal/nodesettings/nodesettings.go
@@ -21,6 +21,8 @@
 	// memoryMegabytes and maxFileDescriptors are the limits of a small platform machine.
 	memoryMegabytes    = 254
 	maxFileDescriptors = 8200
+	// engineDrainMilliseconds is how long engines serve on that have said that they leave.
+	engineDrainMilliseconds = 2000
 )
 
 // Settings are the settings of one node.
@@ -95,6 +97,7 @@
 		"[limits]",
 		fmt.Sprintf(`memory = "%dMiB"`, memoryMegabytes),
 		fmt.Sprintf(`drain_timeout = "%ds"`, settings.DrainSeconds),
+		fmt.Sprintf(`engine_drain_time = "%dms"`, engineDrainMilliseconds),
 	}
 	if settings.Quota != nil {
 		lines = append(lines, "[quota]", fmt.Sprintf(`window = "%ds"`, settings.Quota.WindowSeconds),
@@ -114,6 +117,7 @@
 		fmt.Sprintf("Limits.MemoryMb=%d", memoryMegabytes),
 		fmt.Sprintf("Limits.MaxFds=%d", maxFileDescriptors),
 		fmt.Sprintf("Bounds.GraceS=%d", settings.DrainSeconds),
+		fmt.Sprintf("Bounds.DrainMs=%d", engineDrainMilliseconds),
 		"Platform.Address=" + settings.StoreAddress,
 		fmt.Sprintf("Platform.parts=%d", settings.Partitions),
 		// An unknown key must be ignored.
