Soak: resumed streams over several software versions, as a kind of its own (--stream-lanes)

12 callers a lane run streams one after another on a route with Resumable and resume what breaks, some twice at once, some 3 s late. Engines have two versions at the start; faults of the lane roll out further ones, kill a zone or up to half of the nodes at once, beside all other faults.

--- a/rehearsal/soak/cluster.go
+++ b/rehearsal/soak/cluster.go
@@ -91,6 +91,14 @@
 
 // addEngine starts an engine and publishes its record.
 func (cluster *cluster) addEngine(service, zone string) error {
+	cluster.mutex.Lock()
+	version := cluster.versionOf(service, cluster.enginesStarted)
+	cluster.mutex.Unlock()
+	return cluster.addEngineOf(service, zone, version)
+}
+
+// addEngineOf starts an engine of a software version and publishes its record.
+func (cluster *cluster) addEngineOf(service, zone, version string) error {
 	cluster.mutex.Lock()
 	defer cluster.mutex.Unlock()
 	cluster.enginesStarted++
@@ -102,6 +110,7 @@
 	if err != nil {
 		return err
 	}
+	started.Version = version
 	added := &engine{Engine: started, service: service, zone: zone, proxy: proxy}
 	if cluster.options.LoadFaultWorkers > 0 {
 		started.BaseDelay = engineBaseDelay(service, cluster.enginesStarted)
@@ -127,13 +136,13 @@
 
 // publishEngine publishes an engine's record.
 func (cluster *cluster) publishEngine(target *engine, state string) {
-	record := records.Server{Service: target.service, Address: target.proxy.Address(), Zone: target.zone, Slots: records.Slots, State: state}
+	record := records.Server{Service: target.service, Address: target.proxy.Address(), Zone: target.zone, Slots: records.Slots, State: state, Version: target.Version}
 	cluster.store.Put(records.TopicEngines, target.ID, records.Encode(record))
 }
 
 // replaceEngine starts a new engine and closes the old one without draining it.
 func (cluster *cluster) replaceEngine(old *engine) error {
-	err := cluster.addEngine(old.service, old.zone)
+	err := cluster.addEngineOf(old.service, old.zone, old.Version)
 	if err != nil {
 		return err
 	}
--- a/rehearsal/soak/crash_faults.go
+++ b/rehearsal/soak/crash_faults.go
@@ -62,7 +62,7 @@
 	if closed {
 		return
 	}
-	_ = cluster.addEngine(old.service, old.zone) // The run reports missing engines as lost progress.
+	_ = cluster.addEngineOf(old.service, old.zone, old.Version) // The run reports missing engines as lost progress.
 	time.Sleep(endedEngineRecord - endedEngineReplacement)
 	cluster.removeEngine(old)
 }
--- a/rehearsal/soak/faults.go
+++ b/rehearsal/soak/faults.go
@@ -70,6 +70,8 @@
 	injected int
 	// extraCallers is the number of callers started by faults.
 	extraCallers atomic.Int64
+	// rollouts is the number of software versions of engines that were rolled out.
+	rollouts atomic.Int64
 	// outages are the times at which nodes did not run.
 	outages []nodeOutage
 }
--- a/rehearsal/soak/run.go
+++ b/rehearsal/soak/run.go
@@ -35,6 +35,9 @@
 	// CrashWorkers is the number of concurrent callers of requests that end each engine that runs
 	// them.
 	CrashWorkers int
+	// StreamWorkers is the number of concurrent faults of resumed streams. If positive, there are three
+	// zones by default, and engines of several software versions.
+	StreamWorkers int
 	// Magpielug is the path of the binary under test. Settings files and logs are
 	// written to Directory.
 	Magpielug string
@@ -72,6 +75,11 @@
 	if options.LoadFaultWorkers > 0 {
 		options.Zones = cmp.Or(options.Zones, defaultLoadFaultZones)
 	}
+	if options.StreamWorkers > 0 {
+		options.Zones = cmp.Or(options.Zones, defaultStreamZones)
+		options.Engines = cmp.Or(options.Engines, defaultStreamEngines)
+		options.EventDelay = cmp.Or(options.EventDelay, streamEventDelay)
+	}
 	options.Zones = cmp.Or(options.Zones, defaultZones)
 	options.Engines = cmp.Or(options.Engines, defaultEngines)
 	options.Tools = cmp.Or(options.Tools, defaultTools)
@@ -98,6 +106,8 @@
 	Turns          int64
 	Statuses       map[int]int
 	Violations     []Violation
+	// ResumedStreams counts the streams that callers resumed, ContinuedStreams those that went on.
+	ResumedStreams, ContinuedStreams int
 }
 
 const (
@@ -213,6 +223,7 @@
 		run.completedTurns = append(run.completedTurns, &own.completedTurns)
 		run.workers.Go(func() { own.run(loadCtx, number, run.random(uint64(number))) })
 	}
+	run.startStreamCallers(loadCtx)
 	run.workers.Go(func() { run.probe(loadCtx) })
 }
 
@@ -233,6 +244,9 @@
 	for worker := range run.options.CrashWorkers {
 		workers.Go(func() { run.injector.run(faultCtx, run.random(uint64(3000+worker)), crashFaults) })
 	}
+	for worker := range run.options.StreamWorkers {
+		workers.Go(func() { run.injector.run(faultCtx, run.random(uint64(4000+worker)), streamFaults) })
+	}
 	workers.Wait()
 }
 
@@ -263,11 +277,13 @@
 	runs := run.cluster.engineRuns()
 	run.recorder.checkRuns(runs)
 	run.recorder.checkTenantLimit(runs)
+	run.recorder.checkStreams(run.cluster.allEngines(), run.injector.nodeOutages())
 	run.recorder.checkEngineEnds(run.cluster.allEngines(), run.cluster.removedEngines(), run.injector.nodeOutages())
 }
 
 func (run *run) outcome() *Outcome {
-	outcome := &Outcome{Seed: run.options.Seed, InjectedFaults: run.injector.injected, Statuses: run.recorder.statuses, Violations: run.recorder.violations}
+	outcome := &Outcome{Seed: run.options.Seed, InjectedFaults: run.injector.injected, Statuses: run.recorder.statuses, Violations: run.recorder.violations,
+		ResumedStreams: run.recorder.resumedStreams, ContinuedStreams: run.recorder.continuedStreams}
 	for _, turns := range run.completedTurns {
 		outcome.Turns += turns.Load()
 	}
--- a/rehearsal/standin/records/records.go
+++ b/rehearsal/standin/records/records.go
@@ -24,6 +24,8 @@
 	// PathRetained takes turns whose context is retained, PathPlain turns without retention.
 	PathRetained = "/stream/kept/"
 	PathPlain    = "/stream/plain/"
+	// PathResumable takes streams that callers may resume.
+	PathResumable = "/stream/resumable/"
 	// PathSafe takes tool calls that may be retried.
 	PathSafe = "/safe/"
 	// PathUnsafe takes tool calls that must not be retried.
@@ -68,6 +70,7 @@
 	MaxAttempts   int
 	RetainContext bool
 	RetentionS    int
+	Resumable     bool
 }
 
 // Service is a group of engines.
@@ -108,6 +111,8 @@
 	Zone    string
 	Slots   int
 	State   string
+	// Version is the version of the engine's software.
+	Version string `json:",omitempty"`
 }
 
 // NewConfiguration returns a configuration that routes a host's requests to models and
@@ -118,6 +123,7 @@
 		Routes: []Route{
 			{Name: "kept", Host: host, PathPrefix: PathRetained, Kind: kindStreaming, TimeoutMs: turnTimeoutMs, Service: ServiceModels, MaxAttempts: 1, RetainContext: true, RetentionS: retentionSeconds},
 			{Name: "plain", Host: host, PathPrefix: PathPlain, Kind: kindStreaming, TimeoutMs: turnTimeoutMs, Service: ServiceModels, MaxAttempts: 1},
+			{Name: "resumable", Host: host, PathPrefix: PathResumable, Kind: kindStreaming, TimeoutMs: turnTimeoutMs, Service: ServiceModels, MaxAttempts: 1, Resumable: true},
 			NewSafeRoute("safe", host, PathSafe),
 			{Name: "tool", Host: host, PathPrefix: PathUnsafe, Kind: kindUnsafe, TimeoutMs: toolTimeoutMs, Service: ServiceTools},
 		},
