Origins of streams outlive losses one after another

Causes, from the nodes' lines: - a node that knows no other yet (a fleet's first half second) tells nobody, and is lost:, node-5 knew node-2 0.5 s after its start; - a keeper that starts again has lost its copies, and nobody tells it:, a stream begun 0.06 s before its zone was lost, its keepers in the other zones lost 2 s later, resumed 3 s later; - many nodes lost at once are all passed over for 2 s, also those that are back:, by reading the kills beside the nodes' lines.

Change: origins with too few keepers are told again for 10 s; a node that has started gets the origins of the last 20 s that it would keep; a record that a node does not take is offered to three others; suspicion lasts 0.5 s, a restart 0.3 s.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -270,9 +270,13 @@
 	if member.Name == node.settings.Name {
 		return node.registration.observe(member)
 	}
+	known, _ := node.members.get(member.Name)
 	if !node.members.put(member) {
 		return false
 	}
+	if member.Incarnation != known.Incarnation {
+		go node.origins.refill(member)
+	}
 	node.logger.Info("node added or updated", zap.String("node", member.Name), zap.String("address", member.Address),
 		zap.String("incarnation", member.Incarnation), zap.Bool("leaving", member.Draining))
 	return true
--- a/internal/node/loss_sharing_test.go
+++ b/internal/node/loss_sharing_test.go
@@ -63,6 +63,7 @@
 	node.memberView = newRecordView("nodes", logger.Logger, func(durable.KeyedRecord) bool { return false })
 	node.memberView.merge(durable.Update{EndOffset: 1}, time.Now())
 	node.quarantine = newRequestQuarantine(node)
+	node.origins = newStreamOrigins(node)
 	fleet.network.mutex.Lock()
 	fleet.network.nodes[name] = nodev1.NewNodeServer(&peerServer{node: node})
 	fleet.network.mutex.Unlock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -340,6 +340,9 @@
 	if feature.Enabled(feature.RequestQuarantine) {
 		go node.quarantine.sharing.run(runContext)
 	}
+	if feature.Enabled(feature.StreamVersions) {
+		go node.origins.run(runContext)
+	}
 	go node.runHousekeeping(runContext)
 	for {
 		select {
--- a/internal/node/stream_origins.go
+++ b/internal/node/stream_origins.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
 	"github.com/magpielug/magpielug/internal/feature"
 	"github.com/magpielug/magpielug/internal/logging"
 	"github.com/magpielug/magpielug/internal/streamversion"
+	"github.com/magpielug/magpielug/internal/wait"
 	"go.uber.org/zap"
 )
 
@@ -16,11 +18,24 @@
 	// keepOriginsTimeout bounds a message with origins. A node that does not take it in time is passed
 	// over for originPeerSuspicion, and another one of its zone keeps the origins.
 	keepOriginsTimeout  = 200 * time.Millisecond
-	originPeerSuspicion = 2 * time.Second
+	originPeerSuspicion = 500 * time.Millisecond
+	// maxRedirects bounds how many nodes are tried in place of one, where many do not respond at once.
+	maxRedirects = 3
 	// findOriginTimeout bounds a search. secondRoundDelay is when the further nodes are asked, unless
 	// all of the first round have answered before.
 	findOriginTimeout = 300 * time.Millisecond
 	secondRoundDelay  = 40 * time.Millisecond
+	// memberPollDelay is the delay between checks whether the other nodes are known.
+	memberPollDelay = 10 * time.Millisecond
+	// A node that knows too few nodes that can keep an origin, as in a fleet's first seconds or while many
+	// are lost, looks for more of them each incompleteInterval, for incompleteAge, for at most
+	// maxIncomplete origins.
+	incompleteInterval = 200 * time.Millisecond
+	incompleteAge      = 10 * time.Second
+	maxIncomplete      = 4096
+	// refillAge is the age up to which origins are sent to a node that has started: callers resume their
+	// streams within their deadline, of some seconds.
+	refillAge = 20 * time.Second
 	// maxOriginsPerMessage bounds a message, to some 200 KB.
 	maxOriginsPerMessage = 2048
 )
@@ -32,12 +47,24 @@
 	table    *streamversion.Table
 	suspects *suspects
 	toNodes  *outboxes[keptOrigin]
+
+	// mutex guards incomplete, the origins kept by too few nodes, oldest first.
+	mutex      sync.Mutex
+	incomplete []incompleteOrigin
+}
+
+// incompleteOrigin is a record that fewer than streamversion.Copies nodes keep.
+type incompleteOrigin struct {
+	streamversion.Record
+	since time.Time
+	// keepers are the nodes that were told.
+	keepers []string
 }
 
-// keptOrigin is a record on its way to a node. redirected is true if another node did not take it.
+// keptOrigin is a record on its way to a node. redirects is how many nodes did not take it.
 type keptOrigin struct {
 	streamversion.Record
-	redirected bool
+	redirects int
 }
 
 func newStreamOrigins(node *Node) *streamOrigins {
@@ -48,10 +75,50 @@
 
 // Began implements forward.StreamOrigins.
 func (origins *streamOrigins) Began(record streamversion.Record) {
-	origins.table.Put(record, time.Now())
+	now := time.Now()
+	origins.table.Put(record, now)
+	origins.tellKeepers(incompleteOrigin{Record: record, since: now})
+}
+
+// tellKeepers tells the keepers of a record that were not told before. If there are too few of them, it
+// is done again once there may be others.
+func (origins *streamOrigins) tellKeepers(record incompleteOrigin) {
 	settings := origins.node.settings
-	for _, keeper := range streamversion.Keepers(record.Key, origins.candidates(), settings.Name, settings.Zone) {
-		origins.toNodes.to(keeper).add([]keptOrigin{{Record: record}}, 0)
+	keepers := streamversion.Keepers(record.Key, origins.candidates(), settings.Name, settings.Zone)
+	for _, keeper := range keepers {
+		if !slices.Contains(record.keepers, keeper) {
+			origins.toNodes.to(keeper).add([]keptOrigin{{Record: record.Record}}, 0)
+		}
+	}
+	if len(keepers) >= streamversion.Copies {
+		return
+	}
+	record.keepers = keepers
+	origins.mutex.Lock()
+	defer origins.mutex.Unlock()
+	if len(origins.incomplete) < maxIncomplete {
+		origins.incomplete = append(origins.incomplete, record)
+	}
+}
+
+// run looks for further keepers of incomplete origins until ctx ends.
+func (origins *streamOrigins) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait.Sleep(ctx, incompleteInterval)
+		origins.retryIncomplete(time.Now())
+	}
+}
+
+// retryIncomplete tells the keepers of incomplete origins that this node knows by now.
+func (origins *streamOrigins) retryIncomplete(now time.Time) {
+	origins.mutex.Lock()
+	incomplete := origins.incomplete
+	origins.incomplete = nil
+	origins.mutex.Unlock()
+	for _, record := range incomplete {
+		if now.Sub(record.since) < incompleteAge {
+			origins.tellKeepers(record)
+		}
 	}
 }
 
@@ -85,12 +152,31 @@
 	origins.suspects.add(name, time.Now().Add(originPeerSuspicion))
 	origins.node.logger.Info("stream origins not kept", zap.String("node", name), zap.Int("streams", len(records)), logging.ErrorField(err))
 	for _, record := range records {
-		if !record.redirected {
+		if record.redirects < maxRedirects {
 			origins.redirect(record, name)
 		}
 	}
 }
 
+// refill sends recent origins to a node that has started, and of whose memory nothing is left. Otherwise
+// nodes that are lost and start again one after another would take all copies of an origin.
+func (origins *streamOrigins) refill(member Member) {
+	if !feature.Enabled(feature.StreamVersions) || member.Draining {
+		return
+	}
+	nodes := origins.candidates()
+	started := streamversion.Node{Name: member.Name, Zone: member.Zone}
+	var records []keptOrigin
+	for _, record := range origins.table.PutSince(time.Now().Add(-refillAge)) {
+		if streamversion.IsFirstOfZone(record.Key, started, nodes) {
+			records = append(records, keptOrigin{Record: record, redirects: maxRedirects})
+		}
+	}
+	if len(records) > 0 {
+		origins.toNodes.to(member.Name).add(records, 0)
+	}
+}
+
 func (origins *streamOrigins) send(name string, message *nodev1.KeepStreamOriginsRequest) error {
 	client, err := origins.node.peers.client(name)
 	if err != nil {
@@ -106,7 +192,7 @@
 // already are not changed by it.
 func (origins *streamOrigins) redirect(record keptOrigin, failed string) {
 	settings := origins.node.settings
-	record.redirected = true
+	record.redirects++
 	for _, keeper := range streamversion.Keepers(record.Key, origins.candidates(), settings.Name, settings.Zone) {
 		if keeper != failed {
 			origins.toNodes.to(keeper).add([]keptOrigin{record}, 0)
@@ -122,6 +208,7 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, findOriginTimeout)
 	defer cancel()
+	origins.awaitMembers(bounded)
 	names, firstRound := streamversion.Searched(key, origins.candidates(), origins.node.settings.Name)
 	origin, known = origins.search(bounded, key, names, firstRound)
 	if known {
@@ -130,6 +217,13 @@
 	return origin, known
 }
 
+// awaitMembers waits until a newly started node has read the other nodes' records, or ctx ends.
+func (origins *streamOrigins) awaitMembers(ctx context.Context) {
+	for !origins.node.memberView.loaded() && ctx.Err() == nil {
+		wait.Sleep(ctx, memberPollDelay)
+	}
+}
+
 // search asks nodes in two rounds and returns the first origin that one of them knows.
 func (origins *streamOrigins) search(ctx context.Context, key streamversion.Key, names []string, firstRound int) (streamversion.Origin, bool) {
 	answers := make(chan *streamversion.Origin, len(names))
--- a/internal/streamversion/keepers.go
+++ b/internal/streamversion/keepers.go
@@ -36,7 +36,7 @@
 func rank(key Key, nodes []Node) []ranked {
 	order := make([]ranked, len(nodes))
 	for index, node := range nodes {
-		order[index] = ranked{Node: node, score: xxhash.Sum64String(string(key[:]) + node.Name)}
+		order[index] = ranked{Node: node, score: score(key, node.Name)}
 	}
 	slices.SortFunc(order, func(left, right ranked) int { return cmp.Compare(right.score, left.score) })
 	rounds := map[string]int{}
@@ -77,6 +77,17 @@
 	return chosen
 }
 
+// IsFirstOfZone reports whether a node is the first one of its zone to be asked for an origin.
+func IsFirstOfZone(key Key, node Node, nodes []Node) bool {
+	own := score(key, node.Name)
+	return !slices.ContainsFunc(nodes, func(other Node) bool {
+		return other.Zone == node.Zone && other.Name != node.Name && score(key, other.Name) > own
+	})
+}
+
+// score returns the rank of a node for a key; the highest comes first.
+func score(key Key, name string) uint64 { return xxhash.Sum64String(string(key[:]) + name) }
+
 // Searched returns the nodes to ask for the origin of a stream, those most likely to keep it first,
 // and how many belong to the first round. It depends on the key only, not on the node that began the
 // stream.
--- a/internal/streamversion/table.go
+++ b/internal/streamversion/table.go
@@ -17,19 +17,25 @@
 type Table struct {
 	mutex sync.Mutex
 	// current receives new records, previous is the generation before it.
-	current, previous map[Key]*Origin
+	current, previous map[Key]entry
 	currentSince      time.Time
 	// origins holds one copy of each origin that records refer to.
 	origins map[Origin]*Origin
 }
 
+// entry is a stream's origin and when it was last put.
+type entry struct {
+	origin *Origin
+	putAt  time.Time
+}
+
 // conflicting is the origin of a stream that was recorded with different origins. It is unknown then
 // where the stream began.
 var conflicting = &Origin{}
 
 // NewTable returns an empty table.
 func NewTable(now time.Time) *Table {
-	return &Table{current: map[Key]*Origin{}, previous: map[Key]*Origin{}, currentSince: now, origins: map[Origin]*Origin{}}
+	return &Table{current: map[Key]entry{}, previous: map[Key]entry{}, currentSince: now, origins: map[Origin]*Origin{}}
 }
 
 // Put records the origin of a stream. A stream that is put with different origins, as when a caller
@@ -43,7 +49,22 @@
 	if known != nil && known != origin {
 		origin = conflicting
 	}
-	table.current[record.Key] = origin
+	table.current[record.Key] = entry{origin: origin, putAt: now}
+}
+
+// PutSince returns the records that were put after a time.
+func (table *Table) PutSince(since time.Time) []Record {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	var records []Record
+	for _, generation := range []map[Key]entry{table.current, table.previous} {
+		for key, found := range generation {
+			if found.putAt.After(since) && found.origin != conflicting {
+				records = append(records, Record{Key: key, Origin: *found.origin})
+			}
+		}
+	}
+	return records
 }
 
 // Find returns the origin of a stream, false if it is not known.
@@ -66,10 +87,10 @@
 }
 
 func (table *Table) find(key Key) *Origin {
-	if origin := table.current[key]; origin != nil {
-		return origin
+	if found, known := table.current[key]; known {
+		return found.origin
 	}
-	return table.previous[key]
+	return table.previous[key].origin
 }
 
 // rotate starts a new generation if the current one is full or old.
@@ -80,9 +101,9 @@
 	}
 	table.previous = table.current
 	if age >= 2*GenerationAge {
-		table.previous = map[Key]*Origin{}
+		table.previous = map[Key]entry{}
 	}
-	table.current = map[Key]*Origin{}
+	table.current = map[Key]entry{}
 	table.currentSince = now
 	table.removeUnusedOrigins()
 }
@@ -90,9 +111,9 @@
 // removeUnusedOrigins keeps only the origins that records refer to.
 func (table *Table) removeUnusedOrigins() {
 	used := map[Origin]*Origin{}
-	for _, origin := range table.previous {
-		if origin != conflicting {
-			used[*origin] = origin
+	for _, found := range table.previous {
+		if found.origin != conflicting {
+			used[*found.origin] = found.origin
 		}
 	}
 	table.origins = used
