Origins are asked of suspected and draining nodes too

A caller got 2018 where the only node left that kept its stream's origin had not responded once in the last half second, or was being stopped as planned: the search left out what was suspected or draining, as the choice of keepers does. Found by reading; the test (TestSuspectedAndDrainingKeepersAreAsked) fails with the search of before. They are asked in the second round, so that an ordinary search costs the same.

--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -110,6 +110,19 @@
 	return list
 }
 
+// allPeers returns all nodes except the named one, draining ones included.
+func (members *members) allPeers(name string) []Member {
+	members.mutex.RLock()
+	defer members.mutex.RUnlock()
+	list := make([]Member, 0, len(members.byName))
+	for _, member := range members.byName {
+		if member.Name != name {
+			list = append(list, member)
+		}
+	}
+	return list
+}
+
 // inZone returns all nodes of a zone, draining ones included.
 func (members *members) inZone(zone string) []Member {
 	members.mutex.RLock()
--- a/internal/node/stream_origins.go
+++ b/internal/node/stream_origins.go
@@ -122,22 +122,41 @@
 	}
 }
 
-// candidates returns the nodes that may keep origins: those of this node's region that are not
-// suspected, this node included.
+// candidates returns the nodes that may keep origins: those that are not suspected.
 func (origins *streamOrigins) candidates() []streamversion.Node {
-	settings := origins.node.settings
 	now := time.Now()
-	members := append(origins.node.members.activePeers(settings.Name), origins.node.self())
-	nodes := make([]streamversion.Node, 0, len(members))
-	for _, member := range members {
-		sameRegion := settings.Regions[member.Zone] == settings.Regions[settings.Zone]
-		if sameRegion && !origins.suspects.contains(member.Name, now) {
+	members := slices.DeleteFunc(origins.node.members.activePeers(origins.node.settings.Name), func(member Member) bool {
+		return origins.suspects.contains(member.Name, now)
+	})
+	return origins.inRegion(members)
+}
+
+// inRegion returns the nodes of this node's region, this node included.
+func (origins *streamOrigins) inRegion(peers []Member) []streamversion.Node {
+	settings := origins.node.settings
+	nodes := []streamversion.Node{{Name: settings.Name, Zone: settings.Zone}}
+	for _, member := range peers {
+		if settings.Regions[member.Zone] == settings.Regions[settings.Zone] {
 			nodes = append(nodes, streamversion.Node{Name: member.Name, Zone: member.Zone})
 		}
 	}
 	return nodes
 }
 
+// searched returns the nodes to ask for an origin, and how many belong to the first round. Nodes that
+// are suspected or draining are asked in the second one: what they kept before is still theirs.
+func (origins *streamOrigins) searched(key streamversion.Key) (names []string, firstRound int) {
+	self := origins.node.settings.Name
+	names, firstRound = streamversion.Searched(key, origins.candidates(), self)
+	others, _ := streamversion.Searched(key, origins.inRegion(origins.node.members.allPeers(self)), self)
+	for _, name := range others {
+		if !slices.Contains(names, name) {
+			names = append(names, name)
+		}
+	}
+	return names, firstRound
+}
+
 // deliver sends records to a node. If it does not take them, other nodes get them in its place.
 func (origins *streamOrigins) deliver(name string, records []keptOrigin) {
 	message := &nodev1.KeepStreamOriginsRequest{Origins: make([]*nodev1.StreamOrigin, len(records))}
@@ -209,7 +228,7 @@
 	bounded, cancel := context.WithTimeout(ctx, findOriginTimeout)
 	defer cancel()
 	origins.awaitMembers(bounded)
-	names, firstRound := streamversion.Searched(key, origins.candidates(), origins.node.settings.Name)
+	names, firstRound := origins.searched(key)
 	origin, known = origins.search(bounded, key, names, firstRound)
 	if known {
 		origins.table.Put(streamversion.Record{Key: key, Origin: origin}, time.Now())
--- a/internal/node/stream_origins_test.go
+++ b/internal/node/stream_origins_test.go
@@ -152,3 +152,23 @@
 		NewWithT(t).Expect(found).To(Equal(streams))
 	})
 }
+
+// Guards against an origin being out of reach because its only keeper did not respond once, or leaves.
+func TestSuspectedAndDrainingKeepersAreAsked(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		fleet := newLossFleet(t, 12, 3)
+		fleet.nodes[5].origins.table.Put(streamversion.Record{Key: streamKey(0), Origin: firstVersion}, time.Now())
+		for number, node := range fleet.nodes {
+			if number%3 == 2 && number != 5 {
+				fleet.freeze(node.settings.Name)
+			}
+		}
+		searching := fleet.nodes[0]
+		searching.origins.suspects.add("node-5", time.Now().Add(originPeerSuspicion))
+		NewWithT(t).Expect(finds(searching, 0)).To(BeTrue())
+		leaving := fleet.nodes[5].self()
+		leaving.Draining = true
+		fleet.nodes[1].members.put(leaving)
+		NewWithT(t).Expect(finds(fleet.nodes[1], 0)).To(BeTrue())
+	})
+}
