--- a/internal/backend/pick.go
+++ b/internal/backend/pick.go
@@ -123,9 +123,9 @@
 	}
 	sets := [][]Filter{{untried{}, notFull{}, coldLimit, healthy, withinLimit{}, capacity}, {untried{}, notFull{}, coldLimit, withinLimit{}, capacity}}
 	if localRunning(candidates) == 0 || request.Version != nil {
-		// A resumed stream has few engines to choose from, and none of the work that it has
-		// received is lost at them. An idle node may send a request even if the view shows no free capacity, as the view
-		// may be wrong. Over all nodes this adds about one request per engine.
+		// An idle node may send a request even if the view shows no free capacity, as the view may be
+		// wrong. Over all nodes this adds about one request per engine. A resumed stream has only the
+		// engines of its version to choose from, and leaves it to them to refuse it.
 		sets = append(sets, []Filter{untried{}, notFull{}, coldLimit, healthy, withinLimit{}})
 	}
 	return sets
