--- a/rehearsal/soak/caller.go
+++ b/rehearsal/soak/caller.go
@@ -218,6 +218,7 @@
 func (caller *caller) sendTo(ctx context.Context, target *node, attempt *callAttempt, body string, header http.Header) {
 	attempt.id = fmt.Sprintf("request-%d", caller.requestNumber.Add(1))
 	attempt.sentAt = time.Now()
+	attempt.node = target.name
 	caller.recorder.recordStart(attempt)
 	defer caller.recorder.recordEnd(attempt)
 	attemptCtx, cancel := context.WithTimeout(ctx, attemptDeadline)
--- a/rehearsal/soak/crash_faults.go
+++ b/rehearsal/soak/crash_faults.go
@@ -90,17 +90,23 @@
 	return fmt.Sprintf("%s at %s, statuses %v", name, target, statuses)
 }
 
-// nodeOutage is a time in which a node, or all nodes, did not run.
+// nodeOutage is a time in which nodes did not run, or were being stopped.
 type nodeOutage struct {
 	from, until time.Time
-	all         bool
+	nodes       []string
+	// all is true if these are all nodes.
+	all bool
 }
 
-// recordOutage records an outage that ends now.
-func (injector *injector) recordOutage(from time.Time, all bool) {
+// recordOutage records an outage of nodes that ends now.
+func (injector *injector) recordOutage(from time.Time, nodes ...*node) {
+	outage := nodeOutage{from: from, until: time.Now(), all: len(nodes) == len(injector.cluster.nodes)}
+	for _, each := range nodes {
+		outage.nodes = append(outage.nodes, each.name)
+	}
 	injector.mutex.Lock()
 	defer injector.mutex.Unlock()
-	injector.outages = append(injector.outages, nodeOutage{from: from, until: time.Now(), all: all})
+	injector.outages = append(injector.outages, outage)
 }
 
 // nodeOutages returns all outages that have ended.
--- a/rehearsal/soak/faults.go
+++ b/rehearsal/soak/faults.go
@@ -136,7 +136,7 @@
 		return ""
 	}
 	defer injector.release(target.name)
-	defer injector.recordOutage(time.Now(), false)
+	defer injector.recordOutage(time.Now(), target)
 	target.stop(syscall.SIGKILL, time.Second)
 	wait.Sleep(ctx, outage)
 	_ = target.start()
@@ -153,7 +153,7 @@
 		return ""
 	}
 	defer injector.release(names...)
-	defer injector.recordOutage(time.Now(), true)
+	defer injector.recordOutage(time.Now(), injector.cluster.nodes...)
 	var killing sync.WaitGroup
 	for _, target := range injector.cluster.nodes {
 		killing.Go(func() { target.stop(syscall.SIGKILL, time.Second) })
@@ -173,7 +173,7 @@
 		return ""
 	}
 	defer injector.release(target.name)
-	defer injector.recordOutage(time.Now(), false)
+	defer injector.recordOutage(time.Now(), target)
 	target.freeze()
 	wait.Sleep(ctx, duration)
 	target.resume()
@@ -186,7 +186,7 @@
 		return ""
 	}
 	defer injector.release(target.name)
-	defer injector.recordOutage(time.Now(), false)
+	defer injector.recordOutage(time.Now(), target)
 	target.stop(syscall.SIGTERM, shutdownTimeout)
 	_ = target.start()
 	return target.name
--- a/rehearsal/soak/recorder.go
+++ b/rehearsal/soak/recorder.go
@@ -37,6 +37,9 @@
 	probe bool
 	// crash names the request that ends engines which this is an attempt of, empty for others.
 	crash string
+	// node received the attempt, which ended at endedAt; zero while it is under way.
+	node    string
+	endedAt time.Time
 	// streamAttempt is set if the attempt begins or resumes a resumable stream.
 	streamAttempt *streamAttempt
 	// status is 0 if no response was received. complete is false if the response was
@@ -107,6 +110,7 @@
 func (recorder *recorder) recordEnd(attempt *callAttempt) {
 	recorder.mutex.Lock()
 	defer recorder.mutex.Unlock()
+	attempt.endedAt = time.Now()
 	recorder.statuses[attempt.status]++
 	if attempt.status != http.StatusOK && !attempt.probe {
 		recorder.failedAttempts[failureCause(attempt)]++
