Soak: two resumptions at once draw from random sources of their own

The callers of a stream lane shared a random source between concurrent attempts, found by reading. rehearsal/soak under the race detector: green.

--- a/rehearsal/soak/stream_faults.go
+++ b/rehearsal/soak/stream_faults.go
@@ -104,10 +104,13 @@
 func (caller *caller) runResumableStream(ctx context.Context, stream *resumableStream, random *rand.Rand) {
 	for number := 0; number < maxStreamAttempts && ctx.Err() == nil; number++ {
 		var attempts sync.WaitGroup
-		attempts.Go(func() { caller.attemptStream(ctx, stream, random) })
+		atOnce := 1
 		if stream.firstAttempt != "" && random.IntN(duplicateInterval) == 0 {
-			twin := rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))
-			attempts.Go(func() { caller.attemptStream(ctx, stream, twin) })
+			atOnce = 2
+		}
+		for range atOnce {
+			own := rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))
+			attempts.Go(func() { caller.attemptStream(ctx, stream, own) })
 		}
 		attempts.Wait()
 		if stream.complete {
