--- a/internal/node/stream_origins_test.go
+++ b/internal/node/stream_origins_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/magpielug/magpielug/internal/streamversion"
@@ -88,6 +89,7 @@
 		}
 		time.Sleep(100 * time.Millisecond)
 		for _, restarted := range fleet.nodes {
+			synctest.Wait()
 			restarted.origins.table = streamversion.NewTable(time.Now())
 			for _, other := range fleet.nodes {
 				if other != restarted {
