--- a/review/standin/crash.go
+++ b/review/standin/crash.go
@@ -105,21 +105,23 @@
 	return total
 }
 
-// keepCalling sends one call after another to a node on one connection.
+// keepCalling sends one call after another on one connection, to a node for as long as that takes
+// connections, otherwise to any other that is ready.
 func (run *run) keepCalling(ctx context.Context, node *nodeProcess, cut *cutCounter) {
 	for ctx.Err() == nil {
 		socket, err := net.Dial("tcp", node.caller)
-		if err != nil {
-			pause(ctx, 200*time.Millisecond)
-			continue
+		if err == nil {
+			run.callOn(ctx, node, socket, cut)
+			_ = socket.Close()
 		}
-		run.callOn(ctx, node, socket, cut)
-		_ = socket.Close()
 		pause(ctx, 50*time.Millisecond)
+		if !node.ready() {
+			node = run.client.anyNode()
+		}
 	}
 }
 
-// callOn sends calls on a connection until one gets no answer. The connection is a kept one once it has
+// callOn sends calls on a connection until one gets no answer or the node announces its end. The connection is a kept one once it has
 // carried an answer.
 func (run *run) callOn(ctx context.Context, node *nodeProcess, socket net.Conn, cut *cutCounter) {
 	reader := bufio.NewReader(socket)
@@ -142,5 +144,8 @@
 			}
 			return
 		}
+		if response.Close {
+			return
+		}
 	}
 }
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -63,8 +63,10 @@
 	logPath      string
 	caller       string
 	readiness    string
-	command      *exec.Cmd
-	exited       chan struct{}
+	// store is the node's address of the store, with faults of its own.
+	store   *logstore.Store
+	command *exec.Cmd
+	exited  chan struct{}
 	// ends counts how often the process has ended by itself.
 	ends int
 }
@@ -124,6 +126,11 @@
 	if err != nil {
 		return err
 	}
+	endpoint, err := deployment.store.StartEndpoint(loopback)
+	if err != nil {
+		return err
+	}
+	endpoint.SetFaults(logstore.Faults{Delay: appendDelay})
 	settings := nodesettings.Settings{
 		Name:          fmt.Sprintf("node-%d", number+1),
 		Zone:          zoneName(number),
@@ -131,7 +138,7 @@
 		ReadinessPort: ports[1],
 		PeerPort:      ports[2],
 		MetricsPort:   ports[3],
-		StoreAddress:  deployment.store.Address(),
+		StoreAddress:  endpoint.Address(),
 		Partitions:    partitions,
 		DrainSeconds:  graceSeconds,
 	}
@@ -151,6 +158,7 @@
 	}
 	deployment.nodes = append(deployment.nodes, &nodeProcess{
 		name:         settings.Name,
+		store:        endpoint,
 		settingsPath: path,
 		logPath:      filepath.Join(deployment.directory, settings.Name+".log"),
 		caller:       nodesettings.Address(settings.CallerPort),
@@ -262,6 +270,7 @@
 func (deployment *deployment) close() {
 	for _, node := range deployment.nodes {
 		node.kill()
+		node.store.Close()
 	}
 	for _, engine := range deployment.engines {
 		engine.Close()
--- a/review/standin/expiry.go
+++ b/review/standin/expiry.go
@@ -18,8 +18,6 @@
 	darkTime = 3 * time.Second
 	// contactTime is the users' ContactMs, after which a restarted node counts as in touch.
 	contactTime = 3 * time.Second
-	// expiryJudgedTime is how long the conversations try to go on after that.
-	expiryJudgedTime = 5 * time.Second
 )
 
 // runExpiry freezes one node early in some conversations, kills another one more than a minute later,
@@ -82,9 +80,9 @@
 	})
 }
 
-// judgeContinuation sends the next turn of each conversation until it is served or the time is over.
+// judgeContinuation sends the next turn of each conversation until it is served or the program's aim is
+// over, and counts the tries before the aim.
 func (run *run) judgeContinuation(ctx context.Context, programs []*program) bool {
-	until := time.Now().Add(expiryJudgedTime)
 	tries := make([]int, len(programs))
 	served := make([]bool, len(programs))
 	fresh := newConversations("fresh", chainPrograms)
@@ -96,10 +94,14 @@
 			freshServed[program.index(fresh)] = last.served()
 			return
 		}
-		for !served[position] && time.Now().Before(until) && ctx.Err() == nil {
+		for !served[position] && time.Now().Before(program.aim) && ctx.Err() == nil {
 			last, all := run.client.turn(ctx, program, "next input of "+program.name+";")
-			tries[position] += len(all)
 			served[position] = last.served()
+			for _, answer := range all {
+				if answer.sentAt.Before(program.aim) {
+					tries[position]++
+				}
+			}
 		}
 	})
 	lost, first := 0, 0
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -40,6 +40,7 @@
 	"expect":  runExpect,
 	"crash":   runCrash,
 	"surplus": runSurplus,
+	"stop":    runStop,
 }
 
 func main() { os.Exit(execute()) }
