--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -19,7 +19,7 @@
 const (
 	attemptDeadline = 4 * time.Second
 	// programAim is the time that a program has, from its first turn on.
-	programAim = 100 * time.Second
+	programAim = 97 * time.Second
 	// attemptsPerSend and sendsPerTurn are a client's tries of one turn: one retry, and the turn sent
 	// anew twice.
 	attemptsPerSend = 2
--- a/review/standin/expiry.go
+++ b/review/standin/expiry.go
@@ -56,7 +56,9 @@
 		run.record.note("%s is killed", nodes[1].name)
 		nodes[1].kill()
 		back := time.After(darkTime)
-		run.forEach(programs, func(program *program) { run.client.turn(ctx, program, "next input of "+program.name+";") })
+		run.forEach(programs, func(program *program) {
+			run.client.attemptTurn(ctx, program, "next input of "+program.name+";", true)
+		})
 		<-back
 		if err := run.deployment.start(nodes[1]); err != nil {
 			return false, err
