History: a turn that was read and dropped is read again from where the log has it

Callers saw conversations that never go on (503, 'turn ... of the chain is missing') though their last turn was answered whole 20 s before, and 404 for a turn that later turns keep.

Cause: Reader.catchUp takes every record before its cursor for held; Expire and eviction drop turns all the same.

Fix: the store keeps the location of each dropped turn in a bounded index, so a missing link is one read of one record and an unknown id none.

--- a/internal/durable/durable.go
+++ b/internal/durable/durable.go
@@ -79,6 +79,9 @@
 	// Read returns the records from an offset on. If there are none, it waits
 	// for one for at most wait.
 	Read(ctx context.Context, partition Partition, from int64, wait time.Duration) (Batch, error)
+	// ReadRecord returns the record at an offset, whose size in bytes is known. It is nil if the
+	// partition has no such record, and the error a TrimmedError if it has been trimmed.
+	ReadRecord(ctx context.Context, partition Partition, offset int64, size int) ([]byte, error)
 	// Latest returns the latest record of each key of a keyed topic.
 	Latest(ctx context.Context, topic string) (Snapshot, error)
 }
--- a/internal/durable/hedged_reads.go
+++ b/internal/durable/hedged_reads.go
@@ -33,6 +33,16 @@
 	})
 }
 
+// ReadRecord implements Log.
+func (hedged *HedgedReads) ReadRecord(ctx context.Context, partition Partition, offset int64, size int) ([]byte, error) {
+	if !feature.Enabled(feature.HedgedReads) {
+		return hedged.Log.ReadRecord(ctx, partition, offset, size)
+	}
+	return hedgeRead(ctx, func(ctx context.Context) ([]byte, error) {
+		return hedged.Log.ReadRecord(ctx, partition, offset, size)
+	})
+}
+
 // Latest implements Log.
 func (hedged *HedgedReads) Latest(ctx context.Context, topic string) (Snapshot, error) {
 	if !feature.Enabled(feature.HedgedReads) {
--- a/internal/durable/instrumented.go
+++ b/internal/durable/instrumented.go
@@ -38,6 +38,14 @@
 	return batch, err
 }
 
+// ReadRecord implements Log. It counts as a read.
+func (instrumented *Instrumented) ReadRecord(ctx context.Context, partition Partition, offset int64, size int) ([]byte, error) {
+	start := time.Now()
+	record, err := instrumented.Log.ReadRecord(ctx, partition, offset, size)
+	instrumented.Observe(OperationRead, partition.Topic, time.Since(start), err)
+	return record, err
+}
+
 // Latest implements Log.
 func (instrumented *Instrumented) Latest(ctx context.Context, topic string) (Snapshot, error) {
 	start := time.Now()
--- a/internal/durable/memory.go
+++ b/internal/durable/memory.go
@@ -183,6 +183,15 @@
 	return batch, partition.changed, nil
 }
 
+// ReadRecord implements Log.
+func (log *Memory) ReadRecord(ctx context.Context, name Partition, offset int64, _ int) ([]byte, error) {
+	batch, err := log.Read(ctx, name, offset, 0)
+	if err != nil || len(batch.Records) == 0 {
+		return nil, err
+	}
+	return batch.Records[0], nil
+}
+
 // Latest implements Log.
 func (log *Memory) Latest(_ context.Context, topic string) (Snapshot, error) {
 	name := Partition{Topic: topic}
--- a/internal/durable/read_test.go
+++ b/internal/durable/read_test.go
@@ -22,19 +22,19 @@
 		}
 		log.Trim(partition, 1)
 		var read []string
-		apply := func(record []byte) { read = append(read, string(record)) }
-		next, err := durable.ReadToEnd(ctx, log, partition, 0, apply)
+		apply := func(_ int64, record []byte) { read = append(read, string(record)) }
+		next, err := durable.ReadToEnd(ctx, log, partition, durable.ReadProgress{}, apply)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(read).To(Equal([]string{"b", "c"}))
 		appendRecord("d")
 		next, err = durable.ReadToEnd(ctx, log, partition, next, apply)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(next).To(BeEquivalentTo(4))
+		Expect(next.NextOffset).To(BeEquivalentTo(4))
 		Expect(read).To(Equal([]string{"b", "c", "d"}))
 	})
 
 	It("fails if the partition ends before the read offset", func() {
-		_, err := durable.ReadToEnd(ctx, durable.NewMemory(), partition, 5, func([]byte) {})
+		_, err := durable.ReadToEnd(ctx, durable.NewMemory(), partition, durable.ReadProgress{NextOffset: 5}, func(int64, []byte) {})
 		Expect(err).To(HaveOccurred())
 	})
 })
--- a/internal/feature/feature.go
+++ b/internal/feature/feature.go
@@ -86,6 +86,8 @@
 	RequestQuarantine Feature = "request-quarantine"
 	// StreamVersions: a stream is resumed only at engines of the software version that began it.
 	StreamVersions Feature = "stream-versions"
+	// RereadTurns: a turn that was read from the log and dropped from memory is read again.
+	RereadTurns Feature = "reread-turns"
 )
 
 // All lists every feature.
@@ -94,6 +96,7 @@
 	QueueOrder, LongerToolWait, SafeRepeats, RemoteRecording, GroupCommit, OwnershipHandover, OwnershipByCapacity, ClaimRefusal, Isolation,
 	EnginePriority, LogGate, Egress, StaggeredRetries, ProgramsFirst,
 	LoadSharing, LoadBasedCapacity, RetryBudget, Admission, TenantShares, MemoryAdmission, EngineBreaker, SpeedWeighting, ResponseBufferLimit, ZoneReachability, RequestQuarantine, StreamVersions,
+	RereadTurns,
 }
 
 // disabled holds the disabled features, nil before Disable is called.
--- a/internal/history/history.go
+++ b/internal/history/history.go
@@ -28,6 +28,9 @@
 	EndedAt time.Time
 	// Retention is how long after Ended the turn and its chain must be kept.
 	Retention time.Duration
+	// RecordedAt is when the turn was recorded again, as it was about to leave the log; zero if
+	// EndedAt is when it was last recorded.
+	RecordedAt time.Time
 	// Zones are those whose nodes may fetch the turn from the node that served it. It is
 	// not recorded in the log.
 	Zones region.ZoneSet
@@ -47,6 +50,14 @@
 // by a tenant.
 func (turn *Turn) previousKey(tenant string) Key { return Key{Tenant: tenant, ID: turn.PreviousID} }
 
+// lastRecorded returns when the turn was last known to be recorded.
+func (turn *Turn) lastRecorded() time.Time {
+	if turn.RecordedAt.After(turn.EndedAt) {
+		return turn.RecordedAt
+	}
+	return turn.EndedAt
+}
+
 // size returns the turn's memory use in bytes.
 func (turn *Turn) size() int {
 	return len(turn.ID) + len(turn.Tenant) + len(turn.Program) + len(turn.PreviousID) + len(turn.Input) + len(turn.Output) + turnOverhead
@@ -62,41 +73,99 @@
 	retentionMargin = 10 * time.Second
 )
 
-// Store is a size-bounded in-memory LRU cache of turns. It is safe for concurrent use.
+// Store is a size-bounded in-memory LRU cache of turns. For the turns that it drops, it keeps where
+// the log has them. It is safe for concurrent use.
 type Store struct {
 	mutex    sync.Mutex
 	turns    map[Key]*list.Element
 	lru      *list.List // of *entry, most recently used first
 	bytes    int
 	maxBytes int
-	evicted  bool
+	dropped  *recordIndex
+	counts   DropCounts
 }
 
-// entry is a turn with the end of its retention.
+// DropCounts counts the turns that a store has dropped.
+type DropCounts struct {
+	// Expired turns were dropped at the end of their retention, Evicted ones for lack of space.
+	Expired, Evicted int
+}
+
+// entry is a turn with the end of its retention and, once it was read from the log, its location
+// there.
 type entry struct {
 	turn      *Turn
 	keepUntil time.Time
+	location  Location
+	located   bool
 }
 
+// indexShare is the share of a store's size for the locations of dropped turns, as a divisor.
+const indexShare = 8
+
 // NewStore returns an empty store of about maxBytes.
 func NewStore(maxBytes int) *Store {
-	return &Store{turns: map[Key]*list.Element{}, lru: list.New(), maxBytes: maxBytes}
+	return &Store{turns: map[Key]*list.Element{}, lru: list.New(), maxBytes: maxBytes, dropped: newRecordIndex(maxBytes / indexShare)}
 }
 
-// Add adds a turn and extends the retention of the chain before it. It does not replace
-// a turn that is already stored.
+// Add adds a turn and extends the retention of the chain before it. A turn that is already stored is
+// replaced only by a copy that was recorded later.
 func (store *Store) Add(turn *Turn) {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
+	store.add(turn)
+}
+
+// AddRecorded is Add for a turn that was read from the log.
+func (store *Store) AddRecorded(turn *Turn, location Location) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.add(turn).setLocation(location)
+}
+
+func (store *Store) add(turn *Turn) *entry {
 	if existing := store.turns[turn.Key()]; existing != nil {
-		return
+		stored := existing.Value.(*entry)
+		if turn.lastRecorded().After(stored.turn.lastRecorded()) {
+			stored.turn = turn
+			stored.keepUntil = latest(stored.keepUntil, turn.keepUntil())
+		}
+		return stored
 	}
-	keepUntil := turn.EndedAt.Add(turn.Retention + retentionMargin)
-	store.turns[turn.Key()] = store.lru.PushFront(&entry{turn: turn, keepUntil: keepUntil})
+	added := &entry{turn: turn, keepUntil: turn.keepUntil()}
+	added.location, added.located = store.dropped.take(turn.Key())
+	store.turns[turn.Key()] = store.lru.PushFront(added)
 	store.bytes += turn.size()
-	store.extendRetention(turn.previousKey(turn.Tenant), keepUntil)
+	store.extendRetention(turn.previousKey(turn.Tenant), added.keepUntil)
+	store.evict()
+	return added
+}
+
+// keepUntil returns when the turn's retention ends unless a later turn of its chain extends it.
+func (turn *Turn) keepUntil() time.Time {
+	return turn.lastRecorded().Add(turn.Retention + retentionMargin)
+}
+
+func latest(left, right time.Time) time.Time {
+	if left.After(right) {
+		return left
+	}
+	return right
+}
+
+// setLocation sets the location, unless a later record of the same partition is known.
+func (stored *entry) setLocation(location Location) {
+	if stored.located && stored.location.Shard == location.Shard && stored.location.Offset > location.Offset {
+		return
+	}
+	stored.location = location
+	stored.located = true
+}
+
+// evict removes the least recently used turns while the store is too large.
+func (store *Store) evict() {
 	for store.bytes > store.maxBytes && store.lru.Len() > 1 {
-		store.evicted = true
+		store.counts.Evicted++
 		store.remove(store.lru.Back())
 	}
 }
@@ -130,6 +199,32 @@
 	removed := store.lru.Remove(element).(*entry)
 	delete(store.turns, removed.turn.Key())
 	store.bytes -= removed.turn.size()
+	if removed.located {
+		store.dropped.add(removed.turn, removed.location)
+	}
+}
+
+// droppedChain returns the locations of the chain that ends with a turn, newest first, back to the
+// first turn that the store has not dropped.
+func (store *Store) droppedChain(key Key) []Location {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	return store.dropped.chain(key)
+}
+
+// observeFirstOffset updates the oldest retained offset of a partition.
+func (store *Store) observeFirstOffset(shard int, offset int64) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.dropped.observeFirstOffset(shard, offset)
+}
+
+// forgetful reports whether a partition may hold turns that were dropped and whose locations were
+// dropped too.
+func (store *Store) forgetful(shard int) bool {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	return store.dropped.forgetful(shard)
 }
 
 // Chain returns the chain that ends with a turn, oldest first. If the chain is not
@@ -164,6 +259,9 @@
 		chain = append(chain, turn)
 		key = turn.previousKey(key.Tenant)
 	}
+	if len(chain) == maxChain {
+		missing = key
+	}
 	slices.Reverse(chain)
 	return chain, missing
 }
@@ -175,18 +273,25 @@
 	for element := store.lru.Back(); element != nil; {
 		previous := element.Prev()
 		if now.After(element.Value.(*entry).keepUntil) {
+			store.counts.Expired++
 			store.remove(element)
 		}
 		element = previous
 	}
 }
 
-// Evicted reports whether a turn has ever been evicted for lack of space. If so, a turn
-// that is not stored may still exist.
-func (store *Store) Evicted() bool {
+// Dropped returns how many turns the store has dropped.
+func (store *Store) Dropped() DropCounts {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	return store.counts
+}
+
+// DroppedLocations returns of how many dropped turns the store knows where the log has them.
+func (store *Store) DroppedLocations() int {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
-	return store.evicted
+	return len(store.dropped.entries)
 }
 
 // Size returns the number of turns stored and their size in bytes.
--- a/internal/history/reader.go
+++ b/internal/history/reader.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/magpielug/magpielug/internal/durable"
+	"github.com/magpielug/magpielug/internal/feature"
 	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
 )
 
 // RemoteLookup queries the node that reads a shard's partition. Its result is that of
@@ -15,7 +19,8 @@
 type RemoteLookup func(ctx context.Context, shard int, key Key) ([]*Turn, error)
 
 // Reader finds turns in the log that are not in this node's store. It reads each
-// partition once from its oldest retained record, then only new records. With
+// partition once from its oldest retained record, then only new records and those of turns
+// that the store has dropped. With
 // SetRemoteLookup, other nodes are queried for the partitions of other shards, so that
 // each node need not read every partition after a restart of all nodes. It is safe for
 // concurrent use.
@@ -30,15 +35,19 @@
 
 // cursor is the read position in a shard's partition.
 type cursor struct {
-	mutex      sync.Mutex
-	nextOffset int64
+	mutex    sync.Mutex
+	progress durable.ReadProgress
 	// lastReadStarted is when the latest successful read to the end began.
 	lastReadStarted time.Time
 }
 
-// maxLookups bounds the lookups for one chain. Each follows the chain to another program
-// or to another partition.
-const maxLookups = 64
+const (
+	// maxLookups bounds the lookups for one chain. Each follows the chain to another program
+	// or to another partition.
+	maxLookups = 64
+	// maxConcurrentRecordReads bounds the concurrent reads of single records for one chain.
+	maxConcurrentRecordReads = 4
+)
 
 // NewReader returns a reader that adds the turns it finds to store and reads all
 // partitions itself.
@@ -60,30 +69,51 @@
 	Found bool
 }
 
+// IncompleteChainError means that a turn's chain leads to a turn that was not found.
+type IncompleteChainError struct {
+	// Turn is the last turn of the chain, Missing the one that was not found.
+	Turn, Missing Key
+}
+
+// Error implements error.
+func (incomplete *IncompleteChainError) Error() string {
+	return fmt.Sprintf("turn %s of the chain is missing", incomplete.Missing.ID)
+}
+
 // Find returns the chain that ends with a turn. It searches the shard's partition first,
-// then all others, as a program may continue another program's turn. An error means that
-// the turn may or may not exist.
+// then all others, as a program may continue another program's turn. The chain may be larger than
+// the store. An error means that the turn may or may not exist.
 func (reader *Reader) Find(ctx context.Context, shard int, key Key) (LookupResult, error) {
+	var chain []*Turn // The newest turns found so far, oldest first.
+	missing := key
 	for range maxLookups {
-		chain, missing, complete := reader.store.Chain(key)
-		if complete {
-			return LookupResult{Chain: chain, Found: true}, nil
-		}
-		found, err := reader.search(ctx, shard, missing)
-		if err != nil {
-			return LookupResult{}, err
-		}
-		if len(found) == 0 && missing == key {
-			return LookupResult{}, nil
+		part := reader.store.PartialChain(missing)
+		if len(part) == 0 {
+			found, err := reader.search(ctx, shard, missing)
+			if err != nil {
+				return LookupResult{}, err
+			}
+			if len(found) == 0 && missing == key {
+				return LookupResult{}, nil
+			}
+			if len(found) == 0 {
+				return LookupResult{}, &IncompleteChainError{Turn: key, Missing: missing}
+			}
+			for _, turn := range found {
+				reader.store.Add(turn)
+			}
+			part = found
 		}
-		if len(found) == 0 {
-			return LookupResult{}, eris.Errorf("turn %s of the chain is missing", missing.ID)
+		chain = append(slices.Clone(part), chain...)
+		missing = chain[0].previousKey(key.Tenant)
+		if missing.ID == "" {
+			return LookupResult{Chain: chain, Found: true}, nil
 		}
-		for _, turn := range found {
-			reader.store.Add(turn)
+		if len(chain) >= maxChain {
+			break
 		}
 	}
-	return LookupResult{}, eris.Errorf("chain of turn %s exceeds the lookup limit", key.ID)
+	return LookupResult{}, eris.Errorf("chain of turn %s exceeds the limits of %d turns and %d lookups", key.ID, maxChain, maxLookups)
 }
 
 // search looks up a turn in the shard's partition, then in all others concurrently.
@@ -124,19 +154,89 @@
 	if len(chain) > 0 {
 		return chain, nil
 	}
-	err := reader.catchUp(ctx, shard)
+	chain, err := reader.readDropped(ctx, key)
+	if len(chain) > 0 || err != nil {
+		return chain, err
+	}
+	err = reader.catchUp(ctx, shard)
 	chain = reader.store.PartialChain(key)
-	switch {
-	case len(chain) > 0:
-		return chain, nil
-	case err != nil:
-		return nil, err
-	case reader.store.Evicted():
+	if len(chain) > 0 || err != nil {
+		return chain, err
+	}
+	chain, err = reader.readDropped(ctx, key) // The turns read last may have displaced it.
+	if len(chain) > 0 || err != nil {
+		return chain, err
+	}
+	if reader.mayHaveLost(shard) {
 		return nil, eris.New("turn not found: turns have been evicted for lack of memory")
 	}
 	return nil, nil
 }
 
+// mayHaveLost reports whether a shard's partition may hold a turn that was read, dropped and can't be
+// located.
+func (reader *Reader) mayHaveLost(shard int) bool {
+	if !feature.Enabled(feature.RereadTurns) {
+		return reader.store.Dropped().Evicted > 0
+	}
+	return reader.store.forgetful(shard)
+}
+
+// readDropped reads the turns of a chain again that the store has dropped, back to the first one that
+// it has not, and returns them oldest first. It returns none if the store has not dropped the chain's
+// last turn, or if the log has dropped it too.
+func (reader *Reader) readDropped(ctx context.Context, key Key) ([]*Turn, error) {
+	if !feature.Enabled(feature.RereadTurns) {
+		return nil, nil
+	}
+	locations := reader.store.droppedChain(key)
+	turns := make([]*Turn, len(locations))
+	reads, ctx := errgroup.WithContext(ctx)
+	reads.SetLimit(maxConcurrentRecordReads)
+	for position, location := range locations {
+		reads.Go(func() error {
+			turn, err := reader.readRecord(ctx, location)
+			turns[position] = turn
+			return err
+		})
+	}
+	err := reads.Wait()
+	if err != nil {
+		return nil, err
+	}
+	return reader.addChain(key, turns, locations), nil
+}
+
+// readRecord reads the turn at a location, nil if the log has dropped it.
+func (reader *Reader) readRecord(ctx context.Context, location Location) (*Turn, error) {
+	record, err := reader.log.ReadRecord(ctx, durable.Partition{Topic: Topic, Number: location.Shard}, location.Offset, location.Size)
+	var trimmed *durable.TrimmedError
+	if errors.As(err, &trimmed) {
+		reader.store.observeFirstOffset(location.Shard, trimmed.FirstOffset)
+		return nil, nil
+	}
+	if err != nil {
+		return nil, eris.Wrap(err, "read a turn again")
+	}
+	return decode(record), nil
+}
+
+// addChain adds turns that were read again, newest first, to the store as far as they form the chain
+// that ends with key, and returns that chain, oldest first.
+func (reader *Reader) addChain(key Key, turns []*Turn, locations []Location) []*Turn {
+	var chain []*Turn
+	for position, turn := range turns {
+		if turn == nil || (turn.Key() != key && turn.Key() != Key{ID: key.ID}) {
+			break
+		}
+		reader.store.AddRecorded(turn, locations[position])
+		chain = append(chain, turn)
+		key = turn.previousKey(key.Tenant)
+	}
+	slices.Reverse(chain)
+	return chain
+}
+
 // catchUp reads the new records of a partition. A read that another goroutine began after
 // the call satisfies it too.
 func (reader *Reader) catchUp(ctx context.Context, shard int) error {
@@ -148,8 +248,12 @@
 		return nil
 	}
 	start := time.Now()
-	next, err := durable.ReadToEnd(ctx, reader.log, durable.Partition{Topic: Topic, Number: shard}, position.nextOffset, reader.addRecord)
-	position.nextOffset = next
+	add := func(offset int64, record []byte) {
+		reader.addRecord(record, Location{Shard: shard, Offset: offset, Size: len(record)})
+	}
+	progress, err := durable.ReadToEnd(ctx, reader.log, durable.Partition{Topic: Topic, Number: shard}, position.progress, add)
+	position.progress = progress
+	reader.store.observeFirstOffset(shard, progress.FirstOffset)
 	if err == nil {
 		position.lastReadStarted = start
 	}
@@ -157,9 +261,9 @@
 }
 
 // addRecord adds the turn of a record to the store. Malformed records are skipped.
-func (reader *Reader) addRecord(record []byte) {
+func (reader *Reader) addRecord(record []byte, location Location) {
 	if turn := decode(record); turn != nil {
-		reader.store.Add(turn)
+		reader.store.AddRecorded(turn, location)
 	}
 }
 
--- a/internal/node/turns.go
+++ b/internal/node/turns.go
@@ -61,7 +61,9 @@
 	results := node.searches.DoChan(strconv.Quote(key.Tenant)+key.ID, func() (any, error) {
 		searchContext, cancel := context.WithTimeout(context.Background(), findTimeout)
 		defer cancel()
-		return node.reader.Find(searchContext, shard, key)
+		found, err := node.reader.Find(searchContext, shard, key)
+		node.logIncompleteChain(shard, err)
+		return found, err
 	})
 	timer := time.NewTimer(findReplyWait)
 	defer timer.Stop()
@@ -75,6 +77,17 @@
 	}
 }
 
+// logIncompleteChain logs a chain of which a turn is missing in memory and in the log.
+func (node *Node) logIncompleteChain(shard int, err error) {
+	var incomplete *history.IncompleteChainError
+	if !errors.As(err, &incomplete) {
+		return
+	}
+	dropped := node.turns.Dropped()
+	node.logger.Warn("chain incomplete", zap.String("turn", incomplete.Turn.ID), zap.String("missing", incomplete.Missing.ID), zap.Int("shard", shard),
+		zap.Int("expired", dropped.Expired), zap.Int("evicted", dropped.Evicted), zap.Int("locations", node.turns.DroppedLocations()))
+}
+
 // remotePartialChain reads a partition through a node that has probably read it already: the
 // shard's owner or a candidate. It serves as the history reader's remote lookup.
 func (node *Node) remotePartialChain(ctx context.Context, shard int, key history.Key) ([]*history.Turn, error) {
--- a/internal/ownership/claim.go
+++ b/internal/ownership/claim.go
@@ -132,7 +132,7 @@
 	// from colliding.
 	sequence := rand.Int64N(initialSequenceRange)
 	result, records := manager.buildClaim(replay, epoch, sequence, largestTurn)
-	expectedEnd := replay.nextOffset
+	expectedEnd := replay.progress.NextOffset
 	fence := durable.Fence{Producer: producer, Epoch: epoch, Sequence: sequence}
 	replay.claimSent = true
 	err = durable.Hedge(ctx, &manager.appendLatency, manager.log, replay.partition, func(ctx context.Context) error {
--- a/internal/ownership/record_test.go
+++ b/internal/ownership/record_test.go
@@ -15,10 +15,10 @@
 	It("contain the tenant of a program, and are also read without one", func() {
 		replay := newReplay(durable.NewMemory(), durable.Partition{})
 		for _, record := range marshal(encodeCeilings([]spending.Ceiling{{Program: program, Tokens: 7}})...) {
-			replay.apply(record)
+			replay.apply(0, record)
 		}
 		for _, record := range marshal(&nodev1.SpendingRecord{Ceilings: []*nodev1.Ceiling{{Program: "p", Tokens: 9}}}) {
-			replay.apply(record)
+			replay.apply(0, record)
 		}
 		Expect(replay.ceilings[program].Tokens).To(Equal(int64(7)))
 		Expect(replay.ceilings[program.WithoutTenant()].Tokens).To(Equal(int64(9)))
--- a/internal/ownership/replay.go
+++ b/internal/ownership/replay.go
@@ -15,9 +15,9 @@
 // replay reads a shard's partition from its first record and holds the resulting state
 // and the progress of one takeover.
 type replay struct {
-	log        durable.Log
-	partition  durable.Partition
-	nextOffset int64
+	log       durable.Log
+	partition durable.Partition
+	progress  durable.ReadProgress
 	// highestEpoch is that of the latest claim read, refusedEpoch the last one rejected by
 	// the store.
 	highestEpoch int64
@@ -54,12 +54,12 @@
 
 // readToEnd applies the records up to the partition's end.
 func (replay *replay) readToEnd(ctx context.Context) error {
-	next, err := durable.ReadToEnd(ctx, replay.log, replay.partition, replay.nextOffset, replay.apply)
-	replay.nextOffset = next
+	progress, err := durable.ReadToEnd(ctx, replay.log, replay.partition, replay.progress, replay.apply)
+	replay.progress = progress
 	return err
 }
 
-func (replay *replay) apply(content []byte) {
+func (replay *replay) apply(_ int64, content []byte) {
 	replay.recordCount++
 	var record nodev1.SpendingRecord
 	if proto.Unmarshal(content, &record) != nil {
