History: the turns of a chain that goes on are recorded again before the log drops them

Cause: a turn is recorded once; its record leaves the log while later turns still extend the time for which it is kept.

Fix: the node that serves the next turn records those turns again that the log may drop while that turn is retained, beside the engine's work. No timer, owner or lease is needed.

--- a/internal/durable/memory.go
+++ b/internal/durable/memory.go
@@ -14,6 +14,8 @@
 type Memory struct {
 	mutex      sync.Mutex
 	partitions map[Partition]*memoryPartition
+	// retention is how long records are kept, 0 for good.
+	retention time.Duration
 	// Intercept, if set, is called before every call; its error fails the call.
 	Intercept func(operation string, partition Partition) error
 }
@@ -21,6 +23,8 @@
 type memoryPartition struct {
 	firstOffset int64
 	records     [][]byte
+	// appendedAt holds when each record was appended.
+	appendedAt []time.Time
 	// latest holds the latest record of each key, also of trimmed records.
 	latest  map[string]KeyedRecord
 	writers map[string]*memoryWriter
@@ -49,9 +53,36 @@
 		}
 		log.partitions[name] = found
 	}
+	if log.retention > 0 {
+		found.dropBefore(time.Now().Add(-log.retention))
+	}
 	return found
 }
 
+// SetRetention makes the log drop records that are older than a retention; 0 keeps them for good. The
+// latest record of each key and the writers' epochs are kept.
+func (log *Memory) SetRetention(retention time.Duration) {
+	log.mutex.Lock()
+	defer log.mutex.Unlock()
+	log.retention = retention
+}
+
+// dropBefore drops the records that were appended before a time.
+func (partition *memoryPartition) dropBefore(oldest time.Time) {
+	count := 0
+	for count < len(partition.records) && partition.appendedAt[count].Before(oldest) {
+		count++
+	}
+	partition.drop(count)
+}
+
+// drop drops the first records.
+func (partition *memoryPartition) drop(count int) {
+	partition.records = partition.records[count:]
+	partition.appendedAt = partition.appendedAt[count:]
+	partition.firstOffset += int64(count)
+}
+
 func (log *Memory) runIntercept(operation string, partition Partition) error {
 	if log.Intercept == nil {
 		return nil
@@ -139,6 +170,7 @@
 			partition.latest[key] = KeyedRecord{Key: key, Value: value, Offset: partition.end()}
 		}
 		partition.records = append(partition.records, copied)
+		partition.appendedAt = append(partition.appendedAt, time.Now())
 	}
 	if len(records) > 0 {
 		close(partition.changed)
@@ -215,7 +247,5 @@
 	log.mutex.Lock()
 	defer log.mutex.Unlock()
 	partition := log.partition(name)
-	dropped := min(max(before-partition.firstOffset, 0), int64(len(partition.records)))
-	partition.records = partition.records[dropped:]
-	partition.firstOffset += dropped
+	partition.drop(int(min(max(before-partition.firstOffset, 0), int64(len(partition.records)))))
 }
--- a/internal/feature/feature.go
+++ b/internal/feature/feature.go
@@ -88,6 +88,8 @@
 	StreamVersions Feature = "stream-versions"
 	// RereadTurns: a turn that was read from the log and dropped from memory is read again.
 	RereadTurns Feature = "reread-turns"
+	// RefreshTurns: the turns of a chain that goes on are recorded again before the log drops them.
+	RefreshTurns Feature = "refresh-turns"
 )
 
 // All lists every feature.
@@ -96,7 +98,7 @@
 	QueueOrder, LongerToolWait, SafeRepeats, RemoteRecording, GroupCommit, OwnershipHandover, OwnershipByCapacity, ClaimRefusal, Isolation,
 	EnginePriority, LogGate, Egress, StaggeredRetries, ProgramsFirst,
 	LoadSharing, LoadBasedCapacity, RetryBudget, Admission, TenantShares, MemoryAdmission, EngineBreaker, SpeedWeighting, ResponseBufferLimit, ZoneReachability, RequestQuarantine, StreamVersions,
-	RereadTurns,
+	RereadTurns, RefreshTurns,
 }
 
 // disabled holds the disabled features, nil before Disable is called.
--- a/internal/history/record.go
+++ b/internal/history/record.go
@@ -9,7 +9,7 @@
 
 // ToProto returns the message of a turn for the log and other nodes.
 func ToProto(turn *Turn) *nodev1.Turn {
-	return &nodev1.Turn{
+	message := &nodev1.Turn{
 		Id:          turn.ID,
 		Tenant:      turn.Tenant,
 		Program:     turn.Program,
@@ -19,11 +19,15 @@
 		EndedUnixMs: turn.EndedAt.UnixMilli(),
 		RetentionMs: turn.Retention.Milliseconds(),
 	}
+	if !turn.RecordedAt.IsZero() {
+		message.RecordedUnixMs = turn.RecordedAt.UnixMilli()
+	}
+	return message
 }
 
 // FromProto is the inverse of ToProto.
 func FromProto(message *nodev1.Turn) *Turn {
-	return &Turn{
+	turn := &Turn{
 		ID:         message.Id,
 		Tenant:     message.Tenant,
 		Program:    message.Program,
@@ -33,6 +37,10 @@
 		EndedAt:    time.UnixMilli(message.EndedUnixMs),
 		Retention:  time.Duration(message.RetentionMs) * time.Millisecond,
 	}
+	if message.RecordedUnixMs > 0 {
+		turn.RecordedAt = time.UnixMilli(message.RecordedUnixMs)
+	}
+	return turn
 }
 
 // ToProtos is ToProto for a chain of turns.
--- a/internal/node/meter.go
+++ b/internal/node/meter.go
@@ -313,6 +313,7 @@
 		{"magpielug_turn_bytes", "Bytes of turns held in memory.", func() float64 { _, bytes := node.turns.Size(); return float64(bytes) }},
 		{"magpielug_turns_expired", "Turns dropped from memory at the end of their retention.", func() float64 { return float64(node.turns.Dropped().Expired) }},
 		{"magpielug_turns_evicted", "Turns dropped from memory for lack of space.", func() float64 { return float64(node.turns.Dropped().Evicted) }},
+		{"magpielug_turns_recorded_again", "Turns recorded again before the log drops them.", func() float64 { return float64(node.refresher.Refreshed()) }},
 		{"magpielug_dropped_turn_locations", "Dropped turns whose place in the log is known.", func() float64 { return float64(node.turns.DroppedLocations()) }},
 		{"magpielug_held_request_bytes", "Bytes held of callers' requests.", func() float64 { return float64(node.bufferLimits.requests.InUse()) }},
 		{"magpielug_unread_bytes", "Bytes of answers that callers have not taken.", func() float64 { return float64(node.bufferLimits.unreadResponses.InUse()) }},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -106,6 +106,7 @@
 	turns     *history.Store
 	recorder  *history.Recorder
 	reader    *history.Reader
+	refresher *history.Refresher
 	// unownedReads is a semaphore for reading partitions of shards that other nodes own.
 	unownedReads chan struct{}
 	// searches deduplicates concurrent chain lookups by their last turn.
@@ -200,6 +201,7 @@
 	node.peers = newPeers(node.members, client)
 	node.unownedReads = make(chan struct{}, maxUnownedReads)
 	node.reader = history.NewReader(dependencies.Log, node.turns, settings.Shards)
+	node.refresher = history.NewRefresher(node.turns, node.recordAgain, settings.LogRetention)
 	node.ownership = ownership.NewManager(ctx, dependencies.Log, logger.Logger, ownership.Identity{
 		Node:        settings.Name,
 		Incarnation: node.incarnation,
--- a/internal/node/programs.go
+++ b/internal/node/programs.go
@@ -103,6 +103,9 @@
 	if request.NeedsChain {
 		chain = programs.storeChain(reply.Chain)
 	}
+	if reply.Verdict == nodev1.Verdict_VERDICT_GRANTED {
+		programs.node.refreshChain(chain, reservation.Zones)
+	}
 	return forward.Reservation{Verdict: reply.Verdict, Chain: chain, Reason: reply.Reason, Engine: reply.Engine, TryOtherNode: tryOtherNode,
 		RetryAfter: milliseconds(reply.RetryAfterMs),
 		Grant:      forward.Grant{Owner: reply.Owner, Epoch: reply.Epoch, Key: request.Request}}
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -41,6 +41,8 @@
 	MaxConnections int
 	// Shards is the number of partitions of the durable log's topics.
 	Shards int
+	// LogRetention is how long the durable log keeps a record, 0 if it drops none.
+	LogRetention time.Duration
 	// QuotaTolerance is how far tenants may exceed their limits.
 	QuotaTolerance quota.Tolerance
 	// ColdTolerance is how far requests to cold engines may exceed their limit.
--- a/internal/node/settings_file.go
+++ b/internal/node/settings_file.go
@@ -22,6 +22,7 @@
 		Capacity:         loaded.Limits.Cores,
 		MaxConnections:   loaded.Limits.Connections,
 		Shards:           loaded.Store.Partitions,
+		LogRetention:     loaded.Store.Retention,
 		QuotaTolerance: quota.Tolerance{
 			Window:         loaded.Quota.Window,
 			ExcessFraction: loaded.Quota.Overage,
--- a/internal/node/turns.go
+++ b/internal/node/turns.go
@@ -12,6 +12,7 @@
 	"github.com/magpielug/magpielug/internal/durable"
 	"github.com/magpielug/magpielug/internal/history"
 	"github.com/magpielug/magpielug/internal/logging"
+	"github.com/magpielug/magpielug/internal/region"
 	"github.com/rotisserie/eris"
 	"github.com/twitchtv/twirp"
 	"go.uber.org/zap"
@@ -176,6 +177,19 @@
 	return &nodev1.LineReply{Line: history.ToProtos(chain)}, nil
 }
 
+// recordAgain records a turn that the log is about to drop. It is the refresher's RecordFunc.
+func (node *Node) recordAgain(ctx context.Context, turn *history.Turn) error {
+	return node.recorder.Record(ctx, node.programs.shardOf(turn.Program), turn)
+}
+
+// refreshChain records the turns of a chain again that the log is about to drop. zones are those of the
+// route of the chain's next turn.
+func (node *Node) refreshChain(chain []*history.Turn, zones region.ZoneSet) {
+	node.refresher.Refresh(chain, zones, time.Now(), func(turn *history.Turn, err error) {
+		node.logger.Warn("turn not recorded again", zap.String("turn", turn.ID), zap.String("program", turn.Program), logging.ErrorField(err))
+	})
+}
+
 // recordRemotely records a turn through another node, as the recorder's relay. It tries the
 // shard's owner first, which batches pending turns into one append when the log is slow.
 func (node *Node) recordRemotely(ctx context.Context, shard int, turn *history.Turn) error {
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -45,6 +45,8 @@
 type NodeStore struct {
 	Address    string `koanf:"address" validate:"required,address" about:"The store."`
 	Partitions int    `koanf:"partitions" validate:"gte=1,lte=4096" about:"Partitions of the store's topics, and as many shards of programs; alike on every node and never changed."`
+	// Retention is how long the store keeps a record.
+	Retention time.Duration `koanf:"retention" validate:"gte=0s,lte=8760h" about:"How long the store keeps a record; what is needed for longer is written again before. 0s is for good."`
 }
 
 // NodeLimits bound the node's resource use.
