Ownership: claims and ceilings are written again before the log drops them

Cause: claims, their allowances and ceilings were written once and left the log while successors count on them; a successor tried the epochs 1 to 8 and then began at 1 again.

Fix: the owner writes them again each quarter of the retention, a claim lists the outstanding allowances, an owner that can't write stops granting before its records go, and a refused epoch is doubled. Gate renew-claims.

--- a/internal/feature/feature.go
+++ b/internal/feature/feature.go
@@ -90,6 +90,8 @@
 	RereadTurns Feature = "reread-turns"
 	// RefreshTurns: the turns of a chain that goes on are recorded again before the log drops them.
 	RefreshTurns Feature = "refresh-turns"
+	// RenewClaims: an owner writes its claim and its ceilings again before the log drops them.
+	RenewClaims Feature = "renew-claims"
 )
 
 // All lists every feature.
@@ -98,7 +100,7 @@
 	QueueOrder, LongerToolWait, SafeRepeats, RemoteRecording, GroupCommit, OwnershipHandover, OwnershipByCapacity, ClaimRefusal, Isolation,
 	EnginePriority, LogGate, Egress, StaggeredRetries, ProgramsFirst,
 	LoadSharing, LoadBasedCapacity, RetryBudget, Admission, TenantShares, MemoryAdmission, EngineBreaker, SpeedWeighting, ResponseBufferLimit, ZoneReachability, RequestQuarantine, StreamVersions,
-	RereadTurns, RefreshTurns,
+	RereadTurns, RefreshTurns, RenewClaims,
 }
 
 // disabled holds the disabled features, nil before Disable is called.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -206,7 +206,7 @@
 		Node:        settings.Name,
 		Incarnation: node.incarnation,
 		Address:     settings.PeerAddress,
-	}, settings.Shards, ownership.Dependencies{RequestHandover: node.requestHandover, FreezeDetector: node.freezes, LogUnavailable: node.logUnavailable, SupportsSecondAllowance: node.supportsSecondAllowance})
+	}, settings.Shards, ownership.Dependencies{RequestHandover: node.requestHandover, FreezeDetector: node.freezes, LogUnavailable: node.logUnavailable, LogRetention: settings.LogRetention, SupportsSecondAllowance: node.supportsSecondAllowance})
 	node.programs = newPrograms(node)
 	node.admission = newAdmitter(node)
 	node.quotas = newQuotas(node)
--- a/internal/ownership/claim.go
+++ b/internal/ownership/claim.go
@@ -34,6 +34,9 @@
 	replayedRecords  int
 	importedAccounts int
 	allowance        spending.Allowance
+	// refusedEpoch is the highest epoch that the store has refused as too low. It is also set if the
+	// claim failed.
+	refusedEpoch int64
 }
 
 // ownedElsewhereError means that the owner named by the log keeps the shard.
@@ -50,10 +53,11 @@
 	start := time.Now()
 	shard.claimStartedAt = start
 	largestTurn := manager.largestTurnTokens
+	refusedEpoch := shard.refusedEpoch
 	go func() {
 		ctx, cancel := context.WithTimeout(manager.context, claimTimeout)
 		defer cancel()
-		result, err := manager.takeOver(ctx, shard.number, largestTurn)
+		result, err := manager.takeOver(ctx, shard.number, largestTurn, refusedEpoch)
 		manager.post(func() { manager.finishClaim(shard, result, err, time.Since(start)) })
 	}()
 }
@@ -62,6 +66,9 @@
 	if shard.phase != charts.OwnershipStateClaiming {
 		return
 	}
+	if feature.Enabled(feature.RenewClaims) {
+		shard.refusedEpoch = result.refusedEpoch
+	}
 	var elsewhere *ownedElsewhereError
 	if errors.As(err, &elsewhere) {
 		manager.logger.Info("shard owned elsewhere", zap.Int("shard", shard.number),
@@ -88,17 +95,25 @@
 	shard.ownedAsOf = shard.claimStartedAt
 	shard.owner = Owner{Node: manager.self.Node, Epoch: result.epoch, Address: manager.self.Address}
 	shard.ledger = result.ledger
+	shard.allowance = result.allowance
+	shard.renewal = renewal{beganAt: shard.claimStartedAt}
+	if manager.renews() {
+		shard.ledger.SetRetentionLimits(retentionLimits(manager.dependencies.LogRetention), shard.claimStartedAt)
+	}
 	manager.decideWaiters(shard)
 }
 
 // takeOver reads the shard's partition to its end and appends a claim. If another node
 // appends in between, it reads on and retries.
-func (manager *Manager) takeOver(ctx context.Context, number int, largestTurn int64) (claimResult, error) {
+func (manager *Manager) takeOver(ctx context.Context, number int, largestTurn, refusedEpoch int64) (claimResult, error) {
 	partition := durable.Partition{Topic: Topic, Number: number}
 	replay := newReplay(manager.log, partition)
+	replay.refusedEpoch = refusedEpoch
 	var lastErr error
-	for range maxClaimAttempts {
+	attempts, epochSearches := 0, 0
+	for attempts < maxClaimAttempts && epochSearches < maxEpochSearches {
 		result, err := manager.tryClaim(ctx, replay, largestTurn)
+		result.refusedEpoch = replay.refusedEpoch
 		var elsewhere *ownedElsewhereError
 		if err == nil || errors.As(err, &elsewhere) {
 			return result, err
@@ -107,11 +122,16 @@
 		if ctx.Err() != nil {
 			break
 		}
+		if errors.Is(err, durable.ErrFenced) && feature.Enabled(feature.RenewClaims) {
+			epochSearches++
+			continue
+		}
+		attempts++
 		if !errors.Is(err, durable.ErrConflict) {
 			wait.Sleep(ctx, claimRetryDelay)
 		}
 	}
-	return claimResult{}, lastErr
+	return claimResult{refusedEpoch: replay.refusedEpoch}, lastErr
 }
 
 func (manager *Manager) tryClaim(ctx context.Context, replay *replay, largestTurn int64) (claimResult, error) {
@@ -126,7 +146,7 @@
 	if manager.ownerKeepsShard(ctx, replay) {
 		return claimResult{}, &ownedElsewhereError{owner: Owner{Node: replay.owner.Node, Epoch: replay.owner.Epoch, Address: replay.owner.Address}}
 	}
-	epoch := max(replay.highestEpoch, replay.refusedEpoch) + 1
+	epoch := replay.nextEpoch()
 	// The store treats an append with a known epoch and sequence number as a duplicate,
 	// even from another node. Random first numbers keep two claimants of the same epoch
 	// from colliding.
@@ -140,7 +160,7 @@
 		return err
 	})
 	if errors.Is(err, durable.ErrFenced) || errors.Is(err, durable.ErrOutOfSequence) {
-		// The store has seen a claim that is not in the records read; use a higher epoch.
+		// The store has seen a claim that is not in the records read: the log has dropped it.
 		replay.refusedEpoch = epoch
 	}
 	return result, err
@@ -165,7 +185,7 @@
 		allowance = spending.ClaimAllowance(epoch, largestTurn, outstanding, manager.dependencies.SupportsSecondAllowance())
 	}
 	ledger.SetAllowances(allowance, outstanding)
-	records := append([]*nodev1.SpendingRecord{encodeClaim(manager.self, epoch, sequence, allowance, closedEpoch)}, encodeCeilings(checkpoint)...)
+	records := append([]*nodev1.SpendingRecord{manager.encodeClaim(epoch, sequence, allowance, outstanding, closedEpoch)}, encodeCeilings(checkpoint)...)
 	result := claimResult{epoch: epoch, sequence: sequence, ledger: ledger, replayedRecords: replay.recordCount, importedAccounts: len(checkpoint), allowance: allowance}
 	return result, marshal(records...)
 }
--- a/internal/ownership/manager.go
+++ b/internal/ownership/manager.go
@@ -75,6 +75,7 @@
 		case now := <-ticker.C:
 			ticks++
 			manager.expireWaiters(now)
+			manager.startRenewals(now)
 			if ticks%turnExpiryTicks == 0 {
 				manager.expireTurns(now)
 			}
--- a/internal/ownership/record.go
+++ b/internal/ownership/record.go
@@ -5,6 +5,7 @@
 	"time"
 
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
+	"github.com/magpielug/magpielug/internal/feature"
 	"github.com/magpielug/magpielug/internal/spending"
 	"github.com/magpielug/magpielug/internal/tenant"
 	"google.golang.org/protobuf/proto"
@@ -26,6 +27,7 @@
 				Tokens:        ceiling.Tokens,
 				Settled:       ceiling.Settled,
 				WrittenUnixMs: now,
+				Epoch:         ceiling.Epoch,
 			})
 		}
 		records = append(records, record)
@@ -33,18 +35,37 @@
 	return records
 }
 
-func encodeClaim(self Identity, epoch, sequence int64, allowance spending.Allowance, closedEpoch int64) *nodev1.SpendingRecord {
-	return &nodev1.SpendingRecord{Claim: &nodev1.Claim{
-		Node:              self.Node,
-		Incarnation:       self.Incarnation,
-		Address:           self.Address,
+// encodeClaim returns the record of this node's claim. outstanding are the allowances of former owners
+// that a successor has to charge too.
+func (manager *Manager) encodeClaim(epoch, sequence int64, allowance spending.Allowance, outstanding []spending.Allowance, closedEpoch int64) *nodev1.SpendingRecord {
+	claim := &nodev1.Claim{
+		Node:              manager.self.Node,
+		Incarnation:       manager.self.Incarnation,
+		Address:           manager.self.Address,
 		Epoch:             epoch,
 		Sequence:          sequence,
 		AllowancePermille: allowance.Permille,
 		LeastBudget:       allowance.MinBudget,
 		SecondAllowance:   allowance.Second,
 		ClosesEpoch:       closedEpoch,
-	}}
+		ListsOutstanding:  feature.Enabled(feature.RenewClaims),
+	}
+	if claim.ListsOutstanding {
+		for _, former := range outstanding {
+			claim.Outstanding = append(claim.Outstanding, &nodev1.OutstandingAllowance{
+				Epoch: former.Epoch, Permille: former.Permille, LeastBudget: former.MinBudget, Second: former.Second})
+		}
+	}
+	return &nodev1.SpendingRecord{Claim: claim}
+}
+
+// outstandingOf returns the allowances that a claim lists as outstanding.
+func outstandingOf(claim *nodev1.Claim) []spending.Allowance {
+	var outstanding []spending.Allowance
+	for _, listed := range claim.Outstanding {
+		outstanding = append(outstanding, spending.Allowance{Epoch: listed.Epoch, Permille: listed.Permille, MinBudget: listed.LeastBudget, Second: listed.Second})
+	}
+	return outstanding
 }
 
 // allowanceOf returns the allowance of a claim.
--- a/internal/ownership/replay.go
+++ b/internal/ownership/replay.go
@@ -7,6 +7,7 @@
 
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
 	"github.com/magpielug/magpielug/internal/durable"
+	"github.com/magpielug/magpielug/internal/feature"
 	"github.com/magpielug/magpielug/internal/spending"
 	"github.com/magpielug/magpielug/internal/tenant"
 	"google.golang.org/protobuf/proto"
@@ -47,6 +48,16 @@
 	return claimResult{epoch: claim.Epoch, sequence: claim.Sequence, ledger: ledger, replayedRecords: replay.recordCount, allowance: allowance}
 }
 
+// nextEpoch returns the epoch of the next attempt to claim the shard. The store does not name the epoch
+// that it has seen when it refuses one, so refused epochs are doubled: the number of attempts grows
+// with the logarithm of the number of owners whose claims have left the log.
+func (replay *replay) nextEpoch() int64 {
+	if replay.refusedEpoch > replay.highestEpoch && feature.Enabled(feature.RenewClaims) {
+		return 2 * replay.refusedEpoch
+	}
+	return max(replay.highestEpoch, replay.refusedEpoch) + 1
+}
+
 // withoutEpoch returns the allowances except that of an epoch.
 func withoutEpoch(allowances []spending.Allowance, epoch int64) []spending.Allowance {
 	return slices.DeleteFunc(slices.Clone(allowances), func(allowance spending.Allowance) bool { return allowance.Epoch == epoch })
@@ -65,27 +76,39 @@
 	if proto.Unmarshal(content, &record) != nil {
 		return
 	}
-	if record.Claim != nil && record.Claim.Epoch > replay.highestEpoch {
+	if record.Claim != nil && record.Claim.Epoch >= replay.highestEpoch {
 		replay.applyClaim(record.Claim)
 	}
 	for _, ceiling := range record.Ceilings {
-		program := tenant.Program{Tenant: ceiling.Tenant, ID: ceiling.Program}
-		replay.ceilings[program] = spending.Ceiling{
-			Program: program,
-			Tokens:  ceiling.Tokens,
-			Settled: ceiling.Settled,
-			Epoch:   replay.highestEpoch,
-		}
+		replay.applyCeiling(ceiling, replay.highestEpoch)
+	}
+	for _, ceiling := range record.Earlier {
+		replay.applyCeiling(ceiling, ceiling.Epoch)
 	}
 	if record.Closed {
 		replay.allowances = withoutEpoch(replay.allowances, replay.highestEpoch)
 	}
 }
 
+// applyCeiling applies a ceiling that was set under an epoch.
+func (replay *replay) applyCeiling(ceiling *nodev1.Ceiling, epoch int64) {
+	program := tenant.Program{Tenant: ceiling.Tenant, ID: ceiling.Program}
+	replay.ceilings[program] = spending.Ceiling{
+		Program: program,
+		Tokens:  ceiling.Tokens,
+		Settled: ceiling.Settled,
+		Epoch:   epoch,
+	}
+}
+
+// applyClaim applies a claim, or the copy of it that its owner has written last.
 func (replay *replay) applyClaim(claim *nodev1.Claim) {
 	replay.highestEpoch = claim.Epoch
 	replay.owner = claim
-	replay.allowances = withoutEpoch(replay.allowances, claim.ClosesEpoch)
+	replay.allowances = withoutEpoch(withoutEpoch(replay.allowances, claim.ClosesEpoch), claim.Epoch)
+	if claim.ListsOutstanding {
+		replay.allowances = outstandingOf(claim)
+	}
 	if claim.AllowancePermille > 0 {
 		replay.allowances = append(replay.allowances, allowanceOf(claim))
 	}
--- a/internal/ownership/shard.go
+++ b/internal/ownership/shard.go
@@ -26,8 +26,11 @@
 	producer = "owner"
 	// claimTimeout bounds a takeover.
 	claimTimeout = 2500 * time.Millisecond
-	// maxClaimAttempts bounds the read and append attempts of a takeover.
+	// maxClaimAttempts bounds the read and append attempts of a takeover, apart from those that the
+	// store refuses for their epoch.
 	maxClaimAttempts = 8
+	// maxEpochSearches bounds the latter. Each doubles the epoch.
+	maxEpochSearches = 62
 	// claimRetryDelay is the delay after a failed attempt, except one that conflicted with
 	// another append.
 	claimRetryDelay = 40 * time.Millisecond
@@ -109,6 +112,11 @@
 	// settledEarly holds the ids of requests settled before they were reserved, with the
 	// time of settlement. Their callers have given up, so nothing may be reserved for them.
 	settledEarly map[string]time.Time
+	// allowance is that of this node's claim, renewal what is written again before the log drops it.
+	allowance spending.Allowance
+	renewal   renewal
+	// refusedEpoch is the highest epoch that the store has refused this node as too low.
+	refusedEpoch int64
 	// releaseDone is signaled once the final checkpoint is written. It is set while the
 	// release waits for an append in flight.
 	releaseDone chan<- struct{}
@@ -124,6 +132,8 @@
 	// LogUnavailable reports whether the store has not answered this node for some time.
 	// The node then leaves claims to other nodes, which may reach the store.
 	LogUnavailable func() bool
+	// LogRetention is how long the log keeps a record, 0 if it drops none.
+	LogRetention time.Duration
 	// SupportsSecondAllowance reports whether all nodes that may own shards support a second
 	// allowance beside an outstanding one. Nil means false.
 	SupportsSecondAllowance func() bool
--- a/internal/ownership/write.go
+++ b/internal/ownership/write.go
@@ -13,22 +13,27 @@
 	"go.uber.org/zap"
 )
 
-// writeCeilings starts an append of the pending ceilings unless one is in flight.
+// writeCeilings starts an append of the pending ceilings, and of the next part of a renewal that is
+// due, unless one is in flight.
 func (manager *Manager) writeCeilings(shard *shard) {
 	if shard.appendInFlight || shard.phase != charts.OwnershipStateOwned {
 		return
 	}
+	now := time.Now()
+	records := manager.renewalRecords(shard, now)
 	ceilings := shard.ledger.DrainPendingCeilings()
-	if len(ceilings) == 0 {
+	records = append(records, encodeCeilings(ceilings)...)
+	if len(records) == 0 {
+		shard.finishRenewal()
 		return
 	}
 	shard.appendInFlight = true
-	shard.appendStartedAt = time.Now()
+	shard.appendStartedAt = now
 	shard.sequence++
 	fence := durable.Fence{Producer: producer, Epoch: shard.epoch, Sequence: shard.sequence}
 	partition := durable.Partition{Topic: Topic, Number: shard.number}
 	go func() {
-		err := manager.append(partition, fence, marshal(encodeCeilings(ceilings)...))
+		err := manager.append(partition, fence, marshal(records...))
 		manager.post(func() { manager.finishWrite(shard, fence.Epoch, ceilings, err) })
 	}()
 }
@@ -69,6 +74,7 @@
 	shard.ownedAsOf = shard.appendStartedAt
 	shard.ledger.RenewAllowance(shard.ownedAsOf)
 	shard.ledger.AcknowledgeCeilings(ceilings)
+	shard.finishRenewal()
 	manager.decideWaiters(shard)
 	manager.writeCeilings(shard)
 }
--- a/internal/spending/allowance.go
+++ b/internal/spending/allowance.go
@@ -102,7 +102,7 @@
 // RenewAllowance extends the use of the owner's allowance: the log has acknowledged an append that
 // began at a time.
 func (ledger *Ledger) RenewAllowance(appendBegan time.Time) {
-	until := appendBegan.Add(AllowanceLease)
+	until := appendBegan.Add(ledger.allowanceLease)
 	if until.After(ledger.allowanceUntil) {
 		ledger.allowanceUntil = until
 	}
--- a/internal/spending/allowance_test.go
+++ b/internal/spending/allowance_test.go
@@ -238,6 +238,29 @@
 	}
 }
 
+// renew replaces the log by what the newest owner writes again.
+func (model *shardModel) renew() {
+	ledger := model.newest().ledger
+	outstanding := ledger.OutstandingAllowances(model.now)
+	renewed := ledger.LoggedCeilings(ledger.Programs())
+	clear(model.ceilings)
+	for _, ceiling := range renewed {
+		if ceiling.Epoch == 0 {
+			ceiling.Epoch = model.epoch()
+		}
+		model.ceilings[ceiling.Program] = ceiling
+	}
+	model.outstanding = slices.Clone(outstanding)
+	if model.newest().own.Permille > 0 {
+		model.outstanding = append(model.outstanding, model.newest().own)
+	}
+	pending := ledger.DrainPendingCeilings()
+	model.write(pending)
+	ledger.AcknowledgeCeilings(pending)
+	ledger.RenewAllowance(model.now)
+	ledger.RenewCeilings(model.now)
+}
+
 // close removes the newest owner's allowance from the outstanding ones.
 func (model *shardModel) close() {
 	closed := model.newest().own
@@ -290,7 +313,7 @@
 		lastUse := start
 		for step := range rapid.IntRange(1, 150).Draw(t, "steps") {
 			newest := model.newest()
-			switch rapid.IntRange(0, 10).Draw(t, "action") {
+			switch rapid.IntRange(0, 12).Draw(t, "action") {
 			case 0, 1, 2, 3: // A request to any owner, including a partitioned one.
 				owner := rapid.SampledFrom(model.owners).Draw(t, "owner")
 				size := sizes.Draw(t, "max tokens")
@@ -343,6 +366,10 @@
 				for _, owner := range model.owners {
 					owner.ledger.ExpireAccounts(model.now.Add(-spending.AccountRetention))
 				}
+			case 11: // The owner writes again what the log holds, and the log drops all that came before.
+				model.renew()
+			case 12: // An owner writes a ceiling unchanged to confirm its ownership.
+				rapid.SampledFrom(model.owners).Draw(t, "owner").ledger.RequeueCeiling(program)
 			}
 			if totalSpent > budget+largest {
 				t.Fatalf("%d tokens spent, want at most the budget of %d and one turn of %d", totalSpent, budget, largest)
--- a/internal/spending/spending.go
+++ b/internal/spending/spending.go
@@ -79,6 +79,8 @@
 	// the log has acknowledged a ceiling of this owner.
 	ceilingEpoch        int64
 	ceilingAcknowledged bool
+	// loggedSettled is the Settled of the ceiling at the takeover.
+	loggedSettled int64
 	// chargedAllowances is the part of charged that stands for former owners' allowances. It is
 	// not charged to accounts imported from the former owner.
 	chargedAllowances int64
@@ -113,6 +115,12 @@
 	// allowance, allowanceUntil when ownAllowance ends unless it is renewed.
 	outstandingUntil time.Time
 	allowanceUntil   time.Time
+	// allowanceLease is how long ownAllowance may be used after an acknowledged append.
+	allowanceLease time.Duration
+	// ceilingLease is how long ceilings may be granted by after a renewal, 0 if the log keeps them, and
+	// ceilingsUntil when that ends.
+	ceilingLease  time.Duration
+	ceilingsUntil time.Time
 	// allowanceEnded is true if ownAllowance had ended at the latest Reserve.
 	allowanceEnded bool
 }
@@ -120,7 +128,7 @@
 // NewLedger returns a ledger that starts from the latest logged ceilings.
 func NewLedger(ceilings map[tenant.Program]Ceiling, now time.Time) *Ledger {
 	ledger := &Ledger{accounts: make(map[tenant.Program]*account, len(ceilings)), pendingCeilings: map[tenant.Program]bool{},
-		outstandingUntil: now.Add(outstandingPeriod), allowanceUntil: now.Add(AllowanceLease)}
+		outstandingUntil: now.Add(outstandingPeriod), allowanceUntil: now.Add(AllowanceLease), allowanceLease: AllowanceLease}
 	for program, ceiling := range ceilings {
 		ledger.accounts[program] = &account{
 			charged:          ceiling.Tokens,
@@ -130,8 +138,9 @@
 			ceiling:          ceiling.Tokens,
 			requestedCeiling: ceiling.Tokens,
 			// A former owner that is cut off may serve the program for that long.
-			lastUsed:     now.Add(AllowanceLease),
-			ceilingEpoch: ceiling.Epoch,
+			lastUsed:      now.Add(AllowanceLease),
+			ceilingEpoch:  ceiling.Epoch,
+			loggedSettled: ceiling.Settled,
 		}
 	}
 	return ledger
@@ -164,6 +173,7 @@
 	created.ceiling = legacy.ceiling
 	created.requestedCeiling = legacy.requestedCeiling
 	created.ceilingEpoch = legacy.ceilingEpoch
+	created.loggedSettled = legacy.loggedSettled
 	created.chargedAllowances = legacy.chargedAllowances
 	created.imported = legacy.imported
 	created.unknownToFormerOwners = legacy.unknownToFormerOwners
@@ -208,6 +218,10 @@
 			return AwaitCeiling
 		}
 	}
+	if ledger.ceilingsEnded(now) {
+		ledger.RequeueCeiling(program)
+		return AwaitCeiling
+	}
 	if !ledger.withinCeiling(account, maxTokens) {
 		ledger.raiseCeiling(program, account, needed, maxTokens)
 		return AwaitCeiling
