Engines: a refusal that follows a lack of connections counts as the first

Callers saw 500 on calls that an engine had refused. Cause: a lack of connections avoids the engine without counting a refusal; the next refusal asked for -1 doublings of the backoff and panicked. Evidence: the stack in 'handler panicked'; the spec panics on the code before. Fix: the first refusal always counts.

--- a/internal/backend/concurrency_limit.go
+++ b/internal/backend/concurrency_limit.go
@@ -65,7 +65,8 @@
 
 // backOffFull avoids an engine for a while after it has refused a request as full.
 func (engine *Engine) backOffFull(now time.Time) {
-	if !now.Before(engine.fullUntil) {
+	// The engine may be avoided already for lack of connections, before any refusal.
+	if !now.Before(engine.fullUntil) || engine.limit.consecutiveRefusals == 0 {
 		engine.limit.consecutiveRefusals++
 	}
 	delay := fullBackoff
--- a/internal/backend/concurrency_limit_test.go
+++ b/internal/backend/concurrency_limit_test.go
@@ -59,6 +59,17 @@
 		}
 	})
 
+	// Guards against a panic in the call that is refused while the engine is avoided for lack of connections.
+	It("takes a refusal that follows a lack of connections", func() {
+		directory := newDirectory(1)
+		picked := pickUpTo(directory, 3, now)
+		directory.Finish(picked[0], backend.NoConnection, now)
+		directory.Finish(picked[1], backend.Full, now.Add(time.Millisecond))
+		Expect(directory.Pick(request, now.Add(2*time.Millisecond))).To(BeNil())
+		directory.Finish(picked[2], backend.Succeeded, now.Add(2*time.Millisecond))
+		Expect(directory.Pick(request, now.Add(2*fullBackoff))).NotTo(BeNil())
+	})
+
 	It("expires some seconds after the last refusal", func() {
 		directory := newDirectory(1)
 		picked := pickUpTo(directory, 2, now)
