Engines: what a response may take before its body is bounded in bytes and time

Callers of a node with an engine that sends a head without end lose the node: 1.8 GB in 2 s with 12 such calls. Cause: http.ReadResponse and the body of another request's response had no bound, a turn's output neither.

--- a/internal/backend/connection_pool.go
+++ b/internal/backend/connection_pool.go
@@ -5,10 +5,8 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"maps"
 	"net"
-	"net/http"
 	"sync"
 	"time"
 
@@ -30,8 +28,6 @@
 	// that connections from many nodes do not take up its slots.
 	refusalWindow       = 500 * time.Millisecond
 	refusalDialInterval = 200 * time.Millisecond
-	// maxStaleResponses is the maximum number of responses to other requests that are skipped.
-	maxStaleResponses = 3
 )
 
 // Errors of an exchange with an engine.
@@ -86,7 +82,8 @@
 	pool      *ConnectionPool
 	address   string
 	socket    *net.TCPConn
-	reader    *bufio.Reader
+	input     *boundedReader
+	reader    *bufio.Reader // reads from input
 	idleUntil time.Time
 }
 
@@ -167,11 +164,13 @@
 		pool.unreserve(address)
 		return nil, eris.Wrapf(ErrNotSent, "connect to %s: %v", address, err)
 	}
+	input := &boundedReader{source: socket, remaining: unbounded}
 	return &Connection{
 		pool:    pool,
 		address: address,
 		socket:  socket.(*net.TCPConn),
-		reader:  bufio.NewReaderSize(socket, readBufferSize),
+		input:   input,
+		reader:  bufio.NewReaderSize(input, readBufferSize),
 	}, nil
 }
 
@@ -265,28 +264,6 @@
 	return nil
 }
 
-// Receive reads the status and headers of the response. Responses for which accept returns
-// false belong to other requests and are skipped including their bodies.
-func (connection *Connection) Receive(request *http.Request, accept func(*http.Response) bool) (*http.Response, error) {
-	for range maxStaleResponses {
-		response, err := http.ReadResponse(connection.reader, request)
-		if err != nil {
-			return nil, eris.Wrapf(ErrResponseLost, "read from %s: %v", connection.address, err)
-		}
-		if accept(response) {
-			return response, nil
-		}
-		if response.Close || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
-			return nil, eris.Wrapf(ErrResponseLost, "response from %s belongs to another request", connection.address)
-		}
-		err = discard(response)
-		if err != nil {
-			return nil, eris.Wrapf(ErrResponseLost, "read from %s: %v", connection.address, err)
-		}
-	}
-	return nil, eris.Wrapf(ErrResponseLost, "responses from %s belong to other requests", connection.address)
-}
-
 // Release returns the connection to the pool, where it may be reused until idleUntil.
 func (connection *Connection) Release(idleUntil time.Time) {
 	if connection.reader.Buffered() > 0 {
@@ -307,9 +284,3 @@
 		connection.pool.unreserve(connection.address)
 	}
 }
-
-// discard reads a response body to its end.
-func discard(response *http.Response) error {
-	_, err := io.Copy(io.Discard, response.Body)
-	return err
-}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -21,6 +21,9 @@
 	eventBufferBytes = 4 << 10
 	// maxEventBytes is the size limit of one event.
 	maxEventBytes = 1 << 20
+	// maxTurnOutputBytes is the size limit of a turn that is to be recorded, which is held in memory until
+	// then. No log takes a record of that size.
+	maxTurnOutputBytes = 1 << 20
 )
 
 // event is a server-sent event.
@@ -32,6 +35,9 @@
 	hasData bool
 }
 
+// errTurnTooLong means that an engine's output is larger than a turn may be.
+var errTurnTooLong = eris.New("turn exceeds the size limit")
+
 // eventReader parses a body of server-sent events.
 type eventReader struct {
 	reader *bufio.Reader
@@ -111,10 +117,13 @@
 		if err != nil {
 			return inflight.interruptedStream(ctx, err)
 		}
-		if read.hasData {
+		if read.hasData && inflight.mustRecord() {
 			output = append(output, read.data...)
 			output = append(output, '\n')
 		}
+		if len(output) > maxTurnOutputBytes {
+			return inflight.interruptedStream(ctx, errTurnTooLong)
+		}
 		failure := inflight.relayEvent(response, read)
 		if failure != nil {
 			return backend.Abandoned, failure
