--- a/internal/egress/wire.go
+++ b/internal/egress/wire.go
@@ -69,7 +69,7 @@
 	headers := make([]*nodev1.Header, 0, len(header))
 	for name, values := range header {
 		for _, value := range values {
-			headers = append(headers, &nodev1.Header{Name: name, Value: value})
+			headers = append(headers, &nodev1.Header{Name: name, Value: []byte(value)})
 		}
 	}
 	return headers
@@ -78,7 +78,7 @@
 func headersFromProto(headers []*nodev1.Header) http.Header {
 	header := make(http.Header, len(headers))
 	for _, entry := range headers {
-		header[entry.Name] = append(header[entry.Name], entry.Value)
+		header[entry.Name] = append(header[entry.Name], string(entry.Value))
 	}
 	return header
 }
