Node: a planned stop does not let callers wait for the log

Callers on kept connections were cut 7.6 s after a SIGTERM while the log turned the node away (case stop). Cause: drain waited for the shards' last checkpoints first. Fix: both at the same time. platform/planned_stop_test.go: 8 calls cut before, none after.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -413,10 +413,17 @@
 	defer cancel()
 	node.members.put(node.self())
 	node.registration.requestCheck()
-	node.ownership.Release(ctx)
+	released := make(chan struct{})
+	go func() {
+		defer close(released)
+		node.ownership.Release(ctx)
+	}()
+	// Callers do not wait for the shards' last checkpoints, which a log that does not answer delays
+	// until the end of the shutdown timeout.
 	callers := node.servers[len(node.servers)-1]
 	err := callers.Shutdown(ctx)
 	node.awaitEgress(ctx)
+	<-released
 	node.logger.Info("node stopped", zap.Duration("took", time.Since(started)), zap.Int("in_flight", callers.InFlight()),
 		zap.Int("for_others", node.egress.InFlight()), logging.ErrorField(err))
 }
