Soak: a log that drops old records, with long freezes, long cuts and owners lost in series

--retention-lanes: the log keeps records for 16 s, turns are retained for 6 s; conversations last for the whole run, programs return after their budgets have stopped them. A retained turn that gets 404, or 503 for a missing link, is a violation, as is a conversation that does not go on after the faults.

--- a/rehearsal/command/soak.go
+++ b/rehearsal/command/soak.go
@@ -15,19 +15,20 @@
 
 // Soak injects random faults into nodes that run as processes under load.
 type Soak struct {
-	Seed        uint64        `arg:"--seed" help:"seed of the first run; 0 draws one"`
-	Runs        int           `arg:"--runs" default:"1" help:"runs, each with the next seed"`
-	Length      time.Duration `arg:"--length" default:"30s" help:"how long each run throws faults"`
-	Nodes       int           `arg:"--nodes" default:"5" help:"processes of the system"`
-	Callers     int           `arg:"--callers" default:"8" help:"agent programs at once"`
-	Engines     int           `arg:"--engines" help:"model engines; 0 for the default"`
-	Tools       int           `arg:"--tools" help:"tool services; 0 for the default"`
-	Lanes       int           `arg:"--lanes" default:"2" help:"faults at once"`
-	LoadLanes   int           `arg:"--load-lanes" default:"1" help:"disturbances of the load at once: hot tenants, slow readers, engines that fail at once, zones without the store; 0 leaves them out, and makes engines alike"`
-	CrashLanes  int           `arg:"--crash-lanes" default:"1" help:"callers at once whose requests end each engine that runs them"`
-	StreamLanes int           `arg:"--stream-lanes" default:"1" help:"disturbances of resumed streams at once, with 12 callers of such streams each: rollouts of engine versions, zones and groups of nodes lost at once; above 0 engines have several software versions"`
-	Directory   string        `arg:"--directory" default:"out/soak" help:"where logs and settings files go, a directory for each seed"`
-	Magpielug   string        `arg:"--magpielug" help:"program to start; default is the one beside this program"`
+	Seed           uint64        `arg:"--seed" help:"seed of the first run; 0 draws one"`
+	Runs           int           `arg:"--runs" default:"1" help:"runs, each with the next seed"`
+	Length         time.Duration `arg:"--length" default:"30s" help:"how long each run throws faults"`
+	Nodes          int           `arg:"--nodes" default:"5" help:"processes of the system"`
+	Callers        int           `arg:"--callers" default:"8" help:"agent programs at once"`
+	Engines        int           `arg:"--engines" help:"model engines; 0 for the default"`
+	Tools          int           `arg:"--tools" help:"tool services; 0 for the default"`
+	Lanes          int           `arg:"--lanes" default:"2" help:"faults at once"`
+	LoadLanes      int           `arg:"--load-lanes" default:"1" help:"disturbances of the load at once: hot tenants, slow readers, engines that fail at once, zones without the store; 0 leaves them out, and makes engines alike"`
+	CrashLanes     int           `arg:"--crash-lanes" default:"1" help:"callers at once whose requests end each engine that runs them"`
+	StreamLanes    int           `arg:"--stream-lanes" default:"1" help:"disturbances of resumed streams at once, with 12 callers of such streams each: rollouts of engine versions, zones and groups of nodes lost at once; above 0 engines have several software versions"`
+	RetentionLanes int           `arg:"--retention-lanes" default:"0" help:"faults at once that outlast the time for which the log keeps records: long freezes and cuts, owners lost in series; above 0 the log drops records after 16 s, and conversations go on for longer"`
+	Directory      string        `arg:"--directory" default:"out/soak" help:"where logs and settings files go, a directory for each seed"`
+	Magpielug      string        `arg:"--magpielug" help:"program to start; default is the one beside this program"`
 }
 
 // maxViolationsShown limits the violations printed for one run.
@@ -78,6 +79,7 @@
 		LoadFaultWorkers: command.LoadLanes,
 		CrashWorkers:     command.CrashLanes,
 		StreamWorkers:    command.StreamLanes,
+		RetentionWorkers: command.RetentionLanes,
 		Magpielug:        magpielug,
 		Directory:        directory,
 		Output:           os.Stderr,
--- a/rehearsal/nodesettings/nodesettings.go
+++ b/rehearsal/nodesettings/nodesettings.go
@@ -36,6 +36,8 @@
 	// StoreAddress is the log store's address and Partitions its number of partitions.
 	StoreAddress string
 	Partitions   int
+	// LogRetentionSeconds is how long the log store keeps records; 0 omits it.
+	LogRetentionSeconds int
 	// DrainSeconds is the drain timeout in seconds.
 	DrainSeconds int
 	// Seeds are the control addresses of other nodes.
@@ -94,6 +96,7 @@
 		"[store]",
 		fmt.Sprintf("address = %q", settings.StoreAddress),
 		fmt.Sprintf("partitions = %d", settings.Partitions),
+		fmt.Sprintf(`retention = "%ds"`, settings.LogRetentionSeconds),
 		"[limits]",
 		fmt.Sprintf(`memory = "%dMiB"`, memoryMegabytes),
 		fmt.Sprintf(`drain_timeout = "%ds"`, settings.DrainSeconds),
@@ -123,6 +126,9 @@
 		// An unknown key must be ignored.
 		"Some.NewField=unknown",
 	}
+	if settings.LogRetentionSeconds != 0 {
+		lines = append(lines, fmt.Sprintf("Platform.RetentionS=%d", settings.LogRetentionSeconds))
+	}
 	if settings.ControlPort != 0 {
 		lines = append(lines, "Listen.Control="+Address(settings.ControlPort))
 	}
--- a/rehearsal/soak/caller.go
+++ b/rehearsal/soak/caller.go
@@ -60,6 +60,9 @@
 	// up to and including it.
 	previousTurn string
 	history      string
+	// previousEndedAt is when the last turn completed. It is retained for retention from then on.
+	previousEndedAt time.Time
+	retention       time.Duration
 }
 
 // run runs programs one after another until ctx ends.
@@ -167,6 +170,7 @@
 	if total > current.budget+maxTurnTokens {
 		recorder.addViolation(invariantBudget, "%s received %d tokens with a budget of %d", current.name, total, current.budget)
 	}
+	caller.checkMissingLink(current, attempt)
 	switch attempt.status {
 	case http.StatusOK:
 		if !attempt.complete {
@@ -174,6 +178,8 @@
 		}
 		caller.completedTurns.Add(1)
 		current.previousTurn = attempt.id
+		current.previousEndedAt = time.Now()
+		current.retention = caller.cluster.options.turnRetention()
 		if current.path == retainedTurnPath {
 			current.history = attempt.prompt + turnOutput(attempt.id)
 		}
@@ -184,6 +190,9 @@
 		}
 		return turnBudgetExhausted, true
 	case http.StatusNotFound:
+		if !current.isRetained(attempt.sentAt) {
+			return turnFailed, true
+		}
 		recorder.addViolation(invariantHistory, "%s got 404 for %s, which continues %q: %s", current.name, attempt.id, current.previousTurn, attempt.body)
 		return turnFailed, true
 	}
--- a/rehearsal/soak/cluster.go
+++ b/rehearsal/soak/cluster.go
@@ -57,6 +57,7 @@
 		return nil, eris.Wrap(err, "start log store stand-in")
 	}
 	created := &cluster{options: options, store: store}
+	created.setRetention()
 	err = created.startComponents()
 	if err != nil {
 		created.close()
@@ -221,6 +222,7 @@
 	cluster.version++
 	configuration := records.NewConfiguration(cluster.version, cluster.options.Host, tokensPerEvent)
 	configuration.Routes = append(configuration.Routes, records.NewSafeRoute("version", cluster.options.Host, versionPath(cluster.version)))
+	configuration.SetRetention(int(cluster.options.turnRetention().Seconds()))
 	configuration.Tenants = tenantRecords(cluster.options.Tenants, cluster.version)
 	cluster.store.Put(records.TopicOperator, records.KeyConfiguration, records.Encode(configuration))
 	return cluster.version
--- a/rehearsal/soak/node.go
+++ b/rehearsal/soak/node.go
@@ -64,7 +64,9 @@
 		StoreAddress:  storeProxy.Address(),
 		Partitions:    partitions,
 		DrainSeconds:  graceSeconds,
-		Quota:         &nodesettings.Quota{WindowSeconds: int(quotaWindow.Seconds()), Overage: quotaOverage, Slack: quotaSlack},
+
+		LogRetentionSeconds: options.logRetentionSeconds(),
+		Quota:               &nodesettings.Quota{WindowSeconds: int(quotaWindow.Seconds()), Overage: quotaOverage, Slack: quotaSlack},
 	}
 	write := settings.WriteConf
 	if options.TOMLSettings {
--- a/rehearsal/soak/run.go
+++ b/rehearsal/soak/run.go
@@ -38,6 +38,9 @@
 	// StreamWorkers is the number of concurrent faults of resumed streams. If positive, there are three
 	// zones by default, and engines of several software versions.
 	StreamWorkers int
+	// RetentionWorkers is the number of concurrent faults that outlast the log's retention. If positive, the
+	// log drops old records.
+	RetentionWorkers int
 	// Magpielug is the path of the binary under test. Settings files and logs are
 	// written to Directory.
 	Magpielug string
@@ -224,6 +227,7 @@
 		run.workers.Go(func() { own.run(loadCtx, number, run.random(uint64(number))) })
 	}
 	run.startStreamCallers(loadCtx)
+	run.startRetentionCallers(loadCtx)
 	run.workers.Go(func() { run.probe(loadCtx) })
 }
 
@@ -247,6 +251,9 @@
 	for worker := range run.options.StreamWorkers {
 		workers.Go(func() { run.injector.run(faultCtx, run.random(uint64(4000+worker)), streamFaults) })
 	}
+	for worker := range run.options.RetentionWorkers {
+		workers.Go(func() { run.injector.run(faultCtx, run.random(uint64(5000+worker)), retentionFaults) })
+	}
 	workers.Wait()
 }
 
--- a/rehearsal/soak/run_test.go
+++ b/rehearsal/soak/run_test.go
@@ -21,6 +21,13 @@
 // streamSeeds are the seeds of runs with resumed streams.
 var streamSeeds = []uint64{1}
 
+// retentionSeeds are the seeds of runs whose log drops old records.
+var retentionSeeds = []uint64{1}
+
+// retentionDuration is how long faults are injected in these runs: longer than the log keeps records, and than
+// nodes keep turns in memory.
+const retentionDuration = 30 * time.Second
+
 var _ = Describe("Run", func() {
 	itFindsNoViolation := func(seed uint64, loadLanes, crashLanes, streamLanes int) {
 		It("finds no invariant violation", func() {
@@ -42,6 +49,25 @@
 			Expect(report.Turns).To(BeNumerically(">", 0))
 		})
 	}
+	for _, seed := range retentionSeeds {
+		// Guards against conversations and budgets that are lost with records that the log drops.
+		It("finds no invariant violation while the log drops old records", func() {
+			report, err := Run(context.Background(), Options{
+				Seed:             seed,
+				FaultDuration:    retentionDuration,
+				Nodes:            4,
+				Callers:          4,
+				FaultWorkers:     1,
+				RetentionWorkers: 2,
+				Magpielug:        binary,
+				Directory:        GinkgoT().TempDir(),
+				Output:           GinkgoWriter,
+			})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(report.Violations).To(BeEmpty())
+			Expect(report.Turns).To(BeNumerically(">", 0))
+		})
+	}
 	for _, seed := range seeds {
 		itFindsNoViolation(seed, 0, 0, 0)
 	}
--- a/rehearsal/standin/records/records.go
+++ b/rehearsal/standin/records/records.go
@@ -39,8 +39,6 @@
 	// turnTimeoutMs and toolTimeoutMs are request timeouts in milliseconds.
 	turnTimeoutMs = 4000
 	toolTimeoutMs = 2000
-	// retentionSeconds is how long a turn's context is retained.
-	retentionSeconds = 60
 	// maxConnections bounds a node's connections to a service's engines.
 	maxConnections = 80
 	headerBytes    = 16384
@@ -115,13 +113,25 @@
 	Version string `json:",omitempty"`
 }
 
+// RetentionSeconds is how long a turn's context is retained.
+const RetentionSeconds = 60
+
+// SetRetention sets how long the turns of all routes that retain them are retained.
+func (configuration *Configuration) SetRetention(seconds int) {
+	for index := range configuration.Routes {
+		if configuration.Routes[index].RetainContext {
+			configuration.Routes[index].RetentionS = seconds
+		}
+	}
+}
+
 // NewConfiguration returns a configuration that routes a host's requests to models and
 // tools.
 func NewConfiguration(version int, host string, tokensPerEvent int) Configuration {
 	return Configuration{
 		Version: version,
 		Routes: []Route{
-			{Name: "kept", Host: host, PathPrefix: PathRetained, Kind: kindStreaming, TimeoutMs: turnTimeoutMs, Service: ServiceModels, MaxAttempts: 1, RetainContext: true, RetentionS: retentionSeconds},
+			{Name: "kept", Host: host, PathPrefix: PathRetained, Kind: kindStreaming, TimeoutMs: turnTimeoutMs, Service: ServiceModels, MaxAttempts: 1, RetainContext: true, RetentionS: RetentionSeconds},
 			{Name: "plain", Host: host, PathPrefix: PathPlain, Kind: kindStreaming, TimeoutMs: turnTimeoutMs, Service: ServiceModels, MaxAttempts: 1},
 			{Name: "resumable", Host: host, PathPrefix: PathResumable, Kind: kindStreaming, TimeoutMs: turnTimeoutMs, Service: ServiceModels, MaxAttempts: 1, Resumable: true},
 			NewSafeRoute("safe", host, PathSafe),
