Spending: a ceiling that confirms an ownership covers all that is charged

A successor could grant a budget anew that a former owner had partly granted: 300 of 300 tokens where 210 were left. Cause: an owner that confirms its ownership after a freeze, or once its ceilings may have left the log, wrote the ceiling unchanged under its own epoch, and successors charge former allowances only to ceilings of former epochs. Fix: the ceiling covers what is charged.

--- a/internal/spending/allowance_test.go
+++ b/internal/spending/allowance_test.go
@@ -209,14 +209,18 @@
 	})
 })
 
+// logRetention is how long a log that drops old records keeps them.
+const logRetention = 5 * time.Minute
+
 // shardModel is a shard's partition of the log with all its owners so far.
 type shardModel struct {
 	ceilings    map[tenant.Program]spending.Ceiling
 	outstanding []spending.Allowance
 	owners      []*modelOwner
-	// second is true if all nodes support a second allowance.
-	second bool
-	now    time.Time
+	// second is true if all nodes support a second allowance, dropsRecords if the log drops old records.
+	second       bool
+	dropsRecords bool
+	now          time.Time
 }
 
 // modelOwner is an owner; a stopped one grants nothing.
@@ -283,6 +287,9 @@
 		model.outstanding = append(slices.Clone(former), own)
 	}
 	ledger.SetAllowances(own, former)
+	if model.dropsRecords {
+		ledger.SetRetentionLimits(spending.RetentionLimits{AllowanceLease: logRetention / 2, CeilingLease: logRetention * 3 / 4}, model.now)
+	}
 	model.owners = append(model.owners, &modelOwner{ledger: ledger, own: own})
 	if accounts != nil {
 		model.write(ledger.Checkpoint())
@@ -301,7 +308,7 @@
 		sizes := rapid.SampledFrom([]int64{20, 60, maxTokens})
 		budget := rapid.SampledFrom([]int64{100, 150, 200, 300, 400}).Draw(t, "budget")
 		largestKnown := sizes.Draw(t, "largest known")
-		model := &shardModel{ceilings: map[tenant.Program]spending.Ceiling{}, second: rapid.Bool().Draw(t, "second"), now: start}
+		model := &shardModel{ceilings: map[tenant.Program]spending.Ceiling{}, second: rapid.Bool().Draw(t, "second"), dropsRecords: rapid.Bool().Draw(t, "drops records"), now: start}
 		model.claim(largestKnown, nil)
 		type turn struct {
 			owner     *modelOwner
--- a/internal/spending/spending.go
+++ b/internal/spending/spending.go
@@ -282,11 +282,15 @@
 	}
 }
 
-// RequeueCeiling requests that a program's ceiling be written again unchanged.
+// RequeueCeiling requests that a program's ceiling be written again. It covers all that is charged: a
+// successor does not charge the allowances of former owners to an account with a ceiling of this one.
 func (ledger *Ledger) RequeueCeiling(program tenant.Program) {
-	if ledger.accounts[program] != nil {
-		ledger.pendingCeilings[program] = true
+	account := ledger.accounts[program]
+	if account == nil {
+		return
 	}
+	account.requestedCeiling = max(account.requestedCeiling, account.total())
+	ledger.pendingCeilings[program] = true
 }
 
 // Settle ends a turn that spent tokens. It returns false and changes nothing if the
