History: a turn that is recorded again is another recording; few at once

A group writer remembers recordings for 5 s by the turn's content, so a refresh within that time was answered as done and wrote nothing: with a retention below 20 s a chain's beginning could leave the log. A long chain, due as a whole, is recorded 16 turns at a time.

--- a/internal/history/refresher.go
+++ b/internal/history/refresher.go
@@ -20,6 +20,9 @@
 	// refreshTimeout bounds the attempts to record a turn again. The next turn of the chain repeats
 	// them.
 	refreshTimeout = 10 * time.Second
+	// maxConcurrentRefreshes bounds the turns that a node records again at once: a long chain is due as a
+	// whole.
+	maxConcurrentRefreshes = 16
 )
 
 // RecordFunc records a turn in the log.
@@ -37,11 +40,13 @@
 	// inProgress holds the turns that are being recorded.
 	inProgress map[Key]bool
 	refreshed  int
+	// slots is a semaphore for the recordings.
+	slots chan struct{}
 }
 
 // NewRefresher returns a refresher for a log that drops records after logRetention; 0 means never.
 func NewRefresher(store *Store, record RecordFunc, logRetention time.Duration) *Refresher {
-	return &Refresher{store: store, record: record, logRetention: logRetention, inProgress: map[Key]bool{}}
+	return &Refresher{store: store, record: record, logRetention: logRetention, inProgress: map[Key]bool{}, slots: make(chan struct{}, maxConcurrentRefreshes)}
 }
 
 // Refresh records the turns of a chain again that the log may drop while the chain's next turn, which
@@ -70,6 +75,8 @@
 
 func (refresher *Refresher) refresh(turn *Turn, onFailure func(turn *Turn, err error)) {
 	defer refresher.end(turn.Key())
+	refresher.slots <- struct{}{}
+	defer func() { <-refresher.slots }()
 	ctx, cancel := context.WithTimeout(context.Background(), refreshTimeout)
 	defer cancel()
 	err := refresher.record(ctx, turn)
--- a/internal/node/recordings.go
+++ b/internal/node/recordings.go
@@ -24,10 +24,12 @@
 	byKey map[recordingKey]*recording
 }
 
-// recordingKey identifies a turn by its content, too: an answer may be made again under the same ID.
+// recordingKey identifies a turn by its content, too: an answer may be made again under the same ID. A
+// turn that is recorded again later is another recording.
 type recordingKey struct {
-	turn   history.Key
-	output [sha256.Size]byte
+	turn       history.Key
+	output     [sha256.Size]byte
+	recordedAt int64
 }
 
 // recording is the recording of one turn. err may be read once done is closed.
@@ -39,7 +41,7 @@
 
 // start returns the recording of a turn, and starts it unless it is in progress or has ended lately.
 func (recordings *recordings) start(recorder *history.Recorder, shard int, turn *history.Turn) *recording {
-	key := recordingKey{turn: turn.Key(), output: sha256.Sum256(turn.Output)}
+	key := recordingKey{turn: turn.Key(), output: sha256.Sum256(turn.Output), recordedAt: turn.RecordedAt.UnixMilli()}
 	recordings.mutex.Lock()
 	defer recordings.mutex.Unlock()
 	known := recordings.byKey[key]
