--- a/internal/ownership/renewal.go
+++ b/internal/ownership/renewal.go
@@ -10,9 +10,8 @@
 	"github.com/magpielug/magpielug/internal/tenant"
 )
 
-// An owner writes its claim and its ceilings again before the log drops them. A successor otherwise
-// finds neither, knows nothing of what was spent, and has to guess the epoch.
-
+// Renewal: an owner writes its claim and its ceilings again before the log drops them. A successor would
+// otherwise find neither, know nothing of what was spent, and have to guess the epoch.
 const (
 	// renewalDivisor is the time between two renewals as a divisor of the log's retention. After the loss of an
 	// owner, what it wrote stays readable for at least three quarters of the retention.
@@ -51,7 +50,7 @@
 func (manager *Manager) startRenewals(now time.Time) {
 	for _, shard := range manager.shards {
 		if manager.renewalDue(shard, now) {
-			manager.writeCeilings(shard)
+			manager.appendPending(shard)
 		}
 	}
 }
--- a/internal/ownership/shard.go
+++ b/internal/ownership/shard.go
@@ -206,7 +206,7 @@
 		}
 		shard.waiters = append(shard.waiters, waiting)
 	}
-	manager.writeCeilings(shard)
+	manager.appendPending(shard)
 }
 
 // logRefusal logs a refused reservation with the balance that it was refused for.
--- a/internal/ownership/write.go
+++ b/internal/ownership/write.go
@@ -13,9 +13,9 @@
 	"go.uber.org/zap"
 )
 
-// writeCeilings starts an append of the pending ceilings, and of the next part of a renewal that is
+// appendPending starts an append of the pending ceilings, and of the next part of a renewal that is
 // due, unless one is in flight.
-func (manager *Manager) writeCeilings(shard *shard) {
+func (manager *Manager) appendPending(shard *shard) {
 	if shard.appendInFlight || shard.phase != charts.OwnershipStateOwned {
 		return
 	}
@@ -76,7 +76,7 @@
 	shard.ledger.AcknowledgeCeilings(ceilings)
 	shard.finishRenewal()
 	manager.decideWaiters(shard)
-	manager.writeCeilings(shard)
+	manager.appendPending(shard)
 }
 
 // loseShard gives up a shard after the store has rejected an append.
