Quarantine: calls whose callers left while the node was frozen are not held against their content

Cause: a node that was frozen for longer than callers wait reads their calls and their leave one after the other; three such attempts within 12 ms count as three ends. Fix: for a second after a freeze an attempt that its caller leaves does not count. The spec fails on the code before.

--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -32,6 +32,10 @@
 	RequestAnswered(fingerprint quarantine.Fingerprint, began time.Time)
 }
 
+// frozenBacklogTime is how long after a freeze a node still reads calls that came during it. Those whose
+// callers have left by then are sent and abandoned at once.
+const frozenBacklogTime = time.Second
+
 // errQuarantined is the cancellation cause of calls whose request is quarantined meanwhile.
 var errQuarantined = errors.New("request is quarantined")
 
@@ -134,7 +138,7 @@
 	inflight.service.Logger.Info("attempt unanswered", zap.String("request", inflight.call.ID), zap.Stringer("content", inflight.fingerprint()),
 		zap.String("engine", engine.ID), zap.Int64("life", engine.Incarnation), zap.Stringer("cause", cause),
 		zap.Duration("after", time.Since(end.began)), zap.Duration("silent", silent), zap.Int64("events", inflight.eventCount))
-	if inflight.service.Quarantine != nil && !inflight.service.plannedEnd(engine, cause) {
+	if inflight.service.Quarantine != nil && !inflight.service.plannedEnd(engine, cause) && !inflight.leftDuringFreeze(end, cause) {
 		inflight.service.Quarantine.RecordLoss(inflight.fingerprint(), engine, cause)
 	}
 }
@@ -145,6 +149,12 @@
 	return cause == quarantine.Interrupted && !service.Engines.Serving(engine)
 }
 
+// leftDuringFreeze reports whether the caller has probably left while this node was frozen, before the
+// attempt began. Its leave says nothing about the engine.
+func (inflight *inflightCall) leftDuringFreeze(end attemptEnd, cause quarantine.Cause) bool {
+	return cause == quarantine.Left && inflight.service.FreezeDetector.FrozenSince(end.began.Add(-frozenBacklogTime))
+}
+
 // lastHeard returns when the engine of the attempt that began then was last heard from.
 func (inflight *inflightCall) lastHeard(began time.Time) time.Time {
 	if inflight.awaitingSince.After(began) {
--- a/internal/forward/quarantine_test.go
+++ b/internal/forward/quarantine_test.go
@@ -9,6 +9,7 @@
 	nodev1 "github.com/magpielug/magpielug/api/node/v1"
 	"github.com/magpielug/magpielug/internal/backend"
 	"github.com/magpielug/magpielug/internal/forward"
+	"github.com/magpielug/magpielug/internal/freeze/freezetest"
 	"github.com/magpielug/magpielug/internal/quarantine"
 	"github.com/magpielug/magpielug/internal/resultcode"
 	"github.com/magpielug/magpielug/internal/routing"
@@ -169,6 +170,26 @@
 		Expect(tracker.Losses(time.Now())[0].Refuted).To(BeTrue())
 	})
 
+	// Guards against a quarantine of what many callers send, after a node was frozen for longer than they wait.
+	It("does not hold calls whose callers left while the node was frozen against their content", func() {
+		hang := func(ctx context.Context, _ *forward.Attempt) (*forward.EngineResponse, error) {
+			<-ctx.Done()
+			return nil, backend.ErrResponseLost
+		}
+		service.Sender = senderFunc(hang)
+		callAndLeave := func() {
+			ctx, leave := context.WithTimeout(context.Background(), 10*time.Millisecond)
+			defer leave()
+			serve(ctx, "/tool/x", "p")
+		}
+		service.FreezeDetector = freezetest.JustResumed(5 * time.Second)
+		callAndLeave()
+		Expect(tracker.Empty()).To(BeTrue())
+		service.FreezeDetector = nil
+		callAndLeave()
+		Expect(tracker.Empty()).To(BeFalse())
+	})
+
 	It("does not repeat a request early that an engine may have ended under", func() {
 		serve(context.Background(), "/safe/x", "p")
 		hanging := &hangingSender{hang: func(ctx context.Context) (*forward.EngineResponse, error) {
