Ownership: a renewal is due by the age of what is in the log, not of the claim

Fix: it counts from the oldest ceiling in the log, as does the time for which ceilings may be granted by.

--- a/internal/ownership/claim.go
+++ b/internal/ownership/claim.go
@@ -34,6 +34,8 @@
 	replayedRecords  int
 	importedAccounts int
 	allowance        spending.Allowance
+	// oldestCeiling is when the oldest ceiling in the log was written; the claim's time if there is none.
+	oldestCeiling time.Time
 	// refusedEpoch is the highest epoch that the store has refused as too low. It is also set if the
 	// claim failed.
 	refusedEpoch int64
@@ -96,9 +98,10 @@
 	shard.owner = Owner{Node: manager.self.Node, Epoch: result.epoch, Address: manager.self.Address}
 	shard.ledger = result.ledger
 	shard.allowance = result.allowance
-	shard.renewal = renewal{beganAt: shard.claimStartedAt}
+	// Owners may follow each other faster than they renew, so what is due counts from the oldest record.
+	shard.renewal = renewal{beganAt: result.oldestCeiling}
 	if manager.renews() {
-		shard.ledger.SetRetentionLimits(retentionLimits(manager.dependencies.LogRetention), shard.claimStartedAt)
+		shard.ledger.SetRetentionLimits(retentionLimits(manager.dependencies.LogRetention), shard.claimStartedAt, result.oldestCeiling)
 	}
 	manager.decideWaiters(shard)
 }
@@ -114,6 +117,7 @@
 	for attempts < maxClaimAttempts && epochSearches < maxEpochSearches {
 		result, err := manager.tryClaim(ctx, replay, largestTurn)
 		result.refusedEpoch = replay.refusedEpoch
+		result.oldestCeiling = replay.oldestCeiling(time.Now())
 		var elsewhere *ownedElsewhereError
 		if err == nil || errors.As(err, &elsewhere) {
 			return result, err
--- a/internal/ownership/renewal.go
+++ b/internal/ownership/renewal.go
@@ -33,7 +33,8 @@
 
 // renewal is the renewal in progress or the latest one of a shard that this node owns.
 type renewal struct {
-	// beganAt is when the latest renewal that has completed began, or the claim.
+	// beganAt is when the latest renewal that has completed began, or when the oldest ceiling was written
+	// that this owner has found in the log.
 	beganAt time.Time
 	// startedAt is when the one in progress began, zero if there is none.
 	startedAt time.Time
--- a/internal/ownership/renewal_test.go
+++ b/internal/ownership/renewal_test.go
@@ -76,6 +76,22 @@
 		Expect(spentMore + spend(second, "beyond-allowance", 12)).To(BeNumerically("<=", budget+largestTurn))
 	})
 
+	// Guards against records that leave the log although the shard has had an owner all the time.
+	It("keeps what programs have spent over a series of owners that are lost soon", func() {
+		const owners = 10
+		first, stop := startOwner(log, "first")
+		spent := spend(first, "returns", 8)
+		stop()
+		for number := range owners {
+			owner, stop := startOwner(log, fmt.Sprintf("owner-%d", number))
+			spend(owner, fmt.Sprintf("other-%d", number), 1)
+			time.Sleep(retention / 5)
+			stop()
+		}
+		last, _ := startOwner(log, "last")
+		Expect(spent + spend(last, "returns", 12)).To(BeNumerically("<=", budget+largestTurn))
+	})
+
 	// Guards against a former owner's allowance that is forgotten once its claim has left the log.
 	It("keeps the allowances of former owners for a successor", func() {
 		first, stop := startOwner(log, "first")
--- a/internal/ownership/replay.go
+++ b/internal/ownership/replay.go
@@ -98,7 +98,20 @@
 		Tokens:  ceiling.Tokens,
 		Settled: ceiling.Settled,
 		Epoch:   epoch,
+
+		WrittenAt: time.UnixMilli(ceiling.WrittenUnixMs),
+	}
+}
+
+// oldestCeiling returns when the oldest ceiling that still applies was written, at most limit.
+func (replay *replay) oldestCeiling(limit time.Time) time.Time {
+	oldest := limit
+	for _, ceiling := range replay.ceilings {
+		if ceiling.WrittenAt.Before(oldest) {
+			oldest = ceiling.WrittenAt
+		}
 	}
+	return oldest
 }
 
 // applyClaim applies a claim, or the copy of it that its owner has written last.
--- a/internal/spending/allowance_test.go
+++ b/internal/spending/allowance_test.go
@@ -288,7 +288,7 @@
 	}
 	ledger.SetAllowances(own, former)
 	if model.dropsRecords {
-		ledger.SetRetentionLimits(spending.RetentionLimits{AllowanceLease: logRetention / 2, CeilingLease: logRetention * 3 / 4}, model.now)
+		ledger.SetRetentionLimits(spending.RetentionLimits{AllowanceLease: logRetention / 2, CeilingLease: logRetention * 3 / 4}, model.now, model.now)
 	}
 	model.owners = append(model.owners, &modelOwner{ledger: ledger, own: own})
 	if accounts != nil {
--- a/internal/spending/renewal.go
+++ b/internal/spending/renewal.go
@@ -17,13 +17,14 @@
 	CeilingLease time.Duration
 }
 
-// SetRetentionLimits sets the limits of a log that drops old records. It must be called before the
-// first Reserve.
-func (ledger *Ledger) SetRetentionLimits(limits RetentionLimits, claimed time.Time) {
+// SetRetentionLimits sets the limits of a log that drops old records. claimed is when the owner's claim
+// began, renewed when the oldest of the ceilings that the log holds was written. It must be called before
+// the first Reserve.
+func (ledger *Ledger) SetRetentionLimits(limits RetentionLimits, claimed, renewed time.Time) {
 	ledger.allowanceLease = min(ledger.allowanceLease, limits.AllowanceLease)
 	ledger.allowanceUntil = claimed.Add(ledger.allowanceLease)
 	ledger.ceilingLease = limits.CeilingLease
-	ledger.ceilingsUntil = claimed.Add(limits.CeilingLease)
+	ledger.ceilingsUntil = renewed.Add(limits.CeilingLease)
 }
 
 // RenewCeilings extends the use of ceilings: the log has acknowledged a renewal that began at a time.
--- a/internal/spending/renewal_test.go
+++ b/internal/spending/renewal_test.go
@@ -20,7 +20,7 @@
 		first := spending.NewAllowance(1, largestTurn)
 		second := spending.NewLedger(nil, start)
 		second.SetAllowances(spending.Allowance{Epoch: 2}, []spending.Allowance{first})
-		second.SetRetentionLimits(limits, start)
+		second.SetRetentionLimits(limits, start, start)
 		late := start.Add(limits.CeilingLease + time.Second)
 		Expect(reserveAt(second, "a", budget, 10, late)).To(Equal(spending.AwaitCeiling))
 		logged := map[tenant.Program]spending.Ceiling{}
--- a/internal/spending/spending.go
+++ b/internal/spending/spending.go
@@ -48,6 +48,8 @@
 	Settled int64
 	// Epoch is that of the claim under which the ceiling was logged.
 	Epoch int64
+	// WrittenAt is when it was logged last; zero for one that is yet to be logged.
+	WrittenAt time.Time
 }
 
 // account is the state of one program.
