Spending: the turns of a program without a budget are granted whatever owners were lost

Cause: shares of the largest number were charged to it for each lost owner. Fix: such turns need no ceiling. The spec fails on the code before.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -5,8 +5,9 @@
 
 import (
 	"context"
+	"github.com/magpielug/magpielug/internal/spending"
 	"io"
-	"math"
+
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -69,7 +70,7 @@
 }
 
 // Unlimited is the budget of a program without a limit.
-const Unlimited = math.MaxInt64 / 4
+const Unlimited = spending.Unlimited
 
 // ProgramName returns the call's program qualified by its tenant.
 func (call *Call) ProgramName() tenant.Program {
--- a/internal/spending/renewal_test.go
+++ b/internal/spending/renewal_test.go
@@ -10,6 +10,20 @@
 	. "github.com/onsi/gomega"
 )
 
+var _ = Describe("Ledger with a program without a budget", func() {
+	// Guards against a 402 for such a program once owners were lost several times.
+	It("grants its turns whatever former owners may have granted", func() {
+		logged := map[tenant.Program]spending.Ceiling{program: {Program: program, Tokens: spending.Unlimited, Settled: 10, Epoch: 3}}
+		ledger := spending.NewLedger(logged, start)
+		ledger.SetAllowances(spending.Allowance{Epoch: 4}, []spending.Allowance{spending.NewAllowance(1, 100), spending.NewAllowance(2, 100)})
+		for _, request := range []string{"a", "b"} {
+			Expect(reserve(ledger, request, spending.Unlimited, 100)).To(Equal(spending.Granted))
+			Expect(ledger.Settle(program, request, 40, start)).To(BeTrue())
+		}
+		Expect(ledger.DrainPendingCeilings()).To(BeEmpty())
+	})
+})
+
 var _ = Describe("Ledger of an owner whose ceilings may have left the log", func() {
 	const budget, largestTurn = 300, 100
 	limits := spending.RetentionLimits{AllowanceLease: logRetention / 2, CeilingLease: logRetention * 3 / 4}
--- a/internal/spending/spending.go
+++ b/internal/spending/spending.go
@@ -9,6 +9,7 @@
 package spending
 
 import (
+	"math"
 	"time"
 
 	"github.com/magpielug/magpielug/internal/tenant"
@@ -36,6 +37,9 @@
 // one charges less when the owner is lost.
 const ceilingHeadroom = 1.0 / 16
 
+// Unlimited is the budget of a program without a limit.
+const Unlimited = math.MaxInt64 / 4
+
 // uncertaintyTimeout is how long an account returns Undetermined after the first time.
 const uncertaintyTimeout = 3 * time.Second
 
@@ -201,12 +205,16 @@
 	ledger.allowanceEnded = now.After(ledger.allowanceUntil)
 	account.lastUsed = now
 	account.budget = budget
-	if ledger.chargeOutstanding(account, budget) > 0 {
-		account.uncertainSince = now
-	}
 	if _, open := account.openTurns[request.RequestID]; open {
 		return Granted
 	}
+	if budget >= Unlimited {
+		account.open(request)
+		return Granted
+	}
+	if ledger.chargeOutstanding(account, budget) > 0 {
+		account.uncertainSince = now
+	}
 	needed := account.total() + maxTokens
 	if needed > budget {
 		verdict := ledger.decideOverBudget(account, needed, now)
@@ -228,14 +236,19 @@
 		ledger.raiseCeiling(program, account, needed, maxTokens)
 		return AwaitCeiling
 	}
-	account.openTurns[request.RequestID] = reservation{maxTokens: maxTokens, expiresAt: request.ExpiresAt}
-	account.reserved += maxTokens
+	account.open(request)
 	if account.ceiling < needed+maxTokens {
 		ledger.raiseCeiling(program, account, needed, maxTokens)
 	}
 	return Granted
 }
 
+// open adds a granted turn.
+func (account *account) open(request ReserveRequest) {
+	account.openTurns[request.RequestID] = reservation{maxTokens: request.MaxTokens, expiresAt: request.ExpiresAt}
+	account.reserved += request.MaxTokens
+}
+
 // decideOverBudget decides about a turn whose maximum exceeds the remaining budget. Total
 // spending is bounded by the budget plus one turn. One turn that begins within the budget
 // may exceed it, and only by uncertain spending. Spending that is still uncertain after
