--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -5,14 +5,13 @@
 
 import (
 	"context"
-	"github.com/magpielug/magpielug/internal/spending"
 	"io"
-
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/magpielug/magpielug/internal/backend"
+	"github.com/magpielug/magpielug/internal/spending"
 	"github.com/magpielug/magpielug/internal/tenant"
 )
 
