--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -27,6 +27,7 @@
 // cases are the scripted cases by the name that their scripts give.
 var cases = map[string]caseFunc{
 	"late-surplus-refusal": runLateSurplusRefusal,
+	"foreign-record":       runForeignRecord,
 	"lost-nodes":           runLostNodes,
 }
 
