--- a/review/standin-2/case_lost_nodes.go
+++ b/review/standin-2/case_lost_nodes.go
@@ -23,16 +23,19 @@
 	// minPause and maxPause bound the time after which a program sends a failed turn anew.
 	minPause = 100 * time.Millisecond
 	maxPause = 400 * time.Millisecond
-	// minTries is how often a turn must have been asked for in the last seconds.
-	minTries = 3
+	// minTries is how often a turn must have been asked for until then, and minLateTries how often in the last seconds.
+	minTries     = 5
+	minLateTries = 2
 )
 
-// conversations are the numbers of the programs that have a first turn before the fault and go on after it. They
-// belong to different shards.
-var conversations = []int{0, 1, 3, 4}
+// conversation is the number of a program that has a first turn before the fault and goes on after it.
+type conversation int
+
+// conversations belong to different shards.
+var conversations = []conversation{0, 1, 3, 4}
 
 // runLostNodes: all machines lose power right after turns were answered, and only one comes back. Programs go on
-// there from the turns of before.
+// there with their next turn.
 func runLostNodes(run *deployment, trouble bool) (verdict, error) {
 	run.publish(newConfiguration())
 	for index := range zones {
@@ -50,10 +53,10 @@
 		return verdict{}, err
 	}
 	time.Sleep(settleTime)
-	for _, number := range conversations {
-		answer := run.send(run.nodes[number%machines], turnCall(number, 1, 0))
+	for index, each := range conversations {
+		answer := run.send(run.nodes[index%machines], each.firstTurn())
 		if answer.status != http.StatusOK {
-			return verdict{}, fmt.Errorf("first turn of conversation %d was not served", number)
+			return verdict{}, fmt.Errorf("first turn of program %d was not served", each)
 		}
 	}
 	if trouble {
@@ -66,9 +69,9 @@
 	var found verdict
 	var mutex sync.Mutex
 	var group sync.WaitGroup
-	for _, number := range conversations {
+	for _, each := range conversations {
 		group.Go(func() {
-			breach := run.goOn(number, back)
+			breach := run.goOn(each, back)
 			mutex.Lock()
 			defer mutex.Unlock()
 			if breach != "" {
@@ -80,15 +83,31 @@
 	return found, nil
 }
 
-// losePower takes the power of all machines and lets the first one come back. A machine without power says
-// nothing: a stopped process answers nothing either.
+// losePower takes the power of all machines at the same moment and lets the first one come back. The others say
+// nothing: connections to them hang.
 func (deployed *deployment) losePower() error {
 	for _, node := range deployed.nodes {
-		_ = node.command.Process.Signal(syscall.SIGSTOP)
+		_ = node.command.Process.Signal(syscall.SIGKILL)
 	}
+	lost := time.Now()
 	deployed.record.write("all %d machines lose power", machines)
-	time.Sleep(downTime)
-	err := deployed.nodes[0].restart()
+	var group sync.WaitGroup
+	failures := make(chan error, machines)
+	for _, node := range deployed.nodes {
+		node.end()
+	}
+	for _, node := range deployed.nodes[1:] {
+		group.Go(func() { failures <- deployed.silence(node) })
+	}
+	group.Wait()
+	close(failures)
+	for err := range failures {
+		if err != nil {
+			return err
+		}
+	}
+	time.Sleep(downTime - time.Since(lost))
+	err := deployed.nodes[0].startAgain()
 	if err != nil {
 		return err
 	}
@@ -96,45 +115,54 @@
 	return nil
 }
 
-// turnCall returns a try of a conversation's turn. The second turn goes on from the first.
-func turnCall(number, turn, try int) call {
-	headers := map[string]string{"Model": "m", "Program-Id": fmt.Sprintf("program-%d", number), "Session-Id": fmt.Sprintf("session-%d", number),
+// turnCall returns a turn of the program. previous is the turn that it goes on from, empty if there is none.
+func (each conversation) turnCall(id, previous string) call {
+	headers := map[string]string{"Model": "m", "Program-Id": fmt.Sprintf("program-%d", each), "Session-Id": fmt.Sprintf("session-%d", each),
 		"Program-Deadline-Ms": "20000", "Token-Budget": "2304", "Token-Usage": "40,80", "Prompt-Prefix": "5c1e07a2:40"}
-	id := fmt.Sprintf("turn-%d-%d-%d", number, turn, try)
-	if turn > 1 {
-		headers["Previous-Turn"] = fmt.Sprintf("turn-%d-1-0", number)
+	if previous != "" {
+		headers["Previous-Turn"] = previous
 	}
 	return call{id: id, method: http.MethodPost, path: "/turns/" + id, body: "question", deadline: turnDeadline, headers: headers}
 }
 
-// goOn asks for the second turn of a conversation until it is served or the time of recovery is over. It returns
+func (each conversation) firstTurn() call {
+	return each.turnCall(fmt.Sprintf("first-%d", each), "")
+}
+
+// nextTurn returns a try of the turn that goes on from the first one.
+func (each conversation) nextTurn(try int) call {
+	return each.turnCall(fmt.Sprintf("next-%d-%d", each, try), each.firstTurn().id)
+}
+
+// goOn asks for the next turn of a conversation until it is served or the time of recovery is over. It returns
 // how LOST is broken, or nothing.
-func (deployed *deployment) goOn(number int, back time.Time) string {
+func (deployed *deployment) goOn(each conversation, back time.Time) string {
 	tries, late := 0, 0
 	for time.Since(back) < recoveryTime {
 		if time.Since(back) >= recoveryTime-lastSeconds {
 			late++
 		}
-		answer := deployed.send(deployed.nodes[0], turnCall(number, 2, tries))
+		answer := deployed.send(deployed.nodes[0], each.nextTurn(tries))
 		tries++
 		if answer.status == http.StatusOK {
 			return ""
 		}
 		if answer.status == http.StatusNotFound || answer.status == http.StatusGone {
-			return fmt.Sprintf("LOST: turn 2 of conversation %d got %d though its previous turn was answered whole", number, answer.status)
+			return fmt.Sprintf("LOST: %s got %d though its previous turn was answered whole", each.nextTurn(tries-1).id, answer.status)
 		}
 		time.Sleep(pauseAfter(answer))
 	}
 	runs := deployed.runs()
 	for try := range tries {
-		if len(runs[turnCall(number, 2, try).id]) > 0 {
+		if len(runs[each.nextTurn(try).id]) > 0 {
 			return ""
 		}
 	}
-	if late < minTries {
+	if tries < minTries || late < minLateTries {
 		return ""
 	}
-	return fmt.Sprintf("LOST: turn 2 of conversation %d reached no engine in %d tries in %s, %d of them in the last %s", number, tries, recoveryTime, late, lastSeconds)
+	return fmt.Sprintf("LOST: the turn of program %d that goes on from %s reached no engine in %d tries in %s, %d of them in the last %s",
+		each, each.firstTurn().id, tries, recoveryTime, late, lastSeconds)
 }
 
 // pauseAfter returns when a program sends a failed turn anew: as the answer asks for, and not before its own pause.
--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -36,6 +37,9 @@
 	store     *logstore.Store
 	nodes     []*nodeProcess
 	engines   []*engine
+	// mutex guards silent, the ports of machines without power.
+	mutex  sync.Mutex
+	silent []*silentPort
 }
 
 func newDeployment(binary string, record *record) (*deployment, error) {
@@ -58,6 +62,9 @@
 	for _, engine := range deployed.engines {
 		engine.stop()
 	}
+	for _, silent := range deployed.silent {
+		silent.close()
+	}
 	deployed.store.Close()
 	_ = os.RemoveAll(deployed.directory)
 }
@@ -138,6 +145,7 @@
 	readiness string
 	binary    string
 	settings  string
+	ports     []int
 	command   *exec.Cmd
 	output    *os.File
 }
@@ -208,7 +216,7 @@
 	if err != nil {
 		return fmt.Errorf("create a log: %w", err)
 	}
-	node := &nodeProcess{name: name, callers: address(0), readiness: address(1), output: output, binary: deployed.binary, settings: settings}
+	node := &nodeProcess{name: name, callers: address(0), readiness: address(1), output: output, binary: deployed.binary, settings: settings, ports: ports}
 	deployed.nodes = append(deployed.nodes, node)
 	return node.start()
 }
@@ -225,10 +233,14 @@
 	return nil
 }
 
-// restart ends the process without notice, starts it again and waits until it is ready.
-func (node *nodeProcess) restart() error {
+// end ends the process without notice.
+func (node *nodeProcess) end() {
 	_ = node.command.Process.Signal(syscall.SIGKILL)
 	_ = node.command.Wait()
+}
+
+// startAgain starts the process again and waits until it is ready.
+func (node *nodeProcess) startAgain() error {
 	err := node.start()
 	if err != nil {
 		return err
@@ -256,12 +268,25 @@
 // kill ends the process and waits for its end.
 func (node *nodeProcess) kill() {
 	if node.command.Process != nil {
-		_ = node.command.Process.Signal(syscall.SIGKILL)
-		_ = node.command.Wait()
+		node.end()
 	}
 	_ = node.output.Close()
 }
 
+// silence lets the ports of a machine whose process has ended say nothing.
+func (deployed *deployment) silence(node *nodeProcess) error {
+	for _, port := range node.ports {
+		silent, err := silencePort(port)
+		if err != nil {
+			return err
+		}
+		deployed.mutex.Lock()
+		deployed.silent = append(deployed.silent, silent)
+		deployed.mutex.Unlock()
+	}
+	return nil
+}
+
 // copyLog adds a node's lines that contain a text to the record.
 func (deployed *deployment) copyLog(containing string) {
 	for _, node := range deployed.nodes {
