--- a/review/standin-2/case_lost_nodes.go
+++ b/review/standin-2/case_lost_nodes.go
@@ -17,9 +17,9 @@
 	settleTime = 3 * time.Second
 	// downTime is how long the machine that comes back is without power.
 	downTime = 1300 * time.Millisecond
-	// recoveryTime is RecoveryS, lastSeconds the end of it, in which turns have to reach an engine.
+	// recoveryTime is RecoveryS, finalPeriod the end of it, in which turns have to reach an engine.
 	recoveryTime = 12 * time.Second
-	lastSeconds  = 4 * time.Second
+	finalPeriod  = 4 * time.Second
 	// minPause and maxPause bound the time after which a program sends a failed turn anew.
 	minPause = 100 * time.Millisecond
 	maxPause = 400 * time.Millisecond
@@ -139,7 +139,7 @@
 func (deployed *deployment) goOn(each conversation, back time.Time) string {
 	tries, late := 0, 0
 	for time.Since(back) < recoveryTime {
-		if time.Since(back) >= recoveryTime-lastSeconds {
+		if time.Since(back) >= recoveryTime-finalPeriod {
 			late++
 		}
 		answer := deployed.send(deployed.nodes[0], each.nextTurn(tries))
@@ -162,7 +162,7 @@
 		return ""
 	}
 	return fmt.Sprintf("LOST: the turn of program %d that goes on from %s reached no engine in %d tries in %s, %d of them in the last %s",
-		each, each.firstTurn().id, tries, recoveryTime, late, lastSeconds)
+		each, each.firstTurn().id, tries, recoveryTime, late, finalPeriod)
 }
 
 // pauseAfter returns when a program sends a failed turn anew: as the answer asks for, and not before its own pause.
--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -286,18 +286,3 @@
 	}
 	return nil
 }
-
-// copyLog adds a node's lines that contain a text to the record.
-func (deployed *deployment) copyLog(containing string) {
-	for _, node := range deployed.nodes {
-		content, err := os.ReadFile(node.output.Name())
-		if err != nil {
-			continue
-		}
-		for line := range strings.SplitSeq(string(content), "\n") {
-			if containing != "" && strings.Contains(line, containing) {
-				deployed.record.write("log of %s: %s", node.name, line)
-			}
-		}
-	}
-}
