--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -146,8 +146,10 @@
 	binary    string
 	settings  string
 	ports     []int
-	command   *exec.Cmd
-	output    *os.File
+	// link is the node's way to the store.
+	link    *logstore.Store
+	command *exec.Cmd
+	output  *os.File
 }
 
 // freePorts returns ports on which nothing listens, in ascending order.
@@ -176,6 +178,11 @@
 
 // startNodes starts nodes in all zones and waits until they are ready.
 func (deployed *deployment) startNodes(count int) error {
+	return deployed.startNodesIn(count, zoneOf)
+}
+
+// startNodesIn starts nodes in the zones that a function gives by their numbers.
+func (deployed *deployment) startNodesIn(count int, zoneOf func(index int) string) error {
 	const portsPerNode = 5
 	ports, err := freePorts(count * portsPerNode)
 	if err != nil {
@@ -198,6 +205,10 @@
 }
 
 func (deployed *deployment) startNode(name, zone string, ports []int) error {
+	link, err := deployed.store.StartEndpoint(host + ":0")
+	if err != nil {
+		return fmt.Errorf("start a way to the store: %w", err)
+	}
 	address := func(index int) string { return fmt.Sprintf("%s:%d", host, ports[index]) }
 	lines := []string{
 		"NodeName=" + name, "Role=node", "MachineClass=edge", "Serves=edge,control_plane", "Ip=" + host, "Zone=" + zone, "Region=khomas",
@@ -205,10 +216,10 @@
 		"Listen.Front=" + address(0), "Listen.Readiness=" + address(1), "Listen.Control=" + address(2),
 		fmt.Sprintf("InternalPortRange=%d,%d", ports[3], ports[4]),
 		"Bootstrap=true", "Limits.CpuShare=0.8", "Limits.Cores=1", "Limits.MemoryMb=254", "Limits.MaxFds=8200", "HeartbeatMs=1200",
-		"Bounds.GraceS=8", "Bounds.DrainMs=2000", "Platform.Address=" + deployed.store.Address(), "Platform.parts=8", "Platform.RetentionS=300",
+		"Bounds.GraceS=8", "Bounds.DrainMs=2000", "Platform.Address=" + link.Address(), "Platform.parts=8", "Platform.RetentionS=300",
 	}
 	settings := filepath.Join(deployed.directory, name+".conf")
-	err := os.WriteFile(settings, []byte(strings.Join(lines, "\n")+"\n"), 0o600)
+	err = os.WriteFile(settings, []byte(strings.Join(lines, "\n")+"\n"), 0o600)
 	if err != nil {
 		return fmt.Errorf("write settings: %w", err)
 	}
@@ -216,7 +227,7 @@
 	if err != nil {
 		return fmt.Errorf("create a log: %w", err)
 	}
-	node := &nodeProcess{name: name, callers: address(0), readiness: address(1), output: output, binary: deployed.binary, settings: settings, ports: ports}
+	node := &nodeProcess{name: name, callers: address(0), readiness: address(1), output: output, binary: deployed.binary, settings: settings, ports: ports, link: link}
 	deployed.nodes = append(deployed.nodes, node)
 	return node.start()
 }
@@ -270,6 +281,7 @@
 	if node.command.Process != nil {
 		node.end()
 	}
+	node.link.Close()
 	_ = node.output.Close()
 }
 
--- a/review/standin-2/engine.go
+++ b/review/standin-2/engine.go
@@ -83,8 +83,7 @@
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
 	for {
-		engine.record.Sequence++
-		deployed.store.Put("keyed.servers", engine.id, encodeJSON(engine.record))
+		engine.write(deployed)
 		select {
 		case <-engine.ended:
 			return
@@ -93,6 +92,24 @@
 	}
 }
 
+// write puts the engine's record.
+func (engine *engine) write(deployed *deployment) {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	engine.record.Sequence++
+	deployed.store.Put("keyed.servers", engine.id, encodeJSON(engine.record))
+}
+
+// drain says that the engine leaves. It returns when the store has taken that.
+func (engine *engine) drain(deployed *deployment) time.Time {
+	engine.mutex.Lock()
+	engine.record.State = "draining"
+	engine.mutex.Unlock()
+	engine.write(deployed)
+	engine.log.write("%s says that it is draining, and the store has taken it", engine.id)
+	return time.Now()
+}
+
 func (engine *engine) stop() {
 	select {
 	case <-engine.ended:
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -28,6 +28,7 @@
 var cases = map[string]caseFunc{
 	"late-surplus-refusal": runLateSurplusRefusal,
 	"foreign-record":       runForeignRecord,
+	"cut-readers":          runCutReaders,
 	"lost-nodes":           runLostNodes,
 }
 
