--- a/review/standin-2/case_surplus.go
+++ b/review/standin-2/case_surplus.go
@@ -20,6 +20,8 @@
 	// busyEvery and busyFor are how often and for how long other work takes all places of an engine.
 	busyEvery = 400 * time.Millisecond
 	busyFor   = 25 * time.Millisecond
+	// surplusAfter is from when in that time on a refusal may be sent again: the request comes back soon after it.
+	surplusAfter = 12 * time.Millisecond
 	// garbleEvery and garbleFor are how often and for how long one of the two engines sends surplus answers, and
 	// surplusShare is the largest share of its answers in that time that are followed by one.
 	garbleEvery  = 6 * time.Second
@@ -66,7 +68,7 @@
 		engine.windowSurpluses = engine.surpluses
 	}
 	answers, surpluses := engine.answers-engine.windowAnswers, engine.surpluses-engine.windowSurpluses
-	return elapsed%garbleEvery < garbleFor && float64(surpluses+1) <= surplusShare*float64(answers)
+	return elapsed%garbleEvery < garbleFor && elapsed%busyEvery >= surplusAfter && float64(surpluses+1) <= surplusShare*float64(answers)
 }
 
 // sendVends sends vends from several callers and returns their answers by request.
