Connection pool: no request is sent twice over one connection

Cause: a response is matched by request id, and one id could be sent twice over one connection after a refusal, at egress nodes too.

A connection now remembers the last 8 requests that it carried (hashes of their ids), and the pool returns none that has carried the request. Others reuse it, and skip the late copy by its id. Closing the connection after each refusal was weighed: a full engine pays more for a new connection than for a refusal.

--- a/internal/backend/connection_pool.go
+++ b/internal/backend/connection_pool.go
@@ -5,8 +5,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"hash/maphash"
 	"maps"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -32,8 +34,13 @@
 	// verifiedIdleTimeout is how long a connection is kept that was opened to find out whether an engine has
 	// ended. Engines close idle connections soon.
 	verifiedIdleTimeout = 500 * time.Millisecond
+	// requestsRemembered is the number of requests that a connection is known to have carried.
+	requestsRemembered = 8
 )
 
+// requestSeed is the seed of the hashes of request IDs.
+var requestSeed = maphash.MakeSeed()
+
 // Errors of an exchange with an engine.
 var (
 	// ErrNotSent means that the engine received no byte of the request.
@@ -83,12 +90,14 @@
 
 // Connection carries one request at a time to one engine.
 type Connection struct {
-	pool      *ConnectionPool
-	address   string
-	socket    *net.TCPConn
-	input     *boundedReader
-	reader    *bufio.Reader // reads from input
+	pool    *ConnectionPool
+	address string
+	socket  *net.TCPConn
+	input   *boundedReader
+	reader  *bufio.Reader // reads from input
 	idleUntil time.Time
+	// carried holds the hashes of the IDs of the latest requests, oldest first.
+	carried []uint64
 }
 
 // OpenedCount returns the number of connections opened so far.
@@ -98,32 +107,63 @@
 	return pool.opened
 }
 
-// Get returns an idle connection that is still usable, or opens one. limit bounds the number of
-// connections to the address; 0 means no bound. Any error is an ErrNotSent.
-func (pool *ConnectionPool) Get(ctx context.Context, address string, limit int) (*Connection, error) {
+// Get returns an idle connection that is still usable, or opens one. request is the ID of the request that it is
+// for, "" for none. A connection that has carried the request is not returned: a late copy of the first
+// attempt's response would be taken for that of the second. limit bounds the number of connections to the
+// address; 0 means no bound. Any error is an ErrNotSent.
+func (pool *ConnectionPool) Get(ctx context.Context, address, request string, limit int) (*Connection, error) {
+	hash := hashRequest(request)
 	for {
-		idle := pool.takeIdle(address)
+		idle := pool.takeIdle(address, hash)
 		if idle == nil {
 			break
 		}
 		if time.Now().Before(idle.idleUntil) && idle.reusable() {
+			idle.remember(hash)
 			return idle, nil
 		}
 		idle.Close()
 	}
-	return pool.dial(ctx, address, limit)
+	connection, err := pool.dial(ctx, address, limit)
+	if err != nil {
+		return nil, err
+	}
+	connection.remember(hash)
+	return connection, nil
 }
 
-func (pool *ConnectionPool) takeIdle(address string) *Connection {
+// hashRequest returns the hash of a request's ID, 0 for none.
+func hashRequest(request string) uint64 {
+	if request == "" {
+		return 0
+	}
+	return maphash.String(requestSeed, request)
+}
+
+// remember records that the connection carries a request.
+func (connection *Connection) remember(hash uint64) {
+	if hash == 0 {
+		return
+	}
+	if len(connection.carried) == requestsRemembered {
+		connection.carried = slices.Delete(connection.carried, 0, 1)
+	}
+	connection.carried = append(connection.carried, hash)
+}
+
+// takeIdle takes the connection to an address that was used last. It returns nil if there is none that has not
+// carried the request.
+func (pool *ConnectionPool) takeIdle(address string, hash uint64) *Connection {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	list := pool.idle[address]
-	if len(list) == 0 {
-		return nil
+	for index, connection := range slices.Backward(list) {
+		if !slices.Contains(connection.carried, hash) {
+			pool.idle[address] = slices.Delete(list, index, index+1)
+			return connection
+		}
 	}
-	idle := list[len(list)-1]
-	pool.idle[address] = list[:len(list)-1]
-	return idle
+	return nil
 }
 
 // RecordRefusal records that an engine has rejected a request as full. Until the refusal window
@@ -235,7 +275,7 @@
 // Refused reports whether nothing listens at an address any more. A connection that it opens is kept for the
 // next request.
 func (pool *ConnectionPool) Refused(ctx context.Context, address string) bool {
-	connection, err := pool.Get(ctx, address, 0)
+	connection, err := pool.Get(ctx, address, "", 0)
 	if err != nil {
 		return IsRefused(err)
 	}
--- a/internal/backend/connection_pool_test.go
+++ b/internal/backend/connection_pool_test.go
@@ -25,17 +25,17 @@
 	expect := NewWithT(t)
 	pool, address, otherAddress := NewConnectionPool(), startListener(t), startListener(t)
 	pool.RecordRefusal(address, time.Now().Add(time.Hour))
-	first, err := pool.Get(context.Background(), address, 0)
+	first, err := pool.Get(context.Background(), address, "", 0)
 	expect.Expect(err).NotTo(HaveOccurred())
 	defer first.Close()
-	_, err = pool.Get(context.Background(), address, 0)
+	_, err = pool.Get(context.Background(), address, "", 0)
 	expect.Expect(err).To(MatchError(ErrTooManyConnections))
-	otherConnection, err := pool.Get(context.Background(), otherAddress, 0)
+	otherConnection, err := pool.Get(context.Background(), otherAddress, "", 0)
 	expect.Expect(err).NotTo(HaveOccurred(), "other engines are not affected")
 	defer otherConnection.Close()
 
 	first.Release(time.Now().Add(time.Minute))
-	reused, err := pool.Get(context.Background(), address, 0)
+	reused, err := pool.Get(context.Background(), address, "", 0)
 	expect.Expect(err).NotTo(HaveOccurred())
 	expect.Expect(reused).To(BeIdenticalTo(first), "idle connections are reused")
 	expect.Expect(pool.OpenedCount()).To(Equal(int64(2)))
@@ -72,3 +72,22 @@
 	}
 	expect.Expect(pool.refusals).To(HaveLen(1))
 }
+
+// Guards against a late copy of a refusal that is taken for the response to the request's next attempt.
+func TestGetReturnsNoConnectionThatHasCarriedTheRequest(t *testing.T) {
+	expect := NewWithT(t)
+	pool, address := NewConnectionPool(), startListener(t)
+	get := func(request string) *Connection {
+		connection, err := pool.Get(context.Background(), address, request, 0)
+		expect.Expect(err).NotTo(HaveOccurred())
+		t.Cleanup(connection.Close)
+		return connection
+	}
+	first := get("r1")
+	first.Release(time.Now().Add(time.Minute))
+	second := get("r1")
+	expect.Expect(second).NotTo(BeIdenticalTo(first))
+	expect.Expect(get("r2")).To(BeIdenticalTo(first), "others reuse it")
+	first.Release(time.Now().Add(time.Minute))
+	expect.Expect(get("r1")).NotTo(BeIdenticalTo(first), "another request in between changes nothing")
+}
--- a/rehearsal/standin/rawengine/rawengine.go
+++ b/rehearsal/standin/rawengine/rawengine.go
@@ -44,6 +44,9 @@
 	StrayRefusal
 	// InterimFirst sends an interim response, and then the answer.
 	InterimFirst
+	// LateRefusal refuses a request at its first attempt, and sends a copy of the refusal late: where the answer
+	// to the next request on the connection is due, while it works on that.
+	LateRefusal
 	// CutAnswer sends the first bytes of an answer in a form, both named by the target, and closes.
 	CutAnswer
 )
@@ -66,8 +69,10 @@
 	listener    net.Listener
 	mutex       sync.Mutex
 	runs        map[string]int
-	endless     []time.Duration
-	open        int
+	// refused holds the requests that LateRefusal has refused.
+	refused map[string]bool
+	endless []time.Duration
+	open    int
 }
 
 // Start starts an engine on a loopback port.
@@ -76,7 +81,7 @@
 	if err != nil {
 		return nil, err
 	}
-	engine := &Engine{ID: id, misbehavior: misbehavior, listener: listener, runs: map[string]int{}}
+	engine := &Engine{ID: id, misbehavior: misbehavior, listener: listener, runs: map[string]int{}, refused: map[string]bool{}}
 	go engine.accept()
 	return engine, nil
 }
@@ -119,16 +124,46 @@
 func (engine *Engine) serve(socket net.Conn) {
 	defer func() { _ = socket.Close() }()
 	reader := bufio.NewReader(socket)
+	late := "" // the copy of a refusal that is still to be sent
 	for {
 		request, err := http.ReadRequest(reader)
 		if err != nil {
 			return
 		}
 		_, err = io.Copy(io.Discard, request.Body)
-		if err != nil || !engine.answer(socket, request) {
+		if err != nil || !send(socket, late) {
 			return
 		}
+		late = ""
+		if engine.refusesFirst(request) {
+			late = refusal(request.Header.Get("Request-Id"))
+			if !send(socket, late) {
+				return
+			}
+			continue
+		}
+		if !engine.answer(socket, request) {
+			return
+		}
+	}
+}
+
+// refusesFirst reports whether LateRefusal refuses a request now.
+func (engine *Engine) refusesFirst(request *http.Request) bool {
+	id := request.Header.Get("Request-Id")
+	if engine.misbehavior != LateRefusal || !strings.Contains(request.RequestURI, Mark) {
+		return false
 	}
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	known := engine.refused[id]
+	engine.refused[id] = true
+	return !known
+}
+
+// refusal returns the answer of an engine that is full.
+func refusal(id string) string {
+	return "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: " + id + "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 }
 
 // answer answers a request, and returns false if the connection can't be used any more.
@@ -193,6 +228,9 @@
 		engine.sendEndless(socket, success+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", fmt.Sprintf("%x\r\n%s\r\n", len(events), events), 0)
 	case EndlessSurplus:
 		engine.sendEndless(socket, whole(id), chunk, 0)
+	case LateRefusal:
+		time.Sleep(workTime)
+		return send(socket, whole(id))
 	case StrayAnswer:
 		return sendStray(socket, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray", id)
 	case StrayRefusal:
