Connection pool: a connection rests for a millisecond between two requests

Cause: a connection is idle, looks clean and is used again within the microseconds until the surplus bytes behind its last answer arrive; the call has been sent by then and may have run.

A connection that was released less than 1 ms ago is passed over for one that has rested, or waited for; the look at what it has received comes after that. Bytes that come later than that can't be told from an answer before the request is sent.

Test: internal/backend 'TestGetLetsConnectionsRest'.

--- a/internal/backend/connection_pool.go
+++ b/internal/backend/connection_pool.go
@@ -15,6 +15,7 @@
 
 	"github.com/magpielug/magpielug/internal/deadpeer"
 	"github.com/magpielug/magpielug/internal/feature"
+	"github.com/magpielug/magpielug/internal/wait"
 	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
 )
@@ -34,6 +35,9 @@
 	// verifiedIdleTimeout is how long a connection is kept that was opened to find out whether an engine has
 	// ended. Engines close idle connections soon.
 	verifiedIdleTimeout = 500 * time.Millisecond
+	// restTime is how long a connection rests between two requests. Surplus bytes that an engine sends right
+	// behind an answer have arrived by then, and are seen before the next request is sent there.
+	restTime = time.Millisecond
 	// requestsRemembered is the number of requests that a connection is known to have carried.
 	requestsRemembered = 8
 )
@@ -95,6 +99,8 @@
 	socket  *net.TCPConn
 	input   *boundedReader
 	reader  *bufio.Reader // reads from input
+	// idleSince is when the connection was last released, idleUntil how long it may be reused.
+	idleSince time.Time
 	idleUntil time.Time
 	// carried holds the hashes of the IDs of the latest requests, oldest first.
 	carried []uint64
@@ -114,10 +120,13 @@
 func (pool *ConnectionPool) Get(ctx context.Context, address, request string, limit int) (*Connection, error) {
 	hash := hashRequest(request)
 	for {
-		idle := pool.takeIdle(address, hash)
+		idle := pool.takeIdle(address, hash, time.Now())
 		if idle == nil {
 			break
 		}
+		if resting := restTime - time.Since(idle.idleSince); resting > 0 {
+			wait.Sleep(ctx, resting)
+		}
 		if time.Now().Before(idle.idleUntil) && idle.reusable() {
 			idle.remember(hash)
 			return idle, nil
@@ -151,19 +160,28 @@
 	connection.carried = append(connection.carried, hash)
 }
 
-// takeIdle takes the connection to an address that was used last. It returns nil if there is none that has not
-// carried the request.
-func (pool *ConnectionPool) takeIdle(address string, hash uint64) *Connection {
+// takeIdle takes the connection to an address that was used last and has rested, or else the one that has
+// rested for the longest. It returns nil if there is none that has not carried the request.
+func (pool *ConnectionPool) takeIdle(address string, hash uint64, now time.Time) *Connection {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	list := pool.idle[address]
+	chosen := -1
 	for index, connection := range slices.Backward(list) {
-		if !slices.Contains(connection.carried, hash) {
-			pool.idle[address] = slices.Delete(list, index, index+1)
-			return connection
+		if slices.Contains(connection.carried, hash) {
+			continue
+		}
+		chosen = index
+		if now.Sub(connection.idleSince) >= restTime {
+			break
 		}
 	}
-	return nil
+	if chosen < 0 {
+		return nil
+	}
+	idle := list[chosen]
+	pool.idle[address] = slices.Delete(list, chosen, chosen+1)
+	return idle
 }
 
 // RecordRefusal records that an engine has rejected a request as full. Until the refusal window
@@ -346,7 +364,7 @@
 		connection.Close()
 		return
 	}
-	connection.idleUntil = idleUntil
+	connection.idleSince, connection.idleUntil = time.Now(), idleUntil
 	pool := connection.pool
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
--- a/internal/backend/connection_pool_test.go
+++ b/internal/backend/connection_pool_test.go
@@ -91,3 +91,24 @@
 	first.Release(time.Now().Add(time.Minute))
 	expect.Expect(get("r1")).NotTo(BeIdenticalTo(first), "another request in between changes nothing")
 }
+
+// Guards against requests sent on a connection on which surplus bytes arrive.
+func TestGetLetsConnectionsRest(t *testing.T) {
+	expect := NewWithT(t)
+	pool, address := NewConnectionPool(), startListener(t)
+	first, err := pool.Get(context.Background(), address, "", 0)
+	expect.Expect(err).NotTo(HaveOccurred())
+	defer first.Close()
+	second, err := pool.Get(context.Background(), address, "", 0)
+	expect.Expect(err).NotTo(HaveOccurred())
+	defer second.Close()
+	second.Release(time.Now().Add(time.Minute))
+	time.Sleep(restTime)
+	released := time.Now()
+	first.Release(time.Now().Add(time.Minute))
+	expect.Expect(pool.takeIdle(address, 0, released)).To(BeIdenticalTo(second), "one that has rested is preferred")
+	reused, err := pool.Get(context.Background(), address, "", 0)
+	expect.Expect(err).NotTo(HaveOccurred())
+	expect.Expect(reused).To(BeIdenticalTo(first))
+	expect.Expect(time.Since(released)).To(BeNumerically(">=", restTime))
+}
