--- a/rehearsal/standin/records/records.go
+++ b/rehearsal/standin/records/records.go
@@ -110,7 +110,11 @@
 	Slots   int
 	State   string
 	// Version is the version of the engine's software.
-	Version string `json:",omitempty"`
+	Version string
+	// ColdLeftMs is how much longer the engine stays cold, in milliseconds.
+	ColdLeftMs int
+	// Sequence counts the engine's writes of its record.
+	Sequence int
 }
 
 // RetentionSeconds is how long a turn's context is retained.
