Owner search: goes on past lost nodes while others are in contact

Cause: a search for the owner of a shard ends after two nodes in a row that do not answer, since the searching node may be cut off itself. Lost nodes stay candidates, in an order that is the same everywhere, and were asked last for 0.6 s only. Where the first two of a shard are lost, each search that comes later than that ends before it reaches a third node; the same on a lone survivor.

Two timeouts end a search now only if no other node has been in contact since the first of them. A node that did not answer while others were in contact is asked last for 10 s, unless it answers; one that did not while none was, for as long as none is: a node that was cut off for a moment does not take the others for lost, and a lone survivor comes to itself within a few searches.

--- a/internal/node/owner_search.go
+++ b/internal/node/owner_search.go
@@ -56,10 +56,11 @@
 	requestID string
 	request   *nodev1.ReserveRequest
 	// tried holds the nodes tried in this round. attempts counts all requests, unanswered the
-	// consecutive ones that timed out.
-	tried      map[string]bool
-	attempts   int
-	unanswered int
+	// consecutive ones that timed out, the first of which began at unansweredSince.
+	tried           map[string]bool
+	attempts        int
+	unanswered      int
+	unansweredSince time.Time
 }
 
 // searchRound tries one node after another. It returns false if none gave a final reply.
@@ -104,11 +105,10 @@
 	search.attempts++
 	started := time.Now()
 	reply, err := programs.sendReserve(ctx, search.shard, target, search.request)
-	search.recordOutcome(err, time.Since(started))
+	search.recordOutcome(target, err, started)
 	if err != nil {
 		programs.node.logger.Info("shard owner unreachable", zap.Int("shard", search.shard), zap.String("node", target),
 			zap.String("request", search.requestID), logging.ErrorField(err))
-		search.markFailed(target)
 		// The node may have granted the reservation before the failure.
 		go programs.settleAt(target, &nodev1.Settlement{Program: search.request.Program, Tenant: search.request.Tenant, Request: search.request.Request})
 		return nil, err
@@ -119,23 +119,43 @@
 	return reply, nil
 }
 
-// recordOutcome counts consecutive timeouts.
-func (search *ownerSearch) recordOutcome(err error, took time.Duration) {
-	switch {
-	case err == nil:
+// recordOutcome counts consecutive timeouts, and suspects a node that has failed.
+func (search *ownerSearch) recordOutcome(target string, err error, started time.Time) {
+	programs := search.programs
+	if err == nil {
 		search.unanswered = 0
-	case took >= peerDialTimeout:
-		search.unanswered++
+		programs.silent.remove(target)
+		programs.unreached.remove(target)
+		return
+	}
+	search.markFailed(target)
+	if time.Since(started) < peerDialTimeout {
+		return
+	}
+	if search.unanswered == 0 {
+		search.unansweredSince = started
+	}
+	search.unanswered++
+	silent := programs.unreached
+	if search.othersInContact() {
+		silent = programs.silent
 	}
+	silent.add(target, time.Now().Add(silenceSuspicion))
+}
+
+// othersInContact reports whether any other node has been in contact since the first of the consecutive
+// timeouts.
+func (search *ownerSearch) othersInContact() bool {
+	return search.programs.node.contact.last.notBefore(search.unansweredSince)
 }
 
 // isolated reports whether this node probably reaches no other node, so that the caller should try
-// elsewhere instead of waiting.
+// elsewhere instead of waiting. Several nodes may be lost while others are in contact.
 func (search *ownerSearch) isolated() bool {
-	if !feature.Enabled(feature.Isolation) {
+	if !feature.Enabled(feature.Isolation) || search.unanswered == 0 {
 		return false
 	}
-	return search.unanswered >= maxUnansweredNodes || (search.unanswered > 0 && search.programs.node.isolated())
+	return search.unanswered >= maxUnansweredNodes && !search.othersInContact() || search.programs.node.isolated()
 }
 
 // markFailed records that a node did not answer or cannot write to the log.
@@ -161,7 +181,7 @@
 	candidates := programs.node.members.candidates(shard)
 	now := time.Now()
 	for _, member := range candidates {
-		if !tried[member.Name] && !programs.suspects.contains(member.Name, now) {
+		if !tried[member.Name] && !programs.isSuspected(member.Name, now) {
 			return member.Name, true
 		}
 	}
@@ -173,6 +193,12 @@
 	return "", false
 }
 
+// isSuspected reports whether a node is asked last.
+func (programs *programs) isSuspected(name string, now time.Time) bool {
+	return programs.suspects.contains(name, now) || programs.silent.contains(name, now) ||
+		programs.unreached.contains(name, now) && programs.node.peersUnresponsive(now)
+}
+
 // suspect records that a node did not answer.
 func (programs *programs) suspect(shard int, name string) {
 	programs.suspects.add(name, time.Now().Add(ownerSuspicion))
--- a/internal/node/programs.go
+++ b/internal/node/programs.go
@@ -27,21 +27,27 @@
 	settleRetryDelay = 250 * time.Millisecond
 	// maxNodesPerRound is how many nodes are tried per round of an owner search.
 	maxNodesPerRound = 6
-	// maxUnansweredNodes is the number of consecutive timeouts that ends an owner search, since
-	// this node may be isolated.
+	// maxUnansweredNodes is the number of consecutive timeouts that ends an owner search if no other
+	// node is in contact meanwhile, since this node may be isolated.
 	maxUnansweredNodes = 2
 	// ownerSearchTimeout bounds an owner search.
 	ownerSearchTimeout = 1200 * time.Millisecond
 	// searchRoundDelay is the delay between rounds of an owner search.
 	searchRoundDelay = 60 * time.Millisecond
-	// ownerSuspicion is how long an unresponsive node is deprioritized.
-	ownerSuspicion = 600 * time.Millisecond
+	// ownerSuspicion is how long a node that fails is asked last, and silenceSuspicion one that does not
+	// answer at all, unless it answers meanwhile. Searches that come seldom would otherwise begin with the
+	// same lost nodes each time.
+	ownerSuspicion   = 600 * time.Millisecond
+	silenceSuspicion = 10 * time.Second
 )
 
 // programs implements forward.Programs on top of the owners of the programs' shards.
 type programs struct {
 	node     *Node
 	suspects *suspects
+	// silent are nodes that did not answer while others were in contact, unreached those that did not
+	// while none was: they count for as long as none is.
+	silent, unreached *suspects
 	// suspectedWriters are nodes that failed to record turns for this one. They may still own shards.
 	suspectedWriters *suspects
 	// mutex guards owners.
@@ -50,7 +56,8 @@
 }
 
 func newPrograms(node *Node) *programs {
-	return &programs{node: node, owners: map[int]ownership.Owner{}, suspects: newSuspects(), suspectedWriters: newSuspects()}
+	return &programs{node: node, owners: map[int]ownership.Owner{}, suspects: newSuspects(), silent: newSuspects(), unreached: newSuspects(),
+		suspectedWriters: newSuspects()}
 }
 
 // shardOf returns the shard of a program.
--- a/internal/node/suspects.go
+++ b/internal/node/suspects.go
@@ -27,3 +27,10 @@
 	defer suspects.mutex.Unlock()
 	return now.Before(suspects.until[name])
 }
+
+// remove ends the suspicion of a node.
+func (suspects *suspects) remove(name string) {
+	suspects.mutex.Lock()
+	defer suspects.mutex.Unlock()
+	delete(suspects.until, name)
+}
