Forwarding: an attempt keeps the engine's properties as they were when it was chosen

Cause: a call read its engine's record (address, version, incarnation) without the directory's lock while a new record of the engine was written there.

The choice of an engine copies its record under the lock, and the attempt, its log lines and what is held against the request use that copy.

--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -333,6 +333,13 @@
 	return engine.Instance, true
 }
 
+// InstanceOf returns what is known of an engine now. Its record may change while requests run.
+func (directory *Directory) InstanceOf(engine *Engine) Instance {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	return engine.Instance
+}
+
 // ServingLife reports whether an incarnation of an engine is known and may get requests.
 func (directory *Directory) ServingLife(id string, incarnation int64) bool {
 	instance, known := directory.Instance(id)
--- a/internal/forward/first_byte.go
+++ b/internal/forward/first_byte.go
@@ -61,7 +61,8 @@
 	timeout := max(firstByteObjectiveFactor*inflight.route.Objective, minFirstByteTimeout, engines.FirstByteTimeout(inflight.serviceName))
 	inflight.endFirstByteWait = sync.OnceFunc(func() { engines.EndFirstByteWait(engine) })
 	var overdue atomic.Bool
-	failure := &provisionalFailure{engines: engines, engine: engine.Instance}
+	instance := inflight.instance
+	failure := &provisionalFailure{engines: engines, engine: instance}
 	timer := inflight.service.FreezeDetector.AfterFunc(timeout, func() {
 		overdue.Store(true)
 		engines.Suspect(engine, time.Now())
@@ -69,7 +70,7 @@
 			failure.count()
 		}
 		inflight.service.Logger.Info("engine suspected", zap.String("request", inflight.call.ID),
-			zap.String("engine", engine.ID), zap.Duration("silent", timeout))
+			zap.String("engine", instance.ID), zap.Duration("silent", timeout))
 	})
 	inflight.firstByteReceived = func() {
 		timer.Stop()
@@ -110,7 +111,7 @@
 // startRetryTimer cancels the attempt of a safe request without a response after a timeout, so that
 // it is retried on another engine: an engine may run a request and lose its response. The returned
 // function stops the timer.
-func (inflight *inflightCall) startRetryTimer(engine *backend.Engine, cancel context.CancelFunc) func() {
+func (inflight *inflightCall) startRetryTimer(engine backend.Instance, cancel context.CancelFunc) func() {
 	if inflight.route.Kind != routing.Safe || inflight.executions+1 >= inflight.route.MaxAttempts || !feature.Enabled(feature.SafeRepeats) {
 		return func() {}
 	}
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -129,7 +129,7 @@
 	if tracker == nil || tracker.Empty() {
 		return true, nil
 	}
-	announced, verdict := tracker.Announce(inflight.quarantineAttempt(engine.Instance, time.Now(), inflight.deadline))
+	announced, verdict := tracker.Announce(inflight.quarantineAttempt(inflight.instance, time.Now(), inflight.deadline))
 	if verdict == quarantine.Admitted {
 		inflight.announced = &announced
 		return true, nil
@@ -221,7 +221,7 @@
 
 // attemptEnd is how one attempt at an engine ended.
 type attemptEnd struct {
-	engine  *backend.Engine
+	engine  backend.Instance
 	attempt quarantine.Attempt
 	began   time.Time
 	outcome backend.Outcome
@@ -248,7 +248,7 @@
 		return
 	}
 	if end.answered {
-		tracker.EngineAnswered(end.engine.Instance, end.began)
+		tracker.EngineAnswered(end.engine, end.began)
 	}
 	over := true
 	switch {
@@ -260,7 +260,7 @@
 	case end.outcome == backend.EngineError:
 		tracker.AttemptOver(end.attempt, quarantine.ErrorAnswer)
 	case end.outcome == backend.Unreachable:
-		tracker.EngineUnreachable(end.engine.Instance, end.refused)
+		tracker.EngineUnreachable(end.engine, end.refused)
 	case end.mayHaveRun():
 		over = inflight.recordLoss(end)
 	}
@@ -291,7 +291,7 @@
 		return explainedByFreeze
 	case end.nodeLost && !end.abandoned:
 		return explainedByNodeLoss
-	case !feature.Enabled(feature.AllEngineEnds) && inflight.service.plannedEnd(end.engine.Instance, cause):
+	case !feature.Enabled(feature.AllEngineEnds) && inflight.service.plannedEnd(end.engine, cause):
 		return explainedByDrain
 	case inflight.leftDuringFreeze(end, cause):
 		return explainedByBacklog
@@ -322,7 +322,7 @@
 	case end.abandoned:
 		cause = quarantine.Left
 	}
-	engine := end.engine.Instance
+	engine := end.engine
 	explained := inflight.explain(end, cause)
 	inflight.service.Logger.Info("attempt unanswered", zap.String("request", inflight.call.ID), zap.Stringer("content", inflight.fingerprint()),
 		zap.String("engine", engine.ID), zap.Int64("life", engine.Incarnation), zap.Stringer("cause", cause),
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -73,7 +73,11 @@
 func (inflight *inflightCall) selectEngine() *backend.Engine {
 	inflight.engineViewAge = inflight.service.ViewAge()
 	inflight.eligibleEngines = inflight.service.Engines.EligibleCount(inflight.serviceName)
-	return inflight.service.Engines.Pick(inflight.engineRequest(), time.Now())
+	engine := inflight.service.Engines.Pick(inflight.engineRequest(), time.Now())
+	if engine != nil {
+		inflight.instance = inflight.service.Engines.InstanceOf(engine)
+	}
+	return engine
 }
 
 // engineRequest returns the properties of the call that determine the choice of its engine.
@@ -96,15 +100,16 @@
 
 // tryEngine sends the call to one engine. It returns true when the call is finished.
 func (inflight *inflightCall) tryEngine(ctx context.Context, engine *backend.Engine, remaining time.Duration) (bool, error) {
-	inflight.triedEngines = append(inflight.triedEngines, engine.ID)
-	inflight.lastEngine = engine.ID
+	instance := inflight.instance
+	inflight.triedEngines = append(inflight.triedEngines, instance.ID)
+	inflight.lastEngine = instance.ID
 	sendCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	outcome := backend.Abandoned
 	began := time.Now()
-	end := attemptEnd{engine: engine, began: began, attempt: inflight.beginAttempt(engine.Instance, began, remaining)}
+	end := attemptEnd{engine: instance, began: began, attempt: inflight.beginAttempt(instance, began, remaining)}
 	inflight.releaseEngine = inflight.newEngineRelease(engine, began)
-	attempt := inflight.newAttempt(engine, remaining)
+	attempt := inflight.newAttempt(instance, remaining)
 	attempt.Identity = end.attempt.Identity
 	stopFirstByteWatch := inflight.watchFirstByte(engine, attempt)
 	defer func() {
@@ -115,12 +120,12 @@
 			outcome = backend.Abandoned
 		}
 		inflight.releaseEngine(outcome)
-		inflight.recordFailedEngine(engine, outcome)
+		inflight.recordFailedEngine(instance, outcome)
 		end.outcome = outcome
 		end.abandoned = sendCtx.Err() != nil
 		inflight.recordAttempt(end)
 	}()
-	stopRetryTimer := inflight.startRetryTimer(engine, cancel)
+	stopRetryTimer := inflight.startRetryTimer(instance, cancel)
 	defer stopRetryTimer()
 	response, err := inflight.service.Sender.Send(sendCtx, attempt)
 	end.sent = !errors.Is(err, backend.ErrNotSent) && !errors.Is(err, backend.ErrNodeLost)
@@ -139,12 +144,12 @@
 	inflight.lastStatus = response.Status
 	defer func() { _ = response.Body.Close() }()
 	if response.NotRun || response.Misdirected {
-		outcome = inflight.handleRefusal(engine, response, cancel)
+		outcome = inflight.handleRefusal(response, cancel)
 		return false, nil
 	}
 	inflight.executions++
 	if inflight.route.Kind == routing.Streaming && isSuccess(response.Status) {
-		inflight.recordStreamVersion(engine.Instance)
+		inflight.recordStreamVersion(instance)
 		outcome, err = inflight.relayStream(ctx, response)
 		return true, err
 	}
@@ -157,7 +162,7 @@
 }
 
 // handleRefusal reads an engine's refusal and returns the outcome of the attempt.
-func (inflight *inflightCall) handleRefusal(engine *backend.Engine, response *EngineResponse, cancel context.CancelFunc) backend.Outcome {
+func (inflight *inflightCall) handleRefusal(response *EngineResponse, cancel context.CancelFunc) backend.Outcome {
 	outcome := backend.Misdirected
 	if !response.Misdirected {
 		outcome = backend.Full
@@ -165,7 +170,7 @@
 	}
 	drainRefusal(response, cancel)
 	inflight.service.Logger.Info("engine refused", zap.String("request", inflight.call.ID),
-		zap.String("engine", engine.ID), zap.Int("status", response.Status))
+		zap.String("engine", inflight.lastEngine), zap.Int("status", response.Status))
 	return outcome
 }
 
@@ -202,12 +207,12 @@
 	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxRefusalBytes))
 }
 
-func (inflight *inflightCall) newAttempt(engine *backend.Engine, remaining time.Duration) *Attempt {
+func (inflight *inflightCall) newAttempt(engine backend.Instance, remaining time.Duration) *Attempt {
 	chosen := time.Now()
 	return &Attempt{
 		Frozen:               func() bool { return inflight.service.FreezeDetector.FrozenSince(chosen) },
 		Call:                 inflight.call,
-		Engine:               engine.Instance,
+		Engine:               engine,
 		Body:                 inflight.body,
 		Remaining:            max(remaining-responseMargin, time.Millisecond),
 		Streaming:            inflight.route.Kind == routing.Streaming,
@@ -244,7 +249,7 @@
 
 // recordFailedEngine records the engine if it failed the call, for the report to the program's
 // owner.
-func (inflight *inflightCall) recordFailedEngine(engine *backend.Engine, outcome backend.Outcome) {
+func (inflight *inflightCall) recordFailedEngine(engine backend.Instance, outcome backend.Outcome) {
 	switch outcome {
 	case backend.EngineError, backend.Failed, backend.FailedRemotely, backend.NoResponse:
 		inflight.failedEngine = engine.ID
--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -214,6 +214,8 @@
 	tenant   *tenant.Tenant
 	deadline time.Time
 	body     []byte
+	// instance is the engine that was chosen last, as it was known then.
+	instance backend.Instance
 	// triedEngines are the engines that are not chosen again because the call has tried them.
 	triedEngines []string
 	// executions counts the attempts that an engine may have run.
