Engine records: two backup readers of a zone read them while neither of its readers is current

Cause: nodes hear of engines from two readers of their zone. Where both answer that they are not current, a node keeps its list for 3 s (staleListTolerance), though it may reach the log itself. The tolerance bounds the readers on a slow link; it was applied to readers that are cut off just the same, on top of the 1.35 s until they stop calling themselves current.

The two candidates after the readers now read the records at once in that case, and the others ask these.

--- a/internal/node/engine_source.go
+++ b/internal/node/engine_source.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -13,15 +14,15 @@
 	// firstListTimeout is how long a newly started node waits for its first engine list from its
 	// sources before reading it from the durable log.
 	firstListTimeout = 1500 * time.Millisecond
-	// staleListTolerance is how long a node keeps an engine list that its sources cannot refresh.
-	// The sources read the log for the whole zone; additional readers would only add load to a
-	// link that delays them.
+	// staleListTolerance is how long a node keeps an engine list that neither its sources nor the zone's
+	// backup readers can refresh. They read the log for the whole zone; additional readers would only add
+	// load to a link that delays them.
 	staleListTolerance = 3 * time.Second
 )
 
 // engineSource keeps a node's engine list current from other nodes of its zone. Engines renew
-// their records continuously, so at most two nodes of a zone read them from the log: its first
-// reader, and the second while the first is not current.
+// their records continuously, so few nodes of a zone read them from the log: its first reader, the
+// second while the first is not current, and the backup readers while neither is.
 type engineSource struct {
 	learner *learner
 	// skipLogUntil is when the engine records have to be read from the durable log again.
@@ -62,14 +63,19 @@
 		source.setSource("")
 		return
 	}
-	reached := false
-	for _, member := range sources {
-		current, err := source.learner.learnRecordsFrom(ctx, member.Address)
-		reached = reached || err == nil
-		if err == nil && current {
-			source.staleSince = time.Time{}
-			source.setSource(member.Name)
-			source.extendLogSkip()
+	current, reached := source.learnFromFirst(ctx, sources)
+	if current {
+		return
+	}
+	backups := node.members.backupReaders(node.settings.Zone)
+	if slices.ContainsFunc(backups, func(backup Member) bool { return backup.Name == node.settings.Name }) {
+		source.skipLogUntil.set(now)
+		source.setSource("")
+		return
+	}
+	if reached && len(sources) > 1 {
+		current, _ = source.learnFromFirst(ctx, backups)
+		if current {
 			return
 		}
 	}
@@ -86,6 +92,21 @@
 	source.skipLogUntil.set(now)
 }
 
+// learnFromFirst merges the engine records of the first node that is current, or of those reached if none is.
+func (source *engineSource) learnFromFirst(ctx context.Context, nodes []Member) (current, reached bool) {
+	for _, member := range nodes {
+		current, err := source.learner.learnRecordsFrom(ctx, member.Address)
+		reached = reached || err == nil
+		if err == nil && current {
+			source.staleSince = time.Time{}
+			source.setSource(member.Name)
+			source.extendLogSkip()
+			return true, true
+		}
+	}
+	return false, reached
+}
+
 // setSource records the source in use and logs a change.
 func (source *engineSource) setSource(name string) {
 	if source.currentSource == name {
--- a/internal/node/engine_source_test.go
+++ b/internal/node/engine_source_test.go
@@ -31,16 +31,20 @@
 		if served == nil {
 			continue
 		}
-		server := httptest.NewServer(nodev1.NewNodeServer(&peerServer{node: served}))
-		DeferCleanup(server.Close)
-		reader := zone.readers[index]
-		reader.Address = server.Listener.Addr().String()
-		zone.members.put(reader)
+		zone.serve(zone.readers[index], served)
 	}
 	zone.readers = zone.members.logReaders("zone")
 	return zone
 }
 
+// serve lets a node answer for a member.
+func (zone *readerZone) serve(member Member, served *Node) {
+	server := httptest.NewServer(nodev1.NewNodeServer(&peerServer{node: served}))
+	DeferCleanup(server.Close)
+	member.Address = server.Listener.Addr().String()
+	zone.members.put(member)
+}
+
 // unusedAddress has no listener.
 const unusedAddress = "127.0.0.1:1"
 
@@ -86,11 +90,26 @@
 
 	It("are not read by further nodes until staleListTolerance has passed if no source is current", func() {
 		zone := newReaderZone(newStaleReader(), newStaleReader())
-		third := zone.member(zone.readers[2])
-		Expect(readsLog(third)).To(BeFalse())
-		Expect(readsLog(third)).To(BeFalse())
-		third.learner.engineSource.staleSince = time.Now().Add(-staleListTolerance)
-		Expect(readsLog(third)).To(BeTrue())
+		further := zone.member(zone.members.logReaderCandidates("zone")[maxSources+maxBackupReaders])
+		Expect(readsLog(further)).To(BeFalse())
+		Expect(readsLog(further)).To(BeFalse())
+		further.learner.engineSource.staleSince = time.Now().Add(-staleListTolerance)
+		Expect(readsLog(further)).To(BeTrue())
+	})
+
+	// Guards against requests to engines that leave while both readers of a zone are cut off from the log.
+	It("are read by the backup readers at once if no source is current, and passed on to the others", func() {
+		zone := newReaderZone(newStaleReader(), newStaleReader())
+		backups := zone.members.backupReaders("zone")
+		Expect(backups).To(HaveLen(maxBackupReaders))
+		for _, backup := range backups {
+			Expect(readsLog(zone.member(backup))).To(BeTrue())
+		}
+		zone.serve(backups[1], newCurrentReader())
+		further := zone.member(zone.members.logReaderCandidates("zone")[maxSources+maxBackupReaders])
+		Expect(readsLog(further)).To(BeFalse())
+		Expect(further.learner.engineSource.staleSince).To(BeZero())
+		Expect(further.learner.engineSource.currentSource).To(Equal(backups[1].Name))
 	})
 
 	It("are read by a node that reaches neither source", func() {
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -248,13 +248,26 @@
 
 // logReaders returns the nodes of a zone that read the log for the others, in candidate order.
 func (members *members) logReaders(zone string) []Member {
+	nodes := members.logReaderCandidates(zone)
+	return nodes[:(len(nodes)+nodesPerReader-1)/nodesPerReader]
+}
+
+// backupReaders returns the nodes of a zone that read engine records from the log while none of maxSources is
+// current.
+func (members *members) backupReaders(zone string) []Member {
+	nodes := members.logReaderCandidates(zone)
+	return nodes[min(maxSources, len(nodes)):min(maxSources+maxBackupReaders, len(nodes))]
+}
+
+// logReaderCandidates returns the nodes of a zone in the order in which they are to read the log for others.
+func (members *members) logReaderCandidates(zone string) []Member {
 	var nodes []Member
 	for _, candidate := range members.candidates(logReaderPseudoShard) {
 		if candidate.Zone == zone {
 			nodes = append(nodes, candidate)
 		}
 	}
-	return nodes[:(len(nodes)+nodesPerReader-1)/nodesPerReader]
+	return nodes
 }
 
 // engineSources returns the nodes from which a member obtains engine records, in order of
@@ -265,7 +278,6 @@
 func (members *members) engineSources(member Member) []Member {
 	readers := members.logReaders(member.Zone)
 	position := slices.IndexFunc(readers, func(reader Member) bool { return reader.Name == member.Name })
-	const maxSources = 2
 	if position >= 0 {
 		return readers[:min(position, maxSources)]
 	}
@@ -283,6 +295,13 @@
 	return []Member{reader, second}
 }
 
+const (
+	// maxSources is the number of nodes from which a node may obtain engine records, maxBackupReaders the
+	// number of further ones that read them while none of these is current.
+	maxSources       = 2
+	maxBackupReaders = 2
+)
+
 // logReaderPseudoShard is the candidate-order key for log readers.
 const logReaderPseudoShard = -1
 
