Engine records: a node reads them when its list is older than the engines' drain time allows

A count and a wait stood in for the age of the list, which each node knows.

Now each node compares that age with the drain time of the settings. Behind the two sources the nodes of a zone read in groups of 2, 4, 8 and so on: the first at 1.35 s, the last at four fifths of the drain time, unless a node of an earlier group has read and tells them. A node asks again every 60 ms while its list is old.

Not kept: judging sources by the age they report alone. A node that the store does not answer learns from random others, and it and the second reader kept each other's lists alive (three readers with one node cut off); the flag that a node reads the store remains.

The spec of the 3 s stated the fault; in its place the first group, a further node, and the ages of all groups are checked.

--- a/internal/node/engine_source_test.go
+++ b/internal/node/engine_source_test.go
@@ -88,28 +88,44 @@
 		Expect(readsLog(zone.member(zone.readers[2]))).To(BeFalse())
 	})
 
-	It("are not read by further nodes until staleListTolerance has passed if no source is current", func() {
+	It("are not read by further nodes before their lists are too old if no source is current", func() {
 		zone := newReaderZone(newStaleReader(), newStaleReader())
-		further := zone.member(zone.members.logReaderCandidates("zone")[maxSources+maxBackupReaders])
+		further := zone.member(zone.members.logReaderCandidates("zone")[maxSources+firstGroupSize])
+		further.engineView.confirmedAt.set(time.Now().Add(-maxCurrentAge))
 		Expect(readsLog(further)).To(BeFalse())
 		Expect(readsLog(further)).To(BeFalse())
-		further.learner.engineSource.staleSince = time.Now().Add(-staleListTolerance)
+		further.engineView.confirmedAt.set(time.Now().Add(-further.learner.engineSource.maxListAge()))
 		Expect(readsLog(further)).To(BeTrue())
 	})
 
+	// Guards against a node of a large zone that believes a list for longer than an engine serves on.
+	It("are read by every node before its list is as old as the engines' drain time", func() {
+		zone := newReaderZone(newStaleReader(), newStaleReader())
+		byAge := map[time.Duration]int{}
+		for _, candidate := range zone.members.logReaderCandidates("zone")[maxSources:] {
+			member := zone.member(candidate)
+			member.settings.EngineDrainTime = 3 * time.Second
+			byAge[member.learner.engineSource.maxListAge()]++
+		}
+		Expect(byAge).To(Equal(map[time.Duration]int{1350 * time.Millisecond: 2, 1700 * time.Millisecond: 4, 2050 * time.Millisecond: 8, 2400 * time.Millisecond: 8}))
+	})
+
 	// Guards against requests to engines that leave while both readers of a zone are cut off from the log.
-	It("are read by the backup readers at once if no source is current, and passed on to the others", func() {
+	It("are read by the first group at once if no source is current, and passed on to the others", func() {
 		zone := newReaderZone(newStaleReader(), newStaleReader())
-		backups := zone.members.backupReaders("zone")
-		Expect(backups).To(HaveLen(maxBackupReaders))
-		for _, backup := range backups {
-			Expect(readsLog(zone.member(backup))).To(BeTrue())
+		candidates := zone.members.logReaderCandidates("zone")
+		firstGroup := candidates[maxSources : maxSources+firstGroupSize]
+		for _, member := range firstGroup {
+			first := zone.member(member)
+			first.engineView.confirmedAt.set(time.Now().Add(-maxCurrentAge))
+			Expect(readsLog(first)).To(BeTrue())
 		}
-		zone.serve(backups[1], newCurrentReader())
-		further := zone.member(zone.members.logReaderCandidates("zone")[maxSources+maxBackupReaders])
+		zone.serve(firstGroup[1], newCurrentReader())
+		further := zone.member(candidates[maxSources+firstGroupSize])
+		further.engineView.confirmedAt.set(time.Now().Add(-time.Minute))
 		Expect(readsLog(further)).To(BeFalse())
-		Expect(further.learner.engineSource.staleSince).To(BeZero())
-		Expect(further.learner.engineSource.currentSource).To(Equal(backups[1].Name))
+		Expect(further.learner.engineSource.readsItself).To(BeFalse())
+		Expect(further.learner.engineSource.currentSource.Name).To(Equal(firstGroup[1].Name))
 	})
 
 	It("are read by a node that reaches neither source", func() {
--- a/internal/node/learn.go
+++ b/internal/node/learn.go
@@ -34,7 +34,7 @@
 	fullListTimeout = 1500 * time.Millisecond
 	// sameZoneStartupPeriod is how long a newly started node asks only nodes of its own zone.
 	sameZoneStartupPeriod = 4 * time.Second
-	// startupLearnInterval is the interval between requests of a newly started node.
+	// startupLearnInterval is the interval between requests of a node without a recent engine list.
 	startupLearnInterval = 60 * time.Millisecond
 	// nodesPerReader is the number of nodes of a zone per log reader.
 	nodesPerReader = 8
@@ -73,7 +73,7 @@
 	node := learner.node
 	followerUnresponsive := false
 	for ctx.Err() == nil {
-		wait.Sleep(ctx, learner.interval())
+		wait.Sleep(ctx, learner.interval(followerUnresponsive))
 		now := time.Now()
 		if anyFollowerUnresponsive(followers, now) != followerUnresponsive {
 			followerUnresponsive = !followerUnresponsive
@@ -91,12 +91,17 @@
 	}
 }
 
-// interval returns the pause between two requests.
-func (learner *learner) interval() time.Duration {
+// interval returns the pause between two requests. While the log answers this node, it ends when the engine list
+// becomes too old to rely on, so that another source is found at once.
+func (learner *learner) interval(followerUnresponsive bool) time.Duration {
 	if learner.engineSource.awaitsFirstList() {
 		return startupLearnInterval
 	}
-	return learnInterval
+	view := learner.node.engineView
+	if followerUnresponsive || !view.loaded() {
+		return learnInterval
+	}
+	return min(max(maxCurrentAge-view.age(), startupLearnInterval), learnInterval)
 }
 
 // learnFromRandomPeer asks a random node while the log does not answer this one. The log may
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -41,6 +41,9 @@
 	ProtocolVersion uint32
 }
 
+// hasNameOf reports whether another record is that of the same node.
+func (member Member) hasNameOf(other Member) bool { return member.Name == other.Name }
+
 // protocolSecondAllowance is the first protocol version in which a shard's owner may get a token
 // allowance while that of a former owner is outstanding. It is the current version.
 const protocolSecondAllowance = 1
@@ -252,11 +255,30 @@
 	return nodes[:(len(nodes)+nodesPerReader-1)/nodesPerReader]
 }
 
-// backupReaders returns the nodes of a zone that read engine records from the log while none of maxSources is
-// current.
-func (members *members) backupReaders(zone string) []Member {
-	nodes := members.logReaderCandidates(zone)
-	return nodes[min(maxSources, len(nodes)):min(maxSources+maxBackupReaders, len(nodes))]
+// readerGroup returns the group in which a node reads engine records from the log if the engine sources of its
+// zone are not current, and the number of groups.
+func (members *members) readerGroup(member Member) (group, groups int) {
+	nodes := members.logReaderCandidates(member.Zone)
+	groups = readerGroupOf(len(nodes)-1-maxSources) + 1
+	position := slices.IndexFunc(nodes, member.hasNameOf)
+	if position < 0 { // It is leaving.
+		return groups - 1, groups
+	}
+	return readerGroupOf(position - maxSources), groups
+}
+
+// earlierReaders returns the nodes of a zone, engine sources aside, whose reader group comes before that of a
+// node.
+func (members *members) earlierReaders(member Member) []Member {
+	nodes := members.logReaderCandidates(member.Zone)
+	group, _ := members.readerGroup(member)
+	var earlier []Member
+	for position, other := range nodes[min(maxSources, len(nodes)):] {
+		if readerGroupOf(position) < group {
+			earlier = append(earlier, other)
+		}
+	}
+	return earlier
 }
 
 // logReaderCandidates returns the nodes of a zone in the order in which they are to read the log for others.
@@ -295,12 +317,8 @@
 	return []Member{reader, second}
 }
 
-const (
-	// maxSources is the number of nodes from which a node may obtain engine records, maxBackupReaders the
-	// number of further ones that read them while none of these is current.
-	maxSources       = 2
-	maxBackupReaders = 2
-)
+// maxSources is the number of nodes that are a node's engine sources.
+const maxSources = 2
 
 // logReaderPseudoShard is the candidate-order key for log readers.
 const logReaderPseudoShard = -1
