Quarantine: an answer takes back only what came before it

Cause: an answer counts once its engine has gone on for 2 s, or has answered another request that began 2 s later. At that time the present time was passed as that of the answer, so it took back the ends of those 2 s as well, which had come after it.

The answer's own time is passed in both places. Class: a wait of 2 s stood in for the time of the answer.

Test: internal/node TestAnAnswerTakesBackOnlyWhatCameBeforeIt, two ways; both fail before.

--- a/internal/node/engine_ends.go
+++ b/internal/node/engine_ends.go
@@ -66,15 +66,15 @@
 	return ends.exposures.Of(request, now)
 }
 
-// answered records that an engine answered an attempt that began at a time. Requests that it has outlived are
-// sound.
+// answered records that an engine answered an attempt that began at a time. Requests that it has outlived were
+// sound when it answered them; what came later is held against them.
 func (ends *engineEnds) answered(engine quarantine.EngineLife, began time.Time) {
 	outlived := ends.exposures.EngineAnswered(engine, began)
 	if ends.requests.tracker.Empty() {
 		return
 	}
 	for _, exposure := range outlived {
-		ends.requests.shareRefuted(ends.requests.tracker.RequestAnswered(exposure.Identity, time.Now()))
+		ends.requests.shareRefuted(ends.requests.tracker.RequestAnswered(exposure.Identity, exposure.Over))
 	}
 }
 
--- a/internal/node/engine_ends_test.go
+++ b/internal/node/engine_ends_test.go
@@ -152,3 +152,36 @@
 		NewWithT(t).Expect(node.quarantine.Count(lostIdentity)).To(BeZero())
 	})
 }
+
+// Guards against an answer that takes back the ends that come after it, so that a request which ends engines
+// and is answered by some goes on to further ones.
+func TestAnAnswerTakesBackOnlyWhatCameBeforeIt(t *testing.T) {
+	for name, answer := range map[string]func(node *Node){
+		"once it has settled": func(node *Node) {
+			node.quarantine.RequestAnswered(lostAttempt(1), time.Now())
+		},
+		"once its engine answers another request": func(node *Node) {
+			answeredAt := time.Now()
+			node.quarantine.AttemptOver(lostAttempt(1), quarantine.CompleteAnswer)
+			time.AfterFunc(2*quarantine.EndSettling, func() {
+				node.quarantine.EngineAnswered(lostEngine(1), answeredAt.Add(quarantine.EndSettling+time.Second))
+			})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				fleet, _ := endsFleet(t)
+				node := fleet.nodes[3]
+				node.quarantine.AttemptOver(lostAttempt(0), quarantine.CompleteAnswer)
+				node.quarantine.ends.found(engineLife(lostEngine(0)))
+				time.Sleep(time.Millisecond)
+				answer(node)
+				time.Sleep(quarantine.EndSettling / 2)
+				node.quarantine.AttemptOver(lostAttempt(2), quarantine.CompleteAnswer)
+				node.quarantine.ends.found(engineLife(lostEngine(2)))
+				time.Sleep(3 * quarantine.EndSettling)
+				NewWithT(t).Expect(node.quarantine.tracker.EnginesLost(lostIdentity.Request, time.Now())).To(ConsistOf(lostEngine(2).ID))
+			})
+		})
+	}
+}
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -240,7 +240,7 @@
 	requests.shareRefuted(requests.tracker.ContentAnswered(attempt.Identity, at))
 	time.AfterFunc(quarantine.EndSettling, func() {
 		if !requests.tracker.LostAt(attempt) {
-			requests.shareRefuted(requests.tracker.RequestAnswered(attempt.Identity, time.Now()))
+			requests.shareRefuted(requests.tracker.RequestAnswered(attempt.Identity, at))
 		}
 	})
 }
--- a/internal/quarantine/exposures.go
+++ b/internal/quarantine/exposures.go
@@ -26,17 +26,17 @@
 	Attempt
 	// Answered is true if the engine answered it completely.
 	Answered bool
-	// at is when the attempt was over.
-	at time.Time
+	// Over is when the attempt was over, for an answered one when the engine had answered.
+	Over time.Time
 }
 
 // until returns when the engine no longer ends under the attempt.
 func (exposure *Exposure) until() time.Time {
-	latest := exposure.at.Add(exposurePeriod)
+	latest := exposure.Over.Add(exposurePeriod)
 	if !exposure.Answered && exposure.Deadline.After(latest) {
 		latest = exposure.Deadline
 	}
-	if bound := exposure.at.Add(maxExposurePeriod); latest.After(bound) {
+	if bound := exposure.Over.Add(maxExposurePeriod); latest.After(bound) {
 		return bound
 	}
 	return latest
@@ -61,7 +61,7 @@
 	if len(known) >= maxExposures {
 		known = slices.Delete(known, 0, 1)
 	}
-	exposures.byEngine[attempt.Engine] = append(known, Exposure{Attempt: attempt, Answered: answered, at: at})
+	exposures.byEngine[attempt.Engine] = append(known, Exposure{Attempt: attempt, Answered: answered, Over: at})
 }
 
 // EngineAnswered records that an engine answered an attempt that began at a time: it has outlived the
@@ -73,7 +73,7 @@
 	before := began.Add(-EndSettling)
 	var outlived []Exposure
 	exposures.drop(engine, func(exposure *Exposure) bool {
-		if !exposure.Answered || !exposure.at.Before(before) {
+		if !exposure.Answered || !exposure.Over.Before(before) {
 			return false
 		}
 		outlived = append(outlived, *exposure)
