Connection pool: a connection remembers its requests until their deadlines

A connection remembered the last eight requests that it had carried, since a call has few refusals. But a refused call waits, and meanwhile others use the connection: after eight of them it could come back to it, and take a late copy of its refusal for its answer. An unsafe request would run twice.

Cause: a count in place of knowledge. A request is sent again until its deadline, and the attempt says when that is.

A connection remembers each request until then: a set, and a queue by which they leave again. Test: internal/backend TestGetReturnsNoConnectionThatHasCarriedTheRequest with 100 requests in between; it fails before.

--- a/internal/backend/connection_pool.go
+++ b/internal/backend/connection_pool.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"hash/maphash"
 	"maps"
 	"net"
 	"slices"
@@ -38,13 +37,8 @@
 	// restTime is how long a connection rests between two requests. Surplus bytes that an engine sends right
 	// behind an answer have arrived by then, and are seen before the next request is sent there.
 	restTime = time.Millisecond
-	// requestsRemembered is the number of requests that a connection is known to have carried.
-	requestsRemembered = 8
 )
 
-// requestSeed is the seed of the hashes of request IDs.
-var requestSeed = maphash.MakeSeed()
-
 // Errors of an exchange with an engine.
 var (
 	// ErrNotSent means that the engine received no byte of the request.
@@ -102,8 +96,7 @@
 	// idleSince is when the connection was last released, idleUntil how long it may be reused.
 	idleSince time.Time
 	idleUntil time.Time
-	// carried holds the hashes of the IDs of the latest requests, oldest first.
-	carried []uint64
+	carried   carriedRequests
 }
 
 // OpenedCount returns the number of connections opened so far.
@@ -113,12 +106,20 @@
 	return pool.opened
 }
 
-// Get returns an idle connection that is still usable, or opens one. request is the ID of the request that it is
-// for, "" for none. A connection that has carried the request is not returned: a late copy of the first
-// attempt's response would be taken for that of the second. limit bounds the number of connections to the
-// address; 0 means no bound. Any error is an ErrNotSent.
-func (pool *ConnectionPool) Get(ctx context.Context, address, request string, limit int) (*Connection, error) {
-	hash := hashRequest(request)
+// Purpose is the request that a connection is wanted for.
+type Purpose struct {
+	// Request is its ID, "" if the connection carries none.
+	Request string
+	// Deadline is when nobody waits for the request any more, so that it is not sent again.
+	Deadline time.Time
+}
+
+// Get returns an idle connection that is still usable, or opens one. A connection that has carried the request
+// is not returned until the request's deadline: a late copy of the first attempt's response would be taken for
+// that of the second. limit bounds the number of connections to the address; 0 means no bound. Any error is an
+// ErrNotSent.
+func (pool *ConnectionPool) Get(ctx context.Context, address string, purpose Purpose, limit int) (*Connection, error) {
+	hash := hashRequest(purpose.Request)
 	for {
 		idle := pool.takeIdle(address, hash, time.Now())
 		if idle == nil {
@@ -128,7 +129,7 @@
 			wait.Sleep(ctx, resting)
 		}
 		if time.Now().Before(idle.idleUntil) && idle.reusable() {
-			idle.remember(hash)
+			idle.carried.add(hash, purpose.Deadline, time.Now())
 			return idle, nil
 		}
 		idle.Close()
@@ -137,29 +138,10 @@
 	if err != nil {
 		return nil, err
 	}
-	connection.remember(hash)
+	connection.carried.add(hash, purpose.Deadline, time.Now())
 	return connection, nil
 }
 
-// hashRequest returns the hash of a request's ID, 0 for none.
-func hashRequest(request string) uint64 {
-	if request == "" {
-		return 0
-	}
-	return maphash.String(requestSeed, request)
-}
-
-// remember records that the connection carries a request.
-func (connection *Connection) remember(hash uint64) {
-	if hash == 0 {
-		return
-	}
-	if len(connection.carried) == requestsRemembered {
-		connection.carried = slices.Delete(connection.carried, 0, 1)
-	}
-	connection.carried = append(connection.carried, hash)
-}
-
 // takeIdle takes the connection to an address that was used last and has rested, or else the one that has
 // rested for the longest. It returns nil if there is none that has not carried the request.
 func (pool *ConnectionPool) takeIdle(address string, hash uint64, now time.Time) *Connection {
@@ -168,7 +150,7 @@
 	list := pool.idle[address]
 	chosen := -1
 	for index, connection := range slices.Backward(list) {
-		if slices.Contains(connection.carried, hash) {
+		if connection.carried.contains(hash) {
 			continue
 		}
 		chosen = index
@@ -293,7 +275,7 @@
 // Refused reports whether nothing listens at an address any more. A connection that it opens is kept for the
 // next request.
 func (pool *ConnectionPool) Refused(ctx context.Context, address string) bool {
-	connection, err := pool.Get(ctx, address, "", 0)
+	connection, err := pool.Get(ctx, address, Purpose{}, 0)
 	if err != nil {
 		return IsRefused(err)
 	}
--- a/internal/backend/connection_pool_test.go
+++ b/internal/backend/connection_pool_test.go
@@ -25,17 +25,17 @@
 	expect := NewWithT(t)
 	pool, address, otherAddress := NewConnectionPool(), startListener(t), startListener(t)
 	pool.RecordRefusal(address, time.Now().Add(time.Hour))
-	first, err := pool.Get(context.Background(), address, "", 0)
+	first, err := pool.Get(context.Background(), address, Purpose{}, 0)
 	expect.Expect(err).NotTo(HaveOccurred())
 	defer first.Close()
-	_, err = pool.Get(context.Background(), address, "", 0)
+	_, err = pool.Get(context.Background(), address, Purpose{}, 0)
 	expect.Expect(err).To(MatchError(ErrTooManyConnections))
-	otherConnection, err := pool.Get(context.Background(), otherAddress, "", 0)
+	otherConnection, err := pool.Get(context.Background(), otherAddress, Purpose{}, 0)
 	expect.Expect(err).NotTo(HaveOccurred(), "other engines are not affected")
 	defer otherConnection.Close()
 
 	first.Release(time.Now().Add(time.Minute))
-	reused, err := pool.Get(context.Background(), address, "", 0)
+	reused, err := pool.Get(context.Background(), address, Purpose{}, 0)
 	expect.Expect(err).NotTo(HaveOccurred())
 	expect.Expect(reused).To(BeIdenticalTo(first), "idle connections are reused")
 	expect.Expect(pool.OpenedCount()).To(Equal(int64(2)))
@@ -77,29 +77,47 @@
 func TestGetReturnsNoConnectionThatHasCarriedTheRequest(t *testing.T) {
 	expect := NewWithT(t)
 	pool, address := NewConnectionPool(), startListener(t)
-	get := func(request string) *Connection {
-		connection, err := pool.Get(context.Background(), address, request, 0)
+	deadline := time.Now().Add(500 * time.Millisecond)
+	get := func(request string, deadline time.Time) *Connection {
+		connection, err := pool.Get(context.Background(), address, Purpose{Request: request, Deadline: deadline}, 0)
 		expect.Expect(err).NotTo(HaveOccurred())
 		t.Cleanup(connection.Close)
 		return connection
 	}
-	first := get("r1")
+	first := get("r1", deadline)
 	first.Release(time.Now().Add(time.Minute))
-	second := get("r1")
+	second := get("r1", deadline)
 	expect.Expect(second).NotTo(BeIdenticalTo(first))
-	expect.Expect(get("r2")).To(BeIdenticalTo(first), "others reuse it")
-	first.Release(time.Now().Add(time.Minute))
-	expect.Expect(get("r1")).NotTo(BeIdenticalTo(first), "another request in between changes nothing")
+	for other := range 100 {
+		expect.Expect(get(fmt.Sprint("other-", other), time.Now().Add(time.Minute))).To(BeIdenticalTo(first), "others reuse it")
+		first.Release(time.Now().Add(time.Minute))
+	}
+	expect.Expect(get("r1", deadline)).NotTo(BeIdenticalTo(first), "however many requests in between")
+}
+
+// Guards against connections that remember requests for good.
+func TestCarriedRequestsAreForgottenAfterTheirDeadlines(t *testing.T) {
+	expect := NewWithT(t)
+	var carried carriedRequests
+	for number := range 1000 {
+		at := testNow.Add(time.Duration(number) * 10 * time.Millisecond)
+		carried.add(hashRequest(fmt.Sprint(number)), at.Add(time.Second), at)
+		expect.Expect(len(carried.byHash)).To(BeNumerically("<=", 101))
+		expect.Expect(len(carried.oldest)).To(Equal(len(carried.byHash)))
+	}
+	expect.Expect(carried.contains(hashRequest("999"))).To(BeTrue())
+	expect.Expect(carried.contains(hashRequest("899"))).To(BeTrue())
+	expect.Expect(carried.contains(hashRequest("898"))).To(BeFalse())
 }
 
 // Guards against requests sent on a connection on which surplus bytes arrive.
 func TestGetLetsConnectionsRest(t *testing.T) {
 	expect := NewWithT(t)
 	pool, address := NewConnectionPool(), startListener(t)
-	first, err := pool.Get(context.Background(), address, "", 0)
+	first, err := pool.Get(context.Background(), address, Purpose{}, 0)
 	expect.Expect(err).NotTo(HaveOccurred())
 	defer first.Close()
-	second, err := pool.Get(context.Background(), address, "", 0)
+	second, err := pool.Get(context.Background(), address, Purpose{}, 0)
 	expect.Expect(err).NotTo(HaveOccurred())
 	defer second.Close()
 	second.Release(time.Now().Add(time.Minute))
@@ -107,7 +125,7 @@
 	released := time.Now()
 	first.Release(time.Now().Add(time.Minute))
 	expect.Expect(pool.takeIdle(address, 0, released)).To(BeIdenticalTo(second), "one that has rested is preferred")
-	reused, err := pool.Get(context.Background(), address, "", 0)
+	reused, err := pool.Get(context.Background(), address, Purpose{}, 0)
 	expect.Expect(err).NotTo(HaveOccurred())
 	expect.Expect(reused).To(BeIdenticalTo(first))
 	expect.Expect(time.Since(released)).To(BeNumerically(">=", restTime))
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -214,7 +214,7 @@
 		Call:                 inflight.call,
 		Engine:               engine,
 		Body:                 inflight.body,
-		Remaining:            max(remaining-responseMargin, time.Millisecond),
+		Remaining:            max(remaining-ResponseMargin, time.Millisecond),
 		Streaming:            inflight.route.Kind == routing.Streaming,
 		Priority:             inflight.priority(),
 		MaxConnections:       inflight.maxConnections(),
--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -174,8 +174,8 @@
 	defaultObjective = 200 * time.Millisecond
 	// defaultTimeout applies if neither the caller nor the route sets a deadline.
 	defaultTimeout = 30 * time.Second
-	// responseMargin is subtracted from the caller's deadline to get the engine's.
-	responseMargin = 5 * time.Millisecond
+	// ResponseMargin is subtracted from the caller's deadline to get the engine's.
+	ResponseMargin = 5 * time.Millisecond
 	// minRemaining is the minimum time before the deadline at which a request is still sent.
 	minRemaining = 3 * time.Millisecond
 	// Other requests avoid an engine that has not sent the first byte of a response within
