HTTP server: a status without a name is sent as it is

Callers saw 200, with the engine's stamp and body, where an engine had answered 520: a failure became a success. By the code the same for each status that has no name in net/http (419, 444, 499, 520 and others).

nbhttp gets a status that it knows, and the status line the right one on its way out, before encryption.

--- a/internal/httpserver/bounded_conn.go
+++ b/internal/httpserver/bounded_conn.go
@@ -29,6 +29,7 @@
 	if conn.connection.aborted.Load() {
 		return 0, net.ErrClosed
 	}
+	data = conn.connection.withStatus(data)
 	sent := 0
 	for sent < len(data) {
 		chunk := data[sent:min(sent+maxWriteSize, len(data))]
--- a/internal/httpserver/connection.go
+++ b/internal/httpserver/connection.go
@@ -54,6 +54,10 @@
 	closeAnnounced  atomic.Bool
 	lastResponseEnd atomic.Int64
 
+	// unnamedStatus is the status of the response that is about to be written if nbhttp does not know it, 0
+	// otherwise. It belongs to the goroutine that runs the request.
+	unnamedStatus int
+
 	// aborted discards further output after a response is cut short.
 	aborted atomic.Bool
 
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -14,6 +14,7 @@
 	"net/http/httptest"
 	"os"
 	"runtime"
+	"strconv"
 	"strings"
 	"time"
 
@@ -330,6 +331,36 @@
 		Expect(bytes.Equal(body, content(7, size))).To(BeTrue())
 	})
 
+	// Guards against a failure whose status has no name being sent as a success.
+	It("sends any status, also with large bodies and on kept connections", func() {
+		const size = largeResponseSize
+		server := start(func(writer http.ResponseWriter, request *http.Request) {
+			status, _ := strconv.Atoi(request.URL.Query().Get("status"))
+			length := request.URL.Query().Get("length")
+			if length != "" {
+				writer.Header().Set("Content-Length", length)
+			}
+			writer.WriteHeader(status)
+			if length != "0" {
+				_, _ = writer.Write(content(status, size))
+			}
+		}, Limits{})
+		connection := dial(server)
+		reader := bufio.NewReader(connection)
+		for _, length := range []string{"", strconv.Itoa(size), "0"} {
+			for _, status := range []int{200, 299, 419, 404, 444, 520, 503, 599, 201} {
+				_, err := fmt.Fprintf(connection, "GET /?status=%d&length=%s HTTP/1.1\r\nHost: x\r\n\r\n", status, length)
+				Expect(err).NotTo(HaveOccurred())
+				response, err := http.ReadResponse(reader, nil)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(response.StatusCode).To(Equal(status))
+				body, err := io.ReadAll(response.Body)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(length == "0" || bytes.Equal(body, content(status, size))).To(BeTrue())
+			}
+		}
+	})
+
 	It("responds with Internal when a handler panics, and keeps serving", func() {
 		reported := 0
 		report := ReportPanic
--- a/internal/httpserver/tls_conn.go
+++ b/internal/httpserver/tls_conn.go
@@ -26,6 +26,11 @@
 // state implements connectionHolder.
 func (conn *tlsConn) state() *connection { return conn.encrypted.connection }
 
+// Write sends plaintext.
+func (conn *tlsConn) Write(data []byte) (int, error) {
+	return conn.Conn.Write(conn.state().withStatus(data))
+}
+
 // feed passes on encrypted bytes. It runs on the poller goroutine and must not block.
 func (conn *tlsConn) feed(data []byte) {
 	if !conn.encrypted.started {
--- a/internal/httpserver/writer.go
+++ b/internal/httpserver/writer.go
@@ -29,8 +29,11 @@
 
 // WriteHeader implements http.ResponseWriter.
 func (writer *responseWriter) WriteHeader(status int) {
+	if !writer.started {
+		writer.connection.unnamedStatus = unnamedStatus(status)
+	}
 	writer.started = true
-	writer.response.WriteHeader(status)
+	writer.response.WriteHeader(namedStatus(status))
 }
 
 // Write sends data. It blocks while the write buffer is full and fails once the
