Engine responses: a number outside 100 to 599 is no status

Cause: http.ReadResponse takes any three characters that strconv.Atoi takes, and nothing behind it asked for more; nbhttp sent 200 in place of a status that it doesn't know.

Such a response is lost: its connection is closed, the caller gets 502 without a stamp, or the answer of the next attempt where the route allows one. What an egress node of an earlier version passes on is checked as well.

Test: platform 'pass on no answer whose status is none', seven statuses on three routes through two nodes; fails before (000 gets 200).

--- a/internal/backend/receive.go
+++ b/internal/backend/receive.go
@@ -24,10 +24,15 @@
 	// waits for while the call's own time runs out.
 	maxStaleBodyBytes = 256 << 10
 	staleBodyTimeout  = 250 * time.Millisecond
+	// maxStatus is the highest status of a response.
+	maxStatus = 599
 	// unbounded is the remaining size of a reader without a bound.
 	unbounded = math.MaxInt
 )
 
+// errNoStatus means that an engine sends a status that is none (RFC 9110, section 15).
+var errNoStatus = errors.New("response without a valid status")
+
 // errResponseTooLong means that an engine sends more than a head or a skipped body may have.
 var errResponseTooLong = errors.New("response exceeds the size limit")
 
@@ -93,13 +98,19 @@
 		if err != nil {
 			return nil, err
 		}
-		if !isInterim(response.StatusCode) {
+		switch {
+		case !IsStatus(response.StatusCode):
+			return nil, errNoStatus
+		case !isInterim(response.StatusCode):
 			return response, nil
 		}
 	}
 	return nil, errResponseTooLong
 }
 
+// IsStatus reports whether a number is the status of a response. http.ReadResponse accepts any three digits, and a sign.
+func IsStatus(number int) bool { return number >= http.StatusContinue && number <= maxStatus }
+
 // isInterim reports whether a status is that of a response that precedes the final one.
 func isInterim(status int) bool { return status >= http.StatusContinue && status < http.StatusOK }
 
--- a/internal/egress/sender.go
+++ b/internal/egress/sender.go
@@ -216,6 +216,9 @@
 	}
 	switch head.Outcome {
 	case nodev1.EgressOutcome_EGRESS_OUTCOME_ANSWERED:
+		if !backend.IsStatus(int(head.Status)) { // Its version passes on any number.
+			return nil, eris.Wrapf(backend.ErrResponseLost, "status %d is none", head.Status)
+		}
 		return &forward.EngineResponse{
 			Status:      int(head.Status),
 			Header:      headersFromProto(head.Headers),
--- a/rehearsal/standin/rawengine/rawengine.go
+++ b/rehearsal/standin/rawengine/rawengine.go
@@ -47,6 +47,8 @@
 	// LateRefusal refuses a request at its first attempt, and sends a copy of the refusal late: where the answer
 	// to the next request on the connection is due, while it works on that.
 	LateRefusal
+	// OddStatus sends an answer whose status is that of the query's parameter "status".
+	OddStatus
 	// CutAnswer sends the first bytes of an answer in a form, both named by the target, and closes.
 	CutAnswer
 )
@@ -182,6 +184,9 @@
 		time.Sleep(workTime)
 		return send(socket, whole(id))
 	}
+	if engine.misbehavior == OddStatus {
+		return send(socket, strings.Replace(whole(id), "200 OK", request.URL.Query().Get("status")+" Odd", 1))
+	}
 	if engine.misbehavior == CutAnswer {
 		_ = send(socket, cutAnswer(id, request.URL.Query()))
 		return false
