Quotas: a lost coordinator is passed over until it answers a probe

With one or two lost, requests wait 0.2 or 0.4 s every few seconds.

Cause: a node that did not answer was passed over for 3 s and then found out anew by requests, 0.2 s each; nodes lost together came back together, and three unanswered asks ended an attempt. A wait and a count stood in for knowing which nodes answer.

Now such a node is passed over until it answers a probe, sent each 3 s beside requests. After each ask in a row without an answer twice as many of the next candidates are probed at once. Three unanswered asks end an attempt only if no other node has been in contact.

--- a/internal/node/quotas.go
+++ b/internal/node/quotas.go
@@ -26,9 +26,9 @@
 	// quotaTimeout bounds one request to a coordinator.
 	quotaTimeout = 200 * time.Millisecond
 	// maxUnansweredCoordinators is how many consecutive unanswered requests end an admission
-	// attempt.
+	// attempt if no other node is in contact meanwhile, since this node may be isolated.
 	maxUnansweredCoordinators = 3
-	// undeterminedTimeout bounds the wait for a coordinator that holds too few leases: a lost
+	// undeterminedTimeout bounds the wait for a coordinator that answers and holds enough leases: a lost
 	// coordinator's leases must expire and the other nodes must notice.
 	undeterminedTimeout = 2*quota.LeaseDuration + quotaTimeout
 	// undeterminedRetryDelay is the delay between requests to such a coordinator.
@@ -38,9 +38,6 @@
 	leaseRenewalInterval = 150 * time.Millisecond
 	// leasePollInterval is the interval at which due renewals are checked.
 	leasePollInterval = 30 * time.Millisecond
-	// coordinatorSuspicion is how long an unresponsive coordinator is not chosen, about the length
-	// of a machine freeze or restart.
-	coordinatorSuspicion = 3 * time.Second
 )
 
 // quotas implements forward.Quotas. It sends requests to the quota coordinators, leases this
@@ -49,7 +46,7 @@
 	node        *Node
 	coordinator *quota.Coordinator
 	groups      []*leaseGroup
-	suspects    *suspects
+	probes      *coordinatorProbes
 }
 
 // leaseGroup is this node's lease to the coordinator of one group of tenants.
@@ -58,8 +55,9 @@
 	// mutex guards the fields below.
 	mutex  sync.Mutex
 	lessor quota.Lessor
-	// lastRequest is when a coordinator was last called.
+	// lastRequest is when a coordinator was last called, unanswered the number of calls since the last answer.
 	lastRequest time.Time
+	unanswered  int
 }
 
 func newQuotas(node *Node) *quotas {
@@ -67,7 +65,7 @@
 		node: node,
 		coordinator: quota.NewCoordinator(node.incarnation, time.Now(), quota.Options{
 			Tolerance: node.settings.QuotaTolerance, PreferRunningPrograms: feature.Enabled(feature.ProgramsFirst)}),
-		suspects: newSuspects(),
+		probes: newCoordinatorProbes(),
 	}
 	for group := range max(node.settings.Shards/shardsPerQuotaGroup, 1) {
 		created.groups = append(created.groups, &leaseGroup{number: group})
@@ -92,9 +90,9 @@
 	group := quotas.groupOf(callerRequest.Tenant.Name)
 	request := quotas.admitRequest(group, callerRequest)
 	deadline := time.Now().Add(undeterminedTimeout)
-	unanswered := 0
+	unanswered, answeredAt := 0, started
 	share := 0.0
-	for ctx.Err() == nil && unanswered < maxUnansweredCoordinators && time.Now().Before(deadline) {
+	for ctx.Err() == nil && time.Now().Before(deadline) && (unanswered < maxUnansweredCoordinators || quotas.node.contact.last.notBefore(answeredAt)) {
 		reply, err := quotas.callCoordinator(ctx, group, request)
 		switch {
 		case err != nil:
@@ -105,7 +103,7 @@
 		case reply.Admission == nodev1.Admission_ADMISSION_REFUSED:
 			return forward.Admission{Verdict: forward.OverLimit, RetryAfter: milliseconds(reply.RetryAfterMs)}
 		default:
-			unanswered = 0
+			unanswered, answeredAt = 0, time.Now()
 			share = reply.Share
 			wait.Sleep(ctx, undeterminedRetryDelay)
 		}
@@ -147,12 +145,13 @@
 	reply, err := quotas.sendAdmit(ctx, target, request)
 	if err != nil {
 		if ctx.Err() == nil {
-			quotas.suspect(target, request, err)
+			quotas.recordSilence(group, target, request, err)
 		}
 		return nil, err
 	}
 	group.mutex.Lock()
 	defer group.mutex.Unlock()
+	group.unanswered = 0
 	group.lessor.ObserveCoordinator(target, fromClock(reply.Clock), time.Now())
 	return reply, nil
 }
@@ -163,25 +162,31 @@
 	group.mutex.Lock()
 	defer group.mutex.Unlock()
 	group.lastRequest = now
-	preferred := quotas.chooseCoordinator(group.number, now)
-	coordinator, clock := group.lessor.Target(preferred, !quotas.suspects.contains(group.lessor.Coordinator(), now), now)
+	preferred := quotas.chooseCoordinator(group.number)
+	coordinator, clock := group.lessor.Target(preferred, !quotas.probes.silent(group.lessor.Coordinator()), now)
 	return coordinator, clock, group.lessor.LeasedFor(now)
 }
 
-// chooseCoordinator returns the first candidate that is not suspected.
-func (quotas *quotas) chooseCoordinator(group int, now time.Time) string {
+// chooseCoordinator returns the first candidate that is not known to be silent.
+func (quotas *quotas) chooseCoordinator(group int) string {
 	for _, candidate := range quotas.node.members.candidates(quotaPseudoShard - group) {
-		if !quotas.suspects.contains(candidate.Name, now) {
+		if !quotas.probes.silent(candidate.Name) {
 			return candidate.Name
 		}
 	}
 	return quotas.node.settings.Name
 }
 
-func (quotas *quotas) suspect(name string, request *nodev1.AdmitRequest, cause error) {
+// recordSilence records that a coordinator did not answer, and looks for one that does.
+func (quotas *quotas) recordSilence(group *leaseGroup, name string, request *nodev1.AdmitRequest, cause error) {
 	quotas.node.logger.Info("quota coordinator unreachable", zap.String("node", name), zap.Uint32("group", request.Group),
 		zap.String("tenant", request.Tenant), logging.ErrorField(cause))
-	quotas.suspects.add(name, time.Now().Add(coordinatorSuspicion))
+	quotas.probes.recordSilence(name, time.Now())
+	group.mutex.Lock()
+	group.unanswered++
+	unanswered := group.unanswered
+	group.mutex.Unlock()
+	quotas.probeNext(context.Background(), group, unanswered)
 }
 
 func (quotas *quotas) sendAdmit(ctx context.Context, target string, request *nodev1.AdmitRequest) (*nodev1.AdmitReply, error) {
@@ -207,6 +212,9 @@
 			continue
 		}
 		now := time.Now()
+		for _, name := range quotas.probes.due(now) {
+			go quotas.probe(ctx, name, quotas.groups[0])
+		}
 		for _, group := range quotas.groups {
 			if group.renewalDue(now) {
 				go func() { _, _ = quotas.callCoordinator(ctx, group, quotas.leaseRequest(group)) }() // callCoordinator logs failures.
