Stream origins: a node records and finds them itself where relays are lost

Callers' streams could not be taken up (503, 2018) where the first two candidates for their zone's relay are lost: of 20 streams begun beside two lost candidates the log got 5, beside three or more none. With two lost, an origin that the log has was not found either.

Cause: two candidates were tried, then a batch of origins was dropped; a search gave both of them all of its time, so that the node's own reading had none. A count stood in for an answer.

The node appends the batch itself where neither answers, and reads the log in a time of its own.

Test: internal/node TestStreamOriginsAreRecordedAndFoundWhereSeveralRelaysAreLost, ten forms, five fail before.

--- a/internal/node/loss_records_test.go
+++ b/internal/node/loss_records_test.go
@@ -30,6 +30,7 @@
 	calls, appends atomic.Int64
 	away           atomic.Bool
 	stop           context.CancelFunc
+	zones          int
 }
 
 const (
@@ -37,8 +38,11 @@
 	durableFleetZones = 4
 )
 
-func newDurableFleet(t *testing.T) *durableFleet {
-	fleet := &durableFleet{log: durable.NewMemory()}
+func newDurableFleet(t *testing.T) *durableFleet { return newDurableFleetIn(t, durableFleetZones) }
+
+// newDurableFleetIn is newDurableFleet with a number of zones.
+func newDurableFleetIn(t *testing.T, zones int) *durableFleet {
+	fleet := &durableFleet{log: durable.NewMemory(), zones: zones}
 	fleet.log.Intercept = func(operation string, _ durable.Partition) error {
 		fleet.calls.Add(1)
 		if operation == durable.OperationAppend {
@@ -59,7 +63,7 @@
 
 // start starts new nodes that know nothing but the log.
 func (fleet *durableFleet) start(t *testing.T) {
-	fleet.lossFleet = newLossFleet(t, durableFleetNodes, durableFleetZones)
+	fleet.lossFleet = newLossFleet(t, durableFleetNodes, fleet.zones)
 	ctx, stop := context.WithCancel(context.Background())
 	fleet.stop = stop
 	for _, node := range fleet.nodes {
@@ -220,7 +224,7 @@
 // it has asked.
 func TestANodeWaitsForTheRecordsForABoundedTime(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
-		fleet := &durableFleet{log: durable.NewMemory()}
+		fleet := &durableFleet{log: durable.NewMemory(), zones: durableFleetZones}
 		fleet.log.Intercept = func(string, durable.Partition) error { return errLogAway }
 		fleet.start(t)
 		defer fleet.stop()
--- a/internal/node/origin_records.go
+++ b/internal/node/origin_records.go
@@ -95,7 +95,8 @@
 	return relay
 }
 
-// handOver sends origins to the relay, or to the next candidate if it does not respond.
+// handOver sends origins to the relay, or to the next candidate if it does not respond. If neither does, this node
+// appends them to the log itself: any number of candidates may be lost.
 func (records *originRecords) handOver(batch []streamversion.Record) {
 	defer records.pace()
 	message := &nodev1.KeepStreamOriginsRequest{Record: true, Origins: make([]*nodev1.StreamOrigin, len(batch))}
@@ -115,6 +116,7 @@
 		}
 		records.suspect(relay, err)
 	}
+	records.toLog.add(batch, 0)
 }
 
 func (records *originRecords) suspect(relay string, err error) {
@@ -153,24 +155,24 @@
 	records.toLog.addUpTo(batch, maxRetriedOrigins)
 }
 
-// find returns the origin of a stream that the log holds.
+// find returns the origin of a stream that the log holds. If no relay answers, this node reads the log itself.
 func (records *originRecords) find(ctx context.Context, key streamversion.Key) (streamversion.Origin, bool) {
 	if !records.enabled() {
 		return streamversion.Origin{}, false
 	}
-	bounded, cancel := context.WithTimeout(ctx, recallTimeout)
-	defer cancel()
 	for range relayAttempts {
 		relay := records.relay()
-		if relay == records.node.settings.Name {
+		if relay == records.node.settings.Name || ctx.Err() != nil {
 			break
 		}
-		origin, err := records.askRelay(bounded, relay, key)
+		origin, err := records.askRelay(ctx, relay, key)
 		if err == nil {
 			return fromFound(origin)
 		}
 		records.suspect(relay, err)
 	}
+	bounded, cancel := context.WithTimeout(ctx, recallTimeout)
+	defer cancel()
 	records.recall(bounded)
 	return records.table.Find(key, time.Now())
 }
--- a/internal/node/origin_records_test.go
+++ b/internal/node/origin_records_test.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -61,6 +63,52 @@
 	})
 }
 
+// freezeRelays freezes the first candidates for the relay of the only zone, and returns the last candidate.
+func (fleet *durableFleet) freezeRelays(count int) *Node {
+	order := fleet.nodes[0].members.candidates(loadPseudoShard)
+	for _, member := range order[:count] {
+		fleet.freeze(member.Name)
+	}
+	last := order[len(order)-1].Name
+	return fleet.nodes[slices.IndexFunc(fleet.nodes, func(node *Node) bool { return node.settings.Name == last })]
+}
+
+// Guards against streams that cannot be taken up while several candidates for a zone's relay are lost, since
+// they were not recorded or are not found.
+func TestStreamOriginsAreRecordedAndFoundWhereSeveralRelaysAreLost(t *testing.T) {
+	const streams = 20
+	for _, lost := range []int{1, 2, 3, 6, 11} {
+		t.Run(fmt.Sprintf("found with %d of 12 lost", lost), func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				fleet := newDurableFleetIn(t, 1)
+				fleet.beginAtAll(streams)
+				time.Sleep(2*originInterval + 100*time.Millisecond)
+				fleet.restart(t)
+				asking := fleet.freezeRelays(lost)
+				for number := range streams {
+					began := time.Now()
+					NewWithT(t).Expect(finds(asking, number)).To(BeTrue(), "stream %d", number)
+					NewWithT(t).Expect(time.Since(began)).To(BeNumerically("<=", findOriginTimeout+2*recallTimeout))
+					time.Sleep(time.Second)
+				}
+			})
+		})
+		t.Run(fmt.Sprintf("recorded with %d of 12 lost", lost), func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				fleet := newDurableFleetIn(t, 1)
+				beginning := fleet.freezeRelays(lost)
+				for number := range streams {
+					begin(beginning, number)
+					time.Sleep(time.Second)
+				}
+				fleet.restart(t)
+				found, _ := countFound(fleet.nodes[1], streams)
+				NewWithT(t).Expect(found).To(Equal(streams))
+			})
+		})
+	}
+}
+
 // Guards against origins of streams that began while the log was away never being recorded.
 func TestStreamOriginsAreRecordedOnceTheLogIsBack(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
