Quarantine: the nodes of a zone are told of ends where its relays are lost

Callers' requests that end engines could be sent on by nodes of a zone whose first two candidates for the relay are lost: they were told nothing. They ask their own zone's relay each 2 s, which is lost as well, so that they did not learn it that way either.

Cause: two candidates were tried, then the message was dropped; a node passed a silent relay over for 1 s and asked again after 2 s. A count and a wait stood in for an answer.

Now a node tells the zone's nodes itself where neither candidate answers, and compares what it knows with one node after another until one answers.

Test: internal/node TestLossesReachZonesWhereSeveralRelaysAreLost, five forms, four fail before.

--- a/internal/node/loss_sharing.go
+++ b/internal/node/loss_sharing.go
@@ -23,7 +23,7 @@
 	lossRelayTimeout   = 200 * time.Millisecond
 	// maxLossWait is how long a failed call is held until other nodes know of its loss.
 	maxLossWait = 250 * time.Millisecond
-	// relayAttempts is how many candidates for a zone's relay are tried.
+	// relayAttempts is how many candidates for a zone's relay are tried before its work is done without one.
 	relayAttempts = 2
 	// lossBatchDelay is how long losses that no caller waits for are collected into one message.
 	lossBatchDelay = 100 * time.Millisecond
@@ -116,7 +116,8 @@
 	return delivered
 }
 
-// tellRelayOf tells the relay of a zone, or the next candidate if it does not respond.
+// tellRelayOf tells the relay of a zone, or the next candidate if it does not respond. If neither does, it tells
+// the zone's nodes itself: any number of candidates may be lost.
 func (sharing *lossSharing) tellRelayOf(zone string, losses []quarantine.Loss) {
 	for range relayAttempts {
 		relay := sharing.relayOf(zone, time.Now())
@@ -131,15 +132,15 @@
 			return
 		}
 	}
+	sharing.tellNodesOf(zone, losses, 0)
 }
 
-// tellOwnZone tells the other nodes of this node's zone, after a delay at the latest. The channels are
-// closed once they know.
-func (sharing *lossSharing) tellOwnZone(losses []quarantine.Loss, delay time.Duration) []<-chan struct{} {
-	settings := sharing.node.settings
+// tellNodesOf tells the other nodes of a zone, after a delay at the latest. The channels are closed once they
+// know.
+func (sharing *lossSharing) tellNodesOf(zone string, losses []quarantine.Loss, delay time.Duration) []<-chan struct{} {
 	var delivered []<-chan struct{}
-	for _, member := range sharing.node.members.inZone(settings.Zone) {
-		if member.Name == settings.Name || sharing.suspects.contains(member.Name, time.Now()) {
+	for _, member := range sharing.node.members.inZone(zone) {
+		if member.Name == sharing.node.settings.Name || sharing.suspects.contains(member.Name, time.Now()) {
 			continue
 		}
 		told := sharing.toNodes.to(member.Name).add(losses, delay)
@@ -227,10 +228,10 @@
 // that; other losses are collected into one message with those of other nodes.
 func (sharing *lossSharing) forward(losses []quarantine.Loss) {
 	if slices.ContainsFunc(losses, func(loss quarantine.Loss) bool { return isAwaited(&loss) }) {
-		awaitAll(sharing.tellOwnZone(losses, 0), maxForwardWait)
+		awaitAll(sharing.tellNodesOf(sharing.node.settings.Zone, losses, 0), maxForwardWait)
 		return
 	}
-	sharing.tellOwnZone(losses, lossBatchDelay)
+	sharing.tellNodesOf(sharing.node.settings.Zone, losses, lossBatchDelay)
 }
 
 // run compares the losses that this node knows with those of others until ctx ends.
@@ -262,12 +263,23 @@
 	return lossExchangeInterval
 }
 
-// exchange obtains the losses that another node knows and this one does not.
+// exchange obtains the losses that another node knows and this one does not. It asks one node after another
+// until one answers, for lossExchangeInterval at most.
 func (sharing *lossSharing) exchange(ctx context.Context) error {
-	other := sharing.exchangePartner(time.Now())
-	if other == "" {
-		return nil
+	bounded, cancel := context.WithTimeout(ctx, lossExchangeInterval)
+	defer cancel()
+	var err error
+	for other := sharing.exchangePartner(time.Now()); other != ""; other = sharing.randomPeer(time.Now()) {
+		err = sharing.exchangeWith(ctx, other)
+		if err == nil || bounded.Err() != nil {
+			return err
+		}
 	}
+	return err
+}
+
+// exchangeWith obtains the losses that a node knows and this one does not.
+func (sharing *lossSharing) exchangeWith(ctx context.Context, other string) error {
 	request := &nodev1.ShareLossesRequest{WantsLosses: true}
 	if !sharing.tracker.Empty() {
 		digest := sharing.tracker.Digest(time.Now())
@@ -293,7 +305,14 @@
 	if relay != "" && relay != settings.Name {
 		return relay
 	}
-	peers := sharing.node.members.activePeers(settings.Name)
+	return sharing.randomPeer(now)
+}
+
+// randomPeer returns a random other node that is not suspected, "" if there is none.
+func (sharing *lossSharing) randomPeer(now time.Time) string {
+	peers := slices.DeleteFunc(sharing.node.members.activePeers(sharing.node.settings.Name), func(member Member) bool {
+		return sharing.suspects.contains(member.Name, now)
+	})
 	if len(peers) == 0 {
 		return ""
 	}
--- a/internal/node/loss_sharing_test.go
+++ b/internal/node/loss_sharing_test.go
@@ -247,3 +247,33 @@
 		NewWithT(t).Expect(fleet.nodes[nodeCount-1].quarantine.tracker.Losses(time.Now())).To(HaveLen(rack*slots + 1))
 	})
 }
+
+// Guards against the nodes of a zone not being told of an engine's end while several candidates for its relay are
+// lost.
+func TestLossesReachZonesWhereSeveralRelaysAreLost(t *testing.T) {
+	for _, lost := range []int{1, 2, 3, 6, 10} {
+		t.Run(fmt.Sprintf("%d of 12 lost", lost), func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				fleet := newLossFleet(t, 24, 2)
+				var zone []string
+				for _, candidate := range fleet.nodes[0].members.candidates(loadPseudoShard) {
+					if candidate.Zone == "zone-1" {
+						zone = append(zone, candidate.Name)
+					}
+				}
+				for _, name := range zone[:lost] {
+					fleet.freeze(name)
+				}
+				for number := range quarantine.MaxLosses {
+					fleet.nodes[2*number].quarantine.RecordLoss(lostAttempt(number), quarantine.Interrupted) // Nodes of zone-0.
+					time.Sleep(5 * time.Second)
+				}
+				for _, node := range fleet.nodes {
+					if !fleet.isFrozen(node.settings.Name) {
+						NewWithT(t).Expect(node.quarantine.Quarantined(lostIdentity)).To(BeTrue(), node.settings.Name)
+					}
+				}
+			})
+		})
+	}
+}
