--- a/internal/node/owner_search.go
+++ b/internal/node/owner_search.go
@@ -124,8 +124,7 @@
 	programs := search.programs
 	if err == nil {
 		search.unanswered = 0
-		programs.silent.remove(target)
-		programs.unreached.remove(target)
+		programs.recordAnswer(target)
 		return
 	}
 	search.markFailed(target)
@@ -136,11 +135,7 @@
 		search.unansweredSince = started
 	}
 	search.unanswered++
-	silent := programs.unreached
-	if search.othersInContact() {
-		silent = programs.silent
-	}
-	silent.add(target, time.Now().Add(silenceSuspicion))
+	programs.recordSilence(target, search.unansweredSince)
 }
 
 // othersInContact reports whether any other node has been in contact since the first of the consecutive
@@ -149,6 +144,22 @@
 	return search.programs.node.contact.last.notBefore(search.unansweredSince)
 }
 
+// recordSilence records that a node has not answered since a time. It is asked last for silenceSuspicion, if
+// none has answered only while none does.
+func (programs *programs) recordSilence(name string, since time.Time) {
+	silent := programs.unreached
+	if programs.node.contact.last.notBefore(since) {
+		silent = programs.silent
+	}
+	silent.add(name, time.Now().Add(silenceSuspicion))
+}
+
+// recordAnswer records that a node has answered.
+func (programs *programs) recordAnswer(name string) {
+	programs.silent.remove(name)
+	programs.unreached.remove(name)
+}
+
 // isolated reports whether this node probably reaches no other node, so that the caller should try
 // elsewhere instead of waiting. Several nodes may be lost while others are in contact.
 func (search *ownerSearch) isolated() bool {
@@ -174,22 +185,30 @@
 // nextTarget returns the next node to try: the known owner, then the candidates, suspected ones
 // last.
 func (programs *programs) nextTarget(shard int, tried map[string]bool) (string, bool) {
+	target, found := programs.nextUnsuspected(shard, tried)
+	if found {
+		return target, true
+	}
+	for _, member := range programs.node.members.candidates(shard) {
+		if !tried[member.Name] {
+			return member.Name, true
+		}
+	}
+	return "", false
+}
+
+// nextUnsuspected returns the next node to try: the known owner, then the candidates that are not suspected.
+func (programs *programs) nextUnsuspected(shard int, tried map[string]bool) (string, bool) {
 	known := programs.knownOwner(shard).Node
 	if known != "" && !tried[known] {
 		return known, true
 	}
-	candidates := programs.node.members.candidates(shard)
 	now := time.Now()
-	for _, member := range candidates {
+	for _, member := range programs.node.members.candidates(shard) {
 		if !tried[member.Name] && !programs.isSuspected(member.Name, now) {
 			return member.Name, true
 		}
 	}
-	for _, member := range candidates {
-		if !tried[member.Name] {
-			return member.Name, true
-		}
-	}
 	return "", false
 }
 
