Quarantine: relays and the recorder are passed over until they answer a probe

Callers' requests that end engines could reach further ones after a loss of all nodes, and sound ones be held back by ends that had been taken back: where the first candidate for the recorder is lost for good, nobody records first ends or deletes refuted ones (4 zones; 2 lost in one zone).

Cause: a node that did not respond was passed over for 1 s, and asked each 2 s; nodes of other zones never asked the recorder at all and took it for alive. A wait stood in for an answer.

A node that did not respond is passed over until it answers a probe, one each second, as quota coordinators are (the set of such nodes is now one type for both). Relays compare losses with the recorder in half of their exchanges, so that they notice its loss. An exchange goes from one node to the next until one answers.

Nodes of the durable fleet can be ended one by one for it. TestNodesThatWereAwayLearnOfLosses waits for the renamed constant, of the same second.

--- a/internal/node/loss_records.go
+++ b/internal/node/loss_records.go
@@ -250,10 +250,9 @@
 	_ = records.write(context.Background(), states, durable.Condition{}) // write logs failures; reconcile repeats it.
 }
 
-// reconcile makes the records match what is held against requests, if this node is the recorder: the
-// first of all candidates for a zone's relay.
+// reconcile makes the records match what is held against requests, if this node is the recorder.
 func (records *lossRecords) reconcile(ctx context.Context, now time.Time) error {
-	if !records.isCurrent() || !records.isRecorder(now) {
+	if !records.isCurrent() || records.sharing.recorder(now) != records.node.settings.Name {
 		return nil
 	}
 	changed, end := records.differences(now)
@@ -264,16 +263,6 @@
 	return records.write(ctx, changed, durable.Condition{ExpectedEnd: &end})
 }
 
-// isRecorder reports whether this node corrects the records.
-func (records *lossRecords) isRecorder(now time.Time) bool {
-	for _, candidate := range records.node.members.candidates(loadPseudoShard) {
-		if !records.sharing.suspects.contains(candidate.Name, now) {
-			return candidate.Name == records.node.settings.Name
-		}
-	}
-	return false
-}
-
 // differences returns the losses of requests whose records differ from them, none where the record is to
 // be deleted, for at most one append, and the offset up to which the records are known.
 func (records *lossRecords) differences(now time.Time) (map[quarantine.Fingerprint][]quarantine.Loss, int64) {
--- a/internal/node/loss_records_test.go
+++ b/internal/node/loss_records_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -30,7 +32,9 @@
 	calls, appends atomic.Int64
 	away           atomic.Bool
 	stop           context.CancelFunc
-	zones          int
+	// stopNode ends what a node does by itself.
+	stopNode map[string]context.CancelFunc
+	zones    int
 }
 
 const (
@@ -66,14 +70,23 @@
 	fleet.lossFleet = newLossFleet(t, durableFleetNodes, fleet.zones)
 	ctx, stop := context.WithCancel(context.Background())
 	fleet.stop = stop
+	fleet.stopNode = map[string]context.CancelFunc{}
 	for _, node := range fleet.nodes {
+		nodeContext, stopNode := context.WithCancel(ctx)
+		fleet.stopNode[node.settings.Name] = stopNode
 		node.dependencies = Dependencies{Connections: backend.NewConnectionPool(), Log: fleet.log, QuarantineTopic: testQuarantineTopic, OriginTopic: testOriginTopic}
 		node.quarantine = newRequestQuarantine(node)
-		go node.quarantine.run(ctx)
+		go node.quarantine.run(nodeContext)
 	}
 	time.Sleep(time.Second)
 }
 
+// loseNode ends a node.
+func (fleet *durableFleet) loseNode(name string) {
+	fleet.freeze(name)
+	fleet.stopNode[name]()
+}
+
 // restart loses all nodes at once and starts others.
 func (fleet *durableFleet) restart(t *testing.T) {
 	fleet.stop()
@@ -244,3 +257,29 @@
 		NewWithT(t).Expect(fleet.calls.Load() - before).To(BeNumerically("<=", durableFleetZones*int64(time.Minute/recordsMaxWait)))
 	})
 }
+
+// Guards against ends that nobody records, and records that nobody deletes, since the first candidates for the
+// recorder are lost for good.
+func TestLossesAreRecordedWhereTheFirstCandidatesAreLost(t *testing.T) {
+	for _, zones := range []int{1, durableFleetZones} {
+		for _, lost := range []int{1, 2, 3, 6} {
+			t.Run(fmt.Sprintf("%d zones, %d of %d lost", zones, lost, durableFleetNodes), func(t *testing.T) {
+				inVirtualTime(t, func(t *testing.T) {
+					fleet := newDurableFleetIn(t, zones)
+					order := fleet.nodes[0].members.candidates(loadPseudoShard)
+					for _, member := range order[:lost] {
+						fleet.loseNode(member.Name)
+					}
+					time.Sleep(30 * time.Second)
+					last := slices.IndexFunc(fleet.nodes, func(node *Node) bool { return node.settings.Name == order[len(order)-1].Name })
+					fleet.lose(last, 0)
+					time.Sleep(5 * time.Second)
+					NewWithT(t).Expect(fleet.recorded()).To(Equal(1))
+					fleet.nodes[last].quarantine.RequestAnswered(lostAttempt(0), time.Now())
+					time.Sleep(5 * time.Second)
+					NewWithT(t).Expect(fleet.recorded()).To(BeZero())
+				})
+			})
+		}
+	}
+}
--- a/internal/node/loss_sharing.go
+++ b/internal/node/loss_sharing.go
@@ -27,9 +27,10 @@
 	relayAttempts = 2
 	// lossBatchDelay is how long losses that no caller waits for are collected into one message.
 	lossBatchDelay = 100 * time.Millisecond
-	// lossPeerSuspicion is how long a node that did not respond gets no losses. It obtains them with
-	// its next exchange.
-	lossPeerSuspicion = time.Second
+	// lossProbeInterval is the time between two probes of a node that did not respond. Meanwhile it gets no losses;
+	// it obtains them with its next exchange. lossProbeCheckInterval is how often due probes are looked for.
+	lossProbeInterval      = time.Second
+	lossProbeCheckInterval = 100 * time.Millisecond
 	// lossExchangeInterval is the interval at which a node compares the losses that it knows with
 	// its zone's relay, to obtain those told while it was frozen or cut off. Until
 	// memberStartupPeriod is over, it is newNodeExchangeInterval: others do not tell a node before
@@ -48,10 +49,10 @@
 // tells the nodes of its zone: messages grow with the number of nodes and not with its square, and
 // losses that arrive together, as when a rack of engines ends, travel in one message.
 type lossSharing struct {
-	node     *Node
-	tracker  *quarantine.Tracker
-	merge    mergeLosses
-	suspects *suspects
+	node    *Node
+	tracker *quarantine.Tracker
+	merge   mergeLosses
+	silent  *unresponsivePeers
 	// synchronized is true once a newly started node knows what the others know.
 	synchronized atomic.Bool
 
@@ -64,7 +65,7 @@
 type mergeLosses func(losses []quarantine.Loss, now time.Time) []quarantine.Loss
 
 func newLossSharing(node *Node, tracker *quarantine.Tracker, merge mergeLosses) *lossSharing {
-	sharing := &lossSharing{node: node, tracker: tracker, merge: merge, suspects: newSuspects()}
+	sharing := &lossSharing{node: node, tracker: tracker, merge: merge, silent: newUnresponsivePeers(lossProbeInterval)}
 	sharing.toZones = newOutboxes(maxLossesPerMessage, sharing.tellRelayOf)
 	sharing.toNodes = newOutboxes(maxLossesPerMessage, sharing.tellNode)
 	return sharing
@@ -140,7 +141,7 @@
 func (sharing *lossSharing) tellNodesOf(zone string, losses []quarantine.Loss, delay time.Duration) []<-chan struct{} {
 	var delivered []<-chan struct{}
 	for _, member := range sharing.node.members.inZone(zone) {
-		if member.Name == sharing.node.settings.Name || sharing.suspects.contains(member.Name, time.Now()) {
+		if member.Name == sharing.node.settings.Name || sharing.silent.passesOver(member.Name, time.Now()) {
 			continue
 		}
 		told := sharing.toNodes.to(member.Name).add(losses, delay)
@@ -157,7 +158,7 @@
 
 // relayOf returns the relay of a zone, or "" if there is none.
 func (sharing *lossSharing) relayOf(zone string, now time.Time) string {
-	return sharing.node.members.relayOf(zone, now, sharing.suspects)
+	return sharing.node.members.relayOf(zone, now, sharing.silent)
 }
 
 // send sends a message to a node, and suspects the node if it does not respond. It merges what the node
@@ -181,8 +182,10 @@
 	defer cancel()
 	reply, err := client.ShareLosses(bounded, message)
 	sharing.node.meter.countLossMessage(err)
-	if err != nil && ctx.Err() == nil {
-		sharing.suspects.add(name, time.Now().Add(lossPeerSuspicion))
+	if err == nil {
+		sharing.silent.recordAnswer(name)
+	} else if ctx.Err() == nil {
+		sharing.silent.recordSilence(name, time.Now())
 		sharing.node.logger.Info("losses not shared", zap.String("node", name), zap.Int("losses", len(message.Losses)), logging.ErrorField(err))
 	}
 	return reply, err
@@ -236,6 +239,7 @@
 
 // run compares the losses that this node knows with those of others until ctx ends.
 func (sharing *lossSharing) run(ctx context.Context) {
+	go sharing.probeSilent(ctx)
 	started := time.Now()
 	for ctx.Err() == nil {
 		age := time.Since(started)
@@ -263,13 +267,23 @@
 	return lossExchangeInterval
 }
 
+// probeSilent compares losses with nodes that did not respond, until they do or ctx ends.
+func (sharing *lossSharing) probeSilent(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait.Sleep(ctx, lossProbeCheckInterval)
+		for _, name := range sharing.silent.due(time.Now()) {
+			go func() { _ = sharing.exchangeWith(ctx, name) }() // call logs failures.
+		}
+	}
+}
+
 // exchange obtains the losses that another node knows and this one does not. It asks one node after another
 // until one answers, for lossExchangeInterval at most.
 func (sharing *lossSharing) exchange(ctx context.Context) error {
 	bounded, cancel := context.WithTimeout(ctx, lossExchangeInterval)
 	defer cancel()
 	var err error
-	for other := sharing.exchangePartner(time.Now()); other != ""; other = sharing.randomPeer(time.Now()) {
+	for other := sharing.exchangePartner(time.Now()); other != ""; other = sharing.exchangePartner(time.Now()) {
 		err = sharing.exchangeWith(ctx, other)
 		if err == nil || bounded.Err() != nil {
 			return err
@@ -297,21 +311,36 @@
 	return nil
 }
 
-// exchangePartner returns the node to compare losses with: the relay of the zone, or for the relay
-// itself a random other node. It is "" if there is none.
+// exchangePartner returns the node to compare losses with: the relay of the zone, for relays the recorder or a
+// random other node. It is "" if there is none.
 func (sharing *lossSharing) exchangePartner(now time.Time) string {
 	settings := sharing.node.settings
 	relay := sharing.relayOf(settings.Zone, now)
 	if relay != "" && relay != settings.Name {
 		return relay
 	}
+	recorder := sharing.recorder(now)
+	if recorder != "" && recorder != settings.Name && rand.IntN(2) == 0 {
+		return recorder
+	}
 	return sharing.randomPeer(now)
 }
 
-// randomPeer returns a random other node that is not suspected, "" if there is none.
+// recorder returns the node that corrects the records of losses in the log: the first of all candidates for a
+// zone's relay that responds, "" if there is none.
+func (sharing *lossSharing) recorder(now time.Time) string {
+	for _, candidate := range sharing.node.members.candidates(loadPseudoShard) {
+		if !sharing.silent.passesOver(candidate.Name, now) {
+			return candidate.Name
+		}
+	}
+	return ""
+}
+
+// randomPeer returns a random other node that is not known to be silent, "" if there is none.
 func (sharing *lossSharing) randomPeer(now time.Time) string {
 	peers := slices.DeleteFunc(sharing.node.members.activePeers(sharing.node.settings.Name), func(member Member) bool {
-		return sharing.suspects.contains(member.Name, now)
+		return sharing.silent.passesOver(member.Name, now)
 	})
 	if len(peers) == 0 {
 		return ""
--- a/internal/node/loss_sharing_test.go
+++ b/internal/node/loss_sharing_test.go
@@ -167,7 +167,7 @@
 		fleet.network.mutex.Lock()
 		clear(fleet.network.cut)
 		fleet.network.mutex.Unlock()
-		time.Sleep(lossExchangeInterval + lossPeerSuspicion)
+		time.Sleep(lossExchangeInterval + lossProbeInterval)
 		NewWithT(t).Expect(fleet.knowing(3)).To(Equal(12))
 	})
 }
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -228,11 +228,16 @@
 	return list
 }
 
-// relayOf returns the first candidate for a zone's relay that is not suspected, or "" if there is none.
+// peerFilter reports which nodes are passed over at a time.
+type peerFilter interface {
+	passesOver(name string, now time.Time) bool
+}
+
+// relayOf returns the first candidate for a zone's relay that is not passed over, or "" if there is none.
 // Candidates are those for the zone's load aggregator, mostly strong machines.
-func (members *members) relayOf(zone string, now time.Time, suspected *suspects) string {
+func (members *members) relayOf(zone string, now time.Time, filter peerFilter) string {
 	for _, candidate := range members.candidates(loadPseudoShard) {
-		if candidate.Zone == zone && !suspected.contains(candidate.Name, now) {
+		if candidate.Zone == zone && !filter.passesOver(candidate.Name, now) {
 			return candidate.Name
 		}
 	}
--- a/internal/node/quota_fleet_test.go
+++ b/internal/node/quota_fleet_test.go
@@ -147,7 +147,7 @@
 			fleet.lose(0)
 			time.Sleep(2 * coordinatorProbeInterval)
 			group := fleet.last().quotas.groupOf(limitedTenant.Name)
-			if chosen := fleet.last().quotas.chooseCoordinator(group.number); chosen != fleet.order[0].Name {
+			if chosen := fleet.last().quotas.chooseCoordinator(group.number, time.Now()); chosen != fleet.order[0].Name {
 				t.Errorf("%s is chosen", chosen)
 			}
 			if verdict, _ := fleet.admit(ctx); verdict != forward.Admitted {
--- a/internal/node/quotas.go
+++ b/internal/node/quotas.go
@@ -46,7 +46,7 @@
 	node        *Node
 	coordinator *quota.Coordinator
 	groups      []*leaseGroup
-	probes      *coordinatorProbes
+	silent      *unresponsivePeers
 }
 
 // leaseGroup is this node's lease to the coordinator of one group of tenants.
@@ -65,7 +65,7 @@
 		node: node,
 		coordinator: quota.NewCoordinator(node.incarnation, time.Now(), quota.Options{
 			Tolerance: node.settings.QuotaTolerance, PreferRunningPrograms: feature.Enabled(feature.ProgramsFirst)}),
-		probes: newCoordinatorProbes(),
+		silent: newUnresponsivePeers(coordinatorProbeInterval),
 	}
 	for group := range max(node.settings.Shards/shardsPerQuotaGroup, 1) {
 		created.groups = append(created.groups, &leaseGroup{number: group})
@@ -168,15 +168,15 @@
 	group.mutex.Lock()
 	defer group.mutex.Unlock()
 	group.lastRequest = now
-	preferred := quotas.chooseCoordinator(group.number)
-	coordinator, clock := group.lessor.Target(preferred, !quotas.probes.silent(group.lessor.Coordinator()), now)
+	preferred := quotas.chooseCoordinator(group.number, now)
+	coordinator, clock := group.lessor.Target(preferred, !quotas.silent.passesOver(group.lessor.Coordinator(), now), now)
 	return coordinator, clock, group.lessor.LeasedFor(now)
 }
 
 // chooseCoordinator returns the first candidate that is not known to be silent.
-func (quotas *quotas) chooseCoordinator(group int) string {
+func (quotas *quotas) chooseCoordinator(group int, now time.Time) string {
 	for _, candidate := range quotas.node.members.candidates(quotaPseudoShard - group) {
-		if !quotas.probes.silent(candidate.Name) {
+		if !quotas.silent.passesOver(candidate.Name, now) {
 			return candidate.Name
 		}
 	}
@@ -187,7 +187,7 @@
 func (quotas *quotas) recordSilence(group *leaseGroup, name string, request *nodev1.AdmitRequest, cause error) {
 	quotas.node.logger.Info("quota coordinator unreachable", zap.String("node", name), zap.Uint32("group", request.Group),
 		zap.String("tenant", request.Tenant), logging.ErrorField(cause))
-	quotas.probes.recordSilence(name, time.Now())
+	quotas.silent.recordSilence(name, time.Now())
 	group.mutex.Lock()
 	group.unanswered++
 	unanswered := group.unanswered
@@ -218,7 +218,7 @@
 			continue
 		}
 		now := time.Now()
-		for _, name := range quotas.probes.due(now) {
+		for _, name := range quotas.silent.due(now) {
 			go quotas.probe(ctx, name, quotas.groups[0])
 		}
 		for _, group := range quotas.groups {
--- a/internal/node/quotas_test.go
+++ b/internal/node/quotas_test.go
@@ -44,7 +44,7 @@
 			node.members.put(Member{Name: string(rune('a' + number)), Address: "127.0.0.1:1"})
 		}
 		Expect(node.quotas.Admit(context.Background(), newRequest()).Verdict).NotTo(Equal(forward.OverLimit))
-		Expect(node.quotas.probes.silent(first())).To(BeTrue())
+		Expect(node.quotas.silent.passesOver(first(), time.Now())).To(BeTrue())
 	})
 
 	It("abandon a request whose caller has left", func() {
--- a/internal/node/suspects.go
+++ b/internal/node/suspects.go
@@ -34,3 +34,8 @@
 	defer suspects.mutex.Unlock()
 	delete(suspects.until, name)
 }
+
+// passesOver implements peerFilter.
+func (suspects *suspects) passesOver(name string, now time.Time) bool {
+	return suspects.contains(name, now)
+}
