Unresponsive nodes: probes become rarer the longer a node is silent

Records of lost nodes stay, so that the probes of a relay would grow with all the nodes that its zone ever lost.

The time between two probes is an eighth of the silence, a minute at most, and nodes that have left are forgotten. One that returns is found within an eighth of the time that it was away.

--- a/internal/node/loss_sharing.go
+++ b/internal/node/loss_sharing.go
@@ -27,7 +27,7 @@
 	relayAttempts = 2
 	// lossBatchDelay is how long losses that no caller waits for are collected into one message.
 	lossBatchDelay = 100 * time.Millisecond
-	// lossProbeInterval is the time between two probes of a node that did not respond. Meanwhile it gets no losses;
+	// lossProbeInterval is the time between the first probes of a node that did not respond. Meanwhile it gets no losses;
 	// it obtains them with its next exchange. lossProbeCheckInterval is how often due probes are looked for.
 	lossProbeInterval      = time.Second
 	lossProbeCheckInterval = 100 * time.Millisecond
@@ -271,7 +271,7 @@
 func (sharing *lossSharing) probeSilent(ctx context.Context) {
 	for ctx.Err() == nil {
 		wait.Sleep(ctx, lossProbeCheckInterval)
-		for _, name := range sharing.silent.due(time.Now()) {
+		for _, name := range sharing.silent.due(sharing.node.members, time.Now()) {
 			go func() { _ = sharing.exchangeWith(ctx, name) }() // call logs failures.
 		}
 	}
--- a/internal/node/quota_probes.go
+++ b/internal/node/quota_probes.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// coordinatorProbeInterval is the time between two probes of a node that does not answer as a quota
+	// coordinatorProbeInterval is the time between the first probes of a node that does not answer as a quota
 	// coordinator. Other nodes turn to it again when it answers them, so that frequent probes would only make
 	// the coordinator change more often.
 	coordinatorProbeInterval = 3 * time.Second
--- a/internal/node/quotas.go
+++ b/internal/node/quotas.go
@@ -218,7 +218,7 @@
 			continue
 		}
 		now := time.Now()
-		for _, name := range quotas.silent.due(now) {
+		for _, name := range quotas.silent.due(quotas.node.members, now) {
 			go quotas.probe(ctx, name, quotas.groups[0])
 		}
 		for _, group := range quotas.groups {
--- a/internal/node/unresponsive_peers.go
+++ b/internal/node/unresponsive_peers.go
@@ -5,55 +5,83 @@
 	"time"
 )
 
-// unresponsivePeers knows which nodes do not answer. They are passed over until they answer a probe, so that a node that
-// is lost is not found out anew again and again. It is safe for concurrent use.
+const (
+	// probeDivisor divides the time for which a node has been silent into the time between two probes: nodes that
+	// are lost for good cost ever less, and one that returns is found soon by comparison.
+	probeDivisor = 8
+	// maxPeerProbeInterval bounds the time between two probes of a node.
+	maxPeerProbeInterval = time.Minute
+)
+
+// unresponsivePeers knows which nodes do not answer. They are passed over until they answer a probe, so that a node
+// that is lost is not found out anew again and again. It is safe for concurrent use.
 type unresponsivePeers struct {
-	// probeInterval is the time between two probes of a node.
+	// probeInterval is the time between two probes of a node at first.
 	probeInterval time.Duration
 
-	mutex sync.Mutex
-	// probeAt holds the nodes that did not answer, and when each is probed next.
-	probeAt map[string]time.Time
+	mutex  sync.Mutex
+	byName map[string]*silence
+}
+
+// silence is the time for which a node has not answered.
+type silence struct {
+	since   time.Time
+	probeAt time.Time
 }
 
 func newUnresponsivePeers(probeInterval time.Duration) *unresponsivePeers {
-	return &unresponsivePeers{probeInterval: probeInterval, probeAt: map[string]time.Time{}}
+	return &unresponsivePeers{probeInterval: probeInterval, byName: map[string]*silence{}}
 }
 
 // passesOver implements peerFilter.
 func (peers *unresponsivePeers) passesOver(name string, _ time.Time) bool {
 	peers.mutex.Lock()
 	defer peers.mutex.Unlock()
-	_, silent := peers.probeAt[name]
-	return silent
+	return peers.byName[name] != nil
 }
 
 // recordSilence records that a node did not answer.
 func (peers *unresponsivePeers) recordSilence(name string, now time.Time) {
 	peers.mutex.Lock()
 	defer peers.mutex.Unlock()
-	peers.probeAt[name] = now.Add(peers.probeInterval)
+	if peers.byName[name] == nil {
+		peers.byName[name] = &silence{since: now}
+	}
+	peers.schedule(peers.byName[name], now)
+}
+
+// schedule sets when a node is probed next. The caller holds the mutex.
+func (peers *unresponsivePeers) schedule(silent *silence, now time.Time) {
+	interval := max(now.Sub(silent.since)/probeDivisor, peers.probeInterval)
+	silent.probeAt = now.Add(min(interval, maxPeerProbeInterval))
 }
 
 // recordAnswer records that a node answered, and reports whether it did not before.
 func (peers *unresponsivePeers) recordAnswer(name string) bool {
 	peers.mutex.Lock()
 	defer peers.mutex.Unlock()
-	_, silent := peers.probeAt[name]
-	delete(peers.probeAt, name)
+	silent := peers.byName[name] != nil
+	delete(peers.byName, name)
 	return silent
 }
 
-// due returns the nodes that are to be probed now.
-func (peers *unresponsivePeers) due(now time.Time) []string {
+// due returns the nodes that are to be probed now. Nodes that are no members any more, or are leaving, are
+// forgotten.
+func (peers *unresponsivePeers) due(members *members, now time.Time) []string {
 	peers.mutex.Lock()
 	defer peers.mutex.Unlock()
 	var names []string
-	for name, at := range peers.probeAt {
-		if !now.Before(at) {
-			names = append(names, name)
-			peers.probeAt[name] = now.Add(peers.probeInterval)
+	for name, silent := range peers.byName {
+		if now.Before(silent.probeAt) {
+			continue
+		}
+		member, known := members.get(name)
+		if !known || member.Draining {
+			delete(peers.byName, name)
+			continue
 		}
+		names = append(names, name)
+		peers.schedule(silent, now)
 	}
 	return names
 }
