--- a/internal/node/quota_fleet_test.go
+++ b/internal/node/quota_fleet_test.go
@@ -21,10 +21,11 @@
 
 // quotaFleet is nodes that admit requests of limitedTenant. The first of order are asked to coordinate its limit.
 type quotaFleet struct {
-	nodes map[string]*Node
-	order []Member
-	mutex sync.Mutex
-	lost  map[string]bool
+	nodes   map[string]*Node
+	order   []Member
+	network *fakeNetwork
+	mutex   sync.Mutex
+	lost    map[string]bool
 }
 
 func newQuotaFleet(ctx context.Context, t *testing.T, nodeCount int) *quotaFleet {
@@ -32,8 +33,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	fleet := &quotaFleet{nodes: map[string]*Node{}, lost: map[string]bool{}}
 	network := &fakeNetwork{nodes: map[string]http.Handler{}, cut: map[[2]string]bool{}}
+	fleet := &quotaFleet{nodes: map[string]*Node{}, network: network, lost: map[string]bool{}}
 	for number := range nodeCount {
 		name := fmt.Sprint("node-", number)
 		node := &Node{settings: Settings{Name: name, Shards: 8}, incarnation: name, members: newMembers(), meter: newMeter(), logger: logger.Sampled(), routes: &routing.ActiveConfiguration{}}
@@ -156,3 +157,28 @@
 		})
 	})
 }
+
+// Guards against nodes that start together passing each other over since some listen later than others.
+func TestNodesThatStartTogetherFindTheirCoordinator(t *testing.T) {
+	t.Run("refused at first", func(t *testing.T) {
+		inQuotaFleet(t, 12, func(ctx context.Context, fleet *quotaFleet) {
+			for _, member := range fleet.order[1:] {
+				fleet.network.isolate(member.Name) // Fails requests at once.
+			}
+			_, _ = fleet.admit(ctx)
+			fleet.network.mutex.Lock()
+			clear(fleet.network.cut)
+			fleet.network.mutex.Unlock()
+			group := fleet.last().quotas.groupOf(limitedTenant.Name)
+			passedOver := 0
+			for _, member := range fleet.order {
+				if fleet.last().quotas.silent.passesOver(member.Name, time.Now()) {
+					passedOver++
+				}
+			}
+			if passedOver > maxUnansweredCoordinators {
+				t.Errorf("%d nodes are passed over by group %d", passedOver, group.number)
+			}
+		})
+	})
+}
--- a/internal/node/quota_probes.go
+++ b/internal/node/quota_probes.go
@@ -16,11 +16,13 @@
 	maxProbeDoublings = 6
 )
 
-// probe finds out whether a node answers as the coordinator of a group. It leases nothing to it.
+// probe finds out whether a node answers as the coordinator of a group. It leases nothing to it. A node that refuses
+// the connection at once may be about to start, and costs those who ask it nothing.
 func (quotas *quotas) probe(ctx context.Context, name string, group *leaseGroup) {
+	started := time.Now()
 	_, err := quotas.sendAdmit(ctx, name, quotas.leaseRequest(group))
 	switch {
-	case err != nil && ctx.Err() == nil:
+	case err != nil && ctx.Err() == nil && time.Since(started) >= quotaTimeout:
 		quotas.silent.recordSilence(name, time.Now())
 	case err == nil && quotas.silent.recordAnswer(name):
 		quotas.node.logger.Info("quota coordinator reachable", zap.String("node", name))
