Quarantine: a starting node asks others although none responds yet

Where nobody responds one of the silent ones is asked, as before, and the exchange fails with it. Test: internal/node TestAStartedNodeIsSynchronizedOnceOthersRespond; it fails without this.

--- a/internal/node/loss_sharing.go
+++ b/internal/node/loss_sharing.go
@@ -278,18 +278,22 @@
 }
 
 // exchange obtains the losses that another node knows and this one does not. It asks one node after another
-// until one answers, for lossExchangeInterval at most.
+// until one answers, for lossExchangeInterval at most, and only one of those that did not respond before.
 func (sharing *lossSharing) exchange(ctx context.Context) error {
 	bounded, cancel := context.WithTimeout(ctx, lossExchangeInterval)
 	defer cancel()
-	var err error
-	for other := sharing.exchangePartner(time.Now()); other != ""; other = sharing.exchangePartner(time.Now()) {
-		err = sharing.exchangeWith(ctx, other)
-		if err == nil || bounded.Err() != nil {
+	for {
+		now := time.Now()
+		other := sharing.exchangePartner(now)
+		if other == "" {
+			return nil
+		}
+		noneResponds := sharing.silent.passesOver(other, now)
+		err := sharing.exchangeWith(ctx, other)
+		if err == nil || noneResponds || bounded.Err() != nil {
 			return err
 		}
 	}
-	return err
 }
 
 // exchangeWith obtains the losses that a node knows and this one does not.
@@ -337,11 +341,13 @@
 	return ""
 }
 
-// randomPeer returns a random other node that is not known to be silent, "" if there is none.
+// randomPeer returns a random other node that responds, any other node if none does, "" if there is none.
 func (sharing *lossSharing) randomPeer(now time.Time) string {
-	peers := slices.DeleteFunc(sharing.node.members.activePeers(sharing.node.settings.Name), func(member Member) bool {
-		return sharing.silent.passesOver(member.Name, now)
-	})
+	peers := sharing.node.members.activePeers(sharing.node.settings.Name)
+	responsive := slices.DeleteFunc(slices.Clone(peers), func(member Member) bool { return sharing.silent.passesOver(member.Name, now) })
+	if len(responsive) > 0 {
+		peers = responsive
+	}
 	if len(peers) == 0 {
 		return ""
 	}
--- a/internal/node/loss_sharing_test.go
+++ b/internal/node/loss_sharing_test.go
@@ -277,3 +277,25 @@
 		})
 	}
 }
+
+// Guards against a started node that takes itself for synchronized since no other responds yet, and against one
+// that waits long once they do.
+func TestAStartedNodeIsSynchronizedOnceOthersRespond(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		fleet := newLossFleet(t, 12, 1)
+		fleet.network.isolate("node-0")
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		sharing := fleet.nodes[0].quarantine.sharing
+		go sharing.run(ctx)
+		time.Sleep(maxStartupExchange / 2)
+		NewWithT(t).Expect(sharing.synchronized.Load()).To(BeFalse())
+		fleet.network.mutex.Lock()
+		clear(fleet.network.cut)
+		fleet.network.mutex.Unlock()
+		time.Sleep(4 * startupExchangeInterval)
+		NewWithT(t).Expect(sharing.synchronized.Load()).To(BeTrue())
+		stop()
+		time.Sleep(time.Minute)
+	})
+}
