Logs and metrics: how turns end by the size of their program

Lines of calls named neither how large a program is nor how far it had come, so that "large programs are lost" could not be told from "many are lost". The lines of turns now say budget, most, prompt and how many turns the owner has granted since it took the shard over; `turn refused` says the latter too. The metric magpielug_turns_total counts turns by route, result code and size of the budget in turns of the largest size. No logic changes.

--- a/internal/forward/capacity_test.go
+++ b/internal/forward/capacity_test.go
@@ -128,6 +128,18 @@
 		Expect(metrics.reasons()).To(HaveEach(forward.DeadlineTooClose))
 	})
 
+	It("logs of a turn how large its program is and how many turns it was granted", func() {
+		service.Programs = &fakePrograms{reservation: forward.Reservation{Verdict: nodev1.Verdict_VERDICT_SPENT, TurnsGranted: 7}}
+		service.Serve(context.Background(), &forward.Call{ID: "r", Method: "POST", Host: "h", Target: "/kept/x", Path: "/kept/x", Received: time.Now(),
+			Deadline: time.Now().Add(2 * time.Second), Program: "p", Turn: &forward.TurnRequest{Budget: 1000, MaxTokens: 100, PromptTokens: 300}}, &fakeResponseWriter{})
+		entry := logs.FilterMessage("call failed").All()[0].ContextMap()
+		Expect(entry).To(HaveKeyWithValue("budget", BeNumerically("==", 1000)))
+		Expect(entry).To(HaveKeyWithValue("most", BeNumerically("==", 100)))
+		Expect(entry).To(HaveKeyWithValue("prompt", BeNumerically("==", 300)))
+		Expect(entry).To(HaveKeyWithValue("turns", BeNumerically("==", 7)))
+		Expect(entry).To(HaveKeyWithValue("code", BeNumerically("==", resultcode.ProgramCapReached)))
+	})
+
 	It("refuses a call with the predicted time until there is capacity", func() {
 		directory.RecordDuration("s", 1200*time.Millisecond)
 		busy := fill()
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -29,6 +29,9 @@
 		routeName = inflight.route.Name
 	}
 	inflight.service.Metrics.Finished(kind, code, took)
+	if turn := inflight.call.Turn; turn != nil && turn.Budget < Unlimited && inflight.route != nil {
+		inflight.service.Metrics.TurnFinished(routeName, turn, code)
+	}
 	inflight.logResult(routeName, code, took, failure)
 	switch {
 	case failure == nil:
@@ -66,6 +69,10 @@
 		fields = append(fields, zap.Stringer("verdict", inflight.reservation.Verdict), zap.String("owner", inflight.reservation.Grant.Owner),
 			zap.Int64("epoch", inflight.reservation.Grant.Epoch), zap.Duration("reserve_took", inflight.reserveDuration))
 	}
+	if turn := inflight.call.Turn; turn != nil && turn.Budget < Unlimited {
+		fields = append(fields, zap.Int64("budget", turn.Budget), zap.Int64("most", turn.MaxTokens), zap.Int64("prompt", turn.PromptTokens),
+			zap.Int64("turns", inflight.reservation.TurnsGranted))
+	}
 	if inflight.admitDuration > 0 {
 		fields = append(fields, zap.Duration("admit_took", inflight.admitDuration))
 	}
--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -45,6 +45,9 @@
 	TryOtherNode bool
 	// RetryAfter is when the call may be retried, 0 if unknown.
 	RetryAfter time.Duration
+	// TurnsGranted is how many turns the owner has granted to the program since it took the program's
+	// shard over; 0 if unknown.
+	TurnsGranted int64
 }
 
 // Grant identifies a reservation to the owner that made it.
@@ -81,6 +84,8 @@
 type Metrics interface {
 	// Finished records the end of a call: its route's kind, its result and its duration.
 	Finished(kind routing.Kind, code resultcode.Code, took time.Duration)
+	// TurnFinished records the end of a turn of a program with a budget: its route and its result.
+	TurnFinished(route string, turn *TurnRequest, code resultcode.Code)
 	// FirstEvent records the time to a stream's first event.
 	FirstEvent(took time.Duration)
 	// RefusedForCapacity records a call that was refused because no engine had capacity in time.
--- a/internal/forward/service_test.go
+++ b/internal/forward/service_test.go
@@ -168,10 +168,11 @@
 // noopMetrics records nothing.
 type noopMetrics struct{}
 
-func (noopMetrics) Finished(routing.Kind, resultcode.Code, time.Duration) {}
-func (noopMetrics) FirstEvent(time.Duration)                              {}
-func (noopMetrics) RefusedForCapacity(string, forward.CapacityRefusal)    {}
-func (noopMetrics) Resumed(forward.Resumption)                            {}
+func (noopMetrics) Finished(routing.Kind, resultcode.Code, time.Duration)      {}
+func (noopMetrics) FirstEvent(time.Duration)                                   {}
+func (noopMetrics) TurnFinished(string, *forward.TurnRequest, resultcode.Code) {}
+func (noopMetrics) RefusedForCapacity(string, forward.CapacityRefusal)         {}
+func (noopMetrics) Resumed(forward.Resumption)                                 {}
 
 // fakeResponseWriter records the response. Abort panics, as the real one does.
 type fakeResponseWriter struct {
@@ -225,6 +226,8 @@
 
 func (metrics *fakeMetrics) Resumed(forward.Resumption) {}
 
+func (metrics *fakeMetrics) TurnFinished(string, *forward.TurnRequest, resultcode.Code) {}
+
 func (metrics *fakeMetrics) RefusedForCapacity(_ string, reason forward.CapacityRefusal) {
 	metrics.mutex.Lock()
 	defer metrics.mutex.Unlock()
--- a/internal/node/meter.go
+++ b/internal/node/meter.go
@@ -21,7 +21,9 @@
 
 // meter implements forward.Metrics with Prometheus metrics.
 type meter struct {
-	calls      *prometheus.CounterVec
+	calls *prometheus.CounterVec
+	// turns counts turns by route, size of the program's budget and result.
+	turns      *prometheus.CounterVec
 	duration   *prometheus.HistogramVec
 	firstEvent prometheus.Histogram
 	logCalls   *prometheus.CounterVec
@@ -49,8 +51,9 @@
 	recentLogCalls map[string]int
 	// recentPeerBytes counts bytes exchanged with other nodes since then, by call and zone.
 	recentPeerBytes map[string]int64
-	// tenants holds the tenants that have their own label.
+	// tenants and routes hold the tenants and routes that have their own label.
 	tenants map[string]bool
+	routes  map[string]bool
 }
 
 // latencyBounds are histogram bounds in seconds.
@@ -62,6 +65,10 @@
 			Name: "magpielug_calls_total",
 			Help: "Calls that have ended, by kind of route and result code.",
 		}, []string{"kind", "code"}),
+		turns: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "magpielug_turns_total",
+			Help: "Turns of programs with a budget that have ended, by route, by how many turns of the largest size the budget holds (at most budget_turns), and by result code.",
+		}, []string{"route", "budget_turns", "code"}),
 		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name:    "magpielug_call_seconds",
 			Help:    "Time from a call's arrival to its end, by kind of route.",
@@ -128,6 +135,7 @@
 		recentLogCalls:  map[string]int{},
 		recentPeerBytes: map[string]int64{},
 		tenants:         map[string]bool{},
+		routes:          map[string]bool{},
 	}
 }
 
@@ -150,16 +158,41 @@
 
 // tenantLabel returns the label of a tenant, bounding the number of labels.
 func (meter *meter) tenantLabel(tenant string) string {
+	return meter.boundedLabel(meter.tenants, tenant, maxTenantLabels, otherTenantLabel)
+}
+
+// boundedLabel returns a name that is among the known ones or that can still join them, else the label
+// of all others.
+func (meter *meter) boundedLabel(known map[string]bool, name string, limit int, other string) string {
 	meter.mutex.Lock()
 	defer meter.mutex.Unlock()
-	if meter.tenants[tenant] {
-		return tenant
+	if known[name] {
+		return name
 	}
-	if len(meter.tenants) >= maxTenantLabels {
-		return otherTenantLabel
+	if len(known) >= limit {
+		return other
+	}
+	known[name] = true
+	return name
+}
+
+// maxBudgetTurns is the largest class of budgets, in turns of the largest size.
+const maxBudgetTurns = 64
+
+// budgetTurns returns the class of a budget: how many turns of the largest size it holds, rounded up to a
+// power of two.
+func budgetTurns(turn *forward.TurnRequest) int64 {
+	class := int64(1)
+	for class < maxBudgetTurns && class*turn.MaxTokens < turn.Budget {
+		class *= 2
 	}
-	meter.tenants[tenant] = true
-	return tenant
+	return class
+}
+
+// TurnFinished implements forward.Metrics.
+func (meter *meter) TurnFinished(route string, turn *forward.TurnRequest, code resultcode.Code) {
+	label := meter.boundedLabel(meter.routes, route, maxRouteLabels, otherRouteLabel)
+	meter.turns.WithLabelValues(label, strconv.FormatInt(budgetTurns(turn), 10), strconv.Itoa(int(code))).Inc()
 }
 
 // countLoadMessage counts a load message to an aggregator.
@@ -299,7 +332,7 @@
 func (node *Node) metricsHandler() http.Handler {
 	meter := node.meter
 	registry := prometheus.NewRegistry()
-	registry.MustRegister(meter.calls, meter.duration, meter.firstEvent, meter.logCalls, meter.logLatency, meter.handovers, meter.admissions,
+	registry.MustRegister(meter.calls, meter.turns, meter.duration, meter.firstEvent, meter.logCalls, meter.logLatency, meter.handovers, meter.admissions,
 		meter.loadMessages, meter.capacityRefusals, meter.peerTraffic, meter.lossesRecorded, meter.lossesRefuted, meter.quarantined, meter.lossMessages, meter.resumptions, meter.originMessages, waitQueueCollector{queue: node.service.WaitQueue}, breakerCollector{engines: node.engines})
 	registry.MustRegister(node.admission.metrics)
 	gauges := []struct {
--- a/internal/node/programs.go
+++ b/internal/node/programs.go
@@ -114,8 +114,8 @@
 		programs.node.refreshChain(chain, reservation.Zones)
 	}
 	return forward.Reservation{Verdict: reply.Verdict, Chain: chain, Reason: reply.Reason, Engine: reply.Engine, TryOtherNode: tryOtherNode,
-		RetryAfter: milliseconds(reply.RetryAfterMs),
-		Grant:      forward.Grant{Owner: reply.Owner, Epoch: reply.Epoch, Key: request.Request}}
+		RetryAfter: milliseconds(reply.RetryAfterMs), TurnsGranted: reply.TurnsGranted,
+		Grant: forward.Grant{Owner: reply.Owner, Epoch: reply.Epoch, Key: request.Request}}
 }
 
 // findChainLocally finds the chain of a turn that is restricted to certain zones. Its content must
--- a/internal/node/reserve.go
+++ b/internal/node/reserve.go
@@ -47,6 +47,7 @@
 	reply.Owner = result.Owner.Node
 	reply.OwnerAddress = result.Owner.Address
 	reply.Epoch = result.Owner.Epoch
+	reply.TurnsGranted = result.TurnsGranted
 	if result.Verdict == nodev1.Verdict_VERDICT_GRANTED {
 		node.admission.recordTurnStart(request, reservation.ExpiresAt, firstTurn)
 		node.completeGrant(ctx, shard, request, reply)
--- a/internal/ownership/shard.go
+++ b/internal/ownership/shard.go
@@ -83,6 +83,9 @@
 	Verdict nodev1.Verdict
 	Owner   Owner
 	Reason  string
+	// TurnsGranted is how many turns the owner has granted to the program since it took the shard
+	// over; 0 if this node does not own it.
+	TurnsGranted int64
 }
 
 // waiter is a reservation that waits for a log append or a claim.
@@ -183,9 +186,10 @@
 		return
 	}
 	verdict := shard.ledger.Reserve(waiting.request.ledgerRequest(), time.Now())
+	turnsGranted := shard.ledger.Balance(waiting.request.Program).TurnsGranted
 	switch verdict {
 	case spending.Granted:
-		waiting.reply <- ReserveResult{Verdict: nodev1.Verdict_VERDICT_GRANTED, Owner: shard.owner}
+		waiting.reply <- ReserveResult{Verdict: nodev1.Verdict_VERDICT_GRANTED, Owner: shard.owner, TurnsGranted: turnsGranted}
 	case spending.BudgetExhausted:
 		if manager.dependencies.FreezeDetector.FrozenSince(shard.ownedAsOf) {
 			// Another node may have taken over during the freeze and settled turns since.
@@ -195,10 +199,10 @@
 			break
 		}
 		manager.logRefusal(shard, waiting.request, "spent")
-		waiting.reply <- ReserveResult{Verdict: nodev1.Verdict_VERDICT_SPENT, Owner: shard.owner, Reason: "the budget leaves no room"}
+		waiting.reply <- ReserveResult{Verdict: nodev1.Verdict_VERDICT_SPENT, Owner: shard.owner, Reason: "the budget leaves no room", TurnsGranted: turnsGranted}
 	case spending.Undetermined:
 		manager.logRefusal(shard, waiting.request, "unsure")
-		waiting.reply <- ReserveResult{Verdict: nodev1.Verdict_VERDICT_UNSURE, Owner: shard.owner, Reason: "a former owner may have used the room left"}
+		waiting.reply <- ReserveResult{Verdict: nodev1.Verdict_VERDICT_UNSURE, Owner: shard.owner, Reason: "a former owner may have used the room left", TurnsGranted: turnsGranted}
 	case spending.AwaitCeiling:
 		if shard.logUnresponsive(time.Now()) {
 			waiting.reply <- ReserveResult{Verdict: nodev1.Verdict_VERDICT_UNABLE, Owner: shard.owner, Reason: "the log does not answer the owner"}
@@ -215,7 +219,7 @@
 	manager.logger.Info("turn refused", zap.String("key", request.RequestID), zap.String("program", request.Program.ID), zap.String("tenant", request.Program.Tenant),
 		zap.String("verdict", verdict), zap.Int("shard", shard.number), zap.Int64("epoch", shard.epoch),
 		zap.Int64("budget", request.Budget), zap.Int64("most", request.MaxTokens), zap.Int64("spent", balance.Spent),
-		zap.Int64("doubt", balance.Uncertain), zap.Int64("open", balance.Reserved), zap.Int64("ceiling", balance.Ceiling))
+		zap.Int64("doubt", balance.Uncertain), zap.Int64("open", balance.Reserved), zap.Int64("ceiling", balance.Ceiling), zap.Int64("turns", balance.TurnsGranted))
 }
 
 // logUnresponsive reports whether the append in flight exceeds unresponsiveAfter.
--- a/internal/spending/spending.go
+++ b/internal/spending/spending.go
@@ -72,6 +72,8 @@
 	// openTurns holds the turns that have not ended, by request id.
 	openTurns map[string]reservation
 	reserved  int64
+	// turnsGranted is how many turns this owner has granted.
+	turnsGranted int64
 	// expired is the maximum of turns that expired without a settlement. It is included
 	// in charged.
 	expired int64
@@ -247,6 +249,7 @@
 func (account *account) open(request ReserveRequest) {
 	account.openTurns[request.RequestID] = reservation{maxTokens: request.MaxTokens, expiresAt: request.ExpiresAt}
 	account.reserved += request.MaxTokens
+	account.turnsGranted++
 }
 
 // decideOverBudget decides about a turn whose maximum exceeds the remaining budget. Total
@@ -386,6 +389,8 @@
 	Uncertain int64
 	Reserved  int64
 	Ceiling   int64
+	// TurnsGranted is how many turns this owner has granted.
+	TurnsGranted int64
 }
 
 // Balance returns a program's balance, zero if it has no account.
@@ -394,5 +399,5 @@
 	if account == nil {
 		return Balance{}
 	}
-	return Balance{Spent: account.charged + account.settled, Uncertain: account.uncertain, Reserved: account.reserved, Ceiling: account.ceiling}
+	return Balance{Spent: account.charged + account.settled, Uncertain: account.uncertain, Reserved: account.reserved, Ceiling: account.ceiling, TurnsGranted: account.turnsGranted}
 }
