Budgets: what lost owners may have granted leaves room for a program

Callers saw: programs under way refused with 503 for 3 s, then 402, once the second owner of their shard was lost without a handover, although they had used a fraction of their budget. Long programs meet more losses than short ones, so that large ones are lost more often.

Cause: upper bounds stand for what lost owners granted, and those of several owners in series added up to more than a budget. Each allowance was a third; the ceiling that names a program under a second allowance covered its turn, another one and a sixteenth of the budget.

Now: an allowance is a fifth, so that two leave three fifths. A ceiling written ahead covers the turn that needs it alone; that of a further turn is written when a turn ends. So an owner without an allowance adds one turn at most beside open ones, and no turn waits for the log that did not before, but the first ones of a program side by side. A turn larger than a second allowance could wait for a ceiling that was never requested; it is requested now.

The bound on spending is as before: TestAllowancesHold, 200,000 sequences.

Tests that state what an allowance leaves take it from the claim, or larger budgets, so that their counts stay the same.

--- a/internal/ownership/manager.go
+++ b/internal/ownership/manager.go
@@ -111,7 +111,11 @@
 
 // Settle ends a turn that spent tokens in a shard.
 func (manager *Manager) Settle(number int, program tenant.Program, requestID string, tokens int64) {
-	manager.post(func() { manager.shards[number].settle(program, requestID, tokens, time.Now()) })
+	manager.post(func() {
+		shard := manager.shards[number]
+		shard.settle(program, requestID, tokens, time.Now())
+		manager.appendPending(shard)
+	})
 }
 
 // OwnsOrClaims reports whether this node owns a shard or is claiming it.
--- a/internal/spending/allowance.go
+++ b/internal/spending/allowance.go
@@ -27,9 +27,10 @@
 const permilleBase = 1000
 
 // claimPermille is the allowance of a claim. A higher value lets more programs finish
-// while the log is unavailable; a lower one leaves more of each budget after the loss
-// of all nodes.
-const claimPermille = 333
+// while the log is unavailable. A lower one leaves more of each budget after owners were
+// lost: what two allowances leave has to cover what a program uses and its open turns,
+// or each program under way is refused once the second owner is lost.
+const claimPermille = 200
 
 const (
 	// AllowanceLease is how long after the beginning of its latest acknowledged append an owner may
@@ -56,8 +57,7 @@
 }
 
 // minTurnsForSecondAllowance is how many turns of the largest size a budget must exceed
-// for a second allowance: one turn within it, and one in the third of the budget that
-// both allowances leave to successors.
+// for a second allowance. Both allowances together leave a successor more than one of them.
 const minTurnsForSecondAllowance = 3
 
 // ClaimAllowance returns the allowance of a new claim, given the outstanding allowances
@@ -66,10 +66,10 @@
 // a second allowance, the owner that follows the loss of all nodes could grant nothing
 // while the log is unavailable.
 //
-// A second allowance applies only to programs that its owner has named in the log.
-// Charging it to programs that begin under the next owner would leave them a third of
-// their budgets. Turns granted under it must end within it (see withinCeiling): only
-// one turn may overrun a budget, and the former owner may have granted that turn.
+// A second allowance applies only to programs that its owner has named in the log, so
+// that programs that begin under the next owner are charged the first one alone. Turns
+// granted under it must end within it (see withinCeiling): only one turn may overrun a
+// budget, and the former owner may have granted that turn.
 func ClaimAllowance(epoch, largestTurn int64, outstanding []Allowance, secondSupported bool) Allowance {
 	switch {
 	case largestTurn <= 0:
@@ -185,6 +185,16 @@
 	return account.total()+maxTokens <= account.ceiling+allowed
 }
 
+// ceilingFor returns the ceiling under which a turn may be granted that is not within the current one.
+// With an allowance it makes at least the tokens charged so far available again.
+func (ledger *Ledger) ceilingFor(account *account, maxTokens int64) int64 {
+	allowed := ledger.ownAllowanceFor(account)
+	if allowed > 0 && !ledger.ownAllowance.Second {
+		return account.total()
+	}
+	return account.total() + max(maxTokens-allowed, 0)
+}
+
 // ownAllowanceFor returns the tokens that the owner's allowance gives an account.
 func (ledger *Ledger) ownAllowanceFor(account *account) int64 {
 	if ledger.allowanceEnded || (ledger.ownAllowance.Second && !account.ceilingAcknowledged) {
@@ -198,12 +208,10 @@
 const renewalThreshold = 0.5
 
 // renewAllowance requests a ceiling that makes the whole allowance available again, once
-// renewalThreshold of it is used. total excludes the turn being granted.
-func (ledger *Ledger) renewAllowance(program tenant.Program, account *account, total int64) {
+// renewalThreshold of it is used.
+func (ledger *Ledger) renewAllowance(program tenant.Program, account *account) {
 	allowed := ledger.ownAllowanceFor(account)
-	if total <= account.ceiling+int64(renewalThreshold*float64(allowed)) || total <= account.requestedCeiling {
-		return
+	if account.total() > account.ceiling+int64(renewalThreshold*float64(allowed)) {
+		ledger.requestCeiling(program, account, account.total())
 	}
-	account.requestedCeiling = total
-	ledger.pendingCeilings[program] = true
 }
--- a/internal/spending/spending.go
+++ b/internal/spending/spending.go
@@ -32,11 +32,6 @@
 	AwaitCeiling
 )
 
-// ceilingHeadroom is the share of the budget by which a new ceiling exceeds the turn that
-// needs it plus another turn of the same size. A higher value needs fewer appends; a lower
-// one charges less when the owner is lost.
-const ceilingHeadroom = 1.0 / 16
-
 // Unlimited is the budget of a program without a limit.
 const Unlimited = math.MaxInt64 / 4
 
@@ -235,13 +230,11 @@
 		return AwaitCeiling
 	}
 	if !ledger.withinCeiling(account, maxTokens) {
-		ledger.raiseCeiling(program, account, needed, maxTokens)
+		ledger.requestCeiling(program, account, ledger.ceilingFor(account, maxTokens))
 		return AwaitCeiling
 	}
+	ledger.renewAllowance(program, account)
 	account.open(request)
-	if account.ceiling < needed+maxTokens {
-		ledger.raiseCeiling(program, account, needed, maxTokens)
-	}
 	return Granted
 }
 
@@ -279,16 +272,15 @@
 	return account.uncertainReportedAt
 }
 
-// raiseCeiling requests a ceiling that covers needed tokens and some turns beyond it. For
-// an account with an allowance it renews the allowance instead.
-func (ledger *Ledger) raiseCeiling(program tenant.Program, account *account, needed, maxTokens int64) {
-	if ledger.ownAllowanceFor(account) > 0 {
-		ledger.renewAllowance(program, account, needed-maxTokens)
+// prepareNextTurn requests the ceiling of a turn as large as the one that has ended, for a program that
+// can't be granted turns beyond its ceiling: the next turn then need not wait for the log. A ceiling
+// stands for what was granted once its owner is lost, so it covers no further turn.
+func (ledger *Ledger) prepareNextTurn(program tenant.Program, account *account, maxTokens int64) {
+	ceiling := account.total() + maxTokens
+	// Leaves room for one last turn, so that a successor can grant it.
+	if account.budget >= Unlimited || ledger.ownAllowanceFor(account) > 0 || ceiling+maxTokens > account.budget {
 		return
 	}
-	headroom := maxTokens + int64(ceilingHeadroom*float64(account.budget))
-	// Leaves room for one last turn, so that a successor can grant it.
-	ceiling := max(min(needed+headroom, account.budget-maxTokens), needed)
 	ledger.requestCeiling(program, account, ceiling)
 }
 
@@ -327,6 +319,7 @@
 	account.reserved -= turn.maxTokens
 	account.settled += tokens
 	account.lastUsed = now
+	ledger.prepareNextTurn(program, account, turn.maxTokens)
 	return true
 }
 
