Streams: resumed also for callers that do not name the first attempt

The refusal used up the attempt, and the turn began anew. Of the classes there only swap-reconcile can be resumed, and a program with many turns has more streams to break.

Cause: since streams go on only at the software version that began them, a resumption had to name the attempt that began the stream. That was taken from one deployment's callers and made a condition for all.

Now: an origin is recorded under a second key as well, a hash of what is the same in all attempts (tenant, program, session, previous turn, path, body), and a resumption that names no attempt is looked up by it. A request that began at two versions has two origins under it, and is refused as before.

--- a/internal/forward/resumption.go
+++ b/internal/forward/resumption.go
@@ -40,12 +40,20 @@
 	ResumptionVersionLeft Resumption = "version_left"
 )
 
-// streamKey returns the key of the call's stream: that of its first attempt.
-func (inflight *inflightCall) streamKey() streamversion.Key {
-	if inflight.call.Resumes {
-		return streamversion.NewKey(inflight.call.Tenant, inflight.call.FirstAttempt)
+// streamKeys returns the keys under which the call's stream is recorded, the one to look it up by first:
+// that of its first attempt, unless the caller resumes the stream without naming that, and that of its
+// content, which is the same in all attempts. A content that began at several versions is not found.
+func (inflight *inflightCall) streamKeys() []streamversion.Key {
+	call := inflight.call
+	fingerprint := inflight.fingerprint()
+	content := streamversion.NewContentKey(call.Session, fingerprint[:])
+	switch {
+	case !call.Resumes:
+		return []streamversion.Key{streamversion.NewKey(call.Tenant, call.ID), content}
+	case call.FirstAttempt != "":
+		return []streamversion.Key{streamversion.NewKey(call.Tenant, call.FirstAttempt), content}
 	}
-	return streamversion.NewKey(inflight.call.Tenant, inflight.call.ID)
+	return []streamversion.Key{content}
 }
 
 // restrictResumption restricts a resumption to the service and the version that began its stream, or
@@ -55,10 +63,7 @@
 	if origins == nil || !inflight.call.Resumes || inflight.route.Kind != routing.Streaming {
 		return nil
 	}
-	if inflight.call.FirstAttempt == "" {
-		return inflight.refuseResumption(ResumptionUnknown, resultcode.StreamOriginUnknown, "the request does not name the attempt that began the stream")
-	}
-	origin, known := origins.Find(ctx, inflight.streamKey())
+	origin, known := origins.Find(ctx, inflight.streamKeys()[0])
 	if ctx.Err() != nil {
 		return inflight.timeoutError(ctx)
 	}
@@ -105,7 +110,8 @@
 	}
 	if inflight.service.StreamOrigins != nil && inflight.route.Resumable {
 		// A resumption is recorded again, at the nodes that keep it now: others may have been lost.
-		inflight.service.StreamOrigins.Began(streamversion.Record{Key: inflight.streamKey(),
-			Origin: streamversion.Origin{Service: engine.Service, Version: engine.Version}})
+		for _, key := range inflight.streamKeys() {
+			inflight.service.StreamOrigins.Began(streamversion.Record{Key: key, Origin: streamversion.Origin{Service: engine.Service, Version: engine.Version}})
+		}
 	}
 }
--- a/internal/forward/resumption_test.go
+++ b/internal/forward/resumption_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"time"
 
@@ -107,6 +108,69 @@
 		Expect(sender.sent).To(BeEmpty())
 	})
 
+	serveTurn := func(call forward.Call) error {
+		response := &fakeResponseWriter{}
+		call.ID, call.Method, call.Host, call.Target, call.Path = "r"+call.ID, "POST", "h", "/stream/x", "/stream/x"
+		call.Received, call.Deadline = time.Now(), time.Now().Add(2*time.Second)
+		call.Turn = &forward.TurnRequest{Budget: forward.Unlimited}
+		service.Serve(context.Background(), &call, response)
+		return response.failure
+	}
+
+	setServed := func(version string, served bool) {
+		for number := range enginesPerVersion {
+			id := "s" + version + string(rune('a'+number))
+			if served {
+				directory.Upsert(backend.Instance{ID: id, Service: "s", Address: id, Version: version}, time.Time{})
+			} else {
+				directory.Remove(id)
+			}
+		}
+	}
+	// beginAt serves a turn at a version while no engine of the other one is there.
+	beginAt := func(turn forward.Call, version, other string) {
+		setServed(other, false)
+		Expect(serveTurn(turn)).To(Succeed())
+		Expect(lastEngine().Version).To(Equal(version))
+		setServed(other, true)
+	}
+
+	// Guards against broken streams that are refused wherever callers resume them without naming an attempt.
+	DescribeTable("resumes a program's stream at its version if the caller names no attempt", func(version, other string) {
+		for number := range attempts {
+			turn := forward.Call{ID: fmt.Sprint(number), Program: "p", Session: fmt.Sprint("s", number), Body: []byte("in")}
+			beginAt(turn, version, other)
+			turn.ID, turn.Resumes = fmt.Sprint("again", number), true
+			Expect(serveTurn(turn)).To(Succeed())
+			Expect(lastEngine().Version).To(Equal(version))
+		}
+	}, Entry("v1", "v1", "v2"), Entry("v2", "v2", "v1"))
+
+	It("refuses to resume a program's stream that began at two versions if the caller names no attempt", func() {
+		turn := forward.Call{ID: "1", Program: "p", Session: "s", Body: []byte("in")}
+		beginAt(turn, "v1", "v2")
+		turn.ID = "2"
+		beginAt(turn, "v2", "v1")
+		sender.sent = nil
+		turn.ID, turn.Resumes = "3", true
+		Expect(resultcode.CodeOf(serveTurn(turn))).To(Equal(resultcode.StreamOriginUnknown))
+		Expect(sender.sent).To(BeEmpty())
+	})
+
+	DescribeTable("refuses to resume another stream than one that began if the caller names no attempt", func(change func(call *forward.Call)) {
+		turn := forward.Call{ID: "1", Program: "p", Session: "s", Tenant: "t", Body: []byte("in")}
+		Expect(serveTurn(turn)).To(Succeed())
+		turn.ID, turn.Resumes = "2", true
+		change(&turn)
+		Expect(resultcode.CodeOf(serveTurn(turn))).To(Equal(resultcode.StreamOriginUnknown))
+	},
+		Entry("of another program", func(call *forward.Call) { call.Program = "q" }),
+		Entry("of another session", func(call *forward.Call) { call.Session = "s2" }),
+		Entry("of another tenant", func(call *forward.Call) { call.Tenant = "u" }),
+		Entry("with another input", func(call *forward.Call) { call.Body = []byte("other") }),
+		Entry("outside a program", func(call *forward.Call) { call.Program = "" }),
+	)
+
 	It("refuses at once to resume a stream if no engine of its version is left", func() {
 		Expect(serve("first", "", false)).To(Succeed())
 		version := lastEngine().Version
--- a/internal/streamversion/streamversion.go
+++ b/internal/streamversion/streamversion.go
@@ -14,18 +14,30 @@
 // keyBytes is the size of a Key. Two streams of a deployment do not share a 128-bit hash by chance.
 const keyBytes = 16
 
-// Key identifies a stream by the attempt that brought its first event.
+// Key identifies a stream by the attempt that brought its first event, or by the content of its request.
 type Key [keyBytes]byte
 
 // NewKey returns the key of the stream that a tenant's attempt began. The tenant is part of it:
 // tenants choose the IDs of their attempts independently.
-func NewKey(tenant, attempt string) Key {
+func NewKey(tenant, attempt string) Key { return newKey(tenant, attempt) }
+
+// contentPrefix separates the keys of contents from those of attempts: no ID of a caller contains it.
+const contentPrefix = "\x00content\x00"
+
+// NewContentKey returns the key of the streams that a session asks for by a content, given as a
+// fingerprint that covers tenant and program.
+func NewContentKey(session string, fingerprint []byte) Key {
+	return newKey(session, contentPrefix+string(fingerprint))
+}
+
+// newKey returns the hash of two texts.
+func newKey(first, second string) Key {
 	hash := sha256.New()
 	var length [8]byte
-	binary.BigEndian.PutUint64(length[:], uint64(len(tenant)))
+	binary.BigEndian.PutUint64(length[:], uint64(len(first)))
 	_, _ = hash.Write(length[:]) // Writing to a hash cannot fail.
-	_, _ = hash.Write([]byte(tenant))
-	_, _ = hash.Write([]byte(attempt))
+	_, _ = hash.Write([]byte(first))
+	_, _ = hash.Write([]byte(second))
 	return Key(hash.Sum(nil)[:keyBytes])
 }
 
