--- a/internal/spending/allowance.go
+++ b/internal/spending/allowance.go
@@ -26,11 +26,16 @@
 // permilleBase is the denominator of Permille.
 const permilleBase = 1000
 
-// claimPermille is the allowance of a claim. A higher value lets more programs finish
-// while the log is unavailable. A lower one leaves more of each budget after owners were
-// lost: what two allowances leave has to cover what a program uses and its open turns,
-// or each program under way is refused once the second owner is lost.
-const claimPermille = 200
+const (
+	// claimPermille is the allowance of a claim. A higher value lets more programs finish
+	// while the log is unavailable; a lower one leaves more of each budget after the loss
+	// of all nodes.
+	claimPermille = 333
+	// secondPermille is the allowance of a claim while another one is outstanding. What
+	// both leave of a budget has to cover what a program uses and its open turns, or each
+	// program under way is refused once the second owner is lost.
+	secondPermille = 150
+)
 
 const (
 	// AllowanceLease is how long after the beginning of its latest acknowledged append an owner may
@@ -77,7 +82,7 @@
 	case len(outstanding) == 0:
 		return NewAllowance(epoch, largestTurn)
 	case len(outstanding) == 1 && secondSupported:
-		return Allowance{Epoch: epoch, Permille: claimPermille, MinBudget: max(minTurnsForSecondAllowance*largestTurn+1, outstanding[0].MinBudget), Second: true}
+		return Allowance{Epoch: epoch, Permille: secondPermille, MinBudget: max(minTurnsForSecondAllowance*largestTurn+1, outstanding[0].MinBudget), Second: true}
 	}
 	return Allowance{}
 }
