--- a/internal/spending/lost_owners_test.go
+++ b/internal/spending/lost_owners_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/magpielug/magpielug/internal/spending"
 	"github.com/magpielug/magpielug/internal/tenant"
+	"pgregory.net/rapid"
 )
 
 // lostOwnersCase is a program whose owners are lost one after another without a handover.
@@ -68,3 +69,28 @@
 	model.write(ceilings)
 	ledger.AcknowledgeCeilings(ceilings)
 }
+
+// TestWaitingTurnsRequestTheirCeiling guards against turns that wait for a ceiling that nobody has requested.
+func TestWaitingTurnsRequestTheirCeiling(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const maxTokens = 100
+		budget := rapid.SampledFrom([]int64{150, 310, 400, 900}).Draw(t, "budget")
+		model := &shardModel{ceilings: map[tenant.Program]spending.Ceiling{}, second: true, now: start}
+		model.claim(maxTokens, nil)
+		for step := range rapid.IntRange(1, 40).Draw(t, "steps") {
+			if rapid.IntRange(0, 5).Draw(t, "action") == 0 {
+				model.claim(maxTokens, nil)
+			}
+			owner := model.newest().ledger
+			size := rapid.SampledFrom([]int64{20, 60, maxTokens}).Draw(t, "max tokens")
+			id := fmt.Sprint(step)
+			if reserve(owner, id, budget, size) == spending.AwaitCeiling {
+				model.appendPending()
+				if reserve(owner, id, budget, size) == spending.AwaitCeiling {
+					t.Fatalf("a turn of %d still waits after all requested ceilings were logged: %+v", size, owner.Balance(program))
+				}
+			}
+			owner.Settle(program, id, rapid.SampledFrom([]int64{0, size / 2, size}).Draw(t, "spent"), start)
+		}
+	})
+}
