Engines: malformed heads of responses are no answers

Callers saw 200 with the engine's Response-Stamp and a line "X Odd: 1" or "X-Odd : 1" passed on, or 200 with other bytes than the engine's body: chunk sizes, or "Content-Length: 22" and what followed, where the field that frames the body was not found by its name. Streams ended in 200 without an event, calls in 504 after their whole time.

Cause: http.ReadResponse reads heads leniently. It keeps a blank in a name, joins a line that begins with a blank or a tab to the one before, and ends lines, and the head, at a bare line feed. A field in such a line is not found by its name. All other control bytes in names it rejects itself, which was a 502 without a stamp before too.

Fix: the bytes of each head that an engine sends are checked as net/http reads them: interim responses, refusals, responses to other requests. A malformed one is a lost response: the connection closes, the caller gets 502 without a stamp or the next attempt's answer on a safe route, and nothing it says is used, so that a refusal in it sends no request again. A head whose lines all end with bare line feeds stays accepted. An egress node of an earlier version passes any name on, so the names are checked there too.

--- a/internal/backend/receive.go
+++ b/internal/backend/receive.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/magpielug/magpielug/internal/responsehead"
 	"github.com/rotisserie/eris"
 )
 
@@ -40,6 +41,8 @@
 type boundedReader struct {
 	source    io.Reader
 	remaining int
+	// head checks the bytes that are read, nil unless they may belong to a head.
+	head *responsehead.Checker
 }
 
 // Read implements io.Reader.
@@ -54,6 +57,9 @@
 	if reader.remaining != unbounded {
 		reader.remaining -= count
 	}
+	if reader.head != nil {
+		reader.head.Add(buffer[:count])
+	}
 	return count, err
 }
 
@@ -80,21 +86,12 @@
 	return nil, eris.Wrapf(ErrResponseLost, "responses from %s belong to other requests", connection.address)
 }
 
-// receiveHead reads the head of a response that is not an interim one. The engine may work on the
-// request for as long as the call takes before the first byte of each.
+// receiveHead reads the head of a response that is not an interim one.
 func (connection *Connection) receiveHead(request *http.Request) (*http.Response, error) {
 	connection.input.remaining = maxHeadBytes
 	defer func() { connection.input.remaining = unbounded }()
 	for range maxInterimResponses {
-		_, err := connection.reader.Peek(1)
-		if err != nil {
-			return nil, err
-		}
-		var response *http.Response
-		err = connection.within(headTimeout, func() error {
-			response, err = http.ReadResponse(connection.reader, request)
-			return err
-		})
+		response, err := connection.readHead(request)
 		if err != nil {
 			return nil, err
 		}
@@ -108,6 +105,35 @@
 	return nil, errResponseTooLong
 }
 
+// readHead reads one head. The engine may work on the request for as long as the call takes before its first byte.
+// What a malformed head says is not used: whether the engine ran the request is then unknown.
+func (connection *Connection) readHead(request *http.Request) (*http.Response, error) {
+	_, err := connection.reader.Peek(1)
+	if err != nil {
+		return nil, err
+	}
+	var head responsehead.Checker
+	connection.input.head = &head
+	defer func() { connection.input.head = nil }()
+	buffered, err := connection.reader.Peek(connection.reader.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	head.Add(buffered)
+	var response *http.Response
+	err = connection.within(headTimeout, func() error {
+		response, err = http.ReadResponse(connection.reader, request)
+		return err
+	})
+	if err == nil {
+		err = head.Err()
+	}
+	if err != nil {
+		return nil, err
+	}
+	return response, nil
+}
+
 // IsStatus reports whether a number is the status of a response. http.ReadResponse accepts any three digits, and a sign.
 func IsStatus(number int) bool { return number >= http.StatusContinue && number <= maxStatus }
 
--- a/internal/egress/sender.go
+++ b/internal/egress/sender.go
@@ -15,6 +15,7 @@
 	"github.com/magpielug/magpielug/internal/feature"
 	"github.com/magpielug/magpielug/internal/forward"
 	"github.com/magpielug/magpielug/internal/logging"
+	"github.com/magpielug/magpielug/internal/responsehead"
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 )
@@ -216,12 +217,18 @@
 	}
 	switch head.Outcome {
 	case nodev1.EgressOutcome_EGRESS_OUTCOME_ANSWERED:
-		if !backend.IsStatus(int(head.Status)) { // Its version passes on any number.
+		// An earlier version of the egress node passes on any status and any field name.
+		if !backend.IsStatus(int(head.Status)) {
 			return nil, eris.Wrapf(backend.ErrResponseLost, "status %d is none", head.Status)
 		}
+		header := headersFromProto(head.Headers)
+		err = responsehead.CheckNames(header)
+		if err != nil {
+			return nil, eris.Wrapf(backend.ErrResponseLost, "egress node: %v", err)
+		}
 		return &forward.EngineResponse{
 			Status:      int(head.Status),
-			Header:      headersFromProto(head.Headers),
+			Header:      header,
 			NotRun:      head.NotRun,
 			Misdirected: head.Misdirected,
 			Body:        &responseBody{ReadCloser: response.Body, cancel: cancel},
--- a/internal/egress/sender_test.go
+++ b/internal/egress/sender_test.go
@@ -212,6 +212,25 @@
 		Expect(failed.Load()).To(BeZero())
 	})
 
+	// Guards against what an egress node of an earlier version passes on.
+	DescribeTable("is lost if the engine's response is none, and is not sent again",
+		func(status int, header http.Header) {
+			egressSend = func(context.Context, *forward.Attempt) (*forward.EngineResponse, error) {
+				return &forward.EngineResponse{Status: status, Header: header, NotRun: true, Body: http.NoBody}, nil
+			}
+			response, err := sender.Send(context.Background(), newTurn())
+			Expect(response).To(BeNil())
+			Expect(err).To(MatchError(backend.ErrResponseLost))
+			Expect(directSends.Load()).To(BeZero())
+			Expect(outcomes).To(Equal([]string{DelegationFailed}))
+		},
+		Entry("status 000", 0, http.Header{}),
+		Entry("blank in a field's name", http.StatusOK, http.Header{"Response-Stamp": {"s"}, "X Odd": {"1"}}),
+		Entry("blank behind a field's name", http.StatusServiceUnavailable, http.Header{"X-Odd ": {"1"}}),
+		Entry("control byte in a field's name", http.StatusOK, http.Header{"X-\x01Odd": {"1"}}),
+		Entry("line end in a field's name", http.StatusOK, http.Header{"X\r\nOdd": {"1"}}),
+	)
+
 	It("is canceled at the engine once its caller disconnects", func() {
 		engineContexts := make(chan context.Context, 1)
 		egressSend = func(ctx context.Context, _ *forward.Attempt) (*forward.EngineResponse, error) {
--- a/rehearsal/standin/rawengine/rawengine.go
+++ b/rehearsal/standin/rawengine/rawengine.go
@@ -51,6 +51,8 @@
 	OddStatus
 	// CutAnswer sends the first bytes of an answer in a form, both named by the target, and closes.
 	CutAnswer
+	// GivenAnswer sends the bytes that the target gives; see Given.
+	GivenAnswer
 )
 
 // Mark is the part of a target that makes an engine misbehave.
@@ -191,6 +193,9 @@
 		_ = send(socket, cutAnswer(id, request.URL.Query()))
 		return false
 	}
+	if engine.misbehavior == GivenAnswer {
+		return sendGiven(socket, id, request.URL.Query())
+	}
 	return engine.misbehave(socket, id)
 }
 
