HTTP clients: reject responses with an invalid field name

With "Transfer Encoding: chunked" the body is read with its chunk sizes. An append then succeeded at offset 0, end 0, since the body of a 200 that is no JSON is not reported; reads failed as truncated.

Fix: the one constructor of clients returns an error for such a response, which all callers take for a request that may have run.

Not seen here: lines that begin with a blank, and bare line feeds, which http.Transport does not show. No head is passed on from these responses.

--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/magpielug/magpielug/internal/deadpeer"
+	"github.com/magpielug/magpielug/internal/responsehead"
 	"github.com/magpielug/magpielug/internal/resultcode"
 )
 
@@ -79,7 +80,7 @@
 		DisableCompression:    true,
 	}
 	client := &http.Client{
-		Transport: withTLS(transport, dialer, options.TLS),
+		Transport: &checkingTransport{base: withTLS(transport, dialer, options.TLS)},
 		Timeout:   options.Timeout,
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
@@ -88,9 +89,36 @@
 	return client, nil
 }
 
+// roundTripper is what an http.Client uses of its transport.
+type roundTripper interface {
+	http.RoundTripper
+	CloseIdleConnections()
+}
+
+// checkingTransport returns an error for a response whose head has an invalid field name: the body may then not be what
+// the server sent. The server has received the request.
+type checkingTransport struct{ base roundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (transport *checkingTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := transport.base.RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	err = responsehead.CheckNames(response.Header)
+	if err != nil {
+		_ = response.Body.Close()
+		return nil, err
+	}
+	return response, nil
+}
+
+// CloseIdleConnections closes idle connections; http.Client.CloseIdleConnections calls it.
+func (transport *checkingTransport) CloseIdleConnections() { transport.base.CloseIdleConnections() }
+
 // withTLS returns a round tripper that sends all requests over TLS, or transport
 // itself if config is nil.
-func withTLS(transport *http.Transport, dialer *net.Dialer, config func() *tls.Config) http.RoundTripper {
+func withTLS(transport *http.Transport, dialer *net.Dialer, config func() *tls.Config) roundTripper {
 	if config == nil {
 		return transport
 	}
