Logs and losses: programs compared by size, as their callers see them

Lines of calls now hold the session, the time left to the caller's deadline and that to the program's soft deadline. 'rehearsal losses' sorts by the latter and counts programs that end too early or too late as not served. No logic changes.

--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -73,6 +73,15 @@
 		fields = append(fields, zap.Int64("budget", turn.Budget), zap.Int64("most", turn.MaxTokens), zap.Int64("prompt", turn.PromptTokens),
 			zap.Int64("turns", inflight.reservation.TurnsGranted))
 	}
+	if !inflight.call.SoftDeadline.IsZero() {
+		fields = append(fields, zap.Duration("program_time_left", inflight.call.SoftDeadline.Sub(inflight.call.Received)))
+	}
+	if !inflight.call.Deadline.IsZero() {
+		fields = append(fields, zap.Duration("time_left", inflight.call.Deadline.Sub(inflight.call.Received)))
+	}
+	if inflight.call.Session != "" {
+		fields = append(fields, zap.String("session", inflight.call.Session))
+	}
 	if inflight.admitDuration > 0 {
 		fields = append(fields, zap.Duration("admit_took", inflight.admitDuration))
 	}
--- a/rehearsal/command/losses.go
+++ b/rehearsal/command/losses.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"os"
 	"time"
 
@@ -31,5 +32,17 @@
 	if err != nil {
 		return eris.Wrap(err, "read the run's output")
 	}
-	return losses.Write(os.Stdout, lost, losses.GroupByWindow(lost, first, command.Window), command.Examples)
+	err = losses.Write(os.Stdout, lost, losses.GroupByWindow(lost, first, command.Window), command.Examples)
+	if err != nil {
+		return err
+	}
+	_, err = file.Seek(0, io.SeekStart)
+	if err != nil {
+		return eris.Wrap(err, "read the run's output again")
+	}
+	sizes, err := losses.ReadSizes(file)
+	if err != nil {
+		return eris.Wrap(err, "read the run's output again")
+	}
+	return losses.WriteSizes(os.Stdout, sizes)
 }
--- a/rehearsal/losses/losses.go
+++ b/rehearsal/losses/losses.go
@@ -55,6 +55,11 @@
 	isTurn    bool
 	engine    string
 	failure   string
+	route     string
+	// took is the duration of the call, programTimeLeft the time from its receipt to the soft deadline of
+	// its program.
+	took            time.Duration
+	programTimeLeft time.Duration
 }
 
 // parseEntry parses a log line. It returns false for other text.
@@ -97,6 +102,12 @@
 		entry.engine = value
 	case "failure":
 		entry.failure = value
+	case "route":
+		entry.route = value
+	case "took":
+		entry.took, _ = time.ParseDuration(value)
+	case "program_time_left":
+		entry.programTimeLeft, _ = time.ParseDuration(value)
 	}
 }
 
