Calls wait for the first read of a starting node's views

Callers saw 503 with 2005 (no configuration), 2019 (no engine of the stream's version) and 2009 (no engine) from nodes that had just started, each a try used up: a program has few for each turn, and one with many turns meets more restarts.

Cause: an empty list that has not been read was taken for what the log holds.

A call now waits until configuration, engines and nodes have been read, for at most 0.3 of its time, and at most until 1.5 s after the start: later than that the log is away, and the call is refused at once as before. A resumption is refused for want of engines only where their list has been read.

--- a/internal/egress/freeze_test.go
+++ b/internal/egress/freeze_test.go
@@ -20,6 +20,7 @@
 // staleViews are not current until refreshed, as after a freeze.
 type staleViews struct{ refreshed atomic.Bool }
 
+func (views *staleViews) Loaded() bool                    { return true }
 func (views *staleViews) Current() bool                   { return views.refreshed.Load() }
 func (views *staleViews) ConfigurationAge() time.Duration { return 0 }
 
--- a/internal/forward/freeze_test.go
+++ b/internal/forward/freeze_test.go
@@ -20,10 +20,12 @@
 
 // fakeViews returns what the test sets.
 type fakeViews struct {
-	current atomic.Bool
-	age     time.Duration
+	current  atomic.Bool
+	unloaded atomic.Bool
+	age      time.Duration
 }
 
+func (views *fakeViews) Loaded() bool                    { return !views.unloaded.Load() }
 func (views *fakeViews) Current() bool                   { return views.current.Load() }
 func (views *fakeViews) ConfigurationAge() time.Duration { return views.age }
 
@@ -74,6 +76,29 @@
 		Expect(serve("/new/x").status).To(Equal(200))
 	})
 
+	It("waits for its first configuration after the start", func() {
+		service.Routes = &routing.ActiveConfiguration{}
+		service.Started = time.Now()
+		views.unloaded.Store(true)
+		views.current.Store(true)
+		time.AfterFunc(60*time.Millisecond, func() {
+			service.Routes.Apply(singleRouteConfiguration(1, "/tool/"))
+			views.unloaded.Store(false)
+		})
+		Expect(serve("/tool/x").status).To(Equal(200))
+	})
+
+	It("refuses at once if it has found no configuration long after the start", func() {
+		service.Routes = &routing.ActiveConfiguration{}
+		service.Started = time.Now().Add(-time.Minute)
+		views.unloaded.Store(true)
+		views.current.Store(true)
+		began := time.Now()
+		response := serve("/tool/x")
+		Expect(resultcode.CodeOf(response.failure)).To(Equal(resultcode.ConfigurationStale))
+		Expect(time.Since(began)).To(BeNumerically("<", 100*time.Millisecond))
+	})
+
 	It("continues with its old views if they are not refreshed", func() {
 		began := time.Now()
 		Expect(serve("/tool/x").status).To(Equal(200))
--- a/internal/forward/resumption.go
+++ b/internal/forward/resumption.go
@@ -79,9 +79,13 @@
 	return inflight.checkVersionServed()
 }
 
-// checkVersionServed refuses a resumption if no engine of its version serves.
+// checkVersionServed refuses a resumption if no engine of its version serves. As long as the list of
+// engines has not been read, that is not known.
 func (inflight *inflightCall) checkVersionServed() error {
 	version := inflight.requiredVersion
+	if views := inflight.service.Views; views != nil && !views.Loaded() {
+		return nil
+	}
 	if version == nil || inflight.service.Engines.VersionServed(inflight.serviceName, *version, inflight.zones, time.Now()) {
 		return nil
 	}
--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -286,6 +286,7 @@
 	inflight := &inflightCall{service: service, call: call, writer: writer}
 	inflight.fingerprint = sync.OnceValue(inflight.computeFingerprint)
 	inflight.content = sync.OnceValue(inflight.computeContent)
+	inflight.awaitLoadedViews(ctx)
 	inflight.awaitFreshViews(ctx)
 	failure := inflight.prepare()
 	if failure == nil {
@@ -334,16 +335,21 @@
 	inflight.continuesProgram = inflight.call.Turn != nil && inflight.call.Turn.Previous != ""
 	inflight.serviceConfig = configuration.Services[inflight.serviceName]
 	inflight.body = inflight.call.Body
-	inflight.deadline = inflight.call.Received.Add(defaultTimeout)
-	if !inflight.call.Deadline.IsZero() {
-		inflight.deadline = inflight.call.Deadline
-	}
+	inflight.deadline = inflight.callerDeadline()
 	if inflight.route.Timeout > 0 && inflight.call.Received.Add(inflight.route.Timeout).Before(inflight.deadline) {
 		inflight.deadline = inflight.call.Received.Add(inflight.route.Timeout)
 	}
 	return nil
 }
 
+// callerDeadline returns the deadline that the caller has set, or the default.
+func (inflight *inflightCall) callerDeadline() time.Time {
+	if inflight.call.Deadline.IsZero() {
+		return inflight.call.Received.Add(defaultTimeout)
+	}
+	return inflight.call.Deadline
+}
+
 // allowedZones returns the zones that both the route and the tenant allow.
 func (inflight *inflightCall) allowedZones() region.ZoneSet {
 	if inflight.tenant == nil {
--- a/internal/forward/views.go
+++ b/internal/forward/views.go
@@ -14,6 +14,11 @@
 	// be refreshed after a freeze. After that it uses what the node has.
 	freshViewTimeout = 300 * time.Millisecond
 	viewPollInterval = 5 * time.Millisecond
+	// A call to a node that has just started waits for its views for at most loadingWaitFraction of its
+	// remaining time, and until loadingTimeout after the start. After that the log is probably
+	// unavailable, and waiting would be futile.
+	loadingWaitFraction = 0.3
+	loadingTimeout      = 1500 * time.Millisecond
 	// maxDenialConfigurationAge is the age up to which a configuration may be used to deny a call.
 	// It exceeds the 1.5 s for which a read of the configuration waits for a change by a second,
 	// since a read may be late.
@@ -22,6 +27,9 @@
 
 // Views reports whether the node's configuration and list of engines are up to date.
 type Views interface {
+	// Loaded reports whether the configuration, the list of engines and the list of nodes have been
+	// read since the process started.
+	Loaded() bool
 	// Current reports whether both were requested again since the last freeze of the process.
 	Current() bool
 	// ConfigurationAge returns the time since the configuration was last confirmed.
@@ -43,6 +51,25 @@
 		zap.Duration("waited", time.Since(began)), zap.Bool("current", views.Current()))
 }
 
+// awaitLoadedViews waits until a node that has just started has read its views. An empty list of engines
+// or nodes would otherwise be taken for what the log holds, and the call refused for it.
+func (inflight *inflightCall) awaitLoadedViews(ctx context.Context) {
+	views := inflight.service.Views
+	if views == nil || views.Loaded() {
+		return
+	}
+	began := time.Now()
+	waitUntil := began.Add(time.Duration(loadingWaitFraction * float64(inflight.callerDeadline().Sub(began))))
+	if timeout := inflight.service.Started.Add(loadingTimeout); timeout.Before(waitUntil) {
+		waitUntil = timeout
+	}
+	for !views.Loaded() && ctx.Err() == nil && time.Now().Before(waitUntil) {
+		wait.Sleep(ctx, viewPollInterval)
+	}
+	inflight.service.Logger.Info("waited for views after the start", zap.String("request", inflight.call.ID),
+		zap.Duration("waited", time.Since(began)), zap.Bool("loaded", views.Loaded()))
+}
+
 func (inflight *inflightCall) awaitFreshViews(ctx context.Context) {
 	AwaitFreshViews(ctx, inflight.service.Views, inflight.call.ID, inflight.service.Logger)
 }
--- a/internal/node/freeze.go
+++ b/internal/node/freeze.go
@@ -9,6 +9,12 @@
 // callViews implements forward.Views.
 type callViews struct{ node *Node }
 
+// Loaded implements forward.Views.
+func (views callViews) Loaded() bool {
+	node := views.node
+	return node.configurationView.loaded() && node.engineView.loaded() && node.memberView.loaded()
+}
+
 // Current implements forward.Views. After a freeze, a view counts as current once it was read
 // again or a read has failed, since no newer state is available then.
 func (views callViews) Current() bool {
