Streams: resumed after the loss of all nodes where one version can have begun them

Each refusal uses up one of the few tries of a turn; a program meets the losses of its whole life, so the largest are hit most.

Cause: the origin of a stream reaches the log up to 0.5 s after the stream begins, and most streams are younger than that when their nodes are lost. Without it a stream was refused also where its engine's version cannot be any other.

The relays record in the log which versions serve and to which services resumable routes lead. A stream of unknown origin goes on at a version if the end of the log, read after the resumption has arrived, and the node's own fresh list of engines name this one alone. What is missing, unread or old still refuses.

--- a/internal/backend/version.go
+++ b/internal/backend/version.go
@@ -42,6 +42,26 @@
 	return false
 }
 
+// ServiceVersion is a software version of a service's engines.
+type ServiceVersion struct {
+	Service string
+	Version string
+}
+
+// Versions returns the software versions of all known engines, draining ones included.
+func (directory *Directory) Versions() []ServiceVersion {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	var versions []ServiceVersion
+	for _, engine := range directory.engines {
+		version := ServiceVersion{Service: engine.Service, Version: engine.Version}
+		if !slices.Contains(versions, version) {
+			versions = append(versions, version)
+		}
+	}
+	return versions
+}
+
 // HasCapacity reports whether Pick would return an engine.
 func (directory *Directory) HasCapacity(request *Request, now time.Time) bool {
 	directory.mutex.Lock()
--- a/internal/feature/feature.go
+++ b/internal/feature/feature.go
@@ -92,6 +92,8 @@
 	StreamVersions Feature = "stream-versions"
 	// DurableOrigins: where streams began is kept in the log and outlives all nodes.
 	DurableOrigins Feature = "durable-origins"
+	// SoleVersion: a stream of unknown origin is resumed if it can have begun at one version only.
+	SoleVersion Feature = "sole-version"
 	// RereadTurns: a turn that was read from the log and dropped from memory is read again.
 	RereadTurns Feature = "reread-turns"
 	// RefreshTurns: the turns of a chain that goes on are recorded again before the log drops them.
@@ -105,7 +107,7 @@
 	Allowances, HedgedAppends, HedgedReads, LearningFromPeers, SharedReader, AvoidUnresponsiveEngines, EngineReports, AvoidSlowEngines, EngineLimits,
 	QueueOrder, LongerToolWait, SafeRepeats, RemoteRecording, GroupCommit, OwnershipHandover, OwnershipByCapacity, ClaimRefusal, Isolation,
 	EnginePriority, LogGate, Egress, StaggeredRetries, ProgramsFirst,
-	LoadSharing, LoadBasedCapacity, RetryBudget, Admission, TenantShares, MemoryAdmission, EngineBreaker, SpeedWeighting, ResponseBufferLimit, ZoneReachability, RequestQuarantine, DurableQuarantine, AllEngineEnds, StreamVersions, DurableOrigins,
+	LoadSharing, LoadBasedCapacity, RetryBudget, Admission, TenantShares, MemoryAdmission, EngineBreaker, SpeedWeighting, ResponseBufferLimit, ZoneReachability, RequestQuarantine, DurableQuarantine, AllEngineEnds, StreamVersions, DurableOrigins, SoleVersion,
 	RereadTurns, RefreshTurns, RenewClaims,
 }
 
--- a/internal/forward/resumption.go
+++ b/internal/forward/resumption.go
@@ -21,8 +21,9 @@
 type StreamOrigins interface {
 	// Began records where a stream began, on several nodes. It does not block.
 	Began(record streamversion.Record)
-	// Find returns where a stream began, false if no node that could be asked knows.
-	Find(ctx context.Context, key streamversion.Key) (streamversion.Origin, bool)
+	// Find returns where a stream began that a request to a service resumes. It returns false if no node
+	// that could be asked knows, and there are several versions at which it may have begun.
+	Find(ctx context.Context, key streamversion.Key, service string) (streamversion.Origin, bool)
 }
 
 // Resumption is how a request to resume a stream was handled.
@@ -63,7 +64,7 @@
 	if origins == nil || !inflight.call.Resumes || inflight.route.Kind != routing.Streaming {
 		return nil
 	}
-	origin, known := origins.Find(ctx, inflight.streamKeys()[0])
+	origin, known := origins.Find(ctx, inflight.streamKeys()[0], inflight.serviceName)
 	if ctx.Err() != nil {
 		return inflight.timeoutError(ctx)
 	}
--- a/internal/forward/resumption_test.go
+++ b/internal/forward/resumption_test.go
@@ -22,7 +22,7 @@
 
 func (local localOrigins) Began(record streamversion.Record) { local.Put(record, time.Now()) }
 
-func (local localOrigins) Find(_ context.Context, key streamversion.Key) (streamversion.Origin, bool) {
+func (local localOrigins) Find(_ context.Context, key streamversion.Key, _ string) (streamversion.Origin, bool) {
 	return local.Table.Find(key, time.Now())
 }
 
--- a/internal/node/loss_sharing_test.go
+++ b/internal/node/loss_sharing_test.go
@@ -17,6 +17,7 @@
 	"github.com/magpielug/magpielug/internal/logging"
 	"github.com/magpielug/magpielug/internal/quarantine"
 	"github.com/magpielug/magpielug/internal/reach"
+	"github.com/magpielug/magpielug/internal/routing"
 	. "github.com/onsi/gomega"
 )
 
@@ -62,6 +63,9 @@
 	})})
 	node.memberView = newRecordView("nodes", logger.Logger, func(durable.KeyedRecord) bool { return false })
 	node.memberView.merge(durable.Update{EndOffset: 1}, time.Now())
+	node.routes = &routing.ActiveConfiguration{}
+	node.configurationView = newRecordView("configuration", logger.Logger, func(durable.KeyedRecord) bool { return false })
+	node.engineView = newRecordView("engines", logger.Logger, func(durable.KeyedRecord) bool { return false })
 	node.quarantine = newRequestQuarantine(node)
 	node.origins = newStreamOrigins(node)
 	fleet.network.mutex.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -344,6 +344,7 @@
 	}
 	if feature.Enabled(feature.StreamVersions) {
 		go node.origins.run(runContext)
+		go node.origins.inUse.run(runContext)
 	}
 	go node.runHousekeeping(runContext)
 	for {
--- a/internal/node/stream_origins.go
+++ b/internal/node/stream_origins.go
@@ -48,6 +48,7 @@
 	suspects *suspects
 	toNodes  *outboxes[keptOrigin]
 	records  *originRecords
+	inUse    *versionsInUse
 
 	// mutex guards incomplete, the origins kept by too few nodes, oldest first.
 	mutex      sync.Mutex
@@ -72,6 +73,7 @@
 	origins := &streamOrigins{node: node, table: streamversion.NewTable(time.Now()), suspects: newSuspects()}
 	origins.toNodes = newOutboxes(maxOriginsPerMessage, origins.deliver)
 	origins.records = newOriginRecords(node, origins.table)
+	origins.inUse = newVersionsInUse(node, origins.records)
 	return origins
 }
 
@@ -223,7 +225,7 @@
 }
 
 // Find implements forward.StreamOrigins.
-func (origins *streamOrigins) Find(ctx context.Context, key streamversion.Key) (streamversion.Origin, bool) {
+func (origins *streamOrigins) Find(ctx context.Context, key streamversion.Key, service string) (streamversion.Origin, bool) {
 	origin, known := origins.table.Find(key, time.Now())
 	if known {
 		return origin, true
@@ -233,13 +235,15 @@
 	origins.awaitMembers(bounded)
 	names, firstRound := origins.searched(key)
 	origin, known = origins.search(bounded, key, names, firstRound)
+	var inUse streamversion.InUse
 	if !known {
-		origin, known = origins.records.find(ctx, key)
+		origin, inUse, known = origins.records.find(ctx, key)
 	}
 	if known {
 		origins.table.Put(streamversion.Record{Key: key, Origin: origin}, time.Now())
+		return origin, true
 	}
-	return origin, known
+	return origins.inUse.sole(inUse, service)
 }
 
 // awaitMembers waits until a newly started node has read the other nodes' records, or ctx ends.
@@ -301,12 +305,23 @@
 	if err != nil {
 		return nil, err
 	}
+	reply, err := origins.request(ctx, client, request)
+	return foundOrigin(reply), err
+}
+
+func (origins *streamOrigins) request(ctx context.Context, client nodev1.Node, request *nodev1.FindStreamOriginRequest) (*nodev1.FindStreamOriginReply, error) {
 	reply, err := client.FindStreamOrigin(ctx, request)
 	origins.node.meter.countOriginMessage(originsAsked, err)
-	if err != nil || reply.Origin == nil {
-		return nil, err
+	return reply, err
+}
+
+// foundOrigin returns the origin in a reply, nil if there is none.
+func foundOrigin(reply *nodev1.FindStreamOriginReply) *streamversion.Origin {
+	origin := reply.GetOrigin()
+	if origin == nil {
+		return nil
 	}
-	return &streamversion.Origin{Service: reply.Origin.Service, Version: reply.Origin.Version}, nil
+	return &streamversion.Origin{Service: origin.Service, Version: origin.Version}
 }
 
 // KeepStreamOrigins implements nodev1.Node.
@@ -334,14 +349,15 @@
 	}
 	key := streamversion.Key(request.Key)
 	origin, known := server.node.origins.table.Find(key, time.Now())
+	var inUse streamversion.InUse
 	if !known && request.Recall {
 		bounded, cancel := context.WithTimeout(ctx, recallTimeout)
 		defer cancel()
-		server.node.origins.records.recall(bounded)
+		inUse = server.node.origins.records.recall(bounded)
 		origin, known = server.node.origins.table.Find(key, time.Now())
 	}
 	if !known {
-		return &nodev1.FindStreamOriginReply{}, nil
+		return &nodev1.FindStreamOriginReply{VersionsInUse: inUseToProto(inUse)}, nil
 	}
 	return &nodev1.FindStreamOriginReply{Origin: originToProto(streamversion.Record{Key: key, Origin: origin})}, nil
 }
--- a/internal/node/stream_origins_test.go
+++ b/internal/node/stream_origins_test.go
@@ -19,7 +19,7 @@
 
 // finds reports whether a node finds the origin of a stream.
 func finds(node *Node, number int) bool {
-	origin, known := node.origins.Find(context.Background(), streamKey(number))
+	origin, known := node.origins.Find(context.Background(), streamKey(number), firstVersion.Service)
 	return known && origin == firstVersion
 }
 
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -133,6 +133,8 @@
 	// Tenants are the tenants and their keys; the zero value has none.
 	Tenants tenant.Directory
 	byHost  map[string][]*Route
+	// resumableServices are the services to which routes with resumable streams lead, sorted.
+	resumableServices []string
 }
 
 // New builds a configuration.
@@ -151,6 +153,7 @@
 		host := strings.ToLower(route.Host)
 		configuration.byHost[host] = append(configuration.byHost[host], route)
 	}
+	configuration.resumableServices = resumableServices(routes)
 	for _, list := range configuration.byHost {
 		sort.SliceStable(list, func(left, right int) bool {
 			return len(list[left].Prefix) > len(list[right].Prefix)
@@ -159,6 +162,26 @@
 	return configuration
 }
 
+func resumableServices(routes []*Route) []string {
+	var services []string
+	for _, route := range routes {
+		if !route.Resumable {
+			continue
+		}
+		for _, share := range route.Shares {
+			services = append(services, share.Service)
+		}
+	}
+	slices.Sort(services)
+	return slices.Compact(services)
+}
+
+// ResumableServices returns the services to which routes with resumable streams lead, sorted. The caller
+// must not change them.
+func (configuration *Configuration) ResumableServices() []string {
+	return configuration.resumableServices
+}
+
 // Match returns the route of the host with the longest prefix of the path, or nil.
 func (configuration *Configuration) Match(host, path string) *Route {
 	host = strings.ToLower(stripPort(host))
