--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -404,44 +404,6 @@
 		zap.Int64("lines_dropped", node.logOutput.Dropped()), zap.String("store_calls", node.meter.takeLogCallSummary()), zap.String("peer_bytes", node.meter.takePeerByteSummary()))
 }
 
-// drain performs a graceful shutdown: it fails readiness, hands over its shards and waits for
-// requests in flight until the shutdown timeout.
-func (node *Node) drain(runContext context.Context) {
-	started := time.Now()
-	node.stopping.Store(true)
-	node.logger.Info("node stopping", zap.Int("in_flight", node.inFlight()))
-	ctx, cancel := context.WithTimeout(context.Background(), node.settings.ShutdownTimeout-shutdownMargin)
-	defer cancel()
-	node.members.put(node.self())
-	node.registration.requestCheck()
-	released := make(chan struct{})
-	go func() {
-		defer close(released)
-		node.ownership.Release(ctx)
-	}()
-	// Callers do not wait for the shards' last checkpoints, which a log that does not answer delays
-	// until the end of the shutdown timeout.
-	callers := node.servers[len(node.servers)-1]
-	err := callers.Shutdown(ctx)
-	node.awaitEgress(ctx)
-	<-released
-	node.logger.Info("node stopped", zap.Duration("took", time.Since(started)), zap.Int("in_flight", callers.InFlight()),
-		zap.Int("for_others", node.egress.InFlight()), logging.ErrorField(err))
-}
-
-// egressPollInterval is the interval at which awaitEgress checks for requests in flight.
-const egressPollInterval = 20 * time.Millisecond
-
-// awaitEgress waits for the requests that this node is sending on behalf of other nodes.
-func (node *Node) awaitEgress(ctx context.Context) {
-	for node.egress.InFlight() > 0 && ctx.Err() == nil {
-		wait.Sleep(ctx, egressPollInterval)
-	}
-}
-
-// shutdownMargin is reserved between the end of draining and the platform's kill signal.
-const shutdownMargin = 400 * time.Millisecond
-
 func (node *Node) inFlight() int {
 	count := 0
 	for _, server := range node.servers {
