Views: what a node that has read nothing sends does not count as read

Cause: nodes that start together ask each other for the list of engines. An answer from a node that had read nothing itself marked the list as read, and its age began at the start of the process: a stored time of zero stands for that, and earlier times were ignored. An old list counted as no older than the process likewise.

An update without an end offset, other than one from the log itself, is ignored, and the first update sets the age of the list.

--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -43,17 +43,24 @@
 func (view *recordView) merge(update durable.Update, requestedAt time.Time) {
 	view.mutex.Lock()
 	defer view.mutex.Unlock()
+	if !update.Full && update.EndOffset == 0 {
+		// The node that supplied the update has read nothing itself.
+		return
+	}
 	for _, record := range update.Records {
 		view.mergeRecord(record)
 	}
 	if update.Full {
 		view.removeUnlisted(update)
 	}
-	view.isLoaded = true
-	if update.EndOffset >= view.end {
+	switch {
+	case !view.isLoaded:
+		view.confirmedAt.set(requestedAt)
+	case update.EndOffset >= view.end:
 		// An update that ends earlier reflects an older state and confirms nothing.
 		view.confirmedAt.advance(requestedAt)
 	}
+	view.isLoaded = true
 	view.end = max(view.end, update.EndOffset)
 }
 
