Streams: versions in use have a topic of their own

The reports now have a small topic, which the node that resumes reads itself, and only where it knows one version. Records of origins are read as before, at most twice a second.

--- a/internal/node/loss_records_test.go
+++ b/internal/node/loss_records_test.go
@@ -20,6 +20,7 @@
 const (
 	testQuarantineTopic = "keyed.quarantine"
 	testOriginTopic     = "origins"
+	testVersionTopic    = "versions"
 )
 
 var errLogAway = errors.New("the log is away")
@@ -74,7 +75,7 @@
 	for _, node := range fleet.nodes {
 		nodeContext, stopNode := context.WithCancel(ctx)
 		fleet.stopNode[node.settings.Name] = stopNode
-		node.dependencies = Dependencies{Connections: backend.NewConnectionPool(), Log: fleet.log, QuarantineTopic: testQuarantineTopic, OriginTopic: testOriginTopic}
+		node.dependencies = Dependencies{Connections: backend.NewConnectionPool(), Log: fleet.log, QuarantineTopic: testQuarantineTopic, OriginTopic: testOriginTopic, VersionTopic: testVersionTopic}
 		node.quarantine = newRequestQuarantine(node)
 		go node.quarantine.run(nodeContext)
 	}
--- a/internal/node/origin_records.go
+++ b/internal/node/origin_records.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
@@ -27,8 +26,8 @@
 	recalledRecords = 2048
 	// recallInterval is the shortest interval between reads of the topic by one node, and recallTimeout
 	// how long a caller waits for one.
-	recallInterval = 100 * time.Millisecond
-	recallTimeout  = 600 * time.Millisecond
+	recallInterval = 500 * time.Millisecond
+	recallTimeout  = 400 * time.Millisecond
 	// originRetryPeriod is for how long origins are appended again that the log does not take, at most
 	// maxRetriedOrigins of them. Most streams have ended by then.
 	originRetryPeriod = 20 * time.Second
@@ -48,17 +47,14 @@
 	// reads deduplicates concurrent reads of the topic.
 	reads singleflight.Group
 
-	// window holds what the records that were read say to be in use.
-	window *streamversion.UseWindow
-
-	// mutex guards the position of the next read and when the last complete one began.
+	// mutex guards the position of the next read and the time of the last one.
 	mutex      sync.Mutex
 	nextOffset int64
 	readAt     time.Time
 }
 
 func newOriginRecords(node *Node, table *streamversion.Table) *originRecords {
-	records := &originRecords{node: node, table: table, window: streamversion.NewUseWindow()}
+	records := &originRecords{node: node, table: table}
 	records.toRelay = &outbox[streamversion.Record]{maxBatch: maxOriginsPerMessage, deliver: records.handOver}
 	records.toLog = &outbox[streamversion.Record]{maxBatch: maxOriginsPerMessage, deliver: records.append}
 	return records
@@ -130,25 +126,20 @@
 // append appends origins to the log.
 func (records *originRecords) append(batch []streamversion.Record) {
 	defer records.pace()
-	err := records.appendRecord(encodeOrigins(batch))
+	content, err := encodeOrigins(batch)
 	if err != nil {
-		records.node.logger.Info("stream origins not recorded", zap.Int("streams", len(batch)), logging.ErrorField(err))
-		records.retry(batch, time.Now())
+		records.node.logger.Error("stream origin encoding failed", logging.ErrorField(err))
 		return
 	}
-	records.failingSince = time.Time{}
-}
-
-// appendRecord appends a record to the topic.
-func (records *originRecords) appendRecord(record *nodev1.StreamOriginsRecord) error {
-	content, err := proto.Marshal(record)
-	if err != nil {
-		return err
-	}
 	bounded, cancel := context.WithTimeout(context.Background(), logTimeout)
 	defer cancel()
 	_, err = records.node.dependencies.Log.Append(bounded, records.partition(), [][]byte{content}, durable.Condition{})
-	return err
+	if err != nil {
+		records.node.logger.Info("stream origins not recorded", zap.Int("streams", len(batch)), logging.ErrorField(err))
+		records.retry(batch, time.Now())
+		return
+	}
+	records.failingSince = time.Time{}
 }
 
 // retry appends origins again after a failure, unless appends have been failing for long.
@@ -163,84 +154,73 @@
 	records.toLog.addUpTo(batch, maxRetriedOrigins)
 }
 
-// find returns the origin of a stream that the log holds. If it holds none, find returns what the log says to
-// have been in use, nothing if its end could not be read. If no relay answers, this node reads the log itself.
-func (records *originRecords) find(ctx context.Context, key streamversion.Key) (streamversion.Origin, streamversion.InUse, bool) {
+// find returns the origin of a stream that the log holds. If no relay answers, this node reads the log itself.
+func (records *originRecords) find(ctx context.Context, key streamversion.Key) (streamversion.Origin, bool) {
 	if !records.enabled() {
-		return streamversion.Origin{}, streamversion.InUse{}, false
+		return streamversion.Origin{}, false
 	}
 	for range relayAttempts {
 		relay := records.relay()
 		if relay == records.node.settings.Name || ctx.Err() != nil {
 			break
 		}
-		reply, err := records.askRelay(ctx, relay, key)
-		if err != nil {
-			records.suspect(relay, err)
-			continue
-		}
-		if origin := foundOrigin(reply); origin != nil {
-			return *origin, streamversion.InUse{}, true
+		origin, err := records.askRelay(ctx, relay, key)
+		if err == nil {
+			return fromFound(origin)
 		}
-		return streamversion.Origin{}, inUseFromProto(reply.VersionsInUse), false
+		records.suspect(relay, err)
 	}
 	bounded, cancel := context.WithTimeout(ctx, recallTimeout)
 	defer cancel()
-	inUse := records.recall(bounded)
-	origin, known := records.table.Find(key, time.Now())
-	return origin, inUse, known
+	records.recall(bounded)
+	return records.table.Find(key, time.Now())
 }
 
-func (records *originRecords) askRelay(ctx context.Context, relay string, key streamversion.Key) (*nodev1.FindStreamOriginReply, error) {
-	client, err := records.node.peers.client(relay)
-	if err != nil {
-		return nil, err
-	}
+func (records *originRecords) askRelay(ctx context.Context, relay string, key streamversion.Key) (*streamversion.Origin, error) {
 	bounded, cancel := context.WithTimeout(ctx, recallTimeout/relayAttempts)
 	defer cancel()
-	return records.node.origins.request(bounded, client, &nodev1.FindStreamOriginRequest{Key: key[:], Recall: true})
+	return records.node.origins.ask(bounded, relay, &nodev1.FindStreamOriginRequest{Key: key[:], Recall: true})
+}
+
+// fromFound returns the origin that another node has found, false if it has found none.
+func fromFound(origin *streamversion.Origin) (streamversion.Origin, bool) {
+	if origin == nil {
+		return streamversion.Origin{}, false
+	}
+	return *origin, true
 }
 
-// recall reads the latest records into the table, all that were appended before the call. It returns what
-// they say to be in use, nothing if they are not read before ctx ends; the read goes on then.
-func (records *originRecords) recall(ctx context.Context) streamversion.InUse {
-	called := time.Now()
-	for ctx.Err() == nil {
+// recall reads the latest records into the table, unless that has just been done. It returns once they
+// are read or ctx ends; the read goes on.
+func (records *originRecords) recall(ctx context.Context) {
+	read := records.reads.DoChan("", func() (any, error) {
 		records.mutex.Lock()
-		next, readAt := records.nextOffset, records.readAt
+		next, recent := records.nextOffset, time.Since(records.readAt) < recallInterval
 		records.mutex.Unlock()
-		if !readAt.Before(called) {
-			return records.window.Since(next - recalledRecords)
-		}
-		read := records.reads.DoChan("", func() (any, error) {
-			time.Sleep(recallInterval - time.Since(readAt))
-			return nil, records.read(next)
-		})
-		select {
-		case result := <-read:
-			if result.Err != nil {
-				return streamversion.InUse{}
-			}
-		case <-ctx.Done():
+		if recent {
+			return nil, nil
 		}
+		return nil, records.read(next)
+	})
+	select {
+	case <-read:
+	case <-ctx.Done():
 	}
-	return streamversion.InUse{}
 }
 
 // read reads the records from an offset on, but not more than recalledRecords.
 func (records *originRecords) read(from int64) error {
-	began := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), logTimeout)
 	defer cancel()
 	log := records.node.dependencies.Log
-	end, err := records.end(ctx)
+	end, err := endOffset(ctx, log, records.partition())
 	if err != nil {
 		records.node.logger.Info("stream origins not read", logging.ErrorField(err))
 		return err
 	}
 	count := 0
 	progress := durable.ReadProgress{NextOffset: max(from, end-recalledRecords)}
-	progress, err = durable.ReadToEnd(ctx, log, records.partition(), progress, func(offset int64, content []byte) { count += records.put(offset, content) })
+	progress, err = durable.ReadToEnd(ctx, log, records.partition(), progress, func(_ int64, content []byte) { count += records.put(content) })
 	if err != nil {
 		records.node.logger.Info("stream origins not read", logging.ErrorField(err))
 	} else {
@@ -250,32 +230,20 @@
 	defer records.mutex.Unlock()
 	records.nextOffset = max(records.nextOffset, progress.NextOffset)
 	if err == nil {
-		records.readAt = began
+		records.readAt = time.Now()
 	}
 	return err
 }
 
-// end returns the end offset of the topic.
-func (records *originRecords) end(ctx context.Context) (int64, error) {
-	batch, err := records.node.dependencies.Log.Read(ctx, records.partition(), durable.UnknownEnd, 0)
-	var trimmed *durable.TrimmedError
-	if errors.As(err, &trimmed) {
-		return trimmed.FirstOffset, nil
-	}
-	return batch.EndOffset, err
-}
-
 // put puts the origins of a record into the table and returns their number.
-func (records *originRecords) put(offset int64, content []byte) int {
+func (records *originRecords) put(content []byte) int {
 	var message nodev1.StreamOriginsRecord
 	if proto.Unmarshal(content, &message) != nil {
 		return 0
 	}
-	records.window.Put(offset, inUseFromProto(message.VersionsInUse))
 	count := 0
 	for _, group := range message.Groups {
 		origin := streamversion.Origin{Service: group.Service, Version: group.Version}
-		records.window.Put(offset, streamversion.InUse{Versions: []streamversion.Origin{origin}})
 		for _, key := range group.Keys {
 			if len(key) == len(streamversion.Key{}) {
 				records.table.Put(streamversion.Record{Key: streamversion.Key(key), Origin: origin}, time.Now())
@@ -287,7 +255,7 @@
 }
 
 // encodeOrigins returns the record of a batch.
-func encodeOrigins(batch []streamversion.Record) *nodev1.StreamOriginsRecord {
+func encodeOrigins(batch []streamversion.Record) ([]byte, error) {
 	groups := map[streamversion.Origin]*nodev1.StreamOriginGroup{}
 	message := &nodev1.StreamOriginsRecord{}
 	for _, record := range batch {
@@ -299,5 +267,5 @@
 		}
 		group.Keys = append(group.Keys, record.Key[:])
 	}
-	return message
+	return proto.Marshal(message)
 }
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -98,6 +98,9 @@
 	// OriginTopic is the topic of the durable log in which nodes write where streams began. Without it,
 	// that is in memory only.
 	OriginTopic string
+	// VersionTopic is the topic of the durable log in which nodes write which software versions serve.
+	// Without it, streams whose origin is lost with all nodes that kept it are not resumed.
+	VersionTopic string
 	// DecodeConfiguration returns false if the record is not a valid configuration.
 	DecodeConfiguration func(durable.KeyedRecord) (*routing.Configuration, bool)
 	// DecodeEvacuation returns the zone of an evacuation record in the configuration topic, and
--- a/internal/node/stream_origins.go
+++ b/internal/node/stream_origins.go
@@ -73,7 +73,7 @@
 	origins := &streamOrigins{node: node, table: streamversion.NewTable(time.Now()), suspects: newSuspects()}
 	origins.toNodes = newOutboxes(maxOriginsPerMessage, origins.deliver)
 	origins.records = newOriginRecords(node, origins.table)
-	origins.inUse = newVersionsInUse(node, origins.records)
+	origins.inUse = newVersionsInUse(node, origins.records.relay)
 	return origins
 }
 
@@ -226,6 +226,15 @@
 
 // Find implements forward.StreamOrigins.
 func (origins *streamOrigins) Find(ctx context.Context, key streamversion.Key, service string) (streamversion.Origin, bool) {
+	origin, known := origins.findRecorded(ctx, key)
+	if known {
+		return origin, true
+	}
+	return origins.inUse.findSole(ctx, service)
+}
+
+// findRecorded returns the origin of a stream that this node, other nodes or the log know.
+func (origins *streamOrigins) findRecorded(ctx context.Context, key streamversion.Key) (streamversion.Origin, bool) {
 	origin, known := origins.table.Find(key, time.Now())
 	if known {
 		return origin, true
@@ -235,15 +244,13 @@
 	origins.awaitMembers(bounded)
 	names, firstRound := origins.searched(key)
 	origin, known = origins.search(bounded, key, names, firstRound)
-	var inUse streamversion.InUse
 	if !known {
-		origin, inUse, known = origins.records.find(ctx, key)
+		origin, known = origins.records.find(ctx, key)
 	}
 	if known {
 		origins.table.Put(streamversion.Record{Key: key, Origin: origin}, time.Now())
-		return origin, true
 	}
-	return origins.inUse.sole(inUse, service)
+	return origin, known
 }
 
 // awaitMembers waits until a newly started node has read the other nodes' records, or ctx ends.
@@ -305,23 +312,12 @@
 	if err != nil {
 		return nil, err
 	}
-	reply, err := origins.request(ctx, client, request)
-	return foundOrigin(reply), err
-}
-
-func (origins *streamOrigins) request(ctx context.Context, client nodev1.Node, request *nodev1.FindStreamOriginRequest) (*nodev1.FindStreamOriginReply, error) {
 	reply, err := client.FindStreamOrigin(ctx, request)
 	origins.node.meter.countOriginMessage(originsAsked, err)
-	return reply, err
-}
-
-// foundOrigin returns the origin in a reply, nil if there is none.
-func foundOrigin(reply *nodev1.FindStreamOriginReply) *streamversion.Origin {
-	origin := reply.GetOrigin()
-	if origin == nil {
-		return nil
+	if err != nil || reply.Origin == nil {
+		return nil, err
 	}
-	return &streamversion.Origin{Service: origin.Service, Version: origin.Version}
+	return &streamversion.Origin{Service: reply.Origin.Service, Version: reply.Origin.Version}, nil
 }
 
 // KeepStreamOrigins implements nodev1.Node.
@@ -349,15 +345,14 @@
 	}
 	key := streamversion.Key(request.Key)
 	origin, known := server.node.origins.table.Find(key, time.Now())
-	var inUse streamversion.InUse
 	if !known && request.Recall {
 		bounded, cancel := context.WithTimeout(ctx, recallTimeout)
 		defer cancel()
-		inUse = server.node.origins.records.recall(bounded)
+		server.node.origins.records.recall(bounded)
 		origin, known = server.node.origins.table.Find(key, time.Now())
 	}
 	if !known {
-		return &nodev1.FindStreamOriginReply{VersionsInUse: inUseToProto(inUse)}, nil
+		return &nodev1.FindStreamOriginReply{}, nil
 	}
 	return &nodev1.FindStreamOriginReply{Origin: originToProto(streamversion.Record{Key: key, Origin: origin})}, nil
 }
