--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/magpielug/magpielug/internal/durable"
@@ -20,9 +21,9 @@
 	mutex   sync.Mutex
 	records map[string]viewRecord
 	end     int64
-	// isLoaded is true after the first update. confirmedAt is when the newest update was
-	// requested, even if it held no new records.
-	isLoaded    bool
+	// isLoaded is true after the first update; every call reads it. confirmedAt is when the newest update
+	// was requested, even if it held no new records.
+	isLoaded    atomic.Bool
 	confirmedAt atomicTime
 }
 
@@ -54,13 +55,13 @@
 		view.removeUnlisted(update)
 	}
 	switch {
-	case !view.isLoaded:
+	case !view.isLoaded.Load():
 		view.confirmedAt.set(requestedAt)
 	case update.EndOffset >= view.end:
 		// An update that ends earlier reflects an older state and confirms nothing.
 		view.confirmedAt.advance(requestedAt)
 	}
-	view.isLoaded = true
+	view.isLoaded.Store(true)
 	view.end = max(view.end, update.EndOffset)
 }
 
@@ -81,11 +82,7 @@
 }
 
 // loaded reports whether the view has received an update.
-func (view *recordView) loaded() bool {
-	view.mutex.Lock()
-	defer view.mutex.Unlock()
-	return view.isLoaded
-}
+func (view *recordView) loaded() bool { return view.isLoaded.Load() }
 
 func (view *recordView) mergeRecord(record durable.KeyedRecord) {
 	known, found := view.records[record.Key]
