--- a/rehearsal/losses/sizes.go
+++ b/rehearsal/losses/sizes.go
@@ -96,7 +96,7 @@
 }
 
 // ReadSizes reads the logs of a run and compares the programs of each route by size. Programs that were
-// told that their budget is spent are left out, as they may loop without end.
+// refused a turn since their budget is spent are left out: most of them loop until then.
 func ReadSizes(source io.Reader) ([]RouteSizes, error) {
 	programs := map[string]*sizedProgram{}
 	scanner := bufio.NewScanner(source)
