Logs: processor delay and calls of other nodes in summary, zone of calls; losses by zone

A node samples how late a timer wakes its goroutine; the least of eight samples is a delay that no goroutine escapes. summary has the longest one and the calls of other nodes by outcome, /metrics magpielug_processor_delay_seconds. rehearsal losses counts calls and programs by the zone of the node.

--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -55,7 +55,7 @@
 	}
 	fields := []zap.Field{zap.String("request", inflight.call.ID), zap.String("route", routeName),
 		zap.Int64("configuration", inflight.configurationVersion), zap.Uint32("code", uint32(code)), zap.Stringer("result", code),
-		zap.Duration("took", took)}
+		zap.Duration("took", took), zap.String("zone", inflight.service.Zone)}
 	if inflight.call.Program != "" {
 		fields = append(fields, zap.String("program", inflight.call.Program))
 	}
--- a/internal/node/meter.go
+++ b/internal/node/meter.go
@@ -51,6 +51,8 @@
 	recentLogCalls map[string]int
 	// recentPeerBytes counts bytes exchanged with other nodes since then, by call and zone.
 	recentPeerBytes map[string]int64
+	// recentPeerCalls counts the calls of other nodes since then, by call and outcome.
+	recentPeerCalls map[string]int
 	// tenants and routes hold the tenants and routes that have their own label.
 	tenants map[string]bool
 	routes  map[string]bool
@@ -134,6 +136,7 @@
 		}, []string{"kind", "outcome"}),
 		recentLogCalls:  map[string]int{},
 		recentPeerBytes: map[string]int64{},
+		recentPeerCalls: map[string]int{},
 		tenants:         map[string]bool{},
 		routes:          map[string]bool{},
 	}
@@ -249,13 +252,7 @@
 func (meter *meter) takeLogCallSummary() string {
 	meter.mutex.Lock()
 	defer meter.mutex.Unlock()
-	names := slices.Sorted(maps.Keys(meter.recentLogCalls))
-	parts := make([]string, 0, len(names))
-	for _, name := range names {
-		parts = append(parts, name+":"+strconv.Itoa(meter.recentLogCalls[name]))
-	}
-	clear(meter.recentLogCalls)
-	return strings.Join(parts, " ")
+	return takeCounts(meter.recentLogCalls)
 }
 
 // countPeerBytes counts bytes exchanged with another node.
@@ -280,6 +277,35 @@
 	return strings.Join(parts, " ")
 }
 
+// countPeerCall counts a call of another node.
+func (meter *meter) countPeerCall(call string, err error) {
+	outcome := "done"
+	if err != nil {
+		outcome = "failed"
+	}
+	meter.mutex.Lock()
+	defer meter.mutex.Unlock()
+	meter.recentPeerCalls[call+"/"+outcome]++
+}
+
+// takePeerCallSummary formats the calls of other nodes since the previous summary and resets their counts.
+func (meter *meter) takePeerCallSummary() string {
+	meter.mutex.Lock()
+	defer meter.mutex.Unlock()
+	return takeCounts(meter.recentPeerCalls)
+}
+
+// takeCounts formats counts, sorted by name, and clears them.
+func takeCounts(counts map[string]int) string {
+	names := slices.Sorted(maps.Keys(counts))
+	parts := make([]string, 0, len(names))
+	for _, name := range names {
+		parts = append(parts, name+":"+strconv.Itoa(counts[name]))
+	}
+	clear(counts)
+	return strings.Join(parts, " ")
+}
+
 var kindNames = map[routing.Kind]string{
 	routing.Safe:      "safe",
 	routing.Unsafe:    "unsafe",
@@ -354,6 +380,7 @@
 		{"magpielug_held_answer_bytes", "Bytes of answers held until they are whole.", func() float64 { return float64(node.bufferLimits.heldResponses.InUse()) }},
 		{"magpielug_engine_connections_opened", "Connections opened to engines.", func() float64 { return float64(node.dependencies.Connections.OpenedCount()) }},
 		{"magpielug_retry_budget", "Asks of engines after a refusal that are left.", func() float64 { return node.service.RetryBudget.Remaining(time.Now()) }},
+		{"magpielug_processor_delay_seconds", "Time that goroutines wait for the processor, the least of the last 0.2 s.", func() float64 { return node.processor.StandingDelay().Seconds() }},
 		{"magpielug_retry_denials", "Asks of engines after a refusal that were denied.", func() float64 { return float64(node.service.RetryBudget.DeniedCount()) }},
 	}
 	registry.MustRegister(&loadCollector{node: node})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,6 +25,7 @@
 	"github.com/magpielug/magpielug/internal/httpserver"
 	"github.com/magpielug/magpielug/internal/load"
 	"github.com/magpielug/magpielug/internal/logging"
+	"github.com/magpielug/magpielug/internal/overload"
 	"github.com/magpielug/magpielug/internal/ownership"
 	"github.com/magpielug/magpielug/internal/reach"
 	"github.com/magpielug/magpielug/internal/routing"
@@ -97,6 +98,8 @@
 	contact peerContact
 	// freezes detects intervals in which the process did not run.
 	freezes *freeze.Detector
+	// processor measures how long goroutines wait for the processor.
+	processor *overload.Monitor
 	// zones tracks which zones are reachable.
 	zones *reach.Zones
 	// logHealth tracks how the durable log responds to any node.
@@ -179,6 +182,7 @@
 		routes:       &routing.ActiveConfiguration{},
 		assigner:     assignment.New(),
 		freezes:      freeze.NewDetector(),
+		processor:    &overload.Monitor{},
 		engines:      backend.NewDirectory(),
 		load:         load.NewView(),
 		bufferLimits: newBufferLimits(settings.MemoryBytes),
@@ -330,6 +334,7 @@
 		return err
 	}
 	go node.freezes.Run(runContext)
+	go node.processor.Run(runContext, nil)
 	go node.registration.run(runContext)
 	for _, follower := range node.followers {
 		go follower.run(runContext)
@@ -401,7 +406,8 @@
 	node.logger.Info("summary", zap.Int("in_flight", node.inFlight()), zap.Int("engines", node.engines.EngineCount()),
 		zap.Int("nodes", node.members.activeCount()), zap.Int("turns", turns), zap.Int("turn_bytes", bytes),
 		zap.Int("recordings", node.recorder.InFlight()), zap.Bool("appends_slow", node.logHealth.AppendsSlow()),
-		zap.Int64("lines_dropped", node.logOutput.Dropped()), zap.String("store_calls", node.meter.takeLogCallSummary()), zap.String("peer_bytes", node.meter.takePeerByteSummary()))
+		zap.Int64("lines_dropped", node.logOutput.Dropped()), zap.String("store_calls", node.meter.takeLogCallSummary()), zap.String("peer_bytes", node.meter.takePeerByteSummary()),
+		zap.String("peer_calls", node.meter.takePeerCallSummary()), zap.Duration("processor_delay", node.processor.TakeLongest()))
 }
 
 func (node *Node) inFlight() int {
--- a/internal/node/peer_bytes.go
+++ b/internal/node/peer_bytes.go
@@ -6,14 +6,15 @@
 	"path"
 )
 
-// countingTransport counts the bytes of requests to other nodes and their responses, by call and
-// by the other node's zone.
+// countingTransport counts requests to other nodes by call and outcome, and the bytes of requests
+// and responses by call and the other node's zone.
 func (node *Node) countingTransport(next http.RoundTripper) http.RoundTripper {
 	return roundTripperFunc(func(request *http.Request) (*http.Response, error) {
 		call := path.Base(request.URL.Path)
 		zone := node.members.zoneOfAddress(request.URL.Host)
 		node.meter.countPeerBytes(call, zone, max(request.ContentLength, 0))
 		response, err := next.RoundTrip(request)
+		node.meter.countPeerCall(call, err)
 		if err != nil {
 			return nil, err
 		}
--- a/rehearsal/command/losses.go
+++ b/rehearsal/command/losses.go
@@ -36,13 +36,22 @@
 	if err != nil {
 		return err
 	}
-	_, err = file.Seek(0, io.SeekStart)
+	err = writeAgain(file, losses.ReadSizes, losses.WriteSizes)
+	if err != nil {
+		return err
+	}
+	return writeAgain(file, losses.ReadZones, losses.WriteZones)
+}
+
+// writeAgain reads a run's output from its start once more, and prints what one reader found.
+func writeAgain[Found any](file *os.File, read func(io.Reader) ([]Found, error), write func(io.Writer, []Found) error) error {
+	_, err := file.Seek(0, io.SeekStart)
 	if err != nil {
 		return eris.Wrap(err, "read the run's output again")
 	}
-	sizes, err := losses.ReadSizes(file)
+	found, err := read(file)
 	if err != nil {
 		return eris.Wrap(err, "read the run's output again")
 	}
-	return losses.WriteSizes(os.Stdout, sizes)
+	return write(os.Stdout, found)
 }
--- a/rehearsal/losses/losses.go
+++ b/rehearsal/losses/losses.go
@@ -56,6 +56,8 @@
 	engine    string
 	failure   string
 	route     string
+	// zone is that of the node.
+	zone string
 	// took is the duration of the call, programTimeLeft the time from its receipt to the soft deadline of
 	// its program.
 	took            time.Duration
@@ -104,6 +106,8 @@
 		entry.failure = value
 	case "route":
 		entry.route = value
+	case "zone":
+		entry.zone = value
 	case "took":
 		entry.took, _ = time.ParseDuration(value)
 	case "program_time_left":
