Origins of streams: one message for both keys, none for each failure; probes limited

What callers saw: on nodes short of processor time calls passed their deadlines, and went on doing so after the load had fallen.

A keeper that did not respond in time had the record sent to the other keepers again, three times over, and each node that did not respond was probed each second by each other. So work grew with failures, and failures with work.

Now the same nodes keep both keys of a stream, in one message, strong nodes more of them; while one version of the service is known, streams are resumed by that, and origins are collected for a second. An origin is sent to no node twice, and to three in place of others. A node begins ten probes a second at most, however many nodes are silent. A relay forwards refutations that are news to it.

--- a/internal/backend/version.go
+++ b/internal/backend/version.go
@@ -42,6 +42,24 @@
 	return false
 }
 
+// IsSoleVersion reports whether all known engines of a service run a software version, draining ones
+// included. It returns false if none is known.
+func (directory *Directory) IsSoleVersion(service, version string) bool {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	found := false
+	for _, engine := range directory.engines {
+		if engine.Service != service {
+			continue
+		}
+		if engine.Version != version {
+			return false
+		}
+		found = true
+	}
+	return found
+}
+
 // ServiceVersion is a software version of a service's engines.
 type ServiceVersion struct {
 	Service string
--- a/internal/forward/resumption.go
+++ b/internal/forward/resumption.go
@@ -43,16 +43,17 @@
 
 // streamKeys returns the keys under which the call's stream is recorded, the one to look it up by first:
 // that of its first attempt, unless the caller resumes the stream without naming that, and that of its
-// content, which is the same in all attempts. A content that began at several versions is not found.
+// content, which is the same in all attempts. A content that began at several versions is not found. The
+// same nodes keep both.
 func (inflight *inflightCall) streamKeys() []streamversion.Key {
 	call := inflight.call
 	fingerprint := inflight.fingerprint()
 	content := streamversion.NewContentKey(call.Session, fingerprint[:])
 	switch {
 	case !call.Resumes:
-		return []streamversion.Key{streamversion.NewKey(call.Tenant, call.ID), content}
+		return []streamversion.Key{streamversion.NewKey(call.Tenant, call.ID).PlacedWith(content), content}
 	case call.FirstAttempt != "":
-		return []streamversion.Key{streamversion.NewKey(call.Tenant, call.FirstAttempt), content}
+		return []streamversion.Key{streamversion.NewKey(call.Tenant, call.FirstAttempt).PlacedWith(content), content}
 	}
 	return []streamversion.Key{content}
 }
--- a/internal/node/loss_sharing.go
+++ b/internal/node/loss_sharing.go
@@ -194,9 +194,9 @@
 // handle applies a message of another node.
 func (sharing *lossSharing) handle(request *nodev1.ShareLossesRequest, now time.Time) *nodev1.ShareLossesReply {
 	losses := lossesFromProto(request.Losses, now)
-	sharing.merge(losses, now)
-	if request.Forward && len(losses) > 0 {
-		sharing.forward(losses)
+	news := sharing.merge(losses, now)
+	if request.Forward {
+		sharing.forward(withoutKnownRefutations(losses, news))
 	}
 	reply := &nodev1.ShareLossesReply{Complete: sharing.node.quarantine.records.complete.Load(), Losses: lossesToProto(sharing.knownOf(losses, now), now)}
 	if request.WantsLosses {
@@ -205,6 +205,14 @@
 	return reply
 }
 
+// withoutKnownRefutations returns the losses except those that are refuted and were known to be so: several
+// nodes see the same engine go on, and a zone needs to be told once.
+func withoutKnownRefutations(losses, news []quarantine.Loss) []quarantine.Loss {
+	return slices.DeleteFunc(slices.Clone(losses), func(loss quarantine.Loss) bool {
+		return loss.Refuted && !slices.ContainsFunc(news, func(other quarantine.Loss) bool { return other.ID == loss.ID })
+	})
+}
+
 // knownOf returns what this node knows of the requests of the losses that a caller waits for, and is not
 // refuted.
 func (sharing *lossSharing) knownOf(losses []quarantine.Loss, now time.Time) []quarantine.Loss {
@@ -230,6 +238,9 @@
 // forward tells the other nodes of this node's zone. It returns once they know if a caller waits for
 // that; other losses are collected into one message with those of other nodes.
 func (sharing *lossSharing) forward(losses []quarantine.Loss) {
+	if len(losses) == 0 {
+		return
+	}
 	if slices.ContainsFunc(losses, func(loss quarantine.Loss) bool { return isAwaited(&loss) }) {
 		awaitAll(sharing.tellNodesOf(sharing.node.settings.Zone, losses, 0), maxForwardWait)
 		return
--- a/internal/node/overload_messages_test.go
+++ b/internal/node/overload_messages_test.go
@@ -41,6 +41,7 @@
 		go node.quarantine.sharing.probeSilent(ctx)
 		time.Sleep(seconds * time.Second)
 		stop()
+		time.Sleep(time.Second) // The last probes end.
 		t.Logf("%d probes in %d s", fleet.messages.Load(), seconds)
 		NewWithT(t).Expect(fleet.messages.Load()).To(BeNumerically("<=", seconds*10), "12 KB a second are for all control messages of a node")
 	})
--- a/internal/node/stream_origins.go
+++ b/internal/node/stream_origins.go
@@ -15,11 +15,16 @@
 )
 
 const (
+	// originBatchDelay is how long origins are collected into one message to a node. While a single version
+	// of the service is known, streams are resumed without their origins, unless the log is unavailable, and
+	// it is soleOriginBatchDelay.
+	originBatchDelay     = 5 * time.Millisecond
+	soleOriginBatchDelay = time.Second
 	// keepOriginsTimeout bounds a message with origins. A node that does not take it in time is passed
 	// over for originPeerSuspicion, and another one of its zone keeps the origins.
 	keepOriginsTimeout  = 200 * time.Millisecond
 	originPeerSuspicion = 500 * time.Millisecond
-	// maxRedirects bounds how many nodes are tried in place of one, where many do not respond at once.
+	// maxRedirects bounds how many nodes are told of an origin in place of its keepers that do not respond.
 	maxRedirects = 3
 	// findOriginTimeout bounds a search. secondRoundDelay is when the further nodes are asked, unless
 	// all of the first round have answered before.
@@ -46,7 +51,7 @@
 	node     *Node
 	table    *streamversion.Table
 	suspects *suspects
-	toNodes  *outboxes[keptOrigin]
+	toNodes  *outboxes[*keptOrigin]
 	records  *originRecords
 	inUse    *versionsInUse
 
@@ -63,10 +68,33 @@
 	keepers []string
 }
 
-// keptOrigin is a record on its way to a node. redirects is how many nodes did not take it.
+// keptOrigin is a record on its way to its keepers.
 type keptOrigin struct {
 	streamversion.Record
+	// mayRedirect is false if no other node is told in place of one that does not take the record.
+	mayRedirect bool
+
+	mutex sync.Mutex
+	// redirects is how many nodes were told in place of others, told all nodes that were told.
 	redirects int
+	told      []string
+}
+
+// replacement returns the first keeper that was not told yet, false if there is none or enough others were
+// told in place of those that did not take the record.
+func (origin *keptOrigin) replacement(keepers []string) (string, bool) {
+	origin.mutex.Lock()
+	defer origin.mutex.Unlock()
+	if !origin.mayRedirect || origin.redirects >= maxRedirects {
+		return "", false
+	}
+	untold := slices.IndexFunc(keepers, func(keeper string) bool { return !slices.Contains(origin.told, keeper) })
+	if untold < 0 {
+		return "", false
+	}
+	origin.redirects++
+	origin.told = append(origin.told, keepers[untold])
+	return keepers[untold], true
 }
 
 func newStreamOrigins(node *Node) *streamOrigins {
@@ -90,9 +118,11 @@
 func (origins *streamOrigins) tellKeepers(record incompleteOrigin) {
 	settings := origins.node.settings
 	keepers := streamversion.Keepers(record.Key, origins.candidates(), settings.Name, settings.Zone)
+	delay := origins.batchDelay(record.Origin)
+	kept := &keptOrigin{Record: record.Record, mayRedirect: true, told: slices.Clone(keepers)}
 	for _, keeper := range keepers {
 		if !slices.Contains(record.keepers, keeper) {
-			origins.toNodes.to(keeper).add([]keptOrigin{{Record: record.Record}}, 0)
+			origins.toNodes.to(keeper).add([]*keptOrigin{kept}, delay)
 		}
 	}
 	if len(keepers) >= streamversion.Copies {
@@ -106,6 +136,14 @@
 	}
 }
 
+// batchDelay returns how long an origin may wait for others that go to the same node.
+func (origins *streamOrigins) batchDelay(origin streamversion.Origin) time.Duration {
+	if origins.inUse.enabled() && origins.node.engines.IsSoleVersion(origin.Service, origin.Version) {
+		return soleOriginBatchDelay
+	}
+	return originBatchDelay
+}
+
 // run looks for further keepers of incomplete origins until ctx ends.
 func (origins *streamOrigins) run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -139,15 +177,19 @@
 // inRegion returns the nodes of this node's region, this node included.
 func (origins *streamOrigins) inRegion(peers []Member) []streamversion.Node {
 	settings := origins.node.settings
-	nodes := []streamversion.Node{{Name: settings.Name, Zone: settings.Zone}}
+	nodes := []streamversion.Node{originNode(origins.node.self())}
 	for _, member := range peers {
 		if settings.Regions[member.Zone] == settings.Regions[settings.Zone] {
-			nodes = append(nodes, streamversion.Node{Name: member.Name, Zone: member.Zone})
+			nodes = append(nodes, originNode(member))
 		}
 	}
 	return nodes
 }
 
+func originNode(member Member) streamversion.Node {
+	return streamversion.Node{Name: member.Name, Zone: member.Zone, Capacity: member.Capacity}
+}
+
 // searched returns the nodes to ask for an origin, and how many belong to the first round. Nodes that
 // are suspected or draining are asked in the second one: what they kept before is still theirs.
 func (origins *streamOrigins) searched(key streamversion.Key) (names []string, firstRound int) {
@@ -163,7 +205,7 @@
 }
 
 // deliver sends records to a node. If it does not take them, other nodes get them in its place.
-func (origins *streamOrigins) deliver(name string, records []keptOrigin) {
+func (origins *streamOrigins) deliver(name string, records []*keptOrigin) {
 	message := &nodev1.KeepStreamOriginsRequest{Origins: make([]*nodev1.StreamOrigin, len(records))}
 	for index, record := range records {
 		message.Origins[index] = originToProto(record.Record)
@@ -175,11 +217,8 @@
 	}
 	origins.suspects.add(name, time.Now().Add(originPeerSuspicion))
 	origins.node.logger.Info("stream origins not kept", zap.String("node", name), zap.Int("streams", len(records)), logging.ErrorField(err))
-	for _, record := range records {
-		if record.redirects < maxRedirects {
-			origins.redirect(record, name)
-		}
-	}
+	// Messages that were sent at the same time end at the same time: by then all that failed are suspected.
+	time.AfterFunc(originBatchDelay, func() { origins.redirect(records) })
 }
 
 // refill sends recent origins to a node that has started, and of whose memory nothing is left. Otherwise
@@ -189,11 +228,11 @@
 		return
 	}
 	nodes := origins.candidates()
-	started := streamversion.Node{Name: member.Name, Zone: member.Zone}
-	var records []keptOrigin
+	started := originNode(member)
+	var records []*keptOrigin
 	for _, record := range origins.table.PutSince(time.Now().Add(-refillAge)) {
 		if streamversion.IsFirstOfZone(record.Key, started, nodes) {
-			records = append(records, keptOrigin{Record: record, redirects: maxRedirects})
+			records = append(records, &keptOrigin{Record: record})
 		}
 	}
 	if len(records) > 0 {
@@ -212,14 +251,15 @@
 	return err
 }
 
-// redirect sends a record to the nodes that keep it now that one is suspected. Those that have it
-// already are not changed by it.
-func (origins *streamOrigins) redirect(record keptOrigin, failed string) {
+// redirect sends each record to one node in place of another that did not take it. Nodes that are short of
+// processor time do not respond in time either: those that were told before are not told again.
+func (origins *streamOrigins) redirect(records []*keptOrigin) {
 	settings := origins.node.settings
-	record.redirects++
-	for _, keeper := range streamversion.Keepers(record.Key, origins.candidates(), settings.Name, settings.Zone) {
-		if keeper != failed {
-			origins.toNodes.to(keeper).add([]keptOrigin{record}, 0)
+	candidates := origins.candidates()
+	for _, record := range records {
+		keeper, found := record.replacement(streamversion.Keepers(record.Key, candidates, settings.Name, settings.Zone))
+		if found {
+			origins.toNodes.to(keeper).add([]*keptOrigin{record}, 0)
 		}
 	}
 }
--- a/internal/node/unresponsive_peers.go
+++ b/internal/node/unresponsive_peers.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -9,6 +10,9 @@
 	// probeDivisor divides the time for which a node has been silent into the time between two probes: nodes that
 	// are lost for good cost ever less, and one that returns is found soon by comparison.
 	probeDivisor = 8
+	// probesPerCheck bounds the nodes that are probed at a time, so that what a node sends does not grow with the
+	// number of nodes that do not respond: where many do not, they may all be short of processor time.
+	probesPerCheck = 1
 	// maxPeerProbeInterval bounds the time between two probes of a node.
 	maxPeerProbeInterval = time.Minute
 )
@@ -65,8 +69,8 @@
 	return silent
 }
 
-// due returns the nodes that are to be probed now. Nodes that are no members any more, or are leaving, are
-// forgotten.
+// due returns the nodes that are to be probed now, those that have waited longest for it first, but no more
+// than probesPerCheck. Nodes that are no members any more, or are leaving, are forgotten.
 func (peers *unresponsivePeers) due(members *members, now time.Time) []string {
 	peers.mutex.Lock()
 	defer peers.mutex.Unlock()
@@ -81,7 +85,13 @@
 			continue
 		}
 		names = append(names, name)
-		peers.schedule(silent, now)
+	}
+	slices.SortFunc(names, func(left, right string) int {
+		return peers.byName[left].probeAt.Compare(peers.byName[right].probeAt)
+	})
+	names = names[:min(len(names), probesPerCheck)]
+	for _, name := range names {
+		peers.schedule(peers.byName[name], now)
 	}
 	return names
 }
--- a/internal/streamversion/keepers.go
+++ b/internal/streamversion/keepers.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -21,12 +22,17 @@
 type Node struct {
 	Name string
 	Zone string
+	// Capacity is the node's processor share in thousandths of a core, 0 if unknown.
+	Capacity uint32
 }
 
+// defaultCapacity is assumed for nodes of unknown capacity.
+const defaultCapacity = 500
+
 // ranked is a node with its rank within its zone for one key.
 type ranked struct {
 	Node
-	score uint64
+	score float64
 	// round is 0 for the first node of each zone, 1 for the second ones, and so on.
 	round int
 }
@@ -36,7 +42,7 @@
 func rank(key Key, nodes []Node) []ranked {
 	order := make([]ranked, len(nodes))
 	for index, node := range nodes {
-		order[index] = ranked{Node: node, score: score(key, node.Name)}
+		order[index] = ranked{Node: node, score: score(key, node)}
 	}
 	slices.SortFunc(order, func(left, right ranked) int { return cmp.Compare(right.score, left.score) })
 	rounds := map[string]int{}
@@ -79,14 +85,23 @@
 
 // IsFirstOfZone reports whether a node is the first one of its zone to be asked for an origin.
 func IsFirstOfZone(key Key, node Node, nodes []Node) bool {
-	own := score(key, node.Name)
+	own := score(key, node)
 	return !slices.ContainsFunc(nodes, func(other Node) bool {
-		return other.Zone == node.Zone && other.Name != node.Name && score(key, other.Name) > own
+		return other.Zone == node.Zone && other.Name != node.Name && score(key, other) > own
 	})
 }
 
-// score returns the rank of a node for a key; the highest comes first.
-func score(key Key, name string) uint64 { return xxhash.Sum64String(string(key[:]) + name) }
+// score returns the rank of a node for a key's placement; the highest comes first. It is the logarithm of a
+// uniform hash, divided by the square of the capacity: strong nodes keep most origins.
+func score(key Key, node Node) float64 {
+	capacity := float64(node.Capacity)
+	if capacity == 0 {
+		capacity = defaultCapacity
+	}
+	hash := xxhash.Sum64String(string(key[:placementBytes]) + node.Name)
+	uniform := (float64(hash>>11) + 0.5) / (1 << 53)
+	return math.Log(uniform) / (capacity * capacity)
+}
 
 // Searched returns the nodes to ask for the origin of a stream, those most likely to keep it first,
 // and how many belong to the first round. It depends on the key only, not on the node that began the
--- a/internal/streamversion/streamversion.go
+++ b/internal/streamversion/streamversion.go
@@ -11,7 +11,8 @@
 	"encoding/hex"
 )
 
-// keyBytes is the size of a Key. Two streams of a deployment do not share a 128-bit hash by chance.
+// keyBytes is the size of a Key. Two streams of a deployment do not share a 128-bit hash by chance, nor two
+// attempts of one stream the half of it that is not its placement.
 const keyBytes = 16
 
 // Key identifies a stream by the attempt that brought its first event, or by the content of its request.
@@ -30,6 +31,15 @@
 	return newKey(session, contentPrefix+string(fingerprint))
 }
 
+// placementBytes is the number of leading bytes of a key that determine the nodes that keep it.
+const placementBytes = keyBytes / 2
+
+// PlacedWith returns the key with the placement of another one, so that the same nodes keep both.
+func (key Key) PlacedWith(other Key) Key {
+	copy(key[:placementBytes], other[:placementBytes])
+	return key
+}
+
 // newKey returns the hash of two texts.
 func newKey(first, second string) Key {
 	hash := sha256.New()
