Nodes short of processor time refuse new programs at once

A node that can't keep up let everyone wait, finished what nobody waited for any more, and met the tries that followed on top, also after the load had fallen.

Cause: admission knows engines and programs, nothing knew the node itself.

Beyond 0.25 it refuses programs that have not begun with 503, code 2021, and Retry-After; beyond a level of 0.6 also some turns of those that have; calls of tools never. A standing delay, the least of eight samples, was tried first and shows nothing (4 ms at most): a processor quota delays few samples by much and most by nothing.

--- a/internal/feature/feature.go
+++ b/internal/feature/feature.go
@@ -100,6 +100,8 @@
 	RefreshTurns Feature = "refresh-turns"
 	// RenewClaims: an owner writes its claim and its ceilings again before the log drops them.
 	RenewClaims Feature = "renew-claims"
+	// LoadShedding refuses calls while a node is short of processor time.
+	LoadShedding Feature = "load-shedding"
 )
 
 // All lists every feature.
@@ -108,7 +110,7 @@
 	QueueOrder, LongerToolWait, SafeRepeats, RemoteRecording, GroupCommit, OwnershipHandover, OwnershipByCapacity, ClaimRefusal, Isolation,
 	EnginePriority, LogGate, Egress, StaggeredRetries, ProgramsFirst,
 	LoadSharing, LoadBasedCapacity, RetryBudget, Admission, TenantShares, MemoryAdmission, EngineBreaker, SpeedWeighting, ResponseBufferLimit, ZoneReachability, RequestQuarantine, DurableQuarantine, AllEngineEnds, StreamVersions, DurableOrigins, SoleVersion,
-	RereadTurns, RefreshTurns, RenewClaims,
+	RereadTurns, RefreshTurns, RenewClaims, LoadShedding,
 }
 
 // disabled holds the disabled features, nil before Disable is called.
--- a/internal/node/meter.go
+++ b/internal/node/meter.go
@@ -380,7 +380,8 @@
 		{"magpielug_held_answer_bytes", "Bytes of answers held until they are whole.", func() float64 { return float64(node.bufferLimits.heldResponses.InUse()) }},
 		{"magpielug_engine_connections_opened", "Connections opened to engines.", func() float64 { return float64(node.dependencies.Connections.OpenedCount()) }},
 		{"magpielug_retry_budget", "Asks of engines after a refusal that are left.", func() float64 { return node.service.RetryBudget.Remaining(time.Now()) }},
-		{"magpielug_processor_delay_seconds", "Time that goroutines wait for the processor, the least of the last 0.2 s.", func() float64 { return node.processor.StandingDelay().Seconds() }},
+		{"magpielug_processor_pressure", "Share of time for which goroutines that could run wait for a processor.", func() float64 { return node.processor.Pressure() }},
+		{"magpielug_refusal_level", "How much this node refuses for want of processor time, from 0 to 1.", func() float64 { return node.shedder.Level() }},
 		{"magpielug_retry_denials", "Asks of engines after a refusal that were denied.", func() float64 { return float64(node.service.RetryBudget.DeniedCount()) }},
 	}
 	registry.MustRegister(&loadCollector{node: node})
--- a/internal/overload/monitor.go
+++ b/internal/overload/monitor.go
@@ -1,14 +1,14 @@
 // Package overload detects that a node is short of processor time, and decides which calls it then
 // refuses so that the others are served in time.
 //
-// A node without processor time does not fail: all its goroutines wait longer for the processor, until
-// callers leave before they are answered and come back. What they left behind is finished all the same,
-// so that the node stays overloaded after its load has fallen. Refusing a call costs a small part of
-// serving it.
+// A node without processor time does not fail: its goroutines wait longer for the processor, until callers
+// leave before they are answered and come back. What they left behind is finished all the same, so that the
+// node stays overloaded after its load has fallen. Refusing a call costs a small part of serving it.
 package overload
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -16,67 +16,57 @@
 )
 
 const (
-	// sampleInterval is the interval between two samples of the processor delay.
+	// sampleInterval is how long a sample sleeps.
 	sampleInterval = 25 * time.Millisecond
-	// samplesPerWindow is the number of samples of which the smallest is the standing delay. A single
-	// long computation delays a few of them only.
-	samplesPerWindow = 8
+	// pressureDecay is the time in which the weight of a sample falls to 1/e. A processor quota delays few
+	// samples by much and most by nothing, so that single ones say little.
+	pressureDecay = 500 * time.Millisecond
 )
 
-// Monitor measures the processor delay: how long a goroutine that could run waits for a processor. It is
-// safe for concurrent use.
+// Monitor measures the processor pressure: the share of time for which a goroutine that could run waits for
+// a processor, as pressure stall information does for processes. It is safe for concurrent use.
 type Monitor struct {
-	mutex sync.Mutex
-	// samples holds the last samples, the oldest at next.
-	samples [samplesPerWindow]time.Duration
-	next    int
-	// longest is the longest standing delay since the last call of TakeLongest.
-	longest time.Duration
+	mutex    sync.Mutex
+	pressure float64
+	// highest is the highest pressure since the last call of TakeHighest.
+	highest float64
 }
 
 // Run takes samples until ctx ends. A sample is how much later than asked for a timer has woken its
-// goroutine.
-func (monitor *Monitor) Run(ctx context.Context, observe func()) {
+// goroutine. observe is called after each one, with the pressure and the time since the last one.
+func (monitor *Monitor) Run(ctx context.Context, observe func(pressure float64, elapsed time.Duration)) {
 	for ctx.Err() == nil {
 		began := time.Now()
 		wait.Sleep(ctx, sampleInterval)
-		monitor.Record(time.Since(began) - sampleInterval)
-		if observe != nil {
-			observe()
-		}
+		elapsed := time.Since(began)
+		monitor.Record(elapsed - sampleInterval)
+		observe(monitor.Pressure(), elapsed)
 	}
 }
 
-// Record adds a sample.
+// Record adds a sample, given the delay of its wake-up.
 func (monitor *Monitor) Record(delay time.Duration) {
+	delay = max(delay, 0)
+	elapsed := sampleInterval + delay
+	weight := 1 - math.Exp(-elapsed.Seconds()/pressureDecay.Seconds())
 	monitor.mutex.Lock()
 	defer monitor.mutex.Unlock()
-	monitor.samples[monitor.next] = max(delay, 0)
-	monitor.next = (monitor.next + 1) % samplesPerWindow
-	monitor.longest = max(monitor.longest, monitor.standing())
+	monitor.pressure += weight * (delay.Seconds()/elapsed.Seconds() - monitor.pressure)
+	monitor.highest = max(monitor.highest, monitor.pressure)
 }
 
-// StandingDelay returns the smallest delay of the last window: a delay that no goroutine escapes.
-func (monitor *Monitor) StandingDelay() time.Duration {
+// Pressure returns the pressure of late, from 0 to 1.
+func (monitor *Monitor) Pressure() float64 {
 	monitor.mutex.Lock()
 	defer monitor.mutex.Unlock()
-	return monitor.standing()
+	return monitor.pressure
 }
 
-// standing returns the standing delay. The caller holds the mutex.
-func (monitor *Monitor) standing() time.Duration {
-	smallest := monitor.samples[0]
-	for _, sample := range monitor.samples[1:] {
-		smallest = min(smallest, sample)
-	}
-	return smallest
-}
-
-// TakeLongest returns the longest standing delay since its last call.
-func (monitor *Monitor) TakeLongest() time.Duration {
+// TakeHighest returns the highest pressure since its last call.
+func (monitor *Monitor) TakeHighest() float64 {
 	monitor.mutex.Lock()
 	defer monitor.mutex.Unlock()
-	longest := monitor.longest
-	monitor.longest = 0
-	return longest
+	highest := monitor.highest
+	monitor.highest = monitor.pressure
+	return highest
 }
