Refusals for want of processor time are taken out again; the pressure stays as a metric

Whether a program has begun is known at one node only, so that turns of programs under way were refused at others; each refusal brings another try.

--- a/internal/feature/feature.go
+++ b/internal/feature/feature.go
@@ -100,8 +100,6 @@
 	RefreshTurns Feature = "refresh-turns"
 	// RenewClaims: an owner writes its claim and its ceilings again before the log drops them.
 	RenewClaims Feature = "renew-claims"
-	// LoadShedding refuses calls while a node is short of processor time.
-	LoadShedding Feature = "load-shedding"
 )
 
 // All lists every feature.
@@ -110,7 +108,7 @@
 	QueueOrder, LongerToolWait, SafeRepeats, RemoteRecording, GroupCommit, OwnershipHandover, OwnershipByCapacity, ClaimRefusal, Isolation,
 	EnginePriority, LogGate, Egress, StaggeredRetries, ProgramsFirst,
 	LoadSharing, LoadBasedCapacity, RetryBudget, Admission, TenantShares, MemoryAdmission, EngineBreaker, SpeedWeighting, ResponseBufferLimit, ZoneReachability, RequestQuarantine, DurableQuarantine, AllEngineEnds, StreamVersions, DurableOrigins, SoleVersion,
-	RereadTurns, RefreshTurns, RenewClaims, LoadShedding,
+	RereadTurns, RefreshTurns, RenewClaims,
 }
 
 // disabled holds the disabled features, nil before Disable is called.
--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -135,8 +135,6 @@
 	LogUnavailable func() bool
 	// Quarantine keeps requests under which engines ended from being sent again; nil if nothing does.
 	Quarantine Quarantine
-	// Shedder decides which calls are refused for want of processor time; nil if none are.
-	Shedder Shedder
 	// StreamOrigins knows where streams began; nil if streams may be resumed at any engine.
 	StreamOrigins StreamOrigins
 	// underWay holds the calls that can be canceled.
@@ -291,13 +289,9 @@
 	inflight.awaitLoadedViews(ctx)
 	inflight.awaitFreshViews(ctx)
 	failure := inflight.prepare()
-	if failure == nil {
-		failure = inflight.shed()
-	}
 	if failure == nil {
 		failure = inflight.runUntilDeadline(ctx)
 	}
-	inflight.recordBegun(failure)
 	inflight.finish(ctx, failure)
 }
 
--- a/internal/node/meter.go
+++ b/internal/node/meter.go
@@ -381,7 +381,6 @@
 		{"magpielug_engine_connections_opened", "Connections opened to engines.", func() float64 { return float64(node.dependencies.Connections.OpenedCount()) }},
 		{"magpielug_retry_budget", "Asks of engines after a refusal that are left.", func() float64 { return node.service.RetryBudget.Remaining(time.Now()) }},
 		{"magpielug_processor_pressure", "Share of time for which goroutines that could run wait for a processor.", func() float64 { return node.processor.Pressure() }},
-		{"magpielug_refusal_level", "How much this node refuses for want of processor time, from 0 to 1.", func() float64 { return node.shedder.Level() }},
 		{"magpielug_retry_denials", "Asks of engines after a refusal that were denied.", func() float64 { return float64(node.service.RetryBudget.DeniedCount()) }},
 	}
 	registry.MustRegister(&loadCollector{node: node})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -98,9 +98,8 @@
 	contact peerContact
 	// freezes detects intervals in which the process did not run.
 	freezes *freeze.Detector
-	// processor measures how long goroutines wait for the processor, shedder decides what is refused then.
+	// processor measures how long goroutines wait for the processor.
 	processor *overload.Monitor
-	shedder   *overload.Shedder
 	// zones tracks which zones are reachable.
 	zones *reach.Zones
 	// logHealth tracks how the durable log responds to any node.
@@ -184,7 +183,6 @@
 		assigner:     assignment.New(),
 		freezes:      freeze.NewDetector(),
 		processor:    &overload.Monitor{},
-		shedder:      overload.NewShedder(),
 		engines:      backend.NewDirectory(),
 		load:         load.NewView(),
 		bufferLimits: newBufferLimits(settings.MemoryBytes),
@@ -280,9 +278,6 @@
 	if feature.Enabled(feature.StreamVersions) {
 		service.StreamOrigins = node.origins
 	}
-	if feature.Enabled(feature.LoadShedding) {
-		service.Shedder = node.shedder
-	}
 	return service
 }
 
@@ -339,7 +334,7 @@
 		return err
 	}
 	go node.freezes.Run(runContext)
-	go node.processor.Run(runContext, node.shedder.Observe)
+	go node.processor.Run(runContext)
 	go node.registration.run(runContext)
 	for _, follower := range node.followers {
 		go follower.run(runContext)
@@ -401,7 +396,6 @@
 		node.turns.Expire(now)
 		node.assigner.Expire(now)
 		node.quarantine.expire(now)
-		node.shedder.Expire(now)
 		node.dependencies.Connections.CloseExpired(now)
 	}
 }
@@ -413,7 +407,7 @@
 		zap.Int("nodes", node.members.activeCount()), zap.Int("turns", turns), zap.Int("turn_bytes", bytes),
 		zap.Int("recordings", node.recorder.InFlight()), zap.Bool("appends_slow", node.logHealth.AppendsSlow()),
 		zap.Int64("lines_dropped", node.logOutput.Dropped()), zap.String("store_calls", node.meter.takeLogCallSummary()), zap.String("peer_bytes", node.meter.takePeerByteSummary()),
-		zap.String("peer_calls", node.meter.takePeerCallSummary()), zap.Float64("processor_pressure", node.processor.TakeHighest()), zap.Float64("refusal_level", node.shedder.Level()))
+		zap.String("peer_calls", node.meter.takePeerCallSummary()), zap.Float64("processor_pressure", node.processor.TakeHighest()))
 }
 
 func (node *Node) inFlight() int {
--- a/internal/overload/monitor.go
+++ b/internal/overload/monitor.go
@@ -1,9 +1,8 @@
-// Package overload detects that a node is short of processor time, and decides which calls it then
-// refuses so that the others are served in time.
+// Package overload detects that a node is short of processor time.
 //
 // A node without processor time does not fail: its goroutines wait longer for the processor, until callers
 // leave before they are answered and come back. What they left behind is finished all the same, so that the
-// node stays overloaded after its load has fallen. Refusing a call costs a small part of serving it.
+// node may stay overloaded after its load has fallen.
 package overload
 
 import (
@@ -33,14 +32,12 @@
 }
 
 // Run takes samples until ctx ends. A sample is how much later than asked for a timer has woken its
-// goroutine. observe is called after each one, with the pressure and the time since the last one.
-func (monitor *Monitor) Run(ctx context.Context, observe func(pressure float64, elapsed time.Duration)) {
+// goroutine.
+func (monitor *Monitor) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		began := time.Now()
 		wait.Sleep(ctx, sampleInterval)
-		elapsed := time.Since(began)
-		monitor.Record(elapsed - sampleInterval)
-		observe(monitor.Pressure(), elapsed)
+		monitor.Record(time.Since(began) - sampleInterval)
 	}
 }
 
--- a/internal/resultcode/resultcode.go
+++ b/internal/resultcode/resultcode.go
@@ -52,8 +52,6 @@
 	StreamVersionLeft   Code = 2019
 	// RequestHeld refuses a request until other attempts of it are known to have ended well.
 	RequestHeld Code = 2020
-	// ProcessorBusy refuses a call while its node is short of processor time.
-	ProcessorBusy Code = 2021
 
 	OutcomeUnknown Code = 3001
 	CallStopped    Code = 3002
@@ -122,7 +120,6 @@
 	{StreamOriginUnknown, "STREAM_ORIGIN_UNKNOWN", http.StatusServiceUnavailable, true, "No node that could be asked knows which software version began the stream, so it is not resumed; this sending did not run."},
 	{StreamVersionLeft, "STREAM_VERSION_LEFT", http.StatusServiceUnavailable, true, "No engine of the software version that began the stream serves it now, so it is not resumed; this sending did not run."},
 	{RequestHeld, "REQUEST_HELD", http.StatusServiceUnavailable, true, "Engines ended under requests of this content, and others may yet end under attempts that are not known to be finished; this sending did not run."},
-	{ProcessorBusy, "PROCESSOR_BUSY", http.StatusServiceUnavailable, true, "The node is short of processor time; another one may serve the request. Not run."},
 	{OutcomeUnknown, "OUTCOME_UNKNOWN", http.StatusBadGateway, false, "The call was sent and its outcome is lost; it may have run and will not run again."},
 	{CallStopped, "CALL_STOPPED", http.StatusConflict, false, "The call was cancelled because its program was stopped."},
 	{SlowReader, "SLOW_READER", http.StatusRequestTimeout, true, "The caller read too slowly; the stream can be resumed."},
