Origins that are collected leave at once when a second version is known

Since origins wait for up to a second while one version of a service is known. At the start of a rollout keepers then lacked what began in the last second: a stream that resumes by its content alone could go on at the version of a later attempt, where before both were known and it was refused.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -241,6 +241,9 @@
 	if change == backend.Unchanged {
 		return false
 	}
+	if !node.engines.IsSoleVersion(instance.Service, instance.Version) {
+		node.origins.toNodes.startAll() // Streams depend on their origins from now on.
+	}
 	if known && previous.Incarnation != instance.Incarnation {
 		node.quarantine.ends.ended(engineLife(previous), false)
 	}
--- a/internal/node/outbox.go
+++ b/internal/node/outbox.go
@@ -100,6 +100,15 @@
 	return &outboxes[Item]{deliver: deliver, maxBatch: maxBatch, byReceiver: map[string]*outbox[Item]{}}
 }
 
+// startAll starts the delivery of all that is pending.
+func (outboxes *outboxes[Item]) startAll() {
+	outboxes.mutex.Lock()
+	defer outboxes.mutex.Unlock()
+	for _, each := range outboxes.byReceiver {
+		each.start()
+	}
+}
+
 // to returns the outbox of a receiver, creating it at its first use.
 func (outboxes *outboxes[Item]) to(receiver string) *outbox[Item] {
 	outboxes.mutex.Lock()
